Set down the shape, the core types and the checks

Cause: an empty repository. Change: module folders with commands and queries apart, core types, the closed list of error kinds, concepts for clock, disk, transport and random numbers with small fakes, presets for release and sanitizers, formatter, linter and a check for crossing includes.

--- /dev/null
+++ b/src/balsampoint/config/document.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "balsampoint/core/id.hpp"
+#include "balsampoint/core/number.hpp"
+#include "balsampoint/core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace balsampoint::config {
+
+/** @brief A key as kept in the configuration: never the key itself. */
+struct KeyHash
+{
+  /** Lower-case hexadecimal. */
+  std::string salt;
+  /** SHA-256 over the salt's text followed by the key, in hexadecimal. */
+  std::string sha256;
+};
+
+/** @brief A model served in stages over layer ranges. */
+struct Pipeline
+{
+  PipelineId id;
+  ModelId model;
+  std::string version;
+  /** Adapter every server of the pipeline must hold; empty for none. */
+  std::string adapter;
+  /** Layers of the model. */
+  std::uint32_t layers{};
+  /** Most tokens one answer may have. */
+  std::uint32_t maxTokens{};
+  /** Bytes that pass from one stage to the next for one token. */
+  std::uint64_t activationBytes{};
+  /** Limit on one whole answer. */
+  Duration timeout{};
+};
+
+/** @brief Says for one method and path prefix whether calls may be repeated. */
+struct ServiceRule
+{
+  /** HTTP method in upper case, or `*` for any. */
+  std::string method;
+  std::string pathPrefix;
+  bool idempotent{ false };
+};
+
+/** @brief A plain service; a call that no rule matches is non-idempotent. */
+struct Service
+{
+  ServiceId id;
+  /** The first rule that matches decides. */
+  std::vector<ServiceRule> rules;
+  /** Limit on one call, its retries included. */
+  Duration timeout{};
+  /** Largest body in bytes, of a request and of an answer. */
+  std::uint64_t maxBodyBytes{};
+};
+
+/** @brief Limits of one workspace over all hosts; zero means none. */
+struct Limits
+{
+  double requestsPerSecond{};
+  std::uint32_t concurrentRequests{};
+};
+
+/** @brief A group of callers that shares keys, limits and a priority. */
+struct Workspace
+{
+  WorkspaceId id;
+  std::vector<KeyHash> keys;
+  /** Share of the capacity under contention, relative to the others. */
+  double weight{ 1.0 };
+  /** Lower is served first. */
+  std::uint32_t priority{};
+  Limits limits;
+  /** Pipelines it may use; empty means all. */
+  std::set<PipelineId> pipelines;
+  /** Services it may use; empty means all. */
+  std::set<ServiceId> services;
+};
+
+/** @brief Somebody who may change the configuration. */
+struct OperatorEntry
+{
+  OperatorId id;
+  std::vector<KeyHash> keys;
+};
+
+/** @brief One whole configuration; immutable once published. */
+struct Document
+{
+  ChangeNumber number;
+  std::map<PipelineId, Pipeline> pipelines;
+  std::map<ServiceId, Service> services;
+  std::map<WorkspaceId, Workspace> workspaces;
+  std::map<OperatorId, OperatorEntry> operators;
+};
+
+} // namespace balsampoint::config
--- /dev/null
+++ b/src/balsampoint/core/concepts.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "balsampoint/core/error.hpp"
+#include "balsampoint/core/id.hpp"
+#include "balsampoint/core/time.hpp"
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <span>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace balsampoint {
+
+/** @brief Bytes that the callee only reads. */
+using ByteView = std::span<const std::byte>;
+/** @brief Bytes that their holder owns. */
+using ByteVector = std::vector<std::byte>;
+
+/**
+ * @brief Tells the monotonic time.
+ * @tparam T Type to test.
+ */
+template<typename T>
+concept ClockSource = requires(const T& aClock) {
+  {
+    aClock.Now()
+  } -> std::same_as<Instant>;
+};
+
+/**
+ * @brief Gives uniformly distributed 64-bit numbers.
+ * @tparam T Type to test.
+ */
+template<typename T>
+concept RandomSource = requires(T& aRandom) {
+  {
+    aRandom.Next()
+  } -> std::same_as<std::uint64_t>;
+};
+
+/**
+ * @brief Sends messages to other hosts without waiting; may lose them.
+ * @tparam T Type to test.
+ * @tparam Message Type of the messages.
+ */
+template<typename T, typename Message>
+concept Transport =
+  requires(T& aTransport, const HostId& aTo, const Message& aMessage) {
+    {
+      aTransport.Send(aTo, aMessage)
+    } -> std::same_as<void>;
+  };
+
+/**
+ * @brief Holds files of one folder; nothing is durable before `Sync`.
+ *
+ * `Replace` writes a file whole and makes it durable under its name in one
+ * step: after a crash either the old or the new content is there.
+ * @tparam T Type to test.
+ */
+template<typename T>
+concept Disk = requires(T& aDisk,
+                        std::string_view aName,
+                        ByteView aBytes,
+                        std::uint64_t aSize) {
+  {
+    aDisk.Append(aName, aBytes)
+  } -> std::same_as<tl::expected<void, Error>>;
+  {
+    aDisk.Sync(aName)
+  } -> std::same_as<tl::expected<void, Error>>;
+  {
+    aDisk.Replace(aName, aBytes)
+  } -> std::same_as<tl::expected<void, Error>>;
+  {
+    aDisk.Truncate(aName, aSize)
+  } -> std::same_as<tl::expected<void, Error>>;
+  {
+    aDisk.Remove(aName)
+  } -> std::same_as<tl::expected<void, Error>>;
+  {
+    aDisk.Read(aName)
+  } -> std::same_as<tl::expected<ByteVector, Error>>;
+  {
+    aDisk.List()
+  } -> std::same_as<tl::expected<std::vector<std::string>, Error>>;
+};
+
+/**
+ * @brief A decision module as the control thread runs it.
+ *
+ * `Handle` is a command: it changes the state and appends actions for the
+ * adapters. `NextDeadline` is a query: the time at which the module wants a
+ * `Tick`.
+ * @tparam M Type to test; names `State`, `Event` and `Action`.
+ */
+template<typename M>
+concept ControlModule = requires(typename M::State& aState,
+                                 const typename M::State& aConstState,
+                                 const typename M::Event& aEvent,
+                                 std::vector<typename M::Action>& aActions,
+                                 Instant aNow) {
+  {
+    M::Handle(aState, aEvent, aNow, aActions)
+  } -> std::same_as<void>;
+  {
+    M::Tick(aState, aNow, aActions)
+  } -> std::same_as<void>;
+  {
+    M::NextDeadline(aConstState)
+  } -> std::same_as<Instant>;
+};
+
+} // namespace balsampoint
--- /dev/null
+++ b/src/balsampoint/core/id.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace balsampoint {
+
+/**
+ * @brief A name that can't be mixed up with names of another kind.
+ * @tparam Tag Distinguishes the kinds; never defined.
+ */
+template<typename Tag>
+class BasicId
+{
+public:
+  BasicId() = default;
+
+  /**
+   * @brief Wraps a name.
+   * @param aValue The name as configured or announced.
+   */
+  explicit BasicId(std::string aValue)
+    : mValue{ std::move(aValue) }
+  {
+  }
+
+  /** @brief The name; valid as long as this object. */
+  [[nodiscard]] std::string_view Value() const noexcept { return mValue; }
+
+  /** @brief The name as a string. */
+  [[nodiscard]] const std::string& String() const noexcept { return mValue; }
+
+  /** @brief Whether no name was given. */
+  [[nodiscard]] bool Empty() const noexcept { return mValue.empty(); }
+
+  auto operator<=>(const BasicId&) const = default;
+
+  friend std::ostream& operator<<(std::ostream& aStream, const BasicId& aId)
+  {
+    return aStream << aId.mValue;
+  }
+
+private:
+  std::string mValue;
+};
+
+/** @brief Names an entry host or control host. */
+using HostId = BasicId<struct HostTag>;
+/** @brief Names a region. */
+using RegionId = BasicId<struct RegionTag>;
+/** @brief Names an availability zone. */
+using ZoneId = BasicId<struct ZoneTag>;
+/** @brief Names a workspace. */
+using WorkspaceId = BasicId<struct WorkspaceTag>;
+/** @brief Names a pipeline. */
+using PipelineId = BasicId<struct PipelineTag>;
+/** @brief Names a plain service. */
+using ServiceId = BasicId<struct ServiceTag>;
+/** @brief Names a backend server. */
+using ServerId = BasicId<struct ServerTag>;
+/** @brief Names an operator. */
+using OperatorId = BasicId<struct OperatorTag>;
+/** @brief Names one caller's request across all hops. */
+using RequestId = BasicId<struct RequestTag>;
+/** @brief Names a change of configuration, chosen by the operator's client. */
+using ChangeId = BasicId<struct ChangeTag>;
+/** @brief Names an order to a model engine. */
+using OrderId = BasicId<struct OrderTag>;
+/** @brief Names a cluster of hosts that share one control state. */
+using ClusterId = BasicId<struct ClusterTag>;
+/** @brief Names a model. */
+using ModelId = BasicId<struct ModelTag>;
+
+} // namespace balsampoint
+
+/** @brief Hashes an id by its name. */
+template<typename Tag>
+struct std::hash<balsampoint::BasicId<Tag>>
+{
+  std::size_t operator()(const balsampoint::BasicId<Tag>& aId) const noexcept
+  {
+    return std::hash<std::string_view>{}(aId.Value());
+  }
+};
--- /dev/null
+++ b/src/balsampoint/registry/view.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "balsampoint/registry/announcement.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace balsampoint::registry {
+
+/** @brief One live server as traffic threads see it. */
+struct Server
+{
+  Announcement announcement;
+  /** When its load was reported, by the receiving host's clock. */
+  Instant reportedAt{};
+};
+
+/** @brief The live servers in the order of their ids; immutable. */
+struct View
+{
+  std::vector<Server> servers;
+};
+
+} // namespace balsampoint::registry
--- /dev/null
+++ b/src/balsampoint/runtime/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+/** @brief What threads share: queues and published snapshots. */
+namespace balsampoint::runtime {
+
+template<typename Event>
+class Mailbox;
+
+template<typename Value>
+class SnapshotCell;
+
+} // namespace balsampoint::runtime
--- /dev/null
+++ b/src/balsampoint/stream/call.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "balsampoint/core/id.hpp"
+#include "balsampoint/core/layer_range.hpp"
+#include "balsampoint/core/number.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace balsampoint::stream {
+
+/** @brief Which call a message belongs to; a reply repeats it unchanged. */
+struct CallId
+{
+  RequestId request;
+  AttemptNumber attempt;
+  StepNumber step;
+  LayerRange layers;
+
+  auto operator<=>(const CallId&) const = default;
+};
+
+/** @brief Runs a range of layers for the next position of a request. */
+struct StepCall
+{
+  CallId id;
+  ModelId model;
+  std::string version;
+  std::string adapter;
+  /** Input of layer 0 at this position; the KV digest is built from it. */
+  std::uint64_t start{};
+  /** Input of the first layer of the range. */
+  std::uint64_t input{};
+  /** Digest of the positions that the KV must hold before this step. */
+  std::uint64_t kvDigest{};
+  /** Lower is served first. */
+  std::uint32_t priority{};
+};
+
+/** @brief Outcome of a step. */
+struct StepReply
+{
+  CallId id;
+  /** Output of the last layer of the range. */
+  std::uint64_t output{};
+};
+
+/** @brief One past position of a request at the border of a layer range. */
+struct Position
+{
+  std::uint64_t start{};
+  std::uint64_t input{};
+
+  auto operator<=>(const Position&) const = default;
+};
+
+/**
+ * @brief Builds the KV of a layer range anew from past positions.
+ *
+ * Any KV of the request for these layers is dropped first. `id.step` is the
+ * step that follows the last position.
+ */
+struct ReplayCall
+{
+  CallId id;
+  ModelId model;
+  std::string version;
+  std::string adapter;
+  std::vector<Position> positions;
+};
+
+/** @brief Outcome of a replay. */
+struct ReplayReply
+{
+  CallId id;
+  /** Output of the range for each position, in order. */
+  std::vector<std::uint64_t> outputs;
+};
+
+/**
+ * @brief Copies the KV of a layer range from another server.
+ *
+ * Any KV of the request for these layers is dropped first. `id.step` is the
+ * number of positions that the copy must hold.
+ */
+struct ImportCall
+{
+  CallId id;
+  ModelId model;
+  std::string version;
+  /** IP number and port of the server that holds the KV. */
+  std::string source;
+  std::uint64_t kvDigest{};
+};
+
+} // namespace balsampoint::stream
--- /dev/null
+++ b/test/balsampoint/core/layer_range_test.cpp
@@ -0,0 +1,21 @@
+#include "balsampoint/core/layer_range.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace balsampoint;
+
+Test(layer_range, holds_what_lies_between_its_ends)
+{
+  const auto range = LayerRange::Make(4, 8, 32);
+  cr_assert(range.has_value());
+  cr_assert_eq(range->Size(), 4);
+  cr_assert(range->Holds(4));
+  cr_assert_not(range->Holds(8));
+}
+
+Test(layer_range, refuses_what_is_empty_or_outside_the_model)
+{
+  cr_assert_not(LayerRange::Make(8, 8, 32).has_value());
+  cr_assert_not(LayerRange::Make(30, 33, 32).has_value());
+  cr_assert_eq(LayerRange::Make(9, 8, 32).error().kind, ErrorKind::BadRequest);
+}
