Add the replicated table of idempotency keys and the steps of a keyed call

Cause: non-idempotent calls have at-most-once semantics. The fuzz found that a time step which catches up aged a claim made meanwhile; windows now start with the first step after the claim.

--- /dev/null
+++ b/src/balsampoint/ledger/command/advance_call.cpp
@@ -0,0 +1,205 @@
+#include "balsampoint/ledger/command/advance_call.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace balsampoint::ledger {
+
+namespace {
+
+using Actions = std::vector<CallAction>;
+
+void
+Finish(Call& aCall, tl::expected<StoredAnswer, Error> aAnswer, Actions& aActions)
+{
+  aCall.phase = CallPhase::Answered;
+  aActions.emplace_back(Reply{ std::move(aAnswer) });
+}
+
+void
+GiveBack(const Call& aCall, Actions& aActions)
+{
+  aActions.emplace_back(
+    ProposeLater{ Release{ .key = aCall.claim.key, .id = aCall.claim.id } });
+}
+
+void
+Decide(Call& aCall, const Granted& /*aGranted*/, Instant aNow, Actions& aActions)
+{
+  if (aNow >= aCall.deadline) {
+    GiveBack(aCall, aActions);
+    auto error = MakeError(ErrorKind::DeadlineExceeded,
+                           "the deadline passed before the call was sent");
+    error.executed = Executed::No;
+    Finish(aCall, tl::unexpected(std::move(error)), aActions);
+    return;
+  }
+  aCall.phase = CallPhase::Dispatching;
+  aActions.emplace_back(Dispatch{});
+}
+
+void
+Decide(Call& aCall,
+       const Repeated& aRepeated,
+       Instant /*aNow*/,
+       Actions& aActions)
+{
+  if (aRepeated.answer.complete) {
+    Finish(aCall, aRepeated.answer, aActions);
+    return;
+  }
+  auto error =
+    MakeError(ErrorKind::OutcomeUnknown,
+              "the call ran with status " +
+                std::to_string(aRepeated.answer.status) +
+                "; its answer was too large to keep for a repeat");
+  error.executed = Executed::Yes;
+  Finish(aCall, tl::unexpected(std::move(error)), aActions);
+}
+
+void
+Decide(Call& aCall, const InDoubt& /*aDoubt*/, Instant aNow, Actions& aActions)
+{
+  constexpr Duration kRetryAfter = std::chrono::seconds{ 1 };
+  const auto wait = aCall.limits.firstLook * (std::int64_t{ 1 } << aCall.looks);
+  ++aCall.looks;
+  if (aCall.looks < aCall.limits.looks && aNow + wait < aCall.deadline) {
+    aCall.phase = CallPhase::Waiting;
+    aActions.emplace_back(Wait{ aNow + wait });
+    return;
+  }
+  auto error = MakeError(ErrorKind::OutcomeUnknown,
+                         "an earlier call with this key is still running, or "
+                         "its outcome was lost");
+  error.retryAfter = kRetryAfter;
+  Finish(aCall, tl::unexpected(std::move(error)), aActions);
+}
+
+void
+Decide(Call& aCall, const Error& aError, Instant /*aNow*/, Actions& aActions)
+{
+  Finish(aCall, tl::unexpected(aError), aActions);
+}
+
+void
+Decide(Call& aCall, const Done& /*aDone*/, Instant /*aNow*/, Actions& aActions)
+{
+  Finish(
+    aCall, Refuse(ErrorKind::Internal, "a claim had no result"), aActions);
+}
+
+void
+On(Call& aCall, const ClaimDecided& aEvent, Instant aNow, Actions& aActions)
+{
+  if (aCall.phase != CallPhase::Claiming) {
+    return;
+  }
+  std::visit(
+    [&](const auto& aEach) { Decide(aCall, aEach, aNow, aActions); },
+    aEvent.outcome);
+}
+
+void
+On(Call& aCall, const ClaimLost& aEvent, Instant /*aNow*/, Actions& aActions)
+{
+  if (aCall.phase != CallPhase::Claiming) {
+    return;
+  }
+  if (aEvent.mayApply) {
+    GiveBack(aCall, aActions);
+  }
+  // This host never sends a call whose claim it hasn't seen granted.
+  auto error = aEvent.error;
+  error.executed = aCall.looks == 0 ? Executed::No : Executed::Unknown;
+  Finish(aCall, tl::unexpected(std::move(error)), aActions);
+}
+
+void
+On(Call& aCall, const WaitEnded& /*aEvent*/, Instant aNow, Actions& aActions)
+{
+  if (aCall.phase != CallPhase::Waiting) {
+    return;
+  }
+  aCall.phase = CallPhase::Claiming;
+  Begin(aCall, aNow, aActions);
+}
+
+void
+On(Call& aCall, const DispatchAnswered& aEvent, Instant aNow, Actions& aActions)
+{
+  if (aCall.phase != CallPhase::Dispatching) {
+    return;
+  }
+  aCall.phase = CallPhase::Recording;
+  aCall.answer = aEvent.answer;
+  aActions.emplace_back(Propose{ .command = Record{ .key = aCall.claim.key,
+                                                    .id = aCall.claim.id,
+                                                    .answer = aEvent.answer },
+                                 .until = aNow + aCall.limits.record });
+}
+
+void
+On(Call& aCall,
+   const DispatchNeverBegan& aEvent,
+   Instant /*aNow*/,
+   Actions& aActions)
+{
+  if (aCall.phase != CallPhase::Dispatching) {
+    return;
+  }
+  GiveBack(aCall, aActions);
+  auto error = aEvent.error;
+  error.executed = Executed::No;
+  Finish(aCall, tl::unexpected(std::move(error)), aActions);
+}
+
+void
+On(Call& aCall,
+   const DispatchUnknown& aEvent,
+   Instant /*aNow*/,
+   Actions& aActions)
+{
+  if (aCall.phase != CallPhase::Dispatching) {
+    return;
+  }
+  auto error = aEvent.error;
+  error.executed = Executed::Unknown;
+  Finish(aCall, tl::unexpected(std::move(error)), aActions);
+}
+
+void
+On(Call& aCall, const RecordEnded& aEvent, Instant /*aNow*/, Actions& aActions)
+{
+  if (aCall.phase != CallPhase::Recording) {
+    return;
+  }
+  if (!aEvent.durable) {
+    aActions.emplace_back(ProposeLater{ Record{ .key = aCall.claim.key,
+                                                .id = aCall.claim.id,
+                                                .answer = aCall.answer } });
+  }
+  Finish(aCall, std::move(aCall.answer), aActions);
+}
+
+} // namespace
+
+void
+Begin(const Call& aCall, Instant aNow, std::vector<CallAction>& aActions)
+{
+  aActions.emplace_back(
+    Propose{ .command = aCall.claim,
+             .until = std::min(aCall.deadline, aNow + aCall.limits.proposal) });
+}
+
+void
+Advance(Call& aCall,
+        const CallEvent& aEvent,
+        Instant aNow,
+        std::vector<CallAction>& aActions)
+{
+  std::visit([&](const auto& aEach) { On(aCall, aEach, aNow, aActions); },
+             aEvent);
+}
+
+} // namespace balsampoint::ledger
--- /dev/null
+++ b/src/balsampoint/ledger/command/apply.cpp
@@ -0,0 +1,207 @@
+#include "balsampoint/ledger/command/apply.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace balsampoint::ledger {
+
+namespace {
+
+std::uint64_t
+AnswerBytes(const StoredAnswer& aAnswer)
+{
+  std::uint64_t bytes = aAnswer.body.size();
+  for (const auto& header : aAnswer.headers) {
+    bytes += header.name.size() + header.value.size();
+  }
+  return bytes;
+}
+
+std::uint64_t
+EntryBytes(const Key& aKey, const Entry& aEntry)
+{
+  return kEntryOverheadBytes + aKey.workspace.Value().size() +
+         aKey.service.Value().size() + aKey.value.size() +
+         AnswerBytes(aEntry.answer);
+}
+
+void
+Remove(Table& aTable, std::map<Key, Entry>::iterator aAt)
+{
+  const auto bytes = EntryBytes(aAt->first, aAt->second);
+  auto& usage = aTable.workspaces[aAt->first.workspace];
+  for (auto* each : { &usage, &aTable.total }) {
+    each->entries -= 1;
+    each->bytes -= bytes;
+  }
+  if (usage.entries == 0) {
+    aTable.workspaces.erase(aAt->first.workspace);
+  }
+  aTable.expiries.erase({ aAt->second.expiry, aAt->first });
+  aTable.entries.erase(aAt);
+}
+
+bool
+HasRoom(const Table& aTable, const Key& aKey)
+{
+  const auto usage = aTable.workspaces.find(aKey.workspace);
+  const auto own =
+    usage == aTable.workspaces.end() ? 0 : usage->second.entries;
+  const auto bytes = EntryBytes(aKey, Entry{});
+  return own < aTable.bounds.workspaceEntries &&
+         aTable.total.entries < aTable.bounds.entries &&
+         aTable.total.bytes + bytes <= aTable.bounds.bytes;
+}
+
+Outcome
+Start(Table& aTable, const Claim& aClaim)
+{
+  if (!HasRoom(aTable, aClaim.key)) {
+    return MakeError(ErrorKind::LedgerFull,
+                     "the table of idempotency keys is full");
+  }
+  Insert(aTable,
+         aClaim.key,
+         Entry{ .digest = aClaim.digest,
+                .claim = aClaim.id,
+                .phase = Phase::Claimed,
+                .answer = {},
+                .expiry = kNotAged });
+  return Granted{};
+}
+
+Outcome
+ApplyTo(Table& aTable, const Claim& aClaim)
+{
+  if (aClaim.key.value.empty() ||
+      aClaim.key.value.size() > aTable.bounds.keyBytes) {
+    return MakeError(ErrorKind::BadRequest,
+                     "the idempotency key is empty or too long");
+  }
+  const auto found = aTable.entries.find(aClaim.key);
+  if (found == aTable.entries.end()) {
+    return Start(aTable, aClaim);
+  }
+  const auto& entry = found->second;
+  if (entry.phase == Phase::Released) {
+    if (entry.claim == aClaim.id) {
+      return MakeError(ErrorKind::Cancelled, "the claim was given back");
+    }
+    Remove(aTable, found);
+    return Start(aTable, aClaim);
+  }
+  if (entry.digest != aClaim.digest) {
+    return MakeError(ErrorKind::KeyReused,
+                     "the key was used with another method, path or body");
+  }
+  if (entry.phase == Phase::Recorded) {
+    return Repeated{ entry.answer };
+  }
+  if (entry.claim == aClaim.id) {
+    return Granted{};
+  }
+  return InDoubt{ entry.claim };
+}
+
+Outcome
+ApplyTo(Table& aTable, const Record& aRecord)
+{
+  const auto found = aTable.entries.find(aRecord.key);
+  if (found == aTable.entries.end() || found->second.claim != aRecord.id ||
+      found->second.phase != Phase::Claimed) {
+    return Done{};
+  }
+  auto entry = found->second;
+  entry.phase = Phase::Recorded;
+  entry.answer = aRecord.answer;
+  const auto size = AnswerBytes(entry.answer);
+  if (size > aTable.bounds.answerBytes ||
+      aTable.total.bytes + size > aTable.bounds.bytes) {
+    entry.answer = { .status = aRecord.answer.status,
+                     .headers = {},
+                     .body = {},
+                     .complete = false };
+  }
+  Remove(aTable, found);
+  Insert(aTable, aRecord.key, std::move(entry));
+  return Done{};
+}
+
+Outcome
+ApplyTo(Table& aTable, const Release& aRelease)
+{
+  const auto found = aTable.entries.find(aRelease.key);
+  const Entry released{ .digest = {},
+                        .claim = aRelease.id,
+                        .phase = Phase::Released,
+                        .answer = {},
+                        .expiry = kNotAged };
+  if (found == aTable.entries.end()) {
+    // The claim may still be on its way and must then grant nothing.
+    if (HasRoom(aTable, aRelease.key)) {
+      Insert(aTable, aRelease.key, released);
+    }
+    return Done{};
+  }
+  if (found->second.claim != aRelease.id ||
+      found->second.phase != Phase::Claimed) {
+    return Done{};
+  }
+  Remove(aTable, found);
+  Insert(aTable, aRelease.key, released);
+  return Done{};
+}
+
+/** Starts the window of all entries made since the last step. */
+void
+StartWindows(Table& aTable)
+{
+  while (!aTable.expiries.empty() &&
+         aTable.expiries.rbegin()->first == kNotAged) {
+    auto last = aTable.expiries.extract(std::prev(aTable.expiries.end()));
+    auto& entry = aTable.entries.at(last.value().second);
+    entry.expiry = aTable.time + (entry.phase == Phase::Released
+                                    ? aTable.bounds.releasedWindow
+                                    : aTable.bounds.window);
+    last.value().first = entry.expiry;
+    aTable.expiries.insert(std::move(last));
+  }
+}
+
+Outcome
+ApplyTo(Table& aTable, const TimeStep& aStep)
+{
+  if (aStep.from != aTable.time || aStep.by <= Duration::zero()) {
+    return Done{};
+  }
+  aTable.time += aStep.by;
+  StartWindows(aTable);
+  while (!aTable.expiries.empty() &&
+         aTable.expiries.begin()->first <= aTable.time) {
+    Remove(aTable, aTable.entries.find(aTable.expiries.begin()->second));
+  }
+  return Done{};
+}
+
+} // namespace
+
+void
+Insert(Table& aTable, const Key& aKey, Entry aEntry)
+{
+  const auto bytes = EntryBytes(aKey, aEntry);
+  for (auto* each : { &aTable.workspaces[aKey.workspace], &aTable.total }) {
+    each->entries += 1;
+    each->bytes += bytes;
+  }
+  aTable.expiries.emplace(aEntry.expiry, aKey);
+  aTable.entries.insert_or_assign(aKey, std::move(aEntry));
+}
+
+Outcome
+Apply(Table& aTable, const Command& aCommand)
+{
+  return std::visit(
+    [&aTable](const auto& aEach) { return ApplyTo(aTable, aEach); }, aCommand);
+}
+
+} // namespace balsampoint::ledger
--- /dev/null
+++ b/src/balsampoint/ledger/fwd.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+/**
+ * @brief At-most-once calls: a replicated table of idempotency keys, and the
+ * steps of one call on its entry host.
+ */
+namespace balsampoint::ledger {
+
+struct Bounds;
+struct Call;
+struct Claim;
+struct ClaimId;
+struct Entry;
+struct Key;
+struct Record;
+struct Release;
+struct StoredAnswer;
+struct Table;
+struct TimeStep;
+
+} // namespace balsampoint::ledger
--- /dev/null
+++ b/src/balsampoint/ledger/query/lookup.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "balsampoint/ledger/state.hpp"
+
+namespace balsampoint::ledger {
+
+/**
+ * @brief What the table knows of a key.
+ * @param aTable Table to read.
+ * @param aKey The key.
+ * @return Its entry, valid until the table changes, or null.
+ */
+[[nodiscard]] inline const Entry*
+Find(const Table& aTable, const Key& aKey)
+{
+  const auto found = aTable.entries.find(aKey);
+  return found == aTable.entries.end() ? nullptr : &found->second;
+}
+
+} // namespace balsampoint::ledger
--- /dev/null
+++ b/test/fake/ledger_world.hpp
@@ -0,0 +1,408 @@
+#pragma once
+
+#include "balsampoint/ledger/command/advance_call.hpp"
+#include "balsampoint/ledger/command/apply.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsampoint::fake {
+
+/** @brief What becomes of a proposal to the control group. */
+enum class Delivery : std::uint8_t
+{
+  Answered,
+  AnswerLost,
+  AppliedTwice,
+  Lost,
+};
+
+/** @brief What becomes of a call at the backend server. */
+enum class ServerFate : std::uint8_t
+{
+  Answers,
+  ConnectionRefused,
+  ResetBeforeRun,
+  ResetAfterRun,
+  /** The entry host gives up; the server runs the call later. */
+  RunsLate,
+};
+
+/**
+ * @brief Entry hosts, the control group's table and a backend server whose
+ * order of events a test chooses; checks at-most-once as it goes.
+ */
+class LedgerWorld
+{
+public:
+  /** @brief One request of a caller. */
+  struct Request
+  {
+    ledger::Key key;
+    ledger::Digest digest{};
+    /** When the table granted its claim. */
+    std::optional<Instant> grantedAt;
+    bool ran{ false };
+    std::optional<tl::expected<ledger::StoredAnswer, Error>> reply;
+  };
+
+  /**
+   * @brief Makes hosts that share an empty table.
+   * @param aHosts Number of entry hosts.
+   * @param aBounds Bounds of the table.
+   */
+  LedgerWorld(std::size_t aHosts, const ledger::Bounds& aBounds)
+    : mHosts(aHosts)
+  {
+    mTable.bounds = aBounds;
+  }
+
+  /** @brief A caller sends a request through one host. */
+  void Submit(std::size_t aHost, unsigned aKey, unsigned aBody)
+  {
+    auto& host = mHosts[aHost % mHosts.size()];
+    ledger::Call call;
+    call.claim.key = ledger::Key{ .workspace = WorkspaceId{ "desk" },
+                                  .service = ServiceId{ "orders" },
+                                  .value = "key-" + std::to_string(aKey) };
+    call.claim.digest.fill(static_cast<std::byte>(aBody));
+    call.claim.id =
+      ledger::ClaimId{ .host = HostId{ std::to_string(aHost % mHosts.size()) },
+                       .incarnation = host.incarnation,
+                       .number = mRequests.size() };
+    call.deadline = mNow + kPatience;
+    const auto at = mRequests.size();
+    mRequests.push_back({ .key = call.claim.key,
+                          .digest = call.claim.digest,
+                          .grantedAt = std::nullopt,
+                          .ran = false,
+                          .reply = std::nullopt });
+    std::vector<ledger::CallAction> actions;
+    ledger::Begin(call, mNow, actions);
+    host.calls.emplace(at, std::move(call));
+    CarryOut(at, actions);
+  }
+
+  /** @brief One proposal on its way is applied or lost. */
+  void Decide(std::size_t aChoice, Delivery aDelivery)
+  {
+    if (mProposals.empty()) {
+      return;
+    }
+    const auto index = aChoice % mProposals.size();
+    const auto proposal = mProposals[index];
+    mProposals.erase(mProposals.begin() + static_cast<std::ptrdiff_t>(index));
+    if (aDelivery == Delivery::Lost) {
+      Fail(proposal);
+      return;
+    }
+    const auto outcome = ledger::Apply(mTable, proposal.command);
+    if (std::holds_alternative<ledger::Granted>(outcome)) {
+      auto& request =
+        mRequests[std::get<ledger::Claim>(proposal.command).id.number];
+      request.grantedAt = request.grantedAt.value_or(mNow);
+    }
+    if (aDelivery == Delivery::AppliedTwice) {
+      mProposals.push_back({ .command = proposal.command, .request = {} });
+    }
+    if (aDelivery == Delivery::AnswerLost) {
+      Fail(proposal);
+      return;
+    }
+    if (!proposal.request) {
+      return;
+    }
+    if (std::holds_alternative<ledger::Record>(proposal.command)) {
+      Post(*proposal.request, ledger::RecordEnded{ true });
+    } else {
+      Post(*proposal.request, ledger::ClaimDecided{ outcome });
+    }
+  }
+
+  /** @brief An entry host stops waiting for a proposal that stays queued. */
+  void GiveUp(std::size_t aChoice)
+  {
+    if (mProposals.empty()) {
+      return;
+    }
+    auto& proposal = mProposals[aChoice % mProposals.size()];
+    const auto copy = proposal;
+    proposal.request.reset();
+    Fail(copy);
+  }
+
+  /** @brief One call that was sent ends. */
+  void EndDispatch(std::size_t aChoice, ServerFate aFate)
+  {
+    if (mDispatches.empty()) {
+      return;
+    }
+    const auto index = aChoice % mDispatches.size();
+    const auto at = mDispatches[index];
+    mDispatches.erase(mDispatches.begin() + static_cast<std::ptrdiff_t>(index));
+    switch (aFate) {
+      case ServerFate::Answers:
+        if (!Run(at)) {
+          break;
+        }
+        Post(at, ledger::DispatchAnswered{ AnswerOf(mRequests[at]) });
+        return;
+      case ServerFate::ConnectionRefused:
+        Post(at,
+             ledger::DispatchNeverBegan{
+               MakeError(ErrorKind::NoServer, "connection refused") });
+        return;
+      case ServerFate::ResetAfterRun:
+        Run(at);
+        break;
+      case ServerFate::RunsLate:
+        mLateRuns.push_back(at);
+        break;
+      case ServerFate::ResetBeforeRun:
+        break;
+    }
+    Post(at,
+         ledger::DispatchUnknown{
+           MakeError(ErrorKind::OutcomeUnknown, "connection reset") });
+  }
+
+  /** @brief A server runs a call that its entry host no longer waits for. */
+  void RunLate(std::size_t aChoice)
+  {
+    if (mLateRuns.empty()) {
+      return;
+    }
+    const auto index = aChoice % mLateRuns.size();
+    const auto at = mLateRuns[index];
+    mLateRuns.erase(mLateRuns.begin() + static_cast<std::ptrdiff_t>(index));
+    Run(at);
+  }
+
+  /** @brief An entry host restarts and forgets its calls. */
+  void Crash(std::size_t aHost)
+  {
+    auto& host = mHosts[aHost % mHosts.size()];
+    host.incarnation = host.incarnation.Next();
+    for (const auto& [at, call] : host.calls) {
+      std::erase_if(mDispatches, [&, id = at](std::size_t aEach) {
+        if (aEach == id) {
+          mLateRuns.push_back(aEach);
+        }
+        return aEach == id;
+      });
+    }
+    host.calls.clear();
+    host.seenAt = mNow;
+    host.seen = mTable.time;
+  }
+
+  /** @brief Time passes; one host proposes to move the table's time. */
+  void PassTime(std::size_t aHost, Duration aBy)
+  {
+    mNow += aBy;
+    auto& host = mHosts[aHost % mHosts.size()];
+    mProposals.push_back(
+      { .command =
+          ledger::TimeStep{ .from = host.seen, .by = mNow - host.seenAt },
+        .request = {} });
+    host.seen = mTable.time;
+    host.seenAt = mNow;
+    Wake();
+  }
+
+  /** @brief All that is on its way arrives, without further faults. */
+  void Settle()
+  {
+    constexpr Duration kStep = std::chrono::seconds{ 1 };
+    while (!mProposals.empty() || !mDispatches.empty() || !mWaits.empty()) {
+      Decide(0, Delivery::Answered);
+      EndDispatch(0, ServerFate::Answers);
+      RunLate(0);
+      mNow += kStep;
+      Wake();
+    }
+  }
+
+  /** @brief What went wrong so far; empty when every promise was kept. */
+  [[nodiscard]] const std::vector<std::string>& Violations() const
+  {
+    return mViolations;
+  }
+
+  /** @brief All requests so far. */
+  [[nodiscard]] const std::vector<Request>& Requests() const
+  {
+    return mRequests;
+  }
+
+  /** @brief The table. */
+  [[nodiscard]] const ledger::Table& Table() const { return mTable; }
+
+  /** @brief How often the work of any key ran. */
+  [[nodiscard]] std::size_t Runs() const { return mRunCount; }
+
+private:
+  static constexpr Duration kPatience = std::chrono::seconds{ 30 };
+  /** A call that has not run by then never does; less than the window. */
+  static constexpr Duration kLongestRun = std::chrono::minutes{ 10 };
+
+  struct Host
+  {
+    Incarnation incarnation{ 1 };
+    std::map<std::size_t, ledger::Call> calls;
+    Duration seen{};
+    Instant seenAt{};
+  };
+
+  struct Proposal
+  {
+    ledger::Command command;
+    /** The request that waits for the outcome. */
+    std::optional<std::size_t> request;
+  };
+
+  struct PendingWait
+  {
+    std::size_t request{};
+    Instant until{};
+  };
+
+  static ledger::StoredAnswer AnswerOf(const Request& aRequest)
+  {
+    return { .status = 201,
+             .headers = {},
+             .body = aRequest.key.value +
+                     std::to_string(std::to_integer<int>(aRequest.digest[0])),
+             .complete = true };
+  }
+
+  Host* HostOf(std::size_t aRequest)
+  {
+    for (auto& host : mHosts) {
+      if (host.calls.contains(aRequest)) {
+        return &host;
+      }
+    }
+    return nullptr;
+  }
+
+  void Post(std::size_t aRequest, const ledger::CallEvent& aEvent)
+  {
+    auto* host = HostOf(aRequest);
+    if (host == nullptr) {
+      return;
+    }
+    std::vector<ledger::CallAction> actions;
+    ledger::Advance(host->calls.at(aRequest), aEvent, mNow, actions);
+    CarryOut(aRequest, actions);
+  }
+
+  void Fail(const Proposal& aProposal)
+  {
+    if (!aProposal.request) {
+      return;
+    }
+    if (std::holds_alternative<ledger::Record>(aProposal.command)) {
+      Post(*aProposal.request, ledger::RecordEnded{ false });
+      return;
+    }
+    Post(*aProposal.request,
+         ledger::ClaimLost{
+           MakeError(ErrorKind::ControlUnavailable, "no decision"), true });
+  }
+
+  void CarryOut(std::size_t aRequest,
+                const std::vector<ledger::CallAction>& aActions)
+  {
+    for (const auto& action : aActions) {
+      if (const auto* propose = std::get_if<ledger::Propose>(&action)) {
+        mProposals.push_back(
+          { .command = propose->command, .request = aRequest });
+      } else if (const auto* later = std::get_if<ledger::ProposeLater>(&action)) {
+        mProposals.push_back({ .command = later->command, .request = {} });
+      } else if (std::holds_alternative<ledger::Dispatch>(action)) {
+        mDispatches.push_back(aRequest);
+      } else if (const auto* wait = std::get_if<ledger::Wait>(&action)) {
+        mWaits.push_back({ .request = aRequest, .until = wait->until });
+      } else {
+        Answer(aRequest, std::get<ledger::Reply>(action));
+      }
+    }
+  }
+
+  void Answer(std::size_t aRequest, const ledger::Reply& aReply)
+  {
+    auto& request = mRequests[aRequest];
+    if (request.reply) {
+      mViolations.push_back("a request was answered twice");
+    }
+    request.reply = aReply.answer;
+    if (aReply.answer && *aReply.answer != AnswerOf(request)) {
+      mViolations.push_back("a caller got another call's answer");
+    }
+    if (aReply.answer && !mLastGrant.contains(request.key)) {
+      mViolations.push_back("a caller got an answer to work that never ran");
+    }
+    CheckPromise(request);
+  }
+
+  void CheckPromise(const Request& aRequest)
+  {
+    if (aRequest.ran && aRequest.reply && !*aRequest.reply &&
+        aRequest.reply->error().executed == Executed::No) {
+      mViolations.push_back("a call that was said not to have run, ran");
+    }
+  }
+
+  /** @brief Runs the work, unless it is too late for that. */
+  bool Run(std::size_t aRequest)
+  {
+    auto& request = mRequests[aRequest];
+    const auto granted = request.grantedAt.value();
+    if (mNow - granted > kLongestRun) {
+      return false;
+    }
+    const auto last = mLastGrant.find(request.key);
+    if (last != mLastGrant.end() &&
+        granted - last->second < mTable.bounds.window) {
+      mViolations.push_back("the work of a key ran twice");
+    }
+    mLastGrant[request.key] = granted;
+    ++mRunCount;
+    request.ran = true;
+    CheckPromise(request);
+    return true;
+  }
+
+  void Wake()
+  {
+    std::vector<std::size_t> due;
+    std::erase_if(mWaits, [&](const PendingWait& aWait) {
+      if (aWait.until <= mNow) {
+        due.push_back(aWait.request);
+      }
+      return aWait.until <= mNow;
+    });
+    for (const auto request : due) {
+      Post(request, ledger::WaitEnded{});
+    }
+  }
+
+  ledger::Table mTable;
+  std::vector<Host> mHosts;
+  std::vector<Request> mRequests;
+  std::vector<Proposal> mProposals;
+  std::vector<std::size_t> mDispatches;
+  std::vector<std::size_t> mLateRuns;
+  std::vector<PendingWait> mWaits;
+  std::map<ledger::Key, Instant> mLastGrant;
+  std::vector<std::string> mViolations;
+  std::size_t mRunCount{};
+  Instant mNow{};
+};
+
+} // namespace balsampoint::fake
