Add the ledger's control module: commands reach the leader of the control group

Cause: entry hosts outside the control group need decisions on their claims. Change: ledger::Module forwards commands with resending and redirection, and answers for the leader; answers to an earlier incarnation decide nothing.

--- a/src/balsampoint/ledger/command/advance_call.cpp
+++ b/src/balsampoint/ledger/command/advance_call.cpp
@@ -11,7 +11,9 @@
 using Actions = std::vector<CallAction>;
 
 void
-Finish(Call& aCall, tl::expected<StoredAnswer, Error> aAnswer, Actions& aActions)
+Finish(Call& aCall,
+       tl::expected<StoredAnswer, Error> aAnswer,
+       Actions& aActions)
 {
   aCall.phase = CallPhase::Answered;
   aActions.emplace_back(Reply{ std::move(aAnswer) });
@@ -25,7 +27,10 @@
 }
 
 void
-Decide(Call& aCall, const Granted& /*aGranted*/, Instant aNow, Actions& aActions)
+Decide(Call& aCall,
+       const Granted& /*aGranted*/,
+       Instant aNow,
+       Actions& aActions)
 {
   if (aNow >= aCall.deadline) {
     GiveBack(aCall, aActions);
@@ -49,11 +54,10 @@
     Finish(aCall, aRepeated.answer, aActions);
     return;
   }
-  auto error =
-    MakeError(ErrorKind::OutcomeUnknown,
-              "the call ran with status " +
-                std::to_string(aRepeated.answer.status) +
-                "; its answer was too large to keep for a repeat");
+  auto error = MakeError(ErrorKind::OutcomeUnknown,
+                         "the call ran with status " +
+                           std::to_string(aRepeated.answer.status) +
+                           "; its answer was too large to keep for a repeat");
   error.executed = Executed::Yes;
   Finish(aCall, tl::unexpected(std::move(error)), aActions);
 }
@@ -85,8 +89,7 @@
 void
 Decide(Call& aCall, const Done& /*aDone*/, Instant /*aNow*/, Actions& aActions)
 {
-  Finish(
-    aCall, Refuse(ErrorKind::Internal, "a claim had no result"), aActions);
+  Finish(aCall, Refuse(ErrorKind::Internal, "a claim had no result"), aActions);
 }
 
 void
@@ -95,9 +98,8 @@
   if (aCall.phase != CallPhase::Claiming) {
     return;
   }
-  std::visit(
-    [&](const auto& aEach) { Decide(aCall, aEach, aNow, aActions); },
-    aEvent.outcome);
+  std::visit([&](const auto& aEach) { Decide(aCall, aEach, aNow, aActions); },
+             aEvent.outcome);
 }
 
 void
@@ -175,9 +177,8 @@
     return;
   }
   if (!aEvent.durable) {
-    aActions.emplace_back(ProposeLater{ Record{ .key = aCall.claim.key,
-                                                .id = aCall.claim.id,
-                                                .answer = aCall.answer } });
+    aActions.emplace_back(ProposeLater{ Record{
+      .key = aCall.claim.key, .id = aCall.claim.id, .answer = aCall.answer } });
   }
   Finish(aCall, std::move(aCall.answer), aActions);
 }
--- a/src/balsampoint/ledger/command/apply.cpp
+++ b/src/balsampoint/ledger/command/apply.cpp
@@ -45,8 +45,7 @@
 HasRoom(const Table& aTable, const Key& aKey)
 {
   const auto usage = aTable.workspaces.find(aKey.workspace);
-  const auto own =
-    usage == aTable.workspaces.end() ? 0 : usage->second.entries;
+  const auto own = usage == aTable.workspaces.end() ? 0 : usage->second.entries;
   const auto bytes = EntryBytes(aKey, Entry{});
   return own < aTable.bounds.workspaceEntries &&
          aTable.total.entries < aTable.bounds.entries &&
--- /dev/null
+++ b/src/balsampoint/ledger/command/forward.cpp
@@ -0,0 +1,288 @@
+#include "balsampoint/ledger/command/forward.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsampoint::ledger {
+
+namespace {
+
+using Actions = std::vector<Action>;
+
+Instant
+DueAt(const PendingCommand& aCommand)
+{
+  return std::min(aCommand.until, aCommand.resendAt);
+}
+
+const HostId*
+ClaimantOf(const Command& aCommand)
+{
+  if (const auto* claim = std::get_if<Claim>(&aCommand)) {
+    return &claim->id.host;
+  }
+  if (const auto* record = std::get_if<Record>(&aCommand)) {
+    return &record->id.host;
+  }
+  if (const auto* release = std::get_if<Release>(&aCommand)) {
+    return &release->id.host;
+  }
+  return nullptr;
+}
+
+void
+Propose(State& aState,
+        Origin aOrigin,
+        const Command& aCommand,
+        Actions& aActions)
+{
+  aState.lastTicket = aState.lastTicket.Next();
+  aState.origins.emplace(aState.lastTicket, std::move(aOrigin));
+  aActions.emplace_back(
+    Replicate{ .ticket = aState.lastTicket, .command = aCommand });
+}
+
+HostId
+Target(State& aState)
+{
+  if (!aState.leader.Empty() || aState.settings.members.empty()) {
+    return aState.leader;
+  }
+  const auto at = aState.nextMember++ % aState.settings.members.size();
+  return aState.settings.members[at];
+}
+
+void
+SendOne(State& aState,
+        std::uint64_t aNumber,
+        PendingCommand& aCommand,
+        Instant aNow,
+        Actions& aActions)
+{
+  const auto target = Target(aState);
+  const bool local = target == aState.settings.self;
+  aCommand.resendAfter =
+    std::max(aState.settings.resendAfter, aCommand.resendAfter * 2);
+  aCommand.resendAt = local ? aCommand.until : aNow + aCommand.resendAfter;
+  aState.timers.emplace(DueAt(aCommand), aNumber);
+  if (target.Empty()) {
+    return;
+  }
+  const AskId ask{ .incarnation = aState.settings.incarnation,
+                   .number = aNumber };
+  if (!local) {
+    aCommand.sent = true;
+    aActions.emplace_back(Send{
+      .to = target, .message = Ask{ .id = ask, .command = aCommand.command } });
+  } else if (aState.leader == target) {
+    aCommand.sent = true;
+    Propose(aState, { .host = target, .ask = ask }, aCommand.command, aActions);
+  }
+}
+
+void
+GiveUp(State& aState, std::uint64_t aNumber, Actions& aActions)
+{
+  const auto command = aState.commands.extract(aNumber);
+  const auto& pending = command.mapped();
+  if (pending.ticket) {
+    aActions.emplace_back(
+      Lost{ .ticket = *pending.ticket,
+            .error = MakeError(ErrorKind::ControlUnavailable,
+                               "the control group did not decide in time"),
+            .mayApply = pending.sent });
+  }
+}
+
+void
+SendAgain(State& aState, std::uint64_t aNumber, Instant aNow, Actions& aActions)
+{
+  const auto found = aState.commands.find(aNumber);
+  if (found == aState.commands.end()) {
+    return;
+  }
+  aState.timers.erase({ DueAt(found->second), aNumber });
+  SendOne(aState, aNumber, found->second, aNow, aActions);
+}
+
+void
+OnMessage(State& aState,
+          const HostId& aFrom,
+          const Ask& aAsk,
+          Actions& aActions)
+{
+  const auto* claimant = ClaimantOf(aAsk.command);
+  if (claimant == nullptr || *claimant != aFrom) {
+    return;
+  }
+  if (aState.leader != aState.settings.self ||
+      aState.origins.size() >= aState.settings.pending) {
+    aActions.emplace_back(
+      Send{ .to = aFrom,
+            .message = NotLeader{ .id = aAsk.id, .leader = aState.leader } });
+    return;
+  }
+  Propose(aState, { .host = aFrom, .ask = aAsk.id }, aAsk.command, aActions);
+}
+
+void
+RedirectTo(State& aState,
+           const HostId& aFrom,
+           const NotLeader& aAnswer,
+           Instant aNow,
+           Actions& aActions)
+{
+  if (aAnswer.id.incarnation != aState.settings.incarnation ||
+      aState.leader == aState.settings.self) {
+    return;
+  }
+  const bool news =
+    aAnswer.leader != aFrom && aAnswer.leader != aState.leader &&
+    !aAnswer.leader.Empty() && aAnswer.leader != aState.settings.self;
+  if (aState.leader == aFrom) {
+    aState.leader = {};
+  }
+  if (news) {
+    aState.leader = aAnswer.leader;
+    SendAgain(aState, aAnswer.id.number, aNow, aActions);
+  }
+}
+
+} // namespace
+
+void
+Submit(State& aState, PendingCommand aCommand, Instant aNow, Actions& aActions)
+{
+  if (aState.commands.size() >= aState.settings.pending) {
+    if (aCommand.ticket) {
+      aActions.emplace_back(
+        Lost{ .ticket = *aCommand.ticket,
+              .error = MakeError(ErrorKind::Overloaded,
+                                 "too many keyed calls wait for the control "
+                                 "group"),
+              .mayApply = false });
+    }
+    return;
+  }
+  const auto number = ++aState.lastNumber;
+  auto& command = aState.commands[number];
+  command = std::move(aCommand);
+  SendOne(aState, number, command, aNow, aActions);
+}
+
+void
+SubmitAgain(State& aState, Instant aNow, Actions& aActions)
+{
+  std::vector<std::uint64_t> numbers;
+  numbers.reserve(aState.commands.size());
+  for (const auto& [number, command] : aState.commands) {
+    numbers.push_back(number);
+  }
+  for (const auto number : numbers) {
+    SendAgain(aState, number, aNow, aActions);
+  }
+}
+
+void
+Resolve(State& aState,
+        std::uint64_t aNumber,
+        const Outcome& aOutcome,
+        Actions& aActions)
+{
+  const auto found = aState.commands.find(aNumber);
+  if (found == aState.commands.end()) {
+    return;
+  }
+  const auto& pending = found->second;
+  aState.timers.erase({ DueAt(pending), aNumber });
+  if (pending.ticket) {
+    aActions.emplace_back(
+      Decided{ .ticket = *pending.ticket, .outcome = aOutcome });
+  }
+  aState.commands.erase(found);
+}
+
+void
+SendDue(State& aState, Instant aNow, Actions& aActions)
+{
+  while (!aState.timers.empty() && aState.timers.begin()->first <= aNow) {
+    const auto number = aState.timers.begin()->second;
+    aState.timers.erase(aState.timers.begin());
+    auto& command = aState.commands.at(number);
+    if (command.until <= aNow) {
+      GiveUp(aState, number, aActions);
+      continue;
+    }
+    // The host asked last was silent, so the next one is tried.
+    if (aState.leader != aState.settings.self) {
+      aState.leader = {};
+    }
+    SendOne(aState, number, command, aNow, aActions);
+  }
+}
+
+void
+Receive(State& aState,
+        const Received& aReceived,
+        Instant aNow,
+        Actions& aActions)
+{
+  if (const auto* ask = std::get_if<Ask>(&aReceived.message)) {
+    OnMessage(aState, aReceived.from, *ask, aActions);
+  } else if (const auto* told = std::get_if<Told>(&aReceived.message)) {
+    if (told->id.incarnation != aState.settings.incarnation) {
+      return;
+    }
+    if (aState.leader != aState.settings.self) {
+      aState.leader = aReceived.from;
+    }
+    Resolve(aState, told->id.number, told->outcome, aActions);
+  } else {
+    RedirectTo(aState,
+               aReceived.from,
+               std::get<NotLeader>(aReceived.message),
+               aNow,
+               aActions);
+  }
+}
+
+void
+Reject(State& aState, Ticket aTicket, Instant aNow, Actions& aActions)
+{
+  const auto found = aState.origins.find(aTicket);
+  if (found == aState.origins.end()) {
+    return;
+  }
+  const auto origin = found->second;
+  aState.origins.erase(found);
+  if (origin.host != aState.settings.self) {
+    aActions.emplace_back(
+      Send{ .to = origin.host,
+            .message = NotLeader{ .id = origin.ask, .leader = {} } });
+  } else if (aState.leader != aState.settings.self) {
+    SendAgain(aState, origin.ask.number, aNow, aActions);
+  }
+}
+
+void
+Report(State& aState,
+       Ticket aTicket,
+       const Outcome& aOutcome,
+       Actions& aActions)
+{
+  const auto found = aState.origins.find(aTicket);
+  if (found == aState.origins.end()) {
+    return;
+  }
+  const auto origin = found->second;
+  aState.origins.erase(found);
+  if (origin.host == aState.settings.self) {
+    Resolve(aState, origin.ask.number, aOutcome, aActions);
+    return;
+  }
+  aActions.emplace_back(
+    Send{ .to = origin.host,
+          .message = Told{ .id = origin.ask, .outcome = aOutcome } });
+}
+
+} // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/fwd.hpp
+++ b/src/balsampoint/ledger/fwd.hpp
@@ -12,9 +12,11 @@
 struct ClaimId;
 struct Entry;
 struct Key;
+struct Module;
 struct Record;
 struct Release;
 struct StoredAnswer;
+struct State;
 struct Table;
 struct TimeStep;
 
--- a/test/balsampoint/ledger/advance_call_test.cpp
+++ b/test/balsampoint/ledger/advance_call_test.cpp
@@ -47,9 +47,10 @@
   Run run;
   cr_assert(std::holds_alternative<Claim>(
     std::get<Propose>(run.actions.back()).command));
-  cr_assert(std::holds_alternative<Dispatch>(
-    run.After(ClaimDecided{ Granted{} })));
-  const auto& record = std::get<Propose>(run.After(DispatchAnswered{ kAnswer }));
+  cr_assert(
+    std::holds_alternative<Dispatch>(run.After(ClaimDecided{ Granted{} })));
+  const auto& record =
+    std::get<Propose>(run.After(DispatchAnswered{ kAnswer }));
   cr_assert(std::get<Record>(record.command).answer == kAnswer);
   const auto& reply = std::get<Reply>(run.After(RecordEnded{ true }));
   cr_assert(*reply.answer == kAnswer);
@@ -60,7 +61,8 @@
   Run run;
   run.After(ClaimDecided{ Granted{} });
   run.After(DispatchAnswered{ kAnswer });
-  cr_assert(*std::get<Reply>(run.After(RecordEnded{ false })).answer == kAnswer);
+  cr_assert(*std::get<Reply>(run.After(RecordEnded{ false })).answer ==
+            kAnswer);
   cr_assert(std::holds_alternative<Record>(
     std::get<ProposeLater>(run.actions.front()).command));
 }
@@ -110,8 +112,7 @@
 Test(advance_call, repeat_waits_for_the_first_call_and_gets_its_answer)
 {
   Run run;
-  const auto wait =
-    std::get<Wait>(run.After(ClaimDecided{ InDoubt{} })).until;
+  const auto wait = std::get<Wait>(run.After(ClaimDecided{ InDoubt{} })).until;
   cr_assert(wait > kStart);
   cr_assert(std::holds_alternative<Propose>(run.After(WaitEnded{}, wait)));
   const auto& reply =
--- a/test/balsampoint/ledger/apply_test.cpp
+++ b/test/balsampoint/ledger/apply_test.cpp
@@ -103,8 +103,7 @@
   Apply(table, ClaimOf("a", 1));
   Apply(table, ClaimOf("b", 2));
   cr_assert_eq(KindOf(Apply(table, ClaimOf("c", 3))), ErrorKind::LedgerFull);
-  cr_assert(
-    std::holds_alternative<InDoubt>(Apply(table, ClaimOf("a", 4))));
+  cr_assert(std::holds_alternative<InDoubt>(Apply(table, ClaimOf("a", 4))));
 }
 
 Test(apply, one_workspace_cannot_fill_the_table_for_others)
--- a/test/balsampoint/ledger/at_most_once_fuzz_test.cpp
+++ b/test/balsampoint/ledger/at_most_once_fuzz_test.cpp
@@ -102,8 +102,9 @@
   setenv("RC_PARAMS", "seed=20261204 max_success=3000 max_size=120", 1);
   const auto held = rc::check([] {
     LedgerWorld world{ kHosts, SmallBounds() };
-    rc::state::check(
-      Oracle{}, world, rc::state::gen::execOneOfWithArgs<Submit, Event, Event>());
+    rc::state::check(Oracle{},
+                     world,
+                     rc::state::gen::execOneOfWithArgs<Submit, Event, Event>());
     world.Settle();
     CheckPromises(world);
   });
--- a/test/fake/ledger_world.hpp
+++ b/test/fake/ledger_world.hpp
@@ -322,7 +322,8 @@
       if (const auto* propose = std::get_if<ledger::Propose>(&action)) {
         mProposals.push_back(
           { .command = propose->command, .request = aRequest });
-      } else if (const auto* later = std::get_if<ledger::ProposeLater>(&action)) {
+      } else if (const auto* later =
+                   std::get_if<ledger::ProposeLater>(&action)) {
         mProposals.push_back({ .command = later->command, .request = {} });
       } else if (std::holds_alternative<ledger::Dispatch>(action)) {
         mDispatches.push_back(aRequest);
