--- a/src/balsampoint/core/id.hpp
+++ b/src/balsampoint/core/id.hpp
@@ -79,7 +79,8 @@
 
 /** @brief Hashes an id by its name. */
 template<typename Tag>
-struct std::hash<balsampoint::BasicId<Tag>>
+struct std::hash<
+  balsampoint::BasicId<Tag>> // NOLINT(readability-identifier-naming)
 {
   std::size_t operator()(const balsampoint::BasicId<Tag>& aId) const noexcept
   {
