Add the state machine of one answer and a choice of its servers

Cause: an answer has to run each layer once and in order, also when a stage is lost, and the traffic path needs decisions to drive. Change: module stream turns replies into the next call, a replay, an import or a wish for another route; module route collects the servers of a pipeline and finds the cheapest chain over a range of layers. Conclusion: the answer equals the stand-in's arithmetic over four chains and after the loss of one stage, on engines in memory.

--- /dev/null
+++ b/src/balsampoint/route/state.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "balsampoint/config/document.hpp"
+#include "balsampoint/registry/view.hpp"
+#include "balsampoint/route/chain.hpp"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace balsampoint::route {
+
+/** @brief The network between two availability zones, in both directions. */
+struct Link
+{
+  ZoneId one;
+  ZoneId other;
+  /** Bytes a second in each direction; zero for no limit. */
+  double bytesPerSecond{};
+  /** Time of one message in one direction. */
+  Duration delay{};
+};
+
+/** @brief One server that holds layers of the graph's pipeline. */
+struct Node
+{
+  /** The server with all the layers it holds. */
+  Stage stage;
+  std::uint64_t kvCapacityTokens{};
+  registry::Load load;
+  /** When its load was reported, by this host's clock. */
+  Instant reportedAt{};
+};
+
+/** @brief The servers that take new work of one pipeline; immutable. */
+struct Graph
+{
+  std::uint32_t layers{};
+  /** In the order of server ids. */
+  std::vector<Node> nodes;
+  std::vector<Link> links;
+
+  /**
+   * @brief Collects the servers that can run a part of a pipeline.
+   * @param aPipeline The pipeline.
+   * @param aServers Live servers; those that are leaving are left out.
+   * @param aLinks Links between zones that limit or delay.
+   * @return The graph.
+   */
+  [[nodiscard]] static Graph Make(const config::Pipeline& aPipeline,
+                                  std::span<const registry::Server> aServers,
+                                  std::span<const Link> aLinks);
+};
+
+} // namespace balsampoint::route
--- a/src/balsampoint/stream/call.hpp
+++ b/src/balsampoint/stream/call.hpp
@@ -42,6 +42,8 @@
 struct StepReply
 {
   CallId id;
+  /** Restart of the server that replies; zero when it doesn't say. */
+  Incarnation incarnation;
   /** Output of the last layer of the range. */
   std::uint64_t output{};
 };
@@ -74,6 +76,8 @@
 struct ReplayReply
 {
   CallId id;
+  /** Restart of the server that replies; zero when it doesn't say. */
+  Incarnation incarnation;
   /** Output of the range for each position, in order. */
   std::vector<std::uint64_t> outputs;
 };
--- /dev/null
+++ b/src/balsampoint/stream/command/start.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "balsampoint/stream/internal/advance.hpp"
+#include "balsampoint/stream/internal/end.hpp"
+#include "balsampoint/stream/internal/recover.hpp"
+#include "balsampoint/stream/state.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace balsampoint::stream {
+
+/**
+ * @brief Begins an answer.
+ * @tparam T Tokenizer of the pipeline's model.
+ * @param aState Replaced by the new answer.
+ * @param aRequest The request; without a route, the first action asks for one.
+ * @param aSettings Limits and costs.
+ * @param aNow The time.
+ * @param aActions Gets what to do first; a failure when nothing can be done.
+ */
+template<Tokenizer T>
+void
+Start(BasicState<T>& aState,
+      StreamRequest aRequest,
+      const Settings& aSettings,
+      Instant aNow,
+      std::vector<Action>& aActions)
+{
+  aState = BasicState<T>{};
+  auto& progress = aState.progress;
+  progress.request = std::move(aRequest);
+  progress.settings = aSettings;
+  progress.attempt = AttemptNumber{ 1 };
+  aState.tokenizer.Append(progress.request.prompt);
+  progress.starts.push_back(aState.tokenizer.Start());
+  if (progress.request.maxTokens == 0) {
+    internal::Complete(progress, FinishReason::Length, aNow, aActions);
+    return;
+  }
+  const LayerRange layers{ .begin = 0,
+                           .end = progress.request.pipeline.layers };
+  if (progress.request.route.empty()) {
+    internal::AskForRoute(progress, { .layers = layers }, aNow, aActions);
+    return;
+  }
+  progress.vacancy = Vacancy{ .layers = layers };
+  const RouteChosen chosen{ .layers = layers, .route = progress.request.route };
+  if (internal::InstallRoute(progress, chosen, aNow, aActions)) {
+    internal::Advance(progress, aNow, aActions);
+  }
+}
+
+} // namespace balsampoint::stream
--- /dev/null
+++ b/src/balsampoint/stream/internal/end.cpp
@@ -0,0 +1,50 @@
+#include "balsampoint/stream/internal/end.hpp"
+
+#include <utility>
+
+namespace balsampoint::stream::internal {
+
+namespace {
+
+constexpr Duration kCancelTime = std::chrono::seconds{ 1 };
+
+void
+Release(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
+{
+  aProgress.phase = Phase::Ended;
+  aProgress.pending.reset();
+  aProgress.vacancy.reset();
+  for (auto& target : aProgress.touched) {
+    target.deadline = aNow + kCancelTime;
+    aActions.emplace_back(
+      CancelAt{ .target = target, .request = aProgress.request.id });
+  }
+  aProgress.touched.clear();
+}
+
+} // namespace
+
+void
+Complete(Progress& aProgress,
+         FinishReason aReason,
+         Instant aNow,
+         std::vector<Action>& aActions)
+{
+  aActions.emplace_back(Finish{ .reason = aReason });
+  Release(aProgress, aNow, aActions);
+}
+
+void
+GiveUp(Progress& aProgress,
+       Error aError,
+       Instant aNow,
+       std::vector<Action>& aActions)
+{
+  if (aProgress.touched.empty()) {
+    aError.executed = Executed::No;
+  }
+  aActions.emplace_back(Fail{ .error = std::move(aError) });
+  Release(aProgress, aNow, aActions);
+}
+
+} // namespace balsampoint::stream::internal
--- /dev/null
+++ b/src/balsampoint/stream/internal/estimate.cpp
@@ -0,0 +1,126 @@
+#include "balsampoint/stream/internal/estimate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsampoint::stream::internal {
+
+namespace {
+
+/** Tolerance of a deadline over an estimated time. */
+constexpr int kEstimateTolerance = 4;
+/** A server that was never seen is taken to be this much slower. */
+constexpr double kUnseenFactor = 2.0;
+/** K and V of one layer hold one activation each. */
+constexpr double kKvActivationsPerLayer = 2.0;
+
+Duration
+Seconds(double aSeconds)
+{
+  using Fraction = std::chrono::duration<double>;
+  constexpr double kLimit = 1e6;
+  const auto bounded = std::isfinite(aSeconds) ? aSeconds : kLimit;
+  return std::chrono::duration_cast<Duration>(
+    Fraction{ std::clamp(bounded, 0.0, kLimit) });
+}
+
+Instant
+After(const Progress& aProgress,
+      const StageState& aStage,
+      Duration aTime,
+      Instant aNow)
+{
+  constexpr std::uint32_t kMaxDoublings = 8;
+  const auto& settings = aProgress.settings;
+  const auto doublings = std::min(aStage.missedDeadlines, kMaxDoublings);
+  const auto least = std::max(aTime, settings.minStepTime) * (1U << doublings);
+  return std::min(aNow + std::min(least, settings.maxStepTime),
+                  aProgress.request.deadline);
+}
+
+} // namespace
+
+Instant
+StepDeadline(const Progress& aProgress, const StageState& aStage, Instant aNow)
+{
+  const auto time = aStage.times.Observed()
+                      ? aStage.times.Bound()
+                      : aProgress.settings.initialStepTime;
+  return After(aProgress, aStage, time, aNow);
+}
+
+Instant
+RebuildDeadline(const Progress& aProgress,
+                const StageState& aStage,
+                Duration aExpected,
+                Instant aNow)
+{
+  auto time = aProgress.settings.initialStepTime;
+  if (aStage.times.Observed()) {
+    const auto bounded = std::min(aExpected, aProgress.settings.maxStepTime);
+    time = bounded * kEstimateTolerance + aStage.times.Bound();
+  }
+  return After(aProgress, aStage, time, aNow);
+}
+
+Duration
+ReplayTime(const Progress& aProgress, const route::Stage& aStage)
+{
+  const auto steps = static_cast<double>(aProgress.step) /
+                     aProgress.settings.replayPositionsPerStep;
+  return Seconds(steps * aStage.layers.Size() / aStage.layerTokensPerSecond);
+}
+
+Duration
+ImportTime(const Progress& aProgress, LayerRange aLayers)
+{
+  const auto bytes =
+    kKvActivationsPerLayer *
+    static_cast<double>(aProgress.request.pipeline.activationBytes) *
+    static_cast<double>(aProgress.step) * aLayers.Size();
+  return Seconds(bytes / aProgress.settings.kvBytesPerSecond);
+}
+
+bool
+PrefersImport(const Progress& aProgress,
+              const Vacancy& aVacancy,
+              std::span<const route::Stage> aChain)
+{
+  if (!aVacancy.mayImport || aProgress.step == 0) {
+    return false;
+  }
+  Duration replay{};
+  for (const auto& stage : aChain) {
+    replay += ReplayTime(aProgress, stage);
+  }
+  auto first = aVacancy.stage;
+  if (!aVacancy.lost.keepsInputs) {
+    while (first > 0 && !aProgress.stages[--first].keepsInputs) {
+      replay += ReplayTime(aProgress, aProgress.stages[first].stage);
+    }
+    replay += ReplayTime(aProgress, aProgress.stages[first].stage);
+  }
+  const auto sourceDelay = aVacancy.lost.times.Bound();
+  return ImportTime(aProgress, aVacancy.layers) + sourceDelay < replay;
+}
+
+StepTimes
+InheritedTimes(const StageState& aLost, const route::Stage& aStage)
+{
+  StepTimes times;
+  if (!aLost.times.Observed()) {
+    return times;
+  }
+  const auto layers =
+    static_cast<double>(aStage.layers.Size()) / aLost.stage.layers.Size();
+  const auto speed =
+    aStage.layerTokensPerSecond > 0
+      ? aLost.stage.layerTokensPerSecond / aStage.layerTokensPerSecond
+      : 1.0;
+  const auto mean = std::chrono::duration<double>{ aLost.times.Mean() };
+  const auto factor = kUnseenFactor * std::max(1.0, layers * speed);
+  times.Observe(Seconds(mean.count() * factor));
+  return times;
+}
+
+} // namespace balsampoint::stream::internal
--- /dev/null
+++ b/src/balsampoint/stream/internal/fail.cpp
@@ -0,0 +1,53 @@
+#include "balsampoint/stream/internal/fail.hpp"
+
+#include "balsampoint/stream/internal/advance.hpp"
+#include "balsampoint/stream/internal/recover.hpp"
+
+namespace balsampoint::stream::internal {
+
+void
+TakeFailure(Progress& aProgress,
+            const CallFailed& aFailed,
+            Instant aNow,
+            std::vector<Action>& aActions)
+{
+  const auto& pending = aProgress.pending;
+  if (!pending || pending->id != aFailed.id) {
+    ++aProgress.counters.droppedReplies;
+    return;
+  }
+  const auto import = pending->kind == CallKind::Import;
+  if (!import || aFailed.loss == Loss::ConnectionLost) {
+    LoseStage(aProgress, aFailed.loss, aNow, aActions);
+    return;
+  }
+  aProgress.attempt = aProgress.attempt.Next();
+  for (auto& stage : aProgress.stages) {
+    stage.importSource.clear();
+  }
+  Advance(aProgress, aNow, aActions);
+}
+
+void
+TakeServerGone(Progress& aProgress,
+               const ServerGone& aGone,
+               Instant aNow,
+               std::vector<Action>& aActions)
+{
+  for (auto& stage : aProgress.stages) {
+    stage.gone = stage.gone || (stage.stage.server == aGone.server &&
+                                stage.stage.incarnation <= aGone.incarnation);
+  }
+  if (aProgress.pending && aProgress.stages[aProgress.at].gone) {
+    LoseStage(aProgress, Loss::ConnectionLost, aNow, aActions);
+  }
+}
+
+bool
+FromOtherIncarnation(const Progress& aProgress, Incarnation aIncarnation)
+{
+  const auto& stage = aProgress.stages[aProgress.at].stage;
+  return aIncarnation != Incarnation{} && aIncarnation != stage.incarnation;
+}
+
+} // namespace balsampoint::stream::internal
