--- a/src/balsampoint/config/document.hpp
+++ b/src/balsampoint/config/document.hpp
@@ -15,10 +15,14 @@
 /** @brief A key as kept in the configuration: never the key itself. */
 struct KeyHash
 {
+  /** Public part of the key, before its first dot; unique. */
+  std::string id;
   /** Lower-case hexadecimal. */
   std::string salt;
-  /** SHA-256 over the salt's text followed by the key, in hexadecimal. */
+  /** SHA-256 over the salt's text and the whole key, in hexadecimal. */
   std::string sha256;
+
+  auto operator<=>(const KeyHash&) const = default;
 };
 
 /** @brief A model served in stages over layer ranges. */
@@ -37,6 +41,8 @@
   std::uint64_t activationBytes{};
   /** Limit on one whole answer. */
   Duration timeout{};
+
+  bool operator==(const Pipeline&) const = default;
 };
 
 /** @brief Says for one method and path prefix whether calls may be repeated. */
@@ -46,6 +52,8 @@
   std::string method;
   std::string pathPrefix;
   bool idempotent{ false };
+
+  bool operator==(const ServiceRule&) const = default;
 };
 
 /** @brief A plain service; a call that no rule matches is non-idempotent. */
@@ -58,6 +66,8 @@
   Duration timeout{};
   /** Largest body in bytes, of a request and of an answer. */
   std::uint64_t maxBodyBytes{};
+
+  bool operator==(const Service&) const = default;
 };
 
 /** @brief Limits of one workspace over all hosts; zero means none. */
@@ -65,6 +75,8 @@
 {
   double requestsPerSecond{};
   std::uint32_t concurrentRequests{};
+
+  bool operator==(const Limits&) const = default;
 };
 
 /** @brief A group of callers that shares keys, limits and a priority. */
@@ -81,6 +93,8 @@
   std::set<PipelineId> pipelines;
   /** Services it may use; empty means all. */
   std::set<ServiceId> services;
+
+  bool operator==(const Workspace&) const = default;
 };
 
 /** @brief Somebody who may change the configuration. */
@@ -88,16 +102,43 @@
 {
   OperatorId id;
   std::vector<KeyHash> keys;
+
+  bool operator==(const OperatorEntry&) const = default;
+};
+
+/** @brief An availability zone. */
+struct Zone
+{
+  ZoneId id;
+  RegionId region;
+
+  bool operator==(const Zone&) const = default;
+};
+
+/** @brief A network path between two zones, the same both ways. */
+struct Link
+{
+  ZoneId from;
+  ZoneId to;
+  double bytesPerSecond{};
+  /** One way. */
+  Duration delay{};
+
+  bool operator==(const Link&) const = default;
 };
 
 /** @brief One whole configuration; immutable once published. */
 struct Document
 {
   ChangeNumber number;
+  std::map<ZoneId, Zone> zones;
+  std::vector<Link> links;
   std::map<PipelineId, Pipeline> pipelines;
   std::map<ServiceId, Service> services;
   std::map<WorkspaceId, Workspace> workspaces;
   std::map<OperatorId, OperatorEntry> operators;
+
+  bool operator==(const Document&) const = default;
 };
 
 } // namespace balsampoint::config
