--- /dev/null
+++ b/src/balsampoint/retry/command/track_health.cpp
@@ -0,0 +1,108 @@
+#include "balsampoint/retry/command/track_health.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace balsampoint::retry {
+
+namespace {
+
+/** Whether one more server of a service may be ejected. */
+bool
+BelowCeiling(const State& aState, const ServerId& aServer, Instant aNow)
+{
+  if (!aState.view) {
+    return false;
+  }
+  const auto& servers = aState.view->servers;
+  const auto own = std::ranges::find_if(servers, [&aServer](const auto& aEach) {
+    return aEach.announcement.server == aServer;
+  });
+  if (own == servers.end()) {
+    return false;
+  }
+  std::size_t ready = 0;
+  std::size_t ejected = 0;
+  for (const auto& server : servers) {
+    if (server.announcement.service != own->announcement.service ||
+        server.announcement.state != registry::ServerState::Ready) {
+      continue;
+    }
+    ++ready;
+    const auto health = aState.health.find(server.announcement.server);
+    if (health != aState.health.end() && health->second.ejectedUntil > aNow) {
+      ++ejected;
+    }
+  }
+  const auto allowed = static_cast<std::size_t>(
+    static_cast<double>(ready) * aState.settings.ejectionCeiling);
+  return ready > 1 && ejected < std::max<std::size_t>(1, allowed);
+}
+
+void
+Eject(State& aState, const ServerId& aServer, Instant aNow)
+{
+  if (!BelowCeiling(aState, aServer, aNow)) {
+    return;
+  }
+  auto& health = aState.health[aServer];
+  ++health.ejections;
+  const auto length = std::min(aState.settings.ejection * health.ejections,
+                               aState.settings.longestEjection);
+  health.ejectedUntil = aNow + length;
+  health.inUseSince = health.ejectedUntil;
+  health.failuresInARow = 0;
+}
+
+} // namespace
+
+void
+RecordAttempt(State& aState, const AttemptEnded& aEnded, Instant aNow)
+{
+  const auto found = aState.health.find(aEnded.server);
+  if (found == aState.health.end() ||
+      found->second.incarnation != aEnded.incarnation) {
+    return;
+  }
+  auto& health = found->second;
+  health.inFlight -= health.inFlight > 0 ? 1 : 0;
+  if (aEnded.result == AttemptResult::Answered) {
+    health.failuresInARow = 0;
+    if (aNow - health.inUseSince > aState.settings.longestEjection) {
+      health.ejections = 0;
+    }
+    return;
+  }
+  ++health.failuresInARow;
+  if (health.failuresInARow >= aState.settings.ejectAfter) {
+    Eject(aState, aEnded.server, aNow);
+  }
+}
+
+void
+UpdateServers(State& aState, const ServersChanged& aChanged, Instant aNow)
+{
+  const bool first = aState.view == nullptr;
+  aState.view = aChanged.view;
+  std::set<ServerId> live;
+  for (const auto& server : aChanged.view->servers) {
+    const auto& announced = server.announcement;
+    if (announced.kind != registry::ServerKind::PlainService) {
+      continue;
+    }
+    live.insert(announced.server);
+    const auto found = aState.health.find(announced.server);
+    if (found != aState.health.end() &&
+        found->second.incarnation == announced.incarnation) {
+      continue;
+    }
+    aState.health[announced.server] = { .incarnation = announced.incarnation,
+                                        .inUseSince =
+                                          first ? Instant::min() : aNow };
+  }
+  std::erase_if(aState.health, [&live](const auto& aEach) {
+    return !live.contains(aEach.first);
+  });
+}
+
+} // namespace balsampoint::retry
