Serve completions and plain services through the daemon

Cause: no request could pass from a caller to engines yet. Conclusion: the path is complete in code.

--- /dev/null
+++ b/src/balsampoint/daemon/node.cpp
@@ -0,0 +1,120 @@
+#include "balsampoint/daemon/node.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace balsampoint::daemon {
+
+namespace {
+
+constexpr std::size_t kMailboxCapacity = 65536;
+/** Threads beyond the requests in progress: for refusals and health. */
+constexpr int kSpareThreads = 64;
+
+Control::States
+FirstStates(const config::Settings& aSettings)
+{
+  registry::State registry;
+  registry.settings.self = aSettings.host;
+  registry.settings.zone = aSettings.zone;
+  return { std::move(registry) };
+}
+
+std::map<ModelId, std::uint32_t>
+ModelLayers(const config::Document& aDocument)
+{
+  std::map<ModelId, std::uint32_t> layers;
+  for (const auto& [id, pipeline] : aDocument.pipelines) {
+    layers[pipeline.model] = pipeline.layers;
+  }
+  return layers;
+}
+
+} // namespace
+
+tl::expected<std::unique_ptr<Node>, Error>
+Node::Start(const config::Settings& aSettings)
+{
+  std::unique_ptr<Node> node{ new Node{ aSettings } };
+  const auto listening = node->Listen();
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  return node;
+}
+
+Node::Node(const config::Settings& aSettings)
+  : mSettings{ aSettings }
+  , mMailbox{ kMailboxCapacity }
+  , mRunners{ mMailbox, mWorld }
+  , mLoop{ mMailbox, mRunners, FirstStates(aSettings) }
+  , mControlThread{ [this] { mLoop.Run(); } }
+  , mCallerHandler{ { .world = mWorld,
+                      .backends = mBackends,
+                      .maxBodyBytes = aSettings.limits.bodyBytes },
+                    aSettings.limits.concurrentRequests }
+  , mServerHandler{ [this](registry::Announcement aAnnouncement) {
+    return mRunners.Registry().Announce(std::move(aAnnouncement));
+  } }
+{
+}
+
+Node::~Node()
+{
+  mCallers.reset();
+  mServers.reset();
+  mMailbox.Close();
+  mControlThread.join();
+}
+
+void
+Node::Configure(config::Document aDocument)
+{
+  const bool posted = mMailbox.Push(registry::Event{
+    registry::Configured{ .modelLayers = ModelLayers(aDocument) } });
+  if (!posted) {
+    spdlog::error("the control queue is full");
+  }
+  auto keys = config::KeyIndex::Make(aDocument, mSettings.operatorKeys);
+  mWorld.configuration.Publish(std::make_shared<const traffic::Configuration>(
+    traffic::Configuration{ std::move(aDocument), std::move(keys) }));
+}
+
+bool
+Node::Drain()
+{
+  mWorld.draining = true;
+  std::mutex mutex;
+  std::condition_variable never;
+  std::unique_lock lock{ mutex };
+  never.wait_for(lock, mSettings.shutdownDelay, [] { return false; });
+  return mWorld.activity.WaitUntilIdle(mSettings.shutdownTimeout);
+}
+
+tl::expected<void, Error>
+Node::Listen()
+{
+  const auto& limits = mSettings.limits;
+  const http::ListenerLimits callerLimits{
+    .maxThreads = static_cast<int>(limits.concurrentRequests) + kSpareThreads,
+    .idleTimeout = limits.idleTimeout
+  };
+  auto callers = CallerListener::Listen(
+    mSettings.listen.callers.Text(), mCallerHandler, callerLimits);
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  mCallers = std::move(*callers);
+  auto servers =
+    ServerListener::Listen(mSettings.listen.servers.Text(), mServerHandler, {});
+  if (!servers) {
+    return tl::unexpected(servers.error());
+  }
+  mServers = std::move(*servers);
+  return {};
+}
+
+} // namespace balsampoint::daemon
--- /dev/null
+++ b/src/balsampoint/daemon/node.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "balsampoint/config/settings.hpp"
+#include "balsampoint/daemon/control.hpp"
+#include "balsampoint/daemon/runners.hpp"
+#include "balsampoint/http/caller_handler.hpp"
+#include "balsampoint/http/client_pool.hpp"
+#include "balsampoint/http/listener.hpp"
+#include "balsampoint/http/server_handler.hpp"
+#include "balsampoint/traffic/world.hpp"
+
+#include <memory>
+#include <thread>
+
+namespace balsampoint::daemon {
+
+/** @brief One host of the system: its control thread and its listeners. */
+class Node
+{
+public:
+  /**
+   * @brief Starts a host.
+   * @param aSettings The host's settings.
+   * @return The running host, or why it can't start.
+   */
+  [[nodiscard]] static tl::expected<std::unique_ptr<Node>, Error> Start(
+    const config::Settings& aSettings);
+
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+  Node(Node&&) = delete;
+  Node& operator=(Node&&) = delete;
+
+  /** @brief Stops at once; `Drain` first for a planned stop. */
+  ~Node();
+
+  /**
+   * @brief Puts a configuration in force on this host.
+   * @param aDocument The configuration.
+   */
+  void Configure(config::Document aDocument);
+
+  /**
+   * @brief Refuses new work and waits for work in progress.
+   * @return Whether all work was finished within the settings' limit.
+   */
+  bool Drain();
+
+private:
+  using CallerListener = http::BasicListener<http::CallerHandler>;
+  using ServerListener = http::BasicListener<http::ServerHandler>;
+
+  explicit Node(const config::Settings& aSettings);
+  tl::expected<void, Error> Listen();
+
+  config::Settings mSettings;
+  traffic::World mWorld;
+  http::ClientPool mBackends;
+  ControlMailbox mMailbox;
+  Runners mRunners;
+  Control::Loop<Runners> mLoop;
+  std::thread mControlThread;
+  http::CallerHandler mCallerHandler;
+  http::ServerHandler mServerHandler;
+  std::unique_ptr<CallerListener> mCallers;
+  std::unique_ptr<ServerListener> mServers;
+};
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/runtime/snapshot_cell.hpp
+++ b/src/balsampoint/runtime/snapshot_cell.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "balsampoint/core/time.hpp"
+
+#include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -22,8 +25,11 @@
    */
   void Publish(std::shared_ptr<const Value> aValue)
   {
-    const std::lock_guard lock{ mMutex };
-    mValue.swap(aValue);
+    {
+      const std::lock_guard lock{ mMutex };
+      mValue.swap(aValue);
+    }
+    mChanged.notify_all();
   }
 
   /** @brief The value last published, or null before the first. */
@@ -33,7 +39,23 @@
     return mValue;
   }
 
+  /**
+   * @brief Waits until the value is another one.
+   * @param aKnown The value that the reader already holds.
+   * @param aWait Time to wait at most.
+   * @return The value, which is still the known one when the time is over.
+   */
+  [[nodiscard]] std::shared_ptr<const Value> ReadNext(
+    const std::shared_ptr<const Value>& aKnown,
+    Duration aWait) const
+  {
+    std::unique_lock lock{ mMutex };
+    mChanged.wait_for(lock, aWait, [&] { return mValue != aKnown; });
+    return mValue;
+  }
+
 private:
+  mutable std::condition_variable mChanged;
   mutable std::mutex mMutex;
   std::shared_ptr<const Value> mValue;
 };
