Keep the route chooser out of the queries

Cause: the layout check: a command included it. Change: the chooser stands beside both folders, as other shared objects do. Conclusion: no crossing include.

--- a/src/balsampoint/http/command/run_completion.cpp
+++ b/src/balsampoint/http/command/run_completion.cpp
@@ -5,7 +5,7 @@
 #include "balsampoint/http/problem.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 #include "balsampoint/traffic/command/run_stream.hpp"
-#include "balsampoint/traffic/query/view_route.hpp"
+#include "balsampoint/traffic/view_route.hpp"
 
 #include <algorithm>
 
--- a/src/balsampoint/traffic/query/view_route.cpp
+++ b/src/balsampoint/traffic/view_route.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/traffic/query/view_route.hpp"
+#include "balsampoint/traffic/view_route.hpp"
 
 #include "balsampoint/route/query/find_chain.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
