--- a/src/balsampoint/ledger/command/forward.cpp
+++ b/src/balsampoint/ledger/command/forward.cpp
@@ -80,18 +80,27 @@
   }
 }
 
+void
+RefuseCommand(const PendingCommand& aCommand,
+              ErrorKind aKind,
+              std::string_view aDetail,
+              Actions& aActions)
+{
+  if (aCommand.ticket) {
+    aActions.emplace_back(Lost{ .ticket = *aCommand.ticket,
+                                .error = MakeError(aKind, aDetail),
+                                .mayApply = aCommand.sent });
+  }
+}
+
 void
 GiveUp(State& aState, std::uint64_t aNumber, Actions& aActions)
 {
   const auto command = aState.commands.extract(aNumber);
-  const auto& pending = command.mapped();
-  if (pending.ticket) {
-    aActions.emplace_back(
-      Lost{ .ticket = *pending.ticket,
-            .error = MakeError(ErrorKind::ControlUnavailable,
-                               "the control group did not decide in time"),
-            .mayApply = pending.sent });
-  }
+  RefuseCommand(command.mapped(),
+                ErrorKind::ControlUnavailable,
+                "the control group did not decide in time",
+                aActions);
 }
 
 void
@@ -154,14 +163,17 @@
 Submit(State& aState, PendingCommand aCommand, Instant aNow, Actions& aActions)
 {
   if (aState.commands.size() >= aState.settings.pending) {
-    if (aCommand.ticket) {
-      aActions.emplace_back(
-        Lost{ .ticket = *aCommand.ticket,
-              .error = MakeError(ErrorKind::Overloaded,
-                                 "too many keyed calls wait for the control "
-                                 "group"),
-              .mayApply = false });
-    }
+    RefuseCommand(aCommand,
+                  ErrorKind::Overloaded,
+                  "too many keyed calls wait for the control group",
+                  aActions);
+    return;
+  }
+  if (aState.leader.Empty() && aState.settings.members.empty()) {
+    RefuseCommand(aCommand,
+                  ErrorKind::ControlUnavailable,
+                  "the host knows no member of the control group",
+                  aActions);
     return;
   }
   const auto number = ++aState.lastNumber;
--- a/test/balsampoint/ledger/module_test.cpp
+++ b/test/balsampoint/ledger/module_test.cpp
@@ -156,6 +156,15 @@
   cr_assert_not(entry.Last<Lost>()->mayApply);
 }
 
+Test(module, host_without_a_control_group_refuses_at_once)
+{
+  Host entry{ kEntry };
+  entry.state.settings.members.clear();
+  entry.On(Request(kEntry));
+  cr_assert_eq(entry.Last<Lost>()->error.kind, ErrorKind::ControlUnavailable);
+  cr_assert_eq(entry.Last<Lost>()->error.executed, Executed::No);
+}
+
 Test(module, command_nobody_waits_for_is_sent_without_an_answer_to_a_caller)
 {
   Host entry{ kEntry };
