Put admission, retries and the ledger into the daemon's path

Cause: decisions that no daemon runs protect nobody. Change: completions and service calls ask for admission on the control thread; service calls go through attempts with budgets; a keyed non-idempotent call runs only under a claim, and is refused while no control group is known. Headers pass from end to end. Conclusion: the ledger waits for the control group in the daemon.

--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "balsampoint/ledger/module.hpp"
+#include "balsampoint/limit/module.hpp"
 #include "balsampoint/registry/module.hpp"
+#include "balsampoint/retry/module.hpp"
 #include "balsampoint/runtime/control_loop.hpp"
 #include "balsampoint/runtime/mailbox.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
@@ -26,7 +29,8 @@
 };
 
 /** @brief The decision modules that the control thread runs. */
-using Control = ModuleList<registry::Module>;
+using Control =
+  ModuleList<registry::Module, retry::Module, limit::Module, ledger::Module>;
 
 /** @brief The one queue into the control thread. */
 using ControlMailbox = runtime::Mailbox<Control::Event>;
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -1,5 +1,8 @@
 #include "balsampoint/daemon/node.hpp"
 
+#include "balsampoint/runtime/entropy.hpp"
+
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -14,13 +17,78 @@
 /** Threads beyond the requests in progress: for refusals and health. */
 constexpr int kSpareThreads = 64;
 
+retry::State
+FirstRetryState(const config::Settings& aSettings)
+{
+  retry::State state;
+  state.settings.zone = aSettings.zone;
+  state.random = runtime::Entropy::Next();
+  return state;
+}
+
+/**
+ * Half of the requests in progress may run and most of the others wait; what
+ * is left lets a newcomer in to take the place of who is over its share.
+ */
+limit::State
+FirstLimitState(const config::Settings& aSettings)
+{
+  constexpr std::uint32_t kNewcomers = 16;
+  constexpr std::uint32_t kWorkspaceParts = 8;
+  const auto all = aSettings.limits.concurrentRequests;
+  limit::State state;
+  state.settings.slots = std::max(1U, all / 2);
+  state.settings.queue = all - state.settings.slots -
+                         std::min(all - state.settings.slots, all / kNewcomers);
+  state.settings.workspaceQueue = std::max(1U, all / kWorkspaceParts);
+  return state;
+}
+
+ledger::State
+FirstLedgerState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  auto state = ledger::Module::Start(
+    { .self = aSettings.host, .incarnation = aIncarnation, .members = {} },
+    ledger::Bounds{},
+    runtime::SteadyClock::Now());
+  if (!state) {
+    throw Failure{ state.error() };
+  }
+  return std::move(*state);
+}
+
 Control::States
-FirstStates(const config::Settings& aSettings)
+FirstStates(const config::Settings& aSettings, Incarnation aIncarnation)
 {
   registry::State registry;
   registry.settings.self = aSettings.host;
   registry.settings.zone = aSettings.zone;
-  return { std::move(registry) };
+  return { std::move(registry),
+           FirstRetryState(aSettings),
+           FirstLimitState(aSettings),
+           FirstLedgerState(aSettings, aIncarnation) };
+}
+
+std::map<WorkspaceId, limit::WorkspaceRule>
+WorkspaceRules(const config::Document& aDocument)
+{
+  std::map<WorkspaceId, limit::WorkspaceRule> rules;
+  for (const auto& [id, workspace] : aDocument.workspaces) {
+    rules[id] = { .weight = workspace.weight,
+                  .priority = workspace.priority,
+                  .requestsPerSecond = workspace.limits.requestsPerSecond,
+                  .concurrentRequests = workspace.limits.concurrentRequests };
+  }
+  return rules;
+}
+
+/** Rises with each restart, as long as the wall clock does. */
+Incarnation
+NextIncarnation()
+{
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation{ static_cast<std::uint64_t>(
+    std::chrono::duration_cast<Duration>(since).count()) };
 }
 
 std::map<ModelId, std::uint32_t>
@@ -48,12 +116,21 @@
 
 Node::Node(const config::Settings& aSettings)
   : mSettings{ aSettings }
+  , mIncarnation{ NextIncarnation() }
   , mMailbox{ kMailboxCapacity }
-  , mRunners{ mMailbox, mWorld }
-  , mLoop{ mMailbox, mRunners, FirstStates(aSettings) }
+  , mGate{ aSettings.host,
+           mIncarnation,
+           [this](const traffic::ControlGate::Request& aRequest) {
+             return std::visit(
+               [this](const auto& aEvent) { return mMailbox.Push(aEvent); },
+               aRequest);
+           } }
+  , mRunners{ mMailbox, mWorld, mGate }
+  , mLoop{ mMailbox, mRunners, FirstStates(aSettings, mIncarnation) }
   , mControlThread{ [this] { mLoop.Run(); } }
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
+                      .gate = mGate,
                       .maxBodyBytes = aSettings.limits.bodyBytes },
                     aSettings.limits.concurrentRequests }
   , mServerHandler{ [this](registry::Announcement aAnnouncement) {
@@ -73,8 +150,11 @@
 void
 Node::Configure(config::Document aDocument)
 {
-  const bool posted = mMailbox.Push(registry::Event{
-    registry::Configured{ .modelLayers = ModelLayers(aDocument) } });
+  const bool posted =
+    mMailbox.Push(registry::Event{
+      registry::Configured{ .modelLayers = ModelLayers(aDocument) } }) &&
+    mMailbox.Push(limit::Event{
+      limit::Configured{ .workspaces = WorkspaceRules(aDocument) } });
   if (!posted) {
     spdlog::error("the control queue is full");
   }
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -56,7 +56,9 @@
   config::Settings mSettings;
   traffic::World mWorld;
   http::ClientPool mBackends;
+  Incarnation mIncarnation;
   ControlMailbox mMailbox;
+  traffic::ControlGate mGate;
   Runners mRunners;
   Control::Loop<Runners> mLoop;
   std::thread mControlThread;
--- a/src/balsampoint/daemon/registry_runner.cpp
+++ b/src/balsampoint/daemon/registry_runner.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/daemon/registry_runner.hpp"
 
+#include <algorithm>
+#include <spdlog/spdlog.h>
 #include <utility>
 #include <variant>
 
@@ -9,6 +11,28 @@
 
 constexpr Duration kAnswerWait = std::chrono::seconds{ 1 };
 
+/** KV of all live engines; one that holds some layers counts for its part. */
+limit::CapacityChanged
+CapacityOf(const registry::View& aView)
+{
+  double capacity = 0.0;
+  double used = 0.0;
+  for (const auto& server : aView.servers) {
+    const auto& announced = server.announcement;
+    if (announced.state != registry::ServerState::Ready ||
+        announced.holdings.empty()) {
+      continue;
+    }
+    const auto& held = announced.holdings.front();
+    const auto part =
+      static_cast<double>(held.layers.Size()) / std::max(1U, held.modelLayers);
+    capacity += part * static_cast<double>(announced.kvCapacityTokens);
+    used += part * static_cast<double>(announced.load.kvTokensUsed);
+  }
+  return { .kvCapacity = static_cast<std::uint64_t>(capacity),
+           .kvUsed = static_cast<std::uint64_t>(used) };
+}
+
 } // namespace
 
 RegistryRunner::RegistryRunner(ControlMailbox& aMailbox, traffic::World& aWorld)
@@ -49,6 +73,13 @@
 RegistryRunner::Do(const registry::Publish& aPublish)
 {
   mWorld.servers.Publish(aPublish.view);
+  const bool posted =
+    mMailbox.Push(retry::Event{ retry::ServersChanged{ aPublish.view } }) &&
+    mMailbox.Push(limit::Event{ CapacityOf(*aPublish.view) });
+  if (!posted) {
+    spdlog::error("the control queue is full; the next view comes with the "
+                  "next change");
+  }
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsampoint/daemon/ledger_runner.hpp"
 #include "balsampoint/daemon/registry_runner.hpp"
 
 namespace balsampoint::daemon {
@@ -12,9 +13,14 @@
    * @brief Makes the runners; the arguments outlive them.
    * @param aMailbox Queue into the control thread.
    * @param aWorld What traffic threads read.
+   * @param aGate Where traffic threads wait.
    */
-  Runners(ControlMailbox& aMailbox, traffic::World& aWorld)
+  Runners(ControlMailbox& aMailbox,
+          traffic::World& aWorld,
+          traffic::ControlGate& aGate)
     : mRegistry{ aMailbox, aWorld }
+    , mLedger{ aMailbox, aGate }
+    , mGate{ aGate }
   {
   }
 
@@ -27,8 +33,28 @@
    */
   void Run(const registry::Action& aAction) { mRegistry.Run(aAction); }
 
+  /**
+   * @brief Answers a thread that wants a server for an attempt.
+   * @param aAction The answer.
+   */
+  void Run(const retry::Action& aAction) { mGate.Complete(aAction); }
+
+  /**
+   * @brief Answers a thread that wants admission.
+   * @param aAction The answer.
+   */
+  void Run(const limit::Action& aAction) { mGate.Complete(aAction); }
+
+  /**
+   * @brief Carries out an action of the ledger.
+   * @param aAction The action.
+   */
+  void Run(const ledger::Action& aAction) { mLedger.Run(aAction); }
+
 private:
   RegistryRunner mRegistry;
+  LedgerRunner mLedger;
+  traffic::ControlGate& mGate;
 };
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/http/command/call_service.cpp
+++ b/src/balsampoint/http/command/call_service.cpp
@@ -1,14 +1,21 @@
 #include "balsampoint/http/command/call_service.hpp"
 
+#include "balsampoint/config/query/service_rule.hpp"
+#include "balsampoint/http/internal/or_throw.hpp"
 #include "balsampoint/http/problem.hpp"
+#include "balsampoint/http/service_client.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
+#include "balsampoint/traffic/command/run_service.hpp"
 
 #include <algorithm>
+#include <openssl/evp.h>
+#include <optional>
 
 namespace balsampoint::http {
 
 namespace {
 
+using internal::OrThrow;
 using runtime::SteadyClock;
 
 /** @brief A service call as its path names it. */
@@ -50,29 +57,85 @@
   return found->second;
 }
 
-std::string
-ChooseServer(const traffic::World& aWorld, const ServiceId& aService)
+ClientRequest
+MakeRequest(const CallerRequest& aCaller,
+            const config::Service& aService,
+            const ServicePath& aPath,
+            ServerRequest& aRequest)
 {
-  const auto view = aWorld.servers.Read();
-  const registry::Server* best = nullptr;
-  for (const auto& server : view ? std::span{ view->servers }
-                                 : std::span<const registry::Server>{}) {
-    const auto& announced = server.announcement;
-    if (announced.service != aService ||
-        announced.state != registry::ServerState::Ready) {
-      continue;
-    }
-    if (best == nullptr || announced.load.runningRequests <
-                             best->announcement.load.runningRequests) {
-      best = &server;
+  auto body = ReadBody(aRequest, aService.maxBodyBytes);
+  if (!body) {
+    throw Failure{ body.error() };
+  }
+  ClientRequest request{ .method = aRequest.getMethod(),
+                         .path = aPath.rest,
+                         .headers = {},
+                         .body = std::move(*body),
+                         .contentType = aRequest.getContentType(),
+                         .maxResponseBytes = aService.maxBodyBytes,
+                         .reuseConnection = false };
+  for (const auto& [name, value] : aRequest) {
+    if (IsEndToEnd(name)) {
+      request.headers.push_back({ name, value });
     }
   }
-  if (best == nullptr) {
-    throw Failure{ MakeError(ErrorKind::NoServer,
-                             "no server of '" + aService.String() +
-                               "' is in reach") };
+  request.headers.push_back({ "X-Request-Id", aCaller.id.String() });
+  return request;
+}
+
+ledger::Digest
+DigestOf(const ClientRequest& aRequest)
+{
+  const auto text =
+    aRequest.method + '\n' + aRequest.path + '\n' + aRequest.body;
+  ledger::Digest digest{};
+  unsigned int size = 0;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+  auto* bytes = reinterpret_cast<unsigned char*>(digest.data());
+  if (EVP_Digest(
+        text.data(), text.size(), bytes, &size, EVP_sha256(), nullptr) != 1) {
+    throw Failure{ MakeError(ErrorKind::Internal, "SHA-256 is missing") };
+  }
+  return digest;
+}
+
+ledger::StoredAnswer
+Run(const CallerServices& aServices,
+    const ClientRequest& aRequest,
+    const traffic::ServiceCall& aCall,
+    const std::optional<std::string>& aKey)
+{
+  ServiceClient client{ aServices.backends, aRequest };
+  traffic::BasicServiceRun run{ client, aServices.gate, SteadyClock{}, aCall };
+  if (!aKey || aCall.idempotent) {
+    return OrThrow(run.Run());
   }
-  return best->announcement.address;
+  return OrThrow(run.RunKeyed({ .key = { .workspace = aCall.workspace,
+                                         .service = aCall.service,
+                                         .value = *aKey },
+                                .digest = DigestOf(aRequest),
+                                .id = aServices.gate.NextClaim() }));
+}
+
+void
+SendAnswer(ServerResponse& aResponse, const ledger::StoredAnswer& aAnswer)
+{
+  aResponse.setStatus(
+    static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aAnswer.status));
+  for (const auto& header : aAnswer.headers) {
+    aResponse.add(header.name, header.value);
+  }
+  aResponse.sendBuffer(aAnswer.body.data(), aAnswer.body.size());
+}
+
+std::optional<std::string>
+ReadIdempotencyKey(const ServerRequest& aRequest)
+{
+  constexpr auto kField = "Idempotency-Key";
+  if (!aRequest.has(kField)) {
+    return std::nullopt;
+  }
+  return aRequest.get(kField);
 }
 
 } // namespace
@@ -85,30 +148,20 @@
 {
   const auto path = SplitPath(aRequest.getURI());
   const auto& service = FindService(aCaller, path.service);
-  if (aRequest.has("Idempotency-Key")) {
-    throw Failure{ MakeError(ErrorKind::ControlUnavailable,
-                             "calls with a key can't be claimed yet") };
-  }
-  auto body = ReadBody(aRequest, service.maxBodyBytes);
-  if (!body) {
-    throw Failure{ body.error() };
-  }
-  const ClientRequest request{ .method = aRequest.getMethod(),
-                               .path = path.rest,
-                               .body = std::move(*body),
-                               .contentType = aRequest.getContentType(),
-                               .maxResponseBytes = service.maxBodyBytes,
-                               .reuseConnection = false };
-  const auto timeout =
-    std::min(aCaller.deadline - SteadyClock::Now(), service.timeout);
-  const auto response = aServices.backends.Call(
-    ChooseServer(aServices.world, path.service), request, timeout);
-  if (!response) {
-    throw Failure{ response.error().error };
-  }
-  aResponse.setStatus(
-    static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response->status));
-  aResponse.sendBuffer(response->body.data(), response->body.size());
+  const traffic::ServiceCall call{
+    .workspace = aCaller.workspace->id,
+    .service = path.service,
+    .idempotent =
+      config::IsIdempotent(service, aRequest.getMethod(), path.rest),
+    .deadline = std::min(aCaller.deadline, SteadyClock::Now() + service.timeout)
+  };
+  const auto request = MakeRequest(aCaller, service, path, aRequest);
+  const traffic::ControlGate::Pass pass{
+    aServices.gate, { .workspace = call.workspace, .deadline = call.deadline }
+  };
+  OrThrow(pass.Result());
+  SendAnswer(aResponse,
+             Run(aServices, request, call, ReadIdempotencyKey(aRequest)));
 }
 
 } // namespace balsampoint::http
--- a/src/balsampoint/http/command/run_completion.cpp
+++ b/src/balsampoint/http/command/run_completion.cpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/http/answer_sink.hpp"
 #include "balsampoint/http/engine_client.hpp"
+#include "balsampoint/http/internal/or_throw.hpp"
 #include "balsampoint/http/problem.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 #include "balsampoint/traffic/command/run_stream.hpp"
@@ -13,18 +14,9 @@
 
 namespace {
 
+using internal::OrThrow;
 using runtime::SteadyClock;
 
-template<typename Value>
-Value
-OrThrow(tl::expected<Value, Error> aResult)
-{
-  if (!aResult) {
-    throw Failure{ aResult.error() };
-  }
-  return std::move(*aResult);
-}
-
 const config::Pipeline&
 FindPipeline(const CallerRequest& aCaller, const PipelineId& aId)
 {
@@ -63,18 +55,28 @@
            .priority = aCaller.workspace->priority };
 }
 
+/** Asks for admission of a request with room for its KV. */
+limit::Arrived
+ArrivalOf(const CallerRequest& aCaller, const stream::StreamRequest& aRequest)
+{
+  constexpr std::size_t kBytesPerToken = 4;
+  return { .workspace = aCaller.workspace->id,
+           .kvTokens =
+             (aRequest.prompt.size() / kBytesPerToken) + aRequest.maxTokens,
+           .deadline = aRequest.deadline };
+}
+
 template<traffic::AnswerSink Sink>
 void
 Run(const CallerServices& aServices,
     const CallerRequest& aCaller,
-    const config::Pipeline& aPipeline,
-    Completion& aCompletion,
+    stream::StreamRequest aRequest,
     Sink& aSink)
 {
   EngineClient client{ aServices.backends, aCaller.traceParent };
-  traffic::ViewRoute chooser{ aServices.world, aPipeline };
+  traffic::ViewRoute chooser{ aServices.world, aRequest.pipeline };
   traffic::BasicStreamRun run{ client, chooser, aSink, SteadyClock{} };
-  run.Run(MakeRequest(aCaller, aPipeline, aCompletion), stream::Settings{});
+  run.Run(aRequest, stream::Settings{});
 }
 
 } // namespace
@@ -89,14 +91,18 @@
   const auto body = OrThrow(ReadBody(aRequest, aServices.maxBodyBytes));
   auto completion = OrThrow(DecodeCompletion(aKind, body));
   const auto& pipeline = FindPipeline(aCaller, completion.pipeline);
+  auto request = MakeRequest(aCaller, pipeline, completion);
+  const traffic::ControlGate::Pass pass{ aServices.gate,
+                                         ArrivalOf(aCaller, request) };
+  OrThrow(pass.Result());
   const CompletionWriter writer{ aCaller.id, completion };
   if (completion.stream) {
     EventSink sink{ aRequest, aResponse, writer };
-    Run(aServices, aCaller, pipeline, completion, sink);
+    Run(aServices, aCaller, std::move(request), sink);
     return;
   }
   DocumentSink sink{ aRequest, aResponse, writer };
-  Run(aServices, aCaller, pipeline, completion, sink);
+  Run(aServices, aCaller, std::move(request), sink);
 }
 
 } // namespace balsampoint::http
--- a/src/balsampoint/http/command/run_completion.hpp
+++ b/src/balsampoint/http/command/run_completion.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/http/client_pool.hpp"
 #include "balsampoint/http/completion_codec.hpp"
 #include "balsampoint/http/listener.hpp"
+#include "balsampoint/traffic/control_gate.hpp"
 #include "balsampoint/traffic/world.hpp"
 
 namespace balsampoint::http {
@@ -25,6 +26,7 @@
 {
   traffic::World& world;
   ClientPool& backends;
+  traffic::ControlGate& gate;
   std::uint64_t maxBodyBytes{};
 };
 
--- a/src/balsampoint/ledger/call.hpp
+++ b/src/balsampoint/ledger/call.hpp
@@ -21,6 +21,8 @@
   Duration firstLook{ std::chrono::milliseconds{ 50 } };
   /** How often a key in doubt is looked at before the caller is told. */
   std::uint32_t looks{ 6 };
+  /** Headers and body of an answer that is recorded, in bytes at most. */
+  std::uint64_t answerBytes{ 16ULL << 10U };
 };
 
 /** @brief Where a call stands on its entry host. */
--- a/src/balsampoint/ledger/command/advance_call.cpp
+++ b/src/balsampoint/ledger/command/advance_call.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/ledger/command/advance_call.hpp"
 
+#include "balsampoint/ledger/internal/answer_size.hpp"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -19,6 +21,14 @@
   aActions.emplace_back(Reply{ std::move(aAnswer) });
 }
 
+Record
+RecordOf(const Call& aCall)
+{
+  return { .key = aCall.claim.key,
+           .id = aCall.claim.id,
+           .answer = internal::KeptOf(aCall.answer, aCall.limits.answerBytes) };
+}
+
 void
 GiveBack(const Call& aCall, Actions& aActions)
 {
@@ -135,10 +145,8 @@
   }
   aCall.phase = CallPhase::Recording;
   aCall.answer = aEvent.answer;
-  aActions.emplace_back(Propose{ .command = Record{ .key = aCall.claim.key,
-                                                    .id = aCall.claim.id,
-                                                    .answer = aEvent.answer },
-                                 .until = aNow + aCall.limits.record });
+  aActions.emplace_back(
+    Propose{ .command = RecordOf(aCall), .until = aNow + aCall.limits.record });
 }
 
 void
@@ -177,8 +185,7 @@
     return;
   }
   if (!aEvent.durable) {
-    aActions.emplace_back(ProposeLater{ Record{
-      .key = aCall.claim.key, .id = aCall.claim.id, .answer = aCall.answer } });
+    aActions.emplace_back(ProposeLater{ RecordOf(aCall) });
   }
   Finish(aCall, std::move(aCall.answer), aActions);
 }
--- a/src/balsampoint/ledger/command/apply.cpp
+++ b/src/balsampoint/ledger/command/apply.cpp
@@ -1,5 +1,8 @@
 #include "balsampoint/ledger/command/apply.hpp"
 
+#include "balsampoint/ledger/internal/answer_size.hpp"
+
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -7,22 +10,12 @@
 
 namespace {
 
-std::uint64_t
-AnswerBytes(const StoredAnswer& aAnswer)
-{
-  std::uint64_t bytes = aAnswer.body.size();
-  for (const auto& header : aAnswer.headers) {
-    bytes += header.name.size() + header.value.size();
-  }
-  return bytes;
-}
-
 std::uint64_t
 EntryBytes(const Key& aKey, const Entry& aEntry)
 {
   return kEntryOverheadBytes + aKey.workspace.Value().size() +
          aKey.service.Value().size() + aKey.value.size() +
-         AnswerBytes(aEntry.answer);
+         internal::AnswerBytes(aEntry.answer);
 }
 
 void
@@ -112,15 +105,9 @@
   }
   auto entry = found->second;
   entry.phase = Phase::Recorded;
-  entry.answer = aRecord.answer;
-  const auto size = AnswerBytes(entry.answer);
-  if (size > aTable.bounds.answerBytes ||
-      aTable.total.bytes + size > aTable.bounds.bytes) {
-    entry.answer = { .status = aRecord.answer.status,
-                     .headers = {},
-                     .body = {},
-                     .complete = false };
-  }
+  const auto room = aTable.bounds.bytes - aTable.total.bytes;
+  entry.answer =
+    internal::KeptOf(aRecord.answer, std::min(aTable.bounds.answerBytes, room));
   Remove(aTable, found);
   Insert(aTable, aRecord.key, std::move(entry));
   return Done{};
--- a/src/balsampoint/limit/internal/share.cpp
+++ b/src/balsampoint/limit/internal/share.cpp
@@ -41,7 +41,7 @@
 bool
 HasKvRoom(const State& aState, std::uint64_t aTokens)
 {
-  if (aTokens == 0 || aState.running.empty()) {
+  if (aTokens == 0 || aState.running.empty() || aState.kvCapacity == 0) {
     return true;
   }
   const auto used = std::max(aState.kvUsed, aState.kvRunning);
--- a/src/balsampoint/limit/internal/share.hpp
+++ b/src/balsampoint/limit/internal/share.hpp
@@ -35,7 +35,8 @@
  * @brief Whether the engines have room for a request's KV.
  *
  * A host's own running requests may be missing from a late report, so they
- * count in full where they are more than what is reported.
+ * count in full where they are more than what is reported. A single request
+ * always has room, and so has any while no engine is known.
  * @param aState State to read.
  * @param aTokens Positions wanted.
  */
--- a/test/balsampoint/ledger/advance_call_test.cpp
+++ b/test/balsampoint/ledger/advance_call_test.cpp
@@ -67,6 +67,17 @@
     std::get<ProposeLater>(run.actions.front()).command));
 }
 
+Test(advance_call, large_answer_reaches_the_caller_whole_and_is_not_recorded)
+{
+  Run run;
+  run.call.limits.answerBytes = 2;
+  run.After(ClaimDecided{ Granted{} });
+  const auto propose =
+    std::get<Propose>(run.After(DispatchAnswered{ kAnswer }));
+  cr_assert_not(std::get<Record>(propose.command).answer.complete);
+  cr_assert(*std::get<Reply>(run.After(RecordEnded{ true })).answer == kAnswer);
+}
+
 Test(advance_call, lost_claim_is_given_back_and_never_dispatched)
 {
   Run run;
