--- /dev/null
+++ b/src/balsampoint/trace/metrics.cpp
@@ -0,0 +1,135 @@
+#include "balsampoint/trace/metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace balsampoint::trace {
+
+namespace {
+
+struct Name
+{
+  std::string_view name;
+  std::string_view help;
+};
+
+constexpr std::array<std::string_view, 4> kOutcomes{ "complete",
+                                                     "refused",
+                                                     "broken",
+                                                     "caller_gone" };
+constexpr std::array kCounts{
+  Name{ "balsampoint_retries_total", "Calls made again." },
+  Name{ "balsampoint_recoveries_total", "Stages replaced in mid-answer." },
+  Name{ "balsampoint_tokens_total", "Tokens sent to callers." },
+  Name{ "balsampoint_dropped_spans_total", "Spans that were not written." },
+  Name{ "balsampoint_control_messages_total", "Messages sent to other hosts." },
+  Name{ "balsampoint_control_bytes_total", "Bytes sent to other hosts." }
+};
+constexpr std::array kTimings{
+  Name{ "balsampoint_first_token_seconds", "Request to first token." },
+  Name{ "balsampoint_between_tokens_seconds", "One token to the next." },
+  Name{ "balsampoint_queue_wait_seconds", "Wait for admission." },
+  Name{ "balsampoint_request_seconds", "Request to the end of its answer." },
+  Name{ "balsampoint_recovery_seconds", "Loss of a stage to the next token." }
+};
+constexpr std::array kLevels{
+  Name{ "balsampoint_requests_in_progress", "Requests in progress." },
+  Name{ "balsampoint_live_servers", "Backend servers with a lease." },
+  Name{ "balsampoint_change_number", "Configuration in force on the host." },
+  Name{ "balsampoint_control_queue",
+        "Events that wait for the control thread." }
+};
+
+prometheus::Histogram::BucketBoundaries
+Buckets()
+{
+  return { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1,
+           0.2,    0.44,  1,     2,     5,    10,   30,   60 };
+}
+
+template<typename Kind>
+std::size_t
+Index(Kind aKind)
+{
+  return static_cast<std::size_t>(aKind);
+}
+
+} // namespace
+
+Metrics::Metrics()
+{
+  auto& outcomes = prometheus::BuildCounter()
+                     .Name("balsampoint_requests_total")
+                     .Help("Requests by outcome.")
+                     .Register(mRegistry);
+  for (const auto outcome : kOutcomes) {
+    mOutcomes.push_back(
+      &outcomes.Add({ { "outcome", std::string{ outcome } } }));
+  }
+  auto& errors = prometheus::BuildCounter()
+                   .Name("balsampoint_errors_total")
+                   .Help("Refusals and failures by kind.")
+                   .Register(mRegistry);
+  for (const auto& answer : ErrorAnswers()) {
+    mErrors.push_back(&errors.Add({ { "kind", std::string{ answer.name } } }));
+  }
+  for (const auto& [name, help] : kCounts) {
+    mCounts.push_back(&prometheus::BuildCounter()
+                         .Name(std::string{ name })
+                         .Help(std::string{ help })
+                         .Register(mRegistry)
+                         .Add({}));
+  }
+  for (const auto& [name, help] : kTimings) {
+    mTimings.push_back(&prometheus::BuildHistogram()
+                          .Name(std::string{ name })
+                          .Help(std::string{ help })
+                          .Register(mRegistry)
+                          .Add({}, Buckets()));
+  }
+  for (const auto& [name, help] : kLevels) {
+    mLevels.push_back(&prometheus::BuildGauge()
+                         .Name(std::string{ name })
+                         .Help(std::string{ help })
+                         .Register(mRegistry)
+                         .Add({}));
+  }
+}
+
+void
+Metrics::Add(Outcome aOutcome)
+{
+  mOutcomes[Index(aOutcome)]->Increment();
+}
+
+void
+Metrics::Add(ErrorKind aKind)
+{
+  mErrors[Index(aKind)]->Increment();
+}
+
+void
+Metrics::Add(Count aCount, std::uint64_t aTimes)
+{
+  mCounts[Index(aCount)]->Increment(static_cast<double>(aTimes));
+}
+
+void
+Metrics::Record(Timing aTiming, Duration aDuration)
+{
+  mTimings[Index(aTiming)]->Observe(
+    std::chrono::duration<double>(aDuration).count());
+}
+
+void
+Metrics::Set(Level aLevel, double aValue)
+{
+  mLevels[Index(aLevel)]->Set(aValue);
+}
+
+std::string
+Metrics::Text() const
+{
+  return prometheus::TextSerializer{}.Serialize(mRegistry.Collect());
+}
+
+} // namespace balsampoint::trace
--- /dev/null
+++ b/src/balsampoint/trace/metrics.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "balsampoint/core/error.hpp"
+#include "balsampoint/core/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsampoint::trace {
+
+/** @brief How a request ended. */
+enum class Outcome : std::uint8_t
+{
+  Complete,
+  Refused,
+  Broken,
+  CallerGone,
+};
+
+/** @brief Lengths of time that are kept as histograms. */
+enum class Timing : std::uint8_t
+{
+  FirstToken,
+  BetweenTokens,
+  QueueWait,
+  Request,
+  Recovery,
+};
+
+/** @brief Figures of the host's own state. */
+enum class Level : std::uint8_t
+{
+  RequestsInProgress,
+  LiveServers,
+  ChangeNumber,
+  ControlQueue,
+};
+
+/** @brief Events that are only counted. */
+enum class Count : std::uint8_t
+{
+  Retries,
+  Recoveries,
+  Tokens,
+  DroppedSpans,
+  ControlMessages,
+  ControlBytes,
+};
+
+/**
+ * @brief The figures of one host, for Prometheus.
+ *
+ * All functions may be called on any thread and wait for no I/O. Labels are
+ * from closed lists, so that the number of series is fixed.
+ */
+class Metrics
+{
+public:
+  Metrics();
+
+  /**
+   * @brief Counts a request that ended.
+   * @param aOutcome How it ended.
+   */
+  void Add(Outcome aOutcome);
+
+  /**
+   * @brief Counts a refusal or failure by its kind.
+   * @param aKind The kind.
+   */
+  void Add(ErrorKind aKind);
+
+  /**
+   * @brief Counts events.
+   * @param aCount What happened.
+   * @param aTimes How often.
+   */
+  void Add(Count aCount, std::uint64_t aTimes = 1);
+
+  /**
+   * @brief Records a length of time.
+   * @param aTiming What took it.
+   * @param aDuration The length.
+   */
+  void Record(Timing aTiming, Duration aDuration);
+
+  /**
+   * @brief Sets a figure of the host's state.
+   * @param aLevel Which.
+   * @param aValue Its value.
+   */
+  void Set(Level aLevel, double aValue);
+
+  /** @brief All figures in the text format of Prometheus. */
+  [[nodiscard]] std::string Text() const;
+
+private:
+  prometheus::Registry mRegistry;
+  std::vector<prometheus::Counter*> mOutcomes;
+  std::vector<prometheus::Counter*> mErrors;
+  std::vector<prometheus::Counter*> mCounts;
+  std::vector<prometheus::Histogram*> mTimings;
+  std::vector<prometheus::Gauge*> mLevels;
+};
+
+} // namespace balsampoint::trace
