Share the registry within a zone and find out which hosts are there

Cause: each host knew only the servers that announced themselves to it, and no host knew the others.

Change: module member finds hosts by seeds and watches them by direct and indirect probes with suspicion and refutation; probes stay in the zone but for every fifth. Module registry sends changes to the zone at once, loads in batches whose interval grows with the zone, compares registries with one host a second, forwards renewals to the host that leases, hides servers whose host is out of reach, refutes a loss where the server was heard lately, and sums up its zone for the others. Errors seen by traffic make only this host avoid a server. test/fake/hosts.hpp runs both modules on virtual time. The random numbers of the decisions moved to core/split_mix.hpp; the fake uses them too.

Traffic is not measured yet and the daemon does not run it yet.

--- /dev/null
+++ b/src/balsampoint/core/split_mix.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+namespace balsampoint {
+
+/** @brief A repeatable source of random numbers (SplitMix64). */
+class SplitMix64
+{
+public:
+  SplitMix64() = default;
+
+  /**
+   * @brief Starts the sequence.
+   * @param aSeed Chooses the sequence.
+   */
+  explicit SplitMix64(std::uint64_t aSeed)
+    : mState{ aSeed }
+  {
+  }
+
+  /** @brief The next number. */
+  std::uint64_t Next()
+  {
+    mState += 0x9E3779B97F4A7C15ULL;
+    auto value = mState;
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
+    return value ^ (value >> 31U);
+  }
+
+private:
+  std::uint64_t mState{};
+};
+
+} // namespace balsampoint
--- a/src/balsampoint/registry/action.hpp
+++ b/src/balsampoint/registry/action.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsampoint/registry/message.hpp"
 #include "balsampoint/registry/view.hpp"
 
 #include <memory>
@@ -22,7 +23,14 @@
   std::shared_ptr<const View> view;
 };
 
+/** @brief Sends a message to another host without waiting. */
+struct Send
+{
+  HostId to;
+  Message message;
+};
+
 /** @brief What the registry asks its adapters to do. */
-using Action = std::variant<Answered, Publish>;
+using Action = std::variant<Answered, Publish, Send>;
 
 } // namespace balsampoint::registry
--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -1,9 +1,8 @@
 #include "balsampoint/registry/command/announce.hpp"
 
+#include "balsampoint/registry/internal/change.hpp"
 #include "balsampoint/registry/internal/validate.hpp"
 
-#include <algorithm>
-
 namespace balsampoint::registry {
 
 namespace {
@@ -12,11 +11,11 @@
 CheckAgainst(const Record& aRecord, const Announcement& aAnnouncement)
 {
   const auto& known = aRecord.announcement;
-  if (aAnnouncement.incarnation < aRecord.stamp.incarnation) {
+  if (aAnnouncement.incarnation < aRecord.claim.stamp.incarnation) {
     return Refuse(ErrorKind::Conflict,
                   "the announcement is from before the server's last restart");
   }
-  if (!aRecord.live || aAnnouncement.incarnation > known.incarnation) {
+  if (!aRecord.claim.live || aAnnouncement.incarnation > known.incarnation) {
     return {};
   }
   if (aAnnouncement.address != known.address) {
@@ -38,6 +37,34 @@
   return aLeft == aRight;
 }
 
+void
+Renew(State& aState, Record& aRecord, Instant aNow)
+{
+  const auto& server = aRecord.announcement.server;
+  const auto& owner = aRecord.claim.owner;
+  if (owner == aState.settings.self) {
+    aRecord.expiry = aNow + aState.settings.lease;
+    internal::MarkLoad(aState, server, aNow);
+    return;
+  }
+  if (aState.nearHosts.contains(owner)) {
+    internal::MarkRenewal(aState, server, aNow);
+    return;
+  }
+  internal::TakeOver(aState, aRecord, aNow);
+}
+
+void
+Accept(State& aState, Record& aRecord, Incarnation aIncarnation, Instant aNow)
+{
+  auto& stamp = aRecord.claim.stamp;
+  if (aIncarnation > stamp.incarnation) {
+    stamp = { .incarnation = aIncarnation };
+    aRecord.health = {};
+  }
+  internal::TakeOver(aState, aRecord, aNow);
+}
+
 } // namespace
 
 tl::expected<Duration, Error>
@@ -57,19 +84,16 @@
     }
   }
   auto& record = aState.records[aAnnouncement.server];
-  const bool renewal =
-    known && record.live && SameButForLoad(record.announcement, aAnnouncement);
-  if (!renewal) {
-    const bool restarted = aAnnouncement.incarnation > record.stamp.incarnation;
-    record.stamp = { .incarnation = aAnnouncement.incarnation,
-                     .version = restarted ? 1 : record.stamp.version + 1 };
-  }
+  const bool renewal = known && record.claim.live &&
+                       SameButForLoad(record.announcement, aAnnouncement);
   record.announcement = aAnnouncement;
-  record.live = true;
-  record.expiry = aNow + aState.settings.lease;
+  record.heardAt = aNow;
   record.reportedAt = aNow;
-  const auto due = renewal ? aNow + aState.settings.loadInterval : aNow;
-  aState.publishAt = std::min(aState.publishAt, due);
+  if (renewal) {
+    Renew(aState, record, aNow);
+  } else {
+    Accept(aState, record, aAnnouncement.incarnation, aNow);
+  }
   return aState.settings.lease;
 }
 
--- a/src/balsampoint/registry/command/expire.cpp
+++ b/src/balsampoint/registry/command/expire.cpp
@@ -1,7 +1,34 @@
 #include "balsampoint/registry/command/expire.hpp"
 
+#include "balsampoint/registry/internal/change.hpp"
+
 namespace balsampoint::registry {
 
+namespace {
+
+void
+EndLease(State& aState, Record& aRecord, Instant aNow)
+{
+  aRecord.claim.live = false;
+  ++aRecord.claim.stamp.version;
+  aRecord.expiry = aNow + aState.settings.memory;
+  internal::MarkChanged(aState, aRecord.announcement.server, aNow);
+}
+
+void
+Hide(State& aState, Record& aRecord, Instant aNow)
+{
+  if (internal::HeardLately(aState, aRecord, aNow)) {
+    internal::TakeOver(aState, aRecord, aNow);
+    return;
+  }
+  aRecord.hidden = true;
+  aRecord.expiry = aNow + aState.settings.memory;
+  internal::WantView(aState, aNow);
+}
+
+} // namespace
+
 void
 Expire(State& aState, Instant aNow)
 {
@@ -11,16 +38,24 @@
       ++at;
       continue;
     }
-    if (!record.live) {
+    if (!record.Visible()) {
       at = aState.records.erase(at);
       continue;
     }
-    record.live = false;
-    record.expiry = aNow + aState.settings.memory;
-    ++record.stamp.version;
-    aState.publishAt = aNow;
+    if (record.claim.owner == aState.settings.self) {
+      EndLease(aState, record, aNow);
+    } else {
+      Hide(aState, record, aNow);
+    }
     ++at;
   }
+  const auto forgotten =
+    std::erase_if(aState.summaries, [&](const auto& aEntry) {
+      return aEntry.second.expiry <= aNow;
+    });
+  if (forgotten > 0) {
+    internal::WantView(aState, aNow);
+  }
 }
 
 } // namespace balsampoint::registry
--- a/src/balsampoint/registry/command/expire.hpp
+++ b/src/balsampoint/registry/command/expire.hpp
@@ -5,7 +5,7 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Ends the leases that have run out and forgets old losses.
+ * @brief Ends what has run out: leases, summaries and the memory of losses.
  * @param aState The registry.
  * @param aNow The time; a lease ending at it has run out.
  */
--- a/src/balsampoint/registry/module.cpp
+++ b/src/balsampoint/registry/module.cpp
@@ -2,6 +2,10 @@
 
 #include "balsampoint/registry/command/announce.hpp"
 #include "balsampoint/registry/command/expire.hpp"
+#include "balsampoint/registry/command/flush.hpp"
+#include "balsampoint/registry/command/observe.hpp"
+#include "balsampoint/registry/command/receive.hpp"
+#include "balsampoint/registry/command/set_hosts.hpp"
 #include "balsampoint/registry/query/next_deadline.hpp"
 #include "balsampoint/registry/query/view.hpp"
 
@@ -27,6 +31,24 @@
   aState.modelLayers = aEvent.modelLayers;
 }
 
+void
+On(State& aState, const HostsChanged& aEvent, Instant aNow, Actions&)
+{
+  SetHosts(aState, *aEvent.view, aNow);
+}
+
+void
+On(State& aState, const Observed& aEvent, Instant aNow, Actions&)
+{
+  Observe(aState, aEvent.observations, aNow);
+}
+
+void
+On(State& aState, const Received& aEvent, Instant aNow, Actions& aActions)
+{
+  Receive(aState, aEvent, aNow, aActions);
+}
+
 void
 PublishIfDue(State& aState, Instant aNow, Actions& aActions)
 {
@@ -48,6 +70,7 @@
 {
   std::visit([&](const auto& aOne) { On(aState, aOne, aNow, aActions); },
              aEvent);
+  Flush(aState, aNow, aActions);
   PublishIfDue(aState, aNow, aActions);
 }
 
@@ -55,6 +78,7 @@
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
   Expire(aState, aNow);
+  Flush(aState, aNow, aActions);
   PublishIfDue(aState, aNow, aActions);
 }
 
--- a/src/balsampoint/registry/query/next_deadline.cpp
+++ b/src/balsampoint/registry/query/next_deadline.cpp
@@ -7,10 +7,21 @@
 Instant
 NextDeadline(const State& aState)
 {
-  auto next = aState.publishAt;
+  const auto& outbox = aState.outbox;
+  auto next = std::min(
+    { aState.publishAt, outbox.deltaAt, outbox.loadAt, outbox.renewalAt });
+  if (!aState.nearHosts.empty()) {
+    next = std::min(next, outbox.digestAt);
+  }
+  if (!aState.farHosts.empty()) {
+    next = std::min(next, outbox.summaryAt);
+  }
   for (const auto& [id, record] : aState.records) {
     next = std::min(next, record.expiry);
   }
+  for (const auto& [zone, known] : aState.summaries) {
+    next = std::min(next, known.expiry);
+  }
   return next;
 }
 
--- a/src/balsampoint/registry/query/view.hpp
+++ b/src/balsampoint/registry/query/view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsampoint/registry/state.hpp"
+#include "balsampoint/registry/view.hpp"
 
 namespace balsampoint::registry {
 
--- a/src/balsampoint/registry/view.hpp
+++ b/src/balsampoint/registry/view.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "balsampoint/registry/announcement.hpp"
+#include "balsampoint/registry/health.hpp"
+#include "balsampoint/registry/summary.hpp"
 
 #include <memory>
 #include <vector>
@@ -13,12 +15,15 @@
   Announcement announcement;
   /** When its load was reported, by the receiving host's clock. */
   Instant reportedAt{};
+  Health health;
 };
 
 /** @brief The live servers in the order of their ids; immutable. */
 struct View
 {
   std::vector<Server> servers;
+  /** The other zones in the order of their ids. */
+  std::vector<ZoneSummary> zones;
 };
 
 } // namespace balsampoint::registry
--- a/test/balsampoint/registry/command/announce_test.cpp
+++ b/test/balsampoint/registry/command/announce_test.cpp
@@ -32,9 +32,9 @@
   cr_assert_eq(Announce(state, Engine("s1"), kStart), state.settings.lease);
   cr_assert(Announce(state, Engine("s1"), later).has_value());
   Expire(state, kStart + state.settings.lease);
-  cr_assert(state.records.at(ServerId{ "s1" }).live);
+  cr_assert(state.records.at(ServerId{ "s1" }).claim.live);
   Expire(state, later + state.settings.lease);
-  cr_assert_not(state.records.at(ServerId{ "s1" }).live);
+  cr_assert_not(state.records.at(ServerId{ "s1" }).claim.live);
 }
 
 Test(announce, refuses_what_is_impossible)
--- /dev/null
+++ b/test/balsampoint/registry/sharing_test.cpp
@@ -0,0 +1,174 @@
+#include "announcements.hpp"
+#include "fake/hosts.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace balsampoint;
+using namespace balsampoint::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ZoneId kColombo{ "colombo-a" };
+const ZoneId kNegombo{ "negombo-c" };
+const ServerId kServer{ "s1" };
+
+HostId
+Name(int aNumber)
+{
+  return HostId{ "h" + std::to_string(aNumber) };
+}
+
+fake::Hosts
+Joined(int aNear, int aFar, std::uint64_t aSeed)
+{
+  fake::Hosts hosts{ aSeed };
+  for (int at = 0; at < aNear + aFar; ++at) {
+    hosts.Start(
+      Name(at), at < aNear ? kColombo : kNegombo, std::vector{ Name(0) });
+  }
+  hosts.RunTo(hosts.now + 5s);
+  return hosts;
+}
+
+/** Lets the server renew every half second, each time at the next host. */
+void
+Renew(fake::Hosts& aHosts,
+      const Announcement& aAnnouncement,
+      std::span<const HostId> aAt,
+      int aTimes)
+{
+  for (int time = 0; time < aTimes; ++time) {
+    const auto& host = aAt[static_cast<std::size_t>(time) % aAt.size()];
+    aHosts.Tell(host, Event{ Announced{ .announcement = aAnnouncement } });
+    aHosts.RunTo(aHosts.now + 500ms);
+  }
+}
+
+int
+Showing(const fake::Hosts& aHosts)
+{
+  int count = 0;
+  for (const auto& [id, host] : aHosts.hosts) {
+    count += host.running && aHosts.Shows(id, kServer) ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+Test(sharing, a_server_is_known_to_all_hosts_of_its_zone_only)
+{
+  auto hosts = Joined(4, 2, 1);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 1);
+  cr_assert_eq(Showing(hosts), 4);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 4);
+  const auto& zones = hosts.hosts.at(Name(5)).view->zones;
+  cr_assert_eq(zones.size(), 1);
+  cr_assert_eq(zones.front().stages.at(0).servers, 1);
+}
+
+Test(sharing, leaving_and_loss_reach_all_hosts_of_the_zone)
+{
+  auto hosts = Joined(4, 0, 2);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 2);
+  auto leaving = Engine("s1");
+  leaving.state = ServerState::Leaving;
+  Renew(hosts, leaving, std::vector{ Name(1) }, 1);
+  for (const auto& [id, host] : hosts.hosts) {
+    cr_assert_eq(host.view->servers.at(0).announcement.state,
+                 ServerState::Leaving);
+  }
+  hosts.RunTo(hosts.now + 1200ms);
+  cr_assert_eq(Showing(hosts), 0);
+}
+
+Test(sharing, renewals_at_changing_hosts_keep_one_lease)
+{
+  auto hosts = Joined(4, 0, 3);
+  const std::vector all{ Name(0), Name(1), Name(2), Name(3) };
+  Renew(hosts, Engine("s1"), all, 20);
+  cr_assert_eq(Showing(hosts), 4);
+  const auto& claim =
+    hosts.hosts.at(Name(0)).registry.records.at(kServer).claim;
+  cr_assert_eq(claim.stamp.version, 1);
+}
+
+Test(sharing, a_loss_is_refuted_by_the_host_that_hears_the_server)
+{
+  auto hosts = Joined(4, 0, 4);
+  Renew(hosts, Engine("s1"), std::vector{ Name(0) }, 1);
+  hosts.network.Cut(Name(1), Name(0), true);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 10);
+  cr_assert_eq(Showing(hosts), 4);
+}
+
+Test(sharing, a_change_gets_round_a_one_way_cut)
+{
+  auto hosts = Joined(5, 0, 5);
+  hosts.network.Cut(Name(1), Name(2), true);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 8);
+  cr_assert_eq(Showing(hosts), 5);
+}
+
+Test(sharing, a_server_moves_on_when_its_host_dies)
+{
+  auto hosts = Joined(5, 0, 6);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 2);
+  hosts.Kill(Name(1));
+  Renew(hosts, Engine("s1"), std::vector{ Name(2) }, 12);
+  cr_assert_eq(Showing(hosts), 4);
+  cr_assert_eq(hosts.hosts.at(Name(0)).registry.records.at(kServer).claim.owner,
+               Name(2));
+}
+
+Test(sharing, a_server_lost_with_its_host_is_hidden)
+{
+  auto hosts = Joined(5, 0, 7);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 2);
+  hosts.Kill(Name(1));
+  hosts.RunTo(hosts.now + 6s);
+  cr_assert_eq(Showing(hosts), 0);
+}
+
+Test(sharing, a_split_zone_serves_what_each_side_hears)
+{
+  auto hosts = Joined(4, 0, 8);
+  const std::vector left{ Name(0), Name(1) };
+  const std::vector right{ Name(2), Name(3) };
+  hosts.CutBetween(left, right, true);
+  Renew(hosts, Engine("s1"), left, 20);
+  cr_assert(hosts.Shows(Name(0), kServer));
+  cr_assert_not(hosts.Shows(Name(3), kServer));
+  hosts.CutBetween(left, right, false);
+  Renew(hosts, Engine("s1"), left, 10);
+  cr_assert_eq(Showing(hosts), 4);
+}
+
+Test(sharing, a_host_that_joins_late_learns_the_zone)
+{
+  auto hosts = Joined(3, 0, 9);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 4);
+  hosts.Start(Name(3), kColombo, std::vector{ Name(0) });
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 6);
+  cr_assert_eq(Showing(hosts), 4);
+}
+
+Test(sharing, only_the_host_that_saw_errors_avoids_a_server)
+{
+  auto hosts = Joined(3, 0, 10);
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 1);
+  const std::vector<Observation> errors(3,
+                                        { .server = kServer,
+                                          .incarnation = Incarnation{ 1 },
+                                          .outcome = Outcome::Failed });
+  hosts.Tell(Name(0), Event{ Observed{ .observations = errors } });
+  Renew(hosts, Engine("s1"), std::vector{ Name(1) }, 1);
+  const auto avoided = [&](int aHost) {
+    const auto& view = *hosts.hosts.at(Name(aHost)).view;
+    return view.servers.at(0).health.avoidUntil > hosts.now;
+  };
+  cr_assert(avoided(0));
+  cr_assert_not(avoided(1));
+  cr_assert_not(avoided(2));
+}
