--- a/src/balsampoint/http/client_pool.cpp
+++ b/src/balsampoint/http/client_pool.cpp
@@ -21,7 +21,7 @@
 constexpr Duration kMaxConnect = std::chrono::milliseconds{ 500 };
 constexpr Duration kMinWait = std::chrono::milliseconds{ 1 };
 constexpr std::size_t kMaxIdlePerAddress = 256;
-constexpr std::size_t kChunkBytes = 16 * 1024;
+constexpr std::size_t kChunkBytes = 16384;
 
 Poco::Timespan
 Span(Duration aDuration)
--- a/src/balsampoint/http/problem.cpp
+++ b/src/balsampoint/http/problem.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kChunkBytes = 16 * 1024;
+constexpr std::size_t kChunkBytes = 16384;
 
 std::int64_t
 WholeSeconds(Duration aDuration)
--- a/src/balsampoint/traffic/command/run_stream.hpp
+++ b/src/balsampoint/traffic/command/run_stream.hpp
@@ -60,7 +60,7 @@
     while (!mActions.empty()) {
       const auto action = std::move(mActions.front());
       mActions.pop_front();
-      std::visit([this](const auto& aAction) { Do(aAction); }, action);
+      std::visit([this](const auto& aAction) { this->Do(aAction); }, action);
       Interrupt(deadline);
     }
     return mState.progress.counters;
--- a/tools/engine/model_engine.cpp
+++ b/tools/engine/model_engine.cpp
@@ -90,7 +90,7 @@
 {
   const auto held = CheckHeld(aCall.model, aCall.version, {}, aCall.id.layers);
   if (!held) {
-    return held;
+    return tl::unexpected(held.error());
   }
   const LayerKv wanted{ .positions = aCall.id.step.Value(),
                         .digest = aCall.kvDigest };
