Give the node its peer link

Cause: modules that talk to other hosts had no way out of the daemon. Change: sender, receiver and a router from parcels to the control thread. Conclusion: a module is wired by its codec, a runner and one case.

--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -23,6 +23,20 @@
   return { std::move(registry) };
 }
 
+/** The wall clock, so that each start of a host has a higher number. */
+peer::Identity
+MakeIdentity(const config::Settings& aSettings)
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+  return { .cluster = aSettings.cluster,
+           .host = aSettings.host,
+           .incarnation =
+             Incarnation{ static_cast<std::uint64_t>(milliseconds) },
+           .secret = aSettings.secret };
+}
+
 std::map<ModelId, std::uint32_t>
 ModelLayers(const config::Document& aDocument)
 {
@@ -38,7 +52,7 @@
 tl::expected<std::unique_ptr<Node>, Error>
 Node::Start(const config::Settings& aSettings)
 {
-  std::unique_ptr<Node> node{ new Node{ aSettings } };
+  std::unique_ptr<Node> node{ new Node{ aSettings, MakeIdentity(aSettings) } };
   const auto listening = node->Listen();
   if (!listening) {
     return tl::unexpected(listening.error());
@@ -46,10 +60,13 @@
   return node;
 }
 
-Node::Node(const config::Settings& aSettings)
+Node::Node(const config::Settings& aSettings, const peer::Identity& aIdentity)
   : mSettings{ aSettings }
+  , mIdentity{ aIdentity }
   , mMailbox{ kMailboxCapacity }
-  , mRunners{ mMailbox, mWorld }
+  , mSender{ aIdentity }
+  , mRouter{ mMailbox }
+  , mRunners{ mMailbox, mWorld, mSender }
   , mLoop{ mMailbox, mRunners, FirstStates(aSettings) }
   , mControlThread{ [this] { mLoop.Run(); } }
   , mCallerHandler{ { .world = mWorld,
@@ -60,10 +77,16 @@
     return mRunners.Registry().Announce(std::move(aAnnouncement));
   } }
 {
+  for (const auto& seed : mSettings.seeds) {
+    if (seed.host != mSettings.host) {
+      mSender.Route(seed.host, seed.address.Text());
+    }
+  }
 }
 
 Node::~Node()
 {
+  mReceiver.reset();
   mCallers.reset();
   mServers.reset();
   mMailbox.Close();
@@ -97,6 +120,14 @@
 tl::expected<void, Error>
 Node::Listen()
 {
+  auto receiver = peer::Receiver::Listen(
+    mSettings.listen.peers.Text(), mIdentity, [this](const auto& aParcel) {
+      mRouter.Take(aParcel);
+    });
+  if (!receiver) {
+    return tl::unexpected(receiver.error());
+  }
+  mReceiver = std::move(*receiver);
   const auto& limits = mSettings.limits;
   const http::ListenerLimits callerLimits{
     .maxThreads = static_cast<int>(limits.concurrentRequests) + kSpareThreads,
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -2,11 +2,14 @@
 
 #include "balsampoint/config/settings.hpp"
 #include "balsampoint/daemon/control.hpp"
+#include "balsampoint/daemon/parcel_router.hpp"
 #include "balsampoint/daemon/runners.hpp"
 #include "balsampoint/http/caller_handler.hpp"
 #include "balsampoint/http/client_pool.hpp"
 #include "balsampoint/http/listener.hpp"
 #include "balsampoint/http/server_handler.hpp"
+#include "balsampoint/peer/receiver.hpp"
+#include "balsampoint/peer/sender.hpp"
 #include "balsampoint/traffic/world.hpp"
 
 #include <memory>
@@ -50,18 +53,22 @@
   using CallerListener = http::BasicListener<http::CallerHandler>;
   using ServerListener = http::BasicListener<http::ServerHandler>;
 
-  explicit Node(const config::Settings& aSettings);
+  Node(const config::Settings& aSettings, const peer::Identity& aIdentity);
   tl::expected<void, Error> Listen();
 
   config::Settings mSettings;
+  peer::Identity mIdentity;
   traffic::World mWorld;
   http::ClientPool mBackends;
   ControlMailbox mMailbox;
+  peer::Sender mSender;
+  ParcelRouter mRouter;
   Runners mRunners;
   Control::Loop<Runners> mLoop;
   std::thread mControlThread;
   http::CallerHandler mCallerHandler;
   http::ServerHandler mServerHandler;
+  std::unique_ptr<peer::Receiver> mReceiver;
   std::unique_ptr<CallerListener> mCallers;
   std::unique_ptr<ServerListener> mServers;
 };
--- /dev/null
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -0,0 +1,47 @@
+#include "balsampoint/daemon/parcel_router.hpp"
+
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace balsampoint::daemon {
+
+ParcelRouter::ParcelRouter(ControlMailbox& aMailbox)
+  : mMailbox{ aMailbox }
+{
+}
+
+void
+ParcelRouter::Take(const peer::Parcel& aParcel)
+{
+  auto event = Decode(aParcel);
+  if (!event) {
+    ++mRefused;
+    spdlog::warn("message of host '{}' refused: {}",
+                 aParcel.from.Value(),
+                 event.error().detail);
+    return;
+  }
+  if (!mMailbox.Push(std::move(*event))) {
+    ++mRefused;
+  }
+}
+
+tl::expected<Control::Event, Error>
+ParcelRouter::Decode(const peer::Parcel& aParcel) const
+{
+  switch (aParcel.module) {
+    case peer::ModuleTag::Registry:
+    case peer::ModuleTag::Member:
+    case peer::ModuleTag::Consensus:
+    case peer::ModuleTag::Fanout:
+    case peer::ModuleTag::Ledger:
+    case peer::ModuleTag::Limit:
+    case peer::ModuleTag::Orders:
+      break;
+  }
+  return Refuse(ErrorKind::BadRequest,
+                "no module takes tag " +
+                  std::to_string(static_cast<int>(aParcel.module)));
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/registry_runner.cpp
+++ b/src/balsampoint/daemon/registry_runner.cpp
@@ -11,9 +11,12 @@
 
 } // namespace
 
-RegistryRunner::RegistryRunner(ControlMailbox& aMailbox, traffic::World& aWorld)
+RegistryRunner::RegistryRunner(ControlMailbox& aMailbox,
+                               traffic::World& aWorld,
+                               peer::Sender& aSender)
   : mMailbox{ aMailbox }
   , mWorld{ aWorld }
+  , mSender{ aSender }
 {
 }
 
@@ -51,4 +54,9 @@
   mWorld.servers.Publish(aPublish.view);
 }
 
+void
+RegistryRunner::Do(const registry::Send& /*aSend*/)
+{
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/registry_runner.hpp
+++ b/src/balsampoint/daemon/registry_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsampoint/daemon/control.hpp"
+#include "balsampoint/peer/sender.hpp"
 #include "balsampoint/registry/action.hpp"
 #include "balsampoint/runtime/reply_table.hpp"
 #include "balsampoint/traffic/world.hpp"
@@ -15,8 +16,11 @@
    * @brief Keeps the ways to and from the control thread; both outlive it.
    * @param aMailbox Queue into the control thread.
    * @param aWorld Where views are published.
+   * @param aSender Way to other hosts.
    */
-  RegistryRunner(ControlMailbox& aMailbox, traffic::World& aWorld);
+  RegistryRunner(ControlMailbox& aMailbox,
+                 traffic::World& aWorld,
+                 peer::Sender& aSender);
 
   /**
    * @brief Announces a server and waits for the answer.
@@ -35,9 +39,11 @@
 private:
   void Do(const registry::Answered& aAnswer);
   void Do(const registry::Publish& aPublish);
+  void Do(const registry::Send& aSend);
 
   ControlMailbox& mMailbox;
   traffic::World& mWorld;
+  peer::Sender& mSender;
   runtime::ReplyTable<tl::expected<Duration, Error>> mAnswers;
 };
 
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -12,9 +12,12 @@
    * @brief Makes the runners; the arguments outlive them.
    * @param aMailbox Queue into the control thread.
    * @param aWorld What traffic threads read.
+   * @param aSender Way to other hosts.
    */
-  Runners(ControlMailbox& aMailbox, traffic::World& aWorld)
-    : mRegistry{ aMailbox, aWorld }
+  Runners(ControlMailbox& aMailbox,
+          traffic::World& aWorld,
+          peer::Sender& aSender)
+    : mRegistry{ aMailbox, aWorld, aSender }
   {
   }
 
