--- /dev/null
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -0,0 +1,312 @@
+#include "balsampoint/consensus/command/elect.hpp"
+
+#include "balsampoint/consensus/command/replicate.hpp"
+#include "balsampoint/consensus/internal/log.hpp"
+#include "balsampoint/consensus/internal/quorum.hpp"
+#include "balsampoint/consensus/internal/write.hpp"
+
+namespace balsampoint::consensus {
+
+namespace {
+
+/** @brief The next number of the SplitMix64 sequence. */
+std::uint64_t
+NextRandom(std::uint64_t& aRandom)
+{
+  aRandom += 0x9E3779B97F4A7C15ULL;
+  auto value = aRandom;
+  value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+  value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
+  return value ^ (value >> 31U);
+}
+
+/** @brief Whether the host has never held any state. */
+bool
+IsFresh(const State& aState)
+{
+  return aState.hard.recovering && aState.hard.term == Term{} &&
+         internal::LastIndex(aState.log) == Index{};
+}
+
+bool
+MayStand(const State& aState)
+{
+  const auto& self = aState.settings.self;
+  const bool able = !aState.hard.recovering || IsFresh(aState);
+  return able && !aState.storageFailed &&
+         internal::IsVoter(aState.members, self);
+}
+
+bool
+LeaderIsAlive(const State& aState, Instant aNow)
+{
+  if (aState.role == Role::Leader) {
+    return true;
+  }
+  return aState.leaderHeard &&
+         aNow - aState.leaderHeardAt < aState.settings.electionMin;
+}
+
+bool
+IsUpToDate(const State& aState, const VoteRequest& aRequest)
+{
+  const auto ownTerm = internal::LastTerm(aState.log);
+  if (aRequest.lastTerm != ownTerm) {
+    return aRequest.lastTerm > ownTerm;
+  }
+  return aRequest.lastIndex >= internal::LastIndex(aState.log);
+}
+
+/** @brief A host that lost its state votes only where nobody has any. */
+bool
+MayGrant(const State& aState, const VoteRequest& aRequest)
+{
+  if (aState.hard.recovering && !(IsFresh(aState) && aRequest.fresh)) {
+    return false;
+  }
+  const bool known =
+    aState.members.members.empty() ||
+    internal::Find(aState.members, aState.settings.self) != nullptr;
+  return known && IsUpToDate(aState, aRequest);
+}
+
+void
+AskForVotes(State& aState, const VoteRequest& aRequest, Actions& aActions)
+{
+  for (const auto& member : aState.members.members) {
+    if (member.role != MemberRole::Voter ||
+        member.host == aState.settings.self) {
+      continue;
+    }
+    internal::SendWhenDurable(aState, member.host, aRequest, aActions);
+  }
+}
+
+/** @brief A first start needs every voter, since a lost disk looks alike. */
+bool
+HasWon(const State& aState, bool aNeedsAll)
+{
+  const auto granted = [&aState](const HostId& aHost) {
+    return aState.grants.contains(aHost);
+  };
+  if (!aNeedsAll) {
+    return internal::QuorumOf(aState.members, granted);
+  }
+  for (const auto& member : aState.members.members) {
+    if (member.role == MemberRole::Voter && !granted(member.host)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+BecomeLeader(State& aState, Instant aNow, Actions& aActions)
+{
+  aState.role = Role::Leader;
+  aState.leader = aState.settings.self;
+  aState.electionDeadline = kNever;
+  aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
+  aState.round = aState.round.Next();
+  aState.progress.clear();
+  aState.grants.clear();
+  aActions.emplace_back(LeaderChanged{ aState.hard.term, aState.leader });
+  aState.termStart = internal::LastIndex(aState.log).Next();
+  TrackMembers(aState, aNow);
+  AppendLocal(aState, Entry{ .kind = EntryKind::Empty }, aActions);
+  Broadcast(aState, aNow, aActions);
+}
+
+VoteRequest
+MakeRequest(const State& aState)
+{
+  return { .term = aState.hard.term,
+           .lastIndex = internal::LastIndex(aState.log),
+           .lastTerm = internal::LastTerm(aState.log),
+           .fresh = IsFresh(aState) };
+}
+
+void
+AnswerVote(State& aState,
+           const HostId& aFrom,
+           bool aMayGrant,
+           Instant aNow,
+           Actions& aActions)
+{
+  const bool free = aState.hard.vote.Empty() || aState.hard.vote == aFrom;
+  const bool granted = aMayGrant && free && aState.role != Role::Leader;
+  if (granted && aState.hard.vote.Empty()) {
+    aState.hard.vote = aFrom;
+    aState.hard.recovering = false;
+    internal::WriteHardState(aState, aActions);
+    ResetElection(aState, aNow);
+  }
+  internal::SendWhenDurable(
+    aState, aFrom, VoteReply{ aState.hard.term, false, granted }, aActions);
+}
+
+void
+AnswerPreVote(State& aState,
+              const HostId& aFrom,
+              const VoteRequest& aRequest,
+              Actions& aActions)
+{
+  const bool granted =
+    aRequest.term > aState.hard.term && MayGrant(aState, aRequest);
+  const auto term = granted ? aRequest.term : aState.hard.term;
+  internal::SendWhenDurable(
+    aState, aFrom, VoteReply{ term, true, granted }, aActions);
+}
+
+} // namespace
+
+void
+ResetElection(State& aState, Instant aNow)
+{
+  const auto& settings = aState.settings;
+  const auto spread = settings.electionMax - settings.electionMin;
+  const auto steps = static_cast<std::uint64_t>(spread.count()) + 1;
+  const auto extra = NextRandom(aState.random) % steps;
+  aState.electionDeadline =
+    aNow + settings.electionMin + Duration{ static_cast<Duration::rep>(extra) };
+}
+
+void
+BecomeFollower(State& aState,
+               Term aTerm,
+               const HostId& aLeader,
+               Instant aNow,
+               Actions& aActions)
+{
+  const bool changed = aState.leader != aLeader || aState.hard.term != aTerm;
+  if (aState.role == Role::Leader) {
+    LeaveOffice(aState, aActions);
+  }
+  if (aTerm > aState.hard.term) {
+    aState.hard.term = aTerm;
+    aState.hard.vote = {};
+    internal::WriteHardState(aState, aActions);
+  }
+  aState.role = Role::Follower;
+  aState.leader = aLeader;
+  aState.leaderHeard = !aLeader.Empty();
+  aState.heartbeatDeadline = kNever;
+  aState.grants.clear();
+  ResetElection(aState, aNow);
+  if (changed) {
+    aActions.emplace_back(LeaderChanged{ aTerm, aLeader });
+  }
+}
+
+void
+StartPreVote(State& aState, Instant aNow, Actions& aActions)
+{
+  ResetElection(aState, aNow);
+  if (!aState.leader.Empty()) {
+    aState.leader = {};
+    aActions.emplace_back(LeaderChanged{ aState.hard.term, {} });
+  }
+  if (!MayStand(aState)) {
+    return;
+  }
+  aState.role = Role::PreCandidate;
+  aState.leaderHeard = false;
+  aState.grants = { aState.settings.self };
+  auto request = MakeRequest(aState);
+  request.preVote = true;
+  request.term = request.term.Next();
+  AskForVotes(aState, request, aActions);
+  if (HasWon(aState, request.fresh)) {
+    StartElection(aState, false, aNow, aActions);
+  }
+}
+
+void
+StartElection(State& aState, bool aHandOver, Instant aNow, Actions& aActions)
+{
+  if (!MayStand(aState)) {
+    return;
+  }
+  auto request = MakeRequest(aState);
+  request.handOver = aHandOver;
+  aState.role = Role::Candidate;
+  aState.grants.clear();
+  aState.hard = { aState.hard.term.Next(), aState.settings.self, false };
+  request.term = aState.hard.term;
+  internal::WriteHardState(aState, aActions);
+  ResetElection(aState, aNow);
+  AskForVotes(aState, request, aActions);
+}
+
+void
+CountOwnVote(State& aState, Instant aNow, Actions& aActions)
+{
+  if (aState.role != Role::Candidate ||
+      aState.durableWrite != aState.lastWrite) {
+    return;
+  }
+  aState.grants.insert(aState.settings.self);
+  if (HasWon(aState, false)) {
+    BecomeLeader(aState, aNow, aActions);
+  }
+}
+
+void
+HandleVoteRequest(State& aState,
+                  const HostId& aFrom,
+                  const VoteRequest& aRequest,
+                  Instant aNow,
+                  Actions& aActions)
+{
+  const bool stranger = !aState.members.members.empty() &&
+                        !internal::IsVoter(aState.members, aFrom);
+  const bool disturbs = !aRequest.handOver && LeaderIsAlive(aState, aNow);
+  if (stranger || disturbs) {
+    return;
+  }
+  if (aRequest.preVote) {
+    AnswerPreVote(aState, aFrom, aRequest, aActions);
+    return;
+  }
+  const bool mayGrant =
+    aRequest.term >= aState.hard.term && MayGrant(aState, aRequest);
+  if (IsFresh(aState) && !mayGrant) {
+    return;
+  }
+  if (aRequest.term > aState.hard.term) {
+    BecomeFollower(aState, aRequest.term, {}, aNow, aActions);
+  }
+  AnswerVote(aState, aFrom, mayGrant, aNow, aActions);
+}
+
+void
+HandleVoteReply(State& aState,
+                const HostId& aFrom,
+                const VoteReply& aReply,
+                Instant aNow,
+                Actions& aActions)
+{
+  if (!aReply.granted) {
+    if (aReply.term > aState.hard.term) {
+      BecomeFollower(aState, aReply.term, {}, aNow, aActions);
+    }
+    return;
+  }
+  if (aReply.preVote && aState.role == Role::PreCandidate &&
+      aReply.term == aState.hard.term.Next()) {
+    aState.grants.insert(aFrom);
+    if (HasWon(aState, IsFresh(aState))) {
+      StartElection(aState, false, aNow, aActions);
+    }
+    return;
+  }
+  if (!aReply.preVote && aState.role == Role::Candidate &&
+      aReply.term == aState.hard.term) {
+    aState.grants.insert(aFrom);
+    if (HasWon(aState, false)) {
+      BecomeLeader(aState, aNow, aActions);
+    }
+  }
+}
+
+} // namespace balsampoint::consensus
--- /dev/null
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -0,0 +1,286 @@
+#include "balsampoint/consensus/command/members.hpp"
+
+#include "balsampoint/consensus/command/replicate.hpp"
+#include "balsampoint/consensus/internal/log.hpp"
+#include "balsampoint/consensus/internal/quorum.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace balsampoint::consensus {
+
+namespace {
+
+/** @brief Whether an earlier change of the group has yet to be committed. */
+bool
+IsChanging(const State& aState)
+{
+  return aState.membersIndex > aState.committed ||
+         aState.committed < aState.termStart;
+}
+
+std::optional<Error>
+CannotChange(const State& aState)
+{
+  if (aState.storageFailed || aState.role != Role::Leader ||
+      !aState.handOverTo.Empty()) {
+    return MakeError(ErrorKind::ControlUnavailable,
+                     "this host does not lead the control group");
+  }
+  if (IsChanging(aState)) {
+    return MakeError(ErrorKind::Conflict,
+                     "an earlier change of the members is not done");
+  }
+  return std::nullopt;
+}
+
+void
+RefuseChange(Ticket aTicket, Error aError, Actions& aActions)
+{
+  aError.executed = Executed::No;
+  aActions.emplace_back(Refused{ aTicket, std::move(aError) });
+}
+
+void
+ProposeMembers(State& aState,
+               Membership aMembers,
+               Ticket aTicket,
+               Instant aNow,
+               Actions& aActions)
+{
+  std::ranges::sort(aMembers.members);
+  AppendLocal(
+    aState,
+    Entry{ .kind = EntryKind::Members, .members = std::move(aMembers) },
+    aActions);
+  if (aTicket != Ticket{}) {
+    aState.proposals[internal::LastIndex(aState.log)] = { aState.hard.term,
+                                                          aTicket };
+  }
+  TrackMembers(aState, aNow);
+  Broadcast(aState, aNow, aActions);
+}
+
+Membership
+Without(const Membership& aMembers, const HostId& aHost)
+{
+  auto rest = aMembers;
+  std::erase_if(rest.members, [&aHost](const Member& aMember) {
+    return aMember.host == aHost;
+  });
+  return rest;
+}
+
+Membership
+With(const Membership& aMembers, const Member& aMember)
+{
+  auto more = aMembers;
+  more.members.push_back(aMember);
+  return more;
+}
+
+bool
+HasLiveQuorum(const State& aState, const Membership& aMembers, Instant aNow)
+{
+  return internal::QuorumOf(aMembers, [&](const HostId& aHost) {
+    return internal::HeardLately(aState, aHost, aNow);
+  });
+}
+
+bool
+IsCaughtUp(const State& aState, const HostId& aHost, Instant aNow)
+{
+  const auto found = aState.progress.find(aHost);
+  return found != aState.progress.end() &&
+         found->second.match >= aState.committed &&
+         internal::HeardLately(aState, aHost, aNow);
+}
+
+Membership
+Promoted(const Membership& aMembers, const HostId& aHost)
+{
+  auto changed = aMembers;
+  for (auto& member : changed.members) {
+    if (member.host == aHost) {
+      member.role = MemberRole::Voter;
+    }
+  }
+  return changed;
+}
+
+Duration
+Silence(const State& aState, const HostId& aHost, Instant aNow)
+{
+  const auto found = aState.progress.find(aHost);
+  return found == aState.progress.end() ? Duration{}
+                                        : aNow - found->second.heardAt;
+}
+
+bool
+IsBeingReplaced(const Membership& aMembers, const HostId& aHost)
+{
+  return std::ranges::find(aMembers.members, aHost, &Member::replaces) !=
+         aMembers.members.end();
+}
+
+/** @brief The spare whose zone has the fewest voters left. */
+std::optional<Spare>
+ChooseSpare(const State& aState, const HostId& aLost)
+{
+  std::optional<Spare> best;
+  std::ptrdiff_t fewest = 0;
+  const auto rest = Without(aState.members, aLost);
+  for (const auto& spare : aState.spares) {
+    if (internal::Find(aState.members, spare.host) != nullptr) {
+      continue;
+    }
+    const auto voters =
+      std::ranges::count(rest.members, spare.zone, &Member::zone);
+    if (!best || voters < fewest) {
+      best = spare;
+      fewest = voters;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+void
+RefreshMembers(State& aState)
+{
+  const auto last = internal::LastIndex(aState.log);
+  aState.members = internal::MembersAt(aState.log, last);
+  aState.membersIndex = aState.log.baseIndex;
+  for (const auto& entry : aState.log.entries) {
+    if (entry.kind == EntryKind::Members) {
+      aState.membersIndex = entry.index;
+    }
+  }
+}
+
+void
+HandleAddMember(State& aState,
+                const AddMember& aEvent,
+                Instant aNow,
+                Actions& aActions)
+{
+  if (auto error = CannotChange(aState)) {
+    RefuseChange(aEvent.ticket, std::move(*error), aActions);
+    return;
+  }
+  if (internal::Find(aState.members, aEvent.host) != nullptr) {
+    RefuseChange(aEvent.ticket,
+                 MakeError(ErrorKind::Conflict, "the host is a member already"),
+                 aActions);
+    return;
+  }
+  const Member member{ aEvent.host, aEvent.zone, MemberRole::Learner, {} };
+  ProposeMembers(
+    aState, With(aState.members, member), aEvent.ticket, aNow, aActions);
+}
+
+void
+HandleRemoveMember(State& aState,
+                   const RemoveMember& aEvent,
+                   Instant aNow,
+                   Actions& aActions)
+{
+  auto error = CannotChange(aState);
+  const auto rest = Without(aState.members, aEvent.host);
+  if (!error && rest == aState.members) {
+    error = MakeError(ErrorKind::NotFound, "the host is not a member");
+  }
+  if (!error && !HasLiveQuorum(aState, rest, aNow)) {
+    error = MakeError(ErrorKind::Conflict,
+                      "the remaining voters would have no live quorum");
+  }
+  if (error) {
+    RefuseChange(aEvent.ticket, std::move(*error), aActions);
+    return;
+  }
+  ProposeMembers(aState, rest, aEvent.ticket, aNow, aActions);
+}
+
+void
+HandleReplaceMember(State& aState,
+                    const ReplaceMember& aEvent,
+                    Instant aNow,
+                    Actions& aActions)
+{
+  auto error = CannotChange(aState);
+  if (!error && internal::Find(aState.members, aEvent.host) == nullptr) {
+    error = MakeError(ErrorKind::NotFound, "the host is not a member");
+  }
+  if (!error && internal::Find(aState.members, aEvent.with) != nullptr) {
+    error = MakeError(ErrorKind::Conflict, "the new host is a member already");
+  }
+  if (!error && IsBeingReplaced(aState.members, aEvent.host)) {
+    error = MakeError(ErrorKind::Conflict, "the host is being replaced");
+  }
+  if (error) {
+    RefuseChange(aEvent.ticket, std::move(*error), aActions);
+    return;
+  }
+  const Member member{
+    aEvent.with, aEvent.zone, MemberRole::Learner, aEvent.host
+  };
+  ProposeMembers(
+    aState, With(aState.members, member), aEvent.ticket, aNow, aActions);
+}
+
+void
+ContinueMembers(State& aState, Instant aNow, Actions& aActions)
+{
+  if (CannotChange(aState)) {
+    return;
+  }
+  for (const auto& member : aState.members.members) {
+    if (member.role == MemberRole::Learner) {
+      if (!IsCaughtUp(aState, member.host, aNow)) {
+        continue;
+      }
+      const auto changed = Promoted(aState.members, member.host);
+      ProposeMembers(aState, changed, {}, aNow, aActions);
+      return;
+    }
+    const auto rest = Without(aState.members, member.replaces);
+    if (rest == aState.members || !HasLiveQuorum(aState, rest, aNow)) {
+      continue;
+    }
+    ProposeMembers(aState, rest, {}, aNow, aActions);
+    return;
+  }
+}
+
+void
+RepairMembers(State& aState, Instant aNow, Actions& aActions)
+{
+  if (CannotChange(aState)) {
+    return;
+  }
+  for (const auto& member : aState.members.members) {
+    if (Silence(aState, member.host, aNow) < aState.settings.replaceAfter) {
+      continue;
+    }
+    if (member.role == MemberRole::Learner) {
+      if (member.replaces.Empty()) {
+        continue;
+      }
+      const auto rest = Without(aState.members, member.host);
+      ProposeMembers(aState, rest, {}, aNow, aActions);
+      return;
+    }
+    const auto spare = ChooseSpare(aState, member.host);
+    if (!spare || IsBeingReplaced(aState.members, member.host)) {
+      continue;
+    }
+    const Member learner{
+      spare->host, spare->zone, MemberRole::Learner, member.host
+    };
+    ProposeMembers(aState, With(aState.members, learner), {}, aNow, aActions);
+    return;
+  }
+}
+
+} // namespace balsampoint::consensus
--- /dev/null
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -0,0 +1,303 @@
+#include "balsampoint/consensus/command/replicate.hpp"
+
+#include "balsampoint/consensus/command/apply.hpp"
+#include "balsampoint/consensus/command/elect.hpp"
+#include "balsampoint/consensus/command/hand_over.hpp"
+#include "balsampoint/consensus/command/members.hpp"
+#include "balsampoint/consensus/command/read.hpp"
+#include "balsampoint/consensus/command/snapshot.hpp"
+#include "balsampoint/consensus/internal/log.hpp"
+#include "balsampoint/consensus/internal/quorum.hpp"
+#include "balsampoint/consensus/internal/write.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::consensus {
+
+namespace {
+
+/** @brief The last entry that a majority of the voters holds durably. */
+Index
+QuorumIndex(const State& aState)
+{
+  std::vector<Index> matches;
+  for (const auto& member : aState.members.members) {
+    if (member.role != MemberRole::Voter) {
+      continue;
+    }
+    if (member.host == aState.settings.self) {
+      matches.push_back(aState.synced);
+      continue;
+    }
+    const auto found = aState.progress.find(member.host);
+    matches.push_back(found == aState.progress.end() ? Index{}
+                                                     : found->second.match);
+  }
+  if (matches.empty()) {
+    return {};
+  }
+  std::ranges::sort(matches, std::greater<>{});
+  return matches[matches.size() / 2];
+}
+
+/** @brief Where a leader should try next after a mismatch. */
+Index
+MismatchHint(const State& aState, Index aPrevious)
+{
+  auto hint =
+    std::min(Index{ aPrevious.Value() - 1 }, internal::LastIndex(aState.log));
+  const auto term = internal::TermAt(aState.log, hint);
+  while (hint > aState.committed &&
+         internal::TermAt(aState.log, hint) == term) {
+    hint = Index{ hint.Value() - 1 };
+  }
+  return std::max(hint, aState.committed);
+}
+
+/** @brief Drops entries that contradict the leader's; says which are new. */
+std::span<const Entry>
+NewEntries(const State& aState, std::span<const Entry> aEntries)
+{
+  std::size_t known = 0;
+  for (const auto& entry : aEntries) {
+    const bool covered = entry.index <= aState.log.baseIndex;
+    if (!covered && internal::TermAt(aState.log, entry.index) != entry.term) {
+      break;
+    }
+    ++known;
+  }
+  return aEntries.subspan(known);
+}
+
+void
+TakeEntries(State& aState, std::span<const Entry> aEntries, Actions& aActions)
+{
+  const auto fresh = NewEntries(aState, aEntries);
+  if (fresh.empty()) {
+    return;
+  }
+  Persist persist{ .entries = { fresh.begin(), fresh.end() } };
+  if (fresh.front().index <= internal::LastIndex(aState.log)) {
+    persist.truncate = true;
+    persist.truncateFrom = fresh.front().index;
+    internal::Truncate(aState.log, fresh.front().index);
+    internal::ForgetDurable(aState, fresh.front().index);
+  }
+  aState.log.entries.insert(
+    aState.log.entries.end(), fresh.begin(), fresh.end());
+  RefreshMembers(aState);
+  internal::Write(aState, std::move(persist), aActions);
+}
+
+/** @brief A host that lost entries is whole once it has all committed ones. */
+void
+EndRecovery(State& aState, const AppendRequest& aRequest, Actions& aActions)
+{
+  const bool current =
+    internal::TermAt(aState.log, aRequest.committed) == aRequest.term;
+  if (!aState.hard.recovering || !current ||
+      aState.synced < aRequest.committed) {
+    return;
+  }
+  aState.hard.recovering = false;
+  internal::WriteHardState(aState, aActions);
+}
+
+bool
+MatchesPrevious(const State& aState, const AppendRequest& aRequest)
+{
+  return aRequest.previousIndex >= aState.log.baseIndex &&
+         internal::TermAt(aState.log, aRequest.previousIndex) ==
+           aRequest.previousTerm;
+}
+
+void
+NoteAnswer(Progress& aProgress, const AppendReply& aReply, Instant aNow)
+{
+  aProgress.heardAt = aNow;
+  aProgress.answered = true;
+  aProgress.round = std::max(aProgress.round, aReply.round);
+  if (!aReply.accepted) {
+    aProgress.match = std::min(aProgress.match, aReply.index);
+    aProgress.next = aReply.index.Next();
+    return;
+  }
+  aProgress.match = std::max(aProgress.match, aReply.index);
+  aProgress.next = std::max(aProgress.next, aProgress.match.Next());
+}
+
+} // namespace
+
+void
+AppendLocal(State& aState, Entry aEntry, Actions& aActions)
+{
+  aEntry.index = internal::LastIndex(aState.log).Next();
+  aEntry.term = aState.hard.term;
+  aState.log.entries.push_back(aEntry);
+  if (aEntry.kind == EntryKind::Members) {
+    RefreshMembers(aState);
+  }
+  internal::Write(
+    aState, Persist{ .entries = { std::move(aEntry) } }, aActions);
+}
+
+void
+TrackMembers(State& aState, Instant aNow)
+{
+  const auto next = internal::LastIndex(aState.log).Next();
+  for (const auto& member : aState.members.members) {
+    if (member.host == aState.settings.self) {
+      continue;
+    }
+    aState.progress.try_emplace(member.host,
+                                Progress{ .next = next, .heardAt = aNow });
+  }
+}
+
+void
+Broadcast(State& aState, Instant aNow, Actions& aActions)
+{
+  for (const auto& [host, progress] : aState.progress) {
+    Replicate(aState, host, aNow, aActions);
+  }
+}
+
+void
+Replicate(State& aState, const HostId& aTo, Instant aNow, Actions& aActions)
+{
+  auto& progress = aState.progress.at(aTo);
+  if (progress.next <= aState.log.baseIndex) {
+    SendSnapshotPart(aState, aTo, aNow, aActions);
+    return;
+  }
+  const Index previous{ progress.next.Value() - 1 };
+  AppendRequest request{
+    .term = aState.hard.term,
+    .previousIndex = previous,
+    .previousTerm = internal::TermAt(aState.log, previous).value_or(Term{}),
+    .committed = aState.committed,
+    .round = aState.round
+  };
+  if (internal::HeardLately(aState, aTo, aNow)) {
+    request.entries = internal::Slice(
+      aState.log, progress.next, aState.settings.maxAppendBytes);
+    progress.next = Index{ progress.next.Value() + request.entries.size() };
+  }
+  aActions.emplace_back(Send{ aTo, std::move(request) });
+}
+
+void
+Heartbeat(State& aState, Instant aNow, Actions& aActions)
+{
+  const auto heard = [&aState, aNow](const HostId& aHost) {
+    return internal::HeardLately(aState, aHost, aNow);
+  };
+  if (!internal::QuorumOf(aState.members, heard)) {
+    BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
+    return;
+  }
+  aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
+  aState.round = aState.round.Next();
+  for (auto& [host, progress] : aState.progress) {
+    if (!progress.answered) {
+      progress.next = progress.match.Next();
+    }
+    progress.answered = false;
+  }
+  Broadcast(aState, aNow, aActions);
+  RepairMembers(aState, aNow, aActions);
+}
+
+void
+AdvanceCommit(State& aState, Instant aNow, Actions& aActions)
+{
+  const auto index = QuorumIndex(aState);
+  const bool own = internal::TermAt(aState.log, index) == aState.hard.term;
+  if (index > aState.committed && own) {
+    aState.committed = index;
+    Broadcast(aState, aNow, aActions);
+  }
+  ApplyCommitted(aState, aNow, aActions);
+}
+
+void
+LeaveOffice(State& aState, Actions& aActions)
+{
+  RefuseReads(aState, aActions);
+  aState.progress.clear();
+  if (!aState.handOverTo.Empty()) {
+    aState.handOverTo = {};
+    aState.handOverDeadline = kNever;
+    aActions.emplace_back(HandOverEnded{ true });
+  }
+}
+
+void
+HandleAppendRequest(State& aState,
+                    const HostId& aFrom,
+                    const AppendRequest& aRequest,
+                    Instant aNow,
+                    Actions& aActions)
+{
+  AppendReply reply{ .term = aState.hard.term, .round = aRequest.round };
+  if (aRequest.term < aState.hard.term) {
+    internal::SendWhenDurable(aState, aFrom, reply, aActions);
+    return;
+  }
+  BecomeFollower(aState, aRequest.term, aFrom, aNow, aActions);
+  aState.leaderHeardAt = aNow;
+  reply.term = aState.hard.term;
+  if (!MatchesPrevious(aState, aRequest)) {
+    reply.index = aRequest.previousIndex < aState.log.baseIndex
+                    ? aState.committed
+                    : MismatchHint(aState, aRequest.previousIndex);
+    internal::SendWhenDurable(aState, aFrom, reply, aActions);
+    return;
+  }
+  TakeEntries(aState, aRequest.entries, aActions);
+  const Index last{ aRequest.previousIndex.Value() + aRequest.entries.size() };
+  aState.committed =
+    std::max(aState.committed, std::min(aRequest.committed, last));
+  ApplyCommitted(aState, aNow, aActions);
+  EndRecovery(aState, aRequest, aActions);
+  reply.accepted = true;
+  reply.index = last;
+  internal::SendWhenDurable(aState, aFrom, reply, aActions);
+}
+
+void
+HandleAppendReply(State& aState,
+                  const HostId& aFrom,
+                  const AppendReply& aReply,
+                  Instant aNow,
+                  Actions& aActions)
+{
+  if (aReply.term > aState.hard.term) {
+    BecomeFollower(aState, aReply.term, {}, aNow, aActions);
+    return;
+  }
+  const auto found = aState.progress.find(aFrom);
+  if (aState.role != Role::Leader || aReply.term != aState.hard.term ||
+      found == aState.progress.end()) {
+    return;
+  }
+  NoteAnswer(found->second, aReply, aNow);
+  if (found->second.next <= internal::LastIndex(aState.log)) {
+    Replicate(aState, aFrom, aNow, aActions);
+  }
+  AfterAnswer(aState, aNow, aActions);
+}
+
+void
+AfterAnswer(State& aState, Instant aNow, Actions& aActions)
+{
+  AdvanceCommit(aState, aNow, aActions);
+  if (aState.role != Role::Leader) {
+    return;
+  }
+  AnswerReads(aState, aActions);
+  ContinueHandOver(aState, aActions);
+  ContinueMembers(aState, aNow, aActions);
+}
+
+} // namespace balsampoint::consensus
--- /dev/null
+++ b/src/balsampoint/consensus/internal/quorum.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "balsampoint/consensus/state.hpp"
+
+#include <algorithm>
+#include <concepts>
+
+namespace balsampoint::consensus::internal {
+
+/**
+ * @brief Looks up a member.
+ * @param aMembers Group to read.
+ * @param aHost The host.
+ * @return The member, or null.
+ */
+[[nodiscard]] inline const Member*
+Find(const Membership& aMembers, const HostId& aHost)
+{
+  const auto found = std::ranges::find(aMembers.members, aHost, &Member::host);
+  return found == aMembers.members.end() ? nullptr : &*found;
+}
+
+/**
+ * @brief Whether a host has a vote.
+ * @param aMembers Group to read.
+ * @param aHost The host.
+ */
+[[nodiscard]] inline bool
+IsVoter(const Membership& aMembers, const HostId& aHost)
+{
+  const auto* member = Find(aMembers, aHost);
+  return member != nullptr && member->role == MemberRole::Voter;
+}
+
+/**
+ * @brief Number of voters.
+ * @param aMembers Group to read.
+ */
+[[nodiscard]] inline std::size_t
+VoterCount(const Membership& aMembers)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count(aMembers.members, MemberRole::Voter, &Member::role));
+}
+
+/**
+ * @brief Whether a condition holds for more than half of the voters.
+ * @tparam Predicate Callable with a host id.
+ * @param aMembers Group to read.
+ * @param aHolds The condition.
+ */
+template<std::predicate<const HostId&> Predicate>
+[[nodiscard]] bool
+QuorumOf(const Membership& aMembers, Predicate aHolds)
+{
+  std::size_t holding = 0;
+  for (const auto& member : aMembers.members) {
+    if (member.role == MemberRole::Voter && aHolds(member.host)) {
+      ++holding;
+    }
+  }
+  return holding > VoterCount(aMembers) / 2;
+}
+
+/**
+ * @brief Whether a leader heard a member within the shortest election timeout.
+ * @param aState State of the leader.
+ * @param aHost The member.
+ * @param aNow The time.
+ */
+[[nodiscard]] inline bool
+HeardLately(const State& aState, const HostId& aHost, Instant aNow)
+{
+  if (aHost == aState.settings.self) {
+    return true;
+  }
+  const auto found = aState.progress.find(aHost);
+  return found != aState.progress.end() &&
+         aNow - found->second.heardAt < aState.settings.electionMin;
+}
+
+} // namespace balsampoint::consensus::internal
--- /dev/null
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -0,0 +1,400 @@
+#pragma once
+
+#include "balsampoint/disk/log_store.hpp"
+
+namespace balsampoint::disk {
+
+template<typename D>
+tl::expected<BasicLogStore<D>, Error>
+BasicLogStore<D>::Open(D aDisk, const FolderOwner& aOwner)
+{
+  BasicLogStore store{ std::move(aDisk) };
+  const auto text =
+    aOwner.cluster.String() + "\n" + aOwner.host.String() + "\n";
+  const auto bytes = std::as_bytes(std::span{ text });
+  const auto found = store.mDisk.Read(internal::kOwnerName);
+  if (found) {
+    if (!std::ranges::equal(*found, bytes)) {
+      return Refuse(ErrorKind::InvalidConfiguration,
+                    "the data folder belongs to another host or cluster");
+    }
+    return store;
+  }
+  const auto names = store.mDisk.List();
+  if (!names || !names->empty()) {
+    return Refuse(ErrorKind::InvalidConfiguration,
+                  "the data folder holds files but names no owner");
+  }
+  if (auto written = store.mDisk.Replace(internal::kOwnerName, bytes);
+      !written) {
+    return tl::unexpected(written.error());
+  }
+  return store;
+}
+
+template<typename D>
+tl::expected<std::vector<std::string>, Error>
+BasicLogStore<D>::Names(std::string_view aPrefix)
+{
+  return mDisk.List().map([aPrefix](std::vector<std::string> aNames) {
+    std::erase_if(aNames, [aPrefix](const std::string& aName) {
+      return !aName.starts_with(aPrefix);
+    });
+    return aNames;
+  });
+}
+
+template<typename D>
+tl::expected<consensus::Recovered, Error>
+BasicLogStore<D>::Load()
+{
+  consensus::Recovered recovered;
+  mSegments.clear();
+  mRoll = true;
+  for (const auto step : { &BasicLogStore::LoadHardState,
+                           &BasicLogStore::LoadSnapshot,
+                           &BasicLogStore::LoadSegments }) {
+    if (auto done = (this->*step)(recovered); !done) {
+      return tl::unexpected(done.error());
+    }
+  }
+  const bool kept = recovered.snapshot || !recovered.entries.empty();
+  if (!recovered.hard && kept) {
+    return Refuse(ErrorKind::StorageFailed, "the term and vote are missing");
+  }
+  return recovered;
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::LoadHardState(consensus::Recovered& aInto)
+{
+  const auto bytes = mDisk.Read(internal::kHardStateName);
+  if (!bytes) {
+    return bytes.error().kind == ErrorKind::NotFound
+             ? Result{}
+             : tl::unexpected(bytes.error());
+  }
+  const auto record = ReadRecord(*bytes);
+  if (!record) {
+    return Refuse(ErrorKind::StorageFailed, "the term and vote are damaged");
+  }
+  return peer::DecodeHardState(*record).map(
+    [&aInto](const consensus::HardState& aHard) { aInto.hard = aHard; });
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::LoadSnapshot(consensus::Recovered& aInto)
+{
+  const auto names = Names(internal::kSnapshotPrefix);
+  if (!names || names->empty()) {
+    return names ? Result{} : tl::unexpected(names.error());
+  }
+  const auto bytes = mDisk.Read(names->back());
+  if (!bytes) {
+    return tl::unexpected(bytes.error());
+  }
+  const auto record = ReadRecord(*bytes);
+  if (!record) {
+    return Refuse(ErrorKind::StorageFailed, names->back() + " is damaged");
+  }
+  return peer::DecodeSnapshot(*record).map(
+    [&aInto](consensus::Snapshot aSnapshot) {
+      aInto.snapshot = std::move(aSnapshot);
+    });
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::LoadSegments(consensus::Recovered& aInto)
+{
+  const auto names = Names(internal::kSegmentPrefix);
+  if (!names) {
+    return tl::unexpected(names.error());
+  }
+  for (const auto& name : *names) {
+    auto done = LoadSegment(name, name == names->back(), aInto);
+    if (!done) {
+      return done;
+    }
+  }
+  return {};
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::LoadSegment(const std::string& aName,
+                              bool aLast,
+                              consensus::Recovered& aInto)
+{
+  const auto bytes = mDisk.Read(aName);
+  if (!bytes) {
+    return tl::unexpected(bytes.error());
+  }
+  internal::Segment segment{ .name = aName };
+  const ByteView all{ *bytes };
+  while (auto entry = ReadEntry(all.subspan(segment.size))) {
+    if (segment.offsets.empty()) {
+      segment.first = entry->first.index;
+    }
+    segment.offsets.push_back(segment.size);
+    segment.size += entry->second;
+    const auto covered =
+      aInto.snapshot ? aInto.snapshot->index : consensus::Index{};
+    if (entry->first.index > covered) {
+      aInto.entries.push_back(std::move(entry->first));
+    }
+  }
+  Result done;
+  if (segment.size < all.size()) {
+    done = CutTornTail(segment, all, aLast);
+  }
+  if (done && !segment.offsets.empty()) {
+    mSegments[segment.first] = std::move(segment);
+  }
+  return done;
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::CutTornTail(const internal::Segment& aSegment,
+                              ByteView aBytes,
+                              bool aLast)
+{
+  if (!aLast || HoldsRecord(aBytes.subspan(aSegment.size + 1))) {
+    return Refuse(ErrorKind::StorageFailed,
+                  aSegment.name + " is damaged at byte " +
+                    std::to_string(aSegment.size));
+  }
+  return mDisk.Truncate(aSegment.name, aSegment.size).and_then([&] {
+    return mDisk.Sync(aSegment.name);
+  });
+}
+
+template<typename D>
+std::optional<std::pair<consensus::Entry, std::uint64_t>>
+BasicLogStore<D>::ReadEntry(ByteView aBytes)
+{
+  const auto record = ReadRecord(aBytes);
+  if (!record) {
+    return std::nullopt;
+  }
+  auto entry = peer::DecodeEntry(*record);
+  if (!entry) {
+    return std::nullopt;
+  }
+  return std::pair{ std::move(*entry), kRecordHeaderBytes + record->size() };
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::Write(const consensus::Persist& aWrite)
+{
+  if (mFailed && !aWrite.resume) {
+    return Refuse(ErrorKind::StorageFailed, "an earlier write failed");
+  }
+  auto done = WriteParts(aWrite);
+  mFailed = !done;
+  return done;
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::WriteParts(const consensus::Persist& aWrite)
+{
+  if (aWrite.resume) {
+    if (auto cut = CutUnfinished(); !cut) {
+      return cut;
+    }
+  }
+  if (aWrite.hard) {
+    if (auto done = WriteHardState(*aWrite.hard); !done) {
+      return done;
+    }
+  }
+  if (aWrite.truncate) {
+    if (auto done = TruncateFrom(aWrite.truncateFrom); !done) {
+      return done;
+    }
+  }
+  if (aWrite.snapshot) {
+    if (auto done = WriteSnapshot(*aWrite.snapshot); !done) {
+      return done;
+    }
+  }
+  return AppendEntries(aWrite.entries);
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::CutUnfinished()
+{
+  if (mSegments.empty()) {
+    return {};
+  }
+  const auto& last = mSegments.rbegin()->second;
+  if (!last.offsets.empty()) {
+    return mDisk.Truncate(last.name, last.size);
+  }
+  const auto name = last.name;
+  mSegments.erase(std::prev(mSegments.end()));
+  mRoll = true;
+  return mDisk.Remove(name);
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::WriteHardState(const consensus::HardState& aHard)
+{
+  ByteVector bytes;
+  AppendRecord(bytes, peer::Encode(aHard));
+  return mDisk.Replace(internal::kHardStateName, bytes);
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::WriteSnapshot(const consensus::Snapshot& aSnapshot)
+{
+  const auto older = Names(internal::kSnapshotPrefix);
+  if (!older) {
+    return tl::unexpected(older.error());
+  }
+  const auto name =
+    internal::NameOf(internal::kSnapshotPrefix, aSnapshot.index);
+  ByteVector bytes;
+  AppendRecord(bytes, peer::Encode(aSnapshot));
+  if (auto done = mDisk.Replace(name, bytes); !done) {
+    return done;
+  }
+  for (const auto& old : *older) {
+    if (old == name) {
+      continue;
+    }
+    if (auto done = mDisk.Remove(old); !done) {
+      return done;
+    }
+  }
+  return DropCovered(aSnapshot.index);
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::DropCovered(consensus::Index aIndex)
+{
+  mRoll = true;
+  while (!mSegments.empty() &&
+         mSegments.begin()->second.End() <= aIndex.Next()) {
+    if (auto done = mDisk.Remove(mSegments.begin()->second.name); !done) {
+      return done;
+    }
+    mSegments.erase(mSegments.begin());
+  }
+  return {};
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::TruncateFrom(consensus::Index aFrom)
+{
+  while (!mSegments.empty()) {
+    auto& segment = mSegments.rbegin()->second;
+    if (segment.End() <= aFrom) {
+      return {};
+    }
+    if (segment.first >= aFrom) {
+      if (auto done = mDisk.Remove(segment.name); !done) {
+        return done;
+      }
+      mSegments.erase(std::prev(mSegments.end()));
+      mRoll = true;
+      continue;
+    }
+    const auto kept = aFrom.Value() - segment.first.Value();
+    segment.size = segment.offsets[kept];
+    segment.offsets.resize(kept);
+    return mDisk.Truncate(segment.name, segment.size).and_then([&] {
+      return mDisk.Sync(segment.name);
+    });
+  }
+  return {};
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::AppendEntries(std::span<const consensus::Entry> aEntries)
+{
+  if (aEntries.empty()) {
+    return {};
+  }
+  const auto first = aEntries.front().index;
+  if (mRoll || mSegments.empty() ||
+      mSegments.rbegin()->second.size >= internal::kSegmentBytes) {
+    const auto name = internal::NameOf(internal::kSegmentPrefix, first);
+    if (auto done = mDisk.Remove(name); !done) {
+      return done;
+    }
+    mSegments[first] = { .name = name, .first = first };
+    mRoll = false;
+  }
+  auto& segment = mSegments.rbegin()->second;
+  ByteVector bytes;
+  std::vector<std::uint64_t> offsets;
+  for (const auto& entry : aEntries) {
+    offsets.push_back(segment.size + bytes.size());
+    AppendRecord(bytes, peer::Encode(entry));
+  }
+  auto done = mDisk.Append(segment.name, bytes).and_then([&] {
+    return mDisk.Sync(segment.name);
+  });
+  if (done) {
+    segment.size += bytes.size();
+    segment.offsets.insert(
+      segment.offsets.end(), offsets.begin(), offsets.end());
+  }
+  return done;
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::Repair()
+{
+  consensus::Recovered found;
+  const bool knowsVote = LoadHardState(found).has_value() && found.hard;
+  auto hard = knowsVote ? *found.hard : consensus::HardState{};
+  hard.recovering = true;
+  if (auto done = WriteHardState(hard); !done) {
+    return done;
+  }
+  auto snapshots = Names(internal::kSnapshotPrefix);
+  auto segments = Names(internal::kSegmentPrefix);
+  if (!snapshots || !segments) {
+    return Refuse(ErrorKind::StorageFailed, "can't list the data folder");
+  }
+  if (!LoadSnapshot(found)) {
+    snapshots->insert(snapshots->end(), segments->begin(), segments->end());
+    return RemoveFrom(*snapshots);
+  }
+  for (auto name = segments->begin(); name != segments->end(); ++name) {
+    mSegments.clear();
+    if (LoadSegment(*name, false, found)) {
+      continue;
+    }
+    return RemoveFrom({ name, segments->end() });
+  }
+  return {};
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::RemoveFrom(std::span<const std::string> aNames)
+{
+  for (const auto& name : aNames) {
+    if (auto done = mDisk.Remove(name); !done) {
+      return done;
+    }
+  }
+  return {};
+}
+
+} // namespace balsampoint::disk
--- /dev/null
+++ b/src/balsampoint/disk/log_store.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "balsampoint/consensus/state.hpp"
+#include "balsampoint/disk/internal/segment.hpp"
+#include "balsampoint/disk/record.hpp"
+#include "balsampoint/peer/consensus_codec.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace balsampoint::disk {
+
+/** @brief Whose data a folder holds. */
+struct FolderOwner
+{
+  ClusterId cluster;
+  HostId host;
+
+  bool operator==(const FolderOwner&) const = default;
+};
+
+/**
+ * @brief Keeps the replicated log, its snapshot, the term and the vote.
+ *
+ * Entries stand in segments, files of checksummed records named after their
+ * first index. A write is durable when `Write` returns. After a failed write
+ * every other one is refused until a write that resumes has worked.
+ * @tparam D Disk that holds the files.
+ */
+template<typename D>
+class BasicLogStore
+{
+public:
+  /**
+   * @brief Opens the store of a folder, which is claimed if it is empty.
+   * @param aDisk The folder.
+   * @param aOwner This host.
+   * @return The store, or `ErrorKind::InvalidConfiguration` when the folder
+   * belongs to another host or cluster.
+   */
+  [[nodiscard]] static tl::expected<BasicLogStore, Error> Open(
+    D aDisk,
+    const FolderOwner& aOwner);
+
+  /**
+   * @brief Reads everything back; cuts a torn record at the end of the log.
+   * @return The content, or `ErrorKind::StorageFailed` when a record before
+   * the end is damaged.
+   */
+  [[nodiscard]] tl::expected<consensus::Recovered, Error> Load();
+
+  /**
+   * @brief Drops what is damaged and all that follows it, and marks the host
+   * as recovering, so that it gives no vote before the group has repaired it.
+   */
+  [[nodiscard]] tl::expected<void, Error> Repair();
+
+  /**
+   * @brief Makes a write durable.
+   * @param aWrite The write.
+   */
+  [[nodiscard]] tl::expected<void, Error> Write(
+    const consensus::Persist& aWrite);
+
+  /** @brief The folder; for tests. */
+  [[nodiscard]] D& Folder() { return mDisk; }
+
+private:
+  explicit BasicLogStore(D aDisk)
+    : mDisk{ std::move(aDisk) }
+  {
+  }
+
+  using Result = tl::expected<void, Error>;
+
+  [[nodiscard]] Result LoadHardState(consensus::Recovered& aInto);
+  [[nodiscard]] Result LoadSnapshot(consensus::Recovered& aInto);
+  [[nodiscard]] Result LoadSegments(consensus::Recovered& aInto);
+  [[nodiscard]] Result LoadSegment(const std::string& aName,
+                                   bool aLast,
+                                   consensus::Recovered& aInto);
+  [[nodiscard]] Result CutTornTail(const internal::Segment& aSegment,
+                                   ByteView aBytes,
+                                   bool aLast);
+  [[nodiscard]] static std::optional<std::pair<consensus::Entry, std::uint64_t>>
+  ReadEntry(ByteView aBytes);
+  [[nodiscard]] Result CutUnfinished();
+  [[nodiscard]] Result WriteParts(const consensus::Persist& aWrite);
+  [[nodiscard]] Result WriteHardState(const consensus::HardState& aHard);
+  [[nodiscard]] Result WriteSnapshot(const consensus::Snapshot& aSnapshot);
+  [[nodiscard]] Result TruncateFrom(consensus::Index aFrom);
+  [[nodiscard]] Result AppendEntries(
+    std::span<const consensus::Entry> aEntries);
+  [[nodiscard]] Result DropCovered(consensus::Index aIndex);
+  [[nodiscard]] Result RemoveFrom(std::span<const std::string> aNames);
+  [[nodiscard]] tl::expected<std::vector<std::string>, Error> Names(
+    std::string_view aPrefix);
+
+  D mDisk;
+  std::map<consensus::Index, internal::Segment> mSegments;
+  /** Whether the next entry starts a segment. */
+  bool mRoll{ true };
+  bool mFailed{ false };
+};
+
+} // namespace balsampoint::disk
+
+#include "balsampoint/disk/internal/log_store.hpp"
