--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -148,10 +148,8 @@
   Index applied;
   Snapshot snapshot;
 
-  Role role{ Role::Follower };
   HostId leader;
   Instant leaderHeardAt{};
-  bool leaderHeard{ false };
   Instant electionDeadline{ kNever };
   Instant heartbeatDeadline{ kNever };
   std::set<HostId> grants;
@@ -164,7 +162,6 @@
   Index termStart;
   std::map<Index, Proposal> proposals;
   std::vector<PendingRead> reads;
-  bool snapshotRequested{ false };
   std::optional<IncomingSnapshot> incoming;
 
   WriteNumber lastWrite;
@@ -173,15 +170,20 @@
   Index synced;
   std::deque<WriteMark> marks;
   std::deque<HeldSend> held;
-  bool storageFailed{ false };
   /** The write that has to succeed before storage works again. */
   WriteNumber resumeWrite;
   Instant storageRetryAt{ kNever };
 
   HostId handOverTo;
   Instant handOverDeadline{ kNever };
-  bool handOverStarted{ false };
   std::set<Spare> spares;
+
+  Role role{ Role::Follower };
+  /** Whether the leader was heard in this term. */
+  bool leaderHeard{ false };
+  bool snapshotRequested{ false };
+  bool storageFailed{ false };
+  bool handOverStarted{ false };
 };
 
 /** @brief A message of another member. */
