--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -84,12 +84,12 @@
                     Actions& aActions)
 {
   aState.snapshotRequested = false;
-  const auto term = internal::TermAt(aState.log, aEvent.index);
-  if (aEvent.index <= aState.snapshot.index || !term) {
+  const auto* last = internal::Find(aState.log, aEvent.index);
+  if (aEvent.index <= aState.snapshot.index || last == nullptr) {
     return;
   }
   aState.snapshot = { aEvent.index,
-                      *term,
+                      last->term,
                       internal::MembersAt(aState.log, aEvent.index),
                       aEvent.data };
   const auto kept = aState.settings.keptBehind;
