--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -19,16 +19,16 @@
 TakePart(State& aState, const SnapshotRequest& aRequest)
 {
   auto& incoming = aState.incoming;
-  const bool same = incoming && incoming->index == aRequest.index &&
-                    incoming->term == aRequest.snapshotTerm;
+  const bool same =
+    incoming.index == aRequest.index && incoming.term == aRequest.snapshotTerm;
   if (!same) {
     incoming = IncomingSnapshot{ aRequest.index, aRequest.snapshotTerm, {} };
   }
-  if (aRequest.offset == incoming->data.size()) {
-    incoming->data.insert(
-      incoming->data.end(), aRequest.data.begin(), aRequest.data.end());
+  if (aRequest.offset == incoming.data.size()) {
+    incoming.data.insert(
+      incoming.data.end(), aRequest.data.begin(), aRequest.data.end());
   }
-  return incoming->data.size();
+  return incoming.data.size();
 }
 
 /** @brief Ends proposals whose entry was replaced by a snapshot. */
@@ -53,8 +53,8 @@
   aState.snapshot = { aRequest.index,
                       aRequest.snapshotTerm,
                       aRequest.members,
-                      std::move(aState.incoming->data) };
-  aState.incoming.reset();
+                      std::move(aState.incoming.data) };
+  aState.incoming = {};
   internal::Reset(aState.log, aState.snapshot);
   internal::ForgetDurable(aState, aRequest.index.Next());
   aState.committed = aRequest.index;
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -127,7 +127,7 @@
   Send send;
 };
 
-/** @brief A snapshot that arrives in parts. */
+/** @brief A snapshot that arrives in parts; index zero for none. */
 struct IncomingSnapshot
 {
   Index index;
@@ -162,7 +162,7 @@
   Index termStart;
   std::map<Index, Proposal> proposals;
   std::vector<PendingRead> reads;
-  std::optional<IncomingSnapshot> incoming;
+  IncomingSnapshot incoming;
 
   WriteNumber lastWrite;
   WriteNumber durableWrite;
