Answer operators on a listener of their own

Cause: operators had no way into a host. Changes answer control_unavailable until the control group runs. Conclusion: the command line can be written against it.

--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -76,6 +76,9 @@
   , mServerHandler{ [this](registry::Announcement aAnnouncement) {
     return mRunners.Registry().Announce(std::move(aAnnouncement));
   } }
+  , mOperatorHandler{ mWorld,
+                      MakeOperations(),
+                      config::KeyIndex::Make({}, aSettings.operatorKeys) }
 {
   for (const auto& seed : mSettings.seeds) {
     if (seed.host != mSettings.host) {
@@ -88,6 +91,7 @@
 {
   mReceiver.reset();
   mCallers.reset();
+  mOperators.reset();
   mServers.reset();
   mMailbox.Close();
   mControlThread.join();
@@ -145,7 +149,31 @@
     return tl::unexpected(servers.error());
   }
   mServers = std::move(*servers);
+  auto operators = OperatorListener::Listen(
+    mSettings.listen.operators.Text(), mOperatorHandler, {});
+  if (!operators) {
+    return tl::unexpected(operators.error());
+  }
+  mOperators = std::move(*operators);
   return {};
 }
 
+http::Operations
+Node::MakeOperations()
+{
+  const auto unavailable = [] {
+    return MakeError(ErrorKind::ControlUnavailable,
+                     "the control group is not running");
+  };
+  return { .submit =
+             [unavailable](const http::ChangeRequest&) {
+               return tl::unexpected(http::ChangeRefusal{ unavailable() });
+             },
+           .changeMembers =
+             [unavailable](const http::MemberChange&) {
+               return tl::unexpected(unavailable());
+             },
+           .drain = [this] { mWorld.draining = true; } };
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -7,6 +7,7 @@
 #include "balsampoint/http/caller_handler.hpp"
 #include "balsampoint/http/client_pool.hpp"
 #include "balsampoint/http/listener.hpp"
+#include "balsampoint/http/operator_handler.hpp"
 #include "balsampoint/http/server_handler.hpp"
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
@@ -52,9 +53,11 @@
 private:
   using CallerListener = http::BasicListener<http::CallerHandler>;
   using ServerListener = http::BasicListener<http::ServerHandler>;
+  using OperatorListener = http::BasicListener<http::OperatorHandler>;
 
   Node(const config::Settings& aSettings, const peer::Identity& aIdentity);
   tl::expected<void, Error> Listen();
+  [[nodiscard]] http::Operations MakeOperations();
 
   config::Settings mSettings;
   peer::Identity mIdentity;
@@ -68,9 +71,11 @@
   std::thread mControlThread;
   http::CallerHandler mCallerHandler;
   http::ServerHandler mServerHandler;
+  http::OperatorHandler mOperatorHandler;
   std::unique_ptr<peer::Receiver> mReceiver;
   std::unique_ptr<CallerListener> mCallers;
   std::unique_ptr<ServerListener> mServers;
+  std::unique_ptr<OperatorListener> mOperators;
 };
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/http/caller_handler.cpp
+++ b/src/balsampoint/http/caller_handler.cpp
@@ -2,12 +2,12 @@
 
 #include "balsampoint/http/command/call_service.hpp"
 #include "balsampoint/http/internal/json_field.hpp"
+#include "balsampoint/http/internal/request_field.hpp"
 #include "balsampoint/http/problem.hpp"
 #include "balsampoint/http/query/health.hpp"
 #include "balsampoint/runtime/entropy.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 
-#include <charconv>
 #include <spdlog/spdlog.h>
 
 namespace balsampoint::http {
@@ -16,7 +16,6 @@
 
 using runtime::SteadyClock;
 
-constexpr std::string_view kBearer = "Bearer ";
 constexpr Duration kOverloadRetry = std::chrono::seconds{ 1 };
 
 RequestId
@@ -29,42 +28,13 @@
 Instant
 ReadDeadline(const ServerRequest& aRequest)
 {
-  constexpr auto kField = "X-Request-Deadline-Ms";
-  if (!aRequest.has(kField)) {
+  constexpr std::uint64_t kMaxMs = 24ULL * 3600 * 1000;
+  const auto limit =
+    internal::ReadNumber(aRequest, "X-Request-Deadline-Ms", 1, kMaxMs);
+  if (!limit) {
     return kNever;
   }
-  constexpr std::uint32_t kMaxMs = 24U * 3600 * 1000;
-  const auto& text = aRequest.get(kField);
-  std::uint32_t milliseconds = 0;
-  const auto* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, milliseconds);
-  if (result.ec != std::errc{} || result.ptr != end || milliseconds == 0 ||
-      milliseconds > kMaxMs) {
-    throw Failure{ MakeError(ErrorKind::BadRequest,
-                             "X-Request-Deadline-Ms: must be a whole number "
-                             "of milliseconds from 1 to 86400000") };
-  }
-  return SteadyClock::Now() + std::chrono::milliseconds{ milliseconds };
-}
-
-std::string
-ReadKey(const ServerRequest& aRequest)
-{
-  const auto& field = aRequest.get("Authorization", "");
-  if (!field.starts_with(kBearer)) {
-    throw Failure{ MakeError(ErrorKind::Unauthorized,
-                             "Authorization: a bearer key is needed") };
-  }
-  return field.substr(kBearer.size());
-}
-
-void
-RequirePost(const ServerRequest& aRequest)
-{
-  if (aRequest.getMethod() != "POST") {
-    throw Failure{ MakeError(ErrorKind::MethodNotAllowed,
-                             "only POST is taken here") };
-  }
+  return SteadyClock::Now() + std::chrono::milliseconds{ *limit };
 }
 
 } // namespace
@@ -123,10 +93,10 @@
   aResponse.set("X-Request-Id", caller.id.String());
   const auto& uri = aRequest.getURI();
   if (uri == "/v1/completions") {
-    RequirePost(aRequest);
+    internal::RequireMethod(aRequest, "POST");
     RunCompletion(mServices, caller, CompletionKind::Text, aRequest, aResponse);
   } else if (uri == "/v1/chat/completions") {
-    RequirePost(aRequest);
+    internal::RequireMethod(aRequest, "POST");
     RunCompletion(mServices, caller, CompletionKind::Chat, aRequest, aResponse);
   } else if (uri.starts_with(kServicesPath)) {
     CallService(mServices, caller, aRequest, aResponse);
@@ -147,7 +117,7 @@
                              "the host has no configuration yet") };
   }
   const auto workspace =
-    caller.configuration->keys.FindWorkspace(ReadKey(aRequest));
+    caller.configuration->keys.FindWorkspace(internal::ReadKey(aRequest));
   if (!workspace) {
     throw Failure{ MakeError(ErrorKind::Unauthorized, "the key is not known") };
   }
--- /dev/null
+++ b/src/balsampoint/http/command/submit_change.cpp
@@ -0,0 +1,110 @@
+#include "balsampoint/http/command/submit_change.hpp"
+
+#include "balsampoint/config/query/document_text.hpp"
+#include "balsampoint/http/internal/json_field.hpp"
+#include "balsampoint/http/internal/request_field.hpp"
+#include "balsampoint/http/problem.hpp"
+
+#include <limits>
+
+namespace balsampoint::http {
+
+namespace {
+
+using internal::Json;
+
+constexpr std::uint64_t kMaxDocumentBytes = 8ULL * 1024 * 1024;
+constexpr std::uint64_t kMaxWaitMs = 60'000;
+constexpr std::size_t kMaxChangeIdBytes = 128;
+
+std::string
+Canonical(std::string_view aText)
+{
+  const auto document = config::Parse(aText);
+  if (document) {
+    return config::Serialize(*document);
+  }
+  std::string detail;
+  for (const auto& problem : document.error()) {
+    detail += config::ToString(problem) + "\n";
+  }
+  throw Failure{ MakeError(ErrorKind::InvalidConfiguration, detail) };
+}
+
+ChangeRequest
+ReadChange(const OperatorId& aOperator, ServerRequest& aRequest)
+{
+  constexpr auto kMaxNumber = std::numeric_limits<std::int64_t>::max();
+  const auto id = aRequest.get("X-Change-Id", "");
+  if (id.empty() || id.size() > kMaxChangeIdBytes) {
+    throw Failure{ MakeError(ErrorKind::BadRequest,
+                             "X-Change-Id: needs 1 to 128 characters") };
+  }
+  const auto number =
+    internal::ReadNumber(aRequest, "X-Change-Number", 1, kMaxNumber);
+  if (!number) {
+    throw Failure{ MakeError(ErrorKind::BadRequest,
+                             "X-Change-Number: is missing") };
+  }
+  const auto wait = internal::ReadNumber(aRequest, "X-Wait-Ms", 0, kMaxWaitMs);
+  auto body = ReadBody(aRequest, kMaxDocumentBytes);
+  if (!body) {
+    throw Failure{ body.error() };
+  }
+  return { .number = ChangeNumber{ *number },
+           .change = ChangeId{ id },
+           .by = aOperator,
+           .document = Canonical(*body),
+           .wait = std::chrono::milliseconds{ wait.value_or(0) } };
+}
+
+std::string
+EncodeAnswer(const ChangeAnswer& aAnswer)
+{
+  Json hosts = Json::array();
+  for (const auto& host : aAnswer.hosts) {
+    hosts.push_back({ { "host", host.host.String() },
+                      { "incarnation", host.incarnation.Value() },
+                      { "number", host.number.Value() } });
+  }
+  Json missing = Json::array();
+  for (const auto& host : aAnswer.missing) {
+    missing.push_back(host.String());
+  }
+  const Json document{ { "number", aAnswer.number.Value() },
+                       { "change", aAnswer.change.String() },
+                       { "outcome", "accepted" },
+                       { "in_force",
+                         { { "hosts", std::move(hosts) },
+                           { "missing", std::move(missing) } } } };
+  return document.dump();
+}
+
+void
+SendRefusal(ServerResponse& aResponse, const ChangeRefusal& aRefusal)
+{
+  auto error = aRefusal.error;
+  if (aRefusal.winner) {
+    error.detail +=
+      "; the winner is change '" + aRefusal.winner->String() + "'";
+  }
+  SendProblem(aResponse, error);
+}
+
+} // namespace
+
+void
+SubmitChange(const Operations& aOperations,
+             const OperatorId& aOperator,
+             ServerRequest& aRequest,
+             ServerResponse& aResponse)
+{
+  const auto answer = aOperations.submit(ReadChange(aOperator, aRequest));
+  if (!answer) {
+    SendRefusal(aResponse, answer.error());
+    return;
+  }
+  SendJson(aResponse, EncodeAnswer(*answer));
+}
+
+} // namespace balsampoint::http
--- a/src/balsampoint/traffic/world.hpp
+++ b/src/balsampoint/traffic/world.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/registry/view.hpp"
 #include "balsampoint/runtime/snapshot_cell.hpp"
 #include "balsampoint/traffic/activity_count.hpp"
+#include "balsampoint/traffic/status.hpp"
 
 #include <atomic>
 #include <memory>
@@ -26,6 +27,7 @@
 {
   runtime::SnapshotCell<Configuration> configuration;
   runtime::SnapshotCell<registry::View> servers;
+  runtime::SnapshotCell<Status> status;
   /** Set once by a planned stop. */
   std::atomic<bool> draining{ false };
   ActivityCount activity;
