--- a/src/balsampoint/stream/internal/advance.cpp
+++ b/src/balsampoint/stream/internal/advance.cpp
@@ -5,15 +5,11 @@
 #include "balsampoint/stream/internal/recover.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace balsampoint::stream::internal {
 
 namespace {
 
-/** Count of positions that marks a KV as to be rebuilt. */
-constexpr auto kStaleKv = std::numeric_limits<std::size_t>::max();
-
 CallId
 BeginCall(Progress& aProgress, CallKind aKind, Instant aNow)
 {
--- a/src/balsampoint/stream/internal/end.cpp
+++ b/src/balsampoint/stream/internal/end.cpp
@@ -42,6 +42,8 @@
 {
   if (aProgress.touched.empty()) {
     aError.executed = Executed::No;
+  } else if (aError.executed == Executed::No) {
+    aError.executed = Executed::Unknown;
   }
   aActions.emplace_back(Fail{ .error = std::move(aError) });
   Release(aProgress, aNow, aActions);
--- a/src/balsampoint/stream/internal/recover.cpp
+++ b/src/balsampoint/stream/internal/recover.cpp
@@ -29,12 +29,23 @@
   return avoided;
 }
 
+/** Whether a server may hold KV of this request from an earlier attempt. */
+bool
+WasCalled(const Progress& aProgress, const route::Stage& aStage)
+{
+  return std::ranges::any_of(aProgress.touched, [&](const Target& aTarget) {
+    return aTarget.server == aStage.server;
+  });
+}
+
 StageState
-Replacement(const Vacancy& aVacancy,
-            const route::Stage& aStage,
-            std::size_t aStep)
+Replacement(const Progress& aProgress,
+            const Vacancy& aVacancy,
+            const route::Stage& aStage)
 {
-  StageState state{ .stage = aStage, .keepsInputs = aStep == 0 };
+  StageState state{ .stage = aStage,
+                    .kvPositions = WasCalled(aProgress, aStage) ? kStaleKv : 0,
+                    .keepsInputs = aProgress.step == 0 };
   if (!aVacancy.replaces) {
     return state;
   }
@@ -54,7 +65,7 @@
   const auto imports = PrefersImport(aProgress, aVacancy, aChain);
   std::vector<StageState> states;
   for (const auto& stage : aChain) {
-    states.push_back(Replacement(aVacancy, stage, aProgress.step));
+    states.push_back(Replacement(aProgress, aVacancy, stage));
     if (imports && stage.server != lost.stage.server) {
       states.back().importSource = lost.stage.address;
     }
--- a/src/balsampoint/stream/state.hpp
+++ b/src/balsampoint/stream/state.hpp
@@ -7,11 +7,15 @@
 #include "balsampoint/stream/tokenizer.hpp"
 
 #include <cstddef>
+#include <limits>
 #include <optional>
 #include <vector>
 
 namespace balsampoint::stream {
 
+/** @brief Count of positions of a KV that has to be rebuilt in any case. */
+inline constexpr auto kStaleKv = std::numeric_limits<std::size_t>::max();
+
 /** @brief One stage of the answer's chain and what its server's KV holds. */
 struct StageState
 {
--- a/test/balsampoint/stream/command/handle_test.cpp
+++ b/test/balsampoint/stream/command/handle_test.cpp
@@ -1,5 +1,6 @@
 #include "../harness.hpp"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace balsampoint;
@@ -80,3 +81,194 @@
   cr_assert_eq(counters.replays, 2);
   cr_assert_eq(counters.replayedPositions, 14);
 }
+
+Test(handle, two_stages_and_a_replacement_lost_together)
+{
+  Driver driver;
+  AddThreeStages(driver);
+  driver.disturb = [](Driver& aDriver) {
+    if (aDriver.history.size() == 3) {
+      aDriver.AddServer("t2", { 2, 9 });
+      aDriver.AddServer("t3", { 8, 12 });
+      aDriver.AddServer("u2", { 3, 8 });
+    }
+  };
+  driver.fault = FailFrom(5, { "s2", "s3", "t2" }, Loss::ConnectionLost);
+  driver.Run(DraftRequest(kTokens));
+  AssertWhole(driver);
+  cr_assert_eq(driver.state.progress.counters.losses, 3);
+}
+
+Test(handle, last_server_of_a_range_is_waited_for)
+{
+  Driver driver;
+  AddThreeStages(driver);
+  driver.fault = FailFrom(5, { "s2" }, Loss::ConnectionLost);
+  driver.arrive = [](Driver& aDriver) { aDriver.AddServer("t2", { 4, 8 }); };
+  driver.Run(DraftRequest(kTokens));
+  AssertWhole(driver);
+}
+
+Test(handle, answer_without_a_server_for_a_range_fails_and_never_finishes)
+{
+  Driver driver;
+  AddThreeStages(driver);
+  driver.fault = FailFrom(5, { "s2" }, Loss::ConnectionLost);
+  driver.Run(DraftRequest(kTokens));
+  cr_assert_not(driver.finished);
+  cr_assert(driver.error.has_value());
+  cr_assert_eq(driver.error->executed, Executed::Unknown);
+  cr_assert_eq(driver.text, fake::ExpectedAnswer("In memory of", 12, 5));
+}
+
+Test(handle, refusal_before_any_call_promises_that_nothing_was_run)
+{
+  Driver driver;
+  driver.AddServer("s1", { 0, 4 });
+  driver.Run(DraftRequest(kTokens));
+  cr_assert_eq(driver.error->kind, ErrorKind::NoServer);
+  cr_assert_eq(driver.error->executed, Executed::No);
+}
+
+Test(handle, a_lost_zone_is_avoided_after_two_of_its_servers)
+{
+  Driver driver;
+  for (const auto* const zone : { "a", "b" }) {
+    for (std::uint32_t stage = 0; stage < 3; ++stage) {
+      for (const auto* const copy : { "1", "2", "3" }) {
+        driver.AddServer(zone + std::to_string(stage) + copy,
+                         { stage * 4, stage * 4 + 4 },
+                         zone);
+      }
+    }
+  }
+  driver.fault = [](const auto& aTarget, const auto& aId) {
+    const auto lost =
+      aId.step.Value() >= 5 && aTarget.server.String().front() == 'a';
+    return lost ? std::optional{ CallFault{ .loss = Loss::ConnectionLost } }
+                : std::nullopt;
+  };
+  driver.Run(DraftRequest(kTokens));
+  AssertWhole(driver);
+  cr_assert_eq(driver.state.progress.counters.losses, 4);
+}
+
+Test(handle, slow_stage_is_left_by_a_deadline_learnt_from_its_steps)
+{
+  Driver driver;
+  AddThreeStages(driver);
+  driver.AddServer("t2", { 4, 8 });
+  driver.stepTime = std::chrono::milliseconds{ 12 };
+  driver.fault = FailFrom(9, { "s2" }, Loss::DeadlinePassed);
+  driver.Run(DraftRequest(kTokens));
+  AssertWhole(driver);
+  cr_assert_eq(driver.state.progress.counters.losses, 1);
+  const auto calls = 3 * kTokens + 1;
+  const auto detection =
+    driver.clock.Now() - Instant{} - calls * driver.stepTime;
+  cr_assert(detection <= std::chrono::milliseconds{ 100 });
+}
+
+Test(handle, slow_stage_without_another_server_gets_more_time)
+{
+  Driver driver;
+  AddThreeStages(driver);
+  driver.fault = [failed =
+                    0](const auto& aTarget,
+                       const auto& aId) mutable -> std::optional<CallFault> {
+    if (aTarget.server.Value() != "s2" || aId.step.Value() != 9 ||
+        ++failed > 2) {
+      return std::nullopt;
+    }
+    return CallFault{ .loss = Loss::DeadlinePassed, .runs = true };
+  };
+  driver.Run(DraftRequest(kTokens));
+  AssertWhole(driver);
+}
+
+Test(handle, kv_is_imported_when_that_is_estimated_to_be_faster)
+{
+  for (const auto bandwidth : { 1e12, 1e3 }) {
+    Driver driver;
+    AddThreeStages(driver);
+    driver.AddServer("t2a", { 4, 6 });
+    driver.AddServer("t2b", { 6, 8 });
+    driver.fault = FailFrom(300, { "s2" }, Loss::DeadlinePassed);
+    driver.Run(DraftRequest(310), { .kvBytesPerSecond = bandwidth });
+    AssertWhole(driver, 310);
+    const auto& counters = driver.state.progress.counters;
+    cr_assert_eq(counters.imports, bandwidth > 1e6 ? 2 : 0);
+    cr_assert_eq(counters.replays, bandwidth > 1e6 ? 0 : 2);
+  }
+}
+
+Test(handle, failed_import_is_followed_by_a_replay)
+{
+  Driver driver;
+  AddThreeStages(driver);
+  driver.AddServer("t2a", { 4, 6 });
+  driver.AddServer("t2b", { 6, 8 });
+  driver.fault = [](const auto& aTarget,
+                    const auto& aId) -> std::optional<CallFault> {
+    if (aId.step.Value() != 300 || aTarget.server.Value() != "s2") {
+      return std::nullopt;
+    }
+    return CallFault{ .loss = Loss::DeadlinePassed, .runs = true };
+  };
+  driver.Run(DraftRequest(310), { .kvBytesPerSecond = 1e12 });
+  AssertWhole(driver, 310);
+  cr_assert_eq(driver.state.progress.counters.imports, 1);
+  cr_assert_eq(driver.state.progress.counters.replays, 2);
+}
+
+Test(handle, inputs_beyond_the_limit_are_dropped_and_recomputed)
+{
+  for (const std::uint64_t positions : { 0, 5, 25, 1000 }) {
+    Driver driver;
+    AddThreeStages(driver);
+    driver.AddServer("t3a", { 8, 10 });
+    driver.AddServer("t3b", { 9, 12 });
+    driver.fault = FailFrom(12, { "s3" }, Loss::ConnectionLost);
+    driver.Run(DraftRequest(kTokens),
+               { .keptActivationBytes = positions * 16384 });
+    AssertWhole(driver);
+    const auto replays = driver.state.progress.counters.replays;
+    cr_assert_eq(replays, positions < 24 ? 4 : 2);
+  }
+}
+
+Test(handle, restart_behind_a_reused_connection_is_seen_in_the_reply)
+{
+  Driver driver;
+  AddThreeStages(driver);
+  driver.AddServer("t2", { 4, 8 });
+  driver.disturb = [](Driver& aDriver) {
+    if (aDriver.history.size() == 20) {
+      aDriver.Restart(ServerId{ "s2" }, false);
+    }
+  };
+  driver.Run(DraftRequest(kTokens));
+  AssertWhole(driver);
+  cr_assert_eq(driver.state.progress.counters.losses, 1);
+}
+
+Test(handle, deadline_and_caller_end_an_answer_and_free_the_servers)
+{
+  for (const bool deadline : { false, true }) {
+    Driver driver;
+    AddThreeStages(driver);
+    driver.disturb = [deadline](Driver& aDriver) {
+      if (aDriver.history.size() == 20) {
+        aDriver.Deliver(deadline ? stream::Event{ stream::DeadlinePassed{} }
+                                 : stream::Event{ stream::CallerGone{} });
+      }
+    };
+    driver.Run(DraftRequest(kTokens));
+    cr_assert_not(driver.finished);
+    cr_assert_eq(driver.error->kind,
+                 deadline ? ErrorKind::DeadlineExceeded : ErrorKind::Cancelled);
+    for (const auto& [server, engine] : driver.engines) {
+      cr_assert_eq(engine.Requests(), 0);
+    }
+  }
+}
--- a/test/balsampoint/stream/harness.hpp
+++ b/test/balsampoint/stream/harness.hpp
@@ -6,6 +6,7 @@
 #include "fake/clock.hpp"
 #include "fake/engine.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -34,15 +35,23 @@
   std::function<std::optional<CallFault>(const stream::Target&,
                                          const stream::CallId&)>
     fault = [](const auto&, const auto&) { return std::nullopt; };
+  /** @brief Called when a choice has waited in vain for a server. */
+  std::function<void(Driver&)> arrive = [](Driver&) {};
   /** @brief Called after each event that was handled. */
   std::function<void(Driver&)> disturb = [](Driver&) {};
 
+  /** @brief Virtual time of a call that succeeds. */
+  Duration stepTime{ std::chrono::milliseconds{ 1 } };
+  /** @brief Restarts of servers that the view doesn't show yet. */
+  std::map<ServerId, Incarnation> restarts;
   route::Graph graph;
   std::map<ServerId, Engine> engines;
   Clock clock;
   stream::State state;
   std::string text;
   std::vector<stream::Event> history;
+  /** @brief Replies of calls that were given up before they arrived. */
+  std::vector<stream::Event> late;
   std::optional<Error> error;
   bool finished{ false };
   std::uint64_t steps{};
@@ -68,6 +77,24 @@
     });
   }
 
+  /** @brief Loses a server's KV; the view shows it when `aSeen`. */
+  void Restart(const ServerId& aServer, bool aSeen)
+  {
+    engines[aServer] = Engine{};
+    auto& current = restarts.try_emplace(aServer, 1).first->second;
+    const auto gone = current;
+    current = current.Next();
+    if (!aSeen) {
+      return;
+    }
+    for (auto& node : graph.nodes) {
+      if (node.stage.server == aServer) {
+        node.stage.incarnation = current;
+      }
+    }
+    Deliver(stream::ServerGone{ .server = aServer, .incarnation = gone });
+  }
+
   /** @brief Runs an answer to its end. */
   void Run(stream::StreamRequest aRequest,
            const stream::Settings& aSettings = {})
@@ -112,12 +139,12 @@
   {
     const auto failure = fault(aTarget, aCall.id);
     if (!failure) {
-      clock.Advance(std::chrono::milliseconds{ 1 });
+      clock.Advance(stepTime);
       Report(aWork(engines[aTarget.server]));
       return;
     }
     if (failure->runs) {
-      mLate.push_back(aWork(engines[aTarget.server]));
+      late.push_back(aWork(engines[aTarget.server]));
     }
     if (failure->loss == stream::Loss::DeadlinePassed) {
       clock.Advance(aTarget.deadline - clock.Now());
@@ -125,6 +152,13 @@
     Report(stream::CallFailed{ .id = aCall.id, .loss = failure->loss });
   }
 
+  /** The target's restart; zero, as of an engine that doesn't say, if none. */
+  Incarnation Restarted(const stream::Target& aTarget) const
+  {
+    const auto found = restarts.find(aTarget.server);
+    return found == restarts.end() ? Incarnation{} : found->second;
+  }
+
   static stream::Event Refused(const stream::CallId& aId)
   {
     return stream::CallFailed{ .id = aId, .loss = stream::Loss::Refused };
@@ -135,8 +169,12 @@
     ++steps;
     const auto& call = aAction.call;
     Execute(aAction.target, call, [&](Engine& aEngine) -> stream::Event {
-      const auto reply = aEngine.Step(call);
-      return reply ? stream::StepReplied{ *reply } : Refused(call.id);
+      auto reply = aEngine.Step(call);
+      if (!reply) {
+        return Refused(call.id);
+      }
+      reply->incarnation = Restarted(aAction.target);
+      return stream::StepReplied{ *reply };
     });
   }
 
@@ -144,8 +182,12 @@
   {
     const auto& call = aAction.call;
     Execute(aAction.target, call, [&](Engine& aEngine) -> stream::Event {
-      const auto reply = aEngine.Replay(call);
-      return reply ? stream::ReplayReplied{ *reply } : Refused(call.id);
+      auto reply = aEngine.Replay(call);
+      if (!reply) {
+        return Refused(call.id);
+      }
+      reply->incarnation = Restarted(aAction.target);
+      return stream::ReplayReplied{ *reply };
     });
   }
 
@@ -161,13 +203,21 @@
 
   void Execute(const stream::ChooseRoute& aAction)
   {
-    auto route = route::FindChain(
-      graph,
-      { .layers = aAction.layers, .excluded = aAction.excluded },
-      [](const route::Node&) { return 1.0; },
-      1.0);
-    if (!route) {
+    const auto find = [&] {
+      return route::FindChain(
+        graph,
+        { .layers = aAction.layers, .excluded = aAction.excluded },
+        [&](const route::Node& aNode) {
+          const auto& zones = aAction.avoidedZones;
+          return std::ranges::count(zones, aNode.stage.zone) != 0 ? 1e6 : 1.0;
+        },
+        1.0);
+    };
+    auto route = find();
+    if (!route && aAction.until > clock.Now()) {
       clock.Advance(aAction.until - clock.Now());
+      arrive(*this);
+      route = find();
     }
     Report(stream::RouteChosen{ .layers = aAction.layers, .route = route });
   }
@@ -184,13 +234,6 @@
   }
 
   std::deque<stream::Action> mQueue;
-
-public:
-  /** @brief Replies of calls that were given up before they arrived. */
-  std::vector<stream::Event>& Late() { return mLate; }
-
-private:
-  std::vector<stream::Event> mLate;
 };
 
 /** @brief A request over a model of 12 layers. */
