--- a/src/balsampoint/route/state.cpp
+++ b/src/balsampoint/route/state.cpp
@@ -37,6 +37,7 @@
             std::span<const Link> aLinks)
 {
   Graph graph{ .layers = aPipeline.layers,
+               .activationBytes = aPipeline.activationBytes,
                .links = { aLinks.begin(), aLinks.end() } };
   for (const auto& server : aServers) {
     if (server.announcement.state != registry::ServerState::Ready) {
--- a/src/balsampoint/route/state.hpp
+++ b/src/balsampoint/route/state.hpp
@@ -36,6 +36,8 @@
 struct Graph
 {
   std::uint32_t layers{};
+  /** Bytes that pass from one stage to the next for one token. */
+  std::uint64_t activationBytes{};
   /** In the order of server ids. */
   std::vector<Node> nodes;
   std::vector<Link> links;
--- a/test/balsampoint/route/query/find_chain_test.cpp
+++ b/test/balsampoint/route/query/find_chain_test.cpp
@@ -1,30 +1,15 @@
 #include "balsampoint/route/query/find_chain.hpp"
 
+#include "../servers.hpp"
+
 #include <criterion/criterion.h>
 
 using namespace balsampoint;
+using fake::Holder;
+using fake::Verse;
 
 namespace {
 
-registry::Server
-Holder(const std::string& aName, LayerRange aLayers)
-{
-  registry::Announcement announcement{ .server = ServerId{ aName },
-                                       .address = aName,
-                                       .layerTokensPerSecond = 100 };
-  announcement.holdings.push_back({ .model = ModelId{ "verse" },
-                                    .version = "1",
-                                    .layers = aLayers,
-                                    .modelLayers = 12 });
-  return { .announcement = announcement };
-}
-
-config::Pipeline
-Verse()
-{
-  return { .model = ModelId{ "verse" }, .version = "1", .layers = 12 };
-}
-
 double
 OnePerLayer(const route::Node& /*aNode*/)
 {
@@ -57,7 +42,8 @@
 {
   const std::vector servers{ Holder("a", { 0, 6 }), Holder("b", { 6, 12 }) };
   cr_assert(Find(servers, { 0, 12 }).has_value());
-  const auto chain = Find(servers, { 0, 12 }, { { ServerId{ "b" }, {} } });
+  const auto chain =
+    Find(servers, { 0, 12 }, { { ServerId{ "b" }, Incarnation{ 1 } } });
   cr_assert_eq(chain.error().kind, ErrorKind::NoServer);
 }
 
