--- /dev/null
+++ b/src/balsampoint/route/concepts.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "balsampoint/core/concepts.hpp"
+#include "balsampoint/route/in_flight.hpp"
+#include "balsampoint/route/table.hpp"
+#include "balsampoint/route/wish.hpp"
+
+#include <concepts>
+
+namespace balsampoint::route {
+
+/** @brief What a policy may look at. */
+struct Outlook
+{
+  const Routes& routes;
+  InFlight& inFlight;
+  Instant now;
+};
+
+/**
+ * @brief Chooses the chain of one request.
+ * @tparam P Type to test.
+ * @tparam Random Source of its random numbers.
+ */
+template<typename P, typename Random>
+concept RoutePolicy =
+  RandomSource<Random> &&
+  requires(P& aPolicy, Outlook aOutlook, const Wish& aWish, Random& aRandom) {
+    {
+      aPolicy.Choose(aOutlook, aWish, aRandom)
+    } -> std::same_as<tl::expected<Chain, Error>>;
+  };
+
+} // namespace balsampoint::route
--- a/src/balsampoint/route/internal/packing_program.cpp
+++ b/src/balsampoint/route/internal/packing_program.cpp
@@ -13,35 +13,49 @@
 
 } // namespace
 
-PackingProgram::PackingProgram(std::size_t aRows)
-  : mBasis(aRows)
-  , mInverse(aRows * aRows)
-  , mPrices(aRows)
+PackingProgram::PackingProgram(std::span<const double> aCapacities)
+  : mBasis(aCapacities.size())
+  , mInverse(aCapacities.size() * aCapacities.size())
+  , mPrices(aCapacities.size())
 {
-  for (std::size_t row = 0; row < aRows; ++row) {
+  for (std::size_t row = 0; row < aCapacities.size(); ++row) {
     const auto spread = kSpread * static_cast<double>(row + 1);
-    mBasis[row] = { .index = row, .amount = 1.0 + spread };
+    mBasis[row] = { .index = row, .amount = aCapacities[row] + spread };
     Inverse(row, row) = 1.0;
   }
 }
 
 double
-PackingProgram::Units() const
+PackingProgram::Worth() const
 {
-  double units{};
+  double worth{};
   for (const auto& entry : mBasis) {
-    units += entry.isColumn ? entry.amount : 0.0;
+    worth += entry.value * entry.amount;
   }
-  return units;
+  return worth;
 }
 
-std::size_t
-PackingProgram::Add(Column aColumn)
+bool
+PackingProgram::Add(const Column& aColumn)
 {
   const auto index = mColumns++;
-  Enter({ .isColumn = true, .index = index }, aColumn);
+  if (Profit(aColumn) <= kTolerance) {
+    return false;
+  }
+  Enter({ .isColumn = true, .index = index, .value = aColumn.value },
+        aColumn.uses);
   EnterFreeRows();
-  return index;
+  return true;
+}
+
+double
+PackingProgram::Profit(const Column& aColumn) const
+{
+  auto profit = aColumn.value;
+  for (const auto& use : aColumn.uses) {
+    profit -= mPrices[use.row] * use.amount;
+  }
+  return profit;
 }
 
 std::vector<double>
@@ -57,7 +71,7 @@
 }
 
 void
-PackingProgram::Enter(BasisEntry aEntry, const Column& aUses)
+PackingProgram::Enter(BasisEntry aEntry, std::span<const RowUse> aUses)
 {
   const auto direction = Direction(aUses);
   auto least = std::numeric_limits<double>::infinity();
@@ -93,18 +107,19 @@
       return;
     }
     const auto row = static_cast<std::size_t>(lowest - mPrices.begin());
-    Enter({ .index = row }, { { .row = row, .share = 1.0 } });
+    const RowUse use{ .row = row, .amount = 1.0 };
+    Enter({ .index = row }, { &use, 1 });
   }
 }
 
 std::vector<double>
-PackingProgram::Direction(const Column& aUses) const
+PackingProgram::Direction(std::span<const RowUse> aUses) const
 {
   const auto size = mBasis.size();
   std::vector<double> direction(size);
   for (std::size_t row = 0; row < size; ++row) {
     for (const auto& use : aUses) {
-      direction[row] += mInverse[row * size + use.row] * use.share;
+      direction[row] += mInverse[row * size + use.row] * use.amount;
     }
   }
   return direction;
@@ -136,11 +151,12 @@
   const auto size = mBasis.size();
   std::ranges::fill(mPrices, 0.0);
   for (std::size_t row = 0; row < size; ++row) {
-    if (!mBasis[row].isColumn) {
+    const auto value = mBasis[row].value;
+    if (value == 0.0) {
       continue;
     }
     for (std::size_t column = 0; column < size; ++column) {
-      mPrices[column] += Inverse(row, column);
+      mPrices[column] += value * Inverse(row, column);
     }
   }
 }
--- a/src/balsampoint/route/internal/packing_program.hpp
+++ b/src/balsampoint/route/internal/packing_program.hpp
@@ -10,41 +10,48 @@
 struct RowUse
 {
   std::size_t row{};
-  /** Share of the row's capacity. */
-  double share{};
+  double amount{};
 };
 
-/** @brief One way to use capacity; each unit of it is worth one. */
-using Column = std::vector<RowUse>;
+/** @brief One way to use capacity. */
+struct Column
+{
+  /** Worth of one unit. */
+  double value{};
+  /** Use by one unit; a negative one frees capacity. */
+  std::vector<RowUse> uses;
+};
 
 /**
- * @brief Finds the most units that fit into given capacities, by the revised
+ * @brief Finds the most worth that fits into given capacities, by the revised
  * simplex method with columns supplied one after another.
  *
  * Columns too many to list are priced outside with `Prices`: a column whose
- * use costs less than one improves the solution.
+ * use costs less than its value improves the solution.
  */
 class PackingProgram
 {
 public:
   /**
    * @brief Makes a program whose rows are all unused.
-   * @param aRows Number of rows, each with a capacity of one.
+   * @param aCapacities Capacity of each row.
    */
-  explicit PackingProgram(std::size_t aRows);
+  explicit PackingProgram(std::span<const double> aCapacities);
 
-  /** @brief Price of each row's whole capacity under the current solution. */
+  /** @brief Price of a unit of each row's capacity under the current solution.
+   */
   [[nodiscard]] std::span<const double> Prices() const { return mPrices; }
 
-  /** @brief Number of units of the current solution. */
-  [[nodiscard]] double Units() const;
+  /** @brief Worth of the current solution. */
+  [[nodiscard]] double Worth() const;
 
   /**
    * @brief Lets a column take part as far as that improves the solution.
-   * @param aColumn The column; its use costs less than one.
-   * @return Its index in `Amounts`.
+   * @param aColumn The column.
+   * @return Whether it improves the solution; it has an index in `Amounts`
+   * in any case.
    */
-  std::size_t Add(Column aColumn);
+  bool Add(const Column& aColumn);
 
   /** @brief Units of each column in the order of their adding. */
   [[nodiscard]] std::vector<double> Amounts() const;
@@ -56,12 +63,15 @@
     bool isColumn{ false };
     /** Index of the column, or the row whose rest it is. */
     std::size_t index{};
+    double value{};
     double amount{};
   };
 
-  void Enter(BasisEntry aEntry, const Column& aUses);
+  void Enter(BasisEntry aEntry, std::span<const RowUse> aUses);
   void EnterFreeRows();
-  [[nodiscard]] std::vector<double> Direction(const Column& aUses) const;
+  [[nodiscard]] double Profit(const Column& aColumn) const;
+  [[nodiscard]] std::vector<double> Direction(
+    std::span<const RowUse> aUses) const;
   void Pivot(std::size_t aLeaving, std::span<const double> aDirection);
   void UpdatePrices();
   [[nodiscard]] double& Inverse(std::size_t aRow, std::size_t aColumn)
--- /dev/null
+++ b/src/balsampoint/route/internal/server_price.cpp
@@ -0,0 +1,114 @@
+#include "balsampoint/route/internal/server_price.hpp"
+
+#include "balsampoint/route/internal/shortest_chain.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace balsampoint::route::internal {
+
+namespace {
+
+/** Part of the price that a cached prefix is expected to save. */
+constexpr double kCacheSaving = 0.3;
+/** Factor that keeps a server from being chosen while there is another. */
+constexpr double kAvoidance = 1e6;
+constexpr double kLeastSpeed = 1e-3;
+
+const Link*
+FindLink(std::span<const Link> aLinks, const ZoneId& aOne, const ZoneId& aOther)
+{
+  for (const auto& link : aLinks) {
+    if ((link.one == aOne && link.other == aOther) ||
+        (link.one == aOther && link.other == aOne)) {
+      return &link;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+ServerPrice::ServerPrice(Outlook aOutlook, const Wish& aWish)
+  : mOutlook{ aOutlook }
+  , mWish{ aWish }
+{
+}
+
+double
+ServerPrice::Layer(const Node& aNode) const
+{
+  const auto load = mOutlook.inFlight.Estimate(aNode, mOutlook.now) + 1.0;
+  const auto speed = std::max(kLeastSpeed, aNode.stage.layerTokensPerSecond);
+  auto price = load / speed;
+  if (IsCached(aNode)) {
+    price *= 1.0 - kCacheSaving;
+  }
+  if (IsAvoided(aNode) || !HasRoom(aNode)) {
+    price *= kAvoidance;
+  }
+  return price;
+}
+
+double
+ServerPrice::Hop(const Node& aNode) const
+{
+  const auto& graph = mOutlook.routes.graph;
+  const auto* link = FindLink(graph.links, mWish.entry, aNode.stage.zone);
+  if (link == nullptr) {
+    return 0;
+  }
+  const auto delay = std::chrono::duration<double>{ link->delay }.count();
+  const auto bytes = static_cast<double>(graph.activationBytes);
+  const auto transfer =
+    link->bytesPerSecond > 0 ? bytes / link->bytesPerSecond : 0.0;
+  constexpr double kDirections = 2;
+  return kDirections * (delay + transfer);
+}
+
+bool
+ServerPrice::Usable(const Node& aNode) const
+{
+  return !Excludes(mWish, aNode.stage);
+}
+
+bool
+ServerPrice::IsCached(const Node& aNode) const
+{
+  return std::ranges::find(mWish.cached, aNode.stage.server) !=
+         mWish.cached.end();
+}
+
+bool
+ServerPrice::IsAvoided(const Node& aNode) const
+{
+  return std::ranges::find(mWish.avoidedZones, aNode.stage.zone) !=
+         mWish.avoidedZones.end();
+}
+
+bool
+ServerPrice::HasRoom(const Node& aNode) const
+{
+  return aNode.kvCapacityTokens == 0 ||
+         aNode.load.kvTokensUsed + mWish.kvTokens <= aNode.kvCapacityTokens;
+}
+
+tl::expected<Chain, Error>
+CheapestChain(const Graph& aGraph, const Wish& aWish, const ServerPrice& aPrice)
+{
+  std::vector<PricedNode> usable;
+  for (const auto& node : aGraph.nodes) {
+    const auto& held = node.stage.layers;
+    const bool overlaps =
+      held.begin < aWish.layers.end && aWish.layers.begin < held.end;
+    if (!overlaps || !aPrice.Usable(node)) {
+      continue;
+    }
+    usable.push_back({ .node = &node,
+                       .layerPrice = aPrice.Layer(node),
+                       .hopPrice = aPrice.Hop(node) });
+  }
+  return ShortestChain(usable, aWish.layers);
+}
+
+} // namespace balsampoint::route::internal
--- /dev/null
+++ b/src/balsampoint/route/policy/flow_policy.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "balsampoint/route/concepts.hpp"
+#include "balsampoint/route/internal/path_credits.hpp"
+#include "balsampoint/route/internal/server_price.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace balsampoint::route {
+
+/**
+ * @brief Lets the running shares follow the maximum flow.
+ *
+ * Picks the path that is furthest behind its share of the flow, and on each of
+ * its hops the cheaper of two random servers. Where the flow has no usable
+ * path, or for a part of the layers, the cheapest chain is taken.
+ */
+class FlowPolicy
+{
+public:
+  /**
+   * @brief Chooses a chain.
+   * @tparam Random Type of the source of random numbers.
+   * @param aOutlook Servers, flow and load.
+   * @param aWish What the chain must do.
+   * @param aRandom Source of random numbers.
+   * @return The chain, or `ErrorKind::NoServer`.
+   */
+  template<RandomSource Random>
+  tl::expected<Chain, Error> Choose(Outlook aOutlook,
+                                    const Wish& aWish,
+                                    Random& aRandom)
+  {
+    const auto& routes = aOutlook.routes;
+    const internal::ServerPrice price{ aOutlook, aWish };
+    const auto* path = NextPath(routes, aWish, price, aRandom);
+    if (path == nullptr) {
+      return internal::CheapestChain(routes.graph, aWish, price);
+    }
+    Chain chain;
+    for (const auto& hop : path->hops) {
+      const auto& group = routes.flow.groups[hop.group];
+      chain.push_back(Pick(routes.graph, group, price, aRandom).stage);
+      chain.back().layers = hop.layers;
+    }
+    return chain;
+  }
+
+private:
+  template<RandomSource Random>
+  const Path* NextPath(const Routes& aRoutes,
+                       const Wish& aWish,
+                       const internal::ServerPrice& aPrice,
+                       Random& aRandom)
+  {
+    const LayerRange all{ .begin = 0, .end = aRoutes.graph.layers };
+    if (aWish.layers != all || !aWish.avoidedZones.empty()) {
+      return nullptr;
+    }
+    auto& credits = mCredits[aRoutes.graph.pipeline];
+    credits.Update(aRoutes, aWish.entry, aRandom.Next());
+    return credits.Next(aRoutes, [&](const Path& aPath) {
+      return aWish.excluded.empty() || IsUsable(aRoutes, aPath, aPrice);
+    });
+  }
+
+  static bool IsUsable(const Routes& aRoutes,
+                       const Path& aPath,
+                       const internal::ServerPrice& aPrice)
+  {
+    return std::ranges::all_of(aPath.hops, [&](const Hop& aHop) {
+      const auto& nodes = aRoutes.flow.groups[aHop.group].nodes;
+      return std::ranges::any_of(nodes, [&](std::size_t aNode) {
+        return aPrice.Usable(aRoutes.graph.nodes[aNode]);
+      });
+    });
+  }
+
+  /** The cheaper of two servers drawn by their speed. */
+  template<RandomSource Random>
+  static const Node& Pick(const Graph& aGraph,
+                          const Group& aGroup,
+                          const internal::ServerPrice& aPrice,
+                          Random& aRandom)
+  {
+    const auto& one = Draw(aGraph, aGroup, aPrice, aRandom.Next());
+    const auto& other = Draw(aGraph, aGroup, aPrice, aRandom.Next());
+    return aPrice.Layer(other) < aPrice.Layer(one) ? other : one;
+  }
+
+  /** A usable server, with a chance in proportion to its speed. */
+  static const Node& Draw(const Graph& aGraph,
+                          const Group& aGroup,
+                          const internal::ServerPrice& aPrice,
+                          std::uint64_t aRandom)
+  {
+    constexpr double kRange = 18446744073709551616.0;
+    auto rest =
+      static_cast<double>(aRandom) / kRange * aGroup.layerTokensPerSecond;
+    const Node* usable = nullptr;
+    for (const auto index : aGroup.nodes) {
+      const auto& node = aGraph.nodes[index];
+      rest -= node.stage.layerTokensPerSecond;
+      if (!aPrice.Usable(node)) {
+        continue;
+      }
+      usable = &node;
+      if (rest <= 0) {
+        break;
+      }
+    }
+    return usable != nullptr ? *usable : aGraph.nodes[aGroup.nodes.front()];
+  }
+
+  std::map<PipelineId, internal::PathCredits> mCredits;
+};
+
+} // namespace balsampoint::route
--- /dev/null
+++ b/src/balsampoint/route/policy/next_server_policy.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "balsampoint/route/concepts.hpp"
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace balsampoint::route {
+
+/**
+ * @brief Builds a chain server by server, each run to the end of its layers.
+ *
+ * The base of the policies that know no flow.
+ * @tparam Picker Picks one of the servers that hold the next layer.
+ */
+template<typename Picker>
+class BasicNextServerPolicy
+{
+public:
+  /**
+   * @brief Chooses a chain.
+   * @param aOutlook Servers and their load.
+   * @param aWish What the chain must do.
+   * @param aRandom Source of random numbers.
+   * @return The chain, or `ErrorKind::NoServer`.
+   */
+  template<RandomSource Random>
+  tl::expected<Chain, Error> Choose(Outlook aOutlook,
+                                    const Wish& aWish,
+                                    Random& aRandom)
+  {
+    Chain chain;
+    for (auto layer = aWish.layers.begin; layer < aWish.layers.end;) {
+      const auto holders = Holders(aOutlook.routes.graph, aWish, layer);
+      if (holders.empty()) {
+        return Refuse(ErrorKind::NoServer,
+                      "no ready server holds layer " + std::to_string(layer));
+      }
+      chain.push_back(mPicker.Pick(aOutlook, holders, aRandom).stage);
+      auto& layers = chain.back().layers;
+      layers = { .begin = layer,
+                 .end = std::min(layers.end, aWish.layers.end) };
+      layer = layers.end;
+    }
+    return chain;
+  }
+
+private:
+  static std::vector<const Node*> Holders(const Graph& aGraph,
+                                          const Wish& aWish,
+                                          std::uint32_t aLayer)
+  {
+    std::vector<const Node*> holders;
+    for (const auto& node : aGraph.nodes) {
+      if (!node.stage.layers.Holds(aLayer) || Excludes(aWish, node.stage)) {
+        continue;
+      }
+      holders.push_back(&node);
+    }
+    return holders;
+  }
+
+  Picker mPicker;
+};
+
+/** @brief Picks any server with equal chance. */
+struct RandomPicker
+{
+  /** @brief Picks one of several servers. */
+  template<RandomSource Random>
+  const Node& Pick(const Outlook& /*aOutlook*/,
+                   std::span<const Node* const> aHolders,
+                   Random& aRandom)
+  {
+    return *aHolders[aRandom.Next() % aHolders.size()];
+  }
+};
+
+/** @brief Picks the servers in turn. */
+struct RoundRobinPicker
+{
+  /** @brief Picks one of several servers. */
+  template<RandomSource Random>
+  const Node& Pick(const Outlook& /*aOutlook*/,
+                   std::span<const Node* const> aHolders,
+                   Random& aRandom)
+  {
+    if (next == kUnset) {
+      next = aRandom.Next();
+    }
+    return *aHolders[next++ % aHolders.size()];
+  }
+
+  static constexpr auto kUnset = std::numeric_limits<std::uint64_t>::max();
+  /** Turn; starts at random, so that hosts don't move in step. */
+  std::uint64_t next{ kUnset };
+};
+
+/** @brief Picks the server with the least reported load for its speed. */
+struct LeastLoadedPicker
+{
+  /** @brief Picks one of several servers. */
+  template<RandomSource Random>
+  const Node& Pick(const Outlook& /*aOutlook*/,
+                   std::span<const Node* const> aHolders,
+                   Random& aRandom)
+  {
+    const Node* least = nullptr;
+    double leastLoad{};
+    const auto first = aRandom.Next() % aHolders.size();
+    for (std::size_t at = 0; at < aHolders.size(); ++at) {
+      const auto& node = *aHolders[(first + at) % aHolders.size()];
+      const auto load =
+        (node.load.runningRequests + 1.0) / node.stage.layerTokensPerSecond;
+      if (least == nullptr || load < leastLoad) {
+        least = &node;
+        leastLoad = load;
+      }
+    }
+    return *least;
+  }
+};
+
+/** @brief Any server that holds the next layer. */
+using RandomPolicy = BasicNextServerPolicy<RandomPicker>;
+/** @brief The servers that hold the next layer in turn. */
+using RoundRobinPolicy = BasicNextServerPolicy<RoundRobinPicker>;
+/** @brief The server with the least reported load. */
+using LeastLoadedPolicy = BasicNextServerPolicy<LeastLoadedPicker>;
+
+} // namespace balsampoint::route
--- a/src/balsampoint/route/query/max_flow.cpp
+++ b/src/balsampoint/route/query/max_flow.cpp
@@ -5,16 +5,17 @@
 #include <algorithm>
 #include <limits>
 #include <map>
-#include <optional>
 #include <utility>
 
 namespace balsampoint::route {
 
 namespace {
 
-/** Part of the bound that the flow may stay below it. */
-constexpr double kGap = 1e-3;
-constexpr std::size_t kMaxColumns = 20000;
+/** Part of the bound by which the flow may stay below it. */
+constexpr double kGap = 5e-3;
+constexpr std::size_t kMaxRounds = 2000;
+/** Weight of the best bound's prices against the current ones. */
+constexpr double kCentreWeight = 0.8;
 /** Added to each hop's price, so that of equal ways the shortest is taken. */
 constexpr double kHopPrice = 1e-9;
 constexpr auto kNoRow = std::numeric_limits<std::size_t>::max();
@@ -35,6 +36,7 @@
     group.nodes.push_back(at);
   }
   std::vector<Group> list;
+  list.reserve(groups.size());
   for (auto& [key, group] : groups) {
     list.push_back(std::move(group));
   }
@@ -79,13 +81,19 @@
     , mBorders{ Borders(mGroups, aGraph.layers) }
     , mRows{ mGroups.size() }
   {
+    for (const auto& group : mGroups) {
+      mUnit += group.layerTokensPerSecond / aGraph.layers;
+    }
     for (const auto& share : aShares) {
       mLinkShares.push_back(LinkShares(aGraph, share.zone));
     }
   }
 
   [[nodiscard]] const std::vector<Group>& Groups() const { return mGroups; }
+  /** Rows of groups and links; those of the entries follow. */
   [[nodiscard]] std::size_t Rows() const { return mRows; }
+  /** Tokens a second of one unit. */
+  [[nodiscard]] double Unit() const { return mUnit; }
 
   /** What the prices of hops can add to a way's price at most. */
   [[nodiscard]] double HopPrices() const
@@ -108,20 +116,33 @@
     return Trace(reached);
   }
 
-  /** Adds the rows that a way uses. */
-  void AddUses(std::size_t aEntry,
-               const PricedPath& aPath,
-               double aShare,
-               std::vector<double>& aUses) const
+  /** The rows that one unit of tokens on a way uses. */
+  [[nodiscard]] internal::Column ToColumn(std::size_t aEntry,
+                                          std::span<const Hop> aHops) const
   {
-    for (const auto& hop : aPath.hops) {
+    std::map<std::size_t, double> uses;
+    for (const auto& hop : aHops) {
       const auto capacity = mGroups[hop.group].layerTokensPerSecond;
-      aUses[hop.group] += aShare * hop.layers.Size() / capacity;
+      uses[hop.group] += mUnit * hop.layers.Size() / capacity;
       const auto& link = mLinkShares[aEntry][hop.group];
       if (link.row != kNoRow) {
-        aUses[link.row] += aShare * link.share;
+        uses[link.row] += link.amount;
       }
     }
+    internal::Column column;
+    for (const auto& [row, amount] : uses) {
+      column.uses.push_back({ .row = row, .amount = amount });
+    }
+    column.uses.push_back({ .row = mRows + aEntry, .amount = -1.0 });
+    return column;
+  }
+
+  /** One for each server group and link; then nothing for each entry. */
+  [[nodiscard]] std::vector<double> Capacities() const
+  {
+    std::vector<double> capacities(mRows + mLinkShares.size());
+    std::fill_n(capacities.begin(), mRows, 1.0);
+    return capacities;
   }
 
 private:
@@ -137,7 +158,7 @@
   {
     const auto& link = mLinkShares[aEntry][aGroup];
     return kHopPrice +
-           (link.row == kNoRow ? 0.0 : aPrices[link.row] * link.share);
+           (link.row == kNoRow ? 0.0 : aPrices[link.row] * link.amount);
   }
 
   void Extend(std::vector<Reach>& aReached,
@@ -149,7 +170,8 @@
     if (!group.layers.Holds(mBorders[aFrom])) {
       return;
     }
-    const auto layerPrice = aPrices[aGroup.group] / group.layerTokensPerSecond;
+    const auto layerPrice =
+      mUnit * aPrices[aGroup.group] / group.layerTokensPerSecond;
     const auto base = aReached[aFrom].price + aGroup.hopPrice;
     for (auto to = aFrom + 1;
          to < mBorders.size() && mBorders[to] <= group.layers.end;
@@ -193,7 +215,8 @@
           continue;
         }
         const auto bytes = static_cast<double>(aGraph.activationBytes);
-        shares[group] = { .row = row, .share = bytes / link.bytesPerSecond };
+        shares[group] = { .row = row,
+                          .amount = mUnit * bytes / link.bytesPerSecond };
       }
     }
     return shares;
@@ -211,78 +234,137 @@
   std::vector<Group> mGroups;
   std::vector<std::uint32_t> mBorders;
   std::size_t mRows;
+  double mUnit{};
   std::map<std::pair<ZoneId, ZoneId>, std::size_t> mLinkRows;
   /** For each entry zone and group. */
   std::vector<std::vector<internal::RowUse>> mLinkShares;
 };
 
-/** The cheapest way for each entry zone, together one column. */
-struct Candidate
+/** Adds the cheapest ways round by round until the flow is the maximum. */
+class FlowSolver
 {
-  double price{};
-  std::vector<PricedPath> paths;
-};
+public:
+  FlowSolver(const Graph& aGraph, std::span<const EntryShare> aShares)
+    : mShares{ aShares }
+    , mModel{ aGraph, aShares }
+    , mProgram{ mModel.Capacities() }
+    , mCentre(mModel.Rows(), 1.0 / static_cast<double>(mModel.Rows() + 1))
+  {
+    internal::Column total{ .value = 1.0 };
+    for (std::size_t entry = 0; entry < aShares.size(); ++entry) {
+      total.uses.push_back(
+        { .row = mModel.Rows() + entry, .amount = aShares[entry].share });
+    }
+    mProgram.Add(total);
+  }
 
-Candidate
-CheapestPaths(const PathModel& aModel,
-              std::span<const EntryShare> aShares,
-              std::span<const double> aPrices)
-{
-  Candidate candidate;
-  for (std::size_t entry = 0; entry < aShares.size(); ++entry) {
-    auto path = aModel.Cheapest(entry, aPrices);
-    candidate.price += aShares[entry].share * path.price;
-    candidate.paths.push_back(std::move(path));
+  Flow Solve()
+  {
+    for (std::size_t round = 0; round < kMaxRounds; ++round) {
+      const auto prices = SmoothPrices();
+      auto paths = CheapestPaths(prices);
+      if (paths.empty()) {
+        return { .groups = mModel.Groups() };
+      }
+      UpdateBound(paths, prices);
+      if (mProgram.Worth() >= mBound * (1 - kGap)) {
+        break;
+      }
+      mSmooths = AddColumns(paths);
+    }
+    return Result();
   }
-  return candidate;
-}
 
-internal::Column
-ToColumn(const PathModel& aModel,
-         std::span<const EntryShare> aShares,
-         const Candidate& aCandidate)
-{
-  std::vector<double> uses(aModel.Rows());
-  for (std::size_t entry = 0; entry < aShares.size(); ++entry) {
-    aModel.AddUses(entry, aCandidate.paths[entry], aShares[entry].share, uses);
+private:
+  /**
+   * Current prices drawn towards those of the best bound, since the current
+   * ones swing widely; without that where it led to no improvement.
+   */
+  [[nodiscard]] std::vector<double> SmoothPrices() const
+  {
+    const auto current = mProgram.Prices().first(mModel.Rows());
+    const auto weight = mSmooths ? kCentreWeight : 0.0;
+    std::vector<double> prices(current.size());
+    for (std::size_t row = 0; row < prices.size(); ++row) {
+      prices[row] =
+        weight * mCentre[row] + (1 - weight) * std::max(0.0, current[row]);
+    }
+    return prices;
   }
-  internal::Column column;
-  for (std::size_t row = 0; row < uses.size(); ++row) {
-    if (uses[row] > 0) {
-      column.push_back({ .row = row, .share = uses[row] });
+
+  /** The cheapest way for each entry; empty when a layer has no server. */
+  [[nodiscard]] std::vector<PricedPath> CheapestPaths(
+    std::span<const double> aPrices) const
+  {
+    std::vector<PricedPath> paths;
+    for (std::size_t entry = 0; entry < mShares.size(); ++entry) {
+      paths.push_back(mModel.Cheapest(entry, aPrices));
+      if (paths.back().hops.empty()) {
+        return {};
+      }
     }
+    return paths;
   }
-  return column;
-}
 
-double
-Sum(std::span<const double> aValues)
-{
-  double sum{};
-  for (const auto value : aValues) {
-    sum += std::max(0.0, value);
+  /** By duality: all capacity at its price, over the price of one unit. */
+  void UpdateBound(std::span<const PricedPath> aPaths,
+                   std::span<const double> aPrices)
+  {
+    double unit = -mModel.HopPrices();
+    for (std::size_t entry = 0; entry < aPaths.size(); ++entry) {
+      unit += mShares[entry].share * aPaths[entry].price;
+    }
+    double all{};
+    for (const auto price : aPrices) {
+      all += price;
+    }
+    if (unit > 0 && all / unit < mBound) {
+      mBound = all / unit;
+      mCentre.assign(aPrices.begin(), aPrices.end());
+      for (auto& price : mCentre) {
+        price /= unit;
+      }
+    }
   }
-  return sum;
-}
 
-void
-AddPaths(Flow& aFlow,
-         std::span<const EntryShare> aShares,
-         std::span<Candidate> aCandidates,
-         std::span<const double> aAmounts)
-{
-  for (std::size_t at = 0; at < aCandidates.size(); ++at) {
-    if (aAmounts[at] <= 0) {
-      continue;
+  /** Whether any of the ways improves the flow. */
+  bool AddColumns(std::span<PricedPath> aPaths)
+  {
+    bool improves = false;
+    for (std::size_t entry = 0; entry < aPaths.size(); ++entry) {
+      improves |= mProgram.Add(mModel.ToColumn(entry, aPaths[entry].hops));
+      mPaths.push_back({ .entry = mShares[entry].zone,
+                         .hops = std::move(aPaths[entry].hops) });
     }
-    for (std::size_t entry = 0; entry < aShares.size(); ++entry) {
-      aFlow.paths.push_back(
-        { .entry = aShares[entry].zone,
-          .hops = std::move(aCandidates[at].paths[entry].hops),
-          .tokensPerSecond = aAmounts[at] * aShares[entry].share });
+    return improves;
+  }
+
+  [[nodiscard]] Flow Result()
+  {
+    const auto amounts = mProgram.Amounts();
+    Flow flow{ .groups = mModel.Groups(),
+               .tokensPerSecond = amounts.front() * mModel.Unit(),
+               .bound = mBound * mModel.Unit() };
+    for (std::size_t at = 0; at < mPaths.size(); ++at) {
+      if (amounts[at + 1] <= 0) {
+        continue;
+      }
+      mPaths[at].tokensPerSecond = amounts[at + 1] * mModel.Unit();
+      flow.paths.push_back(std::move(mPaths[at]));
     }
+    return flow;
   }
-}
+
+  std::span<const EntryShare> mShares;
+  PathModel mModel;
+  internal::PackingProgram mProgram;
+  double mBound{ std::numeric_limits<double>::infinity() };
+  /** Prices that gave the best bound. */
+  std::vector<double> mCentre;
+  bool mSmooths{ true };
+  /** In the order of their columns, which follow that of the total. */
+  std::vector<Path> mPaths;
+};
 
 } // namespace
 
@@ -305,29 +387,10 @@
 Flow
 MaxFlow(const Graph& aGraph, std::span<const EntryShare> aShares)
 {
-  const PathModel model{ aGraph, aShares };
-  Flow flow{ .groups = model.Groups(),
-             .bound = std::numeric_limits<double>::infinity() };
-  internal::PackingProgram program{ model.Rows() };
-  std::vector<Candidate> candidates;
-  while (candidates.size() < kMaxColumns) {
-    auto next = CheapestPaths(model, aShares, program.Prices());
-    if (next.price == std::numeric_limits<double>::infinity() ||
-        next.paths.empty()) {
-      return { .groups = model.Groups() };
-    }
-    if (const auto price = next.price - model.HopPrices(); price > 0) {
-      flow.bound = std::min(flow.bound, Sum(program.Prices()) / price);
-    }
-    if (!candidates.empty() && program.Units() >= flow.bound * (1 - kGap)) {
-      break;
-    }
-    program.Add(ToColumn(model, aShares, next));
-    candidates.push_back(std::move(next));
+  if (aShares.empty()) {
+    return {};
   }
-  flow.tokensPerSecond = program.Units();
-  AddPaths(flow, aShares, candidates, program.Amounts());
-  return flow;
+  return FlowSolver{ aGraph, aShares }.Solve();
 }
 
 } // namespace balsampoint::route
--- /dev/null
+++ b/src/balsampoint/route/router.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "balsampoint/route/concepts.hpp"
+
+#include <utility>
+
+namespace balsampoint::route {
+
+/**
+ * @brief Chooses chains by a policy and counts them while they are in use.
+ *
+ * Not safe for concurrent use; traffic threads share it under a lock.
+ * @tparam Policy Chooses.
+ * @tparam Random Source of random numbers.
+ */
+template<typename Policy, RandomSource Random>
+  requires RoutePolicy<Policy, Random>
+class BasicRouter
+{
+public:
+  /**
+   * @brief Makes a router that has chosen nothing yet.
+   * @param aRandom Source of random numbers.
+   */
+  explicit BasicRouter(Random aRandom)
+    : mRandom{ std::move(aRandom) }
+  {
+  }
+
+  /**
+   * @brief Chooses a chain and counts it as in use.
+   * @param aRoutes The pipeline's servers.
+   * @param aWish What the chain must do.
+   * @param aNow The time.
+   * @return The chain, or `ErrorKind::NoServer`.
+   */
+  [[nodiscard]] tl::expected<Chain, Error> Choose(const Routes& aRoutes,
+                                                  const Wish& aWish,
+                                                  Instant aNow)
+  {
+    auto chain =
+      mPolicy.Choose({ .routes = aRoutes, .inFlight = mInFlight, .now = aNow },
+                     aWish,
+                     mRandom);
+    if (chain) {
+      mInFlight.Add(*chain);
+    }
+    return chain;
+  }
+
+  /**
+   * @brief Tells that a chain is no longer in use.
+   * @param aChain The chain.
+   */
+  void Release(std::span<const Stage> aChain) { mInFlight.Remove(aChain); }
+
+private:
+  Random mRandom;
+  Policy mPolicy;
+  InFlight mInFlight;
+};
+
+} // namespace balsampoint::route
--- a/src/balsampoint/route/state.cpp
+++ b/src/balsampoint/route/state.cpp
@@ -36,7 +36,8 @@
             std::span<const registry::Server> aServers,
             std::span<const Link> aLinks)
 {
-  Graph graph{ .layers = aPipeline.layers,
+  Graph graph{ .pipeline = aPipeline.id,
+               .layers = aPipeline.layers,
                .activationBytes = aPipeline.activationBytes,
                .links = { aLinks.begin(), aLinks.end() } };
   for (const auto& server : aServers) {
--- a/src/balsampoint/route/state.hpp
+++ b/src/balsampoint/route/state.hpp
@@ -35,6 +35,7 @@
 /** @brief The servers that take new work of one pipeline; immutable. */
 struct Graph
 {
+  PipelineId pipeline;
   std::uint32_t layers{};
   /** Bytes that pass from one stage to the next for one token. */
   std::uint64_t activationBytes{};
