--- a/bench/bench_route.cpp
+++ b/benchmarks/bench_route.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 using namespace balsampoint;
-using bench::Bound;
 using bench::Cluster;
 using bench::Report;
 
@@ -25,13 +24,10 @@
     .count();
 }
 
+/** Tokens a second under a policy as a part of the bound. */
 template<typename Policy>
-void
-MeasureOutput(Report& aReport,
-              const Cluster& aCluster,
-              const route::Routes& aRoutes,
-              const std::string& aPolicy,
-              Bound aKind)
+double
+PartOfBound(const Cluster& aCluster, const route::Routes& aRoutes)
 {
   const auto streams =
     static_cast<std::size_t>(aRoutes.flow.bound * kTokenInterval);
@@ -39,40 +35,43 @@
   bench::Simulation<Policy> simulation{ aCluster, aRoutes };
   const auto output = simulation.Run(streams, 4 * lifetime, 10 * lifetime);
   const auto bound = route::MaxFlow(aRoutes.graph, output.shares).bound;
-  aReport.Add({ .name = aCluster.name + ": " + aPolicy + ", of the bound",
-                .value = output.tokensPerSecond / bound,
-                .unit = "",
-                .kind = aKind,
-                .bound = kAim });
+  return output.tokensPerSecond / bound;
 }
 
 void
 MeasureCluster(Report& aReport, const Cluster& aCluster)
 {
   const auto routes = aCluster.Routes();
-  aReport.Add({ .name = aCluster.name + ": bound",
-                .value = routes.flow.bound,
-                .unit = "tok/s" });
-  MeasureOutput<route::FlowPolicy>(
-    aReport, aCluster, routes, "flow", Bound::AtLeast);
-  MeasureOutput<route::RandomPolicy>(
-    aReport, aCluster, routes, "random", Bound::None);
-  MeasureOutput<route::RoundRobinPolicy>(
-    aReport, aCluster, routes, "round robin", Bound::None);
-  MeasureOutput<route::LeastLoadedPolicy>(
-    aReport, aCluster, routes, "least loaded", Bound::None);
+  const auto& name = aCluster.name;
+  aReport.Add(name + ": bound", routes.flow.bound, "tok/s");
+  aReport.AtLeast(name + ": flow, of the bound",
+                  PartOfBound<route::FlowPolicy>(aCluster, routes),
+                  "",
+                  kAim,
+                  "aim of 95 % of the maximum flow");
+  aReport.Add(name + ": random, of the bound",
+              PartOfBound<route::RandomPolicy>(aCluster, routes),
+              "");
+  aReport.Add(name + ": round robin, of the bound",
+              PartOfBound<route::RoundRobinPolicy>(aCluster, routes),
+              "");
+  aReport.Add(name + ": least loaded, of the bound",
+              PartOfBound<route::LeastLoadedPolicy>(aCluster, routes),
+              "");
 }
 
 void
 MeasureTimes(Report& aReport, std::uint32_t aServers)
 {
+  constexpr double kMilli = 1e3;
+  constexpr double kMicro = 1e6;
+  constexpr double kNano = 1e9;
+  constexpr double kTokensPerRequest = 510000.0 / 2500.0;
   const auto cluster = bench::Large(aServers);
   const auto begin = std::chrono::steady_clock::now();
   const auto routes = cluster.Routes();
-  const auto name = std::to_string(aServers) + " servers: ";
-  aReport.Add({ .name = name + "graph and flow",
-                .value = Seconds(begin) * 1e3,
-                .unit = "ms" });
+  const auto size = std::to_string(aServers) + " servers";
+  aReport.Add("flow, " + size, Seconds(begin) * kMilli, "ms");
   route::BasicRouter<route::FlowPolicy, fake::Random> router{ fake::Random{
     1 } };
   const route::Wish wish{ .layers = { 0, routes.graph.layers },
@@ -83,12 +82,10 @@
     const auto chain = router.Choose(routes, wish, Instant{}).value();
     router.Release(chain);
   }
-  const auto perRequest = Seconds(start) / kChoices * 1e6;
+  const auto choice = Seconds(start) / kChoices;
+  aReport.Add("choice by request, " + size, choice * kMicro, "us");
   aReport.Add(
-    { .name = name + "one choice", .value = perRequest, .unit = "us" });
-  aReport.Add({ .name = name + "one choice, by token of its answer",
-                .value = perRequest / (510000.0 / 2500.0) * 1e3,
-                .unit = "ns" });
+    "choice by token, " + size, choice / kTokensPerRequest * kNano, "ns");
 }
 
 } // namespace
@@ -96,12 +93,13 @@
 int
 main(int aCount, char** aArguments)
 {
-  Report report;
+  Report report{ "route",
+                 { aArguments, static_cast<std::size_t>(aCount) } };
   MeasureCluster(report, bench::Ruhunu());
   MeasureCluster(report, bench::Sibiu());
   for (const auto servers : { 140U, 280U, 550U, 1100U }) {
     MeasureTimes(report, servers);
   }
   MeasureCluster(report, bench::Large(1100));
-  return report.Finish({ aArguments, static_cast<std::size_t>(aCount) });
+  return report.Finish();
 }
