--- a/benchmarks/bench_route.cpp
+++ b/benchmarks/bench_route.cpp
@@ -93,8 +93,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  Report report{ "route",
-                 { aArguments, static_cast<std::size_t>(aCount) } };
+  Report report{ "route", { aArguments, static_cast<std::size_t>(aCount) } };
   MeasureCluster(report, bench::Ruhunu());
   MeasureCluster(report, bench::Sibiu());
   for (const auto servers : { 140U, 280U, 550U, 1100U }) {
