--- a/src/balsampoint/daemon/ledger_runner.cpp
+++ b/src/balsampoint/daemon/ledger_runner.cpp
@@ -1,14 +1,18 @@
 #include "balsampoint/daemon/ledger_runner.hpp"
 
+#include "balsampoint/peer/ledger_codec.hpp"
+
 #include <spdlog/spdlog.h>
 #include <variant>
 
 namespace balsampoint::daemon {
 
 LedgerRunner::LedgerRunner(ControlMailbox& aMailbox,
-                           traffic::ControlGate& aGate)
+                           traffic::ControlGate& aGate,
+                           peer::Sender& aSender)
   : mMailbox{ aMailbox }
   , mGate{ aGate }
+  , mSender{ aSender }
 {
 }
 
@@ -21,7 +25,7 @@
 void
 LedgerRunner::Do(const ledger::Send& aSend)
 {
-  spdlog::debug("ledger: no way to host {}", aSend.to.Value());
+  mSender.Send(aSend.to, peer::ModuleTag::Ledger, peer::Encode(aSend.message));
 }
 
 void
--- a/src/balsampoint/daemon/ledger_runner.hpp
+++ b/src/balsampoint/daemon/ledger_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsampoint/daemon/control.hpp"
+#include "balsampoint/peer/sender.hpp"
 #include "balsampoint/traffic/control_gate.hpp"
 
 namespace balsampoint::daemon {
@@ -10,11 +11,14 @@
 {
 public:
   /**
-   * @brief Keeps the ways to and from the control thread; both outlive it.
+   * @brief Keeps the ways to and from the control thread; all outlive it.
    * @param aMailbox Queue into the control thread.
    * @param aGate Where traffic threads wait for outcomes.
+   * @param aSender Way to other hosts.
    */
-  LedgerRunner(ControlMailbox& aMailbox, traffic::ControlGate& aGate);
+  LedgerRunner(ControlMailbox& aMailbox,
+               traffic::ControlGate& aGate,
+               peer::Sender& aSender);
 
   /**
    * @brief Carries out one action.
@@ -30,6 +34,7 @@
 
   ControlMailbox& mMailbox;
   traffic::ControlGate& mGate;
+  peer::Sender& mSender;
 };
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -47,10 +47,15 @@
 ledger::State
 FirstLedgerState(const config::Settings& aSettings, Incarnation aIncarnation)
 {
-  auto state = ledger::Module::Start(
-    { .self = aSettings.host, .incarnation = aIncarnation, .members = {} },
-    ledger::Bounds{},
-    runtime::SteadyClock::Now());
+  std::vector<HostId> members;
+  for (const auto& seed : aSettings.seeds) {
+    members.push_back(seed.host);
+  }
+  auto state = ledger::Module::Start({ .self = aSettings.host,
+                                       .incarnation = aIncarnation,
+                                       .members = std::move(members) },
+                                     ledger::Bounds{},
+                                     runtime::SteadyClock::Now());
   if (!state) {
     throw Failure{ state.error() };
   }
@@ -82,13 +87,18 @@
   return rules;
 }
 
-/** Rises with each restart, as long as the wall clock does. */
-Incarnation
-NextIncarnation()
+/** The wall clock, so that each start of a host has a higher number. */
+peer::Identity
+MakeIdentity(const config::Settings& aSettings)
 {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return Incarnation{ static_cast<std::uint64_t>(
-    std::chrono::duration_cast<Duration>(since).count()) };
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+  return { .cluster = aSettings.cluster,
+           .host = aSettings.host,
+           .incarnation =
+             Incarnation{ static_cast<std::uint64_t>(milliseconds) },
+           .secret = aSettings.secret };
 }
 
 std::map<ModelId, std::uint32_t>
@@ -106,7 +116,7 @@
 tl::expected<std::unique_ptr<Node>, Error>
 Node::Start(const config::Settings& aSettings)
 {
-  std::unique_ptr<Node> node{ new Node{ aSettings } };
+  std::unique_ptr<Node> node{ new Node{ aSettings, MakeIdentity(aSettings) } };
   const auto listening = node->Listen();
   if (!listening) {
     return tl::unexpected(listening.error());
@@ -114,19 +124,21 @@
   return node;
 }
 
-Node::Node(const config::Settings& aSettings)
+Node::Node(const config::Settings& aSettings, const peer::Identity& aIdentity)
   : mSettings{ aSettings }
-  , mIncarnation{ NextIncarnation() }
+  , mIdentity{ aIdentity }
   , mMailbox{ kMailboxCapacity }
-  , mGate{ aSettings.host,
-           mIncarnation,
+  , mGate{ aIdentity.host,
+           aIdentity.incarnation,
            [this](const traffic::ControlGate::Request& aRequest) {
              return std::visit(
                [this](const auto& aEvent) { return mMailbox.Push(aEvent); },
                aRequest);
            } }
-  , mRunners{ mMailbox, mWorld, mGate }
-  , mLoop{ mMailbox, mRunners, FirstStates(aSettings, mIncarnation) }
+  , mSender{ aIdentity }
+  , mRouter{ mMailbox }
+  , mRunners{ mMailbox, mWorld, mGate, mSender }
+  , mLoop{ mMailbox, mRunners, FirstStates(aSettings, aIdentity.incarnation) }
   , mControlThread{ [this] { mLoop.Run(); } }
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
@@ -136,12 +148,22 @@
   , mServerHandler{ [this](registry::Announcement aAnnouncement) {
     return mRunners.Registry().Announce(std::move(aAnnouncement));
   } }
+  , mOperatorHandler{ mWorld,
+                      MakeOperations(),
+                      config::KeyIndex::Make({}, aSettings.operatorKeys) }
 {
+  for (const auto& seed : mSettings.seeds) {
+    if (seed.host != mSettings.host) {
+      mSender.Route(seed.host, seed.address.Text());
+    }
+  }
 }
 
 Node::~Node()
 {
+  mReceiver.reset();
   mCallers.reset();
+  mOperators.reset();
   mServers.reset();
   mMailbox.Close();
   mControlThread.join();
@@ -177,6 +199,14 @@
 tl::expected<void, Error>
 Node::Listen()
 {
+  auto receiver = peer::Receiver::Listen(
+    mSettings.listen.peers.Text(), mIdentity, [this](const auto& aParcel) {
+      mRouter.Take(aParcel);
+    });
+  if (!receiver) {
+    return tl::unexpected(receiver.error());
+  }
+  mReceiver = std::move(*receiver);
   const auto& limits = mSettings.limits;
   const http::ListenerLimits callerLimits{
     .maxThreads = static_cast<int>(limits.concurrentRequests) + kSpareThreads,
@@ -194,7 +224,31 @@
     return tl::unexpected(servers.error());
   }
   mServers = std::move(*servers);
+  auto operators = OperatorListener::Listen(
+    mSettings.listen.operators.Text(), mOperatorHandler, {});
+  if (!operators) {
+    return tl::unexpected(operators.error());
+  }
+  mOperators = std::move(*operators);
   return {};
 }
 
+http::Operations
+Node::MakeOperations()
+{
+  const auto unavailable = [] {
+    return MakeError(ErrorKind::ControlUnavailable,
+                     "the control group is not running");
+  };
+  return { .submit =
+             [unavailable](const http::ChangeRequest&) {
+               return tl::unexpected(http::ChangeRefusal{ unavailable() });
+             },
+           .changeMembers =
+             [unavailable](const http::MemberChange&) {
+               return tl::unexpected(unavailable());
+             },
+           .drain = [this] { mWorld.draining = true; } };
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/registry_runner.cpp
+++ b/src/balsampoint/daemon/registry_runner.cpp
@@ -35,9 +35,12 @@
 
 } // namespace
 
-RegistryRunner::RegistryRunner(ControlMailbox& aMailbox, traffic::World& aWorld)
+RegistryRunner::RegistryRunner(ControlMailbox& aMailbox,
+                               traffic::World& aWorld,
+                               peer::Sender& aSender)
   : mMailbox{ aMailbox }
   , mWorld{ aWorld }
+  , mSender{ aSender }
 {
 }
 
@@ -82,4 +85,9 @@
   }
 }
 
+void
+RegistryRunner::Do(const registry::Send& /*aSend*/)
+{
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -14,12 +14,14 @@
    * @param aMailbox Queue into the control thread.
    * @param aWorld What traffic threads read.
    * @param aGate Where traffic threads wait.
+   * @param aSender Way to other hosts.
    */
   Runners(ControlMailbox& aMailbox,
           traffic::World& aWorld,
-          traffic::ControlGate& aGate)
-    : mRegistry{ aMailbox, aWorld }
-    , mLedger{ aMailbox, aGate }
+          traffic::ControlGate& aGate,
+          peer::Sender& aSender)
+    : mRegistry{ aMailbox, aWorld, aSender }
+    , mLedger{ aMailbox, aGate, aSender }
     , mGate{ aGate }
   {
   }
--- /dev/null
+++ b/src/balsampoint/route/query/max_flow.cpp
@@ -0,0 +1,396 @@
+#include "balsampoint/route/query/max_flow.hpp"
+
+#include "balsampoint/route/internal/packing_program.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <utility>
+
+namespace balsampoint::route {
+
+namespace {
+
+/** Part of the bound by which the flow may stay below it. */
+constexpr double kGap = 5e-3;
+constexpr std::size_t kMaxRounds = 2000;
+/** Weight of the best bound's prices against the current ones. */
+constexpr double kCentreWeight = 0.8;
+/** Added to each hop's price, so that of equal ways the shortest is taken. */
+constexpr double kHopPrice = 1e-9;
+constexpr auto kNoRow = std::numeric_limits<std::size_t>::max();
+
+std::vector<Group>
+MakeGroups(const Graph& aGraph)
+{
+  std::map<std::pair<ZoneId, LayerRange>, Group> groups;
+  for (std::size_t at = 0; at < aGraph.nodes.size(); ++at) {
+    const auto& stage = aGraph.nodes[at].stage;
+    if (stage.layerTokensPerSecond <= 0) {
+      continue;
+    }
+    auto& group = groups[{ stage.zone, stage.layers }];
+    group.zone = stage.zone;
+    group.layers = stage.layers;
+    group.layerTokensPerSecond += stage.layerTokensPerSecond;
+    group.nodes.push_back(at);
+  }
+  std::vector<Group> list;
+  list.reserve(groups.size());
+  for (auto& [key, group] : groups) {
+    list.push_back(std::move(group));
+  }
+  return list;
+}
+
+std::vector<std::uint32_t>
+Borders(std::span<const Group> aGroups, std::uint32_t aLayers)
+{
+  std::vector<std::uint32_t> borders{ 0, aLayers };
+  for (const auto& group : aGroups) {
+    borders.push_back(group.layers.begin);
+    borders.push_back(group.layers.end);
+  }
+  std::ranges::sort(borders);
+  const auto repeated = std::ranges::unique(borders);
+  borders.erase(repeated.begin(), repeated.end());
+  return borders;
+}
+
+/** The cheapest way to reach a border. */
+struct Reach
+{
+  double price{ std::numeric_limits<double>::infinity() };
+  std::size_t from{};
+  std::size_t group{};
+};
+
+/** A way of one entry zone with its price. */
+struct PricedPath
+{
+  double price{};
+  std::vector<Hop> hops;
+};
+
+/** The ways through the graph and the rows that they use. */
+class PathModel
+{
+public:
+  PathModel(const Graph& aGraph, std::span<const EntryShare> aShares)
+    : mGroups{ MakeGroups(aGraph) }
+    , mBorders{ Borders(mGroups, aGraph.layers) }
+    , mRows{ mGroups.size() }
+  {
+    for (const auto& group : mGroups) {
+      mUnit += group.layerTokensPerSecond / aGraph.layers;
+    }
+    for (const auto& share : aShares) {
+      mLinkShares.push_back(LinkShares(aGraph, share.zone));
+    }
+  }
+
+  [[nodiscard]] const std::vector<Group>& Groups() const { return mGroups; }
+  /** Rows of groups and links; those of the entries follow. */
+  [[nodiscard]] std::size_t Rows() const { return mRows; }
+  /** Tokens a second of one unit. */
+  [[nodiscard]] double Unit() const { return mUnit; }
+
+  /** What the prices of hops can add to a way's price at most. */
+  [[nodiscard]] double HopPrices() const
+  {
+    return kHopPrice * static_cast<double>(mBorders.size());
+  }
+
+  /** The cheapest way of an entry zone; infinite price when there is none. */
+  [[nodiscard]] PricedPath Cheapest(std::size_t aEntry,
+                                    std::span<const double> aPrices) const
+  {
+    std::vector<Reach> reached(mBorders.size());
+    reached.front().price = 0;
+    for (std::size_t from = 0; from + 1 < mBorders.size(); ++from) {
+      for (std::size_t group = 0; group < mGroups.size(); ++group) {
+        Extend(
+          reached, from, { group, HopPrice(aEntry, group, aPrices) }, aPrices);
+      }
+    }
+    return Trace(reached);
+  }
+
+  /** The rows that one unit of tokens on a way uses. */
+  [[nodiscard]] internal::Column ToColumn(std::size_t aEntry,
+                                          std::span<const Hop> aHops) const
+  {
+    std::map<std::size_t, double> uses;
+    for (const auto& hop : aHops) {
+      const auto capacity = mGroups[hop.group].layerTokensPerSecond;
+      uses[hop.group] += mUnit * hop.layers.Size() / capacity;
+      const auto& link = mLinkShares[aEntry][hop.group];
+      if (link.row != kNoRow) {
+        uses[link.row] += link.amount;
+      }
+    }
+    internal::Column column;
+    for (const auto& [row, amount] : uses) {
+      column.uses.push_back({ .row = row, .amount = amount });
+    }
+    column.uses.push_back({ .row = mRows + aEntry, .amount = -1.0 });
+    return column;
+  }
+
+  /** One for each server group and link; then nothing for each entry. */
+  [[nodiscard]] std::vector<double> Capacities() const
+  {
+    std::vector<double> capacities(mRows + mLinkShares.size());
+    std::fill_n(capacities.begin(), mRows, 1.0);
+    return capacities;
+  }
+
+private:
+  struct PricedGroup
+  {
+    std::size_t group{};
+    double hopPrice{};
+  };
+
+  [[nodiscard]] double HopPrice(std::size_t aEntry,
+                                std::size_t aGroup,
+                                std::span<const double> aPrices) const
+  {
+    const auto& link = mLinkShares[aEntry][aGroup];
+    return kHopPrice +
+           (link.row == kNoRow ? 0.0 : aPrices[link.row] * link.amount);
+  }
+
+  void Extend(std::vector<Reach>& aReached,
+              std::size_t aFrom,
+              PricedGroup aGroup,
+              std::span<const double> aPrices) const
+  {
+    const auto& group = mGroups[aGroup.group];
+    if (!group.layers.Holds(mBorders[aFrom])) {
+      return;
+    }
+    const auto layerPrice =
+      mUnit * aPrices[aGroup.group] / group.layerTokensPerSecond;
+    const auto base = aReached[aFrom].price + aGroup.hopPrice;
+    for (auto to = aFrom + 1;
+         to < mBorders.size() && mBorders[to] <= group.layers.end;
+         ++to) {
+      const auto price = base + layerPrice * (mBorders[to] - mBorders[aFrom]);
+      if (price < aReached[to].price) {
+        aReached[to] = { .price = price, .from = aFrom, .group = aGroup.group };
+      }
+    }
+  }
+
+  [[nodiscard]] PricedPath Trace(std::span<const Reach> aReached) const
+  {
+    PricedPath path{ .price = aReached.back().price };
+    if (path.price == std::numeric_limits<double>::infinity()) {
+      return path;
+    }
+    for (auto at = aReached.size() - 1; at != 0; at = aReached[at].from) {
+      const LayerRange layers{ .begin = mBorders[aReached[at].from],
+                               .end = mBorders[at] };
+      path.hops.push_back({ .group = aReached[at].group, .layers = layers });
+    }
+    std::ranges::reverse(path.hops);
+    return path;
+  }
+
+  /** Row and share of the link from an entry zone to each group. */
+  std::vector<internal::RowUse> LinkShares(const Graph& aGraph,
+                                           const ZoneId& aEntry)
+  {
+    std::vector<internal::RowUse> shares(mGroups.size(), { .row = kNoRow });
+    for (const auto& link : aGraph.links) {
+      if (link.bytesPerSecond <= 0 || aGraph.activationBytes == 0 ||
+          (link.one != aEntry && link.other != aEntry)) {
+        continue;
+      }
+      const auto& far = link.one == aEntry ? link.other : link.one;
+      const auto row = RowOf(link);
+      for (std::size_t group = 0; group < mGroups.size(); ++group) {
+        if (mGroups[group].zone != far || far == aEntry) {
+          continue;
+        }
+        const auto bytes = static_cast<double>(aGraph.activationBytes);
+        shares[group] = { .row = row,
+                          .amount = mUnit * bytes / link.bytesPerSecond };
+      }
+    }
+    return shares;
+  }
+
+  std::size_t RowOf(const Link& aLink)
+  {
+    auto key = std::minmax(aLink.one, aLink.other);
+    const auto [entry, added] =
+      mLinkRows.try_emplace({ key.first, key.second }, mRows);
+    mRows += added ? 1 : 0;
+    return entry->second;
+  }
+
+  std::vector<Group> mGroups;
+  std::vector<std::uint32_t> mBorders;
+  std::size_t mRows;
+  double mUnit{};
+  std::map<std::pair<ZoneId, ZoneId>, std::size_t> mLinkRows;
+  /** For each entry zone and group. */
+  std::vector<std::vector<internal::RowUse>> mLinkShares;
+};
+
+/** Adds the cheapest ways round by round until the flow is the maximum. */
+class FlowSolver
+{
+public:
+  FlowSolver(const Graph& aGraph, std::span<const EntryShare> aShares)
+    : mShares{ aShares }
+    , mModel{ aGraph, aShares }
+    , mProgram{ mModel.Capacities() }
+    , mCentre(mModel.Rows(), 1.0 / static_cast<double>(mModel.Rows() + 1))
+  {
+    internal::Column total{ .value = 1.0 };
+    for (std::size_t entry = 0; entry < aShares.size(); ++entry) {
+      total.uses.push_back(
+        { .row = mModel.Rows() + entry, .amount = aShares[entry].share });
+    }
+    mProgram.Add(total);
+  }
+
+  Flow Solve()
+  {
+    for (std::size_t round = 0; round < kMaxRounds; ++round) {
+      const auto prices = SmoothPrices();
+      auto paths = CheapestPaths(prices);
+      if (paths.empty()) {
+        return { .groups = mModel.Groups() };
+      }
+      UpdateBound(paths, prices);
+      if (mProgram.Worth() >= mBound * (1 - kGap)) {
+        break;
+      }
+      mSmooths = AddColumns(paths);
+    }
+    return Result();
+  }
+
+private:
+  /**
+   * Current prices drawn towards those of the best bound, since the current
+   * ones swing widely; without that where it led to no improvement.
+   */
+  [[nodiscard]] std::vector<double> SmoothPrices() const
+  {
+    const auto current = mProgram.Prices().first(mModel.Rows());
+    const auto weight = mSmooths ? kCentreWeight : 0.0;
+    std::vector<double> prices(current.size());
+    for (std::size_t row = 0; row < prices.size(); ++row) {
+      prices[row] =
+        weight * mCentre[row] + (1 - weight) * std::max(0.0, current[row]);
+    }
+    return prices;
+  }
+
+  /** The cheapest way for each entry; empty when a layer has no server. */
+  [[nodiscard]] std::vector<PricedPath> CheapestPaths(
+    std::span<const double> aPrices) const
+  {
+    std::vector<PricedPath> paths;
+    for (std::size_t entry = 0; entry < mShares.size(); ++entry) {
+      paths.push_back(mModel.Cheapest(entry, aPrices));
+      if (paths.back().hops.empty()) {
+        return {};
+      }
+    }
+    return paths;
+  }
+
+  /** By duality: all capacity at its price, over the price of one unit. */
+  void UpdateBound(std::span<const PricedPath> aPaths,
+                   std::span<const double> aPrices)
+  {
+    double unit = -mModel.HopPrices();
+    for (std::size_t entry = 0; entry < aPaths.size(); ++entry) {
+      unit += mShares[entry].share * aPaths[entry].price;
+    }
+    double all{};
+    for (const auto price : aPrices) {
+      all += price;
+    }
+    if (unit > 0 && all / unit < mBound) {
+      mBound = all / unit;
+      mCentre.assign(aPrices.begin(), aPrices.end());
+      for (auto& price : mCentre) {
+        price /= unit;
+      }
+    }
+  }
+
+  /** Whether any of the ways improves the flow. */
+  bool AddColumns(std::span<PricedPath> aPaths)
+  {
+    bool improves = false;
+    for (std::size_t entry = 0; entry < aPaths.size(); ++entry) {
+      improves |= mProgram.Add(mModel.ToColumn(entry, aPaths[entry].hops));
+      mPaths.push_back({ .entry = mShares[entry].zone,
+                         .hops = std::move(aPaths[entry].hops) });
+    }
+    return improves;
+  }
+
+  [[nodiscard]] Flow Result()
+  {
+    const auto amounts = mProgram.Amounts();
+    Flow flow{ .groups = mModel.Groups(),
+               .tokensPerSecond = amounts.front() * mModel.Unit(),
+               .bound = mBound * mModel.Unit() };
+    for (std::size_t at = 0; at < mPaths.size(); ++at) {
+      if (amounts[at + 1] <= 0) {
+        continue;
+      }
+      mPaths[at].tokensPerSecond = amounts[at + 1] * mModel.Unit();
+      flow.paths.push_back(std::move(mPaths[at]));
+    }
+    return flow;
+  }
+
+  std::span<const EntryShare> mShares;
+  PathModel mModel;
+  internal::PackingProgram mProgram;
+  double mBound{ std::numeric_limits<double>::infinity() };
+  /** Prices that gave the best bound. */
+  std::vector<double> mCentre;
+  bool mSmooths{ true };
+  /** In the order of their columns, which follow that of the total. */
+  std::vector<Path> mPaths;
+};
+
+} // namespace
+
+std::vector<EntryShare>
+EqualShares(const Graph& aGraph)
+{
+  std::vector<EntryShare> shares;
+  for (const auto& node : aGraph.nodes) {
+    const auto& zone = node.stage.zone;
+    if (std::ranges::find(shares, zone, &EntryShare::zone) == shares.end()) {
+      shares.push_back({ .zone = zone });
+    }
+  }
+  for (auto& share : shares) {
+    share.share = 1.0 / static_cast<double>(shares.size());
+  }
+  return shares;
+}
+
+Flow
+MaxFlow(const Graph& aGraph, std::span<const EntryShare> aShares)
+{
+  if (aShares.empty()) {
+    return {};
+  }
+  return FlowSolver{ aGraph, aShares }.Solve();
+}
+
+} // namespace balsampoint::route
--- a/src/balsampoint/traffic/command/run_service.hpp
+++ b/src/balsampoint/traffic/command/run_service.hpp
@@ -78,7 +78,7 @@
       ledger::Advance(call, *event, mClock.Now(), actions);
       mActions.insert(mActions.end(), actions.begin(), actions.end());
     }
-    return std::move(*mAnswer);
+    return std::move(mAnswer);
   }
 
 private:
@@ -156,8 +156,9 @@
   }
 
   /** What is known after the last attempt, if there was one. */
-  ledger::CallEvent Conclude(const std::optional<ServiceReply>& aLast,
-                             const Error& aWithout) const
+  [[nodiscard]] ledger::CallEvent Conclude(
+    const std::optional<ServiceReply>& aLast,
+    const Error& aWithout) const
   {
     if (!aLast) {
       return ledger::DispatchNeverBegan{ aWithout };
@@ -183,7 +184,7 @@
   Clock mClock;
   const ServiceCall& mCall;
   std::deque<ledger::CallAction> mActions;
-  std::optional<Answer> mAnswer;
+  Answer mAnswer;
   /** Whether an earlier attempt reached a server. */
   bool mMayHaveRun{ false };
 };
