--- /dev/null
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -0,0 +1,170 @@
+#include "balsampoint/fanout/command/join.hpp"
+
+#include "balsampoint/fanout/command/distribute.hpp"
+#include "balsampoint/fanout/command/report.hpp"
+
+#include "balsampoint/fanout/internal/root.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::fanout {
+
+namespace {
+
+bool
+IsLive(const State& aState, const Known& aKnown, Instant aNow)
+{
+  return aKnown.report.reachable &&
+         aNow - aKnown.heardAt <= aState.settings.silence;
+}
+
+/** @brief How many live hosts of a zone each of its live relays feeds. */
+std::map<HostId, std::size_t>
+RelaysOf(const State& aState, const ZoneId& aZone, Instant aNow)
+{
+  std::map<HostId, std::size_t> relays;
+  for (const auto& [host, known] : aState.directory) {
+    const auto relay = aState.directory.find(known.relay);
+    if (known.report.zone != aZone || !IsLive(aState, known, aNow) ||
+        relay == aState.directory.end() ||
+        !IsLive(aState, relay->second, aNow)) {
+      continue;
+    }
+    ++relays[known.relay];
+  }
+  relays.erase(aState.settings.self.host);
+  return relays;
+}
+
+/**
+ * @brief The relay with the fewest hosts for a host that joins; empty when the
+ * host is to be a relay itself. A host that asks again has lost its old relay.
+ */
+HostId
+ChooseRelay(const State& aState, const HostReport& aHost, Instant aNow)
+{
+  auto relays = RelaysOf(aState, aHost.zone, aNow);
+  const auto old = aState.directory.find(aHost.host);
+  if (old != aState.directory.end() &&
+      old->second.report.incarnation == aHost.incarnation) {
+    relays.erase(old->second.relay);
+  }
+  relays.erase(aHost.host);
+  HostId best;
+  auto fewest = aState.settings.hostsPerRelay;
+  for (const auto& [relay, hosts] : relays) {
+    if (hosts < fewest) {
+      best = relay;
+      fewest = hosts;
+    }
+  }
+  return best;
+}
+
+/** @brief Hosts of a zone without a relay become relays of the leader's. */
+HostId
+ChooseParent(State& aState, const HostReport& aHost, Instant aNow)
+{
+  const auto& self = aState.settings.self.host;
+  if (!internal::Leads(aState)) {
+    return aState.leader.Empty() ? self : HostId{};
+  }
+  const auto relay = ChooseRelay(aState, aHost, aNow);
+  const auto entry = relay.Empty() ? aHost.host : relay;
+  aState.directory[aHost.host] = { aHost, entry, aNow };
+  return relay.Empty() ? self : relay;
+}
+
+} // namespace
+
+void
+JoinWhenLost(State& aState, Instant aNow, Actions& aActions)
+{
+  constexpr int kSlower = 4;
+  const auto retry = aState.settings.joinRetry;
+  aState.nextJoin = aNow + (aState.ready ? retry * kSlower : retry);
+  const bool lost =
+    internal::ParentIsLost(aState, aNow) || internal::RootIsLost(aState, aNow);
+  if (aState.ready && (!lost || internal::Leads(aState))) {
+    return;
+  }
+  auto self = aState.settings.self;
+  self.number = aState.ready ? aState.content.number : ChangeNumber{};
+  for (const auto& seed : aState.settings.seeds) {
+    if (seed == self.host) {
+      aState.answeredSeeds.insert(seed);
+      continue;
+    }
+    aActions.emplace_back(Send{ seed, JoinRequest{ self } });
+  }
+  PublishWhenReady(aState, aNow, aActions);
+}
+
+void
+HandleJoinRequest(State& aState,
+                  const HostId& aFrom,
+                  const JoinRequest& aRequest,
+                  Instant aNow,
+                  Actions& aActions)
+{
+  if (aRequest.host.host != aFrom) {
+    return;
+  }
+  aActions.emplace_back(Route{ aFrom, aRequest.host.address });
+  JoinReply reply{ .number = aState.seen,
+                   .parent = ChooseParent(aState, aRequest.host, aNow),
+                   .leads = internal::Leads(aState) };
+  const auto known = aState.directory.find(reply.parent);
+  if (reply.parent == aState.settings.self.host) {
+    reply.parentAddress = aState.settings.self.address;
+  } else if (known != aState.directory.end()) {
+    reply.parentAddress = known->second.report.address;
+    aActions.emplace_back(Route{ reply.parent, reply.parentAddress });
+  }
+  aActions.emplace_back(Send{ aFrom, reply });
+}
+
+void
+HandleJoinReply(State& aState,
+                const HostId& aFrom,
+                const JoinReply& aReply,
+                Instant aNow,
+                Actions& aActions)
+{
+  aState.answeredSeeds.insert(aFrom);
+  aState.seen = std::max(aState.seen, aReply.number);
+  if (aReply.number > aState.content.number) {
+    aActions.emplace_back(Send{ aFrom, Fetch{ aState.content.number } });
+  }
+  const bool lost = internal::ParentIsLost(aState, aNow) ||
+                    (aReply.leads && internal::RootIsLost(aState, aNow));
+  if (lost && !internal::Leads(aState) && !aReply.parent.Empty() &&
+      aReply.parent != aState.settings.self.host) {
+    aState.parent = aReply.parent;
+    aState.parentHeardAt = aNow;
+    if (aReply.leads) {
+      aState.rootHeardAt = aNow;
+    }
+    aState.nextFullReport = aNow;
+    aActions.emplace_back(Route{ aReply.parent, aReply.parentAddress });
+    SendReport(aState, aNow, aActions);
+  }
+  if (!aState.ready) {
+    PublishWhenReady(aState, aNow, aActions);
+  }
+}
+
+void
+HandleLeaderKnown(State& aState, const LeaderKnown& aEvent, Instant aNow)
+{
+  const bool leads = aEvent.leader == aState.settings.self.host;
+  aState.leader = aEvent.leader;
+  if (leads == internal::Leads(aState)) {
+    return;
+  }
+  aState.directory.clear();
+  aState.leadingSince = leads ? aNow : kNever;
+  aState.parent = {};
+}
+
+} // namespace balsampoint::fanout
--- /dev/null
+++ b/src/balsampoint/fanout/internal/root.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "balsampoint/fanout/state.hpp"
+
+namespace balsampoint::fanout::internal {
+
+/** @brief Whether this host is the root of the tree. */
+[[nodiscard]] inline bool
+Leads(const State& aState)
+{
+  return aState.leadingSince != kNever;
+}
+
+/**
+ * @brief How old the news is that the leader lives.
+ * @param aState State to read.
+ * @param aNow The time.
+ */
+[[nodiscard]] inline Duration
+RootAge(const State& aState, Instant aNow)
+{
+  return Leads(aState) ? Duration{} : aNow - aState.rootHeardAt;
+}
+
+/**
+ * @brief Whether there is no parent that lives.
+ * @param aState State to read.
+ * @param aNow The time.
+ */
+[[nodiscard]] inline bool
+ParentIsLost(const State& aState, Instant aNow)
+{
+  return aState.parent.Empty() ||
+         aNow - aState.parentHeardAt > aState.settings.silence;
+}
+
+/**
+ * @brief Whether the parent lives but is cut off from the leader.
+ * @param aState State to read.
+ * @param aNow The time.
+ */
+[[nodiscard]] inline bool
+RootIsLost(const State& aState, Instant aNow)
+{
+  return RootAge(aState, aNow) > aState.settings.rootSilence;
+}
+
+} // namespace balsampoint::fanout::internal
--- /dev/null
+++ b/src/balsampoint/fanout/module.cpp
@@ -0,0 +1,108 @@
+#include "balsampoint/fanout/module.hpp"
+
+#include "balsampoint/core/concepts.hpp"
+#include "balsampoint/fanout/command/distribute.hpp"
+#include "balsampoint/fanout/command/join.hpp"
+#include "balsampoint/fanout/command/report.hpp"
+#include "balsampoint/fanout/query/next_deadline.hpp"
+
+#include <utility>
+
+namespace balsampoint::fanout {
+
+static_assert(ControlModule<Module>);
+
+namespace {
+
+/** @brief Hands each kind of event and message to its command. */
+struct Dispatch
+{
+  State& state;
+  Instant now;
+  Actions& actions;
+  HostId from;
+
+  void operator()(const Received& aEvent)
+  {
+    from = aEvent.from;
+    std::visit(*this, aEvent.message);
+  }
+  void operator()(const Accepted& aEvent) const
+  {
+    HandleAccepted(state, aEvent, now, actions);
+  }
+  void operator()(const LeaderKnown& aEvent) const
+  {
+    HandleLeaderKnown(state, aEvent, now);
+  }
+  void operator()(const JoinRequest& aMessage) const
+  {
+    HandleJoinRequest(state, from, aMessage, now, actions);
+  }
+  void operator()(const JoinReply& aMessage) const
+  {
+    HandleJoinReply(state, from, aMessage, now, actions);
+  }
+  void operator()(const Report& aMessage) const
+  {
+    HandleReport(state, from, aMessage, now, actions);
+  }
+  void operator()(const Fetch& aMessage) const
+  {
+    if (aMessage.have < state.content.number) {
+      SendMissing(state, from, aMessage.have, now, actions);
+    }
+  }
+  void operator()(const Update& aMessage) const
+  {
+    HandleUpdate(state, from, aMessage, now, actions);
+  }
+};
+
+} // namespace
+
+State
+Module::Start(Settings aSettings, Instant aNow)
+{
+  State state{ .settings = std::move(aSettings) };
+  state.startDeadline = aNow + state.settings.startWait;
+  state.nextJoin = aNow;
+  state.nextBeat = aNow;
+  return state;
+}
+
+void
+Module::Handle(State& aState,
+               const Event& aEvent,
+               Instant aNow,
+               Actions& aActions)
+{
+  std::visit(Dispatch{ aState, aNow, aActions, {} }, aEvent);
+}
+
+void
+Module::Tick(State& aState, Instant aNow, Actions& aActions)
+{
+  if (aNow >= aState.startDeadline) {
+    aState.startDeadline = kNever;
+    aState.answeredSeeds = { aState.settings.seeds.begin(),
+                             aState.settings.seeds.end() };
+    if (!aState.ready) {
+      PublishWhenReady(aState, aNow, aActions);
+    }
+  }
+  if (aNow >= aState.nextJoin) {
+    JoinWhenLost(aState, aNow, aActions);
+  }
+  if (aNow >= aState.nextBeat) {
+    Beat(aState, aNow, aActions);
+  }
+}
+
+Instant
+Module::NextDeadline(const State& aState)
+{
+  return fanout::NextDeadline(aState);
+}
+
+} // namespace balsampoint::fanout
