Check a submitted document before the command

Cause: the layout check: the command included the configuration's reader. Change: the handler reads and checks the document and hands over its text. Conclusion: no crossing include.

--- a/src/balsampoint/http/command/submit_change.cpp
+++ b/src/balsampoint/http/command/submit_change.cpp
@@ -1,11 +1,11 @@
 #include "balsampoint/http/command/submit_change.hpp"
 
-#include "balsampoint/config/query/document_text.hpp"
 #include "balsampoint/http/internal/json_field.hpp"
 #include "balsampoint/http/internal/request_field.hpp"
 #include "balsampoint/http/problem.hpp"
 
 #include <limits>
+#include <utility>
 
 namespace balsampoint::http {
 
@@ -13,26 +13,13 @@
 
 using internal::Json;
 
-constexpr std::uint64_t kMaxDocumentBytes = 8ULL * 1024 * 1024;
 constexpr std::uint64_t kMaxWaitMs = 60'000;
 constexpr std::size_t kMaxChangeIdBytes = 128;
 
-std::string
-Canonical(std::string_view aText)
-{
-  const auto document = config::Parse(aText);
-  if (document) {
-    return config::Serialize(*document);
-  }
-  std::string detail;
-  for (const auto& problem : document.error()) {
-    detail += config::ToString(problem) + "\n";
-  }
-  throw Failure{ MakeError(ErrorKind::InvalidConfiguration, detail) };
-}
-
 ChangeRequest
-ReadChange(const OperatorId& aOperator, ServerRequest& aRequest)
+ReadChange(const OperatorId& aOperator,
+           const ServerRequest& aRequest,
+           std::string aDocument)
 {
   constexpr auto kMaxNumber = std::numeric_limits<std::int64_t>::max();
   const auto id = aRequest.get("X-Change-Id", "");
@@ -47,14 +34,10 @@
                              "X-Change-Number: is missing") };
   }
   const auto wait = internal::ReadNumber(aRequest, "X-Wait-Ms", 0, kMaxWaitMs);
-  auto body = ReadBody(aRequest, kMaxDocumentBytes);
-  if (!body) {
-    throw Failure{ body.error() };
-  }
   return { .number = ChangeNumber{ *number },
            .change = ChangeId{ id },
            .by = aOperator,
-           .document = Canonical(*body),
+           .document = std::move(aDocument),
            .wait = std::chrono::milliseconds{ wait.value_or(0) } };
 }
 
@@ -96,10 +79,12 @@
 void
 SubmitChange(const Operations& aOperations,
              const OperatorId& aOperator,
-             ServerRequest& aRequest,
+             const ServerRequest& aRequest,
+             std::string aDocument,
              ServerResponse& aResponse)
 {
-  const auto answer = aOperations.submit(ReadChange(aOperator, aRequest));
+  const auto answer =
+    aOperations.submit(ReadChange(aOperator, aRequest, std::move(aDocument)));
   if (!answer) {
     SendRefusal(aResponse, answer.error());
     return;
--- a/src/balsampoint/http/operator_handler.cpp
+++ b/src/balsampoint/http/operator_handler.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/http/operator_handler.hpp"
 
+#include "balsampoint/config/query/document_text.hpp"
 #include "balsampoint/http/command/submit_change.hpp"
 #include "balsampoint/http/internal/json_field.hpp"
 #include "balsampoint/http/internal/request_field.hpp"
@@ -17,8 +18,28 @@
 constexpr std::string_view kHistoryPath = "/v1/configuration/history";
 constexpr std::string_view kControlPath = "/v1/control/";
 constexpr std::string_view kDrainPath = "/v1/drain";
+constexpr std::uint64_t kMaxDocumentBytes = 8ULL * 1024 * 1024;
 constexpr std::uint64_t kMaxMemberBytes = 4096;
 
+/** Reads and checks a configuration; gives it in its replicated form. */
+std::string
+ReadDocument(ServerRequest& aRequest)
+{
+  const auto body = ReadBody(aRequest, kMaxDocumentBytes);
+  if (!body) {
+    throw Failure{ body.error() };
+  }
+  const auto document = config::Parse(*body);
+  if (document) {
+    return config::Serialize(*document);
+  }
+  std::string detail;
+  for (const auto& problem : document.error()) {
+    detail += config::ToString(problem) + "\n";
+  }
+  throw Failure{ MakeError(ErrorKind::InvalidConfiguration, detail) };
+}
+
 MemberChangeKind
 ReadMemberChange(std::string_view aWord)
 {
@@ -102,7 +123,8 @@
   const std::string_view uri = aRequest.getURI();
   if (uri == kConfigurationPath) {
     internal::RequireMethod(aRequest, "PUT");
-    SubmitChange(mOperations, aOperator, aRequest, aResponse);
+    SubmitChange(
+      mOperations, aOperator, aRequest, ReadDocument(aRequest), aResponse);
   } else if (uri.starts_with(kControlPath)) {
     internal::RequireMethod(aRequest, "POST");
     ChangeMembers(aRequest, aResponse);
