--- a/src/balsampoint/member/settings.hpp
+++ b/src/balsampoint/member/settings.hpp
@@ -24,7 +24,7 @@
 {
   Host self;
   std::vector<Seed> seeds;
-  Duration probeInterval{ std::chrono::milliseconds{ 500 } };
+  Duration probeInterval{ std::chrono::milliseconds{ 700 } };
   /** Wait for an answer before other hosts are asked to probe. */
   Duration directTimeout{ std::chrono::milliseconds{ 200 } };
   /** Wait for an answer by way of other hosts. */
--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/registry/command/announce.hpp"
 
 #include "balsampoint/registry/internal/change.hpp"
+#include "balsampoint/registry/internal/contact.hpp"
 #include "balsampoint/registry/internal/validate.hpp"
 
 namespace balsampoint::registry {
@@ -47,7 +48,7 @@
     internal::MarkLoad(aState, server, aNow);
     return;
   }
-  if (aState.nearHosts.contains(owner)) {
+  if (internal::InReach(aState, owner, aNow)) {
     internal::MarkRenewal(aState, server, aNow);
     return;
   }
--- a/src/balsampoint/registry/command/expire.cpp
+++ b/src/balsampoint/registry/command/expire.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/registry/command/expire.hpp"
 
 #include "balsampoint/registry/internal/change.hpp"
+#include "balsampoint/registry/internal/contact.hpp"
 
 namespace balsampoint::registry {
 
@@ -27,11 +28,26 @@
   internal::WantView(aState, aNow);
 }
 
+/** Lets records run out whose host fell silent without being dead. */
+void
+EndContacts(State& aState, Instant aNow)
+{
+  for (auto& [id, record] : aState.records) {
+    const auto& owner = record.claim.owner;
+    const bool foreign = owner != aState.settings.self;
+    if (record.Visible() && foreign && record.expiry == kNever &&
+        !internal::InReach(aState, owner, aNow)) {
+      record.expiry = aNow;
+    }
+  }
+}
+
 } // namespace
 
 void
 Expire(State& aState, Instant aNow)
 {
+  EndContacts(aState, aNow);
   for (auto at = aState.records.begin(); at != aState.records.end();) {
     auto& record = at->second;
     if (record.expiry > aNow) {
--- a/src/balsampoint/registry/command/flush.cpp
+++ b/src/balsampoint/registry/command/flush.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/registry/command/flush.hpp"
 
 #include "balsampoint/core/hash.hpp"
+#include "balsampoint/registry/internal/contact.hpp"
 #include "balsampoint/registry/internal/entries.hpp"
 #include "balsampoint/registry/internal/summarize.hpp"
 
@@ -82,7 +83,9 @@
   const auto to =
     std::next(aState.nearHosts.begin(), static_cast<std::ptrdiff_t>(offset));
   aActions.emplace_back(
-    Send{ .to = *to, .message = Digest{ .hash = internal::HashOf(aState) } });
+    Send{ .to = *to,
+          .message = Digest{ .hash = internal::HashOf(aState),
+                             .doubted = internal::Doubted(aState, aNow) } });
 }
 
 /** Whether this host is the one that tells other zones of its zone. */
--- a/src/balsampoint/registry/command/receive.cpp
+++ b/src/balsampoint/registry/command/receive.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/registry/command/receive.hpp"
 
 #include "balsampoint/registry/internal/change.hpp"
+#include "balsampoint/registry/internal/contact.hpp"
 #include "balsampoint/registry/internal/entries.hpp"
 #include "balsampoint/registry/internal/merge.hpp"
 
@@ -78,8 +79,33 @@
     }
   }
 
+  void AnswerDoubts(std::span<const HostId> aDoubted) const
+  {
+    Contacts message;
+    for (const auto& host : aDoubted) {
+      const auto found = state.contacts.find(host);
+      if (host == state.settings.self) {
+        message.contacts.push_back({ .host = host });
+      } else if (found != state.contacts.end()) {
+        message.contacts.push_back(
+          { .host = host, .age = now - found->second });
+      }
+    }
+    if (!message.contacts.empty()) {
+      Answer(std::move(message));
+    }
+  }
+
+  void operator()(const Contacts& aContacts) const
+  {
+    for (const auto& contact : aContacts.contacts) {
+      internal::NoteContact(state, contact.host, now - contact.age, now);
+    }
+  }
+
   void operator()(const Digest& aDigest) const
   {
+    AnswerDoubts(aDigest.doubted);
     if (aDigest.hash == internal::HashOf(state)) {
       return;
     }
@@ -148,6 +174,7 @@
         Instant aNow,
         std::vector<Action>& aActions)
 {
+  internal::NoteContact(aState, aReceived.from, aNow, aNow);
   std::visit(Receipt{ aState, aReceived.from, aNow, aActions },
              aReceived.message);
 }
--- a/src/balsampoint/registry/command/set_hosts.cpp
+++ b/src/balsampoint/registry/command/set_hosts.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/registry/command/set_hosts.hpp"
 
 #include "balsampoint/registry/internal/change.hpp"
+#include "balsampoint/registry/internal/contact.hpp"
 
 namespace balsampoint::registry {
 
@@ -15,23 +16,27 @@
     }
     if (host.zone == aState.settings.zone) {
       aState.nearHosts.insert(host.id);
+      aState.contacts.try_emplace(host.id, aNow);
     } else {
       aState.farHosts[host.zone].push_back(host.id);
     }
   }
+  std::erase_if(aState.contacts, [&](const auto& aEntry) {
+    return !aState.nearHosts.contains(aEntry.first);
+  });
   for (auto& [id, record] : aState.records) {
     const auto& owner = record.claim.owner;
     if (!record.claim.live || owner == aState.settings.self) {
       continue;
     }
-    if (aState.nearHosts.contains(owner)) {
+    if (internal::InReach(aState, owner, aNow)) {
       if (record.hidden) {
         record.hidden = false;
         internal::WantView(aState, aNow);
       }
       record.expiry = kNever;
     } else if (record.expiry == kNever) {
-      record.expiry = aNow + aState.settings.lease;
+      record.expiry = aNow + aState.settings.orphanGrace;
     }
   }
 }
--- a/src/balsampoint/registry/internal/change.cpp
+++ b/src/balsampoint/registry/internal/change.cpp
@@ -15,6 +15,14 @@
 
 } // namespace
 
+Duration
+LoadBroadcastInterval(const State& aState)
+{
+  const auto receivers = static_cast<Duration::rep>(aState.nearHosts.size());
+  return std::max(aState.settings.minLoadBroadcast,
+                  aState.settings.loadBroadcastPerHost * receivers);
+}
+
 void
 MarkChanged(State& aState, const ServerId& aServer, Instant aNow)
 {
--- a/src/balsampoint/registry/internal/change.hpp
+++ b/src/balsampoint/registry/internal/change.hpp
@@ -4,6 +4,14 @@
 
 namespace balsampoint::registry::internal {
 
+/**
+ * @brief Gives the time between two broadcasts of loads.
+ * @param aState The registry.
+ * @return The time; it grows with the zone.
+ */
+[[nodiscard]] Duration
+LoadBroadcastInterval(const State& aState);
+
 /**
  * @brief Queues a changed record for the zone and for the next view.
  * @param aState The registry.
--- a/src/balsampoint/registry/message.hpp
+++ b/src/balsampoint/registry/message.hpp
@@ -50,6 +50,21 @@
 struct Digest
 {
   std::uint64_t hash{};
+  /** Hosts that the sender has not heard for long; answered by `Contacts`. */
+  std::vector<HostId> doubted;
+};
+
+/** @brief How long ago the sender had news of a host. */
+struct Contact
+{
+  HostId host;
+  Duration age{};
+};
+
+/** @brief Answers a digest's doubts. */
+struct Contacts
+{
+  std::vector<Contact> contacts;
 };
 
 /** @brief Which claim the sender holds for one server. */
@@ -80,7 +95,7 @@
 };
 
 /** @brief What hosts tell each other about servers. */
-using Message =
-  std::variant<Delta, Loads, Renewals, Digest, Versions, Request, Summary>;
+using Message = std::
+  variant<Delta, Loads, Renewals, Digest, Versions, Request, Summary, Contacts>;
 
 } // namespace balsampoint::registry
--- a/src/balsampoint/registry/state.hpp
+++ b/src/balsampoint/registry/state.hpp
@@ -68,6 +68,8 @@
   std::map<ModelId, std::uint32_t> modelLayers;
   /** Other hosts of the zone in reach. */
   std::set<HostId> nearHosts;
+  /** When those hosts were last heard, by whatever way. */
+  std::map<HostId, Instant> contacts;
   /** Hosts in reach by other zone. */
   std::map<ZoneId, std::vector<HostId>> farHosts;
   /** Summaries of all zones; of the own one only the number counts. */
