--- a/src/balsampoint/daemon/ledger_runner.cpp
+++ b/src/balsampoint/daemon/ledger_runner.cpp
@@ -50,4 +50,20 @@
   mGate.Complete(aLost);
 }
 
+void
+LedgerRunner::Do(const ledger::SnapshotReady& aReady)
+{
+  mSnapshotIndex = aReady.index;
+  mSnapshot = peer::Encode(*aReady.table);
+}
+
+std::optional<ByteVector>
+LedgerRunner::SnapshotAt(std::uint64_t aIndex) const
+{
+  if (aIndex != mSnapshotIndex) {
+    return std::nullopt;
+  }
+  return mSnapshot;
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/ledger_runner.hpp
+++ b/src/balsampoint/daemon/ledger_runner.hpp
@@ -4,6 +4,8 @@
 #include "balsampoint/peer/sender.hpp"
 #include "balsampoint/traffic/control_gate.hpp"
 
+#include <optional>
+
 namespace balsampoint::daemon {
 
 /** @brief Carries out the ledger's actions. */
@@ -26,15 +28,26 @@
    */
   void Run(const ledger::Action& aAction);
 
+  /**
+   * @brief The encoded table that was asked for by `SnapshotWanted`.
+   * @param aIndex Last command that it has to cover.
+   * @return Its bytes, or nothing when another index was asked for.
+   */
+  [[nodiscard]] std::optional<ByteVector> SnapshotAt(
+    std::uint64_t aIndex) const;
+
 private:
   void Do(const ledger::Send& aSend);
   void Do(const ledger::Replicate& aReplicate);
   void Do(const ledger::Decided& aDecided);
   void Do(const ledger::Lost& aLost);
+  void Do(const ledger::SnapshotReady& aReady);
 
   ControlMailbox& mMailbox;
   traffic::ControlGate& mGate;
   peer::Sender& mSender;
+  std::uint64_t mSnapshotIndex{};
+  ByteVector mSnapshot;
 };
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/ledger/module.cpp
+++ b/src/balsampoint/ledger/module.cpp
@@ -93,6 +93,17 @@
   SeeTableTime(aState, aNow);
 }
 
+void
+On(State& aState,
+   const SnapshotWanted& aEvent,
+   Instant /*aNow*/,
+   Actions& aActions)
+{
+  aActions.emplace_back(
+    SnapshotReady{ .index = aEvent.index,
+                   .table = std::make_shared<const Table>(aState.table) });
+}
+
 void
 On(State& aState,
    const MembersChanged& aEvent,
--- a/src/balsampoint/ledger/module.hpp
+++ b/src/balsampoint/ledger/module.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/ledger/state.hpp"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -125,6 +126,13 @@
   std::vector<HostId> members;
 };
 
+/** @brief The control group wants the table for a snapshot. */
+struct SnapshotWanted
+{
+  /** Last command of the log that the snapshot covers. */
+  std::uint64_t index{};
+};
+
 /** @brief What may happen to the module. */
 using Event = std::variant<CommandRequested,
                            CommandPosted,
@@ -133,6 +141,7 @@
                            ReplicateRefused,
                            LeaderChanged,
                            Restored,
+                           SnapshotWanted,
                            MembersChanged>;
 
 /** @brief Send a message to another host. */
@@ -165,8 +174,15 @@
   bool mayApply{ true };
 };
 
+/** @brief The table as it is after the commands of a snapshot. */
+struct SnapshotReady
+{
+  std::uint64_t index{};
+  std::shared_ptr<const Table> table;
+};
+
 /** @brief What the daemon has to do for the module. */
-using Action = std::variant<Send, Replicate, Decided, Lost>;
+using Action = std::variant<Send, Replicate, Decided, Lost, SnapshotReady>;
 
 /** @brief The module as the control thread runs it. */
 struct Module
--- a/test/balsampoint/ledger/module_test.cpp
+++ b/test/balsampoint/ledger/module_test.cpp
@@ -147,6 +147,19 @@
   cr_assert_not(Module::Start({}, Bounds{}, kStart).has_value());
 }
 
+Test(module, snapshot_has_the_table_at_its_index)
+{
+  Host member{ kFirst };
+  member.On(Applied{ ClaimBy(kEntry), {} });
+  member.On(SnapshotWanted{ 7 });
+  const auto ready = *member.Last<SnapshotReady>();
+  auto other = ClaimBy(kEntry);
+  other.key.value = "later";
+  member.On(Applied{ other, {} });
+  cr_assert_eq(ready.index, 7);
+  cr_assert_eq(ready.table->entries.size(), 1);
+}
+
 Test(module, full_host_refuses_without_sending)
 {
   Host entry{ kEntry };
