Find silent stages by the longest regular step

Cause: the deadline of a step was three times its mean and at least 30 ms, which is most of the time of a recovery. Change: the deadline is an eighth over the slowly fading peak or four deviations over the mean, at least 10 ms; each miss doubles it for the rest of the answer.

--- a/src/balsampoint/stream/internal/estimate.cpp
+++ b/src/balsampoint/stream/internal/estimate.cpp
@@ -32,7 +32,9 @@
 {
   constexpr std::uint32_t kMaxDoublings = 8;
   const auto& settings = aProgress.settings;
-  const auto doublings = std::min(aStage.missedDeadlines, kMaxDoublings);
+  const auto missed =
+    aStage.missedDeadlines + static_cast<std::uint32_t>(aProgress.slow.size());
+  const auto doublings = std::min(missed, kMaxDoublings);
   const auto least = std::max(aTime, settings.minStepTime) * (1U << doublings);
   return std::min(aNow + std::min(least, settings.maxStepTime),
                   aProgress.request.deadline);
--- a/src/balsampoint/stream/request.hpp
+++ b/src/balsampoint/stream/request.hpp
@@ -27,7 +27,7 @@
 struct Settings
 {
   /** Least time given to a step, whatever was observed. */
-  Duration minStepTime{ std::chrono::milliseconds{ 30 } };
+  Duration minStepTime{ std::chrono::milliseconds{ 10 } };
   /** Time given to a call before anything was observed of its server. */
   Duration initialStepTime{ std::chrono::seconds{ 5 } };
   /** Most time given to any call. */
--- a/src/balsampoint/stream/step_times.hpp
+++ b/src/balsampoint/stream/step_times.hpp
@@ -2,12 +2,17 @@
 
 #include "balsampoint/core/time.hpp"
 
+#include <algorithm>
+#include <cstdint>
+
 namespace balsampoint::stream {
 
 /**
- * @brief Smoothed time of one stage's steps and how far they deviate.
+ * @brief Smoothed time of one stage's steps, how far they deviate, and the
+ * longest of late.
  *
- * The estimator of TCP's retransmission timer (RFC 6298).
+ * Mean and deviation as in TCP's retransmission timer (RFC 6298). These alone
+ * cut off the rare long step, so a peak that fades slowly is kept as well.
  */
 class StepTimes
 {
@@ -18,8 +23,10 @@
    */
   constexpr void Observe(Duration aTime)
   {
-    if (!mObserved) {
-      mObserved = true;
+    mPeak -= mPeak / kPeakDivisor;
+    mPeak = aTime > mPeak ? aTime : mPeak;
+    ++mObserved;
+    if (mObserved == 1) {
       mMean = aTime;
       mDeviation = aTime / 2;
       return;
@@ -31,7 +38,7 @@
   }
 
   /** @brief Whether a step was observed. */
-  [[nodiscard]] constexpr bool Observed() const { return mObserved; }
+  [[nodiscard]] constexpr bool Observed() const { return mObserved > 0; }
 
   /** @brief The smoothed time of a step; zero before the first. */
   [[nodiscard]] constexpr Duration Mean() const { return mMean; }
@@ -40,8 +47,9 @@
   [[nodiscard]] constexpr Duration Bound() const
   {
     const auto spread = mMean + kDeviations * mDeviation;
-    const auto multiple = kMeans * mMean;
-    return spread > multiple ? spread : multiple;
+    const auto peak = mPeak + mPeak / kPeakMargin;
+    const auto few = mObserved < kFew ? kMeans * mMean : Duration::zero();
+    return std::max({ spread, peak, few });
   }
 
 private:
@@ -50,7 +58,15 @@
   static constexpr int kDeviations = 4;
   static constexpr int kMeans = 3;
 
-  bool mObserved{ false };
+  /** Part of itself that the peak loses with each step. */
+  static constexpr int kPeakDivisor = 512;
+  /** Part of the peak that a step may be longer. */
+  static constexpr int kPeakMargin = 8;
+  /** Steps after which the peak is trusted. */
+  static constexpr std::uint64_t kFew = 32;
+
+  std::uint64_t mObserved{};
+  Duration mPeak{};
   Duration mMean{};
   Duration mDeviation{};
 };
