Run routes by flow and the recovery of stages in the daemon

Cause: the daemon chose chains by reported load alone, didn't look at leases while an answer ran, and an answer whose call got the reply of another call stopped without an end. Change: a planner thread keeps the table of routes; requests choose by the flow under one shared router; a run reports servers that are gone before each event and takes a foreign reply for a refusal. Engines name their restart in replies, and the stand-in refuses calls of older attempts.

--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -77,6 +77,8 @@
     return mRunners.Registry().Announce(std::move(aAnnouncement));
   } }
 {
+  mWorld.zone = mSettings.zone;
+  mPlanner = std::make_unique<traffic::RoutePlanner>(mWorld);
   for (const auto& seed : mSettings.seeds) {
     if (seed.host != mSettings.host) {
       mSender.Route(seed.host, seed.address.Text());
@@ -89,6 +91,7 @@
   mReceiver.reset();
   mCallers.reset();
   mServers.reset();
+  mPlanner.reset();
   mMailbox.Close();
   mControlThread.join();
 }
@@ -104,6 +107,7 @@
   auto keys = config::KeyIndex::Make(aDocument, mSettings.operatorKeys);
   mWorld.configuration.Publish(std::make_shared<const traffic::Configuration>(
     traffic::Configuration{ std::move(aDocument), std::move(keys) }));
+  mWorld.changed.Notify();
 }
 
 bool
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -10,6 +10,7 @@
 #include "balsampoint/http/server_handler.hpp"
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
+#include "balsampoint/traffic/route_planner.hpp"
 #include "balsampoint/traffic/world.hpp"
 
 #include <memory>
@@ -68,6 +69,7 @@
   std::thread mControlThread;
   http::CallerHandler mCallerHandler;
   http::ServerHandler mServerHandler;
+  std::unique_ptr<traffic::RoutePlanner> mPlanner;
   std::unique_ptr<peer::Receiver> mReceiver;
   std::unique_ptr<CallerListener> mCallers;
   std::unique_ptr<ServerListener> mServers;
--- a/src/balsampoint/daemon/registry_runner.cpp
+++ b/src/balsampoint/daemon/registry_runner.cpp
@@ -52,6 +52,7 @@
 RegistryRunner::Do(const registry::Publish& aPublish)
 {
   mWorld.servers.Publish(aPublish.view);
+  mWorld.changed.Notify();
 }
 
 void
--- a/src/balsampoint/http/command/run_completion.cpp
+++ b/src/balsampoint/http/command/run_completion.cpp
@@ -5,7 +5,7 @@
 #include "balsampoint/http/problem.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 #include "balsampoint/traffic/command/run_stream.hpp"
-#include "balsampoint/traffic/view_route.hpp"
+#include "balsampoint/traffic/table_route.hpp"
 
 #include <algorithm>
 
@@ -72,7 +72,7 @@
     Sink& aSink)
 {
   EngineClient client{ aServices.backends, aCaller.traceParent };
-  traffic::ViewRoute chooser{ aServices.world, aPipeline };
+  traffic::TableRoute chooser{ aServices.world, aPipeline };
   traffic::BasicStreamRun run{ client, chooser, aSink, SteadyClock{} };
   run.Run(MakeRequest(aCaller, aPipeline, aCompletion), stream::Settings{});
 }
--- a/src/balsampoint/http/engine_codec.cpp
+++ b/src/balsampoint/http/engine_codec.cpp
@@ -40,6 +40,13 @@
   };
 }
 
+/** Restart of the engine that replies; zero when it doesn't say. */
+Incarnation
+ReadIncarnation(const Json& aReply)
+{
+  return Incarnation{ aReply.value("incarnation", std::uint64_t{ 0 }) };
+}
+
 Json
 ToJson(const registry::Holding& aHolding)
 {
@@ -116,6 +123,7 @@
 Encode(const stream::StepReply& aReply)
 {
   const Json document{ { "id", ToJson(aReply.id) },
+                       { "incarnation", aReply.incarnation.Value() },
                        { "output", Hex(aReply.output) } };
   return document.dump();
 }
@@ -143,6 +151,7 @@
     outputs.push_back(Hex(output));
   }
   const Json document{ { "id", ToJson(aReply.id) },
+                       { "incarnation", aReply.incarnation.Value() },
                        { "outputs", std::move(outputs) } };
   return document.dump();
 }
@@ -213,6 +222,7 @@
   return Parse(aText, [](const Json& aDocument) {
     return stream::StepReply{
       .id = ReadCallId(aDocument.at("id")),
+      .incarnation = ReadIncarnation(aDocument),
       .output = ReadHex(aDocument.at("output")),
     };
   });
@@ -242,7 +252,8 @@
 Decode(std::string_view aText)
 {
   return Parse(aText, [](const Json& aDocument) {
-    stream::ReplayReply reply{ .id = ReadCallId(aDocument.at("id")) };
+    stream::ReplayReply reply{ .id = ReadCallId(aDocument.at("id")),
+                               .incarnation = ReadIncarnation(aDocument) };
     for (const auto& output : aDocument.at("outputs")) {
       reply.outputs.push_back(ReadHex(output));
     }
--- a/src/balsampoint/route/state.hpp
+++ b/src/balsampoint/route/state.hpp
@@ -19,6 +19,8 @@
   double bytesPerSecond{};
   /** Time of one message in one direction. */
   Duration delay{};
+
+  bool operator==(const Link&) const = default;
 };
 
 /** @brief One server that holds layers of the graph's pipeline. */
--- a/src/balsampoint/traffic/command/run_stream.hpp
+++ b/src/balsampoint/traffic/command/run_stream.hpp
@@ -74,9 +74,13 @@
     }
   }
 
+  /** Hands an event over, after the servers that are gone by then. */
   void Report(const stream::Event& aEvent)
   {
     std::vector<stream::Action> actions;
+    for (const auto& gone : mChooser.Gone(mState.progress.stages)) {
+      stream::Handle(mState, gone, mClock.Now(), actions);
+    }
     stream::Handle(mState, aEvent, mClock.Now(), actions);
     Queue(actions);
   }
@@ -96,9 +100,26 @@
     }
   }
 
-  void Do(const stream::CallStep& aCall) { Report(mClient.Run(aCall)); }
-  void Do(const stream::CallReplay& aCall) { Report(mClient.Run(aCall)); }
-  void Do(const stream::CallImport& aCall) { Report(mClient.Run(aCall)); }
+  /** Makes a call; a reply that belongs to another call counts as refusal. */
+  template<typename Action>
+  void Call(const Action& aAction)
+  {
+    const auto& id = aAction.call.id;
+    Report(mClient.Run(aAction));
+    const auto& pending = mState.progress.pending;
+    if (!pending || pending->id != id || !mActions.empty()) {
+      return;
+    }
+    Report(
+      stream::CallFailed{ .id = id,
+                          .loss = stream::Loss::Refused,
+                          .error = MakeError(ErrorKind::BackendFailed,
+                                             "the reply is of another call") });
+  }
+
+  void Do(const stream::CallStep& aCall) { Call(aCall); }
+  void Do(const stream::CallReplay& aCall) { Call(aCall); }
+  void Do(const stream::CallImport& aCall) { Call(aCall); }
   void Do(const stream::ChooseRoute& aWanted)
   {
     Report(mChooser.Choose(aWanted));
--- a/src/balsampoint/traffic/concepts.hpp
+++ b/src/balsampoint/traffic/concepts.hpp
@@ -2,8 +2,11 @@
 
 #include "balsampoint/stream/action.hpp"
 #include "balsampoint/stream/event.hpp"
+#include "balsampoint/stream/state.hpp"
 
 #include <concepts>
+#include <span>
+#include <vector>
 
 namespace balsampoint::traffic {
 
@@ -55,15 +58,20 @@
 };
 
 /**
- * @brief Chooses servers for a range of layers, waiting where told.
+ * @brief Chooses servers for a range of layers, waiting where told, and tells
+ * which servers of a chain are gone.
  * @tparam T Type to test.
  */
 template<typename T>
-concept RouteChooser =
-  requires(T& aChooser, const stream::ChooseRoute& aWanted) {
-    {
-      aChooser.Choose(aWanted)
-    } -> std::same_as<stream::RouteChosen>;
-  };
+concept RouteChooser = requires(T& aChooser,
+                                const stream::ChooseRoute& aWanted,
+                                std::span<const stream::StageState> aStages) {
+  {
+    aChooser.Choose(aWanted)
+  } -> std::same_as<stream::RouteChosen>;
+  {
+    aChooser.Gone(aStages)
+  } -> std::same_as<std::vector<stream::ServerGone>>;
+};
 
 } // namespace balsampoint::traffic
--- a/src/balsampoint/traffic/fwd.hpp
+++ b/src/balsampoint/traffic/fwd.hpp
@@ -8,6 +8,10 @@
 namespace balsampoint::traffic {
 
 class ActivityCount;
+class ChangeSignal;
+class RoutePlanner;
+class SharedRouter;
+class TableRoute;
 
 struct Configuration;
 struct World;
--- a/src/balsampoint/traffic/world.hpp
+++ b/src/balsampoint/traffic/world.hpp
@@ -3,8 +3,11 @@
 #include "balsampoint/config/document.hpp"
 #include "balsampoint/config/query/key_index.hpp"
 #include "balsampoint/registry/view.hpp"
+#include "balsampoint/route/table.hpp"
 #include "balsampoint/runtime/snapshot_cell.hpp"
 #include "balsampoint/traffic/activity_count.hpp"
+#include "balsampoint/traffic/change_signal.hpp"
+#include "balsampoint/traffic/shared_router.hpp"
 
 #include <atomic>
 #include <memory>
@@ -26,6 +29,13 @@
 {
   runtime::SnapshotCell<Configuration> configuration;
   runtime::SnapshotCell<registry::View> servers;
+  /** Follows the configuration and the servers. */
+  runtime::SnapshotCell<route::Table> routes;
+  /** Tells that the configuration or the servers changed. */
+  ChangeSignal changed;
+  SharedRouter router;
+  /** Zone of this host. */
+  ZoneId zone;
   /** Set once by a planned stop. */
   std::atomic<bool> draining{ false };
   ActivityCount activity;
--- a/test/tools/engine/model_engine_test.cpp
+++ b/test/tools/engine/model_engine_test.cpp
@@ -75,3 +75,13 @@
   call.version = "2";
   cr_assert_eq(engine.Step(call).error().kind, ErrorKind::NoServer);
 }
+
+Test(model_engine, a_call_of_an_older_attempt_is_refused)
+{
+  ModelEngine engine{ Whole() };
+  auto call = CallAt(0, stream::kEmptyKvDigest);
+  call.id.attempt = AttemptNumber{ 2 };
+  cr_assert(engine.Step(call).has_value());
+  call.id.attempt = AttemptNumber{ 1 };
+  cr_assert_eq(engine.Step(call).error().kind, ErrorKind::Conflict);
+}
--- a/tools/engine/handler.cpp
+++ b/tools/engine/handler.cpp
@@ -184,10 +184,11 @@
     return tl::unexpected(call.error());
   }
   const std::lock_guard lock{ mMutex };
-  const auto reply = mEngine.Step(*call);
+  auto reply = mEngine.Step(*call);
   if (!reply) {
     return tl::unexpected(reply.error());
   }
+  reply->incarnation = mProfile.incarnation;
   return Outcome{ .body = http::Encode(*reply),
                   .readyAt = mSchedule.Place(SteadyClock::Now(),
                                              call->id.layers.Size()) };
@@ -201,10 +202,11 @@
     return tl::unexpected(call.error());
   }
   const std::lock_guard lock{ mMutex };
-  const auto reply = mEngine.Replay(*call);
+  auto reply = mEngine.Replay(*call);
   if (!reply) {
     return tl::unexpected(reply.error());
   }
+  reply->incarnation = mProfile.incarnation;
   const auto readyAt = mSchedule.PlaceReplay(
     SteadyClock::Now(), call->id.layers.Size(), call->positions.size());
   return Outcome{ .body = http::Encode(*reply), .readyAt = readyAt };
--- a/tools/engine/handler.hpp
+++ b/tools/engine/handler.hpp
@@ -19,6 +19,8 @@
 struct Profile
 {
   bool isEngine{ true };
+  /** Named in replies, so that a restart behind a connection shows. */
+  Incarnation incarnation;
   Holdings holdings;
   TimeModel times;
   Faults faults;
--- a/tools/engine/main.cpp
+++ b/tools/engine/main.cpp
@@ -51,8 +51,12 @@
     throw Failure{ faults.error() };
   }
   using std::chrono::microseconds;
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
   return {
     .isEngine = absl::GetFlag(FLAGS_kind) == "engine",
+    .incarnation = Incarnation{ static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch)
+        .count()) },
     .holdings = { .model = ModelId{ absl::GetFlag(FLAGS_model) },
                   .version = absl::GetFlag(FLAGS_version),
                   .adapters = { adapters.begin(), adapters.end() },
@@ -70,17 +74,14 @@
 }
 
 registry::Announcement
-MakeAnnouncement(bool aIsEngine)
+MakeAnnouncement(const engine::Profile& aProfile)
 {
   constexpr double kMicrosPerSecond = 1e6;
-  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
   return {
     .server = ServerId{ absl::GetFlag(FLAGS_id) },
-    .incarnation = Incarnation{ static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch)
-        .count()) },
-    .kind = aIsEngine ? registry::ServerKind::ModelEngine
-                      : registry::ServerKind::PlainService,
+    .incarnation = aProfile.incarnation,
+    .kind = aProfile.isEngine ? registry::ServerKind::ModelEngine
+                              : registry::ServerKind::PlainService,
     .address = absl::GetFlag(FLAGS_listen),
     .zone = ZoneId{ absl::GetFlag(FLAGS_zone) },
     .acceleratorKind = absl::GetFlag(FLAGS_accelerator),
@@ -111,7 +112,7 @@
     return 1;
   }
   engine::Announcer announcer{
-    { .first = MakeAnnouncement(profile.isEngine),
+    { .first = MakeAnnouncement(profile),
       .hosts = absl::GetFlag(FLAGS_announce),
       .modelLayers = absl::GetFlag(FLAGS_model_layers),
       .loadLag =
--- a/tools/engine/model_engine.cpp
+++ b/tools/engine/model_engine.cpp
@@ -37,10 +37,11 @@
 tl::expected<stream::StepReply, Error>
 ModelEngine::Step(const stream::StepCall& aCall)
 {
-  const auto held =
-    CheckHeld(aCall.model, aCall.version, aCall.adapter, aCall.id.layers);
-  if (!held) {
-    return tl::unexpected(held.error());
+  const auto checked =
+    CheckHeld(aCall.model, aCall.version, aCall.adapter, aCall.id.layers)
+      .and_then([&] { return CheckAttempt(aCall.id); });
+  if (!checked) {
+    return tl::unexpected(checked.error());
   }
   const LayerKv wanted{ .positions = aCall.id.step.Value(),
                         .digest = aCall.kvDigest };
@@ -62,10 +63,11 @@
 tl::expected<stream::ReplayReply, Error>
 ModelEngine::Replay(const stream::ReplayCall& aCall)
 {
-  const auto held =
-    CheckHeld(aCall.model, aCall.version, aCall.adapter, aCall.id.layers);
-  if (!held) {
-    return tl::unexpected(held.error());
+  const auto checked =
+    CheckHeld(aCall.model, aCall.version, aCall.adapter, aCall.id.layers)
+      .and_then([&] { return CheckAttempt(aCall.id); });
+  if (!checked) {
+    return tl::unexpected(checked.error());
   }
   auto& request = mKv[aCall.id.request];
   for (auto layer = aCall.id.layers.begin; layer < aCall.id.layers.end;
@@ -121,6 +123,7 @@
 ModelEngine::Cancel(const RequestId& aRequest)
 {
   mKv.erase(aRequest);
+  mAttempts.erase(aRequest);
 }
 
 void
@@ -148,6 +151,17 @@
   return tokens;
 }
 
+tl::expected<void, Error>
+ModelEngine::CheckAttempt(const stream::CallId& aId)
+{
+  auto& newest = mAttempts[aId.request];
+  if (aId.attempt < newest) {
+    return Refuse(ErrorKind::Conflict, "a newer attempt was seen");
+  }
+  newest = aId.attempt;
+  return {};
+}
+
 tl::expected<void, Error>
 ModelEngine::CheckHeld(const ModelId& aModel,
                        const std::string& aVersion,
--- a/tools/engine/model_engine.hpp
+++ b/tools/engine/model_engine.hpp
@@ -51,7 +51,8 @@
   /**
    * @brief Runs a step and extends the KV.
    * @param aCall The call.
-   * @return The output, or `NoServer` when the layers are not held.
+   * @return The output, `NoServer` when the layers are not held, or `Conflict`
+   * when a newer attempt was seen.
    */
   [[nodiscard]] tl::expected<stream::StepReply, Error> Step(
     const stream::StepCall& aCall);
@@ -59,7 +60,8 @@
   /**
    * @brief Builds the KV of a range anew.
    * @param aCall The call.
-   * @return The outputs, or `NoServer` when the layers are not held.
+   * @return The outputs, `NoServer` when the layers are not held, or
+   * `Conflict` when a newer attempt was seen.
    */
   [[nodiscard]] tl::expected<stream::ReplayReply, Error> Replay(
     const stream::ReplayCall& aCall);
@@ -109,8 +111,13 @@
     const std::string& aAdapter,
     const LayerRange& aLayers) const;
 
+  [[nodiscard]] tl::expected<void, Error> CheckAttempt(
+    const stream::CallId& aId);
+
   Holdings mHoldings;
   std::map<RequestId, RequestKv> mKv;
+  /** Newest attempt seen of each request. */
+  std::map<RequestId, AttemptNumber> mAttempts;
 };
 
 } // namespace balsampoint::engine
