--- a/src/balsampoint/traffic/world.hpp
+++ b/src/balsampoint/traffic/world.hpp
@@ -8,6 +8,7 @@
 #include "balsampoint/traffic/activity_count.hpp"
 #include "balsampoint/traffic/change_signal.hpp"
 #include "balsampoint/traffic/shared_router.hpp"
+#include "balsampoint/traffic/status.hpp"
 
 #include <atomic>
 #include <memory>
@@ -36,6 +37,7 @@
   SharedRouter router;
   /** Zone of this host. */
   ZoneId zone;
+  runtime::SnapshotCell<Status> status;
   /** Set once by a planned stop. */
   std::atomic<bool> draining{ false };
   ActivityCount activity;
