--- /dev/null
+++ b/src/balsampoint/daemon/ledger_runner.cpp
@@ -0,0 +1,53 @@
+#include "balsampoint/daemon/ledger_runner.hpp"
+
+#include "balsampoint/peer/ledger_codec.hpp"
+
+#include <spdlog/spdlog.h>
+#include <variant>
+
+namespace balsampoint::daemon {
+
+LedgerRunner::LedgerRunner(ControlMailbox& aMailbox,
+                           traffic::ControlGate& aGate,
+                           peer::Sender& aSender)
+  : mMailbox{ aMailbox }
+  , mGate{ aGate }
+  , mSender{ aSender }
+{
+}
+
+void
+LedgerRunner::Run(const ledger::Action& aAction)
+{
+  std::visit([this](const auto& aOne) { Do(aOne); }, aAction);
+}
+
+void
+LedgerRunner::Do(const ledger::Send& aSend)
+{
+  mSender.Send(aSend.to, peer::ModuleTag::Ledger, peer::Encode(aSend.message));
+}
+
+void
+LedgerRunner::Do(const ledger::Replicate& aReplicate)
+{
+  const bool posted = mMailbox.Push(
+    ledger::Event{ ledger::ReplicateRefused{ aReplicate.ticket } });
+  if (!posted) {
+    spdlog::error("the control queue is full");
+  }
+}
+
+void
+LedgerRunner::Do(const ledger::Decided& aDecided)
+{
+  mGate.Complete(aDecided);
+}
+
+void
+LedgerRunner::Do(const ledger::Lost& aLost)
+{
+  mGate.Complete(aLost);
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -1,5 +1,8 @@
 #include "balsampoint/daemon/node.hpp"
 
+#include "balsampoint/runtime/entropy.hpp"
+
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -14,13 +17,74 @@
 /** Threads beyond the requests in progress: for refusals and health. */
 constexpr int kSpareThreads = 64;
 
+retry::State
+FirstRetryState(const config::Settings& aSettings)
+{
+  retry::State state;
+  state.settings.zone = aSettings.zone;
+  state.random = runtime::Entropy::Next();
+  return state;
+}
+
+/**
+ * Half of the requests in progress may run and most of the others wait; what
+ * is left lets a newcomer in to take the place of who is over its share.
+ */
+limit::State
+FirstLimitState(const config::Settings& aSettings)
+{
+  constexpr std::uint32_t kNewcomers = 16;
+  constexpr std::uint32_t kWorkspaceParts = 8;
+  const auto all = aSettings.limits.concurrentRequests;
+  limit::State state;
+  state.settings.slots = std::max(1U, all / 2);
+  state.settings.queue = all - state.settings.slots -
+                         std::min(all - state.settings.slots, all / kNewcomers);
+  state.settings.workspaceQueue = std::max(1U, all / kWorkspaceParts);
+  return state;
+}
+
+ledger::State
+FirstLedgerState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  std::vector<HostId> members;
+  for (const auto& seed : aSettings.seeds) {
+    members.push_back(seed.host);
+  }
+  auto state = ledger::Module::Start({ .self = aSettings.host,
+                                       .incarnation = aIncarnation,
+                                       .members = std::move(members) },
+                                     ledger::Bounds{},
+                                     runtime::SteadyClock::Now());
+  if (!state) {
+    throw Failure{ state.error() };
+  }
+  return std::move(*state);
+}
+
 Control::States
-FirstStates(const config::Settings& aSettings)
+FirstStates(const config::Settings& aSettings, Incarnation aIncarnation)
 {
   registry::State registry;
   registry.settings.self = aSettings.host;
   registry.settings.zone = aSettings.zone;
-  return { std::move(registry) };
+  return { std::move(registry),
+           FirstRetryState(aSettings),
+           FirstLimitState(aSettings),
+           FirstLedgerState(aSettings, aIncarnation) };
+}
+
+std::map<WorkspaceId, limit::WorkspaceRule>
+WorkspaceRules(const config::Document& aDocument)
+{
+  std::map<WorkspaceId, limit::WorkspaceRule> rules;
+  for (const auto& [id, workspace] : aDocument.workspaces) {
+    rules[id] = { .weight = workspace.weight,
+                  .priority = workspace.priority,
+                  .requestsPerSecond = workspace.limits.requestsPerSecond,
+                  .concurrentRequests = workspace.limits.concurrentRequests };
+  }
+  return rules;
 }
 
 /** The wall clock, so that each start of a host has a higher number. */
@@ -64,13 +128,21 @@
   : mSettings{ aSettings }
   , mIdentity{ aIdentity }
   , mMailbox{ kMailboxCapacity }
+  , mGate{ aIdentity.host,
+           aIdentity.incarnation,
+           [this](const traffic::ControlGate::Request& aRequest) {
+             return std::visit(
+               [this](const auto& aEvent) { return mMailbox.Push(aEvent); },
+               aRequest);
+           } }
   , mSender{ aIdentity }
   , mRouter{ mMailbox }
-  , mRunners{ mMailbox, mWorld, mSender }
-  , mLoop{ mMailbox, mRunners, FirstStates(aSettings) }
+  , mRunners{ mMailbox, mWorld, mGate, mSender }
+  , mLoop{ mMailbox, mRunners, FirstStates(aSettings, aIdentity.incarnation) }
   , mControlThread{ [this] { mLoop.Run(); } }
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
+                      .gate = mGate,
                       .maxBodyBytes = aSettings.limits.bodyBytes },
                     aSettings.limits.concurrentRequests }
   , mServerHandler{ [this](registry::Announcement aAnnouncement) {
@@ -103,8 +175,11 @@
 void
 Node::Configure(config::Document aDocument)
 {
-  const bool posted = mMailbox.Push(registry::Event{
-    registry::Configured{ .modelLayers = ModelLayers(aDocument) } });
+  const bool posted =
+    mMailbox.Push(registry::Event{
+      registry::Configured{ .modelLayers = ModelLayers(aDocument) } }) &&
+    mMailbox.Push(limit::Event{
+      limit::Configured{ .workspaces = WorkspaceRules(aDocument) } });
   if (!posted) {
     spdlog::error("the control queue is full");
   }
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -65,6 +65,7 @@
   traffic::World mWorld;
   http::ClientPool mBackends;
   ControlMailbox mMailbox;
+  traffic::ControlGate mGate;
   peer::Sender mSender;
   ParcelRouter mRouter;
   Runners mRunners;
--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/daemon/parcel_router.hpp"
 
+#include "balsampoint/peer/ledger_codec.hpp"
+
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -30,11 +32,16 @@
 ParcelRouter::Decode(const peer::Parcel& aParcel) const
 {
   switch (aParcel.module) {
+    case peer::ModuleTag::Ledger:
+      return peer::DecodeLedgerMessage(aParcel.body)
+        .map([&aParcel](ledger::Message aMessage) -> Control::Event {
+          return ledger::Event{ ledger::Received{
+            .from = aParcel.from, .message = std::move(aMessage) } };
+        });
     case peer::ModuleTag::Registry:
     case peer::ModuleTag::Member:
     case peer::ModuleTag::Consensus:
     case peer::ModuleTag::Fanout:
-    case peer::ModuleTag::Ledger:
     case peer::ModuleTag::Limit:
     case peer::ModuleTag::Orders:
       break;
