--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -152,6 +152,8 @@
                       MakeOperations(),
                       config::KeyIndex::Make({}, aSettings.operatorKeys) }
 {
+  mWorld.zone = mSettings.zone;
+  mPlanner = std::make_unique<traffic::RoutePlanner>(mWorld);
   for (const auto& seed : mSettings.seeds) {
     if (seed.host != mSettings.host) {
       mSender.Route(seed.host, seed.address.Text());
@@ -165,6 +167,7 @@
   mCallers.reset();
   mOperators.reset();
   mServers.reset();
+  mPlanner.reset();
   mMailbox.Close();
   mControlThread.join();
 }
@@ -183,6 +186,7 @@
   auto keys = config::KeyIndex::Make(aDocument, mSettings.operatorKeys);
   mWorld.configuration.Publish(std::make_shared<const traffic::Configuration>(
     traffic::Configuration{ std::move(aDocument), std::move(keys) }));
+  mWorld.changed.Notify();
 }
 
 bool
--- a/src/balsampoint/daemon/registry_runner.cpp
+++ b/src/balsampoint/daemon/registry_runner.cpp
@@ -76,6 +76,7 @@
 RegistryRunner::Do(const registry::Publish& aPublish)
 {
   mWorld.servers.Publish(aPublish.view);
+  mWorld.changed.Notify();
   const bool posted =
     mMailbox.Push(retry::Event{ retry::ServersChanged{ aPublish.view } }) &&
     mMailbox.Push(limit::Event{ CapacityOf(*aPublish.view) });
