--- a/src/balsampoint/traffic/command/run_service.hpp
+++ b/src/balsampoint/traffic/command/run_service.hpp
@@ -69,8 +69,8 @@
     while (!mActions.empty()) {
       const auto action = std::move(mActions.front());
       mActions.pop_front();
-      const auto event =
-        std::visit([this](const auto& aEach) { return Do(aEach); }, action);
+      const auto event = std::visit(
+        [this](const auto& aEach) { return this->Do(aEach); }, action);
       if (!event) {
         continue;
       }
