Give each rebuilt KV a name of its own

Ruled out: crossed replies (none dropped), a lost lease (views unchanged). Change: each KV that is built anew has its own name at its engine, so a late call of an earlier attempt reaches only a KV that nothing uses. Tests no longer assume that engines refuse old attempts. Conclusion: correctness no longer depends on engines that order calls.

--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -1,3 +1,4 @@
+#!/usr/bin/env python3
 """Measures the HTTP path: load through a daemon beside direct calls.
 
 Writes the figures as the benchmark programs do: --json FILE.
@@ -10,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "tools" / "local"))
@@ -52,17 +54,20 @@
         self.rows = []
 
     def add(self, name, value, unit, most=None, least=None, reason=""):
-        row = {"name": name, "value": value, "unit": unit, "reason": reason}
+        holds = ((most is None or value <= most) and
+                 (least is None or value >= least))
+        bound = "-"
         if most is not None:
-            row.update(kind="at_most", bound=most)
+            bound = f"<= {most:g}"
         if least is not None:
-            row.update(kind="at_least", bound=least)
-        self.rows.append(row)
+            bound = f">= {least:g}"
+        self.rows.append({"program": "path", "name": name, "value": value,
+                          "unit": unit, "bound": bound, "holds": holds,
+                          "reason": reason})
 
 
 def measure(cluster, figures, idle_seconds):
     """Takes all figures of one running cluster."""
-    import time
     build = cluster.build
     host = cluster.hosts[0]
     before = processor_seconds(host.process)
@@ -123,9 +128,8 @@
     for row in figures.rows:
         print(f"{row['name']}: {row['value']:.3f} {row['unit']}")
     if options.json:
-        pathlib.Path(options.json).write_text(json.dumps(
-            {"program": "path", "figures": figures.rows}))
-    return 0
+        pathlib.Path(options.json).write_text(json.dumps(figures.rows))
+    return 0 if all(row["holds"] for row in figures.rows) else 1
 
 
 if __name__ == "__main__":
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -11,6 +11,7 @@
 #include "balsampoint/http/server_handler.hpp"
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
+#include "balsampoint/traffic/route_planner.hpp"
 #include "balsampoint/traffic/world.hpp"
 
 #include <memory>
@@ -72,6 +73,7 @@
   http::CallerHandler mCallerHandler;
   http::ServerHandler mServerHandler;
   http::OperatorHandler mOperatorHandler;
+  std::unique_ptr<traffic::RoutePlanner> mPlanner;
   std::unique_ptr<peer::Receiver> mReceiver;
   std::unique_ptr<CallerListener> mCallers;
   std::unique_ptr<ServerListener> mServers;
--- a/src/balsampoint/stream/internal/recover.cpp
+++ b/src/balsampoint/stream/internal/recover.cpp
@@ -3,6 +3,7 @@
 #include "balsampoint/stream/internal/end.hpp"
 #include "balsampoint/stream/internal/estimate.hpp"
 #include "balsampoint/stream/internal/kept_inputs.hpp"
+#include "balsampoint/stream/internal/session.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -29,22 +30,13 @@
   return avoided;
 }
 
-/** Whether a server may hold KV of this request from an earlier attempt. */
-bool
-WasCalled(const Progress& aProgress, const route::Stage& aStage)
-{
-  return std::ranges::any_of(aProgress.touched, [&](const Target& aTarget) {
-    return aTarget.server == aStage.server;
-  });
-}
-
 StageState
 Replacement(const Progress& aProgress,
             const Vacancy& aVacancy,
             const route::Stage& aStage)
 {
   StageState state{ .stage = aStage,
-                    .kvPositions = WasCalled(aProgress, aStage) ? kStaleKv : 0,
+                    .session = NewSession(aProgress),
                     .keepsInputs = aProgress.step == 0 };
   if (!aVacancy.replaces) {
     return state;
@@ -68,6 +60,7 @@
     states.push_back(Replacement(aProgress, aVacancy, stage));
     if (imports && stage.server != lost.stage.server) {
       states.back().importSource = lost.stage.address;
+      states.back().importSession = lost.session;
     }
   }
   if (aVacancy.replaces) {
--- a/test/balsampoint/stream/command/handle_test.cpp
+++ b/test/balsampoint/stream/command/handle_test.cpp
@@ -186,6 +186,23 @@
   AssertWhole(driver);
 }
 
+Test(handle, a_step_that_runs_after_it_was_given_up_changes_nothing)
+{
+  Driver driver;
+  driver.AddServer("only", { .begin = 0, .end = 12 });
+  std::uint64_t calls = 0;
+  driver.fault = [&calls](const auto&, const auto&) {
+    constexpr std::uint64_t kEvery = 5;
+    std::optional<fake::CallFault> fault;
+    if (++calls % kEvery == 0) {
+      fault = CallFault{ .loss = Loss::DeadlinePassed, .runsLate = true };
+    }
+    return fault;
+  };
+  driver.Run(DraftRequest(12));
+  AssertWhole(driver, 12);
+}
+
 Test(handle, kv_is_imported_when_that_is_estimated_to_be_faster)
 {
   for (const auto bandwidth : { 1e12, 1e3 }) {
--- a/test/balsampoint/stream/harness.hpp
+++ b/test/balsampoint/stream/harness.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace balsampoint::fake {
@@ -22,6 +23,8 @@
   stream::Loss loss{};
   /** Whether the engine runs the call although no reply arrives. */
   bool runs{ false };
+  /** Whether it runs only after the next call that any engine runs. */
+  bool runsLate{ false };
 };
 
 /**
@@ -140,9 +143,17 @@
     const auto failure = fault(aTarget, aCall.id);
     if (!failure) {
       clock.Advance(stepTime);
-      Report(aWork(engines[aTarget.server]));
+      auto event = aWork(engines[aTarget.server]);
+      for (const auto& run : std::exchange(mLateRuns, {})) {
+        run();
+      }
+      Report(std::move(event));
       return;
     }
+    if (failure->runsLate) {
+      mLateRuns.emplace_back(
+        [this, aTarget, aCall] { Run(engines[aTarget.server], aCall); });
+    }
     if (failure->runs) {
       late.push_back(aWork(engines[aTarget.server]));
     }
@@ -159,6 +170,18 @@
     return found == restarts.end() ? Incarnation{} : found->second;
   }
 
+  static void Run(Engine& aEngine, const stream::StepCall& aCall)
+  {
+    (void)aEngine.Step(aCall);
+  }
+
+  static void Run(Engine& aEngine, const stream::ReplayCall& aCall)
+  {
+    (void)aEngine.Replay(aCall);
+  }
+
+  static void Run(Engine& /*aEngine*/, const stream::ImportCall& /*aCall*/) {}
+
   static stream::Event Refused(const stream::CallId& aId)
   {
     return stream::CallFailed{ .id = aId, .loss = stream::Loss::Refused };
@@ -170,11 +193,8 @@
     const auto& call = aAction.call;
     Execute(aAction.target, call, [&](Engine& aEngine) -> stream::Event {
       auto reply = aEngine.Step(call);
-      if (!reply) {
-        return Refused(call.id);
-      }
-      reply->incarnation = Restarted(aAction.target);
-      return stream::StepReplied{ *reply };
+      reply.incarnation = Restarted(aAction.target);
+      return stream::StepReplied{ reply };
     });
   }
 
@@ -183,11 +203,8 @@
     const auto& call = aAction.call;
     Execute(aAction.target, call, [&](Engine& aEngine) -> stream::Event {
       auto reply = aEngine.Replay(call);
-      if (!reply) {
-        return Refused(call.id);
-      }
-      reply->incarnation = Restarted(aAction.target);
-      return stream::ReplayReplied{ *reply };
+      reply.incarnation = Restarted(aAction.target);
+      return stream::ReplayReplied{ reply };
     });
   }
 
@@ -234,6 +251,7 @@
   }
 
   std::deque<stream::Action> mQueue;
+  std::vector<std::function<void()>> mLateRuns;
 };
 
 /** @brief A request over a model of 12 layers. */
