--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -65,6 +65,7 @@
   traffic::World mWorld;
   http::ClientPool mBackends;
   ControlMailbox mMailbox;
+  traffic::ControlGate mGate;
   peer::Sender mSender;
   ParcelRouter mRouter;
   Runners mRunners;
@@ -72,8 +73,8 @@
   std::thread mControlThread;
   http::CallerHandler mCallerHandler;
   http::ServerHandler mServerHandler;
-  http::OperatorHandler mOperatorHandler;
   std::unique_ptr<traffic::RoutePlanner> mPlanner;
+  http::OperatorHandler mOperatorHandler;
   std::unique_ptr<peer::Receiver> mReceiver;
   std::unique_ptr<CallerListener> mCallers;
   std::unique_ptr<ServerListener> mServers;
--- a/src/balsampoint/traffic/world.hpp
+++ b/src/balsampoint/traffic/world.hpp
@@ -30,7 +30,6 @@
 {
   runtime::SnapshotCell<Configuration> configuration;
   runtime::SnapshotCell<registry::View> servers;
-  runtime::SnapshotCell<Status> status;
   /** Follows the configuration and the servers. */
   runtime::SnapshotCell<route::Table> routes;
   /** Tells that the configuration or the servers changed. */
@@ -38,6 +37,7 @@
   SharedRouter router;
   /** Zone of this host. */
   ZoneId zone;
+  runtime::SnapshotCell<Status> status;
   /** Set once by a planned stop. */
   std::atomic<bool> draining{ false };
   ActivityCount activity;
--- a/test/balsampoint/ledger/module_test.cpp
+++ b/test/balsampoint/ledger/module_test.cpp
@@ -147,6 +147,19 @@
   cr_assert_not(Module::Start({}, Bounds{}, kStart).has_value());
 }
 
+Test(module, snapshot_has_the_table_at_its_index)
+{
+  Host member{ kFirst };
+  member.On(Applied{ ClaimBy(kEntry), {} });
+  member.On(SnapshotWanted{ 7 });
+  const auto ready = *member.Last<SnapshotReady>();
+  auto other = ClaimBy(kEntry);
+  other.key.value = "later";
+  member.On(Applied{ other, {} });
+  cr_assert_eq(ready.index, 7);
+  cr_assert_eq(ready.table->entries.size(), 1);
+}
+
 Test(module, full_host_refuses_without_sending)
 {
   Host entry{ kEntry };
@@ -156,6 +169,15 @@
   cr_assert_not(entry.Last<Lost>()->mayApply);
 }
 
+Test(module, host_without_a_control_group_refuses_at_once)
+{
+  Host entry{ kEntry };
+  entry.state.settings.members.clear();
+  entry.On(Request(kEntry));
+  cr_assert_eq(entry.Last<Lost>()->error.kind, ErrorKind::ControlUnavailable);
+  cr_assert_eq(entry.Last<Lost>()->error.executed, Executed::No);
+}
+
 Test(module, command_nobody_waits_for_is_sent_without_an_answer_to_a_caller)
 {
   Host entry{ kEntry };
