Give orders to engines under one fenced lease

Cause: orders to engines need one leaseholder, and engines that ignore fencing numbers have to be kept from the late orders of an isolated holder.

Change: module orders. A replicated table takes Grant, Renew and Release as compare-and-set commands. A holder stops at L(1-r) from its first asking of a grant or renewal; another host asks after L(1+r) without a change of the table and is silent towards engines that ignore numbers for (L + T/(1-r))(1+r) from the last change it saw, its own restart counting as one; after a release there is no silence.

--- /dev/null
+++ b/src/balsampoint/orders/command/follow_lease.cpp
@@ -0,0 +1,163 @@
+#include "balsampoint/orders/command/follow_lease.hpp"
+
+#include "balsampoint/orders/command/apply.hpp"
+#include "balsampoint/orders/internal/bounds.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::orders {
+
+namespace {
+
+bool
+IsOwn(const State& aState, const Table& aTable)
+{
+  return aTable.holder == aState.settings.self &&
+         aTable.incarnation == aState.settings.incarnation;
+}
+
+/** The wait after a holder that may still have orders under way. */
+Instant
+QuietUntil(const State& aState, const Table& aBefore)
+{
+  const bool released =
+    aBefore.holder.Empty() && aBefore.fencing != FencingNumber{};
+  if (released) {
+    return *aState.changedAt;
+  }
+  return *aState.changedAt + internal::QuietTime(aState.settings);
+}
+
+void
+StartLease(State& aState, const Table& aBefore, Instant aNow)
+{
+  const auto& settings = aState.settings;
+  aState.lease = Lease{
+    .fencing = aState.table.fencing,
+    .end = aState.grantAskedAt + internal::HolderTime(settings),
+    .quietUntil = QuietUntil(aState, aBefore),
+    .renewAt = aNow + settings.renewInterval,
+  };
+}
+
+void
+ExtendLease(State& aState)
+{
+  auto& lease = *aState.lease;
+  if (lease.askedRenewal == aState.table.renewals) {
+    lease.end = lease.askedAt + internal::HolderTime(aState.settings);
+  }
+}
+
+void
+ProposeRenewal(State& aState, Instant aNow, std::vector<Action>& aActions)
+{
+  auto& lease = *aState.lease;
+  lease.renewAt = aNow + aState.settings.renewInterval;
+  const auto renewal = aState.table.renewals + 1;
+  if (lease.askedRenewal != renewal) {
+    lease.askedRenewal = renewal;
+    lease.askedAt = aNow;
+  }
+  aActions.emplace_back(Propose{
+    Renew{ .fencing = lease.fencing, .renewal = lease.askedRenewal } });
+}
+
+void
+ProposeRelease(State& aState, Instant aNow, std::vector<Action>& aActions)
+{
+  const bool asked = aState.proposeAt != kNever && aState.proposeAt > aNow;
+  if (!aState.open.empty() || asked) {
+    return;
+  }
+  aState.proposeAt = aNow + aState.settings.proposeInterval;
+  aState.lease->releasing = true;
+  aActions.emplace_back(Propose{ Release{ aState.lease->fencing } });
+}
+
+Instant
+GrantDue(const State& aState)
+{
+  const bool isFree =
+    aState.table.holder.Empty() && aState.table.fencing != FencingNumber{};
+  const auto wait =
+    isFree ? Duration::zero() : internal::LeaseWait(aState.settings);
+  return aState.changedAt ? *aState.changedAt + wait : kNever;
+}
+
+void
+AskForLease(State& aState, Instant aNow, std::vector<Action>& aActions)
+{
+  const auto due = std::max(
+    GrantDue(aState), aState.proposeAt == kNever ? aNow : aState.proposeAt);
+  aState.proposeAt = due;
+  if (due > aNow) {
+    return;
+  }
+  aState.proposeAt = aNow + aState.settings.proposeInterval;
+  aState.grantAskedAt = std::min(aState.grantAskedAt, aNow);
+  aActions.emplace_back(
+    Propose{ Grant{ .holder = aState.settings.self,
+                    .incarnation = aState.settings.incarnation,
+                    .seenFencing = aState.table.fencing,
+                    .seenRenewals = aState.table.renewals } });
+}
+
+} // namespace
+
+void
+TakeApplied(State& aState, const Applied& aApplied, Instant aNow)
+{
+  const auto before = aState.table;
+  if (!Apply(aState.table, aApplied.command)) {
+    return;
+  }
+  const bool isNew = aState.table.fencing != before.fencing;
+  const bool own = IsOwn(aState, aState.table);
+  if (isNew && own && aState.changedAt && aState.grantAskedAt != kNever) {
+    StartLease(aState, before, aNow);
+  } else if (own && aState.lease) {
+    ExtendLease(aState);
+  } else {
+    aState.lease.reset();
+  }
+  aState.changedAt = aNow;
+  aState.grantAskedAt = kNever;
+  aState.proposeAt = kNever;
+}
+
+void
+TakeRestored(State& aState, const Restored& aRestored, Instant aNow)
+{
+  const bool same = aState.table == aRestored.table;
+  aState.table = aRestored.table;
+  aState.changedAt = aNow;
+  aState.grantAskedAt = kNever;
+  if (!same) {
+    aState.lease.reset();
+  }
+}
+
+void
+FollowLease(State& aState, Instant aNow, std::vector<Action>& aActions)
+{
+  if (!aState.changedAt) {
+    aState.changedAt = aNow;
+  }
+  if (aState.lease && aState.lease->end <= aNow) {
+    aState.lease.reset();
+  }
+  if (!aState.lease) {
+    if (aState.candidate) {
+      AskForLease(aState, aNow, aActions);
+    }
+    return;
+  }
+  if (!aState.candidate || aState.lease->releasing) {
+    ProposeRelease(aState, aNow, aActions);
+  } else if (aState.lease->renewAt <= aNow) {
+    ProposeRenewal(aState, aNow, aActions);
+  }
+}
+
+} // namespace balsampoint::orders
