Let a refused upload read its refusal

Cause: a body over the limit was refused and the connection closed with unread data, so the caller saw a reset in place of 413. Change: the rest of the body is dropped up to 16 MiB before the close.

--- a/src/balsampoint/http/caller_handler.cpp
+++ b/src/balsampoint/http/caller_handler.cpp
@@ -59,10 +59,7 @@
       spdlog::warn("answer cut short: {}", failure.what());
       return;
     }
-    if (aRequest.hasContentLength() || aRequest.getChunkedTransferEncoding()) {
-      aResponse.setKeepAlive(false);
-    }
-    SendProblem(aResponse, failure.Cause());
+    RefuseUnread(aRequest, aResponse, failure.Cause());
   }
 }
 
--- a/src/balsampoint/http/operator_handler.cpp
+++ b/src/balsampoint/http/operator_handler.cpp
@@ -73,8 +73,7 @@
   try {
     Dispatch(aRequest, aResponse);
   } catch (const Failure& failure) {
-    aResponse.setKeepAlive(false);
-    SendProblem(aResponse, failure.Cause());
+    RefuseUnread(aRequest, aResponse, failure.Cause());
   }
 }
 
--- a/src/balsampoint/http/problem.cpp
+++ b/src/balsampoint/http/problem.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kChunkBytes = 16384;
+constexpr std::size_t kMaxDroppedBytes = 16ULL * 1024 * 1024;
 
 std::int64_t
 WholeSeconds(Duration aDuration)
@@ -47,6 +48,27 @@
   aResponse.sendBuffer(body.data(), body.size());
 }
 
+void
+RefuseUnread(ServerRequest& aRequest,
+             ServerResponse& aResponse,
+             const Error& aError)
+{
+  const bool hasBody =
+    aRequest.hasContentLength() || aRequest.getChunkedTransferEncoding();
+  if (!hasBody) {
+    SendProblem(aResponse, aError);
+    return;
+  }
+  aResponse.setKeepAlive(false);
+  SendProblem(aResponse, aError);
+  std::array<char, kChunkBytes> chunk{};
+  auto& stream = aRequest.stream();
+  for (std::size_t dropped = 0; stream.good() && dropped < kMaxDroppedBytes;
+       dropped += chunk.size()) {
+    stream.read(chunk.data(), chunk.size());
+  }
+}
+
 void
 SendJson(ServerResponse& aResponse, std::string_view aBody)
 {
--- a/src/balsampoint/http/problem.hpp
+++ b/src/balsampoint/http/problem.hpp
@@ -26,6 +26,21 @@
 void
 SendProblem(ServerResponse& aResponse, const Error& aError);
 
+/**
+ * @brief Answers a request with an error although its body was not read.
+ *
+ * The rest of the body is taken in up to a limit and dropped before the
+ * connection closes: a close with unread data would reset the connection and
+ * the caller would lose the answer.
+ * @param aRequest The request.
+ * @param aResponse The answer; nothing of it was sent yet.
+ * @param aError The error.
+ */
+void
+RefuseUnread(ServerRequest& aRequest,
+             ServerResponse& aResponse,
+             const Error& aError);
+
 /**
  * @brief Answers a request with a whole JSON document.
  * @param aResponse The answer; nothing of it was sent yet.
