Run membership and registry sharing in the daemon

Cause: the daemon ran the registry alone; a server announced to one host was known to that host only.

A planned stop tells the zone that the host leaves, and servers leased by a host that left stay visible for one lease. The lease in module orders is no optional, since the linter can't see its checks.

--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/ledger/module.hpp"
 #include "balsampoint/limit/module.hpp"
+#include "balsampoint/member/module.hpp"
 #include "balsampoint/registry/module.hpp"
 #include "balsampoint/retry/module.hpp"
 #include "balsampoint/runtime/control_loop.hpp"
@@ -29,8 +30,11 @@
 };
 
 /** @brief The decision modules that the control thread runs. */
-using Control =
-  ModuleList<registry::Module, retry::Module, limit::Module, ledger::Module>;
+using Control = ModuleList<member::Module,
+                           registry::Module,
+                           retry::Module,
+                           limit::Module,
+                           ledger::Module>;
 
 /** @brief The one queue into the control thread. */
 using ControlMailbox = runtime::Mailbox<Control::Event>;
--- /dev/null
+++ b/src/balsampoint/daemon/member_runner.cpp
@@ -0,0 +1,44 @@
+#include "balsampoint/daemon/member_runner.hpp"
+
+#include "balsampoint/peer/member_codec.hpp"
+
+#include <spdlog/spdlog.h>
+#include <variant>
+
+namespace balsampoint::daemon {
+
+MemberRunner::MemberRunner(ControlMailbox& aMailbox, peer::Sender& aSender)
+  : mMailbox{ aMailbox }
+  , mSender{ aSender }
+{
+}
+
+void
+MemberRunner::Run(const member::Action& aAction)
+{
+  std::visit([this](const auto& aOne) { Do(aOne); }, aAction);
+}
+
+void
+MemberRunner::Do(const member::Send& aSend)
+{
+  mSender.Route(aSend.to, aSend.address);
+  mSender.Send(aSend.to, peer::ModuleTag::Member, peer::Encode(aSend.message));
+}
+
+void
+MemberRunner::Do(const member::Publish& aPublish)
+{
+  for (const auto& host : aPublish.view->hosts) {
+    if (host.Reachable()) {
+      mSender.Route(host.id, host.address);
+    }
+  }
+  const bool posted = mMailbox.Push(
+    registry::Event{ registry::HostsChanged{ .view = aPublish.view } });
+  if (!posted) {
+    spdlog::error("the control queue is full");
+  }
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/daemon/node.hpp"
 
+#include "balsampoint/core/hash.hpp"
+
 #include "balsampoint/runtime/entropy.hpp"
 
 #include <algorithm>
@@ -62,13 +64,37 @@
   return std::move(*state);
 }
 
+member::State
+FirstMemberState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  member::Settings settings{ .self = { .id = aSettings.host,
+                                       .zone = aSettings.zone,
+                                       .region = aSettings.region,
+                                       .address = aSettings.listen.peers.Text(),
+                                       .incarnation = aIncarnation } };
+  for (const auto& seed : aSettings.seeds) {
+    settings.seeds.push_back(
+      { .id = seed.host, .address = seed.address.Text() });
+  }
+  const auto seed =
+    HashNumber(HashText(aSettings.host.Value()), aIncarnation.Value());
+  return member::MakeState(std::move(settings), seed);
+}
+
+registry::State
+FirstRegistryState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  const auto seed =
+    HashNumber(aIncarnation.Value(), HashText(aSettings.host.Value()));
+  return { .settings = { .self = aSettings.host, .zone = aSettings.zone },
+           .random = SplitMix64{ seed } };
+}
+
 Control::States
 FirstStates(const config::Settings& aSettings, Incarnation aIncarnation)
 {
-  registry::State registry;
-  registry.settings.self = aSettings.host;
-  registry.settings.zone = aSettings.zone;
-  return { std::move(registry),
+  return { FirstMemberState(aSettings, aIncarnation),
+           FirstRegistryState(aSettings, aIncarnation),
            FirstRetryState(aSettings),
            FirstLimitState(aSettings),
            FirstLedgerState(aSettings, aIncarnation) };
@@ -197,7 +223,12 @@
   std::condition_variable never;
   std::unique_lock lock{ mutex };
   never.wait_for(lock, mSettings.shutdownDelay, [] { return false; });
-  return mWorld.activity.WaitUntilIdle(mSettings.shutdownTimeout);
+  const bool finished =
+    mWorld.activity.WaitUntilIdle(mSettings.shutdownTimeout);
+  if (!mMailbox.Push(member::Event{ member::Leave{} })) {
+    spdlog::error("the control queue is full");
+  }
+  return finished;
 }
 
 tl::expected<void, Error>
--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -1,5 +1,8 @@
 #include "balsampoint/daemon/parcel_router.hpp"
 
+#include "balsampoint/peer/member_codec.hpp"
+#include "balsampoint/peer/registry_codec.hpp"
+
 #include "balsampoint/peer/ledger_codec.hpp"
 
 #include <spdlog/spdlog.h>
@@ -39,7 +42,17 @@
             .from = aParcel.from, .message = std::move(aMessage) } };
         });
     case peer::ModuleTag::Registry:
+      return peer::DecodeRegistryMessage(aParcel.body)
+        .map([&](registry::Message aMessage) -> Control::Event {
+          return registry::Event{ registry::Received{ aParcel.from,
+                                                      std::move(aMessage) } };
+        });
     case peer::ModuleTag::Member:
+      return peer::DecodeMemberMessage(aParcel.body)
+        .map([&](member::Message aMessage) -> Control::Event {
+          return member::Event{ member::Received{ aParcel.from,
+                                                  std::move(aMessage) } };
+        });
     case peer::ModuleTag::Consensus:
     case peer::ModuleTag::Fanout:
     case peer::ModuleTag::Limit:
--- a/src/balsampoint/daemon/registry_runner.cpp
+++ b/src/balsampoint/daemon/registry_runner.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/daemon/registry_runner.hpp"
 
+#include "balsampoint/peer/registry_codec.hpp"
+
 #include <algorithm>
 #include <spdlog/spdlog.h>
 #include <utility>
@@ -87,8 +89,10 @@
 }
 
 void
-RegistryRunner::Do(const registry::Send& /*aSend*/)
+RegistryRunner::Do(const registry::Send& aSend)
 {
+  mSender.Send(
+    aSend.to, peer::ModuleTag::Registry, peer::Encode(aSend.message));
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsampoint/daemon/ledger_runner.hpp"
+#include "balsampoint/daemon/member_runner.hpp"
 #include "balsampoint/daemon/registry_runner.hpp"
 
 namespace balsampoint::daemon {
@@ -20,7 +21,8 @@
           traffic::World& aWorld,
           traffic::ControlGate& aGate,
           peer::Sender& aSender)
-    : mRegistry{ aMailbox, aWorld, aSender }
+    : mMember{ aMailbox, aSender }
+    , mRegistry{ aMailbox, aWorld, aSender }
     , mLedger{ aMailbox, aGate, aSender }
     , mGate{ aGate }
   {
@@ -29,6 +31,12 @@
   /** @brief The registry's runner. */
   [[nodiscard]] RegistryRunner& Registry() { return mRegistry; }
 
+  /**
+   * @brief Carries out an action of the membership.
+   * @param aAction The action.
+   */
+  void Run(const member::Action& aAction) { mMember.Run(aAction); }
+
   /**
    * @brief Carries out an action of the registry.
    * @param aAction The action.
@@ -54,6 +62,7 @@
   void Run(const ledger::Action& aAction) { mLedger.Run(aAction); }
 
 private:
+  MemberRunner mMember;
   RegistryRunner mRegistry;
   LedgerRunner mLedger;
   traffic::ControlGate& mGate;
--- a/src/balsampoint/orders/command/follow_lease.cpp
+++ b/src/balsampoint/orders/command/follow_lease.cpp
@@ -23,9 +23,9 @@
   const bool released =
     aBefore.holder.Empty() && aBefore.fencing != FencingNumber{};
   if (released) {
-    return *aState.changedAt;
+    return aState.changedAt;
   }
-  return *aState.changedAt + internal::QuietTime(aState.settings);
+  return aState.changedAt + internal::QuietTime(aState.settings);
 }
 
 void
@@ -43,7 +43,7 @@
 void
 ExtendLease(State& aState)
 {
-  auto& lease = *aState.lease;
+  auto& lease = aState.lease;
   if (lease.askedRenewal == aState.table.renewals) {
     lease.end = lease.askedAt + internal::HolderTime(aState.settings);
   }
@@ -52,7 +52,7 @@
 void
 ProposeRenewal(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  auto& lease = *aState.lease;
+  auto& lease = aState.lease;
   lease.renewAt = aNow + aState.settings.renewInterval;
   const auto renewal = aState.table.renewals + 1;
   if (lease.askedRenewal != renewal) {
@@ -71,8 +71,8 @@
     return;
   }
   aState.proposeAt = aNow + aState.settings.proposeInterval;
-  aState.lease->releasing = true;
-  aActions.emplace_back(Propose{ Release{ aState.lease->fencing } });
+  aState.lease.releasing = true;
+  aActions.emplace_back(Propose{ Release{ aState.lease.fencing } });
 }
 
 Instant
@@ -82,7 +82,7 @@
     aState.table.holder.Empty() && aState.table.fencing != FencingNumber{};
   const auto wait =
     isFree ? Duration::zero() : internal::LeaseWait(aState.settings);
-  return aState.changedAt ? *aState.changedAt + wait : kNever;
+  return aState.changedAt == kNever ? kNever : aState.changedAt + wait;
 }
 
 void
@@ -114,12 +114,13 @@
   }
   const bool isNew = aState.table.fencing != before.fencing;
   const bool own = IsOwn(aState, aState.table);
-  if (isNew && own && aState.changedAt && aState.grantAskedAt != kNever) {
+  if (isNew && own && aState.changedAt != kNever &&
+      aState.grantAskedAt != kNever) {
     StartLease(aState, before, aNow);
-  } else if (own && aState.lease) {
+  } else if (own && aState.lease.Held()) {
     ExtendLease(aState);
   } else {
-    aState.lease.reset();
+    aState.lease = {};
   }
   aState.changedAt = aNow;
   aState.grantAskedAt = kNever;
@@ -134,28 +135,28 @@
   aState.changedAt = aNow;
   aState.grantAskedAt = kNever;
   if (!same) {
-    aState.lease.reset();
+    aState.lease = {};
   }
 }
 
 void
 FollowLease(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  if (!aState.changedAt) {
+  if (aState.changedAt == kNever) {
     aState.changedAt = aNow;
   }
-  if (aState.lease && aState.lease->end <= aNow) {
-    aState.lease.reset();
+  if (aState.lease.Held() && aState.lease.end <= aNow) {
+    aState.lease = {};
   }
-  if (!aState.lease) {
+  if (!aState.lease.Held()) {
     if (aState.candidate) {
       AskForLease(aState, aNow, aActions);
     }
     return;
   }
-  if (!aState.candidate || aState.lease->releasing) {
+  if (!aState.candidate || aState.lease.releasing) {
     ProposeRelease(aState, aNow, aActions);
-  } else if (aState.lease->renewAt <= aNow) {
+  } else if (aState.lease.renewAt <= aNow) {
     ProposeRenewal(aState, aNow, aActions);
   }
 }
--- a/src/balsampoint/orders/command/give.cpp
+++ b/src/balsampoint/orders/command/give.cpp
@@ -17,7 +17,7 @@
 bool
 MayGo(const State& aState, const OpenOrder& aOrder, Instant aNow)
 {
-  const bool quiet = !aOrder.checksFencing && aState.lease->quietUntil > aNow;
+  const bool quiet = !aOrder.checksFencing && aState.lease.quietUntil > aNow;
   return !quiet && aState.open.size() < aState.settings.maxOpen &&
          !IsBusy(aState, aOrder.order.server);
 }
@@ -25,8 +25,8 @@
 void
 NoteQuiet(State& aState, const OpenOrder& aOrder, Instant aNow)
 {
-  if (!aOrder.checksFencing && aState.lease->quietUntil > aNow) {
-    aState.giveAt = aState.lease->quietUntil;
+  if (!aOrder.checksFencing && aState.lease.quietUntil > aNow) {
+    aState.giveAt = aState.lease.quietUntil;
   }
 }
 
@@ -34,7 +34,7 @@
 MakeId(State& aState)
 {
   return OrderId{ aState.settings.self.String() + "-" +
-                  std::to_string(aState.lease->fencing.Value()) + "-" +
+                  std::to_string(aState.lease.fencing.Value()) + "-" +
                   std::to_string(++aState.ordersMade) };
 }
 
@@ -45,7 +45,7 @@
      std::vector<Action>& aActions)
 {
   aOrder.order.id = MakeId(aState);
-  aOrder.order.fencing = aState.lease->fencing;
+  aOrder.order.fencing = aState.lease.fencing;
   aOrder.deadline = aNow + aState.settings.orderLimit;
   aActions.emplace_back(
     Give{ .order = aOrder.order, .limit = aState.settings.orderLimit });
@@ -88,7 +88,7 @@
        Instant aNow,
        std::vector<Action>& aActions)
 {
-  if (!aState.lease || aState.lease->end <= aNow) {
+  if (!aState.lease.Held() || aState.lease.end <= aNow) {
     aActions.emplace_back(
       Finished{ .ticket = aSubmitted.ticket,
                 .result = Refuse(ErrorKind::ControlUnavailable,
@@ -120,12 +120,12 @@
 GiveOrders(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
   EndOverdue(aState, aNow, aActions);
-  if (!aState.lease) {
+  if (!aState.lease.Held()) {
     RefuseWaiting(aState, aActions);
     return;
   }
   aState.giveAt = kNever;
-  if (!aState.candidate || aState.lease->releasing) {
+  if (!aState.candidate || aState.lease.releasing) {
     return;
   }
   for (auto at = aState.waiting.begin(); at != aState.waiting.end();) {
--- a/src/balsampoint/orders/query/next_deadline.cpp
+++ b/src/balsampoint/orders/query/next_deadline.cpp
@@ -24,14 +24,14 @@
 NextDeadline(const State& aState)
 {
   auto next = kNever;
-  if (!aState.changedAt) {
+  if (aState.changedAt == kNever) {
     return Instant{};
   }
   for (const auto& [id, order] : aState.open) {
     next = std::min(next, order.deadline);
   }
-  if (aState.lease) {
-    return std::min(next, LeaseDeadline(aState, *aState.lease));
+  if (aState.lease.Held()) {
+    return std::min(next, LeaseDeadline(aState, aState.lease));
   }
   if (!aState.candidate) {
     return next;
--- a/src/balsampoint/orders/state.hpp
+++ b/src/balsampoint/orders/state.hpp
@@ -6,7 +6,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
 
 namespace balsampoint::orders {
 
@@ -21,7 +20,7 @@
   Instant deadline{ kNever };
 };
 
-/** @brief The present lease, if this host holds it. */
+/** @brief The present lease; without a number if this host holds none. */
 struct Lease
 {
   FencingNumber fencing;
@@ -35,6 +34,12 @@
   Instant renewAt{};
   /** Whether a release is under way, after which nothing may be given. */
   bool releasing{ false };
+
+  /** @brief Whether this host holds a lease. */
+  [[nodiscard]] bool Held() const noexcept
+  {
+    return fencing != FencingNumber{};
+  }
 };
 
 /** @brief Orders and their lease as one host sees them. */
@@ -44,9 +49,9 @@
   /** Whether this host wants to be the one that gives orders. */
   bool candidate{ false };
   Table table;
-  /** When the table last changed here; unset before the first look. */
-  std::optional<Instant> changedAt;
-  std::optional<Lease> lease;
+  /** When the table last changed here; `kNever` before the first look. */
+  Instant changedAt{ kNever };
+  Lease lease;
   /** When the lease was first asked for since the table changed. */
   Instant grantAskedAt{ kNever };
   Instant proposeAt{ kNever };
--- a/src/balsampoint/registry/command/set_hosts.cpp
+++ b/src/balsampoint/registry/command/set_hosts.cpp
@@ -10,7 +10,11 @@
 {
   aState.nearHosts.clear();
   aState.farHosts.clear();
+  std::set<HostId> left;
   for (const auto& host : aView.hosts) {
+    if (host.state == member::HostState::Left) {
+      left.insert(host.id);
+    }
     if (!host.Reachable() || host.id == aState.settings.self) {
       continue;
     }
@@ -36,7 +40,9 @@
       }
       record.expiry = kNever;
     } else if (record.expiry == kNever) {
-      record.expiry = aNow + aState.settings.orphanGrace;
+      record.expiry =
+        aNow + (left.contains(owner) ? aState.settings.lease
+                                     : aState.settings.orphanGrace);
     }
   }
 }
--- a/test/balsampoint/orders/module_test.cpp
+++ b/test/balsampoint/orders/module_test.cpp
@@ -58,7 +58,7 @@
   {
     Tell(Candidacy{ true });
     RunTo(now + internal::LeaseWait(state.settings));
-    cr_assert(state.lease.has_value());
+    cr_assert(state.lease.Held());
   }
 
   void Submit(std::string_view aServer, bool aChecks)
@@ -121,9 +121,9 @@
   host.Hold();
   host.Tell(Candidacy{ false });
   cr_assert(host.state.table.holder.Empty());
-  cr_assert_not(host.state.lease.has_value());
+  cr_assert_not(host.state.lease.Held());
   host.Tell(Candidacy{ true });
-  cr_assert(host.state.lease.has_value());
+  cr_assert(host.state.lease.Held());
   cr_assert_eq(host.state.table.fencing, FencingNumber{ 2 });
   host.Submit("ignores", false);
   cr_assert_eq(host.given.size(), 1);
