--- a/benchmarks/bench_recovery.cpp
+++ b/benchmarks/bench_recovery.cpp
@@ -204,7 +204,7 @@
     }
     Wait(mCosts.VaryingStep(Current()));
     Report(stream::StepReplied{
-      mEngines[aAction.target.server].Step(aAction.call).value() });
+      mEngines[aAction.target.server].Step(aAction.call) });
   }
 
   /** Loses the stage at a moment of the token's way round its stages. */
@@ -266,7 +266,7 @@
   {
     Wait(Costs::Replay(Current(), aAction.call.positions.size()));
     Report(stream::ReplayReplied{
-      mEngines[aAction.target.server].Replay(aAction.call).value() });
+      mEngines[aAction.target.server].Replay(aAction.call) });
   }
 
   void Do(const stream::CallImport& aAction)
--- a/src/balsampoint/http/engine_codec.cpp
+++ b/src/balsampoint/http/engine_codec.cpp
@@ -163,6 +163,7 @@
                        { "model", aCall.model.String() },
                        { "version", aCall.version },
                        { "source", aCall.source },
+                       { "source_request", aCall.sourceRequest.String() },
                        { "kv_digest", Hex(aCall.kvDigest) } };
   return document.dump();
 }
@@ -271,6 +272,8 @@
       .model = ModelId{ aDocument.at("model").get<std::string>() },
       .version = aDocument.at("version").get<std::string>(),
       .source = aDocument.at("source").get<std::string>(),
+      .sourceRequest =
+        RequestId{ aDocument.at("source_request").get<std::string>() },
       .kvDigest = ReadHex(aDocument.at("kv_digest")),
     };
   });
--- a/src/balsampoint/stream/call.hpp
+++ b/src/balsampoint/stream/call.hpp
@@ -13,6 +13,7 @@
 /** @brief Which call a message belongs to; a reply repeats it unchanged. */
 struct CallId
 {
+  /** Name of the request's KV at the server; each rebuilt KV has its own. */
   RequestId request;
   AttemptNumber attempt;
   StepNumber step;
@@ -95,6 +96,8 @@
   std::string version;
   /** IP number and port of the server that holds the KV. */
   std::string source;
+  /** Name of the request at that server. */
+  RequestId sourceRequest;
   std::uint64_t kvDigest{};
 };
 
