--- a/src/balsampoint/member/command/receive.cpp
+++ b/src/balsampoint/member/command/receive.cpp
@@ -69,10 +69,21 @@
     internal::SendList(state, from, false, actions);
   }
 
+  /** Others get the list as well, so that its new hosts need no gossip. */
+  void MergeListed(const Host& aHost) const
+  {
+    const bool isNew = !state.peers.contains(aHost.id);
+    if (internal::Merge(state, aHost, now, actions) && isNew) {
+      state.peers.at(aHost.id).remaining = 0;
+    }
+  }
+
   void operator()(const Sync& aSync) const
   {
     const bool joined = state.peers.empty();
-    MergeAll(aSync.hosts);
+    for (const auto& host : aSync.hosts) {
+      MergeListed(host);
+    }
     if (joined && !state.peers.empty()) {
       internal::SpreadSelf(state);
       internal::Announce(state, state.self.id, now);
--- a/src/balsampoint/registry/settings.hpp
+++ b/src/balsampoint/registry/settings.hpp
@@ -36,7 +36,7 @@
   /** Shortest time between two broadcasts of loads. */
   Duration minLoadBroadcast{ std::chrono::milliseconds{ 500 } };
   /** Added to the time between broadcasts of loads for each receiver. */
-  Duration loadBroadcastPerHost{ std::chrono::milliseconds{ 160 } };
+  Duration loadBroadcastPerHost{ std::chrono::milliseconds{ 200 } };
   /** Shortest time between two summaries for other zones. */
   Duration minSummaryInterval{ std::chrono::seconds{ 1 } };
   /** Time after which a summary is sent again unchanged. */
