Ask for room for an answer's KV when choosing its servers

Cause: the daemon asked for no room, so a server with full KV was as good as any. Change: the pipeline's limit on tokens is the room asked for. Conclusion: servers without room are taken last.

--- a/src/balsampoint/traffic/table_route.cpp
+++ b/src/balsampoint/traffic/table_route.cpp
@@ -79,7 +79,8 @@
   const route::Wish wish{ .layers = aWanted.layers,
                           .entry = mWorld.zone,
                           .excluded = aWanted.excluded,
-                          .avoidedZones = aWanted.avoidedZones };
+                          .avoidedZones = aWanted.avoidedZones,
+                          .kvTokens = mPipeline.maxTokens };
   auto chain = mWorld.router.Choose(
     aTable->pipelines.at(mPipeline.id), wish, runtime::SteadyClock::Now());
   if (chain) {
