Feed spans and metrics on the request path

Change: the caller handler continues traceparent, opens a span for each request and one for each call to an engine, names the request in log lines, and serves /metrics; figures that nothing feeds are left out. The command line reads the lists that the listener answers. Conclusion: each hop of a request shows in the trace file and at /metrics.

--- a/src/balsampoint/cli/command/apply.cpp
+++ b/src/balsampoint/cli/command/apply.cpp
@@ -27,9 +27,9 @@
 Assess(const Json& aHosts, std::uint64_t aNumber)
 {
   Progress progress;
-  for (const auto& host : aHosts.value("items", Json::array())) {
+  for (const auto& host : aHosts) {
     const auto name = host.value("host", "") + " ";
-    if (!host.value("reachable", true)) {
+    if (host.value("state", "") == "out_of_reach") {
       progress.unreachable += name;
     } else if (host.value("number", std::uint64_t{ 0 }) < aNumber) {
       progress.behind += name;
--- a/src/balsampoint/cli/command/control.cpp
+++ b/src/balsampoint/cli/command/control.cpp
@@ -9,27 +9,18 @@
 
 namespace {
 
-constexpr std::size_t kAddWords = 4;
-constexpr std::size_t kRemoveWords = 2;
-constexpr std::size_t kReplaceWords = 5;
+constexpr std::size_t kOneHost = 2;
+constexpr std::size_t kTwoHosts = 3;
 
 std::optional<Json>
 ControlBody(std::span<const std::string> aArguments)
 {
-  const auto count = aArguments.size();
-  if (count == kAddWords && aArguments[0] == "add") {
-    return Json{ { "host", aArguments[1] },
-                 { "address", aArguments[2] },
-                 { "zone", aArguments[3] } };
-  }
-  if (count == kRemoveWords && aArguments[0] == "remove") {
+  const auto& verb = aArguments[0];
+  if (aArguments.size() == kOneHost && (verb == "add" || verb == "remove")) {
     return Json{ { "host", aArguments[1] } };
   }
-  if (count == kReplaceWords && aArguments[0] == "replace") {
-    return Json{ { "old", aArguments[1] },
-                 { "host", aArguments[2] },
-                 { "address", aArguments[3] },
-                 { "zone", aArguments[4] } };
+  if (aArguments.size() == kTwoHosts && verb == "replace") {
+    return Json{ { "host", aArguments[1] }, { "replacement", aArguments[2] } };
   }
   return std::nullopt;
 }
@@ -56,8 +47,8 @@
 {
   const auto body = ControlBody(aArguments);
   if (!body) {
-    std::cerr << "balsampoint: control add HOST ADDRESS ZONE | remove HOST | "
-                 "replace OLD HOST ADDRESS ZONE\n";
+    std::cerr << "balsampoint: control add HOST | control remove HOST | "
+                 "control replace OLD NEW\n";
     return ExitCode::Usage;
   }
   return Post("/v1/control/" + aArguments[0], *body, aOptions);
--- a/src/balsampoint/cli/command/control.hpp
+++ b/src/balsampoint/cli/command/control.hpp
@@ -18,8 +18,7 @@
 
 /**
  * @brief Changes the members of the control group.
- * @param aArguments `add HOST ADDRESS ZONE`, `remove HOST`, or
- * `replace OLD HOST ADDRESS ZONE`.
+ * @param aArguments `add HOST`, `remove HOST`, or `replace OLD NEW`.
  * @param aOptions The flags.
  * @return The exit code.
  */
--- a/src/balsampoint/cli/internal/printer.cpp
+++ b/src/balsampoint/cli/internal/printer.cpp
@@ -91,8 +91,8 @@
     aStream << aResult.dump(2) << '\n';
     return;
   }
-  if (aResult.contains("items") && aResult["items"].is_array()) {
-    PrintItems(aStream, aResult["items"]);
+  if (aResult.is_array()) {
+    PrintItems(aStream, aResult);
     return;
   }
   std::vector<Row> rows;
--- a/src/balsampoint/cli/internal/printer.hpp
+++ b/src/balsampoint/cli/internal/printer.hpp
@@ -7,8 +7,8 @@
 namespace balsampoint::cli {
 
 /**
- * @brief Prints a result: an object with `items` as a table of a row each,
- * any other object as a row a field.
+ * @brief Prints a result: a list as a table of a row each, an object as a
+ * row a field.
  * @param aStream Where to.
  * @param aResult The result.
  * @param aOutput As a table or as JSON.
--- a/src/balsampoint/cli/main.cpp
+++ b/src/balsampoint/cli/main.cpp
@@ -58,14 +58,16 @@
   ExitCode (*run)(Arguments aArguments, const Options& aOptions);
 };
 
-constexpr std::array<std::string_view, 6> kStatusTopics{
-  "hosts", "servers", "pipelines", "workspaces", "control", "host"
-};
+constexpr std::array<std::string_view, 5> kStatusTopics{ "hosts",
+                                                         "servers",
+                                                         "pipelines",
+                                                         "workspaces",
+                                                         "control" };
 
 ExitCode
 RunStatus(Arguments aArguments, const Options& aOptions)
 {
-  const std::string topic = aArguments.empty() ? "host" : aArguments[0];
+  const std::string topic = aArguments.empty() ? "hosts" : aArguments[0];
   if (std::ranges::find(kStatusTopics, topic) == kStatusTopics.end()) {
     std::cerr << "balsampoint: no status of '" << topic << "'\n";
     return ExitCode::Usage;
@@ -120,12 +122,13 @@
            1,
            1,
            RunConfig },
-  Command{ "status",
-           "status [hosts|servers|pipelines|workspaces|control]",
-           "Shows the host that answers, or what it knows of the topic.",
-           0,
-           1,
-           RunStatus },
+  Command{
+    "status",
+    "status [hosts|servers|pipelines|workspaces|control]",
+    "Shows what the host knows of the topic; of the hosts if none is named.",
+    0,
+    1,
+    RunStatus },
   Command{ "drain",
            "drain",
            "Tells the host to take no new work and to finish what it has.",
@@ -135,11 +138,10 @@
              return Drain(aOptions);
            } },
   Command{ "control",
-           "control add HOST ADDRESS ZONE | remove HOST | replace OLD HOST "
-           "ADDRESS ZONE",
+           "control add HOST | control remove HOST | control replace OLD NEW",
            "Changes the members of the control group, one at a time.",
            2,
-           5,
+           3,
            ChangeControl },
   Command{ "plan",
            "plan",
--- a/src/balsampoint/daemon/main.cpp
+++ b/src/balsampoint/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/config/query/load_folder.hpp"
 #include "balsampoint/config/query/load_settings.hpp"
 #include "balsampoint/daemon/node.hpp"
+#include "balsampoint/trace/log.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -71,5 +72,6 @@
   if (!settings) {
     return Fail(settings.error());
   }
+  trace::ConfigureLog(settings->log, settings->host);
   return Serve(*settings, signals);
 }
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -169,6 +169,7 @@
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
                       .gate = mGate,
+                      .telemetry = mTelemetry,
                       .maxBodyBytes = aSettings.limits.bodyBytes },
                     aSettings.limits.concurrentRequests }
   , mServerHandler{ [this](registry::Announcement aAnnouncement) {
@@ -178,6 +179,10 @@
                       MakeOperations(),
                       config::KeyIndex::Make({}, aSettings.operatorKeys) }
 {
+  if (const auto& trace = mSettings.trace; !trace.file.empty()) {
+    mTelemetry.exporter.emplace(
+      mSettings.host, trace::FileSink{ trace.file }, trace.queue);
+  }
   mWorld.zone = mSettings.zone;
   mPlanner = std::make_unique<traffic::RoutePlanner>(mWorld);
   for (const auto& seed : mSettings.seeds) {
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -63,6 +63,7 @@
   config::Settings mSettings;
   peer::Identity mIdentity;
   traffic::World mWorld;
+  trace::Telemetry mTelemetry;
   http::ClientPool mBackends;
   ControlMailbox mMailbox;
   traffic::ControlGate mGate;
--- a/src/balsampoint/http/caller_handler.cpp
+++ b/src/balsampoint/http/caller_handler.cpp
@@ -5,8 +5,10 @@
 #include "balsampoint/http/internal/request_field.hpp"
 #include "balsampoint/http/problem.hpp"
 #include "balsampoint/http/query/health.hpp"
+#include "balsampoint/http/query/metrics.hpp"
 #include "balsampoint/runtime/entropy.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
+#include "balsampoint/trace/log.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -55,6 +57,7 @@
   try {
     Dispatch(aRequest, aResponse);
   } catch (const Failure& failure) {
+    CountFailure(failure.Cause(), aResponse.sent());
     if (aResponse.sent()) {
       spdlog::warn("answer cut short: {}", failure.what());
       return;
@@ -63,10 +66,20 @@
   }
 }
 
+void
+CallerHandler::CountFailure(const Error& aError, bool aAnswerStarted)
+{
+  mServices.telemetry.metrics.Add(aError.kind);
+  mServices.telemetry.metrics.Add(aAnswerStarted ? trace::Outcome::Broken
+                                                 : trace::Outcome::Refused);
+}
+
 void
 CallerHandler::Dispatch(ServerRequest& aRequest, ServerResponse& aResponse)
 {
-  if (AnswerHealth(mServices.world, aRequest, aResponse)) {
+  if (AnswerHealth(mServices.world, aRequest, aResponse) ||
+      AnswerMetrics(
+        mServices.world, mServices.telemetry, aRequest, aResponse)) {
     return;
   }
   if (mServices.world.draining) {
@@ -86,17 +99,39 @@
 void
 CallerHandler::Work(ServerRequest& aRequest, ServerResponse& aResponse)
 {
-  const auto caller = Identify(aRequest);
+  auto caller = Identify(aRequest);
   aResponse.set("X-Request-Id", caller.id.String());
+  const trace::LogScope scope{ caller.id.Value(),
+                               caller.workspace->id.Value() };
+  trace::Hop hop{ mServices.telemetry, caller.trace, "request" };
+  hop.Note("request", caller.id.Value());
+  hop.Note("workspace", caller.workspace->id.Value());
+  caller.trace = hop.Here();
+  try {
+    Route(caller, aRequest, aResponse);
+  } catch (const Failure& failure) {
+    hop.Fail();
+    hop.Note("error.kind", AnswerFor(failure.Cause().kind).name);
+    throw;
+  }
+}
+
+void
+CallerHandler::Route(const CallerRequest& aCaller,
+                     ServerRequest& aRequest,
+                     ServerResponse& aResponse)
+{
   const auto& uri = aRequest.getURI();
   if (uri == "/v1/completions") {
     internal::RequireMethod(aRequest, "POST");
-    RunCompletion(mServices, caller, CompletionKind::Text, aRequest, aResponse);
+    RunCompletion(
+      mServices, aCaller, CompletionKind::Text, aRequest, aResponse);
   } else if (uri == "/v1/chat/completions") {
     internal::RequireMethod(aRequest, "POST");
-    RunCompletion(mServices, caller, CompletionKind::Chat, aRequest, aResponse);
+    RunCompletion(
+      mServices, aCaller, CompletionKind::Chat, aRequest, aResponse);
   } else if (uri.starts_with(kServicesPath)) {
-    CallService(mServices, caller, aRequest, aResponse);
+    CallService(mServices, aCaller, aRequest, aResponse);
   } else {
     throw Failure{ MakeError(ErrorKind::NotFound, uri) };
   }
@@ -105,10 +140,12 @@
 CallerRequest
 CallerHandler::Identify(const ServerRequest& aRequest) const
 {
+  runtime::Entropy entropy;
   CallerRequest caller{ .id = NewRequestId(),
                         .configuration = mServices.world.configuration.Read(),
                         .deadline = ReadDeadline(aRequest),
-                        .traceParent = aRequest.get("traceparent", "") };
+                        .trace = trace::Continue(
+                          aRequest.get("traceparent", ""), entropy) };
   if (!caller.configuration) {
     throw Failure{ MakeError(ErrorKind::NotReady,
                              "the host has no configuration yet") };
--- a/src/balsampoint/http/caller_handler.hpp
+++ b/src/balsampoint/http/caller_handler.hpp
@@ -28,6 +28,10 @@
 private:
   void Dispatch(ServerRequest& aRequest, ServerResponse& aResponse);
   void Work(ServerRequest& aRequest, ServerResponse& aResponse);
+  void Route(const CallerRequest& aCaller,
+             ServerRequest& aRequest,
+             ServerResponse& aResponse);
+  void CountFailure(const Error& aError, bool aAnswerStarted);
   [[nodiscard]] CallerRequest Identify(const ServerRequest& aRequest) const;
 
   CallerServices mServices;
--- a/src/balsampoint/http/command/call_service.cpp
+++ b/src/balsampoint/http/command/call_service.cpp
@@ -7,6 +7,7 @@
 #include "balsampoint/runtime/steady_clock.hpp"
 #include "balsampoint/traffic/command/run_service.hpp"
 
+#include <Poco/String.h>
 #include <algorithm>
 #include <openssl/evp.h>
 #include <optional>
@@ -18,6 +19,8 @@
 using internal::OrThrow;
 using runtime::SteadyClock;
 
+constexpr auto kTraceField = "traceparent";
+
 /** @brief A service call as its path names it. */
 struct ServicePath
 {
@@ -75,11 +78,12 @@
                          .maxResponseBytes = aService.maxBodyBytes,
                          .reuseConnection = false };
   for (const auto& [name, value] : aRequest) {
-    if (IsEndToEnd(name)) {
+    if (IsEndToEnd(name) && Poco::icompare(name, kTraceField) != 0) {
       request.headers.push_back({ name, value });
     }
   }
   request.headers.push_back({ "X-Request-Id", aCaller.id.String() });
+  request.headers.push_back({ kTraceField, aCaller.trace.Text() });
   return request;
 }
 
@@ -156,12 +160,17 @@
     .deadline = std::min(aCaller.deadline, SteadyClock::Now() + service.timeout)
   };
   const auto request = MakeRequest(aCaller, service, path, aRequest);
+  const auto arrived = SteadyClock::Now();
   const traffic::ControlGate::Pass pass{
     aServices.gate, { .workspace = call.workspace, .deadline = call.deadline }
   };
+  auto& metrics = aServices.telemetry.metrics;
+  metrics.Record(trace::Timing::QueueWait, SteadyClock::Now() - arrived);
   OrThrow(pass.Result());
   SendAnswer(aResponse,
              Run(aServices, request, call, ReadIdempotencyKey(aRequest)));
+  metrics.Add(trace::Outcome::Complete);
+  metrics.Record(trace::Timing::Request, SteadyClock::Now() - arrived);
 }
 
 } // namespace balsampoint::http
--- a/src/balsampoint/http/command/run_completion.cpp
+++ b/src/balsampoint/http/command/run_completion.cpp
@@ -5,6 +5,7 @@
 #include "balsampoint/http/internal/or_throw.hpp"
 #include "balsampoint/http/problem.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
+#include "balsampoint/trace/timed_sink.hpp"
 #include "balsampoint/traffic/command/run_stream.hpp"
 #include "balsampoint/traffic/table_route.hpp"
 
@@ -73,10 +74,15 @@
     stream::StreamRequest aRequest,
     Sink& aSink)
 {
-  EngineClient client{ aServices.backends, aCaller.traceParent };
+  EngineClient client{ aServices.backends, aServices.telemetry, aCaller.trace };
+  trace::BasicTimedSink timed{ aSink,
+                               aServices.telemetry.metrics,
+                               SteadyClock{} };
   traffic::TableRoute chooser{ aServices.world, aRequest.pipeline };
-  traffic::BasicStreamRun run{ client, chooser, aSink, SteadyClock{} };
-  run.Run(aRequest, stream::Settings{});
+  traffic::BasicStreamRun run{ client, chooser, timed, SteadyClock{} };
+  const auto counters = run.Run(aRequest, stream::Settings{});
+  aServices.telemetry.metrics.Add(trace::Count::Recoveries,
+                                  counters.replays + counters.imports);
 }
 
 } // namespace
@@ -92,8 +98,11 @@
   auto completion = OrThrow(DecodeCompletion(aKind, body));
   const auto& pipeline = FindPipeline(aCaller, completion.pipeline);
   auto request = MakeRequest(aCaller, pipeline, completion);
+  const auto arrived = SteadyClock::Now();
   const traffic::ControlGate::Pass pass{ aServices.gate,
                                          ArrivalOf(aCaller, request) };
+  aServices.telemetry.metrics.Record(trace::Timing::QueueWait,
+                                     SteadyClock::Now() - arrived);
   OrThrow(pass.Result());
   const CompletionWriter writer{ aCaller.id, completion };
   if (completion.stream) {
--- a/src/balsampoint/http/command/run_completion.hpp
+++ b/src/balsampoint/http/command/run_completion.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/http/client_pool.hpp"
 #include "balsampoint/http/completion_codec.hpp"
 #include "balsampoint/http/listener.hpp"
+#include "balsampoint/trace/hop.hpp"
 #include "balsampoint/traffic/control_gate.hpp"
 #include "balsampoint/traffic/world.hpp"
 
@@ -18,7 +19,8 @@
   const config::Workspace* workspace{};
   /** When the caller no longer wants the answer. */
   Instant deadline{ kNever };
-  std::string traceParent;
+  /** Trace and span that the calls for this request belong to. */
+  trace::Context trace;
 };
 
 /** @brief What commands for callers work with; all outlive them. */
@@ -27,6 +29,7 @@
   traffic::World& world;
   ClientPool& backends;
   traffic::ControlGate& gate;
+  trace::Telemetry& telemetry;
   std::uint64_t maxBodyBytes{};
 };
 
--- a/src/balsampoint/http/engine_client.cpp
+++ b/src/balsampoint/http/engine_client.cpp
@@ -30,9 +30,12 @@
 
 } // namespace
 
-EngineClient::EngineClient(ClientPool& aPool, std::string aTraceParent)
+EngineClient::EngineClient(ClientPool& aPool,
+                           trace::Telemetry& aTelemetry,
+                           const trace::Context& aTrace)
   : mPool{ aPool }
-  , mTraceParent{ std::move(aTraceParent) }
+  , mTelemetry{ aTelemetry }
+  , mTrace{ aTrace }
 {
 }
 
@@ -95,11 +98,14 @@
   ClientRequest request{ .method = "POST",
                          .path = std::string{ aPath },
                          .body = std::move(aBody) };
-  if (!mTraceParent.empty()) {
-    request.headers.push_back({ "traceparent", mTraceParent });
-  }
+  trace::Hop hop{ mTelemetry, mTrace, aPath };
+  hop.Note("server.address", aTarget.address);
+  request.headers.push_back({ "traceparent", hop.Here().Text() });
   const auto timeout = aTarget.deadline - runtime::SteadyClock::Now();
   auto response = mPool.Call(aTarget.address, request, timeout);
+  if (!response || response->status != kOk) {
+    hop.Fail();
+  }
   if (!response) {
     return tl::unexpected(Failed(aId, response.error()));
   }
--- a/src/balsampoint/http/engine_client.hpp
+++ b/src/balsampoint/http/engine_client.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/http/client_pool.hpp"
 #include "balsampoint/stream/action.hpp"
 #include "balsampoint/stream/event.hpp"
+#include "balsampoint/trace/hop.hpp"
 
 #include <string>
 
@@ -15,9 +16,12 @@
   /**
    * @brief Keeps the connections to use.
    * @param aPool Outlives the client.
-   * @param aTraceParent W3C `traceparent` for the calls; empty for none.
+   * @param aTelemetry Takes a span for each call; outlives the client.
+   * @param aTrace Trace and span that the calls belong to.
    */
-  EngineClient(ClientPool& aPool, std::string aTraceParent);
+  EngineClient(ClientPool& aPool,
+               trace::Telemetry& aTelemetry,
+               const trace::Context& aTrace);
 
   /**
    * @brief Runs a step and waits for its reply.
@@ -54,7 +58,8 @@
     std::string aBody);
 
   ClientPool& mPool;
-  std::string mTraceParent;
+  trace::Telemetry& mTelemetry;
+  trace::Context mTrace;
 };
 
 } // namespace balsampoint::http
--- a/src/balsampoint/trace/fwd.hpp
+++ b/src/balsampoint/trace/fwd.hpp
@@ -7,11 +7,13 @@
 class BasicExporter;
 
 class FileSink;
+class Hop;
 class LogScope;
 class Metrics;
 
 struct Attribute;
 struct Context;
 struct Span;
+struct Telemetry;
 
 } // namespace balsampoint::trace
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -17,26 +17,19 @@
                                                      "broken",
                                                      "caller_gone" };
 constexpr std::array kCounts{
-  Name{ "balsampoint_retries_total", "Calls made again." },
   Name{ "balsampoint_recoveries_total", "Stages replaced in mid-answer." },
-  Name{ "balsampoint_tokens_total", "Tokens sent to callers." },
-  Name{ "balsampoint_dropped_spans_total", "Spans that were not written." },
-  Name{ "balsampoint_control_messages_total", "Messages sent to other hosts." },
-  Name{ "balsampoint_control_bytes_total", "Bytes sent to other hosts." }
+  Name{ "balsampoint_tokens_total", "Tokens sent to callers." }
 };
 constexpr std::array kTimings{
   Name{ "balsampoint_first_token_seconds", "Request to first token." },
   Name{ "balsampoint_between_tokens_seconds", "One token to the next." },
   Name{ "balsampoint_queue_wait_seconds", "Wait for admission." },
-  Name{ "balsampoint_request_seconds", "Request to the end of its answer." },
-  Name{ "balsampoint_recovery_seconds", "Loss of a stage to the next token." }
+  Name{ "balsampoint_request_seconds", "Request to the end of its answer." }
 };
 constexpr std::array kLevels{
-  Name{ "balsampoint_requests_in_progress", "Requests in progress." },
   Name{ "balsampoint_live_servers", "Backend servers with a lease." },
   Name{ "balsampoint_change_number", "Configuration in force on the host." },
-  Name{ "balsampoint_control_queue",
-        "Events that wait for the control thread." }
+  Name{ "balsampoint_dropped_spans", "Spans that were not written." }
 };
 
 prometheus::Histogram::BucketBoundaries
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -32,27 +32,21 @@
   BetweenTokens,
   QueueWait,
   Request,
-  Recovery,
 };
 
 /** @brief Figures of the host's own state. */
 enum class Level : std::uint8_t
 {
-  RequestsInProgress,
   LiveServers,
   ChangeNumber,
-  ControlQueue,
+  DroppedSpans,
 };
 
 /** @brief Events that are only counted. */
 enum class Count : std::uint8_t
 {
-  Retries,
   Recoveries,
   Tokens,
-  DroppedSpans,
-  ControlMessages,
-  ControlBytes,
 };
 
 /**
