--- a/tools/load/answer_source.cpp
+++ b/tools/load/answer_source.cpp
@@ -94,7 +94,8 @@
                const TokenReader& aRead)
 {
   static http::ClientPool pool;
-  http::EngineClient client{ pool, {} };
+  static trace::Telemetry telemetry;
+  http::EngineClient client{ pool, telemetry, {} };
   stream::HashTokenizer tokenizer;
   tokenizer.Append(aPrompt);
   auto digest = stream::kEmptyKvDigest;
