--- a/src/balsampoint/stream/internal/end.cpp
+++ b/src/balsampoint/stream/internal/end.cpp
@@ -14,12 +14,12 @@
   aProgress.phase = Phase::Ended;
   aProgress.pending.reset();
   aProgress.vacancy.reset();
-  for (auto& target : aProgress.touched) {
-    target.deadline = aNow + kCancelTime;
+  for (auto& session : aProgress.sessions) {
+    session.target.deadline = aNow + kCancelTime;
     aActions.emplace_back(
-      CancelAt{ .target = target, .request = aProgress.request.id });
+      CancelAt{ .target = session.target, .request = session.request });
   }
-  aProgress.touched.clear();
+  aProgress.sessions.clear();
 }
 
 } // namespace
@@ -40,7 +40,7 @@
        Instant aNow,
        std::vector<Action>& aActions)
 {
-  if (aProgress.touched.empty()) {
+  if (aProgress.sessions.empty()) {
     aError.executed = Executed::No;
   } else if (aError.executed == Executed::No) {
     aError.executed = Executed::Unknown;
--- a/tools/engine/handler.cpp
+++ b/tools/engine/handler.cpp
@@ -221,7 +221,8 @@
   }
   const http::ClientRequest request{ .method = "GET",
                                      .path = std::string{ http::kExportsPath } +
-                                             '/' + call->id.request.String() };
+                                             '/' +
+                                             call->sourceRequest.String() };
   const auto exported = mClients.Call(call->source, request, kExportTimeout);
   if (!exported) {
     return tl::unexpected(exported.error().error);
