--- a/src/balsampoint/limit/internal/share.cpp
+++ b/src/balsampoint/limit/internal/share.cpp
@@ -35,7 +35,7 @@
   if (limit == 0) {
     return aState.settings.slots;
   }
-  return limit / std::max(1U, aState.settings.hosts);
+  return std::max(1U, limit / std::max(1U, aState.settings.hosts));
 }
 
 bool
--- a/src/balsampoint/limit/internal/share.hpp
+++ b/src/balsampoint/limit/internal/share.hpp
@@ -26,7 +26,8 @@
  * @brief Requests of a workspace that this host may run at a time.
  * @param aState State to read.
  * @param aWorkspace The workspace.
- * @return This host's part of the limit; all slots when there is none.
+ * @return This host's part of the limit, at least 1; all slots when there is
+ * no limit.
  */
 [[nodiscard]] std::uint32_t
 ConcurrencyShare(const State& aState, const WorkspaceState& aWorkspace);
