Let an empty list of names allow none

Cause: 'pipelines: []' of a workspace meant all pipelines, the opposite of what it says; the engravers of an example could draft. Change: an absent list allows everything, a list only what it names. Figures: a test of the callers' surface failed before and passes now.

--- a/benchmarks/bench_config.cpp
+++ b/benchmarks/bench_config.cpp
@@ -34,7 +34,7 @@
       workspace.keys.push_back(
         config::HashKey(name + part + ".secret", "00112233445566778899"));
     }
-    workspace.pipelines.insert(
+    workspace.pipelines.listed.emplace().insert(
       PipelineId{ "pipeline-" + std::to_string(index % kPipelines) });
     document.workspaces.emplace(workspace.id, workspace);
   }
--- a/src/balsampoint/config/document.hpp
+++ b/src/balsampoint/config/document.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -79,6 +80,28 @@
   bool operator==(const Limits&) const = default;
 };
 
+/**
+ * @brief What a workspace may use: everything, or only what is listed.
+ * @tparam Id Kind of names listed.
+ */
+template<typename Id>
+struct BasicAllowance
+{
+  /** Absent for everything; an empty list allows nothing. */
+  std::optional<std::set<Id>> listed;
+
+  /**
+   * @brief Whether a name is allowed.
+   * @param aId The name.
+   */
+  [[nodiscard]] bool Allows(const Id& aId) const
+  {
+    return !listed || listed->contains(aId);
+  }
+
+  bool operator==(const BasicAllowance&) const = default;
+};
+
 /** @brief A group of callers that shares keys, limits and a priority. */
 struct Workspace
 {
@@ -89,10 +112,8 @@
   /** Lower is served first. */
   std::uint32_t priority{};
   Limits limits;
-  /** Pipelines it may use; empty means all. */
-  std::set<PipelineId> pipelines;
-  /** Services it may use; empty means all. */
-  std::set<ServiceId> services;
+  BasicAllowance<PipelineId> pipelines;
+  BasicAllowance<ServiceId> services;
 
   bool operator==(const Workspace&) const = default;
 };
--- a/src/balsampoint/config/internal/document_reader.cpp
+++ b/src/balsampoint/config/internal/document_reader.cpp
@@ -115,18 +115,19 @@
   void ReadNames(FieldReader& aReader,
                  const std::string& aField,
                  const std::map<Id, Value>& aKnown,
-                 std::set<Id>& aInto)
+                 BasicAllowance<Id>& aInto)
   {
     std::vector<Id> names;
     if (!aReader.Read(aField, names)) {
       return;
     }
+    auto& listed = aInto.listed.emplace();
     const auto list = aReader.Here().Field(aField);
     const auto word = std::string_view{ aField }.substr(0, aField.size() - 1);
     for (std::size_t index = 0; index < names.size(); ++index) {
       const auto item = list.Item(index);
       CheckKnown(item, word, aKnown, names[index]);
-      if (!aInto.insert(names[index]).second) {
+      if (!listed.insert(names[index]).second) {
         item.Report("'" + names[index].String() + "' stands twice");
       }
     }
--- a/src/balsampoint/config/query/document_text.cpp
+++ b/src/balsampoint/config/query/document_text.cpp
@@ -22,17 +22,6 @@
   return list;
 }
 
-template<typename Ids>
-Json
-NamesToJson(const Ids& aIds)
-{
-  auto list = Json::array();
-  for (const auto& id : aIds) {
-    list.push_back(id.String());
-  }
-  return list;
-}
-
 Json
 ToJson(const Zone& aZone)
 {
@@ -74,18 +63,35 @@
            { "max_body_bytes", aService.maxBodyBytes } };
 }
 
+/** Adds a list of names under a field, if there is a list. */
+template<typename Id>
+void
+AddNames(Json& aInto, const char* aField, const BasicAllowance<Id>& aAllowance)
+{
+  if (!aAllowance.listed) {
+    return;
+  }
+  auto& list = aInto[aField] = Json::array();
+  for (const auto& id : *aAllowance.listed) {
+    list.push_back(id.String());
+  }
+}
+
 Json
 ToJson(const Workspace& aWorkspace)
 {
   const auto& limits = aWorkspace.limits;
-  return { { "keys", ToJson(aWorkspace.keys) },
-           { "weight", aWorkspace.weight },
-           { "priority", aWorkspace.priority },
-           { "limits",
-             { { "requests_per_second", limits.requestsPerSecond },
-               { "concurrent_requests", limits.concurrentRequests } } },
-           { "pipelines", NamesToJson(aWorkspace.pipelines) },
-           { "services", NamesToJson(aWorkspace.services) } };
+  Json workspace{
+    { "keys", ToJson(aWorkspace.keys) },
+    { "weight", aWorkspace.weight },
+    { "priority", aWorkspace.priority },
+    { "limits",
+      { { "requests_per_second", limits.requestsPerSecond },
+        { "concurrent_requests", limits.concurrentRequests } } }
+  };
+  AddNames(workspace, "pipelines", aWorkspace.pipelines);
+  AddNames(workspace, "services", aWorkspace.services);
+  return workspace;
 }
 
 Json
--- a/src/balsampoint/http/command/call_service.cpp
+++ b/src/balsampoint/http/command/call_service.cpp
@@ -48,8 +48,7 @@
     throw Failure{ MakeError(ErrorKind::UnknownService,
                              "no service '" + aId.String() + "'") };
   }
-  const auto& allowed = aCaller.workspace->services;
-  if (!allowed.empty() && !allowed.contains(aId)) {
+  if (!aCaller.workspace->services.Allows(aId)) {
     throw Failure{ MakeError(ErrorKind::Forbidden,
                              "the workspace may not use service '" +
                                aId.String() + "'") };
--- a/src/balsampoint/http/command/run_completion.cpp
+++ b/src/balsampoint/http/command/run_completion.cpp
@@ -26,8 +26,7 @@
     throw Failure{ MakeError(ErrorKind::UnknownPipeline,
                              "no pipeline '" + aId.String() + "'") };
   }
-  const auto& allowed = aCaller.workspace->pipelines;
-  if (!allowed.empty() && !allowed.contains(aId)) {
+  if (!aCaller.workspace->pipelines.Allows(aId)) {
     throw Failure{ MakeError(ErrorKind::Forbidden,
                              "the workspace may not use pipeline '" +
                                aId.String() + "'") };
--- a/test/process/callers_test.py
+++ b/test/process/callers_test.py
@@ -89,6 +89,8 @@
                           headers=HEADERS), 404, "not_found")
         self.refused(call(self.host.callers, "GET", "/services/none/x",
                           headers=HEADERS), 404, "unknown_service")
+        engravers = dict(HEADERS, Authorization="Bearer engravers.example")
+        self.refused(self.ask(completion(), engravers), 403, "forbidden")
         late = dict(HEADERS, **{"X-Request-Deadline-Ms": "soon"})
         self.refused(self.ask(completion(), late), 400, "bad_request")
 
