--- a/src/balsampoint/change/command/lead.cpp
+++ b/src/balsampoint/change/command/lead.cpp
@@ -91,8 +91,11 @@
   const auto before = aState.table.number;
   const auto answer = Decide(aState.table, aEvent.change);
   if (aState.table.number != before) {
+    const auto& change = aEvent.change;
     aActions.emplace_back(
-      Accepted{ aState.table.number, aState.table.sections });
+      Accepted{ aState.table.number,
+                aState.table.sections,
+                { { change.number, change.id, change.author } } });
   }
   const auto found = aState.proposed.find(aEvent.ticket);
   if (found == aState.proposed.end()) {
@@ -121,10 +124,15 @@
 HandleRestored(State& aState, const Restored& aEvent, Actions& aActions)
 {
   aState.table = aEvent.table;
-  if (aState.table.number != ChangeNumber{}) {
-    aActions.emplace_back(
-      Accepted{ aState.table.number, aState.table.sections });
+  const auto& table = aState.table;
+  if (table.number == ChangeNumber{}) {
+    return;
+  }
+  Accepted accepted{ table.number, table.sections, {} };
+  for (const auto& [number, id] : table.winners) {
+    accepted.changes.push_back({ number, id, table.decided.at(id).author });
   }
+  aActions.emplace_back(std::move(accepted));
 }
 
 } // namespace balsampoint::change
--- a/src/balsampoint/change/state.hpp
+++ b/src/balsampoint/change/state.hpp
@@ -142,11 +142,21 @@
   tl::expected<Answer, Error> result;
 };
 
+/** @brief A change that won its number. */
+struct AcceptedChange
+{
+  ChangeNumber number;
+  ChangeId id;
+  OperatorId author;
+};
+
 /** @brief Says that a configuration was accepted, for the fan-out. */
 struct Accepted
 {
   ChangeNumber number;
   SharedSections sections;
+  /** The newest change; after a snapshot, all that the table knows. */
+  std::vector<AcceptedChange> changes;
 };
 
 /** @brief Answers `SnapshotWanted`. */
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -11,6 +11,7 @@
 #include "balsampoint/consensus/internal/log.hpp"
 #include "balsampoint/consensus/internal/write.hpp"
 #include "balsampoint/consensus/query/next_deadline.hpp"
+#include "balsampoint/consensus/query/status.hpp"
 #include "balsampoint/core/concepts.hpp"
 
 #include <utility>
@@ -105,6 +106,10 @@
   {
     HandleSnapshotTaken(state, aEvent, actions);
   }
+  void operator()(const StatusWanted& /*aEvent*/) const
+  {
+    actions.emplace_back(StatusReady{ Describe(state, now) });
+  }
 };
 
 bool
--- a/src/balsampoint/consensus/query/status.hpp
+++ b/src/balsampoint/consensus/query/status.hpp
@@ -1,37 +1,10 @@
 #pragma once
 
 #include "balsampoint/consensus/state.hpp"
-
-#include <optional>
-#include <vector>
+#include "balsampoint/consensus/status.hpp"
 
 namespace balsampoint::consensus {
 
-/** @brief One member as an operator sees it. */
-struct MemberStatus
-{
-  Member member;
-  /** Last entry durable there; known to the leader only. */
-  Index match;
-  /** Time since its last answer; known to the leader only. */
-  std::optional<Duration> silence;
-};
-
-/** @brief The group as one of its members sees it. */
-struct Status
-{
-  HostId self;
-  HostId leader;
-  Role role{ Role::Follower };
-  Term term;
-  Index committed;
-  Index applied;
-  Index snapshot;
-  bool storageFailed{ false };
-  bool recovering{ false };
-  std::vector<MemberStatus> members;
-};
-
 /**
  * @brief Describes the group.
  * @param aState State to read.
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/consensus/fwd.hpp"
 #include "balsampoint/consensus/message.hpp"
+#include "balsampoint/consensus/status.hpp"
 #include "balsampoint/core/error.hpp"
 #include "balsampoint/core/time.hpp"
 
@@ -67,15 +68,6 @@
   std::deque<Entry> entries;
 };
 
-/** @brief What a member is in the current term. */
-enum class Role : std::uint8_t
-{
-  Follower,
-  PreCandidate,
-  Candidate,
-  Leader,
-};
-
 /** @brief What a leader knows of one other member. */
 struct Progress
 {
@@ -253,6 +245,10 @@
   std::set<Spare> spares;
 };
 
+/** @brief Asks what operators see of the group; answered by `StatusReady`. */
+struct StatusWanted
+{};
+
 /** @brief The tables as encoded by the daemon for `TakeSnapshot`. */
 struct SnapshotTaken
 {
@@ -271,7 +267,8 @@
                            ConfirmLeader,
                            HandOver,
                            SparesKnown,
-                           SnapshotTaken>;
+                           SnapshotTaken,
+                           StatusWanted>;
 
 /**
  * @brief Writes to the disk, in the order of the numbers; answered by `Synced`
@@ -349,6 +346,12 @@
   bool done{ false };
 };
 
+/** @brief Answers `StatusWanted`. */
+struct StatusReady
+{
+  Status status;
+};
+
 /** @brief Everything that a member asks of the daemon. */
 using Action = std::variant<Send,
                             Persist,
@@ -359,7 +362,8 @@
                             MembersChanged,
                             LeaderConfirmed,
                             LeaderChanged,
-                            HandOverEnded>;
+                            HandOverEnded,
+                            StatusReady>;
 
 /** @brief Collects what a command asks of the daemon. */
 using Actions = std::vector<Action>;
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -163,6 +163,7 @@
     return;
   }
   aState.directory.clear();
+  aState.waiters.clear();
   aState.leadingSince = leads ? aNow : kNever;
   aState.parent = {};
 }
--- a/src/balsampoint/fanout/message.hpp
+++ b/src/balsampoint/fanout/message.hpp
@@ -81,7 +81,34 @@
   bool operator==(const Update&) const = default;
 };
 
+/** @brief Asks the leader to say when all reachable hosts have a number. */
+struct InForceRequest
+{
+  Ticket ticket;
+  ChangeNumber number;
+  /** Time after which it answers anyway. */
+  Duration wait{};
+
+  bool operator==(const InForceRequest&) const = default;
+};
+
+/** @brief Answers an `InForceRequest`. */
+struct InForceReply
+{
+  Ticket ticket;
+  /** All hosts with what they have in force. */
+  std::vector<HostReport> hosts;
+
+  bool operator==(const InForceReply&) const = default;
+};
+
 /** @brief Everything that hosts send to one another for the fan-out. */
-using Message = std::variant<JoinRequest, JoinReply, Report, Fetch, Update>;
+using Message = std::variant<JoinRequest,
+                             JoinReply,
+                             Report,
+                             Fetch,
+                             Update,
+                             InForceRequest,
+                             InForceReply>;
 
 } // namespace balsampoint::fanout
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -1,9 +1,11 @@
 #include "balsampoint/fanout/module.hpp"
 
 #include "balsampoint/core/concepts.hpp"
+#include "balsampoint/fanout/command/await.hpp"
 #include "balsampoint/fanout/command/distribute.hpp"
 #include "balsampoint/fanout/command/join.hpp"
 #include "balsampoint/fanout/command/report.hpp"
+#include "balsampoint/fanout/query/in_force.hpp"
 #include "balsampoint/fanout/query/next_deadline.hpp"
 
 #include <utility>
@@ -35,6 +37,18 @@
   {
     HandleLeaderKnown(state, aEvent, now);
   }
+  void operator()(const AwaitInForce& aEvent) const
+  {
+    HandleAwaitInForce(state, aEvent, now, actions);
+  }
+  void operator()(const InForceRequest& aMessage) const
+  {
+    HandleInForceRequest(state, from, aMessage, now, actions);
+  }
+  void operator()(const InForceReply& aMessage) const
+  {
+    actions.emplace_back(InForceKnown{ aMessage.ticket, aMessage.hosts });
+  }
   void operator()(const JoinRequest& aMessage) const
   {
     HandleJoinRequest(state, from, aMessage, now, actions);
@@ -46,6 +60,7 @@
   void operator()(const Report& aMessage) const
   {
     HandleReport(state, from, aMessage, now, actions);
+    AnswerWaiters(state, now, actions);
   }
   void operator()(const Fetch& aMessage) const
   {
@@ -96,6 +111,8 @@
   }
   if (aNow >= aState.nextBeat) {
     Beat(aState, aNow, aActions);
+    AnswerWaiters(aState, aNow, aActions);
+    aActions.emplace_back(StatusReady{ DescribeInForce(aState, aNow) });
   }
 }
 
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/core/time.hpp"
 #include "balsampoint/fanout/fwd.hpp"
+#include "balsampoint/fanout/in_force.hpp"
 #include "balsampoint/fanout/message.hpp"
 
 #include <cstddef>
@@ -78,6 +79,15 @@
   Instant heardAt{};
 };
 
+/** @brief Somebody who waits until all reachable hosts have a number. */
+struct InForceWaiter
+{
+  HostId origin;
+  Ticket ticket;
+  ChangeNumber number;
+  Instant deadline{};
+};
+
 /** @brief State of one host; the control thread owns it. */
 struct State
 {
@@ -96,6 +106,7 @@
   std::map<HostId, Child> children;
   /** All hosts; kept by the leader only. */
   std::map<HostId, Known> directory;
+  std::vector<InForceWaiter> waiters;
   std::set<HostId> answeredSeeds;
   Instant startDeadline{ kNever };
   Instant nextJoin{ kNever };
@@ -124,8 +135,20 @@
   HostId leader;
 };
 
+/**
+ * @brief Asks when all reachable hosts have a configuration in force; answered
+ * by `InForceKnown`, unless no leader is known or it is lost meanwhile.
+ */
+struct AwaitInForce
+{
+  Ticket ticket;
+  ChangeNumber number;
+  /** Time after which the answer comes anyway. */
+  Duration wait{};
+};
+
 /** @brief Everything that a host reacts to. */
-using Event = std::variant<Received, Accepted, LeaderKnown>;
+using Event = std::variant<Received, Accepted, LeaderKnown, AwaitInForce>;
 
 /** @brief Hands a message to the transport. */
 struct Send
@@ -154,8 +177,23 @@
   HostId leader;
 };
 
+/** @brief Answers `AwaitInForce`. */
+struct InForceKnown
+{
+  Ticket ticket;
+  /** All hosts with what they have in force. */
+  std::vector<HostReport> hosts;
+};
+
+/** @brief What operators see of the hosts; comes with each heartbeat. */
+struct StatusReady
+{
+  InForce inForce;
+};
+
 /** @brief Everything that a host asks of the daemon. */
-using Action = std::variant<Send, Route, Publish, LeaderHeard>;
+using Action =
+  std::variant<Send, Route, Publish, LeaderHeard, InForceKnown, StatusReady>;
 
 /** @brief Collects what a command asks of the daemon. */
 using Actions = std::vector<Action>;
--- a/src/balsampoint/peer/parcel.hpp
+++ b/src/balsampoint/peer/parcel.hpp
@@ -19,6 +19,7 @@
   Ledger = 5,
   Limit = 6,
   Orders = 7,
+  Change = 8,
 };
 
 /** @brief A received message whose sender is authenticated. */
--- a/test/balsampoint/consensus/group.hpp
+++ b/test/balsampoint/consensus/group.hpp
@@ -388,6 +388,8 @@
     hosts.at(aHost).handOverDone = aEnded.done;
   }
 
+  void Perform(const HostId& /*aHost*/, StatusReady& /*aReady*/) {}
+
   std::uint64_t mSeed;
   Ticket mLastTicket;
   std::map<Ticket, HostId> mTickets;
