--- /dev/null
+++ b/src/balsampoint/daemon/change_runner.cpp
@@ -0,0 +1,123 @@
+#include "balsampoint/daemon/change_runner.hpp"
+
+#include "balsampoint/change/delta.hpp"
+#include "balsampoint/config/query/sections.hpp"
+#include "balsampoint/daemon/post.hpp"
+#include "balsampoint/daemon/proposal_ticket.hpp"
+#include "balsampoint/peer/change_codec.hpp"
+
+#include <Poco/DigestEngine.h>
+#include <Poco/SHA2Engine.h>
+#include <utility>
+
+namespace balsampoint::daemon {
+
+namespace {
+
+/** @brief Longer than the module's own limit, which gives the exact answer. */
+constexpr Duration kAnswerWait = std::chrono::seconds{ 12 };
+
+std::string
+DigestOf(const http::ChangeRequest& aRequest)
+{
+  Poco::SHA2Engine engine{ Poco::SHA2Engine::SHA_256 };
+  engine.update(std::to_string(aRequest.number.Value()) + "\n");
+  engine.update(aRequest.document);
+  return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+} // namespace
+
+ChangeRunner::ChangeRunner(ControlMailbox& aMailbox,
+                           peer::Sender& aSender,
+                           StatusBoard& aBoard,
+                           runtime::SnapshotCell<fanout::Content>& aInForce)
+  : mMailbox{ aMailbox }
+  , mSender{ aSender }
+  , mBoard{ aBoard }
+  , mInForce{ aInForce }
+{
+}
+
+change::Change
+ChangeRunner::MakeChange(const http::ChangeRequest& aRequest) const
+{
+  change::Change change{ .number = aRequest.number,
+                         .id = aRequest.change,
+                         .author = aRequest.by,
+                         .digest = DigestOf(aRequest) };
+  auto sections = config::SplitSections(aRequest.document);
+  const auto inForce = mInForce.Read();
+  if (inForce && inForce->number.Next() == aRequest.number) {
+    change.delta = change::Difference(*inForce->sections, sections);
+  } else {
+    change.whole = true;
+    change.delta.upserts = std::move(sections);
+  }
+  return change;
+}
+
+tl::expected<change::Answer, Error>
+ChangeRunner::Submit(const http::ChangeRequest& aRequest)
+{
+  decltype(mAnswers)::Waiter waiter{ mAnswers };
+  const bool posted = mMailbox.Push(
+    change::Event{ change::Submit{ waiter.Number(), MakeChange(aRequest) } });
+  if (!posted) {
+    return Refuse(ErrorKind::Overloaded, "the control queue is full");
+  }
+  if (auto answer = waiter.Wait(kAnswerWait)) {
+    return std::move(*answer);
+  }
+  return Refuse(ErrorKind::OutcomeUnknown, "the control thread is late");
+}
+
+void
+ChangeRunner::Run(const change::Action& aAction)
+{
+  std::visit([this](const auto& aOne) { Do(aOne); }, aAction);
+}
+
+void
+ChangeRunner::Do(const change::Send& aSend)
+{
+  mSender.Send(aSend.to, peer::ModuleTag::Change, peer::Encode(aSend.message));
+}
+
+void
+ChangeRunner::Do(const change::Propose& aPropose)
+{
+  const auto table = peer::TableTag::Change;
+  Post(mMailbox,
+       consensus::Event{
+         consensus::Propose{ ProposalTicket(table, aPropose.ticket),
+                             peer::Encode(peer::ControlCommand{
+                               table, peer::Encode(aPropose.change) }) } });
+}
+
+void
+ChangeRunner::Do(const change::Answered& aAnswered)
+{
+  mAnswers.Complete(aAnswered.ticket, aAnswered.result);
+}
+
+void
+ChangeRunner::Do(const change::Accepted& aAccepted)
+{
+  mBoard.Show(aAccepted.changes);
+  Post(
+    mMailbox,
+    fanout::Event{ fanout::Accepted{ aAccepted.number, aAccepted.sections } });
+}
+
+void
+ChangeRunner::Do(const change::SnapshotReady& aReady)
+{
+  const peer::ControlSnapshot tables{ { peer::TableTag::Change,
+                                        peer::Encode(aReady.table) } };
+  Post(mMailbox,
+       consensus::Event{ consensus::SnapshotTaken{
+         consensus::Index{ aReady.index }, peer::Encode(tables) } });
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "balsampoint/change/module.hpp"
+#include "balsampoint/consensus/module.hpp"
+#include "balsampoint/fanout/module.hpp"
 #include "balsampoint/registry/module.hpp"
 #include "balsampoint/runtime/control_loop.hpp"
 #include "balsampoint/runtime/mailbox.hpp"
@@ -26,7 +29,10 @@
 };
 
 /** @brief The decision modules that the control thread runs. */
-using Control = ModuleList<registry::Module>;
+using Control = ModuleList<registry::Module,
+                           consensus::Module,
+                           change::Module,
+                           fanout::Module>;
 
 /** @brief The one queue into the control thread. */
 using ControlMailbox = runtime::Mailbox<Control::Event>;
--- /dev/null
+++ b/src/balsampoint/daemon/disk_worker.cpp
@@ -0,0 +1,79 @@
+#include "balsampoint/daemon/disk_worker.hpp"
+
+#include "balsampoint/daemon/post.hpp"
+
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace balsampoint::daemon {
+
+namespace {
+
+constexpr std::size_t kQueueCapacity = 65536;
+
+} // namespace
+
+tl::expected<OpenedStore, Error>
+OpenStore(const config::Settings& aSettings)
+{
+  auto folder = disk::FileDisk::Open(*aSettings.dataFolder);
+  if (!folder) {
+    return tl::unexpected(folder.error());
+  }
+  auto store =
+    LogStore::Open(std::move(*folder), { aSettings.cluster, aSettings.host });
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  auto recovered = store->Load();
+  if (!recovered) {
+    spdlog::error("the log is damaged and will be repaired from the group: {}",
+                  recovered.error().detail);
+    recovered = store->Repair().and_then([&] { return store->Load(); });
+  }
+  if (!recovered) {
+    return tl::unexpected(recovered.error());
+  }
+  return OpenedStore{ std::move(*store), std::move(*recovered) };
+}
+
+DiskWorker::DiskWorker(ControlMailbox& aMailbox, LogStore aStore)
+  : mMailbox{ aMailbox }
+  , mStore{ std::move(aStore) }
+  , mWrites{ kQueueCapacity }
+  , mThread{ [this] { Serve(); } }
+{
+}
+
+DiskWorker::~DiskWorker()
+{
+  mWrites.Close();
+  mThread.join();
+}
+
+void
+DiskWorker::Write(consensus::Persist aWrite)
+{
+  if (!mWrites.Push(std::move(aWrite))) {
+    throw Failure{ MakeError(ErrorKind::Overloaded,
+                             "the queue of the disk is full") };
+  }
+}
+
+void
+DiskWorker::Serve()
+{
+  while (const auto write = mWrites.Pop(Duration::max())) {
+    const auto done = mStore.Write(*write);
+    if (done) {
+      Post(mMailbox, consensus::Event{ consensus::Synced{ write->write } });
+      continue;
+    }
+    spdlog::error("the disk refuses writes: {}", done.error().detail);
+    Post(mMailbox,
+         consensus::Event{
+           consensus::StorageFailure{ write->write, done.error() } });
+  }
+}
+
+} // namespace balsampoint::daemon
--- /dev/null
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -0,0 +1,126 @@
+#include "balsampoint/daemon/fanout_runner.hpp"
+
+#include "balsampoint/config/query/document_text.hpp"
+#include "balsampoint/config/query/sections.hpp"
+#include "balsampoint/daemon/post.hpp"
+#include "balsampoint/peer/fanout_codec.hpp"
+
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace balsampoint::daemon {
+
+namespace {
+
+constexpr std::size_t kQueueCapacity = 65536;
+/** @brief Time for the leader's answer to come back. */
+constexpr Duration kReplyTime = std::chrono::seconds{ 1 };
+
+} // namespace
+
+FanoutRunner::FanoutRunner(ControlMailbox& aMailbox,
+                           peer::Sender& aSender,
+                           StatusBoard& aBoard,
+                           Configure aConfigure)
+  : mMailbox{ aMailbox }
+  , mSender{ aSender }
+  , mBoard{ aBoard }
+  , mConfigure{ std::move(aConfigure) }
+  , mContents{ kQueueCapacity }
+  , mThread{ [this] { Serve(); } }
+{
+}
+
+FanoutRunner::~FanoutRunner()
+{
+  mContents.Close();
+  mThread.join();
+}
+
+std::vector<fanout::HostReport>
+FanoutRunner::Await(ChangeNumber aNumber, Duration aWait)
+{
+  decltype(mAnswers)::Waiter waiter{ mAnswers };
+  Post(
+    mMailbox,
+    fanout::Event{ fanout::AwaitInForce{ waiter.Number(), aNumber, aWait } });
+  return waiter.Wait(aWait + kReplyTime)
+    .value_or(std::vector<fanout::HostReport>{});
+}
+
+void
+FanoutRunner::Run(const fanout::Action& aAction)
+{
+  std::visit([this](const auto& aOne) { Do(aOne); }, aAction);
+}
+
+void
+FanoutRunner::Do(const fanout::Send& aSend)
+{
+  mSender.Send(aSend.to, peer::ModuleTag::Fanout, peer::Encode(aSend.message));
+}
+
+void
+FanoutRunner::Do(const fanout::Route& aRoute)
+{
+  if (!aRoute.address.empty()) {
+    mSender.Route(aRoute.host, aRoute.address);
+  }
+}
+
+void
+FanoutRunner::Do(const fanout::Publish& aPublish)
+{
+  const bool queued = mContents.Push({ aPublish.number, aPublish.sections });
+  if (!queued && !mContents.Closed()) {
+    throw Failure{ MakeError(ErrorKind::Overloaded,
+                             "configurations come faster than they are read") };
+  }
+}
+
+void
+FanoutRunner::Do(const fanout::LeaderHeard& aHeard)
+{
+  Post(mMailbox, change::Event{ change::LeaderKnown{ aHeard.leader } });
+}
+
+void
+FanoutRunner::Do(const fanout::InForceKnown& aKnown)
+{
+  mAnswers.Complete(aKnown.ticket, aKnown.hosts);
+}
+
+void
+FanoutRunner::Do(const fanout::StatusReady& aReady)
+{
+  mBoard.Show(aReady.inForce);
+  Post(mMailbox, consensus::Event{ consensus::StatusWanted{} });
+  consensus::SparesKnown known;
+  for (const auto& host : aReady.inForce.hosts) {
+    if (host.reachable && host.report.hasDisk) {
+      known.spares.insert({ host.report.host, host.report.zone });
+    }
+  }
+  Post(mMailbox, consensus::Event{ std::move(known) });
+}
+
+void
+FanoutRunner::Serve()
+{
+  while (auto content = mContents.Pop(Duration::max())) {
+    auto document = config::Parse(config::JoinSections(*content->sections));
+    if (!document) {
+      spdlog::error("configuration {} can't be read", content->number.Value());
+      continue;
+    }
+    document->number = content->number;
+    mConfigure(std::move(*document));
+    spdlog::info("configuration {} is in force", content->number.Value());
+    const auto number = content->number;
+    mInForce.Publish(
+      std::make_shared<const fanout::Content>(std::move(*content)));
+    Post(mMailbox, fanout::Event{ fanout::Published{ number } });
+  }
+}
+
+} // namespace balsampoint::daemon
--- /dev/null
+++ b/src/balsampoint/daemon/first_state.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "balsampoint/config/settings.hpp"
+#include "balsampoint/daemon/control.hpp"
+#include "balsampoint/daemon/disk_worker.hpp"
+#include "balsampoint/peer/parcel.hpp"
+
+#include <optional>
+
+namespace balsampoint::daemon {
+
+/** @brief What the control thread starts with. */
+struct FirstState
+{
+  Control::States states;
+  /** What the replicated log asks for before its first event. */
+  consensus::Actions actions;
+  /** The data folder of a host that has a disk. */
+  std::optional<LogStore> store;
+};
+
+/**
+ * @brief Reads the data folder and makes the first states of all modules.
+ * @param aSettings The host's settings.
+ * @param aIdentity This host.
+ * @return The states, or why the host can't start.
+ */
+[[nodiscard]] tl::expected<FirstState, Error>
+MakeFirstState(const config::Settings& aSettings,
+               const peer::Identity& aIdentity);
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/daemon/node.hpp"
 
+#include "balsampoint/daemon/operations.hpp"
+
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -13,15 +15,7 @@
 constexpr std::size_t kMailboxCapacity = 65536;
 /** Threads beyond the requests in progress: for refusals and health. */
 constexpr int kSpareThreads = 64;
-
-Control::States
-FirstStates(const config::Settings& aSettings)
-{
-  registry::State registry;
-  registry.settings.self = aSettings.host;
-  registry.settings.zone = aSettings.zone;
-  return { std::move(registry) };
-}
+constexpr Duration kHandOverWait = std::chrono::seconds{ 3 };
 
 /** The wall clock, so that each start of a host has a higher number. */
 peer::Identity
@@ -52,7 +46,13 @@
 tl::expected<std::unique_ptr<Node>, Error>
 Node::Start(const config::Settings& aSettings)
 {
-  std::unique_ptr<Node> node{ new Node{ aSettings, MakeIdentity(aSettings) } };
+  const auto identity = MakeIdentity(aSettings);
+  auto first = MakeFirstState(aSettings, identity);
+  if (!first) {
+    return tl::unexpected(first.error());
+  }
+  std::unique_ptr<Node> node{ new Node{
+    aSettings, identity, std::move(*first) } };
   const auto listening = node->Listen();
   if (!listening) {
     return tl::unexpected(listening.error());
@@ -60,15 +60,21 @@
   return node;
 }
 
-Node::Node(const config::Settings& aSettings, const peer::Identity& aIdentity)
+Node::Node(const config::Settings& aSettings,
+           const peer::Identity& aIdentity,
+           FirstState aFirst)
   : mSettings{ aSettings }
   , mIdentity{ aIdentity }
   , mMailbox{ kMailboxCapacity }
   , mSender{ aIdentity }
   , mRouter{ mMailbox }
-  , mRunners{ mMailbox, mWorld, mSender }
-  , mLoop{ mMailbox, mRunners, FirstStates(aSettings) }
-  , mControlThread{ [this] { mLoop.Run(); } }
+  , mRunners{ mMailbox,
+              mWorld,
+              mSender,
+              [this](config::Document aDocument) {
+                Configure(std::move(aDocument));
+              } }
+  , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
                       .maxBodyBytes = aSettings.limits.bodyBytes },
@@ -85,6 +91,13 @@
       mSender.Route(seed.host, seed.address.Text());
     }
   }
+  if (aFirst.store) {
+    mRunners.Consensus().UseDisk(std::move(*aFirst.store));
+  }
+  for (const auto& action : aFirst.actions) {
+    mRunners.Run(action);
+  }
+  mControlThread = std::thread{ [this] { mLoop.Run(); } };
 }
 
 Node::~Node()
@@ -114,6 +127,9 @@
 Node::Drain()
 {
   mWorld.draining = true;
+  if (mSettings.dataFolder) {
+    mRunners.Consensus().HandOver(kHandOverWait);
+  }
   std::mutex mutex;
   std::condition_variable never;
   std::unique_lock lock{ mutex };
@@ -161,17 +177,13 @@
 http::Operations
 Node::MakeOperations()
 {
-  const auto unavailable = [] {
-    return MakeError(ErrorKind::ControlUnavailable,
-                     "the control group is not running");
-  };
   return { .submit =
-             [unavailable](const http::ChangeRequest&) {
-               return tl::unexpected(http::ChangeRefusal{ unavailable() });
+             [this](const http::ChangeRequest& aRequest) {
+               return SubmitChange(mRunners, aRequest);
              },
            .changeMembers =
-             [unavailable](const http::MemberChange&) {
-               return tl::unexpected(unavailable());
+             [this](const http::MemberChange& aChange) {
+               return ChangeMembers(mRunners, mWorld, aChange);
              },
            .drain = [this] { mWorld.draining = true; } };
 }
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/config/settings.hpp"
 #include "balsampoint/daemon/control.hpp"
+#include "balsampoint/daemon/first_state.hpp"
 #include "balsampoint/daemon/parcel_router.hpp"
 #include "balsampoint/daemon/runners.hpp"
 #include "balsampoint/http/caller_handler.hpp"
@@ -55,7 +56,9 @@
   using ServerListener = http::BasicListener<http::ServerHandler>;
   using OperatorListener = http::BasicListener<http::OperatorHandler>;
 
-  Node(const config::Settings& aSettings, const peer::Identity& aIdentity);
+  Node(const config::Settings& aSettings,
+       const peer::Identity& aIdentity,
+       FirstState aFirst);
   tl::expected<void, Error> Listen();
   [[nodiscard]] http::Operations MakeOperations();
 
--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -1,10 +1,34 @@
 #include "balsampoint/daemon/parcel_router.hpp"
 
+#include "balsampoint/peer/change_codec.hpp"
+#include "balsampoint/peer/consensus_codec.hpp"
+#include "balsampoint/peer/fanout_codec.hpp"
+
 #include <spdlog/spdlog.h>
 #include <utility>
 
 namespace balsampoint::daemon {
 
+namespace {
+
+/**
+ * @brief Makes a module's event from a decoded message.
+ * @tparam Module The module.
+ * @tparam Received The module's event for a message.
+ * @tparam Message Type of its messages.
+ */
+template<typename Module, typename Received, typename Message>
+tl::expected<Control::Event, Error>
+EventOf(const peer::Parcel& aParcel, tl::expected<Message, Error> aMessage)
+{
+  return std::move(aMessage).map([&aParcel](Message aDecoded) {
+    return Control::Event{ typename Module::Event{
+      Received{ aParcel.from, std::move(aDecoded) } } };
+  });
+}
+
+} // namespace
+
 ParcelRouter::ParcelRouter(ControlMailbox& aMailbox)
   : mMailbox{ aMailbox }
 {
@@ -30,10 +54,17 @@
 ParcelRouter::Decode(const peer::Parcel& aParcel) const
 {
   switch (aParcel.module) {
-    case peer::ModuleTag::Registry:
-    case peer::ModuleTag::Member:
     case peer::ModuleTag::Consensus:
+      return EventOf<consensus::Module, consensus::Received>(
+        aParcel, peer::DecodeConsensusMessage(aParcel.body));
+    case peer::ModuleTag::Change:
+      return EventOf<change::Module, change::Received>(
+        aParcel, peer::DecodeChangeMessage(aParcel.body));
     case peer::ModuleTag::Fanout:
+      return EventOf<fanout::Module, fanout::Received>(
+        aParcel, peer::DecodeFanoutMessage(aParcel.body));
+    case peer::ModuleTag::Registry:
+    case peer::ModuleTag::Member:
     case peer::ModuleTag::Ledger:
     case peer::ModuleTag::Limit:
     case peer::ModuleTag::Orders:
--- /dev/null
+++ b/src/balsampoint/daemon/post.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "balsampoint/daemon/control.hpp"
+
+#include <utility>
+
+namespace balsampoint::daemon {
+
+/**
+ * @brief Posts an event that must not be lost to the control thread.
+ *
+ * A lost event would let a replicated table differ from the log, so a full
+ * queue ends the process; a restart reads the log again.
+ * @param aMailbox Queue into the control thread.
+ * @param aEvent The event.
+ */
+inline void
+Post(ControlMailbox& aMailbox, Control::Event aEvent)
+{
+  if (!aMailbox.Push(std::move(aEvent)) && !aMailbox.Closed()) {
+    throw Failure{ MakeError(ErrorKind::Overloaded,
+                             "the control queue is full") };
+  }
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -1,6 +1,12 @@
 #pragma once
 
+#include "balsampoint/daemon/change_runner.hpp"
+#include "balsampoint/daemon/consensus_runner.hpp"
+#include "balsampoint/daemon/fanout_runner.hpp"
 #include "balsampoint/daemon/registry_runner.hpp"
+#include "balsampoint/daemon/status_board.hpp"
+
+#include <utility>
 
 namespace balsampoint::daemon {
 
@@ -13,17 +19,50 @@
    * @param aMailbox Queue into the control thread.
    * @param aWorld What traffic threads read.
    * @param aSender Way to other hosts.
+   * @param aConfigure Puts a configuration in force on this host.
    */
   Runners(ControlMailbox& aMailbox,
           traffic::World& aWorld,
-          peer::Sender& aSender)
-    : mRegistry{ aMailbox, aWorld, aSender }
+          peer::Sender& aSender,
+          FanoutRunner::Configure aConfigure)
+    : mBoard{ aWorld }
+    , mRegistry{ aMailbox, aWorld, aSender }
+    , mConsensus{ aMailbox, aSender, mBoard }
+    , mFanout{ aMailbox, aSender, mBoard, std::move(aConfigure) }
+    , mChange{ aMailbox, aSender, mBoard, mFanout.InForce() }
   {
   }
 
   /** @brief The registry's runner. */
   [[nodiscard]] RegistryRunner& Registry() { return mRegistry; }
 
+  /** @brief The replicated log's runner. */
+  [[nodiscard]] ConsensusRunner& Consensus() { return mConsensus; }
+
+  /** @brief The runner of changes. */
+  [[nodiscard]] ChangeRunner& Change() { return mChange; }
+
+  /** @brief The fan-out's runner. */
+  [[nodiscard]] FanoutRunner& Fanout() { return mFanout; }
+
+  /**
+   * @brief Carries out an action of the replicated log.
+   * @param aAction The action.
+   */
+  void Run(const consensus::Action& aAction) { mConsensus.Run(aAction); }
+
+  /**
+   * @brief Carries out an action on changes.
+   * @param aAction The action.
+   */
+  void Run(const change::Action& aAction) { mChange.Run(aAction); }
+
+  /**
+   * @brief Carries out an action of the fan-out.
+   * @param aAction The action.
+   */
+  void Run(const fanout::Action& aAction) { mFanout.Run(aAction); }
+
   /**
    * @brief Carries out an action of the registry.
    * @param aAction The action.
@@ -31,7 +70,11 @@
   void Run(const registry::Action& aAction) { mRegistry.Run(aAction); }
 
 private:
+  StatusBoard mBoard;
   RegistryRunner mRegistry;
+  ConsensusRunner mConsensus;
+  FanoutRunner mFanout;
+  ChangeRunner mChange;
 };
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/fanout/command/distribute.cpp
+++ b/src/balsampoint/fanout/command/distribute.cpp
@@ -1,7 +1,6 @@
 #include "balsampoint/fanout/command/distribute.hpp"
 
 #include "balsampoint/change/delta.hpp"
-#include "balsampoint/fanout/command/report.hpp"
 #include "balsampoint/fanout/internal/root.hpp"
 
 #include <algorithm>
@@ -41,7 +40,6 @@
 {
   PublishWhenReady(aState, aNow, aActions);
   FeedChildren(aState, aNow, aActions);
-  SendReport(aState, aNow, aActions);
 }
 
 } // namespace
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -71,7 +71,11 @@
   }
   const auto relay = ChooseRelay(aState, aHost, aNow);
   const auto entry = relay.Empty() ? aHost.host : relay;
-  aState.directory[aHost.host] = { aHost, entry, aNow };
+  auto& known = aState.directory[aHost.host];
+  const bool same = known.report.incarnation == aHost.incarnation;
+  const auto reported = same ? known.report.number : ChangeNumber{};
+  known = { aHost, entry, aNow };
+  known.report.number = std::max(known.report.number, reported);
   return relay.Empty() ? self : relay;
 }
 
@@ -89,7 +93,7 @@
     return;
   }
   auto self = aState.settings.self;
-  self.number = aState.ready ? aState.content.number : ChangeNumber{};
+  self.number = aState.inForce;
   for (const auto& seed : aState.settings.seeds) {
     if (seed == self.host) {
       aState.answeredSeeds.insert(seed);
--- a/src/balsampoint/fanout/command/report.cpp
+++ b/src/balsampoint/fanout/command/report.cpp
@@ -3,7 +3,10 @@
 #include "balsampoint/fanout/command/distribute.hpp"
 #include "balsampoint/fanout/internal/root.hpp"
 
+#include <algorithm>
 #include <span>
+#include <tuple>
+#include <utility>
 
 namespace balsampoint::fanout {
 
@@ -13,10 +16,29 @@
 Self(const State& aState)
 {
   auto self = aState.settings.self;
-  self.number = aState.ready ? aState.content.number : ChangeNumber{};
+  self.number = aState.inForce;
   return self;
 }
 
+/**
+ * @brief Takes a report that may have been overtaken by a newer one; within one
+ * life of a host the number in force never falls.
+ * @return Whether anything changed.
+ */
+bool
+Merge(HostReport& aKnown, HostReport aNews)
+{
+  if (aNews.incarnation < aKnown.incarnation) {
+    return false;
+  }
+  if (aNews.incarnation == aKnown.incarnation) {
+    aNews.number = std::max(aNews.number, aKnown.number);
+  }
+  const bool changed = aKnown != aNews;
+  aKnown = std::move(aNews);
+  return changed;
+}
+
 void
 NoteKnown(State& aState,
           const HostReport& aReport,
@@ -28,7 +50,7 @@
     return;
   }
   if (aReport.reachable || known.relay == aRelay || known.relay.Empty()) {
-    known.report = aReport;
+    std::ignore = Merge(known.report, aReport);
     known.relay = aRelay;
     known.heardAt = aNow;
   }
@@ -67,8 +89,7 @@
     if (direct) {
       continue;
     }
-    child.changed = child.changed || child.report != report;
-    child.report = report;
+    child.changed = Merge(child.report, report) || child.changed;
     child.via = aFrom;
     child.heardAt = aNow;
   }
@@ -141,8 +162,7 @@
   }
   const auto& own = aReport.hosts.front();
   auto& child = aState.children[aFrom];
-  child.changed = child.changed || child.report != own;
-  child.report = own;
+  child.changed = Merge(child.report, own) || child.changed;
   child.via = {};
   child.heardAt = aNow;
   const bool news = child.changed;
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -8,6 +8,7 @@
 #include "balsampoint/fanout/query/in_force.hpp"
 #include "balsampoint/fanout/query/next_deadline.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace balsampoint::fanout {
@@ -37,6 +38,12 @@
   {
     HandleLeaderKnown(state, aEvent, now);
   }
+  void operator()(const Published& aEvent) const
+  {
+    state.inForce = std::max(state.inForce, aEvent.number);
+    SendReport(state, now, actions);
+    AnswerWaiters(state, now, actions);
+  }
   void operator()(const AwaitInForce& aEvent) const
   {
     HandleAwaitInForce(state, aEvent, now, actions);
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -96,6 +96,8 @@
   std::deque<Step> steps;
   /** Newest number that this host has heard of. */
   ChangeNumber seen;
+  /** The configuration that the daemon has put in force. */
+  ChangeNumber inForce;
   HostId leader;
   /** Since when this host leads; `kNever` if it does not. */
   Instant leadingSince{ kNever };
@@ -135,6 +137,12 @@
   HostId leader;
 };
 
+/** @brief The daemon has put a configuration in force on this host. */
+struct Published
+{
+  ChangeNumber number;
+};
+
 /**
  * @brief Asks when all reachable hosts have a configuration in force; answered
  * by `InForceKnown`, unless no leader is known or it is lost meanwhile.
@@ -148,7 +156,8 @@
 };
 
 /** @brief Everything that a host reacts to. */
-using Event = std::variant<Received, Accepted, LeaderKnown, AwaitInForce>;
+using Event =
+  std::variant<Received, Accepted, LeaderKnown, Published, AwaitInForce>;
 
 /** @brief Hands a message to the transport. */
 struct Send
--- a/test/balsampoint/fanout/tree.hpp
+++ b/test/balsampoint/fanout/tree.hpp
@@ -216,6 +216,7 @@
   void Do(const HostId& aHost, Actions& aActions)
   {
     auto& host = hosts.at(aHost);
+    std::optional<ChangeNumber> published;
     for (auto& action : aActions) {
       if (auto* send = std::get_if<Send>(&action)) {
         Count(aHost, send->message);
@@ -224,8 +225,12 @@
       } else if (const auto* publish = std::get_if<Publish>(&action)) {
         reverted = reverted || publish->number < host.published;
         host.published = publish->number;
+        published = publish->number;
       }
     }
+    if (published) {
+      Handle(aHost, Published{ *published });
+    }
     Schedule(aHost, host);
   }
 
