--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -3,7 +3,10 @@
 #include "balsampoint/change/module.hpp"
 #include "balsampoint/consensus/module.hpp"
 #include "balsampoint/fanout/module.hpp"
+#include "balsampoint/ledger/module.hpp"
+#include "balsampoint/limit/module.hpp"
 #include "balsampoint/registry/module.hpp"
+#include "balsampoint/retry/module.hpp"
 #include "balsampoint/runtime/control_loop.hpp"
 #include "balsampoint/runtime/mailbox.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
@@ -30,6 +33,9 @@
 
 /** @brief The decision modules that the control thread runs. */
 using Control = ModuleList<registry::Module,
+                           retry::Module,
+                           limit::Module,
+                           ledger::Module,
                            consensus::Module,
                            change::Module,
                            fanout::Module>;
--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -1,15 +1,60 @@
 #include "balsampoint/daemon/first_state.hpp"
 
+#include "balsampoint/runtime/entropy.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace balsampoint::daemon {
 
 namespace {
 
+retry::State
+FirstRetryState(const config::Settings& aSettings)
+{
+  retry::State state;
+  state.settings.zone = aSettings.zone;
+  state.random = runtime::Entropy::Next();
+  return state;
+}
+
+/**
+ * Half of the requests in progress may run and most of the others wait; what
+ * is left lets a newcomer in to take the place of who is over its share.
+ */
+limit::State
+FirstLimitState(const config::Settings& aSettings)
+{
+  constexpr std::uint32_t kNewcomers = 16;
+  constexpr std::uint32_t kWorkspaceParts = 8;
+  const auto all = aSettings.limits.concurrentRequests;
+  limit::State state;
+  state.settings.slots = std::max(1U, all / 2);
+  state.settings.queue = all - state.settings.slots -
+                         std::min(all - state.settings.slots, all / kNewcomers);
+  state.settings.workspaceQueue = std::max(1U, all / kWorkspaceParts);
+  return state;
+}
+
+ledger::State
+FirstLedgerState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  std::vector<HostId> members;
+  for (const auto& seed : aSettings.seeds) {
+    members.push_back(seed.host);
+  }
+  auto state = ledger::Module::Start({ .self = aSettings.host,
+                                       .incarnation = aIncarnation,
+                                       .members = std::move(members) },
+                                     ledger::Bounds{},
+                                     runtime::SteadyClock::Now());
+  if (!state) {
+    throw Failure{ state.error() };
+  }
+  return std::move(*state);
+}
+
 registry::State
 MakeRegistry(const config::Settings& aSettings)
 {
@@ -60,14 +105,6 @@
                                runtime::SteadyClock::Now());
 }
 
-std::uint64_t
-MakeSeed()
-{
-  std::random_device device;
-  constexpr unsigned kHalf = 32;
-  return (std::uint64_t{ device() } << kHalf) | device();
-}
-
 } // namespace
 
 tl::expected<FirstState, Error>
@@ -84,7 +121,7 @@
     first.store = std::move(opened->store);
     auto started = consensus::Module::Start(log.settings,
                                             std::move(opened->recovered),
-                                            MakeSeed(),
+                                            runtime::Entropy::Next(),
                                             runtime::SteadyClock::Now(),
                                             first.actions);
     if (!started) {
@@ -95,6 +132,9 @@
   change::State changes{ .settings = { .self = aSettings.host,
                                        .seeds = SeedHosts(aSettings) } };
   first.states = { MakeRegistry(aSettings),
+                   FirstRetryState(aSettings),
+                   FirstLimitState(aSettings),
+                   FirstLedgerState(aSettings, aIdentity.incarnation),
                    std::move(log),
                    std::move(changes),
                    MakeFanout(aSettings, aIdentity) };
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -1,7 +1,9 @@
 #include "balsampoint/daemon/node.hpp"
 
 #include "balsampoint/daemon/operations.hpp"
+#include "balsampoint/runtime/entropy.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -17,6 +19,19 @@
 constexpr int kSpareThreads = 64;
 constexpr Duration kHandOverWait = std::chrono::seconds{ 3 };
 
+std::map<WorkspaceId, limit::WorkspaceRule>
+WorkspaceRules(const config::Document& aDocument)
+{
+  std::map<WorkspaceId, limit::WorkspaceRule> rules;
+  for (const auto& [id, workspace] : aDocument.workspaces) {
+    rules[id] = { .weight = workspace.weight,
+                  .priority = workspace.priority,
+                  .requestsPerSecond = workspace.limits.requestsPerSecond,
+                  .concurrentRequests = workspace.limits.concurrentRequests };
+  }
+  return rules;
+}
+
 /** The wall clock, so that each start of a host has a higher number. */
 peer::Identity
 MakeIdentity(const config::Settings& aSettings)
@@ -66,10 +81,18 @@
   : mSettings{ aSettings }
   , mIdentity{ aIdentity }
   , mMailbox{ kMailboxCapacity }
+  , mGate{ aIdentity.host,
+           aIdentity.incarnation,
+           [this](const traffic::ControlGate::Request& aRequest) {
+             return std::visit(
+               [this](const auto& aEvent) { return mMailbox.Push(aEvent); },
+               aRequest);
+           } }
   , mSender{ aIdentity }
   , mRouter{ mMailbox }
   , mRunners{ mMailbox,
               mWorld,
+              mGate,
               mSender,
               [this](config::Document aDocument) {
                 Configure(std::move(aDocument));
@@ -77,6 +100,7 @@
   , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
+                      .gate = mGate,
                       .maxBodyBytes = aSettings.limits.bodyBytes },
                     aSettings.limits.concurrentRequests }
   , mServerHandler{ [this](registry::Announcement aAnnouncement) {
@@ -86,6 +110,8 @@
                       MakeOperations(),
                       config::KeyIndex::Make({}, aSettings.operatorKeys) }
 {
+  mWorld.zone = mSettings.zone;
+  mPlanner = std::make_unique<traffic::RoutePlanner>(mWorld);
   for (const auto& seed : mSettings.seeds) {
     if (seed.host != mSettings.host) {
       mSender.Route(seed.host, seed.address.Text());
@@ -106,6 +132,7 @@
   mCallers.reset();
   mOperators.reset();
   mServers.reset();
+  mPlanner.reset();
   mMailbox.Close();
   mControlThread.join();
 }
@@ -113,14 +140,18 @@
 void
 Node::Configure(config::Document aDocument)
 {
-  const bool posted = mMailbox.Push(registry::Event{
-    registry::Configured{ .modelLayers = ModelLayers(aDocument) } });
+  const bool posted =
+    mMailbox.Push(registry::Event{
+      registry::Configured{ .modelLayers = ModelLayers(aDocument) } }) &&
+    mMailbox.Push(limit::Event{
+      limit::Configured{ .workspaces = WorkspaceRules(aDocument) } });
   if (!posted) {
     spdlog::error("the control queue is full");
   }
   auto keys = config::KeyIndex::Make(aDocument, mSettings.operatorKeys);
   mWorld.configuration.Publish(std::make_shared<const traffic::Configuration>(
     traffic::Configuration{ std::move(aDocument), std::move(keys) }));
+  mWorld.changed.Notify();
 }
 
 bool
--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -3,6 +3,7 @@
 #include "balsampoint/peer/change_codec.hpp"
 #include "balsampoint/peer/consensus_codec.hpp"
 #include "balsampoint/peer/fanout_codec.hpp"
+#include "balsampoint/peer/ledger_codec.hpp"
 
 #include <spdlog/spdlog.h>
 #include <utility>
@@ -63,9 +64,14 @@
     case peer::ModuleTag::Fanout:
       return EventOf<fanout::Module, fanout::Received>(
         aParcel, peer::DecodeFanoutMessage(aParcel.body));
+    case peer::ModuleTag::Ledger:
+      return peer::DecodeLedgerMessage(aParcel.body)
+        .map([&aParcel](ledger::Message aMessage) -> Control::Event {
+          return ledger::Event{ ledger::Received{
+            .from = aParcel.from, .message = std::move(aMessage) } };
+        });
     case peer::ModuleTag::Registry:
     case peer::ModuleTag::Member:
-    case peer::ModuleTag::Ledger:
     case peer::ModuleTag::Limit:
     case peer::ModuleTag::Orders:
       break;
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/daemon/change_runner.hpp"
 #include "balsampoint/daemon/consensus_runner.hpp"
 #include "balsampoint/daemon/fanout_runner.hpp"
+#include "balsampoint/daemon/ledger_runner.hpp"
 #include "balsampoint/daemon/registry_runner.hpp"
 #include "balsampoint/daemon/status_board.hpp"
 
@@ -18,11 +19,13 @@
    * @brief Makes the runners; the arguments outlive them.
    * @param aMailbox Queue into the control thread.
    * @param aWorld What traffic threads read.
+   * @param aGate Where traffic threads wait.
    * @param aSender Way to other hosts.
    * @param aConfigure Puts a configuration in force on this host.
    */
   Runners(ControlMailbox& aMailbox,
           traffic::World& aWorld,
+          traffic::ControlGate& aGate,
           peer::Sender& aSender,
           FanoutRunner::Configure aConfigure)
     : mBoard{ aWorld }
@@ -30,6 +33,8 @@
     , mConsensus{ aMailbox, aSender, mBoard }
     , mFanout{ aMailbox, aSender, mBoard, std::move(aConfigure) }
     , mChange{ aMailbox, aSender, mBoard, mFanout.InForce() }
+    , mLedger{ aMailbox, aGate, aSender }
+    , mGate{ aGate }
   {
   }
 
@@ -69,12 +74,32 @@
    */
   void Run(const registry::Action& aAction) { mRegistry.Run(aAction); }
 
+  /**
+   * @brief Answers a thread that wants a server for an attempt.
+   * @param aAction The answer.
+   */
+  void Run(const retry::Action& aAction) { mGate.Complete(aAction); }
+
+  /**
+   * @brief Answers a thread that wants admission.
+   * @param aAction The answer.
+   */
+  void Run(const limit::Action& aAction) { mGate.Complete(aAction); }
+
+  /**
+   * @brief Carries out an action of the ledger.
+   * @param aAction The action.
+   */
+  void Run(const ledger::Action& aAction) { mLedger.Run(aAction); }
+
 private:
   StatusBoard mBoard;
   RegistryRunner mRegistry;
   ConsensusRunner mConsensus;
   FanoutRunner mFanout;
   ChangeRunner mChange;
+  LedgerRunner mLedger;
+  traffic::ControlGate& mGate;
 };
 
 } // namespace balsampoint::daemon
--- a/test/processes/control_test.py
+++ b/test/processes/control_test.py
@@ -24,7 +24,9 @@
 
 def document(number):
     """A configuration that tells its number by a workspace's weight."""
-    return json.dumps({"workspaces": {"galle": {"weight": number}}})
+    key = {"id": "galle", "salt": SALT, "sha256": OPERATOR_HASH}
+    return json.dumps({"workspaces": {"galle": {"keys": [key],
+                                                "weight": number}}})
 
 
 class ControlCluster(Cluster):
@@ -38,7 +40,7 @@
             "salt": SALT,
             "sha256": OPERATOR_HASH,
         }]
-        path.write_text(json.dumps(settings))
+        path.write_text(json.dumps(settings, indent=2) + "\n")
         return path
 
 
@@ -75,6 +77,7 @@
             continue
         if status in (200, 409):
             return status, answer
+        check(status >= 500, f"change {change}: {status} {answer}")
         time.sleep(0.05)
     raise RuntimeError(f"change {change} got no answer")
 
