--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/fanout/module.hpp"
 #include "balsampoint/ledger/module.hpp"
 #include "balsampoint/limit/module.hpp"
+#include "balsampoint/member/module.hpp"
 #include "balsampoint/registry/module.hpp"
 #include "balsampoint/retry/module.hpp"
 #include "balsampoint/runtime/control_loop.hpp"
@@ -32,7 +33,8 @@
 };
 
 /** @brief The decision modules that the control thread runs. */
-using Control = ModuleList<registry::Module,
+using Control = ModuleList<member::Module,
+                           registry::Module,
                            retry::Module,
                            limit::Module,
                            ledger::Module,
--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/daemon/first_state.hpp"
 
+#include "balsampoint/core/hash.hpp"
 #include "balsampoint/runtime/entropy.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 
@@ -55,13 +56,30 @@
   return std::move(*state);
 }
 
+member::State
+FirstMemberState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  member::Settings settings{ .self = { .id = aSettings.host,
+                                       .zone = aSettings.zone,
+                                       .region = aSettings.region,
+                                       .address = aSettings.listen.peers.Text(),
+                                       .incarnation = aIncarnation } };
+  for (const auto& seed : aSettings.seeds) {
+    settings.seeds.push_back(
+      { .id = seed.host, .address = seed.address.Text() });
+  }
+  const auto seed =
+    HashNumber(HashText(aSettings.host.Value()), aIncarnation.Value());
+  return member::MakeState(std::move(settings), seed);
+}
+
 registry::State
-MakeRegistry(const config::Settings& aSettings)
+FirstRegistryState(const config::Settings& aSettings, Incarnation aIncarnation)
 {
-  registry::State state;
-  state.settings.self = aSettings.host;
-  state.settings.zone = aSettings.zone;
-  return state;
+  const auto seed =
+    HashNumber(aIncarnation.Value(), HashText(aSettings.host.Value()));
+  return { .settings = { .self = aSettings.host, .zone = aSettings.zone },
+           .random = SplitMix64{ seed } };
 }
 
 std::vector<HostId>
@@ -131,7 +149,8 @@
   }
   change::State changes{ .settings = { .self = aSettings.host,
                                        .seeds = SeedHosts(aSettings) } };
-  first.states = { MakeRegistry(aSettings),
+  first.states = { FirstMemberState(aSettings, aIdentity.incarnation),
+                   FirstRegistryState(aSettings, aIdentity.incarnation),
                    FirstRetryState(aSettings),
                    FirstLimitState(aSettings),
                    FirstLedgerState(aSettings, aIdentity.incarnation),
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -165,7 +165,12 @@
   std::condition_variable never;
   std::unique_lock lock{ mutex };
   never.wait_for(lock, mSettings.shutdownDelay, [] { return false; });
-  return mWorld.activity.WaitUntilIdle(mSettings.shutdownTimeout);
+  const bool finished =
+    mWorld.activity.WaitUntilIdle(mSettings.shutdownTimeout);
+  if (!mMailbox.Push(member::Event{ member::Leave{} })) {
+    spdlog::error("the control queue is full");
+  }
+  return finished;
 }
 
 tl::expected<void, Error>
--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -3,6 +3,9 @@
 #include "balsampoint/peer/change_codec.hpp"
 #include "balsampoint/peer/consensus_codec.hpp"
 #include "balsampoint/peer/fanout_codec.hpp"
+#include "balsampoint/peer/member_codec.hpp"
+#include "balsampoint/peer/registry_codec.hpp"
+
 #include "balsampoint/peer/ledger_codec.hpp"
 
 #include <spdlog/spdlog.h>
@@ -71,7 +74,17 @@
             .from = aParcel.from, .message = std::move(aMessage) } };
         });
     case peer::ModuleTag::Registry:
+      return peer::DecodeRegistryMessage(aParcel.body)
+        .map([&](registry::Message aMessage) -> Control::Event {
+          return registry::Event{ registry::Received{ aParcel.from,
+                                                      std::move(aMessage) } };
+        });
     case peer::ModuleTag::Member:
+      return peer::DecodeMemberMessage(aParcel.body)
+        .map([&](member::Message aMessage) -> Control::Event {
+          return member::Event{ member::Received{ aParcel.from,
+                                                  std::move(aMessage) } };
+        });
     case peer::ModuleTag::Limit:
     case peer::ModuleTag::Orders:
       break;
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/daemon/consensus_runner.hpp"
 #include "balsampoint/daemon/fanout_runner.hpp"
 #include "balsampoint/daemon/ledger_runner.hpp"
+#include "balsampoint/daemon/member_runner.hpp"
 #include "balsampoint/daemon/registry_runner.hpp"
 #include "balsampoint/daemon/status_board.hpp"
 
@@ -29,6 +30,7 @@
           peer::Sender& aSender,
           FanoutRunner::Configure aConfigure)
     : mBoard{ aWorld }
+    , mMember{ aMailbox, aSender }
     , mRegistry{ aMailbox, aWorld, aSender }
     , mConsensus{ aMailbox, aSender, mBoard }
     , mFanout{ aMailbox, aSender, mBoard, std::move(aConfigure) }
@@ -68,6 +70,12 @@
    */
   void Run(const fanout::Action& aAction) { mFanout.Run(aAction); }
 
+  /**
+   * @brief Carries out an action of the membership.
+   * @param aAction The action.
+   */
+  void Run(const member::Action& aAction) { mMember.Run(aAction); }
+
   /**
    * @brief Carries out an action of the registry.
    * @param aAction The action.
@@ -94,6 +102,7 @@
 
 private:
   StatusBoard mBoard;
+  MemberRunner mMember;
   RegistryRunner mRegistry;
   ConsensusRunner mConsensus;
   FanoutRunner mFanout;
--- a/src/balsampoint/stream/internal/advance.cpp
+++ b/src/balsampoint/stream/internal/advance.cpp
@@ -3,6 +3,7 @@
 #include "balsampoint/stream/internal/estimate.hpp"
 #include "balsampoint/stream/internal/kept_inputs.hpp"
 #include "balsampoint/stream/internal/recover.hpp"
+#include "balsampoint/stream/internal/session.hpp"
 
 #include <algorithm>
 
@@ -13,12 +14,12 @@
 CallId
 BeginCall(Progress& aProgress, CallKind aKind, Instant aNow)
 {
-  const auto& stage = aProgress.stages[aProgress.at].stage;
+  const auto& stage = aProgress.stages[aProgress.at];
   aProgress.phase = Phase::Calling;
-  CallId id{ .request = aProgress.request.id,
+  CallId id{ .request = stage.session,
              .attempt = aProgress.attempt,
              .step = StepNumber{ aProgress.step },
-             .layers = stage.layers };
+             .layers = stage.stage.layers };
   aProgress.pending = PendingCall{ .id = id, .kind = aKind, .sentAt = aNow };
   return id;
 }
@@ -26,17 +27,21 @@
 Target
 TargetOf(Progress& aProgress, Instant aDeadline)
 {
-  const auto& stage = aProgress.stages[aProgress.at].stage;
+  const auto& state = aProgress.stages[aProgress.at];
+  const auto& stage = state.stage;
   Target target{ .server = stage.server,
                  .incarnation = stage.incarnation,
                  .address = stage.address,
                  .deadline = aDeadline };
   const auto known =
-    std::ranges::any_of(aProgress.touched, [&target](const Target& aKnown) {
-      return aKnown.server == target.server && aKnown.address == target.address;
+    std::ranges::any_of(aProgress.sessions, [&](const ServerSession& aKnown) {
+      return aKnown.target.server == target.server &&
+             aKnown.target.address == target.address &&
+             aKnown.request == state.session;
     });
   if (!known) {
-    aProgress.touched.push_back(target);
+    aProgress.sessions.push_back(
+      { .target = target, .request = state.session });
   }
   return target;
 }
@@ -63,7 +68,8 @@
 SendImport(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
   const auto& pipeline = aProgress.request.pipeline;
-  const auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.at];
+  stage.session = NewSession(aProgress);
   const auto expected = ImportTime(aProgress, stage.stage.layers);
   const auto target =
     TargetOf(aProgress, RebuildDeadline(aProgress, stage, expected, aNow));
@@ -74,6 +80,7 @@
                           .model = pipeline.model,
                           .version = pipeline.version,
                           .source = stage.importSource,
+                          .sourceRequest = stage.importSession,
                           .kvDigest = aProgress.kvDigest } });
 }
 
@@ -92,7 +99,8 @@
 SendReplay(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
   const auto& pipeline = aProgress.request.pipeline;
-  const auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.at];
+  stage.session = NewSession(aProgress);
   const auto expected = ReplayTime(aProgress, stage.stage);
   const auto target =
     TargetOf(aProgress, RebuildDeadline(aProgress, stage, expected, aNow));
@@ -115,10 +123,10 @@
 StepBack(Progress& aProgress)
 {
   auto at = aProgress.at;
-  aProgress.stages[at].kvPositions = kStaleKv;
+  aProgress.stages[at].kvPositions = 0;
   while (!aProgress.stages[at].keepsInputs) {
     --at;
-    aProgress.stages[at].kvPositions = kStaleKv;
+    aProgress.stages[at].kvPositions = 0;
     aProgress.stages[at].importSource.clear();
   }
   aProgress.at = at;
--- a/src/balsampoint/stream/state.hpp
+++ b/src/balsampoint/stream/state.hpp
@@ -7,20 +7,21 @@
 #include "balsampoint/stream/tokenizer.hpp"
 
 #include <cstddef>
-#include <limits>
 #include <optional>
 #include <vector>
 
 namespace balsampoint::stream {
 
-/** @brief Count of positions of a KV that has to be rebuilt in any case. */
-inline constexpr auto kStaleKv = std::numeric_limits<std::size_t>::max();
-
 /** @brief One stage of the answer's chain and what its server's KV holds. */
 struct StageState
 {
   route::Stage stage;
-  /** Positions in the server's KV of this range. */
+  /**
+   * Name of the request at the server. A KV that is built anew gets a new
+   * name, so that a call given up earlier can't change it when it runs late.
+   */
+  RequestId session;
+  /** Positions in the server's KV of this range; zero to build it anew. */
   std::size_t kvPositions{};
   /**
    * Inputs of the range's first layer, one for each position so far and the
@@ -32,11 +33,21 @@
   bool gone{ false };
   /** Address to import the KV from while a recovery prefers that. */
   std::string importSource;
+  /** Name of the request there. */
+  RequestId importSession;
   StepTimes times;
   /** Deadlines missed in a row; each doubles the next deadline. */
   std::uint32_t missedDeadlines{};
 };
 
+/** @brief KV of the request that a server may hold. */
+struct ServerSession
+{
+  Target target;
+  /** Name of the request at the server. */
+  RequestId request;
+};
+
 /** @brief Which kind of call is on its way. */
 enum class CallKind : std::uint8_t
 {
@@ -119,8 +130,8 @@
   std::vector<route::ExcludedServer> slow;
   /** Zones of the servers lost at the current position. */
   std::vector<ZoneId> lostZones;
-  /** Servers to be told that the request is over. */
-  std::vector<Target> touched;
+  /** KV that servers are told to drop when the request is over. */
+  std::vector<ServerSession> sessions;
   Counters counters;
 };
 
