--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -101,6 +101,7 @@
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
                       .gate = mGate,
+                      .telemetry = mTelemetry,
                       .maxBodyBytes = aSettings.limits.bodyBytes },
                     aSettings.limits.concurrentRequests }
   , mServerHandler{ [this](registry::Announcement aAnnouncement) {
@@ -110,6 +111,10 @@
                       MakeOperations(),
                       config::KeyIndex::Make({}, aSettings.operatorKeys) }
 {
+  if (const auto& trace = mSettings.trace; !trace.file.empty()) {
+    mTelemetry.exporter.emplace(
+      mSettings.host, trace::FileSink{ trace.file }, trace.queue);
+  }
   mWorld.zone = mSettings.zone;
   mPlanner = std::make_unique<traffic::RoutePlanner>(mWorld);
   for (const auto& seed : mSettings.seeds) {
