--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -1,8 +1,14 @@
 #pragma once
 
+#include "balsampoint/daemon/change_runner.hpp"
+#include "balsampoint/daemon/consensus_runner.hpp"
+#include "balsampoint/daemon/fanout_runner.hpp"
 #include "balsampoint/daemon/ledger_runner.hpp"
 #include "balsampoint/daemon/member_runner.hpp"
 #include "balsampoint/daemon/registry_runner.hpp"
+#include "balsampoint/daemon/status_board.hpp"
+
+#include <utility>
 
 namespace balsampoint::daemon {
 
@@ -16,13 +22,19 @@
    * @param aWorld What traffic threads read.
    * @param aGate Where traffic threads wait.
    * @param aSender Way to other hosts.
+   * @param aConfigure Puts a configuration in force on this host.
    */
   Runners(ControlMailbox& aMailbox,
           traffic::World& aWorld,
           traffic::ControlGate& aGate,
-          peer::Sender& aSender)
-    : mMember{ aMailbox, aSender }
+          peer::Sender& aSender,
+          FanoutRunner::Configure aConfigure)
+    : mBoard{ aWorld }
+    , mMember{ aMailbox, aSender }
     , mRegistry{ aMailbox, aWorld, aSender }
+    , mConsensus{ aMailbox, aSender, mBoard }
+    , mFanout{ aMailbox, aSender, mBoard, std::move(aConfigure) }
+    , mChange{ aMailbox, aSender, mBoard, mFanout.InForce() }
     , mLedger{ aMailbox, aGate, aSender }
     , mGate{ aGate }
   {
@@ -31,6 +43,33 @@
   /** @brief The registry's runner. */
   [[nodiscard]] RegistryRunner& Registry() { return mRegistry; }
 
+  /** @brief The replicated log's runner. */
+  [[nodiscard]] ConsensusRunner& Consensus() { return mConsensus; }
+
+  /** @brief The runner of changes. */
+  [[nodiscard]] ChangeRunner& Change() { return mChange; }
+
+  /** @brief The fan-out's runner. */
+  [[nodiscard]] FanoutRunner& Fanout() { return mFanout; }
+
+  /**
+   * @brief Carries out an action of the replicated log.
+   * @param aAction The action.
+   */
+  void Run(const consensus::Action& aAction) { mConsensus.Run(aAction); }
+
+  /**
+   * @brief Carries out an action on changes.
+   * @param aAction The action.
+   */
+  void Run(const change::Action& aAction) { mChange.Run(aAction); }
+
+  /**
+   * @brief Carries out an action of the fan-out.
+   * @param aAction The action.
+   */
+  void Run(const fanout::Action& aAction) { mFanout.Run(aAction); }
+
   /**
    * @brief Carries out an action of the membership.
    * @param aAction The action.
@@ -62,8 +101,12 @@
   void Run(const ledger::Action& aAction) { mLedger.Run(aAction); }
 
 private:
+  StatusBoard mBoard;
   MemberRunner mMember;
   RegistryRunner mRegistry;
+  ConsensusRunner mConsensus;
+  FanoutRunner mFanout;
+  ChangeRunner mChange;
   LedgerRunner mLedger;
   traffic::ControlGate& mGate;
 };
