--- a/src/balsampoint/daemon/change_runner.cpp
+++ b/src/balsampoint/daemon/change_runner.cpp
@@ -31,11 +31,13 @@
 ChangeRunner::ChangeRunner(ControlMailbox& aMailbox,
                            peer::Sender& aSender,
                            StatusBoard& aBoard,
-                           runtime::SnapshotCell<fanout::Content>& aInForce)
+                           runtime::SnapshotCell<fanout::Content>& aInForce,
+                           const LedgerRunner& aLedger)
   : mMailbox{ aMailbox }
   , mSender{ aSender }
   , mBoard{ aBoard }
   , mInForce{ aInForce }
+  , mLedger{ aLedger }
 {
 }
 
@@ -113,8 +115,14 @@
 void
 ChangeRunner::Do(const change::SnapshotReady& aReady)
 {
-  const peer::ControlSnapshot tables{ { peer::TableTag::Change,
-                                        peer::Encode(aReady.table) } };
+  peer::ControlSnapshot tables{ { peer::TableTag::Change,
+                                  peer::Encode(aReady.table) } };
+  auto claims = mLedger.SnapshotAt(aReady.index);
+  if (!claims) {
+    throw Failure{ MakeError(ErrorKind::Internal,
+                             "the snapshot lacks the table of keys") };
+  }
+  tables.emplace(peer::TableTag::Ledger, std::move(*claims));
   Post(mMailbox,
        consensus::Event{ consensus::SnapshotTaken{
          consensus::Index{ aReady.index }, peer::Encode(tables) } });
--- a/src/balsampoint/daemon/change_runner.hpp
+++ b/src/balsampoint/daemon/change_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsampoint/daemon/control.hpp"
+#include "balsampoint/daemon/ledger_runner.hpp"
 #include "balsampoint/daemon/status_board.hpp"
 #include "balsampoint/http/operations.hpp"
 #include "balsampoint/peer/sender.hpp"
@@ -20,11 +21,13 @@
    * @param aSender Way to other hosts.
    * @param aBoard Collects what operators see.
    * @param aInForce The configuration in force on this host.
+   * @param aLedger Has the other table of a snapshot.
    */
   ChangeRunner(ControlMailbox& aMailbox,
                peer::Sender& aSender,
                StatusBoard& aBoard,
-               runtime::SnapshotCell<fanout::Content>& aInForce);
+               runtime::SnapshotCell<fanout::Content>& aInForce,
+               const LedgerRunner& aLedger);
 
   /**
    * @brief Submits a change and waits for its answer.
@@ -53,6 +56,7 @@
   peer::Sender& mSender;
   StatusBoard& mBoard;
   runtime::SnapshotCell<fanout::Content>& mInForce;
+  const LedgerRunner& mLedger;
   runtime::ReplyTable<tl::expected<change::Answer, Error>> mAnswers;
 };
 
--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/daemon/proposal_ticket.hpp"
 #include "balsampoint/peer/change_codec.hpp"
 #include "balsampoint/peer/consensus_codec.hpp"
+#include "balsampoint/peer/ledger_codec.hpp"
 
 #include <spdlog/spdlog.h>
 #include <utility>
@@ -104,6 +105,11 @@
                                 Require(peer::DecodeChange(command.body)) } });
       return;
     case peer::TableTag::Ledger:
+      Post(mMailbox,
+           ledger::Event{
+             ledger::Applied{ Require(peer::DecodeLedgerCommand(command.body)),
+                              WithinOwner(aApply.ticket) } });
+      return;
     case peer::TableTag::Orders:
       break;
   }
@@ -115,6 +121,13 @@
 ConsensusRunner::Do(const consensus::Restore& aRestore)
 {
   const auto tables = Require(peer::DecodeControlSnapshot(aRestore.data));
+  const auto claims = tables.find(peer::TableTag::Ledger);
+  const ledger::Bounds bounds;
+  Post(mMailbox,
+       ledger::Event{ ledger::Restored{
+         claims == tables.end()
+           ? ledger::Table{ .bounds = bounds }
+           : Require(peer::DecodeLedgerTable(claims->second, bounds)) } });
   const auto changes = tables.find(peer::TableTag::Change);
   if (changes != tables.end()) {
     Post(mMailbox,
@@ -126,6 +139,10 @@
 void
 ConsensusRunner::Do(const consensus::TakeSnapshot& aTake)
 {
+  // Both stand in the queue behind the commands that the snapshot covers; the
+  // change table's answer picks up the ledger's.
+  Post(mMailbox,
+       ledger::Event{ ledger::SnapshotWanted{ aTake.index.Value() } });
   Post(mMailbox,
        change::Event{ change::SnapshotWanted{ aTake.index.Value() } });
 }
@@ -140,6 +157,13 @@
                                                  aRefused.error.executed } });
     return;
   }
+  if (OwnerOf(aRefused.ticket) ==
+      static_cast<std::uint64_t>(peer::TableTag::Ledger)) {
+    Post(mMailbox,
+         ledger::Event{
+           ledger::ReplicateRefused{ WithinOwner(aRefused.ticket) } });
+    return;
+  }
   mReplies.Complete(aRefused.ticket, tl::unexpected(aRefused.error));
 }
 
@@ -162,6 +186,7 @@
     "term {}: leader '{}'", aChanged.term.Value(), aChanged.leader.Value());
   Post(mMailbox, change::Event{ change::LeaderKnown{ aChanged.leader } });
   Post(mMailbox, fanout::Event{ fanout::LeaderKnown{ aChanged.leader } });
+  Post(mMailbox, ledger::Event{ ledger::LeaderChanged{ aChanged.leader } });
 }
 
 void
--- a/src/balsampoint/daemon/ledger_runner.cpp
+++ b/src/balsampoint/daemon/ledger_runner.cpp
@@ -1,8 +1,9 @@
 #include "balsampoint/daemon/ledger_runner.hpp"
 
+#include "balsampoint/daemon/post.hpp"
+#include "balsampoint/daemon/proposal_ticket.hpp"
 #include "balsampoint/peer/ledger_codec.hpp"
 
-#include <spdlog/spdlog.h>
 #include <variant>
 
 namespace balsampoint::daemon {
@@ -31,11 +32,12 @@
 void
 LedgerRunner::Do(const ledger::Replicate& aReplicate)
 {
-  const bool posted = mMailbox.Push(
-    ledger::Event{ ledger::ReplicateRefused{ aReplicate.ticket } });
-  if (!posted) {
-    spdlog::error("the control queue is full");
-  }
+  const auto table = peer::TableTag::Ledger;
+  Post(mMailbox,
+       consensus::Event{
+         consensus::Propose{ ProposalTicket(table, aReplicate.ticket),
+                             peer::Encode(peer::ControlCommand{
+                               table, peer::Encode(aReplicate.command) }) } });
 }
 
 void
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -34,8 +34,8 @@
     , mRegistry{ aMailbox, aWorld, aSender }
     , mConsensus{ aMailbox, aSender, mBoard }
     , mFanout{ aMailbox, aSender, mBoard, std::move(aConfigure) }
-    , mChange{ aMailbox, aSender, mBoard, mFanout.InForce() }
     , mLedger{ aMailbox, aGate, aSender }
+    , mChange{ aMailbox, aSender, mBoard, mFanout.InForce(), mLedger }
     , mGate{ aGate }
   {
   }
@@ -106,8 +106,8 @@
   RegistryRunner mRegistry;
   ConsensusRunner mConsensus;
   FanoutRunner mFanout;
-  ChangeRunner mChange;
   LedgerRunner mLedger;
+  ChangeRunner mChange;
   traffic::ControlGate& mGate;
 };
 
