Even out the leases of a zone

Cause: the highest host of the largest size was over the traffic bound, and where a balancer spreads announcements the leases stay where chance put them.

Change: a host that receives a renewal takes the lease over when the present holder leases at least three servers more.

--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -4,6 +4,9 @@
 #include "balsampoint/registry/internal/contact.hpp"
 #include "balsampoint/registry/internal/validate.hpp"
 
+#include <algorithm>
+#include <cstddef>
+
 namespace balsampoint::registry {
 
 namespace {
@@ -38,6 +41,24 @@
   return aLeft == aRight;
 }
 
+std::ptrdiff_t
+CountOwnedBy(const State& aState, const HostId& aHost)
+{
+  return std::ranges::count_if(aState.records, [&](const auto& aEntry) {
+    const auto& claim = aEntry.second.claim;
+    return claim.live && claim.owner == aHost;
+  });
+}
+
+/** Whether this host leases so many fewer servers that it takes one more. */
+bool
+EvensOut(const State& aState, const HostId& aOwner)
+{
+  constexpr std::ptrdiff_t kUnevenness = 3;
+  return CountOwnedBy(aState, aOwner) >=
+         CountOwnedBy(aState, aState.settings.self) + kUnevenness;
+}
+
 void
 Renew(State& aState, Record& aRecord, Instant aNow)
 {
@@ -48,7 +69,7 @@
     internal::MarkLoad(aState, server, aNow);
     return;
   }
-  if (internal::InReach(aState, owner, aNow)) {
+  if (internal::InReach(aState, owner, aNow) && !EvensOut(aState, owner)) {
     internal::MarkRenewal(aState, server, aNow);
     return;
   }
--- a/test/balsampoint/registry/sharing_test.cpp
+++ b/test/balsampoint/registry/sharing_test.cpp
@@ -95,6 +95,28 @@
   cr_assert_eq(claim.stamp.version, 1);
 }
 
+Test(sharing, balanced_announcements_even_out_the_leases)
+{
+  auto hosts = Joined(3, 0, 12);
+  const auto announceAll = [&](int aHost) {
+    for (const auto* id : { "a", "b", "c", "d", "e", "f" }) {
+      hosts.Tell(Name(aHost), Event{ Announced{ .announcement = Engine(id) } });
+    }
+    hosts.RunTo(hosts.now + 500ms);
+  };
+  announceAll(0);
+  for (int round = 0; round < 10; ++round) {
+    announceAll(round % 3);
+  }
+  std::map<HostId, int> owned;
+  for (const auto& [id, record] : hosts.hosts.at(Name(0)).registry.records) {
+    owned[record.claim.owner] += record.claim.live ? 1 : 0;
+  }
+  cr_assert_eq(owned[Name(0)] + owned[Name(1)] + owned[Name(2)], 6);
+  cr_assert_leq(owned[Name(0)], 3);
+  cr_assert_geq(owned[Name(2)], 1);
+}
+
 Test(sharing, a_loss_is_refuted_by_the_host_that_hears_the_server)
 {
   auto hosts = Joined(4, 0, 4);
