Apply the configuration through the control group in scripts

Cause: a flag put a configuration in force beside the control group. Change: the flag is gone; scripts and tests apply by the command line. Conclusion: one way in for a configuration.

--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -113,8 +113,8 @@
     with tempfile.TemporaryDirectory() as folder, Cluster(
             build_folder(), folder, ["colombo-a"], region="lk-west",
             base_port=23000) as cluster:
-        examples = ROOT / "examples" / "ruhunu" / "configuration"
-        cluster.start_hosts(f"--configuration={examples}")
+        cluster.start_hosts()
+        cluster.apply()
         cluster.wait_ready()
         cluster.start_engines("colombo-a", "verse", LAYERS, STAGES,
                               batch=512, threads=600)
--- a/src/balsampoint/daemon/main.cpp
+++ b/src/balsampoint/daemon/main.cpp
@@ -1,4 +1,3 @@
-#include "balsampoint/config/query/load_folder.hpp"
 #include "balsampoint/config/query/load_settings.hpp"
 #include "balsampoint/daemon/node.hpp"
 #include "balsampoint/trace/log.hpp"
@@ -10,11 +9,6 @@
 #include <spdlog/spdlog.h>
 
 ABSL_FLAG(std::string, settings, "", "Settings file of this host.");
-ABSL_FLAG(std::string,
-          configuration,
-          "",
-          "Folder of a configuration to start with.");
-
 namespace {
 
 using namespace balsampoint;
@@ -38,13 +32,6 @@
     spdlog::error("{}", node.error().detail);
     return 1;
   }
-  if (const auto folder = absl::GetFlag(FLAGS_configuration); !folder.empty()) {
-    auto document = config::LoadFolder(folder);
-    if (!document) {
-      return Fail(document.error());
-    }
-    (*node)->Configure(std::move(*document));
-  }
   spdlog::info("host {} serves callers on {}",
                aSettings.host.Value(),
                aSettings.listen.callers.Text());
--- a/test/process/callers_test.py
+++ b/test/process/callers_test.py
@@ -31,8 +31,8 @@
         cls.folder = tempfile.TemporaryDirectory()
         cls.cluster = Cluster(build_folder(), cls.folder.name, ["colombo-a"],
                               region="lk-west", base_port=25000)
-        cls.cluster.start_hosts(
-            f"--configuration={ROOT / 'examples' / 'ruhunu' / 'configuration'}")
+        cls.cluster.start_hosts()
+        cls.cluster.apply()
         cls.cluster.wait_ready()
         cls.cluster.start_engines("colombo-a", "verse", LAYERS, 2, copies=2)
         cls.desk = cls.cluster.start_server(
--- a/test/system/orders_test.py
+++ b/test/process/orders_test.py
@@ -120,8 +120,8 @@
     with tempfile.TemporaryDirectory() as folder, Cluster(
             build_folder(), folder, ZONES, region="lk-west",
             base_port=port) as cluster:
-        cluster.start_hosts(
-            f"--configuration={ROOT / 'examples' / 'ruhunu' / 'configuration'}")
+        cluster.start_hosts()
+        cluster.apply()
         cluster.wait_ready()
         for zone in ZONES:
             cluster.start_server(f"{zone}-desk", zone, kind="service",
--- a/test/system/recovery_test.py
+++ b/test/process/recovery_test.py
@@ -44,8 +44,8 @@
 
 def start(cluster):
     """Starts one host and two engines for each of three stages."""
-    cluster.start_hosts(
-        f"--configuration={ROOT / 'examples' / 'ruhunu' / 'configuration'}")
+    cluster.start_hosts()
+    cluster.apply()
     cluster.wait_ready()
     cluster.start_engines(ZONE, "verse", LAYERS, stages=3, copies=2)
     cluster.wait_until("an answer", lambda: draft(cluster.hosts[0], 1)[1])
--- a/tools/local/cluster.py
+++ b/tools/local/cluster.py
@@ -1,5 +1,6 @@
 """Starts daemons and stand-in backend servers of one user on loopback."""
 
+import hashlib
 import http.client
 import json
 import os
@@ -9,6 +10,10 @@
 import time
 
 MASK = (1 << 64) - 1
+OPERATOR_KEY = "local.example"
+OPERATOR_SALT = "00112233445566778899"
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+RUHUNU = ROOT / "examples" / "ruhunu" / "configuration"
 START_LIMIT_SECONDS = 30
 
 
@@ -72,6 +77,7 @@
         self.zones = zones
         self.hosts = []
         self.servers = {}
+        self.last_output = ""
         port = base_port
         for number in range(hosts_per_zone):
             for zone in zones:
@@ -112,6 +118,12 @@
             "secret": "for trials on one machine only",
             "shutdown_delay": "100ms",
             "shutdown_timeout": "20s",
+            "operator_keys": [{
+                "id": "local",
+                "salt": OPERATOR_SALT,
+                "sha256": hashlib.sha256(
+                    (OPERATOR_SALT + OPERATOR_KEY).encode()).hexdigest(),
+            }],
             "trace": {"file": str(host.folder / "trace.jsonl")},
         }
         if host in self.voters:
@@ -136,6 +148,27 @@
         for host in self.hosts:
             self.start_host(host, *flags)
 
+    def operate(self, *words):
+        """Runs the operators' command line; returns its completed process."""
+        key = self.folder / "operator.key"
+        key.write_text(OPERATOR_KEY + "\n")
+        hosts = ",".join(host.operators for host in self.hosts
+                         if host.process is not None)
+        return subprocess.run(
+            [self.build / "balsampoint", *words, f"--hosts={hosts}",
+             f"--key_file={key}"],
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+            check=False)
+
+    def apply(self, folder=RUHUNU, number=1):
+        """Puts a configuration in force on all hosts."""
+        def done():
+            result = self.operate("apply", str(folder), "--number",
+                                  str(number), "--wait")
+            self.last_output = result.stdout
+            return result.returncode == 0
+        self.wait_until(f"change {number} in force", done)
+
     def start_server(self, name, zone, **flags):
         """Starts a stand-in that announces itself to its zone's hosts."""
         address = f"127.0.0.1:{self.next_port}"
--- a/tools/local/demo.py
+++ b/tools/local/demo.py
@@ -1,7 +1,6 @@
 """Runs one draft and one order through three zones and checks both."""
 
 import json
-import pathlib
 import sys
 import tempfile
 
@@ -29,12 +28,12 @@
 
 
 def main():
-    examples = pathlib.Path(__file__).resolve().parents[2] / "examples"
     zones = ["colombo-a", "colombo-b", "negombo-c"]
     with tempfile.TemporaryDirectory() as folder, Cluster(
             build_folder(), folder, zones, region="lk-west") as cluster:
-        cluster.start_hosts(
-            f"--configuration={examples / 'ruhunu' / 'configuration'}")
+        cluster.start_hosts()
+        cluster.apply()
+        print(cluster.last_output.strip())
         cluster.wait_ready()
         for zone in zones:
             cluster.start_engines(zone, "verse", LAYERS, stages=2)
@@ -57,7 +56,12 @@
                             "/services/order-desk/orders",
                             json.dumps({"tag": "brass"}), HEADERS)
         print(f"order: {status} {text}")
-        return 0 if status == 200 else 1
+        keyed = dict(HEADERS, **{"Idempotency-Key": "order-1"})
+        answers = {call(host.callers, "POST", "/services/order-desk/orders",
+                        json.dumps({"tag": "oak"}), keyed)
+                   for host in cluster.hosts}
+        print(f"one key through {len(cluster.hosts)} hosts: {answers}")
+        return 0 if status == 200 and len(answers) == 1 else 1
 
 
 if __name__ == "__main__":
--- a/tools/local/sharing.py
+++ b/tools/local/sharing.py
@@ -5,7 +5,6 @@
 lost alone or together with the host that leased it.
 """
 
-import pathlib
 import sys
 import tempfile
 import time
@@ -40,12 +39,11 @@
 
 
 def main():
-    examples = pathlib.Path(__file__).resolve().parents[2] / "examples"
     with tempfile.TemporaryDirectory() as folder, Cluster(
             build_folder(), folder, [ZONE], hosts_per_zone=4,
             base_port=23400, region="lk-west") as cluster:
-        cluster.start_hosts(
-            f"--configuration={examples / 'ruhunu' / 'configuration'}")
+        cluster.start_hosts()
+        cluster.apply()
         cluster.wait_ready()
         time.sleep(3)
         only = cluster.hosts[1]
