--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "balsampoint/change/module.hpp"
+#include "balsampoint/consensus/module.hpp"
+#include "balsampoint/fanout/module.hpp"
 #include "balsampoint/ledger/module.hpp"
 #include "balsampoint/limit/module.hpp"
 #include "balsampoint/member/module.hpp"
@@ -34,7 +37,10 @@
                            registry::Module,
                            retry::Module,
                            limit::Module,
-                           ledger::Module>;
+                           ledger::Module,
+                           consensus::Module,
+                           change::Module,
+                           fanout::Module>;
 
 /** @brief The one queue into the control thread. */
 using ControlMailbox = runtime::Mailbox<Control::Event>;
--- /dev/null
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -0,0 +1,163 @@
+#include "balsampoint/daemon/first_state.hpp"
+
+#include "balsampoint/core/hash.hpp"
+#include "balsampoint/runtime/entropy.hpp"
+#include "balsampoint/runtime/steady_clock.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsampoint::daemon {
+
+namespace {
+
+retry::State
+FirstRetryState(const config::Settings& aSettings)
+{
+  retry::State state;
+  state.settings.zone = aSettings.zone;
+  state.random = runtime::Entropy::Next();
+  return state;
+}
+
+/**
+ * Half of the requests in progress may run and most of the others wait; what
+ * is left lets a newcomer in to take the place of who is over its share.
+ */
+limit::State
+FirstLimitState(const config::Settings& aSettings)
+{
+  constexpr std::uint32_t kNewcomers = 16;
+  constexpr std::uint32_t kWorkspaceParts = 8;
+  const auto all = aSettings.limits.concurrentRequests;
+  limit::State state;
+  state.settings.slots = std::max(1U, all / 2);
+  state.settings.queue = all - state.settings.slots -
+                         std::min(all - state.settings.slots, all / kNewcomers);
+  state.settings.workspaceQueue = std::max(1U, all / kWorkspaceParts);
+  return state;
+}
+
+ledger::State
+FirstLedgerState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  std::vector<HostId> members;
+  for (const auto& seed : aSettings.seeds) {
+    members.push_back(seed.host);
+  }
+  auto state = ledger::Module::Start({ .self = aSettings.host,
+                                       .incarnation = aIncarnation,
+                                       .members = std::move(members) },
+                                     ledger::Bounds{},
+                                     runtime::SteadyClock::Now());
+  if (!state) {
+    throw Failure{ state.error() };
+  }
+  return std::move(*state);
+}
+
+member::State
+FirstMemberState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  member::Settings settings{ .self = { .id = aSettings.host,
+                                       .zone = aSettings.zone,
+                                       .region = aSettings.region,
+                                       .address = aSettings.listen.peers.Text(),
+                                       .incarnation = aIncarnation } };
+  for (const auto& seed : aSettings.seeds) {
+    settings.seeds.push_back(
+      { .id = seed.host, .address = seed.address.Text() });
+  }
+  const auto seed =
+    HashNumber(HashText(aSettings.host.Value()), aIncarnation.Value());
+  return member::MakeState(std::move(settings), seed);
+}
+
+registry::State
+FirstRegistryState(const config::Settings& aSettings, Incarnation aIncarnation)
+{
+  const auto seed =
+    HashNumber(aIncarnation.Value(), HashText(aSettings.host.Value()));
+  return { .settings = { .self = aSettings.host, .zone = aSettings.zone },
+           .random = SplitMix64{ seed } };
+}
+
+std::vector<HostId>
+SeedHosts(const config::Settings& aSettings)
+{
+  std::vector<HostId> hosts;
+  for (const auto& seed : aSettings.seeds) {
+    hosts.push_back(seed.host);
+  }
+  return hosts;
+}
+
+consensus::Settings
+MakeConsensusSettings(const config::Settings& aSettings)
+{
+  consensus::Settings settings;
+  settings.self = aSettings.host;
+  if (!aSettings.voter) {
+    return settings;
+  }
+  auto& members = settings.initialMembers.members;
+  for (const auto& seed : aSettings.seeds) {
+    members.push_back(
+      { seed.host, seed.zone, consensus::MemberRole::Voter, {} });
+  }
+  std::ranges::sort(members);
+  return settings;
+}
+
+fanout::State
+MakeFanout(const config::Settings& aSettings, const peer::Identity& aIdentity)
+{
+  fanout::Settings settings;
+  settings.self = { .host = aSettings.host,
+                    .incarnation = aIdentity.incarnation,
+                    .zone = aSettings.zone,
+                    .address = aSettings.listen.peers.Text(),
+                    .hasDisk = aSettings.dataFolder.has_value() };
+  settings.seeds = SeedHosts(aSettings);
+  return fanout::Module::Start(std::move(settings),
+                               runtime::SteadyClock::Now());
+}
+
+} // namespace
+
+tl::expected<FirstState, Error>
+MakeFirstState(const config::Settings& aSettings,
+               const peer::Identity& aIdentity)
+{
+  FirstState first;
+  consensus::State log{ .settings = MakeConsensusSettings(aSettings) };
+  if (aSettings.dataFolder) {
+    auto opened = OpenStore(aSettings);
+    if (!opened) {
+      return tl::unexpected(opened.error());
+    }
+    first.store = std::move(opened->store);
+    auto started = consensus::Module::Start(log.settings,
+                                            std::move(opened->recovered),
+                                            runtime::Entropy::Next(),
+                                            runtime::SteadyClock::Now(),
+                                            first.actions);
+    if (!started) {
+      return tl::unexpected(started.error());
+    }
+    log = std::move(*started);
+  }
+  change::State changes{ .settings = { .self = aSettings.host,
+                                       .seeds = SeedHosts(aSettings) } };
+  first.states = { FirstMemberState(aSettings, aIdentity.incarnation),
+                   FirstRegistryState(aSettings, aIdentity.incarnation),
+                   FirstRetryState(aSettings),
+                   FirstLimitState(aSettings),
+                   FirstLedgerState(aSettings, aIdentity.incarnation),
+                   std::move(log),
+                   std::move(changes),
+                   MakeFanout(aSettings, aIdentity) };
+  return first;
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -1,7 +1,6 @@
 #include "balsampoint/daemon/node.hpp"
 
-#include "balsampoint/core/hash.hpp"
-
+#include "balsampoint/daemon/operations.hpp"
 #include "balsampoint/runtime/entropy.hpp"
 
 #include <algorithm>
@@ -18,87 +17,7 @@
 constexpr std::size_t kMailboxCapacity = 65536;
 /** Threads beyond the requests in progress: for refusals and health. */
 constexpr int kSpareThreads = 64;
-
-retry::State
-FirstRetryState(const config::Settings& aSettings)
-{
-  retry::State state;
-  state.settings.zone = aSettings.zone;
-  state.random = runtime::Entropy::Next();
-  return state;
-}
-
-/**
- * Half of the requests in progress may run and most of the others wait; what
- * is left lets a newcomer in to take the place of who is over its share.
- */
-limit::State
-FirstLimitState(const config::Settings& aSettings)
-{
-  constexpr std::uint32_t kNewcomers = 16;
-  constexpr std::uint32_t kWorkspaceParts = 8;
-  const auto all = aSettings.limits.concurrentRequests;
-  limit::State state;
-  state.settings.slots = std::max(1U, all / 2);
-  state.settings.queue = all - state.settings.slots -
-                         std::min(all - state.settings.slots, all / kNewcomers);
-  state.settings.workspaceQueue = std::max(1U, all / kWorkspaceParts);
-  return state;
-}
-
-ledger::State
-FirstLedgerState(const config::Settings& aSettings, Incarnation aIncarnation)
-{
-  std::vector<HostId> members;
-  for (const auto& seed : aSettings.seeds) {
-    members.push_back(seed.host);
-  }
-  auto state = ledger::Module::Start({ .self = aSettings.host,
-                                       .incarnation = aIncarnation,
-                                       .members = std::move(members) },
-                                     ledger::Bounds{},
-                                     runtime::SteadyClock::Now());
-  if (!state) {
-    throw Failure{ state.error() };
-  }
-  return std::move(*state);
-}
-
-member::State
-FirstMemberState(const config::Settings& aSettings, Incarnation aIncarnation)
-{
-  member::Settings settings{ .self = { .id = aSettings.host,
-                                       .zone = aSettings.zone,
-                                       .region = aSettings.region,
-                                       .address = aSettings.listen.peers.Text(),
-                                       .incarnation = aIncarnation } };
-  for (const auto& seed : aSettings.seeds) {
-    settings.seeds.push_back(
-      { .id = seed.host, .address = seed.address.Text() });
-  }
-  const auto seed =
-    HashNumber(HashText(aSettings.host.Value()), aIncarnation.Value());
-  return member::MakeState(std::move(settings), seed);
-}
-
-registry::State
-FirstRegistryState(const config::Settings& aSettings, Incarnation aIncarnation)
-{
-  const auto seed =
-    HashNumber(aIncarnation.Value(), HashText(aSettings.host.Value()));
-  return { .settings = { .self = aSettings.host, .zone = aSettings.zone },
-           .random = SplitMix64{ seed } };
-}
-
-Control::States
-FirstStates(const config::Settings& aSettings, Incarnation aIncarnation)
-{
-  return { FirstMemberState(aSettings, aIncarnation),
-           FirstRegistryState(aSettings, aIncarnation),
-           FirstRetryState(aSettings),
-           FirstLimitState(aSettings),
-           FirstLedgerState(aSettings, aIncarnation) };
-}
+constexpr Duration kHandOverWait = std::chrono::seconds{ 3 };
 
 std::map<WorkspaceId, limit::WorkspaceRule>
 WorkspaceRules(const config::Document& aDocument)
@@ -142,7 +61,13 @@
 tl::expected<std::unique_ptr<Node>, Error>
 Node::Start(const config::Settings& aSettings)
 {
-  std::unique_ptr<Node> node{ new Node{ aSettings, MakeIdentity(aSettings) } };
+  const auto identity = MakeIdentity(aSettings);
+  auto first = MakeFirstState(aSettings, identity);
+  if (!first) {
+    return tl::unexpected(first.error());
+  }
+  std::unique_ptr<Node> node{ new Node{
+    aSettings, identity, std::move(*first) } };
   const auto listening = node->Listen();
   if (!listening) {
     return tl::unexpected(listening.error());
@@ -150,7 +75,9 @@
   return node;
 }
 
-Node::Node(const config::Settings& aSettings, const peer::Identity& aIdentity)
+Node::Node(const config::Settings& aSettings,
+           const peer::Identity& aIdentity,
+           FirstState aFirst)
   : mSettings{ aSettings }
   , mIdentity{ aIdentity }
   , mMailbox{ kMailboxCapacity }
@@ -163,9 +90,14 @@
            } }
   , mSender{ aIdentity }
   , mRouter{ mMailbox }
-  , mRunners{ mMailbox, mWorld, mGate, mSender }
-  , mLoop{ mMailbox, mRunners, FirstStates(aSettings, aIdentity.incarnation) }
-  , mControlThread{ [this] { mLoop.Run(); } }
+  , mRunners{ mMailbox,
+              mWorld,
+              mGate,
+              mSender,
+              [this](config::Document aDocument) {
+                Configure(std::move(aDocument));
+              } }
+  , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
   , mCallerHandler{ { .world = mWorld,
                       .backends = mBackends,
                       .gate = mGate,
@@ -190,6 +122,13 @@
       mSender.Route(seed.host, seed.address.Text());
     }
   }
+  if (aFirst.store) {
+    mRunners.Consensus().UseDisk(std::move(*aFirst.store));
+  }
+  for (const auto& action : aFirst.actions) {
+    mRunners.Run(action);
+  }
+  mControlThread = std::thread{ [this] { mLoop.Run(); } };
 }
 
 Node::~Node()
@@ -224,6 +163,9 @@
 Node::Drain()
 {
   mWorld.draining = true;
+  if (mSettings.dataFolder) {
+    mRunners.Consensus().HandOver(kHandOverWait);
+  }
   std::mutex mutex;
   std::condition_variable never;
   std::unique_lock lock{ mutex };
@@ -276,17 +218,13 @@
 http::Operations
 Node::MakeOperations()
 {
-  const auto unavailable = [] {
-    return MakeError(ErrorKind::ControlUnavailable,
-                     "the control group is not running");
-  };
   return { .submit =
-             [unavailable](const http::ChangeRequest&) {
-               return tl::unexpected(http::ChangeRefusal{ unavailable() });
+             [this](const http::ChangeRequest& aRequest) {
+               return SubmitChange(mRunners, aRequest);
              },
            .changeMembers =
-             [unavailable](const http::MemberChange&) {
-               return tl::unexpected(unavailable());
+             [this](const http::MemberChange& aChange) {
+               return ChangeMembers(mRunners, mWorld, aChange);
              },
            .drain = [this] { mWorld.draining = true; } };
 }
