--- a/src/balsampoint/cli/command/apply.cpp
+++ b/src/balsampoint/cli/command/apply.cpp
@@ -1,69 +1,34 @@
 #include "balsampoint/cli/command/apply.hpp"
 
 #include "balsampoint/cli/internal/change.hpp"
-#include "balsampoint/cli/internal/pause.hpp"
 #include "balsampoint/cli/internal/printer.hpp"
-#include "balsampoint/runtime/steady_clock.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 namespace balsampoint::cli {
 
 namespace {
 
-constexpr Duration kPollInterval = std::chrono::milliseconds{ 200 };
-
-/** @brief What the hosts report of one change. */
-struct Progress
-{
-  std::size_t inForce{};
-  /** Live hosts that report an older number. */
-  std::string behind;
-  /** Hosts out of reach; not waited for. */
-  std::string unreachable;
-};
-
-Progress
-Assess(const Json& aHosts, std::uint64_t aNumber)
-{
-  Progress progress;
-  for (const auto& host : aHosts) {
-    const auto name = host.value("host", "") + " ";
-    if (host.value("state", "") == "out_of_reach") {
-      progress.unreachable += name;
-    } else if (host.value("number", std::uint64_t{ 0 }) < aNumber) {
-      progress.behind += name;
-    } else {
-      ++progress.inForce;
-    }
-  }
-  return progress;
-}
+/** Longest wait that a host takes for one call. */
+constexpr Duration kMaxWait = std::chrono::seconds{ 60 };
 
+/** Says where a change is in force and whether that is enough. */
 ExitCode
-WaitUntilInForce(Client& aClient, const Options& aOptions)
+JudgeInForce(const Json& aAnswer)
 {
-  const Pause pause;
-  const auto deadline = runtime::SteadyClock::Now() + aOptions.timeout;
-  Progress progress;
-  while (runtime::SteadyClock::Now() < deadline) {
-    if (const auto hosts = aClient.Get("/v1/status/hosts")) {
-      progress = Assess(*hosts, aOptions.number);
-      if (progress.behind.empty() && progress.inForce > 0) {
-        std::cerr << "in force on " << progress.inForce << " host(s)";
-        if (!progress.unreachable.empty()) {
-          std::cerr << "; out of reach: " << progress.unreachable;
-        }
-        std::cerr << '\n';
-        return ExitCode::Success;
-      }
-    }
-    if (!pause.For(kPollInterval)) {
-      break;
-    }
+  const auto& inForce = aAnswer.at("in_force");
+  std::string missing;
+  for (const auto& host : inForce.at("missing")) {
+    missing += " " + host.get<std::string>();
   }
-  std::cerr << "accepted, but not in force on: "
-            << (progress.behind.empty() ? "unknown" : progress.behind) << '\n';
+  if (inForce.value("everywhere", false)) {
+    std::cerr << "in force on " << inForce.at("hosts").size() << " host(s)";
+    std::cerr << (missing.empty() ? "" : "; out of reach:" + missing) << '\n';
+    return ExitCode::Success;
+  }
+  std::cerr << "accepted, but not known to be in force everywhere; missing:"
+            << (missing.empty() ? " unknown" : missing) << '\n';
   return ExitCode::NotInForce;
 }
 
@@ -76,16 +41,20 @@
     std::cerr << "balsampoint: apply needs --number\n";
     return ExitCode::Usage;
   }
-  const auto change = MakeChange(aFolder, aOptions.number, aOptions.changeId);
+  auto change = MakeChange(aFolder, aOptions.number, aOptions.changeId);
   if (!change) {
     return PrintProblems(change.error());
   }
+  if (aOptions.wait) {
+    change->wait = std::min(aOptions.timeout, kMaxWait);
+  }
   Client client{ aOptions };
-  const auto code = PrintResult(PutChange(client, *change), aOptions);
+  const auto answer = PutChange(client, *change);
+  const auto code = PrintResult(answer, aOptions);
   if (code != ExitCode::Success || !aOptions.wait) {
     return code;
   }
-  return WaitUntilInForce(client, aOptions);
+  return JudgeInForce(*answer);
 }
 
 } // namespace balsampoint::cli
--- a/src/balsampoint/cli/internal/change.cpp
+++ b/src/balsampoint/cli/internal/change.cpp
@@ -36,12 +36,16 @@
 tl::expected<Json, ClientError>
 PutChange(Client& aClient, const Change& aChange)
 {
+  const auto wait =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aChange.wait);
   return aClient.Send(
     { .method = "PUT",
       .path = "/v1/configuration",
       .headers = { { "X-Change-Number", std::to_string(aChange.number) },
-                   { "X-Change-Id", aChange.id } },
-      .body = aChange.document });
+                   { "X-Change-Id", aChange.id },
+                   { "X-Wait-Ms", std::to_string(wait.count()) } },
+      .body = aChange.document },
+    aChange.wait);
 }
 
 ExitCode
--- a/src/balsampoint/cli/internal/change.hpp
+++ b/src/balsampoint/cli/internal/change.hpp
@@ -16,6 +16,8 @@
   std::uint64_t number{};
   std::string id;
   std::string document;
+  /** How long the host waits for it to be in force; zero not to wait. */
+  Duration wait{};
 };
 
 /**
--- a/src/balsampoint/cli/internal/client.cpp
+++ b/src/balsampoint/cli/internal/client.cpp
@@ -41,7 +41,7 @@
 }
 
 tl::expected<Json, ClientError>
-Client::Send(http::ClientRequest aRequest)
+Client::Send(http::ClientRequest aRequest, Duration aWork)
 {
   if (mOptions.hosts.empty()) {
     return tl::unexpected(ClientError{
@@ -51,7 +51,7 @@
   bool maybeSent = false;
   std::string causes;
   for (const auto& host : mOptions.hosts) {
-    const auto response = mPool.Call(host, aRequest, kCallTimeout);
+    const auto response = mPool.Call(host, aRequest, kCallTimeout + aWork);
     if (response) {
       return Read(*response);
     }
--- a/src/balsampoint/cli/internal/client.hpp
+++ b/src/balsampoint/cli/internal/client.hpp
@@ -46,10 +46,12 @@
    * @brief Sends a command that a host carries out once, however often it is
    * sent; a lost answer is followed by the same command to the next host.
    * @param aRequest The request, without the operator's key.
+   * @param aWork Time that the host may spend on it beyond a usual call's.
    * @return The answer's document, or why there is none.
    */
   [[nodiscard]] tl::expected<Json, ClientError> Send(
-    http::ClientRequest aRequest);
+    http::ClientRequest aRequest,
+    Duration aWork = {});
 
 private:
   [[nodiscard]] static tl::expected<Json, ClientError> Read(
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -226,7 +226,8 @@
              [this](const http::MemberChange& aChange) {
                return ChangeMembers(mRunners, mWorld, aChange);
              },
-           .drain = [this] { mWorld.draining = true; } };
+           .drain = [this] { mWorld.draining = true; },
+           .hosts = [this] { return ReportedHosts(mRunners); } };
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/operations.cpp
+++ b/src/balsampoint/daemon/operations.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/daemon/operations.hpp"
 
+#include "balsampoint/runtime/steady_clock.hpp"
+
 #include <algorithm>
 
 namespace balsampoint::daemon {
@@ -78,8 +80,11 @@
   if (aRequest.wait == Duration{}) {
     return accepted;
   }
-  for (const auto& host :
-       aRunners.Fanout().Await(answer->number, aRequest.wait)) {
+  const auto deadline = runtime::SteadyClock::Now() + aRequest.wait;
+  const auto hosts = aRunners.Fanout().Await(answer->number, aRequest.wait);
+  accepted.everywhere =
+    !hosts.empty() && runtime::SteadyClock::Now() < deadline;
+  for (const auto& host : hosts) {
     if (host.reachable && host.number >= answer->number) {
       accepted.hosts.push_back({ host.host, host.incarnation, host.number });
       continue;
@@ -104,4 +109,22 @@
   return done;
 }
 
+tl::expected<std::vector<traffic::HostStatus>, Error>
+ReportedHosts(Runners& aRunners)
+{
+  std::vector<traffic::HostStatus> hosts;
+  for (const auto& host : aRunners.Fanout().Await(ChangeNumber{}, {})) {
+    hosts.push_back({ .host = host.host,
+                      .zone = host.zone,
+                      .incarnation = host.incarnation,
+                      .state = host.reachable ? "alive" : "out_of_reach",
+                      .inForce = host.number });
+  }
+  if (hosts.empty()) {
+    return Refuse(ErrorKind::ControlUnavailable,
+                  "no leader of the control group answers");
+  }
+  return hosts;
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/operations.hpp
+++ b/src/balsampoint/daemon/operations.hpp
@@ -27,4 +27,12 @@
               const traffic::World& aWorld,
               const http::MemberChange& aChange);
 
+/**
+ * @brief Asks the leader of the control group for all hosts.
+ * @param aRunners Ways to the control thread.
+ * @return The hosts, or `ControlUnavailable` when no leader answers.
+ */
+[[nodiscard]] tl::expected<std::vector<traffic::HostStatus>, Error>
+ReportedHosts(Runners& aRunners);
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/http/command/submit_change.cpp
+++ b/src/balsampoint/http/command/submit_change.cpp
@@ -59,7 +59,8 @@
                        { "outcome", "accepted" },
                        { "in_force",
                          { { "hosts", std::move(hosts) },
-                           { "missing", std::move(missing) } } } };
+                           { "missing", std::move(missing) },
+                           { "everywhere", aAnswer.everywhere } } } };
   return document.dump();
 }
 
--- a/src/balsampoint/http/operations.hpp
+++ b/src/balsampoint/http/operations.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/core/error.hpp"
 #include "balsampoint/core/id.hpp"
 #include "balsampoint/core/number.hpp"
+#include "balsampoint/traffic/status.hpp"
 
 #include <functional>
 #include <optional>
@@ -39,8 +40,10 @@
   ChangeId change;
   /** Hosts that have this change or a later one in force. */
   std::vector<HostNumber> hosts;
-  /** Hosts that did not report it within the wait. */
+  /** Hosts that are out of reach or did not report it within the wait. */
   std::vector<HostId> missing;
+  /** Whether every host in reach is known to have it in force. */
+  bool everywhere{ false };
 };
 
 /** @brief Why a change was not accepted. */
@@ -68,13 +71,18 @@
   HostId replacement;
 };
 
-/** @brief Commands of operators; each blocks a traffic thread to its end. */
+/**
+ * @brief What needs the control thread; each blocks a traffic thread to its
+ * end.
+ */
 struct Operations
 {
   std::function<tl::expected<ChangeAnswer, ChangeRefusal>(const ChangeRequest&)>
     submit;
   std::function<tl::expected<void, Error>(const MemberChange&)> changeMembers;
   std::function<void()> drain;
+  /** All hosts as the control group's leader knows them. */
+  std::function<tl::expected<std::vector<traffic::HostStatus>, Error>()> hosts;
 };
 
 } // namespace balsampoint::http
--- a/src/balsampoint/http/operator_handler.cpp
+++ b/src/balsampoint/http/operator_handler.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::string_view kConfigurationPath = "/v1/configuration";
 constexpr std::string_view kHistoryPath = "/v1/configuration/history";
+constexpr std::string_view kHostsPath = "/v1/status/hosts";
 constexpr std::string_view kControlPath = "/v1/control/";
 constexpr std::string_view kDrainPath = "/v1/drain";
 constexpr std::uint64_t kMaxDocumentBytes = 8ULL * 1024 * 1024;
@@ -104,6 +105,14 @@
     SendJson(aResponse, EncodeHistory(mWorld));
     return;
   }
+  if (uri == kHostsPath) {
+    const auto hosts = mOperations.hosts();
+    if (!hosts) {
+      throw Failure{ hosts.error() };
+    }
+    SendJson(aResponse, EncodeHosts(*hosts));
+    return;
+  }
   if (uri.starts_with(kStatusPath)) {
     const auto status = EncodeStatus(mWorld, uri.substr(kStatusPath.size()));
     if (status) {
--- a/src/balsampoint/http/query/status.cpp
+++ b/src/balsampoint/http/query/status.cpp
@@ -19,20 +19,6 @@
   return status ? *status : traffic::Status{};
 }
 
-Json
-Hosts(const traffic::World& aWorld)
-{
-  Json hosts = Json::array();
-  for (const auto& host : ReadStatus(aWorld).hosts) {
-    hosts.push_back({ { "host", host.host.String() },
-                      { "zone", host.zone.String() },
-                      { "incarnation", host.incarnation.Value() },
-                      { "state", host.state },
-                      { "number", host.inForce.Value() } });
-  }
-  return hosts;
-}
-
 Json
 Servers(const traffic::World& aWorld)
 {
@@ -139,9 +125,6 @@
 std::optional<std::string>
 EncodeStatus(const traffic::World& aWorld, std::string_view aTopic)
 {
-  if (aTopic == "hosts") {
-    return Hosts(aWorld).dump();
-  }
   if (aTopic == "servers") {
     return Servers(aWorld).dump();
   }
@@ -157,6 +140,20 @@
   return std::nullopt;
 }
 
+std::string
+EncodeHosts(std::span<const traffic::HostStatus> aHosts)
+{
+  Json hosts = Json::array();
+  for (const auto& host : aHosts) {
+    hosts.push_back({ { "host", host.host.String() },
+                      { "zone", host.zone.String() },
+                      { "incarnation", host.incarnation.Value() },
+                      { "state", host.state },
+                      { "number", host.inForce.Value() } });
+  }
+  return hosts.dump();
+}
+
 std::string
 EncodeConfiguration(const traffic::World& aWorld)
 {
--- a/src/balsampoint/http/query/status.hpp
+++ b/src/balsampoint/http/query/status.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/traffic/world.hpp"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -14,12 +15,20 @@
 /**
  * @brief Writes what is known about a topic.
  * @param aWorld What the host knows.
- * @param aTopic `hosts`, `servers`, `pipelines`, `workspaces` or `control`.
+ * @param aTopic `servers`, `pipelines`, `workspaces` or `control`.
  * @return JSON text, or nothing for an unknown topic.
  */
 [[nodiscard]] std::optional<std::string>
 EncodeStatus(const traffic::World& aWorld, std::string_view aTopic);
 
+/**
+ * @brief Writes the hosts of the cluster.
+ * @param aHosts The hosts.
+ * @return JSON text.
+ */
+[[nodiscard]] std::string
+EncodeHosts(std::span<const traffic::HostStatus> aHosts);
+
 /**
  * @brief Writes the configuration in force on this host.
  * @param aWorld What the host knows.
