Mend the linter's findings

Change: consumers of a queue share one loop, the host's seeds one function; explicit capacities and moves; a long function of the load tool split. Conclusion: one loop in place of four.

--- a/src/balsampoint/change/command/decide.cpp
+++ b/src/balsampoint/change/command/decide.cpp
@@ -61,12 +61,12 @@
     return { Outcome::NumberSkipped, aChange.number, {}, next };
   }
   if (aChange.number < next) {
-    const auto answer = AnswerConflict(aTable, aChange);
+    auto answer = AnswerConflict(aTable, aChange);
     Remember(aTable, aChange, answer);
     return answer;
   }
   Accept(aTable, aChange);
-  const Answer answer{
+  Answer answer{
     Outcome::Accepted, aChange.number, aChange.id, aTable.number.Next()
   };
   Remember(aTable, aChange, answer);
--- a/src/balsampoint/change/command/submit.cpp
+++ b/src/balsampoint/change/command/submit.cpp
@@ -97,6 +97,7 @@
     return;
   }
   std::vector<Ticket> tickets;
+  tickets.reserve(aState.pending.size());
   for (const auto& [ticket, pending] : aState.pending) {
     tickets.push_back(ticket);
   }
--- a/src/balsampoint/config/query/sections.cpp
+++ b/src/balsampoint/config/query/sections.cpp
@@ -23,7 +23,10 @@
       continue;
     }
     for (const auto& [id, entry] : value.items()) {
-      sections[field + kSeparator + id] = entry.dump();
+      auto name = field;
+      name += kSeparator;
+      name += id;
+      sections[name] = entry.dump();
     }
   }
   return sections;
--- a/src/balsampoint/daemon/disk_worker.cpp
+++ b/src/balsampoint/daemon/disk_worker.cpp
@@ -16,7 +16,8 @@
 tl::expected<OpenedStore, Error>
 OpenStore(const config::Settings& aSettings)
 {
-  auto folder = disk::FileDisk::Open(*aSettings.dataFolder);
+  auto folder = disk::FileDisk::Open(
+    aSettings.dataFolder.value_or(std::filesystem::path{}));
   if (!folder) {
     return tl::unexpected(folder.error());
   }
@@ -63,17 +64,17 @@
 void
 DiskWorker::Serve()
 {
-  while (const auto write = mWrites.Pop(Duration::max())) {
-    const auto done = mStore.Write(*write);
+  mWrites.Consume([this](const consensus::Persist& aWrite) {
+    const auto done = mStore.Write(aWrite);
     if (done) {
-      Post(mMailbox, consensus::Event{ consensus::Synced{ write->write } });
-      continue;
+      Post(mMailbox, consensus::Event{ consensus::Synced{ aWrite.write } });
+      return;
     }
     spdlog::error("the disk refuses writes: {}", done.error().detail);
     Post(mMailbox,
          consensus::Event{
-           consensus::StorageFailure{ write->write, done.error() } });
-  }
+           consensus::StorageFailure{ aWrite.write, done.error() } });
+  });
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -107,20 +107,20 @@
 void
 FanoutRunner::Serve()
 {
-  while (auto content = mContents.Pop(Duration::max())) {
-    auto document = config::Parse(config::JoinSections(*content->sections));
+  mContents.Consume([this](fanout::Content aContent) {
+    const auto number = aContent.number;
+    auto document = config::Parse(config::JoinSections(*aContent.sections));
     if (!document) {
-      spdlog::error("configuration {} can't be read", content->number.Value());
-      continue;
+      spdlog::error("configuration {} can't be read", number.Value());
+      return;
     }
-    document->number = content->number;
+    document->number = number;
     mConfigure(std::move(*document));
-    spdlog::info("configuration {} is in force", content->number.Value());
-    const auto number = content->number;
+    spdlog::info("configuration {} is in force", number.Value());
     mInForce.Publish(
-      std::make_shared<const fanout::Content>(std::move(*content)));
+      std::make_shared<const fanout::Content>(std::move(aContent)));
     Post(mMailbox, fanout::Event{ fanout::Published{ number } });
-  }
+  });
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -11,6 +11,17 @@
 
 namespace {
 
+std::vector<HostId>
+SeedHosts(const config::Settings& aSettings)
+{
+  std::vector<HostId> hosts;
+  hosts.reserve(aSettings.seeds.size());
+  for (const auto& seed : aSettings.seeds) {
+    hosts.push_back(seed.host);
+  }
+  return hosts;
+}
+
 retry::State
 FirstRetryState(const config::Settings& aSettings)
 {
@@ -41,13 +52,9 @@
 ledger::State
 FirstLedgerState(const config::Settings& aSettings, Incarnation aIncarnation)
 {
-  std::vector<HostId> members;
-  for (const auto& seed : aSettings.seeds) {
-    members.push_back(seed.host);
-  }
   auto state = ledger::Module::Start({ .self = aSettings.host,
                                        .incarnation = aIncarnation,
-                                       .members = std::move(members) },
+                                       .members = SeedHosts(aSettings) },
                                      ledger::Bounds{},
                                      runtime::SteadyClock::Now());
   if (!state) {
@@ -82,16 +89,6 @@
            .random = SplitMix64{ seed } };
 }
 
-std::vector<HostId>
-SeedHosts(const config::Settings& aSettings)
-{
-  std::vector<HostId> hosts;
-  for (const auto& seed : aSettings.seeds) {
-    hosts.push_back(seed.host);
-  }
-  return hosts;
-}
-
 consensus::Settings
 MakeConsensusSettings(const config::Settings& aSettings)
 {
--- a/src/balsampoint/disk/internal/log_store.hpp
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -134,7 +134,11 @@
   }
   internal::Segment segment{ .name = aName };
   const ByteView all{ *bytes };
-  while (auto entry = ReadEntry(all.subspan(segment.size))) {
+  while (true) {
+    auto entry = ReadEntry(all.subspan(segment.size));
+    if (!entry.has_value()) {
+      break;
+    }
     if (segment.offsets.empty()) {
       segment.first = entry->first.index;
     }
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -115,22 +115,18 @@
 {
   Connection connection{ aPeer.address };
   Instant retryAt{};
-  while (true) {
-    const auto frame = aPeer.queue.Pop(Duration::max());
-    if (!frame) {
-      return;
-    }
+  aPeer.queue.Consume([&](const generated::Frame& aFrame) {
     if (aPeer.queue.Closed() || runtime::SteadyClock::Now() < retryAt) {
       ++mDropped;
-      continue;
+      return;
     }
-    if (connection.Deliver(*frame)) {
-      mSentBytes += frame->body.size();
-      continue;
+    if (connection.Deliver(aFrame)) {
+      mSentBytes += aFrame.body.size();
+      return;
     }
     ++mDropped;
     retryAt = runtime::SteadyClock::Now() + kReconnectPause;
-  }
+  });
 }
 
 void
--- a/src/balsampoint/runtime/mailbox.hpp
+++ b/src/balsampoint/runtime/mailbox.hpp
@@ -3,9 +3,11 @@
 #include "balsampoint/core/time.hpp"
 
 #include <chrono>
+#include <concepts>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -70,6 +72,24 @@
     return event;
   }
 
+  /**
+   * @brief Hands over entries as they come until the queue is closed and
+   * empty.
+   * @tparam Consumer Callable with an entry.
+   * @param aConsume Takes each entry.
+   */
+  template<std::invocable<Event> Consumer>
+  void Consume(Consumer aConsume)
+  {
+    while (true) {
+      auto event = Pop(Duration::max());
+      if (!event.has_value()) {
+        return;
+      }
+      std::invoke(aConsume, std::move(*event));
+    }
+  }
+
   /** @brief Refuses further entries and wakes the consumer. */
   void Close()
   {
--- a/src/balsampoint/stream/command/start.hpp
+++ b/src/balsampoint/stream/command/start.hpp
@@ -5,7 +5,6 @@
 #include "balsampoint/stream/internal/recover.hpp"
 #include "balsampoint/stream/state.hpp"
 
-#include <utility>
 #include <vector>
 
 namespace balsampoint::stream {
@@ -22,14 +21,14 @@
 template<Tokenizer T>
 void
 Start(BasicState<T>& aState,
-      StreamRequest aRequest,
+      const StreamRequest& aRequest,
       const Settings& aSettings,
       Instant aNow,
       std::vector<Action>& aActions)
 {
   aState = BasicState<T>{};
   auto& progress = aState.progress;
-  progress.request = std::move(aRequest);
+  progress.request = aRequest;
   progress.settings = aSettings;
   progress.attempt = AttemptNumber{ 1 };
   aState.tokenizer.Append(progress.request.prompt);
--- a/src/balsampoint/trace/exporter.hpp
+++ b/src/balsampoint/trace/exporter.hpp
@@ -82,11 +82,11 @@
 
   void Write()
   {
-    while (const auto span = mQueue.Pop(Duration::max())) {
-      if (!mSink.Write(EncodeSpan(*span, mHost))) {
+    mQueue.Consume([this](const Span& aSpan) {
+      if (!mSink.Write(EncodeSpan(aSpan, mHost))) {
         mDropped.fetch_add(1, std::memory_order_relaxed);
       }
-    }
+    });
   }
 
   const HostId mHost;
--- a/tools/load/answer_source.cpp
+++ b/tools/load/answer_source.cpp
@@ -55,6 +55,34 @@
   return request;
 }
 
+/** @brief One answer that the tool generates by itself. */
+struct DirectAnswer
+{
+  const Experiment& experiment;
+  RequestId request;
+  stream::HashTokenizer tokenizer{};
+  std::uint64_t digest{ stream::kEmptyKvDigest };
+};
+
+stream::CallStep
+MakeStep(const DirectAnswer& aAnswer,
+         const DirectStage& aStage,
+         std::uint32_t aStep,
+         std::uint64_t aInput)
+{
+  const LayerRange layers{ .begin = aStage.layerBegin, .end = aStage.layerEnd };
+  return { .target = { .address = aStage.address,
+                       .deadline = runtime::SteadyClock::Now() + kStepTimeout },
+           .call = { .id = { .request = aAnswer.request,
+                             .step = StepNumber{ aStep },
+                             .layers = layers },
+                     .model = ModelId{ aAnswer.experiment.model },
+                     .version = aAnswer.experiment.version,
+                     .start = aAnswer.tokenizer.Start(),
+                     .input = aInput,
+                     .kvDigest = aAnswer.digest } };
+}
+
 } // namespace
 
 AnswerEnd
@@ -96,43 +124,29 @@
   static http::ClientPool pool;
   static trace::Telemetry telemetry;
   http::EngineClient client{ pool, telemetry, {} };
-  stream::HashTokenizer tokenizer;
-  tokenizer.Append(aPrompt);
-  auto digest = stream::kEmptyKvDigest;
-  const RequestId request{ "direct-" + std::to_string(aNumber) };
+  DirectAnswer answer{ .experiment = aExperiment,
+                       .request =
+                         RequestId{ "direct-" + std::to_string(aNumber) } };
+  answer.tokenizer.Append(aPrompt);
   for (std::uint32_t step = 0; step < aExperiment.tokens; ++step) {
-    const auto start = tokenizer.Start();
+    const auto start = answer.tokenizer.Start();
     auto hash = start;
     for (const auto& stage : aExperiment.direct) {
-      const LayerRange layers{ .begin = stage.layerBegin,
-                               .end = stage.layerEnd };
-      const stream::CallStep call{
-        .target = { .address = stage.address,
-                    .deadline = runtime::SteadyClock::Now() + kStepTimeout },
-        .call = { .id = { .request = request,
-                          .step = StepNumber{ step },
-                          .layers = layers },
-                  .model = ModelId{ aExperiment.model },
-                  .version = aExperiment.version,
-                  .start = start,
-                  .input = hash,
-                  .kvDigest = digest }
-      };
-      const auto event = client.Run(call);
+      const auto event = client.Run(MakeStep(answer, stage, step, hash));
       const auto* replied = std::get_if<stream::StepReplied>(&event);
       if (replied == nullptr) {
         return AnswerEnd::Broken;
       }
       hash = replied->reply.output;
     }
-    digest = stream::ExtendKvDigest(digest, start);
+    answer.digest = stream::ExtendKvDigest(answer.digest, start);
     const auto token = stream::HashTokenizer::Text(hash);
-    tokenizer.Append(token);
+    answer.tokenizer.Append(token);
     aRead(token);
   }
   for (const auto& stage : aExperiment.direct) {
     client.Cancel(
-      { .target = { .address = stage.address }, .request = request });
+      { .target = { .address = stage.address }, .request = answer.request });
   }
   return AnswerEnd::Complete;
 }
