Copy the authorization header before it is read

Cause: under the address sanitizer the daemon ended at a request without a key: a reference to the default of the header's reader outlived it. Change: the header is copied. Figures: process-callers_test failed under the sanitizer; the two requests that ended the daemon now get 401. Conclusion: the sanitizer run found it; the same test covers it.

--- a/src/balsampoint/http/internal/request_field.cpp
+++ b/src/balsampoint/http/internal/request_field.cpp
@@ -32,7 +32,7 @@
 ReadKey(const ServerRequest& aRequest)
 {
   constexpr std::string_view kBearer = "Bearer ";
-  const auto& field = aRequest.get("Authorization", "");
+  const std::string field = aRequest.get("Authorization", "");
   if (!field.starts_with(kBearer)) {
     throw Failure{ MakeError(ErrorKind::Unauthorized,
                              "Authorization: a bearer key is needed") };
