--- a/src/balsampoint/change/command/decide.cpp
+++ b/src/balsampoint/change/command/decide.cpp
@@ -32,7 +32,10 @@
     aChange.number, aChange.author, aChange.digest, aAnswer
   };
   aTable.order.push_back(aChange.id);
-  if (aTable.order.size() <= kDecidedWindow) {
+  const auto window = aChange.numbering == Numbering::Increasing
+                        ? kSupersededWindow
+                        : kDecidedWindow;
+  if (aTable.order.size() <= window) {
     return;
   }
   const auto oldest = aTable.decided.find(aTable.order.front());
@@ -43,6 +46,22 @@
   aTable.order.pop_front();
 }
 
+/** @brief Decides a change that only has to have the highest number. */
+Answer
+DecideHighest(Table& aTable, const Change& aChange)
+{
+  const bool higher = aChange.number > aTable.number;
+  if (higher) {
+    Accept(aTable, aChange);
+  }
+  Answer answer{ higher ? Outcome::Accepted : Outcome::Superseded,
+                 aChange.number,
+                 aChange.id,
+                 aTable.number.Next() };
+  Remember(aTable, aChange, answer);
+  return answer;
+}
+
 } // namespace
 
 Answer
@@ -57,6 +76,9 @@
     return same ? first.answer
                 : Answer{ Outcome::IdReused, aChange.number, {}, next };
   }
+  if (aChange.numbering == Numbering::Increasing) {
+    return DecideHighest(aTable, aChange);
+  }
   if (aChange.number > next) {
     return { Outcome::NumberSkipped, aChange.number, {}, next };
   }
--- a/src/balsampoint/change/module.cpp
+++ b/src/balsampoint/change/module.cpp
@@ -50,6 +50,11 @@
   {
     actions.emplace_back(SnapshotReady{ aEvent.index, state.table });
   }
+  void operator()(const ReadWanted& aEvent) const
+  {
+    actions.emplace_back(
+      ReadReady{ aEvent.ticket, state.table.number, state.table.sections });
+  }
 };
 
 } // namespace
--- a/src/balsampoint/change/state.hpp
+++ b/src/balsampoint/change/state.hpp
@@ -106,6 +106,12 @@
   std::uint64_t index{};
 };
 
+/** @brief Asks for the configuration as the log has it; `ReadReady` follows. */
+struct ReadWanted
+{
+  Ticket ticket;
+};
+
 /** @brief Everything that a host reacts to. */
 using Event = std::variant<Submit,
                            Received,
@@ -113,7 +119,8 @@
                            Committed,
                            ProposalRefused,
                            Restored,
-                           SnapshotWanted>;
+                           SnapshotWanted,
+                           ReadWanted>;
 
 /** @brief Hands a message to the transport. */
 struct Send
@@ -166,8 +173,17 @@
   Table table;
 };
 
+/** @brief Answers `ReadWanted`. */
+struct ReadReady
+{
+  Ticket ticket;
+  ChangeNumber number;
+  SharedSections sections;
+};
+
 /** @brief Everything that a host asks of the daemon. */
-using Action = std::variant<Send, Propose, Answered, Accepted, SnapshotReady>;
+using Action =
+  std::variant<Send, Propose, Answered, Accepted, SnapshotReady, ReadReady>;
 
 /** @brief Collects what a command asks of the daemon. */
 using Actions = std::vector<Action>;
--- a/src/balsampoint/change/table.hpp
+++ b/src/balsampoint/change/table.hpp
@@ -27,11 +27,19 @@
   bool operator==(const Delta&) const = default;
 };
 
+/** @brief Which numbers a change may have. */
+enum class Numbering : std::uint8_t
+{
+  /** Only the one after that of the configuration in force. */
+  Consecutive,
+  /** Any higher one; a lower one is passed over. */
+  Increasing,
+};
+
 /** @brief A change as an operator submitted it. */
 struct Change
 {
-  /** Number it is to have; one more than that of the configuration it is
-   * based on. */
+  /** Number it is to have. */
   ChangeNumber number;
   ChangeId id;
   OperatorId author;
@@ -40,6 +48,7 @@
   /** Whether the delta holds the whole configuration. */
   bool whole{ false };
   Delta delta;
+  Numbering numbering{ Numbering::Consecutive };
 
   bool operator==(const Change&) const = default;
 };
@@ -54,6 +63,8 @@
   IdReused,
   /** The number is not the one that follows. */
   NumberSkipped,
+  /** A higher number is in force; nothing was changed. */
+  Superseded,
 };
 
 /** @brief The answer to a change; the first one is kept for resends. */
@@ -82,6 +93,8 @@
 
 /** @brief Answers kept for resends. */
 inline constexpr std::size_t kDecidedWindow = 10'000;
+/** @brief The same where only the highest number counts. */
+inline constexpr std::size_t kSupersededWindow = 256;
 
 /** @brief The replicated table of configuration changes. */
 struct Table
--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -100,6 +100,20 @@
   return true;
 }
 
+/**
+ * @brief The first entry of a log says who the group is, so that its hosts know
+ * that without their settings.
+ */
+Entry
+FirstEntryOfTerm(const State& aState)
+{
+  if (internal::LastIndex(aState.log) == Index{} &&
+      !aState.members.members.empty()) {
+    return { .kind = EntryKind::Members, .members = aState.members };
+  }
+  return { .kind = EntryKind::Empty };
+}
+
 void
 BecomeLeader(State& aState, Instant aNow, Actions& aActions)
 {
@@ -113,7 +127,7 @@
   aActions.emplace_back(LeaderChanged{ aState.hard.term, aState.leader });
   aState.termStart = internal::LastIndex(aState.log).Next();
   TrackMembers(aState, aNow);
-  AppendLocal(aState, Entry{ .kind = EntryKind::Empty }, aActions);
+  AppendLocal(aState, FirstEntryOfTerm(aState), aActions);
   Broadcast(aState, aNow, aActions);
 }
 
--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -259,6 +259,16 @@
   if (CannotChange(aState)) {
     return;
   }
+  if (aState.members.members.size() < aState.settings.voters) {
+    if (const auto spare = ChooseSpare(aState, {})) {
+      const Member learner{
+        spare->host, spare->zone, MemberRole::Learner, {}
+      };
+      ProposeMembers(
+        aState, With(aState.members, learner), {}, aNow, aActions);
+      return;
+    }
+  }
   for (const auto& member : aState.members.members) {
     if (Silence(aState, member.host, aNow) < aState.settings.replaceAfter) {
       continue;
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -33,6 +33,9 @@
   std::size_t maxAppendBytes{ std::size_t{ 256 } * 1024 };
   std::size_t snapshotPartBytes{ std::size_t{ 64 } * 1024 };
   std::size_t maxCommandBytes{ std::size_t{ 4 } * 1024 * 1024 };
+  /** Voters that the group grows to where spares are known; zero for as many
+   * as it has. */
+  std::size_t voters{ 0 };
   /** Silence of a voter after which a spare takes its place. */
   Duration replaceAfter{ std::chrono::minutes{ 2 } };
   /** Pause before a failed disk is tried again. */
--- a/src/balsampoint/daemon/change_runner.cpp
+++ b/src/balsampoint/daemon/change_runner.cpp
@@ -74,6 +74,25 @@
   return Refuse(ErrorKind::OutcomeUnknown, "the control thread is late");
 }
 
+void
+ChangeRunner::Submit(change::Change aChange,
+                     std::function<void(Result)> aAnswered)
+{
+  const auto ticket = mCallbacks.Open(std::move(aAnswered));
+  if (!mMailbox.Push(
+        change::Event{ change::Submit{ ticket, std::move(aChange) } })) {
+    mCallbacks.Complete(
+      ticket, Refuse(ErrorKind::Overloaded, "the control queue is full"));
+  }
+}
+
+void
+ChangeRunner::Read(std::function<void(fanout::Content)> aRead)
+{
+  Post(mMailbox,
+       change::Event{ change::ReadWanted{ mReads.Open(std::move(aRead)) } });
+}
+
 void
 ChangeRunner::Run(const change::Action& aAction)
 {
@@ -100,7 +119,15 @@
 void
 ChangeRunner::Do(const change::Answered& aAnswered)
 {
-  mAnswers.Complete(aAnswered.ticket, aAnswered.result);
+  if (!mCallbacks.Complete(aAnswered.ticket, aAnswered.result)) {
+    mAnswers.Complete(aAnswered.ticket, aAnswered.result);
+  }
+}
+
+void
+ChangeRunner::Do(const change::ReadReady& aReady)
+{
+  mReads.Complete(aReady.ticket, { aReady.number, aReady.sections });
 }
 
 void
--- a/src/balsampoint/daemon/change_runner.hpp
+++ b/src/balsampoint/daemon/change_runner.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/daemon/status_board.hpp"
 #include "balsampoint/http/operations.hpp"
 #include "balsampoint/peer/sender.hpp"
+#include "balsampoint/runtime/callback_table.hpp"
 #include "balsampoint/runtime/reply_table.hpp"
 #include "balsampoint/runtime/snapshot_cell.hpp"
 
@@ -37,6 +38,22 @@
   [[nodiscard]] tl::expected<change::Answer, Error> Submit(
     const http::ChangeRequest& aRequest);
 
+  /** @brief How a change ended. */
+  using Result = tl::expected<change::Answer, Error>;
+
+  /**
+   * @brief Submits a change without waiting.
+   * @param aChange The change.
+   * @param aAnswered Called on the control thread.
+   */
+  void Submit(change::Change aChange, std::function<void(Result)> aAnswered);
+
+  /**
+   * @brief Reads the configuration as this host's log has it.
+   * @param aRead Called on the control thread.
+   */
+  void Read(std::function<void(fanout::Content)> aRead);
+
   /**
    * @brief Carries out one action.
    * @param aAction The action.
@@ -51,13 +68,16 @@
   void Do(const change::Answered& aAnswered);
   void Do(const change::Accepted& aAccepted);
   void Do(const change::SnapshotReady& aReady);
+  void Do(const change::ReadReady& aReady);
 
   ControlMailbox& mMailbox;
   peer::Sender& mSender;
   StatusBoard& mBoard;
   runtime::SnapshotCell<fanout::Content>& mInForce;
   const LedgerRunner& mLedger;
-  runtime::ReplyTable<tl::expected<change::Answer, Error>> mAnswers;
+  runtime::ReplyTable<Result> mAnswers;
+  runtime::CallbackTable<Result> mCallbacks;
+  runtime::CallbackTable<fanout::Content> mReads;
 };
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -164,7 +164,10 @@
            ledger::ReplicateRefused{ WithinOwner(aRefused.ticket) } });
     return;
   }
-  mReplies.Complete(aRefused.ticket, tl::unexpected(aRefused.error));
+  if (!mConfirmations.Complete(aRefused.ticket,
+                               tl::unexpected(aRefused.error))) {
+    mReplies.Complete(aRefused.ticket, tl::unexpected(aRefused.error));
+  }
 }
 
 void
@@ -176,7 +179,17 @@
 void
 ConsensusRunner::Do(const consensus::LeaderConfirmed& aConfirmed)
 {
-  mReplies.Complete(aConfirmed.ticket, {});
+  if (!mConfirmations.Complete(aConfirmed.ticket, {})) {
+    mReplies.Complete(aConfirmed.ticket, {});
+  }
+}
+
+void
+ConsensusRunner::ConfirmLeader(
+  std::function<void(tl::expected<void, Error>)> aConfirmed)
+{
+  const auto ticket = mConfirmations.Open(std::move(aConfirmed));
+  Post(mMailbox, consensus::Event{ consensus::ConfirmLeader{ ticket } });
 }
 
 void
@@ -187,6 +200,9 @@
   Post(mMailbox, change::Event{ change::LeaderKnown{ aChanged.leader } });
   Post(mMailbox, fanout::Event{ fanout::LeaderKnown{ aChanged.leader } });
   Post(mMailbox, ledger::Event{ ledger::LeaderChanged{ aChanged.leader } });
+  if (mObserver) {
+    mObserver(aChanged.leader, aChanged.term);
+  }
 }
 
 void
--- a/src/balsampoint/daemon/consensus_runner.hpp
+++ b/src/balsampoint/daemon/consensus_runner.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/daemon/status_board.hpp"
 #include "balsampoint/peer/control_codec.hpp"
 #include "balsampoint/peer/sender.hpp"
+#include "balsampoint/runtime/callback_table.hpp"
 #include "balsampoint/runtime/reply_table.hpp"
 
 #include <functional>
@@ -46,6 +47,25 @@
    */
   void HandOver(Duration aWait);
 
+  /**
+   * @brief Asks a quorum whether this host leads, without waiting.
+   * @param aConfirmed Called on the control thread.
+   */
+  void ConfirmLeader(
+    std::function<void(tl::expected<void, Error>)> aConfirmed);
+
+  /** @brief Called on the control thread when the leader changes. */
+  using LeaderObserver = std::function<void(const HostId&, consensus::Term)>;
+
+  /**
+   * @brief Says who is told of the leader; nobody by default.
+   * @param aObserver Told of it.
+   */
+  void ObserveLeader(LeaderObserver aObserver)
+  {
+    mObserver = std::move(aObserver);
+  }
+
   /**
    * @brief Carries out one action.
    * @param aAction The action.
@@ -72,6 +92,8 @@
   StatusBoard& mBoard;
   std::unique_ptr<DiskWorker> mDisk;
   Replies mReplies;
+  runtime::CallbackTable<tl::expected<void, Error>> mConfirmations;
+  LeaderObserver mObserver;
   Replies mHandOvers;
   Ticket mHandOverTicket;
 };
--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -6,8 +6,10 @@
 #include "balsampoint/ledger/module.hpp"
 #include "balsampoint/limit/module.hpp"
 #include "balsampoint/member/module.hpp"
+#include "balsampoint/placement/module.hpp"
 #include "balsampoint/registry/module.hpp"
 #include "balsampoint/retry/module.hpp"
+#include "balsampoint/roster/module.hpp"
 #include "balsampoint/runtime/control_loop.hpp"
 #include "balsampoint/runtime/mailbox.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
@@ -40,7 +42,9 @@
                            ledger::Module,
                            consensus::Module,
                            change::Module,
-                           fanout::Module>;
+                           fanout::Module,
+                           roster::Module,
+                           placement::Module>;
 
 /** @brief The one queue into the control thread. */
 using ControlMailbox = runtime::Mailbox<Control::Event>;
--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -1,7 +1,5 @@
 #include "balsampoint/daemon/fanout_runner.hpp"
 
-#include "balsampoint/config/query/document_text.hpp"
-#include "balsampoint/config/query/sections.hpp"
 #include "balsampoint/daemon/post.hpp"
 #include "balsampoint/peer/fanout_codec.hpp"
 
@@ -108,14 +106,20 @@
 FanoutRunner::Serve()
 {
   mContents.Consume([this](fanout::Content aContent) {
+    // Of configurations that have queued up only the last one counts.
+    while (auto newer = mContents.Pop(Duration{})) {
+      aContent = std::move(*newer);
+    }
     const auto number = aContent.number;
-    auto document = config::Parse(config::JoinSections(*aContent.sections));
-    if (!document) {
-      spdlog::error("configuration {} can't be read", number.Value());
+    if (const auto known = mInForce.Read(); known && known->number >= number) {
+      return;
+    }
+    if (const auto done = mConfigure(aContent); !done) {
+      spdlog::error("configuration {} can't be read: {}",
+                    number.Value(),
+                    done.error().detail);
       return;
     }
-    document->number = number;
-    mConfigure(std::move(*document));
     spdlog::info("configuration {} is in force", number.Value());
     mInForce.Publish(
       std::make_shared<const fanout::Content>(std::move(aContent)));
--- a/src/balsampoint/daemon/fanout_runner.hpp
+++ b/src/balsampoint/daemon/fanout_runner.hpp
@@ -20,15 +20,16 @@
 class FanoutRunner
 {
 public:
-  /** @brief Puts a configuration in force on this host. */
-  using Configure = std::function<void(config::Document)>;
+  /** @brief Puts a configuration in force on this host, or says why not. */
+  using Configure =
+    std::function<tl::expected<void, Error>(const fanout::Content&)>;
 
   /**
    * @brief Starts the thread; the references outlive the runner.
    * @param aMailbox Queue into the control thread.
    * @param aSender Way to other hosts.
    * @param aBoard Collects what operators see.
-   * @param aConfigure Called for each configuration, in order.
+   * @param aConfigure Called for the newest configuration, in order.
    */
   FanoutRunner(ControlMailbox& aMailbox,
                peer::Sender& aSender,
--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -64,16 +64,20 @@
 }
 
 member::State
-FirstMemberState(const config::Settings& aSettings, Incarnation aIncarnation)
+FirstMemberState(const config::Settings& aSettings,
+                 Incarnation aIncarnation,
+                 const ControlTuning& aTuning)
 {
   member::Settings settings{ .self = { .id = aSettings.host,
                                        .zone = aSettings.zone,
                                        .region = aSettings.region,
                                        .address = aSettings.listen.peers.Text(),
                                        .incarnation = aIncarnation } };
-  for (const auto& seed : aSettings.seeds) {
-    settings.seeds.push_back(
-      { .id = seed.host, .address = seed.address.Text() });
+  if (aTuning.ownInterface) {
+    for (const auto& seed : aSettings.seeds) {
+      settings.seeds.push_back(
+        { .id = seed.host, .address = seed.address.Text() });
+    }
   }
   const auto seed =
     HashNumber(HashText(aSettings.host.Value()), aIncarnation.Value());
@@ -90,9 +94,10 @@
 }
 
 consensus::Settings
-MakeConsensusSettings(const config::Settings& aSettings)
+MakeConsensusSettings(const config::Settings& aSettings,
+                      consensus::Settings aBase)
 {
-  consensus::Settings settings;
+  auto settings = std::move(aBase);
   settings.self = aSettings.host;
   if (!aSettings.voter) {
     return settings;
@@ -124,10 +129,12 @@
 
 tl::expected<FirstState, Error>
 MakeFirstState(const config::Settings& aSettings,
-               const peer::Identity& aIdentity)
+               const peer::Identity& aIdentity,
+               const ControlTuning& aTuning)
 {
   FirstState first;
-  consensus::State log{ .settings = MakeConsensusSettings(aSettings) };
+  consensus::State log{ .settings = MakeConsensusSettings(
+                          aSettings, aTuning.consensus) };
   if (aSettings.dataFolder) {
     auto opened = OpenStore(aSettings);
     if (!opened) {
@@ -146,14 +153,17 @@
   }
   change::State changes{ .settings = { .self = aSettings.host,
                                        .seeds = SeedHosts(aSettings) } };
-  first.states = { FirstMemberState(aSettings, aIdentity.incarnation),
+  first.states = { FirstMemberState(aSettings, aIdentity.incarnation, aTuning),
                    FirstRegistryState(aSettings, aIdentity.incarnation),
                    FirstRetryState(aSettings),
                    FirstLimitState(aSettings),
                    FirstLedgerState(aSettings, aIdentity.incarnation),
                    std::move(log),
                    std::move(changes),
-                   MakeFanout(aSettings, aIdentity) };
+                   MakeFanout(aSettings, aIdentity),
+                   roster::Module::Start(aTuning.roster,
+                                         runtime::SteadyClock::Now()),
+                   placement::State{} };
   return first;
 }
 
--- a/src/balsampoint/daemon/first_state.hpp
+++ b/src/balsampoint/daemon/first_state.hpp
@@ -19,14 +19,26 @@
   std::optional<LogStore> store;
 };
 
+/** @brief Settings of the control group beyond those of the host. */
+struct ControlTuning
+{
+  consensus::Settings consensus;
+  /** Control hosts and servers' heartbeats; without seeds there is none. */
+  roster::Settings roster;
+  /** Whether the other modules of a daemon's own interface run. */
+  bool ownInterface{ true };
+};
+
 /**
  * @brief Reads the data folder and makes the first states of all modules.
  * @param aSettings The host's settings.
  * @param aIdentity This host.
+ * @param aTuning Settings of the control group.
  * @return The states, or why the host can't start.
  */
 [[nodiscard]] tl::expected<FirstState, Error>
 MakeFirstState(const config::Settings& aSettings,
-               const peer::Identity& aIdentity);
+               const peer::Identity& aIdentity,
+               const ControlTuning& aTuning = {});
 
 } // namespace balsampoint::daemon
--- /dev/null
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -0,0 +1,474 @@
+#pragma once
+
+#include "balsampoint/config/gateway_settings.hpp"
+#include "balsampoint/daemon/gateway_state.hpp"
+#include "balsampoint/daemon/parcel_router.hpp"
+#include "balsampoint/daemon/post.hpp"
+#include "balsampoint/daemon/runners.hpp"
+#include "balsampoint/edge/control_port.hpp"
+#include "balsampoint/edge/engine_caller.hpp"
+#include "balsampoint/edge/entry.hpp"
+#include "balsampoint/edge/status_port.hpp"
+#include "balsampoint/fleet/command/follow_roster.hpp"
+#include "balsampoint/peer/receiver.hpp"
+#include "balsampoint/peer/sender.hpp"
+#include "balsampoint/runtime/entropy.hpp"
+#include "balsampoint/trace/event.hpp"
+#include "balsampoint/traffic/control_gate.hpp"
+
+#include <Poco/DigestEngine.h>
+#include <Poco/SHA2Engine.h>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+
+namespace balsampoint::daemon {
+
+/** @brief Name of the section that holds a configuration's whole text. */
+inline constexpr const char* kWholeText = "document";
+
+/**
+ * @brief A host that forwards requests by routes, hears servers, or both.
+ * @tparam D Names and formats of messages.
+ */
+template<edge::Dialect D>
+class BasicGateway
+{
+public:
+  /**
+   * @brief Starts a host.
+   * @param aSettings The host's settings.
+   * @return The running host, or why it can't start.
+   */
+  [[nodiscard]] static tl::expected<std::unique_ptr<BasicGateway>, Error> Start(
+    const config::GatewaySettings& aSettings)
+  {
+    const auto identity = IdentityOf(aSettings);
+    auto first = MakeFirstState(ControlSettingsOf(aSettings),
+                                identity,
+                                TuningOf(aSettings, identity));
+    if (!first) {
+      return tl::unexpected(first.error());
+    }
+    std::unique_ptr<BasicGateway> gateway{ new BasicGateway{
+      aSettings, identity, std::move(*first) } };
+    if (auto listening = gateway->Listen(); !listening) {
+      return tl::unexpected(listening.error());
+    }
+    return gateway;
+  }
+
+  BasicGateway(const BasicGateway&) = delete;
+  BasicGateway& operator=(const BasicGateway&) = delete;
+  BasicGateway(BasicGateway&&) = delete;
+  BasicGateway& operator=(BasicGateway&&) = delete;
+
+  /** @brief Stops at once; `Drain` first for a planned stop. */
+  ~BasicGateway()
+  {
+    mReceiver.reset();
+    mEdge.Stop();
+    mMailbox.Close();
+    mControlThread.join();
+  }
+
+  /** @brief Takes no new callers and waits for work in progress. */
+  void Drain()
+  {
+    mEdge.Post([this] {
+      mTraffic.draining = true;
+      mControlPort.Drain();
+    });
+    if (mSettings.dataFolder) {
+      mRunners.Consensus().HandOver(kHandOverWait);
+    }
+    if (!mSettings.listen.callers) {
+      return;
+    }
+    mEdge.Post([this] { WaitUntilIdle(Traffic::Now()); });
+    std::unique_lock lock{ mStopMutex };
+    mStopped.wait_for(
+      lock, mSettings.stopTimeout - kStopMargin, [this] { return mIdle; });
+  }
+
+private:
+  using Traffic = edge::Traffic;
+
+  /** Time for callers' balancer to notice that the host isn't ready. */
+  static constexpr Duration kBalancerWait = std::chrono::milliseconds{ 2600 };
+  static constexpr Duration kIdleLook = std::chrono::milliseconds{ 50 };
+  /** Time kept for the end of the process within the stop timeout. */
+  static constexpr Duration kStopMargin = std::chrono::milliseconds{ 700 };
+  static constexpr Duration kHandOverWait = std::chrono::milliseconds{ 1500 };
+  static constexpr Duration kSweepInterval = std::chrono::seconds{ 1 };
+  static constexpr std::size_t kMailboxCapacity = 65536;
+  static constexpr std::size_t kMaxControlConnections = 2000;
+
+  BasicGateway(const config::GatewaySettings& aSettings,
+               const peer::Identity& aIdentity,
+               FirstState aFirst)
+    : mSettings{ aSettings }
+    , mIdentity{ aIdentity }
+    , mMailbox{ kMailboxCapacity }
+    , mGate{ aIdentity.host,
+             aIdentity.incarnation,
+             [](const traffic::ControlGate::Request&) { return false; } }
+    , mSender{ aIdentity }
+    , mRouter{ mMailbox }
+    , mTraffic{ mEdge,
+                { .zone = aSettings.zone },
+                {},
+                AllowanceOf(aSettings),
+                runtime::Entropy::Next() }
+    , mEntry{ mTraffic, MaxCallers(aSettings) }
+    , mReady{ mEdge, [this] { return ReadyStatus(); } }
+    , mMetrics{ mEdge, [this] { return MetricsStatus(); } }
+    , mEngines{ mEdge, {} }
+    , mControlPort{ mEdge, MakeOperations(), kMaxControlConnections }
+    , mRunners{ mMailbox,
+                mWorld,
+                mGate,
+                mSender,
+                [this](const fanout::Content& aContent) {
+                  return Configure(aContent);
+                } }
+    , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
+    , mSweep{ mEdge.Context() }
+    , mIdleTimer{ mEdge.Context() }
+  {
+    mTraffic.maxActive =
+      static_cast<std::uint32_t>(MaxCallers(aSettings));
+    for (const auto& seed : ControlSettingsOf(aSettings).seeds) {
+      if (seed.host != mSettings.host) {
+        mSender.Route(seed.host, seed.address.Text());
+      }
+    }
+    mRunners.Roster().PublishTo([this](auto aView) {
+      mEdge.Post([this, view = std::move(aView)] { TakeServers(view); });
+    });
+    mRunners.Placement().CarryBy([this](const placement::Action& aAction) {
+      std::visit([this](const auto& aOne) { Carry(aOne); }, aAction);
+    });
+    mRunners.Consensus().ObserveLeader(
+      [this](const HostId& aLeader, consensus::Term aTerm) {
+        OnLeader(aLeader, aTerm);
+      });
+    if (aFirst.store) {
+      mRunners.Consensus().UseDisk(std::move(*aFirst.store));
+    }
+    for (const auto& action : aFirst.actions) {
+      mRunners.Run(action);
+    }
+    mControlThread = std::thread{ [this] { mLoop.Run(); } };
+  }
+
+  tl::expected<void, Error> Listen()
+  {
+    auto receiver = peer::Receiver::Listen(
+      mSettings.listen.peers.Text(), mIdentity, [this](const auto& aParcel) {
+        mRouter.Take(aParcel);
+      });
+    if (!receiver) {
+      return tl::unexpected(receiver.error());
+    }
+    mReceiver = std::move(*receiver);
+    const auto& listen = mSettings.listen;
+    auto listening =
+      ListenOn(mEntry, listen.callers)
+        .and_then([&] { return ListenOn(mReady, listen.ready); })
+        .and_then([&] { return ListenOn(mMetrics, listen.metrics); })
+        .and_then([&] { return ListenOn(mControlPort, listen.control); });
+    if (listening) {
+      Sweep();
+      mEdge.Start();
+    }
+    return listening;
+  }
+
+  template<typename Port>
+  static tl::expected<void, Error> ListenOn(
+    Port& aPort,
+    const std::optional<config::Address>& aAddress)
+  {
+    return aAddress ? aPort.Listen(aAddress->Text())
+                    : tl::expected<void, Error>{};
+  }
+
+  void Sweep()
+  {
+    mTraffic.pool.CloseOld();
+    mSweep.Set(kSweepInterval, [this] { Sweep(); });
+  }
+
+  edge::StatusPort::Status ReadyStatus() const
+  {
+    constexpr std::uint16_t kOk = 200;
+    constexpr std::uint16_t kUnavailable = 503;
+    const bool ready =
+      mTraffic.routes && mTraffic.servers && !mTraffic.draining;
+    return { ready ? kOk : kUnavailable, {} };
+  }
+
+  edge::StatusPort::Status MetricsStatus() const
+  {
+    constexpr std::uint16_t kOk = 200;
+    return { kOk, {} };
+  }
+
+  void TakeServers(std::shared_ptr<const roster::View> aView)
+  {
+    mTraffic.servers = std::move(aView);
+    FollowRoster();
+  }
+
+  void FollowRoster()
+  {
+    if (mTraffic.servers && mTraffic.routes) {
+      fleet::FollowRoster(
+        mTraffic.fleet, *mTraffic.servers, mTraffic.routes->Source());
+    }
+  }
+
+  tl::expected<void, Error> Configure(const fanout::Content& aContent)
+  {
+    const auto text = aContent.sections->find(kWholeText);
+    if (text == aContent.sections->end()) {
+      return Refuse(ErrorKind::InvalidConfiguration, "the text is missing");
+    }
+    auto table = D::ReadConfiguration(text->second)
+                   .and_then([](routing::Document aDocument) {
+                     return routing::Table::Make(std::move(aDocument));
+                   });
+    if (!table) {
+      return tl::unexpected(table.error());
+    }
+    placement::Configured configured;
+    for (const auto& [id, service] : (*table)->Source().services) {
+      if (service.engine) {
+        configured.profiles.emplace(id, *service.engine);
+      }
+    }
+    Post(mMailbox, placement::Event{ std::move(configured) });
+    if (mRunners.Roster().Latest()) {
+      Post(mMailbox,
+           placement::Event{
+             placement::ServersChanged{ mRunners.Roster().Latest() } });
+    }
+    mEdge.Post([this, routes = std::move(*table)] { TakeRoutes(routes); });
+    return {};
+  }
+
+  void TakeRoutes(std::shared_ptr<const routing::Table> aRoutes)
+  {
+    if (mTraffic.routes &&
+        mTraffic.routes->Source().number >= aRoutes->Source().number) {
+      return;
+    }
+    trace::Event{ "configuration_in_force" }
+      .With("number", aRoutes->Source().number.Value())
+      .With("routes", aRoutes->Source().routes.size());
+    mTraffic.routes = std::move(aRoutes);
+    mEntry.Limit(mTraffic.routes->Source().limits);
+    FollowRoster();
+  }
+
+  void OnLeader(const HostId& aLeader, consensus::Term aTerm)
+  {
+    trace::Event{ "leader_changed" }
+      .With("leader", aLeader)
+      .With("term", aTerm.Value());
+    {
+      const std::lock_guard lock{ mLeaderMutex };
+      mLeader = aLeader;
+    }
+    Post(mMailbox,
+         placement::Event{
+           placement::Leading{ .leading = aLeader == mSettings.host,
+                               .fencing = FencingNumber{ aTerm.Value() } } });
+  }
+
+  edge::ControlOperations MakeOperations()
+  {
+    return {
+      .submit = [this](edge::SubmittedConfiguration aSubmitted,
+                       auto aCallback) {
+        Submit(std::move(aSubmitted), std::move(aCallback));
+      },
+      .read = [this](auto aCallback) { Read(std::move(aCallback)); },
+      .heartbeat =
+        [this](roster::Claim aClaim) {
+          return mMailbox.Push(
+            roster::Event{ roster::Heartbeat{ std::move(aClaim) } });
+        },
+      .signOff =
+        [this](ServerId aServer, std::optional<Incarnation> aBorn) {
+          return mMailbox.Push(
+            roster::Event{ roster::SignedOff{ std::move(aServer), aBorn } });
+        }
+    };
+  }
+
+  void Submit(edge::SubmittedConfiguration aSubmitted,
+              std::function<void(tl::expected<void, Error>)> aCallback)
+  {
+    Poco::SHA2Engine engine{ Poco::SHA2Engine::SHA_256 };
+    engine.update(aSubmitted.text);
+    const auto digest = Poco::DigestEngine::digestToHex(engine.digest());
+    change::Change change{
+      .number = aSubmitted.number,
+      .id = ChangeId{ std::to_string(aSubmitted.number.Value()) + "-" +
+                      digest },
+      .digest = digest,
+      .whole = true,
+      .delta = { .upserts = { { kWholeText, std::move(aSubmitted.text) } } },
+      .numbering = change::Numbering::Increasing
+    };
+    mRunners.Change().Submit(
+      std::move(change),
+      [callback = std::move(aCallback)](ChangeRunner::Result aResult) {
+        callback(aResult ? tl::expected<void, Error>{}
+                         : tl::unexpected(aResult.error()));
+      });
+  }
+
+  /** The text is read only after a quorum has confirmed that none is newer. */
+  void Read(std::function<void(edge::ReadResult)> aCallback)
+  {
+    mRunners.Consensus().ConfirmLeader(
+      [this, callback = std::move(aCallback)](
+        const tl::expected<void, Error>& aConfirmed) {
+        if (!aConfirmed) {
+          callback(edge::AskElsewhere{ LeaderAddress() });
+          return;
+        }
+        mRunners.Change().Read([callback](const fanout::Content& aContent) {
+          const auto text = aContent.sections->find(kWholeText);
+          if (text == aContent.sections->end()) {
+            callback(edge::AskElsewhere{});
+            return;
+          }
+          callback(text->second);
+        });
+      });
+  }
+
+  std::string LeaderAddress()
+  {
+    const std::lock_guard lock{ mLeaderMutex };
+    if (mLeader.Empty() || mLeader == mSettings.host ||
+        !mSettings.listen.control) {
+      return {};
+    }
+    return config::Address{ mLeader.String(), mSettings.listen.control->port }
+      .Text();
+  }
+
+  void Carry(const placement::Give& aGive)
+  {
+    trace::Event{ "layers_ordered" }
+      .With("server", aGive.server)
+      .With("first", aGive.layers.begin)
+      .With("end", aGive.layers.end)
+      .With("fencing", aGive.fencing.Value());
+    auto request =
+      D::WriteLayerOrder({ .layers = aGive.layers,
+                           .expectedOrders = aGive.expectedOrders,
+                           .fencing = aGive.fencing },
+                         aGive.server.Value());
+    mEngines.Call(
+      aGive.address,
+      std::move(request),
+      aGive.limit,
+      [this, server = aGive.server, born = aGive.born](const auto& aAnswer) {
+        auto outcome = placement::OrderOutcome::Unknown;
+        if (aAnswer) {
+          outcome = D::Accepted(aAnswer->status)
+                      ? placement::OrderOutcome::Accepted
+                      : placement::OrderOutcome::Refused;
+        }
+        trace::Event{ "layers_order_ended" }
+          .With("server", server)
+          .With("status", aAnswer ? aAnswer->status : 0);
+        Post(mMailbox,
+             placement::Event{
+               placement::OrderEnded{ server, born, outcome } });
+      });
+  }
+
+  void Carry(const placement::AskReport& aAsk)
+  {
+    mEngines.Call(
+      aAsk.address,
+      D::WriteReportRequest(aAsk.server.Value()),
+      kReportLimit,
+      [this, server = aAsk.server, born = aAsk.born](const auto& aAnswer) {
+        const auto report = aAnswer
+                              ? D::ReadReport(aAnswer->body)
+                              : Refuse(ErrorKind::BackendFailed, "no answer");
+        if (!report) {
+          trace::Event{ "report_missing" }
+            .With("server", server)
+            .With("reason", report.error().detail);
+          return;
+        }
+        Post(mMailbox,
+             placement::Event{
+               placement::Reported{ .server = server,
+                                    .born = born,
+                                    .orders = report->orders,
+                                    .busy = report->busy,
+                                    .layers = report->layers } });
+      });
+  }
+
+  /** Waits on the loop until callers were sent elsewhere and all is done. */
+  void WaitUntilIdle(Instant aSince)
+  {
+    const bool noticed = Traffic::Now() - aSince >= kBalancerWait;
+    if (noticed) {
+      mEntry.Connections().StopAccepting();
+      mEntry.Connections().CloseIdle();
+    }
+    if (noticed && mTraffic.active == 0) {
+      const std::lock_guard lock{ mStopMutex };
+      mIdle = true;
+      mStopped.notify_all();
+      return;
+    }
+    mIdleTimer.Set(kIdleLook, [this, aSince] { WaitUntilIdle(aSince); });
+  }
+
+  static constexpr Duration kReportLimit = std::chrono::milliseconds{ 500 };
+
+  config::GatewaySettings mSettings;
+  peer::Identity mIdentity;
+  traffic::World mWorld;
+  ControlMailbox mMailbox;
+  traffic::ControlGate mGate;
+  peer::Sender mSender;
+  ParcelRouter mRouter;
+  edge::Loop mEdge;
+  Traffic mTraffic;
+  edge::BasicEntry<D> mEntry;
+  edge::StatusPort mReady;
+  edge::StatusPort mMetrics;
+  edge::EngineCaller mEngines;
+  edge::BasicControlPort<D> mControlPort;
+  Runners mRunners;
+  Control::Loop<Runners> mLoop;
+  edge::Timer mSweep;
+  edge::Timer mIdleTimer;
+  std::thread mControlThread;
+  std::unique_ptr<peer::Receiver> mReceiver;
+  std::mutex mLeaderMutex;
+  HostId mLeader;
+  std::mutex mStopMutex;
+  std::condition_variable mStopped;
+  bool mIdle{ false };
+};
+
+} // namespace balsampoint::daemon
--- /dev/null
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -0,0 +1,117 @@
+#include "balsampoint/daemon/gateway_state.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace balsampoint::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Configurations are large and few, and the disk is small. */
+constexpr std::uint64_t kCompactAfter = 24;
+constexpr std::uint64_t kKeptBehind = 8;
+/** Silence of a voter after which a spare host takes its place. */
+constexpr Duration kReplaceAfter = 9s;
+/** Heartbeats that a server may miss before it counts as silent. */
+constexpr double kMissedHeartbeats = 3.0;
+/** Descriptors kept free for peers, servers and files. */
+constexpr std::size_t kReservedDescriptors = 400;
+
+std::string
+PeerAddress(const std::string& aIp, const config::GatewaySettings& aSettings)
+{
+  return config::Address{ aIp, aSettings.listen.peers.port }.Text();
+}
+
+} // namespace
+
+peer::Identity
+IdentityOf(const config::GatewaySettings& aSettings)
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+  return { .cluster = aSettings.cluster,
+           .host = aSettings.host,
+           .incarnation =
+             Incarnation{ static_cast<std::uint64_t>(milliseconds) },
+           .secret = aSettings.secret };
+}
+
+config::Settings
+ControlSettingsOf(const config::GatewaySettings& aSettings)
+{
+  config::Settings settings;
+  settings.cluster = aSettings.cluster;
+  settings.host = aSettings.host;
+  settings.region = aSettings.region;
+  settings.zone = aSettings.zone;
+  settings.listen.peers = aSettings.listen.peers;
+  settings.dataFolder = aSettings.dataFolder;
+  settings.secret = aSettings.secret;
+  for (const auto& seed : aSettings.seeds) {
+    const HostId host{ seed.ip };
+    const bool known = std::ranges::any_of(
+      settings.seeds,
+      [&](const config::Seed& aSeed) { return aSeed.host == host; });
+    if (!known) {
+      settings.seeds.push_back(
+        { .host = host,
+          .zone = host == aSettings.host ? aSettings.zone : ZoneId{},
+          .address = { seed.ip, aSettings.listen.peers.port } });
+    }
+  }
+  const bool isSeed = std::ranges::any_of(
+    settings.seeds, [&](const config::Seed& aSeed) {
+      return aSeed.host == aSettings.host;
+    });
+  settings.voter =
+    aSettings.listen.control && aSettings.firstStart && isSeed;
+  return settings;
+}
+
+ControlTuning
+TuningOf(const config::GatewaySettings& aSettings,
+         const peer::Identity& aIdentity)
+{
+  ControlTuning tuning;
+  tuning.ownInterface = false;
+  tuning.consensus.compactAfter = kCompactAfter;
+  tuning.consensus.keptBehind = kKeptBehind;
+  tuning.consensus.replaceAfter = kReplaceAfter;
+  tuning.consensus.voters = 2 * aSettings.controlLosses + 1;
+  auto& roster = tuning.roster;
+  roster.self = aSettings.host;
+  roster.incarnation = aIdentity.incarnation;
+  roster.address = aSettings.listen.peers.Text();
+  roster.hears = aSettings.listen.control.has_value();
+  roster.silence = std::chrono::duration_cast<Duration>(
+    aSettings.heartbeat * kMissedHeartbeats);
+  for (const auto& seed : aSettings.seeds) {
+    roster.seeds.push_back(
+      { HostId{ seed.ip }, PeerAddress(seed.ip, aSettings) });
+  }
+  return tuning;
+}
+
+forward::RetryAllowance
+AllowanceOf(const config::GatewaySettings& aSettings)
+{
+  return { .ratio = aSettings.retry.ratio,
+           .extra = aSettings.retry.extra,
+           .window = aSettings.retry.window };
+}
+
+std::size_t
+MaxCallers(const config::GatewaySettings& aSettings)
+{
+  const auto descriptors = std::size_t{ aSettings.limits.descriptors };
+  const auto usable = descriptors > 2 * kReservedDescriptors
+                        ? descriptors - kReservedDescriptors
+                        : descriptors / 2;
+  return usable / 2;
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/daemon/node.hpp"
 
+#include "balsampoint/config/query/document_text.hpp"
+#include "balsampoint/config/query/sections.hpp"
 #include "balsampoint/daemon/operations.hpp"
 #include "balsampoint/runtime/entropy.hpp"
 
@@ -94,8 +96,8 @@
               mWorld,
               mGate,
               mSender,
-              [this](config::Document aDocument) {
-                Configure(std::move(aDocument));
+              [this](const fanout::Content& aContent) {
+                return ReadAndConfigure(aContent);
               } }
   , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
   , mCallerHandler{ { .world = mWorld,
@@ -159,6 +161,19 @@
   mWorld.changed.Notify();
 }
 
+tl::expected<void, Error>
+Node::ReadAndConfigure(const fanout::Content& aContent)
+{
+  auto document = config::Parse(config::JoinSections(*aContent.sections));
+  if (!document) {
+    return Refuse(ErrorKind::InvalidConfiguration,
+                  config::ToString(document.error().front()));
+  }
+  document->number = aContent.number;
+  Configure(std::move(*document));
+  return {};
+}
+
 bool
 Node::Drain()
 {
--- a/src/balsampoint/daemon/node.hpp
+++ b/src/balsampoint/daemon/node.hpp
@@ -60,6 +60,7 @@
   Node(const config::Settings& aSettings,
        const peer::Identity& aIdentity,
        FirstState aFirst);
+  tl::expected<void, Error> ReadAndConfigure(const fanout::Content& aContent);
   tl::expected<void, Error> Listen();
   [[nodiscard]] http::Operations MakeOperations();
 
--- a/src/balsampoint/daemon/operations.cpp
+++ b/src/balsampoint/daemon/operations.cpp
@@ -22,6 +22,7 @@
                {} };
     case change::Outcome::Accepted:
     case change::Outcome::Conflict:
+    case change::Outcome::Superseded:
       break;
   }
   http::ChangeRefusal refusal{ MakeError(ErrorKind::Conflict,
--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -5,6 +5,7 @@
 #include "balsampoint/peer/fanout_codec.hpp"
 #include "balsampoint/peer/member_codec.hpp"
 #include "balsampoint/peer/registry_codec.hpp"
+#include "balsampoint/peer/roster_codec.hpp"
 
 #include "balsampoint/peer/ledger_codec.hpp"
 
@@ -67,6 +68,9 @@
     case peer::ModuleTag::Fanout:
       return EventOf<fanout::Module, fanout::Received>(
         aParcel, peer::DecodeFanoutMessage(aParcel.body));
+    case peer::ModuleTag::Roster:
+      return EventOf<roster::Module, roster::Received>(
+        aParcel, peer::DecodeRosterMessage(aParcel.body));
     case peer::ModuleTag::Ledger:
       return peer::DecodeLedgerMessage(aParcel.body)
         .map([&aParcel](ledger::Message aMessage) -> Control::Event {
--- /dev/null
+++ b/src/balsampoint/daemon/run_gateway.cpp
@@ -0,0 +1,3 @@
+#include "balsampoint/daemon/run_gateway.hpp"
+
+ABSL_FLAG(std::string, settings, "", "Settings file of this host.");
--- /dev/null
+++ b/src/balsampoint/daemon/run_gateway.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "balsampoint/config/query/load_gateway_settings.hpp"
+#include "balsampoint/daemon/gateway.hpp"
+#include "balsampoint/trace/event.hpp"
+#include "balsampoint/trace/log.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <pthread.h>
+#include <spdlog/spdlog.h>
+#include <string>
+
+ABSL_DECLARE_FLAG(std::string, settings);
+
+namespace balsampoint::daemon {
+
+/** @brief Exit code for settings that can't be read. */
+inline constexpr int kBadSettings = 2;
+
+/** @brief Signals that the process waits for. */
+[[nodiscard]] inline sigset_t
+AwaitedSignals()
+{
+  sigset_t signals{};
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+/**
+ * @brief Waits for the signal that ends the process.
+ * @param aSignals Signals that are blocked and awaited.
+ */
+inline void
+AwaitStop(const sigset_t& aSignals)
+{
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {
+    sigwait(&aSignals, &signal);
+    if (signal == SIGHUP) {
+      trace::Event{ "settings_kept" }.With(
+        "reason", "settings are read at the start only");
+    }
+  }
+}
+
+/**
+ * @brief Runs a gateway until it is told to stop.
+ * @tparam D Names and formats of messages.
+ * @param aCount Number of arguments.
+ * @param aArguments Arguments; `--settings` names the settings file.
+ * @param aVariable Environment variable that names it otherwise.
+ * @return The process's exit code.
+ */
+template<edge::Dialect D>
+int
+RunGateway(int aCount, char** aArguments, const char* aVariable)
+{
+  absl::SetProgramUsageMessage("Gateway of one host: --settings FILE");
+  absl::ParseCommandLine(aCount, aArguments);
+  const auto signals = AwaitedSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string file = absl::GetFlag(FLAGS_settings);
+  const char* named = std::getenv(aVariable);
+  if (file.empty() && named != nullptr) {
+    file = named;
+  }
+  const auto settings = config::LoadGatewaySettings(file);
+  if (!settings) {
+    for (const auto& problem : settings.error()) {
+      std::cerr << config::ToString(problem) << '\n';
+    }
+    return kBadSettings;
+  }
+  trace::ConfigureEventLog(settings->log.level, settings->host);
+  auto gateway = BasicGateway<D>::Start(*settings);
+  if (!gateway) {
+    std::cerr << gateway.error().detail << '\n';
+    return 1;
+  }
+  trace::Event{ "started" }.With("zone", settings->zone);
+  AwaitStop(signals);
+  trace::Event{ "stopping" };
+  (*gateway)->Drain();
+  trace::Event{ "stopped" };
+  spdlog::shutdown();
+  return 0;
+}
+
+} // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -5,7 +5,9 @@
 #include "balsampoint/daemon/fanout_runner.hpp"
 #include "balsampoint/daemon/ledger_runner.hpp"
 #include "balsampoint/daemon/member_runner.hpp"
+#include "balsampoint/daemon/placement_runner.hpp"
 #include "balsampoint/daemon/registry_runner.hpp"
+#include "balsampoint/daemon/roster_runner.hpp"
 #include "balsampoint/daemon/status_board.hpp"
 
 #include <utility>
@@ -36,6 +38,7 @@
     , mFanout{ aMailbox, aSender, mBoard, std::move(aConfigure) }
     , mLedger{ aMailbox, aGate, aSender }
     , mChange{ aMailbox, aSender, mBoard, mFanout.InForce(), mLedger }
+    , mRoster{ aMailbox, aSender }
     , mGate{ aGate }
   {
   }
@@ -49,6 +52,12 @@
   /** @brief The runner of changes. */
   [[nodiscard]] ChangeRunner& Change() { return mChange; }
 
+  /** @brief The roster's runner. */
+  [[nodiscard]] RosterRunner& Roster() { return mRoster; }
+
+  /** @brief The runner of placement. */
+  [[nodiscard]] PlacementRunner& Placement() { return mPlacement; }
+
   /** @brief The fan-out's runner. */
   [[nodiscard]] FanoutRunner& Fanout() { return mFanout; }
 
@@ -64,6 +73,18 @@
    */
   void Run(const change::Action& aAction) { mChange.Run(aAction); }
 
+  /**
+   * @brief Carries out an action of the roster.
+   * @param aAction The action.
+   */
+  void Run(const roster::Action& aAction) { mRoster.Run(aAction); }
+
+  /**
+   * @brief Carries out an action of placement.
+   * @param aAction The action.
+   */
+  void Run(const placement::Action& aAction) { mPlacement.Run(aAction); }
+
   /**
    * @brief Carries out an action of the fan-out.
    * @param aAction The action.
@@ -108,6 +129,8 @@
   FanoutRunner mFanout;
   LedgerRunner mLedger;
   ChangeRunner mChange;
+  RosterRunner mRoster;
+  PlacementRunner mPlacement;
   traffic::ControlGate& mGate;
 };
 
--- /dev/null
+++ b/src/balsampoint/edge/acceptor.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "balsampoint/core/error.hpp"
+#include "balsampoint/edge/caller_connection.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+#include <spdlog/spdlog.h>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace balsampoint::edge {
+
+/**
+ * @brief Accepts connections of callers on one address.
+ * @tparam Owner Takes the requests, as of `BasicCallerConnection`, but for
+ * `OnClosed`, which the acceptor itself takes.
+ */
+template<typename Owner>
+class BasicAcceptor
+{
+public:
+  using Connection = BasicCallerConnection<BasicAcceptor>;
+  using Pointer = std::shared_ptr<Connection>;
+
+  /**
+   * @brief Prepares an acceptor.
+   * @param aOwner Takes the requests; outlives the acceptor.
+   * @param aContext Context of the loop.
+   * @param aMaxConnections Connections open at once; further ones are reset.
+   */
+  BasicAcceptor(Owner& aOwner,
+                boost::asio::io_context& aContext,
+                std::size_t aMaxConnections)
+    : mOwner{ aOwner }
+    , mContext{ aContext }
+    , mAcceptor{ aContext }
+    , mMaxConnections{ aMaxConnections }
+  {
+  }
+
+  /**
+   * @brief Listens from now on.
+   * @param aAddress IP number and port.
+   * @return Nothing, or `ErrorKind::Internal` when it can't be bound.
+   */
+  tl::expected<void, Error> Listen(const std::string& aAddress)
+  {
+    const auto endpoint = ParseAddress(aAddress);
+    if (!endpoint) {
+      return tl::unexpected(endpoint.error());
+    }
+    try {
+      mAcceptor.open(endpoint->protocol());
+      mAcceptor.set_option(boost::asio::socket_base::reuse_address{ true });
+      mAcceptor.bind(*endpoint);
+      mAcceptor.listen(kBacklog);
+    } catch (const boost::system::system_error& failure) {
+      return balsampoint::Refuse(ErrorKind::Internal,
+                                 aAddress + ": " + failure.what());
+    }
+    Accept();
+    return {};
+  }
+
+  /** @brief Accepts no further connection. */
+  void StopAccepting()
+  {
+    boost::system::error_code ignored;
+    mAcceptor.close(ignored);
+  }
+
+  /** @brief Closes the connections that carry no request. */
+  void CloseIdle()
+  {
+    const auto connections = mConnections;
+    for (const auto& connection : connections) {
+      connection->CloseIfIdle();
+    }
+  }
+
+  /** @brief Connections open now. */
+  [[nodiscard]] std::size_t Connections() const noexcept
+  {
+    return mConnections.size();
+  }
+
+  void OnRequest(const Pointer& aConnection, IncomingRequest aRequest)
+  {
+    mOwner.OnRequest(aConnection, std::move(aRequest));
+  }
+
+  void OnCallerGone(const Pointer& aConnection)
+  {
+    mOwner.OnCallerGone(aConnection);
+  }
+
+  void OnUnreadable(const Pointer& aConnection, const Error& aError)
+  {
+    mOwner.OnUnreadable(aConnection, aError);
+  }
+
+  void OnClosed(const Pointer& aConnection) { mConnections.erase(aConnection); }
+
+  [[nodiscard]] const CallerBounds& Bounds() const { return mOwner.Bounds(); }
+
+private:
+  static constexpr int kBacklog = 1024;
+  /** Pause after an error of the listening socket. */
+  static constexpr Duration kPause = std::chrono::milliseconds{ 20 };
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](const auto& aError, Tcp::socket aSocket) {
+      if (aError == boost::asio::error::operation_aborted ||
+          !mAcceptor.is_open()) {
+        return;
+      }
+      if (aError) {
+        spdlog::warn("a connection can't be accepted: {}", aError.message());
+        mPause.Set(kPause, [this] { Accept(); });
+        return;
+      }
+      Take(std::move(aSocket));
+      Accept();
+    });
+  }
+
+  void Take(Tcp::socket aSocket)
+  {
+    if (mConnections.size() >= mMaxConnections) {
+      Reset(aSocket);
+      return;
+    }
+    auto connection =
+      std::make_shared<Connection>(*this, mContext, std::move(aSocket));
+    mConnections.insert(connection);
+    connection->Start();
+  }
+
+  Owner& mOwner;
+  boost::asio::io_context& mContext;
+  Tcp::acceptor mAcceptor;
+  Timer mPause{ mContext };
+  std::size_t mMaxConnections;
+  std::set<Pointer> mConnections;
+};
+
+} // namespace balsampoint::edge
--- /dev/null
+++ b/src/balsampoint/edge/answer.cpp
@@ -0,0 +1,68 @@
+#include "balsampoint/edge/answer.hpp"
+
+#include "balsampoint/wire/write.hpp"
+
+namespace balsampoint::edge {
+
+namespace {
+
+std::string
+StatusLine(std::uint16_t aStatus, std::string_view aReason)
+{
+  std::string line = "HTTP/1.1 ";
+  line += std::to_string(aStatus);
+  line += ' ';
+  line += aReason;
+  line += "\r\n";
+  return line;
+}
+
+} // namespace
+
+std::string
+MakeAnswerHead(const wire::ResponseHead& aHead,
+               Framing aFraming,
+               std::size_t aLength,
+               bool aKeep)
+{
+  auto text = StatusLine(aHead.status,
+                         aHead.reason.empty() ? wire::ReasonOf(aHead.status)
+                                              : aHead.reason);
+  for (const auto& field : aHead.fields.All()) {
+    if (!wire::IsHopField(field.name, aHead.fields)) {
+      wire::AppendField(text, field.name, field.value);
+    }
+  }
+  if (aFraming == Framing::Length) {
+    wire::AppendField(text, "Content-Length", std::to_string(aLength));
+  } else if (aFraming == Framing::Chunks) {
+    wire::AppendField(text, "Transfer-Encoding", "chunked");
+  }
+  if (!aKeep) {
+    wire::AppendField(text, "Connection", "close");
+  }
+  text += "\r\n";
+  return text;
+}
+
+std::string
+MakeAnswer(std::uint16_t aStatus,
+           std::string_view aFields,
+           std::string_view aBody,
+           bool aKeep)
+{
+  auto text = StatusLine(aStatus, wire::ReasonOf(aStatus));
+  text += aFields;
+  if (!aBody.empty()) {
+    wire::AppendField(text, "Content-Type", "application/json");
+  }
+  wire::AppendField(text, "Content-Length", std::to_string(aBody.size()));
+  if (!aKeep) {
+    wire::AppendField(text, "Connection", "close");
+  }
+  text += "\r\n";
+  text += aBody;
+  return text;
+}
+
+} // namespace balsampoint::edge
--- /dev/null
+++ b/src/balsampoint/edge/control_port.hpp
@@ -0,0 +1,231 @@
+#pragma once
+
+#include "balsampoint/edge/acceptor.hpp"
+#include "balsampoint/edge/answer.hpp"
+#include "balsampoint/edge/dialect.hpp"
+#include "balsampoint/routing/table.hpp"
+#include "balsampoint/trace/event.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace balsampoint::edge {
+
+/** @brief A configuration as an operator sent it, checked. */
+struct SubmittedConfiguration
+{
+  ChangeNumber number;
+  std::string text;
+};
+
+/** @brief Says that another host has to be asked. */
+struct AskElsewhere
+{
+  /** IP number and port of its control listener; empty if not known. */
+  std::string address;
+};
+
+/** @brief The configuration in force, or who knows it. */
+using ReadResult = std::variant<std::string, AskElsewhere>;
+
+/** @brief What the control port asks of the rest of the host. */
+struct ControlOperations
+{
+  /** Makes a change durable; calls back on any thread. */
+  std::function<void(SubmittedConfiguration,
+                     std::function<void(tl::expected<void, Error>)>)>
+    submit;
+  /** Reads the configuration in force; calls back on any thread. */
+  std::function<void(std::function<void(ReadResult)>)> read;
+  std::function<bool(roster::Claim)> heartbeat;
+  std::function<bool(ServerId, std::optional<Incarnation>)> signOff;
+};
+
+/**
+ * @brief Takes calls of operators and servers on one address.
+ * @tparam D Names and formats of messages.
+ */
+template<Dialect D>
+class BasicControlPort
+{
+public:
+  using Acceptor = BasicAcceptor<BasicControlPort>;
+  using Caller = typename Acceptor::Connection;
+  using Pointer = std::shared_ptr<Caller>;
+
+  /**
+   * @brief Prepares the port.
+   * @param aLoop The thread's loop; outlives the port.
+   * @param aOperations The rest of the host.
+   * @param aMaxConnections Connections at once.
+   */
+  BasicControlPort(Loop& aLoop,
+                   ControlOperations aOperations,
+                   std::size_t aMaxConnections)
+    : mLoop{ aLoop }
+    , mOperations{ std::move(aOperations) }
+    , mAcceptor{ *this, aLoop.Context(), aMaxConnections }
+  {
+  }
+
+  /**
+   * @brief Listens from now on.
+   * @param aAddress IP number and port.
+   */
+  tl::expected<void, Error> Listen(const std::string& aAddress)
+  {
+    return mAcceptor.Listen(aAddress);
+  }
+
+  /** @brief The connections. */
+  [[nodiscard]] Acceptor& Connections() noexcept { return mAcceptor; }
+
+  /** @brief From now on connections close after their answer. */
+  void Drain() { mDraining = true; }
+
+  void OnRequest(const Pointer& aCaller, IncomingRequest aRequest)
+  {
+    const auto call = D::ReadControlCall(aRequest.head);
+    if (!call) {
+      Refuse(aCaller, call.error());
+      return;
+    }
+    std::visit(
+      [&](const auto& aCall) { Do(aCall, aCaller, std::move(aRequest.body)); },
+      *call);
+  }
+
+  void OnCallerGone(const Pointer& /*aCaller*/) {}
+
+  void OnUnreadable(const Pointer& aCaller, const Error& aError)
+  {
+    aCaller->Send(D::WriteRefusal(aError, false));
+    aCaller->Finish(false);
+  }
+
+  [[nodiscard]] const CallerBounds& Bounds() const noexcept { return mBounds; }
+
+private:
+  void Do(const PutConfiguration& /*aCall*/,
+          const Pointer& aCaller,
+          std::string aBody)
+  {
+    auto document = D::ReadConfiguration(aBody);
+    if (!document) {
+      Refuse(aCaller, document.error());
+      return;
+    }
+    const auto number = document->number;
+    const auto table = routing::Table::Make(std::move(*document));
+    if (!table) {
+      trace::Event{ "configuration_refused" }
+        .With("number", number.Value())
+        .With("reason", table.error().detail);
+      Refuse(aCaller, table.error());
+      return;
+    }
+    mOperations.submit(
+      { number, std::move(aBody) },
+      [this, number, caller = std::weak_ptr{ aCaller }](
+        tl::expected<void, Error> aResult) {
+        mLoop.Post([this, number, caller, result = std::move(aResult)] {
+          trace::Event{ "configuration_answered" }
+            .With("number", number.Value())
+            .With("result",
+                  result ? "accepted" : AnswerFor(result.error().kind).name);
+          if (const auto alive = caller.lock()) {
+            result ? Answer(alive, {}) : Refuse(alive, result.error());
+          }
+        });
+      });
+  }
+
+  void Do(const GetConfiguration& /*aCall*/,
+          const Pointer& aCaller,
+          const std::string& /*aBody*/)
+  {
+    mOperations.read(
+      [this, caller = std::weak_ptr{ aCaller }](ReadResult aResult) {
+        mLoop.Post([this, caller, result = std::move(aResult)] {
+          if (const auto alive = caller.lock()) {
+            AnswerRead(alive, result);
+          }
+        });
+      });
+  }
+
+  void AnswerRead(const Pointer& aCaller, const ReadResult& aResult)
+  {
+    if (const auto* text = std::get_if<std::string>(&aResult)) {
+      Answer(aCaller, *text);
+      return;
+    }
+    const auto& address = std::get<AskElsewhere>(aResult).address;
+    if (address.empty()) {
+      Refuse(aCaller,
+             MakeError(ErrorKind::ControlUnavailable,
+                       "it is not known which configuration is the newest"));
+      return;
+    }
+    aCaller->Send(D::WriteRedirect(address, Keep()));
+    aCaller->Finish(Keep());
+  }
+
+  void Do(const ServerHeartbeat& aCall,
+          const Pointer& aCaller,
+          const std::string& aBody)
+  {
+    auto claim = D::ReadHeartbeat(aCall.server.Value(), aBody);
+    if (!claim) {
+      trace::Event{ "heartbeat_unreadable" }
+        .With("server", aCall.server)
+        .With("reason", claim.error().detail);
+      Refuse(aCaller, claim.error());
+      return;
+    }
+    AnswerIf(mOperations.heartbeat(std::move(*claim)), aCaller);
+  }
+
+  void Do(const ServerSignOff& aCall,
+          const Pointer& aCaller,
+          const std::string& aBody)
+  {
+    AnswerIf(mOperations.signOff(aCall.server, D::ReadBirth(aBody)), aCaller);
+  }
+
+  void AnswerIf(bool aDone, const Pointer& aCaller)
+  {
+    if (aDone) {
+      Answer(aCaller, "{}");
+      return;
+    }
+    Refuse(aCaller,
+           MakeError(ErrorKind::Overloaded, "the control queue is full"));
+  }
+
+  void Answer(const Pointer& aCaller, std::string_view aBody)
+  {
+    constexpr std::uint16_t kOk = 200;
+    aCaller->Send(MakeAnswer(kOk, {}, aBody, Keep()));
+    aCaller->Finish(Keep());
+  }
+
+  void Refuse(const Pointer& aCaller, const Error& aError)
+  {
+    aCaller->Send(D::WriteRefusal(aError, Keep()));
+    aCaller->Finish(Keep());
+  }
+
+  bool Keep() const { return !mDraining; }
+
+  Loop& mLoop;
+  ControlOperations mOperations;
+  CallerBounds mBounds;
+  bool mDraining{ false };
+  Acceptor mAcceptor;
+};
+
+} // namespace balsampoint::edge
--- /dev/null
+++ b/src/balsampoint/edge/entry.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "balsampoint/edge/acceptor.hpp"
+#include "balsampoint/edge/exchange.hpp"
+
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace balsampoint::edge {
+
+/**
+ * @brief Takes callers' requests on one address.
+ * @tparam D Names and formats of messages.
+ */
+template<Dialect D>
+class BasicEntry
+{
+public:
+  using Acceptor = BasicAcceptor<BasicEntry>;
+  using Caller = typename Acceptor::Connection;
+  using Exchange = BasicExchange<D, Caller>;
+
+  /**
+   * @brief Prepares the entry.
+   * @param aTraffic What requests share; outlives the entry.
+   * @param aMaxConnections Callers' connections at once.
+   */
+  BasicEntry(Traffic& aTraffic, std::size_t aMaxConnections)
+    : mTraffic{ aTraffic }
+    , mAcceptor{ *this, aTraffic.loop.Context(), aMaxConnections }
+  {
+  }
+
+  /**
+   * @brief Listens from now on.
+   * @param aAddress IP number and port.
+   */
+  tl::expected<void, Error> Listen(const std::string& aAddress)
+  {
+    return mAcceptor.Listen(aAddress);
+  }
+
+  /** @brief The connections. */
+  [[nodiscard]] Acceptor& Connections() noexcept { return mAcceptor; }
+
+  /**
+   * @brief Follows the limits of a configuration.
+   * @param aLimits The limits.
+   */
+  void Limit(const routing::CallerLimits& aLimits)
+  {
+    mBounds.message = { .headBytes = aLimits.headerBytes,
+                        .bodyBytes = aLimits.bodyBytes };
+    mBounds.requestTimeout = aLimits.headerTimeout;
+    mBounds.idleTimeout = aLimits.idleTimeout;
+  }
+
+  void OnRequest(const std::shared_ptr<Caller>& aCaller,
+                 IncomingRequest aRequest)
+  {
+    auto exchange =
+      std::make_shared<Exchange>(mTraffic, aCaller, std::move(aRequest));
+    mExchanges[aCaller.get()] = exchange;
+    // The exchange is still running when it says that it is done.
+    exchange->Start([this, caller = aCaller.get(), id = exchange.get()] {
+      mTraffic.loop.Post([this, caller, id] { Forget(caller, id); });
+    });
+  }
+
+  void OnCallerGone(const std::shared_ptr<Caller>& aCaller)
+  {
+    const auto found = mExchanges.find(aCaller.get());
+    if (found == mExchanges.end()) {
+      return;
+    }
+    const auto exchange = std::move(found->second);
+    mExchanges.erase(found);
+    exchange->OnCallerGone();
+  }
+
+  void OnUnreadable(const std::shared_ptr<Caller>& aCaller,
+                    const Error& aError)
+  {
+    trace::Event{ "request_unreadable" }.With("error",
+                                              AnswerFor(aError.kind).name);
+    aCaller->Send(D::WriteRefusal(aError, false));
+    aCaller->Finish(false);
+  }
+
+  [[nodiscard]] const CallerBounds& Bounds() const noexcept { return mBounds; }
+
+private:
+  void Forget(const Caller* aCaller, const Exchange* aExchange)
+  {
+    const auto found = mExchanges.find(aCaller);
+    if (found != mExchanges.end() && found->second.get() == aExchange) {
+      mExchanges.erase(found);
+    }
+  }
+
+  Traffic& mTraffic;
+  CallerBounds mBounds;
+  std::map<const Caller*, std::shared_ptr<Exchange>> mExchanges;
+  Acceptor mAcceptor;
+};
+
+} // namespace balsampoint::edge
--- /dev/null
+++ b/src/balsampoint/edge/exchange.hpp
@@ -0,0 +1,713 @@
+#pragma once
+
+#include "balsampoint/edge/answer.hpp"
+#include "balsampoint/edge/dialect.hpp"
+#include "balsampoint/edge/traffic.hpp"
+#include "balsampoint/fleet/command/track_work.hpp"
+#include "balsampoint/fleet/query/choose_chain.hpp"
+#include "balsampoint/fleet/query/choose_server.hpp"
+#include "balsampoint/forward/verdict.hpp"
+#include "balsampoint/trace/event.hpp"
+#include "balsampoint/wire/event_splitter.hpp"
+#include "balsampoint/wire/write.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace balsampoint::edge {
+
+/**
+ * @brief One request from its arrival to its final answer.
+ * @tparam D Names and formats of messages.
+ * @tparam Caller Connection of the caller.
+ */
+template<Dialect D, typename Caller>
+class BasicExchange
+  : public std::enable_shared_from_this<BasicExchange<D, Caller>>
+{
+public:
+  /**
+   * @brief Takes a request over.
+   * @param aTraffic What requests share; outlives the exchange.
+   * @param aCaller The caller's connection.
+   * @param aRequest The request.
+   */
+  BasicExchange(Traffic& aTraffic,
+                std::shared_ptr<Caller> aCaller,
+                IncomingRequest aRequest)
+    : mTraffic{ aTraffic }
+    , mCaller{ std::move(aCaller) }
+    , mRequest{ std::move(aRequest) }
+    , mRoutes{ aTraffic.routes }
+    , mDeadline{ aTraffic.loop.Context() }
+    , mStall{ aTraffic.loop.Context() }
+    , mStartedAt{ Traffic::Now() }
+  {
+    ++mTraffic.active;
+    ++mTraffic.counts.requests;
+  }
+
+  BasicExchange(const BasicExchange&) = delete;
+  BasicExchange& operator=(const BasicExchange&) = delete;
+  BasicExchange(BasicExchange&&) = delete;
+  BasicExchange& operator=(BasicExchange&&) = delete;
+
+  ~BasicExchange()
+  {
+    DropServer();
+    --mTraffic.active;
+  }
+
+  /**
+   * @brief Finds the route and makes the first attempt.
+   * @param aDone Called once the request has its final answer.
+   */
+  void Start(std::function<void()> aDone)
+  {
+    mDone = std::move(aDone);
+    if (auto admitted = Admit(); !admitted) {
+      RefuseWith(admitted.error());
+      return;
+    }
+    SetDeadline();
+    mTraffic.budget.CountRequest(mService->id, Traffic::Now());
+    Attempt();
+  }
+
+  /** @brief Stops all work: the caller has left. */
+  void OnCallerGone()
+  {
+    if (mEnded) {
+      return;
+    }
+    ++mTraffic.counts.callersGone;
+    End("caller_gone");
+  }
+
+private:
+  tl::expected<void, Error> Admit()
+  {
+    if (!mRoutes) {
+      return Later(MakeError(ErrorKind::NotReady,
+                             "this host has no configuration yet"),
+                   kStartRetry);
+    }
+    auto inquiry = D::ReadInquiry(mRequest.head);
+    if (!inquiry) {
+      return tl::unexpected(inquiry.error());
+    }
+    mInquiry = std::move(*inquiry);
+    mRoute = mRoutes->FindRoute(mInquiry.host, mRequest.head.Path());
+    if (mRoute == nullptr) {
+      return Refuse(ErrorKind::NotFound, "no route matches host and path");
+    }
+    if (auto known = Identify(); !known) {
+      return known;
+    }
+    if (mTraffic.active > mTraffic.maxActive) {
+      return Later(MakeError(ErrorKind::Overloaded,
+                             "too many requests are in progress here"),
+                   kOverloadRetry);
+    }
+    mService = ChooseService();
+    mProgress.kind = mRoute->kind;
+    mProgress.maxSent = std::max(1U, mRoute->maxAttempts);
+    mLastEvent = mInquiry.resumeAfter;
+    return {};
+  }
+
+  tl::expected<void, Error> Identify()
+  {
+    if (mRoute->isPublic) {
+      return {};
+    }
+    mWorkspace =
+      mInquiry.key ? mRoutes->FindWorkspace(*mInquiry.key) : nullptr;
+    if (mWorkspace == nullptr) {
+      return Refuse(ErrorKind::Unauthorized, "no workspace holds the key");
+    }
+    return {};
+  }
+
+  static tl::unexpected<Error> Later(Error aError, Duration aAfter)
+  {
+    aError.retryAfter = aAfter;
+    return tl::unexpected(std::move(aError));
+  }
+
+  const routing::Service* ChooseService()
+  {
+    std::uint64_t total = 0;
+    for (const auto& target : mRoute->targets) {
+      total += target.weight;
+    }
+    auto drawn = mTraffic.random.Next() % total;
+    for (const auto& target : mRoute->targets) {
+      if (drawn < target.weight) {
+        return &mRoutes->Source().services.at(target.service);
+      }
+      drawn -= target.weight;
+    }
+    return nullptr;
+  }
+
+  void SetDeadline()
+  {
+    auto wait = mRoute->timeout;
+    if (mInquiry.patience) {
+      wait = std::min(wait, *mInquiry.patience);
+    }
+    mProgress.deadline = mStartedAt + wait;
+    mDeadline.Set(wait, [self = this->weak_from_this()] {
+      if (const auto exchange = self.lock()) {
+        exchange->OnDeadline();
+      }
+    });
+  }
+
+  bool IsStream() const
+  {
+    return mProgress.kind == routing::RequestKind::Stream ||
+           mProgress.kind == routing::RequestKind::ResumableStream;
+  }
+
+  void Attempt()
+  {
+    auto hops = ChooseHops();
+    if (!hops) {
+      const auto end = mProgress.maybeRun ? forward::AttemptEnd::Broken
+                                          : forward::AttemptEnd::NotSent;
+      Conclude(forward::GiveUp(mProgress, end), hops.error());
+      return;
+    }
+    mHops = std::move(*hops);
+    fleet::Reserve(mTraffic.fleet, mService->id, mHops, mTokens);
+    const auto& address = mHops.front().address;
+    // A kept connection may be closed by the server as it is used, which
+    // leaves open whether the request has run.
+    const bool mayKeep =
+      mProgress.kind != routing::RequestKind::NonIdempotent &&
+      mProgress.kind != routing::RequestKind::Stream;
+    mServer = mayKeep ? mTraffic.pool.TakeKept(address) : nullptr;
+    const bool kept = mServer != nullptr;
+    if (!kept) {
+      mServer = mTraffic.pool.Make(address);
+    }
+    mServer->Attach([self = this->weak_from_this()](ServerSignal aSignal) {
+      if (const auto exchange = self.lock()) {
+        exchange->OnSignal(aSignal);
+      }
+    });
+    mSentNow = false;
+    if (kept) {
+      SendRequest();
+    } else {
+      mServer->Connect();
+    }
+  }
+
+  tl::expected<std::vector<fleet::Hop>, Error> ChooseHops()
+  {
+    const auto now = Traffic::Now();
+    if (!mService->engine) {
+      return fleet::ChooseServer(mTraffic.fleet,
+                                 mService->id,
+                                 mFailed,
+                                 mTraffic.random.Next(),
+                                 now)
+        .map([](fleet::Hop aHop) {
+          return std::vector<fleet::Hop>{ std::move(aHop) };
+        });
+    }
+    const auto& engine = *mService->engine;
+    fleet::Demand demand{ .service = mService->id,
+                          .promptTokens = engine.usualPrompt,
+                          .answerTokens = engine.usualAnswer,
+                          .failed = mFailed };
+    if (mInquiry.tokens) {
+      demand.promptTokens = mInquiry.tokens->prompt;
+      demand.answerTokens =
+        mInquiry.tokens->expectedAnswer.value_or(engine.usualAnswer);
+    }
+    auto chain = fleet::ChooseChain(mTraffic.fleet, demand, now);
+    if (!chain && !mFailed.empty()) {
+      demand.failed.clear();
+      chain = fleet::ChooseChain(mTraffic.fleet, demand, now);
+    }
+    if (!chain) {
+      return tl::unexpected(chain.error());
+    }
+    mTokens = chain->tokens;
+    return std::move(chain->hops);
+  }
+
+  void OnSignal(ServerSignal aSignal)
+  {
+    if (mEnded) {
+      return;
+    }
+    switch (aSignal) {
+      case ServerSignal::Connected:
+        SendRequest();
+        return;
+      case ServerSignal::Answer:
+        OnAnswer();
+        return;
+      case ServerSignal::Lost:
+        break;
+    }
+    NoteServer(fleet::Finding::Lost);
+    OnAttemptEnd(mSentNow ? forward::AttemptEnd::Broken
+                          : forward::AttemptEnd::NotSent,
+                 mSentNow ? "the connection to the server broke"
+                          : "the server can't be reached");
+  }
+
+  void SendRequest()
+  {
+    const auto left = mProgress.deadline - Traffic::Now();
+    if (left <= Duration{}) {
+      OnDeadline();
+      return;
+    }
+    mSentNow = true;
+    mSentAt = Traffic::Now();
+    ++mProgress.sent;
+    mRunBefore = mProgress.maybeRun;
+    mProgress.maybeRun = true;
+    const auto workspace = mWorkspace ? mWorkspace->id : WorkspaceId{};
+    const auto priority = mWorkspace && mWorkspace->priority
+                            ? *mWorkspace->priority
+                            : mRoute->priority;
+    auto bytes = D::WriteRequest({ .head = mRequest.head,
+                                   .body = mRequest.body,
+                                   .left = left,
+                                   .hops = mHops,
+                                   .workspace = workspace,
+                                   .priority = priority,
+                                   .resumeAfter = mLastEvent });
+    mServer->Send(std::move(bytes), mRequest.head.method == "HEAD");
+  }
+
+  void OnAnswer()
+  {
+    auto& answer = mServer->Answer();
+    if (!answer.HasHead()) {
+      return;
+    }
+    auto& head = answer.Response();
+    const auto facts = D::ReadAnswer(head);
+    const bool other =
+      facts.request && *facts.request != mInquiry.id.Value();
+    constexpr std::uint16_t kFirstFinalStatus = 200;
+    if (head.status < kFirstFinalStatus || other) {
+      if (answer.Complete()) {
+        mServer->SkipAnswer();
+      } else {
+        // Only the body's end tells where the own answer begins.
+        static_cast<void>(answer.TakeBody());
+      }
+      return;
+    }
+    if (facts.notExecuted) {
+      OnNotExecuted(facts);
+      return;
+    }
+    if (IsStream() && head.Success()) {
+      OnStreamPart();
+      return;
+    }
+    if (answer.Complete()) {
+      OnWholeAnswer();
+    }
+  }
+
+  void OnNotExecuted(const AnswerFacts& aFacts)
+  {
+    mProgress.maybeRun = mRunBefore;
+    const std::string atFault{ aFacts.atFault.value_or(
+      mHops.front().address) };
+    fleet::Note(mTraffic.fleet,
+                mService->id,
+                atFault,
+                fleet::Finding::Full,
+                Traffic::Now());
+    for (const auto& hop : mHops) {
+      if (hop.address == atFault) {
+        mFailed.insert(hop.server);
+      }
+    }
+    mFault = atFault;
+    if (mServer->Answer().Complete()) {
+      mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+    }
+    OnAttemptEnd(forward::AttemptEnd::NotExecuted,
+                 "the server has not run the request");
+  }
+
+  void OnWholeAnswer()
+  {
+    auto& answer = mServer->Answer();
+    const auto& head = answer.Response();
+    constexpr std::uint16_t kFirstServerError = 500;
+    if (head.status >= kFirstServerError) {
+      NoteServer(fleet::Finding::Failed);
+      mFailed.insert(mHops.front().server);
+      mServerFailure = { head, answer.TakeBody() };
+      mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+      OnAttemptEnd(forward::AttemptEnd::ServerFailed, "the server failed");
+      return;
+    }
+    NoteServer(fleet::Finding::Answered);
+    PassOn(head, answer.TakeBody());
+  }
+
+  void PassOn(const wire::ResponseHead& aHead, const std::string& aBody)
+  {
+    auto bytes =
+      MakeAnswerHead(aHead, Framing::Length, aBody.size(), KeepCaller());
+    if (mRequest.head.method != "HEAD") {
+      bytes += aBody;
+    }
+    mCaller->Send(bytes);
+    ++mTraffic.counts.answered;
+    FinishCaller(KeepCaller());
+    if (mServer) {
+      mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+    }
+    End("answered");
+  }
+
+  bool KeepCaller() const
+  {
+    return mRequest.head.keepAlive && !mTraffic.draining;
+  }
+
+  void OnStreamPart()
+  {
+    auto& answer = mServer->Answer();
+    mEvents.Append(answer.TakeBody());
+    std::string out;
+    while (const auto event = mEvents.Next()) {
+      if (!TakeEvent(*event, out)) {
+        SendEvents(std::move(out));
+        NoteServer(fleet::Finding::Lost);
+        OnAttemptEnd(forward::AttemptEnd::Broken,
+                     "an event of the stream is missing");
+        return;
+      }
+    }
+    if (!out.empty()) {
+      SendEvents(std::move(out));
+    }
+    if (answer.Complete()) {
+      OnStreamEnd();
+    }
+  }
+
+  /** Appends an event that follows the last one; drops one known already. */
+  bool TakeEvent(const wire::StreamEvent& aEvent, std::string& aOut)
+  {
+    if (aEvent.id) {
+      if (mLastEvent && *aEvent.id <= *mLastEvent) {
+        return true;
+      }
+      if (mLastEvent && *aEvent.id != *mLastEvent + 1) {
+        return false;
+      }
+      mLastEvent = aEvent.id;
+    }
+    ++mEventCount;
+    if (UsesChunks()) {
+      wire::AppendChunk(aOut, aEvent.bytes);
+    } else {
+      aOut += aEvent.bytes;
+    }
+    return true;
+  }
+
+  bool UsesChunks() const { return mRequest.head.chunks; }
+
+  void SendEvents(std::string aBytes)
+  {
+    if (aBytes.empty()) {
+      return;
+    }
+    if (!mProgress.answering) {
+      BeginAnswer();
+    }
+    const auto now = Traffic::Now();
+    mLongestPause = std::max(mLongestPause, now - mLastEventAt);
+    mLastEventAt = now;
+    mCaller->Send(aBytes);
+  }
+
+  void BeginAnswer()
+  {
+    mProgress.answering = true;
+    mFirstEventAt = Traffic::Now();
+    mLastEventAt = mFirstEventAt;
+    mCaller->Send(MakeAnswerHead(
+      mServer->Answer().Response(),
+      UsesChunks() ? Framing::Chunks : Framing::Close,
+      0,
+      UsesChunks() && KeepCaller()));
+  }
+
+  void OnStreamEnd()
+  {
+    if (mEvents.HasPart()) {
+      NoteServer(fleet::Finding::Lost);
+      OnAttemptEnd(forward::AttemptEnd::Broken,
+                   "the stream ended within an event");
+      return;
+    }
+    NoteServer(fleet::Finding::Answered);
+    if (!mProgress.answering) {
+      BeginAnswer();
+    }
+    if (UsesChunks()) {
+      mCaller->Send(wire::kLastChunk);
+    }
+    ++mTraffic.counts.answered;
+    FinishCaller(UsesChunks() && KeepCaller());
+    mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+    End("answered");
+  }
+
+  void NoteServer(fleet::Finding aFinding)
+  {
+    if (!mHops.empty()) {
+      fleet::Note(mTraffic.fleet,
+                  mService->id,
+                  mHops.front().address,
+                  aFinding,
+                  Traffic::Now());
+    }
+  }
+
+  void OnAttemptEnd(forward::AttemptEnd aEnd, std::string_view aReason)
+  {
+    if (aEnd == forward::AttemptEnd::NotSent) {
+      ++mProgress.unsent;
+    }
+    if (aEnd == forward::AttemptEnd::NotSent ||
+        aEnd == forward::AttemptEnd::Broken) {
+      mFailed.insert(mHops.front().server);
+    }
+    LogAttempt(aEnd, aReason);
+    DropServer();
+    mEvents.Clear();
+    auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
+    const bool again = verdict == forward::Verdict::Retry ||
+                       verdict == forward::Verdict::Resume;
+    if (again && mProgress.sent > 0 &&
+        !mTraffic.budget.TakeRetry(mService->id, Traffic::Now())) {
+      verdict = forward::GiveUp(mProgress, aEnd);
+      aReason = "the budget of retries is used up";
+    }
+    Conclude(verdict, MakeError(ErrorKind::BackendFailed, aReason));
+  }
+
+  void Conclude(forward::Verdict aVerdict, Error aError)
+  {
+    switch (aVerdict) {
+      case forward::Verdict::Resume:
+        ++mTraffic.counts.resumes;
+        Attempt();
+        return;
+      case forward::Verdict::Retry:
+        ++mTraffic.counts.retries;
+        Attempt();
+        return;
+      case forward::Verdict::PassOn:
+        PassOn(mServerFailure.first, mServerFailure.second);
+        return;
+      case forward::Verdict::Refuse:
+        aError.kind = ErrorKind::NoServer;
+        aError.executed = Executed::No;
+        aError.retryAfter = kNoServerRetry;
+        RefuseWith(aError);
+        return;
+      case forward::Verdict::Fail:
+        aError.kind = ErrorKind::BackendFailed;
+        aError.executed = Executed::Unknown;
+        aError.retryAfter = {};
+        ++mTraffic.counts.failed;
+        AnswerError(aError);
+        return;
+      case forward::Verdict::Cut:
+        ++mTraffic.counts.cut;
+        CutCaller();
+        End("cut");
+        return;
+    }
+  }
+
+  void OnDeadline()
+  {
+    if (mEnded) {
+      return;
+    }
+    if (mProgress.answering) {
+      ++mTraffic.counts.cut;
+      CutCaller();
+      End("cut_at_deadline");
+      return;
+    }
+    auto error =
+      MakeError(mProgress.maybeRun ? ErrorKind::DeadlineExceeded
+                                   : ErrorKind::NoServer,
+                "no answer came before the deadline");
+    ++mTraffic.counts.failed;
+    AnswerError(error);
+  }
+
+  void RefuseWith(const Error& aError)
+  {
+    ++mTraffic.counts.refused;
+    AnswerError(aError);
+  }
+
+  void AnswerError(const Error& aError)
+  {
+    mError = AnswerFor(aError.kind).name;
+    mCaller->Send(D::WriteRefusal(aError, KeepCaller()));
+    FinishCaller(KeepCaller());
+    End("refused");
+  }
+
+  void FinishCaller(bool aKeep)
+  {
+    if (const auto caller = std::exchange(mCaller, nullptr)) {
+      caller->Finish(aKeep);
+    }
+  }
+
+  void CutCaller()
+  {
+    mEnded = true;
+    if (const auto caller = std::exchange(mCaller, nullptr)) {
+      caller->Close(true);
+    }
+  }
+
+  void DropServer()
+  {
+    mStall.Clear();
+    if (auto server = std::exchange(mServer, nullptr)) {
+      server->Close();
+    }
+    if (!mHops.empty()) {
+      fleet::Release(mTraffic.fleet, mService->id, mHops, mTokens);
+      mHops.clear();
+    }
+  }
+
+  void End(std::string_view aHow)
+  {
+    mEnded = true;
+    mDeadline.Clear();
+    LogEnd(aHow);
+    DropServer();
+    mCaller = nullptr;
+    if (const auto done = std::exchange(mDone, nullptr)) {
+      done();
+    }
+  }
+
+  std::string HopText() const
+  {
+    std::string text;
+    for (const auto& hop : mHops) {
+      text += text.empty() ? "" : ",";
+      text += hop.address;
+      if (hop.layers.end > 0) {
+        text += '=' + std::to_string(hop.layers.begin) + '-' +
+                std::to_string(hop.layers.end);
+      }
+    }
+    return text;
+  }
+
+  void LogAttempt(forward::AttemptEnd aEnd, std::string_view aReason) const
+  {
+    trace::Event event{ "attempt_failed" };
+    event.With("request", mInquiry.id)
+      .With("service", mService->id)
+      .With("servers", HopText())
+      .With("reason", aReason)
+      .With("end", static_cast<int>(aEnd))
+      .With("sent", mProgress.sent)
+      .With("events", mEventCount)
+      .With("age_ms", Traffic::Now() - mStartedAt);
+    if (!mFault.empty()) {
+      event.With("at_fault", mFault);
+    }
+  }
+
+  void LogEnd(std::string_view aHow) const
+  {
+    trace::Event event{ "request_ended" };
+    event.With("request", mInquiry.id).With("how", aHow);
+    if (mRoute != nullptr) {
+      event.With("route", mRoute->name);
+    }
+    if (mRoutes) {
+      event.With("configuration", mRoutes->Source().number.Value());
+    }
+    if (!mError.empty()) {
+      event.With("error", mError);
+    }
+    event.With("servers", HopText())
+      .With("sent", mProgress.sent)
+      .With("total_ms", Traffic::Now() - mStartedAt);
+    if (mProgress.answering) {
+      event.With("events", mEventCount)
+        .With("first_ms", mFirstEventAt - mStartedAt)
+        .With("pause_ms", mLongestPause);
+    }
+  }
+
+  /** When to come back to a host that has just started. */
+  static constexpr Duration kStartRetry = std::chrono::milliseconds{ 500 };
+  static constexpr Duration kOverloadRetry = std::chrono::milliseconds{ 300 };
+  static constexpr Duration kNoServerRetry = std::chrono::milliseconds{ 200 };
+
+  Traffic& mTraffic;
+  std::shared_ptr<Caller> mCaller;
+  IncomingRequest mRequest;
+  std::shared_ptr<const routing::Table> mRoutes;
+  Timer mDeadline;
+  Timer mStall;
+  Instant mStartedAt;
+  Inquiry mInquiry;
+  const routing::Route* mRoute{};
+  const routing::Workspace* mWorkspace{};
+  const routing::Service* mService{};
+  forward::Progress mProgress;
+  std::set<ServerId> mFailed;
+  std::vector<fleet::Hop> mHops;
+  double mTokens{};
+  std::shared_ptr<ServerConnection> mServer;
+  bool mSentNow{ false };
+  bool mRunBefore{ false };
+  Instant mSentAt{};
+  wire::EventSplitter mEvents;
+  std::optional<std::uint64_t> mLastEvent;
+  std::uint32_t mEventCount{};
+  Instant mFirstEventAt{};
+  Instant mLastEventAt{};
+  Duration mLongestPause{};
+  std::pair<wire::ResponseHead, std::string> mServerFailure;
+  std::string mFault;
+  std::string mError;
+  std::function<void()> mDone;
+  bool mEnded{ false };
+};
+
+} // namespace balsampoint::edge
--- /dev/null
+++ b/src/balsampoint/edge/socket.cpp
@@ -0,0 +1,75 @@
+#include "balsampoint/edge/socket.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <chrono>
+#include <netinet/tcp.h>
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+
+namespace balsampoint::edge {
+
+namespace {
+
+/** Idle time before the first probe and time between probes, in seconds. */
+constexpr int kProbeSeconds = 2;
+constexpr int kProbes = 2;
+
+void
+SetOption(Tcp::socket& aSocket, int aLevel, int aName, int aValue)
+{
+  if (setsockopt(aSocket.native_handle(),
+                 aLevel,
+                 aName,
+                 &aValue,
+                 sizeof aValue) != 0) {
+    spdlog::debug("socket option {} of level {} is refused", aName, aLevel);
+  }
+}
+
+} // namespace
+
+tl::expected<Tcp::endpoint, Error>
+ParseAddress(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return Refuse(ErrorKind::BadRequest, "an address has no port");
+  }
+  std::uint16_t port{};
+  const auto* last = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data() + colon + 1, last, port);
+  boost::system::error_code error;
+  const auto host =
+    boost::asio::ip::make_address(std::string{ aText.substr(0, colon) }, error);
+  if (read.ec != std::errc{} || read.ptr != last || error) {
+    return Refuse(ErrorKind::BadRequest, "an address is no IP number and port");
+  }
+  return Tcp::endpoint{ host, port };
+}
+
+void
+Prepare(Tcp::socket& aSocket, Duration aSilence)
+{
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aSilence).count();
+  SetOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(aSocket,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            static_cast<int>(milliseconds));
+  SetOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+void
+Reset(Tcp::socket& aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::socket_base::linger{ true, 0 }, ignored);
+  aSocket.close(ignored);
+}
+
+} // namespace balsampoint::edge
--- /dev/null
+++ b/src/balsampoint/edge/traffic.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "balsampoint/core/split_mix.hpp"
+#include "balsampoint/edge/loop.hpp"
+#include "balsampoint/edge/server_pool.hpp"
+#include "balsampoint/fleet/state.hpp"
+#include "balsampoint/forward/retry_budget.hpp"
+#include "balsampoint/roster/view.hpp"
+#include "balsampoint/routing/table.hpp"
+#include "balsampoint/runtime/steady_clock.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace balsampoint::edge {
+
+/** @brief What happened to requests since the start. */
+struct TrafficCounts
+{
+  std::uint64_t requests{};
+  std::uint64_t answered{};
+  std::uint64_t refused{};
+  std::uint64_t failed{};
+  std::uint64_t cut{};
+  std::uint64_t callersGone{};
+  std::uint64_t retries{};
+  std::uint64_t resumes{};
+};
+
+/** @brief What all requests of one traffic thread share. */
+struct Traffic
+{
+  /**
+   * @brief Starts without a configuration and servers.
+   * @param aLoop The thread's loop; outlives this.
+   * @param aFleet Weights of the choice of servers.
+   * @param aServers Bounds on connections to servers.
+   * @param aAllowance This host's part of the retries.
+   * @param aSeed Starts the sequence of random numbers.
+   */
+  Traffic(Loop& aLoop,
+          fleet::Settings aFleet,
+          ServerBounds aServers,
+          forward::RetryAllowance aAllowance,
+          std::uint64_t aSeed)
+    : loop{ aLoop }
+    , pool{ aLoop.Context(), aServers }
+    , fleet{ .settings = std::move(aFleet) }
+    , budget{ aAllowance }
+    , random{ aSeed }
+  {
+  }
+
+  /** @brief The time. */
+  [[nodiscard]] static Instant Now() { return runtime::SteadyClock::Now(); }
+
+  Loop& loop;
+  ServerPool pool;
+  fleet::State fleet;
+  forward::RetryBudget budget;
+  SplitMix64 random;
+  /** The configuration in force; null before the first. */
+  std::shared_ptr<const routing::Table> routes;
+  std::shared_ptr<const roster::View> servers;
+  /** Requests in progress. */
+  std::uint32_t active{};
+  std::uint32_t maxActive{ 1000 };
+  /** Set by a planned stop. */
+  bool draining{ false };
+  TrafficCounts counts;
+};
+
+} // namespace balsampoint::edge
--- /dev/null
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -0,0 +1,70 @@
+#include "balsampoint/fleet/command/follow_roster.hpp"
+
+#include "balsampoint/fleet/internal/cost.hpp"
+
+#include <set>
+#include <utility>
+
+namespace balsampoint::fleet {
+
+namespace {
+
+void
+Describe(Server& aServer, const Group& aGroup)
+{
+  if (!aGroup.engine) {
+    return;
+  }
+  const auto& engine = *aGroup.engine;
+  const auto kind =
+    engine.kinds.find(aServer.claim.description.accelerator);
+  if (kind != engine.kinds.end()) {
+    aServer.stepFactor = kind->second.stepFactor;
+    aServer.readFactor = kind->second.readFactor;
+  }
+  aServer.kvRoom = internal::KvRoom(engine, aServer.claim.description);
+}
+
+void
+Take(Group& aGroup, const roster::Server& aSeen)
+{
+  auto& server = aGroup.servers[aSeen.claim.server];
+  if (server.claim.stamp.born != aSeen.claim.stamp.born) {
+    server = {};
+  }
+  server.claim = aSeen.claim;
+  server.ready = aSeen.TakesWork();
+  Describe(server, aGroup);
+}
+
+} // namespace
+
+void
+FollowRoster(State& aState,
+             const roster::View& aView,
+             const routing::Document& aDocument)
+{
+  for (const auto& [id, service] : aDocument.services) {
+    aState.groups[id].engine = service.engine;
+  }
+  std::erase_if(aState.groups, [&](const auto& aEntry) {
+    return !aDocument.services.contains(aEntry.first);
+  });
+  std::set<std::pair<ServiceId, ServerId>> seen;
+  for (const auto& server : aView.servers) {
+    const auto& service = server.claim.description.service;
+    const auto group = aState.groups.find(service);
+    if (group == aState.groups.end()) {
+      continue;
+    }
+    Take(group->second, server);
+    seen.emplace(service, server.claim.server);
+  }
+  for (auto& [service, group] : aState.groups) {
+    std::erase_if(group.servers, [&](const auto& aEntry) {
+      return !seen.contains({ service, aEntry.first });
+    });
+  }
+}
+
+} // namespace balsampoint::fleet
--- /dev/null
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -0,0 +1,119 @@
+#include "balsampoint/fleet/command/track_work.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::fleet {
+
+namespace {
+
+Server*
+Find(State& aState, const ServiceId& aService, const Hop& aHop)
+{
+  const auto group = aState.groups.find(aService);
+  if (group == aState.groups.end()) {
+    return nullptr;
+  }
+  const auto server = group->second.servers.find(aHop.server);
+  const bool same = server != group->second.servers.end() &&
+                    server->second.claim.stamp.born == aHop.born;
+  return same ? &server->second : nullptr;
+}
+
+void
+Avoid(const Settings& aSettings, Server& aServer, Instant aNow)
+{
+  constexpr std::uint32_t kMaxDoublings = 8;
+  const auto doublings = std::min(aServer.faults, kMaxDoublings);
+  const auto length =
+    std::min(aSettings.firstAvoidance * (std::int64_t{ 1 } << doublings),
+             aSettings.longestAvoidance);
+  ++aServer.faults;
+  aServer.avoidUntil = std::max(aServer.avoidUntil, aNow + length);
+}
+
+void
+Take(const Settings& aSettings,
+     Server& aServer,
+     Finding aFinding,
+     Instant aNow)
+{
+  const auto failed =
+    aFinding == Finding::Failed || aFinding == Finding::Lost ? 1.0 : 0.0;
+  if (aFinding != Finding::Full) {
+    aServer.failureRate += aSettings.failureWeight *
+                           (failed - aServer.failureRate);
+  }
+  switch (aFinding) {
+    case Finding::Answered:
+      aServer.faults = 0;
+      break;
+    case Finding::Full:
+      aServer.avoidUntil =
+        std::max(aServer.avoidUntil, aNow + aSettings.fullAvoidance);
+      break;
+    case Finding::Lost:
+      Avoid(aSettings, aServer, aNow);
+      break;
+    case Finding::Failed:
+      break;
+  }
+}
+
+} // namespace
+
+void
+Reserve(State& aState,
+        const ServiceId& aService,
+        std::span<const Hop> aHops,
+        double aTokens)
+{
+  bool first = true;
+  for (const auto& hop : aHops) {
+    auto* server = Find(aState, aService, hop);
+    if (server != nullptr) {
+      ++server->passing;
+      server->sent += first ? 1 : 0;
+      server->kvUsed += aTokens * hop.layers.Size();
+    }
+    first = false;
+  }
+}
+
+void
+Release(State& aState,
+        const ServiceId& aService,
+        std::span<const Hop> aHops,
+        double aTokens)
+{
+  bool first = true;
+  for (const auto& hop : aHops) {
+    auto* server = Find(aState, aService, hop);
+    if (server != nullptr) {
+      server->passing -= std::min(server->passing, 1U);
+      server->sent -= first ? std::min(server->sent, 1U) : 0;
+      server->kvUsed =
+        std::max(0.0, server->kvUsed - aTokens * hop.layers.Size());
+    }
+    first = false;
+  }
+}
+
+void
+Note(State& aState,
+     const ServiceId& aService,
+     std::string_view aAddress,
+     Finding aFinding,
+     Instant aNow)
+{
+  const auto group = aState.groups.find(aService);
+  if (group == aState.groups.end()) {
+    return;
+  }
+  for (auto& [id, server] : group->second.servers) {
+    if (server.claim.description.address == aAddress) {
+      Take(aState.settings, server, aFinding, aNow);
+    }
+  }
+}
+
+} // namespace balsampoint::fleet
--- /dev/null
+++ b/src/balsampoint/fleet/internal/cost.cpp
@@ -0,0 +1,64 @@
+#include "balsampoint/fleet/internal/cost.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::fleet::internal {
+
+namespace {
+
+constexpr double kBytesPerMb = 1e6;
+constexpr double kThousand = 1000.0;
+constexpr double kMillion = 1e6;
+
+double
+ShareOf(const routing::EngineProfile& aEngine, double aLayers)
+{
+  return aLayers / std::max(1U, aEngine.layers);
+}
+
+} // namespace
+
+double
+KvRoom(const routing::EngineProfile& aEngine,
+       const roster::Description& aDescription)
+{
+  const auto kind = aEngine.kinds.find(aDescription.accelerator);
+  if (kind == aEngine.kinds.end() || aEngine.kvBytesPerToken <= 0.0) {
+    return 0.0;
+  }
+  const auto held = aDescription.layers ? aDescription.layers->Size() : 0U;
+  const auto freeMb = kind->second.memoryMb - held * aEngine.layerMb;
+  const auto perTokenLayer = aEngine.kvBytesPerToken / aEngine.layers;
+  return std::max(0.0, freeMb * kBytesPerMb / perTokenLayer);
+}
+
+double
+PassMs(const routing::EngineProfile& aEngine,
+       double aStepFactor,
+       double aLayers,
+       double aWriters)
+{
+  const auto context =
+    (aEngine.usualPrompt + aEngine.usualAnswer / 2) / kThousand;
+  const auto perWriter =
+    aEngine.perWriterMs + aEngine.perThousandContextMs * context;
+  return aEngine.tokensPerPass * aStepFactor * ShareOf(aEngine, aLayers) *
+         (aEngine.stepMs + perWriter * aWriters);
+}
+
+double
+ReadMs(const routing::EngineProfile& aEngine,
+       double aReadFactor,
+       double aLayers,
+       double aTokens)
+{
+  const auto perMs = aEngine.readTokensPerSecond / kThousand;
+  if (perMs <= 0.0) {
+    return 0.0;
+  }
+  const auto pairs = aTokens * aTokens / 2 / kMillion;
+  return aReadFactor * ShareOf(aEngine, aLayers) *
+         (aTokens / perMs + pairs * aEngine.perMillionPairsMs);
+}
+
+} // namespace balsampoint::fleet::internal
--- /dev/null
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -0,0 +1,206 @@
+#include "balsampoint/fleet/query/choose_chain.hpp"
+
+#include "balsampoint/fleet/internal/cost.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace balsampoint::fleet {
+
+namespace {
+
+constexpr double kNoPath = std::numeric_limits<double>::infinity();
+
+/** @brief The shortest way from layer zero to a layer. */
+struct Step
+{
+  double cost{ kNoPath };
+  const Server* server{};
+  /** Layer at which the server takes over. */
+  std::uint32_t from{};
+};
+
+/** @brief Searches one group of engines for one request. */
+class Search
+{
+public:
+  Search(const State& aState,
+         const Group& aGroup,
+         const Demand& aDemand,
+         Instant aNow)
+    : mSettings{ aState.settings }
+    , mEngine{ *aGroup.engine }
+    , mDemand{ aDemand }
+    , mTokens{ aDemand.promptTokens + aDemand.answerTokens }
+    , mSteps(mEngine.layers + 1)
+  {
+    for (const auto& [id, server] : aGroup.servers) {
+      if (Usable(server, aNow)) {
+        mServers.push_back(&server);
+      }
+    }
+    MarkEnds();
+  }
+
+  tl::expected<Chain, Error> Run()
+  {
+    mSteps.front().cost = 0.0;
+    for (std::uint32_t layer = 0; layer < mEngine.layers; ++layer) {
+      if (mSteps[layer].cost == kNoPath) {
+        continue;
+      }
+      for (const auto* server : mServers) {
+        Extend(layer, *server);
+      }
+    }
+    if (mSteps.back().cost == kNoPath) {
+      return Refuse(ErrorKind::NoServer,
+                    "no chain of servers with room holds all layers");
+    }
+    return Trace();
+  }
+
+private:
+  bool Usable(const Server& aServer, Instant aNow) const
+  {
+    return aServer.ready && aServer.claim.description.layers &&
+           aServer.avoidUntil <= aNow &&
+           !mDemand.failed.contains(aServer.claim.server);
+  }
+
+  /** Notes at which layers some server starts. */
+  void MarkEnds()
+  {
+    mEnds.assign(mEngine.layers + 1, false);
+    for (const auto* server : mServers) {
+      const auto begin = server->claim.description.layers->begin;
+      if (begin < mEnds.size()) {
+        mEnds[begin] = true;
+      }
+    }
+  }
+
+  /** Whether the way to a layer passes through a server already. */
+  bool Passes(std::uint32_t aLayer, const Server& aServer) const
+  {
+    while (aLayer > 0) {
+      const auto& step = mSteps[aLayer];
+      if (step.server == &aServer) {
+        return true;
+      }
+      aLayer = step.from;
+    }
+    return false;
+  }
+
+  void Extend(std::uint32_t aLayer, const Server& aServer)
+  {
+    const auto& held = *aServer.claim.description.layers;
+    if (!held.Holds(aLayer) || held.end > mEngine.layers ||
+        Passes(aLayer, aServer)) {
+      return;
+    }
+    if (aLayer == 0 && aServer.sent * mSettings.hosts >=
+                         aServer.claim.description.slots) {
+      return;
+    }
+    const auto fixed = HopMs(aLayer, aServer) + WaitMs(aServer);
+    for (auto end = aLayer + 1; end <= held.end; ++end) {
+      if (end != held.end && !mEnds[end]) {
+        continue;
+      }
+      const auto cost =
+        mSteps[aLayer].cost + fixed + RunMs(aServer, end - aLayer);
+      if (cost < mSteps[end].cost) {
+        mSteps[end] = { cost, &aServer, aLayer };
+      }
+    }
+  }
+
+  double HopMs(std::uint32_t aLayer, const Server& aServer) const
+  {
+    const auto& zone = aServer.claim.description.zone;
+    const auto* before = mSteps[aLayer].server;
+    const auto& last =
+      before == nullptr ? mSettings.zone : before->claim.description.zone;
+    return mSettings.hopMs + (last == zone ? 0.0 : mSettings.zoneChangeMs);
+  }
+
+  double Writers(const Server& aServer) const
+  {
+    return aServer.passing * mSettings.hosts;
+  }
+
+  /** Half of the pass that is under way when a token arrives. */
+  double WaitMs(const Server& aServer) const
+  {
+    const auto held = aServer.claim.description.layers->Size();
+    return internal::PassMs(
+             mEngine, aServer.stepFactor, held, Writers(aServer)) /
+           2;
+  }
+
+  double RunMs(const Server& aServer, std::uint32_t aLayers) const
+  {
+    const auto used =
+      aServer.kvUsed * mSettings.hosts + mTokens * aLayers;
+    const auto room = aServer.kvRoom * mSettings.kvShare;
+    if (used > room) {
+      return kNoPath;
+    }
+    const auto pass = internal::PassMs(
+      mEngine, aServer.stepFactor, aLayers, Writers(aServer) + 1);
+    const auto read = internal::ReadMs(
+      mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
+    const auto events =
+      std::max(1.0, mDemand.answerTokens / mEngine.tokensPerPass);
+    // A server that is nearly full is used last.
+    const auto fullness = used / room;
+    return (pass + read / events) * (1.0 + fullness * fullness);
+  }
+
+  Chain Trace() const
+  {
+    Chain chain{ .tokens = mTokens, .eventMs = mSteps.back().cost };
+    auto layer = mEngine.layers;
+    while (layer > 0) {
+      const auto& step = mSteps[layer];
+      const auto& description = step.server->claim.description;
+      chain.hops.push_back({ .server = step.server->claim.server,
+                             .born = step.server->claim.stamp.born,
+                             .address = description.address,
+                             .layers = { step.from, layer } });
+      chain.firstEventMs += internal::ReadMs(mEngine,
+                                             step.server->readFactor,
+                                             layer - step.from,
+                                             mDemand.promptTokens);
+      layer = step.from;
+    }
+    chain.firstEventMs += chain.eventMs;
+    std::ranges::reverse(chain.hops);
+    return chain;
+  }
+
+  const Settings& mSettings;
+  const routing::EngineProfile& mEngine;
+  const Demand& mDemand;
+  double mTokens;
+  std::vector<Step> mSteps;
+  std::vector<bool> mEnds;
+  std::vector<const Server*> mServers;
+};
+
+} // namespace
+
+tl::expected<Chain, Error>
+ChooseChain(const State& aState, const Demand& aDemand, Instant aNow)
+{
+  const auto group = aState.groups.find(aDemand.service);
+  if (group == aState.groups.end() || !group->second.engine) {
+    return Refuse(ErrorKind::NoServer, "the service has no engines");
+  }
+  Search search{ aState, group->second, aDemand, aNow };
+  return search.Run();
+}
+
+} // namespace balsampoint::fleet
--- /dev/null
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -0,0 +1,74 @@
+#include "balsampoint/fleet/query/choose_server.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::fleet {
+
+namespace {
+
+/** Counts as much as this many requests in flight. */
+constexpr double kFarPenalty = 0.5;
+constexpr double kColdPenalty = 2.0;
+/** Work that a server that fails every request seems to have. */
+constexpr double kFailurePenalty = 12.0;
+
+double
+Score(const Settings& aSettings, const Server& aServer)
+{
+  const auto& description = aServer.claim.description;
+  return aServer.sent * aSettings.hosts +
+         aServer.failureRate * kFailurePenalty +
+         (description.zone == aSettings.zone ? 0.0 : kFarPenalty) +
+         (description.cold ? kColdPenalty : 0.0);
+}
+
+/** @brief Servers of a group that may take a request. */
+std::vector<const Server*>
+Candidates(const Group& aGroup, const std::set<ServerId>& aFailed, Instant aNow)
+{
+  std::vector<const Server*> all;
+  std::vector<const Server*> sound;
+  for (const auto& [id, server] : aGroup.servers) {
+    if (!server.ready || aFailed.contains(id)) {
+      continue;
+    }
+    all.push_back(&server);
+    if (server.avoidUntil <= aNow) {
+      sound.push_back(&server);
+    }
+  }
+  // With every server at fault, one of them is better than none.
+  return sound.empty() ? all : sound;
+}
+
+} // namespace
+
+tl::expected<Hop, Error>
+ChooseServer(const State& aState,
+             const ServiceId& aService,
+             const std::set<ServerId>& aFailed,
+             std::uint64_t aDraw,
+             Instant aNow)
+{
+  const auto group = aState.groups.find(aService);
+  if (group == aState.groups.end()) {
+    return Refuse(ErrorKind::NoServer, "the service has no servers");
+  }
+  const auto candidates = Candidates(group->second, aFailed, aNow);
+  if (candidates.empty()) {
+    return Refuse(ErrorKind::NoServer, "no server of the service is ready");
+  }
+  const Server* best = nullptr;
+  for (std::size_t at = 0; at < candidates.size(); ++at) {
+    const auto* server = candidates[(at + aDraw) % candidates.size()];
+    if (best == nullptr || Score(aState.settings, *server) <
+                             Score(aState.settings, *best)) {
+      best = server;
+    }
+  }
+  return Hop{ .server = best->claim.server,
+              .born = best->claim.stamp.born,
+              .address = best->claim.description.address };
+}
+
+} // namespace balsampoint::fleet
--- /dev/null
+++ b/src/balsampoint/forward/retry_budget.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "balsampoint/core/id.hpp"
+#include "balsampoint/core/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+
+namespace balsampoint::forward {
+
+/** @brief This host's part of the retries that all hosts share. */
+struct RetryAllowance
+{
+  /** Retries for each request of a window. */
+  double ratio{ 0.2 };
+  /** Retries beyond these in a window, of all hosts together. */
+  double extra{ 0.0 };
+  /** Hosts among which `extra` is divided. */
+  double hosts{ 64.0 };
+  Duration window{ std::chrono::seconds{ 10 } };
+};
+
+/**
+ * @brief Bounds the second attempts to each service in any window of time.
+ *
+ * Each host keeps to its own requests and a fixed part of the extra ones, so
+ * that the hosts together keep the bound without talking to each other.
+ */
+class RetryBudget
+{
+public:
+  /**
+   * @brief Starts with nothing counted.
+   * @param aAllowance The bound.
+   */
+  explicit RetryBudget(RetryAllowance aAllowance = {})
+    : mAllowance{ aAllowance }
+  {
+  }
+
+  /**
+   * @brief Counts the first attempt of a request.
+   * @param aService The service.
+   * @param aNow The time.
+   */
+  void CountRequest(const ServiceId& aService, Instant aNow);
+
+  /**
+   * @brief Takes a further attempt out of the budget.
+   * @param aService The service.
+   * @param aNow The time.
+   * @return Whether there was one.
+   */
+  [[nodiscard]] bool TakeRetry(const ServiceId& aService, Instant aNow);
+
+private:
+  /** Parts of a window that are counted together. */
+  static constexpr std::size_t kParts = 20;
+
+  struct Part
+  {
+    std::int64_t number{ -1 };
+    std::uint32_t requests{};
+    std::uint32_t retries{};
+  };
+
+  using Parts = std::array<Part, kParts + 1>;
+
+  Part& PartAt(Parts& aParts, Instant aNow) const;
+  [[nodiscard]] std::int64_t NumberAt(Instant aNow) const;
+
+  RetryAllowance mAllowance;
+  std::map<ServiceId, Parts> mServices;
+};
+
+} // namespace balsampoint::forward
--- a/src/balsampoint/peer/change_codec.cpp
+++ b/src/balsampoint/peer/change_codec.cpp
@@ -24,6 +24,7 @@
   command.digest = aChange.digest;
   command.whole = aChange.whole;
   command.delta = ToWire(aChange.delta);
+  command.__set_numbering(static_cast<std::int32_t>(aChange.numbering));
   return command;
 }
 
@@ -35,7 +36,9 @@
            OperatorId{ aCommand.author },
            aCommand.digest,
            aCommand.whole,
-           FromWire(aCommand.delta) };
+           FromWire(aCommand.delta),
+           aCommand.numbering == 0 ? change::Numbering::Consecutive
+                                   : change::Numbering::Increasing };
 }
 
 wire::ChangeAnswer
@@ -53,7 +56,7 @@
 FromWire(const wire::ChangeAnswer& aAnswer)
 {
   constexpr auto kLast =
-    static_cast<std::int32_t>(change::Outcome::NumberSkipped);
+    static_cast<std::int32_t>(change::Outcome::Superseded);
   if (aAnswer.outcome < 0 || aAnswer.outcome > kLast) {
     return Refuse(ErrorKind::BadRequest, "unknown outcome of a change");
   }
--- a/src/balsampoint/peer/parcel.hpp
+++ b/src/balsampoint/peer/parcel.hpp
@@ -20,6 +20,7 @@
   Limit = 6,
   Orders = 7,
   Change = 8,
+  Roster = 9,
 };
 
 /** @brief A received message whose sender is authenticated. */
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/peer/sender.hpp"
 
 #include "balsampoint/peer/generated/Peer.h"
+#include "balsampoint/peer/internal/socket_options.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 
 #include <Poco/Net/SocketAddress.h>
@@ -17,6 +18,8 @@
 constexpr std::size_t kQueueCapacity = 4096;
 constexpr int kConnectTimeoutMs = 300;
 constexpr int kSendTimeoutMs = 1000;
+/** Time after which a silent connection is made anew. */
+constexpr int kSilenceMs = 1000;
 constexpr Duration kReconnectPause = std::chrono::milliseconds{ 200 };
 
 /** @brief One connection to a peer, made when the first frame is sent. */
@@ -27,8 +30,9 @@
   {
     using namespace apache::thrift;
     const Poco::Net::SocketAddress address{ aAddress };
-    auto socket = std::make_shared<transport::TSocket>(
-      address.host().toString(), address.port());
+    mSocket = std::make_shared<transport::TSocket>(address.host().toString(),
+                                                   address.port());
+    const auto& socket = mSocket;
     socket->setConnTimeout(kConnectTimeoutMs);
     socket->setSendTimeout(kSendTimeoutMs);
     socket->setNoDelay(true);
@@ -43,6 +47,7 @@
     try {
       if (!mTransport->isOpen()) {
         mTransport->open();
+        internal::CloseWhenSilent(mSocket->getSocketFD(), kSilenceMs);
       }
       mClient->Deliver(aFrame);
       return true;
@@ -54,6 +59,7 @@
   }
 
 private:
+  std::shared_ptr<apache::thrift::transport::TSocket> mSocket;
   std::shared_ptr<apache::thrift::transport::TTransport> mTransport;
   std::unique_ptr<generated::PeerClient> mClient;
 };
--- /dev/null
+++ b/src/balsampoint/placement/module.cpp
@@ -0,0 +1,82 @@
+#include "balsampoint/placement/module.hpp"
+
+#include "balsampoint/placement/command/follow.hpp"
+#include "balsampoint/placement/command/place.hpp"
+#include "balsampoint/placement/query/decide.hpp"
+
+namespace balsampoint::placement {
+
+namespace {
+
+/** @brief Time between two looks at the engines while this host leads. */
+constexpr Duration kLookInterval = std::chrono::milliseconds{ 400 };
+
+void
+On(State& aState, const ServersChanged& aEvent, Instant aNow, Actions&)
+{
+  FollowServers(aState, *aEvent.view, aNow);
+}
+
+void
+On(State& aState, const Configured& aEvent, Instant, Actions&)
+{
+  aState.profiles = aEvent.profiles;
+}
+
+void
+On(State& aState, const Leading& aEvent, Instant aNow, Actions&)
+{
+  if (!aEvent.leading) {
+    aState.leading = false;
+    aState.nextLook = kNever;
+    for (auto& [id, known] : aState.engines) {
+      known.order.reset();
+    }
+    return;
+  }
+  aState.leading = true;
+  aState.fencing = aEvent.fencing;
+  aState.nextLook = aNow + kLookInterval;
+}
+
+void
+On(State& aState, const OrderEnded& aEvent, Instant aNow, Actions& aActions)
+{
+  TakeOrderEnd(aState, aEvent, aNow, aActions);
+}
+
+void
+On(State& aState, const Reported& aEvent, Instant, Actions&)
+{
+  TakeReport(aState, aEvent);
+}
+
+} // namespace
+
+void
+Module::Handle(State& aState,
+               const Event& aEvent,
+               Instant aNow,
+               Actions& aActions)
+{
+  std::visit([&](const auto& aOne) { On(aState, aOne, aNow, aActions); },
+             aEvent);
+}
+
+void
+Module::Tick(State& aState, Instant aNow, Actions& aActions)
+{
+  aState.nextLook = aNow + kLookInterval;
+  for (const auto& [service, profile] : aState.profiles) {
+    const auto decision = Decide(aState, service, aNow);
+    GiveOrders(aState, service, decision, aNow, aActions);
+  }
+}
+
+Instant
+Module::NextDeadline(const State& aState)
+{
+  return aState.nextLook;
+}
+
+} // namespace balsampoint::placement
--- /dev/null
+++ b/src/balsampoint/placement/query/plan_all.cpp
@@ -0,0 +1,182 @@
+#include "balsampoint/placement/query/plan_all.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace balsampoint::placement {
+
+namespace {
+
+/** Requests whose KV fits beside the layers of any engine. */
+constexpr double kLeastRequests = 12.0;
+
+using Group = std::vector<const Engine*>;
+
+double
+MemoryOf(const Group& aGroup)
+{
+  return std::accumulate(
+    aGroup.begin(), aGroup.end(), 0.0, [](double aSum, const Engine* aEngine) {
+      return aSum + aEngine->memoryMb;
+    });
+}
+
+double
+PerLayerMb(const LayerNeed& aNeed)
+{
+  return aNeed.layerMb + kRequestsPerCopy * aNeed.requestMb;
+}
+
+/** @brief Sizes that follow the memory and add up to a number of layers. */
+std::vector<std::uint32_t>
+Sizes(const Group& aGroup, std::uint32_t aLayers, const LayerNeed& aNeed)
+{
+  const auto memory = MemoryOf(aGroup);
+  std::vector<std::uint32_t> sizes;
+  std::vector<double> wanted;
+  std::uint32_t sum = 0;
+  for (const auto* engine : aGroup) {
+    wanted.push_back(aLayers * engine->memoryMb / memory);
+    const auto size = std::min(static_cast<std::uint32_t>(wanted.back()),
+                               MostLayers(*engine, aNeed));
+    sizes.push_back(size);
+    sum += size;
+  }
+  while (sum < aLayers) {
+    // The engine that is furthest below its share takes one more layer.
+    std::size_t best = aGroup.size();
+    double furthest = -1e9;
+    for (std::size_t at = 0; at < aGroup.size(); ++at) {
+      const auto lack = (wanted[at] - sizes[at]) / std::max(1.0, wanted[at]);
+      if (sizes[at] < MostLayers(*aGroup[at], aNeed) && lack > furthest) {
+        furthest = lack;
+        best = at;
+      }
+    }
+    if (best == aGroup.size()) {
+      break;
+    }
+    ++sizes[best];
+    ++sum;
+  }
+  return sizes;
+}
+
+/** @brief Lays the engines of a group one after the other. */
+void
+LayOut(Group aGroup,
+       std::uint32_t aBegin,
+       std::uint32_t aEnd,
+       const LayerNeed& aNeed,
+       Plan& aPlan)
+{
+  std::ranges::stable_sort(aGroup, {}, [](const Engine* aEngine) {
+    return aEngine->stepFactor;
+  });
+  const auto sizes = Sizes(aGroup, aEnd - aBegin, aNeed);
+  auto layer = aBegin;
+  for (std::size_t at = 0; at < aGroup.size(); ++at) {
+    if (sizes[at] > 0) {
+      aPlan[aGroup[at]->server] = { layer, layer + sizes[at] };
+      layer += sizes[at];
+    }
+  }
+}
+
+/** @brief Splits a zone's engines into whole copies and what is left. */
+class ZoneSplit
+{
+public:
+  ZoneSplit(Group aEngines, const LayerNeed& aNeed)
+    : mNeed{ aNeed }
+  {
+    std::ranges::stable_sort(aEngines, [](const auto* aOne, const auto* aTwo) {
+      return aOne->memoryMb > aTwo->memoryMb;
+    });
+    const auto memory = MemoryOf(aEngines);
+    auto copies =
+      static_cast<std::size_t>(memory / (PerLayerMb(mNeed) * mNeed.layers));
+    if (copies == 0 && Holds(aEngines)) {
+      copies = 1;
+    }
+    mCopies.resize(copies);
+    Distribute(aEngines, copies);
+  }
+
+  [[nodiscard]] const std::vector<Group>& Copies() const { return mCopies; }
+  [[nodiscard]] const Group& Rest() const { return mRest; }
+
+private:
+  bool Holds(const Group& aGroup) const
+  {
+    std::uint32_t most = 0;
+    for (const auto* engine : aGroup) {
+      most += MostLayers(*engine, mNeed);
+    }
+    return most >= mNeed.layers;
+  }
+
+  /** Large engines first, each to the copy that has the least memory. */
+  void Distribute(const Group& aEngines, std::size_t aCopies)
+  {
+    if (aCopies == 0) {
+      mRest = aEngines;
+      return;
+    }
+    const auto enough = PerLayerMb(mNeed) * mNeed.layers;
+    for (const auto* engine : aEngines) {
+      auto least = std::ranges::min_element(
+        mCopies, {}, [](const Group& aGroup) { return MemoryOf(aGroup); });
+      if (MemoryOf(*least) + engine->memoryMb / 2 > enough && Holds(*least)) {
+        mRest.push_back(engine);
+        continue;
+      }
+      least->push_back(engine);
+    }
+  }
+
+  LayerNeed mNeed;
+  std::vector<Group> mCopies;
+  Group mRest;
+};
+
+} // namespace
+
+std::uint32_t
+MostLayers(const Engine& aEngine, const LayerNeed& aNeed)
+{
+  const auto perLayer = aNeed.layerMb + kLeastRequests * aNeed.requestMb;
+  const auto most = std::floor(aEngine.memoryMb / perLayer);
+  return static_cast<std::uint32_t>(
+    std::clamp(most, 0.0, static_cast<double>(aNeed.layers)));
+}
+
+Plan
+PlanAll(std::span<const Engine> aEngines, const LayerNeed& aNeed)
+{
+  std::map<ZoneId, Group> zones;
+  for (const auto& engine : aEngines) {
+    if (MostLayers(engine, aNeed) > 0) {
+      zones[engine.zone].push_back(&engine);
+    }
+  }
+  Plan plan;
+  Group rest;
+  for (const auto& [zone, engines] : zones) {
+    const ZoneSplit split{ engines, aNeed };
+    for (const auto& copy : split.Copies()) {
+      LayOut(copy, 0, aNeed.layers, aNeed, plan);
+    }
+    rest.insert(rest.end(), split.Rest().begin(), split.Rest().end());
+  }
+  const auto shared = static_cast<std::uint32_t>(
+    MemoryOf(rest) / PerLayerMb(aNeed));
+  if (!rest.empty()) {
+    LayOut(
+      rest, 0, std::clamp(shared, 1U, aNeed.layers), aNeed, plan);
+  }
+  return plan;
+}
+
+} // namespace balsampoint::placement
--- /dev/null
+++ b/src/balsampoint/roster/internal/merge.cpp
@@ -0,0 +1,72 @@
+#include "balsampoint/roster/internal/merge.hpp"
+
+namespace balsampoint::roster::internal {
+
+namespace {
+
+/** @brief Whether a server that started later has the claim's address. */
+bool
+IsReplaced(const State& aState, const Claim& aClaim)
+{
+  for (const auto& [id, record] : aState.records) {
+    if (id != aClaim.server &&
+        record.claim.description.address == aClaim.description.address &&
+        record.claim.stamp.born > aClaim.stamp.born) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/** @brief Servers whose address a later one has are gone. */
+void
+RetireAtAddress(State& aState, const Claim& aClaim, Instant aNow)
+{
+  for (auto& [id, record] : aState.records) {
+    if (id == aClaim.server || record.goneAt != kNever ||
+        record.claim.description.address != aClaim.description.address ||
+        record.claim.stamp.born >= aClaim.stamp.born) {
+      continue;
+    }
+    record.claim.presence = Presence::Gone;
+    record.goneAt = aNow;
+  }
+}
+
+bool
+IsNewer(const Record& aKnown, const Claim& aClaim, const HostId& aOwner)
+{
+  const auto& known = aKnown.claim;
+  if (known.presence == Presence::Gone &&
+      known.stamp.born == aClaim.stamp.born) {
+    return false;
+  }
+  if (aClaim.stamp != known.stamp) {
+    return aClaim.stamp > known.stamp ||
+           (aClaim.presence == Presence::Gone &&
+            aClaim.stamp.born == known.stamp.born);
+  }
+  return aOwner == aKnown.owner ? aClaim != known
+                                : aClaim.presence > known.presence;
+}
+
+} // namespace
+
+bool
+Merge(State& aState, const Claim& aClaim, const HostId& aOwner, Instant aNow)
+{
+  const auto found = aState.records.find(aClaim.server);
+  if (found != aState.records.end() &&
+      !IsNewer(found->second, aClaim, aOwner)) {
+    return false;
+  }
+  if (found == aState.records.end() && IsReplaced(aState, aClaim)) {
+    return false;
+  }
+  const auto gone = aClaim.presence == Presence::Gone ? aNow : kNever;
+  aState.records[aClaim.server] = { aClaim, aOwner, gone };
+  RetireAtAddress(aState, aClaim, aNow);
+  return true;
+}
+
+} // namespace balsampoint::roster::internal
--- /dev/null
+++ b/src/balsampoint/roster/module.cpp
@@ -0,0 +1,119 @@
+#include "balsampoint/roster/module.hpp"
+
+#include "balsampoint/roster/command/hear.hpp"
+#include "balsampoint/roster/command/share.hpp"
+#include "balsampoint/roster/query/make_view.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::roster {
+
+namespace {
+
+/** @brief Time between two ticks, which bounds how late silence is noticed. */
+constexpr Duration kTickInterval = std::chrono::milliseconds{ 350 };
+
+/** @brief Hands each kind of event and message to its command. */
+struct Dispatch
+{
+  State& state;
+  Instant now;
+  Actions& actions;
+  HostId from;
+
+  void operator()(const Heartbeat& aEvent) const
+  {
+    HandleHeartbeat(state, aEvent, now);
+  }
+  void operator()(const SignedOff& aEvent) const
+  {
+    HandleSignedOff(state, aEvent, now);
+  }
+  void operator()(const Received& aEvent)
+  {
+    from = aEvent.from;
+    std::visit(*this, aEvent.message);
+  }
+  void operator()(const Subscribe& aMessage) const
+  {
+    HandleSubscribe(state, from, aMessage, now, actions);
+  }
+  void operator()(const Update& aMessage) const
+  {
+    HandleUpdate(state, from, aMessage, now, actions);
+  }
+};
+
+void
+PublishIfChanged(State& aState, Instant aNow, Actions& aActions)
+{
+  auto view = MakeView(aState, aNow);
+  if (aState.view && *aState.view == view) {
+    return;
+  }
+  aState.view = std::make_shared<const View>(std::move(view));
+  aActions.emplace_back(Publish{ aState.view });
+}
+
+/** @brief A host that stood still has not heard what servers sent meanwhile. */
+void
+ForgiveStandstill(State& aState, Instant aNow)
+{
+  const auto last = std::exchange(aState.lastTick, aNow);
+  if (last == kNever || aNow - last <= 2 * kTickInterval) {
+    return;
+  }
+  const auto lost = aNow - last;
+  for (auto& [id, heard] : aState.heard) {
+    heard.at = std::min(aNow, heard.at + lost);
+  }
+}
+
+} // namespace
+
+State
+Module::Start(Settings aSettings, Instant aNow)
+{
+  State state{ .settings = std::move(aSettings) };
+  for (const auto& seed : state.settings.seeds) {
+    if (seed.host != state.settings.self) {
+      state.sources[seed.host] = { .address = seed.address, .isSeed = true };
+    }
+  }
+  state.nextTick = aNow;
+  return state;
+}
+
+void
+Module::Handle(State& aState,
+               const Event& aEvent,
+               Instant aNow,
+               Actions& aActions)
+{
+  std::visit(Dispatch{ aState, aNow, aActions, {} }, aEvent);
+  PushChanges(aState, aNow, aActions);
+  PublishIfChanged(aState, aNow, aActions);
+}
+
+void
+Module::Tick(State& aState, Instant aNow, Actions& aActions)
+{
+  ForgiveStandstill(aState, aNow);
+  NoteSilence(aState, aNow);
+  PushChanges(aState, aNow, aActions);
+  if (aNow >= aState.nextRenewal) {
+    aState.nextRenewal = aNow + aState.settings.renewal;
+    RenewSubscriptions(aState, aNow, aActions);
+  }
+  PublishIfChanged(aState, aNow, aActions);
+  aState.nextTick = aNow + kTickInterval;
+}
+
+Instant
+Module::NextDeadline(const State& aState)
+{
+  const bool alone = aState.sources.empty() && !aState.settings.hears;
+  return alone ? kNever : aState.nextTick;
+}
+
+} // namespace balsampoint::roster
--- /dev/null
+++ b/src/balsampoint/roster/query/make_view.cpp
@@ -0,0 +1,54 @@
+#include "balsampoint/roster/query/make_view.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::roster {
+
+namespace {
+
+bool
+IsLive(const State& aState, const HostId& aHost, Instant aNow)
+{
+  if (aHost == aState.settings.self) {
+    return true;
+  }
+  const auto found = aState.sources.find(aHost);
+  return found != aState.sources.end() && found->second.heardAt &&
+         aNow - *found->second.heardAt <= aState.settings.hostSilence;
+}
+
+bool
+AnySourceLives(const State& aState, Instant aNow)
+{
+  return aState.settings.hears ||
+         std::ranges::any_of(aState.sources, [&](const auto& aEntry) {
+           return IsLive(aState, aEntry.first, aNow);
+         });
+}
+
+} // namespace
+
+View
+MakeView(const State& aState, Instant aNow)
+{
+  View view;
+  const bool anyLives = AnySourceLives(aState, aNow);
+  for (const auto& [id, record] : aState.records) {
+    if (record.goneAt != kNever) {
+      continue;
+    }
+    const bool doubted = anyLives && !IsLive(aState, record.owner, aNow);
+    auto claim = record.claim;
+    claim.stamp.sequence = 0;
+    view.servers.push_back({ std::move(claim), doubted });
+  }
+  for (const auto& [host, source] : aState.sources) {
+    view.controls.push_back({ host, source.address });
+  }
+  if (aState.settings.hears) {
+    view.controls.push_back({ aState.settings.self, aState.settings.address });
+  }
+  return view;
+}
+
+} // namespace balsampoint::roster
--- /dev/null
+++ b/src/balsampoint/routing/table.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "balsampoint/core/error.hpp"
+#include "balsampoint/routing/document.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <unordered_map>
+#include <vector>
+
+namespace balsampoint::routing {
+
+/** @brief Hashes texts so that a view finds a string. */
+struct TextHash
+{
+  using is_transparent = void; // NOLINT(readability-identifier-naming)
+
+  std::size_t operator()(std::string_view aText) const noexcept
+  {
+    return std::hash<std::string_view>{}(aText);
+  }
+};
+
+/** @brief Looks things up in one configuration; immutable. */
+class Table
+{
+public:
+  /**
+   * @brief Checks a configuration and indexes it.
+   * @param aDocument The configuration.
+   * @return The table, or `ErrorKind::InvalidConfiguration` with the reason.
+   */
+  [[nodiscard]] static tl::expected<std::shared_ptr<const Table>, Error> Make(
+    Document aDocument);
+
+  /** @brief The configuration. */
+  [[nodiscard]] const Document& Source() const noexcept { return mDocument; }
+
+  /**
+   * @brief Finds the route with the longest prefix that begins a path.
+   * @param aHost The host named by the caller.
+   * @param aPath The path.
+   * @return The route; null if there is none.
+   */
+  [[nodiscard]] const Route* FindRoute(std::string_view aHost,
+                                       std::string_view aPath) const;
+
+  /**
+   * @brief Finds the workspace that holds a key.
+   * @param aKey The key.
+   * @return The workspace; null if none holds it.
+   */
+  [[nodiscard]] const Workspace* FindWorkspace(std::string_view aKey) const;
+
+private:
+  using RouteIndex = std::vector<const Route*>;
+
+  explicit Table(Document aDocument)
+    : mDocument{ std::move(aDocument) }
+  {
+  }
+
+  [[nodiscard]] tl::expected<void, Error> IndexRoutes();
+  [[nodiscard]] tl::expected<void, Error> IndexKeys();
+  [[nodiscard]] tl::expected<void, Error> CheckRoute(const Route& aRoute) const;
+
+  Document mDocument;
+  /** Routes of each host, the longest prefix first. */
+  std::unordered_map<std::string, RouteIndex, TextHash, std::equal_to<>>
+    mRoutes;
+  std::unordered_map<std::string, const Workspace*, TextHash, std::equal_to<>>
+    mKeys;
+};
+
+} // namespace balsampoint::routing
--- a/src/balsampoint/trace/log.cpp
+++ b/src/balsampoint/trace/log.cpp
@@ -4,6 +4,7 @@
 #include <fmt/chrono.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -69,6 +70,20 @@
   }
 };
 
+/** @brief A structured event, whose message is the inside of an object. */
+struct EventLayout
+{
+  static std::string Line(const spdlog::details::log_msg& aMessage,
+                          std::string_view aHost)
+  {
+    return fmt::format(R"({{"time":"{}","host":"{}",{}}})"
+                       "\n",
+                       TimeText(aMessage.time),
+                       aHost,
+                       View(aMessage.payload));
+  }
+};
+
 /** @brief Words in a row, with the request's names in brackets. */
 struct TextLayout
 {
@@ -132,8 +147,58 @@
   return spdlog::level::err;
 }
 
+/** Lines that wait for the writer at most. */
+constexpr std::size_t kQueuedLines = 4096;
+
+std::shared_ptr<spdlog::logger>&
+EventLoggerSlot()
+{
+  static std::shared_ptr<spdlog::logger> logger;
+  return logger;
+}
+
+std::shared_ptr<spdlog::logger>
+MakeAsyncLogger(const char* aName, const spdlog::sink_ptr& aSink)
+{
+  return std::make_shared<spdlog::async_logger>(
+    aName,
+    aSink,
+    spdlog::thread_pool(),
+    spdlog::async_overflow_policy::overrun_oldest);
+}
+
 } // namespace
 
+void
+ConfigureEventLog(config::LogLevel aLevel, const HostId& aHost)
+{
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  auto events = MakeAsyncLogger(
+    "events", std::make_shared<spdlog::sinks::stdout_sink_mt>());
+  events->set_formatter(
+    std::make_unique<BasicFormatter<EventLayout>>(aHost.String()));
+  EventLoggerSlot() = std::move(events);
+  auto words = MakeAsyncLogger(
+    "balsampoint", std::make_shared<spdlog::sinks::stdout_sink_mt>());
+  words->set_formatter(
+    std::make_unique<BasicFormatter<JsonLayout>>(aHost.String()));
+  words->set_level(ToLevel(aLevel));
+  spdlog::set_default_logger(std::move(words));
+}
+
+spdlog::logger*
+EventLogger() noexcept
+{
+  return EventLoggerSlot().get();
+}
+
+std::size_t
+DroppedLines()
+{
+  const auto pool = spdlog::thread_pool();
+  return pool ? pool->overrun_counter() : 0;
+}
+
 void
 ConfigureLog(const config::LogSettings& aSettings, const HostId& aHost)
 {
--- a/src/balsampoint/trace/log.hpp
+++ b/src/balsampoint/trace/log.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/config/settings.hpp"
 #include "balsampoint/core/id.hpp"
 
+#include <spdlog/logger.h>
 #include <string_view>
 
 namespace balsampoint::trace {
@@ -15,6 +16,23 @@
 void
 ConfigureLog(const config::LogSettings& aSettings, const HostId& aHost);
 
+/**
+ * @brief Writes the log as JSON lines to standard output, by a thread of its
+ * own behind a bounded queue that drops the oldest lines when it is full.
+ * @param aLevel Least level of lines that are written.
+ * @param aHost Named in every line.
+ */
+void
+ConfigureEventLog(config::LogLevel aLevel, const HostId& aHost);
+
+/** @brief Logger of structured events; null before `ConfigureEventLog`. */
+[[nodiscard]] spdlog::logger*
+EventLogger() noexcept;
+
+/** @brief Lines dropped since the queue was full. */
+[[nodiscard]] std::size_t
+DroppedLines();
+
 /** @brief Names a request in the log lines of the thread while it lives. */
 class LogScope
 {
--- /dev/null
+++ b/src/balsampoint/wire/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+/** @brief Framing of HTTP/1.1 messages, without sockets. */
+namespace balsampoint::wire {
+
+class EventSplitter;
+class Fields;
+struct RequestHead;
+struct ResponseHead;
+
+} // namespace balsampoint::wire
--- /dev/null
+++ b/src/balsampoint/wire/parser.cpp
@@ -0,0 +1,331 @@
+#include "balsampoint/wire/parser.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace balsampoint::wire {
+
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr int kFirstStatusWithBody = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+bool
+IsTokenLetter(char aLetter)
+{
+  constexpr std::string_view kSpecial = "!#$%&'*+-.^_`|~";
+  return (aLetter >= '0' && aLetter <= '9') ||
+         (aLetter >= 'a' && aLetter <= 'z') ||
+         (aLetter >= 'A' && aLetter <= 'Z') ||
+         kSpecial.find(aLetter) != std::string_view::npos;
+}
+
+bool
+IsToken(std::string_view aText)
+{
+  return !aText.empty() && std::ranges::all_of(aText, IsTokenLetter);
+}
+
+bool
+IsFieldText(std::string_view aText)
+{
+  return std::ranges::all_of(aText, [](char aLetter) {
+    const auto code = static_cast<unsigned char>(aLetter);
+    return aLetter == '\t' || (code >= ' ' && code != 0x7F);
+  });
+}
+
+std::string_view
+TrimSpace(std::string_view aText)
+{
+  const auto begin = aText.find_first_not_of(" \t");
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(begin, aText.find_last_not_of(" \t") - begin + 1);
+}
+
+/**
+ * @brief Cuts the next line off a text.
+ * @param aRest The text; left without the line.
+ * @return The line without its end.
+ */
+std::string_view
+TakeLine(std::string_view& aRest)
+{
+  const auto end = aRest.find(kLineEnd);
+  const auto line = aRest.substr(0, end);
+  aRest = end == std::string_view::npos
+            ? std::string_view{}
+            : aRest.substr(end + kLineEnd.size());
+  return line;
+}
+
+bool
+IsLength(std::string_view aText)
+{
+  std::uint64_t length{};
+  const auto* last = aText.data() + aText.size();
+  const auto [end, status] = std::from_chars(aText.data(), last, length);
+  return status == std::errc{} && end == last;
+}
+
+/** @brief Whether the fields tell the length of the body in one way only. */
+bool
+IsFramedOnce(const Fields& aFields)
+{
+  const auto lengths = aFields.Count("Content-Length");
+  const auto encodings = aFields.Count("Transfer-Encoding");
+  if (lengths + encodings > 1) {
+    return false;
+  }
+  if (encodings == 1) {
+    return SameName(*aFields.Find("Transfer-Encoding"), "chunked");
+  }
+  return lengths == 0 || IsLength(*aFields.Find("Content-Length"));
+}
+
+} // namespace
+
+Parser::Parser(MessageKind aKind, MessageLimits aLimits)
+  : mKind{ aKind }
+  , mLimits{ aLimits }
+{
+  Restart();
+}
+
+void
+Parser::Restart()
+{
+  http_parser_init(&mParser,
+                   mKind == MessageKind::Request ? HTTP_REQUEST
+                                                 : HTTP_RESPONSE);
+  mParser.data = this;
+  mHead.clear();
+  mRequest = {};
+  mResponse = {};
+  mBody.clear();
+  mBodyRead = 0;
+  mError = ParseError::None;
+  mHasHead = false;
+  mComplete = false;
+  mNoBody = false;
+}
+
+std::size_t
+Parser::Read(std::string_view aBytes)
+{
+  if (mError != ParseError::None || mComplete) {
+    return 0;
+  }
+  std::size_t used = 0;
+  if (!mHasHead) {
+    used = ReadHead(aBytes);
+    if (!mHasHead || mError != ParseError::None || mComplete) {
+      return used;
+    }
+  }
+  return used + Execute(aBytes.substr(used));
+}
+
+void
+Parser::ReadEnd()
+{
+  if (mError != ParseError::None || mComplete) {
+    return;
+  }
+  if (mHasHead && mResponse.endsByClose) {
+    mComplete = true;
+    return;
+  }
+  mError = ParseError::Malformed;
+}
+
+std::string
+Parser::TakeBody()
+{
+  return std::exchange(mBody, {});
+}
+
+std::size_t
+Parser::ReadHead(std::string_view aBytes)
+{
+  const auto before = mHead.size();
+  std::size_t skipped = 0;
+  // An empty line before a request is passed over, as RFC 9112 asks.
+  if (mKind == MessageKind::Request && before == 0) {
+    while (aBytes.substr(skipped).starts_with(kLineEnd)) {
+      skipped += kLineEnd.size();
+    }
+    aBytes.remove_prefix(skipped);
+  }
+  const auto room = mLimits.headBytes + kHeadEnd.size() - before;
+  const auto taken = aBytes.substr(0, std::min(aBytes.size(), room));
+  mHead += taken;
+  const auto from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size() + 1;
+  const auto end = mHead.find(kHeadEnd, from);
+  if (end == std::string::npos) {
+    const auto feed = mHead.find('\n', from);
+    const bool bare = feed != std::string::npos &&
+                      (feed == 0 || mHead[feed - 1] != '\r');
+    if (bare) {
+      mError = ParseError::Malformed;
+    } else if (taken.size() < aBytes.size()) {
+      mError = ParseError::HeadTooLarge;
+    }
+    return skipped + taken.size();
+  }
+  const auto size = end + kHeadEnd.size();
+  mHead.resize(size);
+  ParseHead();
+  return skipped + size - before;
+}
+
+void
+Parser::ParseHead()
+{
+  std::string_view rest{ mHead };
+  rest.remove_suffix(kLineEnd.size());
+  const auto first = TakeLine(rest);
+  if (!IsFieldText(first)) {
+    mError = ParseError::Malformed;
+    return;
+  }
+  const auto space = first.find(' ');
+  const auto last = first.find(' ', space + 1);
+  if (space == std::string_view::npos) {
+    mError = ParseError::Malformed;
+    return;
+  }
+  if (mKind == MessageKind::Request) {
+    mRequest.target = first.substr(space + 1, last - space - 1);
+  } else if (last != std::string_view::npos) {
+    mResponse.reason = first.substr(last + 1);
+  }
+  auto& fields =
+    mKind == MessageKind::Request ? mRequest.fields : mResponse.fields;
+  while (!rest.empty()) {
+    const auto line = TakeLine(rest);
+    const auto colon = line.find(':');
+    const auto name = line.substr(0, colon);
+    if (colon == std::string_view::npos || !IsToken(name) ||
+        !IsFieldText(line)) {
+      mError = ParseError::Malformed;
+      return;
+    }
+    fields.Add(name, TrimSpace(line.substr(colon + 1)));
+  }
+  if (!IsFramedOnce(fields)) {
+    mError = ParseError::Malformed;
+    return;
+  }
+  const auto head = std::move(mHead);
+  mHead.clear();
+  Execute(head);
+  if (mError == ParseError::None && !mHasHead) {
+    mError = ParseError::Malformed;
+  }
+}
+
+std::size_t
+Parser::Execute(std::string_view aBytes)
+{
+  if (aBytes.empty() && mHasHead) {
+    return 0;
+  }
+  static const auto kCallbacks = MakeCallbacks();
+  const auto used =
+    http_parser_execute(&mParser, &kCallbacks, aBytes.data(), aBytes.size());
+  const auto error = HTTP_PARSER_ERRNO(&mParser);
+  if (error == HPE_PAUSED) {
+    http_parser_pause(&mParser, 0);
+    return used;
+  }
+  if (error != HPE_OK && mError == ParseError::None) {
+    mError = ParseError::Malformed;
+  }
+  return used;
+}
+
+http_parser_settings
+Parser::MakeCallbacks()
+{
+  http_parser_settings callbacks{};
+  http_parser_settings_init(&callbacks);
+  callbacks.on_headers_complete = &Parser::OnHeadersComplete;
+  callbacks.on_body = &Parser::OnBody;
+  callbacks.on_message_complete = &Parser::OnMessageComplete;
+  return callbacks;
+}
+
+Parser&
+Parser::Of(http_parser* aParser)
+{
+  return *static_cast<Parser*>(aParser->data);
+}
+
+int
+Parser::OnHeadersComplete(http_parser* aParser)
+{
+  auto& self = Of(aParser);
+  self.FinishHead();
+  if (self.mError != ParseError::None) {
+    return -1;
+  }
+  return self.mNoBody ? 1 : 0;
+}
+
+void
+Parser::FinishHead()
+{
+  mHasHead = true;
+  const bool keepAlive = http_should_keep_alive(&mParser) != 0;
+  const bool sized =
+    mParser.content_length != std::numeric_limits<std::uint64_t>::max();
+  if (sized && mParser.content_length > mLimits.bodyBytes) {
+    mError = ParseError::BodyTooLarge;
+    return;
+  }
+  if (mKind == MessageKind::Request) {
+    mRequest.method =
+      http_method_str(static_cast<http_method>(mParser.method));
+    mRequest.keepAlive = keepAlive;
+    mRequest.chunks = mParser.http_major == 1 && mParser.http_minor >= 1;
+    return;
+  }
+  const int status = mParser.status_code;
+  const bool empty = mNoBody || status < kFirstStatusWithBody ||
+                     status == kNoContent || status == kNotModified;
+  mResponse.status = mParser.status_code;
+  mResponse.endsByClose =
+    !empty && !sized && (mParser.flags & F_CHUNKED) == 0U;
+  mResponse.keepAlive = keepAlive && !mResponse.endsByClose;
+}
+
+int
+Parser::OnBody(http_parser* aParser, const char* aAt, std::size_t aSize)
+{
+  auto& self = Of(aParser);
+  self.mBodyRead += aSize;
+  if (self.mBodyRead > self.mLimits.bodyBytes) {
+    self.mError = ParseError::BodyTooLarge;
+    return -1;
+  }
+  self.mBody.append(aAt, aSize);
+  return 0;
+}
+
+int
+Parser::OnMessageComplete(http_parser* aParser)
+{
+  Of(aParser).mComplete = true;
+  http_parser_pause(aParser, 1);
+  return 0;
+}
+
+} // namespace balsampoint::wire
--- a/thrift/change.thrift
+++ b/thrift/change.thrift
@@ -13,6 +13,7 @@
   4: required string digest
   5: required bool whole
   6: required ChangeDelta delta
+  7: optional i32 numbering
 }
 
 struct ChangeAnswer {
