--- a/src/balsampoint/daemon/control.hpp
+++ b/src/balsampoint/daemon/control.hpp
@@ -13,6 +13,7 @@
 #include "balsampoint/runtime/control_loop.hpp"
 #include "balsampoint/runtime/mailbox.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
+#include "balsampoint/usage/module.hpp"
 
 #include <tuple>
 #include <variant>
@@ -44,7 +45,8 @@
                            change::Module,
                            fanout::Module,
                            roster::Module,
-                           placement::Module>;
+                           placement::Module,
+                           usage::Module>;
 
 /** @brief The one queue into the control thread. */
 using ControlMailbox = runtime::Mailbox<Control::Event>;
--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -163,7 +163,8 @@
                    MakeFanout(aSettings, aIdentity),
                    roster::Module::Start(aTuning.roster,
                                          runtime::SteadyClock::Now()),
-                   placement::State{} };
+                   placement::State{},
+                   usage::State{ .settings = { .self = aSettings.host } } };
   return first;
 }
 
--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -10,6 +10,8 @@
 #include "balsampoint/edge/entry.hpp"
 #include "balsampoint/edge/status_port.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
+#include "balsampoint/fleet/command/share_use.hpp"
+#include "balsampoint/fleet/query/own_use.hpp"
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
 #include "balsampoint/runtime/entropy.hpp"
@@ -104,6 +106,8 @@
   /** Time kept for the end of the process within the stop timeout. */
   static constexpr Duration kStopMargin = std::chrono::milliseconds{ 700 };
   static constexpr Duration kHandOverWait = std::chrono::milliseconds{ 1500 };
+  /** Time between two reports of work in progress. */
+  static constexpr Duration kUseInterval = std::chrono::milliseconds{ 200 };
   static constexpr Duration kSweepInterval = std::chrono::seconds{ 1 };
   static constexpr std::size_t kMailboxCapacity = 65536;
   static constexpr std::size_t kMaxControlConnections = 2000;
@@ -138,6 +142,7 @@
                 } }
     , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
     , mSweep{ mEdge.Context() }
+    , mUseTimer{ mEdge.Context() }
     , mIdleTimer{ mEdge.Context() }
   {
     mTraffic.maxActive =
@@ -148,8 +153,14 @@
       }
     }
     mRunners.Roster().PublishTo([this](auto aView) {
+      Post(mMailbox, usage::Event{ usage::CollectorKnown{ aView->collector } });
       mEdge.Post([this, view = std::move(aView)] { TakeServers(view); });
     });
+    mRunners.Usage().TellTo([this](auto aOthers) {
+      mEdge.Post([this, others = std::move(aOthers)] {
+        fleet::TakeOthers(mTraffic.fleet, *others, Traffic::Now());
+      });
+    });
     mRunners.Placement().CarryBy([this](const placement::Action& aAction) {
       std::visit([this](const auto& aOne) { Carry(aOne); }, aAction);
     });
@@ -184,6 +195,9 @@
         .and_then([&] { return ListenOn(mControlPort, listen.control); });
     if (listening) {
       Sweep();
+      if (listen.callers) {
+        TellUse();
+      }
       mEdge.Start();
     }
     return listening;
@@ -204,6 +218,16 @@
     mSweep.Set(kSweepInterval, [this] { Sweep(); });
   }
 
+  void TellUse()
+  {
+    const bool told = mMailbox.Push(
+      usage::Event{ usage::Measured{ fleet::OwnUse(mTraffic.fleet) } });
+    if (!told) {
+      spdlog::warn("the control queue is full");
+    }
+    mUseTimer.Set(kUseInterval, [this] { TellUse(); });
+  }
+
   edge::StatusPort::Status ReadyStatus() const
   {
     constexpr std::uint16_t kOk = 200;
@@ -461,6 +485,7 @@
   Runners mRunners;
   Control::Loop<Runners> mLoop;
   edge::Timer mSweep;
+  edge::Timer mUseTimer;
   edge::Timer mIdleTimer;
   std::thread mControlThread;
   std::unique_ptr<peer::Receiver> mReceiver;
--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -6,6 +6,7 @@
 #include "balsampoint/peer/member_codec.hpp"
 #include "balsampoint/peer/registry_codec.hpp"
 #include "balsampoint/peer/roster_codec.hpp"
+#include "balsampoint/peer/usage_codec.hpp"
 
 #include "balsampoint/peer/ledger_codec.hpp"
 
@@ -68,6 +69,9 @@
     case peer::ModuleTag::Fanout:
       return EventOf<fanout::Module, fanout::Received>(
         aParcel, peer::DecodeFanoutMessage(aParcel.body));
+    case peer::ModuleTag::Usage:
+      return EventOf<usage::Module, usage::Received>(
+        aParcel, peer::DecodeUsageMessage(aParcel.body));
     case peer::ModuleTag::Roster:
       return EventOf<roster::Module, roster::Received>(
         aParcel, peer::DecodeRosterMessage(aParcel.body));
--- a/src/balsampoint/daemon/runners.hpp
+++ b/src/balsampoint/daemon/runners.hpp
@@ -9,6 +9,7 @@
 #include "balsampoint/daemon/registry_runner.hpp"
 #include "balsampoint/daemon/roster_runner.hpp"
 #include "balsampoint/daemon/status_board.hpp"
+#include "balsampoint/daemon/usage_runner.hpp"
 
 #include <utility>
 
@@ -39,6 +40,7 @@
     , mLedger{ aMailbox, aGate, aSender }
     , mChange{ aMailbox, aSender, mBoard, mFanout.InForce(), mLedger }
     , mRoster{ aMailbox, aSender }
+    , mUsage{ aSender }
     , mGate{ aGate }
   {
   }
@@ -55,6 +57,9 @@
   /** @brief The roster's runner. */
   [[nodiscard]] RosterRunner& Roster() { return mRoster; }
 
+  /** @brief The runner of the exchange of work in progress. */
+  [[nodiscard]] UsageRunner& Usage() { return mUsage; }
+
   /** @brief The runner of placement. */
   [[nodiscard]] PlacementRunner& Placement() { return mPlacement; }
 
@@ -79,6 +84,12 @@
    */
   void Run(const roster::Action& aAction) { mRoster.Run(aAction); }
 
+  /**
+   * @brief Carries out an action of the exchange of work in progress.
+   * @param aAction The action.
+   */
+  void Run(const usage::Action& aAction) { mUsage.Run(aAction); }
+
   /**
    * @brief Carries out an action of placement.
    * @param aAction The action.
@@ -130,6 +141,7 @@
   LedgerRunner mLedger;
   ChangeRunner mChange;
   RosterRunner mRoster;
+  UsageRunner mUsage;
   PlacementRunner mPlacement;
   traffic::ControlGate& mGate;
 };
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -71,9 +71,9 @@
   for (const auto& hop : aHops) {
     auto* server = Find(aState, aService, hop);
     if (server != nullptr) {
-      ++server->passing;
-      server->sent += first ? 1 : 0;
-      server->kvUsed += aTokens * hop.layers.Size();
+      ++server->own.passing;
+      server->own.sent += first ? 1 : 0;
+      server->own.kv += aTokens * hop.layers.Size();
     }
     first = false;
   }
@@ -89,10 +89,10 @@
   for (const auto& hop : aHops) {
     auto* server = Find(aState, aService, hop);
     if (server != nullptr) {
-      server->passing -= std::min(server->passing, 1U);
-      server->sent -= first ? std::min(server->sent, 1U) : 0;
-      server->kvUsed =
-        std::max(0.0, server->kvUsed - aTokens * hop.layers.Size());
+      auto& own = server->own;
+      own.passing -= std::min(own.passing, 1U);
+      own.sent -= first ? std::min(own.sent, 1U) : 0;
+      own.kv = std::max(0.0, own.kv - aTokens * hop.layers.Size());
     }
     first = false;
   }
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -100,8 +100,7 @@
         Passes(aLayer, aServer)) {
       return;
     }
-    if (aLayer == 0 && aServer.sent * mSettings.hosts >=
-                         aServer.claim.description.slots) {
+    if (aLayer == 0 && aServer.Sent() >= aServer.claim.description.slots) {
       return;
     }
     const auto fixed = HopMs(aLayer, aServer) + WaitMs(aServer);
@@ -126,30 +125,24 @@
     return mSettings.hopMs + (last == zone ? 0.0 : mSettings.zoneChangeMs);
   }
 
-  double Writers(const Server& aServer) const
-  {
-    return aServer.passing * mSettings.hosts;
-  }
-
   /** Half of the pass that is under way when a token arrives. */
   double WaitMs(const Server& aServer) const
   {
     const auto held = aServer.claim.description.layers->Size();
     return internal::PassMs(
-             mEngine, aServer.stepFactor, held, Writers(aServer)) /
+             mEngine, aServer.stepFactor, held, aServer.Passing()) /
            2;
   }
 
   double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
-    const auto used =
-      aServer.kvUsed * mSettings.hosts + mTokens * aLayers;
+    const auto used = aServer.KvUsed() + mTokens * aLayers;
     const auto room = aServer.kvRoom * mSettings.kvShare;
     if (used > room) {
       return kNoPath;
     }
     const auto pass = internal::PassMs(
-      mEngine, aServer.stepFactor, aLayers, Writers(aServer) + 1);
+      mEngine, aServer.stepFactor, aLayers, aServer.Passing() + 1.0);
     const auto read = internal::ReadMs(
       mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
     const auto events =
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -16,7 +16,7 @@
 Score(const Settings& aSettings, const Server& aServer)
 {
   const auto& description = aServer.claim.description;
-  return aServer.sent * aSettings.hosts +
+  return aServer.Sent() +
          aServer.failureRate * kFailurePenalty +
          (description.zone == aSettings.zone ? 0.0 : kFarPenalty) +
          (description.cold ? kColdPenalty : 0.0);
--- /dev/null
+++ b/src/balsampoint/fleet/query/own_use.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "balsampoint/fleet/state.hpp"
+#include "balsampoint/usage/message.hpp"
+
+namespace balsampoint::fleet {
+
+/**
+ * @brief What this thread has in progress on servers.
+ * @param aState State to read.
+ */
+[[nodiscard]] usage::OwnUse
+OwnUse(const State& aState);
+
+} // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -2,7 +2,6 @@
 
 #include "balsampoint/core/id.hpp"
 #include "balsampoint/core/number.hpp"
-#include "balsampoint/core/split_mix.hpp"
 #include "balsampoint/core/time.hpp"
 #include "balsampoint/fleet/chain.hpp"
 #include "balsampoint/roster/claim.hpp"
@@ -19,8 +18,6 @@
 struct Settings
 {
   ZoneId zone;
-  /** Hosts that are thought to use the same servers in the same way. */
-  double hosts{ 1.0 };
   /** Added to the time of an event for each change of zone, in ms. */
   double zoneChangeMs{ 4.0 };
   /** Added to the time of an event for each server, in ms. */
@@ -36,7 +33,18 @@
   double failureWeight{ 0.15 };
 };
 
-/** @brief One server and this thread's work on it. */
+/** @brief Requests in progress on one server. */
+struct Work
+{
+  /** Requests that pass through it. */
+  std::uint32_t passing{};
+  /** Requests sent to it. */
+  std::uint32_t sent{};
+  /** KV of these requests, in tokens times layers. */
+  double kv{};
+};
+
+/** @brief One server and the work on it. */
 struct Server
 {
   roster::Claim claim;
@@ -47,17 +55,27 @@
   double readFactor{ 1.0 };
   /** KV that fits beside its layers, in tokens times layers. */
   double kvRoom{};
-  /** Own requests that pass through it. */
-  std::uint32_t passing{};
-  /** Own requests sent to it. */
-  std::uint32_t sent{};
-  /** KV of own requests, in tokens times layers. */
-  double kvUsed{};
+  /** Work of this thread. */
+  Work own;
+  /** Work of other hosts, as they last told. */
+  Work others;
   /** Part of the newest requests that failed. */
   double failureRate{};
   /** Faults without a good answer in between. */
   std::uint32_t faults{};
   Instant avoidUntil{ Instant::min() };
+
+  /** @brief Requests that pass through it. */
+  [[nodiscard]] double Passing() const noexcept
+  {
+    return own.passing + others.passing;
+  }
+
+  /** @brief Requests sent to it. */
+  [[nodiscard]] double Sent() const noexcept { return own.sent + others.sent; }
+
+  /** @brief KV of all requests, in tokens times layers. */
+  [[nodiscard]] double KvUsed() const noexcept { return own.kv + others.kv; }
 };
 
 /** @brief Servers of one service. */
@@ -72,7 +90,8 @@
 {
   Settings settings;
   std::map<ServiceId, Group> groups;
-  SplitMix64 random;
+  /** When others last told what they have in progress. */
+  Instant othersAt{ Instant::min() };
 };
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/peer/parcel.hpp
+++ b/src/balsampoint/peer/parcel.hpp
@@ -21,6 +21,7 @@
   Orders = 7,
   Change = 8,
   Roster = 9,
+  Usage = 10,
 };
 
 /** @brief A received message whose sender is authenticated. */
--- a/src/balsampoint/roster/query/make_view.cpp
+++ b/src/balsampoint/roster/query/make_view.cpp
@@ -44,6 +44,9 @@
   }
   for (const auto& [host, source] : aState.sources) {
     view.controls.push_back({ host, source.address });
+    if (view.collector.Empty() && IsLive(aState, host, aNow)) {
+      view.collector = host;
+    }
   }
   if (aState.settings.hears) {
     view.controls.push_back({ aState.settings.self, aState.settings.address });
--- a/src/balsampoint/roster/view.hpp
+++ b/src/balsampoint/roster/view.hpp
@@ -28,6 +28,9 @@
 {
   std::vector<Server> servers;
   std::vector<ControlHost> controls;
+  /** The control host in reach that all hosts are likely to choose; empty if
+   * none is in reach. */
+  HostId collector;
 
   bool operator==(const View&) const = default;
 };
