Hold a request while it reacts to a lost server

Change: the observer holds the exchange while it runs. Also: a newer configuration heard of at a control host is fetched from there, servers are tested by a connection when their streams pause together, further attempts stay within the route's servers, the transport library logs to the log.

--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -69,6 +69,8 @@
 void
 FanoutRunner::Do(const fanout::Publish& aPublish)
 {
+  Post(mMailbox,
+       roster::Event{ roster::ConfigurationKnown{ aPublish.number } });
   const bool queued = mContents.Push({ aPublish.number, aPublish.sections });
   if (!queued && !mContents.Closed()) {
     throw Failure{ MakeError(ErrorKind::Overloaded,
--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -9,6 +9,7 @@
 #include "balsampoint/edge/engine_caller.hpp"
 #include "balsampoint/edge/entry.hpp"
 #include "balsampoint/edge/status_port.hpp"
+#include "balsampoint/edge/watch.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
 #include "balsampoint/fleet/command/share_use.hpp"
 #include "balsampoint/fleet/query/own_use.hpp"
@@ -128,6 +129,7 @@
                 {},
                 AllowanceOf(aSettings),
                 runtime::Entropy::Next() }
+    , mWatch{ mTraffic }
     , mEntry{ mTraffic, MaxCallers(aSettings) }
     , mReady{ mEdge, [this] { return ReadyStatus(); } }
     , mMetrics{ mEdge, [this] { return MetricsStatus(); } }
@@ -159,6 +161,7 @@
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
         fleet::TakeOthers(mTraffic.fleet, *others, Traffic::Now());
+        mTraffic.budget.ShareAmong(others->hosts + 1);
       });
     });
     mRunners.Placement().CarryBy([this](const placement::Action& aAction) {
@@ -197,6 +200,7 @@
       Sweep();
       if (listen.callers) {
         TellUse();
+        mWatch.Start();
       }
       mEdge.Start();
     }
@@ -477,6 +481,7 @@
   ParcelRouter mRouter;
   edge::Loop mEdge;
   Traffic mTraffic;
+  edge::Watch mWatch;
   edge::BasicEntry<D> mEntry;
   edge::StatusPort mReady;
   edge::StatusPort mMetrics;
--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -35,4 +35,11 @@
   mSender.Send(aSend.to, peer::ModuleTag::Roster, peer::Encode(aSend.message));
 }
 
+void
+RosterRunner::Do(const roster::ConfigurationHeard& aHeard)
+{
+  Post(mMailbox,
+       fanout::Event{ fanout::NumberHeard{ aHeard.host, aHeard.number } });
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/roster_runner.hpp
+++ b/src/balsampoint/daemon/roster_runner.hpp
@@ -49,6 +49,7 @@
   void Do(const roster::Publish& aPublish);
   void Do(const roster::Reach& aReach);
   void Do(const roster::Send& aSend);
+  void Do(const roster::ConfigurationHeard& aHeard);
 
   ControlMailbox& mMailbox;
   peer::Sender& mSender;
--- a/src/balsampoint/daemon/run_gateway.hpp
+++ b/src/balsampoint/daemon/run_gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/config/query/load_gateway_settings.hpp"
 #include "balsampoint/daemon/gateway.hpp"
+#include "balsampoint/peer/library_log.hpp"
 #include "balsampoint/trace/event.hpp"
 #include "balsampoint/trace/log.hpp"
 
@@ -81,6 +82,7 @@
     return kBadSettings;
   }
   trace::ConfigureEventLog(settings->log.level, settings->host);
+  peer::RouteLibraryLog();
   auto gateway = BasicGateway<D>::Start(*settings);
   if (!gateway) {
     std::cerr << gateway.error().detail << '\n';
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -59,6 +59,7 @@
   ~BasicExchange()
   {
     DropServer();
+    mTraffic.lossObservers.erase(this);
     --mTraffic.active;
   }
 
@@ -69,6 +70,12 @@
   void Start(std::function<void()> aDone)
   {
     mDone = std::move(aDone);
+    mTraffic.lossObservers[this] =
+      [self = this->weak_from_this()](const ServerId& aServer) {
+        if (const auto exchange = self.lock()) {
+          exchange->OnServerLost(aServer);
+        }
+      };
     if (auto admitted = Admit(); !admitted) {
       RefuseWith(admitted.error());
       return;
@@ -115,7 +122,6 @@
     }
     mService = ChooseService();
     mProgress.kind = mRoute->kind;
-    mProgress.maxSent = std::max(1U, mRoute->maxAttempts);
     mLastEvent = mInquiry.resumeAfter;
     return {};
   }
@@ -210,24 +216,44 @@
     }
   }
 
+  /** Once a request has gone to as many servers as its route allows, it may
+   * only go to one of these again. */
+  std::set<ServerId> AllowedReceivers() const
+  {
+    return mReceivers.size() >= mRoute->maxAttempts ? mReceivers
+                                                    : std::set<ServerId>{};
+  }
+
+  tl::expected<std::vector<fleet::Hop>, Error> ChooseOne(
+    const std::set<ServerId>& aFailed,
+    Instant aNow)
+  {
+    auto hop = fleet::ChooseServer(mTraffic.fleet,
+                                   mService->id,
+                                   aFailed,
+                                   AllowedReceivers(),
+                                   mTraffic.random.Next(),
+                                   aNow);
+    if (!hop && !aFailed.empty()) {
+      return ChooseOne({}, aNow);
+    }
+    return std::move(hop).map([](fleet::Hop aHop) {
+      return std::vector<fleet::Hop>{ std::move(aHop) };
+    });
+  }
+
   tl::expected<std::vector<fleet::Hop>, Error> ChooseHops()
   {
     const auto now = Traffic::Now();
     if (!mService->engine) {
-      return fleet::ChooseServer(mTraffic.fleet,
-                                 mService->id,
-                                 mFailed,
-                                 mTraffic.random.Next(),
-                                 now)
-        .map([](fleet::Hop aHop) {
-          return std::vector<fleet::Hop>{ std::move(aHop) };
-        });
+      return ChooseOne(mFailed, now);
     }
     const auto& engine = *mService->engine;
     fleet::Demand demand{ .service = mService->id,
                           .promptTokens = engine.usualPrompt,
                           .answerTokens = engine.usualAnswer,
-                          .failed = mFailed };
+                          .failed = mFailed,
+                          .receivers = AllowedReceivers() };
     if (mInquiry.tokens) {
       demand.promptTokens = mInquiry.tokens->prompt;
       demand.answerTokens =
@@ -260,7 +286,8 @@
       case ServerSignal::Lost:
         break;
     }
-    NoteServer(fleet::Finding::Lost);
+    NoteServer(mSentNow ? fleet::Finding::Broken
+                        : fleet::Finding::Unreachable);
     OnAttemptEnd(mSentNow ? forward::AttemptEnd::Broken
                           : forward::AttemptEnd::NotSent,
                  mSentNow ? "the connection to the server broke"
@@ -277,6 +304,7 @@
     mSentNow = true;
     mSentAt = Traffic::Now();
     ++mProgress.sent;
+    mReceivers.insert(mHops.front().server);
     mRunBefore = mProgress.maybeRun;
     mProgress.maybeRun = true;
     const auto workspace = mWorkspace ? mWorkspace->id : WorkspaceId{};
@@ -395,7 +423,7 @@
     while (const auto event = mEvents.Next()) {
       if (!TakeEvent(*event, out)) {
         SendEvents(std::move(out));
-        NoteServer(fleet::Finding::Lost);
+        NoteServer(fleet::Finding::Broken);
         OnAttemptEnd(forward::AttemptEnd::Broken,
                      "an event of the stream is missing");
         return;
@@ -441,11 +469,38 @@
       BeginAnswer();
     }
     const auto now = Traffic::Now();
+    NoteProgress(now);
     mLongestPause = std::max(mLongestPause, now - mLastEventAt);
     mLastEventAt = now;
     mCaller->Send(aBytes);
   }
 
+  void NoteProgress(Instant aNow)
+  {
+    std::optional<Duration> interval;
+    if (mWriting) {
+      interval = aNow - mLastEventAt;
+    } else {
+      mWriting = true;
+      fleet::CountStream(mTraffic.fleet, mService->id, mHops, true);
+    }
+    fleet::NoteEvent(mTraffic.fleet, mService->id, mHops, interval, aNow);
+  }
+
+  void OnServerLost(const ServerId& aServer)
+  {
+    const bool passes =
+      std::ranges::any_of(mHops, [&](const fleet::Hop& aHop) {
+        return aHop.server == aServer && aHop.layers.end > 0;
+      });
+    if (mEnded || !passes || !mServer || !mSentNow) {
+      return;
+    }
+    mFailed.insert(aServer);
+    mFault = aServer.Value();
+    OnAttemptEnd(forward::AttemptEnd::Broken, "a server of the chain is lost");
+  }
+
   void BeginAnswer()
   {
     mProgress.answering = true;
@@ -461,7 +516,7 @@
   void OnStreamEnd()
   {
     if (mEvents.HasPart()) {
-      NoteServer(fleet::Finding::Lost);
+      NoteServer(fleet::Finding::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the stream ended within an event");
       return;
@@ -495,11 +550,13 @@
     if (aEnd == forward::AttemptEnd::NotSent) {
       ++mProgress.unsent;
     }
+    const bool unknownFault = mFault.empty();
     if (aEnd == forward::AttemptEnd::NotSent ||
-        aEnd == forward::AttemptEnd::Broken) {
+        (aEnd == forward::AttemptEnd::Broken && unknownFault)) {
       mFailed.insert(mHops.front().server);
     }
     LogAttempt(aEnd, aReason);
+    mFault.clear();
     DropServer();
     mEvents.Clear();
     auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
@@ -576,6 +633,7 @@
   void AnswerError(const Error& aError)
   {
     mError = AnswerFor(aError.kind).name;
+    mDetail = aError.detail;
     mCaller->Send(D::WriteRefusal(aError, KeepCaller()));
     FinishCaller(KeepCaller());
     End("refused");
@@ -602,6 +660,9 @@
     if (auto server = std::exchange(mServer, nullptr)) {
       server->Close();
     }
+    if (std::exchange(mWriting, false)) {
+      fleet::CountStream(mTraffic.fleet, mService->id, mHops, false);
+    }
     if (!mHops.empty()) {
       fleet::Release(mTraffic.fleet, mService->id, mHops, mTokens);
       mHops.clear();
@@ -661,7 +722,7 @@
       event.With("configuration", mRoutes->Source().number.Value());
     }
     if (!mError.empty()) {
-      event.With("error", mError);
+      event.With("error", mError).With("detail", mDetail);
     }
     event.With("servers", HopText())
       .With("sent", mProgress.sent)
@@ -706,6 +767,11 @@
   std::pair<wire::ResponseHead, std::string> mServerFailure;
   std::string mFault;
   std::string mError;
+  std::string mDetail;
+  /** Servers to which the request was sent. */
+  std::set<ServerId> mReceivers;
+  /** Whether events come by the present servers. */
+  bool mWriting{ false };
   std::function<void()> mDone;
   bool mEnded{ false };
 };
--- a/src/balsampoint/edge/traffic.hpp
+++ b/src/balsampoint/edge/traffic.hpp
@@ -10,6 +10,8 @@
 #include "balsampoint/runtime/steady_clock.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 
 namespace balsampoint::edge {
@@ -54,6 +56,22 @@
   /** @brief The time. */
   [[nodiscard]] static Instant Now() { return runtime::SteadyClock::Now(); }
 
+  /** @brief Told that a server is lost. */
+  using LossObserver = std::function<void(const ServerId&)>;
+
+  /**
+   * @brief Tells every request in progress that a server is lost.
+   * @param aServer The server.
+   */
+  void TellLost(const ServerId& aServer)
+  {
+    // An observer may end its request, which removes it from the map.
+    const auto observers = lossObservers;
+    for (const auto& [request, observer] : observers) {
+      observer(aServer);
+    }
+  }
+
   Loop& loop;
   ServerPool pool;
   fleet::State fleet;
@@ -62,6 +80,8 @@
   /** The configuration in force; null before the first. */
   std::shared_ptr<const routing::Table> routes;
   std::shared_ptr<const roster::View> servers;
+  /** By the address of the request in progress. */
+  std::map<const void*, LossObserver> lossObservers;
   /** Requests in progress. */
   std::uint32_t active{};
   std::uint32_t maxActive{ 1000 };
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -172,4 +172,29 @@
   aState.parent = {};
 }
 
+void
+HandleNumberHeard(State& aState, const NumberHeard& aEvent, Instant aNow)
+{
+  aState.seen = std::max(aState.seen, aEvent.number);
+  if (aEvent.number <= aState.content.number ||
+      aEvent.number < aState.newer.number) {
+    return;
+  }
+  const bool waiting = aState.newer.askAt != kNever;
+  aState.newer = { aEvent.host,
+                   aEvent.number,
+                   waiting ? aState.newer.askAt
+                           : aNow + aState.settings.fetchWait };
+}
+
+void
+FetchNewer(State& aState, Actions& aActions)
+{
+  aState.newer.askAt = kNever;
+  if (aState.newer.number > aState.content.number) {
+    aActions.emplace_back(
+      Send{ aState.newer.host, Fetch{ aState.content.number } });
+  }
+}
+
 } // namespace balsampoint::fanout
--- a/src/balsampoint/fanout/command/join.hpp
+++ b/src/balsampoint/fanout/command/join.hpp
@@ -52,4 +52,22 @@
 void
 HandleLeaderKnown(State& aState, const LeaderKnown& aEvent, Instant aNow);
 
+/**
+ * @brief Notes that a host has a newer configuration, to ask for it if the tree
+ * doesn't bring it.
+ * @param aState State to change.
+ * @param aEvent What was heard.
+ * @param aNow The time.
+ */
+void
+HandleNumberHeard(State& aState, const NumberHeard& aEvent, Instant aNow);
+
+/**
+ * @brief Asks a host for the newer configuration it has told of.
+ * @param aState State to change.
+ * @param aActions Receives the message.
+ */
+void
+FetchNewer(State& aState, Actions& aActions);
+
 } // namespace balsampoint::fanout
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -48,6 +48,14 @@
   {
     HandleAwaitInForce(state, aEvent, now, actions);
   }
+  void operator()(const NumberHeard& aEvent) const
+  {
+    HandleNumberHeard(state, aEvent, now);
+  }
+  void operator()(const SeedsKnown& aEvent) const
+  {
+    state.settings.seeds = aEvent.seeds;
+  }
   void operator()(const InForceRequest& aMessage) const
   {
     HandleInForceRequest(state, from, aMessage, now, actions);
@@ -113,6 +121,9 @@
       PublishWhenReady(aState, aNow, aActions);
     }
   }
+  if (aNow >= aState.newer.askAt) {
+    FetchNewer(aState, aActions);
+  }
   if (aNow >= aState.nextJoin) {
     JoinWhenLost(aState, aNow, aActions);
   }
--- a/src/balsampoint/fanout/query/next_deadline.cpp
+++ b/src/balsampoint/fanout/query/next_deadline.cpp
@@ -7,7 +7,10 @@
 Instant
 NextDeadline(const State& aState)
 {
-  return std::min({ aState.startDeadline, aState.nextJoin, aState.nextBeat });
+  return std::min({ aState.startDeadline,
+                    aState.nextJoin,
+                    aState.nextBeat,
+                    aState.newer.askAt });
 }
 
 } // namespace balsampoint::fanout
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -31,6 +31,8 @@
   Duration joinRetry{ std::chrono::milliseconds{ 500 } };
   /** Time that a starting host waits for all control hosts to answer. */
   Duration startWait{ std::chrono::seconds{ 2 } };
+  /** Time that the tree has to bring a configuration heard of elsewhere. */
+  Duration fetchWait{ std::chrono::milliseconds{ 300 } };
   /** Time between full reports. */
   Duration fullReport{ std::chrono::seconds{ 10 } };
   /** Time after which the leader forgets a host out of reach. */
@@ -88,6 +90,15 @@
   Instant deadline{};
 };
 
+/** @brief A host that has a newer configuration than this one. */
+struct NewerHost
+{
+  HostId host;
+  ChangeNumber number;
+  /** When it is asked for it, unless it has come by then. */
+  Instant askAt{ kNever };
+};
+
 /** @brief State of one host; the control thread owns it. */
 struct State
 {
@@ -114,6 +125,7 @@
   Instant nextJoin{ kNever };
   Instant nextBeat{ kNever };
   Instant nextFullReport{};
+  NewerHost newer;
   bool ready{ false };
 };
 
@@ -155,9 +167,27 @@
   Duration wait{};
 };
 
+/** @brief A host has told which configuration it has. */
+struct NumberHeard
+{
+  HostId host;
+  ChangeNumber number;
+};
+
+/** @brief Other control hosts than those of the settings can be asked. */
+struct SeedsKnown
+{
+  std::vector<HostId> seeds;
+};
+
 /** @brief Everything that a host reacts to. */
-using Event =
-  std::variant<Received, Accepted, LeaderKnown, Published, AwaitInForce>;
+using Event = std::variant<Received,
+                           Accepted,
+                           LeaderKnown,
+                           Published,
+                           AwaitInForce,
+                           NumberHeard,
+                           SeedsKnown>;
 
 /** @brief Hands a message to the transport. */
 struct Send
--- /dev/null
+++ b/src/balsampoint/fleet/command/note_test.cpp
@@ -0,0 +1,21 @@
+#include "balsampoint/fleet/command/note_test.hpp"
+
+namespace balsampoint::fleet {
+
+void
+NoteTest(State& aState,
+         const ServiceId& aService,
+         const ServerId& aServer,
+         Instant aNow)
+{
+  const auto group = aState.groups.find(aService);
+  if (group == aState.groups.end()) {
+    return;
+  }
+  const auto server = group->second.servers.find(aServer);
+  if (server != group->second.servers.end()) {
+    server->second.testedAt = aNow;
+  }
+}
+
+} // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -37,8 +37,7 @@
      Finding aFinding,
      Instant aNow)
 {
-  const auto failed =
-    aFinding == Finding::Failed || aFinding == Finding::Lost ? 1.0 : 0.0;
+  const auto failed = aFinding == Finding::Answered ? 0.0 : 1.0;
   if (aFinding != Finding::Full) {
     aServer.failureRate += aSettings.failureWeight *
                            (failed - aServer.failureRate);
@@ -46,14 +45,20 @@
   switch (aFinding) {
     case Finding::Answered:
       aServer.faults = 0;
+      aServer.broken = 0;
       break;
     case Finding::Full:
       aServer.avoidUntil =
         std::max(aServer.avoidUntil, aNow + aSettings.fullAvoidance);
       break;
-    case Finding::Lost:
+    case Finding::Unreachable:
       Avoid(aSettings, aServer, aNow);
       break;
+    case Finding::Broken:
+      if (++aServer.broken >= aSettings.brokenToAvoid) {
+        Avoid(aSettings, aServer, aNow);
+      }
+      break;
     case Finding::Failed:
       break;
   }
@@ -98,6 +103,46 @@
   }
 }
 
+void
+NoteEvent(State& aState,
+          const ServiceId& aService,
+          std::span<const Hop> aHops,
+          std::optional<Duration> aInterval,
+          Instant aNow)
+{
+  constexpr double kNewest = 0.1;
+  for (const auto& hop : aHops) {
+    auto* server = Find(aState, aService, hop);
+    if (server == nullptr) {
+      continue;
+    }
+    server->progressAt = aNow;
+    if (aInterval) {
+      const std::chrono::duration<double, std::milli> interval = *aInterval;
+      server->eventMs += kNewest * (interval.count() - server->eventMs);
+    }
+  }
+}
+
+void
+CountStream(State& aState,
+            const ServiceId& aService,
+            std::span<const Hop> aHops,
+            bool aWrites)
+{
+  for (const auto& hop : aHops) {
+    auto* server = Find(aState, aService, hop);
+    if (server == nullptr) {
+      continue;
+    }
+    if (aWrites) {
+      ++server->streams;
+    } else {
+      server->streams -= std::min(server->streams, 1U);
+    }
+  }
+}
+
 void
 Note(State& aState,
      const ServiceId& aService,
--- a/src/balsampoint/fleet/command/track_work.hpp
+++ b/src/balsampoint/fleet/command/track_work.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/fleet/state.hpp"
 
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -15,8 +16,10 @@
   Failed,
   /** It said that it has no room or gives up its part. */
   Full,
-  /** It can't be reached or broke off. */
-  Lost,
+  /** It broke off. */
+  Broken,
+  /** It can't be reached. */
+  Unreachable,
 };
 
 /**
@@ -45,6 +48,34 @@
         std::span<const Hop> aHops,
         double aTokens);
 
+/**
+ * @brief Notes that an event of a stream has passed through servers.
+ * @param aState State to change.
+ * @param aService The service.
+ * @param aHops The servers.
+ * @param aInterval Time since the event before; absent for the first.
+ * @param aNow The time.
+ */
+void
+NoteEvent(State& aState,
+          const ServiceId& aService,
+          std::span<const Hop> aHops,
+          std::optional<Duration> aInterval,
+          Instant aNow);
+
+/**
+ * @brief Notes that a stream writes, or writes no longer.
+ * @param aState State to change.
+ * @param aService The service.
+ * @param aHops The servers that it passes through.
+ * @param aWrites Whether it begins to write.
+ */
+void
+CountStream(State& aState,
+            const ServiceId& aService,
+            std::span<const Hop> aHops,
+            bool aWrites);
+
 /**
  * @brief Notes how a server did, so that the next choice knows.
  * @param aState State to change.
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -93,6 +93,13 @@
     return false;
   }
 
+  bool MayReceive(const Server& aServer) const
+  {
+    const auto& receivers = mDemand.receivers;
+    return aServer.Sent() < aServer.claim.description.slots &&
+           (receivers.empty() || receivers.contains(aServer.claim.server));
+  }
+
   void Extend(std::uint32_t aLayer, const Server& aServer)
   {
     const auto& held = *aServer.claim.description.layers;
@@ -100,7 +107,7 @@
         Passes(aLayer, aServer)) {
       return;
     }
-    if (aLayer == 0 && aServer.Sent() >= aServer.claim.description.slots) {
+    if (aLayer == 0 && !MayReceive(aServer)) {
       return;
     }
     const auto fixed = HopMs(aLayer, aServer) + WaitMs(aServer);
--- a/src/balsampoint/fleet/query/choose_chain.hpp
+++ b/src/balsampoint/fleet/query/choose_chain.hpp
@@ -17,6 +17,8 @@
   double answerTokens{};
   /** Servers that have failed the request. */
   std::set<ServerId> failed;
+  /** The servers to which it may be sent; empty for any. */
+  std::set<ServerId> receivers;
 };
 
 /**
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -24,12 +24,16 @@
 
 /** @brief Servers of a group that may take a request. */
 std::vector<const Server*>
-Candidates(const Group& aGroup, const std::set<ServerId>& aFailed, Instant aNow)
+Candidates(const Group& aGroup,
+           const std::set<ServerId>& aFailed,
+           const std::set<ServerId>& aReceivers,
+           Instant aNow)
 {
   std::vector<const Server*> all;
   std::vector<const Server*> sound;
   for (const auto& [id, server] : aGroup.servers) {
-    if (!server.ready || aFailed.contains(id)) {
+    const bool mayReceive = aReceivers.empty() || aReceivers.contains(id);
+    if (!server.ready || !mayReceive || aFailed.contains(id)) {
       continue;
     }
     all.push_back(&server);
@@ -47,6 +51,7 @@
 ChooseServer(const State& aState,
              const ServiceId& aService,
              const std::set<ServerId>& aFailed,
+             const std::set<ServerId>& aReceivers,
              std::uint64_t aDraw,
              Instant aNow)
 {
@@ -54,7 +59,7 @@
   if (group == aState.groups.end()) {
     return Refuse(ErrorKind::NoServer, "the service has no servers");
   }
-  const auto candidates = Candidates(group->second, aFailed, aNow);
+  const auto candidates = Candidates(group->second, aFailed, aReceivers, aNow);
   if (candidates.empty()) {
     return Refuse(ErrorKind::NoServer, "no server of the service is ready");
   }
--- a/src/balsampoint/fleet/query/choose_server.hpp
+++ b/src/balsampoint/fleet/query/choose_server.hpp
@@ -13,6 +13,7 @@
  * @param aState State to read.
  * @param aService The service.
  * @param aFailed Servers that have failed the request.
+ * @param aReceivers Servers to which it may be sent; empty for any.
  * @param aDraw A random number, which decides between equals.
  * @param aNow The time.
  * @return The server as a hop without layers, or `ErrorKind::NoServer`.
@@ -21,6 +22,7 @@
 ChooseServer(const State& aState,
              const ServiceId& aService,
              const std::set<ServerId>& aFailed,
+             const std::set<ServerId>& aReceivers,
              std::uint64_t aDraw,
              Instant aNow);
 
--- /dev/null
+++ b/src/balsampoint/fleet/query/silent_servers.cpp
@@ -0,0 +1,52 @@
+#include "balsampoint/fleet/query/silent_servers.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace balsampoint::fleet {
+
+namespace {
+
+/** Pauses, in usual times between events, that are normal for many streams. */
+constexpr double kManyStreams = 1.6;
+/** Added for one stream; divided by their number for more. */
+constexpr double kOneStream = 2.5;
+constexpr double kLeastMs = 70.0;
+/** Time after a test in which a server isn't tested again. */
+constexpr Duration kTestPause = std::chrono::milliseconds{ 250 };
+
+bool
+IsSilent(const Server& aServer, Instant aNow)
+{
+  if (aServer.streams == 0 || aServer.progressAt == Instant::min() ||
+      aServer.avoidUntil > aNow) {
+    return false;
+  }
+  if (aServer.testedAt != Instant::min() &&
+      aNow - aServer.testedAt < kTestPause) {
+    return false;
+  }
+  const auto usual =
+    aServer.eventMs * (kManyStreams + kOneStream / aServer.streams);
+  const std::chrono::duration<double, std::milli> pause =
+    aNow - aServer.progressAt;
+  return pause.count() > std::max(kLeastMs, usual);
+}
+
+} // namespace
+
+std::vector<SilentServer>
+SilentServers(const State& aState, Instant aNow)
+{
+  std::vector<SilentServer> silent;
+  for (const auto& [service, group] : aState.groups) {
+    for (const auto& [id, server] : group.servers) {
+      if (IsSilent(server, aNow)) {
+        silent.push_back({ service, id, server.claim.description.address });
+      }
+    }
+  }
+  return silent;
+}
+
+} // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -29,6 +29,8 @@
   Duration longestAvoidance{ std::chrono::seconds{ 8 } };
   /** How long a server without room is left out. */
   Duration fullAvoidance{ std::chrono::milliseconds{ 150 } };
+  /** Answers in a row that break off before a server is left out. */
+  std::uint32_t brokenToAvoid{ 3 };
   /** Weight of the newest outcome in a server's rate of failures. */
   double failureWeight{ 0.15 };
 };
@@ -61,8 +63,18 @@
   Work others;
   /** Part of the newest requests that failed. */
   double failureRate{};
-  /** Faults without a good answer in between. */
+  /** Times it was left out without a good answer in between. */
   std::uint32_t faults{};
+  /** Answers that broke off in a row. */
+  std::uint32_t broken{};
+  /** Own streams that write through it. */
+  std::uint32_t streams{};
+  /** When the last event of an own stream passed through it. */
+  Instant progressAt{ Instant::min() };
+  /** Usual time between two events of a stream through it, in ms. */
+  double eventMs{ 60.0 };
+  /** When it last took a connection that was made to test it. */
+  Instant testedAt{ Instant::min() };
   Instant avoidUntil{ Instant::min() };
 
   /** @brief Requests that pass through it. */
--- a/src/balsampoint/forward/retry_budget.cpp
+++ b/src/balsampoint/forward/retry_budget.cpp
@@ -1,7 +1,20 @@
 #include "balsampoint/forward/retry_budget.hpp"
 
+#include <algorithm>
+
 namespace balsampoint::forward {
 
+void
+RetryBudget::ShareAmong(std::uint32_t aHosts)
+{
+  /** Room for hosts that are added or not yet known. */
+  constexpr double kRoom = 1.5;
+  // A host that has just started may not know most of the others yet.
+  constexpr std::uint32_t kFewest = 4;
+  mMostHosts = std::max({ mMostHosts, aHosts, kFewest });
+  mAllowance.hosts = mMostHosts * kRoom;
+}
+
 void
 RetryBudget::CountRequest(const ServiceId& aService, Instant aNow)
 {
--- a/src/balsampoint/forward/retry_budget.hpp
+++ b/src/balsampoint/forward/retry_budget.hpp
@@ -16,7 +16,7 @@
   double ratio{ 0.2 };
   /** Retries beyond these in a window, of all hosts together. */
   double extra{ 0.0 };
-  /** Hosts among which `extra` is divided. */
+  /** Hosts among which `extra` is divided while their number isn't known. */
   double hosts{ 64.0 };
   Duration window{ std::chrono::seconds{ 10 } };
 };
@@ -39,6 +39,15 @@
   {
   }
 
+  /**
+   * @brief Divides the extra retries by the hosts known to share them.
+   *
+   * The largest number ever known counts, since hosts out of sight may go on,
+   * with room for hosts that were added since.
+   * @param aHosts Hosts that share them now, this one included.
+   */
+  void ShareAmong(std::uint32_t aHosts);
+
   /**
    * @brief Counts the first attempt of a request.
    * @param aService The service.
@@ -71,6 +80,7 @@
   [[nodiscard]] std::int64_t NumberAt(Instant aNow) const;
 
   RetryAllowance mAllowance;
+  std::uint32_t mMostHosts{};
   std::map<ServiceId, Parts> mServices;
 };
 
--- a/src/balsampoint/forward/verdict.cpp
+++ b/src/balsampoint/forward/verdict.cpp
@@ -35,10 +35,8 @@
 Verdict
 Decide(const Progress& aProgress, AttemptEnd aEnd, Instant aNow)
 {
-  const bool left = aEnd == AttemptEnd::NotSent
-                      ? aProgress.unsent < kMaxUnsent &&
-                          aProgress.sent < aProgress.maxSent
-                      : aProgress.sent < aProgress.maxSent;
+  const bool left =
+    aProgress.unsent < kMaxUnsent && aProgress.sent < kMaxSent;
   const bool time = aNow + kLeastTime < aProgress.deadline;
   if (!left || !time || !MayRunAgain(aProgress)) {
     return GiveUp(aProgress, aEnd);
--- a/src/balsampoint/forward/verdict.hpp
+++ b/src/balsampoint/forward/verdict.hpp
@@ -24,9 +24,8 @@
 struct Progress
 {
   routing::RequestKind kind{ routing::RequestKind::NonIdempotent };
-  /** Servers to which the request was sent. */
+  /** Times that the request was sent to a server. */
   std::uint32_t sent{};
-  std::uint32_t maxSent{ 1 };
   /** Connections that failed before anything was sent. */
   std::uint32_t unsent{};
   /** Whether a server may have begun to run it. */
@@ -55,6 +54,8 @@
 
 /** @brief Connections that may fail before a request is given up. */
 inline constexpr std::uint32_t kMaxUnsent = 4;
+/** @brief Times that one request is sent to servers at most. */
+inline constexpr std::uint32_t kMaxSent = 4;
 /** @brief Time below which no further attempt is made. */
 inline constexpr Duration kLeastTime = std::chrono::milliseconds{ 20 };
 
--- a/src/balsampoint/peer/roster_codec.cpp
+++ b/src/balsampoint/peer/roster_codec.cpp
@@ -89,6 +89,7 @@
     update.source = ToWire(aMessage.source);
     update.base = static_cast<std::int64_t>(aMessage.base);
     update.version = static_cast<std::int64_t>(aMessage.version);
+    update.configuration = ToWire(aMessage.configuration);
     for (const auto& claim : aMessage.claims) {
       update.claims.push_back(ToWire(claim));
     }
@@ -107,7 +108,9 @@
   roster::Update update{ .source = FromWire<Incarnation>(aUpdate.source),
                          .base = static_cast<std::uint64_t>(aUpdate.base),
                          .version =
-                           static_cast<std::uint64_t>(aUpdate.version) };
+                           static_cast<std::uint64_t>(aUpdate.version),
+                         .configuration =
+                           FromWire<ChangeNumber>(aUpdate.configuration) };
   for (const auto& encoded : aUpdate.claims) {
     auto claim = ReadClaim(encoded);
     if (!claim) {
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -121,6 +121,7 @@
 {
   Connection connection{ aPeer.address };
   Instant retryAt{};
+  bool reachable = true;
   aPeer.queue.Consume([&](const generated::Frame& aFrame) {
     if (aPeer.queue.Closed() || runtime::SteadyClock::Now() < retryAt) {
       ++mDropped;
@@ -128,8 +129,14 @@
     }
     if (connection.Deliver(aFrame)) {
       mSentBytes += aFrame.body.size();
+      if (!std::exchange(reachable, true)) {
+        spdlog::info("peer {} is reached again", aFrame.recipient);
+      }
       return;
     }
+    if (std::exchange(reachable, false)) {
+      spdlog::warn("peer {} can't be reached", aFrame.recipient);
+    }
     ++mDropped;
     retryAt = runtime::SteadyClock::Now() + kReconnectPause;
   });
--- a/src/balsampoint/roster/command/share.cpp
+++ b/src/balsampoint/roster/command/share.cpp
@@ -28,7 +28,8 @@
   Update update{ .source = aState.settings.incarnation,
                  .base = aBase,
                  .version = aState.version,
-                 .controls = LiveControls(aState, aNow) };
+                 .controls = LiveControls(aState, aNow),
+                 .configuration = aState.configuration };
   for (const auto& [id, heard] : aState.heard) {
     if (heard.version > aBase) {
       update.claims.push_back(heard.claim);
@@ -76,13 +77,15 @@
 PushChanges(State& aState, Instant aNow, Actions& aActions)
 {
   for (auto& [host, subscriber] : aState.subscribers) {
-    if (subscriber.sent >= aState.version ||
-        aNow - subscriber.heardAt > aState.settings.hostSilence) {
+    const bool told = subscriber.sent >= aState.version &&
+                      subscriber.told >= aState.configuration;
+    if (told || aNow - subscriber.heardAt > aState.settings.hostSilence) {
       continue;
     }
     aActions.emplace_back(
       Send{ host, MakeUpdate(aState, subscriber.sent, aNow) });
     subscriber.sent = aState.version;
+    subscriber.told = aState.configuration;
   }
 }
 
@@ -102,7 +105,11 @@
   if (subscriber.address != aMessage.address) {
     aActions.emplace_back(Reach{ aFrom, aMessage.address });
   }
-  subscriber = { aNow, aMessage.hears, aMessage.address, aState.version };
+  subscriber = { aNow,
+                 aMessage.hears,
+                 aMessage.address,
+                 aState.version,
+                 aState.configuration };
   if (aMessage.hears && aFrom != aState.settings.self) {
     LearnControls(aState, { { aFrom, aMessage.address } }, aActions);
   }
@@ -133,6 +140,7 @@
   for (const auto& claim : aMessage.claims) {
     internal::Merge(aState, claim, aFrom, aNow);
   }
+  aActions.emplace_back(ConfigurationHeard{ aFrom, aMessage.configuration });
   source.have = std::max(source.have, aMessage.version);
   LearnControls(aState, aMessage.controls, aActions);
 }
--- a/src/balsampoint/roster/message.hpp
+++ b/src/balsampoint/roster/message.hpp
@@ -44,6 +44,8 @@
   std::vector<Claim> claims;
   /** Control hosts that the sender hears, itself included. */
   std::vector<ControlHost> controls;
+  /** Newest configuration that the sender has. */
+  ChangeNumber configuration;
 
   bool operator==(const Update&) const = default;
 };
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -29,6 +29,10 @@
   {
     HandleSignedOff(state, aEvent, now);
   }
+  void operator()(const ConfigurationKnown& aEvent) const
+  {
+    state.configuration = std::max(state.configuration, aEvent.number);
+  }
   void operator()(const Received& aEvent)
   {
     from = aEvent.from;
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -73,6 +73,8 @@
   std::string address;
   /** Version of this host's claims sent to it. */
   std::uint64_t sent{};
+  /** Newest configuration it was told of. */
+  ChangeNumber told;
 };
 
 /** @brief The roster of one host; the control thread owns it. */
@@ -86,6 +88,8 @@
   std::map<ServerId, Heard> heard;
   std::uint64_t version{};
   std::map<HostId, Subscriber> subscribers;
+  /** Newest configuration that this host has. */
+  ChangeNumber configuration;
   Instant nextTick{};
   Instant nextRenewal{};
   Instant lastTick{ kNever };
@@ -114,8 +118,15 @@
   Message message;
 };
 
+/** @brief This host has a newer configuration. */
+struct ConfigurationKnown
+{
+  ChangeNumber number;
+};
+
 /** @brief What the roster reacts to. */
-using Event = std::variant<Heartbeat, SignedOff, Received>;
+using Event =
+  std::variant<Heartbeat, SignedOff, Received, ConfigurationKnown>;
 
 /** @brief Replaces the view that others read. */
 struct Publish
@@ -137,8 +148,15 @@
   Message message;
 };
 
+/** @brief Says which configuration a control host has. */
+struct ConfigurationHeard
+{
+  HostId host;
+  ChangeNumber number;
+};
+
 /** @brief What the roster asks of the daemon. */
-using Action = std::variant<Publish, Reach, Send>;
+using Action = std::variant<Publish, Reach, Send, ConfigurationHeard>;
 
 /** @brief Collects what a command asks of the daemon. */
 using Actions = std::vector<Action>;
--- a/thrift/roster.thrift
+++ b/thrift/roster.thrift
@@ -36,6 +36,7 @@
   3: required i64 version
   4: required list<RosterClaim> claims
   5: required list<RosterControlHost> controls
+  6: required i64 configuration
 }
 
 union RosterMessage {
