Keep chains within a zone

Change: a change of zone costs a chain 60 ms, a zone's fast engines make up its whole copy, slow ones hold layers once more in the same zone, and a refused stream is told to come back after 2 s.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -587,7 +587,8 @@
       case forward::Verdict::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
-        aError.retryAfter = kNoServerRetry;
+        aError.retryAfter =
+          mService->engine ? kEngineRetry : kPlainRetry;
         RefuseWith(aError);
         return;
       case forward::Verdict::Fail:
@@ -737,7 +738,10 @@
   /** When to come back to a host that has just started. */
   static constexpr Duration kStartRetry = std::chrono::milliseconds{ 500 };
   static constexpr Duration kOverloadRetry = std::chrono::milliseconds{ 300 };
-  static constexpr Duration kNoServerRetry = std::chrono::milliseconds{ 200 };
+  /** Time in which some of the streams in progress end and leave room. */
+  static constexpr Duration kEngineRetry = std::chrono::milliseconds{ 2000 };
+  /** A few times the usual time of a call of a plain service. */
+  static constexpr Duration kPlainRetry = std::chrono::milliseconds{ 100 };
 
   Traffic& mTraffic;
   std::shared_ptr<Caller> mCaller;
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -127,9 +127,12 @@
   {
     const auto& zone = aServer.claim.description.zone;
     const auto* before = mSteps[aLayer].server;
-    const auto& last =
-      before == nullptr ? mSettings.zone : before->claim.description.zone;
-    return mSettings.hopMs + (last == zone ? 0.0 : mSettings.zoneChangeMs);
+    if (before == nullptr) {
+      return mSettings.hopMs +
+             (zone == mSettings.zone ? 0.0 : mSettings.farEntryMs);
+    }
+    const bool sameZone = zone == before->claim.description.zone;
+    return mSettings.hopMs + (sameZone ? 0.0 : mSettings.zoneChangeMs);
   }
 
   /** Half of the pass that is under way when a token arrives. */
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -18,8 +18,11 @@
 struct Settings
 {
   ZoneId zone;
-  /** Added to the time of an event for each change of zone, in ms. */
-  double zoneChangeMs{ 4.0 };
+  /** Added to the time of an event for each change of zone in a chain, in ms:
+   * all transfers between two zones share one link, which is soon full. */
+  double zoneChangeMs{ 60.0 };
+  /** Added where the first server is in another zone than this host, in ms. */
+  double farEntryMs{ 3.0 };
   /** Added to the time of an event for each server, in ms. */
   double hopMs{ 0.6 };
   /** Part of a server's KV that is given out at most. */
--- a/src/balsampoint/placement/query/plan_all.cpp
+++ b/src/balsampoint/placement/query/plan_all.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace balsampoint::placement {
 
@@ -84,6 +85,18 @@
   }
 }
 
+/** @brief Lays engines from the first layer on, as far as they reach. */
+void
+LayOutPart(const Group& aGroup, const LayerNeed& aNeed, Plan& aPlan)
+{
+  if (aGroup.empty()) {
+    return;
+  }
+  const auto layers =
+    static_cast<std::uint32_t>(MemoryOf(aGroup) / PerLayerMb(aNeed));
+  LayOut(aGroup, 0, std::clamp(layers, 1U, aNeed.layers), aNeed, aPlan);
+}
+
 /** @brief Splits a zone's engines into whole copies and what is left. */
 class ZoneSplit
 {
@@ -91,8 +104,10 @@
   ZoneSplit(Group aEngines, const LayerNeed& aNeed)
     : mNeed{ aNeed }
   {
+    // Fast engines make up the whole copies; slow ones stand by.
     std::ranges::stable_sort(aEngines, [](const auto* aOne, const auto* aTwo) {
-      return aOne->memoryMb > aTwo->memoryMb;
+      return std::pair{ aOne->stepFactor, -aOne->memoryMb } <
+             std::pair{ aTwo->stepFactor, -aTwo->memoryMb };
     });
     const auto memory = MemoryOf(aEngines);
     auto copies =
@@ -117,7 +132,7 @@
     return most >= mNeed.layers;
   }
 
-  /** Large engines first, each to the copy that has the least memory. */
+  /** Each engine goes to the copy that has the least memory. */
   void Distribute(const Group& aEngines, std::size_t aCopies)
   {
     if (aCopies == 0) {
@@ -162,20 +177,19 @@
     }
   }
   Plan plan;
-  Group rest;
+  Group shared;
   for (const auto& [zone, engines] : zones) {
     const ZoneSplit split{ engines, aNeed };
     for (const auto& copy : split.Copies()) {
       LayOut(copy, 0, aNeed.layers, aNeed, plan);
     }
-    rest.insert(rest.end(), split.Rest().begin(), split.Rest().end());
-  }
-  const auto shared = static_cast<std::uint32_t>(
-    MemoryOf(rest) / PerLayerMb(aNeed));
-  if (!rest.empty()) {
-    LayOut(
-      rest, 0, std::clamp(shared, 1U, aNeed.layers), aNeed, plan);
+    if (split.Copies().empty()) {
+      shared.insert(shared.end(), split.Rest().begin(), split.Rest().end());
+    } else {
+      LayOutPart(split.Rest(), aNeed, plan);
+    }
   }
+  LayOutPart(shared, aNeed, plan);
   return plan;
 }
 
--- a/src/balsampoint/placement/query/plan_all.hpp
+++ b/src/balsampoint/placement/query/plan_all.hpp
@@ -7,13 +7,14 @@
 namespace balsampoint::placement {
 
 /** @brief Requests for whose KV each copy of the model leaves room. */
-inline constexpr double kRequestsPerCopy = 140.0;
+inline constexpr double kRequestsPerCopy = 150.0;
 
 /**
  * @brief Places a model on engines that hold nothing.
  *
- * Each zone with memory for it gets whole copies, so that it can serve alone;
- * what is left in the zones forms one more copy together.
+ * Each zone with memory for it gets whole copies, so that it can serve alone
+ * and chains don't cross between zones; what is left in a zone holds the first
+ * layers once more. Zones without a whole copy form copies together.
  * @param aEngines The engines.
  * @param aNeed What a layer needs.
  * @return A range for every engine that can hold a layer.
--- a/src/balsampoint/placement/state.hpp
+++ b/src/balsampoint/placement/state.hpp
@@ -20,7 +20,7 @@
   /** Time without a new engine after which the first plan is made. */
   Duration settle{ std::chrono::milliseconds{ 1300 } };
   /** Time that a lost engine may come back before others take its part. */
-  Duration lossPatience{ std::chrono::seconds{ 3 } };
+  Duration lossPatience{ std::chrono::milliseconds{ 1500 } };
   /** Time for the answer to an order. */
   Duration answerLimit{ std::chrono::milliseconds{ 800 } };
   /** Time after which an order that shows no effect is looked into. */
