--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -17,6 +17,7 @@
 #include "balsampoint/peer/sender.hpp"
 #include "balsampoint/runtime/entropy.hpp"
 #include "balsampoint/trace/event.hpp"
+#include "balsampoint/trace/log.hpp"
 #include "balsampoint/traffic/control_gate.hpp"
 
 #include <Poco/DigestEngine.h>
@@ -239,10 +240,22 @@
     return { ready ? kOk : kUnavailable, {} };
   }
 
-  edge::StatusPort::Status MetricsStatus() const
+  edge::StatusPort::Status MetricsStatus()
   {
     constexpr std::uint16_t kOk = 200;
-    return { kOk, {} };
+    auto& metrics = mTraffic.metrics;
+    if (mTraffic.routes) {
+      metrics.Set(
+        trace::Level::ChangeNumber,
+        static_cast<double>(mTraffic.routes->Source().number.Value()));
+    }
+    if (mTraffic.servers) {
+      metrics.Set(trace::Level::LiveServers,
+                  static_cast<double>(mTraffic.servers->servers.size()));
+    }
+    metrics.Set(trace::Level::DroppedLines,
+                static_cast<double>(trace::DroppedLines()));
+    return { kOk, metrics.Text() };
   }
 
   void TakeServers(std::shared_ptr<const roster::View> aView)
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -48,7 +48,6 @@
     , mStartedAt{ Traffic::Now() }
   {
     ++mTraffic.active;
-    ++mTraffic.counts.requests;
   }
 
   BasicExchange(const BasicExchange&) = delete;
@@ -77,7 +76,7 @@
         }
       };
     if (auto admitted = Admit(); !admitted) {
-      RefuseWith(admitted.error());
+      AnswerError(admitted.error());
       return;
     }
     SetDeadline();
@@ -91,7 +90,7 @@
     if (mEnded) {
       return;
     }
-    ++mTraffic.counts.callersGone;
+    mTraffic.metrics.Add(trace::Outcome::CallerGone);
     End("caller_gone");
   }
 
@@ -404,7 +403,7 @@
       bytes += aBody;
     }
     mCaller->Send(bytes);
-    ++mTraffic.counts.answered;
+    mTraffic.metrics.Add(trace::Outcome::Complete);
     FinishCaller(KeepCaller());
     if (mServer) {
       mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
@@ -472,6 +471,7 @@
     }
     const auto now = Traffic::Now();
     NoteProgress(now);
+    mTraffic.metrics.Record(trace::Timing::BetweenTokens, now - mLastEventAt);
     mLongestPause = std::max(mLongestPause, now - mLastEventAt);
     mLastEventAt = now;
     mCaller->Send(aBytes);
@@ -521,6 +521,8 @@
   {
     mProgress.answering = true;
     mFirstEventAt = Traffic::Now();
+    mTraffic.metrics.Record(trace::Timing::FirstToken,
+                            mFirstEventAt - mStartedAt);
     mLastEventAt = mFirstEventAt;
     mCaller->Send(
       MakeAnswerHead(mServer->Answer().Response(),
@@ -544,7 +546,7 @@
     if (UsesChunks()) {
       mCaller->Send(wire::kLastChunk);
     }
-    ++mTraffic.counts.answered;
+    mTraffic.metrics.Add(trace::Outcome::Complete);
     FinishCaller(UsesChunks() && KeepCaller());
     mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
     End("answered");
@@ -595,11 +597,10 @@
   {
     switch (aVerdict) {
       case forward::Verdict::Resume:
-        ++mTraffic.counts.resumes;
+        mTraffic.metrics.Add(trace::Count::Recoveries);
         Attempt();
         return;
       case forward::Verdict::Retry:
-        ++mTraffic.counts.retries;
         Attempt();
         return;
       case forward::Verdict::PassOn:
@@ -609,17 +610,16 @@
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
         aError.retryAfter = mService->engine ? kEngineRetry : kPlainRetry;
-        RefuseWith(aError);
+        AnswerError(aError);
         return;
       case forward::Verdict::Fail:
         aError.kind = ErrorKind::BackendFailed;
         aError.executed = Executed::Unknown;
         aError.retryAfter = {};
-        ++mTraffic.counts.failed;
         AnswerError(aError);
         return;
       case forward::Verdict::Cut:
-        ++mTraffic.counts.cut;
+        mTraffic.metrics.Add(trace::Outcome::Broken);
         CutCaller();
         End("cut");
         return;
@@ -632,7 +632,7 @@
       return;
     }
     if (mProgress.answering) {
-      ++mTraffic.counts.cut;
+      mTraffic.metrics.Add(trace::Outcome::Broken);
       CutCaller();
       End("cut_at_deadline");
       return;
@@ -640,18 +640,13 @@
     auto error = MakeError(mProgress.maybeRun ? ErrorKind::DeadlineExceeded
                                               : ErrorKind::NoServer,
                            "no answer came before the deadline");
-    ++mTraffic.counts.failed;
     AnswerError(error);
   }
 
-  void RefuseWith(const Error& aError)
-  {
-    ++mTraffic.counts.refused;
-    AnswerError(aError);
-  }
-
   void AnswerError(const Error& aError)
   {
+    mTraffic.metrics.Add(trace::Outcome::Refused);
+    mTraffic.metrics.Add(aError.kind);
     mError = AnswerFor(aError.kind).name;
     mDetail = aError.detail;
     mCaller->Send(D::WriteRefusal(aError, KeepCaller()));
@@ -693,6 +688,8 @@
   {
     mEnded = true;
     mDeadline.Clear();
+    mTraffic.metrics.Record(trace::Timing::Request,
+                            Traffic::Now() - mStartedAt);
     LogEnd(aHow);
     DropServer();
     mCaller = nullptr;
--- a/src/balsampoint/edge/traffic.hpp
+++ b/src/balsampoint/edge/traffic.hpp
@@ -8,6 +8,7 @@
 #include "balsampoint/roster/view.hpp"
 #include "balsampoint/routing/table.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
+#include "balsampoint/trace/metrics.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -16,19 +17,6 @@
 
 namespace balsampoint::edge {
 
-/** @brief What happened to requests since the start. */
-struct TrafficCounts
-{
-  std::uint64_t requests{};
-  std::uint64_t answered{};
-  std::uint64_t refused{};
-  std::uint64_t failed{};
-  std::uint64_t cut{};
-  std::uint64_t callersGone{};
-  std::uint64_t retries{};
-  std::uint64_t resumes{};
-};
-
 /** @brief What all requests of one traffic thread share. */
 struct Traffic
 {
@@ -87,7 +75,7 @@
   std::uint32_t maxActive{ 1000 };
   /** Set by a planned stop. */
   bool draining{ false };
-  TrafficCounts counts;
+  trace::Metrics metrics;
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -29,7 +29,8 @@
 constexpr std::array kLevels{
   Name{ "balsampoint_live_servers", "Backend servers with a lease." },
   Name{ "balsampoint_change_number", "Configuration in force on the host." },
-  Name{ "balsampoint_dropped_spans", "Spans that were not written." }
+  Name{ "balsampoint_dropped_spans", "Spans that were not written." },
+  Name{ "balsampoint_dropped_lines", "Lines of the log not written." }
 };
 
 prometheus::Histogram::BucketBoundaries
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -40,6 +40,7 @@
   LiveServers,
   ChangeNumber,
   DroppedSpans,
+  DroppedLines,
 };
 
 /** @brief Events that are only counted. */
--- a/test/balsampoint/consensus/members_test.cpp
+++ b/test/balsampoint/consensus/members_test.cpp
@@ -192,3 +192,32 @@
   cr_assert(Holds(Voters(group, leader), kSpare));
   cr_assert_not(Holds(Voters(group, leader), old));
 }
+
+Test(members, a_restarted_host_knows_the_group_without_its_settings)
+{
+  Group group{ 3, 0, 31 };
+  const auto leader = group.Elect();
+  cr_assert(group.Commit(leader, "one").done);
+  group.Run(seconds{ 1 });
+  for (const auto& [id, host] : group.hosts) {
+    Actions actions;
+    auto started =
+      Module::Start({ .self = id }, *host.store.Load(), 1, Instant{}, actions);
+    cr_assert(started.has_value());
+    cr_assert_eq(started->members.members.size(), 3U);
+  }
+}
+
+Test(members, the_group_grows_to_the_voters_that_it_needs)
+{
+  Group group{ 3, 2, 32 };
+  for (auto& [id, host] : group.hosts) {
+    host.state.settings.voters = 5;
+  }
+  const auto leader = group.Elect();
+  group.Handle(leader,
+               SparesKnown{ { { kSpare, ZoneId{ "zone-0" } },
+                              { HostId{ "e" }, ZoneId{ "zone-1" } } } });
+  group.Run(seconds{ 10 });
+  cr_assert_eq(Voters(group, group.Leader()).size(), 5U);
+}
--- a/test/balsampoint/fanout/module_test.cpp
+++ b/test/balsampoint/fanout/module_test.cpp
@@ -167,3 +167,36 @@
     cr_assert(tree.Describe(Tree::Name(0)).Everywhere(ChangeNumber{ 40 }));
   }
 }
+
+Test(fanout, a_newer_configuration_heard_of_elsewhere_is_fetched_there)
+{
+  using namespace std::chrono_literals;
+  constexpr Instant kNow{ 1h };
+  State state = Module::Start(
+    { .self = { .host = HostId{ "entry" } }, .seeds = { HostId{ "c1" } } },
+    kNow);
+  const auto count = [](const Actions& aActions, std::string_view aHost) {
+    return std::ranges::count_if(aActions, [&](const Action& aAction) {
+      const auto* send = std::get_if<Send>(&aAction);
+      return send != nullptr && send->to.Value() == aHost &&
+             std::holds_alternative<Fetch>(send->message);
+    });
+  };
+  Actions actions;
+  const NumberHeard heard{ HostId{ "c2" }, ChangeNumber{ 28 } };
+  Module::Handle(state, heard, kNow, actions);
+  Module::Tick(state, kNow + 100ms, actions);
+  cr_assert_eq(count(actions, "c2"), 0);
+  Module::Tick(state, kNow + 301ms, actions);
+  cr_assert_eq(count(actions, "c2"), 1);
+  actions.clear();
+  Module::Handle(
+    state,
+    Received{ HostId{ "c2" },
+              Update{ .number = ChangeNumber{ 28 }, .whole = true } },
+    kNow + 310ms,
+    actions);
+  Module::Handle(state, heard, kNow + 320ms, actions);
+  Module::Tick(state, kNow + 1s, actions);
+  cr_assert_eq(count(actions, "c2"), 0);
+}
