--- a/src/balsampoint/cli/main.cpp
+++ b/src/balsampoint/cli/main.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/cli/command/apply.hpp"
 #include "balsampoint/cli/command/control.hpp"
 #include "balsampoint/cli/command/watch.hpp"
+#include "balsampoint/cli/query/explain.hpp"
 #include "balsampoint/cli/query/hash_key.hpp"
 #include "balsampoint/cli/query/show.hpp"
 #include "balsampoint/cli/query/validate.hpp"
@@ -151,6 +152,15 @@
            [](Arguments /*aArguments*/, const Options& aOptions) {
              return Show("/v1/status/plan", aOptions);
            } },
+  Command{ "explain",
+           "explain REQUEST-ID < LOGS",
+           "Prints what hosts logged of one request, in the order of time, "
+           "and what they came to believe meanwhile.",
+           1,
+           1,
+           [](Arguments aArguments, const Options& /*aOptions*/) {
+             return Explain(aArguments[0], std::cin, std::cout);
+           } },
   Command{ "hash-key",
            "hash-key ID",
            "Makes a new random key and prints it with the salted hash for the "
