--- a/src/balsampoint/daemon/parcel_router.cpp
+++ b/src/balsampoint/daemon/parcel_router.cpp
@@ -33,6 +33,18 @@
   });
 }
 
+/** @brief Decodes what control and entry hosts tell each other of servers. */
+tl::expected<Control::Event, Error>
+DecodeOnServers(const peer::Parcel& aParcel)
+{
+  if (aParcel.module == peer::ModuleTag::Usage) {
+    return EventOf<usage::Module, usage::Received>(
+      aParcel, peer::DecodeUsageMessage(aParcel.body));
+  }
+  return EventOf<roster::Module, roster::Received>(
+    aParcel, peer::DecodeRosterMessage(aParcel.body));
+}
+
 } // namespace
 
 ParcelRouter::ParcelRouter(ControlMailbox& aMailbox)
@@ -70,11 +82,8 @@
       return EventOf<fanout::Module, fanout::Received>(
         aParcel, peer::DecodeFanoutMessage(aParcel.body));
     case peer::ModuleTag::Usage:
-      return EventOf<usage::Module, usage::Received>(
-        aParcel, peer::DecodeUsageMessage(aParcel.body));
     case peer::ModuleTag::Roster:
-      return EventOf<roster::Module, roster::Received>(
-        aParcel, peer::DecodeRosterMessage(aParcel.body));
+      return DecodeOnServers(aParcel);
     case peer::ModuleTag::Ledger:
       return peer::DecodeLedgerMessage(aParcel.body)
         .map([&aParcel](ledger::Message aMessage) -> Control::Event {
--- a/src/balsampoint/daemon/run_gateway.cpp
+++ b/src/balsampoint/daemon/run_gateway.cpp
@@ -1,3 +1,4 @@
-#include "balsampoint/daemon/run_gateway.hpp"
+#include <absl/flags/flag.h>
+#include <string>
 
 ABSL_FLAG(std::string, settings, "", "Settings file of this host.");
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -15,12 +15,12 @@
 ToldTimeout(const wire::Fields& aFields)
 {
   constexpr std::string_view kName = "timeout=";
-  const auto value = aFields.Find("Keep-Alive");
-  const auto at = value ? value->find(kName) : std::string_view::npos;
+  const auto value = aFields.Find("Keep-Alive").value_or(std::string_view{});
+  const auto at = value.find(kName);
   if (at == std::string_view::npos) {
     return std::nullopt;
   }
-  const auto digits = value->substr(at + kName.size());
+  const auto digits = value.substr(at + kName.size());
   std::int64_t seconds{};
   const auto read =
     std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -84,9 +84,9 @@
     return false;
   }
   if (encodings == 1) {
-    return SameName(*aFields.Find("Transfer-Encoding"), "chunked");
+    return SameName(aFields.Find("Transfer-Encoding").value_or(""), "chunked");
   }
-  return lengths == 0 || IsLength(*aFields.Find("Content-Length"));
+  return lengths == 0 || IsLength(aFields.Find("Content-Length").value_or(""));
 }
 
 } // namespace
