--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -20,16 +20,24 @@
   std::uint32_t from{};
 };
 
+/** @brief The layers that a server holds; none if it has not told any. */
+LayerRange
+Held(const Server& aServer)
+{
+  return aServer.claim.description.layers.value_or(LayerRange{});
+}
+
 /** @brief Searches one group of engines for one request. */
 class Search
 {
 public:
   Search(const State& aState,
          const Group& aGroup,
+         const routing::EngineProfile& aEngine,
          const Demand& aDemand,
          Instant aNow)
     : mSettings{ aState.settings }
-    , mEngine{ *aGroup.engine }
+    , mEngine{ aEngine }
     , mDemand{ aDemand }
     , mTokens{ aDemand.promptTokens + aDemand.answerTokens }
     , mSteps(mEngine.layers + 1)
@@ -61,7 +69,7 @@
   }
 
 private:
-  bool Usable(const Server& aServer, Instant aNow) const
+  [[nodiscard]] bool Usable(const Server& aServer, Instant aNow) const
   {
     return aServer.ready && aServer.claim.description.layers &&
            aServer.avoidUntil <= aNow &&
@@ -73,7 +81,7 @@
   {
     mEnds.assign(mEngine.layers + 1, false);
     for (const auto* server : mServers) {
-      const auto begin = server->claim.description.layers->begin;
+      const auto begin = Held(*server).begin;
       if (begin < mEnds.size()) {
         mEnds[begin] = true;
       }
@@ -81,7 +89,7 @@
   }
 
   /** Whether the way to a layer passes through a server already. */
-  bool Passes(std::uint32_t aLayer, const Server& aServer) const
+  [[nodiscard]] bool Passes(std::uint32_t aLayer, const Server& aServer) const
   {
     while (aLayer > 0) {
       const auto& step = mSteps[aLayer];
@@ -93,7 +101,7 @@
     return false;
   }
 
-  bool MayReceive(const Server& aServer) const
+  [[nodiscard]] bool MayReceive(const Server& aServer) const
   {
     const auto& receivers = mDemand.receivers;
     return aServer.Sent() < aServer.claim.description.slots &&
@@ -102,7 +110,7 @@
 
   void Extend(std::uint32_t aLayer, const Server& aServer)
   {
-    const auto& held = *aServer.claim.description.layers;
+    const auto held = Held(aServer);
     if (!held.Holds(aLayer) || held.end > mEngine.layers ||
         Passes(aLayer, aServer)) {
       return;
@@ -123,7 +131,7 @@
     }
   }
 
-  double HopMs(std::uint32_t aLayer, const Server& aServer) const
+  [[nodiscard]] double HopMs(std::uint32_t aLayer, const Server& aServer) const
   {
     const auto& zone = aServer.claim.description.zone;
     const auto* before = mSteps[aLayer].server;
@@ -136,15 +144,15 @@
   }
 
   /** Half of the pass that is under way when a token arrives. */
-  double WaitMs(const Server& aServer) const
+  [[nodiscard]] double WaitMs(const Server& aServer) const
   {
-    const auto held = aServer.claim.description.layers->Size();
+    const auto held = Held(aServer).Size();
     return internal::PassMs(
              mEngine, aServer.stepFactor, held, aServer.Passing()) /
            2;
   }
 
-  double RunMs(const Server& aServer, std::uint32_t aLayers) const
+  [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
     const auto room = aServer.kvRoom * mSettings.kvShare;
@@ -162,7 +170,7 @@
     return (pass + read / events) * (1.0 + fullness * fullness);
   }
 
-  Chain Trace() const
+  [[nodiscard]] Chain Trace() const
   {
     Chain chain{ .tokens = mTokens, .eventMs = mSteps.back().cost };
     auto layer = mEngine.layers;
@@ -199,11 +207,14 @@
 ChooseChain(const State& aState, const Demand& aDemand, Instant aNow)
 {
   const auto group = aState.groups.find(aDemand.service);
-  if (group == aState.groups.end() || !group->second.engine) {
+  if (group == aState.groups.end()) {
+    return Refuse(ErrorKind::NoServer, "the service is not configured");
+  }
+  const auto& engine = group->second.engine;
+  if (!engine.has_value()) {
     return Refuse(ErrorKind::NoServer, "the service has no engines");
   }
-  Search search{ aState, group->second, aDemand, aNow };
-  return search.Run();
+  return Search{ aState, group->second, engine.value(), aDemand, aNow }.Run();
 }
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -62,11 +62,10 @@
   if (candidates.empty()) {
     return Refuse(ErrorKind::NoServer, "no server of the service is ready");
   }
-  const Server* best = nullptr;
-  for (std::size_t at = 0; at < candidates.size(); ++at) {
+  const auto* best = candidates[aDraw % candidates.size()];
+  for (std::size_t at = 1; at < candidates.size(); ++at) {
     const auto* server = candidates[(at + aDraw) % candidates.size()];
-    if (best == nullptr ||
-        Score(aState.settings, *server) < Score(aState.settings, *best)) {
+    if (Score(aState.settings, *server) < Score(aState.settings, *best)) {
       best = server;
     }
   }
