Remove dead state and second copies in the gateway's code

One Trim serves fields and parser, one PerLayerMb both planners; the second choice of a plain server is a call and no recursion; timers, stamps and an event that nobody used are gone. Behaviour is the same: tests of wire, fleet, placement, fanout, usage and platform pass.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -159,7 +159,7 @@
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
-        fleet::TakeOthers(mTraffic.fleet, *others, Traffic::Now());
+        fleet::TakeOthers(mTraffic.fleet, *others);
         mTraffic.budget.ShareAmong(others->hosts + 1);
       });
     });
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -44,7 +44,6 @@
     , mRequest{ std::move(aRequest) }
     , mRoutes{ aTraffic.routes }
     , mDeadline{ aTraffic.loop.Context() }
-    , mStall{ aTraffic.loop.Context() }
     , mStartedAt{ Traffic::Now() }
   {
     ++mTraffic.active;
@@ -224,18 +223,19 @@
                                                     : std::set<ServerId>{};
   }
 
-  tl::expected<std::vector<fleet::Hop>, Error> ChooseOne(
-    const std::set<ServerId>& aFailed,
-    Instant aNow)
+  tl::expected<std::vector<fleet::Hop>, Error> ChooseOne(Instant aNow)
   {
-    auto hop = fleet::ChooseServer(mTraffic.fleet,
-                                   mService->id,
-                                   aFailed,
-                                   AllowedReceivers(),
-                                   mTraffic.random.Next(),
-                                   aNow);
-    if (!hop && !aFailed.empty()) {
-      return ChooseOne({}, aNow);
+    const auto choose = [&](const std::set<ServerId>& aFailed) {
+      return fleet::ChooseServer(mTraffic.fleet,
+                                 mService->id,
+                                 aFailed,
+                                 AllowedReceivers(),
+                                 mTraffic.random.Next(),
+                                 aNow);
+    };
+    auto hop = choose(mFailed);
+    if (!hop && !mFailed.empty()) {
+      hop = choose({});
     }
     return std::move(hop).map([](fleet::Hop aHop) {
       return std::vector<fleet::Hop>{ std::move(aHop) };
@@ -246,7 +246,7 @@
   {
     const auto now = Traffic::Now();
     if (!mService->engine) {
-      return ChooseOne(mFailed, now);
+      return ChooseOne(now);
     }
     auto chain = ChooseChain(mFailed, now);
     if (!chain && !mFailed.empty()) {
@@ -307,7 +307,6 @@
       return;
     }
     mSentNow = true;
-    mSentAt = Traffic::Now();
     ++mProgress.sent;
     mReceivers.insert(mHops.front().server);
     mRunBefore = mProgress.maybeRun;
@@ -673,7 +672,6 @@
 
   void DropServer()
   {
-    mStall.Clear();
     if (auto server = std::exchange(mServer, nullptr)) {
       server->Close();
     }
@@ -766,7 +764,6 @@
   IncomingRequest mRequest;
   std::shared_ptr<const routing::Table> mRoutes;
   Timer mDeadline;
-  Timer mStall;
   Instant mStartedAt;
   Inquiry mInquiry;
   const routing::Route* mRoute{};
@@ -779,7 +776,6 @@
   std::shared_ptr<ServerConnection> mServer;
   bool mSentNow{ false };
   bool mRunBefore{ false };
-  Instant mSentAt{};
   wire::EventSplitter mEvents;
   std::optional<std::uint64_t> mLastEvent;
   std::uint32_t mEventCount{};
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -52,10 +52,6 @@
   {
     HandleNumberHeard(state, aEvent, now);
   }
-  void operator()(const SeedsKnown& aEvent) const
-  {
-    state.settings.seeds = aEvent.seeds;
-  }
   void operator()(const InForceRequest& aMessage) const
   {
     HandleInForceRequest(state, from, aMessage, now, actions);
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -174,20 +174,13 @@
   ChangeNumber number;
 };
 
-/** @brief Other control hosts than those of the settings can be asked. */
-struct SeedsKnown
-{
-  std::vector<HostId> seeds;
-};
-
 /** @brief Everything that a host reacts to. */
 using Event = std::variant<Received,
                            Accepted,
                            LeaderKnown,
                            Published,
                            AwaitInForce,
-                           NumberHeard,
-                           SeedsKnown>;
+                           NumberHeard>;
 
 /** @brief Hands a message to the transport. */
 struct Send
--- a/src/balsampoint/fleet/command/share_use.cpp
+++ b/src/balsampoint/fleet/command/share_use.cpp
@@ -5,13 +5,12 @@
 namespace balsampoint::fleet {
 
 void
-TakeOthers(State& aState, const usage::OthersUse& aOthers, Instant aNow)
+TakeOthers(State& aState, const usage::OthersUse& aOthers)
 {
   std::map<ServerId, const usage::ServerUse*> uses;
   for (const auto& use : aOthers.servers) {
     uses[use.server] = &use;
   }
-  aState.othersAt = aNow;
   for (auto& [service, group] : aState.groups) {
     for (auto& [id, server] : group.servers) {
       const auto found = uses.find(id);
--- a/src/balsampoint/fleet/command/share_use.hpp
+++ b/src/balsampoint/fleet/command/share_use.hpp
@@ -9,9 +9,8 @@
  * @brief Takes over what other hosts have in progress.
  * @param aState State to change.
  * @param aOthers Their work.
- * @param aNow The time.
  */
 void
-TakeOthers(State& aState, const usage::OthersUse& aOthers, Instant aNow);
+TakeOthers(State& aState, const usage::OthersUse& aOthers);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -105,8 +105,6 @@
 {
   Settings settings;
   std::map<ServiceId, Group> groups;
-  /** When others last told what they have in progress. */
-  Instant othersAt{ Instant::min() };
 };
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/placement/query/fill.cpp
+++ b/src/balsampoint/placement/query/fill.cpp
@@ -49,9 +49,8 @@
 std::uint32_t
 UsualLayers(const Engine& aEngine, const LayerNeed& aNeed)
 {
-  const auto perLayer = aNeed.layerMb + kRequestsPerCopy * aNeed.requestMb;
-  const auto usual =
-    static_cast<std::uint32_t>(std::lround(aEngine.memoryMb / perLayer));
+  const auto usual = static_cast<std::uint32_t>(
+    std::lround(aEngine.memoryMb / PerLayerMb(aNeed)));
   return std::min(MostLayers(aEngine, aNeed), std::max(1U, usual));
 }
 
--- a/src/balsampoint/placement/query/plan_all.cpp
+++ b/src/balsampoint/placement/query/plan_all.cpp
@@ -23,12 +23,6 @@
     });
 }
 
-double
-PerLayerMb(const LayerNeed& aNeed)
-{
-  return aNeed.layerMb + kRequestsPerCopy * aNeed.requestMb;
-}
-
 /** @brief Sizes that follow the memory and add up to a number of layers. */
 std::vector<std::uint32_t>
 Sizes(const Group& aGroup, std::uint32_t aLayers, const LayerNeed& aNeed)
@@ -160,6 +154,12 @@
 
 } // namespace
 
+double
+PerLayerMb(const LayerNeed& aNeed)
+{
+  return aNeed.layerMb + kRequestsPerCopy * aNeed.requestMb;
+}
+
 std::uint32_t
 MostLayers(const Engine& aEngine, const LayerNeed& aNeed)
 {
--- a/src/balsampoint/placement/query/plan_all.hpp
+++ b/src/balsampoint/placement/query/plan_all.hpp
@@ -22,6 +22,13 @@
 [[nodiscard]] Plan
 PlanAll(std::span<const Engine> aEngines, const LayerNeed& aNeed);
 
+/**
+ * @brief Memory that a layer of a copy takes with its KV, in megabytes.
+ * @param aNeed What a layer needs.
+ */
+[[nodiscard]] double
+PerLayerMb(const LayerNeed& aNeed);
+
 /**
  * @brief The most layers that an engine holds with room for some KV.
  * @param aEngine The engine.
--- a/src/balsampoint/wire/fields.cpp
+++ b/src/balsampoint/wire/fields.cpp
@@ -15,17 +15,6 @@
            : aLetter;
 }
 
-std::string_view
-Trim(std::string_view aText)
-{
-  constexpr std::string_view kSpace = " \t";
-  const auto begin = aText.find_first_not_of(kSpace);
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(begin, aText.find_last_not_of(kSpace) - begin + 1);
-}
-
 } // namespace
 
 bool
@@ -40,6 +29,17 @@
                     });
 }
 
+std::string_view
+Trim(std::string_view aText)
+{
+  constexpr std::string_view kSpace = " \t";
+  const auto begin = aText.find_first_not_of(kSpace);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(begin, aText.find_last_not_of(kSpace) - begin + 1);
+}
+
 std::optional<std::string_view>
 Fields::Find(std::string_view aName) const
 {
--- a/src/balsampoint/wire/fields.hpp
+++ b/src/balsampoint/wire/fields.hpp
@@ -25,6 +25,13 @@
 [[nodiscard]] bool
 SameName(std::string_view aOne, std::string_view aOther) noexcept;
 
+/**
+ * @brief Cuts spaces and tabs off both ends of a text.
+ * @param aText The text.
+ */
+[[nodiscard]] std::string_view
+Trim(std::string_view aText);
+
 /** @brief Header fields in their order. */
 class Fields
 {
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -40,16 +40,6 @@
   });
 }
 
-std::string_view
-TrimSpace(std::string_view aText)
-{
-  const auto begin = aText.find_first_not_of(" \t");
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(begin, aText.find_last_not_of(" \t") - begin + 1);
-}
-
 /**
  * @brief Cuts the next line off a text.
  * @param aRest The text; left without the line.
@@ -104,7 +94,7 @@
         !IsFieldText(line)) {
       return false;
     }
-    aFields.Add(name, TrimSpace(line.substr(colon + 1)));
+    aFields.Add(name, Trim(line.substr(colon + 1)));
   }
   return true;
 }
