Tell a server's state again when a cut hid an older claim

Cause: a server that moved from one control host to another and back while the two could not hear each other was known as silent everywhere but at the host that heard it, for ever: that host's own record never changed, so it told nobody, and the other's later claim 'silent' won elsewhere. Change: a host that meets another's claim newer than its own last one, but older than what it has heard since, claims the server again.

--- a/src/balsampoint/roster/command/hear.cpp
+++ b/src/balsampoint/roster/command/hear.cpp
@@ -13,6 +13,7 @@
 Assert(State& aState, Heard& aHeard, Instant aNow)
 {
   aHeard.version = ++aState.version;
+  aHeard.told = aHeard.claim.stamp;
   internal::Merge(aState, aHeard.claim, aState.settings.self, aNow);
 }
 
@@ -59,6 +60,19 @@
   record->second.claim.stamp = claim.stamp;
 }
 
+void
+ClaimAgain(State& aState, const Claim& aClaim, Instant aNow)
+{
+  const auto found = aState.heard.find(aClaim.server);
+  if (found == aState.heard.end()) {
+    return;
+  }
+  auto& heard = found->second;
+  if (heard.told < aClaim.stamp && aClaim.stamp < heard.claim.stamp) {
+    Assert(aState, heard, aNow);
+  }
+}
+
 void
 HandleSignedOff(State& aState, const SignedOff& aSignedOff, Instant aNow)
 {
--- a/src/balsampoint/roster/command/hear.hpp
+++ b/src/balsampoint/roster/command/hear.hpp
@@ -13,6 +13,16 @@
 void
 HandleHeartbeat(State& aState, const Heartbeat& aHeartbeat, Instant aNow);
 
+/**
+ * @brief Claims a server again that another host claims with an older stamp
+ * than this host has heard since; hosts may believe the other one.
+ * @param aState State to change.
+ * @param aClaim The other host's claim.
+ * @param aNow The time.
+ */
+void
+ClaimAgain(State& aState, const Claim& aClaim, Instant aNow);
+
 /**
  * @brief Notes that a server leaves.
  * @param aState State to change.
--- a/src/balsampoint/roster/command/share.cpp
+++ b/src/balsampoint/roster/command/share.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/roster/command/share.hpp"
 
+#include "balsampoint/roster/command/hear.hpp"
 #include "balsampoint/roster/internal/merge.hpp"
 
 #include <algorithm>
@@ -8,14 +9,19 @@
 
 namespace {
 
+bool
+IsHeardFrom(const Source& aSource, const Settings& aSettings, Instant aNow)
+{
+  return aSource.heardAt && aNow - *aSource.heardAt <= aSettings.hostSilence;
+}
+
 std::vector<ControlHost>
 LiveControls(const State& aState, Instant aNow)
 {
   std::vector<ControlHost> controls{ { aState.settings.self,
                                        aState.settings.address } };
   for (const auto& [host, source] : aState.sources) {
-    if (source.heardAt &&
-        aNow - *source.heardAt <= aState.settings.hostSilence) {
+    if (IsHeardFrom(source, aState.settings, aNow)) {
       controls.push_back({ host, source.address });
     }
   }
@@ -136,6 +142,7 @@
   }
   for (const auto& claim : aMessage.claims) {
     internal::Merge(aState, claim, aFrom, aNow);
+    ClaimAgain(aState, claim, aNow);
   }
   aActions.emplace_back(ConfigurationHeard{ aFrom, aMessage.configuration });
   source.have = std::max(source.have, aMessage.version);
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -43,6 +43,8 @@
   Instant at{};
   /** Version of this host's claims at which it last changed. */
   std::uint64_t version{};
+  /** Stamp of the claim at that version. */
+  Stamp told;
 };
 
 /** @brief The newest claim on a server, whoever made it. */
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -70,6 +70,8 @@
   }
 
   std::set<HostId> stopped;
+  /** Ways on which messages are lost, from one host to another. */
+  std::set<std::pair<HostId, HostId>> cut;
   std::map<HostId, ChangeNumber> heardNumbers;
 
 private:
@@ -81,7 +83,8 @@
       }
       const auto* send = std::get_if<Send>(&action);
       if (send == nullptr || !mStates.contains(send->to) ||
-          stopped.contains(send->to) || stopped.contains(aFrom)) {
+          stopped.contains(send->to) || stopped.contains(aFrom) ||
+          cut.contains({ aFrom, send->to })) {
         continue;
       }
       Tell(send->to.Value(), Received{ aFrom, send->message });
@@ -132,6 +135,24 @@
   cr_assert_not(hosts.Find("entry", "s")->TakesWork());
 }
 
+Test(roster, a_server_that_came_back_during_a_cut_is_told_again)
+{
+  auto hosts = MakeHosts();
+  hosts.Tell("c2", Beat(7, 1));
+  hosts.cut = { { HostId{ "c1" }, HostId{ "c2" } },
+                { HostId{ "c2" }, HostId{ "c1" } } };
+  hosts.Tell("c1", Beat(7, 2));
+  hosts.Tell("c2", Beat(7, 3));
+  hosts.cut.clear();
+  for (std::uint64_t sequence = 4; sequence < 14; ++sequence) {
+    hosts.Run(1s);
+    hosts.Tell("c2", Beat(7, sequence));
+  }
+  for (const auto* host : { "c1", "c2", "entry" }) {
+    cr_assert(hosts.Find(host, "s")->TakesWork(), "%s", host);
+  }
+}
+
 Test(roster, a_late_heartbeat_does_not_bring_a_server_back)
 {
   auto hosts = MakeHosts();
