Close gaps of a zone by wider fills and by engines that others replace

Cause: an engine that comes back empty got its usual number of layers, also where one or two more would have closed the gap of its zone, and a gap was only closed by an engine whose whole range its zone held twice. Zones kept gaps of 1 to 5 layers for good, so that every draft there crossed zones. Change: a fill takes up to what the memory holds when that closes more of the gap; a move may also take an engine whose layers other zones hold, the one with the fewest layers first, when its zone then lacks fewer.

--- a/src/balsampoint/placement/query/fill.cpp
+++ b/src/balsampoint/placement/query/fill.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace balsampoint::placement {
 
@@ -30,6 +31,15 @@
     }
   }
 
+  /** @brief Leaves out an engine of the zone that holds some layers. */
+  void Remove(LayerRange aLayers)
+  {
+    for (auto layer = aLayers.begin; layer < aLayers.end; ++layer) {
+      --all[layer];
+      --zone[layer];
+    }
+  }
+
   /** Engines of the zone, and of all zones, that hold each layer. */
   std::vector<std::uint32_t> zone;
   std::vector<std::uint32_t> all;
@@ -75,19 +85,37 @@
   return best;
 }
 
-bool
-CanSpare(const Engine& aEngine, const Cover& aCover)
+/** @brief Layers of a range that no engine of the zone holds. */
+std::ptrdiff_t
+GapsIn(const Cover& aCover, LayerRange aRange)
 {
-  if (!aEngine.layers) {
-    return false;
-  }
-  for (auto layer = aEngine.layers->begin; layer < aEngine.layers->end;
-       ++layer) {
-    if (aCover.zone[layer] < 2) {
-      return false;
+  return std::count(
+    aCover.zone.begin() + aRange.begin, aCover.zone.begin() + aRange.end, 0U);
+}
+
+/** @brief The usual number of layers, or as many more as close more gaps. */
+std::optional<LayerRange>
+BestFit(const Cover& aCover, const Engine& aEngine, const LayerNeed& aNeed)
+{
+  const auto most = MostLayers(aEngine, aNeed);
+  auto size = UsualLayers(aEngine, aNeed);
+  auto best = BestRange(aCover, size, aNeed.layers);
+  while (best && ++size <= most) {
+    const auto wider = BestRange(aCover, size, aNeed.layers);
+    if (wider && GapsIn(aCover, *wider) > GapsIn(aCover, *best)) {
+      best = wider;
     }
   }
-  return true;
+  return best;
+}
+
+/** @brief Whether other engines hold every layer that an engine holds. */
+bool
+HeldByOthers(LayerRange aLayers, std::span<const std::uint32_t> aHolders)
+{
+  const auto held = aHolders.subspan(aLayers.begin, aLayers.Size());
+  return std::ranges::all_of(held,
+                             [](std::uint32_t aCount) { return aCount >= 2; });
 }
 
 /** Whether a zone has memory for all layers, so that a gap can be closed. */
@@ -111,30 +139,37 @@
         const LayerNeed& aNeed)
 {
   const Cover cover{ aOthers, aEngine.zone, aNeed };
-  return BestRange(cover, UsualLayers(aEngine, aNeed), aNeed.layers);
+  return BestFit(cover, aEngine, aNeed);
 }
 
 std::optional<Move>
 CloseGap(std::span<const Engine> aEngines, const LayerNeed& aNeed)
 {
   std::optional<Move> best;
-  std::size_t mostClosed = 0;
+  std::tuple<bool, std::ptrdiff_t, std::int64_t> most{};
   for (const auto& engine : aEngines) {
-    const Cover cover{ aEngines, engine.zone, aNeed };
+    if (!engine.layers || engine.layers->end > aNeed.layers) {
+      continue;
+    }
+    Cover cover{ aEngines, engine.zone, aNeed };
     const auto gaps = std::ranges::count(cover.zone, 0U);
-    if (gaps == 0 || !CanSpare(engine, cover) ||
+    if (gaps == 0 || !HeldByOthers(*engine.layers, cover.all) ||
         !HoldsAll(aEngines, engine.zone, aNeed)) {
       continue;
     }
-    const auto size = UsualLayers(engine, aNeed);
-    const auto range = BestRange(cover, size, aNeed.layers);
+    const bool spare = HeldByOthers(*engine.layers, cover.zone);
+    cover.Remove(*engine.layers);
+    const auto range = BestFit(cover, engine, aNeed);
     if (!range) {
       continue;
     }
-    const auto closed = static_cast<std::size_t>(std::count(
-      cover.zone.begin() + range->begin, cover.zone.begin() + range->end, 0U));
-    if (closed > mostClosed) {
-      mostClosed = closed;
+    const auto left =
+      std::ranges::count(cover.zone, 0U) - GapsIn(cover, *range);
+    const std::tuple rank{ spare,
+                           gaps - left,
+                           -std::int64_t{ engine.layers->Size() } };
+    if (left < gaps && (!best || rank > most)) {
+      most = rank;
       best = Move{ engine.server, *range };
     }
   }
--- a/src/balsampoint/placement/query/fill.hpp
+++ b/src/balsampoint/placement/query/fill.hpp
@@ -29,12 +29,14 @@
 };
 
 /**
- * @brief Finds an engine that other engines of its zone can do without, to
- * hold layers that its zone lacks.
+ * @brief Finds an engine that is to hold another range, so that its zone lacks
+ * fewer layers.
+ *
+ * Engines that their zone can do without come first, then those whose layers
+ * other zones hold too; of these the ones with the fewest layers to load.
  * @param aEngines The engines with the layers that they hold.
  * @param aNeed What a layer needs.
- * @return The move; absent if no zone lacks layers or none can spare an
- * engine.
+ * @return The move; absent if no zone lacks layers or no single move helps.
  */
 [[nodiscard]] std::optional<Move>
 CloseGap(std::span<const Engine> aEngines, const LayerNeed& aNeed);
--- a/test/balsampoint/placement/query/fill_test.cpp
+++ b/test/balsampoint/placement/query/fill_test.cpp
@@ -65,3 +65,45 @@
 {
   cr_assert_not(CloseGap(PlacedFleet(), kUsersModel).has_value());
 }
+
+Test(fill, an_engine_takes_more_layers_than_usual_to_close_a_gap)
+{
+  std::vector<Engine> engines;
+  AddEngines(engines, "a", 3, 72000.0, 2.4);
+  engines[0].layers = LayerRange{ 0, 37 };
+  engines[1].layers = LayerRange{ 43, 80 };
+  AddEngines(engines, "a", 1, 14400.0, 5.3);
+  engines.erase(engines.begin() + 2);
+  const auto range = FillOne(engines.back(), engines, kUsersModel);
+  cr_assert(range.has_value());
+  cr_assert_eq(*range, (LayerRange{ 37, 43 }));
+}
+
+Test(fill, an_engine_reaches_further_to_close_the_last_gap_of_its_zone)
+{
+  std::vector<Engine> engines;
+  AddEngines(engines, "a", 2, 72000.0, 2.4);
+  AddEngines(engines, "a", 1, 14400.0, 5.3);
+  engines[0].layers = LayerRange{ 0, 38 };
+  engines[1].layers = LayerRange{ 38, 74 };
+  engines[2].layers = LayerRange{ 75, 80 };
+  AddEngines(engines, "b", 3, 72000.0, 2.4);
+  for (std::size_t at = 3; at < engines.size(); ++at) {
+    const auto begin = static_cast<std::uint32_t>(at - 3) * 27;
+    engines[at].layers = LayerRange{ begin, std::min(begin + 27, 80U) };
+  }
+  const auto move = CloseGap(engines, kUsersModel);
+  cr_assert(move.has_value());
+  cr_assert_eq(move->server, engines[2].server);
+  cr_assert_eq(move->layers, (LayerRange{ 74, 80 }));
+}
+
+Test(fill, the_last_holder_of_a_layer_is_not_moved)
+{
+  std::vector<Engine> engines;
+  AddEngines(engines, "a", 2, 72000.0, 2.4);
+  engines[0].layers = LayerRange{ 0, 38 };
+  engines[1].layers = LayerRange{ 40, 78 };
+  AddEngines(engines, "a", 2, 14400.0, 5.3);
+  cr_assert_not(CloseGap(engines, kUsersModel).has_value());
+}
