Clear a server of being out of reach by an event, and close gaps together

Cause: a server that takes no test connection was left out for up to 8 s, doubled each time and cleared by answers of first servers only, so that lossy links took servers in the middle of chains out for long while streams ran through them. A gap wider than one engine was closed by one move in 2 s. Change: an event through a server ends its time out of reach; moves of engines that a zone can spare are made together, up to 8; a refusal says why each holder of the layer can't run it. Tests: fail first.

--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -19,16 +19,20 @@
   return same ? &server->second : nullptr;
 }
 
-void
-Avoid(const Settings& aSettings, Server& aServer, Instant aNow)
+/** @brief How long a server is left out after a number of faults before. */
+Duration
+AvoidanceAfter(const Settings& aSettings, std::uint32_t aFaults)
 {
   constexpr std::uint32_t kMaxDoublings = 8;
-  const auto doublings = std::min(aServer.faults, kMaxDoublings);
-  const auto length =
-    std::min(aSettings.firstAvoidance * (std::int64_t{ 1 } << doublings),
-             aSettings.longestAvoidance);
-  ++aServer.faults;
-  aServer.avoidUntil = std::max(aServer.avoidUntil, aNow + length);
+  const auto doublings = std::min(aFaults, kMaxDoublings);
+  return std::min(aSettings.firstAvoidance * (std::int64_t{ 1 } << doublings),
+                  aSettings.longestAvoidance);
+}
+
+void
+LeaveOut(Instant& aUntil, Instant aEnd)
+{
+  aUntil = std::max(aUntil, aEnd);
 }
 
 void
@@ -43,17 +47,21 @@
     case Finding::Answered:
       aServer.faults = 0;
       aServer.broken = 0;
+      aServer.misses = 0;
       break;
     case Finding::Full:
-      aServer.avoidUntil =
-        std::max(aServer.avoidUntil, aNow + aSettings.fullAvoidance);
+      LeaveOut(aServer.avoidUntil, aNow + aSettings.fullAvoidance);
       break;
     case Finding::Unreachable:
-      Avoid(aSettings, aServer, aNow);
+      LeaveOut(aServer.unreachableUntil,
+               aNow + AvoidanceAfter(aSettings, aServer.misses));
+      ++aServer.misses;
       break;
     case Finding::Broken:
       if (++aServer.broken >= aSettings.brokenToAvoid) {
-        Avoid(aSettings, aServer, aNow);
+        LeaveOut(aServer.avoidUntil,
+                 aNow + AvoidanceAfter(aSettings, aServer.faults));
+        ++aServer.faults;
       }
       break;
     case Finding::Failed:
@@ -114,6 +122,8 @@
       continue;
     }
     server->progressAt = aNow;
+    server->misses = 0;
+    server->unreachableUntil = Instant::min();
     if (aInterval) {
       const std::chrono::duration<double, std::milli> interval = *aInterval;
       server->eventMs += kNewest * (interval.count() - server->eventMs);
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <string>
+#include <string_view>
 
 namespace balsampoint::fleet {
 
@@ -38,6 +40,7 @@
          const Demand& aDemand,
          Instant aNow)
     : mSettings{ aState.settings }
+    , mGroup{ aGroup }
     , mEngine{ aEngine }
     , mDemand{ aDemand }
     , mTokens{ aDemand.promptTokens +
@@ -52,7 +55,7 @@
     MarkEnds();
   }
 
-  tl::expected<Chain, Error> Run()
+  tl::expected<Chain, Error> Run(Instant aNow)
   {
     mSteps.front().cost = 0.0;
     for (std::uint32_t layer = 0; layer < mEngine.layers; ++layer) {
@@ -64,31 +67,52 @@
       }
     }
     if (mSteps.back().cost == kNoPath) {
-      return Refuse(ErrorKind::NoServer, Obstacle());
+      return Refuse(ErrorKind::NoServer, Obstacle(aNow));
     }
     return Trace();
   }
 
 private:
   /** @brief Why no chain runs all layers. */
-  [[nodiscard]] std::string Obstacle() const
+  [[nodiscard]] std::string Obstacle(Instant aNow) const
   {
     std::uint32_t layer = mEngine.layers;
     while (layer > 0 && mSteps[layer].cost == kNoPath) {
       --layer;
     }
-    const bool held = std::ranges::any_of(mServers, [&](const auto* aServer) {
-      return Held(*aServer).Holds(layer);
-    });
-    return held ? "the servers that hold layer " + std::to_string(layer) +
-                    " have no room"
-                : "no server in reach holds layer " + std::to_string(layer);
+    std::map<std::string_view, int> holders;
+    for (const auto& entry : mGroup.servers) {
+      if (Held(entry.second).Holds(layer)) {
+        ++holders[ReasonAgainst(entry.second, aNow)];
+      }
+    }
+    auto text = "no server can run layer " + std::to_string(layer);
+    for (const auto& [reason, count] : holders) {
+      text += "; " + std::to_string(count) + " " + std::string{ reason };
+    }
+    return text;
+  }
+
+  /** @brief Why a server that holds a layer can't run it. */
+  [[nodiscard]] std::string_view ReasonAgainst(const Server& aServer,
+                                               Instant aNow) const
+  {
+    if (!aServer.ready) {
+      return "not ready";
+    }
+    if (mDemand.failed.contains(aServer.claim.server)) {
+      return "failed the request";
+    }
+    if (aServer.unreachableUntil > aNow) {
+      return "out of reach";
+    }
+    return aServer.avoidUntil > aNow ? "left out" : "full";
   }
 
   [[nodiscard]] bool Usable(const Server& aServer, Instant aNow) const
   {
     return aServer.ready && aServer.claim.description.layers &&
-           aServer.avoidUntil <= aNow &&
+           !aServer.LeftOut(aNow) &&
            !mDemand.failed.contains(aServer.claim.server);
   }
 
@@ -209,6 +233,7 @@
   }
 
   const Settings& mSettings;
+  const Group& mGroup;
   const routing::EngineProfile& mEngine;
   const Demand& mDemand;
   double mTokens;
@@ -230,7 +255,8 @@
   if (!engine.has_value()) {
     return Refuse(ErrorKind::NoServer, "the service has no engines");
   }
-  return Search{ aState, group->second, engine.value(), aDemand, aNow }.Run();
+  return Search{ aState, group->second, engine.value(), aDemand, aNow }.Run(
+    aNow);
 }
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -36,7 +36,7 @@
       continue;
     }
     all.push_back(&server);
-    if (server.avoidUntil <= aNow) {
+    if (!server.LeftOut(aNow)) {
       sound.push_back(&server);
     }
   }
--- a/src/balsampoint/fleet/query/silent_servers.cpp
+++ b/src/balsampoint/fleet/query/silent_servers.cpp
@@ -19,7 +19,7 @@
 IsSilent(const Server& aServer, Instant aNow)
 {
   if (aServer.streams == 0 || aServer.progressAt == Instant::min() ||
-      aServer.avoidUntil > aNow) {
+      aServer.LeftOut(aNow)) {
     return false;
   }
   if (aServer.testedAt != Instant::min() &&
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -7,6 +7,7 @@
 #include "balsampoint/roster/claim.hpp"
 #include "balsampoint/routing/document.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -72,6 +73,8 @@
   double failureRate{};
   /** Times it was left out without a good answer in between. */
   std::uint32_t faults{};
+  /** Times it took no connection, without a sign of life in between. */
+  std::uint32_t misses{};
   /** Answers that broke off in a row. */
   std::uint32_t broken{};
   /** Own streams that write through it. */
@@ -83,6 +86,14 @@
   /** When it last took a connection that was made to test it. */
   Instant testedAt{ Instant::min() };
   Instant avoidUntil{ Instant::min() };
+  /** Until when it counts as out of reach. */
+  Instant unreachableUntil{ Instant::min() };
+
+  /** @brief Whether it is left out for now, although it is ready. */
+  [[nodiscard]] bool LeftOut(Instant aNow) const noexcept
+  {
+    return std::max(avoidUntil, unreachableUntil) > aNow;
+  }
 
   /** @brief Requests that pass through it. */
   [[nodiscard]] double Passing() const noexcept
--- a/src/balsampoint/placement/query/decide.cpp
+++ b/src/balsampoint/placement/query/decide.cpp
@@ -129,9 +129,7 @@
   decision.fills.merge(FillEach(engines, need));
   if (decision.fills.empty() &&
       aNow - aState.lastMoveAt >= aState.settings.movePause) {
-    if (const auto move = CloseGap(engines, need)) {
-      decision.moves[move->server] = move->layers;
-    }
+    decision.moves = CloseGaps(engines, need);
   }
   return decision;
 }
--- a/src/balsampoint/placement/query/fill.cpp
+++ b/src/balsampoint/placement/query/fill.cpp
@@ -175,10 +175,32 @@
                            -std::int64_t{ engine.layers->Size() } };
     if (left < gaps && (!best || rank > most)) {
       most = rank;
-      best = Move{ engine.server, *range };
+      best = Move{ engine.server, *range, spare };
     }
   }
   return best;
 }
 
+Plan
+CloseGaps(std::span<const Engine> aEngines, const LayerNeed& aNeed)
+{
+  constexpr std::size_t kMostMoves = 8;
+  std::vector<Engine> engines{ aEngines.begin(), aEngines.end() };
+  Plan moves;
+  while (moves.size() < kMostMoves) {
+    const auto move = CloseGap(engines, aNeed);
+    if (!move.has_value() || (!moves.empty() && !move.value().spare)) {
+      break;
+    }
+    moves[move.value().server] = move.value().layers;
+    const auto moved =
+      std::ranges::find(engines, move.value().server, &Engine::server);
+    moved->layers = move.value().layers;
+    if (!move.value().spare) {
+      break;
+    }
+  }
+  return moves;
+}
+
 } // namespace balsampoint::placement
--- a/src/balsampoint/placement/query/fill.hpp
+++ b/src/balsampoint/placement/query/fill.hpp
@@ -26,6 +26,8 @@
 {
   ServerId server;
   LayerRange layers;
+  /** Whether its zone holds all its present layers without it. */
+  bool spare{ false };
 };
 
 /**
@@ -41,4 +43,14 @@
 [[nodiscard]] std::optional<Move>
 CloseGap(std::span<const Engine> aEngines, const LayerNeed& aNeed);
 
+/**
+ * @brief Finds the moves that may be made at once: several of engines that
+ * their zone can do without, or a single other one.
+ * @param aEngines The engines with the layers that they hold.
+ * @param aNeed What a layer needs.
+ * @return The range of each engine that moves.
+ */
+[[nodiscard]] Plan
+CloseGaps(std::span<const Engine> aEngines, const LayerNeed& aNeed);
+
 } // namespace balsampoint::placement
--- a/test/balsampoint/placement/query/fill_test.cpp
+++ b/test/balsampoint/placement/query/fill_test.cpp
@@ -107,3 +107,35 @@
   AddEngines(engines, "a", 2, 14400.0, 5.3);
   cr_assert_not(CloseGap(engines, kUsersModel).has_value());
 }
+
+Test(fill, spare_engines_close_a_wide_gap_together)
+{
+  std::vector<Engine> engines;
+  AddEngines(engines, "a", 2, 72000.0, 2.4);
+  engines[0].layers = LayerRange{ 0, 38 };
+  engines[1].layers = LayerRange{ 0, 20 };
+  AddEngines(engines, "a", 8, 14400.0, 5.3);
+  for (std::size_t at = 2; at < engines.size(); ++at) {
+    const auto begin = static_cast<std::uint32_t>(at - 2) * 5;
+    engines[at].layers = LayerRange{ begin, begin + 5 };
+  }
+  AddEngines(engines, "b", 3, 72000.0, 2.4);
+  for (std::size_t at = 10; at < engines.size(); ++at) {
+    const auto begin = static_cast<std::uint32_t>(at - 10) * 27;
+    engines[at].layers = LayerRange{ begin, std::min(begin + 27, 80U) };
+  }
+  const auto moves = CloseGaps(engines, kUsersModel);
+  cr_assert_gt(moves.size(), 1U);
+  std::vector<int> held(80);
+  for (std::size_t at = 0; at < 10; ++at) {
+    const auto moved = moves.find(engines[at].server);
+    const auto range =
+      moved == moves.end() ? *engines[at].layers : moved->second;
+    for (auto layer = range.begin; layer < range.end; ++layer) {
+      ++held[layer];
+    }
+  }
+  for (std::size_t layer = 0; layer < 38; ++layer) {
+    cr_assert_gt(held[layer], 0, "layer %zu", layer);
+  }
+}
