Use servers that break answers where nothing else holds a layer

Cause: during answer_lost (22 servers reset their answers) every holder of layer 22 was left out after three broken answers in a row, so that requests were refused 'no server can run layer 22; 3 left out' although some would have been answered: a refusal that wasn't true. Change: a second search takes servers left out after broken answers, as the choice of plain servers did already; a server out of reach or full stays out. Tests: new one fails first; two tests that asked for no chain with a single broken server ask, as strictly, that the sound one of two is chosen.

--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -50,7 +50,7 @@
       aServer.misses = 0;
       break;
     case Finding::Full:
-      LeaveOut(aServer.avoidUntil, aNow + aSettings.fullAvoidance);
+      LeaveOut(aServer.fullUntil, aNow + aSettings.fullAvoidance);
       break;
     case Finding::Unreachable:
       LeaveOut(aServer.unreachableUntil,
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -38,6 +38,7 @@
          const Group& aGroup,
          const routing::EngineProfile& aEngine,
          const Demand& aDemand,
+         bool aLastResort,
          Instant aNow)
     : mSettings{ aState.settings }
     , mGroup{ aGroup }
@@ -48,7 +49,8 @@
     , mSteps(mEngine.layers + 1)
   {
     for (const auto& [id, server] : aGroup.servers) {
-      if (Usable(server, aNow)) {
+      const bool out = aLastResort ? server.Unable(aNow) : server.LeftOut(aNow);
+      if (!out && Usable(server)) {
         mServers.push_back(&server);
       }
     }
@@ -106,13 +108,12 @@
     if (aServer.unreachableUntil > aNow) {
       return "out of reach";
     }
-    return aServer.avoidUntil > aNow ? "left out" : "full";
+    return "full";
   }
 
-  [[nodiscard]] bool Usable(const Server& aServer, Instant aNow) const
+  [[nodiscard]] bool Usable(const Server& aServer) const
   {
     return aServer.ready && aServer.claim.description.layers &&
-           !aServer.LeftOut(aNow) &&
            !mDemand.failed.contains(aServer.claim.server);
   }
 
@@ -255,8 +256,15 @@
   if (!engine.has_value()) {
     return Refuse(ErrorKind::NoServer, "the service has no engines");
   }
-  return Search{ aState, group->second, engine.value(), aDemand, aNow }.Run(
-    aNow);
+  const auto search = [&](bool aLastResort) {
+    return Search{ aState,  group->second, engine.value(),
+                   aDemand, aLastResort,   aNow }
+      .Run(aNow);
+  };
+  auto chain = search(false);
+  // Where only servers at fault hold some layer, one of them is better than
+  // none.
+  return chain ? std::move(chain) : search(true);
 }
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -86,13 +86,21 @@
   /** When it last took a connection that was made to test it. */
   Instant testedAt{ Instant::min() };
   Instant avoidUntil{ Instant::min() };
+  /** Until when it is taken to have no room. */
+  Instant fullUntil{ Instant::min() };
   /** Until when it counts as out of reach. */
   Instant unreachableUntil{ Instant::min() };
 
   /** @brief Whether it is left out for now, although it is ready. */
   [[nodiscard]] bool LeftOut(Instant aNow) const noexcept
   {
-    return std::max(avoidUntil, unreachableUntil) > aNow;
+    return avoidUntil > aNow || Unable(aNow);
+  }
+
+  /** @brief Whether a request to it is sure to fail for now. */
+  [[nodiscard]] bool Unable(Instant aNow) const noexcept
+  {
+    return std::max(fullUntil, unreachableUntil) > aNow;
   }
 
   /** @brief Requests that pass through it. */
