Come back sooner after power loss, and look before ordering

Change: a voter that has known no leader since its start asks for votes after 0.1 to 0.35 s (asking changes no term); a leader counts as such in the fan-out once it has applied what was committed before its term; an entry host relies on the leader's answer, or on all control hosts that know one; placement orders nothing in a leader's first 1.3 s and moves engines only when no new one has come for 1.3 s. A restart of every control host while none can elect waits for the 2 s as before.

--- a/src/balsampoint/change/module.cpp
+++ b/src/balsampoint/change/module.cpp
@@ -46,6 +46,11 @@
   {
     HandleRestored(state, aEvent, actions);
   }
+  void operator()(const LeadingWithAll& aEvent) const
+  {
+    // Behind the changes that were committed before.
+    actions.emplace_back(aEvent);
+  }
   void operator()(const SnapshotWanted& aEvent) const
   {
     actions.emplace_back(SnapshotReady{ aEvent.index, state.table });
--- a/src/balsampoint/change/state.hpp
+++ b/src/balsampoint/change/state.hpp
@@ -106,6 +106,12 @@
   std::uint64_t index{};
 };
 
+/** @brief This host leads and has been told all that was committed before. */
+struct LeadingWithAll
+{
+  HostId leader;
+};
+
 /** @brief Asks for the configuration as the log has it; `ReadReady` follows. */
 struct ReadWanted
 {
@@ -120,6 +126,7 @@
                            ProposalRefused,
                            Restored,
                            SnapshotWanted,
+                           LeadingWithAll,
                            ReadWanted>;
 
 /** @brief Hands a message to the transport. */
@@ -182,8 +189,13 @@
 };
 
 /** @brief Everything that a host asks of the daemon. */
-using Action =
-  std::variant<Send, Propose, Answered, Accepted, SnapshotReady, ReadReady>;
+using Action = std::variant<Send,
+                            Propose,
+                            Answered,
+                            Accepted,
+                            LeadingWithAll,
+                            SnapshotReady,
+                            ReadReady>;
 
 /** @brief Collects what a command asks of the daemon. */
 using Actions = std::vector<Action>;
--- a/src/balsampoint/consensus/command/apply.cpp
+++ b/src/balsampoint/consensus/command/apply.cpp
@@ -72,6 +72,8 @@
     const auto index = aState.applied.Next();
     const Entry entry = *internal::Find(aState.log, index);
     aState.applied = index;
+    const bool firstOfTerm =
+      aState.role == Role::Leader && index == aState.termStart;
     const auto ticket = TakeTicket(aState, entry, aActions);
     if (entry.kind == EntryKind::Command) {
       aActions.emplace_back(Apply{ index, entry.term, entry.command, ticket });
@@ -80,6 +82,9 @@
     if (entry.kind == EntryKind::Members) {
       ApplyMembers(aState, entry, ticket, aNow, aActions);
     }
+    if (firstOfTerm && aState.role == Role::Leader) {
+      aActions.emplace_back(Established{ aState.hard.term, aState.leader });
+    }
   }
   RequestSnapshot(aState, aActions);
 }
--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -119,6 +119,7 @@
 {
   aState.role = Role::Leader;
   aState.leader = aState.settings.self;
+  aState.anyLeaderKnown = true;
   aState.electionDeadline = kNever;
   aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
   aState.round = aState.round.Next();
@@ -172,17 +173,32 @@
     aState, aFrom, VoteReply{ term, true, granted }, aActions);
 }
 
+/** @brief Draws a time between two bounds. */
+Duration
+DrawBetween(State& aState, Duration aLeast, Duration aMost)
+{
+  const auto steps = static_cast<std::uint64_t>((aMost - aLeast).count()) + 1;
+  const auto extra = NextRandom(aState.random) % steps;
+  return aLeast + Duration{ static_cast<Duration::rep>(extra) };
+}
+
 } // namespace
 
 void
 ResetElection(State& aState, Instant aNow)
 {
   const auto& settings = aState.settings;
-  const auto spread = settings.electionMax - settings.electionMin;
-  const auto steps = static_cast<std::uint64_t>(spread.count()) + 1;
-  const auto extra = NextRandom(aState.random) % steps;
   aState.electionDeadline =
-    aNow + settings.electionMin + Duration{ static_cast<Duration::rep>(extra) };
+    aNow + DrawBetween(aState, settings.electionMin, settings.electionMax);
+}
+
+void
+AwaitFirstLeader(State& aState, Instant aNow)
+{
+  const auto& settings = aState.settings;
+  aState.electionDeadline =
+    aNow +
+    DrawBetween(aState, settings.firstElectionMin, settings.firstElectionMax);
 }
 
 void
@@ -204,6 +220,7 @@
   aState.role = Role::Follower;
   aState.leader = aLeader;
   aState.leaderHeard = !aLeader.Empty();
+  aState.anyLeaderKnown = aState.anyLeaderKnown || aState.leaderHeard;
   aState.heartbeatDeadline = kNever;
   aState.grants.clear();
   ResetElection(aState, aNow);
@@ -215,7 +232,13 @@
 void
 StartPreVote(State& aState, Instant aNow, Actions& aActions)
 {
-  ResetElection(aState, aNow);
+  // Asking changes nothing, so a host whose peers are still starting asks
+  // again soon.
+  if (aState.anyLeaderKnown) {
+    ResetElection(aState, aNow);
+  } else {
+    AwaitFirstLeader(aState, aNow);
+  }
   if (!aState.leader.Empty()) {
     aState.leader = {};
     aActions.emplace_back(LeaderChanged{ aState.hard.term, {} });
--- a/src/balsampoint/consensus/command/elect.hpp
+++ b/src/balsampoint/consensus/command/elect.hpp
@@ -12,6 +12,15 @@
 void
 ResetElection(State& aState, Instant aNow);
 
+/**
+ * @brief Draws the time at which a host that has started asks for a first
+ * leader.
+ * @param aState State to change.
+ * @param aNow The time.
+ */
+void
+AwaitFirstLeader(State& aState, Instant aNow);
+
 /**
  * @brief Becomes a follower and takes over a later term.
  * @param aState State to change.
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -155,7 +155,8 @@
               Actions& aActions)
 {
   if (aSettings.self.Empty() || aSettings.electionMin <= aSettings.heartbeat ||
-      aSettings.electionMax < aSettings.electionMin) {
+      aSettings.electionMax < aSettings.electionMin ||
+      aSettings.firstElectionMax < aSettings.firstElectionMin) {
     return Refuse(ErrorKind::InvalidConfiguration,
                   "the election timeouts must be longer than the heartbeat");
   }
@@ -167,7 +168,7 @@
   }
   state.hard = hard.value_or(HardState{ .recovering = true });
   RefreshMembers(state);
-  ResetElection(state, aNow);
+  AwaitFirstLeader(state, aNow);
   if (!hard) {
     internal::WriteHardState(state, aActions);
   }
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -26,6 +26,10 @@
   /** Silence of the leader after which a voter stands for election. */
   Duration electionMin{ std::chrono::milliseconds{ 800 } };
   Duration electionMax{ std::chrono::milliseconds{ 1400 } };
+  /** Time after which a voter that has heard no leader since its start asks
+   * whether it would be elected. */
+  Duration firstElectionMin{ std::chrono::milliseconds{ 100 } };
+  Duration firstElectionMax{ std::chrono::milliseconds{ 350 } };
   /** Entries applied since the last snapshot that call for a new one. */
   std::uint64_t compactAfter{ 1000 };
   /** Entries kept behind a snapshot for members a little behind. */
@@ -176,6 +180,8 @@
   Role role{ Role::Follower };
   /** Whether the leader was heard in this term. */
   bool leaderHeard{ false };
+  /** Whether some leader was known since the start. */
+  bool anyLeaderKnown{ false };
   bool snapshotRequested{ false };
   bool storageFailed{ false };
   bool handOverStarted{ false };
@@ -343,6 +349,14 @@
   HostId leader;
 };
 
+/** @brief Says that this host leads and has applied all that was committed
+ * before its term. */
+struct Established
+{
+  Term term;
+  HostId leader;
+};
+
 /** @brief Says that a hand-over has ended, done or not. */
 struct HandOverEnded
 {
@@ -365,6 +379,7 @@
                             MembersChanged,
                             LeaderConfirmed,
                             LeaderChanged,
+                            Established,
                             HandOverEnded,
                             StatusReady>;
 
--- a/src/balsampoint/daemon/change_runner.cpp
+++ b/src/balsampoint/daemon/change_runner.cpp
@@ -139,6 +139,14 @@
     fanout::Event{ fanout::Accepted{ aAccepted.number, aAccepted.sections } });
 }
 
+void
+ChangeRunner::Do(const change::LeadingWithAll& aLeading)
+{
+  Post(mMailbox,
+       fanout::Event{
+         fanout::LeaderKnown{ .leader = aLeading.leader, .caughtUp = true } });
+}
+
 void
 ChangeRunner::Do(const change::SnapshotReady& aReady)
 {
--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -198,13 +198,23 @@
   spdlog::info(
     "term {}: leader '{}'", aChanged.term.Value(), aChanged.leader.Value());
   Post(mMailbox, change::Event{ change::LeaderKnown{ aChanged.leader } });
-  Post(mMailbox, fanout::Event{ fanout::LeaderKnown{ aChanged.leader } });
+  Post(mMailbox,
+       fanout::Event{
+         fanout::LeaderKnown{ .leader = aChanged.leader, .caughtUp = false } });
   Post(mMailbox, ledger::Event{ ledger::LeaderChanged{ aChanged.leader } });
   if (mObserver) {
     mObserver(aChanged.leader, aChanged.term);
   }
 }
 
+void
+ConsensusRunner::Do(const consensus::Established& aEstablished)
+{
+  // Behind the commands that were applied before.
+  Post(mMailbox,
+       change::Event{ change::LeadingWithAll{ aEstablished.leader } });
+}
+
 void
 ConsensusRunner::Do(const consensus::HandOverEnded& aEnded)
 {
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -79,12 +79,27 @@
   return relay.Empty() ? self : relay;
 }
 
+/**
+ * @brief Notes how far a control host's answer can be relied on: the leader's
+ * stands for all, one that knows no leader may be behind.
+ */
+void
+NoteAnswer(State& aState, const HostId& aFrom, const JoinReply& aReply)
+{
+  const auto& seeds = aState.settings.seeds;
+  if (aReply.leads) {
+    aState.answeredSeeds = { seeds.begin(), seeds.end() };
+  } else if (aReply.parent.Empty()) {
+    aState.answeredSeeds.insert(aFrom);
+  }
+}
+
 } // namespace
 
 void
 JoinWhenLost(State& aState, Instant aNow, Actions& aActions)
 {
-  constexpr int kSlower = 4;
+  constexpr int kSlower = 8;
   const auto retry = aState.settings.joinRetry;
   aState.nextJoin = aNow + (aState.ready ? retry * kSlower : retry);
   const bool lost =
@@ -96,7 +111,9 @@
   self.number = aState.inForce;
   for (const auto& seed : aState.settings.seeds) {
     if (seed == self.host) {
-      aState.answeredSeeds.insert(seed);
+      if (!aState.leader.Empty()) {
+        aState.answeredSeeds.insert(seed);
+      }
       continue;
     }
     aActions.emplace_back(Send{ seed, JoinRequest{ self } });
@@ -135,7 +152,7 @@
                 Instant aNow,
                 Actions& aActions)
 {
-  aState.answeredSeeds.insert(aFrom);
+  NoteAnswer(aState, aFrom, aReply);
   aState.seen = std::max(aState.seen, aReply.number);
   if (aReply.number > aState.content.number) {
     aActions.emplace_back(Send{ aFrom, Fetch{ aState.content.number } });
@@ -161,8 +178,9 @@
 void
 HandleLeaderKnown(State& aState, const LeaderKnown& aEvent, Instant aNow)
 {
-  const bool leads = aEvent.leader == aState.settings.self.host;
-  aState.leader = aEvent.leader;
+  const bool self = aEvent.leader == aState.settings.self.host;
+  const bool leads = self && aEvent.caughtUp;
+  aState.leader = self && !leads ? HostId{} : aEvent.leader;
   if (leads == internal::Leads(aState)) {
     return;
   }
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -27,8 +27,8 @@
   Duration silence{ std::chrono::milliseconds{ 3000 } };
   /** Age of the news of the leader after which another parent is sought. */
   Duration rootSilence{ std::chrono::seconds{ 5 } };
-  /** Time between requests to join; four times as long once ready. */
-  Duration joinRetry{ std::chrono::milliseconds{ 500 } };
+  /** Time between requests to join; eight times as long once ready. */
+  Duration joinRetry{ std::chrono::milliseconds{ 250 } };
   /** Time that a starting host waits for all control hosts to answer. */
   Duration startWait{ std::chrono::seconds{ 2 } };
   /** Time that the tree has to bring a configuration heard of elsewhere. */
@@ -147,6 +147,9 @@
 struct LeaderKnown
 {
   HostId leader;
+  /** Whether the leader has all that was committed before its term; it hands
+   * nothing on before. */
+  bool caughtUp{ true };
 };
 
 /** @brief The daemon has put a configuration in force on this host. */
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -20,7 +20,7 @@
 constexpr int kSendTimeoutMs = 1000;
 /** Time after which a silent connection is made anew. */
 constexpr int kSilenceMs = 1000;
-constexpr Duration kReconnectPause = std::chrono::milliseconds{ 200 };
+constexpr Duration kReconnectPause = std::chrono::milliseconds{ 100 };
 
 /** @brief One connection to a peer, made when the first frame is sent. */
 class Connection
--- a/src/balsampoint/placement/module.cpp
+++ b/src/balsampoint/placement/module.cpp
@@ -37,6 +37,7 @@
     return;
   }
   aState.leading = true;
+  aState.leadingSince = aNow;
   aState.fencing = aEvent.fencing;
   aState.nextLook = aNow + kLookInterval;
 }
--- a/src/balsampoint/placement/query/decide.cpp
+++ b/src/balsampoint/placement/query/decide.cpp
@@ -113,21 +113,24 @@
 Decide(const State& aState, const ServiceId& aService, Instant aNow)
 {
   const auto& profile = aState.profiles.at(aService);
-  if (profile.kinds.empty() || profile.layerMb <= 0.0) {
+  const auto settle = aState.settings.settle;
+  if (profile.kinds.empty() || profile.layerMb <= 0.0 ||
+      aNow - aState.leadingSince < settle) {
     return {};
   }
+  const bool settled = aNow - aState.newestAt >= settle;
   const auto engines = PresentEngines(aState, aService, aNow);
   const auto need = NeedOf(profile);
   const bool blank = std::ranges::none_of(
     engines, [](const Engine& aEngine) { return aEngine.layers.has_value(); });
   if (blank) {
-    const bool settled =
-      aNow - aState.newestAt >= aState.settings.settle && !engines.empty();
-    return settled ? Decision{ .fills = PlanAll(engines, need) } : Decision{};
+    return settled && !engines.empty()
+             ? Decision{ .fills = PlanAll(engines, need) }
+             : Decision{};
   }
   Decision decision{ .fills = Overdue(aState, aService, aNow) };
   decision.fills.merge(FillEach(engines, need));
-  if (decision.fills.empty() &&
+  if (decision.fills.empty() && settled &&
       aNow - aState.lastMoveAt >= aState.settings.movePause) {
     decision.moves = CloseGaps(engines, need);
   }
--- a/src/balsampoint/placement/state.hpp
+++ b/src/balsampoint/placement/state.hpp
@@ -17,7 +17,8 @@
 /** @brief Times of placement. */
 struct Settings
 {
-  /** Time without a new engine after which the first plan is made. */
+  /** Time without a new engine after which the first plan is made and engines
+   * that hold layers are moved; also the time that a new leader looks on. */
   Duration settle{ std::chrono::milliseconds{ 1300 } };
   /** Time that a lost engine may come back before others take its part. */
   Duration lossPatience{ std::chrono::milliseconds{ 1500 } };
@@ -57,6 +58,7 @@
 {
   Settings settings;
   bool leading{ false };
+  Instant leadingSince{};
   FencingNumber fencing;
   std::map<ServiceId, routing::EngineProfile> profiles;
   std::map<ServerId, Known> engines;
--- a/test/balsampoint/consensus/group.hpp
+++ b/test/balsampoint/consensus/group.hpp
@@ -279,6 +279,8 @@
   std::vector<Error> startErrors;
   /** Violations of what must always hold. */
   std::vector<std::string> violations;
+  /** Times that a leader had applied all that was committed before. */
+  std::uint64_t established{};
   Duration syncTime{ std::chrono::microseconds{ 500 } };
 
 private:
@@ -383,6 +385,14 @@
       violations.emplace_back("two leaders in one term");
     }
   }
+  void Perform(const HostId& aHost, Established& aEstablished)
+  {
+    const auto leads = mLeaders.find(aEstablished.term);
+    if (leads == mLeaders.end() || leads->second != aHost) {
+      violations.emplace_back("established without an election");
+    }
+    ++established;
+  }
   void Perform(const HostId& aHost, HandOverEnded& aEnded)
   {
     hosts.at(aHost).handOverDone = aEnded.done;
--- a/test/balsampoint/consensus/module_test.cpp
+++ b/test/balsampoint/consensus/module_test.cpp
@@ -89,6 +89,29 @@
   }
 }
 
+Test(consensus, elects_soon_after_all_hosts_have_lost_power)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Group group{ 3, 0, seed };
+    group.Elect();
+    std::vector<HostId> names;
+    for (const auto& [name, host] : group.hosts) {
+      names.push_back(name);
+    }
+    for (const auto& name : names) {
+      group.Kill(name);
+    }
+    for (const auto& name : names) {
+      group.Start(name);
+    }
+    const auto before = group.established;
+    cr_assert_not(group.Elect(std::chrono::milliseconds{ 700 }).Empty());
+    group.Run(seconds{ 1 });
+    cr_assert_gt(group.established, before, "seed %zu", seed);
+    cr_assert(group.violations.empty());
+  }
+}
+
 Test(consensus, recovers_from_leader_loss_within_two_seconds)
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/test/balsampoint/fanout/module_test.cpp
+++ b/test/balsampoint/fanout/module_test.cpp
@@ -5,6 +5,7 @@
 using namespace balsampoint;
 using namespace balsampoint::fanout;
 using namespace balsampoint::fanout::test;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -200,3 +201,20 @@
   Module::Tick(state, kNow + 1s, actions);
   cr_assert_eq(count(actions, "c2"), 0);
 }
+
+Test(fanout, a_restart_of_all_waits_for_a_leader_that_has_everything)
+{
+  Tree tree{ 9, 3, 3, 12 };
+  tree.Lead({});
+  tree.Accept(1, SectionsOf(1));
+  tree.Run(milliseconds{ 1500 });
+  const auto entry = Tree::Name(7);
+  cr_assert_eq(tree.hosts.at(entry).published, ChangeNumber{});
+  tree.Accept(2, SectionsOf(2));
+  tree.Lead(Tree::Name(0));
+  const auto took = tree.TimeUntil(
+    [&] { return tree.hosts.at(entry).published != ChangeNumber{}; },
+    seconds{ 5 });
+  cr_assert_eq(tree.hosts.at(entry).published, ChangeNumber{ 2 });
+  cr_assert_lt(took, milliseconds{ 400 });
+}
--- a/test/balsampoint/placement/module_test.cpp
+++ b/test/balsampoint/placement/module_test.cpp
@@ -156,3 +156,32 @@
   cr_assert_eq(host.given.front().layers.begin, 0U);
   cr_assert_eq(host.given.front().expectedOrders, 0U);
 }
+
+Test(placement, a_new_leader_looks_before_it_orders)
+{
+  Fixture host;
+  host.Tell(Configured{ { { kService, SmallProfile() } } });
+  host.See({ MakeServer("s1", LayerRange{ 0, 5 }),
+             MakeServer("s2", LayerRange{ 0, 5 }) });
+  host.Run(10s);
+  host.Tell(Leading{ .leading = true, .fencing = FencingNumber{ 4 } });
+  host.Run(1s);
+  cr_assert(host.given.empty());
+  host.Run(1s);
+  cr_assert_eq(host.given.size(), 1U);
+}
+
+Test(placement, engines_that_hold_layers_wait_for_engines_that_are_new)
+{
+  Fixture host;
+  host.Lead();
+  host.Run(10s);
+  host.See({ MakeServer("s1", LayerRange{ 0, 5 }),
+             MakeServer("s2", LayerRange{ 0, 5 }) });
+  host.Run(1s);
+  host.See({ MakeServer("s1", LayerRange{ 0, 5 }),
+             MakeServer("s2", LayerRange{ 0, 5 }),
+             MakeServer("s3", LayerRange{ 4, 8 }) });
+  host.Run(10s);
+  cr_assert(host.given.empty());
+}
