One generator, one digest and one identity for all hosts

Cause: consensus had a second copy of SplitMix64, daemon a second digest and a second way to make a host's identity. Change: consensus uses core/split_mix.hpp; daemon/digest and MakeIdentity are shared.

--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -9,17 +9,6 @@
 
 namespace {
 
-/** @brief The next number of the SplitMix64 sequence. */
-std::uint64_t
-NextRandom(std::uint64_t& aRandom)
-{
-  aRandom += 0x9E3779B97F4A7C15ULL;
-  auto value = aRandom;
-  value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
-  value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
-  return value ^ (value >> 31U);
-}
-
 /** @brief Whether the host has never held any state. */
 bool
 IsFresh(const State& aState)
@@ -178,7 +167,7 @@
 DrawBetween(State& aState, Duration aLeast, Duration aMost)
 {
   const auto steps = static_cast<std::uint64_t>((aMost - aLeast).count()) + 1;
-  const auto extra = NextRandom(aState.random) % steps;
+  const auto extra = aState.random.Next() % steps;
   return aLeast + Duration{ static_cast<Duration::rep>(extra) };
 }
 
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -160,7 +160,8 @@
     return Refuse(ErrorKind::InvalidConfiguration,
                   "the election timeouts must be longer than the heartbeat");
   }
-  State state{ .settings = std::move(aSettings), .random = aSeed };
+  State state{ .settings = std::move(aSettings),
+               .random = SplitMix64{ aSeed } };
   const auto hard = aRecovered.hard;
   TakeRecovered(state, std::move(aRecovered), aActions);
   if (!IsContiguous(state.log)) {
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/consensus/message.hpp"
 #include "balsampoint/consensus/status.hpp"
 #include "balsampoint/core/error.hpp"
+#include "balsampoint/core/split_mix.hpp"
 #include "balsampoint/core/time.hpp"
 
 #include <cstddef>
@@ -153,7 +154,7 @@
   Instant heartbeatDeadline{ kNever };
   std::set<HostId> grants;
   /** State of the generator of election timeouts. */
-  std::uint64_t random{};
+  SplitMix64 random;
 
   std::map<HostId, Progress> progress;
   Round round;
--- a/src/balsampoint/daemon/change_runner.cpp
+++ b/src/balsampoint/daemon/change_runner.cpp
@@ -2,12 +2,11 @@
 
 #include "balsampoint/change/delta.hpp"
 #include "balsampoint/config/query/sections.hpp"
+#include "balsampoint/daemon/digest.hpp"
 #include "balsampoint/daemon/post.hpp"
 #include "balsampoint/daemon/proposal_ticket.hpp"
 #include "balsampoint/peer/change_codec.hpp"
 
-#include <Poco/DigestEngine.h>
-#include <Poco/SHA2Engine.h>
 #include <utility>
 
 namespace balsampoint::daemon {
@@ -17,15 +16,6 @@
 /** @brief Longer than the module's own limit, which gives the exact answer. */
 constexpr Duration kAnswerWait = std::chrono::seconds{ 12 };
 
-std::string
-DigestOf(const http::ChangeRequest& aRequest)
-{
-  Poco::SHA2Engine engine{ Poco::SHA2Engine::SHA_256 };
-  engine.update(std::to_string(aRequest.number.Value()) + "\n");
-  engine.update(aRequest.document);
-  return Poco::DigestEngine::digestToHex(engine.digest());
-}
-
 } // namespace
 
 ChangeRunner::ChangeRunner(ControlMailbox& aMailbox,
@@ -47,7 +37,9 @@
   change::Change change{ .number = aRequest.number,
                          .id = aRequest.change,
                          .author = aRequest.by,
-                         .digest = DigestOf(aRequest) };
+                         .digest = Sha256(
+                           { std::to_string(aRequest.number.Value()) + "\n",
+                             aRequest.document }) };
   auto sections = config::SplitSections(aRequest.document);
   const auto inForce = mInForce.Read();
   if (inForce && inForce->number.Next() == aRequest.number) {
--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -5,6 +5,7 @@
 #include "balsampoint/runtime/steady_clock.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace balsampoint::daemon {
@@ -127,6 +128,19 @@
 
 } // namespace
 
+peer::Identity
+MakeIdentity(const config::Settings& aSettings)
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+  return { .cluster = aSettings.cluster,
+           .host = aSettings.host,
+           .incarnation =
+             Incarnation{ static_cast<std::uint64_t>(milliseconds) },
+           .secret = aSettings.secret };
+}
+
 tl::expected<FirstState, Error>
 MakeFirstState(const config::Settings& aSettings,
                const peer::Identity& aIdentity,
--- a/src/balsampoint/daemon/first_state.hpp
+++ b/src/balsampoint/daemon/first_state.hpp
@@ -29,6 +29,15 @@
   bool ownInterface{ true };
 };
 
+/**
+ * @brief The identity of this start of a host towards its peers.
+ *
+ * The incarnation is the wall clock, so that each start has a higher number.
+ * @param aSettings The host's settings.
+ */
+[[nodiscard]] peer::Identity
+MakeIdentity(const config::Settings& aSettings);
+
 /**
  * @brief Reads the data folder and makes the first states of all modules.
  * @param aSettings The host's settings.
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -34,20 +34,6 @@
   return rules;
 }
 
-/** The wall clock, so that each start of a host has a higher number. */
-peer::Identity
-MakeIdentity(const config::Settings& aSettings)
-{
-  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto milliseconds =
-    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-  return { .cluster = aSettings.cluster,
-           .host = aSettings.host,
-           .incarnation =
-             Incarnation{ static_cast<std::uint64_t>(milliseconds) },
-           .secret = aSettings.secret };
-}
-
 std::map<ModelId, std::uint32_t>
 ModelLayers(const config::Document& aDocument)
 {
