Compress the text of configurations between hosts and on disk

Change: the section that holds the text is packed by zlib (Poco); one place packs, one unpacks, bounded. The gateway can tell other hosts an address of its peers' listener that a forwarder serves (listen.advertised_peers). Parsing on each host stays.

--- a/src/balsampoint/config/gateway_settings.hpp
+++ b/src/balsampoint/config/gateway_settings.hpp
@@ -24,6 +24,14 @@
   std::optional<Address> control;
   std::optional<Address> metrics;
   Address peers;
+  /** Where other hosts reach `peers`, if a forwarder stands in between. */
+  std::optional<Address> advertisedPeers;
+
+  /** @brief The address of `peers` that other hosts are told. */
+  [[nodiscard]] Address PeersAsTold() const
+  {
+    return advertisedPeers.value_or(peers);
+  }
 };
 
 /** @brief Retries that all hosts may make together in any window of time. */
--- a/src/balsampoint/config/query/load_gateway_settings.cpp
+++ b/src/balsampoint/config/query/load_gateway_settings.cpp
@@ -30,6 +30,7 @@
   ReadAddress(reader, "control", aListeners.control);
   ReadAddress(reader, "metrics", aListeners.metrics);
   reader.Read("peers", aListeners.peers, Presence::Required);
+  ReadAddress(reader, "advertised_peers", aListeners.advertisedPeers);
   if (!aListeners.callers && !aListeners.control) {
     reader.Here().Report("needs 'callers' or 'control'");
   }
--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -20,11 +20,10 @@
 #include "balsampoint/trace/log.hpp"
 #include "balsampoint/traffic/control_gate.hpp"
 
-#include <Poco/DigestEngine.h>
-#include <Poco/SHA2Engine.h>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 #include <thread>
 #include <utility>
@@ -32,9 +31,6 @@
 
 namespace balsampoint::daemon {
 
-/** @brief Name of the section that holds a configuration's whole text. */
-inline constexpr const char* kWholeText = "document";
-
 /**
  * @brief A host that forwards requests by routes, hears servers, or both.
  * @tparam D Names and formats of messages.
@@ -51,14 +47,15 @@
   [[nodiscard]] static tl::expected<std::unique_ptr<BasicGateway>, Error> Start(
     const config::GatewaySettings& aSettings)
   {
-    const auto identity = IdentityOf(aSettings);
-    auto first = MakeFirstState(
-      ControlSettingsOf(aSettings), identity, TuningOf(aSettings, identity));
+    const auto control = ControlSettingsOf(aSettings);
+    const auto identity = MakeIdentity(control);
+    auto first =
+      MakeFirstState(control, identity, TuningOf(aSettings, identity));
     if (!first) {
       return tl::unexpected(first.error());
     }
     std::unique_ptr<BasicGateway> gateway{ new BasicGateway{
-      aSettings, identity, std::move(*first) } };
+      aSettings, control.seeds, identity, std::move(*first) } };
     if (auto listening = gateway->Listen(); !listening) {
       return tl::unexpected(listening.error());
     }
@@ -114,6 +111,7 @@
   static constexpr std::size_t kMaxControlConnections = 2000;
 
   BasicGateway(const config::GatewaySettings& aSettings,
+               std::span<const config::Seed> aSeeds,
                const peer::Identity& aIdentity,
                FirstState aFirst)
     : mSettings{ aSettings }
@@ -148,7 +146,7 @@
     , mIdleTimer{ mEdge.Context() }
   {
     mTraffic.maxActive = static_cast<std::uint32_t>(MaxCallers(aSettings));
-    for (const auto& seed : ControlSettingsOf(aSettings).seeds) {
+    for (const auto& seed : aSeeds) {
       if (seed.host != mSettings.host) {
         mSender.Route(seed.host, seed.address.Text());
       }
@@ -274,11 +272,10 @@
 
   tl::expected<void, Error> Configure(const fanout::Content& aContent)
   {
-    const auto text = aContent.sections->find(kWholeText);
-    if (text == aContent.sections->end()) {
-      return Refuse(ErrorKind::InvalidConfiguration, "the text is missing");
-    }
-    auto table = D::ReadConfiguration(text->second)
+    auto table = TextOf(*aContent.sections)
+                   .and_then([](const std::string& aText) {
+                     return D::ReadConfiguration(aText);
+                   })
                    .and_then([](routing::Document aDocument) {
                      return routing::Table::Make(std::move(aDocument));
                    });
@@ -334,8 +331,9 @@
   edge::ControlOperations MakeOperations()
   {
     return { .submit =
-               [this](edge::SubmittedConfiguration aSubmitted, auto aCallback) {
-                 Submit(std::move(aSubmitted), std::move(aCallback));
+               [this](const edge::SubmittedConfiguration& aSubmitted,
+                      auto aCallback) {
+                 Submit(aSubmitted, std::move(aCallback));
                },
              .read = [this](auto aCallback) { Read(std::move(aCallback)); },
              .heartbeat =
@@ -350,23 +348,11 @@
                } };
   }
 
-  void Submit(edge::SubmittedConfiguration aSubmitted,
+  void Submit(const edge::SubmittedConfiguration& aSubmitted,
               std::function<void(tl::expected<void, Error>)> aCallback)
   {
-    Poco::SHA2Engine engine{ Poco::SHA2Engine::SHA_256 };
-    engine.update(aSubmitted.text);
-    const auto digest = Poco::DigestEngine::digestToHex(engine.digest());
-    change::Change change{
-      .number = aSubmitted.number,
-      .id =
-        ChangeId{ std::to_string(aSubmitted.number.Value()) + "-" + digest },
-      .digest = digest,
-      .whole = true,
-      .delta = { .upserts = { { kWholeText, std::move(aSubmitted.text) } } },
-      .numbering = change::Numbering::Increasing
-    };
     mRunners.Change().Submit(
-      std::move(change),
+      ChangeOf(aSubmitted.number, aSubmitted.text),
       [callback = std::move(aCallback)](ChangeRunner::Result aResult) {
         callback(aResult ? tl::expected<void, Error>{}
                          : tl::unexpected(aResult.error()));
@@ -384,12 +370,15 @@
           return;
         }
         mRunners.Change().Read([callback](const fanout::Content& aContent) {
-          const auto text = aContent.sections->find(kWholeText);
-          if (text == aContent.sections->end()) {
+          auto text = TextOf(*aContent.sections);
+          if (!text) {
+            spdlog::error("configuration {} can't be read: {}",
+                          aContent.number.Value(),
+                          text.error().detail);
             callback(edge::AskElsewhere{});
             return;
           }
-          callback(text->second);
+          callback(std::move(*text));
         });
       });
   }
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -1,7 +1,11 @@
 #include "balsampoint/daemon/gateway_state.hpp"
 
+#include "balsampoint/daemon/compressed_text.hpp"
+#include "balsampoint/daemon/digest.hpp"
+
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace balsampoint::daemon {
 
@@ -22,24 +26,11 @@
 std::string
 PeerAddress(const std::string& aIp, const config::GatewaySettings& aSettings)
 {
-  return config::Address{ aIp, aSettings.listen.peers.port }.Text();
+  return config::Address{ aIp, aSettings.listen.PeersAsTold().port }.Text();
 }
 
 } // namespace
 
-peer::Identity
-IdentityOf(const config::GatewaySettings& aSettings)
-{
-  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto milliseconds =
-    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-  return { .cluster = aSettings.cluster,
-           .host = aSettings.host,
-           .incarnation =
-             Incarnation{ static_cast<std::uint64_t>(milliseconds) },
-           .secret = aSettings.secret };
-}
-
 config::Settings
 ControlSettingsOf(const config::GatewaySettings& aSettings)
 {
@@ -48,7 +39,7 @@
   settings.host = aSettings.host;
   settings.region = aSettings.region;
   settings.zone = aSettings.zone;
-  settings.listen.peers = aSettings.listen.peers;
+  settings.listen.peers = aSettings.listen.PeersAsTold();
   settings.dataFolder = aSettings.dataFolder;
   settings.secret = aSettings.secret;
   for (const auto& seed : aSettings.seeds) {
@@ -61,7 +52,8 @@
       settings.seeds.push_back(
         { .host = host,
           .zone = host == aSettings.host ? aSettings.zone : ZoneId{},
-          .address = { seed.ip, aSettings.listen.peers.port } });
+          .address = { seed.ip,
+                       aSettings.listen.PeersAsTold().port } });
     }
   }
   const bool isSeed =
@@ -85,7 +77,7 @@
   auto& roster = tuning.roster;
   roster.self = aSettings.host;
   roster.incarnation = aIdentity.incarnation;
-  roster.address = aSettings.listen.peers.Text();
+  roster.address = aSettings.listen.PeersAsTold().Text();
   roster.hears = aSettings.listen.control.has_value();
   roster.silence = std::chrono::duration_cast<Duration>(aSettings.heartbeat *
                                                         kMissedHeartbeats);
@@ -114,4 +106,26 @@
   return usable / 2;
 }
 
+change::Change
+ChangeOf(ChangeNumber aNumber, std::string_view aText)
+{
+  auto digest = Sha256({ aText });
+  return { .number = aNumber,
+           .id = ChangeId{ std::to_string(aNumber.Value()) + "-" + digest },
+           .digest = std::move(digest),
+           .whole = true,
+           .delta = { .upserts = { { kWholeText, Compress(aText) } } },
+           .numbering = change::Numbering::Increasing };
+}
+
+tl::expected<std::string, Error>
+TextOf(const change::Sections& aSections)
+{
+  const auto packed = aSections.find(kWholeText);
+  if (packed == aSections.end()) {
+    return Refuse(ErrorKind::InvalidConfiguration, "the text is missing");
+  }
+  return Decompress(packed->second);
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/gateway_state.hpp
+++ b/src/balsampoint/daemon/gateway_state.hpp
@@ -1,19 +1,22 @@
 #pragma once
 
+#include "balsampoint/change/state.hpp"
+#include "balsampoint/change/table.hpp"
 #include "balsampoint/config/gateway_settings.hpp"
 #include "balsampoint/daemon/first_state.hpp"
 #include "balsampoint/edge/server_connection.hpp"
 #include "balsampoint/fleet/state.hpp"
 #include "balsampoint/forward/retry_budget.hpp"
 
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
 namespace balsampoint::daemon {
 
-/**
- * @brief The identity of a gateway towards its peers.
- * @param aSettings The host's settings.
- */
-[[nodiscard]] peer::Identity
-IdentityOf(const config::GatewaySettings& aSettings);
+/** @brief Name of the section that holds a configuration's whole text,
+ * compressed. */
+inline constexpr const char* kWholeText = "document.zlib";
 
 /**
  * @brief The settings of the control modules that follow from a gateway's.
@@ -47,4 +50,21 @@
 [[nodiscard]] std::size_t
 MaxCallers(const config::GatewaySettings& aSettings);
 
+/**
+ * @brief A configuration as a change of the control state; the same text under
+ * the same number is the same change.
+ * @param aNumber Its number.
+ * @param aText Its whole text.
+ */
+[[nodiscard]] change::Change
+ChangeOf(ChangeNumber aNumber, std::string_view aText);
+
+/**
+ * @brief The whole text of a configuration.
+ * @param aSections The configuration's sections.
+ * @return The text, or `ErrorKind::InvalidConfiguration`.
+ */
+[[nodiscard]] tl::expected<std::string, Error>
+TextOf(const change::Sections& aSections);
+
 } // namespace balsampoint::daemon
