Spread hosts that know the same over chains, and avoid full servers longer

At 5 requests a second and host, leaving a full or dead server out for 0.15 s spared no request. Change: each choice weighs servers up to 0.3 higher by a draw; a server that refuses in a row is left out for up to 1.2 s; a request refused for want of a retry, not of room, may come back in 0.25 s.

--- a/src/balsampoint/core/split_mix.hpp
+++ b/src/balsampoint/core/split_mix.hpp
@@ -29,6 +29,14 @@
     return value ^ (value >> 31U);
   }
 
+  /** @brief The next number, from 0 up to but not including 1. */
+  double NextUnit()
+  {
+    constexpr unsigned kFractionBits = 53;
+    constexpr double kScale = 1.0 / static_cast<double>(1ULL << kFractionBits);
+    return static_cast<double>(Next() >> (64U - kFractionBits)) * kScale;
+  }
+
 private:
   std::uint64_t mState{};
 };
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -269,7 +269,8 @@
                           .promptTokens = aEngine.usualPrompt,
                           .answerTokens = aEngine.usualAnswer,
                           .failed = aFailed,
-                          .receivers = AllowedReceivers() };
+                          .receivers = AllowedReceivers(),
+                          .draw = mTraffic.random.Next() };
     if (mInquiry.tokens) {
       demand.promptTokens = mInquiry.tokens->prompt;
       demand.answerTokens =
@@ -590,7 +591,10 @@
       verdict = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
-    Conclude(verdict, MakeError(ErrorKind::BackendFailed, aReason));
+    auto error = MakeError(ErrorKind::BackendFailed, aReason);
+    // Other servers may have room now; there was no retry left to ask them.
+    error.retryAfter = mService->engine ? kContentionRetry : kPlainRetry;
+    Conclude(verdict, error);
   }
 
   void LeaveServer()
@@ -626,7 +630,9 @@
       case forward::Verdict::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
-        aError.retryAfter = mService->engine ? kEngineRetry : kPlainRetry;
+        if (aError.retryAfter == Duration{}) {
+          aError.retryAfter = mService->engine ? kEngineRetry : kPlainRetry;
+        }
         AnswerError(aError);
         return;
       case forward::Verdict::Fail:
@@ -772,6 +778,8 @@
   static constexpr Duration kOverloadRetry = std::chrono::milliseconds{ 300 };
   /** Time in which some of the streams in progress end and leave room. */
   static constexpr Duration kEngineRetry = std::chrono::milliseconds{ 2000 };
+  /** Time in which hosts learn what the others have sent to the servers. */
+  static constexpr Duration kContentionRetry = std::chrono::milliseconds{ 250 };
   /** A few times the usual time of a call of a plain service. */
   static constexpr Duration kPlainRetry = std::chrono::milliseconds{ 100 };
 
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -19,14 +19,20 @@
   return same ? &server->second : nullptr;
 }
 
+/** @brief A time that doubles with each event before, up to a longest one. */
+Duration
+Backoff(Duration aFirst, Duration aLongest, std::uint32_t aBefore)
+{
+  constexpr std::uint32_t kMaxDoublings = 8;
+  const auto doublings = std::min(aBefore, kMaxDoublings);
+  return std::min(aFirst * (std::int64_t{ 1 } << doublings), aLongest);
+}
+
 /** @brief How long a server is left out after a number of faults before. */
 Duration
 AvoidanceAfter(const Settings& aSettings, std::uint32_t aFaults)
 {
-  constexpr std::uint32_t kMaxDoublings = 8;
-  const auto doublings = std::min(aFaults, kMaxDoublings);
-  return std::min(aSettings.firstAvoidance * (std::int64_t{ 1 } << doublings),
-                  aSettings.longestAvoidance);
+  return Backoff(aSettings.firstAvoidance, aSettings.longestAvoidance, aFaults);
 }
 
 void
@@ -48,9 +54,16 @@
       aServer.faults = 0;
       aServer.broken = 0;
       aServer.misses = 0;
+      aServer.refusals = 0;
       break;
     case Finding::Full:
-      LeaveOut(aServer.fullUntil, aNow + aSettings.fullAvoidance);
+      // Refusals of requests sent at the same time count once.
+      if (aServer.fullUntil <= aNow) {
+        aServer.fullUntil = aNow + Backoff(aSettings.fullAvoidance,
+                                           aSettings.longestFullAvoidance,
+                                           aServer.refusals);
+        ++aServer.refusals;
+      }
       break;
     case Finding::Unreachable:
       LeaveOut(aServer.unreachableUntil,
@@ -124,7 +137,9 @@
     server->progressAt = aNow;
     server->misses = 0;
     server->unreachableUntil = Instant::min();
-    if (aInterval) {
+    if (!aInterval) {
+      server->refusals = 0;
+    } else {
       const std::chrono::duration<double, std::milli> interval = *aInterval;
       server->eventMs += kNewest * (interval.count() - server->eventMs);
     }
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/fleet/query/choose_chain.hpp"
 
+#include "balsampoint/core/split_mix.hpp"
 #include "balsampoint/fleet/internal/cost.hpp"
 
 #include <algorithm>
@@ -23,6 +24,14 @@
   std::uint32_t from{};
 };
 
+/** @brief A server that may run some layers of the request. */
+struct Candidate
+{
+  const Server* server{};
+  /** Multiplies its cost. */
+  double weight{ 1.0 };
+};
+
 /** @brief The layers that a server holds; none if it has not told any. */
 LayerRange
 Held(const Server& aServer)
@@ -44,39 +53,42 @@
     , mGroup{ aGroup }
     , mEngine{ aEngine }
     , mDemand{ aDemand }
+    , mNow{ aNow }
     , mTokens{ aDemand.promptTokens +
                aState.settings.answerShare * aDemand.answerTokens }
     , mSteps(mEngine.layers + 1)
   {
+    SplitMix64 random{ aDemand.draw.value_or(0) };
+    const auto spread = aDemand.draw ? aState.settings.spread : 0.0;
     for (const auto& [id, server] : aGroup.servers) {
       const bool out = aLastResort ? server.Unable(aNow) : server.LeftOut(aNow);
       if (!out && Usable(server)) {
-        mServers.push_back(&server);
+        mServers.push_back({ &server, 1.0 + spread * random.NextUnit() });
       }
     }
     MarkEnds();
   }
 
-  tl::expected<Chain, Error> Run(Instant aNow)
+  tl::expected<Chain, Error> Run()
   {
     mSteps.front().cost = 0.0;
     for (std::uint32_t layer = 0; layer < mEngine.layers; ++layer) {
       if (mSteps[layer].cost == kNoPath) {
         continue;
       }
-      for (const auto* server : mServers) {
-        Extend(layer, *server);
+      for (const auto& candidate : mServers) {
+        Extend(layer, candidate);
       }
     }
     if (mSteps.back().cost == kNoPath) {
-      return Refuse(ErrorKind::NoServer, Obstacle(aNow));
+      return Refuse(ErrorKind::NoServer, Obstacle());
     }
     return Trace();
   }
 
 private:
   /** @brief Why no chain runs all layers. */
-  [[nodiscard]] std::string Obstacle(Instant aNow) const
+  [[nodiscard]] std::string Obstacle() const
   {
     std::uint32_t layer = mEngine.layers;
     while (layer > 0 && mSteps[layer].cost == kNoPath) {
@@ -85,7 +97,7 @@
     std::map<std::string_view, int> holders;
     for (const auto& entry : mGroup.servers) {
       if (Held(entry.second).Holds(layer)) {
-        ++holders[ReasonAgainst(entry.second, aNow)];
+        ++holders[ReasonAgainst(entry.second)];
       }
     }
     auto text = "no server can run layer " + std::to_string(layer);
@@ -96,8 +108,7 @@
   }
 
   /** @brief Why a server that holds a layer can't run it. */
-  [[nodiscard]] std::string_view ReasonAgainst(const Server& aServer,
-                                               Instant aNow) const
+  [[nodiscard]] std::string_view ReasonAgainst(const Server& aServer) const
   {
     if (!aServer.ready) {
       return "not ready";
@@ -105,7 +116,7 @@
     if (mDemand.failed.contains(aServer.claim.server)) {
       return "failed the request";
     }
-    if (aServer.unreachableUntil > aNow) {
+    if (aServer.unreachableUntil > mNow) {
       return "out of reach";
     }
     return "full";
@@ -121,8 +132,8 @@
   void MarkEnds()
   {
     mEnds.assign(mEngine.layers + 1, false);
-    for (const auto* server : mServers) {
-      const auto begin = Held(*server).begin;
+    for (const auto& candidate : mServers) {
+      const auto begin = Held(*candidate.server).begin;
       if (begin < mEnds.size()) {
         mEnds[begin] = true;
       }
@@ -149,25 +160,27 @@
            (receivers.empty() || receivers.contains(aServer.claim.server));
   }
 
-  void Extend(std::uint32_t aLayer, const Server& aServer)
+  void Extend(std::uint32_t aLayer, const Candidate& aCandidate)
   {
-    const auto held = Held(aServer);
+    const auto& server = *aCandidate.server;
+    const auto held = Held(server);
     if (!held.Holds(aLayer) || held.end > mEngine.layers ||
-        Passes(aLayer, aServer)) {
+        Passes(aLayer, server)) {
       return;
     }
-    if (aLayer == 0 && !MayReceive(aServer)) {
+    if (aLayer == 0 && !MayReceive(server)) {
       return;
     }
-    const auto fixed = HopMs(aLayer, aServer) + WaitMs(aServer);
+    const auto fixed =
+      HopMs(aLayer, server) + aCandidate.weight * WaitMs(server);
     for (auto end = aLayer + 1; end <= held.end; ++end) {
       if (end != held.end && !mEnds[end]) {
         continue;
       }
-      const auto cost =
-        mSteps[aLayer].cost + fixed + RunMs(aServer, end - aLayer);
+      const auto cost = mSteps[aLayer].cost + fixed +
+                        aCandidate.weight * RunMs(server, end - aLayer);
       if (cost < mSteps[end].cost) {
-        mSteps[end] = { cost, &aServer, aLayer };
+        mSteps[end] = { cost, &server, aLayer };
       }
     }
   }
@@ -237,10 +250,11 @@
   const Group& mGroup;
   const routing::EngineProfile& mEngine;
   const Demand& mDemand;
+  Instant mNow;
   double mTokens;
   std::vector<Step> mSteps;
   std::vector<bool> mEnds;
-  std::vector<const Server*> mServers;
+  std::vector<Candidate> mServers;
 };
 
 } // namespace
@@ -259,12 +273,17 @@
   const auto search = [&](bool aLastResort) {
     return Search{ aState,  group->second, engine.value(),
                    aDemand, aLastResort,   aNow }
-      .Run(aNow);
+      .Run();
   };
   auto chain = search(false);
   // Where only servers at fault hold some layer, one of them is better than
   // none.
-  return chain ? std::move(chain) : search(true);
+  const bool anyAtFault =
+    !chain &&
+    std::ranges::any_of(group->second.servers, [&](const auto& aEntry) {
+      return aEntry.second.LeftOut(aNow) && !aEntry.second.Unable(aNow);
+    });
+  return anyAtFault ? search(true) : std::move(chain);
 }
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/choose_chain.hpp
+++ b/src/balsampoint/fleet/query/choose_chain.hpp
@@ -3,6 +3,8 @@
 #include "balsampoint/core/error.hpp"
 #include "balsampoint/fleet/state.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <tl/expected.hpp>
 
@@ -19,13 +21,17 @@
   std::set<ServerId> failed;
   /** The servers to which it may be sent; empty for any. */
   std::set<ServerId> receivers;
+  /** A random number that spreads requests over servers alike; absent for the
+   * cheapest chain. */
+  std::optional<std::uint64_t> draw;
 };
 
 /**
  * @brief Finds the chain with the shortest predicted time.
  *
- * The time of a server grows with this thread's work on it, so that requests
- * spread over servers with the same layers.
+ * The time of a server grows with the work on it, so that requests spread over
+ * servers with the same layers. What other hosts have sent meanwhile isn't
+ * known yet, so each draw also weighs the servers a little differently.
  * @param aState State to read.
  * @param aDemand What is needed.
  * @param aNow The time.
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -35,8 +35,13 @@
   /** How long a server at fault is left out; doubles with each fault. */
   Duration firstAvoidance{ std::chrono::milliseconds{ 500 } };
   Duration longestAvoidance{ std::chrono::seconds{ 8 } };
-  /** How long a server without room is left out. */
+  /** How long a server without room is left out; doubles with each refusal in
+   * a row. */
   Duration fullAvoidance{ std::chrono::milliseconds{ 150 } };
+  Duration longestFullAvoidance{ std::chrono::milliseconds{ 1200 } };
+  /** Most by which a server's cost is drawn higher for one choice, as a part of
+   * it: hosts that know the same of the servers choose different chains. */
+  double spread{ 0.3 };
   /** Answers in a row that break off before a server is left out. */
   std::uint32_t brokenToAvoid{ 3 };
   /** Weight of the newest outcome in a server's rate of failures. */
@@ -75,6 +80,8 @@
   std::uint32_t faults{};
   /** Times it took no connection, without a sign of life in between. */
   std::uint32_t misses{};
+  /** Requests refused for want of room in a row. */
+  std::uint32_t refusals{};
   /** Answers that broke off in a row. */
   std::uint32_t broken{};
   /** Own streams that write through it. */
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -5,6 +5,7 @@
 #include "balsampoint/fleet/fixture.hpp"
 
 #include <criterion/criterion.h>
+#include <map>
 
 using namespace balsampoint;
 using namespace balsampoint::fleet;
@@ -213,3 +214,61 @@
   Note(state, kService, "a2:80", Finding::Full, kNow);
   cr_assert_not(ChooseChain(state, SmallDemand(), kNow + 1ms).has_value());
 }
+
+Test(choose_chain, spreads_choices_of_hosts_that_know_the_same)
+{
+  const auto state = MakeState({ MakeEngine("a1", "a", { 0, 8 }),
+                                 MakeEngine("a2", "a", { 0, 8 }),
+                                 MakeEngine("a3", "a", { 0, 8 }),
+                                 MakeEngine("a4", "a", { 0, 8 }) });
+  constexpr int kHosts = 400;
+  std::map<ServerId, int> chosen;
+  SplitMix64 random{ 5 };
+  for (int host = 0; host < kHosts; ++host) {
+    auto demand = SmallDemand();
+    demand.draw = random.Next();
+    ++chosen[ChooseChain(state, demand, kNow)->hops.front().server];
+  }
+  cr_assert_eq(chosen.size(), 4);
+  for (const auto& [server, times] : chosen) {
+    cr_assert_gt(times, kHosts / 8, "%s", server.Value().data());
+  }
+}
+
+Test(choose_chain, prefers_a_much_faster_server_whatever_the_draw)
+{
+  const auto state = MakeState({ MakeEngine("a1", "a", { 0, 8 }),
+                                 MakeEngine("a2", "a", { 0, 8 }, "slow") });
+  SplitMix64 random{ 6 };
+  for (int draw = 0; draw < 100; ++draw) {
+    auto demand = SmallDemand();
+    demand.draw = random.Next();
+    const auto chain = ChooseChain(state, demand, kNow);
+    cr_assert_eq(chain->hops.front().server, ServerId{ "a1" });
+  }
+}
+
+Test(choose_chain, leaves_a_server_that_keeps_refusing_out_for_longer)
+{
+  auto state = MakeState({ MakeEngine("a1", "a", { 0, 8 }) });
+  const auto chain = ChooseChain(state, SmallDemand(), kNow);
+  auto now = kNow;
+  const auto refuse = [&] {
+    Note(state, kService, "a1:80", Finding::Full, now);
+  };
+  refuse();
+  refuse();
+  now += state.settings.fullAvoidance;
+  cr_assert(ChooseChain(state, SmallDemand(), now).has_value(),
+            "refusals of the same moment count once");
+  refuse();
+  now += state.settings.fullAvoidance;
+  cr_assert_not(ChooseChain(state, SmallDemand(), now).has_value());
+  now += state.settings.fullAvoidance;
+  cr_assert(ChooseChain(state, SmallDemand(), now).has_value());
+  NoteEvent(state, kService, chain->hops, {}, now);
+  refuse();
+  now += state.settings.fullAvoidance;
+  cr_assert(ChooseChain(state, SmallDemand(), now).has_value(),
+            "a request that was taken ends the row of refusals");
+}
