Add a soak of real gateways under faults from outside

Cause: the soak ran decisions on virtual time only; what processes do to each other and to callers under signals, cut links and full disks was unseen.

--- /dev/null
+++ b/test/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the randomized soak of real gateways on loopback."""
