End the gateway's threads before the log, and outlive a file size limit

Cause: RunGateway shut the log down while the gateway's threads still wrote to it; a control host stopped soon after it took the lead crashed (SIGSEGV, or SIGABRT by "async log: thread pool doesn't exist anymore"). SIGXFSZ ended a control host whose file size was limited, where a full disk is only refused. Change: the gateway is destroyed before the log ends; SIGXFSZ is ignored.

--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -52,8 +52,7 @@
       settings.seeds.push_back(
         { .host = host,
           .zone = host == aSettings.host ? aSettings.zone : ZoneId{},
-          .address = { seed.ip,
-                       aSettings.listen.PeersAsTold().port } });
+          .address = { seed.ip, aSettings.listen.PeersAsTold().port } });
     }
   }
   const bool isSeed =
--- a/src/balsampoint/daemon/main.cpp
+++ b/src/balsampoint/daemon/main.cpp
@@ -55,6 +55,8 @@
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A write over the limit of a file's size is to fail like one to a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
   const auto settings = config::LoadSettings(absl::GetFlag(FLAGS_settings));
   if (!settings) {
     return Fail(settings.error());
--- a/src/balsampoint/daemon/run_gateway.hpp
+++ b/src/balsampoint/daemon/run_gateway.hpp
@@ -69,6 +69,8 @@
   const auto signals = AwaitedSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // A write over the limit of a file's size is to fail like one to a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
   std::string file = absl::GetFlag(FLAGS_settings);
   // No other thread runs yet.
   // NOLINTNEXTLINE(concurrency-mt-unsafe)
@@ -94,6 +96,8 @@
   AwaitStop(signals);
   trace::Write("stopping");
   (*gateway)->Drain();
+  // Its threads write to the log until they have ended.
+  gateway->reset();
   trace::Write("stopped");
   spdlog::shutdown();
   return 0;
