Tell a refused request to come back after as long as the shortage has lasted

Cause: two constants, 0.25 s where a retry was missing and 2 s where no chain had room, whatever the state of the service: many streams came late because they were told 2 s while room came at once. Change: fleet::ReturnAfter, the time since a request last began to write at this host, between 0.25 and 2 s.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -6,6 +6,7 @@
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/choose_chain.hpp"
 #include "balsampoint/fleet/query/choose_server.hpp"
+#include "balsampoint/fleet/query/return_after.hpp"
 #include "balsampoint/forward/verdict.hpp"
 #include "balsampoint/trace/event.hpp"
 #include "balsampoint/wire/event_splitter.hpp"
@@ -591,10 +592,7 @@
       verdict = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
-    auto error = MakeError(ErrorKind::BackendFailed, aReason);
-    // Other servers may have room now; there was no retry left to ask them.
-    error.retryAfter = mService->engine ? kContentionRetry : kPlainRetry;
-    Conclude(verdict, error);
+    Conclude(verdict, MakeError(ErrorKind::BackendFailed, aReason));
   }
 
   void LeaveServer()
@@ -630,9 +628,10 @@
       case forward::Verdict::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
-        if (aError.retryAfter == Duration{}) {
-          aError.retryAfter = mService->engine ? kEngineRetry : kPlainRetry;
-        }
+        aError.retryAfter =
+          mService->engine
+            ? fleet::ReturnAfter(mTraffic.fleet, mService->id, Traffic::Now())
+            : kPlainRetry;
         AnswerError(aError);
         return;
       case forward::Verdict::Fail:
@@ -776,10 +775,6 @@
   /** When to come back to a host that has just started. */
   static constexpr Duration kStartRetry = std::chrono::milliseconds{ 500 };
   static constexpr Duration kOverloadRetry = std::chrono::milliseconds{ 300 };
-  /** Time in which some of the streams in progress end and leave room. */
-  static constexpr Duration kEngineRetry = std::chrono::milliseconds{ 2000 };
-  /** Time in which hosts learn what the others have sent to the servers. */
-  static constexpr Duration kContentionRetry = std::chrono::milliseconds{ 250 };
   /** A few times the usual time of a call of a plain service. */
   static constexpr Duration kPlainRetry = std::chrono::milliseconds{ 100 };
 
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -129,6 +129,10 @@
           Instant aNow)
 {
   constexpr double kNewest = 0.1;
+  const auto group = aState.groups.find(aService);
+  if (group != aState.groups.end() && !aInterval) {
+    group->second.begunAt = aNow;
+  }
   for (const auto& hop : aHops) {
     auto* server = Find(aState, aService, hop);
     if (server == nullptr) {
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -44,6 +44,10 @@
   double spread{ 0.3 };
   /** Answers in a row that break off before a server is left out. */
   std::uint32_t brokenToAvoid{ 3 };
+  /** Bounds on the time after which a refused request may come back: hosts
+   * learn of each other's work in the first, streams end in the second. */
+  Duration shortestReturn{ std::chrono::milliseconds{ 250 } };
+  Duration longestReturn{ std::chrono::seconds{ 2 } };
   /** Weight of the newest outcome in a server's rate of failures. */
   double failureWeight{ 0.15 };
 };
@@ -128,6 +132,8 @@
 {
   std::optional<routing::EngineProfile> engine;
   std::map<ServerId, Server> servers;
+  /** When an own request last began to write. */
+  Instant begunAt{ Instant::min() };
 };
 
 /** @brief The servers of all services; owned by one traffic thread. */
