Let a broken stream wait for servers with room, and split the exchange

Change: a resumable stream looks for servers every 0.1 s until 1.5 s after its last event; a fifth of the retries is kept for streams in mid-answer. The exchange's admission, choice of servers, relay of events and lines of log are modules of their own. Test: exchange/a_broken_stream_waits_until_a_server_has_room fails with a wait of 0; retry_budget/keeps_a_part_for_streams_in_mid_answer.

--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kReplaceAfter = 9s;
 /** Heartbeats that a server may miss before it counts as silent. */
 constexpr double kMissedHeartbeats = 3.0;
+/** Twice the part of failed attempts that are streams in mid-answer, by the
+ * logs of 2026-12-04; they come in bursts. */
+constexpr double kKeptForResumes = 0.2;
 /** Descriptors kept free for peers, servers and files. */
 constexpr std::size_t kReservedDescriptors = 400;
 
@@ -92,6 +95,7 @@
 {
   return { .ratio = aSettings.retry.ratio,
            .extra = aSettings.retry.extra,
+           .keptForResumes = kKeptForResumes,
            .window = aSettings.retry.window };
 }
 
--- /dev/null
+++ b/src/balsampoint/edge/admission.cpp
@@ -0,0 +1,79 @@
+#include "balsampoint/edge/admission.hpp"
+
+#include <numeric>
+#include <utility>
+
+namespace balsampoint::edge {
+
+namespace {
+
+/** When to come back to a host that has just started. */
+constexpr Duration kStartRetry = std::chrono::milliseconds{ 500 };
+constexpr Duration kOverloadRetry = std::chrono::milliseconds{ 300 };
+
+tl::unexpected<Error>
+Later(Error aError, Duration aAfter)
+{
+  aError.retryAfter = aAfter;
+  return tl::unexpected(std::move(aError));
+}
+
+/** Follows the weights of the route's targets. */
+const routing::Service*
+DrawService(const routing::Route& aRoute,
+            const routing::Document& aDocument,
+            SplitMix64& aRandom)
+{
+  const auto total =
+    std::accumulate(aRoute.targets.begin(),
+                    aRoute.targets.end(),
+                    std::uint64_t{},
+                    [](std::uint64_t aSum, const auto& aTarget) {
+                      return aSum + aTarget.weight;
+                    });
+  auto drawn = aRandom.Next() % total;
+  for (const auto& target : aRoute.targets) {
+    if (drawn < target.weight) {
+      return &aDocument.services.at(target.service);
+    }
+    drawn -= target.weight;
+  }
+  return nullptr;
+}
+
+} // namespace
+
+tl::expected<void, Error>
+Admit(Traffic& aTraffic,
+      const Inquiry& aInquiry,
+      std::string_view aPath,
+      Admission& aInto)
+{
+  aInto.routes = aTraffic.routes;
+  if (!aInto.routes) {
+    return Later(
+      MakeError(ErrorKind::NotReady, "this host has no configuration yet"),
+      kStartRetry);
+  }
+  const auto& routes = *aInto.routes;
+  aInto.route = routes.FindRoute(aInquiry.host, aPath);
+  if (aInto.route == nullptr) {
+    return Refuse(ErrorKind::NotFound, "no route matches host and path");
+  }
+  if (!aInto.route->isPublic) {
+    aInto.workspace =
+      aInquiry.key ? routes.FindWorkspace(*aInquiry.key) : nullptr;
+    if (aInto.workspace == nullptr) {
+      return Refuse(ErrorKind::Unauthorized, "no workspace holds the key");
+    }
+  }
+  if (aTraffic.active > aTraffic.maxActive) {
+    return Later(MakeError(ErrorKind::Overloaded,
+                           "too many requests are in progress here"),
+                 kOverloadRetry);
+  }
+  aInto.service = DrawService(*aInto.route, routes.Source(), aTraffic.random);
+  return {};
+}
+
+} // namespace balsampoint::edge
--- a/src/balsampoint/edge/entry.hpp
+++ b/src/balsampoint/edge/entry.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/edge/acceptor.hpp"
 #include "balsampoint/edge/exchange.hpp"
+#include "balsampoint/trace/event.hpp"
 
 #include <map>
 #include <memory>
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "balsampoint/edge/admission.hpp"
 #include "balsampoint/edge/answer.hpp"
 #include "balsampoint/edge/dialect.hpp"
+#include "balsampoint/edge/event_relay.hpp"
+#include "balsampoint/edge/exchange_log.hpp"
+#include "balsampoint/edge/server_choice.hpp"
 #include "balsampoint/edge/traffic.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
-#include "balsampoint/fleet/query/choose_chain.hpp"
-#include "balsampoint/fleet/query/choose_server.hpp"
 #include "balsampoint/fleet/query/return_after.hpp"
 #include "balsampoint/forward/verdict.hpp"
-#include "balsampoint/trace/event.hpp"
-#include "balsampoint/wire/event_splitter.hpp"
 #include "balsampoint/wire/write.hpp"
 
 #include <algorithm>
@@ -43,8 +43,8 @@
     : mTraffic{ aTraffic }
     , mCaller{ std::move(aCaller) }
     , mRequest{ std::move(aRequest) }
-    , mRoutes{ aTraffic.routes }
     , mDeadline{ aTraffic.loop.Context() }
+    , mResume{ aTraffic.loop.Context() }
     , mStartedAt{ Traffic::Now() }
   {
     ++mTraffic.active;
@@ -82,7 +82,7 @@
       return;
     }
     SetDeadline();
-    mTraffic.budget.CountRequest(mService->id, Traffic::Now());
+    mTraffic.budget.CountRequest(mAdmission.service->id, Traffic::Now());
     Attempt();
   }
 
@@ -99,71 +99,27 @@
 private:
   tl::expected<void, Error> Admit()
   {
-    if (!mRoutes) {
-      return Later(
-        MakeError(ErrorKind::NotReady, "this host has no configuration yet"),
-        kStartRetry);
+    // Before the first configuration nothing a caller says can be judged.
+    if (!mTraffic.routes) {
+      return edge::Admit(mTraffic, mInquiry, {}, mAdmission);
     }
     auto inquiry = D::ReadInquiry(mRequest.head);
     if (!inquiry) {
       return tl::unexpected(inquiry.error());
     }
     mInquiry = std::move(*inquiry);
-    mRoute = mRoutes->FindRoute(mInquiry.host, mRequest.head.Path());
-    if (mRoute == nullptr) {
-      return Refuse(ErrorKind::NotFound, "no route matches host and path");
+    auto admitted =
+      edge::Admit(mTraffic, mInquiry, mRequest.head.Path(), mAdmission);
+    if (admitted) {
+      mProgress.kind = mAdmission.route->kind;
+      mEvents = EventRelay{ UsesChunks(), mInquiry.resumeAfter };
     }
-    if (auto known = Identify(); !known) {
-      return known;
-    }
-    if (mTraffic.active > mTraffic.maxActive) {
-      return Later(MakeError(ErrorKind::Overloaded,
-                             "too many requests are in progress here"),
-                   kOverloadRetry);
-    }
-    mService = ChooseService();
-    mProgress.kind = mRoute->kind;
-    mLastEvent = mInquiry.resumeAfter;
-    return {};
-  }
-
-  tl::expected<void, Error> Identify()
-  {
-    if (mRoute->isPublic) {
-      return {};
-    }
-    mWorkspace = mInquiry.key ? mRoutes->FindWorkspace(*mInquiry.key) : nullptr;
-    if (mWorkspace == nullptr) {
-      return Refuse(ErrorKind::Unauthorized, "no workspace holds the key");
-    }
-    return {};
-  }
-
-  static tl::unexpected<Error> Later(Error aError, Duration aAfter)
-  {
-    aError.retryAfter = aAfter;
-    return tl::unexpected(std::move(aError));
-  }
-
-  const routing::Service* ChooseService()
-  {
-    std::uint64_t total = 0;
-    for (const auto& target : mRoute->targets) {
-      total += target.weight;
-    }
-    auto drawn = mTraffic.random.Next() % total;
-    for (const auto& target : mRoute->targets) {
-      if (drawn < target.weight) {
-        return &mRoutes->Source().services.at(target.service);
-      }
-      drawn -= target.weight;
-    }
-    return nullptr;
+    return admitted;
   }
 
   void SetDeadline()
   {
-    auto wait = mRoute->timeout;
+    auto wait = mAdmission.route->timeout;
     if (mInquiry.patience) {
       wait = std::min(wait, *mInquiry.patience);
     }
@@ -183,15 +139,18 @@
 
   void Attempt()
   {
-    auto hops = ChooseHops();
-    if (!hops) {
+    const auto receivers = AllowedReceivers();
+    auto chosen = ChooseServers(
+      mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers });
+    if (!chosen) {
       const auto end = mProgress.maybeRun ? forward::AttemptEnd::Broken
                                           : forward::AttemptEnd::NotSent;
-      Finish(forward::GiveUp(mProgress, end), hops.error());
+      Finish(forward::GiveUp(mProgress, end), chosen.error());
       return;
     }
-    mHops = std::move(*hops);
-    fleet::Reserve(mTraffic.fleet, mService->id, mHops, mTokens);
+    mHops = std::move(chosen->hops);
+    mTokens = chosen->tokens;
+    fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
     const auto& address = mHops.front().address;
     // A kept connection may be closed by the server as it is used, which
     // leaves open whether the request has run.
@@ -220,64 +179,9 @@
    * only go to one of these again. */
   [[nodiscard]] std::set<ServerId> AllowedReceivers() const
   {
-    return mReceivers.size() >= mRoute->maxAttempts ? mReceivers
-                                                    : std::set<ServerId>{};
-  }
-
-  tl::expected<std::vector<fleet::Hop>, Error> ChooseOne(Instant aNow)
-  {
-    const auto choose = [&](const std::set<ServerId>& aFailed) {
-      return fleet::ChooseServer(mTraffic.fleet,
-                                 mService->id,
-                                 aFailed,
-                                 AllowedReceivers(),
-                                 mTraffic.random.Next(),
-                                 aNow);
-    };
-    auto hop = choose(mFailed);
-    if (!hop && !mFailed.empty()) {
-      hop = choose({});
-    }
-    return std::move(hop).map([](fleet::Hop aHop) {
-      return std::vector<fleet::Hop>{ std::move(aHop) };
-    });
-  }
-
-  tl::expected<std::vector<fleet::Hop>, Error> ChooseHops()
-  {
-    const auto now = Traffic::Now();
-    const auto& engine = mService->engine;
-    if (!engine) {
-      return ChooseOne(now);
-    }
-    auto chain = ChooseChain(*engine, mFailed, now);
-    if (!chain && !mFailed.empty()) {
-      chain = ChooseChain(*engine, {}, now);
-    }
-    if (!chain) {
-      return tl::unexpected(chain.error());
-    }
-    mTokens = chain->tokens;
-    return std::move(chain->hops);
-  }
-
-  [[nodiscard]] tl::expected<fleet::Chain, Error> ChooseChain(
-    const routing::EngineProfile& aEngine,
-    const std::set<ServerId>& aFailed,
-    Instant aNow) const
-  {
-    fleet::Demand demand{ .service = mService->id,
-                          .promptTokens = aEngine.usualPrompt,
-                          .answerTokens = aEngine.usualAnswer,
-                          .failed = aFailed,
-                          .receivers = AllowedReceivers(),
-                          .draw = mTraffic.random.Next() };
-    if (mInquiry.tokens) {
-      demand.promptTokens = mInquiry.tokens->prompt;
-      demand.answerTokens =
-        mInquiry.tokens->expectedAnswer.value_or(aEngine.usualAnswer);
-    }
-    return fleet::ChooseChain(mTraffic.fleet, demand, aNow);
+    return mReceivers.size() >= mAdmission.route->maxAttempts
+             ? mReceivers
+             : std::set<ServerId>{};
   }
 
   void OnSignal(ServerSignal aSignal)
@@ -314,17 +218,18 @@
     mReceivers.insert(mHops.front().server);
     mRunBefore = mProgress.maybeRun;
     mProgress.maybeRun = true;
-    const auto workspace = mWorkspace ? mWorkspace->id : WorkspaceId{};
-    const auto priority = mWorkspace && mWorkspace->priority
-                            ? *mWorkspace->priority
-                            : mRoute->priority;
+    const auto workspace =
+      mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
+    const auto priority = mAdmission.workspace && mAdmission.workspace->priority
+                            ? *mAdmission.workspace->priority
+                            : mAdmission.route->priority;
     auto bytes = D::WriteRequest({ .head = mRequest.head,
                                    .body = mRequest.body,
                                    .left = left,
                                    .hops = mHops,
                                    .workspace = workspace,
                                    .priority = priority,
-                                   .resumeAfter = mLastEvent });
+                                   .resumeAfter = mEvents.Last() });
     mServer->Send(std::move(bytes), mRequest.head.method == "HEAD");
   }
 
@@ -365,7 +270,7 @@
     mProgress.maybeRun = mRunBefore;
     const std::string atFault{ aFacts.atFault.value_or(mHops.front().address) };
     fleet::Note(mTraffic.fleet,
-                mService->id,
+                mAdmission.service->id,
                 atFault,
                 fleet::Finding::Full,
                 Traffic::Now());
@@ -423,57 +328,26 @@
   void OnStreamPart()
   {
     auto& answer = mServer->Answer();
-    mEvents.Append(answer.TakeBody());
     std::string out;
-    while (true) {
-      const auto event = mEvents.Next();
-      if (!event.has_value()) {
-        break;
-      }
-      if (!TakeEvent(event.value(), out)) {
-        SendEvents(std::move(out));
-        NoteServer(fleet::Finding::Broken);
-        OnAttemptEnd(forward::AttemptEnd::Broken,
-                     "an event of the stream is missing");
-        return;
-      }
-    }
+    const bool whole = mEvents.Take(answer.TakeBody(), out);
     if (!out.empty()) {
-      SendEvents(std::move(out));
+      SendEvents(out);
+    }
+    if (!whole) {
+      NoteServer(fleet::Finding::Broken);
+      OnAttemptEnd(forward::AttemptEnd::Broken,
+                   "an event of the stream is missing");
+      return;
     }
     if (answer.Complete()) {
       OnStreamEnd();
     }
   }
 
-  /** Appends an event that follows the last one; drops one known already. */
-  bool TakeEvent(const wire::StreamEvent& aEvent, std::string& aOut)
-  {
-    if (aEvent.id) {
-      if (mLastEvent && *aEvent.id <= *mLastEvent) {
-        return true;
-      }
-      if (mLastEvent && *aEvent.id != *mLastEvent + 1) {
-        return false;
-      }
-      mLastEvent = aEvent.id;
-    }
-    ++mEventCount;
-    if (UsesChunks()) {
-      wire::AppendChunk(aOut, aEvent.bytes);
-    } else {
-      aOut += aEvent.bytes;
-    }
-    return true;
-  }
-
   [[nodiscard]] bool UsesChunks() const { return mRequest.head.chunks; }
 
-  void SendEvents(std::string aBytes)
+  void SendEvents(std::string_view aBytes)
   {
-    if (aBytes.empty()) {
-      return;
-    }
     if (!mProgress.answering) {
       BeginAnswer();
     }
@@ -492,9 +366,10 @@
       interval = aNow - mLastEventAt;
     } else {
       mWriting = true;
-      fleet::CountStream(mTraffic.fleet, mService->id, mHops, true);
+      fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, true);
     }
-    fleet::NoteEvent(mTraffic.fleet, mService->id, mHops, interval, aNow);
+    fleet::NoteEvent(
+      mTraffic.fleet, mAdmission.service->id, mHops, interval, aNow);
   }
 
   /**
@@ -515,13 +390,18 @@
       forward::Decide(mProgress, forward::AttemptEnd::Broken, now);
     const bool again =
       verdict == forward::Verdict::Retry || verdict == forward::Verdict::Resume;
-    const auto& engine = mService->engine;
-    if (!again || !engine || !ChooseChain(*engine, mFailed, now) ||
-        !mTraffic.budget.TakeRetry(mService->id, now)) {
+    const auto receivers = AllowedReceivers();
+    if (!again ||
+        !OtherChainHasRoom(
+          mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers }) ||
+        !TakeRetry(verdict)) {
       return;
     }
     mFault = aServer.Value();
-    LogAttempt(forward::AttemptEnd::Broken, "a server of the chain is lost");
+    LogAttempt(Facts(),
+               forward::AttemptEnd::Broken,
+               "a server of the chain is lost",
+               mFault);
     LeaveServer();
     Conclude(verdict, {});
   }
@@ -565,7 +445,7 @@
   {
     if (!mHops.empty()) {
       fleet::Note(mTraffic.fleet,
-                  mService->id,
+                  mAdmission.service->id,
                   mHops.front().address,
                   aFinding,
                   Traffic::Now());
@@ -582,24 +462,32 @@
         (aEnd == forward::AttemptEnd::Broken && unknownFault)) {
       mFailed.insert(mHops.front().server);
     }
-    LogAttempt(aEnd, aReason);
+    LogAttempt(Facts(), aEnd, aReason, mFault);
     LeaveServer();
     auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
     const bool again =
       verdict == forward::Verdict::Retry || verdict == forward::Verdict::Resume;
-    if (again && mProgress.sent > 0 &&
-        !mTraffic.budget.TakeRetry(mService->id, Traffic::Now())) {
+    if (again && mProgress.sent > 0 && !TakeRetry(verdict)) {
       verdict = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
     Conclude(verdict, MakeError(ErrorKind::BackendFailed, aReason));
   }
 
+  bool TakeRetry(forward::Verdict aVerdict)
+  {
+    const auto use = aVerdict == forward::Verdict::Resume
+                       ? forward::RetryUse::Resume
+                       : forward::RetryUse::Repeat;
+    return mTraffic.budget.TakeRetry(
+      mAdmission.service->id, use, Traffic::Now());
+  }
+
   void LeaveServer()
   {
     mFault.clear();
     DropServer();
-    mEvents.Clear();
+    mEvents.DropPart();
   }
 
   /** @brief Tries another server or ends the request. */
@@ -628,10 +516,11 @@
       case forward::Verdict::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
-        aError.retryAfter =
-          mService->engine
-            ? fleet::ReturnAfter(mTraffic.fleet, mService->id, Traffic::Now())
-            : kPlainRetry;
+        aError.retryAfter = mAdmission.service->engine
+                              ? fleet::ReturnAfter(mTraffic.fleet,
+                                                   mAdmission.service->id,
+                                                   Traffic::Now())
+                              : kPlainRetry;
         AnswerError(aError);
         return;
       case forward::Verdict::Fail:
@@ -641,6 +530,14 @@
         AnswerError(aError);
         return;
       case forward::Verdict::Cut:
+        if (MayWaitToResume()) {
+          mResume.Set(kResumeInterval, [self = this->weak_from_this()] {
+            if (const auto exchange = self.lock()) {
+              exchange->ResumeIfPossible();
+            }
+          });
+          return;
+        }
         mTraffic.metrics.Add(trace::Outcome::Broken);
         CutCaller();
         End("cut");
@@ -648,6 +545,29 @@
     }
   }
 
+  /** A caller waits for the next event for some time before it leaves. */
+  [[nodiscard]] bool MayWaitToResume() const
+  {
+    const auto next = Traffic::Now() + kResumeInterval;
+    return mProgress.kind == routing::RequestKind::ResumableStream &&
+           next < mLastEventAt + kResumeWait && next < mProgress.deadline;
+  }
+
+  void ResumeIfPossible()
+  {
+    if (mEnded) {
+      return;
+    }
+    const auto receivers = AllowedReceivers();
+    const bool room = OtherChainHasRoom(
+      mTraffic, *mAdmission.service, mInquiry, { {}, receivers });
+    if (!room || !TakeRetry(forward::Verdict::Resume)) {
+      Finish(forward::Verdict::Cut, {});
+      return;
+    }
+    Conclude(forward::Verdict::Resume, {});
+  }
+
   void OnDeadline()
   {
     if (mEnded) {
@@ -697,10 +617,10 @@
       server->Close();
     }
     if (std::exchange(mWriting, false)) {
-      fleet::CountStream(mTraffic.fleet, mService->id, mHops, false);
+      fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, false);
     }
     if (!mHops.empty()) {
-      fleet::Release(mTraffic.fleet, mService->id, mHops, mTokens);
+      fleet::Release(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
       mHops.clear();
     }
   }
@@ -709,9 +629,16 @@
   {
     mEnded = true;
     mDeadline.Clear();
+    mResume.Clear();
     mTraffic.metrics.Record(trace::Timing::Request,
                             Traffic::Now() - mStartedAt);
-    LogEnd(aHow);
+    LogEnd(Facts(),
+           aHow,
+           mError,
+           mDetail,
+           mProgress.answering ? std::optional{ AnswerTimes{
+                                   mFirstEventAt - mStartedAt, mLongestPause } }
+                               : std::nullopt);
     DropServer();
     mCaller = nullptr;
     if (const auto done = std::exchange(mDone, nullptr)) {
@@ -719,75 +646,33 @@
     }
   }
 
-  [[nodiscard]] std::string HopText() const
-  {
-    std::string text;
-    for (const auto& hop : mHops) {
-      text += text.empty() ? "" : ",";
-      text += hop.address;
-      if (hop.layers.end > 0) {
-        text += '=' + std::to_string(hop.layers.begin) + '-' +
-                std::to_string(hop.layers.end);
-      }
-    }
-    return text;
-  }
-
-  void LogAttempt(forward::AttemptEnd aEnd, std::string_view aReason) const
-  {
-    trace::Event event{ "attempt_failed" };
-    event.With("request", mInquiry.id)
-      .With("service", mService->id)
-      .With("servers", HopText())
-      .With("reason", aReason)
-      .With("end", static_cast<int>(aEnd))
-      .With("sent", mProgress.sent)
-      .With("events", mEventCount)
-      .With("age_ms", Traffic::Now() - mStartedAt);
-    if (!mFault.empty()) {
-      event.With("at_fault", mFault);
-    }
-  }
-
-  void LogEnd(std::string_view aHow) const
+  [[nodiscard]] RequestFacts Facts() const
   {
-    trace::Event event{ "request_ended" };
-    event.With("request", mInquiry.id).With("how", aHow);
-    if (mRoute != nullptr) {
-      event.With("route", mRoute->name);
-    }
-    if (mRoutes) {
-      event.With("configuration", mRoutes->Source().number.Value());
-    }
-    if (!mError.empty()) {
-      event.With("error", mError).With("detail", mDetail);
-    }
-    event.With("servers", HopText())
-      .With("sent", mProgress.sent)
-      .With("total_ms", Traffic::Now() - mStartedAt);
-    if (mProgress.answering) {
-      event.With("events", mEventCount)
-        .With("first_ms", mFirstEventAt - mStartedAt)
-        .With("pause_ms", mLongestPause);
-    }
+    return { .request = mInquiry.id,
+             .admission = mAdmission,
+             .hops = mHops,
+             .sent = mProgress.sent,
+             .events = mEvents.Count(),
+             .age = Traffic::Now() - mStartedAt };
   }
 
-  /** When to come back to a host that has just started. */
-  static constexpr Duration kStartRetry = std::chrono::milliseconds{ 500 };
-  static constexpr Duration kOverloadRetry = std::chrono::milliseconds{ 300 };
   /** A few times the usual time of a call of a plain service. */
   static constexpr Duration kPlainRetry = std::chrono::milliseconds{ 100 };
+  /** Longest silence in which a broken stream looks for other servers; callers
+   * leave after 2 s or more without an event. */
+  static constexpr Duration kResumeWait = std::chrono::milliseconds{ 1500 };
+  /** Time between two looks, half of that in which hosts hear of each other's
+   * work. */
+  static constexpr Duration kResumeInterval = std::chrono::milliseconds{ 100 };
 
   Traffic& mTraffic;
   std::shared_ptr<Caller> mCaller;
   IncomingRequest mRequest;
-  std::shared_ptr<const routing::Table> mRoutes;
   Timer mDeadline;
+  Timer mResume;
   Instant mStartedAt;
   Inquiry mInquiry;
-  const routing::Route* mRoute{};
-  const routing::Workspace* mWorkspace{};
-  const routing::Service* mService{};
+  Admission mAdmission;
   forward::Progress mProgress;
   std::set<ServerId> mFailed;
   std::vector<fleet::Hop> mHops;
@@ -795,9 +680,7 @@
   std::shared_ptr<ServerConnection> mServer;
   bool mSentNow{ false };
   bool mRunBefore{ false };
-  wire::EventSplitter mEvents;
-  std::optional<std::uint64_t> mLastEvent;
-  std::uint32_t mEventCount{};
+  EventRelay mEvents{ false, {} };
   Instant mFirstEventAt{};
   Instant mLastEventAt{};
   Duration mLongestPause{};
--- a/src/balsampoint/forward/retry_budget.cpp
+++ b/src/balsampoint/forward/retry_budget.cpp
@@ -22,7 +22,7 @@
 }
 
 bool
-RetryBudget::TakeRetry(const ServiceId& aService, Instant aNow)
+RetryBudget::TakeRetry(const ServiceId& aService, RetryUse aUse, Instant aNow)
 {
   auto& parts = mServices[aService];
   const auto oldest = NumberAt(aNow) - static_cast<std::int64_t>(kParts);
@@ -36,8 +36,10 @@
     // The oldest part may lie outside of the window.
     requests += part.number == oldest ? 0 : part.requests;
   }
-  const auto allowed =
+  const auto all =
     mAllowance.ratio * requests + mAllowance.extra / mAllowance.hosts;
+  const auto allowed =
+    aUse == RetryUse::Resume ? all : all * (1.0 - mAllowance.keptForResumes);
   if (retries + 1.0 > allowed) {
     return false;
   }
--- a/src/balsampoint/forward/retry_budget.hpp
+++ b/src/balsampoint/forward/retry_budget.hpp
@@ -18,9 +18,20 @@
   double extra{ 0.0 };
   /** Hosts among which `extra` is divided while their number isn't known. */
   double hosts{ 64.0 };
+  /** Part of all retries that is kept for streams in mid-answer. */
+  double keptForResumes{ 0.0 };
   Duration window{ std::chrono::seconds{ 10 } };
 };
 
+/** @brief What a further attempt is made for. */
+enum class RetryUse : std::uint8_t
+{
+  /** A request whose caller has got nothing yet. */
+  Repeat,
+  /** A stream of which the caller has got a part. */
+  Resume,
+};
+
 /**
  * @brief Bounds the second attempts to each service in any window of time.
  *
@@ -58,10 +69,13 @@
   /**
    * @brief Takes a further attempt out of the budget.
    * @param aService The service.
+   * @param aUse What it is made for.
    * @param aNow The time.
    * @return Whether there was one.
    */
-  [[nodiscard]] bool TakeRetry(const ServiceId& aService, Instant aNow);
+  [[nodiscard]] bool TakeRetry(const ServiceId& aService,
+                               RetryUse aUse,
+                               Instant aNow);
 
 private:
   /** Parts of a window that are counted together. */
--- a/test/balsampoint/forward/retry_budget_test.cpp
+++ b/test/balsampoint/forward/retry_budget_test.cpp
@@ -25,11 +25,11 @@
   RetryBudget budget{ kAllowance };
   const Instant now{ 1h };
   for (int retry = 0; retry < 3; ++retry) {
-    cr_assert(budget.TakeRetry(kService, now));
+    cr_assert(budget.TakeRetry(kService, RetryUse::Repeat, now));
   }
-  cr_assert_not(budget.TakeRetry(kService, now));
-  cr_assert(budget.TakeRetry(ServiceId{ "desk" }, now));
-  cr_assert(budget.TakeRetry(kService, now + 11s));
+  cr_assert_not(budget.TakeRetry(kService, RetryUse::Repeat, now));
+  cr_assert(budget.TakeRetry(ServiceId{ "desk" }, RetryUse::Repeat, now));
+  cr_assert(budget.TakeRetry(kService, RetryUse::Repeat, now + 11s));
 }
 
 Test(retry_budget, retries_follow_the_requests_of_the_window)
@@ -43,7 +43,8 @@
     now += std::chrono::milliseconds{ 10 };
     budget.CountRequest(kService, now);
     requests.push_back(now);
-    if (random.Next() % 2 == 0 && budget.TakeRetry(kService, now)) {
+    if (random.Next() % 2 == 0 &&
+        budget.TakeRetry(kService, RetryUse::Repeat, now)) {
       retries.push_back(now);
     }
     while (requests.front() <= now - 10s) {
@@ -63,6 +64,24 @@
   budget.ShareAmong(8);
   budget.ShareAmong(2);
   const Instant now{ 1h };
-  cr_assert(budget.TakeRetry(kService, now));
-  cr_assert_not(budget.TakeRetry(kService, now));
+  cr_assert(budget.TakeRetry(kService, RetryUse::Repeat, now));
+  cr_assert_not(budget.TakeRetry(kService, RetryUse::Repeat, now));
+}
+
+Test(retry_budget, keeps_a_part_for_streams_in_mid_answer)
+{
+  RetryBudget budget{
+    { .ratio = 0.0, .extra = 10.0, .hosts = 1.0, .keptForResumes = 0.2 }
+  };
+  const Instant now{ 1h };
+  int repeats = 0;
+  while (budget.TakeRetry(kService, RetryUse::Repeat, now)) {
+    ++repeats;
+  }
+  int resumes = 0;
+  while (budget.TakeRetry(kService, RetryUse::Resume, now)) {
+    ++resumes;
+  }
+  cr_assert_eq(repeats, 8);
+  cr_assert_eq(resumes, 2);
 }
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -335,6 +335,34 @@
   }
 }
 
+Test(exchange, a_broken_stream_waits_until_a_server_has_room)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  int resumed = 0;
+  const auto answer = [&](const auto& aCaller, const auto& aRequest) {
+    if (!aRequest.head.fields.Find("Last-Event-Id")) {
+      aCaller->Send(StreamHead("q1") + Chunk(Event(1)));
+      aCaller->Close(false);
+      return;
+    }
+    constexpr int kRefusals = 5;
+    if (++resumed <= kRefusals) {
+      aCaller->Send(PlainAnswer(503, "X-Not-Executed: 1\r\n", ""));
+      aCaller->Finish(true);
+      return;
+    }
+    aCaller->Send(StreamHead("q1") + Chunk(Event(2)) + "0\r\n\r\n");
+    aCaller->Finish(true);
+  };
+  host.one.answer = answer;
+  host.two.answer = answer;
+  host.Start();
+  Caller caller;
+  caller.Ask("POST", "Content-Length: 0\r\n");
+  cr_assert(caller.Expect("\r\n0\r\n\r\n"));
+  cr_assert_neq(caller.read.find(Event(2)), std::string::npos);
+}
+
 Test(exchange, a_stream_that_cannot_go_on_looks_incomplete)
 {
   Host host{ routing::RequestKind::Stream, true };
