--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <utility>
 
 namespace balsampoint::daemon {
 
@@ -112,10 +111,10 @@
 change::Change
 ChangeOf(ChangeNumber aNumber, std::string_view aText)
 {
-  auto digest = Sha256({ aText });
+  const auto digest = Sha256({ aText });
   return { .number = aNumber,
            .id = ChangeId{ std::to_string(aNumber.Value()) + "-" + digest },
-           .digest = std::move(digest),
+           .digest = digest,
            .whole = true,
            .delta = { .upserts = { { kWholeText, Compress(aText) } } },
            .numbering = change::Numbering::Increasing };
--- a/test/process/gateway_soak_test.py
+++ b/test/process/gateway_soak_test.py
@@ -5,6 +5,8 @@
 
 Usage: gateway_soak_test.py [--seeds FIRST:LAST] [--seconds S]
        [--controls N] [--entries N] [--callers N] [--keep FOLDER] [--fresh]
+       [--block N]
+Runs with different blocks of loopback addresses may go on beside each other.
 """
 
 import argparse
@@ -32,8 +34,7 @@
 
 async def play(options, seed, folder):
     """Plays one seed; returns the world with what it found."""
-    world = World(build_folder(), folder, seed, options.controls,
-                  options.entries, options.callers)
+    world = World(build_folder(), folder, seed, options)
     try:
         await world.run(options.seconds)
     finally:
@@ -61,6 +62,7 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--keep", type=pathlib.Path)
+    parser.add_argument("--block", type=int, default=0)
     parser.add_argument("--fresh", action="store_true")
     options = parser.parse_args()
     seeds = REGRESSION_SEEDS + CI_SEEDS
--- a/test/soak/hosts.py
+++ b/test/soak/hosts.py
@@ -23,8 +23,8 @@
         self.world = world
         self.zone = zone
         self.control = control
-        self.told = f"127.0.1.{number}"
-        self.own = f"127.0.2.{number}"
+        self.told = f"127.{world.block}.1.{number}"
+        self.own = f"127.{world.block}.2.{number}"
         self.folder = world.folder / f"host-{number}"
         self.port = CONTROL if control else CALLERS
         self.peers = Link(f"{self.told}:{PEERS}", f"{self.own}:{PEERS}")
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -26,7 +26,8 @@
 class World:
     """Everything of one run, drawn from one seed."""
 
-    def __init__(self, build, folder, seed, controls, entries, callers):
+    def __init__(self, build, folder, seed, options):
+        self.block = options.block
         self.build = build
         self.folder = folder
         self.seed = seed
@@ -35,16 +36,16 @@
         self.started_at = time.monotonic()
         self.control_addresses = []
         self.controls = [self.add_host(number, True)
-                         for number in range(controls)]
-        self.entries = [self.add_host(controls + number, False)
-                        for number in range(entries)]
+                         for number in range(options.controls)]
+        self.entries = [self.add_host(options.controls + number, False)
+                        for number in range(options.entries)]
         self.hosts = self.controls + self.entries
         self.backends = []
         self.links = [link for host in self.hosts for link in host.links]
         for number in range(9):
             self.add_backend(number)
         self.operator = Operator(self)
-        self.callers = [Caller(self, number) for number in range(callers)]
+        self.callers = [Caller(self, number) for number in range(options.callers)]
         self.lines = []
         self.planned_only = False
         self.crossed = 0
@@ -63,8 +64,8 @@
 
     def add_backend(self, number):
         """Makes one backend behind a forwarder: six engines, three plain."""
-        told = f"127.0.3.{number + 1}:{BACKEND_PORT}"
-        own = f"127.0.4.{number + 1}:{BACKEND_PORT}"
+        told = f"127.{self.block}.3.{number + 1}:{BACKEND_PORT}"
+        own = f"127.{self.block}.4.{number + 1}:{BACKEND_PORT}"
         kind, service = (Engine, "verse") if number < 6 else (Backend, "desk")
         self.backends.append(kind(self, f"s{number}", service,
                                   ZONES[number % len(ZONES)], own, told))
