--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -2,11 +2,77 @@
 
 #include "balsampoint/daemon/post.hpp"
 #include "balsampoint/peer/roster_codec.hpp"
+#include "balsampoint/trace/event.hpp"
 
+#include <map>
+#include <string_view>
 #include <variant>
 
 namespace balsampoint::daemon {
 
+namespace {
+
+std::string_view
+StateOf(const roster::Server& aServer)
+{
+  if (aServer.doubted) {
+    return "doubted";
+  }
+  switch (aServer.claim.presence) {
+    case roster::Presence::Ready:
+      return "ready";
+    case roster::Presence::Leaving:
+      return "leaving";
+    case roster::Presence::Silent:
+      return "silent";
+    case roster::Presence::Gone:
+      break;
+  }
+  return "gone";
+}
+
+using States = std::map<ServerId, std::string_view>;
+
+States
+StatesOf(const roster::View* aView)
+{
+  States states;
+  if (aView != nullptr) {
+    for (const auto& server : aView->servers) {
+      states[server.claim.server] = StateOf(server);
+    }
+  }
+  return states;
+}
+
+void
+LogState(const ServerId& aServer, std::string_view aFrom, std::string_view aTo)
+{
+  trace::Event{ "server_state" }
+    .With("server", aServer)
+    .With("from", aFrom)
+    .With("to", aTo);
+}
+
+/** @brief Logs which servers this host sees in another way than before. */
+void
+LogChanges(const roster::View* aBefore, const roster::View& aNow)
+{
+  auto before = StatesOf(aBefore);
+  for (const auto& [server, state] : StatesOf(&aNow)) {
+    const auto known = before.extract(server);
+    const auto from = known ? known.mapped() : std::string_view{ "unknown" };
+    if (from != state) {
+      LogState(server, from, state);
+    }
+  }
+  for (const auto& [server, state] : before) {
+    LogState(server, state, "gone");
+  }
+}
+
+} // namespace
+
 void
 RosterRunner::Run(const roster::Action& aAction)
 {
@@ -16,6 +82,7 @@
 void
 RosterRunner::Do(const roster::Publish& aPublish)
 {
+  LogChanges(mLatest.Read().get(), *aPublish.view);
   mLatest.Publish(aPublish.view);
   Post(mMailbox,
        placement::Event{ placement::ServersChanged{ aPublish.view } });
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -153,6 +153,24 @@
   }
 }
 
+Test(roster, a_heartbeat_that_reached_two_hosts_does_not_silence_a_server)
+{
+  auto hosts = MakeHosts();
+  hosts.Tell("c1", Beat(7, 1));
+  hosts.cut = { { HostId{ "c1" }, HostId{ "c2" } },
+                { HostId{ "c2" }, HostId{ "c1" } } };
+  hosts.Tell("c2", Beat(7, 2));
+  hosts.Tell("c1", Beat(7, 2));
+  hosts.cut.clear();
+  for (std::uint64_t sequence = 3; sequence < 13; ++sequence) {
+    hosts.Run(1s);
+    hosts.Tell("c2", Beat(7, sequence));
+  }
+  for (const auto* host : { "c1", "c2", "entry" }) {
+    cr_assert(hosts.Find(host, "s")->TakesWork(), "%s", host);
+  }
+}
+
 Test(roster, a_late_heartbeat_does_not_bring_a_server_back)
 {
   auto hosts = MakeHosts();
