--- a/src/balsampoint/roster/command/hear.cpp
+++ b/src/balsampoint/roster/command/hear.cpp
@@ -71,8 +71,8 @@
   // A server that gets no answer sends the same heartbeat to another host, and
   // the worse of two claims with one stamp holds.
   const bool hidesWhatWasTold =
-    heard.told < aClaim.stamp || (heard.told == aClaim.stamp &&
-                                  heard.claim.presence < aClaim.presence);
+    heard.told < aClaim.stamp ||
+    (heard.told == aClaim.stamp && heard.claim.presence < aClaim.presence);
   if (hidesWhatWasTold && aClaim.stamp < heard.claim.stamp) {
     Assert(aState, heard, aNow);
   }
--- a/test/process/gateway_stop_test.py
+++ b/test/process/gateway_stop_test.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,9 +21,8 @@
 SEED = 1
 STOPS = 120
 ADDRESSES = ["127.0.5.1", "127.0.5.2", "127.0.5.3"]
-# Time in which a process that has just started blocks the awaited signals.
-START_S = 0.03
 LATEST_STOP_S = 0.4
+START_LIMIT_S = 15
 STOP_LIMIT_S = 15
 
 
@@ -43,6 +43,18 @@
             stdout=log, stderr=log)
 
 
+def wait_until_it_listens(address):
+    """Waits until a host takes connections; it awaits signals before."""
+    deadline = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < deadline:
+        try:
+            socket.create_connection((address, 8229), 1).close()
+            return
+        except OSError:
+            time.sleep(0.01)
+    raise RuntimeError(f"{address} doesn't listen")
+
+
 def main():
     """The test."""
     draw = random.Random(SEED)
@@ -54,7 +66,8 @@
             time.sleep(1)
             for _ in range(STOPS):
                 address = draw.choice(ADDRESSES)
-                time.sleep(START_S + draw.uniform(0.0, LATEST_STOP_S))
+                wait_until_it_listens(address)
+                time.sleep(draw.uniform(0.0, LATEST_STOP_S))
                 processes[address].send_signal(signal.SIGTERM)
                 code = processes[address].wait(STOP_LIMIT_S)
                 codes[code] = codes.get(code, 0) + 1
