Make one piece of code serve what stood twice

Change: forward::GoesOn, AddZone and MakeFleet in the fixtures, LATE_S in the soak. No assertion, bound or behaviour changed.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -388,10 +388,8 @@
     const auto now = Traffic::Now();
     const auto verdict =
       forward::Decide(mProgress, forward::AttemptEnd::Broken, now);
-    const bool again =
-      verdict == forward::Verdict::Retry || verdict == forward::Verdict::Resume;
     const auto receivers = AllowedReceivers();
-    if (!again ||
+    if (!forward::GoesOn(verdict) ||
         !OtherChainHasRoom(
           mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers }) ||
         !TakeRetry(verdict)) {
@@ -465,9 +463,7 @@
     LogAttempt(Facts(), aEnd, aReason, mFault);
     LeaveServer();
     auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
-    const bool again =
-      verdict == forward::Verdict::Retry || verdict == forward::Verdict::Resume;
-    if (again && mProgress.sent > 0 && !TakeRetry(verdict)) {
+    if (forward::GoesOn(verdict) && mProgress.sent > 0 && !TakeRetry(verdict)) {
       verdict = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
@@ -496,8 +492,7 @@
     if (aVerdict == forward::Verdict::Resume) {
       mTraffic.metrics.Add(trace::Count::Recoveries);
     }
-    if (aVerdict == forward::Verdict::Resume ||
-        aVerdict == forward::Verdict::Retry) {
+    if (forward::GoesOn(aVerdict)) {
       Attempt();
       return;
     }
--- a/src/balsampoint/forward/verdict.hpp
+++ b/src/balsampoint/forward/verdict.hpp
@@ -52,6 +52,16 @@
   Cut,
 };
 
+/**
+ * @brief Whether a verdict asks for a further attempt.
+ * @param aVerdict The verdict.
+ */
+[[nodiscard]] constexpr bool
+GoesOn(Verdict aVerdict)
+{
+  return aVerdict == Verdict::Retry || aVerdict == Verdict::Resume;
+}
+
 /** @brief Connections that may fail before a request is given up. */
 inline constexpr std::uint32_t kMaxUnsent = 4;
 /** @brief Times that one request is sent to servers at most. */
--- a/test/balsampoint/fleet/fixture.hpp
+++ b/test/balsampoint/fleet/fixture.hpp
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace balsampoint::test {
 
@@ -53,4 +55,16 @@
                                        .slots = 8 } } };
 }
 
+/**
+ * @brief What a host of zone a knows of a fleet that runs the small model.
+ * @param aServers The engines.
+ */
+[[nodiscard]] inline fleet::State
+MakeFleet(std::vector<roster::Server> aServers)
+{
+  fleet::State state{ .settings = { .zone = ZoneId{ "a" } } };
+  fleet::FollowRoster(state, { .servers = std::move(aServers) }, SmallModel());
+  return state;
+}
+
 } // namespace balsampoint::test
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -19,14 +19,6 @@
 
 const ServiceId kService{ "verse" };
 
-State
-MakeState(std::vector<roster::Server> aServers)
-{
-  State state{ .settings = { .zone = ZoneId{ "a" } } };
-  FollowRoster(state, { .servers = std::move(aServers) }, SmallModel());
-  return state;
-}
-
 Demand
 SmallDemand()
 {
@@ -37,7 +29,7 @@
 
 Test(choose_chain, stays_within_a_zone)
 {
-  const auto state = MakeState({ MakeEngine("a1", "a", { 0, 4 }),
+  const auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 4 }),
                                  MakeEngine("a2", "a", { 4, 8 }, "slow"),
                                  MakeEngine("b2", "b", { 4, 8 }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
@@ -47,14 +39,14 @@
 
 Test(choose_chain, crosses_to_another_zone_rather_than_refuse)
 {
-  const auto state = MakeState(
+  const auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 4 }), MakeEngine("b2", "b", { 4, 8 }) });
   cr_assert(ChooseChain(state, SmallDemand(), kNow).has_value());
 }
 
 Test(choose_chain, enters_a_server_at_any_layer_that_it_holds)
 {
-  const auto state = MakeState(
+  const auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 5 }), MakeEngine("a2", "a", { 3, 8 }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   cr_assert(chain.has_value());
@@ -63,7 +55,7 @@
 
 Test(choose_chain, refuses_where_a_layer_is_held_by_no_server)
 {
-  const auto state = MakeState(
+  const auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 4 }), MakeEngine("a2", "a", { 5, 8 }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   cr_assert_not(chain.has_value());
@@ -72,7 +64,7 @@
 
 Test(choose_chain, counts_the_work_of_other_hosts)
 {
-  auto state = MakeState(
+  auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 8 }), MakeEngine("a2", "a", { 0, 8 }) });
   auto& servers = state.groups.at(kService).servers;
   servers.at(ServerId{ "a1" }).others.passing = 6;
@@ -85,7 +77,7 @@
 
 Test(choose_chain, goes_only_to_allowed_receivers)
 {
-  const auto state = MakeState(
+  const auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 8 }), MakeEngine("a2", "a", { 0, 8 }) });
   auto demand = SmallDemand();
   demand.receivers = { ServerId{ "a2" } };
@@ -95,7 +87,7 @@
 
 Test(choose_chain, leaves_out_servers_at_fault_for_a_while)
 {
-  auto state = MakeState(
+  auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 8 }), MakeEngine("a2", "a", { 0, 8 }) });
   Note(state, kService, "a1:80", Finding::Unreachable, kNow);
   const auto chain = ChooseChain(state, SmallDemand(), kNow + 100ms);
@@ -106,7 +98,7 @@
 
 Test(choose_chain, one_broken_answer_does_not_take_a_server_out)
 {
-  auto state = MakeState({ MakeEngine("a1", "a", { 0, 8 }),
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }),
                            MakeEngine("a2", "a", { 0, 8 }, "slow") });
   const auto chosen = [&] {
     return ChooseChain(state, SmallDemand(), kNow + 1ms)->hops.front().server;
@@ -133,7 +125,7 @@
                                    { begin, end },
                                    random.Next() % 3 == 0 ? "slow" : "fast"));
     }
-    auto state = MakeState(std::move(servers));
+    auto state = MakeFleet(std::move(servers));
     for (auto& [id, server] : state.groups.at(kService).servers) {
       server.others.passing = static_cast<std::uint32_t>(random.Next() % 50);
     }
@@ -146,7 +138,7 @@
 
 Test(choose_chain, a_refusal_names_the_layer_that_no_server_holds)
 {
-  const auto state = MakeState(
+  const auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 3 }), MakeEngine("a2", "a", { 5, 8 }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   cr_assert_not(chain.has_value());
@@ -155,7 +147,7 @@
 
 Test(choose_chain, a_refusal_names_the_layer_whose_servers_are_full)
 {
-  auto state = MakeState(
+  auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 4 }), MakeEngine("a2", "a", { 4, 8 }) });
   auto& full = state.groups.at(kService).servers.at(ServerId{ "a2" });
   full.others.kv = full.kvRoom;
@@ -166,7 +158,7 @@
 
 Test(choose_chain, room_is_set_aside_for_part_of_an_expected_answer)
 {
-  auto state = MakeState({ MakeEngine("a1", "a", { 0, kLayers }) });
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }) });
   auto& server = state.groups.at(kService).servers.at(ServerId{ "a1" });
   const auto wanted = SmallDemand();
   const auto whole = wanted.promptTokens + wanted.answerTokens;
@@ -179,7 +171,7 @@
 
 Test(choose_chain, an_event_through_a_server_ends_its_time_out_of_reach)
 {
-  auto state = MakeState({ MakeEngine("a1", "a", { 0, kLayers }) });
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   for (int times = 0; times < 4; ++times) {
     Note(state, kService, "a1:80", Finding::Unreachable, kNow);
@@ -191,7 +183,7 @@
 
 Test(choose_chain, an_event_does_not_bring_back_a_server_that_breaks_answers)
 {
-  auto state = MakeState({ MakeEngine("a1", "a", { 0, kLayers }),
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }),
                            MakeEngine("a2", "a", { 0, kLayers }, "slow") });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   cr_assert_eq(chain->hops.front().server, ServerId{ "a1" });
@@ -205,7 +197,7 @@
 
 Test(choose_chain, a_server_that_breaks_answers_is_better_than_none)
 {
-  auto state = MakeState(
+  auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 4 }), MakeEngine("a2", "a", { 4, 8 }) });
   for (int times = 0; times < 4; ++times) {
     Note(state, kService, "a2:80", Finding::Broken, kNow);
@@ -217,7 +209,7 @@
 
 Test(choose_chain, spreads_choices_of_hosts_that_know_the_same)
 {
-  const auto state = MakeState({ MakeEngine("a1", "a", { 0, 8 }),
+  const auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }),
                                  MakeEngine("a2", "a", { 0, 8 }),
                                  MakeEngine("a3", "a", { 0, 8 }),
                                  MakeEngine("a4", "a", { 0, 8 }) });
@@ -237,7 +229,7 @@
 
 Test(choose_chain, prefers_a_much_faster_server_whatever_the_draw)
 {
-  const auto state = MakeState({ MakeEngine("a1", "a", { 0, 8 }),
+  const auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }),
                                  MakeEngine("a2", "a", { 0, 8 }, "slow") });
   SplitMix64 random{ 6 };
   for (int draw = 0; draw < 100; ++draw) {
@@ -250,7 +242,7 @@
 
 Test(choose_chain, leaves_a_server_that_keeps_refusing_out_for_longer)
 {
-  auto state = MakeState({ MakeEngine("a1", "a", { 0, 8 }) });
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   auto now = kNow;
   const auto refuse = [&] {
--- a/test/balsampoint/fleet/query/return_after_test.cpp
+++ b/test/balsampoint/fleet/query/return_after_test.cpp
@@ -16,15 +16,6 @@
 constexpr Instant kNow{ 1h };
 const ServiceId kService{ "verse" };
 
-State
-MakeState()
-{
-  State state{ .settings = { .zone = ZoneId{ "a" } } };
-  FollowRoster(
-    state, { .servers = { MakeEngine("a1", "a", { 0, 8 }) } }, SmallModel());
-  return state;
-}
-
 void
 BeginStream(State& aState, Instant aNow)
 {
@@ -39,7 +30,7 @@
 
 Test(return_after, is_short_where_requests_have_just_found_room)
 {
-  auto state = MakeState();
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
   BeginStream(state, kNow);
   cr_assert(ReturnAfter(state, kService, kNow + 10ms) ==
             state.settings.shortestReturn);
@@ -47,7 +38,7 @@
 
 Test(return_after, grows_with_the_time_without_room)
 {
-  auto state = MakeState();
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
   BeginStream(state, kNow);
   cr_assert(ReturnAfter(state, kService, kNow + 700ms) == 700ms);
   cr_assert(ReturnAfter(state, kService, kNow + 1min) ==
@@ -56,7 +47,7 @@
 
 Test(return_after, is_long_where_nothing_is_known)
 {
-  const auto state = MakeState();
+  const auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
   cr_assert(ReturnAfter(state, kService, kNow) == state.settings.longestReturn);
   cr_assert(ReturnAfter(state, ServiceId{ "other" }, kNow) ==
             state.settings.longestReturn);
--- a/test/balsampoint/placement/fixture.hpp
+++ b/test/balsampoint/placement/fixture.hpp
@@ -38,20 +38,34 @@
   }
 }
 
+/**
+ * @brief Adds a zone's engines of the users' three kinds.
+ * @param aInto Receives the engines.
+ * @param aZone The zone.
+ * @param aLarge Engines with the most memory.
+ * @param aSmall Engines with the least memory.
+ * @param aSlow The slowest engines.
+ */
+inline void
+AddZone(std::vector<placement::Engine>& aInto,
+        const std::string& aZone,
+        int aLarge,
+        int aSmall,
+        int aSlow)
+{
+  AddEngines(aInto, aZone, aLarge, 72000.0, 2.4);
+  AddEngines(aInto, aZone, aSmall, 14400.0, 5.3);
+  AddEngines(aInto, aZone, aSlow, 21600.0, 16.0);
+}
+
 /** @brief The users' fleet of 38 engines in three zones. */
 [[nodiscard]] inline std::vector<placement::Engine>
 UsersFleet()
 {
   std::vector<placement::Engine> engines;
-  const auto zone =
-    [&](const std::string& aZone, int aLarge, int aSmall, int aSlow) {
-      AddEngines(engines, aZone, aLarge, 72000.0, 2.4);
-      AddEngines(engines, aZone, aSmall, 14400.0, 5.3);
-      AddEngines(engines, aZone, aSlow, 21600.0, 16.0);
-    };
-  zone("a", 2, 4, 4);
-  zone("b", 1, 6, 6);
-  zone("c", 1, 10, 4);
+  AddZone(engines, "a", 2, 4, 4);
+  AddZone(engines, "b", 1, 6, 6);
+  AddZone(engines, "c", 1, 10, 4);
   return engines;
 }
 
@@ -60,15 +74,9 @@
 GrownFleet()
 {
   std::vector<placement::Engine> engines;
-  const auto zone =
-    [&](const std::string& aZone, int aLarge, int aSmall, int aSlow) {
-      AddEngines(engines, aZone, aLarge, 72000.0, 2.4);
-      AddEngines(engines, aZone, aSmall, 14400.0, 5.3);
-      AddEngines(engines, aZone, aSlow, 21600.0, 16.0);
-    };
-  zone("a", 4, 10, 11);
-  zone("b", 3, 14, 16);
-  zone("c", 2, 24, 9);
+  AddZone(engines, "a", 4, 10, 11);
+  AddZone(engines, "b", 3, 14, 16);
+  AddZone(engines, "c", 2, 24, 9);
   return engines;
 }
 
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 
 from soak.backends import Backend, Engine
@@ -20,6 +21,8 @@
 # Time for a configuration to be in force on all hosts.
 IN_FORCE_S = 6.0
 CHECK_REQUESTS = 20
+# The timeout of the routes, and time for its answer to arrive.
+LATE_S = 4.6
 SERVED_SHARE = 0.9
 
 
@@ -87,7 +90,7 @@
 
     def note_answer(self, host, kind, status, sent_at):
         """Counts an answer for the lines of the run."""
-        if time.monotonic() - sent_at > 4.6 and not host.disturbed:
+        if time.monotonic() - sent_at > LATE_S and not host.disturbed:
             self.findings.outcomes[kind, "late"] += 1
 
     def note_cut(self, host, kind, request, failure):
@@ -128,7 +131,7 @@
                 for _ in range(CHECK_REQUESTS):
                     good += await caller.request(kind) == 200
                     caller.close()
-                if good >= share * (CHECK_REQUESTS):
+                if good >= share * CHECK_REQUESTS:
                     break
                 if time.monotonic() > deadline:
                     self.findings.breaks(
@@ -165,7 +168,7 @@
         self.planned_only = True
         for host in self.entries[:3]:
             self.log(f"planned stop {host.told}")
-            await host.end(15)
+            await host.end(signal.SIGTERM)
             host.resume()
             await asyncio.sleep(0.5)
         self.planned_only = False
