Reword the comments and messages of stream

Several briefs were terse or figurative and left units, ids and the meaning of absent values open. They now say what the code does. Two error texts that no test matches and the names of test cases are reworded too.

--- a/src/balsampoint/stream/action.hpp
+++ b/src/balsampoint/stream/action.hpp
@@ -11,7 +11,7 @@
 
 namespace balsampoint::stream {
 
-/** @brief Where a call goes and when it counts as lost. */
+/** @brief Server that a call is sent to, and the deadline for its reply. */
 struct Target
 {
   ServerId server;
@@ -21,28 +21,31 @@
   Instant deadline{ kNever };
 };
 
-/** @brief Run a step and report `StepReplied` or `CallFailed`. */
+/** @brief Sends a step to a server; the result is `StepReplied` or
+ * `CallFailed`. */
 struct CallStep
 {
   Target target;
   StepCall call;
 };
 
-/** @brief Rebuild KV and report `ReplayReplied` or `CallFailed`. */
+/** @brief Sends a replay to a server; the result is `ReplayReplied` or
+ * `CallFailed`. */
 struct CallReplay
 {
   Target target;
   ReplayCall call;
 };
 
-/** @brief Copy KV and report `Imported` or `CallFailed`. */
+/** @brief Sends an import to a server; the result is `Imported` or
+ * `CallFailed`. */
 struct CallImport
 {
   Target target;
   ImportCall call;
 };
 
-/** @brief Choose servers for a range and report `RouteChosen`. */
+/** @brief Chooses servers for a layer range; the result is `RouteChosen`. */
 struct ChooseRoute
 {
   LayerRange layers;
@@ -50,11 +53,11 @@
   std::vector<route::ExcludedServer> excluded;
   /** Zones to use only when the range can't be covered without them. */
   std::vector<ZoneId> avoidedZones;
-  /** Until when to wait for a server that holds the range. */
+  /** Time until which to wait for a server that holds the range. */
   Instant until{};
 };
 
-/** @brief Send the text of one token to the caller. */
+/** @brief Sends the text of one token to the caller. */
 struct Emit
 {
   StepNumber step;
@@ -64,7 +67,7 @@
 /** @brief Why an answer is complete. */
 enum class FinishReason : std::uint8_t
 {
-  /** It has as many tokens as allowed. */
+  /** The limit on generated tokens is reached. */
   Length,
 };
 
@@ -80,14 +83,14 @@
   Error error;
 };
 
-/** @brief Let a server drop the request and its KV; the outcome is unused. */
+/** @brief Makes a server drop a request and its KV; the reply is ignored. */
 struct CancelAt
 {
   Target target;
   RequestId request;
 };
 
-/** @brief What one answer wants done, in this order. */
+/** @brief Action that an answer asks for; actions run in the order given. */
 using Action = std::variant<CallStep,
                             CallReplay,
                             CallImport,
--- a/src/balsampoint/stream/call.hpp
+++ b/src/balsampoint/stream/call.hpp
@@ -10,10 +10,10 @@
 
 namespace balsampoint::stream {
 
-/** @brief Which call a message belongs to; a reply repeats it unchanged. */
+/** @brief Identifies a call; the reply carries the same value. */
 struct CallId
 {
-  /** Name of the request's KV at the server; each rebuilt KV has its own. */
+  /** Id of the request's KV at the server; each rebuilt KV gets a new one. */
   RequestId request;
   AttemptNumber attempt;
   StepNumber step;
@@ -43,23 +43,25 @@
 struct StepReply
 {
   CallId id;
-  /** Restart of the server that replies; zero when it doesn't say. */
+  /** Incarnation of the replying server; zero if the reply has none. */
   Incarnation incarnation;
   /** Output of the last layer of the range. */
   std::uint64_t output{};
 };
 
-/** @brief One past position of a request at the border of a layer range. */
+/** @brief Inputs of one past position of a request, for one layer range. */
 struct Position
 {
+  /** Input of layer 0. */
   std::uint64_t start{};
+  /** Input of the first layer of the range. */
   std::uint64_t input{};
 
   auto operator<=>(const Position&) const = default;
 };
 
 /**
- * @brief Builds the KV of a layer range anew from past positions.
+ * @brief Rebuilds the KV of a layer range from past positions.
  *
  * Any KV of the request for these layers is dropped first. `id.step` is the
  * step that follows the last position.
@@ -77,7 +79,7 @@
 struct ReplayReply
 {
   CallId id;
-  /** Restart of the server that replies; zero when it doesn't say. */
+  /** Incarnation of the replying server; zero if the reply has none. */
   Incarnation incarnation;
   /** Output of the range for each position, in order. */
   std::vector<std::uint64_t> outputs;
@@ -96,7 +98,7 @@
   std::string version;
   /** IP number and port of the server that holds the KV. */
   std::string source;
-  /** Name of the request at that server. */
+  /** Id of the request's KV at that server. */
   RequestId sourceRequest;
   std::uint64_t kvDigest{};
 };
--- a/src/balsampoint/stream/command/handle.cpp
+++ b/src/balsampoint/stream/command/handle.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/** Takes the events of one answer that has not ended, by type. */
+/** Handles the events of an answer that has not ended, by type. */
 class CommonHandler
 {
 public:
@@ -86,7 +86,7 @@
          std::holds_alternative<CallFailed>(aEvent);
 }
 
-/** Whether an answer goes on; gives it up when its time is over. */
+/** Whether an answer is still active; fails it once its deadline has passed. */
 bool
 GoesOn(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
--- a/src/balsampoint/stream/command/handle.hpp
+++ b/src/balsampoint/stream/command/handle.hpp
@@ -16,11 +16,11 @@
 namespace internal {
 
 /**
- * @brief Takes an event that needs no tokenizer.
- * @param aProgress The answer; it has not ended.
+ * @brief Handles an event that needs no tokenizer.
+ * @param aProgress The answer; an ended one only counts dropped replies.
  * @param aEvent Any event but a step's reply.
- * @param aNow The time.
- * @param aActions Gets what to do.
+ * @param aNow Current time.
+ * @param aActions Actions are appended here.
  */
 void
 HandleCommon(Progress& aProgress,
@@ -29,11 +29,11 @@
              std::vector<Action>& aActions);
 
 /**
- * @brief Checks a step's reply and takes its output.
- * @param aProgress The answer; it has not ended.
+ * @brief Checks a step's reply and applies its output.
+ * @param aProgress The answer.
  * @param aReply The reply.
- * @param aNow The time.
- * @param aActions Gets what to do unless a token is complete.
+ * @param aNow Current time.
+ * @param aActions Actions are appended here unless a token is complete.
  * @return The output of the last layer when a token is complete.
  */
 [[nodiscard]] std::optional<std::uint64_t>
@@ -45,15 +45,15 @@
 } // namespace internal
 
 /**
- * @brief Takes one event of an answer.
+ * @brief Handles one event of an answer.
  *
- * A reply counts once, and only for the call that is on its way; any other is
- * counted and changes nothing else.
+ * A reply is accepted only for the pending call, and only once. Any other reply
+ * increments a counter and changes nothing else.
  * @tparam T Tokenizer of the pipeline's model.
  * @param aState The answer.
  * @param aEvent What happened.
- * @param aNow The time.
- * @param aActions Gets what to do next, in this order.
+ * @param aNow Current time.
+ * @param aActions Actions are appended here, in the order to run them.
  */
 template<Tokenizer T>
 void
--- a/src/balsampoint/stream/command/start.hpp
+++ b/src/balsampoint/stream/command/start.hpp
@@ -10,13 +10,14 @@
 namespace balsampoint::stream {
 
 /**
- * @brief Begins an answer.
+ * @brief Starts an answer.
  * @tparam T Tokenizer of the pipeline's model.
  * @param aState Replaced by the new answer.
- * @param aRequest The request; without a route, the first action asks for one.
- * @param aSettings Limits and costs.
- * @param aNow The time.
- * @param aActions Gets what to do first; a failure when nothing can be done.
+ * @param aRequest The request; if it has no route, the first action requests
+ * one.
+ * @param aSettings Limits and cost estimates.
+ * @param aNow Current time.
+ * @param aActions The first actions are appended here.
  */
 template<Tokenizer T>
 void
--- a/src/balsampoint/stream/event.hpp
+++ b/src/balsampoint/stream/event.hpp
@@ -33,11 +33,11 @@
   ConnectionLost,
   /** No reply by the call's deadline. */
   DeadlinePassed,
-  /** The server answered that it won't or can't do it. */
+  /** The server refused the call or could not run it. */
   Refused,
 };
 
-/** @brief A call ended without a reply that counts. */
+/** @brief A call ended without a usable reply. */
 struct CallFailed
 {
   CallId id;
@@ -45,11 +45,11 @@
   Error error;
 };
 
-/** @brief The lease of a server ended, or it restarted. */
+/** @brief A server's lease expired or the server restarted. */
 struct ServerGone
 {
   ServerId server;
-  /** The restart that is gone. */
+  /** The incarnation that ended. */
   Incarnation incarnation;
 };
 
@@ -64,11 +64,11 @@
 struct CallerGone
 {};
 
-/** @brief The request's deadline is over. */
+/** @brief The request's deadline has passed. */
 struct DeadlinePassed
 {};
 
-/** @brief What one answer can learn. */
+/** @brief Event that changes the state of an answer. */
 using Event = std::variant<StepReplied,
                            ReplayReplied,
                            Imported,
--- a/src/balsampoint/stream/fwd.hpp
+++ b/src/balsampoint/stream/fwd.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** @brief One answer of a pipeline: its calls to stages, token by token. */
+/** @brief Generates one answer of a pipeline by calls to its stages. */
 namespace balsampoint::stream {
 
 struct CallId;
--- a/src/balsampoint/stream/internal/advance.cpp
+++ b/src/balsampoint/stream/internal/advance.cpp
@@ -116,8 +116,8 @@
 }
 
 /**
- * Goes back to the nearest stage whose past inputs are kept; the KV of the
- * stages from there on is rebuilt on the way forward.
+ * Moves back to the nearest earlier stage whose past inputs are kept. The KV of
+ * the stages from there on is rebuilt by replays.
  */
 void
 StepBack(Progress& aProgress)
@@ -133,7 +133,7 @@
   aProgress.input = aProgress.stages[at].inputs[aProgress.step];
 }
 
-/** Whether outputs equal what the first run gave, as far as that is known. */
+/** Whether outputs equal those of the first run, where these are still kept. */
 bool
 MatchesFirstRun(const Progress& aProgress,
                 std::span<const std::uint64_t> aOutputs)
--- a/src/balsampoint/stream/internal/advance.hpp
+++ b/src/balsampoint/stream/internal/advance.hpp
@@ -8,41 +8,43 @@
 namespace balsampoint::stream::internal {
 
 /**
- * @brief Sends the next call of an answer: a step, or what must precede it.
+ * @brief Sends the next call of an answer: a step, or first the import or
+ * replay that rebuilds the stage's KV.
  * @param aProgress The answer.
- * @param aNow The time.
- * @param aActions Gets the call, or the wish for a replacement when the next
- * stage's server is known to be gone.
+ * @param aNow Current time.
+ * @param aActions The call is appended here, or the request for a replacement
+ * when the stage's server is known to be lost.
  */
 void
 Advance(Progress& aProgress, Instant aNow, std::vector<Action>& aActions);
 
 /**
  * @brief Begins the next position.
- * @param aProgress The answer; all its stages ran the position before.
+ * @param aProgress The answer; all its stages have run the previous position.
  * @param aStart Input of layer 0.
  */
 void
 BeginPosition(Progress& aProgress, std::uint64_t aStart);
 
 /**
- * @brief Matches a reply with the call on its way; any other is counted.
- * @param aProgress The answer; no call is on its way after a match.
- * @param aId Call that the reply names.
+ * @brief Matches a reply with the pending call; counts it as dropped otherwise.
+ * @param aProgress The answer; no call is pending after a match.
+ * @param aId Call id in the reply.
  * @param aKind Kind of the reply.
- * @return When the call was sent, if it is the reply that is waited for.
+ * @return Time at which the call was sent; absent if the reply doesn't match.
  */
 [[nodiscard]] std::optional<Instant>
 AcceptReply(Progress& aProgress, const CallId& aId, CallKind aKind);
 
 /**
- * @brief Takes the output of a step.
+ * @brief Applies the output of a step.
  * @param aProgress The answer; the reply was accepted.
- * @param aOutput The output.
- * @param aTime From the call to its reply.
- * @param aNow The time.
- * @param aActions Gets the next call unless this was the last stage.
- * @return The output of the last layer, when this was the last stage.
+ * @param aOutput Output of the stage's last layer.
+ * @param aTime Time from the call to its reply.
+ * @param aNow Current time.
+ * @param aActions The next call is appended here unless this was the last
+ * stage.
+ * @return Output of the last layer; absent unless this was the last stage.
  */
 [[nodiscard]] std::optional<std::uint64_t>
 TakeStep(Progress& aProgress,
@@ -52,12 +54,12 @@
          std::vector<Action>& aActions);
 
 /**
- * @brief Takes the outputs of a replay.
+ * @brief Applies the outputs of a replay.
  * @param aProgress The answer; the reply was accepted.
  * @param aReply The reply.
- * @param aNow The time.
- * @param aActions Gets the next call, or the wish for another server when the
- * outputs differ from those of the first run.
+ * @param aNow Current time.
+ * @param aActions The next call is appended here, or the request for another
+ * server when the outputs differ from those of the first run.
  */
 void
 TakeReplay(Progress& aProgress,
@@ -66,10 +68,10 @@
            std::vector<Action>& aActions);
 
 /**
- * @brief Takes the success of an import.
+ * @brief Applies a successful import.
  * @param aProgress The answer; the reply was accepted.
- * @param aNow The time.
- * @param aActions Gets the next call.
+ * @param aNow Current time.
+ * @param aActions The next call is appended here.
  */
 void
 TakeImport(Progress& aProgress, Instant aNow, std::vector<Action>& aActions);
--- a/src/balsampoint/stream/internal/end.hpp
+++ b/src/balsampoint/stream/internal/end.hpp
@@ -10,8 +10,9 @@
  * @brief Completes an answer.
  * @param aProgress The answer; it has ended afterwards.
  * @param aReason Why it is complete.
- * @param aNow The time.
- * @param aActions Gets the end and a cancel for each server used.
+ * @param aNow Current time.
+ * @param aActions `Finish` and a `CancelAt` for each server used are appended
+ * here.
  */
 void
 Complete(Progress& aProgress,
@@ -20,11 +21,12 @@
          std::vector<Action>& aActions);
 
 /**
- * @brief Gives an answer up.
+ * @brief Ends an answer with an error.
  * @param aProgress The answer; it has ended afterwards.
- * @param aError Why.
- * @param aNow The time.
- * @param aActions Gets the failure and a cancel for each server used.
+ * @param aError The reason; reported as not executed only if no call was sent.
+ * @param aNow Current time.
+ * @param aActions `Fail` and a `CancelAt` for each server used are appended
+ * here.
  */
 void
 GiveUp(Progress& aProgress,
--- a/src/balsampoint/stream/internal/estimate.cpp
+++ b/src/balsampoint/stream/internal/estimate.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/** Tolerance of a deadline over an estimated time. */
+/** A rebuild's deadline allows this multiple of its estimated time. */
 constexpr int kEstimateTolerance = 4;
-/** A server that was never seen is taken to be this much slower. */
+/** A server without observed steps is assumed to be this much slower. */
 constexpr double kUnseenFactor = 2.0;
 /** K and V of one layer hold one activation each. */
 constexpr double kKvActivationsPerLayer = 2.0;
--- a/src/balsampoint/stream/internal/estimate.hpp
+++ b/src/balsampoint/stream/internal/estimate.hpp
@@ -8,7 +8,7 @@
 namespace balsampoint::stream::internal {
 
 /**
- * @brief Until when a step may take.
+ * @brief Deadline of a step's reply.
  * @param aProgress The answer.
  * @param aStage The stage that runs it.
  * @param aNow Time of the call.
@@ -17,7 +17,7 @@
 StepDeadline(const Progress& aProgress, const StageState& aStage, Instant aNow);
 
 /**
- * @brief Until when a replay or an import may take.
+ * @brief Deadline of the reply to a replay or an import.
  * @param aProgress The answer.
  * @param aStage The stage whose KV is rebuilt.
  * @param aExpected Estimated time of the call.
@@ -46,10 +46,11 @@
 ImportTime(const Progress& aProgress, LayerRange aLayers);
 
 /**
- * @brief Whether importing the KV of a lost stage should beat replaying it.
+ * @brief Whether importing the KV of a lost stage is estimated to be faster
+ * than replaying it.
  * @param aProgress The answer.
- * @param aVacancy The lost stage.
- * @param aChain The replacement.
+ * @param aVacancy The lost range.
+ * @param aChain The servers that replace it.
  */
 [[nodiscard]] bool
 PrefersImport(const Progress& aProgress,
@@ -57,7 +58,8 @@
               std::span<const route::Stage> aChain);
 
 /**
- * @brief Step times to start a replacement with, from those of the lost stage.
+ * @brief Initial step times of a replacement, scaled from the lost stage's by
+ * layers and speed.
  * @param aLost The lost stage.
  * @param aStage The replacement.
  */
--- a/src/balsampoint/stream/internal/fail.hpp
+++ b/src/balsampoint/stream/internal/fail.hpp
@@ -7,12 +7,12 @@
 namespace balsampoint::stream::internal {
 
 /**
- * @brief Takes the failure of a call.
+ * @brief Handles the failure of a call.
  * @param aProgress The answer.
- * @param aFailed The failure; dropped when it is of no call on its way.
- * @param aNow The time.
- * @param aActions Gets the wish for a replacement, or a replay instead of a
- * failed import.
+ * @param aFailed The failure; dropped unless it is of the pending call.
+ * @param aNow Current time.
+ * @param aActions The request for a replacement is appended here, or a replay
+ * that takes the place of a failed import.
  */
 void
 TakeFailure(Progress& aProgress,
@@ -21,12 +21,12 @@
             std::vector<Action>& aActions);
 
 /**
- * @brief Takes the news that a server's KV is lost.
+ * @brief Handles the loss of a server and its KV.
  * @param aProgress The answer.
  * @param aGone The server.
- * @param aNow The time.
- * @param aActions Gets the wish for a replacement when a call to it is on its
- * way; else the stage is replaced when its turn comes.
+ * @param aNow Current time.
+ * @param aActions The request for a replacement is appended here if a call to
+ * the server is pending; otherwise the stage is replaced before its next call.
  */
 void
 TakeServerGone(Progress& aProgress,
@@ -35,9 +35,9 @@
                std::vector<Action>& aActions);
 
 /**
- * @brief Tells whether a reply comes from another restart of the server.
- * @param aProgress The answer; a call is on its way.
- * @param aIncarnation Restart named in the reply; zero when unknown.
+ * @brief Whether a reply comes from an incarnation other than the stage's.
+ * @param aProgress The answer; its current stage is the one that replied.
+ * @param aIncarnation Incarnation in the reply; zero if the reply has none.
  */
 [[nodiscard]] bool
 FromOtherIncarnation(const Progress& aProgress, Incarnation aIncarnation);
--- a/src/balsampoint/stream/internal/kept_inputs.cpp
+++ b/src/balsampoint/stream/internal/kept_inputs.cpp
@@ -19,7 +19,8 @@
   return positions * aProgress.request.pipeline.activationBytes;
 }
 
-/** The stage that costs the fewest layers more to replay, if any. */
+/** The stage whose loss of inputs adds the fewest layers to a replay; null if
+ * no inputs can be dropped. */
 StageState*
 CheapestToDrop(Progress& aProgress)
 {
--- a/src/balsampoint/stream/internal/kept_inputs.hpp
+++ b/src/balsampoint/stream/internal/kept_inputs.hpp
@@ -5,19 +5,20 @@
 namespace balsampoint::stream::internal {
 
 /**
- * @brief Keeps the input of the current stage at the current position, where
- * the stage's inputs are kept.
+ * @brief Records the input of the current stage at the current position, if the
+ * stage keeps its inputs.
  * @param aProgress The answer.
  */
 void
 RecordInput(Progress& aProgress);
 
 /**
- * @brief Drops the inputs of some stages when they take more than allowed.
+ * @brief Drops the inputs of some stages when all exceed the memory limit.
  *
- * Stages keep their inputs longest where the next one before that keeps them
- * is many layers away, since these would be run again. The first stage's
- * inputs follow from the text and are never dropped.
+ * Without its inputs, a stage is recovered by replays from the nearest earlier
+ * stage that keeps them. The stage with the fewest layers in between is
+ * therefore dropped first. The first stage's inputs follow from the text and
+ * are never dropped.
  * @param aProgress The answer.
  */
 void
--- a/src/balsampoint/stream/internal/recover.cpp
+++ b/src/balsampoint/stream/internal/recover.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/** Losses in one zone at one position after which the zone is avoided. */
+/** Losses in one zone during one position that make the zone avoided. */
 constexpr std::ptrdiff_t kLossesPerZone = 2;
 
 std::vector<ZoneId>
@@ -125,7 +125,8 @@
   ++aProgress.counters.losses;
   if (aProgress.counters.losses > aProgress.settings.maxLosses) {
     GiveUp(aProgress,
-           MakeError(ErrorKind::StreamBroken, "too many servers were lost"),
+           MakeError(ErrorKind::StreamBroken,
+                     "the answer lost more servers than allowed"),
            aNow,
            aActions);
     return;
@@ -172,7 +173,8 @@
   }
   GiveUp(aProgress,
          aChosen.route
-           ? MakeError(ErrorKind::Internal, "chosen servers leave a gap")
+           ? MakeError(ErrorKind::Internal,
+                       "the chosen servers do not cover the layer range")
            : aChosen.route.error(),
          aNow,
          aActions);
--- a/src/balsampoint/stream/internal/recover.hpp
+++ b/src/balsampoint/stream/internal/recover.hpp
@@ -7,11 +7,11 @@
 namespace balsampoint::stream::internal {
 
 /**
- * @brief Asks for servers for the vacant range.
+ * @brief Requests servers for a range that has none.
  * @param aProgress The answer.
- * @param aVacancy The range, with what was lost there.
- * @param aNow The time.
- * @param aActions Gets the wish for a choice.
+ * @param aVacancy The range, and the lost stage if there is one.
+ * @param aNow Current time.
+ * @param aActions `ChooseRoute` is appended here.
  */
 void
 AskForRoute(Progress& aProgress,
@@ -20,12 +20,12 @@
             std::vector<Action>& aActions);
 
 /**
- * @brief Takes the current stage's server out and asks for a replacement.
+ * @brief Removes the current stage's server and requests a replacement.
  * @param aProgress The answer.
  * @param aLoss How the server was lost.
- * @param aNow The time.
- * @param aActions Gets the wish for a choice, or the failure when there were
- * too many losses.
+ * @param aNow Current time.
+ * @param aActions `ChooseRoute` is appended here, or `Fail` when too many
+ * stages were lost.
  */
 void
 LoseStage(Progress& aProgress,
@@ -34,12 +34,13 @@
           std::vector<Action>& aActions);
 
 /**
- * @brief Puts chosen servers in the place of a lost one, or asks again.
+ * @brief Installs the chosen servers; requests again with slow servers allowed
+ * when none was found.
  * @param aProgress The answer.
- * @param aChosen The choice; dropped when nothing waits for it.
- * @param aNow The time.
- * @param aActions Gets a further wish or the failure.
- * @return Whether the answer can go on.
+ * @param aChosen The choice; dropped unless it is the awaited one.
+ * @param aNow Current time.
+ * @param aActions A further `ChooseRoute` or `Fail` is appended here.
+ * @return Whether the servers were installed, so that the answer can continue.
  */
 [[nodiscard]] bool
 InstallRoute(Progress& aProgress,
--- a/src/balsampoint/stream/internal/session.hpp
+++ b/src/balsampoint/stream/internal/session.hpp
@@ -7,9 +7,9 @@
 namespace balsampoint::stream::internal {
 
 /**
- * @brief Names a KV that is built in the current attempt.
+ * @brief Makes the id of a KV that is built in the current attempt.
  * @param aProgress The answer.
- * @return A name that no KV of an earlier attempt has.
+ * @return An id that no KV of an earlier attempt has.
  */
 [[nodiscard]] inline RequestId
 NewSession(const Progress& aProgress)
--- a/src/balsampoint/stream/request.hpp
+++ b/src/balsampoint/stream/request.hpp
@@ -19,24 +19,24 @@
   Instant deadline{ kNever };
   /** Lower is served first. */
   std::uint32_t priority{};
-  /** Stages over all layers; empty when they are still to be chosen. */
+  /** Stages that cover all layers; empty if not chosen yet. */
   route::Chain route;
 };
 
-/** @brief Limits and costs that the decisions of an answer work with. */
+/** @brief Limits and cost estimates used while an answer is generated. */
 struct Settings
 {
-  /** Least time given to a step, whatever was observed. */
+  /** Minimum time allowed for a step. */
   Duration minStepTime{ std::chrono::milliseconds{ 10 } };
-  /** Time given to a call before anything was observed of its server. */
+  /** Time allowed for a call before any step time was observed. */
   Duration initialStepTime{ std::chrono::seconds{ 5 } };
-  /** Most time given to any call. */
+  /** Maximum time allowed for a call. */
   Duration maxStepTime{ std::chrono::seconds{ 20 } };
-  /** How long a lost range may wait for a server to appear. */
+  /** Maximum wait for a server that can replace a lost one. */
   Duration replacementWait{ std::chrono::seconds{ 3 } };
-  /** Losses of stages after which an answer is given up. */
+  /** Stage losses above which the answer fails. */
   std::uint32_t maxLosses{ 16 };
-  /** Bytes of activations kept for one answer to shorten its recovery. */
+  /** Maximum bytes of activations kept per answer to shorten recovery. */
   std::uint64_t keptActivationBytes{ 16ULL << 20U };
   /** Positions replayed in the time of one generated token. */
   double replayPositionsPerStep{ 8 };
--- a/src/balsampoint/stream/state.hpp
+++ b/src/balsampoint/stream/state.hpp
@@ -17,11 +17,11 @@
 {
   route::Stage stage;
   /**
-   * Name of the request at the server. A KV that is built anew gets a new
-   * name, so that a call given up earlier can't change it when it runs late.
+   * Id of the request's KV at the server. A rebuilt KV gets a new id, so that
+   * an abandoned call that runs late can't change it.
    */
   RequestId session;
-  /** Positions in the server's KV of this range; zero to build it anew. */
+  /** Positions in the server's KV of this range; zero if it must be rebuilt. */
   std::size_t kvPositions{};
   /**
    * Inputs of the range's first layer, one for each position so far and the
@@ -29,26 +29,26 @@
    */
   std::vector<std::uint64_t> inputs;
   bool keepsInputs{ true };
-  /** The server's lease ended or it restarted: its KV is lost. */
+  /** The server's lease expired or it restarted, so that its KV is lost. */
   bool gone{ false };
-  /** Address to import the KV from while a recovery prefers that. */
+  /** Address to import the KV from; empty if the KV is to be replayed. */
   std::string importSource;
-  /** Name of the request there. */
+  /** Id of the request's KV at `importSource`. */
   RequestId importSession;
   StepTimes times;
   /** Deadlines missed in a row; each doubles the next deadline. */
   std::uint32_t missedDeadlines{};
 };
 
-/** @brief KV of the request that a server may hold. */
+/** @brief KV of the request that a server may hold and must later drop. */
 struct ServerSession
 {
   Target target;
-  /** Name of the request at the server. */
+  /** Id of the request's KV at the server. */
   RequestId request;
 };
 
-/** @brief Which kind of call is on its way. */
+/** @brief Kind of a pending call. */
 enum class CallKind : std::uint8_t
 {
   Step,
@@ -56,7 +56,7 @@
   Import,
 };
 
-/** @brief The one call on its way. */
+/** @brief The call whose reply is awaited; there is at most one. */
 struct PendingCall
 {
   CallId id;
@@ -64,37 +64,37 @@
   Instant sentAt{};
 };
 
-/** @brief Where an answer stands. */
+/** @brief Phase of an answer. */
 enum class Phase : std::uint8_t
 {
-  /** A call is on its way. */
+  /** A call is pending. */
   Calling,
-  /** A range has no server; a choice is awaited. */
+  /** A range has no server; a `RouteChosen` is awaited. */
   Choosing,
-  /** The answer was completed or given up. */
+  /** The answer is complete or has failed. */
   Ended,
 };
 
-/** @brief The range that lost its server, while a replacement is chosen. */
+/** @brief A range without a server, while servers are chosen for it. */
 struct Vacancy
 {
-  /** Index of the first stage whose server is gone. */
+  /** Index of the stage to replace, or of the first one to insert. */
   std::size_t stage{};
   LayerRange layers;
-  /** Whether a stage was lost; false for the first choice. */
+  /** Whether a lost stage is replaced; false for the first choice. */
   bool replaces{ false };
-  /** What is known of the lost stage. */
+  /** State of the lost stage. */
   StageState lost;
-  /** Whether the lost server may still export its KV. */
+  /** Whether the KV may be imported from the lost server. */
   bool mayImport{ false };
-  /** Whether slow servers are allowed by now. */
+  /** Whether servers that missed a deadline may be chosen again. */
   bool lastResort{ false };
 };
 
-/** @brief What happened in one answer, for metrics. */
+/** @brief Counts of events in one answer, for metrics. */
 struct Counters
 {
-  /** Replies that belong to no call on its way. */
+  /** Replies that match no pending call or choice. */
   std::uint64_t droppedReplies{};
   std::uint64_t losses{};
   std::uint64_t replays{};
@@ -102,7 +102,7 @@
   std::uint64_t replayedPositions{};
 };
 
-/** @brief One answer without its tokenizer. */
+/** @brief State of one answer, without the tokenizer. */
 struct Progress
 {
   StreamRequest request;
@@ -124,19 +124,20 @@
   std::uint64_t input{};
   std::optional<PendingCall> pending;
   std::optional<Vacancy> vacancy;
-  /** Servers lost by this answer and not to be chosen again. */
+  /** Servers lost by this answer; not chosen again until they restart. */
   std::vector<route::ExcludedServer> lost;
-  /** Servers that missed a deadline; chosen again only as a last resort. */
+  /** Servers that missed a deadline or refused a call; chosen again only if
+   * no other server can run the range. */
   std::vector<route::ExcludedServer> slow;
   /** Zones of the servers lost at the current position. */
   std::vector<ZoneId> lostZones;
-  /** KV that servers are told to drop when the request is over. */
+  /** KV that servers are asked to drop when the answer ends. */
   std::vector<ServerSession> sessions;
   Counters counters;
 };
 
 /**
- * @brief One answer.
+ * @brief State of one answer.
  * @tparam T Tokenizer of the pipeline's model.
  */
 template<Tokenizer T>
@@ -146,7 +147,7 @@
   T tokenizer;
 };
 
-/** @brief An answer of the stand-in's model. */
+/** @brief State of an answer of the stand-in engine's model. */
 using State = BasicState<HashTokenizer>;
 
 } // namespace balsampoint::stream
--- a/src/balsampoint/stream/step_times.hpp
+++ b/src/balsampoint/stream/step_times.hpp
@@ -8,18 +8,19 @@
 namespace balsampoint::stream {
 
 /**
- * @brief Smoothed time of one stage's steps, how far they deviate, and the
- * longest of late.
+ * @brief Smoothed mean, mean deviation and decaying peak of the step times of
+ * one stage.
  *
- * Mean and deviation as in TCP's retransmission timer (RFC 6298). These alone
- * cut off the rare long step, so a peak that fades slowly is kept as well.
+ * Mean and deviation follow TCP's retransmission timer (RFC 6298). A bound of
+ * these alone is exceeded by rare long steps, so a slowly decaying peak is kept
+ * as well.
  */
 class StepTimes
 {
 public:
   /**
    * @brief Adds an observed step.
-   * @param aTime From the call to its reply.
+   * @param aTime Time from the call to its reply.
    */
   constexpr void Observe(Duration aTime)
   {
@@ -37,7 +38,7 @@
     mMean += error / kMeanDivisor;
   }
 
-  /** @brief Whether a step was observed. */
+  /** @brief Whether any step was observed. */
   [[nodiscard]] constexpr bool Observed() const { return mObserved > 0; }
 
   /** @brief The smoothed time of a step; zero before the first. */
@@ -58,11 +59,11 @@
   static constexpr int kDeviations = 4;
   static constexpr int kMeans = 3;
 
-  /** Part of itself that the peak loses with each step. */
+  /** The peak decays by one part in this many with each step. */
   static constexpr int kPeakDivisor = 512;
-  /** Part of the peak that a step may be longer. */
+  /** The bound exceeds the peak by one part in this many. */
   static constexpr int kPeakMargin = 8;
-  /** Steps after which the peak is trusted. */
+  /** Steps needed before the bound relies on deviation and peak alone. */
   static constexpr std::uint64_t kFew = 32;
 
   std::uint64_t mObserved{};
--- a/src/balsampoint/stream/tokenizer.hpp
+++ b/src/balsampoint/stream/tokenizer.hpp
@@ -8,7 +8,7 @@
 namespace balsampoint::stream {
 
 /**
- * @brief Turns text into the input of layer 0 and outputs into text.
+ * @brief Converts text to the input of layer 0, and layer outputs to text.
  * @tparam T Type to test.
  */
 template<typename T>
@@ -26,15 +26,18 @@
   };
 
 /**
- * @brief The tokenizer of the stand-in engine: FNV-1a 64 over all text so far,
- * and the low 16 bits of an output as four hexadecimal digits and a space.
+ * @brief Tokenizer of the stand-in engine.
+ *
+ * The input of layer 0 is the FNV-1a 64 hash of all text so far. The text of a
+ * token is the low 16 bits of the output as four hexadecimal digits and a
+ * space.
  */
 class HashTokenizer
 {
 public:
   /**
    * @brief Adds text of the prompt or of a generated token.
-   * @param aText The text.
+   * @param aText Text to append.
    */
   constexpr void Append(std::string_view aText)
   {
@@ -61,12 +64,12 @@
   std::uint64_t mHash{ kOffset };
 };
 
-/** @brief Digest of a KV without positions. */
+/** @brief Digest of an empty KV. */
 inline constexpr std::uint64_t kEmptyKvDigest = 0x6b5bULL;
 
 /**
- * @brief Digest of a KV after one more position.
- * @param aDigest Digest before.
+ * @brief Computes the digest of a KV after one more position.
+ * @param aDigest Digest of the KV without that position.
  * @param aStart Input of layer 0 at the position.
  * @return The new digest.
  */
--- a/test/balsampoint/stream/command/disturbed_test.cpp
+++ b/test/balsampoint/stream/command/disturbed_test.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint32_t kTokens = 12;
 
-/** How often each thing goes wrong, of 1,000. */
+/** Rates of injected faults, per 1,000 events. */
 struct Rates
 {
   std::uint32_t callFails{};
@@ -44,7 +44,7 @@
   }
 }
 
-/** Hands over an event that is no longer waited for; nothing may follow. */
+/** Delivers a stale event and checks that only a counter changes. */
 void
 DeliverStale(Driver& aDriver, const stream::Event& aEvent)
 {
@@ -71,7 +71,7 @@
   aDriver.state = state;
 }
 
-/** The same reply as another request would get it. */
+/** The same reply with the id of another request. */
 stream::Event
 Crossed(stream::Event aEvent)
 {
@@ -145,18 +145,18 @@
 
 } // namespace
 
-Test(disturbed, late_repeated_and_crossed_replies_change_nothing)
+Test(disturbed, late_duplicate_and_misrouted_replies_are_dropped)
 {
   Check("replies only", { .callFails = 50, .repeats = 300 });
 }
 
-Test(disturbed, losses_and_restarts_at_any_moment_leave_whole_answers)
+Test(disturbed, losses_and_restarts_at_any_time_never_corrupt_the_answer)
 {
   Check("losses and restarts",
         { .callFails = 60, .restarts = 20, .repeats = 100 });
 }
 
-Test(disturbed, constant_trouble_ends_whole_or_with_an_error)
+Test(disturbed, frequent_failures_end_in_a_complete_answer_or_an_error)
 {
   Check("constant trouble",
         { .callFails = 400, .restarts = 100, .repeats = 100 });
--- a/test/balsampoint/stream/command/handle_test.cpp
+++ b/test/balsampoint/stream/command/handle_test.cpp
@@ -29,7 +29,7 @@
   cr_assert_eq(aDriver.text, fake::ExpectedAnswer("In memory of", 12, aTokens));
 }
 
-/** Fails each call to some servers from a position on. */
+/** Fails each call to the given servers from a position onwards. */
 auto
 FailFrom(std::uint64_t aStep, std::vector<std::string> aServers, Loss aLoss)
 {
@@ -46,7 +46,7 @@
 
 } // namespace
 
-Test(handle, answer_equals_the_arithmetic_over_any_chain)
+Test(handle, answer_is_the_same_over_any_chain)
 {
   const std::vector<std::vector<std::uint32_t>> chains{
     { 12 }, { 4, 12 }, { 1, 2, 3, 12 }, { 5, 7, 11, 12 }
@@ -99,7 +99,7 @@
   cr_assert_eq(driver.state.progress.counters.losses, 3);
 }
 
-Test(handle, last_server_of_a_range_is_waited_for)
+Test(handle, waits_for_a_server_when_the_last_one_of_a_range_is_lost)
 {
   Driver driver;
   AddThreeStages(driver);
@@ -109,7 +109,7 @@
   AssertWhole(driver);
 }
 
-Test(handle, answer_without_a_server_for_a_range_fails_and_never_finishes)
+Test(handle, answer_fails_when_no_server_holds_a_range)
 {
   Driver driver;
   AddThreeStages(driver);
@@ -121,7 +121,7 @@
   cr_assert_eq(driver.text, fake::ExpectedAnswer("In memory of", 12, 5));
 }
 
-Test(handle, refusal_before_any_call_promises_that_nothing_was_run)
+Test(handle, failure_before_any_call_is_reported_as_not_executed)
 {
   Driver driver;
   driver.AddServer("s1", { 0, 4 });
@@ -130,7 +130,7 @@
   cr_assert_eq(driver.error->executed, Executed::No);
 }
 
-Test(handle, a_lost_zone_is_avoided_after_two_of_its_servers)
+Test(handle, zone_is_avoided_after_the_loss_of_two_of_its_servers)
 {
   Driver driver;
   for (const auto* const zone : { "a", "b" }) {
@@ -153,7 +153,7 @@
   cr_assert_eq(driver.state.progress.counters.losses, 4);
 }
 
-Test(handle, slow_stage_is_left_by_a_deadline_learnt_from_its_steps)
+Test(handle, slow_stage_is_replaced_at_a_deadline_derived_from_its_step_times)
 {
   Driver driver;
   AddThreeStages(driver);
@@ -169,7 +169,7 @@
   cr_assert(detection <= std::chrono::milliseconds{ 100 });
 }
 
-Test(handle, slow_stage_without_another_server_gets_more_time)
+Test(handle, slow_stage_gets_a_longer_deadline_when_no_other_server_exists)
 {
   Driver driver;
   AddThreeStages(driver);
@@ -186,7 +186,7 @@
   AssertWhole(driver);
 }
 
-Test(handle, a_step_that_runs_after_it_was_given_up_changes_nothing)
+Test(handle, an_abandoned_step_that_runs_late_changes_nothing)
 {
   Driver driver;
   driver.AddServer("only", { .begin = 0, .end = 12 });
@@ -203,7 +203,7 @@
   AssertWhole(driver, 12);
 }
 
-Test(handle, kv_is_imported_when_that_is_estimated_to_be_faster)
+Test(handle, kv_is_imported_when_estimated_to_be_faster_than_a_replay)
 {
   for (const auto bandwidth : { 1e12, 1e3 }) {
     Driver driver;
@@ -254,7 +254,7 @@
   }
 }
 
-Test(handle, restart_behind_a_reused_connection_is_seen_in_the_reply)
+Test(handle, restart_behind_a_reused_connection_is_detected_from_the_reply)
 {
   Driver driver;
   AddThreeStages(driver);
@@ -269,7 +269,7 @@
   cr_assert_eq(driver.state.progress.counters.losses, 1);
 }
 
-Test(handle, deadline_and_caller_end_an_answer_and_free_the_servers)
+Test(handle, passed_deadline_or_closed_caller_cancels_the_answer_on_all_servers)
 {
   for (const bool deadline : { false, true }) {
     Driver driver;
--- a/test/balsampoint/stream/harness.hpp
+++ b/test/balsampoint/stream/harness.hpp
@@ -17,7 +17,7 @@
 
 namespace balsampoint::fake {
 
-/** @brief What happens to one call instead of its regular reply. */
+/** @brief Fault injected into one call in place of its reply. */
 struct CallFault
 {
   stream::Loss loss{};
@@ -28,24 +28,24 @@
 };
 
 /**
- * @brief Drives one answer over engines in memory on virtual time, one action
+ * @brief Runs one answer over in-memory engines in virtual time, one action
  * after another as a traffic thread does.
  */
 class Driver
 {
 public:
-  /** @brief Decides the fate of a call; nothing lets it succeed. */
+  /** @brief Fault to inject into a call; absent lets the call succeed. */
   std::function<std::optional<CallFault>(const stream::Target&,
                                          const stream::CallId&)>
     fault = [](const auto&, const auto&) { return std::nullopt; };
-  /** @brief Called when a choice has waited in vain for a server. */
+  /** @brief Called when the wait for a server has timed out. */
   std::function<void(Driver&)> arrive = [](Driver&) {};
   /** @brief Called after each event that was handled. */
   std::function<void(Driver&)> disturb = [](Driver&) {};
 
   /** @brief Virtual time of a call that succeeds. */
   Duration stepTime{ std::chrono::milliseconds{ 1 } };
-  /** @brief Restarts of servers that the view doesn't show yet. */
+  /** @brief Current incarnations of servers, also those not yet in the view. */
   std::map<ServerId, Incarnation> restarts;
   route::Graph graph;
   std::map<ServerId, Engine> engines;
@@ -53,7 +53,7 @@
   stream::State state;
   std::string text;
   std::vector<stream::Event> history;
-  /** @brief Replies of calls that were given up before they arrived. */
+  /** @brief Replies that arrive after their calls have failed. */
   std::vector<stream::Event> late;
   std::optional<Error> error;
   bool finished{ false };
@@ -72,7 +72,7 @@
                                        .layerTokensPerSecond = 1000 } });
   }
 
-  /** @brief Takes a server out of the view. */
+  /** @brief Removes a server from the view. */
   void RemoveServer(const std::string& aName)
   {
     std::erase_if(graph.nodes, [&aName](const route::Node& aNode) {
@@ -80,7 +80,8 @@
     });
   }
 
-  /** @brief Loses a server's KV; the view shows it when `aSeen`. */
+  /** @brief Restarts a server without its KV; the view is updated if `aSeen`.
+   */
   void Restart(const ServerId& aServer, bool aSeen)
   {
     engines[aServer] = Engine{};
@@ -98,7 +99,7 @@
     Deliver(stream::ServerGone{ .server = aServer, .incarnation = gone });
   }
 
-  /** @brief Runs an answer to its end. */
+  /** @brief Runs an answer until no action is left. */
   void Run(stream::StreamRequest aRequest,
            const stream::Settings& aSettings = {})
   {
@@ -113,7 +114,7 @@
     }
   }
 
-  /** @brief Hands an event to the answer. */
+  /** @brief Delivers an event to the answer. */
   void Deliver(const stream::Event& aEvent)
   {
     Apply([&](auto& aActions) {
@@ -163,7 +164,8 @@
     Report(stream::CallFailed{ .id = aCall.id, .loss = failure->loss });
   }
 
-  /** The target's restart; zero, as of an engine that doesn't say, if none. */
+  /** The target's incarnation; zero, as from an engine that doesn't report it,
+   * if unknown. */
   Incarnation Restarted(const stream::Target& aTarget) const
   {
     const auto found = restarts.find(aTarget.server);
