Reword the comments of route

Figurative and terse briefs (wish, way, rest, in step) are replaced by the terms of the field: dual prices, slack, upper bound, in flight. Test cases are named after what they check.

--- a/src/balsampoint/route/chain.hpp
+++ b/src/balsampoint/route/chain.hpp
@@ -14,13 +14,13 @@
 struct Stage
 {
   ServerId server;
-  /** Restart of the server that was chosen; its KV ends with it. */
+  /** Incarnation of the chosen server; a restart loses its KV. */
   Incarnation incarnation;
   /** IP number and port. */
   std::string address;
   ZoneId zone;
   LayerRange layers;
-  /** Layers times tokens the server runs in a second. */
+  /** Speed of the server: layers times tokens per second. */
   double layerTokensPerSecond{};
 
   bool operator==(const Stage&) const = default;
@@ -29,7 +29,7 @@
 /** @brief Stages in the order of their layers, without gap or overlap. */
 using Chain = std::vector<Stage>;
 
-/** @brief A server that a choice leaves out until it restarts. */
+/** @brief A server that is not chosen until it restarts. */
 struct ExcludedServer
 {
   ServerId server;
--- a/src/balsampoint/route/concepts.hpp
+++ b/src/balsampoint/route/concepts.hpp
@@ -9,7 +9,7 @@
 
 namespace balsampoint::route {
 
-/** @brief What a policy may look at. */
+/** @brief Input of a routing policy: servers, flow, load and time. */
 struct Outlook
 {
   const Routes& routes;
--- a/src/balsampoint/route/flow.hpp
+++ b/src/balsampoint/route/flow.hpp
@@ -13,13 +13,13 @@
 {
   ZoneId zone;
   LayerRange layers;
-  /** Sum over the servers. */
+  /** Layers times tokens per second, summed over the servers. */
   double layerTokensPerSecond{};
   /** Indices into the graph's nodes. */
   std::vector<std::size_t> nodes;
 };
 
-/** @brief One stage of a way through the groups. */
+/** @brief Consecutive layers of a path that one group runs. */
 struct Hop
 {
   /** Index into the flow's groups. */
@@ -27,7 +27,8 @@
   LayerRange layers;
 };
 
-/** @brief A way of tokens that enter in one zone, and its share. */
+/** @brief A path over all layers for tokens of one entry zone, with its part of
+ * the flow. */
 struct Path
 {
   ZoneId entry;
@@ -40,9 +41,9 @@
 {
   std::vector<Group> groups;
   std::vector<Path> paths;
-  /** Tokens a second over all paths. */
+  /** Tokens per second, summed over all paths. */
   double tokensPerSecond{};
-  /** No routing can give more tokens a second. */
+  /** Upper bound of the tokens per second that any routing can reach. */
   double bound{};
 };
 
--- a/src/balsampoint/route/fwd.hpp
+++ b/src/balsampoint/route/fwd.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** @brief Which servers run which layers of a request. */
+/** @brief Chooses the servers that run the layers of a request. */
 namespace balsampoint::route {
 
 struct ExcludedServer;
--- a/src/balsampoint/route/in_flight.cpp
+++ b/src/balsampoint/route/in_flight.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** Age at which a report counts for 1/e. */
+/** Age in seconds at which the weight of a report has decayed to 1/e. */
 constexpr std::chrono::duration<double> kReportFade{ 10.0 };
 
 } // namespace
--- a/src/balsampoint/route/in_flight.hpp
+++ b/src/balsampoint/route/in_flight.hpp
@@ -9,8 +9,8 @@
 namespace balsampoint::route {
 
 /**
- * @brief Counts this host's requests in progress at each server and estimates
- * the server's load from them and from its late report.
+ * @brief Counts this host's requests in flight at each server, and estimates
+ * the server's load from the count and from the server's delayed load report.
  *
  * Not safe for concurrent use; traffic threads share it under a lock.
  */
@@ -24,26 +24,27 @@
   void Add(std::span<const Stage> aChain);
 
   /**
-   * @brief Ends the count of a request.
-   * @param aChain The chain that was added.
+   * @brief Removes a request from the count.
+   * @param aChain The chain given to `Add`.
    */
   void Remove(std::span<const Stage> aChain);
 
   /**
-   * @brief Estimates the requests in progress at a server.
+   * @brief Estimates the requests in flight at a server.
    *
-   * The report is replaced in the part that is this host's own by the count of
-   * now. What it says of other hosts' requests counts less as it ages.
-   * @param aNode The server with its report.
-   * @param aNow The time.
+   * This host's own share of the report is replaced by its current count. The
+   * rest, the requests of other hosts, is weighted less as the report ages.
+   * @param aNode The server with its load report.
+   * @param aNow Current time.
    */
   [[nodiscard]] double Estimate(const Node& aNode, Instant aNow);
 
 private:
   struct Work
   {
+    /** This host's requests in flight. */
     std::uint32_t now{};
-    /** Own requests when the last report came in. */
+    /** Value of `now` when the current report was first used. */
     std::uint32_t atReport{};
     Instant reportedAt{};
   };
--- a/src/balsampoint/route/internal/packing_program.cpp
+++ b/src/balsampoint/route/internal/packing_program.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr double kTolerance = 1e-9;
-/** Spreads the capacities a little, so that no two rows run out together. */
+/** Perturbs the capacities, so that no two rows are exhausted at once, which
+ * makes the program degenerate. */
 constexpr double kSpread = 1e-7;
 
 } // namespace
--- a/src/balsampoint/route/internal/packing_program.hpp
+++ b/src/balsampoint/route/internal/packing_program.hpp
@@ -13,55 +13,54 @@
   double amount{};
 };
 
-/** @brief One way to use capacity. */
+/** @brief Column of the program: a use of capacity and its value. */
 struct Column
 {
-  /** Worth of one unit. */
+  /** Objective value of one unit. */
   double value{};
-  /** Use by one unit; a negative one frees capacity. */
+  /** Use of rows by one unit; a negative amount adds capacity. */
   std::vector<RowUse> uses;
 };
 
 /**
- * @brief Finds the most worth that fits into given capacities, by the revised
- * simplex method with columns supplied one after another.
+ * @brief Linear program that maximises value within given capacities, solved by
+ * the revised simplex method with columns added one after another.
  *
- * Columns too many to list are priced outside with `Prices`: a column whose
- * use costs less than its value improves the solution.
+ * Where there are too many columns to list, the caller finds the next one with
+ * `Prices`: a column whose use costs less than its value improves the solution.
  */
 class PackingProgram
 {
 public:
   /**
-   * @brief Makes a program whose rows are all unused.
+   * @brief Makes a program without columns.
    * @param aCapacities Capacity of each row.
    */
   explicit PackingProgram(std::span<const double> aCapacities);
 
-  /** @brief Price of a unit of each row's capacity under the current solution.
-   */
+  /** @brief Dual price of each row's capacity under the current solution. */
   [[nodiscard]] std::span<const double> Prices() const { return mPrices; }
 
-  /** @brief Worth of the current solution. */
+  /** @brief Objective value of the current solution. */
   [[nodiscard]] double Worth() const;
 
   /**
-   * @brief Lets a column take part as far as that improves the solution.
+   * @brief Adds a column; it enters the basis if that improves the solution.
    * @param aColumn The column.
-   * @return Whether it improves the solution; it has an index in `Amounts`
-   * in any case.
+   * @return Whether it improves the solution. The column gets an index in
+   * `Amounts` in any case.
    */
   bool Add(const Column& aColumn);
 
-  /** @brief Units of each column in the order of their adding. */
+  /** @brief Units of each column, in the order in which they were added. */
   [[nodiscard]] std::vector<double> Amounts() const;
 
 private:
-  /** What fills one place of the basis. */
+  /** A basic variable: a column, or the slack of a row. */
   struct BasisEntry
   {
     bool isColumn{ false };
-    /** Index of the column, or the row whose rest it is. */
+    /** Index of the column, or of the row whose slack it is. */
     std::size_t index{};
     double value{};
     double amount{};
--- a/src/balsampoint/route/internal/path_credits.hpp
+++ b/src/balsampoint/route/internal/path_credits.hpp
@@ -8,7 +8,7 @@
 namespace balsampoint::route::internal {
 
 /**
- * @brief Picks paths so that their running shares follow the flow.
+ * @brief Picks paths in proportion to their shares of the flow.
  *
  * Smooth weighted round robin: each pick credits every path with its share
  * and charges the picked path with one.
@@ -17,11 +17,12 @@
 {
 public:
   /**
-   * @brief Takes the paths of one entry zone over when the flow changed.
+   * @brief Replaces the paths when the flow has changed.
    * @param aRoutes The flow.
-   * @param aEntry The entry zone; the paths of all zones when it has none.
-   * @param aRandom Random number for the first credits, so that hosts don't
-   * pick in step.
+   * @param aEntry Entry zone whose paths are used; if it has none, the paths of
+   * all zones are.
+   * @param aRandom Random number for the initial credits, so that hosts don't
+   * pick the same paths at the same time.
    */
   void Update(const Routes& aRoutes,
               const ZoneId& aEntry,
@@ -29,10 +30,10 @@
 
   /**
    * @brief Credits all paths and picks one.
-   * @tparam Usable Callable with a path.
-   * @param aRoutes The flow last given to `Update`.
+   * @tparam Usable Predicate over paths.
+   * @param aRoutes The flow that was last passed to `Update`.
    * @param aUsable Whether a path may be picked.
-   * @return The path picked, or null when none is usable.
+   * @return The picked path; null if none is usable.
    */
   template<typename Usable>
   const Path* Next(const Routes& aRoutes, Usable aUsable)
--- a/src/balsampoint/route/internal/server_price.cpp
+++ b/src/balsampoint/route/internal/server_price.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/** Part of the price that a cached prefix is expected to save. */
+/** Fraction of the price that a cached prefix is expected to save. */
 constexpr double kCacheSaving = 0.3;
-/** Factor that keeps a server from being chosen while there is another. */
+/** Factor on the price of a server that is used only if no other can be. */
 constexpr double kAvoidance = 1e6;
 constexpr double kLeastSpeed = 1e-3;
 
--- a/src/balsampoint/route/internal/server_price.hpp
+++ b/src/balsampoint/route/internal/server_price.hpp
@@ -4,31 +4,33 @@
 
 namespace balsampoint::route::internal {
 
-/** @brief Prices servers by the time that a request's layer should take. */
+/** @brief Prices servers by the expected time of one layer of a request. */
 class ServerPrice
 {
 public:
   /**
-   * @brief Keeps what prices depend on; both outlive the object.
-   * @param aOutlook Servers and load.
-   * @param aWish What the chain must do.
+   * @brief Keeps references to the arguments, which must outlive the object.
+   * @param aOutlook Servers, load and the current time.
+   * @param aWish Requirements of the chain.
    */
   ServerPrice(Outlook aOutlook, const Wish& aWish);
 
   /**
-   * @brief Expected seconds for one layer of one token at a server.
+   * @brief Expected time in seconds of one layer of one token at a server, with
+   * penalties for avoided zones and full KV.
    * @param aNode The server.
    */
   [[nodiscard]] double Layer(const Node& aNode) const;
 
   /**
-   * @brief Expected seconds on the network for one token.
+   * @brief Expected network time in seconds between entry zone and server for
+   * one token, in both directions.
    * @param aNode The server.
    */
   [[nodiscard]] double Hop(const Node& aNode) const;
 
   /**
-   * @brief Whether a server may be chosen at all.
+   * @brief Whether a server is not excluded.
    * @param aNode The server.
    */
   [[nodiscard]] bool Usable(const Node& aNode) const;
@@ -43,10 +45,10 @@
 };
 
 /**
- * @brief Finds the chain of the lowest price among the usable servers.
+ * @brief Finds the cheapest chain over the usable servers.
  * @param aGraph The servers.
- * @param aWish What the chain must do.
- * @param aPrice Prices the servers.
+ * @param aWish Requirements of the chain.
+ * @param aPrice Prices of the servers.
  * @return The chain, or `ErrorKind::NoServer`.
  */
 [[nodiscard]] tl::expected<Chain, Error>
--- a/src/balsampoint/route/internal/shortest_chain.cpp
+++ b/src/balsampoint/route/internal/shortest_chain.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** The cheapest way known to reach a layer. */
+/** The cheapest known chain up to a layer, as its last stage. */
 struct Reach
 {
   double price{ std::numeric_limits<double>::infinity() };
@@ -16,7 +16,7 @@
   const Node* node{};
 };
 
-/** Layers at which a chain may pass from one server to the next, in order. */
+/** Layers at which a chain may change servers, in ascending order. */
 std::vector<std::uint32_t>
 Borders(std::span<const PricedNode> aNodes, LayerRange aLayers)
 {
@@ -35,7 +35,7 @@
   return borders;
 }
 
-/** The ways to reach each layer, worked out border by border. */
+/** Computes the cheapest chain up to each boundary, in ascending order. */
 class Search
 {
 public:
--- a/src/balsampoint/route/internal/shortest_chain.hpp
+++ b/src/balsampoint/route/internal/shortest_chain.hpp
@@ -12,13 +12,13 @@
   const Node* node{};
   /** Price of one layer; lower is better. */
   double layerPrice{};
-  /** Price of using the server at all. */
+  /** Price added once for each stage on this server. */
   double hopPrice{};
 };
 
 /**
  * @brief Finds the cheapest chain over a range of layers.
- * @param aNodes The servers to use.
+ * @param aNodes The usable servers.
  * @param aLayers The range.
  * @return The chain, or `ErrorKind::NoServer` when a layer has no server.
  */
--- a/src/balsampoint/route/policy/flow_policy.hpp
+++ b/src/balsampoint/route/policy/flow_policy.hpp
@@ -10,11 +10,12 @@
 namespace balsampoint::route {
 
 /**
- * @brief Lets the running shares follow the maximum flow.
+ * @brief Distributes requests over paths in proportion to the maximum flow.
  *
- * Picks the path that is furthest behind its share of the flow, and on each of
- * its hops the cheaper of two random servers. Where the flow has no usable
- * path, or for a part of the layers, the cheapest chain is taken.
+ * Picks the path that is furthest behind its share of the flow, and for each of
+ * its hops the cheaper of two servers sampled at random. The cheapest chain is
+ * chosen instead where the flow has no usable path, zones are avoided, or only
+ * part of the layers is requested.
  */
 class FlowPolicy
 {
@@ -22,8 +23,8 @@
   /**
    * @brief Chooses a chain.
    * @tparam Random Type of the source of random numbers.
-   * @param aOutlook Servers, flow and load.
-   * @param aWish What the chain must do.
+   * @param aOutlook Servers, flow, load and the current time.
+   * @param aWish Requirements of the chain.
    * @param aRandom Source of random numbers.
    * @return The chain, or `ErrorKind::NoServer`.
    */
@@ -77,7 +78,7 @@
     });
   }
 
-  /** The cheaper of two servers drawn by their speed. */
+  /** The cheaper of two servers sampled in proportion to their speed. */
   template<RandomSource Random>
   static const Node& Pick(const Graph& aGraph,
                           const Group& aGroup,
@@ -89,7 +90,8 @@
     return aPrice.Layer(other) < aPrice.Layer(one) ? other : one;
   }
 
-  /** A usable server, with a chance in proportion to its speed. */
+  /** Samples a usable server with probability in proportion to its speed; the
+   * group's first server if none is usable. */
   static const Node& Draw(const Graph& aGraph,
                           const Group& aGroup,
                           const internal::ServerPrice& aPrice,
--- a/src/balsampoint/route/policy/next_server_policy.hpp
+++ b/src/balsampoint/route/policy/next_server_policy.hpp
@@ -10,9 +10,10 @@
 namespace balsampoint::route {
 
 /**
- * @brief Builds a chain server by server, each run to the end of its layers.
+ * @brief Builds a chain server by server; each server runs all layers it holds
+ * from the next one on.
  *
- * The base of the policies that know no flow.
+ * Base of the policies that don't use the maximum flow.
  * @tparam Picker Picks one of the servers that hold the next layer.
  */
 template<typename Picker>
@@ -21,8 +22,8 @@
 public:
   /**
    * @brief Chooses a chain.
-   * @param aOutlook Servers and their load.
-   * @param aWish What the chain must do.
+   * @param aOutlook Servers, load and the current time.
+   * @param aWish Requirements of the chain.
    * @param aRandom Source of random numbers.
    * @return The chain, or `ErrorKind::NoServer`.
    */
@@ -65,7 +66,7 @@
   Picker mPicker;
 };
 
-/** @brief Picks any server with equal chance. */
+/** @brief Picks a server uniformly at random. */
 struct RandomPicker
 {
   /** @brief Picks one of several servers. */
@@ -94,11 +95,13 @@
   }
 
   static constexpr auto kUnset = std::numeric_limits<std::uint64_t>::max();
-  /** Turn; starts at random, so that hosts don't move in step. */
+  /** Counter of picks; starts at random, so that hosts don't pick the same
+   * servers at the same time. */
   std::uint64_t next{ kUnset };
 };
 
-/** @brief Picks the server with the least reported load for its speed. */
+/** @brief Picks the server with the least reported load relative to its speed.
+ */
 struct LeastLoadedPicker
 {
   /** @brief Picks one of several servers. */
@@ -123,11 +126,11 @@
   }
 };
 
-/** @brief Any server that holds the next layer. */
+/** @brief Picks random servers that hold the next layer. */
 using RandomPolicy = BasicNextServerPolicy<RandomPicker>;
-/** @brief The servers that hold the next layer in turn. */
+/** @brief Picks the servers that hold the next layer in turn. */
 using RoundRobinPolicy = BasicNextServerPolicy<RoundRobinPicker>;
-/** @brief The server with the least reported load. */
+/** @brief Picks the server with the least reported load. */
 using LeastLoadedPolicy = BasicNextServerPolicy<LeastLoadedPicker>;
 
 } // namespace balsampoint::route
--- a/src/balsampoint/route/query/find_chain.hpp
+++ b/src/balsampoint/route/query/find_chain.hpp
@@ -10,7 +10,7 @@
 /** @brief Price of a server for one layer; lower is better. */
 using NodePrice = std::function<double(const Node&)>;
 
-/** @brief What a chain must do and which servers it must leave out. */
+/** @brief Layers that a chain must cover, and servers that it must not use. */
 struct ChainRequest
 {
   LayerRange layers;
@@ -21,11 +21,12 @@
  * @brief Finds the cheapest chain over a range of layers.
  *
  * A server is entered at any layer it holds and left at its end, at the end of
- * the range, or at any layer where another server's holding begins.
+ * the range, or at any layer where the range held by another server begins or
+ * ends.
  * @param aGraph The servers.
- * @param aRequest The range and the servers to leave out.
+ * @param aRequest The range and the excluded servers.
  * @param aPrice Price of a server for one layer.
- * @param aHopPrice Price of each stage besides, so that few are used.
+ * @param aHopPrice Additional price of each stage; favours short chains.
  * @return The chain, or `ErrorKind::NoServer` when a layer has no server.
  */
 [[nodiscard]] tl::expected<Chain, Error>
--- a/src/balsampoint/route/query/max_flow.cpp
+++ b/src/balsampoint/route/query/max_flow.cpp
@@ -11,12 +11,13 @@
 
 namespace {
 
-/** Part of the bound by which the flow may stay below it. */
+/** Relative gap between flow and upper bound at which the search ends. */
 constexpr double kGap = 5e-3;
 constexpr std::size_t kMaxRounds = 2000;
-/** Weight of the best bound's prices against the current ones. */
+/** Weight of the best bound's prices when mixed with the current ones. */
 constexpr double kCentreWeight = 0.8;
-/** Added to each hop's price, so that of equal ways the shortest is taken. */
+/** Added to each hop's price, so that the path with the fewest hops wins a
+ * tie. */
 constexpr double kHopPrice = 1e-9;
 constexpr auto kNoRow = std::numeric_limits<std::size_t>::max();
 
@@ -57,7 +58,7 @@
   return borders;
 }
 
-/** The cheapest way to reach a border. */
+/** The cheapest path from layer 0 to a boundary, as its last hop. */
 struct Reach
 {
   double price{ std::numeric_limits<double>::infinity() };
@@ -65,14 +66,14 @@
   std::size_t group{};
 };
 
-/** A way of one entry zone with its price. */
+/** A path of one entry zone with its price. */
 struct PricedPath
 {
   double price{};
   std::vector<Hop> hops;
 };
 
-/** The ways through the graph and the rows that they use. */
+/** The paths through the graph and the rows of the program that they use. */
 class PathModel
 {
 public:
@@ -90,18 +91,18 @@
   }
 
   [[nodiscard]] const std::vector<Group>& Groups() const { return mGroups; }
-  /** Rows of groups and links; those of the entries follow. */
+  /** Number of rows of groups and links; the rows of entry zones follow. */
   [[nodiscard]] std::size_t Rows() const { return mRows; }
-  /** Tokens a second of one unit. */
+  /** Tokens per second in one unit of the program's amounts. */
   [[nodiscard]] double Unit() const { return mUnit; }
 
-  /** What the prices of hops can add to a way's price at most. */
+  /** Upper bound of the sum of `kHopPrice` over one path. */
   [[nodiscard]] double HopPrices() const
   {
     return kHopPrice * static_cast<double>(mBorders.size());
   }
 
-  /** The cheapest way of an entry zone; infinite price when there is none. */
+  /** The cheapest path of an entry zone; infinite price if there is none. */
   [[nodiscard]] PricedPath Cheapest(std::size_t aEntry,
                                     std::span<const double> aPrices) const
   {
@@ -116,7 +117,7 @@
     return Trace(reached);
   }
 
-  /** The rows that one unit of tokens on a way uses. */
+  /** The column of a path: the use of each row by one unit of tokens. */
   [[nodiscard]] internal::Column ToColumn(std::size_t aEntry,
                                           std::span<const Hop> aHops) const
   {
@@ -137,7 +138,7 @@
     return column;
   }
 
-  /** One for each server group and link; then nothing for each entry. */
+  /** 1 for each server group and link, then 0 for each entry zone. */
   [[nodiscard]] std::vector<double> Capacities() const
   {
     std::vector<double> capacities(mRows + mLinkShares.size());
@@ -198,7 +199,8 @@
     return path;
   }
 
-  /** Row and share of the link from an entry zone to each group. */
+  /** For each group, the row of its link to an entry zone and the use of that
+   * link by one unit; `kNoRow` where no link limits. */
   std::vector<internal::RowUse> LinkShares(const Graph& aGraph,
                                            const ZoneId& aEntry)
   {
@@ -236,11 +238,12 @@
   std::size_t mRows;
   double mUnit{};
   std::map<std::pair<ZoneId, ZoneId>, std::size_t> mLinkRows;
-  /** For each entry zone and group. */
+  /** Use of links, by entry zone and then by group. */
   std::vector<std::vector<internal::RowUse>> mLinkShares;
 };
 
-/** Adds the cheapest ways round by round until the flow is the maximum. */
+/** Adds the cheapest paths round by round until the flow is within `kGap` of
+ * its upper bound. */
 class FlowSolver
 {
 public:
@@ -277,8 +280,8 @@
 
 private:
   /**
-   * Current prices drawn towards those of the best bound, since the current
-   * ones swing widely; without that where it led to no improvement.
+   * Current prices mixed with those of the best bound, since the current ones
+   * oscillate widely; unmixed after a round that improved nothing.
    */
   [[nodiscard]] std::vector<double> SmoothPrices() const
   {
@@ -292,7 +295,7 @@
     return prices;
   }
 
-  /** The cheapest way for each entry; empty when a layer has no server. */
+  /** The cheapest path of each entry zone; empty if a layer has no server. */
   [[nodiscard]] std::vector<PricedPath> CheapestPaths(
     std::span<const double> aPrices) const
   {
@@ -306,7 +309,8 @@
     return paths;
   }
 
-  /** By duality: all capacity at its price, over the price of one unit. */
+  /** Updates the upper bound, which by duality is the price of all capacity
+   * over the price of one unit of tokens. */
   void UpdateBound(std::span<const PricedPath> aPaths,
                    std::span<const double> aPrices)
   {
@@ -327,7 +331,7 @@
     }
   }
 
-  /** Whether any of the ways improves the flow. */
+  /** Adds the paths; returns whether any of them improves the flow. */
   bool AddColumns(std::span<PricedPath> aPaths)
   {
     bool improves = false;
@@ -359,10 +363,10 @@
   PathModel mModel;
   internal::PackingProgram mProgram;
   double mBound{ std::numeric_limits<double>::infinity() };
-  /** Prices that gave the best bound. */
+  /** Prices that gave the best bound, scaled to a price of 1 for one unit. */
   std::vector<double> mCentre;
   bool mSmooths{ true };
-  /** In the order of their columns, which follow that of the total. */
+  /** In the order of their columns, which follow the column of the total. */
   std::vector<Path> mPaths;
 };
 
--- a/src/balsampoint/route/query/max_flow.hpp
+++ b/src/balsampoint/route/query/max_flow.hpp
@@ -7,7 +7,7 @@
 
 namespace balsampoint::route {
 
-/** @brief The part of all tokens that enters in one zone. */
+/** @brief Fraction of all tokens whose entry hosts are in one zone. */
 struct EntryShare
 {
   ZoneId zone;
@@ -15,24 +15,24 @@
 };
 
 /**
- * @brief Equal shares for all zones that have servers.
+ * @brief Divides the tokens equally among the zones that have servers.
  * @param aGraph The servers.
  */
 [[nodiscard]] std::vector<EntryShare>
 EqualShares(const Graph& aGraph);
 
 /**
- * @brief Works out the most tokens a second that servers and links can carry.
+ * @brief Computes the most tokens per second that servers and links can carry.
  *
- * A token uses of each server the layers it runs there, and of the link
- * between its entry zone and each server's zone one activation in each
- * direction. A server is entered at any layer it holds and left at any later
- * one; so a way uses part of a server's capacity, which a plain maximum flow
- * with one capacity for each server can't express. The linear program over
- * all ways is solved by column generation, with the cheapest way under the
- * current prices as the next column.
+ * A token uses, of each server, the layers that it runs there; and of the link
+ * between its entry zone and each server's zone, one activation in each
+ * direction. A path may enter a server at any layer it holds and leave it at
+ * any later one. It then uses part of the server's capacity, which a plain
+ * maximum flow with one capacity for each server can't express. The linear
+ * program over all paths is solved by column generation, with the cheapest path
+ * under the current dual prices as the next column.
  * @param aGraph Servers and links.
- * @param aShares Where the tokens enter; the shares add up to one.
+ * @param aShares Entry zones of the tokens; the shares add up to one.
  * @return The flow; without paths when a layer has no server.
  */
 [[nodiscard]] Flow
--- a/src/balsampoint/route/query/plan.cpp
+++ b/src/balsampoint/route/query/plan.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** Whether two graphs differ in nothing but the loads. */
+/** Whether two graphs differ at most in loads, and so have the same flow. */
 bool
 HasSameFlow(const Graph& aOne, const Graph& aOther)
 {
--- a/src/balsampoint/route/query/plan.hpp
+++ b/src/balsampoint/route/query/plan.hpp
@@ -8,7 +8,7 @@
 
 namespace balsampoint::route {
 
-/** @brief What routes are planned from. */
+/** @brief Pipelines, servers and links from which routes are planned. */
 struct PlanInput
 {
   const config::Document& document;
@@ -17,11 +17,11 @@
 };
 
 /**
- * @brief Makes the table of all pipelines, with the flows known already.
+ * @brief Makes the table of all pipelines, without computing new flows.
  *
- * A flow is taken over where only loads changed; other pipelines are left
- * without one, so that the table can be used at once.
- * @param aPrevious The table before.
+ * A pipeline keeps its flow from the previous table if only loads changed.
+ * Other pipelines get none, so that the table can be used at once.
+ * @param aPrevious The previous table.
  * @param aInput Pipelines, servers and links.
  * @return The table.
  */
@@ -29,7 +29,7 @@
 Plan(const Table& aPrevious, const PlanInput& aInput);
 
 /**
- * @brief Pipelines of a table whose flow is still to be worked out.
+ * @brief Pipelines of a table whose flow is not computed yet.
  * @param aTable The table.
  * @return Their ids.
  */
--- a/src/balsampoint/route/router.hpp
+++ b/src/balsampoint/route/router.hpp
@@ -7,10 +7,10 @@
 namespace balsampoint::route {
 
 /**
- * @brief Chooses chains by a policy and counts them while they are in use.
+ * @brief Chooses chains by a policy and counts the requests in flight on them.
  *
  * Not safe for concurrent use; traffic threads share it under a lock.
- * @tparam Policy Chooses.
+ * @tparam Policy Chooses the chains.
  * @tparam Random Source of random numbers.
  */
 template<typename Policy, RandomSource Random>
@@ -19,7 +19,7 @@
 {
 public:
   /**
-   * @brief Makes a router that has chosen nothing yet.
+   * @brief Makes a router without requests in flight.
    * @param aRandom Source of random numbers.
    */
   explicit BasicRouter(Random aRandom)
@@ -30,8 +30,8 @@
   /**
    * @brief Chooses a chain and counts it as in use.
    * @param aRoutes The pipeline's servers.
-   * @param aWish What the chain must do.
-   * @param aNow The time.
+   * @param aWish Requirements of the chain.
+   * @param aNow Current time.
    * @return The chain, or `ErrorKind::NoServer`.
    */
   [[nodiscard]] tl::expected<Chain, Error> Choose(const Routes& aRoutes,
@@ -49,8 +49,8 @@
   }
 
   /**
-   * @brief Tells that a chain is no longer in use.
-   * @param aChain The chain.
+   * @brief Ends the use of a chain.
+   * @param aChain A chain returned by `Choose`.
    */
   void Release(std::span<const Stage> aChain) { mInFlight.Remove(aChain); }
 
--- a/src/balsampoint/route/state.hpp
+++ b/src/balsampoint/route/state.hpp
@@ -15,9 +15,9 @@
 {
   ZoneId one;
   ZoneId other;
-  /** Bytes a second in each direction; zero for no limit. */
+  /** Bytes per second in each direction; zero for no limit. */
   double bytesPerSecond{};
-  /** Time of one message in one direction. */
+  /** One-way latency. */
   Duration delay{};
 
   bool operator==(const Link&) const = default;
@@ -26,30 +26,31 @@
 /** @brief One server that holds layers of the graph's pipeline. */
 struct Node
 {
-  /** The server with all the layers it holds. */
+  /** The server, with all layers that it holds. */
   Stage stage;
   std::uint64_t kvCapacityTokens{};
   registry::Load load;
-  /** When its load was reported, by this host's clock. */
+  /** Time at which the load was reported, by this host's clock. */
   Instant reportedAt{};
 };
 
-/** @brief The servers that take new work of one pipeline; immutable. */
+/** @brief The servers that accept new requests of one pipeline; immutable. */
 struct Graph
 {
   PipelineId pipeline;
   std::uint32_t layers{};
-  /** Bytes that pass from one stage to the next for one token. */
+  /** Bytes sent from one stage to the next for one token. */
   std::uint64_t activationBytes{};
-  /** In the order of server ids. */
+  /** Ready servers, in the order of server ids. */
   std::vector<Node> nodes;
   std::vector<Link> links;
 
   /**
-   * @brief Collects the servers that can run a part of a pipeline.
+   * @brief Collects the servers that hold layers of a pipeline.
    * @param aPipeline The pipeline.
-   * @param aServers Live servers; those that are leaving are left out.
-   * @param aLinks Links between zones that limit or delay.
+   * @param aServers Live servers, in the order of their ids; only ready ones
+   * are used.
+   * @param aLinks Links between zones with a limit or latency.
    * @return The graph.
    */
   [[nodiscard]] static Graph Make(const config::Pipeline& aPipeline,
--- a/src/balsampoint/route/table.hpp
+++ b/src/balsampoint/route/table.hpp
@@ -13,11 +13,12 @@
 {
   Graph graph;
   Flow flow;
-  /** Changes with the flow; equal flows keep it when only loads change. */
+  /** Version of the flow; zero if the flow is not computed yet. Stays the same
+   * while only loads change. */
   std::uint64_t flowNumber{};
 };
 
-/** @brief All pipelines' routes as traffic threads see them; immutable. */
+/** @brief Routes of all pipelines, read by traffic threads; immutable. */
 struct Table
 {
   std::map<PipelineId, Routes> pipelines;
--- a/src/balsampoint/route/wish.hpp
+++ b/src/balsampoint/route/wish.hpp
@@ -7,11 +7,11 @@
 
 namespace balsampoint::route {
 
-/** @brief What a chosen chain must do. */
+/** @brief Requirements and preferences for the choice of a chain. */
 struct Wish
 {
   LayerRange layers;
-  /** Zone of the host that drives the request. */
+  /** Zone of the entry host, which sends the calls of the request. */
   ZoneId entry;
   /** Servers that may not be chosen. */
   std::span<const ExcludedServer> excluded;
@@ -19,14 +19,14 @@
   std::span<const ZoneId> avoidedZones;
   /** Servers that may hold the prompt's prefix in their cache. */
   std::span<const ServerId> cached;
-  /** Tokens of KV that the request may come to need. */
+  /** Most tokens of KV that the request may need. */
   std::uint64_t kvTokens{};
 };
 
 /**
- * @brief Whether a wish rules a server out.
- * @param aWish The wish.
- * @param aStage The server.
+ * @brief Whether a request excludes a server.
+ * @param aWish The request.
+ * @param aStage The server and its incarnation.
  */
 [[nodiscard]] bool
 Excludes(const Wish& aWish, const Stage& aStage);
--- a/test/balsampoint/route/policy/flow_policy_test.cpp
+++ b/test/balsampoint/route/policy/flow_policy_test.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-Test(flow_policy, running_shares_follow_the_flow)
+Test(flow_policy, distributes_requests_in_proportion_to_the_flow)
 {
   const auto routes = RoutesOf(UnevenServers());
   Router router{ fake::Random{ 3 } };
@@ -55,7 +55,7 @@
   cr_assert_eq(chosen["s3"], 400);
 }
 
-Test(flow_policy, excluded_servers_and_parts_of_the_layers)
+Test(flow_policy, skips_excluded_servers_and_covers_partial_ranges)
 {
   const auto routes = RoutesOf(UnevenServers());
   Router router{ fake::Random{ 3 } };
@@ -71,7 +71,7 @@
   cr_assert(route::Covers(*router.Choose(routes, wish, Instant{}), { 3, 9 }));
 }
 
-Test(flow_policy, without_a_flow_the_cheapest_chain_is_chosen)
+Test(flow_policy, chooses_the_cheapest_chain_without_a_flow)
 {
   auto routes = RoutesOf(UnevenServers());
   routes.flow = {};
@@ -80,7 +80,7 @@
   cr_assert(chain->front().server == ServerId{ "s1" });
 }
 
-Test(flow_policy, server_without_room_for_the_kv_is_left_out)
+Test(flow_policy, avoids_servers_without_enough_free_kv)
 {
   auto servers = UnevenServers();
   servers[0].announcement.kvCapacityTokens = 1000;
@@ -94,7 +94,7 @@
             ServerId{ "s2" });
 }
 
-Test(in_flight, own_work_is_counted_since_the_report_and_reports_fade)
+Test(in_flight, adds_own_requests_since_the_report_and_decays_old_reports)
 {
   auto routes = RoutesOf(UnevenServers());
   auto& node = routes.graph.nodes.front();
--- a/test/balsampoint/route/query/find_chain_test.cpp
+++ b/test/balsampoint/route/query/find_chain_test.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-Test(find_chain, enters_and_leaves_servers_in_the_middle_of_what_they_hold)
+Test(find_chain, enters_and_leaves_servers_in_the_middle_of_their_ranges)
 {
   const auto chain =
     Find({ Holder("a", { 0, 7 }), Holder("b", { 5, 12 }) }, { 2, 12 });
@@ -38,7 +38,7 @@
   cr_assert_eq(chain->front().layers.begin, 2);
 }
 
-Test(find_chain, refuses_when_a_layer_has_no_server_left)
+Test(find_chain, fails_when_all_servers_of_a_layer_are_excluded)
 {
   const std::vector servers{ Holder("a", { 0, 6 }), Holder("b", { 6, 12 }) };
   cr_assert(Find(servers, { 0, 12 }).has_value());
@@ -47,7 +47,7 @@
   cr_assert_eq(chain.error().kind, ErrorKind::NoServer);
 }
 
-Test(find_chain, leaving_servers_and_other_versions_get_no_work)
+Test(find_chain, leaving_servers_and_other_versions_are_not_used)
 {
   auto leaving = Holder("a", { 0, 12 });
   leaving.announcement.state = registry::ServerState::Leaving;
--- a/test/balsampoint/route/query/max_flow_test.cpp
+++ b/test/balsampoint/route/query/max_flow_test.cpp
@@ -25,7 +25,7 @@
   return std::abs(aValue - aExpected) <= 0.002 * aExpected;
 }
 
-/** Fails where paths use more of a server or cover other layers than all. */
+/** Checks that paths cover all layers in order and exceed no capacity. */
 void
 AssertFeasible(const route::Flow& aFlow)
 {
@@ -47,7 +47,7 @@
 
 } // namespace
 
-Test(max_flow, is_that_of_the_scarcest_layers)
+Test(max_flow, equals_the_capacity_of_the_layers_with_the_least)
 {
   const auto flow = FlowOf(
     { Holder("s1", { 0, 6 }, "a", 600), Holder("s2", { 6, 12 }, "a", 240) });
@@ -56,7 +56,7 @@
   AssertFeasible(flow);
 }
 
-Test(max_flow, counts_only_the_layers_run_of_a_server_entered_midway)
+Test(max_flow, uses_only_the_layers_run_on_a_server_entered_midway)
 {
   const auto flow = FlowOf({ Holder("s1", { 0, 6 }, "a", 600),
                              Holder("s2", { 6, 12 }, "a", 300),
@@ -78,7 +78,7 @@
   cr_assert(Near(FlowOf(servers).tokensPerSecond, 1000));
 }
 
-Test(max_flow, without_a_server_for_a_layer_has_no_paths)
+Test(max_flow, has_no_paths_when_a_layer_has_no_server)
 {
   const auto flow = FlowOf({ Holder("s1", { 0, 6 }) });
   cr_assert(flow.paths.empty());
