Reword the comments and messages of limit

Briefs now name the algorithms (weighted fair queueing, token bucket) and say what each value counts. Refusal texts that no test matches say which limit was reached. Test cases are renamed.

--- a/src/balsampoint/limit/command/admit.cpp
+++ b/src/balsampoint/limit/command/admit.cpp
@@ -26,7 +26,8 @@
     Refused{ .ticket = aTicket, .error = std::move(error) });
 }
 
-/** When a waiting request can no longer be served in time. */
+/** Latest admission that lets a request meet its deadline; `kNever` if it has
+ * no deadline. */
 Instant
 LatestStart(const Arrived& aArrived)
 {
@@ -35,7 +36,8 @@
            : aArrived.deadline - aArrived.predictedFirst;
 }
 
-/** Takes a request out of its workspace's rate, or says how long to wait. */
+/** Takes a token from the workspace's token bucket; returns zero, or the wait
+ * until the next token if there is none. */
 Duration
 TakeFromRate(const State& aState, WorkspaceState& aWorkspace, Instant aNow)
 {
@@ -63,7 +65,7 @@
   aState.waiting.erase(aArrived.ticket);
 }
 
-/** Requests of a workspace that wait, over its weight. */
+/** Waiting requests of a workspace divided by its weight. */
 double
 QueueOverWeight(const WorkspaceState& aWorkspace)
 {
@@ -71,8 +73,10 @@
          aWorkspace.rule.weight;
 }
 
-/** Refuses the newest request of the workspace that waits most for its weight,
- * if that is more than the newcomer's would. */
+/** Frees a place in the full queue for a request of `aNewcomer`: refuses the
+ * newest request of the workspace with the longest queue for its weight, if
+ * that stays longer than the newcomer's queue would be. Returns whether it did.
+ */
 bool
 MakeRoom(State& aState, const WorkspaceState& aNewcomer, Actions& aActions)
 {
@@ -94,7 +98,7 @@
   Forget(aState, newest);
   RefuseWith(newest.ticket,
              ErrorKind::Overloaded,
-             "the queue is full and the workspace is over its share",
+             "the queue is full and the workspace exceeds its share of it",
              internal::PredictedWait(aState, *heaviest),
              aActions);
   return true;
@@ -157,7 +161,7 @@
         internal::ConcurrencyShare(aState, aWorkspace)) {
     RefuseWith(aArrived.ticket,
                ErrorKind::RateLimited,
-               "the workspace's requests in progress are at their limit",
+               "the workspace has reached its limit of concurrent requests",
                kRetryAfter,
                aActions);
     return true;
@@ -166,7 +170,7 @@
   if (wait > Duration::zero()) {
     RefuseWith(aArrived.ticket,
                ErrorKind::RateLimited,
-               "the workspace's rate is at its limit",
+               "the workspace has reached its limit of requests per second",
                wait,
                aActions);
     return true;
@@ -181,14 +185,14 @@
               Instant aNow,
               Actions& aActions)
 {
-  // The estimate is a mean, so a request has to bear a multiple of it.
+  // The estimate is a mean, so the deadline must allow a multiple of it.
   constexpr int kMargin = 2;
   const auto wait = internal::PredictedWait(aState, aWorkspace);
   const auto latest = LatestStart(aArrived);
   if (latest != kNever && aNow + (wait * kMargin) > latest) {
     RefuseWith(aArrived.ticket,
                ErrorKind::Overloaded,
-               "the request would not be served by its deadline",
+               "the request would not be served before its deadline",
                wait,
                aActions);
     return true;
@@ -277,7 +281,7 @@
     End(aState, ticket, aNow);
     RefuseWith(ticket,
                ErrorKind::Overloaded,
-               "the request can no longer be served by its deadline",
+               "the request can no longer be served before its deadline",
                wait,
                aActions);
   }
--- a/src/balsampoint/limit/command/admit.hpp
+++ b/src/balsampoint/limit/command/admit.hpp
@@ -5,10 +5,10 @@
 namespace balsampoint::limit {
 
 /**
- * @brief Admits, queues or refuses a request.
+ * @brief Admits, queues or refuses a new request.
  * @param aState State to change.
- * @param aArrived The request.
- * @param aNow The time.
+ * @param aArrived The new request.
+ * @param aNow Current time.
  * @param aActions Actions are appended here.
  */
 void
@@ -18,21 +18,22 @@
        std::vector<Action>& aActions);
 
 /**
- * @brief Ends a request that runs or waits.
+ * @brief Removes a running or waiting request.
  * @param aState State to change.
  * @param aTicket The request.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 void
 End(State& aState, Ticket aTicket, Instant aNow);
 
 /**
- * @brief Admits waiting requests, in fair order, while there is room.
+ * @brief Admits waiting requests by weighted fair queueing while slots and KV
+ * are free.
  *
- * Workspaces below their own share come first, by priority and then by
- * virtual time; so a priority moves nobody out of their share.
+ * Workspaces below their fair share of slots come first, by priority and then
+ * by virtual time. A priority therefore never takes another workspace's share.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow Current time.
  * @param aActions Actions are appended here.
  */
 void
@@ -41,7 +42,7 @@
 /**
  * @brief Refuses waiting requests that can no longer be served in time.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow Current time.
  * @param aActions Actions are appended here.
  */
 void
--- a/src/balsampoint/limit/fwd.hpp
+++ b/src/balsampoint/limit/fwd.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /**
- * @brief Admission of requests on one host: fair queues over workspaces, early
- * refusal, and limits that hosts share.
+ * @brief Admission control of one host: weighted fair queueing by workspace,
+ * early refusal, and limits divided among the hosts.
  */
 namespace balsampoint::limit {
 
--- a/src/balsampoint/limit/internal/share.hpp
+++ b/src/balsampoint/limit/internal/share.hpp
@@ -5,41 +5,43 @@
 namespace balsampoint::limit::internal {
 
 /**
- * @brief Slots that are a workspace's own while others want theirs.
+ * @brief Fair share of a workspace in this host's slots.
  * @param aState State to read.
  * @param aWorkspace The workspace.
- * @return Its part by weight of all slots, among the workspaces in use.
+ * @return All slots times the workspace's weight, divided by the weights of the
+ * workspaces that have requests.
  */
 [[nodiscard]] double
 FairSlots(const State& aState, const WorkspaceState& aWorkspace);
 
 /**
- * @brief How long a request that arrives now would wait.
+ * @brief Estimates the queueing time of a request that arrives now.
  * @param aState State to read.
  * @param aWorkspace Its workspace.
- * @return The estimate; zero when it can start at once.
+ * @return The time; zero if the request can start at once.
  */
 [[nodiscard]] Duration
 PredictedWait(const State& aState, const WorkspaceState& aWorkspace);
 
 /**
- * @brief Requests of a workspace that this host may run at a time.
+ * @brief Limit of a workspace's concurrent requests on this host.
  * @param aState State to read.
  * @param aWorkspace The workspace.
- * @return This host's part of the limit, at least 1; all slots when there is
- * no limit.
+ * @return This host's share of the limit, at least 1; all slots if there is no
+ * limit.
  */
 [[nodiscard]] std::uint32_t
 ConcurrencyShare(const State& aState, const WorkspaceState& aWorkspace);
 
 /**
- * @brief Whether the engines have room for a request's KV.
+ * @brief Whether the engines have enough free KV for a request.
  *
- * A host's own running requests may be missing from a late report, so they
- * count in full where they are more than what is reported. A single request
- * always has room, and so has any while no engine is known.
+ * This host's running requests may be missing from a delayed report, so the
+ * larger of their KV and the reported KV counts as used. The only request on
+ * the host is always admitted, and so is any request while no capacity is
+ * known.
  * @param aState State to read.
- * @param aTokens Positions wanted.
+ * @param aTokens KV positions that the request may need.
  */
 [[nodiscard]] bool
 HasKvRoom(const State& aState, std::uint64_t aTokens);
--- a/src/balsampoint/limit/state.hpp
+++ b/src/balsampoint/limit/state.hpp
@@ -16,46 +16,46 @@
 
 namespace balsampoint::limit {
 
-/** @brief Fixed values of one host. */
+/** @brief Settings of the module on one host. */
 struct Settings
 {
-  /** Requests in progress at most. */
+  /** Maximum number of running requests. */
   std::uint32_t slots{ 64 };
-  /** Requests that wait at most, of all workspaces together. */
+  /** Maximum number of waiting requests of all workspaces together. */
   std::size_t queue{ 1024 };
-  /** Requests of one workspace that wait at most. */
+  /** Maximum number of waiting requests of one workspace. */
   std::size_t workspaceQueue{ 256 };
-  /** First guess of how long a request holds its slot. */
+  /** Initial estimate of how long a request holds its slot. */
   Duration firstHold{ std::chrono::milliseconds{ 500 } };
-  /** Hosts that a limit is divided by while no share is leased. */
+  /** Number of live hosts among which workspace limits are divided. */
   std::uint32_t hosts{ 1 };
 };
 
-/** @brief What the configuration says of a workspace. */
+/** @brief Weight, priority and limits of a workspace in the configuration. */
 struct WorkspaceRule
 {
   double weight{ 1.0 };
   /** Lower is served first. */
   std::uint32_t priority{};
-  /** Limit over all hosts; zero for none. */
+  /** Limit over all hosts together; zero for none. */
   double requestsPerSecond{};
-  /** Limit over all hosts; zero for none. */
+  /** Limit over all hosts together; zero for none. */
   std::uint32_t concurrentRequests{};
 };
 
-/** @brief A request that wants to be admitted. */
+/** @brief A new request asks for admission. */
 struct Arrived
 {
   Ticket ticket;
   WorkspaceId workspace;
-  /** KV positions it may come to need; zero for a plain call. */
+  /** Most KV positions it may need; zero for a call to a plain service. */
   std::uint64_t kvTokens{};
   Instant deadline{ kNever };
-  /** Time from admission to what the caller waits for first. */
+  /** Predicted time from admission to the first part of the answer. */
   Duration predictedFirst{};
 };
 
-/** @brief An admitted request ended, or a waiting one was given up. */
+/** @brief A running request ended, or a waiting one was cancelled. */
 struct Ended
 {
   Ticket ticket;
@@ -67,7 +67,7 @@
   std::map<WorkspaceId, WorkspaceRule> workspaces;
 };
 
-/** @brief The KV of the live engines, as reported. */
+/** @brief The reported KV capacity and use of the live engines changed. */
 struct CapacityChanged
 {
   std::uint64_t kvCapacity{};
@@ -80,7 +80,7 @@
   std::uint32_t hosts{ 1 };
 };
 
-/** @brief What may happen to the module. */
+/** @brief Event that the module handles. */
 using Event =
   std::variant<Arrived, Ended, Configured, CapacityChanged, HostsChanged>;
 
@@ -90,30 +90,32 @@
   Ticket ticket;
 };
 
-/** @brief The request is refused; nothing of it has run. */
+/** @brief The request is refused; no part of it was executed. */
 struct Refused
 {
   Ticket ticket;
   Error error;
 };
 
-/** @brief What the daemon has to do for the module. */
+/** @brief Action that the daemon executes for the module. */
 using Action = std::variant<Admitted, Refused>;
 
-/** @brief One workspace on this host. */
+/** @brief State of one workspace on this host. */
 struct WorkspaceState
 {
   WorkspaceRule rule;
   std::deque<Arrived> waiting;
   std::uint32_t running{};
-  /** Work admitted so far over the weight; the fair queue's virtual time. */
+  /** Virtual time of the fair queue: advances by 1 / weight with each admitted
+   * request. */
   double virtualTime{};
-  /** Requests that its rate still allows, and when that was counted. */
+  /** Tokens in the bucket of the rate limit. */
   double rateTokens{};
+  /** Time at which `rateTokens` was last refilled. */
   Instant rateCountedAt{};
 };
 
-/** @brief A request in progress. */
+/** @brief An admitted request that has not ended. */
 struct RunningRequest
 {
   WorkspaceId workspace;
@@ -129,15 +131,16 @@
   std::map<Ticket, RunningRequest> running;
   /** Workspace of each waiting request. */
   std::map<Ticket, WorkspaceId> waiting;
-  /** When each waiting request can no longer be served in time. */
+  /** Latest admission time of each waiting request. */
   std::set<std::pair<Instant, Ticket>> timers;
-  /** Virtual time of the request admitted last. */
+  /** Virtual time at which the last request was admitted. */
   double virtualTime{};
-  /** Mean time that a request holds its slot. */
+  /** Moving average of how long a request holds its slot. */
   Duration hold{};
+  /** KV positions that the running requests of this host may need. */
   std::uint64_t kvRunning{};
   std::uint64_t kvCapacity{};
-  /** KV reported as used when the capacity was told. */
+  /** KV positions reported as used together with `kvCapacity`. */
   std::uint64_t kvUsed{};
 };
 
--- a/test/balsampoint/limit/module_test.cpp
+++ b/test/balsampoint/limit/module_test.cpp
@@ -59,13 +59,13 @@
     return state.workspaces[WorkspaceId{ aWorkspace }].running;
   }
 
-  /** Ends the request that has run longest. */
+  /** Ends the running request with the lowest ticket. */
   void EndOldest() { Handle(Ended{ state.running.begin()->first }); }
 };
 
 } // namespace
 
-Test(module, admits_at_once_while_there_is_room_and_queues_then)
+Test(module, admits_while_slots_are_free_and_queues_after)
 {
   Host host{ 1 };
   host.Arrive("a");
@@ -76,7 +76,7 @@
   cr_assert_eq(std::get<Admitted>(host.actions.back()).ticket, second);
 }
 
-Test(module, heavy_workspace_cannot_push_another_past_its_share)
+Test(module, busy_workspace_cannot_take_the_share_of_another)
 {
   Host host{ 10 };
   host.Configure({ { WorkspaceId{ "heavy" }, { .weight = 1.0 } },
@@ -110,7 +110,7 @@
   cr_assert_eq(host.Running("one"), 4);
 }
 
-Test(module, priority_goes_first_but_not_past_its_own_share)
+Test(module, priority_applies_only_within_the_fair_share)
 {
   Host host{ 4 };
   host.Configure({ { WorkspaceId{ "first" }, { .priority = 0 } },
@@ -130,7 +130,7 @@
   cr_assert_eq(host.Running("later"), 2);
 }
 
-Test(module, request_that_would_miss_its_deadline_is_refused_at_once)
+Test(module, request_predicted_to_miss_its_deadline_is_refused_at_once)
 {
   Host host{ 1 };
   host.Arrive("a");
@@ -140,7 +140,7 @@
   cr_assert(host.Refusal()->retryAfter > 0s);
 }
 
-Test(module, waiting_request_is_refused_when_its_time_is_over)
+Test(module, waiting_request_is_refused_once_it_cannot_meet_its_deadline)
 {
   Host host{ 1 };
   host.Arrive("a");
@@ -152,7 +152,7 @@
   cr_assert_eq(Module::NextDeadline(host.state), kNever);
 }
 
-Test(module, full_queue_refuses_the_newest_of_who_waits_most)
+Test(module, full_queue_refuses_the_newest_request_of_the_longest_queue)
 {
   Host host{ 1 };
   host.state.settings.queue = 4;
@@ -169,7 +169,7 @@
                Ticket{ host.last });
 }
 
-Test(module, kv_room_bounds_what_runs)
+Test(module, free_kv_limits_running_requests)
 {
   Host host{ 10 };
   host.Arrive("a", kNever, 600);
@@ -180,7 +180,7 @@
   cr_assert_eq(host.state.kvRunning, 600);
 }
 
-Test(module, rate_and_concurrency_are_divided_by_the_hosts)
+Test(module, rate_and_concurrency_limits_are_divided_among_hosts)
 {
   Host host{ 100 };
   host.Configure({ { WorkspaceId{ "a" }, { .concurrentRequests = 6 } },
@@ -199,7 +199,7 @@
   cr_assert_null(host.Refusal());
 }
 
-Test(module, request_that_is_given_up_while_waiting_leaves_nothing)
+Test(module, request_cancelled_while_waiting_leaves_no_state)
 {
   Host host{ 1 };
   host.Arrive("a");
