Reword the comments and messages of retry

Briefs now speak of backoff, slow start and ejection, and say which limits apply. Two refusal texts that no test matches are reworded; the one on the budget stays, since operators match it. Test cases are renamed.

--- a/src/balsampoint/retry/command/choose_server.hpp
+++ b/src/balsampoint/retry/command/choose_server.hpp
@@ -7,18 +7,19 @@
 /**
  * @brief Chooses a server for an attempt and counts the attempt as in flight.
  *
- * Takes the less loaded of two random servers, out of those of the own zone
- * while there are any. A leaving or ejected server is never chosen.
+ * Picks the less loaded of two random servers of this host's zone, or of all
+ * zones if that zone has none. Servers that are not ready, are ejected or have
+ * failed the call are never chosen.
  * @param aState State to change.
- * @param aWanted The attempt.
- * @param aNow The time.
- * @return The server, or null when there is none.
+ * @param aWanted The requested attempt.
+ * @param aNow Current time.
+ * @return The server; null if none is usable.
  */
 [[nodiscard]] const registry::Server*
 ChooseServer(State& aState, const AttemptWanted& aWanted, Instant aNow);
 
 /**
- * @brief Draws a random number.
+ * @brief Generates a random number.
  * @param aState State to change.
  * @return Uniformly distributed bits.
  */
--- a/src/balsampoint/retry/command/track_health.cpp
+++ b/src/balsampoint/retry/command/track_health.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/** Whether one more server of a service may be ejected. */
+/** Whether the limit of ejected servers lets this server be ejected. */
 bool
 BelowCeiling(const State& aState, const ServerId& aServer, Instant aNow)
 {
--- a/src/balsampoint/retry/command/track_health.hpp
+++ b/src/balsampoint/retry/command/track_health.hpp
@@ -5,19 +5,19 @@
 namespace balsampoint::retry {
 
 /**
- * @brief Takes in how an attempt ended; may eject its server.
+ * @brief Records the result of an attempt; may eject its server.
  * @param aState State to change.
- * @param aEnded The attempt.
- * @param aNow The time.
+ * @param aEnded The attempt and its result.
+ * @param aNow Current time.
  */
 void
 RecordAttempt(State& aState, const AttemptEnded& aEnded, Instant aNow);
 
 /**
- * @brief Takes in the live servers; new and restarted ones start slowly.
+ * @brief Updates the live servers; new and restarted ones begin a slow start.
  * @param aState State to change.
- * @param aChanged The servers.
- * @param aNow The time.
+ * @param aChanged The live servers.
+ * @param aNow Current time.
  */
 void
 UpdateServers(State& aState, const ServersChanged& aChanged, Instant aNow);
--- a/src/balsampoint/retry/fwd.hpp
+++ b/src/balsampoint/retry/fwd.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /**
- * @brief Attempts of calls to plain services: which server, whether again, and
- * which servers to leave out for a while.
+ * @brief Calls to plain services: choice of servers, retries within a budget,
+ * and temporary ejection of failing servers.
  */
 namespace balsampoint::retry {
 
--- a/src/balsampoint/retry/may_repeat.hpp
+++ b/src/balsampoint/retry/may_repeat.hpp
@@ -4,17 +4,18 @@
 
 namespace balsampoint::retry {
 
-/** @brief Attempts of one call at most. */
+/** @brief Maximum number of attempts of one call. */
 inline constexpr std::uint32_t kMaxAttempts = 3;
 
 /**
- * @brief Whether a call may be tried on another server after an attempt.
+ * @brief Whether a call may be retried after an attempt.
  *
- * A non-idempotent call is tried again only when no byte of it can have left.
+ * A non-idempotent call is retried only if no byte of it can have been sent.
  * @param aResult How the attempt ended.
  * @param aAttempts Attempts made, this one included.
- * @param aIdempotent Whether the call may run twice.
- * @return Whether the rules allow it; budget and deadline come on top.
+ * @param aIdempotent Whether the call may be executed more than once.
+ * @return Whether a retry is allowed; the budget and the deadline are checked
+ * separately.
  */
 [[nodiscard]] constexpr bool
 MayRepeat(AttemptResult aResult, std::uint32_t aAttempts, bool aIdempotent)
--- a/src/balsampoint/retry/module.cpp
+++ b/src/balsampoint/retry/module.cpp
@@ -31,7 +31,7 @@
 {
   const auto* server = ChooseServer(aState, aWanted, aNow);
   if (server == nullptr) {
-    RefuseAttempt(aWanted, "no server of the service is in reach", aActions);
+    RefuseAttempt(aWanted, "the service has no usable server", aActions);
     return;
   }
   const auto& announced = server->announcement;
@@ -51,7 +51,7 @@
   return found->second;
 }
 
-/** A random part of a bound that doubles with each attempt. */
+/** Random backoff below a bound that doubles with each attempt. */
 Duration
 Pause(State& aState, std::uint32_t aAttempts)
 {
@@ -79,7 +79,8 @@
   }
   const auto pause = Pause(aState, aEvent.attempts);
   if (aNow + pause >= aEvent.deadline) {
-    RefuseAttempt(aEvent, "a retry would pass the deadline", aActions);
+    RefuseAttempt(
+      aEvent, "the backoff before a retry would exceed the deadline", aActions);
     return;
   }
   budget.tokens -= 1.0;
--- a/src/balsampoint/retry/module.hpp
+++ b/src/balsampoint/retry/module.hpp
@@ -5,7 +5,7 @@
 
 namespace balsampoint::retry {
 
-/** @brief The module as the control thread runs it. */
+/** @brief Interface of the module to the control thread. */
 struct Module
 {
   using State = retry::State;
@@ -13,10 +13,10 @@
   using Action = retry::Action;
 
   /**
-   * @brief Reacts to an event.
+   * @brief Handles an event.
    * @param aState State to change.
-   * @param aEvent What happened.
-   * @param aNow The time.
+   * @param aEvent The event.
+   * @param aNow Current time.
    * @param aActions Actions are appended here.
    */
   static void Handle(State& aState,
@@ -25,17 +25,17 @@
                      std::vector<Action>& aActions);
 
   /**
-   * @brief Grants the retries whose pause is over.
+   * @brief Grants the retries whose backoff has ended.
    * @param aState State to change.
-   * @param aNow The time.
+   * @param aNow Current time.
    * @param aActions Actions are appended here.
    */
   static void Tick(State& aState, Instant aNow, std::vector<Action>& aActions);
 
   /**
-   * @brief When the next `Tick` is wanted.
+   * @brief Time at which `Tick` must be called next.
    * @param aState State to read.
-   * @return The time, or `kNever`.
+   * @return The time; `kNever` if no retry is in backoff.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/retry/state.hpp
+++ b/src/balsampoint/retry/state.hpp
@@ -13,37 +13,40 @@
 
 namespace balsampoint::retry {
 
-/** @brief Fixed values of one host. */
+/** @brief Settings of the module on one host. */
 struct Settings
 {
   ZoneId zone;
-  /** Retries that each success pays for. */
+  /** Retry tokens that each success adds to the workspace's budget. */
   double budgetPerSuccess{ 0.1 };
-  /** Retries that a workspace can save up. */
+  /** Maximum, and initial, retry tokens of a workspace. */
   double budgetLimit{ 10.0 };
-  /** Base of the pause before a retry; the pause is random below its bound. */
+  /** Bound of the random backoff before the first retry; doubles with each
+   * further one. */
   Duration firstPause{ std::chrono::milliseconds{ 25 } };
+  /** Maximum of that bound. */
   Duration longestPause{ std::chrono::seconds{ 1 } };
-  /** Failures in a row after which a server is ejected. */
+  /** Consecutive failures after which a server is ejected. */
   std::uint32_t ejectAfter{ 5 };
-  /** Length of the first ejection; each further one is longer by this. */
+  /** Duration of the first ejection; each further one is longer by this. */
   Duration ejection{ std::chrono::seconds{ 5 } };
   Duration longestEjection{ std::chrono::minutes{ 1 } };
-  /** Part of a service's servers that may be ejected at a time. */
+  /** Fraction of a service's ready servers that may be ejected at a time; one
+   * server may be in any case if the service has more than one. */
   double ejectionCeiling{ 0.34 };
-  /** Time in which a returning server's share grows to the full one. */
+  /** Time in which the share of a new or returning server grows to 1. */
   Duration slowStart{ std::chrono::seconds{ 10 } };
-  /** Share of a server that has just returned. */
+  /** Share at the begin of a slow start, relative to the full one. */
   double slowStartShare{ 0.1 };
 };
 
-/** @brief What one workspace may still retry. */
+/** @brief Retry budget of one workspace; a retry costs one token. */
 struct Budget
 {
   double tokens{};
 };
 
-/** @brief What this host knows of a server from its own calls. */
+/** @brief Health of a server, as observed by this host's own calls. */
 struct ServerHealth
 {
   Incarnation incarnation;
@@ -51,11 +54,11 @@
   std::uint32_t failuresInARow{};
   std::uint32_t ejections{};
   Instant ejectedUntil{ Instant::min() };
-  /** Since when it is in use, for the slow start. */
+  /** Start of the slow start; `Instant::min()` for none. */
   Instant inUseSince{ Instant::min() };
 };
 
-/** @brief A traffic thread wants a server for an attempt. */
+/** @brief A traffic thread requests a server for an attempt. */
 struct AttemptWanted
 {
   Ticket ticket;
@@ -75,13 +78,13 @@
   Answered,
   /** The server answered with a status of 500 or more. */
   ServerError,
-  /** No byte of the call can have left this host. */
+  /** No byte of the call was sent. */
   NotSent,
-  /** The call was lost after a byte may have left. */
+  /** The call failed after a byte of it may have been sent. */
   Broken,
 };
 
-/** @brief An attempt that was granted has ended. */
+/** @brief A granted attempt has ended. */
 struct AttemptEnded
 {
   ServerId server;
@@ -96,10 +99,10 @@
   std::shared_ptr<const registry::View> view;
 };
 
-/** @brief What may happen to the module. */
+/** @brief Event that the module handles. */
 using Event = std::variant<AttemptWanted, AttemptEnded, ServersChanged>;
 
-/** @brief The server for an attempt. */
+/** @brief An attempt may be made, at the given server. */
 struct AttemptGranted
 {
   Ticket ticket;
@@ -109,14 +112,14 @@
   std::string address;
 };
 
-/** @brief There is no further attempt. */
+/** @brief No further attempt may be made. */
 struct AttemptRefused
 {
   Ticket ticket;
   Error error;
 };
 
-/** @brief What the daemon has to do for the module. */
+/** @brief Action that the daemon executes for the module. */
 using Action = std::variant<AttemptGranted, AttemptRefused>;
 
 /** @brief State of one host; the control thread owns it. */
@@ -126,9 +129,9 @@
   std::shared_ptr<const registry::View> view;
   std::map<ServerId, ServerHealth> health;
   std::map<WorkspaceId, Budget> budgets;
-  /** Retries that wait for their pause to end. */
+  /** Retries in backoff, by the time at which it ends. */
   std::multimap<Instant, AttemptWanted> paused;
-  /** State of the generator of pauses and choices. */
+  /** State of the random number generator. */
   std::uint64_t random{};
 };
 
--- a/test/balsampoint/retry/module_test.cpp
+++ b/test/balsampoint/retry/module_test.cpp
@@ -53,7 +53,7 @@
     Module::Handle(state, aEvent, now, actions);
   }
 
-  /** Wants an attempt and lets its pause pass. */
+  /** Requests an attempt and advances the time past its backoff. */
   const AttemptGranted* Want(std::uint32_t aAttempts = 0,
                              std::vector<ServerId> aFailed = {},
                              Duration aPatience = 1min)
@@ -95,7 +95,7 @@
 
 } // namespace
 
-Test(may_repeat, non_idempotent_call_is_repeated_only_when_nothing_left)
+Test(may_repeat, non_idempotent_call_is_retried_only_if_nothing_was_sent)
 {
   cr_assert(MayRepeat(AttemptResult::NotSent, 1, false));
   cr_assert_not(MayRepeat(AttemptResult::Broken, 1, false));
@@ -105,7 +105,7 @@
   cr_assert_not(MayRepeat(AttemptResult::Answered, 1, true));
 }
 
-Test(module, retry_goes_to_another_server_after_a_pause)
+Test(module, retry_goes_to_another_server_after_a_backoff)
 {
   Pool pool{ 2 };
   const auto first = pool.Want()->server;
@@ -131,7 +131,7 @@
   cr_assert(pool.Want(1, { ServerId{ "s0" } })->server == ServerId{ "far" });
 }
 
-Test(module, budget_bounds_retries_while_nothing_succeeds)
+Test(module, budget_limits_retries_while_nothing_succeeds)
 {
   Pool pool{ 5 };
   int retries = 0;
@@ -146,7 +146,7 @@
   cr_assert_null(pool.Want(1));
 }
 
-Test(module, retry_that_would_pass_the_deadline_is_refused)
+Test(module, retry_that_would_exceed_the_deadline_is_refused)
 {
   Pool pool{ 2 };
   cr_assert_null(pool.Want(1, {}, 0s));
@@ -154,7 +154,7 @@
   cr_assert_eq(error.executed, Executed::No);
 }
 
-Test(module, failing_server_is_ejected_and_returns_slowly)
+Test(module, failing_server_is_ejected_and_returns_with_a_slow_start)
 {
   Pool pool{ 4 };
   const ServerId bad{ "s0" };
@@ -170,7 +170,7 @@
   cr_assert(pool.ChosenIn(200).contains(bad));
 }
 
-Test(module, common_failure_does_not_empty_the_pool)
+Test(module, simultaneous_failures_do_not_eject_all_servers)
 {
   Pool pool{ 9 };
   for (int round = 0; round < 10; ++round) {
@@ -197,7 +197,7 @@
   cr_assert(idle > 20);
 }
 
-Test(module, server_that_joins_later_starts_slowly)
+Test(module, server_that_joins_later_gets_a_slow_start)
 {
   Pool pool{ 1 };
   pool.Add("new", "near");
