--- a/src/balsampoint/forward/fwd.hpp
+++ b/src/balsampoint/forward/fwd.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** @brief What to do with one request after each of its attempts. */
+/** @brief Decides on a retry or the outcome after each attempt of a request. */
 namespace balsampoint::forward {
 
 class RetryBudget;
--- a/src/balsampoint/forward/retry_budget.cpp
+++ b/src/balsampoint/forward/retry_budget.cpp
@@ -7,7 +7,7 @@
 void
 RetryBudget::ShareAmong(std::uint32_t aHosts)
 {
-  /** Room for hosts that are added or not yet known. */
+  /** Margin for hosts that are added or not yet known. */
   constexpr double kRoom = 1.5;
   // A host that has just started may not know most of the others yet.
   constexpr std::uint32_t kFewest = 4;
@@ -33,7 +33,7 @@
       continue;
     }
     retries += part.retries;
-    // The oldest part may lie outside of the window.
+    // The oldest part may lie outside the window.
     requests += part.number == oldest ? 0 : part.requests;
   }
   const auto all =
--- a/src/balsampoint/forward/retry_budget.hpp
+++ b/src/balsampoint/forward/retry_budget.hpp
@@ -9,40 +9,40 @@
 
 namespace balsampoint::forward {
 
-/** @brief This host's part of the retries that all hosts share. */
+/** @brief Bound on the retries of a service, divided among the hosts. */
 struct RetryAllowance
 {
-  /** Retries for each request of a window. */
+  /** Retries allowed per request of the window. */
   double ratio{ 0.2 };
-  /** Retries beyond these in a window, of all hosts together. */
+  /** Additional retries per window, for all hosts together. */
   double extra{ 0.0 };
-  /** Hosts among which `extra` is divided while their number isn't known. */
+  /** Hosts among which `extra` is divided until `ShareAmong` is called. */
   double hosts{ 64.0 };
-  /** Part of all retries that is kept for streams in mid-answer. */
+  /** Fraction of all retries that is reserved for resumed streams. */
   double keptForResumes{ 0.0 };
   Duration window{ std::chrono::seconds{ 10 } };
 };
 
-/** @brief What a further attempt is made for. */
+/** @brief Purpose of a further attempt. */
 enum class RetryUse : std::uint8_t
 {
-  /** A request whose caller has got nothing yet. */
+  /** Repeats a request whose caller has received nothing yet. */
   Repeat,
-  /** A stream of which the caller has got a part. */
+  /** Resumes a stream of which the caller has received a part. */
   Resume,
 };
 
 /**
- * @brief Bounds the second attempts to each service in any window of time.
+ * @brief Limits the retries to each service within a sliding window.
  *
- * Each host keeps to its own requests and a fixed part of the extra ones, so
- * that the hosts together keep the bound without talking to each other.
+ * Each host counts only its own requests and uses a fixed part of the extra
+ * retries, so that the hosts together keep the bound without communication.
  */
 class RetryBudget
 {
 public:
   /**
-   * @brief Starts with nothing counted.
+   * @brief Makes a budget without counted requests.
    * @param aAllowance The bound.
    */
   explicit RetryBudget(RetryAllowance aAllowance = {})
@@ -51,34 +51,34 @@
   }
 
   /**
-   * @brief Divides the extra retries by the hosts known to share them.
+   * @brief Divides the extra retries among the known hosts.
    *
-   * The largest number ever known counts, since hosts out of sight may go on,
-   * with room for hosts that were added since.
-   * @param aHosts Hosts that share them now, this one included.
+   * The largest number known so far is used, since unreachable hosts may still
+   * be running, with a margin for hosts that were added since.
+   * @param aHosts Known hosts, this one included.
    */
   void ShareAmong(std::uint32_t aHosts);
 
   /**
    * @brief Counts the first attempt of a request.
    * @param aService The service.
-   * @param aNow The time.
+   * @param aNow Current time.
    */
   void CountRequest(const ServiceId& aService, Instant aNow);
 
   /**
-   * @brief Takes a further attempt out of the budget.
+   * @brief Takes a retry from the budget.
    * @param aService The service.
-   * @param aUse What it is made for.
-   * @param aNow The time.
-   * @return Whether there was one.
+   * @param aUse Purpose of the retry.
+   * @param aNow Current time.
+   * @return Whether the budget allowed it.
    */
   [[nodiscard]] bool TakeRetry(const ServiceId& aService,
                                RetryUse aUse,
                                Instant aNow);
 
 private:
-  /** Parts of a window that are counted together. */
+  /** Number of parts of a window; requests and retries are counted per part. */
   static constexpr std::size_t kParts = 20;
 
   struct Part
--- a/src/balsampoint/forward/verdict.hpp
+++ b/src/balsampoint/forward/verdict.hpp
@@ -7,53 +7,53 @@
 
 namespace balsampoint::forward {
 
-/** @brief How an attempt ended without a whole good answer. */
+/** @brief How an attempt ended without a complete, successful answer. */
 enum class AttemptEnd : std::uint8_t
 {
-  /** No byte of the request can have reached a server. */
+  /** No byte of the request was sent to a server. */
   NotSent,
-  /** The server said that it has not run the request. */
+  /** The server reported that it has not executed the request. */
   NotExecuted,
-  /** The server answered that it failed. */
+  /** The server answered with an error. */
   ServerFailed,
-  /** The connection broke or the answer can't be used. */
+  /** The connection broke or the answer is invalid. */
   Broken,
 };
 
-/** @brief What has become of a request so far. */
+/** @brief Progress of a request over its attempts so far. */
 struct Progress
 {
   routing::RequestKind kind{ routing::RequestKind::NonIdempotent };
-  /** Times that the request was sent to a server. */
+  /** Number of attempts in which the request was sent. */
   std::uint32_t sent{};
-  /** Connections that failed before anything was sent. */
+  /** Number of attempts that failed before anything was sent. */
   std::uint32_t unsent{};
-  /** Whether a server may have begun to run it. */
+  /** Whether a server may have started to execute the request. */
   bool maybeRun{ false };
-  /** Whether the caller has got a part of the answer. */
+  /** Whether a part of the answer was already sent to the caller. */
   bool answering{ false };
   Instant deadline{};
 };
 
-/** @brief What to do next. */
+/** @brief What to do after an attempt. */
 enum class Verdict : std::uint8_t
 {
-  /** Try another server; the answer has not begun. */
+  /** Send the request to another server; the caller has received nothing. */
   Retry,
-  /** Let another server continue the stream. */
+  /** Continue the stream on another server. */
   Resume,
-  /** Pass the server's failure on. */
+  /** Forward the server's error answer to the caller. */
   PassOn,
-  /** Refuse: the request has certainly not run. */
+  /** Refuse the request; it was certainly not executed. */
   Refuse,
-  /** Say that the request failed; it may have run. */
+  /** Report that the request failed; it may have been executed. */
   Fail,
-  /** Break the answer off, so that it looks incomplete. */
+  /** Abort the answer, so that the caller sees it as incomplete. */
   Cut,
 };
 
 /**
- * @brief Whether a verdict asks for a further attempt.
+ * @brief Whether a verdict requires a further attempt.
  * @param aVerdict The verdict.
  */
 [[nodiscard]] constexpr bool
@@ -62,26 +62,26 @@
   return aVerdict == Verdict::Retry || aVerdict == Verdict::Resume;
 }
 
-/** @brief Connections that may fail before a request is given up. */
+/** @brief Maximum number of attempts that fail before anything is sent. */
 inline constexpr std::uint32_t kMaxUnsent = 4;
-/** @brief Times that one request is sent to servers at most. */
+/** @brief Maximum number of times that one request is sent. */
 inline constexpr std::uint32_t kMaxSent = 4;
-/** @brief Time below which no further attempt is made. */
+/** @brief Minimum time left to the deadline for a further attempt. */
 inline constexpr Duration kLeastTime = std::chrono::milliseconds{ 20 };
 
 /**
- * @brief Decides what follows an attempt without a whole good answer.
+ * @brief Decides what follows an attempt without a complete, successful answer.
  * @param aProgress The request, this attempt included.
  * @param aEnd How the attempt ended.
- * @param aNow The time.
- * @return What to do; `Retry` and `Resume` still need a token of the budget
- * where the request has reached a server.
+ * @param aNow Current time.
+ * @return What to do; `Retry` and `Resume` also need a retry from the budget if
+ * the request was sent before.
  */
 [[nodiscard]] Verdict
 Decide(const Progress& aProgress, AttemptEnd aEnd, Instant aNow);
 
 /**
- * @brief What follows when there is no further attempt.
+ * @brief Decides the outcome when no further attempt is made.
  * @param aProgress The request.
  * @param aEnd How the last attempt ended.
  */
--- a/test/balsampoint/forward/retry_budget_test.cpp
+++ b/test/balsampoint/forward/retry_budget_test.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-Test(retry_budget, an_idle_host_has_its_part_of_the_extra_retries)
+Test(retry_budget, an_idle_host_gets_its_share_of_the_extra_retries)
 {
   RetryBudget budget{ kAllowance };
   const Instant now{ 1h };
@@ -32,7 +32,7 @@
   cr_assert(budget.TakeRetry(kService, RetryUse::Repeat, now + 11s));
 }
 
-Test(retry_budget, retries_follow_the_requests_of_the_window)
+Test(retry_budget, retries_are_limited_by_the_requests_of_the_window)
 {
   RetryBudget budget{ kAllowance };
   SplitMix64 random{ 5 };
@@ -58,7 +58,7 @@
   }
 }
 
-Test(retry_budget, hosts_that_left_still_count)
+Test(retry_budget, hosts_no_longer_known_still_count)
 {
   RetryBudget budget{ kAllowance };
   budget.ShareAmong(8);
@@ -68,7 +68,7 @@
   cr_assert_not(budget.TakeRetry(kService, RetryUse::Repeat, now));
 }
 
-Test(retry_budget, keeps_a_part_for_streams_in_mid_answer)
+Test(retry_budget, reserves_a_part_for_resumed_streams)
 {
   RetryBudget budget{
     { .ratio = 0.0, .extra = 10.0, .hosts = 1.0, .keptForResumes = 0.2 }
--- a/test/balsampoint/forward/verdict_test.cpp
+++ b/test/balsampoint/forward/verdict_test.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-Test(verdict, a_non_idempotent_request_is_not_repeated_once_it_may_have_run)
+Test(verdict,
+     a_non_idempotent_request_is_not_retried_if_it_may_have_been_executed)
 {
   const auto progress = MakeProgress(RequestKind::NonIdempotent, true);
   cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Fail);
@@ -30,14 +31,14 @@
                Verdict::PassOn);
 }
 
-Test(verdict, a_request_that_has_not_run_is_tried_elsewhere)
+Test(verdict, a_request_that_was_not_executed_is_retried)
 {
   const auto progress = MakeProgress(RequestKind::NonIdempotent, false);
   cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow), Verdict::Retry);
   cr_assert_eq(Decide(progress, AttemptEnd::NotSent, kNow), Verdict::Retry);
 }
 
-Test(verdict, only_what_has_not_run_is_refused)
+Test(verdict, only_a_request_that_was_not_executed_is_refused)
 {
   auto progress = MakeProgress(RequestKind::Idempotent, false);
   progress.sent = kMaxSent;
@@ -47,7 +48,7 @@
   cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow), Verdict::Fail);
 }
 
-Test(verdict, a_broken_stream_is_resumed_where_that_is_allowed)
+Test(verdict, a_broken_stream_is_resumed_only_if_resumable)
 {
   auto progress = MakeProgress(RequestKind::ResumableStream, true);
   cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Retry);
@@ -57,7 +58,7 @@
   cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Cut);
 }
 
-Test(verdict, nothing_is_tried_at_the_deadline)
+Test(verdict, no_attempt_is_made_just_before_the_deadline)
 {
   auto progress = MakeProgress(RequestKind::Idempotent, false);
   progress.deadline = kNow + 5ms;
