--- a/src/balsampoint/routing/document.hpp
+++ b/src/balsampoint/routing/document.hpp
@@ -13,20 +13,21 @@
 
 namespace balsampoint::routing {
 
-/** @brief What the requests of a route are and whether they may be repeated. */
+/** @brief Kind of a route's answers, and whether requests may be retried. */
 enum class RequestKind : std::uint8_t
 {
-  /** May run more than once. */
+  /** May be executed more than once. */
   Idempotent,
-  /** Runs once at most. */
+  /** Is executed at most once. */
   NonIdempotent,
-  /** An answer of events that runs once at most. */
+  /** Answered by an event stream; executed at most once. */
   Stream,
-  /** An answer of events that another server may continue. */
+  /** Answered by an event stream that another server may continue. */
   ResumableStream,
 };
 
-/** @brief A service and its share of a route's requests. */
+/** @brief A service and its weight in the distribution of a route's requests.
+ */
 struct Target
 {
   ServiceId service;
@@ -35,7 +36,7 @@
   bool operator==(const Target&) const = default;
 };
 
-/** @brief Where requests of one host and path go. */
+/** @brief Handling of the requests to one host and path prefix. */
 struct Route
 {
   std::string name;
@@ -43,28 +44,28 @@
   /** Begins and ends with a slash. */
   std::string pathPrefix;
   RequestKind kind{ RequestKind::NonIdempotent };
-  /** Longest time a caller is kept waiting. */
+  /** Maximum time until the end of the answer. */
   Duration timeout{};
-  /** Time to the first byte or event within which an answer is in time. */
+  /** Target for the time to the first byte or event of an answer. */
   Duration targetLatency{};
-  /** Longest pause between two events of an answer in time; zero for none. */
+  /** Target for the time between two events of an answer; zero for none. */
   Duration targetGap{};
   /** Lower is served first. */
   std::uint32_t priority{};
   std::vector<Target> targets;
-  /** Servers to which one request may be sent at most. */
+  /** Maximum number of servers to which one request is sent. */
   std::uint32_t maxAttempts{ 1 };
-  /** Whether requests need no key. */
+  /** Whether requests are accepted without a key. */
   bool isPublic{ false };
 
   bool operator==(const Route&) const = default;
 };
 
-/** @brief Servers that are alike, announced under one name. */
+/** @brief Interchangeable servers, announced under one name. */
 struct Service
 {
   ServiceId id;
-  /** Connections that one server takes from all callers together. */
+  /** Maximum connections that one server accepts from all callers together. */
   std::uint32_t maxConnections{ 1 };
   /** Absent for plain services. */
   std::optional<EngineProfile> engine;
@@ -72,7 +73,7 @@
   bool operator==(const Service&) const = default;
 };
 
-/** @brief Callers who share keys and a priority. */
+/** @brief Callers that share keys and a priority. */
 struct Workspace
 {
   WorkspaceId id;
@@ -82,7 +83,7 @@
   bool operator==(const Workspace&) const = default;
 };
 
-/** @brief Bounds on what callers send and how long they are idle. */
+/** @brief Limits on the size of callers' requests and on their idle time. */
 struct CallerLimits
 {
   std::uint64_t headerBytes{ 16384 };
@@ -93,7 +94,7 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
-/** @brief One whole configuration of routes; immutable once published. */
+/** @brief A complete configuration of routes; immutable once published. */
 struct Document
 {
   ChangeNumber number;
--- a/src/balsampoint/routing/engine_profile.hpp
+++ b/src/balsampoint/routing/engine_profile.hpp
@@ -10,14 +10,14 @@
 
 namespace balsampoint::routing {
 
-/** @brief What one kind of accelerator holds and how fast it is. */
+/** @brief Memory and relative speed of one kind of accelerator. */
 struct AcceleratorKind
 {
   /** Memory for layers and KV, in megabytes. */
   double memoryMb{};
-  /** Multiplies the time of steps and of their context. */
+  /** Factor on the time of a step and of its context. */
   double stepFactor{ 1.0 };
-  /** Multiplies the time of reading prompts. */
+  /** Factor on the time to read prompts. */
   double readFactor{ 1.0 };
 
   bool operator==(const AcceleratorKind&) const = default;
@@ -29,37 +29,42 @@
   ModelId model;
   /** Layers of the model. */
   std::uint32_t layers{ 1 };
+  /** Memory of one layer, in megabytes. */
   double layerMb{};
-  /** KV of one token over all layers, in bytes. */
+  /** Bytes of KV of one token over all layers. */
   double kvBytesPerToken{};
-  /** Requests that an engine runs as the first of a chain. */
+  /** Requests that an engine runs concurrently as the first of a chain. */
   std::uint32_t slots{ 1 };
-  /** Tokens written in one pass, which make one event of a stream. */
+  /** Tokens generated in one pass, which make one event of a stream. */
   std::uint32_t tokensPerPass{ 1 };
-  /** One step over all layers without any writer, in milliseconds. */
+  /** Time of a step over all layers without generating requests, in
+   * milliseconds. */
   double stepMs{};
-  /** Added to a step for each request that writes, in milliseconds. */
+  /** Added to a step for each generating request, in milliseconds. */
   double perWriterMs{};
   /** Added to a step for each 1,000 tokens of context, in milliseconds. */
   double perThousandContextMs{};
-  /** Prompt tokens read in a second. */
+  /** Prompt tokens read per second. */
   double readTokensPerSecond{};
-  /** Reading of a million pairs of a token and an earlier one, in ms. */
+  /** Added to reading for each million pairs of a prompt token and an earlier
+   * token, in milliseconds. */
   double perMillionPairsMs{};
-  /** Most prompt tokens read in one step. */
+  /** Maximum number of prompt tokens read in one step. */
   std::uint32_t readChunk{ 1 };
-  /** Bytes that pass from one engine to the next for one token. */
+  /** Bytes sent from one engine to the next for one token. */
   double activationBytes{};
-  /** Megabits a second that all transfers between two zones share. */
+  /** Bandwidth that all transfers between two zones share, in megabits per
+   * second. */
   double zoneLinkMbps{};
   /** Time to load all layers. */
   Duration loadTime{};
-  /** Loads from the weight store that run at full speed together. */
+  /** Concurrent loads from the weight store that run at full speed. */
   std::uint32_t parallelLoads{ 1 };
-  /** Mean tokens of a prompt and of an answer. */
+  /** Mean number of tokens of a prompt. */
   double usualPrompt{};
+  /** Mean number of tokens of an answer. */
   double usualAnswer{};
-  /** By the name of the kind; empty where all engines are alike. */
+  /** Accelerator kinds by name; empty if all engines are alike. */
   std::map<std::string, AcceleratorKind> kinds;
 
   bool operator==(const EngineProfile&) const = default;
--- a/src/balsampoint/routing/fwd.hpp
+++ b/src/balsampoint/routing/fwd.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-/** @brief Routes by host and path, the services behind them, and their keys. */
+/** @brief Configuration of routes by host and path, of services and of
+ * workspaces with their keys. */
 namespace balsampoint::routing {
 
 struct Document;
--- a/src/balsampoint/routing/table.cpp
+++ b/src/balsampoint/routing/table.cpp
@@ -56,7 +56,8 @@
   std::uint64_t weights = 0;
   for (const auto& target : aRoute.targets) {
     if (!mDocument.services.contains(target.service)) {
-      return Invalid("route '" + aRoute.name + "' names the unknown service '" +
+      return Invalid("route '" + aRoute.name +
+                     "' refers to the unknown service '" +
                      target.service.String() + "'");
     }
     weights += target.weight;
--- a/src/balsampoint/routing/table.hpp
+++ b/src/balsampoint/routing/table.hpp
@@ -12,7 +12,7 @@
 
 namespace balsampoint::routing {
 
-/** @brief Hashes texts so that a view finds a string. */
+/** @brief Transparent hash, for lookup of strings by `std::string_view`. */
 struct TextHash
 {
   using is_transparent = void; // NOLINT(readability-identifier-naming)
@@ -23,7 +23,7 @@
   }
 };
 
-/** @brief Looks things up in one configuration; immutable. */
+/** @brief Finds routes and workspaces of one configuration; immutable. */
 class Table
 {
 public:
@@ -40,9 +40,9 @@
 
   /**
    * @brief Finds the route with the longest prefix that begins a path.
-   * @param aHost The host named by the caller.
-   * @param aPath The path.
-   * @return The route; null if there is none.
+   * @param aHost Host in the caller's request.
+   * @param aPath Path in the caller's request.
+   * @return The route; null if none matches.
    */
   [[nodiscard]] const Route* FindRoute(std::string_view aHost,
                                        std::string_view aPath) const;
--- a/test/balsampoint/routing/table_test.cpp
+++ b/test/balsampoint/routing/table_test.cpp
@@ -56,7 +56,7 @@
   cr_assert_null((*table)->FindWorkspace("k4"));
 }
 
-Test(table, refuses_what_contradicts_itself)
+Test(table, refuses_contradictory_configurations)
 {
   auto unknown = MakeDocument();
   unknown.routes.front().targets.front().service = ServiceId{ "none" };
