Rename Wish to RouteRequest

The requirements for the choice of a chain were called a wish.

Rename: Wish -> RouteRequest (namespace route) Rename: wish.hpp, wish.cpp -> route_request.hpp, route_request.cpp (route)

--- a/benchmarks/bench_recovery.cpp
+++ b/benchmarks/bench_recovery.cpp
@@ -288,11 +288,11 @@
 
   void Do(const stream::ChooseRoute& aAction)
   {
-    const route::Wish wish{ .layers = aAction.layers,
-                            .excluded = aAction.excluded };
+    const route::RouteRequest request{ .layers = aAction.layers,
+                                       .excluded = aAction.excluded };
     Report(stream::RouteChosen{
       .layers = aAction.layers,
-      .route = mRouter.Choose(mRoutes, wish, mClock.Now()) });
+      .route = mRouter.Choose(mRoutes, request, mClock.Now()) });
   }
 
   void Do(const stream::Emit& aAction)
--- a/benchmarks/bench_route.cpp
+++ b/benchmarks/bench_route.cpp
@@ -74,12 +74,12 @@
   aReport.Add("flow, " + size, Seconds(begin) * kMilli, "ms");
   route::BasicRouter<route::FlowPolicy, fake::Random> router{ fake::Random{
     1 } };
-  const route::Wish wish{ .layers = { 0, routes.graph.layers },
-                          .entry = cluster.zones.front() };
+  const route::RouteRequest request{ .layers = { 0, routes.graph.layers },
+                                     .entry = cluster.zones.front() };
   constexpr int kChoices = 20000;
   const auto start = std::chrono::steady_clock::now();
   for (int at = 0; at < kChoices; ++at) {
-    const auto chain = router.Choose(routes, wish, Instant{}).value();
+    const auto chain = router.Choose(routes, request, Instant{}).value();
     router.Release(chain);
   }
   const auto choice = Seconds(start) / kChoices;
--- a/benchmarks/route_cluster.hpp
+++ b/benchmarks/route_cluster.hpp
@@ -346,9 +346,10 @@
   {
     auto& stream = mStreams[aEvent.stream];
     auto& host = mHosts[stream.host];
-    const route::Wish wish{ .layers = { 0, mRoutes.graph.layers },
-                            .entry = mCluster.zones[host.zone] };
-    stream.chain = host.router.Choose(mRoutes, wish, At(aEvent.time)).value();
+    const route::RouteRequest request{ .layers = { 0, mRoutes.graph.layers },
+                                       .entry = mCluster.zones[host.zone] };
+    stream.chain =
+      host.router.Choose(mRoutes, request, At(aEvent.time)).value();
     stream.servers.clear();
     for (const auto& stage : stream.chain) {
       stream.servers.push_back(mIndex.at(stage.server));
--- a/src/balsampoint/route/concepts.hpp
+++ b/src/balsampoint/route/concepts.hpp
@@ -2,8 +2,8 @@
 
 #include "balsampoint/core/concepts.hpp"
 #include "balsampoint/route/in_flight.hpp"
+#include "balsampoint/route/route_request.hpp"
 #include "balsampoint/route/table.hpp"
-#include "balsampoint/route/wish.hpp"
 
 #include <concepts>
 
@@ -24,10 +24,12 @@
  */
 template<typename P, typename Random>
 concept RoutePolicy =
-  RandomSource<Random> &&
-  requires(P& aPolicy, Outlook aOutlook, const Wish& aWish, Random& aRandom) {
+  RandomSource<Random> && requires(P& aPolicy,
+                                   Outlook aOutlook,
+                                   const RouteRequest& aRequest,
+                                   Random& aRandom) {
     {
-      aPolicy.Choose(aOutlook, aWish, aRandom)
+      aPolicy.Choose(aOutlook, aRequest, aRandom)
     } -> std::same_as<tl::expected<Chain, Error>>;
   };
 
--- a/src/balsampoint/route/internal/server_price.cpp
+++ b/src/balsampoint/route/internal/server_price.cpp
@@ -29,9 +29,9 @@
 
 } // namespace
 
-ServerPrice::ServerPrice(Outlook aOutlook, const Wish& aWish)
+ServerPrice::ServerPrice(Outlook aOutlook, const RouteRequest& aRequest)
   : mOutlook{ aOutlook }
-  , mWish{ aWish }
+  , mRequest{ aRequest }
 {
 }
 
@@ -54,7 +54,7 @@
 ServerPrice::Hop(const Node& aNode) const
 {
   const auto& graph = mOutlook.routes.graph;
-  const auto* link = FindLink(graph.links, mWish.entry, aNode.stage.zone);
+  const auto* link = FindLink(graph.links, mRequest.entry, aNode.stage.zone);
   if (link == nullptr) {
     return 0;
   }
@@ -69,38 +69,40 @@
 bool
 ServerPrice::Usable(const Node& aNode) const
 {
-  return !Excludes(mWish, aNode.stage);
+  return !Excludes(mRequest, aNode.stage);
 }
 
 bool
 ServerPrice::IsCached(const Node& aNode) const
 {
-  return std::ranges::find(mWish.cached, aNode.stage.server) !=
-         mWish.cached.end();
+  return std::ranges::find(mRequest.cached, aNode.stage.server) !=
+         mRequest.cached.end();
 }
 
 bool
 ServerPrice::IsAvoided(const Node& aNode) const
 {
-  return std::ranges::find(mWish.avoidedZones, aNode.stage.zone) !=
-         mWish.avoidedZones.end();
+  return std::ranges::find(mRequest.avoidedZones, aNode.stage.zone) !=
+         mRequest.avoidedZones.end();
 }
 
 bool
 ServerPrice::HasRoom(const Node& aNode) const
 {
   return aNode.kvCapacityTokens == 0 ||
-         aNode.load.kvTokensUsed + mWish.kvTokens <= aNode.kvCapacityTokens;
+         aNode.load.kvTokensUsed + mRequest.kvTokens <= aNode.kvCapacityTokens;
 }
 
 tl::expected<Chain, Error>
-CheapestChain(const Graph& aGraph, const Wish& aWish, const ServerPrice& aPrice)
+CheapestChain(const Graph& aGraph,
+              const RouteRequest& aRequest,
+              const ServerPrice& aPrice)
 {
   std::vector<PricedNode> usable;
   for (const auto& node : aGraph.nodes) {
     const auto& held = node.stage.layers;
     const bool overlaps =
-      held.begin < aWish.layers.end && aWish.layers.begin < held.end;
+      held.begin < aRequest.layers.end && aRequest.layers.begin < held.end;
     if (!overlaps || !aPrice.Usable(node)) {
       continue;
     }
@@ -108,7 +110,7 @@
                        .layerPrice = aPrice.Layer(node),
                        .hopPrice = aPrice.Hop(node) });
   }
-  return ShortestChain(usable, aWish.layers);
+  return ShortestChain(usable, aRequest.layers);
 }
 
 } // namespace balsampoint::route::internal
--- a/src/balsampoint/route/internal/server_price.hpp
+++ b/src/balsampoint/route/internal/server_price.hpp
@@ -11,9 +11,9 @@
   /**
    * @brief Keeps references to the arguments, which must outlive the object.
    * @param aOutlook Servers, load and the current time.
-   * @param aWish Requirements of the chain.
+   * @param aRequest Requirements of the chain.
    */
-  ServerPrice(Outlook aOutlook, const Wish& aWish);
+  ServerPrice(Outlook aOutlook, const RouteRequest& aRequest);
 
   /**
    * @brief Expected time in seconds of one layer of one token at a server, with
@@ -41,19 +41,19 @@
   [[nodiscard]] bool HasRoom(const Node& aNode) const;
 
   Outlook mOutlook;
-  const Wish& mWish;
+  const RouteRequest& mRequest;
 };
 
 /**
  * @brief Finds the cheapest chain over the usable servers.
  * @param aGraph The servers.
- * @param aWish Requirements of the chain.
+ * @param aRequest Requirements of the chain.
  * @param aPrice Prices of the servers.
  * @return The chain, or `ErrorKind::NoServer`.
  */
 [[nodiscard]] tl::expected<Chain, Error>
 CheapestChain(const Graph& aGraph,
-              const Wish& aWish,
+              const RouteRequest& aRequest,
               const ServerPrice& aPrice);
 
 } // namespace balsampoint::route::internal
--- a/src/balsampoint/route/policy/flow_policy.hpp
+++ b/src/balsampoint/route/policy/flow_policy.hpp
@@ -24,20 +24,20 @@
    * @brief Chooses a chain.
    * @tparam Random Type of the source of random numbers.
    * @param aOutlook Servers, flow, load and the current time.
-   * @param aWish Requirements of the chain.
+   * @param aRequest Requirements of the chain.
    * @param aRandom Source of random numbers.
    * @return The chain, or `ErrorKind::NoServer`.
    */
   template<RandomSource Random>
   tl::expected<Chain, Error> Choose(Outlook aOutlook,
-                                    const Wish& aWish,
+                                    const RouteRequest& aRequest,
                                     Random& aRandom)
   {
     const auto& routes = aOutlook.routes;
-    const internal::ServerPrice price{ aOutlook, aWish };
-    const auto* path = NextPath(routes, aWish, price, aRandom);
+    const internal::ServerPrice price{ aOutlook, aRequest };
+    const auto* path = NextPath(routes, aRequest, price, aRandom);
     if (path == nullptr) {
-      return internal::CheapestChain(routes.graph, aWish, price);
+      return internal::CheapestChain(routes.graph, aRequest, price);
     }
     Chain chain;
     for (const auto& hop : path->hops) {
@@ -51,18 +51,18 @@
 private:
   template<RandomSource Random>
   const Path* NextPath(const Routes& aRoutes,
-                       const Wish& aWish,
+                       const RouteRequest& aRequest,
                        const internal::ServerPrice& aPrice,
                        Random& aRandom)
   {
     const LayerRange all{ .begin = 0, .end = aRoutes.graph.layers };
-    if (aWish.layers != all || !aWish.avoidedZones.empty()) {
+    if (aRequest.layers != all || !aRequest.avoidedZones.empty()) {
       return nullptr;
     }
     auto& credits = mCredits[aRoutes.graph.pipeline];
-    credits.Update(aRoutes, aWish.entry, aRandom.Next());
+    credits.Update(aRoutes, aRequest.entry, aRandom.Next());
     return credits.Next(aRoutes, [&](const Path& aPath) {
-      return aWish.excluded.empty() || IsUsable(aRoutes, aPath, aPrice);
+      return aRequest.excluded.empty() || IsUsable(aRoutes, aPath, aPrice);
     });
   }
 
--- a/src/balsampoint/route/policy/next_server_policy.hpp
+++ b/src/balsampoint/route/policy/next_server_policy.hpp
@@ -23,18 +23,18 @@
   /**
    * @brief Chooses a chain.
    * @param aOutlook Servers, load and the current time.
-   * @param aWish Requirements of the chain.
+   * @param aRequest Requirements of the chain.
    * @param aRandom Source of random numbers.
    * @return The chain, or `ErrorKind::NoServer`.
    */
   template<RandomSource Random>
   tl::expected<Chain, Error> Choose(Outlook aOutlook,
-                                    const Wish& aWish,
+                                    const RouteRequest& aRequest,
                                     Random& aRandom)
   {
     Chain chain;
-    for (auto layer = aWish.layers.begin; layer < aWish.layers.end;) {
-      const auto holders = Holders(aOutlook.routes.graph, aWish, layer);
+    for (auto layer = aRequest.layers.begin; layer < aRequest.layers.end;) {
+      const auto holders = Holders(aOutlook.routes.graph, aRequest, layer);
       if (holders.empty()) {
         return Refuse(ErrorKind::NoServer,
                       "no ready server holds layer " + std::to_string(layer));
@@ -42,7 +42,7 @@
       chain.push_back(mPicker.Pick(aOutlook, holders, aRandom).stage);
       auto& layers = chain.back().layers;
       layers = { .begin = layer,
-                 .end = std::min(layers.end, aWish.layers.end) };
+                 .end = std::min(layers.end, aRequest.layers.end) };
       layer = layers.end;
     }
     return chain;
@@ -50,12 +50,12 @@
 
 private:
   static std::vector<const Node*> Holders(const Graph& aGraph,
-                                          const Wish& aWish,
+                                          const RouteRequest& aRequest,
                                           std::uint32_t aLayer)
   {
     std::vector<const Node*> holders;
     for (const auto& node : aGraph.nodes) {
-      if (!node.stage.layers.Holds(aLayer) || Excludes(aWish, node.stage)) {
+      if (!node.stage.layers.Holds(aLayer) || Excludes(aRequest, node.stage)) {
         continue;
       }
       holders.push_back(&node);
--- a/src/balsampoint/route/query/find_chain.cpp
+++ b/src/balsampoint/route/query/find_chain.cpp
@@ -1,7 +1,7 @@
 #include "balsampoint/route/query/find_chain.hpp"
 
 #include "balsampoint/route/internal/shortest_chain.hpp"
-#include "balsampoint/route/wish.hpp"
+#include "balsampoint/route/route_request.hpp"
 
 namespace balsampoint::route {
 
@@ -11,10 +11,11 @@
           const NodePrice& aPrice,
           double aHopPrice)
 {
-  const Wish wish{ .layers = aRequest.layers, .excluded = aRequest.excluded };
+  const RouteRequest request{ .layers = aRequest.layers,
+                              .excluded = aRequest.excluded };
   std::vector<internal::PricedNode> usable;
   for (const auto& node : aGraph.nodes) {
-    if (Excludes(wish, node.stage)) {
+    if (Excludes(request, node.stage)) {
       continue;
     }
     usable.push_back(
--- a/src/balsampoint/route/wish.cpp
+++ b/src/balsampoint/route/route_request.cpp
@@ -1,13 +1,13 @@
-#include "balsampoint/route/wish.hpp"
+#include "balsampoint/route/route_request.hpp"
 
 #include <algorithm>
 
 namespace balsampoint::route {
 
 bool
-Excludes(const Wish& aWish, const Stage& aStage)
+Excludes(const RouteRequest& aRequest, const Stage& aStage)
 {
-  return std::ranges::any_of(aWish.excluded, [&aStage](const auto& aEntry) {
+  return std::ranges::any_of(aRequest.excluded, [&aStage](const auto& aEntry) {
     return aEntry.server == aStage.server &&
            aStage.incarnation <= aEntry.incarnation;
   });
--- a/src/balsampoint/route/wish.hpp
+++ b/src/balsampoint/route/route_request.hpp
@@ -8,7 +8,7 @@
 namespace balsampoint::route {
 
 /** @brief Requirements and preferences for the choice of a chain. */
-struct Wish
+struct RouteRequest
 {
   LayerRange layers;
   /** Zone of the entry host, which sends the calls of the request. */
@@ -25,10 +25,10 @@
 
 /**
  * @brief Whether a request excludes a server.
- * @param aWish The request.
+ * @param aRequest The request.
  * @param aStage The server and its incarnation.
  */
 [[nodiscard]] bool
-Excludes(const Wish& aWish, const Stage& aStage);
+Excludes(const RouteRequest& aRequest, const Stage& aStage);
 
 } // namespace balsampoint::route
--- a/src/balsampoint/route/router.hpp
+++ b/src/balsampoint/route/router.hpp
@@ -30,17 +30,17 @@
   /**
    * @brief Chooses a chain and counts it as in use.
    * @param aRoutes The pipeline's servers.
-   * @param aWish Requirements of the chain.
+   * @param aRequest Requirements of the chain.
    * @param aNow Current time.
    * @return The chain, or `ErrorKind::NoServer`.
    */
   [[nodiscard]] tl::expected<Chain, Error> Choose(const Routes& aRoutes,
-                                                  const Wish& aWish,
+                                                  const RouteRequest& aRequest,
                                                   Instant aNow)
   {
     auto chain =
       mPolicy.Choose({ .routes = aRoutes, .inFlight = mInFlight, .now = aNow },
-                     aWish,
+                     aRequest,
                      mRandom);
     if (chain) {
       mInFlight.Add(*chain);
--- a/src/balsampoint/traffic/shared_router.hpp
+++ b/src/balsampoint/traffic/shared_router.hpp
@@ -16,15 +16,17 @@
   /**
    * @brief Chooses a chain and counts it as in use.
    * @param aRoutes The pipeline's servers.
-   * @param aWish What the chain must do.
+   * @param aRequest What the chain must do.
    * @param aNow The time.
    * @return The chain, or `ErrorKind::NoServer`.
    */
-  [[nodiscard]] tl::expected<route::Chain, Error>
-  Choose(const route::Routes& aRoutes, const route::Wish& aWish, Instant aNow)
+  [[nodiscard]] tl::expected<route::Chain, Error> Choose(
+    const route::Routes& aRoutes,
+    const route::RouteRequest& aRequest,
+    Instant aNow)
   {
     const std::lock_guard lock{ mMutex };
-    return mRouter.Choose(aRoutes, aWish, aNow);
+    return mRouter.Choose(aRoutes, aRequest, aNow);
   }
 
   /**
--- a/src/balsampoint/traffic/table_route.cpp
+++ b/src/balsampoint/traffic/table_route.cpp
@@ -76,13 +76,13 @@
     return Refuse(ErrorKind::NoServer,
                   "no backend server has announced itself");
   }
-  const route::Wish wish{ .layers = aWanted.layers,
-                          .entry = mWorld.zone,
-                          .excluded = aWanted.excluded,
-                          .avoidedZones = aWanted.avoidedZones,
-                          .kvTokens = mPipeline.maxTokens };
+  const route::RouteRequest request{ .layers = aWanted.layers,
+                                     .entry = mWorld.zone,
+                                     .excluded = aWanted.excluded,
+                                     .avoidedZones = aWanted.avoidedZones,
+                                     .kvTokens = mPipeline.maxTokens };
   auto chain = mWorld.router.Choose(
-    aTable->pipelines.at(mPipeline.id), wish, runtime::SteadyClock::Now());
+    aTable->pipelines.at(mPipeline.id), request, runtime::SteadyClock::Now());
   if (chain) {
     mCounted.insert(mCounted.end(), chain->begin(), chain->end());
   }
--- a/test/balsampoint/route/policy/flow_policy_test.cpp
+++ b/test/balsampoint/route/policy/flow_policy_test.cpp
@@ -34,7 +34,7 @@
            Holder("s3", { 6, 12 }, "a", 400) };
 }
 
-const route::Wish kAll{ .layers = { 0, 12 }, .entry = ZoneId{ "a" } };
+const route::RouteRequest kAll{ .layers = { 0, 12 }, .entry = ZoneId{ "a" } };
 
 } // namespace
 
@@ -61,14 +61,14 @@
   Router router{ fake::Random{ 3 } };
   const std::vector<route::ExcludedServer> excluded{ { ServerId{ "s1" },
                                                        Incarnation{ 1 } } };
-  auto wish = kAll;
-  wish.excluded = excluded;
+  auto wanted = kAll;
+  wanted.excluded = excluded;
   for (int request = 0; request < 20; ++request) {
-    const auto chain = router.Choose(routes, wish, Instant{});
+    const auto chain = router.Choose(routes, wanted, Instant{});
     cr_assert(chain->front().server == ServerId{ "s2" });
   }
-  wish.layers = { 3, 9 };
-  cr_assert(route::Covers(*router.Choose(routes, wish, Instant{}), { 3, 9 }));
+  wanted.layers = { 3, 9 };
+  cr_assert(route::Covers(*router.Choose(routes, wanted, Instant{}), { 3, 9 }));
 }
 
 Test(flow_policy, chooses_the_cheapest_chain_without_a_flow)
@@ -87,10 +87,10 @@
   servers[0].announcement.load.kvTokensUsed = 900;
   const auto routes = RoutesOf(servers);
   Router router{ fake::Random{ 3 } };
-  auto wish = kAll;
-  wish.layers = { 0, 6 };
-  wish.kvTokens = 200;
-  cr_assert(router.Choose(routes, wish, Instant{})->front().server ==
+  auto wanted = kAll;
+  wanted.layers = { 0, 6 };
+  wanted.kvTokens = 200;
+  cr_assert(router.Choose(routes, wanted, Instant{})->front().server ==
             ServerId{ "s2" });
 }
 
