Rename figurative and vague names of route

Names such as Outlook, Reach, Worth and Draw are replaced by the terms of routing and linear programming.

--- a/src/balsampoint/route/concepts.hpp
+++ b/src/balsampoint/route/concepts.hpp
@@ -10,7 +10,7 @@
 namespace balsampoint::route {
 
 /** @brief Input of a routing policy: servers, flow, load and time. */
-struct Outlook
+struct PolicyInput
 {
   const Routes& routes;
   InFlight& inFlight;
@@ -25,11 +25,11 @@
 template<typename P, typename Random>
 concept RoutePolicy =
   RandomSource<Random> && requires(P& aPolicy,
-                                   Outlook aOutlook,
+                                   PolicyInput aInput,
                                    const RouteRequest& aRequest,
                                    Random& aRandom) {
     {
-      aPolicy.Choose(aOutlook, aRequest, aRandom)
+      aPolicy.Choose(aInput, aRequest, aRandom)
     } -> std::same_as<tl::expected<Chain, Error>>;
   };
 
--- a/src/balsampoint/route/in_flight.hpp
+++ b/src/balsampoint/route/in_flight.hpp
@@ -40,16 +40,16 @@
   [[nodiscard]] double Estimate(const Node& aNode, Instant aNow);
 
 private:
-  struct Work
+  struct ServerCount
   {
     /** This host's requests in flight. */
-    std::uint32_t now{};
-    /** Value of `now` when the current report was first used. */
-    std::uint32_t atReport{};
+    std::uint32_t current{};
+    /** Value of `current` when the current report was first used. */
+    std::uint32_t ownAtReport{};
     Instant reportedAt{};
   };
 
-  std::unordered_map<ServerId, Work> mServers;
+  std::unordered_map<ServerId, ServerCount> mServers;
 };
 
 } // namespace balsampoint::route
--- a/src/balsampoint/route/internal/packing_program.cpp
+++ b/src/balsampoint/route/internal/packing_program.cpp
@@ -10,7 +10,7 @@
 constexpr double kTolerance = 1e-9;
 /** Perturbs the capacities, so that no two rows are exhausted at once, which
  * makes the program degenerate. */
-constexpr double kSpread = 1e-7;
+constexpr double kPerturbation = 1e-7;
 
 } // namespace
 
@@ -20,43 +20,43 @@
   , mPrices(aCapacities.size())
 {
   for (std::size_t row = 0; row < aCapacities.size(); ++row) {
-    const auto spread = kSpread * static_cast<double>(row + 1);
-    mBasis[row] = { .index = row, .amount = aCapacities[row] + spread };
+    const auto perturbation = kPerturbation * static_cast<double>(row + 1);
+    mBasis[row] = { .index = row, .amount = aCapacities[row] + perturbation };
     Inverse(row, row) = 1.0;
   }
 }
 
 double
-PackingProgram::Worth() const
+PackingProgram::Objective() const
 {
-  double worth{};
+  double objective{};
   for (const auto& entry : mBasis) {
-    worth += entry.value * entry.amount;
+    objective += entry.value * entry.amount;
   }
-  return worth;
+  return objective;
 }
 
 bool
 PackingProgram::Add(const Column& aColumn)
 {
   const auto index = mColumns++;
-  if (Profit(aColumn) <= kTolerance) {
+  if (ReducedCost(aColumn) <= kTolerance) {
     return false;
   }
   Enter({ .isColumn = true, .index = index, .value = aColumn.value },
         aColumn.uses);
-  EnterFreeRows();
+  EnterSlackRows();
   return true;
 }
 
 double
-PackingProgram::Profit(const Column& aColumn) const
+PackingProgram::ReducedCost(const Column& aColumn) const
 {
-  auto profit = aColumn.value;
+  auto reducedCost = aColumn.value;
   for (const auto& use : aColumn.uses) {
-    profit -= mPrices[use.row] * use.amount;
+    reducedCost -= mPrices[use.row] * use.amount;
   }
-  return profit;
+  return reducedCost;
 }
 
 std::vector<double>
@@ -100,7 +100,7 @@
 }
 
 void
-PackingProgram::EnterFreeRows()
+PackingProgram::EnterSlackRows()
 {
   for (std::size_t tries = 0; tries < mBasis.size(); ++tries) {
     const auto lowest = std::ranges::min_element(mPrices);
--- a/src/balsampoint/route/internal/packing_program.hpp
+++ b/src/balsampoint/route/internal/packing_program.hpp
@@ -42,7 +42,7 @@
   [[nodiscard]] std::span<const double> Prices() const { return mPrices; }
 
   /** @brief Objective value of the current solution. */
-  [[nodiscard]] double Worth() const;
+  [[nodiscard]] double Objective() const;
 
   /**
    * @brief Adds a column; it enters the basis if that improves the solution.
@@ -67,8 +67,8 @@
   };
 
   void Enter(BasisEntry aEntry, std::span<const RowUse> aUses);
-  void EnterFreeRows();
-  [[nodiscard]] double Profit(const Column& aColumn) const;
+  void EnterSlackRows();
+  [[nodiscard]] double ReducedCost(const Column& aColumn) const;
   [[nodiscard]] std::vector<double> Direction(
     std::span<const RowUse> aUses) const;
   void Pivot(std::size_t aLeaving, std::span<const double> aDirection);
--- a/src/balsampoint/route/internal/server_price.cpp
+++ b/src/balsampoint/route/internal/server_price.cpp
@@ -12,8 +12,8 @@
 /** Fraction of the price that a cached prefix is expected to save. */
 constexpr double kCacheSaving = 0.3;
 /** Factor on the price of a server that is used only if no other can be. */
-constexpr double kAvoidance = 1e6;
-constexpr double kLeastSpeed = 1e-3;
+constexpr double kAvoidancePenalty = 1e6;
+constexpr double kMinSpeed = 1e-3;
 
 const Link*
 FindLink(std::span<const Link> aLinks, const ZoneId& aOne, const ZoneId& aOther)
@@ -29,31 +29,31 @@
 
 } // namespace
 
-ServerPrice::ServerPrice(Outlook aOutlook, const RouteRequest& aRequest)
-  : mOutlook{ aOutlook }
+ServerPrice::ServerPrice(PolicyInput aInput, const RouteRequest& aRequest)
+  : mInput{ aInput }
   , mRequest{ aRequest }
 {
 }
 
 double
-ServerPrice::Layer(const Node& aNode) const
+ServerPrice::LayerPrice(const Node& aNode) const
 {
-  const auto load = mOutlook.inFlight.Estimate(aNode, mOutlook.now) + 1.0;
-  const auto speed = std::max(kLeastSpeed, aNode.stage.layerTokensPerSecond);
+  const auto load = mInput.inFlight.Estimate(aNode, mInput.now) + 1.0;
+  const auto speed = std::max(kMinSpeed, aNode.stage.layerTokensPerSecond);
   auto price = load / speed;
   if (IsCached(aNode)) {
     price *= 1.0 - kCacheSaving;
   }
-  if (IsAvoided(aNode) || !HasRoom(aNode)) {
-    price *= kAvoidance;
+  if (IsAvoided(aNode) || !HasFreeKv(aNode)) {
+    price *= kAvoidancePenalty;
   }
   return price;
 }
 
 double
-ServerPrice::Hop(const Node& aNode) const
+ServerPrice::HopPrice(const Node& aNode) const
 {
-  const auto& graph = mOutlook.routes.graph;
+  const auto& graph = mInput.routes.graph;
   const auto* link = FindLink(graph.links, mRequest.entry, aNode.stage.zone);
   if (link == nullptr) {
     return 0;
@@ -67,7 +67,7 @@
 }
 
 bool
-ServerPrice::Usable(const Node& aNode) const
+ServerPrice::IsUsable(const Node& aNode) const
 {
   return !Excludes(mRequest, aNode.stage);
 }
@@ -87,7 +87,7 @@
 }
 
 bool
-ServerPrice::HasRoom(const Node& aNode) const
+ServerPrice::HasFreeKv(const Node& aNode) const
 {
   return aNode.kvCapacityTokens == 0 ||
          aNode.load.kvTokensUsed + mRequest.kvTokens <= aNode.kvCapacityTokens;
@@ -103,12 +103,12 @@
     const auto& held = node.stage.layers;
     const bool overlaps =
       held.begin < aRequest.layers.end && aRequest.layers.begin < held.end;
-    if (!overlaps || !aPrice.Usable(node)) {
+    if (!overlaps || !aPrice.IsUsable(node)) {
       continue;
     }
     usable.push_back({ .node = &node,
-                       .layerPrice = aPrice.Layer(node),
-                       .hopPrice = aPrice.Hop(node) });
+                       .layerPrice = aPrice.LayerPrice(node),
+                       .hopPrice = aPrice.HopPrice(node) });
   }
   return ShortestChain(usable, aRequest.layers);
 }
--- a/src/balsampoint/route/internal/server_price.hpp
+++ b/src/balsampoint/route/internal/server_price.hpp
@@ -10,37 +10,37 @@
 public:
   /**
    * @brief Keeps references to the arguments, which must outlive the object.
-   * @param aOutlook Servers, load and the current time.
+   * @param aInput Servers, load and the current time.
    * @param aRequest Requirements of the chain.
    */
-  ServerPrice(Outlook aOutlook, const RouteRequest& aRequest);
+  ServerPrice(PolicyInput aInput, const RouteRequest& aRequest);
 
   /**
    * @brief Expected time in seconds of one layer of one token at a server, with
    * penalties for avoided zones and full KV.
    * @param aNode The server.
    */
-  [[nodiscard]] double Layer(const Node& aNode) const;
+  [[nodiscard]] double LayerPrice(const Node& aNode) const;
 
   /**
    * @brief Expected network time in seconds between entry zone and server for
    * one token, in both directions.
    * @param aNode The server.
    */
-  [[nodiscard]] double Hop(const Node& aNode) const;
+  [[nodiscard]] double HopPrice(const Node& aNode) const;
 
   /**
    * @brief Whether a server is not excluded.
    * @param aNode The server.
    */
-  [[nodiscard]] bool Usable(const Node& aNode) const;
+  [[nodiscard]] bool IsUsable(const Node& aNode) const;
 
 private:
   [[nodiscard]] bool IsCached(const Node& aNode) const;
   [[nodiscard]] bool IsAvoided(const Node& aNode) const;
-  [[nodiscard]] bool HasRoom(const Node& aNode) const;
+  [[nodiscard]] bool HasFreeKv(const Node& aNode) const;
 
-  Outlook mOutlook;
+  PolicyInput mInput;
   const RouteRequest& mRequest;
 };
 
--- a/src/balsampoint/route/internal/shortest_chain.cpp
+++ b/src/balsampoint/route/internal/shortest_chain.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** The cheapest known chain up to a layer, as its last stage. */
-struct Reach
+struct PartialPath
 {
   double price{ std::numeric_limits<double>::infinity() };
   std::uint32_t from{};
@@ -18,21 +18,21 @@
 
 /** Layers at which a chain may change servers, in ascending order. */
 std::vector<std::uint32_t>
-Borders(std::span<const PricedNode> aNodes, LayerRange aLayers)
+Boundaries(std::span<const PricedNode> aNodes, LayerRange aLayers)
 {
-  std::vector<std::uint32_t> borders{ aLayers.begin, aLayers.end };
+  std::vector<std::uint32_t> boundaries{ aLayers.begin, aLayers.end };
   for (const auto& priced : aNodes) {
     const auto& held = priced.node->stage.layers;
     for (const auto layer : { held.begin, held.end }) {
       if (aLayers.begin < layer && layer < aLayers.end) {
-        borders.push_back(layer);
+        boundaries.push_back(layer);
       }
     }
   }
-  std::ranges::sort(borders);
-  const auto repeated = std::ranges::unique(borders);
-  borders.erase(repeated.begin(), repeated.end());
-  return borders;
+  std::ranges::sort(boundaries);
+  const auto repeated = std::ranges::unique(boundaries);
+  boundaries.erase(repeated.begin(), repeated.end());
+  return boundaries;
 }
 
 /** Computes the cheapest chain up to each boundary, in ascending order. */
@@ -42,7 +42,7 @@
   Search(std::span<const PricedNode> aNodes, LayerRange aLayers)
     : mNodes{ aNodes }
     , mLayers{ aLayers }
-    , mBorders{ Borders(aNodes, aLayers) }
+    , mBoundaries{ Boundaries(aNodes, aLayers) }
     , mReached(aLayers.Size() + 1)
   {
     mReached.front().price = 0;
@@ -50,7 +50,7 @@
 
   void Run()
   {
-    for (const auto from : mBorders) {
+    for (const auto from : mBoundaries) {
       for (const auto& priced : mNodes) {
         Extend(from, priced);
       }
@@ -63,10 +63,10 @@
   {
     Chain chain;
     for (auto layer = mLayers.end; layer != mLayers.begin;) {
-      const auto& reach = mReached[layer - mLayers.begin];
-      chain.push_back(reach.node->stage);
-      chain.back().layers = { .begin = reach.from, .end = layer };
-      layer = reach.from;
+      const auto& partial = mReached[layer - mLayers.begin];
+      chain.push_back(partial.node->stage);
+      chain.back().layers = { .begin = partial.from, .end = layer };
+      layer = partial.from;
     }
     std::ranges::reverse(chain);
     return chain;
@@ -80,22 +80,22 @@
       return;
     }
     const auto base = mReached[aFrom - mLayers.begin].price + aPriced.hopPrice;
-    for (const auto to : mBorders) {
+    for (const auto to : mBoundaries) {
       if (to <= aFrom || to > held.end) {
         continue;
       }
-      auto& reach = mReached[to - mLayers.begin];
+      auto& partial = mReached[to - mLayers.begin];
       const auto price = base + aPriced.layerPrice * (to - aFrom);
-      if (price < reach.price) {
-        reach = { .price = price, .from = aFrom, .node = aPriced.node };
+      if (price < partial.price) {
+        partial = { .price = price, .from = aFrom, .node = aPriced.node };
       }
     }
   }
 
   std::span<const PricedNode> mNodes;
   LayerRange mLayers;
-  std::vector<std::uint32_t> mBorders;
-  std::vector<Reach> mReached;
+  std::vector<std::uint32_t> mBoundaries;
+  std::vector<PartialPath> mReached;
 };
 
 } // namespace
--- a/src/balsampoint/route/policy/flow_policy.hpp
+++ b/src/balsampoint/route/policy/flow_policy.hpp
@@ -23,18 +23,18 @@
   /**
    * @brief Chooses a chain.
    * @tparam Random Type of the source of random numbers.
-   * @param aOutlook Servers, flow, load and the current time.
+   * @param aInput Servers, flow, load and the current time.
    * @param aRequest Requirements of the chain.
    * @param aRandom Source of random numbers.
    * @return The chain, or `ErrorKind::NoServer`.
    */
   template<RandomSource Random>
-  tl::expected<Chain, Error> Choose(Outlook aOutlook,
+  tl::expected<Chain, Error> Choose(PolicyInput aInput,
                                     const RouteRequest& aRequest,
                                     Random& aRandom)
   {
-    const auto& routes = aOutlook.routes;
-    const internal::ServerPrice price{ aOutlook, aRequest };
+    const auto& routes = aInput.routes;
+    const internal::ServerPrice price{ aInput, aRequest };
     const auto* path = NextPath(routes, aRequest, price, aRandom);
     if (path == nullptr) {
       return internal::CheapestChain(routes.graph, aRequest, price);
@@ -62,18 +62,18 @@
     auto& credits = mCredits[aRoutes.graph.pipeline];
     credits.Update(aRoutes, aRequest.entry, aRandom.Next());
     return credits.Next(aRoutes, [&](const Path& aPath) {
-      return aRequest.excluded.empty() || IsUsable(aRoutes, aPath, aPrice);
+      return aRequest.excluded.empty() || IsPathUsable(aRoutes, aPath, aPrice);
     });
   }
 
-  static bool IsUsable(const Routes& aRoutes,
-                       const Path& aPath,
-                       const internal::ServerPrice& aPrice)
+  static bool IsPathUsable(const Routes& aRoutes,
+                           const Path& aPath,
+                           const internal::ServerPrice& aPrice)
   {
     return std::ranges::all_of(aPath.hops, [&](const Hop& aHop) {
       const auto& nodes = aRoutes.flow.groups[aHop.group].nodes;
       return std::ranges::any_of(nodes, [&](std::size_t aNode) {
-        return aPrice.Usable(aRoutes.graph.nodes[aNode]);
+        return aPrice.IsUsable(aRoutes.graph.nodes[aNode]);
       });
     });
   }
@@ -85,30 +85,30 @@
                           const internal::ServerPrice& aPrice,
                           Random& aRandom)
   {
-    const auto& one = Draw(aGraph, aGroup, aPrice, aRandom.Next());
-    const auto& other = Draw(aGraph, aGroup, aPrice, aRandom.Next());
-    return aPrice.Layer(other) < aPrice.Layer(one) ? other : one;
+    const auto& one = Sample(aGraph, aGroup, aPrice, aRandom.Next());
+    const auto& other = Sample(aGraph, aGroup, aPrice, aRandom.Next());
+    return aPrice.LayerPrice(other) < aPrice.LayerPrice(one) ? other : one;
   }
 
   /** Samples a usable server with probability in proportion to its speed; the
    * group's first server if none is usable. */
-  static const Node& Draw(const Graph& aGraph,
-                          const Group& aGroup,
-                          const internal::ServerPrice& aPrice,
-                          std::uint64_t aRandom)
+  static const Node& Sample(const Graph& aGraph,
+                            const Group& aGroup,
+                            const internal::ServerPrice& aPrice,
+                            std::uint64_t aRandom)
   {
     constexpr double kRange = 18446744073709551616.0;
-    auto rest =
+    auto remaining =
       static_cast<double>(aRandom) / kRange * aGroup.layerTokensPerSecond;
     const Node* usable = nullptr;
     for (const auto index : aGroup.nodes) {
       const auto& node = aGraph.nodes[index];
-      rest -= node.stage.layerTokensPerSecond;
-      if (!aPrice.Usable(node)) {
+      remaining -= node.stage.layerTokensPerSecond;
+      if (!aPrice.IsUsable(node)) {
         continue;
       }
       usable = &node;
-      if (rest <= 0) {
+      if (remaining <= 0) {
         break;
       }
     }
--- a/src/balsampoint/route/policy/next_server_policy.hpp
+++ b/src/balsampoint/route/policy/next_server_policy.hpp
@@ -22,24 +22,24 @@
 public:
   /**
    * @brief Chooses a chain.
-   * @param aOutlook Servers, load and the current time.
+   * @param aInput Servers, load and the current time.
    * @param aRequest Requirements of the chain.
    * @param aRandom Source of random numbers.
    * @return The chain, or `ErrorKind::NoServer`.
    */
   template<RandomSource Random>
-  tl::expected<Chain, Error> Choose(Outlook aOutlook,
+  tl::expected<Chain, Error> Choose(PolicyInput aInput,
                                     const RouteRequest& aRequest,
                                     Random& aRandom)
   {
     Chain chain;
     for (auto layer = aRequest.layers.begin; layer < aRequest.layers.end;) {
-      const auto holders = Holders(aOutlook.routes.graph, aRequest, layer);
+      const auto holders = Holders(aInput.routes.graph, aRequest, layer);
       if (holders.empty()) {
         return Refuse(ErrorKind::NoServer,
                       "no ready server holds layer " + std::to_string(layer));
       }
-      chain.push_back(mPicker.Pick(aOutlook, holders, aRandom).stage);
+      chain.push_back(mPicker.Pick(aInput, holders, aRandom).stage);
       auto& layers = chain.back().layers;
       layers = { .begin = layer,
                  .end = std::min(layers.end, aRequest.layers.end) };
@@ -71,7 +71,7 @@
 {
   /** @brief Picks one of several servers. */
   template<RandomSource Random>
-  const Node& Pick(const Outlook& /*aOutlook*/,
+  const Node& Pick(const PolicyInput& /*aInput*/,
                    std::span<const Node* const> aHolders,
                    Random& aRandom)
   {
@@ -84,7 +84,7 @@
 {
   /** @brief Picks one of several servers. */
   template<RandomSource Random>
-  const Node& Pick(const Outlook& /*aOutlook*/,
+  const Node& Pick(const PolicyInput& /*aInput*/,
                    std::span<const Node* const> aHolders,
                    Random& aRandom)
   {
@@ -106,7 +106,7 @@
 {
   /** @brief Picks one of several servers. */
   template<RandomSource Random>
-  const Node& Pick(const Outlook& /*aOutlook*/,
+  const Node& Pick(const PolicyInput& /*aInput*/,
                    std::span<const Node* const> aHolders,
                    Random& aRandom)
   {
--- a/src/balsampoint/route/query/max_flow.cpp
+++ b/src/balsampoint/route/query/max_flow.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /** Relative gap between flow and upper bound at which the search ends. */
-constexpr double kGap = 5e-3;
+constexpr double kRelativeGap = 5e-3;
 constexpr std::size_t kMaxRounds = 2000;
 /** Weight of the best bound's prices when mixed with the current ones. */
 constexpr double kCentreWeight = 0.8;
@@ -45,21 +45,21 @@
 }
 
 std::vector<std::uint32_t>
-Borders(std::span<const Group> aGroups, std::uint32_t aLayers)
+Boundaries(std::span<const Group> aGroups, std::uint32_t aLayers)
 {
-  std::vector<std::uint32_t> borders{ 0, aLayers };
+  std::vector<std::uint32_t> boundaries{ 0, aLayers };
   for (const auto& group : aGroups) {
-    borders.push_back(group.layers.begin);
-    borders.push_back(group.layers.end);
+    boundaries.push_back(group.layers.begin);
+    boundaries.push_back(group.layers.end);
   }
-  std::ranges::sort(borders);
-  const auto repeated = std::ranges::unique(borders);
-  borders.erase(repeated.begin(), repeated.end());
-  return borders;
+  std::ranges::sort(boundaries);
+  const auto repeated = std::ranges::unique(boundaries);
+  boundaries.erase(repeated.begin(), repeated.end());
+  return boundaries;
 }
 
 /** The cheapest path from layer 0 to a boundary, as its last hop. */
-struct Reach
+struct PartialPath
 {
   double price{ std::numeric_limits<double>::infinity() };
   std::size_t from{};
@@ -79,7 +79,7 @@
 public:
   PathModel(const Graph& aGraph, std::span<const EntryShare> aShares)
     : mGroups{ MakeGroups(aGraph) }
-    , mBorders{ Borders(mGroups, aGraph.layers) }
+    , mBoundaries{ Boundaries(mGroups, aGraph.layers) }
     , mRows{ mGroups.size() }
   {
     for (const auto& group : mGroups) {
@@ -99,16 +99,16 @@
   /** Upper bound of the sum of `kHopPrice` over one path. */
   [[nodiscard]] double HopPrices() const
   {
-    return kHopPrice * static_cast<double>(mBorders.size());
+    return kHopPrice * static_cast<double>(mBoundaries.size());
   }
 
   /** The cheapest path of an entry zone; infinite price if there is none. */
-  [[nodiscard]] PricedPath Cheapest(std::size_t aEntry,
-                                    std::span<const double> aPrices) const
+  [[nodiscard]] PricedPath CheapestPath(std::size_t aEntry,
+                                        std::span<const double> aPrices) const
   {
-    std::vector<Reach> reached(mBorders.size());
+    std::vector<PartialPath> reached(mBoundaries.size());
     reached.front().price = 0;
-    for (std::size_t from = 0; from + 1 < mBorders.size(); ++from) {
+    for (std::size_t from = 0; from + 1 < mBoundaries.size(); ++from) {
       for (std::size_t group = 0; group < mGroups.size(); ++group) {
         Extend(
           reached, from, { group, HopPrice(aEntry, group, aPrices) }, aPrices);
@@ -162,37 +162,38 @@
            (link.row == kNoRow ? 0.0 : aPrices[link.row] * link.amount);
   }
 
-  void Extend(std::vector<Reach>& aReached,
+  void Extend(std::vector<PartialPath>& aReached,
               std::size_t aFrom,
               PricedGroup aGroup,
               std::span<const double> aPrices) const
   {
     const auto& group = mGroups[aGroup.group];
-    if (!group.layers.Holds(mBorders[aFrom])) {
+    if (!group.layers.Holds(mBoundaries[aFrom])) {
       return;
     }
     const auto layerPrice =
       mUnit * aPrices[aGroup.group] / group.layerTokensPerSecond;
     const auto base = aReached[aFrom].price + aGroup.hopPrice;
     for (auto to = aFrom + 1;
-         to < mBorders.size() && mBorders[to] <= group.layers.end;
+         to < mBoundaries.size() && mBoundaries[to] <= group.layers.end;
          ++to) {
-      const auto price = base + layerPrice * (mBorders[to] - mBorders[aFrom]);
+      const auto price =
+        base + layerPrice * (mBoundaries[to] - mBoundaries[aFrom]);
       if (price < aReached[to].price) {
         aReached[to] = { .price = price, .from = aFrom, .group = aGroup.group };
       }
     }
   }
 
-  [[nodiscard]] PricedPath Trace(std::span<const Reach> aReached) const
+  [[nodiscard]] PricedPath Trace(std::span<const PartialPath> aReached) const
   {
     PricedPath path{ .price = aReached.back().price };
     if (path.price == std::numeric_limits<double>::infinity()) {
       return path;
     }
     for (auto at = aReached.size() - 1; at != 0; at = aReached[at].from) {
-      const LayerRange layers{ .begin = mBorders[aReached[at].from],
-                               .end = mBorders[at] };
+      const LayerRange layers{ .begin = mBoundaries[aReached[at].from],
+                               .end = mBoundaries[at] };
       path.hops.push_back({ .group = aReached[at].group, .layers = layers });
     }
     std::ranges::reverse(path.hops);
@@ -234,7 +235,7 @@
   }
 
   std::vector<Group> mGroups;
-  std::vector<std::uint32_t> mBorders;
+  std::vector<std::uint32_t> mBoundaries;
   std::size_t mRows;
   double mUnit{};
   std::map<std::pair<ZoneId, ZoneId>, std::size_t> mLinkRows;
@@ -242,8 +243,8 @@
   std::vector<std::vector<internal::RowUse>> mLinkShares;
 };
 
-/** Adds the cheapest paths round by round until the flow is within `kGap` of
- * its upper bound. */
+/** Adds the cheapest paths round by round until the flow is within
+ * `kRelativeGap` of its upper bound. */
 class FlowSolver
 {
 public:
@@ -270,10 +271,10 @@
         return { .groups = mModel.Groups() };
       }
       UpdateBound(paths, prices);
-      if (mProgram.Worth() >= mBound * (1 - kGap)) {
+      if (mProgram.Objective() >= mBound * (1 - kRelativeGap)) {
         break;
       }
-      mSmooths = AddColumns(paths);
+      mSmoothing = AddColumns(paths);
     }
     return Result();
   }
@@ -286,7 +287,7 @@
   [[nodiscard]] std::vector<double> SmoothPrices() const
   {
     const auto current = mProgram.Prices().first(mModel.Rows());
-    const auto weight = mSmooths ? kCentreWeight : 0.0;
+    const auto weight = mSmoothing ? kCentreWeight : 0.0;
     std::vector<double> prices(current.size());
     for (std::size_t row = 0; row < prices.size(); ++row) {
       prices[row] =
@@ -301,7 +302,7 @@
   {
     std::vector<PricedPath> paths;
     for (std::size_t entry = 0; entry < mShares.size(); ++entry) {
-      paths.push_back(mModel.Cheapest(entry, aPrices));
+      paths.push_back(mModel.CheapestPath(entry, aPrices));
       if (paths.back().hops.empty()) {
         return {};
       }
@@ -365,7 +366,7 @@
   double mBound{ std::numeric_limits<double>::infinity() };
   /** Prices that gave the best bound, scaled to a price of 1 for one unit. */
   std::vector<double> mCentre;
-  bool mSmooths{ true };
+  bool mSmoothing{ true };
   /** In the order of their columns, which follow the column of the total. */
   std::vector<Path> mPaths;
 };
--- a/src/balsampoint/route/query/plan.cpp
+++ b/src/balsampoint/route/query/plan.cpp
@@ -38,7 +38,7 @@
 }
 
 std::vector<PipelineId>
-WithoutFlow(const Table& aTable)
+PipelinesWithoutFlow(const Table& aTable)
 {
   std::vector<PipelineId> pipelines;
   for (const auto& [id, routes] : aTable.pipelines) {
--- a/src/balsampoint/route/query/plan.hpp
+++ b/src/balsampoint/route/query/plan.hpp
@@ -34,6 +34,6 @@
  * @return Their ids.
  */
 [[nodiscard]] std::vector<PipelineId>
-WithoutFlow(const Table& aTable);
+PipelinesWithoutFlow(const Table& aTable);
 
 } // namespace balsampoint::route
--- a/src/balsampoint/traffic/route_planner.cpp
+++ b/src/balsampoint/traffic/route_planner.cpp
@@ -49,7 +49,7 @@
                              .servers = servers->servers,
                              .links = {} });
   mWorld.routes.Publish(std::make_shared<const route::Table>(table));
-  for (const auto& id : route::WithoutFlow(table)) {
+  for (const auto& id : route::PipelinesWithoutFlow(table)) {
     auto& routes = table.pipelines[id];
     routes.flow =
       route::MaxFlow(routes.graph, route::EqualShares(routes.graph));
--- a/test/balsampoint/route/policy/flow_policy_test.cpp
+++ b/test/balsampoint/route/policy/flow_policy_test.cpp
@@ -120,16 +120,16 @@
   auto servers = UnevenServers();
   auto table =
     route::Plan({}, { .document = document, .servers = servers, .links = {} });
-  cr_assert_eq(route::WithoutFlow(table).size(), 1);
+  cr_assert_eq(route::PipelinesWithoutFlow(table).size(), 1);
   table.pipelines[pipeline.id].flowNumber = 7;
   servers[0].announcement.load.runningRequests = 5;
   table = route::Plan(
     table, { .document = document, .servers = servers, .links = {} });
-  cr_assert(route::WithoutFlow(table).empty());
+  cr_assert(route::PipelinesWithoutFlow(table).empty());
   cr_assert_eq(table.pipelines[pipeline.id].graph.nodes[0].load.runningRequests,
                5);
   servers.pop_back();
   table = route::Plan(
     table, { .document = document, .servers = servers, .links = {} });
-  cr_assert_eq(route::WithoutFlow(table).size(), 1);
+  cr_assert_eq(route::PipelinesWithoutFlow(table).size(), 1);
 }
