Rename figurative and vague names of stream

Functions are named after what they do to the answer, and constants after their use.

Rename: TakeStep, TakeReplay, TakeImport -> ApplyStep, ApplyReplay, ApplyImport (stream::internal) Rename: TakeFailure, TakeServerGone -> HandleCallFailure, HandleServerGone (stream::internal) Rename: GoesOn -> CheckActive (handle.cpp) Rename: StepBack -> RewindToKeptInputs (advance.cpp) Rename: AskForRoute, LoseStage -> RequestRoute, HandleStageLoss (stream::internal) Rename: Vacancy -> PendingChoice (stream) Rename: vacancy -> pendingChoice, at -> currentStage (stream::Progress) Rename: mayImport, lastResort -> canImport, allowsSlow (stream::PendingChoice) Rename: kMeans, kDeviations, kFew -> kEarlyMeanFactor, kDeviationFactor, kEarlySteps (stream::StepTimes) Rename: After, kUnseenFactor, kEstimateTolerance -> DeadlineAfter, kUnobservedFactor, kEstimateMargin (estimate.cpp) Rename: kCancelTime, Release -> kCancelTimeout, EndAndCancel (end.cpp) Rename: disturb, arrive -> afterEvent, onWaitTimeout (test, fake::Driver) Rename: Crossed, Disturb, repeats -> WithOtherRequest, InjectFaults, duplicates (test) Rename: disturbed_test.cpp -> fault_injection_test.cpp (test; suite disturbed -> fault_injection)

--- a/benchmarks/bench_recovery.cpp
+++ b/benchmarks/bench_recovery.cpp
@@ -186,13 +186,13 @@
   const route::Stage& Current() const
   {
     const auto& progress = mState.progress;
-    return progress.stages[progress.at].stage;
+    return progress.stages[progress.currentStage].stage;
   }
 
   bool LosesNow(const stream::CallId& aId) const
   {
     return mLost.Empty() && aId.step.Value() == mLostStep &&
-           mState.progress.at == mLostStage;
+           mState.progress.currentStage == mLostStage;
   }
 
   void Do(const stream::CallStep& aAction)
--- a/src/balsampoint/stream/command/handle.cpp
+++ b/src/balsampoint/stream/command/handle.cpp
@@ -26,27 +26,27 @@
       return;
     }
     if (FromOtherIncarnation(mProgress, reply.incarnation)) {
-      LoseStage(mProgress, Loss::ConnectionLost, mNow, mActions);
+      HandleStageLoss(mProgress, Loss::ConnectionLost, mNow, mActions);
       return;
     }
-    TakeReplay(mProgress, reply, mNow, mActions);
+    ApplyReplay(mProgress, reply, mNow, mActions);
   }
 
   void operator()(const Imported& aImported)
   {
     if (AcceptReply(mProgress, aImported.id, CallKind::Import)) {
-      TakeImport(mProgress, mNow, mActions);
+      ApplyImport(mProgress, mNow, mActions);
     }
   }
 
   void operator()(const CallFailed& aFailed)
   {
-    TakeFailure(mProgress, aFailed, mNow, mActions);
+    HandleCallFailure(mProgress, aFailed, mNow, mActions);
   }
 
   void operator()(const ServerGone& aGone)
   {
-    TakeServerGone(mProgress, aGone, mNow, mActions);
+    HandleServerGone(mProgress, aGone, mNow, mActions);
   }
 
   void operator()(const RouteChosen& aChosen)
@@ -88,7 +88,7 @@
 
 /** Whether an answer is still active; fails it once its deadline has passed. */
 bool
-GoesOn(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
+CheckActive(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
   if (aProgress.phase == Phase::Ended) {
     return false;
@@ -114,7 +114,7 @@
   if (aProgress.phase == Phase::Ended && IsReply(aEvent)) {
     ++aProgress.counters.droppedReplies;
   }
-  if (GoesOn(aProgress, aNow, aActions)) {
+  if (CheckActive(aProgress, aNow, aActions)) {
     std::visit(CommonHandler{ aProgress, aNow, aActions }, aEvent);
   }
 }
@@ -126,14 +126,14 @@
            std::vector<Action>& aActions)
 {
   const auto sentAt = AcceptReply(aProgress, aReply.id, CallKind::Step);
-  if (!sentAt || !GoesOn(aProgress, aNow, aActions)) {
+  if (!sentAt || !CheckActive(aProgress, aNow, aActions)) {
     return std::nullopt;
   }
   if (FromOtherIncarnation(aProgress, aReply.incarnation)) {
-    LoseStage(aProgress, Loss::ConnectionLost, aNow, aActions);
+    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
     return std::nullopt;
   }
-  return TakeStep(aProgress, aReply.output, aNow - *sentAt, aNow, aActions);
+  return ApplyStep(aProgress, aReply.output, aNow - *sentAt, aNow, aActions);
 }
 
 } // namespace balsampoint::stream::internal
--- a/src/balsampoint/stream/command/start.hpp
+++ b/src/balsampoint/stream/command/start.hpp
@@ -41,10 +41,10 @@
   const LayerRange layers{ .begin = 0,
                            .end = progress.request.pipeline.layers };
   if (progress.request.route.empty()) {
-    internal::AskForRoute(progress, { .layers = layers }, aNow, aActions);
+    internal::RequestRoute(progress, { .layers = layers }, aNow, aActions);
     return;
   }
-  progress.vacancy = Vacancy{ .layers = layers };
+  progress.pendingChoice = PendingChoice{ .layers = layers };
   const RouteChosen chosen{ .layers = layers, .route = progress.request.route };
   if (internal::InstallRoute(progress, chosen, aNow, aActions)) {
     internal::Advance(progress, aNow, aActions);
--- a/src/balsampoint/stream/internal/advance.cpp
+++ b/src/balsampoint/stream/internal/advance.cpp
@@ -14,7 +14,7 @@
 CallId
 BeginCall(Progress& aProgress, CallKind aKind, Instant aNow)
 {
-  const auto& stage = aProgress.stages[aProgress.at];
+  const auto& stage = aProgress.stages[aProgress.currentStage];
   aProgress.phase = Phase::Calling;
   CallId id{ .request = stage.session,
              .attempt = aProgress.attempt,
@@ -27,7 +27,7 @@
 Target
 TargetOf(Progress& aProgress, Instant aDeadline)
 {
-  const auto& state = aProgress.stages[aProgress.at];
+  const auto& state = aProgress.stages[aProgress.currentStage];
   const auto& stage = state.stage;
   Target target{ .server = stage.server,
                  .incarnation = stage.incarnation,
@@ -50,7 +50,7 @@
 SendStep(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
   const auto& pipeline = aProgress.request.pipeline;
-  const auto& stage = aProgress.stages[aProgress.at];
+  const auto& stage = aProgress.stages[aProgress.currentStage];
   const auto target = TargetOf(aProgress, StepDeadline(aProgress, stage, aNow));
   aActions.emplace_back(
     CallStep{ .target = target,
@@ -68,7 +68,7 @@
 SendImport(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
   const auto& pipeline = aProgress.request.pipeline;
-  auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.currentStage];
   stage.session = NewSession(aProgress);
   const auto expected = ImportTime(aProgress, stage.stage.layers);
   const auto target =
@@ -99,7 +99,7 @@
 SendReplay(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
   const auto& pipeline = aProgress.request.pipeline;
-  auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.currentStage];
   stage.session = NewSession(aProgress);
   const auto expected = ReplayTime(aProgress, stage.stage);
   const auto target =
@@ -120,16 +120,16 @@
  * the stages from there on is rebuilt by replays.
  */
 void
-StepBack(Progress& aProgress)
+RewindToKeptInputs(Progress& aProgress)
 {
-  auto at = aProgress.at;
+  auto at = aProgress.currentStage;
   aProgress.stages[at].kvPositions = 0;
   while (!aProgress.stages[at].keepsInputs) {
     --at;
     aProgress.stages[at].kvPositions = 0;
     aProgress.stages[at].importSource.clear();
   }
-  aProgress.at = at;
+  aProgress.currentStage = at;
   aProgress.input = aProgress.stages[at].inputs[aProgress.step];
 }
 
@@ -141,7 +141,7 @@
   if (aOutputs.size() != aProgress.step) {
     return false;
   }
-  const auto next = aProgress.at + 1;
+  const auto next = aProgress.currentStage + 1;
   if (next == aProgress.stages.size()) {
     return std::ranges::equal(aOutputs, aProgress.outputs);
   }
@@ -156,9 +156,9 @@
 void
 Advance(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
-  auto* stage = &aProgress.stages[aProgress.at];
+  auto* stage = &aProgress.stages[aProgress.currentStage];
   if (stage->gone) {
-    LoseStage(aProgress, Loss::ConnectionLost, aNow, aActions);
+    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
     return;
   }
   if (stage->kvPositions == aProgress.step) {
@@ -170,11 +170,11 @@
     return;
   }
   if (!stage->keepsInputs) {
-    StepBack(aProgress);
-    stage = &aProgress.stages[aProgress.at];
+    RewindToKeptInputs(aProgress);
+    stage = &aProgress.stages[aProgress.currentStage];
   }
   if (stage->gone) {
-    LoseStage(aProgress, Loss::ConnectionLost, aNow, aActions);
+    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
     return;
   }
   SendReplay(aProgress, aNow, aActions);
@@ -186,7 +186,7 @@
   TrimInputs(aProgress);
   aProgress.lostZones.clear();
   aProgress.starts.push_back(aStart);
-  aProgress.at = 0;
+  aProgress.currentStage = 0;
   aProgress.input = aStart;
   RecordInput(aProgress);
 }
@@ -205,24 +205,24 @@
 }
 
 std::optional<std::uint64_t>
-TakeStep(Progress& aProgress,
-         std::uint64_t aOutput,
-         Duration aTime,
-         Instant aNow,
-         std::vector<Action>& aActions)
+ApplyStep(Progress& aProgress,
+          std::uint64_t aOutput,
+          Duration aTime,
+          Instant aNow,
+          std::vector<Action>& aActions)
 {
-  auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.currentStage];
   stage.times.Observe(aTime);
   stage.missedDeadlines = 0;
   stage.kvPositions = aProgress.step + 1;
-  if (aProgress.at + 1 == aProgress.stages.size()) {
+  if (aProgress.currentStage + 1 == aProgress.stages.size()) {
     aProgress.kvDigest =
       ExtendKvDigest(aProgress.kvDigest, aProgress.starts.back());
     aProgress.outputs.push_back(aOutput);
     ++aProgress.step;
     return aOutput;
   }
-  ++aProgress.at;
+  ++aProgress.currentStage;
   aProgress.input = aOutput;
   RecordInput(aProgress);
   Advance(aProgress, aNow, aActions);
@@ -230,17 +230,17 @@
 }
 
 void
-TakeReplay(Progress& aProgress,
-           const ReplayReply& aReply,
-           Instant aNow,
-           std::vector<Action>& aActions)
+ApplyReplay(Progress& aProgress,
+            const ReplayReply& aReply,
+            Instant aNow,
+            std::vector<Action>& aActions)
 {
   if (!MatchesFirstRun(aProgress, aReply.outputs)) {
-    LoseStage(aProgress, Loss::Refused, aNow, aActions);
+    HandleStageLoss(aProgress, Loss::Refused, aNow, aActions);
     return;
   }
-  aProgress.stages[aProgress.at].kvPositions = aProgress.step;
-  const auto next = aProgress.at + 1;
+  aProgress.stages[aProgress.currentStage].kvPositions = aProgress.step;
+  const auto next = aProgress.currentStage + 1;
   if (next < aProgress.stages.size() && !aProgress.stages[next].keepsInputs) {
     aProgress.stages[next].inputs = aReply.outputs;
     aProgress.stages[next].keepsInputs = true;
@@ -249,9 +249,9 @@
 }
 
 void
-TakeImport(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
+ApplyImport(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
-  auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.currentStage];
   stage.kvPositions = aProgress.step;
   stage.importSource.clear();
   Advance(aProgress, aNow, aActions);
--- a/src/balsampoint/stream/internal/advance.hpp
+++ b/src/balsampoint/stream/internal/advance.hpp
@@ -47,11 +47,11 @@
  * @return Output of the last layer; absent unless this was the last stage.
  */
 [[nodiscard]] std::optional<std::uint64_t>
-TakeStep(Progress& aProgress,
-         std::uint64_t aOutput,
-         Duration aTime,
-         Instant aNow,
-         std::vector<Action>& aActions);
+ApplyStep(Progress& aProgress,
+          std::uint64_t aOutput,
+          Duration aTime,
+          Instant aNow,
+          std::vector<Action>& aActions);
 
 /**
  * @brief Applies the outputs of a replay.
@@ -62,10 +62,10 @@
  * server when the outputs differ from those of the first run.
  */
 void
-TakeReplay(Progress& aProgress,
-           const ReplayReply& aReply,
-           Instant aNow,
-           std::vector<Action>& aActions);
+ApplyReplay(Progress& aProgress,
+            const ReplayReply& aReply,
+            Instant aNow,
+            std::vector<Action>& aActions);
 
 /**
  * @brief Applies a successful import.
@@ -74,6 +74,6 @@
  * @param aActions The next call is appended here.
  */
 void
-TakeImport(Progress& aProgress, Instant aNow, std::vector<Action>& aActions);
+ApplyImport(Progress& aProgress, Instant aNow, std::vector<Action>& aActions);
 
 } // namespace balsampoint::stream::internal
--- a/src/balsampoint/stream/internal/end.cpp
+++ b/src/balsampoint/stream/internal/end.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-constexpr Duration kCancelTime = std::chrono::seconds{ 1 };
+constexpr Duration kCancelTimeout = std::chrono::seconds{ 1 };
 
 void
-Release(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
+EndAndCancel(Progress& aProgress, Instant aNow, std::vector<Action>& aActions)
 {
   aProgress.phase = Phase::Ended;
   aProgress.pending.reset();
-  aProgress.vacancy.reset();
+  aProgress.pendingChoice.reset();
   for (auto& session : aProgress.sessions) {
-    session.target.deadline = aNow + kCancelTime;
+    session.target.deadline = aNow + kCancelTimeout;
     aActions.emplace_back(
       CancelAt{ .target = session.target, .request = session.request });
   }
@@ -31,7 +31,7 @@
          std::vector<Action>& aActions)
 {
   aActions.emplace_back(Finish{ .reason = aReason });
-  Release(aProgress, aNow, aActions);
+  EndAndCancel(aProgress, aNow, aActions);
 }
 
 void
@@ -46,7 +46,7 @@
     aError.executed = Executed::Unknown;
   }
   aActions.emplace_back(Fail{ .error = std::move(aError) });
-  Release(aProgress, aNow, aActions);
+  EndAndCancel(aProgress, aNow, aActions);
 }
 
 } // namespace balsampoint::stream::internal
--- a/src/balsampoint/stream/internal/estimate.cpp
+++ b/src/balsampoint/stream/internal/estimate.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 /** A rebuild's deadline allows this multiple of its estimated time. */
-constexpr int kEstimateTolerance = 4;
+constexpr int kEstimateMargin = 4;
 /** A server without observed steps is assumed to be this much slower. */
-constexpr double kUnseenFactor = 2.0;
+constexpr double kUnobservedFactor = 2.0;
 /** K and V of one layer hold one activation each. */
 constexpr double kKvActivationsPerLayer = 2.0;
 
@@ -25,18 +25,19 @@
 }
 
 Instant
-After(const Progress& aProgress,
-      const StageState& aStage,
-      Duration aTime,
-      Instant aNow)
+DeadlineAfter(const Progress& aProgress,
+              const StageState& aStage,
+              Duration aTime,
+              Instant aNow)
 {
   constexpr std::uint32_t kMaxDoublings = 8;
   const auto& settings = aProgress.settings;
   const auto missed =
     aStage.missedDeadlines + static_cast<std::uint32_t>(aProgress.slow.size());
   const auto doublings = std::min(missed, kMaxDoublings);
-  const auto least = std::max(aTime, settings.minStepTime) * (1U << doublings);
-  return std::min(aNow + std::min(least, settings.maxStepTime),
+  const auto timeout =
+    std::max(aTime, settings.minStepTime) * (1U << doublings);
+  return std::min(aNow + std::min(timeout, settings.maxStepTime),
                   aProgress.request.deadline);
 }
 
@@ -48,7 +49,7 @@
   const auto time = aStage.times.Observed()
                       ? aStage.times.Bound()
                       : aProgress.settings.initialStepTime;
-  return After(aProgress, aStage, time, aNow);
+  return DeadlineAfter(aProgress, aStage, time, aNow);
 }
 
 Instant
@@ -60,9 +61,9 @@
   auto time = aProgress.settings.initialStepTime;
   if (aStage.times.Observed()) {
     const auto bounded = std::min(aExpected, aProgress.settings.maxStepTime);
-    time = bounded * kEstimateTolerance + aStage.times.Bound();
+    time = bounded * kEstimateMargin + aStage.times.Bound();
   }
-  return After(aProgress, aStage, time, aNow);
+  return DeadlineAfter(aProgress, aStage, time, aNow);
 }
 
 Duration
@@ -85,25 +86,25 @@
 
 bool
 PrefersImport(const Progress& aProgress,
-              const Vacancy& aVacancy,
+              const PendingChoice& aPending,
               std::span<const route::Stage> aChain)
 {
-  if (!aVacancy.mayImport || aProgress.step == 0) {
+  if (!aPending.canImport || aProgress.step == 0) {
     return false;
   }
   Duration replay{};
   for (const auto& stage : aChain) {
     replay += ReplayTime(aProgress, stage);
   }
-  auto first = aVacancy.stage;
-  if (!aVacancy.lost.keepsInputs) {
+  auto first = aPending.stage;
+  if (!aPending.lost.keepsInputs) {
     while (first > 0 && !aProgress.stages[--first].keepsInputs) {
       replay += ReplayTime(aProgress, aProgress.stages[first].stage);
     }
     replay += ReplayTime(aProgress, aProgress.stages[first].stage);
   }
-  const auto sourceDelay = aVacancy.lost.times.Bound();
-  return ImportTime(aProgress, aVacancy.layers) + sourceDelay < replay;
+  const auto sourceDelay = aPending.lost.times.Bound();
+  return ImportTime(aProgress, aPending.layers) + sourceDelay < replay;
 }
 
 StepTimes
@@ -120,7 +121,7 @@
       ? aLost.stage.layerTokensPerSecond / aStage.layerTokensPerSecond
       : 1.0;
   const auto mean = std::chrono::duration<double>{ aLost.times.Mean() };
-  const auto factor = kUnseenFactor * std::max(1.0, layers * speed);
+  const auto factor = kUnobservedFactor * std::max(1.0, layers * speed);
   times.Observe(Seconds(mean.count() * factor));
   return times;
 }
--- a/src/balsampoint/stream/internal/estimate.hpp
+++ b/src/balsampoint/stream/internal/estimate.hpp
@@ -49,12 +49,12 @@
  * @brief Whether importing the KV of a lost stage is estimated to be faster
  * than replaying it.
  * @param aProgress The answer.
- * @param aVacancy The lost range.
+ * @param aPending The lost range.
  * @param aChain The servers that replace it.
  */
 [[nodiscard]] bool
 PrefersImport(const Progress& aProgress,
-              const Vacancy& aVacancy,
+              const PendingChoice& aPending,
               std::span<const route::Stage> aChain);
 
 /**
--- a/src/balsampoint/stream/internal/fail.cpp
+++ b/src/balsampoint/stream/internal/fail.cpp
@@ -6,10 +6,10 @@
 namespace balsampoint::stream::internal {
 
 void
-TakeFailure(Progress& aProgress,
-            const CallFailed& aFailed,
-            Instant aNow,
-            std::vector<Action>& aActions)
+HandleCallFailure(Progress& aProgress,
+                  const CallFailed& aFailed,
+                  Instant aNow,
+                  std::vector<Action>& aActions)
 {
   const auto& pending = aProgress.pending;
   if (!pending || pending->id != aFailed.id) {
@@ -18,7 +18,7 @@
   }
   const auto import = pending->kind == CallKind::Import;
   if (!import || aFailed.loss == Loss::ConnectionLost) {
-    LoseStage(aProgress, aFailed.loss, aNow, aActions);
+    HandleStageLoss(aProgress, aFailed.loss, aNow, aActions);
     return;
   }
   aProgress.attempt = aProgress.attempt.Next();
@@ -29,24 +29,24 @@
 }
 
 void
-TakeServerGone(Progress& aProgress,
-               const ServerGone& aGone,
-               Instant aNow,
-               std::vector<Action>& aActions)
+HandleServerGone(Progress& aProgress,
+                 const ServerGone& aGone,
+                 Instant aNow,
+                 std::vector<Action>& aActions)
 {
   for (auto& stage : aProgress.stages) {
     stage.gone = stage.gone || (stage.stage.server == aGone.server &&
                                 stage.stage.incarnation <= aGone.incarnation);
   }
-  if (aProgress.pending && aProgress.stages[aProgress.at].gone) {
-    LoseStage(aProgress, Loss::ConnectionLost, aNow, aActions);
+  if (aProgress.pending && aProgress.stages[aProgress.currentStage].gone) {
+    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
   }
 }
 
 bool
 FromOtherIncarnation(const Progress& aProgress, Incarnation aIncarnation)
 {
-  const auto& stage = aProgress.stages[aProgress.at].stage;
+  const auto& stage = aProgress.stages[aProgress.currentStage].stage;
   return aIncarnation != Incarnation{} && aIncarnation != stage.incarnation;
 }
 
--- a/src/balsampoint/stream/internal/fail.hpp
+++ b/src/balsampoint/stream/internal/fail.hpp
@@ -15,10 +15,10 @@
  * that takes the place of a failed import.
  */
 void
-TakeFailure(Progress& aProgress,
-            const CallFailed& aFailed,
-            Instant aNow,
-            std::vector<Action>& aActions);
+HandleCallFailure(Progress& aProgress,
+                  const CallFailed& aFailed,
+                  Instant aNow,
+                  std::vector<Action>& aActions);
 
 /**
  * @brief Handles the loss of a server and its KV.
@@ -29,10 +29,10 @@
  * the server is pending; otherwise the stage is replaced before its next call.
  */
 void
-TakeServerGone(Progress& aProgress,
-               const ServerGone& aGone,
-               Instant aNow,
-               std::vector<Action>& aActions);
+HandleServerGone(Progress& aProgress,
+                 const ServerGone& aGone,
+                 Instant aNow,
+                 std::vector<Action>& aActions);
 
 /**
  * @brief Whether a reply comes from an incarnation other than the stage's.
--- a/src/balsampoint/stream/internal/kept_inputs.cpp
+++ b/src/balsampoint/stream/internal/kept_inputs.cpp
@@ -46,7 +46,7 @@
 void
 RecordInput(Progress& aProgress)
 {
-  auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.currentStage];
   if (!stage.keepsInputs) {
     return;
   }
--- a/src/balsampoint/stream/internal/recover.cpp
+++ b/src/balsampoint/stream/internal/recover.cpp
@@ -32,38 +32,38 @@
 
 StageState
 Replacement(const Progress& aProgress,
-            const Vacancy& aVacancy,
+            const PendingChoice& aPending,
             const route::Stage& aStage)
 {
   StageState state{ .stage = aStage,
                     .session = NewSession(aProgress),
                     .keepsInputs = aProgress.step == 0 };
-  if (!aVacancy.replaces) {
+  if (!aPending.replaces) {
     return state;
   }
-  state.times = InheritedTimes(aVacancy.lost, aStage);
-  if (aStage.server == aVacancy.lost.stage.server) {
-    state.missedDeadlines = aVacancy.lost.missedDeadlines;
+  state.times = InheritedTimes(aPending.lost, aStage);
+  if (aStage.server == aPending.lost.stage.server) {
+    state.missedDeadlines = aPending.lost.missedDeadlines;
   }
   return state;
 }
 
 std::vector<StageState>
 Replacements(const Progress& aProgress,
-             const Vacancy& aVacancy,
+             const PendingChoice& aPending,
              std::span<const route::Stage> aChain)
 {
-  const auto& lost = aVacancy.lost;
-  const auto imports = PrefersImport(aProgress, aVacancy, aChain);
+  const auto& lost = aPending.lost;
+  const auto imports = PrefersImport(aProgress, aPending, aChain);
   std::vector<StageState> states;
   for (const auto& stage : aChain) {
-    states.push_back(Replacement(aProgress, aVacancy, stage));
+    states.push_back(Replacement(aProgress, aPending, stage));
     if (imports && stage.server != lost.stage.server) {
       states.back().importSource = lost.stage.address;
       states.back().importSession = lost.session;
     }
   }
-  if (aVacancy.replaces) {
+  if (aPending.replaces) {
     states.front().inputs = lost.inputs;
     states.front().keepsInputs = lost.keepsInputs;
   }
@@ -72,19 +72,19 @@
 
 void
 Splice(Progress& aProgress,
-       const Vacancy& aVacancy,
+       const PendingChoice& aPending,
        std::span<const route::Stage> aChain)
 {
-  auto states = Replacements(aProgress, aVacancy, aChain);
+  auto states = Replacements(aProgress, aPending, aChain);
   auto& stages = aProgress.stages;
-  auto at = stages.begin() + static_cast<std::ptrdiff_t>(aVacancy.stage);
-  if (aVacancy.replaces) {
+  auto at = stages.begin() + static_cast<std::ptrdiff_t>(aPending.stage);
+  if (aPending.replaces) {
     at = stages.erase(at);
   }
   stages.insert(at,
                 std::make_move_iterator(states.begin()),
                 std::make_move_iterator(states.end()));
-  if (!aVacancy.replaces) {
+  if (!aPending.replaces) {
     aProgress.input = aProgress.starts.back();
     RecordInput(aProgress);
   }
@@ -93,32 +93,32 @@
 } // namespace
 
 void
-AskForRoute(Progress& aProgress,
-            Vacancy aVacancy,
-            Instant aNow,
-            std::vector<Action>& aActions)
+RequestRoute(Progress& aProgress,
+             PendingChoice aPending,
+             Instant aNow,
+             std::vector<Action>& aActions)
 {
-  ChooseRoute wish{ .layers = aVacancy.layers,
-                    .excluded = aProgress.lost,
-                    .avoidedZones = AvoidedZones(aProgress),
-                    .until = aNow };
-  if (aVacancy.lastResort || aProgress.slow.empty()) {
-    wish.until = std::min(aNow + aProgress.settings.replacementWait,
-                          aProgress.request.deadline);
+  ChooseRoute choose{ .layers = aPending.layers,
+                      .excluded = aProgress.lost,
+                      .avoidedZones = AvoidedZones(aProgress),
+                      .until = aNow };
+  if (aPending.allowsSlow || aProgress.slow.empty()) {
+    choose.until = std::min(aNow + aProgress.settings.replacementWait,
+                            aProgress.request.deadline);
   } else {
-    wish.excluded.insert(
-      wish.excluded.end(), aProgress.slow.begin(), aProgress.slow.end());
+    choose.excluded.insert(
+      choose.excluded.end(), aProgress.slow.begin(), aProgress.slow.end());
   }
-  aProgress.vacancy = std::move(aVacancy);
+  aProgress.pendingChoice = std::move(aPending);
   aProgress.phase = Phase::Choosing;
-  aActions.emplace_back(std::move(wish));
+  aActions.emplace_back(std::move(choose));
 }
 
 void
-LoseStage(Progress& aProgress,
-          Loss aLoss,
-          Instant aNow,
-          std::vector<Action>& aActions)
+HandleStageLoss(Progress& aProgress,
+                Loss aLoss,
+                Instant aNow,
+                std::vector<Action>& aActions)
 {
   aProgress.pending.reset();
   aProgress.attempt = aProgress.attempt.Next();
@@ -131,7 +131,7 @@
            aActions);
     return;
   }
-  auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.currentStage];
   auto& list = aLoss == Loss::ConnectionLost ? aProgress.lost : aProgress.slow;
   list.push_back(
     { .server = stage.stage.server, .incarnation = stage.stage.incarnation });
@@ -140,14 +140,14 @@
     ++stage.missedDeadlines;
   }
   const auto holdsKv = stage.kvPositions == aProgress.step;
-  AskForRoute(aProgress,
-              { .stage = aProgress.at,
-                .layers = stage.stage.layers,
-                .replaces = true,
-                .lost = std::move(stage),
-                .mayImport = aLoss == Loss::DeadlinePassed && holdsKv },
-              aNow,
-              aActions);
+  RequestRoute(aProgress,
+               { .stage = aProgress.currentStage,
+                 .layers = stage.stage.layers,
+                 .replaces = true,
+                 .lost = std::move(stage),
+                 .canImport = aLoss == Loss::DeadlinePassed && holdsKv },
+               aNow,
+               aActions);
 }
 
 bool
@@ -156,19 +156,20 @@
              Instant aNow,
              std::vector<Action>& aActions)
 {
-  if (!aProgress.vacancy || aProgress.vacancy->layers != aChosen.layers) {
+  if (!aProgress.pendingChoice ||
+      aProgress.pendingChoice->layers != aChosen.layers) {
     ++aProgress.counters.droppedReplies;
     return false;
   }
-  auto vacancy = std::move(*aProgress.vacancy);
-  aProgress.vacancy.reset();
-  if (aChosen.route && route::Covers(*aChosen.route, vacancy.layers)) {
-    Splice(aProgress, vacancy, *aChosen.route);
+  auto pendingChoice = std::move(*aProgress.pendingChoice);
+  aProgress.pendingChoice.reset();
+  if (aChosen.route && route::Covers(*aChosen.route, pendingChoice.layers)) {
+    Splice(aProgress, pendingChoice, *aChosen.route);
     return true;
   }
-  if (!aChosen.route && !vacancy.lastResort && !aProgress.slow.empty()) {
-    vacancy.lastResort = true;
-    AskForRoute(aProgress, std::move(vacancy), aNow, aActions);
+  if (!aChosen.route && !pendingChoice.allowsSlow && !aProgress.slow.empty()) {
+    pendingChoice.allowsSlow = true;
+    RequestRoute(aProgress, std::move(pendingChoice), aNow, aActions);
     return false;
   }
   GiveUp(aProgress,
--- a/src/balsampoint/stream/internal/recover.hpp
+++ b/src/balsampoint/stream/internal/recover.hpp
@@ -9,15 +9,15 @@
 /**
  * @brief Requests servers for a range that has none.
  * @param aProgress The answer.
- * @param aVacancy The range, and the lost stage if there is one.
+ * @param aPending The range, and the lost stage if there is one.
  * @param aNow Current time.
  * @param aActions `ChooseRoute` is appended here.
  */
 void
-AskForRoute(Progress& aProgress,
-            Vacancy aVacancy,
-            Instant aNow,
-            std::vector<Action>& aActions);
+RequestRoute(Progress& aProgress,
+             PendingChoice aPending,
+             Instant aNow,
+             std::vector<Action>& aActions);
 
 /**
  * @brief Removes the current stage's server and requests a replacement.
@@ -28,10 +28,10 @@
  * stages were lost.
  */
 void
-LoseStage(Progress& aProgress,
-          Loss aLoss,
-          Instant aNow,
-          std::vector<Action>& aActions);
+HandleStageLoss(Progress& aProgress,
+                Loss aLoss,
+                Instant aNow,
+                std::vector<Action>& aActions);
 
 /**
  * @brief Installs the chosen servers; requests again with slow servers allowed
--- a/src/balsampoint/stream/state.hpp
+++ b/src/balsampoint/stream/state.hpp
@@ -76,7 +76,7 @@
 };
 
 /** @brief A range without a server, while servers are chosen for it. */
-struct Vacancy
+struct PendingChoice
 {
   /** Index of the stage to replace, or of the first one to insert. */
   std::size_t stage{};
@@ -86,9 +86,9 @@
   /** State of the lost stage. */
   StageState lost;
   /** Whether the KV may be imported from the lost server. */
-  bool mayImport{ false };
+  bool canImport{ false };
   /** Whether servers that missed a deadline may be chosen again. */
-  bool lastResort{ false };
+  bool allowsSlow{ false };
 };
 
 /** @brief Counts of events in one answer, for metrics. */
@@ -119,11 +119,11 @@
   std::uint64_t kvDigest{ kEmptyKvDigest };
   std::vector<StageState> stages;
   /** Index of the stage that runs next. */
-  std::size_t at{};
+  std::size_t currentStage{};
   /** Input of that stage at the current position. */
   std::uint64_t input{};
   std::optional<PendingCall> pending;
-  std::optional<Vacancy> vacancy;
+  std::optional<PendingChoice> pendingChoice;
   /** Servers lost by this answer; not chosen again until they restart. */
   std::vector<route::ExcludedServer> lost;
   /** Servers that missed a deadline or refused a call; chosen again only if
--- a/src/balsampoint/stream/step_times.hpp
+++ b/src/balsampoint/stream/step_times.hpp
@@ -47,24 +47,25 @@
   /** @brief A time that few regular steps exceed; zero before the first. */
   [[nodiscard]] constexpr Duration Bound() const
   {
-    const auto spread = mMean + kDeviations * mDeviation;
+    const auto spread = mMean + kDeviationFactor * mDeviation;
     const auto peak = mPeak + mPeak / kPeakMargin;
-    const auto few = mObserved < kFew ? kMeans * mMean : Duration::zero();
-    return std::max({ spread, peak, few });
+    const auto early =
+      mObserved < kEarlySteps ? kEarlyMeanFactor * mMean : Duration::zero();
+    return std::max({ spread, peak, early });
   }
 
 private:
   static constexpr int kMeanDivisor = 8;
   static constexpr int kDeviationDivisor = 4;
-  static constexpr int kDeviations = 4;
-  static constexpr int kMeans = 3;
+  static constexpr int kDeviationFactor = 4;
+  static constexpr int kEarlyMeanFactor = 3;
 
   /** The peak decays by one part in this many with each step. */
   static constexpr int kPeakDivisor = 512;
   /** The bound exceeds the peak by one part in this many. */
   static constexpr int kPeakMargin = 8;
   /** Steps needed before the bound relies on deviation and peak alone. */
-  static constexpr std::uint64_t kFew = 32;
+  static constexpr std::uint64_t kEarlySteps = 32;
 
   std::uint64_t mObserved{};
   Duration mPeak{};
--- a/test/balsampoint/stream/command/disturbed_test.cpp
+++ b/test/balsampoint/stream/command/fault_injection_test.cpp
@@ -21,7 +21,7 @@
 {
   std::uint32_t callFails{};
   std::uint32_t restarts{};
-  std::uint32_t repeats{};
+  std::uint32_t duplicates{};
 };
 
 void
@@ -73,7 +73,7 @@
 
 /** The same reply with the id of another request. */
 stream::Event
-Crossed(stream::Event aEvent)
+WithOtherRequest(stream::Event aEvent)
 {
   const RequestId other{ "draft-2" };
   if (auto* step = std::get_if<stream::StepReplied>(&aEvent)) {
@@ -87,13 +87,13 @@
 }
 
 void
-Disturb(Driver& aDriver, fake::Random& aRandom, const Rates& aRates)
+InjectFaults(Driver& aDriver, fake::Random& aRandom, const Rates& aRates)
 {
-  if (aRandom.Next() % 1000 < aRates.repeats) {
+  if (aRandom.Next() % 1000 < aRates.duplicates) {
     const auto& past = aDriver.history;
     const auto event = past[aRandom.Next() % past.size()];
     DeliverStale(aDriver, event);
-    DeliverStale(aDriver, Crossed(event));
+    DeliverStale(aDriver, WithOtherRequest(event));
   }
   for (const auto& event : std::exchange(aDriver.late, {})) {
     DeliverStale(aDriver, event);
@@ -121,7 +121,9 @@
     return CallFault{ .loss = static_cast<Loss>(random.Next() % 3),
                       .runs = random.Next() % 2 == 0 };
   };
-  driver.disturb = [&](Driver& aDriver) { Disturb(aDriver, random, aRates); };
+  driver.afterEvent = [&](Driver& aDriver) {
+    InjectFaults(aDriver, random, aRates);
+  };
   const std::uint64_t positions = random.Next() % 40;
   driver.Run(DraftRequest(kTokens),
              { .maxLosses = 1000,
@@ -145,19 +147,19 @@
 
 } // namespace
 
-Test(disturbed, late_duplicate_and_misrouted_replies_are_dropped)
+Test(fault_injection, late_duplicate_and_misrouted_replies_are_dropped)
 {
-  Check("replies only", { .callFails = 50, .repeats = 300 });
+  Check("replies only", { .callFails = 50, .duplicates = 300 });
 }
 
-Test(disturbed, losses_and_restarts_at_any_time_never_corrupt_the_answer)
+Test(fault_injection, losses_and_restarts_at_any_time_never_corrupt_the_answer)
 {
   Check("losses and restarts",
-        { .callFails = 60, .restarts = 20, .repeats = 100 });
+        { .callFails = 60, .restarts = 20, .duplicates = 100 });
 }
 
-Test(disturbed, frequent_failures_end_in_a_complete_answer_or_an_error)
+Test(fault_injection, frequent_failures_end_in_a_complete_answer_or_an_error)
 {
   Check("constant trouble",
-        { .callFails = 400, .restarts = 100, .repeats = 100 });
+        { .callFails = 400, .restarts = 100, .duplicates = 100 });
 }
--- a/test/balsampoint/stream/command/handle_test.cpp
+++ b/test/balsampoint/stream/command/handle_test.cpp
@@ -86,7 +86,7 @@
 {
   Driver driver;
   AddThreeStages(driver);
-  driver.disturb = [](Driver& aDriver) {
+  driver.afterEvent = [](Driver& aDriver) {
     if (aDriver.history.size() == 3) {
       aDriver.AddServer("t2", { 2, 9 });
       aDriver.AddServer("t3", { 8, 12 });
@@ -104,7 +104,9 @@
   Driver driver;
   AddThreeStages(driver);
   driver.fault = FailFrom(5, { "s2" }, Loss::ConnectionLost);
-  driver.arrive = [](Driver& aDriver) { aDriver.AddServer("t2", { 4, 8 }); };
+  driver.onWaitTimeout = [](Driver& aDriver) {
+    aDriver.AddServer("t2", { 4, 8 });
+  };
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
 }
@@ -259,7 +261,7 @@
   Driver driver;
   AddThreeStages(driver);
   driver.AddServer("t2", { 4, 8 });
-  driver.disturb = [](Driver& aDriver) {
+  driver.afterEvent = [](Driver& aDriver) {
     if (aDriver.history.size() == 20) {
       aDriver.Restart(ServerId{ "s2" }, false);
     }
@@ -274,7 +276,7 @@
   for (const bool deadline : { false, true }) {
     Driver driver;
     AddThreeStages(driver);
-    driver.disturb = [deadline](Driver& aDriver) {
+    driver.afterEvent = [deadline](Driver& aDriver) {
       if (aDriver.history.size() == 20) {
         aDriver.Deliver(deadline ? stream::Event{ stream::DeadlinePassed{} }
                                  : stream::Event{ stream::CallerGone{} });
--- a/test/balsampoint/stream/harness.hpp
+++ b/test/balsampoint/stream/harness.hpp
@@ -39,9 +39,9 @@
                                          const stream::CallId&)>
     fault = [](const auto&, const auto&) { return std::nullopt; };
   /** @brief Called when the wait for a server has timed out. */
-  std::function<void(Driver&)> arrive = [](Driver&) {};
+  std::function<void(Driver&)> onWaitTimeout = [](Driver&) {};
   /** @brief Called after each event that was handled. */
-  std::function<void(Driver&)> disturb = [](Driver&) {};
+  std::function<void(Driver&)> afterEvent = [](Driver&) {};
 
   /** @brief Virtual time of a call that succeeds. */
   Duration stepTime{ std::chrono::milliseconds{ 1 } };
@@ -135,7 +135,7 @@
   {
     history.push_back(aEvent);
     Deliver(aEvent);
-    disturb(*this);
+    afterEvent(*this);
   }
 
   template<typename Call, typename Work>
@@ -235,7 +235,7 @@
     auto route = find();
     if (!route && aAction.until > clock.Now()) {
       clock.Advance(aAction.until - clock.Now());
-      arrive(*this);
+      onWaitTimeout(*this);
       route = find();
     }
     Report(stream::RouteChosen{ .layers = aAction.layers, .route = route });
