Rename stream::Loss to FailureKind

It says how a call failed; losses are those of stages.

Rename: Loss -> FailureKind (stream) Rename: loss -> kind (stream::CallFailed and fake::CallFault)

--- a/benchmarks/bench_recovery.cpp
+++ b/benchmarks/bench_recovery.cpp
@@ -223,12 +223,12 @@
       Wait(std::max(mLostAt - begin, Costs::kRoundTrip / 2) +
            Costs::kRoundTrip / 2);
       Report(stream::CallFailed{ .id = aAction.call.id,
-                                 .loss = stream::Loss::ConnectionLost });
+                                 .kind = stream::FailureKind::ConnectionLost });
       return;
     }
     mClock.Advance(aAction.target.deadline - mClock.Now());
     Report(stream::CallFailed{ .id = aAction.call.id,
-                               .loss = stream::Loss::DeadlinePassed });
+                               .kind = stream::FailureKind::DeadlinePassed });
   }
 
   /**
@@ -275,7 +275,7 @@
     if (mKind == LossKind::Hang) {
       mClock.Advance(aAction.target.deadline - mClock.Now());
       Report(stream::CallFailed{ .id = call.id,
-                                 .loss = stream::Loss::DeadlinePassed });
+                                 .kind = stream::FailureKind::DeadlinePassed });
       return;
     }
     Wait(Costs::Import(Current(), call.id.step.Value()));
--- a/src/balsampoint/http/engine_client.cpp
+++ b/src/balsampoint/http/engine_client.cpp
@@ -15,16 +15,16 @@
 stream::CallFailed
 Failed(const stream::CallId& aId, const CallFailure& aFailure)
 {
-  const auto loss = aFailure.timedOut ? stream::Loss::DeadlinePassed
-                                      : stream::Loss::ConnectionLost;
-  return { .id = aId, .loss = loss, .error = aFailure.error };
+  const auto kind = aFailure.timedOut ? stream::FailureKind::DeadlinePassed
+                                      : stream::FailureKind::ConnectionLost;
+  return { .id = aId, .kind = kind, .error = aFailure.error };
 }
 
 stream::CallFailed
 Refused(const stream::CallId& aId, Error aError)
 {
   return { .id = aId,
-           .loss = stream::Loss::Refused,
+           .kind = stream::FailureKind::Refused,
            .error = std::move(aError) };
 }
 
--- a/src/balsampoint/stream/command/handle.cpp
+++ b/src/balsampoint/stream/command/handle.cpp
@@ -26,7 +26,7 @@
       return;
     }
     if (FromOtherIncarnation(mProgress, reply.incarnation)) {
-      HandleStageLoss(mProgress, Loss::ConnectionLost, mNow, mActions);
+      HandleStageLoss(mProgress, FailureKind::ConnectionLost, mNow, mActions);
       return;
     }
     ApplyReplay(mProgress, reply, mNow, mActions);
@@ -130,7 +130,7 @@
     return std::nullopt;
   }
   if (FromOtherIncarnation(aProgress, aReply.incarnation)) {
-    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
+    HandleStageLoss(aProgress, FailureKind::ConnectionLost, aNow, aActions);
     return std::nullopt;
   }
   return ApplyStep(aProgress, aReply.output, aNow - *sentAt, aNow, aActions);
--- a/src/balsampoint/stream/event.hpp
+++ b/src/balsampoint/stream/event.hpp
@@ -27,7 +27,7 @@
 };
 
 /** @brief How a call failed. */
-enum class Loss : std::uint8_t
+enum class FailureKind : std::uint8_t
 {
   /** No connection, or it broke before the reply. */
   ConnectionLost,
@@ -41,7 +41,7 @@
 struct CallFailed
 {
   CallId id;
-  Loss loss{};
+  FailureKind kind{};
   Error error;
 };
 
--- a/src/balsampoint/stream/internal/advance.cpp
+++ b/src/balsampoint/stream/internal/advance.cpp
@@ -158,7 +158,7 @@
 {
   auto* stage = &aProgress.stages[aProgress.currentStage];
   if (stage->gone) {
-    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
+    HandleStageLoss(aProgress, FailureKind::ConnectionLost, aNow, aActions);
     return;
   }
   if (stage->kvPositions == aProgress.step) {
@@ -174,7 +174,7 @@
     stage = &aProgress.stages[aProgress.currentStage];
   }
   if (stage->gone) {
-    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
+    HandleStageLoss(aProgress, FailureKind::ConnectionLost, aNow, aActions);
     return;
   }
   SendReplay(aProgress, aNow, aActions);
@@ -236,7 +236,7 @@
             std::vector<Action>& aActions)
 {
   if (!MatchesFirstRun(aProgress, aReply.outputs)) {
-    HandleStageLoss(aProgress, Loss::Refused, aNow, aActions);
+    HandleStageLoss(aProgress, FailureKind::Refused, aNow, aActions);
     return;
   }
   aProgress.stages[aProgress.currentStage].kvPositions = aProgress.step;
--- a/src/balsampoint/stream/internal/fail.cpp
+++ b/src/balsampoint/stream/internal/fail.cpp
@@ -17,8 +17,8 @@
     return;
   }
   const auto import = pending->kind == CallKind::Import;
-  if (!import || aFailed.loss == Loss::ConnectionLost) {
-    HandleStageLoss(aProgress, aFailed.loss, aNow, aActions);
+  if (!import || aFailed.kind == FailureKind::ConnectionLost) {
+    HandleStageLoss(aProgress, aFailed.kind, aNow, aActions);
     return;
   }
   aProgress.attempt = aProgress.attempt.Next();
@@ -39,7 +39,7 @@
                                 stage.stage.incarnation <= aGone.incarnation);
   }
   if (aProgress.pending && aProgress.stages[aProgress.currentStage].gone) {
-    HandleStageLoss(aProgress, Loss::ConnectionLost, aNow, aActions);
+    HandleStageLoss(aProgress, FailureKind::ConnectionLost, aNow, aActions);
   }
 }
 
--- a/src/balsampoint/stream/internal/recover.cpp
+++ b/src/balsampoint/stream/internal/recover.cpp
@@ -116,7 +116,7 @@
 
 void
 HandleStageLoss(Progress& aProgress,
-                Loss aLoss,
+                FailureKind aKind,
                 Instant aNow,
                 std::vector<Action>& aActions)
 {
@@ -132,11 +132,12 @@
     return;
   }
   auto& stage = aProgress.stages[aProgress.currentStage];
-  auto& list = aLoss == Loss::ConnectionLost ? aProgress.lost : aProgress.slow;
+  auto& list =
+    aKind == FailureKind::ConnectionLost ? aProgress.lost : aProgress.slow;
   list.push_back(
     { .server = stage.stage.server, .incarnation = stage.stage.incarnation });
   aProgress.lostZones.push_back(stage.stage.zone);
-  if (aLoss == Loss::DeadlinePassed) {
+  if (aKind == FailureKind::DeadlinePassed) {
     ++stage.missedDeadlines;
   }
   const auto holdsKv = stage.kvPositions == aProgress.step;
@@ -145,7 +146,7 @@
                  .layers = stage.stage.layers,
                  .replaces = true,
                  .lost = std::move(stage),
-                 .canImport = aLoss == Loss::DeadlinePassed && holdsKv },
+                 .canImport = aKind == FailureKind::DeadlinePassed && holdsKv },
                aNow,
                aActions);
 }
--- a/src/balsampoint/stream/internal/recover.hpp
+++ b/src/balsampoint/stream/internal/recover.hpp
@@ -22,14 +22,14 @@
 /**
  * @brief Removes the current stage's server and requests a replacement.
  * @param aProgress The answer.
- * @param aLoss How the server was lost.
+ * @param aKind How the server was lost.
  * @param aNow Current time.
  * @param aActions `ChooseRoute` is appended here, or `Fail` when too many
  * stages were lost.
  */
 void
 HandleStageLoss(Progress& aProgress,
-                Loss aLoss,
+                FailureKind aKind,
                 Instant aNow,
                 std::vector<Action>& aActions);
 
--- a/src/balsampoint/traffic/command/run_stream.hpp
+++ b/src/balsampoint/traffic/command/run_stream.hpp
@@ -112,7 +112,7 @@
     }
     Report(
       stream::CallFailed{ .id = id,
-                          .loss = stream::Loss::Refused,
+                          .kind = stream::FailureKind::Refused,
                           .error = MakeError(ErrorKind::BackendFailed,
                                              "the reply is of another call") });
   }
--- a/test/balsampoint/stream/command/fault_injection_test.cpp
+++ b/test/balsampoint/stream/command/fault_injection_test.cpp
@@ -10,7 +10,7 @@
 using fake::CallFault;
 using fake::DraftRequest;
 using fake::Driver;
-using stream::Loss;
+using stream::FailureKind;
 
 namespace {
 
@@ -118,7 +118,7 @@
     if (random.Next() % 1000 >= aRates.callFails) {
       return std::nullopt;
     }
-    return CallFault{ .loss = static_cast<Loss>(random.Next() % 3),
+    return CallFault{ .kind = static_cast<FailureKind>(random.Next() % 3),
                       .runs = random.Next() % 2 == 0 };
   };
   driver.afterEvent = [&](Driver& aDriver) {
--- a/test/balsampoint/stream/command/handle_test.cpp
+++ b/test/balsampoint/stream/command/handle_test.cpp
@@ -7,7 +7,7 @@
 using fake::CallFault;
 using fake::DraftRequest;
 using fake::Driver;
-using stream::Loss;
+using stream::FailureKind;
 
 namespace {
 
@@ -31,7 +31,9 @@
 
 /** Fails each call to the given servers from a position onwards. */
 auto
-FailFrom(std::uint64_t aStep, std::vector<std::string> aServers, Loss aLoss)
+FailFrom(std::uint64_t aStep,
+         std::vector<std::string> aServers,
+         FailureKind aKind)
 {
   return [=](const stream::Target& aTarget,
              const stream::CallId& aId) -> std::optional<CallFault> {
@@ -40,7 +42,7 @@
           aServers.end()) {
       return std::nullopt;
     }
-    return CallFault{ .loss = aLoss };
+    return CallFault{ .kind = aKind };
   };
 }
 
@@ -73,7 +75,7 @@
   AddThreeStages(driver);
   driver.AddServer("t2a", { 4, 6 });
   driver.AddServer("t2b", { 6, 8 });
-  driver.fault = FailFrom(7, { "s2" }, Loss::ConnectionLost);
+  driver.fault = FailFrom(7, { "s2" }, FailureKind::ConnectionLost);
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
   const auto& counters = driver.state.progress.counters;
@@ -93,7 +95,7 @@
       aDriver.AddServer("u2", { 3, 8 });
     }
   };
-  driver.fault = FailFrom(5, { "s2", "s3", "t2" }, Loss::ConnectionLost);
+  driver.fault = FailFrom(5, { "s2", "s3", "t2" }, FailureKind::ConnectionLost);
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
   cr_assert_eq(driver.state.progress.counters.losses, 3);
@@ -103,7 +105,7 @@
 {
   Driver driver;
   AddThreeStages(driver);
-  driver.fault = FailFrom(5, { "s2" }, Loss::ConnectionLost);
+  driver.fault = FailFrom(5, { "s2" }, FailureKind::ConnectionLost);
   driver.onWaitTimeout = [](Driver& aDriver) {
     aDriver.AddServer("t2", { 4, 8 });
   };
@@ -115,7 +117,7 @@
 {
   Driver driver;
   AddThreeStages(driver);
-  driver.fault = FailFrom(5, { "s2" }, Loss::ConnectionLost);
+  driver.fault = FailFrom(5, { "s2" }, FailureKind::ConnectionLost);
   driver.Run(DraftRequest(kTokens));
   cr_assert_not(driver.finished);
   cr_assert(driver.error.has_value());
@@ -147,8 +149,9 @@
   driver.fault = [](const auto& aTarget, const auto& aId) {
     const auto lost =
       aId.step.Value() >= 5 && aTarget.server.String().front() == 'a';
-    return lost ? std::optional{ CallFault{ .loss = Loss::ConnectionLost } }
-                : std::nullopt;
+    return lost
+             ? std::optional{ CallFault{ .kind = FailureKind::ConnectionLost } }
+             : std::nullopt;
   };
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
@@ -161,7 +164,7 @@
   AddThreeStages(driver);
   driver.AddServer("t2", { 4, 8 });
   driver.stepTime = std::chrono::milliseconds{ 12 };
-  driver.fault = FailFrom(9, { "s2" }, Loss::DeadlinePassed);
+  driver.fault = FailFrom(9, { "s2" }, FailureKind::DeadlinePassed);
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
   cr_assert_eq(driver.state.progress.counters.losses, 1);
@@ -182,7 +185,7 @@
         ++failed > 2) {
       return std::nullopt;
     }
-    return CallFault{ .loss = Loss::DeadlinePassed, .runs = true };
+    return CallFault{ .kind = FailureKind::DeadlinePassed, .runs = true };
   };
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
@@ -197,7 +200,8 @@
     constexpr std::uint64_t kEvery = 5;
     std::optional<fake::CallFault> fault;
     if (++calls % kEvery == 0) {
-      fault = CallFault{ .loss = Loss::DeadlinePassed, .runsLate = true };
+      fault =
+        CallFault{ .kind = FailureKind::DeadlinePassed, .runsLate = true };
     }
     return fault;
   };
@@ -212,7 +216,7 @@
     AddThreeStages(driver);
     driver.AddServer("t2a", { 4, 6 });
     driver.AddServer("t2b", { 6, 8 });
-    driver.fault = FailFrom(300, { "s2" }, Loss::DeadlinePassed);
+    driver.fault = FailFrom(300, { "s2" }, FailureKind::DeadlinePassed);
     driver.Run(DraftRequest(310), { .kvBytesPerSecond = bandwidth });
     AssertWhole(driver, 310);
     const auto& counters = driver.state.progress.counters;
@@ -232,7 +236,7 @@
     if (aId.step.Value() != 300 || aTarget.server.Value() != "s2") {
       return std::nullopt;
     }
-    return CallFault{ .loss = Loss::DeadlinePassed, .runs = true };
+    return CallFault{ .kind = FailureKind::DeadlinePassed, .runs = true };
   };
   driver.Run(DraftRequest(310), { .kvBytesPerSecond = 1e12 });
   AssertWhole(driver, 310);
@@ -247,7 +251,7 @@
     AddThreeStages(driver);
     driver.AddServer("t3a", { 8, 10 });
     driver.AddServer("t3b", { 9, 12 });
-    driver.fault = FailFrom(12, { "s3" }, Loss::ConnectionLost);
+    driver.fault = FailFrom(12, { "s3" }, FailureKind::ConnectionLost);
     driver.Run(DraftRequest(kTokens),
                { .keptActivationBytes = positions * 16384 });
     AssertWhole(driver);
--- a/test/balsampoint/stream/harness.hpp
+++ b/test/balsampoint/stream/harness.hpp
@@ -20,7 +20,7 @@
 /** @brief Fault injected into one call in place of its reply. */
 struct CallFault
 {
-  stream::Loss loss{};
+  stream::FailureKind kind{};
   /** Whether the engine runs the call although no reply arrives. */
   bool runs{ false };
   /** Whether it runs only after the next call that any engine runs. */
@@ -158,10 +158,10 @@
     if (failure->runs) {
       late.push_back(aWork(engines[aTarget.server]));
     }
-    if (failure->loss == stream::Loss::DeadlinePassed) {
+    if (failure->kind == stream::FailureKind::DeadlinePassed) {
       clock.Advance(aTarget.deadline - clock.Now());
     }
-    Report(stream::CallFailed{ .id = aCall.id, .loss = failure->loss });
+    Report(stream::CallFailed{ .id = aCall.id, .kind = failure->kind });
   }
 
   /** The target's incarnation; zero, as from an engine that doesn't report it,
@@ -186,7 +186,8 @@
 
   static stream::Event Refused(const stream::CallId& aId)
   {
-    return stream::CallFailed{ .id = aId, .loss = stream::Loss::Refused };
+    return stream::CallFailed{ .id = aId,
+                               .kind = stream::FailureKind::Refused };
   }
 
   void Execute(const stream::CallStep& aAction)
