Rename figurative and vague names of limit

Rename: firstHold, queue, workspaceQueue -> initialHoldTime, maxWaiting, maxWaitingPerWorkspace (limit::Settings) Rename: hold, kvRunning -> meanHoldTime, kvReserved (limit::State) Rename: predictedFirst -> predictedFirstOutput (limit::Arrived) Rename: LearnHold, kMemory -> UpdateMeanHoldTime, kSmoothing (admit.cpp) Rename: Forget, MakeRoom -> RemoveFromWaiting, RefuseFromLongestQueue (admit.cpp) Rename: QueueOverWeight, NextInOrder, kMargin -> RelativeQueueLength, NextWorkspace, kWaitMargin (admit.cpp) Rename: HasKvRoom -> HasFreeKv (limit::internal)

--- a/benchmarks/bench_overload.cpp
+++ b/benchmarks/bench_overload.cpp
@@ -48,9 +48,10 @@
     , mRates{ aHeavyRate, aLightRate }
   {
     mState.settings.slots = kSlots;
-    mState.settings.firstHold = kHold;
+    mState.settings.initialHoldTime = kHold;
     if (!aLimited) {
-      mState.settings.queue = mState.settings.workspaceQueue = 100'000'000;
+      mState.settings.maxWaiting = mState.settings.maxWaitingPerWorkspace =
+        100'000'000;
     }
   }
 
@@ -121,7 +122,7 @@
       limit::Arrived{ .ticket = ticket,
                       .workspace = WorkspaceId{ workspace },
                       .deadline = mLimited ? deadline : kNever,
-                      .predictedFirst = mLimited ? kHold : Duration{} },
+                      .predictedFirstOutput = mLimited ? kHold : Duration{} },
       mNow,
       aActions);
   }
--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -44,9 +44,10 @@
   const auto all = aSettings.limits.concurrentRequests;
   limit::State state;
   state.settings.slots = std::max(1U, all / 2);
-  state.settings.queue = all - state.settings.slots -
-                         std::min(all - state.settings.slots, all / kNewcomers);
-  state.settings.workspaceQueue = std::max(1U, all / kWorkspaceParts);
+  state.settings.maxWaiting =
+    all - state.settings.slots -
+    std::min(all - state.settings.slots, all / kNewcomers);
+  state.settings.maxWaitingPerWorkspace = std::max(1U, all / kWorkspaceParts);
   return state;
 }
 
--- a/src/balsampoint/limit/command/admit.cpp
+++ b/src/balsampoint/limit/command/admit.cpp
@@ -33,7 +33,7 @@
 {
   return aArrived.deadline == kNever
            ? kNever
-           : aArrived.deadline - aArrived.predictedFirst;
+           : aArrived.deadline - aArrived.predictedFirstOutput;
 }
 
 /** Takes a token from the workspace's token bucket; returns zero, or the wait
@@ -59,7 +59,7 @@
 }
 
 void
-Forget(State& aState, const Arrived& aArrived)
+RemoveFromWaiting(State& aState, const Arrived& aArrived)
 {
   aState.timers.erase({ LatestStart(aArrived), aArrived.ticket });
   aState.waiting.erase(aArrived.ticket);
@@ -67,7 +67,7 @@
 
 /** Waiting requests of a workspace divided by its weight. */
 double
-QueueOverWeight(const WorkspaceState& aWorkspace)
+RelativeQueueLength(const WorkspaceState& aWorkspace)
 {
   return static_cast<double>(aWorkspace.waiting.size()) /
          aWorkspace.rule.weight;
@@ -78,28 +78,30 @@
  * that stays longer than the newcomer's queue would be. Returns whether it did.
  */
 bool
-MakeRoom(State& aState, const WorkspaceState& aNewcomer, Actions& aActions)
+RefuseFromLongestQueue(State& aState,
+                       const WorkspaceState& aNewcomer,
+                       Actions& aActions)
 {
-  WorkspaceState* heaviest = nullptr;
+  WorkspaceState* longest = nullptr;
   for (auto& [id, workspace] : aState.workspaces) {
-    if (heaviest == nullptr ||
-        QueueOverWeight(workspace) > QueueOverWeight(*heaviest)) {
-      heaviest = &workspace;
+    if (longest == nullptr ||
+        RelativeQueueLength(workspace) > RelativeQueueLength(*longest)) {
+      longest = &workspace;
     }
   }
   const auto own =
     static_cast<double>(aNewcomer.waiting.size() + 1) / aNewcomer.rule.weight;
-  if (heaviest == nullptr || heaviest == &aNewcomer ||
-      QueueOverWeight(*heaviest) <= own) {
+  if (longest == nullptr || longest == &aNewcomer ||
+      RelativeQueueLength(*longest) <= own) {
     return false;
   }
-  const auto newest = heaviest->waiting.back();
-  heaviest->waiting.pop_back();
-  Forget(aState, newest);
+  const auto newest = longest->waiting.back();
+  longest->waiting.pop_back();
+  RemoveFromWaiting(aState, newest);
   RefuseWith(newest.ticket,
              ErrorKind::Overloaded,
              "the queue is full and the workspace exceeds its share of it",
-             internal::PredictedWait(aState, *heaviest),
+             internal::PredictedWait(aState, *longest),
              aActions);
   return true;
 }
@@ -115,7 +117,7 @@
   aState.virtualTime = aWorkspace.virtualTime;
   aWorkspace.virtualTime += 1.0 / aWorkspace.rule.weight;
   ++aWorkspace.running;
-  aState.kvRunning += aArrived.kvTokens;
+  aState.kvReserved += aArrived.kvTokens;
   aState.running.emplace(aArrived.ticket,
                          RunningRequest{ .workspace = aArrived.workspace,
                                          .kvTokens = aArrived.kvTokens,
@@ -125,7 +127,7 @@
 
 /** The workspace whose request is admitted next, or null. */
 WorkspaceState*
-NextInOrder(State& aState)
+NextWorkspace(State& aState)
 {
   using Rank = std::tuple<bool, std::uint32_t, double>;
   WorkspaceState* next = nullptr;
@@ -186,10 +188,10 @@
               Actions& aActions)
 {
   // The estimate is a mean, so the deadline must allow a multiple of it.
-  constexpr int kMargin = 2;
+  constexpr int kWaitMargin = 2;
   const auto wait = internal::PredictedWait(aState, aWorkspace);
   const auto latest = LatestStart(aArrived);
-  if (latest != kNever && aNow + (wait * kMargin) > latest) {
+  if (latest != kNever && aNow + (wait * kWaitMargin) > latest) {
     RefuseWith(aArrived.ticket,
                ErrorKind::Overloaded,
                "the request would not be served before its deadline",
@@ -197,9 +199,9 @@
                aActions);
     return true;
   }
-  if (aWorkspace.waiting.size() >= aState.settings.workspaceQueue ||
-      (aState.waiting.size() >= aState.settings.queue &&
-       !MakeRoom(aState, aWorkspace, aActions))) {
+  if (aWorkspace.waiting.size() >= aState.settings.maxWaitingPerWorkspace ||
+      (aState.waiting.size() >= aState.settings.maxWaiting &&
+       !RefuseFromLongestQueue(aState, aWorkspace, aActions))) {
     RefuseWith(aArrived.ticket,
                ErrorKind::Overloaded,
                "the queue is full",
@@ -211,10 +213,10 @@
 }
 
 void
-LearnHold(State& aState, Duration aHeld)
+UpdateMeanHoldTime(State& aState, Duration aHeld)
 {
-  constexpr int kMemory = 8;
-  aState.hold += (aHeld - aState.hold) / kMemory;
+  constexpr int kSmoothing = 8;
+  aState.meanHoldTime += (aHeld - aState.meanHoldTime) / kSmoothing;
 }
 
 } // namespace
@@ -239,8 +241,8 @@
   if (const auto running = aState.running.find(aTicket);
       running != aState.running.end()) {
     --aState.workspaces[running->second.workspace].running;
-    aState.kvRunning -= running->second.kvTokens;
-    LearnHold(aState, aNow - running->second.since);
+    aState.kvReserved -= running->second.kvTokens;
+    UpdateMeanHoldTime(aState, aNow - running->second.since);
     aState.running.erase(running);
     return;
   }
@@ -252,21 +254,21 @@
   const auto found = std::ranges::find(queue, aTicket, &Arrived::ticket);
   const auto request = *found;
   queue.erase(found);
-  Forget(aState, request);
+  RemoveFromWaiting(aState, request);
 }
 
 void
 AdmitWaiting(State& aState, Instant aNow, Actions& aActions)
 {
   while (aState.running.size() < aState.settings.slots) {
-    auto* workspace = NextInOrder(aState);
+    auto* workspace = NextWorkspace(aState);
     if (workspace == nullptr ||
-        !internal::HasKvRoom(aState, workspace->waiting.front().kvTokens)) {
+        !internal::HasFreeKv(aState, workspace->waiting.front().kvTokens)) {
       return;
     }
     const auto request = workspace->waiting.front();
     workspace->waiting.pop_front();
-    Forget(aState, request);
+    RemoveFromWaiting(aState, request);
     Start(aState, *workspace, request, aNow, aActions);
   }
 }
--- a/src/balsampoint/limit/internal/share.cpp
+++ b/src/balsampoint/limit/internal/share.cpp
@@ -25,7 +25,8 @@
   }
   const auto slots = std::max(1.0, FairSlots(aState, aWorkspace));
   const auto ahead = static_cast<double>(aWorkspace.waiting.size()) + 1.0;
-  return std::chrono::duration_cast<Duration>(aState.hold * (ahead / slots));
+  return std::chrono::duration_cast<Duration>(aState.meanHoldTime *
+                                              (ahead / slots));
 }
 
 std::uint32_t
@@ -39,12 +40,12 @@
 }
 
 bool
-HasKvRoom(const State& aState, std::uint64_t aTokens)
+HasFreeKv(const State& aState, std::uint64_t aTokens)
 {
   if (aTokens == 0 || aState.running.empty() || aState.kvCapacity == 0) {
     return true;
   }
-  const auto used = std::max(aState.kvUsed, aState.kvRunning);
+  const auto used = std::max(aState.kvUsed, aState.kvReserved);
   return used + aTokens <= aState.kvCapacity;
 }
 
--- a/src/balsampoint/limit/internal/share.hpp
+++ b/src/balsampoint/limit/internal/share.hpp
@@ -44,6 +44,6 @@
  * @param aTokens KV positions that the request may need.
  */
 [[nodiscard]] bool
-HasKvRoom(const State& aState, std::uint64_t aTokens);
+HasFreeKv(const State& aState, std::uint64_t aTokens);
 
 } // namespace balsampoint::limit::internal
--- a/src/balsampoint/limit/module.cpp
+++ b/src/balsampoint/limit/module.cpp
@@ -11,8 +11,8 @@
 void
 On(State& aState, const Arrived& aEvent, Instant aNow, Actions& aActions)
 {
-  if (aState.hold == Duration::zero()) {
-    aState.hold = aState.settings.firstHold;
+  if (aState.meanHoldTime == Duration::zero()) {
+    aState.meanHoldTime = aState.settings.initialHoldTime;
   }
   Arrive(aState, aEvent, aNow, aActions);
 }
--- a/src/balsampoint/limit/state.hpp
+++ b/src/balsampoint/limit/state.hpp
@@ -22,11 +22,11 @@
   /** Maximum number of running requests. */
   std::uint32_t slots{ 64 };
   /** Maximum number of waiting requests of all workspaces together. */
-  std::size_t queue{ 1024 };
+  std::size_t maxWaiting{ 1024 };
   /** Maximum number of waiting requests of one workspace. */
-  std::size_t workspaceQueue{ 256 };
+  std::size_t maxWaitingPerWorkspace{ 256 };
   /** Initial estimate of how long a request holds its slot. */
-  Duration firstHold{ std::chrono::milliseconds{ 500 } };
+  Duration initialHoldTime{ std::chrono::milliseconds{ 500 } };
   /** Number of live hosts among which workspace limits are divided. */
   std::uint32_t hosts{ 1 };
 };
@@ -52,7 +52,7 @@
   std::uint64_t kvTokens{};
   Instant deadline{ kNever };
   /** Predicted time from admission to the first part of the answer. */
-  Duration predictedFirst{};
+  Duration predictedFirstOutput{};
 };
 
 /** @brief A running request ended, or a waiting one was cancelled. */
@@ -136,9 +136,9 @@
   /** Virtual time at which the last request was admitted. */
   double virtualTime{};
   /** Moving average of how long a request holds its slot. */
-  Duration hold{};
+  Duration meanHoldTime{};
   /** KV positions that the running requests of this host may need. */
-  std::uint64_t kvRunning{};
+  std::uint64_t kvReserved{};
   std::uint64_t kvCapacity{};
   /** KV positions reported as used together with `kvCapacity`. */
   std::uint64_t kvUsed{};
--- a/test/balsampoint/limit/module_test.cpp
+++ b/test/balsampoint/limit/module_test.cpp
@@ -43,7 +43,7 @@
                     .workspace = WorkspaceId{ aWorkspace },
                     .kvTokens = aKvTokens,
                     .deadline = aDeadline,
-                    .predictedFirst = 100ms });
+                    .predictedFirstOutput = 100ms });
     return Ticket{ last };
   }
 
@@ -155,7 +155,7 @@
 Test(module, full_queue_refuses_the_newest_request_of_the_longest_queue)
 {
   Host host{ 1 };
-  host.state.settings.queue = 4;
+  host.state.settings.maxWaiting = 4;
   host.Arrive("heavy");
   for (int at = 0; at < 4; ++at) {
     host.Arrive("heavy");
@@ -177,7 +177,7 @@
   cr_assert_eq(host.Running("a"), 1);
   host.EndOldest();
   cr_assert_eq(host.Running("a"), 1);
-  cr_assert_eq(host.state.kvRunning, 600);
+  cr_assert_eq(host.state.kvReserved, 600);
 }
 
 Test(module, rate_and_concurrency_limits_are_divided_among_hosts)
