Rename wishes, pauses and ceilings of retry

The terms of the field are request, backoff and ejection threshold.

Rename: AttemptWanted -> AttemptRequested (retry) Rename: firstPause, longestPause -> initialBackoff, maxBackoff (retry::Settings) Rename: ejectAfter, ejection, longestEjection, ejectionCeiling -> ejectionThreshold, ejectionTime, maxEjectionTime, maxEjectedShare (retry::Settings) Rename: paused -> inBackoff (retry::State) Rename: failuresInARow -> consecutiveFailures (retry::ServerHealth) Rename: Draw -> NextRandom (retry) Rename: MayRepeat, may_repeat.hpp -> MayRetry, may_retry.hpp (retry) Rename: Pause -> RandomBackoff (module.cpp) Rename: BelowCeiling -> CanEject (track_health.cpp) Rename: Share, kReportLife -> SlowStartShare, kReportLifetime (choose_server.cpp)

--- a/benchmarks/bench_overload.cpp
+++ b/benchmarks/bench_overload.cpp
@@ -1,5 +1,5 @@
 #include "balsampoint/limit/module.hpp"
-#include "balsampoint/retry/may_repeat.hpp"
+#include "balsampoint/retry/may_retry.hpp"
 #include "balsampoint/retry/module.hpp"
 #include "fake/random.hpp"
 #include "report.hpp"
@@ -236,11 +236,11 @@
   int attempts = 0;
   for (int call = 0; call < kCalls; ++call) {
     now += kGap;
-    retry::AttemptWanted wanted{ .ticket = Ticket{ 1 },
-                                 .workspace = WorkspaceId{ std::to_string(
-                                   call % kWorkspaces) },
-                                 .service = ServiceId{ "desk" },
-                                 .deadline = now + kPatience };
+    retry::AttemptRequested wanted{ .ticket = Ticket{ 1 },
+                                    .workspace = WorkspaceId{ std::to_string(
+                                      call % kWorkspaces) },
+                                    .service = ServiceId{ "desk" },
+                                    .deadline = now + kPatience };
     while (true) {
       std::vector<retry::Action> actions;
       retry::Module::Handle(state, wanted, now, actions);
@@ -262,7 +262,7 @@
                              .result = retry::AttemptResult::Broken },
         now,
         none);
-      if (!retry::MayRepeat(
+      if (!retry::MayRetry(
             retry::AttemptResult::Broken, wanted.attempts, true)) {
         break;
       }
--- a/src/balsampoint/retry/command/choose_server.cpp
+++ b/src/balsampoint/retry/command/choose_server.cpp
@@ -11,14 +11,14 @@
 bool
 Usable(const State& aState,
        const registry::Server& aServer,
-       const AttemptWanted& aWanted,
+       const AttemptRequested& aRequested,
        Instant aNow)
 {
   const auto& announced = aServer.announcement;
-  if (announced.service != aWanted.service ||
+  if (announced.service != aRequested.service ||
       announced.state != registry::ServerState::Ready ||
-      std::ranges::find(aWanted.failed, announced.server) !=
-        aWanted.failed.end()) {
+      std::ranges::find(aRequested.failed, announced.server) !=
+        aRequested.failed.end()) {
     return false;
   }
   const auto health = aState.health.find(announced.server);
@@ -26,7 +26,9 @@
 }
 
 Candidates
-FindCandidates(const State& aState, const AttemptWanted& aWanted, Instant aNow)
+FindCandidates(const State& aState,
+               const AttemptRequested& aRequested,
+               Instant aNow)
 {
   Candidates all;
   Candidates near;
@@ -34,7 +36,7 @@
     return all;
   }
   for (const auto& server : aState.view->servers) {
-    if (!Usable(aState, server, aWanted, aNow)) {
+    if (!Usable(aState, server, aRequested, aNow)) {
       continue;
     }
     all.push_back(&server);
@@ -46,7 +48,9 @@
 }
 
 double
-Share(const Settings& aSettings, const ServerHealth& aHealth, Instant aNow)
+SlowStartShare(const Settings& aSettings,
+               const ServerHealth& aHealth,
+               Instant aNow)
 {
   if (aHealth.inUseSince == Instant::min() ||
       aNow - aHealth.inUseSince >= aSettings.slowStart) {
@@ -60,18 +64,18 @@
 double
 Score(State& aState, const registry::Server& aServer, Instant aNow)
 {
-  constexpr Duration kReportLife = std::chrono::seconds{ 2 };
+  constexpr Duration kReportLifetime = std::chrono::seconds{ 2 };
   const auto& health = aState.health[aServer.announcement.server];
-  const bool fresh = aNow - aServer.reportedAt < kReportLife;
+  const bool fresh = aNow - aServer.reportedAt < kReportLifetime;
   const auto reported = fresh ? aServer.announcement.load.runningRequests : 0U;
   const auto load = std::max(reported, health.inFlight) + 1.0;
-  return load / Share(aState.settings, health, aNow);
+  return load / SlowStartShare(aState.settings, health, aNow);
 }
 
 } // namespace
 
 std::uint64_t
-Draw(State& aState)
+NextRandom(State& aState)
 {
   constexpr std::uint64_t kStep = 0x9E3779B97F4A7C15ULL;
   constexpr std::uint64_t kMix = 0xBF58476D1CE4E5B9ULL;
@@ -82,14 +86,14 @@
 }
 
 const registry::Server*
-ChooseServer(State& aState, const AttemptWanted& aWanted, Instant aNow)
+ChooseServer(State& aState, const AttemptRequested& aRequested, Instant aNow)
 {
-  const auto candidates = FindCandidates(aState, aWanted, aNow);
+  const auto candidates = FindCandidates(aState, aRequested, aNow);
   if (candidates.empty()) {
     return nullptr;
   }
-  const auto* first = candidates[Draw(aState) % candidates.size()];
-  const auto* second = candidates[Draw(aState) % candidates.size()];
+  const auto* first = candidates[NextRandom(aState) % candidates.size()];
+  const auto* second = candidates[NextRandom(aState) % candidates.size()];
   const auto* chosen =
     Score(aState, *first, aNow) <= Score(aState, *second, aNow) ? first
                                                                 : second;
--- a/src/balsampoint/retry/command/choose_server.hpp
+++ b/src/balsampoint/retry/command/choose_server.hpp
@@ -11,12 +11,12 @@
  * zones if that zone has none. Servers that are not ready, are ejected or have
  * failed the call are never chosen.
  * @param aState State to change.
- * @param aWanted The requested attempt.
+ * @param aRequested The requested attempt.
  * @param aNow Current time.
  * @return The server; null if none is usable.
  */
 [[nodiscard]] const registry::Server*
-ChooseServer(State& aState, const AttemptWanted& aWanted, Instant aNow);
+ChooseServer(State& aState, const AttemptRequested& aRequested, Instant aNow);
 
 /**
  * @brief Generates a random number.
@@ -24,6 +24,6 @@
  * @return Uniformly distributed bits.
  */
 [[nodiscard]] std::uint64_t
-Draw(State& aState);
+NextRandom(State& aState);
 
 } // namespace balsampoint::retry
--- a/src/balsampoint/retry/command/track_health.cpp
+++ b/src/balsampoint/retry/command/track_health.cpp
@@ -9,7 +9,7 @@
 
 /** Whether the limit of ejected servers lets this server be ejected. */
 bool
-BelowCeiling(const State& aState, const ServerId& aServer, Instant aNow)
+CanEject(const State& aState, const ServerId& aServer, Instant aNow)
 {
   if (!aState.view) {
     return false;
@@ -35,23 +35,23 @@
     }
   }
   const auto allowed = static_cast<std::size_t>(
-    static_cast<double>(ready) * aState.settings.ejectionCeiling);
+    static_cast<double>(ready) * aState.settings.maxEjectedShare);
   return ready > 1 && ejected < std::max<std::size_t>(1, allowed);
 }
 
 void
 Eject(State& aState, const ServerId& aServer, Instant aNow)
 {
-  if (!BelowCeiling(aState, aServer, aNow)) {
+  if (!CanEject(aState, aServer, aNow)) {
     return;
   }
   auto& health = aState.health[aServer];
   ++health.ejections;
-  const auto length = std::min(aState.settings.ejection * health.ejections,
-                               aState.settings.longestEjection);
+  const auto length = std::min(aState.settings.ejectionTime * health.ejections,
+                               aState.settings.maxEjectionTime);
   health.ejectedUntil = aNow + length;
   health.inUseSince = health.ejectedUntil;
-  health.failuresInARow = 0;
+  health.consecutiveFailures = 0;
 }
 
 } // namespace
@@ -67,14 +67,14 @@
   auto& health = found->second;
   health.inFlight -= health.inFlight > 0 ? 1 : 0;
   if (aEnded.result == AttemptResult::Answered) {
-    health.failuresInARow = 0;
-    if (aNow - health.inUseSince > aState.settings.longestEjection) {
+    health.consecutiveFailures = 0;
+    if (aNow - health.inUseSince > aState.settings.maxEjectionTime) {
       health.ejections = 0;
     }
     return;
   }
-  ++health.failuresInARow;
-  if (health.failuresInARow >= aState.settings.ejectAfter) {
+  ++health.consecutiveFailures;
+  if (health.consecutiveFailures >= aState.settings.ejectionThreshold) {
     Eject(aState, aEnded.server, aNow);
   }
 }
--- a/src/balsampoint/retry/may_repeat.hpp
+++ b/src/balsampoint/retry/may_retry.hpp
@@ -18,7 +18,7 @@
  * separately.
  */
 [[nodiscard]] constexpr bool
-MayRepeat(AttemptResult aResult, std::uint32_t aAttempts, bool aIdempotent)
+MayRetry(AttemptResult aResult, std::uint32_t aAttempts, bool aIdempotent)
 {
   if (aResult == AttemptResult::Answered || aAttempts >= kMaxAttempts) {
     return false;
--- a/src/balsampoint/retry/module.cpp
+++ b/src/balsampoint/retry/module.cpp
@@ -12,7 +12,7 @@
 using Actions = std::vector<Action>;
 
 void
-RefuseAttempt(const AttemptWanted& aWanted,
+RefuseAttempt(const AttemptRequested& aRequested,
               std::string_view aDetail,
               Actions& aActions)
 {
@@ -20,22 +20,22 @@
   auto error = MakeError(ErrorKind::NoServer, aDetail);
   error.retryAfter = kRetryAfter;
   aActions.emplace_back(
-    AttemptRefused{ .ticket = aWanted.ticket, .error = std::move(error) });
+    AttemptRefused{ .ticket = aRequested.ticket, .error = std::move(error) });
 }
 
 void
 Grant(State& aState,
-      const AttemptWanted& aWanted,
+      const AttemptRequested& aRequested,
       Instant aNow,
       Actions& aActions)
 {
-  const auto* server = ChooseServer(aState, aWanted, aNow);
+  const auto* server = ChooseServer(aState, aRequested, aNow);
   if (server == nullptr) {
-    RefuseAttempt(aWanted, "the service has no usable server", aActions);
+    RefuseAttempt(aRequested, "the service has no usable server", aActions);
     return;
   }
   const auto& announced = server->announcement;
-  aActions.emplace_back(AttemptGranted{ .ticket = aWanted.ticket,
+  aActions.emplace_back(AttemptGranted{ .ticket = aRequested.ticket,
                                         .server = announced.server,
                                         .incarnation = announced.incarnation,
                                         .address = announced.address });
@@ -53,19 +53,22 @@
 
 /** Random backoff below a bound that doubles with each attempt. */
 Duration
-Pause(State& aState, std::uint32_t aAttempts)
+RandomBackoff(State& aState, std::uint32_t aAttempts)
 {
   constexpr std::uint32_t kMaxDoublings = 10;
   const auto doublings = std::min(aAttempts - 1, kMaxDoublings);
   const auto bound =
-    std::min(aState.settings.firstPause * (std::int64_t{ 1 } << doublings),
-             aState.settings.longestPause);
+    std::min(aState.settings.initialBackoff * (std::int64_t{ 1 } << doublings),
+             aState.settings.maxBackoff);
   const auto steps = static_cast<std::uint64_t>(bound.count()) + 1;
-  return Duration{ static_cast<Duration::rep>(Draw(aState) % steps) };
+  return Duration{ static_cast<Duration::rep>(NextRandom(aState) % steps) };
 }
 
 void
-On(State& aState, const AttemptWanted& aEvent, Instant aNow, Actions& aActions)
+On(State& aState,
+   const AttemptRequested& aEvent,
+   Instant aNow,
+   Actions& aActions)
 {
   if (aEvent.attempts == 0) {
     Grant(aState, aEvent, aNow, aActions);
@@ -77,14 +80,14 @@
       aEvent, "the workspace's budget of retries is used up", aActions);
     return;
   }
-  const auto pause = Pause(aState, aEvent.attempts);
-  if (aNow + pause >= aEvent.deadline) {
+  const auto backoff = RandomBackoff(aState, aEvent.attempts);
+  if (aNow + backoff >= aEvent.deadline) {
     RefuseAttempt(
       aEvent, "the backoff before a retry would exceed the deadline", aActions);
     return;
   }
   budget.tokens -= 1.0;
-  aState.paused.emplace(aNow + pause, aEvent);
+  aState.inBackoff.emplace(aNow + backoff, aEvent);
 }
 
 void
@@ -125,16 +128,16 @@
 void
 Module::Tick(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  while (!aState.paused.empty() && aState.paused.begin()->first <= aNow) {
-    const auto wanted = aState.paused.extract(aState.paused.begin());
-    Grant(aState, wanted.mapped(), aNow, aActions);
+  while (!aState.inBackoff.empty() && aState.inBackoff.begin()->first <= aNow) {
+    const auto requested = aState.inBackoff.extract(aState.inBackoff.begin());
+    Grant(aState, requested.mapped(), aNow, aActions);
   }
 }
 
 Instant
 Module::NextDeadline(const State& aState)
 {
-  return aState.paused.empty() ? kNever : aState.paused.begin()->first;
+  return aState.inBackoff.empty() ? kNever : aState.inBackoff.begin()->first;
 }
 
 } // namespace balsampoint::retry
--- a/src/balsampoint/retry/state.hpp
+++ b/src/balsampoint/retry/state.hpp
@@ -23,17 +23,17 @@
   double budgetLimit{ 10.0 };
   /** Bound of the random backoff before the first retry; doubles with each
    * further one. */
-  Duration firstPause{ std::chrono::milliseconds{ 25 } };
+  Duration initialBackoff{ std::chrono::milliseconds{ 25 } };
   /** Maximum of that bound. */
-  Duration longestPause{ std::chrono::seconds{ 1 } };
+  Duration maxBackoff{ std::chrono::seconds{ 1 } };
   /** Consecutive failures after which a server is ejected. */
-  std::uint32_t ejectAfter{ 5 };
+  std::uint32_t ejectionThreshold{ 5 };
   /** Duration of the first ejection; each further one is longer by this. */
-  Duration ejection{ std::chrono::seconds{ 5 } };
-  Duration longestEjection{ std::chrono::minutes{ 1 } };
+  Duration ejectionTime{ std::chrono::seconds{ 5 } };
+  Duration maxEjectionTime{ std::chrono::minutes{ 1 } };
   /** Fraction of a service's ready servers that may be ejected at a time; one
    * server may be in any case if the service has more than one. */
-  double ejectionCeiling{ 0.34 };
+  double maxEjectedShare{ 0.34 };
   /** Time in which the share of a new or returning server grows to 1. */
   Duration slowStart{ std::chrono::seconds{ 10 } };
   /** Share at the begin of a slow start, relative to the full one. */
@@ -51,7 +51,7 @@
 {
   Incarnation incarnation;
   std::uint32_t inFlight{};
-  std::uint32_t failuresInARow{};
+  std::uint32_t consecutiveFailures{};
   std::uint32_t ejections{};
   Instant ejectedUntil{ Instant::min() };
   /** Start of the slow start; `Instant::min()` for none. */
@@ -59,7 +59,7 @@
 };
 
 /** @brief A traffic thread requests a server for an attempt. */
-struct AttemptWanted
+struct AttemptRequested
 {
   Ticket ticket;
   WorkspaceId workspace;
@@ -100,7 +100,7 @@
 };
 
 /** @brief Event that the module handles. */
-using Event = std::variant<AttemptWanted, AttemptEnded, ServersChanged>;
+using Event = std::variant<AttemptRequested, AttemptEnded, ServersChanged>;
 
 /** @brief An attempt may be made, at the given server. */
 struct AttemptGranted
@@ -130,7 +130,7 @@
   std::map<ServerId, ServerHealth> health;
   std::map<WorkspaceId, Budget> budgets;
   /** Retries in backoff, by the time at which it ends. */
-  std::multimap<Instant, AttemptWanted> paused;
+  std::multimap<Instant, AttemptRequested> inBackoff;
   /** State of the random number generator. */
   std::uint64_t random{};
 };
--- a/src/balsampoint/traffic/command/run_service.hpp
+++ b/src/balsampoint/traffic/command/run_service.hpp
@@ -2,7 +2,7 @@
 
 #include "balsampoint/core/concepts.hpp"
 #include "balsampoint/ledger/command/advance_call.hpp"
-#include "balsampoint/retry/may_repeat.hpp"
+#include "balsampoint/retry/may_retry.hpp"
 #include "balsampoint/traffic/service_call.hpp"
 
 #include <deque>
@@ -120,10 +120,10 @@
   /** Tries servers as the rules allow, and says how the last attempt ended. */
   ledger::CallEvent RunAttempts()
   {
-    retry::AttemptWanted wanted{ .ticket = {},
-                                 .workspace = mCall.workspace,
-                                 .service = mCall.service,
-                                 .deadline = mCall.deadline };
+    retry::AttemptRequested wanted{ .ticket = {},
+                                    .workspace = mCall.workspace,
+                                    .service = mCall.service,
+                                    .deadline = mCall.deadline };
     std::optional<ServiceReply> last;
     while (true) {
       if (mClock.Now() >= mCall.deadline) {
@@ -141,7 +141,7 @@
       mMayHaveRun |= last->result != retry::AttemptResult::NotSent;
       ++wanted.attempts;
       wanted.failed.push_back(granted->server);
-      if (!retry::MayRepeat(last->result, wanted.attempts, mCall.idempotent)) {
+      if (!retry::MayRetry(last->result, wanted.attempts, mCall.idempotent)) {
         return Conclude(last, last->error);
       }
     }
--- a/src/balsampoint/traffic/control_gate.cpp
+++ b/src/balsampoint/traffic/control_gate.cpp
@@ -75,7 +75,7 @@
 }
 
 tl::expected<retry::AttemptGranted, Error>
-ControlGate::Want(retry::AttemptWanted aWanted)
+ControlGate::Want(retry::AttemptRequested aWanted)
 {
   decltype(mAttempts)::Waiter waiter{ mAttempts };
   aWanted.ticket = waiter.Number();
--- a/src/balsampoint/traffic/control_gate.hpp
+++ b/src/balsampoint/traffic/control_gate.hpp
@@ -70,7 +70,7 @@
    * @return The server, or why there is no further attempt.
    */
   [[nodiscard]] tl::expected<retry::AttemptGranted, Error> Want(
-    retry::AttemptWanted aWanted);
+    retry::AttemptRequested aWanted);
 
   /**
    * @brief Reports how an attempt ended.
--- a/src/balsampoint/traffic/service_call.hpp
+++ b/src/balsampoint/traffic/service_call.hpp
@@ -46,7 +46,7 @@
  */
 template<typename T>
 concept ServiceControl = requires(T& aControl,
-                                  const retry::AttemptWanted& aWanted,
+                                  const retry::AttemptRequested& aWanted,
                                   const retry::AttemptEnded& aEnded,
                                   const ledger::Propose& aPropose,
                                   const ledger::ProposeLater& aLater,
--- a/test/balsampoint/retry/module_test.cpp
+++ b/test/balsampoint/retry/module_test.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/retry/may_repeat.hpp"
+#include "balsampoint/retry/may_retry.hpp"
 #include "balsampoint/retry/module.hpp"
 
 #include <criterion/criterion.h>
@@ -56,14 +56,14 @@
   /** Requests an attempt and advances the time past its backoff. */
   const AttemptGranted* Want(std::uint32_t aAttempts = 0,
                              std::vector<ServerId> aFailed = {},
-                             Duration aPatience = 1min)
+                             Duration aTimeout = 1min)
   {
-    Handle(AttemptWanted{ .ticket = Ticket{ 1 },
-                          .workspace = kDesk,
-                          .service = kOrders,
-                          .attempts = aAttempts,
-                          .deadline = now + aPatience,
-                          .failed = std::move(aFailed) });
+    Handle(AttemptRequested{ .ticket = Ticket{ 1 },
+                             .workspace = kDesk,
+                             .service = kOrders,
+                             .attempts = aAttempts,
+                             .deadline = now + aTimeout,
+                             .failed = std::move(aFailed) });
     if (actions.empty()) {
       now = Module::NextDeadline(state);
       Module::Tick(state, now, actions);
@@ -95,14 +95,14 @@
 
 } // namespace
 
-Test(may_repeat, non_idempotent_call_is_retried_only_if_nothing_was_sent)
+Test(may_retry, non_idempotent_call_is_retried_only_if_nothing_was_sent)
 {
-  cr_assert(MayRepeat(AttemptResult::NotSent, 1, false));
-  cr_assert_not(MayRepeat(AttemptResult::Broken, 1, false));
-  cr_assert_not(MayRepeat(AttemptResult::ServerError, 1, false));
-  cr_assert(MayRepeat(AttemptResult::Broken, 1, true));
-  cr_assert_not(MayRepeat(AttemptResult::Broken, kMaxAttempts, true));
-  cr_assert_not(MayRepeat(AttemptResult::Answered, 1, true));
+  cr_assert(MayRetry(AttemptResult::NotSent, 1, false));
+  cr_assert_not(MayRetry(AttemptResult::Broken, 1, false));
+  cr_assert_not(MayRetry(AttemptResult::ServerError, 1, false));
+  cr_assert(MayRetry(AttemptResult::Broken, 1, true));
+  cr_assert_not(MayRetry(AttemptResult::Broken, kMaxAttempts, true));
+  cr_assert_not(MayRetry(AttemptResult::Answered, 1, true));
 }
 
 Test(module, retry_goes_to_another_server_after_a_backoff)
--- a/test/balsampoint/traffic/command/run_service_test.cpp
+++ b/test/balsampoint/traffic/command/run_service_test.cpp
@@ -41,7 +41,7 @@
   std::vector<ledger::Command> later;
 
   tl::expected<retry::AttemptGranted, Error> Want(
-    const retry::AttemptWanted& aWanted)
+    const retry::AttemptRequested& aWanted)
   {
     failedGiven.push_back(aWanted.failed.size());
     return retry::AttemptGranted{
