Rename vague names of forward

Rename: maybeRun, unsent, answering -> mayHaveRun, failedBeforeSend, answerStarted (forward::Progress) Rename: kMaxUnsent, kLeastTime -> kMaxFailedBeforeSend, kMinAttemptTime (forward) Rename: GoesOn -> NeedsAttempt (forward) Rename: MayRunAgain -> MayRetry (forward, decision code)

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -143,8 +143,8 @@
     auto chosen = ChooseServers(
       mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers });
     if (!chosen) {
-      const auto end = mProgress.maybeRun ? forward::AttemptEnd::Broken
-                                          : forward::AttemptEnd::NotSent;
+      const auto end = mProgress.mayHaveRun ? forward::AttemptEnd::Broken
+                                            : forward::AttemptEnd::NotSent;
       Finish(forward::GiveUp(mProgress, end), chosen.error());
       return;
     }
@@ -216,8 +216,8 @@
     mSentNow = true;
     ++mProgress.sent;
     mReceivers.insert(mHops.front().server);
-    mRunBefore = mProgress.maybeRun;
-    mProgress.maybeRun = true;
+    mRunBefore = mProgress.mayHaveRun;
+    mProgress.mayHaveRun = true;
     const auto workspace =
       mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
     const auto priority = mAdmission.workspace && mAdmission.workspace->priority
@@ -267,7 +267,7 @@
 
   void OnNotExecuted(const AnswerFacts& aFacts)
   {
-    mProgress.maybeRun = mRunBefore;
+    mProgress.mayHaveRun = mRunBefore;
     const std::string atFault{ aFacts.atFault.value_or(mHops.front().address) };
     fleet::Note(mTraffic.fleet,
                 mAdmission.service->id,
@@ -348,7 +348,7 @@
 
   void SendEvents(std::string_view aBytes)
   {
-    if (!mProgress.answering) {
+    if (!mProgress.answerStarted) {
       BeginAnswer();
     }
     const auto now = Traffic::Now();
@@ -389,7 +389,7 @@
     const auto verdict =
       forward::Decide(mProgress, forward::AttemptEnd::Broken, now);
     const auto receivers = AllowedReceivers();
-    if (!forward::GoesOn(verdict) ||
+    if (!forward::NeedsAttempt(verdict) ||
         !OtherChainHasRoom(
           mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers }) ||
         !TakeRetry(verdict)) {
@@ -406,7 +406,7 @@
 
   void BeginAnswer()
   {
-    mProgress.answering = true;
+    mProgress.answerStarted = true;
     mFirstEventAt = Traffic::Now();
     mTraffic.metrics.Record(trace::Timing::FirstToken,
                             mFirstEventAt - mStartedAt);
@@ -427,7 +427,7 @@
       return;
     }
     NoteServer(fleet::Finding::Answered);
-    if (!mProgress.answering) {
+    if (!mProgress.answerStarted) {
       BeginAnswer();
     }
     if (UsesChunks()) {
@@ -453,7 +453,7 @@
   void OnAttemptEnd(forward::AttemptEnd aEnd, std::string_view aReason)
   {
     if (aEnd == forward::AttemptEnd::NotSent) {
-      ++mProgress.unsent;
+      ++mProgress.failedBeforeSend;
     }
     const bool unknownFault = mFault.empty();
     if (aEnd == forward::AttemptEnd::NotSent ||
@@ -463,7 +463,8 @@
     LogAttempt(Facts(), aEnd, aReason, mFault);
     LeaveServer();
     auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
-    if (forward::GoesOn(verdict) && mProgress.sent > 0 && !TakeRetry(verdict)) {
+    if (forward::NeedsAttempt(verdict) && mProgress.sent > 0 &&
+        !TakeRetry(verdict)) {
       verdict = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
@@ -492,7 +493,7 @@
     if (aVerdict == forward::Verdict::Resume) {
       mTraffic.metrics.Add(trace::Count::Recoveries);
     }
-    if (forward::GoesOn(aVerdict)) {
+    if (forward::NeedsAttempt(aVerdict)) {
       Attempt();
       return;
     }
@@ -568,14 +569,14 @@
     if (mEnded) {
       return;
     }
-    if (mProgress.answering) {
+    if (mProgress.answerStarted) {
       mTraffic.metrics.Add(trace::Outcome::Broken);
       CutCaller();
       End("cut_at_deadline");
       return;
     }
-    auto error = MakeError(mProgress.maybeRun ? ErrorKind::DeadlineExceeded
-                                              : ErrorKind::NoServer,
+    auto error = MakeError(mProgress.mayHaveRun ? ErrorKind::DeadlineExceeded
+                                                : ErrorKind::NoServer,
                            "no answer came before the deadline");
     AnswerError(error);
   }
@@ -631,9 +632,10 @@
            aHow,
            mError,
            mDetail,
-           mProgress.answering ? std::optional{ AnswerTimes{
-                                   mFirstEventAt - mStartedAt, mLongestPause } }
-                               : std::nullopt);
+           mProgress.answerStarted
+             ? std::optional{ AnswerTimes{ mFirstEventAt - mStartedAt,
+                                           mLongestPause } }
+             : std::nullopt);
     DropServer();
     mCaller = nullptr;
     if (const auto done = std::exchange(mDone, nullptr)) {
--- a/src/balsampoint/forward/verdict.cpp
+++ b/src/balsampoint/forward/verdict.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 bool
-MayRunAgain(const Progress& aProgress)
+MayRetry(const Progress& aProgress)
 {
   switch (aProgress.kind) {
     case routing::RequestKind::Idempotent:
@@ -15,7 +15,7 @@
     case routing::RequestKind::Stream:
       break;
   }
-  return !aProgress.maybeRun;
+  return !aProgress.mayHaveRun;
 }
 
 } // namespace
@@ -23,24 +23,25 @@
 Verdict
 GiveUp(const Progress& aProgress, AttemptEnd aEnd)
 {
-  if (aProgress.answering) {
+  if (aProgress.answerStarted) {
     return Verdict::Cut;
   }
   if (aEnd == AttemptEnd::ServerFailed) {
     return Verdict::PassOn;
   }
-  return aProgress.maybeRun ? Verdict::Fail : Verdict::Refuse;
+  return aProgress.mayHaveRun ? Verdict::Fail : Verdict::Refuse;
 }
 
 Verdict
 Decide(const Progress& aProgress, AttemptEnd aEnd, Instant aNow)
 {
-  const bool left = aProgress.unsent < kMaxUnsent && aProgress.sent < kMaxSent;
-  const bool time = aNow + kLeastTime < aProgress.deadline;
-  if (!left || !time || !MayRunAgain(aProgress)) {
+  const bool left = aProgress.failedBeforeSend < kMaxFailedBeforeSend &&
+                    aProgress.sent < kMaxSent;
+  const bool time = aNow + kMinAttemptTime < aProgress.deadline;
+  if (!left || !time || !MayRetry(aProgress)) {
     return GiveUp(aProgress, aEnd);
   }
-  if (!aProgress.answering) {
+  if (!aProgress.answerStarted) {
     return Verdict::Retry;
   }
   return aProgress.kind == routing::RequestKind::ResumableStream
--- a/src/balsampoint/forward/verdict.hpp
+++ b/src/balsampoint/forward/verdict.hpp
@@ -27,11 +27,11 @@
   /** Number of attempts in which the request was sent. */
   std::uint32_t sent{};
   /** Number of attempts that failed before anything was sent. */
-  std::uint32_t unsent{};
+  std::uint32_t failedBeforeSend{};
   /** Whether a server may have started to execute the request. */
-  bool maybeRun{ false };
+  bool mayHaveRun{ false };
   /** Whether a part of the answer was already sent to the caller. */
-  bool answering{ false };
+  bool answerStarted{ false };
   Instant deadline{};
 };
 
@@ -57,17 +57,17 @@
  * @param aVerdict The verdict.
  */
 [[nodiscard]] constexpr bool
-GoesOn(Verdict aVerdict)
+NeedsAttempt(Verdict aVerdict)
 {
   return aVerdict == Verdict::Retry || aVerdict == Verdict::Resume;
 }
 
 /** @brief Maximum number of attempts that fail before anything is sent. */
-inline constexpr std::uint32_t kMaxUnsent = 4;
+inline constexpr std::uint32_t kMaxFailedBeforeSend = 4;
 /** @brief Maximum number of times that one request is sent. */
 inline constexpr std::uint32_t kMaxSent = 4;
 /** @brief Minimum time left to the deadline for a further attempt. */
-inline constexpr Duration kLeastTime = std::chrono::milliseconds{ 20 };
+inline constexpr Duration kMinAttemptTime = std::chrono::milliseconds{ 20 };
 
 /**
  * @brief Decides what follows an attempt without a complete, successful answer.
--- a/test/balsampoint/forward/verdict_test.cpp
+++ b/test/balsampoint/forward/verdict_test.cpp
@@ -13,10 +13,10 @@
 constexpr Instant kNow{ 1h };
 
 Progress
-MakeProgress(RequestKind aKind, bool aMaybeRun)
+MakeProgress(RequestKind aKind, bool aMayHaveRun)
 {
   return {
-    .kind = aKind, .sent = 1, .maybeRun = aMaybeRun, .deadline = kNow + 1s
+    .kind = aKind, .sent = 1, .mayHaveRun = aMayHaveRun, .deadline = kNow + 1s
   };
 }
 
@@ -44,7 +44,7 @@
   progress.sent = kMaxSent;
   cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow),
                Verdict::Refuse);
-  progress.maybeRun = true;
+  progress.mayHaveRun = true;
   cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow), Verdict::Fail);
 }
 
@@ -52,7 +52,7 @@
 {
   auto progress = MakeProgress(RequestKind::ResumableStream, true);
   cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Retry);
-  progress.answering = true;
+  progress.answerStarted = true;
   cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Resume);
   progress.kind = RequestKind::Stream;
   cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Cut);
