Rename forward::Verdict to Decision

Decide returns a decision; a cut answer is aborted.

Rename: Verdict -> Decision (forward) Rename: Verdict::Cut -> Decision::Abort (forward) Rename: verdict.hpp, verdict.cpp, verdict_test.cpp -> decision.hpp, decision.cpp, decision_test.cpp (forward; test suite too)

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -9,7 +9,7 @@
 #include "balsampoint/edge/traffic.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/return_after.hpp"
-#include "balsampoint/forward/verdict.hpp"
+#include "balsampoint/forward/decision.hpp"
 #include "balsampoint/wire/write.hpp"
 
 #include <algorithm>
@@ -386,13 +386,13 @@
     }
     mFailed.insert(aServer);
     const auto now = Traffic::Now();
-    const auto verdict =
+    const auto decision =
       forward::Decide(mProgress, forward::AttemptEnd::Broken, now);
     const auto receivers = AllowedReceivers();
-    if (!forward::NeedsAttempt(verdict) ||
+    if (!forward::NeedsAttempt(decision) ||
         !OtherChainHasRoom(
           mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers }) ||
-        !TakeRetry(verdict)) {
+        !TakeRetry(decision)) {
       return;
     }
     mFault = aServer.Value();
@@ -401,7 +401,7 @@
                "a server of the chain is lost",
                mFault);
     LeaveServer();
-    Conclude(verdict, {});
+    Conclude(decision, {});
   }
 
   void BeginAnswer()
@@ -462,18 +462,18 @@
     }
     LogAttempt(Facts(), aEnd, aReason, mFault);
     LeaveServer();
-    auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
-    if (forward::NeedsAttempt(verdict) && mProgress.sent > 0 &&
-        !TakeRetry(verdict)) {
-      verdict = forward::GiveUp(mProgress, aEnd);
+    auto decision = forward::Decide(mProgress, aEnd, Traffic::Now());
+    if (forward::NeedsAttempt(decision) && mProgress.sent > 0 &&
+        !TakeRetry(decision)) {
+      decision = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
-    Conclude(verdict, MakeError(ErrorKind::BackendFailed, aReason));
+    Conclude(decision, MakeError(ErrorKind::BackendFailed, aReason));
   }
 
-  bool TakeRetry(forward::Verdict aVerdict)
+  bool TakeRetry(forward::Decision aDecision)
   {
-    const auto use = aVerdict == forward::Verdict::Resume
+    const auto use = aDecision == forward::Decision::Resume
                        ? forward::RetryUse::Resume
                        : forward::RetryUse::Repeat;
     return mTraffic.budget.TakeRetry(
@@ -488,28 +488,28 @@
   }
 
   /** @brief Tries another server or ends the request. */
-  void Conclude(forward::Verdict aVerdict, const Error& aError)
+  void Conclude(forward::Decision aDecision, const Error& aError)
   {
-    if (aVerdict == forward::Verdict::Resume) {
+    if (aDecision == forward::Decision::Resume) {
       mTraffic.metrics.Add(trace::Count::Recoveries);
     }
-    if (forward::NeedsAttempt(aVerdict)) {
+    if (forward::NeedsAttempt(aDecision)) {
       Attempt();
       return;
     }
-    Finish(aVerdict, aError);
+    Finish(aDecision, aError);
   }
 
   /** @brief Ends a request that no further server is tried for. */
-  void Finish(forward::Verdict aVerdict, Error aError)
+  void Finish(forward::Decision aDecision, Error aError)
   {
-    switch (aVerdict) {
-      case forward::Verdict::PassOn:
+    switch (aDecision) {
+      case forward::Decision::PassOn:
         PassOn(mServerFailure.first, mServerFailure.second);
         return;
-      case forward::Verdict::Resume:
-      case forward::Verdict::Retry:
-      case forward::Verdict::Refuse:
+      case forward::Decision::Resume:
+      case forward::Decision::Retry:
+      case forward::Decision::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
         aError.retryAfter = mAdmission.service->engine
@@ -519,13 +519,13 @@
                               : kPlainRetry;
         AnswerError(aError);
         return;
-      case forward::Verdict::Fail:
+      case forward::Decision::Fail:
         aError.kind = ErrorKind::BackendFailed;
         aError.executed = Executed::Unknown;
         aError.retryAfter = {};
         AnswerError(aError);
         return;
-      case forward::Verdict::Cut:
+      case forward::Decision::Abort:
         if (MayWaitToResume()) {
           mResume.Set(kResumeInterval, [self = this->weak_from_this()] {
             if (const auto exchange = self.lock()) {
@@ -557,11 +557,11 @@
     const auto receivers = AllowedReceivers();
     const bool room = OtherChainHasRoom(
       mTraffic, *mAdmission.service, mInquiry, { {}, receivers });
-    if (!room || !TakeRetry(forward::Verdict::Resume)) {
-      Finish(forward::Verdict::Cut, {});
+    if (!room || !TakeRetry(forward::Decision::Resume)) {
+      Finish(forward::Decision::Abort, {});
       return;
     }
-    Conclude(forward::Verdict::Resume, {});
+    Conclude(forward::Decision::Resume, {});
   }
 
   void OnDeadline()
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -4,7 +4,7 @@
 #include "balsampoint/core/time.hpp"
 #include "balsampoint/edge/admission.hpp"
 #include "balsampoint/fleet/chain.hpp"
-#include "balsampoint/forward/verdict.hpp"
+#include "balsampoint/forward/decision.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/balsampoint/forward/verdict.cpp
+++ b/src/balsampoint/forward/decision.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/forward/verdict.hpp"
+#include "balsampoint/forward/decision.hpp"
 
 namespace balsampoint::forward {
 
@@ -20,19 +20,19 @@
 
 } // namespace
 
-Verdict
+Decision
 GiveUp(const Progress& aProgress, AttemptEnd aEnd)
 {
   if (aProgress.answerStarted) {
-    return Verdict::Cut;
+    return Decision::Abort;
   }
   if (aEnd == AttemptEnd::ServerFailed) {
-    return Verdict::PassOn;
+    return Decision::PassOn;
   }
-  return aProgress.mayHaveRun ? Verdict::Fail : Verdict::Refuse;
+  return aProgress.mayHaveRun ? Decision::Fail : Decision::Refuse;
 }
 
-Verdict
+Decision
 Decide(const Progress& aProgress, AttemptEnd aEnd, Instant aNow)
 {
   const bool left = aProgress.failedBeforeSend < kMaxFailedBeforeSend &&
@@ -42,11 +42,11 @@
     return GiveUp(aProgress, aEnd);
   }
   if (!aProgress.answerStarted) {
-    return Verdict::Retry;
+    return Decision::Retry;
   }
   return aProgress.kind == routing::RequestKind::ResumableStream
-           ? Verdict::Resume
-           : Verdict::Cut;
+           ? Decision::Resume
+           : Decision::Abort;
 }
 
 } // namespace balsampoint::forward
--- a/src/balsampoint/forward/verdict.hpp
+++ b/src/balsampoint/forward/decision.hpp
@@ -36,7 +36,7 @@
 };
 
 /** @brief What to do after an attempt. */
-enum class Verdict : std::uint8_t
+enum class Decision : std::uint8_t
 {
   /** Send the request to another server; the caller has received nothing. */
   Retry,
@@ -49,17 +49,17 @@
   /** Report that the request failed; it may have been executed. */
   Fail,
   /** Abort the answer, so that the caller sees it as incomplete. */
-  Cut,
+  Abort,
 };
 
 /**
- * @brief Whether a verdict requires a further attempt.
- * @param aVerdict The verdict.
+ * @brief Whether a decision requires a further attempt.
+ * @param aDecision The decision.
  */
 [[nodiscard]] constexpr bool
-NeedsAttempt(Verdict aVerdict)
+NeedsAttempt(Decision aDecision)
 {
-  return aVerdict == Verdict::Retry || aVerdict == Verdict::Resume;
+  return aDecision == Decision::Retry || aDecision == Decision::Resume;
 }
 
 /** @brief Maximum number of attempts that fail before anything is sent. */
@@ -77,7 +77,7 @@
  * @return What to do; `Retry` and `Resume` also need a retry from the budget if
  * the request was sent before.
  */
-[[nodiscard]] Verdict
+[[nodiscard]] Decision
 Decide(const Progress& aProgress, AttemptEnd aEnd, Instant aNow);
 
 /**
@@ -85,7 +85,7 @@
  * @param aProgress The request.
  * @param aEnd How the last attempt ended.
  */
-[[nodiscard]] Verdict
+[[nodiscard]] Decision
 GiveUp(const Progress& aProgress, AttemptEnd aEnd);
 
 } // namespace balsampoint::forward
--- a/test/balsampoint/forward/verdict_test.cpp
+++ b/test/balsampoint/forward/decision_test.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/forward/verdict.hpp"
+#include "balsampoint/forward/decision.hpp"
 
 #include <chrono>
 #include <criterion/criterion.h>
@@ -22,45 +22,46 @@
 
 } // namespace
 
-Test(verdict,
+Test(decision,
      a_non_idempotent_request_is_not_retried_if_it_may_have_been_executed)
 {
   const auto progress = MakeProgress(RequestKind::NonIdempotent, true);
-  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Fail);
+  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Decision::Fail);
   cr_assert_eq(Decide(progress, AttemptEnd::ServerFailed, kNow),
-               Verdict::PassOn);
+               Decision::PassOn);
 }
 
-Test(verdict, a_request_that_was_not_executed_is_retried)
+Test(decision, a_request_that_was_not_executed_is_retried)
 {
   const auto progress = MakeProgress(RequestKind::NonIdempotent, false);
-  cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow), Verdict::Retry);
-  cr_assert_eq(Decide(progress, AttemptEnd::NotSent, kNow), Verdict::Retry);
+  cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow),
+               Decision::Retry);
+  cr_assert_eq(Decide(progress, AttemptEnd::NotSent, kNow), Decision::Retry);
 }
 
-Test(verdict, only_a_request_that_was_not_executed_is_refused)
+Test(decision, only_a_request_that_was_not_executed_is_refused)
 {
   auto progress = MakeProgress(RequestKind::Idempotent, false);
   progress.sent = kMaxSent;
   cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow),
-               Verdict::Refuse);
+               Decision::Refuse);
   progress.mayHaveRun = true;
-  cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow), Verdict::Fail);
+  cr_assert_eq(Decide(progress, AttemptEnd::NotExecuted, kNow), Decision::Fail);
 }
 
-Test(verdict, a_broken_stream_is_resumed_only_if_resumable)
+Test(decision, a_broken_stream_is_resumed_only_if_resumable)
 {
   auto progress = MakeProgress(RequestKind::ResumableStream, true);
-  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Retry);
+  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Decision::Retry);
   progress.answerStarted = true;
-  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Resume);
+  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Decision::Resume);
   progress.kind = RequestKind::Stream;
-  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Verdict::Cut);
+  cr_assert_eq(Decide(progress, AttemptEnd::Broken, kNow), Decision::Abort);
 }
 
-Test(verdict, no_attempt_is_made_just_before_the_deadline)
+Test(decision, no_attempt_is_made_just_before_the_deadline)
 {
   auto progress = MakeProgress(RequestKind::Idempotent, false);
   progress.deadline = kNow + 5ms;
-  cr_assert_eq(Decide(progress, AttemptEnd::NotSent, kNow), Verdict::Refuse);
+  cr_assert_eq(Decide(progress, AttemptEnd::NotSent, kNow), Decision::Refuse);
 }
