Rename vague names of the retry budget

Rename: RetryUse -> RetryPurpose (forward) Rename: keptForResumes -> reservedForResumes (forward::RetryAllowance) Rename: ShareAmong -> SetHostCount (forward::RetryBudget) Rename: kFewest, kRoom, mMostHosts -> kMinHosts, kHostMargin, mMaxHosts (retry_budget)

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -158,7 +158,7 @@
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
         fleet::TakeOthers(mTraffic.fleet, *others);
-        mTraffic.budget.ShareAmong(others->hosts + 1);
+        mTraffic.budget.SetHostCount(others->hosts + 1);
       });
     });
     mRunners.Placement().CarryBy([this](const placement::Action& aAction) {
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -94,7 +94,7 @@
 {
   return { .ratio = aSettings.retry.ratio,
            .extra = aSettings.retry.extra,
-           .keptForResumes = kKeptForResumes,
+           .reservedForResumes = kKeptForResumes,
            .window = aSettings.retry.window };
 }
 
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -474,8 +474,8 @@
   bool TakeRetry(forward::Decision aDecision)
   {
     const auto use = aDecision == forward::Decision::Resume
-                       ? forward::RetryUse::Resume
-                       : forward::RetryUse::Repeat;
+                       ? forward::RetryPurpose::Resume
+                       : forward::RetryPurpose::Repeat;
     return mTraffic.budget.TakeRetry(
       mAdmission.service->id, use, Traffic::Now());
   }
--- a/src/balsampoint/forward/retry_budget.cpp
+++ b/src/balsampoint/forward/retry_budget.cpp
@@ -5,14 +5,14 @@
 namespace balsampoint::forward {
 
 void
-RetryBudget::ShareAmong(std::uint32_t aHosts)
+RetryBudget::SetHostCount(std::uint32_t aHosts)
 {
   /** Margin for hosts that are added or not yet known. */
-  constexpr double kRoom = 1.5;
+  constexpr double kHostMargin = 1.5;
   // A host that has just started may not know most of the others yet.
-  constexpr std::uint32_t kFewest = 4;
-  mMostHosts = std::max({ mMostHosts, aHosts, kFewest });
-  mAllowance.hosts = mMostHosts * kRoom;
+  constexpr std::uint32_t kMinHosts = 4;
+  mMaxHosts = std::max({ mMaxHosts, aHosts, kMinHosts });
+  mAllowance.hosts = mMaxHosts * kHostMargin;
 }
 
 void
@@ -22,7 +22,9 @@
 }
 
 bool
-RetryBudget::TakeRetry(const ServiceId& aService, RetryUse aUse, Instant aNow)
+RetryBudget::TakeRetry(const ServiceId& aService,
+                       RetryPurpose aPurpose,
+                       Instant aNow)
 {
   auto& parts = mServices[aService];
   const auto oldest = NumberAt(aNow) - static_cast<std::int64_t>(kParts);
@@ -38,8 +40,9 @@
   }
   const auto all =
     mAllowance.ratio * requests + mAllowance.extra / mAllowance.hosts;
-  const auto allowed =
-    aUse == RetryUse::Resume ? all : all * (1.0 - mAllowance.keptForResumes);
+  const auto allowed = aPurpose == RetryPurpose::Resume
+                         ? all
+                         : all * (1.0 - mAllowance.reservedForResumes);
   if (retries + 1.0 > allowed) {
     return false;
   }
--- a/src/balsampoint/forward/retry_budget.hpp
+++ b/src/balsampoint/forward/retry_budget.hpp
@@ -16,15 +16,15 @@
   double ratio{ 0.2 };
   /** Additional retries per window, for all hosts together. */
   double extra{ 0.0 };
-  /** Hosts among which `extra` is divided until `ShareAmong` is called. */
+  /** Hosts among which `extra` is divided until `SetHostCount` is called. */
   double hosts{ 64.0 };
   /** Fraction of all retries that is reserved for resumed streams. */
-  double keptForResumes{ 0.0 };
+  double reservedForResumes{ 0.0 };
   Duration window{ std::chrono::seconds{ 10 } };
 };
 
 /** @brief Purpose of a further attempt. */
-enum class RetryUse : std::uint8_t
+enum class RetryPurpose : std::uint8_t
 {
   /** Repeats a request whose caller has received nothing yet. */
   Repeat,
@@ -57,7 +57,7 @@
    * be running, with a margin for hosts that were added since.
    * @param aHosts Known hosts, this one included.
    */
-  void ShareAmong(std::uint32_t aHosts);
+  void SetHostCount(std::uint32_t aHosts);
 
   /**
    * @brief Counts the first attempt of a request.
@@ -69,12 +69,12 @@
   /**
    * @brief Takes a retry from the budget.
    * @param aService The service.
-   * @param aUse Purpose of the retry.
+   * @param aPurpose Purpose of the retry.
    * @param aNow Current time.
    * @return Whether the budget allowed it.
    */
   [[nodiscard]] bool TakeRetry(const ServiceId& aService,
-                               RetryUse aUse,
+                               RetryPurpose aPurpose,
                                Instant aNow);
 
 private:
@@ -94,7 +94,7 @@
   [[nodiscard]] std::int64_t NumberAt(Instant aNow) const;
 
   RetryAllowance mAllowance;
-  std::uint32_t mMostHosts{};
+  std::uint32_t mMaxHosts{};
   std::map<ServiceId, Parts> mServices;
 };
 
--- a/test/balsampoint/forward/retry_budget_test.cpp
+++ b/test/balsampoint/forward/retry_budget_test.cpp
@@ -25,11 +25,11 @@
   RetryBudget budget{ kAllowance };
   const Instant now{ 1h };
   for (int retry = 0; retry < 3; ++retry) {
-    cr_assert(budget.TakeRetry(kService, RetryUse::Repeat, now));
+    cr_assert(budget.TakeRetry(kService, RetryPurpose::Repeat, now));
   }
-  cr_assert_not(budget.TakeRetry(kService, RetryUse::Repeat, now));
-  cr_assert(budget.TakeRetry(ServiceId{ "desk" }, RetryUse::Repeat, now));
-  cr_assert(budget.TakeRetry(kService, RetryUse::Repeat, now + 11s));
+  cr_assert_not(budget.TakeRetry(kService, RetryPurpose::Repeat, now));
+  cr_assert(budget.TakeRetry(ServiceId{ "desk" }, RetryPurpose::Repeat, now));
+  cr_assert(budget.TakeRetry(kService, RetryPurpose::Repeat, now + 11s));
 }
 
 Test(retry_budget, retries_are_limited_by_the_requests_of_the_window)
@@ -44,7 +44,7 @@
     budget.CountRequest(kService, now);
     requests.push_back(now);
     if (random.Next() % 2 == 0 &&
-        budget.TakeRetry(kService, RetryUse::Repeat, now)) {
+        budget.TakeRetry(kService, RetryPurpose::Repeat, now)) {
       retries.push_back(now);
     }
     while (requests.front() <= now - 10s) {
@@ -61,25 +61,25 @@
 Test(retry_budget, hosts_no_longer_known_still_count)
 {
   RetryBudget budget{ kAllowance };
-  budget.ShareAmong(8);
-  budget.ShareAmong(2);
+  budget.SetHostCount(8);
+  budget.SetHostCount(2);
   const Instant now{ 1h };
-  cr_assert(budget.TakeRetry(kService, RetryUse::Repeat, now));
-  cr_assert_not(budget.TakeRetry(kService, RetryUse::Repeat, now));
+  cr_assert(budget.TakeRetry(kService, RetryPurpose::Repeat, now));
+  cr_assert_not(budget.TakeRetry(kService, RetryPurpose::Repeat, now));
 }
 
 Test(retry_budget, reserves_a_part_for_resumed_streams)
 {
   RetryBudget budget{
-    { .ratio = 0.0, .extra = 10.0, .hosts = 1.0, .keptForResumes = 0.2 }
+    { .ratio = 0.0, .extra = 10.0, .hosts = 1.0, .reservedForResumes = 0.2 }
   };
   const Instant now{ 1h };
   int repeats = 0;
-  while (budget.TakeRetry(kService, RetryUse::Repeat, now)) {
+  while (budget.TakeRetry(kService, RetryPurpose::Repeat, now)) {
     ++repeats;
   }
   int resumes = 0;
-  while (budget.TakeRetry(kService, RetryUse::Resume, now)) {
+  while (budget.TakeRetry(kService, RetryPurpose::Resume, now)) {
     ++resumes;
   }
   cr_assert_eq(repeats, 8);
