Rename the usual prompt and answer to mean token counts

Rename: usualPrompt, usualAnswer -> meanPromptTokens, meanAnswerTokens (routing::EngineProfile) Rename: twin -> duplicate (table.cpp)

--- a/src/balsampoint/edge/server_choice.cpp
+++ b/src/balsampoint/edge/server_choice.cpp
@@ -35,15 +35,15 @@
             const std::set<ServerId>& aReceivers)
 {
   fleet::Demand demand{ .service = aService.id,
-                        .promptTokens = aEngine.usualPrompt,
-                        .answerTokens = aEngine.usualAnswer,
+                        .promptTokens = aEngine.meanPromptTokens,
+                        .answerTokens = aEngine.meanAnswerTokens,
                         .failed = aFailed,
                         .receivers = aReceivers,
                         .draw = aTraffic.random.Next() };
   if (aInquiry.tokens) {
     demand.promptTokens = aInquiry.tokens->prompt;
     demand.answerTokens =
-      aInquiry.tokens->expectedAnswer.value_or(aEngine.usualAnswer);
+      aInquiry.tokens->expectedAnswer.value_or(aEngine.meanAnswerTokens);
   }
   return fleet::ChooseChain(aTraffic.fleet, demand, Traffic::Now());
 }
--- a/src/balsampoint/fleet/internal/cost.cpp
+++ b/src/balsampoint/fleet/internal/cost.cpp
@@ -39,7 +39,7 @@
        double aWriters)
 {
   const auto context =
-    (aEngine.usualPrompt + aEngine.usualAnswer / 2) / kThousand;
+    (aEngine.meanPromptTokens + aEngine.meanAnswerTokens / 2) / kThousand;
   const auto perWriter =
     aEngine.perWriterMs + aEngine.perThousandContextMs * context;
   return aEngine.tokensPerPass * aStepFactor * ShareOf(aEngine, aLayers) *
--- a/src/balsampoint/placement/query/decide.cpp
+++ b/src/balsampoint/placement/query/decide.cpp
@@ -14,7 +14,7 @@
 LayerNeed
 NeedOf(const routing::EngineProfile& aProfile)
 {
-  const auto tokens = aProfile.usualPrompt + aProfile.usualAnswer;
+  const auto tokens = aProfile.meanPromptTokens + aProfile.meanAnswerTokens;
   return { .layers = aProfile.layers,
            .layerMb = aProfile.layerMb,
            .requestMb = aProfile.kvBytesPerToken / aProfile.layers * tokens /
--- a/src/balsampoint/routing/engine_profile.hpp
+++ b/src/balsampoint/routing/engine_profile.hpp
@@ -61,9 +61,9 @@
   /** Concurrent loads from the weight store that run at full speed. */
   std::uint32_t parallelLoads{ 1 };
   /** Mean number of tokens of a prompt. */
-  double usualPrompt{};
+  double meanPromptTokens{};
   /** Mean number of tokens of an answer. */
-  double usualAnswer{};
+  double meanAnswerTokens{};
   /** Accelerator kinds by name; empty if all engines are alike. */
   std::map<std::string, AcceleratorKind> kinds;
 
--- a/src/balsampoint/routing/table.cpp
+++ b/src/balsampoint/routing/table.cpp
@@ -91,13 +91,13 @@
       const auto other = aOther->pathPrefix.size();
       return one != other ? one > other : aOne->pathPrefix < aOther->pathPrefix;
     });
-    const auto twin = std::ranges::adjacent_find(
+    const auto duplicate = std::ranges::adjacent_find(
       routes, {}, [](const Route* aRoute) -> const std::string& {
         return aRoute->pathPrefix;
       });
-    if (twin != routes.end()) {
+    if (duplicate != routes.end()) {
       return Invalid("two routes have the host '" + host + "' and the prefix " +
-                     (*twin)->pathPrefix);
+                     (*duplicate)->pathPrefix);
     }
   }
   return {};
--- a/test/balsampoint/fleet/fixture.hpp
+++ b/test/balsampoint/fleet/fixture.hpp
@@ -22,8 +22,8 @@
   engine.stepMs = 1.0;
   engine.perWriterMs = 0.1;
   engine.readTokensPerSecond = 100000.0;
-  engine.usualPrompt = 100.0;
-  engine.usualAnswer = 40.0;
+  engine.meanPromptTokens = 100.0;
+  engine.meanAnswerTokens = 40.0;
   engine.kinds = { { "fast", { .memoryMb = 100.0 } },
                    { "slow", { .memoryMb = 100.0, .stepFactor = 4.0 } } };
   routing::Document document;
--- a/test/balsampoint/placement/module_test.cpp
+++ b/test/balsampoint/placement/module_test.cpp
@@ -19,7 +19,7 @@
   profile.layers = 8;
   profile.layerMb = 10.0;
   profile.kvBytesPerToken = 80.0;
-  profile.usualPrompt = 100.0;
+  profile.meanPromptTokens = 100.0;
   profile.loadTime = 8s;
   profile.kinds = { { "card", { .memoryMb = 60.0 } } };
   return profile;
--- a/test/balsampoint/soak/world.cpp
+++ b/test/balsampoint/soak/world.cpp
@@ -22,8 +22,8 @@
   profile.layers = kLayers;
   profile.layerMb = 1750.0;
   profile.kvBytesPerToken = 590000.0;
-  profile.usualPrompt = 800.0;
-  profile.usualAnswer = 240.0;
+  profile.meanPromptTokens = 800.0;
+  profile.meanAnswerTokens = 240.0;
   profile.loadTime = 14s;
   profile.kinds = {
     { "large", { .memoryMb = 72000.0, .stepFactor = 2.4 } },
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -163,8 +163,8 @@
     profile.stepMs = 1.0;
     profile.tokensPerPass = 4;
     profile.readTokensPerSecond = 1e5;
-    profile.usualPrompt = 10.0;
-    profile.usualAnswer = 10.0;
+    profile.meanPromptTokens = 10.0;
+    profile.meanAnswerTokens = 10.0;
     profile.kinds = { { "card", { .memoryMb = 100.0 } } };
     return profile;
   }
