Keep the guarantee in the comments of NotSent

The reworded comments no longer said that no byte can have been delivered, which is what retries of non-idempotent requests rest on.

--- a/src/balsampoint/forward/decision.hpp
+++ b/src/balsampoint/forward/decision.hpp
@@ -10,7 +10,7 @@
 /** @brief How an attempt ended without a complete, successful answer. */
 enum class AttemptEnd : std::uint8_t
 {
-  /** No byte of the request was sent to a server. */
+  /** No byte of the request can have reached a server. */
   NotSent,
   /** The server reported that it has not executed the request. */
   NotExecuted,
--- a/src/balsampoint/retry/state.hpp
+++ b/src/balsampoint/retry/state.hpp
@@ -78,7 +78,7 @@
   Answered,
   /** The server answered with a status of 500 or more. */
   ServerError,
-  /** No byte of the call was sent. */
+  /** No byte of the call can have left this host. */
   NotSent,
   /** The call failed after a byte of it may have been sent. */
   Broken,
