--- a/benchmarks/bench_overload.cpp
+++ b/benchmarks/bench_overload.cpp
@@ -1,5 +1,5 @@
 #include "balsampoint/limit/module.hpp"
-#include "balsampoint/retry/may_repeat.hpp"
+#include "balsampoint/retry/may_retry.hpp"
 #include "balsampoint/retry/module.hpp"
 #include "fake/random.hpp"
 #include "report.hpp"
@@ -48,9 +48,10 @@
     , mRates{ aHeavyRate, aLightRate }
   {
     mState.settings.slots = kSlots;
-    mState.settings.firstHold = kHold;
+    mState.settings.initialHoldTime = kHold;
     if (!aLimited) {
-      mState.settings.queue = mState.settings.workspaceQueue = 100'000'000;
+      mState.settings.maxWaiting = mState.settings.maxWaitingPerWorkspace =
+        100'000'000;
     }
   }
 
@@ -121,7 +122,7 @@
       limit::Arrived{ .ticket = ticket,
                       .workspace = WorkspaceId{ workspace },
                       .deadline = mLimited ? deadline : kNever,
-                      .predictedFirst = mLimited ? kHold : Duration{} },
+                      .predictedFirstOutput = mLimited ? kHold : Duration{} },
       mNow,
       aActions);
   }
@@ -235,11 +236,11 @@
   int attempts = 0;
   for (int call = 0; call < kCalls; ++call) {
     now += kGap;
-    retry::AttemptWanted wanted{ .ticket = Ticket{ 1 },
-                                 .workspace = WorkspaceId{ std::to_string(
-                                   call % kWorkspaces) },
-                                 .service = ServiceId{ "desk" },
-                                 .deadline = now + kPatience };
+    retry::AttemptRequested wanted{ .ticket = Ticket{ 1 },
+                                    .workspace = WorkspaceId{ std::to_string(
+                                      call % kWorkspaces) },
+                                    .service = ServiceId{ "desk" },
+                                    .deadline = now + kPatience };
     while (true) {
       std::vector<retry::Action> actions;
       retry::Module::Handle(state, wanted, now, actions);
@@ -261,7 +262,7 @@
                              .result = retry::AttemptResult::Broken },
         now,
         none);
-      if (!retry::MayRepeat(
+      if (!retry::MayRetry(
             retry::AttemptResult::Broken, wanted.attempts, true)) {
         break;
       }
--- a/benchmarks/bench_recovery.cpp
+++ b/benchmarks/bench_recovery.cpp
@@ -186,13 +186,13 @@
   const route::Stage& Current() const
   {
     const auto& progress = mState.progress;
-    return progress.stages[progress.at].stage;
+    return progress.stages[progress.currentStage].stage;
   }
 
   bool LosesNow(const stream::CallId& aId) const
   {
     return mLost.Empty() && aId.step.Value() == mLostStep &&
-           mState.progress.at == mLostStage;
+           mState.progress.currentStage == mLostStage;
   }
 
   void Do(const stream::CallStep& aAction)
@@ -223,12 +223,12 @@
       Wait(std::max(mLostAt - begin, Costs::kRoundTrip / 2) +
            Costs::kRoundTrip / 2);
       Report(stream::CallFailed{ .id = aAction.call.id,
-                                 .loss = stream::Loss::ConnectionLost });
+                                 .kind = stream::FailureKind::ConnectionLost });
       return;
     }
     mClock.Advance(aAction.target.deadline - mClock.Now());
     Report(stream::CallFailed{ .id = aAction.call.id,
-                               .loss = stream::Loss::DeadlinePassed });
+                               .kind = stream::FailureKind::DeadlinePassed });
   }
 
   /**
@@ -275,7 +275,7 @@
     if (mKind == LossKind::Hang) {
       mClock.Advance(aAction.target.deadline - mClock.Now());
       Report(stream::CallFailed{ .id = call.id,
-                                 .loss = stream::Loss::DeadlinePassed });
+                                 .kind = stream::FailureKind::DeadlinePassed });
       return;
     }
     Wait(Costs::Import(Current(), call.id.step.Value()));
@@ -288,11 +288,11 @@
 
   void Do(const stream::ChooseRoute& aAction)
   {
-    const route::Wish wish{ .layers = aAction.layers,
-                            .excluded = aAction.excluded };
+    const route::RouteRequest request{ .layers = aAction.layers,
+                                       .excluded = aAction.excluded };
     Report(stream::RouteChosen{
       .layers = aAction.layers,
-      .route = mRouter.Choose(mRoutes, wish, mClock.Now()) });
+      .route = mRouter.Choose(mRoutes, request, mClock.Now()) });
   }
 
   void Do(const stream::Emit& aAction)
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -9,7 +9,7 @@
 #include "balsampoint/edge/traffic.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/return_after.hpp"
-#include "balsampoint/forward/verdict.hpp"
+#include "balsampoint/forward/decision.hpp"
 #include "balsampoint/wire/write.hpp"
 
 #include <algorithm>
@@ -143,8 +143,8 @@
     auto chosen = ChooseServers(
       mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers });
     if (!chosen) {
-      const auto end = mProgress.maybeRun ? forward::AttemptEnd::Broken
-                                          : forward::AttemptEnd::NotSent;
+      const auto end = mProgress.mayHaveRun ? forward::AttemptEnd::Broken
+                                            : forward::AttemptEnd::NotSent;
       Finish(forward::GiveUp(mProgress, end), chosen.error());
       return;
     }
@@ -216,8 +216,8 @@
     mSentNow = true;
     ++mProgress.sent;
     mReceivers.insert(mHops.front().server);
-    mRunBefore = mProgress.maybeRun;
-    mProgress.maybeRun = true;
+    mRunBefore = mProgress.mayHaveRun;
+    mProgress.mayHaveRun = true;
     const auto workspace =
       mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
     const auto priority = mAdmission.workspace && mAdmission.workspace->priority
@@ -267,7 +267,7 @@
 
   void OnNotExecuted(const AnswerFacts& aFacts)
   {
-    mProgress.maybeRun = mRunBefore;
+    mProgress.mayHaveRun = mRunBefore;
     const std::string atFault{ aFacts.atFault.value_or(mHops.front().address) };
     fleet::Note(mTraffic.fleet,
                 mAdmission.service->id,
@@ -348,7 +348,7 @@
 
   void SendEvents(std::string_view aBytes)
   {
-    if (!mProgress.answering) {
+    if (!mProgress.answerStarted) {
       BeginAnswer();
     }
     const auto now = Traffic::Now();
@@ -386,13 +386,13 @@
     }
     mFailed.insert(aServer);
     const auto now = Traffic::Now();
-    const auto verdict =
+    const auto decision =
       forward::Decide(mProgress, forward::AttemptEnd::Broken, now);
     const auto receivers = AllowedReceivers();
-    if (!forward::GoesOn(verdict) ||
+    if (!forward::NeedsAttempt(decision) ||
         !OtherChainHasRoom(
           mTraffic, *mAdmission.service, mInquiry, { mFailed, receivers }) ||
-        !TakeRetry(verdict)) {
+        !TakeRetry(decision)) {
       return;
     }
     mFault = aServer.Value();
@@ -401,12 +401,12 @@
                "a server of the chain is lost",
                mFault);
     LeaveServer();
-    Conclude(verdict, {});
+    Conclude(decision, {});
   }
 
   void BeginAnswer()
   {
-    mProgress.answering = true;
+    mProgress.answerStarted = true;
     mFirstEventAt = Traffic::Now();
     mTraffic.metrics.Record(trace::Timing::FirstToken,
                             mFirstEventAt - mStartedAt);
@@ -427,7 +427,7 @@
       return;
     }
     NoteServer(fleet::Finding::Answered);
-    if (!mProgress.answering) {
+    if (!mProgress.answerStarted) {
       BeginAnswer();
     }
     if (UsesChunks()) {
@@ -453,7 +453,7 @@
   void OnAttemptEnd(forward::AttemptEnd aEnd, std::string_view aReason)
   {
     if (aEnd == forward::AttemptEnd::NotSent) {
-      ++mProgress.unsent;
+      ++mProgress.failedBeforeSend;
     }
     const bool unknownFault = mFault.empty();
     if (aEnd == forward::AttemptEnd::NotSent ||
@@ -462,19 +462,20 @@
     }
     LogAttempt(Facts(), aEnd, aReason, mFault);
     LeaveServer();
-    auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
-    if (forward::GoesOn(verdict) && mProgress.sent > 0 && !TakeRetry(verdict)) {
-      verdict = forward::GiveUp(mProgress, aEnd);
+    auto decision = forward::Decide(mProgress, aEnd, Traffic::Now());
+    if (forward::NeedsAttempt(decision) && mProgress.sent > 0 &&
+        !TakeRetry(decision)) {
+      decision = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
-    Conclude(verdict, MakeError(ErrorKind::BackendFailed, aReason));
+    Conclude(decision, MakeError(ErrorKind::BackendFailed, aReason));
   }
 
-  bool TakeRetry(forward::Verdict aVerdict)
+  bool TakeRetry(forward::Decision aDecision)
   {
-    const auto use = aVerdict == forward::Verdict::Resume
-                       ? forward::RetryUse::Resume
-                       : forward::RetryUse::Repeat;
+    const auto use = aDecision == forward::Decision::Resume
+                       ? forward::RetryPurpose::Resume
+                       : forward::RetryPurpose::Repeat;
     return mTraffic.budget.TakeRetry(
       mAdmission.service->id, use, Traffic::Now());
   }
@@ -487,28 +488,28 @@
   }
 
   /** @brief Tries another server or ends the request. */
-  void Conclude(forward::Verdict aVerdict, const Error& aError)
+  void Conclude(forward::Decision aDecision, const Error& aError)
   {
-    if (aVerdict == forward::Verdict::Resume) {
+    if (aDecision == forward::Decision::Resume) {
       mTraffic.metrics.Add(trace::Count::Recoveries);
     }
-    if (forward::GoesOn(aVerdict)) {
+    if (forward::NeedsAttempt(aDecision)) {
       Attempt();
       return;
     }
-    Finish(aVerdict, aError);
+    Finish(aDecision, aError);
   }
 
   /** @brief Ends a request that no further server is tried for. */
-  void Finish(forward::Verdict aVerdict, Error aError)
+  void Finish(forward::Decision aDecision, Error aError)
   {
-    switch (aVerdict) {
-      case forward::Verdict::PassOn:
+    switch (aDecision) {
+      case forward::Decision::PassOn:
         PassOn(mServerFailure.first, mServerFailure.second);
         return;
-      case forward::Verdict::Resume:
-      case forward::Verdict::Retry:
-      case forward::Verdict::Refuse:
+      case forward::Decision::Resume:
+      case forward::Decision::Retry:
+      case forward::Decision::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
         aError.retryAfter = mAdmission.service->engine
@@ -518,13 +519,13 @@
                               : kPlainRetry;
         AnswerError(aError);
         return;
-      case forward::Verdict::Fail:
+      case forward::Decision::Fail:
         aError.kind = ErrorKind::BackendFailed;
         aError.executed = Executed::Unknown;
         aError.retryAfter = {};
         AnswerError(aError);
         return;
-      case forward::Verdict::Cut:
+      case forward::Decision::Abort:
         if (MayWaitToResume()) {
           mResume.Set(kResumeInterval, [self = this->weak_from_this()] {
             if (const auto exchange = self.lock()) {
@@ -556,11 +557,11 @@
     const auto receivers = AllowedReceivers();
     const bool room = OtherChainHasRoom(
       mTraffic, *mAdmission.service, mInquiry, { {}, receivers });
-    if (!room || !TakeRetry(forward::Verdict::Resume)) {
-      Finish(forward::Verdict::Cut, {});
+    if (!room || !TakeRetry(forward::Decision::Resume)) {
+      Finish(forward::Decision::Abort, {});
       return;
     }
-    Conclude(forward::Verdict::Resume, {});
+    Conclude(forward::Decision::Resume, {});
   }
 
   void OnDeadline()
@@ -568,14 +569,14 @@
     if (mEnded) {
       return;
     }
-    if (mProgress.answering) {
+    if (mProgress.answerStarted) {
       mTraffic.metrics.Add(trace::Outcome::Broken);
       CutCaller();
       End("cut_at_deadline");
       return;
     }
-    auto error = MakeError(mProgress.maybeRun ? ErrorKind::DeadlineExceeded
-                                              : ErrorKind::NoServer,
+    auto error = MakeError(mProgress.mayHaveRun ? ErrorKind::DeadlineExceeded
+                                                : ErrorKind::NoServer,
                            "no answer came before the deadline");
     AnswerError(error);
   }
@@ -631,9 +632,10 @@
            aHow,
            mError,
            mDetail,
-           mProgress.answering ? std::optional{ AnswerTimes{
-                                   mFirstEventAt - mStartedAt, mLongestPause } }
-                               : std::nullopt);
+           mProgress.answerStarted
+             ? std::optional{ AnswerTimes{ mFirstEventAt - mStartedAt,
+                                           mLongestPause } }
+             : std::nullopt);
     DropServer();
     mCaller = nullptr;
     if (const auto done = std::exchange(mDone, nullptr)) {
--- a/src/balsampoint/route/internal/server_price.cpp
+++ b/src/balsampoint/route/internal/server_price.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-/** Part of the price that a cached prefix is expected to save. */
+/** Fraction of the price that a cached prefix is expected to save. */
 constexpr double kCacheSaving = 0.3;
-/** Factor that keeps a server from being chosen while there is another. */
-constexpr double kAvoidance = 1e6;
-constexpr double kLeastSpeed = 1e-3;
+/** Factor on the price of a server that is used only if no other can be. */
+constexpr double kAvoidancePenalty = 1e6;
+constexpr double kMinSpeed = 1e-3;
 
 const Link*
 FindLink(std::span<const Link> aLinks, const ZoneId& aOne, const ZoneId& aOther)
@@ -29,32 +29,32 @@
 
 } // namespace
 
-ServerPrice::ServerPrice(Outlook aOutlook, const Wish& aWish)
-  : mOutlook{ aOutlook }
-  , mWish{ aWish }
+ServerPrice::ServerPrice(PolicyInput aInput, const RouteRequest& aRequest)
+  : mInput{ aInput }
+  , mRequest{ aRequest }
 {
 }
 
 double
-ServerPrice::Layer(const Node& aNode) const
+ServerPrice::LayerPrice(const Node& aNode) const
 {
-  const auto load = mOutlook.inFlight.Estimate(aNode, mOutlook.now) + 1.0;
-  const auto speed = std::max(kLeastSpeed, aNode.stage.layerTokensPerSecond);
+  const auto load = mInput.inFlight.Estimate(aNode, mInput.now) + 1.0;
+  const auto speed = std::max(kMinSpeed, aNode.stage.layerTokensPerSecond);
   auto price = load / speed;
   if (IsCached(aNode)) {
     price *= 1.0 - kCacheSaving;
   }
-  if (IsAvoided(aNode) || !HasRoom(aNode)) {
-    price *= kAvoidance;
+  if (IsAvoided(aNode) || !HasFreeKv(aNode)) {
+    price *= kAvoidancePenalty;
   }
   return price;
 }
 
 double
-ServerPrice::Hop(const Node& aNode) const
+ServerPrice::HopPrice(const Node& aNode) const
 {
-  const auto& graph = mOutlook.routes.graph;
-  const auto* link = FindLink(graph.links, mWish.entry, aNode.stage.zone);
+  const auto& graph = mInput.routes.graph;
+  const auto* link = FindLink(graph.links, mRequest.entry, aNode.stage.zone);
   if (link == nullptr) {
     return 0;
   }
@@ -67,48 +67,50 @@
 }
 
 bool
-ServerPrice::Usable(const Node& aNode) const
+ServerPrice::IsUsable(const Node& aNode) const
 {
-  return !Excludes(mWish, aNode.stage);
+  return !Excludes(mRequest, aNode.stage);
 }
 
 bool
 ServerPrice::IsCached(const Node& aNode) const
 {
-  return std::ranges::find(mWish.cached, aNode.stage.server) !=
-         mWish.cached.end();
+  return std::ranges::find(mRequest.cached, aNode.stage.server) !=
+         mRequest.cached.end();
 }
 
 bool
 ServerPrice::IsAvoided(const Node& aNode) const
 {
-  return std::ranges::find(mWish.avoidedZones, aNode.stage.zone) !=
-         mWish.avoidedZones.end();
+  return std::ranges::find(mRequest.avoidedZones, aNode.stage.zone) !=
+         mRequest.avoidedZones.end();
 }
 
 bool
-ServerPrice::HasRoom(const Node& aNode) const
+ServerPrice::HasFreeKv(const Node& aNode) const
 {
   return aNode.kvCapacityTokens == 0 ||
-         aNode.load.kvTokensUsed + mWish.kvTokens <= aNode.kvCapacityTokens;
+         aNode.load.kvTokensUsed + mRequest.kvTokens <= aNode.kvCapacityTokens;
 }
 
 tl::expected<Chain, Error>
-CheapestChain(const Graph& aGraph, const Wish& aWish, const ServerPrice& aPrice)
+CheapestChain(const Graph& aGraph,
+              const RouteRequest& aRequest,
+              const ServerPrice& aPrice)
 {
   std::vector<PricedNode> usable;
   for (const auto& node : aGraph.nodes) {
     const auto& held = node.stage.layers;
     const bool overlaps =
-      held.begin < aWish.layers.end && aWish.layers.begin < held.end;
-    if (!overlaps || !aPrice.Usable(node)) {
+      held.begin < aRequest.layers.end && aRequest.layers.begin < held.end;
+    if (!overlaps || !aPrice.IsUsable(node)) {
       continue;
     }
     usable.push_back({ .node = &node,
-                       .layerPrice = aPrice.Layer(node),
-                       .hopPrice = aPrice.Hop(node) });
+                       .layerPrice = aPrice.LayerPrice(node),
+                       .hopPrice = aPrice.HopPrice(node) });
   }
-  return ShortestChain(usable, aWish.layers);
+  return ShortestChain(usable, aRequest.layers);
 }
 
 } // namespace balsampoint::route::internal
--- a/src/balsampoint/route/policy/next_server_policy.hpp
+++ b/src/balsampoint/route/policy/next_server_policy.hpp
@@ -10,9 +10,10 @@
 namespace balsampoint::route {
 
 /**
- * @brief Builds a chain server by server, each run to the end of its layers.
+ * @brief Builds a chain server by server; each server runs all layers it holds
+ * from the next one on.
  *
- * The base of the policies that know no flow.
+ * Base of the policies that don't use the maximum flow.
  * @tparam Picker Picks one of the servers that hold the next layer.
  */
 template<typename Picker>
@@ -21,27 +22,27 @@
 public:
   /**
    * @brief Chooses a chain.
-   * @param aOutlook Servers and their load.
-   * @param aWish What the chain must do.
+   * @param aInput Servers, load and the current time.
+   * @param aRequest Requirements of the chain.
    * @param aRandom Source of random numbers.
    * @return The chain, or `ErrorKind::NoServer`.
    */
   template<RandomSource Random>
-  tl::expected<Chain, Error> Choose(Outlook aOutlook,
-                                    const Wish& aWish,
+  tl::expected<Chain, Error> Choose(PolicyInput aInput,
+                                    const RouteRequest& aRequest,
                                     Random& aRandom)
   {
     Chain chain;
-    for (auto layer = aWish.layers.begin; layer < aWish.layers.end;) {
-      const auto holders = Holders(aOutlook.routes.graph, aWish, layer);
+    for (auto layer = aRequest.layers.begin; layer < aRequest.layers.end;) {
+      const auto holders = Holders(aInput.routes.graph, aRequest, layer);
       if (holders.empty()) {
         return Refuse(ErrorKind::NoServer,
                       "no ready server holds layer " + std::to_string(layer));
       }
-      chain.push_back(mPicker.Pick(aOutlook, holders, aRandom).stage);
+      chain.push_back(mPicker.Pick(aInput, holders, aRandom).stage);
       auto& layers = chain.back().layers;
       layers = { .begin = layer,
-                 .end = std::min(layers.end, aWish.layers.end) };
+                 .end = std::min(layers.end, aRequest.layers.end) };
       layer = layers.end;
     }
     return chain;
@@ -49,12 +50,12 @@
 
 private:
   static std::vector<const Node*> Holders(const Graph& aGraph,
-                                          const Wish& aWish,
+                                          const RouteRequest& aRequest,
                                           std::uint32_t aLayer)
   {
     std::vector<const Node*> holders;
     for (const auto& node : aGraph.nodes) {
-      if (!node.stage.layers.Holds(aLayer) || Excludes(aWish, node.stage)) {
+      if (!node.stage.layers.Holds(aLayer) || Excludes(aRequest, node.stage)) {
         continue;
       }
       holders.push_back(&node);
@@ -65,12 +66,12 @@
   Picker mPicker;
 };
 
-/** @brief Picks any server with equal chance. */
+/** @brief Picks a server uniformly at random. */
 struct RandomPicker
 {
   /** @brief Picks one of several servers. */
   template<RandomSource Random>
-  const Node& Pick(const Outlook& /*aOutlook*/,
+  const Node& Pick(const PolicyInput& /*aInput*/,
                    std::span<const Node* const> aHolders,
                    Random& aRandom)
   {
@@ -83,7 +84,7 @@
 {
   /** @brief Picks one of several servers. */
   template<RandomSource Random>
-  const Node& Pick(const Outlook& /*aOutlook*/,
+  const Node& Pick(const PolicyInput& /*aInput*/,
                    std::span<const Node* const> aHolders,
                    Random& aRandom)
   {
@@ -94,16 +95,18 @@
   }
 
   static constexpr auto kUnset = std::numeric_limits<std::uint64_t>::max();
-  /** Turn; starts at random, so that hosts don't move in step. */
+  /** Counter of picks; starts at random, so that hosts don't pick the same
+   * servers at the same time. */
   std::uint64_t next{ kUnset };
 };
 
-/** @brief Picks the server with the least reported load for its speed. */
+/** @brief Picks the server with the least reported load relative to its speed.
+ */
 struct LeastLoadedPicker
 {
   /** @brief Picks one of several servers. */
   template<RandomSource Random>
-  const Node& Pick(const Outlook& /*aOutlook*/,
+  const Node& Pick(const PolicyInput& /*aInput*/,
                    std::span<const Node* const> aHolders,
                    Random& aRandom)
   {
@@ -123,11 +126,11 @@
   }
 };
 
-/** @brief Any server that holds the next layer. */
+/** @brief Picks random servers that hold the next layer. */
 using RandomPolicy = BasicNextServerPolicy<RandomPicker>;
-/** @brief The servers that hold the next layer in turn. */
+/** @brief Picks the servers that hold the next layer in turn. */
 using RoundRobinPolicy = BasicNextServerPolicy<RoundRobinPicker>;
-/** @brief The server with the least reported load. */
+/** @brief Picks the server with the least reported load. */
 using LeastLoadedPolicy = BasicNextServerPolicy<LeastLoadedPicker>;
 
 } // namespace balsampoint::route
--- a/src/balsampoint/route/query/max_flow.cpp
+++ b/src/balsampoint/route/query/max_flow.cpp
@@ -11,12 +11,13 @@
 
 namespace {
 
-/** Part of the bound by which the flow may stay below it. */
-constexpr double kGap = 5e-3;
+/** Relative gap between flow and upper bound at which the search ends. */
+constexpr double kRelativeGap = 5e-3;
 constexpr std::size_t kMaxRounds = 2000;
-/** Weight of the best bound's prices against the current ones. */
+/** Weight of the best bound's prices when mixed with the current ones. */
 constexpr double kCentreWeight = 0.8;
-/** Added to each hop's price, so that of equal ways the shortest is taken. */
+/** Added to each hop's price, so that the path with the fewest hops wins a
+ * tie. */
 constexpr double kHopPrice = 1e-9;
 constexpr auto kNoRow = std::numeric_limits<std::size_t>::max();
 
@@ -44,41 +45,41 @@
 }
 
 std::vector<std::uint32_t>
-Borders(std::span<const Group> aGroups, std::uint32_t aLayers)
+Boundaries(std::span<const Group> aGroups, std::uint32_t aLayers)
 {
-  std::vector<std::uint32_t> borders{ 0, aLayers };
+  std::vector<std::uint32_t> boundaries{ 0, aLayers };
   for (const auto& group : aGroups) {
-    borders.push_back(group.layers.begin);
-    borders.push_back(group.layers.end);
+    boundaries.push_back(group.layers.begin);
+    boundaries.push_back(group.layers.end);
   }
-  std::ranges::sort(borders);
-  const auto repeated = std::ranges::unique(borders);
-  borders.erase(repeated.begin(), repeated.end());
-  return borders;
+  std::ranges::sort(boundaries);
+  const auto repeated = std::ranges::unique(boundaries);
+  boundaries.erase(repeated.begin(), repeated.end());
+  return boundaries;
 }
 
-/** The cheapest way to reach a border. */
-struct Reach
+/** The cheapest path from layer 0 to a boundary, as its last hop. */
+struct PartialPath
 {
   double price{ std::numeric_limits<double>::infinity() };
   std::size_t from{};
   std::size_t group{};
 };
 
-/** A way of one entry zone with its price. */
+/** A path of one entry zone with its price. */
 struct PricedPath
 {
   double price{};
   std::vector<Hop> hops;
 };
 
-/** The ways through the graph and the rows that they use. */
+/** The paths through the graph and the rows of the program that they use. */
 class PathModel
 {
 public:
   PathModel(const Graph& aGraph, std::span<const EntryShare> aShares)
     : mGroups{ MakeGroups(aGraph) }
-    , mBorders{ Borders(mGroups, aGraph.layers) }
+    , mBoundaries{ Boundaries(mGroups, aGraph.layers) }
     , mRows{ mGroups.size() }
   {
     for (const auto& group : mGroups) {
@@ -90,24 +91,24 @@
   }
 
   [[nodiscard]] const std::vector<Group>& Groups() const { return mGroups; }
-  /** Rows of groups and links; those of the entries follow. */
+  /** Number of rows of groups and links; the rows of entry zones follow. */
   [[nodiscard]] std::size_t Rows() const { return mRows; }
-  /** Tokens a second of one unit. */
+  /** Tokens per second in one unit of the program's amounts. */
   [[nodiscard]] double Unit() const { return mUnit; }
 
-  /** What the prices of hops can add to a way's price at most. */
+  /** Upper bound of the sum of `kHopPrice` over one path. */
   [[nodiscard]] double HopPrices() const
   {
-    return kHopPrice * static_cast<double>(mBorders.size());
+    return kHopPrice * static_cast<double>(mBoundaries.size());
   }
 
-  /** The cheapest way of an entry zone; infinite price when there is none. */
-  [[nodiscard]] PricedPath Cheapest(std::size_t aEntry,
-                                    std::span<const double> aPrices) const
+  /** The cheapest path of an entry zone; infinite price if there is none. */
+  [[nodiscard]] PricedPath CheapestPath(std::size_t aEntry,
+                                        std::span<const double> aPrices) const
   {
-    std::vector<Reach> reached(mBorders.size());
+    std::vector<PartialPath> reached(mBoundaries.size());
     reached.front().price = 0;
-    for (std::size_t from = 0; from + 1 < mBorders.size(); ++from) {
+    for (std::size_t from = 0; from + 1 < mBoundaries.size(); ++from) {
       for (std::size_t group = 0; group < mGroups.size(); ++group) {
         Extend(
           reached, from, { group, HopPrice(aEntry, group, aPrices) }, aPrices);
@@ -116,7 +117,7 @@
     return Trace(reached);
   }
 
-  /** The rows that one unit of tokens on a way uses. */
+  /** The column of a path: the use of each row by one unit of tokens. */
   [[nodiscard]] internal::Column ToColumn(std::size_t aEntry,
                                           std::span<const Hop> aHops) const
   {
@@ -137,7 +138,7 @@
     return column;
   }
 
-  /** One for each server group and link; then nothing for each entry. */
+  /** 1 for each server group and link, then 0 for each entry zone. */
   [[nodiscard]] std::vector<double> Capacities() const
   {
     std::vector<double> capacities(mRows + mLinkShares.size());
@@ -161,44 +162,46 @@
            (link.row == kNoRow ? 0.0 : aPrices[link.row] * link.amount);
   }
 
-  void Extend(std::vector<Reach>& aReached,
+  void Extend(std::vector<PartialPath>& aReached,
               std::size_t aFrom,
               PricedGroup aGroup,
               std::span<const double> aPrices) const
   {
     const auto& group = mGroups[aGroup.group];
-    if (!group.layers.Holds(mBorders[aFrom])) {
+    if (!group.layers.Holds(mBoundaries[aFrom])) {
       return;
     }
     const auto layerPrice =
       mUnit * aPrices[aGroup.group] / group.layerTokensPerSecond;
     const auto base = aReached[aFrom].price + aGroup.hopPrice;
     for (auto to = aFrom + 1;
-         to < mBorders.size() && mBorders[to] <= group.layers.end;
+         to < mBoundaries.size() && mBoundaries[to] <= group.layers.end;
          ++to) {
-      const auto price = base + layerPrice * (mBorders[to] - mBorders[aFrom]);
+      const auto price =
+        base + layerPrice * (mBoundaries[to] - mBoundaries[aFrom]);
       if (price < aReached[to].price) {
         aReached[to] = { .price = price, .from = aFrom, .group = aGroup.group };
       }
     }
   }
 
-  [[nodiscard]] PricedPath Trace(std::span<const Reach> aReached) const
+  [[nodiscard]] PricedPath Trace(std::span<const PartialPath> aReached) const
   {
     PricedPath path{ .price = aReached.back().price };
     if (path.price == std::numeric_limits<double>::infinity()) {
       return path;
     }
     for (auto at = aReached.size() - 1; at != 0; at = aReached[at].from) {
-      const LayerRange layers{ .begin = mBorders[aReached[at].from],
-                               .end = mBorders[at] };
+      const LayerRange layers{ .begin = mBoundaries[aReached[at].from],
+                               .end = mBoundaries[at] };
       path.hops.push_back({ .group = aReached[at].group, .layers = layers });
     }
     std::ranges::reverse(path.hops);
     return path;
   }
 
-  /** Row and share of the link from an entry zone to each group. */
+  /** For each group, the row of its link to an entry zone and the use of that
+   * link by one unit; `kNoRow` where no link limits. */
   std::vector<internal::RowUse> LinkShares(const Graph& aGraph,
                                            const ZoneId& aEntry)
   {
@@ -232,15 +235,16 @@
   }
 
   std::vector<Group> mGroups;
-  std::vector<std::uint32_t> mBorders;
+  std::vector<std::uint32_t> mBoundaries;
   std::size_t mRows;
   double mUnit{};
   std::map<std::pair<ZoneId, ZoneId>, std::size_t> mLinkRows;
-  /** For each entry zone and group. */
+  /** Use of links, by entry zone and then by group. */
   std::vector<std::vector<internal::RowUse>> mLinkShares;
 };
 
-/** Adds the cheapest ways round by round until the flow is the maximum. */
+/** Adds the cheapest paths round by round until the flow is within
+ * `kRelativeGap` of its upper bound. */
 class FlowSolver
 {
 public:
@@ -267,23 +271,23 @@
         return { .groups = mModel.Groups() };
       }
       UpdateBound(paths, prices);
-      if (mProgram.Worth() >= mBound * (1 - kGap)) {
+      if (mProgram.Objective() >= mBound * (1 - kRelativeGap)) {
         break;
       }
-      mSmooths = AddColumns(paths);
+      mSmoothing = AddColumns(paths);
     }
     return Result();
   }
 
 private:
   /**
-   * Current prices drawn towards those of the best bound, since the current
-   * ones swing widely; without that where it led to no improvement.
+   * Current prices mixed with those of the best bound, since the current ones
+   * oscillate widely; unmixed after a round that improved nothing.
    */
   [[nodiscard]] std::vector<double> SmoothPrices() const
   {
     const auto current = mProgram.Prices().first(mModel.Rows());
-    const auto weight = mSmooths ? kCentreWeight : 0.0;
+    const auto weight = mSmoothing ? kCentreWeight : 0.0;
     std::vector<double> prices(current.size());
     for (std::size_t row = 0; row < prices.size(); ++row) {
       prices[row] =
@@ -292,13 +296,13 @@
     return prices;
   }
 
-  /** The cheapest way for each entry; empty when a layer has no server. */
+  /** The cheapest path of each entry zone; empty if a layer has no server. */
   [[nodiscard]] std::vector<PricedPath> CheapestPaths(
     std::span<const double> aPrices) const
   {
     std::vector<PricedPath> paths;
     for (std::size_t entry = 0; entry < mShares.size(); ++entry) {
-      paths.push_back(mModel.Cheapest(entry, aPrices));
+      paths.push_back(mModel.CheapestPath(entry, aPrices));
       if (paths.back().hops.empty()) {
         return {};
       }
@@ -306,7 +310,8 @@
     return paths;
   }
 
-  /** By duality: all capacity at its price, over the price of one unit. */
+  /** Updates the upper bound, which by duality is the price of all capacity
+   * over the price of one unit of tokens. */
   void UpdateBound(std::span<const PricedPath> aPaths,
                    std::span<const double> aPrices)
   {
@@ -327,7 +332,7 @@
     }
   }
 
-  /** Whether any of the ways improves the flow. */
+  /** Adds the paths; returns whether any of them improves the flow. */
   bool AddColumns(std::span<PricedPath> aPaths)
   {
     bool improves = false;
@@ -359,10 +364,10 @@
   PathModel mModel;
   internal::PackingProgram mProgram;
   double mBound{ std::numeric_limits<double>::infinity() };
-  /** Prices that gave the best bound. */
+  /** Prices that gave the best bound, scaled to a price of 1 for one unit. */
   std::vector<double> mCentre;
-  bool mSmooths{ true };
-  /** In the order of their columns, which follow that of the total. */
+  bool mSmoothing{ true };
+  /** In the order of their columns, which follow the column of the total. */
   std::vector<Path> mPaths;
 };
 
--- a/src/balsampoint/route/query/plan.cpp
+++ b/src/balsampoint/route/query/plan.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** Whether two graphs differ in nothing but the loads. */
+/** Whether two graphs differ at most in loads, and so have the same flow. */
 bool
 HasSameFlow(const Graph& aOne, const Graph& aOther)
 {
@@ -38,7 +38,7 @@
 }
 
 std::vector<PipelineId>
-WithoutFlow(const Table& aTable)
+PipelinesWithoutFlow(const Table& aTable)
 {
   std::vector<PipelineId> pipelines;
   for (const auto& [id, routes] : aTable.pipelines) {
--- a/src/balsampoint/routing/table.cpp
+++ b/src/balsampoint/routing/table.cpp
@@ -56,7 +56,8 @@
   std::uint64_t weights = 0;
   for (const auto& target : aRoute.targets) {
     if (!mDocument.services.contains(target.service)) {
-      return Invalid("route '" + aRoute.name + "' names the unknown service '" +
+      return Invalid("route '" + aRoute.name +
+                     "' refers to the unknown service '" +
                      target.service.String() + "'");
     }
     weights += target.weight;
@@ -90,13 +91,13 @@
       const auto other = aOther->pathPrefix.size();
       return one != other ? one > other : aOne->pathPrefix < aOther->pathPrefix;
     });
-    const auto twin = std::ranges::adjacent_find(
+    const auto duplicate = std::ranges::adjacent_find(
       routes, {}, [](const Route* aRoute) -> const std::string& {
         return aRoute->pathPrefix;
       });
-    if (twin != routes.end()) {
+    if (duplicate != routes.end()) {
       return Invalid("two routes have the host '" + host + "' and the prefix " +
-                     (*twin)->pathPrefix);
+                     (*duplicate)->pathPrefix);
     }
   }
   return {};
--- a/src/balsampoint/stream/internal/kept_inputs.cpp
+++ b/src/balsampoint/stream/internal/kept_inputs.cpp
@@ -19,7 +19,8 @@
   return positions * aProgress.request.pipeline.activationBytes;
 }
 
-/** The stage that costs the fewest layers more to replay, if any. */
+/** The stage whose loss of inputs adds the fewest layers to a replay; null if
+ * no inputs can be dropped. */
 StageState*
 CheapestToDrop(Progress& aProgress)
 {
@@ -45,7 +46,7 @@
 void
 RecordInput(Progress& aProgress)
 {
-  auto& stage = aProgress.stages[aProgress.at];
+  auto& stage = aProgress.stages[aProgress.currentStage];
   if (!stage.keepsInputs) {
     return;
   }
--- a/test/balsampoint/route/policy/flow_policy_test.cpp
+++ b/test/balsampoint/route/policy/flow_policy_test.cpp
@@ -34,11 +34,11 @@
            Holder("s3", { 6, 12 }, "a", 400) };
 }
 
-const route::Wish kAll{ .layers = { 0, 12 }, .entry = ZoneId{ "a" } };
+const route::RouteRequest kAll{ .layers = { 0, 12 }, .entry = ZoneId{ "a" } };
 
 } // namespace
 
-Test(flow_policy, running_shares_follow_the_flow)
+Test(flow_policy, distributes_requests_in_proportion_to_the_flow)
 {
   const auto routes = RoutesOf(UnevenServers());
   Router router{ fake::Random{ 3 } };
@@ -55,23 +55,23 @@
   cr_assert_eq(chosen["s3"], 400);
 }
 
-Test(flow_policy, excluded_servers_and_parts_of_the_layers)
+Test(flow_policy, skips_excluded_servers_and_covers_partial_ranges)
 {
   const auto routes = RoutesOf(UnevenServers());
   Router router{ fake::Random{ 3 } };
   const std::vector<route::ExcludedServer> excluded{ { ServerId{ "s1" },
                                                        Incarnation{ 1 } } };
-  auto wish = kAll;
-  wish.excluded = excluded;
+  auto wanted = kAll;
+  wanted.excluded = excluded;
   for (int request = 0; request < 20; ++request) {
-    const auto chain = router.Choose(routes, wish, Instant{});
+    const auto chain = router.Choose(routes, wanted, Instant{});
     cr_assert(chain->front().server == ServerId{ "s2" });
   }
-  wish.layers = { 3, 9 };
-  cr_assert(route::Covers(*router.Choose(routes, wish, Instant{}), { 3, 9 }));
+  wanted.layers = { 3, 9 };
+  cr_assert(route::Covers(*router.Choose(routes, wanted, Instant{}), { 3, 9 }));
 }
 
-Test(flow_policy, without_a_flow_the_cheapest_chain_is_chosen)
+Test(flow_policy, chooses_the_cheapest_chain_without_a_flow)
 {
   auto routes = RoutesOf(UnevenServers());
   routes.flow = {};
@@ -80,21 +80,21 @@
   cr_assert(chain->front().server == ServerId{ "s1" });
 }
 
-Test(flow_policy, server_without_room_for_the_kv_is_left_out)
+Test(flow_policy, avoids_servers_without_enough_free_kv)
 {
   auto servers = UnevenServers();
   servers[0].announcement.kvCapacityTokens = 1000;
   servers[0].announcement.load.kvTokensUsed = 900;
   const auto routes = RoutesOf(servers);
   Router router{ fake::Random{ 3 } };
-  auto wish = kAll;
-  wish.layers = { 0, 6 };
-  wish.kvTokens = 200;
-  cr_assert(router.Choose(routes, wish, Instant{})->front().server ==
+  auto wanted = kAll;
+  wanted.layers = { 0, 6 };
+  wanted.kvTokens = 200;
+  cr_assert(router.Choose(routes, wanted, Instant{})->front().server ==
             ServerId{ "s2" });
 }
 
-Test(in_flight, own_work_is_counted_since_the_report_and_reports_fade)
+Test(in_flight, adds_own_requests_since_the_report_and_decays_old_reports)
 {
   auto routes = RoutesOf(UnevenServers());
   auto& node = routes.graph.nodes.front();
@@ -120,16 +120,16 @@
   auto servers = UnevenServers();
   auto table =
     route::Plan({}, { .document = document, .servers = servers, .links = {} });
-  cr_assert_eq(route::WithoutFlow(table).size(), 1);
+  cr_assert_eq(route::PipelinesWithoutFlow(table).size(), 1);
   table.pipelines[pipeline.id].flowNumber = 7;
   servers[0].announcement.load.runningRequests = 5;
   table = route::Plan(
     table, { .document = document, .servers = servers, .links = {} });
-  cr_assert(route::WithoutFlow(table).empty());
+  cr_assert(route::PipelinesWithoutFlow(table).empty());
   cr_assert_eq(table.pipelines[pipeline.id].graph.nodes[0].load.runningRequests,
                5);
   servers.pop_back();
   table = route::Plan(
     table, { .document = document, .servers = servers, .links = {} });
-  cr_assert_eq(route::WithoutFlow(table).size(), 1);
+  cr_assert_eq(route::PipelinesWithoutFlow(table).size(), 1);
 }
--- a/test/balsampoint/stream/command/disturbed_test.cpp
+++ b/test/balsampoint/stream/command/fault_injection_test.cpp
@@ -10,18 +10,18 @@
 using fake::CallFault;
 using fake::DraftRequest;
 using fake::Driver;
-using stream::Loss;
+using stream::FailureKind;
 
 namespace {
 
 constexpr std::uint32_t kTokens = 12;
 
-/** How often each thing goes wrong, of 1,000. */
+/** Rates of injected faults, per 1,000 events. */
 struct Rates
 {
   std::uint32_t callFails{};
   std::uint32_t restarts{};
-  std::uint32_t repeats{};
+  std::uint32_t duplicates{};
 };
 
 void
@@ -44,7 +44,7 @@
   }
 }
 
-/** Hands over an event that is no longer waited for; nothing may follow. */
+/** Delivers a stale event and checks that only a counter changes. */
 void
 DeliverStale(Driver& aDriver, const stream::Event& aEvent)
 {
@@ -71,9 +71,9 @@
   aDriver.state = state;
 }
 
-/** The same reply as another request would get it. */
+/** The same reply with the id of another request. */
 stream::Event
-Crossed(stream::Event aEvent)
+WithOtherRequest(stream::Event aEvent)
 {
   const RequestId other{ "draft-2" };
   if (auto* step = std::get_if<stream::StepReplied>(&aEvent)) {
@@ -87,13 +87,13 @@
 }
 
 void
-Disturb(Driver& aDriver, fake::Random& aRandom, const Rates& aRates)
+InjectFaults(Driver& aDriver, fake::Random& aRandom, const Rates& aRates)
 {
-  if (aRandom.Next() % 1000 < aRates.repeats) {
+  if (aRandom.Next() % 1000 < aRates.duplicates) {
     const auto& past = aDriver.history;
     const auto event = past[aRandom.Next() % past.size()];
     DeliverStale(aDriver, event);
-    DeliverStale(aDriver, Crossed(event));
+    DeliverStale(aDriver, WithOtherRequest(event));
   }
   for (const auto& event : std::exchange(aDriver.late, {})) {
     DeliverStale(aDriver, event);
@@ -118,10 +118,12 @@
     if (random.Next() % 1000 >= aRates.callFails) {
       return std::nullopt;
     }
-    return CallFault{ .loss = static_cast<Loss>(random.Next() % 3),
+    return CallFault{ .kind = static_cast<FailureKind>(random.Next() % 3),
                       .runs = random.Next() % 2 == 0 };
   };
-  driver.disturb = [&](Driver& aDriver) { Disturb(aDriver, random, aRates); };
+  driver.afterEvent = [&](Driver& aDriver) {
+    InjectFaults(aDriver, random, aRates);
+  };
   const std::uint64_t positions = random.Next() % 40;
   driver.Run(DraftRequest(kTokens),
              { .maxLosses = 1000,
@@ -145,19 +147,19 @@
 
 } // namespace
 
-Test(disturbed, late_repeated_and_crossed_replies_change_nothing)
+Test(fault_injection, late_duplicate_and_misrouted_replies_are_dropped)
 {
-  Check("replies only", { .callFails = 50, .repeats = 300 });
+  Check("replies only", { .callFails = 50, .duplicates = 300 });
 }
 
-Test(disturbed, losses_and_restarts_at_any_moment_leave_whole_answers)
+Test(fault_injection, losses_and_restarts_at_any_time_never_corrupt_the_answer)
 {
   Check("losses and restarts",
-        { .callFails = 60, .restarts = 20, .repeats = 100 });
+        { .callFails = 60, .restarts = 20, .duplicates = 100 });
 }
 
-Test(disturbed, constant_trouble_ends_whole_or_with_an_error)
+Test(fault_injection, frequent_failures_end_in_a_complete_answer_or_an_error)
 {
   Check("constant trouble",
-        { .callFails = 400, .restarts = 100, .repeats = 100 });
+        { .callFails = 400, .restarts = 100, .duplicates = 100 });
 }
--- a/test/balsampoint/stream/command/handle_test.cpp
+++ b/test/balsampoint/stream/command/handle_test.cpp
@@ -7,7 +7,7 @@
 using fake::CallFault;
 using fake::DraftRequest;
 using fake::Driver;
-using stream::Loss;
+using stream::FailureKind;
 
 namespace {
 
@@ -29,9 +29,11 @@
   cr_assert_eq(aDriver.text, fake::ExpectedAnswer("In memory of", 12, aTokens));
 }
 
-/** Fails each call to some servers from a position on. */
+/** Fails each call to the given servers from a position onwards. */
 auto
-FailFrom(std::uint64_t aStep, std::vector<std::string> aServers, Loss aLoss)
+FailFrom(std::uint64_t aStep,
+         std::vector<std::string> aServers,
+         FailureKind aKind)
 {
   return [=](const stream::Target& aTarget,
              const stream::CallId& aId) -> std::optional<CallFault> {
@@ -40,13 +42,13 @@
           aServers.end()) {
       return std::nullopt;
     }
-    return CallFault{ .loss = aLoss };
+    return CallFault{ .kind = aKind };
   };
 }
 
 } // namespace
 
-Test(handle, answer_equals_the_arithmetic_over_any_chain)
+Test(handle, answer_is_the_same_over_any_chain)
 {
   const std::vector<std::vector<std::uint32_t>> chains{
     { 12 }, { 4, 12 }, { 1, 2, 3, 12 }, { 5, 7, 11, 12 }
@@ -73,7 +75,7 @@
   AddThreeStages(driver);
   driver.AddServer("t2a", { 4, 6 });
   driver.AddServer("t2b", { 6, 8 });
-  driver.fault = FailFrom(7, { "s2" }, Loss::ConnectionLost);
+  driver.fault = FailFrom(7, { "s2" }, FailureKind::ConnectionLost);
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
   const auto& counters = driver.state.progress.counters;
@@ -86,34 +88,36 @@
 {
   Driver driver;
   AddThreeStages(driver);
-  driver.disturb = [](Driver& aDriver) {
+  driver.afterEvent = [](Driver& aDriver) {
     if (aDriver.history.size() == 3) {
       aDriver.AddServer("t2", { 2, 9 });
       aDriver.AddServer("t3", { 8, 12 });
       aDriver.AddServer("u2", { 3, 8 });
     }
   };
-  driver.fault = FailFrom(5, { "s2", "s3", "t2" }, Loss::ConnectionLost);
+  driver.fault = FailFrom(5, { "s2", "s3", "t2" }, FailureKind::ConnectionLost);
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
   cr_assert_eq(driver.state.progress.counters.losses, 3);
 }
 
-Test(handle, last_server_of_a_range_is_waited_for)
+Test(handle, waits_for_a_server_when_the_last_one_of_a_range_is_lost)
 {
   Driver driver;
   AddThreeStages(driver);
-  driver.fault = FailFrom(5, { "s2" }, Loss::ConnectionLost);
-  driver.arrive = [](Driver& aDriver) { aDriver.AddServer("t2", { 4, 8 }); };
+  driver.fault = FailFrom(5, { "s2" }, FailureKind::ConnectionLost);
+  driver.onWaitTimeout = [](Driver& aDriver) {
+    aDriver.AddServer("t2", { 4, 8 });
+  };
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
 }
 
-Test(handle, answer_without_a_server_for_a_range_fails_and_never_finishes)
+Test(handle, answer_fails_when_no_server_holds_a_range)
 {
   Driver driver;
   AddThreeStages(driver);
-  driver.fault = FailFrom(5, { "s2" }, Loss::ConnectionLost);
+  driver.fault = FailFrom(5, { "s2" }, FailureKind::ConnectionLost);
   driver.Run(DraftRequest(kTokens));
   cr_assert_not(driver.finished);
   cr_assert(driver.error.has_value());
@@ -121,7 +125,7 @@
   cr_assert_eq(driver.text, fake::ExpectedAnswer("In memory of", 12, 5));
 }
 
-Test(handle, refusal_before_any_call_promises_that_nothing_was_run)
+Test(handle, failure_before_any_call_is_reported_as_not_executed)
 {
   Driver driver;
   driver.AddServer("s1", { 0, 4 });
@@ -130,7 +134,7 @@
   cr_assert_eq(driver.error->executed, Executed::No);
 }
 
-Test(handle, a_lost_zone_is_avoided_after_two_of_its_servers)
+Test(handle, zone_is_avoided_after_the_loss_of_two_of_its_servers)
 {
   Driver driver;
   for (const auto* const zone : { "a", "b" }) {
@@ -145,21 +149,22 @@
   driver.fault = [](const auto& aTarget, const auto& aId) {
     const auto lost =
       aId.step.Value() >= 5 && aTarget.server.String().front() == 'a';
-    return lost ? std::optional{ CallFault{ .loss = Loss::ConnectionLost } }
-                : std::nullopt;
+    return lost
+             ? std::optional{ CallFault{ .kind = FailureKind::ConnectionLost } }
+             : std::nullopt;
   };
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
   cr_assert_eq(driver.state.progress.counters.losses, 4);
 }
 
-Test(handle, slow_stage_is_left_by_a_deadline_learnt_from_its_steps)
+Test(handle, slow_stage_is_replaced_at_a_deadline_derived_from_its_step_times)
 {
   Driver driver;
   AddThreeStages(driver);
   driver.AddServer("t2", { 4, 8 });
   driver.stepTime = std::chrono::milliseconds{ 12 };
-  driver.fault = FailFrom(9, { "s2" }, Loss::DeadlinePassed);
+  driver.fault = FailFrom(9, { "s2" }, FailureKind::DeadlinePassed);
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
   cr_assert_eq(driver.state.progress.counters.losses, 1);
@@ -169,7 +174,7 @@
   cr_assert(detection <= std::chrono::milliseconds{ 100 });
 }
 
-Test(handle, slow_stage_without_another_server_gets_more_time)
+Test(handle, slow_stage_gets_a_longer_deadline_when_no_other_server_exists)
 {
   Driver driver;
   AddThreeStages(driver);
@@ -180,13 +185,13 @@
         ++failed > 2) {
       return std::nullopt;
     }
-    return CallFault{ .loss = Loss::DeadlinePassed, .runs = true };
+    return CallFault{ .kind = FailureKind::DeadlinePassed, .runs = true };
   };
   driver.Run(DraftRequest(kTokens));
   AssertWhole(driver);
 }
 
-Test(handle, a_step_that_runs_after_it_was_given_up_changes_nothing)
+Test(handle, an_abandoned_step_that_runs_late_changes_nothing)
 {
   Driver driver;
   driver.AddServer("only", { .begin = 0, .end = 12 });
@@ -195,7 +200,8 @@
     constexpr std::uint64_t kEvery = 5;
     std::optional<fake::CallFault> fault;
     if (++calls % kEvery == 0) {
-      fault = CallFault{ .loss = Loss::DeadlinePassed, .runsLate = true };
+      fault =
+        CallFault{ .kind = FailureKind::DeadlinePassed, .runsLate = true };
     }
     return fault;
   };
@@ -203,14 +209,14 @@
   AssertWhole(driver, 12);
 }
 
-Test(handle, kv_is_imported_when_that_is_estimated_to_be_faster)
+Test(handle, kv_is_imported_when_estimated_to_be_faster_than_a_replay)
 {
   for (const auto bandwidth : { 1e12, 1e3 }) {
     Driver driver;
     AddThreeStages(driver);
     driver.AddServer("t2a", { 4, 6 });
     driver.AddServer("t2b", { 6, 8 });
-    driver.fault = FailFrom(300, { "s2" }, Loss::DeadlinePassed);
+    driver.fault = FailFrom(300, { "s2" }, FailureKind::DeadlinePassed);
     driver.Run(DraftRequest(310), { .kvBytesPerSecond = bandwidth });
     AssertWhole(driver, 310);
     const auto& counters = driver.state.progress.counters;
@@ -230,7 +236,7 @@
     if (aId.step.Value() != 300 || aTarget.server.Value() != "s2") {
       return std::nullopt;
     }
-    return CallFault{ .loss = Loss::DeadlinePassed, .runs = true };
+    return CallFault{ .kind = FailureKind::DeadlinePassed, .runs = true };
   };
   driver.Run(DraftRequest(310), { .kvBytesPerSecond = 1e12 });
   AssertWhole(driver, 310);
@@ -245,7 +251,7 @@
     AddThreeStages(driver);
     driver.AddServer("t3a", { 8, 10 });
     driver.AddServer("t3b", { 9, 12 });
-    driver.fault = FailFrom(12, { "s3" }, Loss::ConnectionLost);
+    driver.fault = FailFrom(12, { "s3" }, FailureKind::ConnectionLost);
     driver.Run(DraftRequest(kTokens),
                { .keptActivationBytes = positions * 16384 });
     AssertWhole(driver);
@@ -254,12 +260,12 @@
   }
 }
 
-Test(handle, restart_behind_a_reused_connection_is_seen_in_the_reply)
+Test(handle, restart_behind_a_reused_connection_is_detected_from_the_reply)
 {
   Driver driver;
   AddThreeStages(driver);
   driver.AddServer("t2", { 4, 8 });
-  driver.disturb = [](Driver& aDriver) {
+  driver.afterEvent = [](Driver& aDriver) {
     if (aDriver.history.size() == 20) {
       aDriver.Restart(ServerId{ "s2" }, false);
     }
@@ -269,12 +275,12 @@
   cr_assert_eq(driver.state.progress.counters.losses, 1);
 }
 
-Test(handle, deadline_and_caller_end_an_answer_and_free_the_servers)
+Test(handle, passed_deadline_or_closed_caller_cancels_the_answer_on_all_servers)
 {
   for (const bool deadline : { false, true }) {
     Driver driver;
     AddThreeStages(driver);
-    driver.disturb = [deadline](Driver& aDriver) {
+    driver.afterEvent = [deadline](Driver& aDriver) {
       if (aDriver.history.size() == 20) {
         aDriver.Deliver(deadline ? stream::Event{ stream::DeadlinePassed{} }
                                  : stream::Event{ stream::CallerGone{} });
