--- a/src/balsampoint/consensus/command/apply.cpp
+++ b/src/balsampoint/consensus/command/apply.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-/** @brief Ends the proposal made for an index; zero if none was committed. */
+/** @brief Removes the proposal made for an index and returns its ticket; zero
+ * if there is none. Refuses the proposal if another leader's entry took its
+ * place.
+ */
 Ticket
 TakeTicket(State& aState, const Entry& aEntry, Actions& aActions)
 {
@@ -23,8 +26,9 @@
   if (proposal.term == aEntry.term) {
     return proposal.ticket;
   }
-  auto error = MakeError(ErrorKind::ControlUnavailable,
-                         "another leader took over before the change was kept");
+  auto error =
+    MakeError(ErrorKind::ControlUnavailable,
+              "a new leader replaced the entry before it was committed");
   error.executed = Executed::No;
   aActions.emplace_back(Refused{ proposal.ticket, std::move(error) });
   return {};
--- a/src/balsampoint/consensus/command/apply.hpp
+++ b/src/balsampoint/consensus/command/apply.hpp
@@ -5,9 +5,10 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Applies what is committed and durable here, in order.
+ * @brief Applies, in order, all entries that are committed and durable on this
+ * host, and requests a snapshot when enough entries were applied.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow Current time.
  * @param aActions Receives the commands to apply and the answers.
  */
 void
--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** @brief Whether the host has never held any state. */
+/** @brief Whether the host has neither a durable term nor log entries. */
 bool
 IsFresh(const State& aState)
 {
@@ -46,7 +46,8 @@
   return aRequest.lastIndex >= internal::LastIndex(aState.log);
 }
 
-/** @brief A host that lost its state votes only where nobody has any. */
+/** @brief Whether a vote may be granted. A host without its durable state votes
+ * only if both it and the candidate are fresh. */
 bool
 MayGrant(const State& aState, const VoteRequest& aRequest)
 {
@@ -71,7 +72,8 @@
   }
 }
 
-/** @brief A first start needs every voter, since a lost disk looks alike. */
+/** @brief Whether enough voters have granted. The pre-vote of a fresh host
+ * needs every voter, since a lost disk looks the same as a first start. */
 bool
 HasWon(const State& aState, bool aNeedsAll)
 {
@@ -90,8 +92,9 @@
 }
 
 /**
- * @brief The first entry of a log says who the group is, so that its hosts know
- * that without their settings.
+ * @brief Creates the first entry of a leader's term. The first entry of an
+ * empty log records the members, so that a restarted host knows them without
+ * its settings.
  */
 Entry
 FirstEntryOfTerm(const State& aState)
@@ -162,7 +165,7 @@
     aState, aFrom, VoteReply{ term, true, granted }, aActions);
 }
 
-/** @brief Draws a time between two bounds. */
+/** @brief Picks a random duration between two bounds, inclusive. */
 Duration
 DrawBetween(State& aState, Duration aLeast, Duration aMost)
 {
@@ -221,8 +224,8 @@
 void
 StartPreVote(State& aState, Instant aNow, Actions& aActions)
 {
-  // Asking changes nothing, so a host whose peers are still starting asks
-  // again soon.
+  // A pre-vote changes no state, so a host whose peers are still starting can
+  // retry it soon.
   if (aState.anyLeaderKnown) {
     ResetElection(aState, aNow);
   } else {
--- a/src/balsampoint/consensus/command/elect.hpp
+++ b/src/balsampoint/consensus/command/elect.hpp
@@ -5,29 +5,29 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Chooses a new random time at which to stand for election.
+ * @brief Restarts the election timer with a new random timeout.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 void
 ResetElection(State& aState, Instant aNow);
 
 /**
- * @brief Draws the time at which a host that has started asks for a first
- * leader.
+ * @brief Restarts the election timer with the shorter timeout used until a
+ * first leader is known.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 void
 AwaitFirstLeader(State& aState, Instant aNow);
 
 /**
- * @brief Becomes a follower and takes over a later term.
+ * @brief Becomes a follower, in a later term if one is given.
  * @param aState State to change.
- * @param aTerm The term; not before the current one.
- * @param aLeader Leader of the term; empty if not known.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aTerm Term to enter; not lower than the current one.
+ * @param aLeader Leader of the term; empty if unknown.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 BecomeFollower(State& aState,
@@ -37,40 +37,43 @@
                Actions& aActions);
 
 /**
- * @brief Asks the voters whether they would give their votes.
+ * @brief Starts a pre-vote: asks the voters whether they would grant their
+ * votes.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 StartPreVote(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Enters the next term and asks for votes.
+ * @brief Becomes a candidate in the next term and requests votes.
  * @param aState State to change.
- * @param aHandOver Whether the leader asked for the election.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aHandOver Whether the leader requested the election.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 StartElection(State& aState, bool aHandOver, Instant aNow, Actions& aActions);
 
 /**
- * @brief Counts the host's own vote once it is durable.
+ * @brief Counts the candidate's own vote if it is durable.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 CountOwnVote(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Gives or refuses a vote.
+ * @brief Answers a vote or pre-vote request. Ignores requests from hosts that
+ * are not voters, and requests made while the leader is alive unless they
+ * belong to a hand-over.
  * @param aState State to change.
  * @param aFrom The candidate.
  * @param aRequest Its request.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleVoteRequest(State& aState,
@@ -80,12 +83,13 @@
                   Actions& aActions);
 
 /**
- * @brief Counts a vote.
+ * @brief Counts a granted vote or pre-vote; a reply with a later term ends the
+ * election.
  * @param aState State to change.
  * @param aFrom The voter.
  * @param aReply Its reply.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleVoteReply(State& aState,
--- a/src/balsampoint/consensus/command/hand_over.cpp
+++ b/src/balsampoint/consensus/command/hand_over.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** @brief The live voter whose log is the longest; empty if there is none. */
+/** @brief The live voter with the highest matching index; empty if none. */
 HostId
 Successor(const State& aState, Instant aNow)
 {
--- a/src/balsampoint/consensus/command/hand_over.hpp
+++ b/src/balsampoint/consensus/command/hand_over.hpp
@@ -5,16 +5,16 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Starts to pass the office on to the most caught-up voter.
+ * @brief Starts a transfer of leadership to the most caught-up live voter.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleHandOver(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Asks the successor to stand for election once it is caught up.
+ * @brief Asks the successor to start an election once it has the whole log.
  * @param aState State of the leader.
  * @param aActions Receives the message.
  */
@@ -22,7 +22,7 @@
 ContinueHandOver(State& aState, Actions& aActions);
 
 /**
- * @brief Gives up a hand-over that takes too long.
+ * @brief Abandons a hand-over that has timed out.
  * @param aState State of the leader.
  * @param aActions Receives the answer.
  */
@@ -30,12 +30,12 @@
 AbandonHandOver(State& aState, Actions& aActions);
 
 /**
- * @brief Stands for election at the leader's wish.
+ * @brief Starts an election on request of the leader.
  * @param aState State to change.
  * @param aFrom The leader.
  * @param aRequest Its request.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleHandOverRequest(State& aState,
--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/** @brief Whether an earlier change of the group has yet to be committed. */
+/** @brief Whether an earlier membership change, or the first entry of the
+ * leader's term, is not committed yet. */
 bool
 IsChanging(const State& aState)
 {
@@ -29,7 +30,7 @@
   }
   if (IsChanging(aState)) {
     return MakeError(ErrorKind::Conflict,
-                     "an earlier change of the members is not done");
+                     "an earlier membership change is still in progress");
   }
   return std::nullopt;
 }
@@ -123,7 +124,8 @@
          aMembers.members.end();
 }
 
-/** @brief The spare whose zone has the fewest voters left. */
+/** @brief The standby host whose zone has the fewest members besides the lost
+ * one; nothing if all are members. */
 std::optional<Spare>
 ChooseSpare(const State& aState, const HostId& aLost)
 {
@@ -171,7 +173,7 @@
   }
   if (internal::Find(aState.members, aEvent.host) != nullptr) {
     RefuseChange(aEvent.ticket,
-                 MakeError(ErrorKind::Conflict, "the host is a member already"),
+                 MakeError(ErrorKind::Conflict, "the host is already a member"),
                  aActions);
     return;
   }
@@ -213,7 +215,7 @@
     error = MakeError(ErrorKind::NotFound, "the host is not a member");
   }
   if (!error && internal::Find(aState.members, aEvent.with) != nullptr) {
-    error = MakeError(ErrorKind::Conflict, "the new host is a member already");
+    error = MakeError(ErrorKind::Conflict, "the new host is already a member");
   }
   if (!error && IsBeingReplaced(aState.members, aEvent.host)) {
     error = MakeError(ErrorKind::Conflict, "the host is being replaced");
--- a/src/balsampoint/consensus/command/members.hpp
+++ b/src/balsampoint/consensus/command/members.hpp
@@ -5,7 +5,7 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Takes the group from the end of the log.
+ * @brief Sets the current members from the last members entry of the log.
  * @param aState State to change.
  */
 void
@@ -14,9 +14,9 @@
 /**
  * @brief Adds a host as a learner.
  * @param aState State to change.
- * @param aEvent The request; answered under its ticket.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aEvent The request; the answer carries its ticket.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleAddMember(State& aState,
@@ -25,11 +25,11 @@
                 Actions& aActions);
 
 /**
- * @brief Removes a member, unless the rest would have no live quorum.
+ * @brief Removes a member unless the remaining voters would lack a live quorum.
  * @param aState State to change.
- * @param aEvent The request; answered under its ticket.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aEvent The request; the answer carries its ticket.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleRemoveMember(State& aState,
@@ -38,11 +38,11 @@
                    Actions& aActions);
 
 /**
- * @brief Adds a host as a learner that takes the place of a member later.
+ * @brief Adds a host as a learner that replaces a member after its promotion.
  * @param aState State to change.
- * @param aEvent The request; answered under its ticket.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aEvent The request; the answer carries its ticket.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleReplaceMember(State& aState,
@@ -51,20 +51,22 @@
                     Actions& aActions);
 
 /**
- * @brief Takes the next step of a change that has started: promotes a learner
- * that is synced up to the commit, or removes a voter that it replaces.
+ * @brief Performs the next step of a membership change: promotes a learner that
+ * has all committed entries, or removes the voter that it has replaced.
  * @param aState State of the leader.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 ContinueMembers(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Puts a spare in the place of a voter that has been silent for long.
+ * @brief Adds standby hosts until the target number of members is reached,
+ * starts the replacement of voters without contact for `replaceAfter`, and
+ * removes replacement learners that are lost themselves.
  * @param aState State of the leader.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 RepairMembers(State& aState, Instant aNow, Actions& aActions);
--- a/src/balsampoint/consensus/command/propose.cpp
+++ b/src/balsampoint/consensus/command/propose.cpp
@@ -21,7 +21,7 @@
   }
   if (!aState.handOverTo.Empty()) {
     return MakeError(ErrorKind::ControlUnavailable,
-                     "the leader is handing over");
+                     "the leader is handing over leadership");
   }
   if (aEvent.command.size() > aState.settings.maxCommandBytes) {
     return MakeError(ErrorKind::PayloadTooLarge,
--- a/src/balsampoint/consensus/command/propose.hpp
+++ b/src/balsampoint/consensus/command/propose.hpp
@@ -5,11 +5,11 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Appends a command if this host leads and may take it.
+ * @brief Appends a command to the log if this host leads and can accept it.
  * @param aState State to change.
- * @param aEvent The command; a refusal is answered under its ticket.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aEvent The command; a refusal carries its ticket.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandlePropose(State& aState,
--- a/src/balsampoint/consensus/command/read.hpp
+++ b/src/balsampoint/consensus/command/read.hpp
@@ -5,11 +5,11 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Asks a quorum whether this host still leads.
+ * @brief Starts a round of messages that confirms that this host still leads.
  * @param aState State to change.
- * @param aEvent The request; answered under its ticket.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aEvent The request; the answer carries its ticket.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleConfirmLeader(State& aState,
@@ -18,7 +18,7 @@
                     Actions& aActions);
 
 /**
- * @brief Answers the readers for whom a quorum has confirmed the leader.
+ * @brief Answers the pending reads whose round a quorum has answered.
  * @param aState State of the leader.
  * @param aActions Receives the answers.
  */
@@ -26,7 +26,7 @@
 AnswerReads(State& aState, Actions& aActions);
 
 /**
- * @brief Refuses all readers that wait.
+ * @brief Refuses all pending reads.
  * @param aState State to change.
  * @param aActions Receives the answers.
  */
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-/** @brief The last entry that a majority of the voters holds durably. */
+/** @brief The last entry that is durable on a majority of the voters. */
 Index
 QuorumIndex(const State& aState)
 {
@@ -40,7 +40,8 @@
   return matches[matches.size() / 2];
 }
 
-/** @brief Where a leader should try next after a mismatch. */
+/** @brief Index after which the leader should retry following a mismatch; skips
+ * all uncommitted entries of one term at once. */
 Index
 MismatchHint(const State& aState, Index aPrevious)
 {
@@ -54,7 +55,8 @@
   return std::max(hint, aState.committed);
 }
 
-/** @brief Drops entries that contradict the leader's; says which are new. */
+/** @brief The entries from the first one on that the log lacks or holds with
+ * another term. */
 std::span<const Entry>
 NewEntries(const State& aState, std::span<const Entry> aEntries)
 {
@@ -89,7 +91,8 @@
   internal::Write(aState, std::move(persist), aActions);
 }
 
-/** @brief A host that lost entries is whole once it has all committed ones. */
+/** @brief Ends recovery once all entries that the leader has committed are
+ * durable here and the last of them is of the leader's own term. */
 void
 EndRecovery(State& aState, const AppendRequest& aRequest, Actions& aActions)
 {
--- a/src/balsampoint/consensus/command/replicate.hpp
+++ b/src/balsampoint/consensus/command/replicate.hpp
@@ -5,7 +5,7 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Appends an entry of the leader's own to its log.
+ * @brief Appends a new entry to the leader's log and writes it to the disk.
  * @param aState State of the leader; the entry's index and term are filled in.
  * @param aEntry The entry.
  * @param aActions Receives the write.
@@ -14,52 +14,56 @@
 AppendLocal(State& aState, Entry aEntry, Actions& aActions);
 
 /**
- * @brief Starts to follow the progress of members that are new to the leader.
+ * @brief Starts to track the progress of members that are not tracked yet.
  * @param aState State of the leader.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 void
 TrackMembers(State& aState, Instant aNow);
 
 /**
- * @brief Sends every member what it lacks.
+ * @brief Calls `Replicate` for every other member.
  * @param aState State of the leader.
- * @param aNow The time.
+ * @param aNow Current time.
  * @param aActions Receives the messages.
  */
 void
 Broadcast(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Sends one member what it lacks, or a heartbeat.
+ * @brief Sends a member its next entries or snapshot part; a member without
+ * recent contact gets an empty message as a heartbeat.
  * @param aState State of the leader.
  * @param aTo The member.
- * @param aNow The time.
+ * @param aNow Current time.
  * @param aActions Receives the message.
  */
 void
 Replicate(State& aState, const HostId& aTo, Instant aNow, Actions& aActions);
 
 /**
- * @brief Starts a round of heartbeats, or leaves office without a quorum.
+ * @brief Starts a round of heartbeats; steps down if no quorum has replied
+ * recently.
  * @param aState State of the leader.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 Heartbeat(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Commits what a quorum has made durable.
+ * @brief Commits entries of the current term that a quorum holds durably, and
+ * applies them.
  * @param aState State of the leader.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 AdvanceCommit(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Refuses readers that waited for this leader.
+ * @brief Refuses pending reads, discards the progress of members and ends a
+ * hand-over.
  * @param aState State of the leader.
  * @param aActions Receives the answers.
  */
@@ -67,12 +71,12 @@
 LeaveOffice(State& aState, Actions& aActions);
 
 /**
- * @brief Takes entries over from the leader.
+ * @brief Appends the leader's entries to the log.
  * @param aState State to change.
  * @param aFrom The leader.
  * @param aRequest Its request.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleAppendRequest(State& aState,
@@ -82,12 +86,12 @@
                     Actions& aActions);
 
 /**
- * @brief Notes what a member has made durable.
+ * @brief Records what a member has made durable.
  * @param aState State of the leader.
  * @param aFrom The member.
  * @param aReply Its reply.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleAppendReply(State& aState,
@@ -97,10 +101,11 @@
                   Actions& aActions);
 
 /**
- * @brief Does what depends on a member's answer: commit, reads, hand-over.
+ * @brief Advances everything that waits for replies: commit, pending reads,
+ * hand-over and membership change.
  * @param aState State of the leader.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 AfterAnswer(State& aState, Instant aNow, Actions& aActions);
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-/** @brief Adds a part if it continues what has arrived; returns the size. */
+/** @brief Appends a part if it starts where the received data ends; returns the
+ * bytes received so far. */
 std::uint64_t
 TakePart(State& aState, const SnapshotRequest& aRequest)
 {
@@ -31,7 +32,8 @@
   return incoming.data.size();
 }
 
-/** @brief Ends proposals whose entry was replaced by a snapshot. */
+/** @brief Answers proposals whose entries are covered by an installed snapshot;
+ * their outcome is unknown. */
 void
 EndCoveredProposals(State& aState, Actions& aActions)
 {
@@ -42,7 +44,7 @@
     aActions.emplace_back(
       Refused{ aPair.second.ticket,
                MakeError(ErrorKind::OutcomeUnknown,
-                         "the host was behind when the change was decided") });
+                         "a snapshot was installed in place of the entry") });
     return true;
   });
 }
--- a/src/balsampoint/consensus/command/snapshot.hpp
+++ b/src/balsampoint/consensus/command/snapshot.hpp
@@ -5,7 +5,8 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Keeps a snapshot of the tables and drops the entries it covers.
+ * @brief Stores a snapshot of the tables and drops the entries it covers,
+ * except for the last `keptBehind`.
  * @param aState State to change.
  * @param aEvent The encoded tables.
  * @param aActions Receives the write.
@@ -18,8 +19,8 @@
 /**
  * @brief Sends a member the next part of the snapshot.
  * @param aState State of the leader.
- * @param aTo The member; one not heard lately gets an empty part.
- * @param aNow The time.
+ * @param aTo The member; without recent contact it gets an empty part.
+ * @param aNow Current time.
  * @param aActions Receives the message.
  */
 void
@@ -29,12 +30,12 @@
                  Actions& aActions);
 
 /**
- * @brief Takes over a part of the leader's snapshot.
+ * @brief Stores a part of the leader's snapshot, and installs it when complete.
  * @param aState State to change.
  * @param aFrom The leader.
  * @param aRequest The part.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleSnapshotRequest(State& aState,
@@ -44,12 +45,12 @@
                       Actions& aActions);
 
 /**
- * @brief Notes how much of the snapshot a member has.
+ * @brief Records how much of the snapshot a member has received.
  * @param aState State of the leader.
  * @param aFrom The member.
  * @param aReply Its reply.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleSnapshotReply(State& aState,
--- a/src/balsampoint/consensus/command/storage.hpp
+++ b/src/balsampoint/consensus/command/storage.hpp
@@ -5,11 +5,11 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Lets what waited for a durable write go on.
+ * @brief Continues everything that waited for a durable write.
  * @param aState State to change.
  * @param aEvent The write.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleSynced(State& aState,
@@ -18,11 +18,12 @@
              Actions& aActions);
 
 /**
- * @brief Stops acknowledging until the disk works again.
+ * @brief Steps down and stops sending and receiving messages until the disk
+ * works again.
  * @param aState State to change.
  * @param aEvent The failure.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aNow Current time.
+ * @param aActions Receives the resulting actions.
  */
 void
 HandleStorageFailure(State& aState,
@@ -31,9 +32,9 @@
                      Actions& aActions);
 
 /**
- * @brief Writes again everything that may not be durable.
+ * @brief Repeats the write of everything that may not be durable.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow Current time.
  * @param aActions Receives the write.
  */
 void
--- a/src/balsampoint/consensus/entry.hpp
+++ b/src/balsampoint/consensus/entry.hpp
@@ -9,36 +9,41 @@
 
 namespace balsampoint::consensus {
 
-/** @brief Counts elections; at most one leader in each term. */
+/** @brief Raft term; each term has at most one leader. */
 using Term = BasicNumber<struct TermTag>;
-/** @brief Position of an entry in the replicated log, from one. */
+/** @brief Position of an entry in the replicated log, starting at one. */
 using Index = BasicNumber<struct LogIndexTag>;
-/** @brief Orders the rounds of heartbeats of one leader. */
+/**
+ * @brief Numbers the rounds of messages that one leader sends to all members.
+ *
+ * Replies repeat the number, so that a quorum of replies to a round proves that
+ * the leader still led when it started that round.
+ */
 using Round = BasicNumber<struct HeartbeatRoundTag>;
-/** @brief Orders the writes that one host hands to its disk. */
+/** @brief Numbers the writes that one host passes to its disk, in order. */
 using WriteNumber = BasicNumber<struct WriteTag>;
 
-/** @brief What a member of the group may do. */
+/** @brief Whether a member counts towards the quorum. */
 enum class MemberRole : std::uint8_t
 {
   Voter,
-  /** Receives the log but has no vote yet. */
+  /** Receives the log but does not vote until it is promoted. */
   Learner,
 };
 
-/** @brief One host of the group. */
+/** @brief One member of the consensus group. */
 struct Member
 {
   HostId host;
   ZoneId zone;
   MemberRole role{ MemberRole::Voter };
-  /** Voter to remove once this learner is promoted; empty for none. */
+  /** Voter to remove once this learner is promoted; empty if none. */
   HostId replaces;
 
   auto operator<=>(const Member&) const = default;
 };
 
-/** @brief The group as of one entry, in the order of host ids. */
+/** @brief Members of the group as of one log entry, sorted by host id. */
 struct Membership
 {
   std::vector<Member> members;
@@ -46,10 +51,11 @@
   auto operator<=>(const Membership&) const = default;
 };
 
-/** @brief What an entry holds. */
+/** @brief Kind of the payload of an entry. */
 enum class EntryKind : std::uint8_t
 {
-  /** Nothing; a new leader commits it to learn what is committed. */
+  /** No payload; a new leader appends it, since only an entry of its own term
+   * lets it commit the entries of earlier terms. */
   Empty,
   Command,
   Members,
@@ -67,7 +73,7 @@
   bool operator==(const Entry&) const = default;
 };
 
-/** @brief The replicated tables as of one entry, encoded by the daemon. */
+/** @brief The replicated tables as of one log entry, encoded by the daemon. */
 struct Snapshot
 {
   Index index;
@@ -78,13 +84,15 @@
   bool operator==(const Snapshot&) const = default;
 };
 
-/** @brief What must be durable before a vote or a term leaves the host. */
+/** @brief Raft state that must be durable before this host sends a message that
+ * depends on it. */
 struct HardState
 {
   Term term;
-  /** The candidate voted for in this term; empty for none. */
+  /** Candidate that this host voted for in `term`; empty if none. */
   HostId vote;
-  /** Whether durable entries were lost, so that the host may not vote. */
+  /** Whether durable state may have been lost; the host must not vote until it
+   * has caught up with the leader. */
   bool recovering{ false };
 
   bool operator==(const HardState&) const = default;
--- a/src/balsampoint/consensus/fwd.hpp
+++ b/src/balsampoint/consensus/fwd.hpp
@@ -3,8 +3,9 @@
 /**
  * @brief Replicated log of the control state: election, replication, members.
  *
- * A small group of voters agrees on a sequence of opaque commands. The module
- * decides; the daemon sends its messages, writes its records and applies the
+ * Implements Raft with pre-votes, learners and leadership transfer for a small
+ * group of voters. Commands are opaque bytes. The module only decides: the
+ * daemon sends its messages, writes its records and applies the committed
  * commands to the replicated tables.
  */
 namespace balsampoint::consensus {
--- a/src/balsampoint/consensus/internal/log.hpp
+++ b/src/balsampoint/consensus/internal/log.hpp
@@ -24,7 +24,7 @@
  * @brief Looks up an entry.
  * @param aLog Log to read.
  * @param aIndex Index of the entry.
- * @return The entry, or null when it isn't held.
+ * @return The entry, or null if it is not in memory.
  */
 [[nodiscard]] const Entry*
 Find(const Log& aLog, Index aIndex);
@@ -32,28 +32,29 @@
 /**
  * @brief Term of an entry.
  * @param aLog Log to read.
- * @param aIndex Index of the entry, or the one just before the first held.
- * @return The term, or nothing when it isn't known.
+ * @param aIndex Index of the entry, or of the one just before the first in
+ * memory.
+ * @return The term, or nothing if the entry is not in memory.
  */
 [[nodiscard]] std::optional<Term>
 TermAt(const Log& aLog, Index aIndex);
 
 /**
- * @brief The group as of an entry.
+ * @brief Members of the group as of an entry.
  * @param aLog Log to read.
  * @param aIndex Index of the entry.
- * @return The members after that entry.
+ * @return The members that this entry, or the last change before it, set.
  */
 [[nodiscard]] const Membership&
 MembersAt(const Log& aLog, Index aIndex);
 
 /**
- * @brief Copies entries that follow one another.
+ * @brief Copies consecutive entries.
  * @param aLog Log to read.
- * @param aFrom Index of the first.
- * @param aMaxBytes Bound on the bytes of their commands; one entry is copied
- * even if it is larger.
- * @return The entries; empty past the end.
+ * @param aFrom Index of the first entry.
+ * @param aMaxBytes Limit on the total size of their commands in bytes; the
+ * first entry is copied even if it is larger.
+ * @return The entries; empty if `aFrom` is past the end.
  */
 [[nodiscard]] std::vector<Entry>
 Slice(const Log& aLog, Index aFrom, std::size_t aMaxBytes);
@@ -67,7 +68,7 @@
 Truncate(Log& aLog, Index aFrom);
 
 /**
- * @brief Drops entries from the front.
+ * @brief Drops all entries up to an index.
  * @param aLog Log to change.
  * @param aThrough Index of the last to drop.
  */
@@ -75,9 +76,9 @@
 Compact(Log& aLog, Index aThrough);
 
 /**
- * @brief Empties the log to continue after a snapshot.
+ * @brief Clears the log and sets its base to a snapshot.
  * @param aLog Log to change.
- * @param aSnapshot What the log continues after.
+ * @param aSnapshot Snapshot that the next entry follows.
  */
 void
 Reset(Log& aLog, const Snapshot& aSnapshot);
--- a/src/balsampoint/consensus/internal/quorum.hpp
+++ b/src/balsampoint/consensus/internal/quorum.hpp
@@ -11,7 +11,7 @@
  * @brief Looks up a member.
  * @param aMembers Group to read.
  * @param aHost The host.
- * @return The member, or null.
+ * @return The member, or null if the host is not one.
  */
 [[nodiscard]] inline const Member*
 Find(const Membership& aMembers, const HostId& aHost)
@@ -21,7 +21,7 @@
 }
 
 /**
- * @brief Whether a host has a vote.
+ * @brief Whether a host is a voter.
  * @param aMembers Group to read.
  * @param aHost The host.
  */
@@ -44,7 +44,7 @@
 }
 
 /**
- * @brief Whether a condition holds for more than half of the voters.
+ * @brief Whether a condition holds for a majority of the voters.
  * @tparam Predicate Callable with a host id.
  * @param aMembers Group to read.
  * @param aHolds The condition.
@@ -63,10 +63,11 @@
 }
 
 /**
- * @brief Whether a leader heard a member within the shortest election timeout.
+ * @brief Whether a member replied to the leader within the minimum election
+ * timeout; always true for the leader itself.
  * @param aState State of the leader.
  * @param aHost The member.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 [[nodiscard]] inline bool
 HeardLately(const State& aState, const HostId& aHost, Instant aNow)
--- a/src/balsampoint/consensus/internal/write.hpp
+++ b/src/balsampoint/consensus/internal/write.hpp
@@ -5,7 +5,8 @@
 namespace balsampoint::consensus::internal {
 
 /**
- * @brief Hands a write to the disk, unless storage has failed.
+ * @brief Passes a write to the disk. While storage has failed, only a write
+ * with `resume` set is passed on.
  * @param aState State to change.
  * @param aPersist The write; its number is filled in.
  * @param aActions Receives the write.
@@ -14,7 +15,7 @@
 Write(State& aState, Persist aPersist, Actions& aActions);
 
 /**
- * @brief Makes the term and the vote durable.
+ * @brief Writes the hard state (term, vote, recovery flag) to the disk.
  * @param aState State to change.
  * @param aActions Receives the write.
  */
@@ -22,11 +23,12 @@
 WriteHardState(State& aState, Actions& aActions);
 
 /**
- * @brief Sends a message as soon as all writes so far are durable.
+ * @brief Sends a message once all writes so far are durable; drops it while
+ * storage has failed.
  * @param aState State to change.
  * @param aTo Receiver.
  * @param aMessage The message.
- * @param aActions Receives the message if it may leave now.
+ * @param aActions Receives the message if no write is outstanding.
  */
 void
 SendWhenDurable(State& aState,
@@ -35,15 +37,16 @@
                 Actions& aActions);
 
 /**
- * @brief Notes that entries from an index on are no longer the durable ones.
+ * @brief Marks the entries from an index on as not durable, because they are
+ * about to be replaced.
  * @param aState State to change.
- * @param aFrom Index of the first.
+ * @param aFrom Index of the first entry.
  */
 void
 ForgetDurable(State& aState, Index aFrom);
 
 /**
- * @brief Notes a durable write and lets the messages go that waited for it.
+ * @brief Records a durable write and sends the messages that waited for it.
  * @param aState State to change.
  * @param aWrite Number of the write.
  * @param aActions Receives the messages.
--- a/src/balsampoint/consensus/message.hpp
+++ b/src/balsampoint/consensus/message.hpp
@@ -6,17 +6,18 @@
 
 namespace balsampoint::consensus {
 
-/** @brief Asks whether a vote would be given, or asks for it. */
+/** @brief Requests a vote or, with `preVote`, asks whether it would be granted.
+ */
 struct VoteRequest
 {
   Term term;
   Index lastIndex;
   Term lastTerm;
-  /** Whether this only asks; nobody's term changes by it. */
+  /** Whether this is a pre-vote, which changes no term and records no vote. */
   bool preVote{ false };
-  /** Whether the leader itself asked for this election. */
+  /** Whether the leader requested this election to hand over leadership. */
   bool handOver{ false };
-  /** Whether the candidate has never held any state. */
+  /** Whether the candidate has no durable term and no log entries. */
   bool fresh{ false };
 
   bool operator==(const VoteRequest&) const = default;
@@ -32,7 +33,7 @@
   bool operator==(const VoteReply&) const = default;
 };
 
-/** @brief Entries that follow one another, or a heartbeat without any. */
+/** @brief Sends consecutive log entries; a heartbeat if there are none. */
 struct AppendRequest
 {
   Term term;
@@ -50,14 +51,16 @@
 {
   Term term;
   bool accepted{ false };
-  /** Last durable entry equal to the leader's, or where to try next. */
+  /** If accepted, the last entry that is durable and equal to the leader's;
+   * otherwise the index after which the leader should retry. */
   Index index;
   Round round;
 
   bool operator==(const AppendReply&) const = default;
 };
 
-/** @brief A part of a snapshot for a member that is far behind. */
+/** @brief Sends one part of a snapshot to a member that needs entries which the
+ * leader no longer has. */
 struct SnapshotRequest
 {
   Term term;
@@ -72,7 +75,7 @@
   bool operator==(const SnapshotRequest&) const = default;
 };
 
-/** @brief Says how much of a snapshot has arrived. */
+/** @brief Acknowledges the bytes of a snapshot received so far. */
 struct SnapshotReply
 {
   Term term;
@@ -83,7 +86,7 @@
   bool operator==(const SnapshotReply&) const = default;
 };
 
-/** @brief Asks a caught-up voter to stand for election at once. */
+/** @brief Asks a caught-up voter to start an election immediately. */
 struct HandOverRequest
 {
   Term term;
@@ -91,7 +94,7 @@
   bool operator==(const HandOverRequest&) const = default;
 };
 
-/** @brief Everything that members send to one another. */
+/** @brief Message between two members of the group. */
 using Message = std::variant<VoteRequest,
                              VoteReply,
                              AppendRequest,
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-/** @brief Hands each kind of event and message to its command. */
+/** @brief Dispatches each kind of event and message to its command. */
 struct Dispatch
 {
   State& state;
@@ -158,14 +158,16 @@
       aSettings.electionMax < aSettings.electionMin ||
       aSettings.firstElectionMax < aSettings.firstElectionMin) {
     return Refuse(ErrorKind::InvalidConfiguration,
-                  "the election timeouts must be longer than the heartbeat");
+                  "the host id must be set, and the election timeouts must be "
+                  "ordered and longer than the heartbeat interval");
   }
   State state{ .settings = std::move(aSettings),
                .random = SplitMix64{ aSeed } };
   const auto hard = aRecovered.hard;
   TakeRecovered(state, std::move(aRecovered), aActions);
   if (!IsContiguous(state.log)) {
-    return Refuse(ErrorKind::StorageFailed, "entries of the log are missing");
+    return Refuse(ErrorKind::StorageFailed,
+                  "the recovered log has missing entries");
   }
   state.hard = hard.value_or(HardState{ .recovering = true });
   RefreshMembers(state);
--- a/src/balsampoint/consensus/module.hpp
+++ b/src/balsampoint/consensus/module.hpp
@@ -4,7 +4,7 @@
 
 namespace balsampoint::consensus {
 
-/** @brief The module as the control thread runs it. */
+/** @brief Interface of the module to the control thread. */
 struct Module
 {
   using State = consensus::State;
@@ -12,13 +12,14 @@
   using Action = consensus::Action;
 
   /**
-   * @brief Starts a member from what its disk gave back.
-   * @param aSettings Fixed values of the host.
+   * @brief Creates the state of a member from the content of its disk.
+   * @param aSettings Configuration of the member.
    * @param aRecovered Content of the disk; empty on a first start.
-   * @param aSeed Starts the sequence of election timeouts.
-   * @param aNow The time.
-   * @param aActions Receives the first actions.
-   * @return The state, or `ErrorKind::InvalidConfiguration`.
+   * @param aSeed Seed of the random election timeouts.
+   * @param aNow Current time.
+   * @param aActions Receives the resulting actions.
+   * @return The state; `ErrorKind::InvalidConfiguration` if the settings are
+   * inconsistent, `ErrorKind::StorageFailed` if the log has a gap.
    */
   [[nodiscard]] static tl::expected<State, Error> Start(Settings aSettings,
                                                         Recovered aRecovered,
@@ -27,11 +28,11 @@
                                                         Actions& aActions);
 
   /**
-   * @brief Reacts to one event.
+   * @brief Handles one event.
    * @param aState State to change.
    * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aNow Current time.
+   * @param aActions Receives the resulting actions.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -39,17 +40,17 @@
                      Actions& aActions);
 
   /**
-   * @brief Does what has become due.
+   * @brief Runs the timers that have expired.
    * @param aState State to change.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aNow Current time.
+   * @param aActions Receives the resulting actions.
    */
   static void Tick(State& aState, Instant aNow, Actions& aActions);
 
   /**
-   * @brief Tells when `Tick` is due.
+   * @brief Time of the earliest pending timer.
    * @param aState State to read.
-   * @return The time; `kNever` for none.
+   * @return When to call `Tick` next; `kNever` if no timer is pending.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/consensus/query/next_deadline.hpp
+++ b/src/balsampoint/consensus/query/next_deadline.hpp
@@ -5,9 +5,9 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Tells when the member has something to do of its own accord.
+ * @brief Time of the member's earliest pending timer.
  * @param aState State to read.
- * @return The time; `kNever` for none.
+ * @return The time; `kNever` if no timer is pending.
  */
 [[nodiscard]] Instant
 NextDeadline(const State& aState);
--- a/src/balsampoint/consensus/query/status.hpp
+++ b/src/balsampoint/consensus/query/status.hpp
@@ -6,10 +6,10 @@
 namespace balsampoint::consensus {
 
 /**
- * @brief Describes the group.
+ * @brief Returns the status of the group as this member knows it.
  * @param aState State to read.
- * @param aNow The time.
- * @return What this member knows.
+ * @param aNow Current time.
+ * @return The status.
  */
 [[nodiscard]] Status
 Describe(const State& aState, Instant aNow);
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -17,39 +17,43 @@
 
 namespace balsampoint::consensus {
 
-/** @brief Fixed values of one host. */
+/** @brief Configuration of one member, fixed while it runs. */
 struct Settings
 {
   HostId self;
-  /** Voters of a cluster that has no state yet. */
+  /** Voters of a group whose log is still empty. */
   Membership initialMembers;
   Duration heartbeat{ std::chrono::milliseconds{ 250 } };
-  /** Silence of the leader after which a voter stands for election. */
+  /** Bounds of the random election timeout: the time without contact to a
+   * leader after which a voter starts a pre-vote. */
   Duration electionMin{ std::chrono::milliseconds{ 800 } };
   Duration electionMax{ std::chrono::milliseconds{ 1400 } };
-  /** Time after which a voter that has heard no leader since its start asks
-   * whether it would be elected. */
+  /** Bounds of the shorter timeout used until a voter knows a first leader
+   * after its start. */
   Duration firstElectionMin{ std::chrono::milliseconds{ 100 } };
   Duration firstElectionMax{ std::chrono::milliseconds{ 350 } };
-  /** Entries applied since the last snapshot that call for a new one. */
+  /** Number of entries applied since the last snapshot that triggers a new one.
+   */
   std::uint64_t compactAfter{ 1000 };
-  /** Entries kept behind a snapshot for members a little behind. */
+  /** Number of entries retained before a snapshot, so that members that lag
+   * slightly need no snapshot. */
   std::uint64_t keptBehind{ 200 };
   std::size_t maxAppendBytes{ std::size_t{ 256 } * 1024 };
   std::size_t snapshotPartBytes{ std::size_t{ 64 } * 1024 };
   std::size_t maxCommandBytes{ std::size_t{ 4 } * 1024 * 1024 };
-  /** Voters that the group grows to where spares are known; zero for as many
-   * as it has. */
+  /** Number of members that the leader grows the group to while standby hosts
+   * are available; zero keeps the current number. */
   std::size_t voters{ 0 };
-  /** Silence of a voter after which a spare takes its place. */
+  /** Time without contact after which the leader replaces a voter by a standby
+   * host. */
   Duration replaceAfter{ std::chrono::minutes{ 2 } };
-  /** Pause before a failed disk is tried again. */
+  /** Delay between attempts to write to a failed disk. */
   Duration storageRetry{ std::chrono::seconds{ 2 } };
-  /** Limit on one hand-over. */
+  /** Time after which the leader abandons a hand-over. */
   Duration handOverLimit{ std::chrono::seconds{ 2 } };
 };
 
-/** @brief A host with a disk that may become a member. */
+/** @brief A host with a disk that can replace a lost member. */
 struct Spare
 {
   HostId host;
@@ -58,16 +62,16 @@
   auto operator<=>(const Spare&) const = default;
 };
 
-/** @brief What the disk gave back at the start. */
+/** @brief State read from the disk at startup. */
 struct Recovered
 {
-  /** Nothing on a disk that was never used. */
+  /** Absent if the disk was never used. */
   std::optional<HardState> hard;
   std::optional<Snapshot> snapshot;
   std::vector<Entry> entries;
 };
 
-/** @brief The entries held in memory and what stands before them. */
+/** @brief The log entries in memory, and the position just before the first. */
 struct Log
 {
   Index baseIndex;
@@ -76,29 +80,30 @@
   std::deque<Entry> entries;
 };
 
-/** @brief What a leader knows of one other member. */
+/** @brief Replication progress of another member, tracked by the leader. */
 struct Progress
 {
+  /** Next entry to send. */
   Index next;
-  /** Last entry durable there. */
+  /** Last entry known to be durable on the member. */
   Index match;
-  /** Newest round it has answered. */
+  /** Latest round that the member has answered. */
   Round round;
   Instant heardAt{};
-  /** Bytes of the snapshot that it has. */
+  /** Bytes of the current snapshot that the member has received. */
   std::uint64_t snapshotReceived{};
-  /** Whether an answer came since the last heartbeat. */
+  /** Whether the member has replied since the last heartbeat. */
   bool answered{ false };
 };
 
-/** @brief A command that was proposed here and whose end is not known yet. */
+/** @brief An entry proposed on this host whose outcome is not known yet. */
 struct Proposal
 {
   Term term;
   Ticket ticket;
 };
 
-/** @brief A reader that waits for the leader to be confirmed. */
+/** @brief A `ConfirmLeader` request that waits for a quorum of replies. */
 struct PendingRead
 {
   Ticket ticket;
@@ -106,28 +111,28 @@
   Round round;
 };
 
-/** @brief The last entry that one write makes durable. */
+/** @brief A write in progress and the last entry that it makes durable. */
 struct WriteMark
 {
   WriteNumber write;
   Index lastIndex;
 };
 
-/** @brief Hands a message to the transport. */
+/** @brief Sends a message to another member. */
 struct Send
 {
   HostId to;
   Message message;
 };
 
-/** @brief A message that must not leave before a write is durable. */
+/** @brief A message to be sent once a write is durable. */
 struct HeldSend
 {
   WriteNumber write;
   Send send;
 };
 
-/** @brief A snapshot that arrives in parts; index zero for none. */
+/** @brief The parts of a snapshot received so far; index zero if none. */
 struct IncomingSnapshot
 {
   Index index;
@@ -135,14 +140,15 @@
   ByteVector data;
 };
 
-/** @brief State of one member; the control thread owns it. */
+/** @brief State of one member, owned by the control thread. */
 struct State
 {
   Settings settings;
   HardState hard;
   Log log;
-  /** The group as of the last entry of the log. */
+  /** Members as of the last log entry, whether committed or not. */
   Membership members;
+  /** Entry that `members` was taken from, or the base of the log. */
   Index membersIndex;
   Index committed;
   Index applied;
@@ -152,13 +158,14 @@
   Instant leaderHeardAt{};
   Instant electionDeadline{ kNever };
   Instant heartbeatDeadline{ kNever };
+  /** Voters that granted the current pre-vote or vote. */
   std::set<HostId> grants;
-  /** State of the generator of election timeouts. */
+  /** Random generator for election timeouts. */
   SplitMix64 random;
 
   std::map<HostId, Progress> progress;
   Round round;
-  /** First entry of this host's term as leader. */
+  /** First entry that this host appended in its term as leader. */
   Index termStart;
   std::map<Index, Proposal> proposals;
   std::vector<PendingRead> reads;
@@ -166,56 +173,61 @@
 
   WriteNumber lastWrite;
   WriteNumber durableWrite;
-  /** Last entry that is durable here. */
+  /** Last entry that is durable on this host. */
   Index synced;
   std::deque<WriteMark> marks;
   std::deque<HeldSend> held;
-  /** The write that has to succeed before storage works again. */
+  /** First write that can end a storage failure; failures of earlier writes are
+   * ignored. */
   WriteNumber resumeWrite;
   Instant storageRetryAt{ kNever };
 
+  /** Successor that leadership is being handed to; empty if none. */
   HostId handOverTo;
   Instant handOverDeadline{ kNever };
   std::set<Spare> spares;
 
   Role role{ Role::Follower };
-  /** Whether the leader was heard in this term. */
+  /** Whether a leader of the current term is known; cleared when a pre-vote
+   * starts. */
   bool leaderHeard{ false };
-  /** Whether some leader was known since the start. */
+  /** Whether any leader has been known since this host started. */
   bool anyLeaderKnown{ false };
   bool snapshotRequested{ false };
   bool storageFailed{ false };
   bool handOverStarted{ false };
 };
 
-/** @brief A message of another member. */
+/** @brief A message from another member was received. */
 struct Received
 {
   HostId from;
   Message message;
 };
 
-/** @brief The disk has made a write and all before it durable. */
+/** @brief A write, and every write before it, is durable. */
 struct Synced
 {
   WriteNumber write;
 };
 
-/** @brief The disk could not make a write durable. */
+/** @brief A write could not be made durable. */
 struct StorageFailure
 {
   WriteNumber write;
   Error error;
 };
 
-/** @brief Asks to replicate a command; answered under its ticket. */
+/** @brief Requests replication of a command; answered by `Apply` or `Refused`
+ * with the same ticket. */
 struct Propose
 {
   Ticket ticket;
   ByteVector command;
 };
 
-/** @brief Asks to add a host as a learner, which is promoted when caught up. */
+/** @brief Requests to add a host as a learner; it is promoted to voter once it
+ * has caught up. */
 struct AddMember
 {
   Ticket ticket;
@@ -223,14 +235,14 @@
   ZoneId zone;
 };
 
-/** @brief Asks to remove a member. */
+/** @brief Requests to remove a member. */
 struct RemoveMember
 {
   Ticket ticket;
   HostId host;
 };
 
-/** @brief Asks to put a new host in the place of a member. */
+/** @brief Requests to replace a member by a new host. */
 struct ReplaceMember
 {
   Ticket ticket;
@@ -239,34 +251,36 @@
   ZoneId zone;
 };
 
-/** @brief Asks for proof that this host leads now, before a read. */
+/** @brief Requests confirmation by a quorum that this host is still the leader,
+ * for a linearizable read. */
 struct ConfirmLeader
 {
   Ticket ticket;
 };
 
-/** @brief Asks the leader to pass its office on before it stops. */
+/** @brief Requests a transfer of leadership before a planned stop; answered by
+ * `HandOverEnded`. */
 struct HandOver
 {};
 
-/** @brief The hosts with disks that may take a lost voter's place. */
+/** @brief Sets the standby hosts that can replace a lost voter. */
 struct SparesKnown
 {
   std::set<Spare> spares;
 };
 
-/** @brief Asks what operators see of the group; answered by `StatusReady`. */
+/** @brief Requests the status of the group; answered by `StatusReady`. */
 struct StatusWanted
 {};
 
-/** @brief The tables as encoded by the daemon for `TakeSnapshot`. */
+/** @brief The encoded tables that answer `TakeSnapshot`. */
 struct SnapshotTaken
 {
   Index index;
   ByteVector data;
 };
 
-/** @brief Everything that a member reacts to. */
+/** @brief Input of the module. */
 using Event = std::variant<Received,
                            Synced,
                            StorageFailure,
@@ -281,20 +295,22 @@
                            StatusWanted>;
 
 /**
- * @brief Writes to the disk, in the order of the numbers; answered by `Synced`
- * or `StorageFailure`.
+ * @brief Writes to the disk; answered by `Synced` or `StorageFailure`.
+ *
+ * Writes must be carried out in the order of their numbers.
  */
 struct Persist
 {
   WriteNumber write;
   std::optional<HardState> hard;
-  /** Replaces the snapshot; entries up to its index may be dropped. */
+  /** Replaces the stored snapshot; entries up to its index may be dropped. */
   std::optional<Snapshot> snapshot;
-  /** Whether entries from `truncateFrom` on are dropped first. */
+  /** Whether to delete the entries from `truncateFrom` on before `entries` are
+   * appended. */
   bool truncate{ false };
   Index truncateFrom;
-  /** Writes everything again that may not be durable; a disk that has failed
-   * refuses every other write. */
+  /** Whether this write repeats everything that may not be durable; after a
+   * failure the disk refuses all other writes. */
   bool resume{ false };
   std::vector<Entry> entries;
 };
@@ -305,62 +321,67 @@
   Index index;
   Term term;
   ByteVector command;
-  /** The local proposal that this is; zero for another host's. */
+  /** Ticket of the proposal made on this host; zero for other hosts' entries.
+   */
   Ticket ticket;
 };
 
-/** @brief Replaces the replicated tables by those of a snapshot. */
+/** @brief Replaces the replicated tables by the content of a snapshot. */
 struct Restore
 {
   Index index;
   ByteVector data;
 };
 
-/** @brief Asks for the tables as they are now, after all `Apply` before. */
+/** @brief Requests the encoded tables after all preceding `Apply` actions;
+ * answered by `SnapshotTaken`. */
 struct TakeSnapshot
 {
   Index index;
 };
 
-/** @brief Answers a refused request; `executed` says what is known. */
+/** @brief Answers a request that failed; `Error::executed` tells whether it may
+ * still have been carried out. */
 struct Refused
 {
   Ticket ticket;
   Error error;
 };
 
-/** @brief Answers a request on members whose entry is committed. */
+/** @brief Answers a membership request once its entry is committed. */
 struct MembersChanged
 {
   Ticket ticket;
   Membership members;
 };
 
-/** @brief Answers `ConfirmLeader`: everything up to the index is readable. */
+/** @brief Answers `ConfirmLeader`; all entries up to `index` have been passed
+ * to `Apply`. */
 struct LeaderConfirmed
 {
   Ticket ticket;
   Index index;
 };
 
-/** @brief Says that the leader or the term changed; an empty id for none. */
+/** @brief Reports a new leader or term; `leader` is empty if unknown. */
 struct LeaderChanged
 {
   Term term;
   HostId leader;
 };
 
-/** @brief Says that this host leads and has applied all that was committed
- * before its term. */
+/** @brief Reports that this host is the leader and has applied all entries
+ * committed before its term. */
 struct Established
 {
   Term term;
   HostId leader;
 };
 
-/** @brief Says that a hand-over has ended, done or not. */
+/** @brief Reports the end of a hand-over. */
 struct HandOverEnded
 {
+  /** Whether this host is no longer the leader. */
   bool done{ false };
 };
 
@@ -370,7 +391,7 @@
   Status status;
 };
 
-/** @brief Everything that a member asks of the daemon. */
+/** @brief Output of the module, carried out by the daemon. */
 using Action = std::variant<Send,
                             Persist,
                             Apply,
@@ -384,7 +405,7 @@
                             HandOverEnded,
                             StatusReady>;
 
-/** @brief Collects what a command asks of the daemon. */
+/** @brief Actions produced by a command, in order. */
 using Actions = std::vector<Action>;
 
 } // namespace balsampoint::consensus
--- a/src/balsampoint/consensus/status.hpp
+++ b/src/balsampoint/consensus/status.hpp
@@ -8,7 +8,7 @@
 
 namespace balsampoint::consensus {
 
-/** @brief What a member is in the current term. */
+/** @brief Raft role of a member in the current term. */
 enum class Role : std::uint8_t
 {
   Follower,
@@ -17,17 +17,18 @@
   Leader,
 };
 
-/** @brief One member as an operator sees it. */
+/** @brief Status of one member, as shown to operators. */
 struct MemberStatus
 {
   Member member;
-  /** Last entry durable there; known to the leader only. */
+  /** Last entry known to be durable on the member; set by the leader, and by
+   * each member for itself. */
   Index match;
-  /** Time since its last answer; known to the leader only. */
+  /** Time since its last reply; set by the leader only. */
   std::optional<Duration> silence;
 };
 
-/** @brief The group as one of its members sees it. */
+/** @brief Status of the group from the point of view of one member. */
 struct Status
 {
   HostId self;
--- a/test/balsampoint/consensus/group.hpp
+++ b/test/balsampoint/consensus/group.hpp
@@ -11,14 +11,14 @@
 
 namespace balsampoint::consensus::test {
 
-/** @brief How a proposal or another request was answered. */
+/** @brief Answer to a proposal or another request. */
 struct Answer
 {
   bool done{ false };
   std::optional<Error> error;
 };
 
-/** @brief Text of a command or a snapshot. */
+/** @brief Converts the bytes of a command or a snapshot to text. */
 inline std::string
 TextOf(ByteView aBytes)
 {
@@ -29,7 +29,7 @@
   return text;
 }
 
-/** @brief Bytes of a text. */
+/** @brief Converts text to bytes. */
 inline ByteVector
 BytesOf(std::string_view aText)
 {
@@ -38,11 +38,11 @@
 }
 
 /**
- * @brief Members that talk over a fake network on virtual time.
+ * @brief Simulates the members of a group on a fake network and virtual clock.
  *
  * Checks on each step that no two hosts apply different commands at one index
  * and that no term has two leaders.
- * @tparam Store Keeps what members write.
+ * @tparam Store Storage of one member.
  */
 template<typename Store>
 class BasicGroup
@@ -55,7 +55,7 @@
     Store store;
     bool up{ false };
     std::deque<std::pair<Instant, Persist>> writes;
-    /** The replicated table: all commands, a line each. */
+    /** The replicated table: one line for each applied command. */
     std::string table;
     std::uint64_t applied{};
     std::uint64_t starts{};
@@ -65,8 +65,8 @@
   /**
    * @brief Starts a group.
    * @param aVoters Number of voters, named a, b, c and so on.
-   * @param aSpares Number of further hosts, named after the voters.
-   * @param aSeed Chooses timeouts and network faults.
+   * @param aSpares Number of standby hosts, named with the letters that follow.
+   * @param aSeed Seed of the random timeouts and network faults.
    */
   BasicGroup(std::size_t aVoters, std::size_t aSpares, std::uint64_t aSeed)
     : network{ aSeed }
@@ -121,7 +121,7 @@
     Do(aHost, actions);
   }
 
-  /** @brief Stops a host at once; writes that are not done are lost. */
+  /** @brief Crashes a host; unfinished writes are lost. */
   void Kill(const HostId& aHost)
   {
     auto& host = hosts.at(aHost);
@@ -160,7 +160,8 @@
     Do(aHost, actions);
   }
 
-  /** @brief Handles the next thing that happens; false past the limit. */
+  /** @brief Runs the next delivery, write or timer; returns false if there is
+   * none before the limit. */
   bool Step(Instant aLimit)
   {
     const auto next = NextTime();
@@ -253,7 +254,7 @@
     }
   }
 
-  /** @brief Whether all given live hosts hold the same table. */
+  /** @brief Whether all live hosts with known members have the same table. */
   bool Agree() const
   {
     const std::string* first = nullptr;
@@ -277,9 +278,9 @@
   std::map<HostId, Host> hosts;
   std::map<Ticket, Answer> answers;
   std::vector<Error> startErrors;
-  /** Violations of what must always hold. */
+  /** Descriptions of violated invariants. */
   std::vector<std::string> violations;
-  /** Times that a leader had applied all that was committed before. */
+  /** Number of `Established` actions. */
   std::uint64_t established{};
   Duration syncTime{ std::chrono::microseconds{ 500 } };
 
@@ -407,7 +408,7 @@
   std::map<Term, HostId> mLeaders;
 };
 
-/** @brief A group whose disks are plain memory. */
+/** @brief A group whose members store their state in memory. */
 using Group = BasicGroup<MemoryStore>;
 
 } // namespace balsampoint::consensus::test
--- a/test/balsampoint/consensus/memory_store.hpp
+++ b/test/balsampoint/consensus/memory_store.hpp
@@ -4,12 +4,12 @@
 
 namespace balsampoint::consensus::test {
 
-/** @brief Keeps writes as a disk would; a test can make it fail. */
+/** @brief In-memory replacement for a disk, with injectable write failures. */
 class MemoryStore
 {
 public:
   /**
-   * @brief Makes a write durable.
+   * @brief Stores a write.
    * @param aWrite The write.
    */
   tl::expected<void, Error> Write(const Persist& aWrite)
@@ -34,16 +34,16 @@
     return {};
   }
 
-  /** @brief What a restart finds. */
+  /** @brief Returns the stored state, as read after a restart. */
   [[nodiscard]] tl::expected<Recovered, Error> Load() const { return mContent; }
 
   /**
-   * @brief Makes writes fail, or work again.
+   * @brief Makes writes fail as on a full disk, or succeed again.
    * @param aFull Whether they fail.
    */
   void Fill(bool aFull) { mFull = aFull; }
 
-  /** @brief Loses everything, as a replaced disk does. */
+  /** @brief Deletes the stored state, as if the disk was replaced. */
   void Wipe() { mContent = {}; }
 
 private:
--- a/test/balsampoint/consensus/module_test.cpp
+++ b/test/balsampoint/consensus/module_test.cpp
@@ -101,7 +101,7 @@
     for (const auto& name : names) {
       group.Kill(name);
     }
-    // Messages that are on their way are lost with the power.
+    // Messages in flight are lost with the power.
     group.Run(milliseconds{ 10 });
     for (const auto& name : names) {
       group.Start(name);
