Rename the contact times of the consensus module

The names spoke of hearing a member and of its silence. They now say what is kept: the time of the last contact.

Rename: heardAt -> lastContactAt (consensus) Rename: HeardLately -> HasRecentContact (consensus) Rename: leaderHeardAt -> leaderContactAt (consensus) Rename: leaderHeard -> leaderKnown (consensus) Rename: Silence -> TimeSinceContact (consensus) Rename: silence -> sinceContact (consensus) Rename: heard -> hasContact (consensus)

--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -32,8 +32,8 @@
   if (aState.role == Role::Leader) {
     return true;
   }
-  return aState.leaderHeard &&
-         aNow - aState.leaderHeardAt < aState.settings.electionMin;
+  return aState.leaderKnown &&
+         aNow - aState.leaderContactAt < aState.settings.electionMin;
 }
 
 bool
@@ -211,8 +211,8 @@
   }
   aState.role = Role::Follower;
   aState.leader = aLeader;
-  aState.leaderHeard = !aLeader.Empty();
-  aState.anyLeaderKnown = aState.anyLeaderKnown || aState.leaderHeard;
+  aState.leaderKnown = !aLeader.Empty();
+  aState.anyLeaderKnown = aState.anyLeaderKnown || aState.leaderKnown;
   aState.heartbeatDeadline = kNever;
   aState.grants.clear();
   ResetElection(aState, aNow);
@@ -239,7 +239,7 @@
     return;
   }
   aState.role = Role::PreCandidate;
-  aState.leaderHeard = false;
+  aState.leaderKnown = false;
   aState.grants = { aState.settings.self };
   auto request = MakeRequest(aState);
   request.preVote = true;
--- a/src/balsampoint/consensus/command/hand_over.cpp
+++ b/src/balsampoint/consensus/command/hand_over.cpp
@@ -16,7 +16,7 @@
   Index bestMatch;
   for (const auto& [host, progress] : aState.progress) {
     if (!internal::IsVoter(aState.members, host) ||
-        !internal::HeardLately(aState, host, aNow)) {
+        !internal::HasRecentContact(aState, host, aNow)) {
       continue;
     }
     if (best.Empty() || progress.match > bestMatch) {
--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -84,7 +84,7 @@
 HasLiveQuorum(const State& aState, const Membership& aMembers, Instant aNow)
 {
   return internal::QuorumOf(aMembers, [&](const HostId& aHost) {
-    return internal::HeardLately(aState, aHost, aNow);
+    return internal::HasRecentContact(aState, aHost, aNow);
   });
 }
 
@@ -94,7 +94,7 @@
   const auto found = aState.progress.find(aHost);
   return found != aState.progress.end() &&
          found->second.match >= aState.committed &&
-         internal::HeardLately(aState, aHost, aNow);
+         internal::HasRecentContact(aState, aHost, aNow);
 }
 
 Membership
@@ -110,11 +110,11 @@
 }
 
 Duration
-Silence(const State& aState, const HostId& aHost, Instant aNow)
+TimeSinceContact(const State& aState, const HostId& aHost, Instant aNow)
 {
   const auto found = aState.progress.find(aHost);
   return found == aState.progress.end() ? Duration{}
-                                        : aNow - found->second.heardAt;
+                                        : aNow - found->second.lastContactAt;
 }
 
 bool
@@ -269,7 +269,8 @@
     }
   }
   for (const auto& member : aState.members.members) {
-    if (Silence(aState, member.host, aNow) < aState.settings.replaceAfter) {
+    if (TimeSinceContact(aState, member.host, aNow) <
+        aState.settings.replaceAfter) {
       continue;
     }
     if (member.role == MemberRole::Learner) {
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -117,7 +117,7 @@
 void
 NoteAnswer(Progress& aProgress, const AppendReply& aReply, Instant aNow)
 {
-  aProgress.heardAt = aNow;
+  aProgress.lastContactAt = aNow;
   aProgress.answered = true;
   aProgress.round = std::max(aProgress.round, aReply.round);
   if (!aReply.accepted) {
@@ -152,8 +152,8 @@
     if (member.host == aState.settings.self) {
       continue;
     }
-    aState.progress.try_emplace(member.host,
-                                Progress{ .next = next, .heardAt = aNow });
+    aState.progress.try_emplace(
+      member.host, Progress{ .next = next, .lastContactAt = aNow });
   }
 }
 
@@ -181,7 +181,7 @@
     .committed = aState.committed,
     .round = aState.round
   };
-  if (internal::HeardLately(aState, aTo, aNow)) {
+  if (internal::HasRecentContact(aState, aTo, aNow)) {
     request.entries = internal::Slice(
       aState.log, progress.next, aState.settings.maxAppendBytes);
     progress.next = Index{ progress.next.Value() + request.entries.size() };
@@ -192,10 +192,10 @@
 void
 Heartbeat(State& aState, Instant aNow, Actions& aActions)
 {
-  const auto heard = [&aState, aNow](const HostId& aHost) {
-    return internal::HeardLately(aState, aHost, aNow);
+  const auto hasContact = [&aState, aNow](const HostId& aHost) {
+    return internal::HasRecentContact(aState, aHost, aNow);
   };
-  if (!internal::QuorumOf(aState.members, heard)) {
+  if (!internal::QuorumOf(aState.members, hasContact)) {
     BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
     return;
   }
@@ -248,7 +248,7 @@
     return;
   }
   BecomeFollower(aState, aRequest.term, aFrom, aNow, aActions);
-  aState.leaderHeardAt = aNow;
+  aState.leaderContactAt = aNow;
   reply.term = aState.hard.term;
   if (!MatchesPrevious(aState, aRequest)) {
     reply.index = aRequest.previousIndex < aState.log.baseIndex
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -114,7 +114,7 @@
   const std::span data{ snapshot.data };
   const auto offset = std::min<std::size_t>(
     aState.progress.at(aTo).snapshotReceived, data.size());
-  const auto bound = internal::HeardLately(aState, aTo, aNow)
+  const auto bound = internal::HasRecentContact(aState, aTo, aNow)
                        ? aState.settings.snapshotPartBytes
                        : 0;
   const auto size = std::min(bound, data.size() - offset);
@@ -144,7 +144,7 @@
     return;
   }
   BecomeFollower(aState, aRequest.term, aFrom, aNow, aActions);
-  aState.leaderHeardAt = aNow;
+  aState.leaderContactAt = aNow;
   reply.term = aState.hard.term;
   if (HoldsEntry(aState, aRequest)) {
     aState.committed = std::max(aState.committed, aRequest.index);
@@ -176,7 +176,7 @@
     return;
   }
   auto& progress = found->second;
-  progress.heardAt = aNow;
+  progress.lastContactAt = aNow;
   progress.answered = true;
   progress.round = std::max(progress.round, aReply.round);
   const bool current = aReply.index == aState.snapshot.index;
--- a/src/balsampoint/consensus/internal/quorum.hpp
+++ b/src/balsampoint/consensus/internal/quorum.hpp
@@ -70,14 +70,14 @@
  * @param aNow Current time.
  */
 [[nodiscard]] inline bool
-HeardLately(const State& aState, const HostId& aHost, Instant aNow)
+HasRecentContact(const State& aState, const HostId& aHost, Instant aNow)
 {
   if (aHost == aState.settings.self) {
     return true;
   }
   const auto found = aState.progress.find(aHost);
   return found != aState.progress.end() &&
-         aNow - found->second.heardAt < aState.settings.electionMin;
+         aNow - found->second.lastContactAt < aState.settings.electionMin;
 }
 
 } // namespace balsampoint::consensus::internal
--- a/src/balsampoint/consensus/query/status.cpp
+++ b/src/balsampoint/consensus/query/status.cpp
@@ -19,7 +19,7 @@
     const auto found = aState.progress.find(member.host);
     if (found != aState.progress.end()) {
       entry.match = found->second.match;
-      entry.silence = aNow - found->second.heardAt;
+      entry.sinceContact = aNow - found->second.lastContactAt;
     }
     if (member.host == aState.settings.self) {
       entry.match = aState.synced;
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -89,7 +89,7 @@
   Index match;
   /** Latest round that the member has answered. */
   Round round;
-  Instant heardAt{};
+  Instant lastContactAt{};
   /** Bytes of the current snapshot that the member has received. */
   std::uint64_t snapshotReceived{};
   /** Whether the member has replied since the last heartbeat. */
@@ -155,7 +155,7 @@
   Snapshot snapshot;
 
   HostId leader;
-  Instant leaderHeardAt{};
+  Instant leaderContactAt{};
   Instant electionDeadline{ kNever };
   Instant heartbeatDeadline{ kNever };
   /** Voters that granted the current pre-vote or vote. */
@@ -190,7 +190,7 @@
   Role role{ Role::Follower };
   /** Whether a leader of the current term is known; cleared when a pre-vote
    * starts. */
-  bool leaderHeard{ false };
+  bool leaderKnown{ false };
   /** Whether any leader has been known since this host started. */
   bool anyLeaderKnown{ false };
   bool snapshotRequested{ false };
--- a/src/balsampoint/consensus/status.hpp
+++ b/src/balsampoint/consensus/status.hpp
@@ -25,7 +25,7 @@
    * each member for itself. */
   Index match;
   /** Time since its last reply; set by the leader only. */
-  std::optional<Duration> silence;
+  std::optional<Duration> sinceContact;
 };
 
 /** @brief Status of the group from the point of view of one member. */
