Rename spares of the consensus module to standby hosts

A host that can take over the place of a lost voter is a standby host in the terms of the field.

Rename: Spare -> StandbyHost (consensus, daemon/fanout_runner.cpp) Rename: SparesKnown -> StandbyHostsUpdated (consensus, daemon/fanout_runner.cpp) Rename: spares -> standbyHosts (consensus, daemon/fanout_runner.cpp) Rename: spare -> standby (consensus, daemon/fanout_runner.cpp) Rename: ChooseSpare -> ChooseStandby (consensus, daemon/fanout_runner.cpp) Rename: kSpare -> kStandby (consensus, daemon/fanout_runner.cpp) Rename: aSpares -> aStandbyHosts (consensus, daemon/fanout_runner.cpp)

--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -126,20 +126,20 @@
 
 /** @brief The standby host whose zone has the fewest members besides the lost
  * one; nothing if all are members. */
-std::optional<Spare>
-ChooseSpare(const State& aState, const HostId& aLost)
+std::optional<StandbyHost>
+ChooseStandby(const State& aState, const HostId& aLost)
 {
-  std::optional<Spare> best;
+  std::optional<StandbyHost> best;
   std::ptrdiff_t fewest = 0;
   const auto rest = Without(aState.members, aLost);
-  for (const auto& spare : aState.spares) {
-    if (internal::Find(aState.members, spare.host) != nullptr) {
+  for (const auto& standby : aState.standbyHosts) {
+    if (internal::Find(aState.members, standby.host) != nullptr) {
       continue;
     }
     const auto voters =
-      std::ranges::count(rest.members, spare.zone, &Member::zone);
+      std::ranges::count(rest.members, standby.zone, &Member::zone);
     if (!best || voters < fewest) {
-      best = spare;
+      best = standby;
       fewest = voters;
     }
   }
@@ -262,8 +262,10 @@
     return;
   }
   if (aState.members.members.size() < aState.settings.voters) {
-    if (const auto spare = ChooseSpare(aState, {})) {
-      const Member learner{ spare->host, spare->zone, MemberRole::Learner, {} };
+    if (const auto standby = ChooseStandby(aState, {})) {
+      const Member learner{
+        standby->host, standby->zone, MemberRole::Learner, {}
+      };
       ProposeMembers(aState, With(aState.members, learner), {}, aNow, aActions);
       return;
     }
@@ -281,12 +283,12 @@
       ProposeMembers(aState, rest, {}, aNow, aActions);
       return;
     }
-    const auto spare = ChooseSpare(aState, member.host);
-    if (!spare || IsBeingReplaced(aState.members, member.host)) {
+    const auto standby = ChooseStandby(aState, member.host);
+    if (!standby || IsBeingReplaced(aState.members, member.host)) {
       continue;
     }
     const Member learner{
-      spare->host, spare->zone, MemberRole::Learner, member.host
+      standby->host, standby->zone, MemberRole::Learner, member.host
     };
     ProposeMembers(aState, With(aState.members, learner), {}, aNow, aActions);
     return;
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -98,9 +98,9 @@
   {
     HandleHandOver(state, now, actions);
   }
-  void operator()(const SparesKnown& aEvent) const
+  void operator()(const StandbyHostsUpdated& aEvent) const
   {
-    state.spares = aEvent.spares;
+    state.standbyHosts = aEvent.standbyHosts;
   }
   void operator()(const SnapshotTaken& aEvent) const
   {
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -54,12 +54,12 @@
 };
 
 /** @brief A host with a disk that can replace a lost member. */
-struct Spare
+struct StandbyHost
 {
   HostId host;
   ZoneId zone;
 
-  auto operator<=>(const Spare&) const = default;
+  auto operator<=>(const StandbyHost&) const = default;
 };
 
 /** @brief State read from the disk at startup. */
@@ -185,7 +185,7 @@
   /** Successor that leadership is being handed to; empty if none. */
   HostId handOverTo;
   Instant handOverDeadline{ kNever };
-  std::set<Spare> spares;
+  std::set<StandbyHost> standbyHosts;
 
   Role role{ Role::Follower };
   /** Whether a leader of the current term is known; cleared when a pre-vote
@@ -264,9 +264,9 @@
 {};
 
 /** @brief Sets the standby hosts that can replace a lost voter. */
-struct SparesKnown
+struct StandbyHostsUpdated
 {
-  std::set<Spare> spares;
+  std::set<StandbyHost> standbyHosts;
 };
 
 /** @brief Requests the status of the group; answered by `StatusReady`. */
@@ -290,7 +290,7 @@
                            ReplaceMember,
                            ConfirmLeader,
                            HandOver,
-                           SparesKnown,
+                           StandbyHostsUpdated,
                            SnapshotTaken,
                            StatusWanted>;
 
--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -95,10 +95,10 @@
 {
   mBoard.Show(aReady.inForce);
   Post(mMailbox, consensus::Event{ consensus::StatusWanted{} });
-  consensus::SparesKnown known;
+  consensus::StandbyHostsUpdated known;
   for (const auto& host : aReady.inForce.hosts) {
     if (host.reachable && host.report.hasDisk) {
-      known.spares.insert({ host.report.host, host.report.zone });
+      known.standbyHosts.insert({ host.report.host, host.report.zone });
     }
   }
   Post(mMailbox, consensus::Event{ std::move(known) });
--- a/test/balsampoint/consensus/group.hpp
+++ b/test/balsampoint/consensus/group.hpp
@@ -65,14 +65,17 @@
   /**
    * @brief Starts a group.
    * @param aVoters Number of voters, named a, b, c and so on.
-   * @param aSpares Number of standby hosts, named with the letters that follow.
+   * @param aStandbyHosts Number of standby hosts, named with the letters that
+   * follow.
    * @param aSeed Seed of the random timeouts and network faults.
    */
-  BasicGroup(std::size_t aVoters, std::size_t aSpares, std::uint64_t aSeed)
+  BasicGroup(std::size_t aVoters,
+             std::size_t aStandbyHosts,
+             std::uint64_t aSeed)
     : network{ aSeed }
     , mSeed{ aSeed }
   {
-    for (std::size_t i = 0; i < aVoters + aSpares; ++i) {
+    for (std::size_t i = 0; i < aVoters + aStandbyHosts; ++i) {
       const auto id = Name(i);
       if (i < aVoters) {
         settings.initialMembers.members.push_back(
--- a/test/balsampoint/consensus/members_test.cpp
+++ b/test/balsampoint/consensus/members_test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-const HostId kSpare{ "d" };
+const HostId kStandby{ "d" };
 
 std::vector<HostId>
 Voters(const Group& aGroup, const HostId& aHost)
@@ -66,22 +66,22 @@
   Group group{ 3, 1, 21 };
   const auto leader = group.Elect();
   group.Commit(leader, "before");
-  group.CutOff(kSpare, true);
-  const auto ticket = Add(group, leader, kSpare);
+  group.CutOff(kStandby, true);
+  const auto ticket = Add(group, leader, kStandby);
   group.Run(seconds{ 3 });
   cr_assert(group.answers[ticket].done);
-  cr_assert_not(Holds(Voters(group, leader), kSpare));
-  group.CutOff(kSpare, false);
+  cr_assert_not(Holds(Voters(group, leader), kStandby));
+  group.CutOff(kStandby, false);
   group.Run(seconds{ 3 });
-  cr_assert(Holds(Voters(group, leader), kSpare));
-  cr_assert_eq(group.hosts.at(kSpare).table, "before\n");
+  cr_assert(Holds(Voters(group, leader), kStandby));
+  cr_assert_eq(group.hosts.at(kStandby).table, "before\n");
 }
 
 Test(members, changes_go_one_at_a_time)
 {
   Group group{ 3, 2, 22 };
   const auto leader = group.Elect();
-  Add(group, leader, kSpare);
+  Add(group, leader, kStandby);
   const auto second = Add(group, leader, HostId{ "e" });
   cr_assert(group.answers[second].error->kind == ErrorKind::Conflict);
 }
@@ -136,9 +136,10 @@
   Group group{ 3, 2, 26 };
   auto leader = group.Elect();
   for (const auto& [id, host] : group.hosts) {
-    group.Handle(id,
-                 SparesKnown{ { { kSpare, ZoneId{ "zone-0" } },
-                                { HostId{ "e" }, ZoneId{ "zone-1" } } } });
+    group.Handle(
+      id,
+      StandbyHostsUpdated{ { { kStandby, ZoneId{ "zone-0" } },
+                             { HostId{ "e" }, ZoneId{ "zone-1" } } } });
   }
   group.Commit(leader, "before");
   const auto first = AFollower(group, leader);
@@ -169,12 +170,13 @@
     Group::Zone(static_cast<std::size_t>(lost.Value()[0] - 'a'));
   const auto crowded =
     Group::Zone(static_cast<std::size_t>(leader.Value()[0] - 'a'));
-  group.Handle(leader,
-               SparesKnown{ { { kSpare, crowded }, { HostId{ "e" }, zone } } });
+  group.Handle(
+    leader,
+    StandbyHostsUpdated{ { { kStandby, crowded }, { HostId{ "e" }, zone } } });
   group.Kill(lost);
   group.Run(minutes{ 3 });
   cr_assert(Holds(Voters(group, group.Leader()), HostId{ "e" }));
-  cr_assert_not(Holds(Voters(group, group.Leader()), kSpare));
+  cr_assert_not(Holds(Voters(group, group.Leader()), kStandby));
 }
 
 Test(members, an_operator_replaces_a_live_member)
@@ -183,13 +185,13 @@
   const auto leader = group.Elect();
   const auto old = AFollower(group, leader);
   const auto ticket = group.Post(leader, [&](Ticket aTicket) -> Event {
-    return ReplaceMember{ aTicket, old, kSpare, ZoneId{ "zone-1" } };
+    return ReplaceMember{ aTicket, old, kStandby, ZoneId{ "zone-1" } };
   });
   group.Run(seconds{ 5 });
   cr_assert(group.answers[ticket].done);
   const auto status = Describe(group.hosts.at(leader).state, group.clock.Now());
   cr_assert_eq(status.members.size(), 3);
-  cr_assert(Holds(Voters(group, leader), kSpare));
+  cr_assert(Holds(Voters(group, leader), kStandby));
   cr_assert_not(Holds(Voters(group, leader), old));
 }
 
@@ -215,9 +217,10 @@
     host.state.settings.voters = 5;
   }
   const auto leader = group.Elect();
-  group.Handle(leader,
-               SparesKnown{ { { kSpare, ZoneId{ "zone-0" } },
-                              { HostId{ "e" }, ZoneId{ "zone-1" } } } });
+  group.Handle(
+    leader,
+    StandbyHostsUpdated{ { { kStandby, ZoneId{ "zone-0" } },
+                           { HostId{ "e" }, ZoneId{ "zone-1" } } } });
   group.Run(seconds{ 10 });
   cr_assert_eq(Voters(group, group.Leader()).size(), 5U);
 }
