Rename the durability tracking of the consensus module

Durable and synced stood for one thing, and held and marks did not say what they hold.

Rename: Synced -> WriteCompleted (consensus, daemon/disk_worker.cpp) Rename: HandleSynced -> HandleWriteCompleted (consensus, daemon/disk_worker.cpp) Rename: synced -> durableIndex (consensus, daemon/disk_worker.cpp) Rename: held -> deferredSends (consensus, daemon/disk_worker.cpp) Rename: HeldSend -> DeferredSend (consensus, daemon/disk_worker.cpp) Rename: marks -> pendingWrites (consensus, daemon/disk_worker.cpp) Rename: mark -> pending (consensus, daemon/disk_worker.cpp) Rename: WriteMark -> PendingWrite (consensus, daemon/disk_worker.cpp) Rename: ForgetDurable -> MarkNotDurable (consensus, daemon/disk_worker.cpp) Rename: NoteDurable -> MarkDurable (consensus, daemon/disk_worker.cpp)

--- a/src/balsampoint/consensus/command/apply.cpp
+++ b/src/balsampoint/consensus/command/apply.cpp
@@ -71,7 +71,7 @@
 void
 ApplyCommitted(State& aState, Instant aNow, Actions& aActions)
 {
-  const auto end = std::min(aState.committed, aState.synced);
+  const auto end = std::min(aState.committed, aState.durableIndex);
   while (aState.applied < end) {
     const auto index = aState.applied.Next();
     const Entry entry = *internal::Find(aState.log, index);
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -26,7 +26,7 @@
       continue;
     }
     if (member.host == aState.settings.self) {
-      matches.push_back(aState.synced);
+      matches.push_back(aState.durableIndex);
       continue;
     }
     const auto found = aState.progress.find(member.host);
@@ -83,7 +83,7 @@
     persist.truncate = true;
     persist.truncateFrom = fresh.front().index;
     internal::Truncate(aState.log, fresh.front().index);
-    internal::ForgetDurable(aState, fresh.front().index);
+    internal::MarkNotDurable(aState, fresh.front().index);
   }
   aState.log.entries.insert(
     aState.log.entries.end(), fresh.begin(), fresh.end());
@@ -99,7 +99,7 @@
   const bool current =
     internal::TermAt(aState.log, aRequest.committed) == aRequest.term;
   if (!aState.hard.recovering || !current ||
-      aState.synced < aRequest.committed) {
+      aState.durableIndex < aRequest.committed) {
     return;
   }
   aState.hard.recovering = false;
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -58,7 +58,7 @@
                       std::move(aState.incoming.data) };
   aState.incoming = {};
   internal::Reset(aState.log, aState.snapshot);
-  internal::ForgetDurable(aState, aRequest.index.Next());
+  internal::MarkNotDurable(aState, aRequest.index.Next());
   aState.committed = aRequest.index;
   aState.applied = aRequest.index;
   RefreshMembers(aState);
--- a/src/balsampoint/consensus/command/storage.cpp
+++ b/src/balsampoint/consensus/command/storage.cpp
@@ -12,12 +12,12 @@
 namespace balsampoint::consensus {
 
 void
-HandleSynced(State& aState,
-             const Synced& aEvent,
-             Instant aNow,
-             Actions& aActions)
+HandleWriteCompleted(State& aState,
+                     const WriteCompleted& aEvent,
+                     Instant aNow,
+                     Actions& aActions)
 {
-  internal::NoteDurable(aState, aEvent.write, aActions);
+  internal::MarkDurable(aState, aEvent.write, aActions);
   if (aState.storageFailed && aEvent.write >= aState.resumeWrite) {
     aState.storageFailed = false;
     aState.storageRetryAt = kNever;
@@ -43,8 +43,8 @@
   aState.storageFailed = true;
   aState.resumeWrite = aState.lastWrite.Next();
   aState.storageRetryAt = aNow + aState.settings.storageRetry;
-  aState.held.clear();
-  aState.marks.clear();
+  aState.deferredSends.clear();
+  aState.pendingWrites.clear();
   BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
 }
 
@@ -52,7 +52,7 @@
 ResumeStorage(State& aState, Instant aNow, Actions& aActions)
 {
   aState.storageRetryAt = aNow + aState.settings.storageRetry;
-  const auto from = std::max(aState.synced, aState.log.baseIndex).Next();
+  const auto from = std::max(aState.durableIndex, aState.log.baseIndex).Next();
   Persist persist{
     .hard = aState.hard,
     .truncate = true,
--- a/src/balsampoint/consensus/command/storage.hpp
+++ b/src/balsampoint/consensus/command/storage.hpp
@@ -12,10 +12,10 @@
  * @param aActions Receives the resulting actions.
  */
 void
-HandleSynced(State& aState,
-             const Synced& aEvent,
-             Instant aNow,
-             Actions& aActions);
+HandleWriteCompleted(State& aState,
+                     const WriteCompleted& aEvent,
+                     Instant aNow,
+                     Actions& aActions);
 
 /**
  * @brief Steps down and stops sending and receiving messages until the disk
--- a/src/balsampoint/consensus/internal/write.cpp
+++ b/src/balsampoint/consensus/internal/write.cpp
@@ -15,7 +15,7 @@
   }
   aState.lastWrite = aState.lastWrite.Next();
   aPersist.write = aState.lastWrite;
-  aState.marks.push_back({ aState.lastWrite, LastIndex(aState.log) });
+  aState.pendingWrites.push_back({ aState.lastWrite, LastIndex(aState.log) });
   aActions.emplace_back(std::move(aPersist));
 }
 
@@ -39,30 +39,33 @@
     aActions.emplace_back(std::move(send));
     return;
   }
-  aState.held.push_back({ aState.lastWrite, std::move(send) });
+  aState.deferredSends.push_back({ aState.lastWrite, std::move(send) });
 }
 
 void
-ForgetDurable(State& aState, Index aFrom)
+MarkNotDurable(State& aState, Index aFrom)
 {
   const Index last{ aFrom.Value() - 1 };
-  aState.synced = std::min(aState.synced, last);
-  for (auto& mark : aState.marks) {
-    mark.lastIndex = std::min(mark.lastIndex, last);
+  aState.durableIndex = std::min(aState.durableIndex, last);
+  for (auto& pending : aState.pendingWrites) {
+    pending.lastIndex = std::min(pending.lastIndex, last);
   }
 }
 
 void
-NoteDurable(State& aState, WriteNumber aWrite, Actions& aActions)
+MarkDurable(State& aState, WriteNumber aWrite, Actions& aActions)
 {
   aState.durableWrite = std::max(aState.durableWrite, aWrite);
-  while (!aState.marks.empty() && aState.marks.front().write <= aWrite) {
-    aState.synced = std::max(aState.synced, aState.marks.front().lastIndex);
-    aState.marks.pop_front();
+  while (!aState.pendingWrites.empty() &&
+         aState.pendingWrites.front().write <= aWrite) {
+    aState.durableIndex =
+      std::max(aState.durableIndex, aState.pendingWrites.front().lastIndex);
+    aState.pendingWrites.pop_front();
   }
-  while (!aState.held.empty() && aState.held.front().write <= aWrite) {
-    aActions.emplace_back(std::move(aState.held.front().send));
-    aState.held.pop_front();
+  while (!aState.deferredSends.empty() &&
+         aState.deferredSends.front().write <= aWrite) {
+    aActions.emplace_back(std::move(aState.deferredSends.front().send));
+    aState.deferredSends.pop_front();
   }
 }
 
--- a/src/balsampoint/consensus/internal/write.hpp
+++ b/src/balsampoint/consensus/internal/write.hpp
@@ -43,7 +43,7 @@
  * @param aFrom Index of the first entry.
  */
 void
-ForgetDurable(State& aState, Index aFrom);
+MarkNotDurable(State& aState, Index aFrom);
 
 /**
  * @brief Records a durable write and sends the messages that waited for it.
@@ -52,6 +52,6 @@
  * @param aActions Receives the messages.
  */
 void
-NoteDurable(State& aState, WriteNumber aWrite, Actions& aActions);
+MarkDurable(State& aState, WriteNumber aWrite, Actions& aActions);
 
 } // namespace balsampoint::consensus::internal
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -66,9 +66,9 @@
   {
     HandleHandOverRequest(state, from, aMessage, now, actions);
   }
-  void operator()(const Synced& aEvent) const
+  void operator()(const WriteCompleted& aEvent) const
   {
-    HandleSynced(state, aEvent, now, actions);
+    HandleWriteCompleted(state, aEvent, now, actions);
   }
   void operator()(const StorageFailure& aEvent) const
   {
@@ -140,7 +140,7 @@
       aState.log.entries.push_back(std::move(entry));
     }
   }
-  aState.synced = internal::LastIndex(aState.log);
+  aState.durableIndex = internal::LastIndex(aState.log);
   aState.committed = aState.snapshot.index;
   aState.applied = aState.snapshot.index;
 }
--- a/src/balsampoint/consensus/query/status.cpp
+++ b/src/balsampoint/consensus/query/status.cpp
@@ -22,7 +22,7 @@
       entry.sinceContact = aNow - found->second.lastContactAt;
     }
     if (member.host == aState.settings.self) {
-      entry.match = aState.synced;
+      entry.match = aState.durableIndex;
     }
     status.members.push_back(std::move(entry));
   }
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -112,7 +112,7 @@
 };
 
 /** @brief A write in progress and the last entry that it makes durable. */
-struct WriteMark
+struct PendingWrite
 {
   WriteNumber write;
   Index lastIndex;
@@ -126,7 +126,7 @@
 };
 
 /** @brief A message to be sent once a write is durable. */
-struct HeldSend
+struct DeferredSend
 {
   WriteNumber write;
   Send send;
@@ -174,9 +174,9 @@
   WriteNumber lastWrite;
   WriteNumber durableWrite;
   /** Last entry that is durable on this host. */
-  Index synced;
-  std::deque<WriteMark> marks;
-  std::deque<HeldSend> held;
+  Index durableIndex;
+  std::deque<PendingWrite> pendingWrites;
+  std::deque<DeferredSend> deferredSends;
   /** First write that can end a storage failure; failures of earlier writes are
    * ignored. */
   WriteNumber resumeWrite;
@@ -206,7 +206,7 @@
 };
 
 /** @brief A write, and every write before it, is durable. */
-struct Synced
+struct WriteCompleted
 {
   WriteNumber write;
 };
@@ -282,7 +282,7 @@
 
 /** @brief Input of the module. */
 using Event = std::variant<Received,
-                           Synced,
+                           WriteCompleted,
                            StorageFailure,
                            Propose,
                            AddMember,
@@ -295,7 +295,7 @@
                            StatusWanted>;
 
 /**
- * @brief Writes to the disk; answered by `Synced` or `StorageFailure`.
+ * @brief Writes to the disk; answered by `WriteCompleted` or `StorageFailure`.
  *
  * Writes must be carried out in the order of their numbers.
  */
--- a/src/balsampoint/daemon/disk_worker.cpp
+++ b/src/balsampoint/daemon/disk_worker.cpp
@@ -67,7 +67,8 @@
   mWrites.Consume([this](const consensus::Persist& aWrite) {
     const auto done = mStore.Write(aWrite);
     if (done) {
-      Post(mMailbox, consensus::Event{ consensus::Synced{ aWrite.write } });
+      Post(mMailbox,
+           consensus::Event{ consensus::WriteCompleted{ aWrite.write } });
       return;
     }
     spdlog::error("the disk refuses writes: {}", done.error().detail);
--- a/test/balsampoint/consensus/group.hpp
+++ b/test/balsampoint/consensus/group.hpp
@@ -318,7 +318,7 @@
     aHost.writes.pop_front();
     const auto result = aHost.store.Write(write);
     if (result) {
-      Handle(aId, Synced{ write.write });
+      Handle(aId, WriteCompleted{ write.write });
     } else {
       Handle(aId, StorageFailure{ write.write, result.error() });
     }
