Rename the leadership functions of the consensus module

Leaving office is stepping down in Raft, and Established did not say what was established.

Rename: LeaveOffice -> StepDown (consensus, daemon/consensus_runner) Rename: Established -> LeadershipEstablished (consensus, daemon/consensus_runner) Rename: AfterAnswer -> AfterReply (consensus, daemon/consensus_runner) Rename: NoteAnswer -> RecordReply (consensus, daemon/consensus_runner)

--- a/src/balsampoint/consensus/command/apply.cpp
+++ b/src/balsampoint/consensus/command/apply.cpp
@@ -87,7 +87,8 @@
       ApplyMembers(aState, entry, ticket, aNow, aActions);
     }
     if (firstOfTerm && aState.role == Role::Leader) {
-      aActions.emplace_back(Established{ aState.hard.term, aState.leader });
+      aActions.emplace_back(
+        LeadershipEstablished{ aState.hard.term, aState.leader });
     }
   }
   RequestSnapshot(aState, aActions);
--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -202,7 +202,7 @@
 {
   const bool changed = aState.leader != aLeader || aState.hard.term != aTerm;
   if (aState.role == Role::Leader) {
-    LeaveOffice(aState, aActions);
+    StepDown(aState, aActions);
   }
   if (aTerm > aState.hard.term) {
     aState.hard.term = aTerm;
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -115,7 +115,7 @@
 }
 
 void
-NoteAnswer(Progress& aProgress, const AppendReply& aReply, Instant aNow)
+RecordReply(Progress& aProgress, const AppendReply& aReply, Instant aNow)
 {
   aProgress.lastContactAt = aNow;
   aProgress.answered = true;
@@ -224,7 +224,7 @@
 }
 
 void
-LeaveOffice(State& aState, Actions& aActions)
+StepDown(State& aState, Actions& aActions)
 {
   RefuseReads(aState, aActions);
   aState.progress.clear();
@@ -284,15 +284,15 @@
       found == aState.progress.end()) {
     return;
   }
-  NoteAnswer(found->second, aReply, aNow);
+  RecordReply(found->second, aReply, aNow);
   if (found->second.next <= internal::LastIndex(aState.log)) {
     Replicate(aState, aFrom, aNow, aActions);
   }
-  AfterAnswer(aState, aNow, aActions);
+  AfterReply(aState, aNow, aActions);
 }
 
 void
-AfterAnswer(State& aState, Instant aNow, Actions& aActions)
+AfterReply(State& aState, Instant aNow, Actions& aActions)
 {
   AdvanceCommit(aState, aNow, aActions);
   if (aState.role != Role::Leader) {
--- a/src/balsampoint/consensus/command/replicate.hpp
+++ b/src/balsampoint/consensus/command/replicate.hpp
@@ -68,7 +68,7 @@
  * @param aActions Receives the answers.
  */
 void
-LeaveOffice(State& aState, Actions& aActions);
+StepDown(State& aState, Actions& aActions);
 
 /**
  * @brief Appends the leader's entries to the log.
@@ -108,6 +108,6 @@
  * @param aActions Receives the resulting actions.
  */
 void
-AfterAnswer(State& aState, Instant aNow, Actions& aActions);
+AfterReply(State& aState, Instant aNow, Actions& aActions);
 
 } // namespace balsampoint::consensus
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -189,7 +189,7 @@
   if (progress.next <= internal::LastIndex(aState.log)) {
     Replicate(aState, aFrom, aNow, aActions);
   }
-  AfterAnswer(aState, aNow, aActions);
+  AfterReply(aState, aNow, aActions);
 }
 
 } // namespace balsampoint::consensus
--- a/src/balsampoint/consensus/command/storage.cpp
+++ b/src/balsampoint/consensus/command/storage.cpp
@@ -24,7 +24,7 @@
     ResetElection(aState, aNow);
   }
   if (aState.role == Role::Leader) {
-    AfterAnswer(aState, aNow, aActions);
+    AfterReply(aState, aNow, aActions);
     return;
   }
   CountOwnVote(aState, aNow, aActions);
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -372,7 +372,7 @@
 
 /** @brief Reports that this host is the leader and has applied all entries
  * committed before its term. */
-struct Established
+struct LeadershipEstablished
 {
   Term term;
   HostId leader;
@@ -401,7 +401,7 @@
                             MembersChanged,
                             LeaderConfirmed,
                             LeaderChanged,
-                            Established,
+                            LeadershipEstablished,
                             HandOverEnded,
                             StatusReady>;
 
--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -208,7 +208,7 @@
 }
 
 void
-ConsensusRunner::Do(const consensus::Established& aEstablished)
+ConsensusRunner::Do(const consensus::LeadershipEstablished& aEstablished)
 {
   // Behind the commands that were applied before.
   Post(mMailbox,
--- a/src/balsampoint/daemon/consensus_runner.hpp
+++ b/src/balsampoint/daemon/consensus_runner.hpp
@@ -81,7 +81,7 @@
   void Do(const consensus::MembersChanged& aChanged);
   void Do(const consensus::LeaderConfirmed& aConfirmed);
   void Do(const consensus::LeaderChanged& aChanged);
-  void Do(const consensus::Established& aEstablished);
+  void Do(const consensus::LeadershipEstablished& aEstablished);
   void Do(const consensus::HandOverEnded& aEnded);
   void Do(const consensus::StatusReady& aReady);
 
--- a/test/balsampoint/consensus/group.hpp
+++ b/test/balsampoint/consensus/group.hpp
@@ -283,7 +283,7 @@
   std::vector<Error> startErrors;
   /** Descriptions of violated invariants. */
   std::vector<std::string> violations;
-  /** Number of `Established` actions. */
+  /** Number of `LeadershipEstablished` actions. */
   std::uint64_t established{};
   Duration syncTime{ std::chrono::microseconds{ 500 } };
 
@@ -389,7 +389,7 @@
       violations.emplace_back("two leaders in one term");
     }
   }
-  void Perform(const HostId& aHost, Established& aEstablished)
+  void Perform(const HostId& aHost, LeadershipEstablished& aEstablished)
   {
     const auto leads = mLeaders.find(aEstablished.term);
     if (leads == mLeaders.end() || leads->second != aHost) {
