Rename the election functions and timeouts of the consensus module

Standing for office, drawing a time and a stranger are figurative; campaign, random and voter are the terms of Raft. The election bounds did not say that they are timeouts.

Rename: MayStand -> CanCampaign (consensus) Rename: MayGrant -> CanGrantVote (consensus) Rename: aMayGrant -> aCanGrant (consensus) Rename: mayGrant -> canGrant (consensus) Rename: AskForVotes -> SendVoteRequests (consensus) Rename: DrawBetween -> RandomBetween (consensus) Rename: aLeast -> aMin (consensus) Rename: aMost -> aMax (consensus) Rename: AwaitFirstLeader -> ResetFirstElection (consensus) Rename: grants -> grantedVotes (consensus) Rename: stranger -> notVoter (consensus) Rename: disturbs -> interrupts (consensus) Rename: free -> voteAvailable (consensus) Rename: MakeRequest -> MakeVoteRequest (consensus) Rename: electionMin -> electionTimeoutMin (consensus) Rename: electionMax -> electionTimeoutMax (consensus) Rename: firstElectionMin -> firstElectionTimeoutMin (consensus) Rename: firstElectionMax -> firstElectionTimeoutMax (consensus)

--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -18,7 +18,7 @@
 }
 
 bool
-MayStand(const State& aState)
+CanCampaign(const State& aState)
 {
   const auto& self = aState.settings.self;
   const bool able = !aState.hard.recovering || IsFresh(aState);
@@ -33,7 +33,7 @@
     return true;
   }
   return aState.leaderKnown &&
-         aNow - aState.leaderContactAt < aState.settings.electionMin;
+         aNow - aState.leaderContactAt < aState.settings.electionTimeoutMin;
 }
 
 bool
@@ -49,7 +49,7 @@
 /** @brief Whether a vote may be granted. A host without its durable state votes
  * only if both it and the candidate are fresh. */
 bool
-MayGrant(const State& aState, const VoteRequest& aRequest)
+CanGrantVote(const State& aState, const VoteRequest& aRequest)
 {
   if (aState.hard.recovering && !(IsFresh(aState) && aRequest.fresh)) {
     return false;
@@ -61,7 +61,7 @@
 }
 
 void
-AskForVotes(State& aState, const VoteRequest& aRequest, Actions& aActions)
+SendVoteRequests(State& aState, const VoteRequest& aRequest, Actions& aActions)
 {
   for (const auto& member : aState.members.members) {
     if (member.role != MemberRole::Voter ||
@@ -78,7 +78,7 @@
 HasWon(const State& aState, bool aNeedsAll)
 {
   const auto granted = [&aState](const HostId& aHost) {
-    return aState.grants.contains(aHost);
+    return aState.grantedVotes.contains(aHost);
   };
   if (!aNeedsAll) {
     return internal::QuorumOf(aState.members, granted);
@@ -116,7 +116,7 @@
   aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
   aState.round = aState.round.Next();
   aState.progress.clear();
-  aState.grants.clear();
+  aState.grantedVotes.clear();
   aActions.emplace_back(LeaderChanged{ aState.hard.term, aState.leader });
   aState.termStart = internal::LastIndex(aState.log).Next();
   TrackMembers(aState, aNow);
@@ -125,7 +125,7 @@
 }
 
 VoteRequest
-MakeRequest(const State& aState)
+MakeVoteRequest(const State& aState)
 {
   return { .term = aState.hard.term,
            .lastIndex = internal::LastIndex(aState.log),
@@ -136,12 +136,14 @@
 void
 AnswerVote(State& aState,
            const HostId& aFrom,
-           bool aMayGrant,
+           bool aCanGrant,
            Instant aNow,
            Actions& aActions)
 {
-  const bool free = aState.hard.vote.Empty() || aState.hard.vote == aFrom;
-  const bool granted = aMayGrant && free && aState.role != Role::Leader;
+  const bool voteAvailable =
+    aState.hard.vote.Empty() || aState.hard.vote == aFrom;
+  const bool granted =
+    aCanGrant && voteAvailable && aState.role != Role::Leader;
   if (granted && aState.hard.vote.Empty()) {
     aState.hard.vote = aFrom;
     aState.hard.recovering = false;
@@ -159,7 +161,7 @@
               Actions& aActions)
 {
   const bool granted =
-    aRequest.term > aState.hard.term && MayGrant(aState, aRequest);
+    aRequest.term > aState.hard.term && CanGrantVote(aState, aRequest);
   const auto term = granted ? aRequest.term : aState.hard.term;
   internal::SendWhenDurable(
     aState, aFrom, VoteReply{ term, true, granted }, aActions);
@@ -167,11 +169,11 @@
 
 /** @brief Picks a random duration between two bounds, inclusive. */
 Duration
-DrawBetween(State& aState, Duration aLeast, Duration aMost)
+RandomBetween(State& aState, Duration aMin, Duration aMax)
 {
-  const auto steps = static_cast<std::uint64_t>((aMost - aLeast).count()) + 1;
+  const auto steps = static_cast<std::uint64_t>((aMax - aMin).count()) + 1;
   const auto extra = aState.random.Next() % steps;
-  return aLeast + Duration{ static_cast<Duration::rep>(extra) };
+  return aMin + Duration{ static_cast<Duration::rep>(extra) };
 }
 
 } // namespace
@@ -180,17 +182,19 @@
 ResetElection(State& aState, Instant aNow)
 {
   const auto& settings = aState.settings;
-  aState.electionDeadline =
-    aNow + DrawBetween(aState, settings.electionMin, settings.electionMax);
+  aState.electionDeadline = aNow + RandomBetween(aState,
+                                                 settings.electionTimeoutMin,
+                                                 settings.electionTimeoutMax);
 }
 
 void
-AwaitFirstLeader(State& aState, Instant aNow)
+ResetFirstElection(State& aState, Instant aNow)
 {
   const auto& settings = aState.settings;
   aState.electionDeadline =
-    aNow +
-    DrawBetween(aState, settings.firstElectionMin, settings.firstElectionMax);
+    aNow + RandomBetween(aState,
+                         settings.firstElectionTimeoutMin,
+                         settings.firstElectionTimeoutMax);
 }
 
 void
@@ -214,7 +218,7 @@
   aState.leaderKnown = !aLeader.Empty();
   aState.anyLeaderKnown = aState.anyLeaderKnown || aState.leaderKnown;
   aState.heartbeatDeadline = kNever;
-  aState.grants.clear();
+  aState.grantedVotes.clear();
   ResetElection(aState, aNow);
   if (changed) {
     aActions.emplace_back(LeaderChanged{ aTerm, aLeader });
@@ -229,22 +233,22 @@
   if (aState.anyLeaderKnown) {
     ResetElection(aState, aNow);
   } else {
-    AwaitFirstLeader(aState, aNow);
+    ResetFirstElection(aState, aNow);
   }
   if (!aState.leader.Empty()) {
     aState.leader = {};
     aActions.emplace_back(LeaderChanged{ aState.hard.term, {} });
   }
-  if (!MayStand(aState)) {
+  if (!CanCampaign(aState)) {
     return;
   }
   aState.role = Role::PreCandidate;
   aState.leaderKnown = false;
-  aState.grants = { aState.settings.self };
-  auto request = MakeRequest(aState);
+  aState.grantedVotes = { aState.settings.self };
+  auto request = MakeVoteRequest(aState);
   request.preVote = true;
   request.term = request.term.Next();
-  AskForVotes(aState, request, aActions);
+  SendVoteRequests(aState, request, aActions);
   if (HasWon(aState, request.fresh)) {
     StartElection(aState, false, aNow, aActions);
   }
@@ -253,18 +257,18 @@
 void
 StartElection(State& aState, bool aHandOver, Instant aNow, Actions& aActions)
 {
-  if (!MayStand(aState)) {
+  if (!CanCampaign(aState)) {
     return;
   }
-  auto request = MakeRequest(aState);
+  auto request = MakeVoteRequest(aState);
   request.handOver = aHandOver;
   aState.role = Role::Candidate;
-  aState.grants.clear();
+  aState.grantedVotes.clear();
   aState.hard = { aState.hard.term.Next(), aState.settings.self, false };
   request.term = aState.hard.term;
   internal::WriteHardState(aState, aActions);
   ResetElection(aState, aNow);
-  AskForVotes(aState, request, aActions);
+  SendVoteRequests(aState, request, aActions);
 }
 
 void
@@ -274,7 +278,7 @@
       aState.durableWrite != aState.lastWrite) {
     return;
   }
-  aState.grants.insert(aState.settings.self);
+  aState.grantedVotes.insert(aState.settings.self);
   if (HasWon(aState, false)) {
     BecomeLeader(aState, aNow, aActions);
   }
@@ -287,25 +291,25 @@
                   Instant aNow,
                   Actions& aActions)
 {
-  const bool stranger = !aState.members.members.empty() &&
+  const bool notVoter = !aState.members.members.empty() &&
                         !internal::IsVoter(aState.members, aFrom);
-  const bool disturbs = !aRequest.handOver && LeaderIsAlive(aState, aNow);
-  if (stranger || disturbs) {
+  const bool interrupts = !aRequest.handOver && LeaderIsAlive(aState, aNow);
+  if (notVoter || interrupts) {
     return;
   }
   if (aRequest.preVote) {
     AnswerPreVote(aState, aFrom, aRequest, aActions);
     return;
   }
-  const bool mayGrant =
-    aRequest.term >= aState.hard.term && MayGrant(aState, aRequest);
-  if (IsFresh(aState) && !mayGrant) {
+  const bool canGrant =
+    aRequest.term >= aState.hard.term && CanGrantVote(aState, aRequest);
+  if (IsFresh(aState) && !canGrant) {
     return;
   }
   if (aRequest.term > aState.hard.term) {
     BecomeFollower(aState, aRequest.term, {}, aNow, aActions);
   }
-  AnswerVote(aState, aFrom, mayGrant, aNow, aActions);
+  AnswerVote(aState, aFrom, canGrant, aNow, aActions);
 }
 
 void
@@ -323,7 +327,7 @@
   }
   if (aReply.preVote && aState.role == Role::PreCandidate &&
       aReply.term == aState.hard.term.Next()) {
-    aState.grants.insert(aFrom);
+    aState.grantedVotes.insert(aFrom);
     if (HasWon(aState, IsFresh(aState))) {
       StartElection(aState, false, aNow, aActions);
     }
@@ -331,7 +335,7 @@
   }
   if (!aReply.preVote && aState.role == Role::Candidate &&
       aReply.term == aState.hard.term) {
-    aState.grants.insert(aFrom);
+    aState.grantedVotes.insert(aFrom);
     if (HasWon(aState, false)) {
       BecomeLeader(aState, aNow, aActions);
     }
--- a/src/balsampoint/consensus/command/elect.hpp
+++ b/src/balsampoint/consensus/command/elect.hpp
@@ -19,7 +19,7 @@
  * @param aNow Current time.
  */
 void
-AwaitFirstLeader(State& aState, Instant aNow);
+ResetFirstElection(State& aState, Instant aNow);
 
 /**
  * @brief Becomes a follower, in a later term if one is given.
--- a/src/balsampoint/consensus/internal/quorum.hpp
+++ b/src/balsampoint/consensus/internal/quorum.hpp
@@ -76,8 +76,8 @@
     return true;
   }
   const auto found = aState.progress.find(aHost);
-  return found != aState.progress.end() &&
-         aNow - found->second.lastContactAt < aState.settings.electionMin;
+  return found != aState.progress.end() && aNow - found->second.lastContactAt <
+                                             aState.settings.electionTimeoutMin;
 }
 
 } // namespace balsampoint::consensus::internal
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -154,9 +154,10 @@
               Instant aNow,
               Actions& aActions)
 {
-  if (aSettings.self.Empty() || aSettings.electionMin <= aSettings.heartbeat ||
-      aSettings.electionMax < aSettings.electionMin ||
-      aSettings.firstElectionMax < aSettings.firstElectionMin) {
+  if (aSettings.self.Empty() ||
+      aSettings.electionTimeoutMin <= aSettings.heartbeat ||
+      aSettings.electionTimeoutMax < aSettings.electionTimeoutMin ||
+      aSettings.firstElectionTimeoutMax < aSettings.firstElectionTimeoutMin) {
     return Refuse(ErrorKind::InvalidConfiguration,
                   "the host id must be set, and the election timeouts must be "
                   "ordered and longer than the heartbeat interval");
@@ -171,7 +172,7 @@
   }
   state.hard = hard.value_or(HardState{ .recovering = true });
   RefreshMembers(state);
-  AwaitFirstLeader(state, aNow);
+  ResetFirstElection(state, aNow);
   if (!hard) {
     internal::WriteHardState(state, aActions);
   }
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -26,12 +26,12 @@
   Duration heartbeat{ std::chrono::milliseconds{ 250 } };
   /** Bounds of the random election timeout: the time without contact to a
    * leader after which a voter starts a pre-vote. */
-  Duration electionMin{ std::chrono::milliseconds{ 800 } };
-  Duration electionMax{ std::chrono::milliseconds{ 1400 } };
+  Duration electionTimeoutMin{ std::chrono::milliseconds{ 800 } };
+  Duration electionTimeoutMax{ std::chrono::milliseconds{ 1400 } };
   /** Bounds of the shorter timeout used until a voter knows a first leader
    * after its start. */
-  Duration firstElectionMin{ std::chrono::milliseconds{ 100 } };
-  Duration firstElectionMax{ std::chrono::milliseconds{ 350 } };
+  Duration firstElectionTimeoutMin{ std::chrono::milliseconds{ 100 } };
+  Duration firstElectionTimeoutMax{ std::chrono::milliseconds{ 350 } };
   /** Number of entries applied since the last snapshot that triggers a new one.
    */
   std::uint64_t compactAfter{ 1000 };
@@ -159,7 +159,7 @@
   Instant electionDeadline{ kNever };
   Instant heartbeatDeadline{ kNever };
   /** Voters that granted the current pre-vote or vote. */
-  std::set<HostId> grants;
+  std::set<HostId> grantedVotes;
   /** Random generator for election timeouts. */
   SplitMix64 random;
 
