Reword comments of the member module

Comments spoke of news, doubts, hearing and riding along, and several repeated only the name. They now use the terms of gossip membership: probe, suspect, refute, piggyback, digest.

--- a/src/balsampoint/member/action.hpp
+++ b/src/balsampoint/member/action.hpp
@@ -8,22 +8,22 @@
 
 namespace balsampoint::member {
 
-/** @brief Sends a message without waiting. */
+/** @brief Sends a message; delivery is not guaranteed. */
 struct Send
 {
-  /** Empty when only the address is known. */
+  /** Empty if only the address is known. */
   HostId to;
   std::string address;
   Message message;
 };
 
-/** @brief Replaces the list of hosts that others read. */
+/** @brief Publishes a new list of hosts to the other modules. */
 struct Publish
 {
   std::shared_ptr<const View> view;
 };
 
-/** @brief What the membership asks its adapters to do. */
+/** @brief Output of the module, carried out by the daemon. */
 using Action = std::variant<Send, Publish>;
 
 } // namespace balsampoint::member
--- a/src/balsampoint/member/command/maintain.hpp
+++ b/src/balsampoint/member/command/maintain.hpp
@@ -8,19 +8,20 @@
 namespace balsampoint::member {
 
 /**
- * @brief Joins by seeds, ends suspicions, compares lists and forgets the dead.
- * @param aState The membership.
- * @param aNow The time.
- * @param aActions Receives what is to be sent.
+ * @brief Runs the periodic tasks: joins through seeds, marks suspects dead,
+ * forgets dead hosts and compares digests.
+ * @param aState State of the module.
+ * @param aNow Current time.
+ * @param aActions Receives the messages.
  */
 void
 Maintain(State& aState, Instant aNow, std::vector<Action>& aActions);
 
 /**
- * @brief Tells the own zone at once that this host stops.
- * @param aState The membership.
- * @param aNow The time.
- * @param aActions Receives what is to be sent.
+ * @brief Notifies the own zone at once that this host stops.
+ * @param aState State of the module.
+ * @param aNow Current time.
+ * @param aActions Receives the messages.
  */
 void
 LeaveCluster(State& aState, Instant aNow, std::vector<Action>& aActions);
--- a/src/balsampoint/member/command/probe.cpp
+++ b/src/balsampoint/member/command/probe.cpp
@@ -75,7 +75,8 @@
   return target;
 }
 
-/** Looks whether a dead host is back; nothing depends on its answer. */
+/** @brief Pings a random dead host to detect that it is back; a missing answer
+ * has no effect. */
 void
 TryDead(State& aState, std::vector<Action>& aActions)
 {
--- a/src/balsampoint/member/command/probe.hpp
+++ b/src/balsampoint/member/command/probe.hpp
@@ -8,10 +8,11 @@
 namespace balsampoint::member {
 
 /**
- * @brief Follows up the open probe and starts the next one when due.
- * @param aState The membership.
- * @param aNow The time.
- * @param aActions Receives what is to be sent.
+ * @brief Handles the timeout of the probe in progress and starts the next one
+ * when due.
+ * @param aState State of the module.
+ * @param aNow Current time.
+ * @param aActions Receives the messages.
  */
 void
 RunProbes(State& aState, Instant aNow, std::vector<Action>& aActions);
--- a/src/balsampoint/member/command/receive.cpp
+++ b/src/balsampoint/member/command/receive.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** @brief One message on its way into the state. */
+/** @brief Handles one received message by its type. */
 struct Receipt
 {
   State& state;
@@ -69,7 +69,8 @@
     internal::SendList(state, from, false, actions);
   }
 
-  /** Others get the list as well, so that its new hosts need no gossip. */
+  /** @brief Merges an entry of a list. A host that is new here is not spread by
+   * gossip, since the other hosts receive the list as well. */
   void MergeListed(const Host& aHost) const
   {
     const bool isNew = !state.peers.contains(aHost.id);
--- a/src/balsampoint/member/command/receive.hpp
+++ b/src/balsampoint/member/command/receive.hpp
@@ -9,11 +9,12 @@
 namespace balsampoint::member {
 
 /**
- * @brief Takes in a message of another host.
- * @param aState The membership.
+ * @brief Handles a message from another host. A dead host that is back gets the
+ * whole list.
+ * @param aState State of the module.
  * @param aReceived The message and its sender.
  * @param aNow Time of receipt.
- * @param aActions Receives what is to be sent.
+ * @param aActions Receives the messages.
  */
 void
 Receive(State& aState,
--- a/src/balsampoint/member/event.hpp
+++ b/src/balsampoint/member/event.hpp
@@ -6,18 +6,18 @@
 
 namespace balsampoint::member {
 
-/** @brief A message of another host arrived. */
+/** @brief A message from another host was received. */
 struct Received
 {
   HostId from;
   Message message;
 };
 
-/** @brief This host is about to stop. */
+/** @brief A planned stop of this host begins. */
 struct Leave
 {};
 
-/** @brief What the membership reacts to. */
+/** @brief Input of the module. */
 using Event = std::variant<Received, Leave>;
 
 } // namespace balsampoint::member
--- a/src/balsampoint/member/fwd.hpp
+++ b/src/balsampoint/member/fwd.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-/** @brief Which hosts of the cluster are there, found out by probing. */
+/** @brief Cluster membership: detects failed hosts by probes and spreads
+ * changes by gossip. */
 namespace balsampoint::member {
 
 struct Host;
--- a/src/balsampoint/member/host.hpp
+++ b/src/balsampoint/member/host.hpp
@@ -9,32 +9,32 @@
 
 namespace balsampoint::member {
 
-/** @brief What is held of a host, in rising order of precedence. */
+/** @brief State of a host, in ascending order of precedence. */
 enum class HostState : std::uint8_t
 {
   Alive,
-  /** Did not answer; dead unless it refutes that in time. */
+  /** Did not answer a probe; becomes dead unless it refutes this in time. */
   Suspect,
   Dead,
   /** Left by a planned stop. */
   Left,
 };
 
-/** @brief One host of the cluster. */
+/** @brief A host of the cluster, as carried in messages. */
 struct Host
 {
   HostId id;
   ZoneId zone;
   RegionId region;
-  /** IP number and port at which it takes messages of other hosts. */
+  /** IP address and port on which it receives messages of other hosts. */
   std::string address;
-  /** Rises with each restart. */
+  /** Increases with each restart. */
   Incarnation incarnation;
-  /** Rises with each refutation of a suspicion within one incarnation. */
+  /** Increases with each refutation within one incarnation. */
   std::uint64_t revision{};
   HostState state{ HostState::Alive };
 
-  /** @brief Whether messages to it make sense. */
+  /** @brief Whether the host may still receive messages: alive or suspect. */
   [[nodiscard]] bool Reachable() const noexcept
   {
     return state == HostState::Alive || state == HostState::Suspect;
@@ -43,7 +43,7 @@
   bool operator==(const Host&) const = default;
 };
 
-/** @brief All known hosts in the order of their ids, this one included. */
+/** @brief All known hosts including this one, sorted by id. */
 struct View
 {
   std::vector<Host> hosts;
--- a/src/balsampoint/member/internal/digest.hpp
+++ b/src/balsampoint/member/internal/digest.hpp
@@ -7,9 +7,9 @@
 namespace balsampoint::member::internal {
 
 /**
- * @brief Sums up the list of reachable hosts.
- * @param aState The membership.
- * @return A number that two equal lists share, whatever is suspected.
+ * @brief Hashes the list of reachable hosts.
+ * @param aState State of the module.
+ * @return The hash; it does not depend on which hosts are suspected.
  */
 [[nodiscard]] std::uint64_t
 HashOf(const State& aState);
--- a/src/balsampoint/member/internal/gossip.hpp
+++ b/src/balsampoint/member/internal/gossip.hpp
@@ -8,42 +8,44 @@
 namespace balsampoint::member::internal {
 
 /**
- * @brief Chooses the updates that ride along with one message.
- * @param aState The membership; counts down what is sent.
- * @param aTo The receiver; hears of doubts about itself first.
+ * @brief Selects the updates to piggyback on one message.
+ * @param aState State to change; the copies left of each update are reduced.
+ * @param aTo The receiver; its own entry comes first if it is not alive, so
+ * that it can refute that.
  * @return The updates.
  */
 [[nodiscard]] std::vector<Host>
 TakeUpdates(State& aState, const HostId& aTo);
 
 /**
- * @brief Lets an entry ride along with the next messages.
- * @param aState The membership.
+ * @brief Schedules an entry to be piggybacked on the next messages.
+ * @param aState State of the module.
  * @param aPeer The changed entry.
  */
 void
 Spread(State& aState, Peer& aPeer);
 
 /**
- * @brief Lets this host's own entry ride along with the next messages.
- * @param aState The membership.
+ * @brief Schedules this host's own entry to be piggybacked on the next
+ * messages.
+ * @param aState State of the module.
  */
 void
 SpreadSelf(State& aState);
 
 /**
  * @brief Queues an entry for the next broadcast to the own zone.
- * @param aState The membership.
- * @param aId The host that the entry is about.
- * @param aNow The time.
+ * @param aState State of the module.
+ * @param aId Host whose entry is broadcast.
+ * @param aNow Current time.
  */
 void
 Announce(State& aState, const HostId& aId, Instant aNow);
 
 /**
- * @brief Broadcasts what is queued if that is due.
- * @param aState The membership.
- * @param aNow The time.
+ * @brief Broadcasts the queued entries to the own zone if that is due.
+ * @param aState State of the module.
+ * @param aNow Current time.
  * @param aActions Receives the messages.
  */
 void
@@ -51,7 +53,7 @@
 
 /**
  * @brief Sends a message to a known host.
- * @param aState The membership.
+ * @param aState State of the module.
  * @param aTo The receiver; nothing is sent if it is not known.
  * @param aMessage The message.
  * @param aActions Receives the message.
@@ -63,10 +65,10 @@
        std::vector<Action>& aActions);
 
 /**
- * @brief Sends the whole list in messages of bounded size.
- * @param aState The membership.
+ * @brief Sends the whole list of hosts in messages of bounded size.
+ * @param aState State of the module.
  * @param aTo The receiver.
- * @param aReply Whether it shall answer with its own list.
+ * @param aReply Whether the receiver should answer with its own list.
  * @param aActions Receives the messages.
  */
 void
--- a/src/balsampoint/member/internal/merge.hpp
+++ b/src/balsampoint/member/internal/merge.hpp
@@ -9,15 +9,16 @@
 namespace balsampoint::member::internal {
 
 /**
- * @brief Takes in what another host holds of one host.
+ * @brief Merges an entry received from another host.
  *
- * A doubt about this host is refuted. Another host that is alive here is never
- * marked dead at once: it becomes suspect, is told so, and can refute.
- * @param aState The membership.
+ * An entry that says this host is not alive is refuted. A host that is alive in
+ * the own list is not marked dead at once: it becomes suspect and is notified,
+ * so that it can refute.
+ * @param aState State of the module.
  * @param aNews The entry.
- * @param aNow The time.
- * @param aActions Receives what is to be sent.
- * @return Whether the entry was news.
+ * @param aNow Current time.
+ * @param aActions Receives the messages.
+ * @return Whether the entry replaced the stored one or was new.
  */
 bool
 Merge(State& aState,
@@ -26,11 +27,11 @@
       std::vector<Action>& aActions);
 
 /**
- * @brief Marks a peer and lets that spread.
- * @param aState The membership.
+ * @brief Sets the state of a peer and schedules the change to be spread.
+ * @param aState State of the module.
  * @param aPeer The peer.
  * @param aMark The new state.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 void
 Mark(State& aState, Peer& aPeer, HostState aMark, Instant aNow);
--- a/src/balsampoint/member/internal/peers.hpp
+++ b/src/balsampoint/member/internal/peers.hpp
@@ -11,11 +11,11 @@
 namespace balsampoint::member::internal {
 
 /**
- * @brief Lists the ids of the peers that a test selects.
- * @tparam Test Callable with a host, gives whether it is wanted.
- * @param aState The membership.
- * @param aTest The test.
- * @return The ids in order.
+ * @brief Lists the ids of the peers that satisfy a predicate.
+ * @tparam Test Predicate on a host.
+ * @param aState State of the module.
+ * @param aTest The predicate.
+ * @return The ids in ascending order.
  */
 template<std::predicate<const Host&> Test>
 [[nodiscard]] std::vector<HostId>
@@ -31,8 +31,8 @@
 }
 
 /**
- * @brief Puts ids in a random order.
- * @param aState The membership, for its random numbers.
+ * @brief Shuffles ids randomly.
+ * @param aState State with the random generator.
  * @param aIds The ids.
  */
 inline void
@@ -44,10 +44,10 @@
 }
 
 /**
- * @brief Chooses ids at random.
- * @param aState The membership, for its random numbers.
+ * @brief Picks ids at random.
+ * @param aState State with the random generator.
  * @param aIds The ids to choose from.
- * @param aCount How many at most.
+ * @param aCount Maximum number of ids.
  * @return The chosen ids.
  */
 [[nodiscard]] inline std::vector<HostId>
@@ -59,9 +59,10 @@
 }
 
 /**
- * @brief Tells when a suspicion ends in death, or a dead host is forgotten.
- * @param aState The membership.
- * @param aPeer The peer; not alive.
+ * @brief Time at which a suspect peer is marked dead, or a dead or stopped peer
+ * is forgotten.
+ * @param aState State of the module.
+ * @param aPeer The peer, in a state other than alive.
  * @return The time.
  */
 [[nodiscard]] inline Instant
--- a/src/balsampoint/member/message.hpp
+++ b/src/balsampoint/member/message.hpp
@@ -12,12 +12,13 @@
 struct Ping
 {
   std::uint64_t sequence{};
-  /** The host that wants to know; the sender unless it is an indirect one. */
+  /** Host that started the probe; differs from the sender if the probe is
+   * indirect. */
   HostId origin;
   std::vector<Host> updates;
 };
 
-/** @brief Asks the receiver to ping a host for the sender. */
+/** @brief Asks the receiver to ping a host on behalf of the sender. */
 struct PingRequest
 {
   std::uint64_t sequence{};
@@ -25,7 +26,8 @@
   std::vector<Host> updates;
 };
 
-/** @brief Answers a ping, by way of the host that sent it. */
+/** @brief Answers a `Ping`; the host that sent it forwards the answer to
+ * `origin`. */
 struct Ack
 {
   std::uint64_t sequence{};
@@ -39,27 +41,28 @@
   Host host;
 };
 
-/** @brief What the sender holds of many hosts. */
+/** @brief Part of the sender's list of hosts. */
 struct Sync
 {
   std::vector<Host> hosts;
-  /** Whether the receiver shall answer with its own list. */
+  /** Whether the receiver should answer with its own list. */
   bool reply{ false };
 };
 
-/** @brief Compares the lists of two hosts; answered with `Sync` if unlike. */
+/** @brief Hash of the sender's list; answered with `Sync` if the receiver's
+ * list differs. */
 struct Digest
 {
   std::uint64_t hash{};
 };
 
-/** @brief Changes that can't wait for the next probe. */
+/** @brief Broadcasts changes to the own zone without waiting for a probe. */
 struct News
 {
   std::vector<Host> updates;
 };
 
-/** @brief What hosts tell each other about hosts. */
+/** @brief Message between two hosts about the membership. */
 using Message = std::variant<Ping, PingRequest, Ack, Join, Sync, Digest, News>;
 
 } // namespace balsampoint::member
--- a/src/balsampoint/member/module.hpp
+++ b/src/balsampoint/member/module.hpp
@@ -9,7 +9,7 @@
 
 namespace balsampoint::member {
 
-/** @brief The member as the control thread runs it. */
+/** @brief Interface of the module to the control thread. */
 struct Module
 {
   using State = member::State;
@@ -17,11 +17,11 @@
   using Action = member::Action;
 
   /**
-   * @brief Takes in one event.
-   * @param aState The membership.
+   * @brief Handles one event.
+   * @param aState State of the module.
    * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives what is to be done.
+   * @param aNow Current time.
+   * @param aActions Receives the resulting actions.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -29,17 +29,17 @@
                      std::vector<Action>& aActions);
 
   /**
-   * @brief Does what is due by time.
-   * @param aState The membership.
-   * @param aNow The time.
-   * @param aActions Receives what is to be done.
+   * @brief Runs the timers that have expired; does nothing after `Leave`.
+   * @param aState State of the module.
+   * @param aNow Current time.
+   * @param aActions Receives the resulting actions.
    */
   static void Tick(State& aState, Instant aNow, std::vector<Action>& aActions);
 
   /**
-   * @brief Tells when the next `Tick` is due.
-   * @param aState The membership.
-   * @return The time, or `kNever`.
+   * @brief Time of the earliest pending timer.
+   * @param aState State of the module.
+   * @return When to call `Tick` next; `kNever` after `Leave`.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/member/query/next_deadline.hpp
+++ b/src/balsampoint/member/query/next_deadline.hpp
@@ -5,8 +5,8 @@
 namespace balsampoint::member {
 
 /**
- * @brief Tells when the membership next has something to do by itself.
- * @param aState The membership.
+ * @brief Time of the earliest pending timer.
+ * @param aState State of the module.
  * @return The time.
  */
 [[nodiscard]] Instant
--- a/src/balsampoint/member/query/view.hpp
+++ b/src/balsampoint/member/query/view.hpp
@@ -5,9 +5,9 @@
 namespace balsampoint::member {
 
 /**
- * @brief Copies the list of hosts for others.
- * @param aState The membership.
- * @return The hosts in the order of their ids.
+ * @brief Copies the list of hosts for publication.
+ * @param aState State of the module.
+ * @return The hosts including this one, sorted by id.
  */
 [[nodiscard]] View
 MakeView(const State& aState);
--- a/src/balsampoint/member/settings.hpp
+++ b/src/balsampoint/member/settings.hpp
@@ -11,40 +11,42 @@
 
 namespace balsampoint::member {
 
-/** @brief A host to join by. */
+/** @brief A host through which this host joins the cluster. */
 struct Seed
 {
-  /** Empty when only the address is known. */
+  /** Empty if only the address is known. */
   HostId id;
   std::string address;
 };
 
-/** @brief What one host's membership is set up with. */
+/** @brief Configuration of the module on one host. */
 struct Settings
 {
   Host self;
   std::vector<Seed> seeds;
   Duration probeInterval{ std::chrono::milliseconds{ 700 } };
-  /** Wait for an answer before other hosts are asked to probe. */
+  /** Time to wait for an answer before other hosts are asked to probe. */
   Duration directTimeout{ std::chrono::milliseconds{ 200 } };
-  /** Wait for an answer by way of other hosts. */
+  /** Time to wait for an answer through other hosts. */
   Duration indirectTimeout{ std::chrono::milliseconds{ 300 } };
-  /** Time to refute a suspicion within the own zone. */
+  /** Time after which a suspect host of the own zone is marked dead. */
   Duration suspicion{ std::chrono::seconds{ 1 } };
-  /** Time to refute a suspicion for hosts of other zones. */
+  /** Time after which a suspect host of another zone is marked dead. */
   Duration remoteSuspicion{ std::chrono::seconds{ 5 } };
-  /** Shortest time between two broadcasts to the own zone. */
+  /** Minimum time between two broadcasts to the own zone. */
   Duration newsInterval{ std::chrono::milliseconds{ 250 } };
+  /** Time between two attempts to join, while no other host is known. */
   Duration joinInterval{ std::chrono::seconds{ 1 } };
-  /** Time between two comparisons of the whole list with another host. */
+  /** Time between two digest comparisons with a random host. */
   Duration digestInterval{ std::chrono::seconds{ 10 } };
-  /** How long a dead host is kept and tried again. */
+  /** Time after which a dead or stopped host is forgotten; until then dead
+   * hosts are still pinged. */
   Duration memory{ std::chrono::hours{ 1 } };
-  /** Every so many probes one goes to another zone. */
+  /** One in this many probes goes to another zone. */
   std::uint32_t remoteEvery{ 5 };
-  /** Hosts asked for an indirect probe. */
+  /** Number of hosts asked for an indirect probe. */
   std::size_t indirectProbes{ 3 };
-  /** Updates that ride along with one message at most. */
+  /** Maximum number of updates piggybacked on one message. */
   std::size_t updatesPerMessage{ 6 };
 };
 
--- a/src/balsampoint/member/state.hpp
+++ b/src/balsampoint/member/state.hpp
@@ -10,54 +10,55 @@
 
 namespace balsampoint::member {
 
-/** @brief What is known of another host. */
+/** @brief Entry for another host. */
 struct Peer
 {
   Host host;
-  /** When it was last marked so. */
+  /** Time of the last change of state. */
   Instant changedAt{};
-  /** Messages that still carry this entry along. */
+  /** Number of further messages that piggyback this entry. */
   std::uint32_t remaining{};
 };
 
-/** @brief The probe that waits for an answer, if its target is named. */
+/** @brief The probe in progress; none if `target` is empty. */
 struct Probe
 {
   HostId target;
   std::uint64_t sequence{};
   Instant deadline{ kNever };
-  /** Whether other hosts were asked already. */
+  /** Whether other hosts have been asked to probe. */
   bool indirect{ false };
 };
 
-/** @brief The membership as one host sees it. */
+/** @brief State of the module on one host. */
 struct State
 {
   Settings settings;
   SplitMix64 random;
   Host self;
-  /** Messages that still carry this host's own entry along. */
+  /** Number of further messages that piggyback this host's own entry. */
   std::uint32_t selfRemaining{};
   std::map<HostId, Peer> peers;
   Probe probe;
-  /** Hosts of the own zone still to be probed in this round. */
+  /** Hosts of the own zone not yet probed in this round. */
   std::vector<HostId> round;
   std::uint64_t sequence{};
   Instant probeAt{};
   Instant joinAt{};
   Instant digestAt{};
-  /** When the next broadcast to the zone is due; `kNever` for none. */
+  /** Time of the next broadcast to the own zone; `kNever` if none. */
   Instant newsAt{ kNever };
   Instant lastNewsAt{};
+  /** Hosts whose entries the next broadcast carries. */
   std::set<HostId> news;
-  /** Whether the view changed since it was last published. */
+  /** Whether the view has changed since it was last published. */
   bool changed{ true };
 };
 
 /**
- * @brief Makes the state of a host that knows only its seeds.
- * @param aSettings The settings.
- * @param aSeed Chooses the sequence of random numbers.
+ * @brief Creates the state of a host that knows only its seeds.
+ * @param aSettings Configuration of the host.
+ * @param aSeed Seed of the random generator.
  * @return The state.
  */
 [[nodiscard]] inline State
