--- a/src/balsampoint/member/settings.hpp
+++ b/src/balsampoint/member/settings.hpp
@@ -35,7 +35,8 @@
   Duration remoteSuspicion{ std::chrono::seconds{ 5 } };
   /** Minimum time between two broadcasts to the own zone. */
   Duration newsInterval{ std::chrono::milliseconds{ 250 } };
-  /** Time between two attempts to join, while no other host is known. */
+  /** Time between two attempts to join while no other host is known; later,
+   * missing seeds are tried at five times this interval. */
   Duration joinInterval{ std::chrono::seconds{ 1 } };
   /** Time between two digest comparisons with a random host. */
   Duration digestInterval{ std::chrono::seconds{ 10 } };
