--- a/test/balsampoint/change/decide_test.cpp
+++ b/test/balsampoint/change/decide_test.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-Test(decide, equal_numbers_have_one_winner_whom_the_others_learn)
+Test(decide, one_change_per_number_wins_and_the_others_learn_its_id)
 {
   Table table;
   cr_assert(Decide(table, MakeChange(1, "a")).outcome == Outcome::Accepted);
@@ -68,7 +68,7 @@
   cr_assert(Decide(table, MakeChange(2, "b")).outcome == Outcome::Accepted);
 }
 
-Test(decide, never_runs_a_change_again_that_left_the_window)
+Test(decide, does_not_repeat_a_change_dropped_from_the_window)
 {
   Table table;
   for (std::uint64_t i = 1; i <= kDecidedWindow + 5; ++i) {
--- a/test/balsampoint/change/increasing_test.cpp
+++ b/test/balsampoint/change/increasing_test.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-Test(increasing, the_highest_number_wins_whatever_its_step)
+Test(increasing, the_highest_number_wins_even_if_numbers_are_skipped)
 {
   Table table;
   cr_assert_eq(Decide(table, MakeChange(3, "a")).outcome, Outcome::Accepted);
@@ -51,7 +51,7 @@
   cr_assert_eq(table.sections->at("document"), "b");
 }
 
-Test(increasing, the_answers_kept_are_bounded)
+Test(increasing, the_number_of_kept_answers_is_bounded)
 {
   Table table;
   for (std::uint64_t number = 1; number < 3 * kSupersededWindow; ++number) {
--- a/test/balsampoint/change/module_test.cpp
+++ b/test/balsampoint/change/module_test.cpp
@@ -21,7 +21,7 @@
                          .seeds = { kLeader, HostId{ "other" } } } };
 }
 
-/** @brief The only action of one kind. */
+/** @brief The single action of a type, or null; fails if there are several. */
 template<typename Kind>
 const Kind*
 Only(const Actions& aActions)
@@ -84,7 +84,7 @@
   cr_assert(Only<Answered>(actions)->result->outcome == Outcome::Accepted);
 }
 
-Test(change, refused_by_all_is_certainly_not_run)
+Test(change, a_change_refused_by_every_host_is_not_executed)
 {
   auto entry = MakeState(kSelf);
   auto follower = MakeState(kLeader);
@@ -98,7 +98,7 @@
   cr_assert(error.executed == Executed::No);
 }
 
-Test(change, an_answer_for_an_earlier_life_of_the_host_is_ignored)
+Test(change, a_reply_for_another_change_under_a_reused_ticket_is_ignored)
 {
   auto entry = MakeState(kSelf);
   Run(entry, Submit{ Ticket{ 1 }, kChange });
@@ -108,7 +108,7 @@
   cr_assert(Run(entry, Received{ kLeader, reply }).empty());
 }
 
-Test(change, a_refused_proposal_is_not_run_unless_its_end_is_unknown)
+Test(change, a_refused_proposal_is_not_executed_unless_its_outcome_is_unknown)
 {
   for (const auto executed : { Executed::No, Executed::Unknown }) {
     auto leader = MakeState(kLeader);
--- a/test/balsampoint/consensus/members_test.cpp
+++ b/test/balsampoint/consensus/members_test.cpp
@@ -107,7 +107,7 @@
   cr_assert(group.Leader().Empty());
 }
 
-Test(members, a_removed_leader_leaves_office)
+Test(members, a_removed_leader_steps_down)
 {
   Group group{ 3, 0, 24 };
   const auto old = group.Elect();
--- a/test/balsampoint/consensus/module_test.cpp
+++ b/test/balsampoint/consensus/module_test.cpp
@@ -55,7 +55,7 @@
   cr_assert(group.Commit(leader, "one").done);
 }
 
-Test(consensus, a_follower_refuses_and_says_not_run)
+Test(consensus, a_follower_refuses_a_proposal_as_not_executed)
 {
   Group group{ 3, 0, 3 };
   const auto follower = Another(group, group.Elect());
@@ -124,7 +124,7 @@
   }
 }
 
-Test(consensus, silent_isolation_neither_leads_nor_disturbs)
+Test(consensus, an_isolated_leader_steps_down_and_starts_no_election)
 {
   Group group{ 3, 0, 5 };
   const auto old = group.Elect();
@@ -145,7 +145,7 @@
   cr_assert(group.Agree());
 }
 
-Test(consensus, a_lost_proposal_is_answered_as_not_run)
+Test(consensus, a_superseded_proposal_is_answered_as_not_executed)
 {
   Group group{ 3, 0, 6 };
   const auto old = group.Elect();
@@ -219,7 +219,7 @@
   cr_assert(group.Agree());
 }
 
-Test(consensus, a_full_disk_stops_acknowledging_until_it_has_room)
+Test(consensus, a_full_disk_stops_acknowledgements_until_it_has_space)
 {
   Group group{ 3, 0, 10 };
   const auto old = group.Elect();
--- a/test/balsampoint/member/module_test.cpp
+++ b/test/balsampoint/member/module_test.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-Test(member, all_hosts_learn_of_all_by_one_seed)
+Test(member, all_hosts_learn_of_each_other_through_one_seed)
 {
   const auto hosts = Joined(6, 6, 1);
   for (const auto& [id, host] : hosts.hosts) {
@@ -70,7 +70,7 @@
   }
 }
 
-Test(member, a_one_way_cut_kills_nobody)
+Test(member, a_one_way_partition_marks_no_host_dead)
 {
   auto hosts = Joined(6, 0, 3);
   hosts.network.Cut(Name(1), Name(2), true);
@@ -85,10 +85,10 @@
 Test(member, a_live_host_refutes_a_suspicion)
 {
   auto hosts = Joined(4, 0, 4);
-  auto doubt = hosts.hosts.at(Name(0)).member.peers.at(Name(1)).host;
-  doubt.state = HostState::Dead;
+  auto suspected = hosts.hosts.at(Name(0)).member.peers.at(Name(1)).host;
+  suspected.state = HostState::Dead;
   hosts.Tell(Name(0),
-             Event{ Received{ Name(2), News{ .updates = { doubt } } } });
+             Event{ Received{ Name(2), News{ .updates = { suspected } } } });
   cr_assert_eq(StateOf(hosts, Name(0), Name(1)), HostState::Suspect);
   hosts.RunTo(hosts.now + 3s);
   cr_assert_eq(StateOf(hosts, Name(0), Name(1)), HostState::Alive);
@@ -111,7 +111,7 @@
   }
 }
 
-Test(member, a_planned_stop_is_known_at_once)
+Test(member, a_planned_stop_is_broadcast_at_once)
 {
   auto hosts = Joined(4, 0, 6);
   hosts.Tell(Name(1), Event{ Leave{} });
@@ -132,7 +132,7 @@
   }
 }
 
-Test(member, loss_and_repeats_kill_nobody)
+Test(member, lost_and_repeated_messages_mark_no_host_dead)
 {
   auto hosts = Joined(8, 0, 8);
   hosts.network.Faults().lostPerMille = 50;
