--- a/src/balsampoint/consensus/command/apply.cpp
+++ b/src/balsampoint/consensus/command/apply.cpp
@@ -15,7 +15,7 @@
  * place.
  */
 Ticket
-TakeTicket(State& aState, const Entry& aEntry, Actions& aActions)
+CompleteProposal(State& aState, const Entry& aEntry, Actions& aActions)
 {
   const auto found = aState.proposals.find(aEntry.index);
   if (found == aState.proposals.end()) {
@@ -78,7 +78,7 @@
     aState.applied = index;
     const bool firstOfTerm =
       aState.role == Role::Leader && index == aState.termStart;
-    const auto ticket = TakeTicket(aState, entry, aActions);
+    const auto ticket = CompleteProposal(aState, entry, aActions);
     if (entry.kind == EntryKind::Command) {
       aActions.emplace_back(Apply{ index, entry.term, entry.command, ticket });
       continue;
--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -81,7 +81,7 @@
     return aState.grantedVotes.contains(aHost);
   };
   if (!aNeedsAll) {
-    return internal::QuorumOf(aState.members, granted);
+    return internal::HasQuorum(aState.members, granted);
   }
   for (const auto& member : aState.members.members) {
     if (member.role == MemberRole::Voter && !granted(member.host)) {
--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -21,7 +21,7 @@
 }
 
 std::optional<Error>
-CannotChange(const State& aState)
+ChangeRefusal(const State& aState)
 {
   if (aState.storageFailed || aState.role != Role::Leader ||
       !aState.handOverTo.Empty()) {
@@ -83,7 +83,7 @@
 bool
 HasLiveQuorum(const State& aState, const Membership& aMembers, Instant aNow)
 {
-  return internal::QuorumOf(aMembers, [&](const HostId& aHost) {
+  return internal::HasQuorum(aMembers, [&](const HostId& aHost) {
     return internal::HasRecentContact(aState, aHost, aNow);
   });
 }
@@ -167,7 +167,7 @@
                 Instant aNow,
                 Actions& aActions)
 {
-  if (auto error = CannotChange(aState)) {
+  if (auto error = ChangeRefusal(aState)) {
     RefuseChange(aEvent.ticket, std::move(*error), aActions);
     return;
   }
@@ -188,7 +188,7 @@
                    Instant aNow,
                    Actions& aActions)
 {
-  auto error = CannotChange(aState);
+  auto error = ChangeRefusal(aState);
   const auto rest = Without(aState.members, aEvent.host);
   if (!error && rest == aState.members) {
     error = MakeError(ErrorKind::NotFound, "the host is not a member");
@@ -210,7 +210,7 @@
                     Instant aNow,
                     Actions& aActions)
 {
-  auto error = CannotChange(aState);
+  auto error = ChangeRefusal(aState);
   if (!error && internal::Find(aState.members, aEvent.host) == nullptr) {
     error = MakeError(ErrorKind::NotFound, "the host is not a member");
   }
@@ -234,7 +234,7 @@
 void
 ContinueMembers(State& aState, Instant aNow, Actions& aActions)
 {
-  if (CannotChange(aState)) {
+  if (ChangeRefusal(aState)) {
     return;
   }
   for (const auto& member : aState.members.members) {
@@ -258,7 +258,7 @@
 void
 RepairMembers(State& aState, Instant aNow, Actions& aActions)
 {
-  if (CannotChange(aState)) {
+  if (ChangeRefusal(aState)) {
     return;
   }
   if (aState.members.members.size() < aState.settings.voters) {
--- a/src/balsampoint/consensus/command/read.cpp
+++ b/src/balsampoint/consensus/command/read.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 Refused
-NotLeading(Ticket aTicket)
+RefuseRead(Ticket aTicket)
 {
   return { aTicket,
            MakeError(ErrorKind::ControlUnavailable,
@@ -28,7 +28,7 @@
     return found != aState.progress.end() && found->second.round >= aRead.round;
   };
   return aState.applied >= aRead.index &&
-         internal::QuorumOf(aState.members, answered);
+         internal::HasQuorum(aState.members, answered);
 }
 
 } // namespace
@@ -40,12 +40,12 @@
                     Actions& aActions)
 {
   if (aState.role != Role::Leader) {
-    aActions.emplace_back(NotLeading(aEvent.ticket));
+    aActions.emplace_back(RefuseRead(aEvent.ticket));
     return;
   }
   aState.round = aState.round.Next();
   const auto index = std::max(aState.committed, aState.termStart);
-  aState.reads.push_back({ aEvent.ticket, index, aState.round });
+  aState.pendingReads.push_back({ aEvent.ticket, index, aState.round });
   Broadcast(aState, aNow, aActions);
   AnswerReads(aState, aActions);
 }
@@ -54,23 +54,23 @@
 AnswerReads(State& aState, Actions& aActions)
 {
   std::vector<PendingRead> waiting;
-  for (const auto& read : aState.reads) {
+  for (const auto& read : aState.pendingReads) {
     if (!IsConfirmed(aState, read)) {
       waiting.push_back(read);
       continue;
     }
     aActions.emplace_back(LeaderConfirmed{ read.ticket, read.index });
   }
-  aState.reads = std::move(waiting);
+  aState.pendingReads = std::move(waiting);
 }
 
 void
 RefuseReads(State& aState, Actions& aActions)
 {
-  for (const auto& read : aState.reads) {
-    aActions.emplace_back(NotLeading(read.ticket));
+  for (const auto& read : aState.pendingReads) {
+    aActions.emplace_back(RefuseRead(read.ticket));
   }
-  aState.reads.clear();
+  aState.pendingReads.clear();
 }
 
 } // namespace balsampoint::consensus
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -72,21 +72,23 @@
 }
 
 void
-TakeEntries(State& aState, std::span<const Entry> aEntries, Actions& aActions)
+AppendNewEntries(State& aState,
+                 std::span<const Entry> aEntries,
+                 Actions& aActions)
 {
-  const auto fresh = NewEntries(aState, aEntries);
-  if (fresh.empty()) {
+  const auto newEntries = NewEntries(aState, aEntries);
+  if (newEntries.empty()) {
     return;
   }
-  Persist persist{ .entries = { fresh.begin(), fresh.end() } };
-  if (fresh.front().index <= internal::LastIndex(aState.log)) {
+  Persist persist{ .entries = { newEntries.begin(), newEntries.end() } };
+  if (newEntries.front().index <= internal::LastIndex(aState.log)) {
     persist.truncate = true;
-    persist.truncateFrom = fresh.front().index;
-    internal::Truncate(aState.log, fresh.front().index);
-    internal::MarkNotDurable(aState, fresh.front().index);
+    persist.truncateFrom = newEntries.front().index;
+    internal::Truncate(aState.log, newEntries.front().index);
+    internal::MarkNotDurable(aState, newEntries.front().index);
   }
   aState.log.entries.insert(
-    aState.log.entries.end(), fresh.begin(), fresh.end());
+    aState.log.entries.end(), newEntries.begin(), newEntries.end());
   RefreshMembers(aState);
   internal::Write(aState, std::move(persist), aActions);
 }
@@ -195,7 +197,7 @@
   const auto hasContact = [&aState, aNow](const HostId& aHost) {
     return internal::HasRecentContact(aState, aHost, aNow);
   };
-  if (!internal::QuorumOf(aState.members, hasContact)) {
+  if (!internal::HasQuorum(aState.members, hasContact)) {
     BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
     return;
   }
@@ -257,7 +259,7 @@
     internal::SendWhenDurable(aState, aFrom, reply, aActions);
     return;
   }
-  TakeEntries(aState, aRequest.entries, aActions);
+  AppendNewEntries(aState, aRequest.entries, aActions);
   const Index last{ aRequest.previousIndex.Value() + aRequest.entries.size() };
   aState.committed =
     std::max(aState.committed, std::min(aRequest.committed, last));
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -17,19 +17,20 @@
 /** @brief Appends a part if it starts where the received data ends; returns the
  * bytes received so far. */
 std::uint64_t
-TakePart(State& aState, const SnapshotRequest& aRequest)
+AppendPart(State& aState, const SnapshotRequest& aRequest)
 {
-  auto& incoming = aState.incoming;
-  const bool same =
-    incoming.index == aRequest.index && incoming.term == aRequest.snapshotTerm;
+  auto& incomingSnapshot = aState.incomingSnapshot;
+  const bool same = incomingSnapshot.index == aRequest.index &&
+                    incomingSnapshot.term == aRequest.snapshotTerm;
   if (!same) {
-    incoming = IncomingSnapshot{ aRequest.index, aRequest.snapshotTerm, {} };
+    incomingSnapshot =
+      IncomingSnapshot{ aRequest.index, aRequest.snapshotTerm, {} };
   }
-  if (aRequest.offset == incoming.data.size()) {
-    incoming.data.insert(
-      incoming.data.end(), aRequest.data.begin(), aRequest.data.end());
+  if (aRequest.offset == incomingSnapshot.data.size()) {
+    incomingSnapshot.data.insert(
+      incomingSnapshot.data.end(), aRequest.data.begin(), aRequest.data.end());
   }
-  return incoming.data.size();
+  return incomingSnapshot.data.size();
 }
 
 /** @brief Answers proposals whose entries are covered by an installed snapshot;
@@ -50,13 +51,15 @@
 }
 
 void
-Install(State& aState, const SnapshotRequest& aRequest, Actions& aActions)
+InstallSnapshot(State& aState,
+                const SnapshotRequest& aRequest,
+                Actions& aActions)
 {
   aState.snapshot = { aRequest.index,
                       aRequest.snapshotTerm,
                       aRequest.members,
-                      std::move(aState.incoming.data) };
-  aState.incoming = {};
+                      std::move(aState.incomingSnapshot.data) };
+  aState.incomingSnapshot = {};
   internal::Reset(aState.log, aState.snapshot);
   internal::MarkNotDurable(aState, aRequest.index.Next());
   aState.committed = aRequest.index;
@@ -151,9 +154,9 @@
     ApplyCommitted(aState, aNow, aActions);
     reply.received = aRequest.size;
   } else {
-    reply.received = TakePart(aState, aRequest);
+    reply.received = AppendPart(aState, aRequest);
     if (reply.received >= aRequest.size) {
-      Install(aState, aRequest, aActions);
+      InstallSnapshot(aState, aRequest, aActions);
     }
   }
   internal::SendWhenDurable(aState, aFrom, reply, aActions);
--- a/src/balsampoint/consensus/internal/quorum.hpp
+++ b/src/balsampoint/consensus/internal/quorum.hpp
@@ -47,15 +47,15 @@
  * @brief Whether a condition holds for a majority of the voters.
  * @tparam Predicate Callable with a host id.
  * @param aMembers Group to read.
- * @param aHolds The condition.
+ * @param aPredicate The condition.
  */
 template<std::predicate<const HostId&> Predicate>
 [[nodiscard]] bool
-QuorumOf(const Membership& aMembers, Predicate aHolds)
+HasQuorum(const Membership& aMembers, Predicate aPredicate)
 {
   std::size_t holding = 0;
   for (const auto& member : aMembers.members) {
-    if (member.role == MemberRole::Voter && aHolds(member.host)) {
+    if (member.role == MemberRole::Voter && aPredicate(member.host)) {
       ++holding;
     }
   }
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -126,7 +126,7 @@
 }
 
 void
-TakeRecovered(State& aState, Recovered aRecovered, Actions& aActions)
+LoadRecovered(State& aState, Recovered aRecovered, Actions& aActions)
 {
   aState.log.baseMembers = aState.settings.initialMembers;
   if (aRecovered.snapshot) {
@@ -165,7 +165,7 @@
   State state{ .settings = std::move(aSettings),
                .random = SplitMix64{ aSeed } };
   const auto hard = aRecovered.hard;
-  TakeRecovered(state, std::move(aRecovered), aActions);
+  LoadRecovered(state, std::move(aRecovered), aActions);
   if (!IsContiguous(state.log)) {
     return Refuse(ErrorKind::StorageFailed,
                   "the recovered log has missing entries");
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -168,8 +168,8 @@
   /** First entry that this host appended in its term as leader. */
   Index termStart;
   std::map<Index, Proposal> proposals;
-  std::vector<PendingRead> reads;
-  IncomingSnapshot incoming;
+  std::vector<PendingRead> pendingReads;
+  IncomingSnapshot incomingSnapshot;
 
   WriteNumber lastWrite;
   WriteNumber durableWrite;
--- a/test/balsampoint/consensus/group.hpp
+++ b/test/balsampoint/consensus/group.hpp
@@ -198,12 +198,12 @@
     }
   }
 
-  bool RunUntil(const std::function<bool()>& aHolds, Duration aAtMost)
+  bool RunUntil(const std::function<bool()>& aPredicate, Duration aAtMost)
   {
     const auto limit = clock.Now() + aAtMost;
-    while (!aHolds()) {
+    while (!aPredicate()) {
       if (!Step(limit)) {
-        return aHolds();
+        return aPredicate();
       }
     }
     return true;
