Rename news of the member module to updates and broadcasts

News stood both for a message with updates and for the entries queued for a broadcast; the terms of gossip are update and broadcast. The Thrift names stay.

--- a/src/balsampoint/member/command/maintain.cpp
+++ b/src/balsampoint/member/command/maintain.cpp
@@ -94,8 +94,8 @@
   aState.self.state = HostState::Left;
   internal::SpreadSelf(aState);
   internal::Announce(aState, aState.self.id, aNow);
-  aState.newsAt = aNow;
-  internal::SendNews(aState, aNow, aActions);
+  aState.broadcastAt = aNow;
+  internal::SendBroadcast(aState, aNow, aActions);
 }
 
 } // namespace balsampoint::member
--- a/src/balsampoint/member/command/receive.cpp
+++ b/src/balsampoint/member/command/receive.cpp
@@ -101,7 +101,7 @@
     }
   }
 
-  void operator()(const News& aNews) const { MergeAll(aNews.updates); }
+  void operator()(const Updates& aUpdates) const { MergeAll(aUpdates.updates); }
 };
 
 } // namespace
--- a/src/balsampoint/member/internal/gossip.cpp
+++ b/src/balsampoint/member/internal/gossip.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::uint32_t kCopiesPerDoubling = 3;
 constexpr std::size_t kHostsPerMessage = 64;
-constexpr Duration kNewsDelay = std::chrono::milliseconds{ 20 };
+constexpr Duration kBroadcastDelay = std::chrono::milliseconds{ 20 };
 
 std::uint32_t
 Copies(const State& aState)
@@ -77,20 +77,21 @@
 void
 Announce(State& aState, const HostId& aId, Instant aNow)
 {
-  aState.news.insert(aId);
-  const auto due = std::max(aNow + kNewsDelay,
-                            aState.lastNewsAt + aState.settings.newsInterval);
-  aState.newsAt = std::min(aState.newsAt, due);
+  aState.pendingBroadcast.insert(aId);
+  const auto due =
+    std::max(aNow + kBroadcastDelay,
+             aState.lastBroadcastAt + aState.settings.broadcastInterval);
+  aState.broadcastAt = std::min(aState.broadcastAt, due);
 }
 
 void
-SendNews(State& aState, Instant aNow, std::vector<Action>& aActions)
+SendBroadcast(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  if (aState.newsAt > aNow) {
+  if (aState.broadcastAt > aNow) {
     return;
   }
-  News message;
-  for (const auto& id : aState.news) {
+  Updates message;
+  for (const auto& id : aState.pendingBroadcast) {
     const auto found = aState.peers.find(id);
     if (id == aState.self.id) {
       message.updates.push_back(aState.self);
@@ -104,9 +105,9 @@
   for (const auto& to : Select(aState, isNear)) {
     SendTo(aState, to, message, aActions);
   }
-  aState.news.clear();
-  aState.newsAt = kNever;
-  aState.lastNewsAt = aNow;
+  aState.pendingBroadcast.clear();
+  aState.broadcastAt = kNever;
+  aState.lastBroadcastAt = aNow;
 }
 
 void
--- a/src/balsampoint/member/internal/gossip.hpp
+++ b/src/balsampoint/member/internal/gossip.hpp
@@ -49,7 +49,7 @@
  * @param aActions Receives the messages.
  */
 void
-SendNews(State& aState, Instant aNow, std::vector<Action>& aActions);
+SendBroadcast(State& aState, Instant aNow, std::vector<Action>& aActions);
 
 /**
  * @brief Sends a message to a known host.
--- a/src/balsampoint/member/internal/merge.cpp
+++ b/src/balsampoint/member/internal/merge.cpp
@@ -15,16 +15,16 @@
 }
 
 void
-Refute(State& aState, const Host& aNews, Instant aNow)
+Refute(State& aState, const Host& aUpdate, Instant aNow)
 {
   auto& self = aState.self;
-  const bool doubted = aNews.state != HostState::Alive &&
-                       aNews.incarnation == self.incarnation &&
-                       aNews.revision >= self.revision;
+  const bool doubted = aUpdate.state != HostState::Alive &&
+                       aUpdate.incarnation == self.incarnation &&
+                       aUpdate.revision >= self.revision;
   if (!doubted || self.state == HostState::Left) {
     return;
   }
-  self.revision = aNews.revision + 1;
+  self.revision = aUpdate.revision + 1;
   SpreadSelf(aState);
   Announce(aState, self.id, aNow);
 }
@@ -33,27 +33,27 @@
 
 bool
 Merge(State& aState,
-      const Host& aNews,
+      const Host& aUpdate,
       Instant aNow,
       std::vector<Action>& aActions)
 {
-  if (aNews.id == aState.self.id) {
-    Refute(aState, aNews, aNow);
+  if (aUpdate.id == aState.self.id) {
+    Refute(aState, aUpdate, aNow);
     return false;
   }
   const auto [at, isNew] = aState.peers.try_emplace(
-    aNews.id, Peer{ .host = aNews, .changedAt = aNow });
+    aUpdate.id, Peer{ .host = aUpdate, .changedAt = aNow });
   auto& peer = at->second;
-  if (!isNew && Precedence(aNews) <= Precedence(peer.host)) {
+  if (!isNew && Precedence(aUpdate) <= Precedence(peer.host)) {
     return false;
   }
   const bool wasAlive = !isNew && peer.host.state == HostState::Alive;
-  peer.host = aNews;
-  if (wasAlive && aNews.state == HostState::Dead) {
+  peer.host = aUpdate;
+  if (wasAlive && aUpdate.state == HostState::Dead) {
     Mark(aState, peer, HostState::Suspect, aNow);
-    SendTo(aState, aNews.id, News{ .updates = { peer.host } }, aActions);
+    SendTo(aState, aUpdate.id, Updates{ .updates = { peer.host } }, aActions);
   } else {
-    Mark(aState, peer, aNews.state, aNow);
+    Mark(aState, peer, aUpdate.state, aNow);
   }
   return true;
 }
--- a/src/balsampoint/member/internal/merge.hpp
+++ b/src/balsampoint/member/internal/merge.hpp
@@ -15,14 +15,14 @@
  * the own list is not marked dead at once: it becomes suspect and is notified,
  * so that it can refute.
  * @param aState State of the module.
- * @param aNews The entry.
+ * @param aUpdate The entry.
  * @param aNow Current time.
  * @param aActions Receives the messages.
  * @return Whether the entry replaced the stored one or was new.
  */
 bool
 Merge(State& aState,
-      const Host& aNews,
+      const Host& aUpdate,
       Instant aNow,
       std::vector<Action>& aActions);
 
--- a/src/balsampoint/member/message.hpp
+++ b/src/balsampoint/member/message.hpp
@@ -57,12 +57,13 @@
 };
 
 /** @brief Broadcasts changes to the own zone without waiting for a probe. */
-struct News
+struct Updates
 {
   std::vector<Host> updates;
 };
 
 /** @brief Message between two hosts about the membership. */
-using Message = std::variant<Ping, PingRequest, Ack, Join, Sync, Digest, News>;
+using Message =
+  std::variant<Ping, PingRequest, Ack, Join, Sync, Digest, Updates>;
 
 } // namespace balsampoint::member
--- a/src/balsampoint/member/module.cpp
+++ b/src/balsampoint/member/module.cpp
@@ -59,7 +59,7 @@
   }
   RunProbes(aState, aNow, aActions);
   Maintain(aState, aNow, aActions);
-  internal::SendNews(aState, aNow, aActions);
+  internal::SendBroadcast(aState, aNow, aActions);
   PublishIfChanged(aState, aActions);
 }
 
--- a/src/balsampoint/member/query/next_deadline.cpp
+++ b/src/balsampoint/member/query/next_deadline.cpp
@@ -9,8 +9,8 @@
 Instant
 NextDeadline(const State& aState)
 {
-  auto next =
-    std::min({ aState.probeAt, aState.joinAt, aState.digestAt, aState.newsAt });
+  auto next = std::min(
+    { aState.probeAt, aState.joinAt, aState.digestAt, aState.broadcastAt });
   next = std::min(next, aState.probe.deadline);
   for (const auto& [id, peer] : aState.peers) {
     if (peer.host.state != HostState::Alive) {
--- a/src/balsampoint/member/settings.hpp
+++ b/src/balsampoint/member/settings.hpp
@@ -34,7 +34,7 @@
   /** Time after which a suspect host of another zone is marked dead. */
   Duration remoteSuspicion{ std::chrono::seconds{ 5 } };
   /** Minimum time between two broadcasts to the own zone. */
-  Duration newsInterval{ std::chrono::milliseconds{ 250 } };
+  Duration broadcastInterval{ std::chrono::milliseconds{ 250 } };
   /** Time between two attempts to join while no other host is known; later,
    * missing seeds are tried at five times this interval. */
   Duration joinInterval{ std::chrono::seconds{ 1 } };
--- a/src/balsampoint/member/state.hpp
+++ b/src/balsampoint/member/state.hpp
@@ -47,10 +47,10 @@
   Instant joinAt{};
   Instant digestAt{};
   /** Time of the next broadcast to the own zone; `kNever` if none. */
-  Instant newsAt{ kNever };
-  Instant lastNewsAt{};
+  Instant broadcastAt{ kNever };
+  Instant lastBroadcastAt{};
   /** Hosts whose entries the next broadcast carries. */
-  std::set<HostId> news;
+  std::set<HostId> pendingBroadcast;
   /** Whether the view has changed since it was last published. */
   bool changed{ true };
 };
--- a/src/balsampoint/peer/member_codec.cpp
+++ b/src/balsampoint/peer/member_codec.cpp
@@ -115,10 +115,10 @@
     digest.hash = static_cast<std::int64_t>(aDigest.hash);
     out.__set_digest(digest);
   }
-  void operator()(const member::News& aNews) const
+  void operator()(const member::Updates& aUpdates) const
   {
     wire::MemberNews news;
-    news.updates = ToWire(aNews.updates);
+    news.updates = ToWire(aUpdates.updates);
     out.__set_news(news);
   }
 };
@@ -160,7 +160,7 @@
     return member::Digest{ .hash = Unsigned(aMessage.digest.hash) };
   }
   if (set.news) {
-    return member::News{ .updates = FromWire(aMessage.news.updates) };
+    return member::Updates{ .updates = FromWire(aMessage.news.updates) };
   }
   throw Failure{ MakeError(ErrorKind::BadRequest, "unknown message") };
 }
--- a/test/balsampoint/member/module_test.cpp
+++ b/test/balsampoint/member/module_test.cpp
@@ -88,7 +88,7 @@
   auto suspected = hosts.hosts.at(Name(0)).member.peers.at(Name(1)).host;
   suspected.state = HostState::Dead;
   hosts.Tell(Name(0),
-             Event{ Received{ Name(2), News{ .updates = { suspected } } } });
+             Event{ Received{ Name(2), Updates{ .updates = { suspected } } } });
   cr_assert_eq(StateOf(hosts, Name(0), Name(1)), HostState::Suspect);
   hosts.RunTo(hosts.now + 3s);
   cr_assert_eq(StateOf(hosts, Name(0), Name(1)), HostState::Alive);
--- a/test/balsampoint/peer/registry_codec_test.cpp
+++ b/test/balsampoint/peer/registry_codec_test.cpp
@@ -92,7 +92,7 @@
     member::Join{ host },
     member::Sync{ { host, host }, true },
     member::Digest{ 9 },
-    member::News{ { host } }
+    member::Updates{ { host } }
   };
   for (const auto& message : messages) {
     CheckRoundTrip(message, peer::DecodeMemberMessage);
