--- a/src/balsampoint/member/command/maintain.cpp
+++ b/src/balsampoint/member/command/maintain.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::int64_t kSettledJoinFactor = 5;
+constexpr std::int64_t kJoinedIntervalFactor = 5;
 
 bool
 IsMissing(const State& aState, const Seed& aSeed)
@@ -31,7 +31,7 @@
   }
   const bool alone = aState.peers.empty();
   const auto interval = aState.settings.joinInterval;
-  aState.joinAt = aNow + (alone ? interval : interval * kSettledJoinFactor);
+  aState.joinAt = aNow + (alone ? interval : interval * kJoinedIntervalFactor);
   for (const auto& seed : aState.settings.seeds) {
     if (!IsMissing(aState, seed)) {
       continue;
@@ -43,7 +43,7 @@
 }
 
 void
-EndSuspicions(State& aState, Instant aNow)
+ExpireStates(State& aState, Instant aNow)
 {
   for (auto at = aState.peers.begin(); at != aState.peers.end();) {
     auto& peer = at->second;
@@ -64,7 +64,7 @@
 }
 
 void
-CompareLists(State& aState, Instant aNow, std::vector<Action>& aActions)
+SendDigest(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
   if (aState.digestAt > aNow) {
     return;
@@ -84,8 +84,8 @@
 Maintain(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
   JoinBySeeds(aState, aNow, aActions);
-  EndSuspicions(aState, aNow);
-  CompareLists(aState, aNow, aActions);
+  ExpireStates(aState, aNow);
+  SendDigest(aState, aNow, aActions);
 }
 
 void
--- a/src/balsampoint/member/command/probe.cpp
+++ b/src/balsampoint/member/command/probe.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 bool
-IsNear(const State& aState, const Host& aHost)
+InOwnZone(const State& aState, const Host& aHost)
 {
   return aHost.zone == aState.self.zone;
 }
@@ -23,41 +23,41 @@
                    aTo,
                    Ping{ .sequence = aState.sequence,
                          .origin = aState.self.id,
-                         .updates = internal::TakeUpdates(aState, aTo) },
+                         .updates = internal::SelectUpdates(aState, aTo) },
                    aActions);
 }
 
 std::optional<HostId>
-ChooseNear(State& aState)
+ChooseLocalTarget(State& aState)
 {
-  while (!aState.round.empty()) {
-    auto id = std::move(aState.round.back());
-    aState.round.pop_back();
+  while (!aState.probeQueue.empty()) {
+    auto id = std::move(aState.probeQueue.back());
+    aState.probeQueue.pop_back();
     const auto found = aState.peers.find(id);
     if (found != aState.peers.end() && found->second.host.Reachable()) {
       return id;
     }
   }
-  aState.round = internal::Select(aState, [&](const Host& aHost) {
-    return aHost.Reachable() && IsNear(aState, aHost);
+  aState.probeQueue = internal::Select(aState, [&](const Host& aHost) {
+    return aHost.Reachable() && InOwnZone(aState, aHost);
   });
-  if (aState.round.empty()) {
+  if (aState.probeQueue.empty()) {
     return std::nullopt;
   }
-  internal::Shuffle(aState, aState.round);
-  auto id = std::move(aState.round.back());
-  aState.round.pop_back();
+  internal::Shuffle(aState, aState.probeQueue);
+  auto id = std::move(aState.probeQueue.back());
+  aState.probeQueue.pop_back();
   return id;
 }
 
 std::optional<HostId>
-ChooseFar(State& aState)
+ChooseRemoteTarget(State& aState)
 {
-  const auto isFar = [&](const Host& aHost) {
-    return aHost.Reachable() && !IsNear(aState, aHost);
+  const auto isRemote = [&](const Host& aHost) {
+    return aHost.Reachable() && !InOwnZone(aState, aHost);
   };
   const auto chosen =
-    internal::Choose(aState, internal::Select(aState, isFar), 1);
+    internal::Choose(aState, internal::Select(aState, isRemote), 1);
   if (chosen.empty()) {
     return std::nullopt;
   }
@@ -67,10 +67,10 @@
 std::optional<HostId>
 ChooseTarget(State& aState)
 {
-  const bool far = aState.sequence % aState.settings.remoteEvery == 0;
-  auto target = far ? ChooseFar(aState) : ChooseNear(aState);
+  const bool remote = aState.sequence % aState.settings.remoteEvery == 0;
+  auto target = remote ? ChooseRemoteTarget(aState) : ChooseLocalTarget(aState);
   if (!target) {
-    target = far ? ChooseNear(aState) : ChooseFar(aState);
+    target = remote ? ChooseLocalTarget(aState) : ChooseRemoteTarget(aState);
   }
   return target;
 }
@@ -78,33 +78,33 @@
 /** @brief Pings a random dead host to detect that it is back; a missing answer
  * has no effect. */
 void
-TryDead(State& aState, std::vector<Action>& aActions)
+PingDead(State& aState, std::vector<Action>& aActions)
 {
-  const bool far = aState.sequence % aState.settings.remoteEvery == 0;
-  const auto isTried = [&](const Host& aHost) {
-    return aHost.state == HostState::Dead && IsNear(aState, aHost) != far;
+  const bool remote = aState.sequence % aState.settings.remoteEvery == 0;
+  const auto isCandidate = [&](const Host& aHost) {
+    return aHost.state == HostState::Dead && InOwnZone(aState, aHost) != remote;
   };
-  const auto dead = internal::Select(aState, isTried);
+  const auto dead = internal::Select(aState, isCandidate);
   for (const auto& id : internal::Choose(aState, dead, 1)) {
     SendPing(aState, id, aActions);
   }
 }
 
 void
-AskOthers(State& aState, Probe& aProbe, std::vector<Action>& aActions)
+SendIndirectProbes(State& aState, Probe& aProbe, std::vector<Action>& aActions)
 {
-  const auto canHelp = [&](const Host& aHost) {
+  const auto canProbe = [&](const Host& aHost) {
     return aHost.state == HostState::Alive && aHost.id != aProbe.target;
   };
-  const auto helpers = internal::Choose(
-    aState, internal::Select(aState, canHelp), aState.settings.indirectProbes);
-  for (const auto& helper : helpers) {
+  const auto proxies = internal::Choose(
+    aState, internal::Select(aState, canProbe), aState.settings.indirectProbes);
+  for (const auto& proxy : proxies) {
     internal::SendTo(
       aState,
-      helper,
+      proxy,
       PingRequest{ .sequence = aProbe.sequence,
                    .target = aProbe.target,
-                   .updates = internal::TakeUpdates(aState, helper) },
+                   .updates = internal::SelectUpdates(aState, proxy) },
       aActions);
   }
 }
@@ -122,7 +122,7 @@
 }
 
 void
-FollowUp(State& aState, Instant aNow, std::vector<Action>& aActions)
+HandleProbeTimeout(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
   if (aState.probe.deadline > aNow) {
     return;
@@ -131,7 +131,7 @@
   if (!probe.indirect) {
     probe.indirect = true;
     probe.deadline = aNow + aState.settings.indirectTimeout;
-    AskOthers(aState, probe, aActions);
+    SendIndirectProbes(aState, probe, aActions);
     return;
   }
   Suspect(aState, probe.target, aNow);
@@ -143,7 +143,7 @@
 void
 RunProbes(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  FollowUp(aState, aNow, aActions);
+  HandleProbeTimeout(aState, aNow, aActions);
   if (aState.probeAt > aNow) {
     return;
   }
@@ -152,7 +152,7 @@
     return;
   }
   ++aState.sequence;
-  TryDead(aState, aActions);
+  PingDead(aState, aActions);
   const auto target = ChooseTarget(aState);
   if (!target) {
     return;
--- a/src/balsampoint/member/command/receive.cpp
+++ b/src/balsampoint/member/command/receive.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** @brief Handles one received message by its type. */
-struct Receipt
+struct MessageHandler
 {
   State& state;
   const HostId& from;
@@ -23,7 +23,7 @@
     }
   }
 
-  void Answer(const HostId& aTo, Message aMessage) const
+  void Reply(const HostId& aTo, Message aMessage) const
   {
     internal::SendTo(state, aTo, std::move(aMessage), actions);
   }
@@ -31,29 +31,29 @@
   void operator()(const Ping& aPing) const
   {
     MergeAll(aPing.updates);
-    Answer(from,
-           Ack{ .sequence = aPing.sequence,
-                .origin = aPing.origin,
-                .updates = internal::TakeUpdates(state, from) });
+    Reply(from,
+          Ack{ .sequence = aPing.sequence,
+               .origin = aPing.origin,
+               .updates = internal::SelectUpdates(state, from) });
   }
 
   void operator()(const PingRequest& aRequest) const
   {
     MergeAll(aRequest.updates);
-    Answer(aRequest.target,
-           Ping{ .sequence = aRequest.sequence,
-                 .origin = from,
-                 .updates = internal::TakeUpdates(state, aRequest.target) });
+    Reply(aRequest.target,
+          Ping{ .sequence = aRequest.sequence,
+                .origin = from,
+                .updates = internal::SelectUpdates(state, aRequest.target) });
   }
 
   void operator()(const Ack& aAck) const
   {
     MergeAll(aAck.updates);
     if (aAck.origin != state.self.id) {
-      Answer(aAck.origin,
-             Ack{ .sequence = aAck.sequence,
-                  .origin = aAck.origin,
-                  .updates = internal::TakeUpdates(state, aAck.origin) });
+      Reply(aAck.origin,
+            Ack{ .sequence = aAck.sequence,
+                 .origin = aAck.origin,
+                 .updates = internal::SelectUpdates(state, aAck.origin) });
       return;
     }
     if (state.probe.sequence == aAck.sequence) {
@@ -115,7 +115,7 @@
   const auto known = aState.peers.find(aReceived.from);
   const bool wasDead =
     known != aState.peers.end() && known->second.host.state == HostState::Dead;
-  std::visit(Receipt{ aState, aReceived.from, aNow, aActions },
+  std::visit(MessageHandler{ aState, aReceived.from, aNow, aActions },
              aReceived.message);
   if (!wasDead || !known->second.host.Reachable()) {
     return;
--- a/src/balsampoint/member/internal/gossip.cpp
+++ b/src/balsampoint/member/internal/gossip.cpp
@@ -15,7 +15,7 @@
 constexpr Duration kBroadcastDelay = std::chrono::milliseconds{ 20 };
 
 std::uint32_t
-Copies(const State& aState)
+CopiesToSend(const State& aState)
 {
   return kCopiesPerDoubling *
          static_cast<std::uint32_t>(std::bit_width(aState.peers.size() + 1));
@@ -40,7 +40,7 @@
 } // namespace
 
 std::vector<Host>
-TakeUpdates(State& aState, const HostId& aTo)
+SelectUpdates(State& aState, const HostId& aTo)
 {
   std::vector<Host> updates;
   const auto found = aState.peers.find(aTo);
@@ -63,14 +63,14 @@
 void
 Spread(State& aState, Peer& aPeer)
 {
-  aPeer.remaining = Copies(aState);
+  aPeer.remaining = CopiesToSend(aState);
   aState.changed = true;
 }
 
 void
 SpreadSelf(State& aState)
 {
-  aState.selfRemaining = Copies(aState);
+  aState.selfRemaining = CopiesToSend(aState);
   aState.changed = true;
 }
 
@@ -99,10 +99,10 @@
       message.updates.push_back(found->second.host);
     }
   }
-  const auto isNear = [&](const Host& aHost) {
+  const auto isLocal = [&](const Host& aHost) {
     return aHost.Reachable() && aHost.zone == aState.self.zone;
   };
-  for (const auto& to : Select(aState, isNear)) {
+  for (const auto& to : Select(aState, isLocal)) {
     SendTo(aState, to, message, aActions);
   }
   aState.pendingBroadcast.clear();
--- a/src/balsampoint/member/internal/gossip.hpp
+++ b/src/balsampoint/member/internal/gossip.hpp
@@ -15,7 +15,7 @@
  * @return The updates.
  */
 [[nodiscard]] std::vector<Host>
-TakeUpdates(State& aState, const HostId& aTo);
+SelectUpdates(State& aState, const HostId& aTo);
 
 /**
  * @brief Schedules an entry to be piggybacked on the next messages.
--- a/src/balsampoint/member/internal/merge.cpp
+++ b/src/balsampoint/member/internal/merge.cpp
@@ -18,10 +18,10 @@
 Refute(State& aState, const Host& aUpdate, Instant aNow)
 {
   auto& self = aState.self;
-  const bool doubted = aUpdate.state != HostState::Alive &&
-                       aUpdate.incarnation == self.incarnation &&
-                       aUpdate.revision >= self.revision;
-  if (!doubted || self.state == HostState::Left) {
+  const bool isSuspected = aUpdate.state != HostState::Alive &&
+                           aUpdate.incarnation == self.incarnation &&
+                           aUpdate.revision >= self.revision;
+  if (!isSuspected || self.state == HostState::Left) {
     return;
   }
   self.revision = aUpdate.revision + 1;
--- a/src/balsampoint/member/internal/peers.hpp
+++ b/src/balsampoint/member/internal/peers.hpp
@@ -70,11 +70,11 @@
 {
   const auto& settings = aState.settings;
   if (aPeer.host.state != HostState::Suspect) {
-    return aPeer.changedAt + settings.memory;
+    return aPeer.changedAt + settings.deadRetention;
   }
-  const bool near = aPeer.host.zone == aState.self.zone;
+  const bool local = aPeer.host.zone == aState.self.zone;
   return aPeer.changedAt +
-         (near ? settings.suspicion : settings.remoteSuspicion);
+         (local ? settings.suspicion : settings.remoteSuspicion);
 }
 
 } // namespace balsampoint::member::internal
--- a/src/balsampoint/member/query/view.hpp
+++ b/src/balsampoint/member/query/view.hpp
@@ -5,7 +5,7 @@
 namespace balsampoint::member {
 
 /**
- * @brief Copies the list of hosts for publication.
+ * @brief CopiesToSend the list of hosts for publication.
  * @param aState State of the module.
  * @return The hosts including this one, sorted by id.
  */
--- a/src/balsampoint/member/settings.hpp
+++ b/src/balsampoint/member/settings.hpp
@@ -42,7 +42,7 @@
   Duration digestInterval{ std::chrono::seconds{ 10 } };
   /** Time after which a dead or stopped host is forgotten; until then dead
    * hosts are still pinged. */
-  Duration memory{ std::chrono::hours{ 1 } };
+  Duration deadRetention{ std::chrono::hours{ 1 } };
   /** One in this many probes goes to another zone. */
   std::uint32_t remoteEvery{ 5 };
   /** Number of hosts asked for an indirect probe. */
--- a/src/balsampoint/member/state.hpp
+++ b/src/balsampoint/member/state.hpp
@@ -41,7 +41,7 @@
   std::map<HostId, Peer> peers;
   Probe probe;
   /** Hosts of the own zone not yet probed in this round. */
-  std::vector<HostId> round;
+  std::vector<HostId> probeQueue;
   std::uint64_t sequence{};
   Instant probeAt{};
   Instant joinAt{};
