--- a/src/balsampoint/change/command/decide.cpp
+++ b/src/balsampoint/change/command/decide.cpp
@@ -26,7 +26,7 @@
 }
 
 void
-Remember(Table& aTable, const Change& aChange, const Answer& aAnswer)
+RecordAnswer(Table& aTable, const Change& aChange, const Answer& aAnswer)
 {
   aTable.decided[aChange.id] = {
     aChange.number, aChange.author, aChange.digest, aAnswer
@@ -48,7 +48,7 @@
 
 /** @brief Decides a change under `Numbering::Increasing`. */
 Answer
-DecideHighest(Table& aTable, const Change& aChange)
+DecideIncreasing(Table& aTable, const Change& aChange)
 {
   const bool higher = aChange.number > aTable.number;
   if (higher) {
@@ -58,7 +58,7 @@
                  aChange.number,
                  aChange.id,
                  aTable.number.Next() };
-  Remember(aTable, aChange, answer);
+  RecordAnswer(aTable, aChange, answer);
   return answer;
 }
 
@@ -77,21 +77,21 @@
                 : Answer{ Outcome::IdReused, aChange.number, {}, next };
   }
   if (aChange.numbering == Numbering::Increasing) {
-    return DecideHighest(aTable, aChange);
+    return DecideIncreasing(aTable, aChange);
   }
   if (aChange.number > next) {
     return { Outcome::NumberSkipped, aChange.number, {}, next };
   }
   if (aChange.number < next) {
     auto answer = AnswerConflict(aTable, aChange);
-    Remember(aTable, aChange, answer);
+    RecordAnswer(aTable, aChange, answer);
     return answer;
   }
   Accept(aTable, aChange);
   Answer answer{
     Outcome::Accepted, aChange.number, aChange.id, aTable.number.Next()
   };
-  Remember(aTable, aChange, answer);
+  RecordAnswer(aTable, aChange, answer);
   return answer;
 }
 
--- a/src/balsampoint/change/command/lead.cpp
+++ b/src/balsampoint/change/command/lead.cpp
@@ -30,7 +30,7 @@
     return;
   }
   if (!aAnswer) {
-    found->second.open.erase(aProposed.attempt);
+    found->second.openAttempts.erase(aProposed.attempt);
     return;
   }
   aActions.emplace_back(Answered{ aProposed.ticket, *aAnswer });
--- a/src/balsampoint/change/command/submit.cpp
+++ b/src/balsampoint/change/command/submit.cpp
@@ -17,10 +17,10 @@
 }
 
 void
-Try(State& aState, Ticket aTicket, Instant aNow, Actions& aActions)
+SendAttempt(State& aState, Ticket aTicket, Instant aNow, Actions& aActions)
 {
   auto& pending = aState.pending.at(aTicket);
-  pending.retryAt = aNow + aState.settings.retry;
+  pending.retryAt = aNow + aState.settings.retryInterval;
   const auto target = ChooseTarget(aState);
   if (target.Empty()) {
     return;
@@ -29,19 +29,19 @@
   const Submission submission{ aTicket, pending.attempts, pending.change };
   if (target == aState.settings.self) {
     if (aState.leader == target) {
-      pending.open.insert(pending.attempts);
+      pending.openAttempts.insert(pending.attempts);
       HandleSubmission(aState, target, submission, aActions);
     }
     return;
   }
-  pending.open.insert(pending.attempts);
+  pending.openAttempts.insert(pending.attempts);
   aActions.emplace_back(Send{ target, submission });
 }
 
 Answered
-GiveUp(Ticket aTicket, const Pending& aPending)
+TimedOut(Ticket aTicket, const Pending& aPending)
 {
-  const bool unknown = !aPending.open.empty();
+  const bool unknown = !aPending.openAttempts.empty();
   auto error = MakeError(
     unknown ? ErrorKind::OutcomeUnknown : ErrorKind::ControlUnavailable,
     unknown ? "no answer from the control group in time; the same "
@@ -60,8 +60,9 @@
              Actions& aActions)
 {
   aState.pending[aEvent.ticket] = { .change = aEvent.change,
-                                    .deadline = aNow + aState.settings.limit };
-  Try(aState, aEvent.ticket, aNow, aActions);
+                                    .deadline =
+                                      aNow + aState.settings.timeout };
+  SendAttempt(aState, aEvent.ticket, aNow, aActions);
 }
 
 void
@@ -70,7 +71,7 @@
   std::vector<Ticket> due;
   std::erase_if(aState.pending, [&](const auto& aPair) {
     if (aPair.second.deadline <= aNow) {
-      aActions.emplace_back(GiveUp(aPair.first, aPair.second));
+      aActions.emplace_back(TimedOut(aPair.first, aPair.second));
       return true;
     }
     if (aPair.second.retryAt <= aNow) {
@@ -82,7 +83,7 @@
     aState.leader = {};
   }
   for (const auto ticket : due) {
-    Try(aState, ticket, aNow, aActions);
+    SendAttempt(aState, ticket, aNow, aActions);
   }
 }
 
@@ -102,7 +103,7 @@
     tickets.push_back(ticket);
   }
   for (const auto ticket : tickets) {
-    Try(aState, ticket, aNow, aActions);
+    SendAttempt(aState, ticket, aNow, aActions);
   }
 }
 
@@ -122,11 +123,12 @@
     aState.pending.erase(found);
     return;
   }
-  found->second.open.erase(aReply.attempt);
-  const bool news = !aReply.leader.Empty() && aReply.leader != aState.leader;
+  found->second.openAttempts.erase(aReply.attempt);
+  const bool newLeader =
+    !aReply.leader.Empty() && aReply.leader != aState.leader;
   aState.leader = aReply.leader;
-  if (news) {
-    Try(aState, aReply.ticket, aNow, aActions);
+  if (newLeader) {
+    SendAttempt(aState, aReply.ticket, aNow, aActions);
   }
 }
 
--- a/src/balsampoint/change/module.cpp
+++ b/src/balsampoint/change/module.cpp
@@ -46,16 +46,16 @@
   {
     HandleRestored(state, aEvent, actions);
   }
-  void operator()(const LeadingWithAll& aEvent) const
+  void operator()(const LeadershipEstablished& aEvent) const
   {
     // Passed on so that it follows the actions of the changes committed before.
     actions.emplace_back(aEvent);
   }
-  void operator()(const SnapshotWanted& aEvent) const
+  void operator()(const SnapshotRequested& aEvent) const
   {
     actions.emplace_back(SnapshotReady{ aEvent.index, state.table });
   }
-  void operator()(const ReadWanted& aEvent) const
+  void operator()(const ReadRequested& aEvent) const
   {
     actions.emplace_back(
       ReadReady{ aEvent.ticket, state.table.number, state.table.sections });
--- a/src/balsampoint/change/state.hpp
+++ b/src/balsampoint/change/state.hpp
@@ -19,9 +19,9 @@
   /** Hosts that changes are sent to, in turn, while no leader is known. */
   std::vector<HostId> seeds;
   /** Time without a reply after which a change is sent again. */
-  Duration retry{ std::chrono::milliseconds{ 500 } };
+  Duration retryInterval{ std::chrono::milliseconds{ 500 } };
   /** Time after which a pending change is answered with an error. */
-  Duration limit{ std::chrono::seconds{ 10 } };
+  Duration timeout{ std::chrono::seconds{ 10 } };
 };
 
 /** @brief A change submitted on this host that has no answer yet. */
@@ -32,7 +32,7 @@
   Instant retryAt{};
   AttemptNumber attempts;
   /** Attempts that may still be carried out. */
-  std::set<AttemptNumber> open;
+  std::set<AttemptNumber> openAttempts;
 };
 
 /** @brief An attempt that this host, as leader, has proposed to the log. */
@@ -106,7 +106,7 @@
 
 /** @brief Requests the current table for a snapshot; answered by
  * `SnapshotReady`. */
-struct SnapshotWanted
+struct SnapshotRequested
 {
   /** Index of the last log entry that the snapshot covers. */
   std::uint64_t index{};
@@ -114,14 +114,14 @@
 
 /** @brief This host is the leader, and all changes committed before its term
  * have been delivered; passed on as an action after them. */
-struct LeadingWithAll
+struct LeadershipEstablished
 {
   HostId leader;
 };
 
 /** @brief Requests the configuration in the replicated table; answered by
  * `ReadReady`. */
-struct ReadWanted
+struct ReadRequested
 {
   Ticket ticket;
 };
@@ -133,9 +133,9 @@
                            Committed,
                            ProposalRefused,
                            Restored,
-                           SnapshotWanted,
-                           LeadingWithAll,
-                           ReadWanted>;
+                           SnapshotRequested,
+                           LeadershipEstablished,
+                           ReadRequested>;
 
 /** @brief Sends a message to another host. */
 struct Send
@@ -184,14 +184,14 @@
   std::vector<AcceptedChange> changes;
 };
 
-/** @brief Answers `SnapshotWanted`. */
+/** @brief Answers `SnapshotRequested`. */
 struct SnapshotReady
 {
   std::uint64_t index{};
   Table table;
 };
 
-/** @brief Answers `ReadWanted`. */
+/** @brief Answers `ReadRequested`. */
 struct ReadReady
 {
   Ticket ticket;
@@ -204,7 +204,7 @@
                             Propose,
                             Answered,
                             Accepted,
-                            LeadingWithAll,
+                            LeadershipEstablished,
                             SnapshotReady,
                             ReadReady>;
 
--- a/src/balsampoint/daemon/change_runner.cpp
+++ b/src/balsampoint/daemon/change_runner.cpp
@@ -82,7 +82,7 @@
 ChangeRunner::Read(std::function<void(fanout::Content)> aRead)
 {
   Post(mMailbox,
-       change::Event{ change::ReadWanted{ mReads.Open(std::move(aRead)) } });
+       change::Event{ change::ReadRequested{ mReads.Open(std::move(aRead)) } });
 }
 
 void
@@ -132,7 +132,7 @@
 }
 
 void
-ChangeRunner::Do(const change::LeadingWithAll& aLeading)
+ChangeRunner::Do(const change::LeadershipEstablished& aLeading)
 {
   Post(mMailbox,
        fanout::Event{
--- a/src/balsampoint/daemon/change_runner.hpp
+++ b/src/balsampoint/daemon/change_runner.hpp
@@ -67,7 +67,7 @@
   void Do(const change::Propose& aPropose);
   void Do(const change::Answered& aAnswered);
   void Do(const change::Accepted& aAccepted);
-  void Do(const change::LeadingWithAll& aLeading);
+  void Do(const change::LeadershipEstablished& aLeading);
   void Do(const change::SnapshotReady& aReady);
   void Do(const change::ReadReady& aReady);
 
--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -144,7 +144,7 @@
   Post(mMailbox,
        ledger::Event{ ledger::SnapshotWanted{ aTake.index.Value() } });
   Post(mMailbox,
-       change::Event{ change::SnapshotWanted{ aTake.index.Value() } });
+       change::Event{ change::SnapshotRequested{ aTake.index.Value() } });
 }
 
 void
@@ -212,7 +212,7 @@
 {
   // Behind the commands that were applied before.
   Post(mMailbox,
-       change::Event{ change::LeadingWithAll{ aEstablished.leader } });
+       change::Event{ change::LeadershipEstablished{ aEstablished.leader } });
 }
 
 void
