Rename the settings of the consensus module

The names did not say that they are intervals, timeouts or counts.

Rename: keptBehind -> retainedEntries (consensus::Settings) Rename: compactAfter -> snapshotAfterEntries (consensus::Settings) Rename: storageRetry -> storageRetryInterval (consensus::Settings) Rename: handOverLimit -> handOverTimeout (consensus::Settings) Rename: replaceAfter -> replaceTimeout (consensus::Settings) Rename: voters -> targetMembers (consensus::Settings) Rename: heartbeat -> heartbeatInterval (consensus::Settings) Rename: StatusWanted -> StatusRequested (consensus)

--- a/src/balsampoint/consensus/command/apply.cpp
+++ b/src/balsampoint/consensus/command/apply.cpp
@@ -59,7 +59,8 @@
 RequestSnapshot(State& aState, Actions& aActions)
 {
   const auto since = aState.applied.Value() - aState.snapshot.index.Value();
-  if (aState.snapshotRequested || since < aState.settings.compactAfter) {
+  if (aState.snapshotRequested ||
+      since < aState.settings.snapshotAfterEntries) {
     return;
   }
   aState.snapshotRequested = true;
--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -113,7 +113,7 @@
   aState.leader = aState.settings.self;
   aState.anyLeaderKnown = true;
   aState.electionDeadline = kNever;
-  aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
+  aState.heartbeatDeadline = aNow + aState.settings.heartbeatInterval;
   aState.round = aState.round.Next();
   aState.progress.clear();
   aState.grantedVotes.clear();
--- a/src/balsampoint/consensus/command/hand_over.cpp
+++ b/src/balsampoint/consensus/command/hand_over.cpp
@@ -42,7 +42,7 @@
     return;
   }
   aState.handOverStarted = false;
-  aState.handOverDeadline = aNow + aState.settings.handOverLimit;
+  aState.handOverDeadline = aNow + aState.settings.handOverTimeout;
   ContinueHandOver(aState, aActions);
 }
 
--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -261,7 +261,7 @@
   if (ChangeRefusal(aState)) {
     return;
   }
-  if (aState.members.members.size() < aState.settings.voters) {
+  if (aState.members.members.size() < aState.settings.targetMembers) {
     if (const auto standby = ChooseStandby(aState, {})) {
       const Member learner{
         standby->host, standby->zone, MemberRole::Learner, {}
@@ -272,7 +272,7 @@
   }
   for (const auto& member : aState.members.members) {
     if (TimeSinceContact(aState, member.host, aNow) <
-        aState.settings.replaceAfter) {
+        aState.settings.replaceTimeout) {
       continue;
     }
     if (member.role == MemberRole::Learner) {
--- a/src/balsampoint/consensus/command/members.hpp
+++ b/src/balsampoint/consensus/command/members.hpp
@@ -62,7 +62,7 @@
 
 /**
  * @brief Adds standby hosts until the target number of members is reached,
- * starts the replacement of voters without contact for `replaceAfter`, and
+ * starts the replacement of voters without contact for `replaceTimeout`, and
  * removes replacement learners that are lost themselves.
  * @param aState State of the leader.
  * @param aNow Current time.
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -201,7 +201,7 @@
     BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
     return;
   }
-  aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
+  aState.heartbeatDeadline = aNow + aState.settings.heartbeatInterval;
   aState.round = aState.round.Next();
   for (auto& [host, progress] : aState.progress) {
     if (!progress.answered) {
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -97,7 +97,7 @@
                       last->term,
                       internal::MembersAt(aState.log, aEvent.index),
                       aEvent.data };
-  const auto kept = aState.settings.keptBehind;
+  const auto kept = aState.settings.retainedEntries;
   if (aEvent.index.Value() > kept) {
     internal::Compact(aState.log, Index{ aEvent.index.Value() - kept });
   }
--- a/src/balsampoint/consensus/command/snapshot.hpp
+++ b/src/balsampoint/consensus/command/snapshot.hpp
@@ -6,7 +6,7 @@
 
 /**
  * @brief Stores a snapshot of the tables and drops the entries it covers,
- * except for the last `keptBehind`.
+ * except for the last `retainedEntries`.
  * @param aState State to change.
  * @param aEvent The encoded tables.
  * @param aActions Receives the write.
--- a/src/balsampoint/consensus/command/storage.cpp
+++ b/src/balsampoint/consensus/command/storage.cpp
@@ -42,7 +42,7 @@
   }
   aState.storageFailed = true;
   aState.resumeWrite = aState.lastWrite.Next();
-  aState.storageRetryAt = aNow + aState.settings.storageRetry;
+  aState.storageRetryAt = aNow + aState.settings.storageRetryInterval;
   aState.deferredSends.clear();
   aState.pendingWrites.clear();
   BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
@@ -51,7 +51,7 @@
 void
 ResumeStorage(State& aState, Instant aNow, Actions& aActions)
 {
-  aState.storageRetryAt = aNow + aState.settings.storageRetry;
+  aState.storageRetryAt = aNow + aState.settings.storageRetryInterval;
   const auto from = std::max(aState.durableIndex, aState.log.baseIndex).Next();
   Persist persist{
     .hard = aState.hard,
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -106,7 +106,7 @@
   {
     HandleSnapshotTaken(state, aEvent, actions);
   }
-  void operator()(const StatusWanted& /*aEvent*/) const
+  void operator()(const StatusRequested& /*aEvent*/) const
   {
     actions.emplace_back(StatusReady{ Describe(state, now) });
   }
@@ -155,7 +155,7 @@
               Actions& aActions)
 {
   if (aSettings.self.Empty() ||
-      aSettings.electionTimeoutMin <= aSettings.heartbeat ||
+      aSettings.electionTimeoutMin <= aSettings.heartbeatInterval ||
       aSettings.electionTimeoutMax < aSettings.electionTimeoutMin ||
       aSettings.firstElectionTimeoutMax < aSettings.firstElectionTimeoutMin) {
     return Refuse(ErrorKind::InvalidConfiguration,
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -23,7 +23,7 @@
   HostId self;
   /** Voters of a group whose log is still empty. */
   Membership initialMembers;
-  Duration heartbeat{ std::chrono::milliseconds{ 250 } };
+  Duration heartbeatInterval{ std::chrono::milliseconds{ 250 } };
   /** Bounds of the random election timeout: the time without contact to a
    * leader after which a voter starts a pre-vote. */
   Duration electionTimeoutMin{ std::chrono::milliseconds{ 800 } };
@@ -34,23 +34,23 @@
   Duration firstElectionTimeoutMax{ std::chrono::milliseconds{ 350 } };
   /** Number of entries applied since the last snapshot that triggers a new one.
    */
-  std::uint64_t compactAfter{ 1000 };
+  std::uint64_t snapshotAfterEntries{ 1000 };
   /** Number of entries retained before a snapshot, so that members that lag
    * slightly need no snapshot. */
-  std::uint64_t keptBehind{ 200 };
+  std::uint64_t retainedEntries{ 200 };
   std::size_t maxAppendBytes{ std::size_t{ 256 } * 1024 };
   std::size_t snapshotPartBytes{ std::size_t{ 64 } * 1024 };
   std::size_t maxCommandBytes{ std::size_t{ 4 } * 1024 * 1024 };
   /** Number of members that the leader grows the group to while standby hosts
    * are available; zero keeps the current number. */
-  std::size_t voters{ 0 };
+  std::size_t targetMembers{ 0 };
   /** Time without contact after which the leader replaces a voter by a standby
    * host. */
-  Duration replaceAfter{ std::chrono::minutes{ 2 } };
+  Duration replaceTimeout{ std::chrono::minutes{ 2 } };
   /** Delay between attempts to write to a failed disk. */
-  Duration storageRetry{ std::chrono::seconds{ 2 } };
+  Duration storageRetryInterval{ std::chrono::seconds{ 2 } };
   /** Time after which the leader abandons a hand-over. */
-  Duration handOverLimit{ std::chrono::seconds{ 2 } };
+  Duration handOverTimeout{ std::chrono::seconds{ 2 } };
 };
 
 /** @brief A host with a disk that can replace a lost member. */
@@ -270,7 +270,7 @@
 };
 
 /** @brief Requests the status of the group; answered by `StatusReady`. */
-struct StatusWanted
+struct StatusRequested
 {};
 
 /** @brief The encoded tables that answer `TakeSnapshot`. */
@@ -292,7 +292,7 @@
                            HandOver,
                            StandbyHostsUpdated,
                            SnapshotTaken,
-                           StatusWanted>;
+                           StatusRequested>;
 
 /**
  * @brief Writes to the disk; answered by `WriteCompleted` or `StorageFailure`.
@@ -385,7 +385,7 @@
   bool done{ false };
 };
 
-/** @brief Answers `StatusWanted`. */
+/** @brief Answers `StatusRequested`. */
 struct StatusReady
 {
   Status status;
--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -94,7 +94,7 @@
 FanoutRunner::Do(const fanout::StatusReady& aReady)
 {
   mBoard.Show(aReady.inForce);
-  Post(mMailbox, consensus::Event{ consensus::StatusWanted{} });
+  Post(mMailbox, consensus::Event{ consensus::StatusRequested{} });
   consensus::StandbyHostsUpdated known;
   for (const auto& host : aReady.inForce.hosts) {
     if (host.reachable && host.report.hasDisk) {
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -71,10 +71,10 @@
 {
   ControlTuning tuning;
   tuning.ownInterface = false;
-  tuning.consensus.compactAfter = kCompactAfter;
-  tuning.consensus.keptBehind = kKeptBehind;
-  tuning.consensus.replaceAfter = kReplaceAfter;
-  tuning.consensus.voters = 2 * aSettings.controlLosses + 1;
+  tuning.consensus.snapshotAfterEntries = kCompactAfter;
+  tuning.consensus.retainedEntries = kKeptBehind;
+  tuning.consensus.replaceTimeout = kReplaceAfter;
+  tuning.consensus.targetMembers = 2 * aSettings.controlLosses + 1;
   auto& roster = tuning.roster;
   roster.self = aSettings.host;
   roster.incarnation = aIdentity.incarnation;
--- a/test/balsampoint/consensus/members_test.cpp
+++ b/test/balsampoint/consensus/members_test.cpp
@@ -214,7 +214,7 @@
 {
   Group group{ 3, 2, 32 };
   for (auto& [id, host] : group.hosts) {
-    host.state.settings.voters = 5;
+    host.state.settings.targetMembers = 5;
   }
   const auto leader = group.Elect();
   group.Handle(
--- a/test/balsampoint/consensus/module_test.cpp
+++ b/test/balsampoint/consensus/module_test.cpp
@@ -173,8 +173,8 @@
 Test(consensus, restarts_after_hundreds_of_changes)
 {
   Group group{ 3, 0, 8 };
-  group.settings.compactAfter = 100;
-  group.settings.keptBehind = 20;
+  group.settings.snapshotAfterEntries = 100;
+  group.settings.retainedEntries = 20;
   for (const auto& name : { "a", "b", "c" }) {
     group.Kill(HostId{ name });
     group.Start(HostId{ name });
@@ -200,8 +200,8 @@
 Test(consensus, a_member_far_behind_gets_the_snapshot_in_parts)
 {
   Group group{ 3, 0, 9 };
-  group.settings.compactAfter = 50;
-  group.settings.keptBehind = 5;
+  group.settings.snapshotAfterEntries = 50;
+  group.settings.retainedEntries = 5;
   group.settings.snapshotPartBytes = 100;
   for (const auto& name : { "a", "b", "c" }) {
     group.Kill(HostId{ name });
