--- a/src/balsampoint/consensus/command/apply.cpp
+++ b/src/balsampoint/consensus/command/apply.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
-/** @brief Ends the proposal made for an index; zero if none was committed. */
+/** @brief Removes the proposal made for an index and returns its ticket; zero
+ * if there is none. Refuses the proposal if another leader's entry took its
+ * place.
+ */
 Ticket
-TakeTicket(State& aState, const Entry& aEntry, Actions& aActions)
+CompleteProposal(State& aState, const Entry& aEntry, Actions& aActions)
 {
   const auto found = aState.proposals.find(aEntry.index);
   if (found == aState.proposals.end()) {
@@ -23,8 +26,9 @@
   if (proposal.term == aEntry.term) {
     return proposal.ticket;
   }
-  auto error = MakeError(ErrorKind::ControlUnavailable,
-                         "another leader took over before the change was kept");
+  auto error =
+    MakeError(ErrorKind::ControlUnavailable,
+              "a new leader replaced the entry before it was committed");
   error.executed = Executed::No;
   aActions.emplace_back(Refused{ proposal.ticket, std::move(error) });
   return {};
@@ -55,7 +59,8 @@
 RequestSnapshot(State& aState, Actions& aActions)
 {
   const auto since = aState.applied.Value() - aState.snapshot.index.Value();
-  if (aState.snapshotRequested || since < aState.settings.compactAfter) {
+  if (aState.snapshotRequested ||
+      since < aState.settings.snapshotAfterEntries) {
     return;
   }
   aState.snapshotRequested = true;
@@ -67,14 +72,14 @@
 void
 ApplyCommitted(State& aState, Instant aNow, Actions& aActions)
 {
-  const auto end = std::min(aState.committed, aState.synced);
+  const auto end = std::min(aState.committed, aState.durableIndex);
   while (aState.applied < end) {
     const auto index = aState.applied.Next();
     const Entry entry = *internal::Find(aState.log, index);
     aState.applied = index;
     const bool firstOfTerm =
       aState.role == Role::Leader && index == aState.termStart;
-    const auto ticket = TakeTicket(aState, entry, aActions);
+    const auto ticket = CompleteProposal(aState, entry, aActions);
     if (entry.kind == EntryKind::Command) {
       aActions.emplace_back(Apply{ index, entry.term, entry.command, ticket });
       continue;
@@ -83,7 +88,8 @@
       ApplyMembers(aState, entry, ticket, aNow, aActions);
     }
     if (firstOfTerm && aState.role == Role::Leader) {
-      aActions.emplace_back(Established{ aState.hard.term, aState.leader });
+      aActions.emplace_back(
+        LeadershipEstablished{ aState.hard.term, aState.leader });
     }
   }
   RequestSnapshot(aState, aActions);
--- a/src/balsampoint/consensus/command/elect.cpp
+++ b/src/balsampoint/consensus/command/elect.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** @brief Whether the host has never held any state. */
+/** @brief Whether the host has neither a durable term nor log entries. */
 bool
 IsFresh(const State& aState)
 {
@@ -18,7 +18,7 @@
 }
 
 bool
-MayStand(const State& aState)
+CanCampaign(const State& aState)
 {
   const auto& self = aState.settings.self;
   const bool able = !aState.hard.recovering || IsFresh(aState);
@@ -32,8 +32,8 @@
   if (aState.role == Role::Leader) {
     return true;
   }
-  return aState.leaderHeard &&
-         aNow - aState.leaderHeardAt < aState.settings.electionMin;
+  return aState.leaderKnown &&
+         aNow - aState.leaderContactAt < aState.settings.electionTimeoutMin;
 }
 
 bool
@@ -46,9 +46,10 @@
   return aRequest.lastIndex >= internal::LastIndex(aState.log);
 }
 
-/** @brief A host that lost its state votes only where nobody has any. */
+/** @brief Whether a vote may be granted. A host without its durable state votes
+ * only if both it and the candidate are fresh. */
 bool
-MayGrant(const State& aState, const VoteRequest& aRequest)
+CanGrantVote(const State& aState, const VoteRequest& aRequest)
 {
   if (aState.hard.recovering && !(IsFresh(aState) && aRequest.fresh)) {
     return false;
@@ -60,7 +61,7 @@
 }
 
 void
-AskForVotes(State& aState, const VoteRequest& aRequest, Actions& aActions)
+SendVoteRequests(State& aState, const VoteRequest& aRequest, Actions& aActions)
 {
   for (const auto& member : aState.members.members) {
     if (member.role != MemberRole::Voter ||
@@ -71,15 +72,16 @@
   }
 }
 
-/** @brief A first start needs every voter, since a lost disk looks alike. */
+/** @brief Whether enough voters have granted. The pre-vote of a fresh host
+ * needs every voter, since a lost disk looks the same as a first start. */
 bool
 HasWon(const State& aState, bool aNeedsAll)
 {
   const auto granted = [&aState](const HostId& aHost) {
-    return aState.grants.contains(aHost);
+    return aState.grantedVotes.contains(aHost);
   };
   if (!aNeedsAll) {
-    return internal::QuorumOf(aState.members, granted);
+    return internal::HasQuorum(aState.members, granted);
   }
   for (const auto& member : aState.members.members) {
     if (member.role == MemberRole::Voter && !granted(member.host)) {
@@ -90,8 +92,9 @@
 }
 
 /**
- * @brief The first entry of a log says who the group is, so that its hosts know
- * that without their settings.
+ * @brief Creates the first entry of a leader's term. The first entry of an
+ * empty log records the members, so that a restarted host knows them without
+ * its settings.
  */
 Entry
 FirstEntryOfTerm(const State& aState)
@@ -110,10 +113,10 @@
   aState.leader = aState.settings.self;
   aState.anyLeaderKnown = true;
   aState.electionDeadline = kNever;
-  aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
+  aState.heartbeatDeadline = aNow + aState.settings.heartbeatInterval;
   aState.round = aState.round.Next();
   aState.progress.clear();
-  aState.grants.clear();
+  aState.grantedVotes.clear();
   aActions.emplace_back(LeaderChanged{ aState.hard.term, aState.leader });
   aState.termStart = internal::LastIndex(aState.log).Next();
   TrackMembers(aState, aNow);
@@ -122,7 +125,7 @@
 }
 
 VoteRequest
-MakeRequest(const State& aState)
+MakeVoteRequest(const State& aState)
 {
   return { .term = aState.hard.term,
            .lastIndex = internal::LastIndex(aState.log),
@@ -133,12 +136,14 @@
 void
 AnswerVote(State& aState,
            const HostId& aFrom,
-           bool aMayGrant,
+           bool aCanGrant,
            Instant aNow,
            Actions& aActions)
 {
-  const bool free = aState.hard.vote.Empty() || aState.hard.vote == aFrom;
-  const bool granted = aMayGrant && free && aState.role != Role::Leader;
+  const bool voteAvailable =
+    aState.hard.vote.Empty() || aState.hard.vote == aFrom;
+  const bool granted =
+    aCanGrant && voteAvailable && aState.role != Role::Leader;
   if (granted && aState.hard.vote.Empty()) {
     aState.hard.vote = aFrom;
     aState.hard.recovering = false;
@@ -156,19 +161,19 @@
               Actions& aActions)
 {
   const bool granted =
-    aRequest.term > aState.hard.term && MayGrant(aState, aRequest);
+    aRequest.term > aState.hard.term && CanGrantVote(aState, aRequest);
   const auto term = granted ? aRequest.term : aState.hard.term;
   internal::SendWhenDurable(
     aState, aFrom, VoteReply{ term, true, granted }, aActions);
 }
 
-/** @brief Draws a time between two bounds. */
+/** @brief Picks a random duration between two bounds, inclusive. */
 Duration
-DrawBetween(State& aState, Duration aLeast, Duration aMost)
+RandomBetween(State& aState, Duration aMin, Duration aMax)
 {
-  const auto steps = static_cast<std::uint64_t>((aMost - aLeast).count()) + 1;
+  const auto steps = static_cast<std::uint64_t>((aMax - aMin).count()) + 1;
   const auto extra = aState.random.Next() % steps;
-  return aLeast + Duration{ static_cast<Duration::rep>(extra) };
+  return aMin + Duration{ static_cast<Duration::rep>(extra) };
 }
 
 } // namespace
@@ -177,17 +182,19 @@
 ResetElection(State& aState, Instant aNow)
 {
   const auto& settings = aState.settings;
-  aState.electionDeadline =
-    aNow + DrawBetween(aState, settings.electionMin, settings.electionMax);
+  aState.electionDeadline = aNow + RandomBetween(aState,
+                                                 settings.electionTimeoutMin,
+                                                 settings.electionTimeoutMax);
 }
 
 void
-AwaitFirstLeader(State& aState, Instant aNow)
+ResetFirstElection(State& aState, Instant aNow)
 {
   const auto& settings = aState.settings;
   aState.electionDeadline =
-    aNow +
-    DrawBetween(aState, settings.firstElectionMin, settings.firstElectionMax);
+    aNow + RandomBetween(aState,
+                         settings.firstElectionTimeoutMin,
+                         settings.firstElectionTimeoutMax);
 }
 
 void
@@ -199,7 +206,7 @@
 {
   const bool changed = aState.leader != aLeader || aState.hard.term != aTerm;
   if (aState.role == Role::Leader) {
-    LeaveOffice(aState, aActions);
+    StepDown(aState, aActions);
   }
   if (aTerm > aState.hard.term) {
     aState.hard.term = aTerm;
@@ -208,10 +215,10 @@
   }
   aState.role = Role::Follower;
   aState.leader = aLeader;
-  aState.leaderHeard = !aLeader.Empty();
-  aState.anyLeaderKnown = aState.anyLeaderKnown || aState.leaderHeard;
+  aState.leaderKnown = !aLeader.Empty();
+  aState.anyLeaderKnown = aState.anyLeaderKnown || aState.leaderKnown;
   aState.heartbeatDeadline = kNever;
-  aState.grants.clear();
+  aState.grantedVotes.clear();
   ResetElection(aState, aNow);
   if (changed) {
     aActions.emplace_back(LeaderChanged{ aTerm, aLeader });
@@ -221,27 +228,27 @@
 void
 StartPreVote(State& aState, Instant aNow, Actions& aActions)
 {
-  // Asking changes nothing, so a host whose peers are still starting asks
-  // again soon.
+  // A pre-vote changes no state, so a host whose peers are still starting can
+  // retry it soon.
   if (aState.anyLeaderKnown) {
     ResetElection(aState, aNow);
   } else {
-    AwaitFirstLeader(aState, aNow);
+    ResetFirstElection(aState, aNow);
   }
   if (!aState.leader.Empty()) {
     aState.leader = {};
     aActions.emplace_back(LeaderChanged{ aState.hard.term, {} });
   }
-  if (!MayStand(aState)) {
+  if (!CanCampaign(aState)) {
     return;
   }
   aState.role = Role::PreCandidate;
-  aState.leaderHeard = false;
-  aState.grants = { aState.settings.self };
-  auto request = MakeRequest(aState);
+  aState.leaderKnown = false;
+  aState.grantedVotes = { aState.settings.self };
+  auto request = MakeVoteRequest(aState);
   request.preVote = true;
   request.term = request.term.Next();
-  AskForVotes(aState, request, aActions);
+  SendVoteRequests(aState, request, aActions);
   if (HasWon(aState, request.fresh)) {
     StartElection(aState, false, aNow, aActions);
   }
@@ -250,18 +257,18 @@
 void
 StartElection(State& aState, bool aHandOver, Instant aNow, Actions& aActions)
 {
-  if (!MayStand(aState)) {
+  if (!CanCampaign(aState)) {
     return;
   }
-  auto request = MakeRequest(aState);
+  auto request = MakeVoteRequest(aState);
   request.handOver = aHandOver;
   aState.role = Role::Candidate;
-  aState.grants.clear();
+  aState.grantedVotes.clear();
   aState.hard = { aState.hard.term.Next(), aState.settings.self, false };
   request.term = aState.hard.term;
   internal::WriteHardState(aState, aActions);
   ResetElection(aState, aNow);
-  AskForVotes(aState, request, aActions);
+  SendVoteRequests(aState, request, aActions);
 }
 
 void
@@ -271,7 +278,7 @@
       aState.durableWrite != aState.lastWrite) {
     return;
   }
-  aState.grants.insert(aState.settings.self);
+  aState.grantedVotes.insert(aState.settings.self);
   if (HasWon(aState, false)) {
     BecomeLeader(aState, aNow, aActions);
   }
@@ -284,25 +291,25 @@
                   Instant aNow,
                   Actions& aActions)
 {
-  const bool stranger = !aState.members.members.empty() &&
+  const bool notVoter = !aState.members.members.empty() &&
                         !internal::IsVoter(aState.members, aFrom);
-  const bool disturbs = !aRequest.handOver && LeaderIsAlive(aState, aNow);
-  if (stranger || disturbs) {
+  const bool interrupts = !aRequest.handOver && LeaderIsAlive(aState, aNow);
+  if (notVoter || interrupts) {
     return;
   }
   if (aRequest.preVote) {
     AnswerPreVote(aState, aFrom, aRequest, aActions);
     return;
   }
-  const bool mayGrant =
-    aRequest.term >= aState.hard.term && MayGrant(aState, aRequest);
-  if (IsFresh(aState) && !mayGrant) {
+  const bool canGrant =
+    aRequest.term >= aState.hard.term && CanGrantVote(aState, aRequest);
+  if (IsFresh(aState) && !canGrant) {
     return;
   }
   if (aRequest.term > aState.hard.term) {
     BecomeFollower(aState, aRequest.term, {}, aNow, aActions);
   }
-  AnswerVote(aState, aFrom, mayGrant, aNow, aActions);
+  AnswerVote(aState, aFrom, canGrant, aNow, aActions);
 }
 
 void
@@ -320,7 +327,7 @@
   }
   if (aReply.preVote && aState.role == Role::PreCandidate &&
       aReply.term == aState.hard.term.Next()) {
-    aState.grants.insert(aFrom);
+    aState.grantedVotes.insert(aFrom);
     if (HasWon(aState, IsFresh(aState))) {
       StartElection(aState, false, aNow, aActions);
     }
@@ -328,7 +335,7 @@
   }
   if (!aReply.preVote && aState.role == Role::Candidate &&
       aReply.term == aState.hard.term) {
-    aState.grants.insert(aFrom);
+    aState.grantedVotes.insert(aFrom);
     if (HasWon(aState, false)) {
       BecomeLeader(aState, aNow, aActions);
     }
--- a/src/balsampoint/consensus/command/hand_over.cpp
+++ b/src/balsampoint/consensus/command/hand_over.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** @brief The live voter whose log is the longest; empty if there is none. */
+/** @brief The live voter with the highest matching index; empty if none. */
 HostId
 Successor(const State& aState, Instant aNow)
 {
@@ -16,7 +16,7 @@
   Index bestMatch;
   for (const auto& [host, progress] : aState.progress) {
     if (!internal::IsVoter(aState.members, host) ||
-        !internal::HeardLately(aState, host, aNow)) {
+        !internal::HasRecentContact(aState, host, aNow)) {
       continue;
     }
     if (best.Empty() || progress.match > bestMatch) {
@@ -42,7 +42,7 @@
     return;
   }
   aState.handOverStarted = false;
-  aState.handOverDeadline = aNow + aState.settings.handOverLimit;
+  aState.handOverDeadline = aNow + aState.settings.handOverTimeout;
   ContinueHandOver(aState, aActions);
 }
 
--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/** @brief Whether an earlier change of the group has yet to be committed. */
+/** @brief Whether an earlier membership change, or the first entry of the
+ * leader's term, is not committed yet. */
 bool
 IsChanging(const State& aState)
 {
@@ -20,7 +21,7 @@
 }
 
 std::optional<Error>
-CannotChange(const State& aState)
+ChangeRefusal(const State& aState)
 {
   if (aState.storageFailed || aState.role != Role::Leader ||
       !aState.handOverTo.Empty()) {
@@ -29,7 +30,7 @@
   }
   if (IsChanging(aState)) {
     return MakeError(ErrorKind::Conflict,
-                     "an earlier change of the members is not done");
+                     "an earlier membership change is still in progress");
   }
   return std::nullopt;
 }
@@ -82,8 +83,8 @@
 bool
 HasLiveQuorum(const State& aState, const Membership& aMembers, Instant aNow)
 {
-  return internal::QuorumOf(aMembers, [&](const HostId& aHost) {
-    return internal::HeardLately(aState, aHost, aNow);
+  return internal::HasQuorum(aMembers, [&](const HostId& aHost) {
+    return internal::HasRecentContact(aState, aHost, aNow);
   });
 }
 
@@ -93,7 +94,7 @@
   const auto found = aState.progress.find(aHost);
   return found != aState.progress.end() &&
          found->second.match >= aState.committed &&
-         internal::HeardLately(aState, aHost, aNow);
+         internal::HasRecentContact(aState, aHost, aNow);
 }
 
 Membership
@@ -109,11 +110,11 @@
 }
 
 Duration
-Silence(const State& aState, const HostId& aHost, Instant aNow)
+TimeSinceContact(const State& aState, const HostId& aHost, Instant aNow)
 {
   const auto found = aState.progress.find(aHost);
   return found == aState.progress.end() ? Duration{}
-                                        : aNow - found->second.heardAt;
+                                        : aNow - found->second.lastContactAt;
 }
 
 bool
@@ -123,21 +124,22 @@
          aMembers.members.end();
 }
 
-/** @brief The spare whose zone has the fewest voters left. */
-std::optional<Spare>
-ChooseSpare(const State& aState, const HostId& aLost)
+/** @brief The standby host whose zone has the fewest members besides the lost
+ * one; nothing if all are members. */
+std::optional<StandbyHost>
+ChooseStandby(const State& aState, const HostId& aLost)
 {
-  std::optional<Spare> best;
+  std::optional<StandbyHost> best;
   std::ptrdiff_t fewest = 0;
   const auto rest = Without(aState.members, aLost);
-  for (const auto& spare : aState.spares) {
-    if (internal::Find(aState.members, spare.host) != nullptr) {
+  for (const auto& standby : aState.standbyHosts) {
+    if (internal::Find(aState.members, standby.host) != nullptr) {
       continue;
     }
     const auto voters =
-      std::ranges::count(rest.members, spare.zone, &Member::zone);
+      std::ranges::count(rest.members, standby.zone, &Member::zone);
     if (!best || voters < fewest) {
-      best = spare;
+      best = standby;
       fewest = voters;
     }
   }
@@ -165,13 +167,13 @@
                 Instant aNow,
                 Actions& aActions)
 {
-  if (auto error = CannotChange(aState)) {
+  if (auto error = ChangeRefusal(aState)) {
     RefuseChange(aEvent.ticket, std::move(*error), aActions);
     return;
   }
   if (internal::Find(aState.members, aEvent.host) != nullptr) {
     RefuseChange(aEvent.ticket,
-                 MakeError(ErrorKind::Conflict, "the host is a member already"),
+                 MakeError(ErrorKind::Conflict, "the host is already a member"),
                  aActions);
     return;
   }
@@ -186,7 +188,7 @@
                    Instant aNow,
                    Actions& aActions)
 {
-  auto error = CannotChange(aState);
+  auto error = ChangeRefusal(aState);
   const auto rest = Without(aState.members, aEvent.host);
   if (!error && rest == aState.members) {
     error = MakeError(ErrorKind::NotFound, "the host is not a member");
@@ -208,12 +210,12 @@
                     Instant aNow,
                     Actions& aActions)
 {
-  auto error = CannotChange(aState);
+  auto error = ChangeRefusal(aState);
   if (!error && internal::Find(aState.members, aEvent.host) == nullptr) {
     error = MakeError(ErrorKind::NotFound, "the host is not a member");
   }
   if (!error && internal::Find(aState.members, aEvent.with) != nullptr) {
-    error = MakeError(ErrorKind::Conflict, "the new host is a member already");
+    error = MakeError(ErrorKind::Conflict, "the new host is already a member");
   }
   if (!error && IsBeingReplaced(aState.members, aEvent.host)) {
     error = MakeError(ErrorKind::Conflict, "the host is being replaced");
@@ -232,7 +234,7 @@
 void
 ContinueMembers(State& aState, Instant aNow, Actions& aActions)
 {
-  if (CannotChange(aState)) {
+  if (ChangeRefusal(aState)) {
     return;
   }
   for (const auto& member : aState.members.members) {
@@ -256,18 +258,21 @@
 void
 RepairMembers(State& aState, Instant aNow, Actions& aActions)
 {
-  if (CannotChange(aState)) {
+  if (ChangeRefusal(aState)) {
     return;
   }
-  if (aState.members.members.size() < aState.settings.voters) {
-    if (const auto spare = ChooseSpare(aState, {})) {
-      const Member learner{ spare->host, spare->zone, MemberRole::Learner, {} };
+  if (aState.members.members.size() < aState.settings.targetMembers) {
+    if (const auto standby = ChooseStandby(aState, {})) {
+      const Member learner{
+        standby->host, standby->zone, MemberRole::Learner, {}
+      };
       ProposeMembers(aState, With(aState.members, learner), {}, aNow, aActions);
       return;
     }
   }
   for (const auto& member : aState.members.members) {
-    if (Silence(aState, member.host, aNow) < aState.settings.replaceAfter) {
+    if (TimeSinceContact(aState, member.host, aNow) <
+        aState.settings.replaceTimeout) {
       continue;
     }
     if (member.role == MemberRole::Learner) {
@@ -278,12 +283,12 @@
       ProposeMembers(aState, rest, {}, aNow, aActions);
       return;
     }
-    const auto spare = ChooseSpare(aState, member.host);
-    if (!spare || IsBeingReplaced(aState.members, member.host)) {
+    const auto standby = ChooseStandby(aState, member.host);
+    if (!standby || IsBeingReplaced(aState.members, member.host)) {
       continue;
     }
     const Member learner{
-      spare->host, spare->zone, MemberRole::Learner, member.host
+      standby->host, standby->zone, MemberRole::Learner, member.host
     };
     ProposeMembers(aState, With(aState.members, learner), {}, aNow, aActions);
     return;
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-/** @brief The last entry that a majority of the voters holds durably. */
+/** @brief The last entry that is durable on a majority of the voters. */
 Index
 QuorumIndex(const State& aState)
 {
@@ -26,7 +26,7 @@
       continue;
     }
     if (member.host == aState.settings.self) {
-      matches.push_back(aState.synced);
+      matches.push_back(aState.durableIndex);
       continue;
     }
     const auto found = aState.progress.find(member.host);
@@ -40,7 +40,8 @@
   return matches[matches.size() / 2];
 }
 
-/** @brief Where a leader should try next after a mismatch. */
+/** @brief Index after which the leader should retry following a mismatch; skips
+ * all uncommitted entries of one term at once. */
 Index
 MismatchHint(const State& aState, Index aPrevious)
 {
@@ -54,7 +55,8 @@
   return std::max(hint, aState.committed);
 }
 
-/** @brief Drops entries that contradict the leader's; says which are new. */
+/** @brief The entries from the first one on that the log lacks or holds with
+ * another term. */
 std::span<const Entry>
 NewEntries(const State& aState, std::span<const Entry> aEntries)
 {
@@ -70,33 +72,36 @@
 }
 
 void
-TakeEntries(State& aState, std::span<const Entry> aEntries, Actions& aActions)
+AppendNewEntries(State& aState,
+                 std::span<const Entry> aEntries,
+                 Actions& aActions)
 {
-  const auto fresh = NewEntries(aState, aEntries);
-  if (fresh.empty()) {
+  const auto newEntries = NewEntries(aState, aEntries);
+  if (newEntries.empty()) {
     return;
   }
-  Persist persist{ .entries = { fresh.begin(), fresh.end() } };
-  if (fresh.front().index <= internal::LastIndex(aState.log)) {
+  Persist persist{ .entries = { newEntries.begin(), newEntries.end() } };
+  if (newEntries.front().index <= internal::LastIndex(aState.log)) {
     persist.truncate = true;
-    persist.truncateFrom = fresh.front().index;
-    internal::Truncate(aState.log, fresh.front().index);
-    internal::ForgetDurable(aState, fresh.front().index);
+    persist.truncateFrom = newEntries.front().index;
+    internal::Truncate(aState.log, newEntries.front().index);
+    internal::MarkNotDurable(aState, newEntries.front().index);
   }
   aState.log.entries.insert(
-    aState.log.entries.end(), fresh.begin(), fresh.end());
+    aState.log.entries.end(), newEntries.begin(), newEntries.end());
   RefreshMembers(aState);
   internal::Write(aState, std::move(persist), aActions);
 }
 
-/** @brief A host that lost entries is whole once it has all committed ones. */
+/** @brief Ends recovery once all entries that the leader has committed are
+ * durable here and the last of them is of the leader's own term. */
 void
 EndRecovery(State& aState, const AppendRequest& aRequest, Actions& aActions)
 {
   const bool current =
     internal::TermAt(aState.log, aRequest.committed) == aRequest.term;
   if (!aState.hard.recovering || !current ||
-      aState.synced < aRequest.committed) {
+      aState.durableIndex < aRequest.committed) {
     return;
   }
   aState.hard.recovering = false;
@@ -112,9 +117,9 @@
 }
 
 void
-NoteAnswer(Progress& aProgress, const AppendReply& aReply, Instant aNow)
+RecordReply(Progress& aProgress, const AppendReply& aReply, Instant aNow)
 {
-  aProgress.heardAt = aNow;
+  aProgress.lastContactAt = aNow;
   aProgress.answered = true;
   aProgress.round = std::max(aProgress.round, aReply.round);
   if (!aReply.accepted) {
@@ -149,8 +154,8 @@
     if (member.host == aState.settings.self) {
       continue;
     }
-    aState.progress.try_emplace(member.host,
-                                Progress{ .next = next, .heardAt = aNow });
+    aState.progress.try_emplace(
+      member.host, Progress{ .next = next, .lastContactAt = aNow });
   }
 }
 
@@ -178,7 +183,7 @@
     .committed = aState.committed,
     .round = aState.round
   };
-  if (internal::HeardLately(aState, aTo, aNow)) {
+  if (internal::HasRecentContact(aState, aTo, aNow)) {
     request.entries = internal::Slice(
       aState.log, progress.next, aState.settings.maxAppendBytes);
     progress.next = Index{ progress.next.Value() + request.entries.size() };
@@ -189,14 +194,14 @@
 void
 Heartbeat(State& aState, Instant aNow, Actions& aActions)
 {
-  const auto heard = [&aState, aNow](const HostId& aHost) {
-    return internal::HeardLately(aState, aHost, aNow);
+  const auto hasContact = [&aState, aNow](const HostId& aHost) {
+    return internal::HasRecentContact(aState, aHost, aNow);
   };
-  if (!internal::QuorumOf(aState.members, heard)) {
+  if (!internal::HasQuorum(aState.members, hasContact)) {
     BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
     return;
   }
-  aState.heartbeatDeadline = aNow + aState.settings.heartbeat;
+  aState.heartbeatDeadline = aNow + aState.settings.heartbeatInterval;
   aState.round = aState.round.Next();
   for (auto& [host, progress] : aState.progress) {
     if (!progress.answered) {
@@ -221,7 +226,7 @@
 }
 
 void
-LeaveOffice(State& aState, Actions& aActions)
+StepDown(State& aState, Actions& aActions)
 {
   RefuseReads(aState, aActions);
   aState.progress.clear();
@@ -245,7 +250,7 @@
     return;
   }
   BecomeFollower(aState, aRequest.term, aFrom, aNow, aActions);
-  aState.leaderHeardAt = aNow;
+  aState.leaderContactAt = aNow;
   reply.term = aState.hard.term;
   if (!MatchesPrevious(aState, aRequest)) {
     reply.index = aRequest.previousIndex < aState.log.baseIndex
@@ -254,7 +259,7 @@
     internal::SendWhenDurable(aState, aFrom, reply, aActions);
     return;
   }
-  TakeEntries(aState, aRequest.entries, aActions);
+  AppendNewEntries(aState, aRequest.entries, aActions);
   const Index last{ aRequest.previousIndex.Value() + aRequest.entries.size() };
   aState.committed =
     std::max(aState.committed, std::min(aRequest.committed, last));
@@ -281,15 +286,15 @@
       found == aState.progress.end()) {
     return;
   }
-  NoteAnswer(found->second, aReply, aNow);
+  RecordReply(found->second, aReply, aNow);
   if (found->second.next <= internal::LastIndex(aState.log)) {
     Replicate(aState, aFrom, aNow, aActions);
   }
-  AfterAnswer(aState, aNow, aActions);
+  AfterReply(aState, aNow, aActions);
 }
 
 void
-AfterAnswer(State& aState, Instant aNow, Actions& aActions)
+AfterReply(State& aState, Instant aNow, Actions& aActions)
 {
   AdvanceCommit(aState, aNow, aActions);
   if (aState.role != Role::Leader) {
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -14,24 +14,27 @@
 
 namespace {
 
-/** @brief Adds a part if it continues what has arrived; returns the size. */
+/** @brief Appends a part if it starts where the received data ends; returns the
+ * bytes received so far. */
 std::uint64_t
-TakePart(State& aState, const SnapshotRequest& aRequest)
+AppendPart(State& aState, const SnapshotRequest& aRequest)
 {
-  auto& incoming = aState.incoming;
-  const bool same =
-    incoming.index == aRequest.index && incoming.term == aRequest.snapshotTerm;
+  auto& incomingSnapshot = aState.incomingSnapshot;
+  const bool same = incomingSnapshot.index == aRequest.index &&
+                    incomingSnapshot.term == aRequest.snapshotTerm;
   if (!same) {
-    incoming = IncomingSnapshot{ aRequest.index, aRequest.snapshotTerm, {} };
+    incomingSnapshot =
+      IncomingSnapshot{ aRequest.index, aRequest.snapshotTerm, {} };
   }
-  if (aRequest.offset == incoming.data.size()) {
-    incoming.data.insert(
-      incoming.data.end(), aRequest.data.begin(), aRequest.data.end());
+  if (aRequest.offset == incomingSnapshot.data.size()) {
+    incomingSnapshot.data.insert(
+      incomingSnapshot.data.end(), aRequest.data.begin(), aRequest.data.end());
   }
-  return incoming.data.size();
+  return incomingSnapshot.data.size();
 }
 
-/** @brief Ends proposals whose entry was replaced by a snapshot. */
+/** @brief Answers proposals whose entries are covered by an installed snapshot;
+ * their outcome is unknown. */
 void
 EndCoveredProposals(State& aState, Actions& aActions)
 {
@@ -42,21 +45,23 @@
     aActions.emplace_back(
       Refused{ aPair.second.ticket,
                MakeError(ErrorKind::OutcomeUnknown,
-                         "the host was behind when the change was decided") });
+                         "a snapshot was installed in place of the entry") });
     return true;
   });
 }
 
 void
-Install(State& aState, const SnapshotRequest& aRequest, Actions& aActions)
+InstallSnapshot(State& aState,
+                const SnapshotRequest& aRequest,
+                Actions& aActions)
 {
   aState.snapshot = { aRequest.index,
                       aRequest.snapshotTerm,
                       aRequest.members,
-                      std::move(aState.incoming.data) };
-  aState.incoming = {};
+                      std::move(aState.incomingSnapshot.data) };
+  aState.incomingSnapshot = {};
   internal::Reset(aState.log, aState.snapshot);
-  internal::ForgetDurable(aState, aRequest.index.Next());
+  internal::MarkNotDurable(aState, aRequest.index.Next());
   aState.committed = aRequest.index;
   aState.applied = aRequest.index;
   RefreshMembers(aState);
@@ -92,7 +97,7 @@
                       last->term,
                       internal::MembersAt(aState.log, aEvent.index),
                       aEvent.data };
-  const auto kept = aState.settings.keptBehind;
+  const auto kept = aState.settings.retainedEntries;
   if (aEvent.index.Value() > kept) {
     internal::Compact(aState.log, Index{ aEvent.index.Value() - kept });
   }
@@ -112,7 +117,7 @@
   const std::span data{ snapshot.data };
   const auto offset = std::min<std::size_t>(
     aState.progress.at(aTo).snapshotReceived, data.size());
-  const auto bound = internal::HeardLately(aState, aTo, aNow)
+  const auto bound = internal::HasRecentContact(aState, aTo, aNow)
                        ? aState.settings.snapshotPartBytes
                        : 0;
   const auto size = std::min(bound, data.size() - offset);
@@ -142,16 +147,16 @@
     return;
   }
   BecomeFollower(aState, aRequest.term, aFrom, aNow, aActions);
-  aState.leaderHeardAt = aNow;
+  aState.leaderContactAt = aNow;
   reply.term = aState.hard.term;
   if (HoldsEntry(aState, aRequest)) {
     aState.committed = std::max(aState.committed, aRequest.index);
     ApplyCommitted(aState, aNow, aActions);
     reply.received = aRequest.size;
   } else {
-    reply.received = TakePart(aState, aRequest);
+    reply.received = AppendPart(aState, aRequest);
     if (reply.received >= aRequest.size) {
-      Install(aState, aRequest, aActions);
+      InstallSnapshot(aState, aRequest, aActions);
     }
   }
   internal::SendWhenDurable(aState, aFrom, reply, aActions);
@@ -174,7 +179,7 @@
     return;
   }
   auto& progress = found->second;
-  progress.heardAt = aNow;
+  progress.lastContactAt = aNow;
   progress.answered = true;
   progress.round = std::max(progress.round, aReply.round);
   const bool current = aReply.index == aState.snapshot.index;
@@ -187,7 +192,7 @@
   if (progress.next <= internal::LastIndex(aState.log)) {
     Replicate(aState, aFrom, aNow, aActions);
   }
-  AfterAnswer(aState, aNow, aActions);
+  AfterReply(aState, aNow, aActions);
 }
 
 } // namespace balsampoint::consensus
--- a/src/balsampoint/consensus/command/storage.cpp
+++ b/src/balsampoint/consensus/command/storage.cpp
@@ -12,19 +12,19 @@
 namespace balsampoint::consensus {
 
 void
-HandleSynced(State& aState,
-             const Synced& aEvent,
-             Instant aNow,
-             Actions& aActions)
+HandleWriteCompleted(State& aState,
+                     const WriteCompleted& aEvent,
+                     Instant aNow,
+                     Actions& aActions)
 {
-  internal::NoteDurable(aState, aEvent.write, aActions);
+  internal::MarkDurable(aState, aEvent.write, aActions);
   if (aState.storageFailed && aEvent.write >= aState.resumeWrite) {
     aState.storageFailed = false;
     aState.storageRetryAt = kNever;
     ResetElection(aState, aNow);
   }
   if (aState.role == Role::Leader) {
-    AfterAnswer(aState, aNow, aActions);
+    AfterReply(aState, aNow, aActions);
     return;
   }
   CountOwnVote(aState, aNow, aActions);
@@ -42,17 +42,17 @@
   }
   aState.storageFailed = true;
   aState.resumeWrite = aState.lastWrite.Next();
-  aState.storageRetryAt = aNow + aState.settings.storageRetry;
-  aState.held.clear();
-  aState.marks.clear();
+  aState.storageRetryAt = aNow + aState.settings.storageRetryInterval;
+  aState.deferredSends.clear();
+  aState.pendingWrites.clear();
   BecomeFollower(aState, aState.hard.term, {}, aNow, aActions);
 }
 
 void
 ResumeStorage(State& aState, Instant aNow, Actions& aActions)
 {
-  aState.storageRetryAt = aNow + aState.settings.storageRetry;
-  const auto from = std::max(aState.synced, aState.log.baseIndex).Next();
+  aState.storageRetryAt = aNow + aState.settings.storageRetryInterval;
+  const auto from = std::max(aState.durableIndex, aState.log.baseIndex).Next();
   Persist persist{
     .hard = aState.hard,
     .truncate = true,
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-/** @brief Hands each kind of event and message to its command. */
+/** @brief Dispatches each kind of event and message to its command. */
 struct Dispatch
 {
   State& state;
@@ -66,9 +66,9 @@
   {
     HandleHandOverRequest(state, from, aMessage, now, actions);
   }
-  void operator()(const Synced& aEvent) const
+  void operator()(const WriteCompleted& aEvent) const
   {
-    HandleSynced(state, aEvent, now, actions);
+    HandleWriteCompleted(state, aEvent, now, actions);
   }
   void operator()(const StorageFailure& aEvent) const
   {
@@ -98,15 +98,15 @@
   {
     HandleHandOver(state, now, actions);
   }
-  void operator()(const SparesKnown& aEvent) const
+  void operator()(const StandbyHostsUpdated& aEvent) const
   {
-    state.spares = aEvent.spares;
+    state.standbyHosts = aEvent.standbyHosts;
   }
   void operator()(const SnapshotTaken& aEvent) const
   {
     HandleSnapshotTaken(state, aEvent, actions);
   }
-  void operator()(const StatusWanted& /*aEvent*/) const
+  void operator()(const StatusRequested& /*aEvent*/) const
   {
     actions.emplace_back(StatusReady{ Describe(state, now) });
   }
@@ -126,7 +126,7 @@
 }
 
 void
-TakeRecovered(State& aState, Recovered aRecovered, Actions& aActions)
+LoadRecovered(State& aState, Recovered aRecovered, Actions& aActions)
 {
   aState.log.baseMembers = aState.settings.initialMembers;
   if (aRecovered.snapshot) {
@@ -140,7 +140,7 @@
       aState.log.entries.push_back(std::move(entry));
     }
   }
-  aState.synced = internal::LastIndex(aState.log);
+  aState.durableIndex = internal::LastIndex(aState.log);
   aState.committed = aState.snapshot.index;
   aState.applied = aState.snapshot.index;
 }
@@ -154,22 +154,25 @@
               Instant aNow,
               Actions& aActions)
 {
-  if (aSettings.self.Empty() || aSettings.electionMin <= aSettings.heartbeat ||
-      aSettings.electionMax < aSettings.electionMin ||
-      aSettings.firstElectionMax < aSettings.firstElectionMin) {
+  if (aSettings.self.Empty() ||
+      aSettings.electionTimeoutMin <= aSettings.heartbeatInterval ||
+      aSettings.electionTimeoutMax < aSettings.electionTimeoutMin ||
+      aSettings.firstElectionTimeoutMax < aSettings.firstElectionTimeoutMin) {
     return Refuse(ErrorKind::InvalidConfiguration,
-                  "the election timeouts must be longer than the heartbeat");
+                  "the host id must be set, and the election timeouts must be "
+                  "ordered and longer than the heartbeat interval");
   }
   State state{ .settings = std::move(aSettings),
                .random = SplitMix64{ aSeed } };
   const auto hard = aRecovered.hard;
-  TakeRecovered(state, std::move(aRecovered), aActions);
+  LoadRecovered(state, std::move(aRecovered), aActions);
   if (!IsContiguous(state.log)) {
-    return Refuse(ErrorKind::StorageFailed, "entries of the log are missing");
+    return Refuse(ErrorKind::StorageFailed,
+                  "the recovered log has missing entries");
   }
   state.hard = hard.value_or(HardState{ .recovering = true });
   RefreshMembers(state);
-  AwaitFirstLeader(state, aNow);
+  ResetFirstElection(state, aNow);
   if (!hard) {
     internal::WriteHardState(state, aActions);
   }
--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -144,7 +144,7 @@
   Post(mMailbox,
        ledger::Event{ ledger::SnapshotWanted{ aTake.index.Value() } });
   Post(mMailbox,
-       change::Event{ change::SnapshotWanted{ aTake.index.Value() } });
+       change::Event{ change::SnapshotRequested{ aTake.index.Value() } });
 }
 
 void
@@ -208,11 +208,11 @@
 }
 
 void
-ConsensusRunner::Do(const consensus::Established& aEstablished)
+ConsensusRunner::Do(const consensus::LeadershipEstablished& aEstablished)
 {
   // Behind the commands that were applied before.
   Post(mMailbox,
-       change::Event{ change::LeadingWithAll{ aEstablished.leader } });
+       change::Event{ change::LeadershipEstablished{ aEstablished.leader } });
 }
 
 void
--- a/src/balsampoint/member/command/receive.cpp
+++ b/src/balsampoint/member/command/receive.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** @brief One message on its way into the state. */
-struct Receipt
+/** @brief Handles one received message by its type. */
+struct MessageHandler
 {
   State& state;
   const HostId& from;
@@ -23,7 +23,7 @@
     }
   }
 
-  void Answer(const HostId& aTo, Message aMessage) const
+  void Reply(const HostId& aTo, Message aMessage) const
   {
     internal::SendTo(state, aTo, std::move(aMessage), actions);
   }
@@ -31,29 +31,29 @@
   void operator()(const Ping& aPing) const
   {
     MergeAll(aPing.updates);
-    Answer(from,
-           Ack{ .sequence = aPing.sequence,
-                .origin = aPing.origin,
-                .updates = internal::TakeUpdates(state, from) });
+    Reply(from,
+          Ack{ .sequence = aPing.sequence,
+               .origin = aPing.origin,
+               .updates = internal::SelectUpdates(state, from) });
   }
 
   void operator()(const PingRequest& aRequest) const
   {
     MergeAll(aRequest.updates);
-    Answer(aRequest.target,
-           Ping{ .sequence = aRequest.sequence,
-                 .origin = from,
-                 .updates = internal::TakeUpdates(state, aRequest.target) });
+    Reply(aRequest.target,
+          Ping{ .sequence = aRequest.sequence,
+                .origin = from,
+                .updates = internal::SelectUpdates(state, aRequest.target) });
   }
 
   void operator()(const Ack& aAck) const
   {
     MergeAll(aAck.updates);
     if (aAck.origin != state.self.id) {
-      Answer(aAck.origin,
-             Ack{ .sequence = aAck.sequence,
-                  .origin = aAck.origin,
-                  .updates = internal::TakeUpdates(state, aAck.origin) });
+      Reply(aAck.origin,
+            Ack{ .sequence = aAck.sequence,
+                 .origin = aAck.origin,
+                 .updates = internal::SelectUpdates(state, aAck.origin) });
       return;
     }
     if (state.probe.sequence == aAck.sequence) {
@@ -69,7 +69,8 @@
     internal::SendList(state, from, false, actions);
   }
 
-  /** Others get the list as well, so that its new hosts need no gossip. */
+  /** @brief Merges an entry of a list. A host that is new here is not spread by
+   * gossip, since the other hosts receive the list as well. */
   void MergeListed(const Host& aHost) const
   {
     const bool isNew = !state.peers.contains(aHost.id);
@@ -100,7 +101,7 @@
     }
   }
 
-  void operator()(const News& aNews) const { MergeAll(aNews.updates); }
+  void operator()(const Updates& aUpdates) const { MergeAll(aUpdates.updates); }
 };
 
 } // namespace
@@ -114,7 +115,7 @@
   const auto known = aState.peers.find(aReceived.from);
   const bool wasDead =
     known != aState.peers.end() && known->second.host.state == HostState::Dead;
-  std::visit(Receipt{ aState, aReceived.from, aNow, aActions },
+  std::visit(MessageHandler{ aState, aReceived.from, aNow, aActions },
              aReceived.message);
   if (!wasDead || !known->second.host.Reachable()) {
     return;
--- a/src/balsampoint/member/internal/gossip.cpp
+++ b/src/balsampoint/member/internal/gossip.cpp
@@ -12,10 +12,10 @@
 
 constexpr std::uint32_t kCopiesPerDoubling = 3;
 constexpr std::size_t kHostsPerMessage = 64;
-constexpr Duration kNewsDelay = std::chrono::milliseconds{ 20 };
+constexpr Duration kBroadcastDelay = std::chrono::milliseconds{ 20 };
 
 std::uint32_t
-Copies(const State& aState)
+CopiesToSend(const State& aState)
 {
   return kCopiesPerDoubling *
          static_cast<std::uint32_t>(std::bit_width(aState.peers.size() + 1));
@@ -40,7 +40,7 @@
 } // namespace
 
 std::vector<Host>
-TakeUpdates(State& aState, const HostId& aTo)
+SelectUpdates(State& aState, const HostId& aTo)
 {
   std::vector<Host> updates;
   const auto found = aState.peers.find(aTo);
@@ -63,34 +63,35 @@
 void
 Spread(State& aState, Peer& aPeer)
 {
-  aPeer.remaining = Copies(aState);
+  aPeer.remaining = CopiesToSend(aState);
   aState.changed = true;
 }
 
 void
 SpreadSelf(State& aState)
 {
-  aState.selfRemaining = Copies(aState);
+  aState.selfRemaining = CopiesToSend(aState);
   aState.changed = true;
 }
 
 void
 Announce(State& aState, const HostId& aId, Instant aNow)
 {
-  aState.news.insert(aId);
-  const auto due = std::max(aNow + kNewsDelay,
-                            aState.lastNewsAt + aState.settings.newsInterval);
-  aState.newsAt = std::min(aState.newsAt, due);
+  aState.pendingBroadcast.insert(aId);
+  const auto due =
+    std::max(aNow + kBroadcastDelay,
+             aState.lastBroadcastAt + aState.settings.broadcastInterval);
+  aState.broadcastAt = std::min(aState.broadcastAt, due);
 }
 
 void
-SendNews(State& aState, Instant aNow, std::vector<Action>& aActions)
+SendBroadcast(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  if (aState.newsAt > aNow) {
+  if (aState.broadcastAt > aNow) {
     return;
   }
-  News message;
-  for (const auto& id : aState.news) {
+  Updates message;
+  for (const auto& id : aState.pendingBroadcast) {
     const auto found = aState.peers.find(id);
     if (id == aState.self.id) {
       message.updates.push_back(aState.self);
@@ -98,15 +99,15 @@
       message.updates.push_back(found->second.host);
     }
   }
-  const auto isNear = [&](const Host& aHost) {
+  const auto isLocal = [&](const Host& aHost) {
     return aHost.Reachable() && aHost.zone == aState.self.zone;
   };
-  for (const auto& to : Select(aState, isNear)) {
+  for (const auto& to : Select(aState, isLocal)) {
     SendTo(aState, to, message, aActions);
   }
-  aState.news.clear();
-  aState.newsAt = kNever;
-  aState.lastNewsAt = aNow;
+  aState.pendingBroadcast.clear();
+  aState.broadcastAt = kNever;
+  aState.lastBroadcastAt = aNow;
 }
 
 void
--- a/test/balsampoint/consensus/module_test.cpp
+++ b/test/balsampoint/consensus/module_test.cpp
@@ -55,7 +55,7 @@
   cr_assert(group.Commit(leader, "one").done);
 }
 
-Test(consensus, a_follower_refuses_and_says_not_run)
+Test(consensus, a_follower_refuses_a_proposal_as_not_executed)
 {
   Group group{ 3, 0, 3 };
   const auto follower = Another(group, group.Elect());
@@ -101,7 +101,7 @@
     for (const auto& name : names) {
       group.Kill(name);
     }
-    // Messages that are on their way are lost with the power.
+    // Messages in flight are lost with the power.
     group.Run(milliseconds{ 10 });
     for (const auto& name : names) {
       group.Start(name);
@@ -124,7 +124,7 @@
   }
 }
 
-Test(consensus, silent_isolation_neither_leads_nor_disturbs)
+Test(consensus, an_isolated_leader_steps_down_and_starts_no_election)
 {
   Group group{ 3, 0, 5 };
   const auto old = group.Elect();
@@ -145,7 +145,7 @@
   cr_assert(group.Agree());
 }
 
-Test(consensus, a_lost_proposal_is_answered_as_not_run)
+Test(consensus, a_superseded_proposal_is_answered_as_not_executed)
 {
   Group group{ 3, 0, 6 };
   const auto old = group.Elect();
@@ -173,8 +173,8 @@
 Test(consensus, restarts_after_hundreds_of_changes)
 {
   Group group{ 3, 0, 8 };
-  group.settings.compactAfter = 100;
-  group.settings.keptBehind = 20;
+  group.settings.snapshotAfterEntries = 100;
+  group.settings.retainedEntries = 20;
   for (const auto& name : { "a", "b", "c" }) {
     group.Kill(HostId{ name });
     group.Start(HostId{ name });
@@ -200,8 +200,8 @@
 Test(consensus, a_member_far_behind_gets_the_snapshot_in_parts)
 {
   Group group{ 3, 0, 9 };
-  group.settings.compactAfter = 50;
-  group.settings.keptBehind = 5;
+  group.settings.snapshotAfterEntries = 50;
+  group.settings.retainedEntries = 5;
   group.settings.snapshotPartBytes = 100;
   for (const auto& name : { "a", "b", "c" }) {
     group.Kill(HostId{ name });
@@ -219,7 +219,7 @@
   cr_assert(group.Agree());
 }
 
-Test(consensus, a_full_disk_stops_acknowledging_until_it_has_room)
+Test(consensus, a_full_disk_stops_acknowledgements_until_it_has_space)
 {
   Group group{ 3, 0, 10 };
   const auto old = group.Elect();
