Reword the comments and messages of the ledger

Several briefs only repeated a name or described the table and the calls in figurative terms. They now state what a value is, its unit and when a result is absent; error messages say what failed.

--- a/src/balsampoint/ledger/call.hpp
+++ b/src/balsampoint/ledger/call.hpp
@@ -10,52 +10,53 @@
 
 namespace balsampoint::ledger {
 
-/** @brief How long the steps of a call may take. */
+/** @brief Timeouts and size limits of one keyed call. */
 struct CallLimits
 {
-  /** Time for one proposal to be decided. */
+  /** Timeout of the proposal of a claim. */
   Duration proposal{ std::chrono::seconds{ 2 } };
-  /** Time to wait for an answer to become durable before it is passed on. */
+  /** Longest time that an answer is held back until its record is durable. */
   Duration record{ std::chrono::seconds{ 1 } };
-  /** Wait before the second look at a key in doubt; doubles each time. */
+  /** Delay before a claim in doubt is proposed again; doubles each time. */
   Duration firstLook{ std::chrono::milliseconds{ 50 } };
-  /** How often a key in doubt is looked at before the caller is told. */
+  /** Claims proposed before a key in doubt is reported to the caller. */
   std::uint32_t looks{ 6 };
-  /** Headers and body of an answer that is recorded, in bytes at most. */
+  /** Largest recorded answer, headers and body, in bytes. */
   std::uint64_t answerBytes{ 16ULL << 10U };
 };
 
-/** @brief Where a call stands on its entry host. */
+/** @brief Phase of a call on its entry host. */
 enum class CallPhase : std::uint8_t
 {
   Claiming,
-  /** Another claim holds the key; looks again later. */
+  /** Another claim holds the key; this one is proposed again later. */
   Waiting,
   Dispatching,
   Recording,
   Answered,
 };
 
-/** @brief One keyed non-idempotent call on its entry host. */
+/** @brief A non-idempotent call with an idempotency key, on its entry host. */
 struct Call
 {
   Claim claim;
-  /** When the caller's patience ends. */
+  /** Deadline that the caller set. */
   Instant deadline{};
   CallLimits limits;
   CallPhase phase{ CallPhase::Claiming };
+  /** How many claims found the key in doubt. */
   std::uint32_t looks{};
-  /** The answer that is being recorded. */
+  /** The answer that is being recorded; set in phase `Recording`. */
   StoredAnswer answer;
 };
 
-/** @brief The claim was decided by the table. */
+/** @brief The control group applied the claim. */
 struct ClaimDecided
 {
   Outcome outcome;
 };
 
-/** @brief No decision on the claim arrived. */
+/** @brief The claim was refused or not decided in time. */
 struct ClaimLost
 {
   Error error;
@@ -63,35 +64,35 @@
   bool mayApply{ true };
 };
 
-/** @brief The wait for another look is over. */
+/** @brief The delay requested by `Wait` has passed. */
 struct WaitEnded
 {};
 
-/** @brief The backend server answered; the work ran. */
+/** @brief The backend server executed the call and answered. */
 struct DispatchAnswered
 {
   StoredAnswer answer;
 };
 
-/** @brief The work provably never began. */
+/** @brief The call was provably not executed. */
 struct DispatchNeverBegan
 {
   Error error;
 };
 
-/** @brief The work may or may not have run. */
+/** @brief It is unknown whether the call was executed. */
 struct DispatchUnknown
 {
   Error error;
 };
 
-/** @brief The record is durable, or could not be made so in time. */
+/** @brief The record was committed, or its timeout passed. */
 struct RecordEnded
 {
   bool durable{};
 };
 
-/** @brief What may happen to a call. */
+/** @brief Events of a call. */
 using CallEvent = std::variant<ClaimDecided,
                                ClaimLost,
                                WaitEnded,
@@ -107,7 +108,7 @@
   Instant until{};
 };
 
-/** @brief Propose the command until it is applied; nobody waits for it. */
+/** @brief Propose the command in the background, without a result. */
 struct ProposeLater
 {
   Command command;
@@ -117,19 +118,19 @@
 struct Dispatch
 {};
 
-/** @brief Report `WaitEnded` at a time. */
+/** @brief Deliver `WaitEnded` at the given time. */
 struct Wait
 {
   Instant until{};
 };
 
-/** @brief Answer the caller; the call is over. */
+/** @brief Answer the caller. This is the last action of a call. */
 struct Reply
 {
   tl::expected<StoredAnswer, Error> answer;
 };
 
-/** @brief What the entry host has to do for a call. */
+/** @brief Actions that the entry host performs for a call. */
 using CallAction = std::variant<Propose, ProposeLater, Dispatch, Wait, Reply>;
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/command/advance_call.cpp
+++ b/src/balsampoint/ledger/command/advance_call.cpp
@@ -67,7 +67,7 @@
   auto error = MakeError(ErrorKind::OutcomeUnknown,
                          "the call ran with status " +
                            std::to_string(aRepeated.answer.status) +
-                           "; its answer was too large to keep for a repeat");
+                           "; its answer was too large to be stored");
   error.executed = Executed::Yes;
   Finish(aCall, tl::unexpected(std::move(error)), aActions);
 }
@@ -85,7 +85,7 @@
   }
   auto error = MakeError(ErrorKind::OutcomeUnknown,
                          "an earlier call with this key is still running, or "
-                         "its outcome was lost");
+                         "its outcome is unknown");
   error.retryAfter = kRetryAfter;
   Finish(aCall, tl::unexpected(std::move(error)), aActions);
 }
@@ -99,7 +99,9 @@
 void
 Decide(Call& aCall, const Done& /*aDone*/, Instant /*aNow*/, Actions& aActions)
 {
-  Finish(aCall, Refuse(ErrorKind::Internal, "a claim had no result"), aActions);
+  Finish(aCall,
+         Refuse(ErrorKind::Internal, "the claim was applied without a result"),
+         aActions);
 }
 
 void
@@ -121,7 +123,8 @@
   if (aEvent.mayApply) {
     GiveBack(aCall, aActions);
   }
-  // This host never sends a call whose claim it hasn't seen granted.
+  // This host sends a call only after its claim was granted, so this call
+  // wasn't executed. A key in doubt may have been executed by another claim.
   auto error = aEvent.error;
   error.executed = aCall.looks == 0 ? Executed::No : Executed::Unknown;
   Finish(aCall, tl::unexpected(std::move(error)), aActions);
--- a/src/balsampoint/ledger/command/advance_call.hpp
+++ b/src/balsampoint/ledger/command/advance_call.hpp
@@ -7,21 +7,22 @@
 namespace balsampoint::ledger {
 
 /**
- * @brief Starts a call: claims its key.
+ * @brief Proposes the claim of a call's key.
  * @param aCall The call, in phase `Claiming`.
- * @param aNow The time.
+ * @param aNow The current time.
  * @param aActions Actions are appended here.
  */
 void
 Begin(const Call& aCall, Instant aNow, std::vector<CallAction>& aActions);
 
 /**
- * @brief Moves a call on. `Dispatch` is asked for at most once in its life,
- * and never before the table granted the claim.
- * @param aCall The call; changed.
- * @param aEvent What happened; an event that its phase doesn't expect changes
- * nothing.
- * @param aNow The time.
+ * @brief Handles an event of a call.
+ *
+ * `Dispatch` is emitted at most once per call, and only after the claim was
+ * granted.
+ * @param aCall The call to advance.
+ * @param aEvent The event; ignored if the call's phase doesn't expect it.
+ * @param aNow The current time.
  * @param aActions Actions are appended here.
  */
 void
--- a/src/balsampoint/ledger/command/apply.cpp
+++ b/src/balsampoint/ledger/command/apply.cpp
@@ -50,7 +50,8 @@
 {
   if (!HasRoom(aTable, aClaim.key)) {
     return MakeError(ErrorKind::LedgerFull,
-                     "the table of idempotency keys is full");
+                     "the table of idempotency keys or the workspace's share "
+                     "of it is full");
   }
   Insert(aTable,
          aClaim.key,
@@ -77,14 +78,15 @@
   const auto& entry = found->second;
   if (entry.phase == Phase::Released) {
     if (entry.claim == aClaim.id) {
-      return MakeError(ErrorKind::Cancelled, "the claim was given back");
+      return MakeError(ErrorKind::Cancelled, "the claim was released before");
     }
     Remove(aTable, found);
     return Start(aTable, aClaim);
   }
   if (entry.digest != aClaim.digest) {
     return MakeError(ErrorKind::KeyReused,
-                     "the key was used with another method, path or body");
+                     "the idempotency key was used with another method, path "
+                     "or body");
   }
   if (entry.phase == Phase::Recorded) {
     return Repeated{ entry.answer };
@@ -123,7 +125,8 @@
                         .answer = {},
                         .expiry = kNotAged };
   if (found == aTable.entries.end()) {
-    // The claim may still be on its way and must then grant nothing.
+    // The claim may still be in flight; this entry keeps it from being
+    // granted if it is applied later.
     if (HasRoom(aTable, aRelease.key)) {
       Insert(aTable, aRelease.key, released);
     }
@@ -138,7 +141,7 @@
   return Done{};
 }
 
-/** Starts the window of all entries made since the last step. */
+/** Sets the expiry of all entries inserted since the last time step. */
 void
 StartWindows(Table& aTable)
 {
--- a/src/balsampoint/ledger/command/apply.hpp
+++ b/src/balsampoint/ledger/command/apply.hpp
@@ -6,22 +6,22 @@
 namespace balsampoint::ledger {
 
 /**
- * @brief Carries out one replicated command.
+ * @brief Applies one replicated command.
  *
- * Depends on nothing but its arguments, so that all replicas agree. Each
- * command may be applied more than once without a further effect.
+ * Deterministic: the result depends on the arguments only, so that all
+ * replicas agree. Applying a command again has no further effect.
  * @param aTable Table to change.
  * @param aCommand The command.
- * @return Its result. A claim that is refused with an error ran nothing.
+ * @return The result. A call whose claim fails with an error isn't executed.
  */
 Outcome
 Apply(Table& aTable, const Command& aCommand);
 
 /**
- * @brief Adds an entry as a snapshot holds it, with all counts.
- * @param aTable Table to change; must not have the key.
+ * @brief Inserts an entry and updates the usage counts and the expiry order.
+ * @param aTable Table to change; must not contain the key.
  * @param aKey The key.
- * @param aEntry What is known of it.
+ * @param aEntry Its entry.
  */
 void
 Insert(Table& aTable, const Key& aKey, Entry aEntry);
--- a/src/balsampoint/ledger/command/forward.cpp
+++ b/src/balsampoint/ledger/command/forward.cpp
@@ -99,7 +99,7 @@
   const auto command = aState.commands.extract(aNumber);
   RefuseCommand(command.mapped(),
                 ErrorKind::ControlUnavailable,
-                "the control group did not decide in time",
+                "the control group did not apply the command in time",
                 aActions);
 }
 
@@ -165,7 +165,7 @@
   if (aState.commands.size() >= aState.settings.pending) {
     RefuseCommand(aCommand,
                   ErrorKind::Overloaded,
-                  "too many keyed calls wait for the control group",
+                  "too many commands of keyed calls wait for the control group",
                   aActions);
     return;
   }
@@ -225,7 +225,7 @@
       GiveUp(aState, number, aActions);
       continue;
     }
-    // The host asked last was silent, so the next one is tried.
+    // The last host asked didn't reply, so the next member is tried.
     if (aState.leader != aState.settings.self) {
       aState.leader = {};
     }
--- a/src/balsampoint/ledger/command/forward.hpp
+++ b/src/balsampoint/ledger/command/forward.hpp
@@ -5,10 +5,11 @@
 namespace balsampoint::ledger {
 
 /**
- * @brief Takes a command of this host and sends it to the leader.
+ * @brief Queues a command of this host and sends it to the leader. While no
+ * leader is known, the members of the control group are tried in turn.
  * @param aState State to change.
- * @param aCommand The command with who waits for it.
- * @param aNow The time.
+ * @param aCommand The command and the ticket of its waiting thread.
+ * @param aNow The current time.
  * @param aActions Actions are appended here.
  */
 void
@@ -18,19 +19,19 @@
        std::vector<Action>& aActions);
 
 /**
- * @brief Sends all commands at once to a leader that has just become known.
+ * @brief Sends all pending commands to a newly known leader.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow The current time.
  * @param aActions Actions are appended here.
  */
 void
 SubmitAgain(State& aState, Instant aNow, std::vector<Action>& aActions);
 
 /**
- * @brief Ends a command of this host.
+ * @brief Completes a pending command of this host.
  * @param aState State to change.
- * @param aNumber The command; nothing happens when it has ended before.
- * @param aOutcome Its outcome.
+ * @param aNumber Number of the command; ignored if it is no longer pending.
+ * @param aOutcome Outcome of the command.
  * @param aActions Actions are appended here.
  */
 void
@@ -40,9 +41,10 @@
         std::vector<Action>& aActions);
 
 /**
- * @brief Gives up or sends again the commands that are due.
+ * @brief Fails the commands past their deadline and resends those that are
+ * due.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow The current time.
  * @param aActions Actions are appended here.
  */
 void
@@ -51,8 +53,8 @@
 /**
  * @brief Handles a message of another host.
  * @param aState State to change.
- * @param aReceived The message.
- * @param aNow The time.
+ * @param aReceived The message and its sender.
+ * @param aNow The current time.
  * @param aActions Actions are appended here.
  */
 void
@@ -62,10 +64,11 @@
         std::vector<Action>& aActions);
 
 /**
- * @brief Handles a refusal of the control group.
+ * @brief Handles a proposal that the control group refused: redirects the
+ * host that sent the command, or resends a command of this host.
  * @param aState State to change.
- * @param aTicket The `Replicate` refused.
- * @param aNow The time.
+ * @param aTicket Ticket of the refused `Replicate`.
+ * @param aNow The current time.
  * @param aActions Actions are appended here.
  */
 void
@@ -75,10 +78,10 @@
        std::vector<Action>& aActions);
 
 /**
- * @brief Passes an outcome to the host that asked for it.
+ * @brief Passes the outcome of an applied command to the host it came from.
  * @param aState State to change.
- * @param aTicket The `Replicate` that was applied.
- * @param aOutcome Its outcome.
+ * @param aTicket Ticket of the `Replicate`; ignored if it isn't pending.
+ * @param aOutcome Outcome of the command.
  * @param aActions Actions are appended here.
  */
 void
--- a/src/balsampoint/ledger/fwd.hpp
+++ b/src/balsampoint/ledger/fwd.hpp
@@ -2,7 +2,7 @@
 
 /**
  * @brief At-most-once calls: a replicated table of idempotency keys, and the
- * steps of one call on its entry host.
+ * state machine of one call on its entry host.
  */
 namespace balsampoint::ledger {
 
--- a/src/balsampoint/ledger/internal/answer_size.hpp
+++ b/src/balsampoint/ledger/internal/answer_size.hpp
@@ -5,7 +5,7 @@
 namespace balsampoint::ledger::internal {
 
 /**
- * @brief Bytes of an answer's headers and body.
+ * @brief Size of an answer's headers and body in bytes.
  * @param aAnswer The answer.
  */
 [[nodiscard]] inline std::uint64_t
@@ -19,10 +19,10 @@
 }
 
 /**
- * @brief What is kept of an answer.
+ * @brief Limits an answer to the size that is stored.
  * @param aAnswer The answer.
- * @param aLimit Bytes of headers and body at most.
- * @return The answer, or its status only when it is larger.
+ * @param aLimit Largest size of headers and body in bytes.
+ * @return The answer, or only its status if it exceeds the limit.
  */
 [[nodiscard]] inline StoredAnswer
 KeptOf(const StoredAnswer& aAnswer, std::uint64_t aLimit)
--- a/src/balsampoint/ledger/key.hpp
+++ b/src/balsampoint/ledger/key.hpp
@@ -12,32 +12,32 @@
 
 namespace balsampoint::ledger {
 
-/** @brief An idempotency key; each workspace and service has its own. */
+/** @brief An idempotency key, scoped to a workspace and a service. */
 struct Key
 {
   WorkspaceId workspace;
   ServiceId service;
-  /** As the caller chose it. */
+  /** Text that the caller chose. */
   std::string value;
 
   auto operator<=>(const Key&) const = default;
 };
 
-/** @brief Names one claim; no two claims ever have the same name. */
+/** @brief Identifies a claim; unique across hosts and restarts. */
 struct ClaimId
 {
   HostId host;
   Incarnation incarnation;
-  /** Rises with each claim of one incarnation. */
+  /** Increases with each claim of one incarnation. */
   std::uint64_t number{};
 
   auto operator<=>(const ClaimId&) const = default;
 };
 
-/** @brief SHA-256 over method, path and body of a call. */
+/** @brief SHA-256 of a call's method, path and body. */
 using Digest = std::array<std::byte, 32>;
 
-/** @brief One header of an answer. */
+/** @brief An HTTP header of an answer. */
 struct Header
 {
   std::string name;
@@ -46,14 +46,14 @@
   auto operator<=>(const Header&) const = default;
 };
 
-/** @brief An answer of a backend server as the table keeps it. */
+/** @brief An answer of a backend server as the table stores it. */
 struct StoredAnswer
 {
   /** HTTP status code. */
   std::uint16_t status{};
   std::vector<Header> headers;
   std::string body;
-  /** False when headers and body were too large to keep. */
+  /** False if headers and body were too large and only the status is stored. */
   bool complete{ true };
 
   auto operator<=>(const StoredAnswer&) const = default;
--- a/src/balsampoint/ledger/message.hpp
+++ b/src/balsampoint/ledger/message.hpp
@@ -7,7 +7,7 @@
 
 namespace balsampoint::ledger {
 
-/** @brief Tells the questions of one host apart, its restarts included. */
+/** @brief Identifies a forwarded command of one host, across its restarts. */
 struct AskId
 {
   Incarnation incarnation;
@@ -16,32 +16,32 @@
   auto operator<=>(const AskId&) const = default;
 };
 
-/** @brief Asks the leader of the control group to replicate a command. */
+/** @brief Requests the leader of the control group to replicate a command. */
 struct Ask
 {
-  /** Chosen by the sender; the answer repeats it. */
+  /** Chosen by the sender and repeated in the reply. */
   AskId id;
   Command command;
 
   bool operator==(const Ask&) const = default;
 };
 
-/** @brief The command was applied. */
+/** @brief Reply to an `Ask`: the command was applied. */
 struct Told
 {
   AskId id;
   Outcome outcome;
 };
 
-/** @brief The receiver of an `Ask` can't replicate it. */
+/** @brief Reply to an `Ask` that the receiver can't replicate. */
 struct NotLeader
 {
   AskId id;
-  /** Whom it takes for the leader; empty when it knows none. */
+  /** The leader as the receiver knows it; empty if it knows none. */
   HostId leader;
 };
 
-/** @brief What hosts send one another for this module. */
+/** @brief Messages that hosts exchange for this module. */
 using Message = std::variant<Ask, Told, NotLeader>;
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/module.hpp
+++ b/src/balsampoint/ledger/module.hpp
@@ -17,15 +17,16 @@
 {
   HostId self;
   Incarnation incarnation;
-  /** Hosts that may lead the control group, to start asking with. */
+  /** Members of the control group; tried in turn while no leader is known. */
   std::vector<HostId> members;
-  /** First silence after which a command is sent to the next member. */
+  /** Time without a reply before the first resend; doubles with each. */
   Duration resendAfter{ std::chrono::milliseconds{ 400 } };
-  /** How often the leader moves the table's time. */
+  /** Interval at which the leader advances the table's time. */
   Duration timeStep{ std::chrono::seconds{ 30 } };
-  /** How long a command nobody waits for is tried. */
+  /** Time after which a command without a waiting thread is dropped. */
   Duration laterLimit{ std::chrono::minutes{ 10 } };
-  /** Commands on their way at most. */
+  /** Largest number of commands of this host that have no outcome, and of
+   * commands that this host replicates as leader. */
   std::size_t pending{ 4096 };
 };
 
@@ -33,47 +34,51 @@
 struct PendingCommand
 {
   Command command;
-  /** The traffic thread that waits; none for a command sent in passing. */
+  /** Ticket of the waiting traffic thread; none if no thread waits. */
   std::optional<Ticket> ticket;
-  /** When it is given up. */
+  /** Time at which the command is dropped. */
   Instant until{};
-  /** When it is sent again. */
+  /** Time of the next resend. */
   Instant resendAt{};
-  /** Doubles with each time it is sent. */
+  /** Delay before the next resend; doubles each time. */
   Duration resendAfter{};
-  /** Whether it may have reached a leader. */
+  /** Whether it was sent, so that a leader may have replicated it. */
   bool sent{ false };
 };
 
-/** @brief A command that this host, as leader, replicates for a host. */
+/** @brief Where a command that this host replicates as leader came from. */
 struct Origin
 {
   HostId host;
   AskId ask;
 };
 
-/** @brief State of one host; the control thread owns it. */
+/** @brief State of the module on one host; owned by the control thread. */
 struct State
 {
   Settings settings;
-  /** Whom this host sends its commands to; empty when unknown. */
+  /** The host that commands are sent to; empty if unknown. */
   HostId leader;
-  /** Position in `Settings::members` of the one to ask next. */
+  /** Index in `Settings::members` of the host to try next. */
   std::size_t nextMember{};
+  /** Number of the last command that this host submitted. */
   std::uint64_t lastNumber{};
+  /** Commands of this host without an outcome, by number. */
   std::map<std::uint64_t, PendingCommand> commands;
-  /** When each command needs attention. */
+  /** Next resend or deadline of each command, with its number. */
   std::set<std::pair<Instant, std::uint64_t>> timers;
+  /** Commands proposed to the control group, by ticket of `Replicate`. */
   std::map<Ticket, Origin> origins;
   Ticket lastTicket;
-  /** The replicated table; filled on members of the control group only. */
+  /** The replicated table; empty on hosts outside the control group. */
   Table table;
-  /** When the table's time was last seen to change. */
+  /** When the table's time last changed, on this host's clock. */
   Instant tableTimeSeenAt{};
+  /** When the leader proposes the next time step; `kNever` on other hosts. */
   Instant nextTimeStep{ kNever };
 };
 
-/** @brief A traffic thread wants a command replicated and waits. */
+/** @brief A traffic thread requests a command and waits for its outcome. */
 struct CommandRequested
 {
   Ticket ticket;
@@ -81,7 +86,7 @@
   Instant until{};
 };
 
-/** @brief A traffic thread wants a command replicated and doesn't wait. */
+/** @brief A traffic thread requests a command without waiting for it. */
 struct CommandPosted
 {
   Command command;
@@ -94,11 +99,11 @@
   Message message;
 };
 
-/** @brief The control group committed a command; in order on each member. */
+/** @brief The control group committed a command; delivered in log order. */
 struct Applied
 {
   Command command;
-  /** The `Replicate` of this host that it comes from; zero for none. */
+  /** Ticket of this host's `Replicate`; zero if it came from another host. */
   Ticket ticket;
 };
 
@@ -108,32 +113,33 @@
   Ticket ticket;
 };
 
-/** @brief The leader of the control group changed; empty for none. */
+/** @brief The leader of the control group changed. */
 struct LeaderChanged
 {
+  /** The new leader; empty if there is none. */
   HostId leader;
 };
 
-/** @brief The table of a snapshot replaces the current one. */
+/** @brief A snapshot of the control group replaces the table. */
 struct Restored
 {
   Table table;
 };
 
-/** @brief The hosts that may lead the control group changed. */
+/** @brief The members of the control group changed. */
 struct MembersChanged
 {
   std::vector<HostId> members;
 };
 
-/** @brief The control group wants the table for a snapshot. */
+/** @brief The control group requests the table for a snapshot. */
 struct SnapshotWanted
 {
-  /** Last command of the log that the snapshot covers. */
+  /** Index of the last log entry that the snapshot covers. */
   std::uint64_t index{};
 };
 
-/** @brief What may happen to the module. */
+/** @brief Events of the module. */
 using Event = std::variant<CommandRequested,
                            CommandPosted,
                            Received,
@@ -158,14 +164,15 @@
   Command command;
 };
 
-/** @brief Hand an outcome to the traffic thread that waits for it. */
+/** @brief Deliver an outcome to the waiting traffic thread. */
 struct Decided
 {
   Ticket ticket;
   Outcome outcome;
 };
 
-/** @brief Tell the traffic thread that no outcome arrived in time. */
+/** @brief Report to the waiting traffic thread that its command was refused or
+ * has no outcome in time. */
 struct Lost
 {
   Ticket ticket;
@@ -174,17 +181,18 @@
   bool mayApply{ true };
 };
 
-/** @brief The table as it is after the commands of a snapshot. */
+/** @brief Deliver the table that `SnapshotWanted` requested. */
 struct SnapshotReady
 {
+  /** Index of the last log entry that the table includes. */
   std::uint64_t index{};
   std::shared_ptr<const Table> table;
 };
 
-/** @brief What the daemon has to do for the module. */
+/** @brief Actions that the daemon performs for the module. */
 using Action = std::variant<Send, Replicate, Decided, Lost, SnapshotReady>;
 
-/** @brief The module as the control thread runs it. */
+/** @brief The module that the control thread runs. */
 struct Module
 {
   using State = ledger::State;
@@ -192,21 +200,22 @@
   using Action = ledger::Action;
 
   /**
-   * @brief Starts with an empty table, which a snapshot may replace.
+   * @brief Creates the state with an empty table.
    * @param aSettings Fixed values of the host.
-   * @param aBounds Bounds of the table, the same on each member.
-   * @param aNow The time.
-   * @return The state, or `ErrorKind::InvalidConfiguration`.
+   * @param aBounds Limits of the table; must be equal on all members.
+   * @param aNow The current time.
+   * @return The state, or `ErrorKind::InvalidConfiguration` if the host has no
+   * id.
    */
   [[nodiscard]] static tl::expected<State, Error> Start(Settings aSettings,
                                                         const Bounds& aBounds,
                                                         Instant aNow);
 
   /**
-   * @brief Reacts to an event.
+   * @brief Handles an event.
    * @param aState State to change.
-   * @param aEvent What happened.
-   * @param aNow The time.
+   * @param aEvent The event.
+   * @param aNow The current time.
    * @param aActions Actions are appended here.
    */
   static void Handle(State& aState,
@@ -215,17 +224,18 @@
                      std::vector<Action>& aActions);
 
   /**
-   * @brief Sends again and gives up what is due.
+   * @brief Resends and expires commands and, on the leader, proposes time
+   * steps.
    * @param aState State to change.
-   * @param aNow The time.
+   * @param aNow The current time.
    * @param aActions Actions are appended here.
    */
   static void Tick(State& aState, Instant aNow, std::vector<Action>& aActions);
 
   /**
-   * @brief When the next `Tick` is wanted.
+   * @brief Returns when `Tick` must be called next.
    * @param aState State to read.
-   * @return The time, or `kNever`.
+   * @return The time, or `kNever` if nothing is scheduled.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/ledger/query/lookup.hpp
+++ b/src/balsampoint/ledger/query/lookup.hpp
@@ -5,10 +5,10 @@
 namespace balsampoint::ledger {
 
 /**
- * @brief What the table knows of a key.
+ * @brief Looks up a key.
  * @param aTable Table to read.
  * @param aKey The key.
- * @return Its entry, valid until the table changes, or null.
+ * @return Its entry, valid until the table changes; null if there is none.
  */
 [[nodiscard]] inline const Entry*
 Find(const Table& aTable, const Key& aKey)
--- a/src/balsampoint/ledger/replicated.hpp
+++ b/src/balsampoint/ledger/replicated.hpp
@@ -8,7 +8,7 @@
 
 namespace balsampoint::ledger {
 
-/** @brief Asks for the right to run the call of a key. */
+/** @brief Claims the right to execute the call of a key. */
 struct Claim
 {
   Key key;
@@ -18,7 +18,7 @@
   auto operator<=>(const Claim&) const = default;
 };
 
-/** @brief Stores the answer of a call that ran. */
+/** @brief Stores the answer of an executed call. */
 struct Record
 {
   Key key;
@@ -29,8 +29,8 @@
 };
 
 /**
- * @brief Gives a claim back, by its claimant, when the call provably never
- * began and the claimant will never send it.
+ * @brief Releases a claim. Sent by the claimant when the call was provably not
+ * executed and the claimant will not send it.
  */
 struct Release
 {
@@ -41,11 +41,11 @@
 };
 
 /**
- * @brief Moves the table's time on.
+ * @brief Advances the table's time.
  *
- * The proposer saw the table at `from` and measured `by` on its own monotonic
- * clock since then. The step is void when the table has moved meanwhile, so
- * the table's time never runs ahead of the time that has really passed.
+ * The proposer saw the table's time change to `from` and has measured `by`
+ * since then on its own monotonic clock. The step has no effect if the table's
+ * time is no longer `from`, so it never runs ahead of the real elapsed time.
  */
 struct TimeStep
 {
@@ -55,16 +55,16 @@
   auto operator<=>(const TimeStep&) const = default;
 };
 
-/** @brief What the control group replicates for this module. */
+/** @brief Commands that the control group replicates for this module. */
 using Command = std::variant<Claim, Record, Release, TimeStep>;
 
-/** @brief The claimant may run the call. */
+/** @brief The claimant may execute the call. */
 struct Granted
 {
   auto operator<=>(const Granted&) const = default;
 };
 
-/** @brief The call ran before; this is its answer. */
+/** @brief The call was executed before; holds its stored answer. */
 struct Repeated
 {
   StoredAnswer answer;
@@ -72,7 +72,8 @@
   auto operator<=>(const Repeated&) const = default;
 };
 
-/** @brief Another claim holds the key and has no answer yet, or never will. */
+/** @brief Another claim holds the key and no answer is recorded: its call is
+ * still running or its outcome is unknown. */
 struct InDoubt
 {
   ClaimId holder;
@@ -80,13 +81,13 @@
   auto operator<=>(const InDoubt&) const = default;
 };
 
-/** @brief The command was carried out and has no result. */
+/** @brief The command was applied and has no result. */
 struct Done
 {
   auto operator<=>(const Done&) const = default;
 };
 
-/** @brief Result of a command, the same on each replica. */
+/** @brief Result of a command; equal on all replicas. */
 using Outcome = std::variant<Granted, Repeated, InDoubt, Done, Error>;
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/state.hpp
+++ b/src/balsampoint/ledger/state.hpp
@@ -11,82 +11,85 @@
 
 namespace balsampoint::ledger {
 
-/** @brief Limits of the table; every replica must have the same. */
+/** @brief Limits of the table; must be equal on all replicas. */
 struct Bounds
 {
-  /** How long a key is remembered from its claim, in the table's time. */
+  /** Retention of a claimed or recorded key, in the table's time. */
   Duration window{ std::chrono::hours{ 24 } };
-  /** How long a released claim's name is remembered. */
+  /** Retention of a released claim, in the table's time. */
   Duration releasedWindow{ std::chrono::minutes{ 10 } };
-  /** Keys held at most. */
+  /** Largest number of keys. */
   std::uint64_t entries{ 100'000 };
-  /** Keys held for one workspace at most. */
+  /** Largest number of keys of one workspace. */
   std::uint64_t workspaceEntries{ 25'000 };
-  /** Bytes held at most, keys and answers together. */
+  /** Largest total size of keys and answers, in bytes. */
   std::uint64_t bytes{ 64ULL << 20U };
-  /** Headers and body of one answer in bytes; larger ones are not kept. */
+  /** Largest answer, headers and body, in bytes; only the status is stored of
+   * a larger one. */
   std::uint64_t answerBytes{ 16ULL << 10U };
-  /** Length of a key at most. */
+  /** Largest length of a key in bytes. */
   std::uint64_t keyBytes{ 255 };
 
   auto operator<=>(const Bounds&) const = default;
 };
 
-/** @brief What is known of a key. */
+/** @brief State of a key. */
 enum class Phase : std::uint8_t
 {
-  /** Claimed; the call may have run. */
+  /** Claimed; the call may have been executed. */
   Claimed,
-  /** The call ran and its answer is kept. */
+  /** The call was executed and its answer is stored. */
   Recorded,
-  /** The claim was given back; the call never began. */
+  /** The claim was released; the call was not executed. */
   Released,
 };
 
 /**
- * @brief Expiry of an entry that has not seen a step of the table's time.
+ * @brief Expiry of an entry inserted since the last step of the table's time.
  *
- * The table's time lags behind, and the step that catches up must not age an
- * entry made meanwhile; so its window starts with the first step after it.
+ * The table's time lags behind real time, and the step that catches up must
+ * not count towards an entry inserted meanwhile. The retention of an entry
+ * therefore starts with the first step after its insertion.
  */
 inline constexpr Duration kNotAged = Duration::max();
 
-/** @brief One key of the table. */
+/** @brief Entry of one key. */
 struct Entry
 {
   Digest digest{};
   ClaimId claim;
   Phase phase{ Phase::Claimed };
   StoredAnswer answer;
-  /** The table's time at which the key is forgotten. */
+  /** The table's time at which the entry is removed. */
   Duration expiry{ kNotAged };
 
   auto operator<=>(const Entry&) const = default;
 };
 
-/** @brief What a workspace or the whole table holds. */
+/** @brief Space used by one workspace or by the whole table. */
 struct Usage
 {
   std::uint64_t entries{};
+  /** Size of keys and answers, with `kEntryOverheadBytes` for each entry. */
   std::uint64_t bytes{};
 
   auto operator<=>(const Usage&) const = default;
 };
 
-/** @brief All keys; a function of the commands applied, in their order. */
+/** @brief The replicated table of keys, determined by the applied commands. */
 struct Table
 {
   Bounds bounds;
-  /** Time that has passed for the table; never more than really passed. */
+  /** Elapsed time of the table; never ahead of the real elapsed time. */
   Duration time{};
   std::map<Key, Entry> entries;
-  /** Entries in the order of their expiry. */
+  /** Keys ordered by the expiry of their entries. */
   std::set<std::pair<Duration, Key>> expiries;
   std::map<WorkspaceId, Usage> workspaces;
   Usage total;
 };
 
-/** @brief Bytes counted for an entry beside its strings. */
+/** @brief Bytes counted for an entry in addition to its strings. */
 inline constexpr std::uint64_t kEntryOverheadBytes = 512;
 
 } // namespace balsampoint::ledger
--- a/test/balsampoint/ledger/apply_test.cpp
+++ b/test/balsampoint/ledger/apply_test.cpp
@@ -141,7 +141,7 @@
   Apply(table, TimeStep{ .from = kFirst, .by = window - kFirst });
   cr_assert_not_null(Find(table, KeyOf("k")));
   Apply(table, TimeStep{ .from = kFirst, .by = window });
-  cr_assert_not_null(Find(table, KeyOf("k")), "a void step moves nothing");
+  cr_assert_not_null(Find(table, KeyOf("k")), "a stale step has no effect");
   Apply(table, TimeStep{ .from = window, .by = kFirst });
   cr_assert_null(Find(table, KeyOf("k")));
   cr_assert(table.total == Usage{});
--- a/test/balsampoint/ledger/at_most_once_fuzz_test.cpp
+++ b/test/balsampoint/ledger/at_most_once_fuzz_test.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kHosts = 3;
 
-/** @brief The oracle: how many requests there are; the rest is promises. */
+/** @brief Model state; all checks are invariants of `LedgerWorld`. */
 struct Oracle
 {
   std::size_t requests{};
@@ -48,7 +48,7 @@
   }
 };
 
-/** @brief Any other event, with a choice of whom it concerns. */
+/** @brief Any other event; `choice` selects the host or message affected. */
 struct Event : Step
 {
   unsigned kind = *rc::gen::inRange(0U, 15U);
--- a/test/balsampoint/ledger/module_test.cpp
+++ b/test/balsampoint/ledger/module_test.cpp
@@ -80,7 +80,7 @@
   cr_assert_eq(decided->ticket, Ticket{ 5 });
   cr_assert(std::holds_alternative<Granted>(decided->outcome));
   entry.On(Received{ kSecond, told.message });
-  cr_assert(entry.actions.empty(), "a repeated answer changes nothing");
+  cr_assert(entry.actions.empty(), "a duplicate reply has no effect");
 }
 
 Test(module, silent_member_is_followed_by_the_next_until_time_is_up)
--- a/test/fake/ledger_world.hpp
+++ b/test/fake/ledger_world.hpp
@@ -12,7 +12,7 @@
 
 namespace balsampoint::fake {
 
-/** @brief What becomes of a proposal to the control group. */
+/** @brief Fate of a proposal to the control group. */
 enum class Delivery : std::uint8_t
 {
   Answered,
@@ -21,20 +21,21 @@
   Lost,
 };
 
-/** @brief What becomes of a call at the backend server. */
+/** @brief Fate of a call at the backend server. */
 enum class ServerFate : std::uint8_t
 {
   Answers,
   ConnectionRefused,
   ResetBeforeRun,
   ResetAfterRun,
-  /** The entry host gives up; the server runs the call later. */
+  /** The connection is reset; the server executes the call later. */
   RunsLate,
 };
 
 /**
- * @brief Entry hosts, the control group's table and a backend server whose
- * order of events a test chooses; checks at-most-once as it goes.
+ * @brief Simulates entry hosts, the table of the control group and a backend
+ * server. A test chooses the order of events; at-most-once execution is
+ * checked after each.
  */
 class LedgerWorld
 {
@@ -44,18 +45,18 @@
   {
     ledger::Key key;
     ledger::Digest digest{};
-    /** When the table granted its claim. */
+    /** When the table granted its claim; none before that. */
     std::optional<Instant> grantedAt;
     bool ran{ false };
-    /** Whether its entry host was lost. */
+    /** Whether its entry host crashed. */
     bool hostLost{ false };
     std::optional<tl::expected<ledger::StoredAnswer, Error>> reply;
   };
 
   /**
-   * @brief Makes hosts that share an empty table.
+   * @brief Creates entry hosts that share an empty table.
    * @param aHosts Number of entry hosts.
-   * @param aBounds Bounds of the table.
+   * @param aBounds Limits of the table.
    */
   LedgerWorld(std::size_t aHosts, const ledger::Bounds& aBounds)
     : mHosts(aHosts)
@@ -63,7 +64,7 @@
     mTable.bounds = aBounds;
   }
 
-  /** @brief A caller sends a request through one host. */
+  /** @brief Sends a request of a caller through one host. */
   void Submit(std::size_t aHost, unsigned aKey, unsigned aBody)
   {
     auto& host = mHosts[aHost % mHosts.size()];
@@ -90,7 +91,7 @@
     CarryOut(at, actions);
   }
 
-  /** @brief One proposal on its way is applied or lost. */
+  /** @brief Applies or drops one pending proposal. */
   void Decide(std::size_t aChoice, Delivery aDelivery)
   {
     if (mProposals.empty()) {
@@ -126,7 +127,7 @@
     }
   }
 
-  /** @brief An entry host stops waiting for a proposal that stays queued. */
+  /** @brief Lets an entry host time out on a proposal that stays pending. */
   void GiveUp(std::size_t aChoice)
   {
     if (mProposals.empty()) {
@@ -138,7 +139,7 @@
     Fail(copy);
   }
 
-  /** @brief One call that was sent ends. */
+  /** @brief Ends one call that was sent to the server. */
   void EndDispatch(std::size_t aChoice, ServerFate aFate)
   {
     if (mDispatches.empty()) {
@@ -173,7 +174,7 @@
            MakeError(ErrorKind::OutcomeUnknown, "connection reset") });
   }
 
-  /** @brief A server runs a call that its entry host no longer waits for. */
+  /** @brief Executes a call that its entry host no longer waits for. */
   void RunLate(std::size_t aChoice)
   {
     if (mLateRuns.empty()) {
@@ -185,7 +186,7 @@
     Run(at);
   }
 
-  /** @brief An entry host restarts and forgets its calls. */
+  /** @brief Restarts an entry host, which loses its calls. */
   void Crash(std::size_t aHost)
   {
     auto& host = mHosts[aHost % mHosts.size()];
@@ -204,7 +205,7 @@
     host.seen = mTable.time;
   }
 
-  /** @brief Time passes; one host proposes to move the table's time. */
+  /** @brief Advances the clock and lets one host propose a time step. */
   void PassTime(std::size_t aHost, Duration aBy)
   {
     mNow += aBy;
@@ -218,7 +219,7 @@
     Wake();
   }
 
-  /** @brief All that is on its way arrives, without further faults. */
+  /** @brief Delivers everything pending, without further faults. */
   void Settle()
   {
     constexpr Duration kStep = std::chrono::seconds{ 1 };
@@ -236,7 +237,7 @@
     }
   }
 
-  /** @brief What went wrong so far; empty when every promise was kept. */
+  /** @brief Violated invariants so far; empty if there are none. */
   [[nodiscard]] const std::vector<std::string>& Violations() const
   {
     return mViolations;
@@ -248,15 +249,16 @@
     return mRequests;
   }
 
-  /** @brief The table. */
+  /** @brief The replicated table. */
   [[nodiscard]] const ledger::Table& Table() const { return mTable; }
 
-  /** @brief How often the work of any key ran. */
+  /** @brief Number of executions over all keys. */
   [[nodiscard]] std::size_t Runs() const { return mRunCount; }
 
 private:
   static constexpr Duration kPatience = std::chrono::seconds{ 30 };
-  /** A call that has not run by then never does; less than the window. */
+  /** Time after its grant when a call can no longer be executed; less than the
+   * retention of keys. */
   static constexpr Duration kLongestRun = std::chrono::minutes{ 10 };
 
   struct Host
@@ -270,7 +272,7 @@
   struct Proposal
   {
     ledger::Command command;
-    /** The request that waits for the outcome. */
+    /** Index of the request that waits for the outcome; none if none does. */
     std::optional<std::size_t> request;
   };
 
@@ -368,7 +370,7 @@
     }
   }
 
-  /** @brief Runs the work, unless it is too late for that. */
+  /** @brief Executes a call unless `kLongestRun` has passed since its grant. */
   bool Run(std::size_t aRequest)
   {
     auto& request = mRequests[aRequest];
