Reword the comments and messages of the orders

Several briefs described the lease and the orders in figurative terms or only repeated a name. They now state times, units and the meaning of empty values; the two refusals without a lease name the lease.

--- a/src/balsampoint/orders/action.hpp
+++ b/src/balsampoint/orders/action.hpp
@@ -10,29 +10,31 @@
 
 namespace balsampoint::orders {
 
-/** @brief Hands a command to the control group. */
+/** @brief Propose a command to the control group. */
 struct Propose
 {
   Command command;
 };
 
-/** @brief Sends an order to its engine at once and closes by the limit. */
+/** @brief Send an order to its engine at once and close the exchange at the
+ * limit. */
 struct Give
 {
   Order order;
-  /** Time within which all must have ended, the engine's work included. */
+  /** Time after sending by which the order's effect must have ended. */
   Duration limit{};
 };
 
-/** @brief Answers whoever wanted an order. */
+/** @brief Report the result of a submitted order. */
 struct Finished
 {
   Ticket ticket;
+  /** Empty if the order was refused before it was sent. */
   OrderId id;
   tl::expected<Outcome, Error> result;
 };
 
-/** @brief What the orders ask their adapters to do. */
+/** @brief Actions that the daemon performs for the module. */
 using Action = std::variant<Propose, Give, Finished>;
 
 } // namespace balsampoint::orders
--- a/src/balsampoint/orders/command/apply.hpp
+++ b/src/balsampoint/orders/command/apply.hpp
@@ -5,10 +5,11 @@
 namespace balsampoint::orders {
 
 /**
- * @brief Applies a replicated command; every host comes to the same result.
- * @param aTable The table; unchanged when the command comes too late.
+ * @brief Applies a replicated command. Deterministic: every host gets the same
+ * result.
+ * @param aTable Table to change; unchanged if the command is stale.
  * @param aCommand The command.
- * @return Whether it changed the table.
+ * @return Whether the table changed.
  */
 bool
 Apply(Table& aTable, const Command& aCommand);
--- a/src/balsampoint/orders/command/follow_lease.cpp
+++ b/src/balsampoint/orders/command/follow_lease.cpp
@@ -16,7 +16,7 @@
          aTable.incarnation == aState.settings.incarnation;
 }
 
-/** The wait after a holder that may still have orders under way. */
+/** Time from which orders of the previous holder can have no more effect. */
 Instant
 QuietUntil(const State& aState, const Table& aBefore)
 {
--- a/src/balsampoint/orders/command/follow_lease.hpp
+++ b/src/balsampoint/orders/command/follow_lease.hpp
@@ -9,28 +9,30 @@
 namespace balsampoint::orders {
 
 /**
- * @brief Takes in a command that the control group applied.
- * @param aState The orders.
+ * @brief Handles a committed command: starts, extends or ends this host's
+ * lease.
+ * @param aState State to change.
  * @param aApplied The command.
- * @param aNow The time.
+ * @param aNow The current time.
  */
 void
 TakeApplied(State& aState, const Applied& aApplied, Instant aNow);
 
 /**
- * @brief Takes in a snapshot of the table; all waits start again.
- * @param aState The orders.
+ * @brief Handles a snapshot of the table. The wait before the next request for
+ * the lease starts again.
+ * @param aState State to change.
  * @param aRestored The snapshot.
- * @param aNow The time.
+ * @param aNow The current time.
  */
 void
 TakeRestored(State& aState, const Restored& aRestored, Instant aNow);
 
 /**
- * @brief Asks for, renews, gives up or ends the lease when that is due.
- * @param aState The orders.
- * @param aNow The time.
- * @param aActions Receives the proposals.
+ * @brief Requests, renews, releases or expires the lease when that is due.
+ * @param aState State to change.
+ * @param aNow The current time.
+ * @param aActions Proposals are appended here.
  */
 void
 FollowLease(State& aState, Instant aNow, std::vector<Action>& aActions);
--- a/src/balsampoint/orders/command/give.cpp
+++ b/src/balsampoint/orders/command/give.cpp
@@ -75,7 +75,8 @@
     aActions.emplace_back(
       Finished{ .ticket = order.ticket,
                 .result = Refuse(ErrorKind::ControlUnavailable,
-                                 "this host no longer gives orders") });
+                                 "this host no longer holds the lease to "
+                                 "send orders") });
   }
   aState.waiting.clear();
 }
@@ -89,10 +90,10 @@
        std::vector<Action>& aActions)
 {
   if (!aState.lease.Held() || aState.lease.end <= aNow) {
-    aActions.emplace_back(
-      Finished{ .ticket = aSubmitted.ticket,
-                .result = Refuse(ErrorKind::ControlUnavailable,
-                                 "this host does not give orders") });
+    aActions.emplace_back(Finished{
+      .ticket = aSubmitted.ticket,
+      .result = Refuse(ErrorKind::ControlUnavailable,
+                       "this host does not hold the lease to send orders") });
     return;
   }
   aState.waiting.push_back(
--- a/src/balsampoint/orders/command/give.hpp
+++ b/src/balsampoint/orders/command/give.hpp
@@ -9,11 +9,11 @@
 namespace balsampoint::orders {
 
 /**
- * @brief Queues what somebody wants an engine to do.
- * @param aState The orders.
- * @param aSubmitted The wish; refused when this host holds no lease.
- * @param aNow The time.
- * @param aActions Receives the refusal.
+ * @brief Queues an order.
+ * @param aState State to change.
+ * @param aSubmitted The request; refused if this host holds no lease.
+ * @param aNow The current time.
+ * @param aActions A refusal is appended here.
  */
 void
 Submit(State& aState,
@@ -22,10 +22,11 @@
        std::vector<Action>& aActions);
 
 /**
- * @brief Takes in an engine's answer.
- * @param aState The orders.
- * @param aAnswered The answer; without one the order stays open to its limit.
- * @param aActions Receives the result.
+ * @brief Handles an engine's answer.
+ * @param aState State to change.
+ * @param aAnswered The answer. With `Outcome::Unknown` the order stays open
+ * until its deadline.
+ * @param aActions The result is appended here.
  */
 void
 TakeAnswer(State& aState,
@@ -33,14 +34,15 @@
            std::vector<Action>& aActions);
 
 /**
- * @brief Gives the orders that may go now and ends those past their limit.
+ * @brief Sends the queued orders that may be sent now and ends the open ones
+ * past their deadline.
  *
- * An engine has at most one open order. Engines that ignore fencing numbers
- * get none before the silence after the last holder is over, and none whose
- * lease could end before it is sent.
- * @param aState The orders.
- * @param aNow The time.
- * @param aActions Receives the orders and results.
+ * An engine has at most one open order. An engine that ignores fencing numbers
+ * gets none before all orders of the previous holder must have ended. Nothing
+ * is sent after the end of the lease.
+ * @param aState State to change.
+ * @param aNow The current time.
+ * @param aActions Orders and results are appended here.
  */
 void
 GiveOrders(State& aState, Instant aNow, std::vector<Action>& aActions);
--- a/src/balsampoint/orders/event.hpp
+++ b/src/balsampoint/orders/event.hpp
@@ -7,42 +7,44 @@
 
 namespace balsampoint::orders {
 
-/** @brief This host shall try to hold the lease, or shall give it up. */
+/** @brief Sets whether this host tries to hold the lease. */
 struct Candidacy
 {
+  /** True to request and renew the lease, false to release it. */
   bool wanted{ false };
 };
 
-/** @brief The control group applied a command. */
+/** @brief The control group committed a command; delivered in log order. */
 struct Applied
 {
   Command command;
 };
 
-/** @brief The table was replaced by a snapshot of the control group. */
+/** @brief A snapshot of the control group replaces the table. */
 struct Restored
 {
   Table table;
 };
 
-/** @brief Somebody wants an engine to do something; `Finished` follows. */
+/** @brief Requests an order to an engine; answered by `Finished`. */
 struct Submitted
 {
   Ticket ticket;
   ServerId server;
+  /** Whether the engine refuses orders with an old fencing number. */
   bool checksFencing{ false };
   Task task;
 };
 
-/** @brief An engine answered an order. */
+/** @brief An order was answered, or its connection broke. */
 struct Answered
 {
   OrderId id;
-  /** `Unknown` when the connection broke before an answer. */
+  /** `Unknown` if the connection broke before an answer arrived. */
   Outcome outcome{};
 };
 
-/** @brief What the orders react to. */
+/** @brief Events of the module. */
 using Event = std::variant<Candidacy, Applied, Restored, Submitted, Answered>;
 
 } // namespace balsampoint::orders
--- a/src/balsampoint/orders/fwd.hpp
+++ b/src/balsampoint/orders/fwd.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** @brief Orders to model engines, given by one leaseholder at a time. */
+/** @brief Orders to model engines, sent by one lease holder at a time. */
 namespace balsampoint::orders {
 
 struct Module;
--- a/src/balsampoint/orders/internal/bounds.hpp
+++ b/src/balsampoint/orders/internal/bounds.hpp
@@ -4,12 +4,13 @@
 
 namespace balsampoint::orders::internal {
 
-/** @brief Parts of a million in one. */
+/** @brief Denominator of parts per million. */
 inline constexpr std::int64_t kPpm = 1'000'000;
 
 /**
- * @brief How long a holder gives orders, by its own clock from its asking.
- * @param aSettings The times.
+ * @brief How long a holder may send orders, on its own clock, from its request
+ * for the lease. Shorter than the lease by the largest clock error.
+ * @param aSettings Lease length and clock error.
  */
 [[nodiscard]] constexpr Duration
 HolderTime(const Settings& aSettings)
@@ -18,8 +19,9 @@
 }
 
 /**
- * @brief How long another host waits before it asks for the lease.
- * @param aSettings The times.
+ * @brief How long another host waits, on its own clock, before it requests the
+ * lease. Longer than the lease by the largest clock error.
+ * @param aSettings Lease length and clock error.
  */
 [[nodiscard]] constexpr Duration
 LeaseWait(const Settings& aSettings)
@@ -28,8 +30,10 @@
 }
 
 /**
- * @brief How long a new holder is silent towards engines that ignore numbers.
- * @param aSettings The times.
+ * @brief How long a new holder sends no orders to engines that ignore fencing
+ * numbers. Covers the previous lease and the longest order sent under it, with
+ * the largest clock error of both hosts.
+ * @param aSettings Lease length, order limit and clock error.
  */
 [[nodiscard]] constexpr Duration
 QuietTime(const Settings& aSettings)
--- a/src/balsampoint/orders/module.hpp
+++ b/src/balsampoint/orders/module.hpp
@@ -9,7 +9,7 @@
 
 namespace balsampoint::orders {
 
-/** @brief The orders as the control thread runs it. */
+/** @brief The module that the control thread runs. */
 struct Module
 {
   using State = orders::State;
@@ -17,11 +17,11 @@
   using Action = orders::Action;
 
   /**
-   * @brief Takes in one event.
-   * @param aState The orders.
+   * @brief Handles one event.
+   * @param aState State to change.
    * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives what is to be done.
+   * @param aNow The current time.
+   * @param aActions Actions are appended here.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -29,17 +29,17 @@
                      std::vector<Action>& aActions);
 
   /**
-   * @brief Does what is due by time.
-   * @param aState The orders.
-   * @param aNow The time.
-   * @param aActions Receives what is to be done.
+   * @brief Updates the lease, sends queued orders and ends overdue ones.
+   * @param aState State to change.
+   * @param aNow The current time.
+   * @param aActions Actions are appended here.
    */
   static void Tick(State& aState, Instant aNow, std::vector<Action>& aActions);
 
   /**
-   * @brief Tells when the next `Tick` is due.
-   * @param aState The orders.
-   * @return The time, or `kNever`.
+   * @brief Returns when `Tick` must be called next.
+   * @param aState State to read.
+   * @return The time, or `kNever` if nothing is scheduled.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/orders/order.hpp
+++ b/src/balsampoint/orders/order.hpp
@@ -10,7 +10,7 @@
 
 namespace balsampoint::orders {
 
-/** @brief Makes an engine hold a range of a model's layers. */
+/** @brief Loads a range of a model's layers. */
 struct LoadModel
 {
   ModelId model;
@@ -20,7 +20,7 @@
   bool operator==(const LoadModel&) const = default;
 };
 
-/** @brief Makes an engine hold an adapter of a model that it holds. */
+/** @brief Loads an adapter for a model that the engine has loaded. */
 struct LoadAdapter
 {
   ModelId model;
@@ -30,7 +30,7 @@
   bool operator==(const LoadAdapter&) const = default;
 };
 
-/** @brief Makes an engine drop a model version. */
+/** @brief Unloads a model version. */
 struct Unload
 {
   ModelId model;
@@ -39,7 +39,7 @@
   bool operator==(const Unload&) const = default;
 };
 
-/** @brief Makes an engine hold another range of a version that it holds. */
+/** @brief Changes the layer range of a model version that is loaded. */
 struct ChangeLayers
 {
   ModelId model;
@@ -49,7 +49,7 @@
   bool operator==(const ChangeLayers&) const = default;
 };
 
-/** @brief What engines serve. */
+/** @brief Part of the inference that an engine serves. */
 enum class Role : std::uint8_t
 {
   Mixed,
@@ -57,7 +57,7 @@
   Decode,
 };
 
-/** @brief Makes an engine serve another part of the work. */
+/** @brief Changes the role of an engine. */
 struct ChangeRole
 {
   Role role{};
@@ -65,26 +65,27 @@
   bool operator==(const ChangeRole&) const = default;
 };
 
-/** @brief What an engine is told to do. */
+/** @brief Task of an order. */
 using Task =
   std::variant<LoadModel, LoadAdapter, Unload, ChangeLayers, ChangeRole>;
 
-/** @brief One order as it goes to an engine. */
+/** @brief One order to an engine. */
 struct Order
 {
   OrderId id;
+  /** Fencing number of the lease under which it is sent. */
   FencingNumber fencing;
   ServerId server;
   Task task;
 };
 
-/** @brief How an order ended. */
+/** @brief Result of an order. */
 enum class Outcome : std::uint8_t
 {
   Done,
   /** The engine refused it and did nothing. */
   Refused,
-  /** No answer came before every effect must have ended. */
+  /** No answer arrived before the order's deadline. */
   Unknown,
 };
 
--- a/src/balsampoint/orders/query/next_deadline.hpp
+++ b/src/balsampoint/orders/query/next_deadline.hpp
@@ -5,9 +5,9 @@
 namespace balsampoint::orders {
 
 /**
- * @brief Tells when the orders next have something to do by themselves.
- * @param aState The orders.
- * @return The time, or `kNever`.
+ * @brief Returns when the module's next timer is due.
+ * @param aState State to read.
+ * @return The time, or `kNever` if nothing is scheduled.
  */
 [[nodiscard]] Instant
 NextDeadline(const State& aState);
--- a/src/balsampoint/orders/settings.hpp
+++ b/src/balsampoint/orders/settings.hpp
@@ -10,22 +10,24 @@
 
 namespace balsampoint::orders {
 
-/** @brief Times that bound when an order can take effect. */
+/** @brief Fixed values of one host. The times bound when an order can take
+ * effect. */
 struct Settings
 {
   HostId self;
   Incarnation incarnation;
   /** Length of the lease. */
   Duration lease{ std::chrono::seconds{ 10 } };
-  /** Time between two renewals. */
+  /** Interval of lease renewals. */
   Duration renewInterval{ std::chrono::seconds{ 3 } };
-  /** Longest time from the sending of an order to the end of its effect. */
+  /** Longest time from sending an order to the end of its effect. */
   Duration orderLimit{ std::chrono::seconds{ 120 } };
-  /** Largest error of a host's clock rate, in parts of a million. */
+  /** Largest error of a host's clock rate, in parts per million. */
   std::int64_t clockErrorPpm{ 1000 };
-  /** Orders that wait for an answer at most. */
+  /** Largest number of orders that wait for an answer. */
   std::size_t maxOpen{ 64 };
-  /** Time after which an unanswered proposal is made again. */
+  /** Time after which a grant or release that was not applied is proposed
+   * again. */
   Duration proposeInterval{ std::chrono::seconds{ 2 } };
 };
 
--- a/src/balsampoint/orders/state.hpp
+++ b/src/balsampoint/orders/state.hpp
@@ -14,25 +14,28 @@
 {
   Order order;
   Ticket ticket;
-  /** Whether the engine refuses old fencing numbers. */
+  /** Whether the engine refuses orders with an old fencing number. */
   bool checksFencing{ false };
-  /** Time by which its effect must have ended; `kNever` before sending. */
+  /** Time by which its effect must have ended; `kNever` before it is sent. */
   Instant deadline{ kNever };
 };
 
-/** @brief The present lease; without a number if this host holds none. */
+/** @brief The lease of this host. */
 struct Lease
 {
+  /** Fencing number of the lease; zero if this host holds none. */
   FencingNumber fencing;
-  /** From then on this host gives no order. */
+  /** Time from which this host sends no more orders. */
   Instant end{};
-  /** From then on it may order engines that ignore fencing numbers. */
+  /** Time from which engines that ignore fencing numbers may get orders. */
   Instant quietUntil{};
-  /** Number of the renewal asked last, and when it was first asked. */
+  /** Number of the renewal proposed last. */
   std::uint64_t askedRenewal{};
+  /** When that renewal was first proposed. */
   Instant askedAt{};
+  /** When the next renewal is proposed. */
   Instant renewAt{};
-  /** Whether a release is under way, after which nothing may be given. */
+  /** Whether a release was proposed; no more orders are sent after it. */
   bool releasing{ false };
 
   /** @brief Whether this host holds a lease. */
@@ -42,25 +45,31 @@
   }
 };
 
-/** @brief Orders and their lease as one host sees them. */
+/** @brief State of the module on one host; owned by the control thread. */
 struct State
 {
   Settings settings;
-  /** Whether this host wants to be the one that gives orders. */
+  /** Whether this host tries to hold the lease. */
   bool candidate{ false };
+  /** The replicated lease. */
   Table table;
-  /** When the table last changed here; `kNever` before the first look. */
+  /** When the table last changed on this host; `kNever` before the first
+   * event or tick. */
   Instant changedAt{ kNever };
   Lease lease;
-  /** When the lease was first asked for since the table changed. */
+  /** When the lease was first requested since the table changed; `kNever` if
+   * it was not. */
   Instant grantAskedAt{ kNever };
+  /** Earliest time of the next grant or release proposal; `kNever` if none is
+   * scheduled. */
   Instant proposeAt{ kNever };
-  /** Orders that wait to be given. */
+  /** Orders not sent yet, in the order of their submission. */
   std::deque<OpenOrder> waiting;
-  /** Orders given that have not ended. */
+  /** Orders sent that have not ended. */
   std::map<OrderId, OpenOrder> open;
-  /** When a waiting order may go; `kNever` if that depends on no time. */
+  /** When a queued order may be sent; `kNever` if none waits for a time. */
   Instant giveAt{ kNever };
+  /** Orders sent so far; the last part of their ids. */
   std::uint64_t ordersMade{};
 };
 
--- a/src/balsampoint/orders/table.hpp
+++ b/src/balsampoint/orders/table.hpp
@@ -8,43 +8,47 @@
 
 namespace balsampoint::orders {
 
-/** @brief The lease as every member of the control group holds it. */
+/** @brief The lease as replicated by the control group. */
 struct Table
 {
-  /** Empty when nobody holds the lease. */
+  /** Empty if no host holds the lease. */
   HostId holder;
   Incarnation incarnation;
-  /** Number of the present or last holder. */
+  /** Fencing number of the current or last lease; zero before the first. */
   FencingNumber fencing;
-  /** Renewals of the present holder. */
+  /** Renewals under this fencing number; a release adds one. */
   std::uint64_t renewals{};
 
   bool operator==(const Table&) const = default;
 };
 
-/** @brief Makes a host the holder if nothing changed since it looked. */
+/** @brief Grants the lease to a host if the table still has the fencing number
+ * and the renewals that the host saw. */
 struct Grant
 {
   HostId holder;
   Incarnation incarnation;
-  /** What the host saw before it waited. */
+  /** Fencing number in the host's table when it proposed the grant. */
   FencingNumber seenFencing;
+  /** Renewals in the host's table when it proposed the grant. */
   std::uint64_t seenRenewals{};
 
   bool operator==(const Grant&) const = default;
 };
 
-/** @brief Extends the lease of the holder with this number. */
+/** @brief Extends the lease with this fencing number. */
 struct Renew
 {
   FencingNumber fencing;
-  /** Matches the renewal to the time at which it was asked. */
+  /** Number of the renewal, one after the last. Lets the holder match it to
+   * the time at which it was proposed. */
   std::uint64_t renewal{};
 
   bool operator==(const Renew&) const = default;
 };
 
-/** @brief Ends the lease of the holder with this number; no order is open. */
+/** @brief Ends the lease with this fencing number. Proposed only while no order
+ * is open. */
 struct Release
 {
   FencingNumber fencing;
@@ -52,7 +56,7 @@
   bool operator==(const Release&) const = default;
 };
 
-/** @brief What the control group replicates. */
+/** @brief Commands that the control group replicates for this module. */
 using Command = std::variant<Grant, Renew, Release>;
 
 } // namespace balsampoint::orders
--- a/test/balsampoint/orders/module_test.cpp
+++ b/test/balsampoint/orders/module_test.cpp
@@ -13,7 +13,7 @@
 
 constexpr Instant kStart{};
 
-/** @brief One host whose proposals are applied at once. */
+/** @brief One host whose proposals are applied at once while connected. */
 struct Fixture
 {
   State state{ .settings = { .self = HostId{ "h1" },
@@ -93,7 +93,7 @@
   host.Hold();
   host.Submit("s1", true);
   host.Submit("s1", true);
-  cr_assert_eq(host.given.size(), 1, "one open order an engine");
+  cr_assert_eq(host.given.size(), 1, "one open order per engine");
   host.Tell(Answered{ host.given[0].order.id, Outcome::Refused });
   cr_assert_eq(*host.finished.at(0).result, Outcome::Refused);
   cr_assert_eq(host.given.size(), 2);
--- a/test/fake/isolated_holder.hpp
+++ b/test/fake/isolated_holder.hpp
@@ -13,29 +13,30 @@
 
 namespace balsampoint::fake {
 
-/** @brief How one run of `IsolatedHolder` went. */
+/** @brief Result of one run of `IsolatedHolder`. */
 struct IsolationResult
 {
-  /** Orders given by each host. */
+  /** Orders sent by each host. */
   std::array<std::uint64_t, 2> given{};
-  /** Effects of an old holder's orders after a newer holder gave one. */
+  /** Orders of an old holder that took effect after a newer holder sent one. */
   std::uint64_t lateEffects{};
 };
 
 /**
- * @brief Two hosts, a control group and an engine that ignores numbers.
+ * @brief Simulates two hosts, a control group and an engine that ignores
+ * fencing numbers.
  *
- * The hosts' clocks run at wrong rates, one host is cut off and may restart,
- * and orders reach the engine late. The control group is a list in the order
- * of proposals.
+ * The hosts' clocks run at wrong rates, one host is partitioned and may
+ * restart, and orders take effect late. The control group applies all
+ * proposals that reach it to both hosts, with random delays.
  */
 class IsolatedHolder
 {
 public:
   /**
    * @brief Prepares a run.
-   * @param aSeed Chooses clocks, faults and delays.
-   * @param aSettings The holders' times.
+   * @param aSeed Seed of clock rates, faults and delays.
+   * @param aSettings Settings of both hosts.
    */
   IsolatedHolder(std::uint64_t aSeed, const orders::Settings& aSettings)
     : mRandom{ aSeed }
@@ -52,15 +53,15 @@
   }
 
   /**
-   * @brief Lets an order be judged by another limit than the engine keeps.
-   * @param aLimit Longest time of an order at the engine.
+   * @brief Lets orders take longer at the engine than the hosts' `orderLimit`.
+   * @param aLimit Longest time from sending an order to its effect.
    */
   void KeepLimit(Duration aLimit) { mLimit = aLimit; }
 
   /**
-   * @brief Runs to the end.
-   * @param aLength Length of the run.
-   * @return What happened.
+   * @brief Runs the simulation.
+   * @param aLength Simulated time.
+   * @return Orders sent and late effects.
    */
   IsolationResult Run(Duration aLength)
   {
@@ -178,7 +179,8 @@
     Tell(aHost, orders::Applied{ command });
   }
 
-  /** Hands over one command; the host may be cut off again after it. */
+  /** Ends the partition of the first host. In half of the runs the host
+   * receives only one missed command and is then partitioned again. */
   void Heal()
   {
     mCut = false;
@@ -233,7 +235,7 @@
   IsolationResult mResult;
 };
 
-/** @brief Short times, so that many runs are quick. */
+/** @brief Settings with short times, so that a run simulates few seconds. */
 inline orders::Settings
 ShortOrderTimes()
 {
