Reword the comments of the fan-out

Several briefs described the distribution tree in figurative terms or only repeated a name, and one comment of the test fixture described another member. They now state what each value is, its unit and when it is empty.

--- a/src/balsampoint/fanout/command/await.hpp
+++ b/src/balsampoint/fanout/command/await.hpp
@@ -5,11 +5,12 @@
 namespace balsampoint::fanout {
 
 /**
- * @brief Asks the leader, or waits here if this host leads.
+ * @brief Sends the request to the leader, or registers it here if this host
+ * leads.
  * @param aState State to change.
- * @param aEvent The question.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aEvent The request.
+ * @param aNow The current time.
+ * @param aActions Actions are appended here.
  */
 void
 HandleAwaitInForce(State& aState,
@@ -18,12 +19,12 @@
                    Actions& aActions);
 
 /**
- * @brief Takes another host's question, if this host leads.
+ * @brief Registers a host's request; ignored if this host doesn't lead.
  * @param aState State to change.
- * @param aFrom The host.
- * @param aRequest Its question.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aFrom The host that sent the request.
+ * @param aRequest The request.
+ * @param aNow The current time.
+ * @param aActions Actions are appended here.
  */
 void
 HandleInForceRequest(State& aState,
@@ -33,10 +34,11 @@
                      Actions& aActions);
 
 /**
- * @brief Answers those who have waited long enough, or for long.
+ * @brief Answers the requests whose configuration is in force everywhere or
+ * whose wait has ended.
  * @param aState State of the leader.
- * @param aNow The time.
- * @param aActions Receives the answers.
+ * @param aNow The current time.
+ * @param aActions Answers are appended here.
  */
 void
 AnswerWaiters(State& aState, Instant aNow, Actions& aActions);
--- a/src/balsampoint/fanout/command/distribute.cpp
+++ b/src/balsampoint/fanout/command/distribute.cpp
@@ -34,7 +34,7 @@
   }
 }
 
-/** @brief What follows from a newer content, wherever it came from. */
+/** @brief Publishes the new configuration and sends it to the children. */
 void
 AfterAdvance(State& aState, Instant aNow, Actions& aActions)
 {
--- a/src/balsampoint/fanout/command/distribute.hpp
+++ b/src/balsampoint/fanout/command/distribute.hpp
@@ -5,11 +5,12 @@
 namespace balsampoint::fanout {
 
 /**
- * @brief Takes a configuration of this host's own log and passes it on.
+ * @brief Handles a configuration from this host's own log and sends it to the
+ * children.
  * @param aState State to change.
- * @param aEvent The configuration.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aEvent The configuration; ignored if it isn't newer.
+ * @param aNow The current time.
+ * @param aActions Actions are appended here.
  */
 void
 HandleAccepted(State& aState,
@@ -18,12 +19,15 @@
                Actions& aActions);
 
 /**
- * @brief Takes a step from the parent and passes it on.
+ * @brief Applies an update and sends it to the children. Requests the missing
+ * updates from the sender if the update doesn't follow this host's
+ * configuration.
  * @param aState State to change.
- * @param aFrom The sender.
- * @param aUpdate The step.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aFrom The sender: the parent, or a host that updates were requested
+ * from.
+ * @param aUpdate The update, or a heartbeat without a step.
+ * @param aNow The current time.
+ * @param aActions Actions are appended here.
  */
 void
 HandleUpdate(State& aState,
@@ -33,12 +37,13 @@
              Actions& aActions);
 
 /**
- * @brief Sends a host what it lacks.
+ * @brief Sends a host the updates that it lacks, or the whole configuration if
+ * they are no longer stored.
  * @param aState State to read.
- * @param aTo The host.
- * @param aHave Number that it has.
- * @param aNow The time.
- * @param aActions Receives the messages.
+ * @param aTo The receiver.
+ * @param aHave Number of the receiver's configuration.
+ * @param aNow The current time.
+ * @param aActions Messages are appended here.
  */
 void
 SendMissing(const State& aState,
@@ -48,10 +53,12 @@
             Actions& aActions);
 
 /**
- * @brief Puts the newest configuration in force once nothing newer is known.
+ * @brief Publishes the newest configuration. A host that isn't ready yet first
+ * waits for all control hosts or `Settings::startWait`, and until it has the
+ * newest configuration that it knows of.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the action.
+ * @param aNow The current time.
+ * @param aActions The action is appended here.
  */
 void
 PublishWhenReady(State& aState, Instant aNow, Actions& aActions);
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -18,7 +18,7 @@
          aNow - aKnown.heardAt <= aState.settings.silence;
 }
 
-/** @brief How many live hosts of a zone each of its live relays feeds. */
+/** @brief Number of live hosts that each live relay of a zone serves. */
 std::map<HostId, std::size_t>
 RelaysOf(const State& aState, const ZoneId& aZone, Instant aNow)
 {
@@ -37,8 +37,9 @@
 }
 
 /**
- * @brief The relay with the fewest hosts for a host that joins; empty when the
- * host is to be a relay itself. A host that asks again has lost its old relay.
+ * @brief Picks the relay with the fewest hosts for a joining host. A relay is
+ * not assigned again to a host that joins again, because the host has lost it.
+ * @return The relay, or empty if the host becomes a relay itself.
  */
 HostId
 ChooseRelay(const State& aState, const HostReport& aHost, Instant aNow)
@@ -61,7 +62,9 @@
   return best;
 }
 
-/** @brief Hosts of a zone without a relay become relays of the leader's. */
+/** @brief Picks the parent of a joining host and records the host. The leader
+ * is the parent of hosts that become relays. A control host that doesn't
+ * lead picks itself if it knows no leader, and none otherwise. */
 HostId
 ChooseParent(State& aState, const HostReport& aHost, Instant aNow)
 {
@@ -80,8 +83,9 @@
 }
 
 /**
- * @brief Notes how far a control host's answer can be relied on: the leader's
- * stands for all, one that knows no leader may be behind.
+ * @brief Records which control hosts have answered. The leader's answer counts
+ * for all control hosts. The answer of a host that knows no leader doesn't
+ * count, because that host may be behind.
  */
 void
 NoteAnswer(State& aState, const HostId& aFrom, const JoinReply& aReply)
--- a/src/balsampoint/fanout/command/join.hpp
+++ b/src/balsampoint/fanout/command/join.hpp
@@ -5,21 +5,22 @@
 namespace balsampoint::fanout {
 
 /**
- * @brief Asks all control hosts for a parent when there is none that lives.
+ * @brief Sends join requests to all control hosts if this host isn't ready or
+ * has lost its parent or the leader.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the messages.
+ * @param aNow The current time.
+ * @param aActions Messages are appended here.
  */
 void
 JoinWhenLost(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Gives a host a parent, as a control host.
- * @param aState State to change.
- * @param aFrom The host.
- * @param aRequest Its request.
- * @param aNow The time.
- * @param aActions Receives the reply.
+ * @brief Answers a join request with a parent and the newest known number.
+ * @param aState State of a control host.
+ * @param aFrom The joining host.
+ * @param aRequest The request; ignored if it names another host.
+ * @param aNow The current time.
+ * @param aActions The reply is appended here.
  */
 void
 HandleJoinRequest(State& aState,
@@ -29,12 +30,13 @@
                   Actions& aActions);
 
 /**
- * @brief Takes a parent and learns how old the own configuration is.
+ * @brief Handles a join reply: adopts the parent if the current one is lost,
+ * and requests a newer configuration if the control host has one.
  * @param aState State to change.
  * @param aFrom The control host.
- * @param aReply Its reply.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aReply The reply.
+ * @param aNow The current time.
+ * @param aActions Actions are appended here.
  */
 void
 HandleJoinReply(State& aState,
@@ -44,28 +46,30 @@
                 Actions& aActions);
 
 /**
- * @brief Starts or ends this host's part as the root of the fan-out.
+ * @brief Handles a change of leader; this host becomes or stops being the root
+ * of the tree.
  * @param aState State to change.
  * @param aEvent The leader.
- * @param aNow The time.
+ * @param aNow The current time.
  */
 void
 HandleLeaderKnown(State& aState, const LeaderKnown& aEvent, Instant aNow);
 
 /**
- * @brief Notes that a host has a newer configuration, to ask for it if the tree
- * doesn't bring it.
+ * @brief Records that a host has a newer configuration. It is fetched from that
+ * host if the tree doesn't deliver it within `Settings::fetchWait`.
  * @param aState State to change.
- * @param aEvent What was heard.
- * @param aNow The time.
+ * @param aEvent The host and its number.
+ * @param aNow The current time.
  */
 void
 HandleNumberHeard(State& aState, const NumberHeard& aEvent, Instant aNow);
 
 /**
- * @brief Asks a host for the newer configuration it has told of.
+ * @brief Requests a newer configuration from the host recorded in
+ * `State::newer`, if it is still needed.
  * @param aState State to change.
- * @param aActions Receives the message.
+ * @param aActions The message is appended here.
  */
 void
 FetchNewer(State& aState, Actions& aActions);
--- a/src/balsampoint/fanout/command/report.cpp
+++ b/src/balsampoint/fanout/command/report.cpp
@@ -21,9 +21,9 @@
 }
 
 /**
- * @brief Takes a report that may have been overtaken by a newer one; within one
- * life of a host the number in force never falls.
- * @return Whether anything changed.
+ * @brief Merges a report that may be older than the known one. Within one
+ * incarnation of a host the number in force never decreases.
+ * @return Whether the known report changed.
  */
 bool
 Merge(HostReport& aKnown, HostReport aNews)
@@ -56,7 +56,8 @@
   }
 }
 
-/** @brief Hosts that a relay does not name are as they were. */
+/** @brief Refreshes the hosts behind a relay: a report omits those that have
+ * not changed. */
 void
 NoteRelayAlive(State& aState, const HostId& aRelay, Instant aNow)
 {
@@ -67,7 +68,8 @@
   }
 }
 
-/** @brief Keeps what a child reports of hosts below it, to pass it on. */
+/** @brief Records what a child reports of the hosts below it, for the next
+ * report to the parent. */
 void
 NoteBelow(State& aState,
           const HostId& aFrom,
@@ -103,7 +105,8 @@
   });
 }
 
-/** @brief Drops silent children that were reported, and marks the others. */
+/** @brief Marks children as unreachable after `Settings::silence`, and removes
+ * them once that was reported to the parent. */
 void
 DropSilent(State& aState, Instant aNow)
 {
--- a/src/balsampoint/fanout/command/report.hpp
+++ b/src/balsampoint/fanout/command/report.hpp
@@ -5,21 +5,22 @@
 namespace balsampoint::fanout {
 
 /**
- * @brief Reports this host and what changed below it to the parent.
+ * @brief Reports this host and the changed hosts below it to the parent; all
+ * hosts below it if a full report is due. The leader updates its directory.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the message.
+ * @param aNow The current time.
+ * @param aActions The message is appended here.
  */
 void
 SendReport(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Notes what a child reports and sends it what it lacks.
+ * @brief Records the report of a child and sends it the updates that it lacks.
  * @param aState State to change.
  * @param aFrom The child.
- * @param aReport Its report.
- * @param aNow The time.
- * @param aActions Receives the actions.
+ * @param aReport The report; ignored if its first host isn't the child.
+ * @param aNow The current time.
+ * @param aActions Actions are appended here.
  */
 void
 HandleReport(State& aState,
@@ -29,10 +30,11 @@
              Actions& aActions);
 
 /**
- * @brief Sends the children heartbeats and drops those that left.
+ * @brief Sends heartbeats to the children and a report to the parent, and
+ * removes lost hosts.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the messages.
+ * @param aNow The current time.
+ * @param aActions Messages are appended here.
  */
 void
 Beat(State& aState, Instant aNow, Actions& aActions);
--- a/src/balsampoint/fanout/fwd.hpp
+++ b/src/balsampoint/fanout/fwd.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 /**
- * @brief Brings accepted configurations to all hosts and tells who has them.
+ * @brief Distributes accepted configurations to all hosts and tracks which
+ * hosts have them in force.
  *
- * The leader of the control group feeds one relay or a few in each zone, and a
- * relay feeds the hosts of its zone. Reports of the number in force go the
- * other way, gathered by the relays.
+ * The leader of the control group is the root of the distribution tree. It
+ * sends updates to one or a few relays in each zone, and a relay sends them to
+ * the hosts of its zone. Relays aggregate the hosts' reports of the number in
+ * force and send them to the leader.
  */
 namespace balsampoint::fanout {
 
--- a/src/balsampoint/fanout/in_force.hpp
+++ b/src/balsampoint/fanout/in_force.hpp
@@ -7,28 +7,30 @@
 
 namespace balsampoint::fanout {
 
-/** @brief One host and the configuration it has in force. */
+/** @brief One host with the configuration that it has in force. */
 struct HostInForce
 {
   HostReport report;
   bool reachable{ false };
-  /** Time since it was last heard of. */
+  /** Time since the last contact with the host. */
   Duration silence{};
 };
 
-/** @brief Which hosts have which configuration in force. */
+/** @brief The configurations in force on all hosts, as one host knows them. */
 struct InForce
 {
-  /** Newest accepted configuration that the asked host knows. */
+  /** Newest accepted configuration that the describing host knows of. */
   ChangeNumber number;
-  /** Whether the asked host leads for long enough to have heard of all. */
+  /** Whether the describing host has led for long enough to have received a
+   * report of every reachable host. */
   bool complete{ false };
-  /** All hosts in the order of their ids. */
+  /** Known hosts, ordered by id. */
   std::vector<HostInForce> hosts;
 
   /**
-   * @brief Whether every reachable host has a configuration in force.
-   * @param aNumber Its number.
+   * @brief Whether every reachable host has a configuration or a newer one in
+   * force; false if the list isn't complete.
+   * @param aNumber Number of the configuration.
    */
   [[nodiscard]] bool Everywhere(ChangeNumber aNumber) const;
 };
--- a/src/balsampoint/fanout/internal/in_force.hpp
+++ b/src/balsampoint/fanout/internal/in_force.hpp
@@ -6,10 +6,10 @@
 namespace balsampoint::fanout::internal {
 
 /**
- * @brief Lists the hosts and what they have in force.
- * @param aState State of the leader; other hosts know only themselves.
- * @param aNow The time.
- * @return The list.
+ * @brief Describes the configurations in force on the hosts of the directory.
+ * @param aState State of the leader; the directory is empty on other hosts.
+ * @param aNow The current time.
+ * @return The description.
  */
 [[nodiscard]] InForce
 Describe(const State& aState, Instant aNow);
--- a/src/balsampoint/fanout/internal/root.hpp
+++ b/src/balsampoint/fanout/internal/root.hpp
@@ -12,9 +12,9 @@
 }
 
 /**
- * @brief How old the news is that the leader lives.
+ * @brief Time since the last sign of life of the leader; zero on the leader.
  * @param aState State to read.
- * @param aNow The time.
+ * @param aNow The current time.
  */
 [[nodiscard]] inline Duration
 RootAge(const State& aState, Instant aNow)
@@ -23,9 +23,9 @@
 }
 
 /**
- * @brief Whether there is no parent that lives.
+ * @brief Whether there is no parent, or none that is reachable.
  * @param aState State to read.
- * @param aNow The time.
+ * @param aNow The current time.
  */
 [[nodiscard]] inline bool
 ParentIsLost(const State& aState, Instant aNow)
@@ -35,9 +35,10 @@
 }
 
 /**
- * @brief Whether the parent lives but is cut off from the leader.
+ * @brief Whether the last sign of life of the leader is too old, even if the
+ * parent is reachable.
  * @param aState State to read.
- * @param aNow The time.
+ * @param aNow The current time.
  */
 [[nodiscard]] inline bool
 RootIsLost(const State& aState, Instant aNow)
--- a/src/balsampoint/fanout/message.hpp
+++ b/src/balsampoint/fanout/message.hpp
@@ -9,26 +9,28 @@
 
 namespace balsampoint::fanout {
 
-/** @brief Which host has which configuration in force. */
+/** @brief A host with its address and the configuration it has in force. */
 struct HostReport
 {
   HostId host;
   Incarnation incarnation;
   ZoneId zone;
-  /** IP number and port for other hosts. */
+  /** IP address and port that other hosts connect to. */
   std::string address;
-  /** Whether it could become a voter. */
+  /** Whether it has a disk and can become a voter. */
   bool hasDisk{ false };
-  /** Whether its relay hears it. */
+  /** Whether its relay has received a report of it recently. */
   bool reachable{ true };
+  /** Number of the configuration in force. */
   ChangeNumber number;
 
   bool operator==(const HostReport&) const = default;
 };
 
-/** @brief Asks a control host for a parent and for the newest number. */
+/** @brief Requests a parent and the newest number from a control host. */
 struct JoinRequest
 {
+  /** The joining host, which is the sender. */
   HostReport host;
 
   bool operator==(const JoinRequest&) const = default;
@@ -37,10 +39,12 @@
 /** @brief Answers a `JoinRequest`. */
 struct JoinReply
 {
-  /** Newest configuration that the control host has. */
+  /** Newest configuration that the control host knows of. */
   ChangeNumber number;
-  /** Host that will feed the asking one; empty for none known. */
+  /** Host that sends updates to the joining host; empty if the control host
+   * knows another leader, which assigns one. */
   HostId parent;
+  /** IP address and port of the parent. */
   std::string parentAddress;
   /** Whether the control host leads the group. */
   bool leads{ false };
@@ -48,45 +52,51 @@
   bool operator==(const JoinReply&) const = default;
 };
 
-/** @brief Reports a host and the hosts it feeds; also proves them alive. */
+/** @brief Reports a host and the hosts below it to its parent; also serves as a
+ * sign of life. */
 struct Report
 {
-  /** The sender itself first, then what changed below it, or everything. */
+  /** The sender itself first, then the changed hosts below it, or all of them
+   * in a full report. */
   std::vector<HostReport> hosts;
 
   bool operator==(const Report&) const = default;
 };
 
-/** @brief Asks for everything after a number. */
+/** @brief Requests all updates after a number. */
 struct Fetch
 {
+  /** Number of the sender's configuration. */
   ChangeNumber have;
 
   bool operator==(const Fetch&) const = default;
 };
 
-/** @brief One step to a newer configuration, or a heartbeat without a step. */
+/** @brief A step to a newer configuration, or a heartbeat without a step. */
 struct Update
 {
+  /** Number of the configuration that the delta applies to. */
   ChangeNumber base;
   /** Number after the step; equal to `base` in a heartbeat. */
   ChangeNumber number;
+  /** Whether the delta holds the whole configuration; `base` is unused. */
   bool whole{ false };
   change::Delta delta;
-  /** Leader of the control group; empty if not known. */
+  /** Leader of the control group; empty if unknown. */
   HostId leader;
-  /** Time since the leader was heard of at the root of the tree. */
+  /** Time since the last sign of life of the leader. */
   Duration rootAge{};
 
   bool operator==(const Update&) const = default;
 };
 
-/** @brief Asks the leader to say when all reachable hosts have a number. */
+/** @brief Requests a reply of the leader once all reachable hosts have a
+ * configuration in force. */
 struct InForceRequest
 {
   Ticket ticket;
   ChangeNumber number;
-  /** Time after which it answers anyway. */
+  /** Time after which the leader replies in any case. */
   Duration wait{};
 
   bool operator==(const InForceRequest&) const = default;
@@ -96,13 +106,13 @@
 struct InForceReply
 {
   Ticket ticket;
-  /** All hosts with what they have in force. */
+  /** All known hosts with the configurations they have in force. */
   std::vector<HostReport> hosts;
 
   bool operator==(const InForceReply&) const = default;
 };
 
-/** @brief Everything that hosts send to one another for the fan-out. */
+/** @brief Messages that hosts exchange for this module. */
 using Message = std::variant<JoinRequest,
                              JoinReply,
                              Report,
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-/** @brief Hands each kind of event and message to its command. */
+/** @brief Calls the command for each type of event and message. */
 struct Dispatch
 {
   State& state;
--- a/src/balsampoint/fanout/module.hpp
+++ b/src/balsampoint/fanout/module.hpp
@@ -4,7 +4,7 @@
 
 namespace balsampoint::fanout {
 
-/** @brief The module as the control thread runs it. */
+/** @brief The module that the control thread runs. */
 struct Module
 {
   using State = fanout::State;
@@ -12,19 +12,19 @@
   using Action = fanout::Action;
 
   /**
-   * @brief Starts a host; it joins at its first tick.
+   * @brief Creates the state of a host, which joins the tree at its first tick.
    * @param aSettings Fixed values of the host.
-   * @param aNow The time.
+   * @param aNow The current time.
    * @return The state.
    */
   [[nodiscard]] static State Start(Settings aSettings, Instant aNow);
 
   /**
-   * @brief Reacts to one event.
+   * @brief Handles one event.
    * @param aState State to change.
    * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aNow The current time.
+   * @param aActions Actions are appended here.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -32,17 +32,18 @@
                      Actions& aActions);
 
   /**
-   * @brief Does what has become due.
+   * @brief Runs the timers that are due: joins, fetches, sends heartbeats and
+   * reports.
    * @param aState State to change.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aNow The current time.
+   * @param aActions Actions are appended here.
    */
   static void Tick(State& aState, Instant aNow, Actions& aActions);
 
   /**
-   * @brief Tells when `Tick` is due.
+   * @brief Returns when `Tick` must be called next.
    * @param aState State to read.
-   * @return The time; `kNever` for none.
+   * @return The time, or `kNever` if nothing is scheduled.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/fanout/query/next_deadline.hpp
+++ b/src/balsampoint/fanout/query/next_deadline.hpp
@@ -5,9 +5,9 @@
 namespace balsampoint::fanout {
 
 /**
- * @brief Tells when the host has something to do of its own accord.
+ * @brief Returns when the module's next timer is due.
  * @param aState State to read.
- * @return The time; `kNever` for none.
+ * @return The time, or `kNever` if nothing is scheduled.
  */
 [[nodiscard]] Instant
 NextDeadline(const State& aState);
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -17,40 +17,45 @@
 /** @brief Fixed values of one host. */
 struct Settings
 {
-  /** This host; its number is filled in from the state. */
+  /** This host; its number is taken from `State::inForce` when it is sent. */
   HostReport self;
-  /** Control hosts to join through. */
+  /** Control hosts that join requests are sent to. */
   std::vector<HostId> seeds;
-  /** Time between heartbeats and between reports. */
+  /** Interval of heartbeats and reports. */
   Duration interval{ std::chrono::seconds{ 1 } };
-  /** Silence after which a host counts as out of reach. */
+  /** Time without contact after which a host counts as unreachable. */
   Duration silence{ std::chrono::milliseconds{ 3000 } };
-  /** Age of the news of the leader after which another parent is sought. */
+  /** Age of the last sign of life of the leader after which a host joins
+   * again. */
   Duration rootSilence{ std::chrono::seconds{ 5 } };
-  /** Time between requests to join; eight times as long once ready. */
+  /** Interval of join requests; eight times as long once ready. */
   Duration joinRetry{ std::chrono::milliseconds{ 250 } };
-  /** Time that a starting host waits for all control hosts to answer. */
+  /** Longest time that a starting host waits for all control hosts to answer.
+   */
   Duration startWait{ std::chrono::seconds{ 2 } };
-  /** Time that the tree has to bring a configuration heard of elsewhere. */
+  /** Delay before a configuration that another host advertised is fetched from
+   * it, in which the tree can deliver it. */
   Duration fetchWait{ std::chrono::milliseconds{ 300 } };
-  /** Time between full reports. */
+  /** Interval of full reports. */
   Duration fullReport{ std::chrono::seconds{ 10 } };
-  /** Time after which the leader forgets a host out of reach. */
+  /** Time without contact after which the leader removes a host from its
+   * directory. */
   Duration forget{ std::chrono::minutes{ 10 } };
-  /** Hosts that one relay feeds at most. */
+  /** Largest number of hosts that one relay serves. */
   std::size_t hostsPerRelay{ 32 };
-  /** Steps kept for hosts a little behind. */
+  /** Number of recent steps stored; a host further behind gets the whole
+   * configuration. */
   std::size_t keptSteps{ 64 };
 };
 
-/** @brief A configuration with its number. */
+/** @brief A numbered configuration. */
 struct Content
 {
   ChangeNumber number;
   change::SharedSections sections{ std::make_shared<const change::Sections>() };
 };
 
-/** @brief A step kept for hosts a little behind. */
+/** @brief A recent step, stored for hosts that are a few steps behind. */
 struct Step
 {
   ChangeNumber base;
@@ -58,74 +63,88 @@
   change::Delta delta;
 };
 
-/** @brief A host that this one feeds. */
+/** @brief A host below this one in the tree. */
 struct Child
 {
   HostReport report;
-  /** The child that reports it; empty for a host fed directly. */
+  /** The child that reports it; empty for a direct child. */
   HostId via;
+  /** When it was last reported. */
   Instant heardAt{};
   /** Newest number sent to it. */
   ChangeNumber sent;
+  /** When that number was sent. */
   Instant sentAt{};
-  /** Whether its report goes into the next one upwards. */
+  /** Whether its report is included in the next report to the parent. */
   bool changed{ true };
 };
 
-/** @brief A host as the leader knows it. */
+/** @brief A host in the leader's directory. */
 struct Known
 {
   HostReport report;
   /** The relay that reports it; the host itself for a relay. */
   HostId relay;
+  /** When it was last reported. */
   Instant heardAt{};
 };
 
-/** @brief Somebody who waits until all reachable hosts have a number. */
+/** @brief A pending `InForceRequest`. */
 struct InForceWaiter
 {
+  /** Host that sent the request. */
   HostId origin;
   Ticket ticket;
   ChangeNumber number;
   Instant deadline{};
 };
 
-/** @brief A host that has a newer configuration than this one. */
+/** @brief A host that advertised a newer configuration than this host has. */
 struct NewerHost
 {
   HostId host;
   ChangeNumber number;
-  /** When it is asked for it, unless it has come by then. */
+  /** When the configuration is fetched, unless it has arrived by then. */
   Instant askAt{ kNever };
 };
 
-/** @brief State of one host; the control thread owns it. */
+/** @brief State of the module on one host; owned by the control thread. */
 struct State
 {
   Settings settings;
+  /** Newest configuration that this host has. */
   Content content;
+  /** Recent steps, oldest first, at most `Settings::keptSteps`. */
   std::deque<Step> steps;
-  /** Newest number that this host has heard of. */
+  /** Newest number that this host knows of. */
   ChangeNumber seen;
-  /** The configuration that the daemon has put in force. */
+  /** Number of the configuration that the daemon has put in force. */
   ChangeNumber inForce;
+  /** Leader of the control group; empty if unknown. */
   HostId leader;
-  /** Since when this host leads; `kNever` if it does not. */
+  /** When this host became leader; `kNever` if it doesn't lead. */
   Instant leadingSince{ kNever };
+  /** Host that sends updates to this one; empty if none is assigned. */
   HostId parent;
+  /** When the last update of the parent was received. */
   Instant parentHeardAt{};
-  /** When the leader was last alive, as the parent says. */
+  /** Last sign of life of the leader, as reported by the parent. */
   Instant rootHeardAt{};
+  /** Hosts below this one, by id. */
   std::map<HostId, Child> children;
-  /** All hosts; kept by the leader only. */
+  /** All hosts, by id; empty unless this host leads. */
   std::map<HostId, Known> directory;
+  /** Pending requests; empty unless this host leads. */
   std::vector<InForceWaiter> waiters;
+  /** Control hosts whose answers count for the start of this host. */
   std::set<HostId> answeredSeeds;
+  /** When a starting host stops waiting for control hosts; `kNever` after. */
   Instant startDeadline{ kNever };
   Instant nextJoin{ kNever };
   Instant nextBeat{ kNever };
   Instant nextFullReport{};
   NewerHost newer;
+  /** Whether this host has published its first configuration. */
   bool ready{ false };
 };
 
@@ -136,19 +155,21 @@
   Message message;
 };
 
-/** @brief A configuration was accepted, as this host's own log says. */
+/** @brief This host's log contains a newly accepted configuration. */
 struct Accepted
 {
   ChangeNumber number;
   change::SharedSections sections;
 };
 
-/** @brief The leader of the control group changed, as this host's log says. */
+/** @brief The leader of the control group changed, as known from this host's
+ * own log. */
 struct LeaderKnown
 {
+  /** The new leader; empty if there is none. */
   HostId leader;
-  /** Whether the leader has all that was committed before its term; it hands
-   * nothing on before. */
+  /** Whether the leader has applied everything committed before its term; it
+   * isn't the root of the tree before. */
   bool caughtUp{ true };
 };
 
@@ -159,25 +180,26 @@
 };
 
 /**
- * @brief Asks when all reachable hosts have a configuration in force; answered
- * by `InForceKnown`, unless no leader is known or it is lost meanwhile.
+ * @brief Requests an answer once all reachable hosts have a configuration in
+ * force. Answered by `InForceKnown`; not answered if no leader is known or the
+ * leader is lost.
  */
 struct AwaitInForce
 {
   Ticket ticket;
   ChangeNumber number;
-  /** Time after which the answer comes anyway. */
+  /** Time after which the answer is sent in any case. */
   Duration wait{};
 };
 
-/** @brief A host has told which configuration it has. */
+/** @brief A host advertised the number of its configuration. */
 struct NumberHeard
 {
   HostId host;
   ChangeNumber number;
 };
 
-/** @brief Everything that a host reacts to. */
+/** @brief Events of the module. */
 using Event = std::variant<Received,
                            Accepted,
                            LeaderKnown,
@@ -185,52 +207,55 @@
                            AwaitInForce,
                            NumberHeard>;
 
-/** @brief Hands a message to the transport. */
+/** @brief Send a message to another host. */
 struct Send
 {
   HostId to;
   Message message;
 };
 
-/** @brief Says where a host can be reached. */
+/** @brief Set the address that messages to a host are sent to. */
 struct Route
 {
   HostId host;
+  /** IP address and port. */
   std::string address;
 };
 
-/** @brief Puts a configuration in force on this host. */
+/** @brief Put a configuration in force on this host. */
 struct Publish
 {
   ChangeNumber number;
   change::SharedSections sections;
 };
 
-/** @brief Says who leads the control group, as heard from the parent. */
+/** @brief Report the leader of the control group that the parent advertised. */
 struct LeaderHeard
 {
+  /** The leader; empty if the parent knows none. */
   HostId leader;
 };
 
-/** @brief Answers `AwaitInForce`. */
+/** @brief Answer an `AwaitInForce`. */
 struct InForceKnown
 {
   Ticket ticket;
-  /** All hosts with what they have in force. */
+  /** All known hosts with the configurations they have in force. */
   std::vector<HostReport> hosts;
 };
 
-/** @brief What operators see of the hosts; comes with each heartbeat. */
+/** @brief Update the status of the hosts that operators see. Emitted at each
+ * heartbeat. */
 struct StatusReady
 {
   InForce inForce;
 };
 
-/** @brief Everything that a host asks of the daemon. */
+/** @brief Actions that the daemon performs for the module. */
 using Action =
   std::variant<Send, Route, Publish, LeaderHeard, InForceKnown, StatusReady>;
 
-/** @brief Collects what a command asks of the daemon. */
+/** @brief Actions that a command emits. */
 using Actions = std::vector<Action>;
 
 } // namespace balsampoint::fanout
--- a/test/balsampoint/fanout/tree.hpp
+++ b/test/balsampoint/fanout/tree.hpp
@@ -10,7 +10,7 @@
 
 namespace balsampoint::fanout::test {
 
-/** @brief Hosts in zones that hand configurations on, on virtual time. */
+/** @brief Simulates a distribution tree of hosts in zones, in virtual time. */
 class Tree
 {
 public:
@@ -20,9 +20,11 @@
     State state;
     std::uint64_t starts{};
     bool up{ false };
+    /** Number in force since the last start; must not decrease. */
     ChangeNumber published;
-    /** Newest number in force in any life; what may not be undercut. */
+    /** Messages sent and received. */
     std::uint64_t messages{};
+    /** Bytes of these messages; counted only if `sizeOf` is set. */
     std::uint64_t bytes{};
   };
 
@@ -30,8 +32,8 @@
    * @brief Starts hosts; the first is the leader of the control group.
    * @param aHosts Number of hosts.
    * @param aZones Number of zones; host i is in zone i modulo this.
-   * @param aSeeds Number of control hosts, the first ones.
-   * @param aSeed Chooses the faults of the network.
+   * @param aSeeds Number of control hosts, which come first.
+   * @param aSeed Seed of the network's faults.
    */
   Tree(std::size_t aHosts,
        std::size_t aZones,
@@ -78,7 +80,7 @@
 
   void Kill(const HostId& aHost) { hosts.at(aHost).up = false; }
 
-  /** @brief Makes a control host the leader for all control hosts. */
+  /** @brief Reports the leader to all control hosts. */
   void Lead(const HostId& aLeader)
   {
     for (const auto& seed : mSeeds) {
@@ -86,7 +88,7 @@
     }
   }
 
-  /** @brief The control hosts' logs accept the next configuration. */
+  /** @brief Delivers an accepted configuration to all control hosts. */
   void Accept(std::uint64_t aNumber, change::Sections aSections)
   {
     const auto sections =
@@ -114,7 +116,8 @@
     }
   }
 
-  /** @brief Time until a condition holds; `Duration::max()` past the limit. */
+  /** @brief Runs until a condition holds and returns the time that took;
+   * `Duration::max()` if it doesn't hold within the limit. */
   Duration TimeUntil(const std::function<bool()>& aHolds, Duration aAtMost)
   {
     const auto start = clock.Now();
@@ -127,7 +130,8 @@
     return clock.Now() - start;
   }
 
-  /** @brief Whether all hosts that are up, but those left out, have it. */
+  /** @brief Whether all running hosts outside `aBut` have a configuration in
+   * force. */
   bool Everywhere(std::uint64_t aNumber, const ZoneId& aBut = {}) const
   {
     for (const auto& [id, host] : hosts) {
@@ -147,8 +151,9 @@
   fake::Clock clock;
   fake::Network<Message> network;
   std::map<HostId, Host> hosts;
-  /** Gives the size of a message on the wire; for benches. */
+  /** Returns the encoded size of a message; set by benchmarks. */
   std::function<std::uint64_t(const Message&)> sizeOf;
+  /** Whether a host published an older configuration than before. */
   bool reverted{ false };
 
 private:
