--- a/benchmarks/bench_ledger.cpp
+++ b/benchmarks/bench_ledger.cpp
@@ -47,7 +47,7 @@
   } else if (drawn < 12) {
     aWorld.EndDispatch(choice, DrawFate(aRandom));
   } else if (drawn == 12) {
-    aWorld.GiveUp(choice);
+    aWorld.TimeOutProposal(choice);
   } else if (drawn == 13) {
     aWorld.RunLate(choice);
   } else if (drawn == 14) {
@@ -61,7 +61,7 @@
 FaultyRuns(bench::Report& aReport)
 {
   ledger::Bounds bounds;
-  bounds.window = 1h;
+  bounds.retention = 1h;
   std::size_t violations = 0;
   std::size_t requests = 0;
   std::size_t runs = 0;
@@ -189,7 +189,7 @@
 {
   constexpr std::uint64_t kKeys = 100'000;
   ledger::Bounds bounds;
-  bounds.workspaceEntries = kKeys;
+  bounds.maxWorkspaceEntries = kKeys;
   ledger::Table table;
   const auto seconds = bench::MedianSeconds(3, [&] {
     table = {};
--- a/src/balsampoint/daemon/ledger_runner.cpp
+++ b/src/balsampoint/daemon/ledger_runner.cpp
@@ -47,9 +47,9 @@
 }
 
 void
-LedgerRunner::Do(const ledger::Lost& aLost)
+LedgerRunner::Do(const ledger::CommandFailed& aFailed)
 {
-  mGate.Complete(aLost);
+  mGate.Complete(aFailed);
 }
 
 void
--- a/src/balsampoint/daemon/ledger_runner.hpp
+++ b/src/balsampoint/daemon/ledger_runner.hpp
@@ -40,7 +40,7 @@
   void Do(const ledger::Send& aSend);
   void Do(const ledger::Replicate& aReplicate);
   void Do(const ledger::Decided& aDecided);
-  void Do(const ledger::Lost& aLost);
+  void Do(const ledger::CommandFailed& aFailed);
   void Do(const ledger::SnapshotReady& aReady);
 
   ControlMailbox& mMailbox;
--- a/src/balsampoint/ledger/call.hpp
+++ b/src/balsampoint/ledger/call.hpp
@@ -14,15 +14,15 @@
 struct CallLimits
 {
   /** Timeout of the proposal of a claim. */
-  Duration proposal{ std::chrono::seconds{ 2 } };
+  Duration proposalTimeout{ std::chrono::seconds{ 2 } };
   /** Longest time that an answer is held back until its record is durable. */
-  Duration record{ std::chrono::seconds{ 1 } };
+  Duration recordTimeout{ std::chrono::seconds{ 1 } };
   /** Delay before a claim in doubt is proposed again; doubles each time. */
-  Duration firstLook{ std::chrono::milliseconds{ 50 } };
+  Duration firstRetryDelay{ std::chrono::milliseconds{ 50 } };
   /** Claims proposed before a key in doubt is reported to the caller. */
-  std::uint32_t looks{ 6 };
+  std::uint32_t maxClaims{ 6 };
   /** Largest recorded answer, headers and body, in bytes. */
-  std::uint64_t answerBytes{ 16ULL << 10U };
+  std::uint64_t maxAnswerBytes{ 16ULL << 10U };
 };
 
 /** @brief Phase of a call on its entry host. */
@@ -45,7 +45,7 @@
   CallLimits limits;
   CallPhase phase{ CallPhase::Claiming };
   /** How many claims found the key in doubt. */
-  std::uint32_t looks{};
+  std::uint32_t inDoubtCount{};
   /** The answer that is being recorded; set in phase `Recording`. */
   StoredAnswer answer;
 };
@@ -57,7 +57,7 @@
 };
 
 /** @brief The claim was refused or not decided in time. */
-struct ClaimLost
+struct ClaimFailed
 {
   Error error;
   /** Whether the claim may still be applied later. */
@@ -75,13 +75,13 @@
 };
 
 /** @brief The call was provably not executed. */
-struct DispatchNeverBegan
+struct DispatchNotExecuted
 {
   Error error;
 };
 
 /** @brief It is unknown whether the call was executed. */
-struct DispatchUnknown
+struct DispatchOutcomeUnknown
 {
   Error error;
 };
@@ -94,11 +94,11 @@
 
 /** @brief Events of a call. */
 using CallEvent = std::variant<ClaimDecided,
-                               ClaimLost,
+                               ClaimFailed,
                                WaitEnded,
                                DispatchAnswered,
-                               DispatchNeverBegan,
-                               DispatchUnknown,
+                               DispatchNotExecuted,
+                               DispatchOutcomeUnknown,
                                RecordEnded>;
 
 /** @brief Propose the command and report its outcome. */
@@ -109,7 +109,7 @@
 };
 
 /** @brief Propose the command in the background, without a result. */
-struct ProposeLater
+struct ProposeDetached
 {
   Command command;
 };
@@ -131,6 +131,7 @@
 };
 
 /** @brief Actions that the entry host performs for a call. */
-using CallAction = std::variant<Propose, ProposeLater, Dispatch, Wait, Reply>;
+using CallAction =
+  std::variant<Propose, ProposeDetached, Dispatch, Wait, Reply>;
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/command/advance_call.cpp
+++ b/src/balsampoint/ledger/command/advance_call.cpp
@@ -26,14 +26,15 @@
 {
   return { .key = aCall.claim.key,
            .id = aCall.claim.id,
-           .answer = internal::KeptOf(aCall.answer, aCall.limits.answerBytes) };
+           .answer = internal::LimitAnswerSize(aCall.answer,
+                                               aCall.limits.maxAnswerBytes) };
 }
 
 void
-GiveBack(const Call& aCall, Actions& aActions)
+ReleaseClaim(const Call& aCall, Actions& aActions)
 {
   aActions.emplace_back(
-    ProposeLater{ Release{ .key = aCall.claim.key, .id = aCall.claim.id } });
+    ProposeDetached{ Release{ .key = aCall.claim.key, .id = aCall.claim.id } });
 }
 
 void
@@ -43,7 +44,7 @@
        Actions& aActions)
 {
   if (aNow >= aCall.deadline) {
-    GiveBack(aCall, aActions);
+    ReleaseClaim(aCall, aActions);
     auto error = MakeError(ErrorKind::DeadlineExceeded,
                            "the deadline passed before the call was sent");
     error.executed = Executed::No;
@@ -73,12 +74,17 @@
 }
 
 void
-Decide(Call& aCall, const InDoubt& /*aDoubt*/, Instant aNow, Actions& aActions)
+Decide(Call& aCall,
+       const InDoubt& /*aInDoubt*/,
+       Instant aNow,
+       Actions& aActions)
 {
   constexpr Duration kRetryAfter = std::chrono::seconds{ 1 };
-  const auto wait = aCall.limits.firstLook * (std::int64_t{ 1 } << aCall.looks);
-  ++aCall.looks;
-  if (aCall.looks < aCall.limits.looks && aNow + wait < aCall.deadline) {
+  const auto wait =
+    aCall.limits.firstRetryDelay * (std::int64_t{ 1 } << aCall.inDoubtCount);
+  ++aCall.inDoubtCount;
+  if (aCall.inDoubtCount < aCall.limits.maxClaims &&
+      aNow + wait < aCall.deadline) {
     aCall.phase = CallPhase::Waiting;
     aActions.emplace_back(Wait{ aNow + wait });
     return;
@@ -115,18 +121,18 @@
 }
 
 void
-On(Call& aCall, const ClaimLost& aEvent, Instant /*aNow*/, Actions& aActions)
+On(Call& aCall, const ClaimFailed& aEvent, Instant /*aNow*/, Actions& aActions)
 {
   if (aCall.phase != CallPhase::Claiming) {
     return;
   }
   if (aEvent.mayApply) {
-    GiveBack(aCall, aActions);
+    ReleaseClaim(aCall, aActions);
   }
   // This host sends a call only after its claim was granted, so this call
   // wasn't executed. A key in doubt may have been executed by another claim.
   auto error = aEvent.error;
-  error.executed = aCall.looks == 0 ? Executed::No : Executed::Unknown;
+  error.executed = aCall.inDoubtCount == 0 ? Executed::No : Executed::Unknown;
   Finish(aCall, tl::unexpected(std::move(error)), aActions);
 }
 
@@ -148,20 +154,20 @@
   }
   aCall.phase = CallPhase::Recording;
   aCall.answer = aEvent.answer;
-  aActions.emplace_back(
-    Propose{ .command = RecordOf(aCall), .until = aNow + aCall.limits.record });
+  aActions.emplace_back(Propose{ .command = RecordOf(aCall),
+                                 .until = aNow + aCall.limits.recordTimeout });
 }
 
 void
 On(Call& aCall,
-   const DispatchNeverBegan& aEvent,
+   const DispatchNotExecuted& aEvent,
    Instant /*aNow*/,
    Actions& aActions)
 {
   if (aCall.phase != CallPhase::Dispatching) {
     return;
   }
-  GiveBack(aCall, aActions);
+  ReleaseClaim(aCall, aActions);
   auto error = aEvent.error;
   error.executed = Executed::No;
   Finish(aCall, tl::unexpected(std::move(error)), aActions);
@@ -169,7 +175,7 @@
 
 void
 On(Call& aCall,
-   const DispatchUnknown& aEvent,
+   const DispatchOutcomeUnknown& aEvent,
    Instant /*aNow*/,
    Actions& aActions)
 {
@@ -188,7 +194,7 @@
     return;
   }
   if (!aEvent.durable) {
-    aActions.emplace_back(ProposeLater{ RecordOf(aCall) });
+    aActions.emplace_back(ProposeDetached{ RecordOf(aCall) });
   }
   Finish(aCall, std::move(aCall.answer), aActions);
 }
@@ -198,9 +204,9 @@
 void
 Begin(const Call& aCall, Instant aNow, std::vector<CallAction>& aActions)
 {
-  aActions.emplace_back(
-    Propose{ .command = aCall.claim,
-             .until = std::min(aCall.deadline, aNow + aCall.limits.proposal) });
+  aActions.emplace_back(Propose{
+    .command = aCall.claim,
+    .until = std::min(aCall.deadline, aNow + aCall.limits.proposalTimeout) });
 }
 
 void
--- a/src/balsampoint/ledger/command/apply.cpp
+++ b/src/balsampoint/ledger/command/apply.cpp
@@ -40,9 +40,9 @@
   const auto usage = aTable.workspaces.find(aKey.workspace);
   const auto own = usage == aTable.workspaces.end() ? 0 : usage->second.entries;
   const auto bytes = EntryBytes(aKey, Entry{});
-  return own < aTable.bounds.workspaceEntries &&
-         aTable.total.entries < aTable.bounds.entries &&
-         aTable.total.bytes + bytes <= aTable.bounds.bytes;
+  return own < aTable.bounds.maxWorkspaceEntries &&
+         aTable.total.entries < aTable.bounds.maxEntries &&
+         aTable.total.bytes + bytes <= aTable.bounds.maxBytes;
 }
 
 Outcome
@@ -59,7 +59,7 @@
                 .claim = aClaim.id,
                 .phase = Phase::Claimed,
                 .answer = {},
-                .expiry = kNotAged });
+                .expiry = kNoExpiryYet });
   return Granted{};
 }
 
@@ -67,7 +67,7 @@
 ApplyTo(Table& aTable, const Claim& aClaim)
 {
   if (aClaim.key.value.empty() ||
-      aClaim.key.value.size() > aTable.bounds.keyBytes) {
+      aClaim.key.value.size() > aTable.bounds.maxKeyBytes) {
     return MakeError(ErrorKind::BadRequest,
                      "the idempotency key is empty or too long");
   }
@@ -107,9 +107,9 @@
   }
   auto entry = found->second;
   entry.phase = Phase::Recorded;
-  const auto room = aTable.bounds.bytes - aTable.total.bytes;
-  entry.answer =
-    internal::KeptOf(aRecord.answer, std::min(aTable.bounds.answerBytes, room));
+  const auto room = aTable.bounds.maxBytes - aTable.total.bytes;
+  entry.answer = internal::LimitAnswerSize(
+    aRecord.answer, std::min(aTable.bounds.maxAnswerBytes, room));
   Remove(aTable, found);
   Insert(aTable, aRecord.key, std::move(entry));
   return Done{};
@@ -123,7 +123,7 @@
                         .claim = aRelease.id,
                         .phase = Phase::Released,
                         .answer = {},
-                        .expiry = kNotAged };
+                        .expiry = kNoExpiryYet };
   if (found == aTable.entries.end()) {
     // The claim may still be in flight; this entry keeps it from being
     // granted if it is applied later.
@@ -143,15 +143,15 @@
 
 /** Sets the expiry of all entries inserted since the last time step. */
 void
-StartWindows(Table& aTable)
+StartRetention(Table& aTable)
 {
   while (!aTable.expiries.empty() &&
-         aTable.expiries.rbegin()->first == kNotAged) {
+         aTable.expiries.rbegin()->first == kNoExpiryYet) {
     auto last = aTable.expiries.extract(std::prev(aTable.expiries.end()));
     auto& entry = aTable.entries.at(last.value().second);
     entry.expiry = aTable.time + (entry.phase == Phase::Released
-                                    ? aTable.bounds.releasedWindow
-                                    : aTable.bounds.window);
+                                    ? aTable.bounds.releasedRetention
+                                    : aTable.bounds.retention);
     last.value().first = entry.expiry;
     aTable.expiries.insert(std::move(last));
   }
@@ -164,7 +164,7 @@
     return Done{};
   }
   aTable.time += aStep.by;
-  StartWindows(aTable);
+  StartRetention(aTable);
   while (!aTable.expiries.empty() &&
          aTable.expiries.begin()->first <= aTable.time) {
     Remove(aTable, aTable.entries.find(aTable.expiries.begin()->second));
--- a/src/balsampoint/ledger/command/forward.cpp
+++ b/src/balsampoint/ledger/command/forward.cpp
@@ -43,7 +43,7 @@
 }
 
 HostId
-Target(State& aState)
+PickTarget(State& aState)
 {
   if (!aState.leader.Empty() || aState.settings.members.empty()) {
     return aState.leader;
@@ -53,13 +53,13 @@
 }
 
 void
-SendOne(State& aState,
-        std::uint64_t aNumber,
-        PendingCommand& aCommand,
-        Instant aNow,
-        Actions& aActions)
+SendCommand(State& aState,
+            std::uint64_t aNumber,
+            PendingCommand& aCommand,
+            Instant aNow,
+            Actions& aActions)
 {
-  const auto target = Target(aState);
+  const auto target = PickTarget(aState);
   const bool local = target == aState.settings.self;
   aCommand.resendAfter =
     std::max(aState.settings.resendAfter, aCommand.resendAfter * 2);
@@ -68,70 +68,75 @@
   if (target.Empty()) {
     return;
   }
-  const AskId ask{ .incarnation = aState.settings.incarnation,
-                   .number = aNumber };
+  const ForwardId id{ .incarnation = aState.settings.incarnation,
+                      .number = aNumber };
   if (!local) {
     aCommand.sent = true;
     aActions.emplace_back(Send{
-      .to = target, .message = Ask{ .id = ask, .command = aCommand.command } });
+      .to = target,
+      .message = ForwardRequest{ .id = id, .command = aCommand.command } });
   } else if (aState.leader == target) {
     aCommand.sent = true;
-    Propose(aState, { .host = target, .ask = ask }, aCommand.command, aActions);
+    Propose(
+      aState, { .host = target, .forwardId = id }, aCommand.command, aActions);
   }
 }
 
 void
-RefuseCommand(const PendingCommand& aCommand,
-              ErrorKind aKind,
-              std::string_view aDetail,
-              Actions& aActions)
+FailCommand(const PendingCommand& aCommand,
+            ErrorKind aKind,
+            std::string_view aDetail,
+            Actions& aActions)
 {
   if (aCommand.ticket) {
-    aActions.emplace_back(Lost{ .ticket = *aCommand.ticket,
-                                .error = MakeError(aKind, aDetail),
-                                .mayApply = aCommand.sent });
+    aActions.emplace_back(CommandFailed{ .ticket = *aCommand.ticket,
+                                         .error = MakeError(aKind, aDetail),
+                                         .mayApply = aCommand.sent });
   }
 }
 
 void
-GiveUp(State& aState, std::uint64_t aNumber, Actions& aActions)
+ExpireCommand(State& aState, std::uint64_t aNumber, Actions& aActions)
 {
   const auto command = aState.commands.extract(aNumber);
-  RefuseCommand(command.mapped(),
-                ErrorKind::ControlUnavailable,
-                "the control group did not apply the command in time",
-                aActions);
+  FailCommand(command.mapped(),
+              ErrorKind::ControlUnavailable,
+              "the control group did not apply the command in time",
+              aActions);
 }
 
 void
-SendAgain(State& aState, std::uint64_t aNumber, Instant aNow, Actions& aActions)
+Resend(State& aState, std::uint64_t aNumber, Instant aNow, Actions& aActions)
 {
   const auto found = aState.commands.find(aNumber);
   if (found == aState.commands.end()) {
     return;
   }
   aState.timers.erase({ DueAt(found->second), aNumber });
-  SendOne(aState, aNumber, found->second, aNow, aActions);
+  SendCommand(aState, aNumber, found->second, aNow, aActions);
 }
 
 void
 OnMessage(State& aState,
           const HostId& aFrom,
-          const Ask& aAsk,
+          const ForwardRequest& aRequest,
           Actions& aActions)
 {
-  const auto* claimant = ClaimantOf(aAsk.command);
+  const auto* claimant = ClaimantOf(aRequest.command);
   if (claimant == nullptr || *claimant != aFrom) {
     return;
   }
   if (aState.leader != aState.settings.self ||
-      aState.origins.size() >= aState.settings.pending) {
-    aActions.emplace_back(
-      Send{ .to = aFrom,
-            .message = NotLeader{ .id = aAsk.id, .leader = aState.leader } });
+      aState.origins.size() >= aState.settings.maxPending) {
+    aActions.emplace_back(Send{
+      .to = aFrom,
+      .message = NotLeader{ .id = aRequest.id, .leader = aState.leader } });
     return;
   }
-  Propose(aState, { .host = aFrom, .ask = aAsk.id }, aAsk.command, aActions);
+  Propose(aState,
+          { .host = aFrom, .forwardId = aRequest.id },
+          aRequest.command,
+          aActions);
 }
 
 void
@@ -145,15 +150,15 @@
       aState.leader == aState.settings.self) {
     return;
   }
-  const bool news =
+  const bool leaderChanged =
     aAnswer.leader != aFrom && aAnswer.leader != aState.leader &&
     !aAnswer.leader.Empty() && aAnswer.leader != aState.settings.self;
   if (aState.leader == aFrom) {
     aState.leader = {};
   }
-  if (news) {
+  if (leaderChanged) {
     aState.leader = aAnswer.leader;
-    SendAgain(aState, aAnswer.id.number, aNow, aActions);
+    Resend(aState, aAnswer.id.number, aNow, aActions);
   }
 }
 
@@ -162,28 +167,28 @@
 void
 Submit(State& aState, PendingCommand aCommand, Instant aNow, Actions& aActions)
 {
-  if (aState.commands.size() >= aState.settings.pending) {
-    RefuseCommand(aCommand,
-                  ErrorKind::Overloaded,
-                  "too many commands of keyed calls wait for the control group",
-                  aActions);
+  if (aState.commands.size() >= aState.settings.maxPending) {
+    FailCommand(aCommand,
+                ErrorKind::Overloaded,
+                "too many commands of keyed calls wait for the control group",
+                aActions);
     return;
   }
   if (aState.leader.Empty() && aState.settings.members.empty()) {
-    RefuseCommand(aCommand,
-                  ErrorKind::ControlUnavailable,
-                  "the host knows no member of the control group",
-                  aActions);
+    FailCommand(aCommand,
+                ErrorKind::ControlUnavailable,
+                "the host knows no member of the control group",
+                aActions);
     return;
   }
   const auto number = ++aState.lastNumber;
   auto& command = aState.commands[number];
   command = std::move(aCommand);
-  SendOne(aState, number, command, aNow, aActions);
+  SendCommand(aState, number, command, aNow, aActions);
 }
 
 void
-SubmitAgain(State& aState, Instant aNow, Actions& aActions)
+ResendAll(State& aState, Instant aNow, Actions& aActions)
 {
   std::vector<std::uint64_t> numbers;
   numbers.reserve(aState.commands.size());
@@ -191,15 +196,15 @@
     numbers.push_back(number);
   }
   for (const auto number : numbers) {
-    SendAgain(aState, number, aNow, aActions);
+    Resend(aState, number, aNow, aActions);
   }
 }
 
 void
-Resolve(State& aState,
-        std::uint64_t aNumber,
-        const Outcome& aOutcome,
-        Actions& aActions)
+Complete(State& aState,
+         std::uint64_t aNumber,
+         const Outcome& aOutcome,
+         Actions& aActions)
 {
   const auto found = aState.commands.find(aNumber);
   if (found == aState.commands.end()) {
@@ -215,21 +220,21 @@
 }
 
 void
-SendDue(State& aState, Instant aNow, Actions& aActions)
+HandleTimers(State& aState, Instant aNow, Actions& aActions)
 {
   while (!aState.timers.empty() && aState.timers.begin()->first <= aNow) {
     const auto number = aState.timers.begin()->second;
     aState.timers.erase(aState.timers.begin());
     auto& command = aState.commands.at(number);
     if (command.until <= aNow) {
-      GiveUp(aState, number, aActions);
+      ExpireCommand(aState, number, aActions);
       continue;
     }
     // The last host asked didn't reply, so the next member is tried.
     if (aState.leader != aState.settings.self) {
       aState.leader = {};
     }
-    SendOne(aState, number, command, aNow, aActions);
+    SendCommand(aState, number, command, aNow, aActions);
   }
 }
 
@@ -239,16 +244,17 @@
         Instant aNow,
         Actions& aActions)
 {
-  if (const auto* ask = std::get_if<Ask>(&aReceived.message)) {
-    OnMessage(aState, aReceived.from, *ask, aActions);
-  } else if (const auto* told = std::get_if<Told>(&aReceived.message)) {
-    if (told->id.incarnation != aState.settings.incarnation) {
+  if (const auto* request = std::get_if<ForwardRequest>(&aReceived.message)) {
+    OnMessage(aState, aReceived.from, *request, aActions);
+  } else if (const auto* reply =
+               std::get_if<ForwardReply>(&aReceived.message)) {
+    if (reply->id.incarnation != aState.settings.incarnation) {
       return;
     }
     if (aState.leader != aState.settings.self) {
       aState.leader = aReceived.from;
     }
-    Resolve(aState, told->id.number, told->outcome, aActions);
+    Complete(aState, reply->id.number, reply->outcome, aActions);
   } else {
     RedirectTo(aState,
                aReceived.from,
@@ -259,7 +265,7 @@
 }
 
 void
-Reject(State& aState, Ticket aTicket, Instant aNow, Actions& aActions)
+HandleRefused(State& aState, Ticket aTicket, Instant aNow, Actions& aActions)
 {
   const auto found = aState.origins.find(aTicket);
   if (found == aState.origins.end()) {
@@ -270,17 +276,17 @@
   if (origin.host != aState.settings.self) {
     aActions.emplace_back(
       Send{ .to = origin.host,
-            .message = NotLeader{ .id = origin.ask, .leader = {} } });
+            .message = NotLeader{ .id = origin.forwardId, .leader = {} } });
   } else if (aState.leader != aState.settings.self) {
-    SendAgain(aState, origin.ask.number, aNow, aActions);
+    Resend(aState, origin.forwardId.number, aNow, aActions);
   }
 }
 
 void
-Report(State& aState,
-       Ticket aTicket,
-       const Outcome& aOutcome,
-       Actions& aActions)
+ReportOutcome(State& aState,
+              Ticket aTicket,
+              const Outcome& aOutcome,
+              Actions& aActions)
 {
   const auto found = aState.origins.find(aTicket);
   if (found == aState.origins.end()) {
@@ -289,12 +295,12 @@
   const auto origin = found->second;
   aState.origins.erase(found);
   if (origin.host == aState.settings.self) {
-    Resolve(aState, origin.ask.number, aOutcome, aActions);
+    Complete(aState, origin.forwardId.number, aOutcome, aActions);
     return;
   }
-  aActions.emplace_back(
-    Send{ .to = origin.host,
-          .message = Told{ .id = origin.ask, .outcome = aOutcome } });
+  aActions.emplace_back(Send{
+    .to = origin.host,
+    .message = ForwardReply{ .id = origin.forwardId, .outcome = aOutcome } });
 }
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/command/forward.hpp
+++ b/src/balsampoint/ledger/command/forward.hpp
@@ -25,7 +25,7 @@
  * @param aActions Actions are appended here.
  */
 void
-SubmitAgain(State& aState, Instant aNow, std::vector<Action>& aActions);
+ResendAll(State& aState, Instant aNow, std::vector<Action>& aActions);
 
 /**
  * @brief Completes a pending command of this host.
@@ -35,10 +35,10 @@
  * @param aActions Actions are appended here.
  */
 void
-Resolve(State& aState,
-        std::uint64_t aNumber,
-        const Outcome& aOutcome,
-        std::vector<Action>& aActions);
+Complete(State& aState,
+         std::uint64_t aNumber,
+         const Outcome& aOutcome,
+         std::vector<Action>& aActions);
 
 /**
  * @brief Fails the commands past their deadline and resends those that are
@@ -48,7 +48,7 @@
  * @param aActions Actions are appended here.
  */
 void
-SendDue(State& aState, Instant aNow, std::vector<Action>& aActions);
+HandleTimers(State& aState, Instant aNow, std::vector<Action>& aActions);
 
 /**
  * @brief Handles a message of another host.
@@ -72,10 +72,10 @@
  * @param aActions Actions are appended here.
  */
 void
-Reject(State& aState,
-       Ticket aTicket,
-       Instant aNow,
-       std::vector<Action>& aActions);
+HandleRefused(State& aState,
+              Ticket aTicket,
+              Instant aNow,
+              std::vector<Action>& aActions);
 
 /**
  * @brief Passes the outcome of an applied command to the host it came from.
@@ -85,9 +85,9 @@
  * @param aActions Actions are appended here.
  */
 void
-Report(State& aState,
-       Ticket aTicket,
-       const Outcome& aOutcome,
-       std::vector<Action>& aActions);
+ReportOutcome(State& aState,
+              Ticket aTicket,
+              const Outcome& aOutcome,
+              std::vector<Action>& aActions);
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/internal/answer_size.hpp
+++ b/src/balsampoint/ledger/internal/answer_size.hpp
@@ -25,7 +25,7 @@
  * @return The answer, or only its status if it exceeds the limit.
  */
 [[nodiscard]] inline StoredAnswer
-KeptOf(const StoredAnswer& aAnswer, std::uint64_t aLimit)
+LimitAnswerSize(const StoredAnswer& aAnswer, std::uint64_t aLimit)
 {
   if (AnswerBytes(aAnswer) <= aLimit) {
     return aAnswer;
--- a/src/balsampoint/ledger/message.hpp
+++ b/src/balsampoint/ledger/message.hpp
@@ -8,40 +8,40 @@
 namespace balsampoint::ledger {
 
 /** @brief Identifies a forwarded command of one host, across its restarts. */
-struct AskId
+struct ForwardId
 {
   Incarnation incarnation;
   std::uint64_t number{};
 
-  auto operator<=>(const AskId&) const = default;
+  auto operator<=>(const ForwardId&) const = default;
 };
 
 /** @brief Requests the leader of the control group to replicate a command. */
-struct Ask
+struct ForwardRequest
 {
   /** Chosen by the sender and repeated in the reply. */
-  AskId id;
+  ForwardId id;
   Command command;
 
-  bool operator==(const Ask&) const = default;
+  bool operator==(const ForwardRequest&) const = default;
 };
 
-/** @brief Reply to an `Ask`: the command was applied. */
-struct Told
+/** @brief Reply to a `ForwardRequest`: the command was applied. */
+struct ForwardReply
 {
-  AskId id;
+  ForwardId id;
   Outcome outcome;
 };
 
-/** @brief Reply to an `Ask` that the receiver can't replicate. */
+/** @brief Reply to a `ForwardRequest` that the receiver can't replicate. */
 struct NotLeader
 {
-  AskId id;
+  ForwardId id;
   /** The leader as the receiver knows it; empty if it knows none. */
   HostId leader;
 };
 
 /** @brief Messages that hosts exchange for this module. */
-using Message = std::variant<Ask, Told, NotLeader>;
+using Message = std::variant<ForwardRequest, ForwardReply, NotLeader>;
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/ledger/module.cpp
+++ b/src/balsampoint/ledger/module.cpp
@@ -13,9 +13,9 @@
 using Actions = std::vector<Action>;
 
 void
-SeeTableTime(State& aState, Instant aNow)
+OnTableTimeChanged(State& aState, Instant aNow)
 {
-  aState.tableTimeSeenAt = aNow;
+  aState.tableTimeChangedAt = aNow;
   aState.nextTimeStep = aState.leader == aState.settings.self
                           ? aNow + aState.settings.timeStep
                           : kNever;
@@ -41,7 +41,7 @@
   Submit(aState,
          { .command = aEvent.command,
            .ticket = std::nullopt,
-           .until = aNow + aState.settings.laterLimit },
+           .until = aNow + aState.settings.detachedCommandTimeout },
          aNow,
          aActions);
 }
@@ -58,9 +58,9 @@
   const auto before = aState.table.time;
   const auto outcome = Apply(aState.table, aEvent.command);
   if (aState.table.time != before) {
-    SeeTableTime(aState, aNow);
+    OnTableTimeChanged(aState, aNow);
   }
-  Report(aState, aEvent.ticket, outcome, aActions);
+  ReportOutcome(aState, aEvent.ticket, outcome, aActions);
 }
 
 void
@@ -69,7 +69,7 @@
    Instant aNow,
    Actions& aActions)
 {
-  Reject(aState, aEvent.ticket, aNow, aActions);
+  HandleRefused(aState, aEvent.ticket, aNow, aActions);
 }
 
 void
@@ -79,10 +79,10 @@
   aState.nextTimeStep = kNever;
   if (aEvent.leader == aState.settings.self) {
     aState.nextTimeStep =
-      std::max(aNow, aState.tableTimeSeenAt + aState.settings.timeStep);
+      std::max(aNow, aState.tableTimeChangedAt + aState.settings.timeStep);
   }
   if (!aEvent.leader.Empty()) {
-    SubmitAgain(aState, aNow, aActions);
+    ResendAll(aState, aNow, aActions);
   }
 }
 
@@ -90,7 +90,7 @@
 On(State& aState, const Restored& aEvent, Instant aNow, Actions& /*aActions*/)
 {
   aState.table = aEvent.table;
-  SeeTableTime(aState, aNow);
+  OnTableTimeChanged(aState, aNow);
 }
 
 void
@@ -124,7 +124,7 @@
   aActions.emplace_back(
     Replicate{ .ticket = aState.lastTicket,
                .command = TimeStep{ .from = aState.table.time,
-                                    .by = aNow - aState.tableTimeSeenAt } });
+                                    .by = aNow - aState.tableTimeChangedAt } });
 }
 
 } // namespace
@@ -138,7 +138,7 @@
   State state;
   state.settings = std::move(aSettings);
   state.table.bounds = aBounds;
-  state.tableTimeSeenAt = aNow;
+  state.tableTimeChangedAt = aNow;
   return state;
 }
 
@@ -155,7 +155,7 @@
 void
 Module::Tick(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  SendDue(aState, aNow, aActions);
+  HandleTimers(aState, aNow, aActions);
   StepTime(aState, aNow, aActions);
 }
 
--- a/src/balsampoint/ledger/module.hpp
+++ b/src/balsampoint/ledger/module.hpp
@@ -24,10 +24,10 @@
   /** Interval at which the leader advances the table's time. */
   Duration timeStep{ std::chrono::seconds{ 30 } };
   /** Time after which a command without a waiting thread is dropped. */
-  Duration laterLimit{ std::chrono::minutes{ 10 } };
+  Duration detachedCommandTimeout{ std::chrono::minutes{ 10 } };
   /** Largest number of commands of this host that have no outcome, and of
    * commands that this host replicates as leader. */
-  std::size_t pending{ 4096 };
+  std::size_t maxPending{ 4096 };
 };
 
 /** @brief A command of this host that has no outcome yet. */
@@ -50,7 +50,7 @@
 struct Origin
 {
   HostId host;
-  AskId ask;
+  ForwardId forwardId;
 };
 
 /** @brief State of the module on one host; owned by the control thread. */
@@ -73,7 +73,7 @@
   /** The replicated table; empty on hosts outside the control group. */
   Table table;
   /** When the table's time last changed, on this host's clock. */
-  Instant tableTimeSeenAt{};
+  Instant tableTimeChangedAt{};
   /** When the leader proposes the next time step; `kNever` on other hosts. */
   Instant nextTimeStep{ kNever };
 };
@@ -173,7 +173,7 @@
 
 /** @brief Report to the waiting traffic thread that its command was refused or
  * has no outcome in time. */
-struct Lost
+struct CommandFailed
 {
   Ticket ticket;
   Error error;
@@ -190,7 +190,8 @@
 };
 
 /** @brief Actions that the daemon performs for the module. */
-using Action = std::variant<Send, Replicate, Decided, Lost, SnapshotReady>;
+using Action =
+  std::variant<Send, Replicate, Decided, CommandFailed, SnapshotReady>;
 
 /** @brief The module that the control thread runs. */
 struct Module
--- a/src/balsampoint/ledger/state.hpp
+++ b/src/balsampoint/ledger/state.hpp
@@ -15,20 +15,20 @@
 struct Bounds
 {
   /** Retention of a claimed or recorded key, in the table's time. */
-  Duration window{ std::chrono::hours{ 24 } };
+  Duration retention{ std::chrono::hours{ 24 } };
   /** Retention of a released claim, in the table's time. */
-  Duration releasedWindow{ std::chrono::minutes{ 10 } };
+  Duration releasedRetention{ std::chrono::minutes{ 10 } };
   /** Largest number of keys. */
-  std::uint64_t entries{ 100'000 };
+  std::uint64_t maxEntries{ 100'000 };
   /** Largest number of keys of one workspace. */
-  std::uint64_t workspaceEntries{ 25'000 };
+  std::uint64_t maxWorkspaceEntries{ 25'000 };
   /** Largest total size of keys and answers, in bytes. */
-  std::uint64_t bytes{ 64ULL << 20U };
+  std::uint64_t maxBytes{ 64ULL << 20U };
   /** Largest answer, headers and body, in bytes; only the status is stored of
    * a larger one. */
-  std::uint64_t answerBytes{ 16ULL << 10U };
+  std::uint64_t maxAnswerBytes{ 16ULL << 10U };
   /** Largest length of a key in bytes. */
-  std::uint64_t keyBytes{ 255 };
+  std::uint64_t maxKeyBytes{ 255 };
 
   auto operator<=>(const Bounds&) const = default;
 };
@@ -51,7 +51,7 @@
  * not count towards an entry inserted meanwhile. The retention of an entry
  * therefore starts with the first step after its insertion.
  */
-inline constexpr Duration kNotAged = Duration::max();
+inline constexpr Duration kNoExpiryYet = Duration::max();
 
 /** @brief Entry of one key. */
 struct Entry
@@ -61,7 +61,7 @@
   Phase phase{ Phase::Claimed };
   StoredAnswer answer;
   /** The table's time at which the entry is removed. */
-  Duration expiry{ kNotAged };
+  Duration expiry{ kNoExpiryYet };
 
   auto operator<=>(const Entry&) const = default;
 };
--- a/src/balsampoint/peer/ledger_codec.cpp
+++ b/src/balsampoint/peer/ledger_codec.cpp
@@ -237,7 +237,7 @@
 }
 
 wire::LedgerAskId
-ToWire(const ledger::AskId& aId)
+ToWire(const ledger::ForwardId& aId)
 {
   wire::LedgerAskId id;
   id.incarnation = static_cast<std::int64_t>(aId.incarnation.Value());
@@ -245,7 +245,7 @@
   return id;
 }
 
-ledger::AskId
+ledger::ForwardId
 FromWire(const wire::LedgerAskId& aId)
 {
   return { Incarnation{ static_cast<std::uint64_t>(aId.incarnation) },
@@ -257,18 +257,18 @@
 {
   wire::LedgerMessage& out;
 
-  void operator()(const ledger::Ask& aAsk) const
+  void operator()(const ledger::ForwardRequest& aRequest) const
   {
     wire::LedgerAsk ask;
-    ask.id = ToWire(aAsk.id);
-    ask.command = ToWire(aAsk.command);
+    ask.id = ToWire(aRequest.id);
+    ask.command = ToWire(aRequest.command);
     out.__set_ask(ask);
   }
-  void operator()(const ledger::Told& aTold) const
+  void operator()(const ledger::ForwardReply& aReply) const
   {
     wire::LedgerTold told;
-    told.id = ToWire(aTold.id);
-    std::visit(OutcomeWriter{ told.outcome }, aTold.outcome);
+    told.id = ToWire(aReply.id);
+    std::visit(OutcomeWriter{ told.outcome }, aReply.outcome);
     out.__set_told(told);
   }
   void operator()(const ledger::NotLeader& aNotLeader) const
@@ -286,15 +286,15 @@
   if (aMessage.__isset.ask) {
     return FromWire(aMessage.ask.command)
       .map([&](const ledger::Command& aCommand) {
-        return ledger::Message{ ledger::Ask{ FromWire(aMessage.ask.id),
-                                             aCommand } };
+        return ledger::Message{ ledger::ForwardRequest{
+          FromWire(aMessage.ask.id), aCommand } };
       });
   }
   if (aMessage.__isset.told) {
     return FromWire(aMessage.told.outcome)
       .map([&](const ledger::Outcome& aOutcome) {
-        return ledger::Message{ ledger::Told{ FromWire(aMessage.told.id),
-                                              aOutcome } };
+        return ledger::Message{ ledger::ForwardReply{
+          FromWire(aMessage.told.id), aOutcome } };
       });
   }
   if (aMessage.__isset.notLeader) {
--- a/src/balsampoint/traffic/command/run_service.hpp
+++ b/src/balsampoint/traffic/command/run_service.hpp
@@ -49,10 +49,11 @@
     if (const auto* answered = std::get_if<ledger::DispatchAnswered>(&event)) {
       return answered->answer;
     }
-    if (const auto* never = std::get_if<ledger::DispatchNeverBegan>(&event)) {
+    if (const auto* never = std::get_if<ledger::DispatchNotExecuted>(&event)) {
       return tl::unexpected(never->error);
     }
-    return tl::unexpected(std::get<ledger::DispatchUnknown>(event).error);
+    return tl::unexpected(
+      std::get<ledger::DispatchOutcomeUnknown>(event).error);
   }
 
   /**
@@ -93,13 +94,13 @@
     if (decision) {
       return ledger::ClaimDecided{ *decision };
     }
-    return ledger::ClaimLost{ .error = decision.error().error,
-                              .mayApply = decision.error().mayApply };
+    return ledger::ClaimFailed{ .error = decision.error().error,
+                                .mayApply = decision.error().mayApply };
   }
 
-  MaybeEvent Do(const ledger::ProposeLater& aLater)
+  MaybeEvent Do(const ledger::ProposeDetached& aDetached)
   {
-    mControl.Run(aLater);
+    mControl.Run(aDetached);
     return std::nullopt;
   }
 
@@ -161,7 +162,7 @@
     const Error& aWithout) const
   {
     if (!aLast) {
-      return ledger::DispatchNeverBegan{ aWithout };
+      return ledger::DispatchNotExecuted{ aWithout };
     }
     switch (aLast->result) {
       case retry::AttemptResult::Answered:
@@ -172,11 +173,11 @@
         break;
     }
     if (!mMayHaveRun) {
-      return ledger::DispatchNeverBegan{ aLast->error };
+      return ledger::DispatchNotExecuted{ aLast->error };
     }
     auto error = aLast->error;
     error.executed = Executed::Unknown;
-    return ledger::DispatchUnknown{ std::move(error) };
+    return ledger::DispatchOutcomeUnknown{ std::move(error) };
   }
 
   Client& mClient;
--- a/src/balsampoint/traffic/control_gate.cpp
+++ b/src/balsampoint/traffic/control_gate.cpp
@@ -98,7 +98,7 @@
   return { .host = mHost, .incarnation = mIncarnation, .number = ++mLastClaim };
 }
 
-tl::expected<ledger::Outcome, ledger::Lost>
+tl::expected<ledger::Outcome, ledger::CommandFailed>
 ControlGate::Run(const ledger::Propose& aPropose)
 {
   decltype(mDecisions)::Waiter waiter{ mDecisions };
@@ -107,22 +107,22 @@
         ledger::Event{ ledger::CommandRequested{ .ticket = ticket,
                                                  .command = aPropose.command,
                                                  .until = aPropose.until } })) {
-    return tl::unexpected(ledger::Lost{
+    return tl::unexpected(ledger::CommandFailed{
       .ticket = ticket, .error = QueueFull(), .mayApply = false });
   }
   auto answer = waiter.Wait(Until(aPropose.until, kControlWait) + kGrace);
   if (answer) {
     return std::move(*answer);
   }
-  return tl::unexpected(
-    ledger::Lost{ .ticket = ticket, .error = ControlLate(), .mayApply = true });
+  return tl::unexpected(ledger::CommandFailed{
+    .ticket = ticket, .error = ControlLate(), .mayApply = true });
 }
 
 void
-ControlGate::Run(const ledger::ProposeLater& aLater)
+ControlGate::Run(const ledger::ProposeDetached& aDetached)
 {
   static_cast<void>(
-    mPost(ledger::Event{ ledger::CommandPosted{ aLater.command } }));
+    mPost(ledger::Event{ ledger::CommandPosted{ aDetached.command } }));
 }
 
 void
@@ -161,7 +161,7 @@
 }
 
 void
-ControlGate::Complete(const ledger::Lost& aAction)
+ControlGate::Complete(const ledger::CommandFailed& aAction)
 {
   mDecisions.Complete(aAction.ticket, tl::unexpected(aAction));
 }
--- a/src/balsampoint/traffic/control_gate.hpp
+++ b/src/balsampoint/traffic/control_gate.hpp
@@ -86,14 +86,14 @@
    * @param aPropose The command and how long to wait.
    * @return The outcome, or that none arrived.
    */
-  [[nodiscard]] tl::expected<ledger::Outcome, ledger::Lost> Run(
+  [[nodiscard]] tl::expected<ledger::Outcome, ledger::CommandFailed> Run(
     const ledger::Propose& aPropose);
 
   /**
    * @brief Has a command replicated without waiting.
-   * @param aLater The command.
+   * @param aDetached The command.
    */
-  void Run(const ledger::ProposeLater& aLater);
+  void Run(const ledger::ProposeDetached& aDetached);
 
   /**
    * @brief Blocks the calling thread for a time.
@@ -114,11 +114,11 @@
   void Complete(const ledger::Decided& aAction);
 
   /** @copydoc Complete(const retry::Action&) */
-  void Complete(const ledger::Lost& aAction);
+  void Complete(const ledger::CommandFailed& aAction);
 
 private:
   using Attempt = tl::expected<retry::AttemptGranted, Error>;
-  using Decision = tl::expected<ledger::Outcome, ledger::Lost>;
+  using Decision = tl::expected<ledger::Outcome, ledger::CommandFailed>;
 
   HostId mHost;
   Incarnation mIncarnation;
--- a/src/balsampoint/traffic/service_call.hpp
+++ b/src/balsampoint/traffic/service_call.hpp
@@ -49,7 +49,7 @@
                                   const retry::AttemptWanted& aWanted,
                                   const retry::AttemptEnded& aEnded,
                                   const ledger::Propose& aPropose,
-                                  const ledger::ProposeLater& aLater,
+                                  const ledger::ProposeDetached& aDetached,
                                   const ledger::Wait& aWait) {
   {
     aControl.Want(aWanted)
@@ -59,9 +59,9 @@
   } -> std::same_as<void>;
   {
     aControl.Run(aPropose)
-  } -> std::same_as<tl::expected<ledger::Outcome, ledger::Lost>>;
+  } -> std::same_as<tl::expected<ledger::Outcome, ledger::CommandFailed>>;
   {
-    aControl.Run(aLater)
+    aControl.Run(aDetached)
   } -> std::same_as<void>;
   {
     aControl.Run(aWait)
--- a/test/balsampoint/ledger/advance_call_test.cpp
+++ b/test/balsampoint/ledger/advance_call_test.cpp
@@ -38,7 +38,7 @@
 
 const StoredAnswer kAnswer{ .status = 201, .body = "done" };
 
-const Error kLost{ .kind = ErrorKind::ControlUnavailable };
+const Error kControlUnavailable{ .kind = ErrorKind::ControlUnavailable };
 
 } // namespace
 
@@ -64,13 +64,13 @@
   cr_assert(*std::get<Reply>(run.After(RecordEnded{ false })).answer ==
             kAnswer);
   cr_assert(std::holds_alternative<Record>(
-    std::get<ProposeLater>(run.actions.front()).command));
+    std::get<ProposeDetached>(run.actions.front()).command));
 }
 
 Test(advance_call, large_answer_reaches_the_caller_whole_and_is_not_recorded)
 {
   Run run;
-  run.call.limits.answerBytes = 2;
+  run.call.limits.maxAnswerBytes = 2;
   run.After(ClaimDecided{ Granted{} });
   const auto propose =
     std::get<Propose>(run.After(DispatchAnswered{ kAnswer }));
@@ -78,26 +78,27 @@
   cr_assert(*std::get<Reply>(run.After(RecordEnded{ true })).answer == kAnswer);
 }
 
-Test(advance_call, lost_claim_is_given_back_and_never_dispatched)
+Test(advance_call, failed_claim_is_released_and_never_dispatched)
 {
   Run run;
-  const auto& error = run.RefusalAfter(ClaimLost{ kLost, true });
+  const auto& error =
+    run.RefusalAfter(ClaimFailed{ kControlUnavailable, true });
   cr_assert_eq(error.executed, Executed::No);
   cr_assert(std::holds_alternative<Release>(
-    std::get<ProposeLater>(run.actions.front()).command));
+    std::get<ProposeDetached>(run.actions.front()).command));
   run.actions.clear();
   Advance(run.call, ClaimDecided{ Granted{} }, kStart, run.actions);
   cr_assert(run.actions.empty());
 }
 
-Test(advance_call, grant_after_the_deadline_is_given_back)
+Test(advance_call, grant_after_the_deadline_is_released)
 {
   Run run;
   const auto& error =
     run.RefusalAfter(ClaimDecided{ Granted{} }, run.call.deadline);
   cr_assert_eq(error.kind, ErrorKind::DeadlineExceeded);
   cr_assert_eq(error.executed, Executed::No);
-  cr_assert(std::holds_alternative<ProposeLater>(run.actions.front()));
+  cr_assert(std::holds_alternative<ProposeDetached>(run.actions.front()));
 }
 
 Test(advance_call, unknown_outcome_keeps_the_claim)
@@ -105,19 +106,19 @@
   Run run;
   run.After(ClaimDecided{ Granted{} });
   const auto& error = run.RefusalAfter(
-    DispatchUnknown{ MakeError(ErrorKind::OutcomeUnknown, "reset") });
+    DispatchOutcomeUnknown{ MakeError(ErrorKind::OutcomeUnknown, "reset") });
   cr_assert_eq(error.executed, Executed::Unknown);
   cr_assert_eq(run.actions.size(), 1);
 }
 
-Test(advance_call, call_that_never_began_gives_the_key_back)
+Test(advance_call, call_that_was_not_executed_releases_the_key)
 {
   Run run;
   run.After(ClaimDecided{ Granted{} });
   const auto& error = run.RefusalAfter(
-    DispatchNeverBegan{ MakeError(ErrorKind::NoServer, "refused") });
+    DispatchNotExecuted{ MakeError(ErrorKind::NoServer, "refused") });
   cr_assert_eq(error.executed, Executed::No);
-  cr_assert(std::holds_alternative<ProposeLater>(run.actions.front()));
+  cr_assert(std::holds_alternative<ProposeDetached>(run.actions.front()));
 }
 
 Test(advance_call, repeat_waits_for_the_first_call_and_gets_its_answer)
@@ -131,7 +132,7 @@
   cr_assert(*reply.answer == kAnswer);
 }
 
-Test(advance_call, repeat_of_a_call_without_outcome_is_told_so_in_the_end)
+Test(advance_call, repeat_of_a_call_without_outcome_ends_with_outcome_unknown)
 {
   Run run;
   auto now = kStart;
--- a/test/balsampoint/ledger/apply_test.cpp
+++ b/test/balsampoint/ledger/apply_test.cpp
@@ -48,8 +48,8 @@
   const auto claim = ClaimOf("k", 1);
   cr_assert(std::holds_alternative<Granted>(Apply(table, claim)));
   cr_assert(std::holds_alternative<Granted>(Apply(table, claim)));
-  const auto doubt = Apply(table, ClaimOf("k", 2));
-  cr_assert(std::get<InDoubt>(doubt).holder == claim.id);
+  const auto inDoubt = Apply(table, ClaimOf("k", 2));
+  cr_assert(std::get<InDoubt>(inDoubt).holder == claim.id);
   Apply(table, RecordOf(claim, "done"));
   const auto repeat = Apply(table, ClaimOf("k", 3));
   cr_assert(std::get<Repeated>(repeat).answer.body == "done");
@@ -96,10 +96,10 @@
   cr_assert_eq(Find(table, claim.key)->phase, Phase::Recorded);
 }
 
-Test(apply, full_table_refuses_and_forgets_nothing)
+Test(apply, full_table_refuses_claims_and_evicts_nothing)
 {
   Table table;
-  table.bounds.entries = 2;
+  table.bounds.maxEntries = 2;
   Apply(table, ClaimOf("a", 1));
   Apply(table, ClaimOf("b", 2));
   cr_assert_eq(KindOf(Apply(table, ClaimOf("c", 3))), ErrorKind::LedgerFull);
@@ -109,7 +109,7 @@
 Test(apply, one_workspace_cannot_fill_the_table_for_others)
 {
   Table table;
-  table.bounds.workspaceEntries = 1;
+  table.bounds.maxWorkspaceEntries = 1;
   Apply(table, ClaimOf("a", 1));
   cr_assert_eq(KindOf(Apply(table, ClaimOf("b", 2))), ErrorKind::LedgerFull);
   auto other = ClaimOf("b", 3);
@@ -120,7 +120,7 @@
 Test(apply, large_answer_leaves_its_status_and_says_that_it_is_incomplete)
 {
   Table table;
-  table.bounds.answerBytes = 4;
+  table.bounds.maxAnswerBytes = 4;
   const auto claim = ClaimOf("k", 1);
   Apply(table, claim);
   Apply(table, RecordOf(claim, "too long"));
@@ -131,10 +131,10 @@
   cr_assert(answer.body.empty());
 }
 
-Test(apply, keys_expire_by_the_tables_own_time_and_leave_no_count)
+Test(apply, keys_expire_by_the_tables_time_and_leave_all_counts)
 {
   Table table;
-  const auto window = table.bounds.window;
+  const auto window = table.bounds.retention;
   constexpr Duration kFirst{ 1 };
   Apply(table, ClaimOf("k", 1));
   Apply(table, TimeStep{ .from = Duration{}, .by = kFirst });
@@ -149,14 +149,14 @@
   cr_assert(table.expiries.empty());
 }
 
-Test(apply, step_that_catches_up_does_not_age_a_new_key)
+Test(apply, catch_up_step_does_not_shorten_the_retention_of_a_new_key)
 {
   Table table;
-  const auto late = table.bounds.window * 2;
+  const auto late = table.bounds.retention * 2;
   Apply(table, ClaimOf("k", 1));
   Apply(table, TimeStep{ .from = Duration{}, .by = late });
   cr_assert_not_null(Find(table, KeyOf("k")));
-  Apply(table, TimeStep{ .from = late, .by = table.bounds.window });
+  Apply(table, TimeStep{ .from = late, .by = table.bounds.retention });
   cr_assert_null(Find(table, KeyOf("k")));
 }
 
@@ -164,7 +164,7 @@
 {
   Table table;
   cr_assert_eq(KindOf(Apply(table, ClaimOf("", 1))), ErrorKind::BadRequest);
-  const std::string longKey(table.bounds.keyBytes + 1, 'k');
+  const std::string longKey(table.bounds.maxKeyBytes + 1, 'k');
   cr_assert_eq(KindOf(Apply(table, ClaimOf(longKey, 1))),
                ErrorKind::BadRequest);
 }
--- a/test/balsampoint/ledger/at_most_once_fuzz_test.cpp
+++ b/test/balsampoint/ledger/at_most_once_fuzz_test.cpp
@@ -21,7 +21,7 @@
 using Step = rc::state::Command<Oracle, LedgerWorld>;
 
 void
-CheckPromises(const LedgerWorld& aWorld)
+CheckInvariants(const LedgerWorld& aWorld)
 {
   for (const auto& violation : aWorld.Violations()) {
     RC_FAIL(violation);
@@ -39,7 +39,7 @@
   void run(const Oracle& /*aOracle*/, LedgerWorld& aWorld) const override
   {
     aWorld.Submit(host, key, body);
-    CheckPromises(aWorld);
+    CheckInvariants(aWorld);
   }
 
   void show(std::ostream& aStream) const override
@@ -66,7 +66,7 @@
       aWorld.EndDispatch(choice,
                          static_cast<fake::ServerFate>(kind - kDeliveries));
     } else if (kind == kFates) {
-      aWorld.GiveUp(choice);
+      aWorld.TimeOutProposal(choice);
     } else if (kind == kFates + 1) {
       aWorld.RunLate(choice);
     } else if (kind == kFates + 2) {
@@ -77,7 +77,7 @@
                                    std::chrono::seconds{ 4000 } };
       aWorld.PassTime(choice, kSteps[kind - kFates - 3]);
     }
-    CheckPromises(aWorld);
+    CheckInvariants(aWorld);
   }
 
   void show(std::ostream& aStream) const override
@@ -90,14 +90,15 @@
 SmallBounds()
 {
   ledger::Bounds bounds;
-  bounds.window = std::chrono::hours{ 1 };
-  bounds.entries = 2;
+  bounds.retention = std::chrono::hours{ 1 };
+  bounds.maxEntries = 2;
   return bounds;
 }
 
 } // namespace
 
-Test(at_most_once_fuzz, work_of_a_key_runs_once_and_refusals_are_true)
+Test(at_most_once_fuzz,
+     call_of_a_key_executes_at_most_once_and_refusals_are_accurate)
 {
   setenv("RC_PARAMS", "seed=20261204 max_success=3000 max_size=120", 0);
   const auto held = rc::check([] {
@@ -106,7 +107,7 @@
                      world,
                      rc::state::gen::execOneOfWithArgs<Submit, Event, Event>());
     world.Settle();
-    CheckPromises(world);
+    CheckInvariants(world);
   });
   cr_assert(held);
 }
--- a/test/balsampoint/ledger/module_test.cpp
+++ b/test/balsampoint/ledger/module_test.cpp
@@ -65,25 +65,25 @@
   Host leader{ kSecond };
   leader.On(LeaderChanged{ kSecond });
   entry.On(Request(kEntry));
-  const auto ask = *entry.Last<Send>();
-  cr_assert(ask.to == kFirst);
-  const auto id = std::get<Ask>(ask.message).id;
+  const auto request = *entry.Last<Send>();
+  cr_assert(request.to == kFirst);
+  const auto id = std::get<ForwardRequest>(request.message).id;
   entry.On(Received{ kFirst, NotLeader{ .id = id, .leader = kSecond } });
   const auto second = *entry.Last<Send>();
   cr_assert(second.to == kSecond);
   leader.On(Received{ kEntry, second.message });
   const auto replicate = *leader.Last<Replicate>();
   leader.On(Applied{ replicate.command, replicate.ticket });
-  const auto told = *leader.Last<Send>();
-  entry.On(Received{ kSecond, told.message });
+  const auto reply = *leader.Last<Send>();
+  entry.On(Received{ kSecond, reply.message });
   const auto* decided = entry.Last<Decided>();
   cr_assert_eq(decided->ticket, Ticket{ 5 });
   cr_assert(std::holds_alternative<Granted>(decided->outcome));
-  entry.On(Received{ kSecond, told.message });
+  entry.On(Received{ kSecond, reply.message });
   cr_assert(entry.actions.empty(), "a duplicate reply has no effect");
 }
 
-Test(module, silent_member_is_followed_by_the_next_until_time_is_up)
+Test(module, unresponsive_member_is_skipped_until_the_deadline)
 {
   Host entry{ kEntry };
   entry.On(Request(kEntry));
@@ -92,13 +92,13 @@
   entry.actions.clear();
   Module::Tick(entry.state, now, entry.actions);
   cr_assert(entry.Last<Send>()->to == kSecond);
-  while (entry.Last<Lost>() == nullptr) {
+  while (entry.Last<CommandFailed>() == nullptr) {
     now = Module::NextDeadline(entry.state);
     Module::Tick(entry.state, now, entry.actions);
   }
   cr_assert(now == kStart + 2s);
-  cr_assert(entry.Last<Lost>()->mayApply);
-  cr_assert_eq(entry.Last<Lost>()->error.executed, Executed::No);
+  cr_assert(entry.Last<CommandFailed>()->mayApply);
+  cr_assert_eq(entry.Last<CommandFailed>()->error.executed, Executed::No);
   cr_assert_eq(Module::NextDeadline(entry.state), kNever);
 }
 
@@ -106,21 +106,22 @@
 {
   Host entry{ kEntry };
   entry.On(Request(kEntry));
-  auto id = std::get<Ask>(entry.Last<Send>()->message).id;
+  auto id = std::get<ForwardRequest>(entry.Last<Send>()->message).id;
   id.incarnation = Incarnation{ 6 };
-  entry.On(Received{ kFirst, Told{ .id = id, .outcome = Granted{} } });
+  entry.On(Received{ kFirst, ForwardReply{ .id = id, .outcome = Granted{} } });
   cr_assert(entry.actions.empty());
 }
 
-Test(module, host_cannot_speak_for_the_claim_of_another)
+Test(module, command_for_the_claim_of_another_host_is_ignored)
 {
   Host leader{ kFirst };
   leader.On(LeaderChanged{ kFirst });
-  leader.On(Received{ kSecond, Ask{ .id = {}, .command = ClaimBy(kEntry) } });
+  leader.On(Received{ kSecond,
+                      ForwardRequest{ .id = {}, .command = ClaimBy(kEntry) } });
   cr_assert(leader.actions.empty());
 }
 
-Test(module, new_leader_gets_what_was_on_its_way)
+Test(module, pending_commands_are_resent_to_a_new_leader)
 {
   Host member{ kFirst };
   member.On(LeaderChanged{ kSecond });
@@ -130,7 +131,7 @@
   cr_assert_not_null(member.Last<Replicate>());
 }
 
-Test(module, leader_moves_the_time_by_what_passed_since_it_saw_it_move)
+Test(module, leader_proposes_the_time_elapsed_since_the_last_step)
 {
   Host leader{ kFirst };
   leader.On(LeaderChanged{ kFirst });
@@ -142,7 +143,7 @@
   cr_assert(step.from == 0s && step.by == 30s);
 }
 
-Test(module, host_without_a_name_is_refused)
+Test(module, host_without_an_id_is_refused)
 {
   cr_assert_not(Module::Start({}, Bounds{}, kStart).has_value());
 }
@@ -163,10 +164,10 @@
 Test(module, full_host_refuses_without_sending)
 {
   Host entry{ kEntry };
-  entry.state.settings.pending = 0;
+  entry.state.settings.maxPending = 0;
   entry.On(Request(kEntry));
-  cr_assert_eq(entry.Last<Lost>()->error.kind, ErrorKind::Overloaded);
-  cr_assert_not(entry.Last<Lost>()->mayApply);
+  cr_assert_eq(entry.Last<CommandFailed>()->error.kind, ErrorKind::Overloaded);
+  cr_assert_not(entry.Last<CommandFailed>()->mayApply);
 }
 
 Test(module, host_without_a_control_group_refuses_at_once)
@@ -174,17 +175,18 @@
   Host entry{ kEntry };
   entry.state.settings.members.clear();
   entry.On(Request(kEntry));
-  cr_assert_eq(entry.Last<Lost>()->error.kind, ErrorKind::ControlUnavailable);
-  cr_assert_eq(entry.Last<Lost>()->error.executed, Executed::No);
+  cr_assert_eq(entry.Last<CommandFailed>()->error.kind,
+               ErrorKind::ControlUnavailable);
+  cr_assert_eq(entry.Last<CommandFailed>()->error.executed, Executed::No);
 }
 
-Test(module, command_nobody_waits_for_is_sent_without_an_answer_to_a_caller)
+Test(module, detached_command_is_sent_without_a_reply_to_a_caller)
 {
   Host entry{ kEntry };
   const auto claim = ClaimBy(kEntry);
   entry.On(CommandPosted{ Release{ .key = claim.key, .id = claim.id } });
-  const auto id = std::get<Ask>(entry.Last<Send>()->message).id;
-  entry.On(Received{ kFirst, Told{ .id = id, .outcome = Done{} } });
+  const auto id = std::get<ForwardRequest>(entry.Last<Send>()->message).id;
+  entry.On(Received{ kFirst, ForwardReply{ .id = id, .outcome = Done{} } });
   cr_assert(entry.actions.empty());
   cr_assert(entry.state.commands.empty());
 }
--- a/test/balsampoint/peer/ledger_codec_test.cpp
+++ b/test/balsampoint/peer/ledger_codec_test.cpp
@@ -25,9 +25,9 @@
 T
 Again(const Outcome& aOutcome)
 {
-  const auto decoded = DecodeLedgerMessage(Encode(
-    Message{ Told{ .id = { Incarnation{ 1 }, 2 }, .outcome = aOutcome } }));
-  return std::get<T>(std::get<Told>(*decoded).outcome);
+  const auto decoded = DecodeLedgerMessage(Encode(Message{
+    ForwardReply{ .id = { Incarnation{ 1 }, 2 }, .outcome = aOutcome } }));
+  return std::get<T>(std::get<ForwardReply>(*decoded).outcome);
 }
 
 } // namespace
@@ -42,9 +42,10 @@
   };
   for (const auto& command : commands) {
     cr_assert(*DecodeLedgerCommand(Encode(command)) == command);
-    const Ask ask{ .id = { Incarnation{ 3 }, 4 }, .command = command };
-    cr_assert(std::get<Ask>(*DecodeLedgerMessage(Encode(Message{ ask }))) ==
-              ask);
+    const ForwardRequest ask{ .id = { Incarnation{ 3 }, 4 },
+                              .command = command };
+    cr_assert(std::get<ForwardRequest>(
+                *DecodeLedgerMessage(Encode(Message{ ask }))) == ask);
   }
 }
 
--- a/test/balsampoint/traffic/command/run_service_test.cpp
+++ b/test/balsampoint/traffic/command/run_service_test.cpp
@@ -51,21 +51,21 @@
 
   void End(const retry::AttemptEnded& /*aEnded*/) {}
 
-  tl::expected<ledger::Outcome, ledger::Lost> Run(
+  tl::expected<ledger::Outcome, ledger::CommandFailed> Run(
     const ledger::Propose& aPropose)
   {
     const bool record =
       std::holds_alternative<ledger::Record>(aPropose.command);
     if (!reachable || (record && !recordsReachable)) {
-      return tl::unexpected(
-        ledger::Lost{ .error = MakeError(ErrorKind::ControlUnavailable, "") });
+      return tl::unexpected(ledger::CommandFailed{
+        .error = MakeError(ErrorKind::ControlUnavailable, "") });
     }
     return ledger::Apply(table, aPropose.command);
   }
 
-  void Run(const ledger::ProposeLater& aLater)
+  void Run(const ledger::ProposeDetached& aDetached)
   {
-    later.push_back(aLater.command);
+    later.push_back(aDetached.command);
   }
 
   void Run(const ledger::Wait& /*aWait*/) {}
--- a/test/fake/ledger_world.hpp
+++ b/test/fake/ledger_world.hpp
@@ -77,7 +77,7 @@
       ledger::ClaimId{ .host = HostId{ std::to_string(aHost % mHosts.size()) },
                        .incarnation = host.incarnation,
                        .number = mRequests.size() };
-    call.deadline = mNow + kPatience;
+    call.deadline = mNow + kCallerTimeout;
     const auto at = mRequests.size();
     mRequests.push_back({ .key = call.claim.key,
                           .digest = call.claim.digest,
@@ -128,7 +128,7 @@
   }
 
   /** @brief Lets an entry host time out on a proposal that stays pending. */
-  void GiveUp(std::size_t aChoice)
+  void TimeOutProposal(std::size_t aChoice)
   {
     if (mProposals.empty()) {
       return;
@@ -157,7 +157,7 @@
         return;
       case ServerFate::ConnectionRefused:
         Post(at,
-             ledger::DispatchNeverBegan{
+             ledger::DispatchNotExecuted{
                MakeError(ErrorKind::NoServer, "connection refused") });
         return;
       case ServerFate::ResetAfterRun:
@@ -170,7 +170,7 @@
         break;
     }
     Post(at,
-         ledger::DispatchUnknown{
+         ledger::DispatchOutcomeUnknown{
            MakeError(ErrorKind::OutcomeUnknown, "connection reset") });
   }
 
@@ -201,8 +201,8 @@
       });
     }
     host.calls.clear();
-    host.seenAt = mNow;
-    host.seen = mTable.time;
+    host.tableTimeReadAt = mNow;
+    host.tableTime = mTable.time;
   }
 
   /** @brief Advances the clock and lets one host propose a time step. */
@@ -211,12 +211,12 @@
     mNow += aBy;
     auto& host = mHosts[aHost % mHosts.size()];
     mProposals.push_back(
-      { .command =
-          ledger::TimeStep{ .from = host.seen, .by = mNow - host.seenAt },
+      { .command = ledger::TimeStep{ .from = host.tableTime,
+                                     .by = mNow - host.tableTimeReadAt },
         .request = {} });
-    host.seen = mTable.time;
-    host.seenAt = mNow;
-    Wake();
+    host.tableTime = mTable.time;
+    host.tableTimeReadAt = mNow;
+    EndDueWaits();
   }
 
   /** @brief Delivers everything pending, without further faults. */
@@ -228,7 +228,7 @@
       EndDispatch(0, ServerFate::Answers);
       RunLate(0);
       mNow += kStep;
-      Wake();
+      EndDueWaits();
     }
     for (const auto& request : mRequests) {
       if (!request.reply && !request.hostLost) {
@@ -256,7 +256,7 @@
   [[nodiscard]] std::size_t Runs() const { return mRunCount; }
 
 private:
-  static constexpr Duration kPatience = std::chrono::seconds{ 30 };
+  static constexpr Duration kCallerTimeout = std::chrono::seconds{ 30 };
   /** Time after its grant when a call can no longer be executed; less than the
    * retention of keys. */
   static constexpr Duration kLongestRun = std::chrono::minutes{ 10 };
@@ -265,8 +265,8 @@
   {
     Incarnation incarnation{ 1 };
     std::map<std::size_t, ledger::Call> calls;
-    Duration seen{};
-    Instant seenAt{};
+    Duration tableTime{};
+    Instant tableTimeReadAt{};
   };
 
   struct Proposal
@@ -322,7 +322,7 @@
       return;
     }
     Post(*aProposal.request,
-         ledger::ClaimLost{
+         ledger::ClaimFailed{
            MakeError(ErrorKind::ControlUnavailable, "no decision"), true });
   }
 
@@ -334,7 +334,7 @@
         mProposals.push_back(
           { .command = propose->command, .request = aRequest });
       } else if (const auto* later =
-                   std::get_if<ledger::ProposeLater>(&action)) {
+                   std::get_if<ledger::ProposeDetached>(&action)) {
         mProposals.push_back({ .command = later->command, .request = {} });
       } else if (std::holds_alternative<ledger::Dispatch>(action)) {
         mDispatches.push_back(aRequest);
@@ -359,10 +359,10 @@
     if (aReply.answer && !mLastGrant.contains(request.key)) {
       mViolations.push_back("a caller got an answer to work that never ran");
     }
-    CheckPromise(request);
+    CheckNotExecuted(request);
   }
 
-  void CheckPromise(const Request& aRequest)
+  void CheckNotExecuted(const Request& aRequest)
   {
     if (aRequest.ran && aRequest.reply && !*aRequest.reply &&
         aRequest.reply->error().executed == Executed::No) {
@@ -380,17 +380,17 @@
     }
     const auto last = mLastGrant.find(request.key);
     if (last != mLastGrant.end() &&
-        granted - last->second < mTable.bounds.window) {
+        granted - last->second < mTable.bounds.retention) {
       mViolations.push_back("the work of a key ran twice");
     }
     mLastGrant[request.key] = granted;
     ++mRunCount;
     request.ran = true;
-    CheckPromise(request);
+    CheckNotExecuted(request);
     return true;
   }
 
-  void Wake()
+  void EndDueWaits()
   {
     std::vector<std::size_t> due;
     std::erase_if(mWaits, [&](const PendingWait& aWait) {
