Rename the figurative names of the orders

Orders were "given", leases "asked for" and "followed", and the delay before a new holder may order engines without fencing was a "quiet time". The names now say send, request, update and takeover delay. No behaviour changes.

--- a/benchmarks/bench_orders.cpp
+++ b/benchmarks/bench_orders.cpp
@@ -22,9 +22,9 @@
 void
 Add(Totals& aTotals, const fake::IsolationResult& aResult)
 {
-  aTotals.given += aResult.given[0] + aResult.given[1];
+  aTotals.given += aResult.sent[0] + aResult.sent[1];
   aTotals.late += aResult.lateEffects;
-  aTotals.successions += aResult.given[0] > 0 && aResult.given[1] > 0 ? 1 : 0;
+  aTotals.successions += aResult.sent[0] > 0 && aResult.sent[1] > 0 ? 1 : 0;
 }
 
 } // namespace
@@ -44,7 +44,7 @@
   Totals control;
   for (std::uint64_t seed = 0; seed < kControlRuns; ++seed) {
     fake::IsolatedHolder run{ seed, hasty };
-    run.KeepLimit(settings.orderLimit);
+    run.SetEngineLimit(settings.orderLimit);
     Add(control, run.Run(kLength));
   }
   report.AtLeast(
--- a/src/balsampoint/orders/action.hpp
+++ b/src/balsampoint/orders/action.hpp
@@ -18,7 +18,7 @@
 
 /** @brief Send an order to its engine at once and close the exchange at the
  * limit. */
-struct Give
+struct SendOrder
 {
   Order order;
   /** Time after sending by which the order's effect must have ended. */
@@ -35,6 +35,6 @@
 };
 
 /** @brief Actions that the daemon performs for the module. */
-using Action = std::variant<Propose, Give, Finished>;
+using Action = std::variant<Propose, SendOrder, Finished>;
 
 } // namespace balsampoint::orders
--- a/src/balsampoint/orders/command/give.cpp
+++ b/src/balsampoint/orders/command/send_orders.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/orders/command/give.hpp"
+#include "balsampoint/orders/command/send_orders.hpp"
 
 #include <algorithm>
 
@@ -15,18 +15,19 @@
 }
 
 bool
-MayGo(const State& aState, const OpenOrder& aOrder, Instant aNow)
+CanSend(const State& aState, const OpenOrder& aOrder, Instant aNow)
 {
-  const bool quiet = !aOrder.checksFencing && aState.lease.quietUntil > aNow;
-  return !quiet && aState.open.size() < aState.settings.maxOpen &&
+  const bool delayed =
+    !aOrder.checksFencing && aState.lease.takeoverDelayEnd > aNow;
+  return !delayed && aState.open.size() < aState.settings.maxOpen &&
          !IsBusy(aState, aOrder.order.server);
 }
 
 void
-NoteQuiet(State& aState, const OpenOrder& aOrder, Instant aNow)
+ScheduleSend(State& aState, const OpenOrder& aOrder, Instant aNow)
 {
-  if (!aOrder.checksFencing && aState.lease.quietUntil > aNow) {
-    aState.giveAt = aState.lease.quietUntil;
+  if (!aOrder.checksFencing && aState.lease.takeoverDelayEnd > aNow) {
+    aState.sendAt = aState.lease.takeoverDelayEnd;
   }
 }
 
@@ -35,7 +36,7 @@
 {
   return OrderId{ aState.settings.self.String() + "-" +
                   std::to_string(aState.lease.fencing.Value()) + "-" +
-                  std::to_string(++aState.ordersMade) };
+                  std::to_string(++aState.lastOrderNumber) };
 }
 
 void
@@ -48,7 +49,7 @@
   aOrder.order.fencing = aState.lease.fencing;
   aOrder.deadline = aNow + aState.settings.orderLimit;
   aActions.emplace_back(
-    Give{ .order = aOrder.order, .limit = aState.settings.orderLimit });
+    SendOrder{ .order = aOrder.order, .limit = aState.settings.orderLimit });
   auto id = aOrder.order.id;
   aState.open.emplace(std::move(id), std::move(aOrder));
 }
@@ -69,16 +70,16 @@
 }
 
 void
-RefuseWaiting(State& aState, std::vector<Action>& aActions)
+RefuseQueued(State& aState, std::vector<Action>& aActions)
 {
-  for (const auto& order : aState.waiting) {
+  for (const auto& order : aState.queued) {
     aActions.emplace_back(
       Finished{ .ticket = order.ticket,
                 .result = Refuse(ErrorKind::ControlUnavailable,
                                  "this host no longer holds the lease to "
                                  "send orders") });
   }
-  aState.waiting.clear();
+  aState.queued.clear();
 }
 
 } // namespace
@@ -96,16 +97,16 @@
                        "this host does not hold the lease to send orders") });
     return;
   }
-  aState.waiting.push_back(
+  aState.queued.push_back(
     { .order = { .server = aSubmitted.server, .task = aSubmitted.task },
       .ticket = aSubmitted.ticket,
       .checksFencing = aSubmitted.checksFencing });
 }
 
 void
-TakeAnswer(State& aState,
-           const Answered& aAnswered,
-           std::vector<Action>& aActions)
+HandleAnswer(State& aState,
+             const Answered& aAnswered,
+             std::vector<Action>& aActions)
 {
   const auto found = aState.open.find(aAnswered.id);
   if (found == aState.open.end() || aAnswered.outcome == Outcome::Unknown) {
@@ -118,25 +119,25 @@
 }
 
 void
-GiveOrders(State& aState, Instant aNow, std::vector<Action>& aActions)
+SendQueuedOrders(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
   EndOverdue(aState, aNow, aActions);
   if (!aState.lease.Held()) {
-    RefuseWaiting(aState, aActions);
+    RefuseQueued(aState, aActions);
     return;
   }
-  aState.giveAt = kNever;
+  aState.sendAt = kNever;
   if (!aState.candidate || aState.lease.releasing) {
     return;
   }
-  for (auto at = aState.waiting.begin(); at != aState.waiting.end();) {
-    if (!MayGo(aState, *at, aNow)) {
-      NoteQuiet(aState, *at, aNow);
+  for (auto at = aState.queued.begin(); at != aState.queued.end();) {
+    if (!CanSend(aState, *at, aNow)) {
+      ScheduleSend(aState, *at, aNow);
       ++at;
       continue;
     }
     Send(aState, std::move(*at), aNow, aActions);
-    at = aState.waiting.erase(at);
+    at = aState.queued.erase(at);
   }
 }
 
--- a/src/balsampoint/orders/command/give.hpp
+++ b/src/balsampoint/orders/command/send_orders.hpp
@@ -29,9 +29,9 @@
  * @param aActions The result is appended here.
  */
 void
-TakeAnswer(State& aState,
-           const Answered& aAnswered,
-           std::vector<Action>& aActions);
+HandleAnswer(State& aState,
+             const Answered& aAnswered,
+             std::vector<Action>& aActions);
 
 /**
  * @brief Sends the queued orders that may be sent now and ends the open ones
@@ -45,6 +45,6 @@
  * @param aActions Orders and results are appended here.
  */
 void
-GiveOrders(State& aState, Instant aNow, std::vector<Action>& aActions);
+SendQueuedOrders(State& aState, Instant aNow, std::vector<Action>& aActions);
 
 } // namespace balsampoint::orders
--- a/src/balsampoint/orders/command/follow_lease.cpp
+++ b/src/balsampoint/orders/command/update_lease.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/orders/command/follow_lease.hpp"
+#include "balsampoint/orders/command/update_lease.hpp"
 
 #include "balsampoint/orders/command/apply.hpp"
 #include "balsampoint/orders/internal/bounds.hpp"
@@ -10,7 +10,7 @@
 namespace {
 
 bool
-IsOwn(const State& aState, const Table& aTable)
+IsHeldBySelf(const State& aState, const Table& aTable)
 {
   return aTable.holder == aState.settings.self &&
          aTable.incarnation == aState.settings.incarnation;
@@ -18,14 +18,14 @@
 
 /** Time from which orders of the previous holder can have no more effect. */
 Instant
-QuietUntil(const State& aState, const Table& aBefore)
+TakeoverDelayEnd(const State& aState, const Table& aBefore)
 {
   const bool released =
     aBefore.holder.Empty() && aBefore.fencing != FencingNumber{};
   if (released) {
     return aState.changedAt;
   }
-  return aState.changedAt + internal::QuietTime(aState.settings);
+  return aState.changedAt + internal::TakeoverDelay(aState.settings);
 }
 
 void
@@ -34,8 +34,8 @@
   const auto& settings = aState.settings;
   aState.lease = Lease{
     .fencing = aState.table.fencing,
-    .end = aState.grantAskedAt + internal::HolderTime(settings),
-    .quietUntil = QuietUntil(aState, aBefore),
+    .end = aState.grantRequestedAt + internal::HolderLeaseTime(settings),
+    .takeoverDelayEnd = TakeoverDelayEnd(aState, aBefore),
     .renewAt = aNow + settings.renewInterval,
   };
 }
@@ -44,8 +44,9 @@
 ExtendLease(State& aState)
 {
   auto& lease = aState.lease;
-  if (lease.askedRenewal == aState.table.renewals) {
-    lease.end = lease.askedAt + internal::HolderTime(aState.settings);
+  if (lease.proposedRenewal == aState.table.renewals) {
+    lease.end =
+      lease.renewalProposedAt + internal::HolderLeaseTime(aState.settings);
   }
 }
 
@@ -55,19 +56,19 @@
   auto& lease = aState.lease;
   lease.renewAt = aNow + aState.settings.renewInterval;
   const auto renewal = aState.table.renewals + 1;
-  if (lease.askedRenewal != renewal) {
-    lease.askedRenewal = renewal;
-    lease.askedAt = aNow;
+  if (lease.proposedRenewal != renewal) {
+    lease.proposedRenewal = renewal;
+    lease.renewalProposedAt = aNow;
   }
   aActions.emplace_back(Propose{
-    Renew{ .fencing = lease.fencing, .renewal = lease.askedRenewal } });
+    Renew{ .fencing = lease.fencing, .renewal = lease.proposedRenewal } });
 }
 
 void
 ProposeRelease(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
-  const bool asked = aState.proposeAt != kNever && aState.proposeAt > aNow;
-  if (!aState.open.empty() || asked) {
+  const bool proposed = aState.proposeAt != kNever && aState.proposeAt > aNow;
+  if (!aState.open.empty() || proposed) {
     return;
   }
   aState.proposeAt = aNow + aState.settings.proposeInterval;
@@ -76,26 +77,26 @@
 }
 
 Instant
-GrantDue(const State& aState)
+GrantDueAt(const State& aState)
 {
   const bool isFree =
     aState.table.holder.Empty() && aState.table.fencing != FencingNumber{};
   const auto wait =
-    isFree ? Duration::zero() : internal::LeaseWait(aState.settings);
+    isFree ? Duration::zero() : internal::GrantDelay(aState.settings);
   return aState.changedAt == kNever ? kNever : aState.changedAt + wait;
 }
 
 void
-AskForLease(State& aState, Instant aNow, std::vector<Action>& aActions)
+RequestLease(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
   const auto due = std::max(
-    GrantDue(aState), aState.proposeAt == kNever ? aNow : aState.proposeAt);
+    GrantDueAt(aState), aState.proposeAt == kNever ? aNow : aState.proposeAt);
   aState.proposeAt = due;
   if (due > aNow) {
     return;
   }
   aState.proposeAt = aNow + aState.settings.proposeInterval;
-  aState.grantAskedAt = std::min(aState.grantAskedAt, aNow);
+  aState.grantRequestedAt = std::min(aState.grantRequestedAt, aNow);
   aActions.emplace_back(
     Propose{ Grant{ .holder = aState.settings.self,
                     .incarnation = aState.settings.incarnation,
@@ -106,16 +107,16 @@
 } // namespace
 
 void
-TakeApplied(State& aState, const Applied& aApplied, Instant aNow)
+HandleApplied(State& aState, const Applied& aApplied, Instant aNow)
 {
   const auto before = aState.table;
   if (!Apply(aState.table, aApplied.command)) {
     return;
   }
   const bool isNew = aState.table.fencing != before.fencing;
-  const bool own = IsOwn(aState, aState.table);
+  const bool own = IsHeldBySelf(aState, aState.table);
   if (isNew && own && aState.changedAt != kNever &&
-      aState.grantAskedAt != kNever) {
+      aState.grantRequestedAt != kNever) {
     StartLease(aState, before, aNow);
   } else if (own && aState.lease.Held()) {
     ExtendLease(aState);
@@ -123,24 +124,24 @@
     aState.lease = {};
   }
   aState.changedAt = aNow;
-  aState.grantAskedAt = kNever;
+  aState.grantRequestedAt = kNever;
   aState.proposeAt = kNever;
 }
 
 void
-TakeRestored(State& aState, const Restored& aRestored, Instant aNow)
+HandleRestored(State& aState, const Restored& aRestored, Instant aNow)
 {
   const bool same = aState.table == aRestored.table;
   aState.table = aRestored.table;
   aState.changedAt = aNow;
-  aState.grantAskedAt = kNever;
+  aState.grantRequestedAt = kNever;
   if (!same) {
     aState.lease = {};
   }
 }
 
 void
-FollowLease(State& aState, Instant aNow, std::vector<Action>& aActions)
+UpdateLease(State& aState, Instant aNow, std::vector<Action>& aActions)
 {
   if (aState.changedAt == kNever) {
     aState.changedAt = aNow;
@@ -150,7 +151,7 @@
   }
   if (!aState.lease.Held()) {
     if (aState.candidate) {
-      AskForLease(aState, aNow, aActions);
+      RequestLease(aState, aNow, aActions);
     }
     return;
   }
--- a/src/balsampoint/orders/command/follow_lease.hpp
+++ b/src/balsampoint/orders/command/update_lease.hpp
@@ -16,7 +16,7 @@
  * @param aNow The current time.
  */
 void
-TakeApplied(State& aState, const Applied& aApplied, Instant aNow);
+HandleApplied(State& aState, const Applied& aApplied, Instant aNow);
 
 /**
  * @brief Handles a snapshot of the table. The wait before the next request for
@@ -26,7 +26,7 @@
  * @param aNow The current time.
  */
 void
-TakeRestored(State& aState, const Restored& aRestored, Instant aNow);
+HandleRestored(State& aState, const Restored& aRestored, Instant aNow);
 
 /**
  * @brief Requests, renews, releases or expires the lease when that is due.
@@ -35,6 +35,6 @@
  * @param aActions Proposals are appended here.
  */
 void
-FollowLease(State& aState, Instant aNow, std::vector<Action>& aActions);
+UpdateLease(State& aState, Instant aNow, std::vector<Action>& aActions);
 
 } // namespace balsampoint::orders
--- a/src/balsampoint/orders/internal/bounds.hpp
+++ b/src/balsampoint/orders/internal/bounds.hpp
@@ -4,8 +4,8 @@
 
 namespace balsampoint::orders::internal {
 
-/** @brief Denominator of parts per million. */
-inline constexpr std::int64_t kPpm = 1'000'000;
+/** @brief Number of parts per million in one whole. */
+inline constexpr std::int64_t kMillion = 1'000'000;
 
 /**
  * @brief How long a holder may send orders, on its own clock, from its request
@@ -13,9 +13,9 @@
  * @param aSettings Lease length and clock error.
  */
 [[nodiscard]] constexpr Duration
-HolderTime(const Settings& aSettings)
+HolderLeaseTime(const Settings& aSettings)
 {
-  return aSettings.lease / kPpm * (kPpm - aSettings.clockErrorPpm);
+  return aSettings.lease / kMillion * (kMillion - aSettings.clockErrorPpm);
 }
 
 /**
@@ -24,9 +24,9 @@
  * @param aSettings Lease length and clock error.
  */
 [[nodiscard]] constexpr Duration
-LeaseWait(const Settings& aSettings)
+GrantDelay(const Settings& aSettings)
 {
-  return aSettings.lease / kPpm * (kPpm + aSettings.clockErrorPpm);
+  return aSettings.lease / kMillion * (kMillion + aSettings.clockErrorPpm);
 }
 
 /**
@@ -36,11 +36,12 @@
  * @param aSettings Lease length, order limit and clock error.
  */
 [[nodiscard]] constexpr Duration
-QuietTime(const Settings& aSettings)
+TakeoverDelay(const Settings& aSettings)
 {
   const auto error = aSettings.clockErrorPpm;
-  const auto longestOrder = aSettings.orderLimit / (kPpm - error) * kPpm;
-  return (aSettings.lease + longestOrder) / kPpm * (kPpm + error);
+  const auto longestOrder =
+    aSettings.orderLimit / (kMillion - error) * kMillion;
+  return (aSettings.lease + longestOrder) / kMillion * (kMillion + error);
 }
 
 } // namespace balsampoint::orders::internal
--- a/src/balsampoint/orders/module.cpp
+++ b/src/balsampoint/orders/module.cpp
@@ -1,7 +1,7 @@
 #include "balsampoint/orders/module.hpp"
 
-#include "balsampoint/orders/command/follow_lease.hpp"
-#include "balsampoint/orders/command/give.hpp"
+#include "balsampoint/orders/command/send_orders.hpp"
+#include "balsampoint/orders/command/update_lease.hpp"
 #include "balsampoint/orders/query/next_deadline.hpp"
 
 namespace balsampoint::orders {
@@ -19,13 +19,13 @@
 void
 On(State& aState, const Applied& aEvent, Instant aNow, Actions&)
 {
-  TakeApplied(aState, aEvent, aNow);
+  HandleApplied(aState, aEvent, aNow);
 }
 
 void
 On(State& aState, const Restored& aEvent, Instant aNow, Actions&)
 {
-  TakeRestored(aState, aEvent, aNow);
+  HandleRestored(aState, aEvent, aNow);
 }
 
 void
@@ -37,7 +37,7 @@
 void
 On(State& aState, const Answered& aEvent, Instant, Actions& aActions)
 {
-  TakeAnswer(aState, aEvent, aActions);
+  HandleAnswer(aState, aEvent, aActions);
 }
 
 } // namespace
@@ -56,8 +56,8 @@
 void
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
-  FollowLease(aState, aNow, aActions);
-  GiveOrders(aState, aNow, aActions);
+  UpdateLease(aState, aNow, aActions);
+  SendQueuedOrders(aState, aNow, aActions);
 }
 
 Instant
--- a/src/balsampoint/orders/query/next_deadline.cpp
+++ b/src/balsampoint/orders/query/next_deadline.cpp
@@ -15,7 +15,7 @@
     next =
       std::min(next, aState.proposeAt == kNever ? Instant{} : aState.proposeAt);
   }
-  return std::min(next, aState.giveAt);
+  return std::min(next, aState.sendAt);
 }
 
 } // namespace
--- a/src/balsampoint/orders/state.hpp
+++ b/src/balsampoint/orders/state.hpp
@@ -28,11 +28,11 @@
   /** Time from which this host sends no more orders. */
   Instant end{};
   /** Time from which engines that ignore fencing numbers may get orders. */
-  Instant quietUntil{};
+  Instant takeoverDelayEnd{};
   /** Number of the renewal proposed last. */
-  std::uint64_t askedRenewal{};
+  std::uint64_t proposedRenewal{};
   /** When that renewal was first proposed. */
-  Instant askedAt{};
+  Instant renewalProposedAt{};
   /** When the next renewal is proposed. */
   Instant renewAt{};
   /** Whether a release was proposed; no more orders are sent after it. */
@@ -59,18 +59,18 @@
   Lease lease;
   /** When the lease was first requested since the table changed; `kNever` if
    * it was not. */
-  Instant grantAskedAt{ kNever };
+  Instant grantRequestedAt{ kNever };
   /** Earliest time of the next grant or release proposal; `kNever` if none is
    * scheduled. */
   Instant proposeAt{ kNever };
   /** Orders not sent yet, in the order of their submission. */
-  std::deque<OpenOrder> waiting;
+  std::deque<OpenOrder> queued;
   /** Orders sent that have not ended. */
   std::map<OrderId, OpenOrder> open;
   /** When a queued order may be sent; `kNever` if none waits for a time. */
-  Instant giveAt{ kNever };
-  /** Orders sent so far; the last part of their ids. */
-  std::uint64_t ordersMade{};
+  Instant sendAt{ kNever };
+  /** Number of the last order sent; the last part of its id. */
+  std::uint64_t lastOrderNumber{};
 };
 
 } // namespace balsampoint::orders
--- a/test/fake/isolated_holder.hpp
+++ b/test/fake/isolated_holder.hpp
@@ -17,7 +17,7 @@
 struct IsolationResult
 {
   /** Orders sent by each host. */
-  std::array<std::uint64_t, 2> given{};
+  std::array<std::uint64_t, 2> sent{};
   /** Orders of an old holder that took effect after a newer holder sent one. */
   std::uint64_t lateEffects{};
 };
@@ -56,7 +56,7 @@
    * @brief Lets orders take longer at the engine than the hosts' `orderLimit`.
    * @param aLimit Longest time from sending an order to its effect.
    */
-  void KeepLimit(Duration aLimit) { mLimit = aLimit; }
+  void SetEngineLimit(Duration aLimit) { mLimit = aLimit; }
 
   /**
    * @brief Runs the simulation.
@@ -67,14 +67,14 @@
   {
     const auto cut = Duration{ Between(0, aLength.count() / 2) };
     const auto heal = cut + Duration{ Between(0, aLength.count() / 2) };
-    At(cut, [this] { mCut = true; });
+    At(cut, [this] { mPartitioned = true; });
     At(heal, [this] { Heal(); });
     if (mRandom.Next() % 4 == 0) {
       At(Duration{ Between(0, aLength.count()) }, [this] { Restart(0); });
     }
     for (std::size_t host = 0; host < mHosts.size(); ++host) {
       At(Duration{ Between(0, kStart.count()) },
-         [this, host] { Tell(host, orders::Candidacy{ true }); });
+         [this, host] { Handle(host, orders::Candidacy{ true }); });
       At(kStart, [this, host] { Submit(host); });
     }
     while (!mQueue.empty() && mQueue.begin()->first <= aLength) {
@@ -115,7 +115,7 @@
     return Instant{ mNow + mNow / 1'000'000 * aHost.ratePpm };
   }
 
-  void Tell(std::size_t aHost, const orders::Event& aEvent)
+  void Handle(std::size_t aHost, const orders::Event& aEvent)
   {
     auto& host = mHosts[aHost];
     std::vector<orders::Action> actions;
@@ -146,17 +146,17 @@
   {
     for (const auto& action : aActions) {
       if (const auto* propose = std::get_if<orders::Propose>(&action)) {
-        PutIntoLog(aHost, propose->command);
-      } else if (const auto* give = std::get_if<orders::Give>(&action)) {
-        Give(aHost, give->order);
+        AppendToLog(aHost, propose->command);
+      } else if (const auto* send = std::get_if<orders::SendOrder>(&action)) {
+        Send(aHost, send->order);
       }
     }
     Wake(aHost);
   }
 
-  void PutIntoLog(std::size_t aHost, const orders::Command& aCommand)
+  void AppendToLog(std::size_t aHost, const orders::Command& aCommand)
   {
-    if (aHost == 0 && mCut) {
+    if (aHost == 0 && mPartitioned) {
       return;
     }
     At(mNow + Duration{ Between(0, kLatency.count()) }, [this, aCommand] {
@@ -171,19 +171,19 @@
   void CatchUp(std::size_t aHost)
   {
     auto& missed = mHosts[aHost].missed;
-    if (missed.empty() || (aHost == 0 && mCut)) {
+    if (missed.empty() || (aHost == 0 && mPartitioned)) {
       return;
     }
     const auto command = missed.front();
     missed.erase(missed.begin());
-    Tell(aHost, orders::Applied{ command });
+    Handle(aHost, orders::Applied{ command });
   }
 
   /** Ends the partition of the first host. In half of the runs the host
    * receives only one missed command and is then partitioned again. */
   void Heal()
   {
-    mCut = false;
+    mPartitioned = false;
     const auto count = mHosts[0].missed.size();
     const bool again = mRandom.Next() % 2 == 0;
     for (std::size_t at = 0;
@@ -191,7 +191,7 @@
          ++at) {
       CatchUp(0);
     }
-    mCut = again;
+    mPartitioned = again;
   }
 
   void Restart(std::size_t aHost)
@@ -201,25 +201,25 @@
     settings.incarnation = settings.incarnation.Next();
     const auto table = host.state.table;
     host.state = { .settings = settings, .table = table };
-    Tell(aHost, orders::Candidacy{ true });
+    Handle(aHost, orders::Candidacy{ true });
   }
 
   void Submit(std::size_t aHost)
   {
-    Tell(aHost,
-         orders::Submitted{ .server = ServerId{ "engine" },
-                            .task = orders::ChangeRole{} });
+    Handle(aHost,
+           orders::Submitted{ .server = ServerId{ "engine" },
+                              .task = orders::ChangeRole{} });
     At(mNow + kSubmit, [this, aHost] { Submit(aHost); });
   }
 
-  void Give(std::size_t aHost, const orders::Order& aOrder)
+  void Send(std::size_t aHost, const orders::Order& aOrder)
   {
-    ++mResult.given[aHost];
+    ++mResult.sent[aHost];
     mNewest = std::max(mNewest, aOrder.fencing);
     const auto effect = mNow + Duration{ Between(0, mLimit.count()) };
     At(effect, [this, aHost, aOrder] {
       mResult.lateEffects += aOrder.fencing < mNewest ? 1 : 0;
-      Tell(
+      Handle(
         aHost,
         orders::Answered{ .id = aOrder.id, .outcome = orders::Outcome::Done });
     });
@@ -230,7 +230,7 @@
   std::array<Host, 2> mHosts;
   std::multimap<Duration, std::function<void()>> mQueue;
   Duration mNow{};
-  bool mCut{ false };
+  bool mPartitioned{ false };
   FencingNumber mNewest;
   IsolationResult mResult;
 };
