Rename the figurative names of the fan-out

Hosts "heard", "fed", "noted" and "forgot" one another, and timeouts were called silence. The names now say received, advertised, sent, recorded and timeout; the wire structs and their fields keep their names. No behaviour changes.

Rename: LeaderHeard -> LeaderAdvertised (fanout) Rename: NumberHeard -> NumberAdvertised (fanout) Rename: LeaderKnown -> LeaderChanged (fanout; change keeps its own) Rename: Known -> DirectoryEntry (fanout) Rename: Settings::interval -> heartbeatInterval, silence -> contactTimeout, rootSilence -> rootContactTimeout, joinRetry -> joinInterval, startWait -> startTimeout, fetchWait -> fetchDelay, fullReport -> fullReportInterval, forget -> hostRetention, keptSteps -> maxSteps (fanout) Rename: HostInForce::silence -> sinceLastContact (fanout) Rename: Child::heardAt, Known::heardAt -> lastReceivedAt (fanout) Rename: NewerHost::askAt -> fetchAt (fanout) Rename: State::seen -> newestKnown, parentHeardAt -> lastParentContactAt, rootHeardAt -> lastRootContactAt, nextBeat -> nextHeartbeat (fanout) Rename: Beat -> SendHeartbeats, HandleNumberHeard -> HandleNumberAdvertised, HandleLeaderKnown -> HandleLeaderChanged (fanout) Test cases of test/balsampoint/fanout get plain names; their checks are unchanged.

--- a/src/balsampoint/daemon/change_runner.cpp
+++ b/src/balsampoint/daemon/change_runner.cpp
@@ -135,8 +135,8 @@
 ChangeRunner::Do(const change::LeadingWithAll& aLeading)
 {
   Post(mMailbox,
-       fanout::Event{
-         fanout::LeaderKnown{ .leader = aLeading.leader, .caughtUp = true } });
+       fanout::Event{ fanout::LeaderChanged{ .leader = aLeading.leader,
+                                             .caughtUp = true } });
 }
 
 void
--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -199,8 +199,8 @@
     "term {}: leader '{}'", aChanged.term.Value(), aChanged.leader.Value());
   Post(mMailbox, change::Event{ change::LeaderKnown{ aChanged.leader } });
   Post(mMailbox,
-       fanout::Event{
-         fanout::LeaderKnown{ .leader = aChanged.leader, .caughtUp = false } });
+       fanout::Event{ fanout::LeaderChanged{ .leader = aChanged.leader,
+                                             .caughtUp = false } });
   Post(mMailbox, ledger::Event{ ledger::LeaderChanged{ aChanged.leader } });
   if (mObserver) {
     mObserver(aChanged.leader, aChanged.term);
--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -79,9 +79,9 @@
 }
 
 void
-FanoutRunner::Do(const fanout::LeaderHeard& aHeard)
+FanoutRunner::Do(const fanout::LeaderAdvertised& aAdvertised)
 {
-  Post(mMailbox, change::Event{ change::LeaderKnown{ aHeard.leader } });
+  Post(mMailbox, change::Event{ change::LeaderKnown{ aAdvertised.leader } });
 }
 
 void
--- a/src/balsampoint/daemon/fanout_runner.hpp
+++ b/src/balsampoint/daemon/fanout_runner.hpp
@@ -69,7 +69,7 @@
   void Do(const fanout::Send& aSend);
   void Do(const fanout::Route& aRoute);
   void Do(const fanout::Publish& aPublish);
-  void Do(const fanout::LeaderHeard& aHeard);
+  void Do(const fanout::LeaderAdvertised& aAdvertised);
   void Do(const fanout::InForceKnown& aKnown);
   void Do(const fanout::StatusReady& aReady);
   void Serve();
--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -107,7 +107,7 @@
 RosterRunner::Do(const roster::ConfigurationHeard& aHeard)
 {
   Post(mMailbox,
-       fanout::Event{ fanout::NumberHeard{ aHeard.host, aHeard.number } });
+       fanout::Event{ fanout::NumberAdvertised{ aHeard.host, aHeard.number } });
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/fanout/command/distribute.cpp
+++ b/src/balsampoint/fanout/command/distribute.cpp
@@ -13,15 +13,15 @@
 Advance(State& aState, Content aNext, Step aStep)
 {
   aState.content = std::move(aNext);
-  aState.seen = std::max(aState.seen, aState.content.number);
+  aState.newestKnown = std::max(aState.newestKnown, aState.content.number);
   aState.steps.push_back(std::move(aStep));
-  while (aState.steps.size() > aState.settings.keptSteps) {
+  while (aState.steps.size() > aState.settings.maxSteps) {
     aState.steps.pop_front();
   }
 }
 
 void
-FeedChildren(State& aState, Instant aNow, Actions& aActions)
+SendToChildren(State& aState, Instant aNow, Actions& aActions)
 {
   for (auto& [host, child] : aState.children) {
     const auto have = std::max(child.report.number, child.sent);
@@ -39,7 +39,7 @@
 AfterAdvance(State& aState, Instant aNow, Actions& aActions)
 {
   PublishWhenReady(aState, aNow, aActions);
-  FeedChildren(aState, aNow, aActions);
+  SendToChildren(aState, aNow, aActions);
 }
 
 } // namespace
@@ -76,10 +76,10 @@
 PublishWhenReady(State& aState, Instant aNow, Actions& aActions)
 {
   if (!aState.ready) {
-    const bool heardAll =
+    const bool allAnswered =
       aState.answeredSeeds.size() >= aState.settings.seeds.size();
-    const bool waited = heardAll || aNow >= aState.startDeadline;
-    const bool current = aState.content.number >= aState.seen &&
+    const bool waited = allAnswered || aNow >= aState.startDeadline;
+    const bool current = aState.content.number >= aState.newestKnown &&
                          aState.content.number != ChangeNumber{};
     if (!waited || !current) {
       return;
@@ -115,14 +115,15 @@
              Actions& aActions)
 {
   if (aFrom == aState.parent) {
-    aState.parentHeardAt = aNow;
-    aState.rootHeardAt = std::max(aState.rootHeardAt, aNow - aUpdate.rootAge);
+    aState.lastParentContactAt = aNow;
+    aState.lastRootContactAt =
+      std::max(aState.lastRootContactAt, aNow - aUpdate.rootAge);
     if (aState.leadingSince == kNever && aUpdate.leader != aState.leader) {
       aState.leader = aUpdate.leader;
-      aActions.emplace_back(LeaderHeard{ aState.leader });
+      aActions.emplace_back(LeaderAdvertised{ aState.leader });
     }
   }
-  aState.seen = std::max(aState.seen, aUpdate.number);
+  aState.newestKnown = std::max(aState.newestKnown, aUpdate.number);
   if (aUpdate.number <= aState.content.number) {
     return;
   }
--- a/src/balsampoint/fanout/command/distribute.hpp
+++ b/src/balsampoint/fanout/command/distribute.hpp
@@ -54,7 +54,7 @@
 
 /**
  * @brief Publishes the newest configuration. A host that isn't ready yet first
- * waits for all control hosts or `Settings::startWait`, and until it has the
+ * waits for all control hosts or `Settings::startTimeout`, and until it has the
  * newest configuration that it knows of.
  * @param aState State to change.
  * @param aNow The current time.
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 bool
-IsLive(const State& aState, const Known& aKnown, Instant aNow)
+IsLive(const State& aState, const DirectoryEntry& aEntry, Instant aNow)
 {
-  return aKnown.report.reachable &&
-         aNow - aKnown.heardAt <= aState.settings.silence;
+  return aEntry.report.reachable &&
+         aNow - aEntry.lastReceivedAt <= aState.settings.contactTimeout;
 }
 
 /** @brief Number of live hosts that each live relay of a zone serves. */
@@ -88,7 +88,7 @@
  * count, because that host may be behind.
  */
 void
-NoteAnswer(State& aState, const HostId& aFrom, const JoinReply& aReply)
+RecordAnswer(State& aState, const HostId& aFrom, const JoinReply& aReply)
 {
   const auto& seeds = aState.settings.seeds;
   if (aReply.leads) {
@@ -103,9 +103,9 @@
 void
 JoinWhenLost(State& aState, Instant aNow, Actions& aActions)
 {
-  constexpr int kSlower = 8;
-  const auto retry = aState.settings.joinRetry;
-  aState.nextJoin = aNow + (aState.ready ? retry * kSlower : retry);
+  constexpr int kReadyFactor = 8;
+  const auto retry = aState.settings.joinInterval;
+  aState.nextJoin = aNow + (aState.ready ? retry * kReadyFactor : retry);
   const bool lost =
     internal::ParentIsLost(aState, aNow) || internal::RootIsLost(aState, aNow);
   if (aState.ready && (!lost || internal::Leads(aState))) {
@@ -136,7 +136,7 @@
     return;
   }
   aActions.emplace_back(Route{ aFrom, aRequest.host.address });
-  JoinReply reply{ .number = aState.seen,
+  JoinReply reply{ .number = aState.newestKnown,
                    .parent = ChooseParent(aState, aRequest.host, aNow),
                    .leads = internal::Leads(aState) };
   const auto known = aState.directory.find(reply.parent);
@@ -156,8 +156,8 @@
                 Instant aNow,
                 Actions& aActions)
 {
-  NoteAnswer(aState, aFrom, aReply);
-  aState.seen = std::max(aState.seen, aReply.number);
+  RecordAnswer(aState, aFrom, aReply);
+  aState.newestKnown = std::max(aState.newestKnown, aReply.number);
   if (aReply.number > aState.content.number) {
     aActions.emplace_back(Send{ aFrom, Fetch{ aState.content.number } });
   }
@@ -166,9 +166,9 @@
   if (lost && !internal::Leads(aState) && !aReply.parent.Empty() &&
       aReply.parent != aState.settings.self.host) {
     aState.parent = aReply.parent;
-    aState.parentHeardAt = aNow;
+    aState.lastParentContactAt = aNow;
     if (aReply.leads) {
-      aState.rootHeardAt = aNow;
+      aState.lastRootContactAt = aNow;
     }
     aState.nextFullReport = aNow;
     aActions.emplace_back(Route{ aReply.parent, aReply.parentAddress });
@@ -180,7 +180,7 @@
 }
 
 void
-HandleLeaderKnown(State& aState, const LeaderKnown& aEvent, Instant aNow)
+HandleLeaderChanged(State& aState, const LeaderChanged& aEvent, Instant aNow)
 {
   const bool self = aEvent.leader == aState.settings.self.host;
   const bool leads = self && aEvent.caughtUp;
@@ -195,24 +195,26 @@
 }
 
 void
-HandleNumberHeard(State& aState, const NumberHeard& aEvent, Instant aNow)
+HandleNumberAdvertised(State& aState,
+                       const NumberAdvertised& aEvent,
+                       Instant aNow)
 {
-  aState.seen = std::max(aState.seen, aEvent.number);
+  aState.newestKnown = std::max(aState.newestKnown, aEvent.number);
   if (aEvent.number <= aState.content.number ||
       aEvent.number < aState.newer.number) {
     return;
   }
-  const bool waiting = aState.newer.askAt != kNever;
+  const bool waiting = aState.newer.fetchAt != kNever;
   aState.newer = { aEvent.host,
                    aEvent.number,
-                   waiting ? aState.newer.askAt
-                           : aNow + aState.settings.fetchWait };
+                   waiting ? aState.newer.fetchAt
+                           : aNow + aState.settings.fetchDelay };
 }
 
 void
 FetchNewer(State& aState, Actions& aActions)
 {
-  aState.newer.askAt = kNever;
+  aState.newer.fetchAt = kNever;
   if (aState.newer.number > aState.content.number) {
     aActions.emplace_back(
       Send{ aState.newer.host, Fetch{ aState.content.number } });
--- a/src/balsampoint/fanout/command/join.hpp
+++ b/src/balsampoint/fanout/command/join.hpp
@@ -53,17 +53,19 @@
  * @param aNow The current time.
  */
 void
-HandleLeaderKnown(State& aState, const LeaderKnown& aEvent, Instant aNow);
+HandleLeaderChanged(State& aState, const LeaderChanged& aEvent, Instant aNow);
 
 /**
  * @brief Records that a host has a newer configuration. It is fetched from that
- * host if the tree doesn't deliver it within `Settings::fetchWait`.
+ * host if the tree doesn't deliver it within `Settings::fetchDelay`.
  * @param aState State to change.
  * @param aEvent The host and its number.
  * @param aNow The current time.
  */
 void
-HandleNumberHeard(State& aState, const NumberHeard& aEvent, Instant aNow);
+HandleNumberAdvertised(State& aState,
+                       const NumberAdvertised& aEvent,
+                       Instant aNow);
 
 /**
  * @brief Requests a newer configuration from the host recorded in
--- a/src/balsampoint/fanout/command/report.cpp
+++ b/src/balsampoint/fanout/command/report.cpp
@@ -26,24 +26,24 @@
  * @return Whether the known report changed.
  */
 bool
-Merge(HostReport& aKnown, HostReport aNews)
+Merge(HostReport& aKnown, HostReport aReport)
 {
-  if (aNews.incarnation < aKnown.incarnation) {
+  if (aReport.incarnation < aKnown.incarnation) {
     return false;
   }
-  if (aNews.incarnation == aKnown.incarnation) {
-    aNews.number = std::max(aNews.number, aKnown.number);
+  if (aReport.incarnation == aKnown.incarnation) {
+    aReport.number = std::max(aReport.number, aKnown.number);
   }
-  const bool changed = aKnown != aNews;
-  aKnown = std::move(aNews);
+  const bool changed = aKnown != aReport;
+  aKnown = std::move(aReport);
   return changed;
 }
 
 void
-NoteKnown(State& aState,
-          const HostReport& aReport,
-          const HostId& aRelay,
-          Instant aNow)
+RecordHost(State& aState,
+           const HostReport& aReport,
+           const HostId& aRelay,
+           Instant aNow)
 {
   auto& known = aState.directory[aReport.host];
   if (aReport.incarnation < known.report.incarnation) {
@@ -52,18 +52,18 @@
   if (aReport.reachable || known.relay == aRelay || known.relay.Empty()) {
     std::ignore = Merge(known.report, aReport);
     known.relay = aRelay;
-    known.heardAt = aNow;
+    known.lastReceivedAt = aNow;
   }
 }
 
 /** @brief Refreshes the hosts behind a relay: a report omits those that have
  * not changed. */
 void
-NoteRelayAlive(State& aState, const HostId& aRelay, Instant aNow)
+RefreshHostsBehind(State& aState, const HostId& aRelay, Instant aNow)
 {
   for (auto& [host, known] : aState.directory) {
     if (known.relay == aRelay && known.report.reachable) {
-      known.heardAt = aNow;
+      known.lastReceivedAt = aNow;
     }
   }
 }
@@ -71,14 +71,14 @@
 /** @brief Records what a child reports of the hosts below it, for the next
  * report to the parent. */
 void
-NoteBelow(State& aState,
-          const HostId& aFrom,
-          const Report& aReport,
-          Instant aNow)
+RecordDescendants(State& aState,
+                  const HostId& aFrom,
+                  const Report& aReport,
+                  Instant aNow)
 {
   for (auto& [host, child] : aState.children) {
     if (child.via == aFrom && child.report.reachable) {
-      child.heardAt = aNow;
+      child.lastReceivedAt = aNow;
     }
   }
   for (const auto& report : std::span{ aReport.hosts }.subspan(1)) {
@@ -86,39 +86,40 @@
       continue;
     }
     auto& child = aState.children[report.host];
-    const bool direct = child.via.Empty() && child.heardAt != Instant{} &&
-                        aNow - child.heardAt <= aState.settings.silence;
+    const bool direct =
+      child.via.Empty() && child.lastReceivedAt != Instant{} &&
+      aNow - child.lastReceivedAt <= aState.settings.contactTimeout;
     if (direct) {
       continue;
     }
     child.changed = Merge(child.report, report) || child.changed;
     child.via = aFrom;
-    child.heardAt = aNow;
+    child.lastReceivedAt = aNow;
   }
 }
 
 void
-ForgetLost(State& aState, Instant aNow)
+RemoveLost(State& aState, Instant aNow)
 {
   std::erase_if(aState.directory, [&](const auto& aPair) {
-    return aNow - aPair.second.heardAt > aState.settings.forget;
+    return aNow - aPair.second.lastReceivedAt > aState.settings.hostRetention;
   });
 }
 
-/** @brief Marks children as unreachable after `Settings::silence`, and removes
- * them once that was reported to the parent. */
+/** @brief Marks children as unreachable after `Settings::contactTimeout`, and
+ * removes them once that was reported to the parent. */
 void
-DropSilent(State& aState, Instant aNow)
+ExpireChildren(State& aState, Instant aNow)
 {
-  const auto isSilent = [&](const Child& aChild) {
-    return aNow - aChild.heardAt > aState.settings.silence;
+  const auto isLost = [&](const Child& aChild) {
+    return aNow - aChild.lastReceivedAt > aState.settings.contactTimeout;
   };
   std::erase_if(aState.children, [&](const auto& aPair) {
     const auto& child = aPair.second;
-    return isSilent(child) && !child.report.reachable && !child.changed;
+    return isLost(child) && !child.report.reachable && !child.changed;
   });
   for (auto& [host, child] : aState.children) {
-    if (!isSilent(child)) {
+    if (!isLost(child)) {
       continue;
     }
     child.changed = child.report.reachable || child.changed;
@@ -132,7 +133,7 @@
 SendReport(State& aState, Instant aNow, Actions& aActions)
 {
   if (internal::Leads(aState)) {
-    NoteKnown(aState, Self(aState), aState.settings.self.host, aNow);
+    RecordHost(aState, Self(aState), aState.settings.self.host, aNow);
     return;
   }
   if (aState.parent.Empty()) {
@@ -140,7 +141,7 @@
   }
   const bool full = aNow >= aState.nextFullReport;
   if (full) {
-    aState.nextFullReport = aNow + aState.settings.fullReport;
+    aState.nextFullReport = aNow + aState.settings.fullReportInterval;
   }
   Report report{ { Self(aState) } };
   for (auto& [host, child] : aState.children) {
@@ -167,35 +168,35 @@
   auto& child = aState.children[aFrom];
   child.changed = Merge(child.report, own) || child.changed;
   child.via = {};
-  child.heardAt = aNow;
-  const bool news = child.changed;
+  child.lastReceivedAt = aNow;
+  const bool changed = child.changed;
   if (internal::Leads(aState)) {
-    NoteRelayAlive(aState, aFrom, aNow);
+    RefreshHostsBehind(aState, aFrom, aNow);
     for (const auto& host : aReport.hosts) {
-      NoteKnown(aState, host, aFrom, aNow);
+      RecordHost(aState, host, aFrom, aNow);
     }
   } else {
-    NoteBelow(aState, aFrom, aReport, aNow);
+    RecordDescendants(aState, aFrom, aReport, aNow);
   }
-  const bool resend = aNow - child.sentAt >= aState.settings.interval;
+  const bool resend = aNow - child.sentAt >= aState.settings.heartbeatInterval;
   if (own.number < aState.content.number &&
       (resend || child.sent < aState.content.number)) {
     SendMissing(aState, aFrom, own.number, aNow, aActions);
     child.sent = aState.content.number;
     child.sentAt = aNow;
   }
-  if (news && !internal::Leads(aState)) {
+  if (changed && !internal::Leads(aState)) {
     SendReport(aState, aNow, aActions);
   }
 }
 
 void
-Beat(State& aState, Instant aNow, Actions& aActions)
+SendHeartbeats(State& aState, Instant aNow, Actions& aActions)
 {
-  aState.nextBeat = aNow + aState.settings.interval;
-  DropSilent(aState, aNow);
+  aState.nextHeartbeat = aNow + aState.settings.heartbeatInterval;
+  ExpireChildren(aState, aNow);
   if (internal::Leads(aState)) {
-    ForgetLost(aState, aNow);
+    RemoveLost(aState, aNow);
   }
   const auto number = aState.content.number;
   const auto age = internal::RootAge(aState, aNow);
--- a/src/balsampoint/fanout/command/report.hpp
+++ b/src/balsampoint/fanout/command/report.hpp
@@ -37,6 +37,6 @@
  * @param aActions Messages are appended here.
  */
 void
-Beat(State& aState, Instant aNow, Actions& aActions);
+SendHeartbeats(State& aState, Instant aNow, Actions& aActions);
 
 } // namespace balsampoint::fanout
--- a/src/balsampoint/fanout/in_force.hpp
+++ b/src/balsampoint/fanout/in_force.hpp
@@ -13,7 +13,7 @@
   HostReport report;
   bool reachable{ false };
   /** Time since the last contact with the host. */
-  Duration silence{};
+  Duration sinceLastContact{};
 };
 
 /** @brief The configurations in force on all hosts, as one host knows them. */
--- a/src/balsampoint/fanout/internal/in_force.cpp
+++ b/src/balsampoint/fanout/internal/in_force.cpp
@@ -6,16 +6,16 @@
 Describe(const State& aState, Instant aNow)
 {
   const auto& settings = aState.settings;
-  const auto settling = settings.silence + settings.interval;
-  InForce inForce{ .number = aState.seen,
+  const auto settling = settings.contactTimeout + settings.heartbeatInterval;
+  InForce inForce{ .number = aState.newestKnown,
                    .complete = aState.leadingSince != kNever &&
                                aNow - aState.leadingSince >= settling };
   for (const auto& [host, known] : aState.directory) {
-    const auto silence = aNow - known.heardAt;
+    const auto sinceLastContact = aNow - known.lastReceivedAt;
     inForce.hosts.push_back(
       { known.report,
-        known.report.reachable && silence <= settings.silence,
-        silence });
+        known.report.reachable && sinceLastContact <= settings.contactTimeout,
+        sinceLastContact });
   }
   return inForce;
 }
--- a/src/balsampoint/fanout/internal/root.hpp
+++ b/src/balsampoint/fanout/internal/root.hpp
@@ -19,7 +19,7 @@
 [[nodiscard]] inline Duration
 RootAge(const State& aState, Instant aNow)
 {
-  return Leads(aState) ? Duration{} : aNow - aState.rootHeardAt;
+  return Leads(aState) ? Duration{} : aNow - aState.lastRootContactAt;
 }
 
 /**
@@ -31,7 +31,7 @@
 ParentIsLost(const State& aState, Instant aNow)
 {
   return aState.parent.Empty() ||
-         aNow - aState.parentHeardAt > aState.settings.silence;
+         aNow - aState.lastParentContactAt > aState.settings.contactTimeout;
 }
 
 /**
@@ -43,7 +43,7 @@
 [[nodiscard]] inline bool
 RootIsLost(const State& aState, Instant aNow)
 {
-  return RootAge(aState, aNow) > aState.settings.rootSilence;
+  return RootAge(aState, aNow) > aState.settings.rootContactTimeout;
 }
 
 } // namespace balsampoint::fanout::internal
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -34,9 +34,9 @@
   {
     HandleAccepted(state, aEvent, now, actions);
   }
-  void operator()(const LeaderKnown& aEvent) const
+  void operator()(const LeaderChanged& aEvent) const
   {
-    HandleLeaderKnown(state, aEvent, now);
+    HandleLeaderChanged(state, aEvent, now);
   }
   void operator()(const Published& aEvent) const
   {
@@ -48,9 +48,9 @@
   {
     HandleAwaitInForce(state, aEvent, now, actions);
   }
-  void operator()(const NumberHeard& aEvent) const
+  void operator()(const NumberAdvertised& aEvent) const
   {
-    HandleNumberHeard(state, aEvent, now);
+    HandleNumberAdvertised(state, aEvent, now);
   }
   void operator()(const InForceRequest& aMessage) const
   {
@@ -91,9 +91,9 @@
 Module::Start(Settings aSettings, Instant aNow)
 {
   State state{ .settings = std::move(aSettings) };
-  state.startDeadline = aNow + state.settings.startWait;
+  state.startDeadline = aNow + state.settings.startTimeout;
   state.nextJoin = aNow;
-  state.nextBeat = aNow;
+  state.nextHeartbeat = aNow;
   return state;
 }
 
@@ -117,14 +117,14 @@
       PublishWhenReady(aState, aNow, aActions);
     }
   }
-  if (aNow >= aState.newer.askAt) {
+  if (aNow >= aState.newer.fetchAt) {
     FetchNewer(aState, aActions);
   }
   if (aNow >= aState.nextJoin) {
     JoinWhenLost(aState, aNow, aActions);
   }
-  if (aNow >= aState.nextBeat) {
-    Beat(aState, aNow, aActions);
+  if (aNow >= aState.nextHeartbeat) {
+    SendHeartbeats(aState, aNow, aActions);
     AnswerWaiters(aState, aNow, aActions);
     aActions.emplace_back(StatusReady{ DescribeInForce(aState, aNow) });
   }
--- a/src/balsampoint/fanout/query/next_deadline.cpp
+++ b/src/balsampoint/fanout/query/next_deadline.cpp
@@ -9,8 +9,8 @@
 {
   return std::min({ aState.startDeadline,
                     aState.nextJoin,
-                    aState.nextBeat,
-                    aState.newer.askAt });
+                    aState.nextHeartbeat,
+                    aState.newer.fetchAt });
 }
 
 } // namespace balsampoint::fanout
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -22,30 +22,30 @@
   /** Control hosts that join requests are sent to. */
   std::vector<HostId> seeds;
   /** Interval of heartbeats and reports. */
-  Duration interval{ std::chrono::seconds{ 1 } };
+  Duration heartbeatInterval{ std::chrono::seconds{ 1 } };
   /** Time without contact after which a host counts as unreachable. */
-  Duration silence{ std::chrono::milliseconds{ 3000 } };
+  Duration contactTimeout{ std::chrono::milliseconds{ 3000 } };
   /** Age of the last sign of life of the leader after which a host joins
    * again. */
-  Duration rootSilence{ std::chrono::seconds{ 5 } };
+  Duration rootContactTimeout{ std::chrono::seconds{ 5 } };
   /** Interval of join requests; eight times as long once ready. */
-  Duration joinRetry{ std::chrono::milliseconds{ 250 } };
+  Duration joinInterval{ std::chrono::milliseconds{ 250 } };
   /** Longest time that a starting host waits for all control hosts to answer.
    */
-  Duration startWait{ std::chrono::seconds{ 2 } };
+  Duration startTimeout{ std::chrono::seconds{ 2 } };
   /** Delay before a configuration that another host advertised is fetched from
    * it, in which the tree can deliver it. */
-  Duration fetchWait{ std::chrono::milliseconds{ 300 } };
+  Duration fetchDelay{ std::chrono::milliseconds{ 300 } };
   /** Interval of full reports. */
-  Duration fullReport{ std::chrono::seconds{ 10 } };
+  Duration fullReportInterval{ std::chrono::seconds{ 10 } };
   /** Time without contact after which the leader removes a host from its
    * directory. */
-  Duration forget{ std::chrono::minutes{ 10 } };
+  Duration hostRetention{ std::chrono::minutes{ 10 } };
   /** Largest number of hosts that one relay serves. */
   std::size_t hostsPerRelay{ 32 };
   /** Number of recent steps stored; a host further behind gets the whole
    * configuration. */
-  std::size_t keptSteps{ 64 };
+  std::size_t maxSteps{ 64 };
 };
 
 /** @brief A numbered configuration. */
@@ -70,7 +70,7 @@
   /** The child that reports it; empty for a direct child. */
   HostId via;
   /** When it was last reported. */
-  Instant heardAt{};
+  Instant lastReceivedAt{};
   /** Newest number sent to it. */
   ChangeNumber sent;
   /** When that number was sent. */
@@ -80,13 +80,13 @@
 };
 
 /** @brief A host in the leader's directory. */
-struct Known
+struct DirectoryEntry
 {
   HostReport report;
   /** The relay that reports it; the host itself for a relay. */
   HostId relay;
   /** When it was last reported. */
-  Instant heardAt{};
+  Instant lastReceivedAt{};
 };
 
 /** @brief A pending `InForceRequest`. */
@@ -105,7 +105,7 @@
   HostId host;
   ChangeNumber number;
   /** When the configuration is fetched, unless it has arrived by then. */
-  Instant askAt{ kNever };
+  Instant fetchAt{ kNever };
 };
 
 /** @brief State of the module on one host; owned by the control thread. */
@@ -114,10 +114,10 @@
   Settings settings;
   /** Newest configuration that this host has. */
   Content content;
-  /** Recent steps, oldest first, at most `Settings::keptSteps`. */
+  /** Recent steps, oldest first, at most `Settings::maxSteps`. */
   std::deque<Step> steps;
   /** Newest number that this host knows of. */
-  ChangeNumber seen;
+  ChangeNumber newestKnown;
   /** Number of the configuration that the daemon has put in force. */
   ChangeNumber inForce;
   /** Leader of the control group; empty if unknown. */
@@ -127,13 +127,13 @@
   /** Host that sends updates to this one; empty if none is assigned. */
   HostId parent;
   /** When the last update of the parent was received. */
-  Instant parentHeardAt{};
+  Instant lastParentContactAt{};
   /** Last sign of life of the leader, as reported by the parent. */
-  Instant rootHeardAt{};
+  Instant lastRootContactAt{};
   /** Hosts below this one, by id. */
   std::map<HostId, Child> children;
   /** All hosts, by id; empty unless this host leads. */
-  std::map<HostId, Known> directory;
+  std::map<HostId, DirectoryEntry> directory;
   /** Pending requests; empty unless this host leads. */
   std::vector<InForceWaiter> waiters;
   /** Control hosts whose answers count for the start of this host. */
@@ -141,7 +141,7 @@
   /** When a starting host stops waiting for control hosts; `kNever` after. */
   Instant startDeadline{ kNever };
   Instant nextJoin{ kNever };
-  Instant nextBeat{ kNever };
+  Instant nextHeartbeat{ kNever };
   Instant nextFullReport{};
   NewerHost newer;
   /** Whether this host has published its first configuration. */
@@ -164,7 +164,7 @@
 
 /** @brief The leader of the control group changed, as known from this host's
  * own log. */
-struct LeaderKnown
+struct LeaderChanged
 {
   /** The new leader; empty if there is none. */
   HostId leader;
@@ -193,7 +193,7 @@
 };
 
 /** @brief A host advertised the number of its configuration. */
-struct NumberHeard
+struct NumberAdvertised
 {
   HostId host;
   ChangeNumber number;
@@ -202,10 +202,10 @@
 /** @brief Events of the module. */
 using Event = std::variant<Received,
                            Accepted,
-                           LeaderKnown,
+                           LeaderChanged,
                            Published,
                            AwaitInForce,
-                           NumberHeard>;
+                           NumberAdvertised>;
 
 /** @brief Send a message to another host. */
 struct Send
@@ -230,7 +230,7 @@
 };
 
 /** @brief Report the leader of the control group that the parent advertised. */
-struct LeaderHeard
+struct LeaderAdvertised
 {
   /** The leader; empty if the parent knows none. */
   HostId leader;
@@ -252,8 +252,8 @@
 };
 
 /** @brief Actions that the daemon performs for the module. */
-using Action =
-  std::variant<Send, Route, Publish, LeaderHeard, InForceKnown, StatusReady>;
+using Action = std::
+  variant<Send, Route, Publish, LeaderAdvertised, InForceKnown, StatusReady>;
 
 /** @brief Actions that a command emits. */
 using Actions = std::vector<Action>;
--- a/test/balsampoint/fanout/module_test.cpp
+++ b/test/balsampoint/fanout/module_test.cpp
@@ -44,7 +44,7 @@
             SectionsOf(2));
 }
 
-Test(fanout, a_cut_off_zone_is_named_and_not_waited_for)
+Test(fanout, a_partitioned_zone_is_reported_unreachable_and_not_waited_for)
 {
   Tree tree{ 9, 3, 3, 2 };
   Settle(tree);
@@ -64,7 +64,8 @@
   cr_assert(tree.Describe(Tree::Name(0)).Everywhere(ChangeNumber{ 2 }));
 }
 
-Test(fanout, a_restart_in_a_cut_off_zone_serves_what_a_peer_has_seen)
+Test(fanout,
+     a_host_restarted_in_a_partitioned_zone_publishes_what_its_control_host_has)
 {
   Tree tree{ 9, 3, 3, 3 };
   Settle(tree);
@@ -80,7 +81,8 @@
   cr_assert_eq(tree.hosts.at(restarted).published, ChangeNumber{ 1 });
 }
 
-Test(fanout, a_restart_waits_for_the_newest_that_a_control_host_knows)
+Test(fanout,
+     a_restarted_host_waits_for_the_newest_configuration_of_the_control_hosts)
 {
   Tree tree{ 9, 3, 3, 4 };
   Settle(tree);
@@ -124,7 +126,7 @@
     seconds{ 6 });
 }
 
-Test(fanout, a_new_leader_takes_the_tree_over)
+Test(fanout, a_new_leader_takes_over_the_tree)
 {
   Tree tree{ 30, 3, 3, 7 };
   Settle(tree);
@@ -169,7 +171,7 @@
   }
 }
 
-Test(fanout, a_newer_configuration_heard_of_elsewhere_is_fetched_there)
+Test(fanout, a_newer_configuration_is_fetched_from_the_host_that_advertised_it)
 {
   using namespace std::chrono_literals;
   constexpr Instant kNow{ 1h };
@@ -184,8 +186,8 @@
     });
   };
   Actions actions;
-  const NumberHeard heard{ HostId{ "c2" }, ChangeNumber{ 28 } };
-  Module::Handle(state, heard, kNow, actions);
+  const NumberAdvertised advertised{ HostId{ "c2" }, ChangeNumber{ 28 } };
+  Module::Handle(state, advertised, kNow, actions);
   Module::Tick(state, kNow + 100ms, actions);
   cr_assert_eq(count(actions, "c2"), 0);
   Module::Tick(state, kNow + 301ms, actions);
@@ -197,12 +199,12 @@
               Update{ .number = ChangeNumber{ 28 }, .whole = true } },
     kNow + 310ms,
     actions);
-  Module::Handle(state, heard, kNow + 320ms, actions);
+  Module::Handle(state, advertised, kNow + 320ms, actions);
   Module::Tick(state, kNow + 1s, actions);
   cr_assert_eq(count(actions, "c2"), 0);
 }
 
-Test(fanout, a_restart_of_all_waits_for_a_leader_that_has_everything)
+Test(fanout, a_restart_of_all_hosts_waits_for_a_caught_up_leader)
 {
   Tree tree{ 9, 3, 3, 12 };
   tree.Lead({});
--- a/test/balsampoint/fanout/tree.hpp
+++ b/test/balsampoint/fanout/tree.hpp
@@ -84,7 +84,7 @@
   void Lead(const HostId& aLeader)
   {
     for (const auto& seed : mSeeds) {
-      Handle(seed, LeaderKnown{ aLeader });
+      Handle(seed, LeaderChanged{ aLeader });
     }
   }
 
@@ -130,12 +130,12 @@
     return clock.Now() - start;
   }
 
-  /** @brief Whether all running hosts outside `aBut` have a configuration in
+  /** @brief Whether all running hosts outside `aExcept` have a configuration in
    * force. */
-  bool Everywhere(std::uint64_t aNumber, const ZoneId& aBut = {}) const
+  bool Everywhere(std::uint64_t aNumber, const ZoneId& aExcept = {}) const
   {
     for (const auto& [id, host] : hosts) {
-      if (host.up && Zone(id) != aBut &&
+      if (host.up && Zone(id) != aExcept &&
           host.published < ChangeNumber{ aNumber }) {
         return false;
       }
@@ -178,7 +178,7 @@
     }
     Actions actions;
     Module::Handle(host.state, aEvent, clock.Now(), actions);
-    Do(aHost, actions);
+    RunActions(aHost, actions);
   }
 
   bool Step(Instant aLimit)
@@ -207,7 +207,7 @@
     }
     Actions actions;
     Module::Tick(host.state, clock.Now(), actions);
-    Do(id, actions);
+    RunActions(id, actions);
     return true;
   }
 
@@ -218,7 +218,7 @@
     host.bytes += sizeOf ? sizeOf(aMessage) : 0;
   }
 
-  void Do(const HostId& aHost, Actions& aActions)
+  void RunActions(const HostId& aHost, Actions& aActions)
   {
     auto& host = hosts.at(aHost);
     std::optional<ChangeNumber> published;
