--- a/src/balsampoint/core/concepts.hpp
+++ b/src/balsampoint/core/concepts.hpp
@@ -16,13 +16,13 @@
 
 namespace balsampoint {
 
-/** @brief Bytes that the callee only reads. */
+/** @brief A read-only view of bytes. */
 using ByteView = std::span<const std::byte>;
-/** @brief Bytes that their holder owns. */
+/** @brief An owning buffer of bytes. */
 using ByteVector = std::vector<std::byte>;
 
 /**
- * @brief Tells the monotonic time.
+ * @brief A source of the monotonic time.
  * @tparam T Type to test.
  */
 template<typename T>
@@ -33,7 +33,7 @@
 };
 
 /**
- * @brief Gives uniformly distributed 64-bit numbers.
+ * @brief A generator of uniformly distributed 64-bit numbers.
  * @tparam T Type to test.
  */
 template<typename T>
@@ -44,7 +44,7 @@
 };
 
 /**
- * @brief Sends messages to other hosts without waiting; may lose them.
+ * @brief Sends messages to other hosts without blocking; messages may be lost.
  * @tparam T Type to test.
  * @tparam Message Type of the messages.
  */
@@ -57,10 +57,10 @@
   };
 
 /**
- * @brief Holds files of one folder; nothing is durable before `Sync`.
+ * @brief The files of one folder. Appended bytes are durable only after `Sync`.
  *
- * `Replace` writes a file whole and makes it durable under its name in one
- * step: after a crash either the old or the new content is there.
+ * `Replace` writes a whole file atomically and durably: after a crash the file
+ * has either the old or the new content.
  * @tparam T Type to test.
  */
 template<typename T>
@@ -92,12 +92,12 @@
 };
 
 /**
- * @brief A decision module as the control thread runs it.
+ * @brief A decision module that the control thread runs.
  *
- * `Handle` is a command: it changes the state and appends actions for the
- * adapters. `NextDeadline` is a query: the time at which the module wants a
- * `Tick`.
- * @tparam M Type to test; names `State`, `Event` and `Action`.
+ * `Handle` and `Tick` are commands: they change the state and append actions
+ * for the adapters. `NextDeadline` is a query: the time at which `Tick` must be
+ * called next.
+ * @tparam M Type to test; defines `State`, `Event` and `Action`.
  */
 template<typename M>
 concept ControlModule = requires(typename M::State& aState,
--- a/src/balsampoint/core/error.hpp
+++ b/src/balsampoint/core/error.hpp
@@ -11,7 +11,7 @@
 
 namespace balsampoint {
 
-/** @brief The closed list of reasons for which balsampoint refuses or fails. */
+/** @brief All kinds of refusals and failures. */
 enum class ErrorKind : std::uint8_t
 {
   BadRequest,
@@ -43,26 +43,26 @@
   Internal,
 };
 
-/** @brief What is known about whether refused work was run. */
+/** @brief Whether a failed request was executed. */
 enum class Executed : std::uint8_t
 {
-  /** A promise: no part of the work has run or will run. */
+  /** Guarantees that no part of the request was or will be executed. */
   No,
   Yes,
   Unknown,
 };
 
-/** @brief How one kind of error is answered. */
+/** @brief The answer to callers for one kind of error. */
 struct ErrorAnswer
 {
   ErrorKind kind{};
-  /** Stable name used in answers, logs and metrics. */
+  /** Stable name in answers, logs and metrics. */
   std::string_view name;
   /** HTTP status code. */
   std::uint16_t status{};
-  /** What holds when the error carries no closer knowledge. */
+  /** Value of `Error::executed` unless the code that fails knows better. */
   Executed executed{};
-  /** One sentence for the caller. */
+  /** Description of the kind, one sentence. */
   std::string_view title;
 };
 
@@ -70,27 +70,27 @@
 struct Error
 {
   ErrorKind kind{ ErrorKind::Internal };
-  /** What happened, for the caller; names no other workspace's data. */
+  /** Description for the caller; must not contain another workspace's data. */
   std::string detail;
   Executed executed{ Executed::No };
-  /** When another try may succeed; zero when that is not known. */
+  /** Time after which a retry may succeed; zero if unknown. */
   Duration retryAfter{};
 };
 
-/** @brief All answers, one for each kind, in the order of the kinds. */
+/** @brief Returns the answers for all kinds, in the order of the kinds. */
 [[nodiscard]] std::span<const ErrorAnswer>
 ErrorAnswers() noexcept;
 
 /**
- * @brief Looks up how a kind of error is answered.
+ * @brief Returns the answer for a kind of error.
  * @param aKind The kind.
- * @return Its row of the table.
+ * @return Its entry in `ErrorAnswers`.
  */
 [[nodiscard]] const ErrorAnswer&
 AnswerFor(ErrorKind aKind) noexcept;
 
 /**
- * @brief The word for `executed` in answers.
+ * @brief Returns the text of an `Executed` value in answers.
  * @param aExecuted The value.
  * @return `no`, `yes` or `unknown`.
  */
@@ -98,34 +98,34 @@
 ToString(Executed aExecuted) noexcept;
 
 /**
- * @brief Makes an error with the table's `executed`.
+ * @brief Creates an error with the `executed` of its kind's answer.
  * @param aKind The kind.
- * @param aDetail What happened.
+ * @param aDetail Description for the caller.
  * @return The error.
  */
 [[nodiscard]] Error
 MakeError(ErrorKind aKind, std::string_view aDetail);
 
 /**
- * @brief Makes the failed result of a decision, with the table's `executed`.
+ * @brief Creates a failed result with the `executed` of its kind's answer.
  * @param aKind The kind.
- * @param aDetail What happened.
+ * @param aDetail Description for the caller.
  * @return The error, convertible to any `tl::expected` with `Error`.
  */
 [[nodiscard]] tl::unexpected<Error>
 Refuse(ErrorKind aKind, std::string_view aDetail);
 
-/** @brief An error on its way up through an adapter. */
+/** @brief Exception that carries an error through an adapter. */
 class Failure : public std::runtime_error
 {
 public:
   /**
-   * @brief Wraps an error.
-   * @param aError The error to carry.
+   * @brief Creates an exception for an error.
+   * @param aError The error.
    */
   explicit Failure(Error aError);
 
-  /** @brief The error carried. */
+  /** @brief Returns the error. */
   [[nodiscard]] const Error& Cause() const noexcept { return mError; }
 
 private:
--- a/src/balsampoint/core/hash.hpp
+++ b/src/balsampoint/core/hash.hpp
@@ -5,14 +5,14 @@
 
 namespace balsampoint {
 
-/** @brief First value of a hash that numbers are folded into. */
+/** @brief Initial value of a hash (FNV-1a offset basis). */
 inline constexpr std::uint64_t kHashStart = 0xCBF29CE484222325ULL;
 
 /**
- * @brief Folds a number into a hash.
- * @param aHash The hash so far.
+ * @brief Combines a hash with a number.
+ * @param aHash The hash; `kHashStart` for the first number.
  * @param aNumber The number.
- * @return The new hash.
+ * @return The combined hash.
  */
 [[nodiscard]] constexpr std::uint64_t
 HashNumber(std::uint64_t aHash, std::uint64_t aNumber) noexcept
@@ -23,7 +23,7 @@
 }
 
 /**
- * @brief Hashes a text, the same on every host (FNV-1a).
+ * @brief Hashes a text with FNV-1a; the result is equal on all hosts.
  * @param aText The text.
  * @return The hash.
  */
--- a/src/balsampoint/core/id.hpp
+++ b/src/balsampoint/core/id.hpp
@@ -10,8 +10,8 @@
 namespace balsampoint {
 
 /**
- * @brief A name that can't be mixed up with names of another kind.
- * @tparam Tag Distinguishes the kinds; never defined.
+ * @brief A string id; ids of different kinds are different types.
+ * @tparam Tag Tag type of the kind; never defined.
  */
 template<typename Tag>
 class BasicId
@@ -20,21 +20,21 @@
   BasicId() = default;
 
   /**
-   * @brief Wraps a name.
-   * @param aValue The name as configured or announced.
+   * @brief Creates an id.
+   * @param aValue Text of the id as configured or announced.
    */
   explicit BasicId(std::string aValue)
     : mValue{ std::move(aValue) }
   {
   }
 
-  /** @brief The name; valid as long as this object. */
+  /** @brief The text; the view is valid as long as this object. */
   [[nodiscard]] std::string_view Value() const noexcept { return mValue; }
 
-  /** @brief The name as a string. */
+  /** @brief The text as a string. */
   [[nodiscard]] const std::string& String() const noexcept { return mValue; }
 
-  /** @brief Whether no name was given. */
+  /** @brief Whether the id is empty, which stands for none. */
   [[nodiscard]] bool Empty() const noexcept { return mValue.empty(); }
 
   auto operator<=>(const BasicId&) const = default;
@@ -64,11 +64,12 @@
 using ServerId = BasicId<struct ServerTag>;
 /** @brief Names an operator. */
 using OperatorId = BasicId<struct OperatorTag>;
-/** @brief Names one caller's request across all hops. */
+/** @brief Identifies one caller's request across all hops. */
 using RequestId = BasicId<struct RequestTag>;
-/** @brief Names a change of configuration, chosen by the operator's client. */
+/** @brief Identifies a configuration change; chosen by the operator's client.
+ */
 using ChangeId = BasicId<struct ChangeTag>;
-/** @brief Names an order to a model engine. */
+/** @brief Identifies an order to a model engine. */
 using OrderId = BasicId<struct OrderTag>;
 /** @brief Names a cluster of hosts that share one control state. */
 using ClusterId = BasicId<struct ClusterTag>;
@@ -77,7 +78,7 @@
 
 } // namespace balsampoint
 
-/** @brief Hashes an id by its name. */
+/** @brief Hashes an id by its text. */
 template<typename Tag>
 struct std::hash<
   balsampoint::BasicId<Tag>> // NOLINT(readability-identifier-naming)
--- a/src/balsampoint/core/layer_range.hpp
+++ b/src/balsampoint/core/layer_range.hpp
@@ -15,11 +15,11 @@
   std::uint32_t end{};
 
   /**
-   * @brief Makes a range that holds at least one layer of a model.
+   * @brief Creates a range of at least one layer of a model.
    * @param aBegin First layer.
    * @param aEnd One past the last layer.
    * @param aLayers Number of layers of the model.
-   * @return The range, or `ErrorKind::BadRequest` when it is empty or outside
+   * @return The range, or `ErrorKind::BadRequest` if it is empty or outside
    * the model.
    */
   [[nodiscard]] static tl::expected<LayerRange, Error>
@@ -32,7 +32,7 @@
   }
 
   /**
-   * @brief Whether the range holds a layer.
+   * @brief Whether the range contains a layer.
    * @param aLayer The layer.
    */
   [[nodiscard]] constexpr bool Holds(std::uint32_t aLayer) const noexcept
--- a/src/balsampoint/core/number.hpp
+++ b/src/balsampoint/core/number.hpp
@@ -7,8 +7,8 @@
 namespace balsampoint {
 
 /**
- * @brief A counter that can't be mixed up with counters of another kind.
- * @tparam Tag Distinguishes the kinds; never defined.
+ * @brief A counter; counters of different kinds are different types.
+ * @tparam Tag Tag type of the kind; never defined.
  */
 template<typename Tag>
 class BasicNumber
@@ -17,15 +17,15 @@
   constexpr BasicNumber() = default;
 
   /**
-   * @brief Wraps a count.
-   * @param aValue The count; zero means none yet.
+   * @brief Creates a counter.
+   * @param aValue The value; zero stands for none.
    */
   constexpr explicit BasicNumber(std::uint64_t aValue)
     : mValue{ aValue }
   {
   }
 
-  /** @brief The count. */
+  /** @brief The value. */
   [[nodiscard]] constexpr std::uint64_t Value() const noexcept
   {
     return mValue;
@@ -48,17 +48,18 @@
   std::uint64_t mValue{};
 };
 
-/** @brief Orders the accepted configurations; one winner per number. */
+/** @brief Sequence number of accepted configurations; one change wins each. */
 using ChangeNumber = BasicNumber<struct ChangeNumberTag>;
-/** @brief Rises with each new leaseholder that gives orders to engines. */
+/** @brief Increases with each new holder of the lease to send orders. */
 using FencingNumber = BasicNumber<struct FencingNumberTag>;
-/** @brief Rises with each restart of a host or backend server. */
+/** @brief Increases with each restart of a host or backend server. */
 using Incarnation = BasicNumber<struct IncarnationTag>;
-/** @brief Rises with each try to run one request. */
+/** @brief Increases with each attempt to execute a request. */
 using AttemptNumber = BasicNumber<struct AttemptNumberTag>;
 /** @brief Position of a generated token in its answer, from zero. */
 using StepNumber = BasicNumber<struct StepNumberTag>;
-/** @brief Matches an action of a decision module to the caller that waits. */
+/** @brief Correlates an action of a decision module with the request to the
+ * module that it answers. */
 using Ticket = BasicNumber<struct TicketTag>;
 
 } // namespace balsampoint
--- a/src/balsampoint/core/split_mix.hpp
+++ b/src/balsampoint/core/split_mix.hpp
@@ -4,22 +4,22 @@
 
 namespace balsampoint {
 
-/** @brief A repeatable source of random numbers (SplitMix64). */
+/** @brief A deterministic pseudorandom number generator (SplitMix64). */
 class SplitMix64
 {
 public:
   SplitMix64() = default;
 
   /**
-   * @brief Starts the sequence.
-   * @param aSeed Chooses the sequence.
+   * @brief Creates a generator.
+   * @param aSeed Seed of the sequence.
    */
   explicit SplitMix64(std::uint64_t aSeed)
     : mState{ aSeed }
   {
   }
 
-  /** @brief The next number. */
+  /** @brief Returns the next number. */
   std::uint64_t Next()
   {
     mState += 0x9E3779B97F4A7C15ULL;
@@ -29,7 +29,7 @@
     return value ^ (value >> 31U);
   }
 
-  /** @brief The next number, from 0 up to but not including 1. */
+  /** @brief Returns the next number, scaled to the half-open range [0, 1). */
   double NextUnit()
   {
     constexpr unsigned kFractionBits = 53;
--- a/src/balsampoint/core/time.hpp
+++ b/src/balsampoint/core/time.hpp
@@ -9,10 +9,10 @@
 using Duration = std::chrono::nanoseconds;
 
 /**
- * @brief The time line of one host; it never steps back.
+ * @brief Clock type of the monotonic time of one host.
  *
- * The code reads the time only through a `ClockSource`, so this type has no
- * `now` of its own.
+ * It has no `now`, because the code reads the time only through a
+ * `ClockSource`.
  */
 struct MonotonicTimeline
 {
@@ -22,10 +22,10 @@
   static constexpr bool is_steady = true; // NOLINT
 };
 
-/** @brief A point on one host's monotonic time line. */
+/** @brief A point in one host's monotonic time. */
 using Instant = std::chrono::time_point<MonotonicTimeline, Duration>;
 
-/** @brief An instant later than every other: no deadline. */
+/** @brief The latest instant; stands for no deadline. */
 inline constexpr Instant kNever = Instant::max();
 
 } // namespace balsampoint
--- a/test/balsampoint/core/error_test.cpp
+++ b/test/balsampoint/core/error_test.cpp
@@ -15,7 +15,7 @@
   }
 }
 
-Test(error, refusal_carries_the_kind_and_what_is_known_of_the_work)
+Test(error, refusal_has_the_kind_the_detail_and_the_default_executed)
 {
   const tl::expected<int, Error> result =
     Refuse(ErrorKind::BackendFailed, "connection reset");
--- a/test/balsampoint/core/layer_range_test.cpp
+++ b/test/balsampoint/core/layer_range_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace balsampoint;
 
-Test(layer_range, holds_what_lies_between_its_ends)
+Test(layer_range, contains_its_first_layer_but_not_its_end)
 {
   const auto range = LayerRange::Make(4, 8, 32);
   cr_assert(range.has_value());
@@ -13,7 +13,7 @@
   cr_assert_not(range->Holds(8));
 }
 
-Test(layer_range, refuses_what_is_empty_or_outside_the_model)
+Test(layer_range, empty_range_or_range_outside_the_model_is_refused)
 {
   cr_assert_not(LayerRange::Make(8, 8, 32).has_value());
   cr_assert_not(LayerRange::Make(30, 33, 32).has_value());
