--- a/src/balsampoint/runtime/callback_table.hpp
+++ b/src/balsampoint/runtime/callback_table.hpp
@@ -11,22 +11,22 @@
 namespace balsampoint::runtime {
 
 /**
- * @brief Calls back with answers of the control thread, for callers that
- * must not wait.
+ * @brief Delivers answers of the control thread to callbacks, for callers that
+ * must not block.
  *
- * Its tickets differ from those of any `ReplyTable`.
+ * Its tickets start at 2^48, so that they differ from those of a `ReplyTable`.
  * @tparam Value Type of the answers.
  */
 template<typename Value>
 class CallbackTable
 {
 public:
-  /** @brief Takes an answer; called on the control thread. */
+  /** @brief Receives an answer; called by the thread that calls `Complete`. */
   using Callback = std::function<void(Value)>;
 
   /**
-   * @brief Opens a ticket.
-   * @param aCallback Called with the answer, once.
+   * @brief Registers a callback.
+   * @param aCallback Called once, with the answer.
    * @return The ticket to put into the event.
    */
   [[nodiscard]] Ticket Open(Callback aCallback)
@@ -38,10 +38,10 @@
   }
 
   /**
-   * @brief Hands over an answer.
+   * @brief Calls the callback of a ticket and removes it.
    * @param aTicket The ticket.
    * @param aValue The answer.
-   * @return Whether the ticket is of this table.
+   * @return Whether the ticket was pending in this table.
    */
   bool Complete(Ticket aTicket, Value aValue)
   {
--- a/src/balsampoint/runtime/control_loop.hpp
+++ b/src/balsampoint/runtime/control_loop.hpp
@@ -12,13 +12,13 @@
 namespace balsampoint::runtime {
 
 /**
- * @brief The loop of the control thread: it owns the state of all modules.
+ * @brief The event loop of the control thread. Owns the state of all modules.
  *
- * It blocks on the mailbox until an event arrives or a module wants a tick,
- * then hands the module's actions to the runner. It ends when the mailbox is
- * closed and empty.
+ * Blocks on the mailbox until an event arrives or a module's tick is due, then
+ * passes the module's actions to the runner. Ends when the mailbox is closed
+ * and empty.
  * @tparam Clock Source of the time.
- * @tparam Runner Carries out actions: `Run(const Action&)` for each module.
+ * @tparam Runner Performs actions: `Run(const Action&)` for each module.
  * @tparam Modules The decision modules.
  */
 template<ClockSource Clock, typename Runner, ControlModule... Modules>
@@ -31,10 +31,10 @@
   using States = std::tuple<typename Modules::State...>;
 
   /**
-   * @brief Takes over the states; nothing runs before `Run`.
-   * @param aMailbox Queue of events; outlives the loop.
-   * @param aRunner Carries out the actions; outlives the loop.
-   * @param aStates First states of the modules.
+   * @brief Creates the loop; nothing runs before `Run`.
+   * @param aMailbox Queue of events; must outlive the loop.
+   * @param aRunner Performs the actions; must outlive the loop.
+   * @param aStates Initial states of the modules.
    * @param aClock Source of the time.
    */
   BasicControlLoop(Mailbox<Event>& aMailbox,
--- a/src/balsampoint/runtime/entropy.hpp
+++ b/src/balsampoint/runtime/entropy.hpp
@@ -5,11 +5,11 @@
 
 namespace balsampoint::runtime {
 
-/** @brief Random numbers of the kernel. */
+/** @brief Random numbers from the kernel's generator (`getrandom`). */
 class Entropy
 {
 public:
-  /** @brief The next number. */
+  /** @brief Returns a random number; retries if the call is interrupted. */
   static std::uint64_t Next()
   {
     std::uint64_t value = 0;
--- a/src/balsampoint/runtime/fwd.hpp
+++ b/src/balsampoint/runtime/fwd.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** @brief What threads share: queues and published snapshots. */
+/** @brief Communication between threads: queues, replies and snapshots. */
 namespace balsampoint::runtime {
 
 template<typename Event>
--- a/src/balsampoint/runtime/mailbox.hpp
+++ b/src/balsampoint/runtime/mailbox.hpp
@@ -15,7 +15,7 @@
 namespace balsampoint::runtime {
 
 /**
- * @brief A bounded queue from many producers to one consumer that blocks.
+ * @brief A bounded queue with many producers and one blocking consumer.
  * @tparam Event Type of the entries.
  */
 template<typename Event>
@@ -23,8 +23,8 @@
 {
 public:
   /**
-   * @brief Makes an empty queue.
-   * @param aCapacity Entries it holds at most.
+   * @brief Creates an empty queue.
+   * @param aCapacity Largest number of entries.
    */
   explicit Mailbox(std::size_t aCapacity)
     : mCapacity{ aCapacity }
@@ -50,10 +50,10 @@
   }
 
   /**
-   * @brief Takes the oldest entry, waiting for one as long as told.
-   * @param aWait Time to wait at most; `Duration::max()` for no limit.
-   * @return The entry, or nothing when the time is over or the queue is
-   * closed and empty.
+   * @brief Removes and returns the oldest entry; blocks while there is none.
+   * @param aWait Longest time to block; `Duration::max()` for no limit.
+   * @return The entry, or nothing if the time has passed or the queue is closed
+   * and empty.
    */
   [[nodiscard]] std::optional<Event> Pop(Duration aWait)
   {
@@ -73,10 +73,10 @@
   }
 
   /**
-   * @brief Hands over entries as they come until the queue is closed and
-   * empty.
+   * @brief Calls a function with each entry until the queue is closed and
+   * empty; blocks while there is none.
    * @tparam Consumer Callable with an entry.
-   * @param aConsume Takes each entry.
+   * @param aConsume The function.
    */
   template<std::invocable<Event> Consumer>
   void Consume(Consumer aConsume)
@@ -90,7 +90,8 @@
     }
   }
 
-  /** @brief Refuses further entries and wakes the consumer. */
+  /** @brief Closes the queue: rejects further entries and wakes the consumer.
+   */
   void Close()
   {
     {
--- a/src/balsampoint/runtime/reply_table.hpp
+++ b/src/balsampoint/runtime/reply_table.hpp
@@ -12,20 +12,20 @@
 namespace balsampoint::runtime {
 
 /**
- * @brief Lets traffic threads wait for answers of the control thread.
+ * @brief Lets traffic threads block until the control thread answers.
  * @tparam Value Type of the answers.
  */
 template<typename Value>
 class ReplyTable
 {
 public:
-  /** @brief Removes an unanswered ticket when its waiter leaves. */
+  /** @brief Scope of one pending ticket; removes the ticket on destruction. */
   class Waiter
   {
   public:
     /**
-     * @brief Opens a ticket.
-     * @param aTable Table that outlives the waiter.
+     * @brief Registers a new ticket.
+     * @param aTable The table; must outlive the waiter.
      */
     explicit Waiter(ReplyTable& aTable)
       : mTable{ aTable }
@@ -44,9 +44,9 @@
     [[nodiscard]] Ticket Number() const { return mTicket; }
 
     /**
-     * @brief Blocks until the answer is there.
-     * @param aWait Time to wait at most.
-     * @return The answer, or nothing when the time is over.
+     * @brief Blocks until the answer arrives.
+     * @param aWait Longest time to block.
+     * @return The answer, or nothing if the time has passed.
      */
     [[nodiscard]] std::optional<Value> Wait(Duration aWait)
     {
@@ -59,7 +59,7 @@
   };
 
   /**
-   * @brief Hands over an answer; without effect when nobody waits any more.
+   * @brief Delivers an answer; ignored if the ticket is no longer pending.
    * @param aTicket Ticket of the waiter.
    * @param aValue The answer.
    */
--- a/src/balsampoint/runtime/snapshot_cell.hpp
+++ b/src/balsampoint/runtime/snapshot_cell.hpp
@@ -10,9 +10,9 @@
 namespace balsampoint::runtime {
 
 /**
- * @brief Hands immutable values from the control thread to traffic threads.
+ * @brief Publishes immutable values from the control thread to traffic threads.
  *
- * The lock covers one pointer copy and no I/O.
+ * The lock is held for one pointer copy only, never during I/O.
  * @tparam Value Type of the values.
  */
 template<typename Value>
@@ -20,7 +20,7 @@
 {
 public:
   /**
-   * @brief Replaces the value; readers keep what they already hold.
+   * @brief Replaces the value; readers keep the one they have read.
    * @param aValue The new value.
    */
   void Publish(std::shared_ptr<const Value> aValue)
@@ -32,7 +32,7 @@
     mChanged.notify_all();
   }
 
-  /** @brief The value last published, or null before the first. */
+  /** @brief Returns the latest value; null before the first. */
   [[nodiscard]] std::shared_ptr<const Value> Read() const
   {
     const std::lock_guard lock{ mMutex };
@@ -40,10 +40,10 @@
   }
 
   /**
-   * @brief Waits until the value is another one.
-   * @param aKnown The value that the reader already holds.
-   * @param aWait Time to wait at most.
-   * @return The value, which is still the known one when the time is over.
+   * @brief Blocks until the value differs from a known one.
+   * @param aKnown The value that the reader has.
+   * @param aWait Longest time to block.
+   * @return The latest value; still the known one if the time has passed.
    */
   [[nodiscard]] std::shared_ptr<const Value> ReadNext(
     const std::shared_ptr<const Value>& aKnown,
--- a/src/balsampoint/runtime/steady_clock.hpp
+++ b/src/balsampoint/runtime/steady_clock.hpp
@@ -6,11 +6,11 @@
 
 namespace balsampoint::runtime {
 
-/** @brief The host's monotonic clock, which also counts suspended time. */
+/** @brief The host's monotonic clock, including time spent suspended. */
 class SteadyClock
 {
 public:
-  /** @brief Time since the host started. */
+  /** @brief Returns the time since the host booted. */
   [[nodiscard]] static Instant Now()
   {
     timespec time{};
--- a/test/balsampoint/runtime/mailbox_test.cpp
+++ b/test/balsampoint/runtime/mailbox_test.cpp
@@ -27,7 +27,7 @@
   cr_assert_not(mailbox.Push(1));
 }
 
-Test(snapshot_cell, readers_keep_what_they_hold)
+Test(snapshot_cell, readers_keep_the_value_they_have_read)
 {
   SnapshotCell<int> cell;
   cr_assert_null(cell.Read().get());
