--- a/src/balsampoint/ledger/message.hpp
+++ b/src/balsampoint/ledger/message.hpp
@@ -7,41 +7,41 @@
 
 namespace balsampoint::ledger {
 
-/** @brief Tells the questions of one host apart, its restarts included. */
-struct AskId
+/** @brief Identifies a forwarded command of one host, across its restarts. */
+struct ForwardId
 {
   Incarnation incarnation;
   std::uint64_t number{};
 
-  auto operator<=>(const AskId&) const = default;
+  auto operator<=>(const ForwardId&) const = default;
 };
 
-/** @brief Asks the leader of the control group to replicate a command. */
-struct Ask
+/** @brief Requests the leader of the control group to replicate a command. */
+struct ForwardRequest
 {
-  /** Chosen by the sender; the answer repeats it. */
-  AskId id;
+  /** Chosen by the sender and repeated in the reply. */
+  ForwardId id;
   Command command;
 
-  bool operator==(const Ask&) const = default;
+  bool operator==(const ForwardRequest&) const = default;
 };
 
-/** @brief The command was applied. */
-struct Told
+/** @brief Reply to a `ForwardRequest`: the command was applied. */
+struct ForwardReply
 {
-  AskId id;
+  ForwardId id;
   Outcome outcome;
 };
 
-/** @brief The receiver of an `Ask` can't replicate it. */
+/** @brief Reply to a `ForwardRequest` that the receiver can't replicate. */
 struct NotLeader
 {
-  AskId id;
-  /** Whom it takes for the leader; empty when it knows none. */
+  ForwardId id;
+  /** The leader as the receiver knows it; empty if it knows none. */
   HostId leader;
 };
 
-/** @brief What hosts send one another for this module. */
-using Message = std::variant<Ask, Told, NotLeader>;
+/** @brief Messages that hosts exchange for this module. */
+using Message = std::variant<ForwardRequest, ForwardReply, NotLeader>;
 
 } // namespace balsampoint::ledger
--- a/src/balsampoint/orders/internal/bounds.hpp
+++ b/src/balsampoint/orders/internal/bounds.hpp
@@ -4,39 +4,44 @@
 
 namespace balsampoint::orders::internal {
 
-/** @brief Parts of a million in one. */
-inline constexpr std::int64_t kPpm = 1'000'000;
+/** @brief Number of parts per million in one whole. */
+inline constexpr std::int64_t kMillion = 1'000'000;
 
 /**
- * @brief How long a holder gives orders, by its own clock from its asking.
- * @param aSettings The times.
+ * @brief How long a holder may send orders, on its own clock, from its request
+ * for the lease. Shorter than the lease by the largest clock error.
+ * @param aSettings Lease length and clock error.
  */
 [[nodiscard]] constexpr Duration
-HolderTime(const Settings& aSettings)
+HolderLeaseTime(const Settings& aSettings)
 {
-  return aSettings.lease / kPpm * (kPpm - aSettings.clockErrorPpm);
+  return aSettings.lease / kMillion * (kMillion - aSettings.clockErrorPpm);
 }
 
 /**
- * @brief How long another host waits before it asks for the lease.
- * @param aSettings The times.
+ * @brief How long another host waits, on its own clock, before it requests the
+ * lease. Longer than the lease by the largest clock error.
+ * @param aSettings Lease length and clock error.
  */
 [[nodiscard]] constexpr Duration
-LeaseWait(const Settings& aSettings)
+GrantDelay(const Settings& aSettings)
 {
-  return aSettings.lease / kPpm * (kPpm + aSettings.clockErrorPpm);
+  return aSettings.lease / kMillion * (kMillion + aSettings.clockErrorPpm);
 }
 
 /**
- * @brief How long a new holder is silent towards engines that ignore numbers.
- * @param aSettings The times.
+ * @brief How long a new holder sends no orders to engines that ignore fencing
+ * numbers. Covers the previous lease and the longest order sent under it, with
+ * the largest clock error of both hosts.
+ * @param aSettings Lease length, order limit and clock error.
  */
 [[nodiscard]] constexpr Duration
-QuietTime(const Settings& aSettings)
+TakeoverDelay(const Settings& aSettings)
 {
   const auto error = aSettings.clockErrorPpm;
-  const auto longestOrder = aSettings.orderLimit / (kPpm - error) * kPpm;
-  return (aSettings.lease + longestOrder) / kPpm * (kPpm + error);
+  const auto longestOrder =
+    aSettings.orderLimit / (kMillion - error) * kMillion;
+  return (aSettings.lease + longestOrder) / kMillion * (kMillion + error);
 }
 
 } // namespace balsampoint::orders::internal
--- a/test/fake/isolated_holder.hpp
+++ b/test/fake/isolated_holder.hpp
@@ -13,29 +13,30 @@
 
 namespace balsampoint::fake {
 
-/** @brief How one run of `IsolatedHolder` went. */
+/** @brief Result of one run of `IsolatedHolder`. */
 struct IsolationResult
 {
-  /** Orders given by each host. */
-  std::array<std::uint64_t, 2> given{};
-  /** Effects of an old holder's orders after a newer holder gave one. */
+  /** Orders sent by each host. */
+  std::array<std::uint64_t, 2> sent{};
+  /** Orders of an old holder that took effect after a newer holder sent one. */
   std::uint64_t lateEffects{};
 };
 
 /**
- * @brief Two hosts, a control group and an engine that ignores numbers.
+ * @brief Simulates two hosts, a control group and an engine that ignores
+ * fencing numbers.
  *
- * The hosts' clocks run at wrong rates, one host is cut off and may restart,
- * and orders reach the engine late. The control group is a list in the order
- * of proposals.
+ * The hosts' clocks run at wrong rates, one host is partitioned and may
+ * restart, and orders take effect late. The control group applies all
+ * proposals that reach it to both hosts, with random delays.
  */
 class IsolatedHolder
 {
 public:
   /**
    * @brief Prepares a run.
-   * @param aSeed Chooses clocks, faults and delays.
-   * @param aSettings The holders' times.
+   * @param aSeed Seed of clock rates, faults and delays.
+   * @param aSettings Settings of both hosts.
    */
   IsolatedHolder(std::uint64_t aSeed, const orders::Settings& aSettings)
     : mRandom{ aSeed }
@@ -52,28 +53,28 @@
   }
 
   /**
-   * @brief Lets an order be judged by another limit than the engine keeps.
-   * @param aLimit Longest time of an order at the engine.
+   * @brief Lets orders take longer at the engine than the hosts' `orderLimit`.
+   * @param aLimit Longest time from sending an order to its effect.
    */
-  void KeepLimit(Duration aLimit) { mLimit = aLimit; }
+  void SetEngineLimit(Duration aLimit) { mLimit = aLimit; }
 
   /**
-   * @brief Runs to the end.
-   * @param aLength Length of the run.
-   * @return What happened.
+   * @brief Runs the simulation.
+   * @param aLength Simulated time.
+   * @return Orders sent and late effects.
    */
   IsolationResult Run(Duration aLength)
   {
     const auto cut = Duration{ Between(0, aLength.count() / 2) };
     const auto heal = cut + Duration{ Between(0, aLength.count() / 2) };
-    At(cut, [this] { mCut = true; });
+    At(cut, [this] { mPartitioned = true; });
     At(heal, [this] { Heal(); });
     if (mRandom.Next() % 4 == 0) {
       At(Duration{ Between(0, aLength.count()) }, [this] { Restart(0); });
     }
     for (std::size_t host = 0; host < mHosts.size(); ++host) {
       At(Duration{ Between(0, kStart.count()) },
-         [this, host] { Tell(host, orders::Candidacy{ true }); });
+         [this, host] { Handle(host, orders::Candidacy{ true }); });
       At(kStart, [this, host] { Submit(host); });
     }
     while (!mQueue.empty() && mQueue.begin()->first <= aLength) {
@@ -114,7 +115,7 @@
     return Instant{ mNow + mNow / 1'000'000 * aHost.ratePpm };
   }
 
-  void Tell(std::size_t aHost, const orders::Event& aEvent)
+  void Handle(std::size_t aHost, const orders::Event& aEvent)
   {
     auto& host = mHosts[aHost];
     std::vector<orders::Action> actions;
@@ -145,17 +146,17 @@
   {
     for (const auto& action : aActions) {
       if (const auto* propose = std::get_if<orders::Propose>(&action)) {
-        PutIntoLog(aHost, propose->command);
-      } else if (const auto* give = std::get_if<orders::Give>(&action)) {
-        Give(aHost, give->order);
+        AppendToLog(aHost, propose->command);
+      } else if (const auto* send = std::get_if<orders::SendOrder>(&action)) {
+        Send(aHost, send->order);
       }
     }
     Wake(aHost);
   }
 
-  void PutIntoLog(std::size_t aHost, const orders::Command& aCommand)
+  void AppendToLog(std::size_t aHost, const orders::Command& aCommand)
   {
-    if (aHost == 0 && mCut) {
+    if (aHost == 0 && mPartitioned) {
       return;
     }
     At(mNow + Duration{ Between(0, kLatency.count()) }, [this, aCommand] {
@@ -170,18 +171,19 @@
   void CatchUp(std::size_t aHost)
   {
     auto& missed = mHosts[aHost].missed;
-    if (missed.empty() || (aHost == 0 && mCut)) {
+    if (missed.empty() || (aHost == 0 && mPartitioned)) {
       return;
     }
     const auto command = missed.front();
     missed.erase(missed.begin());
-    Tell(aHost, orders::Applied{ command });
+    Handle(aHost, orders::Applied{ command });
   }
 
-  /** Hands over one command; the host may be cut off again after it. */
+  /** Ends the partition of the first host. In half of the runs the host
+   * receives only one missed command and is then partitioned again. */
   void Heal()
   {
-    mCut = false;
+    mPartitioned = false;
     const auto count = mHosts[0].missed.size();
     const bool again = mRandom.Next() % 2 == 0;
     for (std::size_t at = 0;
@@ -189,7 +191,7 @@
          ++at) {
       CatchUp(0);
     }
-    mCut = again;
+    mPartitioned = again;
   }
 
   void Restart(std::size_t aHost)
@@ -199,25 +201,25 @@
     settings.incarnation = settings.incarnation.Next();
     const auto table = host.state.table;
     host.state = { .settings = settings, .table = table };
-    Tell(aHost, orders::Candidacy{ true });
+    Handle(aHost, orders::Candidacy{ true });
   }
 
   void Submit(std::size_t aHost)
   {
-    Tell(aHost,
-         orders::Submitted{ .server = ServerId{ "engine" },
-                            .task = orders::ChangeRole{} });
+    Handle(aHost,
+           orders::Submitted{ .server = ServerId{ "engine" },
+                              .task = orders::ChangeRole{} });
     At(mNow + kSubmit, [this, aHost] { Submit(aHost); });
   }
 
-  void Give(std::size_t aHost, const orders::Order& aOrder)
+  void Send(std::size_t aHost, const orders::Order& aOrder)
   {
-    ++mResult.given[aHost];
+    ++mResult.sent[aHost];
     mNewest = std::max(mNewest, aOrder.fencing);
     const auto effect = mNow + Duration{ Between(0, mLimit.count()) };
     At(effect, [this, aHost, aOrder] {
       mResult.lateEffects += aOrder.fencing < mNewest ? 1 : 0;
-      Tell(
+      Handle(
         aHost,
         orders::Answered{ .id = aOrder.id, .outcome = orders::Outcome::Done });
     });
@@ -228,12 +230,12 @@
   std::array<Host, 2> mHosts;
   std::multimap<Duration, std::function<void()>> mQueue;
   Duration mNow{};
-  bool mCut{ false };
+  bool mPartitioned{ false };
   FencingNumber mNewest;
   IsolationResult mResult;
 };
 
-/** @brief Short times, so that many runs are quick. */
+/** @brief Settings with short times, so that a run simulates few seconds. */
 inline orders::Settings
 ShortOrderTimes()
 {
--- a/test/fake/ledger_world.hpp
+++ b/test/fake/ledger_world.hpp
@@ -12,7 +12,7 @@
 
 namespace balsampoint::fake {
 
-/** @brief What becomes of a proposal to the control group. */
+/** @brief Fate of a proposal to the control group. */
 enum class Delivery : std::uint8_t
 {
   Answered,
@@ -21,20 +21,21 @@
   Lost,
 };
 
-/** @brief What becomes of a call at the backend server. */
+/** @brief Fate of a call at the backend server. */
 enum class ServerFate : std::uint8_t
 {
   Answers,
   ConnectionRefused,
   ResetBeforeRun,
   ResetAfterRun,
-  /** The entry host gives up; the server runs the call later. */
+  /** The connection is reset; the server executes the call later. */
   RunsLate,
 };
 
 /**
- * @brief Entry hosts, the control group's table and a backend server whose
- * order of events a test chooses; checks at-most-once as it goes.
+ * @brief Simulates entry hosts, the table of the control group and a backend
+ * server. A test chooses the order of events; at-most-once execution is
+ * checked after each.
  */
 class LedgerWorld
 {
@@ -44,18 +45,18 @@
   {
     ledger::Key key;
     ledger::Digest digest{};
-    /** When the table granted its claim. */
+    /** When the table granted its claim; none before that. */
     std::optional<Instant> grantedAt;
     bool ran{ false };
-    /** Whether its entry host was lost. */
+    /** Whether its entry host crashed. */
     bool hostLost{ false };
     std::optional<tl::expected<ledger::StoredAnswer, Error>> reply;
   };
 
   /**
-   * @brief Makes hosts that share an empty table.
+   * @brief Creates entry hosts that share an empty table.
    * @param aHosts Number of entry hosts.
-   * @param aBounds Bounds of the table.
+   * @param aBounds Limits of the table.
    */
   LedgerWorld(std::size_t aHosts, const ledger::Bounds& aBounds)
     : mHosts(aHosts)
@@ -63,7 +64,7 @@
     mTable.bounds = aBounds;
   }
 
-  /** @brief A caller sends a request through one host. */
+  /** @brief Sends a request of a caller through one host. */
   void Submit(std::size_t aHost, unsigned aKey, unsigned aBody)
   {
     auto& host = mHosts[aHost % mHosts.size()];
@@ -76,7 +77,7 @@
       ledger::ClaimId{ .host = HostId{ std::to_string(aHost % mHosts.size()) },
                        .incarnation = host.incarnation,
                        .number = mRequests.size() };
-    call.deadline = mNow + kPatience;
+    call.deadline = mNow + kCallerTimeout;
     const auto at = mRequests.size();
     mRequests.push_back({ .key = call.claim.key,
                           .digest = call.claim.digest,
@@ -90,7 +91,7 @@
     CarryOut(at, actions);
   }
 
-  /** @brief One proposal on its way is applied or lost. */
+  /** @brief Applies or drops one pending proposal. */
   void Decide(std::size_t aChoice, Delivery aDelivery)
   {
     if (mProposals.empty()) {
@@ -126,8 +127,8 @@
     }
   }
 
-  /** @brief An entry host stops waiting for a proposal that stays queued. */
-  void GiveUp(std::size_t aChoice)
+  /** @brief Lets an entry host time out on a proposal that stays pending. */
+  void TimeOutProposal(std::size_t aChoice)
   {
     if (mProposals.empty()) {
       return;
@@ -138,7 +139,7 @@
     Fail(copy);
   }
 
-  /** @brief One call that was sent ends. */
+  /** @brief Ends one call that was sent to the server. */
   void EndDispatch(std::size_t aChoice, ServerFate aFate)
   {
     if (mDispatches.empty()) {
@@ -156,7 +157,7 @@
         return;
       case ServerFate::ConnectionRefused:
         Post(at,
-             ledger::DispatchNeverBegan{
+             ledger::DispatchNotExecuted{
                MakeError(ErrorKind::NoServer, "connection refused") });
         return;
       case ServerFate::ResetAfterRun:
@@ -169,11 +170,11 @@
         break;
     }
     Post(at,
-         ledger::DispatchUnknown{
+         ledger::DispatchOutcomeUnknown{
            MakeError(ErrorKind::OutcomeUnknown, "connection reset") });
   }
 
-  /** @brief A server runs a call that its entry host no longer waits for. */
+  /** @brief Executes a call that its entry host no longer waits for. */
   void RunLate(std::size_t aChoice)
   {
     if (mLateRuns.empty()) {
@@ -185,7 +186,7 @@
     Run(at);
   }
 
-  /** @brief An entry host restarts and forgets its calls. */
+  /** @brief Restarts an entry host, which loses its calls. */
   void Crash(std::size_t aHost)
   {
     auto& host = mHosts[aHost % mHosts.size()];
@@ -200,25 +201,25 @@
       });
     }
     host.calls.clear();
-    host.seenAt = mNow;
-    host.seen = mTable.time;
+    host.tableTimeReadAt = mNow;
+    host.tableTime = mTable.time;
   }
 
-  /** @brief Time passes; one host proposes to move the table's time. */
+  /** @brief Advances the clock and lets one host propose a time step. */
   void PassTime(std::size_t aHost, Duration aBy)
   {
     mNow += aBy;
     auto& host = mHosts[aHost % mHosts.size()];
     mProposals.push_back(
-      { .command =
-          ledger::TimeStep{ .from = host.seen, .by = mNow - host.seenAt },
+      { .command = ledger::TimeStep{ .from = host.tableTime,
+                                     .by = mNow - host.tableTimeReadAt },
         .request = {} });
-    host.seen = mTable.time;
-    host.seenAt = mNow;
-    Wake();
+    host.tableTime = mTable.time;
+    host.tableTimeReadAt = mNow;
+    EndDueWaits();
   }
 
-  /** @brief All that is on its way arrives, without further faults. */
+  /** @brief Delivers everything pending, without further faults. */
   void Settle()
   {
     constexpr Duration kStep = std::chrono::seconds{ 1 };
@@ -227,7 +228,7 @@
       EndDispatch(0, ServerFate::Answers);
       RunLate(0);
       mNow += kStep;
-      Wake();
+      EndDueWaits();
     }
     for (const auto& request : mRequests) {
       if (!request.reply && !request.hostLost) {
@@ -236,7 +237,7 @@
     }
   }
 
-  /** @brief What went wrong so far; empty when every promise was kept. */
+  /** @brief Violated invariants so far; empty if there are none. */
   [[nodiscard]] const std::vector<std::string>& Violations() const
   {
     return mViolations;
@@ -248,29 +249,30 @@
     return mRequests;
   }
 
-  /** @brief The table. */
+  /** @brief The replicated table. */
   [[nodiscard]] const ledger::Table& Table() const { return mTable; }
 
-  /** @brief How often the work of any key ran. */
+  /** @brief Number of executions over all keys. */
   [[nodiscard]] std::size_t Runs() const { return mRunCount; }
 
 private:
-  static constexpr Duration kPatience = std::chrono::seconds{ 30 };
-  /** A call that has not run by then never does; less than the window. */
+  static constexpr Duration kCallerTimeout = std::chrono::seconds{ 30 };
+  /** Time after its grant when a call can no longer be executed; less than the
+   * retention of keys. */
   static constexpr Duration kLongestRun = std::chrono::minutes{ 10 };
 
   struct Host
   {
     Incarnation incarnation{ 1 };
     std::map<std::size_t, ledger::Call> calls;
-    Duration seen{};
-    Instant seenAt{};
+    Duration tableTime{};
+    Instant tableTimeReadAt{};
   };
 
   struct Proposal
   {
     ledger::Command command;
-    /** The request that waits for the outcome. */
+    /** Index of the request that waits for the outcome; none if none does. */
     std::optional<std::size_t> request;
   };
 
@@ -320,7 +322,7 @@
       return;
     }
     Post(*aProposal.request,
-         ledger::ClaimLost{
+         ledger::ClaimFailed{
            MakeError(ErrorKind::ControlUnavailable, "no decision"), true });
   }
 
@@ -332,7 +334,7 @@
         mProposals.push_back(
           { .command = propose->command, .request = aRequest });
       } else if (const auto* later =
-                   std::get_if<ledger::ProposeLater>(&action)) {
+                   std::get_if<ledger::ProposeDetached>(&action)) {
         mProposals.push_back({ .command = later->command, .request = {} });
       } else if (std::holds_alternative<ledger::Dispatch>(action)) {
         mDispatches.push_back(aRequest);
@@ -357,10 +359,10 @@
     if (aReply.answer && !mLastGrant.contains(request.key)) {
       mViolations.push_back("a caller got an answer to work that never ran");
     }
-    CheckPromise(request);
+    CheckNotExecuted(request);
   }
 
-  void CheckPromise(const Request& aRequest)
+  void CheckNotExecuted(const Request& aRequest)
   {
     if (aRequest.ran && aRequest.reply && !*aRequest.reply &&
         aRequest.reply->error().executed == Executed::No) {
@@ -368,7 +370,7 @@
     }
   }
 
-  /** @brief Runs the work, unless it is too late for that. */
+  /** @brief Executes a call unless `kLongestRun` has passed since its grant. */
   bool Run(std::size_t aRequest)
   {
     auto& request = mRequests[aRequest];
@@ -378,17 +380,17 @@
     }
     const auto last = mLastGrant.find(request.key);
     if (last != mLastGrant.end() &&
-        granted - last->second < mTable.bounds.window) {
+        granted - last->second < mTable.bounds.retention) {
       mViolations.push_back("the work of a key ran twice");
     }
     mLastGrant[request.key] = granted;
     ++mRunCount;
     request.ran = true;
-    CheckPromise(request);
+    CheckNotExecuted(request);
     return true;
   }
 
-  void Wake()
+  void EndDueWaits()
   {
     std::vector<std::size_t> due;
     std::erase_if(mWaits, [&](const PendingWait& aWait) {
