State what the HTTP/1.1 framing does in its comments

Briefs and parameter texts of wire/ repeated names or were figurative. They now state contents, units, and when a result is absent. Test cases are named after the failure they guard against.

--- a/src/balsampoint/wire/event_splitter.hpp
+++ b/src/balsampoint/wire/event_splitter.hpp
@@ -7,36 +7,36 @@
 
 namespace balsampoint::wire {
 
-/** @brief One whole event of a stream. */
+/** @brief One complete event of a server-sent event stream. */
 struct StreamEvent
 {
-  /** Its bytes, with the empty line that ends it. */
+  /** Bytes of the event, including the empty line at its end. */
   std::string_view bytes;
-  /** Its number; absent if it has none. */
+  /** Number in its `id` field; absent if there is none. */
   std::optional<std::uint64_t> id;
 };
 
-/** @brief Cuts the body of an event stream into whole events. */
+/** @brief Splits the body of an event stream into complete events. */
 class EventSplitter
 {
 public:
   /**
-   * @brief Adds a piece of the body.
-   * @param aBytes The piece.
+   * @brief Appends the next part of the body.
+   * @param aBytes Bytes of any length, which may end inside an event.
    */
   void Append(std::string_view aBytes);
 
   /**
-   * @brief Takes the next whole event.
-   * @return The event, valid until the next `Append`; nothing if there is no
-   * whole one.
+   * @brief Removes the next complete event.
+   * @return The event, valid until the next `Append` or `Clear`; nothing if no
+   * complete event is buffered.
    */
   [[nodiscard]] std::optional<StreamEvent> Next();
 
-  /** @brief Whether a part of an event is left. */
+  /** @brief Whether bytes are buffered that `Next` has not returned. */
   [[nodiscard]] bool HasPart() const noexcept { return mAt < mBytes.size(); }
 
-  /** @brief Drops everything. */
+  /** @brief Discards all buffered bytes. */
   void Clear();
 
 private:
--- a/src/balsampoint/wire/fields.hpp
+++ b/src/balsampoint/wire/fields.hpp
@@ -17,29 +17,30 @@
 };
 
 /**
- * @brief Compares names of header fields.
- * @param aOne A name.
- * @param aOther Another name.
- * @return Whether they are the same but for upper and lower case.
+ * @brief Compares two ASCII texts, such as header names, ignoring case.
+ * @param aOne First text.
+ * @param aOther Second text.
+ * @return Whether they are equal.
  */
 [[nodiscard]] bool
 SameName(std::string_view aOne, std::string_view aOther) noexcept;
 
 /**
- * @brief Cuts spaces and tabs off both ends of a text.
- * @param aText The text.
+ * @brief Removes spaces and tabs from both ends of a text.
+ * @param aText Text to trim.
+ * @return Part of the same text.
  */
 [[nodiscard]] std::string_view
 Trim(std::string_view aText);
 
-/** @brief Header fields in their order. */
+/** @brief Header fields in the order in which they were added. */
 class Fields
 {
 public:
   /**
    * @brief Appends a field.
-   * @param aName Its name.
-   * @param aValue Its value.
+   * @param aName Name of the field.
+   * @param aValue Value of the field.
    */
   void Add(std::string_view aName, std::string_view aValue)
   {
@@ -47,20 +48,24 @@
   }
 
   /**
-   * @brief Finds the first field of a name.
-   * @param aName The name.
-   * @return Its value, valid as long as the fields; nothing if there is none.
+   * @brief Finds the first field with a name.
+   * @param aName Name, compared without case.
+   * @return Its value, valid until the fields change; nothing if there is none.
    */
   [[nodiscard]] std::optional<std::string_view> Find(
     std::string_view aName) const;
 
   /**
-   * @brief Counts the fields of a name.
-   * @param aName The name.
+   * @brief Counts the fields with a name.
+   * @param aName Name, compared without case.
    */
   [[nodiscard]] std::size_t Count(std::string_view aName) const;
 
-  /** @brief Whether a comma-separated field holds a word. */
+  /**
+   * @brief Whether a comma-separated list contains a token.
+   * @param aName Name of the fields that hold the list.
+   * @param aToken Token, compared without case.
+   */
   [[nodiscard]] bool HasToken(std::string_view aName,
                               std::string_view aToken) const;
 
--- a/src/balsampoint/wire/fwd.hpp
+++ b/src/balsampoint/wire/fwd.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** @brief Framing of HTTP/1.1 messages, without sockets. */
+/** @brief Parsing and framing of HTTP/1.1 messages, without sockets. */
 namespace balsampoint::wire {
 
 class EventSplitter;
--- a/src/balsampoint/wire/head.hpp
+++ b/src/balsampoint/wire/head.hpp
@@ -8,37 +8,38 @@
 
 namespace balsampoint::wire {
 
-/** @brief What begins a request. */
+/** @brief Request line and header fields of a request. */
 struct RequestHead
 {
   std::string method;
-  /** Path and query as the caller sent them. */
+  /** Request target: path and query as received. */
   std::string target;
   Fields fields;
-  /** Whether the connection may take another request. */
+  /** Whether the connection can be used for another request. */
   bool keepAlive{ true };
-  /** Whether the caller understands chunks. */
+  /** Whether the sender supports chunked encoding, as of HTTP/1.1. */
   bool chunks{ true };
 
-  /** @brief The path without the query. */
+  /** @brief Path of the target, without the query. */
   [[nodiscard]] std::string_view Path() const
   {
     return std::string_view{ target }.substr(0, target.find('?'));
   }
 };
 
-/** @brief What begins an answer. */
+/** @brief Status line and header fields of a response. */
 struct ResponseHead
 {
   std::uint16_t status{};
+  /** Reason phrase; may be empty. */
   std::string reason;
   Fields fields;
-  /** Whether the connection may take another request. */
+  /** Whether the connection can be used for another request. */
   bool keepAlive{ true };
-  /** Whether the body ends only with the connection. */
+  /** Whether the end of the connection marks the end of the body. */
   bool endsByClose{ false };
 
-  /** @brief Whether the request succeeded. */
+  /** @brief Whether the status is 2xx. */
   [[nodiscard]] bool Success() const noexcept
   {
     return status >= 200 && status < 300;
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -41,9 +41,9 @@
 }
 
 /**
- * @brief Cuts the next line off a text.
- * @param aRest The text; left without the line.
- * @return The line without its end.
+ * @brief Removes the first line from a text.
+ * @param aRest Text; set to what follows the line.
+ * @return The line without its CR LF.
  */
 std::string_view
 TakeLine(std::string_view& aRest)
@@ -64,7 +64,8 @@
   return status == std::errc{} && end == last;
 }
 
-/** @brief Whether the fields tell the length of the body in one way only. */
+/** @brief Whether the fields give at most one valid length or encoding of the
+ * body, so that no two parsers can disagree on where it ends. */
 bool
 IsFramedOnce(const Fields& aFields)
 {
@@ -80,8 +81,10 @@
 }
 
 /**
- * @brief Reads the lines of header fields.
- * @return Whether each is a name without spaces, a colon and a value.
+ * @brief Parses the lines of header fields.
+ * @param aLines Lines that end with CR LF.
+ * @param aFields Receives the fields.
+ * @return Whether each line is a token, a colon and a valid value.
  */
 bool
 ReadFields(std::string_view aLines, Fields& aFields)
@@ -165,7 +168,7 @@
 {
   const auto before = mHead.size();
   std::size_t skipped = 0;
-  // An empty line before a request is passed over, as RFC 9112 asks.
+  // Empty lines before a request are skipped, as RFC 9112 recommends.
   if (mKind == MessageKind::Request && before == 0) {
     while (aBytes.substr(skipped).starts_with(kLineEnd)) {
       skipped += kLineEnd.size();
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -10,7 +10,7 @@
 
 namespace balsampoint::wire {
 
-/** @brief Why bytes can't be a message. */
+/** @brief Why a message could not be parsed. */
 enum class ParseError : std::uint8_t
 {
   None,
@@ -19,14 +19,14 @@
   BodyTooLarge,
 };
 
-/** @brief Bounds on one message. */
+/** @brief Size limits of one message, in bytes. */
 struct MessageLimits
 {
   std::size_t headBytes{ 65536 };
   std::uint64_t bodyBytes{ 64ULL * 1024 * 1024 };
 };
 
-/** @brief Which kind of message a parser reads. */
+/** @brief Kind of message that a parser reads. */
 enum class MessageKind : std::uint8_t
 {
   Request,
@@ -34,19 +34,19 @@
 };
 
 /**
- * @brief Reads one HTTP/1.1 message after the other from pieces of bytes.
+ * @brief Incremental parser of HTTP/1.1 messages, one at a time.
  *
- * The head is held back until it is whole and is refused unless each line ends
- * with CR LF, has a name without spaces and isn't folded. Lengths that
- * contradict each other are refused. The body is handed out as it comes.
+ * The head is buffered until it is complete. It is rejected unless each line
+ * ends with CR LF, has a name without spaces and isn't folded, and unless the
+ * length of the body is unambiguous. The body is available as it arrives.
  */
 class Parser
 {
 public:
   /**
-   * @brief Starts before a message.
-   * @param aKind What is read.
-   * @param aLimits Bounds on each message.
+   * @brief Makes a parser that expects the start of a message.
+   * @param aKind Kind of the messages.
+   * @param aLimits Size limits of each message.
    */
   explicit Parser(MessageKind aKind, MessageLimits aLimits = {});
 
@@ -56,29 +56,31 @@
   Parser& operator=(Parser&&) = delete;
   ~Parser() = default;
 
-  /** @brief Prepares for the next message. */
+  /** @brief Resets the parser for the next message. */
   void Restart();
 
   /**
-   * @brief Bounds the messages that follow.
-   * @param aLimits The bounds.
+   * @brief Sets the size limits of the messages that follow.
+   * @param aLimits Size limits.
    */
   void Limit(MessageLimits aLimits) { mLimits = aLimits; }
 
-  /** @brief Says that the answer read next has no body, as that to `HEAD`. */
+  /** @brief Declares that the next response has no body, as for `HEAD`. */
   void ExpectNoBody() { mNoBody = true; }
 
   /**
-   * @brief Reads bytes up to the end of the message.
-   * @param aBytes The bytes.
-   * @return How many were used; fewer than given at the end of a message.
+   * @brief Parses bytes up to the end of the message.
+   * @param aBytes Received bytes.
+   * @return Number of bytes consumed: fewer than given if the message ended
+   * before, or none after an error.
    */
   std::size_t Read(std::string_view aBytes);
 
-  /** @brief Reads the end of the connection, which may end an answer. */
+  /** @brief Processes the end of the connection, which completes a response
+   * without a length and is an error otherwise. */
   void ReadEnd();
 
-  /** @brief Why reading failed; `None` if it has not. */
+  /** @brief Why parsing failed; `None` if it has not. */
   [[nodiscard]] ParseError Error() const noexcept { return mError; }
 
   /** @brief Whether the head is complete. */
@@ -87,28 +89,28 @@
   /** @brief Whether the message is complete. */
   [[nodiscard]] bool Complete() const noexcept { return mComplete; }
 
-  /** @brief Whether a part of a message was read. */
+  /** @brief Whether a part of the current message was read. */
   [[nodiscard]] bool Started() const noexcept
   {
     return mHasHead || !mHead.empty();
   }
 
-  /** @brief The head of a request; once `HasHead`. */
+  /** @brief Head of the request; valid once `HasHead`. */
   [[nodiscard]] RequestHead& Request() noexcept { return mRequest; }
 
-  /** @brief The head of an answer; once `HasHead`. */
+  /** @brief Head of the response; valid once `HasHead`. */
   [[nodiscard]] ResponseHead& Response() noexcept { return mResponse; }
 
-  /** @brief The head of an answer; once `HasHead`. */
+  /** @brief Head of the response; valid once `HasHead`. */
   [[nodiscard]] const ResponseHead& Response() const noexcept
   {
     return mResponse;
   }
 
-  /** @brief Takes what was read of the body since the last call. */
+  /** @brief Removes and returns the part of the body that is buffered. */
   [[nodiscard]] std::string TakeBody();
 
-  /** @brief Bytes of the body read and not taken yet. */
+  /** @brief Number of buffered bytes of the body. */
   [[nodiscard]] std::size_t BodySize() const noexcept { return mBody.size(); }
 
 private:
--- a/src/balsampoint/wire/write.hpp
+++ b/src/balsampoint/wire/write.hpp
@@ -9,9 +9,9 @@
 
 /**
  * @brief Appends a header field.
- * @param aInto Text of a head.
+ * @param aInto Receives the line with its CR LF.
  * @param aName Name of the field.
- * @param aValue Its value.
+ * @param aValue Value of the field.
  */
 void
 AppendField(std::string& aInto,
@@ -19,25 +19,27 @@
             std::string_view aValue);
 
 /**
- * @brief Whether a field concerns one connection only or its framing.
+ * @brief Whether a field is a hop-by-hop field or describes the framing of the
+ * body, and so must not be forwarded.
  * @param aName Name of the field.
- * @param aFields All fields; `Connection` may name further ones.
+ * @param aFields All fields of the message; `Connection` may name further
+ * hop-by-hop fields.
  */
 [[nodiscard]] bool
 IsHopField(std::string_view aName, const Fields& aFields);
 
 /**
- * @brief Appends a piece of a body in chunks.
- * @param aInto Receives the chunk.
- * @param aBytes The piece; not empty.
+ * @brief Appends one chunk of a chunked body.
+ * @param aInto Receives the chunk with its size line.
+ * @param aBytes Data of the chunk; not empty, which would end the body.
  */
 void
 AppendChunk(std::string& aInto, std::string_view aBytes);
 
-/** @brief Ends a body in chunks. */
+/** @brief Last chunk, which ends a chunked body. */
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
-/** @brief The usual words for a status. */
+/** @brief Standard reason phrase of a status code. */
 [[nodiscard]] std::string_view
 ReasonOf(std::uint16_t aStatus);
 
--- a/test/balsampoint/wire/event_splitter_test.cpp
+++ b/test/balsampoint/wire/event_splitter_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace balsampoint::wire;
 
-Test(event_splitter, gives_whole_events_only)
+Test(event_splitter, returns_only_complete_events)
 {
   EventSplitter splitter;
   splitter.Append("id: 1\ndata: a\n");
@@ -20,7 +20,7 @@
   cr_assert(splitter.HasPart());
 }
 
-Test(event_splitter, an_event_may_have_no_number)
+Test(event_splitter, an_event_without_an_id_field_has_no_id)
 {
   EventSplitter splitter;
   splitter.Append("data: id: 4\n\n");
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-Test(parser, reads_a_request_from_pieces_of_one_byte)
+Test(parser, parses_a_request_received_byte_by_byte)
 {
   Parser parser{ MessageKind::Request };
   const std::string text = "POST /a/b?c=1 HTTP/1.1\r\nHost: x\r\n"
@@ -42,7 +42,7 @@
   cr_assert(parser.Complete());
 }
 
-Test(parser, reads_chunks)
+Test(parser, parses_a_chunked_body)
 {
   Parser parser{ MessageKind::Request };
   const std::string text = "POST /a/ HTTP/1.1\r\nHost: x\r\n"
@@ -53,7 +53,9 @@
   cr_assert_eq(parser.TakeBody(), "abcde");
 }
 
-Test(parser, refuses_heads_that_two_readers_may_read_differently)
+// Request smuggling: a server behind this host could parse these heads
+// differently and see another request in the body.
+Test(parser, rejects_ambiguous_heads)
 {
   constexpr std::array kHeads{
     "GET / HTTP/1.1\nHost: x\n\n",
@@ -72,7 +74,7 @@
   }
 }
 
-Test(parser, bounds_head_and_body)
+Test(parser, limits_the_size_of_head_and_body)
 {
   const std::string longHead =
     "GET / HTTP/1.1\r\nHost: " + std::string(400, 'x');
@@ -85,7 +87,7 @@
   cr_assert_eq(ErrorOf(chunk), ParseError::BodyTooLarge);
 }
 
-Test(parser, an_answer_without_length_ends_with_its_connection)
+Test(parser, a_response_without_length_ends_with_its_connection)
 {
   Parser parser{ MessageKind::Response };
   parser.Read("HTTP/1.1 200 OK\r\n\r\nabc");
@@ -97,7 +99,7 @@
   cr_assert_eq(parser.TakeBody(), "abc");
 }
 
-Test(parser, an_answer_with_a_length_is_not_complete_at_the_end)
+Test(parser, a_response_cut_short_of_its_length_is_malformed)
 {
   Parser parser{ MessageKind::Response };
   parser.Read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
