--- a/test/platform/configuration_test.cpp
+++ b/test/platform/configuration_test.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-Test(configuration, is_read_into_routes_services_and_workspaces)
+Test(configuration, is_parsed_into_routes_services_and_workspaces)
 {
   const auto read = Dialect::ReadConfiguration(Example().dump());
   cr_assert(read.has_value());
@@ -69,7 +69,7 @@
   cr_assert_eq(read->limits.idleTimeout, Duration{ 15s });
 }
 
-Test(configuration, refuses_missing_fields_and_other_types)
+Test(configuration, rejects_missing_fields_and_wrong_types)
 {
   for (const auto* field : { "name", "hostname", "path_prefix", "kind" }) {
     auto missing = Example();
--- a/test/platform/control_test.cpp
+++ b/test/platform/control_test.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-Test(control, a_heartbeat_is_read_into_a_claim)
+Test(control, a_heartbeat_is_parsed_into_a_claim)
 {
   const auto claim = Dialect::ReadHeartbeat("i-1", Beat().dump());
   cr_assert(claim.has_value());
@@ -50,7 +50,7 @@
   cr_assert_not(other->description.layers.has_value());
 }
 
-Test(control, unreadable_heartbeats_name_no_server)
+Test(control, invalid_heartbeats_are_rejected)
 {
   for (const auto* field : { "service", "address", "zone", "state", "seq" }) {
     auto missing = Beat();
@@ -66,7 +66,7 @@
   cr_expect_not(Dialect::ReadHeartbeat("i-1", "\x01\x02"));
 }
 
-Test(control, calls_are_told_apart)
+Test(control, calls_are_distinguished_by_method_and_path)
 {
   cr_assert(std::holds_alternative<edge::PutConfiguration>(
     *Dialect::ReadControlCall(Head("PUT", "/config"))));
@@ -81,7 +81,7 @@
   cr_assert_not(Dialect::ReadControlCall(Head("POST", "/config")));
 }
 
-Test(control, an_order_names_the_engine_and_what_it_expects)
+Test(control, a_layer_order_names_the_engine_and_its_precondition)
 {
   const auto text = Dialect::WriteLayerOrder({ .layers = { 20, 31 },
                                                .expectedOrders = 2,
@@ -96,7 +96,7 @@
   cr_assert_eq(body["fencing_token"], 5);
 }
 
-Test(control, a_report_is_read)
+Test(control, an_engine_report_is_parsed)
 {
   const auto report = Dialect::ReadReport(
     R"({"seq": 2, "busy": true, "layers": {"from": 0, "target": 8}})");
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-Test(requests, are_read_once)
+Test(requests, headers_are_read_into_parameters)
 {
   const auto inquiry = Dialect::ReadInquiry(Head());
   cr_assert(inquiry.has_value());
@@ -48,7 +48,7 @@
   cr_assert_eq(*inquiry->resumeAfter, 12U);
 }
 
-Test(requests, without_one_host_or_with_an_odd_deadline_are_refused)
+Test(requests, with_two_hosts_or_an_invalid_deadline_are_rejected)
 {
   auto twice = Head();
   twice.fields.Add("Host", "b.example");
@@ -59,7 +59,7 @@
   cr_assert_not(Dialect::ReadInquiry(odd));
 }
 
-Test(requests, go_to_a_server_with_the_fields_of_this_host)
+Test(requests, to_a_server_carry_the_headers_of_this_host)
 {
   const auto head = Head();
   const std::vector<fleet::Hop> hops{
@@ -89,7 +89,7 @@
   cr_expect(text.ends_with("\r\n\r\nabc"));
 }
 
-Test(requests, answers_say_whether_the_request_has_run)
+Test(requests, responses_state_whether_the_request_has_run)
 {
   wire::ResponseHead head{ .status = 503 };
   cr_assert_not(Dialect::ReadAnswer(head).notExecuted);
@@ -103,7 +103,7 @@
   cr_assert(Dialect::ReadAnswer({ .status = 421 }).notExecuted);
 }
 
-Test(requests, refusals_say_when_to_come_back)
+Test(requests, refusals_carry_a_retry_after)
 {
   auto error = MakeError(ErrorKind::NoServer, "no room");
   error.retryAfter = 250ms;
