Rename parts of the HTTP/1.1 framing to the terms of HTTP

The names were private coinages or vague. Renames only.

Rename: SameName -> EqualsIgnoreCase (wire) Rename: IsHopField -> IsHopByHopField (wire) Rename: ReasonOf -> ReasonPhrase (wire) Rename: Parser::ReadEnd -> ReadEof (wire) Rename: Parser::Limit -> SetLimits (wire) Rename: Parser::Of -> Self (wire) Rename: RequestHead::chunks -> acceptsChunked (wire) Rename: EventSplitter::HasPart -> HasPartialEvent (wire) Rename: IsFramedOnce -> HasUnambiguousLength (wire/parser.cpp) Rename: IsTokenLetter -> IsTokenCharacter (wire/parser.cpp) Rename: aInto -> aOutput (wire) Rename: EventRelay::HasPart -> HasPartialEvent (edge) Rename: BasicEntry::Limit -> SetLimits (edge)

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -309,7 +309,7 @@
       .With("number", aRoutes->Source().number.Value())
       .With("routes", aRoutes->Source().routes.size());
     mTraffic.routes = std::move(aRoutes);
-    mEntry.Limit(mTraffic.routes->Source().limits);
+    mEntry.SetLimits(mTraffic.routes->Source().limits);
     FollowRoster();
   }
 
--- a/src/balsampoint/edge/answer.cpp
+++ b/src/balsampoint/edge/answer.cpp
@@ -26,10 +26,10 @@
                bool aKeep)
 {
   auto text = StatusLine(aHead.status,
-                         aHead.reason.empty() ? wire::ReasonOf(aHead.status)
+                         aHead.reason.empty() ? wire::ReasonPhrase(aHead.status)
                                               : aHead.reason);
   for (const auto& field : aHead.fields.All()) {
-    if (!wire::IsHopField(field.name, aHead.fields)) {
+    if (!wire::IsHopByHopField(field.name, aHead.fields)) {
       wire::AppendField(text, field.name, field.value);
     }
   }
@@ -51,7 +51,7 @@
            std::string_view aBody,
            bool aKeep)
 {
-  auto text = StatusLine(aStatus, wire::ReasonOf(aStatus));
+  auto text = StatusLine(aStatus, wire::ReasonPhrase(aStatus));
   text += aFields;
   if (!aBody.empty()) {
     wire::AppendField(text, "Content-Type", "application/json");
--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -151,7 +151,7 @@
 
   void ExpectRequest()
   {
-    mParser.Limit(mOwner.Bounds().message);
+    mParser.SetLimits(mOwner.Bounds().message);
     mParser.Restart();
     mTimer.Set(mOwner.Bounds().idleTimeout, [self = this->weak_from_this()] {
       if (auto connection = self.lock()) {
--- a/src/balsampoint/edge/entry.hpp
+++ b/src/balsampoint/edge/entry.hpp
@@ -50,7 +50,7 @@
    * @brief Applies the limits of a configuration to later requests.
    * @param aLimits Limits on message sizes and times.
    */
-  void Limit(const routing::CallerLimits& aLimits)
+  void SetLimits(const routing::CallerLimits& aLimits)
   {
     mBounds.message = { .headBytes = aLimits.headerBytes,
                         .bodyBytes = aLimits.bodyBytes };
--- a/src/balsampoint/edge/event_relay.hpp
+++ b/src/balsampoint/edge/event_relay.hpp
@@ -39,7 +39,10 @@
   [[nodiscard]] bool Take(std::string_view aBytes, std::string& aInto);
 
   /** @brief Whether an incomplete event is buffered. */
-  [[nodiscard]] bool HasPart() const noexcept { return mSplitter.HasPart(); }
+  [[nodiscard]] bool HasPartialEvent() const noexcept
+  {
+    return mSplitter.HasPartialEvent();
+  }
 
   /** @brief Discards the buffered incomplete event. */
   void DropPart() { mSplitter.Clear(); }
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -348,7 +348,7 @@
     }
   }
 
-  [[nodiscard]] bool UsesChunks() const { return mRequest.head.chunks; }
+  [[nodiscard]] bool UsesChunks() const { return mRequest.head.acceptsChunked; }
 
   void SendEvents(std::string_view aBytes)
   {
@@ -425,7 +425,7 @@
 
   void OnStreamEnd()
   {
-    if (mEvents.HasPart()) {
+    if (mEvents.HasPartialEvent()) {
       NoteServer(fleet::Finding::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the stream ended in the middle of an event");
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -167,7 +167,7 @@
   }
   if (aError) {
     if (aError == boost::asio::error::eof && mWaiting) {
-      mParser.ReadEnd();
+      mParser.ReadEof();
       if (mParser.Complete()) {
         mWaiting = false;
         Tell(ServerSignal::Answer);
--- a/src/balsampoint/wire/event_splitter.hpp
+++ b/src/balsampoint/wire/event_splitter.hpp
@@ -34,7 +34,10 @@
   [[nodiscard]] std::optional<StreamEvent> Next();
 
   /** @brief Whether bytes are buffered that `Next` has not returned. */
-  [[nodiscard]] bool HasPart() const noexcept { return mAt < mBytes.size(); }
+  [[nodiscard]] bool HasPartialEvent() const noexcept
+  {
+    return mAt < mBytes.size();
+  }
 
   /** @brief Discards all buffered bytes. */
   void Clear();
--- a/src/balsampoint/wire/fields.cpp
+++ b/src/balsampoint/wire/fields.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 bool
-SameName(std::string_view aOne, std::string_view aOther) noexcept
+EqualsIgnoreCase(std::string_view aOne, std::string_view aOther) noexcept
 {
   return aOne.size() == aOther.size() &&
          std::equal(aOne.begin(),
@@ -44,7 +44,7 @@
 Fields::Find(std::string_view aName) const
 {
   for (const auto& field : mFields) {
-    if (SameName(field.name, aName)) {
+    if (EqualsIgnoreCase(field.name, aName)) {
       return field.value;
     }
   }
@@ -56,7 +56,7 @@
 {
   return static_cast<std::size_t>(
     std::ranges::count_if(mFields, [&](const Field& aField) {
-      return SameName(aField.name, aName);
+      return EqualsIgnoreCase(aField.name, aName);
     }));
 }
 
@@ -64,13 +64,13 @@
 Fields::HasToken(std::string_view aName, std::string_view aToken) const
 {
   for (const auto& field : mFields) {
-    if (!SameName(field.name, aName)) {
+    if (!EqualsIgnoreCase(field.name, aName)) {
       continue;
     }
     std::string_view rest = field.value;
     while (!rest.empty()) {
       const auto comma = rest.find(',');
-      if (SameName(Trim(rest.substr(0, comma)), aToken)) {
+      if (EqualsIgnoreCase(Trim(rest.substr(0, comma)), aToken)) {
         return true;
       }
       rest = comma == std::string_view::npos ? std::string_view{}
--- a/src/balsampoint/wire/fields.hpp
+++ b/src/balsampoint/wire/fields.hpp
@@ -23,7 +23,7 @@
  * @return Whether they are equal.
  */
 [[nodiscard]] bool
-SameName(std::string_view aOne, std::string_view aOther) noexcept;
+EqualsIgnoreCase(std::string_view aOne, std::string_view aOther) noexcept;
 
 /**
  * @brief Removes spaces and tabs from both ends of a text.
--- a/src/balsampoint/wire/head.hpp
+++ b/src/balsampoint/wire/head.hpp
@@ -18,7 +18,7 @@
   /** Whether the connection can be used for another request. */
   bool keepAlive{ true };
   /** Whether the sender supports chunked encoding, as of HTTP/1.1. */
-  bool chunks{ true };
+  bool acceptsChunked{ true };
 
   /** @brief Path of the target, without the query. */
   [[nodiscard]] std::string_view Path() const
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -16,7 +16,7 @@
 constexpr int kNotModified = 304;
 
 bool
-IsTokenLetter(char aLetter)
+IsTokenCharacter(char aLetter)
 {
   constexpr std::string_view kSpecial = "!#$%&'*+-.^_`|~";
   return (aLetter >= '0' && aLetter <= '9') ||
@@ -28,7 +28,7 @@
 bool
 IsToken(std::string_view aText)
 {
-  return !aText.empty() && std::ranges::all_of(aText, IsTokenLetter);
+  return !aText.empty() && std::ranges::all_of(aText, IsTokenCharacter);
 }
 
 bool
@@ -67,7 +67,7 @@
 /** @brief Whether the fields give at most one valid length or encoding of the
  * body, so that no two parsers can disagree on where it ends. */
 bool
-IsFramedOnce(const Fields& aFields)
+HasUnambiguousLength(const Fields& aFields)
 {
   const auto lengths = aFields.Count("Content-Length");
   const auto encodings = aFields.Count("Transfer-Encoding");
@@ -75,7 +75,8 @@
     return false;
   }
   if (encodings == 1) {
-    return SameName(aFields.Find("Transfer-Encoding").value_or(""), "chunked");
+    return EqualsIgnoreCase(aFields.Find("Transfer-Encoding").value_or(""),
+                            "chunked");
   }
   return lengths == 0 || IsLength(aFields.Find("Content-Length").value_or(""));
 }
@@ -145,7 +146,7 @@
 }
 
 void
-Parser::ReadEnd()
+Parser::ReadEof()
 {
   if (mError != ParseError::None || mComplete) {
     return;
@@ -181,9 +182,9 @@
   const auto from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size() + 1;
   const auto end = mHead.find(kHeadEnd, from);
   if (end == std::string::npos) {
-    const auto feed = mHead.find('\n', from);
-    const bool bare =
-      feed != std::string::npos && (feed == 0 || mHead[feed - 1] != '\r');
+    const auto lineFeed = mHead.find('\n', from);
+    const bool bare = lineFeed != std::string::npos &&
+                      (lineFeed == 0 || mHead[lineFeed - 1] != '\r');
     if (bare) {
       mError = ParseError::Malformed;
     } else if (taken.size() < aBytes.size()) {
@@ -224,7 +225,7 @@
     mError = ParseError::Malformed;
     return;
   }
-  if (!IsFramedOnce(fields)) {
+  if (!HasUnambiguousLength(fields)) {
     mError = ParseError::Malformed;
     return;
   }
@@ -268,7 +269,7 @@
 }
 
 Parser&
-Parser::Of(http_parser* aParser)
+Parser::Self(http_parser* aParser)
 {
   return *static_cast<Parser*>(aParser->data);
 }
@@ -276,7 +277,7 @@
 int
 Parser::OnHeadersComplete(http_parser* aParser)
 {
-  auto& self = Of(aParser);
+  auto& self = Self(aParser);
   self.FinishHead();
   if (self.mError != ParseError::None) {
     return -1;
@@ -298,7 +299,8 @@
   if (mKind == MessageKind::Request) {
     mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
     mRequest.keepAlive = keepAlive;
-    mRequest.chunks = mParser.http_major == 1 && mParser.http_minor >= 1;
+    mRequest.acceptsChunked =
+      mParser.http_major == 1 && mParser.http_minor >= 1;
     return;
   }
   const auto status = static_cast<std::uint16_t>(mParser.status_code);
@@ -312,7 +314,7 @@
 int
 Parser::OnBody(http_parser* aParser, const char* aAt, std::size_t aSize)
 {
-  auto& self = Of(aParser);
+  auto& self = Self(aParser);
   self.mBodyRead += aSize;
   if (self.mBodyRead > self.mLimits.bodyBytes) {
     self.mError = ParseError::BodyTooLarge;
@@ -325,7 +327,7 @@
 int
 Parser::OnMessageComplete(http_parser* aParser)
 {
-  Of(aParser).mComplete = true;
+  Self(aParser).mComplete = true;
   http_parser_pause(aParser, 1);
   return 0;
 }
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -63,7 +63,7 @@
    * @brief Sets the size limits of the messages that follow.
    * @param aLimits Size limits.
    */
-  void Limit(MessageLimits aLimits) { mLimits = aLimits; }
+  void SetLimits(MessageLimits aLimits) { mLimits = aLimits; }
 
   /** @brief Declares that the next response has no body, as for `HEAD`. */
   void ExpectNoBody() { mNoBody = true; }
@@ -78,7 +78,7 @@
 
   /** @brief Processes the end of the connection, which completes a response
    * without a length and is an error otherwise. */
-  void ReadEnd();
+  void ReadEof();
 
   /** @brief Why parsing failed; `None` if it has not. */
   [[nodiscard]] ParseError Error() const noexcept { return mError; }
@@ -120,7 +120,7 @@
   void FinishHead();
 
   static http_parser_settings MakeCallbacks();
-  static Parser& Of(http_parser* aParser);
+  static Parser& Self(http_parser* aParser);
   static int OnBody(http_parser* aParser, const char* aAt, std::size_t aSize);
   static int OnHeadersComplete(http_parser* aParser);
   static int OnMessageComplete(http_parser* aParser);
--- a/src/balsampoint/wire/write.cpp
+++ b/src/balsampoint/wire/write.cpp
@@ -8,43 +8,46 @@
 namespace balsampoint::wire {
 
 void
-AppendField(std::string& aInto, std::string_view aName, std::string_view aValue)
+AppendField(std::string& aOutput,
+            std::string_view aName,
+            std::string_view aValue)
 {
-  aInto += aName;
-  aInto += ": ";
-  aInto += aValue;
-  aInto += "\r\n";
+  aOutput += aName;
+  aOutput += ": ";
+  aOutput += aValue;
+  aOutput += "\r\n";
 }
 
 bool
-IsHopField(std::string_view aName, const Fields& aFields)
+IsHopByHopField(std::string_view aName, const Fields& aFields)
 {
   constexpr std::array<std::string_view, 9> kNames{
     "Connection",          "Keep-Alive", "Proxy-Connection",
     "Proxy-Authorization", "TE",         "Trailer",
     "Transfer-Encoding",   "Upgrade",    "Content-Length"
   };
-  return std::ranges::any_of(
-           kNames,
-           [&](std::string_view aHop) { return SameName(aName, aHop); }) ||
+  return std::ranges::any_of(kNames,
+                             [&](std::string_view aHop) {
+                               return EqualsIgnoreCase(aName, aHop);
+                             }) ||
          aFields.HasToken("Connection", aName);
 }
 
 void
-AppendChunk(std::string& aInto, std::string_view aBytes)
+AppendChunk(std::string& aOutput, std::string_view aBytes)
 {
   constexpr int kHexadecimal = 16;
   std::array<char, 16> size{};
   const auto end = std::to_chars(
     size.data(), size.data() + size.size(), aBytes.size(), kHexadecimal);
-  aInto.append(size.data(), end.ptr);
-  aInto += "\r\n";
-  aInto += aBytes;
-  aInto += "\r\n";
+  aOutput.append(size.data(), end.ptr);
+  aOutput += "\r\n";
+  aOutput += aBytes;
+  aOutput += "\r\n";
 }
 
 std::string_view
-ReasonOf(std::uint16_t aStatus)
+ReasonPhrase(std::uint16_t aStatus)
 {
   return http_status_str(static_cast<http_status>(aStatus));
 }
--- a/src/balsampoint/wire/write.hpp
+++ b/src/balsampoint/wire/write.hpp
@@ -9,12 +9,12 @@
 
 /**
  * @brief Appends a header field.
- * @param aInto Receives the line with its CR LF.
+ * @param aOutput Receives the line with its CR LF.
  * @param aName Name of the field.
  * @param aValue Value of the field.
  */
 void
-AppendField(std::string& aInto,
+AppendField(std::string& aOutput,
             std::string_view aName,
             std::string_view aValue);
 
@@ -26,21 +26,21 @@
  * hop-by-hop fields.
  */
 [[nodiscard]] bool
-IsHopField(std::string_view aName, const Fields& aFields);
+IsHopByHopField(std::string_view aName, const Fields& aFields);
 
 /**
  * @brief Appends one chunk of a chunked body.
- * @param aInto Receives the chunk with its size line.
+ * @param aOutput Receives the chunk with its size line.
  * @param aBytes Data of the chunk; not empty, which would end the body.
  */
 void
-AppendChunk(std::string& aInto, std::string_view aBytes);
+AppendChunk(std::string& aOutput, std::string_view aBytes);
 
 /** @brief Last chunk, which ends a chunked body. */
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 /** @brief Standard reason phrase of a status code. */
 [[nodiscard]] std::string_view
-ReasonOf(std::uint16_t aStatus);
+ReasonPhrase(std::uint16_t aStatus);
 
 } // namespace balsampoint::wire
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -94,7 +94,7 @@
   cr_assert(parser.Response().endsByClose);
   cr_assert_not(parser.Response().keepAlive);
   cr_assert_not(parser.Complete());
-  parser.ReadEnd();
+  parser.ReadEof();
   cr_assert(parser.Complete());
   cr_assert_eq(parser.TakeBody(), "abc");
 }
@@ -103,7 +103,7 @@
 {
   Parser parser{ MessageKind::Response };
   parser.Read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
-  parser.ReadEnd();
+  parser.ReadEof();
   cr_assert_not(parser.Complete());
   cr_assert_eq(parser.Error(), ParseError::Malformed);
 }
