Call HTTP responses responses in the edge module

The module called one thing answer and response; EngineCaller was a client, while a caller is a client of the router. Renames only.

Rename: edge/answer.hpp, .cpp -> edge/response.hpp, .cpp Rename: edge/engine_caller.hpp, .cpp -> edge/engine_client.hpp, .cpp Rename: MakeAnswer -> MakeResponse (edge) Rename: MakeAnswerHead -> MakeResponseHead (edge) Rename: Framing -> BodyFraming (edge) Rename: Framing::Length, Chunks, Close -> ContentLength, Chunked, UntilClose (edge) Rename: EngineCaller -> EngineClient (edge) Rename: EngineAnswer -> EngineResponse (edge) Rename: AnswerFacts -> ResponseMetadata (edge) Rename: AnswerTimes -> ResponseTimes (edge) Rename: Dialect::ReadAnswer -> ReadResponse (edge, platform) Rename: ServerSignal::Answer -> ResponseData (edge) Rename: ServerConnection::Answer -> ResponseParser (edge) Rename: ServerConnection::SkipAnswer -> SkipResponse (edge) Rename: BasicCallerConnection::AfterAnswer -> OnResponseSent (edge) Rename: BasicExchange::OnAnswer, OnWholeAnswer, BeginAnswer, PassOn, UsesChunks -> OnResponseData, OnCompleteResponse, BeginResponse, ForwardResponse, UsesChunkedEncoding (edge) Rename: BasicExchange::mServerFailure -> mServerErrorResponse (edge)

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -6,7 +6,7 @@
 #include "balsampoint/daemon/post.hpp"
 #include "balsampoint/daemon/runners.hpp"
 #include "balsampoint/edge/control_port.hpp"
-#include "balsampoint/edge/engine_caller.hpp"
+#include "balsampoint/edge/engine_client.hpp"
 #include "balsampoint/edge/entry.hpp"
 #include "balsampoint/edge/status_port.hpp"
 #include "balsampoint/edge/watch.hpp"
@@ -483,7 +483,7 @@
   edge::BasicEntry<D> mEntry;
   edge::StatusPort mReady;
   edge::StatusPort mMetrics;
-  edge::EngineCaller mEngines;
+  edge::EngineClient mEngines;
   edge::BasicControlPort<D> mControlPort;
   Runners mRunners;
   Control::Loop<Runners> mLoop;
--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -103,7 +103,7 @@
     mFinished = true;
     mCloseWhenSent = mCloseWhenSent || !aKeep;
     if (!mWriting && mWaiting.empty()) {
-      AfterAnswer();
+      OnResponseSent();
     }
   }
 
@@ -293,11 +293,11 @@
       return;
     }
     if (mFinished) {
-      AfterAnswer();
+      OnResponseSent();
     }
   }
 
-  void AfterAnswer()
+  void OnResponseSent()
   {
     mFinished = false;
     if (mCloseWhenSent) {
--- a/src/balsampoint/edge/control_port.hpp
+++ b/src/balsampoint/edge/control_port.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "balsampoint/edge/acceptor.hpp"
-#include "balsampoint/edge/answer.hpp"
 #include "balsampoint/edge/dialect.hpp"
+#include "balsampoint/edge/response.hpp"
 #include "balsampoint/routing/table.hpp"
 #include "balsampoint/trace/event.hpp"
 
@@ -212,7 +212,7 @@
   void Answer(const Pointer& aCaller, std::string_view aBody)
   {
     constexpr std::uint16_t kOk = 200;
-    aCaller->Send(MakeAnswer(kOk, {}, aBody, Keep()));
+    aCaller->Send(MakeResponse(kOk, {}, aBody, Keep()));
     aCaller->Finish(Keep());
   }
 
--- a/src/balsampoint/edge/dialect.hpp
+++ b/src/balsampoint/edge/dialect.hpp
@@ -66,7 +66,7 @@
 };
 
 /** @brief Contents of the head of a server's response. */
-struct AnswerFacts
+struct ResponseMetadata
 {
   /** Id of the request that it responds to; absent if it has none. */
   std::optional<std::string_view> request;
@@ -141,8 +141,8 @@
     D::WriteRequest(aOutgoing)
   } -> std::same_as<std::string>;
   {
-    D::ReadAnswer(aResponse)
-  } -> std::same_as<AnswerFacts>;
+    D::ReadResponse(aResponse)
+  } -> std::same_as<ResponseMetadata>;
   {
     D::WriteRefusal(aError, true)
   } -> std::same_as<std::string>;
--- a/src/balsampoint/edge/engine_caller.cpp
+++ b/src/balsampoint/edge/engine_client.cpp
@@ -1,8 +1,8 @@
-#include "balsampoint/edge/engine_caller.hpp"
+#include "balsampoint/edge/engine_client.hpp"
 
 namespace balsampoint::edge {
 
-struct EngineCaller::Pending
+struct EngineClient::Pending
 {
   explicit Pending(boost::asio::io_context& aContext)
     : timer{ aContext }
@@ -16,7 +16,7 @@
 };
 
 void
-EngineCaller::Call(std::string aAddress,
+EngineClient::Call(std::string aAddress,
                    std::string aRequest,
                    Duration aLimit,
                    Callback aCallback)
@@ -35,7 +35,7 @@
 }
 
 void
-EngineCaller::Begin(const std::shared_ptr<Pending>& aPending, Duration aLimit)
+EngineClient::Begin(const std::shared_ptr<Pending>& aPending, Duration aLimit)
 {
   mPending.insert(aPending);
   const std::weak_ptr<Pending> weak{ aPending };
@@ -49,28 +49,29 @@
     if (!pending || !pending->connection) {
       return;
     }
-    auto& answer = pending->connection->Answer();
+    auto& parser = pending->connection->ResponseParser();
     if (aSignal == ServerSignal::Connected) {
       pending->connection->Send(std::move(pending->request), false);
     } else if (aSignal == ServerSignal::Lost) {
       End(pending, std::nullopt);
-    } else if (answer.Complete()) {
-      End(pending, EngineAnswer{ answer.Response().status, answer.TakeBody() });
+    } else if (parser.Complete()) {
+      End(pending,
+          EngineResponse{ parser.Response().status, parser.TakeBody() });
     }
   });
   aPending->connection->Connect();
 }
 
 void
-EngineCaller::End(const std::shared_ptr<Pending>& aPending,
-                  std::optional<EngineAnswer> aAnswer)
+EngineClient::End(const std::shared_ptr<Pending>& aPending,
+                  std::optional<EngineResponse> aResponse)
 {
   if (mPending.erase(aPending) == 0) {
     return;
   }
   aPending->timer.Clear();
   std::exchange(aPending->connection, nullptr)->Close();
-  aPending->callback(std::move(aAnswer));
+  aPending->callback(std::move(aResponse));
 }
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/engine_caller.hpp
+++ b/src/balsampoint/edge/engine_client.hpp
@@ -13,26 +13,26 @@
 namespace balsampoint::edge {
 
 /** @brief Response of an engine. */
-struct EngineAnswer
+struct EngineResponse
 {
   std::uint16_t status{};
   std::string body;
 };
 
 /** @brief Sends requests to engines, each on a connection of its own. */
-class EngineCaller
+class EngineClient
 {
 public:
   /** @brief Receives the response; nothing if the connection failed or the
    * time limit passed. */
-  using Callback = std::function<void(std::optional<EngineAnswer>)>;
+  using Callback = std::function<void(std::optional<EngineResponse>)>;
 
   /**
    * @brief Makes a client without pending calls.
    * @param aLoop Loop of the traffic thread; outlives the client.
    * @param aBounds Limits of each connection.
    */
-  EngineCaller(Loop& aLoop, ServerBounds aBounds)
+  EngineClient(Loop& aLoop, ServerBounds aBounds)
     : mLoop{ aLoop }
     , mPool{ aLoop.Context(), aBounds }
   {
@@ -55,7 +55,7 @@
 
   void Begin(const std::shared_ptr<Pending>& aPending, Duration aLimit);
   void End(const std::shared_ptr<Pending>& aPending,
-           std::optional<EngineAnswer> aAnswer);
+           std::optional<EngineResponse> aResponse);
 
   Loop& mLoop;
   ServerPool mPool;
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "balsampoint/edge/admission.hpp"
-#include "balsampoint/edge/answer.hpp"
 #include "balsampoint/edge/dialect.hpp"
 #include "balsampoint/edge/event_relay.hpp"
 #include "balsampoint/edge/exchange_log.hpp"
+#include "balsampoint/edge/response.hpp"
 #include "balsampoint/edge/server_choice.hpp"
 #include "balsampoint/edge/traffic.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
@@ -114,7 +114,7 @@
       edge::Admit(mTraffic, mInquiry, mRequest.head.Path(), mAdmission);
     if (admitted) {
       mProgress.kind = mAdmission.route->kind;
-      mEvents = EventRelay{ UsesChunks(), mInquiry.resumeAfter };
+      mEvents = EventRelay{ UsesChunkedEncoding(), mInquiry.resumeAfter };
     }
     return admitted;
   }
@@ -196,8 +196,8 @@
       case ServerSignal::Connected:
         SendRequest();
         return;
-      case ServerSignal::Answer:
-        OnAnswer();
+      case ServerSignal::ResponseData:
+        OnResponseData();
         return;
       case ServerSignal::Lost:
         break;
@@ -236,42 +236,44 @@
     mServer->Send(std::move(bytes), mRequest.head.method == "HEAD");
   }
 
-  void OnAnswer()
+  void OnResponseData()
   {
-    auto& answer = mServer->Answer();
-    if (!answer.HasHead()) {
+    auto& parser = mServer->ResponseParser();
+    if (!parser.HasHead()) {
       return;
     }
-    auto& head = answer.Response();
-    const auto facts = D::ReadAnswer(head);
-    const bool other = facts.request && *facts.request != mInquiry.id.Value();
+    auto& head = parser.Response();
+    const auto metadata = D::ReadResponse(head);
+    const bool other =
+      metadata.request && *metadata.request != mInquiry.id.Value();
     constexpr std::uint16_t kFirstFinalStatus = 200;
     if (head.status < kFirstFinalStatus || other) {
-      if (answer.Complete()) {
-        mServer->SkipAnswer();
+      if (parser.Complete()) {
+        mServer->SkipResponse();
       } else {
         // The response to this request begins after the end of this body.
-        static_cast<void>(answer.TakeBody());
+        static_cast<void>(parser.TakeBody());
       }
       return;
     }
-    if (facts.notExecuted) {
-      OnNotExecuted(facts);
+    if (metadata.notExecuted) {
+      OnNotExecuted(metadata);
       return;
     }
     if (IsStream() && head.Success()) {
       OnStreamPart();
       return;
     }
-    if (answer.Complete()) {
-      OnWholeAnswer();
+    if (parser.Complete()) {
+      OnCompleteResponse();
     }
   }
 
-  void OnNotExecuted(const AnswerFacts& aFacts)
+  void OnNotExecuted(const ResponseMetadata& aMetadata)
   {
     mProgress.maybeRun = mRunBefore;
-    const std::string atFault{ aFacts.atFault.value_or(mHops.front().address) };
+    const std::string atFault{ aMetadata.atFault.value_or(
+      mHops.front().address) };
     fleet::Note(mTraffic.fleet,
                 mAdmission.service->id,
                 atFault,
@@ -283,35 +285,36 @@
       }
     }
     mFault = atFault;
-    if (mServer->Answer().Complete()) {
+    if (mServer->ResponseParser().Complete()) {
       mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
     }
     OnAttemptEnd(forward::AttemptEnd::NotExecuted,
                  "the server has not run the request");
   }
 
-  void OnWholeAnswer()
+  void OnCompleteResponse()
   {
-    auto& answer = mServer->Answer();
-    const auto& head = answer.Response();
+    auto& parser = mServer->ResponseParser();
+    const auto& head = parser.Response();
     constexpr std::uint16_t kFirstServerError = 500;
     if (head.status >= kFirstServerError) {
       NoteServer(fleet::Finding::Failed);
       mFailed.insert(mHops.front().server);
-      mServerFailure = { head, answer.TakeBody() };
+      mServerErrorResponse = { head, parser.TakeBody() };
       mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
       OnAttemptEnd(forward::AttemptEnd::ServerFailed,
                    "the server answered with a 5xx status");
       return;
     }
     NoteServer(fleet::Finding::Answered);
-    PassOn(head, answer.TakeBody());
+    ForwardResponse(head, parser.TakeBody());
   }
 
-  void PassOn(const wire::ResponseHead& aHead, const std::string& aBody)
+  void ForwardResponse(const wire::ResponseHead& aHead,
+                       const std::string& aBody)
   {
-    auto bytes =
-      MakeAnswerHead(aHead, Framing::Length, aBody.size(), KeepCaller());
+    auto bytes = MakeResponseHead(
+      aHead, BodyFraming::ContentLength, aBody.size(), KeepCaller());
     if (mRequest.head.method != "HEAD") {
       bytes += aBody;
     }
@@ -331,9 +334,9 @@
 
   void OnStreamPart()
   {
-    auto& answer = mServer->Answer();
+    auto& parser = mServer->ResponseParser();
     std::string out;
-    const bool whole = mEvents.Take(answer.TakeBody(), out);
+    const bool whole = mEvents.Take(parser.TakeBody(), out);
     if (!out.empty()) {
       SendEvents(out);
     }
@@ -343,17 +346,20 @@
                    "an event is missing from the stream");
       return;
     }
-    if (answer.Complete()) {
+    if (parser.Complete()) {
       OnStreamEnd();
     }
   }
 
-  [[nodiscard]] bool UsesChunks() const { return mRequest.head.acceptsChunked; }
+  [[nodiscard]] bool UsesChunkedEncoding() const
+  {
+    return mRequest.head.acceptsChunked;
+  }
 
   void SendEvents(std::string_view aBytes)
   {
     if (!mProgress.answering) {
-      BeginAnswer();
+      BeginResponse();
     }
     const auto now = Traffic::Now();
     NoteProgress(now);
@@ -409,18 +415,18 @@
     Conclude(verdict, {});
   }
 
-  void BeginAnswer()
+  void BeginResponse()
   {
     mProgress.answering = true;
     mFirstEventAt = Traffic::Now();
     mTraffic.metrics.Record(trace::Timing::FirstToken,
                             mFirstEventAt - mStartedAt);
     mLastEventAt = mFirstEventAt;
-    mCaller->Send(
-      MakeAnswerHead(mServer->Answer().Response(),
-                     UsesChunks() ? Framing::Chunks : Framing::Close,
-                     0,
-                     UsesChunks() && KeepCaller()));
+    mCaller->Send(MakeResponseHead(
+      mServer->ResponseParser().Response(),
+      UsesChunkedEncoding() ? BodyFraming::Chunked : BodyFraming::UntilClose,
+      0,
+      UsesChunkedEncoding() && KeepCaller()));
   }
 
   void OnStreamEnd()
@@ -433,13 +439,13 @@
     }
     NoteServer(fleet::Finding::Answered);
     if (!mProgress.answering) {
-      BeginAnswer();
+      BeginResponse();
     }
-    if (UsesChunks()) {
+    if (UsesChunkedEncoding()) {
       mCaller->Send(wire::kLastChunk);
     }
     mTraffic.metrics.Add(trace::Outcome::Complete);
-    FinishCaller(UsesChunks() && KeepCaller());
+    FinishCaller(UsesChunkedEncoding() && KeepCaller());
     mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
     End("answered");
   }
@@ -510,7 +516,8 @@
   {
     switch (aVerdict) {
       case forward::Verdict::PassOn:
-        PassOn(mServerFailure.first, mServerFailure.second);
+        ForwardResponse(mServerErrorResponse.first,
+                        mServerErrorResponse.second);
         return;
       case forward::Verdict::Resume:
       case forward::Verdict::Retry:
@@ -638,7 +645,7 @@
            aHow,
            mError,
            mDetail,
-           mProgress.answering ? std::optional{ AnswerTimes{
+           mProgress.answering ? std::optional{ ResponseTimes{
                                    mFirstEventAt - mStartedAt, mLongestPause } }
                                : std::nullopt);
     DropServer();
@@ -690,7 +697,7 @@
   Instant mLastEventAt{};
   Duration mLongestPause{};
   /** Last 5xx response of a server, forwarded on `Verdict::PassOn`. */
-  std::pair<wire::ResponseHead, std::string> mServerFailure;
+  std::pair<wire::ResponseHead, std::string> mServerErrorResponse;
   /** Address or id of the server that failed this attempt; empty if unknown. */
   std::string mFault;
   std::string mError;
--- a/src/balsampoint/edge/exchange_log.cpp
+++ b/src/balsampoint/edge/exchange_log.cpp
@@ -48,7 +48,7 @@
        std::string_view aHow,
        std::string_view aError,
        std::string_view aDetail,
-       const std::optional<AnswerTimes>& aTimes)
+       const std::optional<ResponseTimes>& aTimes)
 {
   trace::Event event{ "request_ended" };
   event.With("request", aFacts.request).With("how", aHow);
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -15,7 +15,7 @@
 namespace balsampoint::edge {
 
 /** @brief Timing of a streamed response. */
-struct AnswerTimes
+struct ResponseTimes
 {
   /** Time from the request's arrival to the first event. */
   Duration toFirstEvent{};
@@ -63,6 +63,6 @@
        std::string_view aHow,
        std::string_view aError,
        std::string_view aDetail,
-       const std::optional<AnswerTimes>& aTimes);
+       const std::optional<ResponseTimes>& aTimes);
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/answer.cpp
+++ b/src/balsampoint/edge/response.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/edge/answer.hpp"
+#include "balsampoint/edge/response.hpp"
 
 #include "balsampoint/wire/write.hpp"
 
@@ -20,10 +20,10 @@
 } // namespace
 
 std::string
-MakeAnswerHead(const wire::ResponseHead& aHead,
-               Framing aFraming,
-               std::size_t aLength,
-               bool aKeep)
+MakeResponseHead(const wire::ResponseHead& aHead,
+                 BodyFraming aFraming,
+                 std::size_t aLength,
+                 bool aKeep)
 {
   auto text = StatusLine(aHead.status,
                          aHead.reason.empty() ? wire::ReasonPhrase(aHead.status)
@@ -33,9 +33,9 @@
       wire::AppendField(text, field.name, field.value);
     }
   }
-  if (aFraming == Framing::Length) {
+  if (aFraming == BodyFraming::ContentLength) {
     wire::AppendField(text, "Content-Length", std::to_string(aLength));
-  } else if (aFraming == Framing::Chunks) {
+  } else if (aFraming == BodyFraming::Chunked) {
     wire::AppendField(text, "Transfer-Encoding", "chunked");
   }
   if (!aKeep) {
@@ -46,10 +46,10 @@
 }
 
 std::string
-MakeAnswer(std::uint16_t aStatus,
-           std::string_view aFields,
-           std::string_view aBody,
-           bool aKeep)
+MakeResponse(std::uint16_t aStatus,
+             std::string_view aFields,
+             std::string_view aBody,
+             bool aKeep)
 {
   auto text = StatusLine(aStatus, wire::ReasonPhrase(aStatus));
   text += aFields;
--- a/src/balsampoint/edge/answer.hpp
+++ b/src/balsampoint/edge/response.hpp
@@ -8,14 +8,14 @@
 namespace balsampoint::edge {
 
 /** @brief How the end of a response body is marked for the caller. */
-enum class Framing : std::uint8_t
+enum class BodyFraming : std::uint8_t
 {
   /** By a `Content-Length` header. */
-  Length,
+  ContentLength,
   /** By chunked transfer encoding. */
-  Chunks,
+  Chunked,
   /** By closing the connection, for callers without chunked encoding. */
-  Close,
+  UntilClose,
 };
 
 /**
@@ -23,15 +23,16 @@
  * its hop-by-hop fields.
  * @param aHead Response head of the server.
  * @param aFraming How the body is framed.
- * @param aLength Length of the body in bytes; used with `Framing::Length`.
+ * @param aLength Length of the body in bytes; used with
+ * `BodyFraming::ContentLength`.
  * @param aKeep Whether the connection stays open for another request.
  * @return The head, including the empty line at its end.
  */
 [[nodiscard]] std::string
-MakeAnswerHead(const wire::ResponseHead& aHead,
-               Framing aFraming,
-               std::size_t aLength,
-               bool aKeep);
+MakeResponseHead(const wire::ResponseHead& aHead,
+                 BodyFraming aFraming,
+                 std::size_t aLength,
+                 bool aKeep);
 
 /**
  * @brief Makes a whole response that originates from this host.
@@ -41,9 +42,9 @@
  * @param aKeep Whether the connection stays open for another request.
  */
 [[nodiscard]] std::string
-MakeAnswer(std::uint16_t aStatus,
-           std::string_view aFields,
-           std::string_view aBody,
-           bool aKeep);
+MakeResponse(std::uint16_t aStatus,
+             std::string_view aFields,
+             std::string_view aBody,
+             bool aKeep);
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -119,7 +119,7 @@
 }
 
 void
-ServerConnection::SkipAnswer()
+ServerConnection::SkipResponse()
 {
   mParser.Restart();
   if (mHead) {
@@ -170,7 +170,7 @@
       mParser.ReadEof();
       if (mParser.Complete()) {
         mWaiting = false;
-        Tell(ServerSignal::Answer);
+        Tell(ServerSignal::ResponseData);
         return;
       }
     }
@@ -199,7 +199,7 @@
     Lose();
     return;
   }
-  Tell(ServerSignal::Answer);
+  Tell(ServerSignal::ResponseData);
 }
 
 void
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -36,7 +36,7 @@
   /** The connection is established; nothing was sent yet. */
   Connected,
   /** Another part of the response was read; it may be complete. */
-  Answer,
+  ResponseData,
   /** The connection could not be established, broke or timed out. */
   Lost,
 };
@@ -81,11 +81,11 @@
   void Close();
 
   /** @brief Parser of the response in progress. */
-  [[nodiscard]] wire::Parser& Answer() noexcept { return mParser; }
+  [[nodiscard]] wire::Parser& ResponseParser() noexcept { return mParser; }
 
   /** @brief Discards a complete response, which is interim or belongs to an
    * earlier request, and reads the next one. */
-  void SkipAnswer();
+  void SkipResponse();
 
   /** @brief Whether the connection can be reused for another request. */
   [[nodiscard]] bool Reusable() const;
--- a/src/balsampoint/edge/status_port.hpp
+++ b/src/balsampoint/edge/status_port.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "balsampoint/edge/acceptor.hpp"
-#include "balsampoint/edge/answer.hpp"
+#include "balsampoint/edge/response.hpp"
 
 #include <functional>
 #include <memory>
@@ -49,7 +49,7 @@
   {
     const auto status = mStatus();
     aCaller->Send(
-      MakeAnswer(status.code, {}, status.body, aRequest.head.keepAlive));
+      MakeResponse(status.code, {}, status.body, aRequest.head.keepAlive));
     aCaller->Finish(aRequest.head.keepAlive);
   }
 
@@ -57,7 +57,7 @@
 
   void OnUnreadable(const std::shared_ptr<Caller>& aCaller, const Error& aError)
   {
-    aCaller->Send(MakeAnswer(AnswerFor(aError.kind).status, {}, {}, false));
+    aCaller->Send(MakeResponse(AnswerFor(aError.kind).status, {}, {}, false));
     aCaller->Finish(false);
   }
 
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -92,15 +92,15 @@
 Test(requests, responses_state_whether_the_request_has_run)
 {
   wire::ResponseHead head{ .status = 503 };
-  cr_assert_not(Dialect::ReadAnswer(head).notExecuted);
+  cr_assert_not(Dialect::ReadResponse(head).notExecuted);
   head.fields.Add("X-Not-Executed", "1");
   head.fields.Add("At-Server", "10.0.0.2:80");
   head.fields.Add("X-Request-Id", "r1");
-  const auto facts = Dialect::ReadAnswer(head);
+  const auto facts = Dialect::ReadResponse(head);
   cr_assert(facts.notExecuted);
   cr_assert_eq(*facts.atFault, "10.0.0.2:80");
   cr_assert_eq(*facts.request, "r1");
-  cr_assert(Dialect::ReadAnswer({ .status = 421 }).notExecuted);
+  cr_assert(Dialect::ReadResponse({ .status = 421 }).notExecuted);
 }
 
 Test(requests, refusals_carry_a_retry_after)
