Name the connections of the edge module in the terms of sockets and pools

Names such as Rest, Tell, Lose, silence and kept were figurative or vague. Renames only.

Rename: ServerBounds -> ServerConnectionLimits (edge) Rename: CallerBounds -> CallerConnectionLimits (edge) Rename: Bounds(), mBounds, aBounds -> Limits(), mLimits, aLimits (edge) Rename: ServerBounds::silence, CallerBounds::silence -> ackTimeout (edge) Rename: CallerBounds::unreadBytes -> maxQueuedBytes (edge) Rename: ServerPool::TakeKept, GiveBack, CloseOld, Kept, IsOld -> TakeIdle, Return, CloseExpired, IdleCount, IsExpired (edge) Rename: ServerConnection::Attach, Rest, RestsSince, Tell, Lose -> SetObserver, MarkIdle, IdleSince, Notify, CloseAsLost (edge) Rename: ToldTimeout -> AdvertisedTimeout (edge/server_connection.cpp) Rename: Prepare, Reset -> ConfigureSocket, ResetConnection (edge/socket.hpp) Rename: OnCallerGone, OnUnreadable -> OnCallerDisconnected, OnInvalidRequest (edge) Rename: BasicAcceptor::Take, Connections -> AddConnection, ConnectionCount (edge) Rename: BasicAcceptor::kPause, mPause -> kAcceptRetryDelay, mAcceptRetryTimer (edge) Rename: BasicCallerConnection::LimitArrival, OnLate -> StartRequestTimer, OnRequestTimeout (edge) Rename: BasicCallerConnection::kAheadBytes, mAhead, mWaiting, mContinued, mFinished -> kMaxReadAheadBytes, mReadAhead, mQueued, mContinueSent, mResponseFinished (edge) Rename: ServerConnection::mWaiting, mUnread, mHead, mRestsSince -> mAwaitingResponse, mUnparsed, mIsHeadRequest, mIdleSince (edge) Rename: BasicExchange::KeepCaller, FinishCaller, CutCaller -> CallerKeepsAlive, FinishResponse, ResetCaller (edge) Rename: BasicControlPort::Keep -> KeepAlive (edge) Rename: aKeep -> aKeepAlive (edge, platform)

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -215,7 +215,7 @@
 
   void Sweep()
   {
-    mTraffic.pool.CloseOld();
+    mTraffic.pool.CloseExpired();
     mSweep.Set(kSweepInterval, [this] { Sweep(); });
   }
 
--- a/src/balsampoint/edge/acceptor.hpp
+++ b/src/balsampoint/edge/acceptor.hpp
@@ -83,7 +83,7 @@
   }
 
   /** @brief Number of open connections. */
-  [[nodiscard]] std::size_t Connections() const noexcept
+  [[nodiscard]] std::size_t ConnectionCount() const noexcept
   {
     return mConnections.size();
   }
@@ -93,24 +93,27 @@
     mOwner.OnRequest(aConnection, std::move(aRequest));
   }
 
-  void OnCallerGone(const Pointer& aConnection)
+  void OnCallerDisconnected(const Pointer& aConnection)
   {
-    mOwner.OnCallerGone(aConnection);
+    mOwner.OnCallerDisconnected(aConnection);
   }
 
-  void OnUnreadable(const Pointer& aConnection, const Error& aError)
+  void OnInvalidRequest(const Pointer& aConnection, const Error& aError)
   {
-    mOwner.OnUnreadable(aConnection, aError);
+    mOwner.OnInvalidRequest(aConnection, aError);
   }
 
   void OnClosed(const Pointer& aConnection) { mConnections.erase(aConnection); }
 
-  [[nodiscard]] const CallerBounds& Bounds() const { return mOwner.Bounds(); }
+  [[nodiscard]] const CallerConnectionLimits& Limits() const
+  {
+    return mOwner.Limits();
+  }
 
 private:
   static constexpr int kBacklog = 1024;
   /** Delay before the next accept after one has failed. */
-  static constexpr Duration kPause = std::chrono::milliseconds{ 20 };
+  static constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
 
   void Accept()
   {
@@ -121,18 +124,18 @@
       }
       if (aError) {
         spdlog::warn("accepting a connection failed: {}", aError.message());
-        mPause.Set(kPause, [this] { Accept(); });
+        mAcceptRetryTimer.Set(kAcceptRetryDelay, [this] { Accept(); });
         return;
       }
-      Take(std::move(aSocket));
+      AddConnection(std::move(aSocket));
       Accept();
     });
   }
 
-  void Take(Tcp::socket aSocket)
+  void AddConnection(Tcp::socket aSocket)
   {
     if (mConnections.size() >= mMaxConnections) {
-      Reset(aSocket);
+      ResetConnection(aSocket);
       return;
     }
     auto connection =
@@ -144,7 +147,7 @@
   Owner& mOwner;
   boost::asio::io_context& mContext;
   Tcp::acceptor mAcceptor;
-  Timer mPause{ mContext };
+  Timer mAcceptRetryTimer{ mContext };
   std::size_t mMaxConnections;
   std::set<Pointer> mConnections;
 };
--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -24,7 +24,7 @@
 };
 
 /** @brief Limits of a connection of a caller. */
-struct CallerBounds
+struct CallerConnectionLimits
 {
   wire::MessageLimits message;
   /** Longest time from the first byte of a request to its last one. */
@@ -32,10 +32,10 @@
   /** Time after which a connection without a request is closed. */
   Duration idleTimeout{ std::chrono::seconds{ 15 } };
   /** Time that sent bytes may stay unacknowledged. */
-  Duration silence{ std::chrono::seconds{ 4 } };
+  Duration ackTimeout{ std::chrono::seconds{ 4 } };
   /** Response bytes that may be queued for a slow caller; with more, the
    * connection is reset. */
-  std::size_t unreadBytes{ std::size_t{ 1024 } * 1024 };
+  std::size_t maxQueuedBytes{ std::size_t{ 1024 } * 1024 };
 };
 
 /**
@@ -44,8 +44,8 @@
  * The connection is read even while a request is in progress, so that a
  * disconnect of the caller is detected at once.
  * @tparam Owner Handles the requests: `OnRequest(connection, request)`,
- * `OnCallerGone(connection)`, `OnUnreadable(connection, error)`,
- * `OnClosed(connection)`, `Bounds()`.
+ * `OnCallerDisconnected(connection)`, `OnInvalidRequest(connection, error)`,
+ * `OnClosed(connection)`, `Limits()`.
  */
 template<typename Owner>
 class BasicCallerConnection
@@ -64,9 +64,9 @@
     : mOwner{ aOwner }
     , mSocket{ std::move(aSocket) }
     , mTimer{ aContext }
-    , mParser{ wire::MessageKind::Request, aOwner.Bounds().message }
+    , mParser{ wire::MessageKind::Request, aOwner.Limits().message }
   {
-    Prepare(mSocket, aOwner.Bounds().silence);
+    ConfigureSocket(mSocket, aOwner.Limits().ackTimeout);
   }
 
   /** @brief Starts to read requests. */
@@ -82,8 +82,8 @@
    */
   void Send(std::string_view aBytes)
   {
-    mWaiting += aBytes;
-    if (mWaiting.size() > mOwner.Bounds().unreadBytes) {
+    mQueued += aBytes;
+    if (mQueued.size() > mOwner.Limits().maxQueuedBytes) {
       boost::asio::post(
         mSocket.get_executor(),
         [self = this->shared_from_this()] { self->Close(true); });
@@ -95,14 +95,14 @@
   /**
    * @brief Marks the response as complete; the next request is read once it is
    * sent.
-   * @param aKeep Whether the connection stays open.
+   * @param aKeepAlive Whether the connection stays open.
    */
-  void Finish(bool aKeep)
+  void Finish(bool aKeepAlive)
   {
     mBusy = false;
-    mFinished = true;
-    mCloseWhenSent = mCloseWhenSent || !aKeep;
-    if (!mWriting && mWaiting.empty()) {
+    mResponseFinished = true;
+    mCloseWhenSent = mCloseWhenSent || !aKeepAlive;
+    if (!mWriting && mQueued.empty()) {
       OnResponseSent();
     }
   }
@@ -119,14 +119,14 @@
     }
     mTimer.Clear();
     if (aReset) {
-      Reset(mSocket);
+      ResetConnection(mSocket);
     } else {
       boost::system::error_code ignored;
       mSocket.shutdown(Tcp::socket::shutdown_send, ignored);
       mSocket.close(ignored);
     }
     if (std::exchange(mBusy, false)) {
-      mOwner.OnCallerGone(this->shared_from_this());
+      mOwner.OnCallerDisconnected(this->shared_from_this());
     }
     mOwner.OnClosed(this->shared_from_this());
   }
@@ -135,8 +135,8 @@
    */
   void CloseIfIdle()
   {
-    if (!mBusy && !mParser.Started() && mAhead.empty() && !mWriting &&
-        mWaiting.empty()) {
+    if (!mBusy && !mParser.Started() && mReadAhead.empty() && !mWriting &&
+        mQueued.empty()) {
       Close(false);
     }
   }
@@ -147,13 +147,13 @@
 private:
   static constexpr std::size_t kReadBytes = 16384;
   /** Bytes of pipelined requests at which reading pauses. */
-  static constexpr std::size_t kAheadBytes = 65536;
+  static constexpr std::size_t kMaxReadAheadBytes = 65536;
 
   void ExpectRequest()
   {
-    mParser.SetLimits(mOwner.Bounds().message);
+    mParser.SetLimits(mOwner.Limits().message);
     mParser.Restart();
-    mTimer.Set(mOwner.Bounds().idleTimeout, [self = this->weak_from_this()] {
+    mTimer.Set(mOwner.Limits().idleTimeout, [self = this->weak_from_this()] {
       if (auto connection = self.lock()) {
         connection->CloseIfIdle();
       }
@@ -162,7 +162,8 @@
 
   void Read()
   {
-    if (mReading || !mSocket.is_open() || mAhead.size() >= kAheadBytes) {
+    if (mReading || !mSocket.is_open() ||
+        mReadAhead.size() >= kMaxReadAheadBytes) {
       return;
     }
     mReading = true;
@@ -183,7 +184,7 @@
       Close(aError != boost::asio::error::eof);
       return;
     }
-    mAhead.append(mBuffer.data(), aSize);
+    mReadAhead.append(mBuffer.data(), aSize);
     if (!mBusy) {
       Parse();
     }
@@ -192,9 +193,9 @@
 
   void Parse()
   {
-    const bool begun = mParser.Started();
-    const auto used = mParser.Read(mAhead);
-    mAhead.erase(0, used);
+    const bool started = mParser.Started();
+    const auto consumed = mParser.Read(mReadAhead);
+    mReadAhead.erase(0, consumed);
     if (mParser.Error() != wire::ParseError::None) {
       Refuse(mParser.Error());
       return;
@@ -203,30 +204,30 @@
       Deliver();
       return;
     }
-    if (!begun && mParser.Started()) {
-      LimitArrival();
+    if (!started && mParser.Started()) {
+      StartRequestTimer();
     }
-    if (mParser.HasHead() && !mContinued &&
+    if (mParser.HasHead() && !mContinueSent &&
         mParser.Request().fields.HasToken("Expect", "100-continue")) {
-      mContinued = true;
+      mContinueSent = true;
       Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
   }
 
-  void LimitArrival()
+  void StartRequestTimer()
   {
-    mTimer.Set(mOwner.Bounds().requestTimeout, [self = this->weak_from_this()] {
+    mTimer.Set(mOwner.Limits().requestTimeout, [self = this->weak_from_this()] {
       if (auto connection = self.lock()) {
-        connection->OnLate();
+        connection->OnRequestTimeout();
       }
     });
   }
 
-  void OnLate()
+  void OnRequestTimeout()
   {
     if (!mBusy) {
       mBusy = true;
-      mOwner.OnUnreadable(
+      mOwner.OnInvalidRequest(
         this->shared_from_this(),
         MakeError(ErrorKind::RequestTimeout,
                   "the request did not arrive completely before the timeout"));
@@ -243,7 +244,7 @@
     }
     mBusy = true;
     mTimer.Clear();
-    mOwner.OnUnreadable(
+    mOwner.OnInvalidRequest(
       this->shared_from_this(),
       MakeError(kind, "the request is not valid HTTP/1.1 or is too large"));
   }
@@ -251,7 +252,7 @@
   void Deliver()
   {
     mBusy = true;
-    mContinued = false;
+    mContinueSent = false;
     mTimer.Clear();
     IncomingRequest request{ .head = std::move(mParser.Request()),
                              .body = mParser.TakeBody() };
@@ -263,11 +264,11 @@
   // NOLINTNEXTLINE(misc-no-recursion)
   void Flush()
   {
-    if (mWriting || mWaiting.empty() || !mSocket.is_open()) {
+    if (mWriting || mQueued.empty() || !mSocket.is_open()) {
       return;
     }
     mWriting = true;
-    mSending = std::exchange(mWaiting, {});
+    mSending = std::exchange(mQueued, {});
     boost::asio::async_write(
       mSocket,
       boost::asio::buffer(mSending),
@@ -288,24 +289,24 @@
       Close(true);
       return;
     }
-    if (!mWaiting.empty()) {
+    if (!mQueued.empty()) {
       Flush();
       return;
     }
-    if (mFinished) {
+    if (mResponseFinished) {
       OnResponseSent();
     }
   }
 
   void OnResponseSent()
   {
-    mFinished = false;
+    mResponseFinished = false;
     if (mCloseWhenSent) {
       Close(false);
       return;
     }
     ExpectRequest();
-    if (!mAhead.empty()) {
+    if (!mReadAhead.empty()) {
       boost::asio::post(mSocket.get_executor(),
                         [self = this->shared_from_this()] {
                           if (!self->mBusy && self->mSocket.is_open()) {
@@ -321,14 +322,14 @@
   Timer mTimer;
   wire::Parser mParser;
   std::array<char, kReadBytes> mBuffer{};
-  std::string mAhead;
-  std::string mWaiting;
+  std::string mReadAhead;
+  std::string mQueued;
   std::string mSending;
   bool mReading{ false };
   bool mWriting{ false };
   bool mBusy{ false };
-  bool mFinished{ false };
-  bool mContinued{ false };
+  bool mResponseFinished{ false };
+  bool mContinueSent{ false };
   bool mCloseWhenSent{ false };
 };
 
--- a/src/balsampoint/edge/control_port.hpp
+++ b/src/balsampoint/edge/control_port.hpp
@@ -101,15 +101,18 @@
       *call);
   }
 
-  void OnCallerGone(const Pointer& /*aCaller*/) {}
+  void OnCallerDisconnected(const Pointer& /*aCaller*/) {}
 
-  void OnUnreadable(const Pointer& aCaller, const Error& aError)
+  void OnInvalidRequest(const Pointer& aCaller, const Error& aError)
   {
     aCaller->Send(D::WriteRefusal(aError, false));
     aCaller->Finish(false);
   }
 
-  [[nodiscard]] const CallerBounds& Bounds() const noexcept { return mBounds; }
+  [[nodiscard]] const CallerConnectionLimits& Limits() const noexcept
+  {
+    return mLimits;
+  }
 
 private:
   void Do(const PutConfiguration& /*aCall*/,
@@ -173,8 +176,8 @@
                        "this host does not know the newest configuration"));
       return;
     }
-    aCaller->Send(D::WriteRedirect(address, Keep()));
-    aCaller->Finish(Keep());
+    aCaller->Send(D::WriteRedirect(address, KeepAlive()));
+    aCaller->Finish(KeepAlive());
   }
 
   void Do(const ServerHeartbeat& aCall,
@@ -212,21 +215,21 @@
   void Answer(const Pointer& aCaller, std::string_view aBody)
   {
     constexpr std::uint16_t kOk = 200;
-    aCaller->Send(MakeResponse(kOk, {}, aBody, Keep()));
-    aCaller->Finish(Keep());
+    aCaller->Send(MakeResponse(kOk, {}, aBody, KeepAlive()));
+    aCaller->Finish(KeepAlive());
   }
 
   void Refuse(const Pointer& aCaller, const Error& aError)
   {
-    aCaller->Send(D::WriteRefusal(aError, Keep()));
-    aCaller->Finish(Keep());
+    aCaller->Send(D::WriteRefusal(aError, KeepAlive()));
+    aCaller->Finish(KeepAlive());
   }
 
-  [[nodiscard]] bool Keep() const { return !mDraining; }
+  [[nodiscard]] bool KeepAlive() const { return !mDraining; }
 
   Loop& mLoop;
   ControlOperations mOperations;
-  CallerBounds mBounds;
+  CallerConnectionLimits mLimits;
   bool mDraining{ false };
   Acceptor mAcceptor;
 };
--- a/src/balsampoint/edge/engine_client.cpp
+++ b/src/balsampoint/edge/engine_client.cpp
@@ -44,7 +44,7 @@
       End(pending, std::nullopt);
     }
   });
-  aPending->connection->Attach([this, weak](ServerSignal aSignal) {
+  aPending->connection->SetObserver([this, weak](ServerSignal aSignal) {
     const auto pending = weak.lock();
     if (!pending || !pending->connection) {
       return;
--- a/src/balsampoint/edge/engine_client.hpp
+++ b/src/balsampoint/edge/engine_client.hpp
@@ -30,11 +30,11 @@
   /**
    * @brief Makes a client without pending calls.
    * @param aLoop Loop of the traffic thread; outlives the client.
-   * @param aBounds Limits of each connection.
+   * @param aLimits Limits of each connection.
    */
-  EngineClient(Loop& aLoop, ServerBounds aBounds)
+  EngineClient(Loop& aLoop, ServerConnectionLimits aLimits)
     : mLoop{ aLoop }
-    , mPool{ aLoop.Context(), aBounds }
+    , mPool{ aLoop.Context(), aLimits }
   {
   }
 
--- a/src/balsampoint/edge/entry.hpp
+++ b/src/balsampoint/edge/entry.hpp
@@ -52,10 +52,10 @@
    */
   void SetLimits(const routing::CallerLimits& aLimits)
   {
-    mBounds.message = { .headBytes = aLimits.headerBytes,
+    mLimits.message = { .headBytes = aLimits.headerBytes,
                         .bodyBytes = aLimits.bodyBytes };
-    mBounds.requestTimeout = aLimits.headerTimeout;
-    mBounds.idleTimeout = aLimits.idleTimeout;
+    mLimits.requestTimeout = aLimits.headerTimeout;
+    mLimits.idleTimeout = aLimits.idleTimeout;
   }
 
   void OnRequest(const std::shared_ptr<Caller>& aCaller,
@@ -71,7 +71,7 @@
     });
   }
 
-  void OnCallerGone(const std::shared_ptr<Caller>& aCaller)
+  void OnCallerDisconnected(const std::shared_ptr<Caller>& aCaller)
   {
     const auto found = mExchanges.find(aCaller.get());
     if (found == mExchanges.end()) {
@@ -79,10 +79,11 @@
     }
     const auto exchange = std::move(found->second);
     mExchanges.erase(found);
-    exchange->OnCallerGone();
+    exchange->OnCallerDisconnected();
   }
 
-  void OnUnreadable(const std::shared_ptr<Caller>& aCaller, const Error& aError)
+  void OnInvalidRequest(const std::shared_ptr<Caller>& aCaller,
+                        const Error& aError)
   {
     trace::Event{ "request_unreadable" }.With("error",
                                               AnswerFor(aError.kind).name);
@@ -90,7 +91,10 @@
     aCaller->Finish(false);
   }
 
-  [[nodiscard]] const CallerBounds& Bounds() const noexcept { return mBounds; }
+  [[nodiscard]] const CallerConnectionLimits& Limits() const noexcept
+  {
+    return mLimits;
+  }
 
 private:
   void Forget(const Caller* aCaller, const Exchange* aExchange)
@@ -102,7 +106,7 @@
   }
 
   Traffic& mTraffic;
-  CallerBounds mBounds;
+  CallerConnectionLimits mLimits;
   std::map<const Caller*, std::shared_ptr<Exchange>> mExchanges;
   Acceptor mAcceptor;
 };
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -88,7 +88,7 @@
   }
 
   /** @brief Cancels the request because the caller has disconnected. */
-  void OnCallerGone()
+  void OnCallerDisconnected()
   {
     if (mEnded) {
       return;
@@ -157,21 +157,21 @@
     // The server may close an idle connection while a request is being sent on
     // it, which leaves unknown whether the request was run. Requests that may
     // run only once therefore get a new connection.
-    const bool mayKeep =
+    const bool mayReuse =
       mProgress.kind != routing::RequestKind::NonIdempotent &&
       mProgress.kind != routing::RequestKind::Stream;
-    mServer = mayKeep ? mTraffic.pool.TakeKept(address) : nullptr;
-    const bool kept = mServer != nullptr;
-    if (!kept) {
+    mServer = mayReuse ? mTraffic.pool.TakeIdle(address) : nullptr;
+    const bool reused = mServer != nullptr;
+    if (!reused) {
       mServer = mTraffic.pool.Make(address);
     }
-    mServer->Attach([self = this->weak_from_this()](ServerSignal aSignal) {
+    mServer->SetObserver([self = this->weak_from_this()](ServerSignal aSignal) {
       if (const auto exchange = self.lock()) {
         exchange->OnSignal(aSignal);
       }
     });
     mSentNow = false;
-    if (kept) {
+    if (reused) {
       SendRequest();
     } else {
       mServer->Connect();
@@ -286,7 +286,7 @@
     }
     mFault = atFault;
     if (mServer->ResponseParser().Complete()) {
-      mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+      mTraffic.pool.Return(std::exchange(mServer, nullptr));
     }
     OnAttemptEnd(forward::AttemptEnd::NotExecuted,
                  "the server has not run the request");
@@ -301,7 +301,7 @@
       NoteServer(fleet::Finding::Failed);
       mFailed.insert(mHops.front().server);
       mServerErrorResponse = { head, parser.TakeBody() };
-      mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+      mTraffic.pool.Return(std::exchange(mServer, nullptr));
       OnAttemptEnd(forward::AttemptEnd::ServerFailed,
                    "the server answered with a 5xx status");
       return;
@@ -314,20 +314,20 @@
                        const std::string& aBody)
   {
     auto bytes = MakeResponseHead(
-      aHead, BodyFraming::ContentLength, aBody.size(), KeepCaller());
+      aHead, BodyFraming::ContentLength, aBody.size(), CallerKeepsAlive());
     if (mRequest.head.method != "HEAD") {
       bytes += aBody;
     }
     mCaller->Send(bytes);
     mTraffic.metrics.Add(trace::Outcome::Complete);
-    FinishCaller(KeepCaller());
+    FinishResponse(CallerKeepsAlive());
     if (mServer) {
-      mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+      mTraffic.pool.Return(std::exchange(mServer, nullptr));
     }
     End("answered");
   }
 
-  [[nodiscard]] bool KeepCaller() const
+  [[nodiscard]] bool CallerKeepsAlive() const
   {
     return mRequest.head.keepAlive && !mTraffic.draining;
   }
@@ -426,7 +426,7 @@
       mServer->ResponseParser().Response(),
       UsesChunkedEncoding() ? BodyFraming::Chunked : BodyFraming::UntilClose,
       0,
-      UsesChunkedEncoding() && KeepCaller()));
+      UsesChunkedEncoding() && CallerKeepsAlive()));
   }
 
   void OnStreamEnd()
@@ -445,8 +445,8 @@
       mCaller->Send(wire::kLastChunk);
     }
     mTraffic.metrics.Add(trace::Outcome::Complete);
-    FinishCaller(UsesChunkedEncoding() && KeepCaller());
-    mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
+    FinishResponse(UsesChunkedEncoding() && CallerKeepsAlive());
+    mTraffic.pool.Return(std::exchange(mServer, nullptr));
     End("answered");
   }
 
@@ -547,7 +547,7 @@
           return;
         }
         mTraffic.metrics.Add(trace::Outcome::Broken);
-        CutCaller();
+        ResetCaller();
         End("cut");
         return;
     }
@@ -584,7 +584,7 @@
     }
     if (mProgress.answering) {
       mTraffic.metrics.Add(trace::Outcome::Broken);
-      CutCaller();
+      ResetCaller();
       End("cut_at_deadline");
       return;
     }
@@ -600,19 +600,19 @@
     mTraffic.metrics.Add(aError.kind);
     mError = AnswerFor(aError.kind).name;
     mDetail = aError.detail;
-    mCaller->Send(D::WriteRefusal(aError, KeepCaller()));
-    FinishCaller(KeepCaller());
+    mCaller->Send(D::WriteRefusal(aError, CallerKeepsAlive()));
+    FinishResponse(CallerKeepsAlive());
     End("refused");
   }
 
-  void FinishCaller(bool aKeep)
+  void FinishResponse(bool aKeepAlive)
   {
     if (const auto caller = std::exchange(mCaller, nullptr)) {
-      caller->Finish(aKeep);
+      caller->Finish(aKeepAlive);
     }
   }
 
-  void CutCaller()
+  void ResetCaller()
   {
     mEnded = true;
     if (const auto caller = std::exchange(mCaller, nullptr)) {
--- a/src/balsampoint/edge/response.cpp
+++ b/src/balsampoint/edge/response.cpp
@@ -23,7 +23,7 @@
 MakeResponseHead(const wire::ResponseHead& aHead,
                  BodyFraming aFraming,
                  std::size_t aLength,
-                 bool aKeep)
+                 bool aKeepAlive)
 {
   auto text = StatusLine(aHead.status,
                          aHead.reason.empty() ? wire::ReasonPhrase(aHead.status)
@@ -38,7 +38,7 @@
   } else if (aFraming == BodyFraming::Chunked) {
     wire::AppendField(text, "Transfer-Encoding", "chunked");
   }
-  if (!aKeep) {
+  if (!aKeepAlive) {
     wire::AppendField(text, "Connection", "close");
   }
   text += "\r\n";
@@ -49,7 +49,7 @@
 MakeResponse(std::uint16_t aStatus,
              std::string_view aFields,
              std::string_view aBody,
-             bool aKeep)
+             bool aKeepAlive)
 {
   auto text = StatusLine(aStatus, wire::ReasonPhrase(aStatus));
   text += aFields;
@@ -57,7 +57,7 @@
     wire::AppendField(text, "Content-Type", "application/json");
   }
   wire::AppendField(text, "Content-Length", std::to_string(aBody.size()));
-  if (!aKeep) {
+  if (!aKeepAlive) {
     wire::AppendField(text, "Connection", "close");
   }
   text += "\r\n";
--- a/src/balsampoint/edge/response.hpp
+++ b/src/balsampoint/edge/response.hpp
@@ -25,26 +25,26 @@
  * @param aFraming How the body is framed.
  * @param aLength Length of the body in bytes; used with
  * `BodyFraming::ContentLength`.
- * @param aKeep Whether the connection stays open for another request.
+ * @param aKeepAlive Whether the connection stays open for another request.
  * @return The head, including the empty line at its end.
  */
 [[nodiscard]] std::string
 MakeResponseHead(const wire::ResponseHead& aHead,
                  BodyFraming aFraming,
                  std::size_t aLength,
-                 bool aKeep);
+                 bool aKeepAlive);
 
 /**
  * @brief Makes a whole response that originates from this host.
  * @param aStatus HTTP status.
  * @param aFields Further header fields, each ending with CR LF.
  * @param aBody JSON body; may be empty.
- * @param aKeep Whether the connection stays open for another request.
+ * @param aKeepAlive Whether the connection stays open for another request.
  */
 [[nodiscard]] std::string
 MakeResponse(std::uint16_t aStatus,
              std::string_view aFields,
              std::string_view aBody,
-             bool aKeep);
+             bool aKeepAlive);
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -13,7 +13,7 @@
 /** @brief Reads the `timeout` parameter of the `Keep-Alive` header, in seconds;
  * nothing if it is absent or not a number. */
 std::optional<Duration>
-ToldTimeout(const wire::Fields& aFields)
+AdvertisedTimeout(const wire::Fields& aFields)
 {
   constexpr std::string_view kName = "timeout=";
   const auto value = aFields.Find("Keep-Alive").value_or(std::string_view{});
@@ -35,13 +35,13 @@
 
 ServerConnection::ServerConnection(boost::asio::io_context& aContext,
                                    std::string aAddress,
-                                   const ServerBounds& aBounds)
-  : mBounds{ aBounds }
+                                   const ServerConnectionLimits& aLimits)
+  : mLimits{ aLimits }
   , mAddress{ std::move(aAddress) }
   , mSocket{ aContext }
   , mTimer{ aContext }
-  , mParser{ wire::MessageKind::Response, aBounds.message }
-  , mIdleTimeout{ aBounds.idleTimeout }
+  , mParser{ wire::MessageKind::Response, aLimits.message }
+  , mIdleTimeout{ aLimits.idleTimeout }
 {
 }
 
@@ -55,13 +55,13 @@
   }
   if (!endpoint || error) {
     boost::asio::post(mSocket.get_executor(),
-                      [self = shared_from_this()] { self->Lose(); });
+                      [self = shared_from_this()] { self->CloseAsLost(); });
     return;
   }
-  Prepare(mSocket, mBounds.silence);
-  mTimer.Set(mBounds.connectTimeout, [self = weak_from_this()] {
+  ConfigureSocket(mSocket, mLimits.ackTimeout);
+  mTimer.Set(mLimits.connectTimeout, [self = weak_from_this()] {
     if (const auto connection = self.lock()) {
-      connection->Lose();
+      connection->CloseAsLost();
     }
   });
   mSocket.async_connect(*endpoint,
@@ -78,22 +78,22 @@
   }
   mTimer.Clear();
   if (aError) {
-    Lose();
+    CloseAsLost();
     return;
   }
   Read();
-  Tell(ServerSignal::Connected);
+  Notify(ServerSignal::Connected);
 }
 
 void
-ServerConnection::Send(std::string aBytes, bool aHead)
+ServerConnection::Send(std::string aBytes, bool aIsHeadRequest)
 {
-  mHead = aHead;
+  mIsHeadRequest = aIsHeadRequest;
   mParser.Restart();
-  if (mHead) {
+  if (mIsHeadRequest) {
     mParser.ExpectNoBody();
   }
-  mWaiting = true;
+  mAwaitingResponse = true;
   mWriting = true;
   mSending = std::move(aBytes);
   boost::asio::async_write(
@@ -104,7 +104,7 @@
       // A response may have arrived before the write failed; it is read first.
       if (aError && aError != boost::asio::error::operation_aborted &&
           !self->mParser.Started()) {
-        self->Lose();
+        self->CloseAsLost();
       }
     });
 }
@@ -122,10 +122,10 @@
 ServerConnection::SkipResponse()
 {
   mParser.Restart();
-  if (mHead) {
+  if (mIsHeadRequest) {
     mParser.ExpectNoBody();
   }
-  if (!mUnread.empty()) {
+  if (!mUnparsed.empty()) {
     Parse();
   }
 }
@@ -133,18 +133,18 @@
 bool
 ServerConnection::Reusable() const
 {
-  return mSocket.is_open() && !mWriting && mUnread.empty() &&
+  return mSocket.is_open() && !mWriting && mUnparsed.empty() &&
          mParser.Complete() && mParser.Response().keepAlive;
 }
 
 void
-ServerConnection::Rest()
+ServerConnection::MarkIdle()
 {
-  const auto told = ToldTimeout(mParser.Response().fields);
-  mIdleTimeout = told ? *told - kIdleMargin : mBounds.idleTimeout;
-  mWaiting = false;
+  const auto advertised = AdvertisedTimeout(mParser.Response().fields);
+  mIdleTimeout = advertised ? *advertised - kIdleMargin : mLimits.idleTimeout;
+  mAwaitingResponse = false;
   mObserver = nullptr;
-  mRestsSince = std::chrono::steady_clock::now();
+  mIdleSince = std::chrono::steady_clock::now();
   mParser.Restart();
 }
 
@@ -166,23 +166,23 @@
     return;
   }
   if (aError) {
-    if (aError == boost::asio::error::eof && mWaiting) {
+    if (aError == boost::asio::error::eof && mAwaitingResponse) {
       mParser.ReadEof();
       if (mParser.Complete()) {
-        mWaiting = false;
-        Tell(ServerSignal::ResponseData);
+        mAwaitingResponse = false;
+        Notify(ServerSignal::ResponseData);
         return;
       }
     }
-    Lose();
+    CloseAsLost();
     return;
   }
-  if (!mWaiting) {
+  if (!mAwaitingResponse) {
     // Unsolicited bytes: the connection can't be reused.
-    Lose();
+    CloseAsLost();
     return;
   }
-  mUnread.append(mBuffer.data(), aSize);
+  mUnparsed.append(mBuffer.data(), aSize);
   const auto self = shared_from_this();
   Parse();
   if (mSocket.is_open()) {
@@ -193,26 +193,26 @@
 void
 ServerConnection::Parse()
 {
-  const auto used = mParser.Read(mUnread);
-  mUnread.erase(0, used);
+  const auto used = mParser.Read(mUnparsed);
+  mUnparsed.erase(0, used);
   if (mParser.Error() != wire::ParseError::None) {
-    Lose();
+    CloseAsLost();
     return;
   }
-  Tell(ServerSignal::ResponseData);
+  Notify(ServerSignal::ResponseData);
 }
 
 void
-ServerConnection::Lose()
+ServerConnection::CloseAsLost()
 {
   mTimer.Clear();
   boost::system::error_code ignored;
   mSocket.close(ignored);
-  Tell(ServerSignal::Lost);
+  Notify(ServerSignal::Lost);
 }
 
 void
-ServerConnection::Tell(ServerSignal aSignal)
+ServerConnection::Notify(ServerSignal aSignal)
 {
   const auto self = shared_from_this();
   // The copy stays valid if the observer is replaced during the call.
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -18,12 +18,12 @@
 namespace balsampoint::edge {
 
 /** @brief Limits of a connection to a backend server. */
-struct ServerBounds
+struct ServerConnectionLimits
 {
   /** Longest time for the TCP connect. */
   Duration connectTimeout{ std::chrono::milliseconds{ 250 } };
   /** Time that sent bytes may stay unacknowledged. */
-  Duration silence{ std::chrono::seconds{ 2 } };
+  Duration ackTimeout{ std::chrono::seconds{ 2 } };
   /** Time that an idle connection stays open unless the server advertises a
    * timeout. */
   Duration idleTimeout{ std::chrono::seconds{ 3 } };
@@ -52,11 +52,11 @@
    * @brief Makes a connection that is not established yet.
    * @param aContext I/O context of the loop.
    * @param aAddress IP address and port of the server.
-   * @param aBounds Limits; outlive the connection.
+   * @param aLimits Limits; outlive the connection.
    */
   ServerConnection(boost::asio::io_context& aContext,
                    std::string aAddress,
-                   const ServerBounds& aBounds);
+                   const ServerConnectionLimits& aLimits);
 
   /** @brief Address of the server. */
   [[nodiscard]] const std::string& Address() const noexcept { return mAddress; }
@@ -65,7 +65,10 @@
    * @brief Sets the observer; there is none by default.
    * @param aObserver Called for each event; empty for none.
    */
-  void Attach(ServerObserver aObserver) { mObserver = std::move(aObserver); }
+  void SetObserver(ServerObserver aObserver)
+  {
+    mObserver = std::move(aObserver);
+  }
 
   /** @brief Starts to connect; the observer is notified of the result. */
   void Connect();
@@ -73,9 +76,10 @@
   /**
    * @brief Sends a request and starts to read its response.
    * @param aBytes The encoded request.
-   * @param aHead Whether it is a `HEAD` request, whose response has no body.
+   * @param aIsHeadRequest Whether it is a `HEAD` request, whose response has no
+   * body.
    */
-  void Send(std::string aBytes, bool aHead);
+  void Send(std::string aBytes, bool aIsHeadRequest);
 
   /** @brief Closes the connection without notifying the observer. */
   void Close();
@@ -97,12 +101,12 @@
   [[nodiscard]] bool Open() const { return mSocket.is_open(); }
 
   /** @brief Marks the connection as idle and detaches the observer. */
-  void Rest();
+  void MarkIdle();
 
   /** @brief Time at which the connection became idle. */
-  [[nodiscard]] std::chrono::steady_clock::time_point RestsSince() const
+  [[nodiscard]] std::chrono::steady_clock::time_point IdleSince() const
   {
-    return mRestsSince;
+    return mIdleSince;
   }
 
 private:
@@ -112,23 +116,23 @@
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aSize);
   void Parse();
-  void Lose();
-  void Tell(ServerSignal aSignal);
+  void CloseAsLost();
+  void Notify(ServerSignal aSignal);
 
-  const ServerBounds& mBounds;
+  const ServerConnectionLimits& mLimits;
   std::string mAddress;
   Tcp::socket mSocket;
   Timer mTimer;
   wire::Parser mParser;
   ServerObserver mObserver;
   std::array<char, kReadBytes> mBuffer{};
-  std::string mUnread;
+  std::string mUnparsed;
   std::string mSending;
-  std::chrono::steady_clock::time_point mRestsSince;
+  std::chrono::steady_clock::time_point mIdleSince;
   Duration mIdleTimeout;
   bool mWriting{ false };
-  bool mWaiting{ false };
-  bool mHead{ false };
+  bool mAwaitingResponse{ false };
+  bool mIsHeadRequest{ false };
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -5,22 +5,22 @@
 namespace {
 
 /** Idle connections per server; further ones are closed when returned. */
-constexpr std::size_t kKeptPerServer = 16;
+constexpr std::size_t kMaxIdlePerServer = 16;
 
 } // namespace
 
 std::shared_ptr<ServerConnection>
-ServerPool::TakeKept(const std::string& aAddress)
+ServerPool::TakeIdle(const std::string& aAddress)
 {
-  const auto found = mKept.find(aAddress);
-  if (found == mKept.end()) {
+  const auto found = mIdle.find(aAddress);
+  if (found == mIdle.end()) {
     return nullptr;
   }
-  auto& kept = found->second;
-  while (!kept.empty()) {
-    auto connection = std::move(kept.back());
-    kept.pop_back();
-    if (connection->Open() && !IsOld(*connection)) {
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->Open() && !IsExpired(*connection)) {
       return connection;
     }
     connection->Close();
@@ -31,52 +31,52 @@
 std::shared_ptr<ServerConnection>
 ServerPool::Make(const std::string& aAddress)
 {
-  return std::make_shared<ServerConnection>(mContext, aAddress, mBounds);
+  return std::make_shared<ServerConnection>(mContext, aAddress, mLimits);
 }
 
 void
-ServerPool::GiveBack(const std::shared_ptr<ServerConnection>& aConnection)
+ServerPool::Return(const std::shared_ptr<ServerConnection>& aConnection)
 {
-  aConnection->Attach(nullptr);
-  auto& kept = mKept[aConnection->Address()];
-  if (!aConnection->Reusable() || kept.size() >= kKeptPerServer) {
+  aConnection->SetObserver(nullptr);
+  auto& idle = mIdle[aConnection->Address()];
+  if (!aConnection->Reusable() || idle.size() >= kMaxIdlePerServer) {
     aConnection->Close();
     return;
   }
-  aConnection->Rest();
-  kept.push_back(aConnection);
+  aConnection->MarkIdle();
+  idle.push_back(aConnection);
 }
 
 void
-ServerPool::CloseOld()
+ServerPool::CloseExpired()
 {
-  for (auto& [address, kept] : mKept) {
-    std::erase_if(kept, [](const auto& aConnection) {
-      if (aConnection->Open() && !IsOld(*aConnection)) {
+  for (auto& [address, idle] : mIdle) {
+    std::erase_if(idle, [](const auto& aConnection) {
+      if (aConnection->Open() && !IsExpired(*aConnection)) {
         return false;
       }
       aConnection->Close();
       return true;
     });
   }
-  std::erase_if(mKept,
+  std::erase_if(mIdle,
                 [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 std::size_t
-ServerPool::Kept() const
+ServerPool::IdleCount() const
 {
   std::size_t count = 0;
-  for (const auto& [address, kept] : mKept) {
-    count += kept.size();
+  for (const auto& [address, idle] : mIdle) {
+    count += idle.size();
   }
   return count;
 }
 
 bool
-ServerPool::IsOld(const ServerConnection& aConnection)
+ServerPool::IsExpired(const ServerConnection& aConnection)
 {
-  return std::chrono::steady_clock::now() - aConnection.RestsSince() >=
+  return std::chrono::steady_clock::now() - aConnection.IdleSince() >=
          aConnection.IdleTimeout();
 }
 
--- a/src/balsampoint/edge/server_pool.hpp
+++ b/src/balsampoint/edge/server_pool.hpp
@@ -16,11 +16,11 @@
   /**
    * @brief Makes an empty pool.
    * @param aContext I/O context of the loop.
-   * @param aBounds Limits of each connection.
+   * @param aLimits Limits of each connection.
    */
-  ServerPool(boost::asio::io_context& aContext, ServerBounds aBounds)
+  ServerPool(boost::asio::io_context& aContext, ServerConnectionLimits aLimits)
     : mContext{ aContext }
-    , mBounds{ aBounds }
+    , mLimits{ aLimits }
   {
   }
 
@@ -29,7 +29,7 @@
    * @param aAddress IP address and port of the server.
    * @return An open connection; null if there is none.
    */
-  [[nodiscard]] std::shared_ptr<ServerConnection> TakeKept(
+  [[nodiscard]] std::shared_ptr<ServerConnection> TakeIdle(
     const std::string& aAddress);
 
   /**
@@ -44,22 +44,22 @@
    * or the pool has enough connections to its server.
    * @param aConnection Connection without a request in progress.
    */
-  void GiveBack(const std::shared_ptr<ServerConnection>& aConnection);
+  void Return(const std::shared_ptr<ServerConnection>& aConnection);
 
   /** @brief Closes the connections whose idle timeout has passed. */
-  void CloseOld();
+  void CloseExpired();
 
   /** @brief Number of idle connections. */
-  [[nodiscard]] std::size_t Kept() const;
+  [[nodiscard]] std::size_t IdleCount() const;
 
 private:
   using Connections = std::vector<std::shared_ptr<ServerConnection>>;
 
-  static bool IsOld(const ServerConnection& aConnection);
+  static bool IsExpired(const ServerConnection& aConnection);
 
   boost::asio::io_context& mContext;
-  ServerBounds mBounds;
-  std::map<std::string, Connections, std::less<>> mKept;
+  ServerConnectionLimits mLimits;
+  std::map<std::string, Connections, std::less<>> mIdle;
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/socket.cpp
+++ b/src/balsampoint/edge/socket.cpp
@@ -48,10 +48,10 @@
 }
 
 void
-Prepare(Tcp::socket& aSocket, Duration aSilence)
+ConfigureSocket(Tcp::socket& aSocket, Duration aAckTimeout)
 {
   const auto milliseconds =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aSilence).count();
+    std::chrono::duration_cast<std::chrono::milliseconds>(aAckTimeout).count();
   SetOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(
     aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds));
@@ -62,7 +62,7 @@
 }
 
 void
-Reset(Tcp::socket& aSocket)
+ResetConnection(Tcp::socket& aSocket)
 {
   boost::system::error_code ignored;
   aSocket.set_option(boost::asio::socket_base::linger{ true, 0 }, ignored);
--- a/src/balsampoint/edge/socket.hpp
+++ b/src/balsampoint/edge/socket.hpp
@@ -24,10 +24,10 @@
  * @brief Disables Nagle's algorithm and enables TCP keepalive and a limit on
  * unacknowledged data.
  * @param aSocket Open socket.
- * @param aSilence Time that sent bytes may stay unacknowledged.
+ * @param aAckTimeout Time that sent bytes may stay unacknowledged.
  */
 void
-Prepare(Tcp::socket& aSocket, Duration aSilence);
+ConfigureSocket(Tcp::socket& aSocket, Duration aAckTimeout);
 
 /**
  * @brief Closes a socket with a TCP reset, which shows the peer that the
@@ -35,6 +35,6 @@
  * @param aSocket Socket to close.
  */
 void
-Reset(Tcp::socket& aSocket);
+ResetConnection(Tcp::socket& aSocket);
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/status_port.hpp
+++ b/src/balsampoint/edge/status_port.hpp
@@ -53,21 +53,25 @@
     aCaller->Finish(aRequest.head.keepAlive);
   }
 
-  void OnCallerGone(const std::shared_ptr<Caller>& /*aCaller*/) {}
+  void OnCallerDisconnected(const std::shared_ptr<Caller>& /*aCaller*/) {}
 
-  void OnUnreadable(const std::shared_ptr<Caller>& aCaller, const Error& aError)
+  void OnInvalidRequest(const std::shared_ptr<Caller>& aCaller,
+                        const Error& aError)
   {
     aCaller->Send(MakeResponse(AnswerFor(aError.kind).status, {}, {}, false));
     aCaller->Finish(false);
   }
 
-  [[nodiscard]] const CallerBounds& Bounds() const noexcept { return mBounds; }
+  [[nodiscard]] const CallerConnectionLimits& Limits() const noexcept
+  {
+    return mLimits;
+  }
 
 private:
   static constexpr std::size_t kMaxConnections = 64;
 
   std::function<Status()> mStatus;
-  CallerBounds mBounds;
+  CallerConnectionLimits mLimits;
   Acceptor mAcceptor;
 };
 
--- a/src/balsampoint/edge/traffic.hpp
+++ b/src/balsampoint/edge/traffic.hpp
@@ -30,7 +30,7 @@
    */
   Traffic(Loop& aLoop,
           fleet::Settings aFleet,
-          ServerBounds aServers,
+          ServerConnectionLimits aServers,
           forward::RetryAllowance aAllowance,
           std::uint64_t aSeed)
     : loop{ aLoop }
--- a/src/balsampoint/edge/watch.cpp
+++ b/src/balsampoint/edge/watch.cpp
@@ -52,10 +52,11 @@
   }
   auto connection = mConnections.Make(aAddress);
   mTests.emplace(aAddress, connection);
-  connection->Attach([this, service = aService, server = aServer, aAddress](
-                       ServerSignal aSignal) {
-    End(service, server, aAddress, aSignal == ServerSignal::Connected);
-  });
+  connection->SetObserver(
+    [this, service = aService, server = aServer, aAddress](
+      ServerSignal aSignal) {
+      End(service, server, aAddress, aSignal == ServerSignal::Connected);
+    });
   connection->Connect();
 }
 
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -49,9 +49,12 @@
     }
   }
 
-  void OnCallerGone(const Pointer& /*aCaller*/) { ++gone; }
-  void OnUnreadable(const Pointer& /*aCaller*/, const Error& /*aError*/) {}
-  [[nodiscard]] const edge::CallerBounds& Bounds() const { return mBounds; }
+  void OnCallerDisconnected(const Pointer& /*aCaller*/) { ++gone; }
+  void OnInvalidRequest(const Pointer& /*aCaller*/, const Error& /*aError*/) {}
+  [[nodiscard]] const edge::CallerConnectionLimits& Limits() const
+  {
+    return mLimits;
+  }
 
   std::function<void(const Pointer&, const edge::IncomingRequest&)> answer;
   std::vector<wire::RequestHead> requests;
@@ -59,7 +62,7 @@
   int gone{};
 
 private:
-  edge::CallerBounds mBounds;
+  edge::CallerConnectionLimits mLimits;
   Acceptor mAcceptor;
 };
 
