Name the shared traffic state and the prober of paused servers for what they are

Traffic, Watch and TellLost were vague or figurative. Renames only.

Rename: edge/traffic.hpp -> edge/traffic_state.hpp Rename: edge/watch.hpp, .cpp -> edge/server_prober.hpp, .cpp Rename: Traffic -> TrafficState (edge; and its alias in daemon/gateway.hpp) Rename: Traffic::TellLost -> NotifyServerLost (edge) Rename: Traffic::LossObserver, lossObservers -> ServerLossObserver, serverLossObservers (edge) Rename: Traffic::active, maxActive -> activeRequests, maxActiveRequests (edge) Rename: Watch -> ServerProber (edge) Rename: Watch::Look, Test, End, Tests, mTests -> Poll, Probe, OnProbeResult, Probes, mProbes (edge) Rename: kLookInterval -> kPollInterval (edge/server_prober.cpp) Rename: mWatch -> mProber (daemon/gateway.hpp)

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -8,8 +8,8 @@
 #include "balsampoint/edge/control_port.hpp"
 #include "balsampoint/edge/engine_client.hpp"
 #include "balsampoint/edge/entry.hpp"
+#include "balsampoint/edge/server_prober.hpp"
 #include "balsampoint/edge/status_port.hpp"
-#include "balsampoint/edge/watch.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
 #include "balsampoint/fleet/command/share_use.hpp"
 #include "balsampoint/fleet/query/own_use.hpp"
@@ -89,14 +89,14 @@
     if (!mSettings.listen.callers) {
       return;
     }
-    mEdge.Post([this] { WaitUntilIdle(Traffic::Now()); });
+    mEdge.Post([this] { WaitUntilIdle(TrafficState::Now()); });
     std::unique_lock lock{ mStopMutex };
     mStopped.wait_for(
       lock, mSettings.stopTimeout - kStopMargin, [this] { return mIdle; });
   }
 
 private:
-  using Traffic = edge::Traffic;
+  using TrafficState = edge::TrafficState;
 
   /** Time for callers' balancer to notice that the host isn't ready. */
   static constexpr Duration kBalancerWait = std::chrono::milliseconds{ 2600 };
@@ -127,7 +127,7 @@
                 {},
                 AllowanceOf(aSettings),
                 runtime::Entropy::Next() }
-    , mWatch{ mTraffic }
+    , mProber{ mTraffic }
     , mEntry{ mTraffic, MaxCallers(aSettings) }
     , mReady{ mEdge, [this] { return ReadyStatus(); } }
     , mMetrics{ mEdge, [this] { return MetricsStatus(); } }
@@ -145,7 +145,8 @@
     , mUseTimer{ mEdge.Context() }
     , mIdleTimer{ mEdge.Context() }
   {
-    mTraffic.maxActive = static_cast<std::uint32_t>(MaxCallers(aSettings));
+    mTraffic.maxActiveRequests =
+      static_cast<std::uint32_t>(MaxCallers(aSettings));
     for (const auto& seed : aSeeds) {
       if (seed.host != mSettings.host) {
         mSender.Route(seed.host, seed.address.Text());
@@ -197,7 +198,7 @@
       Sweep();
       if (listen.callers) {
         TellUse();
-        mWatch.Start();
+        mProber.Start();
       }
       mEdge.Start();
     }
@@ -454,12 +455,12 @@
   /** Waits on the loop until callers were sent elsewhere and all is done. */
   void WaitUntilIdle(Instant aSince)
   {
-    const bool noticed = Traffic::Now() - aSince >= kBalancerWait;
+    const bool noticed = TrafficState::Now() - aSince >= kBalancerWait;
     if (noticed) {
       mEntry.Connections().StopAccepting();
       mEntry.Connections().CloseIdle();
     }
-    if (noticed && mTraffic.active == 0) {
+    if (noticed && mTraffic.activeRequests == 0) {
       const std::lock_guard lock{ mStopMutex };
       mIdle = true;
       mStopped.notify_all();
@@ -478,8 +479,8 @@
   peer::Sender mSender;
   ParcelRouter mRouter;
   edge::Loop mEdge;
-  Traffic mTraffic;
-  edge::Watch mWatch;
+  TrafficState mTraffic;
+  edge::ServerProber mProber;
   edge::BasicEntry<D> mEntry;
   edge::StatusPort mReady;
   edge::StatusPort mMetrics;
--- a/src/balsampoint/edge/admission.cpp
+++ b/src/balsampoint/edge/admission.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 tl::expected<void, Error>
-Admit(Traffic& aTraffic,
+Admit(TrafficState& aTraffic,
       const Inquiry& aInquiry,
       std::string_view aPath,
       Admission& aInto)
@@ -70,7 +70,7 @@
                     "the API key is missing or belongs to no workspace");
     }
   }
-  if (aTraffic.active > aTraffic.maxActive) {
+  if (aTraffic.activeRequests > aTraffic.maxActiveRequests) {
     return Later(MakeError(ErrorKind::Overloaded,
                            "too many requests are in progress on this host"),
                  kOverloadRetry);
--- a/src/balsampoint/edge/admission.hpp
+++ b/src/balsampoint/edge/admission.hpp
@@ -2,7 +2,7 @@
 
 #include "balsampoint/core/error.hpp"
 #include "balsampoint/edge/dialect.hpp"
-#include "balsampoint/edge/traffic.hpp"
+#include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/routing/table.hpp"
 
 #include <memory>
@@ -34,7 +34,7 @@
  * @return Nothing, or the error that the request is refused with.
  */
 [[nodiscard]] tl::expected<void, Error>
-Admit(Traffic& aTraffic,
+Admit(TrafficState& aTraffic,
       const Inquiry& aInquiry,
       std::string_view aPath,
       Admission& aInto);
--- a/src/balsampoint/edge/entry.hpp
+++ b/src/balsampoint/edge/entry.hpp
@@ -28,7 +28,7 @@
    * @param aTraffic State of the traffic thread; outlives the entry.
    * @param aMaxConnections Maximum number of callers' connections.
    */
-  BasicEntry(Traffic& aTraffic, std::size_t aMaxConnections)
+  BasicEntry(TrafficState& aTraffic, std::size_t aMaxConnections)
     : mTraffic{ aTraffic }
     , mAcceptor{ *this, aTraffic.loop.Context(), aMaxConnections }
   {
@@ -105,7 +105,7 @@
     }
   }
 
-  Traffic& mTraffic;
+  TrafficState& mTraffic;
   CallerConnectionLimits mLimits;
   std::map<const Caller*, std::shared_ptr<Exchange>> mExchanges;
   Acceptor mAcceptor;
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -6,7 +6,7 @@
 #include "balsampoint/edge/exchange_log.hpp"
 #include "balsampoint/edge/response.hpp"
 #include "balsampoint/edge/server_choice.hpp"
-#include "balsampoint/edge/traffic.hpp"
+#include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/return_after.hpp"
 #include "balsampoint/forward/verdict.hpp"
@@ -38,7 +38,7 @@
    * @param aCaller The caller's connection.
    * @param aRequest The request.
    */
-  BasicExchange(Traffic& aTraffic,
+  BasicExchange(TrafficState& aTraffic,
                 std::shared_ptr<Caller> aCaller,
                 IncomingRequest aRequest)
     : mTraffic{ aTraffic }
@@ -46,9 +46,9 @@
     , mRequest{ std::move(aRequest) }
     , mDeadline{ aTraffic.loop.Context() }
     , mResume{ aTraffic.loop.Context() }
-    , mStartedAt{ Traffic::Now() }
+    , mStartedAt{ TrafficState::Now() }
   {
-    ++mTraffic.active;
+    ++mTraffic.activeRequests;
   }
 
   BasicExchange(const BasicExchange&) = delete;
@@ -61,8 +61,8 @@
   ~BasicExchange()
   {
     DropServer();
-    mTraffic.lossObservers.erase(this);
-    --mTraffic.active;
+    mTraffic.serverLossObservers.erase(this);
+    --mTraffic.activeRequests;
   }
 
   /**
@@ -72,7 +72,7 @@
   void Start(std::function<void()> aDone)
   {
     mDone = std::move(aDone);
-    mTraffic.lossObservers[this] =
+    mTraffic.serverLossObservers[this] =
       [self = this->weak_from_this()](const ServerId& aServer) {
         if (const auto exchange = self.lock()) {
           exchange->OnServerLost(aServer);
@@ -83,7 +83,7 @@
       return;
     }
     SetDeadline();
-    mTraffic.budget.CountRequest(mAdmission.service->id, Traffic::Now());
+    mTraffic.budget.CountRequest(mAdmission.service->id, TrafficState::Now());
     Attempt();
   }
 
@@ -211,7 +211,7 @@
 
   void SendRequest()
   {
-    const auto left = mProgress.deadline - Traffic::Now();
+    const auto left = mProgress.deadline - TrafficState::Now();
     if (left <= Duration{}) {
       OnDeadline();
       return;
@@ -278,7 +278,7 @@
                 mAdmission.service->id,
                 atFault,
                 fleet::Finding::Full,
-                Traffic::Now());
+                TrafficState::Now());
     for (const auto& hop : mHops) {
       if (hop.address == atFault) {
         mFailed.insert(hop.server);
@@ -361,7 +361,7 @@
     if (!mProgress.answering) {
       BeginResponse();
     }
-    const auto now = Traffic::Now();
+    const auto now = TrafficState::Now();
     NoteProgress(now);
     mTraffic.metrics.Record(trace::Timing::BetweenTokens, now - mLastEventAt);
     mLongestPause = std::max(mLongestPause, now - mLastEventAt);
@@ -396,7 +396,7 @@
       return;
     }
     mFailed.insert(aServer);
-    const auto now = Traffic::Now();
+    const auto now = TrafficState::Now();
     const auto verdict =
       forward::Decide(mProgress, forward::AttemptEnd::Broken, now);
     const auto receivers = AllowedReceivers();
@@ -418,7 +418,7 @@
   void BeginResponse()
   {
     mProgress.answering = true;
-    mFirstEventAt = Traffic::Now();
+    mFirstEventAt = TrafficState::Now();
     mTraffic.metrics.Record(trace::Timing::FirstToken,
                             mFirstEventAt - mStartedAt);
     mLastEventAt = mFirstEventAt;
@@ -457,7 +457,7 @@
                   mAdmission.service->id,
                   mHops.front().address,
                   aFinding,
-                  Traffic::Now());
+                  TrafficState::Now());
     }
   }
 
@@ -473,7 +473,7 @@
     }
     LogAttempt(Facts(), aEnd, aReason, mFault);
     LeaveServer();
-    auto verdict = forward::Decide(mProgress, aEnd, Traffic::Now());
+    auto verdict = forward::Decide(mProgress, aEnd, TrafficState::Now());
     if (forward::GoesOn(verdict) && mProgress.sent > 0 && !TakeRetry(verdict)) {
       verdict = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
@@ -487,7 +487,7 @@
                        ? forward::RetryUse::Resume
                        : forward::RetryUse::Repeat;
     return mTraffic.budget.TakeRetry(
-      mAdmission.service->id, use, Traffic::Now());
+      mAdmission.service->id, use, TrafficState::Now());
   }
 
   void LeaveServer()
@@ -527,7 +527,7 @@
         aError.retryAfter = mAdmission.service->engine
                               ? fleet::ReturnAfter(mTraffic.fleet,
                                                    mAdmission.service->id,
-                                                   Traffic::Now())
+                                                   TrafficState::Now())
                               : kPlainRetry;
         AnswerError(aError);
         return;
@@ -557,7 +557,7 @@
    * the stream. */
   [[nodiscard]] bool MayWaitToResume() const
   {
-    const auto next = Traffic::Now() + kResumeInterval;
+    const auto next = TrafficState::Now() + kResumeInterval;
     return mProgress.kind == routing::RequestKind::ResumableStream &&
            next < mLastEventAt + kResumeWait && next < mProgress.deadline;
   }
@@ -640,7 +640,7 @@
     mDeadline.Clear();
     mResume.Clear();
     mTraffic.metrics.Record(trace::Timing::Request,
-                            Traffic::Now() - mStartedAt);
+                            TrafficState::Now() - mStartedAt);
     LogEnd(Facts(),
            aHow,
            mError,
@@ -662,7 +662,7 @@
              .hops = mHops,
              .sent = mProgress.sent,
              .events = mEvents.Count(),
-             .age = Traffic::Now() - mStartedAt };
+             .age = TrafficState::Now() - mStartedAt };
   }
 
   /** Retry-After for services without an engine profile: a few times the usual
@@ -675,7 +675,7 @@
    * hosts report their use of servers to each other. */
   static constexpr Duration kResumeInterval = std::chrono::milliseconds{ 100 };
 
-  Traffic& mTraffic;
+  TrafficState& mTraffic;
   std::shared_ptr<Caller> mCaller;
   IncomingRequest mRequest;
   Timer mDeadline;
--- a/src/balsampoint/edge/server_choice.cpp
+++ b/src/balsampoint/edge/server_choice.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 tl::expected<fleet::Chain, Error>
-ChooseOne(Traffic& aTraffic,
+ChooseOne(TrafficState& aTraffic,
           const routing::Service& aService,
           const std::set<ServerId>& aFailed,
           const std::set<ServerId>& aReceivers)
@@ -20,14 +20,14 @@
                              aFailed,
                              aReceivers,
                              aTraffic.random.Next(),
-                             Traffic::Now())
+                             TrafficState::Now())
     .map([](fleet::Hop aHop) {
       return fleet::Chain{ .hops = { std::move(aHop) } };
     });
 }
 
 tl::expected<fleet::Chain, Error>
-ChooseChain(Traffic& aTraffic,
+ChooseChain(TrafficState& aTraffic,
             const routing::Service& aService,
             const routing::EngineProfile& aEngine,
             const Inquiry& aInquiry,
@@ -45,13 +45,13 @@
     demand.answerTokens =
       aInquiry.tokens->expectedAnswer.value_or(aEngine.usualAnswer);
   }
-  return fleet::ChooseChain(aTraffic.fleet, demand, Traffic::Now());
+  return fleet::ChooseChain(aTraffic.fleet, demand, TrafficState::Now());
 }
 
 } // namespace
 
 tl::expected<fleet::Chain, Error>
-ChooseServers(Traffic& aTraffic,
+ChooseServers(TrafficState& aTraffic,
               const routing::Service& aService,
               const Inquiry& aInquiry,
               const ServerLimits& aLimits)
@@ -71,7 +71,7 @@
 }
 
 bool
-OtherChainHasRoom(Traffic& aTraffic,
+OtherChainHasRoom(TrafficState& aTraffic,
                   const routing::Service& aService,
                   const Inquiry& aInquiry,
                   const ServerLimits& aLimits)
--- a/src/balsampoint/edge/server_choice.hpp
+++ b/src/balsampoint/edge/server_choice.hpp
@@ -2,7 +2,7 @@
 
 #include "balsampoint/core/error.hpp"
 #include "balsampoint/edge/dialect.hpp"
-#include "balsampoint/edge/traffic.hpp"
+#include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/chain.hpp"
 #include "balsampoint/routing/document.hpp"
 
@@ -31,7 +31,7 @@
  * `ErrorKind::NoServer`.
  */
 [[nodiscard]] tl::expected<fleet::Chain, Error>
-ChooseServers(Traffic& aTraffic,
+ChooseServers(TrafficState& aTraffic,
               const routing::Service& aService,
               const Inquiry& aInquiry,
               const ServerLimits& aLimits);
@@ -45,7 +45,7 @@
  * @return False also for services without an engine profile.
  */
 [[nodiscard]] bool
-OtherChainHasRoom(Traffic& aTraffic,
+OtherChainHasRoom(TrafficState& aTraffic,
                   const routing::Service& aService,
                   const Inquiry& aInquiry,
                   const ServerLimits& aLimits);
--- a/src/balsampoint/edge/watch.cpp
+++ b/src/balsampoint/edge/server_prober.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/edge/watch.hpp"
+#include "balsampoint/edge/server_prober.hpp"
 
 #include "balsampoint/fleet/command/note_test.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
@@ -10,14 +10,14 @@
 namespace {
 
 /** Time between two polls; a fraction of the usual time between events. */
-constexpr Duration kLookInterval = std::chrono::milliseconds{ 20 };
+constexpr Duration kPollInterval = std::chrono::milliseconds{ 20 };
 /** Many times the latency between zones, and a fraction of the allowed pause
  * between events. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{ 40 };
 
 } // namespace
 
-Watch::Watch(Traffic& aTraffic)
+ServerProber::ServerProber(TrafficState& aTraffic)
   : mTraffic{ aTraffic }
   , mTimer{ aTraffic.loop.Context() }
   , mConnections{ aTraffic.loop.Context(),
@@ -26,52 +26,53 @@
 }
 
 void
-Watch::Start()
+ServerProber::Start()
 {
-  mTimer.Set(kLookInterval, [this] { Look(); });
+  mTimer.Set(kPollInterval, [this] { Poll(); });
 }
 
 void
-Watch::Look()
+ServerProber::Poll()
 {
-  const auto now = Traffic::Now();
+  const auto now = TrafficState::Now();
   for (const auto& silent : fleet::SilentServers(mTraffic.fleet, now)) {
     fleet::NoteTest(mTraffic.fleet, silent.service, silent.server, now);
-    Test(silent.service, silent.server, silent.address);
+    Probe(silent.service, silent.server, silent.address);
   }
   Start();
 }
 
 void
-Watch::Test(const ServiceId& aService,
-            const ServerId& aServer,
-            const std::string& aAddress)
+ServerProber::Probe(const ServiceId& aService,
+                    const ServerId& aServer,
+                    const std::string& aAddress)
 {
-  if (mTests.contains(aAddress)) {
+  if (mProbes.contains(aAddress)) {
     return;
   }
   auto connection = mConnections.Make(aAddress);
-  mTests.emplace(aAddress, connection);
+  mProbes.emplace(aAddress, connection);
   connection->SetObserver(
     [this, service = aService, server = aServer, aAddress](
       ServerSignal aSignal) {
-      End(service, server, aAddress, aSignal == ServerSignal::Connected);
+      OnProbeResult(
+        service, server, aAddress, aSignal == ServerSignal::Connected);
     });
   connection->Connect();
 }
 
 void
-Watch::End(const ServiceId& aService,
-           const ServerId& aServer,
-           const std::string& aAddress,
-           bool aReachable)
+ServerProber::OnProbeResult(const ServiceId& aService,
+                            const ServerId& aServer,
+                            const std::string& aAddress,
+                            bool aReachable)
 {
-  const auto found = mTests.find(aAddress);
-  if (found == mTests.end()) {
+  const auto found = mProbes.find(aAddress);
+  if (found == mProbes.end()) {
     return;
   }
   const auto connection = std::move(found->second);
-  mTests.erase(found);
+  mProbes.erase(found);
   connection->Close();
   if (aReachable) {
     return;
@@ -83,8 +84,8 @@
               aService,
               aAddress,
               fleet::Finding::Unreachable,
-              Traffic::Now());
-  mTraffic.TellLost(aServer);
+              TrafficState::Now());
+  mTraffic.NotifyServerLost(aServer);
 }
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/traffic.hpp
+++ b/src/balsampoint/edge/traffic_state.hpp
@@ -18,7 +18,7 @@
 namespace balsampoint::edge {
 
 /** @brief State that all requests of one traffic thread share. */
-struct Traffic
+struct TrafficState
 {
   /**
    * @brief Makes the state without a configuration or servers.
@@ -28,11 +28,11 @@
    * @param aAllowance This host's share of the retries.
    * @param aSeed Seed of the random numbers.
    */
-  Traffic(Loop& aLoop,
-          fleet::Settings aFleet,
-          ServerConnectionLimits aServers,
-          forward::RetryAllowance aAllowance,
-          std::uint64_t aSeed)
+  TrafficState(Loop& aLoop,
+               fleet::Settings aFleet,
+               ServerConnectionLimits aServers,
+               forward::RetryAllowance aAllowance,
+               std::uint64_t aSeed)
     : loop{ aLoop }
     , pool{ aLoop.Context(), aServers }
     , fleet{ .settings = std::move(aFleet) }
@@ -45,17 +45,17 @@
   [[nodiscard]] static Instant Now() { return runtime::SteadyClock::Now(); }
 
   /** @brief Callback for a server that no longer accepts connections. */
-  using LossObserver = std::function<void(const ServerId&)>;
+  using ServerLossObserver = std::function<void(const ServerId&)>;
 
   /**
    * @brief Notifies every request in progress that a server is lost.
    * @param aServer Server that no longer accepts connections.
    */
-  void TellLost(const ServerId& aServer)
+  void NotifyServerLost(const ServerId& aServer)
   {
     // An observer may end its request, which removes it from the map: the loop
     // runs over a copy.
-    const auto observers = lossObservers;
+    const auto observers = serverLossObservers;
     for (const auto& [request, observer] : observers) {
       observer(aServer);
     }
@@ -71,11 +71,11 @@
   /** The announced servers; null before the first view. */
   std::shared_ptr<const roster::View> servers;
   /** Observers by the address of their exchange. */
-  std::map<const void*, LossObserver> lossObservers;
+  std::map<const void*, ServerLossObserver> serverLossObservers;
   /** Number of requests in progress. */
-  std::uint32_t active{};
+  std::uint32_t activeRequests{};
   /** Number of requests in progress above which new ones are refused. */
-  std::uint32_t maxActive{ 1000 };
+  std::uint32_t maxActiveRequests{ 1000 };
   /** Whether a planned stop has begun. */
   bool draining{ false };
   trace::Metrics metrics;
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1,5 +1,5 @@
 #include "balsampoint/edge/entry.hpp"
-#include "balsampoint/edge/watch.hpp"
+#include "balsampoint/edge/server_prober.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "dialect.hpp"
@@ -180,14 +180,14 @@
 
 private:
   edge::Loop mLoop;
-  edge::Traffic mTraffic;
+  edge::TrafficState mTraffic;
   edge::BasicEntry<platform::Dialect> mEntry;
 
 public:
   FakeServer one;
   FakeServer two;
 
-  edge::Traffic& Shared() { return mTraffic; }
+  edge::TrafficState& Shared() { return mTraffic; }
 };
 
 /** @brief A blocking HTTP client with a receive timeout of 1 s. */
@@ -399,7 +399,7 @@
     auto& servers = host.Shared().fleet.groups.at(kService).servers;
     const bool first = host.one.last != nullptr;
     servers.at(ServerId{ first ? "two" : "one" }).ready = false;
-    host.Shared().TellLost(ServerId{ first ? "one" : "two" });
+    host.Shared().NotifyServerLost(ServerId{ first ? "one" : "two" });
     auto& server = first ? host.one : host.two;
     server.last->Send(Chunk(Event(2)) + "0\r\n\r\n");
   });
@@ -426,7 +426,7 @@
   cr_assert(caller.Expect(Event(1)));
   host.Do([&] {
     const bool first = host.one.last != nullptr;
-    host.Shared().TellLost(ServerId{ first ? "one" : "two" });
+    host.Shared().NotifyServerLost(ServerId{ first ? "one" : "two" });
   });
   cr_assert(caller.Expect("\r\n0\r\n\r\n"));
 }
