Reword the comments of the roster module

Many comments were terse or figurative and hard to read for newcomers. They now say in the usual terms what a value is, its unit, and what a function does. Only comments change.

--- a/src/balsampoint/roster/claim.hpp
+++ b/src/balsampoint/roster/claim.hpp
@@ -12,50 +12,56 @@
 
 namespace balsampoint::roster {
 
-/** @brief Orders what one server says of itself. */
+/**
+ * @brief Orders the heartbeats of one server, by incarnation and then by
+ * sequence.
+ */
 struct Stamp
 {
-  /** Time of its start. */
+  /** Start time of the server process. */
   Incarnation born;
-  /** Rises with each heartbeat of one incarnation. */
+  /** Increases with each heartbeat of one incarnation. */
   std::uint64_t sequence{};
 
   auto operator<=>(const Stamp&) const = default;
 };
 
-/** @brief Whether a server is there and takes work; later ones are worse. */
+/**
+ * @brief Availability of a server, from best to worst; comparisons rely on
+ * this order.
+ */
 enum class Presence : std::uint8_t
 {
   Ready,
-  /** Finishes what it has and takes no new work. */
+  /** Draining: finishes its requests and accepts no new ones. */
   Leaving,
-  /** No heartbeat for longer than the limit. */
+  /** No heartbeat within the timeout. */
   Silent,
-  /** Has signed off. */
+  /** Signed off, or replaced by a newer server at the same address. */
   Gone,
 };
 
-/** @brief What a server says of itself that seldom changes. */
+/** @brief Properties that a server reports of itself and that seldom change. */
 struct Description
 {
   ServiceId service;
-  /** IP number and port. */
+  /** IP address and port. */
   std::string address;
   ZoneId zone;
-  /** Kind of its accelerator; empty for plain servers. */
+  /** Accelerator type; empty for servers that are no engines. */
   std::string accelerator;
   ModelId model;
   std::string modelVersion;
-  /** Layers that it holds now; absent for none. */
+  /** Model layers loaded now; absent if none are. */
   std::optional<LayerRange> layers;
   std::uint32_t slots{ 1 };
-  /** Whether it is still slow after its start. */
+  /** Whether it is still warming up after its start. */
   bool cold{ false };
 
   bool operator==(const Description&) const = default;
 };
 
-/** @brief What a control host says of one server. */
+/** @brief A control host's statement about one server. */
 struct Claim
 {
   ServerId server;
--- a/src/balsampoint/roster/command/hear.cpp
+++ b/src/balsampoint/roster/command/hear.cpp
@@ -8,7 +8,10 @@
 
 namespace {
 
-/** @brief Gives a claim to the subscribers with the next update. */
+/**
+ * @brief Gives the claim a new version, so that the next update sends it to
+ * all subscribers.
+ */
 void
 Assert(State& aState, Heard& aHeard, Instant aNow)
 {
@@ -68,8 +71,9 @@
     return;
   }
   auto& heard = found->second;
-  // A server that gets no answer sends the same heartbeat to another host, and
-  // the worse of two claims with one stamp holds.
+  // A server whose heartbeat is not answered sends the same heartbeat to
+  // another control host. Of two claims with equal stamps the one with the
+  // worse presence wins.
   const bool hidesWhatWasTold =
     heard.told < aClaim.stamp ||
     (heard.told == aClaim.stamp && heard.claim.presence < aClaim.presence);
--- a/src/balsampoint/roster/command/hear.hpp
+++ b/src/balsampoint/roster/command/hear.hpp
@@ -5,37 +5,41 @@
 namespace balsampoint::roster {
 
 /**
- * @brief Notes a heartbeat that a server sent to this host.
+ * @brief Records a heartbeat that a server sent to this host; stale and
+ * repeated ones are ignored.
  * @param aState State to change.
- * @param aHeartbeat The heartbeat.
- * @param aNow The time.
+ * @param aHeartbeat Heartbeat as received.
+ * @param aNow Current time.
  */
 void
 HandleHeartbeat(State& aState, const Heartbeat& aHeartbeat, Instant aNow);
 
 /**
- * @brief Claims a server again that another host claims with an older stamp
- * than this host has heard since; hosts may believe the other one.
+ * @brief Advertises this host's claim again when another control host
+ * advertises an older one that subscribers would prefer to what they were
+ * last sent.
  * @param aState State to change.
- * @param aClaim The other host's claim.
- * @param aNow The time.
+ * @param aClaim Claim received from the other control host.
+ * @param aNow Current time.
  */
 void
 ClaimAgain(State& aState, const Claim& aClaim, Instant aNow);
 
 /**
- * @brief Notes that a server leaves.
+ * @brief Marks a server as gone; unknown servers and older incarnations are
+ * ignored.
  * @param aState State to change.
- * @param aSignedOff The server.
- * @param aNow The time.
+ * @param aSignedOff Server and incarnation that signed off.
+ * @param aNow Current time.
  */
 void
 HandleSignedOff(State& aState, const SignedOff& aSignedOff, Instant aNow);
 
 /**
- * @brief Marks servers that have sent no heartbeat for too long.
+ * @brief Marks servers without a heartbeat within the timeout as silent, and
+ * drops silent and gone servers after the retention time.
  * @param aState State to change.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 void
 NoteSilence(State& aState, Instant aNow);
--- a/src/balsampoint/roster/command/share.hpp
+++ b/src/balsampoint/roster/command/share.hpp
@@ -5,21 +5,22 @@
 namespace balsampoint::roster {
 
 /**
- * @brief Sends subscribers what changed since the last update to them.
+ * @brief Sends each live subscriber the claims that changed since its last
+ * update.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the messages.
+ * @param aNow Current time.
+ * @param aActions Messages to send are appended to it.
  */
 void
 PushChanges(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Answers a subscription with what the sender lacks.
+ * @brief Adds or renews a subscriber and sends it the claims that it lacks.
  * @param aState State to change.
- * @param aFrom The subscriber.
- * @param aMessage Its subscription.
- * @param aNow The time.
- * @param aActions Receives the answer.
+ * @param aFrom Host that subscribes.
+ * @param aMessage Subscription as received.
+ * @param aNow Current time.
+ * @param aActions The update to send is appended to it.
  */
 void
 HandleSubscribe(State& aState,
@@ -29,12 +30,14 @@
                 Actions& aActions);
 
 /**
- * @brief Takes over claims of another control host.
+ * @brief Merges the claims of another control host; unknown senders are
+ * ignored.
  * @param aState State to change.
- * @param aFrom The control host.
- * @param aMessage Its claims.
- * @param aNow The time.
- * @param aActions Receives a new subscription where claims are missing.
+ * @param aFrom Control host that sent the update.
+ * @param aMessage Update as received.
+ * @param aNow Current time.
+ * @param aActions Resulting actions are appended to it, with a new
+ * subscription if an earlier update was lost.
  */
 void
 HandleUpdate(State& aState,
@@ -44,10 +47,11 @@
              Actions& aActions);
 
 /**
- * @brief Subscribes at every control host known, again and again.
+ * @brief Renews the subscription at every known control host, and drops
+ * hosts that have been silent for too long.
  * @param aState State to change.
- * @param aNow The time.
- * @param aActions Receives the messages.
+ * @param aNow Current time.
+ * @param aActions Messages to send are appended to it.
  */
 void
 RenewSubscriptions(State& aState, Instant aNow, Actions& aActions);
--- a/src/balsampoint/roster/fwd.hpp
+++ b/src/balsampoint/roster/fwd.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /**
- * @brief Which backend servers there are: control hosts hear them and push
- * what changes to every other host.
+ * @brief Membership of backend servers: servers send heartbeats to control
+ * hosts, which push changes to every other host.
  */
 namespace balsampoint::roster {
 
--- a/src/balsampoint/roster/internal/merge.cpp
+++ b/src/balsampoint/roster/internal/merge.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/** @brief Whether a server that started later has the claim's address. */
+/** @brief Whether a server that started later uses the claim's address. */
 bool
 IsReplaced(const State& aState, const Claim& aClaim)
 {
@@ -18,7 +18,10 @@
   return false;
 }
 
-/** @brief Servers whose address a later one has are gone. */
+/**
+ * @brief Marks servers as gone whose address a server that started later
+ * uses.
+ */
 void
 RetireAtAddress(State& aState, const Claim& aClaim, Instant aNow)
 {
--- a/src/balsampoint/roster/internal/merge.hpp
+++ b/src/balsampoint/roster/internal/merge.hpp
@@ -5,12 +5,12 @@
 namespace balsampoint::roster::internal {
 
 /**
- * @brief Takes a claim over if it is newer than what is known.
+ * @brief Stores a claim if it is newer than the stored one.
  * @param aState State to change.
- * @param aClaim The claim.
- * @param aOwner Host that made it.
- * @param aNow The time.
- * @return Whether it was taken over.
+ * @param aClaim Claim to merge.
+ * @param aOwner Control host that made the claim.
+ * @param aNow Current time.
+ * @return Whether the claim was stored.
  */
 bool
 Merge(State& aState, const Claim& aClaim, const HostId& aOwner, Instant aNow);
--- a/src/balsampoint/roster/message.hpp
+++ b/src/balsampoint/roster/message.hpp
@@ -9,48 +9,57 @@
 
 namespace balsampoint::roster {
 
-/** @brief A control host and where other hosts reach it. */
+/**
+ * @brief A control host and the address on which it accepts connections from
+ * other hosts.
+ */
 struct ControlHost
 {
   HostId host;
-  /** IP number and port. */
+  /** IP address and port. */
   std::string address;
 
   auto operator<=>(const ControlHost&) const = default;
 };
 
-/** @brief Asks a control host for what it hears; sent again as a heartbeat. */
+/**
+ * @brief Subscribes to the claims of a control host; sent periodically,
+ * which also serves as a heartbeat.
+ */
 struct Subscribe
 {
-  /** Where the sender listens for other hosts. */
+  /** Address on which the sender accepts connections from other hosts. */
   std::string address;
   /** Whether the sender is a control host too. */
   bool hears{ false };
-  /** Incarnation of the receiver that `have` counts; zero for none. */
+  /** Incarnation of the receiver that `have` refers to; zero if no update has
+   * been received from it. */
   Incarnation source;
-  /** Version of the receiver's claims that the sender has. */
+  /** Version of the receiver's claims up to which the sender has received them.
+   * */
   std::uint64_t have{};
 
   bool operator==(const Subscribe&) const = default;
 };
 
-/** @brief Claims of a control host that changed after a version. */
+/** @brief Claims of a control host that changed since a version. */
 struct Update
 {
   Incarnation source;
-  /** Version that the claims follow on; zero for all claims. */
+  /** Version that the claims are relative to; zero if all claims are included.
+   * */
   std::uint64_t base{};
   std::uint64_t version{};
   std::vector<Claim> claims;
-  /** Control hosts that the sender hears, itself included. */
+  /** Control hosts that the sender can reach, itself included. */
   std::vector<ControlHost> controls;
-  /** Newest configuration that the sender has. */
+  /** Number of the newest configuration that the sender has. */
   ChangeNumber configuration;
 
   bool operator==(const Update&) const = default;
 };
 
-/** @brief What hosts tell each other about servers. */
+/** @brief Messages that hosts exchange about servers. */
 using Message = std::variant<Subscribe, Update>;
 
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
-/** @brief Time between two ticks, which bounds how late silence is noticed. */
+/**
+ * @brief Time between two ticks; bounds the delay with which a missed
+ * heartbeat is detected.
+ */
 constexpr Duration kTickInterval = std::chrono::milliseconds{ 350 };
 
-/** @brief Hands each kind of event and message to its command. */
+/** @brief Visitor that calls the command for each type of event and message. */
 struct Dispatch
 {
   State& state;
@@ -59,7 +62,10 @@
   aActions.emplace_back(Publish{ aState.view });
 }
 
-/** @brief A host that stood still has not heard what servers sent meanwhile. */
+/**
+ * @brief After a stall of this process, extends the heartbeat deadlines by
+ * its length: heartbeats sent during the stall have not been processed yet.
+ */
 void
 ForgiveStandstill(State& aState, Instant aNow)
 {
--- a/src/balsampoint/roster/module.hpp
+++ b/src/balsampoint/roster/module.hpp
@@ -5,7 +5,7 @@
 
 namespace balsampoint::roster {
 
-/** @brief The roster as the control thread runs it. */
+/** @brief Control module of the roster. */
 struct Module
 {
   using State = roster::State;
@@ -13,19 +13,20 @@
   using Action = roster::Action;
 
   /**
-   * @brief Starts with the seeds only.
-   * @param aSettings Fixed values of the host.
-   * @param aNow The time.
-   * @return The state.
+   * @brief Creates a state that knows no servers and only the seed control
+   * hosts.
+   * @param aSettings Settings of the host.
+   * @param aNow Current time.
+   * @return Initial state.
    */
   [[nodiscard]] static State Start(Settings aSettings, Instant aNow);
 
   /**
-   * @brief Reacts to one event.
+   * @brief Applies one event to the state.
    * @param aState State to change.
-   * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aEvent Event to apply.
+   * @param aNow Current time.
+   * @param aActions Actions for the daemon are appended to it.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -33,17 +34,18 @@
                      Actions& aActions);
 
   /**
-   * @brief Does what has become due.
+   * @brief Runs timers that have expired.
    * @param aState State to change.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aNow Current time.
+   * @param aActions Actions for the daemon are appended to it.
    */
   static void Tick(State& aState, Instant aNow, Actions& aActions);
 
   /**
-   * @brief Tells when `Tick` is due.
+   * @brief Returns when `Tick` must run next.
    * @param aState State to read.
-   * @return The time.
+   * @return Time of the next call, or `kNever` on a host with neither
+   * servers nor control hosts to watch.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/roster/query/make_view.hpp
+++ b/src/balsampoint/roster/query/make_view.hpp
@@ -5,10 +5,10 @@
 namespace balsampoint::roster {
 
 /**
- * @brief Makes the view of the servers as they are believed to be now.
+ * @brief Builds the view of all servers that have not signed off.
  * @param aState State to read.
- * @param aNow The time.
- * @return The view.
+ * @param aNow Current time.
+ * @return View to publish.
  */
 [[nodiscard]] View
 MakeView(const State& aState, Instant aNow);
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -13,93 +13,96 @@
 
 namespace balsampoint::roster {
 
-/** @brief Fixed values of one host. */
+/** @brief Settings of one host; constant while it runs. */
 struct Settings
 {
   HostId self;
   Incarnation incarnation;
-  /** Where this host listens for other hosts. */
+  /** Address on which this host accepts connections from other hosts. */
   std::string address;
-  /** Whether servers send their heartbeats to this host. */
+  /** Whether this is a control host, to which servers send heartbeats. */
   bool hears{ false };
-  /** Control hosts known from the start. */
+  /** Control hosts known from the settings. */
   std::vector<ControlHost> seeds;
-  /** Time without a heartbeat after which a server is silent. */
+  /** Time without a heartbeat after which a server counts as silent. */
   Duration silence{ std::chrono::milliseconds{ 4200 } };
-  /** Time between two subscriptions to one control host. */
+  /** Time between two renewals of a subscription. */
   Duration renewal{ std::chrono::milliseconds{ 700 } };
-  /** Silence of a host after which it counts as out of reach. */
+  /** Time without a message after which a host counts as unreachable. */
   Duration hostSilence{ std::chrono::milliseconds{ 2500 } };
-  /** Silence after which a control host that is no seed is forgotten. */
+  /** Time without a message after which a subscriber, or a control host that is
+   * no seed, is dropped. */
   Duration forgetHost{ std::chrono::seconds{ 60 } };
-  /** How long a server that signed off is remembered. */
+  /** Time for which a silent or signed-off server is kept, so that a late
+   * heartbeat does not bring it back. */
   Duration memory{ std::chrono::minutes{ 10 } };
 };
 
-/** @brief A server that sends its heartbeats to this host. */
+/** @brief A server that sends heartbeats to this host. */
 struct Heard
 {
   Claim claim;
   Instant at{};
-  /** Version of this host's claims at which it last changed. */
+  /** Version of this host's claims in which this claim last changed. */
   std::uint64_t version{};
-  /** Stamp of the claim at that version. */
+  /** Stamp of the claim in that version, as advertised to subscribers. */
   Stamp told;
 };
 
-/** @brief The newest claim on a server, whoever made it. */
+/** @brief The newest claim on a server from any control host. */
 struct Record
 {
   Claim claim;
   HostId owner;
-  /** When it left; `kNever` while it is there. */
+  /** When the server was found to be gone; `kNever` otherwise. */
   Instant goneAt{ kNever };
 };
 
-/** @brief Another control host. */
+/** @brief Another control host, to which this host subscribes. */
 struct Source
 {
   std::string address;
   Incarnation incarnation;
-  /** Version of its claims that this host has. */
+  /** Version of its claims up to which this host has received them. */
   std::uint64_t have{};
   std::optional<Instant> heardAt;
   bool isSeed{ false };
 };
 
-/** @brief A host that wants this host's claims. */
+/** @brief A host that subscribes to this host's claims. */
 struct Subscriber
 {
   Instant heardAt{};
   bool hears{ false };
   std::string address;
-  /** Version of this host's claims sent to it. */
+  /** Version of this host's claims last sent to it. */
   std::uint64_t sent{};
-  /** Newest configuration it was told of. */
+  /** Number of the newest configuration last sent to it. */
   ChangeNumber told;
 };
 
-/** @brief The roster of one host; the control thread owns it. */
+/** @brief Roster of one host; owned by the control thread. */
 struct State
 {
   Settings settings;
   std::map<ServerId, Record> records;
   /** Other control hosts. */
   std::map<HostId, Source> sources;
-  /** Servers heard here; on control hosts only. */
+  /** Servers that send heartbeats to this host; empty unless it is a control
+   * host. */
   std::map<ServerId, Heard> heard;
   std::uint64_t version{};
   std::map<HostId, Subscriber> subscribers;
-  /** Newest configuration that this host has. */
+  /** Number of the newest configuration that this host has. */
   ChangeNumber configuration;
   Instant nextTick{};
   Instant nextRenewal{};
   Instant lastTick{ kNever };
-  /** The view last published. */
+  /** View published last. */
   std::shared_ptr<const View> view;
 };
 
-/** @brief A server announced itself to this host. */
+/** @brief A server sent a heartbeat to this host. */
 struct Heartbeat
 {
   Claim claim;
@@ -109,57 +112,60 @@
 struct SignedOff
 {
   ServerId server;
-  /** Start of the incarnation that signed off; absent if not told. */
+  /** Incarnation that signed off; absent if the server did not send it. */
   std::optional<Incarnation> born;
 };
 
-/** @brief A message of another host. */
+/** @brief A message arrived from another host. */
 struct Received
 {
   HostId from;
   Message message;
 };
 
-/** @brief This host has a newer configuration. */
+/** @brief This host has received a newer configuration. */
 struct ConfigurationKnown
 {
   ChangeNumber number;
 };
 
-/** @brief What the roster reacts to. */
+/** @brief Input of the roster. */
 using Event = std::variant<Heartbeat, SignedOff, Received, ConfigurationKnown>;
 
-/** @brief Replaces the view that others read. */
+/** @brief Publishes a new view to the readers on this host. */
 struct Publish
 {
   std::shared_ptr<const View> view;
 };
 
-/** @brief Says where a host can be reached. */
+/** @brief Sets the address at which a host can be reached. */
 struct Reach
 {
   HostId host;
   std::string address;
 };
 
-/** @brief Sends a message to another host without waiting. */
+/** @brief Sends a message to another host; delivery is not confirmed. */
 struct Send
 {
   HostId to;
   Message message;
 };
 
-/** @brief Says which configuration a control host has. */
+/**
+ * @brief Reports the number of the newest configuration that a control host
+ * has.
+ */
 struct ConfigurationHeard
 {
   HostId host;
   ChangeNumber number;
 };
 
-/** @brief What the roster asks of the daemon. */
+/** @brief Output of the roster, carried out by the daemon. */
 using Action = std::variant<Publish, Reach, Send, ConfigurationHeard>;
 
-/** @brief Collects what a command asks of the daemon. */
+/** @brief Actions collected by a command, in order. */
 using Actions = std::vector<Action>;
 
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/view.hpp
+++ b/src/balsampoint/roster/view.hpp
@@ -7,14 +7,14 @@
 
 namespace balsampoint::roster {
 
-/** @brief One server as this host believes it to be. */
+/** @brief One server as known to this host. */
 struct Server
 {
   Claim claim;
-  /** Whether the host that hears it is out of reach while others are not. */
+  /** Whether its control host is unreachable while another one is reachable. */
   bool doubted{ false };
 
-  /** @brief Whether new work may go to it. */
+  /** @brief Whether it may be sent new requests. */
   [[nodiscard]] bool TakesWork() const noexcept
   {
     return claim.presence == Presence::Ready && !doubted;
@@ -23,13 +23,13 @@
   bool operator==(const Server&) const = default;
 };
 
-/** @brief All servers that have not signed off, by their ids; immutable. */
+/** @brief All servers that have not signed off, ordered by id; immutable. */
 struct View
 {
   std::vector<Server> servers;
   std::vector<ControlHost> controls;
-  /** The control host in reach that all hosts are likely to choose; empty if
-   * none is in reach. */
+  /** Reachable control host with the lowest id, other than this host, so that
+   * most hosts choose the same one; empty if none is reachable. */
   HostId collector;
 
   bool operator==(const View&) const = default;
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -14,7 +14,10 @@
 
 constexpr Instant kStart{ 1h };
 
-/** @brief Hosts whose messages arrive at once unless the way is cut. */
+/**
+ * @brief Hosts that deliver messages to each other at once unless the link
+ * is cut.
+ */
 class Hosts
 {
 public:
@@ -70,7 +73,7 @@
   }
 
   std::set<HostId> stopped;
-  /** Ways on which messages are lost, from one host to another. */
+  /** Links that drop messages, as pairs of sender and receiver. */
   std::set<std::pair<HostId, HostId>> cut;
   std::map<HostId, ChangeNumber> heardNumbers;
 
