Reword the comments of the fleet module

Many comments were terse or figurative and hard to read for newcomers. They now say in the usual terms what a value is, its unit, and what a function does. Only comments change.

--- a/src/balsampoint/fleet/chain.hpp
+++ b/src/balsampoint/fleet/chain.hpp
@@ -11,25 +11,29 @@
 
 namespace balsampoint::fleet {
 
-/** @brief One server of a chain and the layers that it runs. */
+/** @brief One server of a chain and the layers that it runs for the request. */
 struct Hop
 {
   ServerId server;
   Incarnation born;
-  /** IP number and port. */
+  /** IP address and port. */
   std::string address;
   LayerRange layers;
 
   bool operator==(const Hop&) const = default;
 };
 
-/** @brief The servers that a request passes through, in order. */
+/**
+ * @brief Servers that a request passes through, in order, with the predicted
+ * times.
+ */
 struct Chain
 {
   std::vector<Hop> hops;
-  /** Tokens of the request, in its prompt and its expected answer. */
+  /** Tokens for which KV is reserved: the prompt and part of the expected
+   * answer. */
   double tokens{};
-  /** Predicted time of one event, in milliseconds. */
+  /** Predicted time between two events of the stream, in milliseconds. */
   double eventMs{};
   /** Predicted time to the first event, in milliseconds. */
   double firstEventMs{};
@@ -38,9 +42,10 @@
 };
 
 /**
- * @brief Whether hops run every layer once and in order, on distinct servers.
- * @param aHops The hops.
- * @param aLayers Layers of the model.
+ * @brief Whether the hops run every layer exactly once and in order, on
+ * distinct servers.
+ * @param aHops Hops of a chain.
+ * @param aLayers Number of layers of the model.
  */
 [[nodiscard]] bool
 RunsEveryLayer(std::span<const Hop> aHops, std::uint32_t aLayers);
--- a/src/balsampoint/fleet/command/follow_roster.hpp
+++ b/src/balsampoint/fleet/command/follow_roster.hpp
@@ -7,10 +7,11 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief Takes over which servers there are; own work on them is kept.
+ * @brief Updates services and servers from the roster and the configuration.
+ * The work of a server is kept unless it has restarted.
  * @param aState State to change.
- * @param aView The servers.
- * @param aDocument The configuration in force.
+ * @param aView Servers from the roster.
+ * @param aDocument Configuration in force.
  */
 void
 FollowRoster(State& aState,
--- a/src/balsampoint/fleet/command/note_test.hpp
+++ b/src/balsampoint/fleet/command/note_test.hpp
@@ -5,11 +5,11 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief Notes that a server is being tested by a connection.
+ * @brief Records that a connection is being opened to probe a server.
  * @param aState State to change.
- * @param aService The service.
- * @param aServer The server.
- * @param aNow The time.
+ * @param aService Service that the server belongs to.
+ * @param aServer Server that is probed.
+ * @param aNow Current time.
  */
 void
 NoteTest(State& aState,
--- a/src/balsampoint/fleet/command/share_use.hpp
+++ b/src/balsampoint/fleet/command/share_use.hpp
@@ -6,9 +6,9 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief Takes over what other hosts have in progress.
+ * @brief Replaces the work that other hosts have in progress on each server.
  * @param aState State to change.
- * @param aOthers Their work.
+ * @param aOthers Sum of their work by server.
  */
 void
 TakeOthers(State& aState, const usage::OthersUse& aOthers);
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -19,7 +19,10 @@
   return same ? &server->second : nullptr;
 }
 
-/** @brief A time that doubles with each event before, up to a longest one. */
+/**
+ * @brief Exponential backoff: doubles with each earlier event, up to a
+ * limit.
+ */
 Duration
 Backoff(Duration aFirst, Duration aLongest, std::uint32_t aBefore)
 {
@@ -28,7 +31,10 @@
   return std::min(aFirst * (std::int64_t{ 1 } << doublings), aLongest);
 }
 
-/** @brief How long a server is left out after a number of faults before. */
+/**
+ * @brief Time for which a server is avoided, given the number of earlier
+ * faults.
+ */
 Duration
 AvoidanceAfter(const Settings& aSettings, std::uint32_t aFaults)
 {
@@ -57,7 +63,7 @@
       aServer.refusals = 0;
       break;
     case Finding::Full:
-      // Refusals of requests sent at the same time count once.
+      // Concurrent requests that are all refused count as one refusal.
       if (aServer.fullUntil <= aNow) {
         aServer.fullUntil = aNow + Backoff(aSettings.fullAvoidance,
                                            aSettings.longestFullAvoidance,
--- a/src/balsampoint/fleet/command/track_work.hpp
+++ b/src/balsampoint/fleet/command/track_work.hpp
@@ -8,26 +8,29 @@
 
 namespace balsampoint::fleet {
 
-/** @brief What is learned of a server from a request. */
+/**
+ * @brief Outcome of a request to a server, as far as it concerns the server.
+ */
 enum class Finding : std::uint8_t
 {
   Answered,
-  /** It answered that it failed. */
+  /** The server answered with an error. */
   Failed,
-  /** It said that it has no room or gives up its part. */
+  /** The server refused the request for lack of capacity, or gave up its part
+   * of it. */
   Full,
-  /** It broke off. */
+  /** The connection broke before the answer was complete. */
   Broken,
-  /** It can't be reached. */
+  /** No connection could be made. */
   Unreachable,
 };
 
 /**
- * @brief Counts a request on the servers that it passes through.
+ * @brief Adds a request to the work of the servers that it passes through.
  * @param aState State to change.
- * @param aService The service.
- * @param aHops The servers; the first one receives the request.
- * @param aTokens Tokens of the request.
+ * @param aService Service that the server belongs to.
+ * @param aHops Servers of the chain; the first one receives the request.
+ * @param aTokens Tokens for which KV is reserved on each server.
  */
 void
 Reserve(State& aState,
@@ -36,11 +39,12 @@
         double aTokens);
 
 /**
- * @brief Takes a request off the servers that it passed through.
+ * @brief Removes a request from the work of the servers that it passed
+ * through.
  * @param aState State to change.
- * @param aService The service.
- * @param aHops The servers, as reserved.
- * @param aTokens Tokens of the request, as reserved.
+ * @param aService Service that the server belongs to.
+ * @param aHops Hops as given to `Reserve`.
+ * @param aTokens Tokens as given to `Reserve`.
  */
 void
 Release(State& aState,
@@ -49,12 +53,13 @@
         double aTokens);
 
 /**
- * @brief Notes that an event of a stream has passed through servers.
+ * @brief Records an event of a stream on the servers that it passed through.
  * @param aState State to change.
- * @param aService The service.
- * @param aHops The servers.
- * @param aInterval Time since the event before; absent for the first.
- * @param aNow The time.
+ * @param aService Service that the server belongs to.
+ * @param aHops Servers of the chain.
+ * @param aInterval Time since the previous event of the stream; absent for
+ * the first.
+ * @param aNow Current time.
  */
 void
 NoteEvent(State& aState,
@@ -64,11 +69,12 @@
           Instant aNow);
 
 /**
- * @brief Notes that a stream writes, or writes no longer.
+ * @brief Counts a stream on its servers when its output begins, and removes
+ * it when its output ends.
  * @param aState State to change.
- * @param aService The service.
- * @param aHops The servers that it passes through.
- * @param aWrites Whether it begins to write.
+ * @param aService Service that the server belongs to.
+ * @param aHops Servers of the chain.
+ * @param aWrites Whether the output begins; false if it ends.
  */
 void
 CountStream(State& aState,
@@ -77,12 +83,13 @@
             bool aWrites);
 
 /**
- * @brief Notes how a server did, so that the next choice knows.
+ * @brief Records the outcome of a request on a server, for later choices of
+ * servers.
  * @param aState State to change.
- * @param aService The service.
- * @param aAddress Address of the server.
- * @param aFinding What was learned.
- * @param aNow The time.
+ * @param aService Service that the server belongs to.
+ * @param aAddress Address of the server, with port.
+ * @param aFinding Outcome of the request.
+ * @param aNow Current time.
  */
 void
 Note(State& aState,
--- a/src/balsampoint/fleet/fwd.hpp
+++ b/src/balsampoint/fleet/fwd.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /**
- * @brief The backend servers as one traffic thread sees them: what they can
- * do, what of its own work they have, and which to use next.
+ * @brief A traffic thread's model of the backend servers: their capacity,
+ * the work in progress on them, and the choice of servers for a request.
  */
 namespace balsampoint::fleet {
 
--- a/src/balsampoint/fleet/internal/cost.hpp
+++ b/src/balsampoint/fleet/internal/cost.hpp
@@ -5,21 +5,22 @@
 namespace balsampoint::fleet::internal {
 
 /**
- * @brief KV that fits beside the layers of an engine.
- * @param aEngine The service's profile.
- * @param aDescription The engine.
- * @return Tokens times layers.
+ * @brief KV capacity that remains in an engine's memory beside its layers.
+ * @param aEngine Profile of the service's engines.
+ * @param aDescription Properties of the engine.
+ * @return Capacity in tokens times layers; zero for an accelerator that is
+ * not in the profile.
  */
 [[nodiscard]] double
 KvRoom(const routing::EngineProfile& aEngine,
        const roster::Description& aDescription);
 
 /**
- * @brief Time of one pass over some layers of an engine.
- * @param aEngine The service's profile.
- * @param aStepFactor The engine's factor.
- * @param aLayers Layers that the pass runs.
- * @param aWriters Requests that write.
+ * @brief Predicted time of one decode pass over some layers of an engine.
+ * @param aEngine Profile of the service's engines.
+ * @param aStepFactor Slowdown of the engine's steps against the profile.
+ * @param aLayers Number of layers that the pass runs.
+ * @param aWriters Number of requests that generate tokens in the pass.
  * @return Milliseconds.
  */
 [[nodiscard]] double
@@ -29,11 +30,12 @@
        double aWriters);
 
 /**
- * @brief Time to read a prompt through some layers of an engine.
- * @param aEngine The service's profile.
- * @param aReadFactor The engine's factor.
- * @param aLayers Layers that read it.
- * @param aTokens Tokens of the prompt.
+ * @brief Predicted time of the prefill of a prompt through some layers of an
+ * engine.
+ * @param aEngine Profile of the service's engines.
+ * @param aReadFactor Slowdown of the engine's prefill against the profile.
+ * @param aLayers Number of layers that the prompt passes.
+ * @param aTokens Number of tokens of the prompt.
  * @return Milliseconds.
  */
 [[nodiscard]] double
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -15,31 +15,31 @@
 
 constexpr double kNoPath = std::numeric_limits<double>::infinity();
 
-/** @brief The shortest way from layer zero to a layer. */
+/** @brief Last hop of the cheapest path from layer zero to a layer. */
 struct Step
 {
   double cost{ kNoPath };
   const Server* server{};
-  /** Layer at which the server takes over. */
+  /** First layer that the server runs. */
   std::uint32_t from{};
 };
 
-/** @brief A server that may run some layers of the request. */
+/** @brief A server that may take part in the chain. */
 struct Candidate
 {
   const Server* server{};
-  /** Multiplies its cost. */
+  /** Factor on its cost, which varies between choices. */
   double weight{ 1.0 };
 };
 
-/** @brief The layers that a server holds; none if it has not told any. */
+/** @brief Layers that a server holds; empty if it has reported none. */
 LayerRange
 Held(const Server& aServer)
 {
   return aServer.claim.description.layers.value_or(LayerRange{});
 }
 
-/** @brief Searches one group of engines for one request. */
+/** @brief Searches the cheapest chain through the engines of one service. */
 class Search
 {
 public:
@@ -87,7 +87,10 @@
   }
 
 private:
-  /** @brief Why no chain runs all layers. */
+  /**
+   * @brief Describes why no chain exists: the first layer that no path
+   * reaches, and what keeps each of its holders out.
+   */
   [[nodiscard]] std::string Obstacle() const
   {
     std::uint32_t layer = mEngine.layers;
@@ -107,7 +110,7 @@
     return text;
   }
 
-  /** @brief Why a server that holds a layer can't run it. */
+  /** @brief Why a server that holds a layer can't run it for this request. */
   [[nodiscard]] std::string_view ReasonAgainst(const Server& aServer) const
   {
     if (!aServer.ready) {
@@ -128,7 +131,7 @@
            !mDemand.failed.contains(aServer.claim.server);
   }
 
-  /** Notes at which layers some server starts. */
+  /** Marks the layers at which the range of some server begins. */
   void MarkEnds()
   {
     mEnds.assign(mEngine.layers + 1, false);
@@ -140,7 +143,7 @@
     }
   }
 
-  /** Whether the way to a layer passes through a server already. */
+  /** Whether the cheapest path to a layer already uses a server. */
   [[nodiscard]] bool Passes(std::uint32_t aLayer, const Server& aServer) const
   {
     while (aLayer > 0) {
@@ -197,7 +200,8 @@
     return mSettings.hopMs + (sameZone ? 0.0 : mSettings.zoneChangeMs);
   }
 
-  /** Half of the pass that is under way when a token arrives. */
+  /** Mean wait for the pass that is running when a token arrives: half its
+   * time. */
   [[nodiscard]] double WaitMs(const Server& aServer) const
   {
     const auto held = Held(aServer).Size();
@@ -219,7 +223,8 @@
       mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
     const auto events =
       std::max(1.0, mDemand.answerTokens / mEngine.tokensPerPass);
-    // A server that is nearly full is used last.
+    // The cost grows with the fill level, so that a nearly full server is used
+    // last.
     const auto fullness = used / room;
     return (pass + read / events) * (1.0 + fullness * fullness);
   }
@@ -276,8 +281,8 @@
       .Run();
   };
   auto chain = search(false);
-  // Where only servers at fault hold some layer, one of them is better than
-  // none.
+  // If some layer is held by faulty servers only, use one of them rather than
+  // refuse the request.
   const bool anyAtFault =
     !chain &&
     std::ranges::any_of(group->second.servers, [&](const auto& aEntry) {
--- a/src/balsampoint/fleet/query/choose_chain.hpp
+++ b/src/balsampoint/fleet/query/choose_chain.hpp
@@ -10,33 +10,34 @@
 
 namespace balsampoint::fleet {
 
-/** @brief What a request needs of a chain. */
+/** @brief Requirements of a request on its chain. */
 struct Demand
 {
   ServiceId service;
-  /** Tokens of the prompt and of the answer expected. */
+  /** Number of tokens of the prompt and of the expected answer. */
   double promptTokens{};
   double answerTokens{};
-  /** Servers that have failed the request. */
+  /** Servers on which an earlier attempt of the request failed. */
   std::set<ServerId> failed;
-  /** The servers to which it may be sent; empty for any. */
+  /** Servers that may be the first of the chain; empty for any. */
   std::set<ServerId> receivers;
-  /** A random number that spreads requests over servers alike; absent for the
-   * cheapest chain. */
+  /** Random number that spreads requests over servers of similar cost; absent
+   * to choose the cheapest chain. */
   std::optional<std::uint64_t> draw;
 };
 
 /**
- * @brief Finds the chain with the shortest predicted time.
+ * @brief Finds the chain with the shortest predicted time per event.
  *
- * The time of a server grows with the work on it, so that requests spread over
- * servers with the same layers. What other hosts have sent meanwhile isn't
- * known yet, so each draw also weighs the servers a little differently.
+ * The predicted time of a server grows with the work on it, so that requests
+ * spread over servers with the same layers. Work that other hosts have sent
+ * since their last report isn't known yet; the random weight of each server
+ * keeps hosts from all choosing the same one.
  * @param aState State to read.
- * @param aDemand What is needed.
- * @param aNow The time.
- * @return The chain, or `ErrorKind::NoServer` when some layer is held by no
- * server with room.
+ * @param aDemand Requirements of the request.
+ * @param aNow Current time.
+ * @return The chain, or `ErrorKind::NoServer` if no usable server with
+ * enough capacity holds some layer.
  */
 [[nodiscard]] tl::expected<Chain, Error>
 ChooseChain(const State& aState, const Demand& aDemand, Instant aNow);
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-/** Counts as much as this many requests in flight. */
+/** Penalties of servers in another zone and of servers that are warming up, in
+ * requests in flight. */
 constexpr double kFarPenalty = 0.5;
 constexpr double kColdPenalty = 2.0;
-/** Work that a server that fails every request seems to have. */
+/** Penalty of a server that fails every request, in requests in flight. */
 constexpr double kFailurePenalty = 12.0;
 
 double
@@ -21,7 +22,7 @@
          (description.cold ? kColdPenalty : 0.0);
 }
 
-/** @brief Servers of a group that may take a request. */
+/** @brief Servers of a service that may receive a request. */
 std::vector<const Server*>
 Candidates(const Group& aGroup,
            const std::set<ServerId>& aFailed,
@@ -40,7 +41,7 @@
       sound.push_back(&server);
     }
   }
-  // With every server at fault, one of them is better than none.
+  // If all servers are faulty, use one of them rather than refuse the request.
   return sound.empty() ? all : sound;
 }
 
--- a/src/balsampoint/fleet/query/choose_server.hpp
+++ b/src/balsampoint/fleet/query/choose_server.hpp
@@ -9,14 +9,16 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief Finds the plain server with the least work, near ones first.
+ * @brief Finds the server with the lowest score for a service without
+ * engines.
  * @param aState State to read.
- * @param aService The service.
- * @param aFailed Servers that have failed the request.
- * @param aReceivers Servers to which it may be sent; empty for any.
- * @param aDraw A random number, which decides between equals.
- * @param aNow The time.
- * @return The server as a hop without layers, or `ErrorKind::NoServer`.
+ * @param aService Service that the request is for.
+ * @param aFailed Servers on which an earlier attempt of the request failed.
+ * @param aReceivers Servers that may receive the request; empty for any.
+ * @param aDraw Random number that decides between servers of equal score.
+ * @param aNow Current time.
+ * @return The server as a hop without layers, or `ErrorKind::NoServer` if
+ * none is ready.
  */
 [[nodiscard]] tl::expected<Hop, Error>
 ChooseServer(const State& aState,
--- a/src/balsampoint/fleet/query/own_use.hpp
+++ b/src/balsampoint/fleet/query/own_use.hpp
@@ -6,7 +6,7 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief What this thread has in progress on servers.
+ * @brief Lists the work that this thread has in progress on each server.
  * @param aState State to read.
  */
 [[nodiscard]] usage::OwnUse
--- a/src/balsampoint/fleet/query/return_after.hpp
+++ b/src/balsampoint/fleet/query/return_after.hpp
@@ -5,14 +5,15 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief Estimates when a service that has no room for a request may have some.
+ * @brief Estimates when a service that refused a request for lack of
+ * capacity may accept it.
  *
- * A shortage is taken to last about as long again as it has lasted, which is
- * the time since a request last began to write.
+ * A shortage is assumed to last for as long again as it has lasted, measured
+ * from the last first event of any request.
  * @param aState State to read.
- * @param aService The service.
- * @param aNow The time.
- * @return Time from now, within the bounds of the settings.
+ * @param aService Service that refused the request.
+ * @param aNow Current time.
+ * @return Time to wait, within the bounds of the settings.
  */
 [[nodiscard]] Duration
 ReturnAfter(const State& aState, const ServiceId& aService, Instant aNow);
--- a/src/balsampoint/fleet/query/silent_servers.cpp
+++ b/src/balsampoint/fleet/query/silent_servers.cpp
@@ -7,12 +7,14 @@
 
 namespace {
 
-/** Pauses, in usual times between events, that are normal for many streams. */
+/** Longest normal pause on a server with many streams, as a multiple of its
+ * mean time between events. */
 constexpr double kManyStreams = 1.6;
-/** Added for one stream; divided by their number for more. */
+/** Added to the multiple for a single stream; divided by the number of streams.
+ * */
 constexpr double kOneStream = 2.5;
 constexpr double kLeastMs = 70.0;
-/** Time after a test in which a server isn't tested again. */
+/** Shortest time between two probes of a server. */
 constexpr Duration kTestPause = std::chrono::milliseconds{ 250 };
 
 bool
--- a/src/balsampoint/fleet/query/silent_servers.hpp
+++ b/src/balsampoint/fleet/query/silent_servers.hpp
@@ -6,22 +6,23 @@
 
 namespace balsampoint::fleet {
 
-/** @brief A server from whose streams no event has come for too long. */
+/** @brief A server whose streams have had no event for too long. */
 struct SilentServer
 {
   ServiceId service;
   ServerId server;
-  /** IP number and port. */
+  /** IP address and port. */
   std::string address;
 };
 
 /**
- * @brief Finds servers that may have died while streams write through them.
+ * @brief Finds servers that may have failed while streams pass through them.
  *
- * The more streams pass through a server, the sooner a pause of all of them
- * together points to it. Servers tested lately are left out.
+ * The more streams a server has, the shorter is the common pause of all of
+ * them that makes it suspect. Servers that are avoided or were probed
+ * recently are left out.
  * @param aState State to read.
- * @param aNow The time.
+ * @param aNow Current time.
  */
 [[nodiscard]] std::vector<SilentServer>
 SilentServers(const State& aState, Instant aNow);
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -15,128 +15,140 @@
 
 namespace balsampoint::fleet {
 
-/** @brief Weights of the choice of servers. */
+/** @brief Parameters of the choice of servers. */
 struct Settings
 {
   ZoneId zone;
-  /** Added to the time of an event for each change of zone in a chain, in ms:
-   * all transfers between two zones share one link, which is soon full. */
+  /** Added to the time per event for each change of zone in a chain, in ms: all
+   * transfers between two zones share one link, which saturates easily. */
   double zoneChangeMs{ 60.0 };
-  /** Added where the first server is in another zone than this host, in ms. */
+  /** Added to the time per event if the first server is in another zone than
+   * this host, in ms. */
   double farEntryMs{ 3.0 };
-  /** Added to the time of an event for each server, in ms. */
+  /** Added to the time per event for each server, in ms. */
   double hopMs{ 0.6 };
-  /** Part of an expected answer for which KV is set aside; requests in
-   * progress have written half of theirs on average. By the rounds of
-   * 2026-12-04 in docs/benchmarks.md. */
+  /** Fraction of the expected answer for which KV is reserved; requests in
+   * progress have generated half of theirs on average. */
   double answerShare{ 0.3 };
-  /** Part of a server's KV that is given out at most. */
+  /** Fraction of a server's KV capacity that may be reserved. */
   double kvShare{ 0.95 };
-  /** How long a server at fault is left out; doubles with each fault. */
+  /** Bounds of the time for which a faulty server is avoided; it doubles with
+   * each fault. */
   Duration firstAvoidance{ std::chrono::milliseconds{ 500 } };
   Duration longestAvoidance{ std::chrono::seconds{ 8 } };
-  /** How long a server without room is left out; doubles with each refusal in
-   * a row. */
+  /** Bounds of the time for which a server without capacity is avoided; it
+   * doubles with each consecutive refusal. */
   Duration fullAvoidance{ std::chrono::milliseconds{ 150 } };
   Duration longestFullAvoidance{ std::chrono::milliseconds{ 1200 } };
-  /** Most by which a server's cost is drawn higher for one choice, as a part of
-   * it: hosts that know the same of the servers choose different chains. */
+  /** Upper bound of the random increase of a server's cost in one choice, as a
+   * fraction of the cost: it makes hosts with the same knowledge of the servers
+   * choose different chains. */
   double spread{ 0.3 };
-  /** Answers in a row that break off before a server is left out. */
+  /** Consecutive broken answers after which a server is avoided. */
   std::uint32_t brokenToAvoid{ 3 };
-  /** Bounds on the time after which a refused request may come back: hosts
-   * learn of each other's work in the first, streams end in the second. */
+  /** Bounds of the time after which a refused request may be retried: within
+   * the lower one hosts have exchanged their usage, within the upper one
+   * running streams have ended. */
   Duration shortestReturn{ std::chrono::milliseconds{ 250 } };
   Duration longestReturn{ std::chrono::seconds{ 2 } };
-  /** Weight of the newest outcome in a server's rate of failures. */
+  /** Weight of the newest outcome in the moving average of a server's failure
+   * rate. */
   double failureWeight{ 0.15 };
 };
 
-/** @brief Requests in progress on one server. */
+/** @brief Work in progress on one server. */
 struct Work
 {
-  /** Requests that pass through it. */
+  /** Requests whose chain includes the server. */
   std::uint32_t passing{};
-  /** Requests sent to it. */
+  /** Requests sent to the server as the first of their chain. */
   std::uint32_t sent{};
-  /** KV of these requests, in tokens times layers. */
+  /** KV reserved for these requests, in tokens times layers. */
   double kv{};
 };
 
-/** @brief One server and the work on it. */
+/** @brief One server, the work on it and its recent faults. */
 struct Server
 {
   roster::Claim claim;
-  /** Whether new work may go to it. */
+  /** Whether it may be sent new requests. */
   bool ready{ false };
-  /** Multiplies the time of steps; 1 for plain servers. */
+  /** Slowdown of decode steps and of prefill against the profile; 1 for servers
+   * without a profile. */
   double stepFactor{ 1.0 };
   double readFactor{ 1.0 };
-  /** KV that fits beside its layers, in tokens times layers. */
+  /** KV capacity beside its layers, in tokens times layers. */
   double kvRoom{};
-  /** Work of this thread. */
+  /** Work sent by this thread. */
   Work own;
-  /** Work of other hosts, as they last told. */
+  /** Work sent by other hosts, as last reported. */
   Work others;
-  /** Part of the newest requests that failed. */
+  /** Moving average of the fraction of requests that failed. */
   double failureRate{};
-  /** Times it was left out without a good answer in between. */
+  /** Times it has been avoided since its last complete answer. */
   std::uint32_t faults{};
-  /** Times it took no connection, without a sign of life in between. */
+  /** Failed connections since its last event or complete answer. */
   std::uint32_t misses{};
-  /** Requests refused for want of room in a row. */
+  /** Consecutive refusals for lack of capacity. */
   std::uint32_t refusals{};
-  /** Answers that broke off in a row. */
+  /** Consecutive broken answers. */
   std::uint32_t broken{};
-  /** Own streams that write through it. */
+  /** This thread's streams that generate output through it. */
   std::uint32_t streams{};
-  /** When the last event of an own stream passed through it. */
+  /** When an event of one of this thread's streams last passed through it. */
   Instant progressAt{ Instant::min() };
-  /** Usual time between two events of a stream through it, in ms. */
+  /** Moving average of the time between two events of a stream through it, in
+   * ms. */
   double eventMs{ 60.0 };
-  /** When it last took a connection that was made to test it. */
+  /** When a connection was last opened to probe it. */
   Instant testedAt{ Instant::min() };
   Instant avoidUntil{ Instant::min() };
-  /** Until when it is taken to have no room. */
+  /** End of the time for which it counts as having no capacity. */
   Instant fullUntil{ Instant::min() };
-  /** Until when it counts as out of reach. */
+  /** End of the time for which it counts as unreachable. */
   Instant unreachableUntil{ Instant::min() };
 
-  /** @brief Whether it is left out for now, although it is ready. */
+  /**
+   * @brief Whether it is avoided for now; a last resort may still use it
+   * unless it is also unable.
+   */
   [[nodiscard]] bool LeftOut(Instant aNow) const noexcept
   {
     return avoidUntil > aNow || Unable(aNow);
   }
 
-  /** @brief Whether a request to it is sure to fail for now. */
+  /**
+   * @brief Whether a request to it is expected to fail: it has no capacity
+   * or is unreachable.
+   */
   [[nodiscard]] bool Unable(Instant aNow) const noexcept
   {
     return std::max(fullUntil, unreachableUntil) > aNow;
   }
 
-  /** @brief Requests that pass through it. */
+  /** @brief Requests of all hosts whose chain includes it. */
   [[nodiscard]] double Passing() const noexcept
   {
     return own.passing + others.passing;
   }
 
-  /** @brief Requests sent to it. */
+  /** @brief Requests of all hosts sent to it as the first of their chain. */
   [[nodiscard]] double Sent() const noexcept { return own.sent + others.sent; }
 
-  /** @brief KV of all requests, in tokens times layers. */
+  /** @brief KV reserved by all hosts, in tokens times layers. */
   [[nodiscard]] double KvUsed() const noexcept { return own.kv + others.kv; }
 };
 
-/** @brief Servers of one service. */
+/** @brief Servers of one service, with its engine profile if it has engines. */
 struct Group
 {
   std::optional<routing::EngineProfile> engine;
   std::map<ServerId, Server> servers;
-  /** When an own request last began to write. */
+  /** When one of this thread's requests last had its first event. */
   Instant begunAt{ Instant::min() };
 };
 
-/** @brief The servers of all services; owned by one traffic thread. */
+/** @brief Servers of all services; owned by one traffic thread. */
 struct State
 {
   Settings settings;
--- a/test/balsampoint/fleet/fixture.hpp
+++ b/test/balsampoint/fleet/fixture.hpp
@@ -9,7 +9,10 @@
 
 namespace balsampoint::test {
 
-/** @brief A small model of eight layers on engines with room for KV. */
+/**
+ * @brief Configuration of a model with eight layers, on engines with memory
+ * for layers and KV.
+ */
 [[nodiscard]] inline routing::Document
 SmallModel()
 {
@@ -33,11 +36,11 @@
 }
 
 /**
- * @brief An engine that holds layers.
- * @param aName Its id and address.
- * @param aZone Its zone.
- * @param aLayers The layers.
- * @param aKind Its accelerator.
+ * @brief Makes an engine that holds some layers.
+ * @param aName Its id, and the host part of its address.
+ * @param aZone Its availability zone.
+ * @param aLayers Layers that it holds.
+ * @param aKind Its accelerator type.
  */
 [[nodiscard]] inline roster::Server
 MakeEngine(const std::string& aName,
@@ -56,8 +59,8 @@
 }
 
 /**
- * @brief What a host of zone a knows of a fleet that runs the small model.
- * @param aServers The engines.
+ * @brief State of a host in zone `a`, with engines that run the small model.
+ * @param aServers Engines of the fleet.
  */
 [[nodiscard]] inline fleet::State
 MakeFleet(std::vector<roster::Server> aServers)
--- a/test/balsampoint/fleet/query/silent_servers_test.cpp
+++ b/test/balsampoint/fleet/query/silent_servers_test.cpp
@@ -16,7 +16,7 @@
 constexpr Instant kNow{ 1h };
 const ServiceId kService{ "verse" };
 
-/** @brief Two chains that share the first server only. */
+/** @brief Streams through two chains that share only the first server. */
 struct Fixture
 {
   Fixture()
