Reword the comments of the placement module

Many comments were terse or figurative and hard to read for newcomers. They now say in the usual terms what a value is, its unit, and what a function does. Only comments change.

--- a/src/balsampoint/placement/command/follow.hpp
+++ b/src/balsampoint/placement/command/follow.hpp
@@ -5,20 +5,22 @@
 namespace balsampoint::placement {
 
 /**
- * @brief Takes over which engines there are.
+ * @brief Updates the engines from the roster; an engine that restarted is
+ * treated as new.
  * @param aState State to change.
- * @param aView The servers.
- * @param aNow The time.
+ * @param aView Servers from the roster.
+ * @param aNow Current time.
  */
 void
 FollowServers(State& aState, const roster::View& aView, Instant aNow);
 
 /**
- * @brief Notes how an order ended.
+ * @brief Applies the outcome of an order to its engine.
  * @param aState State to change.
- * @param aEnded The order's end.
- * @param aNow The time.
- * @param aActions Receives a question where the outcome is open.
+ * @param aEnded Outcome of the order.
+ * @param aNow Current time.
+ * @param aActions A request for the engine's report is appended to it unless
+ * the order was accepted.
  */
 void
 TakeOrderEnd(State& aState,
@@ -27,9 +29,9 @@
              Actions& aActions);
 
 /**
- * @brief Takes an engine's own word on its state.
+ * @brief Applies the state that an engine has reported.
  * @param aState State to change.
- * @param aReported The engine's word.
+ * @param aReported State as reported.
  */
 void
 TakeReport(State& aState, const Reported& aReported);
--- a/src/balsampoint/placement/command/place.hpp
+++ b/src/balsampoint/placement/command/place.hpp
@@ -6,12 +6,13 @@
 namespace balsampoint::placement {
 
 /**
- * @brief Orders what was decided and repeats orders without effect.
+ * @brief Sends the orders of a decision; engines with a pending order are
+ * skipped.
  * @param aState State to change.
- * @param aService The service.
- * @param aDecision Ranges to hold.
- * @param aNow The time.
- * @param aActions Receives the orders.
+ * @param aService Service that the engines belong to.
+ * @param aDecision Layer ranges that engines are to load.
+ * @param aNow Current time.
+ * @param aActions Orders to send are appended to it.
  */
 void
 GiveOrders(State& aState,
--- a/src/balsampoint/placement/decision.hpp
+++ b/src/balsampoint/placement/decision.hpp
@@ -4,12 +4,13 @@
 
 namespace balsampoint::placement {
 
-/** @brief Which engines are to hold which ranges, decided elsewhere. */
+/** @brief Layer ranges that engines are to load now. */
 struct Decision
 {
-  /** Ranges for engines that hold nothing. */
+  /** Ranges for engines that hold none, and ranges of overdue orders to repeat.
+   * */
   Plan fills;
-  /** Ranges for engines that hold others now. */
+  /** Ranges for engines that hold another range now. */
   Plan moves;
 };
 
--- a/src/balsampoint/placement/engine.hpp
+++ b/src/balsampoint/placement/engine.hpp
@@ -10,28 +10,28 @@
 
 namespace balsampoint::placement {
 
-/** @brief One engine as placement sees it. */
+/** @brief Input of the placement algorithm for one engine. */
 struct Engine
 {
   ServerId server;
   ZoneId zone;
   double memoryMb{};
-  /** Multiplies the time of its steps; higher is slower. */
+  /** Slowdown of its decode steps against the profile. */
   double stepFactor{ 1.0 };
-  /** Layers that it holds or is to hold; absent for none. */
+  /** Layers that it holds or has been ordered to load; absent for none. */
   std::optional<LayerRange> layers;
 };
 
-/** @brief What one layer needs. */
+/** @brief Number of layers of a model and the memory that each takes. */
 struct LayerNeed
 {
   std::uint32_t layers{ 1 };
   double layerMb{ 1.0 };
-  /** KV of one usual request for one layer, in megabytes. */
+  /** KV of a typical request in one layer, in megabytes. */
   double requestMb{};
 };
 
-/** @brief The range that each engine is to hold. */
+/** @brief Layer range that each engine is to load. */
 using Plan = std::map<ServerId, LayerRange>;
 
 } // namespace balsampoint::placement
--- a/src/balsampoint/placement/fwd.hpp
+++ b/src/balsampoint/placement/fwd.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
-/** @brief Which layers each model engine is to hold, and orders that say so. */
+/**
+ * @brief Placement of model layers on engines: decides the layer range of
+ * each engine and orders the engine to load it.
+ */
 namespace balsampoint::placement {
 
 struct Module;
--- a/src/balsampoint/placement/module.cpp
+++ b/src/balsampoint/placement/module.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-/** @brief Time between two looks at the engines while this host leads. */
+/**
+ * @brief Time between two evaluations of the placement while this host
+ * leads.
+ */
 constexpr Duration kLookInterval = std::chrono::milliseconds{ 400 };
 
 void
--- a/src/balsampoint/placement/module.hpp
+++ b/src/balsampoint/placement/module.hpp
@@ -5,7 +5,7 @@
 
 namespace balsampoint::placement {
 
-/** @brief Placement as the control thread runs it. */
+/** @brief Control module of placement. */
 struct Module
 {
   using State = placement::State;
@@ -13,11 +13,11 @@
   using Action = placement::Action;
 
   /**
-   * @brief Reacts to one event.
+   * @brief Applies one event to the state.
    * @param aState State to change.
-   * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aEvent Event to apply.
+   * @param aNow Current time.
+   * @param aActions Actions for the daemon are appended to it.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -25,17 +25,17 @@
                      Actions& aActions);
 
   /**
-   * @brief Does what has become due.
+   * @brief Runs timers that have expired.
    * @param aState State to change.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aNow Current time.
+   * @param aActions Actions for the daemon are appended to it.
    */
   static void Tick(State& aState, Instant aNow, Actions& aActions);
 
   /**
-   * @brief Tells when `Tick` is due.
+   * @brief Returns when `Tick` must run next.
    * @param aState State to read.
-   * @return The time, or `kNever`.
+   * @return Time of the next call, or `kNever` if none is scheduled.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/placement/query/decide.cpp
+++ b/src/balsampoint/placement/query/decide.cpp
@@ -21,7 +21,10 @@
                         kBytesPerMb };
 }
 
-/** @brief Whether a silent engine may still come back with its layers. */
+/**
+ * @brief Whether an engine has been silent for so short a time that it may
+ * return with its layers.
+ */
 bool
 MayReturn(const Known& aKnown, const State& aState, Instant aNow)
 {
@@ -30,7 +33,7 @@
          aNow - aKnown.lostAt < aState.settings.lossPatience;
 }
 
-/** @brief The layers an engine holds or has been ordered to hold. */
+/** @brief Layers that an engine holds or has been ordered to load. */
 std::optional<LayerRange>
 LayersToBe(const Known& aKnown)
 {
@@ -39,7 +42,9 @@
   return layers && layers->Size() > 0 ? layers : std::nullopt;
 }
 
-/** @brief What an engine was ordered to hold and should hold by now. */
+/**
+ * @brief Layers that an engine was ordered to load, if the order is overdue.
+ */
 std::optional<LayerRange>
 OverdueLayers(const Known& aKnown, Instant aNow)
 {
@@ -50,7 +55,10 @@
   return order->layers;
 }
 
-/** @brief The engines of a service that are there, with what they will hold. */
+/**
+ * @brief Engines of a service that are ready or may return, with their
+ * current or ordered layers.
+ */
 std::vector<Engine>
 PresentEngines(const State& aState, const ServiceId& aService, Instant aNow)
 {
@@ -73,7 +81,7 @@
   return engines;
 }
 
-/** @brief Orders that have shown no effect in time, to be given again. */
+/** @brief Overdue orders of a service, to be sent again. */
 Plan
 Overdue(const State& aState, const ServiceId& aService, Instant aNow)
 {
--- a/src/balsampoint/placement/query/decide.hpp
+++ b/src/balsampoint/placement/query/decide.hpp
@@ -6,11 +6,12 @@
 namespace balsampoint::placement {
 
 /**
- * @brief Decides which engines of a service are to hold which ranges now.
+ * @brief Decides which engines of a service are to load which layer ranges
+ * now.
  * @param aState State to read.
- * @param aService The service.
- * @param aNow The time.
- * @return The ranges; empty when nothing is to be done.
+ * @param aService Service that the engines belong to.
+ * @param aNow Current time.
+ * @return Ranges to load; empty if nothing is to be changed.
  */
 [[nodiscard]] Decision
 Decide(const State& aState, const ServiceId& aService, Instant aNow);
--- a/src/balsampoint/placement/query/fill.cpp
+++ b/src/balsampoint/placement/query/fill.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-/** @brief Memory for KV that other engines have at each layer. */
+/**
+ * @brief Number of engines that hold each layer, in one zone and in all
+ * zones.
+ */
 struct Cover
 {
   Cover(std::span<const Engine> aEngines,
@@ -31,7 +34,7 @@
     }
   }
 
-  /** @brief Leaves out an engine of the zone that holds some layers. */
+  /** @brief Removes an engine of the zone that holds a range. */
   void Remove(LayerRange aLayers)
   {
     for (auto layer = aLayers.begin; layer < aLayers.end; ++layer) {
@@ -40,12 +43,12 @@
     }
   }
 
-  /** Engines of the zone, and of all zones, that hold each layer. */
+  /** Indexed by layer. */
   std::vector<std::uint32_t> zone;
   std::vector<std::uint32_t> all;
 };
 
-/** What it is worth to hold a layer once more. */
+/** Benefit of one more engine of the zone that holds a layer. */
 double
 WorthOf(const Cover& aCover, std::uint32_t aLayer)
 {
@@ -85,7 +88,7 @@
   return best;
 }
 
-/** @brief Layers of a range that no engine of the zone holds. */
+/** @brief Number of layers of a range that no engine of the zone holds. */
 std::ptrdiff_t
 GapsIn(const Cover& aCover, LayerRange aRange)
 {
@@ -93,7 +96,10 @@
     aCover.zone.begin() + aRange.begin, aCover.zone.begin() + aRange.end, 0U);
 }
 
-/** @brief The usual number of layers, or as many more as close more gaps. */
+/**
+ * @brief Best range of the usual size, or of a larger size if that closes
+ * more gaps.
+ */
 std::optional<LayerRange>
 BestFit(const Cover& aCover, const Engine& aEngine, const LayerNeed& aNeed)
 {
@@ -114,7 +120,10 @@
   return best;
 }
 
-/** @brief Whether other engines hold every layer that an engine holds. */
+/**
+ * @brief Whether every layer that an engine holds is held by another one
+ * too.
+ */
 bool
 HeldByOthers(LayerRange aLayers, std::span<const std::uint32_t> aHolders)
 {
@@ -123,7 +132,7 @@
                              [](std::uint32_t aCount) { return aCount >= 2; });
 }
 
-/** Whether a zone has memory for all layers, so that a gap can be closed. */
+/** Whether the engines of a zone have memory for all layers together. */
 bool
 HoldsAll(std::span<const Engine> aEngines,
          const ZoneId& aZone,
--- a/src/balsampoint/placement/query/fill.hpp
+++ b/src/balsampoint/placement/query/fill.hpp
@@ -7,48 +7,50 @@
 namespace balsampoint::placement {
 
 /**
- * @brief Finds the range with which an engine that holds nothing helps most.
+ * @brief Finds the most useful layer range for an engine that holds none.
  *
- * Layers that no other engine of its zone holds come first, then those that
- * the fewest engines hold.
- * @param aEngine The engine.
- * @param aOthers The other engines with the layers that they hold.
- * @param aNeed What a layer needs.
- * @return The range; absent if the engine can't hold a layer.
+ * Prefers layers that no engine holds, then layers that no other engine of
+ * its zone holds, then those with the fewest holders.
+ * @param aEngine Engine without layers.
+ * @param aOthers Other engines with the layers that they hold.
+ * @param aNeed Size of the model.
+ * @return The range; absent if the engine's memory is too small for a layer.
  */
 [[nodiscard]] std::optional<LayerRange>
 FillOne(const Engine& aEngine,
         std::span<const Engine> aOthers,
         const LayerNeed& aNeed);
 
-/** @brief One engine that is to hold another range. */
+/** @brief Assignment of another range to an engine that holds layers. */
 struct Move
 {
   ServerId server;
   LayerRange layers;
-  /** Whether its zone holds all its present layers without it. */
+  /** Whether other engines of its zone hold all layers that it holds now. */
   bool spare{ false };
 };
 
 /**
- * @brief Finds an engine that is to hold another range, so that its zone lacks
- * fewer layers.
+ * @brief Finds the engine whose move to another range best reduces the
+ * number of layers missing in its zone.
  *
- * Engines that their zone can do without come first, then those whose layers
- * other zones hold too; of these the ones with the fewest layers to load.
- * @param aEngines The engines with the layers that they hold.
- * @param aNeed What a layer needs.
+ * Prefers engines whose layers other engines of their zone hold too, then
+ * those whose layers only other zones hold; then moves that close more gaps,
+ * then engines that hold fewer layers.
+ * @param aEngines Engines with the layers that they hold.
+ * @param aNeed Size of the model.
  * @return The move; absent if no zone lacks layers or no single move helps.
  */
 [[nodiscard]] std::optional<Move>
 CloseGap(std::span<const Engine> aEngines, const LayerNeed& aNeed);
 
 /**
- * @brief Finds the moves that may be made at once: several of engines that
- * their zone can do without, or a single other one.
- * @param aEngines The engines with the layers that they hold.
- * @param aNeed What a layer needs.
- * @return The range of each engine that moves.
+ * @brief Finds the moves that may be made at the same time: several of
+ * engines whose layers are also held by others of their zone, or a single
+ * one of another engine.
+ * @param aEngines Engines with the layers that they hold.
+ * @param aNeed Size of the model.
+ * @return New range of each engine that moves.
  */
 [[nodiscard]] Plan
 CloseGaps(std::span<const Engine> aEngines, const LayerNeed& aNeed);
--- a/src/balsampoint/placement/query/plan_all.cpp
+++ b/src/balsampoint/placement/query/plan_all.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-/** Requests whose KV fits beside the layers of any engine. */
+/** Number of typical requests whose KV must fit beside the layers of any
+ * engine. */
 constexpr double kLeastRequests = 12.0;
-/** Part of a copy's usual memory that its engines may lack: the layers that a
- * copy left out would have too little room of all. */
+/** Fraction of the memory of a copy that its engines may lack: leaving the copy
+ * out would leave too little KV capacity for its layers. */
 constexpr double kMayLack = 0.15;
 
 using Group = std::vector<const Engine*>;
@@ -26,7 +27,10 @@
     });
 }
 
-/** @brief Sizes that follow the memory and add up to a number of layers. */
+/**
+ * @brief Splits a number of layers over engines in proportion to their
+ * memory.
+ */
 std::vector<std::uint32_t>
 Sizes(const Group& aGroup, std::uint32_t aLayers, const LayerNeed& aNeed)
 {
@@ -42,7 +46,7 @@
     sum += size;
   }
   while (sum < aLayers) {
-    // The engine that is furthest below its share takes one more layer.
+    // Give one more layer to the engine that is furthest below its share.
     std::size_t best = aGroup.size();
     double furthest = -1e9;
     for (std::size_t at = 0; at < aGroup.size(); ++at) {
@@ -61,7 +65,10 @@
   return sizes;
 }
 
-/** @brief Lays the engines of a group one after the other. */
+/**
+ * @brief Assigns consecutive ranges to the engines of a group, fastest
+ * first.
+ */
 void
 LayOut(Group aGroup,
        std::uint32_t aBegin,
@@ -81,7 +88,7 @@
   }
 }
 
-/** @brief Whether engines have memory for a whole copy. */
+/** @brief Whether engines together have memory for a copy of the model. */
 bool
 HoldsAll(const Group& aGroup, const LayerNeed& aNeed)
 {
@@ -92,7 +99,10 @@
   return most >= aNeed.layers;
 }
 
-/** @brief Lays engines from the first layer on, as far as they reach. */
+/**
+ * @brief Assigns ranges from the first layer on, as far as the memory of the
+ * engines reaches.
+ */
 void
 LayOutPart(const Group& aGroup, const LayerNeed& aNeed, Plan& aPlan)
 {
@@ -104,14 +114,17 @@
   LayOut(aGroup, 0, std::clamp(layers, 1U, aNeed.layers), aNeed, aPlan);
 }
 
-/** @brief Splits a zone's engines into whole copies and what is left. */
+/**
+ * @brief Splits a zone's engines into groups that hold a copy of the model
+ * each, and the rest.
+ */
 class ZoneSplit
 {
 public:
   ZoneSplit(Group aEngines, const LayerNeed& aNeed)
     : mNeed{ aNeed }
   {
-    // Fast engines make up the whole copies; slow ones stand by.
+    // Fast engines form the whole copies; slow ones form the rest.
     std::ranges::stable_sort(aEngines, [](const auto* aOne, const auto* aTwo) {
       return std::pair{ aOne->stepFactor, -aOne->memoryMb } <
              std::pair{ aTwo->stepFactor, -aTwo->memoryMb };
@@ -130,7 +143,7 @@
   [[nodiscard]] const Group& Rest() const { return mRest; }
 
 private:
-  /** Each engine goes to the copy that has the least memory. */
+  /** Adds each engine to the copy with the least memory so far. */
   void Distribute(const Group& aEngines, std::size_t aCopies)
   {
     if (aCopies == 0) {
--- a/src/balsampoint/placement/query/plan_all.hpp
+++ b/src/balsampoint/placement/query/plan_all.hpp
@@ -6,33 +6,39 @@
 
 namespace balsampoint::placement {
 
-/** @brief Requests for whose KV each copy of the model leaves room. */
+/**
+ * @brief Number of typical requests whose KV each copy of the model must
+ * have memory for.
+ */
 inline constexpr double kRequestsPerCopy = 150.0;
 
 /**
- * @brief Places a model on engines that hold nothing.
+ * @brief Places a model on engines that hold no layers.
  *
- * Each zone with memory for it gets whole copies, so that it can serve alone
- * and chains don't cross between zones; what is left in a zone holds the first
- * layers once more. Zones without a whole copy form copies together.
- * @param aEngines The engines.
- * @param aNeed What a layer needs.
- * @return A range for every engine that can hold a layer.
+ * Each zone with enough memory holds whole copies, so that it can serve
+ * requests alone and chains don't cross zones; its remaining engines hold
+ * the first layers once more. Zones without enough memory for a copy form
+ * one together.
+ * @param aEngines Engines of all zones.
+ * @param aNeed Size of the model.
+ * @return Layer ranges by engine; engines without memory for a layer have
+ * none.
  */
 [[nodiscard]] Plan
 PlanAll(std::span<const Engine> aEngines, const LayerNeed& aNeed);
 
 /**
- * @brief Memory that a layer of a copy takes with its KV, in megabytes.
- * @param aNeed What a layer needs.
+ * @brief Memory of one layer and its KV in a copy of the model, in
+ * megabytes.
+ * @param aNeed Size of the model.
  */
 [[nodiscard]] double
 PerLayerMb(const LayerNeed& aNeed);
 
 /**
- * @brief The most layers that an engine holds with room for some KV.
- * @param aEngine The engine.
- * @param aNeed What a layer needs.
+ * @brief Largest number of layers that an engine can hold with the least KV.
+ * @param aEngine Engine to measure.
+ * @param aNeed Size of the model.
  */
 [[nodiscard]] std::uint32_t
 MostLayers(const Engine& aEngine, const LayerNeed& aNeed);
--- a/src/balsampoint/placement/state.hpp
+++ b/src/balsampoint/placement/state.hpp
@@ -14,46 +14,49 @@
 
 namespace balsampoint::placement {
 
-/** @brief Times of placement. */
+/** @brief Times and timeouts of placement. */
 struct Settings
 {
-  /** Time without a new engine after which the first plan is made and engines
-   * that hold layers are moved; also the time that a new leader looks on. */
+  /** Time without a new engine before the first plan is made or engines that
+   * hold layers are moved; also the time that a new leader waits before its
+   * first order. */
   Duration settle{ std::chrono::milliseconds{ 1300 } };
-  /** Time that a lost engine may come back before others take its part. */
+  /** Time for which a silent engine may return before its layers are placed on
+   * others. */
   Duration lossPatience{ std::chrono::milliseconds{ 1500 } };
-  /** Time for the answer to an order. */
+  /** Timeout of the answer to an order. */
   Duration answerLimit{ std::chrono::milliseconds{ 800 } };
-  /** Time after which an order that shows no effect is looked into. */
+  /** Time, beyond the load time, after which an order without effect is
+   * overdue. */
   Duration effectLimit{ std::chrono::seconds{ 3 } };
   /** Shortest time between two moves of engines that hold layers. */
   Duration movePause{ std::chrono::seconds{ 2 } };
 };
 
-/** @brief An order to one engine. */
+/** @brief An order to one engine to load a layer range. */
 struct Order
 {
   LayerRange layers;
   Instant givenAt{};
-  /** Time by which its effect is expected. */
+  /** When the order is repeated if the engine does not hold the range. */
   Instant effectDue{};
-  /** Whether an answer is awaited. */
+  /** Whether its answer is pending. */
   bool open{ false };
 };
 
-/** @brief One engine and what it was told. */
+/** @brief One engine and the last order to it. */
 struct Known
 {
   roster::Claim claim;
   bool ready{ false };
-  /** When it was lost; `kNever` while it is there. */
+  /** When it stopped accepting work; `kNever` while it does. */
   Instant lostAt{ kNever };
-  /** Orders accepted since its start, as far as known. */
+  /** Number of orders that it has accepted since its start, as last known. */
   std::uint64_t orders{};
   std::optional<Order> order;
 };
 
-/** @brief Placement on one host; only the leader gives orders. */
+/** @brief Placement on one host; only the leader sends orders. */
 struct State
 {
   Settings settings;
@@ -62,13 +65,13 @@
   FencingNumber fencing;
   std::map<ServiceId, routing::EngineProfile> profiles;
   std::map<ServerId, Known> engines;
-  /** When an engine was last seen for the first time. */
+  /** When the newest engine first appeared. */
   Instant newestAt{};
   Instant lastMoveAt{};
   Instant nextLook{ kNever };
 };
 
-/** @brief The servers changed. */
+/** @brief The roster published a new view. */
 struct ServersChanged
 {
   std::shared_ptr<const roster::View> view;
@@ -80,26 +83,26 @@
   std::map<ServiceId, routing::EngineProfile> profiles;
 };
 
-/** @brief This host leads the control group from now on, or no longer. */
+/** @brief This host became leader of the control group, or stepped down. */
 struct Leading
 {
   bool leading{ false };
-  /** Rises with each leader. */
+  /** Increases with each leader. */
   FencingNumber fencing;
 };
 
 /** @brief How an engine answered an order. */
 enum class OrderOutcome : std::uint8_t
 {
-  /** It has begun, or holds the range already. */
+  /** It has begun to load the range, or holds it already. */
   Accepted,
-  /** It does not fit the engine's state. */
+  /** The order does not match the engine's state. */
   Refused,
-  /** No answer came; it may be carried out later. */
+  /** No answer arrived; the engine may still carry out the order. */
   Unknown,
 };
 
-/** @brief An engine answered an order, or did not. */
+/** @brief An order was answered or timed out. */
 struct OrderEnded
 {
   ServerId server;
@@ -107,7 +110,7 @@
   OrderOutcome outcome{};
 };
 
-/** @brief What an engine says of itself. */
+/** @brief An engine reported its state. */
 struct Reported
 {
   ServerId server;
@@ -117,16 +120,16 @@
   std::optional<LayerRange> layers;
 };
 
-/** @brief What placement reacts to. */
+/** @brief Input of placement. */
 using Event =
   std::variant<ServersChanged, Configured, Leading, OrderEnded, Reported>;
 
-/** @brief Orders an engine to hold a range; `OrderEnded` follows. */
+/** @brief Orders an engine to load a range; `OrderEnded` follows. */
 struct Give
 {
   ServerId server;
   Incarnation born;
-  /** IP number and port. */
+  /** IP address and port. */
   std::string address;
   LayerRange layers;
   std::uint64_t expectedOrders{};
@@ -134,7 +137,7 @@
   Duration limit{};
 };
 
-/** @brief Asks an engine for its state; `Reported` follows if it answers. */
+/** @brief Requests the state of an engine; `Reported` follows if it answers. */
 struct AskReport
 {
   ServerId server;
@@ -142,10 +145,10 @@
   std::string address;
 };
 
-/** @brief What placement asks of the daemon. */
+/** @brief Output of placement, carried out by the daemon. */
 using Action = std::variant<Give, AskReport>;
 
-/** @brief Collects what a command asks of the daemon. */
+/** @brief Actions collected by a command, in order. */
 using Actions = std::vector<Action>;
 
 } // namespace balsampoint::placement
--- a/test/balsampoint/placement/fixture.hpp
+++ b/test/balsampoint/placement/fixture.hpp
@@ -7,18 +7,18 @@
 
 namespace balsampoint::test {
 
-/** @brief The model of both users: 80 layers of 1,750 MB. */
+/** @brief Reference model: 80 layers of 1,750 MB. */
 inline constexpr placement::LayerNeed kUsersModel{ .layers = 80,
                                                    .layerMb = 1750.0,
                                                    .requestMb = 7.3 };
 
 /**
  * @brief Adds engines of one kind to a zone.
- * @param aInto Receives the engines.
- * @param aZone The zone.
- * @param aCount How many.
- * @param aMemoryMb Memory of each.
- * @param aStepFactor Slowness of each.
+ * @param aInto Engines are appended to it.
+ * @param aZone Availability zone of the engines.
+ * @param aCount Number of engines.
+ * @param aMemoryMb Memory of each engine, in megabytes.
+ * @param aStepFactor Slowdown of each engine.
  */
 inline void
 AddEngines(std::vector<placement::Engine>& aInto,
@@ -39,12 +39,12 @@
 }
 
 /**
- * @brief Adds a zone's engines of the users' three kinds.
- * @param aInto Receives the engines.
- * @param aZone The zone.
- * @param aLarge Engines with the most memory.
- * @param aSmall Engines with the least memory.
- * @param aSlow The slowest engines.
+ * @brief Adds engines of the three reference types to a zone.
+ * @param aInto Engines are appended to it.
+ * @param aZone Availability zone of the engines.
+ * @param aLarge Number of engines with the most memory.
+ * @param aSmall Number of engines with the least memory.
+ * @param aSlow Number of the slowest engines.
  */
 inline void
 AddZone(std::vector<placement::Engine>& aInto,
@@ -58,7 +58,7 @@
   AddEngines(aInto, aZone, aSlow, 21600.0, 16.0);
 }
 
-/** @brief The users' fleet of 38 engines in three zones. */
+/** @brief Reference fleet of 38 engines in three zones. */
 [[nodiscard]] inline std::vector<placement::Engine>
 UsersFleet()
 {
@@ -69,7 +69,7 @@
   return engines;
 }
 
-/** @brief The fleet of 93 engines that one user has grown to. */
+/** @brief Larger fleet of 93 engines of the same types in three zones. */
 [[nodiscard]] inline std::vector<placement::Engine>
 GrownFleet()
 {
--- a/test/balsampoint/placement/module_test.cpp
+++ b/test/balsampoint/placement/module_test.cpp
@@ -37,7 +37,7 @@
                                        .layers = aLayers } } };
 }
 
-/** @brief A leader with engines; keeps the orders that it gives. */
+/** @brief Runs the module of one host and records its orders. */
 struct Fixture
 {
   void Tell(const Event& aEvent)
@@ -131,7 +131,8 @@
   const auto first = host.given.front();
   host.Tell(OrderEnded{ first.server, first.born, OrderOutcome::Unknown });
   cr_assert_eq(host.asked, 1);
-  // It was carried out after all, so another order needs the new count.
+  // The engine did carry out the order, so the next one must expect the new
+  // count of accepted orders.
   host.Tell(Reported{
     .server = first.server, .born = first.born, .orders = 1, .busy = true });
   host.Run(20s);
--- a/test/balsampoint/placement/query/fill_test.cpp
+++ b/test/balsampoint/placement/query/fill_test.cpp
@@ -11,7 +11,10 @@
 
 namespace {
 
-/** @brief The users' fleet with its first plan carried out. */
+/**
+ * @brief Reference fleet in which each engine holds its range of the first
+ * plan.
+ */
 std::vector<Engine>
 PlacedFleet()
 {
--- a/test/balsampoint/placement/query/plan_all_test.cpp
+++ b/test/balsampoint/placement/query/plan_all_test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/** @brief How often a zone's engines hold each layer. */
+/** @brief Number of a zone's engines that hold each layer. */
 std::vector<int>
 Cover(const std::vector<Engine>& aEngines, const Plan& aPlan, std::string aZone)
 {
