Reword the comments of the usage module

Many comments were terse or figurative and hard to read for newcomers. They now say in the usual terms what a value is, its unit, and what a function does. Only comments change.

--- a/src/balsampoint/usage/command/sum_up.hpp
+++ b/src/balsampoint/usage/command/sum_up.hpp
@@ -5,10 +5,11 @@
 namespace balsampoint::usage {
 
 /**
- * @brief Sums up what entry hosts have in progress, for each of them.
- * @param aState State to change; reports that are too old are dropped.
- * @param aNow The time.
- * @param aActions Receives a message for each entry host.
+ * @brief Sends each entry host the sum of the work that the other entry
+ * hosts have in progress.
+ * @param aState State to change; expired reports are dropped.
+ * @param aNow Current time.
+ * @param aActions A message for each entry host is appended to it.
  */
 void
 SumUp(State& aState, Instant aNow, Actions& aActions);
--- a/src/balsampoint/usage/fwd.hpp
+++ b/src/balsampoint/usage/fwd.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
-/** @brief What all entry hosts together have in progress on each server. */
+/**
+ * @brief Exchange of the work that entry hosts have in progress on each
+ * server; one control host collects and sums their reports.
+ */
 namespace balsampoint::usage {
 
 struct Module;
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -12,17 +12,17 @@
 struct ServerUse
 {
   ServerId server;
-  /** Requests that pass through it. */
+  /** Requests whose chain includes the server. */
   std::uint32_t passing{};
-  /** Requests that were sent to it. */
+  /** Requests sent to the server as the first of their chain. */
   std::uint32_t sent{};
-  /** KV of these requests, in tokens times layers. */
+  /** KV reserved for these requests, in tokens times layers. */
   double kv{};
 
   bool operator==(const ServerUse&) const = default;
 };
 
-/** @brief Work in progress that the sender has on servers. */
+/** @brief Work that the sending entry host has in progress. */
 struct OwnUse
 {
   std::vector<ServerUse> servers;
@@ -30,17 +30,20 @@
   bool operator==(const OwnUse&) const = default;
 };
 
-/** @brief Work in progress of all entry hosts but the receiver. */
+/**
+ * @brief Sum of the work that all entry hosts but the receiver have in
+ * progress.
+ */
 struct OthersUse
 {
   std::vector<ServerUse> servers;
-  /** Entry hosts that were summed up. */
+  /** Number of entry hosts in the sum. */
   std::uint32_t hosts{};
 
   bool operator==(const OthersUse&) const = default;
 };
 
-/** @brief What hosts tell each other about work in progress. */
+/** @brief Messages that hosts exchange about work in progress. */
 using Message = std::variant<OwnUse, OthersUse>;
 
 } // namespace balsampoint::usage
--- a/src/balsampoint/usage/module.hpp
+++ b/src/balsampoint/usage/module.hpp
@@ -5,7 +5,7 @@
 
 namespace balsampoint::usage {
 
-/** @brief The exchange of work in progress as the control thread runs it. */
+/** @brief Control module of the exchange of work in progress. */
 struct Module
 {
   using State = usage::State;
@@ -13,11 +13,11 @@
   using Action = usage::Action;
 
   /**
-   * @brief Reacts to one event.
+   * @brief Applies one event to the state.
    * @param aState State to change.
-   * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives the actions.
+   * @param aEvent Event to apply.
+   * @param aNow Current time.
+   * @param aActions Actions for the daemon are appended to it.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -25,17 +25,17 @@
                      Actions& aActions);
 
   /**
-   * @brief Tells every entry host that reports here what the others have.
+   * @brief Sends every entry host that reports here the work of the others.
    * @param aState State to change.
-   * @param aNow The time.
-   * @param aActions Receives the messages.
+   * @param aNow Current time.
+   * @param aActions Messages to send are appended to it.
    */
   static void Tick(State& aState, Instant aNow, Actions& aActions);
 
   /**
-   * @brief Tells when `Tick` is due.
+   * @brief Returns when `Tick` must run next.
    * @param aState State to read.
-   * @return The time, or `kNever`.
+   * @return Time of the next call, or `kNever` if none is scheduled.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/usage/state.hpp
+++ b/src/balsampoint/usage/state.hpp
@@ -11,73 +11,80 @@
 
 namespace balsampoint::usage {
 
-/** @brief Times of the exchange. */
+/** @brief Settings of the exchange; constant while the host runs. */
 struct Settings
 {
   HostId self;
-  /** Time between two sums told to an entry host. */
+  /** Time between two sums sent to an entry host. */
   Duration interval{ std::chrono::milliseconds{ 200 } };
-  /** Age at which an entry host's use no longer counts. */
+  /** Age at which an entry host's report expires. */
   Duration lifetime{ std::chrono::milliseconds{ 1500 } };
 };
 
-/** @brief What one entry host has in progress. */
+/** @brief Last report of one entry host. */
 struct Reported
 {
   OwnUse use;
   Instant at{};
 };
 
-/** @brief The sums of one host; the control thread owns them. */
+/** @brief State of the exchange on one host; owned by the control thread. */
 struct State
 {
   Settings settings;
-  /** Host that sums up; empty if not known. */
+  /** Control host to which this host sends its work; empty if none is
+   * reachable. */
   HostId collector;
-  /** Entry hosts that report here. */
+  /** Reports of entry hosts to this host. */
   std::map<HostId, Reported> reports;
   Instant nextSum{ kNever };
 };
 
-/** @brief The host that sums up is known; empty for none. */
+/**
+ * @brief The control host that collects reports changed; empty if none is
+ * reachable.
+ */
 struct CollectorKnown
 {
   HostId host;
 };
 
-/** @brief This host's traffic thread tells what it has in progress. */
+/** @brief This host's traffic thread measured its work in progress. */
 struct Measured
 {
   OwnUse use;
 };
 
-/** @brief A message of another host. */
+/** @brief A message arrived from another host. */
 struct Received
 {
   HostId from;
   Message message;
 };
 
-/** @brief What the exchange reacts to. */
+/** @brief Input of the exchange. */
 using Event = std::variant<CollectorKnown, Measured, Received>;
 
-/** @brief Sends a message to another host without waiting. */
+/** @brief Sends a message to another host; delivery is not confirmed. */
 struct Send
 {
   HostId to;
   Message message;
 };
 
-/** @brief Tells this host's traffic thread what others have in progress. */
+/**
+ * @brief Passes the work of the other entry hosts to this host's traffic
+ * thread.
+ */
 struct Tell
 {
   std::shared_ptr<const OthersUse> others;
 };
 
-/** @brief What the exchange asks of the daemon. */
+/** @brief Output of the exchange, carried out by the daemon. */
 using Action = std::variant<Send, Tell>;
 
-/** @brief Collects what a command asks of the daemon. */
+/** @brief Actions collected by a command, in order. */
 using Actions = std::vector<Action>;
 
 } // namespace balsampoint::usage
