Reword the comments of the registry module

Many comments were terse or figurative and hard to read for newcomers. They now say in the usual terms what a value is, its unit, and what a function does. Only comments change.

--- a/src/balsampoint/registry/action.hpp
+++ b/src/balsampoint/registry/action.hpp
@@ -13,24 +13,25 @@
 struct Answered
 {
   Ticket ticket;
-  /** Time within which the server renews, or why it is refused. */
+  /** Time within which the server must announce itself again, or the reason of
+   * the refusal. */
   tl::expected<Duration, Error> result;
 };
 
-/** @brief Replaces the view that traffic threads read. */
+/** @brief Publishes a new view to the traffic threads. */
 struct Publish
 {
   std::shared_ptr<const View> view;
 };
 
-/** @brief Sends a message to another host without waiting. */
+/** @brief Sends a message to another host; delivery is not confirmed. */
 struct Send
 {
   HostId to;
   Message message;
 };
 
-/** @brief What the registry asks its adapters to do. */
+/** @brief Output of the registry, carried out by its adapters. */
 using Action = std::variant<Answered, Publish, Send>;
 
 } // namespace balsampoint::registry
--- a/src/balsampoint/registry/announcement.hpp
+++ b/src/balsampoint/registry/announcement.hpp
@@ -12,35 +12,35 @@
 
 namespace balsampoint::registry {
 
-/** @brief What a backend server is. */
+/** @brief Type of a backend server. */
 enum class ServerKind : std::uint8_t
 {
   ModelEngine,
   PlainService,
 };
 
-/** @brief What a backend server says of itself. */
+/** @brief State that a backend server reports of itself. */
 enum class ServerState : std::uint8_t
 {
   Ready,
-  /** Finishes what it has and takes no new work. */
+  /** Draining: finishes its requests and accepts no new ones. */
   Leaving,
 };
 
-/** @brief One model version that an engine holds, whole or in part. */
+/** @brief One model version of which an engine holds all layers or a range. */
 struct Holding
 {
   ModelId model;
   std::string version;
   std::set<std::string> adapters;
   LayerRange layers;
-  /** Layers of the whole model. */
+  /** Number of layers of the whole model. */
   std::uint32_t modelLayers{};
 
   auto operator<=>(const Holding&) const = default;
 };
 
-/** @brief Load as the server reports it; late by its own interval. */
+/** @brief Load as reported by the server, up to one report interval old. */
 struct Load
 {
   std::uint32_t runningRequests{};
@@ -50,20 +50,20 @@
   auto operator<=>(const Load&) const = default;
 };
 
-/** @brief One announcement, free of its encoding. */
+/** @brief One announcement of a backend server, independent of its encoding. */
 struct Announcement
 {
   ServerId server;
   Incarnation incarnation;
   ServerKind kind{ ServerKind::ModelEngine };
-  /** IP number and port, `127.0.0.1:9000`. */
+  /** IP address and port, such as `127.0.0.1:9000`. */
   std::string address;
   ZoneId zone;
   std::string acceleratorKind;
-  /** Layers times tokens the server runs in a second. */
+  /** Throughput of the server in layers times tokens per second. */
   double layerTokensPerSecond{};
   std::vector<Holding> holdings;
-  /** The service a plain server belongs to; empty for an engine. */
+  /** Service that a plain server belongs to; empty for an engine. */
   ServiceId service;
   std::uint64_t kvCapacityTokens{};
   ServerState state{ ServerState::Ready };
--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -50,7 +50,8 @@
   });
 }
 
-/** Whether this host leases so many fewer servers that it takes one more. */
+/** Whether the owner leases so many more servers than this host that this host
+ * takes the lease over. */
 bool
 EvensOut(const State& aState, const HostId& aOwner)
 {
--- a/src/balsampoint/registry/command/announce.hpp
+++ b/src/balsampoint/registry/command/announce.hpp
@@ -7,12 +7,15 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Takes in an announcement made to this host.
- * @param aState The registry; unchanged on error.
- * @param aAnnouncement The announcement.
+ * @brief Validates and applies an announcement that a server made to this
+ * host.
+ * @param aState State to change; unchanged on error.
+ * @param aAnnouncement Announcement as received.
  * @param aNow Time of receipt.
- * @return The length of the lease, `ErrorKind::BadRequest` for what is
- * impossible, or `ErrorKind::Conflict` for old news and a second claimant.
+ * @return Length of the lease, `ErrorKind::BadRequest` for an invalid
+ * announcement, `ErrorKind::Conflict` for one of an older incarnation or for
+ * a server id that is in use, or `ErrorKind::Overloaded` if the registry is
+ * full.
  */
 [[nodiscard]] tl::expected<Duration, Error>
 Announce(State& aState, const Announcement& aAnnouncement, Instant aNow);
--- a/src/balsampoint/registry/command/expire.cpp
+++ b/src/balsampoint/registry/command/expire.cpp
@@ -28,7 +28,8 @@
   internal::WantView(aState, aNow);
 }
 
-/** Lets records run out whose host fell silent without being dead. */
+/** Expires the records of hosts that are unreachable although membership still
+ * lists them. */
 void
 EndContacts(State& aState, Instant aNow)
 {
--- a/src/balsampoint/registry/command/expire.hpp
+++ b/src/balsampoint/registry/command/expire.hpp
@@ -5,9 +5,10 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Ends what has run out: leases, summaries and the memory of losses.
- * @param aState The registry.
- * @param aNow The time; a lease ending at it has run out.
+ * @brief Ends expired leases, hides servers of unreachable hosts, and drops
+ * expired summaries and records of lost servers.
+ * @param aState State to change.
+ * @param aNow Current time; what expires at exactly this time has expired.
  */
 void
 Expire(State& aState, Instant aNow);
--- a/src/balsampoint/registry/command/flush.cpp
+++ b/src/balsampoint/registry/command/flush.cpp
@@ -88,7 +88,8 @@
                              .doubted = internal::Doubted(aState, aNow) } });
 }
 
-/** Whether this host is the one that tells other zones of its zone. */
+/** Whether this host is the one that sends the summary of its zone to other
+ * zones: the one with the lowest hash of its id. */
 bool
 IsSpeaker(const State& aState)
 {
--- a/src/balsampoint/registry/command/flush.hpp
+++ b/src/balsampoint/registry/command/flush.hpp
@@ -8,10 +8,10 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Sends what is due to other hosts.
- * @param aState The registry.
- * @param aNow The time.
- * @param aActions Receives the messages.
+ * @brief Sends the queued messages to other hosts that are due.
+ * @param aState State to change.
+ * @param aNow Current time.
+ * @param aActions Messages to send are appended to it.
  */
 void
 Flush(State& aState, Instant aNow, std::vector<Action>& aActions);
--- a/src/balsampoint/registry/command/observe.cpp
+++ b/src/balsampoint/registry/command/observe.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** The average moves by one part in so many with each step. */
+/** Inverse weight of a new step time in the moving average. */
 constexpr Duration::rep kStepWeight = 8;
 
 void
--- a/src/balsampoint/registry/command/observe.hpp
+++ b/src/balsampoint/registry/command/observe.hpp
@@ -7,13 +7,16 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Takes in what traffic threads saw of servers.
+ * @brief Updates the health of servers from the observations of traffic
+ * threads.
  *
- * Errors in a row make this host avoid the server for a time that doubles with
- * each relapse; other hosts judge for themselves.
- * @param aState The registry.
- * @param aObservations What was seen; of an old incarnation it is ignored.
- * @param aNow The time.
+ * After a number of consecutive errors this host avoids the server, for a
+ * time that doubles with each further avoidance until the server answers.
+ * The health is local to this host.
+ * @param aState State to change.
+ * @param aObservations Observations; those of another incarnation are
+ * ignored.
+ * @param aNow Current time.
  */
 void
 Observe(State& aState,
--- a/src/balsampoint/registry/command/receive.cpp
+++ b/src/balsampoint/registry/command/receive.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** @brief One message on its way into the state. */
+/** @brief Visitor that applies each type of message. */
 struct Receipt
 {
   State& state;
--- a/src/balsampoint/registry/command/receive.hpp
+++ b/src/balsampoint/registry/command/receive.hpp
@@ -9,11 +9,11 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Takes in a message of another host.
- * @param aState The registry.
- * @param aReceived The message and its sender.
+ * @brief Applies a message of another host.
+ * @param aState State to change.
+ * @param aReceived Message and its sender.
  * @param aNow Time of receipt.
- * @param aActions Receives what is to be sent.
+ * @param aActions Messages to send are appended to it.
  */
 void
 Receive(State& aState,
--- a/src/balsampoint/registry/command/set_hosts.hpp
+++ b/src/balsampoint/registry/command/set_hosts.hpp
@@ -6,13 +6,14 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Takes in which hosts are in reach.
+ * @brief Updates which hosts are reachable, from the membership view.
  *
- * Servers leased by a host out of reach stay visible for one lease, in which
- * they can announce themselves to another host.
- * @param aState The registry.
- * @param aView The hosts.
- * @param aNow The time.
+ * Servers leased by an unreachable host stay visible for `orphanGrace`, and
+ * for one lease if the host has left in order, so that they can announce
+ * themselves to another host.
+ * @param aState State to change.
+ * @param aView View of all hosts.
+ * @param aNow Current time.
  */
 void
 SetHosts(State& aState, const member::View& aView, Instant aNow);
--- a/src/balsampoint/registry/event.hpp
+++ b/src/balsampoint/registry/event.hpp
@@ -23,30 +23,30 @@
 /** @brief A configuration came into force. */
 struct Configured
 {
-  /** Layers of each configured model. */
+  /** Number of layers of each configured model. */
   std::map<ModelId, std::uint32_t> modelLayers;
 };
 
-/** @brief The list of hosts changed. */
+/** @brief The membership view changed. */
 struct HostsChanged
 {
   std::shared_ptr<const member::View> view;
 };
 
-/** @brief Traffic threads had contact with servers. */
+/** @brief Traffic threads report outcomes of their requests to servers. */
 struct Observed
 {
   std::vector<Observation> observations;
 };
 
-/** @brief A message of another host arrived. */
+/** @brief A message arrived from another host. */
 struct Received
 {
   HostId from;
   Message message;
 };
 
-/** @brief What the registry reacts to. */
+/** @brief Input of the registry. */
 using Event =
   std::variant<Announced, Configured, HostsChanged, Observed, Received>;
 
--- a/src/balsampoint/registry/fwd.hpp
+++ b/src/balsampoint/registry/fwd.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
-/** @brief Backend servers that announced themselves, and their leases. */
+/**
+ * @brief Registry of the backend servers that announced themselves, with
+ * leases and replication between hosts.
+ */
 namespace balsampoint::registry {
 
 struct Announcement;
--- a/src/balsampoint/registry/health.hpp
+++ b/src/balsampoint/registry/health.hpp
@@ -8,7 +8,7 @@
 
 namespace balsampoint::registry {
 
-/** @brief How one contact with a server went. */
+/** @brief Outcome of one request to a server. */
 enum class Outcome : std::uint8_t
 {
   Answered,
@@ -16,25 +16,28 @@
   Failed,
 };
 
-/** @brief What a traffic thread saw of a server. */
+/** @brief Outcome and time of a traffic thread's request to a server. */
 struct Observation
 {
   ServerId server;
   Incarnation incarnation;
   Outcome outcome{};
-  /** Time of one step; zero when none was timed. */
+  /** Time of one step; zero if it was not measured. */
   Duration stepTime{};
 };
 
-/** @brief What this host saw of a server; never told to other hosts. */
+/**
+ * @brief Health of a server as seen by this host; not shared with other
+ * hosts.
+ */
 struct Health
 {
   std::uint32_t errorsInRow{};
-  /** How often it was avoided since it last answered. */
+  /** Number of times it was avoided since its last answer. */
   std::uint32_t avoidances{};
-  /** Before this time the host prefers other servers. */
+  /** Until this time the host prefers other servers. */
   Instant avoidUntil{};
-  /** Moving average; zero when no step was timed. */
+  /** Moving average of the step time; zero if none was measured. */
   Duration stepTime{};
 };
 
--- a/src/balsampoint/registry/internal/change.cpp
+++ b/src/balsampoint/registry/internal/change.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** The earliest time at least an interval after the last one. */
+/** The earliest time that is at least an interval after the last one. */
 Instant
 After(Instant aLast, Duration aInterval, Instant aNow)
 {
--- a/src/balsampoint/registry/internal/change.hpp
+++ b/src/balsampoint/registry/internal/change.hpp
@@ -5,62 +5,65 @@
 namespace balsampoint::registry::internal {
 
 /**
- * @brief Gives the time between two broadcasts of loads.
- * @param aState The registry.
- * @return The time; it grows with the zone.
+ * @brief Returns the time between two broadcasts of loads.
+ * @param aState State of the registry.
+ * @return The interval; it grows with the number of hosts in the zone.
  */
 [[nodiscard]] Duration
 LoadBroadcastInterval(const State& aState);
 
 /**
- * @brief Queues a changed record for the zone and for the next view.
- * @param aState The registry.
- * @param aServer The changed server.
- * @param aNow The time.
+ * @brief Queues a changed record for the zone's hosts and for the next view.
+ * @param aState State of the registry.
+ * @param aServer Server that changed.
+ * @param aNow Current time.
  */
 void
 MarkChanged(State& aState, const ServerId& aServer, Instant aNow);
 
 /**
- * @brief Queues an own record's load for the zone.
- * @param aState The registry.
- * @param aServer The server.
- * @param aNow The time.
+ * @brief Queues the load of a server that this host leases for the zone's
+ * hosts.
+ * @param aState State of the registry.
+ * @param aServer Server to report.
+ * @param aNow Current time.
  */
 void
 MarkLoad(State& aState, const ServerId& aServer, Instant aNow);
 
 /**
- * @brief Queues a renewal for the host that leases.
- * @param aState The registry.
- * @param aServer The server.
- * @param aNow The time.
+ * @brief Queues a renewal for the host that leases the server.
+ * @param aState State of the registry.
+ * @param aServer Server to report.
+ * @param aNow Current time.
  */
 void
 MarkRenewal(State& aState, const ServerId& aServer, Instant aNow);
 
 /**
- * @brief Asks for a view, at once or gathered with other changes of load.
- * @param aState The registry.
- * @param aDue When the view is due at the latest.
+ * @brief Schedules the publication of a view; of several times the earliest
+ * holds.
+ * @param aState State of the registry.
+ * @param aDue Latest time for the publication.
  */
 void
 WantView(State& aState, Instant aDue);
 
 /**
- * @brief Makes this host the one that leases.
- * @param aState The registry.
- * @param aRecord The record.
- * @param aNow The time.
+ * @brief Makes this host the owner of the lease, with a new version of the
+ * claim.
+ * @param aState State of the registry.
+ * @param aRecord Record of the server.
+ * @param aNow Current time.
  */
 void
 TakeOver(State& aState, Record& aRecord, Instant aNow);
 
 /**
- * @brief Whether the server announced itself here within one lease.
- * @param aState The registry.
- * @param aRecord The record.
- * @param aNow The time.
+ * @brief Whether the server announced itself to this host within one lease.
+ * @param aState State of the registry.
+ * @param aRecord Record of the server.
+ * @param aNow Current time.
  */
 [[nodiscard]] bool
 HeardLately(const State& aState, const Record& aRecord, Instant aNow);
--- a/src/balsampoint/registry/internal/contact.hpp
+++ b/src/balsampoint/registry/internal/contact.hpp
@@ -7,29 +7,32 @@
 namespace balsampoint::registry::internal {
 
 /**
- * @brief Whether news of another host of the zone reach this one.
- * @param aState The registry.
- * @param aHost The host.
- * @param aNow The time.
+ * @brief Whether this host has had direct or indirect contact with another
+ * host of the zone within the timeouts.
+ * @param aState State of the registry.
+ * @param aHost Other host of the zone.
+ * @param aNow Current time.
  */
 [[nodiscard]] bool
 InReach(const State& aState, const HostId& aHost, Instant aNow);
 
 /**
- * @brief Notes that a host was heard and shows its servers again.
- * @param aState The registry.
- * @param aHost The host; ignored if it is not one of the zone.
- * @param aHeardAt When it was heard.
- * @param aNow The time.
+ * @brief Records contact with a host; if it becomes reachable, its hidden
+ * servers become visible again.
+ * @param aState State of the registry.
+ * @param aHost Host; ignored unless it is a reachable member of the zone.
+ * @param aHeardAt Time of the contact.
+ * @param aNow Current time.
  */
 void
 NoteContact(State& aState, const HostId& aHost, Instant aHeardAt, Instant aNow);
 
 /**
- * @brief Lists the hosts that lease servers and were not heard for long.
- * @param aState The registry.
- * @param aNow The time.
- * @return The hosts in order.
+ * @brief Lists the hosts that lease servers and with which contact is
+ * overdue.
+ * @param aState State of the registry.
+ * @param aNow Current time.
+ * @return Hosts in the order of their ids.
  */
 [[nodiscard]] std::vector<HostId>
 Doubted(const State& aState, Instant aNow);
--- a/src/balsampoint/registry/internal/entries.hpp
+++ b/src/balsampoint/registry/internal/entries.hpp
@@ -11,8 +11,8 @@
 /**
  * @brief Copies records for another host.
  * @tparam Servers Range of server ids.
- * @param aState The registry.
- * @param aServers The servers wanted; unknown ones are left out.
+ * @param aState State to read.
+ * @param aServers Servers to include; unknown ones are left out.
  * @return The entries.
  */
 template<typename Servers>
@@ -39,8 +39,8 @@
 /**
  * @brief Copies the loads of servers for another host.
  * @tparam Servers Range of server ids.
- * @param aState The registry.
- * @param aServers The servers wanted; unknown ones are left out.
+ * @param aState State to read.
+ * @param aServers Servers to include; unknown ones are left out.
  * @return The loads.
  */
 template<typename Servers>
@@ -63,9 +63,9 @@
 
 /**
  * @brief Sends entries in messages of bounded size.
- * @param aTo The receiver.
- * @param aEntries The entries.
- * @param aActions Receives the messages.
+ * @param aTo Host that receives them.
+ * @param aEntries Entries to send.
+ * @param aActions Messages to send are appended to it.
  */
 void
 SendEntries(const HostId& aTo,
@@ -73,9 +73,9 @@
             std::vector<Action>& aActions);
 
 /**
- * @brief Sums up the live records.
- * @param aState The registry.
- * @return A number that two registries with the same claims share.
+ * @brief Hashes the live claims, independent of their order.
+ * @param aState State to read.
+ * @return Hash that is equal for two registries with the same live claims.
  */
 [[nodiscard]] std::uint64_t
 HashOf(const State& aState);
--- a/src/balsampoint/registry/internal/merge.hpp
+++ b/src/balsampoint/registry/internal/merge.hpp
@@ -5,12 +5,14 @@
 namespace balsampoint::registry::internal {
 
 /**
- * @brief Takes in another host's entry if its claim is higher.
+ * @brief Stores another host's entry if its claim is higher than the stored
+ * one.
  *
- * A loss is refuted when the server announced itself here within one lease.
- * @param aState The registry.
- * @param aEntry The entry.
- * @param aNow The time.
+ * A reported loss is refuted, by a new claim of this host, if the server
+ * announced itself to this host within one lease.
+ * @param aState State to change.
+ * @param aEntry Entry as received.
+ * @param aNow Current time.
  */
 void
 Merge(State& aState, const Entry& aEntry, Instant aNow);
--- a/src/balsampoint/registry/internal/summarize.hpp
+++ b/src/balsampoint/registry/internal/summarize.hpp
@@ -5,17 +5,18 @@
 namespace balsampoint::registry::internal {
 
 /**
- * @brief Sums up the own zone's ready servers by stage and by service.
- * @param aState The registry.
- * @return The summary, without a number.
+ * @brief Summarizes the ready servers of this host's zone by stage and by
+ * service.
+ * @param aState State to read.
+ * @return The summary; its number is not set.
  */
 [[nodiscard]] ZoneSummary
 Summarize(const State& aState);
 
 /**
- * @brief Tells two summaries apart that differ in more than load.
- * @param aState The registry.
- * @return A number that changes with the stages, services and their sizes.
+ * @brief Hashes the parts of the summary that do not depend on load.
+ * @param aState State to read.
+ * @return Hash of the stages and services with their numbers of servers.
  */
 [[nodiscard]] std::uint64_t
 StructureOf(const State& aState);
--- a/src/balsampoint/registry/internal/validate.hpp
+++ b/src/balsampoint/registry/internal/validate.hpp
@@ -7,10 +7,11 @@
 namespace balsampoint::registry::internal {
 
 /**
- * @brief Checks that an announcement is possible at all.
- * @param aState The registry with its zone and the configured models.
- * @param aAnnouncement The announcement.
- * @return Nothing, or the first reason against it.
+ * @brief Validates the fields of an announcement against each other, this
+ * zone and the configured models.
+ * @param aState State with the zone and the configured models.
+ * @param aAnnouncement Announcement to validate.
+ * @return Nothing, or the first violation found.
  */
 [[nodiscard]] tl::expected<void, Error>
 Validate(const State& aState, const Announcement& aAnnouncement);
--- a/src/balsampoint/registry/message.hpp
+++ b/src/balsampoint/registry/message.hpp
@@ -10,17 +10,17 @@
 
 namespace balsampoint::registry {
 
-/** @brief What one host holds of one server. */
+/** @brief A host's record of one server. */
 struct Entry
 {
-  /** Only the id and the incarnation count once the server is lost. */
+  /** Once the server is lost, only the id and the incarnation are used. */
   Announcement announcement;
   Claim claim;
 
   bool operator==(const Entry&) const = default;
 };
 
-/** @brief Changes that the receiver may not know. */
+/** @brief Changed records. */
 struct Delta
 {
   std::vector<Entry> entries;
@@ -40,41 +40,54 @@
   std::vector<LoadReport> reports;
 };
 
-/** @brief Renewals that reached the sender while the receiver leases. */
+/**
+ * @brief Renewals that servers sent to the sender and that concern leases of
+ * the receiver.
+ */
 struct Renewals
 {
   std::vector<LoadReport> reports;
 };
 
-/** @brief Compares two registries; answered with `Versions` if unlike. */
+/**
+ * @brief Compares two registries; answered with `Versions` if their hashes
+ * differ.
+ */
 struct Digest
 {
   std::uint64_t hash{};
-  /** Hosts that the sender has not heard for long; answered by `Contacts`. */
+  /** Hosts with which contact of the sender is overdue; answered with
+   * `Contacts`. */
   std::vector<HostId> doubted;
 };
 
-/** @brief How long ago the sender had news of a host. */
+/** @brief Time since the last contact of the sender with a host. */
 struct Contact
 {
   HostId host;
   Duration age{};
 };
 
-/** @brief Answers a digest's doubts. */
+/**
+ * @brief Contacts of the sender with the hosts that a digest lists as
+ * overdue.
+ */
 struct Contacts
 {
   std::vector<Contact> contacts;
 };
 
-/** @brief Which claim the sender holds for one server. */
+/** @brief Claim of the sender on one server. */
 struct Version
 {
   ServerId server;
   Claim claim;
 };
 
-/** @brief All the sender's claims; answered with `Delta` and `Request`. */
+/**
+ * @brief All claims of the sender; answered with `Delta` for newer and
+ * `Request` for older claims of the receiver.
+ */
 struct Versions
 {
   std::vector<Version> versions;
@@ -86,15 +99,15 @@
   std::vector<ServerId> servers;
 };
 
-/** @brief A zone's summary on its way to the hosts of another zone. */
+/** @brief Summary of a zone. */
 struct Summary
 {
   ZoneSummary summary;
-  /** Whether the receiver passes it on within its zone. */
+  /** Whether the receiver must forward it to the hosts of its own zone. */
   bool relay{ false };
 };
 
-/** @brief What hosts tell each other about servers. */
+/** @brief Messages that hosts exchange about servers. */
 using Message = std::
   variant<Delta, Loads, Renewals, Digest, Versions, Request, Summary, Contacts>;
 
--- a/src/balsampoint/registry/module.hpp
+++ b/src/balsampoint/registry/module.hpp
@@ -9,7 +9,7 @@
 
 namespace balsampoint::registry {
 
-/** @brief The registry as the control thread runs it. */
+/** @brief Control module of the registry. */
 struct Module
 {
   using State = registry::State;
@@ -17,11 +17,11 @@
   using Action = registry::Action;
 
   /**
-   * @brief Takes in one event.
-   * @param aState The registry.
-   * @param aEvent The event.
-   * @param aNow The time.
-   * @param aActions Receives what is to be done.
+   * @brief Applies one event to the state.
+   * @param aState State of the registry.
+   * @param aEvent Event to apply.
+   * @param aNow Current time.
+   * @param aActions Actions to carry out are appended to it.
    */
   static void Handle(State& aState,
                      const Event& aEvent,
@@ -29,17 +29,17 @@
                      std::vector<Action>& aActions);
 
   /**
-   * @brief Does what is due by time.
-   * @param aState The registry.
-   * @param aNow The time.
-   * @param aActions Receives what is to be done.
+   * @brief Runs timers that have expired.
+   * @param aState State of the registry.
+   * @param aNow Current time.
+   * @param aActions Actions to carry out are appended to it.
    */
   static void Tick(State& aState, Instant aNow, std::vector<Action>& aActions);
 
   /**
-   * @brief Tells when the next `Tick` is due.
-   * @param aState The registry.
-   * @return The time, or `kNever`.
+   * @brief Returns when `Tick` must run next.
+   * @param aState State of the registry.
+   * @return Time of the next call, or `kNever` if none is scheduled.
    */
   [[nodiscard]] static Instant NextDeadline(const State& aState);
 };
--- a/src/balsampoint/registry/query/next_deadline.hpp
+++ b/src/balsampoint/registry/query/next_deadline.hpp
@@ -5,9 +5,9 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Tells when the registry next has something to do by itself.
- * @param aState The registry.
- * @return The time, or `kNever`.
+ * @brief Returns the earliest time at which a timer of the registry expires.
+ * @param aState State to read.
+ * @return Time of the next expiry, or `kNever` if there is none.
  */
 [[nodiscard]] Instant
 NextDeadline(const State& aState);
--- a/src/balsampoint/registry/query/view.hpp
+++ b/src/balsampoint/registry/query/view.hpp
@@ -6,9 +6,10 @@
 namespace balsampoint::registry {
 
 /**
- * @brief Copies the live servers for traffic threads.
- * @param aState The registry.
- * @return The servers in the order of their ids.
+ * @brief Builds the view of visible servers and other zones for traffic
+ * threads.
+ * @param aState State to read.
+ * @return View to publish; servers are in the order of their ids.
  */
 [[nodiscard]] View
 MakeView(const State& aState);
--- a/src/balsampoint/registry/settings.hpp
+++ b/src/balsampoint/registry/settings.hpp
@@ -10,44 +10,47 @@
 
 namespace balsampoint::registry {
 
-/** @brief What one host's registry is set up with. */
+/** @brief Settings of the registry of one host. */
 struct Settings
 {
   HostId self;
   ZoneId zone;
-  /** How long an announcement holds from its receipt. */
+  /** Length of a lease, from the receipt of an announcement. */
   Duration lease{ std::chrono::seconds{ 2 } };
-  /** How long servers of a host out of reach stay visible. */
+  /** Time for which servers of an unreachable host stay visible. */
   Duration orphanGrace{ std::chrono::milliseconds{ 500 } };
-  /** Silence beyond a broadcast of loads after which others are asked. */
+  /** Time without contact, beyond one interval of load broadcasts, after which
+   * other hosts are asked about a host. */
   Duration contactDoubt{ std::chrono::seconds{ 3 } };
-  /** Silence beyond the doubt after which a host is out of reach. */
+  /** Further time without contact after which the host counts as unreachable.
+   * */
   Duration contactGrace{ std::chrono::seconds{ 4 } };
-  /** How long a lost server's incarnation is remembered. */
+  /** Time for which the record of a lost server is kept. */
   Duration memory{ std::chrono::minutes{ 10 } };
-  /** Shortest time between two views that differ only in load. */
+  /** Longest delay of a view that differs only in load. */
   Duration loadInterval{ std::chrono::milliseconds{ 250 } };
   /** Shortest time between two broadcasts of changes. */
   Duration deltaInterval{ std::chrono::milliseconds{ 100 } };
-  /** Time between two messages with renewals to the host that leases. */
+  /** Longest delay of renewals that are forwarded to the owners of the leases.
+   * */
   Duration renewalInterval{ std::chrono::milliseconds{ 300 } };
-  /** Time between two comparisons with another host of the zone. */
+  /** Time between two digests sent to a random host of the zone. */
   Duration digestInterval{ std::chrono::seconds{ 1 } };
   /** Shortest time between two broadcasts of loads. */
   Duration minLoadBroadcast{ std::chrono::milliseconds{ 500 } };
-  /** Added to the time between broadcasts of loads for each receiver. */
+  /** Time between two broadcasts of loads per receiver, if that is longer. */
   Duration loadBroadcastPerHost{ std::chrono::milliseconds{ 200 } };
   /** Shortest time between two summaries for other zones. */
   Duration minSummaryInterval{ std::chrono::seconds{ 1 } };
-  /** Time after which a summary is sent again unchanged. */
+  /** Time after which an unchanged summary is sent again. */
   Duration summaryInterval{ std::chrono::seconds{ 60 } };
-  /** How long another zone's summary holds. */
+  /** Time after which another zone's summary expires. */
   Duration summaryLease{ std::chrono::seconds{ 180 } };
-  /** Errors in a row after which this host avoids a server for a while. */
+  /** Consecutive errors after which this host avoids a server. */
   std::uint32_t errorsToAvoid{ 3 };
   Duration minAvoidance{ std::chrono::seconds{ 1 } };
   Duration maxAvoidance{ std::chrono::seconds{ 30 } };
-  /** Most servers that one host keeps. */
+  /** Largest number of records of servers. */
   std::size_t capacity{ 4096 };
 };
 
--- a/src/balsampoint/registry/stamp.hpp
+++ b/src/balsampoint/registry/stamp.hpp
@@ -8,23 +8,26 @@
 
 namespace balsampoint::registry {
 
-/** @brief Orders what hosts say of one server. */
+/**
+ * @brief Orders the claims on one server, by incarnation and then by
+ * version.
+ */
 struct Stamp
 {
   Incarnation incarnation;
-  /** Rises with each change within one incarnation. */
+  /** Increases with each change within one incarnation. */
   std::uint64_t version{};
 
   auto operator<=>(const Stamp&) const = default;
 };
 
-/** @brief What a host says of one server; the highest claim is in force. */
+/** @brief Claim of a host to lease one server; the highest claim is valid. */
 struct Claim
 {
   Stamp stamp;
-  /** False once the lease ran out. */
+  /** False once the lease has expired. */
   bool live{ true };
-  /** The host that leases. */
+  /** Host that holds the lease. */
   HostId owner;
 
   auto operator<=>(const Claim&) const = default;
--- a/src/balsampoint/registry/state.hpp
+++ b/src/balsampoint/registry/state.hpp
@@ -13,18 +13,19 @@
 
 namespace balsampoint::registry {
 
-/** @brief What is known of one server. */
+/** @brief Record of one server. */
 struct Record
 {
   Announcement announcement;
   Claim claim;
-  /** Not shown since the host that leases is out of reach. */
+  /** Not visible because the host that leases the server is unreachable. */
   bool hidden{ false };
-  /** When the lease ends, or the record is hidden or forgotten. */
+  /** When the lease ends or, for other records, when the record is hidden or
+   * erased. */
   Instant expiry{ kNever };
   /** When the server last announced itself to this host. */
   std::optional<Instant> heardAt;
-  /** When its load was reported, by this host's clock. */
+  /** When its load was received, by this host's clock. */
   Instant reportedAt{};
   Health health;
 
@@ -32,25 +33,28 @@
   [[nodiscard]] bool Visible() const noexcept { return claim.live && !hidden; }
 };
 
-/** @brief Another zone's summary and how long it holds. */
+/** @brief A zone's summary and when it expires. */
 struct KnownSummary
 {
   ZoneSummary summary;
   Instant expiry{};
 };
 
-/** @brief What waits to be sent to other hosts, and until when. */
+/**
+ * @brief Messages queued for other hosts, with the times at which they are
+ * due.
+ */
 struct Outbox
 {
-  /** Changed records for the zone. */
+  /** Changed records for the hosts of the zone. */
   std::set<ServerId> deltas;
   Instant deltaAt{ kNever };
   Instant lastDeltaAt{ Instant::min() };
-  /** Own records with a new load for the zone. */
+  /** Servers leased by this host with a new load, for the hosts of the zone. */
   std::set<ServerId> loads;
   Instant loadAt{ kNever };
   Instant lastLoadAt{ Instant::min() };
-  /** Renewals for the hosts that lease. */
+  /** Renewals for the hosts that hold the leases. */
   std::set<ServerId> renewals;
   Instant renewalAt{ kNever };
   Instant digestAt{};
@@ -58,26 +62,26 @@
   Instant lastSummaryAt{ Instant::min() };
 };
 
-/** @brief The registry of one host. */
+/** @brief Registry of one host; owned by the control thread. */
 struct State
 {
   Settings settings;
   SplitMix64 random;
   std::map<ServerId, Record> records;
-  /** Layers of each configured model. */
+  /** Number of layers of each configured model. */
   std::map<ModelId, std::uint32_t> modelLayers;
-  /** Other hosts of the zone in reach. */
+  /** Other reachable hosts of the zone. */
   std::set<HostId> nearHosts;
-  /** When those hosts were last heard, by whatever way. */
+  /** Last direct or indirect contact with each of these hosts. */
   std::map<HostId, Instant> contacts;
-  /** Hosts in reach by other zone. */
+  /** Reachable hosts of other zones, by zone. */
   std::map<ZoneId, std::vector<HostId>> farHosts;
-  /** Summaries of all zones; of the own one only the number counts. */
+  /** Summaries by zone; for the own zone only the number is used. */
   std::map<ZoneId, KnownSummary> summaries;
-  /** Sums up the own zone's stages as last told to other zones. */
+  /** Hash of the own zone's stages and services as last sent to other zones. */
   std::uint64_t toldStructure{};
   Outbox outbox;
-  /** When the next view is due; `kNever` if nothing changed. */
+  /** When the next view is due; `kNever` if nothing has changed. */
   Instant publishAt{ kNever };
 };
 
--- a/src/balsampoint/registry/summary.hpp
+++ b/src/balsampoint/registry/summary.hpp
@@ -18,7 +18,7 @@
   std::set<std::string> adapters;
   LayerRange layers;
   std::uint32_t servers{};
-  /** Sum over the servers. */
+  /** Sum over the servers; so are the fields below. */
   double layerTokensPerSecond{};
   std::uint64_t kvTokensFree{};
   std::uint32_t queuedRequests{};
@@ -35,11 +35,11 @@
   bool operator==(const ServiceSummary&) const = default;
 };
 
-/** @brief What one zone tells the others of its servers. */
+/** @brief Summary of a zone's ready servers for other zones. */
 struct ZoneSummary
 {
   ZoneId zone;
-  /** Rises with each summary of the zone. */
+  /** Increases with each summary of the zone. */
   std::uint64_t number{};
   std::vector<StageSummary> stages;
   std::vector<ServiceSummary> services;
--- a/src/balsampoint/registry/view.hpp
+++ b/src/balsampoint/registry/view.hpp
@@ -9,20 +9,20 @@
 
 namespace balsampoint::registry {
 
-/** @brief One live server as traffic threads see it. */
+/** @brief One visible server, as published to traffic threads. */
 struct Server
 {
   Announcement announcement;
-  /** When its load was reported, by the receiving host's clock. */
+  /** When its load was received, by this host's clock. */
   Instant reportedAt{};
   Health health;
 };
 
-/** @brief The live servers in the order of their ids; immutable. */
+/** @brief Visible servers in the order of their ids; immutable. */
 struct View
 {
   std::vector<Server> servers;
-  /** The other zones in the order of their ids. */
+  /** Summaries of the other zones in the order of their ids. */
   std::vector<ZoneSummary> zones;
 };
 
--- a/test/balsampoint/registry/announcements.hpp
+++ b/test/balsampoint/registry/announcements.hpp
@@ -12,7 +12,7 @@
                          .zone = ZoneId{ "colombo-a" } } };
 }
 
-/** @brief A possible announcement of an engine in `colombo-a`. */
+/** @brief A valid announcement of an engine in `colombo-a`. */
 inline Announcement
 Engine(std::string_view aId, std::uint64_t aIncarnation = 1)
 {
--- a/test/balsampoint/registry/sharing_test.cpp
+++ b/test/balsampoint/registry/sharing_test.cpp
@@ -31,7 +31,8 @@
   return hosts;
 }
 
-/** Lets the server renew every half second, each time at the next host. */
+/** Renews the lease of the server every half second, each time at the next
+ * host. */
 void
 Renew(fake::Hosts& aHosts,
       const Announcement& aAnnouncement,
