Rename born to incarnation in server stamps, hops and orders

The field holds the incarnation of a server, which the registry and other modules call by that name. Names on the wire and in JSON stay.

Rename: born -> incarnation (roster::Stamp, roster::SignedOff, fleet::Hop, placement::Give, AskReport, OrderEnded, Reported) Rename: aBorn -> aIncarnation (placement/command/follow.cpp, roster/module_test.cpp, daemon/gateway.hpp)

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -330,22 +330,23 @@
 
   edge::ControlOperations MakeOperations()
   {
-    return { .submit =
-               [this](const edge::SubmittedConfiguration& aSubmitted,
-                      auto aCallback) {
-                 Submit(aSubmitted, std::move(aCallback));
-               },
-             .read = [this](auto aCallback) { Read(std::move(aCallback)); },
-             .heartbeat =
-               [this](roster::Claim aClaim) {
-                 return mMailbox.Push(
-                   roster::Event{ roster::Heartbeat{ std::move(aClaim) } });
-               },
-             .signOff =
-               [this](ServerId aServer, std::optional<Incarnation> aBorn) {
-                 return mMailbox.Push(roster::Event{
-                   roster::SignedOff{ std::move(aServer), aBorn } });
-               } };
+    return {
+      .submit =
+        [this](const edge::SubmittedConfiguration& aSubmitted, auto aCallback) {
+          Submit(aSubmitted, std::move(aCallback));
+        },
+      .read = [this](auto aCallback) { Read(std::move(aCallback)); },
+      .heartbeat =
+        [this](roster::Claim aClaim) {
+          return mMailbox.Push(
+            roster::Event{ roster::Heartbeat{ std::move(aClaim) } });
+        },
+      .signOff =
+        [this](ServerId aServer, std::optional<Incarnation> aIncarnation) {
+          return mMailbox.Push(roster::Event{
+            roster::SignedOff{ std::move(aServer), aIncarnation } });
+        }
+    };
   }
 
   void Submit(const edge::SubmittedConfiguration& aSubmitted,
@@ -405,50 +406,51 @@
                                         .expectedOrders = aGive.expectedOrders,
                                         .fencing = aGive.fencing },
                                       aGive.server.Value());
-    mEngines.Call(
-      aGive.address,
-      std::move(request),
-      aGive.limit,
-      [this, server = aGive.server, born = aGive.born](const auto& aAnswer) {
-        auto outcome = placement::OrderOutcome::Unknown;
-        if (aAnswer) {
-          outcome = D::Accepted(aAnswer->status)
-                      ? placement::OrderOutcome::Accepted
-                      : placement::OrderOutcome::Refused;
-        }
-        trace::Event{ "layers_order_ended" }
-          .With("server", server)
-          .With("status", aAnswer ? aAnswer->status : 0);
-        Post(
-          mMailbox,
-          placement::Event{ placement::OrderEnded{ server, born, outcome } });
-      });
+    mEngines.Call(aGive.address,
+                  std::move(request),
+                  aGive.limit,
+                  [this,
+                   server = aGive.server,
+                   incarnation = aGive.incarnation](const auto& aAnswer) {
+                    auto outcome = placement::OrderOutcome::Unknown;
+                    if (aAnswer) {
+                      outcome = D::Accepted(aAnswer->status)
+                                  ? placement::OrderOutcome::Accepted
+                                  : placement::OrderOutcome::Refused;
+                    }
+                    trace::Event{ "layers_order_ended" }
+                      .With("server", server)
+                      .With("status", aAnswer ? aAnswer->status : 0);
+                    Post(mMailbox,
+                         placement::Event{ placement::OrderEnded{
+                           server, incarnation, outcome } });
+                  });
   }
 
   void Carry(const placement::AskReport& aAsk)
   {
-    mEngines.Call(
-      aAsk.address,
-      D::WriteReportRequest(aAsk.server.Value()),
-      kReportLimit,
-      [this, server = aAsk.server, born = aAsk.born](const auto& aAnswer) {
-        const auto report = aAnswer
-                              ? D::ReadReport(aAnswer->body)
+    mEngines.Call(aAsk.address,
+                  D::WriteReportRequest(aAsk.server.Value()),
+                  kReportLimit,
+                  [this, server = aAsk.server, incarnation = aAsk.incarnation](
+                    const auto& aAnswer) {
+                    const auto report =
+                      aAnswer ? D::ReadReport(aAnswer->body)
                               : Refuse(ErrorKind::BackendFailed, "no answer");
-        if (!report) {
-          trace::Event{ "report_missing" }
-            .With("server", server)
-            .With("reason", report.error().detail);
-          return;
-        }
-        Post(
-          mMailbox,
-          placement::Event{ placement::Reported{ .server = server,
-                                                 .born = born,
-                                                 .orders = report->orders,
-                                                 .busy = report->busy,
-                                                 .layers = report->layers } });
-      });
+                    if (!report) {
+                      trace::Event{ "report_missing" }
+                        .With("server", server)
+                        .With("reason", report.error().detail);
+                      return;
+                    }
+                    Post(mMailbox,
+                         placement::Event{
+                           placement::Reported{ .server = server,
+                                                .incarnation = incarnation,
+                                                .orders = report->orders,
+                                                .busy = report->busy,
+                                                .layers = report->layers } });
+                  });
   }
 
   /** Waits on the loop until callers were sent elsewhere and all is done. */
--- a/src/balsampoint/fleet/chain.hpp
+++ b/src/balsampoint/fleet/chain.hpp
@@ -15,7 +15,7 @@
 struct Hop
 {
   ServerId server;
-  Incarnation born;
+  Incarnation incarnation;
   /** IP address and port. */
   std::string address;
   LayerRange layers;
--- a/src/balsampoint/fleet/command/follow_roster.cpp
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -28,7 +28,7 @@
 Take(Group& aGroup, const roster::Server& aSeen)
 {
   auto& server = aGroup.servers[aSeen.claim.server];
-  if (server.claim.stamp.born != aSeen.claim.stamp.born) {
+  if (server.claim.stamp.incarnation != aSeen.claim.stamp.incarnation) {
     server = {};
   }
   server.claim = aSeen.claim;
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -15,7 +15,7 @@
   }
   const auto server = group->second.servers.find(aHop.server);
   const bool same = server != group->second.servers.end() &&
-                    server->second.claim.stamp.born == aHop.born;
+                    server->second.claim.stamp.incarnation == aHop.incarnation;
   return same ? &server->second : nullptr;
 }
 
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -236,10 +236,11 @@
     while (layer > 0) {
       const auto& step = mSteps[layer];
       const auto& description = step.server->claim.description;
-      chain.hops.push_back({ .server = step.server->claim.server,
-                             .born = step.server->claim.stamp.born,
-                             .address = description.address,
-                             .layers = { step.from, layer } });
+      chain.hops.push_back(
+        { .server = step.server->claim.server,
+          .incarnation = step.server->claim.stamp.incarnation,
+          .address = description.address,
+          .layers = { step.from, layer } });
       chain.firstEventMs += internal::ReadMs(mEngine,
                                              step.server->readFactor,
                                              layer - step.from,
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -71,7 +71,7 @@
     }
   }
   return Hop{ .server = best->claim.server,
-              .born = best->claim.stamp.born,
+              .incarnation = best->claim.stamp.incarnation,
               .address = best->claim.description.address };
 }
 
--- a/src/balsampoint/peer/roster_codec.cpp
+++ b/src/balsampoint/peer/roster_codec.cpp
@@ -21,7 +21,7 @@
   const auto& description = aClaim.description;
   wire::RosterClaim claim;
   claim.server = aClaim.server.String();
-  claim.born = ToWire(aClaim.stamp.born);
+  claim.born = ToWire(aClaim.stamp.incarnation);
   claim.sequenceNumber = static_cast<std::int64_t>(aClaim.stamp.sequence);
   claim.presence = static_cast<std::int32_t>(aClaim.presence);
   claim.serviceId = description.service.String();
--- a/src/balsampoint/placement/command/follow.cpp
+++ b/src/balsampoint/placement/command/follow.cpp
@@ -11,7 +11,7 @@
 {
   const auto& claim = aServer.claim;
   auto& known = aState.engines[claim.server];
-  if (known.claim.stamp.born != claim.stamp.born) {
+  if (known.claim.stamp.incarnation != claim.stamp.incarnation) {
     known = {};
     aState.newestAt = aNow;
   }
@@ -28,11 +28,11 @@
 }
 
 Known*
-Find(State& aState, const ServerId& aServer, Incarnation aBorn)
+Find(State& aState, const ServerId& aServer, Incarnation aIncarnation)
 {
   const auto found = aState.engines.find(aServer);
-  const bool same =
-    found != aState.engines.end() && found->second.claim.stamp.born == aBorn;
+  const bool same = found != aState.engines.end() &&
+                    found->second.claim.stamp.incarnation == aIncarnation;
   return same ? &found->second : nullptr;
 }
 
@@ -60,7 +60,7 @@
              Instant aNow,
              Actions& aActions)
 {
-  auto* known = Find(aState, aEnded.server, aEnded.born);
+  auto* known = Find(aState, aEnded.server, aEnded.incarnation);
   if (known == nullptr || !known->order) {
     return;
   }
@@ -72,14 +72,14 @@
   if (aEnded.outcome == OrderOutcome::Refused) {
     known->order->effectDue = aNow;
   }
-  aActions.emplace_back(
-    AskReport{ aEnded.server, aEnded.born, known->claim.description.address });
+  aActions.emplace_back(AskReport{
+    aEnded.server, aEnded.incarnation, known->claim.description.address });
 }
 
 void
 TakeReport(State& aState, const Reported& aReported)
 {
-  auto* known = Find(aState, aReported.server, aReported.born);
+  auto* known = Find(aState, aReported.server, aReported.incarnation);
   if (known == nullptr) {
     return;
   }
--- a/src/balsampoint/placement/command/place.cpp
+++ b/src/balsampoint/placement/command/place.cpp
@@ -30,7 +30,7 @@
                        .effectDue = aNow + load + aState.settings.effectLimit,
                        .open = true };
   aActions.emplace_back(Give{ .server = aServer,
-                              .born = known.claim.stamp.born,
+                              .incarnation = known.claim.stamp.incarnation,
                               .address = known.claim.description.address,
                               .layers = aLayers,
                               .expectedOrders = known.orders,
--- a/src/balsampoint/placement/state.hpp
+++ b/src/balsampoint/placement/state.hpp
@@ -106,7 +106,7 @@
 struct OrderEnded
 {
   ServerId server;
-  Incarnation born;
+  Incarnation incarnation;
   OrderOutcome outcome{};
 };
 
@@ -114,7 +114,7 @@
 struct Reported
 {
   ServerId server;
-  Incarnation born;
+  Incarnation incarnation;
   std::uint64_t orders{};
   bool busy{ false };
   std::optional<LayerRange> layers;
@@ -128,7 +128,7 @@
 struct Give
 {
   ServerId server;
-  Incarnation born;
+  Incarnation incarnation;
   /** IP address and port. */
   std::string address;
   LayerRange layers;
@@ -141,7 +141,7 @@
 struct AskReport
 {
   ServerId server;
-  Incarnation born;
+  Incarnation incarnation;
   std::string address;
 };
 
--- a/src/balsampoint/roster/claim.hpp
+++ b/src/balsampoint/roster/claim.hpp
@@ -19,7 +19,7 @@
 struct Stamp
 {
   /** Start time of the server process. */
-  Incarnation born;
+  Incarnation incarnation;
   /** Increases with each heartbeat of one incarnation. */
   std::uint64_t sequence{};
 
--- a/src/balsampoint/roster/command/hear.cpp
+++ b/src/balsampoint/roster/command/hear.cpp
@@ -28,8 +28,8 @@
     return false;
   }
   const auto& known = record->second.claim;
-  const bool left =
-    known.presence == Presence::Gone && known.stamp.born == aClaim.stamp.born;
+  const bool left = known.presence == Presence::Gone &&
+                    known.stamp.incarnation == aClaim.stamp.incarnation;
   return left || aClaim.stamp < known.stamp;
 }
 
@@ -48,9 +48,10 @@
       heard.claim.presence != Presence::Silent) {
     return;
   }
-  const bool changed = added || heard.claim.presence != claim.presence ||
-                       heard.claim.stamp.born != claim.stamp.born ||
-                       heard.claim.description != claim.description;
+  const bool changed =
+    added || heard.claim.presence != claim.presence ||
+    heard.claim.stamp.incarnation != claim.stamp.incarnation ||
+    heard.claim.description != claim.description;
   heard.claim = claim;
   heard.at = aNow;
   const auto record = aState.records.find(claim.server);
@@ -89,7 +90,8 @@
   if (record == aState.records.end()) {
     return;
   }
-  if (aSignedOff.born && *aSignedOff.born < record->second.claim.stamp.born) {
+  if (aSignedOff.incarnation &&
+      *aSignedOff.incarnation < record->second.claim.stamp.incarnation) {
     return;
   }
   auto& heard = aState.heard[aSignedOff.server];
--- a/src/balsampoint/roster/internal/merge.cpp
+++ b/src/balsampoint/roster/internal/merge.cpp
@@ -11,7 +11,7 @@
   for (const auto& [id, record] : aState.records) {
     if (id != aClaim.server &&
         record.claim.description.address == aClaim.description.address &&
-        record.claim.stamp.born > aClaim.stamp.born) {
+        record.claim.stamp.incarnation > aClaim.stamp.incarnation) {
       return true;
     }
   }
@@ -28,7 +28,7 @@
   for (auto& [id, record] : aState.records) {
     if (id == aClaim.server || record.goneAt != kNever ||
         record.claim.description.address != aClaim.description.address ||
-        record.claim.stamp.born >= aClaim.stamp.born) {
+        record.claim.stamp.incarnation >= aClaim.stamp.incarnation) {
       continue;
     }
     record.claim.presence = Presence::Gone;
@@ -41,13 +41,13 @@
 {
   const auto& known = aKnown.claim;
   if (known.presence == Presence::Gone &&
-      known.stamp.born == aClaim.stamp.born) {
+      known.stamp.incarnation == aClaim.stamp.incarnation) {
     return false;
   }
   if (aClaim.stamp != known.stamp) {
     return aClaim.stamp > known.stamp ||
            (aClaim.presence == Presence::Gone &&
-            aClaim.stamp.born == known.stamp.born);
+            aClaim.stamp.incarnation == known.stamp.incarnation);
   }
   return aOwner == aKnown.owner ? aClaim != known
                                 : aClaim.presence > known.presence;
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -113,7 +113,7 @@
 {
   ServerId server;
   /** Incarnation that signed off; absent if the server did not send it. */
-  std::optional<Incarnation> born;
+  std::optional<Incarnation> incarnation;
 };
 
 /** @brief A message arrived from another host. */
--- a/test/balsampoint/placement/module_test.cpp
+++ b/test/balsampoint/placement/module_test.cpp
@@ -129,12 +129,15 @@
   host.See({ MakeServer("s1", {}) });
   host.Run(2s);
   const auto first = host.given.front();
-  host.Tell(OrderEnded{ first.server, first.born, OrderOutcome::Unknown });
+  host.Tell(
+    OrderEnded{ first.server, first.incarnation, OrderOutcome::Unknown });
   cr_assert_eq(host.asked, 1);
   // The engine did carry out the order, so the next one must expect the new
   // count of accepted orders.
-  host.Tell(Reported{
-    .server = first.server, .born = first.born, .orders = 1, .busy = true });
+  host.Tell(Reported{ .server = first.server,
+                      .incarnation = first.incarnation,
+                      .orders = 1,
+                      .busy = true });
   host.Run(20s);
   cr_assert_geq(host.given.size(), 2U);
   cr_assert_eq(host.given[1].expectedOrders, 1U);
@@ -150,7 +153,7 @@
   host.Run(3s);
   cr_assert(host.given.empty());
   auto restarted = MakeServer("s1", {});
-  restarted.claim.stamp.born = Incarnation{ 2 };
+  restarted.claim.stamp.incarnation = Incarnation{ 2 };
   host.See({ restarted, MakeServer("s2", LayerRange{ 3, 8 }) });
   host.Run(1s);
   cr_assert_eq(host.given.size(), 1U);
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -99,10 +99,10 @@
 };
 
 Heartbeat
-Beat(std::uint64_t aBorn, std::uint64_t aSequence)
+Beat(std::uint64_t aIncarnation, std::uint64_t aSequence)
 {
   return { { .server = ServerId{ "s" },
-             .stamp = { Incarnation{ aBorn }, aSequence },
+             .stamp = { Incarnation{ aIncarnation }, aSequence },
              .description = { .service = ServiceId{ "desk" },
                               .address = "10.0.0.9:80" } } };
 }
@@ -185,7 +185,8 @@
   hosts.Tell("c2", Beat(8, 1));
   cr_assert(hosts.Find("entry", "s")->TakesWork());
   hosts.Tell("c1", Beat(7, 9));
-  cr_assert_eq(hosts.Find("entry", "s")->claim.stamp.born, Incarnation{ 8 });
+  cr_assert_eq(hosts.Find("entry", "s")->claim.stamp.incarnation,
+               Incarnation{ 8 });
 }
 
 Test(roster, a_later_server_at_the_same_address_replaces_the_earlier)
--- a/test/balsampoint/soak/world.cpp
+++ b/test/balsampoint/soak/world.cpp
@@ -357,7 +357,7 @@
     [this, host, give = aGive](placement::OrderOutcome aOutcome) {
       if (mHosts[host].up) {
         Tell(mHosts[host],
-             placement::OrderEnded{ give.server, give.born, aOutcome });
+             placement::OrderEnded{ give.server, give.incarnation, aOutcome });
       }
     };
   const auto& zone = mEngines[engine].claim.description.zone;
@@ -380,7 +380,7 @@
   if (!aEngine.up || aEngine.frozenUntil > mNow) {
     return placement::OrderOutcome::Unknown;
   }
-  if (aEngine.claim.stamp.born != aGive.born ||
+  if (aEngine.claim.stamp.incarnation != aGive.incarnation ||
       aEngine.orders != aGive.expectedOrders || aEngine.loading) {
     return placement::OrderOutcome::Refused;
   }
@@ -404,13 +404,13 @@
   const auto host = static_cast<std::size_t>(&aHost - mHosts.data());
   const auto engine = std::ranges::find(
     mEngines, aAsk.server, [](const auto& aOne) { return aOne.claim.server; });
-  if (!engine->up || engine->claim.stamp.born != aAsk.born ||
+  if (!engine->up || engine->claim.stamp.incarnation != aAsk.incarnation ||
       engine->frozenUntil > mNow ||
       !Open(aHost.zone, engine->claim.description.zone)) {
     return;
   }
   placement::Reported reported{ .server = aAsk.server,
-                                .born = aAsk.born,
+                                .incarnation = aAsk.incarnation,
                                 .orders = engine->orders,
                                 .busy = engine->loading.has_value(),
                                 .layers = engine->claim.description.layers };
--- a/test/platform/control_test.cpp
+++ b/test/platform/control_test.cpp
@@ -39,7 +39,7 @@
   const auto claim = Dialect::ReadHeartbeat("i-1", Beat().dump());
   cr_assert(claim.has_value());
   cr_assert_eq(claim->server, ServerId{ "i-1" });
-  cr_assert_eq(claim->stamp.born, Incarnation{ 1700000000000 });
+  cr_assert_eq(claim->stamp.incarnation, Incarnation{ 1700000000000 });
   cr_assert_eq(claim->description.layers->begin, 20U);
   cr_assert_eq(claim->description.layers->end, 31U);
   auto leaving = Beat();
