Rename figurative names of the roster to the terms of the field

Names such as heard, told, have and doubted did not say what the value is. Only names change; wire fields and the status text stay.

Rename: Settings::silence -> heartbeatTimeout, renewal -> renewalInterval, hostSilence -> hostTimeout, forgetHost -> hostRetention, memory -> serverRetention (roster) Rename: hears -> isControlHost (roster::Settings, Subscribe, Subscriber) Rename: Heard -> LocalServer, State::heard -> localServers, Heard::at -> lastHeartbeatAt, Heard::told -> advertisedStamp (roster) Rename: Source::have, Subscribe::have -> receivedVersion (roster) Rename: Source::heardAt, Subscriber::heardAt -> lastReceivedAt (roster) Rename: Subscriber::sent -> sentVersion, told -> sentConfiguration (roster) Rename: Reach -> SetHostAddress (roster) Rename: ConfigurationHeard -> ConfigurationAdvertised (roster) Rename: ConfigurationKnown -> ConfigurationUpdated (roster) Rename: Server::doubted -> suspected (roster) Rename: Assert -> AdvertiseClaim, ClaimAgain -> ReadvertiseClaim, NoteSilence -> ExpireHeartbeats (roster/command/hear) Rename: SubscribeAt -> SendSubscription, LearnControls -> MergeControlHosts, IsHeardFrom -> IsReachable (roster/command/share.cpp) Rename: ForgiveStandstill -> CompensateForStall (roster/module.cpp) Rename: AnySourceLives -> IsAnySourceLive (roster/query/make_view.cpp) Rename: command/hear -> command/track_heartbeats, command/share -> command/exchange_claims (files of roster) Rename: Hosts -> HostSet, Tell -> Deliver, Beat -> MakeHeartbeat, Take -> RunActions, heardNumbers -> advertisedNumbers and seven test cases (roster/module_test.cpp)

--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -70,7 +70,7 @@
 FanoutRunner::Do(const fanout::Publish& aPublish)
 {
   Post(mMailbox,
-       roster::Event{ roster::ConfigurationKnown{ aPublish.number } });
+       roster::Event{ roster::ConfigurationUpdated{ aPublish.number } });
   const bool queued = mContents.Push({ aPublish.number, aPublish.sections });
   if (!queued && !mContents.Closed()) {
     throw Failure{ MakeError(ErrorKind::Overloaded,
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -79,9 +79,9 @@
   roster.self = aSettings.host;
   roster.incarnation = aIdentity.incarnation;
   roster.address = aSettings.listen.PeersAsTold().Text();
-  roster.hears = aSettings.listen.control.has_value();
-  roster.silence = std::chrono::duration_cast<Duration>(aSettings.heartbeat *
-                                                        kMissedHeartbeats);
+  roster.isControlHost = aSettings.listen.control.has_value();
+  roster.heartbeatTimeout = std::chrono::duration_cast<Duration>(
+    aSettings.heartbeat * kMissedHeartbeats);
   for (const auto& seed : aSettings.seeds) {
     roster.seeds.push_back(
       { HostId{ seed.ip }, PeerAddress(seed.ip, aSettings) });
--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -15,7 +15,7 @@
 std::string_view
 StateOf(const roster::Server& aServer)
 {
-  if (aServer.doubted) {
+  if (aServer.suspected) {
     return "doubted";
   }
   switch (aServer.claim.presence) {
@@ -92,9 +92,9 @@
 }
 
 void
-RosterRunner::Do(const roster::Reach& aReach)
+RosterRunner::Do(const roster::SetHostAddress& aSetHostAddress)
 {
-  mSender.Route(aReach.host, aReach.address);
+  mSender.Route(aSetHostAddress.host, aSetHostAddress.address);
 }
 
 void
@@ -104,10 +104,11 @@
 }
 
 void
-RosterRunner::Do(const roster::ConfigurationHeard& aHeard)
+RosterRunner::Do(const roster::ConfigurationAdvertised& aAdvertised)
 {
   Post(mMailbox,
-       fanout::Event{ fanout::NumberHeard{ aHeard.host, aHeard.number } });
+       fanout::Event{
+         fanout::NumberHeard{ aAdvertised.host, aAdvertised.number } });
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/roster_runner.hpp
+++ b/src/balsampoint/daemon/roster_runner.hpp
@@ -47,9 +47,9 @@
 
 private:
   void Do(const roster::Publish& aPublish);
-  void Do(const roster::Reach& aReach);
+  void Do(const roster::SetHostAddress& aSetHostAddress);
   void Do(const roster::Send& aSend);
-  void Do(const roster::ConfigurationHeard& aHeard);
+  void Do(const roster::ConfigurationAdvertised& aAdvertised);
 
   ControlMailbox& mMailbox;
   peer::Sender& mSender;
--- a/src/balsampoint/peer/roster_codec.cpp
+++ b/src/balsampoint/peer/roster_codec.cpp
@@ -78,9 +78,9 @@
   {
     wire::RosterSubscribe subscription;
     subscription.address = aMessage.address;
-    subscription.hears = aMessage.hears;
+    subscription.hears = aMessage.isControlHost;
     subscription.source = ToWire(aMessage.source);
-    subscription.have = static_cast<std::int64_t>(aMessage.have);
+    subscription.have = static_cast<std::int64_t>(aMessage.receivedVersion);
     out.__set_subscription(subscription);
   }
   void operator()(const roster::Update& aMessage) const
@@ -129,10 +129,10 @@
   if (aMessage.__isset.subscription) {
     const auto& subscription = aMessage.subscription;
     return roster::Subscribe{ .address = subscription.address,
-                              .hears = subscription.hears,
+                              .isControlHost = subscription.hears,
                               .source =
                                 FromWire<Incarnation>(subscription.source),
-                              .have =
+                              .receivedVersion =
                                 static_cast<std::uint64_t>(subscription.have) };
   }
   if (aMessage.__isset.update) {
--- a/src/balsampoint/roster/command/hear.hpp
+++ b/src/balsampoint/roster/command/track_heartbeats.hpp
@@ -23,7 +23,7 @@
  * @param aNow Current time.
  */
 void
-ClaimAgain(State& aState, const Claim& aClaim, Instant aNow);
+ReadvertiseClaim(State& aState, const Claim& aClaim, Instant aNow);
 
 /**
  * @brief Marks a server as gone; unknown servers and older incarnations are
@@ -42,6 +42,6 @@
  * @param aNow Current time.
  */
 void
-NoteSilence(State& aState, Instant aNow);
+ExpireHeartbeats(State& aState, Instant aNow);
 
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/message.hpp
+++ b/src/balsampoint/roster/message.hpp
@@ -31,13 +31,13 @@
   /** Address on which the sender accepts connections from other hosts. */
   std::string address;
   /** Whether the sender is a control host too. */
-  bool hears{ false };
-  /** Incarnation of the receiver that `have` refers to; zero if no update has
-   * been received from it. */
+  bool isControlHost{ false };
+  /** Incarnation of the receiver that `receivedVersion` refers to; zero if no
+   * update has been received from it. */
   Incarnation source;
   /** Version of the receiver's claims up to which the sender has received them.
    * */
-  std::uint64_t have{};
+  std::uint64_t receivedVersion{};
 
   bool operator==(const Subscribe&) const = default;
 };
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -1,7 +1,7 @@
 #include "balsampoint/roster/module.hpp"
 
-#include "balsampoint/roster/command/hear.hpp"
-#include "balsampoint/roster/command/share.hpp"
+#include "balsampoint/roster/command/exchange_claims.hpp"
+#include "balsampoint/roster/command/track_heartbeats.hpp"
 #include "balsampoint/roster/query/make_view.hpp"
 
 #include <algorithm>
@@ -32,7 +32,7 @@
   {
     HandleSignedOff(state, aEvent, now);
   }
-  void operator()(const ConfigurationKnown& aEvent) const
+  void operator()(const ConfigurationUpdated& aEvent) const
   {
     state.configuration = std::max(state.configuration, aEvent.number);
   }
@@ -67,15 +67,15 @@
  * its length: heartbeats sent during the stall have not been processed yet.
  */
 void
-ForgiveStandstill(State& aState, Instant aNow)
+CompensateForStall(State& aState, Instant aNow)
 {
   const auto last = std::exchange(aState.lastTick, aNow);
   if (last == kNever || aNow - last <= 2 * kTickInterval) {
     return;
   }
   const auto lost = aNow - last;
-  for (auto& [id, heard] : aState.heard) {
-    heard.at = std::min(aNow, heard.at + lost);
+  for (auto& [id, local] : aState.localServers) {
+    local.lastHeartbeatAt = std::min(aNow, local.lastHeartbeatAt + lost);
   }
 }
 
@@ -108,11 +108,11 @@
 void
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
-  ForgiveStandstill(aState, aNow);
-  NoteSilence(aState, aNow);
+  CompensateForStall(aState, aNow);
+  ExpireHeartbeats(aState, aNow);
   PushChanges(aState, aNow, aActions);
   if (aNow >= aState.nextRenewal) {
-    aState.nextRenewal = aNow + aState.settings.renewal;
+    aState.nextRenewal = aNow + aState.settings.renewalInterval;
     RenewSubscriptions(aState, aNow, aActions);
   }
   PublishIfChanged(aState, aNow, aActions);
@@ -122,7 +122,7 @@
 Instant
 Module::NextDeadline(const State& aState)
 {
-  const bool alone = aState.sources.empty() && !aState.settings.hears;
+  const bool alone = aState.sources.empty() && !aState.settings.isControlHost;
   return alone ? kNever : aState.nextTick;
 }
 
--- a/src/balsampoint/roster/query/make_view.cpp
+++ b/src/balsampoint/roster/query/make_view.cpp
@@ -16,15 +16,15 @@
   if (found == aState.sources.end()) {
     return false;
   }
-  const auto& heardAt = found->second.heardAt;
-  return heardAt.has_value() &&
-         aNow - heardAt.value() <= aState.settings.hostSilence;
+  const auto& lastReceivedAt = found->second.lastReceivedAt;
+  return lastReceivedAt.has_value() &&
+         aNow - lastReceivedAt.value() <= aState.settings.hostTimeout;
 }
 
 bool
-AnySourceLives(const State& aState, Instant aNow)
+IsAnySourceLive(const State& aState, Instant aNow)
 {
-  return aState.settings.hears ||
+  return aState.settings.isControlHost ||
          std::ranges::any_of(aState.sources, [&](const auto& aEntry) {
            return IsLive(aState, aEntry.first, aNow);
          });
@@ -36,15 +36,15 @@
 MakeView(const State& aState, Instant aNow)
 {
   View view;
-  const bool anyLives = AnySourceLives(aState, aNow);
+  const bool isAnyLive = IsAnySourceLive(aState, aNow);
   for (const auto& [id, record] : aState.records) {
     if (record.goneAt != kNever) {
       continue;
     }
-    const bool doubted = anyLives && !IsLive(aState, record.owner, aNow);
+    const bool suspected = isAnyLive && !IsLive(aState, record.owner, aNow);
     auto claim = record.claim;
     claim.stamp.sequence = 0;
-    view.servers.push_back({ std::move(claim), doubted });
+    view.servers.push_back({ std::move(claim), suspected });
   }
   for (const auto& [host, source] : aState.sources) {
     view.controls.push_back({ host, source.address });
@@ -52,7 +52,7 @@
       view.collector = host;
     }
   }
-  if (aState.settings.hears) {
+  if (aState.settings.isControlHost) {
     view.controls.push_back({ aState.settings.self, aState.settings.address });
   }
   return view;
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -21,32 +21,32 @@
   /** Address on which this host accepts connections from other hosts. */
   std::string address;
   /** Whether this is a control host, to which servers send heartbeats. */
-  bool hears{ false };
+  bool isControlHost{ false };
   /** Control hosts known from the settings. */
   std::vector<ControlHost> seeds;
   /** Time without a heartbeat after which a server counts as silent. */
-  Duration silence{ std::chrono::milliseconds{ 4200 } };
+  Duration heartbeatTimeout{ std::chrono::milliseconds{ 4200 } };
   /** Time between two renewals of a subscription. */
-  Duration renewal{ std::chrono::milliseconds{ 700 } };
+  Duration renewalInterval{ std::chrono::milliseconds{ 700 } };
   /** Time without a message after which a host counts as unreachable. */
-  Duration hostSilence{ std::chrono::milliseconds{ 2500 } };
+  Duration hostTimeout{ std::chrono::milliseconds{ 2500 } };
   /** Time without a message after which a subscriber, or a control host that is
    * no seed, is dropped. */
-  Duration forgetHost{ std::chrono::seconds{ 60 } };
+  Duration hostRetention{ std::chrono::seconds{ 60 } };
   /** Time for which a silent or signed-off server is kept, so that a late
    * heartbeat does not bring it back. */
-  Duration memory{ std::chrono::minutes{ 10 } };
+  Duration serverRetention{ std::chrono::minutes{ 10 } };
 };
 
 /** @brief A server that sends heartbeats to this host. */
-struct Heard
+struct LocalServer
 {
   Claim claim;
-  Instant at{};
+  Instant lastHeartbeatAt{};
   /** Version of this host's claims in which this claim last changed. */
   std::uint64_t version{};
   /** Stamp of the claim in that version, as advertised to subscribers. */
-  Stamp told;
+  Stamp advertisedStamp;
 };
 
 /** @brief The newest claim on a server from any control host. */
@@ -64,21 +64,21 @@
   std::string address;
   Incarnation incarnation;
   /** Version of its claims up to which this host has received them. */
-  std::uint64_t have{};
-  std::optional<Instant> heardAt;
+  std::uint64_t receivedVersion{};
+  std::optional<Instant> lastReceivedAt;
   bool isSeed{ false };
 };
 
 /** @brief A host that subscribes to this host's claims. */
 struct Subscriber
 {
-  Instant heardAt{};
-  bool hears{ false };
+  Instant lastReceivedAt{};
+  bool isControlHost{ false };
   std::string address;
   /** Version of this host's claims last sent to it. */
-  std::uint64_t sent{};
+  std::uint64_t sentVersion{};
   /** Number of the newest configuration last sent to it. */
-  ChangeNumber told;
+  ChangeNumber sentConfiguration;
 };
 
 /** @brief Roster of one host; owned by the control thread. */
@@ -90,7 +90,7 @@
   std::map<HostId, Source> sources;
   /** Servers that send heartbeats to this host; empty unless it is a control
    * host. */
-  std::map<ServerId, Heard> heard;
+  std::map<ServerId, LocalServer> localServers;
   std::uint64_t version{};
   std::map<HostId, Subscriber> subscribers;
   /** Number of the newest configuration that this host has. */
@@ -124,13 +124,14 @@
 };
 
 /** @brief This host has received a newer configuration. */
-struct ConfigurationKnown
+struct ConfigurationUpdated
 {
   ChangeNumber number;
 };
 
 /** @brief Input of the roster. */
-using Event = std::variant<Heartbeat, SignedOff, Received, ConfigurationKnown>;
+using Event =
+  std::variant<Heartbeat, SignedOff, Received, ConfigurationUpdated>;
 
 /** @brief Publishes a new view to the readers on this host. */
 struct Publish
@@ -139,7 +140,7 @@
 };
 
 /** @brief Sets the address at which a host can be reached. */
-struct Reach
+struct SetHostAddress
 {
   HostId host;
   std::string address;
@@ -156,14 +157,15 @@
  * @brief Reports the number of the newest configuration that a control host
  * has.
  */
-struct ConfigurationHeard
+struct ConfigurationAdvertised
 {
   HostId host;
   ChangeNumber number;
 };
 
 /** @brief Output of the roster, carried out by the daemon. */
-using Action = std::variant<Publish, Reach, Send, ConfigurationHeard>;
+using Action =
+  std::variant<Publish, SetHostAddress, Send, ConfigurationAdvertised>;
 
 /** @brief Actions collected by a command, in order. */
 using Actions = std::vector<Action>;
--- a/src/balsampoint/roster/view.hpp
+++ b/src/balsampoint/roster/view.hpp
@@ -12,12 +12,12 @@
 {
   Claim claim;
   /** Whether its control host is unreachable while another one is reachable. */
-  bool doubted{ false };
+  bool suspected{ false };
 
   /** @brief Whether it may be sent new requests. */
   [[nodiscard]] bool TakesWork() const noexcept
   {
-    return claim.presence == Presence::Ready && !doubted;
+    return claim.presence == Presence::Ready && !suspected;
   }
 
   bool operator==(const Server&) const = default;
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -18,28 +18,28 @@
  * @brief Hosts that deliver messages to each other at once unless the link
  * is cut.
  */
-class Hosts
+class HostSet
 {
 public:
-  void Add(std::string_view aName, bool aHears)
+  void Add(std::string_view aName, bool aIsControlHost)
   {
     const HostId host{ std::string{ aName } };
     Settings settings{ .self = host,
                        .incarnation = Incarnation{ 1 },
                        .address = host.String() + ":1",
-                       .hears = aHears };
+                       .isControlHost = aIsControlHost };
     for (const auto* seed : { "c1", "c2" }) {
       settings.seeds.push_back({ HostId{ seed }, std::string{ seed } + ":1" });
     }
     mStates.emplace(host, Module::Start(settings, mNow));
   }
 
-  void Tell(std::string_view aHost, const Event& aEvent)
+  void Deliver(std::string_view aHost, const Event& aEvent)
   {
     const HostId host{ std::string{ aHost } };
     Actions actions;
     Module::Handle(mStates.at(host), aEvent, mNow, actions);
-    Take(host, actions);
+    RunActions(host, actions);
   }
 
   void Run(Duration aTime)
@@ -53,7 +53,7 @@
         }
         Actions actions;
         Module::Tick(state, mNow, actions);
-        Take(host, actions);
+        RunActions(host, actions);
       }
     }
   }
@@ -75,14 +75,15 @@
   std::set<HostId> stopped;
   /** Links that drop messages, as pairs of sender and receiver. */
   std::set<std::pair<HostId, HostId>> cut;
-  std::map<HostId, ChangeNumber> heardNumbers;
+  std::map<HostId, ChangeNumber> advertisedNumbers;
 
 private:
-  void Take(const HostId& aFrom, const Actions& aActions)
+  void RunActions(const HostId& aFrom, const Actions& aActions)
   {
     for (const auto& action : aActions) {
-      if (const auto* heard = std::get_if<ConfigurationHeard>(&action)) {
-        heardNumbers[aFrom] = heard->number;
+      if (const auto* advertised =
+            std::get_if<ConfigurationAdvertised>(&action)) {
+        advertisedNumbers[aFrom] = advertised->number;
       }
       const auto* send = std::get_if<Send>(&action);
       if (send == nullptr || !mStates.contains(send->to) ||
@@ -90,7 +91,7 @@
           cut.contains({ aFrom, send->to })) {
         continue;
       }
-      Tell(send->to.Value(), Received{ aFrom, send->message });
+      Deliver(send->to.Value(), Received{ aFrom, send->message });
     }
   }
 
@@ -99,7 +100,7 @@
 };
 
 Heartbeat
-Beat(std::uint64_t aIncarnation, std::uint64_t aSequence)
+MakeHeartbeat(std::uint64_t aIncarnation, std::uint64_t aSequence)
 {
   return { { .server = ServerId{ "s" },
              .stamp = { Incarnation{ aIncarnation }, aSequence },
@@ -107,10 +108,10 @@
                               .address = "10.0.0.9:80" } } };
 }
 
-Hosts
+HostSet
 MakeHosts()
 {
-  Hosts hosts;
+  HostSet hosts;
   hosts.Add("c1", true);
   hosts.Add("c2", true);
   hosts.Add("entry", false);
@@ -123,7 +124,7 @@
 Test(roster, a_heartbeat_reaches_every_host_at_once)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 1));
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
   cr_assert(hosts.Find("entry", "s")->TakesWork());
   cr_assert(hosts.Find("c2", "s")->TakesWork());
 }
@@ -131,43 +132,43 @@
 Test(roster, a_leaving_server_is_known_at_once)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 1));
-  auto leaving = Beat(7, 2);
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
+  auto leaving = MakeHeartbeat(7, 2);
   leaving.claim.presence = Presence::Leaving;
-  hosts.Tell("c2", leaving);
+  hosts.Deliver("c2", leaving);
   cr_assert_not(hosts.Find("entry", "s")->TakesWork());
 }
 
-Test(roster, a_server_that_came_back_during_a_cut_is_told_again)
+Test(roster, a_server_that_returned_during_a_partition_is_advertised_again)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c2", Beat(7, 1));
+  hosts.Deliver("c2", MakeHeartbeat(7, 1));
   hosts.cut = { { HostId{ "c1" }, HostId{ "c2" } },
                 { HostId{ "c2" }, HostId{ "c1" } } };
-  hosts.Tell("c1", Beat(7, 2));
-  hosts.Tell("c2", Beat(7, 3));
+  hosts.Deliver("c1", MakeHeartbeat(7, 2));
+  hosts.Deliver("c2", MakeHeartbeat(7, 3));
   hosts.cut.clear();
   for (std::uint64_t sequence = 4; sequence < 14; ++sequence) {
     hosts.Run(1s);
-    hosts.Tell("c2", Beat(7, sequence));
+    hosts.Deliver("c2", MakeHeartbeat(7, sequence));
   }
   for (const auto* host : { "c1", "c2", "entry" }) {
     cr_assert(hosts.Find(host, "s")->TakesWork(), "%s", host);
   }
 }
 
-Test(roster, a_heartbeat_that_reached_two_hosts_does_not_silence_a_server)
+Test(roster, a_heartbeat_received_by_two_hosts_does_not_mark_a_server_silent)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 1));
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
   hosts.cut = { { HostId{ "c1" }, HostId{ "c2" } },
                 { HostId{ "c2" }, HostId{ "c1" } } };
-  hosts.Tell("c2", Beat(7, 2));
-  hosts.Tell("c1", Beat(7, 2));
+  hosts.Deliver("c2", MakeHeartbeat(7, 2));
+  hosts.Deliver("c1", MakeHeartbeat(7, 2));
   hosts.cut.clear();
   for (std::uint64_t sequence = 3; sequence < 13; ++sequence) {
     hosts.Run(1s);
-    hosts.Tell("c2", Beat(7, sequence));
+    hosts.Deliver("c2", MakeHeartbeat(7, sequence));
   }
   for (const auto* host : { "c1", "c2", "entry" }) {
     cr_assert(hosts.Find(host, "s")->TakesWork(), "%s", host);
@@ -177,14 +178,14 @@
 Test(roster, a_late_heartbeat_does_not_bring_a_server_back)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 5));
-  hosts.Tell("c1", SignedOff{ ServerId{ "s" }, {} });
+  hosts.Deliver("c1", MakeHeartbeat(7, 5));
+  hosts.Deliver("c1", SignedOff{ ServerId{ "s" }, {} });
   cr_assert_null(hosts.Find("entry", "s"));
-  hosts.Tell("c2", Beat(7, 6));
+  hosts.Deliver("c2", MakeHeartbeat(7, 6));
   cr_assert_null(hosts.Find("entry", "s"));
-  hosts.Tell("c2", Beat(8, 1));
+  hosts.Deliver("c2", MakeHeartbeat(8, 1));
   cr_assert(hosts.Find("entry", "s")->TakesWork());
-  hosts.Tell("c1", Beat(7, 9));
+  hosts.Deliver("c1", MakeHeartbeat(7, 9));
   cr_assert_eq(hosts.Find("entry", "s")->claim.stamp.incarnation,
                Incarnation{ 8 });
 }
@@ -192,59 +193,59 @@
 Test(roster, a_later_server_at_the_same_address_replaces_the_earlier)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 5));
-  auto other = Beat(9, 1);
+  hosts.Deliver("c1", MakeHeartbeat(7, 5));
+  auto other = MakeHeartbeat(9, 1);
   other.claim.server = ServerId{ "t" };
-  hosts.Tell("c1", other);
+  hosts.Deliver("c1", other);
   cr_assert_null(hosts.Find("entry", "s"));
-  hosts.Tell("c2", Beat(7, 6));
+  hosts.Deliver("c2", MakeHeartbeat(7, 6));
   cr_assert_null(hosts.Find("entry", "s"));
   cr_assert(hosts.Find("entry", "t")->TakesWork());
 }
 
-Test(roster, silence_takes_a_server_out_and_a_heartbeat_brings_it_back)
+Test(roster, missed_heartbeats_exclude_a_server_and_a_new_one_restores_it)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 1));
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
   hosts.Run(5s);
   cr_assert_eq(hosts.Find("entry", "s")->claim.presence, Presence::Silent);
-  hosts.Tell("c2", Beat(7, 2));
+  hosts.Deliver("c2", MakeHeartbeat(7, 2));
   cr_assert(hosts.Find("entry", "s")->TakesWork());
 }
 
-Test(roster, servers_of_a_lost_control_host_are_doubted)
+Test(roster, servers_of_an_unreachable_control_host_are_suspected)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 1));
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
   hosts.stopped.insert(HostId{ "c1" });
   hosts.Run(3s);
-  cr_assert(hosts.Find("entry", "s")->doubted);
-  hosts.Tell("c2", Beat(7, 2));
+  cr_assert(hosts.Find("entry", "s")->suspected);
+  hosts.Deliver("c2", MakeHeartbeat(7, 2));
   cr_assert(hosts.Find("entry", "s")->TakesWork());
 }
 
-Test(roster, without_any_control_host_the_last_view_holds)
+Test(roster, without_any_control_host_the_last_view_stays)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c1", Beat(7, 1));
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
   hosts.stopped = { HostId{ "c1" }, HostId{ "c2" } };
   hosts.Run(20s);
   cr_assert(hosts.Find("entry", "s")->TakesWork());
 }
 
-Test(roster, lost_updates_are_asked_for_again)
+Test(roster, lost_updates_are_requested_again)
 {
   auto hosts = MakeHosts();
   hosts.stopped.insert(HostId{ "entry" });
-  hosts.Tell("c1", Beat(7, 1));
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
   hosts.stopped.clear();
   hosts.Run(1s);
   cr_assert(hosts.Find("entry", "s")->TakesWork());
 }
 
-Test(roster, subscribers_hear_of_a_newer_configuration)
+Test(roster, subscribers_receive_the_number_of_a_newer_configuration)
 {
   auto hosts = MakeHosts();
-  hosts.Tell("c2", ConfigurationKnown{ ChangeNumber{ 28 } });
-  cr_assert_eq(hosts.heardNumbers[HostId{ "entry" }], ChangeNumber{ 28 });
+  hosts.Deliver("c2", ConfigurationUpdated{ ChangeNumber{ 28 } });
+  cr_assert_eq(hosts.advertisedNumbers[HostId{ "entry" }], ChangeNumber{ 28 });
 }
--- a/test/balsampoint/soak/world.cpp
+++ b/test/balsampoint/soak/world.cpp
@@ -82,7 +82,7 @@
     roster::Module::Start({ .self = aHost.name.host,
                             .incarnation = Incarnation{ ++mIncarnations },
                             .address = aHost.name.address,
-                            .hears = aHost.isControl,
+                            .isControlHost = aHost.isControl,
                             .seeds = std::move(seeds) },
                           mNow);
   aHost.fleet = { .settings = { .zone = aHost.zone } };
