Rename figurative names of the usage exchange to plain terms

Names such as Tell, SumUp and OthersUse did not say what they stand for. Only names change; wire fields stay.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -152,7 +152,8 @@
       }
     }
     mRunners.Roster().PublishTo([this](auto aView) {
-      Post(mMailbox, usage::Event{ usage::CollectorKnown{ aView->collector } });
+      Post(mMailbox,
+           usage::Event{ usage::CollectorChanged{ aView->collector } });
       mEdge.Post([this, view = std::move(aView)] { TakeServers(view); });
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
--- a/src/balsampoint/daemon/usage_runner.hpp
+++ b/src/balsampoint/daemon/usage_runner.hpp
@@ -15,7 +15,7 @@
 {
 public:
   /** @brief Takes what others have; called on the control thread. */
-  using Tell = std::function<void(std::shared_ptr<const usage::OthersUse>)>;
+  using Tell = std::function<void(std::shared_ptr<const usage::RemoteUsage>)>;
 
   /**
    * @brief Keeps the way to other hosts, which outlives the runner.
@@ -42,7 +42,7 @@
       mSender.Send(
         send->to, peer::ModuleTag::Usage, peer::Encode(send->message));
     } else if (mTell) {
-      mTell(std::get<usage::Tell>(aAction).others);
+      mTell(std::get<usage::PublishRemote>(aAction).others);
     }
   }
 
--- a/src/balsampoint/fleet/command/share_use.cpp
+++ b/src/balsampoint/fleet/command/share_use.cpp
@@ -5,9 +5,9 @@
 namespace balsampoint::fleet {
 
 void
-TakeOthers(State& aState, const usage::OthersUse& aOthers)
+TakeOthers(State& aState, const usage::RemoteUsage& aOthers)
 {
-  std::map<ServerId, const usage::ServerUse*> uses;
+  std::map<ServerId, const usage::ServerUsage*> uses;
   for (const auto& use : aOthers.servers) {
     uses[use.server] = &use;
   }
--- a/src/balsampoint/fleet/command/share_use.hpp
+++ b/src/balsampoint/fleet/command/share_use.hpp
@@ -11,6 +11,6 @@
  * @param aOthers Sum of their work by server.
  */
 void
-TakeOthers(State& aState, const usage::OthersUse& aOthers);
+TakeOthers(State& aState, const usage::RemoteUsage& aOthers);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/own_use.cpp
+++ b/src/balsampoint/fleet/query/own_use.cpp
@@ -2,10 +2,10 @@
 
 namespace balsampoint::fleet {
 
-usage::OwnUse
+usage::LocalUsage
 OwnUse(const State& aState)
 {
-  usage::OwnUse use;
+  usage::LocalUsage use;
   for (const auto& [service, group] : aState.groups) {
     for (const auto& [id, server] : group.servers) {
       if (server.own.passing == 0) {
--- a/src/balsampoint/fleet/query/own_use.hpp
+++ b/src/balsampoint/fleet/query/own_use.hpp
@@ -9,7 +9,7 @@
  * @brief Lists the work that this thread has in progress on each server.
  * @param aState State to read.
  */
-[[nodiscard]] usage::OwnUse
+[[nodiscard]] usage::LocalUsage
 OwnUse(const State& aState);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/peer/usage_codec.cpp
+++ b/src/balsampoint/peer/usage_codec.cpp
@@ -10,7 +10,7 @@
 namespace wire = generated;
 
 std::vector<wire::UsageServer>
-ToWire(const std::vector<usage::ServerUse>& aServers)
+ToWire(const std::vector<usage::ServerUsage>& aServers)
 {
   std::vector<wire::UsageServer> servers;
   servers.reserve(aServers.size());
@@ -24,10 +24,10 @@
   return servers;
 }
 
-std::vector<usage::ServerUse>
+std::vector<usage::ServerUsage>
 FromWire(const std::vector<wire::UsageServer>& aServers)
 {
-  std::vector<usage::ServerUse> servers;
+  std::vector<usage::ServerUsage> servers;
   servers.reserve(aServers.size());
   for (const auto& server : aServers) {
     servers.push_back({ .server = ServerId{ server.server },
@@ -42,12 +42,12 @@
 ReadMessage(const wire::UsageMessage& aMessage)
 {
   if (aMessage.__isset.own) {
-    return usage::OwnUse{ FromWire(aMessage.own.servers) };
+    return usage::LocalUsage{ FromWire(aMessage.own.servers) };
   }
   if (aMessage.__isset.others) {
-    return usage::OthersUse{ FromWire(aMessage.others.servers),
-                             static_cast<std::uint32_t>(
-                               aMessage.others.hosts) };
+    return usage::RemoteUsage{ FromWire(aMessage.others.servers),
+                               static_cast<std::uint32_t>(
+                                 aMessage.others.hosts) };
   }
   return Refuse(ErrorKind::BadRequest, "unknown message about work");
 }
@@ -58,12 +58,12 @@
 Encode(const usage::Message& aMessage)
 {
   wire::UsageMessage message;
-  if (const auto* own = std::get_if<usage::OwnUse>(&aMessage)) {
+  if (const auto* own = std::get_if<usage::LocalUsage>(&aMessage)) {
     wire::UsageOwn encoded;
     encoded.servers = ToWire(own->servers);
     message.__set_own(encoded);
   } else {
-    const auto& others = std::get<usage::OthersUse>(aMessage);
+    const auto& others = std::get<usage::RemoteUsage>(aMessage);
     wire::UsageOthers encoded;
     encoded.servers = ToWire(others.servers);
     encoded.hosts = static_cast<std::int32_t>(others.hosts);
--- a/src/balsampoint/usage/command/sum_up.cpp
+++ b/src/balsampoint/usage/command/send_sums.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/usage/command/sum_up.hpp"
+#include "balsampoint/usage/command/send_sums.hpp"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 
 namespace {
 
-using Totals = std::map<ServerId, ServerUse>;
+using Totals = std::map<ServerId, ServerUsage>;
 
 Totals
 TotalsOf(const State& aState)
@@ -24,8 +24,8 @@
   return totals;
 }
 
-OthersUse
-Without(Totals aTotals, const OwnUse& aOwn)
+RemoteUsage
+Subtract(Totals aTotals, const LocalUsage& aOwn)
 {
   for (const auto& use : aOwn.servers) {
     auto& total = aTotals[use.server];
@@ -33,7 +33,7 @@
     total.sent -= use.sent;
     total.kv = std::max(0.0, total.kv - use.kv);
   }
-  OthersUse others;
+  RemoteUsage others;
   for (auto& [server, use] : aTotals) {
     if (use.passing > 0 || use.sent > 0) {
       others.servers.push_back(std::move(use));
@@ -45,18 +45,18 @@
 } // namespace
 
 void
-SumUp(State& aState, Instant aNow, Actions& aActions)
+SendSums(State& aState, Instant aNow, Actions& aActions)
 {
   std::erase_if(aState.reports, [&](const auto& aEntry) {
-    return aNow - aEntry.second.at > aState.settings.lifetime;
+    return aNow - aEntry.second.receivedAt > aState.settings.reportTimeout;
   });
   const auto totals = TotalsOf(aState);
   for (const auto& [host, reported] : aState.reports) {
-    auto others = Without(totals, reported.use);
+    auto others = Subtract(totals, reported.use);
     others.hosts = static_cast<std::uint32_t>(aState.reports.size() - 1);
     if (host == aState.settings.self) {
-      aActions.emplace_back(
-        Tell{ std::make_shared<const OthersUse>(std::move(others)) });
+      aActions.emplace_back(PublishRemote{
+        std::make_shared<const RemoteUsage>(std::move(others)) });
       continue;
     }
     aActions.emplace_back(Send{ host, std::move(others) });
--- a/src/balsampoint/usage/command/sum_up.hpp
+++ b/src/balsampoint/usage/command/send_sums.hpp
@@ -12,6 +12,6 @@
  * @param aActions A message for each entry host is appended to it.
  */
 void
-SumUp(State& aState, Instant aNow, Actions& aActions);
+SendSums(State& aState, Instant aNow, Actions& aActions);
 
 } // namespace balsampoint::usage
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -9,7 +9,7 @@
 namespace balsampoint::usage {
 
 /** @brief Work in progress on one server. */
-struct ServerUse
+struct ServerUsage
 {
   ServerId server;
   /** Requests whose chain includes the server. */
@@ -19,31 +19,31 @@
   /** KV reserved for these requests, in tokens times layers. */
   double kv{};
 
-  bool operator==(const ServerUse&) const = default;
+  bool operator==(const ServerUsage&) const = default;
 };
 
 /** @brief Work that the sending entry host has in progress. */
-struct OwnUse
+struct LocalUsage
 {
-  std::vector<ServerUse> servers;
+  std::vector<ServerUsage> servers;
 
-  bool operator==(const OwnUse&) const = default;
+  bool operator==(const LocalUsage&) const = default;
 };
 
 /**
  * @brief Sum of the work that all entry hosts but the receiver have in
  * progress.
  */
-struct OthersUse
+struct RemoteUsage
 {
-  std::vector<ServerUse> servers;
+  std::vector<ServerUsage> servers;
   /** Number of entry hosts in the sum. */
   std::uint32_t hosts{};
 
-  bool operator==(const OthersUse&) const = default;
+  bool operator==(const RemoteUsage&) const = default;
 };
 
 /** @brief Messages that hosts exchange about work in progress. */
-using Message = std::variant<OwnUse, OthersUse>;
+using Message = std::variant<LocalUsage, RemoteUsage>;
 
 } // namespace balsampoint::usage
--- a/src/balsampoint/usage/module.cpp
+++ b/src/balsampoint/usage/module.cpp
@@ -1,22 +1,22 @@
 #include "balsampoint/usage/module.hpp"
 
-#include "balsampoint/usage/command/sum_up.hpp"
+#include "balsampoint/usage/command/send_sums.hpp"
 
 namespace balsampoint::usage {
 
 namespace {
 
 void
-TakeReport(State& aState, const HostId& aFrom, OwnUse aUse, Instant aNow)
+StoreReport(State& aState, const HostId& aFrom, LocalUsage aUse, Instant aNow)
 {
   aState.reports[aFrom] = { std::move(aUse), aNow };
-  if (aState.nextSum == kNever) {
-    aState.nextSum = aNow + aState.settings.interval;
+  if (aState.nextSums == kNever) {
+    aState.nextSums = aNow + aState.settings.interval;
   }
 }
 
 void
-On(State& aState, const CollectorKnown& aEvent, Instant, Actions&)
+On(State& aState, const CollectorChanged& aEvent, Instant, Actions&)
 {
   aState.collector = aEvent.host;
 }
@@ -25,7 +25,7 @@
 On(State& aState, const Measured& aEvent, Instant aNow, Actions& aActions)
 {
   if (aState.collector == aState.settings.self) {
-    TakeReport(aState, aState.settings.self, aEvent.use, aNow);
+    StoreReport(aState, aState.settings.self, aEvent.use, aNow);
   } else if (!aState.collector.Empty()) {
     aActions.emplace_back(Send{ aState.collector, aEvent.use });
   }
@@ -34,12 +34,12 @@
 void
 On(State& aState, const Received& aEvent, Instant aNow, Actions& aActions)
 {
-  if (const auto* use = std::get_if<OwnUse>(&aEvent.message)) {
-    TakeReport(aState, aEvent.from, *use, aNow);
+  if (const auto* use = std::get_if<LocalUsage>(&aEvent.message)) {
+    StoreReport(aState, aEvent.from, *use, aNow);
     return;
   }
-  aActions.emplace_back(Tell{
-    std::make_shared<const OthersUse>(std::get<OthersUse>(aEvent.message)) });
+  aActions.emplace_back(PublishRemote{ std::make_shared<const RemoteUsage>(
+    std::get<RemoteUsage>(aEvent.message)) });
 }
 
 } // namespace
@@ -57,15 +57,15 @@
 void
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
-  SumUp(aState, aNow, aActions);
-  aState.nextSum =
+  SendSums(aState, aNow, aActions);
+  aState.nextSums =
     aState.reports.empty() ? kNever : aNow + aState.settings.interval;
 }
 
 Instant
 Module::NextDeadline(const State& aState)
 {
-  return aState.nextSum;
+  return aState.nextSums;
 }
 
 } // namespace balsampoint::usage
--- a/src/balsampoint/usage/state.hpp
+++ b/src/balsampoint/usage/state.hpp
@@ -18,14 +18,14 @@
   /** Time between two sums sent to an entry host. */
   Duration interval{ std::chrono::milliseconds{ 200 } };
   /** Age at which an entry host's report expires. */
-  Duration lifetime{ std::chrono::milliseconds{ 1500 } };
+  Duration reportTimeout{ std::chrono::milliseconds{ 1500 } };
 };
 
 /** @brief Last report of one entry host. */
-struct Reported
+struct HostReport
 {
-  OwnUse use;
-  Instant at{};
+  LocalUsage use;
+  Instant receivedAt{};
 };
 
 /** @brief State of the exchange on one host; owned by the control thread. */
@@ -36,15 +36,15 @@
    * reachable. */
   HostId collector;
   /** Reports of entry hosts to this host. */
-  std::map<HostId, Reported> reports;
-  Instant nextSum{ kNever };
+  std::map<HostId, HostReport> reports;
+  Instant nextSums{ kNever };
 };
 
 /**
  * @brief The control host that collects reports changed; empty if none is
  * reachable.
  */
-struct CollectorKnown
+struct CollectorChanged
 {
   HostId host;
 };
@@ -52,7 +52,7 @@
 /** @brief This host's traffic thread measured its work in progress. */
 struct Measured
 {
-  OwnUse use;
+  LocalUsage use;
 };
 
 /** @brief A message arrived from another host. */
@@ -63,7 +63,7 @@
 };
 
 /** @brief Input of the exchange. */
-using Event = std::variant<CollectorKnown, Measured, Received>;
+using Event = std::variant<CollectorChanged, Measured, Received>;
 
 /** @brief Sends a message to another host; delivery is not confirmed. */
 struct Send
@@ -76,13 +76,13 @@
  * @brief Passes the work of the other entry hosts to this host's traffic
  * thread.
  */
-struct Tell
+struct PublishRemote
 {
-  std::shared_ptr<const OthersUse> others;
+  std::shared_ptr<const RemoteUsage> others;
 };
 
 /** @brief Output of the exchange, carried out by the daemon. */
-using Action = std::variant<Send, Tell>;
+using Action = std::variant<Send, PublishRemote>;
 
 /** @brief Actions collected by a command, in order. */
 using Actions = std::vector<Action>;
