Rename figurative names of the fleet to the terms of the field

Names such as Note, Finding, own, others and draw were vague or private to this project. Only names change.

Rename: Finding -> RequestOutcome, Note -> RecordOutcome, NoteEvent -> RecordEvent, NoteTest -> RecordProbe (fleet) Rename: TakeOthers -> SetRemoteUsage, OwnUse -> MakeLocalUsage, ReturnAfter -> RetryAfter (fleet) Rename: Server::own -> localWork, others -> remoteWork, kvRoom -> kvCapacity, faults -> avoidances, misses -> failedConnections, broken -> brokenAnswers, testedAt -> probedAt, LeftOut -> Avoided (fleet) Rename: Group::begunAt -> lastStartedAt (fleet) Rename: Settings::answerShare -> answerFraction, kvShare -> maxKvFraction, brokenToAvoid -> maxBrokenAnswers, shortestReturn -> minRetryAfter, longestReturn -> maxRetryAfter (fleet) Rename: Demand::draw -> randomSample, aDraw -> aRandomSample (fleet) Rename: KvRoom -> KvCapacity, ShareOf -> LayerFraction (fleet/internal) Rename: Take -> ApplyOutcome, LeaveOut -> ExtendUntil, aWrites -> aBegins, kNewest -> kNewestWeight (fleet/command/track_work) Rename: Take -> UpdateServer, Describe -> ApplyProfile (fleet/command/follow_roster.cpp) Rename: Obstacle -> DescribeObstacle, MarkEnds -> MarkBoundaries, mEnds -> mBoundaries, kNoPath -> kUnreachable (choose_chain.cpp) Rename: kFarPenalty -> kOtherZonePenalty, sound -> healthy (choose_server.cpp) Rename: kManyStreams -> kPauseFactor, kOneStream -> kSingleStreamFactor, kLeastMs -> kMinPauseMs, kTestPause -> kProbeInterval (silent_servers.cpp) Rename: command/note_test -> record_probe, command/share_use -> set_remote_usage, query/own_use -> make_local_usage, query/return_after -> retry_after (files of fleet) Rename: test cases of fleet whose names were figurative

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -11,8 +11,8 @@
 #include "balsampoint/edge/status_port.hpp"
 #include "balsampoint/edge/watch.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
-#include "balsampoint/fleet/command/share_use.hpp"
-#include "balsampoint/fleet/query/own_use.hpp"
+#include "balsampoint/fleet/command/set_remote_usage.hpp"
+#include "balsampoint/fleet/query/make_local_usage.hpp"
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
 #include "balsampoint/runtime/entropy.hpp"
@@ -158,7 +158,7 @@
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
-        fleet::TakeOthers(mTraffic.fleet, *others);
+        fleet::SetRemoteUsage(mTraffic.fleet, *others);
         mTraffic.budget.ShareAmong(others->hosts + 1);
       });
     });
@@ -223,7 +223,7 @@
   void TellUse()
   {
     const bool told = mMailbox.Push(
-      usage::Event{ usage::Measured{ fleet::OwnUse(mTraffic.fleet) } });
+      usage::Event{ usage::Measured{ fleet::MakeLocalUsage(mTraffic.fleet) } });
     if (!told) {
       spdlog::warn("the control queue is full");
     }
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -8,7 +8,7 @@
 #include "balsampoint/edge/server_choice.hpp"
 #include "balsampoint/edge/traffic.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
-#include "balsampoint/fleet/query/return_after.hpp"
+#include "balsampoint/fleet/query/retry_after.hpp"
 #include "balsampoint/forward/verdict.hpp"
 #include "balsampoint/wire/write.hpp"
 
@@ -199,7 +199,8 @@
       case ServerSignal::Lost:
         break;
     }
-    NoteServer(mSentNow ? fleet::Finding::Broken : fleet::Finding::Unreachable);
+    NoteServer(mSentNow ? fleet::RequestOutcome::Broken
+                        : fleet::RequestOutcome::Unreachable);
     OnAttemptEnd(mSentNow ? forward::AttemptEnd::Broken
                           : forward::AttemptEnd::NotSent,
                  mSentNow ? "the connection to the server broke"
@@ -269,11 +270,11 @@
   {
     mProgress.maybeRun = mRunBefore;
     const std::string atFault{ aFacts.atFault.value_or(mHops.front().address) };
-    fleet::Note(mTraffic.fleet,
-                mAdmission.service->id,
-                atFault,
-                fleet::Finding::Full,
-                Traffic::Now());
+    fleet::RecordOutcome(mTraffic.fleet,
+                         mAdmission.service->id,
+                         atFault,
+                         fleet::RequestOutcome::Full,
+                         Traffic::Now());
     for (const auto& hop : mHops) {
       if (hop.address == atFault) {
         mFailed.insert(hop.server);
@@ -293,14 +294,14 @@
     const auto& head = answer.Response();
     constexpr std::uint16_t kFirstServerError = 500;
     if (head.status >= kFirstServerError) {
-      NoteServer(fleet::Finding::Failed);
+      NoteServer(fleet::RequestOutcome::Failed);
       mFailed.insert(mHops.front().server);
       mServerFailure = { head, answer.TakeBody() };
       mTraffic.pool.GiveBack(std::exchange(mServer, nullptr));
       OnAttemptEnd(forward::AttemptEnd::ServerFailed, "the server failed");
       return;
     }
-    NoteServer(fleet::Finding::Answered);
+    NoteServer(fleet::RequestOutcome::Answered);
     PassOn(head, answer.TakeBody());
   }
 
@@ -334,7 +335,7 @@
       SendEvents(out);
     }
     if (!whole) {
-      NoteServer(fleet::Finding::Broken);
+      NoteServer(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "an event of the stream is missing");
       return;
@@ -368,7 +369,7 @@
       mWriting = true;
       fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, true);
     }
-    fleet::NoteEvent(
+    fleet::RecordEvent(
       mTraffic.fleet, mAdmission.service->id, mHops, interval, aNow);
   }
 
@@ -421,12 +422,12 @@
   void OnStreamEnd()
   {
     if (mEvents.HasPart()) {
-      NoteServer(fleet::Finding::Broken);
+      NoteServer(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the stream ended within an event");
       return;
     }
-    NoteServer(fleet::Finding::Answered);
+    NoteServer(fleet::RequestOutcome::Answered);
     if (!mProgress.answering) {
       BeginAnswer();
     }
@@ -439,14 +440,14 @@
     End("answered");
   }
 
-  void NoteServer(fleet::Finding aFinding)
+  void NoteServer(fleet::RequestOutcome aFinding)
   {
     if (!mHops.empty()) {
-      fleet::Note(mTraffic.fleet,
-                  mAdmission.service->id,
-                  mHops.front().address,
-                  aFinding,
-                  Traffic::Now());
+      fleet::RecordOutcome(mTraffic.fleet,
+                           mAdmission.service->id,
+                           mHops.front().address,
+                           aFinding,
+                           Traffic::Now());
     }
   }
 
@@ -512,9 +513,9 @@
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
         aError.retryAfter = mAdmission.service->engine
-                              ? fleet::ReturnAfter(mTraffic.fleet,
-                                                   mAdmission.service->id,
-                                                   Traffic::Now())
+                              ? fleet::RetryAfter(mTraffic.fleet,
+                                                  mAdmission.service->id,
+                                                  Traffic::Now())
                               : kPlainRetry;
         AnswerError(aError);
         return;
--- a/src/balsampoint/edge/server_choice.cpp
+++ b/src/balsampoint/edge/server_choice.cpp
@@ -39,7 +39,7 @@
                         .answerTokens = aEngine.usualAnswer,
                         .failed = aFailed,
                         .receivers = aReceivers,
-                        .draw = aTraffic.random.Next() };
+                        .randomSample = aTraffic.random.Next() };
   if (aInquiry.tokens) {
     demand.promptTokens = aInquiry.tokens->prompt;
     demand.answerTokens =
--- a/src/balsampoint/edge/watch.cpp
+++ b/src/balsampoint/edge/watch.cpp
@@ -1,6 +1,6 @@
 #include "balsampoint/edge/watch.hpp"
 
-#include "balsampoint/fleet/command/note_test.hpp"
+#include "balsampoint/fleet/command/record_probe.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/silent_servers.hpp"
 #include "balsampoint/trace/event.hpp"
@@ -35,7 +35,7 @@
 {
   const auto now = Traffic::Now();
   for (const auto& silent : fleet::SilentServers(mTraffic.fleet, now)) {
-    fleet::NoteTest(mTraffic.fleet, silent.service, silent.server, now);
+    fleet::RecordProbe(mTraffic.fleet, silent.service, silent.server, now);
     Test(silent.service, silent.server, silent.address);
   }
   Start();
@@ -77,11 +77,11 @@
   trace::Event{ "server_unreachable" }
     .With("server", aServer)
     .With("address", aAddress);
-  fleet::Note(mTraffic.fleet,
-              aService,
-              aAddress,
-              fleet::Finding::Unreachable,
-              Traffic::Now());
+  fleet::RecordOutcome(mTraffic.fleet,
+                       aService,
+                       aAddress,
+                       fleet::RequestOutcome::Unreachable,
+                       Traffic::Now());
   mTraffic.TellLost(aServer);
 }
 
--- a/src/balsampoint/fleet/command/follow_roster.cpp
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 void
-Describe(Server& aServer, const Group& aGroup)
+ApplyProfile(Server& aServer, const Group& aGroup)
 {
   if (!aGroup.engine) {
     return;
@@ -21,11 +21,11 @@
     aServer.stepFactor = kind->second.stepFactor;
     aServer.readFactor = kind->second.readFactor;
   }
-  aServer.kvRoom = internal::KvRoom(engine, aServer.claim.description);
+  aServer.kvCapacity = internal::KvCapacity(engine, aServer.claim.description);
 }
 
 void
-Take(Group& aGroup, const roster::Server& aSeen)
+UpdateServer(Group& aGroup, const roster::Server& aSeen)
 {
   auto& server = aGroup.servers[aSeen.claim.server];
   if (server.claim.stamp.incarnation != aSeen.claim.stamp.incarnation) {
@@ -33,7 +33,7 @@
   }
   server.claim = aSeen.claim;
   server.ready = aSeen.TakesWork();
-  Describe(server, aGroup);
+  ApplyProfile(server, aGroup);
 }
 
 } // namespace
@@ -56,7 +56,7 @@
     if (group == aState.groups.end()) {
       continue;
     }
-    Take(group->second, server);
+    UpdateServer(group->second, server);
     seen.emplace(service, server.claim.server);
   }
   for (auto& group : aState.groups) {
--- a/src/balsampoint/fleet/command/note_test.cpp
+++ b/src/balsampoint/fleet/command/record_probe.cpp
@@ -1,12 +1,12 @@
-#include "balsampoint/fleet/command/note_test.hpp"
+#include "balsampoint/fleet/command/record_probe.hpp"
 
 namespace balsampoint::fleet {
 
 void
-NoteTest(State& aState,
-         const ServiceId& aService,
-         const ServerId& aServer,
-         Instant aNow)
+RecordProbe(State& aState,
+            const ServiceId& aService,
+            const ServerId& aServer,
+            Instant aNow)
 {
   const auto group = aState.groups.find(aService);
   if (group == aState.groups.end()) {
@@ -14,7 +14,7 @@
   }
   const auto server = group->second.servers.find(aServer);
   if (server != group->second.servers.end()) {
-    server->second.testedAt = aNow;
+    server->second.probedAt = aNow;
   }
 }
 
--- a/src/balsampoint/fleet/command/note_test.hpp
+++ b/src/balsampoint/fleet/command/record_probe.hpp
@@ -12,9 +12,9 @@
  * @param aNow Current time.
  */
 void
-NoteTest(State& aState,
-         const ServiceId& aService,
-         const ServerId& aServer,
-         Instant aNow);
+RecordProbe(State& aState,
+            const ServiceId& aService,
+            const ServerId& aServer,
+            Instant aNow);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/command/share_use.hpp
+++ b/src/balsampoint/fleet/command/set_remote_usage.hpp
@@ -8,9 +8,9 @@
 /**
  * @brief Replaces the work that other hosts have in progress on each server.
  * @param aState State to change.
- * @param aOthers Sum of their work by server.
+ * @param aRemote Sum of their work by server.
  */
 void
-TakeOthers(State& aState, const usage::RemoteUsage& aOthers);
+SetRemoteUsage(State& aState, const usage::RemoteUsage& aRemote);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -42,27 +42,30 @@
 }
 
 void
-LeaveOut(Instant& aUntil, Instant aEnd)
+ExtendUntil(Instant& aUntil, Instant aEnd)
 {
   aUntil = std::max(aUntil, aEnd);
 }
 
 void
-Take(const Settings& aSettings, Server& aServer, Finding aFinding, Instant aNow)
+ApplyOutcome(const Settings& aSettings,
+             Server& aServer,
+             RequestOutcome aOutcome,
+             Instant aNow)
 {
-  const auto failed = aFinding == Finding::Answered ? 0.0 : 1.0;
-  if (aFinding != Finding::Full) {
+  const auto failed = aOutcome == RequestOutcome::Answered ? 0.0 : 1.0;
+  if (aOutcome != RequestOutcome::Full) {
     aServer.failureRate +=
       aSettings.failureWeight * (failed - aServer.failureRate);
   }
-  switch (aFinding) {
-    case Finding::Answered:
-      aServer.faults = 0;
-      aServer.broken = 0;
-      aServer.misses = 0;
+  switch (aOutcome) {
+    case RequestOutcome::Answered:
+      aServer.avoidances = 0;
+      aServer.brokenAnswers = 0;
+      aServer.failedConnections = 0;
       aServer.refusals = 0;
       break;
-    case Finding::Full:
+    case RequestOutcome::Full:
       // Concurrent requests that are all refused count as one refusal.
       if (aServer.fullUntil <= aNow) {
         aServer.fullUntil = aNow + Backoff(aSettings.fullAvoidance,
@@ -71,19 +74,19 @@
         ++aServer.refusals;
       }
       break;
-    case Finding::Unreachable:
-      LeaveOut(aServer.unreachableUntil,
-               aNow + AvoidanceAfter(aSettings, aServer.misses));
-      ++aServer.misses;
+    case RequestOutcome::Unreachable:
+      ExtendUntil(aServer.unreachableUntil,
+                  aNow + AvoidanceAfter(aSettings, aServer.failedConnections));
+      ++aServer.failedConnections;
       break;
-    case Finding::Broken:
-      if (++aServer.broken >= aSettings.brokenToAvoid) {
-        LeaveOut(aServer.avoidUntil,
-                 aNow + AvoidanceAfter(aSettings, aServer.faults));
-        ++aServer.faults;
+    case RequestOutcome::Broken:
+      if (++aServer.brokenAnswers >= aSettings.maxBrokenAnswers) {
+        ExtendUntil(aServer.avoidUntil,
+                    aNow + AvoidanceAfter(aSettings, aServer.avoidances));
+        ++aServer.avoidances;
       }
       break;
-    case Finding::Failed:
+    case RequestOutcome::Failed:
       break;
   }
 }
@@ -100,9 +103,9 @@
   for (const auto& hop : aHops) {
     auto* server = Find(aState, aService, hop);
     if (server != nullptr) {
-      ++server->own.passing;
-      server->own.sent += first ? 1 : 0;
-      server->own.kv += aTokens * hop.layers.Size();
+      ++server->localWork.passing;
+      server->localWork.sent += first ? 1 : 0;
+      server->localWork.kv += aTokens * hop.layers.Size();
     }
     first = false;
   }
@@ -118,7 +121,7 @@
   for (const auto& hop : aHops) {
     auto* server = Find(aState, aService, hop);
     if (server != nullptr) {
-      auto& own = server->own;
+      auto& own = server->localWork;
       own.passing -= std::min(own.passing, 1U);
       own.sent -= first ? std::min(own.sent, 1U) : 0;
       own.kv = std::max(0.0, own.kv - aTokens * hop.layers.Size());
@@ -128,16 +131,16 @@
 }
 
 void
-NoteEvent(State& aState,
-          const ServiceId& aService,
-          std::span<const Hop> aHops,
-          std::optional<Duration> aInterval,
-          Instant aNow)
+RecordEvent(State& aState,
+            const ServiceId& aService,
+            std::span<const Hop> aHops,
+            std::optional<Duration> aInterval,
+            Instant aNow)
 {
-  constexpr double kNewest = 0.1;
+  constexpr double kNewestWeight = 0.1;
   const auto group = aState.groups.find(aService);
   if (group != aState.groups.end() && !aInterval) {
-    group->second.begunAt = aNow;
+    group->second.lastStartedAt = aNow;
   }
   for (const auto& hop : aHops) {
     auto* server = Find(aState, aService, hop);
@@ -145,13 +148,13 @@
       continue;
     }
     server->progressAt = aNow;
-    server->misses = 0;
+    server->failedConnections = 0;
     server->unreachableUntil = Instant::min();
     if (!aInterval) {
       server->refusals = 0;
     } else {
       const std::chrono::duration<double, std::milli> interval = *aInterval;
-      server->eventMs += kNewest * (interval.count() - server->eventMs);
+      server->eventMs += kNewestWeight * (interval.count() - server->eventMs);
     }
   }
 }
@@ -160,14 +163,14 @@
 CountStream(State& aState,
             const ServiceId& aService,
             std::span<const Hop> aHops,
-            bool aWrites)
+            bool aBegins)
 {
   for (const auto& hop : aHops) {
     auto* server = Find(aState, aService, hop);
     if (server == nullptr) {
       continue;
     }
-    if (aWrites) {
+    if (aBegins) {
       ++server->streams;
     } else {
       server->streams -= std::min(server->streams, 1U);
@@ -176,11 +179,11 @@
 }
 
 void
-Note(State& aState,
-     const ServiceId& aService,
-     std::string_view aAddress,
-     Finding aFinding,
-     Instant aNow)
+RecordOutcome(State& aState,
+              const ServiceId& aService,
+              std::string_view aAddress,
+              RequestOutcome aOutcome,
+              Instant aNow)
 {
   const auto group = aState.groups.find(aService);
   if (group == aState.groups.end()) {
@@ -188,7 +191,7 @@
   }
   for (auto& [id, server] : group->second.servers) {
     if (server.claim.description.address == aAddress) {
-      Take(aState.settings, server, aFinding, aNow);
+      ApplyOutcome(aState.settings, server, aOutcome, aNow);
     }
   }
 }
--- a/src/balsampoint/fleet/command/track_work.hpp
+++ b/src/balsampoint/fleet/command/track_work.hpp
@@ -11,7 +11,7 @@
 /**
  * @brief Outcome of a request to a server, as far as it concerns the server.
  */
-enum class Finding : std::uint8_t
+enum class RequestOutcome : std::uint8_t
 {
   Answered,
   /** The server answered with an error. */
@@ -62,11 +62,11 @@
  * @param aNow Current time.
  */
 void
-NoteEvent(State& aState,
-          const ServiceId& aService,
-          std::span<const Hop> aHops,
-          std::optional<Duration> aInterval,
-          Instant aNow);
+RecordEvent(State& aState,
+            const ServiceId& aService,
+            std::span<const Hop> aHops,
+            std::optional<Duration> aInterval,
+            Instant aNow);
 
 /**
  * @brief Counts a stream on its servers when its output begins, and removes
@@ -74,13 +74,13 @@
  * @param aState State to change.
  * @param aService Service that the server belongs to.
  * @param aHops Servers of the chain.
- * @param aWrites Whether the output begins; false if it ends.
+ * @param aBegins Whether the output begins; false if it ends.
  */
 void
 CountStream(State& aState,
             const ServiceId& aService,
             std::span<const Hop> aHops,
-            bool aWrites);
+            bool aBegins);
 
 /**
  * @brief Records the outcome of a request on a server, for later choices of
@@ -88,14 +88,14 @@
  * @param aState State to change.
  * @param aService Service that the server belongs to.
  * @param aAddress Address of the server, with port.
- * @param aFinding Outcome of the request.
+ * @param aOutcome Outcome of the request.
  * @param aNow Current time.
  */
 void
-Note(State& aState,
-     const ServiceId& aService,
-     std::string_view aAddress,
-     Finding aFinding,
-     Instant aNow);
+RecordOutcome(State& aState,
+              const ServiceId& aService,
+              std::string_view aAddress,
+              RequestOutcome aOutcome,
+              Instant aNow);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/internal/cost.cpp
+++ b/src/balsampoint/fleet/internal/cost.cpp
@@ -11,7 +11,7 @@
 constexpr double kMillion = 1e6;
 
 double
-ShareOf(const routing::EngineProfile& aEngine, double aLayers)
+LayerFraction(const routing::EngineProfile& aEngine, double aLayers)
 {
   return aLayers / std::max(1U, aEngine.layers);
 }
@@ -19,8 +19,8 @@
 } // namespace
 
 double
-KvRoom(const routing::EngineProfile& aEngine,
-       const roster::Description& aDescription)
+KvCapacity(const routing::EngineProfile& aEngine,
+           const roster::Description& aDescription)
 {
   const auto kind = aEngine.kinds.find(aDescription.accelerator);
   if (kind == aEngine.kinds.end() || aEngine.kvBytesPerToken <= 0.0) {
@@ -42,7 +42,7 @@
     (aEngine.usualPrompt + aEngine.usualAnswer / 2) / kThousand;
   const auto perWriter =
     aEngine.perWriterMs + aEngine.perThousandContextMs * context;
-  return aEngine.tokensPerPass * aStepFactor * ShareOf(aEngine, aLayers) *
+  return aEngine.tokensPerPass * aStepFactor * LayerFraction(aEngine, aLayers) *
          (aEngine.stepMs + perWriter * aWriters);
 }
 
@@ -57,7 +57,7 @@
     return 0.0;
   }
   const auto pairs = aTokens * aTokens / 2 / kMillion;
-  return aReadFactor * ShareOf(aEngine, aLayers) *
+  return aReadFactor * LayerFraction(aEngine, aLayers) *
          (aTokens / perMs + pairs * aEngine.perMillionPairsMs);
 }
 
--- a/src/balsampoint/fleet/internal/cost.hpp
+++ b/src/balsampoint/fleet/internal/cost.hpp
@@ -12,8 +12,8 @@
  * not in the profile.
  */
 [[nodiscard]] double
-KvRoom(const routing::EngineProfile& aEngine,
-       const roster::Description& aDescription);
+KvCapacity(const routing::EngineProfile& aEngine,
+           const roster::Description& aDescription);
 
 /**
  * @brief Predicted time of one decode pass over some layers of an engine.
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -13,12 +13,12 @@
 
 namespace {
 
-constexpr double kNoPath = std::numeric_limits<double>::infinity();
+constexpr double kUnreachable = std::numeric_limits<double>::infinity();
 
 /** @brief Last hop of the cheapest path from layer zero to a layer. */
 struct Step
 {
-  double cost{ kNoPath };
+  double cost{ kUnreachable };
   const Server* server{};
   /** First layer that the server runs. */
   std::uint32_t from{};
@@ -55,33 +55,33 @@
     , mDemand{ aDemand }
     , mNow{ aNow }
     , mTokens{ aDemand.promptTokens +
-               aState.settings.answerShare * aDemand.answerTokens }
+               aState.settings.answerFraction * aDemand.answerTokens }
     , mSteps(mEngine.layers + 1)
   {
-    SplitMix64 random{ aDemand.draw.value_or(0) };
-    const auto spread = aDemand.draw ? aState.settings.spread : 0.0;
+    SplitMix64 random{ aDemand.randomSample.value_or(0) };
+    const auto spread = aDemand.randomSample ? aState.settings.spread : 0.0;
     for (const auto& [id, server] : aGroup.servers) {
-      const bool out = aLastResort ? server.Unable(aNow) : server.LeftOut(aNow);
+      const bool out = aLastResort ? server.Unable(aNow) : server.Avoided(aNow);
       if (!out && Usable(server)) {
         mServers.push_back({ &server, 1.0 + spread * random.NextUnit() });
       }
     }
-    MarkEnds();
+    MarkBoundaries();
   }
 
   tl::expected<Chain, Error> Run()
   {
     mSteps.front().cost = 0.0;
     for (std::uint32_t layer = 0; layer < mEngine.layers; ++layer) {
-      if (mSteps[layer].cost == kNoPath) {
+      if (mSteps[layer].cost == kUnreachable) {
         continue;
       }
       for (const auto& candidate : mServers) {
         Extend(layer, candidate);
       }
     }
-    if (mSteps.back().cost == kNoPath) {
-      return Refuse(ErrorKind::NoServer, Obstacle());
+    if (mSteps.back().cost == kUnreachable) {
+      return Refuse(ErrorKind::NoServer, DescribeObstacle());
     }
     return Trace();
   }
@@ -91,10 +91,10 @@
    * @brief Describes why no chain exists: the first layer that no path
    * reaches, and what keeps each of its holders out.
    */
-  [[nodiscard]] std::string Obstacle() const
+  [[nodiscard]] std::string DescribeObstacle() const
   {
     std::uint32_t layer = mEngine.layers;
-    while (layer > 0 && mSteps[layer].cost == kNoPath) {
+    while (layer > 0 && mSteps[layer].cost == kUnreachable) {
       --layer;
     }
     std::map<std::string_view, int> holders;
@@ -132,13 +132,13 @@
   }
 
   /** Marks the layers at which the range of some server begins. */
-  void MarkEnds()
+  void MarkBoundaries()
   {
-    mEnds.assign(mEngine.layers + 1, false);
+    mBoundaries.assign(mEngine.layers + 1, false);
     for (const auto& candidate : mServers) {
       const auto begin = Held(*candidate.server).begin;
-      if (begin < mEnds.size()) {
-        mEnds[begin] = true;
+      if (begin < mBoundaries.size()) {
+        mBoundaries[begin] = true;
       }
     }
   }
@@ -177,7 +177,7 @@
     const auto fixed =
       HopMs(aLayer, server) + aCandidate.weight * WaitMs(server);
     for (auto end = aLayer + 1; end <= held.end; ++end) {
-      if (end != held.end && !mEnds[end]) {
+      if (end != held.end && !mBoundaries[end]) {
         continue;
       }
       const auto cost = mSteps[aLayer].cost + fixed +
@@ -213,9 +213,9 @@
   [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
-    const auto room = aServer.kvRoom * mSettings.kvShare;
+    const auto room = aServer.kvCapacity * mSettings.maxKvFraction;
     if (used > room) {
-      return kNoPath;
+      return kUnreachable;
     }
     const auto pass = internal::PassMs(
       mEngine, aServer.stepFactor, aLayers, aServer.Passing() + 1.0);
@@ -259,7 +259,7 @@
   Instant mNow;
   double mTokens;
   std::vector<Step> mSteps;
-  std::vector<bool> mEnds;
+  std::vector<bool> mBoundaries;
   std::vector<Candidate> mServers;
 };
 
@@ -287,7 +287,7 @@
   const bool anyAtFault =
     !chain &&
     std::ranges::any_of(group->second.servers, [&](const auto& aEntry) {
-      return aEntry.second.LeftOut(aNow) && !aEntry.second.Unable(aNow);
+      return aEntry.second.Avoided(aNow) && !aEntry.second.Unable(aNow);
     });
   return anyAtFault ? search(true) : std::move(chain);
 }
--- a/src/balsampoint/fleet/query/choose_chain.hpp
+++ b/src/balsampoint/fleet/query/choose_chain.hpp
@@ -23,7 +23,7 @@
   std::set<ServerId> receivers;
   /** Random number that spreads requests over servers of similar cost; absent
    * to choose the cheapest chain. */
-  std::optional<std::uint64_t> draw;
+  std::optional<std::uint64_t> randomSample;
 };
 
 /**
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -8,7 +8,7 @@
 
 /** Penalties of servers in another zone and of servers that are warming up, in
  * requests in flight. */
-constexpr double kFarPenalty = 0.5;
+constexpr double kOtherZonePenalty = 0.5;
 constexpr double kColdPenalty = 2.0;
 /** Penalty of a server that fails every request, in requests in flight. */
 constexpr double kFailurePenalty = 12.0;
@@ -18,7 +18,7 @@
 {
   const auto& description = aServer.claim.description;
   return aServer.Sent() + aServer.failureRate * kFailurePenalty +
-         (description.zone == aSettings.zone ? 0.0 : kFarPenalty) +
+         (description.zone == aSettings.zone ? 0.0 : kOtherZonePenalty) +
          (description.cold ? kColdPenalty : 0.0);
 }
 
@@ -30,19 +30,19 @@
            Instant aNow)
 {
   std::vector<const Server*> all;
-  std::vector<const Server*> sound;
+  std::vector<const Server*> healthy;
   for (const auto& [id, server] : aGroup.servers) {
     const bool mayReceive = aReceivers.empty() || aReceivers.contains(id);
     if (!server.ready || !mayReceive || aFailed.contains(id)) {
       continue;
     }
     all.push_back(&server);
-    if (!server.LeftOut(aNow)) {
-      sound.push_back(&server);
+    if (!server.Avoided(aNow)) {
+      healthy.push_back(&server);
     }
   }
   // If all servers are faulty, use one of them rather than refuse the request.
-  return sound.empty() ? all : sound;
+  return healthy.empty() ? all : healthy;
 }
 
 } // namespace
@@ -52,7 +52,7 @@
              const ServiceId& aService,
              const std::set<ServerId>& aFailed,
              const std::set<ServerId>& aReceivers,
-             std::uint64_t aDraw,
+             std::uint64_t aRandomSample,
              Instant aNow)
 {
   const auto group = aState.groups.find(aService);
@@ -63,9 +63,9 @@
   if (candidates.empty()) {
     return Refuse(ErrorKind::NoServer, "no server of the service is ready");
   }
-  const auto* best = candidates[aDraw % candidates.size()];
+  const auto* best = candidates[aRandomSample % candidates.size()];
   for (std::size_t at = 1; at < candidates.size(); ++at) {
-    const auto* server = candidates[(at + aDraw) % candidates.size()];
+    const auto* server = candidates[(at + aRandomSample) % candidates.size()];
     if (Score(aState.settings, *server) < Score(aState.settings, *best)) {
       best = server;
     }
--- a/src/balsampoint/fleet/query/choose_server.hpp
+++ b/src/balsampoint/fleet/query/choose_server.hpp
@@ -15,7 +15,8 @@
  * @param aService Service that the request is for.
  * @param aFailed Servers on which an earlier attempt of the request failed.
  * @param aReceivers Servers that may receive the request; empty for any.
- * @param aDraw Random number that decides between servers of equal score.
+ * @param aRandomSample Random number that decides between servers of equal
+ * score.
  * @param aNow Current time.
  * @return The server as a hop without layers, or `ErrorKind::NoServer` if
  * none is ready.
@@ -25,7 +26,7 @@
              const ServiceId& aService,
              const std::set<ServerId>& aFailed,
              const std::set<ServerId>& aReceivers,
-             std::uint64_t aDraw,
+             std::uint64_t aRandomSample,
              Instant aNow);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/own_use.hpp
+++ b/src/balsampoint/fleet/query/make_local_usage.hpp
@@ -10,6 +10,6 @@
  * @param aState State to read.
  */
 [[nodiscard]] usage::LocalUsage
-OwnUse(const State& aState);
+MakeLocalUsage(const State& aState);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/return_after.hpp
+++ b/src/balsampoint/fleet/query/retry_after.hpp
@@ -16,6 +16,6 @@
  * @return Time to wait, within the bounds of the settings.
  */
 [[nodiscard]] Duration
-ReturnAfter(const State& aState, const ServiceId& aService, Instant aNow);
+RetryAfter(const State& aState, const ServiceId& aService, Instant aNow);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/silent_servers.cpp
+++ b/src/balsampoint/fleet/query/silent_servers.cpp
@@ -9,30 +9,30 @@
 
 /** Longest normal pause on a server with many streams, as a multiple of its
  * mean time between events. */
-constexpr double kManyStreams = 1.6;
+constexpr double kPauseFactor = 1.6;
 /** Added to the multiple for a single stream; divided by the number of streams.
  * */
-constexpr double kOneStream = 2.5;
-constexpr double kLeastMs = 70.0;
+constexpr double kSingleStreamFactor = 2.5;
+constexpr double kMinPauseMs = 70.0;
 /** Shortest time between two probes of a server. */
-constexpr Duration kTestPause = std::chrono::milliseconds{ 250 };
+constexpr Duration kProbeInterval = std::chrono::milliseconds{ 250 };
 
 bool
 IsSilent(const Server& aServer, Instant aNow)
 {
   if (aServer.streams == 0 || aServer.progressAt == Instant::min() ||
-      aServer.LeftOut(aNow)) {
+      aServer.Avoided(aNow)) {
     return false;
   }
-  if (aServer.testedAt != Instant::min() &&
-      aNow - aServer.testedAt < kTestPause) {
+  if (aServer.probedAt != Instant::min() &&
+      aNow - aServer.probedAt < kProbeInterval) {
     return false;
   }
   const auto usual =
-    aServer.eventMs * (kManyStreams + kOneStream / aServer.streams);
+    aServer.eventMs * (kPauseFactor + kSingleStreamFactor / aServer.streams);
   const std::chrono::duration<double, std::milli> pause =
     aNow - aServer.progressAt;
-  return pause.count() > std::max(kLeastMs, usual);
+  return pause.count() > std::max(kMinPauseMs, usual);
 }
 
 } // namespace
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -29,9 +29,9 @@
   double hopMs{ 0.6 };
   /** Fraction of the expected answer for which KV is reserved; requests in
    * progress have generated half of theirs on average. */
-  double answerShare{ 0.3 };
+  double answerFraction{ 0.3 };
   /** Fraction of a server's KV capacity that may be reserved. */
-  double kvShare{ 0.95 };
+  double maxKvFraction{ 0.95 };
   /** Bounds of the time for which a faulty server is avoided; it doubles with
    * each fault. */
   Duration firstAvoidance{ std::chrono::milliseconds{ 500 } };
@@ -45,12 +45,12 @@
    * choose different chains. */
   double spread{ 0.3 };
   /** Consecutive broken answers after which a server is avoided. */
-  std::uint32_t brokenToAvoid{ 3 };
+  std::uint32_t maxBrokenAnswers{ 3 };
   /** Bounds of the time after which a refused request may be retried: within
    * the lower one hosts have exchanged their usage, within the upper one
    * running streams have ended. */
-  Duration shortestReturn{ std::chrono::milliseconds{ 250 } };
-  Duration longestReturn{ std::chrono::seconds{ 2 } };
+  Duration minRetryAfter{ std::chrono::milliseconds{ 250 } };
+  Duration maxRetryAfter{ std::chrono::seconds{ 2 } };
   /** Weight of the newest outcome in the moving average of a server's failure
    * rate. */
   double failureWeight{ 0.15 };
@@ -78,21 +78,21 @@
   double stepFactor{ 1.0 };
   double readFactor{ 1.0 };
   /** KV capacity beside its layers, in tokens times layers. */
-  double kvRoom{};
+  double kvCapacity{};
   /** Work sent by this thread. */
-  Work own;
+  Work localWork;
   /** Work sent by other hosts, as last reported. */
-  Work others;
+  Work remoteWork;
   /** Moving average of the fraction of requests that failed. */
   double failureRate{};
   /** Times it has been avoided since its last complete answer. */
-  std::uint32_t faults{};
+  std::uint32_t avoidances{};
   /** Failed connections since its last event or complete answer. */
-  std::uint32_t misses{};
+  std::uint32_t failedConnections{};
   /** Consecutive refusals for lack of capacity. */
   std::uint32_t refusals{};
   /** Consecutive broken answers. */
-  std::uint32_t broken{};
+  std::uint32_t brokenAnswers{};
   /** This thread's streams that generate output through it. */
   std::uint32_t streams{};
   /** When an event of one of this thread's streams last passed through it. */
@@ -101,7 +101,7 @@
    * ms. */
   double eventMs{ 60.0 };
   /** When a connection was last opened to probe it. */
-  Instant testedAt{ Instant::min() };
+  Instant probedAt{ Instant::min() };
   Instant avoidUntil{ Instant::min() };
   /** End of the time for which it counts as having no capacity. */
   Instant fullUntil{ Instant::min() };
@@ -112,7 +112,7 @@
    * @brief Whether it is avoided for now; a last resort may still use it
    * unless it is also unable.
    */
-  [[nodiscard]] bool LeftOut(Instant aNow) const noexcept
+  [[nodiscard]] bool Avoided(Instant aNow) const noexcept
   {
     return avoidUntil > aNow || Unable(aNow);
   }
@@ -129,14 +129,20 @@
   /** @brief Requests of all hosts whose chain includes it. */
   [[nodiscard]] double Passing() const noexcept
   {
-    return own.passing + others.passing;
+    return localWork.passing + remoteWork.passing;
   }
 
   /** @brief Requests of all hosts sent to it as the first of their chain. */
-  [[nodiscard]] double Sent() const noexcept { return own.sent + others.sent; }
+  [[nodiscard]] double Sent() const noexcept
+  {
+    return localWork.sent + remoteWork.sent;
+  }
 
   /** @brief KV reserved by all hosts, in tokens times layers. */
-  [[nodiscard]] double KvUsed() const noexcept { return own.kv + others.kv; }
+  [[nodiscard]] double KvUsed() const noexcept
+  {
+    return localWork.kv + remoteWork.kv;
+  }
 };
 
 /** @brief Servers of one service, with its engine profile if it has engines. */
@@ -145,7 +151,7 @@
   std::optional<routing::EngineProfile> engine;
   std::map<ServerId, Server> servers;
   /** When one of this thread's requests last had its first event. */
-  Instant begunAt{ Instant::min() };
+  Instant lastStartedAt{ Instant::min() };
 };
 
 /** @brief Servers of all services; owned by one traffic thread. */
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -67,15 +67,16 @@
   auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 8 }), MakeEngine("a2", "a", { 0, 8 }) });
   auto& servers = state.groups.at(kService).servers;
-  servers.at(ServerId{ "a1" }).others.passing = 6;
+  servers.at(ServerId{ "a1" }).remoteWork.passing = 6;
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   cr_assert_eq(chain->hops.front().server, ServerId{ "a2" });
-  servers.at(ServerId{ "a2" }).others.kv = servers.at(ServerId{ "a2" }).kvRoom;
+  servers.at(ServerId{ "a2" }).remoteWork.kv =
+    servers.at(ServerId{ "a2" }).kvCapacity;
   const auto other = ChooseChain(state, SmallDemand(), kNow);
   cr_assert_eq(other->hops.front().server, ServerId{ "a1" });
 }
 
-Test(choose_chain, goes_only_to_allowed_receivers)
+Test(choose_chain, starts_only_at_allowed_receivers)
 {
   const auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 8 }), MakeEngine("a2", "a", { 0, 8 }) });
@@ -85,28 +86,28 @@
   cr_assert_eq(chain->hops.front().server, ServerId{ "a2" });
 }
 
-Test(choose_chain, leaves_out_servers_at_fault_for_a_while)
+Test(choose_chain, avoids_faulty_servers_for_a_while)
 {
   auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 8 }), MakeEngine("a2", "a", { 0, 8 }) });
-  Note(state, kService, "a1:80", Finding::Unreachable, kNow);
+  RecordOutcome(state, kService, "a1:80", RequestOutcome::Unreachable, kNow);
   const auto chain = ChooseChain(state, SmallDemand(), kNow + 100ms);
   cr_assert_eq(chain->hops.front().server, ServerId{ "a2" });
   const auto& server = state.groups.at(kService).servers.at(ServerId{ "a1" });
-  cr_assert(server.LeftOut(kNow + 500ms - 1ns));
+  cr_assert(server.Avoided(kNow + 500ms - 1ns));
 }
 
-Test(choose_chain, one_broken_answer_does_not_take_a_server_out)
+Test(choose_chain, one_broken_answer_does_not_exclude_a_server)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }),
                            MakeEngine("a2", "a", { 0, 8 }, "slow") });
   const auto chosen = [&] {
     return ChooseChain(state, SmallDemand(), kNow + 1ms)->hops.front().server;
   };
-  Note(state, kService, "a1:80", Finding::Broken, kNow);
+  RecordOutcome(state, kService, "a1:80", RequestOutcome::Broken, kNow);
   cr_assert_eq(chosen(), ServerId{ "a1" });
-  Note(state, kService, "a1:80", Finding::Broken, kNow);
-  Note(state, kService, "a1:80", Finding::Broken, kNow);
+  RecordOutcome(state, kService, "a1:80", RequestOutcome::Broken, kNow);
+  RecordOutcome(state, kService, "a1:80", RequestOutcome::Broken, kNow);
   cr_assert_eq(chosen(), ServerId{ "a2" });
 }
 
@@ -127,7 +128,8 @@
     }
     auto state = MakeFleet(std::move(servers));
     for (auto& [id, server] : state.groups.at(kService).servers) {
-      server.others.passing = static_cast<std::uint32_t>(random.Next() % 50);
+      server.remoteWork.passing =
+        static_cast<std::uint32_t>(random.Next() % 50);
     }
     const auto chain = ChooseChain(state, SmallDemand(), kNow);
     if (chain) {
@@ -150,60 +152,60 @@
   auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 4 }), MakeEngine("a2", "a", { 4, 8 }) });
   auto& full = state.groups.at(kService).servers.at(ServerId{ "a2" });
-  full.others.kv = full.kvRoom;
+  full.remoteWork.kv = full.kvCapacity;
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   cr_assert_not(chain.has_value());
   cr_assert_eq(chain.error().detail, "no server can run layer 4; 1 full");
 }
 
-Test(choose_chain, room_is_set_aside_for_part_of_an_expected_answer)
+Test(choose_chain, kv_is_reserved_for_part_of_the_expected_answer)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }) });
   auto& server = state.groups.at(kService).servers.at(ServerId{ "a1" });
   const auto wanted = SmallDemand();
   const auto whole = wanted.promptTokens + wanted.answerTokens;
-  server.others.kv = server.kvRoom * state.settings.kvShare -
-                     (whole - wanted.answerTokens / 2) * kLayers;
+  server.remoteWork.kv = server.kvCapacity * state.settings.maxKvFraction -
+                         (whole - wanted.answerTokens / 2) * kLayers;
   cr_assert(ChooseChain(state, wanted, kNow).has_value());
-  server.others.kv += wanted.answerTokens / 2 * kLayers;
+  server.remoteWork.kv += wanted.answerTokens / 2 * kLayers;
   cr_assert_not(ChooseChain(state, wanted, kNow).has_value());
 }
 
-Test(choose_chain, an_event_through_a_server_ends_its_time_out_of_reach)
+Test(choose_chain, an_event_makes_an_unreachable_server_usable_again)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   for (int times = 0; times < 4; ++times) {
-    Note(state, kService, "a1:80", Finding::Unreachable, kNow);
+    RecordOutcome(state, kService, "a1:80", RequestOutcome::Unreachable, kNow);
   }
   cr_assert_not(ChooseChain(state, SmallDemand(), kNow + 1ms).has_value());
-  NoteEvent(state, kService, chain->hops, {}, kNow + 2ms);
+  RecordEvent(state, kService, chain->hops, {}, kNow + 2ms);
   cr_assert(ChooseChain(state, SmallDemand(), kNow + 3ms).has_value());
 }
 
-Test(choose_chain, an_event_does_not_bring_back_a_server_that_breaks_answers)
+Test(choose_chain, an_event_does_not_end_the_avoidance_after_broken_answers)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }),
                            MakeEngine("a2", "a", { 0, kLayers }, "slow") });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   cr_assert_eq(chain->hops.front().server, ServerId{ "a1" });
   for (int times = 0; times < 4; ++times) {
-    Note(state, kService, "a1:80", Finding::Broken, kNow);
+    RecordOutcome(state, kService, "a1:80", RequestOutcome::Broken, kNow);
   }
-  NoteEvent(state, kService, chain->hops, {}, kNow + 2ms);
+  RecordEvent(state, kService, chain->hops, {}, kNow + 2ms);
   const auto next = ChooseChain(state, SmallDemand(), kNow + 3ms);
   cr_assert_eq(next->hops.front().server, ServerId{ "a2" });
 }
 
-Test(choose_chain, a_server_that_breaks_answers_is_better_than_none)
+Test(choose_chain, a_server_with_broken_answers_is_a_last_resort)
 {
   auto state = MakeFleet(
     { MakeEngine("a1", "a", { 0, 4 }), MakeEngine("a2", "a", { 4, 8 }) });
   for (int times = 0; times < 4; ++times) {
-    Note(state, kService, "a2:80", Finding::Broken, kNow);
+    RecordOutcome(state, kService, "a2:80", RequestOutcome::Broken, kNow);
   }
   cr_assert(ChooseChain(state, SmallDemand(), kNow + 1ms).has_value());
-  Note(state, kService, "a2:80", Finding::Full, kNow);
+  RecordOutcome(state, kService, "a2:80", RequestOutcome::Full, kNow);
   cr_assert_not(ChooseChain(state, SmallDemand(), kNow + 1ms).has_value());
 }
 
@@ -218,7 +220,7 @@
   SplitMix64 random{ 5 };
   for (int host = 0; host < kHosts; ++host) {
     auto demand = SmallDemand();
-    demand.draw = random.Next();
+    demand.randomSample = random.Next();
     ++chosen[ChooseChain(state, demand, kNow)->hops.front().server];
   }
   cr_assert_eq(chosen.size(), 4);
@@ -227,26 +229,26 @@
   }
 }
 
-Test(choose_chain, prefers_a_much_faster_server_whatever_the_draw)
+Test(choose_chain, prefers_a_much_faster_server_for_every_sample)
 {
   const auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }),
                                  MakeEngine("a2", "a", { 0, 8 }, "slow") });
   SplitMix64 random{ 6 };
-  for (int draw = 0; draw < 100; ++draw) {
+  for (int round = 0; round < 100; ++round) {
     auto demand = SmallDemand();
-    demand.draw = random.Next();
+    demand.randomSample = random.Next();
     const auto chain = ChooseChain(state, demand, kNow);
     cr_assert_eq(chain->hops.front().server, ServerId{ "a1" });
   }
 }
 
-Test(choose_chain, leaves_a_server_that_keeps_refusing_out_for_longer)
+Test(choose_chain, avoids_a_server_longer_after_repeated_refusals)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
   const auto chain = ChooseChain(state, SmallDemand(), kNow);
   auto now = kNow;
   const auto refuse = [&] {
-    Note(state, kService, "a1:80", Finding::Full, now);
+    RecordOutcome(state, kService, "a1:80", RequestOutcome::Full, now);
   };
   refuse();
   refuse();
@@ -258,7 +260,7 @@
   cr_assert_not(ChooseChain(state, SmallDemand(), now).has_value());
   now += state.settings.fullAvoidance;
   cr_assert(ChooseChain(state, SmallDemand(), now).has_value());
-  NoteEvent(state, kService, chain->hops, {}, now);
+  RecordEvent(state, kService, chain->hops, {}, now);
   refuse();
   now += state.settings.fullAvoidance;
   cr_assert(ChooseChain(state, SmallDemand(), now).has_value(),
--- a/test/balsampoint/fleet/query/return_after_test.cpp
+++ b/test/balsampoint/fleet/query/retry_after_test.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/fleet/query/return_after.hpp"
+#include "balsampoint/fleet/query/retry_after.hpp"
 
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/fixture.hpp"
@@ -23,32 +23,32 @@
     aState,
     { .service = kService, .promptTokens = 100.0, .answerTokens = 40.0 },
     aNow);
-  NoteEvent(aState, kService, chain->hops, {}, aNow);
+  RecordEvent(aState, kService, chain->hops, {}, aNow);
 }
 
 } // namespace
 
-Test(return_after, is_short_where_requests_have_just_found_room)
+Test(retry_after, is_short_after_a_request_has_just_started)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
   BeginStream(state, kNow);
-  cr_assert(ReturnAfter(state, kService, kNow + 10ms) ==
-            state.settings.shortestReturn);
+  cr_assert(RetryAfter(state, kService, kNow + 10ms) ==
+            state.settings.minRetryAfter);
 }
 
-Test(return_after, grows_with_the_time_without_room)
+Test(retry_after, grows_with_the_length_of_the_shortage)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
   BeginStream(state, kNow);
-  cr_assert(ReturnAfter(state, kService, kNow + 700ms) == 700ms);
-  cr_assert(ReturnAfter(state, kService, kNow + 1min) ==
-            state.settings.longestReturn);
+  cr_assert(RetryAfter(state, kService, kNow + 700ms) == 700ms);
+  cr_assert(RetryAfter(state, kService, kNow + 1min) ==
+            state.settings.maxRetryAfter);
 }
 
-Test(return_after, is_long_where_nothing_is_known)
+Test(retry_after, is_long_without_any_information)
 {
   const auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
-  cr_assert(ReturnAfter(state, kService, kNow) == state.settings.longestReturn);
-  cr_assert(ReturnAfter(state, ServiceId{ "other" }, kNow) ==
-            state.settings.longestReturn);
+  cr_assert(RetryAfter(state, kService, kNow) == state.settings.maxRetryAfter);
+  cr_assert(RetryAfter(state, ServiceId{ "other" }, kNow) ==
+            state.settings.maxRetryAfter);
 }
--- a/test/balsampoint/fleet/query/silent_servers_test.cpp
+++ b/test/balsampoint/fleet/query/silent_servers_test.cpp
@@ -1,6 +1,6 @@
 #include "balsampoint/fleet/query/silent_servers.hpp"
 
-#include "balsampoint/fleet/command/note_test.hpp"
+#include "balsampoint/fleet/command/record_probe.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/fixture.hpp"
 
@@ -31,8 +31,8 @@
       CountStream(state, kService, Through("dead"), true);
       CountStream(state, kService, Through("alive"), true);
     }
-    NoteEvent(state, kService, Through("dead"), {}, kNow);
-    NoteEvent(state, kService, Through("alive"), {}, kNow);
+    RecordEvent(state, kService, Through("dead"), {}, kNow);
+    RecordEvent(state, kService, Through("alive"), {}, kNow);
   }
 
   static std::vector<Hop> Through(const std::string& aSecond)
@@ -48,31 +48,31 @@
 
 } // namespace
 
-Test(silent_servers, names_the_one_that_all_paused_streams_share)
+Test(silent_servers, finds_the_server_that_all_paused_streams_share)
 {
   Fixture fixture;
   for (int event = 1; event <= 5; ++event) {
-    NoteEvent(fixture.state,
-              kService,
-              Fixture::Through("alive"),
-              50ms,
-              kNow + event * 50ms);
+    RecordEvent(fixture.state,
+                kService,
+                Fixture::Through("alive"),
+                50ms,
+                kNow + event * 50ms);
   }
   const auto silent = SilentServers(fixture.state, kNow + 250ms);
   cr_assert_eq(silent.size(), 1U);
   cr_assert_eq(silent.front().server, ServerId{ "dead" });
 }
 
-Test(silent_servers, leaves_out_what_was_tested_lately)
+Test(silent_servers, leaves_out_recently_probed_servers)
 {
   Fixture fixture;
   const auto now = kNow + 400ms;
   cr_assert_eq(SilentServers(fixture.state, now).size(), 3U);
-  NoteTest(fixture.state, kService, ServerId{ "first" }, now);
+  RecordProbe(fixture.state, kService, ServerId{ "first" }, now);
   cr_assert_eq(SilentServers(fixture.state, now).size(), 2U);
 }
 
-Test(silent_servers, needs_streams)
+Test(silent_servers, finds_none_without_streams)
 {
   Fixture fixture;
   for (int stream = 0; stream < 3; ++stream) {
