Rename figurative names of placement to the terms of the field

Names such as Give, Known, look, patience and spare were figurative or vague. Only names change; log keys and the order of enumerators stay.

Rename: Give -> SendOrder, Give::limit -> timeout, AskReport -> RequestReport, Known -> TrackedEngine, Order::givenAt -> sentAt, Order::open -> pending (placement) Rename: State::nextLook -> nextPoll, newestAt -> lastNewEngineAt (placement) Rename: Settings::settle -> settleTime, lossPatience -> lossTimeout, answerLimit -> answerTimeout, effectLimit -> effectTimeout, movePause -> minMoveInterval (placement) Rename: LayerNeed -> ModelSize, aNeed -> aModel, Move::spare -> redundant, MostLayers -> MaxLayers (placement) Rename: TakeServer -> UpdateEngine, TakeOrderEnd -> ApplyOrderEnd, TakeReport -> ApplyReport, GiveOrders -> SendOrders, GiveOne -> OrderOne Rename: Cover -> HolderCounts, WorthOf -> Benefit, kGap -> kMissingInZone, kNowhere -> kMissingInAllZones, UsualLayers -> TypicalLayers, kMostMoves -> kMaxMoves (fill.cpp) Rename: LayOut -> AssignRanges, LayOutPart -> AssignPartialRanges, kMayLack -> kMaxMissingMemory, kLeastRequests -> kMinRequests (plan_all.cpp) Rename: NeedOf -> SizeOf, LayersToBe -> TargetLayers, blank -> noneHeld (decide.cpp) Rename: kLookInterval -> kPollInterval (module.cpp) Rename: command/follow -> track_engines, command/place -> send_orders Rename: kUsersModel -> kReferenceModel, UsersFleet -> ReferenceFleet, GrownFleet -> LargeFleet, Tell -> Deliver, Take -> Record, See -> SetServers, given -> sent, asked -> reportRequests, and test cases whose names were figurative (tests of placement)

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -396,7 +396,7 @@
       .Text();
   }
 
-  void Carry(const placement::Give& aGive)
+  void Carry(const placement::SendOrder& aGive)
   {
     trace::Event{ "layers_ordered" }
       .With("server", aGive.server)
@@ -409,7 +409,7 @@
                                       aGive.server.Value());
     mEngines.Call(aGive.address,
                   std::move(request),
-                  aGive.limit,
+                  aGive.timeout,
                   [this,
                    server = aGive.server,
                    incarnation = aGive.incarnation](const auto& aAnswer) {
@@ -428,7 +428,7 @@
                   });
   }
 
-  void Carry(const placement::AskReport& aAsk)
+  void Carry(const placement::RequestReport& aAsk)
   {
     mEngines.Call(aAsk.address,
                   D::WriteReportRequest(aAsk.server.Value()),
--- a/src/balsampoint/placement/command/place.hpp
+++ b/src/balsampoint/placement/command/send_orders.hpp
@@ -15,7 +15,7 @@
  * @param aActions Orders to send are appended to it.
  */
 void
-GiveOrders(State& aState,
+SendOrders(State& aState,
            const ServiceId& aService,
            const Decision& aDecision,
            Instant aNow,
--- a/src/balsampoint/placement/command/follow.hpp
+++ b/src/balsampoint/placement/command/track_engines.hpp
@@ -23,10 +23,10 @@
  * the order was accepted.
  */
 void
-TakeOrderEnd(State& aState,
-             const OrderEnded& aEnded,
-             Instant aNow,
-             Actions& aActions);
+ApplyOrderEnd(State& aState,
+              const OrderEnded& aEnded,
+              Instant aNow,
+              Actions& aActions);
 
 /**
  * @brief Applies the state that an engine has reported.
@@ -34,6 +34,6 @@
  * @param aReported State as reported.
  */
 void
-TakeReport(State& aState, const Reported& aReported);
+ApplyReport(State& aState, const Reported& aReported);
 
 } // namespace balsampoint::placement
--- a/src/balsampoint/placement/engine.hpp
+++ b/src/balsampoint/placement/engine.hpp
@@ -23,7 +23,7 @@
 };
 
 /** @brief Number of layers of a model and the memory that each takes. */
-struct LayerNeed
+struct ModelSize
 {
   std::uint32_t layers{ 1 };
   double layerMb{ 1.0 };
--- a/src/balsampoint/placement/module.cpp
+++ b/src/balsampoint/placement/module.cpp
@@ -1,7 +1,7 @@
 #include "balsampoint/placement/module.hpp"
 
-#include "balsampoint/placement/command/follow.hpp"
-#include "balsampoint/placement/command/place.hpp"
+#include "balsampoint/placement/command/send_orders.hpp"
+#include "balsampoint/placement/command/track_engines.hpp"
 #include "balsampoint/placement/query/decide.hpp"
 
 #include <ranges>
@@ -14,7 +14,7 @@
  * @brief Time between two evaluations of the placement while this host
  * leads.
  */
-constexpr Duration kLookInterval = std::chrono::milliseconds{ 400 };
+constexpr Duration kPollInterval = std::chrono::milliseconds{ 400 };
 
 void
 On(State& aState, const ServersChanged& aEvent, Instant aNow, Actions&)
@@ -33,28 +33,28 @@
 {
   if (!aEvent.leading) {
     aState.leading = false;
-    aState.nextLook = kNever;
-    for (auto& known : aState.engines | std::views::values) {
-      known.order.reset();
+    aState.nextPoll = kNever;
+    for (auto& tracked : aState.engines | std::views::values) {
+      tracked.order.reset();
     }
     return;
   }
   aState.leading = true;
   aState.leadingSince = aNow;
   aState.fencing = aEvent.fencing;
-  aState.nextLook = aNow + kLookInterval;
+  aState.nextPoll = aNow + kPollInterval;
 }
 
 void
 On(State& aState, const OrderEnded& aEvent, Instant aNow, Actions& aActions)
 {
-  TakeOrderEnd(aState, aEvent, aNow, aActions);
+  ApplyOrderEnd(aState, aEvent, aNow, aActions);
 }
 
 void
 On(State& aState, const Reported& aEvent, Instant, Actions&)
 {
-  TakeReport(aState, aEvent);
+  ApplyReport(aState, aEvent);
 }
 
 } // namespace
@@ -72,17 +72,17 @@
 void
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
-  aState.nextLook = aNow + kLookInterval;
+  aState.nextPoll = aNow + kPollInterval;
   for (const auto& [service, profile] : aState.profiles) {
     const auto decision = Decide(aState, service, aNow);
-    GiveOrders(aState, service, decision, aNow, aActions);
+    SendOrders(aState, service, decision, aNow, aActions);
   }
 }
 
 Instant
 Module::NextDeadline(const State& aState)
 {
-  return aState.nextLook;
+  return aState.nextPoll;
 }
 
 } // namespace balsampoint::placement
--- a/src/balsampoint/placement/query/decide.cpp
+++ b/src/balsampoint/placement/query/decide.cpp
@@ -11,8 +11,8 @@
 
 constexpr double kBytesPerMb = 1e6;
 
-LayerNeed
-NeedOf(const routing::EngineProfile& aProfile)
+ModelSize
+SizeOf(const routing::EngineProfile& aProfile)
 {
   const auto tokens = aProfile.usualPrompt + aProfile.usualAnswer;
   return { .layers = aProfile.layers,
@@ -26,19 +26,19 @@
  * return with its layers.
  */
 bool
-MayReturn(const Known& aKnown, const State& aState, Instant aNow)
+MayReturn(const TrackedEngine& aEngine, const State& aState, Instant aNow)
 {
-  return aKnown.claim.presence == roster::Presence::Silent &&
-         aKnown.lostAt != kNever &&
-         aNow - aKnown.lostAt < aState.settings.lossPatience;
+  return aEngine.claim.presence == roster::Presence::Silent &&
+         aEngine.lostAt != kNever &&
+         aNow - aEngine.lostAt < aState.settings.lossTimeout;
 }
 
 /** @brief Layers that an engine holds or has been ordered to load. */
 std::optional<LayerRange>
-LayersToBe(const Known& aKnown)
+TargetLayers(const TrackedEngine& aEngine)
 {
   const auto layers =
-    aKnown.order ? aKnown.order->layers : aKnown.claim.description.layers;
+    aEngine.order ? aEngine.order->layers : aEngine.claim.description.layers;
   return layers && layers->Size() > 0 ? layers : std::nullopt;
 }
 
@@ -46,10 +46,10 @@
  * @brief Layers that an engine was ordered to load, if the order is overdue.
  */
 std::optional<LayerRange>
-OverdueLayers(const Known& aKnown, Instant aNow)
+OverdueLayers(const TrackedEngine& aEngine, Instant aNow)
 {
-  const auto& order = aKnown.order;
-  if (!aKnown.ready || !order || order->open || order->effectDue > aNow) {
+  const auto& order = aEngine.order;
+  if (!aEngine.ready || !order || order->pending || order->effectDue > aNow) {
     return std::nullopt;
   }
   return order->layers;
@@ -65,18 +65,18 @@
   std::vector<Engine> engines;
   const auto& profile = aState.profiles.at(aService);
   for (const auto& entry : aState.engines) {
-    const Known& known = entry.second;
-    const auto& description = known.claim.description;
+    const TrackedEngine& tracked = entry.second;
+    const auto& description = tracked.claim.description;
     const auto kind = profile.kinds.find(description.accelerator);
     if (description.service != aService || kind == profile.kinds.end() ||
-        (!known.ready && !MayReturn(known, aState, aNow))) {
+        (!tracked.ready && !MayReturn(tracked, aState, aNow))) {
       continue;
     }
     engines.push_back({ .server = entry.first,
                         .zone = description.zone,
                         .memoryMb = kind->second.memoryMb,
                         .stepFactor = kind->second.stepFactor,
-                        .layers = LayersToBe(known) });
+                        .layers = TargetLayers(tracked) });
   }
   return engines;
 }
@@ -87,11 +87,11 @@
 {
   Plan plan;
   for (const auto& entry : aState.engines) {
-    const Known& known = entry.second;
-    if (known.claim.description.service != aService) {
+    const TrackedEngine& tracked = entry.second;
+    if (tracked.claim.description.service != aService) {
       continue;
     }
-    if (const auto layers = OverdueLayers(known, aNow)) {
+    if (const auto layers = OverdueLayers(tracked, aNow)) {
       plan[entry.first] = *layers;
     }
   }
@@ -99,14 +99,14 @@
 }
 
 Plan
-FillEach(std::vector<Engine> aEngines, const LayerNeed& aNeed)
+FillEach(std::vector<Engine> aEngines, const ModelSize& aModel)
 {
   Plan plan;
   for (auto& engine : aEngines) {
     if (engine.layers) {
       continue;
     }
-    const auto range = FillOne(engine, aEngines, aNeed);
+    const auto range = FillOne(engine, aEngines, aModel);
     if (range) {
       plan[engine.server] = *range;
       engine.layers = *range;
@@ -121,26 +121,26 @@
 Decide(const State& aState, const ServiceId& aService, Instant aNow)
 {
   const auto& profile = aState.profiles.at(aService);
-  const auto settle = aState.settings.settle;
+  const auto settleTime = aState.settings.settleTime;
   if (profile.kinds.empty() || profile.layerMb <= 0.0 ||
-      aNow - aState.leadingSince < settle) {
+      aNow - aState.leadingSince < settleTime) {
     return {};
   }
-  const bool settled = aNow - aState.newestAt >= settle;
+  const bool settled = aNow - aState.lastNewEngineAt >= settleTime;
   const auto engines = PresentEngines(aState, aService, aNow);
-  const auto need = NeedOf(profile);
-  const bool blank = std::ranges::none_of(
+  const auto model = SizeOf(profile);
+  const bool noneHeld = std::ranges::none_of(
     engines, [](const Engine& aEngine) { return aEngine.layers.has_value(); });
-  if (blank) {
+  if (noneHeld) {
     return settled && !engines.empty()
-             ? Decision{ .fills = PlanAll(engines, need) }
+             ? Decision{ .fills = PlanAll(engines, model) }
              : Decision{};
   }
   Decision decision{ .fills = Overdue(aState, aService, aNow) };
-  decision.fills.merge(FillEach(engines, need));
+  decision.fills.merge(FillEach(engines, model));
   if (decision.fills.empty() && settled &&
-      aNow - aState.lastMoveAt >= aState.settings.movePause) {
-    decision.moves = CloseGaps(engines, need);
+      aNow - aState.lastMoveAt >= aState.settings.minMoveInterval) {
+    decision.moves = CloseGaps(engines, model);
   }
   return decision;
 }
--- a/src/balsampoint/placement/query/fill.cpp
+++ b/src/balsampoint/placement/query/fill.cpp
@@ -14,19 +14,19 @@
  * @brief Number of engines that hold each layer, in one zone and in all
  * zones.
  */
-struct Cover
+struct HolderCounts
 {
-  Cover(std::span<const Engine> aEngines,
-        const ZoneId& aZone,
-        const LayerNeed& aNeed)
-    : zone(aNeed.layers)
-    , all(aNeed.layers)
+  HolderCounts(std::span<const Engine> aEngines,
+               const ZoneId& aZone,
+               const ModelSize& aModel)
+    : zone(aModel.layers)
+    , all(aModel.layers)
   {
     for (const auto& engine : aEngines) {
       if (!engine.layers) {
         continue;
       }
-      const auto end = std::min(engine.layers->end, aNeed.layers);
+      const auto end = std::min(engine.layers->end, aModel.layers);
       for (auto layer = engine.layers->begin; layer < end; ++layer) {
         ++all[layer];
         zone[layer] += engine.zone == aZone ? 1 : 0;
@@ -50,25 +50,28 @@
 
 /** Benefit of one more engine of the zone that holds a layer. */
 double
-WorthOf(const Cover& aCover, std::uint32_t aLayer)
+Benefit(const HolderCounts& aCounts, std::uint32_t aLayer)
 {
-  constexpr double kGap = 100.0;
-  constexpr double kNowhere = 1000.0;
-  const auto all = aCover.all[aLayer];
-  return (all == 0 ? kNowhere : 0.0) + (aCover.zone[aLayer] == 0 ? kGap : 0.0) +
-         1.0 / (1.0 + all) + 1.0 / (1.0 + aCover.zone[aLayer]);
+  constexpr double kMissingInZone = 100.0;
+  constexpr double kMissingInAllZones = 1000.0;
+  const auto all = aCounts.all[aLayer];
+  return (all == 0 ? kMissingInAllZones : 0.0) +
+         (aCounts.zone[aLayer] == 0 ? kMissingInZone : 0.0) +
+         1.0 / (1.0 + all) + 1.0 / (1.0 + aCounts.zone[aLayer]);
 }
 
 std::uint32_t
-UsualLayers(const Engine& aEngine, const LayerNeed& aNeed)
+TypicalLayers(const Engine& aEngine, const ModelSize& aModel)
 {
   const auto usual = static_cast<std::uint32_t>(
-    std::lround(aEngine.memoryMb / PerLayerMb(aNeed)));
-  return std::min(MostLayers(aEngine, aNeed), std::max(1U, usual));
+    std::lround(aEngine.memoryMb / PerLayerMb(aModel)));
+  return std::min(MaxLayers(aEngine, aModel), std::max(1U, usual));
 }
 
 std::optional<LayerRange>
-BestRange(const Cover& aCover, std::uint32_t aSize, std::uint32_t aLayers)
+BestRange(const HolderCounts& aCounts,
+          std::uint32_t aSize,
+          std::uint32_t aLayers)
 {
   if (aSize == 0) {
     return std::nullopt;
@@ -76,12 +79,12 @@
   LayerRange best{ 0, aSize };
   double most = -1.0;
   for (std::uint32_t begin = 0; begin + aSize <= aLayers; ++begin) {
-    double worth = 0.0;
+    double benefit = 0.0;
     for (auto layer = begin; layer < begin + aSize; ++layer) {
-      worth += WorthOf(aCover, layer);
+      benefit += Benefit(aCounts, layer);
     }
-    if (worth > most) {
-      most = worth;
+    if (benefit > most) {
+      most = benefit;
       best = { begin, begin + aSize };
     }
   }
@@ -90,10 +93,10 @@
 
 /** @brief Number of layers of a range that no engine of the zone holds. */
 std::ptrdiff_t
-GapsIn(const Cover& aCover, LayerRange aRange)
+GapsIn(const HolderCounts& aCounts, LayerRange aRange)
 {
   return std::count(
-    aCover.zone.begin() + aRange.begin, aCover.zone.begin() + aRange.end, 0U);
+    aCounts.zone.begin() + aRange.begin, aCounts.zone.begin() + aRange.end, 0U);
 }
 
 /**
@@ -101,18 +104,20 @@
  * more gaps.
  */
 std::optional<LayerRange>
-BestFit(const Cover& aCover, const Engine& aEngine, const LayerNeed& aNeed)
+BestFit(const HolderCounts& aCounts,
+        const Engine& aEngine,
+        const ModelSize& aModel)
 {
-  const auto most = MostLayers(aEngine, aNeed);
-  auto size = UsualLayers(aEngine, aNeed);
-  const auto usual = BestRange(aCover, size, aNeed.layers);
+  const auto most = MaxLayers(aEngine, aModel);
+  auto size = TypicalLayers(aEngine, aModel);
+  const auto usual = BestRange(aCounts, size, aModel.layers);
   if (!usual) {
     return std::nullopt;
   }
   auto best = *usual;
   while (++size <= most) {
-    const auto wider = BestRange(aCover, size, aNeed.layers);
-    if (!wider || GapsIn(aCover, *wider) <= GapsIn(aCover, best)) {
+    const auto wider = BestRange(aCounts, size, aModel.layers);
+    if (!wider || GapsIn(aCounts, *wider) <= GapsIn(aCounts, best)) {
       continue;
     }
     best = *wider;
@@ -136,13 +141,13 @@
 bool
 HoldsAll(std::span<const Engine> aEngines,
          const ZoneId& aZone,
-         const LayerNeed& aNeed)
+         const ModelSize& aModel)
 {
   std::uint32_t most = 0;
   for (const auto& engine : aEngines) {
-    most += engine.zone == aZone ? MostLayers(engine, aNeed) : 0;
+    most += engine.zone == aZone ? MaxLayers(engine, aModel) : 0;
   }
-  return most >= aNeed.layers;
+  return most >= aModel.layers;
 }
 
 } // namespace
@@ -150,62 +155,62 @@
 std::optional<LayerRange>
 FillOne(const Engine& aEngine,
         std::span<const Engine> aOthers,
-        const LayerNeed& aNeed)
+        const ModelSize& aModel)
 {
-  const Cover cover{ aOthers, aEngine.zone, aNeed };
-  return BestFit(cover, aEngine, aNeed);
+  const HolderCounts counts{ aOthers, aEngine.zone, aModel };
+  return BestFit(counts, aEngine, aModel);
 }
 
 std::optional<Move>
-CloseGap(std::span<const Engine> aEngines, const LayerNeed& aNeed)
+CloseGap(std::span<const Engine> aEngines, const ModelSize& aModel)
 {
   std::optional<Move> best;
   std::tuple<bool, std::ptrdiff_t, std::int64_t> most{};
   for (const auto& engine : aEngines) {
-    if (!engine.layers || engine.layers->end > aNeed.layers) {
+    if (!engine.layers || engine.layers->end > aModel.layers) {
       continue;
     }
-    Cover cover{ aEngines, engine.zone, aNeed };
-    const auto gaps = std::ranges::count(cover.zone, 0U);
-    if (gaps == 0 || !HeldByOthers(*engine.layers, cover.all) ||
-        !HoldsAll(aEngines, engine.zone, aNeed)) {
+    HolderCounts counts{ aEngines, engine.zone, aModel };
+    const auto gaps = std::ranges::count(counts.zone, 0U);
+    if (gaps == 0 || !HeldByOthers(*engine.layers, counts.all) ||
+        !HoldsAll(aEngines, engine.zone, aModel)) {
       continue;
     }
-    const bool spare = HeldByOthers(*engine.layers, cover.zone);
-    cover.Remove(*engine.layers);
-    const auto range = BestFit(cover, engine, aNeed);
+    const bool redundant = HeldByOthers(*engine.layers, counts.zone);
+    counts.Remove(*engine.layers);
+    const auto range = BestFit(counts, engine, aModel);
     if (!range) {
       continue;
     }
     const auto left =
-      std::ranges::count(cover.zone, 0U) - GapsIn(cover, *range);
-    const std::tuple rank{ spare,
+      std::ranges::count(counts.zone, 0U) - GapsIn(counts, *range);
+    const std::tuple rank{ redundant,
                            gaps - left,
                            -std::int64_t{ engine.layers->Size() } };
     if (left < gaps && (!best || rank > most)) {
       most = rank;
-      best = Move{ engine.server, *range, spare };
+      best = Move{ engine.server, *range, redundant };
     }
   }
   return best;
 }
 
 Plan
-CloseGaps(std::span<const Engine> aEngines, const LayerNeed& aNeed)
+CloseGaps(std::span<const Engine> aEngines, const ModelSize& aModel)
 {
-  constexpr std::size_t kMostMoves = 8;
+  constexpr std::size_t kMaxMoves = 8;
   std::vector<Engine> engines{ aEngines.begin(), aEngines.end() };
   Plan moves;
-  while (moves.size() < kMostMoves) {
-    const auto move = CloseGap(engines, aNeed);
-    if (!move.has_value() || (!moves.empty() && !move.value().spare)) {
+  while (moves.size() < kMaxMoves) {
+    const auto move = CloseGap(engines, aModel);
+    if (!move.has_value() || (!moves.empty() && !move.value().redundant)) {
       break;
     }
     moves[move.value().server] = move.value().layers;
     const auto moved =
       std::ranges::find(engines, move.value().server, &Engine::server);
     moved->layers = move.value().layers;
-    if (!move.value().spare) {
+    if (!move.value().redundant) {
       break;
     }
   }
--- a/src/balsampoint/placement/query/fill.hpp
+++ b/src/balsampoint/placement/query/fill.hpp
@@ -13,13 +13,13 @@
  * its zone holds, then those with the fewest holders.
  * @param aEngine Engine without layers.
  * @param aOthers Other engines with the layers that they hold.
- * @param aNeed Size of the model.
+ * @param aModel Size of the model.
  * @return The range; absent if the engine's memory is too small for a layer.
  */
 [[nodiscard]] std::optional<LayerRange>
 FillOne(const Engine& aEngine,
         std::span<const Engine> aOthers,
-        const LayerNeed& aNeed);
+        const ModelSize& aModel);
 
 /** @brief Assignment of another range to an engine that holds layers. */
 struct Move
@@ -27,7 +27,7 @@
   ServerId server;
   LayerRange layers;
   /** Whether other engines of its zone hold all layers that it holds now. */
-  bool spare{ false };
+  bool redundant{ false };
 };
 
 /**
@@ -38,21 +38,21 @@
  * those whose layers only other zones hold; then moves that close more gaps,
  * then engines that hold fewer layers.
  * @param aEngines Engines with the layers that they hold.
- * @param aNeed Size of the model.
+ * @param aModel Size of the model.
  * @return The move; absent if no zone lacks layers or no single move helps.
  */
 [[nodiscard]] std::optional<Move>
-CloseGap(std::span<const Engine> aEngines, const LayerNeed& aNeed);
+CloseGap(std::span<const Engine> aEngines, const ModelSize& aModel);
 
 /**
  * @brief Finds the moves that may be made at the same time: several of
  * engines whose layers are also held by others of their zone, or a single
  * one of another engine.
  * @param aEngines Engines with the layers that they hold.
- * @param aNeed Size of the model.
+ * @param aModel Size of the model.
  * @return New range of each engine that moves.
  */
 [[nodiscard]] Plan
-CloseGaps(std::span<const Engine> aEngines, const LayerNeed& aNeed);
+CloseGaps(std::span<const Engine> aEngines, const ModelSize& aModel);
 
 } // namespace balsampoint::placement
--- a/src/balsampoint/placement/query/plan_all.cpp
+++ b/src/balsampoint/placement/query/plan_all.cpp
@@ -11,10 +11,10 @@
 
 /** Number of typical requests whose KV must fit beside the layers of any
  * engine. */
-constexpr double kLeastRequests = 12.0;
+constexpr double kMinRequests = 12.0;
 /** Fraction of the memory of a copy that its engines may lack: leaving the copy
  * out would leave too little KV capacity for its layers. */
-constexpr double kMayLack = 0.15;
+constexpr double kMaxMissingMemory = 0.15;
 
 using Group = std::vector<const Engine*>;
 
@@ -32,7 +32,7 @@
  * memory.
  */
 std::vector<std::uint32_t>
-Sizes(const Group& aGroup, std::uint32_t aLayers, const LayerNeed& aNeed)
+Sizes(const Group& aGroup, std::uint32_t aLayers, const ModelSize& aModel)
 {
   const auto memory = MemoryOf(aGroup);
   std::vector<std::uint32_t> sizes;
@@ -41,7 +41,7 @@
   for (const auto* engine : aGroup) {
     wanted.push_back(aLayers * engine->memoryMb / memory);
     const auto size = std::min(static_cast<std::uint32_t>(wanted.back()),
-                               MostLayers(*engine, aNeed));
+                               MaxLayers(*engine, aModel));
     sizes.push_back(size);
     sum += size;
   }
@@ -51,7 +51,7 @@
     double furthest = -1e9;
     for (std::size_t at = 0; at < aGroup.size(); ++at) {
       const auto lack = (wanted[at] - sizes[at]) / std::max(1.0, wanted[at]);
-      if (sizes[at] < MostLayers(*aGroup[at], aNeed) && lack > furthest) {
+      if (sizes[at] < MaxLayers(*aGroup[at], aModel) && lack > furthest) {
         furthest = lack;
         best = at;
       }
@@ -70,15 +70,15 @@
  * first.
  */
 void
-LayOut(Group aGroup,
-       std::uint32_t aBegin,
-       std::uint32_t aEnd,
-       const LayerNeed& aNeed,
-       Plan& aPlan)
+AssignRanges(Group aGroup,
+             std::uint32_t aBegin,
+             std::uint32_t aEnd,
+             const ModelSize& aModel,
+             Plan& aPlan)
 {
   std::ranges::stable_sort(
     aGroup, {}, [](const Engine* aEngine) { return aEngine->stepFactor; });
-  const auto sizes = Sizes(aGroup, aEnd - aBegin, aNeed);
+  const auto sizes = Sizes(aGroup, aEnd - aBegin, aModel);
   auto layer = aBegin;
   for (std::size_t at = 0; at < aGroup.size(); ++at) {
     if (sizes[at] > 0) {
@@ -90,13 +90,13 @@
 
 /** @brief Whether engines together have memory for a copy of the model. */
 bool
-HoldsAll(const Group& aGroup, const LayerNeed& aNeed)
+HoldsAll(const Group& aGroup, const ModelSize& aModel)
 {
   std::uint32_t most = 0;
   for (const auto* engine : aGroup) {
-    most += MostLayers(*engine, aNeed);
+    most += MaxLayers(*engine, aModel);
   }
-  return most >= aNeed.layers;
+  return most >= aModel.layers;
 }
 
 /**
@@ -104,14 +104,14 @@
  * engines reaches.
  */
 void
-LayOutPart(const Group& aGroup, const LayerNeed& aNeed, Plan& aPlan)
+AssignPartialRanges(const Group& aGroup, const ModelSize& aModel, Plan& aPlan)
 {
   if (aGroup.empty()) {
     return;
   }
   const auto layers =
-    static_cast<std::uint32_t>(MemoryOf(aGroup) / PerLayerMb(aNeed));
-  LayOut(aGroup, 0, std::clamp(layers, 1U, aNeed.layers), aNeed, aPlan);
+    static_cast<std::uint32_t>(MemoryOf(aGroup) / PerLayerMb(aModel));
+  AssignRanges(aGroup, 0, std::clamp(layers, 1U, aModel.layers), aModel, aPlan);
 }
 
 /**
@@ -121,8 +121,8 @@
 class ZoneSplit
 {
 public:
-  ZoneSplit(Group aEngines, const LayerNeed& aNeed)
-    : mNeed{ aNeed }
+  ZoneSplit(Group aEngines, const ModelSize& aModel)
+    : mModel{ aModel }
   {
     // Fast engines form the whole copies; slow ones form the rest.
     std::ranges::stable_sort(aEngines, [](const auto* aOne, const auto* aTwo) {
@@ -130,9 +130,9 @@
              std::pair{ aTwo->stepFactor, -aTwo->memoryMb };
     });
     const auto memory = MemoryOf(aEngines);
-    const auto usual = PerLayerMb(mNeed) * mNeed.layers;
-    auto copies = static_cast<std::size_t>(memory / usual + kMayLack);
-    if (copies == 0 && HoldsAll(aEngines, mNeed)) {
+    const auto usual = PerLayerMb(mModel) * mModel.layers;
+    auto copies = static_cast<std::size_t>(memory / usual + kMaxMissingMemory);
+    if (copies == 0 && HoldsAll(aEngines, mModel)) {
       copies = 1;
     }
     mCopies.resize(copies);
@@ -150,12 +150,12 @@
       mRest = aEngines;
       return;
     }
-    const auto enough = PerLayerMb(mNeed) * mNeed.layers;
+    const auto enough = PerLayerMb(mModel) * mModel.layers;
     for (const auto* engine : aEngines) {
       auto least = std::ranges::min_element(
         mCopies, {}, [](const Group& aGroup) { return MemoryOf(aGroup); });
       if (MemoryOf(*least) + engine->memoryMb / 2 > enough &&
-          HoldsAll(*least, mNeed)) {
+          HoldsAll(*least, mModel)) {
         mRest.push_back(engine);
         continue;
       }
@@ -163,7 +163,7 @@
     }
   }
 
-  LayerNeed mNeed;
+  ModelSize mModel;
   std::vector<Group> mCopies;
   Group mRest;
 };
@@ -171,46 +171,46 @@
 } // namespace
 
 double
-PerLayerMb(const LayerNeed& aNeed)
+PerLayerMb(const ModelSize& aModel)
 {
-  return aNeed.layerMb + kRequestsPerCopy * aNeed.requestMb;
+  return aModel.layerMb + kRequestsPerCopy * aModel.requestMb;
 }
 
 std::uint32_t
-MostLayers(const Engine& aEngine, const LayerNeed& aNeed)
+MaxLayers(const Engine& aEngine, const ModelSize& aModel)
 {
-  const auto perLayer = aNeed.layerMb + kLeastRequests * aNeed.requestMb;
+  const auto perLayer = aModel.layerMb + kMinRequests * aModel.requestMb;
   const auto most = std::floor(aEngine.memoryMb / perLayer);
   return static_cast<std::uint32_t>(
-    std::clamp(most, 0.0, static_cast<double>(aNeed.layers)));
+    std::clamp(most, 0.0, static_cast<double>(aModel.layers)));
 }
 
 Plan
-PlanAll(std::span<const Engine> aEngines, const LayerNeed& aNeed)
+PlanAll(std::span<const Engine> aEngines, const ModelSize& aModel)
 {
   std::map<ZoneId, Group> zones;
   for (const auto& engine : aEngines) {
-    if (MostLayers(engine, aNeed) > 0) {
+    if (MaxLayers(engine, aModel) > 0) {
       zones[engine.zone].push_back(&engine);
     }
   }
   Plan plan;
   Group shared;
   for (const auto& [zone, engines] : zones) {
-    const ZoneSplit split{ engines, aNeed };
+    const ZoneSplit split{ engines, aModel };
     for (const auto& copy : split.Copies()) {
-      LayOut(copy, 0, aNeed.layers, aNeed, plan);
+      AssignRanges(copy, 0, aModel.layers, aModel, plan);
     }
     if (split.Copies().empty()) {
       shared.insert(shared.end(), split.Rest().begin(), split.Rest().end());
     } else {
-      LayOutPart(split.Rest(), aNeed, plan);
+      AssignPartialRanges(split.Rest(), aModel, plan);
     }
   }
-  if (HoldsAll(shared, aNeed)) {
-    LayOut(shared, 0, aNeed.layers, aNeed, plan);
+  if (HoldsAll(shared, aModel)) {
+    AssignRanges(shared, 0, aModel.layers, aModel, plan);
   } else {
-    LayOutPart(shared, aNeed, plan);
+    AssignPartialRanges(shared, aModel, plan);
   }
   return plan;
 }
--- a/src/balsampoint/placement/query/plan_all.hpp
+++ b/src/balsampoint/placement/query/plan_all.hpp
@@ -20,27 +20,27 @@
  * the first layers once more. Zones without enough memory for a copy form
  * one together.
  * @param aEngines Engines of all zones.
- * @param aNeed Size of the model.
+ * @param aModel Size of the model.
  * @return Layer ranges by engine; engines without memory for a layer have
  * none.
  */
 [[nodiscard]] Plan
-PlanAll(std::span<const Engine> aEngines, const LayerNeed& aNeed);
+PlanAll(std::span<const Engine> aEngines, const ModelSize& aModel);
 
 /**
  * @brief Memory of one layer and its KV in a copy of the model, in
  * megabytes.
- * @param aNeed Size of the model.
+ * @param aModel Size of the model.
  */
 [[nodiscard]] double
-PerLayerMb(const LayerNeed& aNeed);
+PerLayerMb(const ModelSize& aModel);
 
 /**
  * @brief Largest number of layers that an engine can hold with the least KV.
  * @param aEngine Engine to measure.
- * @param aNeed Size of the model.
+ * @param aModel Size of the model.
  */
 [[nodiscard]] std::uint32_t
-MostLayers(const Engine& aEngine, const LayerNeed& aNeed);
+MaxLayers(const Engine& aEngine, const ModelSize& aModel);
 
 } // namespace balsampoint::placement
--- a/src/balsampoint/placement/state.hpp
+++ b/src/balsampoint/placement/state.hpp
@@ -20,32 +20,32 @@
   /** Time without a new engine before the first plan is made or engines that
    * hold layers are moved; also the time that a new leader waits before its
    * first order. */
-  Duration settle{ std::chrono::milliseconds{ 1300 } };
+  Duration settleTime{ std::chrono::milliseconds{ 1300 } };
   /** Time for which a silent engine may return before its layers are placed on
    * others. */
-  Duration lossPatience{ std::chrono::milliseconds{ 1500 } };
+  Duration lossTimeout{ std::chrono::milliseconds{ 1500 } };
   /** Timeout of the answer to an order. */
-  Duration answerLimit{ std::chrono::milliseconds{ 800 } };
+  Duration answerTimeout{ std::chrono::milliseconds{ 800 } };
   /** Time, beyond the load time, after which an order without effect is
    * overdue. */
-  Duration effectLimit{ std::chrono::seconds{ 3 } };
+  Duration effectTimeout{ std::chrono::seconds{ 3 } };
   /** Shortest time between two moves of engines that hold layers. */
-  Duration movePause{ std::chrono::seconds{ 2 } };
+  Duration minMoveInterval{ std::chrono::seconds{ 2 } };
 };
 
 /** @brief An order to one engine to load a layer range. */
 struct Order
 {
   LayerRange layers;
-  Instant givenAt{};
+  Instant sentAt{};
   /** When the order is repeated if the engine does not hold the range. */
   Instant effectDue{};
   /** Whether its answer is pending. */
-  bool open{ false };
+  bool pending{ false };
 };
 
 /** @brief One engine and the last order to it. */
-struct Known
+struct TrackedEngine
 {
   roster::Claim claim;
   bool ready{ false };
@@ -64,11 +64,11 @@
   Instant leadingSince{};
   FencingNumber fencing;
   std::map<ServiceId, routing::EngineProfile> profiles;
-  std::map<ServerId, Known> engines;
+  std::map<ServerId, TrackedEngine> engines;
   /** When the newest engine first appeared. */
-  Instant newestAt{};
+  Instant lastNewEngineAt{};
   Instant lastMoveAt{};
-  Instant nextLook{ kNever };
+  Instant nextPoll{ kNever };
 };
 
 /** @brief The roster published a new view. */
@@ -125,7 +125,7 @@
   std::variant<ServersChanged, Configured, Leading, OrderEnded, Reported>;
 
 /** @brief Orders an engine to load a range; `OrderEnded` follows. */
-struct Give
+struct SendOrder
 {
   ServerId server;
   Incarnation incarnation;
@@ -134,11 +134,11 @@
   LayerRange layers;
   std::uint64_t expectedOrders{};
   FencingNumber fencing;
-  Duration limit{};
+  Duration timeout{};
 };
 
 /** @brief Requests the state of an engine; `Reported` follows if it answers. */
-struct AskReport
+struct RequestReport
 {
   ServerId server;
   Incarnation incarnation;
@@ -146,7 +146,7 @@
 };
 
 /** @brief Output of placement, carried out by the daemon. */
-using Action = std::variant<Give, AskReport>;
+using Action = std::variant<SendOrder, RequestReport>;
 
 /** @brief Actions collected by a command, in order. */
 using Actions = std::vector<Action>;
--- a/test/balsampoint/placement/query/fill_test.cpp
+++ b/test/balsampoint/placement/query/fill_test.cpp
@@ -18,8 +18,8 @@
 std::vector<Engine>
 PlacedFleet()
 {
-  auto engines = UsersFleet();
-  const auto plan = PlanAll(engines, kUsersModel);
+  auto engines = ReferenceFleet();
+  const auto plan = PlanAll(engines, kReferenceModel);
   for (auto& engine : engines) {
     engine.layers = plan.at(engine.server);
   }
@@ -33,9 +33,9 @@
   auto engines = PlacedFleet();
   const auto lost = engines.front();
   engines.front().layers.reset();
-  const auto range = FillOne(engines.front(), engines, kUsersModel);
+  const auto range = FillOne(engines.front(), engines, kReferenceModel);
   cr_assert(range.has_value());
-  cr_assert_leq(range->Size() * kUsersModel.layerMb, lost.memoryMb);
+  cr_assert_leq(range->Size() * kReferenceModel.layerMb, lost.memoryMb);
   bool helps = false;
   for (auto layer = range->begin; layer < range->end; ++layer) {
     helps = helps || lost.layers->Holds(layer);
@@ -43,7 +43,7 @@
   cr_assert(helps);
 }
 
-Test(fill, a_spare_engine_of_the_zone_closes_a_gap)
+Test(fill, a_redundant_engine_of_the_zone_closes_a_gap)
 {
   auto engines = PlacedFleet();
   std::optional<LayerRange> lost;
@@ -58,7 +58,7 @@
     }
   }
   cr_assert(lost.has_value());
-  const auto move = CloseGap(engines, kUsersModel);
+  const auto move = CloseGap(engines, kReferenceModel);
   cr_assert(move.has_value());
   cr_assert_lt(move->layers.begin, lost->end);
   cr_assert_gt(move->layers.end, lost->begin);
@@ -66,7 +66,7 @@
 
 Test(fill, a_fleet_without_gaps_is_left_alone)
 {
-  cr_assert_not(CloseGap(PlacedFleet(), kUsersModel).has_value());
+  cr_assert_not(CloseGap(PlacedFleet(), kReferenceModel).has_value());
 }
 
 Test(fill, an_engine_takes_more_layers_than_usual_to_close_a_gap)
@@ -77,12 +77,12 @@
   engines[1].layers = LayerRange{ 43, 80 };
   AddEngines(engines, "a", 1, 14400.0, 5.3);
   engines.erase(engines.begin() + 2);
-  const auto range = FillOne(engines.back(), engines, kUsersModel);
+  const auto range = FillOne(engines.back(), engines, kReferenceModel);
   cr_assert(range.has_value());
   cr_assert_eq(*range, (LayerRange{ 37, 43 }));
 }
 
-Test(fill, an_engine_reaches_further_to_close_the_last_gap_of_its_zone)
+Test(fill, an_engine_extends_its_range_to_close_the_last_gap_of_its_zone)
 {
   std::vector<Engine> engines;
   AddEngines(engines, "a", 2, 72000.0, 2.4);
@@ -95,7 +95,7 @@
     const auto begin = static_cast<std::uint32_t>(at - 3) * 27;
     engines[at].layers = LayerRange{ begin, std::min(begin + 27, 80U) };
   }
-  const auto move = CloseGap(engines, kUsersModel);
+  const auto move = CloseGap(engines, kReferenceModel);
   cr_assert(move.has_value());
   cr_assert_eq(move->server, engines[2].server);
   cr_assert_eq(move->layers, (LayerRange{ 74, 80 }));
@@ -108,10 +108,10 @@
   engines[0].layers = LayerRange{ 0, 38 };
   engines[1].layers = LayerRange{ 40, 78 };
   AddEngines(engines, "a", 2, 14400.0, 5.3);
-  cr_assert_not(CloseGap(engines, kUsersModel).has_value());
+  cr_assert_not(CloseGap(engines, kReferenceModel).has_value());
 }
 
-Test(fill, spare_engines_close_a_wide_gap_together)
+Test(fill, redundant_engines_close_a_wide_gap_together)
 {
   std::vector<Engine> engines;
   AddEngines(engines, "a", 2, 72000.0, 2.4);
@@ -127,7 +127,7 @@
     const auto begin = static_cast<std::uint32_t>(at - 10) * 27;
     engines[at].layers = LayerRange{ begin, std::min(begin + 27, 80U) };
   }
-  const auto moves = CloseGaps(engines, kUsersModel);
+  const auto moves = CloseGaps(engines, kReferenceModel);
   cr_assert_gt(moves.size(), 1U);
   std::vector<int> held(80);
   for (std::size_t at = 0; at < 10; ++at) {
--- a/test/balsampoint/placement/query/plan_all_test.cpp
+++ b/test/balsampoint/placement/query/plan_all_test.cpp
@@ -16,7 +16,7 @@
 std::vector<int>
 Cover(const std::vector<Engine>& aEngines, const Plan& aPlan, std::string aZone)
 {
-  std::vector<int> cover(kUsersModel.layers);
+  std::vector<int> cover(kReferenceModel.layers);
   for (const auto& engine : aEngines) {
     const auto range = aPlan.find(engine.server);
     if (engine.zone.Value() != aZone || range == aPlan.end()) {
@@ -33,8 +33,8 @@
 
 Test(plan_all, a_zone_with_memory_for_nearly_three_copies_holds_three)
 {
-  const auto engines = GrownFleet();
-  const auto plan = PlanAll(engines, kUsersModel);
+  const auto engines = LargeFleet();
+  const auto plan = PlanAll(engines, kReferenceModel);
   for (const auto* zone : { "a", "b", "c" }) {
     for (const auto count : Cover(engines, plan, zone)) {
       cr_assert_geq(count, 3, "zone %s", zone);
@@ -42,10 +42,10 @@
   }
 }
 
-Test(plan_all, every_zone_of_the_users_can_serve_alone)
+Test(plan_all, every_zone_of_the_reference_fleet_can_serve_alone)
 {
-  const auto engines = UsersFleet();
-  const auto plan = PlanAll(engines, kUsersModel);
+  const auto engines = ReferenceFleet();
+  const auto plan = PlanAll(engines, kReferenceModel);
   for (const auto* zone : { "a", "b", "c" }) {
     for (const auto count : Cover(engines, plan, zone)) {
       cr_assert_geq(count, 1, "zone %s", zone);
@@ -66,11 +66,11 @@
                  1000.0 + static_cast<double>(random.Next() % 80000),
                  1.0 + static_cast<double>(random.Next() % 16));
     }
-    for (const auto& [server, range] : PlanAll(engines, kUsersModel)) {
+    for (const auto& [server, range] : PlanAll(engines, kReferenceModel)) {
       const auto engine = std::ranges::find(engines, server, &Engine::server);
       cr_assert_lt(range.begin, range.end);
-      cr_assert_leq(range.end, kUsersModel.layers);
-      cr_assert_leq(range.Size() * kUsersModel.layerMb, engine->memoryMb);
+      cr_assert_leq(range.end, kReferenceModel.layers);
+      cr_assert_leq(range.Size() * kReferenceModel.layerMb, engine->memoryMb);
     }
   }
 }
@@ -81,8 +81,8 @@
   AddEngines(engines, "a", 1, 72000.0, 2.4);
   AddEngines(engines, "b", 1, 72000.0, 2.4);
   AddEngines(engines, "c", 1, 72000.0, 2.4);
-  const auto plan = PlanAll(engines, kUsersModel);
-  std::vector<int> cover(kUsersModel.layers);
+  const auto plan = PlanAll(engines, kReferenceModel);
+  std::vector<int> cover(kReferenceModel.layers);
   for (const auto& [server, range] : plan) {
     for (auto at = range.begin; at < range.end; ++at) {
       ++cover[at];
@@ -95,6 +95,6 @@
 {
   std::vector<Engine> engines;
   AddEngines(engines, "a", 3, 900.0, 1.0);
-  cr_assert(PlanAll(engines, kUsersModel).empty());
-  cr_assert(PlanAll({}, kUsersModel).empty());
+  cr_assert(PlanAll(engines, kReferenceModel).empty());
+  cr_assert(PlanAll({}, kReferenceModel).empty());
 }
--- a/test/balsampoint/soak/world.cpp
+++ b/test/balsampoint/soak/world.cpp
@@ -344,7 +344,7 @@
 }
 
 void
-World::Carry(SoakHost& aHost, const placement::Give& aGive)
+World::Carry(SoakHost& aHost, const placement::SendOrder& aGive)
 {
   const auto host = static_cast<std::size_t>(&aHost - mHosts.data());
   const auto engine = static_cast<std::size_t>(
@@ -362,12 +362,12 @@
     };
   const auto& zone = mEngines[engine].claim.description.zone;
   if (!Open(aHost.zone, zone)) {
-    At(mNow + aGive.limit, [end] { end(placement::OrderOutcome::Unknown); });
+    At(mNow + aGive.timeout, [end] { end(placement::OrderOutcome::Unknown); });
     return;
   }
   // One order in eight is carried out late, and its answer is lost.
   const bool late = Draw(8) == 0;
-  At(mNow + (late ? aGive.limit : Delay()),
+  At(mNow + (late ? aGive.timeout : Delay()),
      [this, engine, end, late, give = aGive] {
        const auto outcome = Obey(mEngines[engine], give);
        end(late ? placement::OrderOutcome::Unknown : outcome);
@@ -375,7 +375,7 @@
 }
 
 placement::OrderOutcome
-World::Obey(SoakEngine& aEngine, const placement::Give& aGive)
+World::Obey(SoakEngine& aEngine, const placement::SendOrder& aGive)
 {
   if (!aEngine.up || aEngine.frozenUntil > mNow) {
     return placement::OrderOutcome::Unknown;
@@ -399,7 +399,7 @@
 }
 
 void
-World::Carry(SoakHost& aHost, const placement::AskReport& aAsk)
+World::Carry(SoakHost& aHost, const placement::RequestReport& aAsk)
 {
   const auto host = static_cast<std::size_t>(&aHost - mHosts.data());
   const auto engine = std::ranges::find(
--- a/test/balsampoint/soak/world.hpp
+++ b/test/balsampoint/soak/world.hpp
@@ -95,10 +95,10 @@
   void Run(SoakHost& aHost, const roster::Actions& aActions);
   void Tell(SoakHost& aHost, const placement::Event& aEvent);
   void Run(SoakHost& aHost, const placement::Actions& aActions);
-  void Carry(SoakHost& aHost, const placement::Give& aGive);
-  void Carry(SoakHost& aHost, const placement::AskReport& aAsk);
+  void Carry(SoakHost& aHost, const placement::SendOrder& aGive);
+  void Carry(SoakHost& aHost, const placement::RequestReport& aAsk);
   placement::OrderOutcome Obey(SoakEngine& aEngine,
-                               const placement::Give& aGive);
+                               const placement::SendOrder& aGive);
 
   void Fault();
   void FaultOfEngine(SoakEngine& aEngine);
