Rename figurative functions of the registry to plain terms

Names such as HeardLately, Doubted and EvensOut were figurative. Only names inside the module and its tests change.

--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 tl::expected<void, Error>
-CheckAgainst(const Record& aRecord, const Announcement& aAnnouncement)
+CheckConflict(const Record& aRecord, const Announcement& aAnnouncement)
 {
   const auto& known = aRecord.announcement;
   if (aAnnouncement.incarnation < aRecord.claim.stamp.incarnation) {
@@ -35,7 +35,7 @@
 }
 
 bool
-SameButForLoad(const Announcement& aLeft, Announcement aRight)
+EqualsExceptLoad(const Announcement& aLeft, Announcement aRight)
 {
   aRight.load = aLeft.load;
   return aLeft == aRight;
@@ -53,11 +53,11 @@
 /** Whether the owner leases so many more servers than this host that this host
  * takes the lease over. */
 bool
-EvensOut(const State& aState, const HostId& aOwner)
+BalancesLeases(const State& aState, const HostId& aOwner)
 {
-  constexpr std::ptrdiff_t kUnevenness = 3;
+  constexpr std::ptrdiff_t kMinImbalance = 3;
   return CountOwnedBy(aState, aOwner) >=
-         CountOwnedBy(aState, aState.settings.self) + kUnevenness;
+         CountOwnedBy(aState, aState.settings.self) + kMinImbalance;
 }
 
 void
@@ -70,11 +70,12 @@
     internal::MarkLoad(aState, server, aNow);
     return;
   }
-  if (internal::InReach(aState, owner, aNow) && !EvensOut(aState, owner)) {
+  if (internal::IsReachable(aState, owner, aNow) &&
+      !BalancesLeases(aState, owner)) {
     internal::MarkRenewal(aState, server, aNow);
     return;
   }
-  internal::TakeOver(aState, aRecord, aNow);
+  internal::TakeLease(aState, aRecord, aNow);
 }
 
 void
@@ -85,7 +86,7 @@
     stamp = { .incarnation = aIncarnation };
     aRecord.health = {};
   }
-  internal::TakeOver(aState, aRecord, aNow);
+  internal::TakeLease(aState, aRecord, aNow);
 }
 
 } // namespace
@@ -102,13 +103,13 @@
     return Refuse(ErrorKind::Overloaded, "the registry is full");
   }
   if (known) {
-    if (auto valid = CheckAgainst(found->second, aAnnouncement); !valid) {
+    if (auto valid = CheckConflict(found->second, aAnnouncement); !valid) {
       return tl::unexpected(valid.error());
     }
   }
   auto& record = aState.records[aAnnouncement.server];
   const bool renewal = known && record.claim.live &&
-                       SameButForLoad(record.announcement, aAnnouncement);
+                       EqualsExceptLoad(record.announcement, aAnnouncement);
   record.announcement = aAnnouncement;
   record.heardAt = aNow;
   record.reportedAt = aNow;
--- a/src/balsampoint/registry/command/expire.cpp
+++ b/src/balsampoint/registry/command/expire.cpp
@@ -19,25 +19,25 @@
 void
 Hide(State& aState, Record& aRecord, Instant aNow)
 {
-  if (internal::HeardLately(aState, aRecord, aNow)) {
-    internal::TakeOver(aState, aRecord, aNow);
+  if (internal::AnnouncedRecently(aState, aRecord, aNow)) {
+    internal::TakeLease(aState, aRecord, aNow);
     return;
   }
   aRecord.hidden = true;
   aRecord.expiry = aNow + aState.settings.memory;
-  internal::WantView(aState, aNow);
+  internal::ScheduleView(aState, aNow);
 }
 
 /** Expires the records of hosts that are unreachable although membership still
  * lists them. */
 void
-EndContacts(State& aState, Instant aNow)
+ExpireContacts(State& aState, Instant aNow)
 {
   for (auto& [id, record] : aState.records) {
     const auto& owner = record.claim.owner;
     const bool foreign = owner != aState.settings.self;
     if (record.Visible() && foreign && record.expiry == kNever &&
-        !internal::InReach(aState, owner, aNow)) {
+        !internal::IsReachable(aState, owner, aNow)) {
       record.expiry = aNow;
     }
   }
@@ -48,7 +48,7 @@
 void
 Expire(State& aState, Instant aNow)
 {
-  EndContacts(aState, aNow);
+  ExpireContacts(aState, aNow);
   for (auto at = aState.records.begin(); at != aState.records.end();) {
     auto& record = at->second;
     if (record.expiry > aNow) {
@@ -71,7 +71,7 @@
       return aEntry.second.expiry <= aNow;
     });
   if (forgotten > 0) {
-    internal::WantView(aState, aNow);
+    internal::ScheduleView(aState, aNow);
   }
 }
 
--- a/src/balsampoint/registry/command/flush.cpp
+++ b/src/balsampoint/registry/command/flush.cpp
@@ -82,16 +82,16 @@
   const auto offset = aState.random.Next() % aState.nearHosts.size();
   const auto to =
     std::next(aState.nearHosts.begin(), static_cast<std::ptrdiff_t>(offset));
-  aActions.emplace_back(
-    Send{ .to = *to,
-          .message = Digest{ .hash = internal::HashOf(aState),
-                             .doubted = internal::Doubted(aState, aNow) } });
+  aActions.emplace_back(Send{
+    .to = *to,
+    .message = Digest{ .hash = internal::HashOf(aState),
+                       .doubted = internal::OverdueHosts(aState, aNow) } });
 }
 
 /** Whether this host is the one that sends the summary of its zone to other
  * zones: the one with the lowest hash of its id. */
 bool
-IsSpeaker(const State& aState)
+IsSummarySender(const State& aState)
 {
   const auto own = HashText(aState.settings.self.Value());
   return std::ranges::all_of(aState.nearHosts, [&](const HostId& aHost) {
@@ -130,7 +130,7 @@
     outbox.lastSummaryAt == Instant::min() ||
     structure != aState.toldStructure ||
     outbox.lastSummaryAt + aState.settings.summaryInterval <= aNow;
-  if (due && IsSpeaker(aState)) {
+  if (due && IsSummarySender(aState)) {
     SendSummary(aState, aActions);
     aState.toldStructure = structure;
     outbox.lastSummaryAt = aNow;
--- a/src/balsampoint/registry/command/observe.cpp
+++ b/src/balsampoint/registry/command/observe.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 /** Inverse weight of a new step time in the moving average. */
-constexpr Duration::rep kStepWeight = 8;
+constexpr Duration::rep kInverseStepWeight = 8;
 
 void
-NoteAnswer(Health& aHealth, Duration aStepTime)
+RecordAnswer(Health& aHealth, Duration aStepTime)
 {
   aHealth.errorsInRow = 0;
   aHealth.avoidances = 0;
@@ -21,12 +21,12 @@
     return;
   }
   const bool first = aHealth.stepTime == Duration::zero();
-  const auto change = (aStepTime - aHealth.stepTime) / kStepWeight;
+  const auto change = (aStepTime - aHealth.stepTime) / kInverseStepWeight;
   aHealth.stepTime = first ? aStepTime : aHealth.stepTime + change;
 }
 
 void
-NoteError(Health& aHealth, const Settings& aSettings, Instant aNow)
+RecordError(Health& aHealth, const Settings& aSettings, Instant aNow)
 {
   if (++aHealth.errorsInRow < aSettings.errorsToAvoid ||
       aHealth.avoidUntil > aNow) {
@@ -54,13 +54,13 @@
     auto& health = found->second.health;
     const auto avoidUntil = health.avoidUntil;
     if (observation.outcome == Outcome::Answered) {
-      NoteAnswer(health, observation.stepTime);
+      RecordAnswer(health, observation.stepTime);
     } else {
-      NoteError(health, aState.settings, aNow);
+      RecordError(health, aState.settings, aNow);
     }
     const bool urgent = health.avoidUntil != avoidUntil;
-    internal::WantView(aState,
-                       urgent ? aNow : aNow + aState.settings.loadInterval);
+    internal::ScheduleView(aState,
+                           urgent ? aNow : aNow + aState.settings.loadInterval);
   }
 }
 
--- a/src/balsampoint/registry/command/receive.cpp
+++ b/src/balsampoint/registry/command/receive.cpp
@@ -47,7 +47,7 @@
       }
       record->announcement.load = report.load;
       record->reportedAt = now;
-      internal::WantView(state, now + state.settings.loadInterval);
+      internal::ScheduleView(state, now + state.settings.loadInterval);
     }
   }
 
@@ -79,10 +79,10 @@
     }
   }
 
-  void AnswerDoubts(std::span<const HostId> aDoubted) const
+  void AnswerOverdueHosts(std::span<const HostId> aHosts) const
   {
     Contacts message;
-    for (const auto& host : aDoubted) {
+    for (const auto& host : aHosts) {
       const auto found = state.contacts.find(host);
       if (host == state.settings.self) {
         message.contacts.push_back({ .host = host });
@@ -99,13 +99,13 @@
   void operator()(const Contacts& aContacts) const
   {
     for (const auto& contact : aContacts.contacts) {
-      internal::NoteContact(state, contact.host, now - contact.age, now);
+      internal::RecordContact(state, contact.host, now - contact.age, now);
     }
   }
 
   void operator()(const Digest& aDigest) const
   {
-    AnswerDoubts(aDigest.doubted);
+    AnswerOverdueHosts(aDigest.doubted);
     if (aDigest.hash == internal::HashOf(state)) {
       return;
     }
@@ -154,7 +154,7 @@
     known = { .summary = aSummary.summary,
               .expiry = now + state.settings.summaryLease };
     if (aSummary.summary.zone != state.settings.zone) {
-      internal::WantView(state, now + state.settings.loadInterval);
+      internal::ScheduleView(state, now + state.settings.loadInterval);
     }
     if (!aSummary.relay) {
       return;
@@ -174,7 +174,7 @@
         Instant aNow,
         std::vector<Action>& aActions)
 {
-  internal::NoteContact(aState, aReceived.from, aNow, aNow);
+  internal::RecordContact(aState, aReceived.from, aNow, aNow);
   std::visit(Receipt{ aState, aReceived.from, aNow, aActions },
              aReceived.message);
 }
--- a/src/balsampoint/registry/command/set_hosts.cpp
+++ b/src/balsampoint/registry/command/set_hosts.cpp
@@ -33,10 +33,10 @@
     if (!record.claim.live || owner == aState.settings.self) {
       continue;
     }
-    if (internal::InReach(aState, owner, aNow)) {
+    if (internal::IsReachable(aState, owner, aNow)) {
       if (record.hidden) {
         record.hidden = false;
-        internal::WantView(aState, aNow);
+        internal::ScheduleView(aState, aNow);
       }
       record.expiry = kNever;
     } else if (record.expiry == kNever) {
--- a/src/balsampoint/registry/internal/change.cpp
+++ b/src/balsampoint/registry/internal/change.cpp
@@ -34,7 +34,7 @@
   outbox.summaryAt = std::min(
     outbox.summaryAt,
     After(outbox.lastSummaryAt, aState.settings.minSummaryInterval, aNow));
-  WantView(aState, aNow);
+  ScheduleView(aState, aNow);
 }
 
 void
@@ -48,7 +48,7 @@
              aState.settings.loadBroadcastPerHost * receivers);
   outbox.loadAt =
     std::min(outbox.loadAt, After(outbox.lastLoadAt, interval, aNow));
-  WantView(aState, aNow + aState.settings.loadInterval);
+  ScheduleView(aState, aNow + aState.settings.loadInterval);
 }
 
 void
@@ -58,17 +58,17 @@
   outbox.renewals.insert(aServer);
   outbox.renewalAt =
     std::min(outbox.renewalAt, aNow + aState.settings.renewalInterval);
-  WantView(aState, aNow + aState.settings.loadInterval);
+  ScheduleView(aState, aNow + aState.settings.loadInterval);
 }
 
 void
-WantView(State& aState, Instant aDue)
+ScheduleView(State& aState, Instant aDue)
 {
   aState.publishAt = std::min(aState.publishAt, aDue);
 }
 
 void
-TakeOver(State& aState, Record& aRecord, Instant aNow)
+TakeLease(State& aState, Record& aRecord, Instant aNow)
 {
   ++aRecord.claim.stamp.version;
   aRecord.claim.owner = aState.settings.self;
@@ -79,7 +79,7 @@
 }
 
 bool
-HeardLately(const State& aState, const Record& aRecord, Instant aNow)
+AnnouncedRecently(const State& aState, const Record& aRecord, Instant aNow)
 {
   return aRecord.heardAt && *aRecord.heardAt + aState.settings.lease > aNow;
 }
--- a/src/balsampoint/registry/internal/change.hpp
+++ b/src/balsampoint/registry/internal/change.hpp
@@ -47,7 +47,7 @@
  * @param aDue Latest time for the publication.
  */
 void
-WantView(State& aState, Instant aDue);
+ScheduleView(State& aState, Instant aDue);
 
 /**
  * @brief Makes this host the owner of the lease, with a new version of the
@@ -57,7 +57,7 @@
  * @param aNow Current time.
  */
 void
-TakeOver(State& aState, Record& aRecord, Instant aNow);
+TakeLease(State& aState, Record& aRecord, Instant aNow);
 
 /**
  * @brief Whether the server announced itself to this host within one lease.
@@ -66,6 +66,6 @@
  * @param aNow Current time.
  */
 [[nodiscard]] bool
-HeardLately(const State& aState, const Record& aRecord, Instant aNow);
+AnnouncedRecently(const State& aState, const Record& aRecord, Instant aNow);
 
 } // namespace balsampoint::registry::internal
--- a/src/balsampoint/registry/internal/contact.hpp
+++ b/src/balsampoint/registry/internal/contact.hpp
@@ -14,18 +14,21 @@
  * @param aNow Current time.
  */
 [[nodiscard]] bool
-InReach(const State& aState, const HostId& aHost, Instant aNow);
+IsReachable(const State& aState, const HostId& aHost, Instant aNow);
 
 /**
  * @brief Records contact with a host; if it becomes reachable, its hidden
  * servers become visible again.
  * @param aState State of the registry.
  * @param aHost Host; ignored unless it is a reachable member of the zone.
- * @param aHeardAt Time of the contact.
+ * @param aContactAt Time of the contact.
  * @param aNow Current time.
  */
 void
-NoteContact(State& aState, const HostId& aHost, Instant aHeardAt, Instant aNow);
+RecordContact(State& aState,
+              const HostId& aHost,
+              Instant aContactAt,
+              Instant aNow);
 
 /**
  * @brief Lists the hosts that lease servers and with which contact is
@@ -35,6 +38,6 @@
  * @return Hosts in the order of their ids.
  */
 [[nodiscard]] std::vector<HostId>
-Doubted(const State& aState, Instant aNow);
+OverdueHosts(const State& aState, Instant aNow);
 
 } // namespace balsampoint::registry::internal
--- a/src/balsampoint/registry/internal/merge.cpp
+++ b/src/balsampoint/registry/internal/merge.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 bool
-IsWanted(const State& aState, const Entry& aEntry)
+IsNewer(const State& aState, const Entry& aEntry)
 {
   const auto& owner = aEntry.claim.owner;
   const auto found = aState.records.find(aEntry.announcement.server);
@@ -34,17 +34,17 @@
 void
 Merge(State& aState, const Entry& aEntry, Instant aNow)
 {
-  if (!IsWanted(aState, aEntry)) {
+  if (!IsNewer(aState, aEntry)) {
     return;
   }
   auto& record = aState.records[aEntry.announcement.server];
   const bool restarted =
     aEntry.claim.stamp.incarnation > record.claim.stamp.incarnation;
   const bool refuted =
-    !aEntry.claim.live && !restarted && HeardLately(aState, record, aNow);
+    !aEntry.claim.live && !restarted && AnnouncedRecently(aState, record, aNow);
   record.claim = aEntry.claim;
   if (refuted) {
-    TakeOver(aState, record, aNow);
+    TakeLease(aState, record, aNow);
     return;
   }
   if (restarted) {
@@ -55,7 +55,7 @@
   record.reportedAt = aNow;
   record.hidden = false;
   record.expiry = ExpiryOf(aState, record.claim, aNow);
-  WantView(aState, aNow);
+  ScheduleView(aState, aNow);
 }
 
 } // namespace balsampoint::registry::internal
--- a/src/balsampoint/registry/internal/validate.cpp
+++ b/src/balsampoint/registry/internal/validate.cpp
@@ -32,7 +32,7 @@
 }
 
 bool
-IsIpNumber(std::string_view aText)
+IsIpAddress(std::string_view aText)
 {
   constexpr std::string_view kDigits = "0123456789abcdefABCDEF.:[]";
   return !aText.empty() &&
@@ -45,7 +45,7 @@
 {
   const auto colon = aAddress.rfind(':');
   if (colon != std::string_view::npos &&
-      IsIpNumber(aAddress.substr(0, colon)) &&
+      IsIpAddress(aAddress.substr(0, colon)) &&
       IsPort(aAddress.substr(colon + 1))) {
     return {};
   }
--- a/test/balsampoint/registry/command/announce_test.cpp
+++ b/test/balsampoint/registry/command/announce_test.cpp
@@ -37,7 +37,7 @@
   cr_assert_not(state.records.at(ServerId{ "s1" }).claim.live);
 }
 
-Test(announce, refuses_what_is_impossible)
+Test(announce, refuses_invalid_announcements)
 {
   auto outside = Engine("s1");
   outside.holdings.front().layers.end = 33;
@@ -59,7 +59,7 @@
   cr_assert_eq(Refusal(idle), ErrorKind::BadRequest);
 }
 
-Test(announce, refuses_old_news_also_after_the_lease)
+Test(announce, refuses_older_incarnations_even_after_the_lease)
 {
   auto state = ColomboState();
   cr_assert(Announce(state, Engine("s1", 2), kStart).has_value());
--- a/test/balsampoint/registry/module_test.cpp
+++ b/test/balsampoint/registry/module_test.cpp
@@ -34,7 +34,7 @@
   cr_assert_eq(std::get<Publish>(actions[1]).view->servers.size(), 1);
 }
 
-Test(registry, gathers_views_that_differ_only_in_load)
+Test(registry, batches_views_that_differ_only_in_load)
 {
   auto state = ColomboState();
   Announce(state, Engine("s1"), kStart);
