Rename figurative fields of the registry to plain terms

Names such as nearHosts, told and doubted did not say what the value is. Only names change; wire fields stay.

Rename: State::nearHosts -> zoneHosts, farHosts -> remoteHosts, toldStructure -> sentStructure (registry) Rename: Record::heardAt -> lastAnnouncedAt (registry) Rename: Digest::doubted -> overdueHosts (registry) Rename: Settings::memory -> lossRetention, contactDoubt -> contactTimeout, contactGrace -> unreachableTimeout (registry)

--- a/benchmarks/bench_registry.cpp
+++ b/benchmarks/bench_registry.cpp
@@ -298,7 +298,7 @@
   const auto right = all.subspan(all.size() / 2);
   aCluster.hosts.CutBetween(left, right, true);
   Keep(aTimes.cut, aCluster.SecondsUntil([&](const HostId& aHost) {
-    const auto& near = aCluster.hosts.hosts.at(aHost).registry.nearHosts;
+    const auto& near = aCluster.hosts.hosts.at(aHost).registry.zoneHosts;
     const bool isLeft = std::ranges::find(left, aHost) != left.end();
     return std::ranges::none_of(isLeft ? right : left, [&](const auto& aOne) {
       return near.contains(aOne);
--- a/src/balsampoint/peer/registry_codec.cpp
+++ b/src/balsampoint/peer/registry_codec.cpp
@@ -260,7 +260,7 @@
   {
     wire::RegistryDigest digest;
     digest.hash = Signed(aDigest.hash);
-    for (const auto& host : aDigest.doubted) {
+    for (const auto& host : aDigest.overdueHosts) {
       digest.doubted.push_back(host.String());
     }
     out.__set_digest(digest);
@@ -338,7 +338,7 @@
 {
   registry::Digest digest{ .hash = Unsigned(aDigest.hash) };
   for (const auto& host : aDigest.doubted) {
-    digest.doubted.emplace_back(host);
+    digest.overdueHosts.emplace_back(host);
   }
   return digest;
 }
--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -111,7 +111,7 @@
   const bool renewal = known && record.claim.live &&
                        EqualsExceptLoad(record.announcement, aAnnouncement);
   record.announcement = aAnnouncement;
-  record.heardAt = aNow;
+  record.lastAnnouncedAt = aNow;
   record.reportedAt = aNow;
   if (renewal) {
     Renew(aState, record, aNow);
--- a/src/balsampoint/registry/command/expire.cpp
+++ b/src/balsampoint/registry/command/expire.cpp
@@ -12,7 +12,7 @@
 {
   aRecord.claim.live = false;
   ++aRecord.claim.stamp.version;
-  aRecord.expiry = aNow + aState.settings.memory;
+  aRecord.expiry = aNow + aState.settings.lossRetention;
   internal::MarkChanged(aState, aRecord.announcement.server, aNow);
 }
 
@@ -24,7 +24,7 @@
     return;
   }
   aRecord.hidden = true;
-  aRecord.expiry = aNow + aState.settings.memory;
+  aRecord.expiry = aNow + aState.settings.lossRetention;
   internal::ScheduleView(aState, aNow);
 }
 
--- a/src/balsampoint/registry/command/flush.cpp
+++ b/src/balsampoint/registry/command/flush.cpp
@@ -21,7 +21,7 @@
     return;
   }
   const auto entries = internal::EntriesOf(aState, outbox.deltas);
-  for (const auto& host : aState.nearHosts) {
+  for (const auto& host : aState.zoneHosts) {
     internal::SendEntries(host, entries, aActions);
   }
   outbox.deltas.clear();
@@ -37,7 +37,7 @@
     return;
   }
   const Loads message{ .reports = internal::LoadsOf(aState, outbox.loads) };
-  for (const auto& host : aState.nearHosts) {
+  for (const auto& host : aState.zoneHosts) {
     aActions.emplace_back(Send{ .to = host, .message = message });
   }
   outbox.loads.clear();
@@ -75,17 +75,18 @@
 SendDigest(State& aState, Instant aNow, Actions& aActions)
 {
   auto& outbox = aState.outbox;
-  if (outbox.digestAt > aNow || aState.nearHosts.empty()) {
+  if (outbox.digestAt > aNow || aState.zoneHosts.empty()) {
     return;
   }
   outbox.digestAt = aNow + aState.settings.digestInterval;
-  const auto offset = aState.random.Next() % aState.nearHosts.size();
+  const auto offset = aState.random.Next() % aState.zoneHosts.size();
   const auto to =
-    std::next(aState.nearHosts.begin(), static_cast<std::ptrdiff_t>(offset));
-  aActions.emplace_back(Send{
-    .to = *to,
-    .message = Digest{ .hash = internal::HashOf(aState),
-                       .doubted = internal::OverdueHosts(aState, aNow) } });
+    std::next(aState.zoneHosts.begin(), static_cast<std::ptrdiff_t>(offset));
+  aActions.emplace_back(
+    Send{ .to = *to,
+          .message =
+            Digest{ .hash = internal::HashOf(aState),
+                    .overdueHosts = internal::OverdueHosts(aState, aNow) } });
 }
 
 /** Whether this host is the one that sends the summary of its zone to other
@@ -94,7 +95,7 @@
 IsSummarySender(const State& aState)
 {
   const auto own = HashText(aState.settings.self.Value());
-  return std::ranges::all_of(aState.nearHosts, [&](const HostId& aHost) {
+  return std::ranges::all_of(aState.zoneHosts, [&](const HostId& aHost) {
     return own < HashText(aHost.Value());
   });
 }
@@ -107,12 +108,12 @@
   summary.number = known.summary.number + 1;
   known = { .summary = { .zone = summary.zone, .number = summary.number },
             .expiry = kNever };
-  for (const auto& [zone, hosts] : aState.farHosts) {
+  for (const auto& [zone, hosts] : aState.remoteHosts) {
     const auto& to = hosts[aState.random.Next() % hosts.size()];
     aActions.emplace_back(Send{
       .to = to, .message = Summary{ .summary = summary, .relay = true } });
   }
-  for (const auto& host : aState.nearHosts) {
+  for (const auto& host : aState.zoneHosts) {
     aActions.emplace_back(
       Send{ .to = host, .message = Summary{ .summary = known.summary } });
   }
@@ -122,17 +123,17 @@
 SummarizeIfDue(State& aState, Instant aNow, Actions& aActions)
 {
   auto& outbox = aState.outbox;
-  if (outbox.summaryAt > aNow || aState.farHosts.empty()) {
+  if (outbox.summaryAt > aNow || aState.remoteHosts.empty()) {
     return;
   }
   const auto structure = internal::StructureOf(aState);
   const bool due =
     outbox.lastSummaryAt == Instant::min() ||
-    structure != aState.toldStructure ||
+    structure != aState.sentStructure ||
     outbox.lastSummaryAt + aState.settings.summaryInterval <= aNow;
   if (due && IsSummarySender(aState)) {
     SendSummary(aState, aActions);
-    aState.toldStructure = structure;
+    aState.sentStructure = structure;
     outbox.lastSummaryAt = aNow;
   }
   outbox.summaryAt = aNow + aState.settings.minSummaryInterval;
--- a/src/balsampoint/registry/command/receive.cpp
+++ b/src/balsampoint/registry/command/receive.cpp
@@ -105,7 +105,7 @@
 
   void operator()(const Digest& aDigest) const
   {
-    AnswerOverdueHosts(aDigest.doubted);
+    AnswerOverdueHosts(aDigest.overdueHosts);
     if (aDigest.hash == internal::HashOf(state)) {
       return;
     }
@@ -159,7 +159,7 @@
     if (!aSummary.relay) {
       return;
     }
-    for (const auto& host : state.nearHosts) {
+    for (const auto& host : state.zoneHosts) {
       actions.emplace_back(
         Send{ .to = host, .message = Summary{ .summary = aSummary.summary } });
     }
--- a/src/balsampoint/registry/command/set_hosts.cpp
+++ b/src/balsampoint/registry/command/set_hosts.cpp
@@ -8,8 +8,8 @@
 void
 SetHosts(State& aState, const member::View& aView, Instant aNow)
 {
-  aState.nearHosts.clear();
-  aState.farHosts.clear();
+  aState.zoneHosts.clear();
+  aState.remoteHosts.clear();
   std::set<HostId> left;
   for (const auto& host : aView.hosts) {
     if (host.state == member::HostState::Left) {
@@ -19,14 +19,14 @@
       continue;
     }
     if (host.zone == aState.settings.zone) {
-      aState.nearHosts.insert(host.id);
+      aState.zoneHosts.insert(host.id);
       aState.contacts.try_emplace(host.id, aNow);
     } else {
-      aState.farHosts[host.zone].push_back(host.id);
+      aState.remoteHosts[host.zone].push_back(host.id);
     }
   }
   std::erase_if(aState.contacts, [&](const auto& aEntry) {
-    return !aState.nearHosts.contains(aEntry.first);
+    return !aState.zoneHosts.contains(aEntry.first);
   });
   for (auto& [id, record] : aState.records) {
     const auto& owner = record.claim.owner;
--- a/src/balsampoint/registry/internal/change.cpp
+++ b/src/balsampoint/registry/internal/change.cpp
@@ -18,7 +18,7 @@
 Duration
 LoadBroadcastInterval(const State& aState)
 {
-  const auto receivers = static_cast<Duration::rep>(aState.nearHosts.size());
+  const auto receivers = static_cast<Duration::rep>(aState.zoneHosts.size());
   return std::max(aState.settings.minLoadBroadcast,
                   aState.settings.loadBroadcastPerHost * receivers);
 }
@@ -42,7 +42,7 @@
 {
   auto& outbox = aState.outbox;
   outbox.loads.insert(aServer);
-  const auto receivers = static_cast<Duration::rep>(aState.nearHosts.size());
+  const auto receivers = static_cast<Duration::rep>(aState.zoneHosts.size());
   const auto interval =
     std::max(aState.settings.minLoadBroadcast,
              aState.settings.loadBroadcastPerHost * receivers);
@@ -74,14 +74,16 @@
   aRecord.claim.owner = aState.settings.self;
   aRecord.claim.live = true;
   aRecord.hidden = false;
-  aRecord.expiry = aRecord.heardAt.value_or(aNow) + aState.settings.lease;
+  aRecord.expiry =
+    aRecord.lastAnnouncedAt.value_or(aNow) + aState.settings.lease;
   MarkChanged(aState, aRecord.announcement.server, aNow);
 }
 
 bool
 AnnouncedRecently(const State& aState, const Record& aRecord, Instant aNow)
 {
-  return aRecord.heardAt && *aRecord.heardAt + aState.settings.lease > aNow;
+  return aRecord.lastAnnouncedAt &&
+         *aRecord.lastAnnouncedAt + aState.settings.lease > aNow;
 }
 
 } // namespace balsampoint::registry::internal
--- a/src/balsampoint/registry/internal/contact.cpp
+++ b/src/balsampoint/registry/internal/contact.cpp
@@ -11,7 +11,7 @@
 Duration
 OverdueAfter(const State& aState)
 {
-  return LoadBroadcastInterval(aState) + aState.settings.contactDoubt;
+  return LoadBroadcastInterval(aState) + aState.settings.contactTimeout;
 }
 
 } // namespace
@@ -21,7 +21,8 @@
 {
   const auto found = aState.contacts.find(aHost);
   return found != aState.contacts.end() &&
-         found->second + OverdueAfter(aState) + aState.settings.contactGrace >
+         found->second + OverdueAfter(aState) +
+             aState.settings.unreachableTimeout >
            aNow;
 }
 
--- a/src/balsampoint/registry/internal/merge.cpp
+++ b/src/balsampoint/registry/internal/merge.cpp
@@ -15,7 +15,7 @@
     return aEntry.claim > found->second.claim;
   }
   return aEntry.claim.live &&
-         (owner == aState.settings.self || aState.nearHosts.contains(owner)) &&
+         (owner == aState.settings.self || aState.zoneHosts.contains(owner)) &&
          aState.records.size() < aState.settings.capacity;
 }
 
@@ -23,9 +23,9 @@
 ExpiryOf(const State& aState, const Claim& aClaim, Instant aNow)
 {
   if (!aClaim.live) {
-    return aNow + aState.settings.memory;
+    return aNow + aState.settings.lossRetention;
   }
-  return aState.nearHosts.contains(aClaim.owner) ? kNever
+  return aState.zoneHosts.contains(aClaim.owner) ? kNever
                                                  : aNow + aState.settings.lease;
 }
 
@@ -49,7 +49,7 @@
   }
   if (restarted) {
     record.health = {};
-    record.heardAt.reset();
+    record.lastAnnouncedAt.reset();
   }
   record.announcement = aEntry.announcement;
   record.reportedAt = aNow;
--- a/src/balsampoint/registry/message.hpp
+++ b/src/balsampoint/registry/message.hpp
@@ -58,7 +58,7 @@
   std::uint64_t hash{};
   /** Hosts with which contact of the sender is overdue; answered with
    * `Contacts`. */
-  std::vector<HostId> doubted;
+  std::vector<HostId> overdueHosts;
 };
 
 /** @brief Time since the last contact of the sender with a host. */
--- a/src/balsampoint/registry/query/next_deadline.cpp
+++ b/src/balsampoint/registry/query/next_deadline.cpp
@@ -10,10 +10,10 @@
   const auto& outbox = aState.outbox;
   auto next = std::min(
     { aState.publishAt, outbox.deltaAt, outbox.loadAt, outbox.renewalAt });
-  if (!aState.nearHosts.empty()) {
+  if (!aState.zoneHosts.empty()) {
     next = std::min(next, outbox.digestAt);
   }
-  if (!aState.farHosts.empty()) {
+  if (!aState.remoteHosts.empty()) {
     next = std::min(next, outbox.summaryAt);
   }
   for (const auto& [id, record] : aState.records) {
--- a/src/balsampoint/registry/settings.hpp
+++ b/src/balsampoint/registry/settings.hpp
@@ -21,12 +21,12 @@
   Duration orphanGrace{ std::chrono::milliseconds{ 500 } };
   /** Time without contact, beyond one interval of load broadcasts, after which
    * other hosts are asked about a host. */
-  Duration contactDoubt{ std::chrono::seconds{ 3 } };
+  Duration contactTimeout{ std::chrono::seconds{ 3 } };
   /** Further time without contact after which the host counts as unreachable.
    * */
-  Duration contactGrace{ std::chrono::seconds{ 4 } };
+  Duration unreachableTimeout{ std::chrono::seconds{ 4 } };
   /** Time for which the record of a lost server is kept. */
-  Duration memory{ std::chrono::minutes{ 10 } };
+  Duration lossRetention{ std::chrono::minutes{ 10 } };
   /** Longest delay of a view that differs only in load. */
   Duration loadInterval{ std::chrono::milliseconds{ 250 } };
   /** Shortest time between two broadcasts of changes. */
--- a/src/balsampoint/registry/state.hpp
+++ b/src/balsampoint/registry/state.hpp
@@ -24,7 +24,7 @@
    * erased. */
   Instant expiry{ kNever };
   /** When the server last announced itself to this host. */
-  std::optional<Instant> heardAt;
+  std::optional<Instant> lastAnnouncedAt;
   /** When its load was received, by this host's clock. */
   Instant reportedAt{};
   Health health;
@@ -71,15 +71,15 @@
   /** Number of layers of each configured model. */
   std::map<ModelId, std::uint32_t> modelLayers;
   /** Other reachable hosts of the zone. */
-  std::set<HostId> nearHosts;
+  std::set<HostId> zoneHosts;
   /** Last direct or indirect contact with each of these hosts. */
   std::map<HostId, Instant> contacts;
   /** Reachable hosts of other zones, by zone. */
-  std::map<ZoneId, std::vector<HostId>> farHosts;
+  std::map<ZoneId, std::vector<HostId>> remoteHosts;
   /** Summaries by zone; for the own zone only the number is used. */
   std::map<ZoneId, KnownSummary> summaries;
   /** Hash of the own zone's stages and services as last sent to other zones. */
-  std::uint64_t toldStructure{};
+  std::uint64_t sentStructure{};
   Outbox outbox;
   /** When the next view is due; `kNever` if nothing has changed. */
   Instant publishAt{ kNever };
