Reword the refusals of announcements in the registry

Some refusals were figurative or unspecific, such as a rate that is impossible. They now state the violated rule.

--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -17,7 +17,7 @@
   const auto& known = aRecord.announcement;
   if (aAnnouncement.incarnation < aRecord.claim.stamp.incarnation) {
     return Refuse(ErrorKind::Conflict,
-                  "the announcement is from before the server's last restart");
+                  "the announcement is of an older incarnation of the server");
   }
   if (!aRecord.claim.live || aAnnouncement.incarnation > known.incarnation) {
     return {};
@@ -28,8 +28,9 @@
   }
   if (known.state == ServerState::Leaving &&
       aAnnouncement.state == ServerState::Ready) {
-    return Refuse(ErrorKind::Conflict,
-                  "a leaving server returns only with a new incarnation");
+    return Refuse(
+      ErrorKind::Conflict,
+      "a leaving server can become ready only in a new incarnation");
   }
   return {};
 }
--- a/src/balsampoint/registry/internal/validate.cpp
+++ b/src/balsampoint/registry/internal/validate.cpp
@@ -49,14 +49,14 @@
       IsPort(aAddress.substr(colon + 1))) {
     return {};
   }
-  return BadRequest("address is not an IP number and a port");
+  return BadRequest("the address is not an IP address and a port");
 }
 
 Check
 ValidateHolding(const State& aState, const Holding& aHolding)
 {
   if (aHolding.model.Empty() || aHolding.version.empty()) {
-    return BadRequest("a holding names no model or no version");
+    return BadRequest("a holding has no model or no version");
   }
   const auto range = LayerRange::Make(
     aHolding.layers.begin, aHolding.layers.end, aHolding.modelLayers);
@@ -77,12 +77,12 @@
 ValidateHoldings(const State& aState, const Announcement& aAnnouncement)
 {
   if (aAnnouncement.holdings.size() > kMaxHoldings) {
-    return BadRequest("more holdings than one server may have");
+    return BadRequest("the server has too many holdings");
   }
   std::set<std::pair<ModelId, std::string>> seen;
   for (const auto& holding : aAnnouncement.holdings) {
     if (!seen.emplace(holding.model, holding.version).second) {
-      return BadRequest("one model version is held twice");
+      return BadRequest("two holdings have the same model and version");
     }
     if (auto valid = ValidateHolding(aState, holding); !valid) {
       return valid;
@@ -100,11 +100,11 @@
                              : "a plain server names no service");
   }
   if (!engine && !aAnnouncement.holdings.empty()) {
-    return BadRequest("a plain server holds a model");
+    return BadRequest("a plain server has holdings of a model");
   }
   const auto rate = aAnnouncement.layerTokensPerSecond;
   if (!std::isfinite(rate) || rate < 0.0 || (engine && rate == 0.0)) {
-    return BadRequest("the rate in layer tokens per second is impossible");
+    return BadRequest("the rate in layer tokens per second is out of range");
   }
   return {};
 }
