--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -11,8 +11,8 @@
 #include "balsampoint/edge/server_prober.hpp"
 #include "balsampoint/edge/status_port.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
-#include "balsampoint/fleet/command/share_use.hpp"
-#include "balsampoint/fleet/query/own_use.hpp"
+#include "balsampoint/fleet/command/set_remote_usage.hpp"
+#include "balsampoint/fleet/query/make_local_usage.hpp"
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
 #include "balsampoint/runtime/entropy.hpp"
@@ -153,12 +153,13 @@
       }
     }
     mRunners.Roster().PublishTo([this](auto aView) {
-      Post(mMailbox, usage::Event{ usage::CollectorKnown{ aView->collector } });
+      Post(mMailbox,
+           usage::Event{ usage::CollectorChanged{ aView->collector } });
       mEdge.Post([this, view = std::move(aView)] { TakeServers(view); });
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
-        fleet::TakeOthers(mTraffic.fleet, *others);
+        fleet::SetRemoteUsage(mTraffic.fleet, *others);
         mTraffic.budget.SetHostCount(others->hosts + 1);
       });
     });
@@ -223,7 +224,7 @@
   void TellUse()
   {
     const bool told = mMailbox.Push(
-      usage::Event{ usage::Measured{ fleet::OwnUse(mTraffic.fleet) } });
+      usage::Event{ usage::Measured{ fleet::MakeLocalUsage(mTraffic.fleet) } });
     if (!told) {
       spdlog::warn("the control queue is full");
     }
@@ -331,22 +332,23 @@
 
   edge::ControlOperations MakeOperations()
   {
-    return { .submit =
-               [this](const edge::SubmittedConfiguration& aSubmitted,
-                      auto aCallback) {
-                 Submit(aSubmitted, std::move(aCallback));
-               },
-             .read = [this](auto aCallback) { Read(std::move(aCallback)); },
-             .heartbeat =
-               [this](roster::Claim aClaim) {
-                 return mMailbox.Push(
-                   roster::Event{ roster::Heartbeat{ std::move(aClaim) } });
-               },
-             .signOff =
-               [this](ServerId aServer, std::optional<Incarnation> aBorn) {
-                 return mMailbox.Push(roster::Event{
-                   roster::SignedOff{ std::move(aServer), aBorn } });
-               } };
+    return {
+      .submit =
+        [this](const edge::SubmittedConfiguration& aSubmitted, auto aCallback) {
+          Submit(aSubmitted, std::move(aCallback));
+        },
+      .read = [this](auto aCallback) { Read(std::move(aCallback)); },
+      .heartbeat =
+        [this](roster::Claim aClaim) {
+          return mMailbox.Push(
+            roster::Event{ roster::Heartbeat{ std::move(aClaim) } });
+        },
+      .signOff =
+        [this](ServerId aServer, std::optional<Incarnation> aIncarnation) {
+          return mMailbox.Push(roster::Event{
+            roster::SignedOff{ std::move(aServer), aIncarnation } });
+        }
+    };
   }
 
   void Submit(const edge::SubmittedConfiguration& aSubmitted,
@@ -395,7 +397,7 @@
       .Text();
   }
 
-  void Carry(const placement::Give& aGive)
+  void Carry(const placement::SendOrder& aGive)
   {
     trace::Event{ "layers_ordered" }
       .With("server", aGive.server)
@@ -406,50 +408,51 @@
                                         .expectedOrders = aGive.expectedOrders,
                                         .fencing = aGive.fencing },
                                       aGive.server.Value());
-    mEngines.Call(
-      aGive.address,
-      std::move(request),
-      aGive.limit,
-      [this, server = aGive.server, born = aGive.born](const auto& aAnswer) {
-        auto outcome = placement::OrderOutcome::Unknown;
-        if (aAnswer) {
-          outcome = D::Accepted(aAnswer->status)
-                      ? placement::OrderOutcome::Accepted
-                      : placement::OrderOutcome::Refused;
-        }
-        trace::Event{ "layers_order_ended" }
-          .With("server", server)
-          .With("status", aAnswer ? aAnswer->status : 0);
-        Post(
-          mMailbox,
-          placement::Event{ placement::OrderEnded{ server, born, outcome } });
-      });
+    mEngines.Call(aGive.address,
+                  std::move(request),
+                  aGive.timeout,
+                  [this,
+                   server = aGive.server,
+                   incarnation = aGive.incarnation](const auto& aAnswer) {
+                    auto outcome = placement::OrderOutcome::Unknown;
+                    if (aAnswer) {
+                      outcome = D::Accepted(aAnswer->status)
+                                  ? placement::OrderOutcome::Accepted
+                                  : placement::OrderOutcome::Refused;
+                    }
+                    trace::Event{ "layers_order_ended" }
+                      .With("server", server)
+                      .With("status", aAnswer ? aAnswer->status : 0);
+                    Post(mMailbox,
+                         placement::Event{ placement::OrderEnded{
+                           server, incarnation, outcome } });
+                  });
   }
 
-  void Carry(const placement::AskReport& aAsk)
+  void Carry(const placement::RequestReport& aAsk)
   {
-    mEngines.Call(
-      aAsk.address,
-      D::WriteReportRequest(aAsk.server.Value()),
-      kReportLimit,
-      [this, server = aAsk.server, born = aAsk.born](const auto& aAnswer) {
-        const auto report = aAnswer
-                              ? D::ReadReport(aAnswer->body)
+    mEngines.Call(aAsk.address,
+                  D::WriteReportRequest(aAsk.server.Value()),
+                  kReportLimit,
+                  [this, server = aAsk.server, incarnation = aAsk.incarnation](
+                    const auto& aAnswer) {
+                    const auto report =
+                      aAnswer ? D::ReadReport(aAnswer->body)
                               : Refuse(ErrorKind::BackendFailed, "no answer");
-        if (!report) {
-          trace::Event{ "report_missing" }
-            .With("server", server)
-            .With("reason", report.error().detail);
-          return;
-        }
-        Post(
-          mMailbox,
-          placement::Event{ placement::Reported{ .server = server,
-                                                 .born = born,
-                                                 .orders = report->orders,
-                                                 .busy = report->busy,
-                                                 .layers = report->layers } });
-      });
+                    if (!report) {
+                      trace::Event{ "report_missing" }
+                        .With("server", server)
+                        .With("reason", report.error().detail);
+                      return;
+                    }
+                    Post(mMailbox,
+                         placement::Event{
+                           placement::Reported{ .server = server,
+                                                .incarnation = incarnation,
+                                                .orders = report->orders,
+                                                .busy = report->busy,
+                                                .layers = report->layers } });
+                  });
   }
 
   /** Waits on the loop until callers were sent elsewhere and all is done. */
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -8,7 +8,7 @@
 #include "balsampoint/edge/server_choice.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
-#include "balsampoint/fleet/query/return_after.hpp"
+#include "balsampoint/fleet/query/retry_after.hpp"
 #include "balsampoint/forward/decision.hpp"
 #include "balsampoint/wire/write.hpp"
 
@@ -202,8 +202,8 @@
       case ServerSignal::Lost:
         break;
     }
-    RecordFinding(mSentInAttempt ? fleet::Finding::Broken
-                                 : fleet::Finding::Unreachable);
+    RecordFinding(mSentInAttempt ? fleet::RequestOutcome::Broken
+                                 : fleet::RequestOutcome::Unreachable);
     OnAttemptEnd(mSentInAttempt ? forward::AttemptEnd::Broken
                                 : forward::AttemptEnd::NotSent,
                  mSentInAttempt ? "the connection to the server broke"
@@ -275,11 +275,11 @@
     mProgress.mayHaveRun = mMaybeRunBefore;
     const std::string atFault{ aMetadata.atFault.value_or(
       mHops.front().address) };
-    fleet::Note(mTraffic.fleet,
-                mAdmission.service->id,
-                atFault,
-                fleet::Finding::Full,
-                TrafficState::Now());
+    fleet::RecordOutcome(mTraffic.fleet,
+                         mAdmission.service->id,
+                         atFault,
+                         fleet::RequestOutcome::Full,
+                         TrafficState::Now());
     for (const auto& hop : mHops) {
       if (hop.address == atFault) {
         mFailed.insert(hop.server);
@@ -299,7 +299,7 @@
     const auto& head = parser.Response();
     constexpr std::uint16_t kFirstServerError = 500;
     if (head.status >= kFirstServerError) {
-      RecordFinding(fleet::Finding::Failed);
+      RecordFinding(fleet::RequestOutcome::Failed);
       mFailed.insert(mHops.front().server);
       mServerErrorResponse = { head, parser.TakeBody() };
       mTraffic.pool.Return(std::exchange(mServer, nullptr));
@@ -307,7 +307,7 @@
                    "the server answered with a 5xx status");
       return;
     }
-    RecordFinding(fleet::Finding::Answered);
+    RecordFinding(fleet::RequestOutcome::Answered);
     ForwardResponse(head, parser.TakeBody());
   }
 
@@ -342,7 +342,7 @@
       SendEvents(out);
     }
     if (!whole) {
-      RecordFinding(fleet::Finding::Broken);
+      RecordFinding(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "an event is missing from the stream");
       return;
@@ -379,7 +379,7 @@
       mStreaming = true;
       fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, true);
     }
-    fleet::NoteEvent(
+    fleet::RecordEvent(
       mTraffic.fleet, mAdmission.service->id, mHops, interval, aNow);
   }
 
@@ -403,8 +403,8 @@
     const auto receivers = AllowedReceivers();
     if (!forward::NeedsAttempt(decision) ||
         !OtherChainHasRoom(
-          mTraffic, *mAdmission.service, mParameters, { mFailed, receivers }) |
-          | !ConsumeRetry(decision)) {
+          mTraffic, *mAdmission.service, mParameters, { mFailed, receivers }) ||
+        !ConsumeRetry(decision)) {
       return;
     }
     mServerAtFault = aServer.Value();
@@ -433,12 +433,12 @@
   void OnStreamEnd()
   {
     if (mEvents.HasPartialEvent()) {
-      RecordFinding(fleet::Finding::Broken);
+      RecordFinding(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the stream ended in the middle of an event");
       return;
     }
-    RecordFinding(fleet::Finding::Answered);
+    RecordFinding(fleet::RequestOutcome::Answered);
     if (!mProgress.answerStarted) {
       BeginResponse();
     }
@@ -451,14 +451,14 @@
     End("answered");
   }
 
-  void RecordFinding(fleet::Finding aFinding)
+  void RecordFinding(fleet::RequestOutcome aFinding)
   {
     if (!mHops.empty()) {
-      fleet::Note(mTraffic.fleet,
-                  mAdmission.service->id,
-                  mHops.front().address,
-                  aFinding,
-                  TrafficState::Now());
+      fleet::RecordOutcome(mTraffic.fleet,
+                           mAdmission.service->id,
+                           mHops.front().address,
+                           aFinding,
+                           TrafficState::Now());
     }
   }
 
@@ -527,9 +527,9 @@
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
         aError.retryAfter = mAdmission.service->engine
-                              ? fleet::ReturnAfter(mTraffic.fleet,
-                                                   mAdmission.service->id,
-                                                   TrafficState::Now())
+                              ? fleet::RetryAfter(mTraffic.fleet,
+                                                  mAdmission.service->id,
+                                                  TrafficState::Now())
                               : kPlainServiceRetryAfter;
         AnswerError(aError);
         return;
@@ -572,7 +572,7 @@
     const auto receivers = AllowedReceivers();
     const bool room = OtherChainHasRoom(
       mTraffic, *mAdmission.service, mParameters, { {}, receivers });
-    if (!room | | !ConsumeRetry(forward::Decision::Resume)) {
+    if (!room || !ConsumeRetry(forward::Decision::Resume)) {
       FinishAttempts(forward::Decision::Abort, {});
       return;
     }
--- a/src/balsampoint/edge/server_choice.cpp
+++ b/src/balsampoint/edge/server_choice.cpp
@@ -39,7 +39,7 @@
                         .answerTokens = aEngine.meanAnswerTokens,
                         .failed = aFailed,
                         .receivers = aReceivers,
-                        .draw = aTraffic.random.Next() };
+                        .randomSample = aTraffic.random.Next() };
   if (aParameters.tokens) {
     demand.promptTokens = aParameters.tokens->promptTokens;
     demand.answerTokens = aParameters.tokens->expectedAnswerTokens.value_or(
--- a/src/balsampoint/edge/server_prober.cpp
+++ b/src/balsampoint/edge/server_prober.cpp
@@ -1,6 +1,6 @@
 #include "balsampoint/edge/server_prober.hpp"
 
-#include "balsampoint/fleet/command/note_test.hpp"
+#include "balsampoint/fleet/command/record_probe.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/silent_servers.hpp"
 #include "balsampoint/trace/event.hpp"
@@ -36,7 +36,7 @@
 {
   const auto now = TrafficState::Now();
   for (const auto& silent : fleet::SilentServers(mTraffic.fleet, now)) {
-    fleet::NoteTest(mTraffic.fleet, silent.service, silent.server, now);
+    fleet::RecordProbe(mTraffic.fleet, silent.service, silent.server, now);
     Probe(silent.service, silent.server, silent.address);
   }
   Start();
@@ -80,11 +80,11 @@
   trace::Event{ "server_unreachable" }
     .With("server", aServer)
     .With("address", aAddress);
-  fleet::Note(mTraffic.fleet,
-              aService,
-              aAddress,
-              fleet::Finding::Unreachable,
-              TrafficState::Now());
+  fleet::RecordOutcome(mTraffic.fleet,
+                       aService,
+                       aAddress,
+                       fleet::RequestOutcome::Unreachable,
+                       TrafficState::Now());
   mTraffic.NotifyServerLost(aServer);
 }
 
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -13,33 +13,33 @@
 
 namespace {
 
-constexpr double kNoPath = std::numeric_limits<double>::infinity();
+constexpr double kUnreachable = std::numeric_limits<double>::infinity();
 
-/** @brief The shortest way from layer zero to a layer. */
+/** @brief Last hop of the cheapest path from layer zero to a layer. */
 struct Step
 {
-  double cost{ kNoPath };
+  double cost{ kUnreachable };
   const Server* server{};
-  /** Layer at which the server takes over. */
+  /** First layer that the server runs. */
   std::uint32_t from{};
 };
 
-/** @brief A server that may run some layers of the request. */
+/** @brief A server that may take part in the chain. */
 struct Candidate
 {
   const Server* server{};
-  /** Multiplies its cost. */
+  /** Factor on its cost, which varies between choices. */
   double weight{ 1.0 };
 };
 
-/** @brief The layers that a server holds; none if it has not told any. */
+/** @brief Layers that a server holds; empty if it has reported none. */
 LayerRange
 Held(const Server& aServer)
 {
   return aServer.claim.description.layers.value_or(LayerRange{});
 }
 
-/** @brief Searches one group of engines for one request. */
+/** @brief Searches the cheapest chain through the engines of one service. */
 class Search
 {
 public:
@@ -55,43 +55,46 @@
     , mDemand{ aDemand }
     , mNow{ aNow }
     , mTokens{ aDemand.promptTokens +
-               aState.settings.answerShare * aDemand.answerTokens }
+               aState.settings.answerFraction * aDemand.answerTokens }
     , mSteps(mEngine.layers + 1)
   {
-    SplitMix64 random{ aDemand.draw.value_or(0) };
-    const auto spread = aDemand.draw ? aState.settings.spread : 0.0;
+    SplitMix64 random{ aDemand.randomSample.value_or(0) };
+    const auto spread = aDemand.randomSample ? aState.settings.spread : 0.0;
     for (const auto& [id, server] : aGroup.servers) {
-      const bool out = aLastResort ? server.Unable(aNow) : server.LeftOut(aNow);
+      const bool out = aLastResort ? server.Unable(aNow) : server.Avoided(aNow);
       if (!out && Usable(server)) {
         mServers.push_back({ &server, 1.0 + spread * random.NextUnit() });
       }
     }
-    MarkEnds();
+    MarkBoundaries();
   }
 
   tl::expected<Chain, Error> Run()
   {
     mSteps.front().cost = 0.0;
     for (std::uint32_t layer = 0; layer < mEngine.layers; ++layer) {
-      if (mSteps[layer].cost == kNoPath) {
+      if (mSteps[layer].cost == kUnreachable) {
         continue;
       }
       for (const auto& candidate : mServers) {
         Extend(layer, candidate);
       }
     }
-    if (mSteps.back().cost == kNoPath) {
-      return Refuse(ErrorKind::NoServer, Obstacle());
+    if (mSteps.back().cost == kUnreachable) {
+      return Refuse(ErrorKind::NoServer, DescribeObstacle());
     }
     return Trace();
   }
 
 private:
-  /** @brief Why no chain runs all layers. */
-  [[nodiscard]] std::string Obstacle() const
+  /**
+   * @brief Describes why no chain exists: the first layer that no path
+   * reaches, and what keeps each of its holders out.
+   */
+  [[nodiscard]] std::string DescribeObstacle() const
   {
     std::uint32_t layer = mEngine.layers;
-    while (layer > 0 && mSteps[layer].cost == kNoPath) {
+    while (layer > 0 && mSteps[layer].cost == kUnreachable) {
       --layer;
     }
     std::map<std::string_view, int> holders;
@@ -107,7 +110,7 @@
     return text;
   }
 
-  /** @brief Why a server that holds a layer can't run it. */
+  /** @brief Why a server that holds a layer can't run it for this request. */
   [[nodiscard]] std::string_view ReasonAgainst(const Server& aServer) const
   {
     if (!aServer.ready) {
@@ -128,19 +131,19 @@
            !mDemand.failed.contains(aServer.claim.server);
   }
 
-  /** Notes at which layers some server starts. */
-  void MarkEnds()
+  /** Marks the layers at which the range of some server begins. */
+  void MarkBoundaries()
   {
-    mEnds.assign(mEngine.layers + 1, false);
+    mBoundaries.assign(mEngine.layers + 1, false);
     for (const auto& candidate : mServers) {
       const auto begin = Held(*candidate.server).begin;
-      if (begin < mEnds.size()) {
-        mEnds[begin] = true;
+      if (begin < mBoundaries.size()) {
+        mBoundaries[begin] = true;
       }
     }
   }
 
-  /** Whether the way to a layer passes through a server already. */
+  /** Whether the cheapest path to a layer already uses a server. */
   [[nodiscard]] bool Passes(std::uint32_t aLayer, const Server& aServer) const
   {
     while (aLayer > 0) {
@@ -174,7 +177,7 @@
     const auto fixed =
       HopMs(aLayer, server) + aCandidate.weight * WaitMs(server);
     for (auto end = aLayer + 1; end <= held.end; ++end) {
-      if (end != held.end && !mEnds[end]) {
+      if (end != held.end && !mBoundaries[end]) {
         continue;
       }
       const auto cost = mSteps[aLayer].cost + fixed +
@@ -197,7 +200,8 @@
     return mSettings.hopMs + (sameZone ? 0.0 : mSettings.zoneChangeMs);
   }
 
-  /** Half of the pass that is under way when a token arrives. */
+  /** Mean wait for the pass that is running when a token arrives: half its
+   * time. */
   [[nodiscard]] double WaitMs(const Server& aServer) const
   {
     const auto held = Held(aServer).Size();
@@ -209,9 +213,9 @@
   [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
-    const auto room = aServer.kvRoom * mSettings.kvShare;
+    const auto room = aServer.kvCapacity * mSettings.maxKvFraction;
     if (used > room) {
-      return kNoPath;
+      return kUnreachable;
     }
     const auto pass = internal::PassMs(
       mEngine, aServer.stepFactor, aLayers, aServer.Passing() + 1.0);
@@ -219,7 +223,8 @@
       mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
     const auto events =
       std::max(1.0, mDemand.answerTokens / mEngine.tokensPerPass);
-    // A server that is nearly full is used last.
+    // The cost grows with the fill level, so that a nearly full server is used
+    // last.
     const auto fullness = used / room;
     return (pass + read / events) * (1.0 + fullness * fullness);
   }
@@ -231,10 +236,11 @@
     while (layer > 0) {
       const auto& step = mSteps[layer];
       const auto& description = step.server->claim.description;
-      chain.hops.push_back({ .server = step.server->claim.server,
-                             .born = step.server->claim.stamp.born,
-                             .address = description.address,
-                             .layers = { step.from, layer } });
+      chain.hops.push_back(
+        { .server = step.server->claim.server,
+          .incarnation = step.server->claim.stamp.incarnation,
+          .address = description.address,
+          .layers = { step.from, layer } });
       chain.firstEventMs += internal::ReadMs(mEngine,
                                              step.server->readFactor,
                                              layer - step.from,
@@ -253,7 +259,7 @@
   Instant mNow;
   double mTokens;
   std::vector<Step> mSteps;
-  std::vector<bool> mEnds;
+  std::vector<bool> mBoundaries;
   std::vector<Candidate> mServers;
 };
 
@@ -276,12 +282,12 @@
       .Run();
   };
   auto chain = search(false);
-  // Where only servers at fault hold some layer, one of them is better than
-  // none.
+  // If some layer is held by faulty servers only, use one of them rather than
+  // refuse the request.
   const bool anyAtFault =
     !chain &&
     std::ranges::any_of(group->second.servers, [&](const auto& aEntry) {
-      return aEntry.second.LeftOut(aNow) && !aEntry.second.Unable(aNow);
+      return aEntry.second.Avoided(aNow) && !aEntry.second.Unable(aNow);
     });
   return anyAtFault ? search(true) : std::move(chain);
 }
--- a/src/balsampoint/fleet/query/own_use.hpp
+++ b/src/balsampoint/fleet/query/make_local_usage.hpp
@@ -6,10 +6,10 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief What this thread has in progress on servers.
+ * @brief Lists the work that this thread has in progress on each server.
  * @param aState State to read.
  */
-[[nodiscard]] usage::OwnUse
-OwnUse(const State& aState);
+[[nodiscard]] usage::LocalUsage
+MakeLocalUsage(const State& aState);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/registry/command/announce.cpp
+++ b/src/balsampoint/registry/command/announce.cpp
@@ -12,12 +12,12 @@
 namespace {
 
 tl::expected<void, Error>
-CheckAgainst(const Record& aRecord, const Announcement& aAnnouncement)
+CheckConflict(const Record& aRecord, const Announcement& aAnnouncement)
 {
   const auto& known = aRecord.announcement;
   if (aAnnouncement.incarnation < aRecord.claim.stamp.incarnation) {
     return Refuse(ErrorKind::Conflict,
-                  "the announcement is from before the server's last restart");
+                  "the announcement is of an older incarnation of the server");
   }
   if (!aRecord.claim.live || aAnnouncement.incarnation > known.incarnation) {
     return {};
@@ -28,14 +28,15 @@
   }
   if (known.state == ServerState::Leaving &&
       aAnnouncement.state == ServerState::Ready) {
-    return Refuse(ErrorKind::Conflict,
-                  "a leaving server returns only with a new incarnation");
+    return Refuse(
+      ErrorKind::Conflict,
+      "a leaving server can become ready only in a new incarnation");
   }
   return {};
 }
 
 bool
-SameButForLoad(const Announcement& aLeft, Announcement aRight)
+EqualsExceptLoad(const Announcement& aLeft, Announcement aRight)
 {
   aRight.load = aLeft.load;
   return aLeft == aRight;
@@ -50,13 +51,14 @@
   });
 }
 
-/** Whether this host leases so many fewer servers that it takes one more. */
+/** Whether the owner leases so many more servers than this host that this host
+ * takes the lease over. */
 bool
-EvensOut(const State& aState, const HostId& aOwner)
+BalancesLeases(const State& aState, const HostId& aOwner)
 {
-  constexpr std::ptrdiff_t kUnevenness = 3;
+  constexpr std::ptrdiff_t kMinImbalance = 3;
   return CountOwnedBy(aState, aOwner) >=
-         CountOwnedBy(aState, aState.settings.self) + kUnevenness;
+         CountOwnedBy(aState, aState.settings.self) + kMinImbalance;
 }
 
 void
@@ -69,11 +71,12 @@
     internal::MarkLoad(aState, server, aNow);
     return;
   }
-  if (internal::InReach(aState, owner, aNow) && !EvensOut(aState, owner)) {
+  if (internal::IsReachable(aState, owner, aNow) &&
+      !BalancesLeases(aState, owner)) {
     internal::MarkRenewal(aState, server, aNow);
     return;
   }
-  internal::TakeOver(aState, aRecord, aNow);
+  internal::TakeLease(aState, aRecord, aNow);
 }
 
 void
@@ -84,7 +87,7 @@
     stamp = { .incarnation = aIncarnation };
     aRecord.health = {};
   }
-  internal::TakeOver(aState, aRecord, aNow);
+  internal::TakeLease(aState, aRecord, aNow);
 }
 
 } // namespace
@@ -101,15 +104,15 @@
     return Refuse(ErrorKind::Overloaded, "the registry is full");
   }
   if (known) {
-    if (auto valid = CheckAgainst(found->second, aAnnouncement); !valid) {
+    if (auto valid = CheckConflict(found->second, aAnnouncement); !valid) {
       return tl::unexpected(valid.error());
     }
   }
   auto& record = aState.records[aAnnouncement.server];
   const bool renewal = known && record.claim.live &&
-                       SameButForLoad(record.announcement, aAnnouncement);
+                       EqualsExceptLoad(record.announcement, aAnnouncement);
   record.announcement = aAnnouncement;
-  record.heardAt = aNow;
+  record.lastAnnouncedAt = aNow;
   record.reportedAt = aNow;
   if (renewal) {
     Renew(aState, record, aNow);
--- a/src/balsampoint/registry/internal/change.cpp
+++ b/src/balsampoint/registry/internal/change.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** The earliest time at least an interval after the last one. */
+/** The earliest time that is at least an interval after the last one. */
 Instant
 After(Instant aLast, Duration aInterval, Instant aNow)
 {
@@ -18,7 +18,7 @@
 Duration
 LoadBroadcastInterval(const State& aState)
 {
-  const auto receivers = static_cast<Duration::rep>(aState.nearHosts.size());
+  const auto receivers = static_cast<Duration::rep>(aState.zoneHosts.size());
   return std::max(aState.settings.minLoadBroadcast,
                   aState.settings.loadBroadcastPerHost * receivers);
 }
@@ -34,7 +34,7 @@
   outbox.summaryAt = std::min(
     outbox.summaryAt,
     After(outbox.lastSummaryAt, aState.settings.minSummaryInterval, aNow));
-  WantView(aState, aNow);
+  ScheduleView(aState, aNow);
 }
 
 void
@@ -42,13 +42,13 @@
 {
   auto& outbox = aState.outbox;
   outbox.loads.insert(aServer);
-  const auto receivers = static_cast<Duration::rep>(aState.nearHosts.size());
+  const auto receivers = static_cast<Duration::rep>(aState.zoneHosts.size());
   const auto interval =
     std::max(aState.settings.minLoadBroadcast,
              aState.settings.loadBroadcastPerHost * receivers);
   outbox.loadAt =
     std::min(outbox.loadAt, After(outbox.lastLoadAt, interval, aNow));
-  WantView(aState, aNow + aState.settings.loadInterval);
+  ScheduleView(aState, aNow + aState.settings.loadInterval);
 }
 
 void
@@ -58,30 +58,32 @@
   outbox.renewals.insert(aServer);
   outbox.renewalAt =
     std::min(outbox.renewalAt, aNow + aState.settings.renewalInterval);
-  WantView(aState, aNow + aState.settings.loadInterval);
+  ScheduleView(aState, aNow + aState.settings.loadInterval);
 }
 
 void
-WantView(State& aState, Instant aDue)
+ScheduleView(State& aState, Instant aDue)
 {
   aState.publishAt = std::min(aState.publishAt, aDue);
 }
 
 void
-TakeOver(State& aState, Record& aRecord, Instant aNow)
+TakeLease(State& aState, Record& aRecord, Instant aNow)
 {
   ++aRecord.claim.stamp.version;
   aRecord.claim.owner = aState.settings.self;
   aRecord.claim.live = true;
   aRecord.hidden = false;
-  aRecord.expiry = aRecord.heardAt.value_or(aNow) + aState.settings.lease;
+  aRecord.expiry =
+    aRecord.lastAnnouncedAt.value_or(aNow) + aState.settings.lease;
   MarkChanged(aState, aRecord.announcement.server, aNow);
 }
 
 bool
-HeardLately(const State& aState, const Record& aRecord, Instant aNow)
+AnnouncedRecently(const State& aState, const Record& aRecord, Instant aNow)
 {
-  return aRecord.heardAt && *aRecord.heardAt + aState.settings.lease > aNow;
+  return aRecord.lastAnnouncedAt &&
+         *aRecord.lastAnnouncedAt + aState.settings.lease > aNow;
 }
 
 } // namespace balsampoint::registry::internal
--- a/src/balsampoint/registry/internal/merge.cpp
+++ b/src/balsampoint/registry/internal/merge.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 bool
-IsWanted(const State& aState, const Entry& aEntry)
+IsNewer(const State& aState, const Entry& aEntry)
 {
   const auto& owner = aEntry.claim.owner;
   const auto found = aState.records.find(aEntry.announcement.server);
@@ -15,7 +15,7 @@
     return aEntry.claim > found->second.claim;
   }
   return aEntry.claim.live &&
-         (owner == aState.settings.self || aState.nearHosts.contains(owner)) &&
+         (owner == aState.settings.self || aState.zoneHosts.contains(owner)) &&
          aState.records.size() < aState.settings.capacity;
 }
 
@@ -23,9 +23,9 @@
 ExpiryOf(const State& aState, const Claim& aClaim, Instant aNow)
 {
   if (!aClaim.live) {
-    return aNow + aState.settings.memory;
+    return aNow + aState.settings.lossRetention;
   }
-  return aState.nearHosts.contains(aClaim.owner) ? kNever
+  return aState.zoneHosts.contains(aClaim.owner) ? kNever
                                                  : aNow + aState.settings.lease;
 }
 
@@ -34,28 +34,28 @@
 void
 Merge(State& aState, const Entry& aEntry, Instant aNow)
 {
-  if (!IsWanted(aState, aEntry)) {
+  if (!IsNewer(aState, aEntry)) {
     return;
   }
   auto& record = aState.records[aEntry.announcement.server];
   const bool restarted =
     aEntry.claim.stamp.incarnation > record.claim.stamp.incarnation;
   const bool refuted =
-    !aEntry.claim.live && !restarted && HeardLately(aState, record, aNow);
+    !aEntry.claim.live && !restarted && AnnouncedRecently(aState, record, aNow);
   record.claim = aEntry.claim;
   if (refuted) {
-    TakeOver(aState, record, aNow);
+    TakeLease(aState, record, aNow);
     return;
   }
   if (restarted) {
     record.health = {};
-    record.heardAt.reset();
+    record.lastAnnouncedAt.reset();
   }
   record.announcement = aEntry.announcement;
   record.reportedAt = aNow;
   record.hidden = false;
   record.expiry = ExpiryOf(aState, record.claim, aNow);
-  WantView(aState, aNow);
+  ScheduleView(aState, aNow);
 }
 
 } // namespace balsampoint::registry::internal
--- a/src/balsampoint/roster/internal/merge.cpp
+++ b/src/balsampoint/roster/internal/merge.cpp
@@ -4,28 +4,31 @@
 
 namespace {
 
-/** @brief Whether a server that started later has the claim's address. */
+/** @brief Whether a server that started later uses the claim's address. */
 bool
 IsReplaced(const State& aState, const Claim& aClaim)
 {
   for (const auto& [id, record] : aState.records) {
     if (id != aClaim.server &&
         record.claim.description.address == aClaim.description.address &&
-        record.claim.stamp.born > aClaim.stamp.born) {
+        record.claim.stamp.incarnation > aClaim.stamp.incarnation) {
       return true;
     }
   }
   return false;
 }
 
-/** @brief Servers whose address a later one has are gone. */
+/**
+ * @brief Marks servers as gone whose address a server that started later
+ * uses.
+ */
 void
 RetireAtAddress(State& aState, const Claim& aClaim, Instant aNow)
 {
   for (auto& [id, record] : aState.records) {
     if (id == aClaim.server || record.goneAt != kNever ||
         record.claim.description.address != aClaim.description.address ||
-        record.claim.stamp.born >= aClaim.stamp.born) {
+        record.claim.stamp.incarnation >= aClaim.stamp.incarnation) {
       continue;
     }
     record.claim.presence = Presence::Gone;
@@ -38,13 +41,13 @@
 {
   const auto& known = aKnown.claim;
   if (known.presence == Presence::Gone &&
-      known.stamp.born == aClaim.stamp.born) {
+      known.stamp.incarnation == aClaim.stamp.incarnation) {
     return false;
   }
   if (aClaim.stamp != known.stamp) {
     return aClaim.stamp > known.stamp ||
            (aClaim.presence == Presence::Gone &&
-            aClaim.stamp.born == known.stamp.born);
+            aClaim.stamp.incarnation == known.stamp.incarnation);
   }
   return aOwner == aKnown.owner ? aClaim != known
                                 : aClaim.presence > known.presence;
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -1,7 +1,7 @@
 #include "balsampoint/roster/module.hpp"
 
-#include "balsampoint/roster/command/hear.hpp"
-#include "balsampoint/roster/command/share.hpp"
+#include "balsampoint/roster/command/exchange_claims.hpp"
+#include "balsampoint/roster/command/track_heartbeats.hpp"
 #include "balsampoint/roster/query/make_view.hpp"
 
 #include <algorithm>
@@ -10,10 +10,13 @@
 
 namespace {
 
-/** @brief Time between two ticks, which bounds how late silence is noticed. */
+/**
+ * @brief Time between two ticks; bounds the delay with which a missed
+ * heartbeat is detected.
+ */
 constexpr Duration kTickInterval = std::chrono::milliseconds{ 350 };
 
-/** @brief Hands each kind of event and message to its command. */
+/** @brief Visitor that calls the command for each type of event and message. */
 struct Dispatch
 {
   State& state;
@@ -29,7 +32,7 @@
   {
     HandleSignedOff(state, aEvent, now);
   }
-  void operator()(const ConfigurationKnown& aEvent) const
+  void operator()(const ConfigurationUpdated& aEvent) const
   {
     state.configuration = std::max(state.configuration, aEvent.number);
   }
@@ -59,17 +62,20 @@
   aActions.emplace_back(Publish{ aState.view });
 }
 
-/** @brief A host that stood still has not heard what servers sent meanwhile. */
+/**
+ * @brief After a stall of this process, extends the heartbeat deadlines by
+ * its length: heartbeats sent during the stall have not been processed yet.
+ */
 void
-ForgiveStandstill(State& aState, Instant aNow)
+CompensateForStall(State& aState, Instant aNow)
 {
   const auto last = std::exchange(aState.lastTick, aNow);
   if (last == kNever || aNow - last <= 2 * kTickInterval) {
     return;
   }
   const auto lost = aNow - last;
-  for (auto& [id, heard] : aState.heard) {
-    heard.at = std::min(aNow, heard.at + lost);
+  for (auto& [id, local] : aState.localServers) {
+    local.lastHeartbeatAt = std::min(aNow, local.lastHeartbeatAt + lost);
   }
 }
 
@@ -102,11 +108,11 @@
 void
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
-  ForgiveStandstill(aState, aNow);
-  NoteSilence(aState, aNow);
+  CompensateForStall(aState, aNow);
+  ExpireHeartbeats(aState, aNow);
   PushChanges(aState, aNow, aActions);
   if (aNow >= aState.nextRenewal) {
-    aState.nextRenewal = aNow + aState.settings.renewal;
+    aState.nextRenewal = aNow + aState.settings.renewalInterval;
     RenewSubscriptions(aState, aNow, aActions);
   }
   PublishIfChanged(aState, aNow, aActions);
@@ -116,7 +122,7 @@
 Instant
 Module::NextDeadline(const State& aState)
 {
-  const bool alone = aState.sources.empty() && !aState.settings.hears;
+  const bool alone = aState.sources.empty() && !aState.settings.isControlHost;
   return alone ? kNever : aState.nextTick;
 }
 
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -9,38 +9,41 @@
 namespace balsampoint::usage {
 
 /** @brief Work in progress on one server. */
-struct ServerUse
+struct ServerUsage
 {
   ServerId server;
-  /** Requests that pass through it. */
+  /** Requests whose chain includes the server. */
   std::uint32_t passing{};
-  /** Requests that were sent to it. */
+  /** Requests sent to the server as the first of their chain. */
   std::uint32_t sent{};
-  /** KV of these requests, in tokens times layers. */
+  /** KV reserved for these requests, in tokens times layers. */
   double kv{};
 
-  bool operator==(const ServerUse&) const = default;
+  bool operator==(const ServerUsage&) const = default;
 };
 
-/** @brief Work in progress that the sender has on servers. */
-struct OwnUse
+/** @brief Work that the sending entry host has in progress. */
+struct LocalUsage
 {
-  std::vector<ServerUse> servers;
+  std::vector<ServerUsage> servers;
 
-  bool operator==(const OwnUse&) const = default;
+  bool operator==(const LocalUsage&) const = default;
 };
 
-/** @brief Work in progress of all entry hosts but the receiver. */
-struct OthersUse
+/**
+ * @brief Sum of the work that all entry hosts but the receiver have in
+ * progress.
+ */
+struct RemoteUsage
 {
-  std::vector<ServerUse> servers;
-  /** Entry hosts that were summed up. */
+  std::vector<ServerUsage> servers;
+  /** Number of entry hosts in the sum. */
   std::uint32_t hosts{};
 
-  bool operator==(const OthersUse&) const = default;
+  bool operator==(const RemoteUsage&) const = default;
 };
 
-/** @brief What hosts tell each other about work in progress. */
-using Message = std::variant<OwnUse, OthersUse>;
+/** @brief Messages that hosts exchange about work in progress. */
+using Message = std::variant<LocalUsage, RemoteUsage>;
 
 } // namespace balsampoint::usage
--- a/test/balsampoint/soak/world.cpp
+++ b/test/balsampoint/soak/world.cpp
@@ -82,7 +82,7 @@
     roster::Module::Start({ .self = aHost.name.host,
                             .incarnation = Incarnation{ ++mIncarnations },
                             .address = aHost.name.address,
-                            .hears = aHost.isControl,
+                            .isControlHost = aHost.isControl,
                             .seeds = std::move(seeds) },
                           mNow);
   aHost.fleet = { .settings = { .zone = aHost.zone } };
@@ -344,7 +344,7 @@
 }
 
 void
-World::Carry(SoakHost& aHost, const placement::Give& aGive)
+World::Carry(SoakHost& aHost, const placement::SendOrder& aGive)
 {
   const auto host = static_cast<std::size_t>(&aHost - mHosts.data());
   const auto engine = static_cast<std::size_t>(
@@ -357,17 +357,17 @@
     [this, host, give = aGive](placement::OrderOutcome aOutcome) {
       if (mHosts[host].up) {
         Tell(mHosts[host],
-             placement::OrderEnded{ give.server, give.born, aOutcome });
+             placement::OrderEnded{ give.server, give.incarnation, aOutcome });
       }
     };
   const auto& zone = mEngines[engine].claim.description.zone;
   if (!Open(aHost.zone, zone)) {
-    At(mNow + aGive.limit, [end] { end(placement::OrderOutcome::Unknown); });
+    At(mNow + aGive.timeout, [end] { end(placement::OrderOutcome::Unknown); });
     return;
   }
   // One order in eight is carried out late, and its answer is lost.
   const bool late = Draw(8) == 0;
-  At(mNow + (late ? aGive.limit : Delay()),
+  At(mNow + (late ? aGive.timeout : Delay()),
      [this, engine, end, late, give = aGive] {
        const auto outcome = Obey(mEngines[engine], give);
        end(late ? placement::OrderOutcome::Unknown : outcome);
@@ -375,12 +375,12 @@
 }
 
 placement::OrderOutcome
-World::Obey(SoakEngine& aEngine, const placement::Give& aGive)
+World::Obey(SoakEngine& aEngine, const placement::SendOrder& aGive)
 {
   if (!aEngine.up || aEngine.frozenUntil > mNow) {
     return placement::OrderOutcome::Unknown;
   }
-  if (aEngine.claim.stamp.born != aGive.born ||
+  if (aEngine.claim.stamp.incarnation != aGive.incarnation ||
       aEngine.orders != aGive.expectedOrders || aEngine.loading) {
     return placement::OrderOutcome::Refused;
   }
@@ -399,18 +399,18 @@
 }
 
 void
-World::Carry(SoakHost& aHost, const placement::AskReport& aAsk)
+World::Carry(SoakHost& aHost, const placement::RequestReport& aAsk)
 {
   const auto host = static_cast<std::size_t>(&aHost - mHosts.data());
   const auto engine = std::ranges::find(
     mEngines, aAsk.server, [](const auto& aOne) { return aOne.claim.server; });
-  if (!engine->up || engine->claim.stamp.born != aAsk.born ||
+  if (!engine->up || engine->claim.stamp.incarnation != aAsk.incarnation ||
       engine->frozenUntil > mNow ||
       !Open(aHost.zone, engine->claim.description.zone)) {
     return;
   }
   placement::Reported reported{ .server = aAsk.server,
-                                .born = aAsk.born,
+                                .incarnation = aAsk.incarnation,
                                 .orders = engine->orders,
                                 .busy = engine->loading.has_value(),
                                 .layers = engine->claim.description.layers };
