Finish the rename of forward::Verdict in the exchange

The type is forward::Decision now and its field mayHaveRun, but the exchange still used the old words, and a doc comment had lost its line break. The comments also follow.

Rename: ApplyVerdict -> ApplyDecision (edge::BasicExchange) Rename: mMaybeRunBefore -> mMayHaveRunBefore (edge::BasicExchange)

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -220,7 +220,7 @@
     mSentInAttempt = true;
     ++mProgress.sent;
     mReceivers.insert(mHops.front().server);
-    mMaybeRunBefore = mProgress.mayHaveRun;
+    mMayHaveRunBefore = mProgress.mayHaveRun;
     mProgress.mayHaveRun = true;
     const auto workspace =
       mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
@@ -272,7 +272,7 @@
 
   void OnNotExecuted(const ResponseMetadata& aMetadata)
   {
-    mProgress.mayHaveRun = mMaybeRunBefore;
+    mProgress.mayHaveRun = mMayHaveRunBefore;
     const std::string atFault{ aMetadata.atFault.value_or(
       mHops.front().address) };
     fleet::RecordOutcome(mTraffic.fleet,
@@ -413,7 +413,7 @@
                "a server of the chain is lost",
                mServerAtFault);
     EndAttempt();
-    ApplyVerdict(decision, {});
+    ApplyDecision(decision, {});
   }
 
   void BeginResponse()
@@ -480,7 +480,7 @@
       decision = forward::GiveUp(mProgress, aEnd);
       aReason = "the budget of retries is used up";
     }
-    ApplyVerdict(decision, MakeError(ErrorKind::BackendFailed, aReason));
+    ApplyDecision(decision, MakeError(ErrorKind::BackendFailed, aReason));
   }
 
   bool ConsumeRetry(forward::Decision aDecision)
@@ -499,8 +499,8 @@
     mEvents.DropPartialEvent();
   }
 
-  /** Starts another attempt or ends the exchange, as the verdict says. */ void
-  ApplyVerdict(forward::Decision aDecision, const Error& aError)
+  /** Starts another attempt or ends the exchange, according to the decision. */
+  void ApplyDecision(forward::Decision aDecision, const Error& aError)
   {
     if (aDecision == forward::Decision::Resume) {
       mTraffic.metrics.Add(trace::Count::Recoveries);
@@ -576,7 +576,7 @@
       FinishAttempts(forward::Decision::Abort, {});
       return;
     }
-    ApplyVerdict(forward::Decision::Resume, {});
+    ApplyDecision(forward::Decision::Resume, {});
   }
 
   void OnDeadline()
@@ -694,13 +694,13 @@
   std::shared_ptr<ServerConnection> mServer;
   /** Whether the request was sent in this attempt. */
   bool mSentInAttempt{ false };
-  /** Value of `mProgress.maybeRun` before this attempt. */
-  bool mMaybeRunBefore{ false };
+  /** Value of `mProgress.mayHaveRun` before this attempt. */
+  bool mMayHaveRunBefore{ false };
   EventRelay mEvents{ false, {} };
   Instant mFirstEventAt{};
   Instant mLastEventAt{};
   Duration mLongestPause{};
-  /** Last 5xx response of a server, forwarded on `Verdict::PassOn`. */
+  /** Last 5xx response of a server, forwarded on `Decision::PassOn`. */
   std::pair<wire::ResponseHead, std::string> mServerErrorResponse;
   /** Address or id of the server that failed this attempt; empty if unknown. */
   std::string mServerAtFault;
