Rename edge::EngineClient to EngineControlClient

The name was shared with the unrelated http::EngineClient and the concept traffic::EngineClient. This class sends layer orders to engines and requests their reports, so its name now says that. Only names and the doc comment of the class change.

Rename: edge::EngineClient -> edge::EngineControlClient Rename: edge/engine_client.hpp -> edge/engine_control_client.hpp Rename: edge/engine_client.cpp -> edge/engine_control_client.cpp

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -6,7 +6,7 @@
 #include "balsampoint/daemon/post.hpp"
 #include "balsampoint/daemon/runners.hpp"
 #include "balsampoint/edge/control_port.hpp"
-#include "balsampoint/edge/engine_client.hpp"
+#include "balsampoint/edge/engine_control_client.hpp"
 #include "balsampoint/edge/entry.hpp"
 #include "balsampoint/edge/server_prober.hpp"
 #include "balsampoint/edge/status_port.hpp"
@@ -487,7 +487,7 @@
   edge::BasicEntry<D> mEntry;
   edge::StatusPort mReady;
   edge::StatusPort mMetrics;
-  edge::EngineClient mEngines;
+  edge::EngineControlClient mEngines;
   edge::BasicControlPort<D> mControlPort;
   Runners mRunners;
   Control::Loop<Runners> mLoop;
--- a/src/balsampoint/edge/engine_client.cpp
+++ b/src/balsampoint/edge/engine_control_client.cpp
@@ -1,8 +1,8 @@
-#include "balsampoint/edge/engine_client.hpp"
+#include "balsampoint/edge/engine_control_client.hpp"
 
 namespace balsampoint::edge {
 
-struct EngineClient::Pending
+struct EngineControlClient::Pending
 {
   explicit Pending(boost::asio::io_context& aContext)
     : timer{ aContext }
@@ -16,10 +16,10 @@
 };
 
 void
-EngineClient::Call(std::string aAddress,
-                   std::string aRequest,
-                   Duration aLimit,
-                   Callback aCallback)
+EngineControlClient::Call(std::string aAddress,
+                          std::string aRequest,
+                          Duration aLimit,
+                          Callback aCallback)
 {
   mLoop.Post([this,
               address = std::move(aAddress),
@@ -35,7 +35,8 @@
 }
 
 void
-EngineClient::Begin(const std::shared_ptr<Pending>& aPending, Duration aLimit)
+EngineControlClient::Begin(const std::shared_ptr<Pending>& aPending,
+                           Duration aLimit)
 {
   mPending.insert(aPending);
   const std::weak_ptr<Pending> weak{ aPending };
@@ -63,8 +64,8 @@
 }
 
 void
-EngineClient::End(const std::shared_ptr<Pending>& aPending,
-                  std::optional<EngineResponse> aResponse)
+EngineControlClient::End(const std::shared_ptr<Pending>& aPending,
+                         std::optional<EngineResponse> aResponse)
 {
   if (mPending.erase(aPending) == 0) {
     return;
--- a/src/balsampoint/edge/engine_client.hpp
+++ b/src/balsampoint/edge/engine_control_client.hpp
@@ -19,8 +19,9 @@
   std::string body;
 };
 
-/** @brief Sends requests to engines, each on a connection of its own. */
-class EngineClient
+/** @brief Sends orders and report requests to engines, each on a connection of
+ * its own. */
+class EngineControlClient
 {
 public:
   /** @brief Receives the response; nothing if the connection failed or the
@@ -32,7 +33,7 @@
    * @param aLoop Loop of the traffic thread; outlives the client.
    * @param aLimits Limits of each connection.
    */
-  EngineClient(Loop& aLoop, ServerConnectionLimits aLimits)
+  EngineControlClient(Loop& aLoop, ServerConnectionLimits aLimits)
     : mLoop{ aLoop }
     , mPool{ aLoop.Context(), aLimits }
   {
