Rename figurative names in the gateway and reword its comments

Several private names were figurative or left over from older names of types, and some comments left open what happens and why. Numbers, log events and messages stay. kIdleCheckInterval, kExpiryInterval and kHandOverWait get a comment.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -32,8 +32,9 @@
 namespace balsampoint::daemon {
 
 /**
- * @brief A host that forwards requests by routes, hears servers, or both.
- * @tparam D Names and formats of messages.
+ * @brief A host that forwards requests to servers, receives the heartbeats of
+ * servers, or both.
+ * @tparam D Encoding of messages and of the configuration text.
  */
 template<edge::Dialect D>
 class BasicGateway
@@ -67,7 +68,7 @@
   BasicGateway(BasicGateway&&) = delete;
   BasicGateway& operator=(BasicGateway&&) = delete;
 
-  /** @brief Stops at once; `Drain` first for a planned stop. */
+  /** @brief Stops at once; for a planned stop, call `Drain` before. */
   ~BasicGateway()
   {
     mReceiver.reset();
@@ -76,7 +77,8 @@
     mControlThread.join();
   }
 
-  /** @brief Takes no new callers and waits for work in progress. */
+  /** @brief Reports the host as not ready, hands over leadership, stops
+   * accepting callers and waits for the requests in progress. */
   void Drain()
   {
     mEdge.Post([this] {
@@ -98,15 +100,20 @@
 private:
   using TrafficState = edge::TrafficState;
 
-  /** Time for callers' balancer to notice that the host isn't ready. */
+  /** Time for the callers' load balancer to notice that the host isn't ready.
+   */
   static constexpr Duration kBalancerWait = std::chrono::milliseconds{ 2600 };
-  static constexpr Duration kIdleLook = std::chrono::milliseconds{ 50 };
+  /** Time between two checks whether all requests have ended. */
+  static constexpr Duration kIdleCheckInterval =
+    std::chrono::milliseconds{ 50 };
   /** Time kept for the end of the process within the stop timeout. */
   static constexpr Duration kStopMargin = std::chrono::milliseconds{ 700 };
+  /** Time limit for handing leadership over to another host. */
   static constexpr Duration kHandOverWait = std::chrono::milliseconds{ 1500 };
-  /** Time between two reports of work in progress. */
-  static constexpr Duration kUseInterval = std::chrono::milliseconds{ 200 };
-  static constexpr Duration kSweepInterval = std::chrono::seconds{ 1 };
+  /** Time between two reports of this host's use of servers. */
+  static constexpr Duration kUsageInterval = std::chrono::milliseconds{ 200 };
+  /** Time between two searches for expired server connections. */
+  static constexpr Duration kExpiryInterval = std::chrono::seconds{ 1 };
   static constexpr std::size_t kMailboxCapacity = 65536;
   static constexpr std::size_t kMaxControlConnections = 2000;
 
@@ -141,8 +148,8 @@
                   return Configure(aContent);
                 } }
     , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
-    , mSweep{ mEdge.Context() }
-    , mUseTimer{ mEdge.Context() }
+    , mExpiryTimer{ mEdge.Context() }
+    , mUsageTimer{ mEdge.Context() }
     , mIdleTimer{ mEdge.Context() }
   {
     mTraffic.maxActiveRequests =
@@ -155,7 +162,7 @@
     mRunners.Roster().PublishTo([this](auto aView) {
       Post(mMailbox,
            usage::Event{ usage::CollectorChanged{ aView->collector } });
-      mEdge.Post([this, view = std::move(aView)] { TakeServers(view); });
+      mEdge.Post([this, view = std::move(aView)] { SetServers(view); });
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
@@ -164,7 +171,9 @@
       });
     });
     mRunners.Placement().CarryBy([this](const placement::Action& aAction) {
-      std::visit([this](const auto& aOne) { this->Carry(aOne); }, aAction);
+      std::visit(
+        [this](const auto& aAlternative) { this->Execute(aAlternative); },
+        aAction);
     });
     mRunners.Consensus().ObserveLeader(
       [this](const HostId& aLeader, consensus::Term aTerm) {
@@ -196,9 +205,9 @@
         .and_then([&] { return ListenOn(mMetrics, listen.metrics); })
         .and_then([&] { return ListenOn(mControlPort, listen.control); });
     if (listening) {
-      Sweep();
+      CloseExpiredConnections();
       if (listen.callers) {
-        TellUse();
+        ReportUsage();
         mProber.Start();
       }
       mEdge.Start();
@@ -215,20 +224,20 @@
                     : tl::expected<void, Error>{};
   }
 
-  void Sweep()
+  void CloseExpiredConnections()
   {
     mTraffic.pool.CloseExpired();
-    mSweep.Set(kSweepInterval, [this] { Sweep(); });
+    mExpiryTimer.Set(kExpiryInterval, [this] { CloseExpiredConnections(); });
   }
 
-  void TellUse()
+  void ReportUsage()
   {
-    const bool told = mMailbox.Push(
+    const bool queued = mMailbox.Push(
       usage::Event{ usage::Measured{ fleet::MakeLocalUsage(mTraffic.fleet) } });
-    if (!told) {
+    if (!queued) {
       spdlog::warn("the control queue is full");
     }
-    mUseTimer.Set(kUseInterval, [this] { TellUse(); });
+    mUsageTimer.Set(kUsageInterval, [this] { ReportUsage(); });
   }
 
   edge::StatusPort::Status ReadyStatus() const
@@ -258,7 +267,7 @@
     return { kOk, metrics.Text() };
   }
 
-  void TakeServers(std::shared_ptr<const roster::View> aView)
+  void SetServers(std::shared_ptr<const roster::View> aView)
   {
     mTraffic.servers = std::move(aView);
     FollowRoster();
@@ -297,11 +306,11 @@
            placement::Event{
              placement::ServersChanged{ mRunners.Roster().Latest() } });
     }
-    mEdge.Post([this, routes = std::move(*table)] { TakeRoutes(routes); });
+    mEdge.Post([this, routes = std::move(*table)] { SetRoutes(routes); });
     return {};
   }
 
-  void TakeRoutes(std::shared_ptr<const routing::Table> aRoutes)
+  void SetRoutes(std::shared_ptr<const routing::Table> aRoutes)
   {
     if (mTraffic.routes &&
         mTraffic.routes->Source().number >= aRoutes->Source().number) {
@@ -362,7 +371,8 @@
       });
   }
 
-  /** The text is read only after a quorum has confirmed that none is newer. */
+  /** Reads the configuration only after a quorum has confirmed this host as
+   * the leader, so that no newer configuration is missed. */
   void Read(std::function<void(edge::ReadResult)> aCallback)
   {
     mRunners.Consensus().ConfirmLeader(
@@ -397,65 +407,68 @@
       .Text();
   }
 
-  void Carry(const placement::SendOrder& aGive)
+  void Execute(const placement::SendOrder& aOrder)
   {
     trace::Event{ "layers_ordered" }
-      .With("server", aGive.server)
-      .With("first", aGive.layers.begin)
-      .With("end", aGive.layers.end)
-      .With("fencing", aGive.fencing.Value());
-    auto request = D::WriteLayerOrder({ .layers = aGive.layers,
-                                        .expectedOrders = aGive.expectedOrders,
-                                        .fencing = aGive.fencing },
-                                      aGive.server.Value());
-    mEngines.Call(aGive.address,
+      .With("server", aOrder.server)
+      .With("first", aOrder.layers.begin)
+      .With("end", aOrder.layers.end)
+      .With("fencing", aOrder.fencing.Value());
+    auto request = D::WriteLayerOrder({ .layers = aOrder.layers,
+                                        .expectedOrders = aOrder.expectedOrders,
+                                        .fencing = aOrder.fencing },
+                                      aOrder.server.Value());
+    mEngines.Call(aOrder.address,
                   std::move(request),
-                  aGive.timeout,
+                  aOrder.timeout,
                   [this,
-                   server = aGive.server,
-                   incarnation = aGive.incarnation](const auto& aAnswer) {
+                   server = aOrder.server,
+                   incarnation = aOrder.incarnation](const auto& aResponse) {
                     auto outcome = placement::OrderOutcome::Unknown;
-                    if (aAnswer) {
-                      outcome = D::Accepted(aAnswer->status)
+                    if (aResponse) {
+                      outcome = D::Accepted(aResponse->status)
                                   ? placement::OrderOutcome::Accepted
                                   : placement::OrderOutcome::Refused;
                     }
                     trace::Event{ "layers_order_ended" }
                       .With("server", server)
-                      .With("status", aAnswer ? aAnswer->status : 0);
+                      .With("status", aResponse ? aResponse->status : 0);
                     Post(mMailbox,
                          placement::Event{ placement::OrderEnded{
                            server, incarnation, outcome } });
                   });
   }
 
-  void Carry(const placement::RequestReport& aAsk)
+  void Execute(const placement::RequestReport& aRequest)
   {
-    mEngines.Call(aAsk.address,
-                  D::WriteReportRequest(aAsk.server.Value()),
-                  kReportLimit,
-                  [this, server = aAsk.server, incarnation = aAsk.incarnation](
-                    const auto& aAnswer) {
-                    const auto report =
-                      aAnswer ? D::ReadReport(aAnswer->body)
+    mEngines.Call(
+      aRequest.address,
+      D::WriteReportRequest(aRequest.server.Value()),
+      kReportTimeout,
+      [this, server = aRequest.server, incarnation = aRequest.incarnation](
+        const auto& aResponse) {
+        const auto report = aResponse
+                              ? D::ReadReport(aResponse->body)
                               : Refuse(ErrorKind::BackendFailed, "no answer");
-                    if (!report) {
-                      trace::Event{ "report_missing" }
-                        .With("server", server)
-                        .With("reason", report.error().detail);
-                      return;
-                    }
-                    Post(mMailbox,
-                         placement::Event{
-                           placement::Reported{ .server = server,
-                                                .incarnation = incarnation,
-                                                .orders = report->orders,
-                                                .busy = report->busy,
-                                                .layers = report->layers } });
-                  });
+        if (!report) {
+          trace::Event{ "report_missing" }
+            .With("server", server)
+            .With("reason", report.error().detail);
+          return;
+        }
+        Post(
+          mMailbox,
+          placement::Event{ placement::Reported{ .server = server,
+                                                 .incarnation = incarnation,
+                                                 .orders = report->orders,
+                                                 .busy = report->busy,
+                                                 .layers = report->layers } });
+      });
   }
 
-  /** Waits on the loop until callers were sent elsewhere and all is done. */
+  /** Stops accepting callers once their load balancer has had time to react,
+   * and notifies `mStopped` when no request is in progress. Checks on a timer
+   * of the traffic thread, which must not block. */
   void WaitUntilIdle(Instant aSince)
   {
     const bool noticed = TrafficState::Now() - aSince >= kBalancerWait;
@@ -469,10 +482,11 @@
       mStopped.notify_all();
       return;
     }
-    mIdleTimer.Set(kIdleLook, [this, aSince] { WaitUntilIdle(aSince); });
+    mIdleTimer.Set(kIdleCheckInterval,
+                   [this, aSince] { WaitUntilIdle(aSince); });
   }
 
-  static constexpr Duration kReportLimit = std::chrono::milliseconds{ 500 };
+  static constexpr Duration kReportTimeout = std::chrono::milliseconds{ 500 };
 
   config::GatewaySettings mSettings;
   peer::Identity mIdentity;
@@ -491,8 +505,8 @@
   edge::BasicControlPort<D> mControlPort;
   Runners mRunners;
   Control::Loop<Runners> mLoop;
-  edge::Timer mSweep;
-  edge::Timer mUseTimer;
+  edge::Timer mExpiryTimer;
+  edge::Timer mUsageTimer;
   edge::Timer mIdleTimer;
   std::thread mControlThread;
   std::unique_ptr<peer::Receiver> mReceiver;
