--- a/src/balsampoint/daemon/first_state.cpp
+++ b/src/balsampoint/daemon/first_state.cpp
@@ -113,10 +113,20 @@
   return settings;
 }
 
+/** @brief Hosts of gateways without a disk are no part of the tree: the leader
+ * would have to keep up with each of them. */
 fanout::State
-MakeFanout(const config::Settings& aSettings, const peer::Identity& aIdentity)
+MakeFanout(const config::Settings& aSettings,
+           const peer::Identity& aIdentity,
+           const ControlTuning& aTuning)
 {
+  /** Time in which the control hosts of the zone advertise it too. */
+  constexpr Duration kFetchDelay = std::chrono::milliseconds{ 60 };
   fanout::Settings settings;
+  settings.joinsTree = aTuning.ownInterface || aSettings.dataFolder.has_value();
+  if (!settings.joinsTree) {
+    settings.fetchDelay = kFetchDelay;
+  }
   settings.self = { .host = aSettings.host,
                     .incarnation = aIdentity.incarnation,
                     .zone = aSettings.zone,
@@ -168,18 +178,22 @@
   }
   change::State changes{ .settings = { .self = aSettings.host,
                                        .seeds = SeedHosts(aSettings) } };
-  first.states = { FirstMemberState(aSettings, aIdentity.incarnation, aTuning),
-                   FirstRegistryState(aSettings, aIdentity.incarnation),
-                   FirstRetryState(aSettings),
-                   FirstLimitState(aSettings),
-                   FirstLedgerState(aSettings, aIdentity.incarnation),
-                   std::move(log),
-                   std::move(changes),
-                   MakeFanout(aSettings, aIdentity),
-                   roster::Module::Start(aTuning.roster,
-                                         runtime::SteadyClock::Now()),
-                   placement::State{},
-                   usage::State{ .settings = { .self = aSettings.host } } };
+  first.states = {
+    FirstMemberState(aSettings, aIdentity.incarnation, aTuning),
+    FirstRegistryState(aSettings, aIdentity.incarnation),
+    FirstRetryState(aSettings),
+    FirstLimitState(aSettings),
+    FirstLedgerState(aSettings, aIdentity.incarnation),
+    std::move(log),
+    std::move(changes),
+    MakeFanout(aSettings, aIdentity, aTuning),
+    roster::Module::Start(aTuning.roster, runtime::SteadyClock::Now()),
+    placement::State{},
+    usage::State{
+      .settings = { .self = aSettings.host,
+                    .zone = aSettings.zone,
+                    .isControlHost = aTuning.roster.isControlHost } }
+  };
   return first;
 }
 
--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -162,8 +162,10 @@
       }
     }
     mRunners.Roster().PublishTo([this](auto aView) {
-      Post(mMailbox,
-           usage::Event{ usage::CollectorChanged{ aView->collector } });
+      const auto& topology = aView->topology;
+      PostOrDrop(mMailbox,
+                 usage::Event{ usage::TopologyChanged{
+                   topology.collector, topology.peers, topology.upstream } });
       mEdge.Post([this, view = std::move(aView)] { SetServers(view); });
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
@@ -501,7 +503,7 @@
   traffic::ControlGate mGate;
   peer::Sender mSender;
   ParcelRouter mRouter;
-  edge::Loop mEdge;
+  net::Loop mEdge;
   TrafficState mTraffic;
   edge::ServerProber mProber;
   edge::BasicEntry<D> mEntry;
@@ -511,9 +513,9 @@
   edge::BasicControlPort<D> mControlPort;
   Runners mRunners;
   Control::Loop<Runners> mLoop;
-  edge::Timer mExpiryTimer;
-  edge::Timer mUsageTimer;
-  edge::Timer mIdleTimer;
+  net::Timer mExpiryTimer;
+  net::Timer mUsageTimer;
+  net::Timer mIdleTimer;
   std::thread mControlThread;
   std::unique_ptr<peer::Receiver> mReceiver;
   std::mutex mLeaderMutex;
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -81,6 +81,7 @@
   tuning.consensus.targetMembers = 2 * aSettings.controlLosses + 1;
   auto& roster = tuning.roster;
   roster.self = aSettings.host;
+  roster.zone = aSettings.zone;
   roster.incarnation = aIdentity.incarnation;
   roster.address = aSettings.listen.PeersAsTold().Text();
   roster.isControlHost = aSettings.listen.control.has_value();
--- a/src/balsampoint/daemon/post.hpp
+++ b/src/balsampoint/daemon/post.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/daemon/control.hpp"
 
+#include <spdlog/spdlog.h>
 #include <utility>
 
 namespace balsampoint::daemon {
@@ -23,4 +24,18 @@
   }
 }
 
+/**
+ * @brief Posts an event whose loss only delays what this host knows of others,
+ * until the next one.
+ * @param aMailbox Queue into the control thread.
+ * @param aEvent The event.
+ */
+inline void
+PostOrDrop(ControlMailbox& aMailbox, Control::Event aEvent)
+{
+  if (!aMailbox.Push(std::move(aEvent)) && !aMailbox.Closed()) {
+    spdlog::warn("the control queue is full; an event is dropped");
+  }
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -82,10 +82,18 @@
 void
 RosterRunner::Do(const roster::Publish& aPublish)
 {
-  LogChanges(mLatest.Read().get(), *aPublish.view);
+  const auto before = mLatest.Read();
+  LogChanges(before.get(), *aPublish.view);
+  const auto& topology = aPublish.view->topology;
+  if (!before || before->topology != topology) {
+    trace::Event{ "relay_changed" }
+      .With("collector", topology.collector)
+      .With("peers", topology.peers.size())
+      .With("upstream", topology.upstream);
+  }
   mLatest.Publish(aPublish.view);
-  Post(mMailbox,
-       placement::Event{ placement::ServersChanged{ aPublish.view } });
+  PostOrDrop(mMailbox,
+             placement::Event{ placement::ServersChanged{ aPublish.view } });
   if (mPublish) {
     mPublish(aPublish.view);
   }
@@ -106,9 +114,9 @@
 void
 RosterRunner::Do(const roster::ConfigurationAdvertised& aAdvertised)
 {
-  Post(mMailbox,
-       fanout::Event{
-         fanout::NumberAdvertised{ aAdvertised.host, aAdvertised.number } });
+  PostOrDrop(mMailbox,
+             fanout::Event{ fanout::NumberAdvertised{
+               aAdvertised.host, aAdvertised.number, aAdvertised.sameZone } });
 }
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/edge/acceptor.hpp
+++ b/src/balsampoint/edge/acceptor.hpp
@@ -49,7 +49,7 @@
    */
   tl::expected<void, Error> Listen(const std::string& aAddress)
   {
-    const auto endpoint = ParseAddress(aAddress);
+    const auto endpoint = net::ParseAddress(aAddress);
     if (!endpoint) {
       return tl::unexpected(endpoint.error());
     }
@@ -117,25 +117,26 @@
 
   void Accept()
   {
-    mAcceptor.async_accept([this](const auto& aError, Tcp::socket aSocket) {
-      if (aError == boost::asio::error::operation_aborted ||
-          !mAcceptor.is_open()) {
-        return;
-      }
-      if (aError) {
-        spdlog::warn("accepting a connection failed: {}", aError.message());
-        mAcceptRetryTimer.Set(kAcceptRetryDelay, [this] { Accept(); });
-        return;
-      }
-      AddConnection(std::move(aSocket));
-      Accept();
-    });
+    mAcceptor.async_accept(
+      [this](const auto& aError, net::Tcp::socket aSocket) {
+        if (aError == boost::asio::error::operation_aborted ||
+            !mAcceptor.is_open()) {
+          return;
+        }
+        if (aError) {
+          spdlog::warn("accepting a connection failed: {}", aError.message());
+          mAcceptRetryTimer.Set(kAcceptRetryDelay, [this] { Accept(); });
+          return;
+        }
+        AddConnection(std::move(aSocket));
+        Accept();
+      });
   }
 
-  void AddConnection(Tcp::socket aSocket)
+  void AddConnection(net::Tcp::socket aSocket)
   {
     if (mConnections.size() >= mMaxConnections) {
-      ResetConnection(aSocket);
+      net::ResetConnection(aSocket);
       return;
     }
     auto connection =
@@ -146,8 +147,8 @@
 
   Owner& mOwner;
   boost::asio::io_context& mContext;
-  Tcp::acceptor mAcceptor;
-  Timer mAcceptRetryTimer{ mContext };
+  net::Tcp::acceptor mAcceptor;
+  net::Timer mAcceptRetryTimer{ mContext };
   std::size_t mMaxConnections;
   std::set<Pointer> mConnections;
 };
--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "balsampoint/edge/loop.hpp"
-#include "balsampoint/edge/socket.hpp"
+#include "balsampoint/net/loop.hpp"
+#include "balsampoint/net/socket.hpp"
 #include "balsampoint/wire/parser.hpp"
 
 #include <array>
@@ -60,13 +60,13 @@
    */
   BasicCallerConnection(Owner& aOwner,
                         boost::asio::io_context& aContext,
-                        Tcp::socket aSocket)
+                        net::Tcp::socket aSocket)
     : mOwner{ aOwner }
     , mSocket{ std::move(aSocket) }
     , mTimer{ aContext }
     , mParser{ wire::MessageKind::Request, aOwner.Limits().message }
   {
-    ConfigureSocket(mSocket, aOwner.Limits().ackTimeout);
+    net::ConfigureSocket(mSocket, aOwner.Limits().ackTimeout);
   }
 
   /** @brief Starts to read requests. */
@@ -119,10 +119,10 @@
     }
     mTimer.Clear();
     if (aReset) {
-      ResetConnection(mSocket);
+      net::ResetConnection(mSocket);
     } else {
       boost::system::error_code ignored;
-      mSocket.shutdown(Tcp::socket::shutdown_send, ignored);
+      mSocket.shutdown(net::Tcp::socket::shutdown_send, ignored);
       mSocket.close(ignored);
     }
     if (std::exchange(mBusy, false)) {
@@ -318,8 +318,8 @@
   }
 
   Owner& mOwner;
-  Tcp::socket mSocket;
-  Timer mTimer;
+  net::Tcp::socket mSocket;
+  net::Timer mTimer;
   wire::Parser mParser;
   std::array<char, kReadBytes> mBuffer{};
   std::string mReadAhead;
--- a/src/balsampoint/edge/control_port.hpp
+++ b/src/balsampoint/edge/control_port.hpp
@@ -65,7 +65,7 @@
    * @param aOperations Operations that carry out the calls.
    * @param aMaxConnections Maximum number of open connections.
    */
-  BasicControlPort(Loop& aLoop,
+  BasicControlPort(net::Loop& aLoop,
                    ControlOperations aOperations,
                    std::size_t aMaxConnections)
     : mLoop{ aLoop }
@@ -230,7 +230,7 @@
 
   [[nodiscard]] bool KeepAlive() const { return !mDraining; }
 
-  Loop& mLoop;
+  net::Loop& mLoop;
   ControlOperations mOperations;
   CallerConnectionLimits mLimits;
   bool mDraining{ false };
--- a/src/balsampoint/edge/dialect.hpp
+++ b/src/balsampoint/edge/dialect.hpp
@@ -79,6 +79,10 @@
   /** Address of the server in the chain that refused the request; absent if
    * not sent. */
   std::optional<std::string_view> atFault;
+  /** Whether the server says that it is leaving. */
+  bool leaving{ false };
+  /** Time for which the server wants no requests; absent for none. */
+  std::optional<Duration> retryAfter;
 };
 
 /** @brief An operator's call that submits a whole configuration. */
--- a/src/balsampoint/edge/engine_control_client.cpp
+++ b/src/balsampoint/edge/engine_control_client.cpp
@@ -9,7 +9,7 @@
   {
   }
 
-  Timer timer;
+  net::Timer timer;
   std::shared_ptr<ServerConnection> connection;
   std::string request;
   Callback callback;
--- a/src/balsampoint/edge/engine_control_client.hpp
+++ b/src/balsampoint/edge/engine_control_client.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "balsampoint/edge/dialect.hpp"
-#include "balsampoint/edge/loop.hpp"
 #include "balsampoint/edge/server_pool.hpp"
+#include "balsampoint/net/loop.hpp"
 
 #include <functional>
 #include <memory>
@@ -33,7 +33,7 @@
    * @param aLoop Loop of the traffic thread; outlives the client.
    * @param aLimits Limits of each connection.
    */
-  EngineControlClient(Loop& aLoop, ServerConnectionLimits aLimits)
+  EngineControlClient(net::Loop& aLoop, ServerConnectionLimits aLimits)
     : mLoop{ aLoop }
     , mPool{ aLoop.Context(), aLimits }
   {
@@ -58,7 +58,7 @@
   void End(const std::shared_ptr<Pending>& aPending,
            std::optional<EngineResponse> aResponse);
 
-  Loop& mLoop;
+  net::Loop& mLoop;
   ServerPool mPool;
   std::set<std::shared_ptr<Pending>> mPending;
 };
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -7,6 +7,7 @@
 #include "balsampoint/edge/prompt_watch.hpp"
 #include "balsampoint/edge/response.hpp"
 #include "balsampoint/edge/server_choice.hpp"
+#include "balsampoint/edge/server_statements.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/retry_after.hpp"
@@ -182,6 +183,7 @@
       }
     });
     mSentInAttempt = false;
+    mStatementsRead = false;
     if (reused) {
       SendRequest();
     } else {
@@ -280,6 +282,13 @@
       }
       return;
     }
+    if (!std::exchange(mStatementsRead, true)) {
+      FollowStatements(mTraffic,
+                       mAdmission.service->id,
+                       mHops.front(),
+                       mParameters.id,
+                       metadata);
+    }
     if (metadata.notExecuted) {
       OnNotExecuted(metadata);
       return;
@@ -573,11 +582,8 @@
       case forward::Decision::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
-        aError.retryAfter = mAdmission.service->engine
-                              ? fleet::RetryAfter(mTraffic.fleet,
-                                                  mAdmission.service->id,
-                                                  TrafficState::Now())
-                              : kPlainServiceRetryAfter;
+        aError.retryAfter = fleet::RetryAfter(
+          mTraffic.fleet, mAdmission.service->id, TrafficState::Now());
         AnswerError(aError);
         return;
       case forward::Decision::Fail:
@@ -716,10 +722,6 @@
              .age = TrafficState::Now() - mStartedAt };
   }
 
-  /** Retry-After for services without an engine profile: a few times the usual
-   * duration of a call. */
-  static constexpr Duration kPlainServiceRetryAfter =
-    std::chrono::milliseconds{ 100 };
   /** Shortest time after which a server is expected to close an idle
    * connection. */
   static constexpr Duration kMinIdleTimeout = std::chrono::milliseconds{ 250 };
@@ -737,8 +739,8 @@
   TrafficState& mTraffic;
   std::shared_ptr<Caller> mCaller;
   IncomingRequest mRequest;
-  Timer mDeadlineTimer;
-  Timer mResumeTimer;
+  net::Timer mDeadlineTimer;
+  net::Timer mResumeTimer;
   Instant mStartedAt;
   RequestParameters mParameters;
   Admission mAdmission;
@@ -753,6 +755,8 @@
   Instant mSentAt{};
   /** Whether the request was sent in this attempt. */
   bool mSentInAttempt{ false };
+  /** Whether what this attempt's answer says of its server was followed. */
+  bool mStatementsRead{ false };
   /** Value of `mProgress.mayHaveRun` before this attempt. */
   bool mMayHaveRunBefore{ false };
   EventRelay mEvents{ false, {} };
--- a/src/balsampoint/edge/fwd.hpp
+++ b/src/balsampoint/edge/fwd.hpp
@@ -6,6 +6,4 @@
  */
 namespace balsampoint::edge {
 
-class Loop;
-
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -48,7 +48,7 @@
 void
 ServerConnection::Connect()
 {
-  const auto endpoint = ParseAddress(mAddress);
+  const auto endpoint = net::ParseAddress(mAddress);
   boost::system::error_code error;
   if (endpoint) {
     mSocket.open(endpoint->protocol(), error);
@@ -58,7 +58,7 @@
                       [self = shared_from_this()] { self->CloseAsLost(); });
     return;
   }
-  ConfigureSocket(mSocket, mLimits.ackTimeout);
+  net::ConfigureSocket(mSocket, mLimits.ackTimeout);
   mTimer.Set(mLimits.connectTimeout, [self = weak_from_this()] {
     if (const auto connection = self.lock()) {
       connection->CloseAsLost();
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "balsampoint/edge/loop.hpp"
-#include "balsampoint/edge/socket.hpp"
+#include "balsampoint/net/loop.hpp"
+#include "balsampoint/net/socket.hpp"
 #include "balsampoint/wire/parser.hpp"
 
 #include <array>
@@ -128,8 +128,8 @@
 
   const ServerConnectionLimits& mLimits;
   std::string mAddress;
-  Tcp::socket mSocket;
-  Timer mTimer;
+  net::Tcp::socket mSocket;
+  net::Timer mTimer;
   wire::Parser mParser;
   ServerObserver mObserver;
   std::array<char, kReadBytes> mBuffer{};
--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -47,6 +47,18 @@
   idle.push_back(aConnection);
 }
 
+void
+ServerPool::CloseIdle(const std::string& aAddress)
+{
+  const auto idle = mIdle.extract(aAddress);
+  if (!idle) {
+    return;
+  }
+  for (const auto& connection : idle.mapped()) {
+    connection->Close();
+  }
+}
+
 void
 ServerPool::CloseExpired()
 {
--- a/src/balsampoint/edge/server_pool.hpp
+++ b/src/balsampoint/edge/server_pool.hpp
@@ -46,6 +46,12 @@
    */
   void Return(const std::shared_ptr<ServerConnection>& aConnection);
 
+  /**
+   * @brief Closes the idle connections to a server.
+   * @param aAddress IP address and port of the server.
+   */
+  void CloseIdle(const std::string& aAddress);
+
   /** @brief Closes the connections whose idle timeout has passed. */
   void CloseExpired();
 
--- a/src/balsampoint/edge/server_prober.hpp
+++ b/src/balsampoint/edge/server_prober.hpp
@@ -37,7 +37,7 @@
                      bool aReachable);
 
   TrafficState& mTraffic;
-  Timer mTimer;
+  net::Timer mTimer;
   ServerPool mConnections;
   Probes mProbes;
 };
--- a/src/balsampoint/edge/status_port.hpp
+++ b/src/balsampoint/edge/status_port.hpp
@@ -29,7 +29,7 @@
    * @param aLoop Loop of the traffic thread; outlives the port.
    * @param aStatus Called on the traffic thread for each request.
    */
-  StatusPort(Loop& aLoop, std::function<Status()> aStatus)
+  StatusPort(net::Loop& aLoop, std::function<Status()> aStatus)
     : mStatus{ std::move(aStatus) }
     , mAcceptor{ *this, aLoop.Context(), kMaxConnections }
   {
--- a/src/balsampoint/edge/traffic_state.hpp
+++ b/src/balsampoint/edge/traffic_state.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "balsampoint/core/split_mix.hpp"
-#include "balsampoint/edge/loop.hpp"
 #include "balsampoint/edge/server_pool.hpp"
 #include "balsampoint/fleet/state.hpp"
 #include "balsampoint/forward/retry_budget.hpp"
+#include "balsampoint/net/loop.hpp"
 #include "balsampoint/quarantine/state.hpp"
 #include "balsampoint/roster/view.hpp"
 #include "balsampoint/routing/table.hpp"
@@ -29,7 +29,7 @@
    * @param aAllowance This host's share of the retries.
    * @param aSeed Seed of the random numbers.
    */
-  TrafficState(Loop& aLoop,
+  TrafficState(net::Loop& aLoop,
                fleet::Settings aFleet,
                ServerConnectionLimits aServers,
                forward::RetryAllowance aAllowance,
@@ -73,7 +73,7 @@
     }
   }
 
-  Loop& loop;
+  net::Loop& loop;
   ServerPool pool;
   fleet::State fleet;
   forward::RetryBudget budget;
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -199,16 +199,26 @@
                        const NumberAdvertised& aEvent,
                        Instant aNow)
 {
+  const auto& settings = aState.settings;
   aState.newestKnown = std::max(aState.newestKnown, aEvent.number);
+  if (!settings.joinsTree && !aState.ready) {
+    aState.startDeadline =
+      std::min(aState.startDeadline, aNow + settings.advertisementWait);
+  }
   if (aEvent.number <= aState.content.number ||
       aEvent.number < aState.newer.number) {
     return;
   }
   const bool waiting = aState.newer.fetchAt != kNever;
-  aState.newer = { aEvent.host,
-                   aEvent.number,
-                   waiting ? aState.newer.fetchAt
-                           : aNow + aState.settings.fetchDelay };
+  if (waiting && aEvent.number == aState.newer.number &&
+      aState.newer.sameZone && !aEvent.sameZone) {
+    return;
+  }
+  aState.newer = { .host = aEvent.host,
+                   .number = aEvent.number,
+                   .fetchAt = waiting ? aState.newer.fetchAt
+                                      : aNow + settings.fetchDelay,
+                   .sameZone = aEvent.sameZone };
 }
 
 void
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -92,7 +92,7 @@
 {
   State state{ .settings = std::move(aSettings) };
   state.startDeadline = aNow + state.settings.startTimeout;
-  state.nextJoin = aNow;
+  state.nextJoin = state.settings.joinsTree ? aNow : kNever;
   state.nextHeartbeat = aNow;
   return state;
 }
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -28,6 +28,9 @@
   /** Age of the last sign of life of the leader after which a host joins
    * again. */
   Duration rootContactTimeout{ std::chrono::seconds{ 5 } };
+  /** Whether this host is part of the tree; others only fetch configurations
+   * that hosts advertise to them. */
+  bool joinsTree{ true };
   /** Interval of join requests; eight times as long once ready. */
   Duration joinInterval{ std::chrono::milliseconds{ 250 } };
   /** Longest time that a starting host waits for all control hosts to answer.
@@ -36,6 +39,9 @@
   /** Delay before a configuration that another host advertised is fetched from
    * it, in which the tree can deliver it. */
   Duration fetchDelay{ std::chrono::milliseconds{ 300 } };
+  /** Time for which a starting host that is not part of the tree waits, after
+   * the first advertisement, for a newer one. */
+  Duration advertisementWait{ std::chrono::milliseconds{ 500 } };
   /** Interval of full reports. */
   Duration fullReportInterval{ std::chrono::seconds{ 10 } };
   /** Time without contact after which the leader removes a host from its
@@ -106,6 +112,7 @@
   ChangeNumber number;
   /** When the configuration is fetched, unless it has arrived by then. */
   Instant fetchAt{ kNever };
+  bool sameZone{ false };
 };
 
 /** @brief State of the module on one host; owned by the control thread. */
@@ -197,6 +204,9 @@
 {
   HostId host;
   ChangeNumber number;
+  /** Whether the host is in the zone of this one; it is preferred as a source
+   * of the configuration. */
+  bool sameZone{ false };
 };
 
 /** @brief Events of the module. */
--- a/src/balsampoint/fleet/command/follow_roster.cpp
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -32,7 +32,7 @@
     server = {};
   }
   server.claim = aSeen.claim;
-  server.ready = aSeen.TakesWork();
+  server.ready = aSeen.TakesWork() && !server.leaving;
   ApplyProfile(server, aGroup);
 }
 
--- /dev/null
+++ b/src/balsampoint/fleet/command/record_statement.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "balsampoint/fleet/state.hpp"
+
+namespace balsampoint::fleet {
+
+/**
+ * @brief Takes a server out of the choice because it says that it is leaving;
+ * only a newer incarnation of it comes back.
+ * @param aState State to change.
+ * @param aService Service that the server belongs to.
+ * @param aHop The server; ignored if it has started anew since.
+ * @return Whether this is news.
+ */
+bool
+RecordLeaving(State& aState, const ServiceId& aService, const Hop& aHop);
+
+/**
+ * @brief Takes a server out of the choice for the time for which it wants no
+ * requests. Afterwards one request at a time goes there until one is answered,
+ * so that the hosts do not all return at once.
+ * @param aState State to change.
+ * @param aService Service that the server belongs to.
+ * @param aHop The server; ignored if it has started anew since.
+ * @param aUntil End of the time; an earlier end than known changes nothing.
+ * @return Whether this is news.
+ */
+bool
+RecordBackOff(State& aState,
+              const ServiceId& aService,
+              const Hop& aHop,
+              Instant aUntil);
+
+} // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -1,24 +1,13 @@
 #include "balsampoint/fleet/command/track_work.hpp"
 
+#include "balsampoint/fleet/internal/find_server.hpp"
+
 #include <algorithm>
 
 namespace balsampoint::fleet {
 
 namespace {
 
-Server*
-Find(State& aState, const ServiceId& aService, const Hop& aHop)
-{
-  const auto group = aState.groups.find(aService);
-  if (group == aState.groups.end()) {
-    return nullptr;
-  }
-  const auto server = group->second.servers.find(aHop.server);
-  const bool same = server != group->second.servers.end() &&
-                    server->second.claim.stamp.incarnation == aHop.incarnation;
-  return same ? &server->second : nullptr;
-}
-
 /**
  * @brief Exponential backoff: doubles with each earlier event, up to a
  * limit.
@@ -64,6 +53,7 @@
       aServer.brokenAnswers = 0;
       aServer.failedConnections = 0;
       aServer.refusals = 0;
+      aServer.returning = false;
       break;
     case RequestOutcome::Full:
       // Concurrent requests that are all refused count as one refusal.
@@ -101,7 +91,7 @@
 {
   bool first = true;
   for (const auto& hop : aHops) {
-    auto* server = Find(aState, aService, hop);
+    auto* server = internal::FindServer(aState, aService, hop);
     if (server != nullptr) {
       ++server->localWork.passing;
       server->localWork.sent += first ? 1 : 0;
@@ -119,7 +109,7 @@
 {
   bool first = true;
   for (const auto& hop : aHops) {
-    auto* server = Find(aState, aService, hop);
+    auto* server = internal::FindServer(aState, aService, hop);
     if (server != nullptr) {
       auto& own = server->localWork;
       own.passing -= std::min(own.passing, 1U);
@@ -143,7 +133,7 @@
     group->second.lastStartedAt = aNow;
   }
   for (const auto& hop : aHops) {
-    auto* server = Find(aState, aService, hop);
+    auto* server = internal::FindServer(aState, aService, hop);
     if (server == nullptr) {
       continue;
     }
@@ -152,6 +142,7 @@
     server->unreachableUntil = Instant::min();
     if (!aInterval) {
       server->refusals = 0;
+      server->returning = false;
     } else {
       const std::chrono::duration<double, std::milli> interval = *aInterval;
       server->eventMs += kNewestWeight * (interval.count() - server->eventMs);
@@ -166,7 +157,7 @@
             bool aBegins)
 {
   for (const auto& hop : aHops) {
-    auto* server = Find(aState, aService, hop);
+    auto* server = internal::FindServer(aState, aService, hop);
     if (server == nullptr) {
       continue;
     }
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -122,6 +122,9 @@
     if (aServer.unreachableUntil > mNow) {
       return "out of reach";
     }
+    if (aServer.BacksOff(mNow)) {
+      return "backing off";
+    }
     return "full";
   }
 
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -33,7 +33,8 @@
   std::vector<const Server*> healthy;
   for (const auto& [id, server] : aGroup.servers) {
     const bool mayReceive = aReceivers.empty() || aReceivers.contains(id);
-    if (!server.ready || !mayReceive || aFailed.contains(id)) {
+    if (!server.ready || !mayReceive || aFailed.contains(id) ||
+        server.BacksOff(aNow)) {
       continue;
     }
     all.push_back(&server);
--- a/src/balsampoint/fleet/query/retry_after.cpp
+++ b/src/balsampoint/fleet/query/retry_after.cpp
@@ -4,18 +4,44 @@
 
 namespace balsampoint::fleet {
 
+namespace {
+
+/** @brief Time until the first server of a group accepts requests again, if all
+ * that are ready want none; zero otherwise. */
+Duration
+BackOffTime(const Group& aGroup, Instant aNow)
+{
+  auto first = Instant::max();
+  for (const auto& [id, server] : aGroup.servers) {
+    if (server.ready) {
+      first = std::min(first, server.backOffUntil);
+    }
+  }
+  return first == Instant::max() || first <= aNow ? Duration{} : first - aNow;
+}
+
+} // namespace
+
 Duration
 RetryAfter(const State& aState, const ServiceId& aService, Instant aNow)
 {
   const auto& settings = aState.settings;
-  const auto group = aState.groups.find(aService);
-  if (group == aState.groups.end() ||
-      group->second.lastStartedAt == Instant::min()) {
+  const auto found = aState.groups.find(aService);
+  if (found == aState.groups.end()) {
     return settings.maxRetryAfter;
   }
-  return std::clamp(aNow - group->second.lastStartedAt,
-                    settings.minRetryAfter,
-                    settings.maxRetryAfter);
+  const auto& group = found->second;
+  const auto backOff = BackOffTime(group, aNow);
+  if (!group.engine) {
+    return std::max(settings.plainRetryAfter, backOff);
+  }
+  if (group.lastStartedAt == Instant::min()) {
+    return std::max(settings.maxRetryAfter, backOff);
+  }
+  return std::max(backOff,
+                  std::clamp(aNow - group.lastStartedAt,
+                             settings.minRetryAfter,
+                             settings.maxRetryAfter));
 }
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -51,6 +51,9 @@
    * running streams have ended. */
   Duration minRetryAfter{ std::chrono::milliseconds{ 250 } };
   Duration maxRetryAfter{ std::chrono::seconds{ 2 } };
+  /** Time after which a request refused by a service without engines may be
+   * retried: a few times the usual duration of a call. */
+  Duration plainRetryAfter{ std::chrono::milliseconds{ 100 } };
   /** Weight of the newest outcome in the moving average of a server's failure
    * rate. */
   double failureWeight{ 0.15 };
@@ -73,6 +76,8 @@
   roster::Claim claim;
   /** Whether it may be sent new requests. */
   bool ready{ false };
+  /** Whether this incarnation has said in an answer that it is leaving. */
+  bool leaving{ false };
   /** Slowdown of decode steps and of prefill against the profile; 1 for servers
    * without a profile. */
   double stepFactor{ 1.0 };
@@ -107,6 +112,10 @@
   Instant fullUntil{ Instant::min() };
   /** End of the time for which it counts as unreachable. */
   Instant unreachableUntil{ Instant::min() };
+  /** End of the time for which it wants no requests. */
+  Instant backOffUntil{ Instant::min() };
+  /** Whether it has answered nothing since that time began. */
+  bool returning{ false };
 
   /**
    * @brief Whether it is avoided for now; a last resort may still use it
@@ -118,12 +127,21 @@
   }
 
   /**
-   * @brief Whether a request to it is expected to fail: it has no capacity
-   * or is unreachable.
+   * @brief Whether a request to it is expected to fail: it has no capacity,
+   * is unreachable or wants no requests.
    */
   [[nodiscard]] bool Unable(Instant aNow) const noexcept
   {
-    return std::max(fullUntil, unreachableUntil) > aNow;
+    return std::max(fullUntil, unreachableUntil) > aNow || BacksOff(aNow);
+  }
+
+  /**
+   * @brief Whether it wants no requests from this host, or returns from such a
+   * time with a first request that is not answered yet.
+   */
+  [[nodiscard]] bool BacksOff(Instant aNow) const noexcept
+  {
+    return backOffUntil > aNow || (returning && localWork.passing > 0);
   }
 
   /** @brief Requests of all hosts whose chain includes it. */
--- a/src/balsampoint/edge/loop.hpp
+++ b/src/balsampoint/net/loop.hpp
@@ -7,10 +7,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <concepts>
+#include <exception>
+#include <spdlog/spdlog.h>
 #include <thread>
 #include <utility>
 
-namespace balsampoint::edge {
+namespace balsampoint::net {
 
 /** @brief A thread with an event loop, on which all its connections run. */
 class Loop
@@ -33,7 +35,7 @@
   /** @brief Starts the thread. */
   void Start()
   {
-    mThread = std::thread{ [this] { mContext.run(); } };
+    mThread = std::thread{ [this] { Run(); } };
   }
 
   /** @brief Stops the thread; pending handlers are not run. */
@@ -60,6 +62,18 @@
   [[nodiscard]] boost::asio::io_context& Context() noexcept { return mContext; }
 
 private:
+  /** An exception ends the handler that threw it; all others go on. */
+  void Run()
+  {
+    while (!mContext.stopped()) {
+      try {
+        mContext.run();
+      } catch (const std::exception& failure) {
+        spdlog::error("event handler failed: {}", failure.what());
+      }
+    }
+  }
+
   boost::asio::io_context mContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mWork;
@@ -105,4 +119,4 @@
   boost::asio::steady_timer mTimer;
 };
 
-} // namespace balsampoint::edge
+} // namespace balsampoint::net
--- a/src/balsampoint/edge/socket.cpp
+++ b/src/balsampoint/net/socket.cpp
@@ -1,4 +1,4 @@
-#include "balsampoint/edge/socket.hpp"
+#include "balsampoint/net/socket.hpp"
 
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
-namespace balsampoint::edge {
+namespace balsampoint::net {
 
 namespace {
 
@@ -69,4 +69,4 @@
   aSocket.close(ignored);
 }
 
-} // namespace balsampoint::edge
+} // namespace balsampoint::net
--- a/src/balsampoint/edge/socket.hpp
+++ b/src/balsampoint/net/socket.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
-namespace balsampoint::edge {
+namespace balsampoint::net {
 
 using Tcp = boost::asio::ip::tcp;
 
@@ -37,4 +37,4 @@
 void
 ResetConnection(Tcp::socket& aSocket);
 
-} // namespace balsampoint::edge
+} // namespace balsampoint::net
--- a/src/balsampoint/peer/receiver.cpp
+++ b/src/balsampoint/peer/receiver.cpp
@@ -1,69 +1,30 @@
 #include "balsampoint/peer/receiver.hpp"
 
-#include "balsampoint/peer/generated/Peer.h"
+#include "balsampoint/peer/internal/call_codec.hpp"
+#include "balsampoint/peer/internal/socket_options.hpp"
 
-#include <Poco/Net/SocketAddress.h>
-#include <future>
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <chrono>
 #include <spdlog/spdlog.h>
-#include <thrift/TConfiguration.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
-#include <thrift/transport/TServerSocket.h>
 #include <utility>
 
 namespace balsampoint::peer {
 
 namespace {
 
-namespace thrift = apache::thrift;
-
-constexpr int kMaxMessageBytes = 16 * 1024 * 1024;
-constexpr std::int64_t kMaxConnections = 1024;
-
-/** @brief Makes framed transports that refuse oversized messages. */
-class FramedFactory : public thrift::transport::TTransportFactory
-{
-public:
-  std::shared_ptr<thrift::transport::TTransport> getTransport(
-    std::shared_ptr<thrift::transport::TTransport> aTransport) override
-  {
-    const auto limits = std::make_shared<thrift::TConfiguration>(
-      kMaxMessageBytes, kMaxMessageBytes);
-    return std::make_shared<thrift::transport::TFramedTransport>(aTransport,
-                                                                 limits);
-  }
-};
+constexpr std::size_t kMaxConnections = 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
+/** Size above which a buffer is given back once its call has been read. */
+constexpr std::size_t kKeptBytes = std::size_t{ 64 } * 1024;
+/** Time without an acknowledgement after which a connection is closed. */
+constexpr int kSilenceMs = 5000;
+/** Pause after a connection could not be accepted, for example for want of
+ * descriptors. */
+constexpr Duration kAcceptPause = std::chrono::milliseconds{ 100 };
 
 } // namespace
 
-/** @brief Reports that the server listens. */
-class ListenSignal : public thrift::server::TServerEventHandler
-{
-public:
-  explicit ListenSignal(std::promise<std::string>& aListening)
-    : mListening{ aListening }
-  {
-  }
-
-  void preServe() override { mListening.set_value({}); }
-
-private:
-  std::promise<std::string>& mListening;
-};
-
-/** @brief Serves until stopped; reports a failure to listen. */
-void
-Serve(thrift::server::TServer& aServer, std::promise<std::string>& aListening)
-{
-  aServer.setServerEventHandler(std::make_shared<ListenSignal>(aListening));
-  try {
-    aServer.serve();
-  } catch (const thrift::TException& failure) {
-    aListening.set_value(failure.what());
-  }
-}
-
 /** @brief Opens each frame and passes its content to the handler. */
 class Receiver::Service : public generated::PeerIf
 {
@@ -89,9 +50,108 @@
   Receiver& mReceiver;
 };
 
+/** @brief Reads the calls of one connection. */
+class Receiver::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+  Connection(Receiver& aReceiver, net::Tcp::socket aSocket)
+    : mReceiver{ aReceiver }
+    , mSocket{ std::move(aSocket) }
+  {
+  }
+
+  /** An asynchronous read would try to read at once, mostly in vain. */
+  void AwaitData()
+  {
+    mSocket.async_wait(net::Tcp::socket::wait_read,
+                       [this, self = shared_from_this()](const auto& aError) {
+                         if (aError || !Read() || !TakeCalls()) {
+                           End();
+                           return;
+                         }
+                         AwaitData();
+                       });
+  }
+
+private:
+  /** @return Whether the connection is still open. */
+  bool Read()
+  {
+    if (mBytes.size() - mFilled < kReadBytes) {
+      mBytes.resize(mFilled + kReadBytes);
+    }
+    boost::system::error_code error;
+    mFilled += mSocket.read_some(
+      boost::asio::buffer(mBytes.data() + mFilled, mBytes.size() - mFilled),
+      error);
+    return !error || error == boost::asio::error::would_block;
+  }
+
+  /** @return Whether the bytes so far are calls. */
+  bool TakeCalls()
+  {
+    std::string_view rest{ mBytes.data(), mFilled };
+    while (const auto length = internal::ReadLength(rest)) {
+      if (*length > internal::kMaxCallBytes) {
+        return Reject("a call of " + std::to_string(*length) + " bytes");
+      }
+      rest.remove_prefix(internal::kLengthBytes);
+      if (rest.size() < *length) {
+        Keep({ rest.data() - internal::kLengthBytes,
+               rest.size() + internal::kLengthBytes });
+        mBytes.resize(
+          std::max(mBytes.size(), *length + internal::kLengthBytes));
+        return true;
+      }
+      const auto taken =
+        internal::DecodeCall(rest.substr(0, *length), mReceiver.mService);
+      if (!taken) {
+        return Reject(taken.error().detail);
+      }
+      rest.remove_prefix(*length);
+    }
+    Keep(rest);
+    return true;
+  }
+
+  /** @brief Moves bytes of an incomplete call to the front of the buffer. */
+  void Keep(std::string_view aRest)
+  {
+    mFilled = aRest.size();
+    if (mFilled == 0 && mBytes.size() > kKeptBytes) {
+      mBytes = {};
+      return;
+    }
+    std::copy(aRest.begin(), aRest.end(), mBytes.begin());
+  }
+
+  bool Reject(const std::string& aReason)
+  {
+    ++mReceiver.mRefused;
+    spdlog::warn("connection of a peer closed: {}", aReason);
+    return false;
+  }
+
+  void End()
+  {
+    boost::system::error_code ignored;
+    mSocket.close(ignored);
+    mReceiver.mConnections.erase(shared_from_this());
+  }
+
+  Receiver& mReceiver;
+  net::Tcp::socket mSocket;
+  std::string mBytes;
+  /** Bytes of the buffer that have been received. */
+  std::size_t mFilled{};
+};
+
 Receiver::Receiver(Identity aIdentity, Handler aHandler)
   : mAuthenticator{ std::move(aIdentity) }
   , mHandler{ std::move(aHandler) }
+  , mService{ std::make_shared<Service>(*this) }
+  , mAcceptor{ mLoop.Context() }
+  , mAcceptRetryTimer{ mLoop.Context() }
 {
 }
 
@@ -100,37 +160,63 @@
                  Identity aIdentity,
                  Handler aHandler)
 {
+  const auto endpoint = net::ParseAddress(aAddress);
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
+  }
   std::unique_ptr<Receiver> receiver{ new Receiver{ std::move(aIdentity),
                                                     std::move(aHandler) } };
-  const Poco::Net::SocketAddress address{ aAddress };
-  auto socket = std::make_shared<thrift::transport::TServerSocket>(
-    address.host().toString(), address.port());
-  auto server = std::make_shared<thrift::server::TThreadedServer>(
-    std::make_shared<generated::PeerProcessor>(
-      std::make_shared<Service>(*receiver)),
-    socket,
-    std::make_shared<FramedFactory>(),
-    std::make_shared<thrift::protocol::TCompactProtocolFactory>());
-  server->setConcurrentClientLimit(kMaxConnections);
-  receiver->mServer = server;
-  std::promise<std::string> listening;
-  receiver->mThread =
-    std::thread{ [server, &listening] { Serve(*server, listening); } };
-  const auto failure = listening.get_future().get();
-  if (!failure.empty()) {
-    return Refuse(ErrorKind::Internal, aAddress + ": " + failure);
+  auto& acceptor = receiver->mAcceptor;
+  try {
+    acceptor.open(endpoint->protocol());
+    acceptor.set_option(boost::asio::socket_base::reuse_address{ true });
+    acceptor.bind(*endpoint);
+    acceptor.listen();
+  } catch (const boost::system::system_error& failure) {
+    return Refuse(ErrorKind::Internal, aAddress + ": " + failure.what());
   }
+  receiver->Accept();
+  receiver->mLoop.Start();
   return receiver;
 }
 
 Receiver::~Receiver()
 {
-  if (mServer) {
-    mServer->stop();
+  mLoop.Stop();
+}
+
+void
+Receiver::Accept()
+{
+  mAcceptor.async_accept([this](const auto& aError, net::Tcp::socket aSocket) {
+    if (aError) {
+      spdlog::warn("a peer can't be accepted: {}", aError.message());
+      mAcceptRetryTimer.Set(kAcceptPause, [this] { Accept(); });
+      return;
+    }
+    Add(std::move(aSocket));
+    Accept();
+  });
+}
+
+void
+Receiver::Add(net::Tcp::socket aSocket)
+{
+  if (mConnections.size() >= kMaxConnections) {
+    spdlog::warn("a peer is not accepted beside {} others", kMaxConnections);
+    return;
   }
-  if (mThread.joinable()) {
-    mThread.join();
+  internal::CloseWhenSilent(aSocket.native_handle(), kSilenceMs);
+  boost::system::error_code error;
+  aSocket.non_blocking(true, error);
+  if (error) {
+    spdlog::warn("a peer can't be served: {}", error.message());
+    return;
   }
+  const auto connection =
+    std::make_shared<Connection>(*this, std::move(aSocket));
+  mConnections.insert(connection);
+  connection->AwaitData();
 }
 
 } // namespace balsampoint::peer
--- a/src/balsampoint/peer/receiver.hpp
+++ b/src/balsampoint/peer/receiver.hpp
@@ -1,16 +1,14 @@
 #pragma once
 
+#include "balsampoint/net/loop.hpp"
+#include "balsampoint/net/socket.hpp"
 #include "balsampoint/peer/authenticator.hpp"
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
-#include <thread>
-
-namespace apache::thrift::server {
-class TServer;
-} // namespace apache::thrift::server
 
 namespace balsampoint::peer {
 
@@ -18,7 +16,7 @@
 class Receiver
 {
 public:
-  /** @brief Called on a connection's thread for each accepted message. */
+  /** @brief Called on the receiver's thread for each accepted message. */
   using Handler = std::function<void(Parcel)>;
 
   /**
@@ -36,7 +34,7 @@
   Receiver(Receiver&&) = delete;
   Receiver& operator=(Receiver&&) = delete;
 
-  /** @brief Closes all connections and joins the threads. */
+  /** @brief Closes all connections and joins the thread. */
   ~Receiver();
 
   /** @brief Frames refused so far: wrong code, cluster, version or size. */
@@ -44,14 +42,22 @@
 
 private:
   class Service;
+  class Connection;
 
   Receiver(Identity aIdentity, Handler aHandler);
 
+  void Accept();
+  void Add(net::Tcp::socket aSocket);
+
   Authenticator mAuthenticator;
   Handler mHandler;
   std::atomic<std::uint64_t> mRefused{ 0 };
-  std::shared_ptr<apache::thrift::server::TServer> mServer;
-  std::thread mThread;
+  std::shared_ptr<Service> mService;
+  net::Loop mLoop;
+  net::Tcp::acceptor mAcceptor;
+  net::Timer mAcceptRetryTimer;
+  /** Open connections; used on the loop's thread. */
+  std::set<std::shared_ptr<Connection>> mConnections;
 };
 
 } // namespace balsampoint::peer
--- a/src/balsampoint/peer/roster_codec.cpp
+++ b/src/balsampoint/peer/roster_codec.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/peer/internal/change_wire.hpp"
 #include "balsampoint/peer/thrift_bytes.hpp"
 
+#include <span>
 #include <utility>
 
 namespace balsampoint::peer {
@@ -16,14 +17,16 @@
 using internal::ToWire;
 
 wire::RosterClaim
-ToWire(const roster::Claim& aClaim)
+ToWire(const roster::OwnedClaim& aOwned)
 {
-  const auto& description = aClaim.description;
+  const auto& stated = aOwned.claim;
+  const auto& description = stated.description;
   wire::RosterClaim claim;
-  claim.server = aClaim.server.String();
-  claim.born = ToWire(aClaim.stamp.incarnation);
-  claim.sequenceNumber = static_cast<std::int64_t>(aClaim.stamp.sequence);
-  claim.presence = static_cast<std::int32_t>(aClaim.presence);
+  claim.__set_owner(aOwned.owner.String());
+  claim.server = stated.server.String();
+  claim.born = ToWire(stated.stamp.incarnation);
+  claim.sequenceNumber = static_cast<std::int64_t>(stated.stamp.sequence);
+  claim.presence = static_cast<std::int32_t>(stated.presence);
   claim.serviceId = description.service.String();
   claim.address = description.address;
   claim.zone = description.zone.String();
@@ -40,7 +43,31 @@
   return claim;
 }
 
-tl::expected<roster::Claim, Error>
+std::vector<wire::RosterControlHost>
+ToWire(std::span<const roster::HostAddress> aHosts)
+{
+  std::vector<wire::RosterControlHost> hosts;
+  hosts.reserve(aHosts.size());
+  for (const auto& [host, address] : aHosts) {
+    auto& encoded = hosts.emplace_back();
+    encoded.host = host.String();
+    encoded.address = address;
+  }
+  return hosts;
+}
+
+std::vector<roster::HostAddress>
+ReadHosts(std::span<const wire::RosterControlHost> aHosts)
+{
+  std::vector<roster::HostAddress> hosts;
+  hosts.reserve(aHosts.size());
+  for (const auto& encoded : aHosts) {
+    hosts.push_back({ HostId{ encoded.host }, encoded.address });
+  }
+  return hosts;
+}
+
+tl::expected<roster::OwnedClaim, Error>
 ReadClaim(const wire::RosterClaim& aClaim)
 {
   constexpr auto kLast = static_cast<std::int32_t>(roster::Presence::Gone);
@@ -66,7 +93,7 @@
       LayerRange{ static_cast<std::uint32_t>(aClaim.firstLayer),
                   static_cast<std::uint32_t>(aClaim.endLayer) };
   }
-  return claim;
+  return roster::OwnedClaim{ std::move(claim), HostId{ aClaim.owner } };
 }
 
 /** @brief Fills the field of the union that belongs to a message. */
@@ -78,7 +105,9 @@
   {
     wire::RosterSubscribe subscription;
     subscription.address = aMessage.address;
-    subscription.hears = aMessage.isControlHost;
+    subscription.hears = aMessage.role == roster::Role::Control;
+    subscription.__set_zone(aMessage.zone.String());
+    subscription.__set_role(static_cast<std::int32_t>(aMessage.role));
     subscription.source = ToWire(aMessage.source);
     subscription.have = static_cast<std::int64_t>(aMessage.receivedVersion);
     out.__set_subscription(subscription);
@@ -93,21 +122,29 @@
     for (const auto& claim : aMessage.claims) {
       update.claims.push_back(ToWire(claim));
     }
-    for (const auto& control : aMessage.controls) {
-      update.controls.emplace_back();
-      update.controls.back().host = control.host.String();
-      update.controls.back().address = control.address;
-    }
+    update.controls = ToWire(aMessage.controls);
+    update.__set_relays(ToWire(aMessage.relays));
+    update.__set_zone(aMessage.zone.String());
     out.__set_update(update);
   }
+  void operator()(const roster::Referral& aMessage) const
+  {
+    wire::RosterReferral referral;
+    referral.relays = ToWire(aMessage.relays);
+    referral.controls = ToWire(aMessage.controls);
+    out.__set_referral(referral);
+  }
 };
 
 tl::expected<roster::Message, Error>
 ReadUpdate(const wire::RosterUpdate& aUpdate)
 {
   roster::Update update{ .source = FromWire<Incarnation>(aUpdate.source),
+                         .zone = ZoneId{ aUpdate.zone },
                          .base = static_cast<std::uint64_t>(aUpdate.base),
                          .version = static_cast<std::uint64_t>(aUpdate.version),
+                         .controls = ReadHosts(aUpdate.controls),
+                         .relays = ReadHosts(aUpdate.relays),
                          .configuration =
                            FromWire<ChangeNumber>(aUpdate.configuration) };
   for (const auto& encoded : aUpdate.claims) {
@@ -117,23 +154,39 @@
     }
     update.claims.push_back(std::move(*claim));
   }
-  for (const auto& control : aUpdate.controls) {
-    update.controls.push_back({ HostId{ control.host }, control.address });
-  }
   return update;
 }
 
+tl::expected<roster::Message, Error>
+ReadSubscription(const wire::RosterSubscribe& aSubscription)
+{
+  constexpr auto kLast = static_cast<std::int32_t>(roster::Role::Control);
+  auto role = aSubscription.hears ? roster::Role::Control : roster::Role::Entry;
+  if (aSubscription.__isset.role) {
+    if (aSubscription.role < 0 || aSubscription.role > kLast) {
+      return Refuse(ErrorKind::BadRequest, "unknown role of a host");
+    }
+    role = static_cast<roster::Role>(aSubscription.role);
+  }
+  return roster::Subscribe{ .address = aSubscription.address,
+                            .zone = ZoneId{ aSubscription.zone },
+                            .role = role,
+                            .source =
+                              FromWire<Incarnation>(aSubscription.source),
+                            .receivedVersion =
+                              static_cast<std::uint64_t>(aSubscription.have) };
+}
+
 tl::expected<roster::Message, Error>
 ReadMessage(const wire::RosterMessage& aMessage)
 {
   if (aMessage.__isset.subscription) {
-    const auto& subscription = aMessage.subscription;
-    return roster::Subscribe{ .address = subscription.address,
-                              .isControlHost = subscription.hears,
-                              .source =
-                                FromWire<Incarnation>(subscription.source),
-                              .receivedVersion =
-                                static_cast<std::uint64_t>(subscription.have) };
+    return ReadSubscription(aMessage.subscription);
+  }
+  if (aMessage.__isset.referral) {
+    return roster::Referral{ .relays = ReadHosts(aMessage.referral.relays),
+                             .controls =
+                               ReadHosts(aMessage.referral.controls) };
   }
   if (aMessage.__isset.update) {
     return ReadUpdate(aMessage.update);
--- a/src/balsampoint/peer/sender.hpp
+++ b/src/balsampoint/peer/sender.hpp
@@ -1,22 +1,22 @@
 #pragma once
 
+#include "balsampoint/net/loop.hpp"
 #include "balsampoint/peer/authenticator.hpp"
-#include "balsampoint/runtime/mailbox.hpp"
+#include "balsampoint/peer/internal/peer_connection.hpp"
 
-#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 
 namespace balsampoint::peer {
 
 /**
  * @brief Sends messages to other daemons without ever blocking the caller.
  *
- * Each peer has a bounded queue and a thread. A message is dropped when the
- * queue is full, the peer's address is not known, or the connection fails.
+ * One thread serves the connections to all peers; each has a bounded queue. A
+ * message is dropped when the queue is full, the peer's address is not known,
+ * or the connection fails.
  */
 class Sender
 {
@@ -32,7 +32,7 @@
   Sender(Sender&&) = delete;
   Sender& operator=(Sender&&) = delete;
 
-  /** @brief Drops what is queued and joins the threads. */
+  /** @brief Drops what is queued and joins the thread. */
   ~Sender();
 
   /**
@@ -51,29 +51,20 @@
   void Send(const HostId& aTo, ModuleTag aModule, ByteView aBody);
 
   /** @brief Bytes of message bodies given to connections so far. */
-  [[nodiscard]] std::uint64_t SentBytes() const { return mSentBytes; }
+  [[nodiscard]] std::uint64_t SentBytes() const { return mCounters.sentBytes; }
 
   /** @brief Messages dropped so far. */
-  [[nodiscard]] std::uint64_t Dropped() const { return mDropped; }
+  [[nodiscard]] std::uint64_t Dropped() const { return mCounters.dropped; }
 
 private:
-  struct Peer
-  {
-    explicit Peer(std::string aAddress);
-
-    const std::string address;
-    runtime::Mailbox<generated::Frame> queue;
-    std::thread thread;
-  };
-
-  void Serve(Peer& aPeer);
-  static void Stop(Peer& aPeer);
+  using Connection = internal::PeerConnection;
 
   Authenticator mAuthenticator;
+  internal::SenderCounters mCounters;
+  /** Outlives the connections, which run on it. */
+  net::Loop mLoop;
   std::mutex mMutex;
-  std::map<HostId, std::unique_ptr<Peer>> mPeers;
-  std::atomic<std::uint64_t> mSentBytes{ 0 };
-  std::atomic<std::uint64_t> mDropped{ 0 };
+  std::map<HostId, std::shared_ptr<Connection>> mPeers;
 };
 
 } // namespace balsampoint::peer
--- a/src/balsampoint/peer/usage_codec.cpp
+++ b/src/balsampoint/peer/usage_codec.cpp
@@ -103,6 +103,65 @@
   return reports;
 }
 
+/**
+ * @brief Encodes the work of other hosts.
+ * @tparam Sum `usage::RemoteUsage` or `usage::FarUsage`.
+ */
+template<typename Sum>
+wire::UsageOthers
+ToWireSum(const Sum& aSum)
+{
+  wire::UsageOthers encoded;
+  encoded.servers = ToWire(aSum.servers);
+  encoded.hosts = static_cast<std::int32_t>(aSum.hosts);
+  encoded.__set_suspects(ToWire(aSum.suspects));
+  return encoded;
+}
+
+/**
+ * @brief Decodes the work of other hosts.
+ * @tparam Sum `usage::RemoteUsage` or `usage::FarUsage`.
+ */
+template<typename Sum>
+Sum
+FromWireSum(const wire::UsageOthers& aSum)
+{
+  return { FromWire(aSum.servers),
+           static_cast<std::uint32_t>(aSum.hosts),
+           FromWire(aSum.suspects) };
+}
+
+/** @brief Fills the field of the union that belongs to a message. */
+struct MessageWriter
+{
+  wire::UsageMessage& out;
+
+  void operator()(const usage::LocalUsage& aMessage) const
+  {
+    wire::UsageOwn encoded;
+    encoded.servers = ToWire(aMessage.servers);
+    encoded.__set_suspects(ToWire(aMessage.suspects));
+    out.__set_own(encoded);
+  }
+  void operator()(const usage::RemoteUsage& aMessage) const
+  {
+    out.__set_others(ToWireSum(aMessage));
+  }
+  void operator()(const usage::GroupUsage& aMessage) const
+  {
+    wire::UsageGroup encoded;
+    encoded.zone = aMessage.zone.String();
+    encoded.hosts = static_cast<std::int32_t>(aMessage.hosts);
+    encoded.servers = ToWire(aMessage.servers);
+    encoded.suspects = ToWire(aMessage.suspects);
+    out.__set_group(encoded);
+  }
+  void operator()(const usage::FarUsage& aMessage) const
+  {
+    out.__set_far(ToWireSum(aMessage));
+  }
+};
+
 tl::expected<usage::Message, Error>
 ReadMessage(const wire::UsageMessage& aMessage)
 {
@@ -111,10 +170,17 @@
                               FromWire(aMessage.own.suspects) };
   }
   if (aMessage.__isset.others) {
-    return usage::RemoteUsage{ FromWire(aMessage.others.servers),
-                               static_cast<std::uint32_t>(
-                                 aMessage.others.hosts),
-                               FromWire(aMessage.others.suspects) };
+    return FromWireSum<usage::RemoteUsage>(aMessage.others);
+  }
+  if (aMessage.__isset.group) {
+    const auto& group = aMessage.group;
+    return usage::GroupUsage{ .zone = ZoneId{ group.zone },
+                              .hosts = static_cast<std::uint32_t>(group.hosts),
+                              .servers = FromWire(group.servers),
+                              .suspects = FromWire(group.suspects) };
+  }
+  if (aMessage.__isset.far) {
+    return FromWireSum<usage::FarUsage>(aMessage.far);
   }
   return Refuse(ErrorKind::BadRequest, "unknown message about work");
 }
@@ -125,19 +191,7 @@
 Encode(const usage::Message& aMessage)
 {
   wire::UsageMessage message;
-  if (const auto* own = std::get_if<usage::LocalUsage>(&aMessage)) {
-    wire::UsageOwn encoded;
-    encoded.servers = ToWire(own->servers);
-    encoded.__set_suspects(ToWire(own->suspects));
-    message.__set_own(encoded);
-  } else {
-    const auto& others = std::get<usage::RemoteUsage>(aMessage);
-    wire::UsageOthers encoded;
-    encoded.servers = ToWire(others.servers);
-    encoded.hosts = static_cast<std::int32_t>(others.hosts);
-    encoded.__set_suspects(ToWire(others.suspects));
-    message.__set_others(encoded);
-  }
+  std::visit(MessageWriter{ message }, aMessage);
   return ToBytes(message);
 }
 
--- a/src/balsampoint/roster/command/exchange_claims.cpp
+++ b/src/balsampoint/roster/command/exchange_claims.cpp
@@ -1,87 +1,105 @@
 #include "balsampoint/roster/command/exchange_claims.hpp"
 
+#include "balsampoint/roster/command/join_tree.hpp"
 #include "balsampoint/roster/command/track_heartbeats.hpp"
 #include "balsampoint/roster/internal/merge.hpp"
+#include "balsampoint/roster/internal/tree.hpp"
 
 #include <algorithm>
+#include <span>
+#include <utility>
 
 namespace balsampoint::roster {
 
 namespace {
 
-bool
-IsReachable(const Source& aSource, const Settings& aSettings, Instant aNow)
+/** @brief Addresses of the control hosts whose claims reach this host. */
+std::vector<HostAddress>
+ControlAddresses(const State& aState, Instant aNow)
 {
-  return aSource.lastReceivedAt &&
-         aNow - *aSource.lastReceivedAt <= aSettings.hostTimeout;
+  std::vector<HostAddress> controls;
+  for (const auto& host : internal::ReachableControls(aState, aNow)) {
+    const auto source = aState.sources.find(host);
+    if (source != aState.sources.end()) {
+      controls.push_back({ host, source->second.address });
+    } else if (host == aState.settings.self) {
+      controls.push_back({ host, aState.settings.address });
+    }
+  }
+  return controls;
 }
 
-std::vector<ControlHost>
-LiveControls(const State& aState, Instant aNow)
+/** @brief Claims for subscribers that changed after a version. */
+std::vector<OwnedClaim>
+ClaimsSince(const State& aState, std::uint64_t aBase)
 {
-  std::vector<ControlHost> controls{ { aState.settings.self,
-                                       aState.settings.address } };
-  for (const auto& [host, source] : aState.sources) {
-    if (IsReachable(source, aState.settings, aNow)) {
-      controls.push_back({ host, source.address });
+  std::vector<OwnedClaim> claims;
+  if (aState.role == Role::Control) {
+    for (const auto& [id, local] : aState.localServers) {
+      if (local.version > aBase) {
+        claims.push_back({ local.claim, aState.settings.self });
+      }
     }
+    return claims;
   }
-  return controls;
+  for (const auto& [id, record] : aState.records) {
+    if (record.version > aBase) {
+      claims.push_back({ record.claim, record.owner });
+    }
+  }
+  return claims;
 }
 
 Update
-MakeUpdate(const State& aState, std::uint64_t aBase, Instant aNow)
+MakeUpdate(const State& aState,
+           const Subscriber& aSubscriber,
+           std::uint64_t aBase,
+           Instant aNow)
 {
   Update update{ .source = aState.settings.incarnation,
+                 .zone = aState.settings.zone,
                  .base = aBase,
                  .version = aState.version,
-                 .controls = LiveControls(aState, aNow),
+                 .claims = ClaimsSince(aState, aBase),
+                 .controls = ControlAddresses(aState, aNow),
                  .configuration = aState.configuration };
-  for (const auto& [id, local] : aState.localServers) {
-    if (local.version > aBase) {
-      update.claims.push_back(local.claim);
-    }
+  if (aSubscriber.role != Role::Control) {
+    update.relays = internal::LiveRelays(aState, aSubscriber.zone, aNow);
   }
   return update;
 }
 
-void
-SendSubscription(const State& aState,
-                 const HostId& aHost,
-                 const Source& aSource,
-                 Actions& aActions)
+/** @brief The host that sent an update, if this host subscribes to it. */
+Source*
+FindSource(State& aState, const HostId& aHost)
 {
-  aActions.emplace_back(
-    Send{ aHost,
-          Subscribe{ .address = aState.settings.address,
-                     .isControlHost = aState.settings.isControlHost,
-                     .source = aSource.incarnation,
-                     .receivedVersion = aSource.receivedVersion } });
+  const auto control = aState.sources.find(aHost);
+  if (control != aState.sources.end()) {
+    return &control->second;
+  }
+  const auto relay = aState.relays.find(aHost);
+  const bool subscribed =
+    relay != aState.relays.end() && relay->second.subscribedAt != kNever;
+  return subscribed ? &relay->second.source : nullptr;
 }
 
 void
-MergeControlHosts(State& aState,
-                  const std::vector<ControlHost>& aControls,
-                  Actions& aActions)
+RecordReachableControls(State& aState,
+                        const HostId& aRelay,
+                        std::span<const HostAddress> aControls)
 {
+  const auto found = aState.relays.find(aRelay);
+  if (found == aState.relays.end()) {
+    return;
+  }
+  found->second.controls.clear();
   for (const auto& control : aControls) {
-    if (control.host == aState.settings.self) {
-      continue;
-    }
-    auto& source = aState.sources[control.host];
-    if (source.address == control.address) {
-      continue;
-    }
-    source.address = control.address;
-    aActions.emplace_back(SetHostAddress{ control.host, control.address });
-    SendSubscription(aState, control.host, source, aActions);
+    found->second.controls.push_back(control.host);
   }
 }
 
-} // namespace
-
 void
-PushChanges(State& aState, Instant aNow, Actions& aActions)
+SendChanges(State& aState, Instant aNow, Actions& aActions)
 {
   for (auto& [host, subscriber] : aState.subscribers) {
     const bool isUpToDate =
@@ -91,13 +109,34 @@
         aNow - subscriber.lastReceivedAt > aState.settings.hostTimeout) {
       continue;
     }
-    aActions.emplace_back(
-      Send{ host, MakeUpdate(aState, subscriber.sentVersion, aNow) });
+    aActions.emplace_back(Send{
+      host, MakeUpdate(aState, subscriber, subscriber.sentVersion, aNow) });
     subscriber.sentVersion = aState.version;
     subscriber.sentConfiguration = aState.configuration;
+    aState.lastPushAt = aNow;
   }
 }
 
+} // namespace
+
+void
+PushChanges(State& aState, Instant aNow, Actions& aActions)
+{
+  if (aState.role == Role::Entry || aState.subscribers.empty()) {
+    return;
+  }
+  const auto allowedAt =
+    aState.lastPushAt == Instant::min()
+      ? aNow
+      : aState.lastPushAt + aState.settings.minPushInterval;
+  if (aNow < allowedAt) {
+    aState.nextPush = allowedAt;
+    return;
+  }
+  aState.nextPush = kNever;
+  SendChanges(aState, aNow, aActions);
+}
+
 void
 HandleSubscribe(State& aState,
                 const HostId& aFrom,
@@ -105,7 +144,8 @@
                 Instant aNow,
                 Actions& aActions)
 {
-  if (!aState.settings.isControlHost) {
+  if (!IsServed(aState, aFrom, aMessage, aNow)) {
+    Refer(aState, aFrom, aMessage, aNow, aActions);
     return;
   }
   const bool sameSource = aMessage.source == aState.settings.incarnation;
@@ -114,15 +154,21 @@
   if (subscriber.address != aMessage.address) {
     aActions.emplace_back(SetHostAddress{ aFrom, aMessage.address });
   }
-  subscriber = { aNow,
-                 aMessage.isControlHost,
-                 aMessage.address,
-                 aState.version,
-                 aState.configuration };
-  if (aMessage.isControlHost && aFrom != aState.settings.self) {
-    MergeControlHosts(aState, { { aFrom, aMessage.address } }, aActions);
+  // A control host serves entry hosts only as relays.
+  const bool appointed =
+    aState.role == Role::Control && aMessage.role == Role::Entry;
+  subscriber = { .lastReceivedAt = aNow,
+                 .role = appointed ? Role::Relay : aMessage.role,
+                 .zone = aMessage.zone,
+                 .address = aMessage.address,
+                 .sentVersion = aState.version,
+                 .sentConfiguration = aState.configuration };
+  if (aMessage.role == Role::Control && aFrom != aState.settings.self) {
+    MergeControlHosts(
+      aState, std::vector{ HostAddress{ aFrom, aMessage.address } }, aActions);
   }
-  aActions.emplace_back(Send{ aFrom, MakeUpdate(aState, base, aNow) });
+  aActions.emplace_back(
+    Send{ aFrom, MakeUpdate(aState, subscriber, base, aNow) });
 }
 
 void
@@ -132,45 +178,30 @@
              Instant aNow,
              Actions& aActions)
 {
-  const auto found = aState.sources.find(aFrom);
-  if (found == aState.sources.end()) {
+  auto* source = FindSource(aState, aFrom);
+  if (source == nullptr) {
     return;
   }
-  auto& source = found->second;
-  source.lastReceivedAt = aNow;
-  if (source.incarnation != aMessage.source) {
-    source.incarnation = aMessage.source;
-    source.receivedVersion = 0;
+  source->lastReceivedAt = aNow;
+  if (source->incarnation != aMessage.source) {
+    source->incarnation = aMessage.source;
+    source->receivedVersion = 0;
   }
-  if (aMessage.base > source.receivedVersion) {
-    SendSubscription(aState, aFrom, source, aActions);
+  RecordReachableControls(aState, aFrom, aMessage.controls);
+  if (aMessage.base > source->receivedVersion) {
+    SendSubscription(aState, aFrom, *source, aActions);
     return;
   }
-  for (const auto& claim : aMessage.claims) {
-    internal::Merge(aState, claim, aFrom, aNow);
+  for (const auto& [claim, owner] : aMessage.claims) {
+    internal::Merge(aState, claim, owner.Empty() ? aFrom : owner, aNow);
     ReadvertiseClaim(aState, claim, aNow);
   }
-  aActions.emplace_back(
-    ConfigurationAdvertised{ aFrom, aMessage.configuration });
-  source.receivedVersion = std::max(source.receivedVersion, aMessage.version);
+  source->receivedVersion = std::max(source->receivedVersion, aMessage.version);
+  aActions.emplace_back(ConfigurationAdvertised{
+    aFrom, aMessage.configuration, aMessage.zone == aState.settings.zone });
   MergeControlHosts(aState, aMessage.controls, aActions);
-}
-
-void
-RenewSubscriptions(State& aState, Instant aNow, Actions& aActions)
-{
-  const auto limit = aState.settings.hostRetention;
-  std::erase_if(aState.sources, [&](const auto& aEntry) {
-    const auto& source = aEntry.second;
-    return !source.isSeed && source.lastReceivedAt &&
-           aNow - *source.lastReceivedAt > limit;
-  });
-  std::erase_if(aState.subscribers, [&](const auto& aEntry) {
-    return aNow - aEntry.second.lastReceivedAt > limit;
-  });
-  for (const auto& [host, source] : aState.sources) {
-    SendSubscription(aState, host, source, aActions);
-  }
+  AdoptRelays(aState, aMessage.relays, aNow, aActions);
+  Attach(aState, aFrom, aNow, aActions);
 }
 
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/command/exchange_claims.hpp
+++ b/src/balsampoint/roster/command/exchange_claims.hpp
@@ -6,7 +6,8 @@
 
 /**
  * @brief Sends each live subscriber the claims that changed since its last
- * update.
+ * update, at once or as soon as `Settings::minPushInterval` has passed since
+ * the last round.
  * @param aState State to change.
  * @param aNow Current time.
  * @param aActions Messages to send are appended to it.
@@ -15,7 +16,8 @@
 PushChanges(State& aState, Instant aNow, Actions& aActions);
 
 /**
- * @brief Adds or renews a subscriber and sends it the claims that it lacks.
+ * @brief Adds or renews a subscriber and sends it the claims that it lacks, or
+ * refers it to relays.
  * @param aState State to change.
  * @param aFrom Host that subscribes.
  * @param aMessage Subscription as received.
@@ -30,10 +32,10 @@
                 Actions& aActions);
 
 /**
- * @brief Merges the claims of another control host; unknown senders are
- * ignored.
+ * @brief Merges the claims that a control host or relay sent; hosts to which
+ * this one does not subscribe are ignored.
  * @param aState State to change.
- * @param aFrom Control host that sent the update.
+ * @param aFrom Host that sent the update.
  * @param aMessage Update as received.
  * @param aNow Current time.
  * @param aActions Resulting actions are appended to it, with a new
@@ -46,14 +48,4 @@
              Instant aNow,
              Actions& aActions);
 
-/**
- * @brief Renews the subscription at every known control host, and drops
- * hosts that have been silent for too long.
- * @param aState State to change.
- * @param aNow Current time.
- * @param aActions Messages to send are appended to it.
- */
-void
-RenewSubscriptions(State& aState, Instant aNow, Actions& aActions);
-
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/command/track_heartbeats.cpp
+++ b/src/balsampoint/roster/command/track_heartbeats.cpp
@@ -119,7 +119,7 @@
            aNow - aEntry.second.lastHeartbeatAt >
              aState.settings.serverRetention;
   });
-  std::erase_if(aState.records, [&](const auto& aEntry) {
+  aState.revision += std::erase_if(aState.records, [&](const auto& aEntry) {
     return aEntry.second.goneAt != kNever &&
            aNow - aEntry.second.goneAt > aState.settings.serverRetention;
   });
--- a/src/balsampoint/roster/internal/merge.cpp
+++ b/src/balsampoint/roster/internal/merge.cpp
@@ -67,7 +67,11 @@
     return false;
   }
   const auto gone = aClaim.presence == Presence::Gone ? aNow : kNever;
-  aState.records[aClaim.server] = { aClaim, aOwner, gone };
+  // Control hosts number only the claims that they make themselves.
+  const auto version =
+    aState.role == Role::Control ? aState.version : ++aState.version;
+  aState.records[aClaim.server] = { aClaim, aOwner, gone, version };
+  ++aState.revision;
   RetireAtAddress(aState, aClaim, aNow);
   return true;
 }
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -1,7 +1,9 @@
 #include "balsampoint/roster/module.hpp"
 
 #include "balsampoint/roster/command/exchange_claims.hpp"
+#include "balsampoint/roster/command/join_tree.hpp"
 #include "balsampoint/roster/command/track_heartbeats.hpp"
+#include "balsampoint/roster/internal/tree.hpp"
 #include "balsampoint/roster/query/make_view.hpp"
 
 #include <algorithm>
@@ -49,12 +51,24 @@
   {
     HandleUpdate(state, from, aMessage, now, actions);
   }
+  void operator()(const Referral& aMessage) const
+  {
+    HandleReferral(state, from, aMessage, now, actions);
+  }
 };
 
 void
 PublishIfChanged(State& aState, Instant aNow, Actions& aActions)
 {
-  auto view = MakeView(aState, aNow);
+  auto owners = internal::ReachableControls(aState, aNow);
+  auto topology = DescribeTopology(aState, aNow);
+  if (aState.view && aState.viewRevision == aState.revision &&
+      aState.viewOwners == owners && aState.view->topology == topology) {
+    return;
+  }
+  auto view = MakeView(aState, owners, std::move(topology));
+  aState.viewRevision = aState.revision;
+  aState.viewOwners = std::move(owners);
   if (aState.view && *aState.view == view) {
     return;
   }
@@ -85,6 +99,7 @@
 Module::Start(Settings aSettings, Instant aNow)
 {
   State state{ .settings = std::move(aSettings) };
+  state.role = state.settings.isControlHost ? Role::Control : Role::Entry;
   for (const auto& seed : state.settings.seeds) {
     if (seed.host != state.settings.self) {
       state.sources[seed.host] = { .address = seed.address, .isSeed = true };
@@ -108,6 +123,10 @@
 void
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
+  PushChanges(aState, aNow, aActions);
+  if (aNow < aState.nextTick) {
+    return;
+  }
   CompensateForStall(aState, aNow);
   ExpireHeartbeats(aState, aNow);
   PushChanges(aState, aNow, aActions);
@@ -123,7 +142,7 @@
 Module::NextDeadline(const State& aState)
 {
   const bool alone = aState.sources.empty() && !aState.settings.isControlHost;
-  return alone ? kNever : aState.nextTick;
+  return alone ? kNever : std::min(aState.nextTick, aState.nextPush);
 }
 
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/query/make_view.cpp
+++ b/src/balsampoint/roster/query/make_view.cpp
@@ -1,60 +1,58 @@
 #include "balsampoint/roster/query/make_view.hpp"
 
+#include "balsampoint/roster/internal/tree.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace balsampoint::roster {
 
-namespace {
-
-bool
-IsLive(const State& aState, const HostId& aHost, Instant aNow)
+Topology
+DescribeTopology(const State& aState, Instant aNow)
 {
-  if (aHost == aState.settings.self) {
-    return true;
+  Topology topology;
+  if (aState.role == Role::Entry) {
+    for (const auto& host : internal::ChooseRelays(aState, aNow)) {
+      if (internal::IsServing(aState, aState.relays.at(host), aNow)) {
+        topology.collector = host;
+        break;
+      }
+    }
+    return topology;
   }
-  const auto found = aState.sources.find(aHost);
-  if (found == aState.sources.end()) {
-    return false;
+  topology.collector = aState.settings.self;
+  if (aState.role == Role::Control) {
+    return topology;
   }
-  const auto& lastReceivedAt = found->second.lastReceivedAt;
-  return lastReceivedAt.has_value() &&
-         aNow - lastReceivedAt.value() <= aState.settings.hostTimeout;
-}
-
-bool
-IsAnySourceLive(const State& aState, Instant aNow)
-{
-  return aState.settings.isControlHost ||
-         std::ranges::any_of(aState.sources, [&](const auto& aEntry) {
-           return IsLive(aState, aEntry.first, aNow);
-         });
+  for (auto& relay : internal::LiveRelays(aState, aState.settings.zone, aNow)) {
+    if (relay.host != aState.settings.self) {
+      topology.peers.push_back(std::move(relay.host));
+    }
+  }
+  const auto controls = internal::ReachableControls(aState, aNow);
+  if (!controls.empty()) {
+    topology.upstream = controls.front();
+  }
+  return topology;
 }
 
-} // namespace
-
 View
-MakeView(const State& aState, Instant aNow)
+MakeView(const State& aState,
+         std::span<const HostId> aReachableControls,
+         Topology aTopology)
 {
-  View view;
-  const bool isAnyLive = IsAnySourceLive(aState, aNow);
+  View view{ .topology = std::move(aTopology) };
   for (const auto& [id, record] : aState.records) {
     if (record.goneAt != kNever) {
       continue;
     }
-    const bool suspected = isAnyLive && !IsLive(aState, record.owner, aNow);
+    const bool suspected =
+      !aReachableControls.empty() &&
+      !std::ranges::binary_search(aReachableControls, record.owner);
     auto claim = record.claim;
     claim.stamp.sequence = 0;
     view.servers.push_back({ std::move(claim), suspected });
   }
-  for (const auto& [host, source] : aState.sources) {
-    view.controls.push_back({ host, source.address });
-    if (view.collector.Empty() && IsLive(aState, host, aNow)) {
-      view.collector = host;
-    }
-  }
-  if (aState.settings.isControlHost) {
-    view.controls.push_back({ aState.settings.self, aState.settings.address });
-  }
   return view;
 }
 
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -20,16 +20,27 @@
   Incarnation incarnation;
   /** Address on which this host accepts connections from other hosts. */
   std::string address;
+  ZoneId zone;
   /** Whether this is a control host, to which servers send heartbeats. */
   bool isControlHost{ false };
   /** Control hosts known from the settings. */
-  std::vector<ControlHost> seeds;
+  std::vector<HostAddress> seeds;
   /** Time without a heartbeat after which a server counts as silent. */
   Duration heartbeatTimeout{ std::chrono::milliseconds{ 4200 } };
   /** Time between two renewals of a subscription. */
   Duration renewalInterval{ std::chrono::milliseconds{ 700 } };
   /** Time without a message after which a host counts as unreachable. */
   Duration hostTimeout{ std::chrono::milliseconds{ 2500 } };
+  /** Time without a message after which an entry host counts a relay as lost;
+   * two renewals may be lost. */
+  Duration relayTimeout{ std::chrono::milliseconds{ 1500 } };
+  /** Time after which a relay that no host has named is forgotten. */
+  Duration relayRetention{ std::chrono::seconds{ 12 } };
+  /** Time between two registrations of an entry host that follows relays; they
+   * replace lost relays. */
+  Duration registrationInterval{ std::chrono::seconds{ 8 } };
+  /** Shortest time between two rounds of updates to all subscribers. */
+  Duration minPushInterval{ std::chrono::milliseconds{ 100 } };
   /** Time without a message after which a subscriber, or a control host that is
    * no seed, is dropped. */
   Duration hostRetention{ std::chrono::seconds{ 60 } };
@@ -56,9 +67,12 @@
   HostId owner;
   /** When the server was found to be gone; `kNever` otherwise. */
   Instant goneAt{ kNever };
+  /** Version of this host in which the record last changed; only relays number
+   * their records. */
+  std::uint64_t version{};
 };
 
-/** @brief Another control host, to which this host subscribes. */
+/** @brief Another host, to whose claims this host may subscribe. */
 struct Source
 {
   std::string address;
@@ -69,11 +83,24 @@
   bool isSeed{ false };
 };
 
+/** @brief A relay of this host's zone. */
+struct Relay
+{
+  Source source;
+  /** Control hosts that it could reach at its last message. */
+  std::vector<HostId> controls;
+  /** When another host last named it as a relay. */
+  Instant namedAt{};
+  /** When this host subscribed to it; `kNever` if it has not. */
+  Instant subscribedAt{ kNever };
+};
+
 /** @brief A host that subscribes to this host's claims. */
 struct Subscriber
 {
   Instant lastReceivedAt{};
-  bool isControlHost{ false };
+  Role role{ Role::Entry };
+  ZoneId zone;
   std::string address;
   /** Version of this host's claims last sent to it. */
   std::uint64_t sentVersion{};
@@ -85,9 +112,12 @@
 struct State
 {
   Settings settings;
+  Role role{ Role::Entry };
   std::map<ServerId, Record> records;
   /** Other control hosts. */
   std::map<HostId, Source> sources;
+  /** Other relays of this host's zone; empty on control hosts. */
+  std::map<HostId, Relay> relays;
   /** Servers that send heartbeats to this host; empty unless it is a control
    * host. */
   std::map<ServerId, LocalServer> localServers;
@@ -98,8 +128,21 @@
   Instant nextTick{};
   Instant nextRenewal{};
   Instant lastTick{ kNever };
-  /** View published last. */
+  /** When an entry host registers at a control host again. */
+  Instant nextRegistration{};
+  /** When a control host last referred this host, then a relay, to others. */
+  Instant referredAt{ kNever };
+  /** Registrations since the last answer. */
+  std::uint32_t unansweredRegistrations{};
+  Instant lastPushAt{ Instant::min() };
+  /** When changes that came too soon after the last push are sent. */
+  Instant nextPush{ kNever };
+  /** Increases with each change of the records. */
+  std::uint64_t revision{};
+  /** View published last, and what it was made from. */
   std::shared_ptr<const View> view;
+  std::uint64_t viewRevision{};
+  std::vector<HostId> viewOwners;
 };
 
 /** @brief A server sent a heartbeat to this host. */
@@ -154,13 +197,15 @@
 };
 
 /**
- * @brief Reports the number of the newest configuration that a control host
- * has.
+ * @brief Reports the number of the newest configuration that a control host or
+ * relay has.
  */
 struct ConfigurationAdvertised
 {
   HostId host;
   ChangeNumber number;
+  /** Whether the host is in the zone of this one. */
+  bool sameZone{ false };
 };
 
 /** @brief Output of the roster, carried out by the daemon. */
--- a/src/balsampoint/roster/view.hpp
+++ b/src/balsampoint/roster/view.hpp
@@ -23,14 +23,26 @@
   bool operator==(const Server&) const = default;
 };
 
+/** @brief Hosts with which this host exchanges sums over hosts. */
+struct Topology
+{
+  /** Host that sums for this one: its relay, or itself if it is a relay or a
+   * control host; empty if no relay is reachable. */
+  HostId collector;
+  /** Other relays of the zone; empty unless this host is a relay. */
+  std::vector<HostId> peers;
+  /** Reachable control host with the lowest id, so that most relays choose the
+   * same one; empty unless this host is a relay. */
+  HostId upstream;
+
+  bool operator==(const Topology&) const = default;
+};
+
 /** @brief All servers that have not signed off, ordered by id; immutable. */
 struct View
 {
   std::vector<Server> servers;
-  std::vector<ControlHost> controls;
-  /** Reachable control host with the lowest id, other than this host, so that
-   * most hosts choose the same one; empty if none is reachable. */
-  HostId collector;
+  Topology topology;
 
   bool operator==(const View&) const = default;
 };
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -18,7 +18,11 @@
                                                      "caller_gone" };
 constexpr std::array kCounts{
   Name{ "balsampoint_recoveries_total", "Stages replaced in mid-answer." },
-  Name{ "balsampoint_tokens_total", "Tokens sent to callers." }
+  Name{ "balsampoint_tokens_total", "Tokens sent to callers." },
+  Name{ "balsampoint_servers_leaving_total",
+        "Servers that said in an answer that they leave." },
+  Name{ "balsampoint_servers_backed_off_total",
+        "Answers with which a server asked for a time without requests." },
 };
 constexpr std::array kTimings{
   Name{ "balsampoint_first_token_seconds", "Request to first token." },
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -48,6 +48,8 @@
 {
   Recoveries,
   Tokens,
+  ServersLeaving,
+  ServersBackedOff,
 };
 
 /**
--- a/src/balsampoint/usage/command/send_sums.cpp
+++ b/src/balsampoint/usage/command/send_sums.cpp
@@ -1,59 +1,100 @@
 #include "balsampoint/usage/command/send_sums.hpp"
 
+#include "balsampoint/usage/internal/totals.hpp"
+
 #include <algorithm>
+#include <numeric>
+#include <span>
+#include <utility>
 
 namespace balsampoint::usage {
 
 namespace {
 
-using Totals = std::map<ServerId, ServerUsage>;
+using internal::Totals;
+using PartReports = std::vector<quarantine::PartReport>;
 
-Totals
-TotalsOf(const State& aState)
+/** @brief Adds suspects with the time for which they were held here. */
+void
+AddSuspects(PartReports& aReports,
+            std::span<const quarantine::PartReport> aSuspects,
+            Duration aHeldFor)
 {
-  Totals totals;
-  for (const auto& [host, reported] : aState.reports) {
-    for (const auto& use : reported.use.servers) {
-      auto& total = totals[use.server];
-      total.server = use.server;
-      total.passing += use.passing;
-      total.sent += use.sent;
-      total.kv += use.kv;
-    }
+  for (auto report : aSuspects) {
+    quarantine::Age(report, aHeldFor);
+    aReports.push_back(std::move(report));
   }
-  return totals;
 }
 
-/** @brief The suspects of all hosts, as old as they are by now. */
-std::vector<quarantine::PartReport>
-SuspectsOf(const State& aState, Instant aNow)
+/** @brief Sum of the hosts that report to this one. */
+GroupUsage
+MakeGroup(const State& aState, Instant aNow)
 {
-  std::vector<quarantine::PartReport> reports;
+  Totals totals;
+  PartReports suspects;
   for (const auto& [host, reported] : aState.reports) {
-    for (auto report : reported.use.suspects) {
-      quarantine::Age(report, aNow - reported.receivedAt);
-      reports.push_back(std::move(report));
-    }
+    totals.Add(reported.use.servers);
+    AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
   }
-  return quarantine::Join(reports);
+  return { .zone = aState.settings.zone,
+           .hosts = static_cast<std::uint32_t>(aState.reports.size()),
+           .servers = totals.Servers(),
+           .suspects = quarantine::Join(suspects) };
 }
 
-RemoteUsage
-Subtract(Totals aTotals, const LocalUsage& aOwn)
+void
+RemoveExpired(State& aState, Instant aNow)
 {
-  for (const auto& use : aOwn.servers) {
-    auto& total = aTotals[use.server];
-    total.passing -= use.passing;
-    total.sent -= use.sent;
-    total.kv = std::max(0.0, total.kv - use.kv);
+  const auto& settings = aState.settings;
+  std::erase_if(aState.reports, [&](const auto& aEntry) {
+    return aNow - aEntry.second.receivedAt > settings.reportTimeout;
+  });
+  std::erase_if(aState.groups, [&](const auto& aEntry) {
+    return aNow - aEntry.second.receivedAt > settings.groupTimeout;
+  });
+  if (aNow - aState.far.receivedAt > settings.groupTimeout) {
+    // The hosts of other zones still run, most likely.
+    aState.far.use.servers.clear();
+    aState.far.use.suspects.clear();
   }
-  RemoteUsage others;
-  for (auto& [server, use] : aTotals) {
-    if (use.passing > 0 || use.sent > 0) {
-      others.servers.push_back(std::move(use));
+}
+
+std::uint32_t
+HostsOf(const State& aState, const GroupUsage& aOwn)
+{
+  return std::accumulate(aState.groups.begin(),
+                         aState.groups.end(),
+                         aOwn.hosts + aState.far.use.hosts,
+                         [](std::uint32_t aSum, const auto& aEntry) {
+                           return aSum + aEntry.second.use.hosts;
+                         });
+}
+
+/** @brief Sends the sum of this host's group to the other relays and to the
+ * control host, less often the more hosts there are. */
+void
+SendGroup(State& aState,
+          const GroupUsage& aGroup,
+          std::uint32_t aHosts,
+          Instant aNow,
+          Actions& aActions)
+{
+  const auto& settings = aState.settings;
+  const auto interval =
+    settings.interval * (1 + aHosts / settings.hostsPerInterval);
+  const bool urgent = !aGroup.suspects.empty();
+  if (urgent || aNow >= aState.nextPeers) {
+    aState.nextPeers =
+      aNow + std::min<Duration>(interval, settings.longestPeerInterval);
+    for (const auto& peer : aState.peers) {
+      aActions.emplace_back(Send{ peer, aGroup });
     }
   }
-  return others;
+  if (!aState.upstream.Empty() && (urgent || aNow >= aState.nextUpstream)) {
+    aState.nextUpstream =
+      aNow + std::min<Duration>(interval, settings.longestUpstreamInterval);
+    aActions.emplace_back(Send{ aState.upstream, aGroup });
+  }
 }
 
 } // namespace
@@ -61,15 +102,24 @@
 void
 SendSums(State& aState, Instant aNow, Actions& aActions)
 {
-  std::erase_if(aState.reports, [&](const auto& aEntry) {
-    return aNow - aEntry.second.receivedAt > aState.settings.reportTimeout;
-  });
-  const auto totals = TotalsOf(aState);
-  const auto suspects = SuspectsOf(aState, aNow);
+  RemoveExpired(aState, aNow);
+  const auto group = MakeGroup(aState, aNow);
+  const auto hosts = HostsOf(aState, group);
+  SendGroup(aState, group, hosts, aNow, aActions);
+  Totals totals;
+  totals.Add(group.servers);
+  totals.Add(aState.far.use.servers);
+  auto suspects = group.suspects;
+  AddSuspects(suspects, aState.far.use.suspects, aNow - aState.far.receivedAt);
+  for (const auto& [relay, reported] : aState.groups) {
+    totals.Add(reported.use.servers);
+    AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
+  }
+  suspects = quarantine::Join(suspects);
   for (const auto& [host, reported] : aState.reports) {
-    auto others = Subtract(totals, reported.use);
-    others.hosts = static_cast<std::uint32_t>(aState.reports.size() - 1);
-    others.suspects = suspects;
+    RemoteUsage others{ .servers = totals.Without(reported.use.servers),
+                        .hosts = hosts - 1,
+                        .suspects = suspects };
     if (host == aState.settings.self) {
       aActions.emplace_back(PublishRemote{
         std::make_shared<const RemoteUsage>(std::move(others)) });
@@ -79,4 +129,28 @@
   }
 }
 
+void
+AnswerGroup(State& aState,
+            const HostId& aRelay,
+            Instant aNow,
+            Actions& aActions)
+{
+  RemoveExpired(aState, aNow);
+  const auto& zone = aState.groups.at(aRelay).use.zone;
+  Totals totals;
+  PartReports suspects;
+  FarUsage far;
+  for (const auto& [relay, reported] : aState.groups) {
+    AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
+    if (reported.use.zone == zone) {
+      continue;
+    }
+    totals.Add(reported.use.servers);
+    far.hosts += reported.use.hosts;
+  }
+  far.servers = totals.Servers();
+  far.suspects = quarantine::Join(suspects);
+  aActions.emplace_back(Send{ aRelay, std::move(far) });
+}
+
 } // namespace balsampoint::usage
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -48,7 +48,32 @@
   bool operator==(const RemoteUsage&) const = default;
 };
 
+/** @brief Sum of the work of a relay and of the hosts that report to it. */
+struct GroupUsage
+{
+  ZoneId zone;
+  /** Number of entry hosts in the sum. */
+  std::uint32_t hosts{};
+  std::vector<ServerUsage> servers;
+  /** Prompt parts that any of these hosts suspects. */
+  std::vector<quarantine::PartReport> suspects;
+
+  bool operator==(const GroupUsage&) const = default;
+};
+
+/** @brief Sum of the work of the hosts in zones other than the receiver's. */
+struct FarUsage
+{
+  std::vector<ServerUsage> servers;
+  /** Number of entry hosts in the sum. */
+  std::uint32_t hosts{};
+  /** Prompt parts that any host suspects. */
+  std::vector<quarantine::PartReport> suspects;
+
+  bool operator==(const FarUsage&) const = default;
+};
+
 /** @brief Messages that hosts exchange about work in progress. */
-using Message = std::variant<LocalUsage, RemoteUsage>;
+using Message = std::variant<LocalUsage, RemoteUsage, GroupUsage, FarUsage>;
 
 } // namespace balsampoint::usage
--- a/src/balsampoint/usage/module.cpp
+++ b/src/balsampoint/usage/module.cpp
@@ -16,9 +16,18 @@
 }
 
 void
-On(State& aState, const CollectorChanged& aEvent, Instant, Actions&)
+On(State& aState, const TopologyChanged& aEvent, Instant, Actions&)
 {
-  aState.collector = aEvent.host;
+  if (aState.collector != aEvent.collector) {
+    aState.sent = {};
+  }
+  aState.collector = aEvent.collector;
+  aState.peers = aEvent.peers;
+  aState.upstream = aEvent.upstream;
+  if (aState.collector != aState.settings.self) {
+    aState.reports.clear();
+    aState.groups.clear();
+  }
 }
 
 void
@@ -26,20 +35,60 @@
 {
   if (aState.collector == aState.settings.self) {
     StoreReport(aState, aState.settings.self, aEvent.use, aNow);
-  } else if (!aState.collector.Empty()) {
-    aActions.emplace_back(Send{ aState.collector, aEvent.use });
+    return;
   }
+  const bool isNews =
+    aEvent.use != aState.sent.use ||
+    aNow - aState.sent.receivedAt >= aState.settings.repeatInterval;
+  if (aState.collector.Empty() || !isNews) {
+    return;
+  }
+  aState.sent = { aEvent.use, aNow };
+  aActions.emplace_back(Send{ aState.collector, aEvent.use });
 }
 
 void
-On(State& aState, const Received& aEvent, Instant aNow, Actions& aActions)
+Take(State& aState,
+     const HostId& aFrom,
+     const LocalUsage& aUse,
+     Instant aNow,
+     Actions&)
 {
-  if (const auto* use = std::get_if<LocalUsage>(&aEvent.message)) {
-    StoreReport(aState, aEvent.from, *use, aNow);
-    return;
+  StoreReport(aState, aFrom, aUse, aNow);
+}
+
+void
+Take(State&, const HostId&, const RemoteUsage& aUse, Instant, Actions& aActions)
+{
+  aActions.emplace_back(
+    PublishRemote{ std::make_shared<const RemoteUsage>(aUse) });
+}
+
+void
+Take(State& aState,
+     const HostId& aFrom,
+     const GroupUsage& aUse,
+     Instant aNow,
+     Actions& aActions)
+{
+  aState.groups[aFrom] = { aUse, aNow };
+  if (aState.settings.isControlHost) {
+    AnswerGroup(aState, aFrom, aNow, aActions);
   }
-  aActions.emplace_back(PublishRemote{ std::make_shared<const RemoteUsage>(
-    std::get<RemoteUsage>(aEvent.message)) });
+}
+
+void
+Take(State& aState, const HostId&, const FarUsage& aUse, Instant aNow, Actions&)
+{
+  aState.far = { aUse, aNow };
+}
+
+void
+On(State& aState, const Received& aEvent, Instant aNow, Actions& aActions)
+{
+  std::visit(
+    [&](const auto& aUse) { Take(aState, aEvent.from, aUse, aNow, aActions); },
+    aEvent.message);
 }
 
 } // namespace
--- a/src/balsampoint/usage/state.hpp
+++ b/src/balsampoint/usage/state.hpp
@@ -15,10 +15,25 @@
 struct Settings
 {
   HostId self;
+  ZoneId zone;
+  /** Whether this host passes the sums of relays on to other zones. */
+  bool isControlHost{ false };
   /** Time between two sums sent to an entry host. */
   Duration interval{ std::chrono::milliseconds{ 200 } };
+  /** Time after which an unchanged report is sent again. */
+  Duration repeatInterval{ std::chrono::milliseconds{ 600 } };
   /** Age at which an entry host's report expires. */
   Duration reportTimeout{ std::chrono::milliseconds{ 1500 } };
+  /** Age at which the sum of a relay or of the other zones expires. */
+  Duration groupTimeout{ std::chrono::milliseconds{ 2500 } };
+  /** Number of entry hosts for which the time between two sums sent to relays
+   * or a control host grows by `interval`, which bounds the messages that these
+   * receive. */
+  std::uint32_t hostsPerInterval{ 24 };
+  /** Longest time between two sums sent to another relay. */
+  Duration longestPeerInterval{ std::chrono::milliseconds{ 400 } };
+  /** Longest time between two sums sent to a control host. */
+  Duration longestUpstreamInterval{ std::chrono::seconds{ 1 } };
 };
 
 /** @brief Last report of one entry host. */
@@ -28,25 +43,51 @@
   Instant receivedAt{};
 };
 
+/** @brief Last sum of one relay. */
+struct GroupReport
+{
+  GroupUsage use;
+  Instant receivedAt{};
+};
+
+/** @brief Last sum of the other zones. */
+struct FarReport
+{
+  FarUsage use;
+  Instant receivedAt{};
+};
+
 /** @brief State of the exchange on one host; owned by the control thread. */
 struct State
 {
   Settings settings;
-  /** Control host to which this host sends its work; empty if none is
-   * reachable. */
+  /** Host to which this host reports its work; itself if it is a relay, empty
+   * if none is reachable. */
   HostId collector;
+  /** Other relays of the zone; empty unless this host is a relay. */
+  std::vector<HostId> peers;
+  /** Control host that passes sums on to other zones; empty unless this host
+   * is a relay. */
+  HostId upstream;
   /** Reports of entry hosts to this host. */
   std::map<HostId, HostReport> reports;
+  /** Sums of other relays: of the zone on a relay, of all zones on a control
+   * host. */
+  std::map<HostId, GroupReport> groups;
+  FarReport far;
+  /** Report last sent to the collector. */
+  HostReport sent;
   Instant nextSums{ kNever };
+  Instant nextPeers{};
+  Instant nextUpstream{};
 };
 
-/**
- * @brief The control host that collects reports changed; empty if none is
- * reachable.
- */
-struct CollectorChanged
+/** @brief The hosts with which this host exchanges work changed. */
+struct TopologyChanged
 {
-  HostId host;
+  HostId collector;
+  std::vector<HostId> peers;
+  HostId upstream;
 };
 
 /** @brief This host's traffic thread measured its work in progress. */
@@ -63,7 +104,7 @@
 };
 
 /** @brief Input of the exchange. */
-using Event = std::variant<CollectorChanged, Measured, Received>;
+using Event = std::variant<TopologyChanged, Measured, Received>;
 
 /** @brief Sends a message to another host; delivery is not confirmed. */
 struct Send
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -1,103 +1,17 @@
-#include "balsampoint/roster/module.hpp"
+#include "balsampoint/roster/hosts.hpp"
 
-#include <algorithm>
 #include <chrono>
 #include <criterion/criterion.h>
-#include <map>
-#include <set>
 
 using namespace balsampoint;
 using namespace balsampoint::roster;
+using balsampoint::test::HostSet;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr Instant kStart{ 1h };
-
-/**
- * @brief Hosts that deliver messages to each other at once unless the link
- * is cut.
- */
-class HostSet
-{
-public:
-  void Add(std::string_view aName, bool aIsControlHost)
-  {
-    const HostId host{ std::string{ aName } };
-    Settings settings{ .self = host,
-                       .incarnation = Incarnation{ 1 },
-                       .address = host.String() + ":1",
-                       .isControlHost = aIsControlHost };
-    for (const auto* seed : { "c1", "c2" }) {
-      settings.seeds.push_back({ HostId{ seed }, std::string{ seed } + ":1" });
-    }
-    mStates.emplace(host, Module::Start(settings, mNow));
-  }
-
-  void Deliver(std::string_view aHost, const Event& aEvent)
-  {
-    const HostId host{ std::string{ aHost } };
-    Actions actions;
-    Module::Handle(mStates.at(host), aEvent, mNow, actions);
-    RunActions(host, actions);
-  }
-
-  void Run(Duration aTime)
-  {
-    const auto end = mNow + aTime;
-    while (mNow < end) {
-      mNow = std::min(end, mNow + 50ms);
-      for (auto& [host, state] : mStates) {
-        if (stopped.contains(host) || Module::NextDeadline(state) > mNow) {
-          continue;
-        }
-        Actions actions;
-        Module::Tick(state, mNow, actions);
-        RunActions(host, actions);
-      }
-    }
-  }
-
-  const Server* Find(std::string_view aHost, std::string_view aServer) const
-  {
-    const auto view = mStates.at(HostId{ std::string{ aHost } }).view;
-    if (!view) {
-      return nullptr;
-    }
-    for (const auto& server : view->servers) {
-      if (server.claim.server.Value() == aServer) {
-        return &server;
-      }
-    }
-    return nullptr;
-  }
-
-  std::set<HostId> stopped;
-  /** Links that drop messages, as pairs of sender and receiver. */
-  std::set<std::pair<HostId, HostId>> cut;
-  std::map<HostId, ChangeNumber> advertisedNumbers;
-
-private:
-  void RunActions(const HostId& aFrom, const Actions& aActions)
-  {
-    for (const auto& action : aActions) {
-      if (const auto* advertised =
-            std::get_if<ConfigurationAdvertised>(&action)) {
-        advertisedNumbers[aFrom] = advertised->number;
-      }
-      const auto* send = std::get_if<Send>(&action);
-      if (send == nullptr || !mStates.contains(send->to) ||
-          stopped.contains(send->to) || stopped.contains(aFrom) ||
-          cut.contains({ aFrom, send->to })) {
-        continue;
-      }
-      Deliver(send->to.Value(), Received{ aFrom, send->message });
-    }
-  }
-
-  Instant mNow{ kStart };
-  std::map<HostId, State> mStates;
-};
+/** Longest time until a change is sent that follows another one. */
+constexpr Duration kPushDelay = Settings{}.minPushInterval + 50ms;
 
 Heartbeat
 MakeHeartbeat(std::uint64_t aIncarnation, std::uint64_t aSequence)
@@ -180,6 +94,7 @@
   auto hosts = MakeHosts();
   hosts.Deliver("c1", MakeHeartbeat(7, 5));
   hosts.Deliver("c1", SignedOff{ ServerId{ "s" }, {} });
+  hosts.Run(kPushDelay);
   cr_assert_null(hosts.Find("entry", "s"));
   hosts.Deliver("c2", MakeHeartbeat(7, 6));
   cr_assert_null(hosts.Find("entry", "s"));
@@ -197,6 +112,7 @@
   auto other = MakeHeartbeat(9, 1);
   other.claim.server = ServerId{ "t" };
   hosts.Deliver("c1", other);
+  hosts.Run(kPushDelay);
   cr_assert_null(hosts.Find("entry", "s"));
   hosts.Deliver("c2", MakeHeartbeat(7, 6));
   cr_assert_null(hosts.Find("entry", "s"));
--- a/test/balsampoint/soak/world.cpp
+++ b/test/balsampoint/soak/world.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t kLayers = 80;
 constexpr Duration kStep = 10ms;
 constexpr Duration kBeat = 700ms;
+/** More than a zone has relays, so that some hosts follow relays. */
+constexpr std::size_t kEntriesPerZone = 7;
 constexpr Duration kElection = 900ms;
 constexpr Duration kCheck = 250ms;
 
@@ -44,7 +46,9 @@
     AddHost("control-" + zone.String(), zone, true);
   }
   for (const auto& zone : mZones) {
-    AddHost("entry-" + zone.String(), zone, false);
+    for (std::size_t number = 0; number < kEntriesPerZone; ++number) {
+      AddHost("entry-" + zone.String() + std::to_string(number), zone, false);
+    }
   }
   for (auto& host : mHosts) {
     StartHost(host);
@@ -71,7 +75,7 @@
 void
 World::StartHost(SoakHost& aHost)
 {
-  std::vector<roster::ControlHost> seeds;
+  std::vector<roster::HostAddress> seeds;
   for (const auto& host : mHosts) {
     if (host.isControl) {
       seeds.push_back(host.name);
@@ -82,6 +86,7 @@
     roster::Module::Start({ .self = aHost.name.host,
                             .incarnation = Incarnation{ ++mIncarnations },
                             .address = aHost.name.address,
+                            .zone = aHost.zone,
                             .isControlHost = aHost.isControl,
                             .seeds = std::move(seeds) },
                           mNow);
--- a/test/balsampoint/soak/world.hpp
+++ b/test/balsampoint/soak/world.hpp
@@ -35,7 +35,7 @@
 /** @brief A control host or entry host with its decision modules. */
 struct SoakHost
 {
-  roster::ControlHost name;
+  roster::HostAddress name;
   ZoneId zone;
   bool isControl{ false };
   bool up{ true };
--- a/test/balsampoint/usage/module_test.cpp
+++ b/test/balsampoint/usage/module_test.cpp
@@ -68,7 +68,8 @@
   Actions actions;
   Module::Handle(state, Measured{ MakeUsage(1, 1) }, kNow, actions);
   cr_assert(actions.empty());
-  Module::Handle(state, CollectorChanged{ HostId{ "c" } }, kNow, actions);
+  Module::Handle(
+    state, TopologyChanged{ HostId{ "c" }, {}, {} }, kNow, actions);
   Module::Handle(state, Measured{ MakeUsage(1, 1) }, kNow, actions);
   cr_assert_eq(std::get<Send>(actions.front()).to, HostId{ "c" });
 }
@@ -97,3 +98,113 @@
   cr_assert_eq(*passedOn.answeredFor, Duration{ 230ms });
   cr_assert_eq(passedOn.activeFor, Duration{ 280ms });
 }
+
+namespace {
+
+const Message*
+Find(const Actions& aActions, std::string_view aHost)
+{
+  for (const auto& action : aActions) {
+    const auto* send = std::get_if<Send>(&action);
+    if (send != nullptr && send->to.Value() == aHost) {
+      return &send->message;
+    }
+  }
+  return nullptr;
+}
+
+State
+MakeRelay()
+{
+  State state{ .settings = { .self = HostId{ "r1" }, .zone = ZoneId{ "a" } } };
+  Actions actions;
+  Module::Handle(
+    state,
+    TopologyChanged{ HostId{ "r1" }, { HostId{ "r2" } }, HostId{ "c" } },
+    kNow,
+    actions);
+  return state;
+}
+
+} // namespace
+
+Test(usage, a_relay_sends_the_sum_of_its_group_to_relays_and_a_control_host)
+{
+  auto state = MakeRelay();
+  Actions actions;
+  Module::Handle(
+    state, Received{ HostId{ "e1" }, MakeUsage(3, 30) }, kNow, actions);
+  Module::Handle(state, Measured{ MakeUsage(2, 20) }, kNow, actions);
+  Module::Tick(state, kNow + 200ms, actions);
+  for (const auto* host : { "r2", "c" }) {
+    const auto& group = std::get<GroupUsage>(*Find(actions, host));
+    cr_assert_eq(group.zone, ZoneId{ "a" });
+    cr_assert_eq(group.hosts, 2U);
+    cr_assert_eq(group.servers.front().passing, 5U);
+  }
+}
+
+Test(usage, hosts_receive_the_work_of_other_groups_and_zones)
+{
+  auto state = MakeRelay();
+  Actions actions;
+  Module::Handle(
+    state, Received{ HostId{ "e1" }, MakeUsage(3, 30) }, kNow, actions);
+  GroupUsage group{ .zone = ZoneId{ "a" }, .hosts = 7 };
+  group.servers = MakeUsage(10, 100).servers;
+  Module::Handle(state, Received{ HostId{ "r2" }, group }, kNow, actions);
+  const FarUsage far{ MakeUsage(100, 1000).servers, 50, {} };
+  Module::Handle(state, Received{ HostId{ "c" }, far }, kNow, actions);
+  Module::Tick(state, kNow + 200ms, actions);
+  const auto& others = SentTo(actions, "e1");
+  cr_assert_eq(others.servers.front().passing, 110U);
+  cr_assert_eq(others.hosts, 57U);
+}
+
+Test(usage, a_control_host_answers_a_relay_with_the_other_zones)
+{
+  State state{ .settings = { .self = HostId{ "c" }, .isControlHost = true } };
+  Actions actions;
+  for (const auto* relay : { "a1", "a2", "b1" }) {
+    GroupUsage group{ .zone = ZoneId{ std::string{ relay, 1 } }, .hosts = 4 };
+    group.servers = MakeUsage(5, 50).servers;
+    actions.clear();
+    Module::Handle(state, Received{ HostId{ relay }, group }, kNow, actions);
+  }
+  const auto& toB = std::get<FarUsage>(*Find(actions, "b1"));
+  cr_assert_eq(toB.hosts, 8U);
+  cr_assert_eq(toB.servers.front().passing, 10U);
+}
+
+// Guards against a control host whose messages grow with the entry hosts.
+Test(usage, sums_to_a_control_host_become_rarer_with_more_hosts)
+{
+  auto state = MakeRelay();
+  Actions actions;
+  GroupUsage group{ .zone = ZoneId{ "a" }, .hosts = 300 };
+  std::size_t sent = 0;
+  for (auto now = kNow; now < kNow + 10s; now += 200ms) {
+    Module::Handle(state, Received{ HostId{ "r2" }, group }, now, actions);
+    Module::Handle(state, Measured{ MakeUsage(1, 1) }, now, actions);
+    actions.clear();
+    Module::Tick(state, now, actions);
+    sent += Find(actions, "c") != nullptr ? 1 : 0;
+  }
+  cr_assert_leq(sent, 11U);
+  cr_assert_geq(sent, 9U);
+}
+
+Test(usage, an_unchanged_report_is_repeated_rarely)
+{
+  State state{ .settings = { .self = HostId{ "e1" } } };
+  Actions actions;
+  Module::Handle(
+    state, TopologyChanged{ HostId{ "r1" }, {}, {} }, kNow, actions);
+  for (auto now = kNow; now < kNow + 6s; now += 200ms) {
+    Module::Handle(state, Measured{ MakeUsage(1, 1) }, now, actions);
+  }
+  cr_assert_eq(actions.size(), 10U);
+  Module::Handle(state, Measured{ MakeUsage(2, 1) }, kNow + 6s, actions);
+  Module::Handle(state, Measured{ MakeUsage(3, 1) }, kNow + 6100ms, actions);
+  cr_assert_eq(actions.size(), 12U);
+}
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -30,7 +30,7 @@
   using Caller = Acceptor::Connection;
   using Pointer = std::shared_ptr<Caller>;
 
-  explicit FakeServer(edge::Loop& aLoop)
+  explicit FakeServer(net::Loop& aLoop)
     : mAcceptor{ *this, aLoop.Context(), 64 }
   {
   }
@@ -194,7 +194,7 @@
                                                        .hosts = 1.0 };
 
 private:
-  edge::Loop mLoop;
+  net::Loop mLoop;
   edge::TrafficState mTraffic;
   edge::BasicEntry<platform::Dialect> mEntry;
 
@@ -620,3 +620,79 @@
   cr_assert(caller.Expect("HTTP/1.1 503"));
   cr_assert(caller.Expect("Retry-After: "));
 }
+
+namespace {
+
+/** @brief Sends requests one after the other and returns the last status line.
+ */
+std::string
+SendInTurn(int aRequests)
+{
+  std::string status;
+  for (int request = 0; request < aRequests; ++request) {
+    Caller caller;
+    caller.SendRequest("GET");
+    std::ignore = caller.Expect("\r\n\r\n");
+    status = caller.read.substr(0, caller.read.find("\r\n"));
+  }
+  return status;
+}
+
+auto
+RespondWith(int aStatus, const std::string& aFields)
+{
+  return [=](const auto& aCaller, const auto& /*aRequest*/) {
+    aCaller->Send(
+      PlainResponse(aStatus, "X-Request-Id: q1\r\n" + aFields, "x"));
+    aCaller->Finish(true);
+  };
+}
+
+} // namespace
+
+Test(exchange, a_server_that_says_it_is_leaving_gets_no_further_request)
+{
+  Host host{ routing::RequestKind::Idempotent };
+  host.one.respond = RespondWith(200, "Server-Leaving: 1\r\n");
+  host.two.respond = RespondWith(200, "");
+  host.Start();
+  cr_assert_eq(SendInTurn(20), "HTTP/1.1 200 X");
+  host.RunOnLoop([&] {
+    cr_assert_leq(host.one.requests.size(), 1U);
+    cr_assert_geq(host.two.requests.size(), 19U);
+  });
+}
+
+Test(exchange, a_server_with_retry_after_gets_no_request_until_its_end)
+{
+  Host host{ routing::RequestKind::Idempotent };
+  host.one.respond =
+    RespondWith(503, "X-Not-Executed: 1\r\nRetry-After: 20.5\r\n");
+  host.two.respond = RespondWith(200, "");
+  host.Start();
+  cr_assert_eq(SendInTurn(20), "HTTP/1.1 200 X");
+  host.RunOnLoop([&] {
+    cr_assert_leq(host.one.requests.size(), 1U);
+    cr_assert_eq(host.two.requests.size(), 20U);
+  });
+}
+
+Test(exchange, callers_learn_when_the_first_of_all_servers_returns)
+{
+  Host host{ routing::RequestKind::Idempotent };
+  host.one.respond =
+    RespondWith(503, "X-Not-Executed: 1\r\nRetry-After: 60\r\n");
+  host.two.respond =
+    RespondWith(503, "X-Not-Executed: 1\r\nRetry-After: 30\r\n");
+  host.Start();
+  SendInTurn(4);
+  Caller caller;
+  caller.SendRequest("GET");
+  cr_assert(caller.Expect("\r\n\r\n"));
+  cr_assert_neq(caller.read.find("HTTP/1.1 503"), std::string::npos);
+  const auto at = caller.read.find("Retry-After: 2");
+  cr_assert_neq(at, std::string::npos, "%s", caller.read.c_str());
+  host.RunOnLoop([&] {
+    cr_assert_eq(host.one.requests.size() + host.two.requests.size(), 2U);
+  });
+}
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -124,6 +124,36 @@
   cr_assert(Dialect::ReadResponse({ .status = 421 }).notExecuted);
 }
 
+Test(requests, a_server_states_that_it_is_leaving)
+{
+  wire::ResponseHead head{ .status = 200 };
+  cr_assert_not(Dialect::ReadResponse(head).leaving);
+  head.fields.Add("Server-Leaving", "1");
+  cr_assert(Dialect::ReadResponse(head).leaving);
+  head.status = 421;
+  cr_assert_not(Dialect::ReadResponse(head).leaving, "another server");
+}
+
+Test(requests, a_server_states_for_how_long_it_wants_no_requests)
+{
+  const auto read = [](const std::string& aText, std::uint16_t aStatus = 503) {
+    wire::ResponseHead head{ .status = aStatus };
+    head.fields.Add("Date", "Sun, 06 Nov 1994 08:49:37 GMT");
+    head.fields.Add("Retry-After", aText);
+    return Dialect::ReadResponse(head).retryAfter;
+  };
+  cr_assert_eq(*read("3"), Duration{ 3s });
+  cr_assert_eq(*read("0.25"), Duration{ 250ms });
+  cr_assert_eq(*read("Sun, 06 Nov 1994 08:49:41 GMT"), Duration{ 4s });
+  cr_assert_eq(*read("1e300"), Duration{ 1h });
+  cr_assert_eq(*read("inf"), Duration{ 1h });
+  for (const auto* text : { "-3", "0", "nan", "soon", "", "3s", "1 2" }) {
+    cr_expect_not(read(text).has_value(), "%s", text);
+  }
+  cr_assert_not(read("Sun, 06 Nov 1994 08:49:30 GMT").has_value());
+  cr_assert_not(read("3", 500).has_value());
+}
+
 Test(requests, refusals_carry_a_retry_after)
 {
   auto error = MakeError(ErrorKind::NoServer, "no room");
--- a/thrift/roster.thrift
+++ b/thrift/roster.thrift
@@ -16,6 +16,8 @@
   12: optional i32 endLayer
   13: required i32 slots
   14: required bool cold
+  // The control host that makes the claim; the sender if it is not set.
+  15: optional string owner
 }
 
 struct RosterControlHost {
@@ -28,6 +30,9 @@
   2: required bool hears
   3: required i64 source
   4: required i64 have
+  5: optional string zone
+  // 0 entry host, 1 relay, 2 control host.
+  6: optional i32 role
 }
 
 struct RosterUpdate {
@@ -37,9 +42,18 @@
   4: required list<RosterClaim> claims
   5: required list<RosterControlHost> controls
   6: required i64 configuration
+  7: optional string zone
+  8: optional list<RosterControlHost> relays
+}
+
+// Names the relays that a host is to subscribe to.
+struct RosterReferral {
+  1: required list<RosterControlHost> relays
+  2: required list<RosterControlHost> controls
 }
 
 union RosterMessage {
   1: RosterSubscribe subscription
   2: RosterUpdate update
+  3: RosterReferral referral
 }
--- a/thrift/usage.thrift
+++ b/thrift/usage.thrift
@@ -33,7 +33,18 @@
   3: optional list<UsageSuspect> suspects
 }
 
+// Sum of a relay and the entry hosts that report to it.
+struct UsageGroup {
+  1: required string zone
+  2: required i32 hosts
+  3: required list<UsageServer> servers
+  4: required list<UsageSuspect> suspects
+}
+
 union UsageMessage {
   1: UsageOwn own
   2: UsageOthers others
+  3: UsageGroup group
+  // Sum of the hosts in other zones.
+  4: UsageOthers far
 }
