--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -269,27 +269,13 @@
     if (!parser.HasHead()) {
       return;
     }
-    auto& head = parser.Response();
+    const auto& head = parser.Response();
     const auto metadata = D::ReadResponse(head);
-    const bool other =
-      metadata.request && *metadata.request != mParameters.id.Value();
-    constexpr std::uint16_t kFirstFinalStatus = 200;
-    if (head.status < kFirstFinalStatus || other) {
-      if (parser.Complete()) {
-        mServer->SkipResponse();
-      } else {
-        // The response to this request begins after the end of this body.
-        static_cast<void>(parser.TakeBody());
-      }
+    if (!IsOwnResponse(head, metadata)) {
+      SkipResponse();
       return;
     }
-    if (!std::exchange(mStatementsRead, true)) {
-      FollowStatements(mTraffic,
-                       mAdmission.service->id,
-                       mHops.front(),
-                       mParameters.id,
-                       metadata);
-    }
+    FollowStatementsOnce(metadata);
     if (metadata.notExecuted) {
       OnNotExecuted(metadata);
       return;
@@ -310,6 +296,39 @@
     }
   }
 
+  /** Whether a response is the final one to this request, as far as its head
+   * tells. */
+  [[nodiscard]] bool IsOwnResponse(const wire::ResponseHead& aHead,
+                                   const ResponseMetadata& aMetadata) const
+  {
+    constexpr std::uint16_t kFirstFinalStatus = 200;
+    const bool other =
+      aMetadata.request && *aMetadata.request != mParameters.id.Value();
+    return aHead.status >= kFirstFinalStatus && !other;
+  }
+
+  void SkipResponse()
+  {
+    auto& parser = mServer->ResponseParser();
+    if (parser.Complete()) {
+      mServer->SkipResponse();
+    } else {
+      // The response to this request begins after the end of this body.
+      static_cast<void>(parser.TakeBody());
+    }
+  }
+
+  void FollowStatementsOnce(const ResponseMetadata& aMetadata)
+  {
+    if (!std::exchange(mStatementsRead, true)) {
+      FollowStatements(mTraffic,
+                       mAdmission.service->id,
+                       mHops.front(),
+                       mParameters.id,
+                       aMetadata);
+    }
+  }
+
   void OnNotExecuted(const ResponseMetadata& aMetadata)
   {
     mProgress.mayHaveRun = mMayHaveRunBefore;
