Hide the event loop from the files that only send to peers

Cause: every file that includes peer/sender.hpp compiled the event loop's headers, which made building and linting the daemon several times slower. Change: Sender and Receiver keep their connections behind a pointer. No change in behaviour.

--- a/src/balsampoint/peer/internal/call_codec.cpp
+++ b/src/balsampoint/peer/internal/call_codec.cpp
@@ -40,8 +40,7 @@
 }
 
 tl::expected<void, Error>
-DecodeCall(std::string_view aCall,
-           const std::shared_ptr<generated::PeerIf>& aService)
+DecodeCall(std::string_view aCall, generated::PeerIf& aService)
 {
   std::string copy{ aCall };
   const auto limits =
@@ -55,7 +54,10 @@
   const auto protocol =
     std::make_shared<thrift::protocol::TCompactProtocol>(input);
   try {
-    generated::PeerProcessor{ aService }.process(protocol, protocol, nullptr);
+    // The processor wants a shared pointer to a service that outlives it.
+    const std::shared_ptr<generated::PeerIf> service{ std::shared_ptr<void>{},
+                                                      &aService };
+    generated::PeerProcessor{ service }.process(protocol, protocol, nullptr);
   } catch (const std::exception& failure) {
     return Refuse(ErrorKind::BadRequest, failure.what());
   }
--- a/src/balsampoint/peer/internal/call_codec.hpp
+++ b/src/balsampoint/peer/internal/call_codec.hpp
@@ -40,7 +40,6 @@
  * @return Nothing, or `ErrorKind::BadRequest` if the bytes are no call.
  */
 [[nodiscard]] tl::expected<void, Error>
-DecodeCall(std::string_view aCall,
-           const std::shared_ptr<generated::PeerIf>& aService);
+DecodeCall(std::string_view aCall, generated::PeerIf& aService);
 
 } // namespace balsampoint::peer::internal
--- a/src/balsampoint/peer/receiver.cpp
+++ b/src/balsampoint/peer/receiver.cpp
@@ -1,11 +1,15 @@
 #include "balsampoint/peer/receiver.hpp"
 
+#include "balsampoint/net/loop.hpp"
+#include "balsampoint/net/socket.hpp"
 #include "balsampoint/peer/internal/call_codec.hpp"
 #include "balsampoint/peer/internal/socket_options.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <chrono>
+#include <set>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -25,37 +29,54 @@
 
 } // namespace
 
-/** @brief Opens each frame and passes its content to the handler. */
-class Receiver::Service : public generated::PeerIf
+class Receiver::Listener : public generated::PeerIf
 {
 public:
-  explicit Service(Receiver& aReceiver)
-    : mReceiver{ aReceiver }
+  Listener(Identity aIdentity, Handler aHandler)
+    : mAuthenticator{ std::move(aIdentity) }
+    , mHandler{ std::move(aHandler) }
+    , mAcceptor{ mLoop.Context() }
+    , mAcceptRetryTimer{ mLoop.Context() }
   {
   }
 
-  void Deliver(const generated::Frame& aFrame) override
-  {
-    auto parcel = mReceiver.mAuthenticator.Open(aFrame);
-    if (!parcel) {
-      ++mReceiver.mRefused;
-      spdlog::warn(
-        "peer '{}' refused: {}", aFrame.sender, parcel.error().detail);
-      return;
-    }
-    mReceiver.mHandler(std::move(*parcel));
-  }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+  Listener(Listener&&) = delete;
+  Listener& operator=(Listener&&) = delete;
+
+  ~Listener() override { mLoop.Stop(); }
+
+  tl::expected<void, Error> Listen(const std::string& aAddress);
+
+  /** @brief Opens a frame and passes its content to the handler. */
+  void Deliver(const generated::Frame& aFrame) override;
+
+  [[nodiscard]] std::uint64_t Refused() const { return mRefused; }
 
 private:
-  Receiver& mReceiver;
+  class Connection;
+
+  void Accept();
+  void Add(net::Tcp::socket aSocket);
+
+  Authenticator mAuthenticator;
+  Handler mHandler;
+  std::atomic<std::uint64_t> mRefused{ 0 };
+  net::Loop mLoop;
+  net::Tcp::acceptor mAcceptor;
+  net::Timer mAcceptRetryTimer;
+  /** Open connections; used on the loop's thread. */
+  std::set<std::shared_ptr<Connection>> mConnections;
 };
 
 /** @brief Reads the calls of one connection. */
-class Receiver::Connection : public std::enable_shared_from_this<Connection>
+class Receiver::Listener::Connection
+  : public std::enable_shared_from_this<Connection>
 {
 public:
-  Connection(Receiver& aReceiver, net::Tcp::socket aSocket)
-    : mReceiver{ aReceiver }
+  Connection(Listener& aListener, net::Tcp::socket aSocket)
+    : mListener{ aListener }
     , mSocket{ std::move(aSocket) }
   {
   }
@@ -104,7 +125,7 @@
         return true;
       }
       const auto taken =
-        internal::DecodeCall(rest.substr(0, *length), mReceiver.mService);
+        internal::DecodeCall(rest.substr(0, *length), mListener);
       if (!taken) {
         return Reject(taken.error().detail);
       }
@@ -127,7 +148,7 @@
 
   bool Reject(const std::string& aReason)
   {
-    ++mReceiver.mRefused;
+    ++mListener.mRefused;
     spdlog::warn("connection of a peer closed: {}", aReason);
     return false;
   }
@@ -136,57 +157,50 @@
   {
     boost::system::error_code ignored;
     mSocket.close(ignored);
-    mReceiver.mConnections.erase(shared_from_this());
+    mListener.mConnections.erase(shared_from_this());
   }
 
-  Receiver& mReceiver;
+  Listener& mListener;
   net::Tcp::socket mSocket;
   std::string mBytes;
   /** Bytes of the buffer that have been received. */
   std::size_t mFilled{};
 };
 
-Receiver::Receiver(Identity aIdentity, Handler aHandler)
-  : mAuthenticator{ std::move(aIdentity) }
-  , mHandler{ std::move(aHandler) }
-  , mService{ std::make_shared<Service>(*this) }
-  , mAcceptor{ mLoop.Context() }
-  , mAcceptRetryTimer{ mLoop.Context() }
+void
+Receiver::Listener::Deliver(const generated::Frame& aFrame)
 {
+  auto parcel = mAuthenticator.Open(aFrame);
+  if (!parcel) {
+    ++mRefused;
+    spdlog::warn("peer '{}' refused: {}", aFrame.sender, parcel.error().detail);
+    return;
+  }
+  mHandler(std::move(*parcel));
 }
 
-tl::expected<std::unique_ptr<Receiver>, Error>
-Receiver::Listen(const std::string& aAddress,
-                 Identity aIdentity,
-                 Handler aHandler)
+tl::expected<void, Error>
+Receiver::Listener::Listen(const std::string& aAddress)
 {
   const auto endpoint = net::ParseAddress(aAddress);
   if (!endpoint) {
     return tl::unexpected(endpoint.error());
   }
-  std::unique_ptr<Receiver> receiver{ new Receiver{ std::move(aIdentity),
-                                                    std::move(aHandler) } };
-  auto& acceptor = receiver->mAcceptor;
   try {
-    acceptor.open(endpoint->protocol());
-    acceptor.set_option(boost::asio::socket_base::reuse_address{ true });
-    acceptor.bind(*endpoint);
-    acceptor.listen();
+    mAcceptor.open(endpoint->protocol());
+    mAcceptor.set_option(boost::asio::socket_base::reuse_address{ true });
+    mAcceptor.bind(*endpoint);
+    mAcceptor.listen();
   } catch (const boost::system::system_error& failure) {
     return Refuse(ErrorKind::Internal, aAddress + ": " + failure.what());
   }
-  receiver->Accept();
-  receiver->mLoop.Start();
-  return receiver;
-}
-
-Receiver::~Receiver()
-{
-  mLoop.Stop();
+  Accept();
+  mLoop.Start();
+  return {};
 }
 
 void
-Receiver::Accept()
+Receiver::Listener::Accept()
 {
   mAcceptor.async_accept([this](const auto& aError, net::Tcp::socket aSocket) {
     if (aError) {
@@ -200,7 +214,7 @@
 }
 
 void
-Receiver::Add(net::Tcp::socket aSocket)
+Receiver::Listener::Add(net::Tcp::socket aSocket)
 {
   if (mConnections.size() >= kMaxConnections) {
     spdlog::warn("a peer is not accepted beside {} others", kMaxConnections);
@@ -219,4 +233,29 @@
   connection->AwaitData();
 }
 
+Receiver::Receiver(std::unique_ptr<Listener> aListener)
+  : mListener{ std::move(aListener) }
+{
+}
+
+Receiver::~Receiver() = default;
+
+tl::expected<std::unique_ptr<Receiver>, Error>
+Receiver::Listen(const std::string& aAddress,
+                 Identity aIdentity,
+                 Handler aHandler)
+{
+  auto listener =
+    std::make_unique<Listener>(std::move(aIdentity), std::move(aHandler));
+  return listener->Listen(aAddress).map([&] {
+    return std::unique_ptr<Receiver>{ new Receiver{ std::move(listener) } };
+  });
+}
+
+std::uint64_t
+Receiver::Refused() const
+{
+  return mListener->Refused();
+}
+
 } // namespace balsampoint::peer
--- a/src/balsampoint/peer/receiver.hpp
+++ b/src/balsampoint/peer/receiver.hpp
@@ -1,14 +1,12 @@
 #pragma once
 
-#include "balsampoint/net/loop.hpp"
-#include "balsampoint/net/socket.hpp"
 #include "balsampoint/peer/authenticator.hpp"
 
-#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
+#include <tl/expected.hpp>
 
 namespace balsampoint::peer {
 
@@ -37,27 +35,18 @@
   /** @brief Closes all connections and joins the thread. */
   ~Receiver();
 
-  /** @brief Frames refused so far: wrong code, cluster, version or size. */
-  [[nodiscard]] std::uint64_t Refused() const { return mRefused; }
+  /** @brief Calls refused so far: malformed, or with a wrong code, cluster,
+   * version or size. */
+  [[nodiscard]] std::uint64_t Refused() const;
 
 private:
-  class Service;
-  class Connection;
-
-  Receiver(Identity aIdentity, Handler aHandler);
-
-  void Accept();
-  void Add(net::Tcp::socket aSocket);
-
-  Authenticator mAuthenticator;
-  Handler mHandler;
-  std::atomic<std::uint64_t> mRefused{ 0 };
-  std::shared_ptr<Service> mService;
-  net::Loop mLoop;
-  net::Tcp::acceptor mAcceptor;
-  net::Timer mAcceptRetryTimer;
-  /** Open connections; used on the loop's thread. */
-  std::set<std::shared_ptr<Connection>> mConnections;
+  /** @brief The connections and their thread; hides the event loop's headers.
+   */
+  class Listener;
+
+  explicit Receiver(std::unique_ptr<Listener> aListener);
+
+  std::unique_ptr<Listener> mListener;
 };
 
 } // namespace balsampoint::peer
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -1,53 +1,102 @@
 #include "balsampoint/peer/sender.hpp"
 
+#include "balsampoint/net/loop.hpp"
 #include "balsampoint/peer/internal/call_codec.hpp"
+#include "balsampoint/peer/internal/peer_connection.hpp"
 
+#include <map>
+#include <mutex>
 #include <utility>
 
 namespace balsampoint::peer {
 
+class Sender::Transport
+{
+public:
+  using Connection = internal::PeerConnection;
+
+  Transport() { mLoop.Start(); }
+
+  Transport(const Transport&) = delete;
+  Transport& operator=(const Transport&) = delete;
+  Transport(Transport&&) = delete;
+  Transport& operator=(Transport&&) = delete;
+
+  ~Transport() { mLoop.Stop(); }
+
+  void Route(const HostId& aHost, const std::string& aAddress)
+  {
+    const std::lock_guard lock{ mMutex };
+    auto& peer = mPeers[aHost];
+    if (peer && peer->Address() == aAddress) {
+      return;
+    }
+    if (peer) {
+      mLoop.Post([replaced = peer] { replaced->Close(); });
+    }
+    peer = std::make_shared<Connection>(mLoop, aAddress, mCounters);
+  }
+
+  /** @return The connection to a host; null if its address is not known. */
+  std::shared_ptr<Connection> Find(const HostId& aHost)
+  {
+    const std::lock_guard lock{ mMutex };
+    const auto found = mPeers.find(aHost);
+    return found == mPeers.end() ? nullptr : found->second;
+  }
+
+  void Write(std::shared_ptr<Connection> aPeer, generated::Frame aFrame)
+  {
+    mLoop.Post([peer = std::move(aPeer), frame = std::move(aFrame)] {
+      peer->Write({ internal::EncodeCall(frame), frame.body.size() });
+    });
+  }
+
+  internal::SenderCounters& Counters() { return mCounters; }
+
+private:
+  internal::SenderCounters mCounters;
+  /** Outlives the connections, which run on it. */
+  net::Loop mLoop;
+  std::mutex mMutex;
+  std::map<HostId, std::shared_ptr<Connection>> mPeers;
+};
+
 Sender::Sender(Identity aIdentity)
   : mAuthenticator{ std::move(aIdentity) }
+  , mTransport{ std::make_unique<Transport>() }
 {
-  mLoop.Start();
 }
 
-Sender::~Sender()
-{
-  mLoop.Stop();
-}
+Sender::~Sender() = default;
 
 void
 Sender::Route(const HostId& aHost, const std::string& aAddress)
 {
-  const std::lock_guard lock{ mMutex };
-  auto& peer = mPeers[aHost];
-  if (peer && peer->Address() == aAddress) {
-    return;
-  }
-  if (peer) {
-    mLoop.Post([replaced = peer] { replaced->Close(); });
-  }
-  peer = std::make_shared<Connection>(mLoop, aAddress, mCounters);
+  mTransport->Route(aHost, aAddress);
 }
 
 void
 Sender::Send(const HostId& aTo, ModuleTag aModule, ByteView aBody)
 {
-  std::shared_ptr<Connection> peer;
-  {
-    const std::lock_guard lock{ mMutex };
-    const auto found = mPeers.find(aTo);
-    if (found == mPeers.end()) {
-      ++mCounters.dropped;
-      return;
-    }
-    peer = found->second;
+  auto peer = mTransport->Find(aTo);
+  if (!peer) {
+    ++mTransport->Counters().dropped;
+    return;
   }
-  auto frame = mAuthenticator.Seal(aTo, aModule, aBody);
-  mLoop.Post([peer = std::move(peer), frame = std::move(frame)] {
-    peer->Write({ internal::EncodeCall(frame), frame.body.size() });
-  });
+  mTransport->Write(std::move(peer), mAuthenticator.Seal(aTo, aModule, aBody));
+}
+
+std::uint64_t
+Sender::SentBytes() const
+{
+  return mTransport->Counters().sentBytes;
+}
+
+std::uint64_t
+Sender::Dropped() const
+{
+  return mTransport->Counters().dropped;
 }
 
 } // namespace balsampoint::peer
--- a/src/balsampoint/peer/sender.hpp
+++ b/src/balsampoint/peer/sender.hpp
@@ -1,12 +1,9 @@
 #pragma once
 
-#include "balsampoint/net/loop.hpp"
 #include "balsampoint/peer/authenticator.hpp"
-#include "balsampoint/peer/internal/peer_connection.hpp"
 
-#include <map>
+#include <cstdint>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace balsampoint::peer {
@@ -51,20 +48,18 @@
   void Send(const HostId& aTo, ModuleTag aModule, ByteView aBody);
 
   /** @brief Bytes of message bodies given to connections so far. */
-  [[nodiscard]] std::uint64_t SentBytes() const { return mCounters.sentBytes; }
+  [[nodiscard]] std::uint64_t SentBytes() const;
 
   /** @brief Messages dropped so far. */
-  [[nodiscard]] std::uint64_t Dropped() const { return mCounters.dropped; }
+  [[nodiscard]] std::uint64_t Dropped() const;
 
 private:
-  using Connection = internal::PeerConnection;
+  /** @brief The connections and their thread; hides the event loop's headers
+   * from the many files that only send. */
+  class Transport;
 
   Authenticator mAuthenticator;
-  internal::SenderCounters mCounters;
-  /** Outlives the connections, which run on it. */
-  net::Loop mLoop;
-  std::mutex mMutex;
-  std::map<HostId, std::shared_ptr<Connection>> mPeers;
+  std::unique_ptr<Transport> mTransport;
 };
 
 } // namespace balsampoint::peer
