--- a/test/balsampoint/peer/receiver_test.cpp
+++ b/test/balsampoint/peer/receiver_test.cpp
@@ -84,7 +84,9 @@
 
 namespace {
 
+// Tests run at the same time, so each has an address of its own.
 constexpr auto kRawAddress = "127.0.0.1:28473";
+constexpr auto kSplitAddress = "127.0.0.1:28474";
 
 void
 SendRaw(Poco::Net::StreamSocket& aSocket, std::string_view aBytes)
@@ -125,7 +127,7 @@
 {
   runtime::Mailbox<Parcel> received{ 64 };
   auto receiver = Receiver::Listen(
-    kRawAddress, IdentityOf("b", "secret"), [&](Parcel aParcel) {
+    kSplitAddress, IdentityOf("b", "secret"), [&](Parcel aParcel) {
       cr_assert(received.Push(std::move(aParcel)));
     });
   cr_assert(receiver.has_value());
@@ -137,7 +139,7 @@
       sender.Seal(HostId{ "b" }, ModuleTag::Member, Bytes(body)));
   }
   for (const std::size_t step : { 1U, 7U, 4096U, 65536U }) {
-    Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress{ kRawAddress } };
+    Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress{ kSplitAddress } };
     socket.setNoDelay(true);
     std::string_view rest{ calls };
     while (!rest.empty()) {
