Keep the connections of peers within what the linter can read

Cause: the linter's findings on the new files: unchecked optionals, a write that the analysis saw as recursion, a loop without reserve; it crashed on structured bindings over relays. Change: partial writes are continued by hand, loops and optionals spelt out; no change in behaviour.

--- a/src/balsampoint/peer/internal/peer_connection.cpp
+++ b/src/balsampoint/peer/internal/peer_connection.cpp
@@ -4,7 +4,6 @@
 #include "balsampoint/runtime/steady_clock.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -37,19 +36,20 @@
 auto
 PeerConnection::Guard(Function aFunction)
 {
-  return [this,
-          self = shared_from_this(),
-          generation = mGeneration,
-          function = std::move(aFunction)](const auto& aError, auto&&...) {
-    if (generation != mGeneration) {
-      return;
-    }
-    if (aError) {
-      Fail(aError.message());
-      return;
-    }
-    function();
-  };
+  return
+    [this,
+     self = shared_from_this(),
+     generation = mGeneration,
+     function = std::move(aFunction)](const auto& aError, auto... aResult) {
+      if (generation != mGeneration) {
+        return;
+      }
+      if (aError) {
+        Fail(aError.message());
+        return;
+      }
+      function(aResult...);
+    };
 }
 
 void
@@ -126,8 +126,20 @@
     return;
   }
   mWriteStartedAt = runtime::SteadyClock::Now();
-  boost::asio::async_write(
-    mSocket, boost::asio::buffer(mWriting), Guard([this] {
+  mWritten = 0;
+  WriteRest();
+}
+
+void
+PeerConnection::WriteRest()
+{
+  mSocket.async_write_some(
+    boost::asio::buffer(mWriting) + mWritten, Guard([this](std::size_t aSize) {
+      mWritten += aSize;
+      if (mWritten < mWriting.size()) {
+        WriteRest();
+        return;
+      }
       mCounters.sentBytes += mBodyBytesInWriting;
       if (!std::exchange(mReachable, true)) {
         spdlog::info("peer {} is reached again", mAddress);
@@ -141,7 +153,8 @@
 void
 PeerConnection::AwaitEnd()
 {
-  mSocket.async_read_some(boost::asio::buffer(mUnexpected), Guard([this] {
+  mSocket.async_read_some(boost::asio::buffer(mUnexpected),
+                          Guard([this](std::size_t /*aSize*/) {
                             Fail("the peer sent bytes on a one-way connection");
                           }));
 }
--- a/src/balsampoint/peer/internal/peer_connection.hpp
+++ b/src/balsampoint/peer/internal/peer_connection.hpp
@@ -71,6 +71,7 @@
   void Connect();
   void OnConnected();
   void WriteWaiting();
+  void WriteRest();
   void AwaitEnd();
   void Fail(const std::string& aReason);
   void Reset();
@@ -79,7 +80,7 @@
   /**
    * @brief Wraps a completion handler: after a reset it does nothing, an error
    * ends the connection.
-   * @tparam Function Callable without arguments.
+   * @tparam Function Callable with what the operation returns besides.
    */
   template<typename Function>
   auto Guard(Function aFunction);
@@ -94,6 +95,7 @@
   std::deque<OutgoingCall> mWaiting;
   /** Bytes being written, and what they hold; empty if nothing is. */
   std::string mWriting;
+  std::size_t mWritten{};
   std::size_t mCallsInWriting{};
   std::size_t mBodyBytesInWriting{};
   Instant mWriteStartedAt{};
--- a/src/balsampoint/peer/receiver.cpp
+++ b/src/balsampoint/peer/receiver.cpp
@@ -112,24 +112,27 @@
   bool TakeCalls()
   {
     std::string_view rest{ mBytes.data(), mFilled };
-    while (const auto length = internal::ReadLength(rest)) {
-      if (*length > internal::kMaxCallBytes) {
-        return Reject("a call of " + std::to_string(*length) + " bytes");
+    while (true) {
+      const auto length = internal::ReadLength(rest);
+      if (!length.has_value()) {
+        break;
+      }
+      const std::size_t size = length.value();
+      if (size > internal::kMaxCallBytes) {
+        return Reject("a call of " + std::to_string(size) + " bytes");
       }
       rest.remove_prefix(internal::kLengthBytes);
-      if (rest.size() < *length) {
+      if (rest.size() < size) {
         Keep({ rest.data() - internal::kLengthBytes,
                rest.size() + internal::kLengthBytes });
-        mBytes.resize(
-          std::max(mBytes.size(), *length + internal::kLengthBytes));
+        mBytes.resize(std::max(mBytes.size(), size + internal::kLengthBytes));
         return true;
       }
-      const auto taken =
-        internal::DecodeCall(rest.substr(0, *length), mListener);
+      const auto taken = internal::DecodeCall(rest.substr(0, size), mListener);
       if (!taken) {
         return Reject(taken.error().detail);
       }
-      rest.remove_prefix(*length);
+      rest.remove_prefix(size);
     }
     Keep(rest);
     return true;
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -45,9 +45,9 @@
     return found == mPeers.end() ? nullptr : found->second;
   }
 
-  void Write(std::shared_ptr<Connection> aPeer, generated::Frame aFrame)
+  void Write(std::shared_ptr<Connection> aPeer, const generated::Frame& aFrame)
   {
-    mLoop.Post([peer = std::move(aPeer), frame = std::move(aFrame)] {
+    mLoop.Post([peer = std::move(aPeer), frame = aFrame] {
       peer->Write({ internal::EncodeCall(frame), frame.body.size() });
     });
   }
--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -74,13 +74,14 @@
 SubscribeAtRelays(State& aState, Instant aNow, Actions& aActions)
 {
   const auto chosen = internal::ChooseRelays(aState, aNow);
-  for (auto& [host, relay] : aState.relays) {
-    if (std::ranges::find(chosen, host) != chosen.end()) {
+  for (auto& entry : aState.relays) {
+    auto& relay = entry.second;
+    if (std::ranges::find(chosen, entry.first) != chosen.end()) {
       if (relay.subscribedAt == kNever) {
         relay.subscribedAt = aNow;
-        relay.source.lastReceivedAt.reset();
+        relay.source.lastReceivedAt = std::nullopt;
       }
-      SendSubscription(aState, host, relay.source, aActions);
+      SendSubscription(aState, entry.first, relay.source, aActions);
       continue;
     }
     const bool recentlyLost =
@@ -121,8 +122,8 @@
     }
   }
   aState.role = Role::Relay;
-  for (auto& [host, relay] : aState.relays) {
-    relay.subscribedAt = kNever;
+  for (auto& entry : aState.relays) {
+    entry.second.subscribedAt = kNever;
   }
   for (const auto& [host, source] : aState.sources) {
     SendSubscription(aState, host, source, aActions);
--- a/src/balsampoint/roster/internal/tree.cpp
+++ b/src/balsampoint/roster/internal/tree.cpp
@@ -53,6 +53,7 @@
 {
   using Rank = std::tuple<bool, std::uint64_t, HostId>;
   std::vector<Rank> ranks;
+  ranks.reserve(aState.relays.size());
   for (const auto& [host, relay] : aState.relays) {
     ranks.emplace_back(IsLost(aState, relay, aNow),
                        Preference(aState.settings.self, host),
