--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
-"""A control machine acknowledges the sign-off of a server that it has forgotten.
+"""A server signs off before its first ping has arrived.
 
-Its process was started again while the server could not reach it. It takes the
-sign-off, drops it, and all other machines go on using the server.
+The sign-off is acknowledged and dropped. The ping, which was held up by a
+partition, then makes the server ready on all machines.
 """
 
 import asyncio
@@ -15,48 +15,43 @@
 
 DRAIN_S = fleets.BOUNDS["drain_ms"] / 1000
 CONTACT_S = fleets.BOUNDS["contact_ms"] / 1000
-# How long the server can't reach the control machines: `srv_cut`.
+# How long the server can't reach the control machines: `srv_cut`, "reborn".
 CUT_S = 5.0
-RESTART_S = 0.5
-JUDGED_S = 6.0
-SLACK_S = 0.1
+# When the ping that the cut held up arrives, after the sign-off.
+LATE_S = 0.8
+JUDGED_S = 3.0
+SLACK_S = 0.05
 
 
 async def play(fleet):
     fleet.servers = [fleets.Server(fleet, "order-desk", fleets.ZONES[n % 3],
                                    n + 1) for n in range(3)]
-    restarted = fleet.controls[0]
-    leaver = fleet.servers[0]
-    leaver.pick = lambda: restarted
     await fleet.start()
     await asyncio.sleep(CONTACT_S + 1.0)
 
-    # The server is cut off from the control machines, not from the others.
-    if not await leaver.ping(restarted):
-        raise fleets.CannotRun("a ping was not acknowledged")
-    cut_at = time.monotonic()
+    # A server starts again, under another id, while it is cut off from control.
+    reborn = fleets.Server(fleet, "order-desk", fleets.ZONES[0], 9)
+    await reborn.start()
+    fleet.record("reborn", server=reborn.id, cut=fleets.TROUBLE)
     if fleets.TROUBLE:
-        leaver.beating = False
-        fleet.record("cut", server=leaver.id)
-        await asyncio.sleep(0.3)
-        restarted.kill()
-        restarted.process.wait()
-        fleet.record("kill", machine=restarted.name)
-        await asyncio.sleep(RESTART_S)
-        restarted.start()
-        fleet.record("start", machine=restarted.name)
-    started_at = time.monotonic()
-    await asyncio.sleep(cut_at + CUT_S - time.monotonic())
-    if time.monotonic() < started_at + CONTACT_S + SLACK_S:
-        await asyncio.sleep(started_at + CONTACT_S + SLACK_S
-                            - time.monotonic())
+        await asyncio.sleep(CUT_S)
+    else:
+        reborn.beat_task = asyncio.create_task(reborn.beat())
+        fleet.tasks.append(reborn.beat_task)
+        await asyncio.sleep(CUT_S)
+        reborn.beat_task.cancel()
 
-    # The cut is over. The server leaves; the machine that it tells is in touch.
-    leaver.beating = False
-    leaver.leaving = True
-    acked_at = await leaver.sign_off(restarted)
+    # It is told to leave; its last ping of the cut is still on its way.
+    held = reborn.claim()
+    reborn.leaving = True
+    acked_at = await reborn.sign_off(fleet.controls[0])
     if acked_at is None:
         raise fleets.CannotRun("the sign-off was not acknowledged")
+    await asyncio.sleep(LATE_S)
+    reply = await fleets.call(fleet.controls[1].address, "PUT",
+                              f"/instances/{reborn.id}", held)
+    fleet.record("late_ping", server=reborn.id, answer=reply.status)
+
     await asyncio.sleep(acked_at + DRAIN_S + SLACK_S - time.monotonic())
     judged = set()
     while time.monotonic() < acked_at + DRAIN_S + JUDGED_S:
@@ -65,9 +60,9 @@
             judged.add(request)
         await asyncio.sleep(0.02)
     reached = [(at - acked_at, request) for at, server, request in fleet.runs
-               if server == leaver.id and request in judged]
+               if server == reborn.id and request in judged]
     for at, request in reached:
-        fleet.record("late", server=leaver.id, request=request,
+        fleet.record("late", server=reborn.id, request=request,
                      after_ack_s=f"{at:.3f}")
     if reached:
         return (f"DRAIN: {len(reached)} of {len(judged)} requests reached the "
