review case 5: a configuration without layers ends all entry machines

One configuration with `layers` 0 in an engine gets 200; each of three entry machines then ends with a segmentation fault at its first request there, 20 times and more in 20 s (Fault).

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
