Ask control hosts as soon as no relay answers

Cause: an entry host counted a relay as lost after 1.5 s, asked the control hosts with its next renewal and was referred back to the dead relays, which control hosts counted as live for 2.5 s.

Change: a subscription unanswered for 0.3 s makes the relay overdue; a host that no relay serves asks all control hosts, names the overdue relays and gets what it lacks with the answer. An update makes a host a relay only if it names it. The test's host set keeps the newest number advertised to a host, as a relay that is behind may advertise an older one last.

Test: roster_tree::the_loss_of_all_relays_delays_news_by_less_than_two_seconds failed before (28 assertions), passes. Roster, peer, daemon and soak tests passed.

--- a/src/balsampoint/peer/roster_codec.cpp
+++ b/src/balsampoint/peer/roster_codec.cpp
@@ -110,6 +110,13 @@
     subscription.__set_role(static_cast<std::int32_t>(aMessage.role));
     subscription.source = ToWire(aMessage.source);
     subscription.have = static_cast<std::int64_t>(aMessage.receivedVersion);
+    if (!aMessage.lostRelays.empty()) {
+      std::vector<std::string> lost;
+      for (const auto& relay : aMessage.lostRelays) {
+        lost.push_back(relay.String());
+      }
+      subscription.__set_lostRelays(lost);
+    }
     out.__set_subscription(subscription);
   }
   void operator()(const roster::Update& aMessage) const
@@ -168,13 +175,18 @@
     }
     role = static_cast<roster::Role>(aSubscription.role);
   }
+  std::vector<HostId> lostRelays;
+  for (const auto& relay : aSubscription.lostRelays) {
+    lostRelays.emplace_back(relay);
+  }
   return roster::Subscribe{ .address = aSubscription.address,
                             .zone = ZoneId{ aSubscription.zone },
                             .role = role,
                             .source =
                               FromWire<Incarnation>(aSubscription.source),
                             .receivedVersion =
-                              static_cast<std::uint64_t>(aSubscription.have) };
+                              static_cast<std::uint64_t>(aSubscription.have),
+                            .lostRelays = std::move(lostRelays) };
 }
 
 tl::expected<roster::Message, Error>
--- a/src/balsampoint/roster/command/exchange_claims.cpp
+++ b/src/balsampoint/roster/command/exchange_claims.cpp
@@ -69,6 +69,24 @@
   return update;
 }
 
+/** @brief Sends a host what it lacks without subscribing it: its relays are
+ * lost, and those that it is referred to may be lost too. */
+void
+SendOnce(const State& aState,
+         const HostId& aTo,
+         const Subscribe& aMessage,
+         std::uint64_t aBase,
+         Instant aNow,
+         Actions& aActions)
+{
+  const Subscriber asker{ .role = aMessage.role, .zone = aMessage.zone };
+  auto update = MakeUpdate(aState, asker, aBase, aNow);
+  std::erase_if(update.relays,
+                [&](const HostAddress& aRelay) { return aRelay.host == aTo; });
+  aActions.emplace_back(SetHostAddress{ aTo, aMessage.address });
+  aActions.emplace_back(Send{ aTo, std::move(update) });
+}
+
 /** @brief The host that sent an update, if this host subscribes to it. */
 Source*
 FindSource(State& aState, const HostId& aHost)
@@ -144,12 +162,15 @@
                 Instant aNow,
                 Actions& aActions)
 {
+  const bool sameSource = aMessage.source == aState.settings.incarnation;
+  const auto base = sameSource ? aMessage.receivedVersion : 0;
   if (!IsServed(aState, aFrom, aMessage, aNow)) {
     Refer(aState, aFrom, aMessage, aNow, aActions);
+    if (aState.role == Role::Control && !aMessage.lostRelays.empty()) {
+      SendOnce(aState, aFrom, aMessage, base, aNow, aActions);
+    }
     return;
   }
-  const bool sameSource = aMessage.source == aState.settings.incarnation;
-  const auto base = sameSource ? aMessage.receivedVersion : 0;
   auto& subscriber = aState.subscribers[aFrom];
   if (subscriber.address != aMessage.address) {
     aActions.emplace_back(SetHostAddress{ aFrom, aMessage.address });
@@ -164,8 +185,10 @@
                  .sentVersion = aState.version,
                  .sentConfiguration = aState.configuration };
   if (aMessage.role == Role::Control && aFrom != aState.settings.self) {
-    MergeControlHosts(
-      aState, std::vector{ HostAddress{ aFrom, aMessage.address } }, aActions);
+    MergeControlHosts(aState,
+                      std::vector{ HostAddress{ aFrom, aMessage.address } },
+                      aNow,
+                      aActions);
   }
   aActions.emplace_back(
     Send{ aFrom, MakeUpdate(aState, subscriber, base, aNow) });
@@ -183,13 +206,14 @@
     return;
   }
   source->lastReceivedAt = aNow;
+  source->unansweredSince = kNever;
   if (source->incarnation != aMessage.source) {
     source->incarnation = aMessage.source;
     source->receivedVersion = 0;
   }
   RecordReachableControls(aState, aFrom, aMessage.controls);
   if (aMessage.base > source->receivedVersion) {
-    SendSubscription(aState, aFrom, *source, aActions);
+    SendSubscription(aState, aFrom, *source, aNow, aActions);
     return;
   }
   for (const auto& [claim, owner] : aMessage.claims) {
@@ -199,9 +223,9 @@
   source->receivedVersion = std::max(source->receivedVersion, aMessage.version);
   aActions.emplace_back(ConfigurationAdvertised{
     aFrom, aMessage.configuration, aMessage.zone == aState.settings.zone });
-  MergeControlHosts(aState, aMessage.controls, aActions);
+  MergeControlHosts(aState, aMessage.controls, aNow, aActions);
   AdoptRelays(aState, aMessage.relays, aNow, aActions);
-  Attach(aState, aFrom, aNow, aActions);
+  Attach(aState, aFrom, aMessage.relays, aNow, aActions);
 }
 
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -18,7 +18,7 @@
 
 /** @brief Registers at one control host, a different one first on each host. */
 void
-RegisterAtOne(State& aState, Actions& aActions)
+RegisterAtOne(State& aState, Instant aNow, Actions& aActions)
 {
   if (aState.sources.empty()) {
     return;
@@ -28,37 +28,45 @@
     (first + aState.unansweredRegistrations) % aState.sources.size();
   const auto chosen =
     std::next(aState.sources.begin(), static_cast<std::ptrdiff_t>(at));
-  SendSubscription(aState, chosen->first, chosen->second, aActions);
+  SendSubscription(aState, chosen->first, chosen->second, aNow, aActions);
   ++aState.unansweredRegistrations;
 }
 
+/** @brief Whether a relay passes on claims and has answered in time. */
 bool
-HasBeenAttached(const State& aState)
+IsServedByRelay(const State& aState, Instant aNow)
 {
-  return aState.revision > 0;
+  return std::ranges::any_of(aState.relays, [&](const auto& aEntry) {
+    return internal::IsServing(aState, aEntry.second, aNow) &&
+           !internal::IsOverdue(aState, aEntry.second.source, aNow);
+  });
+}
+
+/** @brief Relays that have not answered this host in time. */
+std::vector<HostId>
+OverdueRelays(const State& aState, Instant aNow)
+{
+  std::vector<HostId> overdue;
+  for (const auto& [host, relay] : aState.relays) {
+    if (internal::IsOverdue(aState, relay.source, aNow)) {
+      overdue.push_back(host);
+    }
+  }
+  return overdue;
 }
 
 /**
- * @brief Registers an entry host at control hosts: now and then while relays
- * serve it, with backoff after the start, and at all of them once it has lost
- * its relays.
+ * @brief Registers an entry host at a control host: now and then while relays
+ * serve it, with backoff after the start.
  */
 void
 Register(State& aState, Instant aNow, Actions& aActions)
 {
   constexpr std::uint32_t kMaxDoublings = 2;
   const auto& settings = aState.settings;
-  const bool served =
-    std::ranges::any_of(aState.relays, [&](const auto& aEntry) {
-      return internal::IsServing(aState, aEntry.second, aNow);
-    });
-  if (!served && HasBeenAttached(aState)) {
-    for (const auto& [host, source] : aState.sources) {
-      SendSubscription(aState, host, source, aActions);
-    }
-    return;
-  }
-  if (aNow < aState.nextRegistration) {
+  const bool served = IsServedByRelay(aState, aNow);
+  const bool asksAll = !served && aState.attached;
+  if (asksAll || aNow < aState.nextRegistration) {
     return;
   }
   const auto doublings =
@@ -67,7 +75,7 @@
     aNow + (served
               ? settings.registrationInterval
               : settings.renewalInterval * (std::int64_t{ 1 } << doublings));
-  RegisterAtOne(aState, aActions);
+  RegisterAtOne(aState, aNow, aActions);
 }
 
 void
@@ -80,8 +88,9 @@
       if (relay.subscribedAt == kNever) {
         relay.subscribedAt = aNow;
         relay.source.lastReceivedAt = std::nullopt;
+        relay.source.unansweredSince = kNever;
       }
-      SendSubscription(aState, entry.first, relay.source, aActions);
+      SendSubscription(aState, entry.first, relay.source, aNow, aActions);
       continue;
     }
     const bool recentlyLost =
@@ -125,11 +134,29 @@
   for (auto& entry : aState.relays) {
     entry.second.subscribedAt = kNever;
   }
-  for (const auto& [host, source] : aState.sources) {
-    SendSubscription(aState, host, source, aActions);
+  for (auto& [host, source] : aState.sources) {
+    SendSubscription(aState, host, source, aNow, aActions);
   }
 }
 
+Subscribe
+MakeSubscription(const State& aState, const Source& aSource)
+{
+  return { .address = aState.settings.address,
+           .zone = aState.settings.zone,
+           .role = aState.role,
+           .source = aSource.incarnation,
+           .receivedVersion = aSource.receivedVersion };
+}
+
+/** @brief Whether a relay has not answered the sender of a subscription. */
+bool
+IsLostTo(const Subscribe& aMessage, const HostId& aRelay)
+{
+  return std::ranges::find(aMessage.lostRelays, aRelay) !=
+         aMessage.lostRelays.end();
+}
+
 } // namespace
 
 bool
@@ -145,8 +172,10 @@
     return true;
   }
   const auto relays = internal::LiveRelays(aState, aMessage.zone, aNow);
-  const auto others = std::ranges::count_if(
-    relays, [&](const HostAddress& aRelay) { return aRelay.host != aFrom; });
+  const auto others =
+    std::ranges::count_if(relays, [&](const HostAddress& aRelay) {
+      return aRelay.host != aFrom && !IsLostTo(aMessage, aRelay.host);
+    });
   if (aMessage.role == Role::Entry) {
     return others < static_cast<std::ptrdiff_t>(kWantedRelays);
   }
@@ -166,7 +195,7 @@
   Referral referral{ .relays =
                        internal::LiveRelays(aState, aMessage.zone, aNow) };
   std::erase_if(referral.relays, [&](const HostAddress& aRelay) {
-    return aRelay.host == aFrom;
+    return aRelay.host == aFrom || IsLostTo(aMessage, aRelay.host);
   });
   if (referral.relays.empty()) {
     return;
@@ -185,21 +214,18 @@
 void
 SendSubscription(const State& aState,
                  const HostId& aHost,
-                 const Source& aSource,
+                 Source& aSource,
+                 Instant aNow,
                  Actions& aActions)
 {
-  aActions.emplace_back(
-    Send{ aHost,
-          Subscribe{ .address = aState.settings.address,
-                     .zone = aState.settings.zone,
-                     .role = aState.role,
-                     .source = aSource.incarnation,
-                     .receivedVersion = aSource.receivedVersion } });
+  aSource.unansweredSince = std::min(aSource.unansweredSince, aNow);
+  aActions.emplace_back(Send{ aHost, MakeSubscription(aState, aSource) });
 }
 
 void
 MergeControlHosts(State& aState,
                   std::span<const HostAddress> aControls,
+                  Instant aNow,
                   Actions& aActions)
 {
   for (const auto& control : aControls) {
@@ -213,7 +239,7 @@
     source.address = control.address;
     aActions.emplace_back(SetHostAddress{ control.host, control.address });
     if (aState.role != Role::Entry) {
-      SendSubscription(aState, control.host, source, aActions);
+      SendSubscription(aState, control.host, source, aNow, aActions);
     }
   }
 }
@@ -238,14 +264,23 @@
 }
 
 void
-Attach(State& aState, const HostId& aFrom, Instant aNow, Actions& aActions)
+Attach(State& aState,
+       const HostId& aFrom,
+       std::span<const HostAddress> aRelays,
+       Instant aNow,
+       Actions& aActions)
 {
+  aState.attached = true;
   aState.unansweredRegistrations = 0;
   // A control host may have sent this update before another one referred this
   // host to relays.
   const bool isLate = aState.referredAt != kNever &&
                       aNow - aState.referredAt <= aState.settings.relayTimeout;
-  if (aState.role == Role::Entry && aState.sources.contains(aFrom) && !isLate) {
+  const bool isAppointed =
+    std::ranges::find(aRelays, aState.settings.self, &HostAddress::host) !=
+    aRelays.end();
+  if (aState.role == Role::Entry && aState.sources.contains(aFrom) &&
+      isAppointed && !isLate) {
     BecomeRelay(aState, aNow, aActions);
   }
 }
@@ -257,7 +292,11 @@
                Instant aNow,
                Actions& aActions)
 {
-  const bool fromControl = aState.sources.contains(aFrom);
+  const auto control = aState.sources.find(aFrom);
+  const bool fromControl = control != aState.sources.end();
+  if (fromControl) {
+    control->second.unansweredSince = kNever;
+  }
   if (aState.role == Role::Control ||
       (aState.role == Role::Relay && !fromControl)) {
     return;
@@ -268,7 +307,7 @@
     aState.referredAt = aNow;
     aState.subscribers.clear();
   }
-  MergeControlHosts(aState, aMessage.controls, aActions);
+  MergeControlHosts(aState, aMessage.controls, aNow, aActions);
   aState.relays.erase(aFrom);
   AdoptRelays(aState, aMessage.relays, aNow, aActions);
   // Two hosts that are no relays any more would refer this host to each other
@@ -287,8 +326,28 @@
     Register(aState, aNow, aActions);
     return;
   }
-  for (const auto& [host, source] : aState.sources) {
-    SendSubscription(aState, host, source, aActions);
+  for (auto& [host, source] : aState.sources) {
+    SendSubscription(aState, host, source, aNow, aActions);
+  }
+}
+
+void
+AskControlHosts(State& aState, Instant aNow, Actions& aActions)
+{
+  const bool askedRecently =
+    aState.lastAskedControls != kNever &&
+    aNow - aState.lastAskedControls < aState.settings.renewalInterval;
+  if (aState.role != Role::Entry || !aState.attached || askedRecently ||
+      IsServedByRelay(aState, aNow)) {
+    return;
+  }
+  aState.lastAskedControls = aNow;
+  const auto lostRelays = OverdueRelays(aState, aNow);
+  for (auto& [host, source] : aState.sources) {
+    auto subscription = MakeSubscription(aState, source);
+    subscription.lostRelays = lostRelays;
+    source.unansweredSince = std::min(source.unansweredSince, aNow);
+    aActions.emplace_back(Send{ host, std::move(subscription) });
   }
 }
 
--- a/src/balsampoint/roster/command/join_tree.hpp
+++ b/src/balsampoint/roster/command/join_tree.hpp
@@ -41,13 +41,15 @@
  * @brief Subscribes to a host, or renews the subscription.
  * @param aState State to read.
  * @param aHost The host.
- * @param aSource What has been received from it.
+ * @param aSource What has been received from it; notes that it was asked.
+ * @param aNow Current time.
  * @param aActions The message is appended to it.
  */
 void
 SendSubscription(const State& aState,
                  const HostId& aHost,
-                 const Source& aSource,
+                 Source& aSource,
+                 Instant aNow,
                  Actions& aActions);
 
 /**
@@ -55,11 +57,13 @@
  * relays subscribe to them.
  * @param aState State to change.
  * @param aControls The control hosts.
+ * @param aNow Current time.
  * @param aActions Resulting actions are appended to it.
  */
 void
 MergeControlHosts(State& aState,
                   std::span<const HostAddress> aControls,
+                  Instant aNow,
                   Actions& aActions);
 
 /**
@@ -76,15 +80,20 @@
             Actions& aActions);
 
 /**
- * @brief Follows an update: an entry host that a control host serves becomes a
- * relay.
+ * @brief Follows an update: an entry host that a control host names among the
+ * relays becomes one.
  * @param aState State to change.
  * @param aFrom Host that sent the update.
+ * @param aRelays Relays that the update names.
  * @param aNow Current time.
  * @param aActions Resulting actions are appended to it.
  */
 void
-Attach(State& aState, const HostId& aFrom, Instant aNow, Actions& aActions);
+Attach(State& aState,
+       const HostId& aFrom,
+       std::span<const HostAddress> aRelays,
+       Instant aNow,
+       Actions& aActions);
 
 /**
  * @brief Subscribes to relays as another host tells; a relay gives way if a
@@ -113,4 +122,14 @@
 void
 RenewSubscriptions(State& aState, Instant aNow, Actions& aActions);
 
+/**
+ * @brief Asks all control hosts for claims if no relay serves this entry host,
+ * at most once in a renewal interval.
+ * @param aState State to change.
+ * @param aNow Current time.
+ * @param aActions Messages to send are appended to it.
+ */
+void
+AskControlHosts(State& aState, Instant aNow, Actions& aActions);
+
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/internal/tree.cpp
+++ b/src/balsampoint/roster/internal/tree.cpp
@@ -28,6 +28,13 @@
   return aSource.lastReceivedAt && aNow - *aSource.lastReceivedAt <= aTimeout;
 }
 
+bool
+IsOverdue(const State& aState, const Source& aSource, Instant aNow)
+{
+  return aSource.unansweredSince != kNever &&
+         aNow - aSource.unansweredSince > aState.settings.answerTimeout;
+}
+
 bool
 IsServing(const State& aState, const Relay& aRelay, Instant aNow)
 {
--- a/src/balsampoint/roster/internal/tree.hpp
+++ b/src/balsampoint/roster/internal/tree.hpp
@@ -15,6 +15,15 @@
 [[nodiscard]] bool
 IsReachable(const Source& aSource, Duration aTimeout, Instant aNow);
 
+/**
+ * @brief Whether a host has left a subscription without an answer for too long.
+ * @param aState State to read.
+ * @param aSource The host.
+ * @param aNow Current time.
+ */
+[[nodiscard]] bool
+IsOverdue(const State& aState, const Source& aSource, Instant aNow);
+
 /**
  * @brief Whether a relay passes on claims to this host: its messages arrive and
  * it reaches a control host.
--- a/src/balsampoint/roster/message.hpp
+++ b/src/balsampoint/roster/message.hpp
@@ -51,6 +51,9 @@
   /** Version of the receiver's claims up to which the sender has received them.
    * */
   std::uint64_t receivedVersion{};
+  /** Relays of its zone that have not answered the sender; empty unless no
+   * relay serves it. */
+  std::vector<HostId> lostRelays;
 
   bool operator==(const Subscribe&) const = default;
 };
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -134,6 +134,7 @@
     aState.nextRenewal = aNow + aState.settings.renewalInterval;
     RenewSubscriptions(aState, aNow, aActions);
   }
+  AskControlHosts(aState, aNow, aActions);
   PublishIfChanged(aState, aNow, aActions);
   aState.nextTick = aNow + kTickInterval;
 }
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -34,6 +34,9 @@
   /** Time without a message after which an entry host counts a relay as lost;
    * two renewals may be lost. */
   Duration relayTimeout{ std::chrono::milliseconds{ 1500 } };
+  /** Time without an answer to a subscription after which an entry host asks
+   * the control hosts too. */
+  Duration answerTimeout{ std::chrono::milliseconds{ 300 } };
   /** Time after which a relay that no host has named is forgotten. */
   Duration relayRetention{ std::chrono::seconds{ 12 } };
   /** Time between two registrations of an entry host that follows relays; they
@@ -80,6 +83,9 @@
   /** Version of its claims up to which this host has received them. */
   std::uint64_t receivedVersion{};
   std::optional<Instant> lastReceivedAt;
+  /** When the oldest subscription without an answer was sent; `kNever` if all
+   * are answered. */
+  Instant unansweredSince{ kNever };
   bool isSeed{ false };
 };
 
@@ -130,6 +136,10 @@
   Instant lastTick{ kNever };
   /** When an entry host registers at a control host again. */
   Instant nextRegistration{};
+  /** When an entry host that no relay serves last asked all control hosts. */
+  Instant lastAskedControls{ kNever };
+  /** Whether an update has ever been received. */
+  bool attached{ false };
   /** When a control host last referred this host, then a relay, to others. */
   Instant referredAt{ kNever };
   /** Registrations since the last answer. */
--- a/test/balsampoint/peer/roster_codec_test.cpp
+++ b/test/balsampoint/peer/roster_codec_test.cpp
@@ -38,7 +38,8 @@
                                      .zone = ZoneId{ "a" },
                                      .role = roster::Role::Relay,
                                      .source = Incarnation{ 4 },
-                                     .receivedVersion = 8 };
+                                     .receivedVersion = 8,
+                                     .lostRelays = { HostId{ "e7" } } };
   const roster::Referral referral{ .relays = { { HostId{ "e1" }, "x:1" } },
                                    .controls = { { HostId{ "c1" }, "x:2" } } };
   for (const roster::Message& message : { roster::Message{ subscribe },
--- a/test/balsampoint/roster/hosts.hpp
+++ b/test/balsampoint/roster/hosts.hpp
@@ -80,6 +80,7 @@
   std::set<HostId> stopped;
   /** Links that drop messages, as pairs of sender and receiver. */
   std::set<std::pair<HostId, HostId>> cut;
+  /** Newest number that was advertised to each host. */
   std::map<HostId, ChangeNumber> advertisedNumbers;
   /** Messages that reached each host. */
   std::map<HostId, std::size_t> received;
@@ -95,7 +96,8 @@
     for (const auto& action : aActions) {
       if (const auto* advertised =
             std::get_if<roster::ConfigurationAdvertised>(&action)) {
-        advertisedNumbers[aFrom] = advertised->number;
+        auto& newest = advertisedNumbers[aFrom];
+        newest = std::max(newest, advertised->number);
       }
       const auto* send = std::get_if<roster::Send>(&action);
       if (send == nullptr || !mStates.contains(send->to) ||
--- a/test/balsampoint/roster/tree_test.cpp
+++ b/test/balsampoint/roster/tree_test.cpp
@@ -67,6 +67,27 @@
   return relays;
 }
 
+/**
+ * @brief Entry hosts, other than the given ones, to which nothing has
+ * advertised a configuration.
+ */
+std::size_t
+HostsWithout(const HostSet& aHosts,
+             ChangeNumber aNumber,
+             const std::set<std::string>& aExcept,
+             std::size_t aEntries)
+{
+  std::size_t without = 0;
+  for (std::size_t number = 0; number < aEntries; ++number) {
+    const auto advertised =
+      aHosts.advertisedNumbers.find(HostId{ EntryName(number) });
+    const bool known = advertised != aHosts.advertisedNumbers.end() &&
+                       advertised->second >= aNumber;
+    without += known || aExcept.contains(EntryName(number)) ? 0 : 1;
+  }
+  return without;
+}
+
 /** @brief Messages that a control host receives in ten calm seconds. */
 std::size_t
 ReceivedByControl(std::size_t aEntries)
@@ -135,6 +156,31 @@
                 relays.size() + 2 * kMaxRelays);
 }
 
+// Guards against hosts in touch that miss a configuration and a leaving server
+// for 4.5 s, since control hosts referred them back to the relays they had
+// lost. A configuration may take 2 s.
+Test(roster_tree, the_loss_of_all_relays_delays_news_by_less_than_two_seconds)
+{
+  constexpr ChangeNumber kNumber{ 5 };
+  for (const std::size_t entries : { 19, 60 }) {
+    for (Duration phase{}; phase < Settings{}.renewalInterval; phase += 100ms) {
+      auto hosts = MakeZone(entries);
+      hosts.Deliver("c1", MakeHeartbeat(1));
+      hosts.Run(1s + phase);
+      const auto relays = RelaysIn(hosts, entries);
+      for (const auto& relay : relays) {
+        hosts.stopped.insert(HostId{ relay });
+      }
+      hosts.Deliver("c1", MakeHeartbeat(2, Presence::Leaving));
+      hosts.Deliver("c1", ConfigurationUpdated{ kNumber });
+      hosts.Deliver("c2", ConfigurationUpdated{ kNumber });
+      hosts.Run(1700ms);
+      cr_expect_eq(HostsWithout(hosts, kNumber, relays, entries), 0U);
+      cr_expect_leq(SendersOf(hosts, entries), relays.size());
+    }
+  }
+}
+
 Test(roster_tree, a_relay_that_reaches_no_control_host_is_left)
 {
   constexpr std::size_t kEntries = 40;
--- a/thrift/roster.thrift
+++ b/thrift/roster.thrift
@@ -33,6 +33,8 @@
   5: optional string zone
   // 0 entry host, 1 relay, 2 control host.
   6: optional i32 role
+  // Relays that have not answered the sender.
+  7: optional list<string> lostRelays
 }
 
 struct RosterUpdate {
