Refuse engines whose numbers no request could run with

Cause: no number of an engine was checked. The search for a chain through 0 layers returned a chain without hops, whose first hop was read. Counts over 32 bits were cut, times overflowed, and layers of next to no size gave the placement an unbounded number of copies.

--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -279,6 +279,9 @@
   if (!engine.has_value()) {
     return Refuse(ErrorKind::NoServer, "the service has no engines");
   }
+  if (engine->layers == 0) {
+    return Refuse(ErrorKind::NoServer, "the model has no layers");
+  }
   const auto search = [&](bool aLastResort) {
     return Search{ aState,  group->second, engine.value(),
                    aDemand, aLastResort,   aNow }
--- a/src/balsampoint/placement/query/plan_all.cpp
+++ b/src/balsampoint/placement/query/plan_all.cpp
@@ -131,7 +131,10 @@
     });
     const auto memory = MemoryOf(aEngines);
     const auto usual = PerLayerMb(mModel) * mModel.layers;
-    auto copies = static_cast<std::size_t>(memory / usual + kMaxMissingMemory);
+    // Each copy takes one engine at least.
+    const auto most = static_cast<double>(aEngines.size());
+    auto copies = static_cast<std::size_t>(
+      std::min(memory / usual + kMaxMissingMemory, most));
     if (copies == 0 && HoldsAll(aEngines, mModel)) {
       copies = 1;
     }
--- a/src/balsampoint/routing/table.cpp
+++ b/src/balsampoint/routing/table.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/routing/table.hpp"
 
+#include "balsampoint/routing/engine_check.hpp"
+
 #include <algorithm>
 #include <numeric>
 
@@ -19,6 +21,9 @@
 Table::Make(Document aDocument)
 {
   std::shared_ptr<Table> table{ new Table{ std::move(aDocument) } };
+  if (auto checked = table->CheckServices(); !checked) {
+    return tl::unexpected(checked.error());
+  }
   if (auto indexed = table->IndexRoutes(); !indexed) {
     return tl::unexpected(indexed.error());
   }
@@ -50,6 +55,17 @@
   return found == mKeys.end() ? nullptr : found->second;
 }
 
+tl::expected<void, Error>
+Table::CheckServices() const
+{
+  for (const auto& entry : mDocument.services) {
+    if (auto valid = CheckEngine(entry.second); !valid) {
+      return valid;
+    }
+  }
+  return {};
+}
+
 tl::expected<void, Error>
 Table::CheckRoute(const Route& aRoute) const
 {
--- a/src/balsampoint/routing/table.hpp
+++ b/src/balsampoint/routing/table.hpp
@@ -62,6 +62,7 @@
   {
   }
 
+  [[nodiscard]] tl::expected<void, Error> CheckServices() const;
   [[nodiscard]] tl::expected<void, Error> IndexRoutes();
   [[nodiscard]] tl::expected<void, Error> IndexKeys();
   [[nodiscard]] tl::expected<void, Error> CheckRoute(const Route& aRoute) const;
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -62,6 +62,16 @@
   cr_assert_eq(chain.error().kind, ErrorKind::NoServer);
 }
 
+// Guards against a chain without hops, at which callers of a chain crash.
+Test(choose_chain, refuses_a_model_without_layers)
+{
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 4 }) });
+  state.groups.at(kService).engine->layers = 0;
+  const auto chain = ChooseChain(state, SmallDemand(), kNow);
+  cr_assert_not(chain.has_value());
+  cr_assert_eq(chain.error().kind, ErrorKind::NoServer);
+}
+
 Test(choose_chain, counts_the_work_of_other_hosts)
 {
   auto state = MakeFleet(
--- a/test/balsampoint/placement/query/plan_all_test.cpp
+++ b/test/balsampoint/placement/query/plan_all_test.cpp
@@ -98,3 +98,16 @@
   cr_assert(PlanAll(engines, kReferenceModel).empty());
   cr_assert(PlanAll({}, kReferenceModel).empty());
 }
+
+// Guards against a number of copies that grows without bound as layers get
+// smaller.
+Test(plan_all, a_model_of_tiny_layers_has_no_more_copies_than_engines)
+{
+  const auto engines = LargeFleet();
+  auto model = kReferenceModel;
+  model.layerMb = 1e-12;
+  model.requestMb = 0.0;
+  const auto plan = PlanAll(engines, model);
+  cr_assert_leq(plan.size(), engines.size());
+  cr_assert(!plan.empty());
+}
--- a/test/platform/configuration_test.cpp
+++ b/test/platform/configuration_test.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <criterion/criterion.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 using namespace balsampoint;
@@ -91,3 +92,28 @@
   cr_expect_not(Dialect::ReadConfiguration("{\"version\": 7, \"rou"));
   cr_expect_not(Dialect::ReadConfiguration("[]"));
 }
+
+// Guards against counts that were cut to 32 bits and times that overflowed.
+Test(configuration, rejects_numbers_beyond_their_limits)
+{
+  constexpr std::uint64_t kOver32Bits = 4294967296;
+  for (const auto* field : { "layers", "slots", "stride" }) {
+    auto large = Example();
+    large["services"][0]["engine"][field] = kOver32Bits;
+    cr_expect(IsInvalid(large), "%s", field);
+  }
+  auto weight = Example();
+  weight["routes"][0]["traffic_split"][0]["weight"] = kOver32Bits;
+  cr_expect(IsInvalid(weight));
+  for (const auto* field : { "timeout_ms", "target_gap_ms" }) {
+    auto endless = Example();
+    endless["routes"][0][field] = std::numeric_limits<std::uint64_t>::max();
+    cr_expect(IsInvalid(endless), "%s", field);
+    auto negative = Example();
+    negative["routes"][0][field] = -1;
+    cr_expect(IsInvalid(negative), "%s", field);
+  }
+  auto load = Example();
+  load["services"][0]["engine"]["models"][0]["load_s"] = 1e300;
+  cr_expect(IsInvalid(load));
+}
