Keep the sign-off of a server that the control host doesn't know

Cause: a sign-off without a record was acknowledged and dropped, so the later heartbeat of the same incarnation was not known as stale. A control host that was started again has no record of servers that reported to it before.

Change: the sign-off of an incarnation is a claim of its own, with a record or without. Claims without an address don't take part in the replacement of servers at one address.

--- a/src/balsampoint/roster/command/track_heartbeats.cpp
+++ b/src/balsampoint/roster/command/track_heartbeats.cpp
@@ -87,15 +87,20 @@
 HandleSignedOff(State& aState, const SignedOff& aSignedOff, Instant aNow)
 {
   const auto record = aState.records.find(aSignedOff.server);
-  if (record == aState.records.end()) {
-    return;
-  }
-  if (aSignedOff.incarnation &&
-      *aSignedOff.incarnation < record->second.claim.stamp.incarnation) {
+  const bool known = record != aState.records.end();
+  const auto newest =
+    known ? record->second.claim.stamp.incarnation : Incarnation{};
+  const auto incarnation = aSignedOff.incarnation.value_or(newest);
+  if (incarnation < newest || (!known && !aSignedOff.incarnation)) {
     return;
   }
   auto& local = aState.localServers[aSignedOff.server];
-  local.claim = record->second.claim;
+  // A heartbeat that the incarnation sent before may still be on its way, to
+  // this host or to another one.
+  local.claim = known && incarnation == newest
+                  ? record->second.claim
+                  : Claim{ .server = aSignedOff.server,
+                           .stamp = { .incarnation = incarnation } };
   local.claim.presence = Presence::Gone;
   local.lastHeartbeatAt = aNow;
   AdvertiseClaim(aState, local, aNow);
--- a/src/balsampoint/roster/internal/merge.cpp
+++ b/src/balsampoint/roster/internal/merge.cpp
@@ -4,13 +4,21 @@
 
 namespace {
 
+/** @brief Whether two claims name the same address; a server that signed off
+ * before any heartbeat has none. */
+bool
+ShareAddress(const Claim& aOne, const Claim& aOther)
+{
+  return !aOne.description.address.empty() &&
+         aOne.description.address == aOther.description.address;
+}
+
 /** @brief Whether a server that started later uses the claim's address. */
 bool
 IsReplaced(const State& aState, const Claim& aClaim)
 {
   for (const auto& [id, record] : aState.records) {
-    if (id != aClaim.server &&
-        record.claim.description.address == aClaim.description.address &&
+    if (id != aClaim.server && ShareAddress(record.claim, aClaim) &&
         record.claim.stamp.incarnation > aClaim.stamp.incarnation) {
       return true;
     }
@@ -27,7 +35,7 @@
 {
   for (auto& [id, record] : aState.records) {
     if (id == aClaim.server || record.goneAt != kNever ||
-        record.claim.description.address != aClaim.description.address ||
+        !ShareAddress(record.claim, aClaim) ||
         record.claim.stamp.incarnation >= aClaim.stamp.incarnation) {
       continue;
     }
--- a/test/balsampoint/roster/hosts.hpp
+++ b/test/balsampoint/roster/hosts.hpp
@@ -37,6 +37,15 @@
     mStates.emplace(host, roster::Module::Start(settings, mNow));
   }
 
+  /** @brief Starts a host again, which then knows nothing of before. */
+  void Restart(std::string_view aHost)
+  {
+    auto& state = mStates.at(HostId{ std::string{ aHost } });
+    auto settings = state.settings;
+    settings.incarnation = settings.incarnation.Next();
+    state = roster::Module::Start(std::move(settings), mNow);
+  }
+
   void Deliver(std::string_view aHost, const roster::Event& aEvent)
   {
     const HostId host{ std::string{ aHost } };
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -105,6 +105,60 @@
                Incarnation{ 8 });
 }
 
+// Guards against a server that is used after its acknowledged sign-off, which
+// was dropped where no heartbeat had arrived before.
+Test(roster, a_sign_off_before_any_heartbeat_is_kept)
+{
+  auto hosts = MakeHosts();
+  hosts.Deliver("c1", SignedOff{ ServerId{ "s" }, Incarnation{ 7 } });
+  hosts.Run(kPushDelay);
+  hosts.Deliver("c2", MakeHeartbeat(7, 1));
+  hosts.Deliver("c1", MakeHeartbeat(7, 2));
+  hosts.Run(1s);
+  for (const auto* host : { "c1", "c2", "entry" }) {
+    cr_assert_null(hosts.Find(host, "s"));
+  }
+  hosts.Deliver("c2", MakeHeartbeat(8, 1));
+  hosts.Run(kPushDelay);
+  cr_assert(hosts.Find("entry", "s")->TakesWork());
+}
+
+// A control host that was started again knows nothing of the server, the
+// others still do.
+Test(roster, a_sign_off_at_a_restarted_control_host_reaches_the_others)
+{
+  auto hosts = MakeHosts();
+  hosts.Deliver("c1", MakeHeartbeat(7, 1));
+  hosts.Restart("c1");
+  hosts.Run(2s);
+  hosts.Deliver("c1", SignedOff{ ServerId{ "s" }, Incarnation{ 7 } });
+  hosts.Run(1s);
+  cr_assert_null(hosts.Find("entry", "s"));
+  cr_assert_null(hosts.Find("c2", "s"));
+}
+
+Test(roster, a_sign_off_of_a_later_incarnation_is_kept)
+{
+  auto hosts = MakeHosts();
+  hosts.Deliver("c1", MakeHeartbeat(7, 5));
+  hosts.Deliver("c1", SignedOff{ ServerId{ "s" }, Incarnation{ 8 } });
+  hosts.Run(kPushDelay);
+  hosts.Deliver("c2", MakeHeartbeat(8, 1));
+  hosts.Run(1s);
+  cr_assert_null(hosts.Find("entry", "s"));
+}
+
+Test(roster, sign_offs_before_any_heartbeat_do_not_replace_each_other)
+{
+  auto hosts = MakeHosts();
+  hosts.Deliver("c1", SignedOff{ ServerId{ "later" }, Incarnation{ 9 } });
+  hosts.Deliver("c1", SignedOff{ ServerId{ "s" }, Incarnation{ 7 } });
+  hosts.Run(kPushDelay);
+  hosts.Deliver("c2", MakeHeartbeat(7, 1));
+  hosts.Run(1s);
+  cr_assert_null(hosts.Find("entry", "s"));
+}
+
 Test(roster, a_later_server_at_the_same_address_replaces_the_earlier)
 {
   auto hosts = MakeHosts();
