Acknowledge a departure once other control hosts have it

Cause: the answer was given when the event was queued; the departure was in the memory of one process for up to 100 ms, and other control hosts passed on only what servers told them themselves.

Change: a sign-off, or a heartbeat that says the server leaves, is answered once `control_losses` other control hosts have confirmed it, and refused after 0.8 s. A control host that receives a departure confirms by renewing its subscription and passes it on as its own claim. The log has `departure_answered`.

Tests: confirm_departures, six tests; three fail with the waiting and passing on taken out. roster::a_late_heartbeat_does_not_bring_a_server_back waits for the pause between two pushes before the new incarnation, since the other control host now pushes the departure too; what it checks is the same.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -356,14 +356,17 @@
         },
       .read = [this](auto aCallback) { Read(std::move(aCallback)); },
       .heartbeat =
-        [this](roster::Claim aClaim) {
-          return mMailbox.Push(
-            roster::Event{ roster::Heartbeat{ std::move(aClaim) } });
+        [this](roster::Claim aClaim, auto aCallback) {
+          mRunners.Roster().RecordHeartbeat(std::move(aClaim),
+                                            std::move(aCallback));
         },
       .signOff =
-        [this](ServerId aServer, std::optional<Incarnation> aIncarnation) {
-          return mMailbox.Push(roster::Event{
-            roster::SignedOff{ std::move(aServer), aIncarnation } });
+        [this](ServerId aServer,
+               std::optional<Incarnation> aIncarnation,
+               auto aCallback) {
+          mRunners.Roster().RecordSignOff(
+            { .server = std::move(aServer), .incarnation = aIncarnation },
+            std::move(aCallback));
         }
     };
   }
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -87,6 +87,7 @@
   roster.isControlHost = aSettings.listen.control.has_value();
   roster.heartbeatTimeout = std::chrono::duration_cast<Duration>(
     aSettings.heartbeat * kMissedHeartbeats);
+  roster.departureCopies = std::size_t{ aSettings.controlLosses } + 1;
   for (const auto& seed : aSettings.seeds) {
     roster.seeds.push_back(
       { HostId{ seed.ip }, PeerAddress(seed.ip, aSettings) });
--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -71,8 +71,54 @@
   }
 }
 
+/** @brief Logs the answer to a server that leaves. */
+RosterRunner::Answer
+WithLog(ServerId aServer, RosterRunner::Answer aAnswered)
+{
+  return [server = std::move(aServer),
+          answered = std::move(aAnswered)](tl::expected<void, Error> aResult) {
+    trace::Event{ "departure_answered" }
+      .With("server", server)
+      .With("result", aResult ? "kept" : AnswerFor(aResult.error().kind).name);
+    answered(std::move(aResult));
+  };
+}
+
 } // namespace
 
+void
+RosterRunner::RecordHeartbeat(roster::Claim aClaim, Answer aAnswered)
+{
+  const bool leaves = aClaim.presence == roster::Presence::Leaving;
+  const auto ticket =
+    mAnswers.Open(leaves ? WithLog(aClaim.server, std::move(aAnswered))
+                         : std::move(aAnswered));
+  Push(ticket,
+       roster::Heartbeat{ .claim = std::move(aClaim),
+                          .ticket = leaves ? ticket : Ticket{} });
+  if (!leaves) {
+    mAnswers.Complete(ticket, {});
+  }
+}
+
+void
+RosterRunner::RecordSignOff(roster::SignedOff aSignedOff, Answer aAnswered)
+{
+  aSignedOff.ticket =
+    mAnswers.Open(WithLog(aSignedOff.server, std::move(aAnswered)));
+  const auto ticket = aSignedOff.ticket;
+  Push(ticket, std::move(aSignedOff));
+}
+
+void
+RosterRunner::Push(Ticket aTicket, roster::Event aEvent)
+{
+  if (!mMailbox.Push(std::move(aEvent))) {
+    mAnswers.Complete(
+      aTicket, Refuse(ErrorKind::Overloaded, "the control queue is full"));
+  }
+}
+
 void
 RosterRunner::Run(const roster::Action& aAction)
 {
@@ -119,4 +165,17 @@
                aAdvertised.host, aAdvertised.number, aAdvertised.sameZone } });
 }
 
+void
+RosterRunner::Do(const roster::DepartureAnswered& aAnswered)
+{
+  if (aAnswered.kept) {
+    mAnswers.Complete(aAnswered.ticket, {});
+    return;
+  }
+  mAnswers.Complete(aAnswered.ticket,
+                    Refuse(ErrorKind::ControlUnavailable,
+                           "the departure is not known to enough control "
+                           "hosts, or the server is unknown"));
+}
+
 } // namespace balsampoint::daemon
--- a/src/balsampoint/daemon/roster_runner.hpp
+++ b/src/balsampoint/daemon/roster_runner.hpp
@@ -2,10 +2,12 @@
 
 #include "balsampoint/daemon/control.hpp"
 #include "balsampoint/peer/sender.hpp"
+#include "balsampoint/runtime/callback_table.hpp"
 #include "balsampoint/runtime/snapshot_cell.hpp"
 
 #include <functional>
 #include <memory>
+#include <tl/expected.hpp>
 
 namespace balsampoint::daemon {
 
@@ -33,6 +35,25 @@
    */
   void PublishTo(Publish aPublish) { mPublish = std::move(aPublish); }
 
+  /** @brief Takes the answer to a server's call. */
+  using Answer = std::function<void(tl::expected<void, Error>)>;
+
+  /**
+   * @brief Records a heartbeat; one of a server that leaves is acknowledged
+   * once other control hosts have it too.
+   * @param aClaim What the server says.
+   * @param aAnswered Called once, on any thread.
+   */
+  void RecordHeartbeat(roster::Claim aClaim, Answer aAnswered);
+
+  /**
+   * @brief Records a sign-off, which is acknowledged once other control hosts
+   * have it too.
+   * @param aSignedOff The sign-off; its ticket is set here.
+   * @param aAnswered Called once, on any thread.
+   */
+  void RecordSignOff(roster::SignedOff aSignedOff, Answer aAnswered);
+
   /**
    * @brief Carries out one action.
    * @param aAction The action.
@@ -50,10 +71,13 @@
   void Do(const roster::SetHostAddress& aSetHostAddress);
   void Do(const roster::Send& aSend);
   void Do(const roster::ConfigurationAdvertised& aAdvertised);
+  void Do(const roster::DepartureAnswered& aAnswered);
+  void Push(Ticket aTicket, roster::Event aEvent);
 
   ControlMailbox& mMailbox;
   peer::Sender& mSender;
   Publish mPublish;
+  runtime::CallbackTable<tl::expected<void, Error>> mAnswers;
   runtime::SnapshotCell<roster::View> mLatest;
 };
 
--- a/src/balsampoint/edge/control_port.hpp
+++ b/src/balsampoint/edge/control_port.hpp
@@ -41,10 +41,17 @@
     submit;
   /** Reads the configuration in force; calls back on any thread. */
   std::function<void(std::function<void(ReadResult)>)> read;
-  /** Queues a server's heartbeat; false if the queue is full. */
-  std::function<bool(roster::Claim)> heartbeat;
-  /** Queues a server's sign-off; false if the queue is full. */
-  std::function<bool(ServerId, std::optional<Incarnation>)> signOff;
+  /** Records a server's heartbeat; calls back, on any thread, once it may be
+   * acknowledged. */
+  std::function<void(roster::Claim,
+                     std::function<void(tl::expected<void, Error>)>)>
+    heartbeat;
+  /** Records a server's sign-off; calls back, on any thread, once it may be
+   * acknowledged. */
+  std::function<void(ServerId,
+                     std::optional<Incarnation>,
+                     std::function<void(tl::expected<void, Error>)>)>
+    signOff;
 };
 
 /**
@@ -194,25 +201,29 @@
       Refuse(aCaller, claim.error());
       return;
     }
-    AnswerIfQueued(mOperations.heartbeat(std::move(*claim)), aCaller);
+    mOperations.heartbeat(std::move(*claim), AnswerTo(aCaller));
   }
 
   void Handle(const ServerSignOff& aCall,
               const Pointer& aCaller,
               const std::string& aBody)
   {
-    AnswerIfQueued(mOperations.signOff(aCall.server, D::ReadIncarnation(aBody)),
-                   aCaller);
+    mOperations.signOff(
+      aCall.server, D::ReadIncarnation(aBody), AnswerTo(aCaller));
   }
 
-  void AnswerIfQueued(bool aQueued, const Pointer& aCaller)
+  /** @brief Callback that acknowledges or refuses a server's call. */
+  std::function<void(tl::expected<void, Error>)> AnswerTo(
+    const Pointer& aCaller)
   {
-    if (aQueued) {
-      Answer(aCaller, "{}");
-      return;
-    }
-    Refuse(aCaller,
-           MakeError(ErrorKind::Overloaded, "the control queue is full"));
+    return [this, caller = std::weak_ptr{ aCaller }](
+             tl::expected<void, Error> aResult) {
+      mLoop.Post([this, caller, result = std::move(aResult)] {
+        if (const auto alive = caller.lock()) {
+          result ? Answer(alive, "{}") : Refuse(alive, result.error());
+        }
+      });
+    };
   }
 
   void Answer(const Pointer& aCaller, std::string_view aBody)
--- a/src/balsampoint/roster/command/exchange_claims.cpp
+++ b/src/balsampoint/roster/command/exchange_claims.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/roster/command/exchange_claims.hpp"
 
+#include "balsampoint/roster/command/confirm_departures.hpp"
 #include "balsampoint/roster/command/join_tree.hpp"
 #include "balsampoint/roster/command/track_heartbeats.hpp"
 #include "balsampoint/roster/internal/merge.hpp"
@@ -116,6 +117,29 @@
   }
 }
 
+bool
+HasDeparture(const Update& aMessage)
+{
+  return std::ranges::any_of(aMessage.claims, [](const OwnedClaim& aOwned) {
+    const auto presence = aOwned.claim.presence;
+    return presence == Presence::Leaving || presence == Presence::Gone;
+  });
+}
+
+void
+MergeClaims(State& aState,
+            const HostId& aFrom,
+            const Update& aMessage,
+            Instant aNow)
+{
+  for (const auto& [claim, owner] : aMessage.claims) {
+    if (internal::Merge(aState, claim, owner.Empty() ? aFrom : owner, aNow)) {
+      AdoptDeparture(aState, claim, aNow);
+    }
+    ReadvertiseClaim(aState, claim, aNow);
+  }
+}
+
 void
 SendChanges(State& aState, Instant aNow, Actions& aActions)
 {
@@ -183,7 +207,8 @@
                  .zone = aMessage.zone,
                  .address = aMessage.address,
                  .sentVersion = aState.version,
-                 .sentConfiguration = aState.configuration };
+                 .sentConfiguration = aState.configuration,
+                 .confirmedVersion = base };
   if (aMessage.role == Role::Control && aFrom != aState.settings.self) {
     MergeControlHosts(aState,
                       std::vector{ HostAddress{ aFrom, aMessage.address } },
@@ -192,6 +217,7 @@
   }
   aActions.emplace_back(
     Send{ aFrom, MakeUpdate(aState, subscriber, base, aNow) });
+  SettleDepartures(aState, aNow, aActions);
 }
 
 void
@@ -216,11 +242,13 @@
     SendSubscription(aState, aFrom, *source, aNow, aActions);
     return;
   }
-  for (const auto& [claim, owner] : aMessage.claims) {
-    internal::Merge(aState, claim, owner.Empty() ? aFrom : owner, aNow);
-    ReadvertiseClaim(aState, claim, aNow);
-  }
+  MergeClaims(aState, aFrom, aMessage, aNow);
+  const bool isNews = aMessage.version > source->receivedVersion;
   source->receivedVersion = std::max(source->receivedVersion, aMessage.version);
+  if (aState.role == Role::Control && isNews && HasDeparture(aMessage)) {
+    // Confirms what was received; the other control host waits for it.
+    SendSubscription(aState, aFrom, *source, aNow, aActions);
+  }
   aActions.emplace_back(ConfigurationAdvertised{
     aFrom, aMessage.configuration, aMessage.zone == aState.settings.zone });
   MergeControlHosts(aState, aMessage.controls, aNow, aActions);
--- a/src/balsampoint/roster/command/track_heartbeats.cpp
+++ b/src/balsampoint/roster/command/track_heartbeats.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/roster/command/track_heartbeats.hpp"
 
+#include "balsampoint/roster/command/confirm_departures.hpp"
 #include "balsampoint/roster/internal/merge.hpp"
 
 #include <algorithm>
@@ -33,35 +34,50 @@
   return left || aClaim.stamp < known.stamp;
 }
 
-} // namespace
-
 void
-HandleHeartbeat(State& aState, const Heartbeat& aHeartbeat, Instant aNow)
+RecordHeartbeat(State& aState, const Claim& aClaim, Instant aNow)
 {
-  const auto& claim = aHeartbeat.claim;
-  if (IsStale(aState, claim)) {
+  if (IsStale(aState, aClaim)) {
     return;
   }
-  const auto [found, added] = aState.localServers.try_emplace(claim.server);
+  const auto [found, added] = aState.localServers.try_emplace(aClaim.server);
   auto& local = found->second;
-  if (!added && claim.stamp <= local.claim.stamp &&
+  if (!added && aClaim.stamp <= local.claim.stamp &&
       local.claim.presence != Presence::Silent) {
     return;
   }
   const bool changed =
-    added || local.claim.presence != claim.presence ||
-    local.claim.stamp.incarnation != claim.stamp.incarnation ||
-    local.claim.description != claim.description;
-  local.claim = claim;
+    added || local.claim.presence != aClaim.presence ||
+    local.claim.stamp.incarnation != aClaim.stamp.incarnation ||
+    local.claim.description != aClaim.description;
+  local.claim = aClaim;
+  local.adopted = false;
   local.lastHeartbeatAt = aNow;
-  const auto record = aState.records.find(claim.server);
+  const auto record = aState.records.find(aClaim.server);
   const bool owned = record != aState.records.end() &&
                      record->second.owner == aState.settings.self;
   if (changed || !owned) {
     AdvertiseClaim(aState, local, aNow);
     return;
   }
-  record->second.claim.stamp = claim.stamp;
+  record->second.claim.stamp = aClaim.stamp;
+}
+
+} // namespace
+
+void
+HandleHeartbeat(State& aState,
+                const Heartbeat& aHeartbeat,
+                Instant aNow,
+                Actions& aActions)
+{
+  const auto& claim = aHeartbeat.claim;
+  RecordHeartbeat(aState, claim, aNow);
+  const auto local = aState.localServers.find(claim.server);
+  // A stale heartbeat says nothing that isn't superseded.
+  const auto version =
+    local == aState.localServers.end() ? 0 : local->second.version;
+  AnswerOnceCopied(aState, aHeartbeat.ticket, version, aNow, aActions);
 }
 
 void
@@ -84,14 +100,22 @@
 }
 
 void
-HandleSignedOff(State& aState, const SignedOff& aSignedOff, Instant aNow)
+HandleSignedOff(State& aState,
+                const SignedOff& aSignedOff,
+                Instant aNow,
+                Actions& aActions)
 {
   const auto record = aState.records.find(aSignedOff.server);
   const bool known = record != aState.records.end();
   const auto newest =
     known ? record->second.claim.stamp.incarnation : Incarnation{};
   const auto incarnation = aSignedOff.incarnation.value_or(newest);
-  if (incarnation < newest || (!known && !aSignedOff.incarnation)) {
+  if (!known && !aSignedOff.incarnation) {
+    aActions.emplace_back(DepartureAnswered{ aSignedOff.ticket, false });
+    return;
+  }
+  if (incarnation < newest) {
+    aActions.emplace_back(DepartureAnswered{ aSignedOff.ticket, true });
     return;
   }
   auto& local = aState.localServers[aSignedOff.server];
@@ -103,7 +127,9 @@
                            .stamp = { .incarnation = incarnation } };
   local.claim.presence = Presence::Gone;
   local.lastHeartbeatAt = aNow;
+  local.adopted = false;
   AdvertiseClaim(aState, local, aNow);
+  AnswerOnceCopied(aState, aSignedOff.ticket, local.version, aNow, aActions);
 }
 
 void
@@ -111,7 +137,8 @@
 {
   const auto heartbeatTimeout = aState.settings.heartbeatTimeout;
   for (auto& [id, local] : aState.localServers) {
-    const bool due = local.claim.presence <= Presence::Leaving &&
+    const bool due = !local.adopted &&
+                     local.claim.presence <= Presence::Leaving &&
                      aNow - local.lastHeartbeatAt > heartbeatTimeout;
     if (!due) {
       continue;
@@ -120,9 +147,9 @@
     AdvertiseClaim(aState, local, aNow);
   }
   std::erase_if(aState.localServers, [&](const auto& aEntry) {
-    return aEntry.second.claim.presence > Presence::Leaving &&
-           aNow - aEntry.second.lastHeartbeatAt >
-             aState.settings.serverRetention;
+    const auto& local = aEntry.second;
+    return (local.adopted || local.claim.presence > Presence::Leaving) &&
+           aNow - local.lastHeartbeatAt > aState.settings.serverRetention;
   });
   aState.revision += std::erase_if(aState.records, [&](const auto& aEntry) {
     return aEntry.second.goneAt != kNever &&
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/roster/module.hpp"
 
+#include "balsampoint/roster/command/confirm_departures.hpp"
 #include "balsampoint/roster/command/exchange_claims.hpp"
 #include "balsampoint/roster/command/join_tree.hpp"
 #include "balsampoint/roster/command/track_heartbeats.hpp"
@@ -28,11 +29,11 @@
 
   void operator()(const Heartbeat& aEvent) const
   {
-    HandleHeartbeat(state, aEvent, now);
+    HandleHeartbeat(state, aEvent, now, actions);
   }
   void operator()(const SignedOff& aEvent) const
   {
-    HandleSignedOff(state, aEvent, now);
+    HandleSignedOff(state, aEvent, now, actions);
   }
   void operator()(const ConfigurationUpdated& aEvent) const
   {
@@ -124,6 +125,7 @@
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
   PushChanges(aState, aNow, aActions);
+  SettleDepartures(aState, aNow, aActions);
   if (aNow < aState.nextTick) {
     return;
   }
@@ -143,7 +145,10 @@
 Module::NextDeadline(const State& aState)
 {
   const bool alone = aState.sources.empty() && !aState.settings.isControlHost;
-  return alone ? kNever : std::min(aState.nextTick, aState.nextPush);
+  return alone ? kNever
+               : std::min({ aState.nextTick,
+                            aState.nextPush,
+                            NextDepartureDeadline(aState) });
 }
 
 } // namespace balsampoint::roster
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -50,6 +50,12 @@
   /** Time for which a silent or signed-off server is kept, so that a late
    * heartbeat does not bring it back. */
   Duration serverRetention{ std::chrono::minutes{ 10 } };
+  /** Control hosts, this one included, that have a departure before the server
+   * is told so; fewer where fewer are known. */
+  std::size_t departureCopies{ 1 };
+  /** Time after which the answer to a server that leaves is a refusal; a server
+   * waits 1 s. */
+  Duration departureTimeout{ std::chrono::milliseconds{ 800 } };
 };
 
 /** @brief A server that sends heartbeats to this host. */
@@ -61,6 +67,9 @@
   std::uint64_t version{};
   /** Stamp of the claim in that version, as advertised to subscribers. */
   Stamp advertisedStamp;
+  /** Whether the claim is a departure that another control host passed on; the
+   * server sends no heartbeats here. */
+  bool adopted{ false };
 };
 
 /** @brief The newest claim on a server from any control host. */
@@ -112,6 +121,18 @@
   std::uint64_t sentVersion{};
   /** Number of the newest configuration last sent to it. */
   ChangeNumber sentConfiguration;
+  /** Version of this host's claims that it is known to have. */
+  std::uint64_t confirmedVersion{};
+};
+
+/** @brief A server that leaves and waits for its answer. */
+struct Departure
+{
+  Ticket ticket;
+  /** Version of this host's claims that has its departure. */
+  std::uint64_t version{};
+  /** When the answer is a refusal. */
+  Instant deadline{};
 };
 
 /** @brief Roster of one host; owned by the control thread. */
@@ -129,6 +150,8 @@
   std::map<ServerId, LocalServer> localServers;
   std::uint64_t version{};
   std::map<HostId, Subscriber> subscribers;
+  /** Answers that wait for copies on other control hosts. */
+  std::vector<Departure> departures;
   /** Number of the newest configuration that this host has. */
   ChangeNumber configuration;
   Instant nextTick{};
@@ -159,6 +182,8 @@
 struct Heartbeat
 {
   Claim claim;
+  /** Asks for a `DepartureAnswered` if the server leaves; empty for none. */
+  Ticket ticket;
 };
 
 /** @brief A server signed off at this host. */
@@ -167,6 +192,8 @@
   ServerId server;
   /** Incarnation that signed off; absent if the server did not send it. */
   std::optional<Incarnation> incarnation;
+  /** Asks for a `DepartureAnswered`; empty for none. */
+  Ticket ticket;
 };
 
 /** @brief A message arrived from another host. */
@@ -218,9 +245,21 @@
   bool sameZone{ false };
 };
 
+/** @brief Answers a server that leaves. */
+struct DepartureAnswered
+{
+  Ticket ticket;
+  /** Whether enough control hosts have the departure; otherwise the server has
+   * to ask again. */
+  bool kept{ false };
+};
+
 /** @brief Output of the roster, carried out by the daemon. */
-using Action =
-  std::variant<Publish, SetHostAddress, Send, ConfigurationAdvertised>;
+using Action = std::variant<Publish,
+                            SetHostAddress,
+                            Send,
+                            ConfigurationAdvertised,
+                            DepartureAnswered>;
 
 /** @brief Actions collected by a command, in order. */
 using Actions = std::vector<Action>;
--- a/test/balsampoint/roster/hosts.hpp
+++ b/test/balsampoint/roster/hosts.hpp
@@ -30,7 +30,8 @@
                                .incarnation = Incarnation{ 1 },
                                .address = host.String() + ":1",
                                .zone = ZoneId{ std::string{ aZone } },
-                               .isControlHost = aIsControlHost };
+                               .isControlHost = aIsControlHost,
+                               .departureCopies = departureCopies };
     for (const auto* seed : { "c1", "c2" }) {
       settings.seeds.push_back({ HostId{ seed }, std::string{ seed } + ":1" });
     }
@@ -86,6 +87,10 @@
     return nullptr;
   }
 
+  /** Copies of departures that hosts added from now on wait for. */
+  std::size_t departureCopies{ 1 };
+  /** Answers to servers that leave: whether the departure is kept. */
+  std::map<Ticket, bool> answers;
   std::set<HostId> stopped;
   /** Links that drop messages, as pairs of sender and receiver. */
   std::set<std::pair<HostId, HostId>> cut;
@@ -108,6 +113,10 @@
         auto& newest = advertisedNumbers[aFrom];
         newest = std::max(newest, advertised->number);
       }
+      if (const auto* answered =
+            std::get_if<roster::DepartureAnswered>(&action)) {
+        answers[answered->ticket] = answered->kept;
+      }
       const auto* send = std::get_if<roster::Send>(&action);
       if (send == nullptr || !mStates.contains(send->to) ||
           stopped.contains(send->to) || stopped.contains(aFrom) ||
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -98,6 +98,7 @@
   cr_assert_null(hosts.Find("entry", "s"));
   hosts.Deliver("c2", MakeHeartbeat(7, 6));
   cr_assert_null(hosts.Find("entry", "s"));
+  hosts.Run(kPushDelay);
   hosts.Deliver("c2", MakeHeartbeat(8, 1));
   cr_assert(hosts.Find("entry", "s")->TakesWork());
   hosts.Deliver("c1", MakeHeartbeat(7, 9));
