Send responses over 1 MiB to callers

Cause: the limit on bytes queued for a slow caller also counted a response queued as one piece, and reset the connection before its first byte.

Change: the limit holds for bytes queued behind others.

Test: exchange::a_response_of_megabytes_reaches_the_caller failed before and passes.

--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -33,8 +33,8 @@
   Duration idleTimeout{ std::chrono::seconds{ 15 } };
   /** Time that sent bytes may stay unacknowledged. */
   Duration ackTimeout{ std::chrono::seconds{ 4 } };
-  /** Response bytes that may be queued for a slow caller; with more, the
-   * connection is reset. */
+  /** Response bytes that may be queued behind others for a slow caller; with
+   * more, the connection is reset. One part of a response may be larger. */
   std::size_t maxQueuedBytes{ std::size_t{ 1024 } * 1024 };
 };
 
@@ -82,8 +82,9 @@
    */
   void Send(std::string_view aBytes)
   {
+    const bool isBehind = !mQueued.empty();
     mQueued += aBytes;
-    if (mQueued.size() > mOwner.Limits().maxQueuedBytes) {
+    if (isBehind && mQueued.size() > mOwner.Limits().maxQueuedBytes) {
       boost::asio::post(
         mSocket.get_executor(),
         [self = this->shared_from_this()] { self->Close(true); });
