Parse a caller's next request once the answer before is sent

Cause: `Finish` freed the connection before the write had ended. Bytes that arrived in between were parsed while the parser held the last request, which was taken for another whole one.

Change: a request is parsed only once the response before is sent.

--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -150,6 +150,13 @@
   /** Bytes of pipelined requests at which reading pauses. */
   static constexpr std::size_t kMaxReadAheadBytes = 65536;
 
+  /** Whether the parser is ready for a request: it holds the last one until the
+   * response to it is sent. */
+  [[nodiscard]] bool AwaitsRequest() const noexcept
+  {
+    return !mBusy && !mResponseFinished;
+  }
+
   void ExpectRequest()
   {
     mParser.SetLimits(mOwner.Limits().message);
@@ -186,7 +193,7 @@
       return;
     }
     mReadAhead.append(mBuffer.data(), aSize);
-    if (!mBusy) {
+    if (AwaitsRequest()) {
       Parse();
     }
     Read();
@@ -226,7 +233,7 @@
 
   void OnRequestTimeout()
   {
-    if (!mBusy) {
+    if (AwaitsRequest()) {
       mBusy = true;
       mOwner.OnInvalidRequest(
         this->shared_from_this(),
@@ -308,12 +315,12 @@
     }
     ExpectRequest();
     if (!mReadAhead.empty()) {
-      boost::asio::post(mSocket.get_executor(),
-                        [self = this->shared_from_this()] {
-                          if (!self->mBusy && self->mSocket.is_open()) {
-                            self->Parse();
-                          }
-                        });
+      boost::asio::post(
+        mSocket.get_executor(), [self = this->shared_from_this()] {
+          if (self->AwaitsRequest() && self->mSocket.is_open()) {
+            self->Parse();
+          }
+        });
     }
     Read();
   }
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -825,6 +825,32 @@
   }
 }
 
+// Guards against an answer that nobody asked for, and all later ones shifted,
+// where a request arrives while the answer before it is still being written.
+Test(exchange, a_request_sent_during_the_answer_before_gets_its_own)
+{
+  constexpr std::size_t kLarge = std::size_t{ 7 } * 1024 * 1024;
+  Host host{ routing::RequestKind::Idempotent };
+  const auto respond = [](const auto& aCaller, const auto& aRequest) {
+    const auto id = std::string{ *aRequest.head.fields.Find("X-Request-Id") };
+    aCaller->Send(PlainResponse(200,
+                                "X-Request-Id: " + id + "\r\n",
+                                std::string(kLarge, 'x') + "end of " + id));
+    aCaller->Finish(true);
+  };
+  host.one.respond = respond;
+  host.two.respond = respond;
+  host.Start();
+  Caller caller;
+  caller.ShrinkReceiveBuffer();
+  caller.SendRequest("GET");
+  cr_assert(caller.Expect("HTTP/1.1 200"));
+  caller.SendRequest("GET", {}, "q2");
+  cr_assert(caller.Expect("end of q1"));
+  cr_assert(caller.Expect("end of q2"));
+  cr_assert_eq(caller.read.find("HTTP/1.1 4"), std::string::npos);
+}
+
 // Guards against large responses that never reach the caller.
 Test(exchange, a_response_of_megabytes_reaches_the_caller)
 {
