Keep what servers say of themselves beside their services

Cause: the statement was part of the group of the service, which the first configuration erased. Retry-After was lost in the same way.

Change: statements are kept by server and incarnation; a record that is made anew starts from them.

--- a/src/balsampoint/fleet/command/follow_roster.cpp
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -24,18 +24,52 @@
   aServer.kvCapacity = internal::KvCapacity(engine, aServer.claim.description);
 }
 
+/** @brief A server without work or faults, as far as its statement allows. */
+Server
+MakeServer(const State& aState, const roster::Claim& aClaim)
+{
+  Server server;
+  const auto statement = aState.statements.find(aClaim.server);
+  if (statement == aState.statements.end() ||
+      statement->second.incarnation != aClaim.stamp.incarnation) {
+    return server;
+  }
+  server.leaving = statement->second.leaving;
+  server.backOffUntil = statement->second.backOffUntil;
+  server.returning = server.backOffUntil != Instant::min();
+  return server;
+}
+
 void
-UpdateServer(Group& aGroup, const roster::Server& aSeen)
+UpdateServer(const State& aState, Group& aGroup, const roster::Server& aSeen)
 {
-  auto& server = aGroup.servers[aSeen.claim.server];
-  if (server.claim.stamp.incarnation != aSeen.claim.stamp.incarnation) {
-    server = {};
+  const auto [found, added] = aGroup.servers.try_emplace(aSeen.claim.server);
+  auto& server = found->second;
+  if (added ||
+      server.claim.stamp.incarnation != aSeen.claim.stamp.incarnation) {
+    server = MakeServer(aState, aSeen.claim);
   }
   server.claim = aSeen.claim;
   server.ready = aSeen.TakesWork() && !server.leaving;
   ApplyProfile(server, aGroup);
 }
 
+/** @brief Drops the statements of servers that the roster has no more. */
+void
+ForgetStatements(State& aState, const roster::View& aView)
+{
+  if (aState.statements.empty()) {
+    return;
+  }
+  std::set<ServerId> present;
+  for (const auto& server : aView.servers) {
+    present.insert(server.claim.server);
+  }
+  std::erase_if(aState.statements, [&](const auto& aEntry) {
+    return !present.contains(aEntry.first);
+  });
+}
+
 } // namespace
 
 void
@@ -56,9 +90,10 @@
     if (group == aState.groups.end()) {
       continue;
     }
-    UpdateServer(group->second, server);
+    UpdateServer(aState, group->second, server);
     seen.emplace(service, server.claim.server);
   }
+  ForgetStatements(aState, aView);
   for (auto& group : aState.groups) {
     std::erase_if(group.second.servers, [&](const auto& aServer) {
       return !seen.contains({ group.first, aServer.first });
--- a/src/balsampoint/fleet/command/record_statement.cpp
+++ b/src/balsampoint/fleet/command/record_statement.cpp
@@ -2,10 +2,23 @@
 
 #include "balsampoint/fleet/internal/find_server.hpp"
 
-#include <utility>
-
 namespace balsampoint::fleet {
 
+namespace {
+
+/** @brief The statement of an incarnation; that of another one is replaced. */
+Statement&
+StatementOf(State& aState, const Hop& aHop)
+{
+  auto& statement = aState.statements[aHop.server];
+  if (statement.incarnation != aHop.incarnation) {
+    statement = { .incarnation = aHop.incarnation };
+  }
+  return statement;
+}
+
+} // namespace
+
 bool
 RecordLeaving(State& aState, const ServiceId& aService, const Hop& aHop)
 {
@@ -13,6 +26,7 @@
   if (server == nullptr || server->leaving) {
     return false;
   }
+  StatementOf(aState, aHop).leaving = true;
   server->leaving = true;
   server->ready = false;
   return true;
@@ -28,6 +42,7 @@
   if (server == nullptr || aUntil <= server->backOffUntil) {
     return false;
   }
+  StatementOf(aState, aHop).backOffUntil = aUntil;
   server->backOffUntil = aUntil;
   server->returning = true;
   return true;
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -172,11 +172,24 @@
   Instant lastStartedAt{ Instant::min() };
 };
 
+/** @brief What one incarnation of a server has said of itself in answers. */
+struct Statement
+{
+  Incarnation incarnation;
+  /** Whether it is leaving. */
+  bool leaving{ false };
+  /** End of the time for which it wants no requests. */
+  Instant backOffUntil{ Instant::min() };
+};
+
 /** @brief Servers of all services; owned by one traffic thread. */
 struct State
 {
   Settings settings;
   std::map<ServiceId, Group> groups;
+  /** Statements of the servers in the roster; they outlive a configuration
+   * without the server's service. */
+  std::map<ServerId, Statement> statements;
 };
 
 } // namespace balsampoint::fleet
--- a/test/balsampoint/fleet/command/record_statement_test.cpp
+++ b/test/balsampoint/fleet/command/record_statement_test.cpp
@@ -119,3 +119,46 @@
   cr_assert_eq(RetryAfter(state, kService, kNow), Duration{ 5s });
   cr_assert_not(ChooseServer(state, kService, {}, {}, 0, kNow).has_value());
 }
+
+// Guards against requests to a leaving server after a configuration without its
+// service and another one with it again.
+Test(record_statement, a_configuration_without_the_service_forgets_nothing)
+{
+  auto state = MakeFleet(TwoStages());
+  const roster::View view{ .servers = TwoStages() };
+  cr_assert(RecordLeaving(state, kService, HopTo("b")));
+  FollowRoster(state, view, routing::Document{});
+  cr_assert(state.groups.empty());
+  FollowRoster(state, view, SmallModel());
+  cr_assert_eq(LastOfChain(state, kNow), "c");
+}
+
+Test(record_statement, a_configuration_without_the_service_keeps_a_back_off)
+{
+  auto state = MakeFleet(TwoStages());
+  const roster::View view{ .servers = TwoStages() };
+  cr_assert(RecordBackOff(state, kService, HopTo("b"), kNow + 5s));
+  FollowRoster(state, view, routing::Document{});
+  FollowRoster(state, view, SmallModel());
+  cr_assert_eq(LastOfChain(state, kNow + 1s), "c");
+  cr_assert_eq(LastOfChain(state, kNow + 6s), "b");
+}
+
+Test(record_statement, a_later_incarnation_is_not_held_to_a_statement)
+{
+  auto state = MakeFleet(TwoStages());
+  cr_assert(RecordLeaving(state, kService, HopTo("b")));
+  roster::View view{ .servers = TwoStages() };
+  FollowRoster(state, view, routing::Document{});
+  view.servers[1].claim.stamp.incarnation = Incarnation{ 2 };
+  FollowRoster(state, view, SmallModel());
+  cr_assert_eq(LastOfChain(state, kNow), "b");
+}
+
+Test(record_statement, statements_of_servers_that_are_gone_are_dropped)
+{
+  auto state = MakeFleet(TwoStages());
+  cr_assert(RecordLeaving(state, kService, HopTo("b")));
+  FollowRoster(state, {}, SmallModel());
+  cr_assert(state.statements.empty());
+}
