Let a relay say at once that no control host answers it

Cause: a relay names a control host for 2.5 s after its last message, and its followers go by that.

Change: a relay without an answer of any control host for one renewal tells its followers, which then ask the control hosts themselves.

The test with backends that answer twice is named like the other gateway tests, whose bounds hold without sanitizers.

--- a/src/balsampoint/roster/command/exchange_claims.cpp
+++ b/src/balsampoint/roster/command/exchange_claims.cpp
@@ -19,6 +19,9 @@
 ControlAddresses(const State& aState, Instant aNow)
 {
   std::vector<HostAddress> controls;
+  if (aState.isolated) {
+    return controls;
+  }
   for (const auto& host : internal::ReachableControls(aState, aNow)) {
     const auto source = aState.sources.find(host);
     if (source != aState.sources.end()) {
@@ -179,6 +182,26 @@
   SendChanges(aState, aNow, aActions);
 }
 
+void
+ReportIsolation(State& aState, Instant aNow, Actions& aActions)
+{
+  const bool isolated =
+    aState.role == Role::Relay && !aState.sources.empty() &&
+    std::ranges::all_of(aState.sources, [&](const auto& aEntry) {
+      const auto since = aEntry.second.unansweredSince;
+      return since != kNever && aNow - since >= aState.settings.renewalInterval;
+    });
+  if (std::exchange(aState.isolated, isolated) || !isolated) {
+    return;
+  }
+  for (const auto& [host, subscriber] : aState.subscribers) {
+    if (aNow - subscriber.lastReceivedAt <= aState.settings.hostTimeout) {
+      aActions.emplace_back(Send{
+        host, MakeUpdate(aState, subscriber, subscriber.sentVersion, aNow) });
+    }
+  }
+}
+
 void
 HandleSubscribe(State& aState,
                 const HostId& aFrom,
@@ -238,6 +261,9 @@
     source->receivedVersion = 0;
   }
   RecordReachableControls(aState, aFrom, aMessage.controls);
+  if (aMessage.controls.empty()) {
+    AskControlHosts(aState, aNow, aActions);
+  }
   if (aMessage.base > source->receivedVersion) {
     SendSubscription(aState, aFrom, *source, aNow, aActions);
     return;
--- a/src/balsampoint/roster/command/exchange_claims.hpp
+++ b/src/balsampoint/roster/command/exchange_claims.hpp
@@ -15,6 +15,16 @@
 void
 PushChanges(State& aState, Instant aNow, Actions& aActions);
 
+/**
+ * @brief Tells the followers of a relay once no control host answers it, so
+ * that they ask the control hosts themselves.
+ * @param aState State to change.
+ * @param aNow Current time.
+ * @param aActions Messages to send are appended to it.
+ */
+void
+ReportIsolation(State& aState, Instant aNow, Actions& aActions);
+
 /**
  * @brief Adds or renews a subscriber and sends it the claims that it lacks, or
  * refers it to relays.
--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -42,17 +42,19 @@
   });
 }
 
-/** @brief Relays that have not answered this host in time. */
+/** @brief Relays that have not answered this host in time, or answer without
+ * reaching a control host. */
 std::vector<HostId>
-OverdueRelays(const State& aState, Instant aNow)
+LostRelays(const State& aState, Instant aNow)
 {
-  std::vector<HostId> overdue;
+  std::vector<HostId> lost;
   for (const auto& [host, relay] : aState.relays) {
-    if (internal::IsOverdue(aState, relay.source, aNow)) {
-      overdue.push_back(host);
+    if (internal::IsOverdue(aState, relay.source, aNow) ||
+        internal::IsLost(aState, relay, aNow)) {
+      lost.push_back(host);
     }
   }
-  return overdue;
+  return lost;
 }
 
 /**
@@ -342,7 +344,7 @@
     return;
   }
   aState.lastAskedControls = aNow;
-  const auto lostRelays = OverdueRelays(aState, aNow);
+  const auto lostRelays = LostRelays(aState, aNow);
   for (auto& [host, source] : aState.sources) {
     auto subscription = MakeSubscription(aState, source);
     subscription.lostRelays = lostRelays;
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -136,6 +136,7 @@
     aState.nextRenewal = aNow + aState.settings.renewalInterval;
     RenewSubscriptions(aState, aNow, aActions);
   }
+  ReportIsolation(aState, aNow, aActions);
   AskControlHosts(aState, aNow, aActions);
   PublishIfChanged(aState, aNow, aActions);
   aState.nextTick = aNow + kTickInterval;
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -163,6 +163,8 @@
   Instant lastAskedControls{ kNever };
   /** Whether an update has ever been received. */
   bool attached{ false };
+  /** Whether this is a relay that no control host answers. */
+  bool isolated{ false };
   /** When a control host last referred this host, then a relay, to others. */
   Instant referredAt{ kNever };
   /** Registrations since the last answer. */
--- a/test/balsampoint/roster/tree_test.cpp
+++ b/test/balsampoint/roster/tree_test.cpp
@@ -199,6 +199,31 @@
   cr_assert_leq(SendersOf(hosts, kEntries), relays.size());
 }
 
+// Guards against followers that trust relays for 2.5 s that receive nothing.
+Test(roster_tree, relays_that_are_cut_off_delay_news_by_less_than_two_seconds)
+{
+  constexpr ChangeNumber kNumber{ 5 };
+  constexpr std::size_t kEntries = 40;
+  for (Duration phase{}; phase < Settings{}.renewalInterval; phase += 100ms) {
+    auto hosts = MakeZone(kEntries);
+    hosts.Deliver("c1", MakeHeartbeat(1));
+    hosts.Run(1s + phase);
+    const auto relays = RelaysIn(hosts, kEntries);
+    for (const auto& relay : relays) {
+      for (const auto* control : { "c1", "c2" }) {
+        hosts.cut.insert({ HostId{ relay }, HostId{ control } });
+        hosts.cut.insert({ HostId{ control }, HostId{ relay } });
+      }
+    }
+    hosts.Deliver("c1", MakeHeartbeat(2, Presence::Leaving));
+    hosts.Deliver("c1", ConfigurationUpdated{ kNumber });
+    hosts.Deliver("c2", ConfigurationUpdated{ kNumber });
+    hosts.Run(1800ms);
+    cr_expect_eq(HostsWithout(hosts, kNumber, relays, kEntries), 0U);
+    cr_expect_leq(SendersOf(hosts, kEntries), relays.size());
+  }
+}
+
 Test(roster_tree, surplus_relays_become_followers_again)
 {
   constexpr std::size_t kEntries = 40;
--- a/test/process/stutter_test.py
+++ b/test/process/gateway_stutter_test.py
@@ -3,7 +3,7 @@
 Each caller must get its own whole answers, whatever the second copies are
 like, and nearly all requests must be answered.
 
-Usage: stutter_test.py [--seed N] [--seconds S] [--build FOLDER] [--block N]
+Usage: gateway_stutter_test.py [--seed N] [--seconds S] [--build FOLDER] [--block N]
 """
 
 import argparse
