--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -356,17 +356,16 @@
         },
       .read = [this](auto aCallback) { Read(std::move(aCallback)); },
       .heartbeat =
-        [this](roster::Claim aClaim, auto aCallback) {
+        [this](roster::Claim aClaim, RosterRunner::Answer aAnswered) {
           mRunners.Roster().RecordHeartbeat(std::move(aClaim),
-                                            std::move(aCallback));
+                                            std::move(aAnswered));
         },
       .signOff =
         [this](ServerId aServer,
                std::optional<Incarnation> aIncarnation,
-               auto aCallback) {
+               RosterRunner::Answer aAnswered) {
           mRunners.Roster().RecordSignOff(
-            { .server = std::move(aServer), .incarnation = aIncarnation },
-            std::move(aCallback));
+            { std::move(aServer), aIncarnation, {} }, std::move(aAnswered));
         }
     };
   }
--- a/src/balsampoint/peer/roster_codec.cpp
+++ b/src/balsampoint/peer/roster_codec.cpp
@@ -112,6 +112,7 @@
     subscription.have = static_cast<std::int64_t>(aMessage.receivedVersion);
     if (!aMessage.lostRelays.empty()) {
       std::vector<std::string> lost;
+      lost.reserve(aMessage.lostRelays.size());
       for (const auto& relay : aMessage.lostRelays) {
         lost.push_back(relay.String());
       }
@@ -176,6 +177,7 @@
     role = static_cast<roster::Role>(aSubscription.role);
   }
   std::vector<HostId> lostRelays;
+  lostRelays.reserve(aSubscription.lostRelays.size());
   for (const auto& relay : aSubscription.lostRelays) {
     lostRelays.emplace_back(relay);
   }
--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -48,10 +48,11 @@
 LostRelays(const State& aState, Instant aNow)
 {
   std::vector<HostId> lost;
-  for (const auto& [host, relay] : aState.relays) {
+  for (const auto& entry : aState.relays) {
+    const auto& relay = entry.second;
     if (internal::IsOverdue(aState, relay.source, aNow) ||
         internal::IsLost(aState, relay, aNow)) {
-      lost.push_back(host);
+      lost.push_back(entry.first);
     }
   }
   return lost;
@@ -345,11 +346,12 @@
   }
   aState.lastAskedControls = aNow;
   const auto lostRelays = LostRelays(aState, aNow);
-  for (auto& [host, source] : aState.sources) {
+  for (auto& entry : aState.sources) {
+    auto& source = entry.second;
     auto subscription = MakeSubscription(aState, source);
     subscription.lostRelays = lostRelays;
     source.unansweredSince = std::min(source.unansweredSince, aNow);
-    aActions.emplace_back(Send{ host, std::move(subscription) });
+    aActions.emplace_back(Send{ entry.first, std::move(subscription) });
   }
 }
 
