Wait for a new relay's first answer before asking control hosts

Cause: a host that has just been referred to a relay counted it as not serving until its first answer, and asked all control hosts at the next tick, which loads them where many hosts are referred at once.

--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -32,13 +32,16 @@
   ++aState.unansweredRegistrations;
 }
 
-/** @brief Whether a relay passes on claims and has answered in time. */
+/** @brief Whether a relay passes on claims and answers in time, as far as can
+ * be told yet. */
 bool
 IsServedByRelay(const State& aState, Instant aNow)
 {
   return std::ranges::any_of(aState.relays, [&](const auto& aEntry) {
-    return internal::IsServing(aState, aEntry.second, aNow) &&
-           !internal::IsOverdue(aState, aEntry.second.source, aNow);
+    const auto& relay = aEntry.second;
+    return relay.subscribedAt != kNever &&
+           !internal::IsOverdue(aState, relay.source, aNow) &&
+           !internal::IsLost(aState, relay, aNow);
   });
 }
 
@@ -67,8 +70,11 @@
 {
   constexpr std::uint32_t kMaxDoublings = 2;
   const auto& settings = aState.settings;
-  const bool served = IsServedByRelay(aState, aNow);
-  const bool asksAll = !served && aState.attached;
+  const bool served =
+    std::ranges::any_of(aState.relays, [&](const auto& aEntry) {
+      return internal::IsServing(aState, aEntry.second, aNow);
+    });
+  const bool asksAll = aState.attached && !IsServedByRelay(aState, aNow);
   if (asksAll || aNow < aState.nextRegistration) {
     return;
   }
