Log the hosts with disks that a leader knows, and hosts without an address

Cause: the logs could not tell why a leader replaces no lost voter (it may know no standby host), nor that messages were dropped for want of an address. Change: the leader logs hosts_with_disk when the set changes; the first message to a host without an address writes a warning. Measured: builds; no run with logs yet.

--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -2,8 +2,10 @@
 
 #include "balsampoint/daemon/post.hpp"
 #include "balsampoint/peer/fanout_codec.hpp"
+#include "balsampoint/trace/event.hpp"
 
 #include <spdlog/spdlog.h>
+#include <string>
 #include <utility>
 
 namespace balsampoint::daemon {
@@ -14,6 +16,17 @@
 /** @brief Time for the leader's answer to come back. */
 constexpr Duration kReplyTime = std::chrono::seconds{ 1 };
 
+std::string
+NamesOf(const std::set<consensus::StandbyHost>& aHosts)
+{
+  std::string names;
+  for (const auto& standby : aHosts) {
+    names += names.empty() ? "" : ",";
+    names += standby.host.Value();
+  }
+  return names;
+}
+
 } // namespace
 
 FanoutRunner::FanoutRunner(ControlMailbox& aMailbox,
@@ -101,6 +114,10 @@
       known.standbyHosts.insert({ host.report.host, host.report.zone });
     }
   }
+  if (mStandbyHosts != known.standbyHosts) {
+    mStandbyHosts = known.standbyHosts;
+    trace::Event{ "hosts_with_disk" }.With("hosts", NamesOf(mStandbyHosts));
+  }
   Post(mMailbox, consensus::Event{ std::move(known) });
 }
 
--- a/src/balsampoint/daemon/fanout_runner.hpp
+++ b/src/balsampoint/daemon/fanout_runner.hpp
@@ -8,6 +8,7 @@
 #include "balsampoint/runtime/snapshot_cell.hpp"
 
 #include <functional>
+#include <set>
 #include <thread>
 
 namespace balsampoint::daemon {
@@ -78,6 +79,9 @@
   peer::Sender& mSender;
   StatusBoard& mBoard;
   Configure mConfigure;
+  /** Reachable hosts with a disk, as logged last; empty unless this host leads.
+   */
+  std::set<consensus::StandbyHost> mStandbyHosts;
   runtime::SnapshotCell<fanout::Content> mInForce;
   runtime::ReplyTable<std::vector<fanout::HostReport>> mAnswers;
   runtime::Mailbox<fanout::Content> mContents;
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -6,6 +6,8 @@
 
 #include <map>
 #include <mutex>
+#include <set>
+#include <spdlog/spdlog.h>
 #include <utility>
 
 namespace balsampoint::peer {
@@ -42,7 +44,14 @@
   {
     const std::lock_guard lock{ mMutex };
     const auto found = mPeers.find(aHost);
-    return found == mPeers.end() ? nullptr : found->second;
+    if (found != mPeers.end()) {
+      return found->second;
+    }
+    if (mUnknown.insert(aHost).second) {
+      spdlog::warn("messages to host {} are dropped: no address is known",
+                   aHost.Value());
+    }
+    return nullptr;
   }
 
   void Write(std::shared_ptr<Connection> aPeer, const generated::Frame& aFrame)
@@ -60,6 +69,8 @@
   net::Loop mLoop;
   std::mutex mMutex;
   std::map<HostId, std::shared_ptr<Connection>> mPeers;
+  /** Hosts without an address that messages were meant for. */
+  std::set<HostId> mUnknown;
 };
 
 Sender::Sender(Identity aIdentity)
