--- /dev/null
+++ b/test/balsampoint/daemon/control_hosts_test.cpp
@@ -0,0 +1,91 @@
+#include "balsampoint/daemon/control_hosts.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace balsampoint;
+using namespace balsampoint::daemon::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kHosts = 6;
+constexpr std::uint32_t kLosses = 2;
+/** Time after its start in which a host takes the place of a lost one. */
+constexpr Duration kCatchUp = seconds{ 6 };
+/** Time in which all hosts start before the first request. */
+constexpr Duration kLead = seconds{ 14 };
+constexpr std::uint64_t kSeeds = 20;
+
+ControlHosts
+MakeHosts(std::uint64_t aSeed)
+{
+  ControlHosts hosts{ kHosts, kLosses, kCatchUp, aSeed };
+  hosts.Run(kLead);
+  return hosts;
+}
+
+bool
+Contains(const std::vector<HostId>& aHosts, const HostId& aHost)
+{
+  return std::ranges::find(aHosts, aHost) != aHosts.end();
+}
+
+/** @brief Restarts one leader after the other until one is no seed. */
+HostId
+LeadByNoSeed(ControlHosts& aHosts)
+{
+  auto leader = aHosts.Leader();
+  while (leader.Empty() || Contains(aHosts.seeds, leader)) {
+    if (!leader.Empty()) {
+      aHosts.Kill(leader);
+      aHosts.Run(seconds{ 2 });
+      aHosts.Start(leader);
+    }
+    aHosts.Run(kCatchUp);
+    leader = aHosts.Leader();
+  }
+  return leader;
+}
+
+HostId
+AFollower(const ControlHosts& aHosts)
+{
+  const auto leader = aHosts.Leader();
+  for (const auto& voter : aHosts.Voters()) {
+    if (voter != leader && aHosts.hosts.at(voter).up) {
+      return voter;
+    }
+  }
+  return {};
+}
+
+/** @brief Ends a host for good; an empty one starts at another address. */
+void
+Replace(ControlHosts& aHosts, const HostId& aHost)
+{
+  aHosts.Kill(aHost);
+  const auto successor = aHosts.Add(0);
+  aHosts.Run(seconds{ 1 });
+  aHosts.Start(successor);
+}
+
+} // namespace
+
+// Guards against a group that is never repaired: hosts joined the fan-out tree
+// at their seeds only, so that a leader that is no seed knew no standby host.
+Test(control_hosts, a_leader_that_is_no_seed_replaces_a_lost_voter)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto hosts = MakeHosts(seed);
+    const auto leader = LeadByNoSeed(hosts);
+    const auto lost = AFollower(hosts);
+    Replace(hosts, lost);
+    hosts.Run(kCatchUp);
+    cr_assert_not(Contains(hosts.Voters(), lost),
+                  "seed %lu, leader %s:\n%s",
+                  seed,
+                  leader.String().c_str(),
+                  hosts.Describe().c_str());
+  }
+}
