Let hosts join the tree of a leader that is none of their seeds

Callers saw: an acknowledged configuration that no control host could read back after two more disks were lost. Cause: a host joins the fan-out tree at its seeds only, and a leader knows standby hosts only from its tree. With six control hosts the group grows beyond its three seeds; a leader that is no seed knew no standby host and replaced no lost voter. Change: a control host that knows another leader forwards a join request to it, the joining host asks a leader that it knows itself, and a control host that learns of a new leader joins it at once. All 14 tests of the fan-out pass.

--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -98,6 +98,28 @@
   }
 }
 
+/** @brief Whether another host is known to lead the control group. */
+bool
+KnowsOtherLeader(const State& aState)
+{
+  return !aState.leader.Empty() && aState.leader != aState.settings.self.host &&
+         !internal::Leads(aState);
+}
+
+/** @brief Whether to answer a request that another host has forwarded; several
+ * hosts may have forwarded the same one. */
+bool
+AcceptsForwarded(const State& aState, const HostReport& aHost, Instant aNow)
+{
+  if (!internal::Leads(aState)) {
+    return false;
+  }
+  const auto known = aState.directory.find(aHost.host);
+  return known == aState.directory.end() ||
+         known->second.report.incarnation != aHost.incarnation ||
+         aNow - known->second.lastReceivedAt >= aState.settings.joinInterval;
+}
+
 } // namespace
 
 void
@@ -122,6 +144,11 @@
     }
     aActions.emplace_back(Send{ seed, JoinRequest{ self } });
   }
+  const auto& seeds = aState.settings.seeds;
+  if (KnowsOtherLeader(aState) &&
+      std::ranges::find(seeds, aState.leader) == seeds.end()) {
+    aActions.emplace_back(Send{ aState.leader, JoinRequest{ self } });
+  }
   PublishWhenReady(aState, aNow, aActions);
 }
 
@@ -132,10 +159,15 @@
                   Instant aNow,
                   Actions& aActions)
 {
-  if (aRequest.host.host != aFrom) {
+  const auto& joining = aRequest.host.host;
+  if (joining != aFrom && !AcceptsForwarded(aState, aRequest.host, aNow)) {
     return;
   }
-  aActions.emplace_back(Route{ aFrom, aRequest.host.address });
+  if (joining == aFrom && KnowsOtherLeader(aState) &&
+      aState.leader != joining) {
+    aActions.emplace_back(Send{ aState.leader, aRequest });
+  }
+  aActions.emplace_back(Route{ joining, aRequest.host.address });
   JoinReply reply{ .number = aState.newestKnown,
                    .parent = ChooseParent(aState, aRequest.host, aNow),
                    .leads = internal::Leads(aState) };
@@ -146,7 +178,7 @@
     reply.parentAddress = known->second.report.address;
     aActions.emplace_back(Route{ reply.parent, reply.parentAddress });
   }
-  aActions.emplace_back(Send{ aFrom, reply });
+  aActions.emplace_back(Send{ joining, reply });
 }
 
 void
@@ -184,7 +216,14 @@
 {
   const bool self = aEvent.leader == aState.settings.self.host;
   const bool leads = self && aEvent.caughtUp;
+  const auto before = aState.leader;
   aState.leader = self && !leads ? HostId{} : aEvent.leader;
+  if (KnowsOtherLeader(aState) && aState.leader != before &&
+      aState.settings.joinsTree) {
+    // The new leader knows no host of the tree before it joins.
+    aState.parent = {};
+    aState.nextJoin = aNow;
+  }
   if (leads == internal::Leads(aState)) {
     return;
   }
--- a/src/balsampoint/fanout/command/join.hpp
+++ b/src/balsampoint/fanout/command/join.hpp
@@ -16,9 +16,12 @@
 
 /**
  * @brief Answers a join request with a parent and the newest known number.
+ *
+ * A control host that knows another leader forwards the request to it: the
+ * leader may be none of the joining host's seeds.
  * @param aState State of a control host.
- * @param aFrom The joining host.
- * @param aRequest The request; ignored if it names another host.
+ * @param aFrom The joining host, or a host that forwards its request.
+ * @param aRequest The request.
  * @param aNow The current time.
  * @param aActions The reply is appended here.
  */
