Let a new leader know how long lost voters have been silent

Callers saw: an acknowledged configuration that could not be read back after lost disks. Cause: each new leader counted the silence of a lost voter anew, so that changes of the leader without a loss (a split, reset connections) delayed the replacement beyond the time after which the next disk may be lost. Change: the leader's appends name the members that do not answer and since when; a next leader starts from there, but gives each member the shortest election timeout to answer it.

--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -116,12 +116,15 @@
   return changed;
 }
 
-Duration
-TimeSinceContact(const State& aState, const HostId& aHost, Instant aNow)
+/** @brief Whether a member is to be replaced. A new leader knows of the silence
+ * before its term, but gives each member time to answer it. */
+bool
+IsLost(const State& aState, const HostId& aHost, Instant aNow)
 {
   const auto found = aState.progress.find(aHost);
-  return found == aState.progress.end() ? Duration{}
-                                        : aNow - found->second.lastContactAt;
+  return found != aState.progress.end() &&
+         !internal::HasRecentContact(aState, aHost, aNow) &&
+         aNow - found->second.lastHeardAt >= aState.settings.replaceTimeout;
 }
 
 bool
@@ -168,6 +171,9 @@
     }
   }
   if (aState.members != before) {
+    std::erase_if(aState.lastHeardAt, [&aState](const auto& aPair) {
+      return internal::Find(aState.members, aPair.first) == nullptr;
+    });
     aActions.emplace_back(
       MembersUpdated{ aState.membersIndex, aState.members });
   }
@@ -286,8 +292,7 @@
     }
   }
   for (const auto& member : aState.members.members) {
-    if (TimeSinceContact(aState, member.host, aNow) <
-        aState.settings.replaceTimeout) {
+    if (!IsLost(aState, member.host, aNow)) {
       continue;
     }
     if (member.role == MemberRole::Learner) {
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -117,10 +117,36 @@
            aRequest.previousTerm;
 }
 
+/** @brief Takes over which members the leader hears of. */
+void
+RecordSilences(State& aState, const AppendRequest& aRequest, Instant aNow)
+{
+  for (const auto& member : aState.members.members) {
+    const auto silence =
+      std::ranges::find(aRequest.silences, member.host, &Silence::host);
+    const bool silent = silence != aRequest.silences.end();
+    auto& heardAt = aState.lastHeardAt[member.host];
+    heardAt = std::max(heardAt, silent ? aNow - silence->duration : aNow);
+  }
+}
+
+std::vector<Silence>
+SilencesOf(const State& aState, Instant aNow)
+{
+  std::vector<Silence> silences;
+  for (const auto& [host, progress] : aState.progress) {
+    if (!internal::HasRecentContact(aState, host, aNow)) {
+      silences.push_back({ host, aNow - progress.lastHeardAt });
+    }
+  }
+  return silences;
+}
+
 void
 RecordReply(Progress& aProgress, const AppendReply& aReply, Instant aNow)
 {
   aProgress.lastContactAt = aNow;
+  aProgress.lastHeardAt = aNow;
   aProgress.answered = true;
   aProgress.round = std::max(aProgress.round, aReply.round);
   if (!aReply.accepted) {
@@ -155,8 +181,12 @@
     if (member.host == aState.settings.self) {
       continue;
     }
+    const auto heard = aState.lastHeardAt.find(member.host);
+    const auto heardAt =
+      heard == aState.lastHeardAt.end() ? aNow : heard->second;
     aState.progress.try_emplace(
-      member.host, Progress{ .next = next, .lastContactAt = aNow });
+      member.host,
+      Progress{ .next = next, .lastContactAt = aNow, .lastHeardAt = heardAt });
   }
 }
 
@@ -182,7 +212,8 @@
     .previousIndex = previous,
     .previousTerm = internal::TermAt(aState.log, previous).value_or(Term{}),
     .committed = aState.committed,
-    .round = aState.round
+    .round = aState.round,
+    .silences = SilencesOf(aState, aNow)
   };
   if (internal::HasRecentContact(aState, aTo, aNow)) {
     request.entries = internal::Slice(
@@ -252,6 +283,7 @@
   }
   BecomeFollower(aState, aRequest.term, aFrom, aNow, aActions);
   aState.leaderContactAt = aNow;
+  RecordSilences(aState, aRequest, aNow);
   reply.term = aState.hard.term;
   if (!MatchesPrevious(aState, aRequest)) {
     reply.index = aRequest.previousIndex < aState.log.baseIndex
--- a/src/balsampoint/consensus/command/snapshot.cpp
+++ b/src/balsampoint/consensus/command/snapshot.cpp
@@ -180,6 +180,7 @@
   }
   auto& progress = found->second;
   progress.lastContactAt = aNow;
+  progress.lastHeardAt = aNow;
   progress.answered = true;
   progress.round = std::max(progress.round, aReply.round);
   const bool current = aReply.index == aState.snapshot.index;
--- a/src/balsampoint/consensus/message.hpp
+++ b/src/balsampoint/consensus/message.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "balsampoint/consensus/entry.hpp"
+#include "balsampoint/core/time.hpp"
 
 #include <variant>
+#include <vector>
 
 namespace balsampoint::consensus {
 
@@ -33,6 +35,16 @@
   bool operator==(const VoteReply&) const = default;
 };
 
+/** @brief A member that does not answer the leader. */
+struct Silence
+{
+  HostId host;
+  /** Time since the last sign of life. */
+  Duration duration{};
+
+  bool operator==(const Silence&) const = default;
+};
+
 /** @brief Sends consecutive log entries; a heartbeat if there are none. */
 struct AppendRequest
 {
@@ -42,6 +54,9 @@
   std::vector<Entry> entries;
   Index committed;
   Round round;
+  /** Members that do not answer; a next leader replaces them without counting
+   * their silence anew. */
+  std::vector<Silence> silences;
 
   bool operator==(const AppendRequest&) const = default;
 };
--- a/src/balsampoint/consensus/module.cpp
+++ b/src/balsampoint/consensus/module.cpp
@@ -9,6 +9,7 @@
 #include "balsampoint/consensus/command/snapshot.hpp"
 #include "balsampoint/consensus/command/storage.hpp"
 #include "balsampoint/consensus/internal/log.hpp"
+#include "balsampoint/consensus/internal/quorum.hpp"
 #include "balsampoint/consensus/internal/write.hpp"
 #include "balsampoint/consensus/query/next_deadline.hpp"
 #include "balsampoint/consensus/query/status.hpp"
@@ -36,6 +37,9 @@
       return;
     }
     from = aEvent.from;
+    if (internal::Find(state.members, from) != nullptr) {
+      state.lastHeardAt[from] = now;
+    }
     std::visit(*this, aEvent.message);
   }
   void operator()(const VoteRequest& aMessage) const
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -90,6 +90,9 @@
   /** Latest round that the member has answered. */
   Round round;
   Instant lastContactAt{};
+  /** Last sign of life, including those that this host learned of before it
+   * led; not after `lastContactAt`. */
+  Instant lastHeardAt{};
   /** Bytes of the current snapshot that the member has received. */
   std::uint64_t snapshotReceived{};
   /** Whether the member has replied since the last heartbeat. */
@@ -164,6 +167,8 @@
   SplitMix64 random;
 
   std::map<HostId, Progress> progress;
+  /** Last sign of life of each other member that this host knows of. */
+  std::map<HostId, Instant> lastHeardAt;
   Round round;
   /** First entry that this host appended in its term as leader. */
   Index termStart;
--- a/src/balsampoint/peer/consensus_codec.cpp
+++ b/src/balsampoint/peer/consensus_codec.cpp
@@ -3,6 +3,8 @@
 #include "balsampoint/peer/generated/consensus_types.h"
 #include "balsampoint/peer/thrift_bytes.hpp"
 
+#include <chrono>
+
 namespace balsampoint::peer {
 
 namespace {
@@ -55,6 +57,20 @@
   return members;
 }
 
+std::vector<wire::ConsensusSilence>
+ToWire(std::span<const consensus::Silence> aSilences)
+{
+  std::vector<wire::ConsensusSilence> silences;
+  for (const auto& silence : aSilences) {
+    auto& one = silences.emplace_back();
+    one.host = silence.host.String();
+    one.microseconds =
+      std::chrono::duration_cast<std::chrono::microseconds>(silence.duration)
+        .count();
+  }
+  return silences;
+}
+
 wire::ConsensusEntry
 ToWire(const consensus::Entry& aEntry)
 {
@@ -117,6 +133,9 @@
     }
     request.committed = ToWire(aMessage.committed);
     request.round = ToWire(aMessage.round);
+    if (!aMessage.silences.empty()) {
+      request.__set_silences(ToWire(std::span{ aMessage.silences }));
+    }
     out.__set_appendRequest(request);
   }
   void operator()(const consensus::AppendReply& aMessage) const
@@ -179,6 +198,11 @@
     }
     request.entries.push_back(std::move(*decoded));
   }
+  for (const auto& silence : aRequest.silences) {
+    request.silences.push_back(
+      { HostId{ silence.host },
+        std::chrono::microseconds{ silence.microseconds } });
+  }
   return request;
 }
 
--- a/test/balsampoint/daemon/control_hosts_test.cpp
+++ b/test/balsampoint/daemon/control_hosts_test.cpp
@@ -70,6 +70,14 @@
   aHosts.Start(successor);
 }
 
+void
+CutOff(ControlHosts& aHosts, const HostId& aHost, bool aCut)
+{
+  for (const auto& [id, host] : aHosts.hosts) {
+    aHosts.Cut(aHost, id, aCut);
+  }
+}
+
 } // namespace
 
 // Guards against a group that is never repaired: hosts joined the fan-out tree
@@ -89,3 +97,28 @@
                   hosts.Describe().c_str());
   }
 }
+
+// Guards against a group that is repaired too late: each new leader counted the
+// silence of a lost voter anew.
+Test(control_hosts, changes_of_the_leader_do_not_delay_a_replacement)
+{
+  constexpr Duration kCut = milliseconds{ 1500 };
+  constexpr Duration kPause = milliseconds{ 500 };
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto hosts = MakeHosts(seed);
+    const auto lost = AFollower(hosts);
+    Replace(hosts, lost);
+    for (int cut = 0; cut < 2; ++cut) {
+      hosts.Run(kPause);
+      const auto leader = hosts.Leader();
+      CutOff(hosts, leader, true);
+      hosts.Run(kCut);
+      CutOff(hosts, leader, false);
+    }
+    hosts.Run(kCatchUp - 2 * (kCut + kPause));
+    cr_assert_not(Contains(hosts.Voters(), lost),
+                  "seed %lu:\n%s",
+                  seed,
+                  hosts.Describe().c_str());
+  }
+}
--- a/test/balsampoint/peer/consensus_codec_test.cpp
+++ b/test/balsampoint/peer/consensus_codec_test.cpp
@@ -25,8 +25,13 @@
   const std::vector<Message> messages{
     VoteRequest{ Term{ 1 }, Index{ 2 }, Term{ 3 }, true, false, true },
     VoteReply{ Term{ 1 }, true, false },
-    AppendRequest{
-      Term{ 1 }, Index{ 7 }, Term{ 2 }, { kEntry }, Index{ 3 }, Round{ 4 } },
+    AppendRequest{ Term{ 1 },
+                   Index{ 7 },
+                   Term{ 2 },
+                   { kEntry },
+                   Index{ 3 },
+                   Round{ 4 },
+                   { { HostId{ "a" }, std::chrono::milliseconds{ 5 } } } },
     AppendReply{ Term{ 1 }, true, Index{ 2 }, Round{ 3 } },
     SnapshotRequest{ Term{ 1 },
                      Index{ 2 },
--- a/thrift/consensus.thrift
+++ b/thrift/consensus.thrift
@@ -44,6 +44,11 @@
   3: required bool granted
 }
 
+struct ConsensusSilence {
+  1: required string host
+  2: required i64 microseconds
+}
+
 struct ConsensusAppendRequest {
   1: required i64 term
   2: required i64 previousIndex
@@ -51,6 +56,7 @@
   4: required list<ConsensusEntry> entries
   5: required i64 committed
   6: required i64 round
+  7: optional list<ConsensusSilence> silences
 }
 
 struct ConsensusAppendReply {
