Find standby hosts through the roster of control hosts

Callers saw: an acknowledged configuration that could not be read back after lost disks. Cause: a leader knew standby hosts only from the fan-out tree, which hosts join at the seeds of their own start and leave 3 to 5 s after a change of the leader; a host whose seeds have all been replaced since was never found. Change: control hosts tell each other in the roster's subscriptions, which they renew every 0.7 s whoever leads, whether they have a disk; each knows the standby hosts at any time. Daemons without a roster go on with the tree. The log line is control_hosts_reachable, on each control host.

--- a/src/balsampoint/daemon/fanout_runner.cpp
+++ b/src/balsampoint/daemon/fanout_runner.cpp
@@ -2,10 +2,8 @@
 
 #include "balsampoint/daemon/post.hpp"
 #include "balsampoint/peer/fanout_codec.hpp"
-#include "balsampoint/trace/event.hpp"
 
 #include <spdlog/spdlog.h>
-#include <string>
 #include <utility>
 
 namespace balsampoint::daemon {
@@ -16,17 +14,6 @@
 /** @brief Time for the leader's answer to come back. */
 constexpr Duration kReplyTime = std::chrono::seconds{ 1 };
 
-std::string
-NamesOf(const std::set<consensus::StandbyHost>& aHosts)
-{
-  std::string names;
-  for (const auto& standby : aHosts) {
-    names += names.empty() ? "" : ",";
-    names += standby.host.Value();
-  }
-  return names;
-}
-
 } // namespace
 
 FanoutRunner::FanoutRunner(ControlMailbox& aMailbox,
@@ -108,16 +95,15 @@
 {
   mBoard.Show(aReady.inForce);
   Post(mMailbox, consensus::Event{ consensus::StatusRequested{} });
+  if (!mFindsStandbyHosts) {
+    return;
+  }
   consensus::StandbyHostsUpdated known;
   for (const auto& host : aReady.inForce.hosts) {
     if (host.reachable && host.report.hasDisk) {
       known.standbyHosts.insert({ host.report.host, host.report.zone });
     }
   }
-  if (mStandbyHosts != known.standbyHosts) {
-    mStandbyHosts = known.standbyHosts;
-    trace::Event{ "hosts_with_disk" }.With("hosts", NamesOf(mStandbyHosts));
-  }
   Post(mMailbox, consensus::Event{ std::move(known) });
 }
 
--- a/src/balsampoint/daemon/fanout_runner.hpp
+++ b/src/balsampoint/daemon/fanout_runner.hpp
@@ -8,7 +8,6 @@
 #include "balsampoint/runtime/snapshot_cell.hpp"
 
 #include <functional>
-#include <set>
 #include <thread>
 
 namespace balsampoint::daemon {
@@ -60,6 +59,10 @@
   [[nodiscard]] std::vector<fanout::HostReport> Await(ChangeNumber aNumber,
                                                       Duration aWait);
 
+  /** @brief Finds standby hosts of the replicated log through the tree, for
+   * hosts without a roster of control hosts; call before the first action. */
+  void FindStandbyHosts() { mFindsStandbyHosts = true; }
+
   /**
    * @brief Carries out one action.
    * @param aAction The action.
@@ -79,9 +82,8 @@
   peer::Sender& mSender;
   StatusBoard& mBoard;
   Configure mConfigure;
-  /** Reachable hosts with a disk, as logged last; empty unless this host leads.
-   */
-  std::set<consensus::StandbyHost> mStandbyHosts;
+  /** Whether standby hosts of the log are found through the tree. */
+  bool mFindsStandbyHosts{ false };
   runtime::SnapshotCell<fanout::Content> mInForce;
   runtime::ReplyTable<std::vector<fanout::HostReport>> mAnswers;
   runtime::Mailbox<fanout::Content> mContents;
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -85,6 +85,7 @@
   roster.incarnation = aIdentity.incarnation;
   roster.address = aSettings.listen.PeersAsTold().Text();
   roster.isControlHost = aSettings.listen.control.has_value();
+  roster.hasDisk = roster.isControlHost && aSettings.dataFolder.has_value();
   roster.heartbeatTimeout = std::chrono::duration_cast<Duration>(
     aSettings.heartbeat * kMissedHeartbeats);
   roster.departureCopies = std::size_t{ aSettings.controlLosses } + 1;
--- a/src/balsampoint/daemon/node.cpp
+++ b/src/balsampoint/daemon/node.cpp
@@ -110,6 +110,7 @@
       mSender.Route(seed.host, seed.address.Text());
     }
   }
+  mRunners.Fanout().FindStandbyHosts();
   if (aFirst.store) {
     mRunners.Consensus().UseDisk(std::move(*aFirst.store));
   }
--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -5,6 +5,7 @@
 #include "balsampoint/trace/event.hpp"
 
 #include <map>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -165,6 +166,20 @@
                aAdvertised.host, aAdvertised.number, aAdvertised.sameZone } });
 }
 
+void
+RosterRunner::Do(const roster::ControlHostsChanged& aChanged)
+{
+  consensus::StandbyHostsUpdated known;
+  std::string names;
+  for (const auto& control : aChanged.hosts) {
+    known.standbyHosts.insert({ control.host, control.zone });
+    names += names.empty() ? "" : ",";
+    names += control.host.Value();
+  }
+  trace::Event{ "control_hosts_reachable" }.With("hosts", names);
+  Post(mMailbox, consensus::Event{ std::move(known) });
+}
+
 void
 RosterRunner::Do(const roster::DepartureAnswered& aAnswered)
 {
--- a/src/balsampoint/peer/roster_codec.cpp
+++ b/src/balsampoint/peer/roster_codec.cpp
@@ -118,6 +118,7 @@
       }
       subscription.__set_lostRelays(lost);
     }
+    subscription.__set_hasDisk(aMessage.hasDisk);
     out.__set_subscription(subscription);
   }
   void operator()(const roster::Update& aMessage) const
@@ -188,7 +189,8 @@
                               FromWire<Incarnation>(aSubscription.source),
                             .receivedVersion =
                               static_cast<std::uint64_t>(aSubscription.have),
-                            .lostRelays = std::move(lostRelays) };
+                            .lostRelays = std::move(lostRelays),
+                            .hasDisk = aSubscription.hasDisk };
 }
 
 tl::expected<roster::Message, Error>
--- a/src/balsampoint/roster/command/exchange_claims.cpp
+++ b/src/balsampoint/roster/command/exchange_claims.cpp
@@ -231,7 +231,9 @@
                  .address = aMessage.address,
                  .sentVersion = aState.version,
                  .sentConfiguration = aState.configuration,
-                 .confirmedVersion = base };
+                 .confirmedVersion = base,
+                 .hasDisk =
+                   aMessage.role == Role::Control && aMessage.hasDisk };
   if (aMessage.role == Role::Control && aFrom != aState.settings.self) {
     MergeControlHosts(aState,
                       std::vector{ HostAddress{ aFrom, aMessage.address } },
--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -155,7 +155,8 @@
            .zone = aState.settings.zone,
            .role = aState.role,
            .source = aSource.incarnation,
-           .receivedVersion = aSource.receivedVersion };
+           .receivedVersion = aSource.receivedVersion,
+           .hasDisk = aState.settings.hasDisk };
 }
 
 /** @brief Whether a relay has not answered the sender of a subscription. */
--- a/src/balsampoint/roster/message.hpp
+++ b/src/balsampoint/roster/message.hpp
@@ -54,6 +54,8 @@
   /** Relays of its zone that have not answered the sender; empty unless no
    * relay serves it. */
   std::vector<HostId> lostRelays;
+  /** Whether the sender is a control host that can hold the replicated log. */
+  bool hasDisk{ false };
 
   bool operator==(const Subscribe&) const = default;
 };
--- a/src/balsampoint/roster/module.cpp
+++ b/src/balsampoint/roster/module.cpp
@@ -3,6 +3,7 @@
 #include "balsampoint/roster/command/confirm_departures.hpp"
 #include "balsampoint/roster/command/exchange_claims.hpp"
 #include "balsampoint/roster/command/join_tree.hpp"
+#include "balsampoint/roster/command/report_control_hosts.hpp"
 #include "balsampoint/roster/command/track_heartbeats.hpp"
 #include "balsampoint/roster/internal/tree.hpp"
 #include "balsampoint/roster/query/make_view.hpp"
@@ -138,6 +139,7 @@
   }
   ReportIsolation(aState, aNow, aActions);
   AskControlHosts(aState, aNow, aActions);
+  ReportControlHosts(aState, aNow, aActions);
   PublishIfChanged(aState, aNow, aActions);
   aState.nextTick = aNow + kTickInterval;
 }
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -23,6 +23,8 @@
   ZoneId zone;
   /** Whether this is a control host, to which servers send heartbeats. */
   bool isControlHost{ false };
+  /** Whether this is a control host that can hold the replicated log. */
+  bool hasDisk{ false };
   /** Control hosts known from the settings. */
   std::vector<HostAddress> seeds;
   /** Time without a heartbeat after which a server counts as silent. */
@@ -123,6 +125,17 @@
   ChangeNumber sentConfiguration;
   /** Version of this host's claims that it is known to have. */
   std::uint64_t confirmedVersion{};
+  /** Whether it is a control host that can hold the replicated log. */
+  bool hasDisk{ false };
+};
+
+/** @brief A control host that can hold the replicated log. */
+struct ControlHost
+{
+  HostId host;
+  ZoneId zone;
+
+  bool operator==(const ControlHost&) const = default;
 };
 
 /** @brief A server that leaves and waits for its answer. */
@@ -150,6 +163,8 @@
   std::map<ServerId, LocalServer> localServers;
   std::uint64_t version{};
   std::map<HostId, Subscriber> subscribers;
+  /** Control hosts with a disk as reported last, ordered by id. */
+  std::vector<ControlHost> reachableControlHosts;
   /** Answers that wait for copies on other control hosts. */
   std::vector<Departure> departures;
   /** Number of the newest configuration that this host has. */
@@ -247,6 +262,13 @@
   bool sameZone{ false };
 };
 
+/** @brief Reports the other control hosts that have a disk and can be reached.
+ */
+struct ControlHostsChanged
+{
+  std::vector<ControlHost> hosts;
+};
+
 /** @brief Answers a server that leaves. */
 struct DepartureAnswered
 {
@@ -261,6 +283,7 @@
                             SetHostAddress,
                             Send,
                             ConfigurationAdvertised,
+                            ControlHostsChanged,
                             DepartureAnswered>;
 
 /** @brief Actions collected by a command, in order. */
--- a/thrift/roster.thrift
+++ b/thrift/roster.thrift
@@ -35,6 +35,8 @@
   6: optional i32 role
   // Relays that have not answered the sender.
   7: optional list<string> lostRelays
+  // Whether the sender is a control host with a disk.
+  8: optional bool hasDisk
 }
 
 struct RosterUpdate {
