Remove a learner that is lost while the group grows

Callers saw: an acknowledged configuration that could not be read back after two lost disks. Cause: a learner that is lost before it becomes a voter kept its place among the wanted members, so that a group of five stayed at four voters, which bear one loss. Change: a leader that keeps the group at a size removes any learner that is lost; learners that an operator added stay, as before.

--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -296,7 +296,9 @@
       continue;
     }
     if (member.role == MemberRole::Learner) {
-      if (member.replaces.Empty()) {
+      const bool addedByOperator =
+        member.replaces.Empty() && aState.settings.targetMembers == 0;
+      if (addedByOperator) {
         continue;
       }
       const auto rest = Without(aState.members, member.host);
--- a/test/balsampoint/daemon/control_hosts_test.cpp
+++ b/test/balsampoint/daemon/control_hosts_test.cpp
@@ -70,6 +70,21 @@
   aHosts.Start(successor);
 }
 
+HostId
+FindLearner(const ControlHosts& aHosts)
+{
+  const auto leader = aHosts.Leader();
+  if (leader.Empty()) {
+    return {};
+  }
+  for (const auto& member : aHosts.hosts.at(leader).log.members.members) {
+    if (member.role == consensus::MemberRole::Learner) {
+      return member.host;
+    }
+  }
+  return {};
+}
+
 void
 CutOff(ControlHosts& aHosts, const HostId& aHost, bool aCut)
 {
@@ -140,3 +155,24 @@
       Contains(hosts.Voters(), lost), "seed %lu:\n%s", seed, hosts.log.c_str());
   }
 }
+
+// Guards against a group that never reaches its size: a learner that was lost
+// while the group grew kept its place.
+Test(control_hosts, a_learner_lost_while_the_group_grows_gives_up_its_place)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ControlHosts hosts{ kHosts, kLosses, kCatchUp, seed };
+    HostId learner;
+    hosts.RunUntil(
+      [&] {
+        learner = FindLearner(hosts);
+        return !learner.Empty();
+      },
+      hosts.clock.Now() + kLead);
+    cr_assert_not(learner.Empty());
+    Replace(hosts, learner);
+    hosts.Run(kCatchUp);
+    cr_assert_eq(
+      hosts.Voters().size(), 5, "seed %lu:\n%s", seed, hosts.log.c_str());
+  }
+}
