Promote a learner only once it may vote

Callers saw: an acknowledged configuration that could not be read back after two lost hosts and a power loss of all others. Cause: a learner became a voter as soon as it held the log, one message before it may vote. A power loss in between left a group of six that needs four votes and has three: the two lost hosts and the successor give none. Change: replies to appends say whether the member may not vote yet; the leader promotes only members that may.

--- a/src/balsampoint/consensus/command/members.cpp
+++ b/src/balsampoint/consensus/command/members.cpp
@@ -95,11 +95,13 @@
   });
 }
 
+/** @brief Whether a learner may become a voter. One that gives no vote yet
+ * would only raise the number of votes that an election needs. */
 bool
 IsCaughtUp(const State& aState, const HostId& aHost, Instant aNow)
 {
   const auto found = aState.progress.find(aHost);
-  return found != aState.progress.end() &&
+  return found != aState.progress.end() && !found->second.recovering &&
          found->second.match >= aState.committed &&
          internal::HasRecentContact(aState, aHost, aNow);
 }
--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -148,6 +148,7 @@
   aProgress.lastContactAt = aNow;
   aProgress.lastHeardAt = aNow;
   aProgress.answered = true;
+  aProgress.recovering = aReply.recovering;
   aProgress.round = std::max(aProgress.round, aReply.round);
   if (!aReply.accepted) {
     aProgress.match = std::min(aProgress.match, aReply.index);
@@ -300,6 +301,7 @@
   EndRecovery(aState, aRequest, aActions);
   reply.accepted = true;
   reply.index = last;
+  reply.recovering = aState.hard.recovering;
   internal::SendWhenDurable(aState, aFrom, reply, aActions);
 }
 
--- a/src/balsampoint/consensus/message.hpp
+++ b/src/balsampoint/consensus/message.hpp
@@ -70,6 +70,8 @@
    * otherwise the index after which the leader should retry. */
   Index index;
   Round round;
+  /** Whether the sender may not vote until the leader has repaired its log. */
+  bool recovering{ false };
 
   bool operator==(const AppendReply&) const = default;
 };
--- a/src/balsampoint/consensus/state.hpp
+++ b/src/balsampoint/consensus/state.hpp
@@ -97,6 +97,8 @@
   std::uint64_t snapshotReceived{};
   /** Whether the member has replied since the last heartbeat. */
   bool answered{ false };
+  /** Whether the member may not vote yet, by its last reply. */
+  bool recovering{ true };
 };
 
 /** @brief An entry proposed on this host whose outcome is not known yet. */
--- a/src/balsampoint/peer/consensus_codec.cpp
+++ b/src/balsampoint/peer/consensus_codec.cpp
@@ -145,6 +145,7 @@
     reply.accepted = aMessage.accepted;
     reply.index = ToWire(aMessage.index);
     reply.round = ToWire(aMessage.round);
+    reply.__set_recovering(aMessage.recovering);
     out.__set_appendReply(reply);
   }
   void operator()(const consensus::SnapshotRequest& aMessage) const
@@ -234,7 +235,8 @@
     return consensus::AppendReply{ FromWire<Term>(reply.term),
                                    reply.accepted,
                                    FromWire<Index>(reply.index),
-                                   FromWire<Round>(reply.round) };
+                                   FromWire<Round>(reply.round),
+                                   reply.recovering };
   }
   if (aMessage.__isset.snapshotReply) {
     const auto& reply = aMessage.snapshotReply;
--- a/test/balsampoint/daemon/control_hosts_test.cpp
+++ b/test/balsampoint/daemon/control_hosts_test.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kCatchUp = seconds{ 6 };
 /** Time in which all hosts start before the first request. */
 constexpr Duration kLead = seconds{ 14 };
+/** Time after which the group serves again once its hosts are back. */
+constexpr Duration kRecovery = seconds{ 15 };
 constexpr std::uint64_t kSeeds = 20;
 
 ControlHosts
@@ -176,3 +178,36 @@
       hosts.Voters().size(), 5, "seed %lu:\n%s", seed, hosts.log.c_str());
   }
 }
+
+// Guards against a group without a quorum: a successor that may not vote yet
+// was made a voter, and all hosts lost power before it could.
+Test(control_hosts, a_power_loss_during_a_replacement_leaves_a_quorum)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto hosts = MakeHosts(seed);
+    cr_assert(hosts.Commit(seconds{ 3 }));
+    hosts.Kill(AFollower(hosts));
+    hosts.Kill(AFollower(hosts));
+    hosts.RunUntil([&] { return hosts.Voters().size() > 5; },
+                   hosts.clock.Now() + kCatchUp);
+    cr_assert_eq(hosts.Voters().size(), 6);
+    hosts.Run(hosts.syncTime);
+    std::vector<HostId> running;
+    for (const auto& [id, host] : hosts.hosts) {
+      if (host.up) {
+        running.push_back(id);
+      }
+    }
+    for (const auto& id : running) {
+      hosts.Kill(id);
+    }
+    for (const auto& id : running) {
+      hosts.Start(id);
+    }
+    cr_assert(hosts.ReadsAcknowledged(kRecovery),
+              "seed %lu:\n%s%s",
+              seed,
+              hosts.log.c_str(),
+              hosts.Describe().c_str());
+  }
+}
--- a/test/balsampoint/peer/consensus_codec_test.cpp
+++ b/test/balsampoint/peer/consensus_codec_test.cpp
@@ -32,7 +32,7 @@
                    Index{ 3 },
                    Round{ 4 },
                    { { HostId{ "a" }, std::chrono::milliseconds{ 5 } } } },
-    AppendReply{ Term{ 1 }, true, Index{ 2 }, Round{ 3 } },
+    AppendReply{ Term{ 1 }, true, Index{ 2 }, Round{ 3 }, true },
     SnapshotRequest{ Term{ 1 },
                      Index{ 2 },
                      Term{ 3 },
--- a/thrift/consensus.thrift
+++ b/thrift/consensus.thrift
@@ -64,6 +64,8 @@
   2: required bool accepted
   3: required i64 index
   4: required i64 round
+  // Whether the sender may not vote yet.
+  5: optional bool recovering
 }
 
 struct ConsensusSnapshotRequest {
