Route messages to members of the group by their names

Callers saw: nothing that is known; found while looking for other ways to a group without a leader. Cause: the log names its members without addresses. After a power loss of all, a host knows only the addresses of its seeds, so that voters whose settings name none of each other find no quorum. Change: a gateway derives the addresses of members from their names, which are IP numbers, unless it has learned them.

--- a/src/balsampoint/daemon/consensus_runner.cpp
+++ b/src/balsampoint/daemon/consensus_runner.cpp
@@ -247,6 +247,9 @@
     .With("index", aUpdated.index.Value())
     .With("voters", voters)
     .With("learners", learners);
+  if (mMembersObserver) {
+    mMembersObserver(aUpdated.members);
+  }
 }
 
 void
--- a/src/balsampoint/daemon/consensus_runner.hpp
+++ b/src/balsampoint/daemon/consensus_runner.hpp
@@ -66,6 +66,18 @@
     mObserver = std::move(aObserver);
   }
 
+  /** @brief Called on the control thread when the members change. */
+  using MembersObserver = std::function<void(const consensus::Membership&)>;
+
+  /**
+   * @brief Says who is told of the members; nobody by default.
+   * @param aObserver Told of them.
+   */
+  void ObserveMembers(MembersObserver aObserver)
+  {
+    mMembersObserver = std::move(aObserver);
+  }
+
   /**
    * @brief Carries out one action.
    * @param aAction The action.
@@ -98,6 +110,7 @@
   Replies mReplies;
   runtime::CallbackTable<tl::expected<void, Error>> mConfirmations;
   LeaderObserver mObserver;
+  MembersObserver mMembersObserver;
   Replies mHandOvers;
   Ticket mHandOverTicket;
   /** Last one logged since a leader was known; repeats are not logged. */
--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -184,6 +184,12 @@
       [this](const HostId& aLeader, consensus::Term aTerm) {
         OnLeader(aLeader, aTerm);
       });
+    mRunners.Consensus().ObserveMembers(
+      [this](const consensus::Membership& aMembers) {
+        for (const auto& member : MemberAddresses(mSettings, aMembers)) {
+          mSender.RouteIfUnknown(member.host, member.address);
+        }
+      });
     if (aFirst.store) {
       mRunners.Consensus().UseDisk(std::move(*aFirst.store));
     }
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -96,6 +96,21 @@
   return tuning;
 }
 
+std::vector<roster::HostAddress>
+MemberAddresses(const config::GatewaySettings& aSettings,
+                const consensus::Membership& aMembers)
+{
+  std::vector<roster::HostAddress> addresses;
+  for (const auto& member : aMembers.members) {
+    if (member.host == aSettings.host) {
+      continue;
+    }
+    addresses.push_back(
+      { member.host, PeerAddress(member.host.String(), aSettings) });
+  }
+  return addresses;
+}
+
 forward::RetryAllowance
 AllowanceOf(const config::GatewaySettings& aSettings)
 {
--- a/src/balsampoint/daemon/gateway_state.hpp
+++ b/src/balsampoint/daemon/gateway_state.hpp
@@ -3,14 +3,17 @@
 #include "balsampoint/change/state.hpp"
 #include "balsampoint/change/table.hpp"
 #include "balsampoint/config/gateway_settings.hpp"
+#include "balsampoint/consensus/entry.hpp"
 #include "balsampoint/daemon/first_state.hpp"
 #include "balsampoint/edge/server_connection.hpp"
 #include "balsampoint/fleet/state.hpp"
 #include "balsampoint/forward/retry_budget.hpp"
+#include "balsampoint/roster/message.hpp"
 
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace balsampoint::daemon {
 
@@ -36,6 +39,18 @@
 TuningOf(const config::GatewaySettings& aSettings,
          const peer::Identity& aIdentity);
 
+/**
+ * @brief Addresses of the other members of the control group.
+ *
+ * The log names its members without addresses. After a start this host may
+ * know none of them from its seeds, and they may know none from theirs.
+ * @param aSettings The host's settings.
+ * @param aMembers The members.
+ */
+[[nodiscard]] std::vector<roster::HostAddress>
+MemberAddresses(const config::GatewaySettings& aSettings,
+                const consensus::Membership& aMembers);
+
 /**
  * @brief This host's part of the retries that all hosts may make.
  * @param aSettings The host's settings.
--- a/src/balsampoint/peer/sender.cpp
+++ b/src/balsampoint/peer/sender.cpp
@@ -39,6 +39,15 @@
     peer = std::make_shared<Connection>(mLoop, aAddress, mCounters);
   }
 
+  void RouteIfUnknown(const HostId& aHost, const std::string& aAddress)
+  {
+    const std::lock_guard lock{ mMutex };
+    auto& peer = mPeers[aHost];
+    if (!peer) {
+      peer = std::make_shared<Connection>(mLoop, aAddress, mCounters);
+    }
+  }
+
   /** @return The connection to a host; null if its address is not known. */
   std::shared_ptr<Connection> Find(const HostId& aHost)
   {
@@ -87,6 +96,12 @@
   mTransport->Route(aHost, aAddress);
 }
 
+void
+Sender::RouteIfUnknown(const HostId& aHost, const std::string& aAddress)
+{
+  mTransport->RouteIfUnknown(aHost, aAddress);
+}
+
 void
 Sender::Send(const HostId& aTo, ModuleTag aModule, ByteView aBody)
 {
--- a/src/balsampoint/peer/sender.hpp
+++ b/src/balsampoint/peer/sender.hpp
@@ -39,6 +39,14 @@
    */
   void Route(const HostId& aHost, const std::string& aAddress);
 
+  /**
+   * @brief Says where a host can probably be reached; ignored if its address is
+   * known.
+   * @param aHost The host.
+   * @param aAddress IP number and port.
+   */
+  void RouteIfUnknown(const HostId& aHost, const std::string& aAddress);
+
   /**
    * @brief Queues a message.
    * @param aTo The receiving host.
--- a/test/balsampoint/daemon/control_faults.hpp
+++ b/test/balsampoint/daemon/control_faults.hpp
@@ -11,8 +11,9 @@
  * once, drawn from one seed.
  *
  * Hosts are killed, frozen, cut off, wiped and replaced by empty ones, seeds
- * are exchanged, and the group is split. The day ends with a fault right after
- * an acknowledgement: as many hosts as may be lost then come back with empty
+ * are exchanged, the group is split, all hosts stop at once, links lose
+ * messages and disks are slow. The day ends with a fault right after an
+ * acknowledgement: as many hosts as may be lost then come back with empty
  * disks, while all others lose power.
  */
 class ControlFaults
@@ -154,6 +155,14 @@
       Split();
       return;
     }
+    if (Chance(60)) {
+      StopAll();
+      return;
+    }
+    if (Chance(100)) {
+      Disturb();
+      return;
+    }
     if (LossesLeft() == 0) {
       return;
     }
@@ -179,6 +188,31 @@
     }
   }
 
+  /** @brief All processes end at once and are back soon, with their disks. */
+  void StopAll()
+  {
+    Note("all stop");
+    for (const auto& host : Sound()) {
+      const auto length = Milliseconds(100, 1000);
+      world.Kill(host);
+      Lose(host, length);
+      Restart(host, length);
+    }
+  }
+
+  /** @brief Links lose messages and disks are slow for some time. */
+  void Disturb()
+  {
+    Note("lossy links, slow disks");
+    world.network.Faults().lostPerMille = 60;
+    world.syncTime = Milliseconds(1, 100);
+    At(Milliseconds(1000, 6000), [this] {
+      Note("sound links and disks");
+      world.network.Faults().lostPerMille = 0;
+      world.syncTime = std::chrono::milliseconds{ 1 };
+    });
+  }
+
   void Stop(const HostId& aHost, bool aWipe, Duration aFor)
   {
     Note((aWipe ? "wipe " : "kill ") + aHost.String());
@@ -336,7 +370,9 @@
       due();
     }
     if (world.ReadsAcknowledged(kRecovery)) {
-      return {};
+      return world.Commit(kRecovery)
+               ? std::string{}
+               : "no change is acknowledged\n" + world.log + world.Describe();
     }
     return "read back at the end: number " +
            std::to_string(world.acknowledged) + " was acknowledged\n" +
--- a/test/balsampoint/daemon/control_hosts.hpp
+++ b/test/balsampoint/daemon/control_hosts.hpp
@@ -601,6 +601,10 @@
   }
   void Perform(const HostId& aHost, consensus::MembersUpdated& aUpdated)
   {
+    for (const auto& member :
+         MemberAddresses(SettingsOf(aHost), aUpdated.members)) {
+      hosts.at(aHost).routes.insert(member.host);
+    }
     if (aHost == Leader()) {
       Note("members" + TextOf(aUpdated.members));
     }
--- a/test/balsampoint/daemon/control_hosts_test.cpp
+++ b/test/balsampoint/daemon/control_hosts_test.cpp
@@ -211,3 +211,29 @@
               hosts.Describe().c_str());
   }
 }
+
+// Guards against voters that do not find each other after a power loss: their
+// settings name only seeds that they can't reach.
+Test(control_hosts, voters_find_each_other_without_their_seeds)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto hosts = MakeHosts(seed);
+    cr_assert(hosts.Commit(seconds{ 3 }));
+    auto voters = hosts.Voters();
+    const std::vector<HostId> lost{ voters.at(0), voters.at(1) };
+    for (const auto& [id, host] : hosts.hosts) {
+      hosts.Kill(id);
+    }
+    hosts.seeds = lost;
+    for (const auto& voter : voters) {
+      if (!Contains(lost, voter)) {
+        hosts.Start(voter);
+      }
+    }
+    cr_assert(hosts.ReadsAcknowledged(kRecovery),
+              "seed %lu:\n%s%s",
+              seed,
+              hosts.log.c_str(),
+              hosts.Describe().c_str());
+  }
+}
--- a/test/balsampoint/daemon/gateway_state_test.cpp
+++ b/test/balsampoint/daemon/gateway_state_test.cpp
@@ -130,3 +130,20 @@
     AssertServesAcknowledged(group, seed);
   }
 }
+
+Test(gateway_state, members_are_reached_at_the_port_of_this_host)
+{
+  config::GatewaySettings settings{ .host = HostId{ "10.0.0.1" } };
+  settings.listen.peers = { "10.0.0.1", 7000 };
+  const consensus::Membership members{
+    { { HostId{ "10.0.0.1" }, ZoneId{ "a" }, consensus::MemberRole::Voter, {} },
+      { HostId{ "10.0.0.2" },
+        ZoneId{ "b" },
+        consensus::MemberRole::Learner,
+        {} } }
+  };
+  const auto addresses = daemon::MemberAddresses(settings, members);
+  cr_assert_eq(addresses.size(), 1);
+  cr_assert(addresses.front() ==
+            roster::HostAddress(HostId{ "10.0.0.2" }, "10.0.0.2:7000"));
+}
