Join the fan-out tree through all control hosts that can be reached

Cause: a control host that is no member joins the tree at the seeds of its start only; once they are gone it never learns the leader, and refuses changes and reads that it should pass on. Change: the roster's control hosts are told to the fan-out, which joins through them besides the seeds.

--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -170,14 +170,17 @@
 RosterRunner::Do(const roster::ControlHostsChanged& aChanged)
 {
   consensus::StandbyHostsUpdated known;
+  fanout::ControlHostsChanged changed;
   std::string names;
   for (const auto& control : aChanged.hosts) {
     known.standbyHosts.insert({ control.host, control.zone });
+    changed.hosts.push_back(control.host);
     names += names.empty() ? "" : ",";
     names += control.host.Value();
   }
   trace::Event{ "control_hosts_reachable" }.With("hosts", names);
   Post(mMailbox, consensus::Event{ std::move(known) });
+  Post(mMailbox, fanout::Event{ std::move(changed) });
 }
 
 void
--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -6,6 +6,7 @@
 #include "balsampoint/fanout/internal/root.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace balsampoint::fanout {
 
@@ -120,6 +121,23 @@
          aNow - known->second.lastReceivedAt >= aState.settings.joinInterval;
 }
 
+/** @brief Control hosts that are no seeds, the leader among them if it is
+ * known.
+ */
+std::set<HostId>
+HostsOutsideSeeds(const State& aState)
+{
+  std::set<HostId> hosts{ aState.controlHosts.begin(),
+                          aState.controlHosts.end() };
+  if (KnowsOtherLeader(aState)) {
+    hosts.insert(aState.leader);
+  }
+  for (const auto& seed : aState.settings.seeds) {
+    hosts.erase(seed);
+  }
+  return hosts;
+}
+
 } // namespace
 
 void
@@ -144,10 +162,8 @@
     }
     aActions.emplace_back(Send{ seed, JoinRequest{ self } });
   }
-  const auto& seeds = aState.settings.seeds;
-  if (KnowsOtherLeader(aState) &&
-      std::ranges::find(seeds, aState.leader) == seeds.end()) {
-    aActions.emplace_back(Send{ aState.leader, JoinRequest{ self } });
+  for (const auto& host : HostsOutsideSeeds(aState)) {
+    aActions.emplace_back(Send{ host, JoinRequest{ self } });
   }
   PublishWhenReady(aState, aNow, aActions);
 }
--- a/src/balsampoint/fanout/module.cpp
+++ b/src/balsampoint/fanout/module.cpp
@@ -52,6 +52,10 @@
   {
     HandleNumberAdvertised(state, aEvent, now);
   }
+  void operator()(const ControlHostsChanged& aEvent) const
+  {
+    state.controlHosts = aEvent.hosts;
+  }
   void operator()(const InForceRequest& aMessage) const
   {
     HandleInForceRequest(state, from, aMessage, now, actions);
--- a/src/balsampoint/fanout/state.hpp
+++ b/src/balsampoint/fanout/state.hpp
@@ -143,6 +143,9 @@
   std::map<HostId, DirectoryEntry> directory;
   /** Pending requests; empty unless this host leads. */
   std::vector<InForceWaiter> waiters;
+  /** Control hosts that can be reached now; join requests are sent to them
+   * besides the seeds, which may be gone. */
+  std::vector<HostId> controlHosts;
   /** Control hosts whose answers count for the start of this host. */
   std::set<HostId> answeredSeeds;
   /** When a starting host stops waiting for control hosts; `kNever` after. */
@@ -209,13 +212,20 @@
   bool sameZone{ false };
 };
 
+/** @brief The control hosts that this host can reach have changed. */
+struct ControlHostsChanged
+{
+  std::vector<HostId> hosts;
+};
+
 /** @brief Events of the module. */
 using Event = std::variant<Received,
                            Accepted,
                            LeaderChanged,
                            Published,
                            AwaitInForce,
-                           NumberAdvertised>;
+                           NumberAdvertised,
+                           ControlHostsChanged>;
 
 /** @brief Send a message to another host. */
 struct Send
--- a/test/balsampoint/daemon/control_hosts.hpp
+++ b/test/balsampoint/daemon/control_hosts.hpp
@@ -594,10 +594,13 @@
   void Perform(const HostId& aHost, roster::ControlHostsChanged& aChanged)
   {
     consensus::StandbyHostsUpdated known;
+    fanout::ControlHostsChanged changed;
     for (const auto& control : aChanged.hosts) {
       known.standbyHosts.insert({ control.host, control.zone });
+      changed.hosts.push_back(control.host);
     }
     Handle(aHost, consensus::Event{ std::move(known) });
+    Handle(aHost, fanout::Event{ std::move(changed) });
   }
   void Perform(const HostId& aHost, consensus::MembersUpdated& aUpdated)
   {
--- a/test/balsampoint/daemon/control_hosts_test.cpp
+++ b/test/balsampoint/daemon/control_hosts_test.cpp
@@ -237,3 +237,23 @@
               hosts.Describe().c_str());
   }
 }
+
+// Guards against a control host that refuses changes and reads: it is no member
+// of the group, and all hosts that it asks for the leader are gone.
+Test(control_hosts, a_host_whose_seeds_are_gone_knows_the_leader)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto hosts = MakeHosts(seed, kHosts + 3);
+    for (const auto& old : hosts.seeds) {
+      hosts.Kill(old);
+      hosts.Run(kCatchUp);
+    }
+    for (const auto& [id, host] : hosts.hosts) {
+      cr_assert(!host.up || host.tree.leader == hosts.Leader(),
+                "seed %lu, %s:\n%s",
+                seed,
+                id.String().c_str(),
+                hosts.log.c_str());
+    }
+  }
+}
