Count only answers of seeds towards the start of a host

Cause: since joins go to all control hosts, answers of others would have counted towards the number of seeds that a starting host waits for. Change: only seeds are counted, as before those joins. Comments of the join.

--- a/src/balsampoint/fanout/command/join.cpp
+++ b/src/balsampoint/fanout/command/join.cpp
@@ -94,7 +94,8 @@
   const auto& seeds = aState.settings.seeds;
   if (aReply.leads) {
     aState.answeredSeeds = { seeds.begin(), seeds.end() };
-  } else if (aReply.parent.Empty()) {
+  } else if (aReply.parent.Empty() &&
+             std::ranges::find(seeds, aFrom) != seeds.end()) {
     aState.answeredSeeds.insert(aFrom);
   }
 }
@@ -121,9 +122,7 @@
          aNow - known->second.lastReceivedAt >= aState.settings.joinInterval;
 }
 
-/** @brief Control hosts that are no seeds, the leader among them if it is
- * known.
- */
+/** @brief Reachable control hosts that are no seeds, and the leader. */
 std::set<HostId>
 HostsOutsideSeeds(const State& aState)
 {
@@ -236,7 +235,7 @@
   aState.leader = self && !leads ? HostId{} : aEvent.leader;
   if (KnowsOtherLeader(aState) && aState.leader != before &&
       aState.settings.joinsTree) {
-    // The new leader knows no host of the tree before it joins.
+    // A new leader knows only the hosts that have joined since.
     aState.parent = {};
     aState.nextJoin = aNow;
   }
