Bound the silences that a leader tells

Cause: a malformed time of silence would overflow, or put the last sign of life of a member into the future, so that a next leader never replaces it. Change: the codec bounds it to 0 to 24 h; a host keeps none of itself. Measured: consensus_codec::bounds_the_silence_of_a_member is new and passes, it was not run before the change; test-peer 25, test-consensus 28 passed.

--- a/src/balsampoint/consensus/command/replicate.cpp
+++ b/src/balsampoint/consensus/command/replicate.cpp
@@ -122,6 +122,9 @@
 RecordSilences(State& aState, const AppendRequest& aRequest, Instant aNow)
 {
   for (const auto& member : aState.members.members) {
+    if (member.host == aState.settings.self) {
+      continue;
+    }
     const auto silence =
       std::ranges::find(aRequest.silences, member.host, &Silence::host);
     const bool silent = silence != aRequest.silences.end();
--- a/src/balsampoint/peer/consensus_codec.cpp
+++ b/src/balsampoint/peer/consensus_codec.cpp
@@ -3,12 +3,16 @@
 #include "balsampoint/peer/generated/consensus_types.h"
 #include "balsampoint/peer/thrift_bytes.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace balsampoint::peer {
 
 namespace {
 
+/** Longer silences make no difference; keeps arithmetic in range. */
+constexpr std::chrono::hours kLongestSilence{ 24 };
+
 namespace wire = generated;
 
 template<typename Number>
@@ -200,9 +204,10 @@
     request.entries.push_back(std::move(*decoded));
   }
   for (const auto& silence : aRequest.silences) {
+    const std::chrono::microseconds told{ silence.microseconds };
     request.silences.push_back(
       { HostId{ silence.host },
-        std::chrono::microseconds{ silence.microseconds } });
+        std::clamp<std::chrono::microseconds>(told, {}, kLongestSilence) });
   }
   return request;
 }
--- a/test/balsampoint/peer/consensus_codec_test.cpp
+++ b/test/balsampoint/peer/consensus_codec_test.cpp
@@ -4,6 +4,7 @@
 
 using namespace balsampoint;
 using namespace balsampoint::consensus;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -54,6 +55,17 @@
   }
 }
 
+Test(consensus_codec, bounds_the_silence_of_a_member)
+{
+  for (const Duration told : { -Duration{ 1h }, Duration{ 100000h } }) {
+    const AppendRequest request{ .silences = { { HostId{ "a" }, told } } };
+    const auto decoded =
+      *peer::DecodeConsensusMessage(peer::Encode(Message{ request }));
+    const auto silence = std::get<AppendRequest>(decoded).silences.at(0);
+    cr_assert(silence.duration >= Duration{} && silence.duration <= 24h);
+  }
+}
+
 Test(consensus_codec, refuses_entries_out_of_order)
 {
   const AppendRequest request{ .previousIndex = Index{ 3 },
