--- a/test/tsan/criterion/criterion.h
+++ b/test/tsan/criterion/criterion.h
@@ -66,5 +66,7 @@
 #define cr_assert_null(aPointer, ...) cr_assert((aPointer) == nullptr)
 #define cr_assert_not_null(aPointer, ...) cr_assert((aPointer) != nullptr)
 #define cr_assert_fail(...) cr_assert(false)
+#define cr_log_error(...)                                                      \
+  static_cast<void>(std::fprintf(stderr, __VA_ARGS__))
 #define cr_expect cr_assert
 #define cr_expect_eq cr_assert_eq
