--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -180,6 +180,18 @@
         [this](const auto& aAlternative) { this->Execute(aAlternative); },
         aAction);
     });
+    ObserveGroup();
+    if (aFirst.store) {
+      mRunners.Consensus().UseDisk(std::move(*aFirst.store));
+    }
+    for (const auto& action : aFirst.actions) {
+      mRunners.Run(action);
+    }
+    mControlThread = std::thread{ [this] { mLoop.Run(); } };
+  }
+
+  void ObserveGroup()
+  {
     mRunners.Consensus().ObserveLeader(
       [this](const HostId& aLeader, consensus::Term aTerm) {
         OnLeader(aLeader, aTerm);
@@ -190,13 +202,6 @@
           mSender.RouteIfUnknown(member.host, member.address);
         }
       });
-    if (aFirst.store) {
-      mRunners.Consensus().UseDisk(std::move(*aFirst.store));
-    }
-    for (const auto& action : aFirst.actions) {
-      mRunners.Run(action);
-    }
-    mControlThread = std::thread{ [this] { mLoop.Run(); } };
   }
 
   tl::expected<void, Error> Listen()
