Log which control host made an entry host a relay or ended that

relay_changed tells what a host follows, and not why.

Test: roster::a_change_of_role_names_the_control_host_that_decided_it.

--- a/src/balsampoint/daemon/roster_runner.cpp
+++ b/src/balsampoint/daemon/roster_runner.cpp
@@ -183,6 +183,14 @@
   Post(mMailbox, fanout::Event{ std::move(changed) });
 }
 
+void
+RosterRunner::Do(const roster::RoleChanged& aChanged)
+{
+  trace::Event{ "roster_role_changed" }
+    .With("role", aChanged.role == roster::Role::Relay ? "relay" : "entry")
+    .With("by", aChanged.by);
+}
+
 void
 RosterRunner::Do(const roster::DepartureAnswered& aAnswered)
 {
--- a/src/balsampoint/daemon/roster_runner.hpp
+++ b/src/balsampoint/daemon/roster_runner.hpp
@@ -72,6 +72,7 @@
   void Do(const roster::Send& aSend);
   void Do(const roster::ConfigurationAdvertised& aAdvertised);
   void Do(const roster::ControlHostsChanged& aChanged);
+  void Do(const roster::RoleChanged& aChanged);
   void Do(const roster::DepartureAnswered& aAnswered);
   void Push(Ticket aTicket, roster::Event aEvent);
 
--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -131,7 +131,10 @@
 /** @brief Goes on relying on the control hosts that the relays reach, until
  * they answer this host itself. */
 void
-BecomeRelay(State& aState, Instant aNow, Actions& aActions)
+BecomeRelay(State& aState,
+            const HostId& aBy,
+            Instant aNow,
+            Actions& aActions)
 {
   for (const auto& host : internal::ReachableControls(aState, aNow)) {
     const auto source = aState.sources.find(host);
@@ -140,6 +143,7 @@
     }
   }
   aState.role = Role::Relay;
+  aActions.emplace_back(RoleChanged{ aState.role, aBy });
   for (auto& entry : aState.relays) {
     entry.second.subscribedAt = kNever;
   }
@@ -291,7 +295,7 @@
     aRelays.end();
   if (aState.role == Role::Entry && aState.sources.contains(aFrom) &&
       isAppointed && !isLate) {
-    BecomeRelay(aState, aNow, aActions);
+    BecomeRelay(aState, aFrom, aNow, aActions);
   }
 }
 
@@ -316,6 +320,7 @@
     aState.role = Role::Entry;
     aState.referredAt = aNow;
     aState.subscribers.clear();
+    aActions.emplace_back(RoleChanged{ aState.role, aFrom });
   }
   MergeControlHosts(aState, aMessage.controls, aNow, aActions);
   aState.relays.erase(aFrom);
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -269,6 +269,14 @@
   std::vector<ControlHost> hosts;
 };
 
+/** @brief Reports that this host became a relay or an entry host again. */
+struct RoleChanged
+{
+  Role role{ Role::Entry };
+  /** Control host that decided it. */
+  HostId by;
+};
+
 /** @brief Answers a server that leaves. */
 struct DepartureAnswered
 {
@@ -284,6 +292,7 @@
                             Send,
                             ConfigurationAdvertised,
                             ControlHostsChanged,
+                            RoleChanged,
                             DepartureAnswered>;
 
 /** @brief Actions collected by a command, in order. */
--- a/test/balsampoint/roster/hosts.hpp
+++ b/test/balsampoint/roster/hosts.hpp
@@ -96,9 +96,13 @@
   std::set<std::pair<HostId, HostId>> cut;
   /** Newest number that was advertised to each host. */
   std::map<HostId, ChangeNumber> advertisedNumbers;
+  /** Last change of role that each host reported. */
+  std::map<HostId, roster::RoleChanged> roles;
   /** Messages that reached each host. */
   std::map<HostId, std::size_t> received;
 
+  [[nodiscard]] Instant Now() const { return mNow; }
+
   [[nodiscard]] const roster::State& StateOf(std::string_view aHost) const
   {
     return mStates.at(HostId{ std::string{ aHost } });
@@ -113,6 +117,9 @@
         auto& newest = advertisedNumbers[aFrom];
         newest = std::max(newest, advertised->number);
       }
+      if (const auto* role = std::get_if<roster::RoleChanged>(&action)) {
+        roles[aFrom] = *role;
+      }
       if (const auto* answered =
             std::get_if<roster::DepartureAnswered>(&action)) {
         answers[answered->ticket] = answered->kept;
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -220,3 +220,14 @@
   hosts.Deliver("c2", ConfigurationUpdated{ ChangeNumber{ 28 } });
   cr_assert_eq(hosts.advertisedNumbers[HostId{ "entry" }], ChangeNumber{ 28 });
 }
+
+Test(roster, a_change_of_role_names_the_control_host_that_decided_it)
+{
+  auto hosts = MakeHosts();
+  const HostId entry{ "entry" };
+  cr_assert(hosts.roles.at(entry).role == Role::Relay);
+  const Referral referral{ .relays = { { HostId{ "other" }, "other:1" } } };
+  hosts.Deliver("entry", Received{ HostId{ "c2" }, referral });
+  cr_assert(hosts.roles.at(entry).role == Role::Entry);
+  cr_assert_eq(hosts.roles.at(entry).by, HostId{ "c2" });
+}
