Clear the deadline of a waiting change when a relay steps down

A relay that waits to send a change within minPushInterval of the last one, and is referred to other relays meanwhile, kept nextPush in the past: NextDeadline was always over, and the control thread ran without a pause until the host was a relay with followers again. PushChanges left early without clearing it.

Looked for elsewhere: all other modules' deadlines are cleared or moved by the command that they call.

roster::a_relay_that_steps_down_leaves_no_deadline_in_the_past failed before and passes now.

--- a/src/balsampoint/roster/command/exchange_claims.cpp
+++ b/src/balsampoint/roster/command/exchange_claims.cpp
@@ -168,6 +168,7 @@
 PushChanges(State& aState, Instant aNow, Actions& aActions)
 {
   if (aState.role == Role::Entry || aState.subscribers.empty()) {
+    aState.nextPush = kNever;
     return;
   }
   const auto allowedAt =
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -231,3 +231,19 @@
   cr_assert(hosts.roles.at(entry).role == Role::Entry);
   cr_assert_eq(hosts.roles.at(entry).by, HostId{ "c2" });
 }
+
+// Guards against a control thread that runs without a pause: a relay that is
+// referred to others has no one to send a waiting change to.
+Test(roster, a_relay_that_steps_down_leaves_no_deadline_in_the_past)
+{
+  auto hosts = MakeHosts();
+  const Subscribe subscription{ .address = "follower:1", .zone = ZoneId{ "a" } };
+  hosts.Deliver("entry", Received{ HostId{ "follower" }, subscription });
+  hosts.Deliver("entry", ConfigurationUpdated{ ChangeNumber{ 1 } });
+  hosts.Deliver("entry", ConfigurationUpdated{ ChangeNumber{ 2 } });
+  const Referral referral{ .relays = { { HostId{ "other" }, "other:1" } } };
+  hosts.Deliver("entry", Received{ HostId{ "c1" }, referral });
+  cr_assert(hosts.StateOf("entry").role == Role::Entry);
+  hosts.Run(kPushDelay);
+  cr_assert_gt(Module::NextDeadline(hosts.StateOf("entry")), hosts.Now());
+}
