Return to no relay that has answered that it is none

Callers were answered 404 for routes that had been added: after all control hosts lost power, an entry host followed no relay for 6 to 11 s.

Cause: just started control hosts each appoint relays, and refer those of the others away. A host that follows one of these gets a referral, which names the relays that its sender had heard of. Each name counted as new with each referral, so that names of hosts that are no relays any more went round between entry hosts for as long as these asked. The follower forgot the refusal and chose the same two hosts again at each renewal, and control hosts, which it asked in between, sent it nothing, as it could name no lost relay.

An entry host now vouches only for relays that serve it, and a relay that has refused counts as lost for hostTimeout, also towards control hosts, which then send their claims and the number of the configuration at once.

--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -45,8 +45,8 @@
   });
 }
 
-/** @brief Relays that have not answered this host in time, or answer without
- * reaching a control host. */
+/** @brief Relays that have not answered this host in time, answer without
+ * reaching a control host, or are no relays any more. */
 std::vector<HostId>
 LostRelays(const State& aState, Instant aNow)
 {
@@ -323,7 +323,11 @@
     aActions.emplace_back(RoleChanged{ aState.role, aFrom });
   }
   MergeControlHosts(aState, aMessage.controls, aNow, aActions);
-  aState.relays.erase(aFrom);
+  const auto relay = aState.relays.find(aFrom);
+  if (relay != aState.relays.end()) {
+    relay->second.subscribedAt = kNever;
+    relay->second.refusedAt = aNow;
+  }
   AdoptRelays(aState, aMessage.relays, aNow, aActions);
   // Two hosts that are no relays any more would refer this host to each other
   // without end if it followed an entry host's referral at once.
--- a/src/balsampoint/roster/internal/tree.cpp
+++ b/src/balsampoint/roster/internal/tree.cpp
@@ -45,6 +45,10 @@
 bool
 IsLost(const State& aState, const Relay& aRelay, Instant aNow)
 {
+  if (aRelay.refusedAt != kNever &&
+      aNow - aRelay.refusedAt <= aState.settings.hostTimeout) {
+    return true;
+  }
   if (aRelay.subscribedAt == kNever) {
     return false;
   }
@@ -114,8 +118,14 @@
     }
     return relays;
   }
+  // An entry host vouches only for relays that serve it: names that hosts
+  // repeat to each other would outlive the relays.
+  const bool isEntry = aState.role == Role::Entry;
   for (const auto& [host, relay] : aState.relays) {
-    if (aNow - relay.namedAt <= settings.hostTimeout) {
+    const bool isLive = isEntry
+                          ? IsServing(aState, relay, aNow)
+                          : aNow - relay.namedAt <= settings.hostTimeout;
+    if (isLive) {
       relays.push_back({ host, relay.source.address });
     }
   }
--- a/src/balsampoint/roster/internal/tree.hpp
+++ b/src/balsampoint/roster/internal/tree.hpp
@@ -35,8 +35,8 @@
 IsServing(const State& aState, const Relay& aRelay, Instant aNow);
 
 /**
- * @brief Whether a relay has not answered for too long, or answers without
- * reaching a control host.
+ * @brief Whether a relay has not answered for too long, answers without
+ * reaching a control host, or has answered that it is no relay.
  * @param aState State to read.
  * @param aRelay The relay.
  * @param aNow Current time.
@@ -63,8 +63,8 @@
 
 /**
  * @brief Live relays of a zone, ordered by id: on a control host those that
- * subscribe to it, on a relay itself and its peers, on an entry host those it
- * knows.
+ * subscribe to it, on a relay itself and its peers, on an entry host those that
+ * serve it.
  * @param aState State to read.
  * @param aZone The zone; only a control host knows other zones than its own.
  * @param aNow Current time.
--- a/src/balsampoint/roster/state.hpp
+++ b/src/balsampoint/roster/state.hpp
@@ -110,6 +110,8 @@
   Instant namedAt{};
   /** When this host subscribed to it; `kNever` if it has not. */
   Instant subscribedAt{ kNever };
+  /** When it last answered that it is no relay; `kNever` if it has not. */
+  Instant refusedAt{ kNever };
 };
 
 /** @brief A host that subscribes to this host's claims. */
