Tell a torn write from damage by markers in the log

A write of several entries that a power loss left with a hole before a whole record counted as damage of a durable record: the host lost its vote and its log, though nobody had relied on that write. Two lost disks and one such host are three of five.

A whole record after a damaged one doesn't show that the damaged one was durable: both may belong to one write. The store now adds an empty record behind each write that is durable, without a sync of its own. Damage is refused if such a marker follows it, and cut otherwise. A bit error in the last write is now told from a torn one too, unless power is lost before the next write. Segments of earlier versions, which begin with an entry, keep the earlier rule.

--- a/src/balsampoint/disk/internal/log_store.hpp
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -134,20 +134,24 @@
   }
   internal::Segment segment{ .name = aName };
   const ByteView all{ *bytes };
-  while (true) {
-    auto entry = ReadEntry(all.subspan(segment.size));
-    if (!entry.has_value()) {
+  while (const auto record = ReadRecord(all.subspan(segment.size))) {
+    if (record->empty()) {
+      segment.size += kRecordHeaderBytes;
+      continue;
+    }
+    auto entry = peer::DecodeEntry(*record);
+    if (!entry) {
       break;
     }
     if (segment.offsets.empty()) {
-      segment.first = entry->first.index;
+      segment.first = entry->index;
     }
     segment.offsets.push_back(segment.size);
-    segment.size += entry->second;
+    segment.size += kRecordHeaderBytes + record->size();
     const auto covered =
       aInto.snapshot ? aInto.snapshot->index : consensus::Index{};
-    if (entry->first.index > covered) {
-      aInto.entries.push_back(std::move(entry->first));
+    if (entry->index > covered) {
+      aInto.entries.push_back(std::move(*entry));
     }
   }
   Result done;
@@ -166,7 +170,11 @@
                               ByteView aBytes,
                               bool aLast)
 {
-  if (!aLast || HoldsRecord(aBytes.subspan(aSegment.size + 1))) {
+  // Nothing but a marker may be unfinished where another segment follows.
+  const bool isMarker = aBytes.size() - aSegment.size <= kRecordHeaderBytes;
+  const bool wasDurable =
+    aLast ? WasDurable(aBytes, aSegment.size) : !isMarker;
+  if (wasDurable) {
     return Refuse(ErrorKind::StorageFailed,
                   aSegment.name + " is damaged at byte " +
                     std::to_string(aSegment.size));
@@ -177,18 +185,21 @@
 }
 
 template<typename D>
-std::optional<std::pair<consensus::Entry, std::uint64_t>>
-BasicLogStore<D>::ReadEntry(ByteView aBytes)
+bool
+BasicLogStore<D>::WasDurable(ByteView aBytes, std::uint64_t aOffset)
 {
-  const auto record = ReadRecord(aBytes);
-  if (!record) {
-    return std::nullopt;
-  }
-  auto entry = peer::DecodeEntry(*record);
-  if (!entry) {
-    return std::nullopt;
+  const auto first = ReadRecord(aBytes);
+  const bool hasMarkers = !first || first->empty();
+  auto rest = aBytes.subspan(aOffset + 1);
+  while (const auto found = FindRecord(rest)) {
+    rest = rest.subspan(*found);
+    const auto record = ReadRecord(rest);
+    if (record->empty() || !hasMarkers) {
+      return true;
+    }
+    rest = rest.subspan(kRecordHeaderBytes + record->size());
   }
-  return std::pair{ std::move(*entry), kRecordHeaderBytes + record->size() };
+  return false;
 }
 
 template<typename D>
@@ -343,6 +354,9 @@
   }
   auto& segment = mSegments.rbegin()->second;
   ByteVector bytes;
+  if (segment.size == 0) {
+    AppendRecord(bytes, {});
+  }
   std::vector<std::uint64_t> offsets;
   for (const auto& entry : aEntries) {
     offsets.push_back(segment.size + bytes.size());
@@ -351,10 +365,23 @@
   auto done = mDisk.Append(segment.name, bytes).and_then([&] {
     return mDisk.Sync(segment.name);
   });
+  if (!done) {
+    return done;
+  }
+  segment.size += bytes.size();
+  segment.offsets.insert(segment.offsets.end(), offsets.begin(), offsets.end());
+  return MarkDurable(segment);
+}
+
+template<typename D>
+typename BasicLogStore<D>::Result
+BasicLogStore<D>::MarkDurable(internal::Segment& aSegment)
+{
+  ByteVector marker;
+  AppendRecord(marker, {});
+  auto done = mDisk.Append(aSegment.name, marker);
   if (done) {
-    segment.size += bytes.size();
-    segment.offsets.insert(
-      segment.offsets.end(), offsets.begin(), offsets.end());
+    aSegment.size += marker.size();
   }
   return done;
 }
--- a/src/balsampoint/disk/log_store.hpp
+++ b/src/balsampoint/disk/log_store.hpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <map>
-#include <optional>
 #include <utility>
 
 namespace balsampoint::disk {
@@ -27,6 +26,10 @@
  * Entries stand in segments, files of checksummed records named after their
  * first index. A write is durable when `Write` returns. After a failed write
  * every other one is refused until a write that resumes has worked.
+ *
+ * An empty record is a marker: all before it is durable. It is written without
+ * a sync, as it may be missing after a power loss but never tells a lie. Damage
+ * that no marker follows lies in the last write, which nobody relies on.
  * @tparam D Disk that holds the files.
  */
 template<typename D>
@@ -45,9 +48,10 @@
     const FolderOwner& aOwner);
 
   /**
-   * @brief Reads everything back; cuts a torn record at the end of the log.
-   * @return The content, or `ErrorKind::StorageFailed` when a record before
-   * the end is damaged.
+   * @brief Reads everything back; cuts what a power loss has torn in the last
+   * write.
+   * @return The content, or `ErrorKind::StorageFailed` when a record that was
+   * durable is damaged.
    */
   [[nodiscard]] tl::expected<consensus::Recovered, Error> Load();
 
@@ -84,8 +88,9 @@
   [[nodiscard]] Result CutTornTail(const internal::Segment& aSegment,
                                    ByteView aBytes,
                                    bool aLast);
-  [[nodiscard]] static std::optional<std::pair<consensus::Entry, std::uint64_t>>
-  ReadEntry(ByteView aBytes);
+  /** @brief Whether what stood at an offset was durable, by the markers. A file
+   * of an earlier version has none; there any whole record tells it. */
+  [[nodiscard]] static bool WasDurable(ByteView aBytes, std::uint64_t aOffset);
   [[nodiscard]] Result CutUnfinished();
   [[nodiscard]] Result WriteParts(const consensus::Persist& aWrite);
   [[nodiscard]] Result WriteHardState(const consensus::HardState& aHard);
@@ -93,6 +98,7 @@
   [[nodiscard]] Result TruncateFrom(consensus::Index aFrom);
   [[nodiscard]] Result AppendEntries(
     std::span<const consensus::Entry> aEntries);
+  [[nodiscard]] Result MarkDurable(internal::Segment& aSegment);
   [[nodiscard]] Result DropCovered(consensus::Index aIndex);
   [[nodiscard]] Result RemoveFrom(std::span<const std::string> aNames);
   [[nodiscard]] tl::expected<std::vector<std::string>, Error> Names(
--- a/src/balsampoint/disk/record.cpp
+++ b/src/balsampoint/disk/record.cpp
@@ -68,15 +68,15 @@
   return payload;
 }
 
-bool
-HoldsRecord(ByteView aBytes)
+std::optional<std::size_t>
+FindRecord(ByteView aBytes)
 {
   for (std::size_t at = 0; at + kRecordHeaderBytes <= aBytes.size(); ++at) {
     if (ReadRecord(aBytes.subspan(at))) {
-      return true;
+      return at;
     }
   }
-  return false;
+  return std::nullopt;
 }
 
 } // namespace balsampoint::disk
--- a/src/balsampoint/disk/record.hpp
+++ b/src/balsampoint/disk/record.hpp
@@ -28,10 +28,11 @@
 ReadRecord(ByteView aBytes);
 
 /**
- * @brief Whether a whole record starts anywhere in some bytes.
+ * @brief Finds the next whole record.
  * @param aBytes Bytes to search.
+ * @return Where it starts; nothing if there is none.
  */
-[[nodiscard]] bool
-HoldsRecord(ByteView aBytes);
+[[nodiscard]] std::optional<std::size_t>
+FindRecord(ByteView aBytes);
 
 } // namespace balsampoint::disk
--- a/test/balsampoint/disk/log_store_test.cpp
+++ b/test/balsampoint/disk/log_store_test.cpp
@@ -86,6 +86,11 @@
       break;
     }
     bytes.resize(bytes.size() - lost);
+    if (lost <= disk::kRecordHeaderBytes) {
+      // Only the marker behind the entry is torn.
+      cr_assert_eq(store.Load()->entries.size(), 3);
+      continue;
+    }
     cr_assert_eq(store.Load()->entries.size(), 2);
     cr_assert_eq(store.Folder().Bytes(kSegment).size(), whole);
     cr_assert(store.Write(WriteOf(3, 1)).has_value());
--- a/test/balsampoint/disk/power_loss_test.cpp
+++ b/test/balsampoint/disk/power_loss_test.cpp
@@ -36,6 +36,8 @@
       while (mStore.Folder().HasPower()) {
         WriteNext();
       }
+      mStore.Folder().FailWrites(false);
+      mStore.Folder().FailSyncs(false);
       mStore.Folder().Restart();
       const auto recovered = mStore.Load();
       if (!recovered) {
