Make the cut of an unfinished write durable

What was cut could come back with a power loss, in a segment that isn't the last any more: the log counted as damaged, and the host lost its vote.

--- a/src/balsampoint/disk/internal/log_store.hpp
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -250,7 +250,9 @@
   }
   const auto& last = mSegments.rbegin()->second;
   if (!last.offsets.empty()) {
-    return mDisk.Truncate(last.name, last.size);
+    return mDisk.Truncate(last.name, last.size).and_then([&] {
+      return mDisk.Sync(last.name);
+    });
   }
   const auto name = last.name;
   mSegments.erase(std::prev(mSegments.end()));
