Remove a segment that holds no entry

A segment whose first write a power loss took stayed as an empty file. Where the log went on under a lower number, after entries had been replaced, that file was still the last by name: the next power loss then tore the segment that is written to, which counted as damage as it wasn't the last.

--- a/src/balsampoint/disk/internal/log_store.hpp
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -158,9 +158,13 @@
   if (segment.size < all.size()) {
     done = CutTornTail(segment, all, aLast);
   }
-  if (done && !segment.offsets.empty()) {
-    mSegments[segment.first] = std::move(segment);
+  if (!done) {
+    return done;
+  }
+  if (segment.offsets.empty()) {
+    return mDisk.Remove(aName);
   }
+  mSegments[segment.first] = std::move(segment);
   return done;
 }
 
--- a/test/balsampoint/disk/power_loss_test.cpp
+++ b/test/balsampoint/disk/power_loss_test.cpp
@@ -25,6 +25,8 @@
         fake::TornDisk{ aSeed },
         FolderOwner{ ClusterId{ "cluster" }, HostId{ "a" } }) }
   {
+    std::ignore =
+      mStore.Write({ .hard = HardState{ Term{ 1 }, HostId{ "a" } } });
   }
 
   /** @brief Plays some losses; returns what went wrong, or nothing. */
@@ -35,6 +37,9 @@
       mStore.Folder().LosePowerAfter(1 + mRandom.Next() % 40);
       while (mStore.Folder().HasPower()) {
         WriteNext();
+        if (auto wrong = Resumes(); !wrong.empty()) {
+          return "resuming: " + wrong;
+        }
       }
       mStore.Folder().FailWrites(false);
       mStore.Folder().FailSyncs(false);
@@ -76,6 +81,7 @@
     switch (mRandom.Next() % 8) {
       case 0:
         ++aNext.term;
+        write.hard = HardState{ Term{ aNext.term }, HostId{ "a" } };
         break;
       case 1:
         if (Last(aNext) > aNext.snapshot) {
@@ -96,16 +102,15 @@
       default:
         Extend(aNext, write);
     }
-    write.hard = HardState{ Term{ aNext.term }, HostId{ "a" } };
     return write;
   }
 
-  static void Cut(Content& aNext, std::uint64_t aFrom, Persist& aWrite)
+  void Cut(Content& aNext, std::uint64_t aFrom, Persist& aWrite)
   {
     aWrite.truncate = true;
     aWrite.truncateFrom = Index{ aFrom };
     aNext.entries.erase(aNext.entries.lower_bound(aFrom), aNext.entries.end());
-    ++aNext.term;
+    ++mEntryTerm;
   }
 
   void Extend(Content& aNext, Persist& aWrite)
@@ -113,9 +118,9 @@
     const auto count = 1 + mRandom.Next() % 4;
     for (std::uint64_t i = 0; i < count; ++i) {
       const auto index = Last(aNext) + 1;
-      aNext.entries[index] = aNext.term;
+      aNext.entries[index] = mEntryTerm;
       aWrite.entries.push_back(Entry{ .index = Index{ index },
-                                      .term = Term{ aNext.term },
+                                      .term = Term{ mEntryTerm },
                                       .kind = EntryKind::Command,
                                       .command = ByteVector(20) });
     }
@@ -128,8 +133,6 @@
     disk.FailWrites(fails && mRandom.Next() % 2 == 0);
     disk.FailSyncs(fails);
     auto next = mUnfinished.value_or(mDurable);
-    // An election precedes the first write after a start.
-    next.term += std::exchange(mRestarted, false) ? 1 : 0;
     auto write = Draw(next);
     if (mUnfinished) {
       write = Resume(next);
@@ -171,6 +174,22 @@
     return write;
   }
 
+  /** @brief Whether a member can go on writing once its disk is sound. */
+  std::string Resumes()
+  {
+    mStore.Folder().FailWrites(false);
+    mStore.Folder().FailSyncs(false);
+    if (!mUnfinished || mRandom.Next() % 2 == 0) {
+      return {};
+    }
+    const auto done = mStore.Write(Resume(*mUnfinished));
+    if (!done) {
+      return mStore.Folder().HasPower() ? done.error().detail : std::string{};
+    }
+    mDurable = *std::exchange(mUnfinished, std::nullopt);
+    return {};
+  }
+
   /** @brief Whether all is there that was durable and not being replaced. */
   [[nodiscard]] std::string Compare(const Recovered& aRecovered) const
   {
@@ -217,7 +236,7 @@
 
   void Adopt(const Recovered& aRecovered)
   {
-    mRestarted = true;
+    ++mEntryTerm;
     mUnfinished = std::nullopt;
     mDurable = {};
     mDurable.term = aRecovered.hard ? aRecovered.hard->term.Value() : 1;
@@ -232,7 +251,8 @@
   fake::Random mRandom;
   Store mStore;
   Content mDurable;
-  bool mRestarted{ false };
+  /** Term of the next entry; differs between entries of one index. */
+  std::uint64_t mEntryTerm{ 1 };
   /** What a write that has failed, or did not end, was to leave. */
   std::optional<Content> mUnfinished;
 };
--- a/test/fake/torn_disk.hpp
+++ b/test/fake/torn_disk.hpp
@@ -76,6 +76,9 @@
     if (!Step()) {
       return PowerLost();
     }
+    if (!mNames.contains(std::string{ aName })) {
+      return Refuse(ErrorKind::StorageFailed, "no such file");
+    }
     auto& file = mFiles.at(mNames.at(std::string{ aName }));
     file.live.resize(aSize);
     file.pending.push_back({ .offset = aSize, .isCut = true });
@@ -207,6 +210,9 @@
     if (!Step()) {
       return PowerLost();
     }
+    if (mSyncFails) {
+      return Refuse(ErrorKind::StorageFailed, "sync failed");
+    }
     mDurableNames = mNames;
     return {};
   }
