Resume writing after a removal that may have been carried out

A removal whose sync fails leaves a name that may be gone. The store still counted the segment, and each later write began by cutting the missing file: the host wrote nothing more until its next start, and voted no more.

The write that resumes now takes the segments from the disk. What was removed is made durable by the sync of the folder that the same write needs for the vote.

--- a/src/balsampoint/disk/internal/log_store.hpp
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -249,6 +249,15 @@
 typename BasicLogStore<D>::Result
 BasicLogStore<D>::CutUnfinished()
 {
+  // The write may have failed after a removal, before its sync.
+  const auto names = Names(internal::kSegmentPrefix);
+  if (!names) {
+    return tl::unexpected(names.error());
+  }
+  std::erase_if(mSegments, [&names](const auto& aEntry) {
+    return !std::ranges::binary_search(*names, aEntry.second.name);
+  });
+  mRoll = true;
   if (mSegments.empty()) {
     return {};
   }
@@ -260,7 +269,6 @@
   }
   const auto name = last.name;
   mSegments.erase(std::prev(mSegments.end()));
-  mRoll = true;
   return mDisk.Remove(name);
 }
 
