Keep the entries before the damage when a log is repaired

It now cuts at the damage and removes only what follows. The host gives no vote either way until the group has repaired it.

log_store::a_repair_keeps_the_entries_before_the_damage failed before (0 entries kept of up to 5) and passes now.

--- a/src/balsampoint/disk/internal/log_store.hpp
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -128,7 +128,29 @@
                               bool aLast,
                               consensus::Recovered& aInto)
 {
-  const auto bytes = mDisk.Read(aName);
+  auto read = ReadSegment(aName, aInto);
+  if (!read) {
+    return tl::unexpected(read.error());
+  }
+  auto& segment = read->segment;
+  if (IsDamaged(*read, aLast)) {
+    return Refuse(ErrorKind::StorageFailed,
+                  segment.name + " is damaged at byte " +
+                    std::to_string(segment.size));
+  }
+  auto done = CutTail(*read);
+  if (done && !segment.offsets.empty()) {
+    mSegments[segment.first] = std::move(segment);
+  }
+  return done;
+}
+
+template<typename D>
+tl::expected<typename BasicLogStore<D>::ReadBack, Error>
+BasicLogStore<D>::ReadSegment(const std::string& aName,
+                              consensus::Recovered& aInto)
+{
+  auto bytes = mDisk.Read(aName);
   if (!bytes) {
     return tl::unexpected(bytes.error());
   }
@@ -154,37 +176,35 @@
       aInto.entries.push_back(std::move(*entry));
     }
   }
-  Result done;
-  if (segment.size < all.size()) {
-    done = CutTornTail(segment, all, aLast);
-  }
-  if (!done) {
-    return done;
-  }
-  if (segment.offsets.empty()) {
-    return mDisk.Remove(aName);
+  return ReadBack{ std::move(segment), std::move(*bytes) };
+}
+
+template<typename D>
+bool
+BasicLogStore<D>::IsDamaged(const ReadBack& aRead, bool aLast)
+{
+  const auto end = aRead.segment.size;
+  if (end == aRead.bytes.size()) {
+    return false;
   }
-  mSegments[segment.first] = std::move(segment);
-  return done;
+  // Nothing but a marker may be unfinished where another segment follows.
+  return aLast ? WasDurable(aRead.bytes, end)
+               : aRead.bytes.size() - end > kRecordHeaderBytes;
 }
 
 template<typename D>
 typename BasicLogStore<D>::Result
-BasicLogStore<D>::CutTornTail(const internal::Segment& aSegment,
-                              ByteView aBytes,
-                              bool aLast)
+BasicLogStore<D>::CutTail(const ReadBack& aRead)
 {
-  // Nothing but a marker may be unfinished where another segment follows.
-  const bool isMarker = aBytes.size() - aSegment.size <= kRecordHeaderBytes;
-  const bool wasDurable =
-    aLast ? WasDurable(aBytes, aSegment.size) : !isMarker;
-  if (wasDurable) {
-    return Refuse(ErrorKind::StorageFailed,
-                  aSegment.name + " is damaged at byte " +
-                    std::to_string(aSegment.size));
+  const auto& segment = aRead.segment;
+  if (segment.offsets.empty()) {
+    return mDisk.Remove(segment.name);
+  }
+  if (segment.size == aRead.bytes.size()) {
+    return {};
   }
-  return mDisk.Truncate(aSegment.name, aSegment.size).and_then([&] {
-    return mDisk.Sync(aSegment.name);
+  return mDisk.Truncate(segment.name, segment.size).and_then([&] {
+    return mDisk.Sync(segment.name);
   });
 }
 
@@ -421,11 +441,17 @@
     return RemoveFrom(*snapshots);
   }
   for (auto name = segments->begin(); name != segments->end(); ++name) {
-    mSegments.clear();
-    if (LoadSegment(*name, false, found)) {
+    const auto read = ReadSegment(*name, found);
+    const auto next = std::next(name);
+    if (!read) {
+      return RemoveFrom({ name, segments->end() });
+    }
+    if (!IsDamaged(*read, next == segments->end())) {
       continue;
     }
-    return RemoveFrom({ name, segments->end() });
+    return RemoveFrom({ next, segments->end() }).and_then([&] {
+      return CutTail(*read);
+    });
   }
   return {};
 }
--- a/src/balsampoint/disk/log_store.hpp
+++ b/src/balsampoint/disk/log_store.hpp
@@ -79,15 +79,25 @@
 
   using Result = tl::expected<void, Error>;
 
+  /** @brief A segment up to its last whole record, and all of its bytes. */
+  struct ReadBack
+  {
+    internal::Segment segment;
+    ByteVector bytes;
+  };
+
   [[nodiscard]] Result LoadHardState(consensus::Recovered& aInto);
   [[nodiscard]] Result LoadSnapshot(consensus::Recovered& aInto);
   [[nodiscard]] Result LoadSegments(consensus::Recovered& aInto);
   [[nodiscard]] Result LoadSegment(const std::string& aName,
                                    bool aLast,
                                    consensus::Recovered& aInto);
-  [[nodiscard]] Result CutTornTail(const internal::Segment& aSegment,
-                                   ByteView aBytes,
-                                   bool aLast);
+  [[nodiscard]] tl::expected<ReadBack, Error> ReadSegment(
+    const std::string& aName,
+    consensus::Recovered& aInto);
+  /** @brief Whether what follows the last whole record was durable. */
+  [[nodiscard]] static bool IsDamaged(const ReadBack& aRead, bool aLast);
+  [[nodiscard]] Result CutTail(const ReadBack& aRead);
   /** @brief Whether what stood at an offset was durable, by the markers. A file
    * of an earlier version has none; there any whole record tells it. */
   [[nodiscard]] static bool WasDurable(ByteView aBytes, std::uint64_t aOffset);
--- a/test/balsampoint/disk/log_store_test.cpp
+++ b/test/balsampoint/disk/log_store_test.cpp
@@ -113,6 +113,31 @@
   cr_assert(repaired->entries.empty());
 }
 
+// Guards against a repair that drops the whole file of a damaged entry.
+Test(log_store, a_repair_keeps_the_entries_before_the_damage)
+{
+  for (const std::uint64_t damaged : { 1, 2, 3, 4, 5, 6 }) {
+    auto store = NewStore();
+    for (std::uint64_t index = 1; index <= 6; ++index) {
+      if (index == 4) {
+        cr_assert(store.Load().has_value());
+      }
+      cr_assert(store.Write(WriteOf(index, 1)).has_value());
+    }
+    const auto first = damaged < 4 ? 1 : 4;
+    auto& bytes =
+      store.Folder().Bytes("log-0000000000000000000" + std::to_string(first));
+    const auto each = bytes.size() / 3;
+    bytes.at((damaged - first) * each + each / 2 + 8) ^= std::byte{ 1 };
+    cr_assert_not(store.Load().has_value());
+    cr_assert(store.Repair().has_value());
+    const auto repaired = store.Load();
+    cr_assert(repaired->hard->recovering);
+    cr_assert_eq(repaired->entries.size(), damaged - 1, "%lu: %zu",
+                 damaged, repaired->entries.size());
+  }
+}
+
 Test(log_store, refuses_a_damaged_vote_and_a_missing_one)
 {
   auto store = NewStore();
