--- a/test/balsampoint/daemon/control_faults.hpp
+++ b/test/balsampoint/daemon/control_faults.hpp
@@ -188,13 +188,23 @@
     }
   }
 
+  /** @brief Ends a process, at times by a power loss. */
+  void End(const HostId& aHost)
+  {
+    if (Chance(500)) {
+      world.LosePower(aHost);
+    } else {
+      world.Kill(aHost);
+    }
+  }
+
   /** @brief All processes end at once and are back soon, with their disks. */
   void StopAll()
   {
     Note("all stop");
     for (const auto& host : Sound()) {
       const auto length = Milliseconds(100, 1000);
-      world.Kill(host);
+      End(host);
       Lose(host, length);
       Restart(host, length);
     }
@@ -216,7 +226,7 @@
   void Stop(const HostId& aHost, bool aWipe, Duration aFor)
   {
     Note((aWipe ? "wipe " : "kill ") + aHost.String());
-    world.Kill(aHost);
+    End(aHost);
     if (aWipe) {
       world.Wipe(aHost);
     }
@@ -230,7 +240,7 @@
     const auto successor = world.Add(zone);
     const auto after = Milliseconds(100, 2500);
     Note("replace " + aHost.String() + " by " + successor.String());
-    world.Kill(aHost);
+    End(aHost);
     mRemoved.insert(aHost);
     ++mGone;
     At(kSeedLag, [this, aHost, successor] {
@@ -353,7 +363,7 @@
       }
     }
     for (const auto& id : down) {
-      world.Kill(id);
+      world.LosePower(id);
     }
     for (const auto& id : wiped) {
       Note("wipe " + id.String());
@@ -369,6 +379,9 @@
       world.Run(std::max(Duration{}, at - world.clock.Now()));
       due();
     }
+    if (world.Repairs() > 0) {
+      return "a power loss damaged a log\n" + world.log;
+    }
     if (world.ReadsAcknowledged(kRecovery)) {
       return world.Commit(kRecovery)
                ? std::string{}
--- a/test/balsampoint/daemon/control_hosts.hpp
+++ b/test/balsampoint/daemon/control_hosts.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "balsampoint/consensus/memory_store.hpp"
 #include "balsampoint/consensus/module.hpp"
 #include "balsampoint/core/hash.hpp"
 #include "balsampoint/daemon/gateway_state.hpp"
+#include "balsampoint/daemon/torn_store.hpp"
 #include "balsampoint/fanout/module.hpp"
 #include "balsampoint/roster/module.hpp"
 #include "fake/clock.hpp"
@@ -43,7 +43,7 @@
   /** @brief One host with its disk. */
   struct Host
   {
-    consensus::test::MemoryStore store;
+    TornStore store;
     consensus::State log;
     fanout::State tree;
     roster::State roster;
@@ -94,7 +94,9 @@
   HostId Add(std::size_t aZone)
   {
     const auto id = Name(hosts.size());
-    hosts[id].zone = ZoneId{ "zone-" + std::to_string(aZone % 3) };
+    auto& host = hosts[id];
+    host.store = TornStore{ mSeed + HashText(id.String()) };
+    host.zone = ZoneId{ "zone-" + std::to_string(aZone % 3) };
     return id;
   }
 
@@ -135,6 +137,26 @@
     host.writes.clear();
   }
 
+  /** @brief Ends a host's process in the middle of its write, which may be torn.
+   */
+  void LosePower(const HostId& aHost)
+  {
+    auto& host = hosts.at(aHost);
+    host.store.LosePower(host.writes.empty() ? nullptr
+                                             : &host.writes.front().second);
+    Kill(aHost);
+  }
+
+  /** @brief Logs that were found damaged, on all hosts. */
+  int Repairs() const
+  {
+    int repairs = 0;
+    for (const auto& [id, host] : hosts) {
+      repairs += host.store.repairs;
+    }
+    return repairs;
+  }
+
   void Wipe(const HostId& aHost) { hosts.at(aHost).store.Wipe(); }
 
   void Freeze(const HostId& aHost, bool aFrozen)
