--- a/test/balsampoint/daemon/control_faults.hpp
+++ b/test/balsampoint/daemon/control_faults.hpp
@@ -7,8 +7,7 @@
 namespace balsampoint::daemon::test {
 
 /**
- * @brief Plays a day of faults on six control hosts of which two may be lost at
- * once, drawn from one seed.
+ * @brief Plays a day of faults on control hosts, drawn from one seed.
  *
  * Hosts are killed, frozen, cut off, wiped and replaced by empty ones, seeds
  * are exchanged, the group is split, all hosts stop at once, links lose
@@ -19,9 +18,17 @@
 class ControlFaults
 {
 public:
-  explicit ControlFaults(std::uint64_t aSeed)
-    : world{ kHosts, kLosses, kCatchUp, aSeed }
+  /** @brief A number of control hosts, and how many may be lost at once. */
+  struct Size
+  {
+    std::size_t hosts{};
+    std::uint32_t losses{};
+  };
+
+  ControlFaults(std::uint64_t aSeed, Size aSize)
+    : world{ aSize.hosts, aSize.losses, kCatchUp, aSeed }
     , mRandom{ aSeed ^ kSalt }
+    , mLosses{ aSize.losses }
   {
   }
 
@@ -57,8 +64,6 @@
   ControlHosts world;
 
 private:
-  static constexpr std::size_t kHosts = 6;
-  static constexpr std::size_t kLosses = 2;
   static constexpr std::size_t kSeeds = 3;
   /** Time after which settings name the successor of a host. */
   static constexpr Duration kSeedLag = std::chrono::seconds{ 3 };
@@ -99,7 +104,7 @@
 
   std::size_t LossesLeft() const
   {
-    return kLosses - std::min(kLosses, mLost.size() + mGone);
+    return mLosses - std::min(mLosses, mLost.size() + mGone);
   }
 
   /** @brief A sound host, at times the leader or the last to acknowledge. */
@@ -393,6 +398,7 @@
   }
 
   fake::Random mRandom;
+  std::size_t mLosses;
   std::multimap<Instant, std::function<void()>> mDue;
   std::set<HostId> mLost;
   /** Hosts that are gone for good. */
--- a/test/balsampoint/daemon/control_faults_test.cpp
+++ b/test/balsampoint/daemon/control_faults_test.cpp
@@ -17,11 +17,11 @@
 }
 
 void
-Play(std::uint64_t aFirst, std::uint64_t aDays)
+Play(ControlFaults::Size aSize, std::uint64_t aFirst, std::uint64_t aDays)
 {
   std::uint64_t failed = 0;
   for (std::uint64_t seed = aFirst; seed < aFirst + aDays; ++seed) {
-    ControlFaults faults{ seed };
+    ControlFaults faults{ seed, aSize };
     const auto wrong = faults.Play();
     if (wrong.empty()) {
       continue;
@@ -39,5 +39,18 @@
 Test(control_faults, what_was_acknowledged_is_read_back_after_a_final_fault)
 {
   constexpr std::uint64_t kDays = 100;
-  Play(Parameter("CONTROL_FIRST_SEED", 1), Parameter("CONTROL_DAYS", kDays));
+  Play({ .hosts = 6, .losses = 2 },
+       Parameter("CONTROL_FIRST_SEED", 1),
+       Parameter("CONTROL_DAYS", kDays));
+}
+
+Test(control_faults, what_was_acknowledged_is_read_back_in_groups_of_other_sizes)
+{
+  constexpr std::uint64_t kDays = 40;
+  for (const ControlFaults::Size size :
+       { ControlFaults::Size{ 3, 1 }, ControlFaults::Size{ 8, 2 } }) {
+    Play(size,
+         Parameter("CONTROL_FIRST_SEED", 1),
+         Parameter("CONTROL_DAYS", kDays));
+  }
 }
