--- a/src/balsampoint/roster/command/join_tree.cpp
+++ b/src/balsampoint/roster/command/join_tree.cpp
@@ -131,10 +131,7 @@
 /** @brief Goes on relying on the control hosts that the relays reach, until
  * they answer this host itself. */
 void
-BecomeRelay(State& aState,
-            const HostId& aBy,
-            Instant aNow,
-            Actions& aActions)
+BecomeRelay(State& aState, const HostId& aBy, Instant aNow, Actions& aActions)
 {
   for (const auto& host : internal::ReachableControls(aState, aNow)) {
     const auto source = aState.sources.find(host);
--- a/src/balsampoint/roster/internal/tree.cpp
+++ b/src/balsampoint/roster/internal/tree.cpp
@@ -122,9 +122,8 @@
   // repeat to each other would outlive the relays.
   const bool isEntry = aState.role == Role::Entry;
   for (const auto& [host, relay] : aState.relays) {
-    const bool isLive = isEntry
-                          ? IsServing(aState, relay, aNow)
-                          : aNow - relay.namedAt <= settings.hostTimeout;
+    const bool isLive = isEntry ? IsServing(aState, relay, aNow)
+                                : aNow - relay.namedAt <= settings.hostTimeout;
     if (isLive) {
       relays.push_back({ host, relay.source.address });
     }
--- a/test/balsampoint/daemon/control_faults_test.cpp
+++ b/test/balsampoint/daemon/control_faults_test.cpp
@@ -44,7 +44,8 @@
        Parameter("CONTROL_DAYS", kDays));
 }
 
-Test(control_faults, what_was_acknowledged_is_read_back_in_groups_of_other_sizes)
+Test(control_faults,
+     what_was_acknowledged_is_read_back_in_groups_of_other_sizes)
 {
   constexpr std::uint64_t kDays = 40;
   for (const ControlFaults::Size size :
--- a/test/balsampoint/daemon/control_hosts.hpp
+++ b/test/balsampoint/daemon/control_hosts.hpp
@@ -137,7 +137,8 @@
     host.writes.clear();
   }
 
-  /** @brief Ends a host's process in the middle of its write, which may be torn.
+  /** @brief Ends a host's process in the middle of its write, which may be
+   * torn.
    */
   void LosePower(const HostId& aHost)
   {
--- a/test/balsampoint/disk/log_store_test.cpp
+++ b/test/balsampoint/disk/log_store_test.cpp
@@ -133,8 +133,11 @@
     cr_assert(store.Repair().has_value());
     const auto repaired = store.Load();
     cr_assert(repaired->hard->recovering);
-    cr_assert_eq(repaired->entries.size(), damaged - 1, "%lu: %zu",
-                 damaged, repaired->entries.size());
+    cr_assert_eq(repaired->entries.size(),
+                 damaged - 1,
+                 "%lu: %zu",
+                 damaged,
+                 repaired->entries.size());
   }
 }
 
--- a/test/balsampoint/disk/power_loss_test.cpp
+++ b/test/balsampoint/disk/power_loss_test.cpp
@@ -46,8 +46,7 @@
       mStore.Folder().Restart();
       const auto recovered = mStore.Load();
       if (!recovered) {
-        return "loss " + std::to_string(loss) + ": " +
-               recovered.error().detail;
+        return "loss " + std::to_string(loss) + ": " + recovered.error().detail;
       }
       if (auto wrong = Compare(*recovered); !wrong.empty()) {
         return "loss " + std::to_string(loss) + ": " + wrong;
@@ -85,8 +84,7 @@
         break;
       case 1:
         if (Last(aNext) > aNext.snapshot) {
-          aNext.snapshot +=
-            1 + mRandom.Next() % (Last(aNext) - aNext.snapshot);
+          aNext.snapshot += 1 + mRandom.Next() % (Last(aNext) - aNext.snapshot);
           write.snapshot =
             Snapshot{ Index{ aNext.snapshot }, Term{ aNext.term }, {}, {} };
         }
@@ -208,7 +206,8 @@
       found[entry.index.Value()] = entry.term.Value();
     }
     for (const auto& [index, entryTerm] : mDurable.entries) {
-      const bool isReplaced = mUnfinished && !Holds(*mUnfinished, index, entryTerm);
+      const bool isReplaced =
+        mUnfinished && !Holds(*mUnfinished, index, entryTerm);
       if (isReplaced) {
         break;
       }
--- a/test/balsampoint/roster/module_test.cpp
+++ b/test/balsampoint/roster/module_test.cpp
@@ -237,7 +237,8 @@
 Test(roster, a_relay_that_steps_down_leaves_no_deadline_in_the_past)
 {
   auto hosts = MakeHosts();
-  const Subscribe subscription{ .address = "follower:1", .zone = ZoneId{ "a" } };
+  const Subscribe subscription{ .address = "follower:1",
+                                .zone = ZoneId{ "a" } };
   hosts.Deliver("entry", Received{ HostId{ "follower" }, subscription });
   hosts.Deliver("entry", ConfigurationUpdated{ ChangeNumber{ 1 } });
   hosts.Deliver("entry", ConfigurationUpdated{ ChangeNumber{ 2 } });
--- a/test/balsampoint/roster/networked_hosts.hpp
+++ b/test/balsampoint/roster/networked_hosts.hpp
@@ -59,10 +59,7 @@
     StartAll();
   }
 
-  [[nodiscard]] std::vector<HostId> Controls() const
-  {
-    return mControls;
-  }
+  [[nodiscard]] std::vector<HostId> Controls() const { return mControls; }
 
   [[nodiscard]] std::vector<HostId> Entries() const { return mEntries; }
 
@@ -187,16 +184,14 @@
     const auto& receiver = hosts.at(aDelivery.to);
     if (receiver.up && receiver.starts == parcel.receiverStart &&
         hosts.at(aDelivery.from).starts == parcel.senderStart) {
-      Handle(aDelivery.to,
-             roster::Received{ aDelivery.from, parcel.message });
+      Handle(aDelivery.to, roster::Received{ aDelivery.from, parcel.message });
     }
   }
 
   void Handle(const HostId& aHost, const roster::Event& aEvent)
   {
     roster::Actions actions;
-    roster::Module::Handle(
-      hosts.at(aHost).state, aEvent, clock.Now(), actions);
+    roster::Module::Handle(hosts.at(aHost).state, aEvent, clock.Now(), actions);
     Do(aHost, actions);
   }
 
@@ -217,12 +212,11 @@
       if (send == nullptr || !hosts.contains(send->to)) {
         continue;
       }
-      network.Send(clock.Now(),
-                   { aHost,
-                     send->to,
-                     { send->message,
-                       host.starts,
-                       hosts.at(send->to).starts } });
+      network.Send(
+        clock.Now(),
+        { aHost,
+          send->to,
+          { send->message, host.starts, hosts.at(send->to).starts } });
     }
   }
 
