--- a/src/balsampoint/disk/log_store.hpp
+++ b/src/balsampoint/disk/log_store.hpp
@@ -27,9 +27,9 @@
  * first index. A write is durable when `Write` returns. After a failed write
  * every other one is refused until a write that resumes has worked.
  *
- * An empty record is a marker: all before it is durable. It is written without
- * a sync, as it may be missing after a power loss but never tells a lie. Damage
- * that no marker follows lies in the last write, which nobody relies on.
+ * An empty record is a marker: everything before it is durable. Markers are
+ * written without a sync, so the last one may be missing after a power loss.
+ * Damage that no marker follows lies in a write that was not completed.
  * @tparam D Disk that holds the files.
  */
 template<typename D>
--- a/src/balsampoint/roster/internal/tree.cpp
+++ b/src/balsampoint/roster/internal/tree.cpp
@@ -118,8 +118,8 @@
     }
     return relays;
   }
-  // An entry host vouches only for relays that serve it: names that hosts
-  // repeat to each other would outlive the relays.
+  // An entry host names only relays that serve it: names that hosts repeat to
+  // each other would outlive the relays.
   const bool isEntry = aState.role == Role::Entry;
   for (const auto& [host, relay] : aState.relays) {
     const bool isLive = isEntry ? IsServing(aState, relay, aNow)
