--- a/src/balsampoint/disk/internal/log_store.hpp
+++ b/src/balsampoint/disk/internal/log_store.hpp
@@ -156,12 +156,16 @@
   }
   internal::Segment segment{ .name = aName };
   const ByteView all{ *bytes };
-  while (const auto record = ReadRecord(all.subspan(segment.size))) {
+  while (true) {
+    const auto record = ReadRecord(all.subspan(segment.size));
+    if (!record.has_value()) {
+      break;
+    }
     if (record->empty()) {
       segment.size += kRecordHeaderBytes;
       continue;
     }
-    auto entry = peer::DecodeEntry(*record);
+    auto entry = peer::DecodeEntry(record.value());
     if (!entry) {
       break;
     }
@@ -215,15 +219,18 @@
   const auto first = ReadRecord(aBytes);
   const bool hasMarkers = !first || first->empty();
   auto rest = aBytes.subspan(aOffset + 1);
-  while (const auto found = FindRecord(rest)) {
-    rest = rest.subspan(*found);
+  while (true) {
+    const auto found = FindRecord(rest);
+    if (!found.has_value()) {
+      return false;
+    }
+    rest = rest.subspan(found.value());
     const auto record = ReadRecord(rest);
-    if (record->empty() || !hasMarkers) {
+    if (!record.has_value() || record->empty() || !hasMarkers) {
       return true;
     }
     rest = rest.subspan(kRecordHeaderBytes + record->size());
   }
-  return false;
 }
 
 template<typename D>
