Log answers that aren't the answer to the request

CheckAnswer decides from the head alone whether an answer belongs to the request that waits; answer_discarded and a counter report each that doesn't. What is passed on is unchanged.

--- a/src/balsampoint/edge/dialect.hpp
+++ b/src/balsampoint/edge/dialect.hpp
@@ -72,8 +72,15 @@
 /** @brief Contents of the head of a server's response. */
 struct ResponseMetadata
 {
-  /** Id of the request that it responds to; absent if it has none. */
+  /** Id of the request that it responds to, the first one if it names several;
+   * absent if it names none. */
   std::optional<std::string_view> request;
+  /** Number of times that it names a request. */
+  std::size_t namedRequests{};
+  /** Number of the server's authentication codes. */
+  std::size_t authenticationCodes{};
+  /** Whether the body has a content coding. */
+  bool hasContentCoding{ false };
   /** Whether the server states that it has not run the request. */
   bool notExecuted{ false };
   /** Address of the server in the chain that refused the request; absent if
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -11,6 +11,7 @@
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/retry_after.hpp"
+#include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/forward/decision.hpp"
 #include "balsampoint/quarantine/query/is_quarantined.hpp"
 #include "balsampoint/wire/write.hpp"
@@ -185,6 +186,7 @@
     });
     mSentInAttempt = false;
     mStatementsRead = false;
+    mStrangeAnswerLogged = false;
     if (reused) {
       SendRequest();
     } else {
@@ -271,6 +273,7 @@
     }
     const auto& head = parser.Response();
     const auto metadata = D::ReadResponse(head);
+    LogStrangeAnswer(head, metadata);
     if (!IsOwnResponse(head, metadata)) {
       SkipResponse();
       return;
@@ -296,6 +299,40 @@
     }
   }
 
+  [[nodiscard]] forward::AnswerVerdict Check(
+    const wire::ResponseHead& aHead,
+    const ResponseMetadata& aMetadata) const
+  {
+    return forward::CheckAnswer(
+      { .status = aHead.status,
+        .namedRequests = aMetadata.namedRequests,
+        .namesThisRequest = aMetadata.request == mParameters.id.Value(),
+        .authenticationCodes = aMetadata.authenticationCodes,
+        .hasContentCoding = aMetadata.hasContentCoding,
+        .partRequested = mRequest.head.fields.Count("Range") > 0 });
+  }
+
+  /** Logs once that an answer isn't, or may not be, the one to this request. */
+  void LogStrangeAnswer(const wire::ResponseHead& aHead,
+                        const ResponseMetadata& aMetadata)
+  {
+    const auto verdict = Check(aHead, aMetadata);
+    if (verdict == forward::AnswerVerdict::Own ||
+        verdict == forward::AnswerVerdict::Interim ||
+        std::exchange(mStrangeAnswerLogged, true)) {
+      return;
+    }
+    mTraffic.metrics.Add(trace::Count::AnswersDiscarded);
+    LogDiscardedAnswer(
+      mParameters.id,
+      verdict,
+      { .server = mHops.front(),
+        .status = aHead.status,
+        .namedRequest = aMetadata.request.value_or(std::string_view{}),
+        .requestsOnConnection = mServer->RequestCount(),
+        .sinceSent = TrafficState::Now() - mSentAt });
+  }
+
   /** Whether a response is the final one to this request, as far as its head
    * tells. */
   [[nodiscard]] bool IsOwnResponse(const wire::ResponseHead& aHead,
@@ -311,6 +348,7 @@
   {
     auto& parser = mServer->ResponseParser();
     if (parser.Complete()) {
+      mStrangeAnswerLogged = false;
       mServer->SkipResponse();
     } else {
       // The response to this request begins after the end of this body.
@@ -786,6 +824,9 @@
   bool mSentInAttempt{ false };
   /** Whether what this attempt's answer says of its server was followed. */
   bool mStatementsRead{ false };
+  /** Whether it was logged that the answer in progress isn't the one to this
+   * request. */
+  bool mStrangeAnswerLogged{ false };
   /** Value of `mProgress.mayHaveRun` before this attempt. */
   bool mMayHaveRunBefore{ false };
   EventRelay mEvents{ false, {} };
--- a/src/balsampoint/edge/exchange_log.cpp
+++ b/src/balsampoint/edge/exchange_log.cpp
@@ -57,6 +57,22 @@
   }
 }
 
+void
+LogDiscardedAnswer(const RequestId& aRequest,
+                   forward::AnswerVerdict aVerdict,
+                   const AnswerOrigin& aOrigin)
+{
+  trace::Event{ "answer_discarded" }
+    .With("request", aRequest)
+    .With("reason", forward::Describe(aVerdict))
+    .With("server", aOrigin.server.server)
+    .With("address", aOrigin.server.address)
+    .With("status", aOrigin.status)
+    .With("named", aOrigin.namedRequest)
+    .With("on_connection", aOrigin.requestsOnConnection)
+    .With("since_sent_ms", aOrigin.sinceSent);
+}
+
 void
 LogEnd(const RequestLogFields& aFields,
        std::string_view aOutcome,
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/core/time.hpp"
 #include "balsampoint/edge/admission.hpp"
 #include "balsampoint/fleet/chain.hpp"
+#include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/forward/decision.hpp"
 
 #include <cstdint>
@@ -59,6 +60,33 @@
            std::string_view aReason,
            std::string_view aServerAtFault);
 
+/** @brief Where an answer arrived that may not be the one to the request. */
+struct AnswerOrigin
+{
+  /** Server that the request was sent to. */
+  const fleet::Hop& server;
+  /** HTTP status of the answer. */
+  std::uint16_t status{};
+  /** Request that the answer names first; empty if it names none. */
+  std::string_view namedRequest;
+  /** Number of requests sent on the connection, this one included. */
+  std::uint32_t requestsOnConnection{};
+  /** Time since the request was sent. */
+  Duration sinceSent{};
+};
+
+/**
+ * @brief Logs an answer that isn't the one to the request as
+ * `answer_discarded`.
+ * @param aRequest Request that waits for its answer.
+ * @param aVerdict Why the answer isn't its own.
+ * @param aOrigin Where the answer arrived.
+ */
+void
+LogDiscardedAnswer(const RequestId& aRequest,
+                   forward::AnswerVerdict aVerdict,
+                   const AnswerOrigin& aOrigin);
+
 /**
  * @brief Logs the end of a request as `request_ended`.
  * @param aFields Fields of the request.
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -88,6 +88,7 @@
 void
 ServerConnection::Send(std::string aBytes, bool aIsHeadRequest)
 {
+  ++mRequestCount;
   mIsHeadRequest = aIsHeadRequest;
   mParser.Restart();
   if (mIsHeadRequest) {
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -88,6 +88,12 @@
   /** @brief Parser of the response in progress. */
   [[nodiscard]] wire::Parser& ResponseParser() noexcept { return mParser; }
 
+  /** @brief Number of requests sent on the connection. */
+  [[nodiscard]] std::uint32_t RequestCount() const noexcept
+  {
+    return mRequestCount;
+  }
+
   /** @brief Discards a complete response, which is interim or belongs to an
    * earlier request, and reads the next one. The connection is lost if the
    * discarded one ended it. */
@@ -138,6 +144,7 @@
   std::string mSending;
   std::chrono::steady_clock::time_point mIdleSince;
   Duration mIdleTimeout;
+  std::uint32_t mRequestCount{};
   bool mWriting{ false };
   bool mAwaitingResponse{ false };
   bool mIsHeadRequest{ false };
--- /dev/null
+++ b/src/balsampoint/forward/answer_check.cpp
@@ -0,0 +1,76 @@
+#include "balsampoint/forward/answer_check.hpp"
+
+namespace balsampoint::forward {
+
+namespace {
+
+constexpr std::uint16_t kSwitchingProtocols = 101;
+constexpr std::uint16_t kFirstFinalStatus = 200;
+constexpr std::uint16_t kPartialContent = 206;
+constexpr std::uint16_t kFirstRedirect = 300;
+
+AnswerVerdict
+CheckSuccess(const AnswerClaims& aClaims)
+{
+  if (aClaims.authenticationCodes != 1) {
+    return AnswerVerdict::NotAuthenticated;
+  }
+  if (aClaims.hasContentCoding) {
+    return AnswerVerdict::ContentCoding;
+  }
+  return aClaims.status == kPartialContent && !aClaims.partRequested
+           ? AnswerVerdict::PartialContent
+           : AnswerVerdict::Own;
+}
+
+} // namespace
+
+AnswerVerdict
+CheckAnswer(const AnswerClaims& aClaims)
+{
+  if (aClaims.status == kSwitchingProtocols) {
+    return AnswerVerdict::ProtocolSwitch;
+  }
+  if (aClaims.status < kFirstFinalStatus) {
+    return AnswerVerdict::Interim;
+  }
+  if (aClaims.namedRequests == 0) {
+    return AnswerVerdict::NoRequest;
+  }
+  if (aClaims.namedRequests > 1) {
+    return AnswerVerdict::SeveralRequests;
+  }
+  if (!aClaims.namesThisRequest) {
+    return AnswerVerdict::OtherRequest;
+  }
+  return aClaims.status < kFirstRedirect ? CheckSuccess(aClaims)
+                                         : AnswerVerdict::Own;
+}
+
+std::string_view
+Describe(AnswerVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case AnswerVerdict::Own:
+      return "the answer to this request";
+    case AnswerVerdict::Interim:
+      return "an interim answer";
+    case AnswerVerdict::OtherRequest:
+      return "the answer to another request";
+    case AnswerVerdict::NoRequest:
+      return "the answer names no request";
+    case AnswerVerdict::SeveralRequests:
+      return "the answer names several requests";
+    case AnswerVerdict::NotAuthenticated:
+      return "the answer has not exactly one authentication code";
+    case AnswerVerdict::ContentCoding:
+      return "the body has a content coding";
+    case AnswerVerdict::PartialContent:
+      return "the body is a part that was not asked for";
+    case AnswerVerdict::ProtocolSwitch:
+      return "the server switches to another protocol";
+  }
+  return "";
+}
+
+} // namespace balsampoint::forward
--- a/src/balsampoint/forward/fwd.hpp
+++ b/src/balsampoint/forward/fwd.hpp
@@ -4,6 +4,7 @@
 namespace balsampoint::forward {
 
 class RetryBudget;
+struct AnswerClaims;
 struct AttemptEnd;
 struct Progress;
 
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -23,6 +23,8 @@
         "Servers that said in an answer that they leave." },
   Name{ "balsampoint_servers_backed_off_total",
         "Answers with which a server asked for a time without requests." },
+  Name{ "balsampoint_answers_discarded_total",
+        "Answers of servers that are not the answer to the request." },
 };
 constexpr std::array kTimings{
   Name{ "balsampoint_first_token_seconds", "Request to first token." },
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -50,6 +50,7 @@
   Tokens,
   ServersLeaving,
   ServersBackedOff,
+  AnswersDiscarded,
 };
 
 /**
