Test, red, of answers that precede a server's own

Real gateways, 24 callers with a new connection for each request, and servers that in 40 % of the cases send another answer first.

--- a/test/soak/backends.py
+++ b/test/soak/backends.py
@@ -6,6 +6,7 @@
 
 from soak.findings import digest
 from soak.messages import message, read_body, read_head, split, call
+from soak.strangers import precede
 from soak.stutter import Stutter
 
 LAYERS = 8
@@ -33,6 +34,9 @@
         self.state = "ready"
         self.fails = 0.0
         self.stutters = None
+        # How answers are made that come before its own; None for none.
+        self.strange = None
+        self.last_request = None
 
     @property
     def instance(self):
@@ -103,6 +107,8 @@
                 body = await read_body(reader, head)
                 if incarnation != self.starts or not self.alive:
                     break
+                if self.strange:
+                    await precede(self, head, writer)
                 if stutter is None:
                     await self.answer(head, body, writer)
                 else:
@@ -141,6 +147,7 @@
             return
         failed = draw < self.fails
         text = b"" if failed else digest(request, body).encode()
+        self.world.findings.given[request].add(500 if failed else 200)
         writer.write(message(
             "HTTP/1.1 500 Failed" if failed else "HTTP/1.1 200 OK",
             {"X-Request-Id": request,
@@ -241,6 +248,7 @@
             self.refuse(writer, head, 503, at_fault)
             return
         self.world.findings.run(request, head, body)
+        self.world.findings.given[request].add(200)
         tokens = int(head.fields["x-token-counts"].split(",")[1])
         writer.write((
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -98,11 +98,13 @@
         else:
             answer = await read_body(self.reader, head)
             good = digest(request, body).encode()
-            if head.status == 200 and answer != good:
+            if head.success and answer != good:
                 findings.breaks("MIXED", f"{request} got another body")
-        if head.status == 200 and head.fields.get(
-                "x-response-stamp") != digest("stamp", request):
+        stamp = head.fields.get("x-response-stamp")
+        if head.success and stamp != digest("stamp", request):
             findings.breaks("MIXED", f"{request} got another stamp")
+        if stamp and head.status not in findings.given[request]:
+            findings.breaks("MIXED", f"{request} got another status")
         findings.answered(request, head.status)
         if head.fields.get("connection", "").lower() == "close":
             self.close()
--- a/test/soak/findings.py
+++ b/test/soak/findings.py
@@ -19,6 +19,8 @@
         self.sent = {}
         self.runs = collections.Counter()
         self.refused = set()
+        # Statuses that backends gave with their authentication code.
+        self.given = collections.defaultdict(set)
         self.outcomes = collections.Counter()
 
     def breaks(self, rule, what):
--- a/test/soak/messages.py
+++ b/test/soak/messages.py
@@ -17,6 +17,11 @@
         """Status of a response."""
         return int(self.line.split(" ", 2)[1])
 
+    @property
+    def success(self):
+        """Whether a response is a success."""
+        return 200 <= self.status < 300
+
     @property
     def target(self):
         """Method and path of a request."""
--- /dev/null
+++ b/test/soak/strangers.py
@@ -0,0 +1,107 @@
+"""Answers that come before a server's own and aren't the answer to the request."""
+
+import asyncio
+
+from soak.findings import digest
+from soak.messages import message
+
+SHARE = 0.4
+# Time from the strange answer to the server's own.
+AHEAD_S = 0.02
+
+
+def stamp(request):
+    """The server's authentication code of an answer."""
+    return digest("stamp", request)
+
+
+def success(fields, body, status="200 OK"):
+    """A success with some fields, each a pair of name and value."""
+    text = f"HTTP/1.1 {status}\r\n"
+    text += "".join(f"{name}: {value}\r\n" for name, value in fields)
+    return (text + f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def earlier(request, other, body):
+    """The whole answer to an earlier request."""
+    return success([("X-Request-Id", other),
+                    ("X-Response-Stamp", stamp(other))], body)
+
+
+def without_id(request, other, body):
+    """The same without the request that it answers."""
+    return success([("X-Response-Stamp", stamp(other))], body)
+
+
+def without_stamp(request, other, body):
+    """The right id, and no authentication code."""
+    return success([("X-Request-Id", request)], body)
+
+
+def two_ids(request, other, body):
+    """Two requests, the right one first."""
+    return success([("X-Request-Id", request), ("X-Request-Id", other),
+                    ("X-Response-Stamp", stamp(other))], body)
+
+
+def two_stamps(request, other, body):
+    """Two authentication codes, the right one first."""
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request)),
+                    ("X-Response-Stamp", stamp(other))], body)
+
+
+def coded(request, other, body):
+    """A body with a content coding."""
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request)),
+                    ("Content-Encoding", "gzip")], body)
+
+
+def partial(request, other, body):
+    """A part of a body."""
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request))],
+                   body, "206 Partial Content")
+
+
+def refusal_without_id(request, other, body):
+    """The refusal of an earlier request; this one is run."""
+    return message("HTTP/1.1 503 Refused", {"X-Not-Executed": "1"})
+
+
+def cut_in_field(request, other, body):
+    """A failure that breaks off in a field; the server's own continues it."""
+    return b"HTTP/1.1 500 Failed\r\nX-Note: a"
+
+
+def cut_in_reason(request, other, body):
+    """A failure that breaks off in its first line."""
+    return b"HTTP/1.1 500 Fail"
+
+
+def other_version(request, other, body):
+    """An answer in another version of HTTP."""
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request))],
+                   body).replace(b"HTTP/1.1", b"HTTP/3.0")
+
+
+KINDS = [earlier, without_id, without_stamp, two_ids, two_stamps, coded,
+         partial, refusal_without_id, cut_in_field, cut_in_reason,
+         other_version]
+
+
+async def precede(backend, head, writer):
+    """Sends a strange answer before the server's own in some cases."""
+    request = head.fields.get("x-request-id", "")
+    other, backend.last_request = backend.last_request, request
+    random = backend.world.random
+    if not other or not request or random.random() >= SHARE:
+        return
+    text = digest(other, b"strange")
+    body = (f"id: 1\ndata: {text}\n\n" if "x-token-counts" in head.fields
+            else text)
+    writer.write(backend.strange(request, other, body.encode()))
+    await writer.drain()
+    await asyncio.sleep(AHEAD_S)
