--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -324,6 +324,10 @@
 Parser::FinishHead()
 {
   mHasHead = true;
+  if (!HasKnownFraming()) {
+    mError = ParseError::Malformed;
+    return;
+  }
   const bool keepAlive = http_should_keep_alive(&mParser) != 0;
   const bool sized =
     mParser.content_length != std::numeric_limits<std::uint64_t>::max();
@@ -346,6 +350,15 @@
   mResponse.keepAlive = keepAlive && !mResponse.endsByClose;
 }
 
+bool
+Parser::HasKnownFraming() const
+{
+  // HTTP/1.0 has no chunked encoding: another recipient would take the chunks
+  // for the body.
+  const bool chunked = (mParser.flags & F_CHUNKED) != 0U;
+  return mParser.http_major == 1 && (mParser.http_minor > 0 || !chunked);
+}
+
 int
 Parser::OnBody(http_parser* aParser, const char* aAt, std::size_t aSize)
 {
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -118,6 +118,8 @@
   void ParseHead();
   std::size_t Execute(std::string_view aBytes);
   void FinishHead();
+  /** Whether the version of the message defines how it is framed. */
+  [[nodiscard]] bool HasKnownFraming() const;
 
   static http_parser_settings MakeCallbacks();
   static Parser& Self(http_parser* aParser);
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -87,6 +87,27 @@
   cr_assert_eq(ErrorOf(chunk), ParseError::BodyTooLarge);
 }
 
+// Guards against bytes that are no HTTP/1 message, or whose end its version
+// doesn't define, taken for a message.
+Test(parser, rejects_other_versions_and_chunks_in_http_1_0)
+{
+  const std::string chunked{ "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" };
+  for (const auto& text : { "HTTP/3.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+                            "HTTP/0.9 200 OK\r\nContent-Length: 0\r\n\r\n",
+                            "HTTP/1.0 200 OK\r\n" }) {
+    Parser parser{ MessageKind::Response };
+    parser.Read(text);
+    parser.Read(chunked);
+    cr_expect_eq(parser.Error(), ParseError::Malformed, "%s", text);
+  }
+  Parser parser{ MessageKind::Response };
+  parser.Read("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(parser.Complete());
+  cr_expect_eq(ErrorOf("GET / HTTP/2.0\r\nHost: x\r\n\r\n"),
+               ParseError::Malformed);
+  cr_expect_eq(ErrorOf("POST / HTTP/1.0\r\n" + chunked), ParseError::Malformed);
+}
+
 // Guards against a response that begins with the status of one answer and ends
 // with the fields and the body of the next one.
 Test(parser, rejects_a_response_head_that_continues_another)
