Take a stream without events for broken

A stream that ends before its first event is broken, unless its caller resumes one. The unit test failed before.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -539,6 +539,12 @@
                    "the stream ended in the middle of an event");
       return;
     }
+    if (!mEvents.LastId() && mEvents.SentCount() == 0) {
+      RecordFinding(fleet::RequestOutcome::Broken);
+      OnAttemptEnd(forward::AttemptEnd::Broken,
+                   "the stream ended before its first event");
+      return;
+    }
     RecordFinding(fleet::RequestOutcome::Answered);
     PromptWatch::OnComplete(mTraffic, mParameters);
     if (!mProgress.answerStarted) {
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -778,6 +778,43 @@
   }
 }
 
+// Guards against a stream without any event that reaches its caller as complete
+// because its server broke off after the head.
+Test(exchange, a_stream_without_events_is_no_success)
+{
+  for (const auto& fields :
+       { std::string{}, std::string{ "Content-Length: 0\r\n" } }) {
+    Host host{ routing::RequestKind::Stream };
+    const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+      aCaller->Send("HTTP/1.1 200 OK\r\n" + kStamped + fields + "\r\n");
+      aCaller->Finish(false);
+    };
+    host.one.respond = respond;
+    host.two.respond = respond;
+    host.Start();
+    Caller caller;
+    caller.SendRequest("POST", "Content-Length: 0\r\n");
+    cr_assert(caller.Expect("HTTP/1.1 502"), "%s", caller.read.c_str());
+  }
+}
+
+// A caller that resumes after the last event is sent none.
+Test(exchange, a_resumed_stream_may_have_no_events)
+{
+  Host host{ routing::RequestKind::ResumableStream };
+  const auto respond = [](const auto& aCaller, const auto& /*aRequest*/) {
+    aCaller->Send(StreamHead("q1") + "0\r\n\r\n");
+    aCaller->Finish(true);
+  };
+  host.one.respond = respond;
+  host.two.respond = respond;
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", "Last-Event-Id: 7\r\nContent-Length: 0\r\n");
+  cr_assert(caller.Expect("0\r\n\r\n"));
+  cr_assert_neq(caller.read.find("HTTP/1.1 200"), std::string::npos);
+}
+
 // Guards against following what a server says of itself in an answer that may
 // come from another time or place.
 Test(exchange, a_strange_answer_says_nothing_of_its_server)
