Log the rates that servers name

A server in need names in its answers how many requests a second it takes from all hosts together. No log told so, and nothing read it.

The rate is read, kept with what a server has said of itself, logged as server_rate_limit when it changes, and counted. No choice follows it yet.

--- a/src/balsampoint/edge/dialect.hpp
+++ b/src/balsampoint/edge/dialect.hpp
@@ -90,6 +90,11 @@
   bool leaving{ false };
   /** Time for which the server wants no requests; absent for none. */
   std::optional<Duration> retryAfter;
+  /** Whether it comes from another server than the one that was meant. */
+  bool misdirected{ false };
+  /** Requests per second that the server takes from all hosts together; absent
+   * for no limit. */
+  std::optional<double> rateLimit;
 };
 
 /** @brief An operator's call that submits a whole configuration. */
--- a/src/balsampoint/edge/server_statements.cpp
+++ b/src/balsampoint/edge/server_statements.cpp
@@ -22,6 +22,16 @@
       .With("server", aHop.server)
       .With("request", aRequest);
   }
+  if (!aMetadata.misdirected &&
+      fleet::RecordRateLimit(
+        aTraffic.fleet, aService, aHop, aMetadata.rateLimit)) {
+    aTraffic.metrics.Add(trace::Count::RateLimitsNamed);
+    trace::Event{ "server_rate_limit" }
+      .With("server", aHop.server)
+      .With("request", aRequest)
+      .With("limited", aMetadata.rateLimit.has_value())
+      .With("per_second", aMetadata.rateLimit.value_or(0.0));
+  }
   if (!aMetadata.retryAfter) {
     return;
   }
--- a/src/balsampoint/edge/server_statements.hpp
+++ b/src/balsampoint/edge/server_statements.hpp
@@ -6,9 +6,9 @@
 namespace balsampoint::edge {
 
 /**
- * @brief Follows what an answer says of its server: that it is leaving, or that
- * it wants no requests for a time. Idle connections to a leaving server are
- * closed.
+ * @brief Follows what an answer says of its server: that it is leaving, that it
+ * wants no requests for a time, or how many it takes. Idle connections to a
+ * leaving server are closed.
  * @param aTraffic State of the traffic thread.
  * @param aService Service that the server belongs to.
  * @param aHop Server to which the request was sent.
--- a/src/balsampoint/fleet/command/follow_roster.cpp
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -37,6 +37,7 @@
   server.leaving = statement->second.leaving;
   server.backOffUntil = statement->second.backOffUntil;
   server.returning = server.backOffUntil != Instant::min();
+  server.rateLimit = statement->second.rateLimit;
   return server;
 }
 
--- a/src/balsampoint/fleet/command/record_statement.cpp
+++ b/src/balsampoint/fleet/command/record_statement.cpp
@@ -48,4 +48,19 @@
   return true;
 }
 
+bool
+RecordRateLimit(State& aState,
+                const ServiceId& aService,
+                const Hop& aHop,
+                std::optional<double> aLimit)
+{
+  auto* server = internal::FindServer(aState, aService, aHop);
+  if (server == nullptr || server->rateLimit == aLimit) {
+    return false;
+  }
+  StatementOf(aState, aHop).rateLimit = aLimit;
+  server->rateLimit = aLimit;
+  return true;
+}
+
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/command/record_statement.hpp
+++ b/src/balsampoint/fleet/command/record_statement.hpp
@@ -2,6 +2,8 @@
 
 #include "balsampoint/fleet/state.hpp"
 
+#include <optional>
+
 namespace balsampoint::fleet {
 
 /**
@@ -31,4 +33,18 @@
               const Hop& aHop,
               Instant aUntil);
 
+/**
+ * @brief Records how many requests a server takes from all hosts together.
+ * @param aState State to change.
+ * @param aService Service that the server belongs to.
+ * @param aHop The server; ignored if it has started anew since.
+ * @param aLimit Requests per second; absent for no limit.
+ * @return Whether this is news.
+ */
+bool
+RecordRateLimit(State& aState,
+                const ServiceId& aService,
+                const Hop& aHop,
+                std::optional<double> aLimit);
+
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -116,6 +116,8 @@
   Instant backOffUntil{ Instant::min() };
   /** Whether it has answered nothing since that time began. */
   bool returning{ false };
+  /** Requests per second that it takes from all hosts; absent for no limit. */
+  std::optional<double> rateLimit;
 
   /**
    * @brief Whether it is avoided for now; a last resort may still use it
@@ -180,6 +182,8 @@
   bool leaving{ false };
   /** End of the time for which it wants no requests. */
   Instant backOffUntil{ Instant::min() };
+  /** Requests per second that it takes from all hosts; absent for no limit. */
+  std::optional<double> rateLimit;
 };
 
 /** @brief Servers of all services; owned by one traffic thread. */
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -25,6 +25,8 @@
         "Answers with which a server asked for a time without requests." },
   Name{ "balsampoint_answers_discarded_total",
         "Answers of servers that are not the answer to the request." },
+  Name{ "balsampoint_rate_limits_named_total",
+        "Answers with which a server changed the rate that it takes." },
 };
 constexpr std::array kTimings{
   Name{ "balsampoint_first_token_seconds", "Request to first token." },
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -51,6 +51,7 @@
   ServersLeaving,
   ServersBackedOff,
   AnswersDiscarded,
+  RateLimitsNamed,
 };
 
 /**
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -75,6 +75,21 @@
   cr_assert(metadata.hasContentCoding);
 }
 
+Test(requests, a_server_names_the_rate_that_it_takes)
+{
+  const auto limitOf = [](const std::string& aText) {
+    wire::ResponseHead head{ .status = 200 };
+    head.fields.Add("Server-Limit", aText);
+    return Dialect::ReadResponse(head).rateLimit;
+  };
+  cr_assert_not(Dialect::ReadResponse({ .status = 200 }).rateLimit);
+  cr_assert(limitOf("16.7") == 16.7);
+  cr_assert(limitOf("0") == 0.0);
+  for (const auto* text : { "", "-1", "inf", "nan", "3/s", "1 2" }) {
+    cr_expect_not(limitOf(text), "%s", text);
+  }
+}
+
 Test(requests, the_shared_parts_of_a_prompt_are_all_but_the_last)
 {
   const auto partsOf = [](const std::string& aText) {
