--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -688,6 +688,52 @@
   });
 }
 
+// Guards against a server that gets far more requests than the rate that it
+// names in its answers.
+Test(exchange, a_server_gets_no_more_than_the_rate_that_it_names)
+{
+  Host host{ routing::RequestKind::Idempotent };
+  host.one.respond = RespondWith(200, "Server-Limit: 2\r\n");
+  host.two.respond = RespondWith(200, "");
+  host.Start();
+  const auto begun = std::chrono::steady_clock::now();
+  for (int request = 0; request < 60; ++request) {
+    cr_assert_eq(SendInTurn(1), "HTTP/1.1 200 X");
+    std::this_thread::sleep_for(20ms);
+  }
+  const std::chrono::duration<double> time =
+    std::chrono::steady_clock::now() - begun;
+  host.RunOnLoop([&] {
+    cr_assert_leq(host.one.requests.size(), 1.5 * 2.0 * time.count() + 5.0);
+    cr_assert_eq(host.one.requests.size() + host.two.requests.size(), 60U);
+  });
+}
+
+// Guards against requests that wait or come back in vain while all servers of
+// their service are limited.
+Test(exchange, a_request_beyond_the_rates_of_all_servers_is_refused_at_once)
+{
+  Host host{ routing::RequestKind::NonIdempotent };
+  host.one.respond = RespondWith(200, "Server-Limit: 0.5\r\n");
+  host.two.respond = RespondWith(200, "Server-Limit: 0.5\r\n");
+  host.Start();
+  int refused = 0;
+  for (int request = 0; request < 40; ++request) {
+    Caller caller;
+    caller.SendRequest("POST", "Content-Length: 0\r\n");
+    cr_assert(caller.Expect("\r\n\r\n"));
+    if (caller.read.starts_with("HTTP/1.1 503")) {
+      ++refused;
+      cr_assert_neq(caller.read.find("Retry-After: "), std::string::npos);
+    }
+    std::this_thread::sleep_for(20ms);
+  }
+  host.RunOnLoop([&] {
+    cr_assert_leq(host.one.requests.size() + host.two.requests.size(), 12U);
+  });
+  cr_assert_geq(refused, 28);
+}
+
 Test(exchange, callers_learn_when_the_first_of_all_servers_returns)
 {
   Host host{ routing::RequestKind::Idempotent };
