Share the rates that servers name among all hosts

Each choice draws at most one server with a limit, with the probability that the server's rate bears to the demand of all hosts, so that the hosts keep it together without a message for each request; the others with a limit get nothing of it. A server that all hosts together have sent what its rate allows in the last 4 s isn't drawn. All attempts count: the count is where a request is sent.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -170,7 +170,7 @@
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
-        fleet::SetRemoteUsage(mTraffic.fleet, *others);
+        fleet::SetRemoteUsage(mTraffic.fleet, *others, TrafficState::Now());
         mTraffic.budget.SetHostCount(others->hosts + 1);
         edge::MergeSuspects(mTraffic, others->suspects, others->hosts + 1);
       });
@@ -248,7 +248,7 @@
 
   void ReportUsage()
   {
-    auto use = fleet::MakeLocalUsage(mTraffic.fleet);
+    auto use = fleet::MakeLocalUsage(mTraffic.fleet, TrafficState::Now());
     use.suspects =
       quarantine::MakeReports(mTraffic.quarantine, TrafficState::Now());
     const bool queued =
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -246,6 +246,8 @@
     }
     mSentInAttempt = true;
     ++mProgress.sent;
+    fleet::CountSend(
+      mTraffic.fleet, mAdmission.service->id, mHops.front(), mSentAt);
     mReceivers.insert(mHops.front().server);
     mMayHaveRunBefore = mProgress.mayHaveRun;
     mProgress.mayHaveRun = true;
--- a/src/balsampoint/edge/server_choice.cpp
+++ b/src/balsampoint/edge/server_choice.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/edge/server_choice.hpp"
 
+#include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/choose_chain.hpp"
 #include "balsampoint/fleet/query/choose_server.hpp"
 
@@ -15,6 +16,7 @@
                    const std::set<ServerId>& aFailed,
                    const std::set<ServerId>& aReceivers)
 {
+  fleet::CountChoice(aTraffic.fleet, aService.id, TrafficState::Now());
   return fleet::ChooseServer(aTraffic.fleet,
                              aService.id,
                              aFailed,
@@ -45,6 +47,7 @@
     demand.answerTokens = aParameters.tokens->expectedAnswerTokens.value_or(
       aEngine.meanAnswerTokens);
   }
+  fleet::CountChoice(aTraffic.fleet, aService.id, TrafficState::Now());
   return fleet::ChooseChain(aTraffic.fleet, demand, TrafficState::Now());
 }
 
--- a/src/balsampoint/edge/server_statements.cpp
+++ b/src/balsampoint/edge/server_statements.cpp
@@ -22,9 +22,11 @@
       .With("server", aHop.server)
       .With("request", aRequest);
   }
-  if (!aMetadata.misdirected &&
-      fleet::RecordRateLimit(
-        aTraffic.fleet, aService, aHop, aMetadata.rateLimit)) {
+  if (!aMetadata.misdirected && fleet::RecordRateLimit(aTraffic.fleet,
+                                                       aService,
+                                                       aHop,
+                                                       aMetadata.rateLimit,
+                                                       TrafficState::Now())) {
     aTraffic.metrics.Add(trace::Count::RateLimitsNamed);
     trace::Event{ "server_rate_limit" }
       .With("server", aHop.server)
--- a/src/balsampoint/fleet/command/record_statement.cpp
+++ b/src/balsampoint/fleet/command/record_statement.cpp
@@ -2,10 +2,16 @@
 
 #include "balsampoint/fleet/internal/find_server.hpp"
 
+#include <chrono>
+
 namespace balsampoint::fleet {
 
 namespace {
 
+/** Time for which other hosts are told that a limit has ended: several times
+ * that of a message to all of them. */
+constexpr Duration kTellEndTime = std::chrono::seconds{ 5 };
+
 /** @brief The statement of an incarnation; that of another one is replaced. */
 Statement&
 StatementOf(State& aState, const Hop& aHop)
@@ -52,15 +58,37 @@
 RecordRateLimit(State& aState,
                 const ServiceId& aService,
                 const Hop& aHop,
-                std::optional<double> aLimit)
+                std::optional<double> aLimit,
+                Instant aNow)
 {
   auto* server = internal::FindServer(aState, aService, aHop);
-  if (server == nullptr || server->rateLimit == aLimit) {
+  if (server == nullptr || aNow < server->rateStatedAt) {
     return false;
   }
+  server->rateStatedAt = aNow;
+  if (server->rateLimit == aLimit) {
+    return false;
+  }
+  if (!aLimit) {
+    server->tellEndUntil = aNow + kTellEndTime;
+  }
   StatementOf(aState, aHop).rateLimit = aLimit;
   server->rateLimit = aLimit;
   return true;
 }
 
+void
+RecordRemoteRateLimit(Server& aServer,
+                      std::optional<double> aLimit,
+                      Instant aStatedAt,
+                      Instant aNow)
+{
+  if (aStatedAt > aServer.rateStatedAt) {
+    aServer.rateStatedAt = aStatedAt;
+    aServer.rateLimit = aLimit;
+  } else if (aLimit && !aServer.rateLimit) {
+    aServer.tellEndUntil = aNow + kTellEndTime;
+  }
+}
+
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/command/record_statement.hpp
+++ b/src/balsampoint/fleet/command/record_statement.hpp
@@ -39,12 +39,28 @@
  * @param aService Service that the server belongs to.
  * @param aHop The server; ignored if it has started anew since.
  * @param aLimit Requests per second; absent for no limit.
+ * @param aNow Current time.
  * @return Whether this is news.
  */
 bool
 RecordRateLimit(State& aState,
                 const ServiceId& aService,
                 const Hop& aHop,
-                std::optional<double> aLimit);
+                std::optional<double> aLimit,
+                Instant aNow);
+
+/**
+ * @brief Records what a server has said to another host of its rate, unless it
+ * has said something newer. Who knows that a limit has ended tells the host.
+ * @param aServer The server.
+ * @param aLimit Requests per second; absent for no limit.
+ * @param aStatedAt When it said so.
+ * @param aNow Current time.
+ */
+void
+RecordRemoteRateLimit(Server& aServer,
+                      std::optional<double> aLimit,
+                      Instant aStatedAt,
+                      Instant aNow);
 
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -169,6 +169,27 @@
   }
 }
 
+void
+CountChoice(State& aState, const ServiceId& aService, Instant aNow)
+{
+  const auto group = aState.groups.find(aService);
+  if (group != aState.groups.end()) {
+    group->second.choices.Add(aNow);
+  }
+}
+
+void
+CountSend(State& aState,
+          const ServiceId& aService,
+          const Hop& aHop,
+          Instant aNow)
+{
+  auto* server = internal::FindServer(aState, aService, aHop);
+  if (server != nullptr) {
+    server->sentRecently.Add(aNow);
+  }
+}
+
 void
 RecordOutcome(State& aState,
               const ServiceId& aService,
--- a/src/balsampoint/fleet/command/track_work.hpp
+++ b/src/balsampoint/fleet/command/track_work.hpp
@@ -98,4 +98,26 @@
               RequestOutcome aOutcome,
               Instant aNow);
 
+/**
+ * @brief Counts a choice of servers, as demand for the service.
+ * @param aState State to change.
+ * @param aService The service.
+ * @param aNow Current time.
+ */
+void
+CountChoice(State& aState, const ServiceId& aService, Instant aNow);
+
+/**
+ * @brief Counts a request that is sent to a server.
+ * @param aState State to change.
+ * @param aService Service that the server belongs to.
+ * @param aHop The server.
+ * @param aNow Current time.
+ */
+void
+CountSend(State& aState,
+          const ServiceId& aService,
+          const Hop& aHop,
+          Instant aNow);
+
 } // namespace balsampoint::fleet
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/core/split_mix.hpp"
 #include "balsampoint/fleet/internal/cost.hpp"
+#include "balsampoint/fleet/internal/rate_share.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -56,6 +57,9 @@
     , mNow{ aNow }
     , mTokens{ aDemand.promptTokens +
                aState.settings.answerFraction * aDemand.answerTokens }
+    , mLimited{ internal::DrawLimited(aGroup,
+                                      aDemand.randomSample.value_or(0),
+                                      aNow) }
     , mSteps(mEngine.layers + 1)
   {
     SplitMix64 random{ aDemand.randomSample.value_or(0) };
@@ -125,6 +129,9 @@
     if (aServer.BacksOff(mNow)) {
       return "backing off";
     }
+    if (aServer.rateLimit) {
+      return "limited";
+    }
     return "full";
   }
 
@@ -163,6 +170,7 @@
   {
     const auto& receivers = mDemand.receivers;
     return aServer.Sent() < aServer.claim.description.slots &&
+           (!aServer.rateLimit || &aServer == mLimited) &&
            (receivers.empty() || receivers.contains(aServer.claim.server));
   }
 
@@ -261,6 +269,8 @@
   const Demand& mDemand;
   Instant mNow;
   double mTokens;
+  /** The one server with a rate limit that may receive the request; or null. */
+  const Server* mLimited;
   std::vector<Step> mSteps;
   std::vector<bool> mBoundaries;
   std::vector<Candidate> mServers;
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/fleet/query/choose_server.hpp"
 
+#include "balsampoint/fleet/internal/rate_share.hpp"
+
 #include <algorithm>
 
 namespace balsampoint::fleet {
@@ -22,19 +24,22 @@
          (description.cold ? kColdPenalty : 0.0);
 }
 
-/** @brief Servers of a service that may receive a request. */
+/** @brief Servers of a service that may receive a request; at most one of them
+ * has a rate limit. */
 std::vector<const Server*>
 Candidates(const Group& aGroup,
            const std::set<ServerId>& aFailed,
            const std::set<ServerId>& aReceivers,
+           std::uint64_t aRandomSample,
            Instant aNow)
 {
+  const auto* limited = internal::DrawLimited(aGroup, aRandomSample, aNow);
   std::vector<const Server*> all;
   std::vector<const Server*> healthy;
   for (const auto& [id, server] : aGroup.servers) {
     const bool mayReceive = aReceivers.empty() || aReceivers.contains(id);
     if (!server.ready || !mayReceive || aFailed.contains(id) ||
-        server.BacksOff(aNow)) {
+        server.BacksOff(aNow) || (server.rateLimit && &server != limited)) {
       continue;
     }
     all.push_back(&server);
@@ -60,9 +65,11 @@
   if (group == aState.groups.end()) {
     return Refuse(ErrorKind::NoServer, "the service has no servers");
   }
-  const auto candidates = Candidates(group->second, aFailed, aReceivers, aNow);
+  const auto candidates =
+    Candidates(group->second, aFailed, aReceivers, aRandomSample, aNow);
   if (candidates.empty()) {
-    return Refuse(ErrorKind::NoServer, "no server of the service is ready");
+    return Refuse(ErrorKind::NoServer,
+                  "no server of the service takes a request now");
   }
   const auto* best = candidates[aRandomSample % candidates.size()];
   for (std::size_t at = 1; at < candidates.size(); ++at) {
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/core/number.hpp"
 #include "balsampoint/core/time.hpp"
 #include "balsampoint/fleet/chain.hpp"
+#include "balsampoint/fleet/recent_count.hpp"
 #include "balsampoint/roster/claim.hpp"
 #include "balsampoint/routing/document.hpp"
 
@@ -118,6 +119,14 @@
   bool returning{ false };
   /** Requests per second that it takes from all hosts; absent for no limit. */
   std::optional<double> rateLimit;
+  /** When it last said whether it has a limit, to any host. */
+  Instant rateStatedAt{ Instant::min() };
+  /** Until when other hosts are told that its limit has ended. */
+  Instant tellEndUntil{ Instant::min() };
+  /** Requests that this thread has sent to it. */
+  RecentCount sentRecently;
+  /** Requests that other hosts have sent to it in the longest window. */
+  std::uint32_t remoteRecent{};
 
   /**
    * @brief Whether it is avoided for now; a last resort may still use it
@@ -172,6 +181,10 @@
   std::map<ServerId, Server> servers;
   /** When one of this thread's requests last had its first event. */
   Instant lastStartedAt{ Instant::min() };
+  /** Choices of servers for requests to the service. */
+  RecentCount choices;
+  /** Choices per second of other hosts. */
+  double remoteDemand{};
 };
 
 /** @brief What one incarnation of a server has said of itself in answers. */
--- a/src/balsampoint/peer/usage_codec.cpp
+++ b/src/balsampoint/peer/usage_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <span>
 
 namespace balsampoint::peer {
@@ -13,6 +14,79 @@
 
 namespace wire = generated;
 
+std::int64_t
+ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+/** @brief Reads a time span and bounds it, so that sums can't overflow. */
+Duration
+FromMilliseconds(std::int64_t aMilliseconds)
+{
+  constexpr std::chrono::milliseconds kLongest = std::chrono::hours{ 24 };
+  return std::clamp(std::chrono::milliseconds{ aMilliseconds },
+                    std::chrono::milliseconds{},
+                    kLongest);
+}
+
+/** @brief Reads a rate and bounds it; one that is no number is zero. */
+double
+BoundedRate(double aRate)
+{
+  constexpr double kHighest = 1e6;
+  return aRate > 0.0 ? std::min(aRate, kHighest) : 0.0;
+}
+
+wire::UsageRate
+ToWire(const usage::RateStatement& aRate)
+{
+  wire::UsageRate rate;
+  rate.incarnation = static_cast<std::int64_t>(aRate.incarnation.Value());
+  if (aRate.limit) {
+    rate.__set_limit(*aRate.limit);
+  }
+  rate.ageMs = ToMilliseconds(aRate.age);
+  return rate;
+}
+
+usage::RateStatement
+FromWire(const wire::UsageRate& aRate)
+{
+  return { .incarnation =
+             Incarnation{ static_cast<std::uint64_t>(aRate.incarnation) },
+           .limit = aRate.__isset.limit
+                      ? std::optional{ BoundedRate(aRate.limit) }
+                      : std::nullopt,
+           .age = FromMilliseconds(aRate.ageMs) };
+}
+
+std::vector<wire::UsageService>
+ToWire(std::span<const usage::ServiceUsage> aServices)
+{
+  std::vector<wire::UsageService> services;
+  services.reserve(aServices.size());
+  for (const auto& use : aServices) {
+    auto& service = services.emplace_back();
+    service.name = use.service.String();
+    service.demand = use.demand;
+  }
+  return services;
+}
+
+std::vector<usage::ServiceUsage>
+FromWire(std::span<const wire::UsageService> aServices)
+{
+  std::vector<usage::ServiceUsage> services;
+  services.reserve(aServices.size());
+  for (const auto& service : aServices) {
+    services.push_back({ .service = ServiceId{ service.name },
+                         .demand = BoundedRate(service.demand) });
+  }
+  return services;
+}
+
 std::vector<wire::UsageServer>
 ToWire(const std::vector<usage::ServerUsage>& aServers)
 {
@@ -24,6 +98,12 @@
     server.passing = static_cast<std::int32_t>(use.passing);
     server.sent = static_cast<std::int32_t>(use.sent);
     server.kv = static_cast<std::int64_t>(use.kv);
+    if (use.recent > 0) {
+      server.__set_recent(static_cast<std::int32_t>(use.recent));
+    }
+    if (use.rate) {
+      server.__set_rate(ToWire(*use.rate));
+    }
   }
   return servers;
 }
@@ -34,31 +114,21 @@
   std::vector<usage::ServerUsage> servers;
   servers.reserve(aServers.size());
   for (const auto& server : aServers) {
-    servers.push_back({ .server = ServerId{ server.server },
-                        .passing = static_cast<std::uint32_t>(server.passing),
-                        .sent = static_cast<std::uint32_t>(server.sent),
-                        .kv = static_cast<double>(server.kv) });
+    auto& use = servers.emplace_back();
+    use.server = ServerId{ server.server };
+    use.passing = static_cast<std::uint32_t>(server.passing);
+    use.sent = static_cast<std::uint32_t>(server.sent);
+    use.kv = static_cast<double>(server.kv);
+    if (server.__isset.recent) {
+      use.recent = static_cast<std::uint32_t>(std::max(0, server.recent));
+    }
+    if (server.__isset.rate) {
+      use.rate = FromWire(server.rate);
+    }
   }
   return servers;
 }
 
-std::int64_t
-ToMilliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
-/** @brief Reads a time span and bounds it, so that sums can't overflow. */
-Duration
-FromMilliseconds(std::int64_t aMilliseconds)
-{
-  constexpr std::chrono::milliseconds kLongest = std::chrono::hours{ 24 };
-  return std::clamp(std::chrono::milliseconds{ aMilliseconds },
-                    std::chrono::milliseconds{},
-                    kLongest);
-}
-
 std::vector<wire::UsageSuspect>
 ToWire(std::span<const quarantine::PartReport> aReports)
 {
@@ -115,6 +185,7 @@
   encoded.servers = ToWire(aSum.servers);
   encoded.hosts = static_cast<std::int32_t>(aSum.hosts);
   encoded.__set_suspects(ToWire(aSum.suspects));
+  encoded.__set_services(ToWire(aSum.services));
   return encoded;
 }
 
@@ -128,7 +199,8 @@
 {
   return { FromWire(aSum.servers),
            static_cast<std::uint32_t>(aSum.hosts),
-           FromWire(aSum.suspects) };
+           FromWire(aSum.suspects),
+           FromWire(aSum.services) };
 }
 
 /** @brief Fills the field of the union that belongs to a message. */
@@ -141,6 +213,7 @@
     wire::UsageOwn encoded;
     encoded.servers = ToWire(aMessage.servers);
     encoded.__set_suspects(ToWire(aMessage.suspects));
+    encoded.__set_services(ToWire(aMessage.services));
     out.__set_own(encoded);
   }
   void operator()(const usage::RemoteUsage& aMessage) const
@@ -154,6 +227,7 @@
     encoded.hosts = static_cast<std::int32_t>(aMessage.hosts);
     encoded.servers = ToWire(aMessage.servers);
     encoded.suspects = ToWire(aMessage.suspects);
+    encoded.__set_services(ToWire(aMessage.services));
     out.__set_group(encoded);
   }
   void operator()(const usage::FarUsage& aMessage) const
@@ -167,7 +241,8 @@
 {
   if (aMessage.__isset.own) {
     return usage::LocalUsage{ FromWire(aMessage.own.servers),
-                              FromWire(aMessage.own.suspects) };
+                              FromWire(aMessage.own.suspects),
+                              FromWire(aMessage.own.services) };
   }
   if (aMessage.__isset.others) {
     return FromWireSum<usage::RemoteUsage>(aMessage.others);
@@ -177,7 +252,8 @@
     return usage::GroupUsage{ .zone = ZoneId{ group.zone },
                               .hosts = static_cast<std::uint32_t>(group.hosts),
                               .servers = FromWire(group.servers),
-                              .suspects = FromWire(group.suspects) };
+                              .suspects = FromWire(group.suspects),
+                              .services = FromWire(group.services) };
   }
   if (aMessage.__isset.far) {
     return FromWireSum<usage::FarUsage>(aMessage.far);
--- a/src/balsampoint/usage/command/send_sums.cpp
+++ b/src/balsampoint/usage/command/send_sums.cpp
@@ -33,13 +33,15 @@
   Totals totals;
   PartReports suspects;
   for (const auto& [host, reported] : aState.reports) {
-    totals.Add(reported.use.servers);
+    totals.Add(reported.use.servers, aNow - reported.receivedAt);
+    totals.Add(reported.use.services);
     AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
   }
   return { .zone = aState.settings.zone,
            .hosts = static_cast<std::uint32_t>(aState.reports.size()),
            .servers = totals.Servers(),
-           .suspects = quarantine::Join(suspects) };
+           .suspects = quarantine::Join(suspects),
+           .services = totals.Services() };
 }
 
 void
@@ -107,19 +109,23 @@
   const auto hosts = HostsOf(aState, group);
   SendGroup(aState, group, hosts, aNow, aActions);
   Totals totals;
-  totals.Add(group.servers);
-  totals.Add(aState.far.use.servers);
+  totals.Add(group.servers, {});
+  totals.Add(group.services);
+  totals.Add(aState.far.use.servers, aNow - aState.far.receivedAt);
+  totals.Add(aState.far.use.services);
   auto suspects = group.suspects;
   AddSuspects(suspects, aState.far.use.suspects, aNow - aState.far.receivedAt);
   for (const auto& [relay, reported] : aState.groups) {
-    totals.Add(reported.use.servers);
+    totals.Add(reported.use.servers, aNow - reported.receivedAt);
+    totals.Add(reported.use.services);
     AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
   }
   suspects = quarantine::Join(suspects);
   for (const auto& [host, reported] : aState.reports) {
     RemoteUsage others{ .servers = totals.Without(reported.use.servers),
                         .hosts = hosts - 1,
-                        .suspects = suspects };
+                        .suspects = suspects,
+                        .services = totals.Without(reported.use.services) };
     if (host == aState.settings.self) {
       aActions.emplace_back(PublishRemote{
         std::make_shared<const RemoteUsage>(std::move(others)) });
@@ -145,11 +151,13 @@
     if (reported.use.zone == zone) {
       continue;
     }
-    totals.Add(reported.use.servers);
+    totals.Add(reported.use.servers, aNow - reported.receivedAt);
+    totals.Add(reported.use.services);
     far.hosts += reported.use.hosts;
   }
   far.servers = totals.Servers();
   far.suspects = quarantine::Join(suspects);
+  far.services = totals.Services();
   aActions.emplace_back(Send{ aRelay, std::move(far) });
 }
 
--- a/src/balsampoint/usage/internal/totals.cpp
+++ b/src/balsampoint/usage/internal/totals.cpp
@@ -4,8 +4,31 @@
 
 namespace balsampoint::usage::internal {
 
+namespace {
+
+/** @brief Replaces a statement by another one that is newer. */
+void
+TakeNewer(std::optional<RateStatement>& aKnown,
+          const std::optional<RateStatement>& aOther,
+          Duration aHeldFor)
+{
+  if (!aOther) {
+    return;
+  }
+  auto other = *aOther;
+  other.age += aHeldFor;
+  const bool newer =
+    !aKnown || aKnown->incarnation < other.incarnation ||
+    (aKnown->incarnation == other.incarnation && other.age < aKnown->age);
+  if (newer) {
+    aKnown = other;
+  }
+}
+
+} // namespace
+
 void
-Totals::Add(std::span<const ServerUsage> aServers)
+Totals::Add(std::span<const ServerUsage> aServers, Duration aHeldFor)
 {
   for (const auto& use : aServers) {
     auto& total = mServers[use.server];
@@ -13,6 +36,16 @@
     total.passing += use.passing;
     total.sent += use.sent;
     total.kv += use.kv;
+    total.recent += use.recent;
+    TakeNewer(total.rate, use.rate, aHeldFor);
+  }
+}
+
+void
+Totals::Add(std::span<const ServiceUsage> aServices)
+{
+  for (const auto& use : aServices) {
+    mDemand[use.service] += use.demand;
   }
 }
 
@@ -22,7 +55,7 @@
   std::vector<ServerUsage> servers;
   servers.reserve(mServers.size());
   for (const auto& [server, use] : mServers) {
-    if (use.passing > 0 || use.sent > 0) {
+    if (use.passing > 0 || use.sent > 0 || use.recent > 0 || use.rate) {
       servers.push_back(use);
     }
   }
@@ -38,8 +71,31 @@
     total.passing -= std::min(total.passing, use.passing);
     total.sent -= std::min(total.sent, use.sent);
     total.kv = std::max(0.0, total.kv - use.kv);
+    total.recent -= std::min(total.recent, use.recent);
   }
   return others.Servers();
 }
 
+std::vector<ServiceUsage>
+Totals::Services() const
+{
+  std::vector<ServiceUsage> services;
+  services.reserve(mDemand.size());
+  for (const auto& [service, demand] : mDemand) {
+    services.push_back({ service, demand });
+  }
+  return services;
+}
+
+std::vector<ServiceUsage>
+Totals::Without(std::span<const ServiceUsage> aOwn) const
+{
+  auto others = *this;
+  for (const auto& use : aOwn) {
+    auto& demand = others.mDemand[use.service];
+    demand = std::max(0.0, demand - use.demand);
+  }
+  return others.Services();
+}
+
 } // namespace balsampoint::usage::internal
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -1,14 +1,29 @@
 #pragma once
 
 #include "balsampoint/core/id.hpp"
+#include "balsampoint/core/number.hpp"
+#include "balsampoint/core/time.hpp"
 #include "balsampoint/quarantine/report.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
 namespace balsampoint::usage {
 
+/** @brief What a server has said of the requests that it takes. */
+struct RateStatement
+{
+  Incarnation incarnation;
+  /** Requests per second from all hosts together; absent for no limit. */
+  std::optional<double> limit;
+  /** Time since it said so. */
+  Duration age{};
+
+  bool operator==(const RateStatement&) const = default;
+};
+
 /** @brief Work in progress on one server. */
 struct ServerUsage
 {
@@ -19,16 +34,33 @@
   std::uint32_t sent{};
   /** KV reserved for these requests, in tokens times layers. */
   double kv{};
+  /** Requests sent to it in the last seconds; counted only while it has a rate
+   * limit. */
+  std::uint32_t recent{};
+  /** Newest statement that a host knows; absent for none that matters. */
+  std::optional<RateStatement> rate;
 
   bool operator==(const ServerUsage&) const = default;
 };
 
+/** @brief Demand for one service of which some server has a rate limit. */
+struct ServiceUsage
+{
+  ServiceId service;
+  /** Choices of servers per second. */
+  double demand{};
+
+  bool operator==(const ServiceUsage&) const = default;
+};
+
 /** @brief Work that the sending entry host has in progress. */
 struct LocalUsage
 {
   std::vector<ServerUsage> servers;
   /** Prompt parts that it suspects of crashing servers. */
   std::vector<quarantine::PartReport> suspects;
+  /** Demand for services with rate limits. */
+  std::vector<ServiceUsage> services;
 
   bool operator==(const LocalUsage&) const = default;
 };
@@ -44,6 +76,8 @@
   std::uint32_t hosts{};
   /** Prompt parts that any host suspects, the receiver included. */
   std::vector<quarantine::PartReport> suspects;
+  /** Demand for services with rate limits. */
+  std::vector<ServiceUsage> services;
 
   bool operator==(const RemoteUsage&) const = default;
 };
@@ -57,6 +91,8 @@
   std::vector<ServerUsage> servers;
   /** Prompt parts that any of these hosts suspects. */
   std::vector<quarantine::PartReport> suspects;
+  /** Demand for services with rate limits. */
+  std::vector<ServiceUsage> services;
 
   bool operator==(const GroupUsage&) const = default;
 };
@@ -69,6 +105,8 @@
   std::uint32_t hosts{};
   /** Prompt parts that any host suspects. */
   std::vector<quarantine::PartReport> suspects;
+  /** Demand for services with rate limits. */
+  std::vector<ServiceUsage> services;
 
   bool operator==(const FarUsage&) const = default;
 };
--- a/test/balsampoint/peer/usage_codec_test.cpp
+++ b/test/balsampoint/peer/usage_codec_test.cpp
@@ -39,6 +39,30 @@
   cr_assert(std::get<usage::RemoteUsage>(Again(others)) == others);
 }
 
+Test(usage_codec, rates_and_demand_survive_a_round_trip)
+{
+  const usage::ServerUsage limited{ .server = ServerId{ "s" },
+                                    .recent = 7,
+                                    .rate = { { Incarnation{ 3 }, 2.5, 2s } } };
+  const usage::ServerUsage ended{ .server = ServerId{ "t" },
+                                  .rate = {
+                                    { Incarnation{ 4 }, std::nullopt, 1s } } };
+  const std::vector<usage::ServiceUsage> demand{ { ServiceId{ "d" }, 11.5 } };
+  const usage::LocalUsage own{ { limited, ended }, {}, demand };
+  cr_assert(std::get<usage::LocalUsage>(Again(own)) == own);
+  const usage::FarUsage far{ { limited }, 5, {}, demand };
+  cr_assert(std::get<usage::FarUsage>(Again(far)) == far);
+  const usage::GroupUsage group{ ZoneId{ "a" }, 5, { ended }, {}, demand };
+  cr_assert(std::get<usage::GroupUsage>(Again(group)) == group);
+}
+
+Test(usage_codec, rates_are_bounded)
+{
+  const usage::LocalUsage own{ {}, {}, { { ServiceId{ "d" }, -1.0 } } };
+  cr_assert_eq(std::get<usage::LocalUsage>(Again(own)).services.front().demand,
+               0.0);
+}
+
 Test(usage_codec, time_spans_are_bounded)
 {
   const usage::LocalUsage own{ {},
--- a/thrift/usage.thrift
+++ b/thrift/usage.thrift
@@ -1,5 +1,19 @@
 namespace cpp balsampoint.peer.generated
 
+// What a server has said of the requests that it takes from all hosts.
+struct UsageRate {
+  1: required i64 incarnation
+  // Requests per second; absent for no limit.
+  2: optional double limit
+  3: required i64 ageMs
+}
+
+struct UsageService {
+  1: required string name
+  // Choices of servers per second.
+  2: required double demand
+}
+
 // What entry hosts have in progress on backend servers.
 struct UsageServer {
   1: required string server
@@ -7,6 +21,9 @@
   3: required i32 sent
   // Tokens times layers.
   4: required i64 kv
+  // Requests sent in the last seconds, for servers with a rate limit.
+  5: optional i32 recent
+  6: optional UsageRate rate
 }
 
 struct UsageCrash {
@@ -25,12 +42,14 @@
 struct UsageOwn {
   1: required list<UsageServer> servers
   2: optional list<UsageSuspect> suspects
+  3: optional list<UsageService> services
 }
 
 struct UsageOthers {
   1: required list<UsageServer> servers
   2: required i32 hosts
   3: optional list<UsageSuspect> suspects
+  4: optional list<UsageService> services
 }
 
 // Sum of a relay and the entry hosts that report to it.
@@ -39,6 +58,7 @@
   2: required i32 hosts
   3: required list<UsageServer> servers
   4: required list<UsageSuspect> suspects
+  5: optional list<UsageService> services
 }
 
 union UsageMessage {
