Send statements about rates once a second

A statement takes some 20 bytes in each sum, five times a second to every entry host (from the encoding, not measured): with 50 limited servers over half of the 10 KB/s that a host may use for control. They change seldom, and hosts keep them; what the servers got goes with each sum as before.

--- a/src/balsampoint/usage/command/send_sums.cpp
+++ b/src/balsampoint/usage/command/send_sums.cpp
@@ -6,6 +6,7 @@
 #include <numeric>
 #include <span>
 #include <utility>
+#include <vector>
 
 namespace balsampoint::usage {
 
@@ -99,6 +100,17 @@
   }
 }
 
+/** @brief Leaves out what servers have said of their rates, and servers of
+ * which nothing else is known. */
+void
+DropRates(std::vector<ServerUsage>& aServers)
+{
+  std::erase_if(aServers, [](ServerUsage& aUse) {
+    aUse.rate.reset();
+    return aUse.passing == 0 && aUse.sent == 0 && aUse.recent == 0;
+  });
+}
+
 } // namespace
 
 void
@@ -121,11 +133,18 @@
     AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
   }
   suspects = quarantine::Join(suspects);
+  const bool withRates = aNow >= aState.nextRates;
+  if (withRates) {
+    aState.nextRates = aNow + aState.settings.rateInterval;
+  }
   for (const auto& [host, reported] : aState.reports) {
     RemoteUsage others{ .servers = totals.Without(reported.use.servers),
                         .hosts = hosts - 1,
                         .suspects = suspects,
                         .services = totals.Without(reported.use.services) };
+    if (!withRates) {
+      DropRates(others.servers);
+    }
     if (host == aState.settings.self) {
       aActions.emplace_back(PublishRemote{
         std::make_shared<const RemoteUsage>(std::move(others)) });
--- a/src/balsampoint/usage/state.hpp
+++ b/src/balsampoint/usage/state.hpp
@@ -22,6 +22,9 @@
   Duration interval{ std::chrono::milliseconds{ 200 } };
   /** Time after which an unchanged report is sent again. */
   Duration repeatInterval{ std::chrono::milliseconds{ 600 } };
+  /** Time between two sums for entry hosts with what servers have said of their
+   * rates, which takes more bytes than their work. */
+  Duration rateInterval{ std::chrono::seconds{ 1 } };
   /** Age at which an entry host's report expires. */
   Duration reportTimeout{ std::chrono::milliseconds{ 1500 } };
   /** Age at which the sum of a relay or of the other zones expires. */
@@ -80,6 +83,7 @@
   Instant nextSums{ kNever };
   Instant nextPeers{};
   Instant nextUpstream{};
+  Instant nextRates{};
 };
 
 /** @brief The hosts with which this host exchanges work changed. */
--- a/test/balsampoint/usage/module_test.cpp
+++ b/test/balsampoint/usage/module_test.cpp
@@ -50,6 +50,70 @@
   cr_assert_eq(SentTo(actions, "e3").hosts, 2U);
 }
 
+Test(usage, the_newest_statement_about_a_rate_reaches_every_host)
+{
+  State state{ .settings = { .self = HostId{ "c" } } };
+  Actions actions;
+  const auto report = [&](const char* aHost,
+                          std::optional<double> aLimit,
+                          Duration aAge,
+                          std::uint64_t aIncarnation = 1) {
+    const ServerUsage use{ .server = ServerId{ "s" },
+                           .recent = 2,
+                           .rate = {
+                             { Incarnation{ aIncarnation }, aLimit, aAge } } };
+    Module::Handle(
+      state, Received{ HostId{ aHost }, LocalUsage{ { use } } }, kNow, actions);
+  };
+  report("e1", 5.0, 3s);
+  report("e2", std::nullopt, 1s);
+  report("e3", 7.0, 0s, 0);
+  Module::Tick(state, kNow + 200ms, actions);
+  const auto& known = SentTo(actions, "e1").servers.front();
+  cr_assert(known.rate.has_value());
+  cr_assert_not(known.rate->limit.has_value());
+  cr_assert_eq(known.rate->age, Duration{ 1200ms });
+  cr_assert_eq(known.recent, 4U);
+}
+
+// Statements take more bytes than work; hundreds of hosts get each sum.
+Test(usage, statements_about_rates_are_sent_once_a_second)
+{
+  State state{ .settings = { .self = HostId{ "c" } } };
+  const ServerUsage limited{ .server = ServerId{ "s" },
+                             .rate = { { Incarnation{ 1 }, 5.0, 0s } } };
+  int sums = 0;
+  for (auto now = kNow; now < kNow + 4s; now += 200ms) {
+    Actions actions;
+    for (const auto* host : { "e1", "e2" }) {
+      Module::Handle(state,
+                     Received{ HostId{ host }, LocalUsage{ { limited } } },
+                     now,
+                     actions);
+    }
+    Module::Tick(state, now, actions);
+    sums += SentTo(actions, "e1").servers.empty() ? 0 : 1;
+  }
+  cr_assert_eq(sums, 4);
+}
+
+Test(usage, demand_is_that_of_the_other_hosts)
+{
+  State state{ .settings = { .self = HostId{ "c" } } };
+  Actions actions;
+  const ServiceId service{ "d" };
+  for (const auto& [host, demand] : { std::pair{ "e1", 3.0 }, { "e2", 4.0 } }) {
+    Module::Handle(
+      state,
+      Received{ HostId{ host }, LocalUsage{ {}, {}, { { service, demand } } } },
+      kNow,
+      actions);
+  }
+  Module::Tick(state, kNow + 200ms, actions);
+  cr_assert_eq(SentTo(actions, "e1").services.front().demand, 4.0);
+  cr_assert_eq(SentTo(actions, "e2").services.front().demand, 3.0);
+}
+
 Test(usage, an_expired_report_no_longer_counts)
 {
   State state{ .settings = { .self = HostId{ "c" } } };
