Keep the time of a statement about a rate with the statement

A server's rate outlives a configuration without its service, the time at which it was stated didn't: its age, which hosts tell each other, was then computed from the earliest time there is, which overflows.

--- a/src/balsampoint/fleet/command/follow_roster.cpp
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -38,6 +38,7 @@
   server.backOffUntil = statement->second.backOffUntil;
   server.returning = server.backOffUntil != Instant::min();
   server.rateLimit = statement->second.rateLimit;
+  server.rateStatedAt = statement->second.rateStatedAt;
   return server;
 }
 
--- a/src/balsampoint/fleet/command/record_statement.cpp
+++ b/src/balsampoint/fleet/command/record_statement.cpp
@@ -72,7 +72,9 @@
   if (!aLimit) {
     server->tellEndUntil = aNow + kTellEndTime;
   }
-  StatementOf(aState, aHop).rateLimit = aLimit;
+  auto& statement = StatementOf(aState, aHop);
+  statement.rateLimit = aLimit;
+  statement.rateStatedAt = aNow;
   server->rateLimit = aLimit;
   return true;
 }
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -197,6 +197,8 @@
   Instant backOffUntil{ Instant::min() };
   /** Requests per second that it takes from all hosts; absent for no limit. */
   std::optional<double> rateLimit;
+  /** When it said so. */
+  Instant rateStatedAt{ Instant::min() };
 };
 
 /** @brief Servers of all services; owned by one traffic thread. */
--- a/test/balsampoint/fleet/command/record_statement_test.cpp
+++ b/test/balsampoint/fleet/command/record_statement_test.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/fleet/fixture.hpp"
 #include "balsampoint/fleet/query/choose_chain.hpp"
 #include "balsampoint/fleet/query/choose_server.hpp"
+#include "balsampoint/fleet/query/make_local_usage.hpp"
 #include "balsampoint/fleet/query/retry_after.hpp"
 
 #include <criterion/criterion.h>
@@ -162,3 +163,53 @@
   FollowRoster(state, {}, SmallModel());
   cr_assert(state.statements.empty());
 }
+
+Test(record_statement, a_limited_server_stays_a_later_stage_of_a_chain)
+{
+  auto state = MakeFleet({ MakeEngine("a", "a", { 0, 4 }),
+                           MakeEngine("b", "a", { 4, 8 }),
+                           MakeEngine("c", "a", { 0, 4 }, "slow") });
+  const std::optional<double> none{ 0.0 };
+  cr_assert(RecordRateLimit(state, kService, HopTo("a"), none, kNow));
+  cr_assert(RecordRateLimit(state, kService, HopTo("b"), none, kNow));
+  const auto chain = ChooseChain(
+    state,
+    { .service = kService, .promptTokens = 100.0, .answerTokens = 40.0 },
+    kNow);
+  cr_assert(chain.has_value());
+  cr_assert_eq(chain->hops.front().server.Value(), "c");
+  cr_assert_eq(chain->hops.back().server.Value(), "b");
+}
+
+Test(record_statement, a_rate_outlives_a_configuration_without_the_service)
+{
+  auto state = MakeFleet(TwoStages());
+  RecordRateLimit(state, kService, HopTo("a"), 2.5, kNow);
+  const roster::View view{ .servers = TwoStages() };
+  FollowRoster(state, view, {});
+  FollowRoster(state, view, SmallModel());
+  const auto use = MakeLocalUsage(state, kNow + 2s);
+  cr_assert_eq(use.servers.size(), 1U);
+  cr_assert(use.servers.front().rate->limit == 2.5);
+  cr_assert_eq(use.servers.front().rate->age, Duration{ 2s });
+  cr_assert_eq(use.services.size(), 1U);
+}
+
+Test(record_statement, the_newest_statement_about_a_rate_counts)
+{
+  auto state = MakeFleet(TwoStages());
+  auto& server = state.groups.at(kService).servers.at(ServerId{ "a" });
+  RecordRateLimit(state, kService, HopTo("a"), 2.5, kNow);
+  RecordRemoteRateLimit(server, {}, kNow - 1s, kNow + 1s);
+  cr_assert(server.rateLimit == 2.5);
+  RecordRemoteRateLimit(server, 1.5, kNow + 1s, kNow + 2s);
+  cr_assert(server.rateLimit == 1.5);
+  cr_assert(RecordRateLimit(state, kService, HopTo("a"), {}, kNow + 3s));
+  cr_assert_not(RecordRateLimit(state, kService, HopTo("a"), {}, kNow + 4s));
+  // The end is told to the others for a while.
+  cr_assert_eq(MakeLocalUsage(state, kNow + 4s).servers.size(), 1U);
+  cr_assert(MakeLocalUsage(state, kNow + 1min).servers.empty());
+  // A host that still believes in the limit is told again.
+  RecordRemoteRateLimit(server, 1.5, kNow + 2s, kNow + 1min);
+  cr_assert_eq(MakeLocalUsage(state, kNow + 1min + 1s).servers.size(), 1U);
+}
--- a/test/balsampoint/fleet/query/retry_after_test.cpp
+++ b/test/balsampoint/fleet/query/retry_after_test.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/fleet/query/retry_after.hpp"
 
+#include "balsampoint/fleet/command/record_statement.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/fixture.hpp"
 #include "balsampoint/fleet/query/choose_chain.hpp"
@@ -52,3 +53,26 @@
   cr_assert(RetryAfter(state, ServiceId{ "other" }, kNow) ==
             state.settings.maxRetryAfter);
 }
+
+Test(retry_after, is_the_time_that_limited_servers_need_for_what_they_refuse)
+{
+  auto state = MakeFleet(
+    { MakeEngine("a1", "a", { 0, 8 }), MakeEngine("a2", "a", { 0, 8 }) });
+  BeginStream(state, kNow);
+  for (int choice = 0; choice < 17; ++choice) {
+    CountChoice(state, kService, kNow);
+  }
+  const auto limit = [&](const char* aServer) {
+    RecordRateLimit(
+      state,
+      kService,
+      { .server = ServerId{ aServer }, .incarnation = Incarnation{ 1 } },
+      1.0,
+      kNow);
+  };
+  limit("a1");
+  cr_assert(RetryAfter(state, kService, kNow) == state.settings.minRetryAfter);
+  limit("a2");
+  // 8 requests a second for servers that take 2.
+  cr_assert(RetryAfter(state, kService, kNow) == 3s);
+}
