Keep the rates of servers within what the linter can read

The linter ended by signal 11 where a loop with a structured binding uses an optional, and asked for checks where one had been made before.

--- a/src/balsampoint/fleet/internal/rate_share.cpp
+++ b/src/balsampoint/fleet/internal/rate_share.cpp
@@ -28,11 +28,11 @@
 
 /** Whether a server has got what its rate allows, from all hosts together. */
 bool
-IsRateUsedUp(const Server& aServer, Instant aNow)
+IsRateUsedUp(const Server& aServer, double aRate, Instant aNow)
 {
   const auto window = RecentCount::kLongest;
   return aServer.sentRecently.Within(window, aNow) + aServer.remoteRecent >=
-         *aServer.rateLimit * Seconds(window) + kBurst;
+         aRate * Seconds(window) + kBurst;
 }
 
 /** Probability that a request goes to a server with a rate limit. */
@@ -42,11 +42,13 @@
         double aDemand,
         Instant aNow)
 {
-  if (!aServer.rateLimit || !ReceivesRequests(aGroup, aServer) ||
-      IsRateUsedUp(aServer, aNow)) {
+  // A server without a limit isn't drawn, and so has no share.
+  const auto rate = aServer.rateLimit.value_or(0.0);
+  if (rate <= 0.0 || !ReceivesRequests(aGroup, aServer) ||
+      IsRateUsedUp(aServer, rate, aNow)) {
     return 0.0;
   }
-  return kUsedPart * *aServer.rateLimit / std::max(aDemand, kMinDemand);
+  return kUsedPart * rate / std::max(aDemand, kMinDemand);
 }
 
 } // namespace
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -36,10 +36,13 @@
   const auto* limited = internal::DrawLimited(aGroup, aRandomSample, aNow);
   std::vector<const Server*> all;
   std::vector<const Server*> healthy;
-  for (const auto& [id, server] : aGroup.servers) {
-    const bool mayReceive = aReceivers.empty() || aReceivers.contains(id);
-    if (!server.ready || !mayReceive || aFailed.contains(id) ||
-        server.BacksOff(aNow) || (server.rateLimit && &server != limited)) {
+  for (const auto& entry : aGroup.servers) {
+    const Server& server = entry.second;
+    const bool mayReceive =
+      aReceivers.empty() || aReceivers.contains(entry.first);
+    const bool overRate = server.rateLimit.has_value() && &server != limited;
+    if (!server.ready || !mayReceive || aFailed.contains(entry.first) ||
+        server.BacksOff(aNow) || overRate) {
       continue;
     }
     all.push_back(&server);
--- a/src/balsampoint/fleet/query/make_local_usage.cpp
+++ b/src/balsampoint/fleet/query/make_local_usage.cpp
@@ -27,25 +27,28 @@
 MakeLocalUsage(const State& aState, Instant aNow)
 {
   usage::LocalUsage use;
-  for (const auto& [service, group] : aState.groups) {
+  for (const auto& byService : aState.groups) {
+    const Group& group = byService.second;
     bool anyLimit = false;
-    for (const auto& [id, server] : group.servers) {
-      anyLimit = anyLimit || server.rateLimit;
-      usage::ServerUsage one{ .server = id,
+    for (const auto& entry : group.servers) {
+      const Server& server = entry.second;
+      const bool limited = server.rateLimit.has_value();
+      anyLimit = anyLimit || limited;
+      usage::ServerUsage one{ .server = entry.first,
                               .passing = server.localWork.passing,
                               .sent = server.localWork.sent,
                               .kv = server.localWork.kv,
                               .rate = StatementOf(server, aNow) };
-      if (server.rateLimit) {
+      if (limited) {
         one.recent = server.sentRecently.Within(RecentCount::kLongest, aNow);
       }
-      if (one.passing > 0 || one.recent > 0 || one.rate) {
+      if (one.passing > 0 || one.recent > 0 || one.rate.has_value()) {
         use.servers.push_back(one);
       }
     }
     if (anyLimit) {
       use.services.push_back(
-        { service, internal::LocalDemandRate(group, aNow) });
+        { byService.first, internal::LocalDemandRate(group, aNow) });
     }
   }
   return use;
--- a/src/balsampoint/fleet/query/retry_after.cpp
+++ b/src/balsampoint/fleet/query/retry_after.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace balsampoint::fleet {
 
@@ -23,31 +24,41 @@
   return first == Instant::max() || first <= aNow ? Duration{} : first - aNow;
 }
 
-/** @brief Time that the servers need for what is refused in a second, if all
- * that receive requests have a rate limit; zero otherwise. */
-Duration
-RateLimitTime(const Group& aGroup, Instant aNow)
+/** @brief Requests per second that the servers of a group take, if all that
+ * receive requests have a rate limit; nothing otherwise. */
+std::optional<double>
+SumOfLimits(const Group& aGroup)
 {
-  constexpr std::chrono::duration<double> kLongest{ 10.0 };
-  double rate = 0.0;
-  bool any = false;
-  for (const auto& [id, server] : aGroup.servers) {
+  std::optional<double> sum;
+  for (const auto& entry : aGroup.servers) {
+    const Server& server = entry.second;
     if (!internal::ReceivesRequests(aGroup, server)) {
       continue;
     }
-    if (!server.rateLimit) {
-      return {};
+    if (!server.rateLimit.has_value()) {
+      return std::nullopt;
     }
-    any = true;
-    rate += *server.rateLimit;
+    sum = sum.value_or(0.0) + server.rateLimit.value_or(0.0);
   }
+  return sum;
+}
+
+/** @brief Time that the servers need for what is refused in a second because of
+ * their rate limits. */
+Duration
+RateLimitTime(const Group& aGroup, Instant aNow)
+{
+  constexpr double kLongestSeconds = 10.0;
+  const auto limits = SumOfLimits(aGroup);
+  const auto rate = limits.value_or(0.0);
   const auto excess = internal::DemandRate(aGroup, aNow) - rate;
-  if (!any || excess <= 0.0) {
-    return {};
+  if (!limits.has_value() || excess <= 0.0) {
+    return Duration{};
   }
-  const auto time =
-    rate > 0.0 ? std::chrono::duration<double>{ excess / rate } : kLongest;
-  return std::chrono::duration_cast<Duration>(std::min(time, kLongest));
+  const auto seconds =
+    rate > 0.0 ? std::min(excess / rate, kLongestSeconds) : kLongestSeconds;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>{ seconds });
 }
 
 } // namespace
--- a/src/balsampoint/usage/internal/totals.cpp
+++ b/src/balsampoint/usage/internal/totals.cpp
@@ -54,8 +54,10 @@
 {
   std::vector<ServerUsage> servers;
   servers.reserve(mServers.size());
-  for (const auto& [server, use] : mServers) {
-    if (use.passing > 0 || use.sent > 0 || use.recent > 0 || use.rate) {
+  for (const auto& entry : mServers) {
+    const ServerUsage& use = entry.second;
+    if (use.passing > 0 || use.sent > 0 || use.recent > 0 ||
+        use.rate.has_value()) {
       servers.push_back(use);
     }
   }
