Test: let the sender of an endless response outlive the host

Cause: in exchange::a_response_without_end_is_cut_off the function that a fake server posts to the loop again and again was declared after the host, so that it ended before the loop's thread did.

Change: the function and its counter are declared before the host. The other tests' fake servers answer each request once and have answered before the test ends; read, not changed.

--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -588,16 +588,17 @@
   for (const auto kind :
        { routing::RequestKind::NonIdempotent, routing::RequestKind::Stream }) {
     for (const auto& beginning : beginnings) {
-      Host host{ kind };
+      // Outlive the host, whose loop may still run a posted call.
       std::size_t sent = 0;
-      std::function<void(FakeServer::Pointer)> sendMore =
-        [&](const FakeServer::Pointer& aCaller) {
-          if (host.one.gone + host.two.gone == 0 && sent < kSent) {
-            sent += piece.size();
-            aCaller->Send(piece);
-            host.Shared().loop.Post([&, aCaller] { sendMore(aCaller); });
-          }
-        };
+      std::function<void(FakeServer::Pointer)> sendMore;
+      Host host{ kind };
+      sendMore = [&](const FakeServer::Pointer& aCaller) {
+        if (host.one.gone + host.two.gone == 0 && sent < kSent) {
+          sent += piece.size();
+          aCaller->Send(piece);
+          host.Shared().loop.Post([&, aCaller] { sendMore(aCaller); });
+        }
+      };
       const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
         aCaller->Send(beginning);
         sendMore(aCaller);
