Bound the time for which a server keeps a connection open

Seen: nothing by callers but slower requests; found while looking for the class of the overflow in dates. A Keep-Alive timeout of some hundred years or more overflows the clock's nanoseconds, may turn negative, and each request then opens a new connection.

Change: the advertised timeout is taken for an hour at most.

Result: exchange::a_connection_that_stays_open_for_years_is_used_again failed before (two connections for two requests) and passes. Other times that peers send are bounded or have 32 bits; read.

--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/edge/server_connection.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -10,6 +11,8 @@
 /** Idle connections are closed this long before the server would. */
 constexpr Duration kIdleMargin = std::chrono::seconds{ 1 };
 
+constexpr std::chrono::seconds kLongestIdleTimeout = std::chrono::hours{ 1 };
+
 /** @brief Reads the `timeout` parameter of the `Keep-Alive` header, in seconds;
  * nothing if it is absent or not a number. */
 std::optional<Duration>
@@ -28,7 +31,7 @@
   if (read.ec != std::errc{}) {
     return std::nullopt;
   }
-  return std::chrono::seconds{ seconds };
+  return std::min(std::chrono::seconds{ seconds }, kLongestIdleTimeout);
 }
 
 } // namespace
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -576,6 +576,32 @@
   cr_assert_eq(gone, 1);
 }
 
+// Guards against an overflow: a timeout of many years was taken for a negative
+// one.
+Test(exchange, a_connection_that_stays_open_for_years_is_used_again)
+{
+  Host host{ routing::RequestKind::Idempotent };
+  std::vector<FakeServer::Pointer> connections;
+  host.one.respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+    connections.push_back(aCaller);
+    aCaller->Send(PlainResponse(
+      200, kStamped + "Keep-Alive: timeout=9223372036854775807\r\n", "done"));
+    aCaller->Finish(true);
+  };
+  host.two.Stop();
+  host.Start();
+  for (int request = 0; request < 2; ++request) {
+    Caller caller;
+    caller.SendRequest("GET");
+    cr_assert(caller.Expect("done"));
+    std::this_thread::sleep_for(20ms);
+  }
+  host.RunOnLoop([&] {
+    cr_assert_eq(connections.size(), 2);
+    cr_assert_eq(connections.front(), connections.back());
+  });
+}
+
 // Guards against a server that sends bytes without end: the host held up to
 // 64 MB of them for each request until the deadline.
 Test(exchange, a_response_without_end_is_cut_off)
