Read dates beyond the range of the clock

Seen: the undefined-behaviour sanitizer printed an overflow in ParseDate and let the test pass. The system's clock counts nanoseconds and ends in 1677 and 2262; a Retry-After with a later date was taken for one that is over, and requests went to a server that wanted none. Cause of the print: the parser takes a word such as 'soon' for a date of the year 0.

--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -196,6 +196,25 @@
   cr_assert_not(read("3", 500).has_value());
 }
 
+// Guards against an overflow: the clock's nanoseconds end in 2262, and a later
+// date was taken for one that is over.
+Test(requests, a_server_states_a_date_beyond_the_clocks_range)
+{
+  const auto read = [](const std::string& aDate, const std::string& aText) {
+    wire::ResponseHead head{ .status = 503 };
+    head.fields.Add("Date", aDate);
+    head.fields.Add("Retry-After", aText);
+    return Dialect::ReadResponse(head).retryAfter;
+  };
+  const std::string now{ "Sun, 06 Nov 1994 08:49:37 GMT" };
+  const std::string far{ "Fri, 31 Dec 9999 23:59:59 GMT" };
+  const std::string old{ "Sat, 01 Jan 0001 00:00:00 GMT" };
+  cr_assert_eq(*read(now, far), Duration{ 1h });
+  cr_assert_eq(*read(old, now), Duration{ 1h });
+  cr_expect_not(read(now, old).has_value());
+  cr_expect_not(read(far, now).has_value());
+}
+
 Test(requests, refusals_carry_a_retry_after)
 {
   auto error = MakeError(ErrorKind::NoServer, "no room");
