Wait for the final response to an order

An interim response (1xx) was taken for the final one: an accepted order counted as refused, a report as missing.

Change: interim responses are skipped until the call's time limit; 101 ends the call without a response, so that the outcome is unknown.

--- a/src/balsampoint/edge/engine_control_client.cpp
+++ b/src/balsampoint/edge/engine_control_client.cpp
@@ -2,6 +2,12 @@
 
 namespace balsampoint::edge {
 
+namespace {
+
+constexpr std::uint16_t kSwitchingProtocols = 101;
+
+} // namespace
+
 struct EngineControlClient::Pending
 {
   explicit Pending(boost::asio::io_context& aContext)
@@ -56,13 +62,27 @@
     } else if (aSignal == ServerSignal::Lost) {
       End(pending, std::nullopt);
     } else if (parser.Complete()) {
-      End(pending,
-          EngineResponse{ parser.Response().status, parser.TakeBody() });
+      OnResponse(pending);
     }
   });
   aPending->connection->Connect();
 }
 
+void
+EngineControlClient::OnResponse(const std::shared_ptr<Pending>& aPending)
+{
+  auto& parser = aPending->connection->ResponseParser();
+  const auto& head = parser.Response();
+  if (head.status == kSwitchingProtocols) {
+    End(aPending, std::nullopt);
+  } else if (head.Interim()) {
+    const auto connection = aPending->connection;
+    connection->SkipResponse();
+  } else {
+    End(aPending, EngineResponse{ head.status, parser.TakeBody() });
+  }
+}
+
 void
 EngineControlClient::End(const std::shared_ptr<Pending>& aPending,
                          std::optional<EngineResponse> aResponse)
--- a/src/balsampoint/edge/engine_control_client.hpp
+++ b/src/balsampoint/edge/engine_control_client.hpp
@@ -55,6 +55,7 @@
   struct Pending;
 
   void Begin(const std::shared_ptr<Pending>& aPending, Duration aLimit);
+  void OnResponse(const std::shared_ptr<Pending>& aPending);
   void End(const std::shared_ptr<Pending>& aPending,
            std::optional<EngineResponse> aResponse);
 
--- a/src/balsampoint/wire/head.hpp
+++ b/src/balsampoint/wire/head.hpp
@@ -39,6 +39,9 @@
   /** Whether the end of the connection marks the end of the body. */
   bool endsByClose{ false };
 
+  /** @brief Whether the status is 1xx, so that it isn't the final response. */
+  [[nodiscard]] bool Interim() const noexcept { return status < 200; }
+
   /** @brief Whether the status is 2xx. */
   [[nodiscard]] bool Success() const noexcept
   {
--- /dev/null
+++ b/test/balsampoint/edge/engine_control_client_test.cpp
@@ -0,0 +1,80 @@
+#include "balsampoint/edge/engine_control_client.hpp"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <future>
+#include <optional>
+#include <string>
+#include <thread>
+
+using namespace balsampoint;
+using namespace balsampoint::edge;
+
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds{ 10 };
+
+/** @brief Response to a call of an engine that sends some bytes, then waits
+ * until the caller closes the connection. */
+std::optional<EngineResponse>
+CallEngine(const std::string& aBytes, Duration aLimit = kPatience)
+{
+  boost::asio::io_context context;
+  net::Tcp::acceptor acceptor{ context,
+                               { boost::asio::ip::address_v4::loopback(), 0 } };
+  std::thread engine{ [&] {
+    boost::system::error_code error;
+    auto socket = acceptor.accept(error);
+    std::string request;
+    boost::asio::read_until(
+      socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", error);
+    boost::asio::write(socket, boost::asio::buffer(aBytes), error);
+    char byte{};
+    socket.read_some(boost::asio::buffer(&byte, 1), error);
+  } };
+  std::promise<std::optional<EngineResponse>> response;
+  net::Loop loop;
+  EngineControlClient client{ loop, {} };
+  loop.Start();
+  client.Call(
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+    "POST /order HTTP/1.1\r\nHost: e\r\nContent-Length: 0\r\n\r\n",
+    aLimit,
+    [&](auto aResponse) { response.set_value(std::move(aResponse)); });
+  auto result = response.get_future().get();
+  engine.join();
+  loop.Stop();
+  return result;
+}
+
+} // namespace
+
+Test(engine_control_client, returns_the_response)
+{
+  const auto response =
+    CallEngine("HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\nok");
+  cr_assert(response.has_value());
+  cr_expect_eq(response->status, 202);
+  cr_expect_eq(response->body, "ok");
+}
+
+// Guards against an accepted order that counts as refused.
+Test(engine_control_client, waits_for_the_response_after_interim_ones)
+{
+  const auto response =
+    CallEngine("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+               "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(response.has_value());
+  cr_expect_eq(response->status, 202);
+}
+
+// Guards against an order of unknown outcome that counts as refused.
+Test(engine_control_client, takes_no_interim_response_for_the_final_one)
+{
+  cr_assert_not(CallEngine("HTTP/1.1 100 Continue\r\n\r\n",
+                           std::chrono::milliseconds{ 300 })
+                  .has_value());
+  cr_assert_not(
+    CallEngine("HTTP/1.1 101 Switching Protocols\r\n\r\n").has_value());
+}
