Test limits that rise and fall while they are in force

Change: servers of rate_limits name other rates from a time on; what a server allows in 4 s is summed over the time, and hosts have the rule's half second to follow. The bound at constant rates is the same as before.

Result: nine and 295 hosts keep limits that fall to a quarter, a twelfth or zero; a limit that rises from 0.5 to 16 a second is used to at least three quarters 6 s later.

--- a/test/balsampoint/fleet/query/rate_limits_test.cpp
+++ b/test/balsampoint/fleet/query/rate_limits_test.cpp
@@ -38,8 +38,32 @@
   std::vector<std::optional<double>> limits;
   /** Factor on the demand between 8 s and 12 s. */
   double burst{ 1.0 };
-  /** When the limits end. */
-  Duration end{ 1h };
+  /** When the servers name other rates, or none. */
+  Duration change{ 1h };
+  /** These rates. */
+  std::vector<std::optional<double>> later{};
+
+  /** @brief Rate that a server names at a time. */
+  [[nodiscard]] std::optional<double> NamedAt(std::size_t aServer,
+                                              Duration aTime) const
+  {
+    return aTime < change ? limits[aServer] : later[aServer];
+  }
+
+  /** @brief Requests that a server allows in the 4 s before a time; hosts have
+   * half a second to follow a change. */
+  [[nodiscard]] double Allowed(std::size_t aServer, Duration aTime) const
+  {
+    constexpr double kUnlimited = 1e9;
+    double allowed = 0.0;
+    for (auto at = aTime - 4s; at < aTime; at += kStep) {
+      const auto named =
+        std::max(NamedAt(aServer, at).value_or(kUnlimited),
+                 NamedAt(aServer, at - 500ms).value_or(kUnlimited));
+      allowed += named * std::chrono::duration<double>(kStep).count();
+    }
+    return 1.5 * allowed + 5.0;
+  }
 };
 
 /** @brief A request that a server got. */
@@ -94,11 +118,11 @@
     }
   }
 
-  /** @brief Most requests that a server got in 4 s from hosts that knew its
-   * limit, from 3 s after the start. */
-  [[nodiscard]] int MostIn4s(std::size_t aServer) const
+  /** @brief Largest excess of the requests that a server got in 4 s, from hosts
+   * that knew its limit, over what it allows; from 3 s after the start. */
+  [[nodiscard]] double Excess(std::size_t aServer) const
   {
-    int most = 0;
+    double excess = 0.0;
     std::deque<Instant> window;
     for (const auto& arrival : arrivals.at(aServer)) {
       if (!arrival.counted || arrival.at < kStart + 3s) {
@@ -108,9 +132,10 @@
       while (window.front() < arrival.at - 4s) {
         window.pop_front();
       }
-      most = std::max(most, static_cast<int>(window.size()));
+      const auto allowed = mLoad.Allowed(aServer, arrival.at - kStart);
+      excess = std::max(excess, static_cast<double>(window.size()) - allowed);
     }
-    return most;
+    return excess;
   }
 
   [[nodiscard]] int Got(std::size_t aServer, Duration aFrom) const
@@ -139,8 +164,7 @@
       static_cast<std::size_t>(std::stoi(hop->server.String().substr(1)));
     auto& told = mTold[aHost * mLoad.limits.size() + server];
     arrivals[server].push_back({ aNow, told < aNow - 500ms });
-    const auto limit = aNow < kStart + mLoad.end ? mLoad.limits[server]
-                                                 : std::optional<double>{};
+    const auto limit = mLoad.NamedAt(server, aNow - kStart);
     RecordRateLimit(state, kService, *hop, limit, aNow);
     told = limit ? std::min(told, aNow) : Instant::max();
   }
@@ -198,18 +222,13 @@
   Hosts hosts{ aLoad };
   hosts.Run(24s);
   for (std::size_t at = 0; at < aLoad.limits.size(); ++at) {
-    if (!aLoad.limits[at]) {
-      continue;
-    }
-    const auto allowed = 1.5 * 4.0 * *aLoad.limits[at] + 5.0;
-    cr_expect_leq(hosts.MostIn4s(at),
-                  allowed,
-                  "%d hosts, %.0f/s, server %zu: %d in 4 s, allowed %.1f",
-                  aLoad.hosts,
-                  aLoad.demand,
-                  at,
-                  hosts.MostIn4s(at),
-                  allowed);
+    cr_expect_eq(hosts.Excess(at),
+                 0.0,
+                 "%d hosts, %.0f/s, server %zu: %.1f too many in 4 s",
+                 aLoad.hosts,
+                 aLoad.demand,
+                 at,
+                 hosts.Excess(at));
   }
 }
 
@@ -240,6 +259,35 @@
                .burst = 4.0 });
 }
 
+// Guards against hosts that keep to an earlier limit.
+Test(rate_limits, a_limit_that_falls_is_kept)
+{
+  ExpectKept({ .hosts = 9,
+               .demand = 30.0,
+               .limits = { 12.0, 12.0, std::nullopt },
+               .change = 10s,
+               .later = { 3.0, 1.0, 4.0 } });
+  ExpectKept({ .hosts = 295,
+               .demand = 100.0,
+               .limits = { 20.0, 8.0, 40.0 },
+               .change = 10s,
+               .later = { 4.0, 0.0, 40.0 } });
+}
+
+Test(rate_limits, a_limit_that_rises_is_used)
+{
+  Hosts hosts{ { .hosts = 58,
+                 .demand = 60.0,
+                 .limits = { 0.5, 2.0 },
+                 .change = 10s,
+                 .later = { 16.0, 10.0 } } };
+  hosts.Run(24s);
+  cr_expect_eq(hosts.Excess(0), 0.0);
+  cr_expect_eq(hosts.Excess(1), 0.0);
+  cr_expect_geq(hosts.Got(0, 16s), 8 * 16.0 * 0.75, "%d", hosts.Got(0, 16s));
+  cr_expect_geq(hosts.Got(1, 16s), 8 * 10.0 * 0.75, "%d", hosts.Got(1, 16s));
+}
+
 Test(rate_limits, the_rates_of_all_servers_are_used)
 {
   Hosts hosts{ { .hosts = 9, .demand = 30.0, .limits = { 6.0, 10.0 } } };
@@ -258,9 +306,11 @@
 // The next answer without a limit ends it, for hosts too that got no answer.
 Test(rate_limits, a_limit_that_is_taken_back_is_forgotten_by_all_hosts)
 {
-  Hosts hosts{
-    { .hosts = 58, .demand = 40.0, .limits = { 0.5, 0.5 }, .end = 10s }
-  };
+  Hosts hosts{ { .hosts = 58,
+                 .demand = 40.0,
+                 .limits = { 0.5, 0.5 },
+                 .change = 10s,
+                 .later = { std::nullopt, std::nullopt } } };
   hosts.Run(24s);
   cr_expect_geq(hosts.Got(0, 18s) + hosts.Got(1, 18s), 6 * 40.0 * 0.95);
 }
