Bound advertised timeouts below as well

Cause: the bound of a server's Keep-Alive timeout was one from above only; a number near -2^63 still overflowed when it was converted to nanoseconds.

Change: a negative timeout is zero, so that the connection isn't kept.

Result: exchange::a_connection_that_stays_open_for_years_is_used_again plays both ends of the range and passes; without a sanitizer the negative end led to the same result before.

--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -31,7 +31,9 @@
   if (read.ec != std::errc{}) {
     return std::nullopt;
   }
-  return std::min(std::chrono::seconds{ seconds }, kLongestIdleTimeout);
+  return std::clamp(std::chrono::seconds{ seconds },
+                    std::chrono::seconds::zero(),
+                    kLongestIdleTimeout);
 }
 
 } // namespace
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -581,26 +581,30 @@
 // one.
 Test(exchange, a_connection_that_stays_open_for_years_is_used_again)
 {
-  Host host{ routing::RequestKind::Idempotent };
-  std::vector<FakeServer::Pointer> connections;
-  host.one.respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
-    connections.push_back(aCaller);
-    aCaller->Send(PlainResponse(
-      200, kStamped + "Keep-Alive: timeout=9223372036854775807\r\n", "done"));
-    aCaller->Finish(true);
-  };
-  host.two.Stop();
-  host.Start();
-  for (int request = 0; request < 2; ++request) {
-    Caller caller;
-    caller.SendRequest("GET");
-    cr_assert(caller.Expect("done"));
-    std::this_thread::sleep_for(20ms);
+  for (const auto& [timeout, kept] :
+       { std::pair{ "9223372036854775807", 1 },
+         std::pair{ "-9223372036854775808", 2 } }) {
+    Host host{ routing::RequestKind::Idempotent };
+    std::vector<FakeServer::Pointer> connections;
+    const auto fields = kStamped + "Keep-Alive: timeout=" + timeout + "\r\n";
+    host.one.respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+      connections.push_back(aCaller);
+      aCaller->Send(PlainResponse(200, fields, "done"));
+      aCaller->Finish(true);
+    };
+    host.two.Stop();
+    host.Start();
+    for (int request = 0; request < 2; ++request) {
+      Caller caller;
+      caller.SendRequest("GET");
+      cr_assert(caller.Expect("done"));
+      std::this_thread::sleep_for(20ms);
+    }
+    host.RunOnLoop([&, expected = kept] {
+      const std::set used(connections.begin(), connections.end());
+      cr_assert_eq(static_cast<int>(used.size()), expected);
+    });
   }
-  host.RunOnLoop([&] {
-    cr_assert_eq(connections.size(), 2);
-    cr_assert_eq(connections.front(), connections.back());
-  });
 }
 
 // Guards against a server that sends bytes without end: the host held up to
