Keep the age of a server's slow start within the clock's range

Seen: with findings of the sanitizers fatal, 4 of 10 tests of retry and the process tests callers and orders failed in the address sanitizer's build: hosts ended at the first answered request. Without it the overflow was printed, at most.

Cause: 'none' is the smallest instant, and its age was taken by subtraction, which overflows. The result was negative, so that ejections weren't reset; no server without a slow start has any, so nothing else followed.

Change: the instants are compared instead. The other places with the smallest instant compare it first; read.

Result: retry 10 of 10; callers, orders and recovery pass with the address sanitizer.

--- a/src/balsampoint/retry/command/track_health.cpp
+++ b/src/balsampoint/retry/command/track_health.cpp
@@ -68,7 +68,7 @@
   health.inFlight -= health.inFlight > 0 ? 1 : 0;
   if (aEnded.result == AttemptResult::Answered) {
     health.consecutiveFailures = 0;
-    if (aNow - health.inUseSince > aState.settings.maxEjectionTime) {
+    if (health.inUseSince < aNow - aState.settings.maxEjectionTime) {
       health.ejections = 0;
     }
     return;
