Log answers whose body holds another answer

No logic changes: the body is still passed on. The syntax of status lines and fields moved out of the parser, which uses the same functions.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsampoint/edge/admission.hpp"
+#include "balsampoint/edge/answer_body.hpp"
 #include "balsampoint/edge/dialect.hpp"
 #include "balsampoint/edge/event_relay.hpp"
 #include "balsampoint/edge/exchange_log.hpp"
@@ -314,15 +315,9 @@
   {
     if (aVerdict != forward::AnswerVerdict::Interim &&
         !std::exchange(mStrangeAnswerLogged, true)) {
-      mTraffic.metrics.Add(trace::Count::AnswersDiscarded);
-      LogDiscardedAnswer(
-        mParameters.id,
-        aVerdict,
-        { .server = mHops.front(),
-          .status = aHead.status,
-          .namedRequest = aMetadata.request.value_or(std::string_view{}),
-          .requestsOnConnection = mServer->RequestCount(),
-          .sinceSent = TrafficState::Now() - mSentAt });
+      LogDiscarded(forward::Describe(aVerdict),
+                   aHead,
+                   aMetadata.request.value_or(std::string_view{}));
     }
     if (forward::MaySkip(aVerdict)) {
       SkipResponse();
@@ -382,18 +377,38 @@
   {
     auto& parser = mServer->ResponseParser();
     const auto& head = parser.Response();
+    auto body = parser.TakeBody();
+    const auto own = CheckBody<D>(head, body, mServer->UnreadBytes());
+    if (own.verdict != forward::BodyVerdict::Whole) {
+      LogDiscarded(
+        forward::Describe(own.verdict), head, mParameters.id.Value());
+    }
     constexpr std::uint16_t kFirstServerError = 500;
     if (head.status >= kFirstServerError) {
       RecordFinding(fleet::RequestOutcome::Failed);
       mFailed.insert(mHops.front().server);
-      mServerErrorResponse = { head, parser.TakeBody() };
+      mServerErrorResponse = { head, std::move(body) };
       mTraffic.pool.Return(std::exchange(mServer, nullptr));
       OnAttemptEnd(forward::AttemptEnd::ServerFailed,
                    "the server answered with a 5xx status");
       return;
     }
     RecordFinding(fleet::RequestOutcome::Answered);
-    ForwardResponse(head, parser.TakeBody());
+    ForwardResponse(head, body);
+  }
+
+  void LogDiscarded(std::string_view aReason,
+                    const wire::ResponseHead& aHead,
+                    std::string_view aNamedRequest)
+  {
+    mTraffic.metrics.Add(trace::Count::AnswersDiscarded);
+    LogDiscardedAnswer(mParameters.id,
+                       aReason,
+                       { .server = mHops.front(),
+                         .status = aHead.status,
+                         .namedRequest = aNamedRequest,
+                         .requestsOnConnection = mServer->RequestCount(),
+                         .sinceSent = TrafficState::Now() - mSentAt });
   }
 
   void ForwardResponse(const wire::ResponseHead& aHead,
--- a/src/balsampoint/edge/exchange_log.cpp
+++ b/src/balsampoint/edge/exchange_log.cpp
@@ -59,12 +59,12 @@
 
 void
 LogDiscardedAnswer(const RequestId& aRequest,
-                   forward::AnswerVerdict aVerdict,
+                   std::string_view aReason,
                    const AnswerOrigin& aOrigin)
 {
   trace::Event{ "answer_discarded" }
     .With("request", aRequest)
-    .With("reason", forward::Describe(aVerdict))
+    .With("reason", aReason)
     .With("server", aOrigin.server.server)
     .With("address", aOrigin.server.address)
     .With("status", aOrigin.status)
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -4,7 +4,6 @@
 #include "balsampoint/core/time.hpp"
 #include "balsampoint/edge/admission.hpp"
 #include "balsampoint/fleet/chain.hpp"
-#include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/forward/decision.hpp"
 
 #include <cstdint>
@@ -79,12 +78,12 @@
  * @brief Logs an answer that isn't the one to the request as
  * `answer_discarded`.
  * @param aRequest Request that waits for its answer.
- * @param aVerdict Why the answer isn't its own.
+ * @param aReason Why the answer isn't its own.
  * @param aOrigin Where the answer arrived.
  */
 void
 LogDiscardedAnswer(const RequestId& aRequest,
-                   forward::AnswerVerdict aVerdict,
+                   std::string_view aReason,
                    const AnswerOrigin& aOrigin);
 
 /**
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -88,6 +88,12 @@
   /** @brief Parser of the response in progress. */
   [[nodiscard]] wire::Parser& ResponseParser() noexcept { return mParser; }
 
+  /** @brief Bytes that were received behind the response. */
+  [[nodiscard]] std::string_view UnreadBytes() const noexcept
+  {
+    return mUnparsed;
+  }
+
   /** @brief Number of requests sent on the connection. */
   [[nodiscard]] std::uint32_t RequestCount() const noexcept
   {
--- /dev/null
+++ b/src/balsampoint/wire/embedded_head.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "balsampoint/wire/head.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace balsampoint::wire {
+
+/** @brief Head of a response among other bytes. */
+struct EmbeddedHead
+{
+  /** Offset of its first byte. */
+  std::size_t begin{};
+  /** Offset of the first byte behind it, its empty line included. */
+  std::size_t end{};
+  /** Absent if the bytes end inside the head. */
+  std::optional<ResponseHead> head;
+};
+
+/**
+ * @brief Finds the first head of a response among other bytes.
+ * @param aBytes Bytes to search.
+ * @return The head; nothing if there is none, or if the bytes end inside its
+ * version or status.
+ */
+[[nodiscard]] std::optional<EmbeddedHead>
+FindEmbeddedHead(std::string_view aBytes);
+
+} // namespace balsampoint::wire
--- a/src/balsampoint/wire/fwd.hpp
+++ b/src/balsampoint/wire/fwd.hpp
@@ -5,6 +5,7 @@
 
 class EventSplitter;
 class Fields;
+struct EmbeddedHead;
 struct RequestHead;
 struct ResponseHead;
 
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -1,5 +1,8 @@
 #include "balsampoint/wire/parser.hpp"
 
+#include "balsampoint/wire/field_syntax.hpp"
+#include "balsampoint/wire/status_line.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -15,31 +18,6 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-bool
-IsTokenCharacter(char aLetter)
-{
-  constexpr std::string_view kSpecial = "!#$%&'*+-.^_`|~";
-  return (aLetter >= '0' && aLetter <= '9') ||
-         (aLetter >= 'a' && aLetter <= 'z') ||
-         (aLetter >= 'A' && aLetter <= 'Z') ||
-         kSpecial.find(aLetter) != std::string_view::npos;
-}
-
-bool
-IsToken(std::string_view aText)
-{
-  return !aText.empty() && std::ranges::all_of(aText, IsTokenCharacter);
-}
-
-bool
-IsFieldText(std::string_view aText)
-{
-  return std::ranges::all_of(aText, [](char aLetter) {
-    const auto code = static_cast<unsigned char>(aLetter);
-    return aLetter == '\t' || (code >= ' ' && code != 0x7F);
-  });
-}
-
 /**
  * @brief Removes the first line from a text.
  * @param aRest Text; set to what follows the line.
@@ -55,39 +33,6 @@
   return line;
 }
 
-/**
- * @brief Whether a text contains a status line.
- *
- * It does in a head that breaks off and is continued by the next response on
- * the connection.
- */
-bool
-ContainsStatusLine(std::string_view aText)
-{
-  constexpr std::string_view kVersion = "HTTP/";
-  constexpr std::string_view kPattern = "0.0 000";
-  const auto isDigit = [](char aLetter) {
-    return aLetter >= '0' && aLetter <= '9';
-  };
-  for (auto at = aText.find(kVersion); at != std::string_view::npos;
-       at = aText.find(kVersion, at + 1)) {
-    const auto rest = aText.substr(at + kVersion.size(), kPattern.size());
-    const bool matches = std::equal(rest.begin(),
-                                    rest.end(),
-                                    kPattern.begin(),
-                                    kPattern.end(),
-                                    [&](char aLetter, char aExpected) {
-                                      return aExpected == '0'
-                                               ? isDigit(aLetter)
-                                               : aLetter == aExpected;
-                                    });
-    if (matches) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool
 IsLength(std::string_view aText)
 {
@@ -125,13 +70,11 @@
 {
   while (!aLines.empty()) {
     const auto line = TakeLine(aLines);
-    const auto colon = line.find(':');
-    const auto name = line.substr(0, colon);
-    if (colon == std::string_view::npos || !IsToken(name) ||
-        !IsFieldText(line)) {
+    if (!IsField(line)) {
       return false;
     }
-    aFields.Add(name, Trim(line.substr(colon + 1)));
+    const auto colon = line.find(':');
+    aFields.Add(line.substr(0, colon), Trim(line.substr(colon + 1)));
   }
   return true;
 }
@@ -258,8 +201,9 @@
     mError = ParseError::Malformed;
     return;
   }
+  // A head that breaks off is continued by the next response on the connection.
   const bool mixed = mKind == MessageKind::Response &&
-                     ContainsStatusLine(std::string_view{ mHead }.substr(1));
+                     FindStatusLine(mHead, 1) != std::string::npos;
   if (mixed || !HasUnambiguousLength(fields)) {
     mError = ParseError::Malformed;
     return;
--- /dev/null
+++ b/src/balsampoint/wire/status_line.cpp
@@ -0,0 +1,30 @@
+#include "balsampoint/wire/status_line.hpp"
+
+#include <algorithm>
+
+namespace balsampoint::wire {
+
+std::size_t
+FindStatusLine(std::string_view aText, std::size_t aFrom)
+{
+  constexpr std::string_view kVersion = "HTTP/";
+  constexpr std::string_view kPattern = "0.0 000";
+  const auto matches = [](char aLetter, char aExpected) {
+    return aExpected == '0' ? aLetter >= '0' && aLetter <= '9'
+                            : aLetter == aExpected;
+  };
+  for (auto at = aText.find(kVersion, aFrom); at != std::string_view::npos;
+       at = aText.find(kVersion, at + 1)) {
+    const auto rest = aText.substr(at + kVersion.size(), kPattern.size());
+    if (std::equal(rest.begin(),
+                   rest.end(),
+                   kPattern.begin(),
+                   kPattern.end(),
+                   matches)) {
+      return at;
+    }
+  }
+  return std::string_view::npos;
+}
+
+} // namespace balsampoint::wire
