Tests, red, of copies inside answers

What callers see: a 200 with the request's own head whose body holds the head and body of another answer.

--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -813,6 +813,129 @@
   }
 }
 
+// Guards against a body that holds a copy of an answer, sent before the
+// connection ended or between two parts of the answer.
+Test(exchange, a_body_that_holds_another_answer_reaches_no_caller)
+{
+  const std::string head{ "HTTP/1.1 200 OK\r\n" + kStamped };
+  const auto untilClose = head + "\r\nhello";
+  const auto counted = head + "Content-Length: 5\r\n\r\n";
+  const auto copy = PlainResponse(200, kStampedOther, "stale");
+  const std::vector<std::pair<std::string, std::string>> answers{
+    { untilClose + untilClose, "200" },
+    { untilClose + head + "\r\nhel", "502" },
+    { untilClose + head + "\r\n", "502" },
+    { untilClose + head, "502" },
+    { untilClose + "HTTP/1.1 200 OK", "502" },
+    { untilClose + copy, "502" },
+    { untilClose + PlainResponse(200, "X-Response-Stamp: s\r\n", "hello"),
+      "502" },
+    { head + "\r\nhe" + untilClose + "llo", "502" },
+    { counted + copy + "hello", "502" },
+    { counted + "he" + copy + "llo", "502" },
+    { counted + "hell" + copy + "o", "502" },
+  };
+  for (const auto& [answer, status] : answers) {
+    Host host{ routing::RequestKind::NonIdempotent };
+    const auto respond = [&, answer = answer](const auto& aCaller,
+                                              const auto& /*aRequest*/) {
+      aCaller->Send(answer);
+      aCaller->Finish(false);
+    };
+    host.one.respond = respond;
+    host.two.respond = respond;
+    host.Start();
+    Caller caller;
+    caller.SendRequest("POST", "Content-Length: 0\r\nConnection: close\r\n");
+    std::ignore = caller.Expect("nothing");
+    cr_assert(caller.read.starts_with("HTTP/1.1 " + status),
+              "%s: %s",
+              answer.c_str(),
+              caller.read.c_str());
+    cr_assert_eq(caller.read.find("stale"), std::string::npos);
+    if (status == "200") {
+      cr_assert(
+        caller.read.ends_with("\r\n\r\nhello"), "%s", caller.read.c_str());
+    }
+    host.RunOnLoop([&] {
+      cr_assert_eq(host.one.requests.size() + host.two.requests.size(), 1U);
+    });
+  }
+}
+
+// Guards against refusing a body that quotes a status line or a head.
+Test(exchange, a_body_that_quotes_a_response_is_forwarded)
+{
+  const std::string head{ "HTTP/1.1 200 OK\r\n" + kStamped };
+  for (const std::string body :
+       { "{\"answer\": \"HTTP/1.1 200 OK\"}",
+         "HTTP/1.1 404 Not Found\r\nServer: a\r\n\r\nmissing",
+         "HTTP/1.1 200 OK\nX-Request-Id: q1\n\nhello" }) {
+    for (const auto& answer :
+         { PlainResponse(200, kStamped, body), head + "\r\n" + body }) {
+      Host host{ routing::RequestKind::NonIdempotent };
+      const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+        aCaller->Send(answer);
+        aCaller->Finish(false);
+      };
+      host.one.respond = respond;
+      host.two.respond = respond;
+      host.Start();
+      Caller caller;
+      caller.SendRequest("POST", "Content-Length: 0\r\nConnection: close\r\n");
+      std::ignore = caller.Expect("nothing");
+      cr_assert(caller.read.ends_with("\r\n\r\n" + body),
+                "%s: %s",
+                answer.c_str(),
+                caller.read.c_str());
+    }
+  }
+}
+
+// Guards against events of another stream, or a head, inside a stream without
+// chunks: only repeated events may follow a head.
+Test(exchange, a_stream_that_holds_another_answer_is_not_forwarded_as_one)
+{
+  const std::string head{ "HTTP/1.1 200 OK\r\n" + kStamped + "\r\n" };
+  const std::string other{ "HTTP/1.1 200 OK\r\n" + kStampedOther + "\r\n" };
+  const auto stale = [](int aNumber) {
+    return "id: " + std::to_string(aNumber) + "\ndata: stale\n\n";
+  };
+  const std::vector<std::pair<std::string, bool>> streams{
+    { head + Event(1) + Event(2) + head + Event(1) + Event(2), true },
+    { head + Event(1) + other + stale(1) + stale(2), false },
+    { head + Event(1) + "id: 2\nda" + other + stale(1), false },
+    { head + Event(1) + "id: 2\nda" + other + stale(1) + "ta: e2\n\n", false },
+    { head + other + stale(1), false },
+  };
+  for (const auto& [stream, whole] : streams) {
+    Host host{ routing::RequestKind::Stream };
+    const auto respond = [&, stream = stream](const auto& aCaller,
+                                              const auto& /*aRequest*/) {
+      aCaller->Send(stream);
+      aCaller->Finish(false);
+    };
+    host.one.respond = respond;
+    host.two.respond = respond;
+    host.Start();
+    Caller caller;
+    caller.SendRequest("POST", "Content-Length: 0\r\n");
+    cr_assert_eq(caller.Expect("\r\n0\r\n\r\n"),
+                 whole,
+                 "%s: %s",
+                 stream.c_str(),
+                 caller.read.c_str());
+    for (const auto* foreign :
+         { "stale", "X-Request-Id: q0", "HTTP/1.1 200 OK" }) {
+      cr_assert_eq(caller.read.find(foreign, 1),
+                   std::string::npos,
+                   "%s: %s",
+                   stream.c_str(),
+                   caller.read.c_str());
+    }
+  }
+}
+
 // Guards against an answer that is attributed to a request by its place: on a
 // new connection the first answer was taken for the one due, whatever it named.
 Test(exchange, an_answer_that_is_not_for_its_request_reaches_no_caller)
--- a/test/soak/backends.py
+++ b/test/soak/backends.py
@@ -34,6 +34,8 @@
         self.state = "ready"
         self.fails = 0.0
         self.stutters = None
+        # Writer that sends copies inside answers; None for none.
+        self.copies = None
         # How answers are made that come before its own; None for none.
         self.strange = None
         self.last_request = None
@@ -100,8 +102,11 @@
         """Serves one connection."""
         self.connections.add(writer)
         incarnation = self.starts
-        stutter = (Stutter(writer, self.stutters, self.world.random)
-                   if self.stutters else None)
+        stutter = None
+        if self.stutters:
+            stutter = Stutter(writer, self.stutters, self.world.random)
+        elif self.copies:
+            stutter = self.copies(writer, self.world.random)
         try:
             while head := await read_head(reader):
                 body = await read_body(reader, head)
--- a/test/soak/stutter.py
+++ b/test/soak/stutter.py
@@ -5,6 +5,11 @@
 
 # Longest time until the second copy of an answer.
 LATE_S = 0.03
+# Share of the answers that come twice, where the copy doesn't wait for the end
+# of another answer.
+INSIDE_SHARE = 0.4
+# Longest time between two parts of an answer.
+PART_S = 0.01
 
 
 def without_id(answer):
@@ -72,3 +77,87 @@
             self.writer.write(self.change(answer))
             if self.ends:
                 self.writer.close()
+
+
+def until_close(answer):
+    """The answer without a length or chunks: its connection's end is its own."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    if b"\r\nTransfer-Encoding: chunked" in head:
+        body = b"".join(body.split(b"\r\n")[1::2])
+        head = head.replace(b"\r\nTransfer-Encoding: chunked", b"")
+    return without_length(head + b"\r\n\r\n") + body
+
+
+class Whole:
+    """Writer that holds an answer until it is complete."""
+
+    def __init__(self, writer, random):
+        self.writer = writer
+        self.random = random
+        self.answer = b""
+        self.tasks = set()
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+    def write(self, data):
+        """Keeps a part of the answer."""
+        self.answer += data
+
+    async def __aenter__(self):
+        self.answer = b""
+        return self
+
+
+class BeforeEnd(Whole):
+    """Sends answers whose end is that of the connection, some of them twice.
+
+    `change` makes the copy from the answer."""
+
+    change = staticmethod(lambda answer: answer)
+
+    async def __aexit__(self, *_):
+        answer = until_close(self.answer)
+        self.writer.write(answer)
+        if self.random.random() < INSIDE_SHARE:
+            await asyncio.sleep(self.random.uniform(0.0, LATE_S))
+            self.writer.write(self.change(answer))
+        self.writer.close()
+
+
+class BeforeEndWithoutId(BeforeEnd):
+    """The same; the copy names no request."""
+
+    change = staticmethod(without_id)
+
+
+class BeforeEndCut(BeforeEnd):
+    """The same; the copy breaks off."""
+
+    change = staticmethod(cut)
+
+
+class BetweenParts(Whole):
+    """Sends answers in parts; late copies of earlier ones come between them."""
+
+    async def __aexit__(self, *_):
+        answer, self.answer = self.answer, b""
+        head_ends = answer.find(b"\r\n\r\n") + 4
+        middle = (head_ends + len(answer)) // 2
+        for part in (answer[:head_ends], answer[head_ends:middle],
+                     answer[middle:]):
+            self.writer.write(part)
+            await asyncio.sleep(self.random.uniform(0.0, PART_S))
+        if self.random.random() < INSIDE_SHARE:
+            task = asyncio.create_task(self.repeat(answer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def repeat(self, answer):
+        """Sends the copy after a while, whatever is being sent then."""
+        await asyncio.sleep(self.random.uniform(0.0, LATE_S))
+        if not self.writer.transport.is_closing():
+            self.writer.write(answer)
+
+
+INSIDE = [BeforeEnd, BeforeEndWithoutId, BeforeEndCut, BetweenParts]
