Break off a stream that holds another answer

What callers saw: a stream without chunks on whose connection another answer arrived got that answer's head, and its events from where its own had stopped. Cause: events were joined by their ids alone, whatever stood between them. Now a head inside an event breaks the attempt, and after a head at its start only repeated events are taken, as a second copy of the same answer has them; a new one breaks it. Resumable streams go on at another server, others are cut.

--- a/src/balsampoint/edge/event_relay.cpp
+++ b/src/balsampoint/edge/event_relay.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/edge/event_relay.hpp"
 
+#include "balsampoint/wire/embedded_head.hpp"
 #include "balsampoint/wire/write.hpp"
 
 namespace balsampoint::edge {
@@ -19,13 +20,31 @@
   }
 }
 
+bool
+EventRelay::IsOwn(const wire::StreamEvent& aEvent)
+{
+  const auto inner = wire::FindEmbeddedHead(aEvent.bytes);
+  if (!inner || !inner->head || inner->head->fields.All().empty()) {
+    return true;
+  }
+  mHeadRead = true;
+  return inner->begin == 0;
+}
+
 bool
 EventRelay::AppendEvent(const wire::StreamEvent& aEvent, std::string& aOutput)
 {
+  if (!IsOwn(aEvent)) {
+    return false;
+  }
+  if (aEvent.id && mLastId && *aEvent.id <= *mLastId) {
+    return true;
+  }
+  // A copy of this answer only repeats events.
+  if (mHeadRead) {
+    return false;
+  }
   if (aEvent.id) {
-    if (mLastId && *aEvent.id <= *mLastId) {
-      return true;
-    }
     if (mLastId && *aEvent.id != *mLastId + 1) {
       return false;
     }
--- a/src/balsampoint/edge/event_relay.hpp
+++ b/src/balsampoint/edge/event_relay.hpp
@@ -33,8 +33,8 @@
    * @param aBytes The part.
    * @param aOutput Receives the events to send, framed for the caller; events
    * that were sent before are skipped.
-   * @return False if an event id is missing from the sequence; events before
-   * the gap are still appended.
+   * @return False if an event id is missing from the sequence, or if an event
+   * may belong to another answer; events before it are still appended.
    */
   [[nodiscard]] bool Append(std::string_view aBytes, std::string& aOutput);
 
@@ -44,8 +44,12 @@
     return mSplitter.HasPartialEvent();
   }
 
-  /** @brief Discards the buffered incomplete event. */
-  void DropPartialEvent() { mSplitter.Clear(); }
+  /** @brief Discards the rest of a part, before the next one begins. */
+  void EndPart()
+  {
+    mSplitter.Clear();
+    mHeadRead = false;
+  }
 
   /** @brief Id of the last event sent to the caller; absent before the first.
    */
@@ -60,8 +64,12 @@
 private:
   [[nodiscard]] bool AppendEvent(const wire::StreamEvent& aEvent,
                                  std::string& aOutput);
+  /** Whether an event belongs to the answer, as far as its bytes tell. */
+  [[nodiscard]] bool IsOwn(const wire::StreamEvent& aEvent);
 
   bool mChunked{};
+  /** Whether the part holds the head of a copy of some answer. */
+  bool mHeadRead{ false };
   std::optional<std::uint64_t> mLastId;
   wire::EventSplitter mSplitter;
   std::uint32_t mSentCount{};
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -443,8 +443,9 @@
     }
     if (!whole) {
       RecordFinding(fleet::RequestOutcome::Broken);
-      OnAttemptEnd(forward::AttemptEnd::Broken,
-                   "an event is missing from the stream");
+      OnAttemptEnd(
+        forward::AttemptEnd::Broken,
+        "an event is missing from the stream, or is that of another");
       return;
     }
     if (parser.Complete()) {
@@ -626,7 +627,7 @@
     mPromptWatch.Restart();
     mServerAtFault.clear();
     ReleaseServers();
-    mEvents.DropPartialEvent();
+    mEvents.EndPart();
   }
 
   /** Starts another attempt or ends the exchange, according to the decision. */
