Keep copies of answers out of bodies

What callers saw: a 200 with the request's own head whose body holds another head and body. Cause: nothing looked at the bytes of a body. Where its end is that of the connection, a second copy sent before belongs to it; where it has a length, so does a late copy of an earlier answer that is written between two parts of the answer.

A body that holds the head of an answer, one that names a request or carries an authentication code, now breaks the attempt: a safe request is sent again, an unsafe one fails with 502 as it may have run. Where the connection ends the body and what follows the head repeats head and body, the first copy is the whole answer and is forwarded. Bodies that quote other heads pass.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -383,6 +383,12 @@
       LogDiscarded(
         forward::Describe(own.verdict), head, mParameters.id.Value());
     }
+    if (own.verdict == forward::BodyVerdict::Mixed) {
+      RecordFinding(fleet::RequestOutcome::Broken);
+      OnAttemptEnd(forward::AttemptEnd::Broken, forward::Describe(own.verdict));
+      return;
+    }
+    body.resize(own.size);
     constexpr std::uint16_t kFirstServerError = 500;
     if (head.status >= kFirstServerError) {
       RecordFinding(fleet::RequestOutcome::Failed);
