Read no body of a 204 or 304 answer

What callers saw: a 304 whose head gives a length was held until the deadline on a connection without copies; with a second copy behind it, the 304 got the first bytes of the copy for its body. Cause: the parser's library reads a body of the given length whatever the status is, and only HEAD requests were excepted.

--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -261,7 +261,8 @@
   if (self.mError != ParseError::None) {
     return -1;
   }
-  return self.mNoBody ? 1 : 0;
+  // The library reads a body of the given length whatever the status is.
+  return self.mNoBody || self.HasStatusWithoutBody() ? 1 : 0;
 }
 
 void
@@ -286,14 +287,21 @@
       mParser.http_major == 1 && mParser.http_minor >= 1;
     return;
   }
-  const auto status = static_cast<std::uint16_t>(mParser.status_code);
-  const bool empty = mNoBody || status < kFirstStatusWithBody ||
-                     status == kNoContent || status == kNotModified;
-  mResponse.status = status;
+  const bool empty = mNoBody || HasStatusWithoutBody();
+  mResponse.status = static_cast<std::uint16_t>(mParser.status_code);
   mResponse.endsByClose = !empty && !sized && (mParser.flags & F_CHUNKED) == 0U;
   mResponse.keepAlive = keepAlive && !mResponse.endsByClose;
 }
 
+bool
+Parser::HasStatusWithoutBody() const
+{
+  const auto status = mParser.status_code;
+  return mKind == MessageKind::Response &&
+         (status < kFirstStatusWithBody || status == kNoContent ||
+          status == kNotModified);
+}
+
 bool
 Parser::HasKnownFraming() const
 {
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -118,6 +118,9 @@
   void ParseHead();
   std::size_t Execute(std::string_view aBytes);
   void FinishHead();
+  /** Whether the status of a response says that it has no body, whatever length
+   * its head gives. */
+  [[nodiscard]] bool HasStatusWithoutBody() const;
   /** Whether the version of the message defines how it is framed. */
   [[nodiscard]] bool HasKnownFraming() const;
 
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -152,3 +152,22 @@
   cr_assert_not(parser.Complete());
   cr_assert_eq(parser.Error(), ParseError::Malformed);
 }
+
+// Guards against a response that waits for a body which its status excludes,
+// and takes the beginning of the next response for it.
+Test(parser, a_status_without_body_ends_the_response_with_its_head)
+{
+  for (const std::string status : { "100", "204", "304" }) {
+    for (const std::string fields :
+         { "", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" }) {
+      Parser parser{ MessageKind::Response };
+      const auto head = "HTTP/1.1 " + status + " X\r\n" + fields + "\r\n";
+      cr_assert_eq(parser.Read(head + "HTTP/1.1 200 OK\r\n"),
+                   head.size(),
+                   "%s",
+                   head.c_str());
+      cr_assert(parser.Complete(), "%s", head.c_str());
+      cr_assert_eq(parser.TakeBody(), "");
+    }
+  }
+}
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -867,6 +867,46 @@
   }
 }
 
+// Guards against the second copy of an answer without a body, whose length is
+// not that of what follows it: the next answer on the connection was read as
+// its body.
+Test(exchange, a_late_copy_without_a_body_reaches_no_other_caller)
+{
+  const std::string length{ "Content-Length: 5\r\n\r\n" };
+  const std::vector<std::pair<std::string, std::string>> first{
+    { "HEAD", "HTTP/1.1 200 OK\r\n" + kStamped + length },
+    { "GET", "HTTP/1.1 204 No Content\r\n" + kStamped + "\r\n" },
+    { "GET", "HTTP/1.1 304 Not Modified\r\n" + kStamped + length },
+    { "GET", "HTTP/1.1 304 Not Modified\r\n" + kStamped + "\r\n" },
+  };
+  for (const auto& [method, answer] : first) {
+    Host host{ routing::RequestKind::Idempotent };
+    FakeServer::Pointer connection;
+    const auto respond = [&, method = method, answer = answer](
+                           const auto& aCaller, const auto& aRequest) {
+      if (aRequest.head.fields.Find("X-Request-Id") == "q1") {
+        connection = aCaller;
+        aCaller->Send(answer);
+      } else {
+        aCaller->Send(aCaller == connection ? answer : std::string{});
+        aCaller->Send(PlainResponse(
+          200, "X-Request-Id: q2\r\nX-Response-Stamp: s\r\n", "fresh"));
+      }
+      aCaller->Finish(true);
+    };
+    host.one.respond = respond;
+    host.two.Stop();
+    host.Start();
+    Caller one;
+    one.SendRequest(method);
+    cr_assert(one.Expect("\r\n\r\n"));
+    Caller two;
+    two.SendRequest("GET", {}, "q2");
+    cr_assert(two.Expect("fresh"), "%s: %s", answer.c_str(), two.read.c_str());
+    cr_assert(two.read.starts_with("HTTP/1.1 200"), "%s", two.read.c_str());
+  }
+}
+
 // Guards against refusing a body that quotes a status line or a head.
 Test(exchange, a_body_that_quotes_a_response_is_forwarded)
 {
