--- a/test/soak/stutter.py
+++ b/test/soak/stutter.py
@@ -160,4 +160,40 @@
             self.writer.write(answer)
 
 
-INSIDE = [BeforeEnd, BeforeEndWithoutId, BeforeEndCut, BetweenParts]
+class OnAnother(Whole):
+    """Sends a late copy of some answers on another connection of its server."""
+
+    open = []
+    change = staticmethod(lambda answer: answer)
+
+    async def __aexit__(self, *_):
+        answer, self.answer = self.answer, b""
+        self.writer.write(answer)
+        OnAnother.open = [writer for writer in OnAnother.open
+                          if not writer.transport.is_closing()]
+        if self.writer not in OnAnother.open:
+            OnAnother.open.append(self.writer)
+        if self.random.random() < INSIDE_SHARE:
+            task = asyncio.create_task(self.repeat(self.change(answer)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def repeat(self, answer):
+        """Sends the copy after a while, whatever is being sent there."""
+        await asyncio.sleep(self.random.uniform(0.0, LATE_S))
+        others = [writer for writer in OnAnother.open
+                  if writer is not self.writer]
+        if others:
+            writer = self.random.choice(others)
+            if not writer.transport.is_closing():
+                writer.write(answer)
+
+
+class OnAnotherWithoutId(OnAnother):
+    """The same; the copy names no request."""
+
+    change = staticmethod(without_id)
+
+
+INSIDE = [BeforeEnd, BeforeEndWithoutId, BeforeEndCut, BetweenParts, OnAnother,
+          OnAnotherWithoutId]
