Log which requests are the same

A hash of workspace, method, host, path with query and body stands in attempt_failed as fingerprint, so that crashes under a request that comes again with another id can be put together. No logic changes.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/edge/dialect.hpp"
 #include "balsampoint/edge/event_relay.hpp"
 #include "balsampoint/edge/exchange_log.hpp"
+#include "balsampoint/edge/fingerprint.hpp"
 #include "balsampoint/edge/prompt_watch.hpp"
 #include "balsampoint/edge/response.hpp"
 #include "balsampoint/edge/server_choice.hpp"
@@ -89,8 +90,14 @@
         exchange->OnQuarantine();
       }
     };
-    const auto admitted =
-      Admit().and_then([this] { return AdmitPrompt(mTraffic, mParameters); });
+    const auto admitted = Admit().and_then([this] {
+      mFingerprint = Fingerprint({ .workspace = Workspace(),
+                                   .method = mRequest.head.method,
+                                   .host = mParameters.host,
+                                   .target = mRequest.head.target,
+                                   .body = mRequest.body });
+      return AdmitPrompt(mTraffic, mParameters);
+    });
     if (!admitted) {
       AnswerError(admitted.error());
       return;
@@ -146,6 +153,12 @@
     });
   }
 
+  /** Workspace of the caller; empty on public routes. */
+  [[nodiscard]] WorkspaceId Workspace() const
+  {
+    return mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
+  }
+
   [[nodiscard]] bool IsStream() const
   {
     return mProgress.kind == routing::RequestKind::Stream ||
@@ -252,8 +265,6 @@
     mReceivers.insert(mHops.front().server);
     mMayHaveRunBefore = mProgress.mayHaveRun;
     mProgress.mayHaveRun = true;
-    const auto workspace =
-      mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
     const auto priority = mAdmission.workspace && mAdmission.workspace->priority
                             ? *mAdmission.workspace->priority
                             : mAdmission.route->priority;
@@ -261,7 +272,7 @@
                                    .body = mRequest.body,
                                    .remainingTime = left,
                                    .hops = mHops,
-                                   .workspace = workspace,
+                                   .workspace = Workspace(),
                                    .priority = priority,
                                    .resumeAfter = mEvents.LastId() });
     mServer->Send(std::move(bytes), mRequest.head.method == "HEAD");
@@ -797,6 +808,7 @@
     return { .request = mParameters.id,
              .admission = mAdmission,
              .hops = mHops,
+             .fingerprint = mFingerprint,
              .sharedParts = mParameters.sharedParts,
              .sent = mProgress.sent,
              .events = mEvents.SentCount(),
@@ -825,6 +837,7 @@
   Instant mStartedAt;
   RequestParameters mParameters;
   Admission mAdmission;
+  std::string mFingerprint;
   forward::Progress mProgress;
   std::set<ServerId> mFailed;
   std::vector<fleet::Hop> mHops;
--- a/src/balsampoint/edge/exchange_log.cpp
+++ b/src/balsampoint/edge/exchange_log.cpp
@@ -48,7 +48,8 @@
     .With("end", static_cast<int>(aEnd))
     .With("sent", aFields.sent)
     .With("events", aFields.events)
-    .With("age_ms", aFields.age);
+    .With("age_ms", aFields.age)
+    .With("fingerprint", aFields.fingerprint);
   if (!aServerAtFault.empty()) {
     event.With("at_fault", aServerAtFault);
   }
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -29,6 +29,8 @@
   const RequestId& request;
   const Admission& admission;
   std::span<const fleet::Hop> hops;
+  /** Hash of what identifies equal requests; empty before admission. */
+  std::string_view fingerprint;
   /** Parts of the prompt that other requests may share. */
   std::span<const PromptPartId> sharedParts;
   /** Number of times that the request was sent to a server. */
