--- a/src/balsampoint/edge/crash_watch.cpp
+++ b/src/balsampoint/edge/crash_watch.cpp
@@ -124,12 +124,14 @@
                           const fleet::Hop& aServer,
                           ServerBreak aBreak)
 {
-  ++mBroken;
   const bool begun = mEventBatches > 0;
-  mCrashedAtStart = aBreak == ServerBreak::Crash && !begun;
+  const bool crashed = aBreak == ServerBreak::Crash;
+  mCrashes += crashed ? 1 : 0;
+  mBrokenAtStart += !begun && (crashed || !Parts().empty()) ? 1 : 0;
+  mCrashedAtStart = crashed && !begun;
   // A reset says nothing of the request: a faulty server resets any.
   auto accused = std::span<const quarantine::SuspectId>{ mIds };
-  if (aBreak == ServerBreak::Reset) {
+  if (!crashed) {
     accused = begun ? accused.first(0) : Parts();
   } else if (begun) {
     accused = Request();
@@ -170,15 +172,15 @@
 CrashWatch::MayRetry(const TrafficState& aTraffic) const
 {
   constexpr std::uint32_t kMaxBroken = 2;
-  return mBroken < kMaxBroken &&
+  return mBrokenAtStart < kMaxBroken &&
          !quarantine::IsSuspected(aTraffic.quarantine, mIds);
 }
 
 bool
 CrashWatch::MayResume() const
 {
-  constexpr std::uint32_t kMaxBroken = 3;
-  return mBroken < kMaxBroken;
+  constexpr std::uint32_t kMaxCrashes = 3;
+  return mCrashes < kMaxCrashes;
 }
 
 bool
--- a/src/balsampoint/edge/crash_watch.hpp
+++ b/src/balsampoint/edge/crash_watch.hpp
@@ -120,8 +120,11 @@
   /** The request, then the shared parts of its prompt. */
   std::vector<quarantine::SuspectId> mIds;
   std::uint32_t mEventBatches{};
-  /** Attempts that a server broke. */
-  std::uint32_t mBroken{};
+  /** Attempts that a server broke before any event: by a crash, or under a
+   * prompt that may be at fault. */
+  std::uint32_t mBrokenAtStart{};
+  /** Attempts that ended with the crash of a server. */
+  std::uint32_t mCrashes{};
   /** Whether the last of them ended with a crash before any event. */
   bool mCrashedAtStart{ false };
 };
