Report whether answers had begun when servers crashed

Cause: a host hears of its own suspects from the collector, and a report didn't say that their answers had begun, so that two crashes were enough.

Evidence: quarantine::reports_tell_whether_answers_had_begun failed before.

--- a/src/balsampoint/peer/usage_codec.cpp
+++ b/src/balsampoint/peer/usage_codec.cpp
@@ -140,6 +140,7 @@
     suspect.__set_request(report.suspect.kind ==
                           quarantine::SuspectKind::Request);
     suspect.__set_cameAgain(report.cameAgain);
+    suspect.__set_answersBegan(report.answersBegan);
     suspect.activeForMs = ToMilliseconds(report.activeFor);
     if (report.answeredFor) {
       suspect.__set_answeredForMs(ToMilliseconds(*report.answeredFor));
@@ -166,6 +167,7 @@
                                  : quarantine::SuspectKind::PromptPart,
                        suspect.part };
     report.cameAgain = suspect.__isset.cameAgain && suspect.cameAgain;
+    report.answersBegan = suspect.__isset.answersBegan && suspect.answersBegan;
     report.activeFor = FromMilliseconds(suspect.activeForMs);
     if (suspect.__isset.answeredForMs) {
       report.answeredFor = FromMilliseconds(suspect.answeredForMs);
--- a/src/balsampoint/quarantine/command/merge_reports.cpp
+++ b/src/balsampoint/quarantine/command/merge_reports.cpp
@@ -30,7 +30,7 @@
   }
   const auto answeredAt = LastAnswer(aState, aReport.suspect);
   auto& suspect = aState.suspects[aReport.suspect];
-  suspect.answersBegan = false;
+  suspect.answersBegan = suspect.answersBegan && aReport.answersBegan;
   suspect.cameAgain = suspect.cameAgain || aReport.cameAgain;
   for (const auto& crash : aReport.crashes) {
     const auto at = aNow - crash.age;
--- a/src/balsampoint/quarantine/query/make_reports.cpp
+++ b/src/balsampoint/quarantine/query/make_reports.cpp
@@ -33,7 +33,8 @@
   SuspectReport report{ .suspect = aId,
                         .answeredFor = AnsweredFor(aState, aId, aNow),
                         .activeFor = aNow - aSuspect.activeAt,
-                        .cameAgain = aSuspect.cameAgain };
+                        .cameAgain = aSuspect.cameAgain,
+                        .answersBegan = aSuspect.answersBegan };
   report.crashes.reserve(aSuspect.crashes.size());
   for (const auto& crash : aSuspect.crashes) {
     report.crashes.push_back({ crash.first, aNow - crash.second });
@@ -41,20 +42,27 @@
   return report;
 }
 
-/** @brief Whether the others need to know: of most requests under which one
- * server crashed only for a while, since no answer may ever clear them. */
+/** @brief Whether the others need to know: of weak evidence against requests
+ * only for a while, since no answer may ever clear them. */
 bool
 IsWorthReporting(const State& aState,
                  const SuspectId& aId,
                  const Suspect& aSuspect,
                  Instant aNow)
 {
-  if (aId.kind == SuspectKind::PromptPart || aSuspect.crashes.size() > 1) {
+  if (aId.kind == SuspectKind::PromptPart) {
     return true;
   }
-  return !aSuspect.answersBegan &&
-         (aSuspect.cameAgain ||
-          aNow - aSuspect.crashes.begin()->second < aState.settings.reportTime);
+  const auto& settings = aState.settings;
+  const auto crashes = aSuspect.crashes.size();
+  const bool isNew =
+    std::ranges::any_of(aSuspect.crashes, [&](const auto& aCrash) {
+      return aNow - aCrash.second < settings.reportTime;
+    });
+  if (aSuspect.answersBegan) {
+    return crashes >= settings.crashesOfAnswered || (crashes > 1 && isNew);
+  }
+  return crashes > 1 || aSuspect.cameAgain || isNew;
 }
 
 /** @brief Keeps the bound; of those with one crash each report has others. */
--- a/src/balsampoint/quarantine/report.cpp
+++ b/src/balsampoint/quarantine/report.cpp
@@ -26,6 +26,7 @@
   }
   aJoined.cameAgain = aJoined.cameAgain || aReport.cameAgain;
   if (!aReport.crashes.empty()) {
+    aJoined.answersBegan = aJoined.answersBegan && aReport.answersBegan;
     aJoined.activeFor = std::min(aJoined.activeFor, aReport.activeFor);
   }
 }
@@ -62,9 +63,11 @@
 {
   std::map<SuspectId, SuspectReport> joined;
   for (const auto& report : aReports) {
-    const auto [known, added] = joined.try_emplace(
-      report.suspect,
-      SuspectReport{ .suspect = report.suspect, .activeFor = Duration::max() });
+    const auto [known, added] =
+      joined.try_emplace(report.suspect,
+                         SuspectReport{ .suspect = report.suspect,
+                                        .activeFor = Duration::max(),
+                                        .answersBegan = true });
     JoinInto(known->second, report);
   }
   std::vector<SuspectReport> reports;
--- a/src/balsampoint/quarantine/report.hpp
+++ b/src/balsampoint/quarantine/report.hpp
@@ -42,6 +42,8 @@
   Duration activeFor{};
   /** Whether a request arrived again before an answer to it. */
   bool cameAgain{ false };
+  /** Whether an answer had begun before each of the crashes. */
+  bool answersBegan{ false };
 
   bool operator==(const SuspectReport&) const = default;
 };
--- a/test/balsampoint/peer/usage_codec_test.cpp
+++ b/test/balsampoint/peer/usage_codec_test.cpp
@@ -24,7 +24,12 @@
              .answeredFor = 250ms,
              .activeFor = 1500ms },
            { .suspect = quarantine::SuspectId::Part(PromptPartId{ "91bd3f06" }),
-             .activeFor = 1h } };
+             .activeFor = 1h },
+           { .suspect = quarantine::SuspectId::Request("0f67e10d39eb3394"),
+             .crashes = { { { ServerId{ "s" }, Incarnation{ 7 } }, 1500ms } },
+             .activeFor = 1s,
+             .cameAgain = true,
+             .answersBegan = true } };
 }
 
 } // namespace
--- a/test/balsampoint/quarantine/quarantine_test.cpp
+++ b/test/balsampoint/quarantine/quarantine_test.cpp
@@ -266,6 +266,29 @@
   cr_assert(IsQuarantined(other, deadly));
 }
 
+// Guards against hosts that forget, when they hear of their own suspects from a
+// collector, that the answers to these had begun.
+Test(quarantine, reports_tell_whether_answers_had_begun)
+{
+  std::vector<State> hosts(3);
+  const Parts sound{ SuspectId::Request("sound") };
+  for (std::uint64_t server = 1; server <= 2; ++server) {
+    RecordCrash(hosts[0],
+                sound,
+                Server(server),
+                kNow + server * 300ms,
+                AnswerProgress::Begun);
+  }
+  for (auto now = kNow + 700ms; now < kNow + 3s; now += 200ms) {
+    for (auto& host : hosts) {
+      Exchange(host, hosts, now);
+      cr_assert_not(IsQuarantined(host, sound));
+    }
+  }
+  RecordCrash(hosts[1], sound, Server(3), kNow + 3s, AnswerProgress::Begun);
+  cr_assert(IsQuarantined(hosts[1], sound));
+}
+
 Test(quarantine, a_request_is_in_doubt_after_one_crash)
 {
   State state;
--- a/thrift/usage.thrift
+++ b/thrift/usage.thrift
@@ -41,6 +41,8 @@
   5: optional bool request
   // Whether the request arrived again before an answer to it.
   6: optional bool cameAgain
+  // Whether an answer had begun before each of the crashes.
+  7: optional bool answersBegan
 }
 
 struct UsageOwn {
