Bound the reports of crashes to one a second

Suspected cause: since reports of suspects are passed on at once, each broken connection and each refused repetition let its host report again after 10 ms, and the collectors send sums every 50 ms; control hosts have a third of a core. A report is brought forward at most once a second now, by crashes and repetitions only, and the sums too.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -114,9 +114,11 @@
   static constexpr Duration kHandOverWait = std::chrono::milliseconds{ 1500 };
   /** Time between two reports of this host's use of servers. */
   static constexpr Duration kUsageInterval = std::chrono::milliseconds{ 200 };
-  /** Time until a report of a crash. */
+  /** Time until a report of a crash, and the least time between two: a report
+   * costs the control hosts as much as any other. */
   static constexpr Duration kUrgentReportDelay =
     std::chrono::milliseconds{ 10 };
+  static constexpr Duration kUrgentReportInterval = std::chrono::seconds{ 1 };
   /** Time between two searches for expired server connections. */
   static constexpr Duration kExpiryInterval = std::chrono::seconds{ 1 };
   static constexpr std::size_t kMailboxCapacity = 65536;
@@ -260,7 +262,6 @@
     if (!queued) {
       spdlog::warn("the control queue is full");
     }
-    mReportsSoon = false;
     mUsageTimer.Set(kUsageInterval, [this] { ReportUsage(); });
   }
 
@@ -268,9 +269,12 @@
    * the same time. */
   void ReportUsageSoon()
   {
-    if (!std::exchange(mReportsSoon, true)) {
-      mUsageTimer.Set(kUrgentReportDelay, [this] { ReportUsage(); });
+    const auto now = TrafficState::Now();
+    if (now - mReportedSoonAt < kUrgentReportInterval) {
+      return;
     }
+    mReportedSoonAt = now;
+    mUsageTimer.Set(kUrgentReportDelay, [this] { ReportUsage(); });
   }
 
   edge::StatusPort::Status ReadyStatus() const
@@ -550,8 +554,8 @@
   std::mutex mStopMutex;
   std::condition_variable mStopped;
   bool mIdle{ false };
-  /** Whether the next report of the use of servers is due soon. */
-  bool mReportsSoon{ false };
+  /** When the use of servers was last reported because of a crash. */
+  Instant mReportedSoonAt{};
 };
 
 } // namespace balsampoint::daemon
--- a/src/balsampoint/edge/crash_watch.cpp
+++ b/src/balsampoint/edge/crash_watch.cpp
@@ -144,7 +144,7 @@
                           begun ? quarantine::AnswerProgress::Begun
                                 : quarantine::AnswerProgress::None);
   ApplyVerdicts(aTraffic, before);
-  if (!accused.empty()) {
+  if (crashed) {
     aTraffic.NotifySuspects();
   }
 }
--- a/src/balsampoint/usage/module.cpp
+++ b/src/balsampoint/usage/module.cpp
@@ -18,14 +18,14 @@
            const Suspects& aEarlier,
            Instant aNow)
 {
+  const auto& settings = aState.settings;
   if (aState.nextSums == kNever ||
+      aNow - aState.hurriedAt < settings.urgentInterval ||
       !quarantine::AccuseMore(aSuspects, aEarlier)) {
     return;
   }
-  const auto& settings = aState.settings;
-  const auto soon = std::max<Instant>(
-    aNow + settings.urgentDelay, aState.lastSums + settings.urgentInterval);
-  aState.nextSums = std::min(aState.nextSums, soon);
+  aState.hurriedAt = aNow;
+  aState.nextSums = std::min(aState.nextSums, aNow + settings.urgentDelay);
 }
 
 void
@@ -134,7 +134,6 @@
 Module::Tick(State& aState, Instant aNow, Actions& aActions)
 {
   SendSums(aState, aNow, aActions);
-  aState.lastSums = aNow;
   aState.nextSums =
     aState.reports.empty() ? kNever : aNow + aState.settings.interval;
 }
--- a/src/balsampoint/usage/state.hpp
+++ b/src/balsampoint/usage/state.hpp
@@ -21,9 +21,9 @@
   /** Time between two sums sent to an entry host. */
   Duration interval{ std::chrono::milliseconds{ 200 } };
   /** Time until the next sums after a report of more suspects, and the least
-   * time between two sums then. */
+   * time between two such reports that bring them forward. */
   Duration urgentDelay{ std::chrono::milliseconds{ 10 } };
-  Duration urgentInterval{ std::chrono::milliseconds{ 50 } };
+  Duration urgentInterval{ std::chrono::seconds{ 1 } };
   /** Time after which an unchanged report is sent again. */
   Duration repeatInterval{ std::chrono::milliseconds{ 600 } };
   /** Time between two sums for entry hosts with what servers have said of their
@@ -85,7 +85,8 @@
   /** Report last sent to the collector. */
   HostReport sent;
   Instant nextSums{ kNever };
-  Instant lastSums{};
+  /** When the next sums were last brought forward. */
+  Instant hurriedAt{};
   Instant nextPeers{};
   Instant nextUpstream{};
   Instant nextRates{};
