Tell a server at its limit of connections from a crashed one

Suspected cause: a loaded server resets connections beyond its limit, the probe's among them, so that it counted as crashed and its requests waited or were given up. A server to which this host has another established connection has not crashed.

Evidence: exchange::a_server_at_its_limit_of_connections_has_not_crashed is new; gateway_deadly_test still holds.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -260,7 +260,10 @@
       return;
     }
     const auto& server = mHops.front();
-    const bool crashed = !aAccepts || HasRestarted(server);
+    // A server at its limit of connections closes new ones and keeps others.
+    const bool crashed =
+      (!aAccepts && !mTraffic.pool.IsConnected(server.address)) ||
+      HasRestarted(server);
     mCrashWatch.OnServerBroke(
       mTraffic, server, crashed ? ServerBreak::Crash : ServerBreak::Reset);
     OnAttemptEnd(forward::AttemptEnd::Broken,
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -86,6 +86,7 @@
     CloseAsLost();
     return;
   }
+  mEstablished = true;
   Read();
   Notify(ServerSignal::Connected);
 }
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -111,6 +111,12 @@
   /** @brief How long the connection may stay idle. */
   [[nodiscard]] Duration IdleTimeout() const noexcept { return mIdleTimeout; }
 
+  /** @brief Whether the connection was established and has not ended. */
+  [[nodiscard]] bool Established() const
+  {
+    return mEstablished && mSocket.is_open();
+  }
+
   /** @brief Whether the socket is open. */
   [[nodiscard]] bool Open() const { return mSocket.is_open(); }
 
@@ -151,6 +157,7 @@
   std::chrono::steady_clock::time_point mIdleSince;
   Duration mIdleTimeout;
   std::uint32_t mRequestCount{};
+  bool mEstablished{ false };
   bool mWriting{ false };
   bool mAwaitingResponse{ false };
   bool mIsHeadRequest{ false };
--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/edge/server_pool.hpp"
 
+#include <algorithm>
+
 namespace balsampoint::edge {
 
 namespace {
@@ -31,7 +33,23 @@
 std::shared_ptr<ServerConnection>
 ServerPool::Make(const std::string& aAddress)
 {
-  return std::make_shared<ServerConnection>(mContext, aAddress, mLimits);
+  auto& made = mMade[aAddress];
+  std::erase_if(made, [](const auto& aOne) { return aOne.expired(); });
+  auto connection =
+    std::make_shared<ServerConnection>(mContext, aAddress, mLimits);
+  made.push_back(connection);
+  return connection;
+}
+
+bool
+ServerPool::IsConnected(const std::string& aAddress) const
+{
+  const auto made = mMade.find(aAddress);
+  return made != mMade.end() &&
+         std::ranges::any_of(made->second, [](const auto& aOne) {
+           const auto connection = aOne.lock();
+           return connection && connection->Established();
+         });
 }
 
 void
@@ -73,6 +91,10 @@
   }
   std::erase_if(mIdle,
                 [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(mMade, [](const auto& aEntry) {
+    return std::ranges::all_of(aEntry.second,
+                               [](const auto& aOne) { return aOne.expired(); });
+  });
 }
 
 std::size_t
--- a/src/balsampoint/edge/server_pool.hpp
+++ b/src/balsampoint/edge/server_pool.hpp
@@ -55,6 +55,12 @@
   /** @brief Closes the connections whose idle timeout has passed. */
   void CloseExpired();
 
+  /**
+   * @brief Whether any connection to a server is established, idle or in use.
+   * @param aAddress IP address and port of the server.
+   */
+  [[nodiscard]] bool IsConnected(const std::string& aAddress) const;
+
   /** @brief Number of idle connections. */
   [[nodiscard]] std::size_t IdleCount() const;
 
@@ -66,6 +72,8 @@
   boost::asio::io_context& mContext;
   ServerConnectionLimits mLimits;
   std::map<std::string, Connections, std::less<>> mIdle;
+  /** All connections by server, those that have ended until the next one. */
+  std::map<std::string, std::vector<std::weak_ptr<ServerConnection>>> mMade;
 };
 
 } // namespace balsampoint::edge
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -531,6 +531,39 @@
   }
 }
 
+// Guards against taking a server that refuses connections beyond its limit for
+// a crashed one: it keeps those that it has.
+Test(exchange, a_server_at_its_limit_of_connections_has_not_crashed)
+{
+  Host host{ routing::RequestKind::Idempotent };
+  FakeServer::Pointer kept;
+  const auto respond = [&](const auto& aCaller, const auto& aRequest) {
+    if (aRequest.head.fields.Find("X-Request-Id") == "q0") {
+      kept = aCaller;
+      return;
+    }
+    host.one.Stop();
+    aCaller->Close(true);
+  };
+  host.one.respond = respond;
+  host.two.Stop();
+  host.Start();
+  host.RunOnLoop([&] {
+    auto& servers = host.Shared().fleet.groups.at(kService).servers;
+    servers.at(ServerId{ "two" }).ready = false;
+  });
+  Caller waiting;
+  waiting.SendRequest("GET", {}, "q0");
+  std::this_thread::sleep_for(50ms);
+  Caller caller{ 300ms };
+  caller.SendRequest("GET");
+  std::ignore = caller.Expect("\r\n\r\n");
+  host.RunOnLoop([&] {
+    cr_assert(kept != nullptr);
+    cr_assert(host.Shared().quarantine.suspects.empty());
+  });
+}
+
 // Guards against accusing the prompt of a request that met a connection which
 // the server had closed while it was idle.
 Test(exchange, a_connection_closed_while_idle_accuses_no_prompt)
