Admit callers that resume a stream whose server crashed

What callers would see: a stream that broke in mid-answer with its server's crash, resumed by its caller, was refused for 10 to 20 s, since one crash put the request in doubt. Found by reading the change; a request whose answer had begun isn't in doubt now.

quarantine::a_request_whose_answer_had_begun_is_not_in_doubt is new.

--- a/src/balsampoint/quarantine/command/admit.cpp
+++ b/src/balsampoint/quarantine/command/admit.cpp
@@ -30,6 +30,10 @@
       continue;
     }
     auto& suspect = found->second;
+    // Its caller resumes an answer that had begun.
+    if (suspect.answersBegan) {
+      continue;
+    }
     suspect.cameAgain = true;
     suspect.activeAt = aNow;
     if (aNow < suspect.doubtedUntil) {
--- a/test/balsampoint/quarantine/quarantine_test.cpp
+++ b/test/balsampoint/quarantine/quarantine_test.cpp
@@ -309,6 +309,16 @@
   cr_assert_not(Admit(state, deadly, kNow + 4s + *wait));
 }
 
+// Guards against refusing callers that resume a stream whose server crashed.
+Test(quarantine, a_request_whose_answer_had_begun_is_not_in_doubt)
+{
+  State state;
+  const Parts stream{ SuspectId::Request("stream") };
+  RecordCrash(state, stream, Server(1), kNow, AnswerProgress::Begun);
+  cr_assert_not(Admit(state, stream, kNow + 1s));
+  cr_assert(MayRepeat(state, stream));
+}
+
 // Guards against refusing a popular request because a server crashed for other
 // reasons.
 Test(quarantine, a_request_that_was_answered_before_is_not_in_doubt)
