Look behind quoted heads for another answer

What callers could get: a body that quotes a response's head, and behind it the copy of another answer, as a success. Cause: only the first head in a body was judged, and a quoted one, which names no request and carries no code, made the whole body pass. Found by reading the change; all heads are judged in turn now.

Evidence: exchange::a_body_that_holds_another_answer_reaches_no_caller has three more bodies and failed before; test-platform 59 of 59.

--- a/src/balsampoint/edge/answer_body.hpp
+++ b/src/balsampoint/edge/answer_body.hpp
@@ -18,6 +18,36 @@
   std::size_t size{};
 };
 
+/**
+ * @brief What a head among the bytes of an answer says.
+ * @tparam D Encoding of responses.
+ * @param aHead Head of the answer.
+ * @param aBytes Its body and what follows it.
+ * @param aInner The head among them.
+ * @param aFollowing What follows the body.
+ */
+template<Dialect D>
+[[nodiscard]] forward::InnerAnswer
+ClaimsOf(const wire::ResponseHead& aHead,
+         std::string_view aBytes,
+         const wire::EmbeddedHead& aInner,
+         std::string_view aFollowing)
+{
+  forward::InnerAnswer claims{ .complete = aInner.head.has_value(),
+                               .endsByClose = aHead.endsByClose,
+                               .followed = !aFollowing.empty() };
+  if (aInner.head) {
+    const auto metadata = D::ReadResponse(*aInner.head);
+    claims.identified =
+      metadata.namedRequests > 0 || metadata.authenticationCodes > 0;
+    claims.repeatsAnswer =
+      aInner.head->status == aHead.status &&
+      aInner.head->fields.All() == aHead.fields.All() &&
+      aBytes.substr(aInner.end) == aBytes.substr(0, aInner.begin);
+  }
+  return claims;
+}
+
 /**
  * @brief Decides how much of a complete body belongs to its answer.
  * @tparam D Encoding of responses.
@@ -39,26 +69,24 @@
     joined.append(aBody).append(aFollowing);
     bytes = joined;
   }
-  const auto inner = wire::FindEmbeddedHead(bytes);
-  if (!inner || inner->begin >= aBody.size()) {
-    return { forward::BodyVerdict::Whole, aBody.size() };
-  }
-  forward::InnerAnswer claims{ .complete = inner->head.has_value(),
-                               .endsByClose = aHead.endsByClose,
-                               .followed = !aFollowing.empty() };
-  if (inner->head) {
-    const auto metadata = D::ReadResponse(*inner->head);
-    claims.identified =
-      metadata.namedRequests > 0 || metadata.authenticationCodes > 0;
-    claims.repeatsAnswer =
-      inner->head->status == aHead.status &&
-      inner->head->fields.All() == aHead.fields.All() &&
-      bytes.substr(inner->end) == bytes.substr(0, inner->begin);
+  // A body may quote heads before the one of another answer.
+  std::size_t from = 0;
+  while (auto inner = wire::FindEmbeddedHead(bytes.substr(from))) {
+    inner->begin += from;
+    inner->end += from;
+    if (inner->begin >= aBody.size()) {
+      break;
+    }
+    const auto verdict =
+      forward::CheckBody(ClaimsOf<D>(aHead, bytes, *inner, aFollowing));
+    if (verdict != forward::BodyVerdict::Whole) {
+      return { verdict,
+               verdict == forward::BodyVerdict::SentTwice ? inner->begin
+                                                          : aBody.size() };
+    }
+    from = inner->end;
   }
-  const auto verdict = forward::CheckBody(claims);
-  return { verdict,
-           verdict == forward::BodyVerdict::SentTwice ? inner->begin
-                                                      : aBody.size() };
+  return { forward::BodyVerdict::Whole, aBody.size() };
 }
 
 } // namespace balsampoint::edge
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -950,8 +950,13 @@
   const auto untilClose = head + "\r\nhello";
   const auto counted = head + "Content-Length: 5\r\n\r\n";
   const auto copy = PlainResponse(200, kStampedOther, "stale");
+  const std::string quote{ "HTTP/1.1 404 X\r\nServer: a\r\n\r\nhello" };
+  const auto quoting = head + "\r\n" + quote;
   const std::vector<std::pair<std::string, std::string>> answers{
     { untilClose + untilClose, "200" },
+    { quoting + quoting, "200" },
+    { quoting + copy, "502" },
+    { head + "Content-Length: 80\r\n\r\n" + quote + copy, "502" },
     { untilClose + head + "\r\nhel", "502" },
     { untilClose + head + "\r\n", "502" },
     { untilClose + head, "502" },
