Count only crashes among the servers that crash at once

What callers would see: a request whose server crashed was sent to the next one at once, which it might crash too, where another server had reset a connection within 0.1 s before. Cause: resets, which accuse prompt parts alone, counted among the crashes that show a failure of several servers.

--- a/src/balsampoint/quarantine/command/record_outcome.cpp
+++ b/src/balsampoint/quarantine/command/record_outcome.cpp
@@ -16,7 +16,10 @@
   if (aIds.empty()) {
     return;
   }
-  aState.crashedServers.emplace(aServer, aNow);
+  // A reset of a connection accuses prompt parts alone.
+  if (aIds.front().kind == SuspectKind::Request) {
+    aState.crashedServers.emplace(aServer, aNow);
+  }
   for (const auto& id : aIds) {
     auto& suspect = aState.suspects[id];
     if (suspect.crashes.emplace(aServer, aNow).second) {
--- a/test/balsampoint/quarantine/quarantine_test.cpp
+++ b/test/balsampoint/quarantine/quarantine_test.cpp
@@ -391,3 +391,13 @@
   cr_assert(SeveralCrashed(state, kNow + 60ms));
   cr_assert_not(SeveralCrashed(state, kNow + 300ms));
 }
+
+// Guards against taking a faulty server that resets connections for one of
+// several that crash at once.
+Test(quarantine, a_reset_is_no_crash_of_its_server)
+{
+  State state;
+  RecordCrash(state, Parts{ SuspectId::Request("a") }, Server(1), kNow);
+  RecordCrash(state, Parts{ kFirst }, Server(2), kNow + 10ms);
+  cr_assert_not(SeveralCrashed(state, kNow + 20ms));
+}
