Wait for a repetition only after the attempt that crashed its server

What callers would see: a request that had waited 0.7 s after a crash waited as long again after a later attempt that broke without one. Cause: the mark of the crash outlived its attempt. Found by reading; the watch starts anew with each attempt.

--- a/src/balsampoint/edge/crash_watch.hpp
+++ b/src/balsampoint/edge/crash_watch.hpp
@@ -80,7 +80,11 @@
   void OnComplete(TrafficState& aTraffic) const;
 
   /** @brief Starts the next attempt. */
-  void Restart() { mEventBatches = 0; }
+  void Restart()
+  {
+    mEventBatches = 0;
+    mCrashedAtStart = false;
+  }
 
   /**
    * @brief Whether another server may be given the request from its beginning.
@@ -125,7 +129,7 @@
   std::uint32_t mBrokenAtStart{};
   /** Attempts that ended with the crash of a server. */
   std::uint32_t mCrashes{};
-  /** Whether the last of them ended with a crash before any event. */
+  /** Whether the attempt ended with a crash before any event. */
   bool mCrashedAtStart{ false };
 };
 
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -168,6 +168,7 @@
 
   void Attempt()
   {
+    mCrashWatch.Restart();
     const auto receivers = AllowedReceivers();
     auto chosen = ChooseServers(
       mTraffic, *mAdmission.service, mParameters, { mFailed, receivers });
@@ -737,7 +738,6 @@
 
   void EndAttempt()
   {
-    mCrashWatch.Restart();
     mServerAtFault.clear();
     ReleaseServers();
     mEvents.EndPart();
