--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -57,7 +57,7 @@
 struct LocalUsage
 {
   std::vector<ServerUsage> servers;
-  /** Prompt parts that it suspects of crashing servers. */
+  /** Requests and prompt parts that it suspects of crashing servers. */
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
@@ -74,7 +74,7 @@
   std::vector<ServerUsage> servers;
   /** Number of entry hosts in the sum. */
   std::uint32_t hosts{};
-  /** Prompt parts that any host suspects, the receiver included. */
+  /** What any host suspects, the receiver included. */
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
@@ -89,7 +89,7 @@
   /** Number of entry hosts in the sum. */
   std::uint32_t hosts{};
   std::vector<ServerUsage> servers;
-  /** Prompt parts that any of these hosts suspects. */
+  /** What any of these hosts suspects. */
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
@@ -103,7 +103,7 @@
   std::vector<ServerUsage> servers;
   /** Number of entry hosts in the sum. */
   std::uint32_t hosts{};
-  /** Prompt parts that any host suspects. */
+  /** What any host suspects. */
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
