Spell out the loop over heads in a body for the linter

bugprone-unchecked-optional-access failed on answer_body.hpp since the heads behind a quoted one are judged. No logic changes.

--- a/src/balsampoint/edge/answer_body.hpp
+++ b/src/balsampoint/edge/answer_body.hpp
@@ -71,20 +71,25 @@
   }
   // A body may quote heads before the one of another answer.
   std::size_t from = 0;
-  while (auto inner = wire::FindEmbeddedHead(bytes.substr(from))) {
-    inner->begin += from;
-    inner->end += from;
-    if (inner->begin >= aBody.size()) {
+  while (from < aBody.size()) {
+    const auto found = wire::FindEmbeddedHead(bytes.substr(from));
+    if (!found.has_value()) {
+      break;
+    }
+    auto inner = found.value();
+    inner.begin += from;
+    inner.end += from;
+    if (inner.begin >= aBody.size()) {
       break;
     }
     const auto verdict =
-      forward::CheckBody(ClaimsOf<D>(aHead, bytes, *inner, aFollowing));
+      forward::CheckBody(ClaimsOf<D>(aHead, bytes, inner, aFollowing));
     if (verdict != forward::BodyVerdict::Whole) {
       return { verdict,
-               verdict == forward::BodyVerdict::SentTwice ? inner->begin
+               verdict == forward::BodyVerdict::SentTwice ? inner.begin
                                                           : aBody.size() };
     }
-    from = inner->end;
+    from = inner.end;
   }
   return { forward::BodyVerdict::Whole, aBody.size() };
 }
