--- a/test/soak/operator.py
+++ b/test/soak/operator.py
@@ -78,6 +78,10 @@
         self.acknowledged = 0
         self.seen = {}
 
+    def document(self, version):
+        """The configuration of a version."""
+        return document(version)
+
     async def put(self, content, address):
         """Sends one configuration to one host; its status, or None."""
         try:
@@ -99,7 +103,7 @@
         """Sends the next version until it is acknowledged."""
         self.version += self.world.random.randint(1, 3)
         version = self.version
-        content = document(version)
+        content = self.document(version)
         self.sent[version] = [content]
         deadline = time.monotonic() + limit_s
         while time.monotonic() < deadline:
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -29,6 +29,9 @@
 class World:
     """Everything of one run, drawn from one seed."""
 
+    zones = ZONES
+    services = [(Engine, "verse")] * 6 + [(Backend, "desk")] * 3
+
     def __init__(self, build, folder, seed, options):
         self.block = options.block
         self.retry_extra = 60
@@ -46,7 +49,7 @@
         self.hosts = self.controls + self.entries
         self.backends = []
         self.links = [link for host in self.hosts for link in host.links]
-        for number in range(9):
+        for number in range(len(self.services)):
             self.add_backend(number)
         self.operator = Operator(self)
         self.callers = [Caller(self, number) for number in range(options.callers)]
@@ -61,19 +64,25 @@
 
     def add_host(self, number, control):
         """Makes one host; it isn't started yet."""
-        host = Host(self, number + 1, ZONES[number % len(ZONES)], control)
+        host = Host(self, number + 1, self.zones[number % len(self.zones)],
+                    control)
         if control:
             self.control_addresses.append(host.front_address)
         return host
 
     def add_backend(self, number):
-        """Makes one backend behind a forwarder: six engines, three plain."""
+        """Makes one backend behind a forwarder."""
         told = f"127.{self.block}.3.{number + 1}:{BACKEND_PORT}"
         own = f"127.{self.block}.4.{number + 1}:{BACKEND_PORT}"
-        kind, service = (Engine, "verse") if number < 6 else (Backend, "desk")
+        kind, service = self.services[number]
         self.backends.append(kind(self, f"s{number}", service,
-                                  ZONES[number % len(ZONES)], own, told))
-        self.links.append(Link(told, own))
+                                  self.zones[number % len(self.zones)], own,
+                                  told))
+        self.links.append(self.link_to(told, own))
+
+    def link_to(self, told, own):
+        """Makes the forwarder of one backend."""
+        return Link(told, own)
 
     def engine_at(self, address):
         """The engine that is told at an address."""
