--- a/src/balsampoint/config/gateway_settings.hpp
+++ b/src/balsampoint/config/gateway_settings.hpp
@@ -23,6 +23,8 @@
   /** Heartbeats of servers and calls of operators. */
   std::optional<Address> control;
   std::optional<Address> metrics;
+  /** Opens connections to servers for hosts that can't reach them. */
+  std::optional<Address> detours;
   Address peers;
   /** Where other hosts reach `peers`, if a forwarder stands in between. */
   std::optional<Address> advertisedPeers;
--- a/src/balsampoint/config/query/load_gateway_settings.cpp
+++ b/src/balsampoint/config/query/load_gateway_settings.cpp
@@ -29,6 +29,7 @@
   ReadAddress(reader, "ready", aListeners.ready);
   ReadAddress(reader, "control", aListeners.control);
   ReadAddress(reader, "metrics", aListeners.metrics);
+  ReadAddress(reader, "detours", aListeners.detours);
   reader.Read("peers", aListeners.peers, Presence::Required);
   ReadAddress(reader, "advertised_peers", aListeners.advertisedPeers);
   if (!aListeners.callers && !aListeners.control) {
--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -7,6 +7,7 @@
 #include "balsampoint/daemon/runners.hpp"
 #include "balsampoint/edge/control_port.hpp"
 #include "balsampoint/edge/crash_watch.hpp"
+#include "balsampoint/edge/detour_port.hpp"
 #include "balsampoint/edge/engine_control_client.hpp"
 #include "balsampoint/edge/entry.hpp"
 #include "balsampoint/edge/server_prober.hpp"
@@ -17,6 +18,7 @@
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
 #include "balsampoint/quarantine/query/make_reports.hpp"
+#include "balsampoint/reach/query/check_due.hpp"
 #include "balsampoint/runtime/entropy.hpp"
 #include "balsampoint/trace/event.hpp"
 #include "balsampoint/trace/log.hpp"
@@ -142,6 +144,7 @@
                 AllowanceOf(aSettings),
                 runtime::Entropy::Next() }
     , mProber{ mTraffic }
+    , mDetours{ mTraffic, aSettings.secret, MaxDetourConnections(aSettings) }
     , mEntry{ mTraffic, MaxCallers(aSettings) }
     , mReady{ mEdge, [this] { return ReadyStatus(); } }
     , mMetrics{ mEdge, [this] { return MetricsStatus(); } }
@@ -175,6 +178,7 @@
     });
     mRunners.Usage().TellTo([this](auto aOthers) {
       mEdge.Post([this, others = std::move(aOthers)] {
+        mTraffic.links.SetDetours(others->detours);
         fleet::SetRemoteUsage(mTraffic.fleet, *others, TrafficState::Now());
         mTraffic.budget.SetHostCount(others->hosts + 1);
         edge::MergeSuspects(mTraffic, others->suspects, others->hosts + 1);
@@ -224,13 +228,17 @@
       ListenOn(mEntry, listen.callers)
         .and_then([&] { return ListenOn(mReady, listen.ready); })
         .and_then([&] { return ListenOn(mMetrics, listen.metrics); })
+        .and_then([&] { return ListenOn(mDetours, listen.detours); })
         .and_then([&] { return ListenOn(mControlPort, listen.control); });
     if (listening) {
       CloseExpiredConnections();
       if (listen.callers) {
         mTraffic.suspectsObserver = [this] { ReportUsageSoon(); };
+        mTraffic.linkObserver = [this] { ReportUsageSoon(); };
+        mTraffic.links.SetSecret(mSettings.secret);
         ReportUsage();
         mProber.Start();
+        mTraffic.links.Start();
       }
       mEdge.Start();
     }
@@ -257,6 +265,10 @@
     auto use = fleet::MakeLocalUsage(mTraffic.fleet, TrafficState::Now());
     use.suspects =
       quarantine::MakeReports(mTraffic.quarantine, TrafficState::Now());
+    if (mDetours.IsAvailable()) {
+      use.detour = mSettings.listen.detours->Text();
+    }
+    use.needsDetours = mTraffic.reach.link == reach::Link::Down;
     const bool queued =
       mMailbox.Push(usage::Event{ usage::Measured{ std::move(use) } });
     if (!queued) {
@@ -299,6 +311,8 @@
       metrics.Set(trace::Level::LiveServers,
                   static_cast<double>(mTraffic.servers->servers.size()));
     }
+    metrics.Set(trace::Level::DetourConnections,
+                static_cast<double>(mDetours.ConnectionCount()));
     metrics.Set(trace::Level::DroppedLines,
                 static_cast<double>(trace::DroppedLines()));
     return { kOk, metrics.Text() };
@@ -514,8 +528,10 @@
     if (noticed) {
       mEntry.Connections().StopAccepting();
       mEntry.Connections().CloseIdle();
+      mDetours.Drain();
     }
-    if (noticed && mTraffic.activeRequests == 0) {
+    if (noticed && mTraffic.activeRequests == 0 &&
+        mDetours.ConnectionCount() == 0) {
       const std::lock_guard lock{ mStopMutex };
       mIdle = true;
       mStopped.notify_all();
@@ -537,6 +553,7 @@
   net::Loop mEdge;
   TrafficState mTraffic;
   edge::ServerProber mProber;
+  edge::DetourPort mDetours;
   edge::BasicEntry<D> mEntry;
   edge::StatusPort mReady;
   edge::StatusPort mMetrics;
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -27,6 +27,17 @@
 constexpr std::uint64_t kResponseMemoryDivisor = 32;
 /** Descriptors kept free for peers, servers and files. */
 constexpr std::size_t kReservedDescriptors = 400;
+/** Connections for other hosts take twice this part of the descriptors. */
+constexpr std::size_t kDetourDivisor = 8;
+
+std::size_t
+UsableDescriptors(const config::GatewaySettings& aSettings)
+{
+  const auto descriptors = std::size_t{ aSettings.limits.descriptors };
+  return descriptors > 2 * kReservedDescriptors
+           ? descriptors - kReservedDescriptors
+           : descriptors / 2;
+}
 
 std::string
 PeerAddress(const std::string& aIp, const config::GatewaySettings& aSettings)
@@ -129,14 +140,19 @@
   return limits;
 }
 
+std::size_t
+MaxDetourConnections(const config::GatewaySettings& aSettings)
+{
+  return aSettings.listen.detours
+           ? UsableDescriptors(aSettings) / kDetourDivisor
+           : 0;
+}
+
 std::size_t
 MaxCallers(const config::GatewaySettings& aSettings)
 {
-  const auto descriptors = std::size_t{ aSettings.limits.descriptors };
-  const auto usable = descriptors > 2 * kReservedDescriptors
-                        ? descriptors - kReservedDescriptors
-                        : descriptors / 2;
-  return usable / 2;
+  // A detour takes two descriptors, as a caller with its server does.
+  return UsableDescriptors(aSettings) / 2 - MaxDetourConnections(aSettings);
 }
 
 change::Change
--- a/src/balsampoint/daemon/gateway_state.hpp
+++ b/src/balsampoint/daemon/gateway_state.hpp
@@ -72,6 +72,13 @@
 [[nodiscard]] std::size_t
 MaxCallers(const config::GatewaySettings& aSettings);
 
+/**
+ * @brief Connections to servers that the host opens for others at a time.
+ * @param aSettings The host's settings.
+ */
+[[nodiscard]] std::size_t
+MaxDetourConnections(const config::GatewaySettings& aSettings);
+
 /**
  * @brief A configuration as a change of the control state; the same text under
  * the same number is the same change.
--- a/src/balsampoint/edge/acceptor.hpp
+++ b/src/balsampoint/edge/acceptor.hpp
@@ -49,21 +49,7 @@
    */
   tl::expected<void, Error> Listen(const std::string& aAddress)
   {
-    const auto endpoint = net::ParseAddress(aAddress);
-    if (!endpoint) {
-      return tl::unexpected(endpoint.error());
-    }
-    try {
-      mAcceptor.open(endpoint->protocol());
-      mAcceptor.set_option(boost::asio::socket_base::reuse_address{ true });
-      mAcceptor.bind(*endpoint);
-      mAcceptor.listen(kBacklog);
-    } catch (const boost::system::system_error& failure) {
-      return balsampoint::Refuse(ErrorKind::Internal,
-                                 aAddress + ": " + failure.what());
-    }
-    Accept();
-    return {};
+    return net::Listen(mAcceptor, aAddress, kBacklog).map([this] { Accept(); });
   }
 
   /** @brief Closes the listening socket; open connections stay open. */
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -15,6 +15,7 @@
 #include "balsampoint/fleet/query/retry_after.hpp"
 #include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/forward/decision.hpp"
+#include "balsampoint/reach/query/choose_detour.hpp"
 #include "balsampoint/wire/write.hpp"
 
 #include <algorithm>
@@ -52,6 +53,7 @@
     , mDeadlineTimer{ aTraffic.loop.Context() }
     , mResumeTimer{ aTraffic.loop.Context() }
     , mRetryTimer{ aTraffic.loop.Context() }
+    , mLinkTimer{ aTraffic.loop.Context() }
     , mStartedAt{ TrafficState::Now() }
   {
     ++mTraffic.activeRequests;
@@ -69,6 +71,7 @@
     ReleaseServers();
     mTraffic.serverLossObservers.erase(this);
     mTraffic.quarantineObservers.erase(this);
+    mTraffic.linkObservers.erase(this);
     --mTraffic.activeRequests;
   }
 
@@ -90,6 +93,11 @@
         exchange->OnQuarantine();
       }
     };
+    mTraffic.linkObservers[this] = [self = this->weak_from_this()] {
+      if (const auto exchange = self.lock()) {
+        exchange->OnLinkChanged();
+      }
+    };
     const auto admitted = Admit().and_then([this] {
       mFingerprint = Fingerprint({ .workspace = Workspace(),
                                    .method = mRequest.head.method,
@@ -192,7 +200,7 @@
     const bool reused = mServer != nullptr;
     mIdleTime = reused ? mServer->IdleTime() : Duration{};
     if (!reused) {
-      mServer = mTraffic.pool.Make(address);
+      mServer = mTraffic.pool.Make(address, mTraffic.links.ChoosePath(address));
     }
     mServer->SetObserver([self = this->weak_from_this()](ServerSignal aSignal) {
       if (const auto exchange = self.lock()) {
@@ -200,6 +208,7 @@
       }
     });
     mSentInAttempt = false;
+    mReused = reused;
     mStatementsRead = false;
     mStrangeAnswerLogged = false;
     if (reused) {
@@ -234,8 +243,7 @@
         break;
     }
     if (!mSentInAttempt) {
-      RecordFinding(fleet::RequestOutcome::Unreachable);
-      OnAttemptEnd(forward::AttemptEnd::NotSent, "the server can't be reached");
+      OnNotConnected();
       return;
     }
     RecordFinding(fleet::RequestOutcome::Broken);
@@ -244,27 +252,42 @@
                    "the server had closed the connection");
       return;
     }
+    const auto& address = mHops.front().address;
     mServer = nullptr;
-    mTraffic.crashProbes.Probe(mHops.front().address,
-                               [self = this->weak_from_this()](bool aAccepts) {
-                                 if (const auto exchange = self.lock()) {
-                                   exchange->OnBreakProbed(aAccepts);
-                                 }
-                               });
+    mTraffic.probes.Probe(address,
+                          mTraffic.links.ChoosePath(address),
+                          [self = this->weak_from_this()](ProbeResult aResult) {
+                            if (const auto exchange = self.lock()) {
+                              exchange->OnBreakProbed(aResult);
+                            }
+                          });
+  }
+
+  void OnNotConnected()
+  {
+    if (!mServer->DetourFailed()) {
+      RecordFinding(fleet::RequestOutcome::Unreachable);
+    }
+    if (!mServer->HasDetour()) {
+      mTraffic.links.OnConnectionFailed();
+    }
+    OnAttemptEnd(forward::AttemptEnd::NotSent,
+                 mServer->DetourFailed() ? "the detour can't be used"
+                                         : "the server can't be reached");
   }
 
   /** Continues after the connection to the server broke, once it is known
    * whether the server accepts others. */
-  void OnBreakProbed(bool aAccepts)
+  void OnBreakProbed(ProbeResult aResult)
   {
     if (mEnded) {
       return;
     }
     const auto& server = mHops.front();
     // A server at its limit of connections closes new ones and keeps others.
-    const bool crashed =
-      (!aAccepts && !mTraffic.pool.IsConnected(server.address)) ||
-      HasRestarted(server);
+    const bool crashed = (aResult == ProbeResult::Refuses &&
+                          !mTraffic.pool.IsConnected(server.address)) ||
+                         HasRestarted(server);
     mCrashWatch.OnServerBroke(
       mTraffic, server, crashed ? ServerBreak::Crash : ServerBreak::Reset);
     OnAttemptEnd(forward::AttemptEnd::Broken,
@@ -272,6 +295,50 @@
                          : "the connection to the server broke");
   }
 
+  /** Gives a connection of this host up that its lost link has cut: at once
+   * while nothing was sent, else if the server stays silent. */
+  void OnLinkChanged()
+  {
+    if (mEnded || !mServer || mServer->HasDetour() ||
+        !reach::UsesDetours(mTraffic.reach, TrafficState::Now())) {
+      return;
+    }
+    if (!mSentInAttempt) {
+      OnAttemptEnd(forward::AttemptEnd::NotSent, kLinkLost);
+      return;
+    }
+    if (forward::MayRepeat(mProgress.kind)) {
+      mLinkTimer.Set(
+        kLinkSilence,
+        [self = this->weak_from_this(), since = TrafficState::Now()] {
+          if (const auto exchange = self.lock()) {
+            exchange->OnLinkSilent(since);
+          }
+        });
+    }
+  }
+
+  void OnLinkSilent(Instant aSince)
+  {
+    if (mEnded || !mServer || mServer->HasDetour() ||
+        mServer->LastReadAt() >= aSince || mSentAt >= aSince) {
+      return;
+    }
+    // The server may still be at work on it if only new connections fail.
+    if (!IsStream() && !ConsumeRetry(forward::Decision::Retry)) {
+      return;
+    }
+    if (IsStream()) {
+      OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
+      return;
+    }
+    LogAttempt(
+      LogFields(), forward::AttemptEnd::Broken, kLinkLost, mServerAtFault);
+    EndAttempt();
+    ApplyDecision(forward::Decision::Retry,
+                  MakeError(ErrorKind::BackendFailed, kLinkLost));
+  }
+
   /** Whether another incarnation than the one that the request was sent to is
    * announced at the server's address. */
   [[nodiscard]] bool HasRestarted(const fleet::Hop& aServer) const
@@ -334,6 +401,9 @@
       OnStrangeAnswer(verdict, head, metadata);
       return;
     }
+    if (!mReused && !mServer->HasDetour()) {
+      mTraffic.links.OnConnected();
+    }
     FollowStatementsOnce(metadata);
     if (metadata.notExecuted) {
       OnNotExecuted(metadata);
@@ -884,6 +954,7 @@
     mDeadlineTimer.Clear();
     mResumeTimer.Clear();
     mRetryTimer.Clear();
+    mLinkTimer.Clear();
     mTraffic.metrics.Record(trace::Timing::Request,
                             TrafficState::Now() - mStartedAt);
     LogEnd(LogFields(),
@@ -913,6 +984,11 @@
              .age = TrafficState::Now() - mStartedAt };
   }
 
+  static constexpr std::string_view kLinkLost =
+    "this host has lost its link to the servers";
+  /** Time without a byte after which a connection counts as cut with the link;
+   * longer than sound servers pause between two events. */
+  static constexpr Duration kLinkSilence = std::chrono::milliseconds{ 150 };
   static constexpr std::string_view kMayCrashServers =
     "the request may crash another server";
   /** Shortest time after which a server is expected to close an idle
@@ -935,6 +1011,7 @@
   net::Timer mDeadlineTimer;
   net::Timer mResumeTimer;
   net::Timer mRetryTimer;
+  net::Timer mLinkTimer;
   Instant mStartedAt;
   RequestParameters mParameters;
   Admission mAdmission;
@@ -950,6 +1027,8 @@
   Instant mSentAt{};
   /** Whether the request was sent in this attempt. */
   bool mSentInAttempt{ false };
+  /** Whether the connection of this attempt had been used before. */
+  bool mReused{ false };
   /** Whether what this attempt's answer says of its server was followed. */
   bool mStatementsRead{ false };
   /** Whether the answer in progress was logged as not the one to this request.
--- /dev/null
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -0,0 +1,200 @@
+#include "balsampoint/edge/link_watch.hpp"
+
+#include "balsampoint/edge/detour_token.hpp"
+#include "balsampoint/edge/traffic_state.hpp"
+#include "balsampoint/fleet/command/forget_unreachable.hpp"
+#include "balsampoint/reach/command/record_check.hpp"
+#include "balsampoint/reach/command/use_detours.hpp"
+#include "balsampoint/reach/query/check_due.hpp"
+#include "balsampoint/reach/query/choose_detour.hpp"
+#include "balsampoint/reach/query/choose_references.hpp"
+#include "balsampoint/trace/event.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsampoint::edge {
+
+namespace {
+
+/** Time between two looks whether a check is due. */
+constexpr Duration kPollInterval = std::chrono::milliseconds{ 100 };
+
+ZoneId
+ZoneOf(const TrafficState& aTraffic, std::string_view aServer)
+{
+  if (!aTraffic.servers) {
+    return {};
+  }
+  const auto& servers = aTraffic.servers->servers;
+  const auto found =
+    std::ranges::find_if(servers, [&](const roster::Server& aOne) {
+      return aOne.claim.description.address == aServer;
+    });
+  return found == servers.end() ? ZoneId{} : found->claim.description.zone;
+}
+
+} // namespace
+
+LinkWatch::LinkWatch(TrafficState& aTraffic)
+  : mTraffic{ aTraffic }
+  , mTimer{ aTraffic.loop.Context() }
+{
+}
+
+void
+LinkWatch::Start()
+{
+  mTimer.Set(kPollInterval, [this] { Poll(); });
+}
+
+void
+LinkWatch::Poll()
+{
+  if (mTraffic.servers &&
+      reach::IsCheckDue(mTraffic.reach, TrafficState::Now())) {
+    Check([](bool) {});
+  }
+  Start();
+}
+
+void
+LinkWatch::OnConnected()
+{
+  reach::RecordConnected(mTraffic.reach, TrafficState::Now());
+}
+
+void
+LinkWatch::OnConnectionFailed()
+{
+  if (reach::MayCheck(mTraffic.reach, TrafficState::Now())) {
+    Check([](bool) {});
+  }
+}
+
+void
+LinkWatch::Check(Callback aCallback)
+{
+  mCallbacks.push_back(std::move(aCallback));
+  if (std::exchange(mChecking, true)) {
+    return;
+  }
+  auto& state = mTraffic.reach;
+  const auto& settings = state.settings;
+  reach::BeginCheck(state, TrafficState::Now());
+  mReached = false;
+  mReferences.clear();
+  if (mTraffic.servers) {
+    mReferences = reach::ChooseReferences(mTraffic.servers->servers,
+                                          state.link == reach::Link::Up
+                                            ? settings.checkedServers
+                                            : settings.checkedWhileDown,
+                                          mTraffic.random);
+  }
+  if (mReferences.empty()) {
+    // Without servers nothing can be shown.
+    mTraffic.loop.Post([this] { EndCheck(true); });
+    return;
+  }
+  ProbeNext();
+}
+
+void
+LinkWatch::ProbeNext()
+{
+  ++mPending;
+  auto address = std::move(mReferences.back());
+  mReferences.pop_back();
+  mTraffic.probes.Probe(address, {}, [this](ProbeResult aResult) {
+    OnProbed(aResult == ProbeResult::Accepts);
+  });
+}
+
+void
+LinkWatch::OnProbed(bool aReached)
+{
+  --mPending;
+  mReached = mReached || aReached;
+  if (!mReached && !mReferences.empty()) {
+    while (!mReferences.empty()) {
+      ProbeNext();
+    }
+    return;
+  }
+  if (mPending == 0) {
+    EndCheck(mReached);
+  }
+}
+
+void
+LinkWatch::EndCheck(bool aReached)
+{
+  mChecking = false;
+  if (mTraffic.servers && !mTraffic.servers->servers.empty() &&
+      reach::RecordCheck(mTraffic.reach, aReached, TrafficState::Now())) {
+    OnLinkChanged();
+  }
+  for (const auto& callback : std::exchange(mCallbacks, {})) {
+    callback(aReached);
+  }
+}
+
+void
+LinkWatch::OnLinkChanged()
+{
+  const bool isDown = mTraffic.reach.link == reach::Link::Down;
+  trace::Event{ isDown ? "servers_unreachable" : "servers_reachable" }.With(
+    "detours", mTraffic.reach.detours.size());
+  mTraffic.metrics.Set(trace::Level::ServersReachable, isDown ? 0.0 : 1.0);
+  fleet::ForgetUnreachable(mTraffic.fleet);
+  mTraffic.pool.KeepDetours(
+    reach::UsesDetours(mTraffic.reach, TrafficState::Now()));
+  mTraffic.NotifyLink();
+}
+
+void
+LinkWatch::SetDetours(std::span<const reach::Detour> aDetours)
+{
+  const auto now = TrafficState::Now();
+  const bool used = reach::UsesDetours(mTraffic.reach, now);
+  reach::SetDetours(mTraffic.reach, aDetours, now);
+  if (reach::UsesDetours(mTraffic.reach, now) == used) {
+    return;
+  }
+  // What failed before was this host's fault; its requests go on from here.
+  fleet::ForgetUnreachable(mTraffic.fleet);
+  mTraffic.pool.KeepDetours(!used);
+  mTraffic.NotifyLink();
+}
+
+std::optional<DetourPath>
+LinkWatch::ChoosePath(std::string_view aServer)
+{
+  if (mTraffic.reach.link == reach::Link::Up) {
+    return std::nullopt;
+  }
+  auto detour = reach::ChooseDetour(mTraffic.reach,
+                                    ZoneOf(mTraffic, aServer),
+                                    mTraffic.random.Next(),
+                                    TrafficState::Now());
+  if (!detour) {
+    return std::nullopt;
+  }
+  reach::CountConnection(mTraffic.reach, detour->address, true);
+  const std::shared_ptr<void> lease{
+    nullptr,
+    [this, address = detour->address](std::nullptr_t) {
+      reach::CountConnection(mTraffic.reach, address, false);
+    }
+  };
+  return DetourPath{ .address = detour->address,
+                     .token = DetourToken(mSecret, aServer),
+                     .onFailure =
+                       [this, address = detour->address] {
+                         reach::RecordDetourFailure(
+                           mTraffic.reach, address, TrafficState::Now());
+                       },
+                     .lease = lease };
+}
+
+} // namespace balsampoint::edge
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -1,5 +1,8 @@
 #include "balsampoint/edge/server_connection.hpp"
 
+#include "balsampoint/runtime/steady_clock.hpp"
+#include "balsampoint/wire/write.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <optional>
@@ -11,6 +14,10 @@
 /** Idle connections are closed this long before the server would. */
 constexpr Duration kIdleMargin = std::chrono::seconds{ 1 };
 
+/** A host on the way takes as long to connect to the server as this one
+ * would. */
+constexpr int kConnectsOnDetour = 2;
+
 constexpr std::chrono::seconds kLongestIdleTimeout = std::chrono::hours{ 1 };
 
 /** @brief Reads the `timeout` parameter of the `Keep-Alive` header, in seconds;
@@ -40,9 +47,11 @@
 
 ServerConnection::ServerConnection(boost::asio::io_context& aContext,
                                    std::string aAddress,
-                                   const ServerConnectionLimits& aLimits)
+                                   const ServerConnectionLimits& aLimits,
+                                   std::optional<DetourPath> aDetour)
   : mLimits{ aLimits }
   , mAddress{ std::move(aAddress) }
+  , mDetour{ std::move(aDetour) }
   , mSocket{ aContext }
   , mTimer{ aContext }
   , mParser{ wire::MessageKind::Response, aLimits.message }
@@ -53,7 +62,8 @@
 void
 ServerConnection::Connect()
 {
-  const auto endpoint = net::ParseAddress(mAddress);
+  const auto endpoint =
+    net::ParseAddress(mDetour ? mDetour->address : mAddress);
   boost::system::error_code error;
   if (endpoint) {
     mSocket.open(endpoint->protocol(), error);
@@ -64,7 +74,9 @@
     return;
   }
   net::ConfigureSocket(mSocket, mLimits.ackTimeout);
-  mTimer.Set(mLimits.connectTimeout, [self = weak_from_this()] {
+  const auto timeout =
+    mLimits.connectTimeout * (mDetour ? kConnectsOnDetour : 1);
+  mTimer.Set(timeout, [self = weak_from_this()] {
     if (const auto connection = self.lock()) {
       connection->CloseAsLost();
     }
@@ -81,16 +93,38 @@
   if (!mSocket.is_open()) {
     return;
   }
-  mTimer.Clear();
   if (aError) {
     CloseAsLost();
     return;
   }
-  mEstablished = true;
+  if (mDetour) {
+    AskDetour();
+    Read();
+    return;
+  }
   Read();
+  OnEstablished();
+}
+
+void
+ServerConnection::OnEstablished()
+{
+  mTimer.Clear();
+  mEstablished = true;
   Notify(ServerSignal::Connected);
 }
 
+void
+ServerConnection::AskDetour()
+{
+  mDetourRequest = WriteDetourRequest(mAddress, mDetour->token);
+  // A failed write shows as a failed read.
+  boost::asio::async_write(
+    mSocket,
+    boost::asio::buffer(mDetourRequest),
+    [self = shared_from_this()](const auto& /*aError*/, std::size_t) {});
+}
+
 void
 ServerConnection::Send(std::string aBytes, bool aIsHeadRequest)
 {
@@ -102,7 +136,10 @@
   }
   mAwaitingResponse = true;
   mWriting = true;
-  mSending = std::move(aBytes);
+  mSending = mDetour ? std::string{} : std::move(aBytes);
+  if (mDetour) {
+    wire::AppendChunk(mSending, aBytes);
+  }
   boost::asio::async_write(
     mSocket,
     boost::asio::buffer(mSending),
@@ -174,30 +211,87 @@
   if (!mSocket.is_open()) {
     return;
   }
-  if (aError) {
-    if (aError == boost::asio::error::eof && mAwaitingResponse) {
-      mEndReached = true;
-      mParser.ReadEof();
-      if (mParser.Complete()) {
-        mAwaitingResponse = false;
-        Notify(ServerSignal::ResponseData);
-        return;
-      }
-    }
+  const auto self = shared_from_this();
+  const std::string_view bytes{ mBuffer.data(), aSize };
+  if (!aError && mDetour) {
+    OnDetourRead(bytes);
+  } else if (!aError) {
+    OnServerBytes(bytes);
+  } else if (aError == boost::asio::error::eof && !mDetour) {
+    OnServerEnd();
+    return;
+  } else {
+    CloseAsLost();
+  }
+  if (mSocket.is_open() && !mEndReached) {
+    Read();
+  }
+}
+
+bool
+ServerConnection::IsOpenedByDetour()
+{
+  if (mEstablished) {
+    return true;
+  }
+  const auto answer = mDetourStream.Answer();
+  if (mDetourStream.Malformed() || (answer && *answer != DetourStatus::Open)) {
     CloseAsLost();
+    return false;
+  }
+  if (!answer) {
+    return false;
+  }
+  OnEstablished();
+  return mSocket.is_open();
+}
+
+void
+ServerConnection::OnDetourRead(std::string_view aBytes)
+{
+  const auto bytes = mDetourStream.Read(aBytes);
+  if (!IsOpenedByDetour()) {
+    return;
+  }
+  if (!bytes.empty()) {
+    OnServerBytes(bytes);
+  }
+  if (!mSocket.is_open()) {
     return;
   }
+  if (mDetourStream.Ended()) {
+    OnServerEnd();
+  } else if (mDetourStream.Malformed()) {
+    CloseAsLost();
+  }
+}
+
+void
+ServerConnection::OnServerBytes(std::string_view aBytes)
+{
+  mLastReadAt = runtime::SteadyClock::Now();
   if (!mAwaitingResponse) {
     // Unsolicited bytes: the connection can't be reused.
     CloseAsLost();
     return;
   }
-  mUnparsed.append(mBuffer.data(), aSize);
-  const auto self = shared_from_this();
+  mUnparsed.append(aBytes);
   Parse();
-  if (mSocket.is_open()) {
-    Read();
+}
+
+void
+ServerConnection::OnServerEnd()
+{
+  if (mAwaitingResponse) {
+    mEndReached = true;
+    mParser.ReadEof();
+    if (mParser.Complete()) {
+      mAwaitingResponse = false;
+      Notify(ServerSignal::ResponseData);
+      return;
+    }
   }
+  CloseAsLost();
 }
 
 void
@@ -216,6 +310,11 @@
 ServerConnection::CloseAsLost()
 {
   mTimer.Clear();
+  if (mDetour && !mEstablished &&
+      mDetourStream.Answer() != DetourStatus::ServerUnreachable) {
+    mDetourFailed = true;
+    mDetour->onFailure();
+  }
   boost::system::error_code ignored;
   mSocket.close(ignored);
   Notify(ServerSignal::Lost);
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balsampoint/edge/detour_path.hpp"
+#include "balsampoint/edge/detour_stream.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/net/socket.hpp"
 #include "balsampoint/wire/parser.hpp"
@@ -11,6 +13,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -54,10 +57,12 @@
    * @param aContext I/O context of the loop.
    * @param aAddress IP address and port of the server.
    * @param aLimits Limits; outlive the connection.
+   * @param aDetour Host that opens the connection; absent for this one.
    */
   ServerConnection(boost::asio::io_context& aContext,
                    std::string aAddress,
-                   const ServerConnectionLimits& aLimits);
+                   const ServerConnectionLimits& aLimits,
+                   std::optional<DetourPath> aDetour = {});
 
   /** @brief Address of the server. */
   [[nodiscard]] const std::string& Address() const noexcept { return mAddress; }
@@ -120,6 +125,16 @@
   /** @brief Whether the socket is open. */
   [[nodiscard]] bool Open() const { return mSocket.is_open(); }
 
+  /** @brief Whether another host opens the connection. */
+  [[nodiscard]] bool HasDetour() const noexcept { return mDetour.has_value(); }
+
+  /** @brief Whether the connection was not established for a reason of the host
+   * that was to open it, which says nothing of the server. */
+  [[nodiscard]] bool DetourFailed() const noexcept { return mDetourFailed; }
+
+  /** @brief When bytes of the server were last read. */
+  [[nodiscard]] Instant LastReadAt() const noexcept { return mLastReadAt; }
+
   /** @brief Marks the connection as idle and detaches the observer. */
   void MarkIdle();
 
@@ -139,14 +154,24 @@
   static constexpr std::size_t kReadBytes = 16384;
 
   void OnConnect(const boost::system::error_code& aError);
+  void OnEstablished();
+  void AskDetour();
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aSize);
+  /** Whether the host on the way has opened the connection; closes it
+   * otherwise, unless the answer is incomplete. */
+  bool IsOpenedByDetour();
+  void OnDetourRead(std::string_view aBytes);
+  void OnServerBytes(std::string_view aBytes);
+  void OnServerEnd();
   void Parse();
   void CloseAsLost();
   void Notify(ServerSignal aSignal);
 
   const ServerConnectionLimits& mLimits;
   std::string mAddress;
+  std::optional<DetourPath> mDetour;
+  DetourStream mDetourStream;
   net::Tcp::socket mSocket;
   net::Timer mTimer;
   wire::Parser mParser;
@@ -154,10 +179,13 @@
   std::array<char, kReadBytes> mBuffer{};
   std::string mUnparsed;
   std::string mSending;
+  std::string mDetourRequest;
   std::chrono::steady_clock::time_point mIdleSince;
+  Instant mLastReadAt{ Instant::min() };
   Duration mIdleTimeout;
   std::uint32_t mRequestCount{};
   bool mEstablished{ false };
+  bool mDetourFailed{ false };
   bool mWriting{ false };
   bool mAwaitingResponse{ false };
   bool mIsHeadRequest{ false };
--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/edge/server_pool.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsampoint::edge {
 
@@ -31,12 +32,12 @@
 }
 
 std::shared_ptr<ServerConnection>
-ServerPool::Make(const std::string& aAddress)
+ServerPool::Make(const std::string& aAddress, std::optional<DetourPath> aDetour)
 {
   auto& made = mMade[aAddress];
   std::erase_if(made, [](const auto& aOne) { return aOne.expired(); });
-  auto connection =
-    std::make_shared<ServerConnection>(mContext, aAddress, mLimits);
+  auto connection = std::make_shared<ServerConnection>(
+    mContext, aAddress, mLimits, std::move(aDetour));
   made.push_back(connection);
   return connection;
 }
@@ -57,7 +58,8 @@
 {
   aConnection->SetObserver(nullptr);
   auto& idle = mIdle[aConnection->Address()];
-  if (!aConnection->Reusable() || idle.size() >= kMaxIdlePerServer) {
+  if (!aConnection->Reusable() || idle.size() >= kMaxIdlePerServer ||
+      aConnection->HasDetour() != mKeepsDetours) {
     aConnection->Close();
     return;
   }
@@ -77,6 +79,20 @@
   }
 }
 
+void
+ServerPool::KeepDetours(bool aDetours)
+{
+  if (mKeepsDetours == aDetours) {
+    return;
+  }
+  mKeepsDetours = aDetours;
+  for (const auto& [address, idle] : std::exchange(mIdle, {})) {
+    for (const auto& connection : idle) {
+      connection->Close();
+    }
+  }
+}
+
 void
 ServerPool::CloseExpired()
 {
--- a/src/balsampoint/edge/server_pool.hpp
+++ b/src/balsampoint/edge/server_pool.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,9 +36,11 @@
   /**
    * @brief Makes a connection that is not established yet.
    * @param aAddress IP address and port of the server.
+   * @param aDetour Host that opens the connection; absent for this one.
    */
   [[nodiscard]] std::shared_ptr<ServerConnection> Make(
-    const std::string& aAddress);
+    const std::string& aAddress,
+    std::optional<DetourPath> aDetour = {});
 
   /**
    * @brief Returns a connection to the pool, or closes it if it can't be reused
@@ -52,6 +55,14 @@
    */
   void CloseIdle(const std::string& aAddress);
 
+  /**
+   * @brief Keeps only one kind of connections from now on, and closes the idle
+   * ones of the other kind.
+   * @param aDetours Whether to keep those that other hosts have opened; false
+   * for those that this host has opened.
+   */
+  void KeepDetours(bool aDetours);
+
   /** @brief Closes the connections whose idle timeout has passed. */
   void CloseExpired();
 
@@ -72,6 +83,9 @@
   boost::asio::io_context& mContext;
   ServerConnectionLimits mLimits;
   std::map<std::string, Connections, std::less<>> mIdle;
+  /** Whether connections that other hosts have opened are kept, not those of
+   * this host. */
+  bool mKeepsDetours{ false };
   /** All connections by server, those that have ended until the next one. */
   std::map<std::string, std::vector<std::weak_ptr<ServerConnection>>> mMade;
 };
--- a/src/balsampoint/edge/server_prober.cpp
+++ b/src/balsampoint/edge/server_prober.cpp
@@ -50,7 +50,8 @@
   if (mProbes.contains(aAddress)) {
     return;
   }
-  auto connection = mConnections.Make(aAddress);
+  auto connection =
+    mConnections.Make(aAddress, mTraffic.links.ChoosePath(aAddress));
   mProbes.emplace(aAddress, connection);
   connection->SetObserver(
     [this, service = aService, server = aServer, aAddress](
@@ -74,7 +75,7 @@
   const auto connection = std::move(found->second);
   mProbes.erase(found);
   connection->Close();
-  if (aReachable) {
+  if (aReachable || connection->DetourFailed()) {
     return;
   }
   trace::Event{ "server_unreachable" }
--- a/src/balsampoint/edge/traffic_state.hpp
+++ b/src/balsampoint/edge/traffic_state.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "balsampoint/core/split_mix.hpp"
-#include "balsampoint/edge/crash_probes.hpp"
+#include "balsampoint/edge/connection_probes.hpp"
+#include "balsampoint/edge/link_watch.hpp"
 #include "balsampoint/edge/server_pool.hpp"
 #include "balsampoint/fleet/state.hpp"
 #include "balsampoint/forward/retry_budget.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/quarantine/state.hpp"
+#include "balsampoint/reach/state.hpp"
 #include "balsampoint/roster/view.hpp"
 #include "balsampoint/routing/table.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
@@ -37,7 +39,9 @@
                std::uint64_t aSeed)
     : loop{ aLoop }
     , pool{ aLoop.Context(), aServers }
-    , crashProbes{ aLoop.Context() }
+    , probes{ aLoop.Context() }
+    , reach{ .settings = { .zone = aFleet.zone } }
+    , links{ *this }
     , fleet{ .settings = std::move(aFleet) }
     , budget{ aAllowance }
     , quarantine{ .random = SplitMix64{ aSeed } }
@@ -75,6 +79,19 @@
     }
   }
 
+  /** @brief Notifies every request in progress that this host has lost its link
+   * to the servers, or that other hosts have come to reach them for it. */
+  void NotifyLink()
+  {
+    if (linkObserver) {
+      linkObserver();
+    }
+    const auto observers = linkObservers;
+    for (const auto& [request, observer] : observers) {
+      observer();
+    }
+  }
+
   /** @brief Notifies the host that it has more to report of suspects. */
   void NotifySuspects() const
   {
@@ -85,7 +102,9 @@
 
   net::Loop& loop;
   ServerPool pool;
-  CrashProbes crashProbes;
+  ConnectionProbes probes;
+  reach::State reach;
+  LinkWatch links;
   fleet::State fleet;
   forward::RetryBudget budget;
   quarantine::State quarantine;
@@ -97,6 +116,9 @@
   /** Observers by the address of their exchange. */
   std::map<const void*, ServerLossObserver> serverLossObservers;
   std::map<const void*, std::function<void()>> quarantineObservers;
+  std::map<const void*, std::function<void()>> linkObservers;
+  /** Called when the link to the servers changes; empty for none. */
+  std::function<void()> linkObserver;
   /** Called when there is more to report of suspects; empty for none. */
   std::function<void()> suspectsObserver;
   /** Number of requests in progress. */
--- /dev/null
+++ b/src/balsampoint/fleet/command/forget_unreachable.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "balsampoint/fleet/state.hpp"
+
+namespace balsampoint::fleet {
+
+/**
+ * @brief Forgets which servers could not be connected to, because it was this
+ * host that had no link to them.
+ * @param aState State to change.
+ */
+void
+ForgetUnreachable(State& aState);
+
+} // namespace balsampoint::fleet
--- a/src/balsampoint/forward/decision.cpp
+++ b/src/balsampoint/forward/decision.cpp
@@ -7,7 +7,15 @@
 bool
 MayRetry(const Progress& aProgress)
 {
-  switch (aProgress.kind) {
+  return MayRepeat(aProgress.kind) || !aProgress.mayHaveRun;
+}
+
+} // namespace
+
+bool
+MayRepeat(routing::RequestKind aKind)
+{
+  switch (aKind) {
     case routing::RequestKind::Idempotent:
     case routing::RequestKind::ResumableStream:
       return true;
@@ -15,11 +23,9 @@
     case routing::RequestKind::Stream:
       break;
   }
-  return !aProgress.mayHaveRun;
+  return false;
 }
 
-} // namespace
-
 Decision
 GiveUp(const Progress& aProgress, AttemptEnd aEnd)
 {
--- a/src/balsampoint/forward/decision.hpp
+++ b/src/balsampoint/forward/decision.hpp
@@ -62,6 +62,13 @@
   return aDecision == Decision::Retry || aDecision == Decision::Resume;
 }
 
+/**
+ * @brief Whether requests of a kind may be executed more than once.
+ * @param aKind The kind.
+ */
+[[nodiscard]] bool
+MayRepeat(routing::RequestKind aKind);
+
 /** @brief Maximum number of attempts that fail before anything is sent. */
 inline constexpr std::uint32_t kMaxFailedBeforeSend = 4;
 /** @brief Maximum number of times that one request is sent. */
--- a/src/balsampoint/net/socket.cpp
+++ b/src/balsampoint/net/socket.cpp
@@ -47,6 +47,24 @@
   return Tcp::endpoint{ host, port };
 }
 
+tl::expected<void, Error>
+Listen(Tcp::acceptor& aAcceptor, const std::string& aAddress, int aBacklog)
+{
+  const auto endpoint = ParseAddress(aAddress);
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
+  }
+  try {
+    aAcceptor.open(endpoint->protocol());
+    aAcceptor.set_option(boost::asio::socket_base::reuse_address{ true });
+    aAcceptor.bind(*endpoint);
+    aAcceptor.listen(aBacklog);
+  } catch (const boost::system::system_error& failure) {
+    return Refuse(ErrorKind::Internal, aAddress + ": " + failure.what());
+  }
+  return {};
+}
+
 void
 ConfigureSocket(Tcp::socket& aSocket, Duration aAckTimeout)
 {
--- a/src/balsampoint/net/socket.hpp
+++ b/src/balsampoint/net/socket.hpp
@@ -20,6 +20,17 @@
 [[nodiscard]] tl::expected<Tcp::endpoint, Error>
 ParseAddress(std::string_view aText);
 
+/**
+ * @brief Binds an acceptor to an address and starts to listen.
+ * @param aAcceptor Acceptor that isn't open.
+ * @param aAddress IP address and port.
+ * @param aBacklog Connections that may wait to be accepted.
+ * @return Nothing, `ErrorKind::BadRequest` if the address can't be parsed, or
+ * `ErrorKind::Internal` if it can't be bound.
+ */
+tl::expected<void, Error>
+Listen(Tcp::acceptor& aAcceptor, const std::string& aAddress, int aBacklog);
+
 /**
  * @brief Disables Nagle's algorithm and enables TCP keepalive and a limit on
  * unacknowledged data.
--- a/src/balsampoint/peer/usage_codec.cpp
+++ b/src/balsampoint/peer/usage_codec.cpp
@@ -182,6 +182,30 @@
   return reports;
 }
 
+std::vector<wire::UsageDetour>
+ToWire(std::span<const reach::Detour> aDetours)
+{
+  std::vector<wire::UsageDetour> detours;
+  detours.reserve(aDetours.size());
+  for (const auto& one : aDetours) {
+    auto& detour = detours.emplace_back();
+    detour.zone = one.zone.String();
+    detour.address = one.address;
+  }
+  return detours;
+}
+
+std::vector<reach::Detour>
+FromWire(std::span<const wire::UsageDetour> aDetours)
+{
+  std::vector<reach::Detour> detours;
+  detours.reserve(aDetours.size());
+  for (const auto& detour : aDetours) {
+    detours.push_back({ ZoneId{ detour.zone }, detour.address });
+  }
+  return detours;
+}
+
 /**
  * @brief Encodes the work of other hosts.
  * @tparam Sum `usage::RemoteUsage` or `usage::FarUsage`.
@@ -195,6 +219,9 @@
   encoded.hosts = static_cast<std::int32_t>(aSum.hosts);
   encoded.__set_suspects(ToWire(aSum.suspects));
   encoded.__set_services(ToWire(aSum.services));
+  if (!aSum.detours.empty()) {
+    encoded.__set_detours(ToWire(aSum.detours));
+  }
   return encoded;
 }
 
@@ -209,7 +236,8 @@
   return { FromWire(aSum.servers),
            static_cast<std::uint32_t>(aSum.hosts),
            FromWire(aSum.suspects),
-           FromWire(aSum.services) };
+           FromWire(aSum.services),
+           FromWire(aSum.detours) };
 }
 
 /** @brief Fills the field of the union that belongs to a message. */
@@ -223,6 +251,12 @@
     encoded.servers = ToWire(aMessage.servers);
     encoded.__set_suspects(ToWire(aMessage.suspects));
     encoded.__set_services(ToWire(aMessage.services));
+    if (!aMessage.detour.empty()) {
+      encoded.__set_detour(aMessage.detour);
+    }
+    if (aMessage.needsDetours) {
+      encoded.__set_needsDetours(true);
+    }
     out.__set_own(encoded);
   }
   void operator()(const usage::RemoteUsage& aMessage) const
@@ -237,6 +271,9 @@
     encoded.servers = ToWire(aMessage.servers);
     encoded.suspects = ToWire(aMessage.suspects);
     encoded.__set_services(ToWire(aMessage.services));
+    if (!aMessage.detours.empty()) {
+      encoded.__set_detours(ToWire(aMessage.detours));
+    }
     out.__set_group(encoded);
   }
   void operator()(const usage::FarUsage& aMessage) const
@@ -251,7 +288,10 @@
   if (aMessage.__isset.own) {
     return usage::LocalUsage{ FromWire(aMessage.own.servers),
                               FromWire(aMessage.own.suspects),
-                              FromWire(aMessage.own.services) };
+                              FromWire(aMessage.own.services),
+                              aMessage.own.detour,
+                              aMessage.own.__isset.needsDetours &&
+                                aMessage.own.needsDetours };
   }
   if (aMessage.__isset.others) {
     return FromWireSum<usage::RemoteUsage>(aMessage.others);
@@ -262,7 +302,8 @@
                               .hosts = static_cast<std::uint32_t>(group.hosts),
                               .servers = FromWire(group.servers),
                               .suspects = FromWire(group.suspects),
-                              .services = FromWire(group.services) };
+                              .services = FromWire(group.services),
+                              .detours = FromWire(group.detours) };
   }
   if (aMessage.__isset.far) {
     return FromWireSum<usage::FarUsage>(aMessage.far);
--- /dev/null
+++ b/src/balsampoint/reach/command/record_check.cpp
@@ -0,0 +1,54 @@
+#include "balsampoint/reach/command/record_check.hpp"
+
+#include <utility>
+
+namespace balsampoint::reach {
+
+namespace {
+
+/** @brief The link that follows from a check, and the number of successful
+ * checks in a row. */
+Link
+Judge(State& aState, bool aReached)
+{
+  if (!aReached) {
+    aState.successes = 0;
+    return Link::Down;
+  }
+  if (aState.link == Link::Up) {
+    return Link::Up;
+  }
+  return ++aState.successes < aState.settings.checksToRecover ? Link::Down
+                                                              : Link::Up;
+}
+
+} // namespace
+
+void
+RecordConnected(State& aState, Instant aNow)
+{
+  aState.connectedAt = aNow;
+}
+
+void
+BeginCheck(State& aState, Instant aNow)
+{
+  aState.checkedAt = aNow;
+}
+
+bool
+RecordCheck(State& aState, bool aReached, Instant aNow)
+{
+  if (aReached) {
+    RecordConnected(aState, aNow);
+  }
+  const auto link = Judge(aState, aReached);
+  if (std::exchange(aState.link, link) == link) {
+    return false;
+  }
+  aState.successes = 0;
+  aState.changedAt = aNow;
+  return true;
+}
+
+} // namespace balsampoint::reach
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -38,7 +38,11 @@
   Name{ "balsampoint_live_servers", "Backend servers with a lease." },
   Name{ "balsampoint_change_number", "Configuration in force on the host." },
   Name{ "balsampoint_dropped_spans", "Spans that were not written." },
-  Name{ "balsampoint_dropped_lines", "Lines of the log not written." }
+  Name{ "balsampoint_dropped_lines", "Lines of the log not written." },
+  Name{ "balsampoint_servers_reachable",
+        "1 while the host can open connections to backend servers, else 0." },
+  Name{ "balsampoint_detour_connections",
+        "Connections to backend servers held open for other hosts." }
 };
 
 prometheus::Histogram::BucketBoundaries
@@ -95,6 +99,7 @@
                          .Register(mRegistry)
                          .Add({}));
   }
+  Set(Level::ServersReachable, 1.0);
 }
 
 void
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -41,6 +41,8 @@
   ChangeNumber,
   DroppedSpans,
   DroppedLines,
+  ServersReachable,
+  DetourConnections,
 };
 
 /** @brief Events that are only counted. */
--- a/src/balsampoint/usage/command/send_sums.cpp
+++ b/src/balsampoint/usage/command/send_sums.cpp
@@ -27,6 +27,39 @@
   }
 }
 
+/** @brief Takes some of the detours out of a list, others each time, so that
+ * their users spread over all of them. */
+std::vector<reach::Detour>
+Rotate(std::vector<reach::Detour> aDetours,
+       const Settings& aSettings,
+       Instant aNow)
+{
+  const auto size = aDetours.size();
+  if (size <= aSettings.maxDetours) {
+    return aDetours;
+  }
+  const auto turn =
+    static_cast<std::uint64_t>(aNow.time_since_epoch() / aSettings.interval);
+  const auto first = (turn * aSettings.maxDetours) % size;
+  std::ranges::rotate(aDetours,
+                      aDetours.begin() + static_cast<std::ptrdiff_t>(first));
+  aDetours.resize(aSettings.maxDetours);
+  return aDetours;
+}
+
+/** @brief Hosts that report to this one and open connections for others. */
+std::vector<reach::Detour>
+OwnDetours(const State& aState)
+{
+  std::vector<reach::Detour> detours;
+  for (const auto& [host, reported] : aState.reports) {
+    if (!reported.use.detour.empty()) {
+      detours.push_back({ aState.settings.zone, reported.use.detour });
+    }
+  }
+  return detours;
+}
+
 /** @brief Sum of the hosts that report to this one. */
 GroupUsage
 MakeGroup(const State& aState, Instant aNow)
@@ -42,7 +75,8 @@
            .hosts = static_cast<std::uint32_t>(aState.reports.size()),
            .servers = totals.Servers(),
            .suspects = quarantine::Join(suspects),
-           .services = totals.Services() };
+           .services = totals.Services(),
+           .detours = Rotate(OwnDetours(aState), aState.settings, aNow) };
 }
 
 void
@@ -59,6 +93,7 @@
     // The hosts of other zones still run, most likely.
     aState.far.use.servers.clear();
     aState.far.use.suspects.clear();
+    aState.far.use.detours.clear();
   }
 }
 
@@ -100,6 +135,19 @@
   }
 }
 
+/** @brief Detours of the own zone, and some of the other zones. */
+std::vector<reach::Detour>
+KnownDetours(const State& aState, Instant aNow)
+{
+  auto detours = OwnDetours(aState);
+  for (const auto& [relay, reported] : aState.groups) {
+    std::ranges::copy(reported.use.detours, std::back_inserter(detours));
+  }
+  detours = Rotate(std::move(detours), aState.settings, aNow);
+  std::ranges::copy(aState.far.use.detours, std::back_inserter(detours));
+  return detours;
+}
+
 /** @brief Leaves out what servers have said of their rates, and servers of
  * which nothing else is known. */
 void
@@ -133,6 +181,7 @@
     AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
   }
   suspects = quarantine::Join(suspects);
+  const auto detours = KnownDetours(aState, aNow);
   const bool withRates = aNow >= aState.nextRates;
   if (withRates) {
     aState.nextRates = aNow + aState.settings.rateInterval;
@@ -142,6 +191,9 @@
                         .hosts = hosts - 1,
                         .suspects = suspects,
                         .services = totals.Without(reported.use.services) };
+    if (reported.use.needsDetours) {
+      others.detours = detours;
+    }
     if (!withRates) {
       DropRates(others.servers);
     }
@@ -173,7 +225,9 @@
     totals.Add(reported.use.servers, aNow - reported.receivedAt);
     totals.Add(reported.use.services);
     far.hosts += reported.use.hosts;
+    std::ranges::copy(reported.use.detours, std::back_inserter(far.detours));
   }
+  far.detours = Rotate(std::move(far.detours), aState.settings, aNow);
   far.servers = totals.Servers();
   far.suspects = quarantine::Join(suspects);
   far.services = totals.Services();
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -4,9 +4,11 @@
 #include "balsampoint/core/number.hpp"
 #include "balsampoint/core/time.hpp"
 #include "balsampoint/quarantine/report.hpp"
+#include "balsampoint/reach/detour.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -61,6 +63,11 @@
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
+  /** Address at which the host opens connections to servers for others; empty
+   * if it reaches none or has no room. */
+  std::string detour;
+  /** Whether the host reaches no servers and is to be told of detours. */
+  bool needsDetours{ false };
 
   bool operator==(const LocalUsage&) const = default;
 };
@@ -78,6 +85,9 @@
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
+  /** Hosts that open connections to servers; empty unless the receiver needs
+   * them. */
+  std::vector<reach::Detour> detours;
 
   bool operator==(const RemoteUsage&) const = default;
 };
@@ -93,6 +103,8 @@
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
+  /** Some of these hosts that open connections to servers. */
+  std::vector<reach::Detour> detours;
 
   bool operator==(const GroupUsage&) const = default;
 };
@@ -107,6 +119,8 @@
   std::vector<quarantine::SuspectReport> suspects;
   /** Demand for services with rate limits. */
   std::vector<ServiceUsage> services;
+  /** Some of these hosts that open connections to servers. */
+  std::vector<reach::Detour> detours;
 
   bool operator==(const FarUsage&) const = default;
 };
--- a/src/balsampoint/usage/module.cpp
+++ b/src/balsampoint/usage/module.cpp
@@ -36,6 +36,10 @@
   }
   auto& stored = aState.reports[aFrom];
   HurryIfNew(aState, aUse.suspects, stored.use.suspects, aNow);
+  if (aUse.needsDetours && !stored.use.needsDetours) {
+    aState.nextSums =
+      std::min(aState.nextSums, aNow + aState.settings.urgentDelay);
+  }
   stored = { std::move(aUse), aNow };
 }
 
--- a/src/balsampoint/usage/state.hpp
+++ b/src/balsampoint/usage/state.hpp
@@ -37,6 +37,8 @@
    * or a control host grows by `interval`, which bounds the messages that these
    * receive. */
   std::uint32_t hostsPerInterval{ 24 };
+  /** Most detours in one message; the choice rotates with time. */
+  std::size_t maxDetours{ 8 };
   /** Longest time between two sums sent to another relay. */
   Duration longestPeerInterval{ std::chrono::milliseconds{ 400 } };
   /** Longest time between two sums sent to a control host. */
--- a/test/balsampoint/peer/usage_codec_test.cpp
+++ b/test/balsampoint/peer/usage_codec_test.cpp
@@ -45,6 +45,25 @@
   cr_assert(std::get<usage::RemoteUsage>(Again(others)) == others);
 }
 
+Test(usage_codec, detours_survive_a_round_trip)
+{
+  const usage::LocalUsage cutOff{ .needsDetours = true };
+  cr_assert(std::get<usage::LocalUsage>(Again(cutOff)) == cutOff);
+  const usage::LocalUsage open{ .detour = "10.0.0.1:7355" };
+  cr_assert(std::get<usage::LocalUsage>(Again(open)) == open);
+  const std::vector<reach::Detour> detours{
+    { ZoneId{ "a" }, "10.0.0.1:7355" }, { ZoneId{ "b" }, "10.0.0.2:7355" }
+  };
+  const usage::RemoteUsage others{ .hosts = 3, .detours = detours };
+  cr_assert(std::get<usage::RemoteUsage>(Again(others)) == others);
+  const usage::FarUsage far{ .hosts = 3, .detours = detours };
+  cr_assert(std::get<usage::FarUsage>(Again(far)) == far);
+  const usage::GroupUsage group{ .zone = ZoneId{ "a" },
+                                 .hosts = 3,
+                                 .detours = detours };
+  cr_assert(std::get<usage::GroupUsage>(Again(group)) == group);
+}
+
 Test(usage_codec, rates_and_demand_survive_a_round_trip)
 {
   const usage::ServerUsage limited{ .server = ServerId{ "s" },
--- /dev/null
+++ b/test/balsampoint/reach/reach_test.cpp
@@ -0,0 +1,174 @@
+#include "balsampoint/reach/command/record_check.hpp"
+#include "balsampoint/reach/command/use_detours.hpp"
+#include "balsampoint/reach/query/check_due.hpp"
+#include "balsampoint/reach/query/choose_detour.hpp"
+#include "balsampoint/reach/query/choose_references.hpp"
+
+#include <array>
+#include <criterion/criterion.h>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace balsampoint;
+using namespace balsampoint::reach;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant kNow{ 1h };
+
+State
+DownState()
+{
+  State state{ .settings = { .zone = ZoneId{ "a" } } };
+  static_cast<void>(RecordCheck(state, false, kNow));
+  return state;
+}
+
+Detour
+MakeDetour(const char* aZone, const char* aAddress)
+{
+  return { ZoneId{ aZone }, aAddress };
+}
+
+roster::Server
+MakeServer(const std::string& aName,
+           const char* aService,
+           roster::Presence aPresence = roster::Presence::Ready)
+{
+  return { .claim = { .server = ServerId{ aName },
+                      .presence = aPresence,
+                      .description = { .service = ServiceId{ aService },
+                                       .address = aName } } };
+}
+
+} // namespace
+
+Test(reach, a_link_is_down_after_one_failed_check_and_up_after_two_good_ones)
+{
+  State state;
+  cr_assert_not(RecordCheck(state, true, kNow));
+  cr_assert(RecordCheck(state, false, kNow));
+  cr_assert_eq(state.link, Link::Down);
+  cr_assert_not(RecordCheck(state, true, kNow));
+  cr_assert_not(RecordCheck(state, false, kNow));
+  cr_assert_not(RecordCheck(state, true, kNow));
+  cr_assert(RecordCheck(state, true, kNow));
+  cr_assert_eq(state.link, Link::Up);
+}
+
+Test(reach, checks_are_due_without_failures_only_while_nothing_is_known)
+{
+  State state;
+  cr_assert(IsCheckDue(state, kNow));
+  BeginCheck(state, kNow);
+  cr_assert_not(RecordCheck(state, true, kNow));
+  cr_assert_not(IsCheckDue(state, kNow + 900ms));
+  cr_assert_not(MayCheck(state, kNow + 100ms));
+  cr_assert(MayCheck(state, kNow + 200ms));
+  cr_assert(IsCheckDue(state, kNow + 1s));
+  RecordConnected(state, kNow + 900ms);
+  cr_assert_not(IsCheckDue(state, kNow + 1s));
+  BeginCheck(state, kNow + 2s);
+  cr_assert(RecordCheck(state, false, kNow + 2s));
+  cr_assert(IsCheckDue(state, kNow + 2200ms));
+}
+
+// A host that has not shown that it reaches servers must not be named as a
+// detour.
+Test(reach, only_a_host_with_a_recent_connection_reaches_servers)
+{
+  State state;
+  cr_assert_not(ReachesServers(state, kNow));
+  RecordConnected(state, kNow);
+  cr_assert(ReachesServers(state, kNow + 1400ms));
+  cr_assert_not(ReachesServers(state, kNow + 1500ms));
+  cr_assert(RecordCheck(state, false, kNow + 1s));
+  cr_assert_not(ReachesServers(state, kNow + 1s));
+}
+
+Test(reach, detours_are_used_only_while_the_link_is_down)
+{
+  State state{ .settings = { .zone = ZoneId{ "a" } } };
+  const std::array detours{ MakeDetour("a", "one") };
+  SetDetours(state, detours, kNow);
+  cr_assert_not(ChooseDetour(state, ZoneId{ "a" }, 0, kNow).has_value());
+  cr_assert(RecordCheck(state, false, kNow));
+  cr_assert_eq(ChooseDetour(state, ZoneId{ "a" }, 0, kNow)->address, "one");
+  // The list has expired.
+  cr_assert_not(ChooseDetour(state, ZoneId{ "a" }, 0, kNow + 5s).has_value());
+}
+
+Test(reach, detours_of_the_own_zone_come_before_those_of_the_servers_zone)
+{
+  auto state = DownState();
+  const std::array detours{ MakeDetour("c", "far"),
+                            MakeDetour("b", "near"),
+                            MakeDetour("a", "own") };
+  SetDetours(state, detours, kNow);
+  const auto choose = [&] {
+    return ChooseDetour(state, ZoneId{ "b" }, 7, kNow)->address;
+  };
+  cr_assert_eq(choose(), "own");
+  RecordDetourFailure(state, "own", kNow);
+  cr_assert_eq(choose(), "near");
+  RecordDetourFailure(state, "near", kNow);
+  cr_assert_eq(choose(), "far");
+  RecordDetourFailure(state, "far", kNow);
+  cr_assert_not(ChooseDetour(state, ZoneId{ "b" }, 7, kNow).has_value());
+  cr_assert_eq(ChooseDetour(state, ZoneId{ "b" }, 7, kNow + 700ms)->address,
+               "own");
+}
+
+Test(reach, connections_spread_over_detours)
+{
+  auto state = DownState();
+  const std::array detours{ MakeDetour("a", "one"), MakeDetour("a", "two") };
+  SetDetours(state, detours, kNow);
+  for (std::uint32_t count = 0; count < 10; ++count) {
+    CountConnection(state, "one", true);
+  }
+  // Whichever two are drawn, if they differ, the less used one is taken.
+  constexpr std::uint64_t kOneAndTwo = 1;
+  cr_assert_eq(ChooseDetour(state, {}, kOneAndTwo, kNow)->address, "two");
+  cr_assert_eq(ChooseDetour(state, {}, kOneAndTwo << 32U, kNow)->address,
+               "two");
+}
+
+// If no host reaches servers, none is better than this one.
+Test(reach, a_host_is_behind_others_only_if_others_reach_servers)
+{
+  auto state = DownState();
+  cr_assert_not(IsBehindOthers(state, kNow + 2s));
+  const std::array detours{ MakeDetour("a", "one") };
+  SetDetours(state, detours, kNow + 2s);
+  cr_assert(IsBehindOthers(state, kNow + 2s));
+  State fresh;
+  SetDetours(fresh, detours, kNow);
+  cr_assert(RecordCheck(fresh, false, kNow));
+  cr_assert_not(IsBehindOthers(fresh, kNow + 900ms));
+}
+
+// A service without live servers must not look like a link that is down.
+Test(reach, a_check_draws_a_server_of_each_service_first)
+{
+  std::vector<roster::Server> servers;
+  for (int number = 0; number < 50; ++number) {
+    servers.push_back(MakeServer("big" + std::to_string(number), "big"));
+  }
+  servers.push_back(MakeServer("small", "small"));
+  servers.push_back(MakeServer("gone", "small", roster::Presence::Silent));
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    SplitMix64 random{ seed };
+    const auto drawn = ChooseReferences(servers, 4, random);
+    const std::set<std::string> distinct{ drawn.begin(), drawn.end() };
+    cr_assert_eq(distinct.size(), 4U);
+    cr_assert(distinct.contains("small"));
+    cr_assert_not(distinct.contains("gone"));
+  }
+  SplitMix64 random{ 1 };
+  cr_assert_eq(ChooseReferences(servers, 100, random).size(), 51U);
+  cr_assert(ChooseReferences({}, 4, random).empty());
+}
--- a/test/balsampoint/usage/module_test.cpp
+++ b/test/balsampoint/usage/module_test.cpp
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <criterion/criterion.h>
+#include <set>
+#include <string>
 
 using namespace balsampoint;
 using namespace balsampoint::usage;
@@ -305,3 +307,69 @@
   Module::Handle(state, Measured{ MakeUsage(3, 1) }, kNow + 6100ms, actions);
   cr_assert_eq(actions.size(), 12U);
 }
+
+// Guards against a host that is cut off from all servers and isn't told who
+// reaches them.
+Test(usage, hosts_that_need_detours_are_told_of_them_soon)
+{
+  State state{ .settings = { .self = HostId{ "c" }, .zone = ZoneId{ "a" } } };
+  Actions actions;
+  const auto report = [&](const char* aHost, bool aNeeds, Instant aNow) {
+    LocalUsage use{ .needsDetours = aNeeds };
+    if (!aNeeds) {
+      use.detour = std::string{ aHost } + ":7355";
+    }
+    Module::Handle(state, Received{ HostId{ aHost }, use }, aNow, actions);
+  };
+  report("e1", false, kNow);
+  report("e2", false, kNow);
+  Module::Handle(
+    state,
+    Received{
+      HostId{ "c0" },
+      FarUsage{ .hosts = 1, .detours = { { ZoneId{ "b" }, "e9:7355" } } } },
+    kNow,
+    actions);
+  Module::Tick(state, kNow + 200ms, actions);
+  cr_assert(SentTo(actions, "e1").detours.empty());
+  cr_assert(SentTo(actions, "e2").detours.empty());
+  actions.clear();
+  report("e2", true, kNow + 210ms);
+  cr_assert_eq(Module::NextDeadline(state), kNow + 220ms);
+  Module::Tick(state, kNow + 220ms, actions);
+  cr_assert(SentTo(actions, "e1").detours.empty());
+  const std::vector<reach::Detour> expected{ { ZoneId{ "a" }, "e1:7355" },
+                                             { ZoneId{ "b" }, "e9:7355" } };
+  cr_assert(SentTo(actions, "e2").detours == expected);
+}
+
+// Guards against lists that grow with the hosts, and detours that get all the
+// load because they come first.
+Test(usage, detours_take_turns_in_lists_of_bounded_length)
+{
+  State state{ .settings = { .self = HostId{ "c" }, .zone = ZoneId{ "a" } } };
+  Actions actions;
+  for (int number = 0; number < 40; ++number) {
+    const auto host = "e" + std::to_string(number);
+    Module::Handle(state,
+                   Received{ HostId{ host }, LocalUsage{ .detour = host } },
+                   kNow,
+                   actions);
+  }
+  Module::Handle(
+    state,
+    Received{ HostId{ "cut" }, LocalUsage{ .needsDetours = true } },
+    kNow,
+    actions);
+  std::set<std::string> named;
+  for (int turn = 1; turn <= 5; ++turn) {
+    actions.clear();
+    Module::Tick(state, kNow + turn * 200ms, actions);
+    const auto& detours = SentTo(actions, "cut").detours;
+    cr_assert_eq(detours.size(), state.settings.maxDetours);
+    for (const auto& detour : detours) {
+      named.insert(detour.address);
+    }
+  }
+  cr_assert_eq(named.size(), 40U);
+}
--- a/thrift/usage.thrift
+++ b/thrift/usage.thrift
@@ -45,10 +45,22 @@
   7: optional bool answersBegan
 }
 
+// A host that opens connections to servers for hosts that can't reach them.
+struct UsageDetour {
+  1: required string zone
+  // IP address and port.
+  2: required string address
+}
+
 struct UsageOwn {
   1: required list<UsageServer> servers
   2: optional list<UsageSuspect> suspects
   3: optional list<UsageService> services
+  // Where the sender opens connections to servers for other hosts; absent if it
+  // reaches none or has no room.
+  4: optional string detour
+  // Whether the sender reaches no servers and is to be told of detours.
+  5: optional bool needsDetours
 }
 
 struct UsageOthers {
@@ -56,6 +68,8 @@
   2: required i32 hosts
   3: optional list<UsageSuspect> suspects
   4: optional list<UsageService> services
+  // From a relay only for a host that needs them.
+  5: optional list<UsageDetour> detours
 }
 
 // Sum of a relay and the entry hosts that report to it.
@@ -65,6 +79,7 @@
   3: required list<UsageServer> servers
   4: required list<UsageSuspect> suspects
   5: optional list<UsageService> services
+  6: optional list<UsageDetour> detours
 }
 
 union UsageMessage {
