Check this host's link before a server counts as crashed

Cause: a connection that broke, and a probe that got none, were taken for a crash. On a host that has lost its own link every server looks like that, and its evidence goes to all hosts.

Change: before a crash is believed, and before streams leave a silent server, the host checks whether it reaches other servers. Connections that it had opened itself before its link changed accuse nobody. While the link is down servers are probed through other hosts, whose word counts.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -246,12 +246,16 @@
       OnNotConnected();
       return;
     }
-    RecordFinding(fleet::RequestOutcome::Broken);
     if (WasStale()) {
+      RecordFinding(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the server had closed the connection");
       return;
     }
+    if (LinkWasCut()) {
+      OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
+      return;
+    }
     const auto& address = mHops.front().address;
     mServer = nullptr;
     mTraffic.probes.Probe(address,
@@ -276,23 +280,54 @@
                                          : "the server can't be reached");
   }
 
+  /** Whether the link of this host, not the server, explains why the connection
+   * of the attempt broke. */
+  [[nodiscard]] bool LinkWasCut() const
+  {
+    const auto& reach = mTraffic.reach;
+    return mServer && !mServer->HasDetour() &&
+           (reach.link == reach::Link::Down || mSentAt < reach.changedAt);
+  }
+
   /** Continues after the connection to the server broke, once it is known
    * whether the server accepts others. */
   void OnBreakProbed(ProbeResult aResult)
   {
-    if (mEnded) {
+    const auto* server = mEnded ? nullptr : &mHops.front();
+    if (server == nullptr) {
+      return;
+    }
+    if (HasRestarted(*server)) {
+      OnServerBroke(ServerBreak::Crash);
       return;
     }
-    const auto& server = mHops.front();
     // A server at its limit of connections closes new ones and keeps others.
-    const bool crashed = (aResult == ProbeResult::Refuses &&
-                          !mTraffic.pool.IsConnected(server.address)) ||
-                         HasRestarted(server);
-    mCrashWatch.OnServerBroke(
-      mTraffic, server, crashed ? ServerBreak::Crash : ServerBreak::Reset);
+    if (aResult != ProbeResult::Refuses ||
+        mTraffic.pool.IsConnected(server->address)) {
+      OnServerBroke(ServerBreak::Reset);
+      return;
+    }
+    mTraffic.links.Check([self = this->weak_from_this()](bool aReached) {
+      const auto exchange = self.lock();
+      if (!exchange || exchange->mEnded) {
+        return;
+      }
+      if (aReached) {
+        exchange->OnServerBroke(ServerBreak::Crash);
+      } else {
+        exchange->OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
+      }
+    });
+  }
+
+  void OnServerBroke(ServerBreak aBreak)
+  {
+    RecordFinding(fleet::RequestOutcome::Broken);
+    mCrashWatch.OnServerBroke(mTraffic, mHops.front(), aBreak);
     OnAttemptEnd(forward::AttemptEnd::Broken,
-                 crashed ? "the server crashed"
-                         : "the connection to the server broke");
+                 aBreak == ServerBreak::Crash
+                   ? "the server crashed"
+                   : "the connection to the server broke");
   }
 
   /** Gives a connection of this host up that its lost link has cut: at once
--- a/src/balsampoint/edge/server_prober.cpp
+++ b/src/balsampoint/edge/server_prober.cpp
@@ -78,6 +78,22 @@
   if (aReachable || connection->DetourFailed()) {
     return;
   }
+  if (connection->HasDetour()) {
+    OnServerLost(aService, aServer, aAddress);
+    return;
+  }
+  mTraffic.links.Check([this, aService, aServer, aAddress](bool aReached) {
+    if (aReached) {
+      OnServerLost(aService, aServer, aAddress);
+    }
+  });
+}
+
+void
+ServerProber::OnServerLost(const ServiceId& aService,
+                           const ServerId& aServer,
+                           const std::string& aAddress)
+{
   trace::Event{ "server_unreachable" }
     .With("server", aServer)
     .With("address", aAddress);
--- a/src/balsampoint/edge/server_prober.hpp
+++ b/src/balsampoint/edge/server_prober.hpp
@@ -35,6 +35,9 @@
                      const ServerId& aServer,
                      const std::string& aAddress,
                      bool aReachable);
+  void OnServerLost(const ServiceId& aService,
+                    const ServerId& aServer,
+                    const std::string& aAddress);
 
   TrafficState& mTraffic;
   net::Timer mTimer;
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -564,6 +564,31 @@
   });
 }
 
+// Guards against accusing requests of crashes because this host has lost its
+// link to all servers: no other host would send them either.
+Test(exchange, a_host_that_lost_its_link_accuses_no_request)
+{
+  for (const auto kind : { routing::RequestKind::Idempotent,
+                           routing::RequestKind::NonIdempotent }) {
+    Host host{ kind };
+    const auto cut = [&](const auto& aCaller, const auto& /*aRequest*/) {
+      host.one.Stop();
+      host.two.Stop();
+      aCaller->Close(true);
+    };
+    host.one.respond = cut;
+    host.two.respond = cut;
+    host.Start();
+    Caller caller;
+    caller.SendRequest("POST", "Content-Length: 0\r\n");
+    cr_assert(caller.Expect("HTTP/1.1 502"));
+    host.RunOnLoop([&] {
+      cr_assert(host.Shared().quarantine.suspects.empty());
+      cr_assert_eq(host.Shared().reach.link, reach::Link::Down);
+    });
+  }
+}
+
 // Guards against accusing the prompt of a request that met a connection which
 // the server had closed while it was idle.
 Test(exchange, a_connection_closed_while_idle_accuses_no_prompt)
