--- a/src/balsampoint/reach/query/check_due.cpp
+++ b/src/balsampoint/reach/query/check_due.cpp
@@ -1,9 +1,5 @@
 #include "balsampoint/reach/query/check_due.hpp"
 
-#include "balsampoint/reach/query/choose_detour.hpp"
-
-#include <chrono>
-
 namespace balsampoint::reach {
 
 namespace {
@@ -42,12 +38,4 @@
          !HasPassed(aState.connectedAt, aState.settings.proofTime, aNow);
 }
 
-bool
-IsBehindOthers(const State& aState, Instant aNow)
-{
-  constexpr Duration kPatience = std::chrono::seconds{ 1 };
-  return UsesDetours(aState, aNow) &&
-         HasPassed(aState.changedAt, kPatience, aNow);
-}
-
 } // namespace balsampoint::reach
--- a/src/balsampoint/reach/query/check_due.hpp
+++ b/src/balsampoint/reach/query/check_due.hpp
@@ -30,14 +30,4 @@
 [[nodiscard]] bool
 ReachesServers(const State& aState, Instant aNow);
 
-/**
- * @brief Whether new callers are better served by other hosts: the link has
- * been down for a while and other hosts reach servers. If none does, this host
- * is as good as any.
- * @param aState State to read.
- * @param aNow Current time.
- */
-[[nodiscard]] bool
-IsBehindOthers(const State& aState, Instant aNow);
-
 } // namespace balsampoint::reach
--- a/test/balsampoint/reach/reach_test.cpp
+++ b/test/balsampoint/reach/reach_test.cpp
@@ -137,20 +137,6 @@
                "two");
 }
 
-// If no host reaches servers, none is better than this one.
-Test(reach, a_host_is_behind_others_only_if_others_reach_servers)
-{
-  auto state = DownState();
-  cr_assert_not(IsBehindOthers(state, kNow + 2s));
-  const std::array detours{ MakeDetour("a", "one") };
-  SetDetours(state, detours, kNow + 2s);
-  cr_assert(IsBehindOthers(state, kNow + 2s));
-  State fresh;
-  SetDetours(fresh, detours, kNow);
-  cr_assert(RecordCheck(fresh, false, kNow));
-  cr_assert_not(IsBehindOthers(fresh, kNow + 900ms));
-}
-
 // A service without live servers must not look like a link that is down.
 Test(reach, a_check_draws_a_server_of_each_service_first)
 {
