Let connections through other hosts outlive the traffic state

A connection that is kept when a host stops tells the watch of the link that it has ended; the watch may be gone before. Found by reading: the connections are destroyed with the event loop, which outlives the state. Also bounds the connections of other hosts that haven't asked yet, and leaves callers more of the descriptors.

--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -28,7 +28,7 @@
 /** Descriptors kept free for peers, servers and files. */
 constexpr std::size_t kReservedDescriptors = 400;
 /** Connections for other hosts take twice this part of the descriptors. */
-constexpr std::size_t kDetourDivisor = 8;
+constexpr std::size_t kDetourDivisor = 16;
 
 std::size_t
 UsableDescriptors(const config::GatewaySettings& aSettings)
--- a/src/balsampoint/edge/detour_port.cpp
+++ b/src/balsampoint/edge/detour_port.cpp
@@ -48,6 +48,11 @@
       mAcceptRetryTimer.Set(kAcceptRetryDelay, [this] { Accept(); });
       return;
     }
+    if (mConnections.size() >= 2 * mMaxConnections) {
+      net::ResetConnection(aSocket);
+      Accept();
+      return;
+    }
     auto connection = std::make_shared<DetourConnection>(
       *this, mTraffic.loop.Context(), std::move(aSocket));
     mConnections.insert(connection);
--- a/src/balsampoint/edge/link_watch.cpp
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -11,6 +11,7 @@
 #include "balsampoint/trace/event.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace balsampoint::edge {
@@ -181,18 +182,25 @@
     return std::nullopt;
   }
   reach::CountConnection(mTraffic.reach, detour->address, true);
+  // Connections may outlive the traffic thread's state.
+  const std::weak_ptr<LinkWatch*> watch{ mSelf };
   const std::shared_ptr<void> lease{
     nullptr,
-    [this, address = detour->address](std::nullptr_t) {
-      reach::CountConnection(mTraffic.reach, address, false);
+    [watch, address = detour->address](std::nullptr_t) {
+      if (const auto self = watch.lock()) {
+        reach::CountConnection((*self)->mTraffic.reach, address, false);
+      }
     }
   };
   return DetourPath{ .address = detour->address,
                      .token = DetourToken(mSecret, aServer),
                      .onFailure =
-                       [this, address = detour->address] {
-                         reach::RecordDetourFailure(
-                           mTraffic.reach, address, TrafficState::Now());
+                       [watch, address = detour->address] {
+                         if (const auto self = watch.lock()) {
+                           reach::RecordDetourFailure((*self)->mTraffic.reach,
+                                                      address,
+                                                      TrafficState::Now());
+                         }
                        },
                      .lease = lease };
 }
--- a/src/balsampoint/edge/link_watch.hpp
+++ b/src/balsampoint/edge/link_watch.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -36,6 +37,12 @@
    */
   explicit LinkWatch(TrafficState& aTraffic);
 
+  LinkWatch(const LinkWatch&) = delete;
+  LinkWatch& operator=(const LinkWatch&) = delete;
+  LinkWatch(LinkWatch&&) = delete;
+  LinkWatch& operator=(LinkWatch&&) = delete;
+  ~LinkWatch() = default;
+
   /** @brief Starts to check also without failures, as often as is needed to
    * tell other hosts whether this one reaches servers. */
   void Start();
@@ -82,6 +89,8 @@
   void OnLinkChanged();
 
   TrafficState& mTraffic;
+  /** Tells connections whether the watch still exists. */
+  std::shared_ptr<LinkWatch*> mSelf{ std::make_shared<LinkWatch*>(this) };
   net::Timer mTimer;
   std::string mSecret;
   /** Receivers of the result of the check in progress. */
