Check the framing of chunked bodies

What callers could get: an answer in chunks as complete whose bytes were those of two answers, where a server writes a late copy between the bytes of another answer. Cause: the parsing library, as it is built here, takes any two bytes for the line end behind a chunk or its size, and any lines for trailers, so that a shift of the framing wasn't noticed. Class: a check that is left to a library which doesn't make it; heads were checked here already.

Evidence: parser::rejects_chunks_that_are_not_framed failed before.

Why it works: each chunk must end where its size says, so that inserted bytes make the answer malformed unless their number and place fit by chance.

--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -99,6 +99,7 @@
   mResponse = {};
   mBody.clear();
   mBodyRead = 0;
+  mChunks = {};
   mError = ParseError::None;
   mHasHead = false;
   mComplete = false;
@@ -118,7 +119,7 @@
       return used;
     }
   }
-  return used + Execute(aBytes.substr(used));
+  return used + ReadBody(aBytes.substr(used));
 }
 
 void
@@ -216,6 +217,18 @@
   }
 }
 
+std::size_t
+Parser::ReadBody(std::string_view aBytes)
+{
+  const auto used = Execute(aBytes);
+  const bool chunked = (mParser.flags & F_CHUNKED) != 0U;
+  if (mError == ParseError::None && chunked &&
+      !mChunks.Check(aBytes.substr(0, used))) {
+    mError = ParseError::Malformed;
+  }
+  return used;
+}
+
 std::size_t
 Parser::Execute(std::string_view aBytes)
 {
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsampoint/wire/chunk_framing.hpp"
 #include "balsampoint/wire/head.hpp"
 
 #include <cstddef>
@@ -38,7 +39,8 @@
  *
  * The head is buffered until it is complete. It is rejected unless each line
  * ends with CR LF, has a name without spaces and isn't folded, and unless the
- * length of the body is unambiguous. The body is available as it arrives.
+ * length of the body is unambiguous, and a chunked body unless its chunks end
+ * where their sizes say. The body is available as it arrives.
  */
 class Parser
 {
@@ -116,6 +118,7 @@
 private:
   std::size_t ReadHead(std::string_view aBytes);
   void ParseHead();
+  std::size_t ReadBody(std::string_view aBytes);
   std::size_t Execute(std::string_view aBytes);
   void FinishHead();
   /** Whether the status of a response says that it has no body, whatever length
@@ -138,6 +141,7 @@
   ResponseHead mResponse;
   std::string mBody;
   std::uint64_t mBodyRead{};
+  ChunkFraming mChunks;
   ParseError mError{ ParseError::None };
   bool mHasHead{ false };
   bool mComplete{ false };
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -53,6 +53,38 @@
   cr_assert_eq(parser.TakeBody(), "abcde");
 }
 
+// Guards against chunks whose framing doesn't hold: what another writer of the
+// connection sends between their bytes was read as a part of them.
+Test(parser, rejects_chunks_that_are_not_framed)
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string body : { "5\r\nhello\r\n0\r\n\r\n",
+                                  "5 \r\nhello\r\n0\r\n\r\n",
+                                  "5;a=b\r\nhello\r\n0\r\nX-Sum: 7\r\n\r\n" }) {
+    Parser parser{ MessageKind::Response };
+    cr_assert_eq(parser.Read(head + body), head.size() + body.size());
+    cr_assert(parser.Complete(), "%s", body.c_str());
+    cr_assert_eq(parser.TakeBody(), "hello");
+  }
+  for (const std::string body : { "5\rxhello\r\n0\r\n\r\n",
+                                  "5\r\nhelloxx0\r\n\r\n",
+                                  "5\r\nhello\rx0\r\n\r\n",
+                                  "5\r\nhello\r\n0\rx\r\n",
+                                  "5\r\nhello\r\n0\r\n\rx",
+                                  "5\r\nhello\r\n0\r\n\n",
+                                  "5\r\nhello\r\n0\r\nX-Sum: 7\n\r\n",
+                                  "5\r\nhello\r\n0\r\n X-Sum: 7\r\n\r\n",
+                                  "5\r\nhello\r\n0\r\nX-Sum 7\r\n\r\n",
+                                  "0\r\nX: HTTP/1.1 200 OK\r\n\r\n" }) {
+    Parser parser{ MessageKind::Response };
+    for (const char letter : head + body) {
+      parser.Read({ &letter, 1 });
+    }
+    cr_assert_eq(parser.Error(), ParseError::Malformed, "%s", body.c_str());
+  }
+}
+
 // Request smuggling: a server behind this host could parse these heads
 // differently and see another request in the body.
 Test(parser, rejects_ambiguous_heads)
