Send no two requests with the same id on one connection

What callers could get: the late copy of an earlier answer with their request's id as their own, where two requests under one id were sent on one connection: of two callers, or of a host that repeats a refused or failed request at the same server. The copy names the request that waits. Cause: an id identifies an answer only if it is used once on the connection, and nothing saw to that. Class: a name taken for unique beyond the place where it is.

Evidence: exchange::requests_with_the_same_id_use_different_connections and exchange::a_repetition_uses_another_connection failed before (the second caller got the first one's body; the request that two servers had refused reached them more often than a third time, as the copy of the refusal counted as an answer). x86_64.

Why it works: a connection knows the hashes of the ids that it has carried, and the pool passes over one that may have carried the id. A connection is closed after 256 requests, so that the list is bounded and complete. Requests that may run only once never use a connection again, as before.

Tests that reuse connections sent all their requests under one id and would no longer reuse any; each request has its own id now, with the same checks.

--- a/src/balsampoint/edge/engine_control_client.cpp
+++ b/src/balsampoint/edge/engine_control_client.cpp
@@ -58,7 +58,7 @@
     }
     auto& parser = pending->connection->ResponseParser();
     if (aSignal == ServerSignal::Connected) {
-      pending->connection->Send(std::move(pending->request), false);
+      pending->connection->Send({ .bytes = std::move(pending->request) });
     } else if (aSignal == ServerSignal::Lost) {
       End(pending, std::nullopt);
     } else if (parser.Complete()) {
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -190,13 +190,13 @@
     mTokens = chosen->tokens;
     fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
     const auto& address = mHops.front().address;
-    // The server may close an idle connection while a request is being sent on
-    // it, which leaves unknown whether the request was run. Requests that may
-    // run only once therefore get a new connection.
+    // The server may close an idle connection as a request is sent on it, which
+    // may then have run. Requests that may run only once get a new connection.
     const bool mayReuse =
       mProgress.kind != routing::RequestKind::NonIdempotent &&
       mProgress.kind != routing::RequestKind::Stream;
-    mServer = mayReuse ? mTraffic.pool.TakeIdle(address) : nullptr;
+    mServer =
+      mayReuse ? mTraffic.pool.TakeIdle(address, mParameters.id) : nullptr;
     const bool reused = mServer != nullptr;
     mIdleTime = reused ? mServer->IdleTime() : Duration{};
     if (!reused) {
@@ -420,7 +420,9 @@
                                    .workspace = Workspace(),
                                    .priority = priority,
                                    .resumeAfter = mEvents.LastId() });
-    mServer->Send(std::move(bytes), mRequest.head.method == "HEAD");
+    mServer->Send({ .bytes = std::move(bytes),
+                    .id = mParameters.id,
+                    .isHead = mRequest.head.method == "HEAD" });
   }
 
   void OnResponseData()
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -71,7 +71,7 @@
   /** Request that the answer names first; empty if it names none. */
   std::string_view namedRequest;
   /** Number of requests sent on the connection, this one included. */
-  std::uint32_t requestsOnConnection{};
+  std::size_t requestsOnConnection{};
   /** Time since the request was sent. */
   Duration sinceSent{};
 };
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -126,19 +126,20 @@
 }
 
 void
-ServerConnection::Send(std::string aBytes, bool aIsHeadRequest)
+ServerConnection::Send(EncodedRequest aRequest)
 {
-  ++mRequestCount;
-  mIsHeadRequest = aIsHeadRequest;
+  mRequestIds.push_back(std::hash<RequestId>{}(aRequest.id));
+  mIsHeadRequest = aRequest.isHead;
   mParser.Restart();
   if (mIsHeadRequest) {
     mParser.ExpectNoBody();
   }
   mAwaitingResponse = true;
   mWriting = true;
-  mSending = mDetour ? std::string{} : std::move(aBytes);
+  mSending = std::move(aRequest.bytes);
   if (mDetour) {
-    wire::AppendChunk(mSending, aBytes);
+    const auto bytes = std::exchange(mSending, {});
+    wire::AppendChunk(mSending, bytes);
   }
   boost::asio::async_write(
     mSocket,
@@ -176,11 +177,19 @@
   }
 }
 
+bool
+ServerConnection::MayHaveCarried(const RequestId& aId) const
+{
+  return std::ranges::find(mRequestIds, std::hash<RequestId>{}(aId)) !=
+         mRequestIds.end();
+}
+
 bool
 ServerConnection::Reusable() const
 {
   return mSocket.is_open() && !mWriting && mUnparsed.empty() &&
-         mParser.Complete() && mParser.Response().keepAlive;
+         mRequestIds.size() < kMaxRequests && mParser.Complete() &&
+         mParser.Response().keepAlive;
 }
 
 void
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsampoint/core/id.hpp"
 #include "balsampoint/edge/detour_path.hpp"
 #include "balsampoint/edge/detour_stream.hpp"
 #include "balsampoint/net/loop.hpp"
@@ -17,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace balsampoint::edge {
 
@@ -34,6 +36,16 @@
   wire::MessageLimits message{ .bodyBytes = std::uint64_t{ 8 } * 1024 * 1024 };
 };
 
+/** @brief A request in the encoding of its server. */
+struct EncodedRequest
+{
+  std::string bytes;
+  /** Id that its response names; empty if none is expected. */
+  RequestId id;
+  /** Whether it is a `HEAD` request, whose response has no body. */
+  bool isHead{ false };
+};
+
 /** @brief Event on a connection to a server. */
 enum class ServerSignal : std::uint8_t
 {
@@ -81,11 +93,9 @@
 
   /**
    * @brief Sends a request and starts to read its response.
-   * @param aBytes The encoded request.
-   * @param aIsHeadRequest Whether it is a `HEAD` request, whose response has no
-   * body.
+   * @param aRequest The request.
    */
-  void Send(std::string aBytes, bool aIsHeadRequest);
+  void Send(EncodedRequest aRequest);
 
   /** @brief Closes the connection without notifying the observer. */
   void Close();
@@ -100,11 +110,18 @@
   }
 
   /** @brief Number of requests sent on the connection. */
-  [[nodiscard]] std::uint32_t RequestCount() const noexcept
+  [[nodiscard]] std::size_t RequestCount() const noexcept
   {
-    return mRequestCount;
+    return mRequestIds.size();
   }
 
+  /**
+   * @brief Whether a request with an id may have been sent on the connection,
+   * so that a late copy of its response can't be told from that to another one.
+   * @param aId Id of the request.
+   */
+  [[nodiscard]] bool MayHaveCarried(const RequestId& aId) const;
+
   /** @brief Discards a complete response, which is interim or belongs to an
    * earlier request, and reads the next one. The connection is lost if the
    * discarded one ended it. */
@@ -152,6 +169,8 @@
 
 private:
   static constexpr std::size_t kReadBytes = 16384;
+  /** Bounds the ids that are kept. */
+  static constexpr std::size_t kMaxRequests = 256;
 
   void OnConnect(const boost::system::error_code& aError);
   void OnEstablished();
@@ -183,7 +202,8 @@
   std::chrono::steady_clock::time_point mIdleSince;
   Instant mLastReadAt{ Instant::min() };
   Duration mIdleTimeout;
-  std::uint32_t mRequestCount{};
+  /** Hashes of the ids of all requests sent. */
+  std::vector<std::size_t> mRequestIds;
   bool mEstablished{ false };
   bool mDetourFailed{ false };
   bool mWriting{ false };
--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/edge/server_pool.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace balsampoint::edge {
@@ -13,22 +14,25 @@
 } // namespace
 
 std::shared_ptr<ServerConnection>
-ServerPool::TakeIdle(const std::string& aAddress)
+ServerPool::TakeIdle(const std::string& aAddress, const RequestId& aRequest)
 {
   const auto found = mIdle.find(aAddress);
   if (found == mIdle.end()) {
     return nullptr;
   }
   auto& idle = found->second;
-  while (!idle.empty()) {
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->Open() && !IsExpired(*connection)) {
-      return connection;
-    }
-    connection->Close();
+  CloseExpired(idle);
+  // The one that was used last.
+  const auto last =
+    std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aConnection) {
+      return !aConnection->MayHaveCarried(aRequest);
+    });
+  if (last == idle.rend()) {
+    return nullptr;
   }
-  return nullptr;
+  auto connection = std::move(*last);
+  idle.erase(std::prev(last.base()));
+  return connection;
 }
 
 std::shared_ptr<ServerConnection>
@@ -97,13 +101,7 @@
 ServerPool::CloseExpired()
 {
   for (auto& [address, idle] : mIdle) {
-    std::erase_if(idle, [](const auto& aConnection) {
-      if (aConnection->Open() && !IsExpired(*aConnection)) {
-        return false;
-      }
-      aConnection->Close();
-      return true;
-    });
+    CloseExpired(idle);
   }
   std::erase_if(mIdle,
                 [](const auto& aEntry) { return aEntry.second.empty(); });
@@ -113,6 +111,18 @@
   });
 }
 
+void
+ServerPool::CloseExpired(Connections& aIdle)
+{
+  std::erase_if(aIdle, [](const auto& aConnection) {
+    if (aConnection->Open() && !IsExpired(*aConnection)) {
+      return false;
+    }
+    aConnection->Close();
+    return true;
+  });
+}
+
 std::size_t
 ServerPool::IdleCount() const
 {
--- a/src/balsampoint/edge/server_pool.hpp
+++ b/src/balsampoint/edge/server_pool.hpp
@@ -28,10 +28,13 @@
   /**
    * @brief Removes an idle connection from the pool.
    * @param aAddress IP address and port of the server.
-   * @return An open connection; null if there is none.
+   * @param aRequest Id of the request to send on it.
+   * @return An open connection that has carried no request with this id; null
+   * if there is none.
    */
   [[nodiscard]] std::shared_ptr<ServerConnection> TakeIdle(
-    const std::string& aAddress);
+    const std::string& aAddress,
+    const RequestId& aRequest);
 
   /**
    * @brief Makes a connection that is not established yet.
@@ -79,6 +82,9 @@
   using Connections = std::vector<std::shared_ptr<ServerConnection>>;
 
   static bool IsExpired(const ServerConnection& aConnection);
+  /** Closes the connections that have ended or whose idle timeout has passed.
+   */
+  static void CloseExpired(Connections& aIdle);
 
   boost::asio::io_context& mContext;
   ServerConnectionLimits mLimits;
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -11,6 +11,7 @@
 #include <criterion/criterion.h>
 #include <functional>
 #include <future>
+#include <map>
 #include <set>
 #include <string>
 #include <thread>
@@ -99,6 +100,14 @@
          "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
+/** @brief Fields of a success that answers a request. */
+std::string
+StampedFor(const edge::IncomingRequest& aRequest)
+{
+  const auto id = aRequest.head.fields.Find("X-Request-Id").value_or("");
+  return "X-Request-Id: " + std::string{ id } + "\r\nX-Response-Stamp: s\r\n";
+}
+
 const std::string kStamped{ "X-Request-Id: q1\r\nX-Response-Stamp: s\r\n" };
 const std::string kStampedOther{ "X-Request-Id: q0\r\n"
                                  "X-Response-Stamp: s\r\n" };
@@ -597,13 +606,14 @@
   // Every other request is broken at once; its retry sees who is accused.
   std::vector<std::size_t> accused;
   int received = 0;
-  host.one.respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+  host.one.respond = [&](const auto& aCaller, const auto& aRequest) {
     if (++received % 2 == 0) {
       aCaller->Close(true);
       return;
     }
     accused.push_back(host.Shared().quarantine.suspects.size());
-    aCaller->Send(StreamHead("q1") + Chunk(Event(1)) + "0\r\n\r\n");
+    const std::string id{ *aRequest.head.fields.Find("X-Request-Id") };
+    aCaller->Send(StreamHead(id) + Chunk(Event(1)) + "0\r\n\r\n");
     aCaller->Finish(true);
   };
   host.Start();
@@ -611,11 +621,14 @@
     auto& servers = host.Shared().fleet.groups.at(kService).servers;
     servers.at(ServerId{ "two" }).ready = false;
   });
+  int number = 0;
   for (const auto idle : { 0ms, 300ms, 0ms }) {
     std::this_thread::sleep_for(idle);
     Caller caller;
     caller.SendRequest(
-      "POST", "Content-Length: 0\r\nX-Prompt-Prefix: first:40,own:9\r\n");
+      "POST",
+      "Content-Length: 0\r\nX-Prompt-Prefix: first:40,own:9\r\n",
+      "q" + std::to_string(++number));
     cr_assert(caller.Expect("\r\n0\r\n\r\n"));
   }
   host.RunOnLoop([&] {
@@ -736,17 +749,17 @@
          std::pair{ "-9223372036854775808", 2 } }) {
     Host host{ routing::RequestKind::Idempotent };
     std::vector<FakeServer::Pointer> connections;
-    const auto fields = kStamped + "Keep-Alive: timeout=" + timeout + "\r\n";
-    host.one.respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+    const auto alive = "Keep-Alive: timeout=" + std::string{ timeout } + "\r\n";
+    host.one.respond = [&](const auto& aCaller, const auto& aRequest) {
       connections.push_back(aCaller);
-      aCaller->Send(PlainResponse(200, fields, "done"));
+      aCaller->Send(PlainResponse(200, StampedFor(aRequest) + alive, "done"));
       aCaller->Finish(true);
     };
     host.two.Stop();
     host.Start();
     for (int request = 0; request < 2; ++request) {
       Caller caller;
-      caller.SendRequest("GET");
+      caller.SendRequest("GET", {}, "q" + std::to_string(request));
       cr_assert(caller.Expect("done"));
       std::this_thread::sleep_for(20ms);
     }
@@ -947,9 +960,9 @@
   for (const auto& copyFields : { std::string{}, kStampedOther }) {
     Host host{ routing::RequestKind::Idempotent };
     int received = 0;
-    const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+    const auto respond = [&](const auto& aCaller, const auto& aRequest) {
       ++received;
-      const auto fresh = PlainResponse(200, kStamped, "fresh");
+      const auto fresh = PlainResponse(200, StampedFor(aRequest), "fresh");
       const auto copy = PlainResponse(200, copyFields, "stale");
       aCaller->Send(received == 2 ? copy + fresh : fresh);
       aCaller->Finish(true);
@@ -959,7 +972,7 @@
     host.Start();
     for (int request = 0; request < 2; ++request) {
       Caller caller;
-      caller.SendRequest("GET");
+      caller.SendRequest("GET", {}, "q" + std::to_string(request + 1));
       std::ignore = caller.Expect("fresh");
       cr_assert_eq(caller.read.find("stale"), std::string::npos);
     }
@@ -967,6 +980,56 @@
   }
 }
 
+// Guards against a late copy that names the request it is taken for, because an
+// earlier request with the same id was sent on the connection.
+Test(exchange, requests_with_the_same_id_use_different_connections)
+{
+  Host host{ routing::RequestKind::Idempotent };
+  // Kept, so that no two have the same address.
+  std::map<FakeServer::Pointer, std::string> answered;
+  const auto respond = [&](const auto& aCaller, const auto& aRequest) {
+    auto& copy = answered[aCaller];
+    const auto own = PlainResponse(200, kStamped, aRequest.body);
+    aCaller->Send(copy + own);
+    copy = own;
+    aCaller->Finish(true);
+  };
+  host.one.respond = respond;
+  host.two.Stop();
+  host.Start();
+  for (const std::string body : { "first", "other" }) {
+    Caller caller;
+    caller.SendRequest("POST", "Content-Length: 5\r\n", "q1", body);
+    cr_assert(caller.Expect(body), "%s", caller.read.c_str());
+  }
+}
+
+// Guards against the late copy of a refusal or failure that is taken for the
+// answer to the repetition of its request.
+Test(exchange, a_repetition_uses_another_connection)
+{
+  for (const auto& first :
+       { PlainResponse(503, kRefused, ""), PlainResponse(500, kStamped, "") }) {
+    Host host{ routing::RequestKind::Idempotent };
+    std::map<FakeServer::Pointer, int> connections;
+    int received = 0;
+    const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+      const bool repeated = connections[aCaller]++ > 0;
+      aCaller->Send(
+        (repeated ? first : std::string{}) +
+        (++received < 3 ? first : PlainResponse(200, kStamped, "fresh")));
+      aCaller->Finish(true);
+    };
+    host.one.respond = respond;
+    host.two.respond = respond;
+    host.Start();
+    Caller caller;
+    caller.SendRequest("GET");
+    cr_assert(caller.Expect("fresh"), "%s", caller.read.c_str());
+    host.RunOnLoop([&] { cr_assert_eq(received, 3); });
+  }
+}
+
 // Guards against a body that holds a copy of an answer, sent before the
 // connection ended or between two parts of the answer.
 Test(exchange, a_body_that_holds_another_answer_reaches_no_caller)
@@ -1269,9 +1332,9 @@
     Host host{ routing::RequestKind::Idempotent };
     // Kept, so that no two have the same address.
     std::vector<FakeServer::Pointer> connections;
-    const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+    const auto respond = [&](const auto& aCaller, const auto& aRequest) {
       connections.push_back(aCaller);
-      aCaller->Send(PlainResponse(200, kStamped, "fresh"));
+      aCaller->Send(PlainResponse(200, StampedFor(aRequest), "fresh"));
       aCaller->Finish(true);
     };
     host.one.respond = respond;
@@ -1279,7 +1342,7 @@
     host.Start();
     for (int request = 0; request < 6; ++request) {
       Caller caller;
-      caller.SendRequest("GET");
+      caller.SendRequest("GET", {}, "q" + std::to_string(request));
       cr_assert(caller.Expect("fresh"));
       host.RunOnLoop([&] {
         for (auto* server : { &host.one, &host.two }) {
