Expect nothing behind an answer that lasts until its connection ends

What callers saw: no answer before their deadline, where the late copy of another answer without a length, as of HTTP/1.0, came on a connection that its server then kept open: the own answer behind it was read as a part of the copy. Cause: an answer to another request was skipped whatever ends it. Class: a wait for bytes that can't come; its other place, where the connection had ended already, was mended in the connection and is covered by this change.

Evidence: exchange::an_answer_to_another_request_without_a_length_ends_the_attempt failed before; exchange::a_late_copy_that_ends_the_connection_leaves_no_request_waiting holds. x86_64.

Why it works: the head says that nothing can follow, so the attempt ends at once as broken, and a request that may be repeated is sent again.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -465,7 +465,8 @@
         .namesThisRequest = aMetadata.request == mParameters.id.Value(),
         .authenticationCodes = aMetadata.authenticationCodes,
         .hasContentCoding = aMetadata.hasContentCoding,
-        .partRequested = mRequest.head.fields.Count("Range") > 0 });
+        .partRequested = mRequest.head.fields.Count("Range") > 0,
+        .endsByClose = aHead.endsByClose });
   }
 
   /** Skips an answer that isn't the one to this request, or ends the attempt if
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -172,8 +172,6 @@
   }
   if (!mUnparsed.empty()) {
     Parse();
-  } else if (mEndReached) {
-    CloseAsLost();
   }
 }
 
@@ -232,7 +230,7 @@
   } else {
     CloseAsLost();
   }
-  if (mSocket.is_open() && !mEndReached) {
+  if (mSocket.is_open() && !mDetourStream.Ended()) {
     Read();
   }
 }
@@ -292,7 +290,6 @@
 ServerConnection::OnServerEnd()
 {
   if (mAwaitingResponse) {
-    mEndReached = true;
     mParser.ReadEof();
     if (mParser.Complete()) {
       mAwaitingResponse = false;
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -123,8 +123,7 @@
   [[nodiscard]] bool MayHaveCarried(const RequestId& aId) const;
 
   /** @brief Discards a complete response, which is interim or belongs to an
-   * earlier request, and reads the next one. The connection is lost if the
-   * discarded one ended it. */
+   * earlier request, and reads the next one. */
   void SkipResponse();
 
   /** @brief Whether the connection can be reused for another request. */
@@ -209,8 +208,6 @@
   bool mWriting{ false };
   bool mAwaitingResponse{ false };
   bool mIsHeadRequest{ false };
-  /** Whether the server has closed the connection. */
-  bool mEndReached{ false };
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/forward/answer_check.cpp
+++ b/src/balsampoint/forward/answer_check.cpp
@@ -41,7 +41,8 @@
     return AnswerVerdict::SeveralRequests;
   }
   if (!aClaims.namesThisRequest) {
-    return AnswerVerdict::OtherRequest;
+    return aClaims.endsByClose ? AnswerVerdict::OtherRequestUntilClose
+                               : AnswerVerdict::OtherRequest;
   }
   return aClaims.status < kFirstRedirect ? CheckSuccess(aClaims)
                                          : AnswerVerdict::Own;
@@ -57,6 +58,8 @@
       return "an interim answer";
     case AnswerVerdict::OtherRequest:
       return "the answer to another request";
+    case AnswerVerdict::OtherRequestUntilClose:
+      return "the answer to another request lasts until the connection ends";
     case AnswerVerdict::NoRequest:
       return "the answer names no request";
     case AnswerVerdict::SeveralRequests:
--- a/src/balsampoint/forward/answer_check.hpp
+++ b/src/balsampoint/forward/answer_check.hpp
@@ -21,6 +21,8 @@
   bool hasContentCoding{ false };
   /** Whether the request asks for a part of a body. */
   bool partRequested{ false };
+  /** Whether it lasts until its connection ends. */
+  bool endsByClose{ false };
 };
 
 /** @brief Whether an answer belongs to the request that waits for one. */
@@ -32,6 +34,8 @@
   Interim,
   /** A late or second answer to another request. */
   OtherRequest,
+  /** The same, with nothing behind it on its connection. */
+  OtherRequestUntilClose,
   /** Names no request. */
   NoRequest,
   /** Names more than one request, so that two heads may be mixed in it. */
--- a/test/balsampoint/forward/answer_check_test.cpp
+++ b/test/balsampoint/forward/answer_check_test.cpp
@@ -51,6 +51,18 @@
   }
 }
 
+// Guards against a wait for an answer behind one that only the end of the
+// connection ends.
+Test(answer_check, nothing_follows_an_answer_that_lasts_until_the_end)
+{
+  auto claims = kOwn;
+  claims.endsByClose = true;
+  cr_assert_eq(CheckAnswer(claims), AnswerVerdict::Own);
+  claims.namesThisRequest = false;
+  cr_assert_eq(CheckAnswer(claims), AnswerVerdict::OtherRequestUntilClose);
+  cr_assert_not(MaySkip(CheckAnswer(claims)));
+}
+
 Test(answer_check, a_failure_needs_no_authentication_code)
 {
   for (const std::uint16_t status : { 404, 421, 500, 503 }) {
@@ -77,6 +89,7 @@
   constexpr std::array kVerdicts{ AnswerVerdict::Own,
                                   AnswerVerdict::Interim,
                                   AnswerVerdict::OtherRequest,
+                                  AnswerVerdict::OtherRequestUntilClose,
                                   AnswerVerdict::NoRequest,
                                   AnswerVerdict::SeveralRequests,
                                   AnswerVerdict::NotAuthenticated,
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1030,6 +1030,30 @@
   }
 }
 
+// Guards against a request that waits for its answer behind another one that
+// lasts as long as the connection.
+Test(exchange, an_answer_to_another_request_without_a_length_ends_the_attempt)
+{
+  for (const std::string version : { "HTTP/1.0", "HTTP/1.1" }) {
+    Host host{ routing::RequestKind::Idempotent };
+    int received = 0;
+    const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+      aCaller->Send(++received > 1
+                      ? std::string{}
+                      : version + " 200 OK\r\n" + kStampedOther + "\r\nstale");
+      aCaller->Send(PlainResponse(200, kStamped, "fresh"));
+      aCaller->Finish(true);
+    };
+    host.one.respond = respond;
+    host.two.respond = respond;
+    host.Start();
+    Caller caller;
+    caller.SendRequest("GET");
+    cr_assert(caller.Expect("fresh"));
+    cr_assert_eq(caller.read.find("stale"), std::string::npos);
+  }
+}
+
 // Guards against a body that holds a copy of an answer, sent before the
 // connection ended or between two parts of the answer.
 Test(exchange, a_body_that_holds_another_answer_reaches_no_caller)
