Judge what a body with a length tells of copies inside it

What callers could get: the first bytes of a body and of a late copy as a success, where the body ended, by its length, inside the copy's head and the rest of that was read later; and a copy that names no request and carries no code, in a body with a length or before the end of the connection. Cause: such a body was refused only if bytes behind it had been read, and a head without names never. Class: a decision by the bytes that happen to have been read.

Evidence: exchange::a_body_that_holds_another_answer_reaches_no_caller has five more bodies and failed before, as did exchange::an_answer_with_another_at_any_byte_reaches_no_caller_as_whole, which plays 2,145 answers.

Why it works: bytes of another writer use up the length, so that as many bytes of the own body come behind it. A body that ends inside a head is never whole then, nor is one that holds any head and has bytes behind it that begin no answer. Without a length, a nameless head counts if what follows it repeats what precedes it. Chunks tell their own ends and need none of this.

--- a/src/balsampoint/edge/answer_body.hpp
+++ b/src/balsampoint/edge/answer_body.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/edge/dialect.hpp"
 #include "balsampoint/forward/body_check.hpp"
 #include "balsampoint/wire/embedded_head.hpp"
+#include "balsampoint/wire/status_line.hpp"
 
 #include <cstddef>
 #include <string>
@@ -33,17 +34,21 @@
          const wire::EmbeddedHead& aInner,
          std::string_view aFollowing)
 {
-  forward::InnerAnswer claims{ .complete = aInner.head.has_value(),
-                               .endsByClose = aHead.endsByClose,
-                               .followed = !aFollowing.empty() };
+  forward::InnerAnswer claims{
+    .complete = aInner.head.has_value(),
+    .endsByClose = aHead.endsByClose,
+    .hasLength = aHead.fields.Count("Content-Length") > 0,
+    .followed = !aFollowing.empty() && !wire::MayBeginWithStatusLine(aFollowing)
+  };
   if (aInner.head) {
     const auto metadata = D::ReadResponse(*aInner.head);
     claims.identified =
       metadata.namedRequests > 0 || metadata.authenticationCodes > 0;
-    claims.repeatsAnswer =
-      aInner.head->status == aHead.status &&
-      aInner.head->fields.All() == aHead.fields.All() &&
+    const bool repeated =
       aBytes.substr(aInner.end) == aBytes.substr(0, aInner.begin);
+    claims.repeatsAnswer = repeated && aInner.head->status == aHead.status &&
+                           aInner.head->fields.All() == aHead.fields.All();
+    claims.repeatsBody = repeated && aInner.begin > 0;
   }
   return claims;
 }
--- a/src/balsampoint/forward/body_check.cpp
+++ b/src/balsampoint/forward/body_check.cpp
@@ -5,12 +5,16 @@
 BodyVerdict
 CheckBody(const InnerAnswer& aInner)
 {
+  // The rest of a head that is cut may still be on its way.
   if (!aInner.complete) {
-    return aInner.endsByClose || aInner.followed ? BodyVerdict::Mixed
-                                                 : BodyVerdict::Whole;
+    return aInner.endsByClose || aInner.hasLength || aInner.followed
+             ? BodyVerdict::Mixed
+             : BodyVerdict::Whole;
   }
   if (!aInner.identified) {
-    return BodyVerdict::Whole;
+    return aInner.followed || (aInner.endsByClose && aInner.repeatsBody)
+             ? BodyVerdict::Mixed
+             : BodyVerdict::Whole;
   }
   return aInner.endsByClose && aInner.repeatsAnswer ? BodyVerdict::SentTwice
                                                     : BodyVerdict::Mixed;
--- a/src/balsampoint/forward/body_check.hpp
+++ b/src/balsampoint/forward/body_check.hpp
@@ -15,9 +15,14 @@
   bool identified{ false };
   /** Whether it repeats head and body of the answer around it. */
   bool repeatsAnswer{ false };
+  /** Whether what follows it repeats what precedes it. */
+  bool repeatsBody{ false };
   /** Whether the answer around it ends with its connection. */
   bool endsByClose{ false };
-  /** Whether bytes follow the answer around it. */
+  /** Whether the answer around it has a length, which bytes of another writer
+   * use up. */
+  bool hasLength{ false };
+  /** Whether bytes follow the answer around it that begin no other one. */
   bool followed{ false };
 };
 
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1062,6 +1062,7 @@
   const auto untilClose = head + "\r\nhello";
   const auto counted = head + "Content-Length: 5\r\n\r\n";
   const auto copy = PlainResponse(200, kStampedOther, "stale");
+  const auto nameless = PlainResponse(200, {}, "hello");
   const std::string quote{ "HTTP/1.1 404 X\r\nServer: a\r\n\r\nhello" };
   const auto quoting = head + "\r\n" + quote;
   const std::vector<std::pair<std::string, std::string>> answers{
@@ -1080,6 +1081,11 @@
     { counted + copy + "hello", "502" },
     { counted + "he" + copy + "llo", "502" },
     { counted + "hell" + copy + "o", "502" },
+    { counted + "he" + nameless + "llo", "502" },
+    { head + "Content-Length: 60\r\n\r\nhello" + nameless + "hello", "502" },
+    { head + "Content-Length: 30\r\n\r\nhello" + copy.substr(0, 25), "502" },
+    { untilClose + nameless, "502" },
+    { untilClose + copy.substr(0, 50) + "\r\nhello", "502" },
   };
   for (const auto& [answer, status] : answers) {
     Host host{ routing::RequestKind::NonIdempotent };
@@ -1109,6 +1115,55 @@
   }
 }
 
+// Guards against a copy of an answer that is written between any two bytes of
+// another one: where it shifts the framing, the parts were joined.
+Test(exchange, an_answer_with_another_at_any_byte_reaches_no_caller_as_whole)
+{
+  const std::string head{ "HTTP/1.1 200 OK\r\n" + kStamped };
+  const std::string body(60, 'f');
+  const auto first = Chunk(body.substr(0, 20));
+  const auto last = Chunk(body.substr(20)) + "0\r\n";
+  const std::string encoding{ "Transfer-Encoding: chunked\r\n\r\n" };
+  const std::vector<std::string> answers{
+    head + "Content-Length: 60\r\n\r\n" + body,
+    head + "\r\n" + body,
+    "HTTP/1.0 200 OK\r\n" + kStamped + "\r\n" + body,
+    head + encoding + first + last + "\r\n",
+    head + encoding + first + last + "X-Sum: 7\r\n\r\n",
+  };
+  const auto copy = PlainResponse(200, kStampedOther, "stale");
+  const std::vector<std::string> copies{
+    copy,
+    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + copy,
+    copy.substr(0, copy.find("Content-Length")),
+  };
+  for (const auto& answer : answers) {
+    Host host{ routing::RequestKind::NonIdempotent };
+    std::string sent;
+    const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+      aCaller->Send(sent);
+      aCaller->Finish(false);
+    };
+    host.one.respond = respond;
+    host.two.respond = respond;
+    host.Start();
+    for (const auto& inner : copies) {
+      for (std::size_t at = 0; at <= answer.size(); ++at) {
+        sent = answer.substr(0, at) + inner + answer.substr(at);
+        Caller caller;
+        caller.SendRequest("POST",
+                           "Content-Length: 0\r\nConnection: close\r\n");
+        std::ignore = caller.Expect("nothing");
+        cr_assert(caller.read.starts_with("HTTP/1.1 502") ||
+                    caller.read.ends_with("\r\n\r\n" + body),
+                  "%s: %s",
+                  sent.c_str(),
+                  caller.read.c_str());
+      }
+    }
+  }
+}
+
 // Guards against the second copy of an answer without a body, whose length is
 // not that of what follows it: the next answer on the connection was read as
 // its body.
