--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1286,6 +1286,7 @@
   const std::vector<std::pair<int, std::string>> heads{
     { 200, stamp },
     { 200, id },
+    { 200, "X-Request-Id: \t \r\n" + stamp },
     { 200, kStamped + "X-Request-Id: q0\r\n" },
     { 200, "X-Request-Id: q0\r\n" + kStamped },
     { 200, kStamped + stamp },
