Play copies at any byte of answers of any form

The process test wrote each copy between two of three parts of an answer, in the form of the answer before, and never with a 100 or 103, HTTP/1.0, trailers, an id in another case or the end of the connection behind it, nor before any request.

--- a/test/process/gateway_copies_test.py
+++ b/test/process/gateway_copies_test.py
@@ -1,8 +1,8 @@
 """Second copies of answers that arrive inside or beside other answers.
 
 The copy comes before the connection ends, where its end is that of the answer,
-between two parts of an answer, or on another connection of the server. Guards
-against bodies that hold the copy.
+between two parts of an answer, at any byte of one, on another connection of the
+server, or as soon as one is open. Guards against bodies that hold the copy.
 
 Usage: gateway_copies_test.py [--seed N] [--seconds S] [--build FOLDER]
            [--block N] [--only KIND] [--logs FOLDER]
--- a/test/soak/stutter.py
+++ b/test/soak/stutter.py
@@ -8,6 +8,8 @@
 # Share of the answers that come twice, where the copy doesn't wait for the end
 # of another answer.
 INSIDE_SHARE = 0.4
+# Share of the copies behind which the connection ends.
+ENDS_SHARE = 0.3
 # Longest time between two parts of an answer.
 PART_S = 0.01
 
@@ -195,5 +197,103 @@
     change = staticmethod(without_id)
 
 
+def in_other_case(answer):
+    """The answer with its request's id in another case."""
+    return re.sub(rb"(?i)(\r\nx-request-id:)([^\r]*)",
+                  lambda found: found[1] + found[2].upper(), answer, count=1)
+
+
+def spaced(answer):
+    """The answer with spaces around its request's id."""
+    return re.sub(rb"(?i)(\r\nx-request-id:)([^\r]*)", rb"\1 \t\2 \t ",
+                  answer, count=1)
+
+
+def as_old(answer):
+    """The answer as one of HTTP/1.0, which ends with its connection."""
+    return until_close(answer).replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+
+
+def as_old_kept(answer):
+    """The same, of a length and on a connection that is kept."""
+    if b"\r\nTransfer-Encoding: chunked" in answer:
+        return as_old(answer)
+    return answer.replace(b"HTTP/1.1", b"HTTP/1.0", 1).replace(
+        b"\r\n", b"\r\nConnection: keep-alive\r\n", 1)
+
+
+def behind_continue(answer):
+    """The answer behind an interim one."""
+    return b"HTTP/1.1 100 Continue\r\n\r\n" + answer
+
+
+def behind_hints(answer):
+    """The answer behind another interim one."""
+    return b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + answer
+
+
+def with_trailers(answer):
+    """The answer in chunks, with fields behind the last one."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    if b"\r\nTransfer-Encoding: chunked" not in head:
+        head = without_length(head) + b"\r\nTransfer-Encoding: chunked"
+        middle = len(body) // 2
+        body = b"".join(b"%x\r\n%s\r\n" % (len(part), part)
+                        for part in (body[:middle], body[middle:]) if part)
+        body += b"0\r\n\r\n"
+    return head + b"\r\n\r\n" + body[:-2] + b"X-Sum: 7\r\nX-Note: end\r\n\r\n"
+
+
+class Anywhere(Whole):
+    """Sends answers of any form in parts; late copies of earlier ones of the
+    same connection come at any point of them, or as the connection ends."""
+
+    forms = [lambda answer: answer, until_close, as_old, as_old_kept,
+             behind_continue, behind_hints, with_trailers]
+    changes = [lambda answer: answer, without_id, in_other_case, spaced,
+               until_close, as_old, as_old_kept, behind_continue, behind_hints,
+               with_trailers, cut]
+
+    async def __aexit__(self, *_):
+        plain, self.answer = self.answer, b""
+        if not plain:
+            return
+        form = self.random.choice(self.forms)
+        answer = form(plain)
+        cuts = sorted(self.random.sample(range(len(answer) + 1), 2))
+        for begin, end in zip([0] + cuts, cuts + [len(answer)]):
+            self.writer.write(answer[begin:end])
+            await asyncio.sleep(self.random.uniform(0.0, PART_S))
+        if form in (until_close, as_old):
+            self.writer.close()
+        elif self.random.random() < INSIDE_SHARE:
+            task = asyncio.create_task(self.repeat(plain))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def repeat(self, plain):
+        """Sends the copy after a while, whatever is being sent then."""
+        await asyncio.sleep(self.random.uniform(0.0, LATE_S))
+        if not self.writer.transport.is_closing():
+            self.writer.write(self.random.choice(self.changes)(plain))
+            if self.random.random() < ENDS_SHARE:
+                self.writer.close()
+
+
+class OnOpening(Whole):
+    """Sends a copy of an earlier answer as soon as a connection is open."""
+
+    last = b""
+
+    def __init__(self, writer, random):
+        super().__init__(writer, random)
+        if random.random() < INSIDE_SHARE:
+            writer.write(OnOpening.last)
+
+    async def __aexit__(self, *_):
+        OnOpening.last, self.answer = self.answer, b""
+        self.writer.write(OnOpening.last)
+
+
 INSIDE = [BeforeEnd, BeforeEndWithoutId, BeforeEndCut, BetweenParts, OnAnother,
-          OnAnotherWithoutId]
+          OnAnotherWithoutId, Anywhere, OnOpening]
