--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1004,6 +1004,28 @@
   }
 }
 
+// Guards against a list of the ids on a connection that grows without bounds.
+Test(exchange, a_connection_carries_a_bounded_number_of_requests)
+{
+  constexpr int kRequests = 600;
+  Host host{ routing::RequestKind::Idempotent };
+  std::map<FakeServer::Pointer, int> carried;
+  host.one.respond = [&](const auto& aCaller, const auto& aRequest) {
+    ++carried[aCaller];
+    aCaller->Send(PlainResponse(200, StampedFor(aRequest), "fresh"));
+    aCaller->Finish(true);
+  };
+  host.two.Stop();
+  host.Start();
+  Caller caller;
+  for (int request = 0; request < kRequests; ++request) {
+    caller.read.clear();
+    caller.SendRequest("GET", {}, "q" + std::to_string(request));
+    cr_assert(caller.Expect("fresh"));
+  }
+  host.RunOnLoop([&] { cr_assert_eq(carried.size(), 3U); });
+}
+
 // Guards against the late copy of a refusal or failure that is taken for the
 // answer to the repetition of its request.
 Test(exchange, a_repetition_uses_another_connection)
