Take a number that is no status for a broken answer

What callers saw: 000, 099 or 00 in place of the status counted as an interim answer, so the caller waited until its deadline for another one (504), and a safe request was tried nowhere else. 600 and 999 reached callers as their status, and 0200 as 200. An order counted as refused by 600 and 999, and waited until its time limit after 000.

Cause: any number that parses was believed. A status has exactly three digits and lies between 100 and 599 (RFC 9110). A response with anything else in its place ends with its head, as nothing defines how it goes on; CheckAnswer takes it for broken at once: a safe request goes elsewhere, an unsafe one gets 502, and the server is charged with it. The log of the discarded answer has the number, 0 unless it has three digits. RFC 9110 has clients treat such an answer like a 5xx; passing it on as one would invent a status that its server didn't give.

--- a/src/balsampoint/edge/engine_control_client.cpp
+++ b/src/balsampoint/edge/engine_control_client.cpp
@@ -73,7 +73,7 @@
 {
   auto& parser = aPending->connection->ResponseParser();
   const auto& head = parser.Response();
-  if (head.status == kSwitchingProtocols) {
+  if (!head.HasStatus() || head.status == kSwitchingProtocols) {
     End(aPending, std::nullopt);
   } else if (head.Interim()) {
     const auto connection = aPending->connection;
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -460,7 +460,8 @@
     const ResponseMetadata& aMetadata) const
   {
     return forward::CheckAnswer(
-      { .status = aHead.status,
+      { .status =
+          aHead.HasStatus() ? std::optional{ aHead.status } : std::nullopt,
         .namedRequests = aMetadata.namedRequests,
         .namesThisRequest = aMetadata.request == mParameters.id.Value(),
         .authenticationCodes = aMetadata.authenticationCodes,
--- a/src/balsampoint/forward/answer_check.cpp
+++ b/src/balsampoint/forward/answer_check.cpp
@@ -28,6 +28,9 @@
 AnswerVerdict
 CheckAnswer(const AnswerClaims& aClaims)
 {
+  if (!aClaims.status) {
+    return AnswerVerdict::NoStatus;
+  }
   if (aClaims.status == kSwitchingProtocols) {
     return AnswerVerdict::ProtocolSwitch;
   }
@@ -54,6 +57,8 @@
   switch (aVerdict) {
     case AnswerVerdict::Own:
       return "the answer to this request";
+    case AnswerVerdict::NoStatus:
+      return "the number in place of the status is none";
     case AnswerVerdict::Interim:
       return "an interim answer";
     case AnswerVerdict::OtherRequest:
--- a/src/balsampoint/forward/answer_check.hpp
+++ b/src/balsampoint/forward/answer_check.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace balsampoint::forward {
@@ -9,8 +10,8 @@
 /** @brief What the head of an answer says about the answer itself. */
 struct AnswerClaims
 {
-  /** HTTP status. */
-  std::uint16_t status{};
+  /** HTTP status; absent if the number in its place is none. */
+  std::optional<std::uint16_t> status;
   /** Number of times that it names a request. */
   std::size_t namedRequests{};
   /** Whether the first of them is the request that waits for an answer. */
@@ -30,6 +31,8 @@
 {
   /** The answer to this request. */
   Own,
+  /** A number that is no status, so that nothing defines what it means. */
+  NoStatus,
   /** Precedes the answer. */
   Interim,
   /** A late or second answer to another request. */
--- a/src/balsampoint/wire/head.hpp
+++ b/src/balsampoint/wire/head.hpp
@@ -30,6 +30,7 @@
 /** @brief Status line and header fields of a response. */
 struct ResponseHead
 {
+  /** Number in place of the status; 0 unless it has three digits. */
   std::uint16_t status{};
   /** Reason phrase; may be empty. */
   std::string reason;
@@ -39,8 +40,17 @@
   /** Whether the end of the connection marks the end of the body. */
   bool endsByClose{ false };
 
+  /** @brief Whether the number in place of the status is one. */
+  [[nodiscard]] bool HasStatus() const noexcept
+  {
+    return status >= 100 && status < 600;
+  }
+
   /** @brief Whether the status is 1xx, so that it isn't the final response. */
-  [[nodiscard]] bool Interim() const noexcept { return status < 200; }
+  [[nodiscard]] bool Interim() const noexcept
+  {
+    return status >= 100 && status < 200;
+  }
 
   /** @brief Whether the status is 2xx. */
   [[nodiscard]] bool Success() const noexcept
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kProtocol = "HTTP/";
 constexpr int kFirstStatusWithBody = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -181,21 +182,10 @@
   std::string_view rest{ mHead };
   rest.remove_suffix(kLineEnd.size());
   const auto first = TakeLine(rest);
-  if (!IsFieldText(first)) {
+  if (!IsFieldText(first) || !ReadStartLine(first)) {
     mError = ParseError::Malformed;
     return;
   }
-  const auto space = first.find(' ');
-  const auto last = first.find(' ', space + 1);
-  if (space == std::string_view::npos) {
-    mError = ParseError::Malformed;
-    return;
-  }
-  if (mKind == MessageKind::Request) {
-    mRequest.target = first.substr(space + 1, last - space - 1);
-  } else if (last != std::string_view::npos) {
-    mResponse.reason = first.substr(last + 1);
-  }
   auto& fields =
     mKind == MessageKind::Request ? mRequest.fields : mResponse.fields;
   if (!ReadFields(rest, fields)) {
@@ -211,12 +201,39 @@
   }
   const auto head = std::move(mHead);
   mHead.clear();
+  if (mKind == MessageKind::Response && !mResponse.HasStatus()) {
+    // Nothing defines where such a response ends.
+    mResponse.keepAlive = false;
+    mHasHead = true;
+    mComplete = true;
+    return;
+  }
   Execute(head);
   if (mError == ParseError::None && !mHasHead) {
     mError = ParseError::Malformed;
   }
 }
 
+bool
+Parser::ReadStartLine(std::string_view aLine)
+{
+  const auto space = aLine.find(' ');
+  if (space == std::string_view::npos) {
+    return false;
+  }
+  const auto last = aLine.find(' ', space + 1);
+  const auto middle = aLine.substr(space + 1, last - space - 1);
+  if (mKind == MessageKind::Request) {
+    mRequest.target = middle;
+    return true;
+  }
+  mResponse.status = ReadStatus(middle);
+  if (last != std::string_view::npos) {
+    mResponse.reason = aLine.substr(last + 1);
+  }
+  return aLine.starts_with(kProtocol);
+}
+
 std::size_t
 Parser::ReadBody(std::string_view aBytes)
 {
@@ -301,7 +318,6 @@
     return;
   }
   const bool empty = mNoBody || HasStatusWithoutBody();
-  mResponse.status = static_cast<std::uint16_t>(mParser.status_code);
   mResponse.endsByClose = !empty && !sized && (mParser.flags & F_CHUNKED) == 0U;
   mResponse.keepAlive = keepAlive && !mResponse.endsByClose;
 }
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -40,7 +40,8 @@
  * The head is buffered until it is complete. It is rejected unless each line
  * ends with CR LF, has a name without spaces and isn't folded, and unless the
  * length of the body is unambiguous, and a chunked body unless its chunks end
- * where their sizes say. The body is available as it arrives.
+ * where their sizes say. The body is available as it arrives. A response whose
+ * status is none ends with its head.
  */
 class Parser
 {
@@ -119,6 +120,9 @@
   std::size_t ReadHead(std::string_view aBytes);
   void ParseHead();
   std::size_t ReadBody(std::string_view aBytes);
+  /** Reads a request's target or a response's status and reason; false if the
+   * line is none of a message. */
+  [[nodiscard]] bool ReadStartLine(std::string_view aLine);
   std::size_t Execute(std::string_view aBytes);
   void FinishHead();
   /** Whether the status of a response says that it has no body, whatever length
--- a/src/balsampoint/wire/status_line.cpp
+++ b/src/balsampoint/wire/status_line.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/wire/status_line.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace balsampoint::wire {
 
@@ -43,4 +44,15 @@
     aBytes.begin(), aBytes.begin() + size, kPattern.begin(), Matches);
 }
 
+std::uint16_t
+ReadStatus(std::string_view aText)
+{
+  constexpr std::size_t kDigits = 3;
+  std::uint16_t status{};
+  const auto* last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), last, status);
+  return aText.size() == kDigits && error == std::errc{} && end == last ? status
+                                                                        : 0;
+}
+
 } // namespace balsampoint::wire
--- a/src/balsampoint/wire/status_line.hpp
+++ b/src/balsampoint/wire/status_line.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace balsampoint::wire {
@@ -21,4 +22,12 @@
 [[nodiscard]] bool
 MayBeginWithStatusLine(std::string_view aBytes);
 
+/**
+ * @brief Reads the number in place of a status.
+ * @param aText What stands between the version and the reason.
+ * @return The number; 0 unless it is written in exactly three digits.
+ */
+[[nodiscard]] std::uint16_t
+ReadStatus(std::string_view aText);
+
 } // namespace balsampoint::wire
--- a/test/balsampoint/edge/engine_control_client_test.cpp
+++ b/test/balsampoint/edge/engine_control_client_test.cpp
@@ -78,3 +78,22 @@
   cr_assert_not(
     CallEngine("HTTP/1.1 101 Switching Protocols\r\n\r\n").has_value());
 }
+
+// Guards against a number that is believed since it parses: an order counted as
+// refused, or waited for an answer until its time limit.
+Test(engine_control_client, takes_no_number_for_a_status)
+{
+  for (const std::string number :
+       { "000", "00", "099", "600", "999", "1000", "0202" }) {
+    const auto begin = std::chrono::steady_clock::now();
+    cr_expect_not(
+      CallEngine("HTTP/1.1 " + number + " X\r\nContent-Length: 0\r\n\r\n")
+        .has_value(),
+      "%s",
+      number.c_str());
+    cr_expect_lt(std::chrono::steady_clock::now() - begin,
+                 kPatience,
+                 "%s",
+                 number.c_str());
+  }
+}
--- a/test/balsampoint/forward/answer_check_test.cpp
+++ b/test/balsampoint/forward/answer_check_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <criterion/criterion.h>
+#include <optional>
 
 using namespace balsampoint::forward;
 
@@ -84,9 +85,19 @@
   cr_expect_not(MaySkip(CheckAnswer(claims)));
 }
 
+// Guards against a number that is believed since it parses.
+Test(answer_check, an_answer_without_a_status_is_none)
+{
+  auto claims = kOwn;
+  claims.status = std::nullopt;
+  cr_expect_eq(CheckAnswer(claims), AnswerVerdict::NoStatus);
+  cr_expect_not(MaySkip(AnswerVerdict::NoStatus));
+}
+
 Test(answer_check, each_verdict_has_a_description_of_its_own)
 {
   constexpr std::array kVerdicts{ AnswerVerdict::Own,
+                                  AnswerVerdict::NoStatus,
                                   AnswerVerdict::Interim,
                                   AnswerVerdict::OtherRequest,
                                   AnswerVerdict::OtherRequestUntilClose,
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -203,3 +203,39 @@
     }
   }
 }
+
+// Guards against a number that is believed since it parses, and against a wait
+// for the body of a response whose end nothing defines.
+Test(parser, a_response_without_a_status_ends_with_its_head)
+{
+  for (const std::string number : { "000",
+                                    "00",
+                                    "0",
+                                    "099",
+                                    "600",
+                                    "999",
+                                    "1000",
+                                    "0200",
+                                    "-20",
+                                    "2x0",
+                                    " 200",
+                                    "" }) {
+    const auto head = "HTTP/1.1 " + number + " X\r\nContent-Length: 5\r\n\r\n";
+    Parser parser{ MessageKind::Response };
+    cr_expect_eq(parser.Read(head + "hello"), head.size(), "%s", head.c_str());
+    cr_expect(parser.Complete(), "%s", head.c_str());
+    cr_expect_not(parser.Response().HasStatus(), "%s", head.c_str());
+    cr_expect_not(parser.Response().Interim(), "%s", head.c_str());
+    cr_expect_not(parser.Response().keepAlive, "%s", head.c_str());
+  }
+  for (const std::string number : { "100", "199", "200", "299", "599" }) {
+    Parser parser{ MessageKind::Response };
+    parser.Read("HTTP/1.1 " + number + "\r\nContent-Length: 0\r\n\r\n");
+    cr_expect(parser.Complete(), "%s", number.c_str());
+    cr_expect(parser.Response().HasStatus(), "%s", number.c_str());
+    cr_expect_eq(parser.Response().status, std::stoi(number));
+  }
+  Parser parser{ MessageKind::Response };
+  parser.Read("a server in trouble\r\n\r\n");
+  cr_expect_eq(parser.Error(), ParseError::Malformed);
+}
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1343,6 +1343,55 @@
   }
 }
 
+// Guards against a number that is believed since it parses: a caller got it as
+// its status, or waited until its deadline for an answer after it.
+Test(exchange, an_answer_without_a_status_is_broken_at_once)
+{
+  const std::string rest{ " X\r\n" + kStamped };
+  for (const std::string number :
+       { "000", "00", "099", "600", "999", "1000", "0200", "-20" }) {
+    for (const std::string body : { "", "strange" }) {
+      const auto answer = "HTTP/1.1 " + number + rest +
+                          "Content-Length: " + std::to_string(body.size()) +
+                          "\r\n\r\n" + body;
+      for (const auto kind : { routing::RequestKind::NonIdempotent,
+                               routing::RequestKind::Stream,
+                               routing::RequestKind::Idempotent }) {
+        Host host{ kind };
+        int received = 0;
+        const auto respond = [&](const auto& aCaller,
+                                 const auto& /*aRequest*/) {
+          aCaller->Send(++received == 1 ? answer
+                                        : PlainResponse(200, kStamped, "own"));
+          aCaller->Finish(true);
+        };
+        host.one.respond = respond;
+        host.two.respond = respond;
+        host.Start();
+        Caller caller;
+        caller.SendRequest("POST", "Content-Length: 0\r\n");
+        const bool repeats = kind == routing::RequestKind::Idempotent;
+        cr_expect(caller.Expect(repeats ? "own" : "HTTP/1.1 502"),
+                  "%s '%s' %d: %s",
+                  number.c_str(),
+                  body.c_str(),
+                  static_cast<int>(kind),
+                  caller.read.c_str());
+        cr_expect_eq(caller.read.find("strange"), std::string::npos);
+        host.RunOnLoop([&] {
+          cr_expect_eq(received, repeats ? 2 : 1);
+          double failures = 0.0;
+          for (const auto& [id, server] :
+               host.Shared().fleet.groups.at(kService).servers) {
+            failures += server.failureRate;
+          }
+          cr_expect_gt(failures, 0.0, "%s", number.c_str());
+        });
+      }
+    }
+  }
+}
+
 // Guards against a stream without any event that reaches its caller as complete
 // because its server broke off after the head.
 Test(exchange, a_stream_without_events_is_no_success)
--- a/test/process/gateway_strangers_test.py
+++ b/test/process/gateway_strangers_test.py
@@ -1,9 +1,10 @@
 """Answers of servers that aren't the answer to the request.
 
-Before their own answers, the servers send others: without an id, without an
-authentication code, cut inside the head, and so on. Each request takes a new
-connection of its caller. Guards against callers that get such an answer as
-their own, and against orders that run twice for it.
+Before their own answers, or in place of them, the servers send others: without
+an id, without an authentication code, cut inside the head, and so on. Each
+request takes a new connection of its caller. Guards against callers that get
+such an answer as their own, against orders that run twice for it, and against
+callers that wait in vain for another one.
 
 Usage: gateway_strangers_test.py [--seed N] [--seconds S] [--build FOLDER]
            [--block N] [--only KIND] [--logs FOLDER]
@@ -15,6 +16,7 @@
 import pathlib
 import sys
 import tempfile
+import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "test"))
@@ -22,13 +24,15 @@
 
 from cluster import build_folder  # noqa: E402
 from soak.callers import Caller  # noqa: E402
-from soak.strangers import KINDS  # noqa: E402
+from soak.strangers import ALONE, KINDS  # noqa: E402
 from soak.world import World  # noqa: E402
 
 CALLERS = 24
 # Least share of requests that are served where the server's own answer can be
 # told from the strange one, which precedes 40 % of the answers.
 SERVED_SHARE = 0.9
+# Longest wait for an answer; requests give their servers 4 s.
+WAIT_S = 2.0
 
 
 class Fresh(Caller):
@@ -37,12 +41,18 @@
     def __init__(self, world, number):
         super().__init__(world, number)
         self.ends = collections.Counter()
+        self.longest_s = 0.0
 
     async def run(self):
         while True:
             kind = self.world.random.choice(
                 ["lookup", "lookup", "order", "order", "draft"])
-            status = await self.request(kind)
+            sent_at = time.monotonic()
+            try:
+                status = await self.request(kind)
+            finally:
+                self.longest_s = max(self.longest_s,
+                                     time.monotonic() - sent_at)
             self.ends[status if status == 200 else "other"] += 1
             self.close()
 
@@ -63,10 +73,14 @@
     for caller in callers:
         caller.close()
     ends = sum((caller.ends for caller in callers), collections.Counter())
+    waits = sum(caller.longest_s > WAIT_S for caller in callers)
     broken = world.findings.broken[before:]
     print(f"{kind.__name__}: {ends[200]} of {ends.total()} requests served, "
-          f"{len(broken)} promises broken", flush=True)
+          f"{len(broken)} promises broken, {waits} callers waited in vain",
+          flush=True)
     wrong = broken[:5]
+    if kind in ALONE and waits:
+        wrong.append(f"{waits} callers waited longer than {WAIT_S} s")
     if kind is KINDS[0] and ends[200] < SERVED_SHARE * ends.total():
         wrong.append(f"only {ends[200]} of {ends.total()} requests were served")
     return wrong
--- a/test/soak/backends.py
+++ b/test/soak/backends.py
@@ -37,7 +37,8 @@
         self.stutters = None
         # Writer that sends copies inside answers; None for none.
         self.copies = None
-        # How answers are made that come before its own; None for none.
+        # How answers are made that come before its own or in its place; None
+        # for none.
         self.strange = None
         self.last_request = None
         # Beginning of the bodies under which it crashes; None for none.
@@ -125,8 +126,8 @@
                 if self.deadly and body.startswith(self.deadly):
                     asyncio.create_task(self.crash_for(CRASH_S))
                     break
-                if self.strange:
-                    await precede(self, head, writer)
+                if self.strange and await precede(self, head, body, writer):
+                    continue
                 if stutter is None:
                     await self.answer(head, body, writer)
                 else:
--- a/test/soak/strangers.py
+++ b/test/soak/strangers.py
@@ -1,4 +1,5 @@
-"""Answers that come before a server's own and aren't the answer to the request."""
+"""Answers before a server's own, or in place of it, that aren't the answer to
+the request."""
 
 import asyncio
 
@@ -8,6 +9,7 @@
 SHARE = 0.4
 # Time from the strange answer to the server's own.
 AHEAD_S = 0.02
+NO_STATUSES = ["000", "00", "099", "600", "999", "1000"]
 
 
 def stamp(request):
@@ -87,21 +89,35 @@
                    body).replace(b"HTTP/1.1", b"HTTP/3.0")
 
 
+def without_status(request, other, body):
+    """A number that is no status."""
+    number = NO_STATUSES[int(stamp(request), 16) % len(NO_STATUSES)]
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request))],
+                   b"", f"{number} Unknown")
+
+
+# Kinds that take the place of the server's own answer.
+ALONE = [without_status]
 KINDS = [earlier, without_id, without_stamp, two_ids, two_stamps, coded,
          partial, refusal_without_id, cut_in_field, cut_in_reason,
-         other_version]
+         other_version, *ALONE]
 
 
-async def precede(backend, head, writer):
-    """Sends a strange answer before the server's own in some cases."""
+async def precede(backend, head, content, writer):
+    """Sends a strange answer in some cases; whether no other follows."""
     request = head.fields.get("x-request-id", "")
     other, backend.last_request = backend.last_request, request
     random = backend.world.random
     if not other or not request or random.random() >= SHARE:
-        return
+        return False
+    alone = backend.strange in ALONE
+    if alone:
+        backend.world.findings.run(request, head, content)
     text = digest(other, b"strange")
     body = (f"id: 1\ndata: {text}\n\n" if "x-token-counts" in head.fields
             else text)
     writer.write(backend.strange(request, other, body.encode()))
     await writer.drain()
     await asyncio.sleep(AHEAD_S)
+    return alone
