Find heads in bodies also where their status has no three digits

What a caller got: a body with a broken answer to another request behind its own, where the connection ended the body and the second answer began with "HTTP/1.1 00".

Cause: FindStatusLine asks for three digits. It takes any whole number now; where the bytes end inside a head, three digits are still asked for, so that a body that ends with "HTTP/1.1 20 times" passes as before.

--- a/src/balsampoint/wire/embedded_head.cpp
+++ b/src/balsampoint/wire/embedded_head.cpp
@@ -46,12 +46,17 @@
 bool
 MayBeginHead(std::string_view aCut)
 {
-  constexpr std::string_view kStatus = "HTTP/0.0 000";
-  return std::ranges::all_of(aCut.substr(kStatus.size()), [](char aLetter) {
-    return (aLetter >= 'a' && aLetter <= 'z') ||
-           (aLetter >= 'A' && aLetter <= 'Z') || aLetter == ' ' ||
-           aLetter == '-' || aLetter == '\r' || aLetter == '\n';
-  });
+  constexpr std::string_view kVersion = "HTTP/0.0 ";
+  constexpr std::size_t kDigits = 3;
+  const auto number = aCut.substr(kVersion.size());
+  const auto digits =
+    std::min(number.find_first_not_of("0123456789"), number.size());
+  return digits == kDigits &&
+         std::ranges::all_of(number.substr(digits), [](char aLetter) {
+           return (aLetter >= 'a' && aLetter <= 'z') ||
+                  (aLetter >= 'A' && aLetter <= 'Z') || aLetter == ' ' ||
+                  aLetter == '-' || aLetter == '\r' || aLetter == '\n';
+         });
 }
 
 /** @brief Parses the lines of a head, which lack the empty one at its end. */
--- a/src/balsampoint/wire/status_line.cpp
+++ b/src/balsampoint/wire/status_line.cpp
@@ -7,11 +7,39 @@
 
 namespace {
 
+constexpr std::string_view kProtocol = "HTTP/";
+constexpr std::string_view kVersion = "0.0 ";
+constexpr std::size_t kStatusDigits = 3;
+
+bool
+IsDigit(char aLetter)
+{
+  return aLetter >= '0' && aLetter <= '9';
+}
+
 bool
 Matches(char aLetter, char aExpected)
 {
-  return aExpected == '0' ? aLetter >= '0' && aLetter <= '9'
-                          : aLetter == aExpected;
+  return aExpected == '0' ? IsDigit(aLetter) : aLetter == aExpected;
+}
+
+bool
+IsVersion(std::string_view aText)
+{
+  return std::equal(
+    aText.begin(), aText.end(), kVersion.begin(), kVersion.end(), Matches);
+}
+
+/** @brief Whether a text begins with a whole number, or with as many digits as
+ * a status has. */
+bool
+BeginsWithNumber(std::string_view aText)
+{
+  const auto digits = static_cast<std::size_t>(
+    std::ranges::find_if_not(aText, IsDigit) - aText.begin());
+  return digits >= kStatusDigits ||
+         (digits > 0 && digits < aText.size() &&
+          (aText[digits] == ' ' || aText[digits] == '\r'));
 }
 
 } // namespace
@@ -19,16 +47,11 @@
 std::size_t
 FindStatusLine(std::string_view aText, std::size_t aFrom)
 {
-  constexpr std::string_view kVersion = "HTTP/";
-  constexpr std::string_view kPattern = "0.0 000";
-  for (auto at = aText.find(kVersion, aFrom); at != std::string_view::npos;
-       at = aText.find(kVersion, at + 1)) {
-    const auto rest = aText.substr(at + kVersion.size(), kPattern.size());
-    if (std::equal(rest.begin(),
-                   rest.end(),
-                   kPattern.begin(),
-                   kPattern.end(),
-                   Matches)) {
+  for (auto at = aText.find(kProtocol, aFrom); at != std::string_view::npos;
+       at = aText.find(kProtocol, at + 1)) {
+    const auto version = at + kProtocol.size();
+    if (IsVersion(aText.substr(version, kVersion.size())) &&
+        BeginsWithNumber(aText.substr(version + kVersion.size()))) {
       return at;
     }
   }
@@ -47,12 +70,12 @@
 std::uint16_t
 ReadStatus(std::string_view aText)
 {
-  constexpr std::size_t kDigits = 3;
   std::uint16_t status{};
   const auto* last = aText.data() + aText.size();
   const auto [end, error] = std::from_chars(aText.data(), last, status);
-  return aText.size() == kDigits && error == std::errc{} && end == last ? status
-                                                                        : 0;
+  return aText.size() == kStatusDigits && error == std::errc{} && end == last
+           ? status
+           : 0;
 }
 
 } // namespace balsampoint::wire
--- a/src/balsampoint/wire/status_line.hpp
+++ b/src/balsampoint/wire/status_line.hpp
@@ -7,7 +7,8 @@
 namespace balsampoint::wire {
 
 /**
- * @brief Finds the start of a response's status line inside other bytes.
+ * @brief Finds the start of a response's status line inside other bytes. Any
+ * number counts in place of the status, since a broken answer begins so too.
  * @param aText Bytes to search.
  * @param aFrom Where the search begins.
  * @return Offset of its first byte; `npos` if there is none.
--- a/test/balsampoint/wire/embedded_head_test.cpp
+++ b/test/balsampoint/wire/embedded_head_test.cpp
@@ -33,6 +33,20 @@
   cr_assert_eq(found->begin, quoted.size());
 }
 
+// Guards against a broken answer inside another one, whose number in place of
+// the status is none.
+Test(embedded_head, is_found_without_a_status)
+{
+  for (const std::string number : { "000", "600", "00", "0", "1000" }) {
+    const auto head = "HTTP/1.1 " + number + " X\r\nX-Request-Id: q0\r\n\r\n";
+    const auto found = FindEmbeddedHead("hello" + head + "rest");
+    cr_assert(found && found->head, "%s", number.c_str());
+    cr_expect_eq(found->begin, 5U);
+    cr_expect_eq(found->end, 5 + head.size());
+    cr_expect_eq(*found->head->fields.Find("X-Request-Id"), "q0");
+  }
+}
+
 Test(embedded_head, is_incomplete_where_the_bytes_end)
 {
   const std::string status{ "HTTP/1.1 200" };
@@ -84,6 +98,8 @@
                                   "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
                                   "HTTP/1.1 200 OK\r\nnot a field\r\n\r\n",
                                   "HTTP/1.1 20",
+                                  "HTTP/1.1 20 times",
+                                  "HTTP/1.1 2000 times",
                                   "HTTP" }) {
     cr_assert_not(FindEmbeddedHead(text), "'%s'", text.c_str());
   }
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1108,6 +1108,9 @@
     { head + "Content-Length: 30\r\n\r\nhello" + copy.substr(0, 25), "502" },
     { untilClose + nameless, "502" },
     { untilClose + copy.substr(0, 50) + "\r\nhello", "502" },
+    { untilClose + "HTTP/1.1 000 X\r\n" + kStampedOther + "\r\nstale", "502" },
+    { untilClose + "HTTP/1.1 00 X\r\n" + kStampedOther + "\r\nstale", "502" },
+    { untilClose + "HTTP/1.1 1000 X\r\n" + kStampedOther + "\r\nstale", "502" },
   };
   for (const auto& [answer, status] : answers) {
     Host host{ routing::RequestKind::NonIdempotent };
