Bound the interim answers before an answer

What callers saw: a server that sent interim answers without end, or a 199 with the request's id and its own authentication code in place of the answer, kept its caller until the deadline (504), and a safe request was tried nowhere else. An order waited until its time limit.

Cause: each 1xx but 101 was skipped. Now one with an authentication code, which belongs to a final answer, is broken at once, and so is what follows after 16 others. In time they are bounded by the request's deadline, like a server that says nothing: one that sends a 100 and works has as long as one that only works. No request asks for an interim answer: Expect isn't passed on, nor is Upgrade.

--- a/src/balsampoint/edge/engine_control_client.cpp
+++ b/src/balsampoint/edge/engine_control_client.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/edge/engine_control_client.hpp"
 
+#include "balsampoint/forward/answer_check.hpp"
+
 namespace balsampoint::edge {
 
 namespace {
@@ -19,6 +21,7 @@
   std::shared_ptr<ServerConnection> connection;
   std::string request;
   Callback callback;
+  std::uint32_t interimResponses{};
 };
 
 void
@@ -73,7 +76,9 @@
 {
   auto& parser = aPending->connection->ResponseParser();
   const auto& head = parser.Response();
-  if (!head.HasStatus() || head.status == kSwitchingProtocols) {
+  aPending->interimResponses += head.Interim() ? 1 : 0;
+  if (!head.HasStatus() || head.status == kSwitchingProtocols ||
+      aPending->interimResponses > forward::kMaxInterimAnswers) {
     End(aPending, std::nullopt);
   } else if (head.Interim()) {
     const auto connection = aPending->connection;
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -211,6 +211,7 @@
     mReused = reused;
     mStatementsRead = false;
     mStrangeAnswerLogged = false;
+    mInterimAnswers = 0;
     if (reused) {
       SendRequest();
     } else {
@@ -462,6 +463,7 @@
     return forward::CheckAnswer(
       { .status =
           aHead.HasStatus() ? std::optional{ aHead.status } : std::nullopt,
+        .interimBefore = mInterimAnswers,
         .namedRequests = aMetadata.namedRequests,
         .namesThisRequest = aMetadata.request == mParameters.id.Value(),
         .authenticationCodes = aMetadata.authenticationCodes,
@@ -483,6 +485,7 @@
                    aMetadata.request.value_or(std::string_view{}));
     }
     if (forward::MaySkip(aVerdict)) {
+      mInterimAnswers += aVerdict == forward::AnswerVerdict::Interim ? 1 : 0;
       SkipResponse();
       return;
     }
@@ -1073,6 +1076,8 @@
   /** Whether the answer in progress was logged as not the one to this request.
    */
   bool mStrangeAnswerLogged{ false };
+  /** Number of interim answers in this attempt. */
+  std::uint32_t mInterimAnswers{};
   /** Value of `mProgress.mayHaveRun` before this attempt. */
   bool mMayHaveRunBefore{ false };
   EventRelay mEvents{ false, {} };
--- a/src/balsampoint/forward/answer_check.cpp
+++ b/src/balsampoint/forward/answer_check.cpp
@@ -9,6 +9,17 @@
 constexpr std::uint16_t kPartialContent = 206;
 constexpr std::uint16_t kFirstRedirect = 300;
 
+AnswerVerdict
+CheckInterim(const AnswerClaims& aClaims)
+{
+  if (aClaims.authenticationCodes > 0) {
+    return AnswerVerdict::InterimAuthenticated;
+  }
+  return aClaims.interimBefore < kMaxInterimAnswers
+           ? AnswerVerdict::Interim
+           : AnswerVerdict::InterimWithoutEnd;
+}
+
 AnswerVerdict
 CheckSuccess(const AnswerClaims& aClaims)
 {
@@ -35,7 +46,7 @@
     return AnswerVerdict::ProtocolSwitch;
   }
   if (aClaims.status < kFirstFinalStatus) {
-    return AnswerVerdict::Interim;
+    return CheckInterim(aClaims);
   }
   if (aClaims.namedRequests == 0) {
     return AnswerVerdict::NoRequest;
@@ -61,6 +72,10 @@
       return "the number in place of the status is none";
     case AnswerVerdict::Interim:
       return "an interim answer";
+    case AnswerVerdict::InterimWithoutEnd:
+      return "interim answers without end";
+    case AnswerVerdict::InterimAuthenticated:
+      return "an interim answer has an authentication code";
     case AnswerVerdict::OtherRequest:
       return "the answer to another request";
     case AnswerVerdict::OtherRequestUntilClose:
--- a/src/balsampoint/forward/answer_check.hpp
+++ b/src/balsampoint/forward/answer_check.hpp
@@ -7,11 +7,16 @@
 
 namespace balsampoint::forward {
 
+/** @brief Maximum number of interim answers before an answer. */
+inline constexpr std::uint32_t kMaxInterimAnswers = 16;
+
 /** @brief What the head of an answer says about the answer itself. */
 struct AnswerClaims
 {
   /** HTTP status; absent if the number in its place is none. */
   std::optional<std::uint16_t> status;
+  /** Number of interim answers before it. */
+  std::uint32_t interimBefore{};
   /** Number of times that it names a request. */
   std::size_t namedRequests{};
   /** Whether the first of them is the request that waits for an answer. */
@@ -35,6 +40,10 @@
   NoStatus,
   /** Precedes the answer. */
   Interim,
+  /** One interim answer too many: no other may follow. */
+  InterimWithoutEnd,
+  /** An interim answer with the code of a final one, which it may replace. */
+  InterimAuthenticated,
   /** A late or second answer to another request. */
   OtherRequest,
   /** The same, with nothing behind it on its connection. */
--- a/test/balsampoint/edge/engine_control_client_test.cpp
+++ b/test/balsampoint/edge/engine_control_client_test.cpp
@@ -97,3 +97,16 @@
                  number.c_str());
   }
 }
+
+// Guards against an order that waits until its time limit for an engine that
+// sends interim responses without end.
+Test(engine_control_client, gives_up_after_interim_responses_without_end)
+{
+  std::string endless;
+  for (int count = 0; count < 100; ++count) {
+    endless += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  cr_assert_not(CallEngine(endless).has_value());
+  cr_assert_lt(std::chrono::steady_clock::now() - begin, kPatience);
+}
--- a/test/balsampoint/forward/answer_check_test.cpp
+++ b/test/balsampoint/forward/answer_check_test.cpp
@@ -94,11 +94,27 @@
   cr_expect_not(MaySkip(AnswerVerdict::NoStatus));
 }
 
+// Guards against a wait until the deadline for an answer that never follows.
+Test(answer_check, an_interim_answer_replaces_no_final_one)
+{
+  AnswerClaims claims{ .status = 102, .interimBefore = kMaxInterimAnswers - 1 };
+  cr_expect_eq(CheckAnswer(claims), AnswerVerdict::Interim);
+  claims.interimBefore = kMaxInterimAnswers;
+  cr_expect_eq(CheckAnswer(claims), AnswerVerdict::InterimWithoutEnd);
+  cr_expect_not(MaySkip(AnswerVerdict::InterimWithoutEnd));
+  claims = kOwn;
+  claims.status = 199;
+  cr_expect_eq(CheckAnswer(claims), AnswerVerdict::InterimAuthenticated);
+  cr_expect_not(MaySkip(AnswerVerdict::InterimAuthenticated));
+}
+
 Test(answer_check, each_verdict_has_a_description_of_its_own)
 {
   constexpr std::array kVerdicts{ AnswerVerdict::Own,
                                   AnswerVerdict::NoStatus,
                                   AnswerVerdict::Interim,
+                                  AnswerVerdict::InterimWithoutEnd,
+                                  AnswerVerdict::InterimAuthenticated,
                                   AnswerVerdict::OtherRequest,
                                   AnswerVerdict::OtherRequestUntilClose,
                                   AnswerVerdict::NoRequest,
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1395,6 +1395,69 @@
   }
 }
 
+// Guards against a server that keeps its caller until the deadline: by interim
+// answers without end, or by one in place of its answer.
+Test(exchange, interim_answers_in_place_of_an_answer_are_broken_at_once)
+{
+  std::string endless;
+  for (int count = 0; count < 100; ++count) {
+    endless += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  const auto disguised =
+    "HTTP/1.1 199 X\r\n" + kStamped + "Content-Length: 0\r\n\r\n";
+  for (const auto& answer : { endless, disguised }) {
+    for (const auto kind : { routing::RequestKind::NonIdempotent,
+                             routing::RequestKind::Stream,
+                             routing::RequestKind::Idempotent }) {
+      Host host{ kind };
+      int received = 0;
+      const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+        aCaller->Send(++received == 1 ? answer
+                                      : PlainResponse(200, kStamped, "own"));
+        aCaller->Finish(true);
+      };
+      host.one.respond = respond;
+      host.two.respond = respond;
+      host.Start();
+      Caller caller;
+      caller.SendRequest("POST", "Content-Length: 0\r\n");
+      const bool repeats = kind == routing::RequestKind::Idempotent;
+      cr_expect(caller.Expect(repeats ? "own" : "HTTP/1.1 502"),
+                "%.20s %d: %s",
+                answer.c_str(),
+                static_cast<int>(kind),
+                caller.read.c_str());
+      host.RunOnLoop([&] { cr_expect_eq(received, repeats ? 2 : 1); });
+    }
+  }
+}
+
+// Guards against a slow server whose answer is lost for the interim ones before
+// it.
+Test(exchange, a_slow_server_may_send_interim_answers_before_its_own)
+{
+  Host host{ routing::RequestKind::NonIdempotent };
+  const auto respond = [](const auto& aCaller, const auto& /*aRequest*/) {
+    aCaller->Send("HTTP/1.1 100 Continue\r\n\r\n"
+                  "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                  "HTTP/1.1 102 Processing\r\nX-Request-Id: q1\r\n\r\n");
+  };
+  host.one.respond = respond;
+  host.two.respond = respond;
+  host.Start();
+  Caller caller{ 3s };
+  caller.SendRequest("POST", "Content-Length: 0\r\n");
+  std::this_thread::sleep_for(1s);
+  host.RunOnLoop([&] {
+    cr_assert_eq(host.one.requests.size() + host.two.requests.size(), 1U);
+    const auto& connection = host.one.last ? host.one.last : host.two.last;
+    connection->Send(PlainResponse(200, kStamped, "own"));
+    connection->Finish(true);
+  });
+  cr_assert(caller.Expect("own"), "%s", caller.read.c_str());
+  cr_assert(caller.read.starts_with("HTTP/1.1 200"), "%s", caller.read.c_str());
+}
+
 // Guards against a stream without any event that reaches its caller as complete
 // because its server broke off after the head.
 Test(exchange, a_stream_without_events_is_no_success)
--- a/test/soak/strangers.py
+++ b/test/soak/strangers.py
@@ -9,6 +9,7 @@
 SHARE = 0.4
 # Time from the strange answer to the server's own.
 AHEAD_S = 0.02
+INTERIM_COUNT = 100
 NO_STATUSES = ["000", "00", "099", "600", "999", "1000"]
 
 
@@ -97,8 +98,20 @@
                    b"", f"{number} Unknown")
 
 
+def interim_in_place(request, other, body):
+    """An interim answer with what only the server's own has."""
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request))],
+                   b"", "199 Unknown")
+
+
+def interim_without_end(request, other, body):
+    """Interim answers only."""
+    return b"HTTP/1.1 102 Processing\r\n\r\n" * INTERIM_COUNT
+
+
 # Kinds that take the place of the server's own answer.
-ALONE = [without_status]
+ALONE = [without_status, interim_in_place, interim_without_end]
 KINDS = [earlier, without_id, without_stamp, two_ids, two_stamps, coded,
          partial, refusal_without_id, cut_in_field, cut_in_reason,
          other_version, *ALONE]
