Call no number a status in the product's own client

What callers would see: numbers such as 099, 199, 600 and 999 from a backend or a host passed on as the status of an answer; a server that sends 100 without end kept its call until the time limit.

Cause: ClientPool believed any number that POCO's class parses, and that class skips 100 without a bound. A final status lies between 200 and 599; anything else is a lost answer, and the request may have run. The 100s are skipped here, up to the bound of the entry hosts, each with the time that is left.

Evidence (x86_64): client_pool::takes_no_number_for_a_status failed before, at least for 099, 101, 102, 199, 600 and 999 (the beginning of its report wasn't kept), and client_pool::gives_up_after_interim_answers_without_end after 5.01 s. Calls that last beyond their time limit, with 100s that come one by one, were read and not played.

--- a/src/balsampoint/http/client_pool.cpp
+++ b/src/balsampoint/http/client_pool.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/http/client_pool.hpp"
 
+#include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -22,6 +23,8 @@
 constexpr Duration kMinWait = std::chrono::milliseconds{ 1 };
 constexpr std::size_t kMaxIdlePerAddress = 256;
 constexpr std::size_t kChunkBytes = 16384;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastFinalStatus = 599;
 
 Poco::Timespan
 Span(Duration aDuration)
@@ -68,6 +71,26 @@
   stream.flush();
 }
 
+/**
+ * @brief Skips the answers that tell a caller to go on.
+ * @param aSession Connection that the request was sent on.
+ * @param aDeadline When the wait ends.
+ * @param aHead Receives the head of the first other answer.
+ */
+void
+SkipInterim(Poco::Net::HTTPClientSession& aSession,
+            Instant aDeadline,
+            Poco::Net::HTTPResponse& aHead)
+{
+  std::uint32_t skipped = 0;
+  while (aSession.peekResponse(aHead)) {
+    if (++skipped > forward::kMaxInterimAnswers) {
+      throw Poco::Net::MessageException("interim answers without end");
+    }
+    aSession.socket().setReceiveTimeout(Span(aDeadline - SteadyClock::Now()));
+  }
+}
+
 ClientResponse
 Read(Poco::Net::HTTPClientSession& aSession,
      const ClientRequest& aRequest,
@@ -75,9 +98,13 @@
      bool& aKeepAlive)
 {
   Poco::Net::HTTPResponse head;
+  SkipInterim(aSession, aDeadline, head);
   auto& stream = aSession.receiveResponse(head);
-  ClientResponse response{ .status =
-                             static_cast<std::uint16_t>(head.getStatus()) };
+  const auto status = static_cast<int>(head.getStatus());
+  if (status < kFirstFinalStatus || status > kLastFinalStatus) {
+    throw Poco::Net::MessageException("answer without a final status");
+  }
+  ClientResponse response{ .status = static_cast<std::uint16_t>(status) };
   for (const auto& [name, value] : head) {
     response.headers.push_back({ name, value });
   }
--- /dev/null
+++ b/test/balsampoint/http/client_pool_test.cpp
@@ -0,0 +1,83 @@
+#include "balsampoint/http/client_pool.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <chrono>
+#include <criterion/criterion.h>
+#include <string>
+#include <string_view>
+#include <thread>
+
+using namespace balsampoint;
+using namespace balsampoint::http;
+
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds{ 5 };
+
+/** @brief Answer to a call of a server that sends some bytes, then waits until
+ * the caller closes the connection. */
+tl::expected<ClientResponse, CallFailure>
+CallServer(std::string_view aBytes, Duration aTimeout = kPatience)
+{
+  Poco::Net::ServerSocket listener{ Poco::Net::SocketAddress{ "127.0.0.1:0" } };
+  std::thread server{ [&] {
+    auto socket = listener.acceptConnection();
+    std::array<char, 4096> buffer{};
+    socket.receiveBytes(buffer.data(), buffer.size());
+    socket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    try {
+      socket.receiveBytes(buffer.data(), buffer.size());
+    } catch (const Poco::Exception&) {
+      // The caller reset the connection.
+    }
+  } };
+  ClientPool pool;
+  const ClientRequest request{ .method = "GET",
+                               .path = "/",
+                               .reuseConnection = false };
+  auto response = pool.Call(listener.address().toString(), request, aTimeout);
+  server.join();
+  return response;
+}
+
+} // namespace
+
+// Guards against an answer that is lost for the interim one before it.
+Test(client_pool, waits_for_the_answer_after_an_interim_one)
+{
+  const auto response =
+    CallServer("HTTP/1.1 100 Continue\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  cr_assert(response.has_value());
+  cr_expect_eq(response->status, 200);
+  cr_expect_eq(response->body, "ok");
+}
+
+// Guards against a number that is believed since it parses.
+Test(client_pool, takes_no_number_for_a_status)
+{
+  for (const std::string number :
+       { "000", "00", "099", "101", "102", "199", "600", "999", "1000" }) {
+    const auto response =
+      CallServer("HTTP/1.1 " + number + " X\r\nContent-Length: 0\r\n\r\n");
+    cr_expect_not(response.has_value(), "%s", number.c_str());
+    cr_expect(response.has_value() || response.error().maybeSent);
+    cr_expect(response.has_value() || !response.error().timedOut);
+  }
+}
+
+// Guards against a call that waits until its time limit, or longer, for a
+// server that sends interim answers without end.
+Test(client_pool, gives_up_after_interim_answers_without_end)
+{
+  std::string endless;
+  for (int count = 0; count < 100; ++count) {
+    endless += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  const auto response = CallServer(endless);
+  cr_assert_not(response.has_value());
+  cr_assert_not(response.error().timedOut);
+}
