Test that expectations of callers are met at the entry host

A caller's Expect is answered with 100 by the host that reads its body, and isn't passed on, so no server is asked for an interim answer.

--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -240,7 +240,12 @@
                       " /x/1 HTTP/1.1\r\nHost: a.example\r\n"
                       "X-Request-Id: " +
                       aId + "\r\n" + aMore + "\r\n" + aBody;
-    mSocket.sendBytes(text.data(), static_cast<int>(text.size()));
+    Send(text);
+  }
+
+  void Send(const std::string& aBytes)
+  {
+    mSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
   }
 
   /** @brief Reads until a text has arrived; false if the connection ends or a
@@ -1458,6 +1463,33 @@
   cr_assert(caller.read.starts_with("HTTP/1.1 200"), "%s", caller.read.c_str());
 }
 
+// Guards against a server that waits for its caller's body, or asks for it, in
+// place of this host.
+Test(exchange, expectations_of_callers_are_met_here)
+{
+  Host host{ routing::RequestKind::NonIdempotent };
+  const auto respond = [](const auto& aCaller, const auto& aRequest) {
+    aCaller->Send(PlainResponse(200, kStamped, "got " + aRequest.body));
+    aCaller->Finish(true);
+  };
+  host.one.respond = respond;
+  host.two.respond = respond;
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", "Expect: 100-continue\r\nContent-Length: 5\r\n");
+  cr_assert(caller.Expect("HTTP/1.1 100 Continue\r\n\r\n"));
+  caller.Send("hello");
+  cr_assert(caller.Expect("got hello"), "%s", caller.read.c_str());
+  host.RunOnLoop([&] {
+    cr_assert_eq(host.one.requests.size() + host.two.requests.size(), 1U);
+    for (const auto* server : { &host.one, &host.two }) {
+      for (const auto& head : server->requests) {
+        cr_assert_eq(head.fields.Count("Expect"), 0U);
+      }
+    }
+  });
+}
+
 // Guards against a stream without any event that reaches its caller as complete
 // because its server broke off after the head.
 Test(exchange, a_stream_without_events_is_no_success)
