--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -211,7 +211,6 @@
     mReused = reused;
     mStatementsRead = false;
     mStrangeAnswerLogged = false;
-    mInterimAnswers = 0;
     if (reused) {
       SendRequest();
     } else {
@@ -405,6 +404,7 @@
       return;
     }
     mSentInAttempt = true;
+    mInterimAnswers = 0;
     ++mProgress.sent;
     fleet::CountSend(
       mTraffic.fleet, mAdmission.service->id, mHops.front(), mSentAt);
