--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -49,6 +49,14 @@
             if self.writer is not None and random.random() < 0.1:
                 self.close()
 
+    def deadline_ms(self, kind):
+        """How long it waits for an answer."""
+        return 4000
+
+    def events(self, kind):
+        """How many events it asks for in a stream."""
+        return self.world.random.randint(2, 20)
+
     async def request(self, kind, path=None, host=None, body=None,
                       workspace=None):
         """Makes one request; its status, or None without an answer."""
@@ -57,9 +65,10 @@
         workspace = workspace or self.world.random.choice(list(WORKSPACES))
         key = WORKSPACES[workspace]
         body = body or f"{kind} {request}".encode()
-        tokens = STRIDE * self.world.random.randint(2, 20)
+        tokens = STRIDE * self.events(kind)
         fields = {"Host": "soak.example", "X-Request-Id": request,
-                  "X-Api-Key": key, "X-Deadline-Ms": "4000",
+                  "X-Api-Key": key,
+                  "X-Deadline-Ms": str(self.deadline_ms(kind)),
                   "Content-Type": "text/plain"}
         if kind == "draft":
             fields |= {"X-Model": "verse", "X-Token-Counts": f"100,{tokens}",
--- a/test/soak/findings.py
+++ b/test/soak/findings.py
@@ -1,11 +1,13 @@
 """What callers and backends have seen, and the promises it breaks."""
 
 import collections
+import functools
 import hashlib
 
 PROMISES_NOT_RUN = {408, 421, 429, 503}
 
 
+@functools.lru_cache(maxsize=1 << 16)
 def digest(*parts):
     """Text that only the right request leads to."""
     return hashlib.sha1("|".join(map(str, parts)).encode()).hexdigest()[:16]
@@ -27,6 +29,14 @@
         """Notes a broken promise."""
         self.broken.append(f"{rule}: {what}")
 
+    def requests_of(self, rules, since=0):
+        """Requests whose answers broke one of some rules, by kind."""
+        found = (line.split(": ", 1) for line in self.broken[since:])
+        requests = {what.split(" ")[0].rstrip(":")
+                    for rule, what in found if rule in rules}
+        return collections.Counter(
+            self.sent[request][0] for request in requests)
+
     def ask(self, request, kind, body, workspace):
         """Notes a request that a caller is about to send."""
         self.sent[request] = (kind, body, workspace)
--- a/test/soak/stutter.py
+++ b/test/soak/stutter.py
@@ -117,11 +117,12 @@
     `change` makes the copy from the answer."""
 
     change = staticmethod(lambda answer: answer)
+    share = INSIDE_SHARE
 
     async def __aexit__(self, *_):
         answer = until_close(self.answer)
         self.writer.write(answer)
-        if self.random.random() < INSIDE_SHARE:
+        if self.random.random() < self.share:
             await asyncio.sleep(self.random.uniform(0.0, LATE_S))
             self.writer.write(self.change(answer))
         self.writer.close()
@@ -297,3 +298,84 @@
 
 INSIDE = [BeforeEnd, BeforeEndWithoutId, BeforeEndCut, BetweenParts, OnAnother,
           OnAnotherWithoutId, Anywhere, OnOpening]
+
+
+class AtNext:
+    """Sends the copy of an answer where the next one is expected.
+
+    `change` makes the copy from the answer."""
+
+    change = staticmethod(lambda answer: answer)
+
+    def __init__(self, writer, random):
+        self.writer = writer
+        self.random = random
+        self.answer = b""
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+    def write(self, data):
+        """Passes a part of the answer on, and remembers it."""
+        self.answer += data
+        self.writer.write(data)
+
+    async def __aenter__(self):
+        if self.answer:
+            self.writer.write(self.change(self.answer))
+        self.answer = b""
+        return self
+
+    async def __aexit__(self, *_):
+        pass
+
+
+class AtNextWithoutId(AtNext):
+    """The same; the copy names no request."""
+
+    change = staticmethod(without_id)
+
+
+class AtNextTorn(AtNext):
+    """The same; the copy breaks off in its first line."""
+
+    change = staticmethod(lambda answer: answer[:len(b"HTTP/1.1 200 O")])
+
+
+class After(Stutter):
+    """Sends the copy a fixed time after the answer."""
+
+    delay_s = LATE_S
+    kind = "same"
+
+    def __init__(self, writer, random):
+        super().__init__(writer, self.kind, random)
+
+    async def repeat(self, answer):
+        """Sends the copy once the time is over."""
+        await asyncio.sleep(self.delay_s)
+        async with self.between:
+            if not self.writer.transport.is_closing():
+                self.writer.write(self.change(answer))
+
+
+class AfterWithoutId(After):
+    """The same; the copy names no request."""
+
+    kind = "without id"
+
+
+class SoonWithoutId(AfterWithoutId):
+    """The same, so soon that it may come with the answer."""
+
+    delay_s = 0.001
+
+
+class Twice(BeforeEnd):
+    """Sends each answer twice; only the connection's end ends it."""
+
+    share = 1.0
+
+
+LATE = [AtNext, AtNextWithoutId, AtNextTorn, After, AfterWithoutId,
+        SoonWithoutId, Twice]
