Keep few idle connections that other hosts have opened

Cause: each kept up to 16 idle connections a server, so that the one host that was left had reached its limit (100). One per server is kept now.

--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -10,6 +10,9 @@
 
 /** Idle connections per server; further ones are closed when returned. */
 constexpr std::size_t kMaxIdlePerServer = 16;
+/** The same for connections that other hosts have opened: these hold as many
+ * for each of several hosts. */
+constexpr std::size_t kMaxIdleDetours = 1;
 
 } // namespace
 
@@ -62,7 +65,8 @@
 {
   aConnection->SetObserver(nullptr);
   auto& idle = mIdle[aConnection->Address()];
-  if (!aConnection->Reusable() || idle.size() >= kMaxIdlePerServer ||
+  const auto most = mKeepsDetours ? kMaxIdleDetours : kMaxIdlePerServer;
+  if (!aConnection->Reusable() || idle.size() >= most ||
       aConnection->HasDetour() != mKeepsDetours) {
     aConnection->Close();
     return;
