Refuse at once while no host reaches servers

Cause: without a detour the requests went into connections of the host's own. Now they are refused before anything is sent, with Retry-After, once the link has been down for 0.5 s and no host is known that reaches servers; kept connections are still used.

--- a/src/balsampoint/edge/detour_connection.cpp
+++ b/src/balsampoint/edge/detour_connection.cpp
@@ -92,9 +92,11 @@
     return;
   }
   const auto request = ReadDetourRequest(mParser.Request());
-  const auto status =
-    request ? mPort.Admit(*request) : DetourStatus::Unauthorized;
-  if (status != DetourStatus::Open) {
+  if (!request) {
+    Refuse(DetourStatus::Unauthorized);
+    return;
+  }
+  if (const auto status = mPort.Admit(*request); status != DetourStatus::Open) {
     Refuse(status);
     return;
   }
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -181,14 +181,25 @@
     auto chosen = ChooseServers(
       mTraffic, *mAdmission.service, mParameters, { mFailed, receivers });
     if (!chosen) {
-      const auto end = mProgress.mayHaveRun ? forward::AttemptEnd::Broken
-                                            : forward::AttemptEnd::NotSent;
-      FinishAttempts(forward::GiveUp(mProgress, end), chosen.error());
+      GiveUp(chosen.error());
       return;
     }
     mHops = std::move(chosen->hops);
     mTokens = chosen->tokens;
     fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
+    OpenConnection();
+  }
+
+  void GiveUp(const Error& aError)
+  {
+    const auto end = mProgress.mayHaveRun ? forward::AttemptEnd::Broken
+                                          : forward::AttemptEnd::NotSent;
+    FinishAttempts(forward::GiveUp(mProgress, end), aError);
+  }
+
+  /** Sends the request on a connection that is kept, or opens one. */
+  void OpenConnection()
+  {
     const auto& address = mHops.front().address;
     // The server may close an idle connection as a request is sent on it, which
     // may then have run. Requests that may run only once get a new connection.
@@ -200,6 +211,11 @@
     const bool reused = mServer != nullptr;
     mIdleTime = reused ? mServer->IdleTime() : Duration{};
     if (!reused) {
+      if (reach::IsIsolated(mTraffic.reach, TrafficState::Now())) {
+        EndAttempt();
+        GiveUp(MakeError(ErrorKind::NoServer, "this host reaches no servers"));
+        return;
+      }
       mServer = mTraffic.pool.Make(address, mTraffic.links.ChoosePath(address));
     }
     mServer->SetObserver([self = this->weak_from_this()](ServerSignal aSignal) {
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -98,7 +98,7 @@
     return;
   }
   if (mDetour) {
-    AskDetour();
+    AskDetour(*mDetour);
     Read();
     return;
   }
@@ -115,9 +115,9 @@
 }
 
 void
-ServerConnection::AskDetour()
+ServerConnection::AskDetour(const DetourPath& aDetour)
 {
-  mDetourRequest = WriteDetourRequest(mAddress, mDetour->token);
+  mDetourRequest = WriteDetourRequest(mAddress, aDetour.token);
   // A failed write shows as a failed read.
   boost::asio::async_write(
     mSocket,
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -173,7 +173,7 @@
 
   void OnConnect(const boost::system::error_code& aError);
   void OnEstablished();
-  void AskDetour();
+  void AskDetour(const DetourPath& aDetour);
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aSize);
   /** Whether the host on the way has opened the connection; closes it
--- a/src/balsampoint/reach/query/choose_detour.cpp
+++ b/src/balsampoint/reach/query/choose_detour.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/reach/query/choose_detour.hpp"
 
+#include <chrono>
 #include <vector>
 
 namespace balsampoint::reach {
@@ -51,6 +52,15 @@
   return aState.link == Link::Down && IsListed(aState, aNow);
 }
 
+bool
+IsIsolated(const State& aState, Instant aNow)
+{
+  // Longer than the relay takes to name detours.
+  constexpr Duration kPatience = std::chrono::milliseconds{ 500 };
+  return aState.link == Link::Down && !IsListed(aState, aNow) &&
+         aNow - aState.changedAt >= kPatience;
+}
+
 std::optional<Detour>
 ChooseDetour(const State& aState,
              const ZoneId& aServerZone,
--- a/src/balsampoint/reach/query/choose_detour.hpp
+++ b/src/balsampoint/reach/query/choose_detour.hpp
@@ -11,6 +11,15 @@
 [[nodiscard]] bool
 UsesDetours(const State& aState, Instant aNow);
 
+/**
+ * @brief Whether new connections to servers are in vain: the link is down, and
+ * no host that reaches servers has become known for a while.
+ * @param aState State to read.
+ * @param aNow Current time.
+ */
+[[nodiscard]] bool
+IsIsolated(const State& aState, Instant aNow);
+
 /**
  * @brief Chooses the host that opens the next connection to a server.
  *
--- a/test/soak/hosts.py
+++ b/test/soak/hosts.py
@@ -11,6 +11,7 @@
 from soak.proxy import Link
 
 PEERS, CALLERS, CONTROL, READY, METRICS = 7340, 8227, 8229, 8220, 9464
+DETOURS = 7355
 STOP_S = 8
 RESTART_S = 0.3
 TORN_BYTES = 37
@@ -58,6 +59,8 @@
                   "metrics": f"{self.own}:{METRICS}"}
         listen["control" if self.control else "callers"] = (
             f"{self.own}:{self.port}")
+        if not self.control:
+            listen["detours"] = f"{self.own}:{DETOURS}"
         settings = {
             "cluster": "soak", "host": self.told, "region": "local",
             "zone": self.zone, "listen": listen,
