--- a/src/balsampoint/usage/command/send_sums.cpp
+++ b/src/balsampoint/usage/command/send_sums.cpp
@@ -135,6 +135,18 @@
   }
 }
 
+/** @brief What any host suspects. */
+SuspectReports
+KnownSuspects(const State& aState, const GroupUsage& aOwn, Instant aNow)
+{
+  auto suspects = aOwn.suspects;
+  AddSuspects(suspects, aState.far.use.suspects, aNow - aState.far.receivedAt);
+  for (const auto& [relay, reported] : aState.groups) {
+    AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
+  }
+  return quarantine::Join(suspects);
+}
+
 /** @brief Detours of the own zone, and some of the other zones. */
 std::vector<reach::Detour>
 KnownDetours(const State& aState, Instant aNow)
@@ -173,14 +185,11 @@
   totals.Add(group.services);
   totals.Add(aState.far.use.servers, aNow - aState.far.receivedAt);
   totals.Add(aState.far.use.services);
-  auto suspects = group.suspects;
-  AddSuspects(suspects, aState.far.use.suspects, aNow - aState.far.receivedAt);
   for (const auto& [relay, reported] : aState.groups) {
     totals.Add(reported.use.servers, aNow - reported.receivedAt);
     totals.Add(reported.use.services);
-    AddSuspects(suspects, reported.use.suspects, aNow - reported.receivedAt);
   }
-  suspects = quarantine::Join(suspects);
+  const auto suspects = KnownSuspects(aState, group, aNow);
   const auto detours = KnownDetours(aState, aNow);
   const bool withRates = aNow >= aState.nextRates;
   if (withRates) {
