Check the link with servers of several zones

A host whose way to one zone was lost, or while a zone's servers were down, could draw all servers of a check there and take itself for cut off from all. Found by reading. The servers are drawn over services and zones now. reach::a_check_draws_servers_of_several_zones; test-reach 8 of 8, x86_64.

--- a/src/balsampoint/reach/query/choose_references.cpp
+++ b/src/balsampoint/reach/query/choose_references.cpp
@@ -1,7 +1,9 @@
 #include "balsampoint/reach/query/choose_references.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace balsampoint::reach {
@@ -10,6 +12,17 @@
 
 using Addresses = std::vector<std::string>;
 
+/** @brief Servers of one service in one zone. */
+struct Group
+{
+  /** Servers drawn of the service, and of the zone. */
+  std::size_t* ofService{};
+  std::size_t* ofZone{};
+  Addresses addresses;
+
+  [[nodiscard]] std::size_t Drawn() const { return *ofService + *ofZone; }
+};
+
 std::string
 TakeAny(Addresses& aFrom, SplitMix64& aRandom)
 {
@@ -19,6 +32,20 @@
   return taken;
 }
 
+/** @brief Draws one of the groups of which, by service and zone, fewest servers
+ * were drawn. */
+Group&
+DrawGroup(std::span<Group*> aGroups, SplitMix64& aRandom)
+{
+  const auto fewest = std::ranges::min(
+    aGroups, {}, [](const Group* aGroup) { return aGroup->Drawn(); });
+  const auto rest = std::ranges::partition(aGroups, [&](const Group* aGroup) {
+    return aGroup->Drawn() == fewest->Drawn();
+  });
+  const auto count = static_cast<std::uint64_t>(rest.begin() - aGroups.begin());
+  return *aGroups[aRandom.Next() % count];
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -26,30 +53,37 @@
                  std::size_t aCount,
                  SplitMix64& aRandom)
 {
-  std::map<ServiceId, Addresses> byService;
+  std::map<ServiceId, std::size_t> services;
+  std::map<ZoneId, std::size_t> zones;
+  std::map<std::pair<ServiceId, ZoneId>, Group> groups;
   for (const auto& server : aServers) {
-    if (server.TakesWork()) {
-      const auto& description = server.claim.description;
-      byService[description.service].push_back(description.address);
+    if (!server.TakesWork()) {
+      continue;
     }
-  }
-  std::vector<Addresses*> services;
-  services.reserve(byService.size());
-  for (auto& [service, addresses] : byService) {
-    services.push_back(&addresses);
+    const auto& [service, address, zone] =
+      std::tie(server.claim.description.service,
+               server.claim.description.address,
+               server.claim.description.zone);
+    auto& group = groups[{ service, zone }];
+    group.ofService = &services[service];
+    group.ofZone = &zones[zone];
+    group.addresses.push_back(address);
   }
   Addresses references;
-  Addresses others;
-  while (!services.empty() && references.size() < aCount) {
-    std::swap(services[aRandom.Next() % services.size()], services.back());
-    references.push_back(TakeAny(*services.back(), aRandom));
-    services.pop_back();
-  }
-  for (auto& [service, addresses] : byService) {
-    std::ranges::move(addresses, std::back_inserter(others));
-  }
-  while (!others.empty() && references.size() < aCount) {
-    references.push_back(TakeAny(others, aRandom));
+  while (references.size() < aCount) {
+    std::vector<Group*> left;
+    for (auto& [key, group] : groups) {
+      if (!group.addresses.empty()) {
+        left.push_back(&group);
+      }
+    }
+    if (left.empty()) {
+      break;
+    }
+    auto& group = DrawGroup(left, aRandom);
+    references.push_back(TakeAny(group.addresses, aRandom));
+    ++*group.ofService;
+    ++*group.ofZone;
   }
   return references;
 }
--- a/src/balsampoint/reach/query/choose_references.hpp
+++ b/src/balsampoint/reach/query/choose_references.hpp
@@ -11,9 +11,9 @@
 namespace balsampoint::reach {
 
 /**
- * @brief Draws the servers that a check connects to: one of each service, then
- * any, so that a service without live servers doesn't look like a link that is
- * down.
+ * @brief Draws the servers that a check connects to, of as many services and
+ * zones as possible, so that neither a service nor a zone without live servers
+ * looks like a link that is down.
  * @param aServers The announced servers.
  * @param aCount Most servers to draw.
  * @param aRandom Source of random numbers.
--- a/test/balsampoint/reach/reach_test.cpp
+++ b/test/balsampoint/reach/reach_test.cpp
@@ -158,3 +158,24 @@
   cr_assert_eq(ChooseReferences(servers, 100, random).size(), 51U);
   cr_assert(ChooseReferences({}, 4, random).empty());
 }
+
+// A zone without live servers must not look like a link that is down.
+Test(reach, a_check_draws_servers_of_several_zones)
+{
+  std::vector<roster::Server> servers;
+  for (const auto* zone : { "a", "b", "c" }) {
+    for (int number = 0; number < 9; ++number) {
+      auto server = MakeServer(zone + std::to_string(number), "big");
+      server.claim.description.zone = ZoneId{ zone };
+      servers.push_back(server);
+    }
+  }
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    SplitMix64 random{ seed };
+    std::set<char> zones;
+    for (const auto& address : ChooseReferences(servers, 3, random)) {
+      zones.insert(address.front());
+    }
+    cr_assert_eq(zones.size(), 3U);
+  }
+}
