Give other hosts the time to say why they can't connect

A host that opens a connection for another one takes up to 250 ms for it and then checks its own link, while probes through it waited 80 or 200 ms: a server that hung was taken for a fault of the host on the way, which was avoided then.

--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -14,9 +14,9 @@
 /** Idle connections are closed this long before the server would. */
 constexpr Duration kIdleMargin = std::chrono::seconds{ 1 };
 
-/** A host on the way takes as long to connect to the server as this one
- * would. */
-constexpr int kConnectsOnDetour = 2;
+/** Time in which a host on the way connects to the server, or finds out why it
+ * can't. */
+constexpr Duration kDetourTime = std::chrono::milliseconds{ 450 };
 
 constexpr std::chrono::seconds kLongestIdleTimeout = std::chrono::hours{ 1 };
 
@@ -75,7 +75,7 @@
   }
   net::ConfigureSocket(mSocket, mLimits.ackTimeout);
   const auto timeout =
-    mLimits.connectTimeout * (mDetour ? kConnectsOnDetour : 1);
+    mLimits.connectTimeout + (mDetour ? kDetourTime : Duration{});
   mTimer.Set(timeout, [self = weak_from_this()] {
     if (const auto connection = self.lock()) {
       connection->CloseAsLost();
