Forget all that a lost link made of servers

When the link of a host is found down, broken answers and failure rates stayed with the servers, so that near ones were avoided through detours too. Found by reading; no test shows it. Names and comments that a reader stumbled over are put right beside it.

--- a/src/balsampoint/edge/detour_connection.cpp
+++ b/src/balsampoint/edge/detour_connection.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kOpenTimeout = std::chrono::milliseconds{ 250 };
 /** Time that sent bytes may stay unacknowledged. */
 constexpr Duration kAckTimeout = std::chrono::seconds{ 2 };
-/** Longer than a sound stream pauses. */
+/** Longer than streams are expected to pause. */
 constexpr Duration kQuietTime = std::chrono::milliseconds{ 500 };
 
 } // namespace
@@ -137,7 +137,7 @@
   }
   mTimer.Clear();
   if (aError) {
-    mPort.Explain([self = shared_from_this()](DetourStatus aStatus) {
+    mPort.AskWhyFailed([self = shared_from_this()](DetourStatus aStatus) {
       self->Refuse(aStatus);
     });
     return;
--- a/src/balsampoint/edge/detour_port.cpp
+++ b/src/balsampoint/edge/detour_port.cpp
@@ -105,7 +105,7 @@
 }
 
 void
-DetourPort::Explain(std::function<void(DetourStatus)> aCallback)
+DetourPort::AskWhyFailed(std::function<void(DetourStatus)> aCallback)
 {
   mTraffic.links.Check([callback = std::move(aCallback)](bool aReached) {
     callback(aReached ? DetourStatus::ServerUnreachable
--- a/src/balsampoint/edge/detour_port.hpp
+++ b/src/balsampoint/edge/detour_port.hpp
@@ -62,7 +62,7 @@
    * @brief Tells whether a failed connection is the server's fault.
    * @param aCallback Called once, later, with the answer to the other host.
    */
-  void Explain(std::function<void(DetourStatus)> aCallback);
+  void AskWhyFailed(std::function<void(DetourStatus)> aCallback);
 
   /** @brief Removes a connection that has ended. */
   void OnClosed(const std::shared_ptr<DetourConnection>& aConnection);
--- a/src/balsampoint/edge/link_watch.cpp
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -2,7 +2,7 @@
 
 #include "balsampoint/edge/detour_token.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
-#include "balsampoint/fleet/command/forget_unreachable.hpp"
+#include "balsampoint/fleet/command/forget_failures.hpp"
 #include "balsampoint/reach/command/record_check.hpp"
 #include "balsampoint/reach/command/use_detours.hpp"
 #include "balsampoint/reach/query/check_due.hpp"
@@ -147,7 +147,7 @@
   trace::Event{ isDown ? "servers_unreachable" : "servers_reachable" }.With(
     "detours", mTraffic.reach.detours.size());
   mTraffic.metrics.Set(trace::Level::ServersReachable, isDown ? 0.0 : 1.0);
-  fleet::ForgetUnreachable(mTraffic.fleet);
+  fleet::ForgetFailures(mTraffic.fleet);
   mTraffic.pool.KeepDetours(
     reach::UsesDetours(mTraffic.reach, TrafficState::Now()));
   mTraffic.NotifyLink();
@@ -163,13 +163,13 @@
     return;
   }
   // What failed before was this host's fault; its requests go on from here.
-  fleet::ForgetUnreachable(mTraffic.fleet);
+  fleet::ForgetFailures(mTraffic.fleet);
   mTraffic.pool.KeepDetours(!used);
   mTraffic.NotifyLink();
 }
 
 std::optional<DetourPath>
-LinkWatch::ChoosePath(std::string_view aServer)
+LinkWatch::TakePath(std::string_view aServer)
 {
   if (mTraffic.reach.link == reach::Link::Up) {
     return std::nullopt;
--- a/src/balsampoint/edge/link_watch.hpp
+++ b/src/balsampoint/edge/link_watch.hpp
@@ -75,11 +75,12 @@
   void SetSecret(std::string_view aSecret) { mSecret = aSecret; }
 
   /**
-   * @brief Chooses how the next connection to a server is opened.
+   * @brief Chooses how the next connection to a server is opened, and counts
+   * it.
    * @param aServer IP address and port of the server.
    * @return The host that opens it; absent for this one.
    */
-  [[nodiscard]] std::optional<DetourPath> ChoosePath(std::string_view aServer);
+  [[nodiscard]] std::optional<DetourPath> TakePath(std::string_view aServer);
 
 private:
   void Poll();
--- a/src/balsampoint/edge/server_prober.cpp
+++ b/src/balsampoint/edge/server_prober.cpp
@@ -51,7 +51,7 @@
     return;
   }
   auto connection =
-    mConnections.Make(aAddress, mTraffic.links.ChoosePath(aAddress));
+    mConnections.Make(aAddress, mTraffic.links.TakePath(aAddress));
   mProbes.emplace(aAddress, connection);
   connection->SetObserver(
     [this, service = aService, server = aServer, aAddress](
--- a/src/balsampoint/edge/traffic_state.hpp
+++ b/src/balsampoint/edge/traffic_state.hpp
@@ -79,8 +79,9 @@
     }
   }
 
-  /** @brief Notifies every request in progress that this host has lost its link
-   * to the servers, or that other hosts have come to reach them for it. */
+  /** @brief Notifies every request in progress that this host has lost or
+   * regained its link to the servers, or that it has come to know others, or
+   * none any more, that reach them. */
   void NotifyLink()
   {
     if (linkObserver) {
--- a/src/balsampoint/fleet/command/forget_unreachable.cpp
+++ b/src/balsampoint/fleet/command/forget_failures.cpp
@@ -1,14 +1,18 @@
-#include "balsampoint/fleet/command/forget_unreachable.hpp"
+#include "balsampoint/fleet/command/forget_failures.hpp"
 
 namespace balsampoint::fleet {
 
 void
-ForgetUnreachable(State& aState)
+ForgetFailures(State& aState)
 {
   for (auto& [service, group] : aState.groups) {
     for (auto& [id, server] : group.servers) {
       server.unreachableUntil = Instant::min();
+      server.avoidUntil = Instant::min();
       server.failedConnections = 0;
+      server.brokenAnswers = 0;
+      server.avoidances = 0;
+      server.failureRate = 0.0;
     }
   }
 }
--- a/src/balsampoint/fleet/command/forget_unreachable.hpp
+++ b/src/balsampoint/fleet/command/forget_failures.hpp
@@ -5,11 +5,11 @@
 namespace balsampoint::fleet {
 
 /**
- * @brief Forgets which servers could not be connected to, because it was this
- * host that had no link to them.
+ * @brief Forgets which servers broke connections or could not be connected to,
+ * because it was this host that had no link to them.
  * @param aState State to change.
  */
 void
-ForgetUnreachable(State& aState);
+ForgetFailures(State& aState);
 
 } // namespace balsampoint::fleet
