Judge servers through a detour by the detour's word

While a host was cut off, a crash seen through another host was checked against its own lost link, so never believed; a detour that broke accused the prompt of its request; at the beginning of a cut, a connection that hung made a break look like a reset. A server is now judged by the probe through the detour, a broken detour accuses nobody, and the link is checked before anything is.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -216,7 +216,7 @@
         GiveUp(MakeError(ErrorKind::NoServer, "this host reaches no servers"));
         return;
       }
-      mServer = mTraffic.pool.Make(address, mTraffic.links.ChoosePath(address));
+      mServer = mTraffic.pool.Make(address, mTraffic.links.TakePath(address));
     }
     mServer->SetObserver([self = this->weak_from_this()](ServerSignal aSignal) {
       if (const auto exchange = self.lock()) {
@@ -273,22 +273,27 @@
       return;
     }
     const auto& address = mHops.front().address;
+    const bool hadDetour = mServer->HasDetour();
     mServer = nullptr;
-    mTraffic.probes.Probe(address,
-                          mTraffic.links.ChoosePath(address),
-                          [self = this->weak_from_this()](ProbeResult aResult) {
-                            if (const auto exchange = self.lock()) {
-                              exchange->OnBreakProbed(aResult);
-                            }
-                          });
+    mTraffic.probes.Probe(
+      address,
+      mTraffic.links.TakePath(address),
+      [self = this->weak_from_this(), hadDetour](ProbeResult aResult) {
+        const auto exchange = self.lock();
+        if (exchange && !exchange->mEnded) {
+          exchange->OnBreakProbed(aResult, hadDetour);
+        }
+      });
   }
 
   void OnNotConnected()
   {
-    if (!mServer->DetourFailed()) {
+    const bool direct = !mServer->HasDetour();
+    const bool linkIsDown = mTraffic.reach.link == reach::Link::Down;
+    if (!mServer->DetourFailed() && !(direct && linkIsDown)) {
       RecordFinding(fleet::RequestOutcome::Unreachable);
     }
-    if (!mServer->HasDetour()) {
+    if (direct) {
       mTraffic.links.OnConnectionFailed();
     }
     OnAttemptEnd(forward::AttemptEnd::NotSent,
@@ -307,35 +312,48 @@
 
   /** Continues after the connection to the server broke, once it is known
    * whether the server accepts others. */
-  void OnBreakProbed(ProbeResult aResult)
+  void OnBreakProbed(ProbeResult aResult, bool aHadDetour)
   {
-    const auto* server = mEnded ? nullptr : &mHops.front();
-    if (server == nullptr) {
+    if (HasRestarted(mHops.front())) {
+      OnServerBroke(ServerBreak::Crash);
       return;
     }
-    if (HasRestarted(*server)) {
-      OnServerBroke(ServerBreak::Crash);
+    if (aResult != ProbeResult::Refuses && aHadDetour) {
+      // The host on the way may have broken it.
+      OnAttemptEnd(forward::AttemptEnd::Broken, "the detour broke");
       return;
     }
-    // A server at its limit of connections closes new ones and keeps others.
-    if (aResult != ProbeResult::Refuses ||
-        mTraffic.pool.IsConnected(server->address)) {
+    if (aResult != ProbeResult::Refuses) {
       OnServerBroke(ServerBreak::Reset);
       return;
     }
+    if (reach::UsesDetours(mTraffic.reach, TrafficState::Now())) {
+      // The host that opened the probe reaches other servers.
+      OnServerBroke(ServerBreak::Crash);
+      return;
+    }
     mTraffic.links.Check([self = this->weak_from_this()](bool aReached) {
       const auto exchange = self.lock();
-      if (!exchange || exchange->mEnded) {
-        return;
-      }
-      if (aReached) {
-        exchange->OnServerBroke(ServerBreak::Crash);
-      } else {
-        exchange->OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
+      if (exchange && !exchange->mEnded) {
+        exchange->OnLinkChecked(aReached);
       }
     });
   }
 
+  /** Continues after a server that broke its connection accepts no other, once
+   * it is known whether this host reaches any. */
+  void OnLinkChecked(bool aReached)
+  {
+    if (!aReached) {
+      OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
+      return;
+    }
+    // A server at its limit of connections closes new ones and keeps others.
+    OnServerBroke(mTraffic.pool.IsConnected(mHops.front().address)
+                    ? ServerBreak::Reset
+                    : ServerBreak::Crash);
+  }
+
   void OnServerBroke(ServerBreak aBreak)
   {
     RecordFinding(fleet::RequestOutcome::Broken);
@@ -455,9 +473,6 @@
       OnStrangeAnswer(verdict, head, metadata);
       return;
     }
-    if (!mReused && !mServer->HasDetour()) {
-      mTraffic.links.OnConnected();
-    }
     FollowStatementsOnce(metadata);
     if (metadata.notExecuted) {
       OnNotExecuted(metadata);
@@ -524,6 +539,9 @@
   void FollowStatementsOnce(const ResponseMetadata& aMetadata)
   {
     if (!std::exchange(mStatementsRead, true)) {
+      if (!mReused && !mServer->HasDetour()) {
+        mTraffic.links.OnConnected();
+      }
       FollowStatements(mTraffic,
                        mAdmission.service->id,
                        mHops.front(),
@@ -1045,7 +1063,7 @@
   static constexpr std::string_view kLinkLost =
     "this host has lost its link to the servers";
   /** Time without a byte after which a connection counts as cut with the link;
-   * longer than sound servers pause between two events. */
+   * longer than most servers pause between two events. */
   static constexpr Duration kLinkSilence = std::chrono::milliseconds{ 150 };
   static constexpr std::string_view kMayCrashServers =
     "the request may crash another server";
