Decide on repetitions after a lost link as on all others

A request that was silent on a connection of the lost link was repeated by the budget alone, without the bounds on sends, on the time left and on requests that may crash servers. Found by reading; no test shows it.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -393,14 +393,18 @@
         mServer->LastReadAt() >= aSince || mSentAt >= aSince) {
       return;
     }
-    // The server may still be at work on it if only new connections fail.
-    if (!IsStream() && !ConsumeRetry(forward::Decision::Retry)) {
-      return;
-    }
     if (IsStream()) {
       OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
       return;
     }
+    // The server may still be at work on it if only new connections fail, so
+    // the attempt goes on unless another one is allowed.
+    const auto decision = forward::Decide(
+      mProgress, forward::AttemptEnd::Broken, TrafficState::Now());
+    if (decision != forward::Decision::Retry ||
+        !mCrashWatch.MayRetry(mTraffic) || !ConsumeRetry(decision)) {
+      return;
+    }
     LogAttempt(
       LogFields(), forward::AttemptEnd::Broken, kLinkLost, mServerAtFault);
     EndAttempt();
