--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -265,8 +265,9 @@
     auto use = fleet::MakeLocalUsage(mTraffic.fleet, TrafficState::Now());
     use.suspects =
       quarantine::MakeReports(mTraffic.quarantine, TrafficState::Now());
-    if (mDetours.IsAvailable()) {
-      use.detour = mSettings.listen.detours->Text();
+    const auto& detours = mSettings.listen.detours;
+    if (detours && mDetours.IsAvailable()) {
+      use.detour = detours->Text();
     }
     use.needsDetours = mTraffic.reach.link == reach::Link::Down;
     const bool queued =
