Check a status before the library's type for it has to hold it

The address and undefined sanitizer's build failed in test-http: a status of 600 was read as a value that the library's enumeration can't hold. The status line is checked first now.

--- a/src/balsampoint/http/client_pool.cpp
+++ b/src/balsampoint/http/client_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
+#include "balsampoint/wire/status_line.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -11,6 +12,9 @@
 #include <array>
 #include <istream>
 #include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
 
 namespace balsampoint::http {
 
@@ -23,8 +27,10 @@
 constexpr Duration kMinWait = std::chrono::milliseconds{ 1 };
 constexpr std::size_t kMaxIdlePerAddress = 256;
 constexpr std::size_t kChunkBytes = 16384;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
-constexpr int kLastFinalStatus = 599;
+constexpr int kLastStatus = 599;
+constexpr std::size_t kMaxHeadBytes = 65536;
 
 Poco::Timespan
 Span(Duration aDuration)
@@ -50,6 +56,53 @@
            .timedOut = aTimedOut };
 }
 
+/** @brief Reads a head up to its empty line, or what there is of it. */
+std::string
+ReadHead(std::istream& aStream)
+{
+  std::string head;
+  for (std::string line; std::getline(aStream, line);) {
+    head += line + '\n';
+    if (line.empty() || line == "\r") {
+      break;
+    }
+    if (head.size() > kMaxHeadBytes) {
+      throw Poco::Net::MessageException("the head of the answer is too large");
+    }
+  }
+  return head;
+}
+
+/** @brief The number in place of a status in a head; 0 if there is none. */
+int
+StatusOf(std::string_view aHead)
+{
+  const auto line = aHead.substr(0, aHead.find_first_of("\r\n"));
+  const auto space = line.find(' ');
+  if (space == std::string_view::npos) {
+    return 0;
+  }
+  const auto number = line.substr(space + 1);
+  return wire::ReadStatus(number.substr(0, number.find(' ')));
+}
+
+/** @brief A response whose status is checked before the library reads it: its
+ * type for the status can't hold every number that a server may send. */
+class CheckedResponse : public Poco::Net::HTTPResponse
+{
+public:
+  void read(std::istream& aStream) override
+  {
+    const auto head = ReadHead(aStream);
+    const auto status = StatusOf(head);
+    if (!head.empty() && (status < kFirstStatus || status > kLastStatus)) {
+      throw Poco::Net::MessageException("answer without a status");
+    }
+    std::istringstream stream{ head };
+    HTTPResponse::read(stream);
+  }
+};
+
 void
 Write(Poco::Net::HTTPClientSession& aSession, const ClientRequest& aRequest)
 {
@@ -97,11 +150,11 @@
      Instant aDeadline,
      bool& aKeepAlive)
 {
-  Poco::Net::HTTPResponse head;
+  CheckedResponse head;
   SkipInterim(aSession, aDeadline, head);
   auto& stream = aSession.receiveResponse(head);
   const auto status = static_cast<int>(head.getStatus());
-  if (status < kFirstFinalStatus || status > kLastFinalStatus) {
+  if (status < kFirstFinalStatus) {
     throw Poco::Net::MessageException("answer without a final status");
   }
   ClientResponse response{ .status = static_cast<std::uint16_t>(status) };
