Remember which way a probe of a broken connection took

A probe that was sent directly just before the link was found down, and whose result came after detours were in use, was taken for the word of a host that reaches servers, so that a sound request could be accused of a crash.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -272,16 +272,29 @@
       OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
       return;
     }
-    const auto& address = mHops.front().address;
-    const bool hadDetour = mServer->HasDetour();
+    ProbeBreak();
+  }
+
+  /** How a connection that broke was opened, and the probe after it. */
+  struct BreakPaths
+  {
+    bool serverByDetour{ false };
+    bool probeByDetour{ false };
+  };
+
+  void ProbeBreak()
+  {
+    const auto address = mHops.front().address;
+    auto path = mTraffic.links.TakePath(address);
+    const BreakPaths paths{ mServer->HasDetour(), path.has_value() };
     mServer = nullptr;
     mTraffic.probes.Probe(
       address,
-      mTraffic.links.TakePath(address),
-      [self = this->weak_from_this(), hadDetour](ProbeResult aResult) {
+      std::move(path),
+      [self = this->weak_from_this(), paths](ProbeResult aResult) {
         const auto exchange = self.lock();
         if (exchange && !exchange->mEnded) {
-          exchange->OnBreakProbed(aResult, hadDetour);
+          exchange->OnBreakProbed(aResult, paths);
         }
       });
   }
@@ -312,13 +325,13 @@
 
   /** Continues after the connection to the server broke, once it is known
    * whether the server accepts others. */
-  void OnBreakProbed(ProbeResult aResult, bool aHadDetour)
+  void OnBreakProbed(ProbeResult aResult, BreakPaths aPaths)
   {
     if (HasRestarted(mHops.front())) {
       OnServerBroke(ServerBreak::Crash);
       return;
     }
-    if (aResult != ProbeResult::Refuses && aHadDetour) {
+    if (aResult != ProbeResult::Refuses && aPaths.serverByDetour) {
       // The host on the way may have broken it.
       OnAttemptEnd(forward::AttemptEnd::Broken, "the detour broke");
       return;
@@ -327,7 +340,7 @@
       OnServerBroke(ServerBreak::Reset);
       return;
     }
-    if (reach::UsesDetours(mTraffic.reach, TrafficState::Now())) {
+    if (aPaths.probeByDetour) {
       // The host that opened the probe reaches other servers.
       OnServerBroke(ServerBreak::Crash);
       return;
