Carry waiting prompts and demand by urgency in sums of use

Cause: entry hosts know neither the prompts that other hosts have sent to a server and that it has not read yet, nor how much of the demand for a service is urgent, so no decision can take them into account.

Change: UsageServer.waitingPrompt and UsageService.byUrgency, both optional, so that older builds read the rest; sums add them up and leave the receiver's own part out. Nothing sets them yet.

--- a/src/balsampoint/peer/usage_codec.cpp
+++ b/src/balsampoint/peer/usage_codec.cpp
@@ -39,6 +39,16 @@
   return aRate > 0.0 ? std::min(aRate, kHighest) : 0.0;
 }
 
+/** @brief Reads a number of tokens and bounds it; one that is no number is
+ * zero.
+ */
+double
+BoundedTokens(double aTokens)
+{
+  constexpr double kMost = 1e12;
+  return aTokens > 0.0 ? std::min(aTokens, kMost) : 0.0;
+}
+
 wire::UsageRate
 ToWire(const usage::RateStatement& aRate)
 {
@@ -71,18 +81,46 @@
     auto& service = services.emplace_back();
     service.name = use.service.String();
     service.demand = use.demand;
+    for (const auto& one : use.byUrgency) {
+      wire::UsageUrgency urgency;
+      urgency.urgency = static_cast<std::int32_t>(one.urgency);
+      urgency.kvPerSecond = one.kvPerSecond;
+      service.byUrgency.push_back(urgency);
+    }
+    service.__isset.byUrgency = !service.byUrgency.empty();
   }
   return services;
 }
 
+/** @brief Reads the demand by urgency, of a bounded number of urgencies. */
+std::vector<usage::UrgencyDemand>
+FromWire(std::span<const wire::UsageUrgency> aDemand)
+{
+  constexpr std::size_t kMostUrgencies = 16;
+  std::vector<usage::UrgencyDemand> demand;
+  for (const auto& one :
+       aDemand.first(std::min(aDemand.size(), kMostUrgencies))) {
+    if (one.urgency < 0) {
+      continue;
+    }
+    demand.push_back({ static_cast<std::uint32_t>(one.urgency),
+                       BoundedTokens(one.kvPerSecond) });
+  }
+  return demand;
+}
+
 std::vector<usage::ServiceUsage>
 FromWire(std::span<const wire::UsageService> aServices)
 {
   std::vector<usage::ServiceUsage> services;
   services.reserve(aServices.size());
   for (const auto& service : aServices) {
-    services.push_back({ .service = ServiceId{ service.name },
-                         .demand = BoundedRate(service.demand) });
+    auto& use = services.emplace_back();
+    use.service = ServiceId{ service.name };
+    use.demand = BoundedRate(service.demand);
+    if (service.__isset.byUrgency) {
+      use.byUrgency = FromWire(service.byUrgency);
+    }
   }
   return services;
 }
@@ -104,6 +142,9 @@
     if (use.rate) {
       server.__set_rate(ToWire(*use.rate));
     }
+    if (use.waitingPrompt > 0.0) {
+      server.__set_waitingPrompt(static_cast<std::int64_t>(use.waitingPrompt));
+    }
   }
   return servers;
 }
@@ -125,6 +166,10 @@
     if (server.__isset.rate) {
       use.rate = FromWire(server.rate);
     }
+    if (server.__isset.waitingPrompt) {
+      use.waitingPrompt =
+        BoundedTokens(static_cast<double>(server.waitingPrompt));
+    }
   }
   return servers;
 }
--- a/src/balsampoint/usage/internal/totals.cpp
+++ b/src/balsampoint/usage/internal/totals.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/usage/internal/totals.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsampoint::usage::internal {
 
@@ -36,6 +37,7 @@
     total.passing += use.passing;
     total.sent += use.sent;
     total.kv += use.kv;
+    total.waitingPrompt += use.waitingPrompt;
     total.recent += use.recent;
     TakeNewer(total.rate, use.rate, aHeldFor);
   }
@@ -45,7 +47,11 @@
 Totals::Add(std::span<const ServiceUsage> aServices)
 {
   for (const auto& use : aServices) {
-    mDemand[use.service] += use.demand;
+    auto& total = mDemand[use.service];
+    total.demand += use.demand;
+    for (const auto& one : use.byUrgency) {
+      total.kvPerSecond[one.urgency] += one.kvPerSecond;
+    }
   }
 }
 
@@ -73,6 +79,8 @@
     total.passing -= std::min(total.passing, use.passing);
     total.sent -= std::min(total.sent, use.sent);
     total.kv = std::max(0.0, total.kv - use.kv);
+    total.waitingPrompt =
+      std::max(0.0, total.waitingPrompt - use.waitingPrompt);
     total.recent -= std::min(total.recent, use.recent);
   }
   return others.Servers();
@@ -83,8 +91,12 @@
 {
   std::vector<ServiceUsage> services;
   services.reserve(mDemand.size());
-  for (const auto& [service, demand] : mDemand) {
-    services.push_back({ service, demand });
+  for (const auto& [service, total] : mDemand) {
+    ServiceUsage use{ .service = service, .demand = total.demand };
+    for (const auto& [urgency, kvPerSecond] : total.kvPerSecond) {
+      use.byUrgency.push_back({ urgency, kvPerSecond });
+    }
+    services.push_back(std::move(use));
   }
   return services;
 }
@@ -94,8 +106,12 @@
 {
   auto others = *this;
   for (const auto& use : aOwn) {
-    auto& demand = others.mDemand[use.service];
-    demand = std::max(0.0, demand - use.demand);
+    auto& total = others.mDemand[use.service];
+    total.demand = std::max(0.0, total.demand - use.demand);
+    for (const auto& one : use.byUrgency) {
+      auto& kvPerSecond = total.kvPerSecond[one.urgency];
+      kvPerSecond = std::max(0.0, kvPerSecond - one.kvPerSecond);
+    }
   }
   return others.Services();
 }
--- a/src/balsampoint/usage/internal/totals.hpp
+++ b/src/balsampoint/usage/internal/totals.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/usage/message.hpp"
 
+#include <cstdint>
 #include <map>
 #include <span>
 #include <vector>
@@ -47,8 +48,15 @@
     std::span<const ServiceUsage> aOwn) const;
 
 private:
+  /** Demand for one service. */
+  struct Demand
+  {
+    double demand{};
+    std::map<std::uint32_t, double> kvPerSecond;
+  };
+
   std::map<ServerId, ServerUsage> mServers;
-  std::map<ServiceId, double> mDemand;
+  std::map<ServiceId, Demand> mDemand;
 };
 
 } // namespace balsampoint::usage::internal
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -36,6 +36,8 @@
   std::uint32_t sent{};
   /** KV reserved for these requests, in tokens times layers. */
   double kv{};
+  /** Prompts of the requests without a first event, in tokens times layers. */
+  double waitingPrompt{};
   /** Requests sent to it in the last seconds; counted only while it has a rate
    * limit. */
   std::uint32_t recent{};
@@ -45,12 +47,26 @@
   bool operator==(const ServerUsage&) const = default;
 };
 
-/** @brief Demand for one service of which some server has a rate limit. */
+/** @brief Demand of the requests of one urgency. */
+struct UrgencyDemand
+{
+  /** Lower is served first. */
+  std::uint32_t urgency{};
+  /** Tokens of KV that the requests need, per second. */
+  double kvPerSecond{};
+
+  bool operator==(const UrgencyDemand&) const = default;
+};
+
+/** @brief Demand for one service that limits what it takes, or has requests of
+ * several urgencies. */
 struct ServiceUsage
 {
   ServiceId service;
   /** Choices of servers per second. */
   double demand{};
+  /** By ascending urgency; empty if all requests are equally urgent. */
+  std::vector<UrgencyDemand> byUrgency;
 
   bool operator==(const ServiceUsage&) const = default;
 };
@@ -61,7 +77,7 @@
   std::vector<ServerUsage> servers;
   /** Requests and prompt parts that it suspects of crashing servers. */
   std::vector<quarantine::SuspectReport> suspects;
-  /** Demand for services with rate limits. */
+  /** Demand for services with rate limits or several urgencies. */
   std::vector<ServiceUsage> services;
   /** Address at which the host opens connections to servers for others; empty
    * if it reaches none or has no room. */
@@ -83,7 +99,7 @@
   std::uint32_t hosts{};
   /** What any host suspects, the receiver included. */
   std::vector<quarantine::SuspectReport> suspects;
-  /** Demand for services with rate limits. */
+  /** Demand for services with rate limits or several urgencies. */
   std::vector<ServiceUsage> services;
   /** Hosts that open connections to servers; empty unless the receiver needs
    * them. */
@@ -101,7 +117,7 @@
   std::vector<ServerUsage> servers;
   /** What any of these hosts suspects. */
   std::vector<quarantine::SuspectReport> suspects;
-  /** Demand for services with rate limits. */
+  /** Demand for services with rate limits or several urgencies. */
   std::vector<ServiceUsage> services;
   /** Some of these hosts that open connections to servers. */
   std::vector<reach::Detour> detours;
@@ -117,7 +133,7 @@
   std::uint32_t hosts{};
   /** What any host suspects. */
   std::vector<quarantine::SuspectReport> suspects;
-  /** Demand for services with rate limits. */
+  /** Demand for services with rate limits or several urgencies. */
   std::vector<ServiceUsage> services;
   /** Some of these hosts that open connections to servers. */
   std::vector<reach::Detour> detours;
--- a/thrift/usage.thrift
+++ b/thrift/usage.thrift
@@ -8,10 +8,19 @@
   3: required i64 ageMs
 }
 
+// Demand of one urgency.
+struct UsageUrgency {
+  // Lower is served first.
+  1: required i32 urgency
+  // Tokens of KV that its requests need, per second.
+  2: required double kvPerSecond
+}
+
 struct UsageService {
   1: required string name
   // Choices of servers per second.
   2: required double demand
+  3: optional list<UsageUrgency> byUrgency
 }
 
 // What entry hosts have in progress on backend servers.
@@ -24,6 +33,8 @@
   // Requests sent in the last seconds, for servers with a rate limit.
   5: optional i32 recent
   6: optional UsageRate rate
+  // Prompt tokens times layers of requests without a first event.
+  7: optional i64 waitingPrompt
 }
 
 struct UsageCrash {
