Share rejections of servers among entry hosts

Cause: a server in the middle of chains that crashes rejects each request at once until it is announced as silent, 2.9 s later.

Change: hosts report the newest rejection by each server, with the fill level that they knew, in UsageServer.rejection. After one at a low level, hosts send nothing for 0.3 s and then a growing part of their requests until 1.5 s; after one at a high level, they fill the server less and regain the level by 0.05 a second.

--- a/src/balsampoint/fleet/command/set_remote_usage.cpp
+++ b/src/balsampoint/fleet/command/set_remote_usage.cpp
@@ -15,6 +15,12 @@
                          .sent = aUse.sent,
                          .kv = aUse.kv };
   aServer.remoteRecent = aUse.recent;
+  if (aUse.rejection) {
+    const auto at = aNow - aUse.rejection->age;
+    if (at > aServer.remoteRejection.at) {
+      aServer.remoteRejection = { at, aUse.rejection->fill };
+    }
+  }
   const auto& rate = aUse.rate;
   if (rate && rate->incarnation == aServer.claim.stamp.incarnation) {
     RecordRemoteRateLimit(aServer, rate->limit, aNow - rate->age, aNow);
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -63,6 +63,10 @@
                                            aServer.refusals);
         ++aServer.refusals;
       }
+      if (aServer.kvCapacity > 0.0) {
+        aServer.localRejection = { aNow,
+                                   aServer.KvUsed() / aServer.kvCapacity };
+      }
       break;
     case RequestOutcome::Unreachable:
       ExtendUntil(aServer.unreachableUntil,
@@ -141,6 +145,7 @@
     server->failedConnections = 0;
     server->unreachableUntil = Instant::min();
     if (!aInterval) {
+      server->startedAt = aNow;
       server->refusals = 0;
       server->returning = false;
     } else {
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -3,6 +3,7 @@
 #include "balsampoint/core/split_mix.hpp"
 #include "balsampoint/fleet/internal/cost.hpp"
 #include "balsampoint/fleet/internal/rate_share.hpp"
+#include "balsampoint/fleet/internal/rejection.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -66,9 +67,15 @@
     const auto spread = aDemand.randomSample ? aState.settings.spread : 0.0;
     for (const auto& [id, server] : aGroup.servers) {
       const bool out = aLastResort ? server.Unable(aNow) : server.Avoided(aNow);
-      if (!out && Usable(server)) {
-        mServers.push_back({ &server, 1.0 + spread * random.NextUnit() });
+      if (out || !Usable(server)) {
+        continue;
+      }
+      const auto chance =
+        internal::ChanceAfterRejection(aState.settings, server, aNow);
+      if (chance < 1.0 && random.NextUnit() >= chance) {
+        continue;
       }
+      mServers.push_back({ &server, 1.0 + spread * random.NextUnit() });
     }
     MarkBoundaries();
   }
@@ -132,6 +139,9 @@
     if (aServer.rateLimit) {
       return "limited";
     }
+    if (internal::ChanceAfterRejection(mSettings, aServer, mNow) < 1.0) {
+      return "rejecting";
+    }
     return "full";
   }
 
@@ -224,7 +234,8 @@
   [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
-    const auto room = aServer.kvCapacity * mSettings.maxKvFraction;
+    const auto room =
+      aServer.kvCapacity * internal::FillLimit(mSettings, aServer, mNow);
     if (used > room) {
       return kUnreachable;
     }
--- a/src/balsampoint/fleet/query/make_local_usage.cpp
+++ b/src/balsampoint/fleet/query/make_local_usage.cpp
@@ -21,6 +21,18 @@
                                .age = aNow - aServer.rateStatedAt };
 }
 
+/** @brief The newest rejection that this host has met, while others need it. */
+std::optional<usage::Rejection>
+RejectionBy(const Server& aServer, const Settings& aSettings, Instant aNow)
+{
+  const auto& rejection = aServer.localRejection;
+  if (rejection.at == Instant::min() ||
+      aNow - rejection.at > aSettings.rejectionMemory) {
+    return std::nullopt;
+  }
+  return usage::Rejection{ aNow - rejection.at, rejection.fill };
+}
+
 } // namespace
 
 usage::LocalUsage
@@ -38,11 +50,14 @@
                               .passing = server.localWork.passing,
                               .sent = server.localWork.sent,
                               .kv = server.localWork.kv,
-                              .rate = StatementOf(server, aNow) };
+                              .rate = StatementOf(server, aNow),
+                              .rejection =
+                                RejectionBy(server, aState.settings, aNow) };
       if (limited) {
         one.recent = server.sentRecently.Within(RecentCount::kLongest, aNow);
       }
-      if (one.passing > 0 || one.recent > 0 || one.rate.has_value()) {
+      if (one.passing > 0 || one.recent > 0 || one.rate.has_value() ||
+          one.rejection.has_value()) {
         use.servers.push_back(one);
       }
     }
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -55,6 +55,22 @@
   /** Time after which a request refused by a service without engines may be
    * retried: a few times the usual duration of a call. */
   Duration plainRetryAfter{ std::chrono::milliseconds{ 100 } };
+  /** Known fill level of a server's KV up to which a rejection isn't explained
+   * by a lack of KV: the server, or one that it passes work on to, is out of
+   * service. */
+  double shortageFill{ 0.6 };
+  /** Time after such a rejection, met by any host, in which no host sends the
+   * server requests, and time after which all do so as before. In between they
+   * send a growing part of them: dozens of hosts that learn of a lost server
+   * each by itself have hundreds of requests rejected before it is announced as
+   * silent. */
+  Duration rejectionHold{ std::chrono::milliseconds{ 300 } };
+  Duration rejectionMemory{ std::chrono::milliseconds{ 1500 } };
+  /** A server that rejects a request for lack of KV is filled up to this much
+   * less than the known fill level, as a fraction of its KV, and by so much
+   * more with each second: answers outgrow what was reserved for them. */
+  double fillMargin{ 0.02 };
+  double fillRecoveryPerSecond{ 0.05 };
   /** Weight of the newest outcome in the moving average of a server's failure
    * rate. */
   double failureWeight{ 0.15 };
@@ -71,6 +87,14 @@
   double kv{};
 };
 
+/** @brief A request that a server has rejected without running it. */
+struct Rejection
+{
+  Instant at{ Instant::min() };
+  /** Part of the server's KV that was known to be reserved. */
+  double fill{};
+};
+
 /** @brief One server, the work on it and its recent faults. */
 struct Server
 {
@@ -123,6 +147,12 @@
   Instant rateStatedAt{ Instant::min() };
   /** Until when other hosts are told that its limit has ended. */
   Instant tellEndUntil{ Instant::min() };
+  /** Newest rejection that this host has met, and newest one reported by all
+   * hosts. */
+  Rejection localRejection;
+  Rejection remoteRejection;
+  /** When a request through it last had its first event on this host. */
+  Instant startedAt{ Instant::min() };
   /** Requests that this thread has sent to it. */
   RecentCount sentRecently;
   /** Requests that other hosts have sent to it in the longest window. */
@@ -155,6 +185,13 @@
     return backOffUntil > aNow || (returning && localWork.passing > 0);
   }
 
+  /** @brief Newest rejection that any host has met. */
+  [[nodiscard]] const Rejection& LastRejection() const noexcept
+  {
+    return localRejection.at < remoteRejection.at ? remoteRejection
+                                                  : localRejection;
+  }
+
   /** @brief Requests of all hosts whose chain includes it. */
   [[nodiscard]] double Passing() const noexcept
   {
--- a/src/balsampoint/peer/usage_codec.cpp
+++ b/src/balsampoint/peer/usage_codec.cpp
@@ -49,6 +49,13 @@
   return aTokens > 0.0 ? std::min(aTokens, kMost) : 0.0;
 }
 
+/** @brief Reads a fraction and bounds it; one that is no number is zero. */
+double
+BoundedFraction(double aFraction)
+{
+  return aFraction > 0.0 ? std::min(aFraction, 1.0) : 0.0;
+}
+
 wire::UsageRate
 ToWire(const usage::RateStatement& aRate)
 {
@@ -142,6 +149,12 @@
     if (use.rate) {
       server.__set_rate(ToWire(*use.rate));
     }
+    if (use.rejection) {
+      wire::UsageRejection rejection;
+      rejection.ageMs = ToMilliseconds(use.rejection->age);
+      rejection.fill = use.rejection->fill;
+      server.__set_rejection(rejection);
+    }
     if (use.waitingPrompt > 0.0) {
       server.__set_waitingPrompt(static_cast<std::int64_t>(use.waitingPrompt));
     }
@@ -166,6 +179,10 @@
     if (server.__isset.rate) {
       use.rate = FromWire(server.rate);
     }
+    if (server.__isset.rejection) {
+      use.rejection = { FromMilliseconds(server.rejection.ageMs),
+                        BoundedFraction(server.rejection.fill) };
+    }
     if (server.__isset.waitingPrompt) {
       use.waitingPrompt =
         BoundedTokens(static_cast<double>(server.waitingPrompt));
--- a/src/balsampoint/usage/command/send_sums.cpp
+++ b/src/balsampoint/usage/command/send_sums.cpp
@@ -167,7 +167,8 @@
 {
   std::erase_if(aServers, [](ServerUsage& aUse) {
     aUse.rate.reset();
-    return aUse.passing == 0 && aUse.sent == 0 && aUse.recent == 0;
+    return aUse.passing == 0 && aUse.sent == 0 && aUse.recent == 0 &&
+           !aUse.rejection;
   });
 }
 
--- a/src/balsampoint/usage/internal/totals.cpp
+++ b/src/balsampoint/usage/internal/totals.cpp
@@ -26,6 +26,17 @@
   }
 }
 
+/** @brief Replaces a rejection by another one that is newer. */
+void
+TakeNewer(std::optional<Rejection>& aKnown,
+          const std::optional<Rejection>& aOther,
+          Duration aHeldFor)
+{
+  if (aOther && (!aKnown || aOther->age + aHeldFor < aKnown->age)) {
+    aKnown = { aOther->age + aHeldFor, aOther->fill };
+  }
+}
+
 } // namespace
 
 void
@@ -40,6 +51,7 @@
     total.waitingPrompt += use.waitingPrompt;
     total.recent += use.recent;
     TakeNewer(total.rate, use.rate, aHeldFor);
+    TakeNewer(total.rejection, use.rejection, aHeldFor);
   }
 }
 
@@ -63,7 +75,7 @@
   for (const auto& entry : mServers) {
     const ServerUsage& use = entry.second;
     if (use.passing > 0 || use.sent > 0 || use.recent > 0 ||
-        use.rate.has_value()) {
+        use.rate.has_value() || use.rejection.has_value()) {
       servers.push_back(use);
     }
   }
--- a/src/balsampoint/usage/internal/totals.hpp
+++ b/src/balsampoint/usage/internal/totals.hpp
@@ -15,7 +15,7 @@
 public:
   /**
    * @brief Adds the work of one or more hosts. Of several statements about the
-   * rate of one server the newest counts.
+   * rate of one server, and of several rejections, the newest counts.
    * @param aServers The work.
    * @param aHeldFor Time since the report arrived here.
    */
--- a/src/balsampoint/usage/message.hpp
+++ b/src/balsampoint/usage/message.hpp
@@ -26,6 +26,17 @@
   bool operator==(const RateStatement&) const = default;
 };
 
+/** @brief A request that a server has rejected without running it. */
+struct Rejection
+{
+  /** Time since the rejection. */
+  Duration age{};
+  /** Part of the server's KV that its sender had known to be reserved. */
+  double fill{};
+
+  bool operator==(const Rejection&) const = default;
+};
+
 /** @brief Work in progress on one server. */
 struct ServerUsage
 {
@@ -43,6 +54,8 @@
   std::uint32_t recent{};
   /** Newest statement that a host knows; absent for none that matters. */
   std::optional<RateStatement> rate;
+  /** Newest rejection that a host has met; absent for none of late. */
+  std::optional<Rejection> rejection;
 
   bool operator==(const ServerUsage&) const = default;
 };
--- a/test/balsampoint/peer/usage_codec_test.cpp
+++ b/test/balsampoint/peer/usage_codec_test.cpp
@@ -101,18 +101,22 @@
   cr_assert_eq(read.suspects.front().activeFor, Duration{ 24h });
 }
 
-// Guards against hosts that lose what others report of waiting prompts and of
-// urgent demand, or that pass a report on that no server can have.
+// Guards against hosts that lose what others report of waiting prompts,
+// rejections and urgent demand, or that pass a report on that no server can
+// have.
 Test(usage_codec, waiting_prompts_and_demand_by_urgency_survive_a_round_trip)
 {
   const usage::ServiceUsage service{ .service = ServiceId{ "d" },
                                      .demand = 3.0,
                                      .byUrgency = { { 0, 812.5 },
                                                     { 2, 40.0 } } };
-  const usage::LocalUsage own{ .servers = { { .server = ServerId{ "s" },
-                                              .passing = 1,
-                                              .waitingPrompt = 16000.0 } },
-                               .services = { service } };
+  const usage::LocalUsage own{
+    .servers = { { .server = ServerId{ "s" },
+                   .passing = 1,
+                   .waitingPrompt = 16000.0,
+                   .rejection = usage::Rejection{ 250ms, 0.75 } } },
+    .services = { service }
+  };
   cr_assert(std::get<usage::LocalUsage>(Again(own)) == own);
   const usage::LocalUsage impossible{ .services = {
                                         { .service = ServiceId{ "d" },
--- a/thrift/usage.thrift
+++ b/thrift/usage.thrift
@@ -23,6 +23,13 @@
   3: optional list<UsageUrgency> byUrgency
 }
 
+// A request that a server has rejected without running it.
+struct UsageRejection {
+  1: required i64 ageMs
+  // Part of its KV that hosts had known to be reserved.
+  2: required double fill
+}
+
 // What entry hosts have in progress on backend servers.
 struct UsageServer {
   1: required string server
@@ -35,6 +42,8 @@
   6: optional UsageRate rate
   // Prompt tokens times layers of requests without a first event.
   7: optional i64 waitingPrompt
+  // The newest one of the last seconds.
+  8: optional UsageRejection rejection
 }
 
 struct UsageCrash {
