Count prompts without a first event in the choice of servers

Cause: the choice knew the KV and the number of requests on a server but not the prompts that it still has to read, so short prompts were sent behind long ones.

Change: prompt tokens times layers count on each server of a stream's chain until the first event or the release; hosts report them as waitingPrompt. The wait at a server is the time to read them, in chunks between the steps of running requests. It enters the cost once, with its part of the target for the first event, and the predicted first event. A prompt's own prefill costs more where prompts wait. Without a backlog the choice is unchanged.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -185,8 +185,8 @@
       return;
     }
     mHops = std::move(chosen->hops);
-    mTokens = chosen->tokens;
-    fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
+    mReserved = { chosen->tokens, IsStream() ? chosen->promptTokens : 0.0 };
+    fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mReserved);
     OpenConnection();
   }
 
@@ -706,7 +706,7 @@
       fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, true);
     }
     fleet::RecordEvent(
-      mTraffic.fleet, mAdmission.service->id, mHops, interval, aNow);
+      mTraffic.fleet, mAdmission.service->id, mHops, mReserved, interval, aNow);
   }
 
   /**
@@ -1036,7 +1036,7 @@
       fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, false);
     }
     if (!mHops.empty()) {
-      fleet::Release(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
+      fleet::Release(mTraffic.fleet, mAdmission.service->id, mHops, mReserved);
       mHops.clear();
     }
   }
@@ -1112,7 +1112,7 @@
   forward::Progress mProgress;
   std::set<ServerId> mFailed;
   std::vector<fleet::Hop> mHops;
-  double mTokens{};
+  fleet::Reservation mReserved;
   std::shared_ptr<ServerConnection> mServer;
   /** How long the connection of this attempt was idle before. */
   Duration mIdleTime{};
--- a/src/balsampoint/fleet/chain.hpp
+++ b/src/balsampoint/fleet/chain.hpp
@@ -33,9 +33,12 @@
   /** Tokens for which KV is reserved: the prompt and part of the expected
    * answer. */
   double tokens{};
+  /** Tokens of the prompt. */
+  double promptTokens{};
   /** Predicted time between two events of the stream, in milliseconds. */
   double eventMs{};
-  /** Predicted time to the first event, in milliseconds. */
+  /** Predicted time to the first event, in milliseconds; includes the wait for
+   * the prefill of earlier prompts. */
   double firstEventMs{};
 
   bool operator==(const Chain&) const = default;
--- a/src/balsampoint/fleet/command/set_remote_usage.cpp
+++ b/src/balsampoint/fleet/command/set_remote_usage.cpp
@@ -13,7 +13,8 @@
 {
   aServer.remoteWork = { .passing = aUse.passing,
                          .sent = aUse.sent,
-                         .kv = aUse.kv };
+                         .kv = aUse.kv,
+                         .waitingPrompt = aUse.waitingPrompt };
   aServer.remoteRecent = aUse.recent;
   const auto& rate = aUse.rate;
   if (rate && rate->incarnation == aServer.claim.stamp.incarnation) {
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -36,6 +36,15 @@
   aUntil = std::max(aUntil, aEnd);
 }
 
+/** @brief Removes a prompt from those that wait for their first event. */
+void
+EndPrompt(Server& aServer, const Hop& aHop, const Reservation& aReservation)
+{
+  auto& waiting = aServer.localWork.waitingPrompt;
+  waiting =
+    std::max(0.0, waiting - aReservation.promptTokens * aHop.layers.Size());
+}
+
 void
 ApplyOutcome(const Settings& aSettings,
              Server& aServer,
@@ -87,7 +96,7 @@
 Reserve(State& aState,
         const ServiceId& aService,
         std::span<const Hop> aHops,
-        double aTokens)
+        const Reservation& aReservation)
 {
   bool first = true;
   for (const auto& hop : aHops) {
@@ -95,7 +104,9 @@
     if (server != nullptr) {
       ++server->localWork.passing;
       server->localWork.sent += first ? 1 : 0;
-      server->localWork.kv += aTokens * hop.layers.Size();
+      server->localWork.kv += aReservation.tokens * hop.layers.Size();
+      server->localWork.waitingPrompt +=
+        aReservation.promptTokens * hop.layers.Size();
     }
     first = false;
   }
@@ -105,7 +116,7 @@
 Release(State& aState,
         const ServiceId& aService,
         std::span<const Hop> aHops,
-        double aTokens)
+        const Reservation& aReservation)
 {
   bool first = true;
   for (const auto& hop : aHops) {
@@ -114,7 +125,8 @@
       auto& own = server->localWork;
       own.passing -= std::min(own.passing, 1U);
       own.sent -= first ? std::min(own.sent, 1U) : 0;
-      own.kv = std::max(0.0, own.kv - aTokens * hop.layers.Size());
+      own.kv = std::max(0.0, own.kv - aReservation.tokens * hop.layers.Size());
+      EndPrompt(*server, hop, aReservation);
     }
     first = false;
   }
@@ -124,6 +136,7 @@
 RecordEvent(State& aState,
             const ServiceId& aService,
             std::span<const Hop> aHops,
+            Reservation& aReservation,
             std::optional<Duration> aInterval,
             Instant aNow)
 {
@@ -141,6 +154,7 @@
     server->failedConnections = 0;
     server->unreachableUntil = Instant::min();
     if (!aInterval) {
+      EndPrompt(*server, hop, aReservation);
       server->refusals = 0;
       server->returning = false;
     } else {
@@ -148,6 +162,9 @@
       server->eventMs += kNewestWeight * (interval.count() - server->eventMs);
     }
   }
+  if (!aInterval) {
+    aReservation.promptTokens = 0.0;
+  }
 }
 
 void
--- a/src/balsampoint/fleet/command/track_work.hpp
+++ b/src/balsampoint/fleet/command/track_work.hpp
@@ -30,13 +30,13 @@
  * @param aState State to change.
  * @param aService Service that the server belongs to.
  * @param aHops Servers of the chain; the first one receives the request.
- * @param aTokens Tokens for which KV is reserved on each server.
+ * @param aReservation Tokens that count on each server.
  */
 void
 Reserve(State& aState,
         const ServiceId& aService,
         std::span<const Hop> aHops,
-        double aTokens);
+        const Reservation& aReservation);
 
 /**
  * @brief Removes a request from the work of the servers that it passed
@@ -44,19 +44,21 @@
  * @param aState State to change.
  * @param aService Service that the server belongs to.
  * @param aHops Hops as given to `Reserve`.
- * @param aTokens Tokens as given to `Reserve`.
+ * @param aReservation Reservation as left by `Reserve` and `RecordEvent`.
  */
 void
 Release(State& aState,
         const ServiceId& aService,
         std::span<const Hop> aHops,
-        double aTokens);
+        const Reservation& aReservation);
 
 /**
  * @brief Records an event of a stream on the servers that it passed through.
  * @param aState State to change.
  * @param aService Service that the server belongs to.
  * @param aHops Servers of the chain.
+ * @param aReservation Reservation of the request; the first event ends the
+ * part for its prompt.
  * @param aInterval Time since the previous event of the stream; absent for
  * the first.
  * @param aNow Current time.
@@ -65,6 +67,7 @@
 RecordEvent(State& aState,
             const ServiceId& aService,
             std::span<const Hop> aHops,
+            Reservation& aReservation,
             std::optional<Duration> aInterval,
             Instant aNow);
 
--- a/src/balsampoint/fleet/internal/cost.cpp
+++ b/src/balsampoint/fleet/internal/cost.cpp
@@ -61,4 +61,22 @@
          (aTokens / perMs + pairs * aEngine.perMillionPairsMs);
 }
 
+double
+BacklogMs(const routing::EngineProfile& aEngine, const Server& aServer)
+{
+  const auto& layers = aServer.claim.description.layers;
+  if (aServer.WaitingPrompt() <= 0.0 || !layers || layers->Size() == 0) {
+    return 0.0;
+  }
+  const double held = layers->Size();
+  const auto waiting = aServer.WaitingPrompt() * LayerFraction(aEngine, held);
+  const auto typical = std::max(1.0, aEngine.meanPromptTokens);
+  const auto perTypical = ReadMs(aEngine, aServer.readFactor, held, typical);
+  const auto steps = waiting / held / std::max(1U, aEngine.readChunk);
+  const auto step =
+    PassMs(aEngine, aServer.stepFactor, held, aServer.Passing()) /
+    std::max(1U, aEngine.tokensPerPass);
+  return waiting / (held * typical) * perTypical + steps * step;
+}
+
 } // namespace balsampoint::fleet::internal
--- a/src/balsampoint/fleet/internal/cost.hpp
+++ b/src/balsampoint/fleet/internal/cost.hpp
@@ -44,4 +44,19 @@
        double aLayers,
        double aTokens);
 
+/**
+ * @brief Predicted time that a prompt waits at an engine for the prefill of the
+ * prompts sent before it.
+ *
+ * An engine reads a chunk of prompts in each step, between the tokens of
+ * running requests. A prompt counts on all servers of its chain until its first
+ * event but is at one of them at a time, so the part of the counted prompts
+ * that is at the engine is taken to be its part of the model's layers.
+ * @param aEngine Profile of the service's engines.
+ * @param aServer The engine with the work on it.
+ * @return Milliseconds; zero without such prompts.
+ */
+[[nodiscard]] double
+BacklogMs(const routing::EngineProfile& aEngine, const Server& aServer);
+
 } // namespace balsampoint::fleet::internal
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -23,6 +23,11 @@
   const Server* server{};
   /** First layer that the server runs. */
   std::uint32_t from{};
+  /** Wait for earlier prompts on the path, in ms. */
+  double backlogMs{};
+  /** Part of the cost that stands for such waits, of this request and of
+   * others; it delays no event but the first. */
+  double backlogCost{};
 };
 
 /** @brief A server that may take part in the chain. */
@@ -31,6 +36,8 @@
   const Server* server{};
   /** Factor on its cost, which varies between choices. */
   double weight{ 1.0 };
+  /** Wait for the prefill of earlier prompts, in ms. */
+  double backlogMs{};
 };
 
 /** @brief Layers that a server holds; empty if it has reported none. */
@@ -67,7 +74,9 @@
     for (const auto& [id, server] : aGroup.servers) {
       const bool out = aLastResort ? server.Unable(aNow) : server.Avoided(aNow);
       if (!out && Usable(server)) {
-        mServers.push_back({ &server, 1.0 + spread * random.NextUnit() });
+        mServers.push_back({ &server,
+                             1.0 + spread * random.NextUnit(),
+                             internal::BacklogMs(mEngine, server) });
       }
     }
     MarkBoundaries();
@@ -187,14 +196,20 @@
     }
     const auto fixed =
       HopMs(aLayer, server) + aCandidate.weight * WaitMs(server);
+    const auto backlogMs = mSteps[aLayer].backlogMs + aCandidate.backlogMs;
+    const auto ownWait = BacklogCost(aLayer, aCandidate);
     for (auto end = aLayer + 1; end <= held.end; ++end) {
       if (end != held.end && !mBoundaries[end]) {
         continue;
       }
-      const auto cost = mSteps[aLayer].cost + fixed +
+      const auto backlog =
+        aCandidate.weight * (ownWait + DelayMs(server, end - aLayer));
+      const auto cost = mSteps[aLayer].cost + fixed + backlog +
                         aCandidate.weight * RunMs(server, end - aLayer);
       if (cost < mSteps[end].cost) {
-        mSteps[end] = { cost, &server, aLayer };
+        mSteps[end] = {
+          cost, &server, aLayer, backlogMs, mSteps[aLayer].backlogCost + backlog
+        };
       }
     }
   }
@@ -221,6 +236,53 @@
            2;
   }
 
+  /** Number of events of the expected answer. */
+  [[nodiscard]] double Events() const
+  {
+    return std::max(1.0, mDemand.answerTokens / mEngine.tokensPerPass);
+  }
+
+  /**
+   * @brief Cost per event of the wait for earlier prompts at a server. The wait
+   * delays the first event only, so it counts once, like the prefill. Its
+   * square, as part of the target, counts as the same part of the target
+   * between events; the wait on the path before is included, since the sum has
+   * to keep to the target.
+   */
+  [[nodiscard]] double BacklogCost(std::uint32_t aLayer,
+                                   const Candidate& aCandidate) const
+  {
+    const auto added = aCandidate.backlogMs;
+    const auto before = mSteps[aLayer].backlogMs;
+    const auto target = mSettings.firstEventTargetMs;
+    const auto squares = added * (added + 2 * before) / (target * target);
+    return added / Events() + squares * mSettings.eventTargetMs;
+  }
+
+  /**
+   * @brief Cost per event of the delay that the request's own prefill causes to
+   * others. The prompts that wait now stand for those that will wait behind it.
+   */
+  [[nodiscard]] double DelayMs(const Server& aServer,
+                               std::uint32_t aLayers) const
+  {
+    const auto waiting = aServer.WaitingPrompt();
+    if (waiting <= 0.0) {
+      return 0.0;
+    }
+    const auto typical = std::max(1.0, mEngine.meanPromptTokens);
+    const auto others = waiting / (typical * Held(aServer).Size());
+    return others * ReadMs(aServer, aLayers) / Events();
+  }
+
+  /** Time of the prefill of the request's prompt. */
+  [[nodiscard]] double ReadMs(const Server& aServer,
+                              std::uint32_t aLayers) const
+  {
+    return internal::ReadMs(
+      mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
+  }
+
   [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
@@ -230,19 +292,18 @@
     }
     const auto pass = internal::PassMs(
       mEngine, aServer.stepFactor, aLayers, aServer.Passing() + 1.0);
-    const auto read = internal::ReadMs(
-      mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
-    const auto events =
-      std::max(1.0, mDemand.answerTokens / mEngine.tokensPerPass);
     // The cost grows with the fill level, so that a nearly full server is used
     // last.
     const auto fullness = used / room;
-    return (pass + read / events) * (1.0 + fullness * fullness);
+    return (pass + ReadMs(aServer, aLayers) / Events()) *
+           (1.0 + fullness * fullness);
   }
 
   [[nodiscard]] Chain Trace() const
   {
-    Chain chain{ .tokens = mTokens, .eventMs = mSteps.back().cost };
+    Chain chain{ .tokens = mTokens,
+                 .promptTokens = mDemand.promptTokens,
+                 .eventMs = mSteps.back().cost - mSteps.back().backlogCost };
     auto layer = mEngine.layers;
     while (layer > 0) {
       const auto& step = mSteps[layer];
@@ -252,13 +313,10 @@
           .incarnation = step.server->claim.stamp.incarnation,
           .address = description.address,
           .layers = { step.from, layer } });
-      chain.firstEventMs += internal::ReadMs(mEngine,
-                                             step.server->readFactor,
-                                             layer - step.from,
-                                             mDemand.promptTokens);
+      chain.firstEventMs += ReadMs(*step.server, layer - step.from);
       layer = step.from;
     }
-    chain.firstEventMs += chain.eventMs;
+    chain.firstEventMs += mSteps.back().backlogMs + chain.eventMs;
     std::ranges::reverse(chain.hops);
     return chain;
   }
--- a/src/balsampoint/fleet/query/make_local_usage.cpp
+++ b/src/balsampoint/fleet/query/make_local_usage.cpp
@@ -38,6 +38,7 @@
                               .passing = server.localWork.passing,
                               .sent = server.localWork.sent,
                               .kv = server.localWork.kv,
+                              .waitingPrompt = server.localWork.waitingPrompt,
                               .rate = StatementOf(server, aNow) };
       if (limited) {
         one.recent = server.sentRecently.Within(RecentCount::kLongest, aNow);
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -33,6 +33,11 @@
   double answerFraction{ 0.3 };
   /** Fraction of a server's KV capacity that may be reserved. */
   double maxKvFraction{ 0.95 };
+  /** Targets for the first event and for the time between two events, in ms: a
+   * wait for earlier prompts costs more, the more of the first target it uses
+   * up. The values are those of interactive streams. */
+  double firstEventTargetMs{ 500.0 };
+  double eventTargetMs{ 250.0 };
   /** Bounds of the time for which a faulty server is avoided; it doubles with
    * each fault. */
   Duration firstAvoidance{ std::chrono::milliseconds{ 500 } };
@@ -69,6 +74,17 @@
   std::uint32_t sent{};
   /** KV reserved for these requests, in tokens times layers. */
   double kv{};
+  /** Prompts of the requests without a first event, in tokens times layers. */
+  double waitingPrompt{};
+};
+
+/** @brief Tokens that a request counts for on each server of its chain. */
+struct Reservation
+{
+  /** Tokens for which KV is reserved. */
+  double tokens{};
+  /** Tokens of the prompt, until the first event. */
+  double promptTokens{};
 };
 
 /** @brief One server, the work on it and its recent faults. */
@@ -172,6 +188,13 @@
   {
     return localWork.kv + remoteWork.kv;
   }
+
+  /** @brief Prompts of all hosts without a first event, in tokens times
+   * layers. */
+  [[nodiscard]] double WaitingPrompt() const noexcept
+  {
+    return localWork.waitingPrompt + remoteWork.waitingPrompt;
+  }
 };
 
 /** @brief Servers of one service, with its engine profile if it has engines. */
--- a/test/balsampoint/fleet/command/record_statement_test.cpp
+++ b/test/balsampoint/fleet/command/record_statement_test.cpp
@@ -102,7 +102,7 @@
   RecordBackOff(state, kService, HopTo("a"), kNow + 1s);
   const std::vector hops{ HopTo("a") };
   const auto later = kNow + 2s;
-  Reserve(state, kService, hops, 10.0);
+  Reserve(state, kService, hops, { .tokens = 10.0 });
   cr_assert_eq(LastOfChain(state, later), "");
   RecordOutcome(state, kService, "a:80", RequestOutcome::Answered, later);
   cr_assert_eq(LastOfChain(state, later), "a");
--- a/test/balsampoint/fleet/fixture.hpp
+++ b/test/balsampoint/fleet/fixture.hpp
@@ -25,6 +25,7 @@
   engine.stepMs = 1.0;
   engine.perWriterMs = 0.1;
   engine.readTokensPerSecond = 100000.0;
+  engine.readChunk = 512;
   engine.meanPromptTokens = 100.0;
   engine.meanAnswerTokens = 40.0;
   engine.kinds = { { "fast", { .memoryMb = 100.0 } },
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -189,7 +189,8 @@
     RecordOutcome(state, kService, "a1:80", RequestOutcome::Unreachable, kNow);
   }
   cr_assert_not(ChooseChain(state, SmallDemand(), kNow + 1ms).has_value());
-  RecordEvent(state, kService, chain->hops, {}, kNow + 2ms);
+  Reservation none;
+  RecordEvent(state, kService, chain->hops, none, {}, kNow + 2ms);
   cr_assert(ChooseChain(state, SmallDemand(), kNow + 3ms).has_value());
 }
 
@@ -202,7 +203,8 @@
   for (int times = 0; times < 4; ++times) {
     RecordOutcome(state, kService, "a1:80", RequestOutcome::Broken, kNow);
   }
-  RecordEvent(state, kService, chain->hops, {}, kNow + 2ms);
+  Reservation none;
+  RecordEvent(state, kService, chain->hops, none, {}, kNow + 2ms);
   const auto next = ChooseChain(state, SmallDemand(), kNow + 3ms);
   cr_assert_eq(next->hops.front().server, ServerId{ "a2" });
 }
@@ -270,7 +272,8 @@
   cr_assert_not(ChooseChain(state, SmallDemand(), now).has_value());
   now += state.settings.fullAvoidance;
   cr_assert(ChooseChain(state, SmallDemand(), now).has_value());
-  RecordEvent(state, kService, chain->hops, {}, now);
+  Reservation none;
+  RecordEvent(state, kService, chain->hops, none, {}, now);
   refuse();
   now += state.settings.fullAvoidance;
   cr_assert(ChooseChain(state, SmallDemand(), now).has_value(),
--- a/test/balsampoint/fleet/query/retry_after_test.cpp
+++ b/test/balsampoint/fleet/query/retry_after_test.cpp
@@ -24,7 +24,8 @@
     aState,
     { .service = kService, .promptTokens = 100.0, .answerTokens = 40.0 },
     aNow);
-  RecordEvent(aState, kService, chain->hops, {}, aNow);
+  Reservation none;
+  RecordEvent(aState, kService, chain->hops, none, {}, aNow);
 }
 
 } // namespace
--- a/test/balsampoint/fleet/query/silent_servers_test.cpp
+++ b/test/balsampoint/fleet/query/silent_servers_test.cpp
@@ -31,8 +31,9 @@
       CountStream(state, kService, Through("dead"), true);
       CountStream(state, kService, Through("alive"), true);
     }
-    RecordEvent(state, kService, Through("dead"), {}, kNow);
-    RecordEvent(state, kService, Through("alive"), {}, kNow);
+    Reservation none;
+    RecordEvent(state, kService, Through("dead"), none, {}, kNow);
+    RecordEvent(state, kService, Through("alive"), none, {}, kNow);
   }
 
   static std::vector<Hop> Through(const std::string& aSecond)
@@ -51,10 +52,12 @@
 Test(silent_servers, finds_the_server_that_all_paused_streams_share)
 {
   Fixture fixture;
+  Reservation none;
   for (int event = 1; event <= 5; ++event) {
     RecordEvent(fixture.state,
                 kService,
                 Fixture::Through("alive"),
+                none,
                 50ms,
                 kNow + event * 50ms);
   }
