Leave random weights out of the predicted times of a chain

Cause: the time per event of a chain was its cost, which contains the random weight of each server, so the predicted first event was too late by up to that weight.

Change: the search carries the predicted time beside the cost.

--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -25,9 +25,9 @@
   std::uint32_t from{};
   /** Wait for earlier prompts on the path, in ms. */
   double backlogMs{};
-  /** Part of the cost that stands for such waits, of this request and of
-   * others; it delays no event but the first. */
-  double backlogCost{};
+  /** Predicted time per event: the cost without random weights and without
+   * such waits, which delay no event but the first. */
+  double eventMs{};
 };
 
 /** @brief A server that may take part in the chain. */
@@ -194,21 +194,22 @@
     if (aLayer == 0 && !MayReceive(server)) {
       return;
     }
-    const auto fixed =
-      HopMs(aLayer, server) + aCandidate.weight * WaitMs(server);
-    const auto backlogMs = mSteps[aLayer].backlogMs + aCandidate.backlogMs;
-    const auto ownWait = BacklogCost(aLayer, aCandidate);
+    const auto& before = mSteps[aLayer];
+    const auto weight = aCandidate.weight;
+    const auto hopMs = HopMs(aLayer, server);
+    const auto waitMs = WaitMs(server);
+    const auto backlogMs = before.backlogMs + aCandidate.backlogMs;
+    const auto backlogCost = BacklogCost(aLayer, aCandidate);
     for (auto end = aLayer + 1; end <= held.end; ++end) {
       if (end != held.end && !mBoundaries[end]) {
         continue;
       }
-      const auto backlog =
-        aCandidate.weight * (ownWait + DelayMs(server, end - aLayer));
-      const auto cost = mSteps[aLayer].cost + fixed + backlog +
-                        aCandidate.weight * RunMs(server, end - aLayer);
+      const auto eventMs = waitMs + RunMs(server, end - aLayer);
+      const auto delay = backlogCost + DelayMs(server, end - aLayer);
+      const auto cost = before.cost + hopMs + weight * (eventMs + delay);
       if (cost < mSteps[end].cost) {
         mSteps[end] = {
-          cost, &server, aLayer, backlogMs, mSteps[aLayer].backlogCost + backlog
+          cost, &server, aLayer, backlogMs, before.eventMs + hopMs + eventMs
         };
       }
     }
@@ -303,7 +304,7 @@
   {
     Chain chain{ .tokens = mTokens,
                  .promptTokens = mDemand.promptTokens,
-                 .eventMs = mSteps.back().cost - mSteps.back().backlogCost };
+                 .eventMs = mSteps.back().eventMs };
     auto layer = mEngine.layers;
     while (layer > 0) {
       const auto& step = mSteps[layer];
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -254,6 +254,19 @@
   }
 }
 
+// Guards against predicted times that contain the random weights, by which a
+// request would seem to miss its target.
+Test(choose_chain, predicted_times_have_no_random_part)
+{
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }) });
+  auto& server = state.groups.at(kService).servers.at(ServerId{ "a1" });
+  server.remoteWork.kv = 0.7 * server.kvCapacity;
+  const auto exact = ChooseChain(state, SmallDemand(), kNow);
+  auto demand = SmallDemand();
+  demand.randomSample = 7;
+  cr_assert_eq(ChooseChain(state, demand, kNow)->eventMs, exact->eventMs);
+}
+
 Test(choose_chain, avoids_a_server_longer_after_repeated_refusals)
 {
   auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
