--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -225,7 +225,7 @@
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
     const auto room = aServer.kvCapacity * mSettings.maxKvFraction;
-    if (used > room) {
+    if (used > room || used > aServer.kvCapacity * mDemand.kvFraction) {
       return kUnreachable;
     }
     const auto pass = internal::PassMs(
--- a/src/balsampoint/fleet/query/choose_chain.hpp
+++ b/src/balsampoint/fleet/query/choose_chain.hpp
@@ -24,6 +24,9 @@
   /** Random number that spreads requests over servers of similar cost; absent
    * to choose the cheapest chain. */
   std::optional<std::uint64_t> randomSample;
+  /** Highest fill level of a server's KV that the request may use; at most
+   * `Settings::maxKvFraction` has an effect. */
+  double kvFraction{ kMaxKvFraction };
 };
 
 /**
--- a/src/balsampoint/fleet/recent_count.hpp
+++ b/src/balsampoint/fleet/recent_count.hpp
@@ -9,7 +9,8 @@
 
 namespace balsampoint::fleet {
 
-/** @brief Number of events within a sliding window of time. */
+/** @brief Number of events, or sum of amounts, within a sliding window of time.
+ */
 class RecentCount
 {
 public:
@@ -21,14 +22,15 @@
   /**
    * @brief Counts an event.
    * @param aNow Current time.
+   * @param aAmount Amount that the event adds.
    */
-  void Add(Instant aNow)
+  void Add(Instant aNow, std::uint32_t aAmount = 1)
   {
     auto& part = mParts.at(Slot(NumberAt(aNow)));
     if (part.number != NumberAt(aNow)) {
       part = { .number = NumberAt(aNow) };
     }
-    ++part.count;
+    part.count += aAmount;
   }
 
   /**
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -16,6 +16,10 @@
 
 namespace balsampoint::fleet {
 
+/** @brief Fraction of a server's KV capacity that may be reserved: the rest
+ * covers answers that are longer than expected. */
+inline constexpr double kMaxKvFraction = 0.95;
+
 /** @brief Parameters of the choice of servers. */
 struct Settings
 {
@@ -32,7 +36,7 @@
    * progress have generated half of theirs on average. */
   double answerFraction{ 0.3 };
   /** Fraction of a server's KV capacity that may be reserved. */
-  double maxKvFraction{ 0.95 };
+  double maxKvFraction{ kMaxKvFraction };
   /** Bounds of the time for which a faulty server is avoided; it doubles with
    * each fault. */
   Duration firstAvoidance{ std::chrono::milliseconds{ 500 } };
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -276,3 +276,21 @@
   cr_assert(ChooseChain(state, SmallDemand(), now).has_value(),
             "a request that was taken ends the row of refusals");
 }
+
+// Guards against less urgent requests that fill a server beyond their level.
+Test(choose_chain, keeps_a_server_below_the_level_of_the_request)
+{
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, 8 }) });
+  auto& server = state.groups.at(kService).servers.at(ServerId{ "a1" });
+  server.remoteWork.kv = server.kvCapacity * 0.7;
+  auto demand = SmallDemand();
+  cr_assert(ChooseChain(state, demand, kNow).has_value());
+  demand.kvFraction = 0.6;
+  cr_assert_not(ChooseChain(state, demand, kNow).has_value());
+  demand.kvFraction = 0.8;
+  cr_assert(ChooseChain(state, demand, kNow).has_value());
+  // No level permits more than the settings.
+  demand.kvFraction = 1.0;
+  server.remoteWork.kv = server.kvCapacity * 0.96;
+  cr_assert_not(ChooseChain(state, demand, kNow).has_value());
+}
--- a/test/balsampoint/usage/module_test.cpp
+++ b/test/balsampoint/usage/module_test.cpp
@@ -116,6 +116,33 @@
   cr_assert_eq(SentTo(actions, "e2").services.front().demand, 3.0);
 }
 
+// Guards against hosts that compute levels from their own demand twice, or
+// without that of some other host.
+Test(usage, demand_by_urgency_is_that_of_the_other_hosts)
+{
+  State state{ .settings = { .self = HostId{ "c" } } };
+  Actions actions;
+  const ServiceId service{ "d" };
+  using Demand = std::vector<UrgencyDemand>;
+  for (const auto& [host, demand] :
+       { std::pair{ "e1", Demand{ { 0, 10.0 }, { 2, 5.0 } } },
+         { "e2", Demand{ { 0, 20.0 } } },
+         { "e3", Demand{ { 1, 7.0 } } } }) {
+    Module::Handle(
+      state,
+      Received{ HostId{ host },
+                LocalUsage{ .services = { { .service = service,
+                                            .byUrgency = demand } } } },
+      kNow,
+      actions);
+  }
+  Module::Tick(state, kNow + 200ms, actions);
+  const Demand toFirst{ { 0, 20.0 }, { 1, 7.0 }, { 2, 0.0 } };
+  const Demand toSecond{ { 0, 10.0 }, { 1, 7.0 }, { 2, 5.0 } };
+  cr_assert(SentTo(actions, "e1").services.front().byUrgency == toFirst);
+  cr_assert(SentTo(actions, "e2").services.front().byUrgency == toSecond);
+}
+
 Test(usage, an_expired_report_no_longer_counts)
 {
   State state{ .settings = { .self = HostId{ "c" } } };
