Let requests wait for room at their entry host, within their level

Cause: with engines of several urgencies short of KV, a request that found no room was refused at once, whatever its urgency, and refused callers all came again after the same time.

Change: edge counts demand, applies the level to the choice of a chain until the answer begins, and lets requests wait: RoomWait is one request's part, RoomQueue holds callbacks and a timer, limit decides. First attempts and requests that a server has not run may wait. Retry-After gets random jitter. request_ended says urgency, level, wait and how it ended; admission_levels is logged when a level changes by 0.05; metrics count waiting, waited and refused by cause. All of it depends on limit::internal::SharesByUrgency.

Result: test-platform 84 of 84, with 8 new cases; test-limit 32 of 32 (x86_64). Process tests were not run.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -10,11 +10,13 @@
 #include "balsampoint/edge/detour_port.hpp"
 #include "balsampoint/edge/engine_control_client.hpp"
 #include "balsampoint/edge/entry.hpp"
+#include "balsampoint/edge/room_wait.hpp"
 #include "balsampoint/edge/server_prober.hpp"
 #include "balsampoint/edge/status_port.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
 #include "balsampoint/fleet/command/set_remote_usage.hpp"
 #include "balsampoint/fleet/query/make_local_usage.hpp"
+#include "balsampoint/limit/query/append_demand.hpp"
 #include "balsampoint/peer/receiver.hpp"
 #include "balsampoint/peer/sender.hpp"
 #include "balsampoint/quarantine/query/make_reports.hpp"
@@ -180,6 +182,7 @@
       mEdge.Post([this, others = std::move(aOthers)] {
         mTraffic.links.SetDetours(others->detours);
         fleet::SetRemoteUsage(mTraffic.fleet, *others, TrafficState::Now());
+        edge::FollowDemand(mTraffic, *others);
         mTraffic.budget.SetHostCount(others->hosts + 1);
         edge::MergeSuspects(mTraffic, others->suspects, others->hosts + 1);
       });
@@ -263,6 +266,7 @@
   void ReportUsage()
   {
     auto use = fleet::MakeLocalUsage(mTraffic.fleet, TrafficState::Now());
+    limit::AppendDemand(mTraffic.shortage, TrafficState::Now(), use.services);
     use.suspects =
       quarantine::MakeReports(mTraffic.quarantine, TrafficState::Now());
     const auto& detours = mSettings.listen.detours;
@@ -373,6 +377,7 @@
       .With("routes", aRoutes->Source().routes.size());
     mTraffic.routes = std::move(aRoutes);
     mEntry.SetLimits(mTraffic.routes->Source().limits);
+    edge::FollowUrgencies(mTraffic);
     FollowRoster();
   }
 
--- a/src/balsampoint/edge/admission.hpp
+++ b/src/balsampoint/edge/admission.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/routing/table.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -25,6 +26,20 @@
   const routing::Service* service{};
 };
 
+/**
+ * @brief Urgency of a request: the priority of its workspace, or else that of
+ * its route; lower is served first.
+ * @param aAdmission Route and workspace of the request.
+ */
+[[nodiscard]] inline std::uint32_t
+UrgencyOf(const Admission& aAdmission)
+{
+  const auto* workspace = aAdmission.workspace;
+  return workspace != nullptr && workspace->priority
+           ? *workspace->priority
+           : aAdmission.route->priority;
+}
+
 /**
  * @brief Determines the route, the workspace and the service of a request.
  * @param aTraffic State of the traffic thread.
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -8,11 +8,10 @@
 #include "balsampoint/edge/exchange_log.hpp"
 #include "balsampoint/edge/fingerprint.hpp"
 #include "balsampoint/edge/response.hpp"
-#include "balsampoint/edge/server_choice.hpp"
+#include "balsampoint/edge/room_wait.hpp"
 #include "balsampoint/edge/server_statements.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
-#include "balsampoint/fleet/query/retry_after.hpp"
 #include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/forward/decision.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
@@ -113,6 +112,7 @@
     }
     SetDeadline();
     mTraffic.budget.CountRequest(mAdmission.service->id, TrafficState::Now());
+    mRoom.Begin(mTraffic, mAdmission, mParameters, mStartedAt);
     Attempt();
   }
 
@@ -168,20 +168,19 @@
     return mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
   }
 
-  [[nodiscard]] bool IsStream() const
-  {
-    return mProgress.kind == routing::RequestKind::Stream ||
-           mProgress.kind == routing::RequestKind::ResumableStream;
-  }
-
   void Attempt()
   {
     mCrashWatch.Restart();
     const auto receivers = AllowedReceivers();
-    auto chosen = ChooseServers(
-      mTraffic, *mAdmission.service, mParameters, { mFailed, receivers });
+    auto chosen = mRoom.Choose(mTraffic,
+                               *mAdmission.service,
+                               mParameters,
+                               { mFailed, receivers },
+                               mProgress.answerStarted);
     if (!chosen) {
-      GiveUp(chosen.error());
+      if (!WaitForRoom(chosen.error())) {
+        GiveUp(chosen.error());
+      }
       return;
     }
     mHops = std::move(chosen->hops);
@@ -190,6 +189,16 @@
     OpenConnection();
   }
 
+  /** Waits for servers with room, if no server has or may have run it. */
+  bool WaitForRoom(const Error& aError)
+  {
+    const auto self = this->weak_from_this();
+    return !mProgress.mayHaveRun &&
+           mRoom.Wait(
+             { .tryAgain = [self] { self.lock()->Attempt(); },
+               .giveUp = [self, aError] { self.lock()->GiveUp(aError); } });
+  }
+
   void GiveUp(const Error& aError)
   {
     const auto end = mProgress.mayHaveRun ? forward::AttemptEnd::Broken
@@ -327,7 +336,7 @@
    * whether the server accepts others. */
   void OnBreakProbed(ProbeResult aResult, BreakPaths aPaths)
   {
-    if (HasRestarted(mHops.front())) {
+    if (HasRestarted(mTraffic, mHops.front())) {
       OnServerBroke(ServerBreak::Crash);
       return;
     }
@@ -406,7 +415,7 @@
         mServer->LastReadAt() >= aSince || mSentAt >= aSince) {
       return;
     }
-    if (IsStream()) {
+    if (forward::IsStream(mProgress.kind)) {
       OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
       return;
     }
@@ -425,19 +434,6 @@
                   MakeError(ErrorKind::BackendFailed, kLinkLost));
   }
 
-  /** Whether another incarnation than the one that the request was sent to is
-   * announced at the server's address. */
-  [[nodiscard]] bool HasRestarted(const fleet::Hop& aServer) const
-  {
-    return mTraffic.servers &&
-           std::ranges::any_of(
-             mTraffic.servers->servers, [&](const roster::Server& aAnnounced) {
-               const auto& claim = aAnnounced.claim;
-               return claim.description.address == aServer.address &&
-                      claim.stamp.incarnation > aServer.incarnation;
-             });
-  }
-
   /** Whether the server had probably closed an idle connection before the
    * request arrived: such a connection breaks at once. */
   [[nodiscard]] bool WasStale() const
@@ -462,15 +458,12 @@
     mReceivers.insert(mHops.front().server);
     mMayHaveRunBefore = mProgress.mayHaveRun;
     mProgress.mayHaveRun = true;
-    const auto priority = mAdmission.workspace && mAdmission.workspace->priority
-                            ? *mAdmission.workspace->priority
-                            : mAdmission.route->priority;
     auto bytes = D::WriteRequest({ .head = mRequest.head,
                                    .body = mRequest.body,
                                    .remainingTime = left,
                                    .hops = mHops,
                                    .workspace = Workspace(),
-                                   .priority = priority,
+                                   .priority = UrgencyOf(mAdmission),
                                    .resumeAfter = mEvents.LastId() });
     mServer->Send({ .bytes = std::move(bytes),
                     .id = mParameters.id,
@@ -495,7 +488,7 @@
       OnNotExecuted(metadata);
       return;
     }
-    if (IsStream() && head.Success()) {
+    if (forward::IsStream(mProgress.kind) && head.Success()) {
       OnStreamData();
       return;
     }
@@ -757,7 +750,7 @@
    * quarantine: the server drops it once the connection is closed. */
   void OnQuarantine()
   {
-    if (mEnded || mProgress.answerStarted || !mServer ||
+    if (mEnded || mProgress.answerStarted || !(mServer || mRoom.IsWaiting()) ||
         !mCrashWatch.InQuarantine(mTraffic)) {
       return;
     }
@@ -933,8 +926,7 @@
       case forward::Decision::Refuse:
         aError.kind = ErrorKind::NoServer;
         aError.executed = Executed::No;
-        aError.retryAfter = fleet::RetryAfter(
-          mTraffic.fleet, mAdmission.service->id, TrafficState::Now());
+        aError.retryAfter = RetryAfter(mTraffic, mAdmission.service->id);
         AnswerError(aError);
         return;
       case forward::Decision::Fail:
@@ -1059,6 +1051,7 @@
                                              mLongestPause } }
              : std::nullopt);
     ReleaseServers();
+    mRoom.End();
     mCaller = nullptr;
     if (const auto done = std::exchange(mDone, nullptr)) {
       done();
@@ -1074,7 +1067,8 @@
              .sharedParts = mParameters.sharedParts,
              .sent = mProgress.sent,
              .events = mEvents.SentCount(),
-             .age = TrafficState::Now() - mStartedAt };
+             .age = TrafficState::Now() - mStartedAt,
+             .room = mRoom.LogFields() };
   }
 
   static constexpr std::string_view kLinkLost =
@@ -1108,6 +1102,7 @@
   Instant mStartedAt;
   RequestParameters mParameters;
   Admission mAdmission;
+  RoomWait mRoom;
   std::string mFingerprint;
   forward::Progress mProgress;
   std::set<ServerId> mFailed;
--- a/src/balsampoint/edge/exchange_log.cpp
+++ b/src/balsampoint/edge/exchange_log.cpp
@@ -96,6 +96,15 @@
   event.With("servers", HopText(aFields.hops))
     .With("sent", aFields.sent)
     .With("total_ms", aFields.age);
+  if (const auto& room = aFields.room) {
+    event.With("urgency", room->urgency).With("kv_level", room->level);
+    if (room->waited) {
+      event.With("waited_ms", *room->waited);
+    }
+    if (!room->verdict.empty()) {
+      event.With("room", room->verdict);
+    }
+  }
   if (aTimes) {
     event.With("events", aFields.events)
       .With("first_ms", aTimes->toFirstEvent)
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -23,6 +23,20 @@
   Duration longestPause{};
 };
 
+/** @brief Admission of a request to a service with several urgencies. */
+struct RoomWaitLog
+{
+  /** Lower is served first. */
+  std::uint32_t urgency{};
+  /** Highest fill level of the KV that the request could use. */
+  double level{};
+  /** Time that it waited for room; absent if it did not wait. */
+  std::optional<Duration> waited;
+  /** How its last wait ended, or why it did not wait; empty if it found room at
+   * once. */
+  std::string_view verdict;
+};
+
 /** @brief Fields that the log events of a request share. */
 struct RequestLogFields
 {
@@ -39,6 +53,8 @@
   std::uint32_t events{};
   /** Time since the request's arrival. */
   Duration age{};
+  /** Absent for services whose requests are equally urgent. */
+  std::optional<RoomWaitLog> room;
 };
 
 /**
--- a/src/balsampoint/edge/server_choice.hpp
+++ b/src/balsampoint/edge/server_choice.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/edge/dialect.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/chain.hpp"
+#include "balsampoint/fleet/query/choose_chain.hpp"
 #include "balsampoint/routing/document.hpp"
 
 #include <set>
@@ -18,8 +19,21 @@
   const std::set<ServerId>& failed;
   /** Servers that the request may be sent to; empty for any. */
   const std::set<ServerId>& receivers;
+  /** Highest fill level of the KV that the request may use. */
+  double kvFraction{ fleet::kMaxKvFraction };
 };
 
+/**
+ * @brief Tokens of a request to a service with engines.
+ * @param aService The service.
+ * @param aParameters Parameters of the request; without numbers of tokens, the
+ * means of the engine profile apply.
+ * @return Requirements without restrictions on the choice.
+ */
+[[nodiscard]] fleet::Demand
+MakeDemand(const routing::Service& aService,
+           const RequestParameters& aParameters);
+
 /**
  * @brief Chooses the servers for an attempt; servers that failed an earlier
  * attempt are used only if no others are available.
@@ -50,4 +64,13 @@
                   const RequestParameters& aParameters,
                   const ServerRestrictions& aRestrictions);
 
+/**
+ * @brief Whether another incarnation of a server than the one that was chosen
+ * is announced at its address.
+ * @param aTraffic State of the traffic thread.
+ * @param aServer The server, as chosen.
+ */
+[[nodiscard]] bool
+HasRestarted(const TrafficState& aTraffic, const fleet::Hop& aServer);
+
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/traffic_state.hpp
+++ b/src/balsampoint/edge/traffic_state.hpp
@@ -3,9 +3,11 @@
 #include "balsampoint/core/split_mix.hpp"
 #include "balsampoint/edge/connection_probes.hpp"
 #include "balsampoint/edge/link_watch.hpp"
+#include "balsampoint/edge/room_queue.hpp"
 #include "balsampoint/edge/server_pool.hpp"
 #include "balsampoint/fleet/state.hpp"
 #include "balsampoint/forward/retry_budget.hpp"
+#include "balsampoint/limit/shortage.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/quarantine/state.hpp"
 #include "balsampoint/reach/state.hpp"
@@ -129,6 +131,11 @@
   /** Whether a planned stop has begun. */
   bool draining{ false };
   trace::Metrics metrics;
+  /** Admission to services with several urgencies. */
+  limit::Shortage shortage;
+  RoomQueue rooms{ loop.Context(), shortage, metrics };
+  /** Fill levels by urgency as last logged. */
+  std::map<ServiceId, std::map<limit::Urgency, double>> loggedLevels;
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -55,8 +55,7 @@
     , mEngine{ aEngine }
     , mDemand{ aDemand }
     , mNow{ aNow }
-    , mTokens{ aDemand.promptTokens +
-               aState.settings.answerFraction * aDemand.answerTokens }
+    , mTokens{ TokensOf(aState.settings, aDemand) }
     , mLimited{ internal::DrawLimited(aGroup,
                                       aDemand.randomSample.value_or(0),
                                       aNow) }
--- a/src/balsampoint/fleet/query/choose_chain.hpp
+++ b/src/balsampoint/fleet/query/choose_chain.hpp
@@ -29,6 +29,17 @@
   double kvFraction{ kMaxKvFraction };
 };
 
+/**
+ * @brief Tokens for which a request reserves KV.
+ * @param aSettings Part of the answer that counts.
+ * @param aDemand The request.
+ */
+[[nodiscard]] inline double
+TokensOf(const Settings& aSettings, const Demand& aDemand)
+{
+  return aDemand.promptTokens + aSettings.answerFraction * aDemand.answerTokens;
+}
+
 /**
  * @brief Finds the chain with the shortest predicted time per event.
  *
--- a/src/balsampoint/forward/decision.hpp
+++ b/src/balsampoint/forward/decision.hpp
@@ -62,6 +62,17 @@
   return aDecision == Decision::Retry || aDecision == Decision::Resume;
 }
 
+/**
+ * @brief Whether requests of a kind are answered by an event stream.
+ * @param aKind The kind.
+ */
+[[nodiscard]] constexpr bool
+IsStream(routing::RequestKind aKind)
+{
+  return aKind == routing::RequestKind::Stream ||
+         aKind == routing::RequestKind::ResumableStream;
+}
+
 /**
  * @brief Whether requests of a kind may be executed more than once.
  * @param aKind The kind.
--- a/src/balsampoint/limit/command/follow_demand.cpp
+++ b/src/balsampoint/limit/command/follow_demand.cpp
@@ -51,8 +51,7 @@
     auto& kept = services[id];
     if (const auto before = aState.services.find(id);
         before != aState.services.end()) {
-      kept = std::move(before->second);
-      before->second.waiting.clear();
+      kept = std::exchange(before->second, {});
     }
     kept.urgencies = std::move(urgencies);
     RemoveUnused(kept, aDocument);
--- a/src/balsampoint/limit/internal/demand.cpp
+++ b/src/balsampoint/limit/internal/demand.cpp
@@ -103,7 +103,7 @@
        const WaitRequest& aOther)
 {
   return IsBefore(aService, aOne, aOther) && aOne.tokens <= aOther.tokens &&
-         (aOne.inMinShare || !aOther.inMinShare);
+         aOne.fraction >= aOther.fraction;
 }
 
 std::optional<Duration>
--- a/src/balsampoint/limit/shortage.hpp
+++ b/src/balsampoint/limit/shortage.hpp
@@ -87,8 +87,8 @@
   Instant latest{};
   /** Tokens for which it needs KV. */
   double tokens{};
-  /** Whether it is part of the minimum share of its urgency. */
-  bool inMinShare{ false };
+  /** Highest fill level of the KV that it may use. */
+  double fraction{};
 };
 
 /** @brief Demand, levels and waiting requests of a service with several
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -27,7 +27,13 @@
         "Answers of servers that are not the answer to the request." },
   Name{ "balsampoint_rate_limits_named_total",
         "Answers with which a server changed the rate that it takes." },
+  Name{ "balsampoint_requests_waited_total",
+        "Requests that waited for room on the servers." },
 };
+constexpr std::array<std::string_view, 4> kRoomRefusals{ "too_late",
+                                                         "queue_full",
+                                                         "expired",
+                                                         "no_target" };
 constexpr std::array kTimings{
   Name{ "balsampoint_first_token_seconds", "Request to first token." },
   Name{ "balsampoint_between_tokens_seconds", "One token to the next." },
@@ -42,7 +48,9 @@
   Name{ "balsampoint_servers_reachable",
         "1 while the host can open connections to backend servers, else 0." },
   Name{ "balsampoint_detour_connections",
-        "Connections to backend servers held open for other hosts." }
+        "Connections to backend servers held open for other hosts." },
+  Name{ "balsampoint_requests_waiting",
+        "Requests that wait for room on the servers." }
 };
 
 prometheus::Histogram::BucketBoundaries
@@ -99,9 +107,44 @@
                          .Register(mRegistry)
                          .Add({}));
   }
+  RegisterAdmission();
   Set(Level::ServersReachable, 1.0);
 }
 
+void
+Metrics::RegisterAdmission()
+{
+  auto& refusals = prometheus::BuildCounter()
+                     .Name("balsampoint_refused_without_room_total")
+                     .Help("Requests refused for lack of room, by cause.")
+                     .Register(mRegistry);
+  for (const auto cause : kRoomRefusals) {
+    mRoomRefusals.push_back(
+      &refusals.Add({ { "cause", std::string{ cause } } }));
+  }
+  auto& levels = prometheus::BuildGauge()
+                   .Name("balsampoint_admission_level")
+                   .Help("Fill level of the servers' KV that the requests of "
+                         "an urgency may use.")
+                   .Register(mRegistry);
+  for (std::size_t rank = 0; rank < kLevelRanks; ++rank) {
+    mAdmissionLevels.push_back(
+      &levels.Add({ { "rank", std::to_string(rank) } }));
+  }
+}
+
+void
+Metrics::Add(RoomRefusal aRefusal)
+{
+  mRoomRefusals[Index(aRefusal)]->Increment();
+}
+
+void
+Metrics::SetAdmissionLevel(std::size_t aRank, double aLevel)
+{
+  mAdmissionLevels.at(aRank)->Set(aLevel);
+}
+
 void
 Metrics::Add(Outcome aOutcome)
 {
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -43,6 +43,7 @@
   DroppedLines,
   ServersReachable,
   DetourConnections,
+  RequestsWaiting,
 };
 
 /** @brief Events that are only counted. */
@@ -54,6 +55,21 @@
   ServersBackedOff,
   AnswersDiscarded,
   RateLimitsNamed,
+  RequestsWaited,
+};
+
+/** @brief Why a request that found no room was refused; only for services with
+ * several urgencies. */
+enum class RoomRefusal : std::uint8_t
+{
+  /** Room was not expected before it would miss its target. */
+  TooLate,
+  /** The queue was full. */
+  QueueFull,
+  /** It waited, and found none in time. */
+  Expired,
+  /** It has no target for a first event, so it does not wait. */
+  NoTarget,
 };
 
 /**
@@ -86,6 +102,23 @@
    */
   void Add(Count aCount, std::uint64_t aTimes = 1);
 
+  /**
+   * @brief Counts a request that was refused because it found no room.
+   * @param aRefusal Why it did not wait, or no longer did.
+   */
+  void Add(RoomRefusal aRefusal);
+
+  /**
+   * @brief Sets the level of KV that requests of an urgency may use.
+   * @param aRank Number of more urgent kinds; the last rank stands for all
+   * others as well.
+   * @param aLevel Lowest fill level of all services, from 0 to 1.
+   */
+  void SetAdmissionLevel(std::size_t aRank, double aLevel);
+
+  /** @brief Number of ranks of urgency that have a level of their own. */
+  static constexpr std::size_t kLevelRanks = 4;
+
   /**
    * @brief Records a length of time.
    * @param aTiming What took it.
@@ -104,12 +137,16 @@
   [[nodiscard]] std::string Text() const;
 
 private:
+  void RegisterAdmission();
+
   prometheus::Registry mRegistry;
   std::vector<prometheus::Counter*> mOutcomes;
   std::vector<prometheus::Counter*> mErrors;
   std::vector<prometheus::Counter*> mCounts;
   std::vector<prometheus::Histogram*> mTimings;
   std::vector<prometheus::Gauge*> mLevels;
+  std::vector<prometheus::Counter*> mRoomRefusals;
+  std::vector<prometheus::Gauge*> mAdmissionLevels;
 };
 
 } // namespace balsampoint::trace
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1,7 +1,9 @@
 #include "balsampoint/edge/entry.hpp"
+#include "balsampoint/edge/room_wait.hpp"
 #include "balsampoint/edge/server_prober.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
+#include "balsampoint/limit/query/waiting.hpp"
 #include "dialect.hpp"
 
 #include <Poco/Net/SocketAddress.h>
@@ -1686,3 +1688,224 @@
   cr_assert(caller.Expect("the end"));
   cr_assert_geq(caller.read.size(), kLarge);
 }
+
+namespace {
+
+/** @brief Gives the service routes of two priorities, and this host requests
+ * that have found room lately; called before the loop starts. */
+void
+ShareByUrgency(Host& aHost, Duration aTarget)
+{
+  auto& traffic = aHost.Shared();
+  auto document = traffic.routes->Source();
+  document.routes.front().targetLatency = aTarget;
+  document.routes.push_back(document.routes.front());
+  document.routes.back().pathPrefix = "/y/";
+  document.routes.back().name = "less urgent";
+  document.routes.back().priority = 1;
+  traffic.routes = *routing::Table::Make(document);
+  edge::FollowUrgencies(traffic);
+  for (int start = 0; start < 100; ++start) {
+    limit::CountStart(
+      traffic.shortage, kService, {}, edge::TrafficState::Now());
+  }
+}
+
+/** @brief Fills the KV of all servers up to a fraction by work of others. */
+void
+FillServers(Host& aHost, double aFraction)
+{
+  for (auto& [id, server] : aHost.Shared().fleet.groups.at(kService).servers) {
+    server.remoteWork.kv = server.kvCapacity * aFraction;
+  }
+}
+
+void
+RespondWithStream(Host& aHost)
+{
+  const auto respond = [](const auto& aCaller, const auto& /*aRequest*/) {
+    aCaller->Send(StreamHead("q1") + Chunk(Event(1)) + "0\r\n\r\n");
+    aCaller->Finish(true);
+  };
+  aHost.one.respond = respond;
+  aHost.two.respond = respond;
+}
+
+/** @brief Number of waiting requests, once it is as expected or time is up. */
+std::size_t
+WaitingCount(Host& aHost, std::size_t aExpected)
+{
+  std::size_t count = aExpected + 1;
+  for (int poll = 0; poll < 2000 && count != aExpected; ++poll) {
+    aHost.RunOnLoop(
+      [&] { count = limit::WaitingCount(aHost.Shared().shortage); });
+  }
+  return count;
+}
+
+const std::string kPost{ "Content-Length: 0\r\n" };
+
+} // namespace
+
+// Guards against a refusal of a request for which there is room before its
+// target.
+Test(room_wait, a_request_waits_until_a_server_has_room)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  ShareByUrgency(host, 1s);
+  RespondWithStream(host);
+  FillServers(host, 1.0);
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", kPost);
+  cr_assert_eq(WaitingCount(host, 1), 1U);
+  host.RunOnLoop([&] {
+    cr_assert(host.one.requests.empty() && host.two.requests.empty());
+    FillServers(host, 0.0);
+  });
+  cr_assert(caller.Expect("\r\n0\r\n\r\n"));
+  cr_assert_eq(WaitingCount(host, 0), 0U);
+  host.RunOnLoop([&] {
+    const auto text = host.Shared().metrics.Text();
+    cr_assert_neq(text.find("balsampoint_requests_waited_total 1"),
+                  std::string::npos);
+  });
+}
+
+// Guards against waiting in deployments whose configuration doesn't call for
+// it.
+Test(room_wait, requests_of_equal_urgency_are_refused_at_once)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  RespondWithStream(host);
+  FillServers(host, 1.0);
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", kPost);
+  cr_assert(caller.Expect("HTTP/1.1 503"));
+}
+
+// Guards against requests that are held although no room is expected.
+Test(room_wait, a_request_is_refused_at_once_if_no_room_is_expected)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  // A request starts every 20 ms.
+  ShareByUrgency(host, 10ms);
+  RespondWithStream(host);
+  FillServers(host, 1.0);
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", kPost);
+  cr_assert(caller.Expect("HTTP/1.1 503"));
+  cr_assert(caller.Expect("Retry-After: "));
+  host.RunOnLoop([&] {
+    const auto text = host.Shared().metrics.Text();
+    cr_assert_neq(
+      text.find("balsampoint_refused_without_room_total{cause=\"too_late\"} 1"),
+      std::string::npos);
+  });
+}
+
+// Guards against requests that wait until their deadline.
+Test(room_wait, a_request_is_refused_when_its_target_cannot_be_met)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  ShareByUrgency(host, 200ms);
+  RespondWithStream(host);
+  FillServers(host, 1.0);
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", kPost);
+  cr_assert(caller.Expect("HTTP/1.1 503"));
+  host.RunOnLoop([&] {
+    cr_assert(host.one.requests.empty() && host.two.requests.empty());
+    const auto text = host.Shared().metrics.Text();
+    cr_assert_neq(
+      text.find("balsampoint_refused_without_room_total{cause=\"expired\"} 1"),
+      std::string::npos);
+  });
+}
+
+// Guards against places in the queue that are held for callers who have left.
+Test(room_wait, a_request_leaves_the_queue_when_its_caller_disconnects)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  ShareByUrgency(host, 1900ms);
+  RespondWithStream(host);
+  FillServers(host, 1.0);
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", kPost);
+  cr_assert_eq(WaitingCount(host, 1), 1U);
+  caller.Disconnect();
+  cr_assert_eq(WaitingCount(host, 0), 0U);
+}
+
+// Guards against a refusal of a request that a server has rejected before it
+// ran, while no other server has room.
+Test(room_wait, a_request_that_a_server_has_not_run_waits)
+{
+  Host host{ routing::RequestKind::Stream, true };
+  ShareByUrgency(host, 1s);
+  int received = 0;
+  const auto respond = [&](const auto& aCaller, const auto& /*aRequest*/) {
+    aCaller->Send(++received <= 2
+                    ? PlainResponse(503, kRefused, "")
+                    : StreamHead("q1") + Chunk(Event(1)) + "0\r\n\r\n");
+    aCaller->Finish(true);
+  };
+  host.one.respond = respond;
+  host.two.respond = respond;
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", kPost);
+  cr_assert(caller.Expect("\r\n0\r\n\r\n"));
+  host.RunOnLoop([&] { cr_assert_eq(received, 3); });
+}
+
+// Guards against requests that wait for ever when a configuration ends their
+// waiting.
+Test(room_wait, a_request_is_refused_when_the_configuration_ends_waiting)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  ShareByUrgency(host, 1900ms);
+  RespondWithStream(host);
+  FillServers(host, 1.0);
+  host.Start();
+  Caller caller;
+  caller.SendRequest("POST", kPost);
+  cr_assert_eq(WaitingCount(host, 1), 1U);
+  host.RunOnLoop([&] {
+    auto document = host.Shared().routes->Source();
+    document.routes.pop_back();
+    host.Shared().routes = *routing::Table::Make(document);
+    edge::FollowUrgencies(host.Shared());
+  });
+  cr_assert(caller.Expect("HTTP/1.1 503"));
+}
+
+// Guards against a less urgent request that takes the room kept for more urgent
+// ones.
+Test(room_wait, a_less_urgent_request_leaves_room_to_more_urgent_ones)
+{
+  Host host{ routing::RequestKind::ResumableStream, true };
+  ShareByUrgency(host, 10ms);
+  RespondWithStream(host);
+  host.Start();
+  host.RunOnLoop([&] {
+    FillServers(host, 0.8);
+    edge::FollowDemand(
+      host.Shared(),
+      { .services = {
+          { .service = kService, .byUrgency = { { 0, 1e9 }, { 1, 1e9 } } } } });
+    // No request is part of the minimum share.
+    host.Shared().shortage.services.at(kService).levels.at(1).minShare = 0.0;
+  });
+  Caller less;
+  less.Send("POST /y/1 HTTP/1.1\r\nHost: a.example\r\n"
+            "X-Request-Id: q1\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(less.Expect("HTTP/1.1 503"));
+  Caller more;
+  more.SendRequest("POST", kPost);
+  cr_assert(more.Expect("\r\n0\r\n\r\n"));
+}
