--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -63,8 +63,7 @@
     , mEngine{ aEngine }
     , mDemand{ aDemand }
     , mNow{ aNow }
-    , mTokens{ aDemand.promptTokens +
-               aState.settings.answerFraction * aDemand.answerTokens }
+    , mTokens{ TokensOf(aState.settings, aDemand) }
     , mLimited{ internal::DrawLimited(aGroup,
                                       aDemand.randomSample.value_or(0),
                                       aNow) }
@@ -297,9 +296,12 @@
   [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
-    const auto room =
-      aServer.kvCapacity * internal::FillLimit(mSettings, aServer, mNow);
-    if (used > room) {
+    const auto limit = internal::FillLimit(mSettings, aServer, mNow);
+    const auto room = aServer.kvCapacity * limit;
+    // What less urgent requests leave free stays free below a lower limit too.
+    const auto reserved =
+      aServer.kvCapacity * (mSettings.maxKvFraction - mDemand.kvFraction);
+    if (used > room || used > room - reserved) {
       return kUnreachable;
     }
     const auto pass = internal::PassMs(
--- a/src/balsampoint/fleet/query/choose_chain.hpp
+++ b/src/balsampoint/fleet/query/choose_chain.hpp
@@ -24,8 +24,22 @@
   /** Random number that spreads requests over servers of similar cost; absent
    * to choose the cheapest chain. */
   std::optional<std::uint64_t> randomSample;
+  /** Highest fill level of a server's KV that the request may use; at most
+   * `Settings::maxKvFraction` has an effect. */
+  double kvFraction{ kMaxKvFraction };
 };
 
+/**
+ * @brief Tokens for which a request reserves KV.
+ * @param aSettings Part of the answer that counts.
+ * @param aDemand The request.
+ */
+[[nodiscard]] inline double
+TokensOf(const Settings& aSettings, const Demand& aDemand)
+{
+  return aDemand.promptTokens + aSettings.answerFraction * aDemand.answerTokens;
+}
+
 /**
  * @brief Finds the chain with the shortest predicted time per event.
  *
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -16,6 +16,10 @@
 
 namespace balsampoint::fleet {
 
+/** @brief Fraction of a server's KV capacity that may be reserved: the rest
+ * covers answers that are longer than expected. */
+inline constexpr double kMaxKvFraction = 0.95;
+
 /** @brief Parameters of the choice of servers. */
 struct Settings
 {
@@ -32,7 +36,7 @@
    * progress have generated half of theirs on average. */
   double answerFraction{ 0.3 };
   /** Fraction of a server's KV capacity that may be reserved. */
-  double maxKvFraction{ 0.95 };
+  double maxKvFraction{ kMaxKvFraction };
   /** Targets for the first event and for the time between two events, in ms: a
    * wait for earlier prompts costs more, the more of the first target it uses
    * up. The values are those of interactive streams. */
