Count prompts reported by other hosts with a lower weight

Cause: reports are older than most prompts take to read, so hosts that count them whole avoid the same servers.

Change: reported prompts count with 0.3, a host's own whole.

--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -87,6 +87,14 @@
   double promptTokens{};
 };
 
+/**
+ * @brief Part of the prompts reported by other hosts that is expected to wait
+ * still: reports are 0.2 to 0.4 s late, and a prompt is usually read in less.
+ * Counted in full they delay the first events of short prompts in
+ * `bench_choice`, since hosts avoid the same servers.
+ */
+inline constexpr double kReportedPromptWeight = 0.3;
+
 /** @brief One server, the work on it and its recent faults. */
 struct Server
 {
@@ -189,11 +197,14 @@
     return localWork.kv + remoteWork.kv;
   }
 
-  /** @brief Prompts of all hosts without a first event, in tokens times
-   * layers. */
+  /**
+   * @brief Prompts of all hosts that are expected to wait for their first
+   * event, in tokens times layers.
+   */
   [[nodiscard]] double WaitingPrompt() const noexcept
   {
-    return localWork.waitingPrompt + remoteWork.waitingPrompt;
+    return localWork.waitingPrompt +
+           kReportedPromptWeight * remoteWork.waitingPrompt;
   }
 };
 
