Bound what the connections of the traffic thread hold

Each connection buffered a whole body, up to the limit of its listener, and nothing bounded the sum; responses that callers did not read and responses that servers did not end added to it. A body doubled its buffer beyond the limit, and parsers and write buffers kept the memory of the last message.

One account now covers callers, operators, servers, detours and scrapers, with a budget of 40 % of limits.memory_mb. Connections that may not grow are not read, and the largest and slowest are refused with 503 while no server has the request, or reset. A body has a deadline and a least rate of its own. Socket buffers are bounded, and requests for the status have no large body. The allocator's thresholds are fixed, so that freed bodies leave the process.

--- a/src/balsampoint/config/gateway_settings.hpp
+++ b/src/balsampoint/config/gateway_settings.hpp
@@ -50,6 +50,10 @@
 {
   std::uint64_t memoryMb{ 256 };
   std::uint32_t descriptors{ 1024 };
+  /** Longest time of a request's body, and its least rate in bytes per second
+   * once it has taken as long as a head may. */
+  Duration bodyTimeout{ std::chrono::seconds{ 10 } };
+  std::uint64_t bodyRate{ std::uint64_t{ 16 } * 1024 };
 };
 
 /** @brief The settings file of a host that is a gateway or control host. */
--- a/src/balsampoint/config/query/load_gateway_settings.cpp
+++ b/src/balsampoint/config/query/load_gateway_settings.cpp
@@ -55,8 +55,11 @@
   FieldReader reader{ aCursor };
   reader.Read("memory_mb", aLimits.memoryMb);
   reader.Read("descriptors", aLimits.descriptors);
+  reader.Read("body_timeout", aLimits.bodyTimeout);
+  reader.Read("body_rate", aLimits.bodyRate);
   RequirePositive(reader, "memory_mb", aLimits.memoryMb);
   RequirePositive(reader, "descriptors", aLimits.descriptors);
+  RequirePositive(reader, "body_timeout", aLimits.bodyTimeout);
   reader.Finish();
 }
 
--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -124,7 +124,6 @@
   /** Time between two searches for expired server connections. */
   static constexpr Duration kExpiryInterval = std::chrono::seconds{ 1 };
   static constexpr std::size_t kMailboxCapacity = 65536;
-  static constexpr std::size_t kMaxControlConnections = 2000;
 
   BasicGateway(const config::GatewaySettings& aSettings,
                std::span<const config::Seed> aSeeds,
@@ -138,18 +137,29 @@
              [](const traffic::ControlGate::Request&) { return false; } }
     , mSender{ aIdentity }
     , mRouter{ mMailbox }
+    , mMemory{ edge::MemoryAccount::Make(mEdge.Context(),
+                                         MemorySettingsOf(aSettings),
+                                         SocketBytesOf(aSettings)) }
     , mTraffic{ mEdge,
                 { .zone = aSettings.zone },
-                ServerLimitsOf(aSettings),
+                ServerLimitsOf(aSettings, mMemory.get()),
                 AllowanceOf(aSettings),
                 runtime::Entropy::Next() }
     , mProber{ mTraffic }
-    , mDetours{ mTraffic, aSettings.secret, MaxDetourConnections(aSettings) }
-    , mEntry{ mTraffic, MaxCallers(aSettings) }
-    , mReady{ mEdge, [this] { return ReadyStatus(); } }
-    , mMetrics{ mEdge, [this] { return MetricsStatus(); } }
-    , mEngines{ mEdge, {} }
-    , mControlPort{ mEdge, MakeOperations(), kMaxControlConnections }
+    , mDetours{ mTraffic,
+                aSettings.secret,
+                MaxDetourConnections(aSettings),
+                mMemory.get() }
+    , mEntry{ mTraffic,
+              MaxCallers(aSettings),
+              CallerLimitsOf(aSettings, mMemory.get()) }
+    , mReady{ mEdge, [this] { return ReadyStatus(); }, mMemory.get() }
+    , mMetrics{ mEdge, [this] { return MetricsStatus(); }, mMemory.get() }
+    , mEngines{ mEdge, ServerLimitsOf(aSettings, mMemory.get()) }
+    , mControlPort{ mEdge,
+                    MakeOperations(),
+                    MaxControlConnections(aSettings),
+                    ControlLimitsOf(aSettings, mMemory.get()) }
     , mRunners{ mMailbox,
                 mWorld,
                 mGate,
@@ -164,6 +174,11 @@
   {
     mTraffic.maxActiveRequests =
       static_cast<std::uint32_t>(MaxCallers(aSettings));
+    mMemory->SetObserver([this](const memory::Action& aAction) {
+      mTraffic.metrics.Add(aAction.relief == memory::Relief::Refuse
+                             ? trace::Count::MemoryRefusals
+                             : trace::Count::MemoryCuts);
+    });
     for (const auto& seed : aSeeds) {
       if (seed.host != mSettings.host) {
         mSender.Route(seed.host, seed.address.Text());
@@ -314,6 +329,10 @@
     }
     metrics.Set(trace::Level::DetourConnections,
                 static_cast<double>(mDetours.ConnectionCount()));
+    metrics.Set(trace::Level::HeldBytes,
+                static_cast<double>(mMemory->HeldBytes()));
+    metrics.Set(trace::Level::PausedConnections,
+                static_cast<double>(mMemory->PausedCount()));
     metrics.Set(trace::Level::DroppedLines,
                 static_cast<double>(trace::DroppedLines()));
     return { kOk, metrics.Text() };
@@ -552,6 +571,7 @@
   peer::Sender mSender;
   ParcelRouter mRouter;
   net::Loop mEdge;
+  std::shared_ptr<edge::MemoryAccount> mMemory;
   TrafficState mTraffic;
   edge::ServerProber mProber;
   edge::DetourPort mDetours;
--- a/src/balsampoint/daemon/gateway_state.cpp
+++ b/src/balsampoint/daemon/gateway_state.cpp
@@ -25,6 +25,27 @@
 /** Part of the host's memory that one response may take; several servers may
  * send bytes without end at the same time. */
 constexpr std::uint64_t kResponseMemoryDivisor = 32;
+/** Part of the host's memory that connections may hold: the rest is for the
+ * program, the control state, copies while buffers grow and the kernel. */
+constexpr double kConnectionMemory = 0.4;
+/** Part of that which is reserved for small holders. */
+constexpr std::uint64_t kReserveDivisor = 2;
+/** Bounds of a small holder: most requests fit into the least one. */
+constexpr std::uint64_t kLeastSmallBytes = std::uint64_t{ 32 } * 1024;
+constexpr std::uint64_t kMostSmallBytes = std::uint64_t{ 64 } * 1024;
+/** Part of the host's memory for the kernel's receive buffers of all
+ * connections, and bounds of one of them: the most is the kernel's default. */
+constexpr std::uint64_t kSocketMemoryDivisor = 8;
+constexpr std::uint64_t kLeastSocketBytes = std::uint64_t{ 32 } * 1024;
+constexpr std::uint64_t kMostSocketBytes = std::uint64_t{ 128 } * 1024;
+/** Part of the host's memory that a configuration may take. */
+constexpr std::uint64_t kConfigurationDivisor = 16;
+constexpr std::uint64_t kLeastConfigurationBytes = 4 * kBytesPerMb;
+/** Part of the host's memory for incomplete calls of other hosts, of which the
+ * largest must fit. */
+constexpr std::uint64_t kPeerMemoryDivisor = 8;
+constexpr std::uint64_t kLeastPeerBytes = 17 * kBytesPerMb;
+constexpr std::size_t kMaxControlConnections = 2000;
 /** Descriptors kept free for peers, servers and files. */
 constexpr std::size_t kReservedDescriptors = 400;
 /** Connections for other hosts take twice this part of the descriptors. */
@@ -39,6 +60,23 @@
            : descriptors / 2;
 }
 
+std::uint64_t
+MemoryOf(const config::GatewaySettings& aSettings)
+{
+  return aSettings.limits.memoryMb * kBytesPerMb;
+}
+
+/** Connections that others may open to this host. */
+std::size_t
+MaxConnections(const config::GatewaySettings& aSettings)
+{
+  const auto callers =
+    aSettings.listen.callers
+      ? MaxCallers(aSettings) + 2 * MaxDetourConnections(aSettings)
+      : 0;
+  return std::max(std::size_t{ 1 }, callers + MaxControlConnections(aSettings));
+}
+
 std::string
 PeerAddress(const std::string& aIp, const config::GatewaySettings& aSettings)
 {
@@ -131,12 +169,65 @@
            .window = aSettings.retry.window };
 }
 
+memory::Settings
+MemorySettingsOf(const config::GatewaySettings& aSettings)
+{
+  memory::Settings settings;
+  settings.budgetBytes = static_cast<std::uint64_t>(
+    kConnectionMemory * static_cast<double>(MemoryOf(aSettings)));
+  settings.reservedBytes = settings.budgetBytes / kReserveDivisor;
+  settings.smallBytes =
+    std::clamp(settings.reservedBytes / MaxConnections(aSettings),
+               kLeastSmallBytes,
+               kMostSmallBytes);
+  return settings;
+}
+
+std::size_t
+SocketBytesOf(const config::GatewaySettings& aSettings)
+{
+  return std::clamp(MemoryOf(aSettings) / kSocketMemoryDivisor /
+                      MaxConnections(aSettings),
+                    kLeastSocketBytes,
+                    kMostSocketBytes);
+}
+
+std::size_t
+PeerBytesOf(const config::GatewaySettings& aSettings)
+{
+  return std::max(MemoryOf(aSettings) / kPeerMemoryDivisor, kLeastPeerBytes);
+}
+
+edge::CallerConnectionLimits
+CallerLimitsOf(const config::GatewaySettings& aSettings,
+               edge::MemoryAccount* aMemory)
+{
+  edge::CallerConnectionLimits limits;
+  limits.bodyTimeout = aSettings.limits.bodyTimeout;
+  limits.bodyRate = aSettings.limits.bodyRate;
+  limits.memory = aMemory;
+  return limits;
+}
+
+edge::CallerConnectionLimits
+ControlLimitsOf(const config::GatewaySettings& aSettings,
+                edge::MemoryAccount* aMemory)
+{
+  auto limits = CallerLimitsOf(aSettings, aMemory);
+  limits.message.bodyBytes =
+    std::min(limits.message.bodyBytes,
+             std::max(MemoryOf(aSettings) / kConfigurationDivisor,
+                      kLeastConfigurationBytes));
+  return limits;
+}
+
 edge::ServerConnectionLimits
-ServerLimitsOf(const config::GatewaySettings& aSettings)
+ServerLimitsOf(const config::GatewaySettings& aSettings,
+               edge::MemoryAccount* aMemory)
 {
   edge::ServerConnectionLimits limits;
-  limits.message.bodyBytes =
-    aSettings.limits.memoryMb * kBytesPerMb / kResponseMemoryDivisor;
+  limits.memory = aMemory;
+  limits.message.bodyBytes = MemoryOf(aSettings) / kResponseMemoryDivisor;
   return limits;
 }
 
@@ -148,6 +239,14 @@
            : 0;
 }
 
+std::size_t
+MaxControlConnections(const config::GatewaySettings& aSettings)
+{
+  return aSettings.listen.control
+           ? std::min(kMaxControlConnections, UsableDescriptors(aSettings))
+           : 0;
+}
+
 std::size_t
 MaxCallers(const config::GatewaySettings& aSettings)
 {
--- a/src/balsampoint/daemon/gateway_state.hpp
+++ b/src/balsampoint/daemon/gateway_state.hpp
@@ -5,9 +5,11 @@
 #include "balsampoint/config/gateway_settings.hpp"
 #include "balsampoint/consensus/entry.hpp"
 #include "balsampoint/daemon/first_state.hpp"
+#include "balsampoint/edge/caller_connection.hpp"
 #include "balsampoint/edge/server_connection.hpp"
 #include "balsampoint/fleet/state.hpp"
 #include "balsampoint/forward/retry_budget.hpp"
+#include "balsampoint/memory/state.hpp"
 #include "balsampoint/roster/message.hpp"
 
 #include <string>
@@ -58,12 +60,63 @@
 [[nodiscard]] forward::RetryAllowance
 AllowanceOf(const config::GatewaySettings& aSettings);
 
+/**
+ * @brief What the connections of the traffic thread may hold, by the host's
+ * memory and the number of connections.
+ * @param aSettings The host's settings.
+ */
+[[nodiscard]] memory::Settings
+MemorySettingsOf(const config::GatewaySettings& aSettings);
+
+/**
+ * @brief Size of the kernel's receive buffer of a connection, and of its send
+ * buffer, by the host's memory.
+ * @param aSettings The host's settings.
+ */
+[[nodiscard]] std::size_t
+SocketBytesOf(const config::GatewaySettings& aSettings);
+
+/**
+ * @brief Bytes of incomplete calls of other hosts, by the host's memory.
+ * @param aSettings The host's settings.
+ */
+[[nodiscard]] std::size_t
+PeerBytesOf(const config::GatewaySettings& aSettings);
+
+/**
+ * @brief Limits of the connections of callers before a configuration.
+ * @param aSettings The host's settings.
+ * @param aMemory Account of the bytes that connections hold; null for none.
+ */
+[[nodiscard]] edge::CallerConnectionLimits
+CallerLimitsOf(const config::GatewaySettings& aSettings,
+               edge::MemoryAccount* aMemory);
+
+/**
+ * @brief Limits of the connections of operators and servers.
+ * @param aSettings The host's settings.
+ * @param aMemory Account of the bytes that connections hold; null for none.
+ */
+[[nodiscard]] edge::CallerConnectionLimits
+ControlLimitsOf(const config::GatewaySettings& aSettings,
+                edge::MemoryAccount* aMemory);
+
 /**
  * @brief Limits of the connections to servers, by the host's memory.
  * @param aSettings The host's settings.
+ * @param aMemory Account of the bytes that connections hold; null for none.
  */
 [[nodiscard]] edge::ServerConnectionLimits
-ServerLimitsOf(const config::GatewaySettings& aSettings);
+ServerLimitsOf(const config::GatewaySettings& aSettings,
+               edge::MemoryAccount* aMemory);
+
+/**
+ * @brief Connections of operators and servers that the host's descriptors
+ * allow.
+ * @param aSettings The host's settings.
+ */
+[[nodiscard]] std::size_t
+MaxControlConnections(const config::GatewaySettings& aSettings);
 
 /**
  * @brief Connections of callers that the host's descriptors allow.
--- a/src/balsampoint/daemon/run_gateway.hpp
+++ b/src/balsampoint/daemon/run_gateway.hpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <pthread.h>
 #include <spdlog/spdlog.h>
 #include <string>
@@ -52,6 +53,23 @@
   }
 }
 
+/**
+ * @brief Makes the allocator return the memory of large blocks at once.
+ *
+ * Without this, glibc raises the size from which a block has pages of its own
+ * to that of the largest block that was freed, so that later bodies come from
+ * heaps that keep their pages.
+ */
+inline void
+LimitAllocator()
+{
+  constexpr int kOwnPagesBytes = 128 * 1024;
+  constexpr int kHeaps = 2;
+  mallopt(M_MMAP_THRESHOLD, kOwnPagesBytes);
+  mallopt(M_TRIM_THRESHOLD, kOwnPagesBytes);
+  mallopt(M_ARENA_MAX, kHeaps);
+}
+
 /**
  * @brief Runs a gateway until it is told to stop.
  * @tparam D Names and formats of messages.
@@ -68,6 +86,7 @@
   absl::ParseCommandLine(aCount, aArguments);
   const auto signals = AwaitedSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  LimitAllocator();
   std::signal(SIGPIPE, SIG_IGN);
   // A write over the limit of a file's size is to fail like one to a full disk.
   std::signal(SIGXFSZ, SIG_IGN);
--- a/src/balsampoint/edge/acceptor.hpp
+++ b/src/balsampoint/edge/acceptor.hpp
@@ -49,7 +49,12 @@
    */
   tl::expected<void, Error> Listen(const std::string& aAddress)
   {
-    return net::Listen(mAcceptor, aAddress, kBacklog).map([this] { Accept(); });
+    return net::Listen(mAcceptor, aAddress, kBacklog).map([this] {
+      if (const auto* memory = mOwner.Limits().memory) {
+        net::LimitBuffers(mAcceptor, memory->SocketBytes());
+      }
+      Accept();
+    });
   }
 
   /** @brief Closes the listening socket; open connections stay open. */
--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "balsampoint/edge/memory_account.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/net/socket.hpp"
+#include "balsampoint/runtime/steady_clock.hpp"
 #include "balsampoint/wire/parser.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -27,8 +29,13 @@
 struct CallerConnectionLimits
 {
   wire::MessageLimits message;
-  /** Longest time from the first byte of a request to its last one. */
+  /** Longest time from the first byte of a request to the end of its head. */
   Duration requestTimeout{ std::chrono::seconds{ 3 } };
+  /** Longest time from the end of the head to the end of the body. */
+  Duration bodyTimeout{ std::chrono::seconds{ 10 } };
+  /** Least bytes of the body per second, on average since the end of the head;
+   * checked once the body has taken `requestTimeout`. */
+  std::uint64_t bodyRate{ std::uint64_t{ 16 } * 1024 };
   /** Time after which a connection without a request is closed. */
   Duration idleTimeout{ std::chrono::seconds{ 15 } };
   /** Time that sent bytes may stay unacknowledged. */
@@ -36,6 +43,8 @@
   /** Response bytes that may be queued behind others for a slow caller; with
    * more, the connection is reset. One part of a response may be larger. */
   std::size_t maxQueuedBytes{ std::size_t{ 1024 } * 1024 };
+  /** Account of the bytes that connections hold; null for none. */
+  MemoryAccount* memory{ nullptr };
 };
 
 /**
@@ -72,6 +81,20 @@
   /** @brief Starts to read requests. */
   void Start()
   {
+    auto self = this->weak_from_this();
+    mShare = MemoryShare{ mOwner.Limits().memory,
+                          { .resume =
+                              [self] {
+                                if (auto connection = self.lock()) {
+                                  connection->Read();
+                                }
+                              },
+                            .release =
+                              [self](memory::Relief aRelief) {
+                                if (auto connection = self.lock()) {
+                                  connection->ReleaseMemory(aRelief);
+                                }
+                              } } };
     ExpectRequest();
     Read();
   }
@@ -84,6 +107,7 @@
   {
     const bool isBehind = !mQueued.empty();
     mQueued += aBytes;
+    RecordMemory(0);
     if (isBehind && mQueued.size() > mOwner.Limits().maxQueuedBytes) {
       boost::asio::post(
         mSocket.get_executor(),
@@ -101,6 +125,7 @@
   void Finish(bool aKeepAlive)
   {
     mBusy = false;
+    mRequestBytes = 0;
     mResponseFinished = true;
     mCloseWhenSent = mCloseWhenSent || !aKeepAlive;
     if (!mWriting && mQueued.empty()) {
@@ -119,6 +144,7 @@
       return;
     }
     mTimer.Clear();
+    mShare.Release();
     if (aReset) {
       net::ResetConnection(mSocket);
     } else {
@@ -149,6 +175,13 @@
   static constexpr std::size_t kReadBytes = 16384;
   /** Bytes of pipelined requests at which reading pauses. */
   static constexpr std::size_t kMaxReadAheadBytes = 65536;
+  /** Capacity above which the buffer of an idle connection is released. */
+  static constexpr std::size_t kKeptBytes = 1024;
+  /** Time between two checks of the rate of a body. */
+  static constexpr Duration kRateInterval = std::chrono::milliseconds{ 500 };
+  /** Time after which a refused caller may try again: by then, callers that
+   * have stalled are refused as well. */
+  static constexpr Duration kRetryAfter = std::chrono::seconds{ 1 };
 
   /** Whether the parser is ready for a request: it holds the last one until the
    * response to it is sent. */
@@ -174,31 +207,105 @@
         mReadAhead.size() >= kMaxReadAheadBytes) {
       return;
     }
+    if (AwaitsRequest() && !mShare.MayRead()) {
+      RecordMemory(0);
+      return;
+    }
     mReading = true;
-    mSocket.async_read_some(
-      boost::asio::buffer(mBuffer),
-      [self = this->shared_from_this()](const auto& aError, std::size_t aSize) {
-        self->mReading = false;
-        self->OnRead(aError, aSize);
-      });
+    // A pending read would need a buffer for each connection that is silent.
+    mSocket.async_wait(net::Tcp::socket::wait_read,
+                       [self = this->shared_from_this()](const auto& aError) {
+                         self->mReading = false;
+                         self->OnReadable(aError);
+                       });
   }
 
-  void OnRead(const boost::system::error_code& aError, std::size_t aSize)
+  void OnReadable(boost::system::error_code aError)
   {
     if (!mSocket.is_open()) {
       return;
     }
+    std::array<char, kReadBytes> buffer; // NOLINT(*-member-init)
+    std::size_t size = 0;
+    if (!aError) {
+      mSocket.non_blocking(true, aError);
+    }
+    if (!aError) {
+      size = mSocket.read_some(boost::asio::buffer(buffer), aError);
+    }
+    if (aError == boost::asio::error::would_block) {
+      Read();
+      return;
+    }
+    OnRead(aError, { buffer.data(), size });
+  }
+
+  void OnRead(const boost::system::error_code& aError, std::string_view aBytes)
+  {
     if (aError) {
       Close(aError != boost::asio::error::eof);
       return;
     }
-    mReadAhead.append(mBuffer.data(), aSize);
+    mReadAhead += aBytes;
     if (AwaitsRequest()) {
       Parse();
     }
+    RecordMemory(aBytes.size());
     Read();
   }
 
+  /** Tells the account what the connection holds. */
+  void RecordMemory(std::size_t aMoved)
+  {
+    if (!mSocket.is_open()) {
+      return;
+    }
+    if (mReadAhead.empty() && mReadAhead.capacity() > kKeptBytes) {
+      std::string{}.swap(mReadAhead);
+    }
+    const auto queued = mQueued.capacity() + mSending.capacity();
+    auto work = memory::Work::Running;
+    if (AwaitsRequest()) {
+      work = memory::Work::Receiving;
+    } else if (!mQueued.empty() || !mSending.empty()) {
+      work = memory::Work::Sending;
+    }
+    // A body is held once more, in the bytes for the server, when it is sent.
+    mShare.Record({ .work = work,
+                    .bytes = mReadAhead.capacity() + mParser.HeadCapacity() +
+                             2 * mParser.BodyCapacity() + mRequestBytes +
+                             queued + mShare.UnreadBytes(),
+                    .moved = aMoved });
+  }
+
+  void ReleaseMemory(memory::Relief aRelief)
+  {
+    if (aRelief == memory::Relief::Cut || !AwaitsRequest()) {
+      Close(true);
+      return;
+    }
+    RefuseOverloaded();
+  }
+
+  void RefuseOverloaded()
+  {
+    auto error = MakeError(ErrorKind::Overloaded,
+                           "the host has no memory for the request");
+    error.retryAfter = kRetryAfter;
+    mBusy = true;
+    mTimer.Clear();
+    ReleaseRequest();
+    mOwner.OnInvalidRequest(this->shared_from_this(), error);
+  }
+
+  /** Releases the bytes of a request that is refused. */
+  void ReleaseRequest()
+  {
+    mParser.Restart();
+    std::string{}.swap(mReadAhead);
+    RecordMemory(0);
+  }
+
   void Parse()
   {
     const bool started = mParser.Started();
@@ -213,7 +320,11 @@
       return;
     }
     if (!started && mParser.Started()) {
-      StartRequestTimer();
+      SetRequestTimer(mOwner.Limits().requestTimeout);
+    }
+    if (mParser.HasHead() && !std::exchange(mBodyStarted, true)) {
+      mBodyStartedAt = runtime::SteadyClock::Now();
+      SetRequestTimer(mOwner.Limits().requestTimeout);
     }
     if (mParser.HasHead() && !mContinueSent &&
         mParser.Request().fields.HasToken("Expect", "100-continue")) {
@@ -222,9 +333,9 @@
     }
   }
 
-  void StartRequestTimer()
+  void SetRequestTimer(Duration aAfter)
   {
-    mTimer.Set(mOwner.Limits().requestTimeout, [self = this->weak_from_this()] {
+    mTimer.Set(aAfter, [self = this->weak_from_this()] {
       if (auto connection = self.lock()) {
         connection->OnRequestTimeout();
       }
@@ -233,13 +344,35 @@
 
   void OnRequestTimeout()
   {
-    if (AwaitsRequest()) {
-      mBusy = true;
-      mOwner.OnInvalidRequest(
-        this->shared_from_this(),
-        MakeError(ErrorKind::RequestTimeout,
-                  "the request did not arrive completely before the timeout"));
+    if (!AwaitsRequest()) {
+      return;
+    }
+    if (mBodyStarted && IsBodyInTime()) {
+      SetRequestTimer(kRateInterval);
+      return;
     }
+    if (mShare.IsPaused()) {
+      RefuseOverloaded();
+      return;
+    }
+    mBusy = true;
+    ReleaseRequest();
+    mOwner.OnInvalidRequest(
+      this->shared_from_this(),
+      MakeError(ErrorKind::RequestTimeout,
+                "the request did not arrive completely before the timeout"));
+  }
+
+  /** Whether the body has not passed its deadline and arrives fast enough. */
+  [[nodiscard]] bool IsBodyInTime() const
+  {
+    const auto& limits = mOwner.Limits();
+    const auto age = runtime::SteadyClock::Now() - mBodyStartedAt;
+    const std::chrono::duration<double> seconds = age;
+    return age < limits.bodyTimeout &&
+           (mShare.IsPaused() ||
+            static_cast<double>(mParser.BodyRead()) >=
+              static_cast<double>(limits.bodyRate) * seconds.count());
   }
 
   void Refuse(wire::ParseError aError)
@@ -252,6 +385,7 @@
     }
     mBusy = true;
     mTimer.Clear();
+    ReleaseRequest();
     mOwner.OnInvalidRequest(
       this->shared_from_this(),
       MakeError(kind, "the request is not valid HTTP/1.1 or is too large"));
@@ -265,6 +399,8 @@
     IncomingRequest request{ .head = std::move(mParser.Request()),
                              .body = mParser.TakeBody() };
     mCloseWhenSent = !request.head.keepAlive;
+    mRequestBytes = request.body.capacity();
+    RecordMemory(0);
     mOwner.OnRequest(this->shared_from_this(), std::move(request));
   }
 
@@ -277,12 +413,27 @@
     }
     mWriting = true;
     mSending = std::exchange(mQueued, {});
-    boost::asio::async_write(
-      mSocket,
-      boost::asio::buffer(mSending),
+    mSent = 0;
+    Write();
+  }
+
+  // NOLINTNEXTLINE(misc-no-recursion)
+  void Write()
+  {
+    mSocket.async_write_some(
+      boost::asio::buffer(mSending) + mSent,
       // NOLINTNEXTLINE(misc-no-recursion)
-      [self = this->shared_from_this()](const auto& aError, std::size_t) {
+      [self = this->shared_from_this()](const auto& aError, std::size_t aSize) {
+        self->mSent += aSize;
+        if (!aError && self->mSocket.is_open() &&
+            self->mSent < self->mSending.size()) {
+          self->RecordMemory(aSize);
+          self->Write();
+          return;
+        }
         self->mWriting = false;
+        std::string{}.swap(self->mSending);
+        self->RecordMemory(aSize);
         self->OnWritten(aError);
       });
   }
@@ -309,11 +460,13 @@
   void OnResponseSent()
   {
     mResponseFinished = false;
+    mBodyStarted = false;
     if (mCloseWhenSent) {
       Close(false);
       return;
     }
     ExpectRequest();
+    RecordMemory(0);
     if (!mReadAhead.empty()) {
       boost::asio::post(
         mSocket.get_executor(), [self = this->shared_from_this()] {
@@ -329,13 +482,19 @@
   net::Tcp::socket mSocket;
   net::Timer mTimer;
   wire::Parser mParser;
-  std::array<char, kReadBytes> mBuffer{};
+  MemoryShare mShare;
+  Instant mBodyStartedAt{};
   std::string mReadAhead;
   std::string mQueued;
   std::string mSending;
+  /** Bytes of `mSending` that were written. */
+  std::size_t mSent{};
+  /** Bytes of the body of the request in progress. */
+  std::size_t mRequestBytes{};
   bool mReading{ false };
   bool mWriting{ false };
   bool mBusy{ false };
+  bool mBodyStarted{ false };
   bool mResponseFinished{ false };
   bool mContinueSent{ false };
   bool mCloseWhenSent{ false };
--- a/src/balsampoint/edge/control_port.hpp
+++ b/src/balsampoint/edge/control_port.hpp
@@ -71,12 +71,15 @@
    * @param aLoop Loop of the traffic thread; outlives the port.
    * @param aOperations Operations that carry out the calls.
    * @param aMaxConnections Maximum number of open connections.
+   * @param aLimits Limits of each connection.
    */
   BasicControlPort(net::Loop& aLoop,
                    ControlOperations aOperations,
-                   std::size_t aMaxConnections)
+                   std::size_t aMaxConnections,
+                   CallerConnectionLimits aLimits = {})
     : mLoop{ aLoop }
     , mOperations{ std::move(aOperations) }
+    , mLimits{ aLimits }
     , mAcceptor{ *this, aLoop.Context(), aMaxConnections }
   {
   }
--- a/src/balsampoint/edge/detour_connection.cpp
+++ b/src/balsampoint/edge/detour_connection.cpp
@@ -45,9 +45,25 @@
       connection->Close(true);
     }
   });
+  mShare = MemoryShare{ mPort.Memory(),
+                        { .resume = [] {},
+                          .release =
+                            [self = weak_from_this()](memory::Relief) {
+                              if (const auto connection = self.lock()) {
+                                connection->Close(true);
+                              }
+                            } } };
   ReadHost();
 }
 
+void
+DetourConnection::RecordMemory(std::size_t aMoved)
+{
+  mShare.Record({ .work = memory::Work::Running,
+                  .bytes = mToHost.capacity() + mToServer.capacity(),
+                  .moved = aMoved });
+}
+
 void
 DetourConnection::CloseIfQuiet()
 {
@@ -117,6 +133,9 @@
     return;
   }
   net::ConfigureSocket(mServer, kAckTimeout);
+  if (const auto* memory = mPort.Memory()) {
+    net::LimitBuffers(mServer, memory->SocketBytes());
+  }
   mTimer.Set(kOpenTimeout, [self = weak_from_this()] {
     if (const auto connection = self.lock()) {
       boost::system::error_code ignored;
@@ -161,6 +180,7 @@
 DetourConnection::WriteToHost(std::string aBytes, bool aIsLast)
 {
   mToHost = std::move(aBytes);
+  RecordMemory(mToHost.size());
   boost::asio::async_write(
     mHost,
     boost::asio::buffer(mToHost),
@@ -185,6 +205,7 @@
   }
   mAnswered = false;
   mToServer = std::move(aBytes);
+  RecordMemory(mToServer.size());
   boost::asio::async_write(
     mServer,
     boost::asio::buffer(mToServer),
@@ -242,6 +263,7 @@
     return;
   }
   mTimer.Clear();
+  mShare.Release();
   boost::system::error_code ignored;
   mServer.close(ignored);
   if (aReset) {
--- a/src/balsampoint/edge/detour_connection.hpp
+++ b/src/balsampoint/edge/detour_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balsampoint/edge/detour_stream.hpp"
+#include "balsampoint/edge/memory_account.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/net/socket.hpp"
 
@@ -52,6 +53,9 @@
   void OnConnect(const boost::system::error_code& aError);
   void Refuse(DetourStatus aStatus);
   void Close(bool aReset);
+  /** Tells the account what the connection holds. It can't grow: each side is
+   * read only after the bytes for the other one were written. */
+  void RecordMemory(std::size_t aMoved);
 
   DetourPort& mPort;
   net::Tcp::socket mHost;
@@ -60,6 +64,7 @@
   wire::Parser mParser;
   Buffer mHostBuffer{};
   Buffer mServerBuffer{};
+  MemoryShare mShare;
   std::string mToHost;
   std::string mToServer;
   std::string mServerAddress;
--- a/src/balsampoint/edge/detour_port.cpp
+++ b/src/balsampoint/edge/detour_port.cpp
@@ -19,10 +19,12 @@
 
 DetourPort::DetourPort(TrafficState& aTraffic,
                        std::string aSecret,
-                       std::size_t aMaxConnections)
+                       std::size_t aMaxConnections,
+                       MemoryAccount* aMemory)
   : mTraffic{ aTraffic }
   , mSecret{ std::move(aSecret) }
   , mMaxConnections{ aMaxConnections }
+  , mMemory{ aMemory }
   , mAcceptor{ aTraffic.loop.Context() }
   , mAcceptRetryTimer{ aTraffic.loop.Context() }
 {
@@ -31,7 +33,12 @@
 tl::expected<void, Error>
 DetourPort::Listen(const std::string& aAddress)
 {
-  return net::Listen(mAcceptor, aAddress, kBacklog).map([this] { Accept(); });
+  return net::Listen(mAcceptor, aAddress, kBacklog).map([this] {
+    if (mMemory != nullptr) {
+      net::LimitBuffers(mAcceptor, mMemory->SocketBytes());
+    }
+    Accept();
+  });
 }
 
 void
--- a/src/balsampoint/edge/detour_port.hpp
+++ b/src/balsampoint/edge/detour_port.hpp
@@ -25,10 +25,12 @@
    * @param aTraffic State of the traffic thread; outlives the port.
    * @param aSecret Secret of the cluster.
    * @param aMaxConnections Most connections at a time.
+   * @param aMemory Account of the bytes that connections hold; null for none.
    */
   DetourPort(TrafficState& aTraffic,
              std::string aSecret,
-             std::size_t aMaxConnections);
+             std::size_t aMaxConnections,
+             MemoryAccount* aMemory = nullptr);
 
   /**
    * @brief Binds the address and starts to accept connections.
@@ -64,6 +66,9 @@
    */
   void AskWhyFailed(std::function<void(DetourStatus)> aCallback);
 
+  /** @brief Account of the bytes that connections hold; null for none. */
+  [[nodiscard]] MemoryAccount* Memory() const noexcept { return mMemory; }
+
   /** @brief Removes a connection that has ended. */
   void OnClosed(const std::shared_ptr<DetourConnection>& aConnection);
 
@@ -74,6 +79,7 @@
   TrafficState& mTraffic;
   std::string mSecret;
   std::size_t mMaxConnections;
+  MemoryAccount* mMemory;
   net::Tcp::acceptor mAcceptor;
   net::Timer mAcceptRetryTimer;
   std::set<std::shared_ptr<DetourConnection>> mConnections;
--- a/src/balsampoint/edge/entry.hpp
+++ b/src/balsampoint/edge/entry.hpp
@@ -27,9 +27,13 @@
    * @brief Makes an entry that does not listen yet.
    * @param aTraffic State of the traffic thread; outlives the entry.
    * @param aMaxConnections Maximum number of callers' connections.
+   * @param aLimits Limits of each connection.
    */
-  BasicEntry(TrafficState& aTraffic, std::size_t aMaxConnections)
+  BasicEntry(TrafficState& aTraffic,
+             std::size_t aMaxConnections,
+             CallerConnectionLimits aLimits = {})
     : mTraffic{ aTraffic }
+    , mLimits{ aLimits }
     , mAcceptor{ *this, aTraffic.loop.Context(), aMaxConnections }
   {
   }
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -74,6 +74,7 @@
     return;
   }
   net::ConfigureSocket(mSocket, mLimits.ackTimeout);
+  OpenShare();
   const auto timeout =
     mLimits.connectTimeout + (mDetour ? kDetourTime : Duration{});
   mTimer.Set(timeout, [self = weak_from_this()] {
@@ -141,11 +142,14 @@
     const auto bytes = std::exchange(mSending, {});
     wire::AppendChunk(mSending, bytes);
   }
+  RecordMemory(0);
   boost::asio::async_write(
     mSocket,
     boost::asio::buffer(mSending),
     [self = shared_from_this()](const auto& aError, std::size_t) {
       self->mWriting = false;
+      std::string{}.swap(self->mSending);
+      self->RecordMemory(0);
       // A response may have arrived before the write failed; it is read first.
       if (aError && aError != boost::asio::error::operation_aborted &&
           !self->mParser.Started()) {
@@ -159,6 +163,7 @@
 {
   mObserver = nullptr;
   mTimer.Clear();
+  mShare.Release();
   boost::system::error_code ignored;
   mSocket.close(ignored);
 }
@@ -199,14 +204,59 @@
   mObserver = nullptr;
   mIdleSince = std::chrono::steady_clock::now();
   mParser.Restart();
+  RecordMemory(0);
+}
+
+void
+ServerConnection::OpenShare()
+{
+  if (mLimits.memory != nullptr) {
+    net::LimitBuffers(mSocket, mLimits.memory->SocketBytes());
+  }
+  mShare = MemoryShare{ mLimits.memory,
+                        { .resume =
+                            [self = weak_from_this()] {
+                              if (const auto connection = self.lock()) {
+                                connection->Read();
+                              }
+                            },
+                          .release =
+                            [self = weak_from_this()](memory::Relief) {
+                              if (const auto connection = self.lock()) {
+                                connection->CloseAsLost();
+                              }
+                            } } };
+}
+
+void
+ServerConnection::RecordMemory(std::size_t aMoved)
+{
+  if (mUnparsed.empty() && mUnparsed.capacity() > kReadBytes) {
+    std::string{}.swap(mUnparsed);
+  }
+  mShare.Record({ .work = memory::Work::Running,
+                  .bytes = mUnparsed.capacity() + mSending.capacity() +
+                           mParser.HeadCapacity() + mParser.BodyCapacity() +
+                           mShare.UnreadBytes(),
+                  .moved = aMoved });
 }
 
 void
 ServerConnection::Read()
 {
+  // A connection without a response in progress is read to see its end.
+  if (mReading || !mSocket.is_open() || mDetourStream.Ended()) {
+    return;
+  }
+  if (mAwaitingResponse && !mShare.MayRead()) {
+    RecordMemory(0);
+    return;
+  }
+  mReading = true;
   mSocket.async_read_some(
     boost::asio::buffer(mBuffer),
     [self = shared_from_this()](const auto& aError, std::size_t aSize) {
+      self->mReading = false;
       self->OnRead(aError, aSize);
     });
 }
@@ -231,6 +281,7 @@
     CloseAsLost();
   }
   if (mSocket.is_open() && !mDetourStream.Ended()) {
+    RecordMemory(aSize);
     Read();
   }
 }
@@ -321,6 +372,7 @@
     mDetourFailed = true;
     mDetour->onFailure();
   }
+  mShare.Release();
   boost::system::error_code ignored;
   mSocket.close(ignored);
   Notify(ServerSignal::Lost);
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/core/id.hpp"
 #include "balsampoint/edge/detour_path.hpp"
 #include "balsampoint/edge/detour_stream.hpp"
+#include "balsampoint/edge/memory_account.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/net/socket.hpp"
 #include "balsampoint/wire/parser.hpp"
@@ -34,6 +35,8 @@
   Duration idleTimeout{ std::chrono::seconds{ 3 } };
   /** A response is held in memory until it or its next event is complete. */
   wire::MessageLimits message{ .bodyBytes = std::uint64_t{ 8 } * 1024 * 1024 };
+  /** Account of the bytes that connections hold; null for none. */
+  MemoryAccount* memory{ nullptr };
 };
 
 /** @brief A request in the encoding of its server. */
@@ -176,6 +179,10 @@
   void AskDetour(const DetourPath& aDetour);
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aSize);
+  /** Adds the connection to the account. */
+  void OpenShare();
+  /** Tells the account what the connection holds. */
+  void RecordMemory(std::size_t aMoved);
   /** Whether the host on the way has opened the connection; closes it
    * otherwise, unless the answer is incomplete. */
   bool IsOpenedByDetour();
@@ -194,6 +201,7 @@
   net::Timer mTimer;
   wire::Parser mParser;
   ServerObserver mObserver;
+  MemoryShare mShare;
   std::array<char, kReadBytes> mBuffer{};
   std::string mUnparsed;
   std::string mSending;
@@ -206,6 +214,7 @@
   bool mEstablished{ false };
   bool mDetourFailed{ false };
   bool mWriting{ false };
+  bool mReading{ false };
   bool mAwaitingResponse{ false };
   bool mIsHeadRequest{ false };
 };
--- a/src/balsampoint/edge/status_port.hpp
+++ b/src/balsampoint/edge/status_port.hpp
@@ -28,9 +28,13 @@
    * @brief Makes a port that does not listen yet.
    * @param aLoop Loop of the traffic thread; outlives the port.
    * @param aStatus Called on the traffic thread for each request.
+   * @param aMemory Account of the bytes that connections hold; null for none.
    */
-  StatusPort(net::Loop& aLoop, std::function<Status()> aStatus)
+  StatusPort(net::Loop& aLoop,
+             std::function<Status()> aStatus,
+             MemoryAccount* aMemory = nullptr)
     : mStatus{ std::move(aStatus) }
+    , mLimits{ .message = kMessageLimits, .memory = aMemory }
     , mAcceptor{ *this, aLoop.Context(), kMaxConnections }
   {
   }
@@ -69,6 +73,9 @@
 
 private:
   static constexpr std::size_t kMaxConnections = 64;
+  /** Requests for the status have no body. */
+  static constexpr wire::MessageLimits kMessageLimits{ .headBytes = 16384,
+                                                       .bodyBytes = 4096 };
 
   std::function<Status()> mStatus;
   CallerConnectionLimits mLimits;
--- a/src/balsampoint/net/socket.cpp
+++ b/src/balsampoint/net/socket.cpp
@@ -16,8 +16,9 @@
 /** Unacknowledged probes after which the connection is closed. */
 constexpr int kProbes = 2;
 
+template<typename Socket>
 void
-SetOption(Tcp::socket& aSocket, int aLevel, int aName, int aValue)
+SetOption(Socket& aSocket, int aLevel, int aName, int aValue)
 {
   if (setsockopt(
         aSocket.native_handle(), aLevel, aName, &aValue, sizeof aValue) != 0) {
@@ -25,6 +26,16 @@
   }
 }
 
+template<typename Socket>
+void
+LimitBuffersOf(Socket& aSocket, std::size_t aBytes)
+{
+  // The kernel doubles the value, as half of a buffer is its own records.
+  const auto bytes = static_cast<int>(aBytes / 2);
+  SetOption(aSocket, SOL_SOCKET, SO_RCVBUF, bytes);
+  SetOption(aSocket, SOL_SOCKET, SO_SNDBUF, bytes);
+}
+
 } // namespace
 
 tl::expected<Tcp::endpoint, Error>
@@ -65,6 +76,18 @@
   return {};
 }
 
+void
+LimitBuffers(Tcp::acceptor& aAcceptor, std::size_t aBytes)
+{
+  LimitBuffersOf(aAcceptor, aBytes);
+}
+
+void
+LimitBuffers(Tcp::socket& aSocket, std::size_t aBytes)
+{
+  LimitBuffersOf(aSocket, aBytes);
+}
+
 void
 ConfigureSocket(Tcp::socket& aSocket, Duration aAckTimeout)
 {
--- a/src/balsampoint/net/socket.hpp
+++ b/src/balsampoint/net/socket.hpp
@@ -31,6 +31,23 @@
 tl::expected<void, Error>
 Listen(Tcp::acceptor& aAcceptor, const std::string& aAddress, int aBacklog);
 
+/**
+ * @brief Sets the size of the kernel's buffers of the connections that are
+ * accepted later, which also keeps the kernel from growing them.
+ * @param aAcceptor Acceptor that listens.
+ * @param aBytes Size of the receive buffer, and of the send buffer.
+ */
+void
+LimitBuffers(Tcp::acceptor& aAcceptor, std::size_t aBytes);
+
+/**
+ * @brief The same for one socket.
+ * @param aSocket Open socket that isn't connected.
+ * @param aBytes Size of the receive buffer, and of the send buffer.
+ */
+void
+LimitBuffers(Tcp::socket& aSocket, std::size_t aBytes);
+
 /**
  * @brief Disables Nagle's algorithm and enables TCP keepalive and a limit on
  * unacknowledged data.
--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -27,6 +27,10 @@
         "Answers of servers that are not the answer to the request." },
   Name{ "balsampoint_rate_limits_named_total",
         "Answers with which a server changed the rate that it takes." },
+  Name{ "balsampoint_memory_refusals_total",
+        "Requests refused because connections hold too many bytes." },
+  Name{ "balsampoint_memory_cuts_total",
+        "Connections reset because connections hold too many bytes." },
 };
 constexpr std::array kTimings{
   Name{ "balsampoint_first_token_seconds", "Request to first token." },
@@ -42,7 +46,10 @@
   Name{ "balsampoint_servers_reachable",
         "1 while the host can open connections to backend servers, else 0." },
   Name{ "balsampoint_detour_connections",
-        "Connections to backend servers held open for other hosts." }
+        "Connections to backend servers held open for other hosts." },
+  Name{ "balsampoint_held_bytes", "Bytes that connections hold." },
+  Name{ "balsampoint_paused_connections",
+        "Connections that are not read because others hold too many bytes." }
 };
 
 prometheus::Histogram::BucketBoundaries
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -43,6 +43,8 @@
   DroppedLines,
   ServersReachable,
   DetourConnections,
+  HeldBytes,
+  PausedConnections,
 };
 
 /** @brief Events that are only counted. */
@@ -54,6 +56,8 @@
   ServersBackedOff,
   AnswersDiscarded,
   RateLimitsNamed,
+  MemoryRefusals,
+  MemoryCuts,
 };
 
 /**
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -95,10 +95,11 @@
   http_parser_init(
     &mParser, mKind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   mParser.data = this;
-  mHead.clear();
+  std::string{}.swap(mHead);
   mRequest = {};
   mResponse = {};
-  mBody.clear();
+  // Clearing would keep the memory of a large body.
+  std::string{}.swap(mBody);
   mBodyRead = 0;
   mChunks = {};
   mError = ParseError::None;
@@ -349,10 +350,32 @@
     self.mError = ParseError::BodyTooLarge;
     return -1;
   }
-  self.mBody.append(aAt, aSize);
+  self.AppendBody({ aAt, aSize });
   return 0;
 }
 
+void
+Parser::AppendBody(std::string_view aBytes)
+{
+  const auto needed = mBody.size() + aBytes.size();
+  if (needed > mBody.capacity()) {
+    // A string doubles as it grows, up to twice what the message may have. The
+    // declared length isn't allocated at once: it may never arrive.
+    const bool sized =
+      (mParser.flags & F_CHUNKED) == 0U &&
+      mParser.content_length != std::numeric_limits<std::uint64_t>::max();
+    const auto left =
+      sized ? mParser.content_length : mLimits.bodyBytes - mBodyRead;
+    const auto most = needed + static_cast<std::size_t>(std::min<std::uint64_t>(
+                                 left, mBody.max_size() - needed));
+    std::string grown;
+    grown.reserve(std::clamp(2 * mBody.capacity(), needed, most));
+    grown += mBody;
+    mBody.swap(grown);
+  }
+  mBody += aBytes;
+}
+
 int
 Parser::OnMessageComplete(http_parser* aParser)
 {
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -116,10 +116,27 @@
   /** @brief Number of buffered bytes of the body. */
   [[nodiscard]] std::size_t BodySize() const noexcept { return mBody.size(); }
 
+  /** @brief Number of bytes of the body that were read so far. */
+  [[nodiscard]] std::uint64_t BodyRead() const noexcept { return mBodyRead; }
+
+  /** @brief Bytes that are allocated for the head while it is read. */
+  [[nodiscard]] std::size_t HeadCapacity() const noexcept
+  {
+    return mHead.capacity();
+  }
+
+  /** @brief Bytes that are allocated for the body. */
+  [[nodiscard]] std::size_t BodyCapacity() const noexcept
+  {
+    return mBody.capacity();
+  }
+
 private:
   std::size_t ReadHead(std::string_view aBytes);
   void ParseHead();
   std::size_t ReadBody(std::string_view aBytes);
+  /** Adds to the buffered body. */
+  void AppendBody(std::string_view aBytes);
   /** Reads a request's target or a response's status and reason; false if the
    * line is none of a message. */
   [[nodiscard]] bool ReadStartLine(std::string_view aLine);
