Bound the incomplete calls of other hosts

A connection of the peers listener allocated up to 16 MiB as soon as a length of that size was named, before the caller was authenticated, and nothing bounded the sum over 1,024 connections.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -231,9 +231,10 @@
   tl::expected<void, Error> Listen()
   {
     auto receiver = peer::Receiver::Listen(
-      mSettings.listen.peers.Text(), mIdentity, [this](const auto& aParcel) {
-        mRouter.Take(aParcel);
-      });
+      mSettings.listen.peers.Text(),
+      mIdentity,
+      [this](const auto& aParcel) { mRouter.Take(aParcel); },
+      PeerBytesOf(mSettings));
     if (!receiver) {
       return tl::unexpected(receiver.error());
     }
--- a/src/balsampoint/peer/receiver.cpp
+++ b/src/balsampoint/peer/receiver.cpp
@@ -1,9 +1,12 @@
 #include "balsampoint/peer/receiver.hpp"
 
+#include "balsampoint/memory/command/record_holder.hpp"
+#include "balsampoint/memory/command/relieve.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/net/socket.hpp"
 #include "balsampoint/peer/internal/call_codec.hpp"
 #include "balsampoint/peer/internal/socket_options.hpp"
+#include "balsampoint/runtime/steady_clock.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -32,11 +35,12 @@
 class Receiver::Listener : public generated::PeerIf
 {
 public:
-  Listener(Identity aIdentity, Handler aHandler)
+  Listener(Identity aIdentity, Handler aHandler, std::size_t aMaxBytes)
     : mAuthenticator{ std::move(aIdentity) }
     , mHandler{ std::move(aHandler) }
     , mAcceptor{ mLoop.Context() }
     , mAcceptRetryTimer{ mLoop.Context() }
+    , mMemory{ .settings = { .budgetBytes = aMaxBytes, .reservedBytes = 0 } }
   {
   }
 
@@ -59,6 +63,9 @@
 
   void Accept();
   void Add(net::Tcp::socket aSocket);
+  /** Records what a connection holds, and closes others if all hold too much.
+   */
+  void Record(memory::HolderId aId, std::size_t aBytes, std::size_t aMoved);
 
   Authenticator mAuthenticator;
   Handler mHandler;
@@ -68,6 +75,8 @@
   net::Timer mAcceptRetryTimer;
   /** Open connections; used on the loop's thread. */
   std::set<std::shared_ptr<Connection>> mConnections;
+  /** Bytes of incomplete calls; used on the loop's thread. */
+  memory::State mMemory;
 };
 
 /** @brief Reads the calls of one connection. */
@@ -78,20 +87,38 @@
   Connection(Listener& aListener, net::Tcp::socket aSocket)
     : mListener{ aListener }
     , mSocket{ std::move(aSocket) }
+    , mHolder{ memory::AddHolder(aListener.mMemory,
+                                 runtime::SteadyClock::Now()) }
   {
   }
 
+  [[nodiscard]] memory::HolderId Holder() const noexcept { return mHolder; }
+
   /** An asynchronous read would try to read at once, mostly in vain. */
   void AwaitData()
   {
-    mSocket.async_wait(net::Tcp::socket::wait_read,
-                       [this, self = shared_from_this()](const auto& aError) {
-                         if (aError || !Read() || !TakeCalls()) {
-                           End();
-                           return;
-                         }
-                         AwaitData();
-                       });
+    mSocket.async_wait(
+      net::Tcp::socket::wait_read,
+      [this, self = shared_from_this()](const auto& aError) {
+        if (!mSocket.is_open()) {
+          return;
+        }
+        if (aError || !Read() || !TakeCalls()) {
+          End();
+          return;
+        }
+        mListener.Record(mHolder, mBytes.capacity(), std::exchange(mMoved, 0));
+        if (mSocket.is_open()) {
+          AwaitData();
+        }
+      });
+  }
+
+  /** Closes the connection to release its bytes. */
+  void Release()
+  {
+    static_cast<void>(Reject("incomplete calls take too many bytes"));
+    End();
   }
 
 private:
@@ -99,19 +126,37 @@
   bool Read()
   {
     if (mBytes.size() - mFilled < kReadBytes) {
+      Grow();
       mBytes.resize(mFilled + kReadBytes);
     }
     boost::system::error_code error;
-    mFilled += mSocket.read_some(
+    const auto read = mSocket.read_some(
       boost::asio::buffer(mBytes.data() + mFilled, mBytes.size() - mFilled),
       error);
+    mFilled += read;
+    mMoved += read;
     return !error || error == boost::asio::error::would_block;
   }
 
+  /** Makes room for a read; unlike a string, for no more than the call takes.
+   */
+  void Grow()
+  {
+    if (mBytes.capacity() >= mFilled + kReadBytes) {
+      return;
+    }
+    std::string grown;
+    grown.reserve(std::max(mFilled + kReadBytes,
+                           std::min(2 * mBytes.capacity(), mExpected)));
+    grown.append(mBytes, 0, mFilled);
+    mBytes.swap(grown);
+  }
+
   /** @return Whether the bytes so far are calls. */
   bool TakeCalls()
   {
     std::string_view rest{ mBytes.data(), mFilled };
+    mExpected = 0;
     while (true) {
       const auto length = internal::ReadLength(rest);
       if (!length.has_value()) {
@@ -123,9 +168,10 @@
       }
       rest.remove_prefix(internal::kLengthBytes);
       if (rest.size() < size) {
+        // The buffer grows as bytes arrive: who only names a length holds none.
+        mExpected = size + internal::kLengthBytes + kReadBytes;
         Keep({ rest.data() - internal::kLengthBytes,
                rest.size() + internal::kLengthBytes });
-        mBytes.resize(std::max(mBytes.size(), size + internal::kLengthBytes));
         return true;
       }
       const auto taken = internal::DecodeCall(rest.substr(0, size), mListener);
@@ -146,7 +192,9 @@
       mBytes = {};
       return;
     }
-    std::copy(aRest.begin(), aRest.end(), mBytes.begin());
+    if (aRest.data() != mBytes.data()) {
+      std::copy(aRest.begin(), aRest.end(), mBytes.begin());
+    }
   }
 
   bool Reject(const std::string& aReason)
@@ -160,6 +208,7 @@
   {
     boost::system::error_code ignored;
     mSocket.close(ignored);
+    memory::RemoveHolder(mListener.mMemory, mHolder);
     mListener.mConnections.erase(shared_from_this());
   }
 
@@ -168,8 +217,32 @@
   std::string mBytes;
   /** Bytes of the buffer that have been received. */
   std::size_t mFilled{};
+  /** Size of the incomplete call with the bytes read behind it; 0 for none. */
+  std::size_t mExpected{};
+  /** Bytes read since the last report to the account. */
+  std::size_t mMoved{};
+  memory::HolderId mHolder;
 };
 
+void
+Receiver::Listener::Record(memory::HolderId aId,
+                           std::size_t aBytes,
+                           std::size_t aMoved)
+{
+  const auto now = runtime::SteadyClock::Now();
+  memory::RecordHolder(mMemory, aId, { .bytes = aBytes, .moved = aMoved }, now);
+  for (const auto& action : memory::Relieve(mMemory, now)) {
+    const auto found =
+      std::ranges::find_if(mConnections, [&](const auto& aConnection) {
+        return aConnection->Holder() == action.holder;
+      });
+    if (found != mConnections.end()) {
+      const auto connection = *found;
+      connection->Release();
+    }
+  }
+}
+
 void
 Receiver::Listener::Deliver(const generated::Frame& aFrame)
 {
@@ -246,10 +319,11 @@
 tl::expected<std::unique_ptr<Receiver>, Error>
 Receiver::Listen(const std::string& aAddress,
                  Identity aIdentity,
-                 Handler aHandler)
+                 Handler aHandler,
+                 std::size_t aMaxBytes)
 {
-  auto listener =
-    std::make_unique<Listener>(std::move(aIdentity), std::move(aHandler));
+  auto listener = std::make_unique<Listener>(
+    std::move(aIdentity), std::move(aHandler), aMaxBytes);
   return listener->Listen(aAddress).map([&] {
     return std::unique_ptr<Receiver>{ new Receiver{ std::move(listener) } };
   });
