--- a/src/balsampoint/trace/metrics.cpp
+++ b/src/balsampoint/trace/metrics.cpp
@@ -29,6 +29,10 @@
         "Answers with which a server changed the rate that it takes." },
   Name{ "balsampoint_requests_waited_total",
         "Requests that waited for room on the servers." },
+  Name{ "balsampoint_memory_refusals_total",
+        "Requests refused because connections hold too many bytes." },
+  Name{ "balsampoint_memory_cuts_total",
+        "Connections reset because connections hold too many bytes." },
 };
 constexpr std::array<std::string_view, 4> kRoomRefusals{ "too_late",
                                                          "queue_full",
@@ -50,7 +54,10 @@
   Name{ "balsampoint_detour_connections",
         "Connections to backend servers held open for other hosts." },
   Name{ "balsampoint_requests_waiting",
-        "Requests that wait for room on the servers." }
+        "Requests that wait for room on the servers." },
+  Name{ "balsampoint_held_bytes", "Bytes that connections hold." },
+  Name{ "balsampoint_paused_connections",
+        "Connections that are not read because others hold too many bytes." }
 };
 
 prometheus::Histogram::BucketBoundaries
--- a/src/balsampoint/trace/metrics.hpp
+++ b/src/balsampoint/trace/metrics.hpp
@@ -44,6 +44,8 @@
   ServersReachable,
   DetourConnections,
   RequestsWaiting,
+  HeldBytes,
+  PausedConnections,
 };
 
 /** @brief Events that are only counted. */
@@ -56,6 +58,8 @@
   AnswersDiscarded,
   RateLimitsNamed,
   RequestsWaited,
+  MemoryRefusals,
+  MemoryCuts,
 };
 
 /** @brief Why a request that found no room was refused; only for services with
