--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -184,7 +184,9 @@
       return;
     }
     mHops = std::move(chosen->hops);
-    mReserved = { chosen->tokens, IsStream() ? chosen->promptTokens : 0.0 };
+    mReserved = { chosen->tokens,
+                  forward::IsStream(mProgress.kind) ? chosen->promptTokens
+                                                    : 0.0 };
     fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mReserved);
     OpenConnection();
   }
