Require acknowledged bytes for a link to the servers

Change: a check sends an empty line and needs the kernel's word (TCP_INFO) that it is acknowledged; while the link is down, twice, 0.15 s apart. Requests that stay unacknowledged for 0.1 s, or that wait while no server sends a byte for 0.3 s, start a check; none causes a probe of its own. Slow servers acknowledge and keep the link up. Where the kernel doesn't tell, an open connection is enough, as before.

--- a/src/balsampoint/edge/link_watch.cpp
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/forget_failures.hpp"
 #include "balsampoint/reach/command/record_check.hpp"
+#include "balsampoint/reach/command/record_traffic.hpp"
 #include "balsampoint/reach/command/use_detours.hpp"
 #include "balsampoint/reach/query/check_due.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
@@ -52,6 +53,8 @@
 void
 LinkWatch::Poll()
 {
+  reach::RecordTraffic(
+    mTraffic.reach, mTraffic.pool.Evidence(), TrafficState::Now());
   if (mTraffic.servers &&
       reach::IsCheckDue(mTraffic.reach, TrafficState::Now())) {
     Check([](bool) {});
@@ -97,7 +100,9 @@
     mTraffic.loop.Post([this] { EndCheck(true); });
     return;
   }
-  ProbeNext();
+  do {
+    ProbeNext();
+  } while (reach::ChecksAllAtOnce(state) && !mReferences.empty());
 }
 
 void
@@ -106,9 +111,14 @@
   ++mPending;
   auto address = std::move(mReferences.back());
   mReferences.pop_back();
-  mTraffic.probes.Probe(address, {}, [this](ProbeResult aResult) {
-    OnProbed(aResult == ProbeResult::Accepts);
-  });
+  const auto proof = mTraffic.reach.link == reach::Link::Up
+                       ? ProbeProof::Acknowledged
+                       : ProbeProof::AcknowledgedAgain;
+  mTraffic.probes.Probe(
+    address,
+    {},
+    [this](ProbeResult aResult) { OnProbed(aResult == ProbeResult::Accepts); },
+    proof);
 }
 
 void
