--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -94,6 +94,7 @@
   [[nodiscard]] std::vector<Candidate> Describe() const
   {
     std::vector<Candidate> candidates;
+    candidates.reserve(mGroup.servers.size());
     for (const auto& entry : mGroup.servers) {
       candidates.push_back(Describe(entry.second));
     }
@@ -371,12 +372,14 @@
 DescribeEngines(const State& aState, const Demand& aDemand, Instant aNow)
 {
   const auto group = aState.groups.find(aDemand.service);
-  if (group == aState.groups.end() || !group->second.engine ||
-      group->second.engine->layers == 0) {
+  if (group == aState.groups.end()) {
+    return {};
+  }
+  const auto& engine = group->second.engine;
+  if (!engine.has_value() || engine->layers == 0) {
     return {};
   }
-  return Search{ aState,  group->second, *group->second.engine,
-                 aDemand, false,         aNow }
+  return Search{ aState, group->second, engine.value(), aDemand, false, aNow }
     .Describe();
 }
 
--- a/src/balsampoint/fleet/query/choose_server.cpp
+++ b/src/balsampoint/fleet/query/choose_server.cpp
@@ -88,6 +88,7 @@
   }
   const auto usable = Candidates(group->second, {}, {}, aRandomSample, aNow);
   std::vector<Candidate> described;
+  described.reserve(group->second.servers.size());
   for (const auto& entry : group->second.servers) {
     const auto& server = entry.second;
     const auto& description = server.claim.description;
