--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/daemon/gateway_state.hpp"
 #include "balsampoint/daemon/parcel_router.hpp"
 #include "balsampoint/daemon/post.hpp"
+#include "balsampoint/daemon/routing_query.hpp"
 #include "balsampoint/daemon/runners.hpp"
 #include "balsampoint/edge/control_port.hpp"
 #include "balsampoint/edge/crash_watch.hpp"
@@ -157,6 +158,12 @@
               CallerLimitsOf(aSettings, mMemory.get()) }
     , mReady{ mEdge, [this] { return ReadyStatus(); }, mMemory.get() }
     , mMetrics{ mEdge, [this] { return MetricsStatus(); }, mMemory.get() }
+    , mOperatorKeys{ config::KeyIndex::Make({}, aSettings.operatorKeys) }
+    , mOperators{ mEdge,
+                  [this](const wire::RequestHead& aHead) {
+                    return AnswerRoutingQuery(mTraffic, mOperatorKeys, aHead);
+                  },
+                  mMemory.get() }
     , mEngines{ mEdge, ServerLimitsOf(aSettings, mMemory.get()) }
     , mControlPort{ mEdge,
                     MakeOperations(),
@@ -247,6 +254,7 @@
       ListenOn(mEntry, listen.callers)
         .and_then([&] { return ListenOn(mReady, listen.ready); })
         .and_then([&] { return ListenOn(mMetrics, listen.metrics); })
+        .and_then([&] { return ListenOn(mOperators, listen.operators); })
         .and_then([&] { return ListenOn(mDetours, listen.detours); })
         .and_then([&] { return ListenOn(mControlPort, listen.control); });
     if (listening) {
@@ -346,6 +354,7 @@
   void SetServers(std::shared_ptr<const roster::View> aView)
   {
     mTraffic.servers = std::move(aView);
+    mTraffic.serversAt = TrafficState::Now();
     FollowRoster();
   }
 
@@ -584,6 +593,8 @@
   edge::BasicEntry<D> mEntry;
   edge::StatusPort mReady;
   edge::StatusPort mMetrics;
+  config::KeyIndex mOperatorKeys;
+  edge::OperatorPort mOperators;
   edge::EngineControlClient mEngines;
   edge::BasicControlPort<D> mControlPort;
   Runners mRunners;
--- a/src/balsampoint/edge/server_choice.cpp
+++ b/src/balsampoint/edge/server_choice.cpp
@@ -10,38 +10,32 @@
 
 namespace {
 
-tl::expected<fleet::Chain, Error>
-ChooseSingleServer(TrafficState& aTraffic,
-                   const routing::Service& aService,
-                   const std::set<ServerId>& aFailed,
-                   const std::set<ServerId>& aReceivers)
+fleet::Demand
+DemandOf(const routing::Service& aService,
+         const RequestParameters& aParameters,
+         const ServerRestrictions& aRestrictions,
+         std::uint64_t aSample)
 {
-  fleet::CountChoice(aTraffic.fleet, aService.id, TrafficState::Now());
-  return fleet::ChooseServer(aTraffic.fleet,
-                             aService.id,
-                             aFailed,
-                             aReceivers,
-                             aTraffic.random.Next(),
-                             TrafficState::Now())
-    .map([](fleet::Hop aHop) {
-      return fleet::Chain{ .hops = { std::move(aHop) } };
-    });
+  auto demand = MakeDemand(aService, aParameters);
+  demand.failed = aRestrictions.failed;
+  demand.receivers = aRestrictions.receivers;
+  demand.kvFraction = aRestrictions.kvFraction;
+  demand.randomSample = aSample;
+  return demand;
 }
 
+/** @brief Counts a choice and makes it. */
 tl::expected<fleet::Chain, Error>
-ChooseChain(TrafficState& aTraffic,
-            const routing::Service& aService,
-            const RequestParameters& aParameters,
-            const std::set<ServerId>& aFailed,
-            const ServerRestrictions& aRestrictions)
+CountAndFind(TrafficState& aTraffic,
+             const routing::Service& aService,
+             const RequestParameters& aParameters,
+             const ServerRestrictions& aRestrictions)
 {
-  auto demand = MakeDemand(aService, aParameters);
-  demand.failed = aFailed;
-  demand.receivers = aRestrictions.receivers;
-  demand.kvFraction = aRestrictions.kvFraction;
-  demand.randomSample = aTraffic.random.Next();
-  fleet::CountChoice(aTraffic.fleet, aService.id, TrafficState::Now());
-  return fleet::ChooseChain(aTraffic.fleet, demand, TrafficState::Now());
+  const auto sample = aTraffic.random.Next();
+  const auto now = TrafficState::Now();
+  fleet::CountChoice(aTraffic.fleet, aService.id, now);
+  return FindServers(
+    aTraffic.fleet, aService, aParameters, aRestrictions, sample, now);
 }
 
 } // namespace
@@ -63,22 +57,60 @@
   return demand;
 }
 
+tl::expected<fleet::Chain, Error>
+FindServers(const fleet::State& aFleet,
+            const routing::Service& aService,
+            const RequestParameters& aParameters,
+            const ServerRestrictions& aRestrictions,
+            std::uint64_t aSample,
+            Instant aNow)
+{
+  if (aService.engine) {
+    return fleet::ChooseChain(
+      aFleet, DemandOf(aService, aParameters, aRestrictions, aSample), aNow);
+  }
+  return fleet::ChooseServer(aFleet,
+                             aService.id,
+                             aRestrictions.failed,
+                             aRestrictions.receivers,
+                             aSample,
+                             aNow)
+    .map([](fleet::Hop aHop) {
+      return fleet::Chain{ .hops = { std::move(aHop) } };
+    });
+}
+
+std::vector<fleet::Candidate>
+DescribeServers(const fleet::State& aFleet,
+                const routing::Service& aService,
+                const RequestParameters& aParameters,
+                std::uint64_t aSample,
+                Instant aNow)
+{
+  if (!aService.engine) {
+    return fleet::DescribeServers(aFleet, aService.id, aSample, aNow);
+  }
+  const std::set<ServerId> none;
+  return fleet::DescribeEngines(
+    aFleet, DemandOf(aService, aParameters, { none, none }, aSample), aNow);
+}
+
 tl::expected<fleet::Chain, Error>
 ChooseServers(TrafficState& aTraffic,
               const routing::Service& aService,
               const RequestParameters& aParameters,
               const ServerRestrictions& aRestrictions)
 {
-  const auto choose = [&](const std::set<ServerId>& aFailed) {
-    return aService.engine
-             ? ChooseChain(
-                 aTraffic, aService, aParameters, aFailed, aRestrictions)
-             : ChooseSingleServer(
-                 aTraffic, aService, aFailed, aRestrictions.receivers);
-  };
-  auto chosen = choose(aRestrictions.failed);
-  return chosen || aRestrictions.failed.empty() ? std::move(chosen)
-                                                : choose({});
+  auto chosen = CountAndFind(aTraffic, aService, aParameters, aRestrictions);
+  if (chosen || aRestrictions.failed.empty()) {
+    return chosen;
+  }
+  const std::set<ServerId> none;
+  return CountAndFind(
+    aTraffic,
+    aService,
+    aParameters,
+    { none, aRestrictions.receivers, aRestrictions.kvFraction });
 }
 
 bool
@@ -88,8 +120,7 @@
                   const ServerRestrictions& aRestrictions)
 {
   return aService.engine &&
-         ChooseChain(
-           aTraffic, aService, aParameters, aRestrictions.failed, aRestrictions)
+         CountAndFind(aTraffic, aService, aParameters, aRestrictions)
            .has_value();
 }
 
