--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -337,7 +337,7 @@
    * to keep to the target.
    */
   [[nodiscard]] double BacklogCost(std::uint32_t aLayer,
-                                   const Candidate& aCandidate) const
+                                   const WeightedServer& aCandidate) const
   {
     const auto added = aCandidate.backlogMs;
     const auto before = mSteps[aLayer].backlogMs;
