Move the attempt, the response and the observers out of exchange.hpp

exchange.hpp held the reserved servers and their connection, the response to the caller with its times, and the registration with the traffic state.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -2,21 +2,19 @@
 
 #include "balsampoint/edge/admission.hpp"
 #include "balsampoint/edge/answer_body.hpp"
+#include "balsampoint/edge/attempt.hpp"
 #include "balsampoint/edge/crash_watch.hpp"
 #include "balsampoint/edge/dialect.hpp"
-#include "balsampoint/edge/event_relay.hpp"
 #include "balsampoint/edge/exchange_log.hpp"
+#include "balsampoint/edge/exchange_observers.hpp"
 #include "balsampoint/edge/fingerprint.hpp"
-#include "balsampoint/edge/response.hpp"
-#include "balsampoint/edge/server_choice.hpp"
+#include "balsampoint/edge/response_relay.hpp"
 #include "balsampoint/edge/server_statements.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
-#include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/fleet/query/retry_after.hpp"
 #include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/forward/decision.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
-#include "balsampoint/wire/write.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -48,15 +46,16 @@
                 std::shared_ptr<Caller> aCaller,
                 IncomingRequest aRequest)
     : mTraffic{ aTraffic }
-    , mCaller{ std::move(aCaller) }
+    , mObservers{ aTraffic }
     , mRequest{ std::move(aRequest) }
     , mDeadlineTimer{ aTraffic.loop.Context() }
     , mResumeTimer{ aTraffic.loop.Context() }
     , mRetryTimer{ aTraffic.loop.Context() }
     , mLinkTimer{ aTraffic.loop.Context() }
     , mStartedAt{ TrafficState::Now() }
+    , mRelay{ aTraffic, std::move(aCaller), mRequest.head, mStartedAt }
+    , mAttempt{ aTraffic }
   {
-    ++mTraffic.activeRequests;
   }
 
   BasicExchange(const BasicExchange&) = delete;
@@ -64,16 +63,7 @@
   BasicExchange(BasicExchange&&) = delete;
   BasicExchange& operator=(BasicExchange&&) = delete;
 
-  // Closing throws only if memory is exhausted.
-  // NOLINTNEXTLINE(bugprone-exception-escape)
-  ~BasicExchange()
-  {
-    ReleaseServers();
-    mTraffic.serverLossObservers.erase(this);
-    mTraffic.quarantineObservers.erase(this);
-    mTraffic.linkObservers.erase(this);
-    --mTraffic.activeRequests;
-  }
+  ~BasicExchange() = default;
 
   /**
    * @brief Admits the request and starts the first attempt.
@@ -82,22 +72,22 @@
   void Start(std::function<void()> aDone)
   {
     mDone = std::move(aDone);
-    mTraffic.serverLossObservers[this] =
+    mObservers.Observe(
       [self = this->weak_from_this()](const ServerId& aServer) {
         if (const auto exchange = self.lock()) {
           exchange->OnServerLost(aServer);
         }
-      };
-    mTraffic.quarantineObservers[this] = [self = this->weak_from_this()] {
-      if (const auto exchange = self.lock()) {
-        exchange->OnQuarantine();
-      }
-    };
-    mTraffic.linkObservers[this] = [self = this->weak_from_this()] {
-      if (const auto exchange = self.lock()) {
-        exchange->OnLinkChanged();
-      }
-    };
+      },
+      [self = this->weak_from_this()] {
+        if (const auto exchange = self.lock()) {
+          exchange->OnQuarantine();
+        }
+      },
+      [self = this->weak_from_this()] {
+        if (const auto exchange = self.lock()) {
+          exchange->OnLinkChanged();
+        }
+      });
     const auto admitted = Admit().and_then([this] {
       mFingerprint = Fingerprint({ .workspace = Workspace(),
                                    .method = mRequest.head.method,
@@ -113,7 +103,7 @@
     }
     SetDeadline();
     mTraffic.budget.CountRequest(mAdmission.service->id, TrafficState::Now());
-    Attempt();
+    StartAttempt();
   }
 
   /** @brief Cancels the request because the caller has disconnected. */
@@ -143,7 +133,7 @@
       edge::Admit(mTraffic, mParameters, mRequest.head.Path(), mAdmission);
     if (admitted) {
       mProgress.kind = mAdmission.route->kind;
-      mEvents = EventRelay{ UsesChunkedEncoding(), mParameters.resumeAfter };
+      mRelay.StartStream(mParameters.resumeAfter);
     }
     return admitted;
   }
@@ -174,19 +164,16 @@
            mProgress.kind == routing::RequestKind::ResumableStream;
   }
 
-  void Attempt()
+  void StartAttempt()
   {
     mCrashWatch.Restart();
     const auto receivers = AllowedReceivers();
-    auto chosen = ChooseServers(
-      mTraffic, *mAdmission.service, mParameters, { mFailed, receivers });
+    const auto chosen =
+      mAttempt.Choose(*mAdmission.service, mParameters, { mFailed, receivers });
     if (!chosen) {
       GiveUp(chosen.error());
       return;
     }
-    mHops = std::move(chosen->hops);
-    mTokens = chosen->tokens;
-    fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
     OpenConnection();
   }
 
@@ -200,37 +187,33 @@
   /** Sends the request on a connection that is kept, or opens one. */
   void OpenConnection()
   {
-    const auto& address = mHops.front().address;
     // The server may close an idle connection as a request is sent on it, which
     // may then have run. Requests that may run only once get a new connection.
     const bool mayReuse =
       mProgress.kind != routing::RequestKind::NonIdempotent &&
       mProgress.kind != routing::RequestKind::Stream;
-    mServer =
-      mayReuse ? mTraffic.pool.TakeIdle(address, mParameters.id) : nullptr;
-    const bool reused = mServer != nullptr;
-    mIdleTime = reused ? mServer->IdleTime() : Duration{};
-    if (!reused) {
-      if (reach::IsIsolated(mTraffic.reach, TrafficState::Now())) {
-        EndAttempt();
-        GiveUp(MakeError(ErrorKind::NoServer, "this host reaches no servers"));
-        return;
-      }
-      mServer = mTraffic.pool.Make(address, mTraffic.links.TakePath(address));
+    const ServerObserver observer =
+      [self = this->weak_from_this()](ServerSignal aSignal) {
+        if (const auto exchange = self.lock()) {
+          exchange->OnSignal(aSignal);
+        }
+      };
+    const auto idle =
+      mayReuse ? mAttempt.TakeIdle(mParameters.id, observer) : std::nullopt;
+    mIdleTime = idle.value_or(Duration{});
+    if (!idle && reach::IsIsolated(mTraffic.reach, TrafficState::Now())) {
+      EndAttempt();
+      GiveUp(MakeError(ErrorKind::NoServer, "this host reaches no servers"));
+      return;
     }
-    mServer->SetObserver([self = this->weak_from_this()](ServerSignal aSignal) {
-      if (const auto exchange = self.lock()) {
-        exchange->OnSignal(aSignal);
-      }
-    });
     mSentInAttempt = false;
-    mReused = reused;
+    mReused = idle.has_value();
     mStatementsRead = false;
     mStrangeAnswerLogged = false;
-    if (reused) {
+    if (idle) {
       SendRequest();
     } else {
-      mServer->Connect();
+      mAttempt.Connect(observer);
     }
   }
 
@@ -263,7 +246,7 @@
       return;
     }
     if (WasStale()) {
-      RecordFinding(fleet::RequestOutcome::Broken);
+      mAttempt.RecordOutcome(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the server had closed the connection");
       return;
@@ -284,34 +267,30 @@
 
   void ProbeBreak()
   {
-    const auto address = mHops.front().address;
-    auto path = mTraffic.links.TakePath(address);
-    const BreakPaths paths{ mServer->HasDetour(), path.has_value() };
-    mServer = nullptr;
-    mTraffic.probes.Probe(
-      address,
-      std::move(path),
-      [self = this->weak_from_this(), paths](ProbeResult aResult) {
-        const auto exchange = self.lock();
-        if (exchange && !exchange->mEnded) {
-          exchange->OnBreakProbed(aResult, paths);
-        }
-      });
+    const bool serverByDetour = mAttempt.Connection().HasDetour();
+    mAttempt.Probe([self = this->weak_from_this(),
+                    serverByDetour](ProbeResult aResult, bool aByDetour) {
+      const auto exchange = self.lock();
+      if (exchange && !exchange->mEnded) {
+        exchange->OnBreakProbed(aResult, { serverByDetour, aByDetour });
+      }
+    });
   }
 
   void OnNotConnected()
   {
-    const bool direct = !mServer->HasDetour();
+    const bool direct = !mAttempt.Connection().HasDetour();
     const bool linkIsDown = mTraffic.reach.link == reach::Link::Down;
-    if (!mServer->DetourFailed() && !(direct && linkIsDown)) {
-      RecordFinding(fleet::RequestOutcome::Unreachable);
+    if (!mAttempt.Connection().DetourFailed() && !(direct && linkIsDown)) {
+      mAttempt.RecordOutcome(fleet::RequestOutcome::Unreachable);
     }
     if (direct) {
       mTraffic.links.OnConnectionFailed();
     }
     OnAttemptEnd(forward::AttemptEnd::NotSent,
-                 mServer->DetourFailed() ? "the detour can't be used"
-                                         : "the server can't be reached");
+                 mAttempt.Connection().DetourFailed()
+                   ? "the detour can't be used"
+                   : "the server can't be reached");
   }
 
   /** Whether the link of this host, not the server, explains why the connection
@@ -319,7 +298,7 @@
   [[nodiscard]] bool LinkWasCut() const
   {
     const auto& reach = mTraffic.reach;
-    return mServer && !mServer->HasDetour() &&
+    return mAttempt.HasConnection() && !mAttempt.Connection().HasDetour() &&
            (reach.link == reach::Link::Down || mSentAt < reach.changedAt);
   }
 
@@ -327,7 +306,7 @@
    * whether the server accepts others. */
   void OnBreakProbed(ProbeResult aResult, BreakPaths aPaths)
   {
-    if (HasRestarted(mHops.front())) {
+    if (mAttempt.HasRestarted()) {
       OnServerBroke(ServerBreak::Crash);
       return;
     }
@@ -362,15 +341,15 @@
       return;
     }
     // A server at its limit of connections closes new ones and keeps others.
-    OnServerBroke(mTraffic.pool.IsConnected(mHops.front().address)
+    OnServerBroke(mTraffic.pool.IsConnected(mAttempt.Hops().front().address)
                     ? ServerBreak::Reset
                     : ServerBreak::Crash);
   }
 
   void OnServerBroke(ServerBreak aBreak)
   {
-    RecordFinding(fleet::RequestOutcome::Broken);
-    mCrashWatch.OnServerBroke(mTraffic, mHops.front(), aBreak);
+    mAttempt.RecordOutcome(fleet::RequestOutcome::Broken);
+    mCrashWatch.OnServerBroke(mTraffic, mAttempt.Hops().front(), aBreak);
     OnAttemptEnd(forward::AttemptEnd::Broken,
                  aBreak == ServerBreak::Crash
                    ? "the server crashed"
@@ -381,7 +360,8 @@
    * while nothing was sent, else if the server stays silent. */
   void OnLinkChanged()
   {
-    if (mEnded || !mServer || mServer->HasDetour() ||
+    if (mEnded || !mAttempt.HasConnection() ||
+        mAttempt.Connection().HasDetour() ||
         !reach::UsesDetours(mTraffic.reach, TrafficState::Now())) {
       return;
     }
@@ -402,8 +382,9 @@
 
   void OnLinkSilent(Instant aSince)
   {
-    if (mEnded || !mServer || mServer->HasDetour() ||
-        mServer->LastReadAt() >= aSince || mSentAt >= aSince) {
+    if (mEnded || !mAttempt.HasConnection() ||
+        mAttempt.Connection().HasDetour() ||
+        mAttempt.Connection().LastReadAt() >= aSince || mSentAt >= aSince) {
       return;
     }
     if (IsStream()) {
@@ -425,19 +406,6 @@
                   MakeError(ErrorKind::BackendFailed, kLinkLost));
   }
 
-  /** Whether another incarnation than the one that the request was sent to is
-   * announced at the server's address. */
-  [[nodiscard]] bool HasRestarted(const fleet::Hop& aServer) const
-  {
-    return mTraffic.servers &&
-           std::ranges::any_of(
-             mTraffic.servers->servers, [&](const roster::Server& aAnnounced) {
-               const auto& claim = aAnnounced.claim;
-               return claim.description.address == aServer.address &&
-                      claim.stamp.incarnation > aServer.incarnation;
-             });
-  }
-
   /** Whether the server had probably closed an idle connection before the
    * request arrived: such a connection breaks at once. */
   [[nodiscard]] bool WasStale() const
@@ -457,9 +425,7 @@
     mSentInAttempt = true;
     mInterimAnswers = 0;
     ++mProgress.sent;
-    fleet::CountSend(
-      mTraffic.fleet, mAdmission.service->id, mHops.front(), mSentAt);
-    mReceivers.insert(mHops.front().server);
+    mReceivers.insert(mAttempt.Hops().front().server);
     mMayHaveRunBefore = mProgress.mayHaveRun;
     mProgress.mayHaveRun = true;
     const auto priority = mAdmission.workspace && mAdmission.workspace->priority
@@ -468,18 +434,18 @@
     auto bytes = D::WriteRequest({ .head = mRequest.head,
                                    .body = mRequest.body,
                                    .remainingTime = left,
-                                   .hops = mHops,
+                                   .hops = mAttempt.Hops(),
                                    .workspace = Workspace(),
                                    .priority = priority,
-                                   .resumeAfter = mEvents.LastId() });
-    mServer->Send({ .bytes = std::move(bytes),
-                    .id = mParameters.id,
-                    .isHead = mRequest.head.method == "HEAD" });
+                                   .resumeAfter = mRelay.Events().LastId() });
+    mAttempt.Connection().Send({ .bytes = std::move(bytes),
+                                 .id = mParameters.id,
+                                 .isHead = mRequest.head.method == "HEAD" });
   }
 
   void OnResponseData()
   {
-    auto& parser = mServer->ResponseParser();
+    auto& parser = mAttempt.Connection().ResponseParser();
     if (!parser.HasHead()) {
       return;
     }
@@ -537,16 +503,16 @@
       SkipResponse();
       return;
     }
-    RecordFinding(fleet::RequestOutcome::Broken);
+    mAttempt.RecordOutcome(fleet::RequestOutcome::Broken);
     OnAttemptEnd(forward::AttemptEnd::Broken, forward::Describe(aVerdict));
   }
 
   void SkipResponse()
   {
-    auto& parser = mServer->ResponseParser();
+    auto& parser = mAttempt.Connection().ResponseParser();
     if (parser.Complete()) {
       mStrangeAnswerLogged = false;
-      mServer->SkipResponse();
+      mAttempt.Connection().SkipResponse();
     } else {
       // The response to this request begins after the end of this body.
       static_cast<void>(parser.TakeBody());
@@ -556,12 +522,12 @@
   void FollowStatementsOnce(const ResponseMetadata& aMetadata)
   {
     if (!std::exchange(mStatementsRead, true)) {
-      if (!mReused && !mServer->HasDetour()) {
+      if (!mReused && !mAttempt.Connection().HasDetour()) {
         mTraffic.links.OnConnected();
       }
       FollowStatements(mTraffic,
                        mAdmission.service->id,
-                       mHops.front(),
+                       mAttempt.Hops().front(),
                        mParameters.id,
                        aMetadata);
     }
@@ -571,20 +537,16 @@
   {
     mProgress.mayHaveRun = mMayHaveRunBefore;
     const std::string atFault{ aMetadata.atFault.value_or(
-      mHops.front().address) };
-    fleet::RecordOutcome(mTraffic.fleet,
-                         mAdmission.service->id,
-                         atFault,
-                         fleet::RequestOutcome::Full,
-                         TrafficState::Now());
-    for (const auto& hop : mHops) {
+      mAttempt.Hops().front().address) };
+    mAttempt.RecordOutcome(fleet::RequestOutcome::Full, atFault);
+    for (const auto& hop : mAttempt.Hops()) {
       if (hop.address == atFault) {
         mFailed.insert(hop.server);
       }
     }
     mServerAtFault = atFault;
-    if (mServer->ResponseParser().Complete()) {
-      mTraffic.pool.Return(std::exchange(mServer, nullptr));
+    if (mAttempt.Connection().ResponseParser().Complete()) {
+      mAttempt.ReturnConnection();
     }
     OnAttemptEnd(forward::AttemptEnd::NotExecuted,
                  "the server has not run the request");
@@ -592,31 +554,32 @@
 
   void OnCompleteResponse()
   {
-    auto& parser = mServer->ResponseParser();
+    auto& parser = mAttempt.Connection().ResponseParser();
     const auto& head = parser.Response();
     auto body = parser.TakeBody();
-    const auto own = CheckBody<D>(head, body, mServer->UnreadBytes());
+    const auto own =
+      CheckBody<D>(head, body, mAttempt.Connection().UnreadBytes());
     if (own.verdict != forward::BodyVerdict::Whole) {
       LogDiscarded(
         forward::Describe(own.verdict), head, mParameters.id.Value());
     }
     if (own.verdict == forward::BodyVerdict::Mixed) {
-      RecordFinding(fleet::RequestOutcome::Broken);
+      mAttempt.RecordOutcome(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken, forward::Describe(own.verdict));
       return;
     }
     body.resize(own.size);
     constexpr std::uint16_t kFirstServerError = 500;
     if (head.status >= kFirstServerError) {
-      RecordFinding(fleet::RequestOutcome::Failed);
-      mFailed.insert(mHops.front().server);
+      mAttempt.RecordOutcome(fleet::RequestOutcome::Failed);
+      mFailed.insert(mAttempt.Hops().front().server);
       mServerErrorResponse = { head, std::move(body) };
-      mTraffic.pool.Return(std::exchange(mServer, nullptr));
+      mAttempt.ReturnConnection();
       OnAttemptEnd(forward::AttemptEnd::ServerFailed,
                    "the server answered with a 5xx status");
       return;
     }
-    RecordFinding(fleet::RequestOutcome::Answered);
+    mAttempt.RecordOutcome(fleet::RequestOutcome::Answered);
     mCrashWatch.OnComplete(mTraffic);
     ForwardResponse(head, body);
   }
@@ -626,47 +589,33 @@
                     std::string_view aNamedRequest)
   {
     mTraffic.metrics.Add(trace::Count::AnswersDiscarded);
-    LogDiscardedAnswer(mParameters.id,
-                       aReason,
-                       { .server = mHops.front(),
-                         .status = aHead.status,
-                         .namedRequest = aNamedRequest,
-                         .requestsOnConnection = mServer->RequestCount(),
-                         .sinceSent = TrafficState::Now() - mSentAt });
+    LogDiscardedAnswer(
+      mParameters.id,
+      aReason,
+      { .server = mAttempt.Hops().front(),
+        .status = aHead.status,
+        .namedRequest = aNamedRequest,
+        .requestsOnConnection = mAttempt.Connection().RequestCount(),
+        .sinceSent = TrafficState::Now() - mSentAt });
   }
 
   void ForwardResponse(const wire::ResponseHead& aHead,
                        const std::string& aBody)
   {
-    auto bytes = MakeResponseHead(
-      aHead, BodyFraming::ContentLength, aBody.size(), CallerKeepsAlive());
-    if (mRequest.head.method != "HEAD") {
-      bytes += aBody;
-    }
-    mCaller->Send(bytes);
-    mTraffic.metrics.Add(trace::Outcome::Complete);
-    FinishResponse(CallerKeepsAlive());
-    if (mServer) {
-      mTraffic.pool.Return(std::exchange(mServer, nullptr));
-    }
+    mRelay.Forward(aHead, aBody);
+    mAttempt.ReturnConnection();
     End("answered");
   }
 
-  [[nodiscard]] bool CallerKeepsAlive() const
-  {
-    return mRequest.head.keepAlive && !mTraffic.draining;
-  }
-
   void OnStreamData()
   {
-    auto& parser = mServer->ResponseParser();
-    std::string out;
-    const bool whole = mEvents.Append(parser.TakeBody(), out);
-    if (!out.empty()) {
-      SendEvents(out);
+    auto& parser = mAttempt.Connection().ResponseParser();
+    const bool whole = mRelay.Read(parser.TakeBody());
+    if (mRelay.HasPending()) {
+      SendEvents();
     }
     if (!whole) {
-      RecordFinding(fleet::RequestOutcome::Broken);
+      mAttempt.RecordOutcome(fleet::RequestOutcome::Broken);
       OnAttemptEnd(
         forward::AttemptEnd::Broken,
         "an event is missing from the stream, or is that of another");
@@ -677,36 +626,15 @@
     }
   }
 
-  [[nodiscard]] bool UsesChunkedEncoding() const
-  {
-    return mRequest.head.acceptsChunked;
-  }
-
-  void SendEvents(std::string_view aBytes)
+  void SendEvents()
   {
     if (!mProgress.answerStarted) {
       BeginResponse();
     }
     mCrashWatch.OnEvents(mTraffic);
     const auto now = TrafficState::Now();
-    RecordEvent(now);
-    mTraffic.metrics.Record(trace::Timing::BetweenTokens, now - mLastEventAt);
-    mLongestPause = std::max(mLongestPause, now - mLastEventAt);
-    mLastEventAt = now;
-    mCaller->Send(aBytes);
-  }
-
-  void RecordEvent(Instant aNow)
-  {
-    std::optional<Duration> interval;
-    if (mStreaming) {
-      interval = aNow - mLastEventAt;
-    } else {
-      mStreaming = true;
-      fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, true);
-    }
-    fleet::RecordEvent(
-      mTraffic.fleet, mAdmission.service->id, mHops, interval, aNow);
+    mAttempt.RecordEvents(now - mRelay.LastEventAt(), now);
+    mRelay.SendPending(now);
   }
 
   /**
@@ -716,14 +644,16 @@
    */
   void OnServerLost(const ServerId& aServer)
   {
-    const bool passes = std::ranges::any_of(mHops, [&](const fleet::Hop& aHop) {
-      return aHop.server == aServer && aHop.layers.end > 0;
-    });
-    if (mEnded || !passes || !mServer || !mSentInAttempt) {
+    const bool passes =
+      std::ranges::any_of(mAttempt.Hops(), [&](const fleet::Hop& aHop) {
+        return aHop.server == aServer && aHop.layers.end > 0;
+      });
+    if (mEnded || !passes || !mAttempt.HasConnection() || !mSentInAttempt) {
       return;
     }
     if (mFailed.insert(aServer).second) {
-      const auto lost = std::ranges::find(mHops, aServer, &fleet::Hop::server);
+      const auto lost =
+        std::ranges::find(mAttempt.Hops(), aServer, &fleet::Hop::server);
       mCrashWatch.OnServerBroke(mTraffic, *lost, ServerBreak::Crash);
     }
     const auto now = TrafficState::Now();
@@ -757,7 +687,7 @@
    * quarantine: the server drops it once the connection is closed. */
   void OnQuarantine()
   {
-    if (mEnded || mProgress.answerStarted || !mServer ||
+    if (mEnded || mProgress.answerStarted || !mAttempt.HasConnection() ||
         !mCrashWatch.InQuarantine(mTraffic)) {
       return;
     }
@@ -772,56 +702,34 @@
   void BeginResponse()
   {
     mProgress.answerStarted = true;
-    mFirstEventAt = TrafficState::Now();
-    mTraffic.metrics.Record(trace::Timing::FirstToken,
-                            mFirstEventAt - mStartedAt);
-    mLastEventAt = mFirstEventAt;
-    mCaller->Send(MakeResponseHead(
-      mServer->ResponseParser().Response(),
-      UsesChunkedEncoding() ? BodyFraming::Chunked : BodyFraming::UntilClose,
-      0,
-      UsesChunkedEncoding() && CallerKeepsAlive()));
+    mRelay.Begin(mAttempt.Connection().ResponseParser().Response(),
+                 TrafficState::Now());
   }
 
   void OnStreamEnd()
   {
-    if (mEvents.HasPartialEvent()) {
-      RecordFinding(fleet::RequestOutcome::Broken);
+    if (mRelay.Events().HasPartialEvent()) {
+      mAttempt.RecordOutcome(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the stream ended in the middle of an event");
       return;
     }
-    if (!mEvents.LastId() && mEvents.SentCount() == 0) {
-      RecordFinding(fleet::RequestOutcome::Broken);
+    if (!mRelay.Events().LastId() && mRelay.Events().SentCount() == 0) {
+      mAttempt.RecordOutcome(fleet::RequestOutcome::Broken);
       OnAttemptEnd(forward::AttemptEnd::Broken,
                    "the stream ended before its first event");
       return;
     }
-    RecordFinding(fleet::RequestOutcome::Answered);
+    mAttempt.RecordOutcome(fleet::RequestOutcome::Answered);
     mCrashWatch.OnComplete(mTraffic);
     if (!mProgress.answerStarted) {
       BeginResponse();
     }
-    if (UsesChunkedEncoding()) {
-      mCaller->Send(wire::kLastChunk);
-    }
-    mTraffic.metrics.Add(trace::Outcome::Complete);
-    FinishResponse(UsesChunkedEncoding() && CallerKeepsAlive());
-    mTraffic.pool.Return(std::exchange(mServer, nullptr));
+    mRelay.EndStream();
+    mAttempt.ReturnConnection();
     End("answered");
   }
 
-  void RecordFinding(fleet::RequestOutcome aFinding)
-  {
-    if (!mHops.empty()) {
-      fleet::RecordOutcome(mTraffic.fleet,
-                           mAdmission.service->id,
-                           mHops.front().address,
-                           aFinding,
-                           TrafficState::Now());
-    }
-  }
-
   void OnAttemptEnd(forward::AttemptEnd aEnd, std::string_view aReason)
   {
     if (aEnd == forward::AttemptEnd::NotSent) {
@@ -830,7 +738,7 @@
     const bool unknownFault = mServerAtFault.empty();
     if (aEnd == forward::AttemptEnd::NotSent ||
         (aEnd == forward::AttemptEnd::Broken && unknownFault)) {
-      mFailed.insert(mHops.front().server);
+      mFailed.insert(mAttempt.Hops().front().server);
     }
     LogAttempt(LogFields(), aEnd, aReason, mServerAtFault);
     EndAttempt();
@@ -902,8 +810,8 @@
   void EndAttempt()
   {
     mServerAtFault.clear();
-    ReleaseServers();
-    mEvents.EndPart();
+    mAttempt.Release();
+    mRelay.EndPart();
   }
 
   /** Starts another attempt or ends the exchange, according to the decision. */
@@ -913,7 +821,7 @@
       mTraffic.metrics.Add(trace::Count::Recoveries);
     }
     if (forward::NeedsAttempt(aDecision)) {
-      Attempt();
+      StartAttempt();
       return;
     }
     FinishAttempts(aDecision, aError);
@@ -965,7 +873,8 @@
   {
     const auto next = TrafficState::Now() + kResumeInterval;
     return mProgress.kind == routing::RequestKind::ResumableStream &&
-           mCrashWatch.MayResume() && next < mLastEventAt + kMaxResumeWait &&
+           mCrashWatch.MayResume() &&
+           next < mRelay.LastEventAt() + kMaxResumeWait &&
            next < mProgress.deadline;
   }
 
@@ -1007,38 +916,14 @@
     mTraffic.metrics.Add(aError.kind);
     mError = AnswerFor(aError.kind).name;
     mDetail = aError.detail;
-    mCaller->Send(D::WriteRefusal(aError, CallerKeepsAlive()));
-    FinishResponse(CallerKeepsAlive());
+    mRelay.Refuse(D::WriteRefusal(aError, mRelay.KeepsAlive()));
     End("refused");
   }
 
-  void FinishResponse(bool aKeepAlive)
-  {
-    if (const auto caller = std::exchange(mCaller, nullptr)) {
-      caller->Finish(aKeepAlive);
-    }
-  }
-
   void ResetCaller()
   {
     mEnded = true;
-    if (const auto caller = std::exchange(mCaller, nullptr)) {
-      caller->Close(true);
-    }
-  }
-
-  void ReleaseServers()
-  {
-    if (auto server = std::exchange(mServer, nullptr)) {
-      server->Close();
-    }
-    if (std::exchange(mStreaming, false)) {
-      fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, false);
-    }
-    if (!mHops.empty()) {
-      fleet::Release(mTraffic.fleet, mAdmission.service->id, mHops, mTokens);
-      mHops.clear();
-    }
+    mRelay.Cut();
   }
 
   void End(std::string_view aOutcome)
@@ -1054,12 +939,10 @@
            aOutcome,
            mError,
            mDetail,
-           mProgress.answerStarted
-             ? std::optional{ ResponseTimes{ mFirstEventAt - mStartedAt,
-                                             mLongestPause } }
-             : std::nullopt);
-    ReleaseServers();
-    mCaller = nullptr;
+           mProgress.answerStarted ? std::optional{ mRelay.Times() }
+                                   : std::nullopt);
+    mAttempt.Release();
+    mRelay.Detach();
     if (const auto done = std::exchange(mDone, nullptr)) {
       done();
     }
@@ -1069,11 +952,11 @@
   {
     return { .request = mParameters.id,
              .admission = mAdmission,
-             .hops = mHops,
+             .hops = mAttempt.Hops(),
              .fingerprint = mFingerprint,
              .sharedParts = mParameters.sharedParts,
              .sent = mProgress.sent,
-             .events = mEvents.SentCount(),
+             .events = mRelay.Events().SentCount(),
              .age = TrafficState::Now() - mStartedAt };
   }
 
@@ -1099,21 +982,20 @@
   static constexpr Duration kResumeInterval = std::chrono::milliseconds{ 100 };
 
   TrafficState& mTraffic;
-  std::shared_ptr<Caller> mCaller;
+  ExchangeObservers mObservers;
   IncomingRequest mRequest;
   net::Timer mDeadlineTimer;
   net::Timer mResumeTimer;
   net::Timer mRetryTimer;
   net::Timer mLinkTimer;
   Instant mStartedAt;
+  ResponseRelay<Caller> mRelay;
   RequestParameters mParameters;
   Admission mAdmission;
   std::string mFingerprint;
   forward::Progress mProgress;
   std::set<ServerId> mFailed;
-  std::vector<fleet::Hop> mHops;
-  double mTokens{};
-  std::shared_ptr<ServerConnection> mServer;
+  Attempt mAttempt;
   /** How long the connection of this attempt was idle before. */
   Duration mIdleTime{};
   /** When the request was last sent. */
@@ -1131,11 +1013,7 @@
   std::uint32_t mInterimAnswers{};
   /** Value of `mProgress.mayHaveRun` before this attempt. */
   bool mMayHaveRunBefore{ false };
-  EventRelay mEvents{ false, {} };
   CrashWatch mCrashWatch;
-  Instant mFirstEventAt{};
-  Instant mLastEventAt{};
-  Duration mLongestPause{};
   /** Last 5xx response of a server, forwarded on `Decision::PassOn`. */
   std::pair<wire::ResponseHead, std::string> mServerErrorResponse;
   /** Address or id of the server that failed this attempt; empty if unknown. */
@@ -1144,8 +1022,6 @@
   std::string mDetail;
   /** Servers to which the request was sent in any attempt. */
   std::set<ServerId> mReceivers;
-  /** Whether the servers of this attempt have sent an event. */
-  bool mStreaming{ false };
   std::function<void()> mDone;
   bool mEnded{ false };
 };
