Decide on the life of a request in a state machine

The decisions on a request lay in edge/exchange.hpp between timers and connections. The module exchange maps state, event and time to state and actions; each phase is a file that names the events that it expects and those that it ignores, so that a new event doesn't compile until each phase has it. Nothing runs on it yet.

The tests found that a resumed stream whose next server answers with a 4xx status gets a second response head in mid-answer. The machine ends that attempt instead, as after a 5xx status; this is the only change of behaviour.

A table holds all 6 x 22 pairs of phase and event.

--- /dev/null
+++ b/src/balsampoint/exchange/internal/attempt.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "balsampoint/exchange/internal/answer.hpp"
+#include "balsampoint/exchange/internal/loss.hpp"
+
+namespace balsampoint::exchange::internal {
+
+/** @brief An attempt while the caller has received nothing: it may be refused,
+ * sent again, or put off. */
+template<Surroundings S>
+struct AttemptPhase
+  : Ignores<Accepted, Rejected, QueueTurn, QueueRefused, RetryTime, ResumeTime>
+{
+  using Ignored = AttemptPhase::Ignores;
+  using Ignored::operator();
+
+  explicit AttemptPhase(Context<S>& aContext)
+    : context{ aContext }
+  {
+  }
+
+  void operator()(const ServersChosen& aEvent) const
+  {
+    OnServersChosen(context, aEvent);
+  }
+  void operator()(const NoServers& aEvent) const
+  {
+    OnNoServers(context, aEvent);
+  }
+  void operator()(const ConnectionFound& aEvent) const
+  {
+    OnConnectionFound(context, aEvent);
+  }
+  void operator()(const Connected& /*aEvent*/) const { OnConnected(context); }
+  void operator()(const ConnectionLost& aEvent) const
+  {
+    OnConnectionLost(context, aEvent);
+  }
+  void operator()(const BreakProbed& aEvent) const
+  {
+    OnBreakProbed(context, aEvent);
+  }
+  void operator()(const LinkChecked& aEvent) const
+  {
+    OnLinkChecked(context, aEvent);
+  }
+  void operator()(const LinkChanged& aEvent) const
+  {
+    OnLinkChanged(context, aEvent);
+  }
+  void operator()(const LinkSilenceTime& aEvent) const
+  {
+    OnLinkSilence(context, aEvent);
+  }
+  void operator()(const DeadlinePassed& /*aEvent*/) const
+  {
+    OnDeadline(context);
+  }
+  void operator()(const ServerLost& aEvent) const
+  {
+    OnServerLost(context, aEvent);
+  }
+  void operator()(const QuarantineChanged& /*aEvent*/) const
+  {
+    OnQuarantineChanged(context);
+  }
+  void operator()(const AnswerRead& aEvent) const
+  {
+    OnAnswerRead(context, aEvent);
+  }
+  void operator()(const EventsRead& aEvent) const
+  {
+    OnEventsRead(context, aEvent);
+  }
+  void operator()(const BodyRead& aEvent) const { OnBodyRead(context, aEvent); }
+  void operator()(const CallerGone& /*aEvent*/) const { OnCallerGone(context); }
+
+  Context<S>& context;
+};
+
+} // namespace balsampoint::exchange::internal
