--- a/src/balsampoint/edge/crash_watch.hpp
+++ b/src/balsampoint/edge/crash_watch.hpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/edge/dialect.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
+#include "balsampoint/exchange/server_break.hpp"
 
 #include <cstdint>
 #include <span>
@@ -23,14 +24,7 @@
               std::span<const quarantine::SuspectReport> aReports,
               std::uint32_t aHosts);
 
-/** @brief How the connection to a server broke. */
-enum class ServerBreak : std::uint8_t
-{
-  /** The server accepts other connections. */
-  Reset,
-  /** The server accepts none, or runs as another incarnation. */
-  Crash,
-};
+using exchange::ServerBreak;
 
 /** @brief What happens to servers under one request. */
 class CrashWatch
