--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -1,34 +1,24 @@
 #pragma once
 
-#include "balsampoint/edge/admission.hpp"
-#include "balsampoint/edge/answer_body.hpp"
-#include "balsampoint/edge/crash_watch.hpp"
-#include "balsampoint/edge/dialect.hpp"
-#include "balsampoint/edge/event_relay.hpp"
-#include "balsampoint/edge/exchange_log.hpp"
-#include "balsampoint/edge/fingerprint.hpp"
-#include "balsampoint/edge/response.hpp"
-#include "balsampoint/edge/room_wait.hpp"
-#include "balsampoint/edge/server_statements.hpp"
-#include "balsampoint/edge/traffic_state.hpp"
-#include "balsampoint/fleet/command/track_work.hpp"
-#include "balsampoint/forward/answer_check.hpp"
-#include "balsampoint/forward/decision.hpp"
+#include "balsampoint/edge/exchange_io.hpp"
+#include "balsampoint/edge/exchange_observers.hpp"
+#include "balsampoint/edge/exchange_surroundings.hpp"
+#include "balsampoint/exchange/command/handle.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
-#include "balsampoint/wire/write.hpp"
 
-#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <memory>
-#include <set>
-#include <string>
 #include <utility>
+#include <variant>
+#include <vector>
 
 namespace balsampoint::edge {
 
 /**
- * @brief One request from its arrival to the end of its response, over all
- * attempts at servers.
+ * @brief One request from its arrival to the end of its response: feeds what
+ * happens to the state machine of `exchange` and runs its actions.
  * @tparam D Encoding of requests and responses.
  * @tparam Caller Type of the caller's connection.
  */
@@ -47,32 +37,24 @@
                 std::shared_ptr<Caller> aCaller,
                 IncomingRequest aRequest)
     : mTraffic{ aTraffic }
-    , mCaller{ std::move(aCaller) }
-    , mRequest{ std::move(aRequest) }
-    , mDeadlineTimer{ aTraffic.loop.Context() }
-    , mResumeTimer{ aTraffic.loop.Context() }
-    , mRetryTimer{ aTraffic.loop.Context() }
-    , mLinkTimer{ aTraffic.loop.Context() }
-    , mStartedAt{ TrafficState::Now() }
+    , mObservers{ aTraffic }
+    , mTimers{ net::Timer{ aTraffic.loop.Context() },
+               net::Timer{ aTraffic.loop.Context() },
+               net::Timer{ aTraffic.loop.Context() },
+               net::Timer{ aTraffic.loop.Context() } }
+    , mIo{ aTraffic, std::move(aCaller), std::move(aRequest), mState }
+    , mSurroundings{ aTraffic,
+                     mIo.Request().admission,
+                     mIo.Request().parameters,
+                     mIo.Request().crashWatch }
   {
-    ++mTraffic.activeRequests;
   }
 
   BasicExchange(const BasicExchange&) = delete;
   BasicExchange& operator=(const BasicExchange&) = delete;
   BasicExchange(BasicExchange&&) = delete;
   BasicExchange& operator=(BasicExchange&&) = delete;
-
-  // Closing throws only if memory is exhausted.
-  // NOLINTNEXTLINE(bugprone-exception-escape)
-  ~BasicExchange()
-  {
-    ReleaseServers();
-    mTraffic.serverLossObservers.erase(this);
-    mTraffic.quarantineObservers.erase(this);
-    mTraffic.linkObservers.erase(this);
-    --mTraffic.activeRequests;
-  }
+  ~BasicExchange() = default;
 
   /**
    * @brief Admits the request and starts the first attempt.
@@ -81,1070 +63,220 @@
   void Start(std::function<void()> aDone)
   {
     mDone = std::move(aDone);
-    mTraffic.serverLossObservers[this] =
+    mObservers.Observe(
       [self = this->weak_from_this()](const ServerId& aServer) {
+        Notify(self, [&] { return exchange::ServerLost{ aServer }; });
+      },
+      [self = this->weak_from_this()] {
+        Notify(self, [] { return exchange::QuarantineChanged{}; });
+      },
+      [self = this->weak_from_this()] {
         if (const auto exchange = self.lock()) {
-          exchange->OnServerLost(aServer);
+          exchange->Feed(
+            LinkChangeOf(exchange->mIo.Servers(), exchange->mTraffic));
         }
-      };
-    mTraffic.quarantineObservers[this] = [self = this->weak_from_this()] {
-      if (const auto exchange = self.lock()) {
-        exchange->OnQuarantine();
-      }
-    };
-    mTraffic.linkObservers[this] = [self = this->weak_from_this()] {
-      if (const auto exchange = self.lock()) {
-        exchange->OnLinkChanged();
-      }
-    };
-    const auto admitted = Admit().and_then([this] {
-      mFingerprint = Fingerprint({ .workspace = Workspace(),
-                                   .method = mRequest.head.method,
-                                   .host = mParameters.host,
-                                   .target = mRequest.head.target,
-                                   .body = mRequest.body });
-      mCrashWatch = CrashWatch{ mFingerprint, mParameters.sharedParts };
-      return mCrashWatch.Admit(mTraffic);
-    });
-    if (!admitted) {
-      AnswerError(admitted.error());
-      return;
-    }
-    SetDeadline();
-    mTraffic.budget.CountRequest(mAdmission.service->id, TrafficState::Now());
-    mRoom.Begin(mTraffic, mAdmission, mParameters, mStartedAt);
-    Attempt();
+      });
+    Feed(mIo.Admit());
   }
 
   /** @brief Cancels the request because the caller has disconnected. */
-  void OnCallerDisconnected()
-  {
-    if (mEnded) {
-      return;
-    }
-    mTraffic.metrics.Add(trace::Outcome::CallerGone);
-    End("caller_gone");
-  }
+  void OnCallerDisconnected() { Feed(exchange::CallerGone{}); }
 
 private:
-  tl::expected<void, Error> Admit()
-  {
-    // Without a configuration every request is refused as not ready, whatever
-    // its parameters are.
-    if (!mTraffic.routes) {
-      return edge::Admit(mTraffic, mParameters, {}, mAdmission);
-    }
-    auto parameters = D::ReadRequestParameters(mRequest.head);
-    if (!parameters) {
-      return tl::unexpected(parameters.error());
-    }
-    mParameters = std::move(*parameters);
-    auto admitted =
-      edge::Admit(mTraffic, mParameters, mRequest.head.Path(), mAdmission);
-    if (admitted) {
-      mProgress.kind = mAdmission.route->kind;
-      mEvents = EventRelay{ UsesChunkedEncoding(), mParameters.resumeAfter };
-    }
-    return admitted;
-  }
+  using Self = std::weak_ptr<BasicExchange>;
 
-  void SetDeadline()
+  /** Feeds an event unless the exchange is gone. */
+  template<typename Make>
+  static void Notify(const Self& aSelf, Make aMake)
   {
-    auto wait = mAdmission.route->timeout;
-    if (mParameters.timeout) {
-      wait = std::min(wait, *mParameters.timeout);
+    if (const auto exchange = aSelf.lock()) {
+      exchange->Feed(aMake());
     }
-    mProgress.deadline = mStartedAt + wait;
-    mDeadlineTimer.Set(wait, [self = this->weak_from_this()] {
-      if (const auto exchange = self.lock()) {
-        exchange->OnDeadline();
-      }
-    });
-  }
-
-  /** Workspace of the caller; empty on public routes. */
-  [[nodiscard]] WorkspaceId Workspace() const
-  {
-    return mAdmission.workspace ? mAdmission.workspace->id : WorkspaceId{};
   }
 
-  void Attempt()
+  /** Handles an event. One that an action causes at once is handled after the
+   * other actions. */
+  void Feed(exchange::Event aEvent)
   {
-    mCrashWatch.Restart();
-    const auto receivers = AllowedReceivers();
-    auto chosen = mRoom.Choose(mTraffic,
-                               *mAdmission.service,
-                               mParameters,
-                               { mFailed, receivers },
-                               mProgress.answerStarted);
-    if (!chosen) {
-      if (!WaitForRoom(chosen.error())) {
-        GiveUp(chosen.error());
-      }
+    mEvents.push_back(std::move(aEvent));
+    if (std::exchange(mHandling, true)) {
       return;
     }
-    mHops = std::move(chosen->hops);
-    mReserved = { chosen->tokens,
-                  forward::IsStream(mProgress.kind) ? chosen->promptTokens
-                                                    : 0.0 };
-    fleet::Reserve(mTraffic.fleet, mAdmission.service->id, mHops, mReserved);
-    OpenConnection();
-  }
-
-  /** Waits for servers with room, if no server has or may have run it. */
-  bool WaitForRoom(const Error& aError)
-  {
-    const auto self = this->weak_from_this();
-    return !mProgress.mayHaveRun &&
-           mRoom.Wait(
-             { .tryAgain = [self] { self.lock()->Attempt(); },
-               .giveUp = [self, aError] { self.lock()->GiveUp(aError); } });
-  }
-
-  void GiveUp(const Error& aError)
-  {
-    const auto end = mProgress.mayHaveRun ? forward::AttemptEnd::Broken
-                                          : forward::AttemptEnd::NotSent;
-    FinishAttempts(forward::GiveUp(mProgress, end), aError);
-  }
-
-  /** Sends the request on a connection that is kept, or opens one. */
-  void OpenConnection()
-  {
-    const auto& address = mHops.front().address;
-    // The server may close an idle connection as a request is sent on it, which
-    // may then have run. Requests that may run only once get a new connection.
-    const bool mayReuse =
-      mProgress.kind != routing::RequestKind::NonIdempotent &&
-      mProgress.kind != routing::RequestKind::Stream;
-    mServer =
-      mayReuse ? mTraffic.pool.TakeIdle(address, mParameters.id) : nullptr;
-    const bool reused = mServer != nullptr;
-    mIdleTime = reused ? mServer->IdleTime() : Duration{};
-    if (!reused) {
-      if (reach::IsIsolated(mTraffic.reach, TrafficState::Now())) {
-        EndAttempt();
-        GiveUp(MakeError(ErrorKind::NoServer, "this host reaches no servers"));
-        return;
+    for (std::size_t next = 0; next < mEvents.size(); ++next) {
+      const auto event = std::move(mEvents[next]);
+      mActions.clear();
+      exchange::Handle(
+        mState, event, TrafficState::Now(), mSurroundings, mActions);
+      for (const auto& action : mActions) {
+        std::visit([this](const auto& aAction) { Run(aAction); }, action);
       }
-      mServer = mTraffic.pool.Make(address, mTraffic.links.TakePath(address));
     }
-    mServer->SetObserver([self = this->weak_from_this()](ServerSignal aSignal) {
-      if (const auto exchange = self.lock()) {
-        exchange->OnSignal(aSignal);
-      }
-    });
-    mSentInAttempt = false;
-    mReused = reused;
-    mStatementsRead = false;
-    mStrangeAnswerLogged = false;
-    if (reused) {
-      SendRequest();
-    } else {
-      mServer->Connect();
-    }
-  }
-
-  /** Servers that may receive the next attempt; empty for any. Once the request
-   * was sent to `maxAttempts` distinct servers, only these are allowed. */
-  [[nodiscard]] std::set<ServerId> AllowedReceivers() const
-  {
-    return mReceivers.size() >= mAdmission.route->maxAttempts
-             ? mReceivers
-             : std::set<ServerId>{};
+    mEvents.clear();
+    mHandling = false;
   }
 
-  void OnSignal(ServerSignal aSignal)
+  /** Runs an action that causes no event. */
+  template<typename A>
+  void Run(const A& aAction)
   {
-    if (mEnded) {
-      return;
-    }
-    switch (aSignal) {
-      case ServerSignal::Connected:
-        SendRequest();
-        return;
-      case ServerSignal::ResponseData:
-        OnResponseData();
-        return;
-      case ServerSignal::Lost:
-        break;
-    }
-    if (!mSentInAttempt) {
-      OnNotConnected();
-      return;
-    }
-    if (WasStale()) {
-      RecordFinding(fleet::RequestOutcome::Broken);
-      OnAttemptEnd(forward::AttemptEnd::Broken,
-                   "the server had closed the connection");
-      return;
-    }
-    if (LinkWasCut()) {
-      OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
-      return;
-    }
-    ProbeBreak();
+    mIo.Run(aAction);
   }
 
-  /** How a connection that broke was opened, and the probe after it. */
-  struct BreakPaths
-  {
-    bool serverByDetour{ false };
-    bool probeByDetour{ false };
-  };
-
-  void ProbeBreak()
+  void Run(const exchange::SetTimer& aSet)
   {
-    const auto address = mHops.front().address;
-    auto path = mTraffic.links.TakePath(address);
-    const BreakPaths paths{ mServer->HasDetour(), path.has_value() };
-    mServer = nullptr;
-    mTraffic.probes.Probe(
-      address,
-      std::move(path),
-      [self = this->weak_from_this(), paths](ProbeResult aResult) {
-        const auto exchange = self.lock();
-        if (exchange && !exchange->mEnded) {
-          exchange->OnBreakProbed(aResult, paths);
+    mTimers.at(static_cast<std::size_t>(aSet.timer))
+      .Set(aSet.after, [self = this->weak_from_this(), timer = aSet.timer] {
+        if (const auto exchange = self.lock()) {
+          exchange->OnTimer(timer);
         }
       });
   }
 
-  void OnNotConnected()
+  void Run(const exchange::ClearTimers& /*aClear*/)
   {
-    const bool direct = !mServer->HasDetour();
-    const bool linkIsDown = mTraffic.reach.link == reach::Link::Down;
-    if (!mServer->DetourFailed() && !(direct && linkIsDown)) {
-      RecordFinding(fleet::RequestOutcome::Unreachable);
-    }
-    if (direct) {
-      mTraffic.links.OnConnectionFailed();
+    for (auto& timer : mTimers) {
+      timer.Clear();
     }
-    OnAttemptEnd(forward::AttemptEnd::NotSent,
-                 mServer->DetourFailed() ? "the detour can't be used"
-                                         : "the server can't be reached");
   }
 
-  /** Whether the link of this host, not the server, explains why the connection
-   * of the attempt broke. */
-  [[nodiscard]] bool LinkWasCut() const
-  {
-    const auto& reach = mTraffic.reach;
-    return mServer && !mServer->HasDetour() &&
-           (reach.link == reach::Link::Down || mSentAt < reach.changedAt);
-  }
+  void Run(const exchange::ChooseServers& /*aChoose*/) { Feed(mIo.Choose()); }
 
-  /** Continues after the connection to the server broke, once it is known
-   * whether the server accepts others. */
-  void OnBreakProbed(ProbeResult aResult, BreakPaths aPaths)
+  void Run(const exchange::EnterQueue& aEnter)
   {
-    if (HasRestarted(mTraffic, mHops.front())) {
-      OnServerBroke(ServerBreak::Crash);
-      return;
-    }
-    if (aResult != ProbeResult::Refuses && aPaths.serverByDetour) {
-      // The host on the way may have broken it.
-      OnAttemptEnd(forward::AttemptEnd::Broken, "the detour broke");
-      return;
+    const bool waits = mIo.Room().Wait(
+      { .tryAgain =
+          [self = this->weak_from_this()] {
+            Notify(self, [] { return exchange::QueueTurn{}; });
+          },
+        .giveUp =
+          [self = this->weak_from_this(), error = aEnter.error] {
+            Notify(self, [&] { return exchange::QueueRefused{ error }; });
+          } });
+    if (!waits) {
+      Feed(exchange::QueueRefused{ aEnter.error });
     }
-    if (aResult != ProbeResult::Refuses) {
-      OnServerBroke(ServerBreak::Reset);
-      return;
-    }
-    if (aPaths.probeByDetour) {
-      // The host that opened the probe reaches other servers.
-      OnServerBroke(ServerBreak::Crash);
-      return;
-    }
-    mTraffic.links.Check([self = this->weak_from_this()](bool aReached) {
-      const auto exchange = self.lock();
-      if (exchange && !exchange->mEnded) {
-        exchange->OnLinkChecked(aReached);
-      }
-    });
-  }
-
-  /** Continues after a server that broke its connection accepts no other, once
-   * it is known whether this host reaches any. */
-  void OnLinkChecked(bool aReached)
-  {
-    if (!aReached) {
-      OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
-      return;
-    }
-    // A server at its limit of connections closes new ones and keeps others.
-    OnServerBroke(mTraffic.pool.IsConnected(mHops.front().address)
-                    ? ServerBreak::Reset
-                    : ServerBreak::Crash);
-  }
-
-  void OnServerBroke(ServerBreak aBreak)
-  {
-    RecordFinding(fleet::RequestOutcome::Broken);
-    mCrashWatch.OnServerBroke(mTraffic, mHops.front(), aBreak);
-    OnAttemptEnd(forward::AttemptEnd::Broken,
-                 aBreak == ServerBreak::Crash
-                   ? "the server crashed"
-                   : "the connection to the server broke");
-  }
-
-  /** Gives a connection of this host up that its lost link has cut: at once
-   * while nothing was sent, else if the server stays silent. */
-  void OnLinkChanged()
-  {
-    if (mEnded || !mServer || mServer->HasDetour() ||
-        !reach::UsesDetours(mTraffic.reach, TrafficState::Now())) {
-      return;
-    }
-    if (!mSentInAttempt) {
-      OnAttemptEnd(forward::AttemptEnd::NotSent, kLinkLost);
-      return;
-    }
-    if (forward::MayRepeat(mProgress.kind)) {
-      mLinkTimer.Set(
-        kLinkSilence,
-        [self = this->weak_from_this(), since = TrafficState::Now()] {
-          if (const auto exchange = self.lock()) {
-            exchange->OnLinkSilent(since);
-          }
-        });
-    }
-  }
-
-  void OnLinkSilent(Instant aSince)
-  {
-    if (mEnded || !mServer || mServer->HasDetour() ||
-        mServer->LastReadAt() >= aSince || mSentAt >= aSince) {
-      return;
-    }
-    if (forward::IsStream(mProgress.kind)) {
-      OnAttemptEnd(forward::AttemptEnd::Broken, kLinkLost);
-      return;
-    }
-    // The server may still be at work on it if only new connections fail, so
-    // the attempt goes on unless another one is allowed.
-    const auto decision = forward::Decide(
-      mProgress, forward::AttemptEnd::Broken, TrafficState::Now());
-    if (decision != forward::Decision::Retry ||
-        !mCrashWatch.MayRetry(mTraffic) || !ConsumeRetry(decision)) {
-      return;
-    }
-    LogAttempt(
-      LogFields(), forward::AttemptEnd::Broken, kLinkLost, mServerAtFault);
-    EndAttempt();
-    ApplyDecision(forward::Decision::Retry,
-                  MakeError(ErrorKind::BackendFailed, kLinkLost));
-  }
-
-  /** Whether the server had probably closed an idle connection before the
-   * request arrived: such a connection breaks at once. */
-  [[nodiscard]] bool WasStale() const
-  {
-    return mIdleTime >= kMinIdleTimeout &&
-           TrafficState::Now() - mSentAt < kStaleConnectionTime;
   }
 
-  void SendRequest()
+  void Run(const exchange::FindConnection& aFind)
   {
-    mSentAt = TrafficState::Now();
-    const auto left = mProgress.deadline - mSentAt;
-    if (left <= Duration{}) {
-      OnDeadline();
-      return;
-    }
-    mSentInAttempt = true;
-    mInterimAnswers = 0;
-    ++mProgress.sent;
-    fleet::CountSend(
-      mTraffic.fleet, mAdmission.service->id, mHops.front(), mSentAt);
-    mReceivers.insert(mHops.front().server);
-    mMayHaveRunBefore = mProgress.mayHaveRun;
-    mProgress.mayHaveRun = true;
-    auto bytes = D::WriteRequest({ .head = mRequest.head,
-                                   .body = mRequest.body,
-                                   .remainingTime = left,
-                                   .hops = mHops,
-                                   .workspace = Workspace(),
-                                   .priority = UrgencyOf(mAdmission),
-                                   .resumeAfter = mEvents.LastId() });
-    mServer->Send({ .bytes = std::move(bytes),
-                    .id = mParameters.id,
-                    .isHead = mRequest.head.method == "HEAD" });
-  }
-
-  void OnResponseData()
-  {
-    auto& parser = mServer->ResponseParser();
-    if (!parser.HasHead()) {
-      return;
-    }
-    const auto& head = parser.Response();
-    const auto metadata = D::ReadResponse(head);
-    const auto verdict = Check(head, metadata);
-    if (verdict != forward::AnswerVerdict::Own) {
-      OnStrangeAnswer(verdict, head, metadata);
-      return;
-    }
-    FollowStatementsOnce(metadata);
-    if (metadata.notExecuted) {
-      OnNotExecuted(metadata);
-      return;
-    }
-    if (forward::IsStream(mProgress.kind) && head.Success()) {
-      OnStreamData();
-      return;
-    }
-    if (parser.Complete()) {
-      OnCompleteResponse();
-    }
-  }
-
-  [[nodiscard]] forward::AnswerVerdict Check(
-    const wire::ResponseHead& aHead,
-    const ResponseMetadata& aMetadata) const
-  {
-    return forward::CheckAnswer(
-      { .status =
-          aHead.HasStatus() ? std::optional{ aHead.status } : std::nullopt,
-        .interimBefore = mInterimAnswers,
-        .namedRequests = aMetadata.namedRequests,
-        .namesThisRequest = aMetadata.request == mParameters.id.Value(),
-        .authenticationCodes = aMetadata.authenticationCodes,
-        .hasContentCoding = aMetadata.hasContentCoding,
-        .partRequested = mRequest.head.fields.Count("Range") > 0,
-        .endsByClose = aHead.endsByClose });
-  }
-
-  /** Skips an answer that isn't the one to this request, or ends the attempt if
-   * the right one can't be told from what follows. */
-  void OnStrangeAnswer(forward::AnswerVerdict aVerdict,
-                       const wire::ResponseHead& aHead,
-                       const ResponseMetadata& aMetadata)
-  {
-    if (aVerdict != forward::AnswerVerdict::Interim &&
-        !std::exchange(mStrangeAnswerLogged, true)) {
-      LogDiscarded(forward::Describe(aVerdict),
-                   aHead,
-                   aMetadata.request.value_or(std::string_view{}));
-    }
-    if (forward::MaySkip(aVerdict)) {
-      mInterimAnswers += aVerdict == forward::AnswerVerdict::Interim ? 1 : 0;
-      SkipResponse();
-      return;
-    }
-    RecordFinding(fleet::RequestOutcome::Broken);
-    OnAttemptEnd(forward::AttemptEnd::Broken, forward::Describe(aVerdict));
+    const auto idle =
+      aFind.mayReuse
+        ? mIo.Servers().TakeIdle(mIo.Request().parameters.id, Observer())
+        : std::nullopt;
+    Feed(exchange::ConnectionFound{
+      .idle = idle,
+      .isolated =
+        !idle && reach::IsIsolated(mTraffic.reach, TrafficState::Now()) });
   }
 
-  void SkipResponse()
+  void Run(const exchange::Connect& /*aConnect*/)
   {
-    auto& parser = mServer->ResponseParser();
-    if (parser.Complete()) {
-      mStrangeAnswerLogged = false;
-      mServer->SkipResponse();
-    } else {
-      // The response to this request begins after the end of this body.
-      static_cast<void>(parser.TakeBody());
-    }
+    mIo.Servers().Connect(Observer());
   }
 
-  void FollowStatementsOnce(const ResponseMetadata& aMetadata)
+  void Run(const exchange::ProbeServer& /*aProbe*/)
   {
-    if (!std::exchange(mStatementsRead, true)) {
-      if (!mReused && !mServer->HasDetour()) {
-        mTraffic.links.OnConnected();
-      }
-      FollowStatements(mTraffic,
-                       mAdmission.service->id,
-                       mHops.front(),
-                       mParameters.id,
-                       aMetadata);
-    }
+    mIo.Servers().Probe(
+      [self = this->weak_from_this()](ProbeResult aResult, bool aByDetour) {
+        if (const auto exchange = self.lock()) {
+          exchange->OnProbed(aResult, aByDetour);
+        }
+      });
   }
 
-  void OnNotExecuted(const ResponseMetadata& aMetadata)
+  void Run(const exchange::CheckLink& /*aCheck*/)
   {
-    mProgress.mayHaveRun = mMayHaveRunBefore;
-    const std::string atFault{ aMetadata.atFault.value_or(
-      mHops.front().address) };
-    fleet::RecordOutcome(mTraffic.fleet,
-                         mAdmission.service->id,
-                         atFault,
-                         fleet::RequestOutcome::Full,
-                         TrafficState::Now());
-    for (const auto& hop : mHops) {
-      if (hop.address == atFault) {
-        mFailed.insert(hop.server);
+    mTraffic.links.Check([self = this->weak_from_this()](bool aReached) {
+      if (const auto exchange = self.lock()) {
+        exchange->OnLinkChecked(aReached);
       }
-    }
-    mServerAtFault = atFault;
-    if (mServer->ResponseParser().Complete()) {
-      mTraffic.pool.Return(std::exchange(mServer, nullptr));
-    }
-    OnAttemptEnd(forward::AttemptEnd::NotExecuted,
-                 "the server has not run the request");
-  }
-
-  void OnCompleteResponse()
-  {
-    auto& parser = mServer->ResponseParser();
-    const auto& head = parser.Response();
-    auto body = parser.TakeBody();
-    const auto own = CheckBody<D>(head, body, mServer->UnreadBytes());
-    if (own.verdict != forward::BodyVerdict::Whole) {
-      LogDiscarded(
-        forward::Describe(own.verdict), head, mParameters.id.Value());
-    }
-    if (own.verdict == forward::BodyVerdict::Mixed) {
-      RecordFinding(fleet::RequestOutcome::Broken);
-      OnAttemptEnd(forward::AttemptEnd::Broken, forward::Describe(own.verdict));
-      return;
-    }
-    body.resize(own.size);
-    constexpr std::uint16_t kFirstServerError = 500;
-    if (head.status >= kFirstServerError) {
-      RecordFinding(fleet::RequestOutcome::Failed);
-      mFailed.insert(mHops.front().server);
-      mServerErrorResponse = { head, std::move(body) };
-      mTraffic.pool.Return(std::exchange(mServer, nullptr));
-      OnAttemptEnd(forward::AttemptEnd::ServerFailed,
-                   "the server answered with a 5xx status");
-      return;
-    }
-    RecordFinding(fleet::RequestOutcome::Answered);
-    mCrashWatch.OnComplete(mTraffic);
-    ForwardResponse(head, body);
-  }
-
-  void LogDiscarded(std::string_view aReason,
-                    const wire::ResponseHead& aHead,
-                    std::string_view aNamedRequest)
-  {
-    mTraffic.metrics.Add(trace::Count::AnswersDiscarded);
-    LogDiscardedAnswer(mParameters.id,
-                       aReason,
-                       { .server = mHops.front(),
-                         .status = aHead.status,
-                         .namedRequest = aNamedRequest,
-                         .requestsOnConnection = mServer->RequestCount(),
-                         .sinceSent = TrafficState::Now() - mSentAt });
-  }
-
-  void ForwardResponse(const wire::ResponseHead& aHead,
-                       const std::string& aBody)
-  {
-    auto bytes = MakeResponseHead(
-      aHead, BodyFraming::ContentLength, aBody.size(), CallerKeepsAlive());
-    if (mRequest.head.method != "HEAD") {
-      bytes += aBody;
-    }
-    mCaller->Send(bytes);
-    mTraffic.metrics.Add(trace::Outcome::Complete);
-    FinishResponse(CallerKeepsAlive());
-    if (mServer) {
-      mTraffic.pool.Return(std::exchange(mServer, nullptr));
-    }
-    End("answered");
-  }
-
-  [[nodiscard]] bool CallerKeepsAlive() const
-  {
-    return mRequest.head.keepAlive && !mTraffic.draining;
-  }
-
-  void OnStreamData()
-  {
-    auto& parser = mServer->ResponseParser();
-    std::string out;
-    const bool whole = mEvents.Append(parser.TakeBody(), out);
-    if (!out.empty()) {
-      SendEvents(out);
-    }
-    if (!whole) {
-      RecordFinding(fleet::RequestOutcome::Broken);
-      OnAttemptEnd(
-        forward::AttemptEnd::Broken,
-        "an event is missing from the stream, or is that of another");
-      return;
-    }
-    if (parser.Complete()) {
-      OnStreamEnd();
-    }
-  }
-
-  [[nodiscard]] bool UsesChunkedEncoding() const
-  {
-    return mRequest.head.acceptsChunked;
-  }
-
-  void SendEvents(std::string_view aBytes)
-  {
-    if (!mProgress.answerStarted) {
-      BeginResponse();
-    }
-    mCrashWatch.OnEvents(mTraffic);
-    const auto now = TrafficState::Now();
-    RecordEvent(now);
-    mTraffic.metrics.Record(trace::Timing::BetweenTokens, now - mLastEventAt);
-    mLongestPause = std::max(mLongestPause, now - mLastEventAt);
-    mLastEventAt = now;
-    mCaller->Send(aBytes);
-  }
-
-  void RecordEvent(Instant aNow)
-  {
-    std::optional<Duration> interval;
-    if (mStreaming) {
-      interval = aNow - mLastEventAt;
-    } else {
-      mStreaming = true;
-      fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, true);
-    }
-    fleet::RecordEvent(
-      mTraffic.fleet, mAdmission.service->id, mHops, mReserved, interval, aNow);
-  }
-
-  /**
-   * Moves the request away from a server that no longer accepts connections.
-   * That server may still be running the request, so this happens only if
-   * another chain has room.
-   */
-  void OnServerLost(const ServerId& aServer)
-  {
-    const bool passes = std::ranges::any_of(mHops, [&](const fleet::Hop& aHop) {
-      return aHop.server == aServer && aHop.layers.end > 0;
     });
-    if (mEnded || !passes || !mServer || !mSentInAttempt) {
-      return;
-    }
-    if (mFailed.insert(aServer).second) {
-      const auto lost = std::ranges::find(mHops, aServer, &fleet::Hop::server);
-      mCrashWatch.OnServerBroke(mTraffic, *lost, ServerBreak::Crash);
-    }
-    const auto now = TrafficState::Now();
-    const auto decision =
-      forward::Decide(mProgress, forward::AttemptEnd::Broken, now);
-    const auto receivers = AllowedReceivers();
-    const bool waits =
-      decision == forward::Decision::Retry && mCrashWatch.MustWait(mTraffic);
-    if (!forward::NeedsAttempt(decision) || !mCrashWatch.MayResume() ||
-        (decision == forward::Decision::Retry &&
-         !mCrashWatch.MayRetry(mTraffic)) ||
-        !OtherChainHasRoom(
-          mTraffic, *mAdmission.service, mParameters, { mFailed, receivers }) ||
-        (!waits && !ConsumeRetry(decision))) {
-      return;
-    }
-    mServerAtFault = aServer.Value();
-    LogAttempt(LogFields(),
-               forward::AttemptEnd::Broken,
-               "a server of the chain is lost",
-               mServerAtFault);
-    EndAttempt();
-    if (waits) {
-      RetryLater(forward::AttemptEnd::Broken);
-      return;
-    }
-    ApplyDecision(decision, {});
-  }
-
-  /** Cancels the request if no answer has begun and it, or its prompt, is in
-   * quarantine: the server drops it once the connection is closed. */
-  void OnQuarantine()
-  {
-    if (mEnded || mProgress.answerStarted || !(mServer || mRoom.IsWaiting()) ||
-        !mCrashWatch.InQuarantine(mTraffic)) {
-      return;
-    }
-    const auto end = mSentInAttempt ? forward::AttemptEnd::Broken
-                                    : forward::AttemptEnd::NotSent;
-    EndAttempt();
-    FinishAttempts(forward::GiveUp(mProgress, end),
-                   MakeError(ErrorKind::NoServer,
-                             "servers crash under the request or its prompt"));
-  }
-
-  void BeginResponse()
-  {
-    mProgress.answerStarted = true;
-    mFirstEventAt = TrafficState::Now();
-    mTraffic.metrics.Record(trace::Timing::FirstToken,
-                            mFirstEventAt - mStartedAt);
-    mLastEventAt = mFirstEventAt;
-    mCaller->Send(MakeResponseHead(
-      mServer->ResponseParser().Response(),
-      UsesChunkedEncoding() ? BodyFraming::Chunked : BodyFraming::UntilClose,
-      0,
-      UsesChunkedEncoding() && CallerKeepsAlive()));
-  }
-
-  void OnStreamEnd()
-  {
-    if (mEvents.HasPartialEvent()) {
-      RecordFinding(fleet::RequestOutcome::Broken);
-      OnAttemptEnd(forward::AttemptEnd::Broken,
-                   "the stream ended in the middle of an event");
-      return;
-    }
-    if (!mEvents.LastId() && mEvents.SentCount() == 0) {
-      RecordFinding(fleet::RequestOutcome::Broken);
-      OnAttemptEnd(forward::AttemptEnd::Broken,
-                   "the stream ended before its first event");
-      return;
-    }
-    RecordFinding(fleet::RequestOutcome::Answered);
-    mCrashWatch.OnComplete(mTraffic);
-    if (!mProgress.answerStarted) {
-      BeginResponse();
-    }
-    if (UsesChunkedEncoding()) {
-      mCaller->Send(wire::kLastChunk);
-    }
-    mTraffic.metrics.Add(trace::Outcome::Complete);
-    FinishResponse(UsesChunkedEncoding() && CallerKeepsAlive());
-    mTraffic.pool.Return(std::exchange(mServer, nullptr));
-    End("answered");
   }
 
-  void RecordFinding(fleet::RequestOutcome aFinding)
-  {
-    if (!mHops.empty()) {
-      fleet::RecordOutcome(mTraffic.fleet,
-                           mAdmission.service->id,
-                           mHops.front().address,
-                           aFinding,
-                           TrafficState::Now());
-    }
-  }
+  void Run(const exchange::ReadEvents& /*aRead*/) { Feed(mIo.ReadEvents()); }
+  void Run(const exchange::ReadBody& /*aRead*/) { Feed(mIo.ReadBody()); }
 
-  void OnAttemptEnd(forward::AttemptEnd aEnd, std::string_view aReason)
+  void Run(const exchange::Finish& aFinish)
   {
-    if (aEnd == forward::AttemptEnd::NotSent) {
-      ++mProgress.failedBeforeSend;
-    }
-    const bool unknownFault = mServerAtFault.empty();
-    if (aEnd == forward::AttemptEnd::NotSent ||
-        (aEnd == forward::AttemptEnd::Broken && unknownFault)) {
-      mFailed.insert(mHops.front().server);
-    }
-    LogAttempt(LogFields(), aEnd, aReason, mServerAtFault);
-    EndAttempt();
-    auto decision = forward::Decide(mProgress, aEnd, TrafficState::Now());
-    if (decision == forward::Decision::Retry && mProgress.sent > 0 &&
-        !mCrashWatch.MayRetry(mTraffic)) {
-      decision = forward::GiveUp(mProgress, aEnd);
-      aReason = kMayCrashServers;
-    } else if (decision == forward::Decision::Resume &&
-               !mCrashWatch.MayResume()) {
-      decision = forward::GiveUp(mProgress, aEnd);
-    } else if (decision == forward::Decision::Retry &&
-               aEnd == forward::AttemptEnd::Broken &&
-               mCrashWatch.MustWait(mTraffic)) {
-      RetryLater(aEnd);
-      return;
-    } else if (forward::NeedsAttempt(decision) && mProgress.sent > 0 &&
-               !ConsumeRetry(decision)) {
-      decision = forward::GiveUp(mProgress, aEnd);
-      aReason = "the budget of retries is used up";
+    mIo.Run(aFinish);
+    if (const auto done = std::exchange(mDone, nullptr)) {
+      done();
     }
-    ApplyDecision(decision, MakeError(ErrorKind::BackendFailed, aReason));
   }
 
-  /** Sends the request again after a while, unless it comes again before or
-   * crashes another server, or gives up if there is no time for that. */
-  void RetryLater(forward::AttemptEnd aEnd)
+  [[nodiscard]] ServerObserver Observer()
   {
-    const auto delay = mTraffic.quarantine.settings.repeatDelay;
-    if (TrafficState::Now() + delay + forward::kMinAttemptTime >=
-        mProgress.deadline) {
-      ApplyDecision(forward::GiveUp(mProgress, aEnd), CrashError());
-      return;
-    }
-    mRetryTimer.Set(delay, [self = this->weak_from_this(), aEnd] {
+    return [self = this->weak_from_this()](ServerSignal aSignal) {
       if (const auto exchange = self.lock()) {
-        exchange->OnRetryTime(aEnd);
+        exchange->OnSignal(aSignal);
       }
-    });
+    };
   }
 
-  void OnRetryTime(forward::AttemptEnd aEnd)
+  void OnSignal(ServerSignal aSignal)
   {
-    if (mEnded) {
-      return;
-    }
-    auto decision = forward::Decide(mProgress, aEnd, TrafficState::Now());
-    if (!mCrashWatch.MayRepeat(mTraffic) ||
-        (forward::NeedsAttempt(decision) && !ConsumeRetry(decision))) {
-      decision = forward::GiveUp(mProgress, aEnd);
+    switch (aSignal) {
+      case ServerSignal::Connected:
+        Feed(exchange::Connected{});
+        return;
+      case ServerSignal::ResponseData:
+        if (auto read = mIo.ReadAnswer()) {
+          Feed(std::move(*read));
+        }
+        return;
+      case ServerSignal::Lost:
+        Feed(LossOf(mIo.Servers(), mTraffic));
+        return;
     }
-    ApplyDecision(decision, CrashError());
-  }
-
-  static Error CrashError()
-  {
-    return MakeError(ErrorKind::BackendFailed, kMayCrashServers);
   }
 
-  bool ConsumeRetry(forward::Decision aDecision)
+  void OnProbed(ProbeResult aResult, bool aByDetour)
   {
-    const auto use = aDecision == forward::Decision::Resume
-                       ? forward::RetryPurpose::Resume
-                       : forward::RetryPurpose::Repeat;
-    return mTraffic.budget.TakeRetry(
-      mAdmission.service->id, use, TrafficState::Now());
+    const auto& servers = mIo.Servers();
+    Feed(exchange::BreakProbed{ .refuses = aResult == ProbeResult::Refuses,
+                                .probeByDetour = aByDetour,
+                                .restarted = !servers.Hops().empty() &&
+                                             servers.HasRestarted() });
   }
 
-  void EndAttempt()
+  void OnLinkChecked(bool aReached)
   {
-    mServerAtFault.clear();
-    ReleaseServers();
-    mEvents.EndPart();
+    const auto& hops = mIo.Servers().Hops();
+    Feed(exchange::LinkChecked{
+      .reached = aReached,
+      .serverConnected =
+        !hops.empty() && mTraffic.pool.IsConnected(hops.front().address) });
   }
 
-  /** Starts another attempt or ends the exchange, according to the decision. */
-  void ApplyDecision(forward::Decision aDecision, const Error& aError)
+  void OnTimer(exchange::TimerName aTimer)
   {
-    if (aDecision == forward::Decision::Resume) {
-      mTraffic.metrics.Add(trace::Count::Recoveries);
-    }
-    if (forward::NeedsAttempt(aDecision)) {
-      Attempt();
-      return;
-    }
-    FinishAttempts(aDecision, aError);
-  }
-
-  /** Ends the exchange without another attempt. A broken resumable stream first
-   * waits for a chain with room. */
-  void FinishAttempts(forward::Decision aDecision, Error aError)
-  {
-    switch (aDecision) {
-      case forward::Decision::PassOn:
-        ForwardResponse(mServerErrorResponse.first,
-                        mServerErrorResponse.second);
+    switch (aTimer) {
+      case exchange::TimerName::Deadline:
+        Feed(exchange::DeadlinePassed{});
         return;
-      case forward::Decision::Resume:
-      case forward::Decision::Retry:
-      case forward::Decision::Refuse:
-        aError.kind = ErrorKind::NoServer;
-        aError.executed = Executed::No;
-        aError.retryAfter = RetryAfter(mTraffic, mAdmission.service->id);
-        AnswerError(aError);
+      case exchange::TimerName::Retry:
+        Feed(exchange::RetryTime{});
         return;
-      case forward::Decision::Fail:
-        aError.kind = ErrorKind::BackendFailed;
-        aError.executed = Executed::Unknown;
-        aError.retryAfter = {};
-        AnswerError(aError);
+      case exchange::TimerName::Resume:
+        Feed(exchange::ResumeTime{});
         return;
-      case forward::Decision::Abort:
-        if (MayWaitToResume()) {
-          mResumeTimer.Set(kResumeInterval, [self = this->weak_from_this()] {
-            if (const auto exchange = self.lock()) {
-              exchange->ResumeIfPossible();
-            }
-          });
-          return;
-        }
-        mTraffic.metrics.Add(trace::Outcome::Broken);
-        ResetCaller();
-        End("cut");
+      case exchange::TimerName::LinkSilence:
+        Feed(LinkSilenceOf(mIo.Servers()));
         return;
     }
   }
 
-  /** Whether the caller can be expected to wait for another attempt to resume
-   * the stream. */
-  [[nodiscard]] bool MayWaitToResume() const
-  {
-    const auto next = TrafficState::Now() + kResumeInterval;
-    return mProgress.kind == routing::RequestKind::ResumableStream &&
-           mCrashWatch.MayResume() && next < mLastEventAt + kMaxResumeWait &&
-           next < mProgress.deadline;
-  }
-
-  void ResumeIfPossible()
-  {
-    if (mEnded) {
-      return;
-    }
-    const auto receivers = AllowedReceivers();
-    const bool room = OtherChainHasRoom(
-      mTraffic, *mAdmission.service, mParameters, { {}, receivers });
-    if (!room || !ConsumeRetry(forward::Decision::Resume)) {
-      FinishAttempts(forward::Decision::Abort, {});
-      return;
-    }
-    ApplyDecision(forward::Decision::Resume, {});
-  }
-
-  void OnDeadline()
-  {
-    if (mEnded) {
-      return;
-    }
-    if (mProgress.answerStarted) {
-      mTraffic.metrics.Add(trace::Outcome::Broken);
-      ResetCaller();
-      End("cut_at_deadline");
-      return;
-    }
-    auto error = MakeError(mProgress.mayHaveRun ? ErrorKind::DeadlineExceeded
-                                                : ErrorKind::NoServer,
-                           "no response arrived before the deadline");
-    AnswerError(error);
-  }
-
-  void AnswerError(const Error& aError)
-  {
-    mTraffic.metrics.Add(trace::Outcome::Refused);
-    mTraffic.metrics.Add(aError.kind);
-    mError = AnswerFor(aError.kind).name;
-    mDetail = aError.detail;
-    mCaller->Send(D::WriteRefusal(aError, CallerKeepsAlive()));
-    FinishResponse(CallerKeepsAlive());
-    End("refused");
-  }
-
-  void FinishResponse(bool aKeepAlive)
-  {
-    if (const auto caller = std::exchange(mCaller, nullptr)) {
-      caller->Finish(aKeepAlive);
-    }
-  }
-
-  void ResetCaller()
-  {
-    mEnded = true;
-    if (const auto caller = std::exchange(mCaller, nullptr)) {
-      caller->Close(true);
-    }
-  }
-
-  void ReleaseServers()
-  {
-    if (auto server = std::exchange(mServer, nullptr)) {
-      server->Close();
-    }
-    if (std::exchange(mStreaming, false)) {
-      fleet::CountStream(mTraffic.fleet, mAdmission.service->id, mHops, false);
-    }
-    if (!mHops.empty()) {
-      fleet::Release(mTraffic.fleet, mAdmission.service->id, mHops, mReserved);
-      mHops.clear();
-    }
-  }
-
-  void End(std::string_view aOutcome)
-  {
-    mEnded = true;
-    mDeadlineTimer.Clear();
-    mResumeTimer.Clear();
-    mRetryTimer.Clear();
-    mLinkTimer.Clear();
-    mTraffic.metrics.Record(trace::Timing::Request,
-                            TrafficState::Now() - mStartedAt);
-    LogEnd(LogFields(),
-           aOutcome,
-           mError,
-           mDetail,
-           mProgress.answerStarted
-             ? std::optional{ ResponseTimes{ mFirstEventAt - mStartedAt,
-                                             mLongestPause } }
-             : std::nullopt);
-    ReleaseServers();
-    mRoom.End();
-    mCaller = nullptr;
-    if (const auto done = std::exchange(mDone, nullptr)) {
-      done();
-    }
-  }
-
-  [[nodiscard]] RequestLogFields LogFields() const
-  {
-    return { .request = mParameters.id,
-             .admission = mAdmission,
-             .hops = mHops,
-             .fingerprint = mFingerprint,
-             .sharedParts = mParameters.sharedParts,
-             .sent = mProgress.sent,
-             .events = mEvents.SentCount(),
-             .age = TrafficState::Now() - mStartedAt,
-             .room = mRoom.LogFields() };
-  }
-
-  static constexpr std::string_view kLinkLost =
-    "this host has lost its link to the servers";
-  /** Time without a byte after which a connection counts as cut with the link;
-   * longer than most servers pause between two events. */
-  static constexpr Duration kLinkSilence = std::chrono::milliseconds{ 150 };
-  static constexpr std::string_view kMayCrashServers =
-    "the request may crash another server";
-  /** Shortest time after which a server is expected to close an idle
-   * connection. */
-  static constexpr Duration kMinIdleTimeout = std::chrono::milliseconds{ 250 };
-  /** Time within which a connection that the server had closed before breaks;
-   * a server reads a prompt for longer before it begins an answer. */
-  static constexpr Duration kStaleConnectionTime =
-    std::chrono::milliseconds{ 10 };
-  /** Time since the last event during which a broken stream looks for another
-   * chain; callers disconnect after 2 s or more without an event. */
-  static constexpr Duration kMaxResumeWait = std::chrono::milliseconds{ 1500 };
-  /** Time between two searches for another chain: half the interval at which
-   * hosts report their use of servers to each other. */
-  static constexpr Duration kResumeInterval = std::chrono::milliseconds{ 100 };
-
   TrafficState& mTraffic;
-  std::shared_ptr<Caller> mCaller;
-  IncomingRequest mRequest;
-  net::Timer mDeadlineTimer;
-  net::Timer mResumeTimer;
-  net::Timer mRetryTimer;
-  net::Timer mLinkTimer;
-  Instant mStartedAt;
-  RequestParameters mParameters;
-  Admission mAdmission;
-  RoomWait mRoom;
-  std::string mFingerprint;
-  forward::Progress mProgress;
-  std::set<ServerId> mFailed;
-  std::vector<fleet::Hop> mHops;
-  fleet::Reservation mReserved;
-  std::shared_ptr<ServerConnection> mServer;
-  /** How long the connection of this attempt was idle before. */
-  Duration mIdleTime{};
-  /** When the request was last sent. */
-  Instant mSentAt{};
-  /** Whether the request was sent in this attempt. */
-  bool mSentInAttempt{ false };
-  /** Whether the connection of this attempt had been used before. */
-  bool mReused{ false };
-  /** Whether what this attempt's answer says of its server was followed. */
-  bool mStatementsRead{ false };
-  /** Whether the answer in progress was logged as not the one to this request.
-   */
-  bool mStrangeAnswerLogged{ false };
-  /** Number of interim answers in this attempt. */
-  std::uint32_t mInterimAnswers{};
-  /** Value of `mProgress.mayHaveRun` before this attempt. */
-  bool mMayHaveRunBefore{ false };
-  EventRelay mEvents{ false, {} };
-  CrashWatch mCrashWatch;
-  Instant mFirstEventAt{};
-  Instant mLastEventAt{};
-  Duration mLongestPause{};
-  /** Last 5xx response of a server, forwarded on `Decision::PassOn`. */
-  std::pair<wire::ResponseHead, std::string> mServerErrorResponse;
-  /** Address or id of the server that failed this attempt; empty if unknown. */
-  std::string mServerAtFault;
-  std::string mError;
-  std::string mDetail;
-  /** Servers to which the request was sent in any attempt. */
-  std::set<ServerId> mReceivers;
-  /** Whether the servers of this attempt have sent an event. */
-  bool mStreaming{ false };
+  ExchangeObservers mObservers;
+  std::array<net::Timer, 4> mTimers;
+  exchange::State mState;
+  ExchangeIo<D, Caller> mIo;
+  ExchangeSurroundings mSurroundings;
+  std::vector<exchange::Event> mEvents;
+  std::vector<exchange::Action> mActions;
+  /** Whether an event is being handled. */
+  bool mHandling{ false };
   std::function<void()> mDone;
-  bool mEnded{ false };
 };
 
 } // namespace balsampoint::edge
