--- a/src/balsampoint/edge/room_wait.hpp
+++ b/src/balsampoint/edge/room_wait.hpp
@@ -66,6 +66,14 @@
    */
   [[nodiscard]] bool Wait(RoomQueue::Callbacks aCallbacks);
 
+  /** @brief Whether the request's service has several urgencies, so that it may
+   * ask to wait. */
+  [[nodiscard]] bool Applies() const { return mTraffic != nullptr; }
+
+  /** @brief Ends the wait of a request that has found no room; without effect
+   * if it does not wait. */
+  void Leave() { EndWait("ended"); }
+
   /** @brief Whether the request waits. */
   [[nodiscard]] bool IsWaiting() const
   {
