--- a/test/balsampoint/fleet/query/rejections_test.cpp
+++ b/test/balsampoint/fleet/query/rejections_test.cpp
@@ -88,6 +88,8 @@
 Test(rejections, a_server_short_of_kv_is_filled_less_and_regains_its_level)
 {
   auto state = TwoEngines();
+  // Without the random weight, which prefers no server among nearly full ones.
+  state.settings.fullSpread = 0.0;
   const auto capacity = state.groups.at(kService).servers.at(kLost).kvCapacity;
   auto report = Report(0ms, 0.8);
   report.servers.front().kv = 0.8 * capacity;
