Test that a resumed stream gets no second response head

A server that was to continue a stream and answered with a 4xx status had its whole response forwarded in the middle of the stream.

--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -384,6 +384,32 @@
   }
 }
 
+// Guards against a second response head in the middle of a stream, when the
+// server that is to continue it answers with a 4xx status.
+Test(exchange, a_stream_that_has_begun_gets_no_second_head)
+{
+  Host host{ routing::RequestKind::ResumableStream };
+  int received = 0;
+  const auto respond = [&received](const auto& aCaller,
+                                   const auto& /*aRequest*/) {
+    if (++received > 1) {
+      aCaller->Send(PlainResponse(404, kStamped, "none"));
+      aCaller->Finish(true);
+      return;
+    }
+    aCaller->Send(StreamHead("q1") + Chunk(Event(1)));
+    aCaller->Close(false);
+  };
+  host.one.respond = respond;
+  host.two.respond = respond;
+  host.Start();
+  Caller caller{ 3s };
+  caller.SendRequest("GET");
+  cr_assert_not(caller.Expect("404"));
+  cr_assert_neq(caller.read.find("data: e1"), std::string::npos);
+  cr_assert_gt(received, 1);
+}
+
 Test(exchange, a_broken_stream_waits_until_a_server_has_room)
 {
   Host host{ routing::RequestKind::ResumableStream, true };
