Bound what all hosts pass through the link between zones

Change: each host counts the tokens that its requests pass between zones and takes no such chain once its equal share of half of the link is used up; an attempt after a fault takes any chain.

--- a/src/balsampoint/edge/attempt.cpp
+++ b/src/balsampoint/edge/attempt.cpp
@@ -16,6 +16,8 @@
   mReserved = { aChain.tokens,
                 forward::IsStream(aKind) ? aChain.promptTokens : 0.0 };
   fleet::Reserve(mTraffic.fleet, mService->id, mHops, mReserved);
+  fleet::CountZoneTokens(
+    mTraffic.fleet, mService->id, mHops, mReserved, TrafficState::Now());
 }
 
 std::optional<Duration>
--- a/src/balsampoint/fleet/command/set_remote_usage.cpp
+++ b/src/balsampoint/fleet/command/set_remote_usage.cpp
@@ -34,6 +34,7 @@
 SetRemoteUsage(State& aState, const usage::RemoteUsage& aRemote, Instant aNow)
 {
   aState.remoteUsageAt = aNow;
+  aState.hosts = aRemote.hosts + 1;
   std::map<ServerId, const usage::ServerUsage*> uses;
   for (const auto& use : aRemote.servers) {
     uses[use.server] = &use;
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -116,6 +116,31 @@
   }
 }
 
+void
+CountZoneTokens(State& aState,
+                const ServiceId& aService,
+                std::span<const Hop> aHops,
+                const Reservation& aReservation,
+                Instant aNow)
+{
+  const Server* before = nullptr;
+  std::uint32_t changes = 0;
+  for (const auto& hop : aHops) {
+    const Server* server = internal::FindServer(aState, aService, hop);
+    if (before != nullptr && server != nullptr &&
+        before->claim.description.zone != server->claim.description.zone) {
+      ++changes;
+    }
+    before = server;
+  }
+  const auto group = aState.groups.find(aService);
+  if (changes > 0 && group != aState.groups.end()) {
+    constexpr double kMost = 1e6;
+    const auto tokens = std::min(kMost, aReservation.tokens * changes);
+    group->second.zoneTokens.Add(aNow, static_cast<std::uint32_t>(tokens));
+  }
+}
+
 void
 Release(State& aState,
         const ServiceId& aService,
--- a/src/balsampoint/fleet/command/track_work.hpp
+++ b/src/balsampoint/fleet/command/track_work.hpp
@@ -38,6 +38,21 @@
         std::span<const Hop> aHops,
         const Reservation& aReservation);
 
+/**
+ * @brief Counts the tokens that a request will pass from one zone to another.
+ * @param aState State to change.
+ * @param aService Service that the servers belong to.
+ * @param aHops Servers of the chain.
+ * @param aReservation Tokens of the request.
+ * @param aNow Current time.
+ */
+void
+CountZoneTokens(State& aState,
+                const ServiceId& aService,
+                std::span<const Hop> aHops,
+                const Reservation& aReservation,
+                Instant aNow);
+
 /**
  * @brief Removes a request from the work of the servers that it passed
  * through.
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/fleet/internal/cost.hpp"
 #include "balsampoint/fleet/internal/rate_share.hpp"
 #include "balsampoint/fleet/internal/rejection.hpp"
+#include "balsampoint/fleet/internal/zone_link.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -67,6 +68,12 @@
     , mLimited{ internal::DrawLimited(aGroup,
                                       aDemand.randomSample.value_or(0),
                                       aNow) }
+    // A request whose servers have failed it takes any chain that is left.
+    , mMayChangeZone{ !aDemand.failed.empty() ||
+                      !internal::IsZoneLinkUsedUp(aState,
+                                                  aGroup,
+                                                  aEngine,
+                                                  aNow) }
     , mSteps(mEngine.layers + 1)
   {
     SplitMix64 random{ aDemand.randomSample.value_or(0) };
@@ -313,7 +320,8 @@
     // The link between zones is full at few such chains, so that even the
     // heaviest random weight of the servers in a zone must not outweigh it.
     const auto zoneChange =
-      mSettings.zoneChangeMs * (1.0 + mSettings.fullSpread);
+      mMayChangeZone ? mSettings.zoneChangeMs * (1.0 + mSettings.fullSpread)
+                     : kUnreachable;
     return mSettings.hopMs + (sameZone ? 0.0 : zoneChange);
   }
 
@@ -424,6 +432,8 @@
   double mTokens;
   /** The one server with a rate limit that may receive the request; or null. */
   const Server* mLimited;
+  /** Whether the chain may pass from one zone to another. */
+  bool mMayChangeZone;
   std::vector<Step> mSteps;
   std::vector<bool> mBoundaries;
   std::vector<WeightedServer> mServers;
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -59,6 +59,10 @@
    * is free. With 4, servers rejected 0.7 % rather than 11 % of requests in
    * `bench_choice` on a heavy load with reports 0.4 s late. */
   double fullSpread{ 4.0 };
+  /** Part of the link between two zones that all hosts together may fill, each
+   * with an equal share; the transfers pass one after the other, and a prompt
+   * holds up the tokens of every stream behind it. */
+  double zoneLinkPart{ 0.5 };
   /** Consecutive broken answers after which a server is avoided. */
   std::uint32_t maxBrokenAnswers{ 3 };
   /** Bounds of the time after which a refused request may be retried: within
@@ -263,6 +267,8 @@
   Instant lastStartedAt{ Instant::min() };
   /** Choices of servers for requests to the service. */
   RecentCount choices;
+  /** Tokens of this thread's requests that pass from one zone to another. */
+  RecentCount zoneTokens;
   /** Choices per second of other hosts. */
   double remoteDemand{};
 };
@@ -285,6 +291,8 @@
 struct State
 {
   Settings settings;
+  /** Entry hosts that send requests to the servers. */
+  std::uint32_t hosts{ 1 };
   std::map<ServiceId, Group> groups;
   /** Statements of the servers in the roster; they outlive a configuration
    * without the server's service. */
