Apply the new choice only where requests of several priorities compete

Change: routing::RequestsCompete says from the routes' priorities whether the requests for a service compete; admission by urgency, shared rejections, waiting prompts, the heavier random weight and the bound on the link between zones apply only then.

--- a/benchmarks/choice_cluster.hpp
+++ b/benchmarks/choice_cluster.hpp
@@ -102,6 +102,10 @@
 {
   routing::Document document;
   document.services[kModel] = { .id = kModel, .engine = aProfile };
+  for (const std::uint32_t priority : { 0U, 1U }) {
+    document.routes.push_back(
+      { .priority = priority, .targets = { { kModel, 1 } } });
+  }
   fleet::State state{ .settings = { .zone = ZoneOf(aNumber) } };
   fleet::FollowRoster(state, aRoster, document);
   return state;
--- a/src/balsampoint/fleet/command/follow_roster.cpp
+++ b/src/balsampoint/fleet/command/follow_roster.cpp
@@ -1,6 +1,7 @@
 #include "balsampoint/fleet/command/follow_roster.hpp"
 
 #include "balsampoint/fleet/internal/cost.hpp"
+#include "balsampoint/routing/priorities.hpp"
 
 #include <set>
 #include <utility>
@@ -80,7 +81,9 @@
              const routing::Document& aDocument)
 {
   for (const auto& entry : aDocument.services) {
-    aState.groups[entry.first].engine = entry.second.engine;
+    auto& group = aState.groups[entry.first];
+    group.engine = entry.second.engine;
+    group.competing = routing::RequestsCompete(aDocument, entry.first);
   }
   std::erase_if(aState.groups, [&](const auto& aEntry) {
     return !aDocument.services.contains(aEntry.first);
--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -69,7 +69,7 @@
                                       aDemand.randomSample.value_or(0),
                                       aNow) }
     // A request whose servers have failed it takes any chain that is left.
-    , mMayChangeZone{ !aDemand.failed.empty() ||
+    , mMayChangeZone{ !aGroup.competing || !aDemand.failed.empty() ||
                       !internal::IsZoneLinkUsedUp(aState,
                                                   aGroup,
                                                   aEngine,
@@ -83,13 +83,16 @@
         continue;
       }
       const auto chance =
-        internal::ChanceAfterRejection(aState.settings, server, aNow);
+        aGroup.competing
+          ? internal::ChanceAfterRejection(aState.settings, server, aNow)
+          : 1.0;
       if (chance < 1.0 && random.NextUnit() >= chance) {
         continue;
       }
-      mServers.push_back({ &server,
-                           1.0 + Spread(server) * random.NextUnit(),
-                           internal::BacklogMs(mEngine, server) });
+      mServers.push_back(
+        { &server,
+          1.0 + Spread(server) * random.NextUnit(),
+          aGroup.competing ? internal::BacklogMs(mEngine, server) : 0.0 });
     }
     MarkBoundaries();
   }
@@ -232,6 +235,9 @@
     if (!mDemand.randomSample) {
       return 0.0;
     }
+    if (!mGroup.competing) {
+      return mSettings.spread;
+    }
     const auto fullness = std::min(1.0, Fullness(aServer, aServer.KvUsed()));
     return mSettings.spread + mSettings.fullSpread * fullness * fullness;
   }
@@ -319,9 +325,9 @@
     const bool sameZone = zone == before->claim.description.zone;
     // The link between zones is full at few such chains, so that even the
     // heaviest random weight of the servers in a zone must not outweigh it.
+    const auto weight = mGroup.competing ? 1.0 + mSettings.fullSpread : 1.0;
     const auto zoneChange =
-      mMayChangeZone ? mSettings.zoneChangeMs * (1.0 + mSettings.fullSpread)
-                     : kUnreachable;
+      mMayChangeZone ? mSettings.zoneChangeMs * weight : kUnreachable;
     return mSettings.hopMs + (sameZone ? 0.0 : zoneChange);
   }
 
@@ -366,7 +372,7 @@
                                std::uint32_t aLayers) const
   {
     const auto waiting = aServer.WaitingPrompt();
-    if (waiting <= 0.0) {
+    if (waiting <= 0.0 || !mGroup.competing) {
       return 0.0;
     }
     const auto typical = std::max(1.0, mEngine.meanPromptTokens);
@@ -385,7 +391,9 @@
   [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
   {
     const auto used = aServer.KvUsed() + mTokens * aLayers;
-    const auto limit = internal::FillLimit(mSettings, aServer, mNow);
+    const auto limit = mGroup.competing
+                         ? internal::FillLimit(mSettings, aServer, mNow)
+                         : mSettings.maxKvFraction;
     const auto room = aServer.kvCapacity * limit;
     // What less urgent requests leave free stays free below a lower limit too.
     const auto reserved =
--- a/src/balsampoint/fleet/query/make_local_usage.cpp
+++ b/src/balsampoint/fleet/query/make_local_usage.cpp
@@ -50,10 +50,11 @@
                               .passing = server.localWork.passing,
                               .sent = server.localWork.sent,
                               .kv = server.localWork.kv,
-                              .waitingPrompt = server.localWork.waitingPrompt,
-                              .rate = StatementOf(server, aNow),
-                              .rejection =
-                                RejectionBy(server, aState.settings, aNow) };
+                              .rate = StatementOf(server, aNow) };
+      if (group.competing) {
+        one.waitingPrompt = server.localWork.waitingPrompt;
+        one.rejection = RejectionBy(server, aState.settings, aNow);
+      }
       if (limited) {
         one.recent = server.sentRecently.Within(RecentCount::kLongest, aNow);
       }
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -262,6 +262,11 @@
 struct Group
 {
   std::optional<routing::EngineProfile> engine;
+  /** Whether the configuration has requests of several priorities compete for
+   * the servers (`routing::RequestsCompete`). Only then do waiting prompts,
+   * rejections that hosts report and the link between zones count, and does the
+   * random weight grow with the fill level. */
+  bool competing{ false };
   std::map<ServerId, Server> servers;
   /** When one of this thread's requests last had its first event. */
   Instant lastStartedAt{ Instant::min() };
--- a/src/balsampoint/limit/command/follow_demand.cpp
+++ b/src/balsampoint/limit/command/follow_demand.cpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/limit/internal/demand.hpp"
 #include "balsampoint/limit/internal/urgencies.hpp"
+#include "balsampoint/routing/priorities.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -45,7 +46,7 @@
   std::map<ServiceId, ServiceShortage> services;
   for (const auto& [id, service] : aDocument.services) {
     auto urgencies = internal::UrgenciesOf(aDocument, id);
-    if (!internal::SharesByUrgency(service, urgencies)) {
+    if (!routing::RequestsCompete(aDocument, id) || urgencies.size() < 2) {
       continue;
     }
     auto& kept = services[id];
--- a/src/balsampoint/limit/internal/urgencies.cpp
+++ b/src/balsampoint/limit/internal/urgencies.cpp
@@ -27,11 +27,4 @@
   return urgencies;
 }
 
-bool
-SharesByUrgency(const routing::Service& aService,
-                const std::set<Urgency>& aUrgencies)
-{
-  return aService.engine.has_value() && aUrgencies.size() > 1;
-}
-
 } // namespace balsampoint::limit::internal
--- a/test/balsampoint/fleet/fixture.hpp
+++ b/test/balsampoint/fleet/fixture.hpp
@@ -33,6 +33,12 @@
   routing::Document document;
   const ServiceId service{ "verse" };
   document.services[service] = { .id = service, .engine = engine };
+  // Requests of two priorities compete for the engines.
+  for (const std::uint32_t priority : { 0U, 1U }) {
+    document.routes.push_back({ .name = "r" + std::to_string(priority),
+                                .priority = priority,
+                                .targets = { { service, 1 } } });
+  }
   return document;
 }
 
--- a/test/balsampoint/fleet/query/choose_chain_test.cpp
+++ b/test/balsampoint/fleet/query/choose_chain_test.cpp
@@ -366,3 +366,17 @@
                  chain->hops.back().server.Value().front());
   }
 }
+
+// Guards against deployments whose requests are all of one priority being
+// served otherwise than before.
+Test(choose_chain, without_competing_requests_reports_change_nothing)
+{
+  auto state = MakeFleet({ MakeEngine("a1", "a", { 0, kLayers }),
+                           MakeEngine("a2", "a", { 0, kLayers }, "slow") });
+  state.groups.at(kService).competing = false;
+  auto& server = state.groups.at(kService).servers.at(ServerId{ "a1" });
+  server.remoteWork.waitingPrompt = 1e6;
+  server.remoteRejection = { kNow, 0.1 };
+  const auto chain = ChooseChain(state, SmallDemand(), kNow + 1ms);
+  cr_assert_eq(chain->hops.front().server, ServerId{ "a1" });
+}
