--- a/src/balsampoint/edge/connection_probes.cpp
+++ b/src/balsampoint/edge/connection_probes.cpp
@@ -64,8 +64,7 @@
   if (found == mPending.end()) {
     return;
   }
-  if (found->second.sentAt) {
-    // The server has reacted to what was sent.
+  if (found->second.sentAt && aSignal == ServerSignal::ResponseData) {
     OnResult(aKey, ProbeResult::Accepts);
     return;
   }
--- a/test/balsampoint/edge/connection_probes_test.cpp
+++ b/test/balsampoint/edge/connection_probes_test.cpp
@@ -39,6 +39,16 @@
     } };
   }
 
+  /** @brief Accepts one connection and resets it once bytes arrive on it. */
+  void ResetOnBytes()
+  {
+    mCut = std::thread{ [this] {
+      mAccepted.emplace(mAcceptor.accept());
+      mAccepted->wait(net::Tcp::socket::wait_read);
+      net::ResetConnection(*mAccepted);
+    } };
+  }
+
   ~Listener()
   {
     if (mCut.joinable()) {
@@ -134,3 +144,14 @@
   cr_expect(Probe(listener, ProbeProof::AcknowledgedAgain) ==
             ProbeResult::Silent);
 }
+
+// Guards against a host that finds its link up while what cuts it off resets
+// each connection at its first bytes: it took sound requests for ones that
+// crash servers.
+Test(connection_probes, a_reset_after_the_first_bytes_is_no_proof)
+{
+  Listener listener;
+  listener.ResetOnBytes();
+  cr_expect(Probe(listener, ProbeProof::AcknowledgedAgain) ==
+            ProbeResult::Refuses);
+}
