--- a/src/balsampoint/edge/connection_probes.hpp
+++ b/src/balsampoint/edge/connection_probes.hpp
@@ -8,8 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace balsampoint::edge {
@@ -21,26 +20,10 @@
   Accepts,
   /** It isn't established, or what stands before the server closes it. */
   Refuses,
-  /** It stands, and what was sent on it isn't acknowledged. */
-  Silent,
   /** The host that was to open it is at fault. */
   Unknown,
 };
 
-/** @brief What a probe has to show for a server to count as accepting. */
-enum class ProbeProof : std::uint8_t
-{
-  /** The connection stays open. */
-  Open,
-  /** It does, and bytes sent on it are acknowledged: the kernel, or something
-   * on the way, may accept connections on which nothing passes. Where the
-   * kernel doesn't tell, the open connection is enough. */
-  Acknowledged,
-  /** The same twice, a while apart: first bytes may still pass where the kernel
-   * accepts connections on behalf of what is cut off behind it. */
-  AcknowledgedAgain,
-};
-
 /**
  * @brief Tells servers that have crashed from those that only reset a
  * connection: a crashed one accepts no other, or what stands before it closes
@@ -64,33 +47,23 @@
    * @param aAddress IP address and port of the server.
    * @param aDetour Host that opens the connection; absent for this one.
    * @param aCallback Called once, later, with the result.
-   * @param aProof What the connection has to show.
    */
   void Probe(const std::string& aAddress,
              std::optional<DetourPath> aDetour,
-             Callback aCallback,
-             ProbeProof aProof = ProbeProof::Open);
+             Callback aCallback);
 
 private:
-  /** Address of the server, whether the probe goes through a detour, and what
-   * it has to show. */
-  using Key = std::tuple<std::string, bool, ProbeProof>;
+  /** Address of the server, and whether the probe goes through a detour. */
+  using Key = std::pair<std::string, bool>;
 
   struct Pending
   {
     std::shared_ptr<ServerConnection> connection;
     std::unique_ptr<net::Timer> timer;
     std::vector<Callback> callbacks;
-    /** When bytes were last sent that are to be acknowledged; absent before. */
-    std::optional<Instant> sentAt;
-    /** Bytes that are still to be sent. */
-    std::string_view unsent;
   };
 
   void OnSignal(const Key& aKey, ServerSignal aSignal);
-  void OnOpen(const Key& aKey);
-  void SendPart(const Key& aKey);
-  void AwaitAcknowledgement(const Key& aKey);
   void OnResult(const Key& aKey, ProbeResult aResult);
 
   boost::asio::io_context& mContext;
--- a/src/balsampoint/edge/link_watch.cpp
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -4,7 +4,6 @@
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/forget_failures.hpp"
 #include "balsampoint/reach/command/record_check.hpp"
-#include "balsampoint/reach/command/record_traffic.hpp"
 #include "balsampoint/reach/command/use_detours.hpp"
 #include "balsampoint/reach/query/check_due.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
@@ -53,8 +52,6 @@
 void
 LinkWatch::Poll()
 {
-  reach::RecordTraffic(
-    mTraffic.reach, mTraffic.pool.Evidence(), TrafficState::Now());
   if (mTraffic.servers &&
       reach::IsCheckDue(mTraffic.reach, TrafficState::Now())) {
     Check([](bool) {});
@@ -100,9 +97,7 @@
     mTraffic.loop.Post([this] { EndCheck(true); });
     return;
   }
-  do {
-    ProbeNext();
-  } while (reach::ChecksAllAtOnce(state) && !mReferences.empty());
+  ProbeNext();
 }
 
 void
@@ -111,14 +106,9 @@
   ++mPending;
   auto address = std::move(mReferences.back());
   mReferences.pop_back();
-  const auto proof = mTraffic.reach.link == reach::Link::Up
-                       ? ProbeProof::Acknowledged
-                       : ProbeProof::AcknowledgedAgain;
-  mTraffic.probes.Probe(
-    address,
-    {},
-    [this](ProbeResult aResult) { OnProbed(aResult == ProbeResult::Accepts); },
-    proof);
+  mTraffic.probes.Probe(address, {}, [this](ProbeResult aResult) {
+    OnProbed(aResult == ProbeResult::Accepts);
+  });
 }
 
 void
--- a/src/balsampoint/edge/link_watch.hpp
+++ b/src/balsampoint/edge/link_watch.hpp
@@ -22,9 +22,8 @@
  * connections through other hosts while it doesn't.
  *
  * A connection that fails doesn't tell a server that is down from a host that
- * is cut off, and one that stands may pass nothing. A check connects to other
- * servers and sends an empty line: to one of them at first, to several if that
- * one fails too.
+ * is cut off. A check connects to other servers: one of them at first, several
+ * if that one fails too.
  */
 class LinkWatch
 {
--- a/src/balsampoint/reach/fwd.hpp
+++ b/src/balsampoint/reach/fwd.hpp
@@ -6,7 +6,6 @@
  */
 namespace balsampoint::reach {
 
-struct ConnectionEvidence;
 struct Detour;
 struct Settings;
 struct State;
--- a/src/balsampoint/reach/query/check_due.hpp
+++ b/src/balsampoint/reach/query/check_due.hpp
@@ -6,9 +6,7 @@
 
 /**
  * @brief Whether a check is due without a failed connection: the link is down,
- * a server doesn't acknowledge what was sent to it, requests wait while no
- * server sends a byte, or no new connection has shown for a while that the link
- * is up.
+ * or no new connection has shown for a while that it is up.
  * @param aState State to read.
  * @param aNow Current time.
  */
@@ -23,14 +21,6 @@
 [[nodiscard]] bool
 MayCheck(const State& aState, Instant aNow);
 
-/**
- * @brief Whether a check connects to all its servers at once, not to one first:
- * several servers are silent.
- * @param aState State to read.
- */
-[[nodiscard]] bool
-ChecksAllAtOnce(const State& aState);
-
 /**
  * @brief Whether this host has shown lately that it reaches servers, so that
  * others may use it as a detour.
