Keep the linter's limits in the gateway and the driver of requests

Cause: the linter had not run on the merged headers: a constructor of over 40 lines, calls of mallopt, a loop by index over events that grow, an unused capture.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -193,6 +193,20 @@
         mSender.Route(seed.host, seed.address.Text());
       }
     }
+    Subscribe();
+    ObserveGroup();
+    if (aFirst.store) {
+      mRunners.Consensus().UseDisk(std::move(*aFirst.store));
+    }
+    for (const auto& action : aFirst.actions) {
+      mRunners.Run(action);
+    }
+    mControlThread = std::thread{ [this] { mLoop.Run(); } };
+  }
+
+  /** Passes on what the runners publish. */
+  void Subscribe()
+  {
     mRunners.Roster().PublishTo([this](auto aView) {
       const auto& topology = aView->topology;
       PostOrDrop(mMailbox,
@@ -214,14 +228,6 @@
         [this](const auto& aAlternative) { this->Execute(aAlternative); },
         aAction);
     });
-    ObserveGroup();
-    if (aFirst.store) {
-      mRunners.Consensus().UseDisk(std::move(*aFirst.store));
-    }
-    for (const auto& action : aFirst.actions) {
-      mRunners.Run(action);
-    }
-    mControlThread = std::thread{ [this] { mLoop.Run(); } };
   }
 
   void ObserveGroup()
--- a/src/balsampoint/daemon/run_gateway.hpp
+++ b/src/balsampoint/daemon/run_gateway.hpp
@@ -65,9 +65,10 @@
 {
   constexpr int kOwnPagesBytes = 128 * 1024;
   constexpr int kHeaps = 2;
-  mallopt(M_MMAP_THRESHOLD, kOwnPagesBytes);
-  mallopt(M_TRIM_THRESHOLD, kOwnPagesBytes);
-  mallopt(M_ARENA_MAX, kHeaps);
+  // Called before any other thread starts.
+  mallopt(M_MMAP_THRESHOLD, kOwnPagesBytes); // NOLINT(concurrency-mt-unsafe)
+  mallopt(M_TRIM_THRESHOLD, kOwnPagesBytes); // NOLINT(concurrency-mt-unsafe)
+  mallopt(M_ARENA_MAX, kHeaps);              // NOLINT(concurrency-mt-unsafe)
 }
 
 /**
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -101,15 +102,15 @@
     if (std::exchange(mHandling, true)) {
       return;
     }
-    for (std::size_t next = 0; next < mEvents.size(); ++next) {
-      const auto event = std::move(mEvents[next]);
+    while (!mEvents.empty()) {
+      const auto event = std::move(mEvents.front());
+      mEvents.pop_front();
       mActions.clear();
       HandleEvent(mState, event, mSurroundings, mActions);
       for (const auto& action : mActions) {
-        std::visit([this](const auto& aAction) { Run(aAction); }, action);
+        std::visit([this](const auto& aAction) { this->Run(aAction); }, action);
       }
     }
-    mEvents.clear();
     mHandling = false;
   }
 
@@ -270,7 +271,7 @@
   exchange::State mState;
   ExchangeIo<D, Caller> mIo;
   ExchangeSurroundings mSurroundings;
-  std::vector<exchange::Event> mEvents;
+  std::deque<exchange::Event> mEvents;
   std::vector<exchange::Action> mActions;
   /** Whether an event is being handled. */
   bool mHandling{ false };
--- a/src/balsampoint/edge/exchange_io.hpp
+++ b/src/balsampoint/edge/exchange_io.hpp
@@ -41,6 +41,7 @@
    */
   ExchangeIo(TrafficState& aTraffic,
              std::shared_ptr<Caller> aCaller,
+             // NOLINTNEXTLINE(performance-unnecessary-value-param)
              IncomingRequest aRequest,
              const exchange::State& aState)
     : SharedActions{ aTraffic }
