Handle later events of a request after an exception in one of them

Cause: the driver marked itself as handling and cleared the mark only at the normal end, so an exception in one handler, which the loop survives, would have left the request deaf to its deadline and to its caller's disconnect.

Change: the mark is cleared by a guard.

--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -102,6 +102,10 @@
     if (std::exchange(mHandling, true)) {
       return;
     }
+    // An exception ends one handler; later events, such as the deadline, must
+    // still be handled.
+    const std::unique_ptr<bool, decltype([](bool* aFlag) { *aFlag = false; })>
+      handling{ &mHandling };
     while (!mEvents.empty()) {
       const auto event = std::move(mEvents.front());
       mEvents.pop_front();
@@ -111,7 +115,6 @@
         std::visit([this](const auto& aAction) { this->Run(aAction); }, action);
       }
     }
-    mHandling = false;
   }
 
   /** Runs an action that causes no event. */
