--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -96,9 +96,9 @@
 
   /** Handles an event. One that an action causes at once is handled after the
    * other actions. */
-  void Feed(exchange::Event aEvent)
+  void Feed(const exchange::Event& aEvent)
   {
-    mEvents.push_back(std::move(aEvent));
+    mEvents.push_back(aEvent);
     if (std::exchange(mHandling, true)) {
       return;
     }
--- a/src/balsampoint/fleet/command/track_work.cpp
+++ b/src/balsampoint/fleet/command/track_work.cpp
@@ -45,6 +45,24 @@
     std::max(0.0, waiting - aReservation.promptTokens * aHop.layers.Size());
 }
 
+/**
+ * @brief Avoids a server that rejected a request because it is full. Concurrent
+ * requests that are all refused count as one refusal.
+ */
+void
+ApplyRejection(const Settings& aSettings, Server& aServer, Instant aNow)
+{
+  if (aServer.fullUntil <= aNow) {
+    aServer.fullUntil = aNow + Backoff(aSettings.fullAvoidance,
+                                       aSettings.longestFullAvoidance,
+                                       aServer.refusals);
+    ++aServer.refusals;
+  }
+  if (aServer.kvCapacity > 0.0) {
+    aServer.localRejection = { aNow, aServer.KvUsed() / aServer.kvCapacity };
+  }
+}
+
 void
 ApplyOutcome(const Settings& aSettings,
              Server& aServer,
@@ -65,17 +83,7 @@
       aServer.returning = false;
       break;
     case RequestOutcome::Full:
-      // Concurrent requests that are all refused count as one refusal.
-      if (aServer.fullUntil <= aNow) {
-        aServer.fullUntil = aNow + Backoff(aSettings.fullAvoidance,
-                                           aSettings.longestFullAvoidance,
-                                           aServer.refusals);
-        ++aServer.refusals;
-      }
-      if (aServer.kvCapacity > 0.0) {
-        aServer.localRejection = { aNow,
-                                   aServer.KvUsed() / aServer.kvCapacity };
-      }
+      ApplyRejection(aSettings, aServer, aNow);
       break;
     case RequestOutcome::Unreachable:
       ExtendUntil(aServer.unreachableUntil,
--- a/src/balsampoint/fleet/query/predict_first_event.cpp
+++ b/src/balsampoint/fleet/query/predict_first_event.cpp
@@ -3,6 +3,7 @@
 #include "balsampoint/fleet/internal/cost.hpp"
 
 #include <chrono>
+#include <ranges>
 
 namespace balsampoint::fleet {
 
@@ -12,22 +13,25 @@
                   double aPromptTokens)
 {
   const auto group = aState.groups.find(aService);
-  if (group == aState.groups.end() || !group->second.engine) {
+  if (group == aState.groups.end()) {
+    return {};
+  }
+  const auto& engine = group->second.engine;
+  if (!engine) {
     return {};
   }
-  const auto& engine = *group->second.engine;
   double servers = 0.0;
   double sumMs = 0.0;
-  for (const auto& [id, server] : group->second.servers) {
+  for (const auto& server : std::views::values(group->second.servers)) {
     if (!server.ready || !server.claim.description.layers) {
       continue;
     }
     servers += 1.0;
     sumMs +=
       internal::ReadMs(
-        engine, server.readFactor, engine.layers, aPromptTokens) +
+        *engine, server.readFactor, engine->layers, aPromptTokens) +
       internal::PassMs(
-        engine, server.stepFactor, engine.layers, server.Passing() + 1.0);
+        *engine, server.stepFactor, engine->layers, server.Passing() + 1.0);
   }
   const std::chrono::duration<double, std::milli> mean{ servers > 0.0
                                                           ? sumMs / servers
--- a/src/balsampoint/peer/receiver.cpp
+++ b/src/balsampoint/peer/receiver.cpp
@@ -117,6 +117,8 @@
   /** Closes the connection to release its bytes. */
   void Release()
   {
+    // The listener drops the last reference while the connection ends.
+    const auto self = shared_from_this();
     static_cast<void>(Reject("incomplete calls take too many bytes"));
     End();
   }
@@ -237,8 +239,7 @@
         return aConnection->Holder() == action.holder;
       });
     if (found != mConnections.end()) {
-      const auto connection = *found;
-      connection->Release();
+      (*found)->Release();
     }
   }
 }
