--- a/src/balsampoint/edge/link_watch.cpp
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/forget_failures.hpp"
 #include "balsampoint/reach/command/record_check.hpp"
+#include "balsampoint/reach/command/record_traffic.hpp"
 #include "balsampoint/reach/command/use_detours.hpp"
 #include "balsampoint/reach/query/check_due.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
@@ -52,6 +53,8 @@
 void
 LinkWatch::Poll()
 {
+  reach::RecordTraffic(
+    mTraffic.reach, mTraffic.pool.Evidence(), TrafficState::Now());
   if (mTraffic.servers &&
       reach::IsCheckDue(mTraffic.reach, TrafficState::Now())) {
     Check([](bool) {});
@@ -82,8 +85,10 @@
   }
   auto& state = mTraffic.reach;
   const auto& settings = state.settings;
-  reach::BeginCheck(state, TrafficState::Now());
-  mReached = false;
+  const auto now = TrafficState::Now();
+  mProof = reach::NeededProof(state, now);
+  reach::BeginCheck(state, now);
+  mResult = reach::CheckResult::Refused;
   mReferences.clear();
   if (mTraffic.servers) {
     mReferences = reach::ChooseReferences(mTraffic.servers->servers,
@@ -94,10 +99,13 @@
   }
   if (mReferences.empty()) {
     // Without servers nothing can be shown.
-    mTraffic.loop.Post([this] { EndCheck(true); });
+    mResult = reach::CheckResult::Reached;
+    mTraffic.loop.Post([this] { EndCheck(); });
     return;
   }
-  ProbeNext();
+  do {
+    ProbeNext();
+  } while (reach::ChecksAllAtOnce(state) && !mReferences.empty());
 }
 
 void
@@ -106,37 +114,42 @@
   ++mPending;
   auto address = std::move(mReferences.back());
   mReferences.pop_back();
-  mTraffic.probes.Probe(address, {}, [this](ProbeResult aResult) {
-    OnProbed(aResult == ProbeResult::Accepts);
-  });
+  mTraffic.probes.Probe(
+    address, {}, [this](ProbeResult aResult) { OnProbed(aResult); }, mProof);
 }
 
 void
-LinkWatch::OnProbed(bool aReached)
+LinkWatch::OnProbed(ProbeResult aResult)
 {
   --mPending;
-  mReached = mReached || aReached;
-  if (!mReached && !mReferences.empty()) {
+  if (aResult == ProbeResult::Accepts) {
+    mResult = reach::CheckResult::Reached;
+  } else if (aResult == ProbeResult::Silent &&
+             mResult == reach::CheckResult::Refused) {
+    mResult = reach::CheckResult::Silent;
+  }
+  if (mResult != reach::CheckResult::Reached && !mReferences.empty()) {
     while (!mReferences.empty()) {
       ProbeNext();
     }
     return;
   }
   if (mPending == 0) {
-    EndCheck(mReached);
+    EndCheck();
   }
 }
 
 void
-LinkWatch::EndCheck(bool aReached)
+LinkWatch::EndCheck()
 {
   mChecking = false;
   if (mTraffic.servers && !mTraffic.servers->servers.empty() &&
-      reach::RecordCheck(mTraffic.reach, aReached, TrafficState::Now())) {
+      reach::RecordCheck(mTraffic.reach, mResult, TrafficState::Now())) {
     OnLinkChanged();
   }
+  const bool reached = mResult == reach::CheckResult::Reached;
   for (const auto& callback : std::exchange(mCallbacks, {})) {
-    callback(aReached);
+    callback(reached);
   }
 }
 
--- a/src/balsampoint/edge/link_watch.hpp
+++ b/src/balsampoint/edge/link_watch.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "balsampoint/edge/connection_probes.hpp"
 #include "balsampoint/edge/detour_path.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/reach/detour.hpp"
+#include "balsampoint/reach/proof.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -22,8 +24,9 @@
  * connections through other hosts while it doesn't.
  *
  * A connection that fails doesn't tell a server that is down from a host that
- * is cut off. A check connects to other servers: one of them at first, several
- * if that one fails too.
+ * is cut off, and one that stands may pass nothing. A check connects to other
+ * servers and sends an empty line: to one of them at first, to several if that
+ * one fails too.
  */
 class LinkWatch
 {
@@ -85,8 +88,8 @@
 private:
   void Poll();
   void ProbeNext();
-  void OnProbed(bool aReached);
-  void EndCheck(bool aReached);
+  void OnProbed(ProbeResult aResult);
+  void EndCheck();
   void OnLinkChanged();
 
   TrafficState& mTraffic;
@@ -101,7 +104,9 @@
   std::vector<std::string> mReferences;
   /** Connections of the check that have no result yet. */
   std::size_t mPending{};
-  bool mReached{ false };
+  /** What the connections of the check have to show, and have shown so far. */
+  reach::Proof mProof{ reach::Proof::Open };
+  reach::CheckResult mResult{ reach::CheckResult::Refused };
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -136,6 +136,7 @@
     mParser.ExpectNoBody();
   }
   mAwaitingResponse = true;
+  mSentAt = runtime::SteadyClock::Now();
   mWriting = true;
   mSending = std::move(aRequest.bytes);
   if (mDetour) {
@@ -195,6 +196,30 @@
          mParser.Response().keepAlive;
 }
 
+std::optional<net::AckState>
+ServerConnection::Acknowledgement()
+{
+  return mDetour || !Established() ? std::nullopt : net::ReadAckState(mSocket);
+}
+
+std::optional<reach::ConnectionEvidence>
+ServerConnection::Evidence()
+{
+  if (mDetour || !Established() || !mAwaitingResponse) {
+    return std::nullopt;
+  }
+  reach::ConnectionEvidence evidence{ .server = mAddress,
+                                      .sentAt = mSentAt,
+                                      .readAt = mLastReadAt };
+  // The kernel is asked only while nothing of the answer has arrived.
+  if (mLastReadAt < mSentAt) {
+    const auto state = net::ReadAckState(mSocket).value_or(net::AckState{});
+    evidence.unacknowledged = state.unacknowledged;
+    evidence.sinceAck = state.sinceAck;
+  }
+  return evidence;
+}
+
 void
 ServerConnection::MarkIdle()
 {
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -6,6 +6,7 @@
 #include "balsampoint/edge/memory_account.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/net/socket.hpp"
+#include "balsampoint/reach/connection_evidence.hpp"
 #include "balsampoint/wire/parser.hpp"
 
 #include <array>
@@ -154,6 +155,14 @@
   /** @brief When bytes of the server were last read. */
   [[nodiscard]] Instant LastReadAt() const noexcept { return mLastReadAt; }
 
+  /** @brief What the kernel knows of the bytes sent; nothing if it doesn't
+   * tell, or if another host opens the connection. */
+  [[nodiscard]] std::optional<net::AckState> Acknowledgement();
+
+  /** @brief What the request in progress shows of the link of this host;
+   * nothing if there is none, or if another host opens the connection. */
+  [[nodiscard]] std::optional<reach::ConnectionEvidence> Evidence();
+
   /** @brief Marks the connection as idle and detaches the observer. */
   void MarkIdle();
 
@@ -207,6 +216,7 @@
   std::string mSending;
   std::string mDetourRequest;
   std::chrono::steady_clock::time_point mIdleSince;
+  Instant mSentAt{ Instant::min() };
   Instant mLastReadAt{ Instant::min() };
   Duration mIdleTimeout;
   /** Hashes of the ids of all requests sent. */
--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -127,6 +127,25 @@
   });
 }
 
+std::vector<reach::ConnectionEvidence>
+ServerPool::Evidence() const
+{
+  std::vector<reach::ConnectionEvidence> found;
+  for (const auto& [address, connections] : mMade) {
+    for (const auto& one : connections) {
+      const auto connection = one.lock();
+      if (!connection) {
+        continue;
+      }
+      if (auto evidence = connection->Evidence()) {
+        evidence->server = address;
+        found.push_back(*evidence);
+      }
+    }
+  }
+  return found;
+}
+
 std::size_t
 ServerPool::IdleCount() const
 {
--- a/src/balsampoint/net/socket.cpp
+++ b/src/balsampoint/net/socket.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <chrono>
+#include <cstddef>
 #include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
@@ -102,6 +103,26 @@
   SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+std::optional<AckState>
+ReadAckState([[maybe_unused]] Tcp::socket& aSocket)
+{
+#ifdef TCP_INFO
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  // A kernel with a shorter structure doesn't fill in the field.
+  constexpr auto kNeeded = offsetof(tcp_info, tcpi_last_ack_recv) +
+                           sizeof(tcp_info::tcpi_last_ack_recv);
+  if (getsockopt(
+        aSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+      size >= kNeeded) {
+    return AckState{ .unacknowledged = info.tcpi_unacked > 0,
+                     .sinceAck =
+                       std::chrono::milliseconds{ info.tcpi_last_ack_recv } };
+  }
+#endif
+  return std::nullopt;
+}
+
 void
 ResetConnection(Tcp::socket& aSocket)
 {
--- a/src/balsampoint/net/socket.hpp
+++ b/src/balsampoint/net/socket.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/core/time.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -57,6 +58,23 @@
 void
 ConfigureSocket(Tcp::socket& aSocket, Duration aAckTimeout);
 
+/** @brief What the kernel knows of the bytes sent on a connection. */
+struct AckState
+{
+  /** Whether the peer has yet to acknowledge any of them. */
+  bool unacknowledged{ false };
+  /** Time since the last acknowledgement, with or without data. */
+  Duration sinceAck{};
+};
+
+/**
+ * @brief Reads what the kernel knows of the bytes sent on a connection.
+ * @param aSocket Established socket.
+ * @return Nothing where the kernel doesn't tell (`TCP_INFO`).
+ */
+[[nodiscard]] std::optional<AckState>
+ReadAckState(Tcp::socket& aSocket);
+
 /**
  * @brief Closes a socket with a TCP reset, which shows the peer that the
  * response is incomplete.
--- a/src/balsampoint/reach/command/record_check.cpp
+++ b/src/balsampoint/reach/command/record_check.cpp
@@ -9,10 +9,11 @@
 /** @brief The link that follows from a check, and the number of successful
  * checks in a row. */
 Link
-Judge(State& aState, bool aReached)
+Judge(State& aState, CheckResult aResult)
 {
-  if (!aReached) {
+  if (aResult != CheckResult::Reached) {
     aState.successes = 0;
+    aState.silent = aState.silent || aResult == CheckResult::Silent;
     return Link::Down;
   }
   if (aState.link == Link::Up) {
@@ -37,16 +38,17 @@
 }
 
 bool
-RecordCheck(State& aState, bool aReached, Instant aNow)
+RecordCheck(State& aState, CheckResult aResult, Instant aNow)
 {
-  if (aReached) {
+  if (aResult == CheckResult::Reached) {
     RecordConnected(aState, aNow);
   }
-  const auto link = Judge(aState, aReached);
+  const auto link = Judge(aState, aResult);
   if (std::exchange(aState.link, link) == link) {
     return false;
   }
   aState.successes = 0;
+  aState.silent = aState.silent && link == Link::Down;
   aState.changedAt = aNow;
   return true;
 }
--- a/src/balsampoint/reach/command/record_check.hpp
+++ b/src/balsampoint/reach/command/record_check.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsampoint/reach/proof.hpp"
 #include "balsampoint/reach/state.hpp"
 
 namespace balsampoint::reach {
@@ -23,11 +24,11 @@
 /**
  * @brief Records the result of a check, which may change the link.
  * @param aState State to change.
- * @param aReached Whether any server of the check kept its connection open.
+ * @param aResult What the connections of the check have shown.
  * @param aNow Current time.
  * @return Whether the link has changed.
  */
 [[nodiscard]] bool
-RecordCheck(State& aState, bool aReached, Instant aNow);
+RecordCheck(State& aState, CheckResult aResult, Instant aNow);
 
 } // namespace balsampoint::reach
--- a/src/balsampoint/reach/fwd.hpp
+++ b/src/balsampoint/reach/fwd.hpp
@@ -6,6 +6,7 @@
  */
 namespace balsampoint::reach {
 
+struct ConnectionEvidence;
 struct Detour;
 struct Settings;
 struct State;
--- a/src/balsampoint/reach/query/check_due.cpp
+++ b/src/balsampoint/reach/query/check_due.cpp
@@ -11,6 +11,20 @@
   return aSince == Instant::min() || aNow - aSince >= aTime;
 }
 
+/** @brief Whether requests wait and no server has sent a byte since, nor has a
+ * check shown lately that servers acknowledge what they are sent. */
+bool
+IsQuiet(const State& aState, Instant aNow)
+{
+  if (!aState.awaitedSince) {
+    return false;
+  }
+  const auto quietTime = aState.settings.quietTime;
+  return HasPassed(*aState.awaitedSince, quietTime, aNow) &&
+         HasPassed(aState.heardAt, quietTime, aNow) &&
+         HasPassed(aState.checkedAt, quietTime, aNow);
+}
+
 } // namespace
 
 bool
@@ -26,11 +40,28 @@
     return false;
   }
   const auto& settings = aState.settings;
-  return aState.link == Link::Down ||
+  return aState.link == Link::Down || aState.silentServers > 0 ||
+         IsQuiet(aState, aNow) ||
          (HasPassed(aState.connectedAt, settings.idleCheckInterval, aNow) &&
           HasPassed(aState.checkedAt, settings.idleCheckInterval, aNow));
 }
 
+Proof
+NeededProof(const State& aState, Instant aNow)
+{
+  if (aState.link == Link::Down) {
+    return aState.silent ? Proof::AcknowledgedAgain : Proof::Open;
+  }
+  return aState.silentServers > 0 || IsQuiet(aState, aNow) ? Proof::Acknowledged
+                                                           : Proof::Open;
+}
+
+bool
+ChecksAllAtOnce(const State& aState)
+{
+  return aState.silentServers > 1;
+}
+
 bool
 ReachesServers(const State& aState, Instant aNow)
 {
--- a/src/balsampoint/reach/query/check_due.hpp
+++ b/src/balsampoint/reach/query/check_due.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "balsampoint/reach/proof.hpp"
 #include "balsampoint/reach/state.hpp"
 
 namespace balsampoint::reach {
 
 /**
  * @brief Whether a check is due without a failed connection: the link is down,
- * or no new connection has shown for a while that it is up.
+ * a server doesn't acknowledge what was sent to it, requests wait while no
+ * server sends a byte, or no new connection has shown for a while that the link
+ * is up.
  * @param aState State to read.
  * @param aNow Current time.
  */
@@ -21,6 +24,23 @@
 [[nodiscard]] bool
 MayCheck(const State& aState, Instant aNow);
 
+/**
+ * @brief What the connections of a check have to show. Acknowledgements take
+ * time, so they are needed only where connections stand and pass nothing.
+ * @param aState State to read.
+ * @param aNow Current time.
+ */
+[[nodiscard]] Proof
+NeededProof(const State& aState, Instant aNow);
+
+/**
+ * @brief Whether a check connects to all its servers at once, not to one first:
+ * several servers are silent.
+ * @param aState State to read.
+ */
+[[nodiscard]] bool
+ChecksAllAtOnce(const State& aState);
+
 /**
  * @brief Whether this host has shown lately that it reaches servers, so that
  * others may use it as a detour.
--- a/src/balsampoint/reach/state.hpp
+++ b/src/balsampoint/reach/state.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,13 @@
 struct Settings
 {
   ZoneId zone;
+  /** Time that sent bytes may stay unacknowledged before the connection counts
+   * as silent: several times the latency between regions. The kernel
+   * acknowledges for a slow server. */
+  Duration ackTimeout{ std::chrono::milliseconds{ 100 } };
+  /** Time for which requests may wait, while no server sends a byte, before the
+   * link is checked. */
+  Duration quietTime{ std::chrono::milliseconds{ 300 } };
   /** Servers that one check of the link connects to. */
   std::size_t checkedServers{ 4 };
   /** The same while the link is down, when one that answers is enough. */
@@ -39,7 +47,8 @@
 enum class Link : std::uint8_t
 {
   Up,
-  /** No server that was tried keeps a new connection open. */
+  /** No server that was tried keeps a new connection open and acknowledges what
+   * is sent on it. */
   Down,
 };
 
@@ -62,6 +71,16 @@
   Instant connectedAt{ Instant::min() };
   /** When the last check was started. */
   Instant checkedAt{ Instant::min() };
+  /** When any server last sent a byte to this host. */
+  Instant heardAt{ Instant::min() };
+  /** When the oldest request without a byte of its answer was sent; absent if
+   * there is none. */
+  std::optional<Instant> awaitedSince;
+  /** Servers that don't acknowledge what was sent to them. */
+  std::size_t silentServers{};
+  /** Whether connections that passed nothing have shown that the link is down.
+   */
+  bool silent{ false };
   /** Successful checks in a row since the link went down. */
   std::uint32_t successes{};
   /** Hosts that say that they reach servers. */
--- a/test/balsampoint/reach/reach_test.cpp
+++ b/test/balsampoint/reach/reach_test.cpp
@@ -1,4 +1,5 @@
 #include "balsampoint/reach/command/record_check.hpp"
+#include "balsampoint/reach/command/record_traffic.hpp"
 #include "balsampoint/reach/command/use_detours.hpp"
 #include "balsampoint/reach/query/check_due.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
@@ -23,7 +24,7 @@
 DownState()
 {
   State state{ .settings = { .zone = ZoneId{ "a" } } };
-  static_cast<void>(RecordCheck(state, false, kNow));
+  static_cast<void>(RecordCheck(state, CheckResult::Refused, kNow));
   return state;
 }
 
@@ -49,13 +50,13 @@
 Test(reach, a_link_is_down_after_one_failed_check_and_up_after_two_good_ones)
 {
   State state;
-  cr_assert_not(RecordCheck(state, true, kNow));
-  cr_assert(RecordCheck(state, false, kNow));
+  cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
+  cr_assert(RecordCheck(state, CheckResult::Refused, kNow));
   cr_assert_eq(state.link, Link::Down);
-  cr_assert_not(RecordCheck(state, true, kNow));
-  cr_assert_not(RecordCheck(state, false, kNow));
-  cr_assert_not(RecordCheck(state, true, kNow));
-  cr_assert(RecordCheck(state, true, kNow));
+  cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
+  cr_assert_not(RecordCheck(state, CheckResult::Refused, kNow));
+  cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
+  cr_assert(RecordCheck(state, CheckResult::Reached, kNow));
   cr_assert_eq(state.link, Link::Up);
 }
 
@@ -64,7 +65,7 @@
   State state;
   cr_assert(IsCheckDue(state, kNow));
   BeginCheck(state, kNow);
-  cr_assert_not(RecordCheck(state, true, kNow));
+  cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
   cr_assert_not(IsCheckDue(state, kNow + 900ms));
   cr_assert_not(MayCheck(state, kNow + 100ms));
   cr_assert(MayCheck(state, kNow + 200ms));
@@ -72,10 +73,79 @@
   RecordConnected(state, kNow + 900ms);
   cr_assert_not(IsCheckDue(state, kNow + 1s));
   BeginCheck(state, kNow + 2s);
-  cr_assert(RecordCheck(state, false, kNow + 2s));
+  cr_assert(RecordCheck(state, CheckResult::Refused, kNow + 2s));
   cr_assert(IsCheckDue(state, kNow + 2200ms));
 }
 
+// Guards against a host that trusts connections that stand and pass nothing.
+Test(reach, bytes_without_acknowledgement_make_a_check_due)
+{
+  State state;
+  BeginCheck(state, kNow);
+  cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
+  const std::array silent{
+    ConnectionEvidence{ "one", kNow, Instant::min(), true, 10s },
+    ConnectionEvidence{ "two", kNow + 50ms, kNow - 1s, true, 10s }
+  };
+  RecordTraffic(state, silent, kNow + 99ms);
+  cr_expect_not(IsCheckDue(state, kNow + 200ms));
+  RecordTraffic(state, silent, kNow + 100ms);
+  cr_expect(IsCheckDue(state, kNow + 200ms));
+  cr_expect_not(ChecksAllAtOnce(state));
+  RecordTraffic(state, silent, kNow + 150ms);
+  cr_expect(ChecksAllAtOnce(state));
+  RecordTraffic(state, {}, kNow + 200ms);
+  cr_expect_not(IsCheckDue(state, kNow + 200ms));
+}
+
+// Guards against a check that waits for acknowledgements where connections are
+// refused or reset, so that the host finds late that its link is down, and
+// against one that trusts open connections where they pass nothing.
+Test(reach, acknowledgements_are_needed_only_where_connections_stand)
+{
+  State state;
+  cr_expect(NeededProof(state, kNow) == Proof::Open);
+  cr_assert(RecordCheck(state, CheckResult::Refused, kNow));
+  cr_expect(NeededProof(state, kNow) == Proof::Open);
+  cr_assert_not(RecordCheck(state, CheckResult::Silent, kNow));
+  cr_expect(NeededProof(state, kNow) == Proof::AcknowledgedAgain);
+  cr_assert_not(RecordCheck(state, CheckResult::Refused, kNow));
+  cr_expect(NeededProof(state, kNow) == Proof::AcknowledgedAgain);
+  cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
+  cr_expect(NeededProof(state, kNow) == Proof::AcknowledgedAgain);
+  cr_assert(RecordCheck(state, CheckResult::Reached, kNow));
+  cr_expect(NeededProof(state, kNow) == Proof::Open);
+  RecordTraffic(
+    state,
+    std::array{ ConnectionEvidence{ "one", kNow, Instant::min(), true, 10s } },
+    kNow + 100ms);
+  cr_expect(NeededProof(state, kNow + 100ms) == Proof::Acknowledged);
+}
+
+// Guards against slow servers that are taken for a lost link: their kernel
+// acknowledges, so they cost at most a check in each quiet time.
+Test(reach, a_slow_server_that_acknowledges_is_not_silent)
+{
+  State state;
+  BeginCheck(state, kNow);
+  cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
+  const std::array slow{
+    ConnectionEvidence{ "one", kNow, Instant::min(), false, 10s },
+    ConnectionEvidence{ "two", kNow, Instant::min(), true, 20ms }
+  };
+  RecordTraffic(state, slow, kNow + 250ms);
+  cr_expect_eq(state.silentServers, 0);
+  cr_expect_not(IsCheckDue(state, kNow + 250ms));
+  cr_expect(IsCheckDue(state, kNow + 300ms));
+  BeginCheck(state, kNow + 300ms);
+  cr_expect_not(IsCheckDue(state, kNow + 500ms));
+  const std::array others{
+    slow[0], ConnectionEvidence{ "three", kNow, kNow + 500ms, false, {} }
+  };
+  RecordTraffic(state, others, kNow + 600ms);
+  cr_expect_not(IsCheckDue(state, kNow + 700ms));
+}
+
 // A host that has not shown that it reaches servers must not be named as a
 // detour.
 Test(reach, only_a_host_with_a_recent_connection_reaches_servers)
@@ -85,7 +155,7 @@
   RecordConnected(state, kNow);
   cr_assert(ReachesServers(state, kNow + 1400ms));
   cr_assert_not(ReachesServers(state, kNow + 1500ms));
-  cr_assert(RecordCheck(state, false, kNow + 1s));
+  cr_assert(RecordCheck(state, CheckResult::Refused, kNow + 1s));
   cr_assert_not(ReachesServers(state, kNow + 1s));
 }
 
@@ -95,7 +165,7 @@
   const std::array detours{ MakeDetour("a", "one") };
   SetDetours(state, detours, kNow);
   cr_assert_not(ChooseDetour(state, ZoneId{ "a" }, 0, kNow).has_value());
-  cr_assert(RecordCheck(state, false, kNow));
+  cr_assert(RecordCheck(state, CheckResult::Refused, kNow));
   cr_assert_eq(ChooseDetour(state, ZoneId{ "a" }, 0, kNow)->address, "one");
   // The list has expired.
   cr_assert_not(ChooseDetour(state, ZoneId{ "a" }, 0, kNow + 5s).has_value());
--- a/test/platform/detour_test.cpp
+++ b/test/platform/detour_test.cpp
@@ -158,8 +158,8 @@
     traffic.servers = MakeView();
     fleet::FollowRoster(traffic.fleet, *traffic.servers, document);
     traffic.links.SetSecret(kSecret);
-    cr_assert(
-      reach::RecordCheck(traffic.reach, false, edge::TrafficState::Now()));
+    cr_assert(reach::RecordCheck(
+      traffic.reach, reach::CheckResult::Refused, edge::TrafficState::Now()));
     traffic.links.SetDetours(aDetours);
     cr_assert(entry.Listen(kEntry).has_value());
   }
@@ -355,8 +355,9 @@
   cr_assert_eq(ask(other, edge::DetourToken(kSecret, other)), "HTTP/1.1 404");
   // Never through two hosts.
   RunOn(neighbor.loop, [&] {
-    cr_assert(reach::RecordCheck(
-      neighbor.traffic.reach, false, edge::TrafficState::Now()));
+    cr_assert(reach::RecordCheck(neighbor.traffic.reach,
+                                 reach::CheckResult::Refused,
+                                 edge::TrafficState::Now()));
   });
   cr_assert_eq(ask(kServer, edge::DetourToken(kSecret, kServer)),
                "HTTP/1.1 503");
