Explain the admission under shortage in route-of

Cause: route-of chose servers without the level of the request's urgency, so that it named a chain for requests that the traffic refuses or lets wait.

Change: limit::Explain gives the level that the request draws, what it rests on, and whether the request would wait; ExplainRouting chooses within that level, by the request that MakeRoomRequest describes for the traffic as well. route-of takes the id of the request, which draws the level.

--- a/src/balsampoint/cli/main.cpp
+++ b/src/balsampoint/cli/main.cpp
@@ -55,6 +55,10 @@
           fingerprint,
           "",
           "Hash of the request as logs name it (route-of).");
+ABSL_FLAG(std::string,
+          request_id,
+          "",
+          "Id of the request, which draws its fill level (route-of).");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(30), "Limit on waiting.");
 
 namespace {
@@ -178,7 +182,7 @@
            } },
   Command{ "route-of",
            "route-of PATH --host_name NAME [--workspace ID] [--prompt_tokens "
-           "N] [--answer_tokens N] [--fingerprint HASH]",
+           "N] [--answer_tokens N] [--fingerprint HASH] [--request_id ID]",
            "Shows where an entry host would send a request now and why, "
            "without sending it.",
            1,
@@ -271,7 +275,8 @@
                { "workspace", absl::GetFlag(FLAGS_workspace) },
                { "prompt_tokens", absl::GetFlag(FLAGS_prompt_tokens) },
                { "answer_tokens", absl::GetFlag(FLAGS_answer_tokens) },
-               { "fingerprint", absl::GetFlag(FLAGS_fingerprint) } },
+               { "fingerprint", absl::GetFlag(FLAGS_fingerprint) },
+               { "request_id", absl::GetFlag(FLAGS_request_id) } },
     .timeout = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_timeout))
   };
 }
--- a/src/balsampoint/daemon/routing_query.cpp
+++ b/src/balsampoint/daemon/routing_query.cpp
@@ -55,6 +55,8 @@
     parameters.host = aValue;
   } else if (aName == "workspace") {
     aQuestion.workspace = WorkspaceId{ aValue };
+  } else if (aName == "request_id") {
+    parameters.id = RequestId{ aValue };
   } else if (aName == "fingerprint") {
     aQuestion.fingerprint = aValue;
   } else if (aName == "prompt_tokens" || aName == "answer_tokens") {
@@ -140,6 +142,26 @@
                                          : Json(aCandidate.excluded) } };
 }
 
+/** @brief What the verdict of the admission under shortage rests on. */
+void
+AppendShortage(const limit::ShortageExplanation& aShortage, Json& aJson)
+{
+  aJson["level"] = aShortage.requestLevel.fraction;
+  aJson["in_minimum_share"] = aShortage.requestLevel.inMinShare;
+  aJson["level_of_urgency"] = aShortage.level.fraction;
+  aJson["ramp_of_urgency"] = aShortage.level.ramp;
+  aJson["minimum_share"] = aShortage.level.minShare;
+  auto& demand = aJson["demand"] = Json::object();
+  for (const auto& [urgency, perSecond] : aShortage.demand) {
+    demand[std::to_string(urgency)] = perSecond;
+  }
+  aJson["demand_age_ms"] = Milliseconds(aShortage.sumsAge);
+  aJson["waiting_before"] = aShortage.waitingBefore;
+  aJson["blocked"] = aShortage.blocked;
+  aJson["expected_wait_ms"] = Milliseconds(aShortage.expectedWait);
+  aJson["would_wait"] = aShortage.wouldWait;
+}
+
 Json
 ToJson(const edge::RoutingExplanation& aExplanation)
 {
@@ -162,6 +184,9 @@
     { "usage_age_ms", Milliseconds(aExplanation.usageAge) },
     { "roster_age_ms", Milliseconds(aExplanation.rosterAge) },
   };
+  if (aExplanation.shortage) {
+    AppendShortage(*aExplanation.shortage, json);
+  }
   const auto& chain = aExplanation.chain;
   json["chain"] = Json::array();
   if (chain) {
--- a/src/balsampoint/edge/room_wait.cpp
+++ b/src/balsampoint/edge/room_wait.cpp
@@ -96,6 +96,43 @@
 
 } // namespace
 
+RoomRequest
+MakeRoomRequest(const TrafficState& aTraffic,
+                const Admission& aAdmission,
+                const RequestParameters& aParameters,
+                Instant aNow)
+{
+  const auto& route = *aAdmission.route;
+  const auto demand = MakeDemand(*aAdmission.service, aParameters);
+  const auto timeout = aParameters.timeout.value_or(route.timeout);
+  RoomRequest made{
+    .request = { .urgency = UrgencyOf(aAdmission),
+                 .retry = timeout < route.timeout,
+                 .arrivedAt = aNow,
+                 .tokens = fleet::TokensOf(aTraffic.fleet.settings, demand) },
+    .mayWait =
+      forward::IsStream(route.kind) && route.targetLatency > Duration{},
+    .target =
+      std::min(route.targetLatency,
+               std::min(timeout, route.timeout) - forward::kMinAttemptTime),
+    .promptTokens = demand.promptTokens
+  };
+  if (aAdmission.workspace != nullptr) {
+    made.request.workspace = aAdmission.workspace->id;
+  }
+  return made;
+}
+
+Instant
+LatestStart(const TrafficState& aTraffic,
+            const ServiceId& aService,
+            const RoomRequest& aRequest)
+{
+  return aRequest.request.arrivedAt + aRequest.target -
+         fleet::PredictFirstEvent(
+           aTraffic.fleet, aService, aRequest.promptTokens);
+}
+
 void
 RoomWait::Begin(TrafficState& aTraffic,
                 const Admission& aAdmission,
@@ -108,25 +145,14 @@
   }
   mTraffic = &aTraffic;
   mService = service.id;
-  const auto& route = *aAdmission.route;
-  const auto demand = MakeDemand(service, aParameters);
-  const auto timeout = aParameters.timeout.value_or(route.timeout);
-  mRequest = { .ticket = aTraffic.rooms.NewTicket(),
-               .urgency = UrgencyOf(aAdmission),
-               .retry = timeout < route.timeout,
-               .arrivedAt = aNow,
-               .tokens = fleet::TokensOf(aTraffic.fleet.settings, demand) };
-  if (aAdmission.workspace != nullptr) {
-    mRequest.workspace = aAdmission.workspace->id;
-  }
+  mRoom = MakeRoomRoom.request(aTraffic, aAdmission, aParameters, aNow);
+  mRoom.request.ticket = aTraffic.rooms.NewTicket();
   mId = aParameters.id;
-  mMayWait = forward::IsStream(route.kind) && route.targetLatency > Duration{};
-  mPromptTokens = demand.promptTokens;
-  mTarget =
-    std::min(route.targetLatency,
-             std::min(timeout, route.timeout) - forward::kMinAttemptTime);
-  limit::CountDemand(
-    aTraffic.shortage, mService, mRequest.urgency, mRequest.tokens, aNow);
+  limit::CountDemand(aTraffic.shortage,
+                     mService,
+                     mRoom.request.urgency,
+                     mRoom.request.tokens,
+                     aNow);
 }
 
 tl::expected<fleet::Chain, Error>
@@ -141,20 +167,22 @@
   }
   const auto now = TrafficState::Now();
   const auto& shortage = aTraffic.shortage;
-  mRequest.fraction =
-    limit::DrawLevel(shortage.settings,
-                     limit::LevelOf(shortage, mService, mRequest.urgency, now),
-                     mId)
+  mRoom.request.fraction =
+    limit::DrawLevel(
+      shortage.settings,
+      limit::LevelOf(shortage, mService, mRoom.request.urgency, now),
+      mId)
       .fraction;
-  if (mMayWait && !IsWaiting() &&
-      limit::IsBlocked(shortage, mService, mRequest)) {
+  if (mRoom.mayWait && !IsWaiting() &&
+      limit::IsBlocked(shortage, mService, mRoom.request)) {
     aTraffic.rooms.Notify();
     return Refuse(ErrorKind::NoServer, "other requests wait for room");
   }
-  aRestrictions.kvFraction = mRequest.fraction;
+  aRestrictions.kvFraction = mRoom.request.fraction;
   auto chosen = ChooseServers(aTraffic, aService, aParameters, aRestrictions);
   if (chosen) {
-    limit::CountStart(aTraffic.shortage, mService, mRequest.workspace, now);
+    limit::CountStart(
+      aTraffic.shortage, mService, mRoom.request.workspace, now);
     mStarted = true;
     EndWait("found");
   }
@@ -170,13 +198,11 @@
   if (IsWaiting()) {
     return true;
   }
-  if (!mMayWait) {
+  if (!mRoom.mayWait) {
     OnRefused("no_target", trace::RoomRefusal::NoTarget);
     return false;
   }
-  mRequest.latest =
-    mRequest.arrivedAt + mTarget -
-    fleet::PredictFirstEvent(mTraffic->fleet, mService, mPromptTokens);
+  mRoom.request.latest = LatestStart(*mTraffic, mService, mRoom);
   // The queue calls nothing after this object has left it.
   aCallbacks.giveUp = [this, giveUp = std::move(aCallbacks.giveUp)] {
     EndWait("expired");
@@ -184,7 +210,7 @@
     giveUp();
   };
   const auto verdict =
-    mTraffic->rooms.Wait(mService, mRequest, std::move(aCallbacks));
+    mTraffic->rooms.Wait(mService, mRoom.request, std::move(aCallbacks));
   if (verdict != limit::WaitVerdict::Waits) {
     const auto refusal = RefusalFor(verdict);
     OnRefused(refusal.name, refusal.counted);
@@ -209,7 +235,7 @@
     mWaited = mWaited.value_or(Duration{}) + waited;
     mVerdict = aVerdict;
     mTraffic->metrics.Record(trace::Timing::QueueWait, waited);
-    mTraffic->rooms.Leave(mRequest.ticket);
+    mTraffic->rooms.Leave(mRoom.request.ticket);
   }
 }
 
@@ -238,8 +264,8 @@
   if (waits) {
     waited = waited.value_or(Duration{}) + (TrafficState::Now() - mWaitsSince);
   }
-  return RoomWaitLog{ .urgency = mRequest.urgency,
-                      .level = mRequest.fraction,
+  return RoomWaitLog{ .urgency = mRoom.request.urgency,
+                      .level = mRoom.request.fraction,
                       .waited = waited,
                       .verdict =
                         waits ? std::string_view{ "ended" } : mVerdict };
--- a/src/balsampoint/edge/room_wait.hpp
+++ b/src/balsampoint/edge/room_wait.hpp
@@ -14,6 +14,43 @@
 
 namespace balsampoint::edge {
 
+/** @brief A request as the admission under shortage sees it. */
+struct RoomRequest
+{
+  /** Without a ticket and a fill level. */
+  limit::WaitRequest request;
+  /** Whether it may wait: it is streamed and has a target. */
+  bool mayWait{ false };
+  /** Target for the time to the first event, within the timeout. */
+  Duration target{};
+  double promptTokens{};
+};
+
+/**
+ * @brief Describes a request for the admission under shortage.
+ * @param aTraffic State of the traffic thread.
+ * @param aAdmission Route, workspace and service of the request.
+ * @param aParameters Parameters of the request.
+ * @param aNow Time of its arrival.
+ */
+[[nodiscard]] RoomRequest
+MakeRoomRequest(const TrafficState& aTraffic,
+                const Admission& aAdmission,
+                const RequestParameters& aParameters,
+                Instant aNow);
+
+/**
+ * @brief Last time at which a request can be sent and meet its target for the
+ * first event.
+ * @param aTraffic State of the traffic thread.
+ * @param aService Its service.
+ * @param aRequest The request.
+ */
+[[nodiscard]] Instant
+LatestStart(const TrafficState& aTraffic,
+            const ServiceId& aService,
+            const RoomRequest& aRequest);
+
 /** @brief One request's part in the admission under shortage: its demand, its
  * level, its wait for room. Releases its place when it is destroyed. */
 class RoomWait
@@ -77,7 +114,7 @@
   /** @brief Whether the request waits. */
   [[nodiscard]] bool IsWaiting() const
   {
-    return mTraffic != nullptr && mTraffic->rooms.Holds(mRequest.ticket);
+    return mTraffic != nullptr && mTraffic->rooms.Holds(mRoom.request.ticket);
   }
 
   /** @brief Ends the part of the request; others may find room now. */
@@ -94,12 +131,7 @@
   TrafficState* mTraffic{};
   ServiceId mService;
   RequestId mId;
-  limit::WaitRequest mRequest;
-  double mPromptTokens{};
-  /** Target for the time to the first event, within the timeout. */
-  Duration mTarget{};
-  /** Whether the request may wait: it is streamed and has a target. */
-  bool mMayWait{ false };
+  RoomRequest mRoom;
   /** Whether servers were found, so that its end frees room. */
   bool mStarted{ false };
   /** Zero while it doesn't wait. */
--- a/src/balsampoint/edge/routing_explanation.cpp
+++ b/src/balsampoint/edge/routing_explanation.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/edge/routing_explanation.hpp"
 
+#include "balsampoint/edge/room_wait.hpp"
 #include "balsampoint/edge/server_choice.hpp"
 #include "balsampoint/quarantine/query/is_quarantined.hpp"
 #include "balsampoint/reach/query/choose_detour.hpp"
@@ -53,6 +54,24 @@
   return admitted;
 }
 
+std::optional<limit::ShortageExplanation>
+ExplainShortage(const TrafficState& aTraffic,
+                const Admission& aAdmission,
+                const RequestParameters& aParameters,
+                Instant aNow)
+{
+  const auto& service = aAdmission.service->id;
+  auto room = MakeRoomRequest(aTraffic, aAdmission, aParameters, aNow);
+  room.request.latest = LatestStart(aTraffic, service, room);
+  auto explanation = limit::Explain(
+    aTraffic.shortage, service, room.request, aParameters.id, aNow);
+  if (explanation && !room.mayWait) {
+    explanation->blocked = false;
+    explanation->wouldWait = false;
+  }
+  return explanation;
+}
+
 } // namespace
 
 RoutingExplanation
@@ -71,26 +90,31 @@
   auto& admission = explanation.admission;
   explanation.verdict = Verdict(aTraffic, aQuestion, random, admission);
   if (admission.route != nullptr) {
-    explanation.urgency = admission.workspace && admission.workspace->priority
-                            ? *admission.workspace->priority
-                            : admission.route->priority;
+    explanation.urgency = UrgencyOf(admission);
   }
   if (admission.service == nullptr) {
     return explanation;
   }
   const auto sample = random.Next();
   const auto& parameters = aQuestion.parameters;
+  explanation.shortage = ExplainShortage(aTraffic, admission, parameters, now);
+  const std::set<ServerId> none;
+  ServerRestrictions restrictions{ none, none };
+  if (explanation.shortage) {
+    restrictions.kvFraction = explanation.shortage->requestLevel.fraction;
+  }
   explanation.candidates = DescribeServers(
-    aTraffic.fleet, *admission.service, parameters, sample, now);
-  if (explanation.verdict) {
-    const std::set<ServerId> none;
-    explanation.chain = FindServers(aTraffic.fleet,
-                                    *admission.service,
-                                    parameters,
-                                    { none, none },
-                                    sample,
-                                    now);
+    aTraffic.fleet, *admission.service, parameters, restrictions, sample, now);
+  if (!explanation.verdict) {
+    return explanation;
+  }
+  if (explanation.shortage && explanation.shortage->blocked) {
+    explanation.chain =
+      Refuse(ErrorKind::NoServer, "other requests wait for room");
+    return explanation;
   }
+  explanation.chain = FindServers(
+    aTraffic.fleet, *admission.service, parameters, restrictions, sample, now);
   return explanation;
 }
 
--- a/src/balsampoint/edge/routing_explanation.hpp
+++ b/src/balsampoint/edge/routing_explanation.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/edge/dialect.hpp"
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/candidate.hpp"
+#include "balsampoint/limit/query/explain.hpp"
 
 #include <optional>
 #include <string>
@@ -34,6 +35,8 @@
   /** Nothing, or the error that the request is refused with before servers are
    * chosen. */
   tl::expected<void, Error> verdict;
+  /** Admission under shortage; absent where it doesn't apply. */
+  std::optional<limit::ShortageExplanation> shortage;
   /** Requests in progress on this host, and the number above which new ones are
    * refused. */
   std::uint32_t activeRequests{};
--- a/src/balsampoint/edge/server_choice.cpp
+++ b/src/balsampoint/edge/server_choice.cpp
@@ -84,15 +84,15 @@
 DescribeServers(const fleet::State& aFleet,
                 const routing::Service& aService,
                 const RequestParameters& aParameters,
+                const ServerRestrictions& aRestrictions,
                 std::uint64_t aSample,
                 Instant aNow)
 {
   if (!aService.engine) {
     return fleet::DescribeServers(aFleet, aService.id, aSample, aNow);
   }
-  const std::set<ServerId> none;
   return fleet::DescribeEngines(
-    aFleet, DemandOf(aService, aParameters, { none, none }, aSample), aNow);
+    aFleet, DemandOf(aService, aParameters, aRestrictions, aSample), aNow);
 }
 
 tl::expected<fleet::Chain, Error>
--- a/src/balsampoint/edge/server_choice.hpp
+++ b/src/balsampoint/edge/server_choice.hpp
@@ -61,6 +61,7 @@
  * @param aFleet The servers.
  * @param aService Service to call.
  * @param aParameters Parameters of the request.
+ * @param aRestrictions Restrictions on the choice.
  * @param aSample Random number of the choice.
  * @param aNow Current time.
  */
@@ -68,6 +69,7 @@
 DescribeServers(const fleet::State& aFleet,
                 const routing::Service& aService,
                 const RequestParameters& aParameters,
+                const ServerRestrictions& aRestrictions,
                 std::uint64_t aSample,
                 Instant aNow);
 
--- a/src/balsampoint/limit/command/wait_for_room.cpp
+++ b/src/balsampoint/limit/command/wait_for_room.cpp
@@ -16,16 +16,6 @@
   return found == aState.services.end() ? nullptr : &found->second;
 }
 
-/** Whether room is expected at a time at which the request is still useful. */
-bool
-IsInTime(const ServiceShortage& aService,
-         const WaitRequest& aRequest,
-         Instant aNow)
-{
-  const auto wait = internal::ExpectedWait(aService, aRequest, aNow);
-  return wait && aNow + *wait <= aRequest.latest;
-}
-
 } // namespace
 
 WaitDecision
@@ -38,7 +28,7 @@
   if (service == nullptr) {
     return { .verdict = WaitVerdict::NotApplicable };
   }
-  if (!IsInTime(*service, aRequest, aNow)) {
+  if (!internal::IsInTime(*service, aRequest, aNow)) {
     return { .verdict = WaitVerdict::TooLate };
   }
   auto& waiting = service->waiting;
--- a/src/balsampoint/limit/internal/demand.cpp
+++ b/src/balsampoint/limit/internal/demand.cpp
@@ -123,4 +123,13 @@
     std::chrono::duration<double>{ static_cast<double>(before + 1) / rate });
 }
 
+bool
+IsInTime(const ServiceShortage& aService,
+         const WaitRequest& aRequest,
+         Instant aNow)
+{
+  const auto wait = ExpectedWait(aService, aRequest, aNow);
+  return wait && aNow + *wait <= aRequest.latest;
+}
+
 } // namespace balsampoint::limit::internal
--- a/src/balsampoint/limit/internal/demand.hpp
+++ b/src/balsampoint/limit/internal/demand.hpp
@@ -85,4 +85,15 @@
              const WaitRequest& aRequest,
              Instant aNow);
 
+/**
+ * @brief Whether room is expected at a time at which a request is still useful.
+ * @param aService Its service.
+ * @param aRequest The request, in the queue or not.
+ * @param aNow Current time.
+ */
+[[nodiscard]] bool
+IsInTime(const ServiceShortage& aService,
+         const WaitRequest& aRequest,
+         Instant aNow);
+
 } // namespace balsampoint::limit::internal
--- a/test/balsampoint/daemon/routing_explanation_test.cpp
+++ b/test/balsampoint/daemon/routing_explanation_test.cpp
@@ -1,9 +1,11 @@
 #include "balsampoint/config/query/verify_key.hpp"
 #include "balsampoint/daemon/routing_query.hpp"
+#include "balsampoint/edge/room_wait.hpp"
 #include "balsampoint/edge/routing_explanation.hpp"
 #include "balsampoint/edge/server_choice.hpp"
 #include "balsampoint/fleet/command/follow_roster.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
+#include "balsampoint/limit/command/follow_demand.hpp"
 
 #include <criterion/criterion.h>
 #include <set>
@@ -171,6 +173,7 @@
   const auto found = DescribeServers(host.traffic.fleet,
                                      Configuration().services.at(kEngines),
                                      {},
+                                     { none, none },
                                      kSeed,
                                      TrafficState::Now());
   cr_assert_eq(found.size(), 4);
@@ -182,6 +185,41 @@
   cr_expect_not(found[2].cost.has_value());
 }
 
+// Guards against an explanation that finds room for a request of low urgency
+// which the traffic refuses, as it may fill the servers less.
+Test(routing_explanation, a_level_below_the_fill_of_the_servers_leaves_no_chain)
+{
+  Host host;
+  auto document = Configuration();
+  document.routes.front().targets = { { kEngines, 1 } };
+  document.routes.push_back({ .name = "first",
+                              .host = "h",
+                              .pathPrefix = "/first/",
+                              .timeout = std::chrono::seconds{ 4 },
+                              .priority = 0,
+                              .targets = { { kEngines, 1 } } });
+  auto table = routing::Table::Make(document);
+  cr_assert(table.has_value());
+  host.traffic.routes = *table;
+  FollowUrgencies(host.traffic);
+  const auto now = TrafficState::Now();
+  limit::SetRemoteDemand(
+    host.traffic.shortage, kEngines, { { 0, 1e9 } }, 1.0, now);
+  for (auto& [id, server] : host.traffic.fleet.groups.at(kEngines).servers) {
+    server.remoteWork.kv = 0.8 * server.kvCapacity;
+  }
+  const auto question = Question();
+  const auto refused = ExplainRouting(host.traffic, question);
+  cr_assert(refused.shortage.has_value());
+  cr_expect_lt(refused.shortage->requestLevel.fraction, 0.8);
+  cr_expect_not(refused.chain.has_value());
+  document.workspaces.front().priority = 0;
+  host.traffic.routes = *routing::Table::Make(document);
+  FollowUrgencies(host.traffic);
+  const auto admitted = ExplainRouting(host.traffic, question);
+  cr_expect(admitted.chain.has_value());
+}
+
 // Guards against callers who learn the state of the servers.
 Test(routing_explanation, needs_an_operators_key)
 {
