--- a/src/balsampoint/edge/room_wait.cpp
+++ b/src/balsampoint/edge/room_wait.cpp
@@ -145,7 +145,7 @@
   }
   mTraffic = &aTraffic;
   mService = service.id;
-  mRoom = MakeRoomRoom.request(aTraffic, aAdmission, aParameters, aNow);
+  mRoom = MakeRoomRequest(aTraffic, aAdmission, aParameters, aNow);
   mRoom.request.ticket = aTraffic.rooms.NewTicket();
   mId = aParameters.id;
   limit::CountDemand(aTraffic.shortage,
