--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -11,7 +11,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace balsampoint::fleet {
 
@@ -50,15 +49,6 @@
   return aServer.claim.description.layers.value_or(LayerRange{});
 }
 
-/** @brief How a search is restricted. */
-struct SearchMode
-{
-  /** Whether servers at fault may be used. */
-  bool lastResort{ false };
-  /** Whether the random weight of servers grows with their fill level. */
-  bool spreadByFill{ true };
-};
-
 /** @brief Searches the cheapest chain through the engines of one service. */
 class Search
 {
@@ -67,13 +57,12 @@
          const Group& aGroup,
          const routing::EngineProfile& aEngine,
          const Demand& aDemand,
-         const SearchMode& aMode,
+         bool aLastResort,
          Instant aNow)
     : mSettings{ aState.settings }
     , mGroup{ aGroup }
     , mEngine{ aEngine }
     , mDemand{ aDemand }
-    , mMode{ aMode }
     , mNow{ aNow }
     , mTokens{ TokensOf(aState.settings, aDemand) }
     , mLimited{ internal::DrawLimited(aGroup,
@@ -89,8 +78,7 @@
   {
     SplitMix64 random{ aDemand.randomSample.value_or(0) };
     for (const auto& [id, server] : aGroup.servers) {
-      const bool out =
-        aMode.lastResort ? server.Unable(aNow) : server.Avoided(aNow);
+      const bool out = aLastResort ? server.Unable(aNow) : server.Avoided(aNow);
       if (out || !Usable(server)) {
         continue;
       }
@@ -247,7 +235,7 @@
     if (!mDemand.randomSample) {
       return 0.0;
     }
-    if (!mGroup.competing || !mMode.spreadByFill) {
+    if (!mGroup.competing) {
       return mSettings.spread;
     }
     const auto fullness = std::min(1.0, Fullness(aServer, aServer.KvUsed()));
@@ -448,7 +436,6 @@
   const Group& mGroup;
   const routing::EngineProfile& mEngine;
   const Demand& mDemand;
-  SearchMode mMode;
   Instant mNow;
   double mTokens;
   /** The one server with a rate limit that may receive the request; or null. */
@@ -460,17 +447,6 @@
   std::vector<WeightedServer> mServers;
 };
 
-/**
- * @brief Whether a chain is predicted to keep to the targets of a stream with
- * room for the pauses that prompts of other requests cause.
- */
-bool
-KeepsToTargets(const Settings& aSettings, const Chain& aChain)
-{
-  return aChain.eventMs <= aSettings.targetPart * aSettings.eventTargetMs &&
-         aChain.firstEventMs <= aSettings.firstEventTargetMs;
-}
-
 } // namespace
 
 tl::expected<Chain, Error>
@@ -487,18 +463,12 @@
   if (engine->layers == 0) {
     return Refuse(ErrorKind::NoServer, "the model has no layers");
   }
-  const auto search = [&](const SearchMode& aMode) {
-    return Search{ aState, group->second, engine.value(), aDemand, aMode, aNow }
+  const auto search = [&](bool aLastResort) {
+    return Search{ aState,  group->second, engine.value(),
+                   aDemand, aLastResort,   aNow }
       .Run();
   };
-  auto chain = search({});
-  if (chain && group->second.competing &&
-      !KeepsToTargets(aState.settings, *chain)) {
-    auto faster = search({ .spreadByFill = false });
-    if (faster && faster->eventMs < chain->eventMs) {
-      chain = std::move(faster);
-    }
-  }
+  auto chain = search(false);
   // If some layer is held by faulty servers only, use one of them rather than
   // refuse the request.
   const bool anyAtFault =
@@ -506,7 +476,7 @@
     std::ranges::any_of(group->second.servers, [&](const auto& aEntry) {
       return aEntry.second.Avoided(aNow) && !aEntry.second.Unable(aNow);
     });
-  return anyAtFault ? search({ .lastResort = true }) : std::move(chain);
+  return anyAtFault ? search(true) : std::move(chain);
 }
 
 std::vector<Candidate>
@@ -520,7 +490,7 @@
   if (!engine.has_value() || engine->layers == 0) {
     return {};
   }
-  return Search{ aState, group->second, engine.value(), aDemand, {}, aNow }
+  return Search{ aState, group->second, engine.value(), aDemand, false, aNow }
     .Describe();
 }
 
--- a/src/balsampoint/fleet/state.hpp
+++ b/src/balsampoint/fleet/state.hpp
@@ -42,11 +42,6 @@
    * up. The values are those of interactive streams. */
   double firstEventTargetMs{ 500.0 };
   double eventTargetMs{ 250.0 };
-  /** Part of the target between events within which the predicted time per
-   * event has to stay for the random weight to grow with the fill level. A pass
-   * waits for the prompts of other requests, so the longest pause of a stream
-   * is about twice its mean time between events. */
-  double targetPart{ 0.5 };
   /** Bounds of the time for which a faulty server is avoided; it doubles with
    * each fault. */
   Duration firstAvoidance{ std::chrono::milliseconds{ 500 } };
