Compute once for a search what doesn't depend on the layers

Change: these are computed once for each server; all times grow in proportion to the number of layers.

--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -40,6 +40,18 @@
   double weight{ 1.0 };
   /** Wait for the prefill of earlier prompts, in ms. */
   double backlogMs{};
+  /** Mean wait for the pass that is running when a token arrives, in ms. */
+  double waitMs{};
+  /** Time per event and layer with the request's own prefill, in ms, before the
+   * cost of the fill level. */
+  double runMsPerLayer{};
+  /** Cost per event and layer of the delay of other prompts. */
+  double delayMsPerLayer{};
+  /** KV in use and KV that the request may fill, in tokens times layers. */
+  double kvUsed{};
+  double room{};
+  /** The same within the limit of the request's urgency. */
+  double ownRoom{};
 };
 
 /** @brief Layers that a server holds; empty if it has reported none. */
@@ -90,9 +102,7 @@
         continue;
       }
       mServers.push_back(
-        { &server,
-          1.0 + Spread(server) * random.NextUnit(),
-          aGroup.competing ? internal::BacklogMs(mEngine, server) : 0.0 });
+        Weigh(server, 1.0 + Spread(server) * random.NextUnit()));
     }
     MarkBoundaries();
   }
@@ -143,7 +153,7 @@
       std::ranges::find(mServers, &aServer, &WeightedServer::server);
     if (used != mServers.end()) {
       const auto cost =
-        used->weight * (WaitMs(aServer) + RunMs(aServer, Held(aServer).Size()));
+        used->weight * (used->waitMs + RunMs(*used, Held(aServer).Size()));
       candidate.cost =
         cost < kUnreachable ? std::optional{ cost } : std::nullopt;
     }
@@ -166,7 +176,7 @@
     if (!used) {
       return std::string{ ReasonAgainst(aServer) };
     }
-    if (RunMs(aServer, 1) == kUnreachable) {
+    if (RunMs(Weigh(aServer, 1.0), 1) == kUnreachable) {
       return "full";
     }
     if (held.begin > 0 || MayReceive(aServer)) {
@@ -296,15 +306,15 @@
     const auto& before = mSteps[aLayer];
     const auto weight = aCandidate.weight;
     const auto hopMs = HopMs(aLayer, server);
-    const auto waitMs = WaitMs(server);
     const auto backlogMs = before.backlogMs + aCandidate.backlogMs;
     const auto backlogCost = BacklogCost(aLayer, aCandidate);
     for (auto end = aLayer + 1; end <= held.end; ++end) {
       if (end != held.end && !mBoundaries[end]) {
         continue;
       }
-      const auto eventMs = waitMs + RunMs(server, end - aLayer);
-      const auto delay = backlogCost + DelayMs(server, end - aLayer);
+      const auto layers = end - aLayer;
+      const auto eventMs = aCandidate.waitMs + RunMs(aCandidate, layers);
+      const auto delay = backlogCost + layers * aCandidate.delayMsPerLayer;
       const auto cost = before.cost + hopMs + weight * (eventMs + delay);
       if (cost < mSteps[end].cost) {
         mSteps[end] = {
@@ -331,16 +341,6 @@
     return mSettings.hopMs + (sameZone ? 0.0 : zoneChange);
   }
 
-  /** Mean wait for the pass that is running when a token arrives: half its
-   * time. */
-  [[nodiscard]] double WaitMs(const Server& aServer) const
-  {
-    const auto held = Held(aServer).Size();
-    return internal::PassMs(
-             mEngine, aServer.stepFactor, held, aServer.Passing()) /
-           2;
-  }
-
   /** Number of events of the expected answer. */
   [[nodiscard]] double Events() const
   {
@@ -365,11 +365,11 @@
   }
 
   /**
-   * @brief Cost per event of the delay that the request's own prefill causes to
-   * others. The prompts that wait now stand for those that will wait behind it.
+   * @brief Cost per event and layer of the delay that the request's own prefill
+   * causes to others. The prompts that wait now stand for those that will wait
+   * behind it.
    */
-  [[nodiscard]] double DelayMs(const Server& aServer,
-                               std::uint32_t aLayers) const
+  [[nodiscard]] double DelayMsPerLayer(const Server& aServer) const
   {
     const auto waiting = aServer.WaitingPrompt();
     if (waiting <= 0.0 || !mGroup.competing) {
@@ -377,7 +377,7 @@
     }
     const auto typical = std::max(1.0, mEngine.meanPromptTokens);
     const auto others = waiting / (typical * Held(aServer).Size());
-    return others * ReadMs(aServer, aLayers) / Events();
+    return others * ReadMs(aServer, 1) / Events();
   }
 
   /** Time of the prefill of the request's prompt. */
@@ -388,9 +388,14 @@
       mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
   }
 
-  [[nodiscard]] double RunMs(const Server& aServer, std::uint32_t aLayers) const
+  /** Computes once for a search what doesn't depend on the layers that the
+   * server runs: all times grow in proportion to their number. */
+  [[nodiscard]] WeightedServer Weigh(const Server& aServer,
+                                     double aWeight) const
   {
-    const auto used = aServer.KvUsed() + mTokens * aLayers;
+    const auto passing = aServer.Passing();
+    const auto passMs =
+      internal::PassMs(mEngine, aServer.stepFactor, 1, passing + 1.0);
     const auto limit = mGroup.competing
                          ? internal::FillLimit(mSettings, aServer, mNow)
                          : mSettings.maxKvFraction;
@@ -398,16 +403,33 @@
     // What less urgent requests leave free stays free below a lower limit too.
     const auto reserved =
       aServer.kvCapacity * (mSettings.maxKvFraction - mDemand.kvFraction);
-    if (used > room || used > room - reserved) {
+    return {
+      .server = &aServer,
+      .weight = aWeight,
+      .backlogMs =
+        mGroup.competing ? internal::BacklogMs(mEngine, aServer) : 0.0,
+      .waitMs = internal::PassMs(
+                  mEngine, aServer.stepFactor, Held(aServer).Size(), passing) /
+                2,
+      .runMsPerLayer = passMs + ReadMs(aServer, 1) / Events(),
+      .delayMsPerLayer = DelayMsPerLayer(aServer),
+      .kvUsed = aServer.KvUsed(),
+      .room = room,
+      .ownRoom = std::min(room, room - reserved),
+    };
+  }
+
+  [[nodiscard]] double RunMs(const WeightedServer& aCandidate,
+                             std::uint32_t aLayers) const
+  {
+    const auto used = aCandidate.kvUsed + mTokens * aLayers;
+    if (used > aCandidate.ownRoom) {
       return kUnreachable;
     }
-    const auto pass = internal::PassMs(
-      mEngine, aServer.stepFactor, aLayers, aServer.Passing() + 1.0);
     // The cost grows with the fill level, so that a nearly full server is used
     // last.
-    const auto fullness = used / room;
-    return (pass + ReadMs(aServer, aLayers) / Events()) *
-           (1.0 + fullness * fullness);
+    const auto fullness = used / aCandidate.room;
+    return aLayers * aCandidate.runMsPerLayer * (1.0 + fullness * fullness);
   }
 
   [[nodiscard]] Chain Trace() const
