Count paused holders instead of searching for them

Cause: each report of a connection asked how many holders are paused, which walked over all of them, two or three times for each streamed event.

--- a/src/balsampoint/edge/memory_account.cpp
+++ b/src/balsampoint/edge/memory_account.cpp
@@ -61,7 +61,7 @@
 std::size_t
 MemoryAccount::PausedCount() const
 {
-  return memory::CountPaused(mState);
+  return mState.pausedHolders;
 }
 
 void
--- a/src/balsampoint/memory/command/record_holder.cpp
+++ b/src/balsampoint/memory/command/record_holder.cpp
@@ -58,6 +58,8 @@
     return;
   }
   auto& holder = found->second;
+  aState.pausedHolders -= holder.paused ? 1 : 0;
+  aState.pausedHolders += aPaused ? 1 : 0;
   if (holder.paused && !aPaused) {
     // The time of the pause is not the peer's.
     holder.moved = 0;
@@ -74,6 +76,7 @@
     return;
   }
   SetBytes(aState, found->second, 0);
+  aState.pausedHolders -= found->second.paused ? 1 : 0;
   aState.holders.erase(found);
 }
 
--- a/src/balsampoint/memory/query/may_grow.cpp
+++ b/src/balsampoint/memory/query/may_grow.cpp
@@ -54,19 +54,12 @@
   return resumable;
 }
 
-std::size_t
-CountPaused(const State& aState)
-{
-  return static_cast<std::size_t>(std::ranges::count_if(
-    aState.holders, [](const auto& aEntry) { return aEntry.second.paused; }));
-}
-
 bool
 NeedsRelief(const State& aState)
 {
   return internal::IsUnderPressure(aState) ||
          aState.heldBytes > aState.settings.budgetBytes ||
-         CountPaused(aState) > 0;
+         aState.pausedHolders > 0;
 }
 
 } // namespace balsampoint::memory
--- a/src/balsampoint/memory/query/may_grow.hpp
+++ b/src/balsampoint/memory/query/may_grow.hpp
@@ -26,13 +26,6 @@
 [[nodiscard]] std::vector<HolderId>
 FindResumable(const State& aState);
 
-/**
- * @brief Number of paused holders.
- * @param aState State of the thread.
- */
-[[nodiscard]] std::size_t
-CountPaused(const State& aState);
-
 /**
  * @brief Whether `Relieve` may choose holders now or later without another
  * report.
--- a/src/balsampoint/memory/state.hpp
+++ b/src/balsampoint/memory/state.hpp
@@ -3,6 +3,7 @@
 #include "balsampoint/core/time.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -64,6 +65,10 @@
   std::uint64_t heldBytes{};
   /** Bytes of the holders that are not small. */
   std::uint64_t largeBytes{};
+  /** Holders that are no longer read. Counted here, since each report of a
+   * holder asks for it: a walk over all holders would cost a host with hundreds
+   * of streams more than the events themselves. */
+  std::size_t pausedHolders{};
 };
 
 /** @brief How the bytes of a holder are released. */
--- a/test/balsampoint/memory/memory_test.cpp
+++ b/test/balsampoint/memory/memory_test.cpp
@@ -143,7 +143,7 @@
   for (const auto id : { first, second, third }) {
     SetPaused(state, id, true, kNow);
   }
-  cr_assert_eq(CountPaused(state), 3);
+  cr_assert_eq(state.pausedHolders, 3);
   cr_assert(FindResumable(state) == std::vector{ first });
   RemoveHolder(state, running);
   cr_assert(FindResumable(state) == std::vector{ first });
@@ -187,3 +187,24 @@
     cr_assert_leq(held, state.settings.budgetBytes);
   }
 }
+
+// Guards against a host that goes on checking for relief since a holder that
+// has ended still counts as paused.
+Test(memory, paused_holders_count_once_and_until_they_end)
+{
+  State state;
+  const auto one = AddHolder(state, {});
+  const auto other = AddHolder(state, {});
+  SetPaused(state, one, true, {});
+  SetPaused(state, one, true, {});
+  SetPaused(state, other, true, {});
+  cr_assert_eq(state.pausedHolders, 2);
+  cr_assert(NeedsRelief(state));
+  SetPaused(state, other, false, {});
+  SetPaused(state, other, false, {});
+  RemoveHolder(state, other);
+  cr_assert_eq(state.pausedHolders, 1);
+  RemoveHolder(state, one);
+  cr_assert_eq(state.pausedHolders, 0);
+  cr_assert_not(NeedsRelief(state));
+}
