Ask the kernel for acknowledgements only while no server sends

Cause: the check of the link asked the kernel for each request without an answer ten times a second, also on hosts whose streams go on; a system call is dear on the small entry hosts.

--- a/src/balsampoint/edge/link_watch.cpp
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -53,10 +53,12 @@
 void
 LinkWatch::Poll()
 {
-  reach::RecordTraffic(
-    mTraffic.reach, mTraffic.pool.Evidence(), TrafficState::Now());
-  if (mTraffic.servers &&
-      reach::IsCheckDue(mTraffic.reach, TrafficState::Now())) {
+  const auto now = TrafficState::Now();
+  reach::RecordTraffic(mTraffic.reach, mTraffic.pool.Evidence(false), now);
+  if (reach::NeedsAcknowledgements(mTraffic.reach, now)) {
+    reach::RecordTraffic(mTraffic.reach, mTraffic.pool.Evidence(true), now);
+  }
+  if (mTraffic.servers && reach::IsCheckDue(mTraffic.reach, now)) {
     Check([](bool) {});
   }
   Start();
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -203,7 +203,7 @@
 }
 
 std::optional<reach::ConnectionEvidence>
-ServerConnection::Evidence()
+ServerConnection::Evidence(bool aAskKernel)
 {
   if (mDetour || !Established() || !mAwaitingResponse) {
     return std::nullopt;
@@ -211,8 +211,7 @@
   reach::ConnectionEvidence evidence{ .server = mAddress,
                                       .sentAt = mSentAt,
                                       .readAt = mLastReadAt };
-  // The kernel is asked only while nothing of the answer has arrived.
-  if (mLastReadAt < mSentAt) {
+  if (aAskKernel && mLastReadAt < mSentAt) {
     const auto state = net::ReadAckState(mSocket).value_or(net::AckState{});
     evidence.unacknowledged = state.unacknowledged;
     evidence.sinceAck = state.sinceAck;
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -159,9 +159,15 @@
    * tell, or if another host opens the connection. */
   [[nodiscard]] std::optional<net::AckState> Acknowledgement();
 
-  /** @brief What the request in progress shows of the link of this host;
-   * nothing if there is none, or if another host opens the connection. */
-  [[nodiscard]] std::optional<reach::ConnectionEvidence> Evidence();
+  /**
+   * @brief What the request in progress shows of the link of this host.
+   * @param aAskKernel Whether to ask for acknowledgements while nothing of the
+   * answer has arrived; it takes a system call.
+   * @return Nothing if there is no request, or if another host opens the
+   * connection.
+   */
+  [[nodiscard]] std::optional<reach::ConnectionEvidence> Evidence(
+    bool aAskKernel);
 
   /** @brief Marks the connection as idle and detaches the observer. */
   void MarkIdle();
--- a/src/balsampoint/edge/server_pool.cpp
+++ b/src/balsampoint/edge/server_pool.cpp
@@ -128,7 +128,7 @@
 }
 
 std::vector<reach::ConnectionEvidence>
-ServerPool::Evidence() const
+ServerPool::Evidence(bool aAskKernel) const
 {
   std::vector<reach::ConnectionEvidence> found;
   for (const auto& [address, connections] : mMade) {
@@ -137,7 +137,7 @@
       if (!connection) {
         continue;
       }
-      if (auto evidence = connection->Evidence()) {
+      if (auto evidence = connection->Evidence(aAskKernel)) {
         evidence->server = address;
         found.push_back(*evidence);
       }
--- a/src/balsampoint/edge/server_pool.hpp
+++ b/src/balsampoint/edge/server_pool.hpp
@@ -75,9 +75,14 @@
    */
   [[nodiscard]] bool IsConnected(const std::string& aAddress) const;
 
-  /** @brief What the connections with a request in progress that this host has
-   * opened show of its link; valid until the pool or a connection changes. */
-  [[nodiscard]] std::vector<reach::ConnectionEvidence> Evidence() const;
+  /**
+   * @brief What the connections with a request in progress that this host has
+   * opened show of its link.
+   * @param aAskKernel Whether to ask for acknowledgements.
+   * @return Valid until the pool or a connection changes.
+   */
+  [[nodiscard]] std::vector<reach::ConnectionEvidence> Evidence(
+    bool aAskKernel) const;
 
   /** @brief Number of idle connections. */
   [[nodiscard]] std::size_t IdleCount() const;
--- a/src/balsampoint/reach/query/check_due.cpp
+++ b/src/balsampoint/reach/query/check_due.cpp
@@ -46,6 +46,15 @@
           HasPassed(aState.checkedAt, settings.idleCheckInterval, aNow));
 }
 
+bool
+NeedsAcknowledgements(const State& aState, Instant aNow)
+{
+  const auto timeout = aState.settings.ackTimeout;
+  return aState.awaitedSince &&
+         HasPassed(*aState.awaitedSince, timeout, aNow) &&
+         HasPassed(aState.heardAt, timeout, aNow);
+}
+
 Proof
 NeededProof(const State& aState, Instant aNow)
 {
--- a/src/balsampoint/reach/query/check_due.hpp
+++ b/src/balsampoint/reach/query/check_due.hpp
@@ -24,6 +24,16 @@
 [[nodiscard]] bool
 MayCheck(const State& aState, Instant aNow);
 
+/**
+ * @brief Whether the kernel has to be asked if servers acknowledge what they
+ * are sent: requests wait, and no server has sent a byte lately. A host whose
+ * streams go on needs no system call for each of them.
+ * @param aState State to read.
+ * @param aNow Current time.
+ */
+[[nodiscard]] bool
+NeedsAcknowledgements(const State& aState, Instant aNow);
+
 /**
  * @brief What the connections of a check have to show. Acknowledgements take
  * time, so they are needed only where connections stand and pass nothing.
--- a/test/balsampoint/reach/reach_test.cpp
+++ b/test/balsampoint/reach/reach_test.cpp
@@ -122,6 +122,25 @@
   cr_expect(NeededProof(state, kNow + 100ms) == Proof::Acknowledged);
 }
 
+// Guards against a system call for each stream ten times a second on hosts
+// whose streams go on.
+Test(reach, the_kernel_is_asked_only_while_no_server_sends)
+{
+  State state;
+  cr_expect_not(NeedsAcknowledgements(state, kNow));
+  const std::array waiting{ ConnectionEvidence{
+    "one", kNow, Instant::min(), false, {} } };
+  RecordTraffic(state, waiting, kNow + 99ms);
+  cr_expect_not(NeedsAcknowledgements(state, kNow + 99ms));
+  cr_expect(NeedsAcknowledgements(state, kNow + 100ms));
+  const std::array going{
+    waiting[0], ConnectionEvidence{ "two", kNow, kNow + 150ms, false, {} }
+  };
+  RecordTraffic(state, going, kNow + 200ms);
+  cr_expect_not(NeedsAcknowledgements(state, kNow + 200ms));
+  cr_expect(NeedsAcknowledgements(state, kNow + 250ms));
+}
+
 // Guards against slow servers that are taken for a lost link: their kernel
 // acknowledges, so they cost at most a check in each quiet time.
 Test(reach, a_slow_server_that_acknowledges_is_not_silent)
