Require two acknowledgements wherever a check needs one

Change: a check that needs acknowledgements sends its line in two parts while the link is up as well.

--- a/src/balsampoint/edge/connection_probes.cpp
+++ b/src/balsampoint/edge/connection_probes.cpp
@@ -95,9 +95,7 @@
 ConnectionProbes::SendPart(const Key& aKey)
 {
   auto& pending = mPending.at(aKey);
-  const bool again =
-    std::get<reach::Proof>(aKey) == reach::Proof::AcknowledgedAgain;
-  const auto part = pending.unsent.substr(0, again ? 1 : kEmptyLine.size());
+  const auto part = pending.unsent.substr(0, 1);
   pending.unsent.remove_prefix(part.size());
   pending.sent = true;
   pending.sentAt = runtime::SteadyClock::Now();
--- a/src/balsampoint/reach/proof.hpp
+++ b/src/balsampoint/reach/proof.hpp
@@ -9,13 +9,11 @@
 {
   /** It stays open. */
   Open,
-  /** It stays open, and bytes sent on it are acknowledged: the kernel, or
-   * something on the way, may accept connections on which nothing passes. Where
-   * the kernel doesn't tell, the open connection is enough. */
+  /** It stays open, and bytes sent on it are acknowledged, twice and a while
+   * apart: the kernel, or something on the way, may accept connections on which
+   * nothing passes, or only the first bytes. Where the kernel doesn't tell, the
+   * open connection is enough. */
   Acknowledged,
-  /** The same twice, a while apart: first bytes may still pass where the kernel
-   * accepts connections on behalf of what is cut off behind it. */
-  AcknowledgedAgain,
 };
 
 /** @brief What the connections of one check of the link have shown. */
--- a/src/balsampoint/reach/query/check_due.cpp
+++ b/src/balsampoint/reach/query/check_due.cpp
@@ -58,11 +58,10 @@
 Proof
 NeededProof(const State& aState, Instant aNow)
 {
-  if (aState.link == Link::Down) {
-    return aState.silent ? Proof::AcknowledgedAgain : Proof::Open;
-  }
-  return aState.silentServers > 0 || IsQuiet(aState, aNow) ? Proof::Acknowledged
-                                                           : Proof::Open;
+  const bool silent = aState.link == Link::Down
+                        ? aState.silent
+                        : aState.silentServers > 0 || IsQuiet(aState, aNow);
+  return silent ? Proof::Acknowledged : Proof::Open;
 }
 
 bool
--- a/test/balsampoint/edge/connection_probes_test.cpp
+++ b/test/balsampoint/edge/connection_probes_test.cpp
@@ -120,8 +120,6 @@
   Listener listener;
   listener.DropBytes();
   cr_expect(Probe(listener, reach::Proof::Acknowledged) == ProbeResult::Silent);
-  cr_expect(Probe(listener, reach::Proof::AcknowledgedAgain) ==
-            ProbeResult::Silent);
   cr_expect(Probe(listener, reach::Proof::Open) == ProbeResult::Accepts);
 }
 
@@ -132,8 +130,6 @@
   const Listener listener;
   cr_expect(Probe(listener, reach::Proof::Acknowledged) ==
             ProbeResult::Accepts);
-  cr_expect(Probe(listener, reach::Proof::AcknowledgedAgain) ==
-            ProbeResult::Accepts);
 }
 
 // Guards against a host that finds its link up while it is cut off, since the
@@ -142,8 +138,7 @@
 {
   Listener listener;
   listener.DropBytesAfter(std::chrono::milliseconds{ 80 });
-  cr_expect(Probe(listener, reach::Proof::AcknowledgedAgain) ==
-            ProbeResult::Silent);
+  cr_expect(Probe(listener, reach::Proof::Acknowledged) == ProbeResult::Silent);
 }
 
 // Guards against a host that finds its link up while what cuts it off resets
@@ -153,6 +148,6 @@
 {
   Listener listener;
   listener.ResetOnBytes();
-  cr_expect(Probe(listener, reach::Proof::AcknowledgedAgain) ==
+  cr_expect(Probe(listener, reach::Proof::Acknowledged) ==
             ProbeResult::Refuses);
 }
--- a/test/balsampoint/reach/reach_test.cpp
+++ b/test/balsampoint/reach/reach_test.cpp
@@ -108,11 +108,11 @@
   cr_assert(RecordCheck(state, CheckResult::Refused, kNow));
   cr_expect(NeededProof(state, kNow) == Proof::Open);
   cr_assert_not(RecordCheck(state, CheckResult::Silent, kNow));
-  cr_expect(NeededProof(state, kNow) == Proof::AcknowledgedAgain);
+  cr_expect(NeededProof(state, kNow) == Proof::Acknowledged);
   cr_assert_not(RecordCheck(state, CheckResult::Refused, kNow));
-  cr_expect(NeededProof(state, kNow) == Proof::AcknowledgedAgain);
+  cr_expect(NeededProof(state, kNow) == Proof::Acknowledged);
   cr_assert_not(RecordCheck(state, CheckResult::Reached, kNow));
-  cr_expect(NeededProof(state, kNow) == Proof::AcknowledgedAgain);
+  cr_expect(NeededProof(state, kNow) == Proof::Acknowledged);
   cr_assert(RecordCheck(state, CheckResult::Reached, kNow));
   cr_expect(NeededProof(state, kNow) == Proof::Open);
   RecordTraffic(
