--- a/test/tsan/criterion/criterion.h
+++ b/test/tsan/criterion/criterion.h
@@ -70,5 +70,6 @@
   static_cast<void>(std::fprintf(stderr, __VA_ARGS__))
 #define cr_expect cr_assert
 #define cr_expect_eq cr_assert_eq
+#define cr_expect_gt cr_assert_gt
 #define cr_expect_lt cr_assert_lt
 #define cr_expect_not cr_assert_not
