Look at all peers' connections only when they hold too much

Cause: the receiver of calls between hosts ran memory::Relieve at each read, which looks at every connection; a relay with 300 followers looked at 300 of them for each of their reports. Found by reading.

Change: NeedsRelief is asked first; where it is false Relieve chooses nothing. A comment claimed a cost that no run has measured.

--- a/src/balsampoint/memory/state.hpp
+++ b/src/balsampoint/memory/state.hpp
@@ -66,8 +66,8 @@
   /** Bytes of the holders that are not small. */
   std::uint64_t largeBytes{};
   /** Holders that are no longer read. Counted here, since each report of a
-   * holder asks for it: a walk over all holders would cost a host with hundreds
-   * of streams more than the events themselves. */
+   * holder asks for it, and a search would cost in proportion to the holders.
+   */
   std::size_t pausedHolders{};
 };
 
--- a/src/balsampoint/peer/receiver.cpp
+++ b/src/balsampoint/peer/receiver.cpp
@@ -2,6 +2,7 @@
 
 #include "balsampoint/memory/command/record_holder.hpp"
 #include "balsampoint/memory/command/relieve.hpp"
+#include "balsampoint/memory/query/may_grow.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/net/socket.hpp"
 #include "balsampoint/peer/internal/call_codec.hpp"
@@ -233,6 +234,10 @@
 {
   const auto now = runtime::SteadyClock::Now();
   memory::RecordHolder(mMemory, aId, { .bytes = aBytes, .moved = aMoved }, now);
+  // Each read of a peer comes here, and Relieve looks at all connections.
+  if (!memory::NeedsRelief(mMemory)) {
+    return;
+  }
   for (const auto& action : memory::Relieve(mMemory, now)) {
     const auto found =
       std::ranges::find_if(mConnections, [&](const auto& aConnection) {
