--- a/src/balsampoint/limit/command/follow_demand.cpp
+++ b/src/balsampoint/limit/command/follow_demand.cpp
@@ -74,10 +74,13 @@
             double aTokens,
             Instant aNow)
 {
+  // The number is the caller's claim; a sum of such claims must not overflow.
+  constexpr double kMostTokens = 1e6;
   const auto service = aState.services.find(aService);
   if (service != aState.services.end()) {
+    const auto tokens = std::clamp(aTokens, 0.0, kMostTokens);
     service->second.localDemand[aUrgency].Add(
-      aNow, static_cast<std::uint32_t>(std::lround(aTokens)));
+      aNow, static_cast<std::uint32_t>(std::lround(tokens)));
   }
 }
 
--- a/test/balsampoint/limit/query/levels_test.cpp
+++ b/test/balsampoint/limit/query/levels_test.cpp
@@ -160,6 +160,21 @@
   cr_assert(mean > 0.695 && mean < 0.705);
 }
 
+// Guards against a caller that claims any number of tokens and makes the demand
+// of its urgency overflow or vanish.
+Test(append_demand, bounds_the_tokens_that_a_request_claims)
+{
+  auto state = MakeShortage();
+  CountDemand(state, kService, 1, 1e18, kNow);
+  CountDemand(state, kService, 1, -1e18, kNow);
+  std::vector<usage::ServiceUsage> services;
+  AppendDemand(state, kNow + 1s, services);
+  cr_assert_eq(services.size(), 1U);
+  const auto rate = services.front().byUrgency.front().kvPerSecond;
+  cr_expect_gt(rate, 0.0);
+  cr_expect_leq(rate, 500000.0);
+}
+
 // Guards against reports that leave demand out, or hide a limit of rates.
 Test(append_demand, reports_tokens_per_second_by_urgency)
 {
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -48,6 +48,23 @@
   cr_assert_eq(*parameters->resumeAfter, 12U);
 }
 
+// Guards against a caller whose hint makes the reserved KV negative or no
+// number, here and in the sums that other hosts receive.
+Test(requests, a_length_hint_that_is_no_length_is_ignored)
+{
+  for (const auto* hint : { "nan", "inf", "-inf", "-1", "-1e308", "x" }) {
+    wire::RequestHead head{ .method = "POST", .target = "/x/2f" };
+    head.fields.Add("Host", "a.example");
+    head.fields.Add("X-Request-Id", "r1");
+    head.fields.Add("X-Token-Counts", "1460,80");
+    head.fields.Add("X-Length-Hint", hint);
+    const auto parameters = Dialect::ReadRequestParameters(head);
+    cr_assert(parameters.has_value());
+    cr_assert(parameters->tokens.has_value());
+    cr_expect_not(parameters->tokens->expectedAnswerTokens.has_value());
+  }
+}
+
 Test(requests, a_request_names_itself_exactly_once)
 {
   auto head = Head();
