--- a/src/balsampoint/limit/query/waiting.cpp
+++ b/src/balsampoint/limit/query/waiting.cpp
@@ -61,18 +61,6 @@
            });
 }
 
-std::optional<Duration>
-ExpectedWait(const Shortage& aState,
-             const ServiceId& aService,
-             const WaitRequest& aRequest,
-             Instant aNow)
-{
-  const auto service = aState.services.find(aService);
-  return service == aState.services.end()
-           ? std::nullopt
-           : internal::ExpectedWait(service->second, aRequest, aNow);
-}
-
 std::size_t
 WaitingCount(const Shortage& aState)
 {
--- a/src/balsampoint/limit/query/waiting.hpp
+++ b/src/balsampoint/limit/query/waiting.hpp
@@ -2,7 +2,8 @@
 
 #include "balsampoint/limit/shortage.hpp"
 
-#include <optional>
+#include <cstddef>
+#include <vector>
 
 namespace balsampoint::limit {
 
@@ -28,21 +29,6 @@
           const ServiceId& aService,
           const WaitRequest& aRequest);
 
-/**
- * @brief Time until this host is expected to find room for a request.
- * @param aState State to read.
- * @param aService Service of the request.
- * @param aRequest The request.
- * @param aNow Current time.
- * @return Absent if none of this host's requests has found room or ended
- * lately.
- */
-[[nodiscard]] std::optional<Duration>
-ExpectedWait(const Shortage& aState,
-             const ServiceId& aService,
-             const WaitRequest& aRequest,
-             Instant aNow);
-
 /**
  * @brief Number of waiting requests of all services.
  * @param aState State to read.
