--- a/src/balsampoint/fleet/query/choose_chain.cpp
+++ b/src/balsampoint/fleet/query/choose_chain.cpp
@@ -4,10 +4,10 @@
 #include "balsampoint/fleet/internal/cost.hpp"
 #include "balsampoint/fleet/internal/rate_share.hpp"
 #include "balsampoint/fleet/internal/rejection.hpp"
+#include "balsampoint/fleet/internal/weighted_server.hpp"
 #include "balsampoint/fleet/internal/zone_link.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -16,7 +16,8 @@
 
 namespace {
 
-constexpr double kUnreachable = std::numeric_limits<double>::infinity();
+using internal::kUnreachable;
+using internal::WeightedServer;
 
 /** @brief Last hop of the cheapest path from layer zero to a layer. */
 struct Step
@@ -32,28 +33,6 @@
   double eventMs{};
 };
 
-/** @brief A server that may take part in the chain. */
-struct WeightedServer
-{
-  const Server* server{};
-  /** Factor on its cost, which varies between choices. */
-  double weight{ 1.0 };
-  /** Wait for the prefill of earlier prompts, in ms. */
-  double backlogMs{};
-  /** Mean wait for the pass that is running when a token arrives, in ms. */
-  double waitMs{};
-  /** Time per event and layer with the request's own prefill, in ms, before the
-   * cost of the fill level. */
-  double runMsPerLayer{};
-  /** Cost per event and layer of the delay of other prompts. */
-  double delayMsPerLayer{};
-  /** KV in use and KV that the request may fill, in tokens times layers. */
-  double kvUsed{};
-  double room{};
-  /** The same within the limit of the request's urgency. */
-  double ownRoom{};
-};
-
 /** @brief Layers that a server holds; empty if it has reported none. */
 LayerRange
 Held(const Server& aServer)
@@ -341,10 +320,17 @@
     return mSettings.hopMs + (sameZone ? 0.0 : zoneChange);
   }
 
-  /** Number of events of the expected answer. */
-  [[nodiscard]] double Events() const
+  [[nodiscard]] WeightedServer Weigh(const Server& aServer,
+                                     double aWeight) const
   {
-    return std::max(1.0, mDemand.answerTokens / mEngine.tokensPerPass);
+    return internal::WeighServer(
+      mSettings, mGroup, mEngine, mDemand, aServer, aWeight, mNow);
+  }
+
+  [[nodiscard]] double RunMs(const WeightedServer& aCandidate,
+                             std::uint32_t aLayers) const
+  {
+    return internal::RunMs(aCandidate, mTokens, aLayers);
   }
 
   /**
@@ -361,75 +347,8 @@
     const auto before = mSteps[aLayer].backlogMs;
     const auto target = mSettings.firstEventTargetMs;
     const auto squares = added * (added + 2 * before) / (target * target);
-    return added / Events() + squares * mSettings.eventTargetMs;
-  }
-
-  /**
-   * @brief Cost per event and layer of the delay that the request's own prefill
-   * causes to others. The prompts that wait now stand for those that will wait
-   * behind it.
-   */
-  [[nodiscard]] double DelayMsPerLayer(const Server& aServer) const
-  {
-    const auto waiting = aServer.WaitingPrompt();
-    if (waiting <= 0.0 || !mGroup.competing) {
-      return 0.0;
-    }
-    const auto typical = std::max(1.0, mEngine.meanPromptTokens);
-    const auto others = waiting / (typical * Held(aServer).Size());
-    return others * ReadMs(aServer, 1) / Events();
-  }
-
-  /** Time of the prefill of the request's prompt. */
-  [[nodiscard]] double ReadMs(const Server& aServer,
-                              std::uint32_t aLayers) const
-  {
-    return internal::ReadMs(
-      mEngine, aServer.readFactor, aLayers, mDemand.promptTokens);
-  }
-
-  /** Computes once for a search what doesn't depend on the layers that the
-   * server runs: all times grow in proportion to their number. */
-  [[nodiscard]] WeightedServer Weigh(const Server& aServer,
-                                     double aWeight) const
-  {
-    const auto passing = aServer.Passing();
-    const auto passMs =
-      internal::PassMs(mEngine, aServer.stepFactor, 1, passing + 1.0);
-    const auto limit = mGroup.competing
-                         ? internal::FillLimit(mSettings, aServer, mNow)
-                         : mSettings.maxKvFraction;
-    const auto room = aServer.kvCapacity * limit;
-    // What less urgent requests leave free stays free below a lower limit too.
-    const auto reserved =
-      aServer.kvCapacity * (mSettings.maxKvFraction - mDemand.kvFraction);
-    return {
-      .server = &aServer,
-      .weight = aWeight,
-      .backlogMs =
-        mGroup.competing ? internal::BacklogMs(mEngine, aServer) : 0.0,
-      .waitMs = internal::PassMs(
-                  mEngine, aServer.stepFactor, Held(aServer).Size(), passing) /
-                2,
-      .runMsPerLayer = passMs + ReadMs(aServer, 1) / Events(),
-      .delayMsPerLayer = DelayMsPerLayer(aServer),
-      .kvUsed = aServer.KvUsed(),
-      .room = room,
-      .ownRoom = std::min(room, room - reserved),
-    };
-  }
-
-  [[nodiscard]] double RunMs(const WeightedServer& aCandidate,
-                             std::uint32_t aLayers) const
-  {
-    const auto used = aCandidate.kvUsed + mTokens * aLayers;
-    if (used > aCandidate.ownRoom) {
-      return kUnreachable;
-    }
-    // The cost grows with the fill level, so that a nearly full server is used
-    // last.
-    const auto fullness = used / aCandidate.room;
-    return aLayers * aCandidate.runMsPerLayer * (1.0 + fullness * fullness);
+    return added / internal::EventsOf(mEngine, mDemand) +
+           squares * mSettings.eventTargetMs;
   }
 
   [[nodiscard]] Chain Trace() const
@@ -446,7 +365,10 @@
           .incarnation = step.server->claim.stamp.incarnation,
           .address = description.address,
           .layers = { step.from, layer } });
-      chain.firstEventMs += ReadMs(*step.server, layer - step.from);
+      chain.firstEventMs += internal::ReadMs(mEngine,
+                                             step.server->readFactor,
+                                             layer - step.from,
+                                             mDemand.promptTokens);
       layer = step.from;
     }
     chain.firstEventMs += mSteps.back().backlogMs + chain.eventMs;
