Log the use of connections and bytes that belong to no answer

Cause: the logs could not tell whether a wrong answer came over a connection that had carried other requests, nor that a server had sent bytes on an idle connection or behind an answer. All hypotheses of the incident on framing left on a connection predict the same lines without that.

Change: request_ended says how many requests were sent on the server's connection; unsolicited_bytes names server, size and the same number.

--- a/src/balsampoint/edge/attempt.cpp
+++ b/src/balsampoint/edge/attempt.cpp
@@ -46,6 +46,7 @@
   fleet::CountSend(
     mTraffic.fleet, mService->id, mHops.front(), TrafficState::Now());
   mServer->Send(std::move(aRequest));
+  mRequestsOnConnection = mServer->RequestCount();
 }
 
 void
--- a/src/balsampoint/edge/attempt.hpp
+++ b/src/balsampoint/edge/attempt.hpp
@@ -5,6 +5,7 @@
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -116,6 +117,13 @@
   /** @brief The connection; there must be one. */
   [[nodiscard]] ServerConnection& Connection() const { return *mServer; }
 
+  /** @brief Number of requests sent so far on the connection that the request
+   * was last sent on, itself included; 0 if it was not sent. */
+  [[nodiscard]] std::size_t RequestsOnConnection() const noexcept
+  {
+    return mRequestsOnConnection;
+  }
+
   /** @brief The reserved servers; empty for none. */
   [[nodiscard]] const std::vector<fleet::Hop>& Hops() const { return mHops; }
 
@@ -125,6 +133,7 @@
   std::vector<fleet::Hop> mHops;
   fleet::Reservation mReserved;
   std::shared_ptr<ServerConnection> mServer;
+  std::size_t mRequestsOnConnection{};
   /** Whether the servers have sent an event. */
   bool mStreaming{ false };
 };
--- a/src/balsampoint/edge/exchange_io.hpp
+++ b/src/balsampoint/edge/exchange_io.hpp
@@ -279,6 +279,7 @@
              .fingerprint = mAdmitted.fingerprint,
              .sharedParts = mAdmitted.parameters.sharedParts,
              .sent = mState.progress.sent,
+             .requestsOnConnection = mAttempt.RequestsOnConnection(),
              .events = mRelay.Events().SentCount(),
              .age = TrafficState::Now() - mAdmitted.startedAt,
              .room = mRoom.LogFields() };
--- a/src/balsampoint/edge/exchange_log.cpp
+++ b/src/balsampoint/edge/exchange_log.cpp
@@ -74,6 +74,17 @@
     .With("since_sent_ms", aOrigin.sinceSent);
 }
 
+void
+LogUnsolicitedBytes(std::string_view aAddress,
+                    std::size_t aSize,
+                    std::size_t aRequestsOnConnection)
+{
+  trace::Event{ "unsolicited_bytes" }
+    .With("address", aAddress)
+    .With("bytes", aSize)
+    .With("on_connection", aRequestsOnConnection);
+}
+
 void
 LogEnd(const RequestLogFields& aFields,
        std::string_view aOutcome,
@@ -95,6 +106,7 @@
   }
   event.With("servers", HopText(aFields.hops))
     .With("sent", aFields.sent)
+    .With("on_connection", aFields.requestsOnConnection)
     .With("total_ms", aFields.age);
   if (const auto& room = aFields.room) {
     event.With("urgency", room->urgency).With("kv_level", room->level);
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -6,6 +6,7 @@
 #include "balsampoint/fleet/chain.hpp"
 #include "balsampoint/forward/decision.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -49,6 +50,9 @@
   std::span<const PromptPartId> sharedParts;
   /** Number of times that the request was sent to a server. */
   std::uint32_t sent{};
+  /** Number of requests sent so far on the server's connection, this one
+   * included; 0 if it was not sent. */
+  std::size_t requestsOnConnection{};
   /** Number of stream events sent to the caller. */
   std::uint32_t events{};
   /** Time since the request's arrival. */
@@ -104,6 +108,18 @@
                    std::string_view aReason,
                    const AnswerOrigin& aOrigin);
 
+/**
+ * @brief Logs bytes of a server that belong to no answer as
+ * `unsolicited_bytes`.
+ * @param aAddress IP address and port of the server.
+ * @param aSize Number of bytes that were read.
+ * @param aRequestsOnConnection Number of requests sent on the connection.
+ */
+void
+LogUnsolicitedBytes(std::string_view aAddress,
+                    std::size_t aSize,
+                    std::size_t aRequestsOnConnection);
+
 /**
  * @brief Logs the end of a request as `request_ended`.
  * @param aFields Fields of the request.
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/edge/server_connection.hpp"
 
+#include "balsampoint/edge/exchange_log.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
 #include "balsampoint/wire/write.hpp"
 
@@ -164,6 +165,10 @@
 {
   mObserver = nullptr;
   mTimer.Clear();
+  if (mParser.Complete() && !mUnparsed.empty()) {
+    LogUnsolicitedBytes(mAddress, mUnparsed.size(), mRequestIds.size());
+    mUnparsed.clear();
+  }
   mShare.Release();
   boost::system::error_code ignored;
   mSocket.close(ignored);
@@ -353,7 +358,7 @@
 {
   mLastReadAt = runtime::SteadyClock::Now();
   if (!mAwaitingResponse) {
-    // Unsolicited bytes: the connection can't be reused.
+    LogUnsolicitedBytes(mAddress, aBytes.size(), mRequestIds.size());
     CloseAsLost();
     return;
   }
