Show that a late last chunk cuts another answer short

Cause: the late copies that the tests played are whole answers or parts that are malformed where they arrive. The last chunk of an answer is well-formed between two chunks of the next one.

--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1013,6 +1013,36 @@
   }
 }
 
+// Guards against an answer that is cut short by the last chunk of an earlier
+// one, which its server sends a second time.
+Test(exchange, a_late_last_chunk_ends_no_other_answer)
+{
+  const std::string last{ "0\r\n\r\n" };
+  for (const auto kind : { routing::RequestKind::Idempotent,
+                           routing::RequestKind::ResumableStream,
+                           routing::RequestKind::Stream }) {
+    Host host{ kind };
+    FakeServer::Pointer earlier;
+    host.one.respond = [&](const auto& aCaller, const auto& aRequest) {
+      const auto id = aRequest.head.fields.Find("X-Request-Id").value_or("");
+      aCaller->Send(StreamHead(std::string{ id }) + Chunk(Event(1)));
+      if (earlier) {
+        earlier->Send(last);
+      }
+      aCaller->Send(Chunk(Event(2)) + last);
+      aCaller->Finish(true);
+      earlier = aCaller;
+    };
+    host.two.Stop();
+    host.Start();
+    for (const std::string id : { "q1", "q2", "q3" }) {
+      Caller caller;
+      caller.SendRequest("POST", "Content-Length: 0\r\n", id);
+      cr_assert(caller.Expect(Event(2)), "%s", caller.read.c_str());
+    }
+  }
+}
+
 // Guards against a late copy that names the request it is taken for, because an
 // earlier request with the same id was sent on the connection.
 Test(exchange, requests_with_the_same_id_use_different_connections)
--- a/test/process/gateway_stutter_day.py
+++ b/test/process/gateway_stutter_day.py
@@ -6,6 +6,7 @@
 
 Usage: gateway_stutter_day.py [--seed N] [--seconds S] [--build FOLDER]
            [--block N] [--only KIND]... [--streams SHARE] [--late S]
+           [--entries N] [--connections N] [--deadline-ms MS] [--faults]
            [--keep FOLDER]
 """
 
@@ -71,6 +72,9 @@
     parser.add_argument("--callers", type=int, default=0)
     parser.add_argument("--streams", type=float, default=1.0)
     parser.add_argument("--late", type=float, default=LATE_S)
+    parser.add_argument("--connections", type=int, default=52)
+    parser.add_argument("--deadline-ms", type=int, default=1500)
+    parser.add_argument("--faults", action="store_true")
     parser.add_argument("--block", type=int, default=43)
     parser.add_argument("--only", action="append")
     parser.add_argument("--keep", type=pathlib.Path)
--- a/test/soak/day.py
+++ b/test/soak/day.py
@@ -1,4 +1,7 @@
-"""A day of one deployment: requests come at their rates, answered or not."""
+"""A day of one deployment: requests come at their rates, answered or not.
+
+With faults, hosts and servers are reached through forwarders, and hosts, links
+and servers misbehave meanwhile."""
 
 import asyncio
 import collections
@@ -6,16 +9,18 @@
 
 from soak.backends import Backend, Engine
 from soak.callers import Caller
+from soak.faults import Faults
 from soak.hosts import Host
 from soak.operator import Operator
+from soak.proxy import Link
 from soak.world import BACKEND_PORT, World, ZONES
 
 # Requests a second of all callers together.
 PLAIN = {"order": 7.96, "lookup": 3.19}
 STREAMS_PER_S = 93.0
-DEADLINE_MS = {"order": 1500, "lookup": 1500, "draft": 20000}
+STREAM_DEADLINE_MS = 20000
 ROUTE_TIMEOUT_MS = 800
-PLAIN_SLOTS, PLAIN_CONNECTIONS = 6, 52
+PLAIN_SLOTS = 6
 WORK_S = 0.015
 EVENTS = (20, 90)
 RETRY_EXTRA = 202
@@ -48,7 +53,7 @@
         return super().description() | {"slots": PLAIN_SLOTS}
 
     async def serve(self, reader, writer):
-        if len(self.connections) >= PLAIN_CONNECTIONS:
+        if len(self.connections) >= self.world.options.connections:
             self.world.over_limit += 1
             writer.transport.abort()
             return
@@ -69,10 +74,10 @@
                 route["timeout_ms"] = ROUTE_TIMEOUT_MS
                 route["target_latency_ms"] = 100
             else:
-                route["timeout_ms"] = DEADLINE_MS["draft"]
+                route["timeout_ms"] = STREAM_DEADLINE_MS
         for service in content["services"]:
             if service["name"] == "desk":
-                service["max_conns"] = PLAIN_CONNECTIONS
+                service["max_conns"] = self.world.options.connections
         return await super().put(content, address)
 
 
@@ -80,7 +85,8 @@
     """Makes requests one after the other, as it is asked to."""
 
     def deadline_ms(self, kind):
-        return DEADLINE_MS[kind]
+        return (STREAM_DEADLINE_MS if kind == "draft"
+                else self.world.options.deadline_ms)
 
     def events(self, kind):
         return self.world.random.randint(*EVENTS)
@@ -104,6 +110,7 @@
     """Requests at fixed rates; servers answer twice throughout."""
 
     def __init__(self, build, folder, seed, options):
+        self.options = options
         super().__init__(build, folder, seed, options)
         self.retry_extra = RETRY_EXTRA
         self.operator = DayOperator(self)
@@ -113,18 +120,22 @@
         self.begin(None)
 
     def add_host(self, number, control):
-        host = DirectHost(self, number + 1, ZONES[number % len(ZONES)], control)
+        kind = Host if self.options.faults else DirectHost
+        host = kind(self, number + 1, ZONES[number % len(ZONES)], control)
         if control:
             self.control_addresses.append(host.front_address)
         return host
 
     def add_backend(self, number):
-        address = f"127.{self.block}.3.{number + 1}:{BACKEND_PORT}"
+        told = own = f"127.{self.block}.3.{number + 1}:{BACKEND_PORT}"
+        if self.options.faults:
+            own = f"127.{self.block}.4.{number + 1}:{BACKEND_PORT}"
+            self.links.append(Link(told, own))
         kind, service = ((Engine, "verse") if number < 6
                          else (PlainServer, "desk"))
         zone = ZONES[number % len(ZONES)]
         self.backends.append(
-            kind(self, f"s{number}", service, zone, address, address))
+            kind(self, f"s{number}", service, zone, own, told))
 
     def begin(self, copies):
         """Lets all servers answer twice in some way; counts from here on."""
@@ -175,8 +186,11 @@
         """Plays the day."""
         watching = asyncio.create_task(self.watch())
         until = time.monotonic() + seconds
-        await asyncio.gather(*(self.arrive(kind, until)
-                               for kind, rate in self.rates.items() if rate))
+        works = [self.arrive(kind, until)
+                 for kind, rate in self.rates.items() if rate]
+        if self.options.faults:
+            works.append(Faults(self).run(seconds))
+        await asyncio.gather(*works)
         watching.cancel()
         for visitor in self.visitors:
             visitor.close()
--- a/test/soak/stutter.py
+++ b/test/soak/stutter.py
@@ -296,8 +296,49 @@
         self.writer.write(OnOpening.last)
 
 
+class LastChunkAgain(Whole):
+    """Sends answers in chunks; the last chunk comes a second time, late,
+    between two chunks of whatever is being sent on the connection then."""
+
+    late_s = 0.4
+    last = b"0\r\n\r\n"
+
+    def write(self, data):
+        """Passes a stream on; keeps any other answer until it is complete."""
+        if self.answer or b"\r\nTransfer-Encoding: chunked" in data:
+            self.answer += data
+            self.writer.write(data)
+        else:
+            self.plain += data
+
+    async def __aenter__(self):
+        self.answer = self.plain = b""
+        return self
+
+    async def __aexit__(self, *_):
+        if self.plain:
+            head, _, body = self.plain.partition(b"\r\n\r\n")
+            middle = len(body) // 2
+            self.writer.write(without_length(head) +
+                              b"\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for part in (body[:middle], body[middle:]):
+                if part:
+                    self.writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+                    await asyncio.sleep(self.random.uniform(0.0, PART_S))
+            self.writer.write(self.last)
+        task = asyncio.create_task(self.repeat())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def repeat(self):
+        """Sends the last chunk again after a while."""
+        await asyncio.sleep(self.random.uniform(0.0, self.late_s))
+        if not self.writer.transport.is_closing():
+            self.writer.write(self.last)
+
+
 INSIDE = [BeforeEnd, BeforeEndWithoutId, BeforeEndCut, BetweenParts, OnAnother,
-          OnAnotherWithoutId, Anywhere, OnOpening]
+          OnAnotherWithoutId, Anywhere, OnOpening, LastChunkAgain]
 
 
 class AtNext:
