Send one request over each connection to a server

What callers saw: streams that ended early, and plain answers cut short, as complete successes.

Cause: a server that sends the last chunk of an answer a second time, late, ends whatever answer is on the connection then. An answer's framing rests on all bytes of its connection, so a connection that carries several answers makes each depend on what earlier ones left. Checks of single forms can't close that.

The pool of idle connections, its limits and the search for one are gone; with them the tracking of ids on a connection and the special case of a connection that the server had closed while it was idle.

--- a/src/balsampoint/daemon/gateway.hpp
+++ b/src/balsampoint/daemon/gateway.hpp
@@ -124,8 +124,8 @@
   static constexpr Duration kUrgentReportDelay =
     std::chrono::milliseconds{ 10 };
   static constexpr Duration kUrgentReportInterval = std::chrono::seconds{ 1 };
-  /** Time between two searches for expired server connections. */
-  static constexpr Duration kExpiryInterval = std::chrono::seconds{ 1 };
+  /** Time between two searches for server connections that have ended. */
+  static constexpr Duration kForgetInterval = std::chrono::seconds{ 1 };
   static constexpr std::size_t kMailboxCapacity = 65536;
 
   BasicGateway(const config::GatewaySettings& aSettings,
@@ -177,7 +177,7 @@
                   return Configure(aContent);
                 } }
     , mLoop{ mMailbox, mRunners, std::move(aFirst.states) }
-    , mExpiryTimer{ mEdge.Context() }
+    , mForgetTimer{ mEdge.Context() }
     , mUsageTimer{ mEdge.Context() }
     , mIdleTimer{ mEdge.Context() }
   {
@@ -264,7 +264,7 @@
         .and_then([&] { return ListenOn(mDetours, listen.detours); })
         .and_then([&] { return ListenOn(mControlPort, listen.control); });
     if (listening) {
-      CloseExpiredConnections();
+      ForgetEndedConnections();
       if (listen.callers) {
         mTraffic.suspectsObserver = [this] { ReportUsageSoon(); };
         mTraffic.linkObserver = [this] { ReportUsageSoon(); };
@@ -287,10 +287,10 @@
                     : tl::expected<void, Error>{};
   }
 
-  void CloseExpiredConnections()
+  void ForgetEndedConnections()
   {
-    mTraffic.pool.CloseExpired();
-    mExpiryTimer.Set(kExpiryInterval, [this] { CloseExpiredConnections(); });
+    mTraffic.connections.ForgetEnded();
+    mForgetTimer.Set(kForgetInterval, [this] { ForgetEndedConnections(); });
   }
 
   void ReportUsage()
@@ -605,7 +605,7 @@
   edge::BasicControlPort<D> mControlPort;
   Runners mRunners;
   Control::Loop<Runners> mLoop;
-  net::Timer mExpiryTimer;
+  net::Timer mForgetTimer;
   net::Timer mUsageTimer;
   net::Timer mIdleTimer;
   std::thread mControlThread;
--- a/src/balsampoint/edge/attempt.cpp
+++ b/src/balsampoint/edge/attempt.cpp
@@ -20,22 +20,12 @@
     mTraffic.fleet, mService->id, mHops, mReserved, TrafficState::Now());
 }
 
-std::optional<Duration>
-Attempt::TakeIdle(const RequestId& aRequest, const ServerObserver& aObserver)
-{
-  mServer = mTraffic.pool.TakeIdle(mHops.front().address, aRequest);
-  if (!mServer) {
-    return std::nullopt;
-  }
-  mServer->SetObserver(aObserver);
-  return mServer->IdleTime();
-}
-
 void
 Attempt::Connect(const ServerObserver& aObserver)
 {
   const auto& address = mHops.front().address;
-  mServer = mTraffic.pool.Make(address, mTraffic.links.TakePath(address));
+  mServer =
+    mTraffic.connections.Make(address, mTraffic.links.TakePath(address));
   mServer->SetObserver(aObserver);
   mServer->Connect();
 }
@@ -46,7 +36,6 @@
   fleet::CountSend(
     mTraffic.fleet, mService->id, mHops.front(), TrafficState::Now());
   mServer->Send(std::move(aRequest));
-  mRequestsOnConnection = mServer->RequestCount();
 }
 
 void
@@ -98,14 +87,6 @@
     mTraffic.fleet, mService->id, mHops, mReserved, interval, aNow);
 }
 
-void
-Attempt::ReturnConnection()
-{
-  if (mServer) {
-    mTraffic.pool.Return(std::exchange(mServer, nullptr));
-  }
-}
-
 void
 Attempt::Release()
 {
--- a/src/balsampoint/edge/attempt.hpp
+++ b/src/balsampoint/edge/attempt.hpp
@@ -5,10 +5,8 @@
 #include "balsampoint/edge/traffic_state.hpp"
 #include "balsampoint/fleet/command/track_work.hpp"
 
-#include <cstddef>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -52,16 +50,6 @@
                fleet::Chain aChain,
                routing::RequestKind aKind);
 
-  /**
-   * @brief Takes an idle connection to the first server from the pool.
-   * @param aRequest Id of the request to send on it.
-   * @param aObserver Observer of its events.
-   * @return How long it was idle; absent if there is none.
-   */
-  [[nodiscard]] std::optional<Duration> TakeIdle(
-    const RequestId& aRequest,
-    const ServerObserver& aObserver);
-
   /**
    * @brief Opens a connection to the first server.
    * @param aObserver Observer of its events.
@@ -99,9 +87,6 @@
    */
   void RecordEvents(Duration aSinceLast, Instant aNow);
 
-  /** @brief Gives the connection, if there is one, back to the pool. */
-  void ReturnConnection();
-
   /** @brief Closes the connection and releases the servers. */
   void Release();
 
@@ -117,13 +102,6 @@
   /** @brief The connection; there must be one. */
   [[nodiscard]] ServerConnection& Connection() const { return *mServer; }
 
-  /** @brief Number of requests sent so far on the connection that the request
-   * was last sent on, itself included; 0 if it was not sent. */
-  [[nodiscard]] std::size_t RequestsOnConnection() const noexcept
-  {
-    return mRequestsOnConnection;
-  }
-
   /** @brief The reserved servers; empty for none. */
   [[nodiscard]] const std::vector<fleet::Hop>& Hops() const { return mHops; }
 
@@ -133,7 +111,6 @@
   std::vector<fleet::Hop> mHops;
   fleet::Reservation mReserved;
   std::shared_ptr<ServerConnection> mServer;
-  std::size_t mRequestsOnConnection{};
   /** Whether the servers have sent an event. */
   bool mStreaming{ false };
 };
--- a/src/balsampoint/edge/attempt_events.cpp
+++ b/src/balsampoint/edge/attempt_events.cpp
@@ -71,7 +71,6 @@
   return { .server = aAttempt.Hops().front(),
            .status = connection.ResponseParser().Response().status,
            .namedRequest = aMetadata.request.value_or(std::string_view{}),
-           .requestsOnConnection = connection.RequestCount(),
            .sinceSent = TrafficState::Now() - aSentAt };
 }
 
--- a/src/balsampoint/edge/connection_probes.cpp
+++ b/src/balsampoint/edge/connection_probes.cpp
@@ -99,7 +99,7 @@
   pending.unsent.remove_prefix(part.size());
   pending.sent = true;
   pending.sentAt = runtime::SteadyClock::Now();
-  pending.connection->Send({ .bytes = std::string{ part }, .id = {} });
+  pending.connection->Send({ .bytes = std::string{ part } });
   pending.timer->Set(kAckPoll, [this, aKey] { AwaitAcknowledgement(aKey); });
 }
 
--- a/src/balsampoint/edge/connection_probes.hpp
+++ b/src/balsampoint/edge/connection_probes.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "balsampoint/edge/server_pool.hpp"
+#include "balsampoint/edge/server_connections.hpp"
 #include "balsampoint/net/loop.hpp"
 #include "balsampoint/reach/proof.hpp"
 
@@ -82,7 +82,7 @@
   void OnResult(const Key& aKey, ProbeResult aResult);
 
   boost::asio::io_context& mContext;
-  ServerPool mConnections;
+  ServerConnections mConnections;
   std::map<Key, Pending> mPending;
 };
 
--- a/src/balsampoint/edge/engine_control_client.cpp
+++ b/src/balsampoint/edge/engine_control_client.cpp
@@ -36,7 +36,7 @@
               limit = aLimit,
               callback = std::move(aCallback)]() mutable {
     auto pending = std::make_shared<Pending>(mLoop.Context());
-    pending->connection = mPool.Make(address);
+    pending->connection = mConnections.Make(address);
     pending->request = std::move(request);
     pending->callback = std::move(callback);
     Begin(pending, limit);
--- a/src/balsampoint/edge/engine_control_client.hpp
+++ b/src/balsampoint/edge/engine_control_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "balsampoint/edge/dialect.hpp"
-#include "balsampoint/edge/server_pool.hpp"
+#include "balsampoint/edge/server_connections.hpp"
 #include "balsampoint/net/loop.hpp"
 
 #include <functional>
@@ -35,7 +35,7 @@
    */
   EngineControlClient(net::Loop& aLoop, ServerConnectionLimits aLimits)
     : mLoop{ aLoop }
-    , mPool{ aLoop.Context(), aLimits }
+    , mConnections{ aLoop.Context(), aLimits }
   {
   }
 
@@ -60,7 +60,7 @@
            std::optional<EngineResponse> aResponse);
 
   net::Loop& mLoop;
-  ServerPool mPool;
+  ServerConnections mConnections;
   std::set<std::shared_ptr<Pending>> mPending;
 };
 
--- a/src/balsampoint/edge/exchange.hpp
+++ b/src/balsampoint/edge/exchange.hpp
@@ -3,7 +3,6 @@
 #include "balsampoint/edge/exchange_io.hpp"
 #include "balsampoint/edge/exchange_observers.hpp"
 #include "balsampoint/edge/exchange_surroundings.hpp"
-#include "balsampoint/reach/query/choose_detour.hpp"
 
 #include <array>
 #include <cstddef>
@@ -159,18 +158,6 @@
     }
   }
 
-  void Run(const exchange::FindConnection& aFind)
-  {
-    const auto idle =
-      aFind.mayReuse
-        ? mIo.Servers().TakeIdle(mIo.Request().parameters.id, Observer())
-        : std::nullopt;
-    Feed(exchange::ConnectionFound{
-      .idle = idle,
-      .isolated =
-        !idle && reach::IsIsolated(mTraffic.reach, TrafficState::Now()) });
-  }
-
   void Run(const exchange::Connect& /*aConnect*/)
   {
     mIo.Servers().Connect(Observer());
@@ -246,8 +233,8 @@
     const auto& hops = mIo.Servers().Hops();
     Feed(exchange::LinkChecked{
       .reached = aReached,
-      .serverConnected =
-        !hops.empty() && mTraffic.pool.IsConnected(hops.front().address) });
+      .serverConnected = !hops.empty() && mTraffic.connections.IsConnected(
+                                            hops.front().address) });
   }
 
   void OnTimer(exchange::TimerName aTimer)
--- a/src/balsampoint/edge/exchange_io.hpp
+++ b/src/balsampoint/edge/exchange_io.hpp
@@ -14,6 +14,7 @@
 #include "balsampoint/exchange/action.hpp"
 #include "balsampoint/exchange/event.hpp"
 #include "balsampoint/exchange/state.hpp"
+#include "balsampoint/reach/query/choose_detour.hpp"
 
 #include <memory>
 #include <optional>
@@ -90,7 +91,9 @@
                                   .mayQueue = mRoom.Applies() };
     }
     mAttempt.Reserve(service, std::move(*chosen), mState.progress.kind);
-    return exchange::ServersChosen{ mAttempt.Hops() };
+    return exchange::ServersChosen{ .hops = mAttempt.Hops(),
+                                    .isolated = reach::IsIsolated(
+                                      mTraffic.reach, TrafficState::Now()) };
   }
 
   /** @brief Reads the head of a response; absent while it is incomplete. */
@@ -152,7 +155,6 @@
                                    .priority = UrgencyOf(mAdmitted.admission),
                                    .resumeAfter = mRelay.Events().LastId() });
     mAttempt.Send({ .bytes = std::move(bytes),
-                    .id = mAdmitted.parameters.id,
                     .isHead = mAdmitted.request.head.method == "HEAD" });
   }
   void Run(const exchange::FollowStatements& /*aFollow*/)
@@ -209,10 +211,6 @@
     mRelay.Forward(mAttempt.HasConnection() ? Parser().Response() : mKeptHead,
                    mBody);
   }
-  void Run(const exchange::ReturnConnection& /*aReturn*/)
-  {
-    mAttempt.ReturnConnection();
-  }
   void Run(const exchange::LogAttempt& aLog)
   {
     LogAttempt(LogFields(), aLog.end, aLog.reason, aLog.atFault);
@@ -279,7 +277,6 @@
              .fingerprint = mAdmitted.fingerprint,
              .sharedParts = mAdmitted.parameters.sharedParts,
              .sent = mState.progress.sent,
-             .requestsOnConnection = mAttempt.RequestsOnConnection(),
              .events = mRelay.Events().SentCount(),
              .age = TrafficState::Now() - mAdmitted.startedAt,
              .room = mRoom.LogFields() };
--- a/src/balsampoint/edge/exchange_log.cpp
+++ b/src/balsampoint/edge/exchange_log.cpp
@@ -70,19 +70,15 @@
     .With("address", aOrigin.server.address)
     .With("status", aOrigin.status)
     .With("named", aOrigin.namedRequest)
-    .With("on_connection", aOrigin.requestsOnConnection)
     .With("since_sent_ms", aOrigin.sinceSent);
 }
 
 void
-LogUnsolicitedBytes(std::string_view aAddress,
-                    std::size_t aSize,
-                    std::size_t aRequestsOnConnection)
+LogUnsolicitedBytes(std::string_view aAddress, std::size_t aSize)
 {
   trace::Event{ "unsolicited_bytes" }
     .With("address", aAddress)
-    .With("bytes", aSize)
-    .With("on_connection", aRequestsOnConnection);
+    .With("bytes", aSize);
 }
 
 void
@@ -106,7 +102,6 @@
   }
   event.With("servers", HopText(aFields.hops))
     .With("sent", aFields.sent)
-    .With("on_connection", aFields.requestsOnConnection)
     .With("total_ms", aFields.age);
   if (const auto& room = aFields.room) {
     event.With("urgency", room->urgency).With("kv_level", room->level);
--- a/src/balsampoint/edge/exchange_log.hpp
+++ b/src/balsampoint/edge/exchange_log.hpp
@@ -50,9 +50,6 @@
   std::span<const PromptPartId> sharedParts;
   /** Number of times that the request was sent to a server. */
   std::uint32_t sent{};
-  /** Number of requests sent so far on the server's connection, this one
-   * included; 0 if it was not sent. */
-  std::size_t requestsOnConnection{};
   /** Number of stream events sent to the caller. */
   std::uint32_t events{};
   /** Time since the request's arrival. */
@@ -90,8 +87,6 @@
   std::uint16_t status{};
   /** Request that the answer names first; empty if it names none. */
   std::string_view namedRequest;
-  /** Number of requests sent on the connection, this one included. */
-  std::size_t requestsOnConnection{};
   /** Time since the request was sent. */
   Duration sinceSent{};
 };
@@ -113,12 +108,9 @@
  * `unsolicited_bytes`.
  * @param aAddress IP address and port of the server.
  * @param aSize Number of bytes that were read.
- * @param aRequestsOnConnection Number of requests sent on the connection.
  */
 void
-LogUnsolicitedBytes(std::string_view aAddress,
-                    std::size_t aSize,
-                    std::size_t aRequestsOnConnection);
+LogUnsolicitedBytes(std::string_view aAddress, std::size_t aSize);
 
 /**
  * @brief Logs the end of a request as `request_ended`.
--- a/src/balsampoint/edge/link_watch.cpp
+++ b/src/balsampoint/edge/link_watch.cpp
@@ -54,9 +54,11 @@
 LinkWatch::Poll()
 {
   const auto now = TrafficState::Now();
-  reach::RecordTraffic(mTraffic.reach, mTraffic.pool.Evidence(false), now);
+  reach::RecordTraffic(
+    mTraffic.reach, mTraffic.connections.Evidence(false), now);
   if (reach::NeedsAcknowledgements(mTraffic.reach, now)) {
-    reach::RecordTraffic(mTraffic.reach, mTraffic.pool.Evidence(true), now);
+    reach::RecordTraffic(
+      mTraffic.reach, mTraffic.connections.Evidence(true), now);
   }
   if (mTraffic.servers && reach::IsCheckDue(mTraffic.reach, now)) {
     Check([](bool) {});
@@ -163,8 +165,6 @@
     "detours", mTraffic.reach.detours.size());
   mTraffic.metrics.Set(trace::Level::ServersReachable, isDown ? 0.0 : 1.0);
   fleet::ForgetFailures(mTraffic.fleet);
-  mTraffic.pool.KeepDetours(
-    reach::UsesDetours(mTraffic.reach, TrafficState::Now()));
   mTraffic.NotifyLink();
 }
 
@@ -179,7 +179,6 @@
   }
   // What failed before was this host's fault; its requests go on from here.
   fleet::ForgetFailures(mTraffic.fleet);
-  mTraffic.pool.KeepDetours(!used);
   mTraffic.NotifyLink();
 }
 
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -4,46 +4,16 @@
 #include "balsampoint/runtime/steady_clock.hpp"
 #include "balsampoint/wire/write.hpp"
 
-#include <algorithm>
-#include <charconv>
 #include <optional>
 
 namespace balsampoint::edge {
 
 namespace {
 
-/** Idle connections are closed this long before the server would. */
-constexpr Duration kIdleMargin = std::chrono::seconds{ 1 };
-
 /** Time in which a host on the way connects to the server, or finds out why it
  * can't. */
 constexpr Duration kDetourTime = std::chrono::milliseconds{ 450 };
 
-constexpr std::chrono::seconds kLongestIdleTimeout = std::chrono::hours{ 1 };
-
-/** @brief Reads the `timeout` parameter of the `Keep-Alive` header, in seconds;
- * nothing if it is absent or not a number. */
-std::optional<Duration>
-AdvertisedTimeout(const wire::Fields& aFields)
-{
-  constexpr std::string_view kName = "timeout=";
-  const auto value = aFields.Find("Keep-Alive").value_or(std::string_view{});
-  const auto at = value.find(kName);
-  if (at == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const auto digits = value.substr(at + kName.size());
-  std::int64_t seconds{};
-  const auto read =
-    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  if (read.ec != std::errc{}) {
-    return std::nullopt;
-  }
-  return std::clamp(std::chrono::seconds{ seconds },
-                    std::chrono::seconds::zero(),
-                    kLongestIdleTimeout);
-}
-
 } // namespace
 
 ServerConnection::ServerConnection(boost::asio::io_context& aContext,
@@ -56,7 +26,6 @@
   , mSocket{ aContext }
   , mTimer{ aContext }
   , mParser{ wire::MessageKind::Response, aLimits.message }
-  , mIdleTimeout{ aLimits.idleTimeout }
 {
 }
 
@@ -130,7 +99,6 @@
 void
 ServerConnection::Send(EncodedRequest aRequest)
 {
-  mRequestIds.push_back(std::hash<RequestId>{}(aRequest.id));
   mIsHeadRequest = aRequest.isHead;
   mParser.Restart();
   if (mIsHeadRequest) {
@@ -166,7 +134,7 @@
   mObserver = nullptr;
   mTimer.Clear();
   if (mParser.Complete() && !mUnparsed.empty()) {
-    LogUnsolicitedBytes(mAddress, mUnparsed.size(), mRequestIds.size());
+    LogUnsolicitedBytes(mAddress, mUnparsed.size());
     mUnparsed.clear();
   }
   mShare.Release();
@@ -186,21 +154,6 @@
   }
 }
 
-bool
-ServerConnection::MayHaveCarried(const RequestId& aId) const
-{
-  return std::ranges::find(mRequestIds, std::hash<RequestId>{}(aId)) !=
-         mRequestIds.end();
-}
-
-bool
-ServerConnection::Reusable() const
-{
-  return mSocket.is_open() && !mWriting && mUnparsed.empty() &&
-         mRequestIds.size() < kMaxRequests && mParser.Complete() &&
-         mParser.Response().keepAlive;
-}
-
 std::optional<net::AckState>
 ServerConnection::Acknowledgement()
 {
@@ -224,18 +177,6 @@
   return evidence;
 }
 
-void
-ServerConnection::MarkIdle()
-{
-  const auto advertised = AdvertisedTimeout(mParser.Response().fields);
-  mIdleTimeout = advertised ? *advertised - kIdleMargin : mLimits.idleTimeout;
-  mAwaitingResponse = false;
-  mObserver = nullptr;
-  mIdleSince = std::chrono::steady_clock::now();
-  mParser.Restart();
-  RecordMemory(0);
-}
-
 void
 ServerConnection::OpenShare()
 {
@@ -358,7 +299,7 @@
 {
   mLastReadAt = runtime::SteadyClock::Now();
   if (!mAwaitingResponse) {
-    LogUnsolicitedBytes(mAddress, aBytes.size(), mRequestIds.size());
+    LogUnsolicitedBytes(mAddress, aBytes.size());
     CloseAsLost();
     return;
   }
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "balsampoint/core/id.hpp"
 #include "balsampoint/edge/detour_path.hpp"
 #include "balsampoint/edge/detour_stream.hpp"
 #include "balsampoint/edge/memory_account.hpp"
@@ -12,7 +11,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -20,7 +18,6 @@
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace balsampoint::edge {
 
@@ -31,9 +28,6 @@
   Duration connectTimeout{ std::chrono::milliseconds{ 250 } };
   /** Time that sent bytes may stay unacknowledged. */
   Duration ackTimeout{ std::chrono::seconds{ 2 } };
-  /** Time that an idle connection stays open unless the server advertises a
-   * timeout. */
-  Duration idleTimeout{ std::chrono::seconds{ 3 } };
   /** A response is held in memory until it or its next event is complete. */
   wire::MessageLimits message{ .bodyBytes = std::uint64_t{ 8 } * 1024 * 1024 };
   /** Account of the bytes that connections hold; null for none. */
@@ -44,8 +38,6 @@
 struct EncodedRequest
 {
   std::string bytes;
-  /** Id that its response names; empty if none is expected. */
-  RequestId id;
   /** Whether it is a `HEAD` request, whose response has no body. */
   bool isHead{ false };
 };
@@ -64,7 +56,7 @@
 /** @brief Callback for the events of a connection to a server. */
 using ServerObserver = std::function<void(ServerSignal)>;
 
-/** @brief Connection to a backend server with one request at a time. */
+/** @brief Connection to a backend server that carries one request. */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
@@ -96,7 +88,7 @@
   void Connect();
 
   /**
-   * @brief Sends a request and starts to read its response.
+   * @brief Sends the request of the connection and starts to read its response.
    * @param aRequest The request.
    */
   void Send(EncodedRequest aRequest);
@@ -113,29 +105,10 @@
     return mUnparsed;
   }
 
-  /** @brief Number of requests sent on the connection. */
-  [[nodiscard]] std::size_t RequestCount() const noexcept
-  {
-    return mRequestIds.size();
-  }
-
-  /**
-   * @brief Whether a request with an id may have been sent on the connection,
-   * so that a late copy of its response can't be told from that to another one.
-   * @param aId Id of the request.
-   */
-  [[nodiscard]] bool MayHaveCarried(const RequestId& aId) const;
-
-  /** @brief Discards a complete response, which is interim or belongs to an
-   * earlier request, and reads the next one. */
+  /** @brief Discards a complete response, which is interim or belongs to
+   * another request, and reads the next one. */
   void SkipResponse();
 
-  /** @brief Whether the connection can be reused for another request. */
-  [[nodiscard]] bool Reusable() const;
-
-  /** @brief How long the connection may stay idle. */
-  [[nodiscard]] Duration IdleTimeout() const noexcept { return mIdleTimeout; }
-
   /** @brief Whether the connection was established and has not ended. */
   [[nodiscard]] bool Established() const
   {
@@ -169,25 +142,8 @@
   [[nodiscard]] std::optional<reach::ConnectionEvidence> Evidence(
     bool aAskKernel);
 
-  /** @brief Marks the connection as idle and detaches the observer. */
-  void MarkIdle();
-
-  /** @brief Time at which the connection became idle. */
-  [[nodiscard]] std::chrono::steady_clock::time_point IdleSince() const
-  {
-    return mIdleSince;
-  }
-
-  /** @brief How long the connection has been idle. */
-  [[nodiscard]] Duration IdleTime() const
-  {
-    return std::chrono::steady_clock::now() - mIdleSince;
-  }
-
 private:
   static constexpr std::size_t kReadBytes = 16384;
-  /** Bounds the ids that are kept. */
-  static constexpr std::size_t kMaxRequests = 256;
 
   void OnConnect(const boost::system::error_code& aError);
   void OnEstablished();
@@ -221,12 +177,8 @@
   std::string mUnparsed;
   std::string mSending;
   std::string mDetourRequest;
-  std::chrono::steady_clock::time_point mIdleSince;
   Instant mSentAt{ Instant::min() };
   Instant mLastReadAt{ Instant::min() };
-  Duration mIdleTimeout;
-  /** Hashes of the ids of all requests sent. */
-  std::vector<std::size_t> mRequestIds;
   bool mEstablished{ false };
   bool mDetourFailed{ false };
   bool mWriting{ false };
--- a/src/balsampoint/edge/server_prober.hpp
+++ b/src/balsampoint/edge/server_prober.hpp
@@ -41,7 +41,7 @@
 
   TrafficState& mTraffic;
   net::Timer mTimer;
-  ServerPool mConnections;
+  ServerConnections mConnections;
   Probes mProbes;
 };
 
--- a/src/balsampoint/edge/server_statements.cpp
+++ b/src/balsampoint/edge/server_statements.cpp
@@ -16,7 +16,6 @@
 {
   if (aMetadata.leaving &&
       fleet::RecordLeaving(aTraffic.fleet, aService, aHop)) {
-    aTraffic.pool.CloseIdle(aHop.address);
     aTraffic.metrics.Add(trace::Count::ServersLeaving);
     trace::Event{ "server_leaving" }
       .With("server", aHop.server)
--- a/src/balsampoint/edge/traffic_state.hpp
+++ b/src/balsampoint/edge/traffic_state.hpp
@@ -4,7 +4,7 @@
 #include "balsampoint/edge/connection_probes.hpp"
 #include "balsampoint/edge/link_watch.hpp"
 #include "balsampoint/edge/room_queue.hpp"
-#include "balsampoint/edge/server_pool.hpp"
+#include "balsampoint/edge/server_connections.hpp"
 #include "balsampoint/fleet/state.hpp"
 #include "balsampoint/forward/retry_budget.hpp"
 #include "balsampoint/limit/shortage.hpp"
@@ -40,7 +40,7 @@
                forward::RetryAllowance aAllowance,
                std::uint64_t aSeed)
     : loop{ aLoop }
-    , pool{ aLoop.Context(), aServers }
+    , connections{ aLoop.Context(), aServers }
     , probes{ aLoop.Context() }
     , reach{ .settings = { .zone = aFleet.zone } }
     , links{ *this }
@@ -104,7 +104,7 @@
   }
 
   net::Loop& loop;
-  ServerPool pool;
+  ServerConnections connections;
   ConnectionProbes probes;
   reach::State reach;
   LinkWatch links;
--- a/src/balsampoint/exchange/action.hpp
+++ b/src/balsampoint/exchange/action.hpp
@@ -61,15 +61,8 @@
   bool keepsPlace{ false };
 };
 
-/** @brief Looks for a connection to the first server; the result is
- * `ConnectionFound`. */
-struct FindConnection
-{
-  /** Whether a connection that carried other requests may be used. */
-  bool mayReuse{ false };
-};
-
-/** @brief Opens a connection; the result is `Connected` or `ConnectionLost`. */
+/** @brief Opens a connection to the first server; the result is `Connected` or
+ * `ConnectionLost`. */
 struct Connect
 {};
 
@@ -152,10 +145,6 @@
 struct ForwardAnswer
 {};
 
-/** @brief Gives the connection back for other requests. */
-struct ReturnConnection
-{};
-
 /** @brief Logs the end of an attempt. */
 struct LogAttempt
 {
@@ -206,7 +195,6 @@
                             ChooseServers,
                             EnterQueue,
                             LeaveQueue,
-                            FindConnection,
                             Connect,
                             SendRequest,
                             ProbeServer,
@@ -225,7 +213,6 @@
                             EndStream,
                             KeepAnswer,
                             ForwardAnswer,
-                            ReturnConnection,
                             LogAttempt,
                             ReleaseServers,
                             CountRecovery,
--- a/src/balsampoint/exchange/event.hpp
+++ b/src/balsampoint/exchange/event.hpp
@@ -35,6 +35,8 @@
 struct ServersChosen
 {
   std::vector<fleet::Hop> hops;
+  /** Whether this host reaches no server, directly or by a detour. */
+  bool isolated{ false };
 };
 
 /** @brief `ChooseServers` has found none. */
@@ -55,15 +57,6 @@
   Error error;
 };
 
-/** @brief Result of `FindConnection`. */
-struct ConnectionFound
-{
-  /** How long the connection that is kept was idle; absent if there is none. */
-  std::optional<Duration> idle;
-  /** Whether this host reaches no server, directly or by a detour. */
-  bool isolated{ false };
-};
-
 /** @brief The connection is established. */
 struct Connected
 {};
@@ -190,7 +183,6 @@
                            NoServers,
                            QueueTurn,
                            QueueRefused,
-                           ConnectionFound,
                            Connected,
                            ConnectionLost,
                            BreakProbed,
--- a/src/balsampoint/exchange/internal/admitted.hpp
+++ b/src/balsampoint/exchange/internal/admitted.hpp
@@ -11,7 +11,6 @@
             NoServers,
             QueueTurn,
             QueueRefused,
-            ConnectionFound,
             Connected,
             ConnectionLost,
             BreakProbed,
--- a/src/balsampoint/exchange/internal/answer.hpp
+++ b/src/balsampoint/exchange/internal/answer.hpp
@@ -46,9 +46,6 @@
       state.failed.insert(hop.server);
     }
   }
-  if (aRead.complete) {
-    aContext.Act(ReturnConnection{});
-  }
   EndAttempt(aContext,
              forward::AttemptEnd::NotExecuted,
              "the server has not run the request",
@@ -71,7 +68,7 @@
     return;
   }
   if (!std::exchange(state.attempt.statementsRead, true)) {
-    if (!state.attempt.reused && aRead.direct) {
+    if (aRead.direct) {
       aContext.Act(ConfirmLink{});
     }
     aContext.Act(FollowStatements{});
@@ -114,7 +111,6 @@
   aContext.Act(RecordCompletion{});
   BeginOnce(aContext);
   aContext.Act(EndStream{});
-  aContext.Act(ReturnConnection{});
   End(aContext, "answered");
 }
 
@@ -163,7 +159,6 @@
     aContext.Act(RecordOutcome{ fleet::RequestOutcome::Failed });
     aContext.Act(KeepAnswer{});
     state.failed.insert(state.attempt.hops.front().server);
-    aContext.Act(ReturnConnection{});
     EndAttempt(aContext,
                forward::AttemptEnd::ServerFailed,
                aRead.status >= kFirstServerError
@@ -174,7 +169,6 @@
   aContext.Act(RecordOutcome{ fleet::RequestOutcome::Answered });
   aContext.Act(RecordCompletion{});
   aContext.Act(ForwardAnswer{});
-  aContext.Act(ReturnConnection{});
   End(aContext, "answered");
 }
 
--- a/src/balsampoint/exchange/internal/answering.hpp
+++ b/src/balsampoint/exchange/internal/answering.hpp
@@ -16,7 +16,6 @@
             NoServers,
             QueueTurn,
             QueueRefused,
-            ConnectionFound,
             Connected,
             RetryTime,
             ResumeTime,
--- a/src/balsampoint/exchange/internal/attempt.hpp
+++ b/src/balsampoint/exchange/internal/attempt.hpp
@@ -27,10 +27,6 @@
   {
     OnNoServers(context, aEvent);
   }
-  void operator()(const ConnectionFound& aEvent) const
-  {
-    OnConnectionFound(context, aEvent);
-  }
   void operator()(const Connected& /*aEvent*/) const { OnConnected(context); }
   void operator()(const ConnectionLost& aEvent) const
   {
--- a/src/balsampoint/exchange/internal/connection.hpp
+++ b/src/balsampoint/exchange/internal/connection.hpp
@@ -6,13 +6,6 @@
 
 namespace balsampoint::exchange::internal {
 
-/** Shortest time after which a server is expected to close an idle
- * connection. */
-inline constexpr Duration kMinIdleTimeout = std::chrono::milliseconds{ 250 };
-/** Time within which a connection that the server had closed before breaks; a
- * server reads a prompt for longer before it begins an answer. */
-inline constexpr Duration kStaleConnectionTime =
-  std::chrono::milliseconds{ 10 };
 /** Time without a byte after which a connection counts as cut with the link;
  * longer than most servers pause between two events. */
 inline constexpr Duration kLinkSilence = std::chrono::milliseconds{ 150 };
@@ -26,10 +19,16 @@
     return;
   }
   state.attempt.hops = aChosen.hops;
-  state.step = Step::Finding;
-  // The server may close an idle connection as a request is sent on it, which
-  // may then have run. Requests that may run only once get a new connection.
-  aContext.Act(FindConnection{ forward::MayRepeat(state.progress.kind) });
+  if (aChosen.isolated) {
+    ReleaseAttempt(aContext);
+    GiveUp(aContext,
+           MakeError(ErrorKind::NoServer, "this host reaches no servers"));
+    return;
+  }
+  // A connection carries one request: what a server sends late of an earlier
+  // answer could be well-formed within the next one.
+  state.step = Step::Connecting;
+  aContext.Act(Connect{});
 }
 
 template<Surroundings S>
@@ -69,30 +68,6 @@
   aContext.Act(SendRequest{ left });
 }
 
-template<Surroundings S>
-void
-OnConnectionFound(Context<S>& aContext, const ConnectionFound& aFound)
-{
-  auto& state = aContext.state;
-  if (state.step != Step::Finding) {
-    return;
-  }
-  state.attempt.reused = aFound.idle.has_value();
-  state.attempt.idle = aFound.idle.value_or(Duration{});
-  if (aFound.idle) {
-    SendNow(aContext);
-    return;
-  }
-  if (aFound.isolated) {
-    ReleaseAttempt(aContext);
-    GiveUp(aContext,
-           MakeError(ErrorKind::NoServer, "this host reaches no servers"));
-    return;
-  }
-  state.step = Step::Connecting;
-  aContext.Act(Connect{});
-}
-
 template<Surroundings S>
 void
 OnConnected(Context<S>& aContext)
@@ -130,13 +105,6 @@
   if (state.step != Step::Sent) {
     return;
   }
-  // The server had probably closed an idle connection before the request
-  // arrived: such a connection breaks at once.
-  if (state.attempt.idle >= kMinIdleTimeout &&
-      aContext.now - state.sentAt < kStaleConnectionTime) {
-    EndBroken(aContext, "the server had closed the connection");
-    return;
-  }
   // The link of this host, not the server, explains the break.
   if (aLost.direct && (aLost.linkDown || state.sentAt < aLost.linkChangedAt)) {
     EndAttempt(aContext, forward::AttemptEnd::Broken, kLinkLost);
--- a/src/balsampoint/exchange/internal/resuming.hpp
+++ b/src/balsampoint/exchange/internal/resuming.hpp
@@ -33,10 +33,6 @@
   {
     OnNoServers(context, aEvent);
   }
-  void operator()(const ConnectionFound& aEvent) const
-  {
-    OnConnectionFound(context, aEvent);
-  }
   void operator()(const Connected& /*aEvent*/) const { OnConnected(context); }
   void operator()(const ConnectionLost& aEvent) const
   {
--- a/src/balsampoint/exchange/internal/waiting.hpp
+++ b/src/balsampoint/exchange/internal/waiting.hpp
@@ -12,7 +12,6 @@
             Rejected,
             ServersChosen,
             NoServers,
-            ConnectionFound,
             Connected,
             ConnectionLost,
             BreakProbed,
--- a/src/balsampoint/exchange/state.hpp
+++ b/src/balsampoint/exchange/state.hpp
@@ -49,8 +49,6 @@
   None,
   /** Servers are being chosen. */
   Choosing,
-  /** An idle connection to the first server is looked for. */
-  Finding,
   /** A connection to it is being opened. */
   Connecting,
   /** The request was sent. */
@@ -66,10 +64,6 @@
 {
   /** Servers of the attempt; the first one receives the request. */
   std::vector<fleet::Hop> hops;
-  /** How long its connection was idle before. */
-  Duration idle{};
-  /** Whether its connection had been used before. */
-  bool reused{ false };
   /** Whether another host opened its connection, once that broke. */
   bool byDetour{ false };
   /** Number of interim answers. */
