Close the longest waiting connection for a new one at the limit

What callers saw: while clients held as many connections as a listener may have and sent nothing, or parts of a head, no other caller could connect.

Cause: at its limit a listener reset new connections, however long the others had been without a request. That is memory held by stopping short, counted in descriptors.

Change: the module eviction keeps the connections that wait for a head in order; the listener closes the first of them for a new one, and logs the numbers.

--- a/src/balsampoint/edge/acceptor.hpp
+++ b/src/balsampoint/edge/acceptor.hpp
@@ -2,6 +2,8 @@
 
 #include "balsampoint/core/error.hpp"
 #include "balsampoint/edge/caller_connection.hpp"
+#include "balsampoint/eviction/command/track_wait.hpp"
+#include "balsampoint/eviction/query/find_evictable.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
@@ -9,13 +11,15 @@
 #include <spdlog/spdlog.h>
 #include <string>
 #include <tl/expected.hpp>
+#include <utility>
 
 namespace balsampoint::edge {
 
 /**
  * @brief Accepts connections of callers on one address.
  * @tparam Owner Handles the requests; has the members that
- * `BasicCallerConnection` needs, except `OnClosed`, which the acceptor has.
+ * `BasicCallerConnection` needs, except `OnHeadAwaited`, `OnHeadRead` and
+ * `OnClosed`, which the acceptor has.
  */
 template<typename Owner>
 class BasicAcceptor
@@ -28,8 +32,9 @@
    * @brief Makes an acceptor that does not listen yet.
    * @param aOwner Handles the requests; outlives the acceptor.
    * @param aContext I/O context of the loop.
-   * @param aMaxConnections Maximum number of open connections; further ones are
-   * reset.
+   * @param aMaxConnections Maximum number of open connections. For a further
+   * one, a connection that waits for the head of a request is closed; if there
+   * is none, the further one is reset.
    */
   BasicAcceptor(Owner& aOwner,
                 boost::asio::io_context& aContext,
@@ -79,6 +84,16 @@
     return mConnections.size();
   }
 
+  void OnHeadAwaited(const Pointer& aConnection)
+  {
+    eviction::BeginWait(mWaiting, aConnection);
+  }
+
+  void OnHeadRead(const Pointer& aConnection)
+  {
+    eviction::EndWait(mWaiting, aConnection);
+  }
+
   void OnRequest(const Pointer& aConnection, IncomingRequest aRequest)
   {
     mOwner.OnRequest(aConnection, std::move(aRequest));
@@ -91,10 +106,15 @@
 
   void OnInvalidRequest(const Pointer& aConnection, const Error& aError)
   {
+    eviction::EndWait(mWaiting, aConnection);
     mOwner.OnInvalidRequest(aConnection, aError);
   }
 
-  void OnClosed(const Pointer& aConnection) { mConnections.erase(aConnection); }
+  void OnClosed(const Pointer& aConnection)
+  {
+    eviction::EndWait(mWaiting, aConnection);
+    mConnections.erase(aConnection);
+  }
 
   [[nodiscard]] const CallerConnectionLimits& Limits() const
   {
@@ -103,6 +123,8 @@
 
 private:
   static constexpr int kBacklog = 1024;
+  /** Least time between two reports of the limit of connections. */
+  static constexpr Duration kReportInterval = std::chrono::seconds{ 1 };
   /** Delay before the next accept after one has failed. */
   static constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
 
@@ -126,7 +148,8 @@
 
   void AddConnection(net::Tcp::socket aSocket)
   {
-    if (mConnections.size() >= mMaxConnections) {
+    if (mConnections.size() >= mMaxConnections && !EvictConnection()) {
+      ++mRefused;
       net::ResetConnection(aSocket);
       return;
     }
@@ -136,12 +159,45 @@
     connection->Start();
   }
 
+  /** Closes a connection that waits for the head of a request; false if none
+   * does. */
+  bool EvictConnection()
+  {
+    if (!mReporting) {
+      mReporting = true;
+      mReportTimer.Set(kReportInterval, [this] { Report(); });
+    }
+    const auto connection = eviction::FindEvictable(mWaiting);
+    if (!connection) {
+      return false;
+    }
+    ++mEvicted;
+    (*connection)->Close(false);
+    return true;
+  }
+
+  /** Logs what the limit of connections has caused since the last time. */
+  void Report()
+  {
+    mReporting = false;
+    spdlog::warn("{} connections are open: {} without a request were closed "
+                 "for new ones, {} new ones were refused",
+                 mConnections.size(),
+                 std::exchange(mEvicted, 0),
+                 std::exchange(mRefused, 0));
+  }
+
   Owner& mOwner;
   boost::asio::io_context& mContext;
   net::Tcp::acceptor mAcceptor;
   net::Timer mAcceptRetryTimer{ mContext };
   std::size_t mMaxConnections;
   std::set<Pointer> mConnections;
+  eviction::State<Pointer> mWaiting;
+  net::Timer mReportTimer{ mContext };
+  bool mReporting{ false };
+  std::size_t mEvicted{};
+  std::size_t mRefused{};
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/edge/caller_connection.hpp
+++ b/src/balsampoint/edge/caller_connection.hpp
@@ -33,6 +33,7 @@
  * disconnect of the caller is detected at once.
  * @tparam Owner Handles the requests: `OnRequest(connection, request)`,
  * `OnCallerDisconnected(connection)`, `OnInvalidRequest(connection, error)`,
+ * `OnHeadAwaited(connection)`, `OnHeadRead(connection)`,
  * `OnClosed(connection)`, `Limits()`.
  */
 template<typename Owner>
@@ -171,6 +172,7 @@
 
   void ExpectRequest()
   {
+    mOwner.OnHeadAwaited(this->shared_from_this());
     mParser.SetLimits(mOwner.Limits().message);
     mParser.Restart();
     mTimer.Set(mOwner.Limits().idleTimeout, [self = this->weak_from_this()] {
@@ -294,6 +296,9 @@
       Refuse(mParser.Error());
       return;
     }
+    if (mParser.HasHead()) {
+      mOwner.OnHeadRead(this->shared_from_this());
+    }
     if (mParser.Complete()) {
       Deliver();
       return;
--- a/test/balsampoint/edge/caller_connection_test.cpp
+++ b/test/balsampoint/edge/caller_connection_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace balsampoint;
 using namespace balsampoint::edge;
@@ -80,16 +81,35 @@
     return mEnd.get_future().get();
   }
 
+  static constexpr std::size_t kMaxConnections = 10;
+
 private:
   net::Loop mLoop;
   std::shared_ptr<MemoryAccount> mAccount;
   CallerConnectionLimits mLimits;
   std::promise<std::string> mEnd;
-  Acceptor mAcceptor{ *this, mLoop.Context(), 10 };
+  Acceptor mAcceptor{ *this, mLoop.Context(), kMaxConnections };
 };
 
 } // namespace
 
+// Guards against clients that hold all connections and send nothing, or a part
+// of a head, so that nobody else is served.
+Test(caller_connection, one_that_waits_for_a_head_gives_way_to_a_new_one)
+{
+  for (const std::string beginning : { "", "POST / HTTP/1.1\r\n" }) {
+    Host host;
+    boost::asio::io_context context;
+    std::vector<net::Tcp::socket> sockets;
+    for (std::size_t number = 0; number < Host::kMaxConnections; ++number) {
+      auto& socket = sockets.emplace_back(context);
+      socket.connect(*net::ParseAddress(kAddress));
+      boost::asio::write(socket, boost::asio::buffer(beginning));
+    }
+    cr_assert_eq(host.Post(2000, 0ms), "2000");
+  }
+}
+
 // Guards against a body that keeps its memory while hardly a byte arrives.
 Test(caller_connection, a_body_below_the_least_rate_ends_in_a_time_out)
 {
--- a/test/process/gateway_memory.py
+++ b/test/process/gateway_memory.py
@@ -26,9 +26,9 @@
 from soak import hosts  # noqa: E402
 from soak.backends import Backend  # noqa: E402
 from soak.findings import digest  # noqa: E402
-from soak.heavy_clients import FORMS, Crowd, Target  # noqa: E402
+from soak.heavy_clients import FORMS, IDLE_FORMS, Crowd, Target  # noqa: E402
 from soak.messages import call  # noqa: E402
-from soak.operator import HEADERS, WORKSPACES  # noqa: E402
+from soak.operator import HEADERS, Operator, WORKSPACES  # noqa: E402
 from soak.world import World  # noqa: E402
 
 MEMORY_MB = 64
@@ -42,6 +42,9 @@
 # Nearly the largest response of a server that a host with this memory takes.
 RESPONSE_BYTES = MEMORY_MB * 1024 * 1024 // 32 - 4096
 SEED = 1
+# Longer than a host may hang, so that clients that hold a connection don't
+# leave while the ordinary request is asked for.
+PATIENCE_MS = 120000
 
 
 class Host(hosts.Host):
@@ -78,6 +81,16 @@
         await writer.drain()
 
 
+class PatientOperator(Operator):
+    """Lets callers take their time with a request, and between two."""
+
+    def document(self, version):
+        content = super().document(version)
+        content["limits"] |= {"header_timeout_ms": PATIENCE_MS,
+                              "idle_timeout_ms": PATIENCE_MS}
+        return content
+
+
 class Small(World):
     """One control host, one entry host and one server."""
 
@@ -231,6 +244,8 @@
 async def run(options, folder):
     """Starts the hosts, plays the load and ends the hosts."""
     world = Small(options.build, folder, SEED, options)
+    if FORMS[options.form] in IDLE_FORMS:
+        world.operator = PatientOperator(world)
     try:
         return await play(world, options.listener, options.form)
     finally:
--- a/test/soak/heavy_clients.py
+++ b/test/soak/heavy_clients.py
@@ -8,6 +8,8 @@
 import contextlib
 
 CLIENTS = 100
+# Clients that hold a connection and little else.
+IDLE_CLIENTS = 400
 # The limit of the configuration, for listeners with and without it.
 BODY_BYTES = 4 * 1024 * 1024
 OVER_BYTES = 10 * BODY_BYTES
@@ -119,9 +121,19 @@
     await fill(writer, CALL_BYTES - UNSENT_BYTES)
 
 
+async def silent(_target, _writer, _number):
+    """Nothing."""
+
+
+async def partial_head(target, writer, number):
+    """The head of a request, but for its last line."""
+    writer.write(target.head(number, {})[:-2])
+
+
 FORMS = {form.__name__: form for form in (
     declared, pieces, chunked, one_byte, declared_over, chunked_over, unread,
-    pipelined, call)}
+    pipelined, call, silent, partial_head)}
+IDLE_FORMS = (silent, partial_head)
 
 
 class Crowd:
@@ -147,8 +159,9 @@
 
     async def play(self):
         """Plays all clients at once."""
+        count = IDLE_CLIENTS if self.form in IDLE_FORMS else CLIENTS
         clients = [asyncio.create_task(self.client(number))
-                   for number in range(CLIENTS)]
+                   for number in range(count)]
         await asyncio.wait(clients, timeout=PLAY_S)
         for client in clients:
             client.cancel()
