--- a/src/balsampoint/edge/server_connections.hpp
+++ b/src/balsampoint/edge/server_connections.hpp
@@ -16,7 +16,7 @@
 {
 public:
   /**
-   * @brief Makes no connections yet.
+   * @brief Starts without connections.
    * @param aContext I/O context of the loop.
    * @param aLimits Limits of each connection.
    */
