--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,95 +1,87 @@
-"""Limits that a new configuration raises, on channels that were open before.
-
-Clients open channels and use them under version 1, which allows bodies of
-64 KiB. Version 2 allows 4 MiB and is acknowledged. Three seconds later, over
-`config_apply_ms` after the acknowledgement, the clients send bodies of 100 KiB
-on the same channels. With TROUBLE=0 version 1 allows 4 MiB already.
+"""Pings of another writer that names a service which no configuration names.
+
+Two services have two servers each. The first routes lead to `desk`; version 2
+adds routes to `shop`. Then one ping for each server of `shop` comes from
+another writer: an id of its own, a service that isn't named, and the address of
+that server. Such a ping names no server to use, and the others hold. The
+servers of `shop` go on pinging and are acknowledged. With TROUBLE=0 the other
+writer sends nothing.
 """
 
 import asyncio
+import json
 import pathlib
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib-2"))
 
 import stand  # noqa: E402
 
-CLIENTS = 40
-BODY = b"b" * 102400
-CONFIG_APPLY_S = 2.0
+CONTACT_S = 3.0
+REQUESTS = 40
 
 
-def content(version, most):
+def content(version):
+    routes = [stand.route("first", "/first/", "safe", "desk")]
+    if version > 1:
+        routes.append(stand.route("later", "/later/", "safe", "shop"))
     return stand.document(
-        version, [stand.service("desk")],
-        [stand.route("lookup", "/lookup/", "safe", "desk"),
-         stand.route("order", "/order/", "unsafe", "desk", attempts=1)],
-        limits={"max_header_bytes": 16384, "max_body_bytes": most,
-                "header_timeout_ms": 3000, "idle_timeout_ms": 15000})
-
+        version, [stand.service("desk"), stand.service("shop")], routes)
 
-class Client:
-    """One kept channel."""
 
-    def __init__(self, fleet, number):
-        self.fleet, self.number = fleet, number
-        self.front = fleet.fronts[number % len(fleet.fronts)]
+async def ask_all(fleet, path):
+    """How many of the requests are served, and by whom they are refused."""
+    served = 0
+    for number in range(REQUESTS):
+        front = fleet.fronts[number % len(fleet.fronts)]
+        fields = dict(stand.FIELDS) | {"X-Request-Id": stand.new_id()}
+        status, _, _ = await stand.ask(front.ip, stand.CALLERS, "GET", path,
+                                       fields)
+        fleet.record(f"GET {path} {fields['X-Request-Id']} -> {status}")
+        served += status == 200
+    return served
 
-    async def open(self):
-        self.reader, self.writer = await stand.connect(
-            self.front.ip, stand.CALLERS)
 
-    async def ask(self, method, path, body=b""):
-        fields = dict(stand.FIELDS)
-        fields["X-Request-Id"] = request = stand.new_id()
-        self.writer.write(stand.request(method, path, fields, body))
-        try:
-            async with asyncio.timeout(5):
-                await self.writer.drain()
-                status, _, _ = await stand.read_answer(self.reader)
-        except (OSError, TimeoutError, ValueError,
-                asyncio.IncompleteReadError):
-            status = 0
-        self.fleet.record(f"client {self.number}: {method} {path} {request}, "
-                          f"{len(body)} bytes -> {status}")
-        return status
+async def foreign_ping(fleet, server, number):
+    body = json.dumps({
+        "service": "legacy-mirror", "address": server.address, "zone": "a",
+        "version": "v1", "slots": 4, "state": "ready", "cold_left_ms": 0,
+        "seq": 1, "born": int(time.time() * 1000)}).encode()
+    status, _, _ = await stand.ask(
+        fleet.cores[0].ip, stand.CONTROL, "PUT", f"/instances/mirror-{number}",
+        body=body)
+    fleet.record(f"other writer: mirror-{number} at {server.address}, service "
+                 f"legacy-mirror -> {status}")
 
 
 async def case(fleet):
-    small = 65536 if stand.trouble() else 4194304
     fleet.start()
-    await fleet.add_server(1, "desk")
-    await fleet.add_server(2, "desk")
-    if await fleet.put(content(1, small)) != 200 or not await fleet.ready():
-        return 2
-    if not await fleet.serves("/lookup/warm", stand.FIELDS):
+    for number in (1, 2):
+        await fleet.add_server(number, "desk")
+    shops = [await fleet.add_server(number, "shop") for number in (3, 4)]
+    if await fleet.put(content(1)) != 200 or not await fleet.ready():
         return 2
-    clients = [Client(fleet, number) for number in range(CLIENTS)]
-    for client in clients:
-        await client.open()
-    before = [await client.ask("GET", "/lookup/a") for client in clients]
-    if before.count(200) < CLIENTS:
+    if await fleet.put(content(2)) != 200:
         return 2
-    if await fleet.put(content(2, 4194304)) != 200:
-        return 2
-    await asyncio.sleep(CONFIG_APPLY_S + 1.0)
-    # A new channel is served under version 2 at each front.
-    for front in fleet.fronts:
-        fields = dict(stand.FIELDS) | {"X-Request-Id": stand.new_id()}
-        status, _, _ = await stand.ask(front.ip, stand.CALLERS, "POST",
-                                       "/order/new", fields, BODY)
-        fleet.record(f"new channel to {front.ip}: {len(BODY)} bytes -> {status}")
-        if status != 200:
+    for path in ("/first/w", "/later/w"):
+        if not await fleet.serves(path, stand.FIELDS):
             return 2
-    after = [await client.ask("POST", "/order/b", BODY) for client in clients]
-    total = len(before) + len(after) + 4 * len(fleet.fronts)
-    denied = sum(300 <= status < 500 and status not in (408, 421, 429)
-                 for status in after)
-    fleet.record(f"{denied} of {total} requests were ended with a 3xx or 4xx "
-                 f"though version 2 allows them; allowed are "
-                 f"{5 + total / 500:.1f}")
-    return 1 if denied > 5 + total / 500 else 0
+    await asyncio.sleep(CONTACT_S)
+    if stand.trouble():
+        for number, server in enumerate(shops):
+            await foreign_ping(fleet, server, number)
+    await asyncio.sleep(CONTACT_S)
+    first = await ask_all(fleet, "/first/a")
+    later = await ask_all(fleet, "/later/a")
+    acknowledged = [await server.beat() for server in shops]
+    fleet.record(f"first routes: {first} of {REQUESTS} served; later routes: "
+                 f"{later} of {REQUESTS}; pings of shop acknowledged: "
+                 f"{acknowledged}")
+    if first < REQUESTS // 2:
+        return 2
+    return 1 if later * 4 < first else 0
 
 
 stand.run(case, HERE)
