edge: a reset met by a write doesn't end an answer

Callers got a part of an answer as a whole 200: a server answered an upload at once, without a length, and reset the connection while the upload was being written.

Cause: Linux reports a reset to one call only. A write of the upload met it, and its error was ignored once the answer had started. The read after it found the end of the stream, which ends a body without a length.

Change: ServerConnection keeps the error of its write. At the end of the stream an answer without a length is whole only if the server ended its side in order: no write has failed before, or one has failed with EPIPE, which says that the FIN came before the reset. The decision is posted behind the handler of a write that failed before the read.

--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -119,6 +119,7 @@
     [self = shared_from_this()](const auto& aError, std::size_t) {
       self->mWriting = false;
       std::string{}.swap(self->mSending);
+      self->mWriteError = aError;
       self->RecordMemory(0);
       // A response may have arrived before the write failed; it is read first.
       if (aError && aError != boost::asio::error::operation_aborted &&
@@ -226,7 +227,6 @@
   mSocket.async_read_some(
     boost::asio::buffer(mBuffer),
     [self = shared_from_this()](const auto& aError, std::size_t aSize) {
-      self->mReading = false;
       self->OnRead(aError, aSize);
     });
 }
@@ -235,18 +235,21 @@
 ServerConnection::OnRead(const boost::system::error_code& aError,
                          std::size_t aSize)
 {
+  const auto self = shared_from_this();
+  if (aError == boost::asio::error::eof && !mDetour) {
+    // The handler of a write that failed before this read may still be queued.
+    boost::asio::post(mSocket.get_executor(), [self] { self->OnStreamEnd(); });
+    return;
+  }
+  mReading = false;
   if (!mSocket.is_open()) {
     return;
   }
-  const auto self = shared_from_this();
   const std::string_view bytes{ mBuffer.data(), aSize };
   if (!aError && mDetour) {
     OnDetourRead(bytes);
   } else if (!aError) {
     OnServerBytes(bytes);
-  } else if (aError == boost::asio::error::eof && !mDetour) {
-    OnServerEnd();
-    return;
   } else {
     CloseAsLost();
   }
@@ -307,6 +310,19 @@
   Parse();
 }
 
+void
+ServerConnection::OnStreamEnd()
+{
+  if (!mSocket.is_open()) {
+    return;
+  }
+  if (net::IsOrderlyEnd(mWriteError)) {
+    OnServerEnd();
+  } else {
+    CloseAsLost();
+  }
+}
+
 void
 ServerConnection::OnServerEnd()
 {
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -159,6 +159,8 @@
   bool IsOpenedByDetour();
   void OnDetourRead(std::string_view aBytes);
   void OnServerBytes(std::string_view aBytes);
+  /** Decides whether the end of the stream ends the response. */
+  void OnStreamEnd();
   void OnServerEnd();
   void Parse();
   void CloseAsLost();
@@ -177,6 +179,7 @@
   std::string mUnparsed;
   std::string mSending;
   std::string mDetourRequest;
+  boost::system::error_code mWriteError;
   Instant mSentAt{ Instant::min() };
   Instant mLastReadAt{ Instant::min() };
   bool mEstablished{ false };
--- a/src/balsampoint/net/socket.cpp
+++ b/src/balsampoint/net/socket.cpp
@@ -1,5 +1,6 @@
 #include "balsampoint/net/socket.hpp"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <chrono>
@@ -123,6 +124,12 @@
   return std::nullopt;
 }
 
+bool
+IsOrderlyEnd(const boost::system::error_code& aWriteError)
+{
+  return !aWriteError || aWriteError == boost::asio::error::broken_pipe;
+}
+
 void
 ResetConnection(Tcp::socket& aSocket)
 {
--- a/src/balsampoint/net/socket.hpp
+++ b/src/balsampoint/net/socket.hpp
@@ -4,6 +4,7 @@
 #include "balsampoint/core/time.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -75,6 +76,19 @@
 [[nodiscard]] std::optional<AckState>
 ReadAckState(Tcp::socket& aSocket);
 
+/**
+ * @brief Whether the peer ended its side in order, where a read finds the end
+ * of the stream.
+ *
+ * Linux reports a reset to one call only. If that is a write, the read after it
+ * finds the end of the stream, as if the peer had ended its side. A write that
+ * fails since the peer did so before it reset the connection gets `EPIPE`
+ * instead.
+ * @param aWriteError First error of the writes before the read, if any.
+ */
+[[nodiscard]] bool
+IsOrderlyEnd(const boost::system::error_code& aWriteError);
+
 /**
  * @brief Closes a socket with a TCP reset, which shows the peer that the
  * response is incomplete.
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -5,6 +5,7 @@
 #include "balsampoint/fleet/command/track_work.hpp"
 #include "balsampoint/limit/query/waiting.hpp"
 #include "dialect.hpp"
+#include "fake/early_server.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -1677,6 +1678,50 @@
   }
 }
 
+// Guards against a part of an answer that reaches the caller as whole: its
+// server sends it at once, without a length, and resets the connection while
+// the request is being written.
+Test(exchange, a_part_of_an_early_answer_reaches_no_caller_as_whole)
+{
+  const std::string upload(16000000, 'u');
+  for (const auto kind : { routing::RequestKind::NonIdempotent,
+                           routing::RequestKind::Idempotent,
+                           routing::RequestKind::Stream,
+                           routing::RequestKind::ResumableStream }) {
+    Host host{ kind };
+    host.one.Stop();
+    host.two.Stop();
+    const bool stream = forward::IsStream(kind);
+    const fake::EarlyServer::Script script{ .answer =
+                                              "HTTP/1.1 200 OK\r\n" + kStamped +
+                                              "\r\n" +
+                                              (stream ? Event(1) : "8 bytes."),
+                                            .ending = fake::Ending::Reset,
+                                            .pause = 30ms };
+    const fake::EarlyServer one{ 24812, script };
+    const fake::EarlyServer two{ 24813, script };
+    host.Start();
+    Caller caller{ 5s };
+    caller.SendRequest("POST",
+                       "Content-Length: " + std::to_string(upload.size()) +
+                         "\r\n",
+                       "q1",
+                       upload);
+    const auto kindNumber = static_cast<int>(kind);
+    if (stream) {
+      cr_expect_not(caller.Expect("0\r\n\r\n"), "%d", kindNumber);
+      cr_expect(caller.closed, "%d", kindNumber);
+    } else {
+      cr_expect(caller.Expect("HTTP/1.1 502"),
+                "%d: %s",
+                kindNumber,
+                caller.read.c_str());
+    }
+    const auto sent = one.Received() + two.Received();
+    cr_expect(sent == 1 || forward::MayRepeat(kind), "%d", kindNumber);
+  }
+}
+
 // Guards against an answer that nobody asked for, and all later ones shifted,
 // where a request arrives while the answer before it is still being written.
 Test(exchange, a_request_sent_during_the_answer_before_gets_its_own)
