edge: a reset met by a write ends no answer on a detour

A host that passes bytes between a server and a host that can't reach it had the same fault: an upload that was answered at once, without a length, and then reset came back as a whole 200.

Cause: DetourConnection ignored the error of a write to the server. The read after it found the end of the stream, and the host passed on the last chunk, which says that the answer is whole.

Change: it keeps the first error of its writes to the server, and resets the connection of the other host in place of the last chunk unless the server ended its side in order.

--- a/src/balsampoint/edge/detour_connection.cpp
+++ b/src/balsampoint/edge/detour_connection.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/wire/write.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <limits>
 #include <optional>
@@ -209,9 +210,12 @@
   boost::asio::async_write(
     mServer,
     boost::asio::buffer(mToServer),
-    [self = shared_from_this()](const auto& /*aError*/, std::size_t) {
+    [self = shared_from_this()](const auto& aError, std::size_t) {
       // An answer may have arrived before the write failed; reading from the
       // server shows what became of the connection.
+      if (!self->mWriteError) {
+        self->mWriteError = aError;
+      }
       if (!self->mClosed) {
         self->ReadHost();
       }
@@ -253,7 +257,17 @@
     Close(true);
     return;
   }
-  WriteToHost(std::string{ wire::kLastChunk }, true);
+  // The handler of a write that failed before the read may still be queued.
+  boost::asio::post(mServer.get_executor(), [self = shared_from_this()] {
+    if (self->mClosed) {
+      return;
+    }
+    if (net::IsOrderlyEnd(self->mWriteError)) {
+      self->WriteToHost(std::string{ wire::kLastChunk }, true);
+    } else {
+      self->Close(true);
+    }
+  });
 }
 
 void
--- a/src/balsampoint/edge/detour_connection.hpp
+++ b/src/balsampoint/edge/detour_connection.hpp
@@ -68,6 +68,8 @@
   std::string mToHost;
   std::string mToServer;
   std::string mServerAddress;
+  /** First error of a write to the server. */
+  boost::system::error_code mWriteError;
   std::chrono::steady_clock::time_point mLastServerBytes;
   bool mOpen{ false };
   bool mClosed{ false };
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -179,6 +179,7 @@
   std::string mUnparsed;
   std::string mSending;
   std::string mDetourRequest;
+  /** Error of the write of the request. */
   boost::system::error_code mWriteError;
   Instant mSentAt{ Instant::min() };
   Instant mLastReadAt{ Instant::min() };
--- a/test/platform/detour_test.cpp
+++ b/test/platform/detour_test.cpp
@@ -4,6 +4,7 @@
 #include "balsampoint/fleet/command/follow_roster.hpp"
 #include "balsampoint/reach/command/record_check.hpp"
 #include "dialect.hpp"
+#include "fake/early_server.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -87,6 +88,8 @@
     cr_assert(mAcceptor.Listen(kServer).has_value());
   }
 
+  void Stop() { mAcceptor.StopAccepting(); }
+
   void OnRequest(const Pointer& aCaller, const edge::IncomingRequest& aRequest)
   {
     bodies.push_back(aRequest.body);
@@ -329,6 +332,36 @@
   }
 }
 
+// Guards against a part of an answer without a length that counts as whole
+// since the host on the way meets the reset while it writes the request.
+Test(detour, a_reset_while_the_request_is_written_ends_no_answer)
+{
+  using fake::Ending;
+  for (const auto ending : { Ending::Reset,
+                             Ending::CloseUnread,
+                             Ending::FinThenReset,
+                             Ending::Fin }) {
+    for (const Duration pause : { Duration{}, Duration{ 30ms } }) {
+      CutOffHost host{ routing::RequestKind::NonIdempotent };
+      host.server.Stop();
+      Neighbor neighbor{ kDetour };
+      const fake::EarlyServer server{
+        24822, { kHead + "\r\n8 bytes.", ending, pause }
+      };
+      host.Start();
+      const auto answer = Caller{}.Call(std::string(16000000, 'u'), "\r\n\r\n");
+      const bool whole =
+        ending == Ending::FinThenReset || ending == Ending::Fin;
+      cr_expect(answer.starts_with(whole ? "HTTP/1.1 200" : "HTTP/1.1 502"),
+                "ending %d, pause %lld: %s",
+                static_cast<int>(ending),
+                static_cast<long long>(pause.count()),
+                answer.c_str());
+      cr_expect_eq(server.Received(), 1);
+    }
+  }
+}
+
 // Guards against connections to anything but servers, and for anybody but hosts
 // of the cluster.
 Test(detour, only_hosts_of_the_cluster_reach_announced_servers)
