edge: whole answers outlive a failed write of the request

Callers got 502, or the answer of another server, in place of a whole answer to their upload, above all of an early refusal: the server answered, with or without a length, and closed the connection with the upload unread.

A write that failed before a byte of the answer was parsed closed the connection, with the answer still in the receive queue. And a refusal without a length was lost where its connection was reset, although its status stands in a head that came whole.

Change: a failed write no longer closes the connection; the answer is read to its end. A 4xx answer without a length to a request with a body completes where the connection is reset, without its body, of which there may be a part only (wire::Parser::ReadReset). Other answers without a length stay lost.

--- a/src/balsampoint/edge/exchange_io.hpp
+++ b/src/balsampoint/edge/exchange_io.hpp
@@ -155,7 +155,8 @@
                                    .priority = UrgencyOf(mAdmitted.admission),
                                    .resumeAfter = mRelay.Events().LastId() });
     mAttempt.Send({ .bytes = std::move(bytes),
-                    .isHead = mAdmitted.request.head.method == "HEAD" });
+                    .isHead = mAdmitted.request.head.method == "HEAD",
+                    .hasBody = !mAdmitted.request.body.empty() });
   }
   void Run(const exchange::FollowStatements& /*aFollow*/)
   {
--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -100,6 +100,7 @@
 ServerConnection::Send(EncodedRequest aRequest)
 {
   mIsHeadRequest = aRequest.isHead;
+  mHasRequestBody = aRequest.hasBody;
   mParser.Restart();
   if (mIsHeadRequest) {
     mParser.ExpectNoBody();
@@ -121,10 +122,11 @@
       std::string{}.swap(self->mSending);
       self->mWriteError = aError;
       self->RecordMemory(0);
-      // A response may have arrived before the write failed; it is read first.
-      if (aError && aError != boost::asio::error::operation_aborted &&
-          !self->mParser.Started()) {
-        self->CloseAsLost();
+      // A response may have arrived before the write failed. The end of what
+      // there is to read tells; a read ends also if the connection is open.
+      if (aError && self->mSocket.is_open()) {
+        boost::system::error_code ignored;
+        self->mSocket.shutdown(net::Tcp::socket::shutdown_receive, ignored);
       }
     });
 }
@@ -251,7 +253,8 @@
   } else if (!aError) {
     OnServerBytes(bytes);
   } else {
-    CloseAsLost();
+    OnServerReset();
+    return;
   }
   if (mSocket.is_open() && !mDetourStream.Ended()) {
     RecordMemory(aSize);
@@ -319,7 +322,7 @@
   if (net::IsOrderlyEnd(mWriteError)) {
     OnServerEnd();
   } else {
-    CloseAsLost();
+    OnServerReset();
   }
 }
 
@@ -328,13 +331,32 @@
 {
   if (mAwaitingResponse) {
     mParser.ReadEof();
-    if (mParser.Complete()) {
-      mAwaitingResponse = false;
-      Notify(ServerSignal::ResponseData);
-      return;
-    }
   }
-  CloseAsLost();
+  EndResponse();
+}
+
+void
+ServerConnection::OnServerReset()
+{
+  if (mDetour || !mHasRequestBody) {
+    CloseAsLost();
+    return;
+  }
+  if (mAwaitingResponse) {
+    mParser.ReadReset();
+  }
+  EndResponse();
+}
+
+void
+ServerConnection::EndResponse()
+{
+  if (!mAwaitingResponse || !mParser.Complete()) {
+    CloseAsLost();
+    return;
+  }
+  mAwaitingResponse = false;
+  Notify(ServerSignal::ResponseData);
 }
 
 void
--- a/src/balsampoint/edge/server_connection.hpp
+++ b/src/balsampoint/edge/server_connection.hpp
@@ -40,6 +40,8 @@
   std::string bytes;
   /** Whether it is a `HEAD` request, whose response has no body. */
   bool isHead{ false };
+  /** Whether it has a body, which a server may refuse unread. */
+  bool hasBody{ false };
 };
 
 /** @brief Event on a connection to a server. */
@@ -162,6 +164,12 @@
   /** Decides whether the end of the stream ends the response. */
   void OnStreamEnd();
   void OnServerEnd();
+  /** Ends the response where the connection broke: lost, unless it refuses the
+   * body of the request. */
+  void OnServerReset();
+  /** Notifies the observer of a response that the end of the connection has
+   * completed, or closes the connection as lost. */
+  void EndResponse();
   void Parse();
   void CloseAsLost();
   void Notify(ServerSignal aSignal);
@@ -189,6 +197,7 @@
   bool mReading{ false };
   bool mAwaitingResponse{ false };
   bool mIsHeadRequest{ false };
+  bool mHasRequestBody{ false };
 };
 
 } // namespace balsampoint::edge
--- a/src/balsampoint/wire/head.hpp
+++ b/src/balsampoint/wire/head.hpp
@@ -57,6 +57,12 @@
   {
     return status >= 200 && status < 300;
   }
+
+  /** @brief Whether the status is 4xx. */
+  [[nodiscard]] bool ClientError() const noexcept
+  {
+    return status >= 400 && status < 500;
+  }
 };
 
 } // namespace balsampoint::wire
--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -137,6 +137,20 @@
   mError = ParseError::Malformed;
 }
 
+void
+Parser::ReadReset()
+{
+  if (mError != ParseError::None || mComplete) {
+    return;
+  }
+  if (mHasHead && mResponse.endsByClose && mResponse.ClientError()) {
+    std::string{}.swap(mBody);
+    mComplete = true;
+    return;
+  }
+  mError = ParseError::Malformed;
+}
+
 std::string
 Parser::TakeBody()
 {
--- a/src/balsampoint/wire/parser.hpp
+++ b/src/balsampoint/wire/parser.hpp
@@ -83,6 +83,16 @@
    * without a length and is an error otherwise. */
   void ReadEof();
 
+  /**
+   * @brief Processes a reset of the connection by a server that has not read
+   * the body of the request.
+   *
+   * Completes a 4xx response without a length, whose status stands in its head.
+   * What there is of its body is dropped, as nothing tells whether it is whole.
+   * For any other incomplete message it is an error.
+   */
+  void ReadReset();
+
   /** @brief Why parsing failed; `None` if it has not. */
   [[nodiscard]] ParseError Error() const noexcept { return mError; }
 
--- a/test/balsampoint/edge/server_connection_test.cpp
+++ b/test/balsampoint/edge/server_connection_test.cpp
@@ -2,11 +2,13 @@
 
 #include "fake/early_server.hpp"
 
+#include <array>
 #include <criterion/criterion.h>
 #include <future>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace balsampoint;
 using namespace balsampoint::edge;
@@ -30,6 +32,8 @@
   WithAnswer,
 };
 
+constexpr std::array kArrivals{ Arrival::AfterAnswer, Arrival::WithAnswer };
+
 /** @brief A whole answer. */
 struct Answer
 {
@@ -86,7 +90,8 @@
       connection->Send({ .bytes = "POST / HTTP/1.1\r\nHost: s\r\n"
                                   "Content-Length: " +
                                   std::to_string(aSize) + "\r\n\r\n" +
-                                  std::string(aSize, 'u') });
+                                  std::string(aSize, 'u'),
+                         .hasBody = true });
     } else if (aSignal == ServerSignal::Lost) {
       connection->SetObserver({});
       ended.set_value(std::nullopt);
@@ -112,7 +117,7 @@
 // since a write, and not a read, has met the reset that broke it off.
 Test(server_connection, a_reset_ends_no_answer_without_a_length)
 {
-  for (const auto arrival : { Arrival::AfterAnswer, Arrival::WithAnswer }) {
+  for (const auto arrival : kArrivals) {
     for (const auto ending : { Ending::Reset, Ending::CloseUnread }) {
       cr_expect_not(Upload(kNoLength, ending, arrival).has_value(),
                     "ending %d, arrival %d",
@@ -131,13 +136,68 @@
 // it in order, also if the server then resets the unread upload.
 Test(server_connection, a_fin_ends_an_answer_without_a_length)
 {
-  for (const auto ending : { Ending::Fin, Ending::FinThenReset }) {
-    for (const auto size : { kLargeUpload, kSmallUpload }) {
-      const auto answer = Upload(kNoLength, ending, Arrival::AfterAnswer, size);
+  for (const auto arrival : kArrivals) {
+    for (const auto& [ending, size] :
+         { std::pair{ Ending::Fin, kLargeUpload },
+           std::pair{ Ending::Fin, kSmallUpload },
+           std::pair{ Ending::FinThenReset, kLargeUpload },
+           std::pair{ Ending::FinThenReset, kSmallUpload } }) {
+      const auto answer = Upload(kNoLength, ending, arrival, size);
       cr_expect(answer && answer->body == "8 bytes.",
-                "ending %d, %zu bytes",
+                "ending %d, arrival %d, %zu bytes",
                 static_cast<int>(ending),
+                static_cast<int>(arrival),
                 size);
     }
   }
 }
+
+// Guards against the loss of a whole answer since the write of the request has
+// failed before the answer was read.
+Test(server_connection, a_whole_answer_outlives_a_failed_write)
+{
+  for (const std::string status : { "200 OK", "413 Too Large", "500 Error" }) {
+    const auto text =
+      "HTTP/1.1 " + status + "\r\nContent-Length: 8\r\n\r\n8 bytes.";
+    for (const auto ending :
+         { Ending::Reset, Ending::CloseUnread, Ending::FinThenReset }) {
+      for (const auto arrival : kArrivals) {
+        const auto answer = Upload(text, ending, arrival);
+        cr_expect(answer && answer->body == "8 bytes.",
+                  "%s, ending %d, arrival %d",
+                  status.c_str(),
+                  static_cast<int>(ending),
+                  static_cast<int>(arrival));
+      }
+    }
+  }
+}
+
+// Guards against the loss of a refusal whose server closes the connection with
+// the request unread, and against a part of its text that counts as whole.
+Test(server_connection, a_refusal_without_a_length_outlives_a_reset)
+{
+  for (const auto ending : { Ending::Reset,
+                             Ending::CloseUnread,
+                             Ending::FinThenReset,
+                             Ending::Fin }) {
+    const bool ordered =
+      ending == Ending::FinThenReset || ending == Ending::Fin;
+    for (const auto arrival : kArrivals) {
+      const auto answer =
+        Upload("HTTP/1.1 413 Too Large\r\n\r\ntoo large", ending, arrival);
+      cr_expect(answer && answer->status == 413 &&
+                  answer->body == (ordered ? "too large" : ""),
+                "ending %d, arrival %d",
+                static_cast<int>(ending),
+                static_cast<int>(arrival));
+      const auto failure =
+        Upload("HTTP/1.1 500 Error\r\n\r\nfailed", ending, arrival);
+      cr_expect_eq(failure.has_value(),
+                   ordered,
+                   "500, ending %d, arrival %d",
+                   static_cast<int>(ending),
+                   static_cast<int>(arrival));
+    }
+  }
+}
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -119,6 +119,32 @@
   cr_assert_eq(ErrorOf(chunk), ParseError::BodyTooLarge);
 }
 
+// Guards against a part of a message that counts as whole after a reset. Only
+// the status of a refusal stands in its head.
+Test(parser, a_reset_completes_only_a_refusal_without_a_length)
+{
+  const std::string refusal{ "HTTP/1.1 413 Too Large\r\n" };
+  Parser parser{ MessageKind::Response };
+  parser.Read(refusal + "\r\npart");
+  parser.ReadReset();
+  cr_assert_eq(parser.Error(), ParseError::None);
+  cr_assert(parser.Complete());
+  cr_assert_eq(parser.Response().status, 413);
+  cr_assert_eq(parser.TakeBody(), "");
+  for (const auto& text :
+       { std::string{ refusal },
+         refusal + "Content-Length: 5\r\n\r\npart",
+         refusal + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+         std::string{ "HTTP/1.1 200 OK\r\n\r\npart" },
+         std::string{ "HTTP/1.1 503 Unavailable\r\n\r\npart" } }) {
+    parser.Restart();
+    parser.Read(text);
+    parser.ReadReset();
+    cr_expect_eq(parser.Error(), ParseError::Malformed, "%s", text.c_str());
+    cr_expect_not(parser.Complete(), "%s", text.c_str());
+  }
+}
+
 // Guards against bytes that are no HTTP/1 message, or whose end its version
 // doesn't define, taken for a message.
 Test(parser, rejects_other_versions_and_chunks_in_http_1_0)
