wire: a message with malformed chunks isn't complete

A host that asks another one for a connection to a server took the end of its bytes for an orderly one, although a line behind the last chunk was no field: DetourStream looks at Parser::Complete alone.

Cause: the library completes a message before its chunks are checked, and the parser kept that state beside the error.

Change: an error in the chunks takes it back. All other readers look at the error first.

Measured: parser/rejects_names_of_fields_that_are_no_tokens failed before for 6 of its 15 lines, as trailers, by this state alone. The lines were rejected as fields of a head, of an interim answer and as trailers before; the test keeps that, and another one that each character of a token is taken.

--- a/src/balsampoint/wire/parser.cpp
+++ b/src/balsampoint/wire/parser.cpp
@@ -257,6 +257,7 @@
   if (mError == ParseError::None && chunked &&
       !mChunks.Check(aBytes.substr(0, used))) {
     mError = ParseError::Malformed;
+    mComplete = false;
   }
   return used;
 }
--- a/test/balsampoint/wire/parser_test.cpp
+++ b/test/balsampoint/wire/parser_test.cpp
@@ -119,6 +119,66 @@
   cr_assert_eq(ErrorOf(chunk), ParseError::BodyTooLarge);
 }
 
+// Guards against a line that other parsers read as another field, or as no
+// field, so that they disagree on where the body ends.
+Test(parser, rejects_names_of_fields_that_are_no_tokens)
+{
+  using namespace std::string_literals;
+  const auto head = "HTTP/1.1 200 OK\r\n"s;
+  const auto chunks = "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"s;
+  for (const auto& line : { "X Odd: 1"s,
+                            " X-Odd: 1"s,
+                            "\tX-Odd: 1"s,
+                            "X-Odd : 1"s,
+                            "X-Odd\t: 1"s,
+                            "X\x01Odd: 1"s,
+                            "X\x7fOdd: 1"s,
+                            "X\x80Odd: 1"s,
+                            "X\0Odd: 1"s,
+                            ": 1"s,
+                            "X-Odd"s,
+                            "Content Length: 5"s,
+                            "Content-Length : 5"s,
+                            "Content\0-Length: 5"s,
+                            "Transfer-Encoding : chunked"s }) {
+    for (const auto& text :
+         { head + line + "\r\n\r\nhello",
+           head + "Content-Length: 5\r\n" + line + "\r\n\r\nhello",
+           head + line + "\r\nContent-Length: 5\r\n\r\nhello",
+           head + chunks + line + "\r\n\r\n",
+           "HTTP/1.1 102 Processing\r\n" + line + "\r\n\r\n" }) {
+      Parser parser{ MessageKind::Response };
+      parser.Read(text);
+      parser.ReadEof();
+      cr_expect_eq(parser.Error(), ParseError::Malformed, "%s", text.c_str());
+      cr_expect_not(parser.Complete(), "%s", text.c_str());
+    }
+  }
+}
+
+// Guards against a sound answer that is refused for the name of a field.
+Test(parser, takes_each_character_of_a_token_in_the_name_of_a_field)
+{
+  const std::string letters =
+    "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+    "!#$%&'*+-.^_`|~";
+  std::string fields;
+  for (const char letter : letters) {
+    fields += std::string{ letter } + ": 1\r\n";
+  }
+  fields += letters + ":\r\n";
+  for (const auto& text :
+       { "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nhello",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "5\r\nhello\r\n0\r\n" +
+           fields + "\r\n" }) {
+    Parser parser{ MessageKind::Response };
+    cr_assert_eq(parser.Read(text), text.size());
+    cr_assert(parser.Complete());
+    cr_assert_eq(parser.TakeBody(), "hello");
+  }
+}
+
 // Guards against a part of a message that counts as whole after a reset. Only
 // the status of a refusal stands in its head.
 Test(parser, a_reset_completes_only_a_refusal_without_a_length)
