http: a reset met by a write ends no answer of an engine

A call of the front end for engines took a part of an answer without a length for the whole, as callers of backend servers did: the engine answered early and reset the connection while the request was being written.

Cause: a write that fails only marks the library's stream, and the mark wasn't looked at. The read after it finds the end of the stream.

Change: ClientPool checks the stream and fails the call.

--- a/src/balsampoint/http/client_pool.cpp
+++ b/src/balsampoint/http/client_pool.cpp
@@ -121,7 +121,11 @@
   auto& stream = aSession.sendRequest(request);
   stream.write(aRequest.body.data(),
                static_cast<std::streamsize>(aRequest.body.size()));
-  stream.flush();
+  // A write may have met a reset, which the read after it then takes for the
+  // end of the answer.
+  if (!stream.flush()) {
+    throw Poco::Net::NetException("the request was not sent whole");
+  }
 }
 
 /**
--- a/test/balsampoint/http/client_pool_test.cpp
+++ b/test/balsampoint/http/client_pool_test.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/http/client_pool.hpp"
 
+#include "fake/early_server.hpp"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -12,6 +14,7 @@
 
 using namespace balsampoint;
 using namespace balsampoint::http;
+using fake::Ending;
 
 namespace {
 
@@ -43,6 +46,22 @@
   return response;
 }
 
+/** @brief Answer to an upload of a server that answers early. */
+tl::expected<ClientResponse, CallFailure>
+Upload(const std::string& aAnswer, Ending aEnding, Duration aPause)
+{
+  const fake::EarlyServer server{ 0, { aAnswer, aEnding, aPause } };
+  ClientPool pool;
+  const ClientRequest request{ .method = "POST",
+                               .path = "/",
+                               .body = std::string(16000000, 'u'),
+                               .reuseConnection = false };
+  return pool.Call(server.Address(), request, kPatience);
+}
+
+constexpr std::array<Duration, 2> kPauses{ Duration{},
+                                           std::chrono::milliseconds{ 30 } };
+
 } // namespace
 
 // Guards against an answer that is lost for the interim one before it.
@@ -60,7 +79,7 @@
 Test(client_pool, takes_no_number_for_a_status)
 {
   for (const std::string number :
-       { "000", "00", "099", "101", "102", "199", "600", "999", "1000" }) {
+       { "000", "0", "00", "099", "101", "102", "199", "600", "999", "1000" }) {
     const auto response =
       CallServer("HTTP/1.1 " + number + " X\r\nContent-Length: 0\r\n\r\n");
     cr_expect_not(response.has_value(), "%s", number.c_str());
@@ -81,3 +100,33 @@
   cr_assert_not(response.has_value());
   cr_assert_not(response.error().timedOut);
 }
+
+// Guards against a part of an answer without a length that counts as whole
+// since a write, and not a read, has met the reset that broke it off.
+Test(client_pool, a_reset_ends_no_answer_without_a_length)
+{
+  const std::string part{ "HTTP/1.1 200 OK\r\n\r\n8 bytes." };
+  for (const auto ending :
+       { Ending::Reset, Ending::CloseUnread, Ending::FinThenReset }) {
+    for (const auto pause : kPauses) {
+      const auto response = Upload(part, ending, pause);
+      cr_expect_not(response.has_value(),
+                    "ending %d, pause %lld",
+                    static_cast<int>(ending),
+                    static_cast<long long>(pause.count()));
+    }
+  }
+}
+
+// Guards against the loss of an answer without a length whose server has ended
+// it in order and taken in the request.
+Test(client_pool, a_fin_ends_an_answer_without_a_length)
+{
+  for (const auto pause : kPauses) {
+    const auto response =
+      Upload("HTTP/1.1 200 OK\r\n\r\n8 bytes.", Ending::Fin, pause);
+    cr_expect(response && response->body == "8 bytes.",
+              "pause %lld",
+              static_cast<long long>(pause.count()));
+  }
+}
