http: answers of engines are read by the project's own parser

A call of the front end for engines, and of the CLI, took answers that are broken: a chunked body that was cut or misframed counted as whole, and a line whose name is no token was passed on as a field, or hid the length of the body, so that the body was cut where the connection ended.

Cause: ClientPool read answers with the HTTP library of its sockets, which takes an odd name for a field and the end of the connection for the end of the chunks.

Change: it reads them with wire::Parser, which the front end of the platform uses, over a plain socket. Interim answers, time limits and the limit on sizes are as before. A connection is kept only if no bytes follow the answer.

Measured: client_pool/an_answer_cut_in_its_chunks_is_lost failed on at each cut and for both misframed bodies, and an_answer_with_a_name_that_is_no_token_is_lost for 6 of 7 names in a head, 7 of 7 as trailers and 4 of 4 in place of a length. They pass with the change, as do all tests of test-http.

--- a/src/balsampoint/http/client_pool.cpp
+++ b/src/balsampoint/http/client_pool.cpp
@@ -2,19 +2,16 @@
 
 #include "balsampoint/forward/answer_check.hpp"
 #include "balsampoint/runtime/steady_clock.hpp"
-#include "balsampoint/wire/status_line.hpp"
+#include "balsampoint/wire/parser.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 #include <algorithm>
 #include <array>
-#include <istream>
-#include <optional>
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <sys/socket.h>
 
 namespace balsampoint::http {
 
@@ -26,11 +23,8 @@
 constexpr Duration kMaxConnect = std::chrono::milliseconds{ 500 };
 constexpr Duration kMinWait = std::chrono::milliseconds{ 1 };
 constexpr std::size_t kMaxIdlePerAddress = 256;
-constexpr std::size_t kChunkBytes = 16384;
-constexpr int kFirstStatus = 100;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 599;
-constexpr std::size_t kMaxHeadBytes = 65536;
+constexpr std::size_t kPartBytes = 16384;
+constexpr std::uint16_t kContinue = 100;
 
 Poco::Timespan
 Span(Duration aDuration)
@@ -56,132 +50,131 @@
            .timedOut = aTimedOut };
 }
 
-/** @brief Reads a head up to its empty line, or what there is of it. */
 std::string
-ReadHead(std::istream& aStream)
+Encode(const ClientRequest& aRequest, const std::string& aHost)
 {
-  std::string head;
-  for (std::string line; std::getline(aStream, line);) {
-    head += line + '\n';
-    if (line.empty() || line == "\r") {
-      break;
-    }
-    if (head.size() > kMaxHeadBytes) {
-      throw Poco::Net::MessageException("the head of the answer is too large");
-    }
+  Poco::Net::HTTPRequest head{ aRequest.method,
+                               aRequest.path,
+                               Poco::Net::HTTPMessage::HTTP_1_1 };
+  head.setContentLength64(static_cast<Poco::Int64>(aRequest.body.size()));
+  if (!aRequest.body.empty()) {
+    head.setContentType(aRequest.contentType);
+  }
+  head.setKeepAlive(aRequest.reuseConnection);
+  for (const auto& header : aRequest.headers) {
+    head.set(header.name, header.value);
   }
-  return head;
+  head.setHost(aHost);
+  std::ostringstream bytes;
+  head.write(bytes);
+  bytes << aRequest.body;
+  return std::move(bytes).str();
 }
 
-/** @brief The number in place of a status in a head; 0 if there is none. */
-int
-StatusOf(std::string_view aHead)
+void
+Write(Poco::Net::StreamSocket& aSocket,
+      std::string_view aBytes,
+      Instant aDeadline)
 {
-  const auto line = aHead.substr(0, aHead.find_first_of("\r\n"));
-  const auto space = line.find(' ');
-  if (space == std::string_view::npos) {
-    return 0;
+  while (!aBytes.empty()) {
+    const auto part = aBytes.substr(0, kPartBytes);
+    aSocket.setSendTimeout(Span(aDeadline - SteadyClock::Now()));
+    const auto sent = aSocket.sendBytes(
+      part.data(), static_cast<int>(part.size()), MSG_NOSIGNAL);
+    aBytes.remove_prefix(static_cast<std::size_t>(sent));
   }
-  const auto number = line.substr(space + 1);
-  return wire::ReadStatus(number.substr(0, number.find(' ')));
 }
 
-/** @brief A response whose status is checked before the library reads it: its
- * type for the status can't hold every number that a server may send. */
-class CheckedResponse : public Poco::Net::HTTPResponse
+/** @brief Reads the answer to one request. */
+class AnswerReader
 {
 public:
-  void read(std::istream& aStream) override
+  explicit AnswerReader(const ClientRequest& aRequest)
+    : mIsHead{ aRequest.method == "HEAD" }
+    , mParser{ wire::MessageKind::Response,
+               { .bodyBytes = aRequest.maxResponseBytes } }
   {
-    const auto head = ReadHead(aStream);
-    const auto status = StatusOf(head);
-    if (!head.empty() && (status < kFirstStatus || status > kLastStatus)) {
-      throw Poco::Net::MessageException("answer without a status");
-    }
-    std::istringstream stream{ head };
-    HTTPResponse::read(stream);
+    Restart();
   }
-};
 
-void
-Write(Poco::Net::HTTPClientSession& aSession, const ClientRequest& aRequest)
-{
-  Poco::Net::HTTPRequest request{ aRequest.method,
-                                  aRequest.path,
-                                  Poco::Net::HTTPMessage::HTTP_1_1 };
-  request.setContentLength64(static_cast<Poco::Int64>(aRequest.body.size()));
-  if (!aRequest.body.empty()) {
-    request.setContentType(aRequest.contentType);
-  }
-  request.setKeepAlive(aRequest.reuseConnection);
-  for (const auto& header : aRequest.headers) {
-    request.set(header.name, header.value);
-  }
-  request.setHost(aSession.socket().peerAddress().toString());
-  auto& stream = aSession.sendRequest(request);
-  stream.write(aRequest.body.data(),
-               static_cast<std::streamsize>(aRequest.body.size()));
-  // A write may have met a reset, which the read after it then takes for the
-  // end of the answer.
-  if (!stream.flush()) {
-    throw Poco::Net::NetException("the request was not sent whole");
+  /** @brief Whether the answer is whole, or can't be any more. */
+  [[nodiscard]] bool Ended() const
+  {
+    return mParser.Complete() || mParser.Error() != wire::ParseError::None;
   }
-}
 
-/**
- * @brief Skips the answers that tell a caller to go on.
- * @param aSession Connection that the request was sent on.
- * @param aDeadline When the wait ends.
- * @param aHead Receives the head of the first other answer.
- */
-void
-SkipInterim(Poco::Net::HTTPClientSession& aSession,
-            Instant aDeadline,
-            Poco::Net::HTTPResponse& aHead)
-{
-  std::uint32_t skipped = 0;
-  while (aSession.peekResponse(aHead)) {
-    if (++skipped > forward::kMaxInterimAnswers) {
-      throw Poco::Net::MessageException("interim answers without end");
+  /** @brief Takes bytes of the connection. */
+  void Read(std::string_view aBytes)
+  {
+    mUnread += aBytes;
+    mUnread.erase(0, mParser.Read(mUnread));
+    // Interim answers that tell a caller to go on are skipped.
+    while (mParser.Complete() && mParser.Response().status == kContinue &&
+           ++mSkipped <= forward::kMaxInterimAnswers) {
+      Restart();
+      mUnread.erase(0, mParser.Read(mUnread));
     }
-    aSession.socket().setReceiveTimeout(Span(aDeadline - SteadyClock::Now()));
   }
-}
 
-ClientResponse
-Read(Poco::Net::HTTPClientSession& aSession,
-     const ClientRequest& aRequest,
-     Instant aDeadline,
-     bool& aKeepAlive)
-{
-  CheckedResponse head;
-  SkipInterim(aSession, aDeadline, head);
-  auto& stream = aSession.receiveResponse(head);
-  const auto status = static_cast<int>(head.getStatus());
-  if (status < kFirstFinalStatus) {
-    throw Poco::Net::MessageException("answer without a final status");
-  }
-  ClientResponse response{ .status = static_cast<std::uint16_t>(status) };
-  for (const auto& [name, value] : head) {
-    response.headers.push_back({ name, value });
+  /** @brief Takes the end of the connection. */
+  void ReadEof() { mParser.ReadEof(); }
+
+  /** @brief Whether another request may follow on the connection. */
+  [[nodiscard]] bool MayKeepAlive() const
+  {
+    return mParser.Response().keepAlive && mUnread.empty();
   }
-  std::array<char, kChunkBytes> chunk{};
-  while (stream.good()) {
-    aSession.socket().setReceiveTimeout(Span(aDeadline - SteadyClock::Now()));
-    stream.read(chunk.data(), chunk.size());
-    response.body.append(chunk.data(),
-                         static_cast<std::size_t>(stream.gcount()));
-    if (response.body.size() > aRequest.maxResponseBytes) {
+
+  /** @brief The answer; throws if there is none. */
+  [[nodiscard]] ClientResponse TakeResponse()
+  {
+    if (mParser.Error() == wire::ParseError::BodyTooLarge) {
       throw Poco::Net::MessageException("answer over the size limit");
     }
+    if (mParser.Error() != wire::ParseError::None) {
+      throw Poco::Net::MessageException("answer malformed or cut short");
+    }
+    const auto& head = mParser.Response();
+    if (!head.HasStatus() || head.Interim()) {
+      throw Poco::Net::MessageException("answer without a final status");
+    }
+    ClientResponse response{ .status = head.status };
+    for (const auto& field : head.fields.All()) {
+      response.headers.push_back({ field.name, field.value });
+    }
+    response.body = mParser.TakeBody();
+    return response;
+  }
+
+private:
+  void Restart()
+  {
+    mParser.Restart();
+    if (mIsHead) {
+      mParser.ExpectNoBody();
+    }
   }
-  if (head.hasContentLength() && aRequest.method != "HEAD" &&
-      response.body.size() !=
-        static_cast<std::uint64_t>(head.getContentLength64())) {
-    throw Poco::Net::MessageException("answer cut short");
+
+  bool mIsHead;
+  wire::Parser mParser;
+  std::string mUnread;
+  std::uint32_t mSkipped{};
+};
+
+void
+Read(Poco::Net::StreamSocket& aSocket, AnswerReader& aReader, Instant aDeadline)
+{
+  std::array<char, kPartBytes> part{};
+  while (!aReader.Ended()) {
+    aSocket.setReceiveTimeout(Span(aDeadline - SteadyClock::Now()));
+    const auto size =
+      aSocket.receiveBytes(part.data(), static_cast<int>(part.size()));
+    if (size > 0) {
+      aReader.Read({ part.data(), static_cast<std::size_t>(size) });
+    } else {
+      aReader.ReadEof();
+    }
   }
-  aKeepAlive = head.getKeepAlive();
-  return response;
 }
 
 } // namespace
@@ -192,25 +185,25 @@
                  Duration aTimeout)
 {
   const auto deadline = SteadyClock::Now() + aTimeout;
-  Session session;
+  std::optional<Socket> socket;
   if (aRequest.reuseConnection) {
-    session = TakeIdle(aAddress);
+    socket = TakeIdle(aAddress);
   }
-  if (!session) {
+  if (!socket) {
     auto connected = Connect(aAddress, aTimeout);
     if (!connected) {
       return tl::unexpected(connected.error());
     }
-    session = std::move(*connected);
+    socket = std::move(*connected);
   }
   try {
-    session->socket().setSendTimeout(Span(deadline - SteadyClock::Now()));
-    Write(*session, aRequest);
-    session->socket().setReceiveTimeout(Span(deadline - SteadyClock::Now()));
-    bool keepAlive = false;
-    auto response = Read(*session, aRequest, deadline, keepAlive);
-    if (keepAlive && aRequest.reuseConnection) {
-      Keep(aAddress, std::move(session));
+    Write(
+      *socket, Encode(aRequest, socket->peerAddress().toString()), deadline);
+    AnswerReader reader{ aRequest };
+    Read(*socket, reader, deadline);
+    auto response = reader.TakeResponse();
+    if (reader.MayKeepAlive() && aRequest.reuseConnection) {
+      Keep(aAddress, *socket);
     }
     return response;
   } catch (const Poco::TimeoutException& failure) {
@@ -221,7 +214,7 @@
   }
 }
 
-ClientPool::Session
+std::optional<ClientPool::Socket>
 ClientPool::TakeIdle(const std::string& aAddress)
 {
   const std::lock_guard lock{ mMutex };
@@ -238,26 +231,25 @@
       idle.clear();
       return {};
     }
-    const bool closed =
-      entry.session->socket().poll(0, Poco::Net::Socket::SELECT_READ);
+    const bool closed = entry.socket.poll(0, Poco::Net::Socket::SELECT_READ);
     if (!closed) {
-      return std::move(entry.session);
+      return entry.socket;
     }
   }
   return {};
 }
 
 void
-ClientPool::Keep(const std::string& aAddress, Session aSession)
+ClientPool::Keep(const std::string& aAddress, const Socket& aSocket)
 {
   const std::lock_guard lock{ mMutex };
   auto& idle = mIdle[aAddress];
   if (idle.size() < kMaxIdlePerAddress) {
-    idle.push_back({ std::move(aSession), SteadyClock::Now() });
+    idle.push_back({ aSocket, SteadyClock::Now() });
   }
 }
 
-tl::expected<ClientPool::Session, CallFailure>
+tl::expected<ClientPool::Socket, CallFailure>
 ClientPool::Connect(const std::string& aAddress, Duration aTimeout)
 {
   try {
@@ -265,9 +257,7 @@
     socket.connect(Poco::Net::SocketAddress{ aAddress },
                    Span(std::min(aTimeout, kMaxConnect)));
     socket.setNoDelay(true);
-    auto session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
-    session->setKeepAlive(true);
-    return session;
+    return socket;
   } catch (const Poco::Exception& failure) {
     return tl::unexpected(NotSent(aAddress + ": " + failure.displayText()));
   }
--- a/src/balsampoint/http/client_pool.hpp
+++ b/src/balsampoint/http/client_pool.hpp
@@ -3,11 +3,11 @@
 #include "balsampoint/core/error.hpp"
 #include "balsampoint/core/time.hpp"
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/StreamSocket.h>
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -84,18 +84,18 @@
     Duration aTimeout);
 
 private:
+  using Socket = Poco::Net::StreamSocket;
+
   struct Idle
   {
-    std::unique_ptr<Poco::Net::HTTPClientSession> session;
+    Socket socket;
     Instant since{};
   };
 
-  using Session = std::unique_ptr<Poco::Net::HTTPClientSession>;
-
-  Session TakeIdle(const std::string& aAddress);
-  void Keep(const std::string& aAddress, Session aSession);
-  static tl::expected<Session, CallFailure> Connect(const std::string& aAddress,
-                                                    Duration aTimeout);
+  std::optional<Socket> TakeIdle(const std::string& aAddress);
+  void Keep(const std::string& aAddress, const Socket& aSocket);
+  static tl::expected<Socket, CallFailure> Connect(const std::string& aAddress,
+                                                   Duration aTimeout);
 
   std::mutex mMutex;
   std::map<std::string, std::vector<Idle>> mIdle;
--- a/test/balsampoint/http/client_pool_test.cpp
+++ b/test/balsampoint/http/client_pool_test.cpp
@@ -59,6 +59,17 @@
   return pool.Call(server.Address(), request, kPatience);
 }
 
+/** @brief Answer to a call of a server that ends its connection in order behind
+ * some bytes. */
+tl::expected<ClientResponse, CallFailure>
+CallOnce(const std::string& aBytes)
+{
+  const fake::EarlyServer server{ 0, { aBytes, Ending::Fin } };
+  ClientPool pool;
+  return pool.Call(
+    server.Address(), { .method = "GET", .path = "/" }, kPatience);
+}
+
 constexpr std::array<Duration, 2> kPauses{ Duration{},
                                            std::chrono::milliseconds{ 30 } };
 
@@ -130,3 +141,73 @@
               static_cast<long long>(pause.count()));
   }
 }
+
+// Guards against a chunked answer that breaks off and counts as whole, or whose
+// chunks aren't framed as their sizes say.
+Test(client_pool, an_answer_cut_in_its_chunks_is_lost)
+{
+  const std::string head{
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+  };
+  const std::string body{ "5\r\nhello\r\n0\r\n\r\n" };
+  const auto whole = CallOnce(head + body);
+  cr_assert(whole && whole->body == "hello");
+  for (std::size_t cut = 0; cut < body.size(); ++cut) {
+    cr_expect_not(
+      CallOnce(head + body.substr(0, cut)).has_value(), "cut at %zu", cut);
+  }
+  cr_expect_not(CallOnce(head + "5\r\nhelloxx0\r\n\r\n").has_value());
+  cr_expect_not(CallOnce(head + "x\r\nhello\r\n0\r\n\r\n").has_value());
+}
+
+// Guards against a line that is no field and is passed on as one, or that hides
+// where the body ends.
+Test(client_pool, an_answer_with_a_name_that_is_no_token_is_lost)
+{
+  const std::string head{ "HTTP/1.1 200 OK\r\n" };
+  for (const std::string line : { "X Odd: 1",
+                                  " X-Odd: 1",
+                                  "X-Odd : 1",
+                                  "X\x01Odd: 1",
+                                  "X\x7fOdd: 1",
+                                  "X\x80Odd: 1",
+                                  ": 1" }) {
+    const auto length = head + "Content-Length: 5\r\n";
+    cr_expect_not(CallOnce(length + line + "\r\n\r\nhello").has_value(),
+                  "%s",
+                  line.c_str());
+    cr_expect_not(CallOnce(head +
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "5\r\nhello\r\n0\r\n" +
+                           line + "\r\n\r\n")
+                    .has_value(),
+                  "trailer %s",
+                  line.c_str());
+  }
+  using namespace std::string_literals;
+  for (const auto& line : { "Content Length: 9"s,
+                            "Content-Length : 9"s,
+                            "Content\0-Length: 9"s,
+                            "Transfer-Encoding : chunked"s }) {
+    cr_expect_not(
+      CallOnce(head + line + "\r\n\r\nhello").has_value(), "%s", line.c_str());
+  }
+}
+
+// Guards against bytes behind an answer that the next call on the connection
+// gets as its own.
+Test(client_pool, a_connection_with_bytes_behind_an_answer_is_not_used_again)
+{
+  const fake::EarlyServer server{
+    0,
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+      Ending::Fin }
+  };
+  ClientPool pool;
+  const ClientRequest request{ .method = "GET", .path = "/" };
+  for (int call = 0; call < 2; ++call) {
+    const auto response = pool.Call(server.Address(), request, kPatience);
+    cr_expect(!response || response->body == "first");
+  }
+}
