http: early answers of engines outlive a failed write

A call of the front end for engines was lost where the engine answered, with or without a length, and closed the connection with the request unread: the write failed, and the answer in the receive queue wasn't read.

Change: ClientPool reads on behind a failed write. An answer without a length is then whole only if it is a refusal, whose body is left out, as at the front end of the platform.

--- a/src/balsampoint/http/client_pool.cpp
+++ b/src/balsampoint/http/client_pool.cpp
@@ -71,18 +71,30 @@
   return std::move(bytes).str();
 }
 
-void
+/**
+ * @brief Sends a request.
+ * @param aSocket Connection.
+ * @param aBytes The request.
+ * @param aDeadline When the wait ends.
+ * @return Whether it was sent whole. If not, an answer may have arrived before.
+ */
+bool
 Write(Poco::Net::StreamSocket& aSocket,
       std::string_view aBytes,
       Instant aDeadline)
 {
-  while (!aBytes.empty()) {
-    const auto part = aBytes.substr(0, kPartBytes);
-    aSocket.setSendTimeout(Span(aDeadline - SteadyClock::Now()));
-    const auto sent = aSocket.sendBytes(
-      part.data(), static_cast<int>(part.size()), MSG_NOSIGNAL);
-    aBytes.remove_prefix(static_cast<std::size_t>(sent));
+  try {
+    while (!aBytes.empty()) {
+      const auto part = aBytes.substr(0, kPartBytes);
+      aSocket.setSendTimeout(Span(aDeadline - SteadyClock::Now()));
+      const auto sent = aSocket.sendBytes(
+        part.data(), static_cast<int>(part.size()), MSG_NOSIGNAL);
+      aBytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+  } catch (const Poco::IOException&) {
+    return false;
   }
+  return true;
 }
 
 /** @brief Reads the answer to one request. */
@@ -91,6 +103,7 @@
 public:
   explicit AnswerReader(const ClientRequest& aRequest)
     : mIsHead{ aRequest.method == "HEAD" }
+    , mHasRequestBody{ !aRequest.body.empty() }
     , mParser{ wire::MessageKind::Response,
                { .bodyBytes = aRequest.maxResponseBytes } }
   {
@@ -116,8 +129,28 @@
     }
   }
 
-  /** @brief Takes the end of the connection. */
-  void ReadEof() { mParser.ReadEof(); }
+  /**
+   * @brief Takes the end of the connection.
+   * @param aWasSent Whether the request was sent whole; if not, only a refusal
+   * is whole without a length.
+   */
+  void ReadEof(bool aWasSent)
+  {
+    if (aWasSent) {
+      mParser.ReadEof();
+    } else {
+      ReadReset();
+    }
+  }
+
+  /** @brief Takes a reset of the connection. */
+  void ReadReset()
+  {
+    if (!mHasRequestBody) {
+      throw Poco::Net::ConnectionResetException{};
+    }
+    mParser.ReadReset();
+  }
 
   /** @brief Whether another request may follow on the connection. */
   [[nodiscard]] bool MayKeepAlive() const
@@ -156,23 +189,38 @@
   }
 
   bool mIsHead;
+  bool mHasRequestBody;
   wire::Parser mParser;
   std::string mUnread;
   std::uint32_t mSkipped{};
 };
 
+/**
+ * @brief Reads an answer to its end.
+ * @param aSocket Connection.
+ * @param aReader Receives the bytes and the end.
+ * @param aWasSent Whether the request was sent whole.
+ * @param aDeadline When the wait ends.
+ */
 void
-Read(Poco::Net::StreamSocket& aSocket, AnswerReader& aReader, Instant aDeadline)
+Read(Poco::Net::StreamSocket& aSocket,
+     AnswerReader& aReader,
+     bool aWasSent,
+     Instant aDeadline)
 {
   std::array<char, kPartBytes> part{};
   while (!aReader.Ended()) {
     aSocket.setReceiveTimeout(Span(aDeadline - SteadyClock::Now()));
-    const auto size =
-      aSocket.receiveBytes(part.data(), static_cast<int>(part.size()));
-    if (size > 0) {
-      aReader.Read({ part.data(), static_cast<std::size_t>(size) });
-    } else {
-      aReader.ReadEof();
+    try {
+      const auto size =
+        aSocket.receiveBytes(part.data(), static_cast<int>(part.size()));
+      if (size > 0) {
+        aReader.Read({ part.data(), static_cast<std::size_t>(size) });
+      } else {
+        aReader.ReadEof(aWasSent);
+      }
+    } catch (const Poco::Net::ConnectionResetException&) {
+      aReader.ReadReset();
     }
   }
 }
@@ -197,12 +245,12 @@
     socket = std::move(*connected);
   }
   try {
-    Write(
+    const bool sent = Write(
       *socket, Encode(aRequest, socket->peerAddress().toString()), deadline);
     AnswerReader reader{ aRequest };
-    Read(*socket, reader, deadline);
+    Read(*socket, reader, sent, deadline);
     auto response = reader.TakeResponse();
-    if (reader.MayKeepAlive() && aRequest.reuseConnection) {
+    if (sent && reader.MayKeepAlive() && aRequest.reuseConnection) {
       Keep(aAddress, *socket);
     }
     return response;
--- a/test/balsampoint/http/client_pool_test.cpp
+++ b/test/balsampoint/http/client_pool_test.cpp
@@ -142,6 +142,34 @@
   }
 }
 
+// Guards against the loss of an early answer since the write of the request has
+// failed before the answer was read.
+Test(client_pool, early_answers_outlive_a_failed_write)
+{
+  for (const auto ending :
+       { Ending::Reset, Ending::CloseUnread, Ending::FinThenReset }) {
+    for (const auto pause : kPauses) {
+      const auto whole = Upload(
+        "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n8 bytes.", ending, pause);
+      const auto refusal =
+        Upload("HTTP/1.1 413 Too Large\r\nContent-Length: 9\r\n\r\ntoo large",
+               ending,
+               pause);
+      const auto bare =
+        Upload("HTTP/1.1 413 Too Large\r\n\r\ntoo large", ending, pause);
+      const auto form = std::to_string(static_cast<int>(ending)) + ", pause " +
+                        std::to_string(pause.count());
+      cr_expect(whole && whole->body == "8 bytes.", "ending %s", form.c_str());
+      cr_expect(refusal && refusal->body == "too large",
+                "413 with a length, ending %s",
+                form.c_str());
+      cr_expect(bare && bare->status == 413,
+                "413 without a length, ending %s",
+                form.c_str());
+    }
+  }
+}
+
 // Guards against a chunked answer that breaks off and counts as whole, or whose
 // chunks aren't framed as their sizes say.
 Test(client_pool, an_answer_cut_in_its_chunks_is_lost)
