test: answers without a status, and with names that are no tokens

Nothing changes in the product: both forms are refused already.

Orders and status checks of engines read answers as requests do; a reset ends none of theirs without a length.

--- a/test/balsampoint/edge/engine_control_client_test.cpp
+++ b/test/balsampoint/edge/engine_control_client_test.cpp
@@ -1,5 +1,7 @@
 #include "balsampoint/edge/engine_control_client.hpp"
 
+#include "fake/early_server.hpp"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
@@ -79,12 +81,48 @@
     CallEngine("HTTP/1.1 101 Switching Protocols\r\n\r\n").has_value());
 }
 
+// Guards against a part of a response without a length that counts as whole,
+// whether a write or a read meets the reset that broke it off.
+Test(engine_control_client, a_reset_ends_no_response_without_a_length)
+{
+  using fake::Ending;
+  for (const auto ending : { Ending::Reset, Ending::CloseUnread }) {
+    for (const std::size_t size : { 100, 16000000 }) {
+      if (ending == Ending::CloseUnread && size == 100) {
+        // The server has read it whole, and ends in order.
+        continue;
+      }
+      const fake::EarlyServer engine{
+        0,
+        { "HTTP/1.1 200 OK\r\n\r\n{\"busy\":false}",
+          ending,
+          std::chrono::milliseconds{ 30 } }
+      };
+      net::Loop loop;
+      EngineControlClient client{ loop, {} };
+      std::promise<std::optional<EngineResponse>> response;
+      loop.Start();
+      client.Call(
+        engine.Address(),
+        "POST /order HTTP/1.1\r\nHost: e\r\nContent-Length: " +
+          std::to_string(size) + "\r\n\r\n" + std::string(size, 'u'),
+        kPatience,
+        [&](auto aResponse) { response.set_value(std::move(aResponse)); });
+      cr_expect_not(response.get_future().get().has_value(),
+                    "ending %d, %zu bytes",
+                    static_cast<int>(ending),
+                    size);
+      loop.Stop();
+    }
+  }
+}
+
 // Guards against a number that is believed since it parses: an order counted as
 // refused, or waited for an answer until its time limit.
 Test(engine_control_client, takes_no_number_for_a_status)
 {
   for (const std::string number :
-       { "000", "00", "099", "600", "999", "1000", "0202" }) {
+       { "000", "0", "00", "099", "600", "999", "1000", "0202" }) {
     const auto begin = std::chrono::steady_clock::now();
     cr_expect_not(
       CallEngine("HTTP/1.1 " + number + " X\r\nContent-Length: 0\r\n\r\n")
--- a/test/platform/exchange_test.cpp
+++ b/test/platform/exchange_test.cpp
@@ -1394,7 +1394,7 @@
 {
   const std::string rest{ " X\r\n" + kStamped };
   for (const std::string number :
-       { "000", "00", "099", "600", "999", "1000", "0200", "-20" }) {
+       { "000", "0", "00", "099", "600", "999", "1000", "0200", "-20" }) {
     for (const std::string body : { "", "strange" }) {
       const auto answer = "HTTP/1.1 " + number + rest +
                           "Content-Length: " + std::to_string(body.size()) +
--- a/test/soak/strangers.py
+++ b/test/soak/strangers.py
@@ -10,7 +10,11 @@
 # Time from the strange answer to the server's own.
 AHEAD_S = 0.02
 INTERIM_COUNT = 100
-NO_STATUSES = ["000", "00", "099", "600", "999", "1000"]
+NO_STATUSES = ["000", "0", "00", "099", "600", "999", "1000"]
+# Lines of a head whose names are no tokens.
+ODD_FIELDS = ["X Odd: 1", " X-Odd: 1", "X-Odd : 1", "X\x01Odd: 1",
+              "X\x7fOdd: 1", "X\x80Odd: 1", ": 1"]
+ODD_LENGTHS = ["Content Length", "Content-Length ", "Content\0-Length"]
 
 
 def stamp(request):
@@ -92,12 +96,49 @@
 
 def without_status(request, other, body):
     """A number that is no status."""
-    number = NO_STATUSES[int(stamp(request), 16) % len(NO_STATUSES)]
+    number = chosen(NO_STATUSES, request)
     return success([("X-Request-Id", request),
                     ("X-Response-Stamp", stamp(request))],
                    b"", f"{number} Unknown")
 
 
+def chosen(forms, request):
+    """One of some forms, the same one for the same request."""
+    return forms[int(stamp(request), 16) % len(forms)]
+
+
+def with_odd_field(request, other, body):
+    """A field whose name is no token."""
+    line = chosen(ODD_FIELDS, request).encode("latin-1")
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request))],
+                   body).replace(b"\r\n\r\n", b"\r\n" + line + b"\r\n\r\n", 1)
+
+
+def with_odd_length(request, other, body):
+    """A length whose name is no token."""
+    name = chosen(ODD_LENGTHS, request).encode("latin-1")
+    return success([("X-Request-Id", request),
+                    ("X-Response-Stamp", stamp(request))],
+                   body).replace(b"Content-Length", name)
+
+
+def with_odd_trailer(request, other, body):
+    """A field behind the last chunk whose name is no token."""
+    line = chosen(ODD_FIELDS, request).encode("latin-1")
+    head = message("HTTP/1.1 200 OK", {
+        "X-Request-Id": request, "X-Response-Stamp": stamp(request),
+        "Transfer-Encoding": "chunked"})
+    return head.replace(b"Content-Length: 0\r\n", b"") + (
+        b"0\r\n" + line + b"\r\n\r\n")
+
+
+def interim_with_odd_field(request, other, body):
+    """An interim answer with a field whose name is no token."""
+    line = chosen(ODD_FIELDS, request).encode("latin-1")
+    return b"HTTP/1.1 102 Processing\r\n" + line + b"\r\n\r\n"
+
+
 def interim_in_place(request, other, body):
     """An interim answer with what only the server's own has."""
     return success([("X-Request-Id", request),
@@ -111,7 +152,8 @@
 
 
 # Kinds that take the place of the server's own answer.
-ALONE = [without_status, interim_in_place, interim_without_end]
+ALONE = [without_status, with_odd_field, with_odd_length, with_odd_trailer,
+         interim_with_odd_field, interim_in_place, interim_without_end]
 KINDS = [earlier, without_id, without_stamp, two_ids, two_stamps, coded,
          partial, refusal_without_id, cut_in_field, cut_in_reason,
          other_version, *ALONE]
