--- a/src/balsampoint/edge/server_connection.cpp
+++ b/src/balsampoint/edge/server_connection.cpp
@@ -122,8 +122,8 @@
       std::string{}.swap(self->mSending);
       self->mWriteError = aError;
       self->RecordMemory(0);
-      // A response may have arrived before the write failed. The end of what
-      // there is to read tells; a read ends also if the connection is open.
+      // A response may have arrived before the write failed, so it is read to
+      // its end. The shutdown ends the read if the connection is still open.
       if (aError && self->mSocket.is_open()) {
         boost::system::error_code ignored;
         self->mSocket.shutdown(net::Tcp::socket::shutdown_receive, ignored);
@@ -242,7 +242,8 @@
 {
   const auto self = shared_from_this();
   if (aError == boost::asio::error::eof && !mDetour) {
-    // The handler of a write that failed before this read may still be queued.
+    // Nothing is read any more. The handler of a write that failed before this
+    // read may still be queued.
     boost::asio::post(mSocket.get_executor(), [self] { self->OnStreamEnd(); });
     return;
   }
